Agree the interfaces of the modules, the build and the lint

Cause: the parts are written side by side, so their headers come first. Weighed: one header for all against one beside each module; the latter, so that a reader sees just what a module's users need. Decisions (src/request) take now_us and do no I/O; the daemon is two tasks that talk by mailboxes. Not there yet: any behaviour.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,85 @@
+# Everything is built below build/; SAN=1 builds with the sanitizers below build-san/.
+PKGS    := libevent libevent_pthreads libtirpc glib-2.0 jansson libxxhash
+CC      := gcc
+OUT     := $(if $(SAN),build-san,build)
+SANFLAGS := $(if $(SAN),-fsanitize=address$(comma)undefined -fno-sanitize-recover=undefined,)
+comma   := ,
+WARN    := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith -Wformat=2
+CFLAGS  := -std=gnu11 -O2 -g $(WARN) $(SANFLAGS) -Isrc -MMD -MP $(shell pkg-config --cflags $(PKGS))
+LDLIBS  := $(shell pkg-config --libs $(PKGS)) -lpthread -lm
+LDFLAGS := $(SANFLAGS)
+
+LIBSRC  := $(filter-out src/process/main.c,$(wildcard src/*/*.c))
+LIBOBJ  := $(LIBSRC:%.c=$(OUT)/%.o)
+LIB     := $(OUT)/libmedlarplank.a
+DAEMON  := $(OUT)/medlarplankd
+CTL     := $(OUT)/medlarplankctl
+STANDINS := $(patsubst standin/standin_%.c,$(OUT)/standin-%,$(wildcard standin/standin_*.c))
+SHARED_STANDIN := $(patsubst %.c,$(OUT)/%.o,$(filter-out $(wildcard standin/standin_*.c),$(wildcard standin/*.c)))
+UNIT    := $(patsubst tests/test_%.c,$(OUT)/test-%,$(wildcard tests/test_*.c))
+SESSIONLIB := $(patsubst %.c,$(OUT)/%.o,$(filter-out $(wildcard tests/test_*.c tests/session_*.c),$(wildcard tests/*.c)))
+SESSIONS := $(patsubst tests/session_%.c,$(OUT)/session-%,$(wildcard tests/session_*.c))
+BENCHES := $(patsubst bench/bench_%.c,$(OUT)/bench-%,$(wildcard bench/bench_*.c))
+BENCHLIB := $(patsubst %.c,$(OUT)/%.o,$(filter-out $(wildcard bench/bench_*.c),$(wildcard bench/*.c)))
+CSRC    := $(filter-out src/proto/%,$(wildcard src/*/*.[ch] ctl/*.[ch] standin/*.[ch] tests/*.[ch] bench/*.[ch]))
+
+all: $(DAEMON) $(CTL) $(STANDINS) $(BENCHES)
+
+$(OUT)/src/proto/%.o: src/proto/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -Wno-unused-variable -Wno-missing-prototypes -Wno-strict-prototypes -c $< -o $@
+
+$(OUT)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -c $< -o $@
+
+$(LIB): $(LIBOBJ)
+	rm -f $@
+	ar rcs $@ $^
+
+$(DAEMON): $(OUT)/src/process/main.o $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
+
+$(CTL): $(patsubst %.c,$(OUT)/%.o,$(wildcard ctl/*.c)) $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
+
+$(OUT)/standin-%: $(OUT)/standin/standin_%.o $(SHARED_STANDIN) $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
+
+$(OUT)/test-%: $(OUT)/tests/test_%.o $(SESSIONLIB) $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ -lcunit $(LDLIBS)
+
+$(OUT)/session-%: $(OUT)/tests/session_%.o $(SESSIONLIB) $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ -lcunit $(LDLIBS)
+
+$(OUT)/bench-%: $(OUT)/bench/bench_%.o $(BENCHLIB) $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
+
+unit: $(UNIT)
+	tests/run.sh $(OUT) $(UNIT)
+
+sessions: all $(SESSIONS)
+	tests/run.sh $(OUT) $(SESSIONS)
+
+check: all $(UNIT) $(SESSIONS)
+	tests/run.sh $(OUT) $(UNIT) $(SESSIONS)
+
+demo:
+	./install-packages.sh
+	$(MAKE) all
+	examples/demo.sh $(OUT)
+
+format:
+	clang-format -i $(CSRC)
+
+lint:
+	clang-format --dry-run --Werror $(CSRC)
+	cppcheck --quiet --error-exitcode=1 --enable=warning,portability --inline-suppr \
+	  --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches -DTAILQ_FOREACH=for -Isrc $(filter %.c,$(CSRC))
+
+clean:
+	rm -rf build build-san
+
+-include $(shell find $(OUT) -name '*.d' 2>/dev/null)
+.PHONY: all unit sessions check demo format lint clean
+.SECONDARY:
--- /dev/null
+++ b/src/connection/http_client.h
@@ -0,0 +1,85 @@
+/**
+ * DOC: http_client
+ *
+ * HTTP requests of a task over evhttp, with connections kept for reuse, one request at a time on
+ * each. Tells how far a failed request got, and never takes a cut answer for a whole one.
+ */
+#ifndef CONNECTION_HTTP_CLIENT_H
+#define CONNECTION_HTTP_CLIENT_H
+
+#include "process/clock.h"
+#include "process/settings.h"
+#include "request/verdict.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/keyvalq_struct.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct hcl hcl_t;           /* connections of one task */
+typedef struct hcl_call hcl_call_t; /* one request in flight */
+
+typedef struct
+{
+  const char *name;
+  const char *value;
+} hcl_header_t;
+
+/**
+ * struct hcl_end - how a call ended
+ * @whole: the answer came whole, with its length declared, and @check_name had @check_value
+ * @verdict: when not whole: VRD_NOT_RUN only if nothing left for the peer
+ * @reason: VRD_REASON_CONNECT, _CUT, _CROSSED or _TIMEOUT
+ */
+typedef struct
+{
+  bool whole;
+  int status;
+  vrd_t verdict;
+  vrd_reason_t reason;
+} hcl_end_t;
+
+/**
+ * struct hcl_options - one request
+ * @header_count: of @headers; checked for CR, LF and NUL: a bad one fails the call as not run
+ * @body: borrowed; copied by reference
+ * @timeout_us: for the whole call; 0 is none
+ * @check_name: response header that must be there with @check_value, else VRD_REASON_CROSSED and
+ *   nothing of the answer is passed on; NULL for none
+ * @on_head: status and headers came; false ends the call
+ * @on_data: a part of the body; drain it
+ * @on_end: last, exactly once, never from within hcl_start()
+ */
+typedef struct
+{
+  const set_address_t *address;
+  const char *method;
+  const char *target;
+  const hcl_header_t *headers;
+  uint32_t header_count;
+  const void *body;
+  size_t body_bytes;
+  uint64_t timeout_us;
+  uint32_t answer_limit_bytes;
+  const char *check_name;
+  const char *check_value;
+  bool (*on_head) (int status, struct evkeyvalq *headers, void *context);
+  void (*on_data) (struct evbuffer *data, void *context);
+  void (*on_end) (const hcl_end_t *end, void *context);
+  void *context;
+} hcl_options_t;
+
+/** hcl_new() - at most @idle_limit idle connections are kept for each address */
+hcl_t *hcl_new (struct event_base *base, uint32_t idle_limit, uint32_t idle_timeout_ms);
+void hcl_free (hcl_t *hcl);
+hcl_call_t *hcl_start (hcl_t *hcl, const hcl_options_t *options);
+/** hcl_cancel() - closes the connection; @on_end is not called */
+void hcl_cancel (hcl_call_t *call);
+/** hcl_pause() - stop or go on reading the answer while the reader of what it is passed on to is
+ * slow */
+void hcl_pause (hcl_call_t *call, bool paused);
+/** hcl_sent() - whether any byte may have left for the peer */
+bool hcl_sent (const hcl_call_t *call);
+
+#endif
--- /dev/null
+++ b/src/process/limits.h
@@ -0,0 +1,27 @@
+/**
+ * DOC: limits
+ *
+ * Every limit and tunable that is not a setting, in one place. A name ends in its unit.
+ */
+#ifndef PROCESS_LIMITS_H
+#define PROCESS_LIMITS_H
+
+#define LIM_NAME_BYTES 64         /* host, service, account and class names, with the final NUL */
+#define LIM_CHAT_ID_BYTES 256     /* a chat id in a header */
+#define LIM_KEY_BYTES 256         /* an idempotency key */
+#define LIM_HOPS 4                /* sidecars asked for one request */
+#define LIM_REFERRALS 3           /* hosts named by one refusal */
+#define LIM_SAMPLES_PER_MESSAGE 8 /* load samples in one exchange message */
+#define LIM_SAMPLES_KEPT 64       /* load samples kept for one service */
+#define LIM_SAMPLE_AGE_US (3 * 1000 * 1000)
+#define LIM_DATAGRAM_BYTES 1200
+#define LIM_MANIFEST_BYTES (8 * 1024 * 1024)
+#define LIM_MANIFEST_DEPTH 16
+#define LIM_QUEUE_PER_ACCOUNT 64 /* requests that wait at one sidecar for one client account */
+#define LIM_QUEUE_TOTAL 512      /* requests that wait at one sidecar */
+#define LIM_DIRECTORY_ENTRIES 8192
+#define LIM_SUSPECTS 1024
+#define LIM_SUSPECT_CRASHES 2
+#define LIM_REVOKED 4096 /* attempt ids barred at one sidecar */
+
+#endif
--- /dev/null
+++ b/src/process/log.h
@@ -0,0 +1,49 @@
+/**
+ * DOC: log
+ *
+ * Syslog-style lines on standard error: "<PRI>TIMESTAMP HOST medlarplankd[PID]: EVENT key=value
+ * ...". A value with a blank, quote, '=' or control character is quoted and escaped, so that no
+ * caller can forge a field or a line. Safe from any thread.
+ */
+#ifndef PROCESS_LOG_H
+#define PROCESS_LOG_H
+
+#include <stdint.h>
+
+typedef enum
+{
+  LOG_LEVEL_ERROR = 3,
+  LOG_LEVEL_WARNING = 4,
+  LOG_LEVEL_NOTICE = 5,
+  LOG_LEVEL_INFO = 6,
+  LOG_LEVEL_DEBUG = 7
+} log_level_t;
+
+/** log_init() - name the program and host that stand in each line; lines above @level are dropped
+ */
+void log_init (const char *program, const char *host, log_level_t level);
+
+/**
+ * log_event() - write one line
+ * @level: severity, the syslog number
+ * @event: what happened, one word with underscores
+ * @...: pairs of field name and value, both const char *, ended by NULL; a NULL value is left out
+ *
+ * Numbers are formatted by LOG_U64 into a buffer of the calling statement.
+ */
+void log_event (log_level_t level, const char *event, ...) __attribute__ ((sentinel));
+
+/** struct log_num - room for a formatted number */
+typedef struct
+{
+  char text[24];
+} log_num_t;
+
+const char *log_u64 (log_num_t *num, uint64_t value);
+const char *log_hex (log_num_t *num, uint64_t value);
+
+/** LOG_U64() - @value as text that lives until the end of the enclosing block */
+#define LOG_U64(value) log_u64 (&(log_num_t){ { 0 } }, (value))
+#define LOG_HEX(value) log_hex (&(log_num_t){ { 0 } }, (value))
+
+#endif
--- /dev/null
+++ b/src/proto/exchange.x
@@ -0,0 +1,44 @@
+/*
+ * The exchange between daemons: ONC RPC version 2 in single UDP datagrams.
+ * Every string and array is bounded, so that no datagram can ask for more memory than it brings.
+ */
+const XCH_SAMPLES = 8;
+const XCH_WORDS = 4;
+const XCH_MARKS = 2;
+
+struct xch_sample {
+  unsigned hyper engine_hash;
+  unsigned hyper service_hash;
+  unsigned int load;
+  unsigned int waiting;
+  unsigned int cost;
+  unsigned int age_ms;
+};
+
+struct xch_word {
+  unsigned hyper host_hash;
+  unsigned hyper incarnation;
+  unsigned int sequence;
+  unsigned int state;
+};
+
+struct xch_mark {
+  unsigned hyper fingerprint;
+  unsigned hyper engines[2];
+  unsigned int age_ms;
+};
+
+struct xch_message {
+  xch_word sender;
+  unsigned hyper manifest_version;
+  unsigned hyper manifest_offset;
+  xch_sample samples<XCH_SAMPLES>;
+  xch_word words<XCH_WORDS>;
+  xch_mark marks<XCH_MARKS>;
+};
+
+program MEDLARPLANK_EXCHANGE {
+  version MEDLARPLANK_EXCHANGE_V1 {
+    xch_message XCH_SWAP(xch_message) = 1;
+  } = 1;
+} = 0x20004d50;
--- /dev/null
+++ b/src/request/attempt.h
@@ -0,0 +1,111 @@
+/**
+ * DOC: attempt
+ *
+ * A router's course through one request: whom to ask, what each outcome means, when to give up.
+ * A pure state machine: the caller does the sending and tells what came of it.
+ *
+ * Non-idempotent requests go to another engine only after VRD_NOT_RUN. Idempotent ones may be
+ * tried again until the first byte of an answer went to the caller, within the retry budget.
+ */
+#ifndef REQUEST_ATTEMPT_H
+#define REQUEST_ATTEMPT_H
+
+#include "process/limits.h"
+#include "request/verdict.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** struct att_budget - token bucket of retries: a fraction of recent successes */
+typedef struct
+{
+  uint64_t tokens_milli;
+} att_budget_t;
+
+#define ATT_BUDGET_MAX_MILLI 10000 /* ten retries at once at most */
+#define ATT_BUDGET_GAIN_MILLI 100  /* a tenth of a retry for each success */
+
+void att_budget_init (att_budget_t *budget);
+void att_budget_success (att_budget_t *budget);
+bool att_budget_take (att_budget_t *budget);
+
+/**
+ * struct att_options - of one request
+ * @candidates: engine hashes, best first; copied
+ */
+typedef struct
+{
+  bool idempotent;
+  uint64_t deadline_us;
+  const uint64_t *candidates;
+  uint32_t candidate_count;
+} att_options_t;
+
+typedef enum
+{
+  ATT_SEND,    /* to @engine_hash; @may_wait and @referred go along */
+  ATT_REVOKE,  /* ask @engine_hash to bar the last attempt id */
+  ATT_GIVE_UP, /* answer the caller now: @verdict, @reason, @retry_after_ms */
+  ATT_DONE     /* the answer was or is being relayed */
+} att_action_t;
+
+typedef struct
+{
+  att_action_t action;
+  uint64_t engine_hash;
+  bool may_wait;
+  bool referred;
+  vrd_t verdict;
+  vrd_reason_t reason;
+  uint32_t retry_after_ms; /* 0: do not come back */
+} att_step_t;
+
+#define ATT_CANDIDATES 8
+
+typedef struct
+{
+  uint64_t engine_hash;
+  bool referred;
+} att_target_t;
+
+/** struct att - state of one request; no memory of its own */
+typedef struct
+{
+  bool idempotent;
+  bool answer_begun;
+  bool referred_wait; /* a refusal promised that waiting is possible */
+  uint64_t deadline_us;
+  att_target_t targets[ATT_CANDIDATES + LIM_HOPS * LIM_REFERRALS];
+  uint32_t target_count;
+  uint32_t target_next;
+  uint64_t asked[LIM_HOPS + 2];
+  uint32_t asked_count;
+  uint64_t waiting_host; /* first that refused as over its bound: asked again, with leave to wait */
+  uint64_t last_engine;
+  uint32_t hops;
+  uint32_t retries;
+  uint32_t retry_after_ms;
+  vrd_reason_t last_reason;
+} att_t;
+
+/** struct att_outcome - how a send ended */
+typedef struct
+{
+  bool answered; /* a final answer of the engine; it is relayed */
+  vrd_t verdict;
+  vrd_reason_t reason;
+  uint32_t retry_after_ms;
+  const uint64_t *referrals;
+  uint32_t referral_count;
+} att_outcome_t;
+
+att_step_t att_begin (att_t *att, uint64_t now_us, const att_options_t *options);
+/** att_answer_begun() - the first byte of the answer went to the caller: no other engine is tried
+ */
+void att_answer_begun (att_t *att);
+att_step_t
+att_ended (att_t *att, uint64_t now_us, att_budget_t *budget, const att_outcome_t *outcome);
+/** att_revoked() - the answer to a revoke; VRD_MAY_HAVE_RUN also when none came */
+att_step_t att_revoked (att_t *att, uint64_t now_us, att_budget_t *budget, vrd_t verdict);
+
+#endif
--- /dev/null
+++ b/src/request/hop.h
@@ -0,0 +1,81 @@
+/**
+ * DOC: hop
+ *
+ * What a router tells a sidecar along with a request, as HTTP headers, and what comes back. The
+ * headers are sealed with an HMAC under the fleet key, so that nobody else on the network can hand
+ * work to an engine past the limits of the client accounts.
+ *
+ * A refusal is 503 (or 409 for claims, 422 for final ones) with VRD_HEADER, HOP_REASON_HEADER,
+ * HOP_TRY_HEADER (host names, comma-separated) and Retry-After; its body is the caller's error.
+ */
+#ifndef REQUEST_HOP_H
+#define REQUEST_HOP_H
+
+#include "process/limits.h"
+
+#include <event2/keyvalq_struct.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define HOP_ATTEMPT_HEADER "X-Medlarplank-Attempt" /* echoed by the sidecar on every answer */
+#define HOP_SEAL_HEADER "X-Medlarplank-Seal"
+#define HOP_REASON_HEADER "X-Medlarplank-Reason"
+#define HOP_TRY_HEADER "X-Medlarplank-Try"
+#define HOP_ENGINE_HEADER "X-Medlarplank-Engine"           /* which engine answered */
+#define HOP_INCARNATION_HEADER "X-Medlarplank-Incarnation" /* of the sidecar */
+#define HOP_RETRY_AFTER_HEADER "X-Medlarplank-Retry-After-Ms"
+#define HOP_CACHED_HEADER "X-Cached-Tokens" /* from the engine: prompt tokens found cached */
+#define HOP_PRIORITY_HEADER "X-Priority"    /* to the engine */
+#define HOP_REQUEST_HEADER "X-Request-Id"   /* to the engine, echoed by it: the attempt id */
+
+#define HOP_REVOKE_PATH "/medlarplank/revoke" /* POST ?attempt=ID -> VRD_HEADER */
+#define HOP_SERVED_PATH "/medlarplank/served" /* POST ?chat=HEX&engine=HEX: told to the home */
+#define HOP_DIRECTORY_PATH "/medlarplank/directory" /* POST: hand-over of a leaving sidecar */
+
+/**
+ * struct hop - one request on its way to a sidecar
+ * @deadline_ms: that remain, to the first byte; relative, as hosts' clocks differ
+ * @key_hash: of the idempotency key with the account; zero without a key
+ */
+typedef struct
+{
+  uint64_t attempt[2];
+  char service[LIM_NAME_BYTES];
+  char account[LIM_NAME_BYTES];
+  char class_name[LIM_NAME_BYTES];
+  uint64_t chat_hash;
+  uint64_t home_hash;
+  uint64_t former_hash;
+  uint64_t fingerprint;
+  uint64_t key_hash[2];
+  uint64_t body_hash;
+  uint64_t version;
+  uint32_t deadline_ms;
+  uint32_t prompt_tokens;
+  uint32_t output_tokens;
+  bool has_chat;
+  bool may_wait;
+  bool referred;
+  bool idempotent;
+} hop_t;
+
+#define HOP_HEADERS 20
+typedef struct
+{
+  char name[40];
+  char value[160];
+} hop_header_t;
+
+/** hop_write() - the headers of @hop, seal included. Return: how many of @out were filled */
+uint32_t hop_write (const hop_t *hop, const char *fleet_key, hop_header_t out[HOP_HEADERS]);
+typedef enum
+{
+  HOP_OK,
+  HOP_BROKEN,
+  HOP_BAD_SEAL
+} hop_outcome_t;
+hop_outcome_t hop_read (hop_t *hop, const char *fleet_key, struct evkeyvalq *headers);
+void hop_attempt_text (const uint64_t attempt[2], char out[33]);
+bool hop_attempt_parse (const char *text, uint64_t attempt[2]);
+
+#endif
--- /dev/null
+++ b/src/request/member.h
@@ -0,0 +1,96 @@
+/**
+ * DOC: member
+ *
+ * Which hosts there are, as one daemon sees it. The platform's list lags, so it only proposes; a
+ * sidecar's own word goes before it; a router's direct failures are added to both. A pure state
+ * machine; snapshots of it are immutable and counted, and go to the data task by message.
+ */
+#ifndef REQUEST_MEMBER_H
+#define REQUEST_MEMBER_H
+
+#include "process/limits.h"
+#include "process/settings.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef enum
+{
+  MEM_LIVE,
+  MEM_LEAVING,
+  MEM_GONE
+} mem_state_t;
+
+/** struct mem_listed - a host as the platform's list gives it */
+typedef struct
+{
+  char name[LIM_NAME_BYTES];
+  bool router;
+  char data_center[LIM_NAME_BYTES];
+  char region[LIM_NAME_BYTES];
+  set_address_t http;
+  set_address_t exchange;
+  mem_state_t state;
+} mem_listed_t;
+
+/** struct mem_word - what a daemon says of itself; a higher (incarnation, sequence) goes first */
+typedef struct
+{
+  uint64_t host_hash;
+  uint64_t incarnation;
+  uint32_t sequence;
+  mem_state_t state;
+} mem_word_t;
+
+/**
+ * struct mem_host - a host in a snapshot
+ * @state: leaving when any source says so
+ * @settled_us: from when on a returned engine counts as home again (flap damping); 0 is always
+ */
+typedef struct
+{
+  char name[LIM_NAME_BYTES];
+  uint64_t hash;
+  bool router;
+  char data_center[LIM_NAME_BYTES];
+  char region[LIM_NAME_BYTES];
+  set_address_t http;
+  set_address_t exchange;
+  mem_state_t state;
+  uint64_t incarnation;
+  uint64_t joined_us;
+  uint64_t settled_us;
+} mem_host_t;
+
+/** struct mem_snapshot - sorted by name */
+typedef struct
+{
+  gatomicrefcount refs;
+  mem_host_t *hosts;
+  uint32_t host_count;
+  uint64_t list_revision;
+} mem_snapshot_t;
+
+typedef struct mem mem_t;
+
+mem_t *mem_new (void);
+void mem_free (mem_t *mem);
+/** mem_list_full() - a whole list; hosts that are not in it are gone */
+void mem_list_full (
+    mem_t *mem, uint64_t now_us, const mem_listed_t *listed, uint32_t count, uint64_t revision);
+/** mem_list_delta() - changes since the revision known; MEM_GONE takes a host out */
+void mem_list_delta (
+    mem_t *mem, uint64_t now_us, const mem_listed_t *listed, uint32_t count, uint64_t revision);
+/** mem_hear() - a daemon's own word, first or second hand. Return: whether anything changed */
+bool mem_hear (mem_t *mem, uint64_t now_us, const mem_word_t *word);
+/** mem_changed() - whether the snapshot differs from the last one taken */
+bool mem_changed (const mem_t *mem);
+mem_snapshot_t *mem_snapshot (mem_t *mem);
+mem_snapshot_t *mem_snapshot_ref (mem_snapshot_t *snapshot);
+void mem_snapshot_unref (mem_snapshot_t *snapshot);
+/** mem_find() - by name, or NULL */
+const mem_host_t *mem_find (const mem_snapshot_t *snapshot, const char *name);
+const mem_host_t *mem_find_hash (const mem_snapshot_t *snapshot, uint64_t hash);
+
+#endif
