--- a/src/request/place.h
+++ b/src/request/place.h
@@ -9,6 +9,8 @@
 
 #include <stdint.h>
 
+#define PLC_WANT_MAX 64 /* candidates that plc_rank() gives at most */
+
 /** struct plc_engine - one engine as a candidate; @weight 1 is ordinary, 0 means not a candidate */
 typedef struct
 {
