--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 PKGS    := libevent libevent_pthreads libtirpc glib-2.0 jansson libxxhash
 CC      := gcc
 OUT     := $(if $(SAN),build-san,build)
-SANFLAGS := $(if $(SAN),-fsanitize=address$(comma)undefined -fno-sanitize-recover=undefined,)
 comma   := ,
+SANFLAGS := $(if $(SAN),-fsanitize=address$(comma)undefined -fno-sanitize-recover=undefined,)
 WARN    := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith -Wformat=2
 CFLAGS  := -std=gnu11 -O2 -g $(WARN) $(SANFLAGS) -Isrc -MMD -MP $(shell pkg-config --cflags $(PKGS))
 LDLIBS  := $(shell pkg-config --libs $(PKGS)) -lpthread -lm
