Read and check manifests

The fleet takes the manifest as the only statement of intent, so a fault in it must be found before it is in force. Each error starts with the path of the fault. An engine in two services, two accounts with one key and a route that another one hides are refused too. "idempotent" is false when it is not given: the error that costs a retry is better than the one that runs a call twice.

Ruled out: a JSON schema library, for its messages name the schema's rule and not the fault's path.

--- /dev/null
+++ b/tests/test_manifest.c
@@ -0,0 +1,311 @@
+#include "version/manifest.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <string.h>
+
+#define KEY_A "08a6bd4bf2a6c5b8e6b2a0a8f7a4a7b7fb0ee6d29a4a7fcc1c6e0b7b1a2f3c4d"
+#define KEY_B "18a6bd4bf2a6c5b8e6b2a0a8f7a4a7b7fb0ee6d29a4a7fcc1c6e0b7b1a2f3c4d"
+
+static const char GOOD[] =
+    "{\"client_accounts\":{\"east\":{\"key_sha256\":\"" KEY_A "\",\"weight\":4000},"
+    "\"west\":{\"key_sha256\":\"" KEY_B "\"}},"
+    "\"classes\":{\"short\":{\"priority\":0,\"deadline_ms\":2000},\"long\":{}},"
+    "\"services\":{\"pool\":{\"kind\":\"model\",\"engines\":[\"e1\",\"e2\"]},"
+    "\"desk\":{\"kind\":\"plain\",\"engines\":[\"p1\"],\"bound_percent\":150}},"
+    "\"routes\":[{\"method\":\"POST\",\"path\":\"/v1/chat/completions\",\"model\":\"m\","
+    "\"service\":\"pool\",\"class\":\"long\",\"idempotent\":true},"
+    "{\"path\":\"/desk/*\",\"service\":\"desk\",\"class\":\"short\"}]}";
+
+static man_t *
+good (void)
+{
+  GError *error = NULL;
+  man_t *man = man_parse (GOOD, strlen (GOOD), &error);
+
+  if (man == NULL)
+    g_error ("%s", error->message);
+  return man;
+}
+
+static void
+expect_fault (man_t *man, GError *error, man_error_t code, const char *message)
+{
+  CU_ASSERT_PTR_NULL (man);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (error);
+  CU_ASSERT_TRUE (g_error_matches (error, MAN_ERROR, code));
+  if (strcmp (error->message, message) != 0)
+    printf ("\n  got:  %s\n  want: %s\n", error->message, message);
+  CU_ASSERT_STRING_EQUAL (error->message, message);
+  g_clear_error (&error);
+  g_clear_pointer (&man, man_unref);
+}
+
+/* Checks what the good manifest turns into when @patch is laid over it. */
+static void
+expect_patched (const char *patch_text, man_error_t code, const char *message)
+{
+  GError *error = NULL;
+  man_t *base = good ();
+  json_t *patch = json_loads (patch_text, 0, NULL);
+  man_t *man = man_patch (base, patch, &error);
+
+  expect_fault (man, error, code, message);
+  json_decref (patch);
+  man_unref (base);
+}
+
+static void
+expect_parsed (const char *text, man_error_t code, const char *message)
+{
+  GError *error = NULL;
+  man_t *man = man_parse (text, strlen (text), &error);
+
+  expect_fault (man, error, code, message);
+}
+
+static void
+test_reads_all (void)
+{
+  man_t *man = good ();
+  const man_account_t *east = man_account_named (man, "east");
+  const man_service_t *pool = man_service_named (man, "pool");
+  const man_service_t *desk = man_service_of_engine (man, "p1");
+
+  CU_ASSERT_EQUAL (man->version, 0);
+  CU_ASSERT_EQUAL (east->weight, 4000);
+  CU_ASSERT_EQUAL (east->queue_limit, LIM_QUEUE_PER_ACCOUNT);
+  CU_ASSERT_EQUAL (man_account_named (man, "west")->weight, 1000);
+  CU_ASSERT_EQUAL (pool->kind, MAN_KIND_MODEL);
+  CU_ASSERT_EQUAL (pool->engine_count, 2);
+  CU_ASSERT_STRING_EQUAL (pool->engines[1], "e2");
+  CU_ASSERT_EQUAL (pool->bound_percent, 125);
+  CU_ASSERT_STRING_EQUAL (desk->name, "desk");
+  CU_ASSERT_EQUAL (desk->kind, MAN_KIND_PLAIN);
+  CU_ASSERT_EQUAL (desk->bound_percent, 150);
+  CU_ASSERT_EQUAL (man_class_named (man, "short")->priority, 0);
+  CU_ASSERT_PTR_NULL (man_class_named (man, "shorter"));
+  CU_ASSERT_PTR_NULL (man_service_named (man, ""));
+  CU_ASSERT_PTR_NULL (man_service_of_engine (man, "e3"));
+  man_unref (man);
+}
+
+static void
+test_account_by_key (void)
+{
+  man_t *base = good ();
+  g_autofree char *hex = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "secret", -1);
+  json_t *patch = json_pack ("{s{s{ss}}}", "client_accounts", "north", "key_sha256", hex);
+  man_t *man = man_patch (base, patch, NULL);
+
+  CU_ASSERT_STRING_EQUAL (man_account_for_key (man, "secret")->name, "north");
+  CU_ASSERT_PTR_NULL (man_account_for_key (man, "secret "));
+  CU_ASSERT_PTR_NULL (man_account_for_key (man, ""));
+  CU_ASSERT_PTR_NULL (man_account_for_key (man, hex));
+  CU_ASSERT_PTR_NULL (man_account_for_key (base, "secret"));
+  json_decref (patch);
+  man_unref (base);
+  man_unref (man);
+}
+
+static void
+test_first_route_counts (void)
+{
+  man_t *man = good ();
+  const man_route_t *chat = man_route_for (man, "POST", "/v1/chat/completions", "m");
+  const man_route_t *desk = man_route_for (man, "GET", "/desk/lots/7", NULL);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (chat);
+  CU_ASSERT_TRUE (chat->idempotent);
+  CU_ASSERT_STRING_EQUAL (man->classes[chat->class_index].name, "long");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (desk);
+  CU_ASSERT_FALSE (desk->idempotent);
+  CU_ASSERT_STRING_EQUAL (man->services[desk->service_index].name, "desk");
+  CU_ASSERT_PTR_NULL (man_route_for (man, "GET", "/v1/chat/completions", "m"));
+  CU_ASSERT_PTR_NULL (man_route_for (man, "POST", "/v1/chat/completions", "other"));
+  CU_ASSERT_PTR_NULL (man_route_for (man, "POST", "/v1/chat/completions", NULL));
+  CU_ASSERT_PTR_NULL (man_route_for (man, "GET", "/desk", NULL));
+  man_unref (man);
+}
+
+static void
+test_faults_have_paths (void)
+{
+  expect_patched ("{\"services\":{\"pool\":{\"bound_percent\":90}}}", MAN_ERROR_RANGE,
+                  "services.pool.bound_percent: 90 is not in 100..1000");
+  expect_patched ("{\"services\":{\"pool\":{\"slots\":2.5}}}", MAN_ERROR_TYPE,
+                  "services.pool.slots: is not a whole number");
+  expect_patched ("{\"services\":{\"pool\":{\"slot\":2}}}", MAN_ERROR_UNKNOWN,
+                  "services.pool.slot: is not a known key");
+  expect_patched ("{\"services\":{\"pool\":{\"kind\":null}}}", MAN_ERROR_MISSING,
+                  "services.pool.kind: is missing");
+  expect_patched ("{\"services\":{\"pool\":{\"kind\":\"odd\"}}}", MAN_ERROR_RANGE,
+                  "services.pool.kind: is neither \"model\" nor \"plain\"");
+  expect_patched ("{\"services\":{\"pool\":[]}}", MAN_ERROR_TYPE,
+                  "services.pool: is not an object");
+  expect_patched ("{\"services\":{\"pool\":{\"engines\":[]}}}", MAN_ERROR_RANGE,
+                  "services.pool.engines: is empty");
+  expect_patched ("{\"services\":{\"pool\":{\"engines\":[\"e1\",3]}}}", MAN_ERROR_TYPE,
+                  "services.pool.engines[1]: is not a string");
+  expect_patched ("{\"classes\":{\"short\":{\"priority\":10}}}", MAN_ERROR_RANGE,
+                  "classes.short.priority: 10 is not in 0..9");
+  expect_patched ("{\"client_accounts\":{\"east\":{\"weight\":-9223372036854775808}}}",
+                  MAN_ERROR_RANGE,
+                  "client_accounts.east.weight: -9223372036854775808 is not in 1..1000000");
+  expect_patched ("{\"client_accounts\":{\"east\":{\"key_sha256\":\"AB\"}}}", MAN_ERROR_RANGE,
+                  "client_accounts.east.key_sha256: is not a SHA-256 in 64 lower-case hex digits");
+  expect_patched ("{\"client_accounts\":{\"a b\":{}}}", MAN_ERROR_RANGE,
+                  "client_accounts.a b: a name has letters, digits, '.', '_' and '-' and starts "
+                  "with a letter or digit");
+  expect_patched ("{\"x\\ny\":1}", MAN_ERROR_UNKNOWN, "x\\ny: is not a known key");
+  expect_patched ("{\"routes\":null}", MAN_ERROR_MISSING, "routes: is missing");
+  expect_patched ("{\"classes\":null}", MAN_ERROR_MISSING, "classes: is missing");
+  expect_patched ("{\"routes\":[]}", MAN_ERROR_RANGE, "routes: is empty");
+  expect_patched ("[]", MAN_ERROR_SYNTAX, "patch: is not an object that is nested at most 16 deep");
+  expect_parsed ("[3]", MAN_ERROR_TYPE, "document: is not an object");
+}
+
+static void
+test_faults_of_routes (void)
+{
+  expect_patched ("{\"routes\":[{\"path\":\"/\",\"service\":\"x\",\"class\":\"short\"}]}",
+                  MAN_ERROR_REFERENCE, "routes[0].service: no service is named \"x\"");
+  expect_patched ("{\"routes\":[{\"path\":\"/\",\"service\":\"desk\",\"class\":\"x\"}]}",
+                  MAN_ERROR_REFERENCE, "routes[0].class: no class is named \"x\"");
+  expect_patched ("{\"routes\":[{\"path\":\"v1\",\"service\":\"desk\",\"class\":\"long\"}]}",
+                  MAN_ERROR_RANGE, "routes[0].path: does not start with '/'");
+  expect_patched ("{\"routes\":[{\"path\":\"/*/a\",\"service\":\"desk\",\"class\":\"long\"}]}",
+                  MAN_ERROR_RANGE, "routes[0].path: has a '*' before its end");
+  expect_patched ("{\"routes\":[{\"path\":\"/a\",\"method\":\"get\"}]}", MAN_ERROR_RANGE,
+                  "routes[0].method: is not in upper-case letters");
+  expect_patched ("{\"routes\":[{\"path\":\"/a\",\"idempotent\":1}]}", MAN_ERROR_TYPE,
+                  "routes[0].idempotent: is not true or false");
+  expect_patched ("{\"routes\":[{\"path\":\"/a*\",\"service\":\"desk\",\"class\":\"long\"},"
+                  "{\"path\":\"/ab\",\"model\":\"m\",\"service\":\"pool\",\"class\":\"long\"}]}",
+                  MAN_ERROR_REFERENCE, "routes[1]: never matches, for routes[0] goes first");
+}
+
+/*
+ * What the operator sees: a publish that is refused. An engine in two services would be bounded by
+ * two means at once, and two accounts with one key would share one queue and see each other's
+ * chats; so both are refused before they can be in force.
+ */
+static void
+test_nothing_is_listed_twice (void)
+{
+  expect_patched ("{\"services\":{\"desk\":{\"engines\":[\"p1\",\"p1\"]}}}", MAN_ERROR_REFERENCE,
+                  "services.desk.engines[1]: engine \"p1\" is already listed in service \"desk\"");
+  expect_patched ("{\"services\":{\"pool\":{\"engines\":[\"e1\",\"p1\"]}}}", MAN_ERROR_REFERENCE,
+                  "services.pool.engines[1]: engine \"p1\" is already listed in service \"desk\"");
+  expect_patched ("{\"client_accounts\":{\"west\":{\"key_sha256\":\"" KEY_A "\"}}}",
+                  MAN_ERROR_REFERENCE,
+                  "client_accounts.west.key_sha256: client account \"east\" has the same key");
+}
+
+static void
+test_syntax (void)
+{
+  g_autofree char *deep = g_strnfill (1000, '[');
+  GError *error = NULL;
+  man_t *man = man_parse ("{\"routes\":1,\"routes\":2}", 23, &error);
+
+  CU_ASSERT_PTR_NULL (man);
+  CU_ASSERT_TRUE (g_error_matches (error, MAN_ERROR, MAN_ERROR_SYNTAX));
+  CU_ASSERT_PTR_NOT_NULL (strstr (error->message, "duplicate"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (error->message, "routes"));
+  g_clear_error (&error);
+  man = man_parse (deep, 1000, &error);
+  CU_ASSERT_PTR_NULL (man);
+  CU_ASSERT_TRUE (g_error_matches (error, MAN_ERROR, MAN_ERROR_SYNTAX));
+  g_clear_error (&error);
+  expect_parsed ("[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]", MAN_ERROR_SYNTAX,
+                 "document: is nested deeper than 16");
+}
+
+static void
+test_too_large (void)
+{
+  size_t text_bytes = LIM_MANIFEST_BYTES + 1;
+  g_autofree char *text = g_strnfill (text_bytes, ' ');
+  GError *error = NULL;
+  man_t *man = man_parse (text, text_bytes, &error);
+
+  expect_fault (man, error, MAN_ERROR_SYNTAX, "document: is larger than 8388608 bytes");
+}
+
+static void
+test_digest_is_of_the_meaning (void)
+{
+  man_t *man = good ();
+  g_autofree char *spaced = json_dumps (man->json, JSON_INDENT (2));
+  man_t *same = man_parse (spaced, strlen (spaced), NULL);
+  json_t *patch = json_loads ("{\"classes\":{\"long\":{\"priority\":7}}}", 0, NULL);
+  man_t *other = man_patch (man, patch, NULL);
+
+  CU_ASSERT_STRING_EQUAL (man->digest, same->digest);
+  CU_ASSERT_STRING_NOT_EQUAL (man->digest, other->digest);
+  json_decref (patch);
+  man_unref (man);
+  man_unref (same);
+  man_unref (other);
+}
+
+/* The examples of RFC 7386 need documents of any shape; here each rule is laid over a manifest. */
+static void
+test_patch (void)
+{
+  man_t *base = good ();
+  json_t *patch = json_loads ("{\"client_accounts\":{\"west\":null,\"none\":null},"
+                              "\"services\":{\"pool\":{\"engines\":[\"e9\"],\"slots\":3}}}",
+                              0, NULL);
+  man_t *man = man_patch (base, patch, NULL);
+  const man_service_t *pool = man_service_named (man, "pool");
+
+  CU_ASSERT_EQUAL (man->account_count, 1);
+  CU_ASSERT_EQUAL (pool->engine_count, 1);
+  CU_ASSERT_STRING_EQUAL (pool->engines[0], "e9");
+  CU_ASSERT_EQUAL (pool->slots, 3);
+  CU_ASSERT_EQUAL (pool->kind, MAN_KIND_MODEL);
+  CU_ASSERT_EQUAL (base->account_count, 2);
+  CU_ASSERT_EQUAL (json_object_size (json_object_get (base->json, "client_accounts")), 2);
+  json_decref (patch);
+  man_unref (base);
+  man_unref (man);
+}
+
+static void
+test_references (void)
+{
+  man_t *man = good ();
+
+  CU_ASSERT_PTR_EQUAL (man_ref (man), man);
+  man_unref (man);
+  CU_ASSERT_EQUAL (man->account_count, 2);
+  man_unref (man);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("manifest", NULL, NULL);
+  CU_ADD_TEST (suite, test_reads_all);
+  CU_ADD_TEST (suite, test_account_by_key);
+  CU_ADD_TEST (suite, test_first_route_counts);
+  CU_ADD_TEST (suite, test_faults_have_paths);
+  CU_ADD_TEST (suite, test_faults_of_routes);
+  CU_ADD_TEST (suite, test_nothing_is_listed_twice);
+  CU_ADD_TEST (suite, test_syntax);
+  CU_ADD_TEST (suite, test_too_large);
+  CU_ADD_TEST (suite, test_digest_is_of_the_meaning);
+  CU_ADD_TEST (suite, test_patch);
+  CU_ADD_TEST (suite, test_references);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
