Seal the hop headers and decide a request's course

A router tells a sidecar what it decided in headers; anybody on the network could hand work to an engine with them. All are sealed by one HMAC under the fleet key, the attempt id included.

The course of a request is a state machine without I/O: referrals first, at most four hops, the last one with leave to queue at the first host that was over its bound. A home that referred a chat elsewhere in vain is asked again before strangers. att_outcome_t gained @lost, which tells the router's own guess about a broken hop from a sidecar's word, and att_t gained @may_have_run: a request of which one attempt may have run is not called not run because of a later refusal.

--- /dev/null
+++ b/src/request/attempt.c
@@ -0,0 +1,261 @@
+#include "request/attempt.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define RETRY_AFTER_DEFAULT_MS 1000
+
+/* What a refusal or failure with this reason asks for. */
+typedef enum
+{
+  COURSE_NEXT,       /* another engine may serve it */
+  COURSE_FINAL,      /* no other engine may now, but coming back makes sense */
+  COURSE_NEVER_AGAIN /* coming back does not help */
+} course_t;
+
+static course_t
+course_of (vrd_reason_t reason)
+{
+  switch (reason)
+    {
+    case VRD_REASON_QUEUE_FULL:
+    case VRD_REASON_DEADLINE:
+    case VRD_REASON_ACCOUNT_SHARE:
+    case VRD_REASON_LOG_DOWN:
+      return COURSE_FINAL;
+    case VRD_REASON_SUSPECT:
+    case VRD_REASON_CLAIMED:
+    case VRD_REASON_KEY_REUSED:
+    case VRD_REASON_KEY_TOO_OLD:
+      return COURSE_NEVER_AGAIN;
+    default:
+      return COURSE_NEXT;
+    }
+}
+
+static bool
+was_asked (const att_t *att, uint64_t engine_hash)
+{
+  for (uint32_t i = 0; i < att->asked_count; i++)
+    if (att->asked[i] == engine_hash)
+      return true;
+  return false;
+}
+
+/* insert_target() - before all other targets but a host that is to be asked again: it refused only
+ * because it thought another one better, so it goes before whatever that other one names */
+static void
+insert_target (att_t *att, uint32_t place, att_target_t target)
+{
+  uint32_t at = att->target_next + place;
+
+  if (att->target_count == G_N_ELEMENTS (att->targets))
+    return;
+  while (at < att->target_count && att->targets[at].again)
+    at++;
+  memmove (&att->targets[at + 1], &att->targets[at],
+           (att->target_count - at) * sizeof att->targets[0]);
+  att->targets[at] = target;
+  att->target_count++;
+}
+
+/* skip_asked() - go to the next target that may be asked. Return: whether there is one */
+static bool
+skip_asked (att_t *att)
+{
+  while (att->target_next < att->target_count)
+    {
+      const att_target_t *target = &att->targets[att->target_next];
+
+      if (target->again || !was_asked (att, target->engine_hash))
+        return true;
+      att->target_next++;
+    }
+  return false;
+}
+
+/* another_target() - whether somebody could be asked after the next target */
+static bool
+another_target (const att_t *att)
+{
+  uint64_t next = att->targets[att->target_next].engine_hash;
+
+  for (uint32_t i = att->target_next + 1; i < att->target_count; i++)
+    {
+      const att_target_t *target = &att->targets[i];
+
+      if (target->engine_hash != next && !was_asked (att, target->engine_hash))
+        return true;
+    }
+  return false;
+}
+
+static att_step_t
+give_up (const att_t *att, vrd_t verdict, vrd_reason_t reason)
+{
+  att_step_t step = { .action = ATT_GIVE_UP, .verdict = verdict, .reason = reason };
+
+  /* An earlier attempt of an idempotent request may have run: "not run" would no longer be true
+   * of the request, whatever the last attempt says of itself. */
+  if (att->may_have_run && verdict == VRD_NOT_RUN)
+    step.verdict = VRD_MAY_HAVE_RUN;
+  if (course_of (reason) == COURSE_NEVER_AGAIN)
+    return step;
+  if (step.verdict != VRD_NOT_RUN && !att->idempotent)
+    return step;
+  step.retry_after_ms = att->retry_after_ms != 0 ? att->retry_after_ms : RETRY_AFTER_DEFAULT_MS;
+  return step;
+}
+
+static att_step_t
+send_to (att_t *att, uint64_t engine_hash, bool may_wait, bool referred)
+{
+  g_assert (att->hops < LIM_HOPS);
+  att->hops++;
+  att->asked[att->asked_count++] = engine_hash;
+  att->last_engine = engine_hash;
+  att->last_referred = referred;
+  att->waited = may_wait;
+  return (att_step_t){
+    .action = ATT_SEND, .engine_hash = engine_hash, .may_wait = may_wait, .referred = referred
+  };
+}
+
+/* next_step() - the last hop goes back to the first host that was over its bound, now with leave to
+ * queue: its sidecar then holds the request until it may start, or says when to come back */
+static att_step_t
+next_step (att_t *att, uint64_t now_us)
+{
+  bool last_hop = att->hops + 1 >= LIM_HOPS;
+
+  if (now_us >= att->deadline_us)
+    return give_up (att, VRD_NOT_RUN, VRD_REASON_DEADLINE);
+  if (att->hops >= LIM_HOPS)
+    return give_up (att, VRD_NOT_RUN, att->last_reason);
+
+  bool have_target = skip_asked (att);
+
+  if (att->waiting_host != 0 && (last_hop || !have_target))
+    {
+      uint64_t host = att->waiting_host;
+
+      att->waiting_host = 0;
+      return send_to (att, host, true, true);
+    }
+  if (!have_target)
+    return give_up (att, VRD_NOT_RUN, att->last_reason);
+
+  att_target_t target = att->targets[att->target_next];
+  bool may_wait = att->waiting_host == 0 && (last_hop || !another_target (att));
+
+  att->target_next++;
+  return send_to (att, target.engine_hash, may_wait, target.referred);
+}
+
+/* add_referrals() - the refusing sidecar knows best who has room or holds the chat's context */
+static void
+add_referrals (att_t *att, const att_outcome_t *outcome)
+{
+  uint32_t count = MIN (outcome->referral_count, LIM_REFERRALS);
+
+  for (uint32_t i = 0; i < count; i++)
+    insert_target (att, i,
+                   (att_target_t){ .engine_hash = outcome->referrals[i], .referred = true });
+  if (outcome->reason == VRD_REASON_ELSEWHERE && !att->last_referred)
+    insert_target (
+        att, count,
+        (att_target_t){ .engine_hash = att->last_engine, .referred = true, .again = true });
+}
+
+static att_step_t
+refused (att_t *att, uint64_t now_us, const att_outcome_t *outcome)
+{
+  if (outcome->retry_after_ms != 0 &&
+      (att->retry_after_ms == 0 || outcome->retry_after_ms < att->retry_after_ms))
+    att->retry_after_ms = outcome->retry_after_ms;
+  if (course_of (outcome->reason) != COURSE_NEXT)
+    return give_up (att, VRD_NOT_RUN, outcome->reason);
+  if (outcome->reason == VRD_REASON_OVER_BOUND && att->waiting_host == 0 && !att->waited)
+    att->waiting_host = att->last_engine;
+  add_referrals (att, outcome);
+  return next_step (att, now_us);
+}
+
+/* try_again() - the last attempt may have run */
+static att_step_t
+try_again (att_t *att, uint64_t now_us, att_budget_t *budget, vrd_t verdict)
+{
+  att->may_have_run = true;
+  if (!att->idempotent || now_us >= att->deadline_us || !att_budget_take (budget))
+    return give_up (att, verdict, att->last_reason);
+  att->retries++;
+  return next_step (att, now_us);
+}
+
+void
+att_budget_init (att_budget_t *budget)
+{
+  budget->tokens_milli = ATT_BUDGET_MAX_MILLI;
+}
+
+void
+att_budget_success (att_budget_t *budget)
+{
+  budget->tokens_milli = MIN (budget->tokens_milli + ATT_BUDGET_GAIN_MILLI, ATT_BUDGET_MAX_MILLI);
+}
+
+bool
+att_budget_take (att_budget_t *budget)
+{
+  if (budget->tokens_milli < 1000)
+    return false;
+  budget->tokens_milli -= 1000;
+  return true;
+}
+
+att_step_t
+att_begin (att_t *att, uint64_t now_us, const att_options_t *options)
+{
+  memset (att, 0, sizeof *att);
+  att->idempotent = options->idempotent;
+  att->deadline_us = options->deadline_us;
+  att->last_reason = VRD_REASON_NO_ENGINE;
+  att->target_count = MIN (options->candidate_count, ATT_CANDIDATES);
+  for (uint32_t i = 0; i < att->target_count; i++)
+    att->targets[i].engine_hash = options->candidates[i];
+  return next_step (att, now_us);
+}
+
+void
+att_answer_begun (att_t *att)
+{
+  att->answer_begun = true;
+}
+
+att_step_t
+att_ended (att_t *att, uint64_t now_us, att_budget_t *budget, const att_outcome_t *outcome)
+{
+  if (outcome->answered)
+    {
+      att_budget_success (budget);
+      return (att_step_t){ .action = ATT_DONE, .verdict = VRD_RAN };
+    }
+  att->last_reason = outcome->reason;
+  if (att->answer_begun)
+    return give_up (att, MAX (outcome->verdict, VRD_MAY_HAVE_RUN), outcome->reason);
+  if (outcome->verdict == VRD_NOT_RUN)
+    return refused (att, now_us, outcome);
+  if (course_of (outcome->reason) != COURSE_NEXT)
+    return give_up (att, outcome->verdict, outcome->reason);
+  if (outcome->lost && now_us < att->deadline_us)
+    return (att_step_t){ .action = ATT_REVOKE, .engine_hash = att->last_engine };
+  return try_again (att, now_us, budget, outcome->verdict);
+}
+
+att_step_t
+att_revoked (att_t *att, uint64_t now_us, att_budget_t *budget, vrd_t verdict)
+{
+  if (verdict == VRD_NOT_RUN)
+    return next_step (att, now_us);
+  return try_again (att, now_us, budget, verdict);
+}
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -62,10 +62,12 @@
 
 #define ATT_CANDIDATES 8
 
+/** struct att_target - @again: may be asked though it was asked before */
 typedef struct
 {
   uint64_t engine_hash;
   bool referred;
+  bool again;
 } att_target_t;
 
 /** struct att - state of one request; no memory of its own */
@@ -73,25 +75,32 @@
 {
   bool idempotent;
   bool answer_begun;
-  bool referred_wait; /* a refusal promised that waiting is possible */
+  bool waited;       /* the last sidecar asked had leave to queue: nobody is asked after it */
+  bool may_have_run; /* an earlier attempt may have run, so the request is never "not run" again */
   uint64_t deadline_us;
-  att_target_t targets[ATT_CANDIDATES + LIM_HOPS * LIM_REFERRALS];
+  att_target_t targets[ATT_CANDIDATES + LIM_HOPS * (LIM_REFERRALS + 1)];
   uint32_t target_count;
   uint32_t target_next;
   uint64_t asked[LIM_HOPS + 2];
   uint32_t asked_count;
   uint64_t waiting_host; /* first that refused as over its bound: asked again, with leave to wait */
   uint64_t last_engine;
+  bool last_referred;
   uint32_t hops;
   uint32_t retries;
   uint32_t retry_after_ms;
   vrd_reason_t last_reason;
 } att_t;
 
-/** struct att_outcome - how a send ended */
+/**
+ * struct att_outcome - how a send ended
+ * @answered: a final answer of the engine; it is relayed
+ * @lost: the hop itself failed, so @verdict is the router's own guess and a revoke can better it
+ */
 typedef struct
 {
-  bool answered; /* a final answer of the engine; it is relayed */
+  bool answered;
+  bool lost;
   vrd_t verdict;
   vrd_reason_t reason;
   uint32_t retry_after_ms;
--- /dev/null
+++ b/tests/test_attempt.c
@@ -0,0 +1,404 @@
+#include "request/attempt.h"
+
+#include <CUnit/Basic.h>
+
+#define DEADLINE_US 1000000
+
+static const uint64_t CANDIDATES[] = { 10, 11, 12, 13, 14, 15 };
+
+static att_step_t
+begin (att_t *att, bool idempotent, uint32_t count)
+{
+  att_options_t options = { .idempotent = idempotent,
+                            .deadline_us = DEADLINE_US,
+                            .candidates = CANDIDATES,
+                            .candidate_count = count };
+
+  return att_begin (att, 0, &options);
+}
+
+static att_outcome_t
+refusal (vrd_reason_t reason)
+{
+  return (att_outcome_t){ .verdict = VRD_NOT_RUN, .reason = reason };
+}
+
+static att_outcome_t
+lost (void)
+{
+  return (att_outcome_t){ .verdict = VRD_MAY_HAVE_RUN, .reason = VRD_REASON_CUT, .lost = true };
+}
+
+static void
+answers (void)
+{
+  att_t att;
+  att_budget_t budget = { 0 };
+  att_outcome_t answered = { .answered = true, .verdict = VRD_RAN };
+  att_step_t step = begin (&att, true, 3);
+
+  CU_ASSERT_EQUAL (step.action, ATT_SEND);
+  CU_ASSERT_EQUAL (step.engine_hash, 10);
+  CU_ASSERT_FALSE (step.may_wait);
+  CU_ASSERT_FALSE (step.referred);
+  CU_ASSERT_EQUAL (att_ended (&att, 1, &budget, &answered).action, ATT_DONE);
+  CU_ASSERT_EQUAL (budget.tokens_milli, ATT_BUDGET_GAIN_MILLI);
+}
+
+static void
+nobody_to_ask (void)
+{
+  att_t att;
+  att_step_t step = begin (&att, true, 0);
+
+  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (step.verdict, VRD_NOT_RUN);
+  CU_ASSERT_EQUAL (step.reason, VRD_REASON_NO_ENGINE);
+  CU_ASSERT_NOT_EQUAL (step.retry_after_ms, 0);
+}
+
+static void
+only_candidate_may_queue (void)
+{
+  att_t att;
+  att_budget_t budget = { 0 };
+  att_outcome_t full = refusal (VRD_REASON_OVER_BOUND);
+
+  CU_ASSERT_TRUE (begin (&att, true, 1).may_wait);
+  CU_ASSERT_EQUAL (att_ended (&att, 1, &budget, &full).action, ATT_GIVE_UP);
+}
+
+static void
+referrals_go_first (void)
+{
+  att_t att;
+  att_budget_t budget = { 0 };
+  uint64_t referrals[] = { 20, 10, 21 };
+  att_outcome_t full = refusal (VRD_REASON_OVER_BOUND);
+  att_step_t step;
+
+  begin (&att, false, 3);
+  full.referrals = referrals;
+  full.referral_count = 3;
+  step = att_ended (&att, 1, &budget, &full);
+  CU_ASSERT_EQUAL (step.engine_hash, 20);
+  CU_ASSERT_TRUE (step.referred);
+  full.referral_count = 0;
+  /* 10 was asked already and is passed over */
+  step = att_ended (&att, 2, &budget, &full);
+  CU_ASSERT_EQUAL (step.engine_hash, 21);
+}
+
+/* All engines asked are over their bound. The last of the four hops goes back to the first that
+ * said so, with leave to queue there; when that refuses too, the caller hears at once, with the
+ * shortest time after which any of them expects room. */
+static void
+last_hop_waits_at_the_first (void)
+{
+  att_t att;
+  att_budget_t budget = { 0 };
+  att_outcome_t full = refusal (VRD_REASON_OVER_BOUND);
+  att_step_t step = begin (&att, true, 6);
+
+  full.retry_after_ms = 700;
+  for (uint32_t hop = 1; hop < LIM_HOPS; hop++)
+    {
+      CU_ASSERT_FALSE (step.may_wait);
+      step = att_ended (&att, 1, &budget, &full);
+      CU_ASSERT_EQUAL (step.action, ATT_SEND);
+      full.retry_after_ms = 400 + hop;
+    }
+  CU_ASSERT_EQUAL (step.engine_hash, 10);
+  CU_ASSERT_TRUE (step.may_wait);
+  CU_ASSERT_TRUE (step.referred);
+  full = refusal (VRD_REASON_QUEUE_FULL);
+  step = att_ended (&att, 1, &budget, &full);
+  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (step.verdict, VRD_NOT_RUN);
+  CU_ASSERT_EQUAL (step.retry_after_ms, 401);
+  CU_ASSERT_EQUAL (att.hops, LIM_HOPS);
+}
+
+static void
+few_candidates_wait_sooner (void)
+{
+  att_t att;
+  att_budget_t budget = { 0 };
+  att_outcome_t full = refusal (VRD_REASON_OVER_BOUND);
+  att_step_t step;
+
+  begin (&att, true, 2);
+  step = att_ended (&att, 1, &budget, &full);
+  CU_ASSERT_EQUAL (step.engine_hash, 11);
+  CU_ASSERT_FALSE (step.may_wait);
+  step = att_ended (&att, 1, &budget, &full);
+  CU_ASSERT_EQUAL (step.engine_hash, 10);
+  CU_ASSERT_TRUE (step.may_wait);
+  CU_ASSERT_EQUAL (att_ended (&att, 1, &budget, &full).action, ATT_GIVE_UP);
+}
+
+/* The home sends a returning chat to the engine where it is warm, but that one is over its bound.
+ * The home is then asked again and must not refer once more; only then come the hosts that the warm
+ * engine named. Without the second call the chat would land on a stranger though its home is idle.
+ */
+static void
+home_is_asked_again (void)
+{
+  att_t att;
+  att_budget_t budget = { 0 };
+  uint64_t warm = 30;
+  uint64_t room = 31;
+  att_outcome_t elsewhere = refusal (VRD_REASON_ELSEWHERE);
+  att_outcome_t full = refusal (VRD_REASON_OVER_BOUND);
+  att_step_t step;
+
+  begin (&att, true, 4);
+  elsewhere.referrals = &warm;
+  elsewhere.referral_count = 1;
+  step = att_ended (&att, 1, &budget, &elsewhere);
+  CU_ASSERT_EQUAL (step.engine_hash, 30);
+  full.referrals = &room;
+  full.referral_count = 1;
+  step = att_ended (&att, 1, &budget, &full);
+  CU_ASSERT_EQUAL (step.engine_hash, 10);
+  CU_ASSERT_TRUE (step.referred);
+  step = att_ended (&att, 1, &budget, &elsewhere);
+  CU_ASSERT_EQUAL (step.engine_hash, 30);
+  CU_ASSERT_TRUE (step.may_wait);
+}
+
+static void
+certain_refusals_need_no_budget (void)
+{
+  static const vrd_reason_t REASONS[] = { VRD_REASON_LEAVING,       VRD_REASON_STALE,
+                                          VRD_REASON_SUSPECT_HERE,  VRD_REASON_NO_ENGINE,
+                                          VRD_REASON_CONNECT,       VRD_REASON_REVOKED,
+                                          VRD_REASON_WRONG_SERVICE, VRD_REASON_TIMEOUT };
+
+  for (uint32_t i = 0; i < sizeof REASONS / sizeof REASONS[0]; i++)
+    {
+      att_t att;
+      att_budget_t budget = { 0 };
+      att_outcome_t refused = refusal (REASONS[i]);
+      att_step_t step;
+
+      begin (&att, false, 6);
+      step = att_ended (&att, 1, &budget, &refused);
+      CU_ASSERT_EQUAL (step.action, ATT_SEND);
+      CU_ASSERT_EQUAL (step.engine_hash, 11);
+    }
+}
+
+static void
+hops_are_bounded (void)
+{
+  att_t att;
+  att_budget_t budget;
+  uint64_t next = 100;
+  att_outcome_t refused = refusal (VRD_REASON_LEAVING);
+  att_step_t step = begin (&att, true, 6);
+  uint32_t sent = 0;
+
+  att_budget_init (&budget);
+  refused.referrals = &next;
+  refused.referral_count = 1;
+  for (; step.action == ATT_SEND; next++, sent++)
+    step = att_ended (&att, 1, &budget, &refused);
+  CU_ASSERT_EQUAL (sent, LIM_HOPS);
+  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (step.verdict, VRD_NOT_RUN);
+}
+
+/* A request that crashes engines has crashed as many as it may: told so for good, without an
+ * invitation to come back. The same for what a resend cannot mend. */
+static void
+final_refusals_invite_nobody_back (void)
+{
+  static const vrd_reason_t REASONS[] = { VRD_REASON_SUSPECT, VRD_REASON_CLAIMED,
+                                          VRD_REASON_KEY_REUSED, VRD_REASON_KEY_TOO_OLD };
+
+  for (uint32_t i = 0; i < sizeof REASONS / sizeof REASONS[0]; i++)
+    {
+      att_t att;
+      att_budget_t budget = { 0 };
+      att_outcome_t refused = refusal (REASONS[i]);
+      att_step_t step;
+
+      begin (&att, false, 6);
+      refused.retry_after_ms = 5000;
+      step = att_ended (&att, 1, &budget, &refused);
+      CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
+      CU_ASSERT_EQUAL (step.reason, REASONS[i]);
+      CU_ASSERT_EQUAL (step.retry_after_ms, 0);
+    }
+}
+
+static void
+log_down_asks_to_come_back (void)
+{
+  att_t att;
+  att_budget_t budget = { 0 };
+  att_outcome_t refused = refusal (VRD_REASON_LOG_DOWN);
+  att_step_t step;
+
+  begin (&att, false, 6);
+  step = att_ended (&att, 1, &budget, &refused);
+  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (step.verdict, VRD_NOT_RUN);
+  CU_ASSERT_NOT_EQUAL (step.retry_after_ms, 0);
+}
+
+static void
+past_deadline_gives_up_at_once (void)
+{
+  att_t att;
+  att_budget_t budget = { 0 };
+  att_outcome_t refused = refusal (VRD_REASON_LEAVING);
+  att_step_t step;
+
+  begin (&att, true, 6);
+  step = att_ended (&att, DEADLINE_US, &budget, &refused);
+  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (step.verdict, VRD_NOT_RUN);
+  CU_ASSERT_EQUAL (step.reason, VRD_REASON_DEADLINE);
+  CU_ASSERT_NOT_EQUAL (step.retry_after_ms, 0);
+}
+
+/* The connection to the sidecar breaks before any answer. A booking must not be sent elsewhere on
+ * that: only after the sidecar says that it never passed it on, and never will, may another engine
+ * have it. When it cannot say so, the caller hears that the booking may have run. */
+static void
+non_idempotent_moves_only_after_not_run (void)
+{
+  att_t att;
+  att_budget_t budget;
+  att_outcome_t cut = lost ();
+  att_step_t step;
+
+  att_budget_init (&budget);
+  begin (&att, false, 6);
+  step = att_ended (&att, 1, &budget, &cut);
+  CU_ASSERT_EQUAL (step.action, ATT_REVOKE);
+  CU_ASSERT_EQUAL (step.engine_hash, 10);
+  step = att_revoked (&att, 2, &budget, VRD_NOT_RUN);
+  CU_ASSERT_EQUAL (step.action, ATT_SEND);
+  CU_ASSERT_EQUAL (step.engine_hash, 11);
+  att_ended (&att, 3, &budget, &cut);
+  step = att_revoked (&att, 4, &budget, VRD_MAY_HAVE_RUN);
+  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (step.verdict, VRD_MAY_HAVE_RUN);
+  CU_ASSERT_EQUAL (step.retry_after_ms, 0);
+  CU_ASSERT_EQUAL (budget.tokens_milli, ATT_BUDGET_MAX_MILLI);
+}
+
+static void
+sidecar_that_says_it_ran_needs_no_revoke (void)
+{
+  att_t att;
+  att_budget_t budget;
+  att_outcome_t crashed = { .verdict = VRD_MAY_HAVE_RUN, .reason = VRD_REASON_ENGINE_CRASHED };
+
+  att_budget_init (&budget);
+  begin (&att, false, 6);
+  CU_ASSERT_EQUAL (att_ended (&att, 1, &budget, &crashed).action, ATT_GIVE_UP);
+  begin (&att, true, 6);
+  CU_ASSERT_EQUAL (att_ended (&att, 1, &budget, &crashed).action, ATT_SEND);
+}
+
+/* Many hops are lost at once. Idempotent requests go on elsewhere only while the budget lasts, so
+ * that retries cannot multiply an overload; then callers hear at once. */
+static void
+budget_bounds_retries (void)
+{
+  att_budget_t budget;
+  att_outcome_t cut = lost ();
+  att_step_t step;
+  uint32_t retried = 0;
+
+  att_budget_init (&budget);
+  for (uint32_t i = 0; i < 50; i++)
+    {
+      att_t att;
+
+      begin (&att, true, 6);
+      att_ended (&att, 1, &budget, &cut);
+      step = att_revoked (&att, 1, &budget, VRD_MAY_HAVE_RUN);
+      retried += step.action == ATT_SEND;
+    }
+  CU_ASSERT_EQUAL (retried, ATT_BUDGET_MAX_MILLI / 1000);
+  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (step.verdict, VRD_MAY_HAVE_RUN);
+}
+
+/* A first attempt may have run; the second is refused as not run. The request as a whole may have
+ * run, and the caller must not be told otherwise. */
+static void
+not_run_is_said_of_the_whole_request (void)
+{
+  att_t att;
+  att_budget_t budget;
+  att_outcome_t cut = lost ();
+  att_outcome_t full = refusal (VRD_REASON_QUEUE_FULL);
+  att_step_t step;
+
+  att_budget_init (&budget);
+  begin (&att, true, 6);
+  att_ended (&att, 1, &budget, &cut);
+  att_revoked (&att, 1, &budget, VRD_MAY_HAVE_RUN);
+  step = att_ended (&att, 2, &budget, &full);
+  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (step.verdict, VRD_MAY_HAVE_RUN);
+}
+
+/* The answer breaks off after its first byte went to the caller: a second engine's answer must
+ * not be glued to it, however idempotent the request and full the budget. */
+static void
+begun_answer_is_never_tried_again (void)
+{
+  att_t att;
+  att_budget_t budget;
+  att_outcome_t cut = lost ();
+  att_step_t step;
+
+  att_budget_init (&budget);
+  begin (&att, true, 6);
+  att_answer_begun (&att);
+  step = att_ended (&att, 1, &budget, &cut);
+  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (step.verdict, VRD_MAY_HAVE_RUN);
+  CU_ASSERT_EQUAL (step.reason, VRD_REASON_CUT);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "answers", answers },
+    { "nobody to ask", nobody_to_ask },
+    { "only candidate may queue", only_candidate_may_queue },
+    { "referrals go first", referrals_go_first },
+    { "last hop waits at the first", last_hop_waits_at_the_first },
+    { "few candidates wait sooner", few_candidates_wait_sooner },
+    { "home is asked again", home_is_asked_again },
+    { "certain refusals need no budget", certain_refusals_need_no_budget },
+    { "hops are bounded", hops_are_bounded },
+    { "final refusals invite nobody back", final_refusals_invite_nobody_back },
+    { "log down asks to come back", log_down_asks_to_come_back },
+    { "past deadline gives up at once", past_deadline_gives_up_at_once },
+    { "non-idempotent moves only after not run", non_idempotent_moves_only_after_not_run },
+    { "sidecar that says it ran needs no revoke", sidecar_that_says_it_ran_needs_no_revoke },
+    { "budget bounds retries", budget_bounds_retries },
+    { "not run is said of the whole request", not_run_is_said_of_the_whole_request },
+    { "begun answer is never tried again", begun_answer_is_never_tried_again },
+    CU_TEST_INFO_NULL
+  };
+  CU_SuiteInfo suites[] = { { "attempt", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
+
+  CU_initialize_registry ();
+  CU_register_suites (suites);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
--- /dev/null
+++ b/tests/test_hop.c
@@ -0,0 +1,165 @@
+#include "request/hop.h"
+
+#include <CUnit/Basic.h>
+#include <event2/http.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define KEY "a fleet key of the tests"
+
+static hop_t
+sample (void)
+{
+  hop_t hop = { .attempt = { 0x1122334455667788, 9 },
+                .service = "medlar-pool",
+                .account = "tuul",
+                .class_name = "appeal",
+                .chat_hash = 1,
+                .home_hash = 2,
+                .former_hash = 3,
+                .fingerprint = UINT64_MAX,
+                .key_hash = { 4, 5 },
+                .body_hash = 6,
+                .version = 12,
+                .deadline_ms = 2500,
+                .prompt_tokens = 700,
+                .output_tokens = 90,
+                .has_chat = true,
+                .referred = true };
+  return hop;
+}
+
+static struct evkeyvalq *
+written (const hop_t *hop)
+{
+  struct evkeyvalq *headers = calloc (1, sizeof *headers);
+  hop_header_t out[HOP_HEADERS];
+  uint32_t count = hop_write (hop, KEY, out);
+
+  TAILQ_INIT (headers);
+  for (uint32_t i = 0; i < count; i++)
+    evhttp_add_header (headers, out[i].name, out[i].value);
+  return headers;
+}
+
+static void
+drop (struct evkeyvalq *headers)
+{
+  evhttp_clear_headers (headers);
+  free (headers);
+}
+
+static void
+reads_what_was_written (void)
+{
+  hop_t hop = sample ();
+  hop_t back;
+  struct evkeyvalq *headers = written (&hop);
+
+  CU_ASSERT_EQUAL (hop_read (&back, KEY, headers), HOP_OK);
+  CU_ASSERT_EQUAL (back.attempt[0], hop.attempt[0]);
+  CU_ASSERT_EQUAL (back.attempt[1], hop.attempt[1]);
+  CU_ASSERT_STRING_EQUAL (back.service, hop.service);
+  CU_ASSERT_STRING_EQUAL (back.account, hop.account);
+  CU_ASSERT_STRING_EQUAL (back.class_name, hop.class_name);
+  CU_ASSERT_EQUAL (back.chat_hash, 1);
+  CU_ASSERT_EQUAL (back.home_hash, 2);
+  CU_ASSERT_EQUAL (back.former_hash, 3);
+  CU_ASSERT_EQUAL (back.fingerprint, UINT64_MAX);
+  CU_ASSERT_EQUAL (back.key_hash[1], 5);
+  CU_ASSERT_EQUAL (back.body_hash, 6);
+  CU_ASSERT_EQUAL (back.version, 12);
+  CU_ASSERT_EQUAL (back.deadline_ms, 2500);
+  CU_ASSERT_EQUAL (back.prompt_tokens, 700);
+  CU_ASSERT_EQUAL (back.output_tokens, 90);
+  CU_ASSERT_TRUE (back.has_chat);
+  CU_ASSERT_TRUE (back.referred);
+  CU_ASSERT_FALSE (back.may_wait);
+  CU_ASSERT_FALSE (back.idempotent);
+  drop (headers);
+}
+
+/* A stranger on the network hands work straight to a sidecar, or changes one header of a request
+ * that it saw, to be served under another account. Every header is under the seal, so the sidecar
+ * refuses it whichever was changed, left out or added. */
+static void
+refuses_a_changed_header (void)
+{
+  hop_t hop = sample ();
+  hop_t back;
+  hop_header_t out[HOP_HEADERS];
+  uint32_t count = hop_write (&hop, KEY, out);
+
+  for (uint32_t changed = 0; changed < count; changed++)
+    {
+      struct evkeyvalq *headers = written (&hop);
+
+      evhttp_remove_header (headers, out[changed].name);
+      CU_ASSERT_EQUAL (hop_read (&back, KEY, headers), HOP_BAD_SEAL);
+      evhttp_add_header (headers, out[changed].name, "1");
+      CU_ASSERT_EQUAL (hop_read (&back, KEY, headers), HOP_BAD_SEAL);
+      drop (headers);
+    }
+}
+
+static void
+refuses_another_key (void)
+{
+  hop_t hop = sample ();
+  hop_t back;
+  struct evkeyvalq *headers = written (&hop);
+
+  CU_ASSERT_EQUAL (hop_read (&back, "another key of the tests", headers), HOP_BAD_SEAL);
+  drop (headers);
+}
+
+/* A daemon of another version writes a header that this one cannot read: sealed, but broken. */
+static void
+tells_broken_from_forged (void)
+{
+  hop_t hop = sample ();
+  hop_t back;
+  struct evkeyvalq *headers;
+
+  hop.service[0] = '\0';
+  headers = written (&hop);
+  CU_ASSERT_EQUAL (hop_read (&back, KEY, headers), HOP_BROKEN);
+  drop (headers);
+}
+
+static void
+reads_attempt_ids (void)
+{
+  uint64_t attempt[2];
+  char text[33];
+
+  CU_ASSERT_TRUE (hop_attempt_parse ("00000000000000ff0000000000000010", attempt));
+  CU_ASSERT_EQUAL (attempt[0], 255);
+  CU_ASSERT_EQUAL (attempt[1], 16);
+  hop_attempt_text (attempt, text);
+  CU_ASSERT_STRING_EQUAL (text, "00000000000000ff0000000000000010");
+  CU_ASSERT_FALSE (hop_attempt_parse ("ff", attempt));
+  CU_ASSERT_FALSE (hop_attempt_parse ("00000000000000fg0000000000000010", attempt));
+  CU_ASSERT_FALSE (hop_attempt_parse ("00000000000000ff00000000000000100", attempt));
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = { { "reads what was written", reads_what_was_written },
+                          { "refuses a changed header", refuses_a_changed_header },
+                          { "refuses another key", refuses_another_key },
+                          { "tells broken from forged", tells_broken_from_forged },
+                          { "reads attempt ids", reads_attempt_ids },
+                          CU_TEST_INFO_NULL };
+  CU_SuiteInfo suites[] = { { "hop", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
+
+  CU_initialize_registry ();
+  CU_register_suites (suites);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
