Add clock, log, counters, mailbox and messages

The plumbing that both tasks of a daemon stand on.

The running clock follows CLOCK_BOOTTIME: CLOCK_MONOTONIC stands still while a host is suspended, so a daemon that woke would take what it knows for fresh. A log line is written only when standard error polls writable; blocking writes would let a stalled reader of the log stop a task. Lines lost are counted and told. daemon.h now says how a stop goes between main and the control task.

--- a/src/process/clock.h
+++ b/src/process/clock.h
@@ -24,7 +24,12 @@
   uint64_t now_us;
 } clk_t;
 
-/** clk_init_running() - a clock that follows CLOCK_MONOTONIC */
+/**
+ * clk_init_running() - a clock that follows CLOCK_BOOTTIME
+ *
+ * CLOCK_MONOTONIC stands still while a host is suspended: a daemon that woke would take what it
+ * knows for fresh and its deadlines for not yet passed. CLOCK_BOOTTIME counts that time.
+ */
 void clk_init_running (clk_t *clk);
 /** clk_init_paused() - a clock that stands at @now_us */
 void clk_init_paused (clk_t *clk, uint64_t now_us);
@@ -32,7 +37,11 @@
 void clk_advance (clk_t *clk, uint64_t delta_us);
 /** clk_now_us() - microseconds since an arbitrary start, never going back */
 uint64_t clk_now_us (const clk_t *clk);
-/** clk_wall_ms() - milliseconds since 1970; differs between hosts, so only for records and logs */
+/**
+ * clk_wall_ms() - milliseconds since 1970; differs between hosts, so only for records and logs
+ *
+ * A paused clock gives its own time.
+ */
 uint64_t clk_wall_ms (const clk_t *clk);
 
 #endif
--- /dev/null
+++ b/src/process/counters.c
@@ -0,0 +1,312 @@
+#include "process/counters.h"
+
+#include "process/limits.h"
+
+#include <stdbool.h>
+#include <string.h>
+
+#define OVERFLOW_NAME "medlarplank_counters_refused_total"
+#define OVERFLOW_HELP "Counts that had no counter of their own as the process had too many."
+
+/**
+ * struct family - counters of one base name, which differ by their labels
+ * @is_counter: by the name, else a gauge
+ */
+typedef struct
+{
+  char *base;
+  char *help;
+  bool is_counter;
+} family_t;
+
+/** struct cnt - one counter; @labels with the braces, or "" */
+struct cnt
+{
+  const family_t *family;
+  char *labels;
+  uint64_t value;
+};
+
+/**
+ * struct cnt_set - the counters of a process
+ * @lock: guards the tables, not the values
+ * @by_name: sanitised name with labels -> cnt_t
+ * @families: base name -> family_t
+ * @overflow: takes all that comes after LIM_COUNTERS
+ */
+struct cnt_set
+{
+  GMutex lock;
+  GHashTable *by_name;
+  GHashTable *families;
+  cnt_t *overflow;
+};
+
+static void
+family_free (gpointer data)
+{
+  family_t *family = data;
+
+  g_free (family->base);
+  g_free (family->help);
+  g_free (family);
+}
+
+static void
+counter_free (gpointer data)
+{
+  cnt_t *cnt = data;
+
+  g_free (cnt->labels);
+  g_free (cnt);
+}
+
+static bool
+is_name_byte (char c, bool first)
+{
+  return g_ascii_isalpha (c) || c == '_' || (!first && g_ascii_isdigit (c));
+}
+
+/* Any text as a Prometheus name: what may not stand in one becomes '_'. */
+static char *
+sanitise_name (const char *text, size_t bytes)
+{
+  GString *name = g_string_sized_new (bytes + 1);
+
+  if (bytes == 0 || g_ascii_isdigit (text[0]))
+    g_string_append_c (name, '_');
+  for (size_t i = 0; i < bytes; i++)
+    g_string_append_c (name, is_name_byte (text[i], false) ? text[i] : '_');
+  return g_string_free (name, FALSE);
+}
+
+/* Past a label name, or NULL. */
+static const char *
+skip_label_name (const char *at)
+{
+  if (!is_name_byte (*at, true))
+    return NULL;
+  while (is_name_byte (*at, false))
+    at++;
+  return at;
+}
+
+/* Past a quoted value whose quotes, backslashes and newlines are escaped, or NULL. */
+static const char *
+skip_label_value (const char *at)
+{
+  if (*at++ != '"')
+    return NULL;
+  while (*at != '"')
+    {
+      if (*at == '\\' && strchr ("\\\"n", at[1]) != NULL && at[1] != '\0')
+        at++;
+      else if (*at == '\\' || *at == '\n' || *at == '\0')
+        return NULL;
+      at++;
+    }
+  return at + 1;
+}
+
+/* Whether @text is {name="value",...} and nothing more. */
+static bool
+labels_are_whole (const char *text)
+{
+  const char *at = text;
+
+  do
+    {
+      at = skip_label_name (at + 1);
+      if (at == NULL || *at != '=')
+        return false;
+      at = skip_label_value (at + 1);
+      if (at == NULL)
+        return false;
+    }
+  while (*at == ',');
+  return strcmp (at, "}") == 0;
+}
+
+static void
+append_escaped (GString *out, const char *text, bool quotes)
+{
+  for (; *text != '\0'; text++)
+    {
+      if (*text == '\n')
+        g_string_append (out, "\\n");
+      else if (*text == '\\' || (quotes && *text == '"'))
+        g_string_append_printf (out, "\\%c", *text);
+      else
+        g_string_append_c (out, *text);
+    }
+}
+
+static family_t *
+get_family (cnt_set_t *set, const char *base, const char *help)
+{
+  family_t *family = g_hash_table_lookup (set->families, base);
+
+  if (family != NULL)
+    return family;
+  family = g_new0 (family_t, 1);
+  family->base = g_strdup (base);
+  family->help = g_strdup (help != NULL ? help : "");
+  family->is_counter = g_str_has_suffix (base, "_total");
+  g_hash_table_insert (set->families, family->base, family);
+  return family;
+}
+
+static cnt_t *
+get_locked (cnt_set_t *set, const char *base, const char *labels, const char *help)
+{
+  char *name = g_strconcat (base, labels, NULL);
+  cnt_t *cnt = g_hash_table_lookup (set->by_name, name);
+
+  if (cnt == NULL && g_hash_table_size (set->by_name) >= LIM_COUNTERS)
+    cnt = set->overflow;
+  if (cnt != NULL)
+    {
+      g_free (name);
+      return cnt;
+    }
+  cnt = g_new0 (cnt_t, 1);
+  cnt->family = get_family (set, base, help);
+  cnt->labels = g_strdup (labels);
+  g_hash_table_insert (set->by_name, name, cnt);
+  return cnt;
+}
+
+static gint
+compare_counters (gconstpointer a, gconstpointer b)
+{
+  const cnt_t *left = *(const cnt_t *const *)a;
+  const cnt_t *right = *(const cnt_t *const *)b;
+  int order = strcmp (left->family->base, right->family->base);
+
+  return order != 0 ? order : strcmp (left->labels, right->labels);
+}
+
+static GPtrArray *
+sorted_counters (cnt_set_t *set)
+{
+  GPtrArray *counters = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer cnt;
+
+  g_hash_table_iter_init (&iter, set->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &cnt))
+    g_ptr_array_add (counters, cnt);
+  g_ptr_array_sort (counters, compare_counters);
+  return counters;
+}
+
+static void
+write_family (const family_t *family, GString *out)
+{
+  g_string_append_printf (out, "# HELP %s ", family->base);
+  append_escaped (out, family->help, false);
+  g_string_append_printf (out, "\n# TYPE %s %s\n", family->base,
+                          family->is_counter ? "counter" : "gauge");
+}
+
+cnt_set_t *
+cnt_set_new (void)
+{
+  cnt_set_t *set = g_new0 (cnt_set_t, 1);
+
+  g_mutex_init (&set->lock);
+  set->by_name = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, counter_free);
+  set->families = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, family_free);
+  set->overflow = get_locked (set, OVERFLOW_NAME, "", OVERFLOW_HELP);
+  return set;
+}
+
+void
+cnt_set_free (cnt_set_t *set)
+{
+  if (set == NULL)
+    return;
+  g_hash_table_destroy (set->by_name);
+  g_hash_table_destroy (set->families);
+  g_mutex_clear (&set->lock);
+  g_free (set);
+}
+
+cnt_t *
+cnt_get (cnt_set_t *set, const char *name, const char *help)
+{
+  const char *labels = strchr (name, '{');
+  size_t base_bytes = strlen (name);
+  char *base;
+  cnt_t *cnt;
+
+  if (labels != NULL && labels_are_whole (labels))
+    base_bytes = (size_t)(labels - name);
+  else
+    labels = "";
+  base = sanitise_name (name, base_bytes);
+
+  g_mutex_lock (&set->lock);
+  cnt = get_locked (set, base, labels, help);
+  g_mutex_unlock (&set->lock);
+  g_free (base);
+  return cnt;
+}
+
+cnt_t *
+cnt_get_labelled (
+    cnt_set_t *set, const char *base, const char *label, const char *value, const char *help)
+{
+  char *label_name = sanitise_name (label, strlen (label));
+  GString *name = g_string_new (base);
+  cnt_t *cnt;
+
+  g_string_append_printf (name, "{%s=\"", label_name);
+  append_escaped (name, value, true);
+  g_string_append (name, "\"}");
+  cnt = cnt_get (set, name->str, help);
+  g_string_free (name, TRUE);
+  g_free (label_name);
+  return cnt;
+}
+
+void
+cnt_add (cnt_t *cnt, uint64_t delta)
+{
+  __atomic_fetch_add (&cnt->value, delta, __ATOMIC_RELAXED);
+}
+
+void
+cnt_set_value (cnt_t *cnt, uint64_t value)
+{
+  __atomic_store_n (&cnt->value, value, __ATOMIC_RELAXED);
+}
+
+uint64_t
+cnt_value (const cnt_t *cnt)
+{
+  return __atomic_load_n (&cnt->value, __ATOMIC_RELAXED);
+}
+
+void
+cnt_write (cnt_set_t *set, GString *out)
+{
+  const family_t *family = NULL;
+  GPtrArray *counters;
+
+  g_mutex_lock (&set->lock);
+  counters = sorted_counters (set);
+  g_mutex_unlock (&set->lock);
+
+  /* Counters are never taken out of a set, so they may be read without the lock. */
+  for (guint i = 0; i < counters->len; i++)
+    {
+      const cnt_t *cnt = g_ptr_array_index (counters, i);
+      if (cnt->family != family)
+        write_family (cnt->family, out);
+      family = cnt->family;
+      g_string_append_printf (out, "%s%s %" G_GUINT64_FORMAT "\n", family->base, cnt->labels,
+                              cnt_value (cnt));
+    }
+  g_ptr_array_free (counters, TRUE);
+}
--- a/src/process/counters.h
+++ b/src/process/counters.h
@@ -25,8 +25,13 @@
  *
  * Return: a pointer valid as long as @set. A name that ends in _total (before labels) is a
  * counter, every other a gauge.
+ * What may not stand in a name becomes '_'; labels that are not well formed are taken as part of
+ * the name. After %LIM_COUNTERS a new name gets a shared counter that tells of it.
  */
 cnt_t *cnt_get (cnt_set_t *set, const char *name, const char *help);
+/** cnt_get_labelled() - the counter of @base with one label, whose @value may be any text */
+cnt_t *cnt_get_labelled (
+    cnt_set_t *set, const char *base, const char *label, const char *value, const char *help);
 void cnt_add (cnt_t *cnt, uint64_t delta);
 void cnt_set_value (cnt_t *cnt, uint64_t value);
 uint64_t cnt_value (const cnt_t *cnt);
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -33,6 +33,10 @@
 /**
  * The control task (process/control.c): the platform's log and list, the exchange, claims, the
  * version in force, pauses, stopping. Sends to @to_data.
+ *
+ * A stop: main sends MSG_DRAIN to @to_control, once. The control task passes it on to @to_data,
+ * waits for MSG_DRAINED, sends what it still has to, and then ends its own loop with
+ * event_base_loopexit (base, NULL). Only then does main end the data task's loop and the process.
  */
 typedef struct ctrl ctrl_t;
 ctrl_t *ctrl_new (dmn_t *dmn, struct event_base *base, GError **error);
--- a/src/process/limits.h
+++ b/src/process/limits.h
@@ -23,6 +23,9 @@
 #define LIM_DIRECTORY_ENTRIES 8192
 #define LIM_SUSPECTS 1024
 #define LIM_SUSPECT_CRASHES 2
-#define LIM_REVOKED 4096 /* attempt ids barred at one sidecar */
+#define LIM_REVOKED 4096        /* attempt ids barred at one sidecar */
+#define LIM_LOG_LINE_BYTES 2048 /* below PIPE_BUF, so that one write is never split */
+#define LIM_LOG_VALUE_BYTES 512 /* one escaped value of a log line */
+#define LIM_COUNTERS 8192       /* counters of a process, each with its labels */
 
 #endif
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -3,7 +3,8 @@
  *
  * Syslog-style lines on standard error: "<PRI>TIMESTAMP HOST medlarplankd[PID]: EVENT key=value
  * ...". A value with a blank, quote, '=' or control character is quoted and escaped, so that no
- * caller can forge a field or a line. Safe from any thread.
+ * caller can forge a field or a line. A line is bounded and leaves in one write. Safe from any
+ * thread, and never waits: lines are dropped and counted while the reader of standard error stalls.
  */
 #ifndef PROCESS_LOG_H
 #define PROCESS_LOG_H
--- /dev/null
+++ b/tests/test_process.c
@@ -0,0 +1,413 @@
+/* Unit tests of src/process: clock, log, counters and mailbox. */
+#include "process/clock.h"
+#include "process/counters.h"
+#include "process/limits.h"
+#include "process/log.h"
+#include "process/mailbox.h"
+
+#include <CUnit/Basic.h>
+#include <event2/thread.h>
+#include <fcntl.h>
+#include <stdbool.h>
+#include <string.h>
+#include <unistd.h>
+
+#define LOG_FILL_LIMIT 100000
+
+static void
+test_clock_paused (void)
+{
+  clk_t clk;
+
+  clk_init_paused (&clk, 5000);
+  CU_ASSERT_EQUAL (clk_now_us (&clk), 5000);
+  clk_advance (&clk, 7000);
+  CU_ASSERT_EQUAL (clk_now_us (&clk), 12000);
+  CU_ASSERT_EQUAL (clk_wall_ms (&clk), 12);
+}
+
+static void
+test_clock_running (void)
+{
+  clk_t clk;
+  uint64_t first_us;
+
+  clk_init_running (&clk);
+  first_us = clk_now_us (&clk);
+  CU_ASSERT (first_us > 0);
+  CU_ASSERT (clk_now_us (&clk) >= first_us);
+  CU_ASSERT (clk_wall_ms (&clk) > 1600000000000);
+}
+
+/** struct capture - standard error led into a pipe */
+typedef struct
+{
+  int saved_fd;
+  int read_fd;
+  char text[4 * LIM_LOG_LINE_BYTES];
+} capture_t;
+
+static void
+capture_begin (capture_t *capture)
+{
+  int ends[2];
+
+  CU_ASSERT_EQUAL_FATAL (pipe (ends), 0);
+  capture->saved_fd = dup (STDERR_FILENO);
+  capture->read_fd = ends[0];
+  fcntl (ends[0], F_SETFL, O_NONBLOCK);
+  dup2 (ends[1], STDERR_FILENO);
+  close (ends[1]);
+}
+
+static void
+capture_read (capture_t *capture)
+{
+  ssize_t bytes = read (capture->read_fd, capture->text, sizeof capture->text - 1);
+
+  capture->text[MAX (bytes, 0)] = '\0';
+}
+
+static void
+capture_end (capture_t *capture)
+{
+  dup2 (capture->saved_fd, STDERR_FILENO);
+  close (capture->saved_fd);
+  close (capture->read_fd);
+}
+
+static const char *
+log_tail (const capture_t *capture)
+{
+  const char *colon = strstr (capture->text, "]: ");
+
+  return colon != NULL ? colon + 3 : capture->text;
+}
+
+static void
+test_log_form (void)
+{
+  static const char form[] =
+      "^<29>\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d\\.\\d{3}Z hall-1 "
+      "medlarplankd\\[\\d+\\]: placed engine=e-1 load=12 chat=[0-9a-f]{15}f\n$";
+  capture_t capture;
+
+  log_init ("medlarplankd", "hall-1", LOG_LEVEL_NOTICE);
+  capture_begin (&capture);
+  log_event (LOG_LEVEL_INFO, "too_fine", NULL);
+  log_event (LOG_LEVEL_NOTICE, "placed", "engine", "e-1", "left_out", NULL, "load", LOG_U64 (12),
+             "chat", LOG_HEX (15), NULL);
+  capture_read (&capture);
+  capture_end (&capture);
+  CU_ASSERT (g_regex_match_simple (form, capture.text, 0, 0));
+}
+
+/*
+ * A caller sends a chat id that holds a newline and the head of a log line, or a blank and
+ * "verdict=ran". Written as it came, it would put a line or a field into the log that the daemon
+ * never wrote, and an operator would act on it. Every such value is quoted and escaped.
+ */
+static void
+test_log_not_forged (void)
+{
+  capture_t capture;
+
+  capture_begin (&capture);
+  log_event (LOG_LEVEL_ERROR, "e", "a", "x\n<27>forged: e", "b", "1 verdict=ran", "c", "", NULL);
+  log_event (LOG_LEVEL_ERROR, "e", "d", "\"\\ \xc2\x85\r", "e", "k=v", NULL);
+  capture_read (&capture);
+  capture_end (&capture);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (capture.text, "]: e a=\"x\\n<27>forged: e\" b=\"1 verdict=ran\" c=\"\"\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (capture.text, "]: e d=\"\\\"\\\\ \\xc2\\x85\\x0d\" e=\"k=v\"\n"));
+}
+
+static void
+test_log_bounded (void)
+{
+  char longest[3 * LIM_LOG_LINE_BYTES];
+  capture_t capture;
+
+  memset (longest, '"', sizeof longest - 1);
+  longest[sizeof longest - 1] = '\0';
+  capture_begin (&capture);
+  log_event (LOG_LEVEL_ERROR, "one", "a", longest, "b", "2", NULL);
+  capture_read (&capture);
+  CU_ASSERT_PTR_NOT_NULL (strstr (capture.text, "...\" b=2\n"));
+  log_event (LOG_LEVEL_ERROR, "e", "a", longest, "b", longest, "c", longest, "d", longest, NULL);
+  capture_read (&capture);
+  capture_end (&capture);
+  CU_ASSERT (strlen (capture.text) <= LIM_LOG_LINE_BYTES);
+  CU_ASSERT_PTR_NOT_NULL (strstr (capture.text, "\" cut=true\n"));
+}
+
+/*
+ * Whatever reads the daemon's standard error stalls, and the pipe fills. A blocking write would
+ * stop the task that logs, and all its callers would wait for the log. Instead lines are dropped;
+ * once the reader goes on, the first line says how many.
+ */
+static void
+test_log_reader_stalls (void)
+{
+  capture_t capture;
+  uint64_t drained_bytes = 0;
+
+  capture_begin (&capture);
+  for (uint32_t i = 0; i < LOG_FILL_LIMIT; i++)
+    log_event (LOG_LEVEL_ERROR, "fill", "i", LOG_U64 (i), NULL);
+  do
+    {
+      capture_read (&capture);
+      drained_bytes += strlen (capture.text);
+    }
+  while (capture.text[0] != '\0');
+  log_event (LOG_LEVEL_ERROR, "after", NULL);
+  capture_read (&capture);
+  capture_end (&capture);
+  CU_ASSERT (drained_bytes > 0);
+  CU_ASSERT (g_str_has_prefix (log_tail (&capture), "log_lines_dropped count="));
+  CU_ASSERT_PTR_NOT_NULL (strstr (capture.text, "]: after\n"));
+}
+
+static char *
+write_counters (cnt_set_t *set)
+{
+  GString *out = g_string_new (NULL);
+  char *own;
+
+  cnt_write (set, out);
+  own = strstr (out->str, "# HELP x_");
+  own = g_strdup (own != NULL ? own : "");
+  g_string_free (out, TRUE);
+  return own;
+}
+
+static void
+test_counters_text (void)
+{
+  cnt_set_t *set = cnt_set_new ();
+  char *text;
+
+  cnt_add (cnt_get (set, "x_total{reason=\"cold\"}", "All of\nx."), 2);
+  cnt_add (cnt_get (set, "x_total{reason=\"any\"}", "ignored"), 1);
+  cnt_set_value (cnt_get (set, "x_total_bytes", "Bytes."), 7);
+  cnt_add (cnt_get (set, "x_total", "ignored"), 3);
+  cnt_add (cnt_get (set, "x_total", "ignored"), 1);
+  text = write_counters (set);
+  CU_ASSERT_STRING_EQUAL (text, "# HELP x_total All of\\nx.\n"
+                                "# TYPE x_total counter\n"
+                                "x_total 4\n"
+                                "x_total{reason=\"any\"} 1\n"
+                                "x_total{reason=\"cold\"} 2\n"
+                                "# HELP x_total_bytes Bytes.\n"
+                                "# TYPE x_total_bytes gauge\n"
+                                "x_total_bytes 7\n");
+  CU_ASSERT_EQUAL (cnt_value (cnt_get (set, "x_total", NULL)), 4);
+  g_free (text);
+  cnt_set_free (set);
+}
+
+/*
+ * A name or label that holds a quote or a newline would break the whole page of counters: the
+ * scraper refuses it, and operators see no figures of this daemon at all.
+ */
+static void
+test_counters_clean (void)
+{
+  cnt_set_t *set = cnt_set_new ();
+  char *text;
+
+  cnt_add (cnt_get_labelled (set, "x_total", "a-b", "q\"b\\n\n", "X."), 1);
+  cnt_add (cnt_get (set, "x_y z{l=\"broken", "Y."), 2);
+  cnt_add (cnt_get (set, "x_z{l=\"v\"} 9\nforged 1", "Z."), 3);
+  text = write_counters (set);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "x_total{a_b=\"q\\\"b\\\\n\\n\"} 1\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "x_y_z_l__broken 2\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "x_z_l__v___9_forged_1 3\n"));
+  g_free (text);
+  cnt_set_free (set);
+}
+
+static void
+test_counters_bounded (void)
+{
+  cnt_set_t *set = cnt_set_new ();
+  cnt_t *refused = cnt_get (set, "medlarplank_counters_refused_total", NULL);
+
+  for (uint32_t i = 0; i < LIM_COUNTERS + 10; i++)
+    cnt_add (cnt_get_labelled (set, "x_total", "n", LOG_U64 (i), "X."), 1);
+  CU_ASSERT_EQUAL (cnt_value (refused), 11);
+  CU_ASSERT_EQUAL (cnt_value (cnt_get (set, "x_total{n=\"0\"}", NULL)), 1);
+  cnt_set_free (set);
+}
+
+#define ADDS_PER_THREAD 100000
+
+static gpointer
+add_many (gpointer data)
+{
+  for (uint32_t i = 0; i < ADDS_PER_THREAD; i++)
+    cnt_add (data, 1);
+  return NULL;
+}
+
+static void
+test_counters_threads (void)
+{
+  cnt_set_t *set = cnt_set_new ();
+  cnt_t *cnt = cnt_get (set, "x_total", "X.");
+  GThread *other = g_thread_new ("adder", add_many, cnt);
+
+  add_many (cnt);
+  g_thread_join (other);
+  CU_ASSERT_EQUAL (cnt_value (cnt), 2 * ADDS_PER_THREAD);
+  cnt_set_free (set);
+}
+
+#define MAIL_COUNT 200000
+#define MAIL_DEADLINE_S 60
+
+/** struct letter - a message with its number and a count of letters that were freed */
+typedef struct
+{
+  mbx_message_t head;
+  uint32_t number;
+  uint32_t *freed;
+} letter_t;
+
+/** struct mail - both ends of a mailbox test */
+typedef struct
+{
+  struct event_base *base;
+  mbx_t *mbx;
+  uint32_t read;
+  uint32_t disordered;
+  uint32_t freed;
+} mail_t;
+
+static void
+letter_free (mbx_message_t *message)
+{
+  letter_t *letter = (letter_t *)message;
+
+  (*letter->freed)++;
+  g_free (letter);
+}
+
+static void
+mail_send (mail_t *mail, uint32_t number)
+{
+  letter_t *letter = g_new0 (letter_t, 1);
+
+  letter->head.free = letter_free;
+  letter->number = number;
+  letter->freed = &mail->freed;
+  mbx_send (mail->mbx, &letter->head);
+}
+
+static void
+mail_read (mbx_message_t *message, void *context)
+{
+  mail_t *mail = context;
+  const letter_t *letter = (const letter_t *)message;
+
+  mail->disordered += letter->number != mail->read;
+  mail->read++;
+  if (mail->read == MAIL_COUNT)
+    event_base_loopexit (mail->base, NULL);
+}
+
+static void
+mail_begin (mail_t *mail)
+{
+  memset (mail, 0, sizeof *mail);
+  mail->base = event_base_new ();
+  mail->mbx = mbx_new (mail->base, mail_read, mail);
+}
+
+static void
+mail_end (mail_t *mail)
+{
+  mbx_free (mail->mbx);
+  event_base_free (mail->base);
+}
+
+static gpointer
+send_all (gpointer data)
+{
+  for (uint32_t i = 0; i < MAIL_COUNT; i++)
+    mail_send (data, i);
+  return NULL;
+}
+
+/*
+ * One thread sends while another reads. A wake-up that is lost between the last look at the queue
+ * and the wait would leave a message unread: the data task would not hear of a new version or of
+ * the drain, and the loop here would run into its deadline.
+ */
+static void
+test_mailbox_threads (void)
+{
+  struct timeval deadline = { .tv_sec = MAIL_DEADLINE_S };
+  mail_t mail;
+  GThread *sender;
+
+  mail_begin (&mail);
+  event_base_loopexit (mail.base, &deadline);
+  sender = g_thread_new ("sender", send_all, &mail);
+  event_base_dispatch (mail.base);
+  g_thread_join (sender);
+  CU_ASSERT_EQUAL (mail.read, MAIL_COUNT);
+  CU_ASSERT_EQUAL (mail.disordered, 0);
+  CU_ASSERT_EQUAL (mail.freed, MAIL_COUNT);
+  mail_end (&mail);
+}
+
+static void
+test_mailbox_frees_unread (void)
+{
+  mail_t mail;
+
+  mail_begin (&mail);
+  for (uint32_t i = 0; i < 3; i++)
+    mail_send (&mail, i);
+  mail_end (&mail);
+  CU_ASSERT_EQUAL (mail.read, 0);
+  CU_ASSERT_EQUAL (mail.freed, 3);
+}
+
+static CU_TestInfo tests[] = {
+  { "clock: paused", test_clock_paused },
+  { "clock: running", test_clock_running },
+  { "log: form of a line", test_log_form },
+  { "log: no forged field or line", test_log_not_forged },
+  { "log: bounded line", test_log_bounded },
+  { "log: a stalled reader", test_log_reader_stalls },
+  { "counters: text form", test_counters_text },
+  { "counters: names and labels are clean", test_counters_clean },
+  { "counters: bounded", test_counters_bounded },
+  { "counters: two threads", test_counters_threads },
+  { "mailbox: two threads, in order", test_mailbox_threads },
+  { "mailbox: unread messages are freed", test_mailbox_frees_unread },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "process", NULL, NULL, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+int
+main (void)
+{
+  unsigned int failures;
+
+  evthread_use_pthreads ();
+  CU_initialize_registry ();
+  CU_register_suites (suites);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
