Keep members, direct health and the sampled mean; detect pauses

Members: the list proposes, a daemon's own word overrides it for that incarnation, leaving is never undone within one. Ruled out: taking the list's state as it stands (a stale copy would revive a leaving host). The own load is weighed as one engine of the service, not as one sample: otherwise an overloaded engine raises its own bound. A fresh notice carries since when all was heard, as one sent before a pause may still lie in the mailbox of a task that has just woken.

--- a/src/process/messages.c
+++ b/src/process/messages.c
@@ -53,6 +53,7 @@
     case MSG_DRAIN:
     case MSG_LEAVE:
     case MSG_DRAINED:
+    case MSG_WOKE:
       return sizeof (msg_flag_t);
     }
   g_assert_not_reached ();
--- a/src/process/messages.h
+++ b/src/process/messages.h
@@ -22,7 +22,8 @@
   MSG_SAMPLES,      /* msg_samples_t: heard from a peer */
   MSG_MARKS,        /* msg_marks_t: heard from a peer */
   MSG_CLAIM_RESULT, /* msg_claim_result_t */
-  MSG_FRESHNESS,    /* msg_flag_t: false after a pause until the daemon is current again */
+  MSG_FRESHNESS,    /* msg_flag_t: false after a pause until the daemon is current again; true
+                       counts only by pse_fresh (pse, at_us), see process/pause.h */
   MSG_DRAIN,        /* msg_flag_t: stop gracefully */
   /* data task to control task */
   MSG_CLAIM,      /* msg_claim_t */
@@ -30,13 +31,16 @@
   MSG_OWN_SAMPLE, /* msg_samples_t with one sample: the sidecar's own load */
   MSG_NEW_MARK,   /* msg_marks_t: a crash seen here */
   MSG_LEAVE,      /* msg_flag_t: an order of the tool */
-  MSG_DRAINED     /* msg_flag_t: nothing is in flight any more */
+  MSG_DRAINED,    /* msg_flag_t: nothing is in flight any more */
+  MSG_WOKE        /* msg_flag_t: the data task noticed a pause at @at_us */
 } msg_kind_t;
 
+/** struct msg_version - @next_offset: of the manifest stream, after which @man was in force */
 typedef struct
 {
   mbx_message_t head;
   man_t *man;
+  uint64_t next_offset;
 } msg_version_t;
 
 typedef struct
@@ -90,10 +94,13 @@
   uint32_t status;
 } msg_claim_end_t;
 
+/** struct msg_flag - @at_us: for MSG_FRESHNESS since when all was heard, for MSG_WOKE when it woke
+ */
 typedef struct
 {
   mbx_message_t head;
   bool on;
+  uint64_t at_us;
 } msg_flag_t;
 
 /** msg_new() - a zeroed message of @kind and the size of its struct */
--- /dev/null
+++ b/src/process/pause.h
@@ -0,0 +1,47 @@
+/**
+ * DOC: pause
+ *
+ * Tells a task that it did not run for a while (SIGSTOP, a frozen virtual machine, a starved
+ * host): CLOCK_MONOTONIC goes on meanwhile. What the task knew may be out of date then: its host
+ * may be leaving, the version in force replaced.
+ *
+ * Each task keeps one pse_t and calls pse_check() first in every event, and on a timer of
+ * %PSE_TICK_MS so that an idle task is not taken for a paused one. A task that woke is stale until
+ * a MSG_FRESHNESS came that was checked after it woke: one sent before the pause may still lie in
+ * the mailbox and must not count. The data task tells the control task by MSG_WOKE, which may not
+ * have noticed.
+ */
+#ifndef PROCESS_PAUSE_H
+#define PROCESS_PAUSE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define PSE_TICK_MS 100
+#define PSE_INTERVALS 3
+#define PSE_GAP_MIN_US (1500 * 1000)
+
+/**
+ * struct pse - of one task
+ * @gap_us: a task that did not run for longer than this was paused
+ * @woke_us: when it last woke; what was checked before that does not count
+ */
+typedef struct
+{
+  uint64_t last_us;
+  uint64_t gap_us;
+  uint64_t woke_us;
+  bool stale;
+} pse_t;
+
+/** pse_init() - stale at first: nothing was heard yet */
+void pse_init (pse_t *pse, uint64_t now_us, uint32_t exchange_interval_ms);
+/** pse_check() - call first in every event. Return: whether the task has just woken */
+bool pse_check (pse_t *pse, uint64_t now_us);
+/** pse_wake() - another task noticed the pause at @woke_us. Return: whether that is news */
+bool pse_wake (pse_t *pse, uint64_t woke_us);
+/** pse_fresh() - all was heard again after @checked_us. Return: whether the task is fresh now */
+bool pse_fresh (pse_t *pse, uint64_t checked_us);
+bool pse_stale (const pse_t *pse);
+
+#endif
--- a/src/request/health.h
+++ b/src/request/health.h
@@ -24,8 +24,10 @@
 void hlt_failure (hlt_t *hlt, uint64_t now_us, uint64_t host_hash);
 /** hlt_usable() - whether to send; a true answer for a skipped host is its one probe */
 bool hlt_usable (hlt_t *hlt, uint64_t now_us, uint64_t host_hash);
-/** hlt_skipped() - as hlt_usable() but takes no probe */
+/** hlt_skipped() - whether hlt_usable() would say no; takes no probe */
 bool hlt_skipped (const hlt_t *hlt, uint64_t now_us, uint64_t host_hash);
+/** hlt_distrust() - whether more than half of a service's hosts look dead: then try all of them */
+bool hlt_distrust (const hlt_t *hlt, const uint64_t *host_hashes, uint32_t count);
 /** hlt_forget() - a new incarnation of the host was heard */
 void hlt_forget (hlt_t *hlt, uint64_t host_hash);
 
--- /dev/null
+++ b/src/request/mean.c
@@ -0,0 +1,204 @@
+#include "request/mean.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#define MILLI 1000
+
+static uint64_t
+next_random (mean_table_t *table)
+{
+  /* xorshift64*: cheap, and seeded, so that tests repeat */
+  table->rng ^= table->rng >> 12;
+  table->rng ^= table->rng << 25;
+  table->rng ^= table->rng >> 27;
+  return table->rng * UINT64_C (2685821657736338717);
+}
+
+static bool
+is_fresh (const mean_sample_t *sample, uint64_t now_us)
+{
+  return sample->taken_us + LIM_SAMPLE_AGE_US >= now_us;
+}
+
+static uint32_t
+find (const mean_table_t *table, uint64_t engine_hash)
+{
+  uint32_t i = 0;
+  while (i < table->count && table->samples[i].engine_hash != engine_hash)
+    i++;
+  return i;
+}
+
+static uint32_t
+find_oldest (const mean_table_t *table)
+{
+  uint32_t oldest = 0;
+  for (uint32_t i = 1; i < table->count; i++)
+    {
+      if (table->samples[i].taken_us < table->samples[oldest].taken_us)
+        oldest = i;
+    }
+  return oldest;
+}
+
+/* Moves @want random elements of @items to its front. */
+static void
+shuffle_front (mean_table_t *table, const mean_sample_t **items, uint32_t count, uint32_t want)
+{
+  for (uint32_t i = 0; i < want; i++)
+    {
+      uint32_t j = i + (uint32_t)(next_random (table) % (count - i));
+      const mean_sample_t *swap = items[i];
+      items[i] = items[j];
+      items[j] = swap;
+    }
+}
+
+static int
+compare_newest_first (const void *a, const void *b)
+{
+  const mean_sample_t *x = *(const mean_sample_t *const *)a;
+  const mean_sample_t *y = *(const mean_sample_t *const *)b;
+  return (x->taken_us < y->taken_us) - (x->taken_us > y->taken_us);
+}
+
+static uint32_t
+collect_fresh (const mean_table_t *table,
+               uint64_t now_us,
+               uint64_t except_hash,
+               const mean_sample_t **out)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < table->count; i++)
+    {
+      const mean_sample_t *sample = &table->samples[i];
+      if (is_fresh (sample, now_us) && sample->engine_hash != except_hash)
+        out[count++] = sample;
+    }
+  return count;
+}
+
+/*
+ * Standard error of the mean of @count of @population values, drawn without replacement. One value
+ * tells nothing of the spread: the error is then taken to be as large as the value.
+ */
+static double
+standard_error (double sum, double squares, uint32_t count, uint32_t population)
+{
+  if (count == 0 || count >= population)
+    return 0;
+  double mean = sum / count;
+  if (count == 1)
+    return mean;
+  double variance = MAX (0, (squares - sum * mean) / (count - 1));
+  double correction = (double)(population - count) / (population - 1);
+  return sqrt (variance / count * correction);
+}
+
+void
+mean_init (mean_table_t *table, uint64_t seed)
+{
+  memset (table, 0, sizeof *table);
+  table->rng = seed | 1;
+}
+
+void
+mean_add (mean_table_t *table, const mean_sample_t *sample)
+{
+  uint32_t i = find (table, sample->engine_hash);
+  if (i < table->count)
+    {
+      if (sample->taken_us > table->samples[i].taken_us)
+        table->samples[i] = *sample;
+      return;
+    }
+  if (table->count < LIM_SAMPLES_KEPT)
+    {
+      table->samples[table->count++] = *sample;
+      return;
+    }
+  i = find_oldest (table);
+  if (table->samples[i].taken_us < sample->taken_us)
+    table->samples[i] = *sample;
+}
+
+void
+mean_forget (mean_table_t *table, uint64_t engine_hash)
+{
+  uint32_t i = find (table, engine_hash);
+  if (i == table->count)
+    return;
+  table->samples[i] = table->samples[--table->count];
+}
+
+mean_estimate_t
+mean_estimate (const mean_table_t *table,
+               uint64_t now_us,
+               const mean_sample_t *own,
+               uint32_t engine_count)
+{
+  const mean_sample_t *fresh[LIM_SAMPLES_KEPT];
+  uint64_t own_hash = own != NULL ? own->engine_hash : 0;
+  uint32_t own_count = own != NULL ? 1 : 0;
+  uint32_t count = collect_fresh (table, now_us, own_hash, fresh);
+  double sum = 0;
+  double squares = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      sum += fresh[i]->load;
+      squares += (double)fresh[i]->load * fresh[i]->load;
+    }
+  uint32_t total = MAX (engine_count, count + own_count);
+  uint32_t others = total - own_count;
+  double others_mean = count > 0 ? sum / count : (own != NULL ? own->load : 0);
+  double error = standard_error (sum, squares, count, others);
+  /* Without any sample the own load stands in for the others, and is as uncertain as can be. */
+  if (count == 0 && others > 0)
+    error = others_mean;
+  /* The own load is known, not sampled: it weighs one engine, and an engine with much load does
+   * not raise its own bound by more than its share. */
+  double weight = total > 0 ? (double)others / total : 0;
+  double mean = others_mean * weight + (own != NULL ? (double)own->load / total : 0);
+  mean_estimate_t estimate = {
+    .mean_milli = (uint64_t)llround (mean * MILLI),
+    .margin_milli = (uint64_t)llround (error * weight * MILLI),
+    .count = count + own_count,
+  };
+  return estimate;
+}
+
+uint32_t
+mean_pick (mean_table_t *table, uint64_t now_us, mean_sample_t *out, uint32_t want)
+{
+  const mean_sample_t *fresh[LIM_SAMPLES_KEPT];
+  uint32_t count = collect_fresh (table, now_us, 0, fresh);
+  qsort (fresh, count, sizeof fresh[0], compare_newest_first);
+  /* Of the newest, a random half: peers that hear the same samples do not all pass on the same. */
+  count = MIN (count, 2 * want);
+  want = MIN (want, count);
+  shuffle_front (table, fresh, count, want);
+  for (uint32_t i = 0; i < want; i++)
+    out[i] = *fresh[i];
+  return want;
+}
+
+uint32_t
+mean_room (mean_table_t *table, uint64_t now_us, uint64_t except_hash, uint64_t *out, uint32_t want)
+{
+  const mean_sample_t *fresh[LIM_SAMPLES_KEPT];
+  uint32_t count = collect_fresh (table, now_us, except_hash, fresh);
+  uint64_t mean_milli = mean_estimate (table, now_us, NULL, 0).mean_milli;
+  uint32_t room_count = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if ((uint64_t)fresh[i]->load * MILLI <= mean_milli)
+        fresh[room_count++] = fresh[i];
+    }
+  want = MIN (want, room_count);
+  shuffle_front (table, fresh, room_count, want);
+  for (uint32_t i = 0; i < want; i++)
+    out[i] = fresh[i]->engine_hash;
+  return want;
+}
--- a/src/request/member.h
+++ b/src/request/member.h
@@ -68,10 +68,18 @@
 {
   gatomicrefcount refs;
   mem_host_t *hosts;
+  uint32_t *by_hash; /* indices of @hosts, sorted by hash */
   uint32_t host_count;
   uint64_t list_revision;
 } mem_snapshot_t;
 
+#define MEM_DAMPING_MIN_US (2 * 1000 * 1000)
+#define MEM_DAMPING_MAX_US (300 * 1000 * 1000)
+/* A host that stayed up for this long has half its damping taken back, each time over again. */
+#define MEM_LONG_UPTIME_US (UINT64_C (600) * 1000 * 1000)
+/* A host that is gone is remembered for this long: what it said of itself, and its flaps. */
+#define MEM_REMEMBERED_US (UINT64_C (3600) * 1000 * 1000)
+
 typedef struct mem mem_t;
 
 mem_t *mem_new (void);
@@ -82,8 +90,17 @@
 /** mem_list_delta() - changes since the revision known; MEM_GONE takes a host out */
 void mem_list_delta (
     mem_t *mem, uint64_t now_us, const mem_listed_t *listed, uint32_t count, uint64_t revision);
-/** mem_hear() - a daemon's own word, first or second hand. Return: whether anything changed */
+/**
+ * mem_hear() - a daemon's own word, first or second hand
+ *
+ * A word that is not newer than the last one heard of that host is ignored, and so is one of a
+ * host that is neither listed nor remembered: it says no address.
+ *
+ * Return: whether it changed the host's state or incarnation, and so is worth passing on.
+ */
 bool mem_hear (mem_t *mem, uint64_t now_us, const mem_word_t *word);
+/** mem_word() - the last word heard of a host. Return: false when none was */
+bool mem_word (const mem_t *mem, uint64_t host_hash, mem_word_t *word);
 /** mem_changed() - whether the snapshot differs from the last one taken */
 bool mem_changed (const mem_t *mem);
 mem_snapshot_t *mem_snapshot (mem_t *mem);
--- /dev/null
+++ b/tests/test_mean.c
@@ -0,0 +1,159 @@
+#include "process/clock.h"
+#include "request/mean.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#define S CLK_US_PER_S
+
+static mean_sample_t
+sample (uint64_t engine_hash, uint32_t load, uint64_t taken_us)
+{
+  mean_sample_t made = { .engine_hash = engine_hash, .load = load, .taken_us = taken_us };
+  return made;
+}
+
+static void
+add (mean_table_t *table, uint64_t engine_hash, uint32_t load, uint64_t taken_us)
+{
+  mean_sample_t made = sample (engine_hash, load, taken_us);
+  mean_add (table, &made);
+}
+
+static void
+test_newest_sample_counts (void)
+{
+  mean_table_t table;
+  mean_init (&table, 1);
+  add (&table, 1, 10, 2 * S);
+  add (&table, 1, 99, S);
+  CU_ASSERT_EQUAL (table.count, 1);
+  CU_ASSERT_EQUAL (mean_estimate (&table, 2 * S, NULL, 1).mean_milli, 10000);
+  add (&table, 1, 20, 3 * S);
+  CU_ASSERT_EQUAL (mean_estimate (&table, 3 * S, NULL, 1).mean_milli, 20000);
+  CU_ASSERT_EQUAL (mean_estimate (&table, 3 * S + LIM_SAMPLE_AGE_US + 1, NULL, 1).count, 0);
+  mean_forget (&table, 1);
+  CU_ASSERT_EQUAL (table.count, 0);
+}
+
+static void
+test_full_table_drops_oldest (void)
+{
+  mean_table_t table;
+  mean_init (&table, 1);
+  for (uint32_t i = 0; i < LIM_SAMPLES_KEPT; i++)
+    add (&table, i + 1, 1, S + LIM_SAMPLES_KEPT - i);
+  add (&table, 1000, 1, S);
+  CU_ASSERT_EQUAL (table.count, LIM_SAMPLES_KEPT);
+  for (uint32_t i = 0; i < LIM_SAMPLES_KEPT; i++)
+    CU_ASSERT_NOT_EQUAL (table.samples[i].engine_hash, 1000);
+  add (&table, 1000, 1, 2 * S);
+  for (uint32_t i = 0; i < LIM_SAMPLES_KEPT; i++)
+    CU_ASSERT_NOT_EQUAL (table.samples[i].engine_hash, LIM_SAMPLES_KEPT);
+}
+
+static void
+test_margin (void)
+{
+  mean_table_t table;
+  mean_init (&table, 1);
+  add (&table, 1, 4, S);
+  add (&table, 2, 6, S);
+  add (&table, 3, 8, S);
+  /* variance 4, error sqrt (4 / 3) x sqrt (9 / 11) of 12 engines */
+  mean_estimate_t estimate = mean_estimate (&table, S, NULL, 12);
+  CU_ASSERT_EQUAL (estimate.mean_milli, 6000);
+  CU_ASSERT_EQUAL (estimate.margin_milli, 1044);
+  CU_ASSERT_EQUAL (mean_estimate (&table, S, NULL, 3).margin_milli, 0);
+  mean_forget (&table, 2);
+  mean_forget (&table, 3);
+  CU_ASSERT_EQUAL (mean_estimate (&table, S, NULL, 12).margin_milli, 4000);
+}
+
+/* An engine carries far more than the others. If its own load weighed as much as each sample its
+ * bound would rise with its load, and it could carry more than its share of the service. */
+static void
+test_own_load_counts_once (void)
+{
+  mean_table_t table;
+  mean_init (&table, 1);
+  add (&table, 1, 50, S);
+  add (&table, 2, 2, S);
+  add (&table, 3, 2, S);
+  mean_sample_t own = sample (1, 100, S);
+  mean_estimate_t estimate = mean_estimate (&table, S, &own, 10);
+  CU_ASSERT_EQUAL (estimate.count, 3);
+  CU_ASSERT_EQUAL (estimate.mean_milli, 9 * 200 + 10000);
+  own.load = 3;
+  CU_ASSERT_EQUAL (mean_estimate (&table, S + 10 * S, &own, 1).mean_milli, 3000);
+  CU_ASSERT_EQUAL (mean_estimate (&table, S + 10 * S, &own, 1).margin_milli, 0);
+  CU_ASSERT_EQUAL (mean_estimate (&table, S + 10 * S, &own, 4).mean_milli, 3000);
+  CU_ASSERT_NOT_EQUAL (mean_estimate (&table, S + 10 * S, &own, 4).margin_milli, 0);
+}
+
+static void
+test_pick_is_recent_and_varied (void)
+{
+  mean_table_t table;
+  mean_init (&table, 7);
+  for (uint32_t i = 0; i < 40; i++)
+    add (&table, i + 1, 1, S + i);
+  uint32_t picked[41] = { 0 };
+  for (uint32_t round = 0; round < 100; round++)
+    {
+      mean_sample_t out[8];
+      CU_ASSERT_EQUAL (mean_pick (&table, S + 50, out, 8), 8);
+      for (uint32_t i = 0; i < 8; i++)
+        {
+          CU_ASSERT_TRUE (out[i].engine_hash > 40 - 16);
+          picked[out[i].engine_hash]++;
+          for (uint32_t j = 0; j < i; j++)
+            CU_ASSERT_NOT_EQUAL (out[i].engine_hash, out[j].engine_hash);
+        }
+    }
+  for (uint32_t i = 25; i <= 40; i++)
+    CU_ASSERT_TRUE (picked[i] > 20);
+  mean_sample_t none[8];
+  CU_ASSERT_EQUAL (mean_pick (&table, 10 * S, none, 8), 0);
+}
+
+static void
+test_room_is_at_or_below_mean (void)
+{
+  mean_table_t table;
+  mean_init (&table, 7);
+  for (uint32_t i = 1; i <= 10; i++)
+    add (&table, i, i, S);
+  uint32_t named[11] = { 0 };
+  for (uint32_t round = 0; round < 100; round++)
+    {
+      uint64_t out[3];
+      uint32_t count = mean_room (&table, S, 2, out, 3);
+      CU_ASSERT_EQUAL (count, 3);
+      for (uint32_t i = 0; i < count; i++)
+        named[out[i]]++;
+    }
+  CU_ASSERT_EQUAL (named[2], 0);
+  for (uint32_t i = 1; i <= 5; i++)
+    CU_ASSERT_TRUE (i == 2 || named[i] > 20);
+  for (uint32_t i = 6; i <= 10; i++)
+    CU_ASSERT_EQUAL (named[i], 0);
+}
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("mean", NULL, NULL);
+  CU_ADD_TEST (suite, test_newest_sample_counts);
+  CU_ADD_TEST (suite, test_full_table_drops_oldest);
+  CU_ADD_TEST (suite, test_margin);
+  CU_ADD_TEST (suite, test_own_load_counts_once);
+  CU_ADD_TEST (suite, test_pick_is_recent_and_varied);
+  CU_ADD_TEST (suite, test_room_is_at_or_below_mean);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
--- /dev/null
+++ b/tests/test_member.c
@@ -0,0 +1,304 @@
+#include "process/clock.h"
+#include "process/pause.h"
+#include "request/health.h"
+#include "request/member.h"
+#include "request/place.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#define S CLK_US_PER_S
+
+static mem_listed_t
+listed (const char *name, mem_state_t state)
+{
+  mem_listed_t host = { .state = state, .http = { "127.0.0.1", 80 } };
+  g_strlcpy (host.name, name, sizeof host.name);
+  return host;
+}
+
+static bool
+hear (mem_t *mem, uint64_t now_us, uint64_t incarnation, uint32_t sequence, mem_state_t state)
+{
+  mem_word_t word = { plc_hash_name ("a"), incarnation, sequence, state };
+  return mem_hear (mem, now_us, &word);
+}
+
+static void
+list (mem_t *mem, uint64_t now_us, mem_state_t state)
+{
+  mem_listed_t host = listed ("a", state);
+  mem_list_delta (mem, now_us, &host, 1, 1);
+}
+
+/* Host "a" as a snapshot shows it; MEM_GONE when it is not there. */
+static mem_host_t
+look (mem_t *mem)
+{
+  mem_snapshot_t *snapshot = mem_snapshot (mem);
+  const mem_host_t *host = mem_find (snapshot, "a");
+  mem_host_t copy = { .state = MEM_GONE };
+  if (host != NULL)
+    copy = *host;
+  mem_snapshot_unref (snapshot);
+  return copy;
+}
+
+static void
+test_snapshot_finds (void)
+{
+  mem_t *mem = mem_new ();
+  mem_listed_t hosts[3] = { listed ("c", MEM_LIVE), listed ("a", MEM_LIVE),
+                            listed ("b", MEM_LIVE) };
+  mem_list_full (mem, S, hosts, 3, 7);
+  CU_ASSERT_TRUE (mem_changed (mem));
+  mem_snapshot_t *first = mem_snapshot (mem);
+  CU_ASSERT_FALSE (mem_changed (mem));
+  CU_ASSERT_EQUAL (first->host_count, 3);
+  CU_ASSERT_EQUAL (first->list_revision, 7);
+  CU_ASSERT_STRING_EQUAL (first->hosts[0].name, "a");
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      const mem_host_t *host = &first->hosts[i];
+      CU_ASSERT_PTR_EQUAL (mem_find (first, host->name), host);
+      CU_ASSERT_PTR_EQUAL (mem_find_hash (first, plc_hash_name (host->name)), host);
+      CU_ASSERT_EQUAL (host->settled_us, 0);
+    }
+  CU_ASSERT_PTR_NULL (mem_find (first, "d"));
+  CU_ASSERT_PTR_NULL (mem_find_hash (first, 12345));
+  mem_list_full (mem, 2 * S, hosts, 2, 8);
+  mem_snapshot_t *second = mem_snapshot (mem);
+  CU_ASSERT_EQUAL (second->host_count, 2);
+  CU_ASSERT_PTR_NULL (mem_find (second, "b"));
+  CU_ASSERT_EQUAL (first->host_count, 3);
+  mem_snapshot_unref (first);
+  mem_snapshot_unref (second);
+  mem_free (mem);
+}
+
+/* The platform's list lags: it still says live while the host itself has said that it leaves, and
+ * a stale copy says live after a newer one said leaving. A caller would be sent to a host on its
+ * way out. Whichever said leaving first must stand for this incarnation. */
+static void
+test_leaving_does_not_revert (void)
+{
+  mem_t *mem = mem_new ();
+  list (mem, S, MEM_LIVE);
+  CU_ASSERT_TRUE (hear (mem, S, 5, 1, MEM_LIVE));
+  CU_ASSERT_TRUE (hear (mem, S, 5, 2, MEM_LEAVING));
+  CU_ASSERT_EQUAL (look (mem).state, MEM_LEAVING);
+  list (mem, 2 * S, MEM_LIVE);
+  CU_ASSERT_EQUAL (look (mem).state, MEM_LEAVING);
+  CU_ASSERT_FALSE (hear (mem, 2 * S, 5, 1, MEM_LIVE));
+  CU_ASSERT_FALSE (hear (mem, 2 * S, 5, 9, MEM_LIVE));
+  CU_ASSERT_EQUAL (look (mem).state, MEM_LEAVING);
+  list (mem, 3 * S, MEM_GONE);
+  CU_ASSERT_EQUAL (look (mem).state, MEM_GONE);
+  list (mem, 4 * S, MEM_LIVE);
+  CU_ASSERT_EQUAL (look (mem).state, MEM_LEAVING);
+  CU_ASSERT_TRUE (hear (mem, 5 * S, 6, 1, MEM_LIVE));
+  CU_ASSERT_EQUAL (look (mem).state, MEM_LIVE);
+  mem_free (mem);
+}
+
+/* The list says leaving, the host restarts and says so, the list still says leaving of the former
+ * incarnation: the new one must be used. But when the list turns to leaving once more it counts,
+ * and a stale copy that says live does not undo it. */
+static void
+test_list_leaving_is_of_one_incarnation (void)
+{
+  mem_t *mem = mem_new ();
+  list (mem, S, MEM_LIVE);
+  hear (mem, S, 5, 1, MEM_LIVE);
+  list (mem, 2 * S, MEM_LEAVING);
+  CU_ASSERT_EQUAL (look (mem).state, MEM_LEAVING);
+  hear (mem, 3 * S, 5, 2, MEM_LIVE);
+  list (mem, 3 * S, MEM_LIVE);
+  CU_ASSERT_EQUAL (look (mem).state, MEM_LEAVING);
+  list (mem, 3 * S, MEM_LEAVING);
+  hear (mem, 4 * S, 6, 1, MEM_LIVE);
+  CU_ASSERT_EQUAL (look (mem).state, MEM_LIVE);
+  CU_ASSERT_EQUAL (look (mem).incarnation, 6);
+  list (mem, 5 * S, MEM_LEAVING);
+  CU_ASSERT_EQUAL (look (mem).state, MEM_LIVE);
+  list (mem, 6 * S, MEM_LIVE);
+  list (mem, 7 * S, MEM_LEAVING);
+  CU_ASSERT_EQUAL (look (mem).state, MEM_LEAVING);
+  mem_free (mem);
+}
+
+static void
+test_unlisted_word_is_ignored (void)
+{
+  mem_t *mem = mem_new ();
+  CU_ASSERT_FALSE (hear (mem, S, 5, 1, MEM_LIVE));
+  CU_ASSERT_EQUAL (look (mem).state, MEM_GONE);
+  mem_word_t word;
+  CU_ASSERT_FALSE (mem_word (mem, plc_hash_name ("a"), &word));
+  list (mem, S, MEM_LIVE);
+  hear (mem, S, 5, 3, MEM_LIVE);
+  CU_ASSERT_TRUE (mem_word (mem, plc_hash_name ("a"), &word));
+  CU_ASSERT_EQUAL (word.sequence, 3);
+  mem_free (mem);
+}
+
+/* An engine flaps: it is listed, gone and listed again, over and over. Each return would pull its
+ * chats back from the engines where they have become warm, so that they are cold every time. It
+ * must count as home only after it stayed up, twice as long after each flap, and up to a cap. */
+static void
+test_flap_damping_doubles (void)
+{
+  mem_t *mem = mem_new ();
+  uint64_t now_us = S;
+  list (mem, now_us, MEM_LIVE);
+  CU_ASSERT_EQUAL (look (mem).settled_us, 0);
+  uint64_t expected_us = MEM_DAMPING_MIN_US;
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      list (mem, now_us += S, MEM_GONE);
+      list (mem, now_us += S, MEM_LIVE);
+      CU_ASSERT_EQUAL (look (mem).settled_us, now_us + expected_us);
+      CU_ASSERT_EQUAL (look (mem).joined_us, now_us);
+      expected_us = MIN (expected_us * 2, MEM_DAMPING_MAX_US);
+    }
+  mem_free (mem);
+}
+
+static void
+test_long_uptime_halves_damping (void)
+{
+  mem_t *mem = mem_new ();
+  uint64_t now_us = S;
+  list (mem, now_us, MEM_LIVE);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      list (mem, now_us += S, MEM_GONE);
+      list (mem, now_us += S, MEM_LIVE);
+    }
+  CU_ASSERT_EQUAL (look (mem).settled_us, now_us + 8 * MEM_DAMPING_MIN_US);
+  now_us += 2 * MEM_LONG_UPTIME_US;
+  list (mem, now_us, MEM_GONE);
+  list (mem, now_us += S, MEM_LIVE);
+  CU_ASSERT_EQUAL (look (mem).settled_us, now_us + 4 * MEM_DAMPING_MIN_US);
+  mem_free (mem);
+}
+
+static void
+test_restart_is_a_flap_after_a_short_life (void)
+{
+  mem_t *mem = mem_new ();
+  list (mem, S, MEM_LIVE);
+  hear (mem, S, 5, 1, MEM_LIVE);
+  uint64_t late_us = S + MEM_LONG_UPTIME_US;
+  hear (mem, late_us, 6, 1, MEM_LIVE);
+  CU_ASSERT_EQUAL (look (mem).settled_us, 0);
+  hear (mem, late_us + S, 7, 1, MEM_LIVE);
+  CU_ASSERT_EQUAL (look (mem).settled_us, late_us + S + MEM_DAMPING_MIN_US);
+  mem_free (mem);
+}
+
+/* A host goes and comes back: the list says so first, then its new incarnation is heard. That is
+ * one flap, not two. */
+static void
+test_return_is_one_flap (void)
+{
+  mem_t *mem = mem_new ();
+  list (mem, S, MEM_LIVE);
+  hear (mem, S, 5, 1, MEM_LIVE);
+  list (mem, 2 * S, MEM_GONE);
+  list (mem, 3 * S, MEM_LIVE);
+  hear (mem, 4 * S, 6, 1, MEM_LIVE);
+  CU_ASSERT_EQUAL (look (mem).settled_us, 3 * S + MEM_DAMPING_MIN_US);
+  mem_free (mem);
+}
+
+static void
+test_health_backs_off (void)
+{
+  hlt_t *hlt = hlt_new ();
+  uint64_t now_us = S;
+  hlt_failure (hlt, now_us, 1);
+  CU_ASSERT_TRUE (hlt_usable (hlt, now_us, 1));
+  for (uint32_t i = 0; i < 5; i++)
+    hlt_failure (hlt, now_us, 1);
+  CU_ASSERT_FALSE (hlt_usable (hlt, now_us, 1));
+  uint64_t backoff_us = HLT_BACKOFF_MIN_US;
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      CU_ASSERT_TRUE (hlt_skipped (hlt, now_us + backoff_us - 1, 1));
+      now_us += backoff_us;
+      CU_ASSERT_FALSE (hlt_skipped (hlt, now_us, 1));
+      CU_ASSERT_TRUE (hlt_usable (hlt, now_us, 1));
+      CU_ASSERT_FALSE (hlt_usable (hlt, now_us, 1));
+      hlt_failure (hlt, now_us, 1);
+      backoff_us = MIN (backoff_us * 2, HLT_BACKOFF_MAX_US);
+    }
+  hlt_success (hlt, 1);
+  CU_ASSERT_TRUE (hlt_usable (hlt, now_us, 1));
+  hlt_free (hlt);
+}
+
+/* A router whose own network fails sees every sidecar as dead. If it skipped them all it would
+ * refuse everything long after the network is back; so it distrusts a view in which more than
+ * half of a service is dead. */
+static void
+test_health_distrusts_itself (void)
+{
+  hlt_t *hlt = hlt_new ();
+  const uint64_t hosts[4] = { 1, 2, 3, 4 };
+  for (uint64_t host = 1; host <= 3; host++)
+    {
+      CU_ASSERT_FALSE (hlt_distrust (hlt, hosts, 4));
+      hlt_failure (hlt, S, host);
+      hlt_failure (hlt, S, host);
+    }
+  CU_ASSERT_TRUE (hlt_distrust (hlt, hosts, 4));
+  hlt_forget (hlt, 2);
+  CU_ASSERT_FALSE (hlt_distrust (hlt, hosts, 4));
+  hlt_free (hlt);
+}
+
+/* A daemon is stopped and goes on later. A "fresh" that was sent before the stop still lies in its
+ * mailbox and is read first: it must not let the daemon work on what it knew before. */
+static void
+test_pause (void)
+{
+  pse_t pse;
+  pse_init (&pse, S, 250);
+  CU_ASSERT_TRUE (pse_stale (&pse));
+  CU_ASSERT_TRUE (pse_fresh (&pse, S));
+  CU_ASSERT_FALSE (pse_check (&pse, S + PSE_GAP_MIN_US));
+  CU_ASSERT_FALSE (pse_stale (&pse));
+  uint64_t woke_us = S + 2 * PSE_GAP_MIN_US + 1;
+  CU_ASSERT_TRUE (pse_check (&pse, woke_us));
+  CU_ASSERT_FALSE (pse_check (&pse, woke_us));
+  CU_ASSERT_FALSE (pse_fresh (&pse, woke_us - 1));
+  CU_ASSERT_TRUE (pse_stale (&pse));
+  CU_ASSERT_TRUE (pse_fresh (&pse, woke_us));
+  CU_ASSERT_FALSE (pse_wake (&pse, woke_us));
+  CU_ASSERT_TRUE (pse_wake (&pse, woke_us + 1));
+  CU_ASSERT_TRUE (pse_stale (&pse));
+}
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("member", NULL, NULL);
+  CU_ADD_TEST (suite, test_snapshot_finds);
+  CU_ADD_TEST (suite, test_leaving_does_not_revert);
+  CU_ADD_TEST (suite, test_list_leaving_is_of_one_incarnation);
+  CU_ADD_TEST (suite, test_unlisted_word_is_ignored);
+  CU_ADD_TEST (suite, test_flap_damping_doubles);
+  CU_ADD_TEST (suite, test_long_uptime_halves_damping);
+  CU_ADD_TEST (suite, test_restart_is_a_flap_after_a_short_life);
+  CU_ADD_TEST (suite, test_return_is_one_flap);
+  CU_ADD_TEST (suite, test_health_backs_off);
+  CU_ADD_TEST (suite, test_health_distrusts_itself);
+  CU_ADD_TEST (suite, test_pause);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
