Add the settings: one table for flags, environment, help and docs

A deployment gives its settings by flags or variables and must hear at once what is wrong. All of it follows from one table; docs/settings.md is checked against it by a test. Shortened flags, stray arguments, host names, two fleet keys, and a claim horizon that the log's retention does not cover are refused. The fleet key is never a flag and never shown.

--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -15,6 +15,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#define SET_PROGRAM_VERSION "0.1.0"
+
 typedef enum
 {
   SET_ROLE_ROUTER,
@@ -85,5 +87,7 @@
 
 /** set_parse_address() - "IP:PORT" or "[IPv6]:PORT" */
 bool set_parse_address (const char *text, set_address_t *address, GError **error);
+/** set_address_text() - the inverse, freed by g_free() */
+char *set_address_text (const set_address_t *address);
 
 #endif
--- /dev/null
+++ b/src/process/settings_table.c
@@ -0,0 +1,373 @@
+#include "process/settings_table.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+
+#define DAY_S (24 * 60 * 60)
+#define PORT_MAX 65535
+#define PORT_DIGITS 5
+
+#define ROW(name, kind, need, minimum, maximum, field, fallback, help)                             \
+  {                                                                                                \
+    name, SET_KIND_##kind, SET_NEED_##need, minimum, maximum, offsetof (set_t, field), fallback,   \
+        help                                                                                       \
+  }
+
+/* clang-format off */
+static const set_row_t rows[] = {
+  ROW ("role", ROLE, ALL, 0, 0, role, NULL, "What this daemon is"),
+  ROW ("name", NAME, ALL, 0, 0, name, NULL,
+       "Host name in the platform's list; a sidecar carries the name of its engine"),
+  ROW ("data-center", NAME, ALL, 0, 0, data_center, NULL, "Data centre of the host"),
+  ROW ("region", NAME, ALL, 0, 0, region, NULL, "Region of the data centre"),
+  ROW ("listen", ADDRESS, ALL, 0, 0, listen, NULL,
+       "HTTP, towards callers (router) or routers (sidecar)"),
+  ROW ("exchange", ADDRESS, ALL, 0, 0, exchange, NULL, "UDP, towards the other daemons"),
+  ROW ("platform", ADDRESS, ALL, 0, 0, platform, NULL, "The platform's log and host list"),
+  ROW ("engine", ADDRESS, SIDECAR, 0, 0, engine, NULL, "The engine beside the sidecar"),
+  ROW ("fleet-key", SECRET, NONE, 16, sizeof (((set_t *)0)->fleet_key) - 1, fleet_key, NULL,
+       "Secret that all daemons share; needed, here or in a file"),
+  ROW ("fleet-key-file", SECRET_FILE, NONE, 0, 0, fleet_key, NULL,
+       "File that holds the fleet key; a newline at its end does not count"),
+  ROW ("log-level", LEVEL, NONE, 0, 0, log_level, "info", "Log lines finer than this are left out"),
+  ROW ("body-limit-bytes", NUMBER, NONE, 1024, 1024 * 1024 * 1024, body_limit_bytes, "4194304",
+       "Largest body of a request"),
+  ROW ("header-limit-bytes", NUMBER, NONE, 1024, 1024 * 1024, header_limit_bytes, "32768",
+       "Largest head of a request"),
+  ROW ("header-limit-count", NUMBER, NONE, 8, 10000, header_limit_count, "100",
+       "Most headers of a request"),
+  ROW ("connection-limit", NUMBER, NONE, 1, 1000000, connection_limit, "10000",
+       "Most connections at once to the HTTP listener"),
+  ROW ("idle-timeout-ms", NUMBER, NONE, 100, 3600 * 1000, idle_timeout_ms, "60000",
+       "A connection without a request is closed after this"),
+  ROW ("exchange-interval-ms", NUMBER, NONE, 100, 10000, exchange_interval_ms, "500",
+       "Between two exchange messages that a daemon starts"),
+  ROW ("list-interval-ms", NUMBER, NONE, 100, 60000, list_interval_ms, "1000",
+       "Between two readings of the platform's list"),
+  ROW ("control-budget-bytes", NUMBER, NONE, 500, 7000, control_budget_bytes, "2000",
+       "Bytes a second for control traffic, all that a daemon sends"),
+  ROW ("claim-horizon-s", NUMBER, NONE, 1, 30 * DAY_S, claim_horizon_s, "86400",
+       "How long an idempotency key is remembered; shorter than log-retention-s"),
+  ROW ("log-retention-s", NUMBER, NONE, 2, 366 * DAY_S, log_retention_s, "604800",
+       "How long the platform's log keeps a record"),
+};
+/* clang-format on */
+
+static const char *const role_names[] = {
+  [SET_ROLE_ROUTER] = "router", [SET_ROLE_SIDECAR] = "sidecar"
+};
+
+static const char *const level_names[] = { [LOG_LEVEL_ERROR] = "error",
+                                           [LOG_LEVEL_WARNING] = "warning",
+                                           [LOG_LEVEL_NOTICE] = "notice",
+                                           [LOG_LEVEL_INFO] = "info",
+                                           [LOG_LEVEL_DEBUG] = "debug" };
+
+static bool
+parse_word (const char *const *words, uint32_t count, const char *text, uint32_t *index)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (words[i] != NULL && strcmp (words[i], text) == 0)
+      {
+        *index = i;
+        return true;
+      }
+  return false;
+}
+
+static bool
+parse_role (const char *text, set_role_t *role)
+{
+  uint32_t index;
+
+  if (!parse_word (role_names, G_N_ELEMENTS (role_names), text, &index))
+    return false;
+  *role = (set_role_t)index;
+  return true;
+}
+
+static bool
+parse_level (const char *text, log_level_t *level)
+{
+  uint32_t index;
+
+  if (!parse_word (level_names, G_N_ELEMENTS (level_names), text, &index))
+    return false;
+  *level = (log_level_t)index;
+  return true;
+}
+
+static bool
+parse_name (const char *text, char out[LIM_NAME_BYTES])
+{
+  size_t bytes = strspn (text, "abcdefghijklmnopqrstuvwxyz0123456789.-");
+
+  if (bytes == 0 || text[bytes] != '\0' || bytes >= LIM_NAME_BYTES)
+    return false;
+  memcpy (out, text, bytes + 1);
+  return true;
+}
+
+static bool
+parse_number (const set_row_t *row, const char *text, uint32_t *number)
+{
+  guint64 value;
+
+  if (!g_ascii_string_to_unsigned (text, 10, row->minimum, row->maximum, &value, NULL))
+    return false;
+  *number = (uint32_t)value;
+  return true;
+}
+
+static bool
+parse_secret (const set_row_t *row, const char *text, char *out)
+{
+  size_t bytes = strlen (text);
+
+  if (bytes < row->minimum || bytes > row->maximum)
+    return false;
+  for (size_t i = 0; i < bytes; i++)
+    if (g_ascii_iscntrl (text[i]))
+      return false;
+  memcpy (out, text, bytes + 1);
+  return true;
+}
+
+/* Reads no more than the largest secret and a newline, whatever the path leads to. */
+static bool
+read_secret (const char *path, char *out)
+{
+  const set_row_t *secret = set_row_find ("fleet-key");
+  char text[sizeof (((set_t *)0)->fleet_key) + 2];
+  FILE *file = fopen (path, "re");
+  size_t bytes;
+
+  if (file == NULL)
+    return false;
+  bytes = fread (text, 1, sizeof text - 1, file);
+  fclose (file);
+  text[bytes] = '\0';
+  if (strlen (text) != bytes)
+    return false;
+  if (g_str_has_suffix (text, "\n"))
+    text[--bytes] = '\0';
+  return parse_secret (secret, text, out);
+}
+
+static bool
+parse_port (const char *text, uint16_t *port)
+{
+  guint64 value;
+
+  if (strlen (text) > PORT_DIGITS)
+    return false;
+  if (!g_ascii_string_to_unsigned (text, 10, 1, PORT_MAX, &value, NULL))
+    return false;
+  *port = (uint16_t)value;
+  return true;
+}
+
+/* The number goes back to text in its one usual form, so that equal addresses compare equal. */
+static bool
+parse_ip (const char *text, size_t bytes, bool bracketed, char out[46])
+{
+  int family = bracketed ? AF_INET6 : AF_INET;
+  unsigned char number[sizeof (struct in6_addr)];
+  char copy[46];
+
+  if (bytes >= sizeof copy)
+    return false;
+  memcpy (copy, text, bytes);
+  copy[bytes] = '\0';
+  if (inet_pton (family, copy, number) != 1)
+    return false;
+  return inet_ntop (family, number, out, 46) != NULL;
+}
+
+static bool
+parse_address (const char *text, set_address_t *address)
+{
+  bool bracketed = text[0] == '[';
+  const char *ip = bracketed ? text + 1 : text;
+  const char *end = strchr (ip, bracketed ? ']' : ':');
+  const char *colon = bracketed && end != NULL ? end + 1 : end;
+  set_address_t parsed;
+
+  if (colon == NULL || *colon != ':')
+    return false;
+  memset (&parsed, 0, sizeof parsed);
+  if (!parse_ip (ip, (size_t)(end - ip), bracketed, parsed.ip))
+    return false;
+  if (!parse_port (colon + 1, &parsed.port))
+    return false;
+  *address = parsed;
+  return true;
+}
+
+static bool
+parse_value (const set_row_t *row, const char *text, set_t *set)
+{
+  void *field = (char *)set + row->offset;
+
+  switch (row->kind)
+    {
+    case SET_KIND_ROLE:
+      return parse_role (text, field);
+    case SET_KIND_NAME:
+      return parse_name (text, field);
+    case SET_KIND_ADDRESS:
+      return parse_address (text, field);
+    case SET_KIND_NUMBER:
+      return parse_number (row, text, field);
+    case SET_KIND_LEVEL:
+      return parse_level (text, field);
+    case SET_KIND_SECRET:
+      return parse_secret (row, text, field);
+    case SET_KIND_SECRET_FILE:
+      return read_secret (text, field);
+    }
+  g_assert_not_reached ();
+}
+
+GQuark
+set_error_quark (void)
+{
+  return g_quark_from_static_string ("set-error-quark");
+}
+
+const set_row_t *
+set_rows (uint32_t *count)
+{
+  *count = G_N_ELEMENTS (rows);
+  return rows;
+}
+
+const set_row_t *
+set_row_find (const char *name)
+{
+  for (uint32_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    if (strcmp (rows[i].name, name) == 0)
+      return &rows[i];
+  return NULL;
+}
+
+char *
+set_row_env (const set_row_t *row)
+{
+  char *upper = g_ascii_strup (row->name, -1);
+  char *name = g_strconcat ("MEDLARPLANK_", g_strdelimit (upper, "-", '_'), NULL);
+
+  g_free (upper);
+  return name;
+}
+
+bool
+set_row_is_flag (const set_row_t *row)
+{
+  return row->kind != SET_KIND_SECRET;
+}
+
+char *
+set_row_allowed (const set_row_t *row)
+{
+  switch (row->kind)
+    {
+    case SET_KIND_ROLE:
+      return g_strdup ("router or sidecar");
+    case SET_KIND_NAME:
+      return g_strdup_printf ("1 to %d of a-z, 0-9, '.' and '-'", LIM_NAME_BYTES - 1);
+    case SET_KIND_ADDRESS:
+      return g_strdup ("IP number and port 1 to 65535, as 10.0.0.1:8080 or [fd00::1]:8080");
+    case SET_KIND_NUMBER:
+      return g_strdup_printf ("%u to %u", row->minimum, row->maximum);
+    case SET_KIND_LEVEL:
+      return g_strdup ("error, warning, notice, info or debug");
+    case SET_KIND_SECRET:
+      return g_strdup_printf ("%u to %u bytes, none of them a control character", row->minimum,
+                              row->maximum);
+    case SET_KIND_SECRET_FILE:
+      return g_strdup ("path of a file that can be read and holds one line, the fleet key");
+    }
+  g_assert_not_reached ();
+}
+
+const char *
+set_row_needed (const set_row_t *row)
+{
+  switch (row->need)
+    {
+    case SET_NEED_ALL:
+      return "both";
+    case SET_NEED_SIDECAR:
+      return "sidecar; refused for a router";
+    case SET_NEED_NONE:
+      return "-";
+    }
+  g_assert_not_reached ();
+}
+
+bool
+set_row_apply (
+    const set_row_t *row, const char *text, const char *origin, set_t *set, GError **error)
+{
+  char *allowed;
+
+  if (parse_value (row, text, set))
+    return true;
+  allowed = set_row_allowed (row);
+  /* A secret that is wrong by one byte must not end up in a log. */
+  if (row->kind == SET_KIND_SECRET)
+    g_set_error (error, SET_ERROR, SET_ERROR_VALUE, "%s: a value of %zu bytes (%s): must be %s",
+                 row->name, strlen (text), origin, allowed);
+  else
+    g_set_error (error, SET_ERROR, SET_ERROR_VALUE, "%s: \"%s\" (%s): must be %s%s", row->name,
+                 text, origin, allowed,
+                 row->kind == SET_KIND_ADDRESS ? "; host names are not looked up" : "");
+  g_free (allowed);
+  return false;
+}
+
+char *
+set_row_value (const set_row_t *row, const set_t *set)
+{
+  const void *field = (const char *)set + row->offset;
+
+  switch (row->kind)
+    {
+    case SET_KIND_ROLE:
+      return g_strdup (role_names[*(const set_role_t *)field]);
+    case SET_KIND_NAME:
+      return g_strdup (field);
+    case SET_KIND_ADDRESS:
+      return set_address_text (field);
+    case SET_KIND_NUMBER:
+      return g_strdup_printf ("%u", *(const uint32_t *)field);
+    case SET_KIND_LEVEL:
+      return g_strdup (level_names[*(const log_level_t *)field]);
+    case SET_KIND_SECRET:
+    case SET_KIND_SECRET_FILE:
+      return g_strdup ("(not shown)");
+    }
+  g_assert_not_reached ();
+}
+
+bool
+set_parse_address (const char *text, set_address_t *address, GError **error)
+{
+  if (parse_address (text, address))
+    return true;
+  g_set_error (error, SET_ERROR, SET_ERROR_VALUE,
+               "\"%s\" is not an IP number and a port; host names are not looked up", text);
+  return false;
+}
+
+char *
+set_address_text (const set_address_t *address)
+{
+  if (address->port == 0)
+    return g_strdup ("");
+  if (strchr (address->ip, ':') != NULL)
+    return g_strdup_printf ("[%s]:%u", address->ip, address->port);
+  return g_strdup_printf ("%s:%u", address->ip, address->port);
+}
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,364 @@
+/* Unit tests of the settings and of their page in docs/. */
+#include "process/settings.h"
+#include "process/settings_table.h"
+
+#include <CUnit/Basic.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define KEY "0123456789abcdef"
+#define ROUTER_FLAGS                                                                               \
+  "--role=router", "--name=hall-1", "--data-center=hall-khan-uul", "--region", "ulaanbaatar",      \
+      "--listen=127.0.0.1:8080", "--exchange", "[::1]:7000", "--platform=10.0.0.9:9000"
+
+/* The environment of one test: name, value, ..., NULL. */
+static const char *const *environment;
+
+static const char *
+environment_get (const char *name)
+{
+  for (const char *const *at = environment; *at != NULL; at += 2)
+    if (strcmp (at[0], name) == 0)
+      return at[1];
+  return NULL;
+}
+
+static const char *const key_only[] = { "MEDLARPLANK_FLEET_KEY", KEY, NULL };
+
+/* Loads with the flags of a router and then @flags, and expects it to run. */
+static void
+load_router (const char *const *env, const char *const *flags, set_t *set)
+{
+  const char *argv[40] = { "medlarplankd", ROUTER_FLAGS };
+  GError *error = NULL;
+  int argc = 0;
+
+  while (argv[argc] != NULL)
+    argc++;
+  while (*flags != NULL)
+    argv[argc++] = *flags++;
+  environment = env;
+  CU_ASSERT_EQUAL (set_load (set, argc, (char **)argv, environment_get, &error), SET_RUN);
+  CU_ASSERT_PTR_NULL (error);
+  g_clear_error (&error);
+}
+
+/* As load_router(), but expects exactly this error. */
+static void
+refuse_router (const char *const *env, const char *const *flags, const char *message)
+{
+  const char *argv[40] = { "medlarplankd", ROUTER_FLAGS };
+  GError *error = NULL;
+  set_t set;
+  int argc = 0;
+
+  while (argv[argc] != NULL)
+    argc++;
+  while (*flags != NULL)
+    argv[argc++] = *flags++;
+  environment = env;
+  CU_ASSERT_EQUAL (set_load (&set, argc, (char **)argv, environment_get, &error), SET_EXIT_2);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (error);
+  if (strcmp (error->message, message) != 0)
+    printf ("\n  got:      %s\n  expected: %s\n", error->message, message);
+  CU_ASSERT_STRING_EQUAL (error->message, message);
+  g_error_free (error);
+}
+
+#define FLAGS(...)                                                                                 \
+  (const char *const[])                                                                            \
+  {                                                                                                \
+    __VA_ARGS__, NULL                                                                              \
+  }
+#define NO_FLAGS ((const char *const[]){ NULL })
+
+static void
+test_defaults (void)
+{
+  set_t set;
+
+  load_router (key_only, NO_FLAGS, &set);
+  CU_ASSERT_EQUAL (set.role, SET_ROLE_ROUTER);
+  CU_ASSERT_STRING_EQUAL (set.name, "hall-1");
+  CU_ASSERT_STRING_EQUAL (set.data_center, "hall-khan-uul");
+  CU_ASSERT_STRING_EQUAL (set.region, "ulaanbaatar");
+  CU_ASSERT_STRING_EQUAL (set.listen.ip, "127.0.0.1");
+  CU_ASSERT_EQUAL (set.listen.port, 8080);
+  CU_ASSERT_STRING_EQUAL (set.exchange.ip, "::1");
+  CU_ASSERT_EQUAL (set.exchange.port, 7000);
+  CU_ASSERT_EQUAL (set.platform.port, 9000);
+  CU_ASSERT_EQUAL (set.engine.port, 0);
+  CU_ASSERT_STRING_EQUAL (set.fleet_key, KEY);
+  CU_ASSERT_EQUAL (set.log_level, LOG_LEVEL_INFO);
+  CU_ASSERT_EQUAL (set.body_limit_bytes, 4 * 1024 * 1024);
+  CU_ASSERT_EQUAL (set.header_limit_bytes, 32 * 1024);
+  CU_ASSERT_EQUAL (set.header_limit_count, 100);
+  CU_ASSERT_EQUAL (set.connection_limit, 10000);
+  CU_ASSERT_EQUAL (set.idle_timeout_ms, 60000);
+  CU_ASSERT_EQUAL (set.exchange_interval_ms, 500);
+  CU_ASSERT_EQUAL (set.list_interval_ms, 1000);
+  CU_ASSERT_EQUAL (set.control_budget_bytes, 2000);
+  CU_ASSERT_EQUAL (set.claim_horizon_s, 86400);
+  CU_ASSERT_EQUAL (set.log_retention_s, 7 * 86400);
+}
+
+static void
+test_flag_before_environment (void)
+{
+  static const char *const env[] = { "MEDLARPLANK_FLEET_KEY",
+                                     KEY,
+                                     "MEDLARPLANK_LOG_LEVEL",
+                                     "error",
+                                     "MEDLARPLANK_CONNECTION_LIMIT",
+                                     "wrong",
+                                     "MEDLARPLANK_IDLE_TIMEOUT_MS",
+                                     "700",
+                                     "MEDLARPLANK_ENGINE",
+                                     "",
+                                     NULL };
+  set_t set;
+
+  load_router (env, FLAGS ("--connection-limit=5", "--connection-limit=6"), &set);
+  CU_ASSERT_EQUAL (set.log_level, LOG_LEVEL_ERROR);
+  CU_ASSERT_EQUAL (set.idle_timeout_ms, 700);
+  CU_ASSERT_EQUAL (set.connection_limit, 6);
+}
+
+static void
+test_wrong_values (void)
+{
+  static const char *const env[] = { "MEDLARPLANK_FLEET_KEY", KEY, "MEDLARPLANK_BODY_LIMIT_BYTES",
+                                     "12k", NULL };
+
+  refuse_router (env, NO_FLAGS,
+                 "body-limit-bytes: \"12k\" (MEDLARPLANK_BODY_LIMIT_BYTES): must be 1024 to "
+                 "1073741824");
+  refuse_router (key_only, FLAGS ("--control-budget-bytes=7001"),
+                 "control-budget-bytes: \"7001\" (--control-budget-bytes): must be 500 to 7000");
+  refuse_router (key_only, FLAGS ("--exchange-interval-ms", "-100"),
+                 "exchange-interval-ms: \"-100\" (--exchange-interval-ms): must be 100 to 10000");
+  refuse_router (key_only, FLAGS ("--role=proxy"),
+                 "role: \"proxy\" (--role): must be router or sidecar");
+  refuse_router (key_only, FLAGS ("--log-level=6"),
+                 "log-level: \"6\" (--log-level): must be error, warning, notice, info or debug");
+  refuse_router (key_only, FLAGS ("--name=Hall_1"),
+                 "name: \"Hall_1\" (--name): must be 1 to 63 of a-z, 0-9, '.' and '-'");
+  refuse_router (
+      key_only, FLAGS ("--platform=log.example:80"),
+      "platform: \"log.example:80\" (--platform): must be IP number and port 1 to 65535, "
+      "as 10.0.0.1:8080 or [fd00::1]:8080; host names are not looked up");
+}
+
+static void
+test_wrong_flags (void)
+{
+  refuse_router (key_only, FLAGS ("--colour=red"),
+                 "flag \"--colour=red\" is not known; see --help");
+  refuse_router (key_only, FLAGS ("-v"), "flag \"-v\" is not known; see --help");
+  refuse_router (key_only, FLAGS ("--plat=1.2.3.4:5"),
+                 "flag \"--plat=1.2.3.4:5\" is not known; see --help");
+  refuse_router (key_only, FLAGS ("--log-level"), "flag --log-level needs a value");
+  refuse_router (key_only, FLAGS ("stray", "--role=router"),
+                 "argument \"stray\" belongs to no flag; see --help");
+  refuse_router (key_only, FLAGS ("--fleet-key=" KEY),
+                 "--fleet-key is not a flag: give MEDLARPLANK_FLEET_KEY or --fleet-key-file");
+}
+
+static void
+test_engine_by_role (void)
+{
+  set_t set;
+
+  refuse_router (key_only, FLAGS ("--role=sidecar"),
+                 "engine: missing; give --engine or MEDLARPLANK_ENGINE: IP number and port 1 to "
+                 "65535, as 10.0.0.1:8080 or [fd00::1]:8080");
+  refuse_router (key_only, FLAGS ("--engine=127.0.0.1:80"),
+                 "engine: \"127.0.0.1:80\" (--engine): only a sidecar has an engine, and role is "
+                 "router");
+  load_router (key_only, FLAGS ("--role=sidecar", "--engine=127.0.0.1:80"), &set);
+  CU_ASSERT_EQUAL (set.role, SET_ROLE_SIDECAR);
+  CU_ASSERT_EQUAL (set.engine.port, 80);
+}
+
+static void
+test_missing (void)
+{
+  const char *argv[] = { "medlarplankd", NULL };
+  GError *error = NULL;
+  set_t set;
+
+  environment = key_only;
+  CU_ASSERT_EQUAL (set_load (&set, 1, (char **)argv, environment_get, &error), SET_EXIT_2);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (error);
+  CU_ASSERT_STRING_EQUAL (error->message,
+                          "role: missing; give --role or MEDLARPLANK_ROLE: router or sidecar");
+  g_error_free (error);
+}
+
+/*
+ * The log forgets records after its retention. With a longer horizon a daemon would read its
+ * shard, miss the claim of a key that it still vouches for, and grant a resend: a booking made
+ * twice. So the two are compared before the daemon starts.
+ */
+static void
+test_horizon_within_retention (void)
+{
+  set_t set;
+
+  refuse_router (key_only, FLAGS ("--claim-horizon-s=604800"),
+                 "claim-horizon-s: 604800 (--claim-horizon-s): must be less than log-retention-s, "
+                 "which is 604800 (default)");
+  load_router (key_only, FLAGS ("--claim-horizon-s=604799"), &set);
+  CU_ASSERT_EQUAL (set.claim_horizon_s, 604799);
+}
+
+static void
+test_fleet_key (void)
+{
+  static const char *const none[] = { NULL };
+  static const char *const short_key[] = { "MEDLARPLANK_FLEET_KEY", "0123456789abcde", NULL };
+  static const char *const line_key[] = { "MEDLARPLANK_FLEET_KEY", "0123456789abcdef\n", NULL };
+
+  refuse_router (none, NO_FLAGS,
+                 "fleet-key: missing; give MEDLARPLANK_FLEET_KEY or --fleet-key-file");
+  refuse_router (short_key, NO_FLAGS,
+                 "fleet-key: a value of 15 bytes (MEDLARPLANK_FLEET_KEY): must be 16 to 127 bytes, "
+                 "none of them a control character");
+  refuse_router (line_key, NO_FLAGS,
+                 "fleet-key: a value of 17 bytes (MEDLARPLANK_FLEET_KEY): must be 16 to 127 bytes, "
+                 "none of them a control character");
+  refuse_router (none, FLAGS ("--fleet-key-file=/dev/zero"),
+                 "fleet-key-file: \"/dev/zero\" (--fleet-key-file): must be path of a file that "
+                 "can be read and holds one line, the fleet key");
+}
+
+static void
+test_fleet_key_file (void)
+{
+  static const char *const none[] = { NULL };
+  char *path = NULL;
+  char *flag;
+  char *message;
+  int fd = g_file_open_tmp ("medlarplank-key-XXXXXX", &path, NULL);
+  set_t set;
+
+  CU_ASSERT_FATAL (fd >= 0);
+  CU_ASSERT_EQUAL (write (fd, KEY "\n", sizeof KEY), sizeof KEY);
+  close (fd);
+  flag = g_strconcat ("--fleet-key-file=", path, NULL);
+  load_router (none, FLAGS (flag), &set);
+  CU_ASSERT_STRING_EQUAL (set.fleet_key, KEY);
+  message = g_strdup_printf ("fleet-key (MEDLARPLANK_FLEET_KEY) and fleet-key-file \"%s\" "
+                             "(--fleet-key-file): give only one of them",
+                             path);
+  refuse_router (key_only, FLAGS (flag), message);
+  g_unlink (path);
+  g_free (message);
+  g_free (flag);
+  g_free (path);
+}
+
+static void
+test_addresses (void)
+{
+  static const char *const wrong[] = {
+    "",          ":80",         "1.2.3.4",       "1.2.3.4:",
+    "1.2.3.4:0", "1.2.3:80",    "1.2.3.4:65536", "1.2.3.4:+80",
+    "::1:80",    "[::1]",       "[::1]80",       "[1.2.3.4]:80",
+    "[::1:80",   "1.2.3.4:8 0", "localhost:80",  "1.2.3.4:000080"
+  };
+  set_address_t address;
+  GError *error = NULL;
+  char *text;
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (wrong); i++)
+    {
+      CU_ASSERT_FALSE (set_parse_address (wrong[i], &address, &error));
+      CU_ASSERT_PTR_NOT_NULL (error);
+      g_clear_error (&error);
+    }
+  CU_ASSERT (set_parse_address ("[FD00:0:0::1]:65535", &address, &error));
+  text = set_address_text (&address);
+  CU_ASSERT_STRING_EQUAL (text, "[fd00::1]:65535");
+  g_free (text);
+}
+
+/* The line of a setting as it must stand in docs/settings.md. */
+static char *
+page_line (const set_row_t *row)
+{
+  char *env = set_row_env (row);
+  char *allowed = set_row_allowed (row);
+  char *flag = set_row_is_flag (row) ? g_strdup_printf ("`--%s`", row->name) : g_strdup ("-");
+  char *line = g_strdup_printf ("| %s | `%s` | %s | %s | %s | %s |\n", flag, env, allowed,
+                                row->fallback != NULL ? row->fallback : "-", set_row_needed (row),
+                                row->help);
+
+  g_free (flag);
+  g_free (allowed);
+  g_free (env);
+  return line;
+}
+
+static void
+test_page (void)
+{
+  const char *source = getenv ("MEDLARPLANK_SOURCE");
+  char *path = g_build_filename (source != NULL ? source : ".", "docs", "settings.md", NULL);
+  char *page = NULL;
+  uint32_t count;
+  uint32_t lines = 0;
+  const set_row_t *rows = set_rows (&count);
+
+  CU_ASSERT_FATAL (g_file_get_contents (path, &page, NULL, NULL));
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char *line = page_line (&rows[i]);
+      bool found = strstr (page, line) != NULL;
+      if (!found)
+        printf ("\n  not in the page: %s", line);
+      CU_ASSERT (found);
+      g_free (line);
+    }
+  for (const char *at = page; (at = strstr (at, "| `MEDLARPLANK_")) != NULL; at++)
+    lines++;
+  CU_ASSERT_EQUAL (lines, count);
+  g_free (page);
+  g_free (path);
+}
+
+static CU_TestInfo tests[] = {
+  { "defaults", test_defaults },
+  { "a flag goes before the environment", test_flag_before_environment },
+  { "wrong values", test_wrong_values },
+  { "wrong flags", test_wrong_flags },
+  { "engine by role", test_engine_by_role },
+  { "missing settings", test_missing },
+  { "claim horizon within log retention", test_horizon_within_retention },
+  { "fleet key", test_fleet_key },
+  { "fleet key file", test_fleet_key_file },
+  { "addresses", test_addresses },
+  { "docs/settings.md", test_page },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "settings", NULL, NULL, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+int
+main (void)
+{
+  unsigned int failures;
+
+  CU_initialize_registry ();
+  CU_register_suites (suites);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
