Add the daemon's main and the test of the messages

main starts the two tasks, each on a thread with an event base of its own, and turns SIGTERM and SIGINT into one MSG_DRAIN; a second signal changes nothing, as the default action would cut off what is in flight. A task whose loop ends untold ends the process with status 1: a daemon without its data task would stay listed and answer nobody.

--- /dev/null
+++ b/src/process/main.c
@@ -0,0 +1,277 @@
+/**
+ * DOC: main
+ *
+ * The daemon medlarplankd: settings, then two tasks that share nothing but the counters and their
+ * mailboxes. The control task runs on the main thread, which also gets the signals; the data task
+ * runs on a thread of its own.
+ */
+#include "process/daemon.h"
+#include "process/messages.h"
+
+#include <event2/thread.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+
+#define PROGRAM "medlarplankd"
+#define EXIT_SETTINGS 2
+#define FILES_PER_CONNECTION 2 /* one towards the caller, one towards the upstream */
+#define FILES_BESIDES 64
+
+/**
+ * struct prc - all that the process holds
+ * @rtr: data task of a router, else NULL
+ * @sdc: data task of a sidecar, else NULL
+ * @draining: a stop was asked for
+ * @data_failed: the data task's loop ended untold; read after its thread was joined
+ */
+typedef struct
+{
+  dmn_t dmn;
+  struct event_base *control_base;
+  struct event_base *data_base;
+  ctrl_t *ctrl;
+  rtr_t *rtr;
+  sdc_t *sdc;
+  struct event *on_sigterm;
+  struct event *on_sigint;
+  bool draining;
+  bool data_failed;
+} prc_t;
+
+static void
+log_libevent (int severity, const char *text)
+{
+  if (severity == EVENT_LOG_ERR)
+    log_event (LOG_LEVEL_ERROR, "libevent", "text", text, NULL);
+  else if (severity == EVENT_LOG_WARN)
+    log_event (LOG_LEVEL_WARNING, "libevent", "text", text, NULL);
+}
+
+static void
+pass_to_control (mbx_message_t *message, void *context)
+{
+  prc_t *prc = context;
+
+  ctrl_message (message, prc->ctrl);
+}
+
+static void
+pass_to_data (mbx_message_t *message, void *context)
+{
+  prc_t *prc = context;
+
+  if (prc->rtr != NULL)
+    rtr_message (message, prc->rtr);
+  else
+    sdc_message (message, prc->sdc);
+}
+
+/*
+ * A supervisor that grows impatient, or an operator who presses Ctrl-C twice, sends a second
+ * signal. Falling back to the default action then would cut off every request in flight, so the
+ * handlers stay and the second signal changes nothing.
+ */
+static void
+on_stop_signal (evutil_socket_t number, short events, void *context)
+{
+  prc_t *prc = context;
+  msg_flag_t *drain;
+
+  (void)events;
+  log_event (LOG_LEVEL_NOTICE, "stop_signal", "signal", LOG_U64 ((uint64_t)number), "first",
+             prc->draining ? "no" : "yes", NULL);
+  if (prc->draining)
+    return;
+  prc->draining = true;
+  drain = msg_new (MSG_DRAIN);
+  drain->on = true;
+  mbx_send (prc->dmn.to_control, &drain->head);
+}
+
+static struct event *
+watch_signal (prc_t *prc, int number)
+{
+  struct event *event = evsignal_new (prc->control_base, number, on_stop_signal, prc);
+
+  g_assert (event != NULL);
+  event_add (event, NULL);
+  return event;
+}
+
+static void
+warn_of_file_limit (const set_t *set)
+{
+  uint64_t wanted = (uint64_t)set->connection_limit * FILES_PER_CONNECTION + FILES_BESIDES;
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= wanted)
+    return;
+  log_event (LOG_LEVEL_WARNING, "file_limit_low", "limit", LOG_U64 (limit.rlim_cur), "wanted",
+             LOG_U64 (wanted), NULL);
+}
+
+static void
+open_process (prc_t *prc)
+{
+  dmn_t *dmn = &prc->dmn;
+
+  clk_init_running (&dmn->clk);
+  dmn->incarnation = clk_wall_ms (&dmn->clk);
+  dmn->counters = cnt_set_new ();
+  cnt_set_value (cnt_get (dmn->counters, "medlarplank_incarnation",
+                          "Milliseconds since 1970 at the start of the process."),
+                 dmn->incarnation);
+  prc->control_base = event_base_new ();
+  prc->data_base = event_base_new ();
+  g_assert (prc->control_base != NULL && prc->data_base != NULL);
+  dmn->to_control = mbx_new (prc->control_base, pass_to_control, prc);
+  dmn->to_data = mbx_new (prc->data_base, pass_to_data, prc);
+}
+
+/* The signals go first: once a listener is open, a stop must already be a graceful one. */
+static bool
+start_tasks (prc_t *prc, GError **error)
+{
+  dmn_t *dmn = &prc->dmn;
+
+  prc->on_sigterm = watch_signal (prc, SIGTERM);
+  prc->on_sigint = watch_signal (prc, SIGINT);
+  prc->ctrl = ctrl_new (dmn, prc->control_base, error);
+  if (prc->ctrl == NULL)
+    return false;
+  if (dmn->set.role == SET_ROLE_ROUTER)
+    prc->rtr = rtr_new (dmn, prc->data_base, error);
+  else
+    prc->sdc = sdc_new (dmn, prc->data_base, error);
+  return prc->rtr != NULL || prc->sdc != NULL;
+}
+
+/* The tasks go before the mailboxes, as they may still send while they are freed. */
+static void
+close_process (prc_t *prc)
+{
+  if (prc->rtr != NULL)
+    rtr_free (prc->rtr);
+  if (prc->sdc != NULL)
+    sdc_free (prc->sdc);
+  if (prc->ctrl != NULL)
+    ctrl_free (prc->ctrl);
+  mbx_free (prc->dmn.to_data);
+  mbx_free (prc->dmn.to_control);
+  event_free (prc->on_sigterm);
+  event_free (prc->on_sigint);
+  event_base_free (prc->data_base);
+  event_base_free (prc->control_base);
+  cnt_set_free (prc->dmn.counters);
+  libevent_global_shutdown ();
+}
+
+/* A daemon whose data task is gone would stay listed and answer nobody: end it instead. */
+static gpointer
+run_data (gpointer data)
+{
+  prc_t *prc = data;
+
+  event_base_dispatch (prc->data_base);
+  if (!event_base_got_exit (prc->data_base))
+    {
+      prc->data_failed = true;
+      event_base_loopbreak (prc->control_base);
+    }
+  return NULL;
+}
+
+/* The data thread blocks all signals, so that they reach the main thread only. */
+static GThread *
+start_data_thread (prc_t *prc)
+{
+  sigset_t all;
+  sigset_t before;
+  GThread *thread;
+
+  sigfillset (&all);
+  pthread_sigmask (SIG_SETMASK, &all, &before);
+  thread = g_thread_new ("data", run_data, prc);
+  pthread_sigmask (SIG_SETMASK, &before, NULL);
+  return thread;
+}
+
+/* Return: whether both tasks ended as they should. */
+static bool
+run_tasks (prc_t *prc)
+{
+  GThread *data_thread = start_data_thread (prc);
+  bool control_done;
+
+  event_base_dispatch (prc->control_base);
+  control_done = event_base_got_exit (prc->control_base);
+  event_base_loopexit (prc->data_base, NULL);
+  g_thread_join (data_thread);
+  if (prc->data_failed)
+    log_event (LOG_LEVEL_ERROR, "task_failed", "task", "data", NULL);
+  else if (!control_done)
+    log_event (LOG_LEVEL_ERROR, "task_failed", "task", "control", NULL);
+  return control_done && !prc->data_failed;
+}
+
+static void
+log_started (const dmn_t *dmn)
+{
+  log_event (LOG_LEVEL_NOTICE, "started", "version", SET_PROGRAM_VERSION, "role",
+             dmn->set.role == SET_ROLE_ROUTER ? "router" : "sidecar", "incarnation",
+             LOG_U64 (dmn->incarnation), NULL);
+}
+
+static int
+run_process (prc_t *prc)
+{
+  GError *error = NULL;
+  bool ended_well;
+
+  open_process (prc);
+  if (!start_tasks (prc, &error))
+    {
+      fprintf (stderr, "%s: cannot start: %s\n", PROGRAM, error->message);
+      g_error_free (error);
+      close_process (prc);
+      return EXIT_FAILURE;
+    }
+  log_started (&prc->dmn);
+  ended_well = run_tasks (prc);
+  close_process (prc);
+  log_event (LOG_LEVEL_NOTICE, "stopped", "graceful", ended_well ? "yes" : "no", NULL);
+  return ended_well ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+static const char *
+environ_get (const char *name)
+{
+  return getenv (name);
+}
+
+int
+main (int argc, char **argv)
+{
+  prc_t prc = { 0 };
+  GError *error = NULL;
+  set_outcome_t outcome = set_load (&prc.dmn.set, argc, argv, environ_get, &error);
+
+  if (outcome == SET_EXIT_0)
+    return EXIT_SUCCESS;
+  if (outcome == SET_EXIT_2)
+    {
+      fprintf (stderr, "%s: %s\n", PROGRAM, error->message);
+      g_error_free (error);
+      return EXIT_SETTINGS;
+    }
+  log_init (PROGRAM, prc.dmn.set.name, prc.dmn.set.log_level);
+  signal (SIGPIPE, SIG_IGN);
+  signal (SIGHUP, SIG_IGN);
+  evthread_use_pthreads ();
+  event_set_log_callback (log_libevent);
+  warn_of_file_limit (&prc.dmn.set);
+  return run_process (&prc);
+}
--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -1,9 +1,10 @@
-/* Unit tests of src/process: clock, log, counters and mailbox. */
+/* Unit tests of src/process: clock, log, counters, mailbox and messages. */
 #include "process/clock.h"
 #include "process/counters.h"
 #include "process/limits.h"
 #include "process/log.h"
 #include "process/mailbox.h"
+#include "process/messages.h"
 
 #include <CUnit/Basic.h>
 #include <event2/thread.h>
@@ -13,6 +14,7 @@
 #include <unistd.h>
 
 #define LOG_FILL_LIMIT 100000
+#define STALL_DEADLINE_S 20
 
 static void
 test_clock_paused (void)
@@ -144,7 +146,8 @@
 /*
  * Whatever reads the daemon's standard error stalls, and the pipe fills. A blocking write would
  * stop the task that logs, and all its callers would wait for the log. Instead lines are dropped;
- * once the reader goes on, the first line says how many.
+ * once the reader goes on, the first line says how many. With a blocking write this test would
+ * hang, so an alarm ends it.
  */
 static void
 test_log_reader_stalls (void)
@@ -152,6 +155,7 @@
   capture_t capture;
   uint64_t drained_bytes = 0;
 
+  alarm (STALL_DEADLINE_S);
   capture_begin (&capture);
   for (uint32_t i = 0; i < LOG_FILL_LIMIT; i++)
     log_event (LOG_LEVEL_ERROR, "fill", "i", LOG_U64 (i), NULL);
@@ -164,6 +168,7 @@
   log_event (LOG_LEVEL_ERROR, "after", NULL);
   capture_read (&capture);
   capture_end (&capture);
+  alarm (0);
   CU_ASSERT (drained_bytes > 0);
   CU_ASSERT (g_str_has_prefix (log_tail (&capture), "log_lines_dropped count="));
   CU_ASSERT_PTR_NOT_NULL (strstr (capture.text, "]: after\n"));
@@ -376,6 +381,40 @@
   CU_ASSERT_EQUAL (mail.freed, 3);
 }
 
+/*
+ * A version and a view of the hosts are shared by reference. A message that is freed unread, as at
+ * a stop, must drop its reference, or the version would never be freed.
+ */
+static void
+test_messages_drop_references (void)
+{
+  man_t man = { 0 };
+  mem_snapshot_t members = { 0 };
+  msg_version_t *version = msg_new (MSG_VERSION);
+  msg_members_t *view = msg_new (MSG_MEMBERS);
+
+  g_atomic_ref_count_init (&man.refs);
+  g_atomic_ref_count_init (&members.refs);
+  version->man = man_ref (&man);
+  view->members = mem_snapshot_ref (&members);
+  CU_ASSERT_FALSE (g_atomic_ref_count_compare (&man.refs, 1));
+  version->head.free (&version->head);
+  view->head.free (&view->head);
+  CU_ASSERT (g_atomic_ref_count_compare (&man.refs, 1));
+  CU_ASSERT (g_atomic_ref_count_compare (&members.refs, 1));
+}
+
+static void
+test_messages_of_every_kind (void)
+{
+  for (uint32_t kind = MSG_VERSION; kind <= MSG_DRAINED; kind++)
+    {
+      mbx_message_t *message = msg_new (kind);
+      CU_ASSERT_EQUAL (message->kind, kind);
+      message->free (message);
+    }
+}
+
 static CU_TestInfo tests[] = {
   { "clock: paused", test_clock_paused },
   { "clock: running", test_clock_running },
@@ -389,6 +428,8 @@
   { "counters: two threads", test_counters_threads },
   { "mailbox: two threads, in order", test_mailbox_threads },
   { "mailbox: unread messages are freed", test_mailbox_frees_unread },
+  { "messages: references are dropped", test_messages_drop_references },
+  { "messages: every kind", test_messages_of_every_kind },
   CU_TEST_INFO_NULL,
 };
 
