Exchange signed RPC datagrams between daemons under a byte budget

The HMAC covers the whole datagram with its own bytes zeroed, so direction and xid are covered too. Ruled out: times of sending against replay, as hosts' clocks differ and a host with a wrong clock would be cut off; what a replayed call can do is written down with the wire format. Only authentic calls that their hearer finds new are answered; a reply counts only for an open call, so a flood makes no traffic towards others. Fuzzed from fixed seeds: unsigned and signed broken datagrams.

--- /dev/null
+++ b/src/connection/exchange.c
@@ -0,0 +1,426 @@
+#include "connection/exchange.h"
+
+#include "process/limits.h"
+#include "process/log.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/util.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define OPEN_CALLS 16
+#define READS_PER_EVENT 64
+#define FLUSH_READS 4096
+#define BUDGET_LOG_US (UINT64_C (10) * CLK_US_PER_S)
+
+/** struct endpoint - a socket address */
+typedef struct
+{
+  struct sockaddr_storage address;
+  socklen_t bytes;
+} endpoint_t;
+
+/** struct open_call - a call whose reply has not come */
+typedef struct
+{
+  bool open;
+  uint32_t xid;
+  endpoint_t peer;
+} open_call_t;
+
+/** struct bucket - token bucket of bytes, which holds one second's worth */
+typedef struct
+{
+  int64_t tokens_bytes;
+  uint64_t filled_us;
+  uint64_t logged_us;
+  uint64_t held_back;
+} bucket_t;
+
+/** struct counts - counters of the control traffic */
+typedef struct
+{
+  cnt_t *bytes_sent;
+  cnt_t *bytes_received;
+  cnt_t *sent;
+  cnt_t *received;
+  cnt_t *bad_auth;
+  cnt_t *broken;
+  cnt_t *unasked;
+  cnt_t *over_budget;
+  cnt_t *send_failed;
+} counts_t;
+
+struct exc
+{
+  exc_options_t options;
+  char *fleet_key;
+  evutil_socket_t socket;
+  struct event *readable;
+  struct event *timer;
+  GRand *rand;
+  uint32_t next_xid;
+  open_call_t calls[OPEN_CALLS];
+  uint32_t next_call;
+  bucket_t bucket;
+  counts_t counts;
+};
+
+static bool
+make_endpoint (endpoint_t *endpoint, const set_address_t *address)
+{
+  memset (endpoint, 0, sizeof *endpoint);
+  struct sockaddr_in *v4 = (struct sockaddr_in *)&endpoint->address;
+  if (evutil_inet_pton (AF_INET, address->ip, &v4->sin_addr) == 1)
+    {
+      v4->sin_family = AF_INET;
+      v4->sin_port = htons (address->port);
+      endpoint->bytes = sizeof *v4;
+      return true;
+    }
+  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)&endpoint->address;
+  if (evutil_inet_pton (AF_INET6, address->ip, &v6->sin6_addr) != 1)
+    return false;
+  v6->sin6_family = AF_INET6;
+  v6->sin6_port = htons (address->port);
+  endpoint->bytes = sizeof *v6;
+  return true;
+}
+
+static bool
+same_endpoint (const endpoint_t *a, const endpoint_t *b)
+{
+  if (a->address.ss_family != b->address.ss_family)
+    return false;
+  if (a->address.ss_family == AF_INET)
+    {
+      const struct sockaddr_in *x = (const struct sockaddr_in *)&a->address;
+      const struct sockaddr_in *y = (const struct sockaddr_in *)&b->address;
+      return x->sin_port == y->sin_port && x->sin_addr.s_addr == y->sin_addr.s_addr;
+    }
+  const struct sockaddr_in6 *x = (const struct sockaddr_in6 *)&a->address;
+  const struct sockaddr_in6 *y = (const struct sockaddr_in6 *)&b->address;
+  return x->sin6_port == y->sin6_port &&
+         memcmp (&x->sin6_addr, &y->sin6_addr, sizeof x->sin6_addr) == 0;
+}
+
+static void
+refill (exc_t *exc)
+{
+  bucket_t *bucket = &exc->bucket;
+  int64_t full_bytes = exc->options.budget_bytes;
+  uint64_t now_us = clk_now_us (exc->options.clk);
+  uint64_t waited_us = MIN (now_us - bucket->filled_us, CLK_US_PER_S);
+  int64_t gained_bytes = (int64_t)(waited_us * exc->options.budget_bytes / CLK_US_PER_S);
+  if (gained_bytes == 0)
+    return; /* else a bucket that is asked often would lose what is less than a byte */
+  bucket->tokens_bytes = MIN (bucket->tokens_bytes + gained_bytes, full_bytes);
+  bucket->filled_us = now_us;
+}
+
+static void
+tell_held_back (exc_t *exc)
+{
+  bucket_t *bucket = &exc->bucket;
+  uint64_t now_us = clk_now_us (exc->options.clk);
+  bucket->held_back++;
+  cnt_add (exc->counts.over_budget, 1);
+  if (bucket->logged_us != 0 && now_us - bucket->logged_us < BUDGET_LOG_US)
+    return;
+  log_event (LOG_LEVEL_WARNING, "control_budget_reached", "budget_bytes_s",
+             LOG_U64 (exc->options.budget_bytes), "datagrams_held_back",
+             LOG_U64 (bucket->held_back), NULL);
+  bucket->logged_us = now_us;
+  bucket->held_back = 0;
+}
+
+static bool
+take_budget (exc_t *exc, uint32_t bytes)
+{
+  refill (exc);
+  if (exc->bucket.tokens_bytes < (int64_t)bytes)
+    {
+      tell_held_back (exc);
+      return false;
+    }
+  exc->bucket.tokens_bytes -= bytes;
+  return true;
+}
+
+static bool
+send_bytes (exc_t *exc, const char *bytes, size_t count, const endpoint_t *peer)
+{
+  uint32_t on_wire_bytes = (uint32_t)count + EXC_HEADER_BYTES;
+  if (!take_budget (exc, on_wire_bytes))
+    return false;
+  ssize_t sent =
+      sendto (exc->socket, bytes, count, 0, (const struct sockaddr *)&peer->address, peer->bytes);
+  if (sent < 0)
+    {
+      cnt_add (exc->counts.send_failed, 1);
+      return false;
+    }
+  cnt_add (exc->counts.sent, 1);
+  cnt_add (exc->counts.bytes_sent, on_wire_bytes);
+  return true;
+}
+
+static bool
+send_message (exc_t *exc, uint32_t xid, bool is_reply, const xch_word *to, const endpoint_t *peer)
+{
+  xch_sample samples[XCH_SAMPLES] = { 0 };
+  xch_word words[XCH_WORDS] = { 0 };
+  xch_mark marks[XCH_MARKS] = { 0 };
+  xch_message message = { 0 };
+  message.samples.samples_val = samples;
+  message.words.words_val = words;
+  message.marks.marks_val = marks;
+  exc->options.fill (&message, to, exc->options.context);
+  char datagram[LIM_DATAGRAM_BYTES];
+  size_t bytes = wir_encode (datagram, sizeof datagram, exc->fleet_key, xid, is_reply, &message);
+  g_assert (bytes != 0); /* the bounds of the .x file fit into a datagram */
+  return send_bytes (exc, datagram, bytes, peer);
+}
+
+static void
+call (exc_t *exc, const set_address_t *address)
+{
+  endpoint_t peer;
+  if (!make_endpoint (&peer, address))
+    return;
+  uint32_t xid = exc->next_xid++;
+  if (!send_message (exc, xid, false, NULL, &peer))
+    return;
+  open_call_t *slot = &exc->calls[exc->next_call++ % OPEN_CALLS];
+  slot->open = true;
+  slot->xid = xid;
+  slot->peer = peer;
+}
+
+static bool
+close_call (exc_t *exc, uint32_t xid, const endpoint_t *peer)
+{
+  for (uint32_t i = 0; i < OPEN_CALLS; i++)
+    {
+      open_call_t *slot = &exc->calls[i];
+      if (!slot->open || slot->xid != xid || !same_endpoint (&slot->peer, peer))
+        continue;
+      slot->open = false;
+      return true;
+    }
+  return false;
+}
+
+static void
+take_message (
+    exc_t *exc, uint32_t xid, bool is_reply, const xch_message *message, const endpoint_t *peer)
+{
+  if (is_reply && !close_call (exc, xid, peer))
+    {
+      cnt_add (exc->counts.unasked, 1);
+      return;
+    }
+  bool answer = exc->options.heard (message, is_reply, exc->options.context);
+  if (answer && !is_reply)
+    send_message (exc, xid, true, &message->sender, peer);
+}
+
+static void
+take_datagram (exc_t *exc, const char *datagram, size_t bytes, const endpoint_t *peer)
+{
+  cnt_add (exc->counts.received, 1);
+  cnt_add (exc->counts.bytes_received, bytes + EXC_HEADER_BYTES);
+  uint32_t xid = 0;
+  bool is_reply = false;
+  xch_message message;
+  wir_outcome_t outcome = wir_decode (datagram, bytes, exc->fleet_key, &xid, &is_reply, &message);
+  switch (outcome)
+    {
+    case WIR_OK:
+      take_message (exc, xid, is_reply, &message, peer);
+      wir_free (&message);
+      break;
+    case WIR_BAD_AUTH:
+      cnt_add (exc->counts.bad_auth, 1);
+      break;
+    case WIR_BROKEN:
+    case WIR_TOO_LARGE:
+      cnt_add (exc->counts.broken, 1);
+      break;
+    }
+}
+
+/* One byte more than a datagram may have, so that a longer one shows. */
+static ssize_t
+receive (exc_t *exc, char datagram[LIM_DATAGRAM_BYTES + 1], endpoint_t *peer)
+{
+  peer->bytes = sizeof peer->address;
+  return recvfrom (exc->socket, datagram, LIM_DATAGRAM_BYTES + 1, 0,
+                   (struct sockaddr *)&peer->address, &peer->bytes);
+}
+
+static void
+on_readable (evutil_socket_t socket, short what, void *context)
+{
+  exc_t *exc = context;
+  (void)socket;
+  (void)what;
+  /* Bounded, so that a flood does not hold up the task's other events. */
+  for (uint32_t i = 0; i < READS_PER_EVENT; i++)
+    {
+      char datagram[LIM_DATAGRAM_BYTES + 1];
+      endpoint_t peer;
+      ssize_t bytes = receive (exc, datagram, &peer);
+      if (bytes < 0)
+        return;
+      take_datagram (exc, datagram, (size_t)bytes, &peer);
+    }
+}
+
+/* From 3/4 to 5/4 of the interval: daemons started together do not stay in step. */
+static void
+arm_timer (exc_t *exc)
+{
+  uint64_t interval_us = (uint64_t)exc->options.interval_ms * CLK_US_PER_MS;
+  uint64_t wait_us = (uint64_t)((double)interval_us * g_rand_double_range (exc->rand, 0.75, 1.25));
+  struct timeval wait = { (time_t)(wait_us / CLK_US_PER_S), (suseconds_t)(wait_us % CLK_US_PER_S) };
+  event_add (exc->timer, &wait);
+}
+
+static void
+on_timer (evutil_socket_t socket, short what, void *context)
+{
+  exc_t *exc = context;
+  (void)socket;
+  (void)what;
+  set_address_t peer;
+  if (exc->options.pick (&peer, exc->options.context))
+    call (exc, &peer);
+  arm_timer (exc);
+}
+
+static bool
+open_socket (exc_t *exc, GError **error)
+{
+  endpoint_t listen;
+  if (!make_endpoint (&listen, &exc->options.listen))
+    {
+      g_set_error (error, G_FILE_ERROR, G_FILE_ERROR_INVAL, "no IP number");
+      return false;
+    }
+  exc->socket = socket (listen.address.ss_family, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  if (exc->socket >= 0 && bind (exc->socket, (struct sockaddr *)&listen.address, listen.bytes) == 0)
+    return true;
+  int code = errno;
+  g_set_error (error, G_FILE_ERROR, g_file_error_from_errno (code), "exchange on %s:%u: %s",
+               exc->options.listen.ip, exc->options.listen.port, g_strerror (code));
+  return false;
+}
+
+static void
+get_counters (counts_t *counts, cnt_set_t *set)
+{
+  counts->bytes_sent = cnt_get (set, "medlarplank_control_bytes_sent_total",
+                                "Bytes of the exchange sent, IP and UDP headers included");
+  counts->bytes_received = cnt_get (set, "medlarplank_control_bytes_received_total",
+                                    "Bytes of the exchange received, headers included");
+  counts->sent =
+      cnt_get (set, "medlarplank_control_datagrams_sent_total", "Datagrams of the exchange sent");
+  counts->received = cnt_get (set, "medlarplank_control_datagrams_received_total",
+                              "Datagrams of the exchange received");
+  counts->bad_auth = cnt_get (set, "medlarplank_control_bad_auth_total",
+                              "Datagrams dropped as their HMAC did not fit");
+  counts->broken = cnt_get (set, "medlarplank_control_broken_total",
+                            "Datagrams dropped as they could not be read");
+  counts->unasked = cnt_get (set, "medlarplank_control_unasked_total",
+                             "Replies dropped as no call of ours was open");
+  counts->over_budget = cnt_get (set, "medlarplank_control_over_budget_total",
+                                 "Datagrams not sent as the byte budget was used up");
+  counts->send_failed = cnt_get (set, "medlarplank_control_send_failed_total",
+                                 "Datagrams that the system did not send");
+}
+
+exc_t *
+exc_new (const exc_options_t *options, GError **error)
+{
+  exc_t *exc = g_new0 (exc_t, 1);
+  exc->options = *options;
+  exc->fleet_key = g_strdup (options->fleet_key);
+  exc->socket = -1;
+  exc->rand = g_rand_new_with_seed ((guint32)(options->seed ^ (options->seed >> 32)));
+  exc->next_xid = g_rand_int (exc->rand);
+  exc->bucket.tokens_bytes = options->budget_bytes;
+  exc->bucket.filled_us = clk_now_us (options->clk);
+  get_counters (&exc->counts, options->counters);
+  if (!open_socket (exc, error))
+    {
+      exc_free (exc);
+      return NULL;
+    }
+  exc->readable = event_new (options->base, exc->socket, EV_READ | EV_PERSIST, on_readable, exc);
+  exc->timer = evtimer_new (options->base, on_timer, exc);
+  event_add (exc->readable, NULL);
+  arm_timer (exc);
+  return exc;
+}
+
+void
+exc_free (exc_t *exc)
+{
+  if (exc == NULL)
+    return;
+  if (exc->readable != NULL)
+    event_free (exc->readable);
+  if (exc->timer != NULL)
+    event_free (exc->timer);
+  if (exc->socket >= 0)
+    close (exc->socket);
+  g_rand_free (exc->rand);
+  g_free (exc->fleet_key);
+  g_free (exc);
+}
+
+void
+exc_now (exc_t *exc, const set_address_t *peer)
+{
+  call (exc, peer);
+}
+
+void
+exc_flush (exc_t *exc)
+{
+  char datagram[LIM_DATAGRAM_BYTES + 1];
+  endpoint_t peer;
+  /* Bounded for a flood: more than a socket's buffer holds. */
+  for (uint32_t i = 0; i < FLUSH_READS && receive (exc, datagram, &peer) >= 0; i++)
+    cnt_add (exc->counts.received, 1);
+  memset (exc->calls, 0, sizeof exc->calls);
+}
+
+void
+exc_charge (exc_t *exc, uint32_t bytes)
+{
+  refill (exc);
+  /* A debt of one second at most: traffic that cannot be held back must not silence the rest. */
+  int64_t floor_bytes = -(int64_t)exc->options.budget_bytes;
+  exc->bucket.tokens_bytes = MAX (exc->bucket.tokens_bytes - bytes, floor_bytes);
+  cnt_add (exc->counts.bytes_sent, bytes);
+}
+
+set_address_t
+exc_address (const exc_t *exc)
+{
+  set_address_t found = { 0 };
+  endpoint_t endpoint = { .bytes = sizeof endpoint.address };
+  if (getsockname (exc->socket, (struct sockaddr *)&endpoint.address, &endpoint.bytes) != 0)
+    return found;
+  const struct sockaddr_in *v4 = (const struct sockaddr_in *)&endpoint.address;
+  const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)&endpoint.address;
+  bool is_v4 = endpoint.address.ss_family == AF_INET;
+  const void *ip = is_v4 ? (const void *)&v4->sin_addr : (const void *)&v6->sin6_addr;
+  evutil_inet_ntop (endpoint.address.ss_family, ip, found.ip, sizeof found.ip);
+  found.port = ntohs (is_v4 ? v4->sin_port : v6->sin6_port);
+  return found;
+}
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -3,6 +3,21 @@
  *
  * Datagrams of the exchange: RPC call and reply headers, XDR bodies, and an HMAC-SHA256 under the
  * fleet key in the verifier. Encoding and decoding only; no sockets.
+ *
+ * The verifier (a call's cb_verf, an accepted reply's ar_verf) has the flavor %WIR_FLAVOR and the
+ * HMAC as its body. The HMAC covers the whole datagram with the body of the verifier zeroed: xid,
+ * direction, program and procedure too, so a call cannot be sent back as a reply.
+ *
+ * Replay. The HMAC does not tell an old datagram from a new one. A reply counts only for an xid
+ * that is still open, from the address that was asked. A call counts only if its sender's
+ * (incarnation, sequence) is higher than the last one heard of that host, and only if that host is
+ * listed; others are not answered. What is left: after a restart a daemon has heard nobody, and
+ * takes one old call of each listed host as new until that host's true word reaches it, directly
+ * or by others. Such a call can show a host as leaving that is live, which costs hops, or the
+ * reverse, which the host itself refuses; it can bring load samples that are too old, which expire
+ * in %LIM_SAMPLE_AGE_US, and marks of suspects that had expired. It cannot bring back an old
+ * version: a version only rises. Times of sending would close this, but hosts' clocks differ, and
+ * a host with a wrong clock would be cut off.
  */
 #ifndef CONNECTION_WIRE_H
 #define CONNECTION_WIRE_H
@@ -13,6 +28,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#define WIR_FLAVOR 0x20004d50 /* of the verifier; the number of the program */
+#define WIR_HMAC_BYTES 32
+
 typedef enum
 {
   WIR_OK,
--- /dev/null
+++ b/tests/test_exchange.c
@@ -0,0 +1,447 @@
+#include "connection/exchange.h"
+#include "connection/wire.h"
+#include "process/clock.h"
+#include "process/limits.h"
+
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define KEY "sixteen bytes or more"
+#define FUZZ_ROUNDS 20000
+#define DEADLINE_S 5
+#define CALL_HMAC_AT 40             /* after ten words of the header */
+#define EMPTY_REPLY_BYTES (56 + 52) /* header with HMAC, message without elements */
+
+/** struct full - a message with every array full */
+typedef struct
+{
+  xch_message message;
+  xch_sample samples[XCH_SAMPLES];
+  xch_word words[XCH_WORDS];
+  xch_mark marks[XCH_MARKS];
+} full_t;
+
+static void
+full_init (full_t *full)
+{
+  memset (full, 0, sizeof *full);
+  full->message.sender.host_hash = UINT64_MAX;
+  full->message.sender.sequence = 9;
+  full->message.manifest_version = 7;
+  full->message.samples.samples_val = full->samples;
+  full->message.samples.samples_len = XCH_SAMPLES;
+  full->message.words.words_val = full->words;
+  full->message.words.words_len = XCH_WORDS;
+  full->message.marks.marks_val = full->marks;
+  full->message.marks.marks_len = XCH_MARKS;
+  full->samples[7].load = 77;
+  full->words[3].incarnation = UINT64_C (1) << 40;
+  full->marks[1].engines[1] = 3;
+}
+
+static size_t
+encode_full (char out[LIM_DATAGRAM_BYTES], bool is_reply)
+{
+  full_t full;
+  full_init (&full);
+  return wir_encode (out, LIM_DATAGRAM_BYTES, KEY, 0xfeedf00d, is_reply, &full.message);
+}
+
+static wir_outcome_t
+decode (const char *datagram, size_t bytes, const char *key)
+{
+  uint32_t xid;
+  bool is_reply;
+  xch_message message;
+  wir_outcome_t outcome = wir_decode (datagram, bytes, key, &xid, &is_reply, &message);
+  if (outcome == WIR_OK)
+    wir_free (&message);
+  else
+    CU_ASSERT_PTR_NULL (message.samples.samples_val);
+  return outcome;
+}
+
+static void
+check_round_trip (bool sent_reply)
+{
+  char datagram[LIM_DATAGRAM_BYTES];
+  size_t bytes = encode_full (datagram, sent_reply);
+  CU_ASSERT_TRUE (bytes > 0 && bytes < 600);
+  uint32_t xid = 0;
+  bool is_reply = !sent_reply;
+  xch_message message;
+  CU_ASSERT_EQUAL (wir_decode (datagram, bytes, KEY, &xid, &is_reply, &message), WIR_OK);
+  CU_ASSERT_EQUAL (xid, 0xfeedf00d);
+  CU_ASSERT_EQUAL (is_reply, sent_reply);
+  CU_ASSERT_EQUAL (message.sender.host_hash, UINT64_MAX);
+  CU_ASSERT_EQUAL (message.manifest_version, 7);
+  CU_ASSERT_EQUAL (message.samples.samples_len, XCH_SAMPLES);
+  CU_ASSERT_EQUAL (message.samples.samples_val[7].load, 77);
+  CU_ASSERT_EQUAL (message.words.words_val[3].incarnation, UINT64_C (1) << 40);
+  CU_ASSERT_EQUAL (message.marks.marks_val[1].engines[1], 3);
+  wir_free (&message);
+}
+
+static void
+test_round_trip (void)
+{
+  check_round_trip (false);
+  check_round_trip (true);
+}
+
+/* Somebody on the network changes one bit of a datagram on its way, the direction or the xid
+ * included, or cuts it. The receiver would act on what no daemon said. The HMAC covers every byte
+ * but its own, so that each such datagram is dropped. */
+static void
+test_each_bit_is_covered (void)
+{
+  for (uint32_t is_reply = 0; is_reply < 2; is_reply++)
+    {
+      char datagram[LIM_DATAGRAM_BYTES];
+      size_t bytes = encode_full (datagram, is_reply != 0);
+      for (size_t bit = 0; bit < bytes * 8; bit++)
+        {
+          datagram[bit / 8] ^= (char)(1 << (bit % 8));
+          CU_ASSERT_NOT_EQUAL (decode (datagram, bytes, KEY), WIR_OK);
+          datagram[bit / 8] ^= (char)(1 << (bit % 8));
+        }
+      for (size_t cut = 0; cut < bytes; cut++)
+        CU_ASSERT_NOT_EQUAL (decode (datagram, cut, KEY), WIR_OK);
+      CU_ASSERT_EQUAL (decode (datagram, bytes, KEY), WIR_OK);
+    }
+}
+
+static void
+test_wrong_key_and_sizes (void)
+{
+  char datagram[LIM_DATAGRAM_BYTES + 4] = { 0 };
+  size_t bytes = encode_full (datagram, false);
+  CU_ASSERT_EQUAL (decode (datagram, bytes, "another key of the size"), WIR_BAD_AUTH);
+  CU_ASSERT_EQUAL (decode (datagram, sizeof datagram, KEY), WIR_TOO_LARGE);
+  CU_ASSERT_EQUAL (decode (datagram, 0, KEY), WIR_BROKEN);
+  full_t full;
+  full_init (&full);
+  CU_ASSERT_EQUAL (wir_encode (datagram, 100, KEY, 1, false, &full.message), 0);
+  full.message.samples.samples_len = XCH_SAMPLES + 1;
+  CU_ASSERT_EQUAL (wir_encode (datagram, LIM_DATAGRAM_BYTES, KEY, 1, false, &full.message), 0);
+}
+
+/* Datagrams that nobody would send: random bytes, and true ones with some bytes changed and another
+ * length, from a fixed seed. None may be taken, and under the sanitizers none may read or write
+ * out of bounds or leak. */
+static void
+test_fuzz_decode (void)
+{
+  GRand *rand = g_rand_new_with_seed (20261202);
+  for (uint32_t round = 0; round < FUZZ_ROUNDS; round++)
+    {
+      char datagram[LIM_DATAGRAM_BYTES];
+      size_t bytes = encode_full (datagram, g_rand_boolean (rand));
+      bool random = round % 2 == 0;
+      uint32_t changes = random ? LIM_DATAGRAM_BYTES : (uint32_t)g_rand_int_range (rand, 1, 12);
+      for (uint32_t i = 0; i < changes; i++)
+        {
+          size_t at = random ? i : (size_t)g_rand_int_range (rand, 0, (gint32)bytes);
+          datagram[at] = (char)(datagram[at] + g_rand_int_range (rand, 1, 255));
+        }
+      if (g_rand_boolean (rand))
+        bytes = (size_t)g_rand_int_range (rand, 0, LIM_DATAGRAM_BYTES + 1);
+      CU_ASSERT_NOT_EQUAL (decode (datagram, bytes, KEY), WIR_OK);
+    }
+  g_rand_free (rand);
+}
+
+/* Signs a call again, as a daemon with the key would. */
+static void
+sign_call (char *datagram, size_t bytes)
+{
+  char *hmac_at = datagram + CALL_HMAC_AT;
+  gsize hmac_bytes = WIR_HMAC_BYTES;
+  memset (hmac_at, 0, WIR_HMAC_BYTES);
+  GHmac *hmac = g_hmac_new (G_CHECKSUM_SHA256, (const guchar *)KEY, strlen (KEY));
+  g_hmac_update (hmac, (const guchar *)datagram, (gssize)bytes);
+  g_hmac_get_digest (hmac, (guint8 *)hmac_at, &hmac_bytes);
+  g_hmac_unref (hmac);
+}
+
+/* A daemon of another version, or a broken one, holds the key and sends bodies that do not check:
+ * too many elements, cut short, or with bytes left over. They must be dropped as broken, without
+ * a read or a write out of bounds or a leak. */
+static void
+test_fuzz_signed_bodies (void)
+{
+  GRand *rand = g_rand_new_with_seed (20261203);
+  uint32_t broken = 0;
+  for (uint32_t round = 0; round < FUZZ_ROUNDS; round++)
+    {
+      char datagram[LIM_DATAGRAM_BYTES] = { 0 };
+      size_t bytes = encode_full (datagram, false);
+      size_t body_at = CALL_HMAC_AT + WIR_HMAC_BYTES;
+      for (uint32_t i = 0; i < 4; i++)
+        datagram[g_rand_int_range (rand, (gint32)body_at, (gint32)bytes)] ^= (char)round;
+      if (round % 2 == 0)
+        bytes = 4 * (size_t)g_rand_int_range (rand, (gint32)body_at / 4, LIM_DATAGRAM_BYTES / 4);
+      sign_call (datagram, bytes);
+      wir_outcome_t outcome = decode (datagram, bytes, KEY);
+      CU_ASSERT_TRUE (outcome == WIR_OK || outcome == WIR_BROKEN);
+      broken += outcome == WIR_BROKEN;
+    }
+  CU_ASSERT_TRUE (broken > FUZZ_ROUNDS / 3 && broken < FUZZ_ROUNDS);
+  g_rand_free (rand);
+}
+
+/** struct node - a daemon's end of the exchange */
+typedef struct
+{
+  exc_t *exc;
+  cnt_set_t *counters;
+  clk_t clk;
+  uint32_t calls;
+  uint32_t replies;
+  bool answers;
+  bool has_peer;
+  set_address_t peer;
+} node_t;
+
+static void
+node_fill (xch_message *message, const xch_word *to, void *context)
+{
+  (void)context;
+  message->sender.sequence = to != NULL ? to->sequence + 1 : 1;
+}
+
+static bool
+node_heard (const xch_message *message, bool is_reply, void *context)
+{
+  node_t *node = context;
+  if (is_reply)
+    {
+      CU_ASSERT_EQUAL (message->sender.sequence, 2);
+      node->replies++;
+    }
+  else
+    {
+      node->calls++;
+    }
+  return node->answers;
+}
+
+static bool
+node_pick (set_address_t *peer, void *context)
+{
+  node_t *node = context;
+  *peer = node->peer;
+  return node->has_peer;
+}
+
+static void
+node_init (node_t *node, struct event_base *base, const char *key, uint32_t budget_bytes)
+{
+  memset (node, 0, sizeof *node);
+  node->answers = true;
+  node->counters = cnt_set_new ();
+  clk_init_paused (&node->clk, CLK_US_PER_S);
+  exc_options_t options = {
+    .base = base,
+    .clk = &node->clk,
+    .counters = node->counters,
+    .listen = { "127.0.0.1", 0 },
+    .fleet_key = key,
+    .interval_ms = 10,
+    .budget_bytes = budget_bytes,
+    .seed = 1,
+    .fill = node_fill,
+    .heard = node_heard,
+    .pick = node_pick,
+    .context = node,
+  };
+  node->exc = exc_new (&options, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (node->exc);
+}
+
+static void
+node_clear (node_t *node)
+{
+  exc_free (node->exc);
+  cnt_set_free (node->counters);
+}
+
+static uint64_t
+counted (const node_t *node, const char *name)
+{
+  return cnt_value (cnt_get (node->counters, name, ""));
+}
+
+/* Runs the events until @name of @node has reached @value. */
+static void
+run_until (struct event_base *base, const node_t *node, const char *name, uint64_t value)
+{
+  gint64 end_us = g_get_monotonic_time () + DEADLINE_S * G_USEC_PER_SEC;
+  while (counted (node, name) < value && g_get_monotonic_time () < end_us)
+    event_base_loop (base, EVLOOP_ONCE);
+  CU_ASSERT_TRUE (counted (node, name) >= value);
+}
+
+/* Runs the events until nothing is left to read: whatever @node got was taken. */
+static void
+settle (struct event_base *base)
+{
+  for (uint32_t i = 0; i < 5; i++)
+    event_base_loop (base, EVLOOP_ONCE);
+}
+
+#define RECEIVED "medlarplank_control_datagrams_received_total"
+#define SENT "medlarplank_control_datagrams_sent_total"
+
+static void
+test_call_is_answered (void)
+{
+  struct event_base *base = event_base_new ();
+  node_t a;
+  node_t b;
+  node_init (&a, base, KEY, 10000);
+  node_init (&b, base, KEY, 10000);
+  a.has_peer = true;
+  a.peer = exc_address (b.exc);
+  run_until (base, &a, RECEIVED, 3);
+  CU_ASSERT_TRUE (b.calls >= 3);
+  CU_ASSERT_TRUE (a.replies >= 3);
+  CU_ASSERT_EQUAL (a.calls + b.replies, 0);
+  CU_ASSERT_EQUAL (counted (&a, "medlarplank_control_bytes_received_total"),
+                   counted (&a, RECEIVED) * (EMPTY_REPLY_BYTES + EXC_HEADER_BYTES));
+  node_clear (&a);
+  node_clear (&b);
+  event_base_free (base);
+}
+
+/* A host without the fleet key floods a daemon with calls. If it answered, the daemon would be a
+ * source of traffic towards whatever address the calls claim to come from. */
+static void
+test_only_authentic_calls_are_answered (void)
+{
+  struct event_base *base = event_base_new ();
+  node_t a;
+  node_t b;
+  node_init (&a, base, "the key of another fleet", 10000);
+  node_init (&b, base, KEY, 10000);
+  set_address_t to = exc_address (b.exc);
+  exc_now (a.exc, &to);
+  run_until (base, &b, RECEIVED, 1);
+  CU_ASSERT_EQUAL (counted (&b, "medlarplank_control_bad_auth_total"), 1);
+  CU_ASSERT_EQUAL (b.calls, 0);
+  CU_ASSERT_EQUAL (counted (&b, SENT), 0);
+  node_clear (&a);
+  node_clear (&b);
+  event_base_free (base);
+}
+
+/* Somebody records a call and its reply, and sends them again. The call is one that its hearer
+ * finds old, so it is not answered; the reply fits no open call, so it is not heard. */
+static void
+test_replays_are_dropped (void)
+{
+  struct event_base *base = event_base_new ();
+  node_t node;
+  node_init (&node, base, KEY, 10000);
+  node.answers = false;
+  set_address_t address = exc_address (node.exc);
+  struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons (address.port) };
+  to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  int sender = socket (AF_INET, SOCK_DGRAM, 0);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      char datagram[LIM_DATAGRAM_BYTES];
+      size_t bytes = encode_full (datagram, i % 2 != 0);
+      ssize_t sent = sendto (sender, datagram, bytes, 0, (const struct sockaddr *)&to, sizeof to);
+      CU_ASSERT_EQUAL (sent, (ssize_t)bytes);
+    }
+  run_until (base, &node, RECEIVED, 4);
+  CU_ASSERT_EQUAL (node.calls, 2);
+  CU_ASSERT_EQUAL (node.replies, 0);
+  CU_ASSERT_EQUAL (counted (&node, "medlarplank_control_unasked_total"), 2);
+  CU_ASSERT_EQUAL (counted (&node, SENT), 0);
+  close (sender);
+  node_clear (&node);
+  event_base_free (base);
+}
+
+/* A daemon has to send more than its rate allows. It must stay under it, however much there is to
+ * say, and go on as time passes. */
+static void
+test_budget_holds (void)
+{
+  struct event_base *base = event_base_new ();
+  node_t a;
+  node_init (&a, base, KEY, 1000);
+  set_address_t nobody = exc_address (a.exc);
+  for (uint32_t i = 0; i < 50; i++)
+    exc_now (a.exc, &nobody);
+  uint64_t first_bytes = counted (&a, "medlarplank_control_bytes_sent_total");
+  CU_ASSERT_TRUE (first_bytes > 700 && first_bytes <= 1000);
+  CU_ASSERT_EQUAL (counted (&a, "medlarplank_control_over_budget_total") + counted (&a, SENT), 50);
+  for (uint32_t i = 0; i < 100; i++)
+    {
+      clk_advance (&a.clk, CLK_US_PER_S / 10);
+      for (uint32_t j = 0; j < 5; j++)
+        exc_now (a.exc, &nobody);
+    }
+  uint64_t bytes = counted (&a, "medlarplank_control_bytes_sent_total");
+  CU_ASSERT_TRUE (bytes > 10000 && bytes <= 11000);
+  exc_charge (a.exc, 5000);
+  clk_advance (&a.clk, CLK_US_PER_S);
+  uint64_t sent = counted (&a, SENT);
+  exc_now (a.exc, &nobody);
+  CU_ASSERT_EQUAL (counted (&a, SENT), sent);
+  node_clear (&a);
+  event_base_free (base);
+}
+
+/* A daemon is stopped while a call waits in its socket and a reply to its own call too. When it
+ * goes on it must not take them for news: what they say is as old as the stop. */
+static void
+test_flush_drops_what_waited (void)
+{
+  struct event_base *base = event_base_new ();
+  node_t a;
+  node_t b;
+  node_init (&a, base, KEY, 10000);
+  node_init (&b, base, KEY, 10000);
+  set_address_t to_a = exc_address (a.exc);
+  set_address_t to_b = exc_address (b.exc);
+  exc_now (a.exc, &to_b);
+  exc_now (b.exc, &to_a);
+  exc_flush (a.exc);
+  CU_ASSERT_EQUAL (counted (&a, RECEIVED), 1);
+  run_until (base, &a, RECEIVED, 2);
+  settle (base);
+  CU_ASSERT_EQUAL (a.calls + a.replies, 0);
+  CU_ASSERT_EQUAL (counted (&a, "medlarplank_control_unasked_total"), 1);
+  node_clear (&a);
+  node_clear (&b);
+  event_base_free (base);
+}
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("exchange", NULL, NULL);
+  CU_ADD_TEST (suite, test_round_trip);
+  CU_ADD_TEST (suite, test_each_bit_is_covered);
+  CU_ADD_TEST (suite, test_wrong_key_and_sizes);
+  CU_ADD_TEST (suite, test_fuzz_decode);
+  CU_ADD_TEST (suite, test_fuzz_signed_bodies);
+  CU_ADD_TEST (suite, test_call_is_answered);
+  CU_ADD_TEST (suite, test_only_authentic_calls_are_answered);
+  CU_ADD_TEST (suite, test_replays_are_dropped);
+  CU_ADD_TEST (suite, test_budget_holds);
+  CU_ADD_TEST (suite, test_flush_drops_what_waited);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
