--- a/src/process/limits.h
+++ b/src/process/limits.h
@@ -18,6 +18,7 @@
 #define LIM_MANIFEST_BYTES (8 * 1024 * 1024)
 #define LIM_MANIFEST_DEPTH 16
 #define LIM_MANIFEST_ROUTES 1024
+#define LIM_PUBLISH_IDS 1024     /* judged publish ids that a reader remembers */
 #define LIM_QUEUE_PER_ACCOUNT 64 /* requests that wait at one sidecar for one client account */
 #define LIM_QUEUE_TOTAL 512      /* requests that wait at one sidecar */
 #define LIM_DIRECTORY_ENTRIES 8192
