Add the stand-in platform

Daemons, tests and the demo need the platform's log and lagging host list with their outages: calls that are cut before or after the append took effect, answers or effects that come late, certain refusals, a limited retention, and a list that stands still for everybody or for one reader.

Connections are cut on the next turn of the event loop, as evhttp still uses one after its callback returns.

--- a/standin/http.c
+++ b/standin/http.c
@@ -18,6 +18,7 @@
   struct event *closed; /* EV_CLOSED: evhttp does not read while a request is being answered */
   void (*gone) (void *context);
   void *gone_context;
+  struct event *cut; /* pending: the connection is about to be closed */
 };
 
 typedef struct
@@ -34,6 +35,8 @@
   if (connection != NULL)
     evhttp_connection_set_closecb (connection, NULL, NULL);
   event_free (call->closed);
+  if (call->cut != NULL)
+    event_free (call->cut);
   evhttp_clear_headers (&call->query);
   g_free (call);
 }
@@ -45,6 +48,22 @@
     call->gone (call->gone_context);
 }
 
+static void
+cut_now (sht_call_t *call)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (call->request);
+  call_free (call);
+  evhttp_connection_free (connection);
+}
+
+static void
+cut_came (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  cut_now (arg);
+}
+
 static void
 peer_closed (evutil_socket_t fd, short what, void *arg)
 {
@@ -52,7 +71,7 @@
   (void)fd;
   (void)what;
   tell_gone (call);
-  sht_cut (call);
+  cut_now (call);
 }
 
 /* evhttp found a write error: it has taken the request off the connection and left it to us. */
@@ -251,12 +270,15 @@
   evhttp_send_reply_end (request);
 }
 
+/* Not at once: evhttp still uses the connection after on_call returns. */
 void
 sht_cut (sht_call_t *call)
 {
-  struct evhttp_connection *connection = evhttp_request_get_connection (call->request);
-  call_free (call);
-  evhttp_connection_free (connection);
+  static const struct timeval soon = { 0, 0 };
+  g_assert (call->cut == NULL);
+  call->gone = NULL;
+  call->cut = evtimer_new (event_get_base (call->closed), cut_came, call);
+  event_add (call->cut, &soon);
 }
 
 void
--- a/standin/http.h
+++ b/standin/http.h
@@ -46,7 +46,7 @@
 void sht_begin_stream (sht_call_t *call);
 void sht_stream (sht_call_t *call, const char *text);
 void sht_end_stream (sht_call_t *call);
-/** sht_cut() - close the connection as it stands; not from within on_call; ends the call */
+/** sht_cut() - close the connection as it stands, soon; ends the call */
 void sht_cut (sht_call_t *call);
 /** sht_reply_unframed() - an answer with neither length nor chunks, then close; ends the call */
 void sht_reply_unframed (sht_call_t *call, const char *id, const char *text);
--- /dev/null
+++ b/standin/platform_admin.c
@@ -0,0 +1,173 @@
+#include "platform.h"
+
+#include <string.h>
+
+static const char *const log_state_names[] = { "up",          "down",         "slow",
+                                               "slow_effect", "lose_answers", "lose_appends",
+                                               "refuse" };
+
+static void
+hosts_read (spl_t *platform, sht_call_t *call)
+{
+  if (platform->list_down)
+    {
+      sht_cut (call);
+      return;
+    }
+  uint64_t since = sht_query_u64 (call, "since", 0);
+  sht_reply (call, 200,
+             phl_view (platform->hosts, spl_now_us (), sht_header (call, "X-Reader"), since));
+}
+
+static void
+admin_hosts (spl_t *platform, sht_call_t *call)
+{
+  json_t *hosts = sht_json (call);
+  bool whole = sht_query_u64 (call, "upsert", 0) == 0;
+  bool good = phl_set (platform->hosts, spl_now_us (), hosts, whole);
+  json_decref (hosts);
+  if (good)
+    sht_reply (call, 200, json_object ());
+  else
+    spl_answer_error (call, 400, "not an array of hosts with all their keys");
+}
+
+static bool
+set_log_state (spl_t *platform, const char *name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (log_state_names); i++)
+    if (strcmp (log_state_names[i], name) == 0)
+      {
+        platform->log_state = (spl_log_state_t)i;
+        if (platform->log_state == SPL_DOWN)
+          spl_cut_waiters (platform);
+        return true;
+      }
+  return false;
+}
+
+static bool
+set_list_state (spl_t *platform, const char *name)
+{
+  bool stale = strcmp (name, "stale") == 0;
+  platform->list_down = strcmp (name, "down") == 0;
+  return phl_hold (platform->hosts, spl_now_us (), "", stale) &&
+         (stale || platform->list_down || strcmp (name, "up") == 0);
+}
+
+static bool
+set_views (spl_t *platform, json_t *views)
+{
+  const char *reader;
+  json_t *state;
+  bool good = true;
+  json_object_foreach (views, reader, state)
+    {
+      bool stale = g_strcmp0 (json_string_value (state), "stale") == 0;
+      good = phl_hold (platform->hosts, spl_now_us (), reader, stale) && good;
+    }
+  return good;
+}
+
+static void
+admin_fault (spl_t *platform, sht_call_t *call)
+{
+  json_t *fault = sht_json (call);
+  const char *log_state = json_string_value (json_object_get (fault, "log"));
+  const char *list_state = json_string_value (json_object_get (fault, "list"));
+  bool good = json_is_object (fault);
+  if (log_state != NULL)
+    {
+      platform->slow_us =
+          (uint64_t)MAX (0, json_integer_value (json_object_get (fault, "slow_ms"))) * 1000;
+      platform->fault_count =
+          (uint64_t)MAX (0, json_integer_value (json_object_get (fault, "count")));
+      good = set_log_state (platform, log_state) && good;
+    }
+  if (list_state != NULL)
+    good = set_list_state (platform, list_state) && good;
+  good = set_views (platform, json_object_get (fault, "view")) && good;
+  json_decref (fault);
+  if (good)
+    sht_reply (call, 200, json_object ());
+  else
+    spl_answer_error (call, 400, "no such fault");
+}
+
+static void
+admin_truncate (spl_t *platform, sht_call_t *call)
+{
+  const char *stream = sht_query (call, "stream");
+  if (stream != NULL)
+    plg_truncate (platform->log, stream, sht_query_u64 (call, "before", 0));
+  sht_reply (call, 200, json_object ());
+}
+
+static void
+admin_log (spl_t *platform, sht_call_t *call)
+{
+  const char *stream = sht_query (call, "stream");
+  if (stream == NULL)
+    sht_reply (call, 200, plg_streams (platform->log));
+  else
+    sht_reply (call, 200, plg_read (platform->log, stream, 0, G_MAXUINT32));
+}
+
+static void
+admin_stats (spl_t *platform, sht_call_t *call)
+{
+  sht_reply (call, 200,
+             json_pack ("{s:I, s:I, s:I, s:I}", "appends", (json_int_t)platform->appends, "reads",
+                        (json_int_t)platform->reads, "refused", (json_int_t)platform->refused,
+                        "waiters", (json_int_t)g_queue_get_length (&platform->waiters)));
+}
+
+typedef struct
+{
+  const char *method;
+  const char *path;
+  void (*answer) (spl_t *platform, sht_call_t *call);
+} route_t;
+
+static void
+health (spl_t *platform, sht_call_t *call)
+{
+  (void)platform;
+  sht_reply (call, 200, json_pack ("{s:s}", "status", "ok"));
+}
+
+static const route_t routes[] = {
+  { "POST", "/log/append", spl_log_append },
+  { "GET", "/log/read", spl_log_read },
+  { "GET", "/hosts", hosts_read },
+  { "GET", "/health", health },
+  { "POST", "/admin/hosts", admin_hosts },
+  { "POST", "/admin/fault", admin_fault },
+  { "POST", "/admin/truncate", admin_truncate },
+  { "GET", "/admin/log", admin_log },
+  { "GET", "/admin/stats", admin_stats },
+};
+
+void
+spl_answer_error (sht_call_t *call, int status, const char *message)
+{
+  sht_reply (call, status, json_pack ("{s:s}", "error", message));
+}
+
+uint64_t
+spl_now_us (void)
+{
+  return (uint64_t)g_get_monotonic_time ();
+}
+
+void
+spl_admin (spl_t *platform, sht_call_t *call)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (routes); i++)
+    if (sht_is (call, routes[i].method, routes[i].path))
+      {
+        routes[i].answer (platform, call);
+        return;
+      }
+  spl_answer_error (call, 404, "no such path");
+}
--- /dev/null
+++ b/standin/standin_platform.c
@@ -0,0 +1,104 @@
+/**
+ * DOC: standin_platform
+ *
+ * A small stand-in for the platform, for tests, the demo and benches: its log service and its list
+ * of hosts, over the interface told in src/connection/platform.h, with faults set by POST
+ * /admin/fault.
+ */
+#include "platform.h"
+
+#include <getopt.h>
+#include <signal.h>
+#include <stdlib.h>
+
+static void
+call_came (sht_call_t *call, void *context)
+{
+  spl_admin (context, call);
+}
+
+static const struct option flags[] = {
+  { "listen", required_argument, NULL, 'l' },
+  { "retain-records", required_argument, NULL, 'r' },
+  { "retain-bytes", required_argument, NULL, 'b' },
+  { "list-lag-ms", required_argument, NULL, 'g' },
+  { "appends-s", required_argument, NULL, 'a' },
+  { NULL, 0, NULL, 0 },
+};
+
+static uint64_t
+number (const char *text)
+{
+  guint64 value;
+  GError *error = NULL;
+  if (g_ascii_string_to_unsigned (text, 10, 0, G_MAXINT64, &value, &error))
+    return value;
+  g_printerr ("%s\n", error->message);
+  exit (2);
+}
+
+static void
+take_flag (spl_options_t *options, int flag, const char *value)
+{
+  switch (flag)
+    {
+    case 'l':
+      options->listen = value;
+      break;
+    case 'r':
+      options->retain_records = MAX (1, number (value));
+      break;
+    case 'b':
+      options->retain_bytes = number (value);
+      break;
+    case 'g':
+      options->list_lag_us = number (value) * 1000;
+      break;
+    case 'a':
+      options->appends_s = number (value);
+      break;
+    default:
+      g_printerr ("standin-platform --listen IP:PORT [--retain-records N] [--retain-bytes N]\n"
+                  "  [--list-lag-ms N] [--appends-s N]\n");
+      exit (2);
+    }
+}
+
+static spl_options_t
+read_flags (int argc, char **argv)
+{
+  spl_options_t options = { .retain_records = 100000, .retain_bytes = 64 * 1024 * 1024 };
+  int flag;
+  while ((flag = getopt_long (argc, argv, "", flags, NULL)) != -1)
+    take_flag (&options, flag, optarg);
+  if (options.listen == NULL || optind != argc)
+    take_flag (&options, '?', NULL);
+  return options;
+}
+
+static void
+stop (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  event_base_loopbreak (arg);
+}
+
+int
+main (int argc, char **argv)
+{
+  spl_t *platform = g_new0 (spl_t, 1);
+  platform->options = read_flags (argc, argv);
+  platform->base = event_base_new ();
+  platform->log = plg_new (platform->options.retain_records, platform->options.retain_bytes);
+  platform->hosts = phl_new (platform->options.list_lag_us);
+  g_queue_init (&platform->waiters);
+  signal (SIGPIPE, SIG_IGN);
+  if (sht_listen (platform->base, platform->options.listen, call_came, platform) == NULL)
+    return 1;
+  event_add (evsignal_new (platform->base, SIGTERM, stop, platform->base), NULL);
+  event_add (evsignal_new (platform->base, SIGINT, stop, platform->base), NULL);
+  g_print ("platform listens on %s\n", platform->options.listen);
+  event_base_dispatch (platform->base);
+  return 0;
+}
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -1,11 +1,14 @@
 /**
  * DOC: test_standin
  *
- * The parts of the stand-in engine that measurements rest on: the prefix cache and the batch.
+ * The parts of the stand-ins that tests and measurements rest on: prefix cache, batch and records
+ * of the engine; log and host list of the platform.
  */
 #include "../standin/batch.h"
 #include "../standin/cache_events.h"
 #include "../standin/engine_record.h"
+#include "../standin/platform_hosts.h"
+#include "../standin/platform_log.h"
 #include "../standin/prefix_cache.h"
 
 #include <CUnit/Basic.h>
@@ -189,6 +192,80 @@
   close (ends[1]);
 }
 
+static json_int_t
+number_of (const json_t *object, const char *name)
+{
+  return json_integer_value (json_object_get (object, name));
+}
+
+static void
+test_log_keeps_offsets_over_retention (void)
+{
+  plg_t *log = plg_new (3, 1024);
+  uint64_t offset;
+  for (uint64_t i = 0; i < 5000; i++)
+    {
+      CU_ASSERT_TRUE (plg_append (log, "s", "x", 1, &offset));
+      CU_ASSERT_EQUAL (offset, i);
+    }
+  json_t *read = plg_read (log, "s", 10, 2);
+  CU_ASSERT_EQUAL (number_of (read, "first"), 4997);
+  CU_ASSERT_EQUAL (number_of (read, "next"), 4999);
+  CU_ASSERT_EQUAL (number_of (read, "end"), 5000);
+  json_decref (read);
+  plg_truncate (log, "s", 9999);
+  read = plg_read (log, "s", 0, 2);
+  CU_ASSERT_EQUAL (number_of (read, "first"), 5000);
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (read, "records")), 0);
+  json_decref (read);
+  plg_free (log);
+}
+
+static json_t *
+one_host (const char *name, const char *state)
+{
+  return json_pack ("[{s:s, s:s, s:s, s:s, s:s, s:s, s:s}]", "name", name, "role", "sidecar",
+                    "data_center", "hall", "region", "city", "http", "127.0.0.1:1", "exchange",
+                    "127.0.0.1:2", "state", state);
+}
+
+static void
+check_view (phl_t *list,
+            uint64_t now_us,
+            const char *reader,
+            uint64_t since,
+            json_int_t revision,
+            bool full)
+{
+  json_t *view = phl_view (list, now_us, reader, since);
+  CU_ASSERT_EQUAL (number_of (view, "revision"), revision);
+  CU_ASSERT_EQUAL (json_is_true (json_object_get (view, "full")), full);
+  json_decref (view);
+}
+
+static void
+test_list_lags_and_is_held_for_one_reader (void)
+{
+  phl_t *list = phl_new (1000);
+  json_t *first = one_host ("a", "live");
+  json_t *second = one_host ("b", "live");
+  CU_ASSERT_TRUE (phl_set (list, 0, first, true));
+  check_view (list, 999, NULL, 0, 0, true);
+  check_view (list, 1000, NULL, 0, 1, true);
+  CU_ASSERT_TRUE (phl_hold (list, 1000, "router-1", true));
+  CU_ASSERT_TRUE (phl_set (list, 1000, second, true));
+  check_view (list, 2000, "router-1", 1, 1, false);
+  check_view (list, 2000, "router-2", 1, 3, false);
+  json_t *view = phl_view (list, 2000, NULL, 1);
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (view, "hosts")), 2);
+  json_decref (view);
+  CU_ASSERT_TRUE (phl_hold (list, 2000, "router-1", false));
+  check_view (list, 2000, "router-1", 9, 3, true);
+  json_decref (first);
+  json_decref (second);
+  phl_free (list);
+}
+
 int
 main (void)
 {
@@ -199,6 +276,8 @@
     { "batch shares prefill and slots", test_batch_shares_prefill_and_slots },
     { "cache events come late and with gaps", test_cache_events_come_late_and_with_gaps },
     { "record file has each change at once", test_record_file_has_each_change_at_once },
+    { "log keeps offsets over retention", test_log_keeps_offsets_over_retention },
+    { "list lags and is held for one reader", test_list_lags_and_is_held_for_one_reader },
     CU_TEST_INFO_NULL,
   };
   CU_SuiteInfo suites[] = { { .pName = "standin", .pTests = tests }, CU_SUITE_INFO_NULL };
