Add example manifests, the seal of admin orders and a fuzz of the readers

The two examples are the deployments of today, with keys for the demo only. Mutations of the examples and of a small corpus, under a fixed seed, go through the manifest and the replay; each verdict must be met, so that the corpus can't go dull unnoticed.

--- /dev/null
+++ b/tests/test_admin_seal.c
@@ -0,0 +1,87 @@
+#include "connection/admin_seal.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <glib.h>
+#include <string.h>
+
+#define KEY "a key of the whole fleet"
+#define NOW_S 1800000000
+
+static bool
+drain (const char *key, const char *host, uint64_t time_s, const char *seal)
+{
+  return seal_check (key, SEAL_DRAIN, host, time_s, NOW_S, seal);
+}
+
+static void
+test_known_value (void)
+{
+  g_autofree char *seal = seal_make ("key", "drain", "h", 1);
+  g_autofree char *want =
+      g_compute_hmac_for_string (G_CHECKSUM_SHA256, (const guchar *)"key", 3, "drain\nh\n1", -1);
+
+  CU_ASSERT_STRING_EQUAL (seal, want);
+}
+
+static void
+test_only_its_own_order (void)
+{
+  g_autofree char *seal = seal_make (KEY, SEAL_DRAIN, "h1", NOW_S);
+  g_autofree char *upper = g_ascii_strup (seal, -1);
+  g_autofree char *cut = g_strndup (seal, 63);
+
+  CU_ASSERT_TRUE (drain (KEY, "h1", NOW_S, seal));
+  CU_ASSERT_FALSE (drain (KEY, "h2", NOW_S, seal));
+  CU_ASSERT_FALSE (drain ("another key of a fleet", "h1", NOW_S, seal));
+  CU_ASSERT_FALSE (drain (KEY, "h1", NOW_S + 1, seal));
+  CU_ASSERT_FALSE (seal_check (KEY, "start", "h1", NOW_S, NOW_S, seal));
+  CU_ASSERT_FALSE (drain (KEY, "h1", NOW_S, upper));
+  CU_ASSERT_FALSE (drain (KEY, "h1", NOW_S, cut));
+  CU_ASSERT_FALSE (drain (KEY, "h1", NOW_S, ""));
+  CU_ASSERT_FALSE (drain (KEY, "h1", NOW_S, NULL));
+  for (size_t at = 0; at < strlen (seal); at++)
+    {
+      g_autofree char *other = g_strdup (seal);
+
+      other[at] = other[at] == '0' ? '1' : '0';
+      CU_ASSERT_FALSE (drain (KEY, "h1", NOW_S, other));
+    }
+}
+
+/*
+ * Someone who read an old order off the wire sends it again much later, when the host has long
+ * been replaced under the same name. Its time is out of the window, so the new host stays.
+ */
+static void
+test_old_order (void)
+{
+  static const int64_t TIMES_S[] = { -61, -60, 60, 61 };
+  static const bool GOOD[] = { false, true, true, false };
+
+  for (size_t at = 0; at < G_N_ELEMENTS (TIMES_S); at++)
+    {
+      uint64_t time_s = (uint64_t)(NOW_S + TIMES_S[at]);
+      g_autofree char *seal = seal_make (KEY, SEAL_DRAIN, "h1", time_s);
+
+      CU_ASSERT_EQUAL (drain (KEY, "h1", time_s, seal), GOOD[at]);
+    }
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("admin seal", NULL, NULL);
+  CU_ADD_TEST (suite, test_known_value);
+  CU_ADD_TEST (suite, test_only_its_own_order);
+  CU_ADD_TEST (suite, test_old_order);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
--- /dev/null
+++ b/tests/test_examples.c
@@ -0,0 +1,112 @@
+#include "version/manifest.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <stdlib.h>
+#include <string.h>
+
+static man_t *
+load (const char *name)
+{
+  const char *top = getenv ("MEDLARPLANK_SOURCE");
+  g_autofree char *path = g_strdup_printf ("%s/examples/%s.json", top != NULL ? top : ".", name);
+  g_autofree char *text = NULL;
+  gsize text_bytes;
+  GError *error = NULL;
+  man_t *man = NULL;
+
+  if (g_file_get_contents (path, &text, &text_bytes, &error))
+    man = man_parse (text, text_bytes, &error);
+  if (man == NULL)
+    printf ("%s: %s\n", path, error->message);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (man);
+  return man;
+}
+
+static void
+expect_demo_keys (const man_t *man)
+{
+  CU_ASSERT_EQUAL (man->account_count, 10);
+  for (uint32_t at = 0; at < man->account_count; at++)
+    {
+      g_autofree char *key = g_strconcat ("demo-", man->accounts[at].name, NULL);
+
+      CU_ASSERT_PTR_EQUAL (man_account_for_key (man, key), &man->accounts[at]);
+    }
+}
+
+static void
+expect_service (const man_t *man, const char *name, man_kind_t kind, uint32_t engines)
+{
+  const man_service_t *service = man_service_named (man, name);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (service);
+  CU_ASSERT_EQUAL (service->kind, kind);
+  CU_ASSERT_EQUAL (service->engine_count, engines);
+}
+
+static void
+expect_class (const man_t *man,
+              const char *method,
+              const char *path,
+              const char *model,
+              const char *class,
+              bool idempotent)
+{
+  const man_route_t *route = man_route_for (man, method, path, model);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_STRING_EQUAL (man->classes[route->class_index].name, class);
+  CU_ASSERT_EQUAL (route->idempotent, idempotent);
+}
+
+static void
+test_tuul (void)
+{
+  man_t *man = load ("tuul");
+  const char *chat = "/v1/chat/completions";
+
+  expect_demo_keys (man);
+  expect_service (man, "medlar-pool", MAN_KIND_MODEL, 12);
+  expect_service (man, "claims-portal", MAN_KIND_PLAIN, 3);
+  expect_class (man, "POST", chat, "claims-7b", "draft-reply", true);
+  expect_class (man, "POST", chat, "claims-7b-appeals", "appeal-summary", true);
+  expect_class (man, "POST", chat, "claims-7b-tags", "eligibility-tag", false);
+  expect_class (man, "GET", "/portal/status/7", NULL, "status-check", true);
+  expect_class (man, "GET", "/portal/documents/7", NULL, "document-lookup", true);
+  man_unref (man);
+}
+
+static void
+test_jogak (void)
+{
+  man_t *man = load ("jogak");
+  const char *chat = "/v1/chat/completions";
+
+  expect_demo_keys (man);
+  expect_service (man, "medlar-desk", MAN_KIND_MODEL, 12);
+  expect_service (man, "bale-ledger", MAN_KIND_PLAIN, 3);
+  expect_class (man, "POST", chat, "desk-13b", "pattern-question", true);
+  expect_class (man, "POST", chat, "desk-13b-lots", "lot-history", true);
+  expect_class (man, "POST", chat, "desk-13b-tags", "colour-tag", true);
+  expect_class (man, "POST", "/ledger/bookings", NULL, "booking", false);
+  expect_class (man, "GET", "/ledger/bookings", NULL, "ledger-read", true);
+  man_unref (man);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("examples", NULL, NULL);
+  CU_ADD_TEST (suite, test_tuul);
+  CU_ADD_TEST (suite, test_jogak);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
--- /dev/null
+++ b/tests/test_version_fuzz.c
@@ -0,0 +1,215 @@
+#include "version/replay.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SEED 20240817
+#define MANIFEST_ROUNDS 3000
+#define RECORD_ROUNDS 6000
+#define MUTATIONS_MAX 6
+#define STREAM_RECORDS 40 /* records fed to one reader before the next one starts */
+
+static const char *const MANIFESTS[] = { "examples/tuul.json", "examples/jogak.json",
+                                         "tests/corpus/manifest.json" };
+static const char *const RECORDS[] = { "tests/corpus/publish.json", "tests/corpus/patch.json",
+                                       "tests/corpus/checkpoint.json" };
+static const char *const TOKENS[] = {
+  "{",    "}",       "[",        "]",         "\"",       ",",         ":",
+  "null", "true",    "-1",       "0",         "1e999",    "2.5",       "9223372036854775807",
+  "\\u0", "\\ud800", "\"kind\"", "\"patch\"", "\"base\"", "\"as_of\"", "\"version\":1,",
+  "{}",   "[]",      "\xff",     "\n",        "[[[[[[[[", "\"\"",      "\"manifest\":{},",
+};
+
+typedef struct
+{
+  GRand *rand;
+  GString *texts[3];
+} fuzz_t;
+
+static uint32_t
+choose (const fuzz_t *fuzz, size_t count)
+{
+  return (uint32_t)g_rand_int_range (fuzz->rand, 0, (gint32)count);
+}
+
+static GString *
+load (const char *name)
+{
+  const char *top = getenv ("MEDLARPLANK_SOURCE");
+  g_autofree char *path = g_build_filename (top != NULL ? top : ".", name, NULL);
+  char *text = NULL;
+  gsize text_bytes = 0;
+  GString *string;
+
+  CU_ASSERT_TRUE_FATAL (g_file_get_contents (path, &text, &text_bytes, NULL));
+  string = g_string_new_len (text, (gssize)text_bytes);
+  g_free (text);
+  return string;
+}
+
+static fuzz_t
+new_fuzz (const char *const *names)
+{
+  fuzz_t fuzz = { .rand = g_rand_new_with_seed (SEED) };
+
+  for (uint32_t at = 0; at < G_N_ELEMENTS (fuzz.texts); at++)
+    fuzz.texts[at] = load (names[at]);
+  return fuzz;
+}
+
+static void
+end_fuzz (fuzz_t *fuzz)
+{
+  for (uint32_t at = 0; at < G_N_ELEMENTS (fuzz->texts); at++)
+    g_string_free (fuzz->texts[at], TRUE);
+  g_rand_free (fuzz->rand);
+}
+
+static void
+mutate_once (const fuzz_t *fuzz, GString *text)
+{
+  const GString *other = fuzz->texts[choose (fuzz, G_N_ELEMENTS (fuzz->texts))];
+  gssize at = choose (fuzz, text->len + 1);
+  gssize length = choose (fuzz, MIN (text->len - (gsize)at, 200) + 1);
+  uint32_t from = choose (fuzz, other->len);
+
+  switch (choose (fuzz, 5))
+    {
+    case 0:
+      if ((gsize)at < text->len)
+        text->str[at] = (char)choose (fuzz, 256);
+      break;
+    case 1:
+      g_string_erase (text, at, length);
+      break;
+    case 2:
+      g_string_insert (text, at, TOKENS[choose (fuzz, G_N_ELEMENTS (TOKENS))]);
+      break;
+    case 3:
+      g_string_insert_len (text, at, other->str + from, (gssize)MIN (other->len - from, 60));
+      break;
+    default:
+      if ((gsize)at < text->len && g_ascii_isdigit (text->str[at]))
+        text->str[at] = (char)('0' + choose (fuzz, 10));
+      break;
+    }
+}
+
+/* The result lies in a block of its own size, so that a read beyond its end is seen. */
+static char *
+mutate (const fuzz_t *fuzz, size_t *text_bytes)
+{
+  const GString *origin = fuzz->texts[choose (fuzz, G_N_ELEMENTS (fuzz->texts))];
+  GString *text = g_string_new_len (origin->str, (gssize)origin->len);
+  char *block;
+
+  for (uint32_t left = choose (fuzz, MUTATIONS_MAX + 1); left > 0; left--)
+    mutate_once (fuzz, text);
+  *text_bytes = text->len;
+  block = g_memdup2 (text->str, text->len);
+  g_string_free (text, TRUE);
+  return block;
+}
+
+/* A manifest that was taken is taken again in its canonical form, with the same digest. */
+static void
+expect_stable (const man_t *man)
+{
+  g_autofree char *text = json_dumps (man->json, JSON_SORT_KEYS | JSON_COMPACT);
+  man_t *again = man_parse (text, strlen (text), NULL);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (again);
+  CU_ASSERT_STRING_EQUAL (again->digest, man->digest);
+  man_unref (again);
+}
+
+static void
+test_manifests (void)
+{
+  fuzz_t fuzz = new_fuzz (MANIFESTS);
+  uint32_t taken = 0;
+
+  for (uint32_t round = 0; round < MANIFEST_ROUNDS; round++)
+    {
+      size_t text_bytes;
+      g_autofree char *text = mutate (&fuzz, &text_bytes);
+      g_autoptr (GError) error = NULL;
+      man_t *man = man_parse (text, text_bytes, &error);
+
+      CU_ASSERT_TRUE ((man == NULL) == (error != NULL));
+      if (error != NULL)
+        CU_ASSERT_PTR_NOT_NULL (strstr (error->message, ": "));
+      if (man == NULL)
+        continue;
+      taken++;
+      expect_stable (man);
+      man_unref (man);
+    }
+  printf ("seed %d: %u of %d taken ", SEED, taken, MANIFEST_ROUNDS);
+  CU_ASSERT_TRUE (taken > 0 && taken < MANIFEST_ROUNDS);
+  end_fuzz (&fuzz);
+}
+
+static rep_t *
+new_reader (const fuzz_t *fuzz)
+{
+  rep_t *rep = rep_new ();
+
+  rep_begin (rep, choose (fuzz, 3));
+  rep_note_end (rep, choose (fuzz, STREAM_RECORDS));
+  return rep;
+}
+
+static void
+test_records (void)
+{
+  fuzz_t fuzz = new_fuzz (RECORDS);
+  rep_t *rep = new_reader (&fuzz);
+  uint64_t version = 0;
+  uint32_t seen[REP_SKIPPED + 1] = { 0 };
+
+  for (uint32_t round = 0; round < RECORD_ROUNDS; round++)
+    {
+      size_t text_bytes;
+      g_autofree char *text = mutate (&fuzz, &text_bytes);
+      rep_judgement_t judgement = rep_feed (rep, rep_next_offset (rep), text, text_bytes);
+
+      seen[judgement.verdict]++;
+      CU_ASSERT_TRUE_FATAL (judgement.version >= version);
+      version = judgement.version;
+      if (round % STREAM_RECORDS == STREAM_RECORDS - 1)
+        {
+          rep_free (rep);
+          rep = new_reader (&fuzz);
+          version = 0;
+        }
+    }
+  printf ("seed %d:", SEED);
+  for (uint32_t verdict = 0; verdict <= REP_SKIPPED; verdict++)
+    {
+      printf (" %u", seen[verdict]);
+      CU_ASSERT_TRUE (seen[verdict] > 0);
+    }
+  printf (" ");
+  rep_free (rep);
+  end_fuzz (&fuzz);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("version fuzz", NULL, NULL);
+  CU_ADD_TEST (suite, test_manifests);
+  CU_ADD_TEST (suite, test_records);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
