Let the mailbox test see a lost wake-up

With the batch taken before the wake-up is cleared the test still passed: the next message woke the reader. The sender now waits for each burst of three; with that fault put in, the test fails.

--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -269,8 +269,9 @@
   cnt_set_free (set);
 }
 
-#define MAIL_COUNT 200000
-#define MAIL_DEADLINE_S 60
+#define MAIL_COUNT 150000
+#define MAIL_BURST 3
+#define MAIL_DEADLINE_S 30
 
 /** struct letter - a message with its number and a count of letters that were freed */
 typedef struct
@@ -280,12 +281,13 @@
   uint32_t *freed;
 } letter_t;
 
-/** struct mail - both ends of a mailbox test */
+/** struct mail - both ends of a mailbox test; @read and @closed are read by the sender too */
 typedef struct
 {
   struct event_base *base;
   mbx_t *mbx;
-  uint32_t read;
+  gint read;
+  gint closed;
   uint32_t disordered;
   uint32_t freed;
 } mail_t;
@@ -316,8 +318,8 @@
   mail_t *mail = context;
   const letter_t *letter = (const letter_t *)message;
 
-  mail->disordered += letter->number != mail->read;
-  mail->read++;
+  mail->disordered += letter->number != (uint32_t)mail->read;
+  g_atomic_int_inc (&mail->read);
   if (mail->read == MAIL_COUNT)
     event_base_loopexit (mail->base, NULL);
 }
@@ -340,15 +342,24 @@
 static gpointer
 send_all (gpointer data)
 {
-  for (uint32_t i = 0; i < MAIL_COUNT; i++)
-    mail_send (data, i);
+  mail_t *mail = data;
+
+  for (gint sent = 0; sent < MAIL_COUNT && !g_atomic_int_get (&mail->closed); sent += MAIL_BURST)
+    {
+      for (gint i = 0; i < MAIL_BURST; i++)
+        mail_send (mail, (uint32_t)(sent + i));
+      while (g_atomic_int_get (&mail->read) < sent + MAIL_BURST &&
+             !g_atomic_int_get (&mail->closed))
+        g_thread_yield ();
+    }
   return NULL;
 }
 
 /*
- * One thread sends while another reads. A wake-up that is lost between the last look at the queue
- * and the wait would leave a message unread: the data task would not hear of a new version or of
- * the drain, and the loop here would run into its deadline.
+ * One thread sends while another reads. A wake-up that is lost between taking the batch and the
+ * next wait would leave a message unread: the data task would not hear of a new version or of the
+ * drain. The sender waits for the end of each small burst, so that no later message could wake the
+ * reader instead, and the loop would run into its deadline.
  */
 static void
 test_mailbox_threads (void)
@@ -361,6 +372,7 @@
   event_base_loopexit (mail.base, &deadline);
   sender = g_thread_new ("sender", send_all, &mail);
   event_base_dispatch (mail.base);
+  g_atomic_int_set (&mail.closed, 1);
   g_thread_join (sender);
   CU_ASSERT_EQUAL (mail.read, MAIL_COUNT);
   CU_ASSERT_EQUAL (mail.disordered, 0);
