Remember suspects and chats served elsewhere, in bounded tables

A mark is passed on with a rounded age. Taking each repeat as the time of the crash would renew it for ever between two daemons, so a repeat that names no new engine leaves the time alone; a test echoes marks until they must be gone.

--- /dev/null
+++ b/tests/test_suspect.c
@@ -0,0 +1,157 @@
+#include "request/directory.h"
+#include "request/suspect.h"
+
+#include <CUnit/Basic.h>
+
+#define LIFETIME_US 1000000
+
+static void
+test_two_crashes_are_final (void)
+{
+  sus_t *sus = sus_new (8, LIFETIME_US);
+  CU_ASSERT_EQUAL (sus_check (sus, 1, 7, 100), SUS_CLEAR);
+  CU_ASSERT (sus_add (sus, 1, 7, 100));
+  CU_ASSERT (!sus_add (sus, 2, 7, 100));
+  CU_ASSERT_EQUAL (sus_check (sus, 2, 7, 100), SUS_NOT_HERE);
+  CU_ASSERT_EQUAL (sus_check (sus, 2, 7, 200), SUS_CLEAR);
+  CU_ASSERT (sus_add (sus, 3, 7, 200));
+  CU_ASSERT_EQUAL (sus_check (sus, 3, 7, 100), SUS_FINAL);
+  CU_ASSERT_EQUAL (sus_check (sus, 3, 7, 300), SUS_FINAL);
+  CU_ASSERT_EQUAL (sus_check (sus, 3, 8, 100), SUS_CLEAR);
+  sus_free (sus);
+}
+
+/* The first sidecar saw engine 100 crash, the second one engine 200. Each has heard the other's
+ * mark: a resend through any router must find the request final at both. */
+static void
+test_marks_merge (void)
+{
+  sus_t *one = sus_new (8, LIFETIME_US);
+  sus_t *two = sus_new (8, LIFETIME_US);
+  sus_mark_t mark;
+  sus_add (one, 10000, 7, 100);
+  sus_add (two, 50000, 7, 200);
+  CU_ASSERT_FATAL (sus_get (two, 60000, 7, &mark));
+  CU_ASSERT_EQUAL (mark.age_ms, 10);
+  CU_ASSERT (sus_merge (one, 60000, &mark));
+  CU_ASSERT (!sus_merge (one, 60000, &mark));
+  CU_ASSERT_EQUAL (sus_check (one, 60000, 7, 300), SUS_FINAL);
+  CU_ASSERT_FATAL (sus_get (one, 60000, 7, &mark));
+  CU_ASSERT (sus_merge (two, 60000, &mark));
+  CU_ASSERT_EQUAL (sus_check (two, 60000, 7, 300), SUS_FINAL);
+  sus_free (one);
+  sus_free (two);
+}
+
+static void
+test_marks_expire (void)
+{
+  sus_t *sus = sus_new (8, LIFETIME_US);
+  sus_mark_t mark;
+  sus_add (sus, 1000, 7, 100);
+  CU_ASSERT_EQUAL (sus_check (sus, 1000 + LIFETIME_US, 7, 100), SUS_NOT_HERE);
+  CU_ASSERT_EQUAL (sus_check (sus, 1001 + LIFETIME_US, 7, 100), SUS_CLEAR);
+  CU_ASSERT (!sus_get (sus, 1001 + LIFETIME_US, 7, &mark));
+  CU_ASSERT_EQUAL (sus_recent (sus, 1001 + LIFETIME_US, &mark, 1), 0);
+  mark = (sus_mark_t){ .fingerprint = 9, .engines = { 1 }, .age_ms = LIFETIME_US / 1000 + 1 };
+  CU_ASSERT (!sus_merge (sus, 10 * LIFETIME_US, &mark));
+  CU_ASSERT_EQUAL (sus_check (sus, 10 * LIFETIME_US, 9, 1), SUS_CLEAR);
+  sus_free (sus);
+}
+
+/* Two daemons tell each other the same mark for ever. It must still end, or a request that crashed
+ * an engine once would be refused until the whole fleet was replaced. */
+static void
+test_echo_does_not_renew (void)
+{
+  sus_t *one = sus_new (8, LIFETIME_US);
+  sus_t *two = sus_new (8, LIFETIME_US);
+  sus_mark_t mark;
+  sus_add (one, 999, 7, 100);
+  uint64_t now_us = 1999;
+  for (; now_us < 4 * LIFETIME_US; now_us += 777)
+    {
+      if (sus_recent (one, now_us, &mark, 1) == 1)
+        sus_merge (two, now_us, &mark);
+      if (sus_recent (two, now_us, &mark, 1) == 1)
+        sus_merge (one, now_us, &mark);
+    }
+  CU_ASSERT_EQUAL (sus_check (one, now_us, 7, 100), SUS_CLEAR);
+  CU_ASSERT_EQUAL (sus_check (two, now_us, 7, 100), SUS_CLEAR);
+  sus_free (one);
+  sus_free (two);
+}
+
+static void
+test_limit_drops_the_oldest (void)
+{
+  sus_t *sus = sus_new (4, LIFETIME_US);
+  sus_mark_t marks[8];
+  for (uint64_t i = 1; i <= 6; i++)
+    sus_add (sus, i, i, 100);
+  CU_ASSERT_EQUAL (sus_recent (sus, 6, marks, 8), 4);
+  CU_ASSERT_EQUAL (marks[0].fingerprint, 6);
+  CU_ASSERT_EQUAL (marks[3].fingerprint, 3);
+  CU_ASSERT_EQUAL (sus_check (sus, 6, 1, 100), SUS_CLEAR);
+  sus_free (sus);
+}
+
+static void
+test_directory_keeps_and_forgets (void)
+{
+  dir_t *dir = dir_new (64);
+  dir_entry_t entry;
+  dir_put (dir, 10, 7, 100);
+  dir_put (dir, 20, 7, 200);
+  CU_ASSERT_EQUAL (dir_count (dir), 1);
+  CU_ASSERT_FATAL (dir_get (dir, 30, 10, 7, &entry));
+  CU_ASSERT_EQUAL (entry.engine_hash, 200);
+  CU_ASSERT (!dir_get (dir, 31, 10, 7, &entry));
+  dir_forget (dir, 7);
+  dir_forget (dir, 7);
+  CU_ASSERT (!dir_get (dir, 20, 10, 7, &entry));
+  CU_ASSERT_EQUAL (dir_count (dir), 0);
+  dir_free (dir);
+}
+
+static void
+count_entry (const dir_entry_t *entry, void *context)
+{
+  CU_ASSERT_NOT_EQUAL (entry->chat_hash, 0);
+  (*(uint32_t *)context)++;
+}
+
+static void
+test_directory_is_bounded (void)
+{
+  dir_t *dir = dir_new (64);
+  dir_entry_t entry;
+  uint32_t visited = 0;
+  for (uint64_t i = 1; i <= 1000; i++)
+    dir_put (dir, i, i * 0x9e3779b97f4a7c15ULL, 100);
+  CU_ASSERT (dir_count (dir) <= 64);
+  CU_ASSERT (dir_get (dir, 1000, 1000, 1000 * 0x9e3779b97f4a7c15ULL, &entry));
+  CU_ASSERT (!dir_get (dir, 1000, 1000, 0x9e3779b97f4a7c15ULL, &entry));
+  dir_each (dir, count_entry, &visited);
+  CU_ASSERT_EQUAL (visited, dir_count (dir));
+  dir_free (dir);
+}
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("suspect", NULL, NULL);
+  CU_add_test (suite, "two crashes are final", test_two_crashes_are_final);
+  CU_add_test (suite, "marks merge", test_marks_merge);
+  CU_add_test (suite, "marks expire", test_marks_expire);
+  CU_add_test (suite, "an echo does not renew a mark", test_echo_does_not_renew);
+  CU_add_test (suite, "the limit drops the oldest", test_limit_drops_the_oldest);
+  CU_add_test (suite, "directory keeps and forgets", test_directory_keeps_and_forgets);
+  CU_add_test (suite, "directory is bounded", test_directory_is_bounded);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  const unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
