Queue fairly by account, measure the drain, know the shares

Strict priority bands were ruled out: a flood of status checks would hold long appeals for ever. Priorities are a head start in tokens instead, so each preference is bounded. One queue over (account, band) pairs was ruled out too: an account would gain weight by spreading over classes. GSequence keeps accounts by key and requests by deadline, in O(log n). While nothing waits, virtual time advances by an even part for all; otherwise accounts that never queue would be remembered for ever. The drain rate is load over mean length, which follows the load at once; a gap of three intervals makes it grow, so that a stalled engine is not taken to drain as it did.

--- /dev/null
+++ b/src/request/fairq.c
@@ -0,0 +1,403 @@
+#include "request/fairq.h"
+
+#define FQ_PRUNE_SLACK 64 /* idle accounts kept before they are looked through */
+
+/**
+ * struct fq_account - a client account that waits, or was served lately
+ * @finish: virtual time up to which it has been served
+ * @passed: cost served of higher priorities while each band waited
+ * @place: in fq.active while anything of it waits, else NULL
+ */
+typedef struct
+{
+  uint64_t hash;
+  uint64_t finish;
+  uint64_t key;
+  uint64_t cost;
+  uint64_t band_cost[FQ_BANDS];
+  uint64_t passed[FQ_BANDS];
+  GQueue bands[FQ_BANDS];
+  GSequenceIter *place;
+  uint32_t count;
+  uint32_t weight;
+} fq_account_t;
+
+/* Virtual time is cost at the ordinary weight. */
+struct fq
+{
+  GHashTable *accounts; /* hash -> fq_account_t */
+  GSequence *active;    /* of fq_account_t, by key */
+  GSequence *deadlines; /* of fq_item_t that have one */
+  uint64_t virtual_now;
+  uint32_t prune_at; /* accounts known at which spent ones are dropped */
+  uint32_t count;
+  uint32_t limit;
+};
+
+static uint32_t
+band_of (const fq_item_t *item)
+{
+  return item->priority < FQ_BANDS ? item->priority : FQ_BANDS - 1;
+}
+
+static uint64_t
+scaled (uint64_t cost, uint32_t weight)
+{
+  if (weight == 0)
+    weight = 1;
+  return (cost + 1) * FQ_WEIGHT_ONE / weight;
+}
+
+static int
+by_key (const void *a, const void *b, void *context)
+{
+  (void)context;
+  const fq_account_t *one = a;
+  const fq_account_t *two = b;
+  if (one->key != two->key)
+    return one->key < two->key ? -1 : 1;
+  return 0;
+}
+
+static int
+by_deadline (const void *a, const void *b, void *context)
+{
+  (void)context;
+  const uint64_t one = ((const fq_item_t *)a)->deadline_us;
+  const uint64_t two = ((const fq_item_t *)b)->deadline_us;
+  return one < two ? -1 : one > two;
+}
+
+static fq_account_t *
+find (const fq_t *fq, uint64_t hash)
+{
+  return g_hash_table_lookup (fq->accounts, &hash);
+}
+
+static fq_account_t *
+find_or_make (fq_t *fq, const fq_item_t *item)
+{
+  fq_account_t *account = find (fq, item->account_hash);
+  if (account == NULL)
+    {
+      account = g_new0 (fq_account_t, 1);
+      account->hash = item->account_hash;
+      for (uint32_t band = 0; band < FQ_BANDS; band++)
+        g_queue_init (&account->bands[band]);
+      g_hash_table_insert (fq->accounts, &account->hash, account);
+    }
+  account->weight = item->weight;
+  return account;
+}
+
+/* One that waits keeps its place in virtual time; one that was idle starts at the present. */
+static uint64_t
+start_of (const fq_t *fq, const fq_account_t *account)
+{
+  if (account == NULL)
+    return fq->virtual_now;
+  return account->place != NULL ? account->finish : MAX (account->finish, fq->virtual_now);
+}
+
+/* The first band that waits, unless one below it has been passed over for its head start. */
+static uint32_t
+band_to_serve (const fq_account_t *account)
+{
+  uint32_t first = FQ_BANDS;
+  for (uint32_t band = 0; band < FQ_BANDS; band++)
+    {
+      if (account->bands[band].length == 0)
+        continue;
+      if (first == FQ_BANDS)
+        first = band;
+      else if (account->passed[band] > (uint64_t)(band - first) * FQ_HEAD_START)
+        return band;
+    }
+  return first;
+}
+
+static fq_item_t *
+head_of (const fq_account_t *account)
+{
+  return account->bands[band_to_serve (account)].head->data;
+}
+
+static uint64_t
+key_of (uint64_t start, uint32_t band)
+{
+  return start + (uint64_t)band * FQ_HEAD_START;
+}
+
+static void
+settle (fq_t *fq, fq_account_t *account)
+{
+  if (account->count == 0)
+    {
+      if (account->place != NULL)
+        g_sequence_remove (account->place);
+      account->place = NULL;
+      return;
+    }
+  if (account->place == NULL)
+    {
+      account->finish = start_of (fq, account);
+      account->key = key_of (account->finish, band_to_serve (account));
+      account->place = g_sequence_insert_sorted (fq->active, account, by_key, NULL);
+      return;
+    }
+  account->key = key_of (account->finish, band_to_serve (account));
+  g_sequence_sort_changed (account->place, by_key, NULL);
+}
+
+static gboolean
+is_spent (void *key, void *value, void *context)
+{
+  (void)key;
+  const fq_account_t *account = value;
+  const fq_t *fq = context;
+  return account->count == 0 && account->finish <= fq->virtual_now;
+}
+
+static void
+prune (fq_t *fq)
+{
+  if (g_hash_table_size (fq->accounts) <= fq->prune_at)
+    return;
+  g_hash_table_foreach_remove (fq->accounts, is_spent, fq);
+  fq->prune_at = 2 * g_hash_table_size (fq->accounts) + FQ_PRUNE_SLACK;
+}
+
+static void
+charge (fq_t *fq, fq_account_t *account, uint32_t cost)
+{
+  const uint64_t start = start_of (fq, account);
+  account->finish = start + scaled (cost, account->weight);
+  fq->virtual_now = MAX (fq->virtual_now, start);
+}
+
+static void
+take_out (fq_t *fq, fq_account_t *account, fq_item_t *item)
+{
+  const uint32_t band = band_of (item);
+  g_queue_unlink (&account->bands[band], &item->link);
+  account->count--;
+  account->cost -= item->cost;
+  account->band_cost[band] -= item->cost;
+  fq->count--;
+  if (item->expiry != NULL)
+    g_sequence_remove (item->expiry);
+  item->expiry = NULL;
+}
+
+static void
+note_passed (fq_account_t *account, const fq_item_t *served)
+{
+  const uint32_t served_band = band_of (served);
+  account->passed[served_band] = 0;
+  for (uint32_t band = served_band + 1; band < FQ_BANDS; band++)
+    account->passed[band] =
+        account->bands[band].length > 0 ? account->passed[band] + served->cost + 1 : 0;
+}
+
+/* The cost that is served of @other before the key of a newcomer comes up. */
+static uint64_t
+cost_before_key (const fq_account_t *other, uint64_t key)
+{
+  if (other->key > key)
+    return 0;
+  const uint64_t room = (key - other->key) * other->weight / FQ_WEIGHT_ONE;
+  const uint64_t head = head_of (other)->cost;
+  return MIN (other->cost, room + head);
+}
+
+static uint32_t
+count_of_cost (const fq_account_t *account, uint64_t cost)
+{
+  const uint64_t total = account->cost + 1;
+  const uint64_t count = (cost * account->count + total / 2) / total;
+  return (uint32_t)MAX (count, 1);
+}
+
+fq_t *
+fq_new (uint32_t total_limit)
+{
+  fq_t *fq = g_new0 (fq_t, 1);
+  fq->accounts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  fq->active = g_sequence_new (NULL);
+  fq->deadlines = g_sequence_new (NULL);
+  fq->limit = total_limit;
+  fq->prune_at = FQ_PRUNE_SLACK;
+  return fq;
+}
+
+void
+fq_free (fq_t *fq)
+{
+  if (fq == NULL)
+    return;
+  g_sequence_free (fq->active);
+  g_sequence_free (fq->deadlines);
+  g_hash_table_destroy (fq->accounts);
+  g_free (fq);
+}
+
+fq_outcome_t
+fq_push (fq_t *fq, fq_item_t *item)
+{
+  if (fq->count >= fq->limit)
+    return FQ_FULL;
+  const fq_account_t *known = find (fq, item->account_hash);
+  if (known != NULL && known->count >= item->queue_limit)
+    return FQ_ACCOUNT_FULL;
+  if (item->queue_limit == 0)
+    return FQ_ACCOUNT_FULL;
+  fq_account_t *account = find_or_make (fq, item);
+  const uint32_t band = band_of (item);
+  item->link = (GList){ .data = item };
+  g_queue_push_tail_link (&account->bands[band], &item->link);
+  account->count++;
+  account->cost += item->cost;
+  account->band_cost[band] += item->cost;
+  fq->count++;
+  item->expiry = NULL;
+  if (item->deadline_us != 0)
+    item->expiry = g_sequence_insert_sorted (fq->deadlines, item, by_deadline, NULL);
+  settle (fq, account);
+  return FQ_QUEUED;
+}
+
+fq_item_t *
+fq_pop (fq_t *fq)
+{
+  return fq_pop_allowed (fq, NULL, NULL);
+}
+
+fq_item_t *
+fq_peek_allowed (const fq_t *fq, fq_may_t may, void *context)
+{
+  GSequenceIter *at = g_sequence_get_begin_iter (fq->active);
+  for (; !g_sequence_iter_is_end (at); at = g_sequence_iter_next (at))
+    {
+      fq_item_t *item = head_of (g_sequence_get (at));
+      if (may == NULL || may (item, context))
+        return item;
+    }
+  return NULL;
+}
+
+fq_item_t *
+fq_pop_allowed (fq_t *fq, fq_may_t may, void *context)
+{
+  fq_item_t *item = fq_peek_allowed (fq, may, context);
+  if (item == NULL)
+    return NULL;
+  fq_account_t *account = find (fq, item->account_hash);
+  take_out (fq, account, item);
+  note_passed (account, item);
+  charge (fq, account, item->cost);
+  settle (fq, account);
+  prune (fq);
+  return item;
+}
+
+bool
+fq_goes_before (const fq_t *fq, const fq_item_t *item, const fq_item_t *waiting)
+{
+  const fq_account_t *account = find (fq, item->account_hash);
+  const fq_account_t *other = find (fq, waiting->account_hash);
+  if (account == other)
+    return band_of (item) < band_of (waiting);
+  return key_of (start_of (fq, account), band_of (item)) < other->key;
+}
+
+fq_item_t *
+fq_expired (fq_t *fq, uint64_t now_us)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (fq->deadlines);
+  if (g_sequence_iter_is_end (first))
+    return NULL;
+  fq_item_t *item = g_sequence_get (first);
+  if (item->deadline_us > now_us)
+    return NULL;
+  fq_remove (fq, item);
+  return item;
+}
+
+fq_item_t *
+fq_any (fq_t *fq)
+{
+  fq_item_t *item = fq_peek_allowed (fq, NULL, NULL);
+  if (item != NULL)
+    fq_remove (fq, item);
+  return item;
+}
+
+void
+fq_remove (fq_t *fq, fq_item_t *item)
+{
+  fq_account_t *account = find (fq, item->account_hash);
+  g_assert (account != NULL && account->count > 0);
+  take_out (fq, account, item);
+  settle (fq, account);
+}
+
+uint32_t
+fq_count (const fq_t *fq)
+{
+  return fq->count;
+}
+
+uint32_t
+fq_account_count (const fq_t *fq)
+{
+  return g_hash_table_size (fq->accounts);
+}
+
+fq_ahead_t
+fq_ahead (const fq_t *fq, const fq_item_t *item)
+{
+  const fq_account_t *own = find (fq, item->account_hash);
+  const uint32_t band = band_of (item);
+  fq_ahead_t ahead = { 0 };
+  for (uint32_t i = 0; own != NULL && i <= band; i++)
+    {
+      ahead.cost += own->band_cost[i];
+      ahead.count += own->bands[i].length;
+    }
+  const uint64_t own_ahead = ahead.count > 0 ? scaled (ahead.cost, item->weight) : 0;
+  const uint64_t key = key_of (start_of (fq, own) + own_ahead, band);
+  GSequenceIter *at = g_sequence_get_begin_iter (fq->active);
+  for (; !g_sequence_iter_is_end (at); at = g_sequence_iter_next (at))
+    {
+      const fq_account_t *other = g_sequence_get (at);
+      if (other == own)
+        continue;
+      const uint64_t cost = cost_before_key (other, key);
+      if (cost == 0 && other->key > key)
+        break;
+      ahead.cost += cost;
+      ahead.count += count_of_cost (other, cost);
+    }
+  return ahead;
+}
+
+uint64_t
+fq_cost_ahead (const fq_t *fq, const fq_item_t *item)
+{
+  return fq_ahead (fq, item).cost;
+}
+
+void
+fq_served (fq_t *fq, const fq_item_t *item)
+{
+  fq_account_t *account = find_or_make (fq, item);
+  const uint32_t known = MIN (g_hash_table_size (fq->accounts), FQ_PRUNE_SLACK);
+  charge (fq, account, item->cost);
+  /* While nothing waits, time passes for all as if each had its even part: else what is remembered
+   * of accounts that never queue would stand for ever. */
+  if (fq->count == 0)
+    fq->virtual_now += scaled (item->cost, item->weight) / (known + 1);
+  if (account->count > 0)
+    settle (fq, account);
+  prune (fq);
+}
--- /dev/null
+++ b/tests/test_fairq.c
@@ -0,0 +1,290 @@
+#include "request/drain.h"
+#include "request/fairq.h"
+#include "request/share.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#define MANY 400
+
+static fq_item_t
+make (uint64_t account, uint32_t priority, uint32_t cost)
+{
+  return (fq_item_t){ .account_hash = account,
+                      .weight = FQ_WEIGHT_ONE,
+                      .priority = priority,
+                      .cost = cost,
+                      .queue_limit = MANY };
+}
+
+static void
+push_many (fq_t *fq, fq_item_t *items, uint32_t count, fq_item_t like)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      items[i] = like;
+      CU_ASSERT_EQUAL_FATAL (fq_push (fq, &items[i]), FQ_QUEUED);
+    }
+}
+
+static uint32_t
+pops_until (fq_t *fq, const fq_item_t *item)
+{
+  uint32_t pops = 0;
+  for (;;)
+    {
+      const fq_item_t *popped = fq_pop (fq);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (popped);
+      pops++;
+      if (popped == item)
+        return pops;
+    }
+}
+
+/* A client account sends 300 requests at once. Then one of a quiet account arrives: its caller
+ * must not wait behind the 300, as the surge is no fault of his. */
+static void
+test_surge_waits_behind_itself (void)
+{
+  fq_t *fq = fq_new (512);
+  fq_item_t surge[300];
+  push_many (fq, surge, 300, make (1, 1, 2000));
+  for (uint32_t i = 0; i < 20; i++)
+    fq_pop (fq);
+  fq_item_t quiet = make (2, 1, 2000);
+  CU_ASSERT_EQUAL_FATAL (fq_push (fq, &quiet), FQ_QUEUED);
+  CU_ASSERT (pops_until (fq, &quiet) <= 2);
+  fq_free (fq);
+}
+
+static void
+test_weights_share_cost (void)
+{
+  fq_t *fq = fq_new (512);
+  fq_item_t one[150], three[150];
+  fq_item_t like = make (3, 1, 500);
+  push_many (fq, one, 150, make (1, 1, 1000));
+  like.weight = 3 * FQ_WEIGHT_ONE;
+  push_many (fq, three, 150, like);
+  uint64_t cost_one = 0, cost_three = 0;
+  for (uint32_t i = 0; i < 120; i++)
+    {
+      const fq_item_t *item = fq_pop (fq);
+      *(item->account_hash == 1 ? &cost_one : &cost_three) += item->cost;
+    }
+  CU_ASSERT (cost_three >= 2 * cost_one);
+  CU_ASSERT (cost_three <= 4 * cost_one);
+  fq_free (fq);
+}
+
+static void
+test_short_class_passes_long_ones (void)
+{
+  fq_t *fq = fq_new (512);
+  fq_item_t long_ones[50];
+  push_many (fq, long_ones, 25, make (1, 2, 6000));
+  push_many (fq, long_ones + 25, 25, make (2, 2, 6000));
+  fq_item_t own = make (1, 0, 50);
+  fq_item_t other = make (3, 0, 50);
+  fq_push (fq, &own);
+  fq_push (fq, &other);
+  const fq_item_t *first = fq_pop (fq);
+  const fq_item_t *second = fq_pop (fq);
+  CU_ASSERT (first == &own || first == &other);
+  CU_ASSERT (second == &own || second == &other);
+  fq_free (fq);
+}
+
+/* Status checks keep coming faster than they are served, from the account itself and from another
+ * one. A long appeal waits: strict priorities would hold it for ever, and its caller would hear of
+ * a deadline with the engine busy all along. */
+static void
+test_long_class_is_not_starved (void)
+{
+  for (uint64_t flooder = 1; flooder <= 2; flooder++)
+    {
+      fq_t *fq = fq_new (512);
+      fq_item_t flood[MANY];
+      fq_item_t appeal = make (1, 3, 8000);
+      push_many (fq, flood, MANY - 1, make (flooder, 0, 100));
+      fq_push (fq, &appeal);
+      CU_ASSERT (pops_until (fq, &appeal) <= 3 * FQ_HEAD_START / 100 + 2);
+      fq_free (fq);
+    }
+}
+
+/* Accounts whose items may not start are skipped, and keep their turn. */
+static bool
+is_not_one (const fq_item_t *item, void *context)
+{
+  (*(uint32_t *)context)++;
+  return item->account_hash != 1;
+}
+
+static void
+test_pop_allowed_skips (void)
+{
+  fq_t *fq = fq_new (512);
+  uint32_t asked = 0;
+  fq_item_t one = make (1, 0, 10), two = make (2, 1, 10);
+  fq_push (fq, &one);
+  fq_push (fq, &two);
+  CU_ASSERT_PTR_EQUAL (fq_pop_allowed (fq, is_not_one, &asked), &two);
+  CU_ASSERT_PTR_NULL (fq_pop_allowed (fq, is_not_one, &asked));
+  CU_ASSERT_EQUAL (asked, 3);
+  CU_ASSERT_PTR_EQUAL (fq_pop (fq), &one);
+  CU_ASSERT_EQUAL (fq_count (fq), 0);
+  fq_free (fq);
+}
+
+static void
+test_limits (void)
+{
+  fq_t *fq = fq_new (3);
+  fq_item_t items[5];
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      items[i] = make (i < 3 ? 1 : 2, 0, 10);
+      items[i].queue_limit = 2;
+    }
+  CU_ASSERT_EQUAL (fq_push (fq, &items[0]), FQ_QUEUED);
+  CU_ASSERT_EQUAL (fq_push (fq, &items[1]), FQ_QUEUED);
+  CU_ASSERT_EQUAL (fq_push (fq, &items[2]), FQ_ACCOUNT_FULL);
+  CU_ASSERT_EQUAL (fq_push (fq, &items[3]), FQ_QUEUED);
+  CU_ASSERT_EQUAL (fq_push (fq, &items[4]), FQ_FULL);
+  fq_remove (fq, &items[0]);
+  CU_ASSERT_EQUAL (fq_push (fq, &items[2]), FQ_QUEUED);
+  CU_ASSERT_EQUAL (fq_count (fq), 3);
+  fq_free (fq);
+}
+
+static void
+test_expiry_in_order (void)
+{
+  fq_t *fq = fq_new (512);
+  fq_item_t items[4];
+  const uint64_t deadlines[4] = { 300, 100, 0, 200 };
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      items[i] = make (i % 2, 0, 10);
+      items[i].deadline_us = deadlines[i];
+      fq_push (fq, &items[i]);
+    }
+  CU_ASSERT_PTR_NULL (fq_expired (fq, 99));
+  CU_ASSERT_PTR_EQUAL (fq_expired (fq, 250), &items[1]);
+  CU_ASSERT_PTR_EQUAL (fq_expired (fq, 250), &items[3]);
+  CU_ASSERT_PTR_NULL (fq_expired (fq, 250));
+  fq_remove (fq, &items[0]);
+  CU_ASSERT_PTR_NULL (fq_expired (fq, 1000));
+  CU_ASSERT_PTR_EQUAL (fq_pop (fq), &items[2]);
+  CU_ASSERT_PTR_NULL (fq_pop (fq));
+  fq_free (fq);
+}
+
+static void
+test_ahead_matches_service (void)
+{
+  fq_t *fq = fq_new (512);
+  fq_item_t one[60], two[60];
+  push_many (fq, one, 60, make (1, 1, 1000));
+  push_many (fq, two, 60, make (2, 1, 1000));
+  fq_item_t quiet = make (3, 1, 1000);
+  fq_item_t late = make (1, 1, 1000);
+  CU_ASSERT (fq_ahead (fq, &quiet).count <= 3);
+  const fq_ahead_t ahead = fq_ahead (fq, &late);
+  CU_ASSERT (ahead.count >= 115 && ahead.count <= 125);
+  CU_ASSERT_EQUAL (ahead.cost, fq_cost_ahead (fq, &late));
+  fq_push (fq, &late);
+  const uint32_t pops = pops_until (fq, &late);
+  CU_ASSERT (pops >= 115 && pops <= 121);
+  fq_free (fq);
+}
+
+/* An account that was served without waiting has had its share: one that was idle goes first. */
+static void
+test_served_is_charged (void)
+{
+  fq_t *fq = fq_new (512);
+  fq_item_t busy = make (1, 1, 50000), idle = make (2, 1, 1000), again = make (1, 1, 10);
+  fq_served (fq, &busy);
+  fq_push (fq, &again);
+  fq_push (fq, &idle);
+  CU_ASSERT (!fq_goes_before (fq, &busy, &idle));
+  CU_ASSERT_PTR_EQUAL (fq_pop (fq), &idle);
+  CU_ASSERT_PTR_EQUAL (fq_pop (fq), &again);
+  fq_free (fq);
+}
+
+/* Accounts come and go by the thousand; what is remembered of them must not grow. */
+static void
+test_idle_accounts_are_dropped (void)
+{
+  fq_t *fq = fq_new (512);
+  for (uint64_t account = 1; account <= 20000; account++)
+    {
+      fq_item_t item = make (account, 1, 100);
+      fq_served (fq, &item);
+    }
+  CU_ASSERT (fq_account_count (fq) < 200);
+  fq_free (fq);
+}
+
+static void
+test_share_of_slots (void)
+{
+  shr_t *shr = shr_new ();
+  shr_seen (shr, 0, 1, 1000);
+  CU_ASSERT (!shr_is_over (shr, 1, 4));
+  for (uint32_t i = 0; i < 3; i++)
+    shr_started (shr, 1);
+  CU_ASSERT (!shr_is_over (shr, 1, 4));
+  shr_seen (shr, 0, 2, 1000);
+  CU_ASSERT (shr_is_over (shr, 1, 4));
+  CU_ASSERT (!shr_is_over (shr, 2, 4));
+  shr_seen (shr, 1, 1, 3000);
+  CU_ASSERT (shr_is_over (shr, 1, 4));
+  CU_ASSERT (!shr_is_over (shr, 1, 6));
+  for (uint32_t i = 0; i < 3; i++)
+    shr_finished (shr, 1);
+  CU_ASSERT (!shr_is_over (shr, 1, 4));
+  shr_seen (shr, SHR_WINDOW_US + 10, 3, 1000);
+  CU_ASSERT_EQUAL (shr_account_count (shr), 1);
+  shr_free (shr);
+}
+
+static void
+test_drain_follows_load_and_stall (void)
+{
+  drn_t drn = { 0 };
+  drn_started (&drn, 0, 0, 400);
+  CU_ASSERT_EQUAL (drn_interval_us (&drn, 0, 0), 0);
+  CU_ASSERT_EQUAL (drn_interval_us (&drn, 0, 4), 100);
+  for (uint32_t i = 0; i < 200; i++)
+    drn_finished (&drn, 1000, 800);
+  CU_ASSERT (drn_interval_us (&drn, 1000, 4) >= 190 && drn_interval_us (&drn, 1000, 4) <= 200);
+  CU_ASSERT_EQUAL (drn_interval_us (&drn, 31000, 4), 10000);
+}
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("fairq", NULL, NULL);
+  CU_add_test (suite, "a surge waits behind itself", test_surge_waits_behind_itself);
+  CU_add_test (suite, "weights share the cost", test_weights_share_cost);
+  CU_add_test (suite, "a short class passes long ones", test_short_class_passes_long_ones);
+  CU_add_test (suite, "a long class is not starved", test_long_class_is_not_starved);
+  CU_add_test (suite, "what may not start is skipped", test_pop_allowed_skips);
+  CU_add_test (suite, "limits of account and total", test_limits);
+  CU_add_test (suite, "expiry in order", test_expiry_in_order);
+  CU_add_test (suite, "the estimate ahead matches the service", test_ahead_matches_service);
+  CU_add_test (suite, "service without waiting is charged", test_served_is_charged);
+  CU_add_test (suite, "idle accounts are dropped", test_idle_accounts_are_dropped);
+  CU_add_test (suite, "share of the slots", test_share_of_slots);
+  CU_add_test (suite, "drain follows load and stall", test_drain_follows_load_and_stall);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  const unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
