Admit, queue and refuse beside the engine

The bound is max(c x mean, mean + 1) on the sampled mean less its standard error, and never above the slots. Over it, a request waits at its home if that is expected to be shorter than a cold start, or if no engine with room is known; else it is refused with up to three names, each the better of two at random, as the emptiest of old samples would draw every refusal at once. One slot in eight is kept for accounts under their share of the slots: without it each request of a quiet account waits for one of a surge's long answers. With no samples at all the slots alone bound: refusing everywhere because the exchange is out would be an outage. Only an engine that has just joined waits to hear first. Suspects are checked before anything else, so that a router can count them also while the engine is down.

--- a/src/request/admit.h
+++ b/src/request/admit.h
@@ -7,11 +7,22 @@
  *
  * The bound: a request is dispatched only if the load after it stays within
  * max(c x mean, mean + 1), with the mean sampled and taken low by its margin. An engine at or
- * below the mean always has room, so there is always room somewhere in the service.
+ * below the mean always has room, so there is always room somewhere in the service. The slots of
+ * the engine bound it too, whichever is lower.
+ *
+ * Over the bound a request waits here when that is expected to take less time than a cold start
+ * elsewhere, when nobody else is known to have room, or when its router has nobody left to ask;
+ * otherwise it is refused with the names of engines that have room. A request that cannot start
+ * before its deadline by the measured drain rate is refused at once.
+ *
+ * After each event (offer, finish, cancel, a fresh sample, a timer) the owner calls adm_reject()
+ * and then adm_next(), each until NULL.
  */
 #ifndef REQUEST_ADMIT_H
 #define REQUEST_ADMIT_H
 
+#include "process/clock.h"
+#include "process/limits.h"
 #include "request/directory.h"
 #include "request/fairq.h"
 #include "request/mean.h"
@@ -21,13 +32,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/**
- * struct adm_options - made from the settings and the version in force
- * @slots: requests that the engine runs at once
- * @bound_percent: c in hundredths
- * @engine_count: engines of the service, as listed
- * @baseline: set only by the benchmark
- */
+#define ADM_RESERVE_DIVISOR 8 /* one slot in so many is kept for accounts under their share */
+#define ADM_SUSPECT_LIFETIME_US (30 * 60 * (uint64_t)CLK_US_PER_S)
+#define ADM_TOKEN_US 30000 /* between two tokens, until the length of requests is measured */
+#define ADM_RETRY_MIN_MS 100
+#define ADM_RETRY_MAX_MS (60 * 1000)
+
+/** enum adm_policy - all but the first are baselines of the benchmark */
 typedef enum
 {
   ADM_POLICY_FULL,
@@ -35,6 +46,14 @@
   ADM_POLICY_OPEN /* admits always up to the slots: plain rendezvous, least loaded, random */
 } adm_policy_t;
 
+/**
+ * struct adm_options - made from the settings and the version in force
+ * @slots: requests that the engine runs at once
+ * @bound_percent: c in hundredths
+ * @engine_count: engines of the service, as listed
+ * @is_live: whether an engine is in use by the members known here; NULL for all. Keeps referrals
+ *   away from engines that left
+ */
 typedef struct
 {
   uint64_t engine_hash;
@@ -46,12 +65,15 @@
   uint64_t cache_lifetime_us;
   uint64_t seed;
   adm_policy_t policy;
+  bool (*is_live) (uint64_t engine_hash, void *context);
+  void *context;
 } adm_options_t;
 
 /**
  * struct adm_request - what the decision looks at
  * @home_hash: first candidate of the chat by the router's view; equal to the own engine at home
- * @former_hash: the candidate that was home before the own engine joined, 0 when none
+ * @former_hash: the candidate that was home before the own engine joined, 0 when none or when this
+ *   is the first message of the chat, which is warm nowhere
  * @may_wait: the last sidecar asked may queue; an earlier one refuses instead, unless waiting is
  *   cheaper than a cold start elsewhere
  * @referred: sent here by another sidecar's referral: it is not referred on for warmth
--- /dev/null
+++ b/src/request/refer.c
@@ -0,0 +1,67 @@
+#include "request/refer.h"
+
+#include <stddef.h>
+
+#define MILLI 1000
+
+static bool
+is_fresh (const mean_sample_t *sample, uint64_t now_us)
+{
+  return sample->taken_us + LIM_SAMPLE_AGE_US >= now_us;
+}
+
+static bool
+has_room (const mean_sample_t *sample, const ref_query_t *query)
+{
+  if (sample->engine_hash == query->except_hash || !is_fresh (sample, query->now_us))
+    return false;
+  if (sample->waiting > 0 || ((uint64_t)sample->load + 1) * MILLI > query->limit_milli)
+    return false;
+  return query->is_live == NULL || query->is_live (sample->engine_hash, query->context);
+}
+
+static uint32_t
+pick (const mean_sample_t *const *found, uint32_t count, uint64_t *rng)
+{
+  const uint32_t one = (uint32_t)(ref_random (rng) % count);
+  const uint32_t two = (uint32_t)(ref_random (rng) % count);
+  return found[two]->load < found[one]->load ? two : one;
+}
+
+uint64_t
+ref_random (uint64_t *rng)
+{
+  *rng ^= *rng >> 12;
+  *rng ^= *rng << 25;
+  *rng ^= *rng >> 27;
+  return *rng * UINT64_C (2685821657736338717);
+}
+
+/* The better of two at random, not the best of all: samples are old, and refusals of many sidecars
+ * would send everything to the one engine that looked emptiest. */
+uint32_t
+ref_room (const mean_table_t *table, const ref_query_t *query, uint64_t *rng, uint64_t *out)
+{
+  const mean_sample_t *found[LIM_SAMPLES_KEPT];
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < table->count; i++)
+    if (has_room (&table->samples[i], query))
+      found[count++] = &table->samples[i];
+  uint32_t chosen = 0;
+  while (chosen < LIM_REFERRALS && count > 0)
+    {
+      const uint32_t at = pick (found, count, rng);
+      out[chosen++] = found[at]->engine_hash;
+      found[at] = found[--count];
+    }
+  return chosen;
+}
+
+const mean_sample_t *
+ref_find (const mean_table_t *table, uint64_t now_us, uint64_t engine_hash)
+{
+  for (uint32_t i = 0; i < table->count; i++)
+    if (table->samples[i].engine_hash == engine_hash)
+      return is_fresh (&table->samples[i], now_us) ? &table->samples[i] : NULL;
+  return NULL;
+}
--- /dev/null
+++ b/tests/test_admit.c
@@ -0,0 +1,429 @@
+#include "request/admit.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#define OWN 11
+#define SERVICE 5
+#define ENGINES 4
+#define SLOTS 16
+#define SECOND_US ((uint64_t)CLK_US_PER_S)
+#define LIFETIME_US (60 * SECOND_US)
+#define REQUESTS 64
+
+/* One sidecar with its clock; requests that it holds. */
+typedef struct
+{
+  adm_t *adm;
+  uint64_t now_us;
+  adm_request_t requests[REQUESTS];
+  uint32_t count;
+  uint64_t gone;
+} rig_t;
+
+static bool
+is_live (uint64_t engine_hash, void *context)
+{
+  return engine_hash != ((rig_t *)context)->gone;
+}
+
+static rig_t *
+rig_new (uint32_t bound_percent)
+{
+  rig_t *rig = g_new0 (rig_t, 1);
+  rig->now_us = 100 * SECOND_US;
+  const adm_options_t options = { .engine_hash = OWN,
+                                  .service_hash = SERVICE,
+                                  .slots = SLOTS,
+                                  .bound_percent = bound_percent,
+                                  .engine_count = ENGINES,
+                                  .prefill_tokens_s = 10000,
+                                  .cache_lifetime_us = LIFETIME_US,
+                                  .seed = 3,
+                                  .is_live = is_live,
+                                  .context = rig };
+  rig->adm = adm_new (&options);
+  return rig;
+}
+
+static void
+rig_free (rig_t *rig)
+{
+  adm_free (rig->adm);
+  g_free (rig);
+}
+
+/* The three other engines, 12, 13 and 14, are heard with this load. */
+static void
+hear (rig_t *rig, uint32_t load, uint32_t waiting)
+{
+  for (uint64_t engine = OWN + 1; engine < OWN + ENGINES; engine++)
+    {
+      const mean_sample_t sample = { .engine_hash = engine,
+                                     .service_hash = SERVICE,
+                                     .load = load,
+                                     .waiting = waiting,
+                                     .taken_us = rig->now_us };
+      mean_add (adm_mean (rig->adm), &sample);
+    }
+}
+
+static adm_request_t *
+make (rig_t *rig, uint64_t account, uint64_t chat)
+{
+  CU_ASSERT_FATAL (rig->count < REQUESTS);
+  adm_request_t *request = &rig->requests[rig->count++];
+  *request = (adm_request_t){ .item = { .account_hash = account,
+                                        .weight = 1000,
+                                        .priority = 1,
+                                        .cost = 1000,
+                                        .queue_limit = 8,
+                                        .deadline_us = rig->now_us + 20 * SECOND_US },
+                              .chat_hash = chat,
+                              .fingerprint = 1000 + rig->count,
+                              .home_hash = OWN,
+                              .prompt_tokens = 500,
+                              .output_tokens = 100,
+                              .has_chat = chat != 0 };
+  return request;
+}
+
+static adm_decision_t
+offer (rig_t *rig, adm_request_t *request)
+{
+  return adm_offer (rig->adm, rig->now_us, request);
+}
+
+static void
+fill (rig_t *rig, uint32_t load)
+{
+  for (uint32_t i = 0; i < load; i++)
+    CU_ASSERT_EQUAL_FATAL (offer (rig, make (rig, 1 + i % 4, 0)).action, ADM_DISPATCH);
+}
+
+static void
+test_bound_holds (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, 8, 0);
+  fill (rig, 9);
+  /* mean (8 + 8 + 8 + 9) / 4 = 8.25, bound 10.31 */
+  CU_ASSERT_EQUAL (adm_bound_milli (rig->adm, rig->now_us), 10312);
+  fill (rig, 1);
+  const adm_decision_t decision = offer (rig, make (rig, 1, 0));
+  CU_ASSERT_EQUAL (decision.action, ADM_REFUSE);
+  CU_ASSERT_EQUAL (decision.reason, VRD_REASON_OVER_BOUND);
+  CU_ASSERT_EQUAL (decision.referral_count, 3);
+  CU_ASSERT (decision.retry_after_ms > 0);
+  CU_ASSERT_EQUAL (adm_load (rig->adm), 10);
+  rig_free (rig);
+}
+
+static void
+test_bound_of_idle_service (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, 0, 0);
+  fill (rig, 1);
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 0)).reason, VRD_REASON_OVER_BOUND);
+  rig_free (rig);
+}
+
+/* The exchange is out. Refusing all that is over an unknown mean would turn a lost control path
+ * into an outage; only an engine that has just started waits to hear of the others first. */
+static void
+test_unknown_mean (void)
+{
+  rig_t *rig = rig_new (125);
+  adm_set_joined (rig->adm, rig->now_us);
+  CU_ASSERT_EQUAL (adm_bound_milli (rig->adm, rig->now_us), 1000);
+  rig->now_us += LIM_SAMPLE_AGE_US;
+  CU_ASSERT_EQUAL (adm_bound_milli (rig->adm, rig->now_us), SLOTS * 1000);
+  rig_free (rig);
+}
+
+/* A long chat is warm here and its engine is one over the bound. Its caller is served soonest by
+ * waiting for one end; a request without a context is served soonest elsewhere. */
+static void
+test_waits_when_cheaper_than_cold_start (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, 8, 0);
+  fill (rig, 10);
+  adm_request_t *warm = make (rig, 1, 77);
+  warm->prompt_tokens = 40000;
+  CU_ASSERT_EQUAL (offer (rig, warm).action, ADM_WAIT);
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 2, 0)).reason, VRD_REASON_OVER_BOUND);
+  CU_ASSERT_PTR_NULL (adm_next (rig->adm, rig->now_us));
+  adm_finish (rig->adm, rig->now_us, &rig->requests[0], true);
+  CU_ASSERT_PTR_EQUAL (adm_next (rig->adm, rig->now_us), warm);
+  CU_ASSERT (warm->running);
+  CU_ASSERT_EQUAL (adm_load (rig->adm), 10);
+  rig_free (rig);
+}
+
+static void
+test_waits_when_nobody_has_room (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, SLOTS, 3);
+  fill (rig, SLOTS - 2);
+  adm_request_t *other = make (rig, 9, 0);
+  CU_ASSERT_EQUAL (offer (rig, other).action, ADM_DISPATCH);
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 10, 0)).action, ADM_DISPATCH);
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 9, 0)).action, ADM_WAIT);
+  rig_free (rig);
+}
+
+/* Every engine is full, and the deadline of a new request comes before any could start it. The
+ * caller must hear so at once, with a time to come back: held until its deadline it would only
+ * learn the same later, and lengthen the queue for all. */
+static void
+test_deadline_is_refused_at_once (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, SLOTS, 3);
+  for (uint32_t i = 0; i < SLOTS; i++)
+    offer (rig, make (rig, 1 + i % 8, 0));
+  rig->now_us += 3 * SECOND_US;
+  hear (rig, SLOTS, 3);
+  for (uint32_t i = 0; i < SLOTS; i++)
+    adm_finish (rig->adm, rig->now_us, &rig->requests[i], true);
+  for (uint32_t i = 0; i < SLOTS; i++)
+    CU_ASSERT_EQUAL (offer (rig, make (rig, 1 + i % 8, 0)).action, ADM_DISPATCH);
+  adm_request_t *late = make (rig, 9, 0);
+  late->item.deadline_us = rig->now_us + 10000;
+  const adm_decision_t decision = offer (rig, late);
+  CU_ASSERT_EQUAL (decision.action, ADM_REFUSE);
+  CU_ASSERT_EQUAL (decision.reason, VRD_REASON_DEADLINE);
+  CU_ASSERT (decision.retry_after_ms >= 100 && decision.retry_after_ms < 1000);
+  CU_ASSERT_EQUAL (adm_waiting (rig->adm), 0);
+  rig_free (rig);
+}
+
+/* The engine stalls while a request waits for it. Its caller hears well before the deadline, as
+ * soon as the measured drain says that the wait would outlast it. */
+static void
+test_stall_rejects_before_deadline (void)
+{
+  rig_t *rig = rig_new (125);
+  adm_decision_t decision;
+  hear (rig, SLOTS, 3);
+  for (uint32_t i = 0; i < SLOTS; i++)
+    offer (rig, make (rig, 1 + i % 8, 0));
+  adm_request_t *waiting = make (rig, 9, 0);
+  CU_ASSERT_EQUAL_FATAL (offer (rig, waiting).action, ADM_WAIT);
+  CU_ASSERT_PTR_NULL (adm_reject (rig->adm, rig->now_us, &decision));
+  rig->now_us += 16 * SECOND_US;
+  hear (rig, SLOTS, 3);
+  CU_ASSERT_PTR_EQUAL (adm_reject (rig->adm, rig->now_us, &decision), waiting);
+  CU_ASSERT_EQUAL (decision.reason, VRD_REASON_DEADLINE);
+  CU_ASSERT_PTR_NULL (adm_reject (rig->adm, rig->now_us, &decision));
+  rig_free (rig);
+}
+
+/* One client account surges and holds all it can get. A request of a quiet account must find a
+ * slot at once, not when one of the surge's long answers ends. */
+static void
+test_reserve_for_quiet_accounts (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, SLOTS, 0);
+  adm_finish (rig->adm, rig->now_us,
+              (offer (rig, make (rig, 2, 0)), &rig->requests[rig->count - 1]), true);
+  uint32_t running = 0;
+  for (uint32_t i = 0; i < 20; i++)
+    running += offer (rig, make (rig, 1, 0)).action == ADM_DISPATCH;
+  CU_ASSERT_EQUAL (running, SLOTS - SLOTS / ADM_RESERVE_DIVISOR);
+  CU_ASSERT (adm_waiting (rig->adm) > 0);
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 2, 0)).action, ADM_DISPATCH);
+  rig_free (rig);
+}
+
+static void
+test_account_queue_is_bounded (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, SLOTS, 3);
+  for (uint32_t i = 0; i < SLOTS + 8; i++)
+    offer (rig, make (rig, 1, 0));
+  CU_ASSERT_EQUAL (adm_waiting (rig->adm), 8);
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 0)).reason, VRD_REASON_ACCOUNT_SHARE);
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 2, 0)).action, ADM_WAIT);
+  rig_free (rig);
+}
+
+static void
+test_home_refers_to_where_it_is_warm (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, 1, 0);
+  adm_served_elsewhere (rig->adm, rig->now_us, 77, 13);
+  const adm_decision_t decision = offer (rig, make (rig, 1, 77));
+  CU_ASSERT_EQUAL (decision.reason, VRD_REASON_ELSEWHERE);
+  CU_ASSERT_EQUAL (decision.referral_count, 1);
+  CU_ASSERT_EQUAL (decision.referrals[0], 13);
+  adm_request_t *sent_back = make (rig, 1, 77);
+  sent_back->referred = true;
+  CU_ASSERT_EQUAL (offer (rig, sent_back).action, ADM_DISPATCH);
+  adm_finish (rig->adm, rig->now_us, sent_back, true);
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 77)).action, ADM_DISPATCH);
+  adm_served_elsewhere (rig->adm, rig->now_us, 78, 13);
+  rig->now_us += LIFETIME_US + 1;
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 78)).action, ADM_DISPATCH);
+  rig_free (rig);
+}
+
+/* The engine that holds the context left, or its queue takes longer than to read the context anew.
+ * A referral would cost the caller a hop, or a wait, for nothing. */
+static void
+test_no_referral_to_gone_or_overloaded (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, 2, 0);
+  rig->gone = 13;
+  adm_served_elsewhere (rig->adm, rig->now_us, 77, 13);
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 77)).action, ADM_DISPATCH);
+  adm_served_elsewhere (rig->adm, rig->now_us, 78, 14);
+  const mean_sample_t full = { .engine_hash = 14,
+                               .service_hash = SERVICE,
+                               .load = SLOTS,
+                               .waiting = 200,
+                               .taken_us = rig->now_us + 1 };
+  mean_add (adm_mean (rig->adm), &full);
+  rig->now_us += 2;
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 78)).action, ADM_DISPATCH);
+  rig_free (rig);
+}
+
+/* An engine joins and becomes the home of chats that are warm on another one. It points there
+ * until a chat was served here, or until nothing can be warm there any more. */
+static void
+test_new_engine_refers_to_former_home (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, 1, 0);
+  adm_set_joined (rig->adm, rig->now_us);
+  adm_request_t *first = make (rig, 1, 77);
+  first->former_hash = 12;
+  CU_ASSERT_EQUAL (offer (rig, first).reason, VRD_REASON_ELSEWHERE);
+  first->referred = true;
+  CU_ASSERT_EQUAL (offer (rig, first).action, ADM_DISPATCH);
+  adm_finish (rig->adm, rig->now_us, first, true);
+  first->referred = false;
+  CU_ASSERT_EQUAL (offer (rig, first).action, ADM_DISPATCH);
+  adm_finish (rig->adm, rig->now_us, first, true);
+  rig->now_us += LIFETIME_US;
+  adm_request_t *later = make (rig, 1, 78);
+  later->former_hash = 12;
+  CU_ASSERT_EQUAL (offer (rig, later).action, ADM_DISPATCH);
+  rig_free (rig);
+}
+
+/* The host starts to leave while requests wait. They have run nowhere: their callers are sent on
+ * now, and nothing new is taken, whatever an old host list says. What runs goes on. */
+static void
+test_leaving_takes_nothing (void)
+{
+  rig_t *rig = rig_new (125);
+  adm_decision_t decision;
+  hear (rig, SLOTS, 3);
+  for (uint32_t i = 0; i < SLOTS + 2; i++)
+    offer (rig, make (rig, 1 + i % 8, 0));
+  CU_ASSERT_EQUAL (adm_waiting (rig->adm), 2);
+  adm_set_leaving (rig->adm, true);
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 0)).reason, VRD_REASON_LEAVING);
+  adm_finish (rig->adm, rig->now_us, &rig->requests[0], true);
+  CU_ASSERT_PTR_NULL (adm_next (rig->adm, rig->now_us));
+  CU_ASSERT_PTR_NOT_NULL (adm_reject (rig->adm, rig->now_us, &decision));
+  CU_ASSERT_EQUAL (decision.reason, VRD_REASON_LEAVING);
+  CU_ASSERT_PTR_NOT_NULL (adm_reject (rig->adm, rig->now_us, &decision));
+  CU_ASSERT_PTR_NULL (adm_reject (rig->adm, rig->now_us, &decision));
+  CU_ASSERT_EQUAL (adm_load (rig->adm), SLOTS - 1);
+  rig_free (rig);
+}
+
+static void
+test_closed_reasons (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, 1, 0);
+  adm_set_stale (rig->adm, true);
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 0)).reason, VRD_REASON_STALE);
+  adm_set_stale (rig->adm, false);
+  adm_set_engine_up (rig->adm, false);
+  const adm_decision_t decision = offer (rig, make (rig, 1, 0));
+  CU_ASSERT_EQUAL (decision.reason, VRD_REASON_NO_ENGINE);
+  CU_ASSERT (decision.referral_count > 0);
+  adm_set_engine_up (rig->adm, true);
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 0)).action, ADM_DISPATCH);
+  rig_free (rig);
+}
+
+/* A request crashed this engine and its caller sends it again. It must not crash the engine twice;
+ * once a second engine was lost to it, it runs nowhere. A down engine must not hide that. */
+static void
+test_poison_is_kept_away (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, 1, 0);
+  adm_request_t *poison = make (rig, 1, 0);
+  CU_ASSERT_EQUAL_FATAL (offer (rig, poison).action, ADM_DISPATCH);
+  adm_crashed (rig->adm, rig->now_us, poison);
+  adm_set_engine_up (rig->adm, false);
+  adm_finish (rig->adm, rig->now_us, poison, false);
+  CU_ASSERT_EQUAL (offer (rig, poison).reason, VRD_REASON_SUSPECT_HERE);
+  adm_set_engine_up (rig->adm, true);
+  CU_ASSERT_EQUAL (offer (rig, poison).reason, VRD_REASON_SUSPECT_HERE);
+  sus_add (adm_suspects (rig->adm), rig->now_us, poison->fingerprint, 13);
+  const adm_decision_t decision = offer (rig, poison);
+  CU_ASSERT_EQUAL (decision.reason, VRD_REASON_SUSPECT);
+  CU_ASSERT_EQUAL (decision.retry_after_ms, 0);
+  rig_free (rig);
+}
+
+static void
+test_cancel_waiting (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, SLOTS, 3);
+  for (uint32_t i = 0; i < SLOTS + 1; i++)
+    offer (rig, make (rig, 1 + i % 8, 0));
+  CU_ASSERT_EQUAL_FATAL (adm_waiting (rig->adm), 1);
+  adm_cancel (rig->adm, &rig->requests[SLOTS]);
+  adm_finish (rig->adm, rig->now_us, &rig->requests[0], true);
+  CU_ASSERT_PTR_NULL (adm_next (rig->adm, rig->now_us));
+  const mean_sample_t sample = adm_sample (rig->adm, rig->now_us);
+  CU_ASSERT_EQUAL (sample.load, SLOTS - 1);
+  CU_ASSERT_EQUAL (sample.waiting, 0);
+  CU_ASSERT_EQUAL (sample.cost, (SLOTS - 1) * 1000);
+  rig_free (rig);
+}
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("admit", NULL, NULL);
+  CU_add_test (suite, "the bound holds", test_bound_holds);
+  CU_add_test (suite, "bound of an idle service", test_bound_of_idle_service);
+  CU_add_test (suite, "the mean is unknown", test_unknown_mean);
+  CU_add_test (suite, "waits if cheaper than cold", test_waits_when_cheaper_than_cold_start);
+  CU_add_test (suite, "waits if nobody has room", test_waits_when_nobody_has_room);
+  CU_add_test (suite, "too late is refused at once", test_deadline_is_refused_at_once);
+  CU_add_test (suite, "a stall rejects early", test_stall_rejects_before_deadline);
+  CU_add_test (suite, "reserve for quiet accounts", test_reserve_for_quiet_accounts);
+  CU_add_test (suite, "an account's queue is bounded", test_account_queue_is_bounded);
+  CU_add_test (suite, "home refers to the warm one", test_home_refers_to_where_it_is_warm);
+  CU_add_test (suite, "no referral for nothing", test_no_referral_to_gone_or_overloaded);
+  CU_add_test (suite, "a new engine refers back", test_new_engine_refers_to_former_home);
+  CU_add_test (suite, "leaving takes nothing", test_leaving_takes_nothing);
+  CU_add_test (suite, "stale and engine down", test_closed_reasons);
+  CU_add_test (suite, "poison is kept away", test_poison_is_kept_away);
+  CU_add_test (suite, "cancel of a waiting request", test_cancel_waiting);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  const unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
