Let log order decide claims

A keyed non-idempotent request may run once, whoever resends it through whichever router. The first claim of a key in log order holds it, and a claim counts as granted only once the stream has been read back to its own record.

What makes the order safe under lost answers: entries keep their id, so a repeated append is a harmless copy; a released claim stays dead, so a copy that lands after the release takes the key for nobody; a claim given up without a grant is released without being asked.

Ruled out: forgetting keys by one clock.

--- a/src/process/limits.h
+++ b/src/process/limits.h
@@ -21,6 +21,9 @@
 #define LIM_PUBLISH_IDS 1024     /* judged publish ids that a reader remembers */
 #define LIM_QUEUE_PER_ACCOUNT 64 /* requests that wait at one sidecar for one client account */
 #define LIM_QUEUE_TOTAL 512      /* requests that wait at one sidecar */
+#define LIM_CLAIMS_WAITING 1024  /* claims of one stream that wait for the log */
+#define LIM_CLAIM_ENTRIES 256    /* entries in one record of a claims stream */
+#define LIM_CLAIM_QUEUE 4096     /* entries of one stream that are yet to be appended */
 #define LIM_DIRECTORY_ENTRIES 8192
 #define LIM_SUSPECTS 1024
 #define LIM_SUSPECT_CRASHES 2
--- a/src/request/claim.h
+++ b/src/request/claim.h
@@ -9,6 +9,13 @@
  *   {"c":CLAIM-ID,"k":KEY-HASH,"b":BODY-HASH,"t":WALL-MS}            a claim
  *   {"r":CLAIM-ID,"k":KEY-HASH}                                     released: it did not run
  *   {"d":CLAIM-ID,"k":KEY-HASH,"s":STATUS}                          done: it ran, with that status
+ *
+ * The first claim of a free key holds it; later ones have lost for good. A release frees the key
+ * and makes its claim dead wherever that stands in the log: an append whose answer was lost may
+ * still be on its way and land after the release, and must not take the key for nobody.
+ * A claim that is given up without a grant is released here, without being asked. A key is
+ * forgotten a horizon after it was last claimed, by the earlier of the log's time and the reader's
+ * clock, so one host with a wrong clock can't make others forget.
  */
 #ifndef REQUEST_CLAIM_H
 #define REQUEST_CLAIM_H
@@ -76,7 +83,12 @@
 char *clm_batch (clm_t *clm, uint64_t now_us, uint64_t wall_ms);
 /** clm_appended() - the append was answered; granted only once read back up to @offset */
 void clm_appended (clm_t *clm, uint64_t offset);
-/** clm_append_lost() - the append failed or its answer was lost: it may stand in the log */
+/**
+ * clm_append_lost() - the append failed or its answer was lost: it may stand in the log
+ *
+ * From here until an append works again new claims are refused at once as CLM_LOG_DOWN, but for
+ * one in a while that tries.
+ */
 void clm_append_lost (clm_t *clm);
 
 /** clm_begin() - the stream's first retained offset, before the first record or after a gap */
@@ -95,6 +107,10 @@
 bool clm_wants (const clm_t *clm);
 /** clm_result() - takes the next answer. Return: false when there is none */
 bool clm_result (clm_t *clm, uint64_t now_us, clm_result_t *result);
+/** clm_key_count() - keys remembered, and released claims */
 uint32_t clm_key_count (const clm_t *clm);
+uint64_t clm_memory_bytes (const clm_t *clm);
+/** clm_broken_count() - entries of records that could not be understood and were skipped */
+uint64_t clm_broken_count (const clm_t *clm);
 
 #endif
--- /dev/null
+++ b/src/request/claim_record.c
@@ -0,0 +1,131 @@
+#include "request/claim_record.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <string.h>
+
+#define HEX_128 33 /* 32 digits and the final NUL */
+#define HEX_64 17
+
+static void
+set_hex_128 (json_t *object, const char *name, const uint64_t value[2])
+{
+  char text[HEX_128];
+  g_snprintf (text, sizeof text, "%016" PRIx64 "%016" PRIx64, value[0], value[1]);
+  json_object_set_new (object, name, json_string (text));
+}
+
+static json_t *
+entry_json (const clr_t *entry)
+{
+  static const char *const names[] = { "c", "r", "d" };
+  json_t *object = json_object ();
+  set_hex_128 (object, names[entry->kind], entry->claim_id);
+  set_hex_128 (object, "k", entry->key.key_hash);
+  if (entry->kind == CLR_CLAIM)
+    {
+      char body[HEX_64];
+      g_snprintf (body, sizeof body, "%016" PRIx64, entry->key.body_hash);
+      json_object_set_new (object, "b", json_string (body));
+      json_object_set_new (object, "t", json_integer ((json_int_t)entry->wall_ms));
+    }
+  if (entry->kind == CLR_DONE)
+    json_object_set_new (object, "s", json_integer (entry->status));
+  return object;
+}
+
+static bool
+parse_hex (const char *text, size_t digits, uint64_t *out)
+{
+  uint64_t value = 0;
+  for (size_t i = 0; i < digits; i++)
+    {
+      int digit = g_ascii_xdigit_value (text[i]);
+      if (digit < 0)
+        return false;
+      value = value << 4 | (uint64_t)digit;
+    }
+  *out = value;
+  return true;
+}
+
+static bool
+get_hex (const json_t *object, const char *name, uint64_t *out, uint32_t words)
+{
+  const char *text = json_string_value (json_object_get (object, name));
+  if (text == NULL || strlen (text) != 16 * words)
+    return false;
+  for (uint32_t i = 0; i < words; i++)
+    if (!parse_hex (text + 16 * i, 16, &out[i]))
+      return false;
+  return true;
+}
+
+static bool
+get_integer (const json_t *object, const char *name, json_int_t max, json_int_t *out)
+{
+  const json_t *value = json_object_get (object, name);
+  *out = json_integer_value (value);
+  return json_is_integer (value) && *out >= 0 && *out <= max;
+}
+
+static bool
+read_entry (const json_t *object, clr_t *entry)
+{
+  json_int_t number = 0;
+  memset (entry, 0, sizeof *entry);
+  if (!get_hex (object, "k", entry->key.key_hash, 2))
+    return false;
+  if (get_hex (object, "c", entry->claim_id, 2))
+    {
+      entry->kind = CLR_CLAIM;
+      bool whole = get_hex (object, "b", &entry->key.body_hash, 1) &&
+                   get_integer (object, "t", (json_int_t)1000 * UINT32_MAX, &number);
+      entry->wall_ms = (uint64_t)number;
+      return whole;
+    }
+  if (get_hex (object, "r", entry->claim_id, 2))
+    {
+      entry->kind = CLR_RELEASE;
+      return true;
+    }
+  entry->kind = CLR_DONE;
+  bool whole =
+      get_hex (object, "d", entry->claim_id, 2) && get_integer (object, "s", UINT16_MAX, &number);
+  entry->status = (uint32_t)number;
+  return whole;
+}
+
+char *
+clr_write (const clr_t *entries, uint32_t count)
+{
+  json_t *array = json_array ();
+  for (uint32_t i = 0; i < count; i++)
+    json_array_append_new (array, entry_json (&entries[i]));
+  char *dumped = json_dumps (array, JSON_COMPACT);
+  char *text = g_strdup (dumped);
+  free (dumped);
+  json_decref (array);
+  return text;
+}
+
+GArray *
+clr_read (const char *data, size_t data_bytes, uint64_t *broken)
+{
+  GArray *entries = g_array_new (FALSE, FALSE, sizeof (clr_t));
+  json_t *array = json_loadb (data, data_bytes, JSON_REJECT_DUPLICATES, NULL);
+  if (!json_is_array (array))
+    ++*broken;
+  size_t index;
+  json_t *object;
+  json_array_foreach (array, index, object)
+    {
+      clr_t entry;
+      if (read_entry (object, &entry))
+        g_array_append_val (entries, entry);
+      else
+        ++*broken;
+    }
+  json_decref (array);
+  return entries;
+}
