Add the platform by HTTP

The daemons need the platform's log and host list over the callbacks agreed for them. What may have taken effect is told apart from what surely did not: only the platform's own word or a request that never left counts as refused.

Answers are checked whole before any of them is used. A read with a hole in its offsets is not believed: a reader that went on from it would miss a version or a claim for good. plt_http_new() takes the name that is sent as X-Reader.

--- a/src/connection/platform.h
+++ b/src/connection/platform.h
@@ -66,6 +66,7 @@
  * @append: one record to a stream
  * @read: records from @from_offset on; waits up to @wait_ms for one when there is none
  * @hosts: the list, as changes since @revision where it can
+ * @free: calls that have not been answered are dropped; not from within an answer
  */
 typedef struct plt plt_t;
 struct plt
@@ -91,15 +92,19 @@
 
 /**
  * plt_http_new() - the platform by HTTP
+ * @reader_name: sent as the header X-Reader; NULL for none
  *
  *   POST /log/append?stream=S            body: the record -> {"offset":N}
  *   GET  /log/read?stream=S&from=N&max=M&wait_ms=W
  *        -> {"first":F,"next":X,"end":E,"records":[{"offset":N,"data":"..."}]}
  *   GET  /hosts?since=R -> {"revision":R,"full":true|false,"hosts":[{"name","role","data_center",
  *        "region","http":"IP:PORT","exchange":"IP:PORT","state":"live|leaving|gone"}]}
- * A 4xx answer is PLT_REFUSED, a 503 with the header "X-Log-Effect: none" too; everything else that
- * is not 200 is PLT_UNKNOWN.
+ * A 4xx answer is PLT_REFUSED, a 503 with the header "X-Log-Effect: none" too, and an append that
+ * never left for the platform; everything else that is not a good 200 is PLT_UNKNOWN. The offsets
+ * of a stream have no holes: an answer that skips one is not believed, as the reader would miss a
+ * record for good.
  */
-plt_t *plt_http_new (struct event_base *base, const set_address_t *address);
+plt_t *
+plt_http_new (struct event_base *base, const set_address_t *address, const char *reader_name);
 
 #endif
--- /dev/null
+++ b/src/connection/platform_answer.c
@@ -0,0 +1,155 @@
+#include "connection/platform_answer.h"
+
+#include <string.h>
+
+static bool
+get_u64 (const json_t *object, const char *key, uint64_t *value)
+{
+  const json_t *number = json_object_get (object, key);
+  if (!json_is_integer (number) || json_integer_value (number) < 0)
+    return false;
+  *value = (uint64_t)json_integer_value (number);
+  return true;
+}
+
+static bool
+get_name (const json_t *object, const char *key, char out[LIM_NAME_BYTES])
+{
+  const json_t *text = json_object_get (object, key);
+  size_t text_bytes = json_string_length (text);
+  if (text_bytes == 0 || text_bytes >= LIM_NAME_BYTES)
+    return false;
+  memcpy (out, json_string_value (text), text_bytes + 1);
+  return true;
+}
+
+static bool
+get_address (const json_t *object, const char *key, set_address_t *address)
+{
+  const char *text = json_string_value (json_object_get (object, key));
+  return text != NULL && set_parse_address (text, address, NULL);
+}
+
+static bool
+get_state (const json_t *object, mem_state_t *state)
+{
+  const char *text = json_string_value (json_object_get (object, "state"));
+  if (g_strcmp0 (text, "live") == 0)
+    *state = MEM_LIVE;
+  else if (g_strcmp0 (text, "leaving") == 0)
+    *state = MEM_LEAVING;
+  else if (g_strcmp0 (text, "gone") == 0)
+    *state = MEM_GONE;
+  else
+    return false;
+  return true;
+}
+
+static bool
+get_role (const json_t *object, bool *router)
+{
+  const char *text = json_string_value (json_object_get (object, "role"));
+  *router = g_strcmp0 (text, "router") == 0;
+  return *router || g_strcmp0 (text, "sidecar") == 0;
+}
+
+static bool
+get_host (const json_t *object, mem_listed_t *host)
+{
+  return get_name (object, "name", host->name) && get_role (object, &host->router) &&
+         get_name (object, "data_center", host->data_center) &&
+         get_name (object, "region", host->region) && get_address (object, "http", &host->http) &&
+         get_address (object, "exchange", &host->exchange) && get_state (object, &host->state);
+}
+
+static json_t *
+load (const char *text, size_t text_bytes)
+{
+  return json_loadb (text, text_bytes, JSON_REJECT_DUPLICATES, NULL);
+}
+
+static bool
+get_record (const json_t *object, uint64_t offset, plt_record_t *record)
+{
+  const json_t *data = json_object_get (object, "data");
+  if (!get_u64 (object, "offset", &record->offset) || !json_is_string (data))
+    return false;
+  record->data = json_string_value (data);
+  record->data_bytes = json_string_length (data);
+  return record->offset == offset;
+}
+
+static bool
+get_records (pla_read_t *out, uint64_t from, uint32_t max_records)
+{
+  const json_t *list = json_object_get (out->json, "records");
+  uint64_t expected = MAX (from, out->read.first_offset);
+  size_t count = json_array_size (list);
+  if (!json_is_array (list) || count > MIN (max_records, PLA_RECORDS_LIMIT))
+    return false;
+  out->records = g_new0 (plt_record_t, count + 1);
+  for (size_t i = 0; i < count; i++)
+    if (!get_record (json_array_get (list, i), expected++, &out->records[i]))
+      return false;
+  out->read.records = out->records;
+  out->read.record_count = (uint32_t)count;
+  return out->read.next_offset == expected && (count == 0 || expected <= out->read.end_offset);
+}
+
+bool
+pla_append (const char *text, size_t text_bytes, uint64_t *offset)
+{
+  json_t *json = load (text, text_bytes);
+  bool good = get_u64 (json, "offset", offset);
+  json_decref (json);
+  return good;
+}
+
+bool
+pla_read (pla_read_t *out, const char *text, size_t text_bytes, uint64_t from, uint32_t max_records)
+{
+  memset (out, 0, sizeof *out);
+  out->json = load (text, text_bytes);
+  out->read.outcome = PLT_OK;
+  bool good = get_u64 (out->json, "first", &out->read.first_offset) &&
+              get_u64 (out->json, "next", &out->read.next_offset) &&
+              get_u64 (out->json, "end", &out->read.end_offset) &&
+              out->read.first_offset <= out->read.end_offset &&
+              get_records (out, from, max_records);
+  if (!good)
+    pla_read_clear (out);
+  return good;
+}
+
+void
+pla_read_clear (pla_read_t *out)
+{
+  g_free (out->records);
+  json_decref (out->json);
+  memset (out, 0, sizeof *out);
+}
+
+bool
+pla_hosts (plt_hosts_t *out, const char *text, size_t text_bytes)
+{
+  json_t *json = load (text, text_bytes);
+  const json_t *list = json_object_get (json, "hosts");
+  const json_t *full = json_object_get (json, "full");
+  size_t count = json_array_size (list);
+  bool good = json_is_array (list) && json_is_boolean (full) && count <= PLA_HOSTS_LIMIT;
+  memset (out, 0, sizeof *out);
+  good = good && get_u64 (json, "revision", &out->revision);
+  mem_listed_t *hosts = g_new0 (mem_listed_t, good ? count + 1 : 1);
+  for (size_t i = 0; good && i < count; i++)
+    good = get_host (json_array_get (list, i), &hosts[i]);
+  out->outcome = PLT_OK;
+  out->full = json_is_true (full);
+  out->hosts = hosts;
+  out->host_count = (uint32_t)count;
+  json_decref (json);
+  if (good)
+    return true;
+  g_free (hosts);
+  memset (out, 0, sizeof *out);
+  return false;
+}
