--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -192,6 +192,19 @@
   return next_step (att, now_us);
 }
 
+/* note_crash() - Return: whether the request has crashed as many engines as it may */
+static bool
+note_crash (att_t *att, vrd_reason_t reason)
+{
+  if (reason != VRD_REASON_ENGINE_CRASHED && reason != VRD_REASON_SUSPECT_HERE)
+    return false;
+  for (uint32_t i = 0; i < att->crashed_count; i++)
+    if (att->crashed[i] == att->last_engine)
+      return false;
+  att->crashed[att->crashed_count++] = att->last_engine;
+  return att->crashed_count == LIM_SUSPECT_CRASHES;
+}
+
 void
 att_budget_init (att_budget_t *budget)
 {
@@ -243,6 +256,10 @@
   att->last_reason = outcome->reason;
   if (att->answer_begun)
     return give_up (att, MAX (outcome->verdict, VRD_MAY_HAVE_RUN), outcome->reason);
+  /* Two sidecars that each know of one crash have not heard of each other's yet; only the router
+   * that asked both can add them up before a third engine is lost. */
+  if (note_crash (att, outcome->reason))
+    return give_up (att, outcome->verdict, VRD_REASON_SUSPECT);
   if (outcome->verdict == VRD_NOT_RUN)
     return refused (att, now_us, outcome);
   if (course_of (outcome->reason) != COURSE_NEXT)
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -84,6 +84,8 @@
   uint64_t asked[LIM_HOPS + 2];
   uint32_t asked_count;
   uint64_t waiting_host; /* first that refused as over its bound: asked again, with leave to wait */
+  uint64_t crashed[LIM_SUSPECT_CRASHES]; /* engines known to have crashed on this request */
+  uint32_t crashed_count;
   uint64_t last_engine;
   bool last_referred;
   uint32_t hops;
--- a/src/request/hop.c
+++ b/src/request/hop.c
@@ -23,6 +23,7 @@
   FIELD_FINGERPRINT,
   FIELD_KEY,
   FIELD_BODY,
+  FIELD_CRASHED,
   FIELD_VERSION,
   FIELD_DEADLINE,
   FIELD_TOKENS,
@@ -31,13 +32,14 @@
 };
 
 G_STATIC_ASSERT (FIELD_COUNT + 1 <= HOP_HEADERS);
+G_STATIC_ASSERT (LIM_SUSPECT_CRASHES == 2); /* written as a pair, as an attempt id is */
 
 static const char *const FIELD_NAMES[FIELD_COUNT] = {
-  HOP_ATTEMPT_HEADER,     "X-Medlarplank-Service", "X-Medlarplank-Account",
-  "X-Medlarplank-Class",  "X-Medlarplank-Chat",    "X-Medlarplank-Home",
-  "X-Medlarplank-Former", "X-Medlarplank-Print",   "X-Medlarplank-Key",
-  "X-Medlarplank-Body",   "X-Medlarplank-Version", "X-Medlarplank-Deadline-Ms",
-  "X-Medlarplank-Tokens", "X-Medlarplank-Flags",
+  HOP_ATTEMPT_HEADER,          "X-Medlarplank-Service", "X-Medlarplank-Account",
+  "X-Medlarplank-Class",       "X-Medlarplank-Chat",    "X-Medlarplank-Home",
+  "X-Medlarplank-Former",      "X-Medlarplank-Print",   "X-Medlarplank-Key",
+  "X-Medlarplank-Body",        "X-Medlarplank-Crashed", "X-Medlarplank-Version",
+  "X-Medlarplank-Deadline-Ms", "X-Medlarplank-Tokens",  "X-Medlarplank-Flags",
 };
 
 #define FLAG_HAS_CHAT (1U << 0)
@@ -202,6 +204,7 @@
   write_hash (&out[FIELD_FINGERPRINT], hop->fingerprint);
   hop_attempt_text (hop->key_hash, out[FIELD_KEY].value);
   write_hash (&out[FIELD_BODY], hop->body_hash);
+  hop_attempt_text (hop->crashed, out[FIELD_CRASHED].value);
   snprintf (out[FIELD_VERSION].value, sizeof out[0].value, "%" PRIu64, hop->version);
   snprintf (out[FIELD_DEADLINE].value, sizeof out[0].value, "%" PRIu32, hop->deadline_ms);
   snprintf (out[FIELD_TOKENS].value, sizeof out[0].value, "%" PRIu32 "/%" PRIu32,
--- a/src/request/hop.h
+++ b/src/request/hop.h
@@ -36,6 +36,9 @@
  * struct hop - one request on its way to a sidecar
  * @deadline_ms: that remain, to the first byte; relative, as hosts' clocks differ
  * @key_hash: of the idempotency key with the account; zero without a key
+ * @body_hash: of method, target and body, so that a seal fits no other request
+ * @crashed: engines that the router knows to have crashed on this request; 0 is empty. Told to the
+ *   next sidecar, which then need not wait for the mark to reach it by the exchange.
  */
 typedef struct
 {
@@ -49,6 +52,7 @@
   uint64_t fingerprint;
   uint64_t key_hash[2];
   uint64_t body_hash;
+  uint64_t crashed[LIM_SUSPECT_CRASHES];
   uint64_t version;
   uint32_t deadline_ms;
   uint32_t prompt_tokens;
--- a/tests/test_attempt.c
+++ b/tests/test_attempt.c
@@ -369,6 +369,37 @@
   CU_ASSERT_EQUAL (step.reason, VRD_REASON_CUT);
 }
 
+/* A request crashes every engine that runs it. Its caller sends it again before the two sidecars
+ * whose engines it crashed have heard of each other, so each only says "not here": the router must
+ * not lead it to a third engine, and refuses it for good. */
+static void
+two_crashes_are_added_up (void)
+{
+  att_t att;
+  att_budget_t budget;
+  att_outcome_t here = refusal (VRD_REASON_SUSPECT_HERE);
+  att_outcome_t crashed = { .verdict = VRD_MAY_HAVE_RUN, .reason = VRD_REASON_ENGINE_CRASHED };
+  att_step_t step;
+
+  att_budget_init (&budget);
+  begin (&att, true, 6);
+  step = att_ended (&att, 1, &budget, &here);
+  CU_ASSERT_EQUAL (step.action, ATT_SEND);
+  CU_ASSERT_EQUAL (att.crashed[0], 10);
+  step = att_ended (&att, 1, &budget, &here);
+  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (step.verdict, VRD_NOT_RUN);
+  CU_ASSERT_EQUAL (step.reason, VRD_REASON_SUSPECT);
+  CU_ASSERT_EQUAL (step.retry_after_ms, 0);
+
+  begin (&att, true, 6);
+  att_ended (&att, 1, &budget, &crashed);
+  step = att_ended (&att, 1, &budget, &crashed);
+  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (step.verdict, VRD_MAY_HAVE_RUN);
+  CU_ASSERT_EQUAL (step.reason, VRD_REASON_SUSPECT);
+}
+
 int
 main (void)
 {
@@ -390,6 +421,7 @@
     { "budget bounds retries", budget_bounds_retries },
     { "not run is said of the whole request", not_run_is_said_of_the_whole_request },
     { "begun answer is never tried again", begun_answer_is_never_tried_again },
+    { "two crashes are added up", two_crashes_are_added_up },
     CU_TEST_INFO_NULL
   };
   CU_SuiteInfo suites[] = { { "attempt", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
--- a/tests/test_hop.c
+++ b/tests/test_hop.c
@@ -21,6 +21,7 @@
                 .fingerprint = UINT64_MAX,
                 .key_hash = { 4, 5 },
                 .body_hash = 6,
+                .crashed = { 7, 0 },
                 .version = 12,
                 .deadline_ms = 2500,
                 .prompt_tokens = 700,
@@ -69,6 +70,7 @@
   CU_ASSERT_EQUAL (back.fingerprint, UINT64_MAX);
   CU_ASSERT_EQUAL (back.key_hash[1], 5);
   CU_ASSERT_EQUAL (back.body_hash, 6);
+  CU_ASSERT_EQUAL (back.crashed[0], 7);
   CU_ASSERT_EQUAL (back.version, 12);
   CU_ASSERT_EQUAL (back.deadline_ms, 2500);
   CU_ASSERT_EQUAL (back.prompt_tokens, 700);
