--- /dev/null
+++ b/src/request/decision.c
@@ -0,0 +1,92 @@
+#include "request/decision.h"
+
+#include "process/log.h"
+#include "request/hop.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+
+#define HOP_MASK UINT64_C (0xff)
+
+struct dcn_ring
+{
+  dcn_t *decisions;
+  uint32_t limit;
+  uint32_t next;
+  uint32_t count;
+};
+
+static bool
+same_request (const uint64_t left[2], const uint64_t right[2])
+{
+  return left[0] == right[0] && ((left[1] ^ right[1]) & ~HOP_MASK) == 0;
+}
+
+static json_t *
+to_json (const dcn_t *decision)
+{
+  char attempt[33];
+  char chat[17];
+
+  hop_attempt_text (decision->request, attempt);
+  snprintf (chat, sizeof chat, "%016" PRIx64, decision->chat_hash);
+  return json_pack ("{s:s,s:I,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:I}", "attempt", attempt,
+                    "wall_ms", (json_int_t)decision->wall_ms, "action", decision->action, "chat",
+                    chat, "account", decision->account, "service", decision->service, "class",
+                    decision->class_name, "candidates", decision->candidates, "chosen",
+                    decision->chosen, "reason", vrd_reason_name (decision->reason), "verdict",
+                    vrd_name (decision->verdict), "hop", (int)decision->hop, "wait_us",
+                    (json_int_t)decision->wait_us);
+}
+
+dcn_ring_t *
+dcn_ring_new (uint32_t limit)
+{
+  dcn_ring_t *ring = g_new0 (dcn_ring_t, 1);
+
+  ring->decisions = g_new0 (dcn_t, limit);
+  ring->limit = limit;
+  return ring;
+}
+
+void
+dcn_ring_free (dcn_ring_t *ring)
+{
+  if (ring == NULL)
+    return;
+  g_free (ring->decisions);
+  g_free (ring);
+}
+
+void
+dcn_note (dcn_ring_t *ring, const char *event, const dcn_t *decision)
+{
+  char attempt[33];
+
+  hop_attempt_text (decision->request, attempt);
+  log_event (LOG_LEVEL_INFO, event, "request", attempt, "action", decision->action, "chat",
+             LOG_HEX (decision->chat_hash), "account", decision->account, "service",
+             decision->service, "class", decision->class_name, "candidates", decision->candidates,
+             "chosen", decision->chosen, "reason", vrd_reason_name (decision->reason), "verdict",
+             vrd_name (decision->verdict), "hop", LOG_U64 (decision->hop), "wait_us",
+             LOG_U64 (decision->wait_us), NULL);
+  ring->decisions[ring->next] = *decision;
+  ring->next = (ring->next + 1) % ring->limit;
+  ring->count = MIN (ring->count + 1, ring->limit);
+}
+
+json_t *
+dcn_explain (const dcn_ring_t *ring, const uint64_t request[2])
+{
+  json_t *found = json_array ();
+
+  for (uint32_t i = 0; i < ring->count; i++)
+    {
+      uint32_t at = (ring->next + ring->limit - ring->count + i) % ring->limit;
+
+      if (same_request (ring->decisions[at].request, request))
+        json_array_append_new (found, to_json (&ring->decisions[at]));
+    }
+  return found;
+}
--- /dev/null
+++ b/src/request/digest.c
@@ -0,0 +1,64 @@
+#include "request/digest.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define DIGEST_BYTES 32
+
+/* add_text() - with its final NUL, so that no two lists of texts run together to the same bytes */
+static void
+add_text (GChecksum *sum, const char *text)
+{
+  g_checksum_update (sum, (const guchar *)text, (gssize)strlen (text) + 1);
+}
+
+static void
+finish (GChecksum *sum, uint64_t out[2])
+{
+  guint8 digest[DIGEST_BYTES];
+  gsize digest_bytes = sizeof digest;
+
+  g_checksum_get_digest (sum, digest, &digest_bytes);
+  memcpy (out, digest, 2 * sizeof out[0]);
+  out[0] = GUINT64_FROM_BE (out[0]);
+  out[1] = GUINT64_FROM_BE (out[1]);
+  g_checksum_free (sum);
+}
+
+uint64_t
+dgs_body (const char *method, const char *target, const void *body, size_t body_bytes)
+{
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+  uint64_t out[2];
+
+  add_text (sum, method);
+  add_text (sum, target);
+  if (body_bytes > 0)
+    g_checksum_update (sum, body, (gssize)body_bytes);
+  finish (sum, out);
+  return out[0];
+}
+
+uint64_t
+dgs_fingerprint (const char *account, uint64_t body_hash)
+{
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+  uint64_t big_endian = GUINT64_TO_BE (body_hash);
+  uint64_t out[2];
+
+  add_text (sum, account);
+  g_checksum_update (sum, (const guchar *)&big_endian, sizeof big_endian);
+  finish (sum, out);
+  return out[0];
+}
+
+void
+dgs_key (const char *account, const char *key, uint64_t out[2])
+{
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+
+  add_text (sum, account);
+  add_text (sum, key);
+  finish (sum, out);
+  out[1] |= 1; /* all zero means no key */
+}
--- a/src/request/hop.c
+++ b/src/request/hop.c
@@ -166,6 +166,7 @@
          parse_hash (values[FIELD_FINGERPRINT], &hop->fingerprint) &&
          hop_attempt_parse (values[FIELD_KEY], hop->key_hash) &&
          parse_hash (values[FIELD_BODY], &hop->body_hash) &&
+         hop_attempt_parse (values[FIELD_CRASHED], hop->crashed) &&
          parse_decimal (values[FIELD_VERSION], UINT64_MAX, &hop->version) &&
          parse_u32 (values[FIELD_DEADLINE], &hop->deadline_ms) &&
          parse_tokens (values[FIELD_TOKENS], hop) && parse_flags (values[FIELD_FLAGS], hop);
--- /dev/null
+++ b/src/request/relay.c
@@ -0,0 +1,168 @@
+#include "request/relay.h"
+
+#include "request/headers.h"
+
+#include <event2/http.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define EVENT_STREAM "text/event-stream"
+
+/* without_body() - answers that have none, however they are framed */
+static bool
+without_body (int status)
+{
+  return status == 204 || status == 304;
+}
+
+static bool
+is_short (int status, struct evkeyvalq *headers)
+{
+  const char *length = evhttp_find_header (headers, "Content-Length");
+  guint64 value;
+
+  if (without_body (status))
+    return true;
+  return length != NULL &&
+         g_ascii_string_to_unsigned (length, 10, 0, RLY_HELD_LIMIT_BYTES, &value, NULL);
+}
+
+static void
+room (void *context)
+{
+  rly_t *rly = context;
+
+  if (rly->from != NULL)
+    hcl_pause (rly->from, false);
+}
+
+static void
+send_headers (rly_t *rly)
+{
+  const struct evkeyval *header;
+
+  TAILQ_FOREACH (header, &rly->headers, next)
+    hsv_add_header (rly->to, header->key, header->value);
+}
+
+static void
+begin (rly_t *rly)
+{
+  rly->begun = true;
+  send_headers (rly);
+  hsv_on_room (rly->to, room, rly);
+  hsv_begin (rly->to, rly->status);
+}
+
+static void
+pass_part (rly_t *rly, struct evbuffer *data)
+{
+  if (!rly->begun)
+    begin (rly);
+  if (!hsv_part (rly->to, data) && rly->from != NULL)
+    hcl_pause (rly->from, true);
+}
+
+void
+rly_init (rly_t *rly, hsv_call_t *to)
+{
+  memset (rly, 0, sizeof *rly);
+  rly->to = to;
+  rly->held = evbuffer_new ();
+  TAILQ_INIT (&rly->headers);
+}
+
+void
+rly_clear (rly_t *rly)
+{
+  evbuffer_free (rly->held);
+  evhttp_clear_headers (&rly->headers);
+}
+
+void
+rly_head (rly_t *rly, hcl_call_t *from, int status, struct evkeyvalq *headers)
+{
+  const struct evkeyval *header;
+  const char *type = evhttp_find_header (headers, "Content-Type");
+
+  g_assert (!rly->begun);
+  evbuffer_drain (rly->held, evbuffer_get_length (rly->held));
+  evhttp_clear_headers (&rly->headers);
+  rly->from = from;
+  rly->status = status;
+  rly->holding = is_short (status, headers);
+  rly->events =
+      type != NULL && g_ascii_strncasecmp (type, EVENT_STREAM, strlen (EVENT_STREAM)) == 0;
+  TAILQ_FOREACH (header, headers, next)
+    if (hdr_passes_back (header->key))
+      evhttp_add_header (&rly->headers, header->key, header->value);
+}
+
+void
+rly_add_header (rly_t *rly, const char *name, const char *value)
+{
+  evhttp_add_header (&rly->headers, name, value);
+}
+
+void
+rly_data (rly_t *rly, struct evbuffer *data)
+{
+  if (rly->to == NULL)
+    evbuffer_drain (data, evbuffer_get_length (data));
+  else if (rly->holding)
+    evbuffer_add_buffer (rly->held, data);
+  else
+    pass_part (rly, data);
+}
+
+void
+rly_whole (rly_t *rly)
+{
+  hsv_call_t *to = rly->to;
+  size_t held_bytes = evbuffer_get_length (rly->held);
+
+  rly->from = NULL;
+  if (to == NULL)
+    return;
+  if (!rly->begun && !rly->holding)
+    begin (rly);
+  if (!rly->begun)
+    send_headers (rly);
+  rly->to = NULL;
+  if (rly->begun)
+    hsv_end (to);
+  else
+    hsv_reply (to, rly->status, evbuffer_pullup (rly->held, -1), held_bytes);
+}
+
+void
+rly_cut (rly_t *rly, const flt_t *fault)
+{
+  hsv_call_t *to = rly->to;
+
+  g_assert (rly->begun);
+  rly->from = NULL;
+  rly->to = NULL;
+  if (to == NULL)
+    return;
+  if (rly->events)
+    {
+      struct evbuffer *part = evbuffer_new ();
+      char *body = flt_body (fault);
+
+      evbuffer_add_printf (part, "event: error\ndata: %s\n\n", body);
+      hsv_part (to, part);
+      g_free (body);
+      evbuffer_free (part);
+    }
+  hsv_abort (to);
+}
+
+void
+rly_gone (rly_t *rly)
+{
+  rly->to = NULL;
+  if (rly->from != NULL)
+    hcl_pause (rly->from, false);
+}
--- a/src/request/verdict.c
+++ b/src/request/verdict.c
@@ -15,6 +15,7 @@
   [VRD_REASON_ELSEWHERE] = "elsewhere",
   [VRD_REASON_STALE] = "stale",
   [VRD_REASON_SUSPECT_HERE] = "suspect_here",
+  [VRD_REASON_QUARANTINE] = "quarantine",
   [VRD_REASON_NO_ENGINE] = "no_engine",
   [VRD_REASON_WRONG_SERVICE] = "wrong_service",
   [VRD_REASON_QUEUE_FULL] = "queue_full",
--- a/src/request/verdict.h
+++ b/src/request/verdict.h
@@ -32,6 +32,7 @@
   VRD_REASON_ELSEWHERE,     /* the chat's context is warm on the host named first */
   VRD_REASON_STALE,         /* the daemon has just woken and does not trust what it knows */
   VRD_REASON_SUSPECT_HERE,  /* this engine crashed on the request before */
+  VRD_REASON_QUARANTINE,    /* another request that crashed an engine runs here */
   VRD_REASON_NO_ENGINE,     /* the engine beside the sidecar does not answer */
   VRD_REASON_WRONG_SERVICE, /* the engine does not serve this service in the version in force */
   VRD_REASON_QUEUE_FULL,    /* the client account's queue, or the whole, is full */
