--- a/src/request/headers.c
+++ b/src/request/headers.c
@@ -2,7 +2,6 @@
 
 #include <glib.h>
 #include <string.h>
-#include <sys/queue.h>
 
 /* Headers of one connection (RFC 9110, 7.6.1), and those that the next one sets itself. */
 static const char *const CONNECTION_HEADERS[] = {
@@ -65,7 +64,7 @@
   const struct evkeyval *header;
   uint32_t count = 0;
 
-  TAILQ_FOREACH (header, headers, next)
+  for (header = headers->tqh_first; header != NULL; header = header->next.tqe_next)
     if (count < limit && hdr_passes_on (header->key))
       out[count++] = (hcl_header_t){ .name = header->key, .value = header->value };
   return count;
--- /dev/null
+++ b/src/request/order.c
@@ -0,0 +1,32 @@
+#include "request/order.h"
+
+#include "request/digest.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+
+void
+ord_seal (const ord_t *order, const char *fleet_key, char out[ORD_SEAL_BYTES])
+{
+  uint64_t body_hash = dgs_body (order->method, order->target, order->body, order->body_bytes);
+  g_autofree char *text = g_strdup_printf ("call\n%s\n%016" PRIx64, order->host, body_hash);
+  g_autofree char *seal = g_compute_hmac_for_string (G_CHECKSUM_SHA256, (const guchar *)fleet_key,
+                                                     strlen (fleet_key), text, -1);
+
+  g_strlcpy (out, seal, ORD_SEAL_BYTES);
+}
+
+bool
+ord_check (const ord_t *order, const char *fleet_key, const char *seal)
+{
+  char right[ORD_SEAL_BYTES];
+  unsigned char difference = 0;
+
+  if (seal == NULL || strlen (seal) != ORD_SEAL_BYTES - 1)
+    return false;
+  ord_seal (order, fleet_key, right);
+  for (size_t i = 0; i < ORD_SEAL_BYTES - 1; i++)
+    difference |= (unsigned char)(seal[i] ^ right[i]);
+  return difference == 0;
+}
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -5,7 +5,6 @@
 #include <event2/http.h>
 #include <glib.h>
 #include <string.h>
-#include <sys/queue.h>
 
 #define EVENT_STREAM "text/event-stream"
 
@@ -42,7 +41,7 @@
 {
   const struct evkeyval *header;
 
-  TAILQ_FOREACH (header, &rly->headers, next)
+  for (header = rly->headers.tqh_first; header != NULL; header = header->next.tqe_next)
     hsv_add_header (rly->to, header->key, header->value);
 }
 
@@ -94,7 +93,7 @@
   rly->holding = is_short (status, headers);
   rly->events =
       type != NULL && g_ascii_strncasecmp (type, EVENT_STREAM, strlen (EVENT_STREAM)) == 0;
-  TAILQ_FOREACH (header, headers, next)
+  for (header = headers->tqh_first; header != NULL; header = header->next.tqe_next)
     if (hdr_passes_back (header->key))
       evhttp_add_header (&rly->headers, header->key, header->value);
 }
--- /dev/null
+++ b/tests/test_request_parts.c
@@ -0,0 +1,167 @@
+#include "request/chat_body.h"
+#include "request/decision.h"
+#include "request/digest.h"
+#include "request/headers.h"
+#include "request/order.h"
+
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <string.h>
+
+static const char *
+parse (cbd_t *cbd, const char *text)
+{
+  return cbd_parse (cbd, text, strlen (text));
+}
+
+static void
+reads_a_chat (void)
+{
+  static const char FIRST[] = "{\"model\":\"m\",\"max_tokens\":9,\"messages\":["
+                              "{\"role\":\"system\",\"content\":\"s\"},"
+                              "{\"role\":\"user\",\"content\":\"hello\"}]}";
+  static const char LATER[] = "{\"model\":\"m\",\"messages\":["
+                              "{\"role\":\"system\",\"content\":\"s\"},"
+                              "{\"role\":\"user\",\"content\":\"hello\"},"
+                              "{\"role\":\"assistant\",\"content\":\"hi\"},"
+                              "{\"role\":\"user\",\"content\":\"more\"}]}";
+  cbd_t first;
+  cbd_t later;
+
+  CU_ASSERT_PTR_NULL (parse (&first, FIRST));
+  CU_ASSERT_PTR_NULL (parse (&later, LATER));
+  CU_ASSERT_STRING_EQUAL (first.model, "m");
+  CU_ASSERT_EQUAL (first.max_tokens, 9);
+  CU_ASSERT_STRING_EQUAL (first.opening, later.opening);
+  cbd_clear (&first);
+  cbd_clear (&later);
+}
+
+static void
+refuses_broken_chats (void)
+{
+  static const char *const BROKEN[] = { "",
+                                        "[]",
+                                        "{\"model\":\"m\"}",
+                                        "{\"model\":1,\"messages\":[{}]}",
+                                        "{\"model\":\"m\",\"messages\":[]}",
+                                        "{\"model\":\"m\",\"model\":\"n\",\"messages\":[{}]}" };
+  cbd_t cbd;
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (BROKEN); i++)
+    CU_ASSERT_PTR_NOT_NULL (parse (&cbd, BROKEN[i]));
+}
+
+/* A caller sends a body of nothing but brackets. The parser recurses for each, so it is refused
+ * before it is parsed; brackets within strings do not count. */
+static void
+refuses_deep_chats (void)
+{
+  g_autofree char *deep = g_strnfill (100000, '[');
+  g_autofree char *text = g_strnfill (1000, '[');
+  g_autofree char *fine = g_strdup_printf (
+      "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"\\\"%s\"}]}", text);
+  cbd_t cbd;
+
+  CU_ASSERT_STRING_EQUAL (parse (&cbd, deep), "the body is nested too deeply");
+  CU_ASSERT_PTR_NULL (parse (&cbd, fine));
+  cbd_clear (&cbd);
+}
+
+/* Two accounts use the same idempotency key, or one tries to run its texts together so that they
+ * look like another's: neither may share a claim or a mark. */
+static void
+digests_keep_accounts_apart (void)
+{
+  uint64_t a[2];
+  uint64_t b[2];
+
+  dgs_key ("tuul", "order-1", a);
+  dgs_key ("jogak", "order-1", b);
+  CU_ASSERT_NOT_EQUAL (a[0], b[0]);
+  dgs_key ("tuu", "lorder-1", b);
+  CU_ASSERT_NOT_EQUAL (a[0], b[0]);
+  CU_ASSERT_NOT_EQUAL (dgs_body ("GET", "/a", "b", 1), dgs_body ("GET", "/ab", "", 0));
+  CU_ASSERT_NOT_EQUAL (dgs_fingerprint ("tuul", 1), dgs_fingerprint ("jogak", 1));
+}
+
+static void
+keeps_what_belongs_to_a_connection (void)
+{
+  static const char *const STAY[] = {
+    "connection", "Transfer-Encoding",  "Host",         "upgrade",   "Authorization",
+    "X-Api-Key",  "X-Medlarplank-Home", "x-request-id", "X-Priority"
+  };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (STAY); i++)
+    CU_ASSERT_FALSE (hdr_passes_on (STAY[i]));
+  CU_ASSERT_TRUE (hdr_passes_on ("Content-Type"));
+  CU_ASSERT_TRUE (hdr_passes_back ("X-Cached-Tokens"));
+  CU_ASSERT_FALSE (hdr_passes_back ("X-Medlarplank-Verdict"));
+  CU_ASSERT_FALSE (hdr_passes_back ("Content-Length"));
+}
+
+static void
+seals_orders (void)
+{
+  ord_t order = { .host = "h", .method = "POST", .target = "/t", .body = "b", .body_bytes = 1 };
+  ord_t other = order;
+  char seal[ORD_SEAL_BYTES];
+
+  ord_seal (&order, "key", seal);
+  CU_ASSERT_TRUE (ord_check (&order, "key", seal));
+  CU_ASSERT_FALSE (ord_check (&order, "another", seal));
+  CU_ASSERT_FALSE (ord_check (&order, "key", NULL));
+  other.host = "i";
+  CU_ASSERT_FALSE (ord_check (&other, "key", seal));
+  other = order;
+  other.body = "c";
+  CU_ASSERT_FALSE (ord_check (&other, "key", seal));
+}
+
+static void
+explains_a_request (void)
+{
+  dcn_ring_t *ring = dcn_ring_new (3);
+  dcn_t decision = { .request = { 1, 0x100 }, .action = "send", .chosen = "e1" };
+  uint64_t wanted[2] = { 1, 0x100 };
+  json_t *found;
+
+  dcn_note (ring, "route", &decision);
+  decision.request[1] = 0x101; /* the second hop of the same request */
+  dcn_note (ring, "route", &decision);
+  decision.request[1] = 0x200;
+  dcn_note (ring, "route", &decision);
+  found = dcn_explain (ring, wanted);
+  CU_ASSERT_EQUAL (json_array_size (found), 2);
+  json_decref (found);
+  dcn_note (ring, "route", &decision); /* pushes the first out */
+  found = dcn_explain (ring, wanted);
+  CU_ASSERT_EQUAL (json_array_size (found), 1);
+  json_decref (found);
+  dcn_ring_free (ring);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = { { "reads a chat", reads_a_chat },
+                          { "refuses broken chats", refuses_broken_chats },
+                          { "refuses deep chats", refuses_deep_chats },
+                          { "digests keep accounts apart", digests_keep_accounts_apart },
+                          { "keeps what belongs to a connection",
+                            keeps_what_belongs_to_a_connection },
+                          { "seals orders", seals_orders },
+                          { "explains a request", explains_a_request },
+                          CU_TEST_INFO_NULL };
+  CU_SuiteInfo suites[] = { { "request parts", NULL, NULL, NULL, NULL, tests },
+                            CU_SUITE_INFO_NULL };
+
+  CU_initialize_registry ();
+  CU_register_suites (suites);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
