--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -14,13 +14,15 @@
 } course_t;
 
 static course_t
-course_of (vrd_reason_t reason)
+course_of (const att_t *att, vrd_reason_t reason)
 {
   switch (reason)
     {
     case VRD_REASON_QUEUE_FULL:
     case VRD_REASON_DEADLINE:
     case VRD_REASON_ACCOUNT_SHARE:
+      /* Of one engine only, unless it was asked last. */
+      return att->waited ? COURSE_FINAL : COURSE_NEXT;
     case VRD_REASON_LOG_DOWN:
       return COURSE_FINAL;
     case VRD_REASON_SUSPECT:
@@ -99,7 +101,7 @@
    * of the request, whatever the last attempt says of itself. */
   if (att->may_have_run && verdict == VRD_NOT_RUN)
     step.verdict = VRD_MAY_HAVE_RUN;
-  if (course_of (reason) == COURSE_NEVER_AGAIN)
+  if (course_of (att, reason) == COURSE_NEVER_AGAIN)
     return step;
   if (step.verdict != VRD_NOT_RUN && !att->idempotent)
     return step;
@@ -173,7 +175,7 @@
   if (outcome->retry_after_ms != 0 &&
       (att->retry_after_ms == 0 || outcome->retry_after_ms < att->retry_after_ms))
     att->retry_after_ms = outcome->retry_after_ms;
-  if (course_of (outcome->reason) != COURSE_NEXT)
+  if (course_of (att, outcome->reason) != COURSE_NEXT)
     return give_up (att, VRD_NOT_RUN, outcome->reason);
   if (outcome->reason == VRD_REASON_OVER_BOUND && att->waiting_host == 0 && !att->waited)
     att->waiting_host = att->last_engine;
@@ -262,7 +264,7 @@
     return give_up (att, outcome->verdict, VRD_REASON_SUSPECT);
   if (outcome->verdict == VRD_NOT_RUN)
     return refused (att, now_us, outcome);
-  if (course_of (outcome->reason) != COURSE_NEXT)
+  if (course_of (att, outcome->reason) != COURSE_NEXT)
     return give_up (att, outcome->verdict, outcome->reason);
   if (outcome->lost && now_us < att->deadline_us)
     return (att_step_t){ .action = ATT_REVOKE, .engine_hash = att->last_engine };
--- a/src/request/chat_body.c
+++ b/src/request/chat_body.c
@@ -66,6 +66,20 @@
   cbd->opening = g_string_free (text, FALSE);
 }
 
+static bool
+holds_answer (const json_t *messages)
+{
+  size_t index;
+  json_t *message;
+
+  json_array_foreach (messages, index, message)
+    {
+      if (has_role (message, "assistant"))
+        return true;
+    }
+  return false;
+}
+
 static const char *
 take_all (cbd_t *cbd, const json_t *json)
 {
@@ -82,6 +96,7 @@
   if (json_is_integer (max_tokens))
     cbd->max_tokens = (uint32_t)CLAMP (json_integer_value (max_tokens), 0, INT32_MAX);
   take_opening (cbd, messages);
+  cbd->returning = holds_answer (messages);
   return NULL;
 }
 
--- a/src/request/chat_body.h
+++ b/src/request/chat_body.h
@@ -20,6 +20,7 @@
  * struct cbd - read by cbd_parse(), cleared by cbd_clear()
  * @opening: the system message and the first user message as text, or NULL
  * @max_tokens: 0 when not given
+ * @returning: it holds an answer already, so its context may be warm somewhere
  */
 typedef struct
 {
@@ -27,6 +28,7 @@
   char *opening;
   uint32_t opening_bytes;
   uint32_t max_tokens;
+  bool returning;
 } cbd_t;
 
 /** cbd_parse() - Return: NULL, or what is wrong with the body */
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -5,6 +5,7 @@
 #include <event2/http.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #define EVENT_STREAM "text/event-stream"
 
--- a/tests/test_attempt.c
+++ b/tests/test_attempt.c
@@ -167,6 +167,23 @@
   CU_ASSERT_TRUE (step.may_wait);
 }
 
+/* The first engine cannot start a request before its deadline and knows of no room elsewhere, as
+ * just after its start. That says nothing of the other engines: they are asked too. */
+static void
+one_engine_without_time_is_not_all (void)
+{
+  att_t att;
+  att_budget_t budget = { 0 };
+  att_outcome_t late = refusal (VRD_REASON_DEADLINE);
+  att_step_t step;
+
+  begin (&att, true, 2);
+  step = att_ended (&att, 1, &budget, &late);
+  CU_ASSERT_EQUAL (step.engine_hash, 11);
+  CU_ASSERT_TRUE (step.may_wait);
+  CU_ASSERT_EQUAL (att_ended (&att, 1, &budget, &late).action, ATT_GIVE_UP);
+}
+
 static void
 certain_refusals_need_no_budget (void)
 {
@@ -338,7 +355,7 @@
   att_t att;
   att_budget_t budget;
   att_outcome_t cut = lost ();
-  att_outcome_t full = refusal (VRD_REASON_QUEUE_FULL);
+  att_outcome_t full = refusal (VRD_REASON_LOG_DOWN);
   att_step_t step;
 
   att_budget_init (&budget);
@@ -411,6 +428,7 @@
     { "last hop waits at the first", last_hop_waits_at_the_first },
     { "few candidates wait sooner", few_candidates_wait_sooner },
     { "home is asked again", home_is_asked_again },
+    { "one engine without time is not all", one_engine_without_time_is_not_all },
     { "certain refusals need no budget", certain_refusals_need_no_budget },
     { "hops are bounded", hops_are_bounded },
     { "final refusals invite nobody back", final_refusals_invite_nobody_back },
--- a/tests/test_request_parts.c
+++ b/tests/test_request_parts.c
@@ -32,6 +32,8 @@
   CU_ASSERT_PTR_NULL (parse (&later, LATER));
   CU_ASSERT_STRING_EQUAL (first.model, "m");
   CU_ASSERT_EQUAL (first.max_tokens, 9);
+  CU_ASSERT_FALSE (first.returning);
+  CU_ASSERT_TRUE (later.returning);
   CU_ASSERT_STRING_EQUAL (first.opening, later.opening);
   cbd_clear (&first);
   cbd_clear (&later);
