Choose whom a router asks first

The home of a chat, and the engine that was home before it joined, must come out alike at every router, so they get one function. An engine that returned too lately goes last. A request without a chat may start at either of two engines; taking the emptier one by old samples evens out the load for no hop. The pair stays fixed by fingerprint: a free choice would let a request that crashes its engine find a new one with each resend.

--- /dev/null
+++ b/src/request/choose.c
@@ -0,0 +1,97 @@
+#include "request/choose.h"
+
+#include "request/refer.h"
+
+#include <stddef.h>
+
+/* Ranked to begin with: what is left after skipping must fill the candidates. */
+#define CHS_RANKED (ATT_CANDIDATES + 8)
+
+/* Ranked engines, best first, with those put off at the end. */
+typedef struct
+{
+  uint64_t hash[CHS_RANKED];
+  uint64_t joined_us[CHS_RANKED];
+  uint32_t count;
+  uint32_t settled_count;
+} ranked_t;
+
+static bool
+usable (const chs_query_t *query, uint64_t engine_hash)
+{
+  return query->is_usable == NULL || query->is_usable (engine_hash, query->context);
+}
+
+static void
+append (
+    const chs_query_t *query, const uint32_t *order, uint32_t found, bool settled, ranked_t *out)
+{
+  for (uint32_t i = 0; i < found; i++)
+    {
+      const plc_engine_t *engine = &query->engines[order[i]];
+      const chs_engine_t *details = &query->details[order[i]];
+      if ((details->settled_us <= query->now_us) != settled || !usable (query, engine->hash))
+        continue;
+      out->hash[out->count] = engine->hash;
+      out->joined_us[out->count++] = details->joined_us;
+    }
+}
+
+static void
+rank (const chs_query_t *query, ranked_t *out)
+{
+  uint32_t order[CHS_RANKED];
+  const uint32_t found = plc_rank (query->engines, query->engine_count, query->service_hash,
+                                   query->chat_hash, order, CHS_RANKED);
+  out->count = 0;
+  append (query, order, found, true, out);
+  out->settled_count = out->count;
+  append (query, order, found, false, out);
+}
+
+/* The first that was there before the home joined, while anything can still be warm on it. */
+static uint64_t
+former_of (const chs_query_t *query, const ranked_t *ranked)
+{
+  const uint64_t joined_us = ranked->joined_us[0];
+  if (!query->has_chat || query->first_turn || joined_us == 0 ||
+      query->now_us >= joined_us + query->cache_lifetime_us)
+    return 0;
+  for (uint32_t i = 1; i < ranked->settled_count; i++)
+    if (ranked->joined_us[i] < joined_us)
+      return ranked->hash[i];
+  return 0;
+}
+
+static bool
+second_is_emptier (const chs_query_t *query, const ranked_t *ranked)
+{
+  if (query->has_chat || query->samples == NULL || ranked->settled_count < 2)
+    return false;
+  const mean_sample_t *first = ref_find (query->samples, query->now_us, ranked->hash[0]);
+  const mean_sample_t *second = ref_find (query->samples, query->now_us, ranked->hash[1]);
+  return first != NULL && second != NULL && second->load < first->load;
+}
+
+chs_t
+chs_choose (const chs_query_t *query)
+{
+  ranked_t ranked;
+  chs_t chosen = { 0 };
+  rank (query, &ranked);
+  if (ranked.count == 0)
+    return chosen;
+  chosen.home_hash = ranked.hash[0];
+  chosen.former_hash = former_of (query, &ranked);
+  while (chosen.candidate_count < ranked.count && chosen.candidate_count < ATT_CANDIDATES)
+    {
+      chosen.candidates[chosen.candidate_count] = ranked.hash[chosen.candidate_count];
+      chosen.candidate_count++;
+    }
+  if (second_is_emptier (query, &ranked))
+    {
+      chosen.candidates[0] = ranked.hash[1];
+      chosen.candidates[1] = ranked.hash[0];
+    }
+  return chosen;
+}
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -1,3 +1,4 @@
+#include "request/choose.h"
 #include "request/place.h"
 #include "request/verdict.h"
 
@@ -132,6 +133,80 @@
   CU_ASSERT_NOT_EQUAL (plc_hash_body ("a", "abc", 3), plc_hash_body ("b", "abc", 3));
 }
 
+static bool
+is_not_first (uint64_t engine_hash, void *context)
+{
+  return engine_hash != *(const uint64_t *)context;
+}
+
+static void
+test_choose_skips_and_puts_off (void)
+{
+  plc_engine_t engines[ENGINES];
+  chs_engine_t details[ENGINES] = { 0 };
+  make_engines (engines, ENGINES);
+  chs_query_t query = { .now_us = 1000,
+                        .engines = engines,
+                        .details = details,
+                        .engine_count = ENGINES,
+                        .service_hash = 7,
+                        .chat_hash = chat_number (1),
+                        .has_chat = true,
+                        .cache_lifetime_us = 500 };
+  const chs_t all = chs_choose (&query);
+  CU_ASSERT_EQUAL_FATAL (all.candidate_count, ATT_CANDIDATES);
+  CU_ASSERT_EQUAL (all.home_hash, all.candidates[0]);
+  CU_ASSERT_EQUAL (all.former_hash, 0);
+  uint64_t dead = all.candidates[0];
+  query.is_usable = is_not_first;
+  query.context = &dead;
+  const chs_t rest = chs_choose (&query);
+  CU_ASSERT_EQUAL (rest.home_hash, all.candidates[1]);
+  query.is_usable = NULL;
+  for (uint32_t i = 0; i < ENGINES; i++)
+    if (engines[i].hash == dead)
+      details[i] = (chs_engine_t){ .joined_us = 900, .settled_us = 1001 };
+  CU_ASSERT_EQUAL (chs_choose (&query).home_hash, all.candidates[1]);
+  query.now_us = 1001;
+  CU_ASSERT_EQUAL (chs_choose (&query).home_hash, dead);
+  CU_ASSERT_EQUAL (chs_choose (&query).former_hash, all.candidates[1]);
+  query.first_turn = true;
+  CU_ASSERT_EQUAL (chs_choose (&query).former_hash, 0);
+  query.first_turn = false;
+  query.now_us = 1400;
+  CU_ASSERT_EQUAL (chs_choose (&query).former_hash, 0);
+}
+
+static void
+test_choose_evens_out_without_a_chat (void)
+{
+  plc_engine_t engines[ENGINES];
+  const chs_engine_t details[ENGINES] = { 0 };
+  mean_table_t samples;
+  make_engines (engines, ENGINES);
+  mean_init (&samples, 1);
+  chs_query_t query = { .now_us = 1000,
+                        .engines = engines,
+                        .details = details,
+                        .engine_count = ENGINES,
+                        .service_hash = 7,
+                        .chat_hash = chat_number (1),
+                        .samples = &samples };
+  const chs_t plain = chs_choose (&query);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      const mean_sample_t sample = { .engine_hash = plain.candidates[i],
+                                     .load = i == 0 ? 9 : 3,
+                                     .taken_us = 900 };
+      mean_add (&samples, &sample);
+    }
+  const chs_t evened = chs_choose (&query);
+  CU_ASSERT_EQUAL (evened.candidates[0], plain.candidates[1]);
+  CU_ASSERT_EQUAL (evened.candidates[1], plain.candidates[0]);
+  query.has_chat = true;
+  CU_ASSERT_EQUAL (chs_choose (&query).candidates[0], plain.candidates[0]);
+}
+
 static void
 test_verdict_words (void)
 {
@@ -155,6 +230,8 @@
   CU_add_test (suite, "rank ignores the order of the list", test_rank_ignores_list_order);
   CU_add_test (suite, "rank of nothing and of one", test_rank_edges);
   CU_add_test (suite, "chats of two accounts differ", test_chats_of_accounts_differ);
+  CU_add_test (suite, "choice skips and puts off", test_choose_skips_and_puts_off);
+  CU_add_test (suite, "choice evens out the load", test_choose_evens_out_without_a_chat);
   CU_add_test (suite, "words of verdicts and reasons", test_verdict_words);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
