Add medlarplankctl

Operators check, publish, show and watch manifests, ask daemons how they are, order a host to leave and ask why a request went where it went.

rep_unpublished() and rep_by() tell the tool what the replay knows.

--- /dev/null
+++ b/ctl/cmd_order.c
@@ -0,0 +1,91 @@
+#include "ask.h"
+#include "ctl.h"
+
+#include <stdio.h>
+
+static ctl_exit_t
+find_host (ctl_t *ctl, const char *name, set_address_t *address)
+{
+  plt_outcome_t outcome;
+  GArray *hosts;
+  const mem_listed_t *host;
+  ctl_exit_t code = CTL_OK;
+
+  if ((ctl->opt.given & OPT_DAEMON) != 0)
+    {
+      *address = ctl->opt.daemon;
+      return CTL_OK;
+    }
+  if (ctl->plt == NULL)
+    return ctl_complain (CTL_USAGE, "--platform or --daemon is needed");
+  hosts = ask_hosts (ctl, &outcome);
+  host = ask_host_named (hosts, name);
+  if (outcome != PLT_OK)
+    code = ctl_complain (CTL_UNREACHABLE, "the platform's list of hosts can't be had");
+  else if (host == NULL)
+    code = ctl_complain (CTL_USAGE, "the platform lists no host \"%s\"", name);
+  else
+    *address = host->http;
+  g_array_free (hosts, TRUE);
+  return code;
+}
+
+/* The seal holds the host's name, so an order that reaches another host does nothing there. */
+static ctl_exit_t
+order_drain (ctl_t *ctl, const char *host, const set_address_t *address)
+{
+  ask_call_t call = {
+    .address = *address, .method = "POST", .path = "/medlarplank/drain", .seal = ASK_DRAIN
+  };
+  int status;
+
+  g_strlcpy (call.name, host, sizeof call.name);
+  ask_all (ctl, &call, 1);
+  status = call.status;
+  ask_clear (&call, 1);
+  if (status == 0)
+    return ctl_complain (CTL_FAILED, "%s does not answer; it may have taken the order", host);
+  if (status / 100 != 2)
+    return ctl_complain (CTL_FAILED, "%s refused the order with status %d", host, status);
+  printf ("%s is leaving\n", host);
+  return CTL_OK;
+}
+
+ctl_exit_t
+cmd_drain (ctl_t *ctl, const char *host)
+{
+  set_address_t address;
+  ctl_exit_t code;
+
+  if (ctl->opt.fleet_key == NULL)
+    return ctl_complain (CTL_USAGE, "drain needs MEDLARPLANK_FLEET_KEY");
+  code = find_host (ctl, host, &address);
+  return code == CTL_OK ? order_drain (ctl, host, &address) : code;
+}
+
+ctl_exit_t
+cmd_explain (ctl_t *ctl, const char *request)
+{
+  g_autofree char *safe = g_uri_escape_string (request, NULL, FALSE);
+  g_autofree char *query = g_strconcat ("request=", safe, NULL);
+  ask_call_t call = { .address = ctl->opt.daemon,
+                      .method = "GET",
+                      .path = "/medlarplank/explain",
+                      .query = query,
+                      .seal = ASK_CALL };
+  ctl_exit_t code = CTL_OK;
+
+  if ((ctl->opt.given & OPT_DAEMON) == 0)
+    return ctl_complain (CTL_USAGE, "explain needs the router as --daemon");
+  if (!ask_name (ctl, &call))
+    return ctl_complain (CTL_FAILED, "the daemon does not answer");
+  ask_all (ctl, &call, 1);
+  if (call.status == 200)
+    printf ("%s\n", call.body->str);
+  else if (call.status == 404)
+    code = ctl_complain (CTL_FAILED, "the daemon does not know this request, or not any more");
+  else
+    code = ctl_complain (CTL_FAILED, "the daemon answered with status %d", call.status);
+  ask_clear (&call, 1);
+  return code;
+}
--- /dev/null
+++ b/ctl/cmd_status.c
@@ -0,0 +1,158 @@
+#include "ask.h"
+#include "ctl.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+static ask_call_t
+status_call (const set_address_t *address, const char *name)
+{
+  ask_call_t call = { .address = *address, .method = "GET", .path = ASK_STATUS_PATH };
+
+  g_strlcpy (call.name, name, sizeof call.name);
+  return call;
+}
+
+static GArray *
+new_calls (void)
+{
+  return g_array_new (FALSE, TRUE, sizeof (ask_call_t));
+}
+
+static GArray *
+calls_of_list (const GArray *hosts)
+{
+  GArray *calls = new_calls ();
+
+  for (guint at = 0; at < hosts->len; at++)
+    {
+      const mem_listed_t *host = &g_array_index (hosts, mem_listed_t, at);
+      ask_call_t call = status_call (&host->http, host->name);
+
+      if (host->state != MEM_GONE)
+        g_array_append_val (calls, call);
+    }
+  return calls;
+}
+
+/* What one daemon answered; of one that did not, its name and an error. */
+static json_t *
+answer_of (const ask_call_t *call)
+{
+  json_t *json = call->status == 200 ? json_loads (call->body->str, 0, NULL) : NULL;
+
+  if (json_is_object (json))
+    return json;
+  json_decref (json);
+  return json_pack ("{ss ss}", "name", call->name, "error", "no answer");
+}
+
+static const char *
+text_of (const json_t *answer, const char *key)
+{
+  const char *text = json_string_value (json_object_get (answer, key));
+
+  return text != NULL ? text : "-";
+}
+
+static json_int_t
+number_of (const json_t *answer, const char *key)
+{
+  return json_integer_value (json_object_get (answer, key));
+}
+
+static void
+print_row (const json_t *answer)
+{
+  if (json_object_get (answer, "error") != NULL)
+    {
+      printf ("%-24s %s\n", text_of (answer, "name"), text_of (answer, "error"));
+      return;
+    }
+  printf ("%-24s %-8s %-8s %-5s %8" JSON_INTEGER_FORMAT " %6" JSON_INTEGER_FORMAT
+          " %8" JSON_INTEGER_FORMAT " %8.2f %8.2f %6" JSON_INTEGER_FORMAT "\n",
+          text_of (answer, "name"), text_of (answer, "role"), text_of (answer, "state"),
+          json_is_true (json_object_get (answer, "ready")) ? "yes" : "no",
+          number_of (answer, "version"), number_of (answer, "load"), number_of (answer, "waiting"),
+          (double)number_of (answer, "mean_milli") / 1000,
+          (double)number_of (answer, "bound_milli") / 1000, number_of (answer, "hosts"));
+}
+
+static void
+print_table (const json_t *answers)
+{
+  size_t index;
+  json_t *answer;
+
+  printf ("%-24s %-8s %-8s %-5s %8s %6s %8s %8s %8s %6s\n", "NAME", "ROLE", "STATE", "READY",
+          "VERSION", "LOAD", "WAITING", "MEAN", "BOUND", "HOSTS");
+  json_array_foreach (answers, index, answer)
+    {
+      print_row (answer);
+    }
+}
+
+static ctl_exit_t
+ask_and_print (ctl_t *ctl, GArray *calls)
+{
+  ask_call_t *items = (ask_call_t *)(void *)calls->data;
+  json_t *answers = json_array ();
+
+  ask_all (ctl, items, calls->len);
+  for (guint at = 0; at < calls->len; at++)
+    json_array_append_new (answers, answer_of (&items[at]));
+  if ((ctl->opt.given & OPT_JSON) != 0)
+    {
+      char *text = json_dumps (answers, JSON_INDENT (2));
+
+      puts (text);
+      free (text);
+    }
+  else
+    print_table (answers);
+  json_decref (answers);
+  ask_clear (items, calls->len);
+  return CTL_OK;
+}
+
+static ctl_exit_t
+calls_to_make (ctl_t *ctl, GArray **calls)
+{
+  plt_outcome_t outcome;
+  GArray *hosts;
+
+  if ((ctl->opt.given & OPT_DAEMON) != 0)
+    {
+      ask_call_t call = status_call (&ctl->opt.daemon, ctl->opt.daemon.ip);
+
+      *calls = new_calls ();
+      g_array_append_val (*calls, call);
+      return CTL_OK;
+    }
+  if (ctl->plt == NULL)
+    return ctl_complain (CTL_USAGE, "status needs --platform or --daemon");
+  hosts = ask_hosts (ctl, &outcome);
+  if (outcome == PLT_OK)
+    *calls = calls_of_list (hosts);
+  g_array_free (hosts, TRUE);
+  if (outcome != PLT_OK)
+    return ctl_complain (CTL_UNREACHABLE,
+                         "the platform's list of hosts can't be had; ask one with --daemon");
+  return CTL_OK;
+}
+
+ctl_exit_t
+cmd_status (ctl_t *ctl, const char *unused)
+{
+  GArray *calls = NULL;
+  ctl_exit_t code = calls_to_make (ctl, &calls);
+
+  (void)unused;
+  if (code != CTL_OK)
+    return code;
+  code = ask_and_print (ctl, calls);
+  g_array_free (calls, TRUE);
+  return code;
+}
--- /dev/null
+++ b/ctl/main.c
@@ -0,0 +1,170 @@
+#include "ctl.h"
+
+#include <event2/event.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define COMMON_OPTIONS (OPT_PLATFORM | OPT_TIMEOUT | OPT_JSON | OPT_HELP)
+
+/*
+ * struct command - one command
+ * @second: NULL when the command is one word
+ * @argument: NULL when it takes none
+ * @options: those that it takes
+ * @platform: whether it can't do without
+ */
+typedef struct
+{
+  const char *first;
+  const char *second;
+  const char *argument;
+  const char *summary;
+  uint32_t options;
+  bool platform;
+  ctl_exit_t (*run) (ctl_t *ctl, const char *argument);
+} command_t;
+
+static const command_t COMMANDS[] = {
+  { "manifest", "check", "FILE", "check a manifest; asks nobody", COMMON_OPTIONS, false,
+    cmd_manifest_check },
+  { "manifest", "publish", "FILE", "publish a manifest, or with --patch a JSON merge patch",
+    COMMON_OPTIONS | OPT_PATCH | OPT_BASE | OPT_BY | OPT_HOSTS_CHECK | OPT_ALLOW_MISSING |
+        OPT_DAEMON,
+    true, cmd_manifest_publish },
+  { "manifest", "show", NULL, "print the manifest in force, or with --version its version",
+    COMMON_OPTIONS | OPT_VERSION | OPT_DAEMON, true, cmd_manifest_show },
+  { "manifest", "watch", NULL, "print what becomes of each record from now on",
+    COMMON_OPTIONS | OPT_DAEMON, true, cmd_manifest_watch },
+  { "status", NULL, NULL, "ask the daemons on the platform's list, or one, how they are",
+    COMMON_OPTIONS | OPT_DAEMON, false, cmd_status },
+  { "drain", NULL, "HOST", "order a host to leave: no new work, finish what runs",
+    COMMON_OPTIONS | OPT_DAEMON, false, cmd_drain },
+  { "explain", NULL, "REQUEST-ID", "print why a request went where it went",
+    COMMON_OPTIONS | OPT_DAEMON, false, cmd_explain },
+};
+
+static void
+print_help (void)
+{
+  puts ("usage: medlarplankctl COMMAND [OPTION]...\n");
+  for (size_t at = 0; at < G_N_ELEMENTS (COMMANDS); at++)
+    {
+      const command_t *command = &COMMANDS[at];
+      g_autofree char *words = g_strjoin (
+          " ", command->first, command->second != NULL ? command->second : command->argument,
+          command->second != NULL ? command->argument : NULL, NULL);
+
+      printf ("  %-24s %s\n", words, command->summary);
+    }
+  puts ("\n"
+        "  --platform IP:PORT       the platform's log and list (MEDLARPLANK_PLATFORM)\n"
+        "  --daemon IP:PORT         one daemon, in place of those on the list\n"
+        "  --timeout-ms N           for the whole command; 10000\n"
+        "  --json                   print JSON\n"
+        "  --patch                  publish: FILE is a JSON merge patch (RFC 7386)\n"
+        "  --base N                 publish: the version that the change was made on\n"
+        "  --by WHO                 publish: who publishes; the user's name\n"
+        "  --hosts-check yes|no     publish: compare engines with the platform's list; yes\n"
+        "  --allow-missing-engines  publish: go on when the list lacks some\n"
+        "  --version                print the version of the tool, or of the manifest\n"
+        "  --help                   print this\n\n"
+        "The key for drain is read from MEDLARPLANK_FLEET_KEY.\n"
+        "Exit status: 0 done, 1 failed, 2 wrong usage or input, 3 lost a race to another\n"
+        "publish, 4 the platform does not answer.");
+}
+
+static const command_t *
+find_command (const opt_t *opt)
+{
+  for (size_t at = 0; at < G_N_ELEMENTS (COMMANDS); at++)
+    {
+      const command_t *command = &COMMANDS[at];
+      uint32_t words = command->second != NULL ? 2 : 1;
+
+      if (opt->word_count < words || strcmp (opt->words[0], command->first) != 0)
+        continue;
+      if (command->second == NULL || strcmp (opt->words[1], command->second) == 0)
+        return command;
+    }
+  return NULL;
+}
+
+static const char *
+argument_of (const command_t *command, const opt_t *opt)
+{
+  uint32_t words = command->second != NULL ? 2 : 1;
+
+  return command->argument != NULL ? opt->words[words] : "";
+}
+
+static ctl_exit_t
+check_usage (const command_t *command, const opt_t *opt)
+{
+  uint32_t words = (command->second != NULL ? 2 : 1) + (command->argument != NULL ? 1 : 0);
+  uint32_t excess = opt->given & ~command->options;
+
+  if (opt->word_count < words)
+    return ctl_complain (CTL_USAGE, "%s is missing; see --help", command->argument);
+  if (opt->word_count > words)
+    return ctl_complain (CTL_USAGE, "\"%s\" is not expected; see --help", opt->words[words]);
+  if (excess != 0)
+    return ctl_complain (CTL_USAGE, "--%s is not for this command; see --help",
+                         opt_name (excess & -excess));
+  if (command->platform && (opt->given & OPT_PLATFORM) == 0)
+    return ctl_complain (CTL_USAGE, "--platform or MEDLARPLANK_PLATFORM is needed");
+  return CTL_OK;
+}
+
+static ctl_exit_t
+run_command (const command_t *command, const opt_t *opt)
+{
+  ctl_t ctl = { .opt = *opt };
+  ctl_exit_t code;
+
+  clk_init_running (&ctl.clk);
+  ctl.deadline_us = clk_now_us (&ctl.clk) + (uint64_t)opt->timeout_ms * CLK_US_PER_MS;
+  ctl.base = event_base_new ();
+  ctl.hcl = hcl_new (ctl.base, 1, 1000);
+  if ((opt->given & OPT_PLATFORM) != 0)
+    ctl.plt = plt_http_new (ctl.base, &opt->platform, NULL);
+  code = command->run (&ctl, argument_of (command, opt));
+  if (ctl.plt != NULL)
+    ctl.plt->free (ctl.plt);
+  hcl_free (ctl.hcl);
+  event_base_free (ctl.base);
+  return code;
+}
+
+static const char *
+get_environment (const char *name)
+{
+  return getenv (name);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_autoptr (GError) error = NULL;
+  opt_t opt;
+  const command_t *command;
+  ctl_exit_t code;
+
+  if (!opt_read (&opt, argc, argv, get_environment, &error))
+    return ctl_complain (CTL_USAGE, "%s", error->message);
+  if ((opt.given & OPT_HELP) != 0)
+    {
+      print_help ();
+      return CTL_OK;
+    }
+  if ((opt.given & OPT_VERSION) != 0 && opt.word_count == 0)
+    {
+      puts ("medlarplankctl " SET_PROGRAM_VERSION);
+      return CTL_OK;
+    }
+  command = find_command (&opt);
+  if (command == NULL)
+    return ctl_complain (CTL_USAGE, "that is not a command; see --help");
+  code = check_usage (command, &opt);
+  return code == CTL_OK ? run_command (command, &opt) : code;
+}
--- a/src/version/replay.c
+++ b/src/version/replay.c
@@ -316,6 +316,18 @@
   return rep->next_offset;
 }
 
+bool
+rep_unpublished (const rep_t *rep)
+{
+  return rep->known && rep->current && rep->man == NULL;
+}
+
+const char *
+rep_by (const rep_t *rep)
+{
+  return rep->by;
+}
+
 bool
 rep_checkpoint_due (const rep_t *rep, uint64_t records_between)
 {
--- a/src/version/replay.h
+++ b/src/version/replay.h
@@ -95,6 +95,10 @@
 /** rep_manifest() - the version in force, borrowed, or NULL */
 man_t *rep_manifest (const rep_t *rep);
 uint64_t rep_next_offset (const rep_t *rep);
+/** rep_unpublished() - whether all records were seen and none brought a version into force */
+bool rep_unpublished (const rep_t *rep);
+/** rep_by() - who published the version in force, "" when that is not known */
+const char *rep_by (const rep_t *rep);
 
 /**
  * rep_checkpoint_due() - whether the newest checkpoint is so old that one should be appended
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -62,8 +62,11 @@
 
   rep_begin (rep, 0);
   CU_ASSERT_FALSE (rep_ready (rep));
+  CU_ASSERT_TRUE (rep_unpublished (rep));
   CU_ASSERT_EQUAL (feed_publish (rep, "a", 0, 4).verdict, REP_ACCEPTED);
   CU_ASSERT_TRUE (rep_ready (rep));
+  CU_ASSERT_FALSE (rep_unpublished (rep));
+  CU_ASSERT_STRING_EQUAL (rep_by (rep), "ann");
   CU_ASSERT_EQUAL (feed_publish (rep, "b", 1, 9).version, 2);
   CU_ASSERT_EQUAL (rep_manifest (rep)->services[0].slots, 9);
   CU_ASSERT_EQUAL (rep_next_offset (rep), 2);
