Test the tool against the stand-in platform

Runs the program as operators do: usage, check, a first publish, a lost race, an append whose answer is lost, an append that is lost itself, and a platform that is out. The log's records are counted, so a second append of the same publish would be seen.

--- /dev/null
+++ b/tests/session_ctl.c
@@ -0,0 +1,329 @@
+#include "connection/admin_seal.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <arpa/inet.h>
+#include <glib.h>
+#include <jansson.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define PLATFORM_PORT 18190
+#define CLOSED_PORT 18191
+#define ANSWER_BYTES (64 * 1024)
+
+/* struct tool - one run of the tool */
+typedef struct
+{
+  int status;
+  char *out;
+  char *err;
+} tool_t;
+
+static char address[64];
+static char closed_address[64];
+static GPid platform_pid;
+
+static char *
+built (const char *name)
+{
+  const char *dir = g_getenv ("MEDLARPLANK_BUILD");
+
+  return g_build_filename (dir != NULL ? dir : "build", name, NULL);
+}
+
+static char *
+example (void)
+{
+  const char *top = g_getenv ("MEDLARPLANK_SOURCE");
+
+  return g_build_filename (top != NULL ? top : ".", "examples", "jogak.json", NULL);
+}
+
+static void
+ip_of_this_run (char out[32])
+{
+  int pid = getpid ();
+
+  g_snprintf (out, 32, "127.%d.%d.1", ((pid >> 8) & 0x7f) + 1, pid & 0xff);
+}
+
+static int
+start_platform (void)
+{
+  g_autofree char *program = built ("standin-platform");
+  char ip[32];
+  char *argv[] = { program, "--listen", address, NULL };
+
+  ip_of_this_run (ip);
+  g_snprintf (address, sizeof address, "%s:%d", ip, PLATFORM_PORT);
+  g_snprintf (closed_address, sizeof closed_address, "%s:%d", ip, CLOSED_PORT);
+  g_setenv ("MEDLARPLANK_PLATFORM", address, TRUE);
+  g_unsetenv ("MEDLARPLANK_FLEET_KEY");
+  return !g_spawn_async (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL, &platform_pid,
+                         NULL);
+}
+
+static int
+stop_platform (void)
+{
+  kill (platform_pid, SIGTERM);
+  return waitpid (platform_pid, NULL, 0) != platform_pid;
+}
+
+/* Runs the tool; the arguments are words parted by blanks. */
+static tool_t
+run (const char *arguments)
+{
+  g_autofree char *program = built ("medlarplankctl");
+  g_autofree char *line = g_strdup_printf ("%s %s", program, arguments);
+  g_auto (GStrv) argv = g_strsplit (line, " ", -1);
+  tool_t tool = { .status = -1 };
+  int wait_status = 0;
+
+  CU_ASSERT_TRUE_FATAL (g_spawn_sync (NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, &tool.out,
+                                      &tool.err, &wait_status, NULL));
+  if (WIFEXITED (wait_status))
+    tool.status = WEXITSTATUS (wait_status);
+  return tool;
+}
+
+static void
+expect (const char *arguments, int status, const char *out, const char *err)
+{
+  tool_t tool = run (arguments);
+  bool good =
+      tool.status == status && strstr (tool.out, out) != NULL && strstr (tool.err, err) != NULL;
+
+  CU_ASSERT_TRUE (good);
+  if (!good)
+    printf ("\n  %s\n  status %d (want %d)\n  out: %s\n  err: %s\n", arguments, tool.status, status,
+            tool.out, tool.err);
+  g_free (tool.out);
+  g_free (tool.err);
+}
+
+/* One HTTP call to the stand-in. Return: the answer's body */
+static char *
+call_platform (const char *method, const char *path, const char *body)
+{
+  g_autofree char *text = g_strdup_printf ("%s %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+                                           "Content-Length: %zu\r\n\r\n%s",
+                                           method, path, strlen (body), body);
+  struct sockaddr_in peer = { .sin_family = AF_INET, .sin_port = htons (PLATFORM_PORT) };
+  GString *answer = g_string_new (NULL);
+  char ip[32];
+  char part[4096];
+  ssize_t got;
+  const char *head_end;
+  char *answer_body;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  ip_of_this_run (ip);
+  inet_pton (AF_INET, ip, &peer.sin_addr);
+  CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *)&peer, sizeof peer), 0);
+  CU_ASSERT_EQUAL_FATAL (write (fd, text, strlen (text)), (ssize_t)strlen (text));
+  while ((got = read (fd, part, sizeof part)) > 0 && answer->len < ANSWER_BYTES)
+    g_string_append_len (answer, part, got);
+  close (fd);
+  head_end = strstr (answer->str, "\r\n\r\n");
+  answer_body = g_strdup (head_end != NULL ? head_end + 4 : "");
+  g_string_free (answer, TRUE);
+  return answer_body;
+}
+
+static void
+admin (const char *path, const char *body)
+{
+  g_free (call_platform ("POST", path, body));
+}
+
+static char *
+write_file (const char *name, const char *text)
+{
+  g_autofree char *base = g_strdup_printf ("medlarplank-%d-%s", getpid (), name);
+  char *path = g_build_filename (g_get_tmp_dir (), base, NULL);
+
+  CU_ASSERT_TRUE_FATAL (g_file_set_contents (path, text, -1, NULL));
+  return path;
+}
+
+static uint64_t
+count_records (void)
+{
+  g_autofree char *body =
+      call_platform ("GET", "/log/read?stream=manifest&from=0&max=1&wait_ms=0", "");
+  json_t *json = json_loads (body, 0, NULL);
+  uint64_t end = (uint64_t)json_integer_value (json_object_get (json, "end"));
+
+  json_decref (json);
+  return end;
+}
+
+static void
+test_usage (void)
+{
+  expect ("--help", 0, "manifest publish FILE", "");
+  expect ("--version", 0, "medlarplankctl 0", "");
+  expect ("manifest", 2, "", "that is not a command");
+  expect ("manifest show more", 2, "", "\"more\" is not expected");
+  expect ("manifest check", 2, "", "FILE is missing");
+  expect ("manifest show --patch", 2, "", "--patch is not for this command");
+  expect ("manifest show --platform here", 2, "", "--platform: \"here\" is not IP:PORT");
+  expect ("manifest publish x --base -1", 2, "", "--base: \"-1\" is not a whole number");
+  expect ("status --bogus", 2, "", "--bogus: is not an option");
+  expect ("drain host", 2, "", "MEDLARPLANK_FLEET_KEY");
+}
+
+static void
+test_check (void)
+{
+  g_autofree char *file = example ();
+  g_autofree char *good = g_strconcat ("manifest check ", file, NULL);
+  g_autofree char *bad_file = write_file ("bad", "{\"routes\":[]}");
+  g_autofree char *bad = g_strconcat ("manifest check ", bad_file, NULL);
+
+  expect (good, 0, "10 client accounts, 2 services", "");
+  expect (bad, 2, "", "client_accounts: is missing");
+  expect ("manifest check /none", 2, "", "/none");
+  unlink (bad_file);
+}
+
+/* The first publish of a fleet, with hosts that the platform does not list yet. */
+static void
+test_first_publish (void)
+{
+  g_autofree char *file = example ();
+  g_autofree char *plain = g_strconcat ("manifest publish ", file, NULL);
+  g_autofree char *allowed =
+      g_strconcat ("manifest publish --by ann --allow-missing-engines ", file, NULL);
+
+  expect ("manifest show", 1, "", "no manifest was published yet");
+  expect (plain, 2, "", "services.medlar-desk.engines[0]: the platform lists no engine host");
+  CU_ASSERT_EQUAL (count_records (), 0);
+  expect (allowed, 0, "version 1 is in force", "the platform lists no engine host");
+  expect ("manifest show --version", 0, "version 1 digest", "");
+  expect ("manifest show --version", 0, "by ann", "");
+  expect ("manifest show", 0, "\"bale-ledger\"", "");
+}
+
+/*
+ * Two operators prepare a change on version 1. The second one to publish is told which version and
+ * whose is in force, and nothing of his is appended.
+ */
+static void
+test_lost_race (void)
+{
+  g_autofree char *file =
+      write_file ("patch", "{\"classes\":{\"booking\":{\"deadline_ms\":4000}}}");
+  g_autofree char *first =
+      g_strconcat ("manifest publish --patch --base 1 --by bob --hosts-check=no ", file, NULL);
+  g_autofree char *ahead =
+      g_strconcat ("manifest publish --patch --base 9 --hosts-check=no ", file, NULL);
+
+  expect (first, 0, "version 2 is in force", "");
+  expect (first, 3, "", "version 2 by bob is in force; rebase");
+  expect (ahead, 2, "", "--base: 9 is not in force yet, 2 is");
+  CU_ASSERT_EQUAL (count_records (), 2);
+  unlink (file);
+}
+
+/*
+ * The append takes effect and its answer is lost. The operator still hears the true outcome, and
+ * the log holds the publish once.
+ */
+static void
+test_lost_answer (void)
+{
+  g_autofree char *file =
+      write_file ("again", "{\"classes\":{\"booking\":{\"deadline_ms\":5000}}}");
+  g_autofree char *publish = g_strconcat ("manifest publish --patch --hosts-check=no ", file, NULL);
+
+  admin ("/admin/fault", "{\"log\":\"lose_answers\"}");
+  expect (publish, 0, "version 3 is in force", "");
+  admin ("/admin/fault", "{\"log\":\"up\"}");
+  CU_ASSERT_EQUAL (count_records (), 3);
+  unlink (file);
+}
+
+/*
+ * The append is lost on its way. The tool cannot tell that from a late one: it says so, with
+ * status 4, and does not append again.
+ */
+static void
+test_lost_append (void)
+{
+  g_autofree char *file = write_file ("lost", "{\"classes\":{\"booking\":{\"deadline_ms\":6000}}}");
+  g_autofree char *publish =
+      g_strconcat ("manifest publish --patch --hosts-check=no --timeout-ms 1500 ", file, NULL);
+
+  admin ("/admin/fault", "{\"log\":\"lose_appends\"}");
+  expect (publish, 4, "", "it is not known whether publish");
+  admin ("/admin/fault", "{\"log\":\"up\"}");
+  expect ("manifest show --version", 0, "version 3 ", "");
+  CU_ASSERT_EQUAL (count_records (), 3);
+  unlink (file);
+}
+
+static void
+test_platform_out (void)
+{
+  g_autofree char *show =
+      g_strdup_printf ("manifest show --timeout-ms 300 --platform %s", closed_address);
+  g_autofree char *status = g_strdup_printf ("status --platform %s", closed_address);
+  g_autofree char *one = g_strdup_printf ("status --daemon %s", closed_address);
+
+  expect (show, 4, "", "the platform does not answer");
+  expect (status, 4, "", "the platform's list of hosts can't be had");
+  expect (one, 0, "no answer", "");
+}
+
+static void
+test_status_of_listed_hosts (void)
+{
+  g_autofree char *hosts = g_strdup_printf (
+      "[{\"name\":\"h1\",\"role\":\"router\",\"data_center\":\"d\",\"region\":\"r\","
+      "\"http\":\"%s\",\"exchange\":\"%s\",\"state\":\"live\"}]",
+      closed_address, closed_address);
+
+  admin ("/admin/hosts", hosts);
+  expect ("status", 0, "h1 ", "");
+  expect ("status --json", 0, "\"no answer\"", "");
+  g_setenv ("MEDLARPLANK_FLEET_KEY", "a key of the whole fleet", TRUE);
+  expect ("drain h1", 1, "", "h1 does not answer");
+  expect ("drain h2", 2, "", "the platform lists no host \"h2\"");
+  g_unsetenv ("MEDLARPLANK_FLEET_KEY");
+}
+
+static void
+test_watch (void)
+{
+  expect ("manifest watch --timeout-ms 300", 0, "version 3 digest", "");
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("ctl", start_platform, stop_platform);
+  CU_ADD_TEST (suite, test_usage);
+  CU_ADD_TEST (suite, test_check);
+  CU_ADD_TEST (suite, test_first_publish);
+  CU_ADD_TEST (suite, test_lost_race);
+  CU_ADD_TEST (suite, test_lost_answer);
+  CU_ADD_TEST (suite, test_lost_append);
+  CU_ADD_TEST (suite, test_platform_out);
+  CU_ADD_TEST (suite, test_status_of_listed_hosts);
+  CU_ADD_TEST (suite, test_watch);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
