--- a/tests/test_manifest.c
+++ b/tests/test_manifest.c
@@ -2,6 +2,8 @@
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 #define KEY_A "08a6bd4bf2a6c5b8e6b2a0a8f7a4a7b7fb0ee6d29a4a7fcc1c6e0b7b1a2f3c4d"
@@ -80,6 +82,13 @@
   CU_ASSERT_EQUAL (pool->engine_count, 2);
   CU_ASSERT_STRING_EQUAL (pool->engines[1], "e2");
   CU_ASSERT_EQUAL (pool->bound_percent, 125);
+  CU_ASSERT_EQUAL (pool->slots, 8);
+  CU_ASSERT_EQUAL (pool->cache_lifetime_ms, 600000);
+  CU_ASSERT_EQUAL (pool->prefill_tokens_s, 8000);
+  CU_ASSERT_EQUAL (pool->claim_shards, 4);
+  CU_ASSERT_EQUAL (man_class_named (man, "long")->priority, 5);
+  CU_ASSERT_EQUAL (man_class_named (man, "long")->deadline_ms, 30000);
+  CU_ASSERT_EQUAL (man_class_named (man, "long")->expected_tokens, 256);
   CU_ASSERT_STRING_EQUAL (desk->name, "desk");
   CU_ASSERT_EQUAL (desk->kind, MAN_KIND_PLAIN);
   CU_ASSERT_EQUAL (desk->bound_percent, 150);
@@ -273,6 +282,63 @@
   man_unref (man);
 }
 
+static bool
+takes (const char *section, const char *member, const char *key, int64_t value)
+{
+  man_t *base = good ();
+  json_t *patch = json_pack ("{s{s{sI}}}", section, member, key, (json_int_t)value);
+  man_t *man = man_patch (base, patch, NULL);
+  bool taken = man != NULL;
+
+  g_clear_pointer (&man, man_unref);
+  json_decref (patch);
+  man_unref (base);
+  return taken;
+}
+
+/* Checks a row such as "| `services.NAME.slots` | 1 to 4096 | 8 | ..." against what is taken. */
+static bool
+check_row (const char *row)
+{
+  static const char *const MEMBERS[][2] = { { "client_accounts", "east" },
+                                            { "classes", "long" },
+                                            { "services", "pool" } };
+  char section[32];
+  char key[32];
+  int64_t min;
+  int64_t max;
+
+  if (sscanf (row, "| `%31[a-z_].NAME.%31[a-z_]` | %" SCNd64 " to %" SCNd64 " |", section, key,
+              &min, &max) != 4)
+    return false;
+  for (size_t at = 0; at < G_N_ELEMENTS (MEMBERS); at++)
+    {
+      if (strcmp (section, MEMBERS[at][0]) != 0)
+        continue;
+      CU_ASSERT_TRUE (takes (section, MEMBERS[at][1], key, min));
+      CU_ASSERT_TRUE (takes (section, MEMBERS[at][1], key, max));
+      CU_ASSERT_FALSE (takes (section, MEMBERS[at][1], key, min - 1));
+      CU_ASSERT_FALSE (takes (section, MEMBERS[at][1], key, max + 1));
+    }
+  return true;
+}
+
+static void
+test_documented_ranges (void)
+{
+  const char *top = g_getenv ("MEDLARPLANK_SOURCE");
+  g_autofree char *path = g_build_filename (top != NULL ? top : ".", "docs", "manifest.md", NULL);
+  g_autofree char *text = NULL;
+  g_auto (GStrv) rows = NULL;
+  uint32_t checked = 0;
+
+  CU_ASSERT_TRUE_FATAL (g_file_get_contents (path, &text, NULL, NULL));
+  rows = g_strsplit (text, "\n", -1);
+  for (char **row = rows; *row != NULL; row++)
+    checked += check_row (*row);
+  CU_ASSERT_EQUAL (checked, 10);
+}
+
 static void
 test_references (void)
 {
@@ -302,6 +368,7 @@
   CU_ADD_TEST (suite, test_too_large);
   CU_ADD_TEST (suite, test_digest_is_of_the_meaning);
   CU_ADD_TEST (suite, test_patch);
+  CU_ADD_TEST (suite, test_documented_ranges);
   CU_ADD_TEST (suite, test_references);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
