Serve and ask HTTP over evhttp

Callers and engines speak HTTP; evhttp parses it but takes an answer without a length for whole, reads the body of a HEAD as the next request, exits on bytes that come while a request waits if reading is switched on, and times a silent caller out in the middle of a stream.

The client checks how the length is declared before anything is passed on, and asks the socket before it takes a connection from the pool.

--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -29,8 +29,10 @@
 /**
  * struct hcl_end - how a call ended
  * @whole: the answer came whole, with its length declared, and @check_name had @check_value
- * @verdict: when not whole: VRD_NOT_RUN only if nothing left for the peer
- * @reason: VRD_REASON_CONNECT, _CUT, _CROSSED or _TIMEOUT
+ * @status: 0 when no status came
+ * @verdict: when not whole: VRD_NOT_RUN only if nothing left for the peer, else VRD_MAY_HAVE_RUN
+ * @reason: VRD_REASON_CONNECT when nothing left, else _CUT, _CROSSED or _TIMEOUT; a timeout is
+ *   _TIMEOUT in any case
  */
 typedef struct
 {
@@ -42,14 +44,21 @@
 
 /**
  * struct hcl_options - one request
- * @header_count: of @headers; checked for CR, LF and NUL: a bad one fails the call as not run
- * @body: borrowed; copied by reference
- * @timeout_us: for the whole call; 0 is none
+ * @method: GET, POST, HEAD, PUT, DELETE, OPTIONS or PATCH; another fails the call as not run
+ * @target: starts with a slash; one with a character that is not visible ASCII fails the call as
+ *   not run
+ * @header_count: of @headers; one with a control character fails the call as not run.
+ *   Content-Length, Transfer-Encoding, Connection and Expect are the client's own and left out. A
+ *   Host is added when there is none
+ * @body: borrowed until @on_end is called or hcl_cancel() returns
+ * @timeout_us: for the whole call; 0 is none. Connecting has a limit besides, %LIM_HTTP_CONNECT_MS
+ * @answer_limit_bytes: a longer body counts as cut; 0 is none
  * @check_name: response header that must be there with @check_value, else VRD_REASON_CROSSED and
  *   nothing of the answer is passed on; NULL for none
- * @on_head: status and headers came; false ends the call
- * @on_data: a part of the body; drain it
- * @on_end: last, exactly once, never from within hcl_start()
+ * @on_head: status and headers of an answer that declares its length; false ends the call as cut
+ * @on_data: a part of the body; what is not drained is dropped
+ * @on_end: last, exactly once, never from within another function or callback of the client; the
+ *   call no longer exists then. All callbacks but this one may be NULL.
  */
 typedef struct
 {
@@ -72,12 +81,13 @@
 
 /** hcl_new() - at most @idle_limit idle connections are kept for each address */
 hcl_t *hcl_new (struct event_base *base, uint32_t idle_limit, uint32_t idle_timeout_ms);
+/** hcl_free() - cancels all calls. Not from within @on_head or @on_data */
 void hcl_free (hcl_t *hcl);
 hcl_call_t *hcl_start (hcl_t *hcl, const hcl_options_t *options);
-/** hcl_cancel() - closes the connection; @on_end is not called */
+/** hcl_cancel() - closes the connection; @on_end is not called. The call no longer exists then */
 void hcl_cancel (hcl_call_t *call);
 /** hcl_pause() - stop or go on reading the answer while the reader of what it is passed on to is
- * slow */
+ * slow. What has been read already still comes, at most a chunk or a read of the socket */
 void hcl_pause (hcl_call_t *call, bool paused);
 /** hcl_sent() - whether any byte may have left for the peer */
 bool hcl_sent (const hcl_call_t *call);
--- /dev/null
+++ b/src/connection/http_client_pool.c
@@ -0,0 +1,186 @@
+#include "connection/http_client_internal.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+/* the library's own timeouts would cut a slow answer; those of the call and the pool decide */
+static const struct timeval never = { 365 * 24 * 3600, 0 };
+
+static char *
+key_of (const set_address_t *address)
+{
+  return g_strdup_printf ("%s %u", address->ip, address->port);
+}
+
+static void
+leave_pool (hcl_conn_t *conn)
+{
+  GQueue *queue = g_hash_table_lookup (conn->hcl->idle, conn->key);
+
+  if (!queue)
+    return;
+  g_queue_remove (queue, conn);
+  if (g_queue_is_empty (queue))
+    g_hash_table_remove (conn->hcl->idle, conn->key);
+}
+
+void
+hcl_conn_free (hcl_conn_t *conn)
+{
+  leave_pool (conn);
+  conn->closed = true;
+  g_hash_table_remove (conn->hcl->conns, conn);
+  evhttp_connection_set_closecb (conn->evcon, NULL, NULL);
+  evhttp_connection_free (conn->evcon);
+  event_free (conn->event);
+  g_free (conn->key);
+  g_free (conn);
+}
+
+/* not connected in time, idle for too long, or closed */
+static void
+on_event (evutil_socket_t fd, short what, void *context)
+{
+  hcl_conn_t *conn = context;
+
+  (void)fd;
+  (void)what;
+  if (conn->call)
+    hcl_call_unconnected (conn->call);
+  hcl_conn_free (conn);
+}
+
+void
+hcl_conn_close (hcl_conn_t *conn)
+{
+  leave_pool (conn);
+  conn->closed = true;
+  /* no byte of a body that the caller may free may leave from here on */
+  bufferevent_disable (conn->bev, EV_READ | EV_WRITE);
+  event_active (conn->event, EV_TIMEOUT, 0);
+}
+
+/* the library has closed the socket: on an error, at the peer's wish, or idle */
+static void
+on_close (struct evhttp_connection *evcon, void *context)
+{
+  hcl_conn_t *conn = context;
+
+  (void)evcon;
+  conn->closed = true;
+  if (!conn->call)
+    hcl_conn_close (conn);
+}
+
+/*
+ * Bytes put into the output mean that the connection stands. Bytes taken from it have left, unless
+ * the library empties it after it has given the socket up.
+ */
+static void
+on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *context)
+{
+  hcl_conn_t *conn = context;
+  evutil_socket_t fd = bufferevent_getfd (conn->bev);
+  int on = 1;
+
+  (void)buffer;
+  if (info->n_added > 0 && conn->fresh)
+    {
+      conn->fresh = false;
+      setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+      event_del (conn->event);
+    }
+  if (info->n_deleted > 0 && conn->call && fd >= 0 && !conn->closed)
+    conn->call->sent = true;
+}
+
+static hcl_conn_t *
+conn_new (hcl_t *hcl, const set_address_t *address)
+{
+  hcl_conn_t *conn = g_new0 (hcl_conn_t, 1);
+  struct timeval connect_limit = { LIM_HTTP_CONNECT_MS / 1000, LIM_HTTP_CONNECT_MS % 1000 * 1000 };
+
+  conn->hcl = hcl;
+  conn->key = key_of (address);
+  conn->fresh = true;
+  conn->evcon = evhttp_connection_base_new (hcl->base, NULL, address->ip, address->port);
+  g_assert (conn->evcon);
+  conn->bev = evhttp_connection_get_bufferevent (conn->evcon);
+  conn->event = evtimer_new (hcl->base, on_event, conn);
+  event_add (conn->event, &connect_limit);
+  evhttp_connection_set_retries (conn->evcon, 0);
+  evhttp_connection_set_timeout_tv (conn->evcon, &never);
+  evhttp_connection_set_max_headers_size (conn->evcon, LIM_HTTP_ANSWER_HEADER_BYTES);
+  evhttp_connection_set_closecb (conn->evcon, on_close, conn);
+  evbuffer_add_cb (bufferevent_get_output (conn->bev), on_output, conn);
+  g_hash_table_add (hcl->conns, conn);
+  return conn;
+}
+
+static bool
+has_strays (const hcl_conn_t *conn)
+{
+  return evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0;
+}
+
+/*
+ * Whether nothing has come on an idle connection: neither its close, nor bytes that the next answer
+ * would begin with. The loop may not have seen them yet, so the socket itself is asked.
+ */
+static bool
+is_silent (const hcl_conn_t *conn)
+{
+  evutil_socket_t fd = bufferevent_getfd (conn->bev);
+  char byte;
+
+  if (conn->closed || fd < 0 || has_strays (conn))
+    return false;
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+hcl_conn_t *
+hcl_conn_take (hcl_t *hcl, const set_address_t *address)
+{
+  char *key = key_of (address);
+  GQueue *queue;
+  hcl_conn_t *taken = NULL;
+
+  while (!taken && (queue = g_hash_table_lookup (hcl->idle, key)))
+    {
+      hcl_conn_t *conn = g_queue_peek_head (queue);
+
+      leave_pool (conn);
+      event_del (conn->event);
+      if (is_silent (conn))
+        taken = conn;
+      else
+        hcl_conn_close (conn);
+    }
+  g_free (key);
+  return taken ? taken : conn_new (hcl, address);
+}
+
+void
+hcl_conn_give (hcl_conn_t *conn)
+{
+  hcl_t *hcl = conn->hcl;
+  GQueue *queue;
+
+  if (conn->closed || hcl->idle_limit == 0 || has_strays (conn))
+    {
+      hcl_conn_close (conn);
+      return;
+    }
+  queue = g_hash_table_lookup (hcl->idle, conn->key);
+  if (!queue)
+    {
+      queue = g_queue_new ();
+      g_hash_table_insert (hcl->idle, g_strdup (conn->key), queue);
+    }
+  g_queue_push_head (queue, conn);
+  event_add (conn->event, &hcl->idle_timeout);
+  if (g_queue_get_length (queue) > hcl->idle_limit)
+    hcl_conn_close (g_queue_peek_tail (queue));
+}
--- /dev/null
+++ b/src/connection/http_server_call.c
@@ -0,0 +1,257 @@
+#include "connection/http_framing.h"
+#include "connection/http_server_internal.h"
+
+#include <event2/http_struct.h>
+#include <string.h>
+
+hsv_call_t *
+hsv_call_new (hsv_conn_t *conn, struct evhttp_request *request)
+{
+  hsv_call_t *call = g_new0 (hsv_call_t, 1);
+
+  call->conn = conn;
+  call->request = request;
+  return call;
+}
+
+void
+hsv_call_free (hsv_call_t *call)
+{
+  if (call->query_parsed)
+    evhttp_clear_headers (&call->query);
+  g_free (call->path);
+  g_free (call);
+}
+
+/* from here on the caller's going is no longer told; the connection counts until all has left */
+static void
+end_call (hsv_call_t *call)
+{
+  call->conn->call = NULL;
+  hsv_call_free (call);
+}
+
+static struct evkeyvalq *
+output_headers (const hsv_call_t *call)
+{
+  return evhttp_request_get_output_headers (call->request);
+}
+
+static bool
+has_body (const hsv_call_t *call, int status)
+{
+  if (evhttp_request_get_command (call->request) == EVHTTP_REQ_HEAD)
+    return false;
+  return status >= 200 && status != 204 && status != 304;
+}
+
+static bool
+is_http_1_0 (const hsv_call_t *call)
+{
+  return call->request->major < 1 || (call->request->major == 1 && call->request->minor < 1);
+}
+
+static void
+say_close (const hsv_call_t *call)
+{
+  evhttp_remove_header (output_headers (call), "Connection");
+  evhttp_add_header (output_headers (call), "Connection", "close");
+}
+
+const char *
+hsv_method (const hsv_call_t *call)
+{
+  switch (evhttp_request_get_command (call->request))
+    {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_OPTIONS:
+      return "OPTIONS";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    default:
+      g_assert_not_reached (); /* not among the allowed methods */
+    }
+}
+
+const char *
+hsv_target (const hsv_call_t *call)
+{
+  return evhttp_request_get_uri (call->request);
+}
+
+const char *
+hsv_path (const hsv_call_t *call)
+{
+  hsv_call_t *cache = (hsv_call_t *)call;
+  const char *target = hsv_target (call);
+
+  if (!cache->path)
+    cache->path = g_strndup (target, strcspn (target, "?#"));
+  return cache->path;
+}
+
+const char *
+hsv_query (hsv_call_t *call, const char *name)
+{
+  const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri (call->request);
+  const char *text = evhttp_uri_get_query (uri);
+
+  if (!text)
+    return NULL;
+  if (!call->query_parsed)
+    {
+      call->query_parsed = true;
+      evhttp_parse_query_str (text, &call->query);
+    }
+  return evhttp_find_header (&call->query, name);
+}
+
+const char *
+hsv_header (const hsv_call_t *call, const char *name)
+{
+  return evhttp_find_header (hsv_headers (call), name);
+}
+
+struct evkeyvalq *
+hsv_headers (const hsv_call_t *call)
+{
+  return evhttp_request_get_input_headers (call->request);
+}
+
+const char *
+hsv_body (hsv_call_t *call, size_t *body_bytes)
+{
+  struct evbuffer *body = evhttp_request_get_input_buffer (call->request);
+
+  *body_bytes = evbuffer_get_length (body);
+  if (*body_bytes == 0)
+    return "";
+  return (const char *)evbuffer_pullup (body, -1);
+}
+
+void
+hsv_on_gone (hsv_call_t *call, void (*gone) (void *context), void *context)
+{
+  call->gone = gone;
+  call->gone_context = context;
+}
+
+void
+hsv_on_room (hsv_call_t *call, void (*room) (void *context), void *context)
+{
+  call->room = room;
+  call->room_context = context;
+}
+
+void
+hsv_add_header (hsv_call_t *call, const char *name, const char *value)
+{
+  if (!frm_name_ok (name) || !frm_value_ok (value))
+    {
+      cnt_add (call->conn->hsv->bad_headers, 1);
+      return;
+    }
+  if (g_ascii_strcasecmp (name, "Transfer-Encoding") == 0)
+    return;
+  if (g_ascii_strcasecmp (name, "Connection") != 0)
+    evhttp_add_header (output_headers (call), name, value);
+  else if (g_ascii_strcasecmp (value, "close") == 0)
+    say_close (call);
+}
+
+/* HTTP/1.0 without a length, or a body where none belongs, would run into the next answer */
+static void
+declare_length (hsv_call_t *call, int status, size_t body_bytes)
+{
+  bool is_head = evhttp_request_get_command (call->request) == EVHTTP_REQ_HEAD;
+  bool is_declared = evhttp_find_header (output_headers (call), "Content-Length") != NULL;
+  char digits[32];
+
+  if (is_head && is_declared)
+    return;
+  while (evhttp_remove_header (output_headers (call), "Content-Length") == 0)
+    ;
+  if (!has_body (call, status) && !is_head)
+    return;
+  g_snprintf (digits, sizeof digits, "%zu", body_bytes);
+  evhttp_add_header (output_headers (call), "Content-Length", digits);
+}
+
+void
+hsv_reply (hsv_call_t *call, int status, const void *body, size_t body_bytes)
+{
+  struct evhttp_request *request = call->request;
+  struct evbuffer *buffer = evbuffer_new ();
+
+  g_assert (!call->begun);
+  declare_length (call, status, body_bytes);
+  if (has_body (call, status))
+    evbuffer_add (buffer, body, body_bytes);
+  if (call->conn->hsv->stopping)
+    say_close (call);
+  end_call (call);
+  evhttp_send_reply (request, status, NULL, buffer);
+  evbuffer_free (buffer);
+}
+
+void
+hsv_reply_text (hsv_call_t *call, int status, const char *content_type, const char *text)
+{
+  hsv_add_header (call, "Content-Type", content_type);
+  hsv_reply (call, status, text, strlen (text));
+}
+
+void
+hsv_begin (hsv_call_t *call, int status)
+{
+  g_assert (!call->begun);
+  call->begun = true;
+  if (has_body (call, status))
+    while (evhttp_remove_header (output_headers (call), "Content-Length") == 0)
+      ;
+  if (call->conn->hsv->stopping || is_http_1_0 (call))
+    say_close (call);
+  evhttp_send_reply_start (call->request, status, NULL);
+}
+
+bool
+hsv_part (hsv_call_t *call, struct evbuffer *data)
+{
+  struct evbuffer *output = bufferevent_get_output (call->conn->bev);
+
+  g_assert (call->begun);
+  evhttp_send_reply_chunk (call->request, data);
+  evbuffer_drain (data, evbuffer_get_length (data)); /* left there when no body belongs */
+  call->full |= evbuffer_get_length (output) > HSV_QUEUED_LIMIT_BYTES;
+  return !call->full;
+}
+
+void
+hsv_end (hsv_call_t *call)
+{
+  struct evhttp_request *request = call->request;
+
+  g_assert (call->begun);
+  end_call (call);
+  evhttp_send_reply_end (request);
+}
+
+void
+hsv_abort (hsv_call_t *call)
+{
+  hsv_conn_t *conn = call->conn;
+
+  conn->doomed = true;
+  conn->reset = is_http_1_0 (call);
+  end_call (call);
+  hsv_conn_soon (conn);
+}
--- /dev/null
+++ b/src/connection/http_server_drain.c
@@ -0,0 +1,74 @@
+/*
+ * A socket that is closed while bytes of its caller are unread is reset, and the reset overtakes
+ * the answer that says why the request was refused. So the caller's bytes are read out first,
+ * bounded in bytes and time.
+ */
+#include "connection/http_server_internal.h"
+
+#include <errno.h>
+#include <sys/socket.h>
+
+struct hsv_drain
+{
+  hsv_t *hsv;
+  evutil_socket_t fd;
+  struct event *readable;
+  struct event *expired;
+  uint64_t read_bytes;
+};
+
+void
+hsv_drain_free (hsv_drain_t *drain)
+{
+  g_hash_table_remove (drain->hsv->drains, drain);
+  event_free (drain->readable);
+  event_free (drain->expired);
+  evutil_closesocket (drain->fd);
+  g_free (drain);
+}
+
+static void
+on_readable (evutil_socket_t fd, short what, void *context)
+{
+  hsv_drain_t *drain = context;
+  char bytes[16 * 1024];
+  ssize_t count = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT);
+
+  (void)what;
+  if (count < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (count > 0)
+    drain->read_bytes += (uint64_t)count;
+  if (count <= 0 || drain->read_bytes > LIM_HTTP_DRAIN_BYTES)
+    hsv_drain_free (drain);
+}
+
+static void
+on_expired (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  hsv_drain_free (context);
+}
+
+void
+hsv_drain_start (hsv_t *hsv, evutil_socket_t fd)
+{
+  struct event_base *base = hsv->options.base;
+  struct timeval limit = { LIM_HTTP_DRAIN_MS / 1000, 0 };
+  hsv_drain_t *drain;
+
+  if (g_hash_table_size (hsv->drains) >= LIM_HTTP_DRAINS)
+    {
+      evutil_closesocket (fd);
+      return;
+    }
+  drain = g_new0 (hsv_drain_t, 1);
+  drain->hsv = hsv;
+  drain->fd = fd;
+  drain->readable = event_new (base, fd, EV_READ | EV_PERSIST, on_readable, drain);
+  drain->expired = evtimer_new (base, on_expired, drain);
+  event_add (drain->readable, NULL);
+  event_add (drain->expired, &limit);
+  g_hash_table_add (hsv->drains, drain);
+}
--- a/src/process/limits.h
+++ b/src/process/limits.h
@@ -31,5 +31,13 @@
 #define LIM_LOG_LINE_BYTES 2048 /* below PIPE_BUF, so that one write is never split */
 #define LIM_LOG_VALUE_BYTES 512 /* one escaped value of a log line */
 #define LIM_COUNTERS 8192       /* counters of a process, each with its labels */
+#define LIM_LISTEN_BACKLOG 1024
+#define LIM_HTTP_OVER_LIMIT 32 /* connections over the limit that still get their 503 */
+#define LIM_HTTP_DRAINS 64     /* refused callers whose bytes are read out before the close */
+#define LIM_HTTP_DRAIN_BYTES (4 * 1024 * 1024)
+#define LIM_HTTP_DRAIN_MS 2000
+#define LIM_HTTP_STOP_LINGER_MS 200 /* a request may still come on an idle connection */
+#define LIM_HTTP_ANSWER_HEADER_BYTES (64 * 1024)
+#define LIM_HTTP_CONNECT_MS 1000
 
 #endif
--- /dev/null
+++ b/tests/raw_peer.c
@@ -0,0 +1,218 @@
+#include "raw_peer.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define DEADLINE_S 5
+
+set_address_t
+raw_address (void)
+{
+  set_address_t address = { "", 0 };
+  unsigned pid = (unsigned)getpid ();
+
+  g_snprintf (address.ip, sizeof address.ip, "127.%u.%u.1", (pid >> 8 & 0x7f) + 1, pid & 0xff);
+  return address;
+}
+
+static struct sockaddr_in
+sockaddr_of (const set_address_t *address)
+{
+  struct sockaddr_in name = { .sin_family = AF_INET, .sin_port = htons (address->port) };
+
+  inet_pton (AF_INET, address->ip, &name.sin_addr);
+  return name;
+}
+
+static void
+on_readable (evutil_socket_t fd, short what, void *context)
+{
+  raw_t *raw = context;
+  char bytes[64 * 1024];
+  ssize_t count = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT);
+
+  (void)what;
+  if (count > 0)
+    g_string_append_len (raw->got, bytes, count);
+  else if (count < 0 && errno == EAGAIN)
+    return;
+  else
+    {
+      raw->reset = count < 0;
+      raw->eof = true;
+      event_del (raw->readable);
+    }
+}
+
+static raw_t *
+raw_new (struct event_base *base, int fd, event_callback_fn readable, void *context)
+{
+  raw_t *raw = g_new0 (raw_t, 1);
+
+  raw->base = base;
+  raw->fd = fd;
+  raw->got = g_string_new (NULL);
+  raw->readable = event_new (base, fd, EV_READ | EV_PERSIST, readable, context ? context : raw);
+  event_add (raw->readable, NULL);
+  return raw;
+}
+
+raw_t *
+raw_connect (struct event_base *base, const set_address_t *address)
+{
+  struct sockaddr_in name = sockaddr_of (address);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  g_assert (connect (fd, (struct sockaddr *)&name, sizeof name) == 0);
+  return raw_new (base, fd, on_readable, NULL);
+}
+
+void
+raw_send (raw_t *raw, const char *text)
+{
+  g_assert (send (raw->fd, text, strlen (text), MSG_NOSIGNAL) == (ssize_t)strlen (text));
+}
+
+void
+raw_close (raw_t *raw, bool reset)
+{
+  struct linger linger = { 1, 0 };
+
+  if (raw->fd < 0)
+    return;
+  event_del (raw->readable);
+  if (reset)
+    setsockopt (raw->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (raw->fd);
+  raw->fd = -1;
+}
+
+void
+raw_free (raw_t *raw)
+{
+  raw_close (raw, false);
+  event_free (raw->readable);
+  g_string_free (raw->got, TRUE);
+  g_free (raw);
+}
+
+static void
+answer (raw_server_t *server, raw_t *raw)
+{
+  uint32_t last = server->script_count - 1;
+  const char *script = server->scripts[MIN (server->answered, last)];
+
+  server->answered++;
+  if (script)
+    raw_send (raw, script);
+  if (server->close_after || server->reset_after)
+    raw_close (raw, server->reset_after);
+}
+
+static void
+on_server_readable (evutil_socket_t fd, short what, void *context)
+{
+  raw_server_t *server = context;
+
+  for (guint i = 0; i < server->conns->len; i++)
+    {
+      raw_t *raw = server->conns->pdata[i];
+      const char *end;
+
+      if (raw->fd != fd)
+        continue;
+      on_readable (fd, what, raw);
+      end = strstr (raw->got->str, "\r\n\r\n");
+      if (!end)
+        return;
+      if (!server->keep_head)
+        g_string_erase (raw->got, 0, end + 4 - raw->got->str);
+      answer (server, raw);
+      return;
+    }
+}
+
+static void
+on_acceptable (evutil_socket_t fd, short what, void *context)
+{
+  raw_server_t *server = context;
+  int conn_fd = accept (fd, NULL, NULL);
+  raw_t *raw;
+
+  (void)what;
+  if (conn_fd < 0)
+    return;
+  server->accepted++;
+  raw = raw_new (server->base, conn_fd, on_server_readable, server);
+  if (server->deaf)
+    event_del (raw->readable);
+  g_ptr_array_add (server->conns, raw);
+}
+
+raw_server_t *
+raw_server_new (struct event_base *base, const char *const *scripts, uint32_t count)
+{
+  raw_server_t *server = g_new0 (raw_server_t, 1);
+  struct sockaddr_in name;
+  socklen_t bytes = sizeof name;
+
+  server->base = base;
+  server->scripts = scripts;
+  server->script_count = count;
+  server->address = raw_address ();
+  server->conns = g_ptr_array_new_with_free_func ((GDestroyNotify)raw_free);
+  server->fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  name = sockaddr_of (&server->address);
+  g_assert (bind (server->fd, (struct sockaddr *)&name, sizeof name) == 0);
+  g_assert (listen (server->fd, 64) == 0);
+  g_assert (getsockname (server->fd, (struct sockaddr *)&name, &bytes) == 0);
+  server->address.port = ntohs (name.sin_port);
+  server->acceptable = event_new (base, server->fd, EV_READ | EV_PERSIST, on_acceptable, server);
+  event_add (server->acceptable, NULL);
+  return server;
+}
+
+void
+raw_server_free (raw_server_t *server)
+{
+  event_free (server->acceptable);
+  close (server->fd);
+  g_ptr_array_free (server->conns, TRUE);
+  g_free (server);
+}
+
+static void
+on_deadline (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  *(bool *)context = true;
+}
+
+static bool
+run (struct event_base *base, struct timeval limit, bool (*done) (void *context), void *context)
+{
+  bool expired = false;
+  struct event *deadline = evtimer_new (base, on_deadline, &expired);
+
+  event_add (deadline, &limit);
+  while (!expired && !(done && done (context)))
+    event_base_loop (base, EVLOOP_ONCE);
+  event_free (deadline);
+  return !expired;
+}
+
+bool
+raw_run_until (struct event_base *base, bool (*done) (void *context), void *context)
+{
+  return run (base, (struct timeval){ DEADLINE_S, 0 }, done, context);
+}
+
+void
+raw_run_ms (struct event_base *base, uint32_t ms)
+{
+  run (base, (struct timeval){ ms / 1000, ms % 1000 * 1000 }, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_http_client.c
@@ -0,0 +1,670 @@
+#include "connection/http_client.h"
+#include "raw_peer.h"
+
+#include <CUnit/Basic.h>
+#include <event2/http.h>
+#include <string.h>
+
+#define SECOND_US (1000 * 1000)
+
+/* what a call has brought */
+typedef struct
+{
+  hcl_call_t *call;
+  GString *body;
+  hcl_end_t end;
+  int head_status;
+  uint32_t ends;
+  bool refuse_head;
+  bool cancel_in_head;
+  bool cancel_in_data;
+  bool pause_in_data;
+} heard_t;
+
+typedef struct
+{
+  struct event_base *base;
+  hcl_t *hcl;
+  heard_t heard;
+} bench_t;
+
+static void
+bench_start (bench_t *bench)
+{
+  memset (bench, 0, sizeof *bench);
+  bench->base = event_base_new ();
+  bench->hcl = hcl_new (bench->base, 2, 10 * 1000);
+  bench->heard.body = g_string_new (NULL);
+}
+
+static void
+bench_stop (bench_t *bench)
+{
+  hcl_free (bench->hcl);
+  g_string_free (bench->heard.body, TRUE);
+  event_base_free (bench->base);
+}
+
+static bool
+on_head (int status, struct evkeyvalq *headers, void *context)
+{
+  heard_t *heard = context;
+
+  (void)headers;
+  heard->head_status = status;
+  if (heard->cancel_in_head)
+    hcl_cancel (heard->call);
+  return !heard->refuse_head;
+}
+
+static void
+on_data (struct evbuffer *data, void *context)
+{
+  heard_t *heard = context;
+  size_t bytes = evbuffer_get_length (data);
+
+  g_string_append_len (heard->body, (char *)evbuffer_pullup (data, -1), (gssize)bytes);
+  evbuffer_drain (data, bytes);
+  if (heard->cancel_in_data)
+    hcl_cancel (heard->call);
+  else if (heard->pause_in_data)
+    hcl_pause (heard->call, true);
+}
+
+static void
+on_end (const hcl_end_t *end, void *context)
+{
+  heard_t *heard = context;
+
+  heard->end = *end;
+  heard->ends++;
+}
+
+static bool
+has_ended (void *context)
+{
+  return ((heard_t *)context)->ends > 0;
+}
+
+static bool
+has_body (void *context)
+{
+  return ((heard_t *)context)->body->len > 0;
+}
+
+static hcl_options_t
+options_for (bench_t *bench, const set_address_t *address)
+{
+  return (hcl_options_t){ .address = address,
+                          .method = "GET",
+                          .target = "/x",
+                          .timeout_us = 3 * SECOND_US,
+                          .answer_limit_bytes = 1024 * 1024,
+                          .on_head = on_head,
+                          .on_data = on_data,
+                          .on_end = on_end,
+                          .context = &bench->heard };
+}
+
+static void
+forget (heard_t *heard)
+{
+  GString *body = g_string_truncate (heard->body, 0);
+
+  memset (heard, 0, sizeof *heard);
+  heard->body = body;
+}
+
+/* start, and run until the end */
+static void
+call (bench_t *bench, const hcl_options_t *options)
+{
+  forget (&bench->heard);
+  bench->heard.call = hcl_start (bench->hcl, options);
+  CU_ASSERT_EQUAL (bench->heard.ends, 0);
+  CU_ASSERT_TRUE (raw_run_until (bench->base, has_ended, &bench->heard));
+  CU_ASSERT_EQUAL (bench->heard.ends, 1);
+}
+
+static void
+check_failed (const heard_t *heard, vrd_t verdict, vrd_reason_t reason)
+{
+  CU_ASSERT_FALSE (heard->end.whole);
+  CU_ASSERT_EQUAL (heard->end.verdict, verdict);
+  CU_ASSERT_EQUAL (heard->end.reason, reason);
+}
+
+static void
+check_whole (const heard_t *heard, int status, const char *body)
+{
+  CU_ASSERT_TRUE (heard->end.whole);
+  CU_ASSERT_EQUAL (heard->end.status, status);
+  CU_ASSERT_STRING_EQUAL (heard->body->str, body);
+}
+
+static void
+test_whole_answers (void)
+{
+  static const char *const scripts[] = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nsec\r\n3\r\nond\r\n0\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\nContent-Length: 5\r\n\r\nthird",
+    "HTTP/1.1 204 No Content\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbusy",
+  };
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+
+  bench_start (&bench);
+  server = raw_server_new (bench.base, scripts, G_N_ELEMENTS (scripts));
+  options = options_for (&bench, &server->address);
+  call (&bench, &options);
+  check_whole (&bench.heard, 200, "first");
+  call (&bench, &options);
+  check_whole (&bench.heard, 200, "second");
+  call (&bench, &options);
+  check_whole (&bench.heard, 201, "third");
+  call (&bench, &options);
+  check_whole (&bench.heard, 204, "");
+  call (&bench, &options);
+  check_whole (&bench.heard, 200, "");
+  call (&bench, &options);
+  check_whole (&bench.heard, 503, "busy");
+  CU_ASSERT_EQUAL (server->accepted, 1);
+  raw_server_free (server);
+  bench_stop (&bench);
+}
+
+/*
+ * The peer sends a part of the answer and closes, or declares its length not at all, twice or
+ * contradictorily. The library takes some of these for whole answers. The caller must hear that
+ * the answer is cut, and that the request may have run; the connection is not used again.
+ */
+static void
+test_cut_answers (void)
+{
+  static const char *const scripts[] = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\npart",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\npart\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\n\r\nundeclared",
+    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nundeclared",
+    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\ntwin",
+    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+    "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nplus",
+    "HTTP/1.1 200 OK\r\nContent-",
+    "HTTP/1.1 103 Early Hints\r\n\r\n",
+    "nonsense\r\n\r\n",
+    "",
+  };
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+
+  bench_start (&bench);
+  server = raw_server_new (bench.base, scripts, G_N_ELEMENTS (scripts));
+  server->close_after = true;
+  options = options_for (&bench, &server->address);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (scripts); i++)
+    {
+      call (&bench, &options);
+      check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
+      CU_ASSERT_EQUAL (server->accepted, i + 1);
+    }
+  raw_server_free (server);
+  bench_stop (&bench);
+}
+
+/*
+ * Another caller's late answer is the first thing that comes on the connection. Its attempt id is
+ * not ours: not a byte of it may be passed on, nor may the connection be used again.
+ */
+static void
+test_crossed_answer (void)
+{
+  static const char *const scripts[] = {
+    "HTTP/1.1 200 OK\r\nX-Attempt: b\r\nContent-Length: 5\r\n\r\nother",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother",
+    "HTTP/1.1 200 OK\r\nX-Attempt: a\r\nContent-Length: 4\r\n\r\nours",
+  };
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+
+  bench_start (&bench);
+  server = raw_server_new (bench.base, scripts, G_N_ELEMENTS (scripts));
+  options = options_for (&bench, &server->address);
+  options.check_name = "X-Attempt";
+  options.check_value = "a";
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      call (&bench, &options);
+      check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_CROSSED);
+      CU_ASSERT_EQUAL (bench.heard.head_status, 0);
+      CU_ASSERT_EQUAL (bench.heard.body->len, 0);
+    }
+  call (&bench, &options);
+  check_whole (&bench.heard, 200, "ours");
+  CU_ASSERT_EQUAL (server->accepted, 3);
+  raw_server_free (server);
+  bench_stop (&bench);
+}
+
+/*
+ * The peer sends more bytes than its answer declares, or sends bytes while the connection is idle.
+ * Kept, they would be read as the answer to the next request, of another client account.
+ */
+static void
+test_stray_bytes (void)
+{
+  static const char *const scripts[] = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: "
+    "5\r\n\r\nstray",
+    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nours",
+  };
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+
+  bench_start (&bench);
+  server = raw_server_new (bench.base, scripts, G_N_ELEMENTS (scripts));
+  options = options_for (&bench, &server->address);
+  call (&bench, &options);
+  check_whole (&bench.heard, 200, "ok");
+  call (&bench, &options);
+  check_whole (&bench.heard, 200, "ours");
+  CU_ASSERT_EQUAL (server->accepted, 2);
+  raw_send (server->conns->pdata[1], scripts[0]);
+  call (&bench, &options);
+  check_whole (&bench.heard, 200, "ours");
+  CU_ASSERT_EQUAL (server->accepted, 3);
+  raw_server_free (server);
+  bench_stop (&bench);
+}
+
+/*
+ * Nothing listens, or the peer never takes the connection. No byte has left, so the request is
+ * certain not to have run and may be tried elsewhere.
+ */
+static void
+test_no_connection (void)
+{
+  bench_t bench;
+  set_address_t nobody = raw_address ();
+  hcl_options_t options;
+
+  bench_start (&bench);
+  nobody.port = 1;
+  options = options_for (&bench, &nobody);
+  call (&bench, &options);
+  check_failed (&bench.heard, VRD_NOT_RUN, VRD_REASON_CONNECT);
+  CU_ASSERT_EQUAL (bench.heard.end.status, 0);
+  bench_stop (&bench);
+}
+
+/*
+ * The peer closes, or resets, a kept-alive connection while it is idle; the loop has not seen it
+ * when the next request starts. That request must go over a new connection, unharmed.
+ */
+static void
+test_closed_while_idle (void)
+{
+  static const char *const scripts[] = { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" };
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+
+  bench_start (&bench);
+  server = raw_server_new (bench.base, scripts, G_N_ELEMENTS (scripts));
+  options = options_for (&bench, &server->address);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      call (&bench, &options);
+      check_whole (&bench.heard, 200, "ok");
+      CU_ASSERT_EQUAL (server->accepted, i + 1);
+      raw_close (server->conns->pdata[i], i % 2 == 1);
+    }
+  raw_server_free (server);
+  bench_stop (&bench);
+}
+
+/*
+ * A kept-alive connection ends after the next request was written, without an answer. Whether the
+ * peer ran it, nobody can tell.
+ */
+static void
+test_closed_after_write (void)
+{
+  static const char *const scripts[] = { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", NULL };
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+
+  for (int reset = 0; reset < 2; reset++)
+    {
+      bench_start (&bench);
+      server = raw_server_new (bench.base, scripts, G_N_ELEMENTS (scripts));
+      options = options_for (&bench, &server->address);
+      call (&bench, &options);
+      check_whole (&bench.heard, 200, "ok");
+      server->close_after = true;
+      server->reset_after = reset;
+      call (&bench, &options);
+      check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
+      CU_ASSERT_EQUAL (server->accepted, 1);
+      raw_server_free (server);
+      bench_stop (&bench);
+    }
+}
+
+/*
+ * The peer never answers, or answers half and stalls. The call ends at its timeout, and the late
+ * rest must not meet the next request: the connection is closed.
+ */
+static void
+test_timeout (void)
+{
+  static const char *const scripts[] = { NULL, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" };
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+
+  bench_start (&bench);
+  server = raw_server_new (bench.base, scripts, G_N_ELEMENTS (scripts));
+  options = options_for (&bench, &server->address);
+  options.timeout_us = 50 * 1000;
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      call (&bench, &options);
+      check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_TIMEOUT);
+    }
+  options.timeout_us = 3 * SECOND_US;
+  call (&bench, &options);
+  check_whole (&bench.heard, 200, "ok");
+  CU_ASSERT_EQUAL (server->accepted, 3);
+  raw_server_free (server);
+  bench_stop (&bench);
+}
+
+static void
+test_bad_options (void)
+{
+  static const hcl_header_t bad[] = { { "X-A", "b\r\nX-Evil: 1" }, { "X A", "b" }, { "X\n", "b" } };
+  static const char *const scripts[] = { NULL };
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+
+  bench_start (&bench);
+  server = raw_server_new (bench.base, scripts, 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (bad) + 3; i++)
+    {
+      options = options_for (&bench, &server->address);
+      if (i < G_N_ELEMENTS (bad))
+        {
+          options.headers = &bad[i];
+          options.header_count = 1;
+        }
+      else if (i == G_N_ELEMENTS (bad))
+        options.target = "/x HTTP/1.1\r\nX-Evil: 1";
+      else if (i == G_N_ELEMENTS (bad) + 1)
+        options.target = "x";
+      else
+        options.method = "BREW";
+      call (&bench, &options);
+      check_failed (&bench.heard, VRD_NOT_RUN, VRD_REASON_CONNECT);
+    }
+  CU_ASSERT_EQUAL (server->accepted, 0);
+  raw_server_free (server);
+  bench_stop (&bench);
+}
+
+static bool
+has_request (void *context)
+{
+  raw_server_t *server = context;
+
+  return server->conns->len > 0 && strstr (((raw_t *)server->conns->pdata[0])->got->str, "body");
+}
+
+/* what the peer reads: one Host, one Content-Length, and none of the caller's framing */
+static void
+test_request_bytes (void)
+{
+  static const hcl_header_t headers[] = { { "X-One", "1" },
+                                          { "Content-Length", "99" },
+                                          { "Transfer-Encoding", "chunked" },
+                                          { "Expect", "100-continue" } };
+  static const char *const scripts[] = { NULL };
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+  char *expected;
+
+  bench_start (&bench);
+  server = raw_server_new (bench.base, scripts, 1);
+  server->keep_head = true;
+  options = options_for (&bench, &server->address);
+  options.method = "POST";
+  options.headers = headers;
+  options.header_count = G_N_ELEMENTS (headers);
+  options.body = "body";
+  options.body_bytes = 4;
+  bench.heard.call = hcl_start (bench.hcl, &options);
+  CU_ASSERT_FALSE (hcl_sent (bench.heard.call));
+  CU_ASSERT_TRUE (raw_run_until (bench.base, has_request, server));
+  CU_ASSERT_TRUE (hcl_sent (bench.heard.call));
+  expected = g_strdup_printf (
+      "POST /x HTTP/1.1\r\nX-One: 1\r\nHost: %s:%u\r\nContent-Length: 4\r\n\r\nbody",
+      server->address.ip, server->address.port);
+  CU_ASSERT_STRING_EQUAL (((raw_t *)server->conns->pdata[0])->got->str, expected);
+  g_free (expected);
+  raw_server_free (server);
+  bench_stop (&bench);
+}
+
+/*
+ * The caller gives the call up from within its callbacks, or refuses the head. The library goes on
+ * reading what it has; none of that may reach the caller any more, and nothing is freed twice.
+ */
+static void
+test_cancel_in_callbacks (void)
+{
+  static const char *const scripts[] = {
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n0\r\n\r\n",
+  };
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+
+  bench_start (&bench);
+  server = raw_server_new (bench.base, scripts, 1);
+  options = options_for (&bench, &server->address);
+  for (int i = 0; i < 2; i++)
+    {
+      forget (&bench.heard);
+      bench.heard.cancel_in_head = i == 0;
+      bench.heard.cancel_in_data = i == 1;
+      bench.heard.call = hcl_start (bench.hcl, &options);
+      raw_run_ms (bench.base, 50);
+      CU_ASSERT_EQUAL (bench.heard.head_status, 200);
+      CU_ASSERT_EQUAL (bench.heard.body->len, (gsize)i);
+      CU_ASSERT_EQUAL (bench.heard.ends, 0);
+    }
+  forget (&bench.heard);
+  bench.heard.refuse_head = true;
+  hcl_start (bench.hcl, &options);
+  CU_ASSERT_TRUE (raw_run_until (bench.base, has_ended, &bench.heard));
+  check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
+  CU_ASSERT_EQUAL (bench.heard.body->len, 0);
+  CU_ASSERT_EQUAL (server->accepted, 3);
+  raw_server_free (server);
+  bench_stop (&bench);
+}
+
+/* cancelled before the connection stands, and by hcl_free() with calls in every state */
+static void
+test_cancel_early (void)
+{
+  static const char *const scripts[] = { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf" };
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+  char *body = g_strdup ("body");
+
+  bench_start (&bench);
+  server = raw_server_new (bench.base, scripts, 1);
+  options = options_for (&bench, &server->address);
+  options.method = "POST";
+  options.body = body;
+  options.body_bytes = 4;
+  hcl_cancel (hcl_start (bench.hcl, &options));
+  memset (body, 'x', 4);
+  g_free (body);
+  options.body_bytes = 0;
+  hcl_start (bench.hcl, &options);
+  CU_ASSERT_TRUE (raw_run_until (bench.base, has_body, &bench.heard));
+  hcl_start (bench.hcl, &options);
+  options.target = "bad";
+  hcl_start (bench.hcl, &options);
+  raw_server_free (server);
+  bench_stop (&bench);
+  CU_ASSERT_EQUAL (bench.heard.ends, 0);
+}
+
+/*
+ * The reader behind the caller is slow, so reading is paused. The peer must feel it, instead of
+ * the answer piling up here; and once reading goes on, the answer comes whole.
+ */
+static void
+test_pause (void)
+{
+  GString *script = g_string_new ("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n");
+  const char *scripts[1];
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+  gsize while_paused;
+
+  for (int i = 0; i < 200000; i++)
+    g_string_append_c (script, 'a' + i % 26);
+  scripts[0] = script->str;
+  bench_start (&bench);
+  server = raw_server_new (bench.base, scripts, 1);
+  options = options_for (&bench, &server->address);
+  bench.heard.pause_in_data = true;
+  bench.heard.call = hcl_start (bench.hcl, &options);
+  CU_ASSERT_TRUE (raw_run_until (bench.base, has_body, &bench.heard));
+  while_paused = bench.heard.body->len;
+  raw_run_ms (bench.base, 30);
+  CU_ASSERT_EQUAL (bench.heard.body->len, while_paused);
+  CU_ASSERT_TRUE (while_paused < 200000);
+  bench.heard.pause_in_data = false;
+  hcl_pause (bench.heard.call, false);
+  CU_ASSERT_TRUE (raw_run_until (bench.base, has_ended, &bench.heard));
+  check_whole (&bench.heard, 200, strstr (script->str, "\r\n\r\n") + 4);
+  g_string_free (script, TRUE);
+  raw_server_free (server);
+  bench_stop (&bench);
+}
+
+/* an answer over the limit counts as cut, however its length is declared */
+static void
+test_answer_limit (void)
+{
+  static const char *const scripts[] = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n12345678901",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n123456\r\n5\r\n78901\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n1234567890",
+  };
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+
+  bench_start (&bench);
+  server = raw_server_new (bench.base, scripts, G_N_ELEMENTS (scripts));
+  options = options_for (&bench, &server->address);
+  options.answer_limit_bytes = 10;
+  call (&bench, &options);
+  check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
+  call (&bench, &options);
+  check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
+  call (&bench, &options);
+  check_whole (&bench.heard, 200, "1234567890");
+  raw_server_free (server);
+  bench_stop (&bench);
+}
+
+static bool
+three_ended (void *context)
+{
+  return ((heard_t *)context)->ends == 3;
+}
+
+static bool
+first_closed (void *context)
+{
+  raw_server_t *server = context;
+
+  return ((raw_t *)server->conns->pdata[0])->eof;
+}
+
+/* one request at a time on each connection; at most the limit is kept idle, and not for ever */
+static void
+test_pool (void)
+{
+  static const char *const scripts[] = { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" };
+  bench_t bench;
+  raw_server_t *server;
+  hcl_options_t options;
+  uint32_t closed = 0;
+
+  bench_start (&bench);
+  hcl_free (bench.hcl);
+  bench.hcl = hcl_new (bench.base, 2, 50);
+  server = raw_server_new (bench.base, scripts, 1);
+  options = options_for (&bench, &server->address);
+  for (int i = 0; i < 3; i++)
+    hcl_start (bench.hcl, &options);
+  CU_ASSERT_TRUE (raw_run_until (bench.base, three_ended, &bench.heard));
+  CU_ASSERT_EQUAL (server->accepted, 3);
+  raw_run_ms (bench.base, 5);
+  for (guint i = 0; i < 3; i++)
+    closed += ((raw_t *)server->conns->pdata[i])->eof;
+  CU_ASSERT_EQUAL (closed, 1);
+  CU_ASSERT_TRUE (raw_run_until (bench.base, first_closed, server));
+  raw_server_free (server);
+  bench_stop (&bench);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("http_client", NULL, NULL);
+  CU_add_test (suite, "whole answers", test_whole_answers);
+  CU_add_test (suite, "cut answers", test_cut_answers);
+  CU_add_test (suite, "crossed answer", test_crossed_answer);
+  CU_add_test (suite, "stray bytes", test_stray_bytes);
+  CU_add_test (suite, "no connection", test_no_connection);
+  CU_add_test (suite, "closed while idle", test_closed_while_idle);
+  CU_add_test (suite, "closed after write", test_closed_after_write);
+  CU_add_test (suite, "timeout", test_timeout);
+  CU_add_test (suite, "bad options", test_bad_options);
+  CU_add_test (suite, "request bytes", test_request_bytes);
+  CU_add_test (suite, "cancel in callbacks", test_cancel_in_callbacks);
+  CU_add_test (suite, "cancel early", test_cancel_early);
+  CU_add_test (suite, "pause", test_pause);
+  CU_add_test (suite, "answer limit", test_answer_limit);
+  CU_add_test (suite, "pool", test_pool);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  return CU_get_number_of_failures () != 0;
+}
