--- /dev/null
+++ b/examples/demo.sh
@@ -0,0 +1,165 @@
+#!/usr/bin/env bash
+# The whole path on one machine with stand-ins: a platform, five engines each with its sidecar, and
+# two routers. Publishes examples/tuul.json, sends returning chats, prints what came back and why.
+# Ends by itself, stops what it started, and exits non-zero when an answer was not as expected.
+# Usage: examples/demo.sh BUILD-DIR
+set -eu
+cd "$(dirname "$0")/.."
+out=${1:-build}
+dir=$(mktemp -d)
+pids=()
+export MEDLARPLANK_FLEET_KEY=demo-fleet-key-0123456789
+platform=127.0.77.1:7000
+routers=(127.0.77.11:7080 127.0.77.12:7080)
+models=(bayangol-m1 bayangol-m2 sukhbaatar-m1 khan-uul-m1)
+plains=(bayangol-p1)
+failed=0
+
+stop_all () {
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$dir"
+}
+trap stop_all EXIT
+
+start () { # NAME PROGRAM ARGS...: a process in the background, its log in $dir/NAME.log
+  local name=$1
+  shift
+  "$out/$@" >"$dir/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+wait_for () { # WHAT COMMAND...: until the command succeeds, for 10 seconds at most
+  local what=$1
+  shift
+  local end=$((SECONDS + 10))
+  until "$@" >/dev/null 2>&1; do
+    if [ "$SECONDS" -ge "$end" ]; then
+      echo "demo: $what did not come up" >&2
+      tail -n 5 "$dir"/*.log >&2
+      exit 1
+    fi
+    sleep 0.05
+  done
+}
+
+expect () { # WHAT CONDITION...: says when an answer is not as it should be
+  local what=$1
+  shift
+  if ! [ "$@" ]; then
+    echo "   UNEXPECTED: $what"
+    failed=$((failed + 1))
+  fi
+}
+
+data_center_of () {
+  echo "hall-${1%-*}"
+}
+
+hosts="["
+add_host () { # NAME ROLE IP
+  [ "$hosts" = "[" ] || hosts+=","
+  hosts+="{\"name\":\"$1\",\"role\":\"$2\",\"data_center\":\"$(data_center_of "$1")\",\"region\":\"ulaanbaatar\","
+  hosts+="\"http\":\"$3:7080\",\"exchange\":\"$3:7081\",\"state\":\"live\"}"
+}
+
+daemon () { # NAME ROLE IP ARGS...
+  local name=$1 role=$2 ip=$3
+  shift 3
+  start "$name" medlarplankd --role="$role" --name="$name" --data-center="$(data_center_of "$name")" \
+    --region=ulaanbaatar --listen="$ip:7080" --exchange="$ip:7081" --platform="$platform" "$@"
+  add_host "$name" "$role" "$ip"
+}
+
+echo "== start: platform, engines with sidecars, two routers (logs in $dir)"
+start platform standin-platform --listen "$platform" --list-lag-ms 200
+n=20
+for name in "${models[@]}" "${plains[@]}"; do
+  n=$((n + 1))
+  kind=model
+  [[ $name == *-p* ]] && kind=plain
+  start "engine-$name" standin-engine --listen "127.0.77.$n:7090" --name "$name" --kind "$kind" --token-us 2000
+  daemon "$name" sidecar "127.0.77.$n" --engine="127.0.77.$n:7090"
+done
+daemon bayangol-r1 router 127.0.77.11
+daemon khan-uul-r1 router 127.0.77.12
+wait_for "the platform" curl -fsS "http://$platform/hosts?since=0"
+curl -fsS -X POST -d "$hosts]" "http://$platform/admin/hosts" >/dev/null
+
+echo "== publish examples/tuul.json"
+"$out/medlarplankctl" --platform "$platform" manifest check examples/tuul.json
+"$out/medlarplankctl" --platform "$platform" manifest publish examples/tuul.json --by demo --allow-missing-engines
+for router in "${routers[@]}"; do wait_for "router $router" curl -fsS "http://$router/readyz"; done
+for n in 21 22 23 24 25; do wait_for "sidecar 127.0.77.$n" curl -fsS "http://127.0.77.$n:7080/readyz"; done
+
+field () { # NAME: the value of an answer's header
+  tr -d '\r' <"$dir/head" | awk -F': ' -v name="$1" 'tolower($1)==tolower(name){print $2}'
+}
+
+ask () { # ROUTER CHAT BODY: sends one turn; leaves status, head and body
+  status=$(curl -sS -o "$dir/body" -D "$dir/head" -w '%{http_code}' -H "Authorization: Bearer demo-caseworkers" \
+    -H "X-Chat-Id: $2" -H "Content-Type: application/json" -d "$3" "http://$1/v1/chat/completions")
+}
+
+text_of () {
+  sed -n 's/.*"content": *"\([^"]*\)".*/\1/p' "$dir/body" | head -n 1
+}
+
+echo "== three chats return three times, through either router in turn"
+turn_number=0
+for chat in appeal-1041 appeal-2207 appeal-3318; do
+  history="{\"role\":\"system\",\"content\":\"You summarise council tax discount appeals. $(printf 'clause %s applies; ' $(seq 1 120))\"}"
+  engine_before=""
+  for turn in 1 2 3; do
+    history+=",{\"role\":\"user\",\"content\":\"Turn $turn of $chat: what does the household still owe?\"}"
+    router=${routers[$((turn_number % 2))]}
+    turn_number=$((turn_number + 1))
+    ask "$router" "$chat" "{\"model\":\"claims-7b\",\"max_tokens\":12,\"messages\":[$history]}"
+    engine=$(field X-Medlarplank-Engine)
+    cached=$(field X-Cached-Tokens)
+    echo "   $chat turn $turn by $router: $status, engine $engine, $cached tokens cached: $(text_of)"
+    expect "status of $chat turn $turn" "$status" = 200
+    [ "$turn" = 1 ] || expect "a returning chat finds its tokens cached" "${cached:-0}" -gt 0
+    [ "$turn" = 1 ] || expect "a returning chat lands where it was" "$engine" = "$engine_before"
+    engine_before=$engine
+    history+=",{\"role\":\"assistant\",\"content\":\"$(text_of)\"}"
+  done
+done
+
+echo "== a streamed answer"
+curl -sS -N -H "Authorization: Bearer demo-caseworkers" -H "X-Chat-Id: appeal-1041" -H "Content-Type: application/json" \
+  -d '{"model":"claims-7b","stream":true,"max_tokens":4,"messages":[{"role":"user","content":"short"}]}' \
+  "http://${routers[0]}/v1/chat/completions" | tee "$dir/stream" | sed 's/^/   /'
+expect "a stream that ends whole" "$(grep -c '\[DONE\]' "$dir/stream")" = 1
+
+echo "== an eligibility tag, which may not run twice, sent with one key through both routers"
+for router in "${routers[@]}"; do
+  status=$(curl -sS -o "$dir/body" -D "$dir/head" -w '%{http_code}' -H "Authorization: Bearer demo-caseworkers" \
+    -H "Idempotency-Key: household-88" -H "Content-Type: application/json" -d '{"household":88,"tag":"eligible"}' \
+    "http://$router/v1/eligibility-tags")
+  echo "   by $router: $status, verdict $(field X-Medlarplank-Verdict): $(head -c 160 "$dir/body")"
+done
+engine_runs=$(curl -sS "http://127.0.77.25:7090/record" | grep -o '"begun"' | wc -l)
+echo "   the engine ran it $engine_runs time(s)"
+expect "one run for one key" "$engine_runs" = 1
+
+echo "== a key that nobody has"
+status=$(curl -sS -o "$dir/body" -w '%{http_code}' -H "Authorization: Bearer nobody" -d '{}' "http://${routers[0]}/v1/chat/completions")
+echo "   $status: $(cat "$dir/body")"
+expect "401 for an unknown key" "$status" = 401
+
+echo "== decisions, as the daemons logged them"
+grep -h 'event=\|decision' "$dir"/*-r1.log "$dir"/*-m?.log "$dir"/*-p?.log 2>/dev/null | grep -i 'candidates\|placement\|decision' | tail -n 8 | cut -c1-260 | sed 's/^/   /'
+
+echo "== status"
+"$out/medlarplankctl" --platform "$platform" status || failed=$((failed + 1))
+
+echo "== stop: every daemon drains and exits 0"
+for pid in "${pids[@]}"; do kill -TERM "$pid"; done
+for pid in "${pids[@]}"; do
+  rc=0
+  wait "$pid" || rc=$?
+  expect "exit status of $pid" "$rc" = 0
+done
+pids=()
+[ "$failed" = 0 ] && echo "demo: all as expected" || { echo "demo: $failed not as expected"; exit 1; }
