--- a/ctl/cmd_publish.c
+++ b/ctl/cmd_publish.c
@@ -169,10 +169,9 @@
 append (publish_t *publish)
 {
   plt_t *plt = publish->ctl->plt;
-  const char *by = publish->ctl->opt.by != NULL ? publish->ctl->opt.by : g_get_user_name ();
-  g_autofree char *record =
-      rep_publish_record (publish->id, publish->base, by, publish->patch ? NULL : publish->document,
-                          publish->patch ? publish->document : NULL);
+  g_autofree char *record = rep_publish_record (publish->id, publish->base, publish->ctl->opt.by,
+                                                publish->patch ? NULL : publish->document,
+                                                publish->patch ? publish->document : NULL);
   appended_t appended = { 0 };
 
   plt->append (plt, REP_STREAM, record, strlen (record), on_appended, &appended);
--- a/ctl/options.c
+++ b/ctl/options.c
@@ -170,6 +170,8 @@
   *opt = (opt_t){ .timeout_ms = OPT_TIMEOUT_MS, .hosts_check = true };
   if (!read_environment (opt, environ_get, error) || !read_flags (opt, argc, argv, error))
     return false;
+  if (opt->by == NULL && !read_by (opt, g_get_user_name (), error))
+    return false;
   if (argc - optind > OPT_WORDS_MAX)
     {
       g_set_error (error, OPT_ERROR, 0, "%s: too many words", argv[optind + OPT_WORDS_MAX]);
--- a/ctl/options.h
+++ b/ctl/options.h
@@ -37,7 +37,7 @@
  * struct opt - what was asked
  * @given: the options on the command line; OPT_PLATFORM also when the environment names it
  * @fleet_key: NULL when the environment has none
- * @by: who publishes
+ * @by: who publishes; the user's name when it is not given
  * @words: the command and its arguments
  */
 typedef struct
--- a/tests/test_manifest.c
+++ b/tests/test_manifest.c
@@ -246,7 +246,7 @@
 test_digest_is_of_the_meaning (void)
 {
   man_t *man = good ();
-  g_autofree char *spaced = json_dumps (man->json, JSON_INDENT (2));
+  g_autofree char *spaced = json_dumps (man->json, JSON_INDENT (2) | JSON_SORT_KEYS);
   man_t *same = man_parse (spaced, strlen (spaced), NULL);
   json_t *patch = json_loads ("{\"classes\":{\"long\":{\"priority\":7}}}", 0, NULL);
   man_t *other = man_patch (man, patch, NULL);
