Keep a directory entry with an endless lifetime from wrapping

Cause: served_us + lifetime_us wraps for UINT64_MAX, so every entry looked expired; the capacity bench found no entry at all. Ruled out: the bench's own keys, which were wrong too and are mended.

--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -269,8 +269,7 @@
   for (uint32_t i = 0; i < chat_count; i++)
     {
       dir_entry_t entry;
-      found +=
-          dir_get (dir, chat_count, UINT64_MAX, (uint64_t)(i + 1) * 0x9e3779b97f4a7c15u, &entry);
+      found += dir_get (dir, chat_count, UINT64_MAX, chats[i], &entry);
     }
   print_row ("directory get", chat_count, "ns", (double)(cpu_ns () - start) / chat_count);
   print_row ("directory entries still found", chat_count, "count", found);
--- a/src/request/directory.c
+++ b/src/request/directory.c
@@ -92,7 +92,10 @@
   if (chat_hash == 0)
     return false;
   const dir_entry_t *entry = find (dir, chat_hash);
-  if (entry == NULL || now_us > entry->served_us + lifetime_us)
+  if (entry == NULL)
+    return false;
+  /* Not "served_us + lifetime_us": that wraps for a lifetime without end. */
+  if (now_us > entry->served_us && now_us - entry->served_us > lifetime_us)
     return false;
   *out = *entry;
   return true;
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -104,6 +104,7 @@
   dir_put (dir, 10, 7, 100);
   dir_put (dir, 20, 7, 200);
   CU_ASSERT_EQUAL (dir_count (dir), 1);
+  CU_ASSERT (dir_get (dir, 30, UINT64_MAX, 7, &entry)); /* a lifetime without end does not wrap */
   CU_ASSERT_FATAL (dir_get (dir, 30, 10, 7, &entry));
   CU_ASSERT_EQUAL (entry.engine_hash, 200);
   CU_ASSERT (!dir_get (dir, 31, 10, 7, &entry));
