--- a/src/request/history.c
+++ b/src/request/history.c
@@ -1,5 +1,7 @@
 #include "request/history.h"
 
+#include "request/hop.h"
+
 #include <glib.h>
 
 /** struct entry - @at_us: when it ended or was barred */
@@ -28,28 +30,11 @@
   bool has_forgotten;
 };
 
-static guint
-attempt_hash (gconstpointer attempt)
-{
-  const uint64_t *id = attempt;
-
-  return (guint)(id[0] ^ id[1] ^ id[1] >> 32);
-}
-
-static gboolean
-attempt_equal (gconstpointer left, gconstpointer right)
-{
-  const uint64_t *a = left;
-  const uint64_t *b = right;
-
-  return a[0] == b[0] && a[1] == b[1];
-}
-
 static void
 ring_init (ring_t *ring, uint32_t limit)
 {
   ring->entries = g_new0 (entry_t, limit);
-  ring->by_attempt = g_hash_table_new (attempt_hash, attempt_equal);
+  ring->by_attempt = g_hash_table_new (hop_attempt_hash, hop_attempt_equal);
   ring->limit = limit;
 }
 
--- a/src/request/hop.c
+++ b/src/request/hop.c
@@ -250,3 +250,17 @@
   return strlen (text) == 32 && parse_hex (text, 16, &attempt[0]) &&
          parse_hex (text + 16, 16, &attempt[1]);
 }
+
+unsigned int
+hop_attempt_hash (const void *attempt)
+{
+  const uint64_t *id = attempt;
+
+  return (unsigned int)(id[0] ^ id[1] ^ id[1] >> 32);
+}
+
+int
+hop_attempt_equal (const void *left, const void *right)
+{
+  return memcmp (left, right, 2 * sizeof (uint64_t)) == 0;
+}
--- a/src/request/hop.h
+++ b/src/request/hop.h
@@ -26,6 +26,7 @@
 #define HOP_RETRY_AFTER_HEADER "X-Medlarplank-Retry-After-Ms"
 #define HOP_CACHED_HEADER "X-Cached-Tokens" /* from the engine: prompt tokens found cached */
 #define HOP_PRIORITY_HEADER "X-Priority"    /* to the engine */
+#define HOP_ACCOUNT_HEADER "X-Account"      /* to the engine: name of the client account */
 #define HOP_REQUEST_HEADER "X-Request-Id"   /* to the engine, echoed by it: the attempt id */
 
 #define HOP_REVOKE_PATH "/medlarplank/revoke" /* POST ?attempt=ID -> VRD_HEADER */
@@ -81,5 +82,8 @@
 hop_outcome_t hop_read (hop_t *hop, const char *fleet_key, struct evkeyvalq *headers);
 void hop_attempt_text (const uint64_t attempt[2], char out[33]);
 bool hop_attempt_parse (const char *text, uint64_t attempt[2]);
+/** hop_attempt_hash() - with hop_attempt_equal(), for a GHashTable keyed by uint64_t[2] */
+unsigned int hop_attempt_hash (const void *attempt);
+int hop_attempt_equal (const void *left, const void *right);
 
 #endif
--- a/tests/test_request_parts.c
+++ b/tests/test_request_parts.c
@@ -1,6 +1,7 @@
 #include "request/chat_body.h"
 #include "request/decision.h"
 #include "request/digest.h"
+#include "request/fault.h"
 #include "request/headers.h"
 #include "request/order.h"
 
@@ -103,6 +104,19 @@
   CU_ASSERT_FALSE (hdr_passes_back ("Content-Length"));
 }
 
+static void
+errors_carry_the_verdict (void)
+{
+  g_autofree char *body =
+      flt_body (&(flt_t){ .verdict = VRD_NOT_RUN, .reason = VRD_REASON_DEADLINE, .request = "ab" });
+
+  CU_ASSERT_STRING_EQUAL (body, "{\"error\":{\"message\":\"the request could not start before its "
+                                "deadline\",\"type\":\"overloaded_error\",\"code\":\"deadline\","
+                                "\"verdict\":\"not_run\",\"request\":\"ab\"}}");
+  CU_ASSERT_EQUAL (flt_status (VRD_REASON_CUT, VRD_MAY_HAVE_RUN), 502);
+  CU_ASSERT_EQUAL (flt_status (VRD_REASON_CUT, VRD_NOT_RUN), 503);
+}
+
 static void
 seals_orders (void)
 {
@@ -153,6 +167,7 @@
                           { "digests keep accounts apart", digests_keep_accounts_apart },
                           { "keeps what belongs to a connection",
                             keeps_what_belongs_to_a_connection },
+                          { "errors carry the verdict", errors_carry_the_verdict },
                           { "seals orders", seals_orders },
                           { "explains a request", explains_a_request },
                           CU_TEST_INFO_NULL };
