Add the driver of the sessions

Sessions run real processes over loopback, as a fleet runs: faults of processes, hops and the platform can't be shown with fakes in one process. After each session the engines' records and the callers' answers are held against what must always hold.

--- a/src/request/claim_record.h
+++ b/src/request/claim_record.h
@@ -21,11 +21,11 @@
 /** struct clr - one entry; @wall_ms only in claims, @status only in done ones */
 typedef struct
 {
-  clr_kind_t kind;
   uint64_t claim_id[2];
   clm_key_t key;
   uint64_t wall_ms;
   uint32_t status;
+  clr_kind_t kind;
 } clr_t;
 
 /** clr_write() - one record of all @entries. Return: text to be freed by g_free() */
--- /dev/null
+++ b/tests/driver_call.c
@@ -0,0 +1,359 @@
+#include "driver.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* A client of its own, that judges itself whether an answer is whole: the library under test must
+ * not be its own judge. */
+
+static void
+call_over (drv_call_t *call, drv_end_t end)
+{
+  call->end = end;
+  call->ended_us = (uint64_t)g_get_monotonic_time ();
+  bufferevent_free (call->bev);
+  call->bev = NULL;
+}
+
+static void
+read_head_line (drv_call_t *call, const char *line)
+{
+  const char *colon = strchr (line, ':');
+  if (colon == NULL)
+    return;
+  g_autofree char *name = g_strndup (line, (gsize)(colon - line));
+  g_hash_table_replace (call->headers, g_ascii_strdown (name, -1),
+                        g_strstrip (g_strdup (colon + 1)));
+}
+
+/* Return: whether the head is there. */
+static bool
+read_head (drv_call_t *call, struct evbuffer *in)
+{
+  struct evbuffer_ptr end = evbuffer_search (in, "\r\n\r\n", 4, NULL);
+  char *line;
+  if (end.pos < 0)
+    return false;
+  while ((line = evbuffer_readln (in, NULL, EVBUFFER_EOL_CRLF_STRICT)) != NULL && *line != '\0')
+    {
+      if (call->status == 0)
+        call->status = atoi (line + strlen ("HTTP/1.1 "));
+      else
+        read_head_line (call, line);
+      free (line);
+    }
+  free (line);
+  const char *length = drv_header (call, "content-length");
+  call->chunked = g_strcmp0 (drv_header (call, "transfer-encoding"), "chunked") == 0;
+  call->left = length != NULL ? (int64_t)g_ascii_strtoll (length, NULL, 10) : -1;
+  if (call->chunked)
+    call->left = 0;
+  call->has_head = true;
+  return true;
+}
+
+static void
+take (drv_call_t *call, struct evbuffer *in, size_t limit)
+{
+  size_t bytes = MIN (limit, evbuffer_get_length (in));
+  g_string_append_len (call->body, (const char *)evbuffer_pullup (in, (ev_ssize_t)bytes),
+                       (gssize)bytes);
+  evbuffer_drain (in, bytes);
+  if (call->left > 0)
+    call->left -= (int64_t)bytes;
+}
+
+/* Return: whether the last chunk has come. */
+static bool
+read_chunks (drv_call_t *call, struct evbuffer *in)
+{
+  while (evbuffer_get_length (in) > 0)
+    {
+      if (call->in_chunk && call->left > 0)
+        {
+          take (call, in, (size_t)call->left);
+          continue;
+        }
+      char *line = evbuffer_readln (in, NULL, EVBUFFER_EOL_CRLF_STRICT);
+      if (line == NULL)
+        return false;
+      if (call->in_chunk)
+        call->in_chunk = false; /* the empty line after a chunk */
+      else
+        {
+          call->left = (int64_t)g_ascii_strtoull (line, NULL, 16);
+          call->in_chunk = true;
+        }
+      free (line);
+      if (call->in_chunk && call->left == 0)
+        return true;
+    }
+  return false;
+}
+
+static void
+on_read (struct bufferevent *bev, void *context)
+{
+  drv_call_t *call = context;
+  struct evbuffer *in = bufferevent_get_input (bev);
+  if (!call->has_head && !read_head (call, in))
+    return;
+  bool whole = false;
+  if (call->chunked)
+    whole = read_chunks (call, in);
+  else
+    {
+      take (call, in, call->left >= 0 ? (size_t)call->left : SIZE_MAX);
+      whole = call->left == 0;
+    }
+  if (whole)
+    call_over (call, DRV_WHOLE);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *context)
+{
+  drv_call_t *call = context;
+  (void)bev;
+  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+    call_over (call, call->has_head ? DRV_CUT : DRV_NO_ANSWER);
+}
+
+drv_call_t *
+drv_send (drv_t *drv,
+          const char *ip,
+          const char *method,
+          const char *target,
+          const char *headers,
+          const char *body)
+{
+  drv_call_t *call = g_new0 (drv_call_t, 1);
+  struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons (DRV_PORT) };
+  inet_pton (AF_INET, ip, &to.sin_addr);
+  call->drv = drv;
+  call->headers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  call->body = g_string_new (NULL);
+  call->sent_body = g_strdup (body != NULL ? body : "");
+  call->sent_us = (uint64_t)g_get_monotonic_time ();
+  g_ptr_array_add (drv->calls, call);
+  call->bev = bufferevent_socket_new (drv->base, -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb (call->bev, on_read, NULL, on_event, call);
+  evbuffer_add_printf (bufferevent_get_output (call->bev),
+                       "%s %s HTTP/1.1\r\nHost: fleet\r\nContent-Length: %zu\r\n%s\r\n%s", method,
+                       target, strlen (call->sent_body), headers != NULL ? headers : "",
+                       call->sent_body);
+  bufferevent_enable (call->bev, EV_READ | EV_WRITE);
+  if (bufferevent_socket_connect (call->bev, (struct sockaddr *)&to, sizeof to) != 0)
+    call_over (call, DRV_NO_ANSWER);
+  return call;
+}
+
+void
+drv_call_free (drv_call_t *call)
+{
+  if (call->bev != NULL)
+    bufferevent_free (call->bev);
+  g_hash_table_destroy (call->headers);
+  g_string_free (call->body, TRUE);
+  g_free (call->sent_body);
+  g_free (call->name);
+  g_free (call->key);
+  g_free (call->account);
+  g_free (call);
+}
+
+static char *
+ask_body (const drv_ask_t *ask)
+{
+  const char *name = ask->same_as != NULL ? ask->same_as : ask->name;
+  if (ask->kind == DRV_LOOKUP || ask->kind == DRV_BOOKING)
+    return g_strdup_printf ("{\"order\":\"%s\",\"text\":\"%s\"}", name,
+                            ask->text != NULL ? ask->text : "");
+  json_t *json = json_pack ("{s:s, s:[{s:s, s:s}, {s:s, s:s}], s:i, s:b}", "model",
+                            ask->kind == DRV_TAG ? "claims-tags" : "claims", "messages", "role",
+                            "user", "content", ask->text != NULL ? ask->text : "hello", "role",
+                            "user", "content", name, "max_tokens",
+                            (int)(ask->tokens != 0 ? ask->tokens : 4), "stream", (int)ask->stream);
+  char *text = json_dumps (json, JSON_COMPACT);
+  char *body = g_strdup (text);
+  free (text);
+  json_decref (json);
+  return body;
+}
+
+drv_call_t *
+drv_ask (drv_t *drv, const drv_ask_t *ask)
+{
+  static const char *const targets[] = { "/v1/chat/completions", "/v1/chat/completions",
+                                         "/portal/lookup", "/portal/bookings" };
+  const char *account = ask->account != NULL ? ask->account : "alpha";
+  g_autofree char *body = ask_body (ask);
+  GString *headers = g_string_new ("Content-Type: application/json\r\n");
+  if (ask->authorization != NULL)
+    g_string_append_printf (headers, "Authorization: %s\r\n", ask->authorization);
+  else
+    g_string_append_printf (headers, "Authorization: Bearer key-%s\r\n", account);
+  if (ask->chat != NULL)
+    g_string_append_printf (headers, "X-Chat-Id: %s\r\n", ask->chat);
+  if (ask->deadline_ms != 0)
+    g_string_append_printf (headers, "X-Deadline-Ms: %u\r\n", ask->deadline_ms);
+  if (ask->key != NULL)
+    g_string_append_printf (headers, "Idempotency-Key: %s\r\n", ask->key);
+  drv_call_t *call =
+      drv_send (drv, drv->routers[ask->router]->ip, "POST", targets[ask->kind], headers->str, body);
+  call->name = g_strdup (ask->name);
+  call->key = g_strdup (ask->key);
+  call->account = g_strdup (account);
+  call->kind = ask->kind;
+  call->streamed = ask->stream;
+  call->tokens = ask->tokens != 0 ? ask->tokens : 4;
+  g_string_free (headers, TRUE);
+  return call;
+}
+
+static bool
+call_ended (void *context)
+{
+  return ((drv_call_t *)context)->end != DRV_WAITING;
+}
+
+void
+drv_answered (drv_call_t *call)
+{
+  g_autofree char *what =
+      g_strdup_printf ("the answer to %s", call->name != NULL ? call->name : "a call");
+  drv_until (call->drv, DRV_WAIT_MS, what, call_ended, call);
+}
+
+static bool
+all_ended (void *context)
+{
+  drv_t *drv = context;
+  for (guint i = 0; i < drv->calls->len; i++)
+    if (!call_ended (drv->calls->pdata[i]))
+      return false;
+  return true;
+}
+
+void
+drv_all_answered (drv_t *drv)
+{
+  drv_until (drv, 2 * DRV_WAIT_MS, "all answers", all_ended, drv);
+}
+
+static bool
+call_begun (void *context)
+{
+  drv_call_t *call = context;
+  return call->body->len > 0 || call->end != DRV_WAITING;
+}
+
+void
+drv_begun (drv_call_t *call)
+{
+  g_autofree char *what = g_strdup_printf ("the first part of the answer to %s", call->name);
+  drv_until (call->drv, DRV_WAIT_MS, what, call_begun, call);
+}
+
+void
+drv_hang_up (drv_call_t *call)
+{
+  if (call->end == DRV_WAITING)
+    call_over (call, DRV_HUNG_UP);
+}
+
+const char *
+drv_header (const drv_call_t *call, const char *name)
+{
+  return g_hash_table_lookup (call->headers, name);
+}
+
+const char *
+drv_verdict (const drv_call_t *call)
+{
+  const char *verdict = drv_header (call, "x-medlarplank-verdict");
+  return verdict != NULL ? verdict : "";
+}
+
+char *
+drv_reason (const drv_call_t *call)
+{
+  json_t *json = json_loadb (call->body->str, call->body->len, 0, NULL);
+  char *code =
+      g_strdup (json_string_value (json_object_get (json_object_get (json, "error"), "code")));
+  json_decref (json);
+  return code != NULL ? code : g_strdup ("");
+}
+
+/* What the stand-in engine says of this request: its hash, then one word for each token. */
+static bool
+own_text (const drv_call_t *call, const char *text)
+{
+  char start[64];
+  g_snprintf (start, sizeof start, "answer to %016" PRIx64 " by ",
+              (uint64_t)XXH64 (call->sent_body, strlen (call->sent_body), 0));
+  if (text == NULL || !g_str_has_prefix (text, start))
+    return false;
+  GString *end = g_string_new (NULL);
+  for (uint32_t i = 1; i < call->tokens; i++)
+    g_string_append_printf (end, " w%" PRIu32, i);
+  const char *after_name = strchr (text + strlen (start), ' ');
+  bool own = g_strcmp0 (after_name != NULL ? after_name : "", end->str) == 0;
+  g_string_free (end, TRUE);
+  return own;
+}
+
+static const char *
+first_choice (const json_t *json, const char *part)
+{
+  const json_t *choice = json_array_get (json_object_get (json, "choices"), 0);
+  return json_string_value (json_object_get (json_object_get (choice, part), "content"));
+}
+
+static bool
+own_stream (const drv_call_t *call)
+{
+  GString *text = g_string_new (NULL);
+  bool done = false;
+  g_auto (GStrv) lines = g_strsplit (call->body->str, "\n", -1);
+  for (char **line = lines; *line != NULL; line++)
+    {
+      if (!g_str_has_prefix (*line, "data: "))
+        continue;
+      done = strcmp (*line, "data: [DONE]") == 0;
+      json_t *json = json_loads (*line + strlen ("data: "), 0, NULL);
+      const char *part = first_choice (json, "delta");
+      g_string_append (text, part != NULL ? part : "");
+      json_decref (json);
+    }
+  bool own = done && own_text (call, text->str);
+  g_string_free (text, TRUE);
+  return own;
+}
+
+bool
+drv_own_answer (const drv_call_t *call)
+{
+  if (call->end != DRV_WHOLE || call->status != 200)
+    return false;
+  if (call->streamed)
+    return own_stream (call);
+  json_t *json = json_loadb (call->body->str, call->body->len, 0, NULL);
+  bool own;
+  if (call->kind == DRV_CHAT || call->kind == DRV_TAG)
+    own = own_text (call, first_choice (json, "message"));
+  else
+    {
+      char hash[17];
+      g_snprintf (hash, sizeof hash, "%016" PRIx64,
+                  (uint64_t)XXH64 (call->sent_body, strlen (call->sent_body), 0));
+      own = g_strcmp0 (json_string_value (json_object_get (json, "body_hash")), hash) == 0;
+    }
+  json_decref (json);
+  return own;
+}
--- /dev/null
+++ b/tests/driver_promises.c
@@ -0,0 +1,119 @@
+#include "driver.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static bool
+non_idempotent (const drv_call_t *call)
+{
+  return call->kind == DRV_TAG || call->kind == DRV_BOOKING;
+}
+
+static bool
+same_body (const drv_call_t *a, const drv_call_t *b)
+{
+  return strcmp (a->sent_body, b->sent_body) == 0;
+}
+
+static bool
+same_key (const drv_call_t *a, const drv_call_t *b)
+{
+  return a->key != NULL && g_strcmp0 (a->key, b->key) == 0 &&
+         g_strcmp0 (a->account, b->account) == 0;
+}
+
+/* Each sending of a body that was not answered as not run may have run once; all that share a key
+ * once together. */
+static void
+check_runs (drv_t *drv, const drv_call_t *call)
+{
+  uint32_t may_have_run = 0;
+  uint32_t key_runs = 0;
+  for (guint i = 0; i < drv->calls->len; i++)
+    {
+      const drv_call_t *other = drv->calls->pdata[i];
+      if (other->name == NULL)
+        continue;
+      if (same_body (call, other) && strcmp (drv_verdict (other), "not_run") != 0)
+        may_have_run++;
+      if (same_key (call, other) && !same_body (call, other))
+        key_runs += drv_runs (other);
+    }
+  uint32_t runs = drv_runs (call);
+  if (may_have_run == 0 && runs > 0)
+    drv_fail (drv, "%s was answered not run and ran", call->name);
+  if (non_idempotent (call) && runs > may_have_run)
+    drv_fail (drv, "%s ran %u times for %u sendings", call->name, runs, may_have_run);
+  if (non_idempotent (call) && call->key != NULL && runs + key_runs > 1)
+    drv_fail (drv, "the key of %s ran %u times", call->name, runs + key_runs);
+}
+
+static void
+check_answer (drv_t *drv, const drv_call_t *call)
+{
+  if (call->end == DRV_WHOLE && call->status == 200 && !drv_own_answer (call))
+    drv_fail (drv, "%s got an answer that is not its own: %s", call->name, call->body->str);
+  if (call->end == DRV_WHOLE && call->status >= 500 && *drv_verdict (call) == '\0')
+    drv_fail (drv, "%s got an error without a verdict: %s", call->name, call->body->str);
+}
+
+/* No attempt begins twice, on whichever engines. */
+static void
+check_attempts (drv_t *drv)
+{
+  GHashTable *seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (uint32_t i = 0; i < drv->host_count; i++)
+    {
+      size_t index;
+      json_t *entry;
+      json_t *begun = drv_begun_on (drv->hosts[i].engine);
+      json_array_foreach (begun, index, entry)
+        {
+          const char *id = json_string_value (json_object_get (entry, "id"));
+          if (id != NULL && !g_hash_table_add (seen, g_strdup (id)))
+            drv_fail (drv, "attempt %s began twice", id);
+        }
+      json_decref (begun);
+    }
+  g_hash_table_destroy (seen);
+}
+
+static void
+check_versions (drv_t *drv, const drv_process_t *process)
+{
+  g_autofree char *text = NULL;
+  uint64_t last = 0;
+  if (!g_file_get_contents (process->log_path, &text, NULL, NULL))
+    return;
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  for (char **line = lines; *line != NULL; line++)
+    {
+      const char *field = strstr (*line, ": version_in_force ");
+      const char *number = field != NULL ? strstr (field, " version=") : NULL;
+      uint64_t version = number != NULL ? strtoull (number + strlen (" version="), NULL, 10) : last;
+      if (version < last)
+        drv_fail (drv, "%s went back to version %u", process->name, (uint32_t)version);
+      last = version;
+    }
+}
+
+void
+drv_check_promises (drv_t *drv)
+{
+  for (guint i = 0; i < drv->calls->len; i++)
+    {
+      const drv_call_t *call = drv->calls->pdata[i];
+      if (call->name == NULL)
+        continue;
+      check_runs (drv, call);
+      check_answer (drv, call);
+    }
+  check_attempts (drv);
+  for (guint i = 0; i < drv->processes->len; i++)
+    {
+      const drv_process_t *process = drv->processes->pdata[i];
+      check_versions (drv, process);
+      if (process->leaving_runs >= 0 && drv_runs_on (process) > process->leaving_runs)
+        drv_fail (drv, "work began on %s after it left", process->name);
+    }
+}
