Keep a service's number of claim shards

A manifest could change claim_shards. A key that was claimed under the old number lies in another stream than its resend looks in, so a booking resent across the change would run twice, and during the change two sidecars could claim the same key in two streams. Ruled out: claiming in both streams for a horizon (every reader would need the history of the numbers).

The replay now refuses such a publish as invalid, with the path. Without the check the new test fails: the publish is accepted.

--- a/src/version/manifest.c
+++ b/src/version/manifest.c
@@ -176,6 +176,24 @@
   return man;
 }
 
+bool
+man_may_follow (const man_t *man, const man_t *next, GError **error)
+{
+  for (uint32_t i = 0; i < next->service_count; i++)
+    {
+      const man_service_t *after = &next->services[i];
+      const man_service_t *before = man_service_named (man, after->name);
+      if (before == NULL || before->claim_shards == after->claim_shards)
+        continue;
+      g_set_error (error, MAN_ERROR, MAN_ERROR_RANGE,
+                   "services.%s.claim_shards: is %u and cannot become %u: keys that are remembered "
+                   "would be forgotten",
+                   after->name, before->claim_shards, after->claim_shards);
+      return false;
+    }
+  return true;
+}
+
 man_t *
 man_ref (man_t *man)
 {
--- a/src/version/manifest.h
+++ b/src/version/manifest.h
@@ -132,6 +132,14 @@
 /** man_patch() - the manifest that a JSON merge patch (RFC 7386) makes of @base */
 man_t *man_patch (const man_t *base, const json_t *patch, GError **error);
 
+/**
+ * man_may_follow() - whether @next may come into force after @man
+ *
+ * A service keeps its number of claim shards: with another number a key that is resent would be
+ * claimed in another stream, where nobody knows of its first claim, and would run twice.
+ */
+bool man_may_follow (const man_t *man, const man_t *next, GError **error);
+
 man_t *man_ref (man_t *man);
 void man_unref (man_t *man);
 
--- a/src/version/replay.c
+++ b/src/version/replay.c
@@ -119,6 +119,8 @@
   g_autoptr (GError) error = NULL;
   man_t *man = published (rep, rec, &error);
 
+  if (man != NULL && rep->man != NULL && !man_may_follow (rep->man, man, &error))
+    g_clear_pointer (&man, man_unref);
   if (man == NULL)
     {
       give_reason (judgement, REP_INVALID, error->message);
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -335,6 +335,28 @@
   jdg_free (jdg);
 }
 
+/*
+ * An operator spreads the claims of a service over more streams. A key that was claimed in one
+ * stream before would be looked for in another after, and a resent booking would run twice.
+ */
+static void
+test_claim_shards_stay (void)
+{
+  rep_t *rep = rep_new ();
+  json_t *shards = json_pack ("{s{s{si}}}", "services", "pool", "claim_shards", 32);
+  g_autofree char *text = rep_publish_record ("b", 1, "ann", NULL, shards);
+  rep_judgement_t judgement;
+
+  rep_begin (rep, 0);
+  feed_publish (rep, "a", 0, 4);
+  judgement = feed (rep, text);
+  CU_ASSERT_EQUAL (judgement.verdict, REP_INVALID);
+  CU_ASSERT_PTR_NOT_NULL (strstr (judgement.reason, "services.pool.claim_shards"));
+  CU_ASSERT_EQUAL (judgement.version, 1);
+  json_decref (shards);
+  rep_free (rep);
+}
+
 int
 main (void)
 {
@@ -353,6 +375,7 @@
   CU_ADD_TEST (suite, test_adopt);
   CU_ADD_TEST (suite, test_checkpoint_due);
   CU_ADD_TEST (suite, test_judged_ids_are_bounded);
+  CU_ADD_TEST (suite, test_claim_shards_stay);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
