--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -12,6 +12,7 @@
 
 #define OPEN_CALLS 16
 #define READS_PER_EVENT 64
+#define FILL_US (UINT64_C (10) * CLK_US_PER_S) /* after which a bucket is full in any case */
 #define FLUSH_READS 4096
 #define BUDGET_LOG_US (UINT64_C (10) * CLK_US_PER_S)
 
@@ -106,13 +107,20 @@
          memcmp (&x->sin6_addr, &y->sin6_addr, sizeof x->sin6_addr) == 0;
 }
 
+/* One second's worth, but room for a whole datagram, or a small budget could never send one. */
+static int64_t
+full_bucket (const exc_t *exc)
+{
+  return MAX (exc->options.budget_bytes, LIM_DATAGRAM_BYTES + EXC_HEADER_BYTES);
+}
+
 static void
 refill (exc_t *exc)
 {
   bucket_t *bucket = &exc->bucket;
-  int64_t full_bytes = exc->options.budget_bytes;
+  int64_t full_bytes = full_bucket (exc);
   uint64_t now_us = clk_now_us (exc->options.clk);
-  uint64_t waited_us = MIN (now_us - bucket->filled_us, CLK_US_PER_S);
+  uint64_t waited_us = MIN (now_us - bucket->filled_us, FILL_US);
   int64_t gained_bytes = (int64_t)(waited_us * exc->options.budget_bytes / CLK_US_PER_S);
   if (gained_bytes == 0)
     return; /* else a bucket that is asked often would lose what is less than a byte */
@@ -322,8 +330,10 @@
 static void
 get_counters (counts_t *counts, cnt_set_t *set)
 {
-  counts->bytes_sent = cnt_get (set, "medlarplank_control_bytes_sent_total",
-                                "Bytes of the exchange sent, IP and UDP headers included");
+  counts->bytes_sent =
+      cnt_get (set, "medlarplank_control_bytes_sent_total",
+               "Bytes of control traffic sent, with headers; requests to the platform "
+               "and for manifests by estimate");
   counts->bytes_received = cnt_get (set, "medlarplank_control_bytes_received_total",
                                     "Bytes of the exchange received, headers included");
   counts->sent =
@@ -351,7 +361,7 @@
   exc->socket = -1;
   exc->rand = g_rand_new_with_seed ((guint32)(options->seed ^ (options->seed >> 32)));
   exc->next_xid = g_rand_int (exc->rand);
-  exc->bucket.tokens_bytes = options->budget_bytes;
+  exc->bucket.tokens_bytes = full_bucket (exc);
   exc->bucket.filled_us = clk_now_us (options->clk);
   get_counters (&exc->counts, options->counters);
   if (!open_socket (exc, error))
--- a/src/request/member.c
+++ b/src/request/member.c
@@ -383,6 +383,17 @@
   return true;
 }
 
+bool
+mem_said_leaving (const mem_t *mem, uint64_t host_hash, uint64_t incarnation)
+{
+  const entry_t *entry = find (mem, host_hash);
+  if (entry == NULL)
+    return false;
+  if (entry->list_leaving && entry->leaving_incarnation == incarnation)
+    return true;
+  return entry->has_word && entry->word.incarnation == incarnation && entry->word.state != MEM_LIVE;
+}
+
 bool
 mem_changed (const mem_t *mem)
 {
--- a/src/request/member.h
+++ b/src/request/member.h
@@ -101,6 +101,9 @@
 bool mem_hear (mem_t *mem, uint64_t now_us, const mem_word_t *word);
 /** mem_word() - the last word heard of a host. Return: false when none was */
 bool mem_word (const mem_t *mem, uint64_t host_hash, mem_word_t *word);
+/** mem_said_leaving() - whether the list or the host itself said leaving of this very incarnation
+ */
+bool mem_said_leaving (const mem_t *mem, uint64_t host_hash, uint64_t incarnation);
 /** mem_changed() - whether the snapshot differs from the last one taken */
 bool mem_changed (const mem_t *mem);
 mem_snapshot_t *mem_snapshot (mem_t *mem);
