--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -11,13 +11,14 @@
  * Replay. The HMAC does not tell an old datagram from a new one. A reply counts only for an xid
  * that is still open, from the address that was asked. A call counts only if its sender's
  * (incarnation, sequence) is higher than the last one heard of that host, and only if that host is
- * listed; others are not answered. What is left: after a restart a daemon has heard nobody, and
- * takes one old call of each listed host as new until that host's true word reaches it, directly
- * or by others. Such a call can show a host as leaving that is live, which costs hops, or the
- * reverse, which the host itself refuses; it can bring load samples that are too old, which expire
- * in %LIM_SAMPLE_AGE_US, and marks of suspects that had expired. It cannot bring back an old
- * version: a version only rises. Times of sending would close this, but hosts' clocks differ, and
- * a host with a wrong clock would be cut off.
+ * listed. Others are not answered, but for those of an earlier incarnation: a process whose clock
+ * went back between two starts must hear why nobody believes it. What is left: after a restart a
+ * daemon has heard nobody, and takes one old call of each listed host as new until that host's true
+ * word reaches it, directly or by others. Such a call can show a host as leaving that is live,
+ * which costs hops, or the reverse, which the host itself refuses; it can bring load samples that
+ * are too old, which expire in %LIM_SAMPLE_AGE_US, and marks of suspects that had expired. It
+ * cannot bring back an old version: a version only rises. Times of sending would close this, but
+ * hosts' clocks differ, and a host with a wrong clock would be cut off.
  */
 #ifndef CONNECTION_WIRE_H
 #define CONNECTION_WIRE_H
--- /dev/null
+++ b/src/process/control_claims.c
@@ -0,0 +1,388 @@
+#include "process/control_private.h"
+
+#include "process/log.h"
+
+#include <string.h>
+
+#define STREAMS_MAX 64
+#define READ_RECORDS 500
+#define READ_WAIT_MS 200 /* for the own append to show */
+#define RETRY_MIN_US (100 * CLK_US_PER_MS)
+#define RETRY_MAX_US (2 * CLK_US_PER_S)
+#define PROBE_US (1 * CLK_US_PER_S)
+#define IDLE_US (UINT64_C (600) * CLK_US_PER_S)
+
+/**
+ * struct ctrl_stream - one claims stream
+ * @batch: text of the append in flight
+ * @begun: its first retained offset is known
+ * @used_us: when a claim last came
+ */
+struct ctrl_stream
+{
+  ctrl_t *ctrl;
+  char *name;
+  clm_t *clm;
+  ctrl_op_t *read_op;
+  ctrl_op_t *append_op;
+  char *batch;
+  uint64_t read_due_us;
+  uint64_t append_due_us;
+  uint64_t backoff_us;
+  uint64_t used_us;
+  bool begun;
+};
+
+static void pump (ctrl_stream_t *stream);
+
+static void
+stream_free (gpointer data)
+{
+  ctrl_stream_t *stream = data;
+  /* The answers still to come must not touch it any more. */
+  if (stream->read_op != NULL)
+    stream->read_op->orphan = true;
+  if (stream->append_op != NULL)
+    stream->append_op->orphan = true;
+  clm_free (stream->clm);
+  g_free (stream->batch);
+  g_free (stream->name);
+  g_free (stream);
+}
+
+static const char *
+verdict_name (clm_verdict_t verdict)
+{
+  switch (verdict)
+    {
+    case CLM_GRANTED:
+      return "granted";
+    case CLM_HELD:
+      return "held";
+    case CLM_DONE:
+      return "done";
+    case CLM_KEY_REUSED:
+      return "key_reused";
+    case CLM_TOO_LATE:
+      return "too_late";
+    case CLM_LOG_DOWN:
+      return "log_down";
+    case CLM_PENDING:
+      break;
+    }
+  return "pending";
+}
+
+static void
+answer (ctrl_t *ctrl, const char *stream, const clm_result_t *result)
+{
+  const char *verdict = verdict_name (result->verdict);
+  char name[64];
+  g_snprintf (name, sizeof name, "medlarplank_claims_total{verdict=\"%s\"}", verdict);
+  ctrl_count (ctrl, name, "Claims of idempotency keys answered");
+  log_event (LOG_LEVEL_INFO, "claim", "verdict", verdict, "stream", stream, "claim_high",
+             LOG_HEX (result->claim_id[0]), "claim_low", LOG_HEX (result->claim_id[1]), NULL);
+  msg_claim_result_t *message = msg_new (MSG_CLAIM_RESULT);
+  message->result = *result;
+  ctrl_send (ctrl, message);
+}
+
+static void
+answer_all (ctrl_stream_t *stream)
+{
+  clm_result_t result;
+  while (clm_result (stream->clm, ctrl_now_us (stream->ctrl), &result))
+    answer (stream->ctrl, stream->name, &result);
+}
+
+static void
+take_records (ctrl_stream_t *stream, const plt_read_t *read)
+{
+  uint64_t now_us = ctrl_now_us (stream->ctrl);
+  uint64_t wall_ms = clk_wall_ms (&stream->ctrl->dmn->clk);
+  clm_t *clm = stream->clm;
+  if (!stream->begun || read->first_offset > clm_next_offset (clm))
+    clm_begin (clm, read->first_offset);
+  stream->begun = true;
+  for (uint32_t i = 0; i < read->record_count; i++)
+    {
+      const plt_record_t *record = &read->records[i];
+      clm_feed (clm, now_us, wall_ms, record->offset, record->data, record->data_bytes);
+    }
+  if (clm_next_offset (clm) >= read->end_offset)
+    clm_read_to (clm, now_us, read->end_offset);
+}
+
+static void
+note_reads (ctrl_t *ctrl, bool worked)
+{
+  if (ctrl->claims.down == !worked)
+    return;
+  ctrl->claims.down = !worked;
+  log_event (worked ? LOG_LEVEL_NOTICE : LOG_LEVEL_WARNING,
+             worked ? "platform_back" : "platform_out", "source", "claims", NULL);
+}
+
+static void
+on_read (const plt_read_t *read, void *context)
+{
+  ctrl_op_t *op = context;
+  ctrl_t *ctrl = op->ctrl;
+  ctrl_stream_t *stream = op->stream;
+  if (!ctrl_op_end (op))
+    return;
+  stream->read_op = NULL;
+  note_reads (ctrl, read->outcome == PLT_OK);
+  if (read->outcome == PLT_OK)
+    {
+      stream->backoff_us = 0;
+      take_records (stream, read);
+    }
+  else
+    {
+      stream->backoff_us = CLAMP (stream->backoff_us * 2, RETRY_MIN_US, RETRY_MAX_US);
+      stream->read_due_us = ctrl_now_us (ctrl) + ctrl_jitter (ctrl, stream->backoff_us);
+    }
+  answer_all (stream);
+  pump (stream);
+}
+
+static void
+on_append (plt_outcome_t outcome, uint64_t offset, void *context)
+{
+  ctrl_op_t *op = context;
+  ctrl_t *ctrl = op->ctrl;
+  ctrl_stream_t *stream = op->stream;
+  if (!ctrl_op_end (op))
+    return;
+  stream->append_op = NULL;
+  g_clear_pointer (&stream->batch, g_free);
+  if (outcome == PLT_OK)
+    {
+      clm_appended (stream->clm, offset);
+    }
+  else
+    {
+      clm_append_lost (stream->clm);
+      stream->append_due_us = ctrl_now_us (ctrl) + ctrl_jitter (ctrl, RETRY_MIN_US);
+    }
+  answer_all (stream);
+  pump (stream);
+}
+
+static void
+append_on (ctrl_stream_t *stream)
+{
+  ctrl_t *ctrl = stream->ctrl;
+  uint64_t now_us = ctrl_now_us (ctrl);
+  if (stream->append_op != NULL || now_us < stream->append_due_us)
+    return;
+  stream->batch = clm_batch (stream->clm, now_us, clk_wall_ms (&ctrl->dmn->clk));
+  if (stream->batch == NULL)
+    return;
+  stream->append_op = ctrl_op_new (ctrl);
+  stream->append_op->stream = stream;
+  ctrl->plt->append (ctrl->plt, stream->name, stream->batch, strlen (stream->batch), on_append,
+                     stream->append_op);
+}
+
+static void
+read_on (ctrl_stream_t *stream)
+{
+  ctrl_t *ctrl = stream->ctrl;
+  if (stream->read_op != NULL || ctrl_now_us (ctrl) < stream->read_due_us)
+    return;
+  if (!clm_wants (stream->clm))
+    return;
+  stream->read_op = ctrl_op_new (ctrl);
+  stream->read_op->stream = stream;
+  /* The read that opens the stream does not wait: nothing is granted before it. */
+  ctrl->plt->read (ctrl->plt, stream->name, clm_next_offset (stream->clm), READ_RECORDS,
+                   stream->begun ? READ_WAIT_MS : 0, on_read, stream->read_op);
+}
+
+/* At most one append and one read of a stream are under way; claims that come meanwhile go with
+ * the next append. */
+static void
+pump (ctrl_stream_t *stream)
+{
+  append_on (stream);
+  read_on (stream);
+}
+
+static bool
+is_idle (const ctrl_stream_t *stream, uint64_t idle_us)
+{
+  uint64_t now_us = ctrl_now_us (stream->ctrl);
+  return stream->read_op == NULL && stream->append_op == NULL && !clm_wants (stream->clm) &&
+         now_us - stream->used_us >= idle_us;
+}
+
+static gboolean
+is_long_idle (gpointer key, gpointer value, gpointer data)
+{
+  const ctrl_stream_t *stream = value;
+  (void)key;
+  (void)data;
+  if (!is_idle (stream, IDLE_US))
+    return FALSE;
+  log_event (LOG_LEVEL_INFO, "claims_closed", "stream", stream->name, NULL);
+  return TRUE;
+}
+
+static ctrl_stream_t *
+longest_idle (const ctrl_t *ctrl)
+{
+  ctrl_stream_t *oldest = NULL;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, ctrl->claims.streams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      ctrl_stream_t *stream = value;
+      if (is_idle (stream, 0) && (oldest == NULL || stream->used_us < oldest->used_us))
+        oldest = stream;
+    }
+  return oldest;
+}
+
+static bool
+make_room (ctrl_t *ctrl)
+{
+  if (g_hash_table_size (ctrl->claims.streams) < STREAMS_MAX)
+    return true;
+  ctrl_stream_t *oldest = longest_idle (ctrl);
+  if (oldest == NULL)
+    return false;
+  g_hash_table_remove (ctrl->claims.streams, oldest->name);
+  return true;
+}
+
+/* Return: NULL when too many streams are open and busy. */
+static ctrl_stream_t *
+open_stream (ctrl_t *ctrl, const char *name)
+{
+  ctrl_stream_t *stream = g_hash_table_lookup (ctrl->claims.streams, name);
+  if (stream == NULL && make_room (ctrl))
+    {
+      stream = g_new0 (ctrl_stream_t, 1);
+      stream->ctrl = ctrl;
+      stream->name = g_strdup (name);
+      stream->clm = clm_new ((uint64_t)ctrl->dmn->set.claim_horizon_s * CLK_US_PER_S);
+      g_hash_table_insert (ctrl->claims.streams, stream->name, stream);
+      log_event (LOG_LEVEL_INFO, "claims_opened", "stream", name, NULL);
+    }
+  if (stream != NULL)
+    stream->used_us = ctrl_now_us (ctrl);
+  return stream;
+}
+
+/* While the log is out a claim would wait for its expiry and be refused then: refuse it at once,
+ * but let one in a while find out whether the log is back. */
+static bool
+may_try (ctrl_t *ctrl)
+{
+  ctrl_claims_t *claims = &ctrl->claims;
+  uint64_t now_us = ctrl_now_us (ctrl);
+  if (!claims->down)
+    return true;
+  if (now_us < claims->probe_us)
+    return false;
+  claims->probe_us = now_us + PROBE_US;
+  return true;
+}
+
+static void
+refuse (ctrl_t *ctrl, const msg_claim_t *message)
+{
+  clm_result_t result = {
+    .claim_id = { message->claim_id[0], message->claim_id[1] },
+    .verdict = CLM_LOG_DOWN,
+    .owner = message->owner,
+  };
+  answer (ctrl, message->stream, &result);
+}
+
+static void
+count_keys (ctrl_t *ctrl)
+{
+  uint64_t keys = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, ctrl->claims.streams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    keys += clm_key_count (((const ctrl_stream_t *)value)->clm);
+  ctrl_gauge (ctrl, "medlarplank_claim_keys", "Idempotency keys remembered", keys);
+  ctrl_gauge (ctrl, "medlarplank_claim_streams", "Claims streams open",
+              g_hash_table_size (ctrl->claims.streams));
+}
+
+void
+ctrl_claims_init (ctrl_t *ctrl)
+{
+  ctrl->claims.streams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, stream_free);
+}
+
+void
+ctrl_claims_clear (ctrl_t *ctrl)
+{
+  g_hash_table_destroy (ctrl->claims.streams);
+}
+
+void
+ctrl_claims_turn (ctrl_t *ctrl)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, ctrl->claims.streams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      answer_all (value);
+      pump (value);
+    }
+  g_hash_table_foreach_remove (ctrl->claims.streams, is_long_idle, NULL);
+  count_keys (ctrl);
+}
+
+void
+ctrl_claims_ask (ctrl_t *ctrl, const msg_claim_t *message)
+{
+  ctrl_stream_t *stream = may_try (ctrl) ? open_stream (ctrl, message->stream) : NULL;
+  if (stream == NULL)
+    {
+      refuse (ctrl, message);
+      return;
+    }
+  clm_request (stream->clm, ctrl_now_us (ctrl), message->claim_id, &message->key,
+               message->expiry_us, message->owner);
+  answer_all (stream);
+  pump (stream);
+}
+
+void
+ctrl_claims_end (ctrl_t *ctrl, const msg_claim_end_t *message)
+{
+  ctrl_stream_t *stream = open_stream (ctrl, message->stream);
+  if (stream == NULL)
+    return; /* the key stays held: its resends hear that it may have run */
+  if (message->ran)
+    clm_done (stream->clm, message->claim_id, &message->key, message->status);
+  else
+    clm_release (stream->clm, message->claim_id, &message->key);
+  pump (stream);
+}
+
+bool
+ctrl_claims_idle (const ctrl_t *ctrl)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, ctrl->claims.streams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const ctrl_stream_t *stream = value;
+      if (stream->append_op != NULL || clm_wants (stream->clm))
+        return false;
+    }
+  return true;
+}
--- /dev/null
+++ b/src/process/control_fetch.c
@@ -0,0 +1,120 @@
+#include "process/control_private.h"
+
+#include "process/log.h"
+#include "request/order.h"
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/http.h>
+
+#define BETWEEN_US (1 * CLK_US_PER_S)
+#define TIMEOUT_US (5 * CLK_US_PER_S)
+#define STATUS_OK 200
+#define ENVELOPE_BYTES 1024 /* of the answer, around the manifest */
+
+static bool
+on_head (int status, struct evkeyvalq *headers, void *context)
+{
+  ctrl_t *ctrl = context;
+  const char *seal = evhttp_find_header (headers, MSY_SEAL_HEADER);
+  if (status != STATUS_OK || seal == NULL)
+    return false;
+  g_strlcpy (ctrl->fetch.seal, seal, sizeof ctrl->fetch.seal);
+  return true;
+}
+
+static void
+on_data (struct evbuffer *data, void *context)
+{
+  ctrl_t *ctrl = context;
+  evbuffer_add_buffer (ctrl->fetch.body, data);
+}
+
+static void
+log_fetch (const ctrl_t *ctrl, const char *outcome, uint64_t version, const char *reason)
+{
+  log_event (LOG_LEVEL_NOTICE, "manifest_from_peer", "host", ctrl->fetch.host, "outcome", outcome,
+             "version", LOG_U64 (version), "reason", reason, NULL);
+}
+
+static void
+adopt (ctrl_t *ctrl)
+{
+  ctrl_fetch_t *fetch = &ctrl->fetch;
+  GError *error = NULL;
+  uint64_t next_offset = 0;
+  size_t bytes = evbuffer_get_length (fetch->body);
+  const char *body = (const char *)evbuffer_pullup (fetch->body, -1);
+  man_t *man = msy_read (ctrl->dmn->set.fleet_key, fetch->nonce, fetch->seal, body, bytes,
+                         &next_offset, &error);
+  if (man == NULL)
+    {
+      log_fetch (ctrl, "refused", 0, error->message);
+      g_error_free (error);
+      return;
+    }
+  bool adopted = rep_adopt (ctrl->manifest.rep, man, next_offset);
+  log_fetch (ctrl, adopted ? "adopted" : "no_news", man->version, NULL);
+  man_unref (man);
+  if (!adopted)
+    return;
+  ctrl_count (ctrl, "medlarplank_manifest_from_peer_total",
+              "Versions of the manifest taken from a peer");
+  ctrl_manifest_flush (ctrl);
+  ctrl_fresh_flush (ctrl);
+}
+
+static void
+on_end (const hcl_end_t *end, void *context)
+{
+  ctrl_t *ctrl = context;
+  ctrl->fetch.call = NULL;
+  ctrl_fresh_check (ctrl);
+  if (end->whole)
+    adopt (ctrl);
+  else
+    log_fetch (ctrl, "failed", 0, vrd_reason_name (end->reason));
+  g_clear_pointer (&ctrl->fetch.body, evbuffer_free);
+}
+
+void
+ctrl_fetch_start (ctrl_t *ctrl, const mem_host_t *host)
+{
+  ctrl_fetch_t *fetch = &ctrl->fetch;
+  uint64_t now_us = ctrl_now_us (ctrl);
+  if (fetch->call != NULL || now_us < fetch->next_us)
+    return;
+  fetch->next_us = now_us + ctrl_jitter (ctrl, BETWEEN_US);
+  fetch->body = evbuffer_new ();
+  fetch->seal[0] = '\0';
+  g_strlcpy (fetch->host, host->name, sizeof fetch->host);
+  msy_nonce (fetch->nonce);
+  ord_t order = { .host = host->name, .method = "GET", .target = MSY_PATH };
+  char seal[ORD_SEAL_BYTES];
+  ord_seal (&order, ctrl->dmn->set.fleet_key, seal);
+  hcl_header_t headers[] = { { MSY_NONCE_HEADER, fetch->nonce }, { ORD_SEAL_HEADER, seal } };
+  hcl_options_t options = {
+    .address = &host->http,
+    .method = "GET",
+    .target = MSY_PATH,
+    .headers = headers,
+    .header_count = G_N_ELEMENTS (headers),
+    .timeout_us = TIMEOUT_US,
+    .answer_limit_bytes = LIM_MANIFEST_BYTES + ENVELOPE_BYTES,
+    .on_head = on_head,
+    .on_data = on_data,
+    .on_end = on_end,
+    .context = ctrl,
+  };
+  exc_charge (ctrl->exc, CTRL_REQUEST_BYTES);
+  fetch->call = hcl_start (ctrl->hcl, &options);
+}
+
+void
+ctrl_fetch_clear (ctrl_t *ctrl)
+{
+  if (ctrl->fetch.call != NULL)
+    hcl_cancel (ctrl->fetch.call);
+  if (ctrl->fetch.body != NULL)
+    evbuffer_free (ctrl->fetch.body);
+}
--- /dev/null
+++ b/src/process/control_fresh.c
@@ -0,0 +1,145 @@
+#include "process/control_private.h"
+
+#include "process/log.h"
+
+#define PEERS_ASKED 4 /* at once after a pause */
+#define PEERS_NEEDED 2
+
+/* Forgets all that was heard before, and hears it again. */
+static void
+start_over (ctrl_t *ctrl)
+{
+  ctrl_fresh_t *fresh = &ctrl->fresh;
+  fresh->list_ok = false;
+  fresh->list_failed = false;
+  fresh->log_ok = false;
+  fresh->log_failed = false;
+  fresh->replies = 0;
+  fresh->current_replies = 0;
+  exc_flush (ctrl->exc);
+  ctrl_source_restart (ctrl, &ctrl->list.source);
+  ctrl_source_restart (ctrl, &ctrl->manifest.source);
+  ctrl_talk_tell (ctrl, PEERS_ASKED);
+}
+
+static void
+tell_data (ctrl_t *ctrl, bool on)
+{
+  msg_flag_t *flag = msg_new (MSG_FRESHNESS);
+  flag->on = on;
+  flag->at_us = ctrl->fresh.pse.woke_us;
+  ctrl_send (ctrl, flag);
+  cnt_set_value (ctrl->fresh.stale, !on);
+}
+
+static void
+woke (ctrl_t *ctrl, const char *task)
+{
+  cnt_add (ctrl->fresh.pauses, 1);
+  log_event (LOG_LEVEL_WARNING, "woke_from_pause", "task", task, NULL);
+  tell_data (ctrl, false);
+  start_over (ctrl);
+}
+
+/* With nobody to ask only the platform can tell. */
+static uint32_t
+replies_needed (const ctrl_t *ctrl)
+{
+  uint32_t peers = ctrl->peers.all->len;
+  return CLAMP (peers, 1, PEERS_NEEDED);
+}
+
+/*
+ * While the platform's list is out it tells nobody anything new, and peers pass on what it said
+ * last: whoever heard that this host leaves says so in its replies.
+ */
+static bool
+own_state_known (const ctrl_t *ctrl)
+{
+  const ctrl_fresh_t *fresh = &ctrl->fresh;
+  if (ctrl->list.own_held)
+    return false;
+  return fresh->list_ok || (fresh->list_failed && fresh->replies >= replies_needed (ctrl));
+}
+
+static bool
+version_known (const ctrl_t *ctrl)
+{
+  const ctrl_fresh_t *fresh = &ctrl->fresh;
+  if (!rep_ready (ctrl->manifest.rep))
+    return false;
+  return fresh->log_ok || (fresh->log_failed && fresh->current_replies >= replies_needed (ctrl));
+}
+
+void
+ctrl_fresh_init (ctrl_t *ctrl)
+{
+  cnt_set_t *counters = ctrl->dmn->counters;
+  ctrl->fresh.pauses = cnt_get (counters, "medlarplank_pauses_total",
+                                "Times the daemon found that it had not run for a while");
+  ctrl->fresh.stale = cnt_get (counters, "medlarplank_stale",
+                               "Whether the daemon has not heard all it needs since it started "
+                               "or last woke");
+  cnt_set_value (ctrl->fresh.stale, 1);
+  pse_init (&ctrl->fresh.pse, ctrl_now_us (ctrl), ctrl->dmn->set.exchange_interval_ms);
+}
+
+void
+ctrl_fresh_check (ctrl_t *ctrl)
+{
+  if (pse_check (&ctrl->fresh.pse, ctrl_now_us (ctrl)))
+    woke (ctrl, "control");
+}
+
+void
+ctrl_fresh_woke (ctrl_t *ctrl, uint64_t woke_us)
+{
+  if (pse_wake (&ctrl->fresh.pse, woke_us))
+    woke (ctrl, "data");
+}
+
+void
+ctrl_fresh_heard_list (ctrl_t *ctrl, uint64_t started_us, bool worked)
+{
+  if (started_us < ctrl->fresh.pse.woke_us)
+    return;
+  ctrl->fresh.list_ok = ctrl->fresh.list_ok || worked;
+  ctrl->fresh.list_failed = ctrl->fresh.list_failed || !worked;
+  ctrl_fresh_flush (ctrl);
+}
+
+void
+ctrl_fresh_heard_log (ctrl_t *ctrl, uint64_t started_us, bool worked)
+{
+  if (started_us < ctrl->fresh.pse.woke_us)
+    return;
+  ctrl->fresh.log_ok = ctrl->fresh.log_ok || worked;
+  ctrl->fresh.log_failed = ctrl->fresh.log_failed || !worked;
+  ctrl_fresh_flush (ctrl);
+}
+
+void
+ctrl_fresh_heard_reply (ctrl_t *ctrl, uint64_t version)
+{
+  ctrl->fresh.replies++;
+  if (version <= ctrl_manifest_version (ctrl))
+    ctrl->fresh.current_replies++;
+  else
+    ctrl->fresh.current_replies = 0;
+  ctrl_fresh_flush (ctrl);
+}
+
+void
+ctrl_fresh_flush (ctrl_t *ctrl)
+{
+  pse_t *pse = &ctrl->fresh.pse;
+  if (!pse_stale (pse) || !own_state_known (ctrl) || !version_known (ctrl))
+    return;
+  ctrl_members_flush (ctrl);
+  ctrl_manifest_flush (ctrl);
+  pse_fresh (pse, pse->woke_us);
+  log_event (LOG_LEVEL_NOTICE, "fresh", "list", ctrl->fresh.list_ok ? "platform" : "peers",
+             "version", LOG_U64 (ctrl_manifest_version (ctrl)), "version_by",
+             ctrl->fresh.log_ok ? "platform" : "peers", NULL);
+  tell_data (ctrl, true);
+}
--- /dev/null
+++ b/src/process/control_members.c
@@ -0,0 +1,207 @@
+#include "process/control_private.h"
+
+#include "process/log.h"
+
+#define LOGGED_CHANGES 16  /* beyond, only their number is logged */
+#define TAILS_PER_CENTER 3 /* daemons of a data centre that follow the log closely */
+#define TAIL_SEED UINT64_C (0x9e3779b97f4a7c15)
+
+static const char *
+state_name (mem_state_t state)
+{
+  switch (state)
+    {
+    case MEM_LIVE:
+      return "live";
+    case MEM_LEAVING:
+      return "leaving";
+    case MEM_GONE:
+      break;
+    }
+  return "gone";
+}
+
+static void
+log_change (const mem_host_t *host, mem_state_t state)
+{
+  log_event (LOG_LEVEL_INFO, "member_changed", "name", host->name, "state", state_name (state),
+             "incarnation", LOG_U64 (host->incarnation), "settled_us",
+             host->settled_us != 0 ? LOG_U64 (host->settled_us) : NULL, NULL);
+}
+
+static bool
+same_for_log (const mem_host_t *a, const mem_host_t *b)
+{
+  return a->state == b->state && a->incarnation == b->incarnation && a->settled_us == b->settled_us;
+}
+
+/* Return: how many hosts differ; logs the first of them. */
+static uint32_t
+compare (const mem_snapshot_t *before, const mem_snapshot_t *after)
+{
+  uint32_t changes = 0;
+  for (uint32_t i = 0; i < after->host_count; i++)
+    {
+      const mem_host_t *host = &after->hosts[i];
+      const mem_host_t *old = mem_find_hash (before, host->hash);
+      if (old != NULL && same_for_log (old, host))
+        continue;
+      if (changes++ < LOGGED_CHANGES)
+        log_change (host, host->state);
+    }
+  for (uint32_t i = 0; i < before->host_count; i++)
+    {
+      const mem_host_t *old = &before->hosts[i];
+      if (mem_find_hash (after, old->hash) != NULL)
+        continue;
+      if (changes++ < LOGGED_CHANGES)
+        log_change (old, MEM_GONE);
+    }
+  return changes;
+}
+
+static void
+log_members (const mem_snapshot_t *before, const mem_snapshot_t *after)
+{
+  uint32_t changes = before != NULL ? compare (before, after) : after->host_count;
+  if (changes == 0)
+    return;
+  log_event (LOG_LEVEL_INFO, "members", "hosts", LOG_U64 (after->host_count), "changes",
+             LOG_U64 (changes), "revision", LOG_U64 (after->list_revision), NULL);
+}
+
+static void
+count_members (ctrl_t *ctrl, const mem_snapshot_t *members)
+{
+  uint64_t leaving = 0;
+  for (uint32_t i = 0; i < members->host_count; i++)
+    leaving += members->hosts[i].state == MEM_LEAVING;
+  ctrl_gauge (ctrl, "medlarplank_hosts", "Hosts known, routers and sidecars", members->host_count);
+  ctrl_gauge (ctrl, "medlarplank_hosts_leaving", "Hosts known that are leaving", leaving);
+}
+
+static uint64_t
+tail_score (uint64_t host_hash)
+{
+  uint64_t mixed = (host_hash ^ TAIL_SEED) * UINT64_C (0xff51afd7ed558ccd);
+  return mixed ^ (mixed >> 33);
+}
+
+/* The same on every daemon that sees the same list. One that is not listed yet follows the log
+ * itself, as nobody may know of it. */
+static bool
+is_tail (const ctrl_t *ctrl, const mem_snapshot_t *members)
+{
+  const mem_host_t *own = mem_find_hash (members, ctrl->own_hash);
+  if (own == NULL)
+    return true;
+  uint32_t ahead = 0;
+  for (uint32_t i = 0; i < members->host_count; i++)
+    {
+      const mem_host_t *host = &members->hosts[i];
+      if (host->state != MEM_LIVE || g_strcmp0 (host->data_center, own->data_center) != 0)
+        continue;
+      ahead += tail_score (host->hash) > tail_score (own->hash);
+    }
+  return ahead < TAILS_PER_CENTER;
+}
+
+static const man_service_t *
+service_of (const ctrl_t *ctrl, const char *name)
+{
+  const man_t *man = rep_manifest (ctrl->manifest.rep);
+  return man != NULL ? man_service_of_engine (man, name) : NULL;
+}
+
+static const mem_host_t *
+random_of (ctrl_t *ctrl, const GArray *indices)
+{
+  if (indices->len == 0)
+    return NULL;
+  guint at = (guint)g_rand_int_range (ctrl->rand, 0, (gint32)indices->len);
+  return &ctrl->peers.members->hosts[g_array_index (indices, uint32_t, at)];
+}
+
+void
+ctrl_members_init (ctrl_t *ctrl)
+{
+  ctrl_peers_t *peers = &ctrl->peers;
+  peers->all = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  peers->sidecars = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  peers->same = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  peers->tails_log = true;
+}
+
+void
+ctrl_members_clear (ctrl_t *ctrl)
+{
+  ctrl_peers_t *peers = &ctrl->peers;
+  if (peers->members != NULL)
+    mem_snapshot_unref (peers->members);
+  g_array_free (peers->all, TRUE);
+  g_array_free (peers->sidecars, TRUE);
+  g_array_free (peers->same, TRUE);
+}
+
+void
+ctrl_peers_rebuild (ctrl_t *ctrl)
+{
+  ctrl_peers_t *peers = &ctrl->peers;
+  if (peers->members == NULL)
+    return;
+  g_array_set_size (peers->all, 0);
+  g_array_set_size (peers->sidecars, 0);
+  g_array_set_size (peers->same, 0);
+  const set_t *set = &ctrl->dmn->set;
+  const man_service_t *own = service_of (ctrl, set->name);
+  for (uint32_t i = 0; i < peers->members->host_count; i++)
+    {
+      const mem_host_t *host = &peers->members->hosts[i];
+      if (host->hash == ctrl->own_hash || host->state != MEM_LIVE || host->exchange.port == 0)
+        continue;
+      g_array_append_val (peers->all, i);
+      if (host->router)
+        continue;
+      g_array_append_val (peers->sidecars, i);
+      if (own != NULL && g_strcmp0 (host->region, set->region) == 0 &&
+          service_of (ctrl, host->name) == own)
+        g_array_append_val (peers->same, i);
+    }
+  peers->tails_log = is_tail (ctrl, peers->members);
+}
+
+void
+ctrl_members_flush (ctrl_t *ctrl)
+{
+  if (!ctrl->list.read_once || !mem_changed (ctrl->mem))
+    return;
+  mem_snapshot_t *after = mem_snapshot (ctrl->mem);
+  log_members (ctrl->peers.members, after);
+  if (ctrl->peers.members != NULL)
+    mem_snapshot_unref (ctrl->peers.members);
+  ctrl->peers.members = after;
+  count_members (ctrl, after);
+  ctrl_peers_rebuild (ctrl);
+  msg_members_t *message = msg_new (MSG_MEMBERS);
+  message->members = mem_snapshot_ref (after);
+  ctrl_send (ctrl, message);
+}
+
+const mem_host_t *
+ctrl_peer_any (ctrl_t *ctrl)
+{
+  return random_of (ctrl, ctrl->peers.all);
+}
+
+/* Routers talk to sidecars, which know loads. Sidecars talk to those of their own service for its
+ * mean, and as often to anyone, so that versions and words get everywhere. */
+const mem_host_t *
+ctrl_peer_near (ctrl_t *ctrl)
+{
+  const mem_host_t *host = NULL;
+  if (ctrl->dmn->set.role == SET_ROLE_ROUTER)
+    host = random_of (ctrl, ctrl->peers.sidecars);
+  else if (g_rand_boolean (ctrl->rand))
+    host = random_of (ctrl, ctrl->peers.same);
+  return host != NULL ? host : ctrl_peer_any (ctrl);
+}
--- /dev/null
+++ b/tests/control_rig.c
@@ -0,0 +1,219 @@
+#include "control_rig.h"
+
+#include "request/place.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#define KEY_DIGEST "08a6bd4bf2a6c5b8e6b2a0a8f7a4a7b7fb0ee6d29a4a7fcc1c6e0b7b1a2f3c4d"
+#define TICK_US (PSE_TICK_MS * CLK_US_PER_MS)
+
+static void
+take_members (told_t *told, const mem_snapshot_t *members)
+{
+  told->hosts = members->host_count;
+  const mem_host_t *peer = mem_find (members, "peer");
+  told->peer_state = peer != NULL ? peer->state : MEM_GONE;
+}
+
+static void
+take_flag (told_t *told, const msg_flag_t *flag)
+{
+  told->fresh = flag->on;
+  told->fresh_at_us = flag->at_us;
+  told->fresh_notices += flag->on;
+  told->stale_notices += !flag->on;
+}
+
+static void
+on_told (mbx_message_t *message, void *context)
+{
+  told_t *told = &((rig_t *)context)->told;
+  switch (message->kind)
+    {
+    case MSG_VERSION:
+      told->version = ((msg_version_t *)message)->man->version;
+      told->versions++;
+      break;
+    case MSG_MEMBERS:
+      take_members (told, ((msg_members_t *)message)->members);
+      break;
+    case MSG_FRESHNESS:
+      take_flag (told, (msg_flag_t *)message);
+      break;
+    case MSG_DRAIN:
+      told->drains++;
+      break;
+    case MSG_SAMPLES:
+      told->samples += ((msg_samples_t *)message)->count;
+      told->sample = ((msg_samples_t *)message)->samples[0];
+      break;
+    case MSG_MARKS:
+      told->marks += ((msg_marks_t *)message)->count;
+      break;
+    case MSG_CLAIM_RESULT:
+      told->results++;
+      told->result = ((msg_claim_result_t *)message)->result;
+      break;
+    default:
+      CU_FAIL ("a message that is not for the data task");
+    }
+}
+
+static void
+ignore (mbx_message_t *message, void *context)
+{
+  (void)message;
+  (void)context;
+}
+
+static char *
+publish (const char *id, uint64_t base, int slots)
+{
+  json_t *manifest = json_pack (
+      "{s{s{ss}} s{s{}} s{s{ss s[sss] si}} s[{ss ss ss}]}", "client_accounts", "east", "key_sha256",
+      KEY_DIGEST, "classes", "short", "services", "pool", "kind", "model", "engines", "own", "peer",
+      "third", "slots", slots, "routes", "path", "/a", "service", "pool", "class", "short");
+  char *record = rep_publish_record (id, base, "ann", manifest, NULL);
+  json_decref (manifest);
+  return record;
+}
+
+void
+rig_put_version (fkp_t *platform, uint64_t base)
+{
+  char id[16];
+  g_snprintf (id, sizeof id, "id-%u", (unsigned)base);
+  char *record = publish (id, base, (int)base + 1);
+  fkp_put (platform, REP_STREAM, record);
+  g_free (record);
+}
+
+const char *
+rig_ip (void)
+{
+  static char ip[46];
+  unsigned pid = (unsigned)getpid ();
+  g_snprintf (ip, sizeof ip, "127.%u.%u.1", ((pid >> 8) & 0x7f) + 1, pid & 0xff);
+  return ip;
+}
+
+void
+rig_set_up (rig_t *rig, struct event_base *base, const char *name, uint16_t port)
+{
+  memset (rig, 0, sizeof *rig);
+  rig->base = base;
+  fkp_init (&rig->platform);
+  set_t *set = &rig->dmn.set;
+  set->role = SET_ROLE_SIDECAR;
+  g_strlcpy (set->name, name, sizeof set->name);
+  g_strlcpy (set->data_center, "hall", sizeof set->data_center);
+  g_strlcpy (set->region, "town", sizeof set->region);
+  g_strlcpy (set->fleet_key, RIG_KEY, sizeof set->fleet_key);
+  g_strlcpy (set->exchange.ip, rig_ip (), sizeof set->exchange.ip);
+  set->exchange.port = port;
+  set->exchange_interval_ms = 10000;
+  set->list_interval_ms = 1000;
+  set->control_budget_bytes = 100000;
+  set->claim_horizon_s = 86400;
+  set->log_retention_s = 604800;
+  clk_init_paused (&rig->dmn.clk, 100 * (uint64_t)CLK_US_PER_S);
+  rig->dmn.incarnation = 50;
+  rig->dmn.counters = cnt_set_new ();
+  rig->dmn.to_data = mbx_new (rig->base, on_told, rig);
+  rig->dmn.to_control = mbx_new (rig->base, ignore, NULL);
+}
+
+void
+rig_start (rig_t *rig)
+{
+  rig->ctrl = ctrl_new_on (&rig->dmn, rig->base, &rig->platform.plt, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (rig->ctrl);
+}
+
+void
+rig_tear_down (rig_t *rig)
+{
+  ctrl_free (rig->ctrl);
+  CU_ASSERT_TRUE (rig->platform.freed);
+  mbx_free (rig->dmn.to_data);
+  mbx_free (rig->dmn.to_control);
+  cnt_set_free (rig->dmn.counters);
+  fkp_clear (&rig->platform);
+}
+
+void
+rig_settle (rig_t *rig)
+{
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      uint32_t answered = fkp_answer (&rig->platform);
+      event_base_loop (rig->base, EVLOOP_NONBLOCK);
+      if (answered == 0)
+        break;
+    }
+}
+
+void
+rig_turn (rig_t *rig)
+{
+  clk_advance (&rig->dmn.clk, TICK_US);
+  rig->platform.now_ms += PSE_TICK_MS;
+  ctrl_turn (rig->ctrl);
+  rig_settle (rig);
+}
+
+void
+rig_turns (rig_t *rig, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    rig_turn (rig);
+}
+
+void
+rig_list_hosts (fkp_t *platform)
+{
+  fkp_host (platform, "own", false, rig_ip (), RIG_PORT, MEM_LIVE);
+  fkp_host (platform, "peer", false, rig_ip (), RIG_PORT + 1, MEM_LIVE);
+  fkp_host (platform, "third", false, rig_ip (), RIG_PORT + 2, MEM_LIVE);
+}
+
+void
+rig_start_fresh (rig_t *rig, struct event_base *base)
+{
+  rig_set_up (rig, base, "own", RIG_PORT);
+  rig_list_hosts (&rig->platform);
+  rig_put_version (&rig->platform, 0);
+  rig_start (rig);
+  TURN_UNTIL (rig, rig->told.fresh);
+}
+
+void
+rig_deliver (rig_t *rig, void *message)
+{
+  mbx_message_t *head = message;
+  ctrl_message (head, rig->ctrl);
+  head->free (head);
+  rig_settle (rig);
+}
+
+void
+rig_send_flag (rig_t *rig, msg_kind_t kind)
+{
+  msg_flag_t *flag = msg_new (kind);
+  flag->on = true;
+  rig_deliver (rig, flag);
+}
+
+xch_message *
+rig_say (said_t *said, const char *name, uint32_t sequence)
+{
+  memset (said, 0, sizeof *said);
+  said->message.sender.host_hash = plc_hash_name (name);
+  said->message.sender.incarnation = 7;
+  said->message.sender.sequence = sequence;
+  said->message.samples.samples_val = said->samples;
+  said->message.words.words_val = said->words;
+  said->message.marks.marks_val = said->marks;
+  return &said->message;
+}
--- /dev/null
+++ b/tests/test_control.c
@@ -0,0 +1,278 @@
+#include "control_rig.h"
+#include "request/place.h"
+
+static void
+test_start (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_set_up (&rig, base, "own", RIG_PORT);
+  rig_list_hosts (&rig.platform);
+  rig_put_version (&rig.platform, 0);
+  rig_put_version (&rig.platform, 1);
+  rig_start (&rig);
+  CU_ASSERT_EQUAL (rig.told.fresh_notices, 0);
+  TURN_UNTIL (&rig, rig.told.fresh);
+  CU_ASSERT_EQUAL (rig.told.version, 2);
+  CU_ASSERT_EQUAL (rig.told.hosts, 3);
+  rig_put_version (&rig.platform, 2);
+  TURN_UNTIL (&rig, rig.told.version == 3);
+  rig_put_version (&rig.platform, 1);
+  rig_turns (&rig, 5);
+  CU_ASSERT_EQUAL (rig.told.version, 3);
+  CU_ASSERT_EQUAL (rig.told.versions, 2);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* The log goes out and stays out. Callers must not notice: the version in force stays, and the
+ * daemon asks ever less often, not at every tick, until the log is back. */
+static void
+test_log_outage (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  rig.platform.read_down = true;
+  rig_turns (&rig, 2);
+  uint32_t reads = rig.platform.reads;
+  rig_turns (&rig, 300);
+  CU_ASSERT_TRUE (rig.platform.reads - reads >= 3);
+  CU_ASSERT_TRUE (rig.platform.reads - reads <= 12);
+  CU_ASSERT_EQUAL (rig.told.version, 1);
+  CU_ASSERT_EQUAL (rig.told.stale_notices, 0);
+  rig_put_version (&rig.platform, 1);
+  rig.platform.read_down = false;
+  TURN_UNTIL (&rig, rig.told.version == 2);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* A daemon is stopped for half a minute and goes on. Meanwhile its host began to leave and the
+ * version was replaced; answers that the platform gave before the stop still arrive first. A
+ * request let in then would run on a leaving host or under an old version. The data task must hear
+ * at once that it is stale, and that it is fresh only after answers to what was asked since. */
+static void
+test_pause (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  clk_advance (&rig.dmn.clk, 2 * CLK_US_PER_S);
+  ctrl_turn (rig.ctrl); /* asks for the list */
+  clk_advance (&rig.dmn.clk, RIG_PAUSE_US);
+  fkp_answer (&rig.platform);
+  event_base_loop (base, EVLOOP_NONBLOCK);
+  CU_ASSERT_FALSE (rig.told.fresh);
+  CU_ASSERT_EQUAL (rig.told.stale_notices, 1);
+  CU_ASSERT_EQUAL (rig.told.fresh_at_us, clk_now_us (&rig.dmn.clk));
+  uint64_t woke_us = rig.told.fresh_at_us;
+  rig_put_version (&rig.platform, 1);
+  TURN_UNTIL (&rig, rig.told.fresh);
+  CU_ASSERT_EQUAL (rig.told.version, 2);
+  CU_ASSERT_EQUAL (rig.told.fresh_at_us, woke_us);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* The data task noticed a pause that the control task did not. */
+static void
+test_pause_of_data_task (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  rig_turn (&rig);
+  msg_flag_t *woke = msg_new (MSG_WOKE);
+  woke->at_us = clk_now_us (&rig.dmn.clk) + 1;
+  uint64_t woke_us = woke->at_us;
+  rig_deliver (&rig, woke);
+  CU_ASSERT_FALSE (rig.told.fresh);
+  TURN_UNTIL (&rig, rig.told.fresh);
+  CU_ASSERT_EQUAL (rig.told.fresh_at_us, woke_us);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* A daemon wakes while the platform is out. It cannot ask whether its host began to leave; its
+ * peers can tell, as they read the list meanwhile. One reply is not enough while there are more
+ * peers, replies from before the pause do not count, and a peer that has a higher version says
+ * that ours is old. */
+static void
+test_pause_while_platform_is_out (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  rig.platform.read_down = true;
+  rig.platform.list_down = true;
+  clk_advance (&rig.dmn.clk, RIG_PAUSE_US);
+  said_t said;
+  rig_say (&said, "peer", 1)->manifest_version = 1;
+  CU_ASSERT_FALSE (ctrl_talk_heard (&said.message, true, rig.ctrl));
+  rig_turns (&rig, 30);
+  CU_ASSERT_FALSE (rig.told.fresh);
+  rig_say (&said, "peer", 2)->manifest_version = 1;
+  ctrl_talk_heard (&said.message, true, rig.ctrl);
+  rig_say (&said, "third", 1)->manifest_version = 2;
+  ctrl_talk_heard (&said.message, true, rig.ctrl);
+  rig_settle (&rig);
+  CU_ASSERT_FALSE (rig.told.fresh);
+  rig.ctrl->fetch.next_us = UINT64_MAX; /* nobody serves the version here */
+  rig.ctrl->manifest.heard_version = 0;
+  rig_say (&said, "peer", 3)->manifest_version = 1;
+  ctrl_talk_heard (&said.message, true, rig.ctrl);
+  rig_say (&said, "third", 2)->manifest_version = 1;
+  ctrl_talk_heard (&said.message, true, rig.ctrl);
+  rig_settle (&rig);
+  CU_ASSERT_TRUE (rig.told.fresh);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* While a daemon is stopped the list says that it leaves, then the list goes out. A peer says so
+ * in its reply: the daemon must leave, not take work again. Both daemons are real here. */
+static void
+test_peer_tells_of_leaving (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t own;
+  rig_t peer;
+  rig_start_fresh (&own, base);
+  rig_set_up (&peer, base, "peer", RIG_PORT + 1);
+  rig_list_hosts (&peer.platform);
+  rig_put_version (&peer.platform, 0);
+  rig_start (&peer);
+  TURN_UNTIL (&peer, peer.told.fresh);
+  exc_now (own.ctrl->exc, &peer.dmn.set.exchange);
+  mem_word_t word = { 0 };
+  gint64 end_us = g_get_monotonic_time () + RIG_DEADLINE_S * G_USEC_PER_SEC;
+  while (!mem_word (peer.ctrl->mem, own.ctrl->own_hash, &word) && g_get_monotonic_time () < end_us)
+    event_base_loop (base, EVLOOP_ONCE);
+  CU_ASSERT_EQUAL (word.incarnation, 50);
+  fkp_host (&peer.platform, "own", false, rig_ip (), RIG_PORT, MEM_LEAVING);
+  rig_turns (&peer, 20);
+  own.platform.read_down = true;
+  own.platform.list_down = true;
+  clk_advance (&own.dmn.clk, RIG_PAUSE_US);
+  ctrl_turn (own.ctrl);
+  while (own.told.drains == 0 && g_get_monotonic_time () < end_us)
+    event_base_loop (base, EVLOOP_ONCE);
+  CU_ASSERT_EQUAL (own.told.drains, 1);
+  rig_tear_down (&own);
+  rig_tear_down (&peer);
+  event_base_free (base);
+}
+
+/* The list says leaving, then a stale copy of it says live. The host must be told to drain, once,
+ * and say of itself that it leaves from then on; it ends only after a signal. */
+static void
+test_leave_by_list (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  fkp_host (&rig.platform, "own", false, rig_ip (), RIG_PORT, MEM_LEAVING);
+  TURN_UNTIL (&rig, rig.told.drains > 0);
+  fkp_host (&rig.platform, "own", false, rig_ip (), RIG_PORT, MEM_LIVE);
+  rig_turns (&rig, 30);
+  CU_ASSERT_EQUAL (rig.told.drains, 1);
+  said_t said;
+  ctrl_talk_fill (rig_say (&said, "x", 1), NULL, rig.ctrl);
+  CU_ASSERT_EQUAL (said.message.sender.state, MEM_LEAVING);
+  rig_send_flag (&rig, MSG_DRAINED);
+  rig_turns (&rig, 30);
+  CU_ASSERT_FALSE (rig.ctrl->stop.done);
+  rig_send_flag (&rig, MSG_DRAIN);
+  CU_ASSERT_TRUE (rig.ctrl->stop.done);
+  CU_ASSERT_EQUAL (rig.told.drains, 1);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* A host was replaced; the list lags and says leaving, of the process before. The new one must not
+ * drain, but take no work either, until the list says live. */
+static void
+test_listed_leaving_at_start (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_set_up (&rig, base, "own", RIG_PORT);
+  rig_list_hosts (&rig.platform);
+  fkp_host (&rig.platform, "own", false, rig_ip (), RIG_PORT, MEM_LEAVING);
+  rig_put_version (&rig.platform, 0);
+  rig_start (&rig);
+  rig_turns (&rig, 30);
+  CU_ASSERT_EQUAL (rig.told.fresh_notices, 0);
+  CU_ASSERT_EQUAL (rig.told.drains, 0);
+  fkp_host (&rig.platform, "own", false, rig_ip (), RIG_PORT, MEM_LIVE);
+  TURN_UNTIL (&rig, rig.told.fresh);
+  fkp_host (&rig.platform, "own", false, rig_ip (), RIG_PORT, MEM_LEAVING);
+  TURN_UNTIL (&rig, rig.told.drains == 1);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* The platform's list comes up empty after a restart of its store. If it were believed, every
+ * router would refuse everything. */
+static void
+test_empty_list_is_not_believed (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  rig.platform.host_count = 0;
+  rig_turns (&rig, 50);
+  CU_ASSERT_EQUAL (rig.told.hosts, 3);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+static void
+test_checkpoint_is_appended_once (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  for (uint32_t i = 1; i < 70; i++)
+    rig_put_version (&rig.platform, i);
+  TURN_UNTIL (&rig, rig.told.version == 70);
+  CU_ASSERT_EQUAL (rig.platform.appends, 0);
+  TURN_UNTIL (&rig, rig.platform.appends == 1);
+  rig_turns (&rig, 300);
+  CU_ASSERT_EQUAL (rig.platform.appends, 1);
+  CU_ASSERT_EQUAL (fkp_length (&rig.platform, REP_STREAM), 71);
+  /* Another daemon is faster: the next one is not appended here. */
+  for (uint32_t i = 70; i < 140; i++)
+    rig_put_version (&rig.platform, i);
+  rig_turn (&rig);
+  char *record = rep_checkpoint_record (rig.ctrl->manifest.rep);
+  fkp_put (&rig.platform, REP_STREAM, record);
+  rig_turns (&rig, 300);
+  CU_ASSERT_EQUAL (rig.platform.appends, 1);
+  g_free (record);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("control", NULL, NULL);
+  CU_ADD_TEST (suite, test_start);
+  CU_ADD_TEST (suite, test_log_outage);
+  CU_ADD_TEST (suite, test_pause);
+  CU_ADD_TEST (suite, test_pause_of_data_task);
+  CU_ADD_TEST (suite, test_pause_while_platform_is_out);
+  CU_ADD_TEST (suite, test_peer_tells_of_leaving);
+  CU_ADD_TEST (suite, test_leave_by_list);
+  CU_ADD_TEST (suite, test_listed_leaving_at_start);
+  CU_ADD_TEST (suite, test_empty_list_is_not_believed);
+  CU_ADD_TEST (suite, test_checkpoint_is_appended_once);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
--- /dev/null
+++ b/tests/test_control_claims.c
@@ -0,0 +1,166 @@
+#include "control_rig.h"
+
+#define STREAM "claims/pool/0"
+
+static msg_claim_t *
+claim (const rig_t *rig, uint64_t id, uint64_t key)
+{
+  msg_claim_t *message = msg_new (MSG_CLAIM);
+  g_strlcpy (message->stream, STREAM, sizeof message->stream);
+  message->claim_id[0] = 1;
+  message->claim_id[1] = id;
+  message->key.key_hash[0] = key;
+  message->key.body_hash = 5;
+  message->expiry_us = clk_now_us (&rig->dmn.clk) + 10 * CLK_US_PER_S;
+  return message;
+}
+
+static void
+test_claim_is_granted_and_ended (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  rig_deliver (&rig, claim (&rig, 1, 100));
+  TURN_UNTIL (&rig, rig.told.results == 1);
+  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_GRANTED);
+  CU_ASSERT_EQUAL (fkp_length (&rig.platform, STREAM), 1);
+  rig_deliver (&rig, claim (&rig, 2, 100));
+  TURN_UNTIL (&rig, rig.told.results == 2);
+  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_HELD);
+  msg_claim_end_t *end = msg_new (MSG_CLAIM_END);
+  g_strlcpy (end->stream, STREAM, sizeof end->stream);
+  end->claim_id[0] = 1;
+  end->claim_id[1] = 1;
+  end->key.key_hash[0] = 100;
+  end->key.body_hash = 5;
+  end->ran = true;
+  end->status = 201;
+  rig_deliver (&rig, end);
+  TURN_UNTIL (&rig, ctrl_claims_idle (rig.ctrl));
+  rig_deliver (&rig, claim (&rig, 3, 100));
+  TURN_UNTIL (&rig, rig.told.results == 3);
+  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_DONE);
+  CU_ASSERT_EQUAL (rig.told.result.status, 201);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* A claim of the key already stands in a stream that this daemon has not opened yet: granting
+ * before it has read that far would run the request twice. */
+static void
+test_claim_of_another_daemon_is_first (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t other;
+  rig_t rig;
+  rig_start_fresh (&other, base);
+  rig_deliver (&other, claim (&other, 1, 100));
+  TURN_UNTIL (&other, other.told.results == 1);
+  rig_set_up (&rig, base, "peer", RIG_PORT + 1);
+  rig_list_hosts (&rig.platform);
+  rig_put_version (&rig.platform, 0);
+  fkp_put (&rig.platform, STREAM, fkp_record (&other.platform, STREAM, 0));
+  rig_start (&rig);
+  rig_deliver (&rig, claim (&rig, 2, 100));
+  TURN_UNTIL (&rig, rig.told.results == 1);
+  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_HELD);
+  rig_tear_down (&rig);
+  rig_tear_down (&other);
+  event_base_free (base);
+}
+
+/* The log goes out. A keyed request must be refused at once as not run, not held until its
+ * deadline; one in a while finds out that the log is back. */
+static void
+test_claims_while_log_is_out (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  rig.platform.read_down = true;
+  rig.platform.append_down = true;
+  rig_deliver (&rig, claim (&rig, 1, 100));
+  TURN_UNTIL (&rig, rig.told.results == 1);
+  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_LOG_DOWN);
+  uint32_t results = 1;
+  for (uint64_t id = 2; id < 20; id++)
+    {
+      rig_deliver (&rig, claim (&rig, id, 100 + id));
+      results += rig.told.results > results;
+    }
+  CU_ASSERT_TRUE (results >= 18);
+  rig.platform.read_down = false;
+  rig.platform.append_down = false;
+  rig_turns (&rig, 130);
+  uint32_t before = rig.told.results;
+  rig_deliver (&rig, claim (&rig, 50, 500));
+  TURN_UNTIL (&rig, rig.told.results == before + 1);
+  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_GRANTED);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* The answer to an append is lost, but it took effect. The claim is found in the log by its id and
+ * granted; it is not appended again. */
+static void
+test_claim_whose_append_was_lost (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  rig.platform.append_lost = true;
+  rig_deliver (&rig, claim (&rig, 1, 100));
+  TURN_UNTIL (&rig, rig.told.results == 1);
+  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_GRANTED);
+  rig_turns (&rig, 10);
+  CU_ASSERT_EQUAL (fkp_length (&rig.platform, STREAM), 1);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* A signal comes while a claim's end is still to be appended. If the process ended now the key
+ * would be held for nobody, so it waits for the append, but not for ever. */
+static void
+test_stop_waits_for_claims (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  rig_deliver (&rig, claim (&rig, 1, 100));
+  TURN_UNTIL (&rig, rig.told.results == 1);
+  msg_claim_end_t *end = msg_new (MSG_CLAIM_END);
+  g_strlcpy (end->stream, STREAM, sizeof end->stream);
+  end->claim_id[0] = 1;
+  end->claim_id[1] = 1;
+  end->key.key_hash[0] = 100;
+  rig.platform.append_down = true;
+  rig_deliver (&rig, end);
+  rig_send_flag (&rig, MSG_DRAIN);
+  rig_send_flag (&rig, MSG_DRAINED);
+  rig_turns (&rig, 10);
+  CU_ASSERT_FALSE (rig.ctrl->stop.done);
+  rig.platform.append_down = false;
+  rig_turns (&rig, 15);
+  CU_ASSERT_TRUE (rig.ctrl->stop.done);
+  CU_ASSERT_TRUE (ctrl_claims_idle (rig.ctrl));
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("control_claims", NULL, NULL);
+  CU_ADD_TEST (suite, test_claim_is_granted_and_ended);
+  CU_ADD_TEST (suite, test_claim_of_another_daemon_is_first);
+  CU_ADD_TEST (suite, test_claims_while_log_is_out);
+  CU_ADD_TEST (suite, test_claim_whose_append_was_lost);
+  CU_ADD_TEST (suite, test_stop_waits_for_claims);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
--- /dev/null
+++ b/tests/test_control_exchange.c
@@ -0,0 +1,215 @@
+#include "connection/http_server.h"
+#include "control_rig.h"
+#include "request/order.h"
+#include "request/place.h"
+
+#include <string.h>
+
+static void
+put_sample (said_t *said, const char *engine, uint32_t load, uint32_t age_ms)
+{
+  xch_sample *sample = &said->samples[said->message.samples.samples_len++];
+  sample->engine_hash = plc_hash_name (engine);
+  sample->service_hash = plc_hash_name ("pool");
+  sample->load = load;
+  sample->age_ms = age_ms;
+}
+
+static void
+test_samples_and_marks_are_passed_on (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  said_t said;
+  rig_say (&said, "peer", 1);
+  put_sample (&said, "third", 5, 400);
+  put_sample (&said, "peer", 5, 1 + LIM_SAMPLE_AGE_US / CLK_US_PER_MS);
+  put_sample (&said, "own", 5, 0);
+  put_sample (&said, "no such host", 5, 0);
+  said.marks[0] = (xch_mark){ 99, { 3, 0 }, 1000 };
+  said.message.marks.marks_len = 1;
+  CU_ASSERT_TRUE (ctrl_talk_heard (&said.message, false, rig.ctrl));
+  rig_settle (&rig);
+  CU_ASSERT_EQUAL (rig.told.samples, 1);
+  CU_ASSERT_EQUAL (rig.told.sample.load, 5);
+  CU_ASSERT_EQUAL (rig.told.sample.taken_us, clk_now_us (&rig.dmn.clk) - 400 * CLK_US_PER_MS);
+  CU_ASSERT_EQUAL (rig.told.marks, 1);
+  msg_samples_t *own = msg_new (MSG_OWN_SAMPLE);
+  own->count = 1;
+  own->samples[0] = (mean_sample_t){ rig.ctrl->own_hash,       plc_hash_name ("pool"), 3, 0, 0,
+                                     clk_now_us (&rig.dmn.clk) };
+  rig_deliver (&rig, own);
+  clk_advance (&rig.dmn.clk, CLK_US_PER_S);
+  said_t out;
+  ctrl_talk_fill (rig_say (&out, "x", 1), NULL, rig.ctrl);
+  CU_ASSERT_EQUAL (out.message.samples.samples_len, 2);
+  CU_ASSERT_EQUAL (out.samples[0].load, 3);
+  CU_ASSERT_EQUAL (out.samples[0].age_ms, 1000);
+  CU_ASSERT_EQUAL (out.samples[1].load, 5);
+  CU_ASSERT_EQUAL (out.samples[1].age_ms, 1400);
+  CU_ASSERT_EQUAL (out.message.marks.marks_len, 1);
+  CU_ASSERT_EQUAL (out.marks[0].age_ms, 2000);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* A recorded datagram is sent again: its samples would look new and its word could undo a later
+ * one. It, and anything of a host that is not listed, is not heard and not answered. */
+static void
+test_replayed_message_is_not_heard (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  said_t said;
+  rig_say (&said, "peer", 5);
+  put_sample (&said, "peer", 5, 0);
+  CU_ASSERT_TRUE (ctrl_talk_heard (&said.message, false, rig.ctrl));
+  CU_ASSERT_FALSE (ctrl_talk_heard (&said.message, false, rig.ctrl));
+  said.message.sender.sequence = 4;
+  CU_ASSERT_FALSE (ctrl_talk_heard (&said.message, false, rig.ctrl));
+  rig_say (&said, "stranger", 1);
+  CU_ASSERT_FALSE (ctrl_talk_heard (&said.message, false, rig.ctrl));
+  rig_say (&said, "peer", 6)->sender.state = 77;
+  CU_ASSERT_FALSE (ctrl_talk_heard (&said.message, false, rig.ctrl));
+  rig_settle (&rig);
+  CU_ASSERT_EQUAL (rig.told.samples, 1);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+static void
+test_words_spread (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  said_t said;
+  rig_say (&said, "third", 1);
+  said.words[0] = (xch_word){ plc_hash_name ("peer"), 7, 3, MEM_LEAVING };
+  said.message.words.words_len = 1;
+  ctrl_talk_heard (&said.message, false, rig.ctrl);
+  rig_settle (&rig);
+  CU_ASSERT_EQUAL (rig.told.peer_state, MEM_LEAVING);
+  uint32_t told = 0;
+  for (uint32_t i = 0; i < 3 * RMR_SENDS; i++)
+    {
+      said_t out;
+      ctrl_talk_fill (rig_say (&out, "x", 1), NULL, rig.ctrl);
+      for (uint32_t j = 0; j < out.message.words.words_len; j++)
+        told += out.words[j].host_hash == plc_hash_name ("peer");
+    }
+  CU_ASSERT_EQUAL (told, RMR_SENDS);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/** struct server - a peer's data task, which serves the version in force there */
+typedef struct
+{
+  hsv_t *hsv;
+  cnt_set_t *counters;
+  man_t *man;
+  const char *fleet_key;
+  uint32_t served;
+} server_t;
+
+static void
+serve (hsv_call_t *call, void *context)
+{
+  server_t *server = context;
+  ord_t order = { "peer", hsv_method (call), hsv_target (call), NULL, 0 };
+  CU_ASSERT_STRING_EQUAL (hsv_path (call), MSY_PATH);
+  CU_ASSERT_TRUE (ord_check (&order, RIG_KEY, hsv_header (call, ORD_SEAL_HEADER)));
+  char seal[MSY_SEAL_BYTES];
+  char *body =
+      msy_write (server->fleet_key, hsv_header (call, MSY_NONCE_HEADER), server->man, 9, seal);
+  hsv_add_header (call, MSY_SEAL_HEADER, seal);
+  hsv_reply (call, 200, body, strlen (body));
+  g_free (body);
+  server->served++;
+}
+
+static void
+serve_version (server_t *server, struct event_base *base, const rig_t *rig, uint64_t version)
+{
+  hsv_options_t options = {
+    .base = base,
+    .listen = { "", RIG_PORT + 1 },
+    .body_limit_bytes = 1024,
+    .header_limit_bytes = 8192,
+    .header_limit_count = 50,
+    .connection_limit = 10,
+    .idle_timeout_ms = 10000,
+    .on_call = serve,
+    .context = server,
+  };
+  g_strlcpy (options.listen.ip, rig_ip (), sizeof options.listen.ip);
+  memset (server, 0, sizeof *server);
+  server->fleet_key = RIG_KEY;
+  server->counters = cnt_set_new ();
+  options.counters = server->counters;
+  server->man = man_from_json (rep_manifest (rig->ctrl->manifest.rep)->json, NULL);
+  server->man->version = version;
+  server->hsv = hsv_new (&options, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server->hsv);
+}
+
+static void
+stop_serving (server_t *server)
+{
+  hsv_free (server->hsv);
+  cnt_set_free (server->counters);
+  man_unref (server->man);
+}
+
+/* The log goes out right after a version was published: one daemon has read it, this one has not.
+ * Within the exchange it hears of it and takes it from that daemon. An answer that is not sealed
+ * with the fleet key is not taken: somebody else answered. */
+static void
+test_version_comes_from_a_peer (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  server_t server;
+  rig_start_fresh (&rig, base);
+  serve_version (&server, base, &rig, 2);
+  server.fleet_key = "another key of enough bytes";
+  rig.platform.read_down = true;
+  rig_turns (&rig, 3);
+  said_t said;
+  rig_say (&said, "peer", 1)->manifest_version = 2;
+  ctrl_talk_heard (&said.message, false, rig.ctrl);
+  gint64 end_us = g_get_monotonic_time () + RIG_DEADLINE_S * G_USEC_PER_SEC;
+  while (server.served == 0 && g_get_monotonic_time () < end_us)
+    rig_turn (&rig);
+  while (rig.ctrl->fetch.call != NULL && g_get_monotonic_time () < end_us)
+    event_base_loop (base, EVLOOP_ONCE);
+  CU_ASSERT_EQUAL (server.served, 1);
+  CU_ASSERT_EQUAL (rig.told.version, 1);
+  server.fleet_key = RIG_KEY;
+  while (rig.told.version != 2 && g_get_monotonic_time () < end_us)
+    rig_turn (&rig);
+  CU_ASSERT_EQUAL (rig.told.version, 2);
+  CU_ASSERT_EQUAL (rep_next_offset (rig.ctrl->manifest.rep), 9);
+  stop_serving (&server);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("control_exchange", NULL, NULL);
+  CU_ADD_TEST (suite, test_samples_and_marks_are_passed_on);
+  CU_ADD_TEST (suite, test_replayed_message_is_not_heard);
+  CU_ADD_TEST (suite, test_words_spread);
+  CU_ADD_TEST (suite, test_version_comes_from_a_peer);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
