Add the load tool

The policy under load has to be measured over real HTTP: returning chats that grow with every answer and pause, in an open or closed loop, with classes, accounts, streams and plain calls.

The tool has its own small client over evhttp and not the fleet's, so that one fault cannot hide another.

--- /dev/null
+++ b/bench/load_answer.c
@@ -0,0 +1,90 @@
+#include "load_answer.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <string.h>
+
+#define EVENT_PREFIX "data: "
+#define EVENT_DONE "[DONE]"
+
+static void
+read_usage (lan_t *lan, const json_t *json)
+{
+  const json_t *usage = json_object_get (json, "usage");
+  if (usage == NULL)
+    return;
+  lan->prompt_tokens = (uint64_t)json_integer_value (json_object_get (usage, "prompt_tokens"));
+  lan->completion_tokens =
+      (uint64_t)json_integer_value (json_object_get (usage, "completion_tokens"));
+  lan->cached_tokens = (uint64_t)json_integer_value (json_object_get (usage, "cached_tokens"));
+}
+
+static const char *
+first_content (const json_t *json, const char *part)
+{
+  const json_t *choice = json_array_get (json_object_get (json, "choices"), 0);
+  return json_string_value (json_object_get (json_object_get (choice, part), "content"));
+}
+
+static bool
+read_event (lan_t *lan, const char *line, GString *text)
+{
+  json_t *json = json_loads (line, 0, NULL);
+  const char *content = first_content (json, "delta");
+  bool good = json != NULL && json_object_get (json, "error") == NULL;
+  if (content != NULL)
+    g_string_append (text, content);
+  read_usage (lan, json);
+  json_decref (json);
+  return good;
+}
+
+static bool
+read_stream (lan_t *lan, const GString *answer, GString *text)
+{
+  g_auto (GStrv) lines = g_strsplit (answer->str, "\n", 0);
+  bool done = false;
+  for (char **line = lines; *line != NULL; line++)
+    {
+      if (!g_str_has_prefix (*line, EVENT_PREFIX))
+        continue;
+      const char *event = *line + strlen (EVENT_PREFIX);
+      if (strcmp (event, EVENT_DONE) == 0)
+        done = true;
+      else if (!read_event (lan, event, text))
+        return false;
+    }
+  return done;
+}
+
+static bool
+read_whole (lan_t *lan, lan_kind_t kind, const GString *answer, GString *text)
+{
+  json_t *json = json_loadb (answer->str, answer->len, 0, NULL);
+  const char *found = kind == LAN_CHAT ? first_content (json, "message")
+                                       : json_string_value (json_object_get (json, "body_hash"));
+  bool good = found != NULL;
+  if (good)
+    g_string_append (text, found);
+  read_usage (lan, json);
+  json_decref (json);
+  return good;
+}
+
+lan_t
+lan_read (lan_kind_t kind, const GString *answer, uint64_t body_hash)
+{
+  lan_t lan = { .verdict = LAN_BROKEN };
+  GString *text = g_string_new (NULL);
+  char own[64];
+  if (kind == LAN_PLAIN)
+    g_snprintf (own, sizeof own, "%016" PRIx64, body_hash);
+  else
+    g_snprintf (own, sizeof own, "answer to %016" PRIx64 " ", body_hash);
+  bool good =
+      kind == LAN_STREAM ? read_stream (&lan, answer, text) : read_whole (&lan, kind, answer, text);
+  if (good)
+    lan.verdict = g_str_has_prefix (text->str, own) ? LAN_OWN : LAN_OTHERS;
+  lan.text = g_string_free (text, FALSE);
+  return lan;
+}
--- /dev/null
+++ b/bench/load_client.c
@@ -0,0 +1,230 @@
+#include "load_client.h"
+
+#include "request/hop.h"
+#include "request/verdict.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <string.h>
+
+struct lcl
+{
+  struct event_base *base;
+  GHashTable *idle; /* "IP:PORT" -> GQueue of evhttp_connection */
+};
+
+typedef struct
+{
+  lcl_t *owner;
+  struct evhttp_connection *connection;
+  struct evhttp_request *request; /* NULL once evhttp has freed it */
+  struct event *timer;            /* timeout; then the deferred end */
+  char *place;
+  lcl_done_t done;
+  void *context;
+  GString *body;
+  lcl_answer_t answer;
+  bool keep;
+  char *verdict;
+  char *reason;
+  char *engine;
+} lcl_call_t;
+
+static void
+queue_free (gpointer data)
+{
+  GQueue *queue = data;
+  while (!g_queue_is_empty (queue))
+    evhttp_connection_free (g_queue_pop_head (queue));
+  g_queue_free (queue);
+}
+
+static GQueue *
+idle_of (lcl_t *lcl, const char *place)
+{
+  GQueue *queue = g_hash_table_lookup (lcl->idle, place);
+  if (queue == NULL)
+    {
+      queue = g_queue_new ();
+      g_hash_table_insert (lcl->idle, g_strdup (place), queue);
+    }
+  return queue;
+}
+
+static struct evhttp_connection *
+connection_for (lcl_t *lcl, const char *place, const set_address_t *address)
+{
+  struct evhttp_connection *connection = g_queue_pop_head (idle_of (lcl, place));
+  if (connection != NULL)
+    return connection;
+  return evhttp_connection_base_new (lcl->base, NULL, address->ip, address->port);
+}
+
+static void
+call_free (lcl_call_t *call)
+{
+  event_free (call->timer);
+  g_string_free (call->body, TRUE);
+  g_free (call->place);
+  g_free (call->verdict);
+  g_free (call->reason);
+  g_free (call->engine);
+  g_free (call);
+}
+
+static void
+call_end (lcl_call_t *call)
+{
+  call->answer.body = call->body;
+  call->answer.verdict = call->verdict;
+  call->answer.reason = call->reason;
+  call->answer.engine = call->engine;
+  if (call->keep)
+    g_queue_push_head (idle_of (call->owner, call->place), call->connection);
+  else
+    evhttp_connection_free (call->connection);
+  call->done (&call->answer, call->context);
+  call_free (call);
+}
+
+/* Either the time is up while the request is out, or it has ended and this is the turn after. */
+static void
+timer_due (evutil_socket_t fd, short what, void *arg)
+{
+  lcl_call_t *call = arg;
+  (void)fd;
+  (void)what;
+  if (call->request != NULL)
+    {
+      evhttp_cancel_request (call->request);
+      call->request = NULL;
+      call->answer.failure = "timeout";
+      call->answer.end_us = (uint64_t)g_get_monotonic_time ();
+    }
+  call_end (call);
+}
+
+static void
+end_soon (lcl_call_t *call)
+{
+  static const struct timeval soon = { 0, 0 };
+  call->request = NULL;
+  event_add (call->timer, &soon);
+}
+
+static char *
+header_copy (struct evkeyvalq *headers, const char *name)
+{
+  return g_strdup (evhttp_find_header (headers, name));
+}
+
+static bool
+length_declared (struct evkeyvalq *headers)
+{
+  return evhttp_find_header (headers, "Content-Length") != NULL ||
+         evhttp_find_header (headers, "Transfer-Encoding") != NULL;
+}
+
+static void
+take_head (lcl_call_t *call, struct evhttp_request *request)
+{
+  struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
+  const char *connection = evhttp_find_header (headers, "Connection");
+  call->answer.status = evhttp_request_get_response_code (request);
+  call->verdict = header_copy (headers, VRD_HEADER);
+  call->reason = header_copy (headers, HOP_REASON_HEADER);
+  call->engine = header_copy (headers, HOP_ENGINE_HEADER);
+  if (call->engine == NULL)
+    call->engine = header_copy (headers, "X-Engine");
+  call->keep = connection == NULL || g_ascii_strcasecmp (connection, "close") != 0;
+  if (length_declared (headers))
+    return;
+  call->answer.failure = "no_length";
+  call->keep = false;
+}
+
+static void
+part_came (struct evhttp_request *request, void *arg)
+{
+  lcl_call_t *call = arg;
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  size_t part_bytes = evbuffer_get_length (input);
+  if (call->answer.first_us == 0)
+    call->answer.first_us = (uint64_t)g_get_monotonic_time ();
+  g_string_append_len (call->body, (const char *)evbuffer_pullup (input, -1), (gssize)part_bytes);
+}
+
+static void
+request_done (struct evhttp_request *request, void *arg)
+{
+  lcl_call_t *call = arg;
+  call->answer.end_us = (uint64_t)g_get_monotonic_time ();
+  if (request == NULL)
+    call->answer.failure = "cut";
+  else if (evhttp_request_get_response_code (request) == 0)
+    call->answer.failure = "connect";
+  else
+    take_head (call, request);
+  if (call->answer.first_us == 0)
+    call->answer.first_us = call->answer.end_us;
+  end_soon (call);
+}
+
+static void
+add_headers (struct evhttp_request *request, const lcl_request_t *options)
+{
+  struct evkeyvalq *out = evhttp_request_get_output_headers (request);
+  evhttp_add_header (out, "Host", options->address->ip);
+  for (const lcl_header_t *header = options->headers; header->name != NULL; header++)
+    if (header->value != NULL)
+      evhttp_add_header (out, header->name, header->value);
+}
+
+lcl_t *
+lcl_new (struct event_base *base)
+{
+  lcl_t *lcl = g_new0 (lcl_t, 1);
+  lcl->base = base;
+  lcl->idle = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, queue_free);
+  return lcl;
+}
+
+void
+lcl_free (lcl_t *lcl)
+{
+  if (lcl == NULL)
+    return;
+  g_hash_table_destroy (lcl->idle);
+  g_free (lcl);
+}
+
+void
+lcl_send (lcl_t *lcl, const lcl_request_t *options)
+{
+  lcl_call_t *call = g_new0 (lcl_call_t, 1);
+  struct timeval timeout = { (time_t)(options->timeout_ms / 1000),
+                             (suseconds_t)(options->timeout_ms % 1000 * 1000) };
+  enum evhttp_cmd_type command =
+      strcmp (options->method, "GET") == 0 ? EVHTTP_REQ_GET : EVHTTP_REQ_POST;
+  call->owner = lcl;
+  call->done = options->done;
+  call->context = options->context;
+  call->body = g_string_new (NULL);
+  call->place = g_strdup_printf ("%s:%u", options->address->ip, options->address->port);
+  call->connection = connection_for (lcl, call->place, options->address);
+  call->timer = evtimer_new (lcl->base, timer_due, call);
+  call->request = evhttp_request_new (request_done, call);
+  evhttp_request_set_chunked_cb (call->request, part_came);
+  add_headers (call->request, options);
+  if (command == EVHTTP_REQ_POST)
+    evbuffer_add (evhttp_request_get_output_buffer (call->request), options->body->str,
+                  options->body->len);
+  event_add (call->timer, &timeout);
+  struct evhttp_request *request = call->request;
+  if (evhttp_make_request (call->connection, request, command, options->target) != 0 &&
+      call->answer.failure == NULL)
+    {
+      call->answer.failure = "connect";
+      end_soon (call);
+    }
+}
