--- a/ctl/cmd_status.c
+++ b/ctl/cmd_status.c
@@ -63,6 +63,32 @@
   return json_integer_value (json_object_get (answer, key));
 }
 
+static const char *
+state_of (const json_t *answer)
+{
+  return json_is_true (json_object_get (answer, "draining")) ? "leaving" : "live";
+}
+
+typedef struct
+{
+  char text[24];
+} cell_t;
+
+/* A number of thousandths or of ones; "-" for what this role does not tell. */
+static cell_t
+cell (const json_t *answer, const char *key, bool milli)
+{
+  const json_t *number = json_object_get (answer, key);
+  json_int_t value = json_integer_value (number);
+  cell_t out = { "-" };
+
+  if (number != NULL && milli)
+    g_snprintf (out.text, sizeof out.text, "%.2f", (double)value / 1000);
+  else if (number != NULL)
+    g_snprintf (out.text, sizeof out.text, "%" JSON_INTEGER_FORMAT, value);
+  return out;
+}
+
 static void
 print_row (const json_t *answer)
 {
@@ -71,13 +97,33 @@
       printf ("%-24s %s\n", text_of (answer, "name"), text_of (answer, "error"));
       return;
     }
-  printf ("%-24s %-8s %-8s %-5s %8" JSON_INTEGER_FORMAT " %6" JSON_INTEGER_FORMAT
-          " %8" JSON_INTEGER_FORMAT " %8.2f %8.2f %6" JSON_INTEGER_FORMAT "\n",
-          text_of (answer, "name"), text_of (answer, "role"), text_of (answer, "state"),
+  printf ("%-24s %-8s %-8s %-5s %8s %6s %8s %8s %8s %6s\n", text_of (answer, "name"),
+          text_of (answer, "role"), state_of (answer),
           json_is_true (json_object_get (answer, "ready")) ? "yes" : "no",
-          number_of (answer, "version"), number_of (answer, "load"), number_of (answer, "waiting"),
-          (double)number_of (answer, "mean_milli") / 1000,
-          (double)number_of (answer, "bound_milli") / 1000, number_of (answer, "hosts"));
+          cell (answer, "version", false).text, cell (answer, "load", false).text,
+          cell (answer, "waiting", false).text, cell (answer, "mean_milli", true).text,
+          cell (answer, "bound_milli", true).text, cell (answer, "hosts", false).text);
+}
+
+/* Whether a publish is in force everywhere, in one line. */
+static void
+print_newest_version (const json_t *answers)
+{
+  json_int_t newest = 0;
+  size_t holders = 0;
+  size_t index;
+  json_t *answer;
+
+  json_array_foreach (answers, index, answer)
+    {
+      newest = MAX (newest, number_of (answer, "version"));
+    }
+  json_array_foreach (answers, index, answer)
+    {
+      holders += newest > 0 && number_of (answer, "version") == newest;
+    }
+  printf ("version %" JSON_INTEGER_FORMAT " is in force on %zu of %zu daemons\n", newest, holders,
+          json_array_size (answers));
 }
 
 static void
@@ -92,6 +138,7 @@
     {
       print_row (answer);
     }
+  print_newest_version (answers);
 }
 
 static ctl_exit_t
