--- a/ctl/cmd_publish.c
+++ b/ctl/cmd_publish.c
@@ -93,6 +93,17 @@
   return CTL_OK;
 }
 
+static ctl_exit_t
+check_follows (const publish_t *publish, const char *file)
+{
+  g_autoptr (GError) error = NULL;
+  const man_t *before = rep_manifest (publish->fol.rep);
+
+  if (before == NULL || man_may_follow (before, publish->man, &error))
+    return CTL_OK;
+  return ctl_complain (CTL_USAGE, "%s: %s", file, error->message);
+}
+
 static uint32_t
 count_missing (const man_t *man, const GArray *hosts)
 {
@@ -239,6 +250,8 @@
     code = choose_base (publish);
   if (code == CTL_OK && publish->patch)
     code = check (publish, file);
+  if (code == CTL_OK)
+    code = check_follows (publish, file);
   if (code == CTL_OK)
     code = check_hosts (publish);
   return code;
--- a/tests/session_ctl.c
+++ b/tests/session_ctl.c
@@ -231,6 +231,19 @@
   unlink (file);
 }
 
+/* A change that the fleet would refuse is not sent. */
+static void
+test_change_that_may_not_follow (void)
+{
+  g_autofree char *file =
+      write_file ("shards", "{\"services\":{\"bale-ledger\":{\"claim_shards\":9}}}");
+  g_autofree char *publish = g_strconcat ("manifest publish --patch --hosts-check=no ", file, NULL);
+
+  expect (publish, 2, "", "services.bale-ledger.claim_shards: is 4 and cannot become 9");
+  CU_ASSERT_EQUAL (count_records (), 2);
+  unlink (file);
+}
+
 /*
  * The append takes effect and its answer is lost. The operator still hears the true outcome, and
  * the log holds the publish once.
@@ -316,6 +329,7 @@
   CU_ADD_TEST (suite, test_check);
   CU_ADD_TEST (suite, test_first_publish);
   CU_ADD_TEST (suite, test_lost_race);
+  CU_ADD_TEST (suite, test_change_that_may_not_follow);
   CU_ADD_TEST (suite, test_lost_answer);
   CU_ADD_TEST (suite, test_lost_append);
   CU_ADD_TEST (suite, test_platform_out);
