Bench the decisions under workloads, faults and baselines

Engines, routers and callers in virtual time around the product's own decision code; hops take no time and there is no model of a network.

--- /dev/null
+++ b/bench/world_list.c
@@ -0,0 +1,197 @@
+#include "world_parts.h"
+
+/** struct change - of the platform's list, on its way to one view */
+typedef struct
+{
+  mem_listed_t listed;
+} change_t;
+
+static mem_listed_t
+listed_of (const wld_engine_t *engine, mem_state_t state)
+{
+  mem_listed_t listed = { .state = state };
+  g_strlcpy (listed.name, engine->name, sizeof listed.name);
+  return listed;
+}
+
+static mem_word_t
+own_word (const wld_engine_t *engine)
+{
+  return (mem_word_t){ .host_hash = engine->hash,
+                       .incarnation = engine->incarnation,
+                       .sequence = engine->sequence,
+                       .state = engine->leaving ? MEM_LEAVING : MEM_LIVE };
+}
+
+static void
+keep_word (wld_t *world, wld_daemon_t *daemon, const mem_word_t *word)
+{
+  daemon->words[daemon->word_next] = *word;
+  daemon->heard_us[daemon->word_next] = world->now_us;
+  daemon->word_next = (daemon->word_next + 1) % WLD_WORDS;
+}
+
+static void
+tell_words (wld_t *world, const wld_daemon_t *from, wld_daemon_t *to)
+{
+  if (from->engine != NULL)
+    {
+      const mem_word_t word = own_word (from->engine);
+      lst_hear (world, to, &word);
+    }
+  for (uint32_t i = 0; i < WLD_WORDS; i++)
+    if (from->words[i].host_hash != 0 && from->heard_us[i] + WLD_WORD_AGE_US > world->now_us)
+      lst_hear (world, to, &from->words[i]);
+}
+
+static void
+tell_samples (wld_t *world, wld_daemon_t *from, wld_daemon_t *to)
+{
+  mean_sample_t samples[LIM_SAMPLES_PER_MESSAGE];
+  uint32_t count = 0;
+  if (from->engine != NULL && !from->engine->leaving)
+    samples[count++] = adm_sample (from->engine->adm, world->now_us);
+  count += mean_pick (from->mean, world->now_us, samples + count, LIM_SAMPLES_PER_MESSAGE - count);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const bool own = to->engine != NULL && to->engine->hash == samples[i].engine_hash;
+      if (!own && lst_is_live (samples[i].engine_hash, to->view))
+        mean_add (to->mean, &samples[i]);
+    }
+}
+
+static bool
+answers (const wld_daemon_t *daemon)
+{
+  return daemon->engine == NULL || (daemon->engine->present && daemon->engine->reachable);
+}
+
+bool
+lst_is_live (uint64_t engine_hash, void *context)
+{
+  const wld_view_t *view = context;
+  return g_hash_table_contains (view->live, &engine_hash);
+}
+
+/* A sidecar's options carry the count of live engines. */
+static void
+configure (wld_t *world, const wld_view_t *view)
+{
+  for (uint32_t i = 0; i < world->engine_count; i++)
+    if (world->engines[i].daemon.view == view && world->engines[i].adm != NULL)
+      eng_configure (world, &world->engines[i]);
+}
+
+void
+lst_rebuild (wld_t *world, wld_view_t *view)
+{
+  if (!mem_changed (view->members))
+    return;
+  mem_snapshot_t *snapshot = mem_snapshot (view->members);
+  view->engines = g_renew (plc_engine_t, view->engines, snapshot->host_count);
+  view->details = g_renew (chs_engine_t, view->details, snapshot->host_count);
+  view->count = 0;
+  g_hash_table_remove_all (view->live);
+  for (uint32_t i = 0; i < snapshot->host_count; i++)
+    {
+      const mem_host_t *host = &snapshot->hosts[i];
+      if (host->state != MEM_LIVE)
+        continue;
+      wld_engine_t *engine = g_hash_table_lookup (world->by_hash, &host->hash);
+      view->details[view->count] =
+          (chs_engine_t){ .joined_us = host->joined_us, .settled_us = host->settled_us };
+      view->engines[view->count] =
+          (plc_engine_t){ .hash = host->hash, .index = view->count, .weight = 1.0f };
+      view->count++;
+      g_hash_table_add (view->live, &engine->hash);
+    }
+  mem_snapshot_unref (snapshot);
+  configure (world, view);
+}
+
+void
+lst_open (wld_t *world, wld_view_t *view)
+{
+  g_autofree mem_listed_t *listed = g_new0 (mem_listed_t, world->options.engine_count);
+  for (uint32_t i = 0; i < world->options.engine_count; i++)
+    listed[i] = listed_of (&world->engines[i], MEM_LIVE);
+  view->world = world;
+  view->members = mem_new ();
+  view->live = g_hash_table_new (g_int64_hash, g_int64_equal);
+  mem_list_full (view->members, world->now_us, listed, world->options.engine_count, 1);
+  lst_rebuild (world, view);
+}
+
+void
+lst_close (wld_view_t *view)
+{
+  mem_free (view->members);
+  g_hash_table_destroy (view->live);
+  g_free (view->engines);
+  g_free (view->details);
+}
+
+void
+lst_change (wld_t *world, const wld_engine_t *engine, mem_state_t state)
+{
+  for (uint32_t i = 0; i < world->view_count; i++)
+    {
+      change_t *change = g_new0 (change_t, 1);
+      change->listed = listed_of (engine, state);
+      evt_add (&world->events, world->now_us + world->views[i].lag_us, EVT_LIST, i, change);
+    }
+}
+
+void
+lst_arrive (wld_t *world, wld_view_t *view, void *data)
+{
+  change_t *change = data;
+  mem_list_delta (view->members, world->now_us, &change->listed, 1, 0);
+  g_free (change);
+  lst_rebuild (world, view);
+}
+
+void
+lst_hear (wld_t *world, wld_daemon_t *daemon, const mem_word_t *word)
+{
+  if (!mem_hear (daemon->view->members, world->now_us, word))
+    return;
+  keep_word (world, daemon, word);
+  if (word->state != MEM_LIVE)
+    mean_forget (daemon->mean, word->host_hash);
+  lst_rebuild (world, daemon->view);
+}
+
+uint32_t
+lst_daemon_count (const wld_t *world)
+{
+  return world->engine_count + world->options.router_count;
+}
+
+wld_daemon_t *
+lst_daemon (wld_t *world, uint32_t number)
+{
+  if (number < world->engine_count)
+    return &world->engines[number].daemon;
+  return &world->routers[number - world->engine_count].daemon;
+}
+
+void
+lst_tell (wld_t *world, wld_daemon_t *from, wld_daemon_t *to)
+{
+  if (from == to || !answers (from) || !answers (to))
+    return;
+  tell_words (world, from, to);
+  tell_samples (world, from, to);
+}
+
+void
+lst_exchange (wld_t *world, uint32_t number)
+{
+  wld_daemon_t *from = lst_daemon (world, number);
+  wld_daemon_t *to = lst_daemon (world, rnd_below (&world->random_world, lst_daemon_count (world)));
+  lst_tell (world, from, to);
+  lst_tell (world, to, from);
+  if (from->engine != NULL && from->engine->present)
+    eng_pump (world, from->engine);
+}
--- /dev/null
+++ b/bench/world_router.c
@@ -0,0 +1,296 @@
+#include "world_parts.h"
+
+static wld_engine_t *
+engine_of (const wld_t *world, uint64_t hash)
+{
+  return g_hash_table_lookup (world->by_hash, &hash);
+}
+
+static bool
+is_usable (uint64_t engine_hash, void *context)
+{
+  const wld_router_t *router = context;
+  return !hlt_skipped (router->health, router->now_us, engine_hash);
+}
+
+static void
+choose_by_rank (wld_t *world, wld_router_t *router, const wld_flight_t *flight, chs_t *chosen)
+{
+  const wld_view_t *view = router->daemon.view;
+  const bool full = world->options.policy == WLD_FULL;
+  const chs_query_t query = {
+    .now_us = world->now_us,
+    .engines = view->engines,
+    .details = view->details,
+    .engine_count = view->count,
+    .service_hash = world->service_hash,
+    .chat_hash = flight->request.chat_hash,
+    .has_chat = flight->request.has_chat,
+    .first_turn = flight->session->turn == 0,
+    .cache_lifetime_us = (uint64_t)world->options.workload->cache_lifetime_s * CLK_US_PER_S,
+    .samples = full ? &router->samples : NULL,
+    .is_usable = is_usable,
+    .context = router,
+  };
+  router->now_us = world->now_us;
+  *chosen = chs_choose (&query);
+}
+
+/* Puts @hash first and drops the last when there are too many. */
+static void
+put_first (chs_t *chosen, uint64_t hash)
+{
+  uint32_t at = 0;
+  while (at < chosen->candidate_count && chosen->candidates[at] != hash)
+    at++;
+  if (at == chosen->candidate_count && at < ATT_CANDIDATES)
+    chosen->candidate_count++;
+  at = MIN (at, ATT_CANDIDATES - 1);
+  for (; at > 0; at--)
+    chosen->candidates[at] = chosen->candidates[at - 1];
+  chosen->candidates[0] = hash;
+}
+
+static uint64_t
+least_sampled (wld_t *world, const wld_router_t *router)
+{
+  uint64_t found = 0;
+  uint32_t least = UINT32_MAX;
+  const uint32_t from = rnd_below (&world->random_world, MAX (router->samples.count, 1));
+  for (uint32_t i = 0; i < router->samples.count; i++)
+    {
+      const mean_sample_t *sample = &router->samples.samples[(from + i) % router->samples.count];
+      if (sample->taken_us + LIM_SAMPLE_AGE_US < world->now_us ||
+          sample->load + sample->waiting >= least ||
+          !lst_is_live (sample->engine_hash, router->daemon.view))
+        continue;
+      least = sample->load + sample->waiting;
+      found = sample->engine_hash;
+    }
+  return found;
+}
+
+static uint64_t
+least_true (wld_t *world)
+{
+  uint64_t found = 0;
+  uint32_t least = UINT32_MAX;
+  const uint32_t from = rnd_below (&world->random_world, world->engine_count);
+  for (uint32_t i = 0; i < world->engine_count; i++)
+    {
+      const wld_engine_t *engine = &world->engines[(from + i) % world->engine_count];
+      if (!engine->present || engine->leaving || !engine->reachable)
+        continue;
+      const uint32_t load = adm_load (engine->adm) + adm_waiting (engine->adm);
+      if (load >= least)
+        continue;
+      least = load;
+      found = engine->hash;
+    }
+  return found;
+}
+
+static chs_t
+choose (wld_t *world, wld_router_t *router, const wld_flight_t *flight)
+{
+  chs_t chosen;
+  uint64_t first = 0;
+  choose_by_rank (world, router, flight, &chosen);
+  const wld_view_t *view = router->daemon.view;
+  switch (world->options.policy)
+    {
+    case WLD_LEAST:
+      first = least_sampled (world, router);
+      break;
+    case WLD_ORACLE:
+      first = least_true (world);
+      break;
+    case WLD_RANDOM:
+      if (view->count > 0)
+        first = view->engines[rnd_below (&world->random_world, view->count)].hash;
+      break;
+    default:
+      return chosen;
+    }
+  if (first != 0 && is_usable (first, router))
+    put_first (&chosen, first);
+  return chosen;
+}
+
+static void
+end_turn (wld_t *world, wld_flight_t *flight, bool served)
+{
+  wkl_session_t *session = flight->session;
+  const wkl_turn_t *turn = &flight->turn;
+  if (served)
+    session->context_tokens = turn->prompt_tokens + turn->output_tokens;
+  session->turn++;
+  if (turn->returns && world->now_us < world->end_us)
+    evt_add (&world->events, world->now_us + turn->pause_us, EVT_RETURN, 0, session);
+  else
+    g_free (session);
+  g_free (flight);
+}
+
+static void
+note_end (wld_t *world, const wld_flight_t *flight, bool served)
+{
+  if (!wld_measured (world))
+    return;
+  fig_t *figures = world->figures;
+  const bool quiet = flight->session->account != world->options.workload->surging_account;
+  figures->requests++;
+  figures->hops += flight->hops;
+  figures->refused += !served;
+  figures->quiet_requests += quiet;
+  figures->quiet_refused += quiet && !served;
+}
+
+static void
+give_up (wld_t *world, wld_flight_t *flight, const att_step_t *step)
+{
+  note_end (world, flight, false);
+  if (wld_measured (world) && step->verdict != VRD_NOT_RUN)
+    world->figures->may_have_run++;
+  end_turn (world, flight, false);
+}
+
+static att_outcome_t
+outcome_of (const adm_decision_t *decision)
+{
+  return (att_outcome_t){ .verdict = VRD_NOT_RUN,
+                          .reason = decision->reason,
+                          .retry_after_ms = decision->retry_after_ms,
+                          .referrals = decision->referrals,
+                          .referral_count = decision->referral_count };
+}
+
+/* Return: whether an engine took it; else *step says what comes next */
+static bool
+send (wld_t *world, wld_flight_t *flight, att_step_t *step)
+{
+  wld_router_t *router = flight->router;
+  wld_engine_t *engine = engine_of (world, step->engine_hash);
+  adm_decision_t decision;
+  att_outcome_t outcome = { .verdict = VRD_NOT_RUN, .reason = VRD_REASON_CONNECT };
+  flight->hops++;
+  if (engine->present && engine->reachable)
+    {
+      hlt_success (router->health, engine->hash);
+      flight->request.may_wait = step->may_wait;
+      flight->request.referred = step->referred;
+      if (eng_offer (world, engine, flight, &decision))
+        return true;
+      outcome = outcome_of (&decision);
+    }
+  else
+    hlt_failure (router->health, world->now_us, engine->hash);
+  *step = att_ended (&flight->att, world->now_us, &router->budget, &outcome);
+  return false;
+}
+
+static void
+follow (wld_t *world, wld_flight_t *flight, att_step_t step)
+{
+  for (;;)
+    switch (step.action)
+      {
+      case ATT_SEND:
+        if (send (world, flight, &step))
+          return;
+        break;
+      case ATT_REVOKE:
+        step = att_revoked (&flight->att, world->now_us, &flight->router->budget, VRD_MAY_HAVE_RUN);
+        break;
+      default:
+        give_up (world, flight, &step);
+        return;
+      }
+}
+
+static wld_flight_t *
+make_flight (wld_t *world, wld_router_t *router, wkl_session_t *session)
+{
+  const wkl_class_t *class = &world->options.workload->classes[session->class_index];
+  wld_flight_t *flight = g_new0 (wld_flight_t, 1);
+  adm_request_t *request = &flight->request;
+  flight->router = router;
+  flight->session = session;
+  flight->arrived_us = world->now_us;
+  flight->turn = wkl_turn (world->options.workload, session);
+  request->item =
+      (fq_item_t){ .account_hash = world->account_hash[session->account],
+                   .weight = FQ_WEIGHT_ONE,
+                   .priority = class->priority,
+                   .cost = flight->turn.prompt_tokens + flight->turn.output_tokens,
+                   .queue_limit = LIM_QUEUE_PER_ACCOUNT,
+                   .deadline_us = world->now_us + (uint64_t) class->deadline_ms * CLK_US_PER_MS };
+  request->chat_hash = session->chat_hash;
+  request->fingerprint = session->chat_hash + session->turn;
+  request->has_chat = class->return_share > 0;
+  request->prompt_tokens = flight->turn.prompt_tokens;
+  request->output_tokens = flight->turn.output_tokens;
+  return flight;
+}
+
+void
+rtr_open (wld_t *world, wld_router_t *router, uint32_t index)
+{
+  router->health = hlt_new ();
+  router->daemon.mean = &router->samples;
+  router->daemon.view = &world->views[(world->engine_count + index) % world->view_count];
+  mean_init (&router->samples, world->options.seed * 31 + index);
+  att_budget_init (&router->budget);
+}
+
+void
+rtr_begin (wld_t *world, wld_router_t *router, wkl_session_t *session)
+{
+  wld_flight_t *flight = make_flight (world, router, session);
+  const wkl_class_t *class = &world->options.workload->classes[session->class_index];
+  const chs_t chosen = choose (world, router, flight);
+  flight->request.home_hash = chosen.home_hash;
+  flight->request.former_hash = chosen.former_hash;
+  const att_options_t options = { .idempotent = class->idempotent,
+                                  .deadline_us = flight->request.item.deadline_us,
+                                  .candidates = chosen.candidates,
+                                  .candidate_count = chosen.candidate_count };
+  follow (world, flight, att_begin (&flight->att, world->now_us, &options));
+}
+
+void
+rtr_refused (wld_t *world, wld_flight_t *flight, const adm_decision_t *decision)
+{
+  const att_outcome_t outcome = outcome_of (decision);
+  if (wld_measured (world))
+    world->figures->refusals[decision->reason]++;
+  follow (world, flight,
+          att_ended (&flight->att, world->now_us, &flight->router->budget, &outcome));
+}
+
+void
+rtr_lost (wld_t *world, wld_flight_t *flight)
+{
+  const att_outcome_t outcome = { .lost = true,
+                                  .verdict = VRD_MAY_HAVE_RUN,
+                                  .reason = VRD_REASON_CUT };
+  if (flight->first_token_us != 0 && flight->first_token_us <= world->now_us)
+    att_answer_begun (&flight->att);
+  follow (world, flight,
+          att_ended (&flight->att, world->now_us, &flight->router->budget, &outcome));
+}
+
+void
+rtr_answered (wld_t *world, wld_flight_t *flight)
+{
+  const att_outcome_t outcome = { .answered = true, .verdict = VRD_RAN };
+  att_ended (&flight->att, world->now_us, &flight->router->budget, &outcome);
+  const adm_request_t *request = &flight->request;
+  wld_engine_t *home = engine_of (world, request->home_hash);
+  const bool tells = world->options.policy == WLD_FULL && request->has_chat &&
+                     home != flight->engine && home->present && home->reachable;
+  if (tells)
+    adm_served_elsewhere (home->adm, world->now_us, request->chat_hash, flight->engine->hash);
+  note_end (world, flight, true);
+  end_turn (world, flight, true);
+}
