--- a/src/process/control_list.c
+++ b/src/process/control_list.c
@@ -64,12 +64,28 @@
 }
 
 /* A list store that was emptied or has just come up tells of no host. Believing it would stop the
- * whole fleet at once; keeping the old hosts costs no more than hops that are refused. */
+ * whole fleet at once, or let a daemon that starts call itself fresh while it knows nobody. */
 static bool
-is_credible (const ctrl_t *ctrl, const plt_hosts_t *hosts)
+is_credible (const plt_hosts_t *hosts)
 {
-  bool empties = hosts->full && hosts->host_count == 0;
-  return !empties || ctrl->peers.members == NULL || ctrl->peers.members->host_count == 0;
+  return !hosts->full || hosts->host_count > 0;
+}
+
+static void
+take_answer (ctrl_t *ctrl, const plt_hosts_t *hosts, uint64_t started_us)
+{
+  uint64_t interval_us = (uint64_t)ctrl->dmn->set.list_interval_ms * CLK_US_PER_MS;
+  ctrl_source_worked (ctrl, &ctrl->list.source, SOURCE, ctrl_jitter (ctrl, interval_us));
+  if (!is_credible (hosts))
+    {
+      if (!ctrl->list.empty)
+        log_event (LOG_LEVEL_WARNING, "empty_list_ignored", NULL);
+      ctrl->list.empty = true;
+      return;
+    }
+  ctrl->list.empty = false;
+  take_hosts (ctrl, hosts);
+  ctrl_fresh_heard_list (ctrl, started_us, true);
 }
 
 static void
@@ -80,25 +96,17 @@
   uint64_t started_us = op->started_us;
   if (!ctrl_op_end (op))
     return;
-  uint64_t interval_us = (uint64_t)ctrl->dmn->set.list_interval_ms * CLK_US_PER_MS;
   bool worked = hosts->outcome == PLT_OK;
-  if (worked && !is_credible (ctrl, hosts))
-    {
-      log_event (LOG_LEVEL_WARNING, "empty_list_ignored", NULL);
-      worked = false;
-    }
+  ctrl_gauge (ctrl, "medlarplank_list_up", "Whether the last reading of the platform's list worked",
+              worked);
   if (worked)
     {
-      ctrl_source_worked (ctrl, &ctrl->list.source, SOURCE, ctrl_jitter (ctrl, interval_us));
-      take_hosts (ctrl, hosts);
-    }
-  else
-    {
-      ctrl_source_failed (ctrl, &ctrl->list.source, SOURCE, interval_us);
+      take_answer (ctrl, hosts, started_us);
+      return;
     }
-  ctrl_gauge (ctrl, "medlarplank_list_up", "Whether the last reading of the platform's list worked",
-              worked);
-  ctrl_fresh_heard_list (ctrl, started_us, worked);
+  uint64_t interval_us = (uint64_t)ctrl->dmn->set.list_interval_ms * CLK_US_PER_MS;
+  ctrl_source_failed (ctrl, &ctrl->list.source, SOURCE, interval_us);
+  ctrl_fresh_heard_list (ctrl, started_us, false);
 }
 
 void
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -48,6 +48,7 @@
 /**
  * struct ctrl_list - the platform's list of hosts
  * @read_once: a list has come
+ * @empty: the last answer told of no host at all, and was not believed
  * @own_state: of this host, in the list; MEM_GONE when it isn't there
  * @own_held: the list said leaving since before this process started: of its predecessor, perhaps
  */
@@ -56,6 +57,7 @@
   ctrl_source_t source;
   uint64_t revision;
   bool read_once;
+  bool empty;
   mem_state_t own_state;
   bool own_held;
 } ctrl_list_t;
--- a/src/request/ops.c
+++ b/src/request/ops.c
@@ -6,6 +6,7 @@
 #include "request/fault.h"
 #include "request/hop.h"
 #include "request/order.h"
+#include "version/manifest_sync.h"
 
 #include <event2/event.h>
 #include <stdlib.h>
@@ -84,9 +85,14 @@
       flt_bad_request (call, 503, "no_version", "no version of the manifest is known here");
       return;
     }
-  reply_json (call,
-              json_pack ("{s:I,s:I,s:O}", "version", (json_int_t)ops->man->version, "next_offset",
-                         (json_int_t)ops->man_next_offset, "manifest", ops->man->json));
+  char seal[MSY_SEAL_BYTES];
+  g_autofree char *body =
+      msy_write (ops->options.dmn->set.fleet_key, hsv_header (call, MSY_NONCE_HEADER), ops->man,
+                 ops->man_next_offset, seal);
+
+  if (seal[0] != '\0')
+    hsv_add_header (call, MSY_SEAL_HEADER, seal);
+  hsv_reply_text (call, 200, "application/json", body);
 }
 
 /* keep_own() - an account may ask only for its own requests */
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -214,7 +214,7 @@
 }
 
 /* The platform's list comes up empty after a restart of its store. If it were believed, every
- * router would refuse everything. */
+ * router would refuse everything; and a daemon that starts then would call itself fresh. */
 static void
 test_empty_list_is_not_believed (void)
 {
@@ -225,6 +225,14 @@
   rig_turns (&rig, 50);
   CU_ASSERT_EQUAL (rig.told.hosts, 3);
   rig_tear_down (&rig);
+  rig_set_up (&rig, base, "own", RIG_PORT);
+  rig_put_version (&rig.platform, 0);
+  rig_start (&rig);
+  rig_turns (&rig, 50);
+  CU_ASSERT_EQUAL (rig.told.fresh_notices, 0);
+  rig_list_hosts (&rig.platform);
+  TURN_UNTIL (&rig, rig.told.fresh);
+  rig_tear_down (&rig);
   event_base_free (base);
 }
 
