--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -70,9 +70,11 @@
   if (!listener)
     {
       int code = errno;
+      char *text = set_address_text (address);
 
-      g_set_error (error, G_FILE_ERROR, g_file_error_from_errno (code),
-                   "listening on %s port %u: %s", address->ip, address->port, g_strerror (code));
+      g_set_error (error, G_FILE_ERROR, g_file_error_from_errno (code), "listen on %s: %s", text,
+                   g_strerror (code));
+      g_free (text);
       return false;
     }
   /* inherited by the connections: a token must not wait for the one before it to be acknowledged */
--- a/tests/session_daemon.c
+++ b/tests/session_daemon.c
@@ -78,8 +78,8 @@
   memset (run, 0, sizeof *run);
   run->out = g_string_new (NULL);
   run->err = g_string_new (NULL);
-  started = g_spawn_async_with_pipes (NULL, argv, envp, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
-                                      &run->pid, NULL, &run->out_fd, &run->err_fd, NULL);
+  started = g_spawn_async_with_pipes (NULL, argv, envp, G_SPAWN_DO_NOT_REAP_CHILD, die_with_parent,
+                                      NULL, &run->pid, NULL, &run->out_fd, &run->err_fd, NULL);
   CU_ASSERT_FATAL (started);
   g_strfreev (argv);
 }
