Test the whole path of a request with fake engines

A router, three sidecars and fake engines on one event loop, with the control tasks played by the test, so that each failure is brought about in one place: cut, crossed, crash, leaving, pause, log out, caller gone, deadline, forged and late attempts.

--- a/src/request/router.c
+++ b/src/request/router.c
@@ -207,7 +207,13 @@
   if (rtr == NULL)
     return;
   while (rtr->calls.head != NULL)
-    rtr_call_free (rtr->calls.head->data);
+    {
+      rtr_call_t *call = rtr->calls.head->data;
+
+      if (call->in != NULL)
+        hsv_abort (call->in);
+      rtr_call_free (call);
+    }
   ops_free (rtr->ops);
   hcl_free (rtr->hcl);
   hlt_free (rtr->hlt);
--- a/src/request/router_call.c
+++ b/src/request/router_call.c
@@ -102,7 +102,8 @@
     return false;
   call->hop.may_wait = step->may_wait;
   call->hop.referred = step->referred;
-  rtr_call_note (call, "send", step->engine_hash, VRD_NOT_RUN, call->att.last_reason);
+  rtr_call_note (call, "send", step->engine_hash, VRD_NOT_RUN,
+                 call->att.hops > 1 ? call->att.last_reason : VRD_REASON_NONE);
   rtr_hop_send (call, host);
   return true;
 }
--- a/src/request/sidecar.c
+++ b/src/request/sidecar.c
@@ -270,14 +270,20 @@
 void
 sdc_free (sdc_t *sdc)
 {
-  GHashTableIter iter;
-  gpointer call;
+  GList *calls;
 
   if (sdc == NULL)
     return;
-  for (g_hash_table_iter_init (&iter, sdc->calls); g_hash_table_iter_next (&iter, NULL, &call);
-       g_hash_table_iter_init (&iter, sdc->calls))
-    sdc_call_free (call);
+  calls = g_hash_table_get_values (sdc->calls);
+  for (GList *link = calls; link != NULL; link = link->next)
+    {
+      sdc_call_t *call = link->data;
+
+      if (call->in != NULL)
+        hsv_abort (call->in);
+      sdc_call_free (call);
+    }
+  g_list_free (calls);
   event_free (sdc->probe_timer);
   event_free (sdc->tick);
   event_free (sdc->report);
--- /dev/null
+++ b/tests/path_fleet.h
@@ -0,0 +1,121 @@
+/**
+ * DOC: path_fleet
+ *
+ * A router, sidecars and fake engines on one event loop, for tests of a request's whole path. The
+ * control tasks are played by the test: it says what version and members are known and grants
+ * claims by a table in memory.
+ */
+#ifndef TESTS_PATH_FLEET_H
+#define TESTS_PATH_FLEET_H
+
+#include "connection/http_client.h"
+#include "connection/http_server.h"
+#include "process/daemon.h"
+#include "process/messages.h"
+
+#define PFL_SIDECARS 3
+#define PFL_KEY "the key of the first account"
+#define PFL_FLEET_KEY "a fleet key of the tests"
+
+/** enum pfl_mode - what a fake engine does with a request */
+typedef enum
+{
+  PFL_ANSWER,
+  PFL_HANG,     /* holds it until pfl_release() */
+  PFL_CUT,      /* closes the connection without an answer */
+  PFL_CUT_LATE, /* closes it in the middle of a stream */
+  PFL_CROSSED,  /* answers under another request's id */
+  PFL_CRASH     /* its listener goes, with all connections */
+} pfl_mode_t;
+
+typedef struct pfl pfl_t;
+
+/** struct pfl_daemon - a daemon whose control task is played here */
+typedef struct
+{
+  pfl_t *fleet;
+  dmn_t dmn;
+  rtr_t *rtr;
+  sdc_t *sdc;
+  bool drained;
+} pfl_daemon_t;
+
+/** struct pfl_engine - @run_count: requests that reached it */
+typedef struct
+{
+  pfl_t *fleet;
+  set_address_t address;
+  hsv_t *hsv;
+  pfl_mode_t mode;
+  GPtrArray *held; /* hsv_call_t that hang */
+  uint32_t run_count;
+  uint32_t gone_count;
+  bool saw_secret; /* a header reached it that must not */
+  struct event *crash;
+  struct event *cutter;
+  hsv_call_t *cut;
+} pfl_engine_t;
+
+struct pfl
+{
+  struct event_base *base;
+  man_t *man;
+  mem_snapshot_t members;
+  mem_host_t hosts[PFL_SIDECARS + 1];
+  pfl_daemon_t router;
+  pfl_daemon_t sidecars[PFL_SIDECARS];
+  pfl_engine_t engines[PFL_SIDECARS];
+  hcl_t *hcl;
+  cnt_set_t *counters; /* of the fakes */
+  GHashTable *claims;  /* key hash -> state of the claim */
+  bool log_down;
+  uint32_t marks;
+};
+
+/** struct pfl_request - what a caller sends; NULL fields are left out */
+typedef struct
+{
+  const char *path;
+  const char *body;
+  const char *key; /* of the account; PFL_KEY when NULL */
+  const char *chat;
+  const char *klass;
+  const char *idempotency_key;
+  const char *deadline_ms;
+} pfl_request_t;
+
+/** struct pfl_answer - what the caller sees; @done when it ended */
+typedef struct
+{
+  bool done;
+  hcl_end_t end;
+  int status;
+  char verdict[32];
+  char engine[LIM_NAME_BYTES];
+  char request[40];
+  char retry_after[16];
+  GString *body;
+  hcl_call_t *call;
+} pfl_answer_t;
+
+void pfl_init (pfl_t *fleet);
+void pfl_clear (pfl_t *fleet);
+/** pfl_until() - turn the loop until @done says so. Return: false after ten seconds */
+bool pfl_until (pfl_t *fleet, bool (*done) (void *context), void *context);
+void pfl_send (pfl_t *fleet, const pfl_request_t *request, pfl_answer_t *answer);
+/** pfl_ask() - send and wait for the end; pfl_answer_clear() afterwards */
+void pfl_ask (pfl_t *fleet, const pfl_request_t *request, pfl_answer_t *answer);
+void pfl_answer_clear (pfl_answer_t *answer);
+/** pfl_flag() - a message of a daemon's control task */
+void pfl_flag (pfl_daemon_t *daemon, msg_kind_t kind, bool on);
+/** pfl_engine_named() - index of the engine, from the header of an answer */
+uint32_t pfl_engine_named (const pfl_answer_t *answer);
+uint32_t pfl_runs (const pfl_t *fleet);
+/** pfl_set_all() - the mode of all engines */
+void pfl_set_all (pfl_t *fleet, pfl_mode_t mode);
+/** pfl_release() - answer what hangs at an engine */
+void pfl_release (pfl_engine_t *engine);
+/** pfl_start_engine() - again after a crash */
+void pfl_start_engine (pfl_engine_t *engine);
+
+#endif
--- /dev/null
+++ b/tests/test_path.c
@@ -0,0 +1,509 @@
+#include "path_fleet.h"
+
+#include "request/digest.h"
+#include "request/hop.h"
+#include "request/order.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#define CHAT_BODY "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}"
+
+static const pfl_request_t LOOK = { .path = "/look" };
+static const pfl_request_t BOOK = { .path = "/book", .body = "lot 7" };
+static const pfl_request_t TALK = { .path = "/v1/chat/completions",
+                                    .body = CHAT_BODY,
+                                    .chat = "c1" };
+
+static void
+ask_status (pfl_t *fleet, const pfl_request_t *request, int status, const char *verdict)
+{
+  pfl_answer_t answer;
+
+  pfl_ask (fleet, request, &answer);
+  CU_ASSERT_TRUE (answer.end.whole);
+  CU_ASSERT_EQUAL (answer.status, status);
+  CU_ASSERT_STRING_EQUAL (answer.verdict, verdict);
+  pfl_answer_clear (&answer);
+}
+
+static void
+relays_the_answer (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answer;
+  uint32_t engine;
+
+  pfl_init (&fleet);
+  pfl_ask (&fleet, &TALK, &answer);
+  CU_ASSERT_TRUE (answer.end.whole);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT_STRING_EQUAL (answer.body->str, "ran:" CHAT_BODY);
+  CU_ASSERT_STRING_EQUAL (answer.verdict, "ran");
+  CU_ASSERT_EQUAL (strlen (answer.request), 32);
+  engine = pfl_engine_named (&answer);
+  CU_ASSERT_EQUAL (fleet.engines[engine].run_count, 1);
+  CU_ASSERT_FALSE (fleet.engines[engine].saw_secret);
+  pfl_answer_clear (&answer);
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      pfl_ask (&fleet, &TALK, &answer);
+      CU_ASSERT_EQUAL (pfl_engine_named (&answer), engine);
+      pfl_answer_clear (&answer);
+    }
+  pfl_clear (&fleet);
+}
+
+static void
+refuses_what_it_cannot_judge (void)
+{
+  pfl_t fleet;
+
+  pfl_init (&fleet);
+  ask_status (&fleet, &(pfl_request_t){ .path = "/look", .key = "nobody" }, 401, "not_run");
+  ask_status (&fleet, &(pfl_request_t){ .path = "/none" }, 404, "not_run");
+  ask_status (&fleet, &(pfl_request_t){ .path = "/look", .klass = "none" }, 400, "not_run");
+  ask_status (&fleet, &(pfl_request_t){ .path = "/look", .deadline_ms = "0" }, 400, "not_run");
+  ask_status (&fleet, &(pfl_request_t){ .path = "/v1/chat/completions", .body = "{" }, 400,
+              "not_run");
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
+  pfl_clear (&fleet);
+}
+
+/* The host of a chat's home begins to leave while routers still think it live. Its sidecar refuses
+ * the request for certain, the router asks the next, and the caller sees nothing of it. */
+static void
+passes_by_a_leaving_host (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answer;
+  uint32_t home;
+
+  pfl_init (&fleet);
+  pfl_ask (&fleet, &TALK, &answer);
+  home = pfl_engine_named (&answer);
+  pfl_answer_clear (&answer);
+  pfl_flag (&fleet.sidecars[home], MSG_DRAIN, true);
+  pfl_ask (&fleet, &TALK, &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT_NOT_EQUAL (pfl_engine_named (&answer), home);
+  CU_ASSERT_EQUAL (fleet.engines[home].run_count, 1);
+  pfl_answer_clear (&answer);
+  pfl_clear (&fleet);
+}
+
+static bool
+one_held (void *context)
+{
+  const pfl_t *fleet = context;
+  uint32_t held = 0;
+
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    held += fleet->engines[i].held->len;
+  return held == 1;
+}
+
+static pfl_engine_t *
+holder (pfl_t *fleet)
+{
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    if (fleet->engines[i].held->len > 0)
+      return &fleet->engines[i];
+  return NULL;
+}
+
+static bool
+is_drained (void *context)
+{
+  const pfl_daemon_t *daemon = context;
+
+  return daemon->drained;
+}
+
+static bool
+is_done (void *context)
+{
+  const pfl_answer_t *answer = context;
+
+  return answer->done;
+}
+
+/* A host is stopped while its engine works on a request. The caller must get its whole answer, and
+ * only then may the daemon say that it is done; the same at the router. */
+static void
+stops_gracefully (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answer;
+  pfl_engine_t *engine;
+  pfl_daemon_t *sidecar;
+
+  pfl_init (&fleet);
+  pfl_set_all (&fleet, PFL_HANG);
+  pfl_send (&fleet, &TALK, &answer);
+  CU_ASSERT_TRUE (pfl_until (&fleet, one_held, &fleet));
+  engine = holder (&fleet);
+  sidecar = &fleet.sidecars[engine - fleet.engines];
+  pfl_flag (sidecar, MSG_DRAIN, true);
+  pfl_flag (&fleet.router, MSG_DRAIN, true);
+  for (uint32_t i = 0; i < 300; i++)
+    event_base_loop (fleet.base, EVLOOP_ONCE); /* far beyond the linger */
+  CU_ASSERT_FALSE (sidecar->drained);
+  CU_ASSERT_FALSE (fleet.router.drained);
+  pfl_release (engine);
+  CU_ASSERT_TRUE (pfl_until (&fleet, is_done, &answer));
+  CU_ASSERT_TRUE (answer.end.whole);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT_TRUE (pfl_until (&fleet, is_drained, sidecar));
+  CU_ASSERT_TRUE (pfl_until (&fleet, is_drained, &fleet.router));
+  pfl_answer_clear (&answer);
+  pfl_clear (&fleet);
+}
+
+/* The engine closes the connection instead of answering, and is up again at once. A lookup is tried
+ * at another engine and answered; a booking must not be, and its caller hears that it may have run.
+ */
+static void
+tries_only_idempotent_again (void)
+{
+  pfl_t fleet;
+
+  pfl_init (&fleet);
+  pfl_set_all (&fleet, PFL_CUT);
+  ask_status (&fleet, &BOOK, 502, "may_have_run");
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
+  CU_ASSERT_EQUAL (fleet.marks, 0);
+  ask_status (&fleet, &LOOK, 502, "may_have_run");
+  CU_ASSERT_TRUE (pfl_runs (&fleet) > 2);
+  pfl_clear (&fleet);
+}
+
+/* An engine answers under another request's id. What it says belongs to another caller: not a byte
+ * of it may reach this one. */
+static void
+never_relays_a_crossed_answer (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answer;
+
+  pfl_init (&fleet);
+  pfl_set_all (&fleet, PFL_CROSSED);
+  pfl_ask (&fleet, &BOOK, &answer);
+  CU_ASSERT_EQUAL (answer.status, 502);
+  CU_ASSERT_PTR_NULL (strstr (answer.body->str, "somebody"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer.body->str, "\"crossed\""));
+  pfl_answer_clear (&answer);
+  pfl_clear (&fleet);
+}
+
+/* A stream breaks off at the engine after its first part went to the caller. The caller sees the
+ * error and a broken connection, never a proper end after half an answer. */
+static void
+never_ends_a_cut_stream (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answer;
+
+  pfl_init (&fleet);
+  pfl_set_all (&fleet, PFL_CUT_LATE);
+  pfl_ask (&fleet, &TALK, &answer);
+  CU_ASSERT_TRUE (answer.done);
+  CU_ASSERT_FALSE (answer.end.whole);
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
+  pfl_answer_clear (&answer);
+  pfl_clear (&fleet);
+}
+
+/* A request crashes each engine that runs it. Two are lost; then it is refused for good, and so is
+ * every resend, with no word of coming back. The third engine never sees it. */
+static void
+loses_two_engines_at_most (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answer;
+
+  pfl_init (&fleet);
+  pfl_set_all (&fleet, PFL_CRASH);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      pfl_ask (&fleet, &TALK, &answer);
+      CU_ASSERT_EQUAL (answer.status, 422);
+      CU_ASSERT_STRING_EQUAL (answer.retry_after, "");
+      CU_ASSERT_PTR_NOT_NULL (strstr (answer.body->str, "\"suspect\""));
+      pfl_answer_clear (&answer);
+    }
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 2);
+  CU_ASSERT_EQUAL (fleet.marks, 2);
+  pfl_clear (&fleet);
+}
+
+/* The same with a booking, which is never tried again on its own: each send loses one engine. The
+ * second already hears that it was the last; the third runs nowhere. */
+static void
+loses_two_engines_to_resends (void)
+{
+  pfl_t fleet;
+
+  pfl_init (&fleet);
+  pfl_set_all (&fleet, PFL_CRASH);
+  ask_status (&fleet, &BOOK, 502, "may_have_run");
+  ask_status (&fleet, &BOOK, 422, "may_have_run");
+  ask_status (&fleet, &BOOK, 422, "not_run");
+  ask_status (&fleet, &BOOK, 422, "not_run");
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 2);
+  pfl_clear (&fleet);
+}
+
+static bool
+one_gone (void *context)
+{
+  const pfl_t *fleet = context;
+  uint32_t gone = 0;
+
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    gone += fleet->engines[i].gone_count;
+  return gone == 1;
+}
+
+/* A caller hangs up. Its lookup is taken from the engine, which has others to serve. */
+static void
+cancels_for_a_caller_that_left (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answer;
+
+  pfl_init (&fleet);
+  pfl_set_all (&fleet, PFL_HANG);
+  pfl_send (&fleet, &TALK, &answer);
+  CU_ASSERT_TRUE (pfl_until (&fleet, one_held, &fleet));
+  pfl_answer_clear (&answer);
+  CU_ASSERT_TRUE (pfl_until (&fleet, one_gone, &fleet));
+  pfl_clear (&fleet);
+}
+
+static bool
+claim_is_done (void *context)
+{
+  const pfl_t *fleet = context;
+  GHashTableIter iter;
+  gpointer state;
+
+  g_hash_table_iter_init (&iter, fleet->claims);
+  return g_hash_table_iter_next (&iter, NULL, &state) && GPOINTER_TO_UINT (state) == CLM_DONE;
+}
+
+/* A caller hangs up on a booking that runs, and sends it again with the same key. The first goes on
+ * to its end; the second hears that it ran, and the engines saw it once. */
+static void
+lets_a_booking_finish (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answer;
+  pfl_request_t keyed = BOOK;
+
+  pfl_init (&fleet);
+  keyed.idempotency_key = "order-7";
+  pfl_set_all (&fleet, PFL_HANG);
+  pfl_send (&fleet, &keyed, &answer);
+  CU_ASSERT_TRUE (pfl_until (&fleet, one_held, &fleet));
+  pfl_answer_clear (&answer);
+  ask_status (&fleet, &keyed, 409, "may_have_run");
+  CU_ASSERT_FALSE (one_gone (&fleet));
+  pfl_release (holder (&fleet));
+  CU_ASSERT_TRUE (pfl_until (&fleet, claim_is_done, &fleet));
+  ask_status (&fleet, &keyed, 409, "ran");
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
+  pfl_clear (&fleet);
+}
+
+/* The platform's log is out. A keyed booking cannot be claimed and is refused as not run, at once;
+ * one without a key and all lookups go on. */
+static void
+refuses_keys_while_the_log_is_out (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answer;
+  pfl_request_t keyed = BOOK;
+
+  pfl_init (&fleet);
+  fleet.log_down = true;
+  keyed.idempotency_key = "order-8";
+  pfl_ask (&fleet, &keyed, &answer);
+  CU_ASSERT_EQUAL (answer.status, 503);
+  CU_ASSERT_STRING_EQUAL (answer.verdict, "not_run");
+  CU_ASSERT_STRING_NOT_EQUAL (answer.retry_after, "");
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
+  pfl_answer_clear (&answer);
+  ask_status (&fleet, &BOOK, 200, "ran");
+  ask_status (&fleet, &LOOK, 200, "ran");
+  pfl_clear (&fleet);
+}
+
+/* An engine is frozen. The caller of a booking hears at its deadline that it may have run, and no
+ * other engine was asked. */
+static void
+answers_at_the_deadline (void)
+{
+  pfl_t fleet;
+  pfl_request_t soon = BOOK;
+
+  pfl_init (&fleet);
+  pfl_set_all (&fleet, PFL_HANG);
+  soon.deadline_ms = "150";
+  ask_status (&fleet, &soon, 504, "may_have_run");
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
+  pfl_clear (&fleet);
+}
+
+static bool
+sidecars_stale (void *context)
+{
+  pfl_answer_t answer;
+  bool refused;
+
+  pfl_ask (context, &LOOK, &answer);
+  refused = answer.status == 503;
+  pfl_answer_clear (&answer);
+  return refused;
+}
+
+/* The sidecars woke from a pause: until they have heard again whether they still may, they take no
+ * work, and say so as not run. */
+static void
+takes_no_work_after_a_pause (void)
+{
+  pfl_t fleet;
+  uint32_t runs;
+
+  pfl_init (&fleet);
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    pfl_flag (&fleet.sidecars[i], MSG_FRESHNESS, false);
+  CU_ASSERT_TRUE (pfl_until (&fleet, sidecars_stale, &fleet));
+  runs = pfl_runs (&fleet);
+  ask_status (&fleet, &BOOK, 503, "not_run");
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), runs);
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    pfl_flag (&fleet.sidecars[i], MSG_FRESHNESS, true);
+  ask_status (&fleet, &BOOK, 200, "ran");
+  pfl_clear (&fleet);
+}
+
+static bool
+see_verdict (int status, struct evkeyvalq *headers, void *context)
+{
+  (void)headers;
+  *(int *)context = status;
+  return true;
+}
+
+static bool
+has_status (void *context)
+{
+  return *(int *)context != 0;
+}
+
+static void
+no_end (const hcl_end_t *end, void *context)
+{
+  (void)end;
+  (void)context;
+}
+
+static int
+call_sidecar (pfl_t *fleet, const hcl_header_t *headers, uint32_t count, const char *target)
+{
+  int status = 0;
+  hcl_options_t options = { .address = &fleet->hosts[0].http,
+                            .method = "POST",
+                            .target = target,
+                            .headers = headers,
+                            .header_count = count,
+                            .on_head = see_verdict,
+                            .on_end = no_end,
+                            .context = &status };
+
+  hcl_start (fleet->hcl, &options);
+  CU_ASSERT_TRUE (pfl_until (fleet, has_status, &status));
+  return status;
+}
+
+/* A stranger on the network hands a request, a revoke or an order to drain straight to a sidecar.
+ */
+static void
+sidecars_obey_only_the_fleet (void)
+{
+  static const hcl_header_t FORGED[] = { { "X-Medlarplank-Seal", "00" },
+                                         { "X-Medlarplank-Account", "first" } };
+  pfl_t fleet;
+
+  pfl_init (&fleet);
+  CU_ASSERT_EQUAL (call_sidecar (&fleet, FORGED, 2, "/look"), 403);
+  CU_ASSERT_EQUAL (call_sidecar (&fleet, FORGED, 2, HOP_REVOKE_PATH "?attempt=1"), 403);
+  CU_ASSERT_EQUAL (call_sidecar (&fleet, FORGED, 2, "/medlarplank/drain?time=1"), 403);
+  CU_ASSERT_EQUAL (call_sidecar (&fleet, FORGED, 2, "/medlarplank/manifest"), 403);
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
+  pfl_clear (&fleet);
+}
+
+/* A router gave an attempt up before it arrived, and went on elsewhere after "not run". The attempt
+ * arrives all the same: it must be refused. */
+static void
+bars_a_revoked_attempt (void)
+{
+  static const char TARGET[] = HOP_REVOKE_PATH "?attempt=000000000000000a000000000000000b&age_ms=5";
+  pfl_t fleet;
+  char seal[ORD_SEAL_BYTES];
+  hcl_header_t order = { .name = ORD_SEAL_HEADER, .value = seal };
+  hop_t hop = { .attempt = { 0xa, 0xb },
+                .service = "pool",
+                .account = "first",
+                .class_name = "short",
+                .deadline_ms = 1000 };
+  hop_header_t written[HOP_HEADERS];
+  hcl_header_t headers[HOP_HEADERS];
+  uint32_t count;
+
+  pfl_init (&fleet);
+  hop.body_hash = dgs_body ("POST", "/book", "", 0);
+  count = hop_write (&hop, PFL_FLEET_KEY, written);
+  for (uint32_t i = 0; i < count; i++)
+    headers[i] = (hcl_header_t){ .name = written[i].name, .value = written[i].value };
+  ord_seal (&(ord_t){ .host = "e0", .method = "POST", .target = TARGET }, PFL_FLEET_KEY, seal);
+  CU_ASSERT_EQUAL (call_sidecar (&fleet, &order, 1, TARGET), 200);
+  CU_ASSERT_EQUAL (call_sidecar (&fleet, headers, count, "/book"), 503);
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
+  pfl_clear (&fleet);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = { { "relays the answer", relays_the_answer },
+                          { "refuses what it cannot judge", refuses_what_it_cannot_judge },
+                          { "passes by a leaving host", passes_by_a_leaving_host },
+                          { "stops gracefully", stops_gracefully },
+                          { "tries only idempotent again", tries_only_idempotent_again },
+                          { "never relays a crossed answer", never_relays_a_crossed_answer },
+                          { "never ends a cut stream", never_ends_a_cut_stream },
+                          { "loses two engines at most", loses_two_engines_at_most },
+                          { "loses two engines to resends", loses_two_engines_to_resends },
+                          { "cancels for a caller that left", cancels_for_a_caller_that_left },
+                          { "lets a booking finish", lets_a_booking_finish },
+                          { "refuses keys while the log is out",
+                            refuses_keys_while_the_log_is_out },
+                          { "answers at the deadline", answers_at_the_deadline },
+                          { "takes no work after a pause", takes_no_work_after_a_pause },
+                          { "sidecars obey only the fleet", sidecars_obey_only_the_fleet },
+                          { "bars a revoked attempt", bars_a_revoked_attempt },
+                          CU_TEST_INFO_NULL };
+  CU_SuiteInfo suites[] = { { "path", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
+
+  log_init ("test-path", "test", LOG_LEVEL_DEBUG);
+  CU_initialize_registry ();
+  CU_register_suites (suites);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
