--- a/src/request/hop.c
+++ b/src/request/hop.c
@@ -32,6 +32,7 @@
 };
 
 G_STATIC_ASSERT (FIELD_COUNT + 1 <= HOP_HEADERS);
+G_STATIC_ASSERT ((FIELD_COUNT + 1) * (sizeof (hop_header_t) + 4) <= HOP_HEADERS_BYTES);
 G_STATIC_ASSERT (LIM_SUSPECT_CRASHES == 2); /* written as a pair, as an attempt id is */
 
 static const char *const FIELD_NAMES[FIELD_COUNT] = {
--- a/src/request/hop.h
+++ b/src/request/hop.h
@@ -65,6 +65,7 @@
 } hop_t;
 
 #define HOP_HEADERS 20
+#define HOP_HEADERS_BYTES 4096 /* of all of them, names, values and framing */
 typedef struct
 {
   char name[40];
--- a/src/request/ops.c
+++ b/src/request/ops.c
@@ -299,26 +299,39 @@
     pse_wake (&ops->pse, flag->at_us);
 }
 
+/* listener() - a sidecar's has room for the headers that a router adds to a caller's that are just
+ * within the router's own limits */
+static hsv_options_t
+listener (ops_t *ops)
+{
+  const set_t *set = &ops->options.dmn->set;
+  bool sidecar = set->role == SET_ROLE_SIDECAR;
+
+  return (hsv_options_t){ .base = ops->options.base,
+                          .counters = ops->options.dmn->counters,
+                          .listen = set->listen,
+                          .body_limit_bytes = set->body_limit_bytes,
+                          .header_limit_bytes =
+                              set->header_limit_bytes + (sidecar ? HOP_HEADERS_BYTES : 0),
+                          .header_limit_count =
+                              set->header_limit_count + (sidecar ? HOP_HEADERS : 0),
+                          .connection_limit = set->connection_limit,
+                          .idle_timeout_ms = set->idle_timeout_ms,
+                          .on_call = on_call,
+                          .context = ops };
+}
+
 ops_t *
 ops_new (const ops_options_t *options, GError **error)
 {
-  const set_t *set = &options->dmn->set;
   ops_t *ops = g_new0 (ops_t, 1);
-  hsv_options_t listener = { .base = options->base,
-                             .counters = options->dmn->counters,
-                             .listen = set->listen,
-                             .body_limit_bytes = set->body_limit_bytes,
-                             .header_limit_bytes = set->header_limit_bytes,
-                             .header_limit_count = set->header_limit_count,
-                             .connection_limit = set->connection_limit,
-                             .idle_timeout_ms = set->idle_timeout_ms,
-                             .on_call = on_call,
-                             .context = ops };
+  hsv_options_t listen;
 
   ops->options = *options;
   ops->decisions = dcn_ring_new (DCN_KEPT);
-  pse_init (&ops->pse, ops_now_us (ops), set->exchange_interval_ms);
-  ops->hsv = hsv_new (&listener, error);
+  pse_init (&ops->pse, ops_now_us (ops), options->dmn->set.exchange_interval_ms);
+  listen = listener (ops);
+  ops->hsv = hsv_new (&listen, error);
   if (ops->hsv == NULL)
     {
       dcn_ring_free (ops->decisions);
--- a/src/request/router.c
+++ b/src/request/router.c
@@ -9,7 +9,11 @@
 {
   const rtr_t *rtr = context;
 
-  return rtr->pools != NULL;
+  /* The platform's list may be read before it holds anything. */
+  for (uint32_t i = 0; i < rtr->pool_count; i++)
+    if (rtr->pools[i].near.count + rtr->pools[i].far.count > 0)
+      return true;
+  return false;
 }
 
 static uint32_t
@@ -31,7 +35,7 @@
     json_object_set_new (services, man->services[i].name,
                          json_integer (rtr->pools[i].near.count + rtr->pools[i].far.count));
   json_object_set_new (out, "engines", services);
-  json_object_set_new (out, "in_flight", json_integer (rtr->calls.length));
+  json_object_set_new (out, "load", json_integer (rtr->calls.length));
   json_object_set_new (out, "retry_budget_milli",
                        json_integer ((json_int_t)rtr->budget.tokens_milli));
 }
--- a/tests/path_fleet.c
+++ b/tests/path_fleet.c
@@ -293,7 +293,7 @@
     set->engine = *engine;
   set->body_limit_bytes = 1 << 20;
   set->header_limit_bytes = 1 << 16;
-  set->header_limit_count = 100;
+  set->header_limit_count = 10;
   set->connection_limit = 100;
   set->idle_timeout_ms = 30000;
   set->exchange_interval_ms = 250;
