Escape log values without a printf for each byte

A line for each routing decision is wanted, and one of ten fields took 6.6 us, most of it in g_snprintf() called byte by byte. Escaping by hand: 1.7 to 2.3 us a line (trial: 200,000 lines to /dev/null on a shared machine, 6.55 us before).

--- a/src/process/log.c
+++ b/src/process/log.c
@@ -62,16 +62,25 @@
   return false;
 }
 
+/* Return: bytes written to @out, without a final NUL. */
 static size_t
-escape_byte (unsigned char c, char out[5])
-{
-  if (c == '"' || c == '\\')
-    return (size_t)g_snprintf (out, 5, "\\%c", c);
-  if (c == '\n')
-    return (size_t)g_snprintf (out, 5, "\\n");
-  if (c < ' ' || c >= 0x7f)
-    return (size_t)g_snprintf (out, 5, "\\x%02x", c);
-  return (size_t)g_snprintf (out, 5, "%c", c);
+escape_byte (unsigned char c, char out[4])
+{
+  static const char digits[] = "0123456789abcdef";
+
+  if (c >= ' ' && c < 0x7f && c != '"' && c != '\\')
+    {
+      out[0] = (char)c;
+      return 1;
+    }
+  out[0] = '\\';
+  out[1] = c == '\n' ? 'n' : (char)c;
+  if (c == '"' || c == '\\' || c == '\n')
+    return 2;
+  out[1] = 'x';
+  out[2] = digits[c >> 4];
+  out[3] = digits[c & 0xf];
+  return 4;
 }
 
 /* Writes the value as it stands in a line, at most LIM_LOG_VALUE_BYTES with the final NUL. */
@@ -86,7 +95,7 @@
     out[bytes++] = '"';
   for (; *value != '\0'; value++)
     {
-      char piece[5];
+      char piece[4];
       size_t piece_bytes = escape_byte ((unsigned char)*value, piece);
       if (bytes + piece_bytes > room)
         break;
