Count a cold start twice, look for warm prefixes for two lifetimes

Two thirds of the prefix tokens lost to moves were of chats whose home was warm but over its bound. A cold start costs the caller its time and an engine the same time of work, so waiting may take twice as long before moving is better. An entry older than the lifetime is still often right, and a vain referral costs a hop.

--- a/src/request/admit.c
+++ b/src/request/admit.c
@@ -97,11 +97,12 @@
   return (uint64_t)tokens * CLK_US_PER_S / adm->options.prefill_tokens_s;
 }
 
-/* What going elsewhere costs: the prefix is read again. A request without a chat has none. */
+/* What going elsewhere costs: the prefix is read again, which takes the caller's time and as much
+ * of an engine's. A request without a chat has none. */
 static uint64_t
 cold_start_us (const adm_t *adm, const adm_request_t *request)
 {
-  return request->has_chat ? prefill_us (adm, request->prompt_tokens) : 0;
+  return request->has_chat ? ADM_COLD_WEIGHT * prefill_us (adm, request->prompt_tokens) : 0;
 }
 
 static uint64_t
@@ -188,10 +189,18 @@
   return decision;
 }
 
+/* The lifetime is an expectation: some prefixes are kept for longer, and to ask for one in vain
+ * costs only a hop. */
+static uint64_t
+warm_us (const adm_t *adm)
+{
+  return ADM_WARM_LIFETIMES * adm->options.cache_lifetime_us;
+}
+
 static bool
 is_new (const adm_t *adm, uint64_t now_us)
 {
-  return adm->joined_us != 0 && now_us < adm->joined_us + adm->options.cache_lifetime_us;
+  return adm->joined_us != 0 && now_us < adm->joined_us + warm_us (adm);
 }
 
 /* Whether a warm engine is worth a hop: not when it is gone, nor when its queue would take longer
@@ -219,7 +228,7 @@
   if (adm->options.policy != ADM_POLICY_FULL || !request->has_chat || request->referred ||
       request->home_hash != own)
     return 0;
-  if (dir_get (adm->directory, now_us, adm->options.cache_lifetime_us, request->chat_hash, &entry))
+  if (dir_get (adm->directory, now_us, warm_us (adm), request->chat_hash, &entry))
     return entry.engine_hash != own ? entry.engine_hash : 0;
   if (is_new (adm, now_us) && request->former_hash != own)
     return request->former_hash;
--- a/src/request/admit.h
+++ b/src/request/admit.h
@@ -33,6 +33,8 @@
 #include <stdint.h>
 
 #define ADM_RESERVE_DIVISOR 8 /* one slot in so many is kept for accounts under their share */
+#define ADM_COLD_WEIGHT 2     /* a cold start, against waiting for as long */
+#define ADM_WARM_LIFETIMES 2  /* for which the directory and a new engine refer on */
 #define ADM_SUSPECT_LIFETIME_US (30 * 60 * (uint64_t)CLK_US_PER_S)
 #define ADM_TOKEN_US 30000 /* between two tokens, until the length of requests is measured */
 #define ADM_RETRY_MIN_MS 100
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -269,7 +269,9 @@
   adm_finish (rig->adm, rig->now_us, sent_back, true);
   CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 77)).action, ADM_DISPATCH);
   adm_served_elsewhere (rig->adm, rig->now_us, 78, 13);
-  rig->now_us += LIFETIME_US + 1;
+  rig->now_us += ADM_WARM_LIFETIMES * LIFETIME_US;
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 78)).reason, VRD_REASON_ELSEWHERE);
+  rig->now_us++;
   CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 78)).action, ADM_DISPATCH);
   rig_free (rig);
 }
@@ -313,9 +315,11 @@
   first->referred = false;
   CU_ASSERT_EQUAL (offer (rig, first).action, ADM_DISPATCH);
   adm_finish (rig->adm, rig->now_us, first, true);
-  rig->now_us += LIFETIME_US;
   adm_request_t *later = make (rig, 1, 78);
   later->former_hash = 12;
+  rig->now_us += ADM_WARM_LIFETIMES * LIFETIME_US - 1;
+  CU_ASSERT_EQUAL (offer (rig, later).reason, VRD_REASON_ELSEWHERE);
+  rig->now_us++;
   CU_ASSERT_EQUAL (offer (rig, later).action, ADM_DISPATCH);
   rig_free (rig);
 }
