--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -154,7 +154,7 @@
 expect "401 for an unknown key" "$status" = 401
 
 echo "== decisions, as the daemons logged them"
-grep -hE ' (route|place) ' "$dir"/*.log | sort -k2 | tail -n 8 | sed -E 's/^<[0-9]+>[^ ]+ /   /'
+grep -hE ' (route|place) ' "$dir"/*.log | sort -t '>' -k2 | tail -n 8 | sed -E 's/^<[0-9]+>[^ ]+ /   /'
 
 echo "== status"
 "$out/medlarplankctl" --platform "$platform" status || failed=$((failed + 1))
