Name refusals by their code in the load tool; count what is reusable in bytes

Callers get the reason of a refusal in the error's code and not in a header, so failures read "503 not_run -". What may be cached of the last turn was counted with the answer's tokens, which the next prompt carries as text: the share came out above 1.

--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -20,6 +20,7 @@
 #define CHAT_PATH "/v1/chat/completions"
 #define CHAT_HEADER "X-Chat-Id"
 #define CLASS_HEADER "X-Class"
+#define TOKEN_BYTES 4      /* of the stand-in engine */
 #define RETRY_TAKE_US 1000 /* all chats pause: look again after this */
 #define DRAIN_S 30         /* after the last request, wait for answers that long */
 
@@ -121,17 +122,19 @@
 {
   if (answer->failure != NULL)
     return g_strdup (answer->failure);
-  if (answer->status != 200)
-    return g_strdup_printf ("%d %s %s", answer->status,
-                            answer->verdict == NULL ? "-" : answer->verdict,
-                            answer->reason == NULL ? "-" : answer->reason);
-  return read->verdict == LAN_BROKEN ? g_strdup ("broken") : NULL;
+  if (answer->status == 200)
+    return read->verdict == LAN_BROKEN ? g_strdup ("broken") : NULL;
+  g_autofree char *code = lan_error_code (answer->body);
+  return g_strdup_printf ("%d %s %s", answer->status,
+                          answer->verdict == NULL ? "-" : answer->verdict,
+                          code == NULL ? "-" : code);
 }
 
 static void
 give_back (const turn_t *turn, const lan_t *read, bool good)
 {
-  uint64_t reusable = read->prompt_tokens + read->completion_tokens;
+  uint64_t answer_bytes = strlen (read->text) + strlen ("assistant\n\n");
+  uint64_t reusable = read->prompt_tokens + answer_bytes / TOKEN_BYTES;
   if (turn->chat != NULL)
     lch_give (turn->load->chats, turn->chat, now_us (), good ? read->text : NULL,
               (uint32_t)reusable);
--- a/bench/load_answer.c
+++ b/bench/load_answer.c
@@ -71,6 +71,16 @@
   return good;
 }
 
+char *
+lan_error_code (const GString *answer)
+{
+  json_t *json = json_loadb (answer->str, answer->len, 0, NULL);
+  const json_t *error = json_object_get (json, "error");
+  char *code = g_strdup (json_string_value (json_object_get (error, "code")));
+  json_decref (json);
+  return code;
+}
+
 lan_t
 lan_read (lan_kind_t kind, const GString *answer, uint64_t body_hash)
 {
--- a/bench/load_answer.h
+++ b/bench/load_answer.h
@@ -35,6 +35,9 @@
   LAN_PLAIN
 } lan_kind_t;
 
+/** lan_error_code() - the code in an error's body, or NULL; to be freed by g_free() */
+char *lan_error_code (const GString *answer);
+
 lan_t lan_read (lan_kind_t kind, const GString *answer, uint64_t body_hash);
 
 #endif
--- a/bench/load_client.c
+++ b/bench/load_client.c
@@ -29,7 +29,6 @@
   lcl_answer_t answer;
   bool keep;
   char *verdict;
-  char *reason;
   char *engine;
 } lcl_call_t;
 
@@ -70,7 +69,6 @@
   g_string_free (call->body, TRUE);
   g_free (call->place);
   g_free (call->verdict);
-  g_free (call->reason);
   g_free (call->engine);
   g_free (call);
 }
@@ -80,7 +78,6 @@
 {
   call->answer.body = call->body;
   call->answer.verdict = call->verdict;
-  call->answer.reason = call->reason;
   call->answer.engine = call->engine;
   if (call->keep)
     g_queue_push_head (idle_of (call->owner, call->place), call->connection);
@@ -135,7 +132,6 @@
   const char *connection = evhttp_find_header (headers, "Connection");
   call->answer.status = evhttp_request_get_response_code (request);
   call->verdict = header_copy (headers, VRD_HEADER);
-  call->reason = header_copy (headers, HOP_REASON_HEADER);
   call->engine = header_copy (headers, HOP_ENGINE_HEADER);
   if (call->engine == NULL)
     call->engine = header_copy (headers, "X-Engine");
--- a/bench/load_client.h
+++ b/bench/load_client.h
@@ -19,7 +19,7 @@
 /**
  * struct lcl_answer - how a request ended
  * @failure: "connect", "cut" or "timeout"; NULL when a whole answer came
- * @verdict, @reason, @engine: headers of the answer, or NULL
+ * @verdict, @engine: headers of the answer, or NULL
  * @first_us, @end_us: when the first byte of the body came, and the last
  */
 typedef struct
@@ -27,7 +27,6 @@
   const char *failure;
   int status;
   const char *verdict;
-  const char *reason;
   const char *engine;
   const GString *body;
   uint64_t first_us;
