Let requests carry the loads that their router heard of

Sixteen requests at once at three idle engines of eight slots: 13, 7 and 4 of them were refused in three tries, though all would have fitted. Each sidecar knew the mean by the exchange only, which learns of a burst after a second or more, so the bound stayed at one request or two.

Ruled out: a shorter exchange interval (the control budget), and a bound that is loose while samples are old (it would be loose in every surge). Now a sidecar's answers, refusals too, tell its load, and a router sends the newest six that it heard along with each hop, under the seal. A request refused at one engine so brings the next one the news that the mean has risen.

--- a/src/request/hop.c
+++ b/src/request/hop.c
@@ -25,6 +25,7 @@
   FIELD_BODY,
   FIELD_CRASHED,
   FIELD_VERSION,
+  FIELD_LOADS,
   FIELD_DEADLINE,
   FIELD_TOKENS,
   FIELD_FLAGS,
@@ -33,14 +34,17 @@
 
 G_STATIC_ASSERT (FIELD_COUNT + 1 <= HOP_HEADERS);
 G_STATIC_ASSERT ((FIELD_COUNT + 1) * (sizeof (hop_header_t) + 4) <= HOP_HEADERS_BYTES);
+/* A hash, four numbers and five marks between them. */
+G_STATIC_ASSERT (HOP_SAMPLES *(16 + 4 * 10 + 5) < HOP_VALUE_BYTES);
 G_STATIC_ASSERT (LIM_SUSPECT_CRASHES == 2); /* written as a pair, as an attempt id is */
 
 static const char *const FIELD_NAMES[FIELD_COUNT] = {
-  HOP_ATTEMPT_HEADER,          "X-Medlarplank-Service", "X-Medlarplank-Account",
-  "X-Medlarplank-Class",       "X-Medlarplank-Chat",    "X-Medlarplank-Home",
-  "X-Medlarplank-Former",      "X-Medlarplank-Print",   "X-Medlarplank-Key",
-  "X-Medlarplank-Body",        "X-Medlarplank-Crashed", "X-Medlarplank-Version",
-  "X-Medlarplank-Deadline-Ms", "X-Medlarplank-Tokens",  "X-Medlarplank-Flags",
+  HOP_ATTEMPT_HEADER,     "X-Medlarplank-Service",     "X-Medlarplank-Account",
+  "X-Medlarplank-Class",  "X-Medlarplank-Chat",        "X-Medlarplank-Home",
+  "X-Medlarplank-Former", "X-Medlarplank-Print",       "X-Medlarplank-Key",
+  "X-Medlarplank-Body",   "X-Medlarplank-Crashed",     "X-Medlarplank-Version",
+  "X-Medlarplank-Loads",  "X-Medlarplank-Deadline-Ms", "X-Medlarplank-Tokens",
+  "X-Medlarplank-Flags",
 };
 
 #define FLAG_HAS_CHAT (1U << 0)
@@ -140,6 +144,31 @@
   return text[0] != '\0' && g_strlcpy (out, text, LIM_NAME_BYTES) < LIM_NAME_BYTES;
 }
 
+/* parse_sample() - ENGINE/LOAD/WAITING/COST/AGE_MS */
+static bool
+parse_sample (const char *text, hop_sample_t *sample)
+{
+  g_auto (GStrv) parts = g_strsplit (text, "/", 6);
+
+  return g_strv_length (parts) == 5 && parse_hash (parts[0], &sample->engine_hash) &&
+         parse_u32 (parts[1], &sample->load) && parse_u32 (parts[2], &sample->waiting) &&
+         parse_u32 (parts[3], &sample->cost) && parse_u32 (parts[4], &sample->age_ms);
+}
+
+static bool
+parse_samples (const char *text, hop_t *hop)
+{
+  g_auto (GStrv) parts = g_strsplit (text, ",", HOP_SAMPLES + 1);
+
+  for (uint32_t i = 0; parts[i] != NULL; i++)
+    {
+      if (i == HOP_SAMPLES || !parse_sample (parts[i], &hop->samples[i]))
+        return false;
+      hop->sample_count++;
+    }
+  return true;
+}
+
 static bool
 parse_flags (const char *text, hop_t *hop)
 {
@@ -169,6 +198,7 @@
          parse_hash (values[FIELD_BODY], &hop->body_hash) &&
          hop_attempt_parse (values[FIELD_CRASHED], hop->crashed) &&
          parse_decimal (values[FIELD_VERSION], UINT64_MAX, &hop->version) &&
+         parse_samples (values[FIELD_LOADS], hop) &&
          parse_u32 (values[FIELD_DEADLINE], &hop->deadline_ms) &&
          parse_tokens (values[FIELD_TOKENS], hop) && parse_flags (values[FIELD_FLAGS], hop);
 }
@@ -186,6 +216,25 @@
   snprintf (header->value, sizeof header->value, "%016" PRIx64, value);
 }
 
+static void
+write_samples (const hop_t *hop, char out[HOP_VALUE_BYTES])
+{
+  size_t used = 0;
+
+  out[0] = '\0';
+  for (uint32_t i = 0; i < hop->sample_count; i++)
+    {
+      const hop_sample_t *sample = &hop->samples[i];
+      int bytes = snprintf (out + used, HOP_VALUE_BYTES - used,
+                            "%s%016" PRIx64 "/%" PRIu32 "/%" PRIu32 "/%" PRIu32 "/%" PRIu32,
+                            i > 0 ? "," : "", sample->engine_hash, sample->load, sample->waiting,
+                            sample->cost, sample->age_ms);
+
+      g_assert (bytes > 0 && (size_t)bytes < HOP_VALUE_BYTES - used);
+      used += (size_t)bytes;
+    }
+}
+
 uint32_t
 hop_write (const hop_t *hop, const char *fleet_key, hop_header_t out[HOP_HEADERS])
 {
@@ -208,6 +257,7 @@
   write_hash (&out[FIELD_BODY], hop->body_hash);
   hop_attempt_text (hop->crashed, out[FIELD_CRASHED].value);
   snprintf (out[FIELD_VERSION].value, sizeof out[0].value, "%" PRIu64, hop->version);
+  write_samples (hop, out[FIELD_LOADS].value);
   snprintf (out[FIELD_DEADLINE].value, sizeof out[0].value, "%" PRIu32, hop->deadline_ms);
   snprintf (out[FIELD_TOKENS].value, sizeof out[0].value, "%" PRIu32 "/%" PRIu32,
             hop->prompt_tokens, hop->output_tokens);
@@ -239,6 +289,22 @@
   return parse_all (hop, values) ? HOP_OK : HOP_BROKEN;
 }
 
+void
+hop_load_write (const hop_sample_t *sample, char out[48])
+{
+  snprintf (out, 48, "%" PRIu32 "/%" PRIu32 "/%" PRIu32, sample->load, sample->waiting,
+            sample->cost);
+}
+
+bool
+hop_load_read (const char *text, hop_sample_t *sample)
+{
+  g_auto (GStrv) parts = g_strsplit (text != NULL ? text : "", "/", 4);
+
+  return g_strv_length (parts) == 3 && parse_u32 (parts[0], &sample->load) &&
+         parse_u32 (parts[1], &sample->waiting) && parse_u32 (parts[2], &sample->cost);
+}
+
 void
 hop_attempt_text (const uint64_t attempt[2], char out[33])
 {
--- a/src/request/hop.h
+++ b/src/request/hop.h
@@ -24,15 +24,27 @@
 #define HOP_ENGINE_HEADER "X-Medlarplank-Engine"           /* which engine answered */
 #define HOP_INCARNATION_HEADER "X-Medlarplank-Incarnation" /* of the sidecar */
 #define HOP_RETRY_AFTER_HEADER "X-Medlarplank-Retry-After-Ms"
-#define HOP_CACHED_HEADER "X-Cached-Tokens" /* from the engine: prompt tokens found cached */
-#define HOP_PRIORITY_HEADER "X-Priority"    /* to the engine */
-#define HOP_ACCOUNT_HEADER "X-Account"      /* to the engine: name of the client account */
-#define HOP_REQUEST_HEADER "X-Request-Id"   /* to the engine, echoed by it: the attempt id */
+#define HOP_LOAD_HEADER "X-Medlarplank-Load" /* of the engine that answers: LOAD/WAITING/COST */
+#define HOP_CACHED_HEADER "X-Cached-Tokens"  /* from the engine: prompt tokens found cached */
+#define HOP_PRIORITY_HEADER "X-Priority"     /* to the engine */
+#define HOP_ACCOUNT_HEADER "X-Account"       /* to the engine: name of the client account */
+#define HOP_REQUEST_HEADER "X-Request-Id"    /* to the engine, echoed by it: the attempt id */
 
 #define HOP_REVOKE_PATH "/medlarplank/revoke" /* POST ?attempt=ID -> VRD_HEADER */
 #define HOP_SERVED_PATH "/medlarplank/served" /* POST ?chat=HEX&engine=HEX: told to the home */
 #define HOP_DIRECTORY_PATH "/medlarplank/directory" /* POST: hand-over of a leaving sidecar */
 
+#define HOP_SAMPLES 6
+/** struct hop_sample - load of one engine, as the router heard it */
+typedef struct
+{
+  uint64_t engine_hash;
+  uint32_t load;
+  uint32_t waiting;
+  uint32_t cost;
+  uint32_t age_ms;
+} hop_sample_t;
+
 /**
  * struct hop - one request on its way to a sidecar
  * @deadline_ms: that remain, to the first byte; relative, as hosts' clocks differ
@@ -40,6 +52,9 @@
  * @body_hash: of method, target and body, so that a seal fits no other request
  * @crashed: engines that the router knows to have crashed on this request; 0 is empty. Told to the
  *   next sidecar, which then need not wait for the mark to reach it by the exchange.
+ * @samples: loads that the router heard of lately, of the same service. By the exchange alone a
+ *   sidecar learns of a sudden rise of the mean only after seconds, and refuses meanwhile what its
+ *   engine could take; those that were just refused elsewhere bring the news with them.
  */
 typedef struct
 {
@@ -55,6 +70,8 @@
   uint64_t body_hash;
   uint64_t crashed[LIM_SUSPECT_CRASHES];
   uint64_t version;
+  hop_sample_t samples[HOP_SAMPLES];
+  uint32_t sample_count;
   uint32_t deadline_ms;
   uint32_t prompt_tokens;
   uint32_t output_tokens;
@@ -65,11 +82,12 @@
 } hop_t;
 
 #define HOP_HEADERS 20
-#define HOP_HEADERS_BYTES 4096 /* of all of them, names, values and framing */
+#define HOP_HEADERS_BYTES 8192 /* of all of them, names, values and framing */
+#define HOP_VALUE_BYTES 384
 typedef struct
 {
   char name[40];
-  char value[160];
+  char value[HOP_VALUE_BYTES];
 } hop_header_t;
 
 /** hop_write() - the headers of @hop, seal included. Return: how many of @out were filled */
@@ -81,6 +99,10 @@
   HOP_BAD_SEAL
 } hop_outcome_t;
 hop_outcome_t hop_read (hop_t *hop, const char *fleet_key, struct evkeyvalq *headers);
+/** hop_load_write() - the value of HOP_LOAD_HEADER */
+void hop_load_write (const hop_sample_t *sample, char out[48]);
+/** hop_load_read() - all but the engine and the age. Return: false for a broken or missing value */
+bool hop_load_read (const char *text, hop_sample_t *sample);
 void hop_attempt_text (const uint64_t attempt[2], char out[33]);
 bool hop_attempt_parse (const char *text, uint64_t attempt[2]);
 /** hop_attempt_hash() - with hop_attempt_equal(), for a GHashTable keyed by uint64_t[2] */
--- a/src/request/router_hop.c
+++ b/src/request/router_hop.c
@@ -52,6 +52,24 @@
     }
 }
 
+/* learn_load() - of the engine that answered, for the hops to come */
+static void
+learn_load (rtr_call_t *call, const char *text)
+{
+  rtr_t *rtr = call->rtr;
+  mean_table_t *table = g_hash_table_lookup (rtr->samples, &call->service->hash);
+  hop_sample_t load;
+
+  if (table == NULL || !hop_load_read (text, &load))
+    return;
+  mean_add (table, &(mean_sample_t){ .engine_hash = call->att.last_engine,
+                                     .service_hash = call->service->hash,
+                                     .load = load.load,
+                                     .waiting = load.waiting,
+                                     .cost = load.cost,
+                                     .taken_us = ops_now_us (rtr->ops) });
+}
+
 static void
 read_answer (rtr_call_t *call, int status, struct evkeyvalq *headers)
 {
@@ -64,6 +82,7 @@
   answer->from_engine = answer->verdict == VRD_RAN && reason == NULL;
   answer->reason = reason != NULL ? vrd_reason_parse (reason) : VRD_REASON_NONE;
   answer->retry_after_ms = parse_u32 (evhttp_find_header (headers, HOP_RETRY_AFTER_HEADER));
+  learn_load (call, evhttp_find_header (headers, HOP_LOAD_HEADER));
   read_referrals (call, evhttp_find_header (headers, HOP_TRY_HEADER));
   rtr_learn_incarnation (call->rtr, call->att.last_engine,
                          parse_u64 (evhttp_find_header (headers, HOP_INCARNATION_HEADER)));
@@ -177,6 +196,23 @@
   rtr_call_ended (call, &outcome);
 }
 
+static void
+fill_samples (rtr_call_t *call, uint64_t now_us)
+{
+  mean_table_t *table = g_hash_table_lookup (call->rtr->samples, &call->service->hash);
+  mean_sample_t picked[HOP_SAMPLES];
+  hop_t *hop = &call->hop;
+
+  hop->sample_count = table != NULL ? mean_pick (table, now_us, picked, HOP_SAMPLES) : 0;
+  for (uint32_t i = 0; i < hop->sample_count; i++)
+    hop->samples[i] =
+        (hop_sample_t){ .engine_hash = picked[i].engine_hash,
+                        .load = picked[i].load,
+                        .waiting = picked[i].waiting,
+                        .cost = picked[i].cost,
+                        .age_ms = (uint32_t)((now_us - picked[i].taken_us) / CLK_US_PER_MS) };
+}
+
 static void
 fill_attempt (rtr_call_t *call, uint64_t now_us)
 {
@@ -188,6 +224,7 @@
   hop_attempt_text (hop->attempt, call->attempt_text);
   hop->deadline_ms = (uint32_t)MAX (left_us / CLK_US_PER_MS, 1);
   memcpy (hop->crashed, call->att.crashed, sizeof hop->crashed);
+  fill_samples (call, now_us);
 }
 
 void
--- a/src/request/sidecar_accept.c
+++ b/src/request/sidecar_accept.c
@@ -35,6 +35,27 @@
   request->has_chat = hop->has_chat;
 }
 
+static void
+take_samples (sdc_t *sdc, const hop_t *hop)
+{
+  uint64_t now_us = ops_now_us (sdc->ops);
+
+  for (uint32_t i = 0; i < hop->sample_count; i++)
+    {
+      const hop_sample_t *sample = &hop->samples[i];
+      uint64_t age_us = (uint64_t)sample->age_ms * CLK_US_PER_MS;
+
+      if (sample->engine_hash == sdc->own_hash || age_us >= now_us)
+        continue;
+      mean_add (adm_mean (sdc->adm), &(mean_sample_t){ .engine_hash = sample->engine_hash,
+                                                       .service_hash = sdc->service->hash,
+                                                       .load = sample->load,
+                                                       .waiting = sample->waiting,
+                                                       .cost = sample->cost,
+                                                       .taken_us = now_us - age_us });
+    }
+}
+
 static void
 copy_request (sdc_call_t *call)
 {
@@ -153,5 +174,6 @@
       answer_early (sdc, in, attempt, &(flt_t){ .verdict = VRD_NOT_RUN, .reason = reason });
       return;
     }
+  take_samples (sdc, &hop);
   sdc_call_offer (call_new (sdc, in, &hop));
 }
--- a/src/request/sidecar_call.c
+++ b/src/request/sidecar_call.c
@@ -27,9 +27,22 @@
   dcn_note (ops_decisions (sdc->ops), "place", &decision);
 }
 
+void
+sdc_load_text (const sdc_t *sdc, char out[48])
+{
+  mean_sample_t own = adm_sample (sdc->adm, ops_now_us (sdc->ops));
+
+  hop_load_write (&(hop_sample_t){ .load = own.load, .waiting = own.waiting, .cost = own.cost },
+                  out);
+}
+
 void
 sdc_identify (const sdc_t *sdc, hsv_call_t *in, const char *attempt_text)
 {
+  char load[48];
+
+  sdc_load_text (sdc, load);
+  hsv_add_header (in, HOP_LOAD_HEADER, load);
   hsv_add_header (in, HOP_ATTEMPT_HEADER, attempt_text);
   hsv_add_header (in, HOP_ENGINE_HEADER, sdc->dmn->set.name);
   hsv_add_header (in, HOP_INCARNATION_HEADER, sdc->incarnation_text);
--- a/src/request/sidecar_engine.c
+++ b/src/request/sidecar_engine.c
@@ -20,6 +20,7 @@
 on_head (int status, struct evkeyvalq *headers, void *context)
 {
   sdc_call_t *call = context;
+  char load[48];
   const char *echoed = evhttp_find_header (headers, HOP_REQUEST_HEADER);
 
   /* An engine that mixes up its answers would hand one caller what another asked for. */
@@ -33,6 +34,8 @@
   rly_add_header (&call->rly, HOP_ATTEMPT_HEADER, call->attempt_text);
   rly_add_header (&call->rly, HOP_ENGINE_HEADER, call->sdc->dmn->set.name);
   rly_add_header (&call->rly, HOP_INCARNATION_HEADER, call->sdc->incarnation_text);
+  sdc_load_text (call->sdc, load);
+  rly_add_header (&call->rly, HOP_LOAD_HEADER, load);
   rly_add_header (&call->rly, VRD_HEADER, vrd_name (VRD_RAN));
   set_timer (call, SDC_STALL_US);
   return true;
--- a/tests/test_hop.c
+++ b/tests/test_hop.c
@@ -23,6 +23,8 @@
                 .body_hash = 6,
                 .crashed = { 7, 0 },
                 .version = 12,
+                .samples = { { 8, 1, 2, 3, 4 }, { UINT64_MAX, 5, 6, UINT32_MAX, 0 } },
+                .sample_count = 2,
                 .deadline_ms = 2500,
                 .prompt_tokens = 700,
                 .output_tokens = 90,
@@ -72,6 +74,10 @@
   CU_ASSERT_EQUAL (back.body_hash, 6);
   CU_ASSERT_EQUAL (back.crashed[0], 7);
   CU_ASSERT_EQUAL (back.version, 12);
+  CU_ASSERT_EQUAL (back.sample_count, 2);
+  CU_ASSERT_EQUAL (back.samples[0].waiting, 2);
+  CU_ASSERT_EQUAL (back.samples[1].engine_hash, UINT64_MAX);
+  CU_ASSERT_EQUAL (back.samples[1].cost, UINT32_MAX);
   CU_ASSERT_EQUAL (back.deadline_ms, 2500);
   CU_ASSERT_EQUAL (back.prompt_tokens, 700);
   CU_ASSERT_EQUAL (back.output_tokens, 90);
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -113,19 +113,65 @@
 }
 
 static bool
-is_drained (void *context)
+is_done (void *context)
 {
-  const pfl_daemon_t *daemon = context;
+  const pfl_answer_t *answer = context;
 
-  return daemon->drained;
+  return answer->done;
 }
 
+#define BURST 12
+
 static bool
-is_done (void *context)
+all_held (void *context)
 {
-  const pfl_answer_t *answer = context;
+  const pfl_t *fleet = context;
+  uint32_t held = 0;
 
-  return answer->done;
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    held += fleet->engines[i].held->len;
+  return held == BURST;
+}
+
+/* Requests arrive all at once at an idle service, half of what its engines can take, and no sidecar
+ * hears of the others' load by the exchange. The refusals of the first sidecars bring the others to
+ * know that the mean has risen: all requests run at once, and evenly, and none is refused. */
+static void
+a_burst_finds_room (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answers[BURST];
+  char chats[BURST][8];
+
+  pfl_init (&fleet);
+  pfl_set_all (&fleet, PFL_HANG);
+  for (uint32_t i = 0; i < BURST; i++)
+    {
+      g_snprintf (chats[i], sizeof chats[i], "b%u", i);
+      pfl_send (&fleet, &(pfl_request_t){ .path = TALK.path, .body = TALK.body, .chat = chats[i] },
+                &answers[i]);
+    }
+  CU_ASSERT_TRUE (pfl_until (&fleet, all_held, &fleet));
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    {
+      CU_ASSERT_TRUE (fleet.engines[i].held->len <= 2 * BURST / PFL_SIDECARS);
+      pfl_release (&fleet.engines[i]);
+    }
+  for (uint32_t i = 0; i < BURST; i++)
+    {
+      CU_ASSERT_TRUE (pfl_until (&fleet, is_done, &answers[i]));
+      CU_ASSERT_EQUAL (answers[i].status, 200);
+      pfl_answer_clear (&answers[i]);
+    }
+  pfl_clear (&fleet);
+}
+
+static bool
+is_drained (void *context)
+{
+  const pfl_daemon_t *daemon = context;
+
+  return daemon->drained;
 }
 
 /* A host is stopped while its engine works on a request. The caller must get its whole answer, and
@@ -481,6 +527,7 @@
   CU_TestInfo tests[] = { { "relays the answer", relays_the_answer },
                           { "refuses what it cannot judge", refuses_what_it_cannot_judge },
                           { "passes by a leaving host", passes_by_a_leaving_host },
+                          { "a burst finds room", a_burst_finds_room },
                           { "stops gracefully", stops_gracefully },
                           { "tries only idempotent again", tries_only_idempotent_again },
                           { "never relays a crossed answer", never_relays_a_crossed_answer },
