Bound the time that a request may take to come

A caller that sends a byte now and then is never idle, so it held its connection for ever; a stream begun before a stop kept its connection open for the idle timeout after its end; and a request to a host that has vanished waited for its whole deadline. A limit on the reading of a request, a second look at idle connections while stopping, and keep-alive probes end these. TCP_USER_TIMEOUT is set for requests only: it would cut a stream whose reader is slow.

--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -1,8 +1,7 @@
 #include "connection/http_client_internal.h"
+#include "connection/socket.h"
 
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 /* the library's own timeouts would cut a slow answer; those of the call and the pool decide */
@@ -83,13 +82,12 @@
 {
   hcl_conn_t *conn = context;
   evutil_socket_t fd = bufferevent_getfd (conn->bev);
-  int on = 1;
 
   (void)buffer;
   if (info->n_added > 0 && conn->fresh)
     {
       conn->fresh = false;
-      setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+      sck_tune_client (fd);
       event_del (conn->event);
     }
   if (info->n_deleted > 0 && conn->call && fd >= 0 && !conn->closed)
--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -1,8 +1,8 @@
 #include "connection/http_server_internal.h"
+#include "connection/socket.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -11,6 +11,7 @@
   [HSV_REFUSED_HEADERS] = "medlarplank_http_refused_total{reason=\"headers\"}",
   [HSV_REFUSED_CONNECTIONS] = "medlarplank_http_refused_total{reason=\"connections\"}",
   [HSV_REFUSED_BAD] = "medlarplank_http_refused_total{reason=\"bad_request\"}",
+  [HSV_REFUSED_SLOW] = "medlarplank_http_refused_total{reason=\"slow\"}",
 };
 
 static void
@@ -61,7 +62,6 @@
   struct evconnlistener *listener = NULL;
   struct sockaddr_storage storage;
   int bytes;
-  int on = 1;
 
   errno = EINVAL;
   if (make_sockaddr (address, &storage, &bytes))
@@ -77,20 +77,27 @@
       g_free (text);
       return false;
     }
-  /* inherited by the connections: a token must not wait for the one before it to be acknowledged */
-  setsockopt (evconnlistener_get_fd (listener), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  sck_tune (evconnlistener_get_fd (listener)); /* inherited by the connections */
   hsv->bound = evhttp_bind_listener (hsv->http, listener);
   return true;
 }
 
+static struct timeval
+timeval_of (uint32_t ms)
+{
+  return (struct timeval){ ms / 1000, ms % 1000 * 1000 };
+}
+
 static void
 set_limits (hsv_t *hsv)
 {
   uint16_t methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
                      EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
 
-  hsv->idle_timeout.tv_sec = hsv->options.idle_timeout_ms / 1000;
-  hsv->idle_timeout.tv_usec = hsv->options.idle_timeout_ms % 1000 * 1000;
+  hsv->idle_timeout = timeval_of (hsv->options.idle_timeout_ms);
+  if (hsv->options.request_timeout_ms == 0)
+    hsv->options.request_timeout_ms = LIM_HTTP_REQUEST_MS;
+  hsv->request_timeout = timeval_of (hsv->options.request_timeout_ms);
   evhttp_set_allowed_methods (hsv->http, methods);
   evhttp_set_max_headers_size (hsv->http, hsv->options.header_limit_bytes);
   evhttp_set_max_body_size (hsv->http, hsv->options.body_limit_bytes);
@@ -195,17 +202,25 @@
   return ntohs (((struct sockaddr_in *)address)->sin_port);
 }
 
+void
+hsv_linger (hsv_t *hsv)
+{
+  struct timeval linger = timeval_of (LIM_HTTP_STOP_LINGER_MS);
+
+  if (!evtimer_pending (hsv->linger, NULL))
+    event_add (hsv->linger, &linger);
+}
+
 void
 hsv_stop (hsv_t *hsv)
 {
   struct timeval next_turn = { 0, 0 };
-  struct timeval linger = { 0, LIM_HTTP_STOP_LINGER_MS * 1000 };
 
   if (hsv->stopping)
     return;
   hsv->stopping = true;
   event_add (hsv->unlisten, &next_turn);
-  event_add (hsv->linger, &linger);
+  hsv_linger (hsv);
 }
 
 uint32_t
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -28,6 +28,8 @@
  * @connection_limit: a connection over it is answered by 503 and closed; far over it none is taken
  * @idle_timeout_ms: a connection is closed after this time without a byte read, or, while an
  *   answer leaves, without a byte written. There is no limit on the time between the two.
+ * @request_timeout_ms: a connection is closed when a request takes longer to come; 0 is
+ *   %LIM_HTTP_REQUEST_MS
  * @on_call: a whole request within the limits; it must be answered once, now or later
  */
 typedef struct
@@ -40,6 +42,7 @@
   uint32_t header_limit_count;
   uint32_t connection_limit;
   uint32_t idle_timeout_ms;
+  uint32_t request_timeout_ms;
   void (*on_call) (hsv_call_t *call, void *context);
   void *context;
 } hsv_options_t;
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -43,6 +43,7 @@
   evbuffer_remove_cb_entry (bufferevent_get_input (conn->bev), conn->input_cb);
   evbuffer_remove_cb_entry (bufferevent_get_output (conn->bev), conn->output_cb);
   event_free (conn->soon);
+  event_free (conn->late);
   if (conn->watch)
     event_free (conn->watch);
   if (conn->watch_fd >= 0 && conn->linger)
@@ -130,6 +131,25 @@
   event_active (conn->soon, EV_TIMEOUT, 0);
 }
 
+/* a caller that sends a byte now and then is not idle, and would hold its connection for ever */
+static void
+on_late (evutil_socket_t fd, short what, void *context)
+{
+  hsv_conn_t *conn = context;
+
+  (void)fd;
+  (void)what;
+  cnt_add (conn->hsv->refused[HSV_REFUSED_SLOW], 1);
+  evhttp_connection_free (conn->evcon);
+}
+
+static void
+start_reading (hsv_conn_t *conn)
+{
+  if (!conn->busy && !evtimer_pending (conn->late, NULL))
+    event_add (conn->late, &conn->hsv->request_timeout);
+}
+
 static void
 on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *context)
 {
@@ -137,6 +157,8 @@
 
   (void)buffer;
   conn->read_bytes += info->n_deleted;
+  if (info->n_added > 0)
+    start_reading (conn);
 }
 
 /* runs inside the library's own writing: only notes, and leaves the rest to on_soon() */
@@ -200,6 +222,7 @@
   conn->bev = bev;
   conn->watch_fd = -1;
   conn->soon = event_new (base, -1, 0, on_soon, conn);
+  conn->late = evtimer_new (base, on_late, conn);
   conn->input_cb = evbuffer_add_cb (bufferevent_get_input (bev), on_input, conn);
   conn->output_cb = evbuffer_add_cb (bufferevent_get_output (bev), on_output, conn);
   conn->over = ++hsv->open_count > hsv->options.connection_limit;
@@ -264,6 +287,10 @@
   if (conn->watch)
     event_del (conn->watch);
   bufferevent_set_timeouts (conn->bev, &conn->hsv->idle_timeout, &conn->hsv->idle_timeout);
+  if (evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0)
+    start_reading (conn);
+  if (conn->hsv->stopping)
+    hsv_linger (conn->hsv); /* its head may have left before the stop, without saying close */
 }
 
 void
@@ -279,6 +306,7 @@
       evhttp_send_error (request, 503, NULL);
       return;
     }
+  event_del (conn->late);
   conn->busy = true;
   hsv->busy_count++;
   cnt_add (hsv->requests, 1);
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -25,6 +25,7 @@
   HSV_REFUSED_HEADERS,
   HSV_REFUSED_CONNECTIONS,
   HSV_REFUSED_BAD,
+  HSV_REFUSED_SLOW,
   HSV_REFUSED_COUNT
 } hsv_refused_t;
 
@@ -41,6 +42,7 @@
 {
   hsv_options_t options;
   struct timeval idle_timeout;
+  struct timeval request_timeout;
   struct evhttp *http;
   struct evhttp_bound_socket *bound;
   GHashTable *fresh;
@@ -63,6 +65,7 @@
  * struct hsv_conn - a connection of a caller
  * @evcon: NULL until the connection is adopted
  * @soon: runs what must not run inside a callback of the library
+ * @late: closes the connection when a request takes too long to come
  * @watch: sees the caller close while a call waits, on @watch_fd, a duplicate of the socket
  * @request: the request in progress, while the library may leave it to us to free
  * @busy: from a whole request to the last byte of its answer
@@ -82,6 +85,7 @@
   struct evbuffer_cb_entry *input_cb;
   struct evbuffer_cb_entry *output_cb;
   struct event *soon;
+  struct event *late;
   struct event *watch;
   evutil_socket_t watch_fd;
   struct evhttp_request *request;
@@ -117,6 +121,9 @@
   void *room_context;
 };
 
+/** hsv_linger() - close the idle connections after a while */
+void hsv_linger (hsv_t *hsv);
+
 /** hsv_conn_make() - evhttp asks for the bufferevent of a connection that it accepted */
 struct bufferevent *hsv_conn_make (struct event_base *base, void *context);
 /** hsv_conn_take() - evhttp passes on a whole request */
--- a/tests/raw_peer.c
+++ b/tests/raw_peer.c
@@ -175,11 +175,28 @@
   return server;
 }
 
+void
+raw_server_fill (raw_server_t *server)
+{
+  struct sockaddr_in name = sockaddr_of (&server->address);
+
+  event_del (server->acceptable);
+  g_assert (listen (server->fd, 0) == 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (server->fillers); i++)
+    {
+      server->fillers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      (void)!connect (server->fillers[i], (struct sockaddr *)&name, sizeof name);
+    }
+}
+
 void
 raw_server_free (raw_server_t *server)
 {
   event_free (server->acceptable);
   close (server->fd);
+  for (size_t i = 0; i < G_N_ELEMENTS (server->fillers); i++)
+    if (server->fillers[i] > 0)
+      close (server->fillers[i]);
   g_ptr_array_free (server->conns, TRUE);
   g_free (server);
 }
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -40,6 +40,7 @@
   bool keep_head;   /* leave the head in got */
   GPtrArray *conns; /* raw_t */
   uint32_t accepted;
+  int fillers[4];
 } raw_server_t;
 
 /** raw_address() - a loopback address of this process alone, port 0 */
@@ -51,6 +52,8 @@
 void raw_free (raw_t *raw);
 
 raw_server_t *raw_server_new (struct event_base *base, const char *const *scripts, uint32_t count);
+/** raw_server_fill() - take no connections any more; those that come now never come about */
+void raw_server_fill (raw_server_t *server);
 void raw_server_free (raw_server_t *server);
 
 /** raw_run_until() - run the loop until @done says so. Return: false after five seconds */
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -293,8 +293,10 @@
 static void
 test_no_connection (void)
 {
+  static const char *const scripts[] = { NULL };
   bench_t bench;
   set_address_t nobody = raw_address ();
+  raw_server_t *server;
   hcl_options_t options;
 
   bench_start (&bench);
@@ -303,6 +305,16 @@
   call (&bench, &options);
   check_failed (&bench.heard, VRD_NOT_RUN, VRD_REASON_CONNECT);
   CU_ASSERT_EQUAL (bench.heard.end.status, 0);
+  server = raw_server_new (bench.base, scripts, 1);
+  raw_server_fill (server);
+  options = options_for (&bench, &server->address);
+  options.timeout_us = 20 * 1000;
+  call (&bench, &options);
+  check_failed (&bench.heard, VRD_NOT_RUN, VRD_REASON_TIMEOUT);
+  options.timeout_us = 0;
+  call (&bench, &options);
+  check_failed (&bench.heard, VRD_NOT_RUN, VRD_REASON_CONNECT);
+  raw_server_free (server);
   bench_stop (&bench);
 }
 
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -9,6 +9,7 @@
 #define BODY_LIMIT_BYTES 1000
 #define HEADER_LIMIT_BYTES 2000
 #define CONNECTION_LIMIT 3
+#define REQUEST_TIMEOUT_MS 500
 
 /**
  * struct bench - a listener whose calls wait in @waiting until a test answers them
@@ -63,6 +64,7 @@
                             .header_limit_count = 20,
                             .connection_limit = CONNECTION_LIMIT,
                             .idle_timeout_ms = idle_timeout_ms,
+                            .request_timeout_ms = REQUEST_TIMEOUT_MS,
                             .on_call = on_call };
   GError *error = NULL;
 
@@ -784,6 +786,67 @@
   bench_stop (&bench);
 }
 
+/*
+ * A stream whose head left before the stop, so that it could not say that the connection closes,
+ * ends long after. Its connection must not hold up the stop for the idle timeout.
+ */
+static void
+test_stop_stream (void)
+{
+  bench_t bench;
+  raw_t *raw;
+
+  bench_start_idle (&bench, 60 * 1000);
+  raw = ask_waiting (&bench, "GET /1 HTTP/1.1\r\n\r\n");
+  hsv_begin (call_at (&bench, 0), 200);
+  hsv_stop (bench.hsv);
+  raw_run_ms (bench.base, LIM_HTTP_STOP_LINGER_MS + 50);
+  CU_ASSERT_EQUAL (hsv_busy (bench.hsv), 1);
+  part (call_at (&bench, 0), "whole");
+  hsv_end (call_at (&bench, 0));
+  CU_ASSERT_TRUE (raw_run_until (bench.base, not_busy, &bench));
+  CU_ASSERT_PTR_NOT_NULL (strstr (raw->got->str, "0\r\n\r\n"));
+  raw_free (raw);
+  bench_stop (&bench);
+}
+
+static bool
+one_slow (void *context)
+{
+  return counted (context, "medlarplank_http_refused_total{reason=\"slow\"}") == 1;
+}
+
+static void
+drip (evutil_socket_t fd, short what, void *context)
+{
+  raw_t *raw = context;
+
+  (void)fd;
+  (void)what;
+  if (!raw->eof)
+    (void)!send (raw->fd, "x", 1, MSG_NOSIGNAL);
+}
+
+/* a byte now and then keeps a connection from being idle, but a request must come within a time */
+static void
+test_slow_request (void)
+{
+  struct timeval pause = { 0, 10 * 1000 };
+  bench_t bench;
+  raw_t *raw;
+  struct event *dripping;
+
+  bench_start (&bench);
+  raw = ask (&bench, "GET /");
+  dripping = event_new (bench.base, -1, EV_PERSIST, drip, raw);
+  event_add (dripping, &pause);
+  CU_ASSERT_TRUE (raw_run_until (bench.base, one_slow, &bench));
+  CU_ASSERT_TRUE (raw_run_until (bench.base, ended, raw));
+  event_free (dripping);
+  raw_free (raw);
+  bench_stop (&bench);
+}
+
 /* idle connections do not hold up a stop */
 static void
 test_stop_idle (void)
@@ -874,6 +937,8 @@
   CU_add_test (suite, "gone in stream", test_gone_in_stream);
   CU_add_test (suite, "gone after answer", test_gone_after_answer);
   CU_add_test (suite, "stop", test_stop);
+  CU_add_test (suite, "stop stream", test_stop_stream);
+  CU_add_test (suite, "slow request", test_slow_request);
   CU_add_test (suite, "stop idle", test_stop_idle);
   CU_add_test (suite, "free at work", test_free_at_work);
   CU_add_test (suite, "address taken", test_address_taken);
