--- a/src/process/limits.h
+++ b/src/process/limits.h
@@ -36,7 +36,7 @@
 #define LIM_HTTP_DRAINS 64     /* refused callers whose bytes are read out before the close */
 #define LIM_HTTP_DRAIN_BYTES (4 * 1024 * 1024)
 #define LIM_HTTP_DRAIN_MS 2000
-#define LIM_HTTP_STOP_LINGER_MS 200 /* a request may still come on an idle connection */
+#define LIM_HTTP_STOP_LINGER_MS 200     /* a request may still come on an idle connection */
 #define LIM_HTTP_REQUEST_MS (30 * 1000) /* from the first byte of a request to its last */
 #define LIM_HTTP_DEAD_PEER_S 5          /* a peer that acknowledges nothing is given up */
 #define LIM_HTTP_ANSWER_HEADER_BYTES (64 * 1024)
