Fit the samples of a message to the byte budget; close idle claims streams under test

At the default budget a fleet of 8 daemons held messages back every few seconds (log lines of real processes): 8 samples a message are more than 2000 bytes a second carry at two calls and two replies a second. Held-back messages lose words too. Ruled out: a higher default budget.

--- a/src/process/control_exchange.c
+++ b/src/process/control_exchange.c
@@ -3,8 +3,10 @@
 #include "process/log.h"
 #include "request/place.h"
 
-#define OWN_SERVICE_SAMPLES 6 /* of a sidecar's message; the rest are of another service */
-#define OTHER_SERVICE_SAMPLES 4
+#define PLATFORM_BYTES_S 400    /* of the budget, for reading the list and the log */
+#define MESSAGES_PER_INTERVAL 2 /* one call, and on average one reply */
+#define BASE_BYTES 200 /* of a message without samples, with headers and now and then a word */
+#define SAMPLE_BYTES 32
 
 static mem_word_t
 own_word (ctrl_t *ctrl)
@@ -55,12 +57,28 @@
   out->age_ms = (uint32_t)((now_us - MIN (now_us, sample->taken_us)) / CLK_US_PER_MS);
 }
 
+/*
+ * How many samples a message carries, so that the usual traffic stays within nine tenths of the
+ * byte budget. A message that is held back costs more than one that says less.
+ */
+static uint32_t
+samples_per_message (const set_t *set)
+{
+  uint64_t budget_bytes = MAX (set->control_budget_bytes, PLATFORM_BYTES_S) - PLATFORM_BYTES_S;
+  uint64_t interval_bytes = budget_bytes * set->exchange_interval_ms / 1000 * 9 / 10;
+  uint64_t message_bytes = interval_bytes / MESSAGES_PER_INTERVAL;
+  if (message_bytes < BASE_BYTES + SAMPLE_BYTES)
+    return 1;
+  return (uint32_t)MIN ((message_bytes - BASE_BYTES) / SAMPLE_BYTES, XCH_SAMPLES);
+}
+
 static void
-put_picked (xch_message *message, uint64_t now_us, mean_table_t *table, uint32_t most)
+put_picked (xch_message *message, uint64_t now_us, mean_table_t *table, uint32_t up_to)
 {
   mean_sample_t picked[XCH_SAMPLES];
-  uint32_t room = XCH_SAMPLES - message->samples.samples_len;
-  uint32_t count = mean_pick (table, now_us, picked, MIN (room, most));
+  if (message->samples.samples_len >= up_to)
+    return;
+  uint32_t count = mean_pick (table, now_us, picked, up_to - message->samples.samples_len);
   for (uint32_t i = 0; i < count; i++)
     put_sample (message, now_us, &picked[i]);
 }
@@ -96,20 +114,28 @@
   return talk->has_own_sample && talk->own_sample.taken_us + LIM_SAMPLE_AGE_US >= now_us;
 }
 
+/* A sidecar tells of its own engine first, then of its own service, and leaves a quarter for
+ * another service; a router tells of two services. */
 static void
 fill_samples (ctrl_t *ctrl, xch_message *message, uint64_t now_us)
 {
-  mean_table_t *own = NULL;
+  uint32_t room = samples_per_message (&ctrl->dmn->set);
+  mean_table_t *first = NULL;
   if (has_fresh_own_sample (ctrl, now_us))
     {
       put_sample (message, now_us, &ctrl->talk.own_sample);
-      own = table_of (ctrl, ctrl->talk.own_sample.service_hash);
+      first = table_of (ctrl, ctrl->talk.own_sample.service_hash);
     }
-  if (own != NULL)
-    put_picked (message, now_us, own, OWN_SERVICE_SAMPLES - 1);
-  mean_table_t *other = random_table (ctrl);
-  if (other != NULL && other != own)
-    put_picked (message, now_us, other, OTHER_SERVICE_SAMPLES);
+  else
+    {
+      first = random_table (ctrl);
+    }
+  if (first == NULL)
+    return;
+  mean_table_t *second = random_table (ctrl);
+  put_picked (message, now_us, first, second == first ? room : room - room / 4);
+  if (second != first)
+    put_picked (message, now_us, second, room);
 }
 
 /*
--- a/src/process/control_members.c
+++ b/src/process/control_members.c
@@ -22,11 +22,12 @@
 }
 
 static void
-log_change (const mem_host_t *host, mem_state_t state)
+log_change (const mem_host_t *host, mem_state_t state, uint64_t now_us)
 {
+  uint64_t settles_us = host->settled_us > now_us ? host->settled_us - now_us : 0;
   log_event (LOG_LEVEL_INFO, "member_changed", "name", host->name, "state", state_name (state),
-             "incarnation", LOG_U64 (host->incarnation), "settled_us",
-             host->settled_us != 0 ? LOG_U64 (host->settled_us) : NULL, NULL);
+             "incarnation", LOG_U64 (host->incarnation), "settles_in_ms",
+             settles_us != 0 ? LOG_U64 (settles_us / CLK_US_PER_MS) : NULL, NULL);
 }
 
 static bool
@@ -37,7 +38,7 @@
 
 /* Return: how many hosts differ; logs the first of them. */
 static uint32_t
-compare (const mem_snapshot_t *before, const mem_snapshot_t *after)
+compare (const mem_snapshot_t *before, const mem_snapshot_t *after, uint64_t now_us)
 {
   uint32_t changes = 0;
   for (uint32_t i = 0; i < after->host_count; i++)
@@ -47,7 +48,7 @@
       if (old != NULL && same_for_log (old, host))
         continue;
       if (changes++ < LOGGED_CHANGES)
-        log_change (host, host->state);
+        log_change (host, host->state, now_us);
     }
   for (uint32_t i = 0; i < before->host_count; i++)
     {
@@ -55,15 +56,15 @@
       if (mem_find_hash (after, old->hash) != NULL)
         continue;
       if (changes++ < LOGGED_CHANGES)
-        log_change (old, MEM_GONE);
+        log_change (old, MEM_GONE, now_us);
     }
   return changes;
 }
 
 static void
-log_members (const mem_snapshot_t *before, const mem_snapshot_t *after)
+log_members (const mem_snapshot_t *before, const mem_snapshot_t *after, uint64_t now_us)
 {
-  uint32_t changes = before != NULL ? compare (before, after) : after->host_count;
+  uint32_t changes = before != NULL ? compare (before, after, now_us) : after->host_count;
   if (changes == 0)
     return;
   log_event (LOG_LEVEL_INFO, "members", "hosts", LOG_U64 (after->host_count), "changes",
@@ -176,7 +177,7 @@
   if (!ctrl->list.read_once || !mem_changed (ctrl->mem))
     return;
   mem_snapshot_t *after = mem_snapshot (ctrl->mem);
-  log_members (ctrl->peers.members, after);
+  log_members (ctrl->peers.members, after, ctrl_now_us (ctrl));
   if (ctrl->peers.members != NULL)
     mem_snapshot_unref (ctrl->peers.members);
   ctrl->peers.members = after;
--- a/tests/test_control_claims.c
+++ b/tests/test_control_claims.c
@@ -142,6 +142,30 @@
   event_base_free (base);
 }
 
+/* A stream that nobody asks of for long is closed to free its keys. A claim that comes later opens
+ * it again and must find what was claimed before: else the request would run twice. */
+static void
+test_closed_stream_is_read_again (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  rig_deliver (&rig, claim (&rig, 1, 100));
+  TURN_UNTIL (&rig, rig.told.results == 1);
+  CU_ASSERT_EQUAL (g_hash_table_size (rig.ctrl->claims.streams), 1);
+  for (uint32_t i = 0; i < 100; i++)
+    {
+      clk_advance (&rig.dmn.clk, 10 * CLK_US_PER_S);
+      rig_turn (&rig);
+    }
+  CU_ASSERT_EQUAL (g_hash_table_size (rig.ctrl->claims.streams), 0);
+  rig_deliver (&rig, claim (&rig, 2, 100));
+  TURN_UNTIL (&rig, rig.told.results == 2);
+  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_HELD);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
 /* A signal comes while a claim's end is still to be appended. If the process ended now the key
  * would be held for nobody, so it waits for the append, but not for ever. */
 static void
@@ -181,6 +205,7 @@
   CU_ADD_TEST (suite, test_claims_while_log_is_out);
   CU_ADD_TEST (suite, test_first_claim_while_log_is_known_down);
   CU_ADD_TEST (suite, test_claim_whose_append_was_lost);
+  CU_ADD_TEST (suite, test_closed_stream_is_read_again);
   CU_ADD_TEST (suite, test_stop_waits_for_claims);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -5,12 +5,14 @@
 
 #include <string.h>
 
+#define POOL_HASH plc_hash_name ("pool")
+
 static void
 put_sample (said_t *said, const char *engine, uint32_t load, uint32_t age_ms)
 {
   xch_sample *sample = &said->samples[said->message.samples.samples_len++];
   sample->engine_hash = plc_hash_name (engine);
-  sample->service_hash = plc_hash_name ("pool");
+  sample->service_hash = POOL_HASH;
   sample->load = load;
   sample->age_ms = age_ms;
 }
@@ -37,8 +39,8 @@
   CU_ASSERT_EQUAL (rig.told.marks, 1);
   msg_samples_t *own = msg_new (MSG_OWN_SAMPLE);
   own->count = 1;
-  own->samples[0] = (mean_sample_t){ rig.ctrl->own_hash,       plc_hash_name ("pool"), 3, 0, 0,
-                                     clk_now_us (&rig.dmn.clk) };
+  own->samples[0] =
+      (mean_sample_t){ rig.ctrl->own_hash, POOL_HASH, 3, 0, 0, clk_now_us (&rig.dmn.clk) };
   rig_deliver (&rig, own);
   clk_advance (&rig.dmn.clk, CLK_US_PER_S);
   said_t out;
@@ -54,6 +56,37 @@
   event_base_free (base);
 }
 
+/* With the smallest budget a message still tells of the own engine, and no message needs so much
+ * that the budget would hold back the usual traffic. */
+static void
+test_samples_keep_to_the_budget (void)
+{
+  struct event_base *base = event_base_new ();
+  const uint32_t budgets[] = { 500, 2000, 7000 };
+  const uint32_t wanted[] = { 1, 5, 8 };
+  for (uint32_t i = 0; i < G_N_ELEMENTS (budgets); i++)
+    {
+      rig_t rig;
+      rig_start_fresh (&rig, base);
+      rig.dmn.set.control_budget_bytes = budgets[i];
+      rig.dmn.set.exchange_interval_ms = 500;
+      mean_table_t *table = g_hash_table_lookup (rig.ctrl->talk.means, &(uint64_t){ POOL_HASH });
+      CU_ASSERT_PTR_NOT_NULL_FATAL (table);
+      for (uint32_t engine = 1; engine <= 20; engine++)
+        {
+          mean_sample_t sample = { engine, POOL_HASH, 1, 0, 0, clk_now_us (&rig.dmn.clk) };
+          mean_add (table, &sample);
+        }
+      rig.ctrl->talk.has_own_sample = true;
+      rig.ctrl->talk.own_sample = table->samples[0];
+      said_t out;
+      ctrl_talk_fill (rig_say (&out, "x", 1), NULL, rig.ctrl);
+      CU_ASSERT_EQUAL (out.message.samples.samples_len, wanted[i]);
+      rig_tear_down (&rig);
+    }
+  event_base_free (base);
+}
+
 /* A recorded datagram is sent again: its samples would look new and its word could undo a later
  * one. It, and anything of a host that is not listed, is not heard and not answered. */
 static void
@@ -204,6 +237,7 @@
   CU_initialize_registry ();
   CU_pSuite suite = CU_add_suite ("control_exchange", NULL, NULL);
   CU_ADD_TEST (suite, test_samples_and_marks_are_passed_on);
+  CU_ADD_TEST (suite, test_samples_keep_to_the_budget);
   CU_ADD_TEST (suite, test_replayed_message_is_not_heard);
   CU_ADD_TEST (suite, test_words_spread);
   CU_ADD_TEST (suite, test_version_comes_from_a_peer);
