Give credit to accounts that had less, and cost requests in slot time

Cost in tokens made a prompt of 12,000 tokens as dear as 66 status checks, though it is mostly cached and read in a second; it is now the time of a slot. And plain start-time tags forget all idle time, so a second request of a quiet account stood behind the surge as soon as its first was served. An account now keeps a credit of two seconds of the engine. The kept slots go by the same tags in place of a count of what each account runs: that count set a large account that stays below its share equal to the surge. An account that is alone for a minute may have all slots.

--- a/bench/workload.h
+++ b/bench/workload.h
@@ -52,6 +52,7 @@
   double sessions_s;
   uint32_t surging_account;
   double account_shares[WKL_ACCOUNTS];
+  uint32_t account_weights[WKL_ACCOUNTS]; /* as a manifest sets them: large accounts have more */
   wkl_class_t classes[WKL_CLASSES];
 } wkl_t;
 
--- a/bench/world_router.c
+++ b/bench/world_router.c
@@ -220,7 +220,7 @@
   flight->turn = wkl_turn (world->options.workload, session);
   request->item =
       (fq_item_t){ .account_hash = world->account_hash[session->account],
-                   .weight = FQ_WEIGHT_ONE,
+                   .weight = world->options.workload->account_weights[session->account],
                    .priority = class->priority,
                    .cost = flight->turn.prompt_tokens + flight->turn.output_tokens,
                    .queue_limit = LIM_QUEUE_PER_ACCOUNT,
--- a/src/request/admit.c
+++ b/src/request/admit.c
@@ -3,7 +3,6 @@
 #include "request/drain.h"
 #include "request/drift.h"
 #include "request/refer.h"
-#include "request/share.h"
 
 #define MILLI 1000
 
@@ -11,13 +10,14 @@
 {
   adm_options_t options;
   fq_t *queue;
-  shr_t *share;
   dir_t *directory;
   sus_t *suspects;
   mean_table_t mean;
   drn_t drain;
   dft_t drift;
   uint64_t joined_us;
+  uint64_t last_account;
+  uint64_t mixed_us; /* when a request last came of another account than the one before */
   uint64_t rng;
   uint32_t load;
   uint64_t cost;
@@ -84,27 +84,41 @@
   return reserve == 0 && adm->options.slots >= 4 ? 1 : reserve;
 }
 
-/* Some slots are kept for accounts under their share. Without them a surging account holds every
- * slot, and each request of the others waits for one of its long ones to end. */
+static void
+note_account (adm_t *adm, uint64_t now_us, uint64_t account_hash)
+{
+  if (account_hash != adm->last_account)
+    adm->mixed_us = now_us;
+  adm->last_account = account_hash;
+}
+
+static bool
+is_alone (const adm_t *adm, uint64_t now_us)
+{
+  return now_us >= adm->mixed_us + ADM_ALONE_US;
+}
+
+/* Some slots are kept for accounts that had no more than the others. Without them a surging account
+ * holds every slot, and each request of the others waits for one of its long ones to end. */
 static uint32_t
-slots_for (const adm_t *adm, const fq_item_t *item)
+slots_for (const adm_t *adm, uint64_t now_us, const fq_item_t *item)
 {
   const uint32_t slots = adm->options.slots;
-  if (adm->options.policy == ADM_POLICY_OPEN)
+  if (adm->options.policy == ADM_POLICY_OPEN || is_alone (adm, now_us))
     return slots;
-  return shr_is_over (adm->share, item->account_hash, slots) ? slots - reserve_of (adm) : slots;
+  return fq_is_behind (adm->queue, item) ? slots : slots - reserve_of (adm);
 }
 
 static uint64_t
-limit_milli (const adm_t *adm, const fq_item_t *item, uint64_t bound_milli)
+limit_milli (const adm_t *adm, uint64_t now_us, const fq_item_t *item, uint64_t bound_milli)
 {
-  return MIN ((uint64_t)slots_for (adm, item) * MILLI, bound_milli);
+  return MIN ((uint64_t)slots_for (adm, now_us, item) * MILLI, bound_milli);
 }
 
 static bool
-fits (const adm_t *adm, const fq_item_t *item, uint64_t bound_milli)
+fits (const adm_t *adm, uint64_t now_us, const fq_item_t *item, uint64_t bound_milli)
 {
-  return ((uint64_t)adm->load + 1) * MILLI <= limit_milli (adm, item, bound_milli);
+  return ((uint64_t)adm->load + 1) * MILLI <= limit_milli (adm, now_us, item, bound_milli);
 }
 
 static bool
@@ -113,13 +127,13 @@
   const adm_check_t *check = context;
   if (item->deadline_us != 0 && item->deadline_us <= check->now_us)
     return false;
-  return fits (check->adm, item, check->bound_milli);
+  return fits (check->adm, check->now_us, item, check->bound_milli);
 }
 
 static bool
 starts_now (adm_t *adm, uint64_t now_us, const fq_item_t *item, uint64_t bound_milli)
 {
-  if (!fits (adm, item, bound_milli))
+  if (!fits (adm, now_us, item, bound_milli))
     return false;
   if (fq_count (adm->queue) == 0)
     return true;
@@ -154,7 +168,7 @@
 static uint64_t
 wait_us (const adm_t *adm, uint64_t now_us, const fq_item_t *item, uint64_t bound_milli)
 {
-  const uint64_t ends = ends_needed (adm->load, limit_milli (adm, item, bound_milli));
+  const uint64_t ends = ends_needed (adm->load, limit_milli (adm, now_us, item, bound_milli));
   const uint64_t ahead = fq_ahead (adm->queue, item).count;
   return (ends + ahead) * drn_interval_us (&adm->drain, now_us, adm->load);
 }
@@ -168,13 +182,18 @@
   return (there->waiting + ends_needed (there->load, limit)) * adm->drain.length_us / there->load;
 }
 
+static uint64_t
+length_us (const adm_t *adm, const adm_request_t *request)
+{
+  return prefill_us (adm, request->prompt_tokens) + (uint64_t)request->output_tokens * ADM_TOKEN_US;
+}
+
 static void
 start (adm_t *adm, uint64_t now_us, adm_request_t *request)
 {
   const uint64_t guess_us =
       prefill_us (adm, request->prompt_tokens) + (uint64_t)request->output_tokens * ADM_TOKEN_US;
   drn_started (&adm->drain, now_us, adm->load, guess_us);
-  shr_started (adm->share, request->item.account_hash);
   adm->load++;
   adm->cost += request->item.cost;
   request->running = true;
@@ -254,7 +273,7 @@
   if (adm->options.is_live != NULL && !adm->options.is_live (engine_hash, adm->options.context))
     return false;
   const mean_sample_t *there = ref_find (&adm->mean, now_us, engine_hash);
-  const uint64_t limit = limit_milli (adm, &request->item, bound_milli);
+  const uint64_t limit = limit_milli (adm, now_us, &request->item, bound_milli);
   return there == NULL || wait_there_us (adm, there, limit) <= cold_start_us (adm, request);
 }
 
@@ -345,7 +364,7 @@
   const uint64_t wait = wait_us (adm, now_us, item, bound_milli);
   adm_decision_t room = decide (adm, ADM_REFUSE, VRD_REASON_OVER_BOUND, bound_milli);
   if (!request->may_wait && adm->options.policy == ADM_POLICY_FULL)
-    point_to_room (adm, now_us, limit_milli (adm, item, bound_milli), &room);
+    point_to_room (adm, now_us, limit_milli (adm, now_us, item, bound_milli), &room);
   const bool in_time = item->deadline_us == 0 || now_us + wait < item->deadline_us;
   if (better_elsewhere (adm, request, &room, in_time ? wait : UINT64_MAX))
     return refuse_over_bound (adm, wait, &room);
@@ -385,7 +404,7 @@
   adm_t *adm = g_new0 (adm_t, 1);
   adm->options = *options;
   adm->queue = fq_new (LIM_QUEUE_TOTAL);
-  adm->share = shr_new ();
+  fq_set_credit (adm->queue, (uint64_t)options->slots * ADM_CREDIT_MS);
   adm->directory = dir_new (LIM_DIRECTORY_ENTRIES);
   adm->suspects = sus_new (LIM_SUSPECTS, ADM_SUSPECT_LIFETIME_US);
   adm->rng = options->seed | 1;
@@ -399,7 +418,6 @@
   if (adm == NULL)
     return;
   fq_free (adm->queue);
-  shr_free (adm->share);
   dir_free (adm->directory);
   sus_free (adm->suspects);
   g_free (adm);
@@ -409,6 +427,7 @@
 adm_configure (adm_t *adm, const adm_options_t *options)
 {
   adm->options = *options;
+  fq_set_credit (adm->queue, (uint64_t)options->slots * ADM_CREDIT_MS);
 }
 
 void
@@ -444,6 +463,7 @@
   request->running = false;
   request->item.owner = request;
   request->item.queued_us = now_us;
+  request->item.cost = (uint32_t)(length_us (adm, request) / CLK_US_PER_MS);
   /* Before all else: a router counts these, to end a request that has crashed two engines. */
   if (refuse_suspect (adm, now_us, request, bound_milli, &decision))
     return decision;
@@ -451,7 +471,7 @@
     return refuse_closed (adm, now_us, closed, bound_milli);
   if (refer_to_warm (adm, now_us, request, bound_milli, &decision))
     return decision;
-  shr_seen (adm->share, now_us, request->item.account_hash, request->item.weight);
+  note_account (adm, now_us, request->item.account_hash);
   if (!starts_now (adm, now_us, &request->item, bound_milli))
     return wait_or_refuse (adm, now_us, request, bound_milli);
   fq_served (adm->queue, &request->item);
@@ -468,7 +488,6 @@
   adm_request_t *request = request_of (fq_pop_allowed (adm->queue, may_serve, &check));
   if (request == NULL)
     return NULL;
-  shr_seen (adm->share, now_us, request->item.account_hash, request->item.weight);
   start (adm, now_us, request);
   return request;
 }
@@ -503,7 +522,6 @@
   request->running = false;
   adm->load--;
   adm->cost -= request->item.cost;
-  shr_finished (adm->share, request->item.account_hash);
   drn_finished (&adm->drain, now_us, now_us - request->dispatched_us);
   if (warm)
     note_warm (adm, now_us, request);
--- a/src/request/admit.h
+++ b/src/request/admit.h
@@ -32,9 +32,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define ADM_RESERVE_DIVISOR 8 /* one slot in so many is kept for accounts under their share */
-#define ADM_COLD_WEIGHT 2     /* a cold start, against waiting for as long */
-#define ADM_WARM_LIFETIMES 2  /* for which the directory and a new engine refer on */
+#define ADM_RESERVE_DIVISOR 8 /* one slot in so many is kept for accounts that had less */
+#define ADM_CREDIT_MS 2000 /* of the whole engine: what an account that had less may take first */
+#define ADM_ALONE_US (60 * (uint64_t)CLK_US_PER_S) /* one account alone may have all slots */
+#define ADM_COLD_WEIGHT 2                          /* a cold start, against waiting for as long */
+#define ADM_WARM_LIFETIMES 2 /* for which the directory and a new engine refer on */
 #define ADM_SUSPECT_LIFETIME_US (30 * 60 * (uint64_t)CLK_US_PER_S)
 #define ADM_TOKEN_US 30000 /* between two tokens, until the length of requests is measured */
 #define ADM_RETRY_MIN_MS 100
@@ -83,7 +85,8 @@
  */
 typedef struct
 {
-  fq_item_t item; /* account, weight, priority, cost, deadline: filled in by the caller */
+  fq_item_t
+      item; /* account, weight, priority, limit, deadline: by the caller; cost: by adm_offer() */
   uint64_t chat_hash;
   uint64_t fingerprint;
   uint64_t home_hash;
--- a/src/request/fairq.c
+++ b/src/request/fairq.c
@@ -29,6 +29,7 @@
   GSequence *active;    /* of fq_account_t, by key */
   GSequence *deadlines; /* of fq_item_t that have one */
   uint64_t virtual_now;
+  uint64_t credit;
   uint32_t prune_at; /* accounts known at which spent ones are dropped */
   uint32_t count;
   uint32_t limit;
@@ -90,13 +91,15 @@
   return account;
 }
 
-/* One that waits keeps its place in virtual time; one that was idle starts at the present. */
+/* One that waits keeps its place in virtual time; one that was idle, or had little, starts a
+ * credit before the present. */
 static uint64_t
 start_of (const fq_t *fq, const fq_account_t *account)
 {
+  const uint64_t earliest = fq->virtual_now > fq->credit ? fq->virtual_now - fq->credit : 0;
   if (account == NULL)
-    return fq->virtual_now;
-  return account->place != NULL ? account->finish : MAX (account->finish, fq->virtual_now);
+    return earliest;
+  return account->place != NULL ? account->finish : MAX (account->finish, earliest);
 }
 
 /* The first band that waits, unless one below it has been passed over for its head start. */
@@ -155,7 +158,7 @@
   (void)key;
   const fq_account_t *account = value;
   const fq_t *fq = context;
-  return account->count == 0 && account->finish <= fq->virtual_now;
+  return account->count == 0 && account->finish + fq->credit <= fq->virtual_now;
 }
 
 static void
@@ -241,6 +244,12 @@
   g_free (fq);
 }
 
+void
+fq_set_credit (fq_t *fq, uint64_t credit)
+{
+  fq->credit = credit;
+}
+
 fq_outcome_t
 fq_push (fq_t *fq, fq_item_t *item)
 {
@@ -341,6 +350,12 @@
   settle (fq, account);
 }
 
+bool
+fq_is_behind (const fq_t *fq, const fq_item_t *item)
+{
+  return start_of (fq, find (fq, item->account_hash)) <= fq->virtual_now;
+}
+
 uint32_t
 fq_count (const fq_t *fq)
 {
--- a/src/request/fairq.h
+++ b/src/request/fairq.h
@@ -2,12 +2,13 @@
  * DOC: fairq
  *
  * Waiting requests of one sidecar, served by start-time fair queueing over client accounts, by
- * weight and cost: a surging account waits behind itself.
+ * weight and cost: a surging account waits behind itself. An account that had less than the others
+ * keeps a credit of up to fq_set_credit(), so that a burst of it goes first.
  *
  * Priorities are a bounded preference, not strict bands. The tag of an account is its virtual
- * start plus %FQ_HEAD_START tokens for each priority of the request it would send next, so a short
- * class goes first until its account has had that much more than the others. Within an account,
- * requests of a lower priority are passed over for %FQ_HEAD_START tokens a priority, then one of
+ * start plus a cost of %FQ_HEAD_START for each priority of the request it would send next, so a
+ * short class goes first until its account has had that much more than the others. Within an
+ * account, requests of a lower priority are passed over for %FQ_HEAD_START a priority, then one of
  * them is served. So no class and no account can starve another.
  */
 #ifndef REQUEST_FAIRQ_H
@@ -20,7 +21,7 @@
 #include <stdint.h>
 
 #define FQ_BANDS 4         /* priorities 0..3; a higher number counts as the last */
-#define FQ_HEAD_START 8192 /* tokens, at the ordinary weight */
+#define FQ_HEAD_START 8192 /* cost, at the ordinary weight */
 #define FQ_WEIGHT_ONE 1000 /* thousandths: the ordinary account */
 
 /** struct fq_item - embedded in what waits */
@@ -30,7 +31,7 @@
   uint64_t account_hash;
   uint32_t weight;      /* thousandths */
   uint32_t priority;    /* 0 first */
-  uint32_t cost;        /* tokens */
+  uint32_t cost;        /* milliseconds of a slot */
   uint32_t queue_limit; /* of the account here */
   uint64_t queued_us;
   uint64_t deadline_us; /* to start by; 0 for none */
@@ -54,6 +55,8 @@
 
 fq_t *fq_new (uint32_t total_limit);
 void fq_free (fq_t *fq);
+/** fq_set_credit() - cost, at the ordinary weight; 0 to begin with */
+void fq_set_credit (fq_t *fq, uint64_t credit);
 fq_outcome_t fq_push (fq_t *fq, fq_item_t *item);
 /** fq_pop() - the next to serve, or NULL */
 fq_item_t *fq_pop (fq_t *fq);
@@ -68,6 +71,8 @@
 /** fq_any() - takes out any one, or NULL: for a queue that is given up */
 fq_item_t *fq_any (fq_t *fq);
 void fq_remove (fq_t *fq, fq_item_t *item);
+/** fq_is_behind() - whether the account had no more than those that were served lately */
+bool fq_is_behind (const fq_t *fq, const fq_item_t *item);
 uint32_t fq_count (const fq_t *fq);
 /** fq_account_count() - accounts remembered, waiting or not */
 uint32_t fq_account_count (const fq_t *fq);
--- a/src/request/mean.h
+++ b/src/request/mean.h
@@ -16,7 +16,7 @@
 /**
  * struct mean_sample - the load of one engine at one time
  * @load: requests dispatched to it
- * @cost: tokens still to be read and written by it
+ * @cost: milliseconds of a slot that its requests are expected to take
  * @taken_us: on the clock of the daemon that keeps it
  */
 typedef struct
