--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -1,5 +1,6 @@
 #include "connection/exchange.h"
 
+#include "connection/endpoint.h"
 #include "process/limits.h"
 #include "process/log.h"
 
@@ -16,19 +17,12 @@
 #define FLUSH_READS 4096
 #define BUDGET_LOG_US (UINT64_C (10) * CLK_US_PER_S)
 
-/** struct endpoint - a socket address */
-typedef struct
-{
-  struct sockaddr_storage address;
-  socklen_t bytes;
-} endpoint_t;
-
 /** struct open_call - a call whose reply has not come */
 typedef struct
 {
   bool open;
   uint32_t xid;
-  endpoint_t peer;
+  edp_t peer;
 } open_call_t;
 
 /** struct bucket - token bucket of bytes, which holds one second's worth */
@@ -69,44 +63,6 @@
   counts_t counts;
 };
 
-static bool
-make_endpoint (endpoint_t *endpoint, const set_address_t *address)
-{
-  memset (endpoint, 0, sizeof *endpoint);
-  struct sockaddr_in *v4 = (struct sockaddr_in *)&endpoint->address;
-  if (evutil_inet_pton (AF_INET, address->ip, &v4->sin_addr) == 1)
-    {
-      v4->sin_family = AF_INET;
-      v4->sin_port = htons (address->port);
-      endpoint->bytes = sizeof *v4;
-      return true;
-    }
-  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)&endpoint->address;
-  if (evutil_inet_pton (AF_INET6, address->ip, &v6->sin6_addr) != 1)
-    return false;
-  v6->sin6_family = AF_INET6;
-  v6->sin6_port = htons (address->port);
-  endpoint->bytes = sizeof *v6;
-  return true;
-}
-
-static bool
-same_endpoint (const endpoint_t *a, const endpoint_t *b)
-{
-  if (a->address.ss_family != b->address.ss_family)
-    return false;
-  if (a->address.ss_family == AF_INET)
-    {
-      const struct sockaddr_in *x = (const struct sockaddr_in *)&a->address;
-      const struct sockaddr_in *y = (const struct sockaddr_in *)&b->address;
-      return x->sin_port == y->sin_port && x->sin_addr.s_addr == y->sin_addr.s_addr;
-    }
-  const struct sockaddr_in6 *x = (const struct sockaddr_in6 *)&a->address;
-  const struct sockaddr_in6 *y = (const struct sockaddr_in6 *)&b->address;
-  return x->sin6_port == y->sin6_port &&
-         memcmp (&x->sin6_addr, &y->sin6_addr, sizeof x->sin6_addr) == 0;
-}
-
 /* One second's worth, but room for a whole datagram, or a small budget could never send one. */
 static int64_t
 full_bucket (const exc_t *exc)
@@ -158,7 +114,7 @@
 }
 
 static bool
-send_bytes (exc_t *exc, const char *bytes, size_t count, const endpoint_t *peer)
+send_bytes (exc_t *exc, const char *bytes, size_t count, const edp_t *peer)
 {
   uint32_t on_wire_bytes = (uint32_t)count + EXC_HEADER_BYTES;
   if (!take_budget (exc, on_wire_bytes))
@@ -176,7 +132,7 @@
 }
 
 static bool
-send_message (exc_t *exc, uint32_t xid, bool is_reply, const xch_word *to, const endpoint_t *peer)
+send_message (exc_t *exc, uint32_t xid, bool is_reply, const xch_word *to, const edp_t *peer)
 {
   xch_sample samples[XCH_SAMPLES] = { 0 };
   xch_word words[XCH_WORDS] = { 0 };
@@ -195,8 +151,8 @@
 static void
 call (exc_t *exc, const set_address_t *address)
 {
-  endpoint_t peer;
-  if (!make_endpoint (&peer, address))
+  edp_t peer;
+  if (!edp_make (&peer, address))
     return;
   uint32_t xid = exc->next_xid++;
   if (!send_message (exc, xid, false, NULL, &peer))
@@ -208,12 +164,12 @@
 }
 
 static bool
-close_call (exc_t *exc, uint32_t xid, const endpoint_t *peer)
+close_call (exc_t *exc, uint32_t xid, const edp_t *peer)
 {
   for (uint32_t i = 0; i < OPEN_CALLS; i++)
     {
       open_call_t *slot = &exc->calls[i];
-      if (!slot->open || slot->xid != xid || !same_endpoint (&slot->peer, peer))
+      if (!slot->open || slot->xid != xid || !edp_same (&slot->peer, peer))
         continue;
       slot->open = false;
       return true;
@@ -223,7 +179,7 @@
 
 static void
 take_message (
-    exc_t *exc, uint32_t xid, bool is_reply, const xch_message *message, const endpoint_t *peer)
+    exc_t *exc, uint32_t xid, bool is_reply, const xch_message *message, const edp_t *peer)
 {
   if (is_reply && !close_call (exc, xid, peer))
     {
@@ -236,7 +192,7 @@
 }
 
 static void
-take_datagram (exc_t *exc, const char *datagram, size_t bytes, const endpoint_t *peer)
+take_datagram (exc_t *exc, const char *datagram, size_t bytes, const edp_t *peer)
 {
   cnt_add (exc->counts.received, 1);
   cnt_add (exc->counts.bytes_received, bytes + EXC_HEADER_BYTES);
@@ -262,7 +218,7 @@
 
 /* One byte more than a datagram may have, so that a longer one shows. */
 static ssize_t
-receive (exc_t *exc, char datagram[LIM_DATAGRAM_BYTES + 1], endpoint_t *peer)
+receive (exc_t *exc, char datagram[LIM_DATAGRAM_BYTES + 1], edp_t *peer)
 {
   peer->bytes = sizeof peer->address;
   return recvfrom (exc->socket, datagram, LIM_DATAGRAM_BYTES + 1, 0,
@@ -279,7 +235,7 @@
   for (uint32_t i = 0; i < READS_PER_EVENT; i++)
     {
       char datagram[LIM_DATAGRAM_BYTES + 1];
-      endpoint_t peer;
+      edp_t peer;
       ssize_t bytes = receive (exc, datagram, &peer);
       if (bytes < 0)
         return;
@@ -312,8 +268,8 @@
 static bool
 open_socket (exc_t *exc, GError **error)
 {
-  endpoint_t listen;
-  if (!make_endpoint (&listen, &exc->options.listen))
+  edp_t listen;
+  if (!edp_make (&listen, &exc->options.listen))
     {
       g_set_error (error, G_FILE_ERROR, G_FILE_ERROR_INVAL, "no IP number");
       return false;
@@ -402,7 +358,7 @@
 exc_flush (exc_t *exc)
 {
   char datagram[LIM_DATAGRAM_BYTES + 1];
-  endpoint_t peer;
+  edp_t peer;
   /* Bounded for a flood: more than a socket's buffer holds. */
   for (uint32_t i = 0; i < FLUSH_READS && receive (exc, datagram, &peer) >= 0; i++)
     cnt_add (exc->counts.received, 1);
@@ -422,15 +378,9 @@
 set_address_t
 exc_address (const exc_t *exc)
 {
-  set_address_t found = { 0 };
-  endpoint_t endpoint = { .bytes = sizeof endpoint.address };
+  edp_t endpoint = { .bytes = sizeof endpoint.address };
+  set_address_t none = { 0 };
   if (getsockname (exc->socket, (struct sockaddr *)&endpoint.address, &endpoint.bytes) != 0)
-    return found;
-  const struct sockaddr_in *v4 = (const struct sockaddr_in *)&endpoint.address;
-  const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)&endpoint.address;
-  bool is_v4 = endpoint.address.ss_family == AF_INET;
-  const void *ip = is_v4 ? (const void *)&v4->sin_addr : (const void *)&v6->sin6_addr;
-  evutil_inet_ntop (endpoint.address.ss_family, ip, found.ip, sizeof found.ip);
-  found.port = ntohs (is_v4 ? v4->sin_port : v6->sin6_port);
-  return found;
+    return none;
+  return edp_address (&endpoint);
 }
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -246,10 +246,16 @@
 void ctrl_fetch_start (ctrl_t *ctrl, const mem_host_t *host);
 void ctrl_fetch_clear (ctrl_t *ctrl);
 
+/* control_fill.c */
+void ctrl_talk_fill (xch_message *message, const xch_word *to, void *context);
+/** ctrl_talk_word() - what this daemon says of itself, each time with a higher sequence */
+mem_word_t ctrl_talk_word (ctrl_t *ctrl);
+/** ctrl_talk_table() - samples of a service, NULL when it is not in force */
+mean_table_t *ctrl_talk_table (const ctrl_t *ctrl, uint64_t service_hash);
+
 /* control_exchange.c */
 void ctrl_talk_init (ctrl_t *ctrl);
 void ctrl_talk_clear (ctrl_t *ctrl);
-void ctrl_talk_fill (xch_message *message, const xch_word *to, void *context);
 bool ctrl_talk_heard (const xch_message *message, bool is_reply, void *context);
 bool ctrl_talk_pick (set_address_t *peer, void *context);
 /** ctrl_talk_tell() - call up to @count peers at once */
