Leave a frozen host before the deadline

A frozen sidecar keeps its sockets: the router's request was taken by the kernel and hung until its deadline, 10 s for a draft reply, for each of the first two requests and for all in flight. Now a hop that is quiet for half a second makes the router ask the host's /livez; when half a second of silence answers that too, idempotent requests go elsewhere within the retry budget, and the host counts as failed. Only silence counts: a host that stops gracefully refuses the probe while it serves what it has, which the test of the graceful stop brought out. Non-idempotent requests wait: the host may wake, and then refuses them as not run.

--- a/src/request/router.c
+++ b/src/request/router.c
@@ -77,6 +77,7 @@
   for (uint32_t i = 0; i < members->host_count; i++)
     rtr_learn_incarnation (rtr, members->hosts[i].hash, members->hosts[i].incarnation);
   g_hash_table_foreach_remove (rtr->incarnations, is_unlisted, members);
+  g_hash_table_foreach_remove (rtr->watches, is_unlisted, members);
 }
 
 static gboolean
@@ -133,6 +134,7 @@
   rtr->retries =
       cnt_get (set, "medlarplank_retries_total", "Requests sent again that may have run before.");
   rtr->revokes = cnt_get (set, "medlarplank_revokes_total", "Attempts given up at a sidecar.");
+  rtr->probes = cnt_get (set, "medlarplank_probes_total", "Quiet hosts asked whether they run.");
   rtr->told_count =
       cnt_get (set, "medlarplank_served_hints_total", "Homes told where a chat was served.");
   for (uint32_t i = 0; i <= VRD_RAN; i++)
@@ -197,6 +199,8 @@
   att_budget_init (&rtr->budget);
   rtr->incarnations = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   rtr->samples = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  rtr->watches =
+      g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, (GDestroyNotify)rtr_watch_free);
   rtr->told = g_new0 (rtr_told_t, RTR_TOLD_ENTRIES);
   g_queue_init (&rtr->calls);
   /* Two routers that start in the same millisecond must not share attempt ids. */
@@ -218,6 +222,7 @@
         hsv_abort (call->in);
       rtr_call_free (call);
     }
+  g_hash_table_destroy (rtr->watches);
   ops_free (rtr->ops);
   hcl_free (rtr->hcl);
   hlt_free (rtr->hlt);
--- a/src/request/router_hop.c
+++ b/src/request/router_hop.c
@@ -14,6 +14,16 @@
   event_add (call->timer, &delay);
 }
 
+/* set_hop_timer() - for the deadline, or before that to see whether the host is frozen */
+static void
+set_hop_timer (rtr_call_t *call)
+{
+  uint64_t now_us = ops_now_us (call->rtr->ops);
+  uint64_t end_us = call->deadline_us + RTR_DEADLINE_GRACE_US;
+
+  set_timer (call, now_us < end_us ? MIN (end_us - now_us, RTR_QUIET_US) : 0);
+}
+
 static uint32_t
 parse_u32 (const char *text)
 {
@@ -187,6 +197,12 @@
   (void)what;
   if (call->out == NULL)
     return;
+  if (!call->answer.came && ops_now_us (call->rtr->ops) < call->deadline_us + RTR_DEADLINE_GRACE_US)
+    {
+      rtr_watch_quiet (call);
+      set_hop_timer (call);
+      return;
+    }
   /* The sidecar may still hold the request in its queue, or in a socket's buffer if it is frozen;
    * nobody waits for the answer any more. */
   if (!call->answer.came)
@@ -260,6 +276,6 @@
   call->sent_incarnation = rtr_incarnation (rtr, host->hash);
   hlt_usable (rtr->hlt, now_us, host->hash); /* this may be its one probe */
   cnt_add (rtr->hops, 1);
-  set_timer (call, call->deadline_us + RTR_DEADLINE_GRACE_US - now_us);
+  set_hop_timer (call);
   call->out = hcl_start (rtr->hcl, &options);
 }
--- a/src/request/router_private.h
+++ b/src/request/router_private.h
@@ -3,7 +3,8 @@
  *
  * Shared by the files of the router's data task: router.c (the task), router_place.c (candidates),
  * router_accept.c (a caller's request is read and judged), router_call.c (its course), router_hop.c
- * (one exchange with one sidecar), router_tell.c (what sidecars are told besides).
+ * (one exchange with one sidecar), router_watch.c (whether a quiet host is frozen), router_tell.c
+ * (what sidecars are told besides).
  */
 #ifndef REQUEST_ROUTER_PRIVATE_H
 #define REQUEST_ROUTER_PRIVATE_H
@@ -27,6 +28,10 @@
 /* A sidecar says itself that the deadline passed, and what became of the request; the router's own
  * timer is for when it says nothing. */
 #define RTR_DEADLINE_GRACE_US (250 * 1000)
+/* A request that has brought no answer for this long makes the router ask whether its host runs at
+ * all: a frozen one keeps its sockets, and would hold each request until its deadline. */
+#define RTR_QUIET_US (500 * 1000)
+#define RTR_PROBE_TIMEOUT_US (500 * 1000)
 /* An answer that brings nothing for this long is given up. */
 #define RTR_STALL_US (60 * 1000 * 1000)
 #define RTR_TOLD_ENTRIES 8192
@@ -61,6 +66,8 @@
   uint64_t told_us;
 } rtr_told_t;
 
+typedef struct rtr_watch rtr_watch_t;
+
 /** struct rtr - the data task of a router */
 struct rtr
 {
@@ -74,6 +81,7 @@
   uint32_t pool_count;
   GHashTable *samples;      /* service hash -> mean_table_t */
   GHashTable *incarnations; /* engine hash -> uint64_t, the newest heard */
+  GHashTable *watches;      /* host hash -> rtr_watch_t */
   rtr_told_t *told;
   GQueue calls;
   uint64_t id_high;
@@ -81,6 +89,7 @@
   cnt_t *hops;
   cnt_t *retries;
   cnt_t *revokes;
+  cnt_t *probes;
   cnt_t *told_count;
   cnt_t *ends[VRD_RAN + 1];         /* requests, by verdict */
   cnt_t *reasons[VRD_REASON_COUNT]; /* hops that brought no answer, by reason */
@@ -174,6 +183,10 @@
 void rtr_hop_timer (evutil_socket_t fd, short what, void *context);
 /** rtr_hop_drop() - end the hop under way, if any, without an outcome */
 void rtr_hop_drop (rtr_call_t *call);
+/** rtr_watch_quiet() - no answer has come for a while: see whether the host runs. If not, all
+ * idempotent requests that wait for it go elsewhere */
+void rtr_watch_quiet (rtr_call_t *call);
+void rtr_watch_free (rtr_watch_t *watch);
 /** rtr_revoke() - bar the last attempt at the sidecar that had it */
 void rtr_revoke (rtr_call_t *call, const mem_host_t *host);
 /** rtr_revoke_unheard() - as rtr_revoke(), but nobody waits for the answer */
--- a/tests/path_fleet.c
+++ b/tests/path_fleet.c
@@ -2,8 +2,11 @@
 
 #include "request/place.h"
 
+#include <arpa/inet.h>
 #include <event2/http.h>
+#include <event2/util.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define PORT 8080
@@ -447,6 +450,18 @@
   event_base_free (fleet->base);
 }
 
+evutil_socket_t
+pfl_black_hole (set_address_t *address)
+{
+  evutil_socket_t fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  struct sockaddr_in name = { .sin_family = AF_INET, .sin_port = htons (PORT) };
+
+  *address = address_of (90);
+  inet_pton (AF_INET, address->ip, &name.sin_addr);
+  g_assert (bind (fd, (struct sockaddr *)&name, sizeof name) == 0 && listen (fd, 16) == 0);
+  return fd;
+}
+
 /* The caller */
 
 static void
--- a/tests/path_fleet.h
+++ b/tests/path_fleet.h
@@ -115,6 +115,8 @@
 void pfl_set_all (pfl_t *fleet, pfl_mode_t mode);
 /** pfl_release() - answer what hangs at an engine */
 void pfl_release (pfl_engine_t *engine);
+/** pfl_black_hole() - a socket whose connections nobody serves, as of a frozen process */
+evutil_socket_t pfl_black_hole (set_address_t *address);
 /** pfl_start_engine() - again after a crash */
 void pfl_start_engine (pfl_engine_t *engine);
 
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -174,6 +174,19 @@
   return daemon->drained;
 }
 
+/* The router's listener closes when it has lingered: from then on only its calls hold it. */
+static bool
+listener_is_gone (void *context)
+{
+  pfl_answer_t answer;
+  bool gone;
+
+  pfl_ask (context, &(pfl_request_t){ .path = "/livez" }, &answer);
+  gone = !answer.end.whole && answer.end.reason == VRD_REASON_CONNECT;
+  pfl_answer_clear (&answer);
+  return gone;
+}
+
 /* A host is stopped while its engine works on a request. The caller must get its whole answer, and
  * only then may the daemon say that it is done; the same at the router. */
 static void
@@ -192,8 +205,7 @@
   sidecar = &fleet.sidecars[engine - fleet.engines];
   pfl_flag (sidecar, MSG_DRAIN, true);
   pfl_flag (&fleet.router, MSG_DRAIN, true);
-  for (uint32_t i = 0; i < 300; i++)
-    event_base_loop (fleet.base, EVLOOP_ONCE); /* far beyond the linger */
+  CU_ASSERT_TRUE (pfl_until (&fleet, listener_is_gone, &fleet));
   CU_ASSERT_FALSE (sidecar->drained);
   CU_ASSERT_FALSE (fleet.router.drained);
   pfl_release (engine);
@@ -401,6 +413,42 @@
   pfl_clear (&fleet);
 }
 
+/* The host of a chat's home is frozen: its kernel takes connections, but nothing answers. Without a
+ * look at the host, each of its chats would hang until the deadline, eight seconds here. A lookup
+ * goes elsewhere within two; a booking may not, and is answered at its deadline. */
+static void
+leaves_a_frozen_host (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answer;
+  pfl_request_t soon = BOOK;
+  set_address_t hole;
+  evutil_socket_t listener;
+  uint64_t start_us;
+  uint32_t home;
+
+  pfl_init (&fleet);
+  pfl_ask (&fleet, &TALK, &answer);
+  home = pfl_engine_named (&answer);
+  pfl_answer_clear (&answer);
+  listener = pfl_black_hole (&hole);
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    if (i == home)
+      fleet.hosts[i].http = hole;
+  start_us = clk_now_us (&fleet.router.dmn.clk);
+  pfl_ask (&fleet, &TALK, &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT_NOT_EQUAL (pfl_engine_named (&answer), home);
+  CU_ASSERT_TRUE (clk_now_us (&fleet.router.dmn.clk) - start_us < 2 * CLK_US_PER_S);
+  pfl_answer_clear (&answer);
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    fleet.hosts[i].http = hole;
+  soon.deadline_ms = "1200";
+  ask_status (&fleet, &soon, 504, "may_have_run");
+  evutil_closesocket (listener);
+  pfl_clear (&fleet);
+}
+
 static bool
 sidecars_stale (void *context)
 {
@@ -539,6 +587,7 @@
                           { "refuses keys while the log is out",
                             refuses_keys_while_the_log_is_out },
                           { "answers at the deadline", answers_at_the_deadline },
+                          { "leaves a frozen host", leaves_a_frozen_host },
                           { "takes no work after a pause", takes_no_work_after_a_pause },
                           { "sidecars obey only the fleet", sidecars_obey_only_the_fleet },
                           { "bars a revoked attempt", bars_a_revoked_attempt },
