Record the caller's own key where the fleet sends no hash of it

The engines' records showed no key for calls that may not be repeated, as the fleet passes the Idempotency-Key header on and sets no hash.

--- a/standin/engine_run.c
+++ b/standin/engine_run.c
@@ -141,12 +141,20 @@
   return run;
 }
 
+/* What names a call that may not be repeated: the fleet's hash, or else the caller's own key. */
+static const char *
+key_of (const sht_call_t *call)
+{
+  const char *hash = sht_header (call, "X-Idempotency-Hash");
+  return hash != NULL ? hash : sht_header (call, "Idempotency-Key");
+}
+
 static void
 record_begin (sen_run_t *run)
 {
   erc_run_t begun = { .id = run->id,
                       .account = sht_header (run->call, "X-Account"),
-                      .key = sht_header (run->call, "X-Idempotency-Hash"),
+                      .key = key_of (run->call),
                       .body_hash = run->body_hash };
   run->serial = erc_begin (run->engine->record, &begun);
 }
