--- a/src/process/control.c
+++ b/src/process/control.c
@@ -107,6 +107,7 @@
 {
   ctrl_fresh_check (ctrl);
   ctrl_list_turn (ctrl);
+  ctrl_members_flush (ctrl);
   ctrl_manifest_turn (ctrl);
   ctrl_claims_turn (ctrl);
   ctrl_stop_turn (ctrl);
--- a/src/process/control_exchange.c
+++ b/src/process/control_exchange.c
@@ -3,6 +3,8 @@
 #include "process/log.h"
 #include "request/place.h"
 
+#define CONFLICT_LOG_US (10 * CLK_US_PER_S)
+
 /* Return: false for a state that is none. */
 static bool
 from_wire (const xch_word *word, mem_word_t *out)
@@ -20,16 +22,40 @@
  * Two processes bear this host's name, or the clock went back between two starts of it: the later
  * start has the lower incarnation, and peers would not hear it. Only an operator can mend it.
  */
+static void
+tell_conflict (ctrl_t *ctrl, uint64_t heard_incarnation)
+{
+  uint64_t now_us = ctrl_now_us (ctrl);
+  ctrl_count (ctrl, "medlarplank_incarnation_conflicts_total",
+              "Times a later incarnation of this host's own name was heard");
+  if (ctrl->conflict_logged_us != 0 && now_us - ctrl->conflict_logged_us < CONFLICT_LOG_US)
+    return;
+  ctrl->conflict_logged_us = now_us;
+  log_event (LOG_LEVEL_ERROR, "higher_incarnation_of_own_name", "own",
+             LOG_U64 (ctrl->dmn->incarnation), "heard", LOG_U64 (heard_incarnation), NULL);
+}
+
 static void
 hear_own_word (ctrl_t *ctrl, const mem_word_t *word)
 {
   if (word->incarnation > ctrl->dmn->incarnation)
-    log_event (LOG_LEVEL_ERROR, "higher_incarnation_of_own_name", "own",
-               LOG_U64 (ctrl->dmn->incarnation), "heard", LOG_U64 (word->incarnation), NULL);
+    tell_conflict (ctrl, word->incarnation);
   else if (word->incarnation == ctrl->dmn->incarnation && word->state != MEM_LIVE)
     ctrl_stop_leave (ctrl, "peer");
 }
 
+/* That a host is live is no news to others when only this daemon had not heard of it, as it started
+ * lately: it would pass on what every host says for minutes. */
+static void
+take_word (ctrl_t *ctrl, const mem_word_t *word)
+{
+  mem_word_t last;
+  bool known = mem_word (ctrl->mem, word->host_hash, &last);
+  bool changed = mem_hear (ctrl->mem, ctrl_now_us (ctrl), word);
+  if (changed && (known || word->state != MEM_LIVE))
+    rmr_add_word (&ctrl->talk.rumours, word);
+}
+
 static void
 hear_word (ctrl_t *ctrl, const xch_word *heard)
 {
@@ -38,8 +64,8 @@
     return;
   if (word.host_hash == ctrl->own_hash)
     hear_own_word (ctrl, &word);
-  else if (mem_hear (ctrl->mem, ctrl_now_us (ctrl), &word))
-    rmr_add_word (&ctrl->talk.rumours, &word);
+  else
+    take_word (ctrl, &word);
 }
 
 /* Return: false for a sample that does not count here. */
@@ -123,8 +149,7 @@
 static void
 take_message (ctrl_t *ctrl, const mem_word_t *sender, const xch_message *message)
 {
-  if (mem_hear (ctrl->mem, ctrl_now_us (ctrl), sender))
-    rmr_add_word (&ctrl->talk.rumours, sender);
+  take_word (ctrl, sender);
   for (uint32_t i = 0; i < message->words.words_len; i++)
     hear_word (ctrl, &message->words.words_val[i]);
   ctrl_members_flush (ctrl);
--- a/src/process/control_members.c
+++ b/src/process/control_members.c
@@ -2,6 +2,7 @@
 
 #include "process/log.h"
 
+#define FLUSH_US (1 * CLK_US_PER_S)
 #define LOGGED_CHANGES 16  /* beyond, only their number is logged */
 #define TAILS_PER_CENTER 3 /* daemons of a data centre that follow the log closely */
 #define TAIL_SEED UINT64_C (0x9e3779b97f4a7c15)
@@ -171,11 +172,22 @@
   peers->tails_log = is_tail (ctrl, peers->members);
 }
 
+/* A snapshot costs milliseconds when there are thousands of hosts, and a daemon that starts hears
+ * from each of them for the first time: their incarnations alone can wait. */
+static bool
+is_due (const ctrl_t *ctrl)
+{
+  if (!ctrl->list.read_once || !mem_changed (ctrl->mem))
+    return false;
+  return mem_urgent (ctrl->mem) || ctrl_now_us (ctrl) - ctrl->peers.flushed_us >= FLUSH_US;
+}
+
 void
 ctrl_members_flush (ctrl_t *ctrl)
 {
-  if (!ctrl->list.read_once || !mem_changed (ctrl->mem))
+  if (!is_due (ctrl))
     return;
+  ctrl->peers.flushed_us = ctrl_now_us (ctrl);
   mem_snapshot_t *after = mem_snapshot (ctrl->mem);
   log_members (ctrl->peers.members, after, ctrl_now_us (ctrl));
   if (ctrl->peers.members != NULL)
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -65,6 +65,7 @@
 /**
  * struct ctrl_peers - whom to exchange with, as indices into @members
  * @same: sidecars of the own service in the own region
+ * @flushed_us: when @members was taken
  * @tails_log: this daemon is one of the few of its data centre that follow the log closely
  */
 typedef struct
@@ -73,6 +74,7 @@
   GArray *all;
   GArray *sidecars;
   GArray *same;
+  uint64_t flushed_us;
   bool tails_log;
 } ctrl_peers_t;
 
@@ -190,6 +192,7 @@
   ctrl_fresh_t fresh;
   ctrl_claims_t claims;
   ctrl_stop_t stop;
+  uint64_t conflict_logged_us;
 };
 
 /* control.c */
@@ -221,7 +224,8 @@
 /* control_members.c */
 void ctrl_members_init (ctrl_t *ctrl);
 void ctrl_members_clear (ctrl_t *ctrl);
-/** ctrl_members_flush() - tell the data task when the members have changed */
+/** ctrl_members_flush() - tell the data task when the members have changed; at once when it is
+ * urgent, else with what comes within a second */
 void ctrl_members_flush (ctrl_t *ctrl);
 /** ctrl_peers_rebuild() - when the members or the version have changed */
 void ctrl_peers_rebuild (ctrl_t *ctrl);
--- a/src/request/member.c
+++ b/src/request/member.c
@@ -38,8 +38,16 @@
   uint64_t list_round; /* of whole lists, to tell which hosts the last one left out */
   bool had_list;
   bool changed;
+  bool urgent; /* changed in the state, place or damping of a host */
 };
 
+static void
+change (mem_t *mem)
+{
+  mem->changed = true;
+  mem->urgent = true;
+}
+
 static entry_t *
 find (const mem_t *mem, uint64_t host_hash)
 {
@@ -65,7 +73,7 @@
   if (state == entry->shown.state)
     return false;
   entry->shown.state = state;
-  mem->changed = true;
+  change (mem);
   return true;
 }
 
@@ -94,7 +102,7 @@
   uint32_t most = 16; /* beyond, the damping does not grow and forgiving would take hours */
   entry->flaps = MIN (entry->flaps + 1, most);
   entry->shown.settled_us = now_us + damping_us (entry->flaps);
-  mem->changed = true;
+  change (mem);
 }
 
 static entry_t *
@@ -132,7 +140,7 @@
   shown->exchange = listed->exchange;
   g_strlcpy (shown->data_center, listed->data_center, sizeof shown->data_center);
   g_strlcpy (shown->region, listed->region, sizeof shown->region);
-  mem->changed = true;
+  change (mem);
 }
 
 static void
@@ -296,7 +304,7 @@
 {
   mem_t *mem = g_new0 (mem_t, 1);
   mem->entries = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
-  mem->changed = true;
+  change (mem);
   return mem;
 }
 
@@ -400,6 +408,12 @@
   return mem->changed;
 }
 
+bool
+mem_urgent (const mem_t *mem)
+{
+  return mem->urgent;
+}
+
 mem_snapshot_t *
 mem_snapshot (mem_t *mem)
 {
@@ -409,6 +423,7 @@
         mem_snapshot_unref (mem->snapshot);
       mem->snapshot = make_snapshot (mem);
       mem->changed = false;
+      mem->urgent = false;
     }
   return mem_snapshot_ref (mem->snapshot);
 }
--- a/src/request/member.h
+++ b/src/request/member.h
@@ -106,6 +106,8 @@
 bool mem_said_leaving (const mem_t *mem, uint64_t host_hash, uint64_t incarnation);
 /** mem_changed() - whether the snapshot differs from the last one taken */
 bool mem_changed (const mem_t *mem);
+/** mem_urgent() - whether it differs in more than what hosts have told of their incarnation */
+bool mem_urgent (const mem_t *mem);
 mem_snapshot_t *mem_snapshot (mem_t *mem);
 mem_snapshot_t *mem_snapshot_ref (mem_snapshot_t *snapshot);
 void mem_snapshot_unref (mem_snapshot_t *snapshot);
--- a/tests/control_rig.c
+++ b/tests/control_rig.c
@@ -11,6 +11,7 @@
 static void
 take_members (told_t *told, const mem_snapshot_t *members)
 {
+  told->members++;
   told->hosts = members->host_count;
   const mem_host_t *peer = mem_find (members, "peer");
   told->peer_state = peer != NULL ? peer->state : MEM_GONE;
--- a/tests/control_rig.h
+++ b/tests/control_rig.h
@@ -24,6 +24,7 @@
 {
   uint64_t version;
   uint32_t versions;
+  uint32_t members;
   uint32_t hosts;
   mem_state_t peer_state;
   bool fresh;
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -56,6 +56,55 @@
   event_base_free (base);
 }
 
+/* A daemon that starts in a large fleet hears of thousands of incarnations within minutes. They go
+ * to the data task together, but a host that leaves is told of at once. */
+static void
+test_incarnations_are_told_together (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  said_t said;
+  rig_start_fresh (&rig, base);
+  rig_turns (&rig, 20);
+  uint32_t before = rig.told.members;
+  for (uint32_t sequence = 1; sequence <= 2; sequence++)
+    {
+      rig_say (&said, sequence == 1 ? "peer" : "third", sequence);
+      ctrl_talk_heard (&said.message, false, rig.ctrl);
+    }
+  rig_settle (&rig);
+  CU_ASSERT_EQUAL (rig.told.members, before + 1);
+  rig_turns (&rig, 11);
+  CU_ASSERT_EQUAL (rig.told.members, before + 2);
+  rig_say (&said, "peer", 3)->sender.state = MEM_LEAVING;
+  ctrl_talk_heard (&said.message, false, rig.ctrl);
+  rig_settle (&rig);
+  CU_ASSERT_EQUAL (rig.told.peer_state, MEM_LEAVING);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* A process of this host's name with a later incarnation is heard of: the clock went back, or two
+ * run at once. Nobody would believe this one; that must be seen in the log and the counters. */
+static void
+test_conflict_is_told (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  said_t said;
+  rig_start_fresh (&rig, base);
+  rig_say (&said, "peer", 1);
+  said.words[0] = (xch_word){ rig.ctrl->own_hash, 51, 1, MEM_LEAVING };
+  said.message.words.words_len = 1;
+  ctrl_talk_heard (&said.message, true, rig.ctrl);
+  rig_settle (&rig);
+  cnt_t *conflicts = cnt_get (rig.dmn.counters, "medlarplank_incarnation_conflicts_total", "");
+  CU_ASSERT_EQUAL (cnt_value (conflicts), 1);
+  CU_ASSERT_EQUAL (rig.told.drains, 0);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
 /* With the smallest budget a message still tells of the own engine, and no message needs so much
  * that the budget would hold back the usual traffic. */
 static void
@@ -134,6 +183,14 @@
         told += out.words[j].host_hash == plc_hash_name ("peer");
     }
   CU_ASSERT_EQUAL (told, RMR_SENDS);
+  /* That "third" is live was news here only; that it has restarted is news to all. */
+  said_t out;
+  ctrl_talk_fill (rig_say (&out, "x", 1), NULL, rig.ctrl);
+  CU_ASSERT_EQUAL (out.message.words.words_len, 0);
+  rig_say (&said, "third", 1)->sender.incarnation = 8;
+  ctrl_talk_heard (&said.message, false, rig.ctrl);
+  ctrl_talk_fill (rig_say (&out, "x", 1), NULL, rig.ctrl);
+  CU_ASSERT_EQUAL (out.message.words.words_len, 1);
   rig_tear_down (&rig);
   event_base_free (base);
 }
@@ -237,6 +294,8 @@
   CU_initialize_registry ();
   CU_pSuite suite = CU_add_suite ("control_exchange", NULL, NULL);
   CU_ADD_TEST (suite, test_samples_and_marks_are_passed_on);
+  CU_ADD_TEST (suite, test_incarnations_are_told_together);
+  CU_ADD_TEST (suite, test_conflict_is_told);
   CU_ADD_TEST (suite, test_samples_keep_to_the_budget);
   CU_ADD_TEST (suite, test_replayed_message_is_not_heard);
   CU_ADD_TEST (suite, test_words_spread);
