--- a/src/process/control_manifest.c
+++ b/src/process/control_manifest.c
@@ -11,8 +11,10 @@
 #define RECHECK_US (30 * CLK_US_PER_S)
 #define RETRY_US (250 * CLK_US_PER_MS)
 #define STUCK_US (1 * CLK_US_PER_S)
-/* Behind a peer for this long: the log is slow or out, so take the version from the peer. */
-#define BEHIND_US (500 * CLK_US_PER_MS)
+/* Behind a peer for this long: take the version from the peer. A log that is only slow gets longer,
+ * as it brings a patch of some hundred bytes where a peer brings the whole manifest. */
+#define BEHIND_OUT_US (500 * CLK_US_PER_MS)
+#define BEHIND_SLOW_US (1500 * CLK_US_PER_MS)
 #define CHECKPOINT_RECORDS 64
 #define CHECKPOINT_WAIT_S 10
 #define CHECKPOINTS_PER_RETENTION 4
@@ -147,7 +149,8 @@
 {
   ctrl_manifest_t *manifest = &ctrl->manifest;
   uint64_t now_us = ctrl_now_us (ctrl);
-  bool behind = manifest->behind_since_us != 0 && now_us - manifest->behind_since_us >= BEHIND_US;
+  uint64_t patience_us = manifest->source.down ? BEHIND_OUT_US : BEHIND_SLOW_US;
+  bool behind = manifest->behind_since_us != 0 && now_us - manifest->behind_since_us >= patience_us;
   bool lost = !rep_ready (manifest->rep) && (manifest->source.down || ctrl->fresh.log_ok);
   bool unknown = lost && (manifest->heard_version != 0 || ctrl_manifest_version (ctrl) != 0);
   if (!behind && !unknown)
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -184,6 +184,8 @@
 static bool
 still_waits (const fkp_t *fkp, const call_t *call)
 {
+  if (call->kind == CALL_READ && fkp->read_stuck)
+    return true;
   if (call->kind != CALL_READ || call->until_ms <= fkp->now_ms || fkp->read_down)
     return false;
   return call->from_offset >= stream_of (fkp, call->stream)->len;
--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -12,6 +12,7 @@
 /**
  * struct fkp - the fake; @plt goes first
  * @read_down: reads of the log fail
+ * @read_stuck: reads of the log are not answered
  * @append_down: appends take no effect and fail
  * @append_lost: appends take effect, but their answer is lost
  * @list_down: the list fails
@@ -22,6 +23,7 @@
 {
   plt_t plt;
   bool read_down;
+  bool read_stuck;
   bool append_down;
   bool append_lost;
   bool list_down;
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -288,6 +288,31 @@
   event_base_free (base);
 }
 
+/* The log does not answer, and its reader has not given up yet: the daemon hears of a version that
+ * it cannot read. It does not wait for the read to fail. */
+static void
+test_stuck_log_does_not_hold_a_version_back (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  server_t server;
+  said_t said;
+  rig_start_fresh (&rig, base);
+  serve_version (&server, base, &rig, 2);
+  rig.platform.read_stuck = true;
+  rig_say (&said, "peer", 1)->manifest_version = 2;
+  ctrl_talk_heard (&said.message, false, rig.ctrl);
+  rig_turns (&rig, 14);
+  CU_ASSERT_PTR_NULL (rig.ctrl->fetch.call);
+  gint64 end_us = g_get_monotonic_time () + RIG_DEADLINE_S * G_USEC_PER_SEC;
+  while (rig.told.version != 2 && g_get_monotonic_time () < end_us)
+    rig_turn (&rig);
+  CU_ASSERT_EQUAL (rig.told.version, 2);
+  stop_serving (&server);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
 int
 main (void)
 {
@@ -300,6 +325,7 @@
   CU_ADD_TEST (suite, test_replayed_message_is_not_heard);
   CU_ADD_TEST (suite, test_words_spread);
   CU_ADD_TEST (suite, test_version_comes_from_a_peer);
+  CU_ADD_TEST (suite, test_stuck_log_does_not_hold_a_version_back);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   int failures = (int)CU_get_number_of_failures ();
