Test lost hops, returning chats and long streams; tell the load after a short answer

A short answer told the load of its engine with itself still counted, so a home thought the engine where a chat was warm busier than it was and kept the chat, cold. The load now goes out after the request is off the count; a stream still tells it at its head.

--- a/src/request/sidecar.c
+++ b/src/request/sidecar.c
@@ -203,6 +203,7 @@
   sdc->dispatched = cnt_get (set, "medlarplank_dispatched_total", "Requests passed to the engine.");
   sdc->waited = cnt_get (set, "medlarplank_queued_total", "Requests that had to wait here.");
   sdc->crashes = cnt_get (set, "medlarplank_engine_crashes_total", "Crashes of the engine.");
+  sdc->notes = cnt_get (set, SDC_NOTES_COUNTER, "Chats told to be warm on another engine.");
   sdc->load = cnt_get (set, "medlarplank_load", "Requests that the engine runs now.");
   sdc->waiting = cnt_get (set, "medlarplank_waiting", "Requests that wait here now.");
   sdc->bound_milli =
--- a/src/request/sidecar_engine.c
+++ b/src/request/sidecar_engine.c
@@ -16,11 +16,19 @@
   event_add (call->timer, &delay);
 }
 
+static void
+add_load (sdc_call_t *call)
+{
+  char load[48];
+
+  sdc_load_text (call->sdc, load);
+  rly_add_header (&call->rly, HOP_LOAD_HEADER, load);
+}
+
 static bool
 on_head (int status, struct evkeyvalq *headers, void *context)
 {
   sdc_call_t *call = context;
-  char load[48];
   const char *echoed = evhttp_find_header (headers, HOP_REQUEST_HEADER);
 
   /* An engine that mixes up its answers would hand one caller what another asked for. */
@@ -34,8 +42,8 @@
   rly_add_header (&call->rly, HOP_ATTEMPT_HEADER, call->attempt_text);
   rly_add_header (&call->rly, HOP_ENGINE_HEADER, call->sdc->dmn->set.name);
   rly_add_header (&call->rly, HOP_INCARNATION_HEADER, call->sdc->incarnation_text);
-  sdc_load_text (call->sdc, load);
-  rly_add_header (&call->rly, HOP_LOAD_HEADER, load);
+  if (!call->rly.holding)
+    add_load (call);
   rly_add_header (&call->rly, VRD_HEADER, vrd_name (VRD_RAN));
   set_timer (call, SDC_STALL_US);
   return true;
@@ -58,6 +66,8 @@
 
   adm_finish (sdc->adm, ops_now_us (sdc->ops), &call->request, warm);
   sdc_claim_end (call, true, (uint32_t)status);
+  if (!call->rly.begun)
+    add_load (call); /* without this request, which is over */
   sdc_call_answered (call);
 }
 
--- a/src/request/sidecar_orders.c
+++ b/src/request/sidecar_orders.c
@@ -61,6 +61,7 @@
       return;
     }
   adm_served_elsewhere (sdc->adm, ops_now_us (sdc->ops), chat, engine);
+  cnt_add (sdc->notes, 1);
   hsv_reply_text (in, 200, "text/plain", "noted\n");
 }
 
@@ -83,6 +84,7 @@
           !read_hash (json_string_value (json_array_get (entry, 1)), &engine))
         continue;
       adm_served_elsewhere (sdc->adm, ops_now_us (sdc->ops), chat, engine);
+      cnt_add (sdc->notes, 1);
       taken++;
     }
   return taken;
--- a/src/request/sidecar_private.h
+++ b/src/request/sidecar_private.h
@@ -34,6 +34,7 @@
 /* Hand-over of the directory when leaving */
 #define SDC_BATCH_ENTRIES 512
 #define SDC_BATCHES 32
+#define SDC_NOTES_COUNTER "medlarplank_directory_notes_total"
 
 /**
  * enum sdc_state - of a request at its sidecar
@@ -77,6 +78,7 @@
   cnt_t *dispatched;
   cnt_t *waited;
   cnt_t *crashes;
+  cnt_t *notes; /* chats that were served elsewhere, as told by others */
   cnt_t *refusals[VRD_REASON_COUNT];
   cnt_t *load;
   cnt_t *waiting;
--- a/tests/path_fleet.c
+++ b/tests/path_fleet.c
@@ -27,8 +27,8 @@
     "\"idempotent\":false},"
     "{\"path\":\"/look*\",\"service\":\"pool\",\"class\":\"short\",\"idempotent\":true}]}";
 
-static set_address_t
-address_of (uint32_t last)
+set_address_t
+pfl_address (uint32_t last)
 {
   set_address_t address = { .port = PORT };
   int pid = getpid ();
@@ -92,6 +92,38 @@
   evbuffer_free (part);
 }
 
+/* stream_on() - parts of one letter each, until the reader has enough for now */
+static void
+stream_on (void *context)
+{
+  pfl_engine_t *engine = context;
+  struct evbuffer *part = evbuffer_new ();
+  bool room = true;
+
+  while (room && engine->streamed_bytes < PFL_LONG_BYTES)
+    {
+      char letters[PFL_PART_BYTES];
+
+      memset (letters, 'a' + engine->streamed_bytes / PFL_PART_BYTES % 26, sizeof letters);
+      evbuffer_add (part, letters, sizeof letters);
+      engine->streamed_bytes += sizeof letters;
+      room = hsv_part (engine->streamed, part);
+    }
+  if (engine->streamed_bytes == PFL_LONG_BYTES)
+    hsv_end (engine->streamed);
+  evbuffer_free (part);
+}
+
+static void
+start_long (pfl_engine_t *engine, hsv_call_t *call)
+{
+  engine->streamed = call;
+  engine->streamed_bytes = 0;
+  hsv_on_room (call, stream_on, engine);
+  hsv_begin (call, 200);
+  stream_on (engine);
+}
+
 static void
 crash (evutil_socket_t fd, short what, void *context)
 {
@@ -152,6 +184,9 @@
       engine->cut = call;
       event_add (engine->cutter, &SOON);
       break;
+    case PFL_LONG:
+      start_long (engine, call);
+      break;
     case PFL_CROSSED:
       hsv_add_header (call, "X-Request-Id", "00000000000000000000000000000000");
       hsv_reply_text (call, 200, "text/plain", "of somebody else");
@@ -266,19 +301,35 @@
   mbx_send (daemon->dmn.to_data, &flag->head);
 }
 
+static void
+tell_members (pfl_t *fleet, pfl_daemon_t *daemon)
+{
+  msg_members_t *members = msg_new (MSG_MEMBERS);
+
+  members->members = mem_snapshot_ref (&fleet->members);
+  mbx_send (daemon->dmn.to_data, &members->head);
+}
+
 static void
 tell_all (pfl_daemon_t *daemon)
 {
   msg_version_t *version = msg_new (MSG_VERSION);
-  msg_members_t *members = msg_new (MSG_MEMBERS);
 
   version->man = man_ref (daemon->fleet->man);
-  members->members = mem_snapshot_ref (&daemon->fleet->members);
   mbx_send (daemon->dmn.to_data, &version->head);
-  mbx_send (daemon->dmn.to_data, &members->head);
+  tell_members (daemon->fleet, daemon);
   pfl_flag (daemon, MSG_FRESHNESS, true);
 }
 
+void
+pfl_set_state (pfl_t *fleet, uint32_t host, mem_state_t state)
+{
+  fleet->hosts[host].state = state;
+  tell_members (fleet, &fleet->router);
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    tell_members (fleet, &fleet->sidecars[i]);
+}
+
 static void
 start_daemon (pfl_t *fleet, pfl_daemon_t *daemon, uint32_t host, const set_address_t *engine)
 {
@@ -348,7 +399,7 @@
       g_snprintf (host->name, sizeof host->name, "%s%u", host->router ? "r" : "e", i);
       host->hash = plc_hash_name (host->name);
       g_strlcpy (host->region, "r", sizeof host->region);
-      host->http = address_of (i + 1);
+      host->http = pfl_address (i + 1);
       host->incarnation = 1000 + i;
       order[i] = i;
     }
@@ -415,7 +466,7 @@
       pfl_engine_t *engine = &fleet->engines[i];
 
       engine->fleet = fleet;
-      engine->address = address_of (100 + i);
+      engine->address = pfl_address (100 + i);
       engine->held = g_ptr_array_new ();
       engine->crash = evtimer_new (fleet->base, crash, engine);
       engine->cutter = evtimer_new (fleet->base, cut, engine);
@@ -456,7 +507,7 @@
   evutil_socket_t fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   struct sockaddr_in name = { .sin_family = AF_INET, .sin_port = htons (PORT) };
 
-  *address = address_of (90);
+  *address = pfl_address (90);
   inet_pton (AF_INET, address->ip, &name.sin_addr);
   g_assert (bind (fd, (struct sockaddr *)&name, sizeof name) == 0 && listen (fd, 16) == 0);
   return fd;
--- a/tests/path_fleet.h
+++ b/tests/path_fleet.h
@@ -17,6 +17,9 @@
 #define PFL_KEY "the key of the first account"
 #define PFL_FLEET_KEY "a fleet key of the tests"
 
+#define PFL_PART_BYTES 65536
+#define PFL_LONG_BYTES (64 * PFL_PART_BYTES)
+
 /** enum pfl_mode - what a fake engine does with a request */
 typedef enum
 {
@@ -24,6 +27,7 @@
   PFL_HANG,     /* holds it until pfl_release() */
   PFL_CUT,      /* closes the connection without an answer */
   PFL_CUT_LATE, /* closes it in the middle of a stream */
+  PFL_LONG,     /* streams PFL_LONG_BYTES as fast as they are taken */
   PFL_CROSSED,  /* answers under another request's id */
   PFL_CRASH     /* its listener goes, with all connections */
 } pfl_mode_t;
@@ -54,6 +58,8 @@
   struct event *crash;
   struct event *cutter;
   hsv_call_t *cut;
+  hsv_call_t *streamed;
+  uint32_t streamed_bytes;
 } pfl_engine_t;
 
 struct pfl
@@ -98,6 +104,8 @@
   hcl_call_t *call;
 } pfl_answer_t;
 
+/** pfl_address() - a loopback address of this process; hosts have 1 to 4, engines 100 to 102 */
+set_address_t pfl_address (uint32_t last);
 void pfl_init (pfl_t *fleet);
 void pfl_clear (pfl_t *fleet);
 /** pfl_until() - turn the loop until @done says so. Return: false after ten seconds */
@@ -110,6 +118,8 @@
 void pfl_flag (pfl_daemon_t *daemon, msg_kind_t kind, bool on);
 /** pfl_engine_named() - index of the engine, from the header of an answer */
 uint32_t pfl_engine_named (const pfl_answer_t *answer);
+/** pfl_set_state() - of a sidecar's host, told to all */
+void pfl_set_state (pfl_t *fleet, uint32_t host, mem_state_t state);
 uint32_t pfl_runs (const pfl_t *fleet);
 /** pfl_set_all() - the mode of all engines */
 void pfl_set_all (pfl_t *fleet, pfl_mode_t mode);
--- /dev/null
+++ b/tests/test_path_chats.c
@@ -0,0 +1,156 @@
+#include "path_fleet.h"
+
+#include "request/hop.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#define CHAT_BODY "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}"
+
+static pfl_request_t
+talk (const char *chat)
+{
+  return (pfl_request_t){ .path = "/v1/chat/completions", .body = CHAT_BODY, .chat = chat };
+}
+
+static uint32_t
+ask_engine (pfl_t *fleet, const char *chat)
+{
+  pfl_request_t request = talk (chat);
+  pfl_answer_t answer;
+  uint32_t engine;
+
+  pfl_ask (fleet, &request, &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  engine = pfl_engine_named (&answer);
+  pfl_answer_clear (&answer);
+  return engine;
+}
+
+static uint64_t
+notes (const pfl_t *fleet)
+{
+  uint64_t sum = 0;
+
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    sum += cnt_value (
+        cnt_get (fleet->sidecars[i].dmn.counters, "medlarplank_directory_notes_total", ""));
+  return sum;
+}
+
+typedef struct
+{
+  const pfl_t *fleet;
+  uint64_t more_than;
+} noted_t;
+
+static bool
+is_noted (void *context)
+{
+  const noted_t *noted = context;
+
+  return notes (noted->fleet) > noted->more_than;
+}
+
+/* serve_elsewhere() - Return: the engine that served @chat while its home took no work */
+static uint32_t
+serve_elsewhere (pfl_t *fleet, const char *chat, uint32_t home)
+{
+  noted_t noted = { .fleet = fleet, .more_than = notes (fleet) };
+  uint32_t other;
+
+  pfl_flag (&fleet->sidecars[home], MSG_FRESHNESS, false);
+  other = ask_engine (fleet, chat);
+  CU_ASSERT_NOT_EQUAL (other, home);
+  CU_ASSERT_TRUE (pfl_until (fleet, is_noted, &noted));
+  pfl_flag (&fleet->sidecars[home], MSG_FRESHNESS, true);
+  return other;
+}
+
+/* A chat is served away from its home, which took no work for a moment. When it returns, and the
+ * home takes work again, its context is warm on the other engine: the home refers it there. */
+static void
+returns_to_where_it_was_served (void)
+{
+  pfl_t fleet;
+  uint32_t home;
+  uint32_t other;
+
+  pfl_init (&fleet);
+  home = ask_engine (&fleet, "c1");
+  other = serve_elsewhere (&fleet, "c1", home);
+  for (uint32_t i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (ask_engine (&fleet, "c1"), other);
+  pfl_clear (&fleet);
+}
+
+/* The home of that chat leaves. It hands what it knew to the next home, which is not the engine
+ * that served the chat, and which refers the chat there in its turn. */
+static void
+hands_over_what_it_knew (void)
+{
+  pfl_t fleet;
+  char chat[16];
+
+  pfl_init (&fleet);
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      noted_t noted = { .fleet = &fleet };
+      uint32_t home;
+      uint32_t other;
+
+      g_snprintf (chat, sizeof chat, "h%u", i);
+      home = ask_engine (&fleet, chat);
+      other = serve_elsewhere (&fleet, chat, home);
+      noted.more_than = notes (&fleet);
+      pfl_set_state (&fleet, home, MEM_LEAVING);
+      CU_ASSERT_TRUE (pfl_until (&fleet, is_noted, &noted));
+      CU_ASSERT_EQUAL (ask_engine (&fleet, chat), other);
+      CU_ASSERT_EQUAL (ask_engine (&fleet, chat), other);
+      pfl_set_state (&fleet, home, MEM_LIVE);
+    }
+  pfl_clear (&fleet);
+}
+
+/* A long answer is streamed through router and sidecar with what is queued bounded at each; it must
+ * come out whole and in order. */
+static void
+streams_a_long_answer (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answer;
+  pfl_request_t request = talk ("long");
+
+  pfl_init (&fleet);
+  pfl_set_all (&fleet, PFL_LONG);
+  pfl_ask (&fleet, &request, &answer);
+  CU_ASSERT_TRUE (answer.end.whole);
+  CU_ASSERT_EQUAL (answer.body->len, PFL_LONG_BYTES);
+  for (size_t i = 0; i < answer.body->len; i += 1000)
+    if (answer.body->str[i] != (char)('a' + i / PFL_PART_BYTES % 26))
+      {
+        CU_FAIL ("a part is out of order");
+        break;
+      }
+  pfl_answer_clear (&answer);
+  pfl_clear (&fleet);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = { { "returns to where it was served", returns_to_where_it_was_served },
+                          { "hands over what it knew", hands_over_what_it_knew },
+                          { "streams a long answer", streams_a_long_answer },
+                          CU_TEST_INFO_NULL };
+  CU_SuiteInfo suites[] = { { "path chats", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
+
+  log_init ("test-path-chats", "test", LOG_LEVEL_DEBUG);
+  CU_initialize_registry ();
+  CU_register_suites (suites);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
--- /dev/null
+++ b/tests/test_path_lost.c
@@ -0,0 +1,174 @@
+#include "path_fleet.h"
+
+#include "request/hop.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+static const pfl_request_t BOOK = { .path = "/book", .body = "lot 7" };
+static const pfl_request_t LOOK = { .path = "/look" };
+
+/** struct fake - a sidecar whose connections break, and which answers revokes as it is told */
+typedef struct
+{
+  hsv_t *hsv;
+  const char *verdict;
+  const char *incarnation;
+  uint32_t requests;
+  uint32_t revokes;
+} fake_t;
+
+static void
+on_call (hsv_call_t *call, void *context)
+{
+  fake_t *fake = context;
+
+  if (strcmp (hsv_path (call), HOP_REVOKE_PATH) != 0)
+    {
+      fake->requests++;
+      hsv_abort (call);
+      return;
+    }
+  fake->revokes++;
+  hsv_add_header (call, VRD_HEADER, fake->verdict);
+  hsv_add_header (call, HOP_INCARNATION_HEADER, fake->incarnation);
+  hsv_reply_text (call, 200, "text/plain", "");
+}
+
+/* stand_in() - the first engine that the router would ask for a booking is behind the fake */
+static uint32_t
+stand_in (pfl_t *fleet, fake_t *fake)
+{
+  hsv_options_t options = { .base = fleet->base,
+                            .counters = fleet->counters,
+                            .listen = pfl_address (60),
+                            .body_limit_bytes = 1 << 20,
+                            .header_limit_bytes = 1 << 16,
+                            .header_limit_count = 100,
+                            .connection_limit = 100,
+                            .idle_timeout_ms = 10000,
+                            .on_call = on_call,
+                            .context = fake };
+  pfl_answer_t answer;
+  uint32_t first;
+
+  pfl_ask (fleet, &BOOK, &answer);
+  first = pfl_engine_named (&answer);
+  pfl_answer_clear (&answer);
+  fake->hsv = hsv_new (&options, NULL);
+  fleet->hosts[first].http = options.listen;
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    fleet->engines[i].run_count = 0;
+  return first;
+}
+
+static void
+ask (pfl_t *fleet, const pfl_request_t *request, int status, const char *verdict)
+{
+  pfl_answer_t answer;
+
+  pfl_ask (fleet, request, &answer);
+  CU_ASSERT_EQUAL (answer.status, status);
+  CU_ASSERT_STRING_EQUAL (answer.verdict, verdict);
+  pfl_answer_clear (&answer);
+}
+
+/* The connection to a sidecar breaks under a booking. The sidecar, asked, says that it never saw
+ * the attempt and has barred it: the router may go on to another engine, and the booking runs once.
+ */
+static void
+goes_on_after_not_run (void)
+{
+  pfl_t fleet;
+  fake_t fake = { .verdict = "not_run" };
+  char incarnation[16];
+  uint32_t first;
+
+  pfl_init (&fleet);
+  first = stand_in (&fleet, &fake);
+  g_snprintf (incarnation, sizeof incarnation, "%u", 1000 + first);
+  fake.incarnation = incarnation;
+  ask (&fleet, &BOOK, 200, "ran");
+  CU_ASSERT_EQUAL (fake.requests, 1);
+  CU_ASSERT_EQUAL (fake.revokes, 1);
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
+  hsv_free (fake.hsv);
+  pfl_clear (&fleet);
+}
+
+/* The same, but the sidecar restarted in between: it has no memory of what its predecessor passed
+ * to the engine. Its "never seen" must not count, or the booking could run twice. */
+static void
+believes_no_successor (void)
+{
+  pfl_t fleet;
+  fake_t fake = { .verdict = "not_run", .incarnation = "999999" };
+
+  pfl_init (&fleet);
+  stand_in (&fleet, &fake);
+  ask (&fleet, &BOOK, 502, "may_have_run");
+  CU_ASSERT_EQUAL (fake.revokes, 1);
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
+  hsv_free (fake.hsv);
+  pfl_clear (&fleet);
+}
+
+/* The sidecar had passed the booking on: nobody can tell what became of it, and it is not tried
+ * elsewhere. A lookup is. */
+static void
+moves_only_lookups_after_may_have_run (void)
+{
+  pfl_t fleet;
+  fake_t fake = { .verdict = "may_have_run" };
+  char incarnation[16];
+  uint32_t first;
+
+  pfl_init (&fleet);
+  first = stand_in (&fleet, &fake);
+  g_snprintf (incarnation, sizeof incarnation, "%u", 1000 + first);
+  fake.incarnation = incarnation;
+  ask (&fleet, &BOOK, 502, "may_have_run");
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
+  ask (&fleet, &LOOK, 200, "ran");
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
+  hsv_free (fake.hsv);
+  pfl_clear (&fleet);
+}
+
+/* The sidecar's host refuses connections: not a byte left, so even a booking goes on at once, and
+ * after two such failures the host is no longer asked. */
+static void
+skips_a_host_that_refuses (void)
+{
+  pfl_t fleet;
+  fake_t fake = { 0 };
+
+  pfl_init (&fleet);
+  stand_in (&fleet, &fake);
+  hsv_free (fake.hsv);
+  for (uint32_t i = 0; i < 5; i++)
+    ask (&fleet, &BOOK, 200, "ran");
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 5);
+  pfl_clear (&fleet);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = { { "goes on after not run", goes_on_after_not_run },
+                          { "believes no successor", believes_no_successor },
+                          { "moves only lookups after may have run",
+                            moves_only_lookups_after_may_have_run },
+                          { "skips a host that refuses", skips_a_host_that_refuses },
+                          CU_TEST_INFO_NULL };
+  CU_SuiteInfo suites[] = { { "path lost", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
+
+  log_init ("test-path-lost", "test", LOG_LEVEL_DEBUG);
+  CU_initialize_registry ();
+  CU_register_suites (suites);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
