Test the tool's orders against a daemon

A seal under another key or for another host is refused and the daemon goes on; the right one makes it leave, and it ends with status 0 on SIGTERM.

--- a/tests/session_ctl.c
+++ b/tests/session_ctl.c
@@ -13,6 +13,10 @@
 
 #define PLATFORM_PORT 18190
 #define CLOSED_PORT 18191
+#define DAEMON_PORT 18192
+#define EXCHANGE_PORT 18193
+#define WAIT_US (10 * G_USEC_PER_SEC)
+#define FLEET_KEY "a key of the whole fleet"
 #define ANSWER_BYTES (64 * 1024)
 
 /* struct tool - one run of the tool */
@@ -305,7 +309,7 @@
   admin ("/admin/hosts", hosts);
   expect ("status", 0, "h1 ", "");
   expect ("status --json", 0, "\"no answer\"", "");
-  g_setenv ("MEDLARPLANK_FLEET_KEY", "a key of the whole fleet", TRUE);
+  g_setenv ("MEDLARPLANK_FLEET_KEY", FLEET_KEY, TRUE);
   expect ("drain h1", 1, "", "h1 does not answer");
   expect ("drain h2", 2, "", "the platform lists no host \"h2\"");
   g_unsetenv ("MEDLARPLANK_FLEET_KEY");
@@ -317,6 +321,78 @@
   expect ("manifest watch --timeout-ms 300", 0, "version 3 digest", "");
 }
 
+static GPid
+start_sidecar (const char *listen, const char *exchange)
+{
+  g_autofree char *program = built ("medlarplankd");
+  char *argv[] = {
+    program,          "--role",   "sidecar",      "--name",      "busan-m1",     "--data-center",
+    "busan-hall",     "--region", "kr-south",     "--listen",    (char *)listen, "--exchange",
+    (char *)exchange, "--engine", closed_address, "--log-level", "warning",      NULL
+  };
+  GPid pid = 0;
+
+  CU_ASSERT_TRUE_FATAL (
+      g_spawn_async (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL, &pid, NULL));
+  return pid;
+}
+
+/* Runs the tool again and again until its output has @out. */
+static void
+await (const char *arguments, const char *out)
+{
+  gint64 deadline_us = g_get_monotonic_time () + WAIT_US;
+  bool met = false;
+
+  while (!met && g_get_monotonic_time () < deadline_us)
+    {
+      tool_t tool = run (arguments);
+
+      met = strstr (tool.out, out) != NULL;
+      g_free (tool.out);
+      g_free (tool.err);
+    }
+  CU_ASSERT_TRUE (met);
+}
+
+/*
+ * An order that is sealed with another key, or for another host, is refused and the daemon goes on;
+ * the right one makes it leave. So neither a stranger on the network nor a wrong address stops a
+ * host.
+ */
+static void
+test_orders_to_a_daemon (void)
+{
+  char ip[32];
+  int status = 0;
+  GPid pid;
+
+  ip_of_this_run (ip);
+  g_autofree char *listen = g_strdup_printf ("%s:%d", ip, DAEMON_PORT);
+  g_autofree char *exchange = g_strdup_printf ("%s:%d", ip, EXCHANGE_PORT);
+  g_autofree char *ask = g_strconcat ("status --daemon ", listen, NULL);
+  g_autofree char *drain = g_strconcat ("drain busan-m1 --daemon ", listen, NULL);
+  g_autofree char *other = g_strconcat ("drain daegu-m1 --daemon ", listen, NULL);
+  g_autofree char *explain = g_strdup_printf ("explain %032d --daemon %s", 1, listen);
+
+  g_setenv ("MEDLARPLANK_FLEET_KEY", FLEET_KEY, TRUE);
+  pid = start_sidecar (listen, exchange);
+  await (ask, "busan-m1                 sidecar  live");
+  expect (explain, 1, "", "does not know this request");
+  expect (other, 1, "", "daegu-m1 refused the order with status 403");
+  g_setenv ("MEDLARPLANK_FLEET_KEY", "a key of another fleet", TRUE);
+  expect (explain, 1, "", "the daemon answered with status 401");
+  expect (drain, 1, "", "busan-m1 refused the order with status 403");
+  expect (ask, 0, "sidecar  live", "");
+  g_setenv ("MEDLARPLANK_FLEET_KEY", FLEET_KEY, TRUE);
+  expect (drain, 0, "busan-m1 is leaving", "");
+  await (ask, "sidecar  leaving");
+  kill (pid, SIGTERM);
+  CU_ASSERT_EQUAL (waitpid (pid, &status, 0), pid);
+  CU_ASSERT_TRUE (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+  g_unsetenv ("MEDLARPLANK_FLEET_KEY");
+}
+
 int
 main (void)
 {
@@ -335,6 +411,7 @@
   CU_ADD_TEST (suite, test_platform_out);
   CU_ADD_TEST (suite, test_status_of_listed_hosts);
   CU_ADD_TEST (suite, test_watch);
+  CU_ADD_TEST (suite, test_orders_to_a_daemon);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
