Keep at a former home only the chats that it served

A replaced engine referred all its returning chats to their former homes, also those whose context had gone with its predecessor. A former home that does not remember the chat now answers 'cold', and the new home serves it. The directory notes the chats served here for that, in twice the entries. A former home that knows where the chat was moved to passes that on. Handing lists of chats to a joining engine would save the hop; it needs a message more, and the answer costs a hop once for each chat.

--- a/src/process/limits.h
+++ b/src/process/limits.h
@@ -24,7 +24,7 @@
 #define LIM_CLAIMS_WAITING 1024  /* claims of one stream that wait for the log */
 #define LIM_CLAIM_ENTRIES 256    /* entries in one record of a claims stream */
 #define LIM_CLAIM_QUEUE 4096     /* entries of one stream that are yet to be appended */
-#define LIM_DIRECTORY_ENTRIES 8192
+#define LIM_DIRECTORY_ENTRIES 16384
 #define LIM_SUSPECTS 1024
 #define LIM_SUSPECT_CRASHES 2
 #define LIM_REVOKED 4096        /* attempt ids barred at one sidecar */
--- a/src/request/admit.c
+++ b/src/request/admit.c
@@ -277,22 +277,52 @@
   return there == NULL || wait_there_us (adm, there, limit) <= cold_start_us (adm, request);
 }
 
+static bool
+is_at_home (const adm_t *adm, const adm_request_t *request)
+{
+  return request->home_hash == adm->options.engine_hash && !request->referred;
+}
+
+/* A new home took the chat to be warm here, as it was home here before. */
+static bool
+is_from_new_home (const adm_t *adm, const adm_request_t *request)
+{
+  return request->referred && request->home_hash != adm->options.engine_hash &&
+         request->former_hash == adm->options.engine_hash;
+}
+
+static adm_decision_t
+refer_to (const adm_t *adm, uint64_t engine_hash, uint64_t bound_milli)
+{
+  adm_decision_t decision = decide (adm, ADM_REFUSE, VRD_REASON_ELSEWHERE, bound_milli);
+  decision.referrals[0] = engine_hash;
+  decision.referral_count = 1;
+  return decision;
+}
+
 /* Where the context of a returning chat is warm, when that is not here; else 0. */
 static uint64_t
 warm_elsewhere (const adm_t *adm, uint64_t now_us, const adm_request_t *request)
 {
   const uint64_t own = adm->options.engine_hash;
   dir_entry_t entry;
-  if (adm->options.policy != ADM_POLICY_FULL || !request->has_chat || request->referred ||
-      request->home_hash != own)
-    return 0;
   if (dir_get (adm->directory, now_us, warm_us (adm), request->chat_hash, &entry))
     return entry.engine_hash != own ? entry.engine_hash : 0;
-  if (is_new (adm, now_us) && request->former_hash != own)
+  if (is_at_home (adm, request) && is_new (adm, now_us) && request->former_hash != own)
     return request->former_hash;
   return 0;
 }
 
+/* A former home that knows nothing of the chat sends it back: its context went with the engine that
+ * was replaced. Kept here it would fill this cache, and the one of the new engine stay empty. */
+static bool
+is_cold_here (const adm_t *adm, uint64_t now_us, const adm_request_t *request)
+{
+  dir_entry_t entry;
+  return is_from_new_home (adm, request) &&
+         !dir_get (adm->directory, now_us, warm_us (adm), request->chat_hash, &entry);
+}
+
 static bool
 refer_to_warm (adm_t *adm,
                uint64_t now_us,
@@ -300,12 +330,17 @@
                uint64_t bound_milli,
                adm_decision_t *decision)
 {
+  if (adm->options.policy != ADM_POLICY_FULL || !request->has_chat)
+    return false;
+  if (!is_at_home (adm, request) && !is_from_new_home (adm, request))
+    return false;
   const uint64_t engine_hash = warm_elsewhere (adm, now_us, request);
-  if (engine_hash == 0 || !is_worth (adm, now_us, request, engine_hash, bound_milli))
+  const bool elsewhere =
+      engine_hash != 0 && is_worth (adm, now_us, request, engine_hash, bound_milli);
+  if (!elsewhere && !is_cold_here (adm, now_us, request))
     return false;
-  *decision = decide (adm, ADM_REFUSE, VRD_REASON_ELSEWHERE, bound_milli);
-  decision->referrals[0] = engine_hash;
-  decision->referral_count = 1;
+  *decision = elsewhere ? refer_to (adm, engine_hash, bound_milli)
+                        : decide (adm, ADM_REFUSE, VRD_REASON_COLD, bound_milli);
   return true;
 }
 
@@ -385,17 +420,12 @@
     }
 }
 
-/* Where the chat is warm from now on. At its home, an entry that names another engine is out of
- * date; a new engine notes its own chats, so that it no longer refers them to the former home. */
+/* The chat is warm here from now on, whatever was noted of it before. */
 static void
 note_warm (adm_t *adm, uint64_t now_us, const adm_request_t *request)
 {
-  if (!request->has_chat || request->home_hash != adm->options.engine_hash)
-    return;
-  if (is_new (adm, now_us))
+  if (request->has_chat && adm->options.policy == ADM_POLICY_FULL)
     dir_put (adm->directory, now_us, request->chat_hash, adm->options.engine_hash);
-  else
-    dir_forget (adm->directory, request->chat_hash);
 }
 
 adm_t *
@@ -543,10 +573,7 @@
 void
 adm_served_elsewhere (adm_t *adm, uint64_t now_us, uint64_t chat_hash, uint64_t engine_hash)
 {
-  if (engine_hash == adm->options.engine_hash)
-    dir_forget (adm->directory, chat_hash);
-  else
-    dir_put (adm->directory, now_us, chat_hash, engine_hash);
+  dir_put (adm->directory, now_us, chat_hash, engine_hash);
 }
 
 mean_sample_t
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -1,8 +1,9 @@
 /**
  * DOC: directory
  *
- * What a sidecar remembers of the chats whose home it is but which were last served elsewhere.
- * A bounded hash table; the oldest entry of a full bucket goes.
+ * What a sidecar remembers of chats: which it served lately, and where those whose home it is were
+ * last served when that was elsewhere. A bounded hash table; the oldest entry of a full bucket
+ * goes.
  */
 #ifndef REQUEST_DIRECTORY_H
 #define REQUEST_DIRECTORY_H
--- a/src/request/verdict.c
+++ b/src/request/verdict.c
@@ -13,6 +13,7 @@
   [VRD_REASON_OVER_BOUND] = "over_bound",
   [VRD_REASON_LEAVING] = "leaving",
   [VRD_REASON_ELSEWHERE] = "elsewhere",
+  [VRD_REASON_COLD] = "cold",
   [VRD_REASON_STALE] = "stale",
   [VRD_REASON_SUSPECT_HERE] = "suspect_here",
   [VRD_REASON_QUARANTINE] = "quarantine",
--- a/src/request/verdict.h
+++ b/src/request/verdict.h
@@ -22,7 +22,7 @@
 /**
  * enum vrd_reason - why a request was refused or failed
  *
- * Those up to VRD_REASON_COLD are answered by trying another engine.
+ * Those up to VRD_REASON_WRONG_SERVICE are answered by trying another engine.
  */
 typedef enum
 {
@@ -30,6 +30,7 @@
   VRD_REASON_OVER_BOUND,    /* the engine would carry more than its share */
   VRD_REASON_LEAVING,       /* the host is leaving */
   VRD_REASON_ELSEWHERE,     /* the chat's context is warm on the host named first */
+  VRD_REASON_COLD,          /* its home took the chat to be warm here, and it is not */
   VRD_REASON_STALE,         /* the daemon has just woken and does not trust what it knows */
   VRD_REASON_SUSPECT_HERE,  /* this engine crashed on the request before */
   VRD_REASON_QUARANTINE,    /* another request that crashed an engine runs here */
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -375,6 +375,38 @@
   rig_free (rig);
 }
 
+/* An engine was replaced, and its chats return to the new one, which asks this former home first.
+ * This one has served some of them meanwhile. Of the others the context is gone; were they kept
+ * here, they would fill this cache while that of the new engine stays empty. */
+static void
+test_former_home_sends_cold_chats_back (void)
+{
+  rig_t *rig = rig_new (125);
+  hear (rig, 8, 0);
+  adm_request_t *warm = make (rig, 1, 77);
+  CU_ASSERT_EQUAL_FATAL (offer (rig, warm).action, ADM_DISPATCH);
+  adm_finish (rig->adm, rig->now_us, warm, true);
+  for (uint64_t chat = 77; chat <= 79; chat++)
+    {
+      adm_request_t *back = make (rig, 1, chat);
+      back->home_hash = 12;
+      back->prompt_tokens = 40000;
+      back->former_hash = OWN;
+      back->referred = true;
+      if (chat == 79)
+        adm_served_elsewhere (rig->adm, rig->now_us, 79, 14);
+      const adm_decision_t decision = offer (rig, back);
+      CU_ASSERT_EQUAL (decision.action, chat == 77 ? ADM_DISPATCH : ADM_REFUSE);
+      if (chat == 78)
+        CU_ASSERT_EQUAL (decision.reason, VRD_REASON_COLD);
+      if (chat == 79)
+        CU_ASSERT_EQUAL (decision.referrals[0], 14);
+      back->former_hash = 0;
+      CU_ASSERT (chat == 77 || offer (rig, back).action == ADM_DISPATCH);
+    }
+  rig_free (rig);
+}
+
 /* The host starts to leave while requests wait. They have run nowhere: their callers are sent on
  * now, and nothing new is taken, whatever an old host list says. What runs goes on. */
 static void
@@ -474,6 +506,7 @@
   CU_add_test (suite, "home refers to the warm one", test_home_refers_to_where_it_is_warm);
   CU_add_test (suite, "no referral for nothing", test_no_referral_to_gone_or_overloaded);
   CU_add_test (suite, "a new engine refers back", test_new_engine_refers_to_former_home);
+  CU_add_test (suite, "cold chats go back", test_former_home_sends_cold_chats_back);
   CU_add_test (suite, "leaving takes nothing", test_leaving_takes_nothing);
   CU_add_test (suite, "stale and engine down", test_closed_reasons);
   CU_add_test (suite, "poison is kept away", test_poison_is_kept_away);
