Ask for all once after a pause that both tasks notice

Seen with real processes: the data task's notice came milliseconds after the control task had asked its peers, which were asked once more; the byte budget held the second round back and the daemon was fresh after 1.0 s in place of 0.1 s. What was asked after the pause counts for both. Ruled out: ignoring the data task's notice, which must be answered with a later time than its own.

--- a/src/process/control_fetch.c
+++ b/src/process/control_fetch.c
@@ -74,7 +74,8 @@
     adopt (ctrl);
   else
     log_fetch (ctrl, "failed", 0, vrd_reason_name (end->reason));
-  g_clear_pointer (&ctrl->fetch.body, evbuffer_free);
+  evbuffer_free (ctrl->fetch.body);
+  ctrl->fetch.body = NULL;
 }
 
 void
--- a/src/process/control_fresh.c
+++ b/src/process/control_fresh.c
@@ -4,12 +4,14 @@
 
 #define PEERS_ASKED 4 /* at once after a pause */
 #define PEERS_NEEDED 2
+#define SAME_WAKING_US (1 * CLK_US_PER_S)
 
 /* Forgets all that was heard before, and hears it again. */
 static void
 start_over (ctrl_t *ctrl)
 {
   ctrl_fresh_t *fresh = &ctrl->fresh;
+  fresh->asked_us = ctrl_now_us (ctrl);
   fresh->list_ok = false;
   fresh->list_failed = false;
   fresh->log_ok = false;
@@ -91,17 +93,30 @@
     woke (ctrl, "control");
 }
 
+/* The control task noticed the same pause a moment ago and has asked for all since: it is not asked
+ * for twice, which would use up the byte budget and hold the daemon back for longer. */
+static bool
+is_same_waking (const ctrl_t *ctrl)
+{
+  uint64_t asked_us = ctrl->fresh.asked_us;
+  return asked_us != 0 && ctrl_now_us (ctrl) - asked_us < SAME_WAKING_US;
+}
+
 void
 ctrl_fresh_woke (ctrl_t *ctrl, uint64_t woke_us)
 {
-  if (pse_wake (&ctrl->fresh.pse, woke_us))
+  if (!pse_wake (&ctrl->fresh.pse, woke_us))
+    return;
+  if (is_same_waking (ctrl))
+    ctrl_fresh_flush (ctrl);
+  else
     woke (ctrl, "data");
 }
 
 void
 ctrl_fresh_heard_list (ctrl_t *ctrl, uint64_t started_us, bool worked)
 {
-  if (started_us < ctrl->fresh.pse.woke_us)
+  if (started_us < ctrl->fresh.asked_us)
     return;
   ctrl->fresh.list_ok = ctrl->fresh.list_ok || worked;
   ctrl->fresh.list_failed = ctrl->fresh.list_failed || !worked;
@@ -111,7 +126,7 @@
 void
 ctrl_fresh_heard_log (ctrl_t *ctrl, uint64_t started_us, bool worked)
 {
-  if (started_us < ctrl->fresh.pse.woke_us)
+  if (started_us < ctrl->fresh.asked_us)
     return;
   ctrl->fresh.log_ok = ctrl->fresh.log_ok || worked;
   ctrl->fresh.log_failed = ctrl->fresh.log_failed || !worked;
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -125,12 +125,14 @@
 
 /**
  * struct ctrl_fresh - what has been heard since the daemon started or last woke
+ * @asked_us: answers to what was asked before this do not count
  * @replies: of peers to calls sent since
  * @current_replies: those that told no higher version than ours
  */
 typedef struct
 {
   pse_t pse;
+  uint64_t asked_us;
   bool list_ok;
   bool list_failed;
   bool log_ok;
--- a/src/request/mean.c
+++ b/src/request/mean.c
@@ -174,7 +174,7 @@
 {
   const mean_sample_t *fresh[LIM_SAMPLES_KEPT];
   uint32_t count = collect_fresh (table, now_us, 0, fresh);
-  qsort (fresh, count, sizeof fresh[0], compare_newest_first);
+  qsort (fresh, count, sizeof (mean_sample_t *), compare_newest_first);
   /* Of the newest, a random half: peers that hear the same samples do not all pass on the same. */
   count = MIN (count, 2 * want);
   want = MIN (want, count);
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -94,6 +94,32 @@
   event_base_free (base);
 }
 
+/* Both tasks notice the same pause, the control task first. Asking for all once more would double
+ * the traffic of the waking and hold the daemon back; the notice must still count for the data
+ * task, which woke later. */
+static void
+test_both_tasks_notice_one_pause (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  clk_advance (&rig.dmn.clk, RIG_PAUSE_US);
+  rig_turn (&rig);
+  rig_turn (&rig);
+  CU_ASSERT_TRUE (rig.told.fresh);
+  uint32_t lists = rig.platform.lists;
+  msg_flag_t *woke = msg_new (MSG_WOKE);
+  woke->at_us = clk_now_us (&rig.dmn.clk);
+  rig_deliver (&rig, woke);
+  CU_ASSERT_TRUE (rig.told.fresh);
+  CU_ASSERT_EQUAL (rig.told.fresh_at_us, clk_now_us (&rig.dmn.clk));
+  CU_ASSERT_EQUAL (rig.told.stale_notices, 1);
+  rig_turn (&rig);
+  CU_ASSERT_EQUAL (rig.platform.lists, lists);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
 /* A daemon wakes while the platform is out. It cannot ask whether its host began to leave; its
  * peers can tell, as they read the list meanwhile. One reply is not enough while there are more
  * peers, replies from before the pause do not count, and a peer that has a higher version says
@@ -272,6 +298,7 @@
   CU_ADD_TEST (suite, test_log_outage);
   CU_ADD_TEST (suite, test_pause);
   CU_ADD_TEST (suite, test_pause_of_data_task);
+  CU_ADD_TEST (suite, test_both_tasks_notice_one_pause);
   CU_ADD_TEST (suite, test_pause_while_platform_is_out);
   CU_ADD_TEST (suite, test_peer_tells_of_leaving);
   CU_ADD_TEST (suite, test_leave_by_list);
