Refuse engine names that no host can have

A daemon's own name has only a-z, 0-9, '.' and '-'. An engine of another name could be published and would never be there, and its service would be short of one with nobody told.

--- a/src/version/manifest_read.c
+++ b/src/version/manifest_read.c
@@ -5,6 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* What a daemon's own name may hold; an engine named otherwise would never be there. */
+#define HOST_NAME_CHARS "abcdefghijklmnopqrstuvwxyz0123456789.-"
+
 static const mck_range_t WEIGHT = { 1, 1000000, 1000 };
 static const mck_range_t QUEUE_LIMIT = { 1, LIM_QUEUE_TOTAL, LIM_QUEUE_PER_ACCOUNT };
 static const mck_range_t PRIORITY = { 0, 9, 5 };
@@ -164,6 +167,9 @@
     return mck_fail (error, MAN_ERROR_TYPE, mck->path, place, "is not a string");
   if (!mck_name (name, mck->path, place, error))
     return false;
+  if (name[strspn (name, HOST_NAME_CHARS)] != '\0')
+    return mck_fail (error, MAN_ERROR_RANGE, mck->path, place,
+                     "no host can be named \"%s\": hosts have a-z, 0-9, '.' and '-'", name);
   other = g_hash_table_lookup (man->service_by_engine, name);
   if (other != NULL)
     return mck_fail (error, MAN_ERROR_REFERENCE, mck->path, place,
--- a/tests/test_manifest.c
+++ b/tests/test_manifest.c
@@ -154,6 +154,9 @@
                   "services.pool: is not an object");
   expect_patched ("{\"services\":{\"pool\":{\"engines\":[]}}}", MAN_ERROR_RANGE,
                   "services.pool.engines: is empty");
+  expect_patched ("{\"services\":{\"pool\":{\"engines\":[\"E_1\"]}}}", MAN_ERROR_RANGE,
+                  "services.pool.engines[0]: no host can be named \"E_1\": hosts have a-z, 0-9, "
+                  "'.' and '-'");
   expect_patched ("{\"services\":{\"pool\":{\"engines\":[\"e1\",3]}}}", MAN_ERROR_TYPE,
                   "services.pool.engines[1]: is not a string");
   expect_patched ("{\"classes\":{\"short\":{\"priority\":10}}}", MAN_ERROR_RANGE,
