Prove that a second signal cuts off nothing in flight

A caller reads a stream while router and sidecar get SIGTERM, SIGHUP and SIGINT; the stream must end whole and both daemons end with status 0.

--- a/tests/session_daemon.c
+++ b/tests/session_daemon.c
@@ -1,4 +1,6 @@
 /* Sessions with the daemon as a process: settings, start, signals and exit status. */
+#include "driver.h"
+
 #include <CUnit/Basic.h>
 #include <arpa/inet.h>
 #include <glib.h>
@@ -16,6 +18,7 @@
 #define HTTP_PORT 8080
 #define EXCHANGE_PORT 7000
 #define DEADLINE_S 60
+#define STREAM_TOKENS 200 /* of 5 ms each */
 
 /** struct run - a daemon that was started; its output is read to the end by run_end() */
 typedef struct
@@ -261,6 +264,61 @@
   run_free (&run);
 }
 
+static bool
+has_second_signal (void *context)
+{
+  return drv_logged (context, "stop_signal", "first=no") > 0;
+}
+
+static void
+signal_twice (drv_process_t *process)
+{
+  drv_signal (process, SIGTERM);
+  drv_signal (process, SIGHUP);
+  drv_signal (process, SIGINT);
+  drv_until (process->drv, DRV_WAIT_MS, "a second signal", has_second_signal, process);
+}
+
+static drv_process_t *
+sidecar_of (const drv_call_t *call)
+{
+  const char *engine = drv_header (call, "x-medlarplank-engine");
+
+  for (uint32_t i = 0; i < call->drv->host_count; i++)
+    if (g_strcmp0 (engine, call->drv->hosts[i].engine->name) == 0)
+      return call->drv->hosts[i].sidecar;
+  return NULL;
+}
+
+/*
+ * A caller reads a stream when the router and the sidecar that it passes through are told to stop,
+ * and told again. The second signals come while the stream still runs. Both daemons wait for its
+ * end: the caller gets it whole, and both end with status 0.
+ */
+static void
+test_signals_in_flight (void)
+{
+  drv_t *drv = drv_new ("daemon-signals");
+  drv_fleet_t fleet = { .models = 2, .plains = 1, .routers = 1 };
+  drv_ask_t ask = { .name = "stream", .chat = "c", .stream = true, .tokens = STREAM_TOKENS };
+  drv_process_t *sidecar;
+  drv_call_t *call;
+
+  drv_start (drv, &fleet);
+  call = drv_ask (drv, &ask);
+  drv_begun (call);
+  sidecar = sidecar_of (call);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (sidecar);
+  signal_twice (sidecar);
+  signal_twice (drv->routers[0]);
+  CU_ASSERT_EQUAL (call->end, DRV_WAITING);
+  drv_answered (call);
+  drv_tell (call);
+  drv_say (drv, "sidecar: status %d", drv_ended (sidecar));
+  drv_say (drv, "router: status %d", drv_ended (drv->routers[0]));
+  drv_finish (drv);
+}
+
 static CU_TestInfo tests[] = {
   { "settings are shown without the key", test_check_settings },
   { "a wrong setting", test_wrong_setting },
@@ -268,6 +326,7 @@
   { "an idle router stops", test_stop_router },
   { "an idle sidecar stops", test_stop_sidecar },
   { "more signals change nothing", test_stop_twice },
+  { "more signals cut off nothing in flight", test_signals_in_flight },
   CU_TEST_INFO_NULL,
 };
 
