--- a/bench/control_slope.sh
+++ b/bench/control_slope.sh
@@ -45,6 +45,14 @@
   for address in "$@"; do curl -fsS "http://$address/readyz" || return 1; done
 }
 
+all_at () { # VERSION ADDRESS...
+  local version=$1
+  shift
+  for address in "$@"; do
+    curl -fsS "http://$address/metrics" | grep -q "^medlarplank_manifest_version $version\$" || return 1
+  done
+}
+
 ip_of () { # NUMBER
   echo "127.0.$((95 + $1 / 200)).$((1 + $1 % 200))"
 }
@@ -83,7 +91,7 @@
 M
   "$out/medlarplankctl" --platform "$platform" manifest publish "$dir/manifest.json" --by bench --allow-missing-engines >/dev/null 2>&1
   wait_for all_ready "${addresses[@]}"
-  local sent received ticks hz start_s elapsed_s
+  local in_force_s sent received ticks hz start_s elapsed_s
   hz=$(getconf CLK_TCK)
   sent=$(sum medlarplank_control_bytes_sent_total "${addresses[@]}")
   received=$(sum medlarplank_control_bytes_received_total "${addresses[@]}")
@@ -94,10 +102,16 @@
   ticks=$(($(ticks_of "${daemons[@]}") - ticks))
   sent=$(($(sum medlarplank_control_bytes_sent_total "${addresses[@]}") - sent))
   received=$(($(sum medlarplank_control_bytes_received_total "${addresses[@]}") - received))
-  awk -v n="$((n + routers))" -v s="$sent" -v r="$received" -v t="$ticks" -v hz="$hz" -v e="$elapsed_s" \
-    -v m="$(resident_of "${daemons[@]}")" 'BEGIN{printf "%d\t%.0f\t%.0f\t%.3f\t%.0f\n", n, s/n/e, r/n/e, 100*t/hz/n/e, m/n}'
+  # A patch, until every daemon has it in force; asking them all in turn is part of the time.
+  echo '{"client_accounts":{"bench":{"weight":2000}}}' >"$dir/patch.json"
+  start_s=$EPOCHREALTIME
+  "$out/medlarplankctl" --platform "$platform" manifest publish --patch "$dir/patch.json" --by bench >/dev/null
+  until all_at 2 "${addresses[@]}"; do :; done
+  in_force_s=$(echo "$EPOCHREALTIME $start_s" | awk '{print $1 - $2}')
+  awk -v n="$((n + routers))" -v f="$in_force_s" -v s="$sent" -v r="$received" -v t="$ticks" -v hz="$hz" -v e="$elapsed_s" \
+    -v m="$(resident_of "${daemons[@]}")" 'BEGIN{printf "%d\t%.0f\t%.0f\t%.3f\t%.0f\t%.2f\n", n, s/n/e, r/n/e, 100*t/hz/n/e, m/n, f}'
   stop_all
 }
 
-printf 'daemons\tsent_bytes_s\treceived_bytes_s\tcpu_percent\tresident_kb\n'
+printf 'daemons\tsent_bytes_s\treceived_bytes_s\tcpu_percent\tresident_kb\tin_force_s\n'
 for n in "$@"; do run "$n"; done
