Spread calls without a chat evenly over a service's engines

Plain calls were uneven at low load: 2,400 GETs of one path went 915/457/1028 over three engines, 2,100 keyed POSTs 557/995/548. Two causes, both found by counting answers by engine:

- A call without a chat is placed by its fingerprint, so that a request that crashes engines always meets the two that know it.
Equal calls (a status asked for again and again) have one fingerprint for each account, so five accounts made five pairs of engines.
Stale samples and the choice of data centre were ruled out: without load the samples are all 0, and candidates are not ranked by data centre.
- A keyed call is placed by its claims stream, and four streams over three engines go 2:1:1.

A router now remembers for ten seconds which idempotent requests were answered; such a request does not crash each engine that runs it, and is placed at random. Keyed calls go to the emptier of their stream's first two engines, by turns of the key when both are equal. What the router itself has under way counts beside the samples. Non-idempotent calls without a key stay where their fingerprint says.

--- a/src/request/choose.c
+++ b/src/request/choose.c
@@ -2,6 +2,7 @@
 
 #include "request/refer.h"
 
+#include <glib.h>
 #include <stddef.h>
 
 /* Ranked to begin with: what is left after skipping must fill the candidates. */
@@ -63,14 +64,28 @@
   return 0;
 }
 
+/* load_of() - of two views the higher: a sample misses what was sent since, and what is under way
+ * from here misses what other routers sent. */
+static uint32_t
+load_of (const chs_query_t *query, const mean_sample_t *sample, uint64_t engine_hash)
+{
+  const uint32_t own = query->under_way != NULL ? uwy_count (query->under_way, engine_hash) : 0;
+  return sample == NULL ? own : MAX (own, sample->load + sample->waiting);
+}
+
 static bool
-second_is_emptier (const chs_query_t *query, const ranked_t *ranked)
+second_goes_first (const chs_query_t *query, const ranked_t *ranked)
 {
   if (query->has_chat || query->samples == NULL || ranked->settled_count < 2)
     return false;
   const mean_sample_t *first = ref_find (query->samples, query->now_us, ranked->hash[0]);
   const mean_sample_t *second = ref_find (query->samples, query->now_us, ranked->hash[1]);
-  return first != NULL && second != NULL && second->load < first->load;
+  /* An engine that nothing was heard of is not empty for that. */
+  if (first == NULL || second == NULL)
+    first = second = NULL;
+  const uint32_t first_load = load_of (query, first, ranked->hash[0]);
+  const uint32_t second_load = load_of (query, second, ranked->hash[1]);
+  return second_load < first_load || (second_load == first_load && (query->tie & 1) != 0);
 }
 
 chs_t
@@ -88,7 +103,7 @@
       chosen.candidates[chosen.candidate_count] = ranked.hash[chosen.candidate_count];
       chosen.candidate_count++;
     }
-  if (second_is_emptier (query, &ranked))
+  if (second_goes_first (query, &ranked))
     {
       chosen.candidates[0] = ranked.hash[1];
       chosen.candidates[1] = ranked.hash[0];
--- a/src/request/choose.h
+++ b/src/request/choose.h
@@ -5,9 +5,8 @@
  * and the one that was home before it. A guess, as the sidecars decide; a wrong one costs a hop.
  *
  * A request with a chat goes by rendezvous alone. One without has nothing warm anywhere: of its
- * first two candidates the one with the lower sampled load goes first, which evens out the load
- * without a hop. The pair is fixed by the fingerprint, so that a resend lands where a crash was
- * seen.
+ * first two candidates the emptier one goes first, which evens out the load without a hop. What the
+ * router itself has under way there counts as much as samples, which are older.
  *
  * An engine that returned too lately (flap damping) is nobody's home, and goes last.
  */
@@ -17,6 +16,7 @@
 #include "request/attempt.h"
 #include "request/mean.h"
 #include "request/place.h"
+#include "request/under_way.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -34,7 +34,9 @@
  *   each snapshot of the members; the index of each is its place, here and in @details
  * @chat_hash: of the chat, or of the fingerprint without one
  * @first_turn: the first message of its chat, which is warm nowhere
+ * @tie: decides by its lowest bit which of two equally loaded candidates goes first
  * @samples: load samples heard by this router, or NULL
+ * @under_way: what this router has under way at engines, or NULL
  * @is_usable: false for a host to be skipped after direct failures; NULL for none
  */
 typedef struct
@@ -48,7 +50,9 @@
   bool has_chat;
   bool first_turn;
   uint64_t cache_lifetime_us;
+  uint64_t tie;
   const mean_table_t *samples;
+  const uwy_t *under_way;
   bool (*is_usable) (uint64_t engine_hash, void *context);
   void *context;
 } chs_query_t;
--- a/src/request/router.c
+++ b/src/request/router.c
@@ -202,6 +202,8 @@
   rtr->watches =
       g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, (GDestroyNotify)rtr_watch_free);
   rtr->told = g_new0 (rtr_told_t, RTR_TOLD_ENTRIES);
+  rtr->prv = prv_new (RTR_PROVEN_ENTRIES, RTR_PROVEN_US);
+  rtr->uwy = uwy_new ();
   g_queue_init (&rtr->calls);
   /* Two routers that start in the same millisecond must not share attempt ids. */
   rtr->id_high = plc_hash_name (dmn->set.name) + dmn->incarnation;
@@ -230,6 +232,8 @@
   g_hash_table_destroy (rtr->incarnations);
   g_hash_table_destroy (rtr->samples);
   g_free (rtr->told);
+  prv_free (rtr->prv);
+  uwy_free (rtr->uwy);
   g_free (rtr);
 }
 
--- a/src/request/router_accept.c
+++ b/src/request/router_accept.c
@@ -121,9 +121,9 @@
   call->hop.output_tokens = chat->max_tokens != 0 ? MIN (chat->max_tokens, expected) : expected;
 }
 
-/* place_hash() - what the request is placed by: a keyed one by its claims stream, so that one
- * sidecar usually has that stream read; a chat by the chat; any other by itself, so that one sent
- * again lands where it is known whether it crashed an engine. */
+/* place_hash() - what the request is placed by: a keyed one by its claims stream, so that two
+ * sidecars usually have that stream read; a chat by the chat; any other by itself, so that one sent
+ * again lands where it is known whether it crashed an engine, until it has been answered. */
 static uint64_t
 place_hash (const rtr_call_t *call)
 {
@@ -135,7 +135,11 @@
                   call->hop.key_hash[0] % call->service->claim_shards);
       return plc_hash_name (shard);
     }
-  return call->hop.has_chat ? call->hop.chat_hash : call->hop.fingerprint;
+  if (call->hop.has_chat)
+    return call->hop.chat_hash;
+  if (call->hop.idempotent && prv_has (call->rtr->prv, call->arrived_us, call->hop.fingerprint))
+    return call->request_id[0] ^ call->request_id[1];
+  return call->hop.fingerprint;
 }
 
 static void
--- a/src/request/router_call.c
+++ b/src/request/router_call.c
@@ -87,6 +87,7 @@
 {
   rtr_call_note (call, "answer", call->att.last_engine, VRD_RAN, VRD_REASON_NONE);
   cnt_add (call->rtr->ends[VRD_RAN], 1);
+  prv_answered (call->rtr->prv, ops_now_us (call->rtr->ops), call->hop.fingerprint);
   rtr_tell_served (call, call->att.last_engine);
   rly_whole (&call->rly);
   rtr_call_free (call);
@@ -167,6 +168,8 @@
 
   if (!outcome->answered)
     cnt_add (rtr->reasons[outcome->reason], 1);
+  if (outcome->reason == VRD_REASON_ENGINE_CRASHED || outcome->reason == VRD_REASON_SUSPECT_HERE)
+    prv_forget (rtr->prv, call->hop.fingerprint);
   step = att_ended (&call->att, ops_now_us (rtr->ops), &rtr->budget, outcome);
   cnt_add (rtr->retries, call->att.retries - retries);
   rtr_call_step (call, step);
--- a/src/request/router_hop.c
+++ b/src/request/router_hop.c
@@ -164,6 +164,7 @@
   rtr_call_t *call = context;
   att_outcome_t outcome;
 
+  uwy_end (call->rtr->uwy, call->att.last_engine);
   call->out = NULL;
   call->rly.from = NULL;
   event_del (call->timer);
@@ -180,7 +181,10 @@
 rtr_hop_drop (rtr_call_t *call)
 {
   if (call->out != NULL)
-    hcl_cancel (call->out);
+    {
+      hcl_cancel (call->out);
+      uwy_end (call->rtr->uwy, call->att.last_engine);
+    }
   call->out = NULL;
   call->rly.from = NULL;
   if (call->timer != NULL)
@@ -277,5 +281,6 @@
   hlt_usable (rtr->hlt, now_us, host->hash); /* this may be its one probe */
   cnt_add (rtr->hops, 1);
   set_hop_timer (call);
+  uwy_begin (rtr->uwy, host->hash);
   call->out = hcl_start (rtr->hcl, &options);
 }
--- a/src/request/router_place.c
+++ b/src/request/router_place.c
@@ -177,10 +177,12 @@
   chs_query_t query = { .now_us = skip.now_us,
                         .service_hash = service->hash,
                         .chat_hash = call->place_hash,
-                        .has_chat = call->hop.has_chat || call->hop.key_hash[1] != 0,
+                        .has_chat = call->hop.has_chat && call->hop.key_hash[1] == 0,
                         .first_turn = first_turn || !call->hop.has_chat,
                         .cache_lifetime_us = (uint64_t)service->cache_lifetime_ms * CLK_US_PER_MS,
+                        .tie = call->hop.key_hash[1], /* keys of a claims stream take turns */
                         .samples = g_hash_table_lookup (rtr->samples, &service->hash),
+                        .under_way = rtr->uwy,
                         .is_usable = is_usable,
                         .context = &skip };
 
--- a/src/request/router_private.h
+++ b/src/request/router_private.h
@@ -17,6 +17,7 @@
 #include "request/hop.h"
 #include "request/ops.h"
 #include "request/place.h"
+#include "request/proven.h"
 #include "request/relay.h"
 
 #include <event2/event.h>
@@ -34,6 +35,8 @@
 #define RTR_PROBE_TIMEOUT_US (500 * 1000)
 /* An answer that brings nothing for this long is given up. */
 #define RTR_STALL_US (60 * 1000 * 1000)
+#define RTR_PROVEN_ENTRIES 4096
+#define RTR_PROVEN_US (10 * 1000 * 1000)
 #define RTR_TOLD_ENTRIES 8192
 #define RTR_TOLD_US (60 * 1000 * 1000)
 
@@ -83,6 +86,8 @@
   GHashTable *incarnations; /* engine hash -> uint64_t, the newest heard */
   GHashTable *watches;      /* host hash -> rtr_watch_t */
   rtr_told_t *told;
+  prv_t *prv;
+  uwy_t *uwy;
   GQueue calls;
   uint64_t id_high;
   uint64_t id_low;
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -413,6 +413,21 @@
   pfl_clear (&fleet);
 }
 
+/* A counter asks for the status of one household over and over. Placed by its fingerprint alone,
+ * every one of these would go to the same two of three engines, and the third would stay idle. */
+static void
+spreads_what_was_answered (void)
+{
+  pfl_t fleet;
+
+  pfl_init (&fleet);
+  for (uint32_t i = 0; i < 60; i++)
+    ask_status (&fleet, &LOOK, 200, "ran");
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    CU_ASSERT_TRUE (fleet.engines[i].run_count >= 8);
+  pfl_clear (&fleet);
+}
+
 /* The host of a chat's home is frozen: its kernel takes connections, but nothing answers. Without a
  * look at the host, each of its chats would hang until the deadline, eight seconds here. A lookup
  * goes elsewhere within two; a booking may not, and is answered at its deadline. */
@@ -587,6 +602,7 @@
                           { "refuses keys while the log is out",
                             refuses_keys_while_the_log_is_out },
                           { "answers at the deadline", answers_at_the_deadline },
+                          { "spreads what was answered", spreads_what_was_answered },
                           { "leaves a frozen host", leaves_a_frozen_host },
                           { "takes no work after a pause", takes_no_work_after_a_pause },
                           { "sidecars obey only the fleet", sidecars_obey_only_the_fleet },
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -1,5 +1,6 @@
 #include "request/choose.h"
 #include "request/place.h"
+#include "request/proven.h"
 #include "request/verdict.h"
 
 #include <CUnit/Basic.h>
@@ -207,6 +208,64 @@
   CU_ASSERT_EQUAL (chs_choose (&query).candidates[0], plain.candidates[0]);
 }
 
+static void
+test_choose_counts_what_is_under_way (void)
+{
+  plc_engine_t engines[ENGINES];
+  const chs_engine_t details[ENGINES] = { 0 };
+  mean_table_t samples;
+  uwy_t *uwy = uwy_new ();
+  make_engines (engines, ENGINES);
+  mean_init (&samples, 1);
+  chs_query_t query = { .now_us = 1000,
+                        .engines = engines,
+                        .details = details,
+                        .engine_count = ENGINES,
+                        .service_hash = 7,
+                        .chat_hash = chat_number (1),
+                        .samples = &samples,
+                        .under_way = uwy };
+  const chs_t plain = chs_choose (&query);
+  query.tie = 1;
+  CU_ASSERT_EQUAL (chs_choose (&query).candidates[0], plain.candidates[1]);
+  query.tie = 0;
+  uwy_begin (uwy, plain.candidates[0]);
+  uwy_begin (uwy, plain.candidates[0]);
+  CU_ASSERT_EQUAL (chs_choose (&query).candidates[0], plain.candidates[1]);
+  uwy_end (uwy, plain.candidates[0]);
+  uwy_end (uwy, plain.candidates[0]);
+  CU_ASSERT_EQUAL (uwy_count (uwy, plain.candidates[0]), 0);
+  CU_ASSERT_EQUAL (chs_choose (&query).candidates[0], plain.candidates[0]);
+  const mean_sample_t busy = { .engine_hash = plain.candidates[1], .load = 5, .taken_us = 900 };
+  mean_add (&samples, &busy);
+  uwy_begin (uwy, plain.candidates[0]);
+  /* Of the first nothing was heard, so the two are compared by what is under way. */
+  CU_ASSERT_EQUAL (chs_choose (&query).candidates[0], plain.candidates[1]);
+  const mean_sample_t idle = { .engine_hash = plain.candidates[0], .taken_us = 900 };
+  mean_add (&samples, &idle);
+  CU_ASSERT_EQUAL (chs_choose (&query).candidates[0], plain.candidates[0]);
+  uwy_free (uwy);
+}
+
+static void
+test_proven_lasts_until_forgotten (void)
+{
+  prv_t *prv = prv_new (4, 100);
+  CU_ASSERT_FALSE (prv_has (prv, 50, 0));
+  prv_answered (prv, 50, 8);
+  CU_ASSERT_TRUE (prv_has (prv, 149, 8));
+  CU_ASSERT_FALSE (prv_has (prv, 150, 8));
+  CU_ASSERT_FALSE (prv_has (prv, 50, 4));
+  prv_forget (prv, 4);
+  CU_ASSERT_TRUE (prv_has (prv, 50, 8));
+  prv_forget (prv, 8);
+  CU_ASSERT_FALSE (prv_has (prv, 50, 8));
+  prv_answered (prv, 50, 8);
+  prv_answered (prv, 50, 4);
+  CU_ASSERT_FALSE (prv_has (prv, 50, 8));
+  prv_free (prv);
+}
+
 static void
 test_verdict_words (void)
 {
@@ -232,6 +291,8 @@
   CU_add_test (suite, "chats of two accounts differ", test_chats_of_accounts_differ);
   CU_add_test (suite, "choice skips and puts off", test_choose_skips_and_puts_off);
   CU_add_test (suite, "choice evens out the load", test_choose_evens_out_without_a_chat);
+  CU_add_test (suite, "choice counts what is under way", test_choose_counts_what_is_under_way);
+  CU_add_test (suite, "proven lasts until forgotten", test_proven_lasts_until_forgotten);
   CU_add_test (suite, "words of verdicts and reasons", test_verdict_words);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
