--- a/Makefile
+++ b/Makefile
@@ -81,9 +81,14 @@
 	cppcheck --quiet --error-exitcode=1 --enable=warning,portability --inline-suppr \
 	  --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches --suppress=varFuncNullUB -DTAILQ_FOREACH=for -Isrc $(filter %.c,$(CSRC))
 
+TIDYSRC := $(filter-out src/proto/%,$(wildcard src/*/*.c ctl/*.c standin/*.c))
+tidy:
+	printf '%s\n' $(TIDYSRC) | xargs -P 4 -I{} clang-tidy --quiet {} -- \
+	  -std=gnu11 -Isrc -I. $(shell pkg-config --cflags $(PKGS)) 2>/dev/null
+
 clean:
 	rm -rf build build-san
 
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
-.PHONY: all unit sessions check demo format lint clean
+.PHONY: all unit sessions check demo format lint tidy clean
 .SECONDARY:
--- a/install-packages.sh
+++ b/install-packages.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs what the build, the tests and the lint need; does nothing when all is there.
 set -eu
-packages="gcc make pkg-config libevent-dev libtirpc-dev libglib2.0-dev libjansson-dev libcunit1-dev libxxhash-dev clang-format cppcheck curl"
+packages="gcc make pkg-config libevent-dev libtirpc-dev libglib2.0-dev libjansson-dev libcunit1-dev libxxhash-dev clang-format clang-tidy cppcheck curl"
 missing=""
 for p in $packages; do
   dpkg-query -W -f='${Status}' "$p" 2>/dev/null | grep -q 'install ok installed' || missing="$missing $p"
