Leave engines that take no work out of the mean; test that suspects are kept apart

When an engine crashed, its sidecar told a load of zero with its last answers. Counted as idle, it lowered the mean and so the bound of the engines that had to carry its share: with one of three gone and four requests on the others, both that were tried again were refused. A sidecar without an engine, leaving or just woken now tells no load, and a router forgets the one that it knew.

Decisions of sidecars carry load, waiting and bound as fields of their own.

--- a/src/request/decision.c
+++ b/src/request/decision.c
@@ -23,21 +23,35 @@
   return left[0] == right[0] && ((left[1] ^ right[1]) & ~HOP_MASK) == 0;
 }
 
+/* add_engine() - what a sidecar saw of its engine */
+static void
+add_engine (json_t *json, const dcn_t *decision)
+{
+  json_object_set_new (json, "load", json_integer (decision->load));
+  json_object_set_new (json, "waiting", json_integer (decision->waiting));
+  json_object_set_new (json, "bound_milli", json_integer ((json_int_t)decision->bound_milli));
+}
+
 static json_t *
 to_json (const dcn_t *decision)
 {
   char attempt[33];
   char chat[17];
+  json_t *json;
 
   hop_attempt_text (decision->request, attempt);
   snprintf (chat, sizeof chat, "%016" PRIx64, decision->chat_hash);
-  return json_pack ("{s:s,s:I,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:I}", "attempt", attempt,
+  json = json_pack ("{s:s,s:I,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:I}", "attempt", attempt,
                     "wall_ms", (json_int_t)decision->wall_ms, "action", decision->action, "chat",
                     chat, "account", decision->account, "service", decision->service, "class",
-                    decision->class_name, "candidates", decision->candidates, "chosen",
-                    decision->chosen, "reason", vrd_reason_name (decision->reason), "verdict",
-                    vrd_name (decision->verdict), "hop", (int)decision->hop, "wait_us",
-                    (json_int_t)decision->wait_us);
+                    decision->class_name, "chosen", decision->chosen, "reason",
+                    vrd_reason_name (decision->reason), "verdict", vrd_name (decision->verdict),
+                    "hop", (int)decision->hop, "wait_us", (json_int_t)decision->wait_us);
+  if (decision->at_engine)
+    add_engine (json, decision);
+  else
+    json_object_set_new (json, "candidates", json_string (decision->candidates));
+  return json;
 }
 
 dcn_ring_t *
@@ -67,10 +81,13 @@
   hop_attempt_text (decision->request, attempt);
   log_event (LOG_LEVEL_INFO, event, "request", attempt, "action", decision->action, "chat",
              LOG_HEX (decision->chat_hash), "account", decision->account, "service",
-             decision->service, "class", decision->class_name, "candidates", decision->candidates,
-             "chosen", decision->chosen, "reason", vrd_reason_name (decision->reason), "verdict",
-             vrd_name (decision->verdict), "hop", LOG_U64 (decision->hop), "wait_us",
-             LOG_U64 (decision->wait_us), NULL);
+             decision->service, "class", decision->class_name, "candidates",
+             decision->at_engine ? NULL : decision->candidates, "chosen", decision->chosen,
+             "reason", vrd_reason_name (decision->reason), "verdict", vrd_name (decision->verdict),
+             "hop", LOG_U64 (decision->hop), "wait_us", LOG_U64 (decision->wait_us), "load",
+             decision->at_engine ? LOG_U64 (decision->load) : NULL, "waiting",
+             decision->at_engine ? LOG_U64 (decision->waiting) : NULL, "bound_milli",
+             decision->at_engine ? LOG_U64 (decision->bound_milli) : NULL, NULL);
   ring->decisions[ring->next] = *decision;
   ring->next = (ring->next + 1) % ring->limit;
   ring->count = MIN (ring->count + 1, ring->limit);
--- a/src/request/decision.h
+++ b/src/request/decision.h
@@ -20,7 +20,8 @@
  * struct dcn - one decision
  * @request: attempt id whose lowest byte is left out when asked for: it counts the hops
  * @action: "send", "wait", "refuse", "answer" and so on
- * @candidates: names, comma-separated, best first; cut when too long
+ * @candidates: of a router: names, comma-separated, best first; cut when too long
+ * @at_engine: of a sidecar, with @load, @waiting and @bound_milli of its engine at that time
  * @wait_us: since the request arrived here
  */
 typedef struct
@@ -38,6 +39,10 @@
   vrd_reason_t reason;
   uint32_t hop;
   uint64_t wait_us;
+  bool at_engine;
+  uint32_t load;
+  uint32_t waiting;
+  uint64_t bound_milli;
 } dcn_t;
 
 typedef struct dcn_ring dcn_ring_t;
--- a/src/request/router_hop.c
+++ b/src/request/router_hop.c
@@ -70,8 +70,13 @@
   mean_table_t *table = g_hash_table_lookup (rtr->samples, &call->service->hash);
   hop_sample_t load;
 
-  if (table == NULL || !hop_load_read (text, &load))
+  if (table == NULL)
     return;
+  if (!hop_load_read (text, &load))
+    {
+      mean_forget (table, call->att.last_engine); /* it takes no work now */
+      return;
+    }
   mean_add (table, &(mean_sample_t){ .engine_hash = call->att.last_engine,
                                      .service_hash = call->service->hash,
                                      .load = load.load,
--- a/src/request/sidecar.c
+++ b/src/request/sidecar.c
@@ -108,6 +108,12 @@
   return ops_draining (sdc->ops) || (own != NULL && own->state != MEM_LIVE);
 }
 
+bool
+sdc_takes_work (const sdc_t *sdc)
+{
+  return sdc->service != NULL && sdc->engine_up && !is_leaving (sdc) && !ops_stale (sdc->ops);
+}
+
 static void
 changed (void *context)
 {
@@ -142,7 +148,7 @@
 {
   msg_samples_t *message;
 
-  if (sdc->service == NULL)
+  if (!sdc_takes_work (sdc))
     return;
   message = msg_new (MSG_OWN_SAMPLE);
   message->count = 1;
--- a/src/request/sidecar_call.c
+++ b/src/request/sidecar_call.c
@@ -15,25 +15,31 @@
                      .verdict = verdict,
                      .reason = reason,
                      .hop = (uint32_t)(call->hop.attempt[1] & 0xff),
-                     .wait_us = ops_now_us (sdc->ops) - call->arrived_us };
+                     .wait_us = ops_now_us (sdc->ops) - call->arrived_us,
+                     .at_engine = true,
+                     .load = adm_load (sdc->adm),
+                     .waiting = adm_waiting (sdc->adm),
+                     .bound_milli = adm_bound_milli (sdc->adm, ops_now_us (sdc->ops)) };
 
   g_strlcpy (decision.account, call->hop.account, sizeof decision.account);
   g_strlcpy (decision.service, call->hop.service, sizeof decision.service);
   g_strlcpy (decision.class_name, call->hop.class_name, sizeof decision.class_name);
   g_strlcpy (decision.chosen, sdc->dmn->set.name, sizeof decision.chosen);
-  snprintf (decision.candidates, sizeof decision.candidates,
-            "load:%" PRIu32 " waiting:%" PRIu32 " bound_milli:%" PRIu64, adm_load (sdc->adm),
-            adm_waiting (sdc->adm), adm_bound_milli (sdc->adm, ops_now_us (sdc->ops)));
   dcn_note (ops_decisions (sdc->ops), "place", &decision);
 }
 
-void
+bool
 sdc_load_text (const sdc_t *sdc, char out[48])
 {
   mean_sample_t own = adm_sample (sdc->adm, ops_now_us (sdc->ops));
 
+  /* The load of an engine that takes no work is no part of the mean: counted as idle, it would
+   * lower the bound of those that have to carry its share. */
+  if (!sdc_takes_work (sdc))
+    return false;
   hop_load_write (&(hop_sample_t){ .load = own.load, .waiting = own.waiting, .cost = own.cost },
                   out);
+  return true;
 }
 
 void
@@ -41,8 +47,8 @@
 {
   char load[48];
 
-  sdc_load_text (sdc, load);
-  hsv_add_header (in, HOP_LOAD_HEADER, load);
+  if (sdc_load_text (sdc, load))
+    hsv_add_header (in, HOP_LOAD_HEADER, load);
   hsv_add_header (in, HOP_ATTEMPT_HEADER, attempt_text);
   hsv_add_header (in, HOP_ENGINE_HEADER, sdc->dmn->set.name);
   hsv_add_header (in, HOP_INCARNATION_HEADER, sdc->incarnation_text);
--- a/src/request/sidecar_engine.c
+++ b/src/request/sidecar_engine.c
@@ -21,8 +21,8 @@
 {
   char load[48];
 
-  sdc_load_text (call->sdc, load);
-  rly_add_header (&call->rly, HOP_LOAD_HEADER, load);
+  if (sdc_load_text (call->sdc, load))
+    rly_add_header (&call->rly, HOP_LOAD_HEADER, load);
 }
 
 static bool
--- a/src/request/sidecar_private.h
+++ b/src/request/sidecar_private.h
@@ -124,8 +124,11 @@
 
 /** sdc_identify() - the headers that every answer of a sidecar carries */
 void sdc_identify (const sdc_t *sdc, hsv_call_t *in, const char *attempt_text);
-/** sdc_load_text() - the own load, for HOP_LOAD_HEADER */
-void sdc_load_text (const sdc_t *sdc, char out[48]);
+/** sdc_load_text() - the own load, for HOP_LOAD_HEADER. Return: false while no work is taken here
+ */
+bool sdc_load_text (const sdc_t *sdc, char out[48]);
+/** sdc_takes_work() - not without an engine, when leaving or after a pause */
+bool sdc_takes_work (const sdc_t *sdc);
 /** sdc_call_offer() - the request was read: admit, queue or refuse it */
 void sdc_call_offer (sdc_call_t *call);
 /** sdc_call_refuse() - answer with a certain refusal and free the call; not while it waits or runs
--- a/tests/path_fleet.c
+++ b/tests/path_fleet.c
@@ -124,15 +124,19 @@
   stream_on (engine);
 }
 
+void
+pfl_crash (pfl_engine_t *engine)
+{
+  g_ptr_array_set_size (engine->held, 0);
+  g_clear_pointer (&engine->hsv, hsv_free);
+}
+
 static void
 crash (evutil_socket_t fd, short what, void *context)
 {
-  pfl_engine_t *engine = context;
-
   (void)fd;
   (void)what;
-  g_ptr_array_set_size (engine->held, 0);
-  g_clear_pointer (&engine->hsv, hsv_free);
+  pfl_crash (context);
 }
 
 static void
--- a/tests/path_fleet.h
+++ b/tests/path_fleet.h
@@ -127,6 +127,8 @@
 void pfl_release (pfl_engine_t *engine);
 /** pfl_black_hole() - a socket whose connections nobody serves, as of a frozen process */
 evutil_socket_t pfl_black_hole (set_address_t *address);
+/** pfl_crash() - an engine, with all that hangs there */
+void pfl_crash (pfl_engine_t *engine);
 /** pfl_start_engine() - again after a crash */
 void pfl_start_engine (pfl_engine_t *engine);
 
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -312,6 +312,64 @@
   pfl_clear (&fleet);
 }
 
+#define FEW 6
+
+static bool
+few_held (void *context)
+{
+  const pfl_t *fleet = context;
+  uint32_t held = 0;
+
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    held += fleet->engines[i].held->len;
+  return held == FEW;
+}
+
+typedef struct
+{
+  const pfl_t *fleet;
+  uint32_t before[PFL_SIDECARS];
+} moved_t;
+
+static bool
+one_moved_to_each (void *context)
+{
+  const moved_t *moved = context;
+
+  return moved->fleet->engines[1].held->len == moved->before[1] + 1 &&
+         moved->fleet->engines[2].held->len == moved->before[2] + 1;
+}
+
+/* Some lookups run on an engine when it crashes; one of them did it, and nobody knows which. They
+ * are tried again, but never two on one engine: a second crash there would refuse the innocent one
+ * for good as well. One that finds no engine of its own hears when to come back. */
+static void
+keeps_suspects_apart (void)
+{
+  pfl_t fleet;
+  moved_t moved = { .fleet = &fleet };
+  pfl_answer_t answers[FEW];
+  char chats[FEW][8];
+
+  pfl_init (&fleet);
+  pfl_set_all (&fleet, PFL_HANG);
+  for (uint32_t i = 0; i < FEW; i++)
+    {
+      g_snprintf (chats[i], sizeof chats[i], "q%u", i);
+      pfl_send (&fleet, &(pfl_request_t){ .path = TALK.path, .body = TALK.body, .chat = chats[i] },
+                &answers[i]);
+    }
+  CU_ASSERT_TRUE (pfl_until (&fleet, few_held, &fleet));
+  CU_ASSERT_TRUE (fleet.engines[0].held->len >= 2);
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    moved.before[i] = fleet.engines[i].held->len;
+  pfl_crash (&fleet.engines[0]);
+  CU_ASSERT_TRUE (pfl_until (&fleet, one_moved_to_each, &moved));
+  for (uint32_t i = 0; i < FEW; i++)
+    pfl_answer_clear (&answers[i]);
+  pfl_clear (&fleet);
+}
+
 static bool
 one_gone (void *context)
 {
@@ -597,6 +655,7 @@
                           { "never ends a cut stream", never_ends_a_cut_stream },
                           { "loses two engines at most", loses_two_engines_at_most },
                           { "loses two engines to resends", loses_two_engines_to_resends },
+                          { "keeps suspects apart", keeps_suspects_apart },
                           { "cancels for a caller that left", cancels_for_a_caller_that_left },
                           { "lets a booking finish", lets_a_booking_finish },
                           { "refuses keys while the log is out",
