Give the byte budget of control traffic a module of its own

The token bucket was part of the UDP socket's file, so nothing could keep to the same budget without a socket. It is a pure state machine now; exchange.c only logs and counts what it holds back. No change of behaviour.

--- /dev/null
+++ b/src/connection/budget.c
@@ -0,0 +1,56 @@
+#include "connection/budget.h"
+
+#include "process/clock.h"
+#include "process/limits.h"
+
+#include <glib.h>
+
+#define FILL_US (UINT64_C (10) * CLK_US_PER_S) /* after which a bucket is full in any case */
+
+static int64_t
+full (const bdg_t *bdg)
+{
+  return MAX (bdg->rate_bytes, LIM_DATAGRAM_BYTES + BDG_HEADER_BYTES);
+}
+
+static void
+refill (bdg_t *bdg, uint64_t now_us)
+{
+  uint64_t waited_us = MIN (now_us - bdg->filled_us, FILL_US);
+  int64_t gained_bytes = (int64_t)(waited_us * bdg->rate_bytes / CLK_US_PER_S);
+  if (gained_bytes == 0)
+    return; /* else a bucket that is asked often would lose what is less than a byte */
+  bdg->tokens_bytes = MIN (bdg->tokens_bytes + gained_bytes, full (bdg));
+  bdg->filled_us = now_us;
+}
+
+void
+bdg_init (bdg_t *bdg, uint32_t rate_bytes, uint64_t now_us)
+{
+  bdg->rate_bytes = rate_bytes;
+  bdg->tokens_bytes = full (bdg);
+  bdg->filled_us = now_us;
+}
+
+bool
+bdg_has (bdg_t *bdg, uint64_t now_us, uint32_t bytes)
+{
+  refill (bdg, now_us);
+  return bdg->tokens_bytes >= (int64_t)bytes;
+}
+
+bool
+bdg_take (bdg_t *bdg, uint64_t now_us, uint32_t bytes)
+{
+  if (!bdg_has (bdg, now_us, bytes))
+    return false;
+  bdg->tokens_bytes -= bytes;
+  return true;
+}
+
+void
+bdg_charge (bdg_t *bdg, uint64_t now_us, uint32_t bytes)
+{
+  refill (bdg, now_us);
+  bdg->tokens_bytes = MAX (bdg->tokens_bytes - bytes, -(int64_t)bdg->rate_bytes);
+}
--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -13,7 +13,6 @@
 
 #define OPEN_CALLS 16
 #define READS_PER_EVENT 64
-#define FILL_US (UINT64_C (10) * CLK_US_PER_S) /* after which a bucket is full in any case */
 #define FLUSH_READS 4096
 #define BUDGET_LOG_US (UINT64_C (10) * CLK_US_PER_S)
 
@@ -25,15 +24,6 @@
   edp_t peer;
 } open_call_t;
 
-/** struct bucket - token bucket of bytes, which holds one second's worth */
-typedef struct
-{
-  int64_t tokens_bytes;
-  uint64_t filled_us;
-  uint64_t logged_us;
-  uint64_t held_back;
-} bucket_t;
-
 /** struct counts - counters of the control traffic */
 typedef struct
 {
@@ -59,64 +49,40 @@
   uint32_t next_xid;
   open_call_t calls[OPEN_CALLS];
   uint32_t next_call;
-  bucket_t bucket;
+  bdg_t budget;
+  uint64_t held_back; /* since @held_back_logged_us */
+  uint64_t held_back_logged_us;
   counts_t counts;
 };
 
-/* One second's worth, but room for a whole datagram, or a small budget could never send one. */
-static int64_t
-full_bucket (const exc_t *exc)
-{
-  return MAX (exc->options.budget_bytes, LIM_DATAGRAM_BYTES + EXC_HEADER_BYTES);
-}
-
-static void
-refill (exc_t *exc)
-{
-  bucket_t *bucket = &exc->bucket;
-  int64_t full_bytes = full_bucket (exc);
-  uint64_t now_us = clk_now_us (exc->options.clk);
-  uint64_t waited_us = MIN (now_us - bucket->filled_us, FILL_US);
-  int64_t gained_bytes = (int64_t)(waited_us * exc->options.budget_bytes / CLK_US_PER_S);
-  if (gained_bytes == 0)
-    return; /* else a bucket that is asked often would lose what is less than a byte */
-  bucket->tokens_bytes = MIN (bucket->tokens_bytes + gained_bytes, full_bytes);
-  bucket->filled_us = now_us;
-}
-
 static void
 tell_held_back (exc_t *exc)
 {
-  bucket_t *bucket = &exc->bucket;
   uint64_t now_us = clk_now_us (exc->options.clk);
-  bucket->held_back++;
+  exc->held_back++;
   cnt_add (exc->counts.over_budget, 1);
-  if (bucket->logged_us != 0 && now_us - bucket->logged_us < BUDGET_LOG_US)
+  if (exc->held_back_logged_us != 0 && now_us - exc->held_back_logged_us < BUDGET_LOG_US)
     return;
   log_event (LOG_LEVEL_WARNING, "control_budget_reached", "budget_bytes_s",
-             LOG_U64 (exc->options.budget_bytes), "datagrams_held_back",
-             LOG_U64 (bucket->held_back), NULL);
-  bucket->logged_us = now_us;
-  bucket->held_back = 0;
+             LOG_U64 (exc->options.budget_bytes), "datagrams_held_back", LOG_U64 (exc->held_back),
+             NULL);
+  exc->held_back_logged_us = now_us;
+  exc->held_back = 0;
 }
 
 static bool
 take_budget (exc_t *exc, uint32_t bytes)
 {
-  refill (exc);
-  if (exc->bucket.tokens_bytes < (int64_t)bytes)
-    {
-      tell_held_back (exc);
-      return false;
-    }
-  exc->bucket.tokens_bytes -= bytes;
-  return true;
+  if (bdg_take (&exc->budget, clk_now_us (exc->options.clk), bytes))
+    return true;
+  tell_held_back (exc);
+  return false;
 }
 
 static bool
 send_bytes (exc_t *exc, const char *bytes, size_t count, const edp_t *peer)
 {
-  uint32_t on_wire_bytes = (uint32_t)count + EXC_HEADER_BYTES;
+  uint32_t on_wire_bytes = (uint32_t)count + BDG_HEADER_BYTES;
   if (!take_budget (exc, on_wire_bytes))
     return false;
   ssize_t sent =
@@ -195,7 +161,7 @@
 take_datagram (exc_t *exc, const char *datagram, size_t bytes, const edp_t *peer)
 {
   cnt_add (exc->counts.received, 1);
-  cnt_add (exc->counts.bytes_received, bytes + EXC_HEADER_BYTES);
+  cnt_add (exc->counts.bytes_received, bytes + BDG_HEADER_BYTES);
   uint32_t xid = 0;
   bool is_reply = false;
   xch_message message;
@@ -317,8 +283,7 @@
   exc->socket = -1;
   exc->rand = g_rand_new_with_seed ((guint32)(options->seed ^ (options->seed >> 32)));
   exc->next_xid = g_rand_int (exc->rand);
-  exc->bucket.tokens_bytes = full_bucket (exc);
-  exc->bucket.filled_us = clk_now_us (options->clk);
+  bdg_init (&exc->budget, options->budget_bytes, clk_now_us (options->clk));
   get_counters (&exc->counts, options->counters);
   if (!open_socket (exc, error))
     {
@@ -368,10 +333,7 @@
 void
 exc_charge (exc_t *exc, uint32_t bytes)
 {
-  refill (exc);
-  /* A debt of one second at most: traffic that cannot be held back must not silence the rest. */
-  int64_t floor_bytes = -(int64_t)exc->options.budget_bytes;
-  exc->bucket.tokens_bytes = MAX (exc->bucket.tokens_bytes - bytes, floor_bytes);
+  bdg_charge (&exc->budget, clk_now_us (exc->options.clk), bytes);
   cnt_add (exc->counts.bytes_sent, bytes);
 }
 
--- a/src/connection/exchange.h
+++ b/src/connection/exchange.h
@@ -12,6 +12,7 @@
 #ifndef CONNECTION_EXCHANGE_H
 #define CONNECTION_EXCHANGE_H
 
+#include "connection/budget.h"
 #include "connection/wire.h"
 #include "process/clock.h"
 #include "process/counters.h"
@@ -20,8 +21,6 @@
 #include <event2/event.h>
 #include <glib.h>
 
-#define EXC_HEADER_BYTES 28 /* of IPv4 and UDP: on the wire, so in the budget */
-
 /**
  * struct exc_options - options of exc_new()
  * @seed: for xids and the jitter of the interval
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -311,7 +311,7 @@
   CU_ASSERT_TRUE (a.replies >= 3);
   CU_ASSERT_EQUAL (a.calls + b.replies, 0);
   CU_ASSERT_EQUAL (counted (&a, "medlarplank_control_bytes_received_total"),
-                   counted (&a, RECEIVED) * (EMPTY_REPLY_BYTES + EXC_HEADER_BYTES));
+                   counted (&a, RECEIVED) * (EMPTY_REPLY_BYTES + BDG_HEADER_BYTES));
   node_clear (&a);
   node_clear (&b);
   event_base_free (base);
