Revoke an attempt where it was sent, not where the host is now

A host that is replaced keeps its name. A router may hear of the successor's incarnation by the exchange while its list still tells the predecessor's address: a booking goes to the predecessor, with the successor's incarnation noted. When the predecessor passes it on and dies, and the list then tells the new address, the revoke went to the successor, which answered truthfully that it never saw the attempt, under the very incarnation that was noted. The router took that for not run and sent the booking to another engine: it ran twice.

Ruled out: to compare addresses and give up, as the predecessor may still be there to answer. The revoke now goes to the address of the hop, where either the process that got the attempt answers, or one with another incarnation, or nobody.

The new test fails without the change (the booking runs on a second engine).

--- a/src/request/router_hop.c
+++ b/src/request/router_hop.c
@@ -282,6 +282,7 @@
   options.header_count = call->header_count + hop_count;
   memset (&call->answer, 0, sizeof call->answer);
   call->sent_us = now_us;
+  call->sent_to = host->http;
   call->sent_incarnation = rtr_incarnation (rtr, host->hash);
   hlt_usable (rtr->hlt, now_us, host->hash); /* this may be its one probe */
   cnt_add (rtr->hops, 1);
--- a/src/request/router_private.h
+++ b/src/request/router_private.h
@@ -149,6 +149,7 @@
   uint64_t deadline_us;
   uint64_t sent_us;
   uint64_t sent_incarnation; /* of the sidecar asked last, 0 when not known */
+  set_address_t sent_to;     /* where the last hop went, whatever the list says by now */
   vrd_t revoke_verdict;
   bool timed_out;
   bool gone;
--- a/src/request/router_tell.c
+++ b/src/request/router_tell.c
@@ -8,7 +8,11 @@
 #define TARGET_BYTES 160
 
 static hcl_call_t *
-post_order (rtr_t *rtr, const mem_host_t *host, const char *target, const hcl_options_t *handlers)
+post_order (rtr_t *rtr,
+            const mem_host_t *host,
+            const set_address_t *address,
+            const char *target,
+            const hcl_options_t *handlers)
 {
   char seal[ORD_SEAL_BYTES];
   hcl_header_t header = { .name = ORD_SEAL_HEADER, .value = seal };
@@ -16,7 +20,7 @@
 
   ord_seal (&(ord_t){ .host = host->name, .method = "POST", .target = target },
             rtr->dmn->set.fleet_key, seal);
-  options.address = &host->http;
+  options.address = address;
   options.method = "POST";
   options.target = target;
   options.headers = &header;
@@ -80,6 +84,10 @@
   rtr_call_step (call, step);
 }
 
+/* A revoke goes where the hop went. A host that is replaced keeps its name: the router may hear of
+ * the successor before the list tells its address, send to the predecessor and ask the successor,
+ * whose "never seen" would be believed, as the incarnation is the one that was known. A predecessor
+ * that still listens there answers with another incarnation. */
 static void
 revoke_target (const rtr_call_t *call, char out[TARGET_BYTES])
 {
@@ -102,7 +110,7 @@
   revoke_target (call, target);
   call->revoke_verdict = VRD_MAY_HAVE_RUN;
   cnt_add (call->rtr->revokes, 1);
-  call->aside = post_order (call->rtr, host, target, &handlers);
+  call->aside = post_order (call->rtr, host, &call->sent_to, target, &handlers);
 }
 
 void
@@ -115,7 +123,7 @@
     return;
   revoke_target (call, target);
   cnt_add (call->rtr->revokes, 1);
-  post_order (call->rtr, host, target, &UNHEARD);
+  post_order (call->rtr, host, &call->sent_to, target, &UNHEARD);
 }
 
 void
@@ -145,5 +153,5 @@
   g_snprintf (target, sizeof target, "%s?chat=%016" PRIx64 "&engine=%016" PRIx64, HOP_SERVED_PATH,
               chat_hash, engine_hash);
   cnt_add (rtr->told_count, 1);
-  post_order (rtr, home, target, &UNHEARD);
+  post_order (rtr, home, &home->http, target, &UNHEARD);
 }
--- a/tests/test_path_lost.c
+++ b/tests/test_path_lost.c
@@ -8,10 +8,13 @@
 static const pfl_request_t BOOK = { .path = "/book", .body = "lot 7" };
 static const pfl_request_t LOOK = { .path = "/look" };
 
-/** struct fake - a sidecar whose connections break, and which answers revokes as it is told */
+/** struct fake - a sidecar whose connections break, and which answers revokes as it is told
+ * @moved: when a request has come, the list tells @moved_to as the address of this host */
 typedef struct
 {
   hsv_t *hsv;
+  mem_host_t *moved;
+  set_address_t moved_to;
   const char *verdict;
   const char *incarnation;
   uint32_t requests;
@@ -26,6 +29,8 @@
   if (strcmp (hsv_path (call), HOP_REVOKE_PATH) != 0)
     {
       fake->requests++;
+      if (fake->moved != NULL)
+        fake->moved->http = fake->moved_to;
       hsv_abort (call);
       return;
     }
@@ -35,13 +40,12 @@
   hsv_reply_text (call, 200, "text/plain", "");
 }
 
-/* stand_in() - the first engine that the router would ask for a booking is behind the fake */
-static uint32_t
-stand_in (pfl_t *fleet, fake_t *fake)
+static void
+listen_as (pfl_t *fleet, fake_t *fake, uint32_t last)
 {
   hsv_options_t options = { .base = fleet->base,
                             .counters = fleet->counters,
-                            .listen = pfl_address (60),
+                            .listen = pfl_address (last),
                             .body_limit_bytes = 1 << 20,
                             .header_limit_bytes = 1 << 16,
                             .header_limit_count = 100,
@@ -49,14 +53,22 @@
                             .idle_timeout_ms = 10000,
                             .on_call = on_call,
                             .context = fake };
+
+  fake->hsv = hsv_new (&options, NULL);
+}
+
+/* stand_in() - the first engine that the router would ask for a booking is behind the fake */
+static uint32_t
+stand_in (pfl_t *fleet, fake_t *fake)
+{
   pfl_answer_t answer;
   uint32_t first;
 
   pfl_ask (fleet, &BOOK, &answer);
   first = pfl_engine_named (&answer);
   pfl_answer_clear (&answer);
-  fake->hsv = hsv_new (&options, NULL);
-  fleet->hosts[first].http = options.listen;
+  listen_as (fleet, fake, 60);
+  fleet->hosts[first].http = pfl_address (60);
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
     fleet->engines[i].run_count = 0;
   return first;
@@ -113,6 +125,36 @@
   pfl_clear (&fleet);
 }
 
+/* A host is replaced under its name. The router has heard of the successor, but its list still has
+ * the predecessor's address: the booking goes there, is passed on, and the predecessor dies. Then
+ * the list tells the new address, where the successor truly never saw the attempt. That must not
+ * count, or the booking runs twice. */
+static void
+asks_where_it_sent (void)
+{
+  pfl_t fleet;
+  fake_t predecessor = { .verdict = "may_have_run", .incarnation = "7" };
+  fake_t successor = { .verdict = "not_run" };
+  char incarnation[16];
+  uint32_t first;
+
+  pfl_init (&fleet);
+  first = stand_in (&fleet, &predecessor);
+  g_snprintf (incarnation, sizeof incarnation, "%u", 1000 + first);
+  successor.incarnation = incarnation;
+  listen_as (&fleet, &successor, 61);
+  predecessor.moved = &fleet.hosts[first];
+  predecessor.moved_to = pfl_address (61);
+  ask (&fleet, &BOOK, 502, "may_have_run");
+  CU_ASSERT_EQUAL (predecessor.requests, 1);
+  CU_ASSERT_EQUAL (predecessor.revokes, 1);
+  CU_ASSERT_EQUAL (successor.revokes, 0);
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
+  hsv_free (predecessor.hsv);
+  hsv_free (successor.hsv);
+  pfl_clear (&fleet);
+}
+
 /* The sidecar had passed the booking on: nobody can tell what became of it, and it is not tried
  * elsewhere. A lookup is. */
 static void
@@ -157,6 +199,7 @@
 {
   CU_TestInfo tests[] = { { "goes on after not run", goes_on_after_not_run },
                           { "believes no successor", believes_no_successor },
+                          { "asks where it sent", asks_where_it_sent },
                           { "moves only lookups after may have run",
                             moves_only_lookups_after_may_have_run },
                           { "skips a host that refuses", skips_a_host_that_refuses },
