Start nothing on a host that left, or serves something else, meanwhile

A keyed booking is admitted first and then waits for the log to judge its claim, for as long as its deadline when the log is slow. The grant was checked for a pause and the deadline, but not for the host's own state: a host that had begun to leave seconds before still passed the booking to its engine. Likewise a request that waited in the sidecar's queue was dispatched when a new version had given the engine to another service meanwhile.

Both are looked at again at the last moment now, by one function: stale, leaving, or another service. The request goes back as not run, its claim is released, and the router asks the next engine.

--- a/src/request/sidecar.c
+++ b/src/request/sidecar.c
@@ -114,6 +114,20 @@
   return sdc->service != NULL && sdc->engine_up && !is_leaving (sdc) && !ops_stale (sdc->ops);
 }
 
+vrd_reason_t
+sdc_closed (const sdc_call_t *call)
+{
+  const sdc_t *sdc = call->sdc;
+
+  if (ops_stale (sdc->ops))
+    return VRD_REASON_STALE;
+  if (is_leaving (sdc))
+    return VRD_REASON_LEAVING;
+  if (sdc->service == NULL || strcmp (sdc->service->name, call->hop.service) != 0)
+    return VRD_REASON_WRONG_SERVICE;
+  return VRD_REASON_NONE;
+}
+
 static void
 changed (void *context)
 {
--- a/src/request/sidecar_call.c
+++ b/src/request/sidecar_call.c
@@ -182,10 +182,17 @@
   sdc_call_free (call);
 }
 
-/* run() - it was admitted */
+/* run() - it was admitted; if it has waited, the engine may serve another service by now */
 static void
 run (sdc_call_t *call)
 {
+  vrd_reason_t reason = sdc_closed (call);
+
+  if (reason != VRD_REASON_NONE)
+    {
+      sdc_call_give_back (call, reason, VRD_NOT_RUN);
+      return;
+    }
   call->state = SDC_RUNNING;
   if (call->hop.key_hash[1] != 0)
     sdc_claim_start (call);
--- a/src/request/sidecar_claim.c
+++ b/src/request/sidecar_claim.c
@@ -59,16 +59,15 @@
 }
 
 /* granted() - checked once more at the last moment: the result may have lain in the mailbox while
- * this process was paused */
+ * this process was paused, and while a slow log judged the claim the host may have begun to leave
+ */
 static void
 granted (sdc_call_t *call)
 {
   sdc_t *sdc = call->sdc;
-  vrd_reason_t reason = VRD_REASON_NONE;
+  vrd_reason_t reason = sdc_closed (call);
 
-  if (ops_stale (sdc->ops))
-    reason = VRD_REASON_STALE;
-  else if (ops_now_us (sdc->ops) >= call->deadline_us)
+  if (reason == VRD_REASON_NONE && ops_now_us (sdc->ops) >= call->deadline_us)
     reason = VRD_REASON_DEADLINE;
   if (reason == VRD_REASON_NONE)
     {
--- a/src/request/sidecar_private.h
+++ b/src/request/sidecar_private.h
@@ -148,6 +148,8 @@
  * what became of it */
 vrd_t sdc_call_drop (sdc_call_t *call);
 void sdc_call_note (const sdc_call_t *call, const char *action, vrd_t verdict, vrd_reason_t reason);
+/** sdc_closed() - why no work of the call's service may start here now, or VRD_REASON_NONE */
+vrd_reason_t sdc_closed (const sdc_call_t *call);
 /** sdc_pump() - refuse and dispatch waiting requests as far as they go now */
 void sdc_pump (sdc_t *sdc);
 
--- a/tests/path_fleet.c
+++ b/tests/path_fleet.c
@@ -239,7 +239,7 @@
 /* The control tasks */
 
 static void
-take_claim (pfl_daemon_t *daemon, const msg_claim_t *claim)
+judge_claim (pfl_daemon_t *daemon, const msg_claim_t *claim)
 {
   pfl_t *fleet = daemon->fleet;
   msg_claim_result_t *answer = msg_new (MSG_CLAIM_RESULT);
@@ -259,6 +259,27 @@
   mbx_send (daemon->dmn.to_data, &answer->head);
 }
 
+static void
+take_claim (pfl_daemon_t *daemon, const msg_claim_t *claim)
+{
+  pfl_t *fleet = daemon->fleet;
+
+  if (!fleet->log_slow)
+    {
+      judge_claim (daemon, claim);
+      return;
+    }
+  fleet->held_claim = *claim;
+  fleet->held_by = daemon;
+}
+
+void
+pfl_judge (pfl_t *fleet)
+{
+  fleet->log_slow = false;
+  judge_claim (fleet->held_by, &fleet->held_claim);
+}
+
 static void
 take_claim_end (pfl_daemon_t *daemon, const msg_claim_end_t *end)
 {
@@ -315,12 +336,28 @@
 }
 
 static void
-tell_all (pfl_daemon_t *daemon)
+tell_version (pfl_daemon_t *daemon)
 {
   msg_version_t *version = msg_new (MSG_VERSION);
 
   version->man = man_ref (daemon->fleet->man);
   mbx_send (daemon->dmn.to_data, &version->head);
+}
+
+void
+pfl_set_man (pfl_t *fleet, man_t *man)
+{
+  man_unref (fleet->man);
+  fleet->man = man;
+  tell_version (&fleet->router);
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    tell_version (&fleet->sidecars[i]);
+}
+
+static void
+tell_all (pfl_daemon_t *daemon)
+{
+  tell_version (daemon);
   tell_members (daemon->fleet, daemon);
   pfl_flag (daemon, MSG_FRESHNESS, true);
 }
--- a/tests/path_fleet.h
+++ b/tests/path_fleet.h
@@ -75,6 +75,9 @@
   cnt_set_t *counters; /* of the fakes */
   GHashTable *claims;  /* key hash -> state of the claim */
   bool log_down;
+  bool log_slow; /* claims are held until pfl_judge() */
+  msg_claim_t held_claim;
+  pfl_daemon_t *held_by; /* whose claim is held, or NULL */
   uint32_t marks;
 };
 
@@ -125,6 +128,10 @@
 void pfl_set_all (pfl_t *fleet, pfl_mode_t mode);
 /** pfl_release() - answer what hangs at an engine */
 void pfl_release (pfl_engine_t *engine);
+/** pfl_judge() - answer the claim that is held, and hold none any more */
+void pfl_judge (pfl_t *fleet);
+/** pfl_set_man() - another version is in force, told to all; takes the reference */
+void pfl_set_man (pfl_t *fleet, man_t *man);
 /** pfl_black_hole() - a socket whose connections nobody serves, as of a frozen process */
 evutil_socket_t pfl_black_hole (set_address_t *address);
 /** pfl_crash() - an engine, with all that hangs there */
