Refuse a header value with a control character at the listener

The listener took such a value, and the HTTP client refuses to send one, as a call that was never connected. The router read that as a sidecar that cannot be reached: one request of one client account counted as a failure of each host it was placed on, and two of them made the router distrust healthy hosts for the requests of all accounts, again and again with a growing back-off.

Ruled out: to strip the value, which changes the request; to tell the two failures apart in the client, as the sidecar's client towards the engine would still count one more fault. The listener answers 400, not run.

Before: three requests with a control character caused 3 hops each, all 'connect' failures of healthy hosts; now none (test, by the hops counter).

--- a/src/connection/http_server_check.c
+++ b/src/connection/http_server_check.c
@@ -107,6 +107,19 @@
     }
 }
 
+/* The HTTP client does not send such a value. A daemon that passes the request on would take that
+ * for hosts that can't be reached, and one caller could make it distrust them all. */
+static bool
+values_ok (const hsv_call_t *call)
+{
+  const struct evkeyval *header;
+
+  for (header = hsv_headers (call)->tqh_first; header; header = header->next.tqe_next)
+    if (!frm_value_ok (header->value))
+      return false;
+  return true;
+}
+
 bool
 hsv_check (hsv_call_t *call)
 {
@@ -120,6 +133,8 @@
     refusal = &large_headers;
   else if (!target_ok (call))
     refusal = &bad_target;
+  else if (!values_ok (call))
+    refusal = &bad_request;
   if (refusal)
     refuse (call, refusal);
   return refusal != NULL;
--- /dev/null
+++ b/tests/test_path_hostile.c
@@ -0,0 +1,76 @@
+#include "path_fleet.h"
+#include "raw_peer.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+static bool
+answered (void *context)
+{
+  const raw_t *raw = context;
+
+  return raw->eof || strstr (raw->got->str, "\r\n\r\n") != NULL;
+}
+
+/* send_raw() - Return: the status of the answer, 0 when the connection was closed without one */
+static int
+send_raw (pfl_t *fleet, const char *text)
+{
+  raw_t *raw = raw_connect (fleet->base, &fleet->hosts[PFL_SIDECARS].http);
+  int status = 0;
+
+  raw_send (raw, text);
+  CU_ASSERT_TRUE (pfl_until (fleet, answered, raw));
+  sscanf (raw->got->str, "HTTP/1.1 %d", &status);
+  raw_free (raw);
+  return status;
+}
+
+static uint64_t
+hops (const pfl_t *fleet)
+{
+  return cnt_value (cnt_get (fleet->router.dmn.counters, "medlarplank_hops_total", ""));
+}
+
+/* A caller sends a header with a control character, which the router cannot pass on. It took that
+ * for sidecars that could not be reached: after two such requests no host looked alive any more, to
+ * the requests of all client accounts. The listener refuses it instead. */
+static void
+a_control_character_blames_no_host (void)
+{
+  static const char *const VALUES[] = { "\x01", "a\x7f", "a\x1b[0m" };
+  pfl_t fleet;
+  uint64_t before;
+
+  pfl_init (&fleet);
+  before = hops (&fleet);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (VALUES); i++)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "GET /look HTTP/1.1\r\nHost: h\r\nX-Api-Key: " PFL_KEY "\r\nX-Note: %s\r\n\r\n",
+          VALUES[i]);
+
+      CU_ASSERT_EQUAL (send_raw (&fleet, text), 400);
+    }
+  CU_ASSERT_EQUAL (hops (&fleet), before);
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
+  pfl_clear (&fleet);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "a control character blames no host", a_control_character_blames_no_host }, CU_TEST_INFO_NULL
+  };
+  CU_SuiteInfo suites[] = { { "path hostile", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
+
+  log_init ("test-path-hostile", "test", LOG_LEVEL_DEBUG);
+  CU_initialize_registry ();
+  CU_register_suites (suites);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
