--- a/tests/test_path_hostile.c
+++ b/tests/test_path_hostile.c
@@ -57,11 +57,37 @@
   pfl_clear (&fleet);
 }
 
+/* A caller's headers are just within the router's limits, in the tightest form. What the router
+ * adds must still fit the sidecar's, or each such request would look like a sidecar that breaks
+ * off. */
+static void
+the_largest_headers_blame_no_host (void)
+{
+  pfl_t fleet;
+  GString *text = g_string_new ("GET /look HTTP/1.1\r\nX-Api-Key:" PFL_KEY "\r\n");
+
+  pfl_init (&fleet);
+  for (uint32_t i = 0; i < 9; i++)
+    {
+      g_string_append_printf (text, "X%u:", i);
+      for (uint32_t at = 0; at < 7200; at++)
+        g_string_append_c (text, 'v');
+      g_string_append (text, "\r\n");
+    }
+  g_string_append (text, "\r\n");
+  CU_ASSERT_EQUAL (send_raw (&fleet, text->str), 200);
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
+  g_string_free (text, TRUE);
+  pfl_clear (&fleet);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
-    { "a control character blames no host", a_control_character_blames_no_host }, CU_TEST_INFO_NULL
+    { "a control character blames no host", a_control_character_blames_no_host },
+    { "the largest headers blame no host", the_largest_headers_blame_no_host },
+    CU_TEST_INFO_NULL
   };
   CU_SuiteInfo suites[] = { { "path hostile", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
 
