Refuse a path that an engine may read otherwise than the router

A route is chosen by the bytes of the path and says whether a call may be repeated, but the target goes to the engine as it came. Beside a booking's route and a wildcard for lookups, "/look/../book", "/look/%2e%2e/book" or "/look;/book" was routed as a lookup that may be sent again, while an engine that tidies paths up runs the booking; behind a wildcard it also reached paths that no route opens. The headers by which some frameworks override method or path do the same.

Ruled out: to normalise the path and pass that on, as engines differ in what they undo and callers sign their targets; to check routes at publish, which would make the verdict on a manifest depend on the daemon's version. The router refuses such a path with 400 bad_target before it is placed, and does not pass those headers on.

--- a/src/request/headers.c
+++ b/src/request/headers.c
@@ -24,6 +24,11 @@
   "Authorization", "X-Api-Key", "X-Request-Id", "X-Priority", "X-Account",
 };
 
+/* Some engines obey these, and would run another call than the one that was routed and judged. */
+static const char *const OVERRIDE_HEADERS[] = {
+  "X-HTTP-Method-Override", "X-HTTP-Method", "X-Method-Override", "X-Original-URL", "X-Rewrite-URL",
+};
+
 static const char *const ENGINE_HEADERS[] = {
   "X-Request-Id",
   "Date",
@@ -49,7 +54,8 @@
 bool
 hdr_passes_on (const char *name)
 {
-  return !stays (name) && !listed (CALLER_HEADERS, G_N_ELEMENTS (CALLER_HEADERS), name);
+  return !stays (name) && !listed (CALLER_HEADERS, G_N_ELEMENTS (CALLER_HEADERS), name) &&
+         !listed (OVERRIDE_HEADERS, G_N_ELEMENTS (OVERRIDE_HEADERS), name);
 }
 
 bool
--- a/src/request/router_accept.c
+++ b/src/request/router_accept.c
@@ -4,6 +4,7 @@
 #include "request/digest.h"
 #include "request/fault.h"
 #include "request/headers.h"
+#include "request/target.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -43,6 +44,15 @@
   return fault == NULL || object (objection, 400, "bad_body", fault);
 }
 
+/* The engine must see the path that the route was chosen by: "/look/%2e%2e/book" would be sent
+ * twice as a lookup and run twice as a booking, or reach a path that no route opens. */
+static bool
+check_target (const rtr_call_t *call, objection_t *objection)
+{
+  return tgt_is_plain (call->target) ||
+         object (objection, 400, "bad_target", "the path can be read in more than one way");
+}
+
 static bool
 find_route (rtr_call_t *call, const cbd_t *chat, objection_t *objection)
 {
@@ -186,9 +196,9 @@
   call->account = ops_account (call->rtr->ops, call->in);
   if (call->account == NULL)
     return object (objection, 401, "unauthorized", "the key of a client account is needed");
-  fit = read_body (call, &chat, objection) && find_route (call, &chat, objection) &&
-        read_deadline (call, objection) && read_chat (call, &chat, objection) &&
-        read_key (call, objection);
+  fit = check_target (call, objection) && read_body (call, &chat, objection) &&
+        find_route (call, &chat, objection) && read_deadline (call, objection) &&
+        read_chat (call, &chat, objection) && read_key (call, objection);
   if (fit)
     {
       fill_hop (call, &chat);
--- a/tests/test_path_hostile.c
+++ b/tests/test_path_hostile.c
@@ -81,12 +81,34 @@
   pfl_clear (&fleet);
 }
 
+/* The booking's route says that it runs once, the lookups' wildcard that it may be repeated. A path
+ * that the engine would tidy up into the booking's must not be taken for a lookup. */
+static void
+a_disguised_booking_reaches_no_engine (void)
+{
+  static const char *const TARGETS[] = { "/look/../book", "/look/%2e%2e/book", "/look//book",
+                                         "/look;/book", "/look%2f..%2fbook" };
+  pfl_t fleet;
+
+  pfl_init (&fleet);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (TARGETS); i++)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "GET %s HTTP/1.1\r\nHost: h\r\nX-Api-Key: " PFL_KEY "\r\n\r\n", TARGETS[i]);
+
+      CU_ASSERT_EQUAL (send_raw (&fleet, text), 400);
+    }
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
+  pfl_clear (&fleet);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "a control character blames no host", a_control_character_blames_no_host },
     { "the largest headers blame no host", the_largest_headers_blame_no_host },
+    { "a disguised booking reaches no engine", a_disguised_booking_reaches_no_engine },
     CU_TEST_INFO_NULL
   };
   CU_SuiteInfo suites[] = { { "path hostile", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
--- a/tests/test_request_parts.c
+++ b/tests/test_request_parts.c
@@ -92,8 +92,10 @@
 keeps_what_belongs_to_a_connection (void)
 {
   static const char *const STAY[] = {
-    "connection", "Transfer-Encoding",  "Host",         "upgrade",   "Authorization",
-    "X-Api-Key",  "X-Medlarplank-Home", "x-request-id", "X-Priority"
+    "X-HTTP-Method-Override", "x-original-url", "connection",
+    "Transfer-Encoding",      "Host",           "upgrade",
+    "Authorization",          "X-Api-Key",      "X-Medlarplank-Home",
+    "x-request-id",           "X-Priority"
   };
 
   for (uint32_t i = 0; i < G_N_ELEMENTS (STAY); i++)
