Judge a request that waited again when it starts or is refused

Marks of crashed engines were looked at only when a request came to a sidecar. Copies of one request that already waited there went on to crash the engine as soon as there was room, though the fleet knew by then that the request had crashed two; and when the engine they waited for crashed on a copy, they were refused as if it were just away, so that their routers sent them to further engines without a word of it.

A request is judged again when it leaves the queue: it is refused by the mark, and kept apart from other suspects, as one that has just come. A refusal of the whole queue says the crash where there is a mark.

Ruled out: to search the queue when marks come, as each request passes this one place anyway. Copies that run at several engines at once before the first crash can still cost more than two; nothing is known of the request then.

Both tests fail without their half of the change.

--- a/src/request/sidecar_call.c
+++ b/src/request/sidecar_call.c
@@ -182,24 +182,6 @@
   sdc_call_free (call);
 }
 
-/* run() - it was admitted; if it has waited, the engine may serve another service by now */
-static void
-run (sdc_call_t *call)
-{
-  vrd_reason_t reason = sdc_closed (call);
-
-  if (reason != VRD_REASON_NONE)
-    {
-      sdc_call_give_back (call, reason, VRD_NOT_RUN);
-      return;
-    }
-  call->state = SDC_RUNNING;
-  if (call->hop.key_hash[1] != 0)
-    sdc_claim_start (call);
-  else
-    sdc_engine_start (call);
-}
-
 vrd_t
 sdc_call_drop (sdc_call_t *call)
 {
@@ -264,10 +246,76 @@
       memcpy (mark.engines, call->hop.crashed, sizeof mark.engines);
       sus_merge (suspects, now_us, &mark);
     }
-  call->suspect = sus_get (suspects, now_us, call->hop.fingerprint, &mark);
-  if (!call->suspect || sdc->suspects++ == 0)
-    return false;
-  return sus_check (suspects, now_us, call->hop.fingerprint, sdc->own_hash) == SUS_CLEAR;
+  if (!call->suspect && sus_get (suspects, now_us, call->hop.fingerprint, &mark))
+    {
+      call->suspect = true;
+      sdc->suspects++;
+    }
+  return call->suspect && sdc->suspects > 1 &&
+         sus_check (suspects, now_us, call->hop.fingerprint, sdc->own_hash) == SUS_CLEAR;
+}
+
+static vrd_reason_t
+suspect_reason (const sdc_call_t *call)
+{
+  const sdc_t *sdc = call->sdc;
+
+  switch (sus_check (adm_suspects (sdc->adm), ops_now_us (sdc->ops), call->hop.fingerprint,
+                     sdc->own_hash))
+    {
+    case SUS_FINAL:
+      return VRD_REASON_SUSPECT;
+    case SUS_NOT_HERE:
+      return VRD_REASON_SUSPECT_HERE;
+    case SUS_CLEAR:
+      break;
+    }
+  return VRD_REASON_NONE;
+}
+
+/* objection() - to what was admitted. If it has waited, the engine may serve another service by
+ * now, or a copy of the request that ran meanwhile, here or elsewhere, may have crashed its engine.
+ */
+static vrd_reason_t
+objection (sdc_call_t *call)
+{
+  vrd_reason_t reason = sdc_closed (call);
+
+  if (reason == VRD_REASON_NONE)
+    reason = suspect_reason (call);
+  if (reason == VRD_REASON_NONE && quarantined (call))
+    reason = VRD_REASON_QUARANTINE;
+  return reason;
+}
+
+/* run() - it was admitted */
+static void
+run (sdc_call_t *call)
+{
+  vrd_reason_t reason = objection (call);
+
+  if (reason != VRD_REASON_NONE)
+    {
+      sdc_call_give_back (call, reason, VRD_NOT_RUN);
+      return;
+    }
+  call->state = SDC_RUNNING;
+  if (call->hop.key_hash[1] != 0)
+    sdc_claim_start (call);
+  else
+    sdc_engine_start (call);
+}
+
+/* reject() - A copy of the request may have crashed the engine that it waited for: its router
+ * counts the crashes by the reason, which must not be hidden behind that of the refusal. */
+static void
+reject (sdc_call_t *call, adm_decision_t *decision)
+{
+  vrd_reason_t reason = suspect_reason (call);
+
+  if (reason != VRD_REASON_NONE)
+    *decision = (adm_decision_t){ .reason = reason };
+  sdc_call_refuse (call, decision);
 }
 
 void
@@ -304,7 +352,7 @@
 
   adm_set_stale (sdc->adm, ops_stale (sdc->ops));
   while ((request = adm_reject (sdc->adm, ops_now_us (sdc->ops), &decision)) != NULL)
-    sdc_call_refuse ((sdc_call_t *)request, &decision);
+    reject ((sdc_call_t *)request, &decision);
   while ((request = adm_next (sdc->adm, ops_now_us (sdc->ops))) != NULL)
     run ((sdc_call_t *)request);
   cnt_set_value (sdc->load, adm_load (sdc->adm));
--- /dev/null
+++ b/tests/test_path_copies.c
@@ -0,0 +1,162 @@
+#include "path_fleet.h"
+
+#include "request/digest.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#define MANY 60
+
+static const pfl_request_t LOOK = { .path = "/look" };
+
+/** struct crowd - copies of one request */
+typedef struct
+{
+  pfl_t *fleet;
+  pfl_answer_t answers[MANY];
+} crowd_t;
+
+static uint32_t
+open_count (const crowd_t *crowd)
+{
+  uint32_t open = 0;
+
+  for (uint32_t i = 0; i < MANY; i++)
+    open += !crowd->answers[i].done;
+  return open;
+}
+
+static uint64_t
+waiting_at (pfl_daemon_t *sidecar)
+{
+  return cnt_value (cnt_get (sidecar->dmn.counters, "medlarplank_waiting", ""));
+}
+
+static bool
+rest_waits (void *context)
+{
+  const crowd_t *crowd = context;
+  uint64_t waiting = 0;
+
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    waiting += waiting_at (&crowd->fleet->sidecars[i]);
+  return waiting > 0 && open_count (crowd) == pfl_runs (crowd->fleet) + waiting;
+}
+
+static bool
+all_done (void *context)
+{
+  return open_count (context) == 0;
+}
+
+static void
+start_crowd (crowd_t *crowd)
+{
+  pfl_set_all (crowd->fleet, PFL_HANG);
+  for (uint32_t i = 0; i < MANY; i++)
+    pfl_send (crowd->fleet, &LOOK, &crowd->answers[i]);
+  CU_ASSERT_TRUE (pfl_until (crowd->fleet, rest_waits, crowd));
+}
+
+static uint32_t
+count_answers (const crowd_t *crowd, int status, const char *verdict)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < MANY; i++)
+    count += crowd->answers[i].status == status && strcmp (crowd->answers[i].verdict, verdict) == 0;
+  return count;
+}
+
+/* A caller sends one request many times over; some copies run, some wait. Then the sidecars hear
+ * that it has crashed two engines elsewhere. The copies that wait were judged before that, but must
+ * not go on to crash a third one: when there is room they are refused for good, as not run. */
+static void
+a_copy_that_waited_is_judged_again (void)
+{
+  uint64_t fingerprint = dgs_fingerprint ("first", dgs_body ("GET", LOOK.path, NULL, 0));
+  pfl_t fleet;
+  crowd_t crowd = { .fleet = &fleet };
+  uint32_t runs;
+
+  pfl_init (&fleet);
+  start_crowd (&crowd);
+  runs = pfl_runs (&fleet);
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    {
+      msg_marks_t *marks = msg_new (MSG_MARKS);
+
+      marks->count = 1;
+      marks->marks[0] = (sus_mark_t){ .fingerprint = fingerprint, .engines = { 71, 72 } };
+      mbx_send (fleet.sidecars[i].dmn.to_data, &marks->head);
+    }
+  CU_ASSERT_TRUE (pfl_until (&fleet, rest_waits, &crowd));
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    pfl_release (&fleet.engines[i]);
+  CU_ASSERT_TRUE (pfl_until (&fleet, all_done, &crowd));
+  CU_ASSERT_EQUAL (pfl_runs (&fleet), runs);
+  CU_ASSERT_EQUAL (count_answers (&crowd, 200, "ran"), runs);
+  CU_ASSERT_TRUE (count_answers (&crowd, 422, "not_run") > 0);
+  for (uint32_t i = 0; i < MANY; i++)
+    pfl_answer_clear (&crowd.answers[i]);
+  pfl_clear (&fleet);
+}
+
+static uint64_t
+refusals (pfl_daemon_t *sidecar, const char *reason)
+{
+  g_autofree char *name = g_strdup_printf ("medlarplank_refusals_total{reason=\"%s\"}", reason);
+
+  return cnt_value (cnt_get (sidecar->dmn.counters, name, ""));
+}
+
+static bool
+none_waits (void *context)
+{
+  return waiting_at (context) == 0;
+}
+
+/* Copies of one request run on an engine when it crashes, and others wait for it. Those must not go
+ * on as if the engine were just away: their routers hear that it crashed on them, tell the next
+ * sidecar, and count towards the two engines that one request may cost. */
+static void
+a_copy_that_waited_carries_the_crash (void)
+{
+  pfl_t fleet;
+  crowd_t crowd = { .fleet = &fleet };
+  uint32_t crashed = 0;
+  uint64_t waited;
+
+  pfl_init (&fleet);
+  start_crowd (&crowd);
+  while (waiting_at (&fleet.sidecars[crashed]) == 0)
+    crashed++;
+  waited = waiting_at (&fleet.sidecars[crashed]);
+  pfl_crash (&fleet.engines[crashed]);
+  CU_ASSERT_TRUE (pfl_until (&fleet, none_waits, &fleet.sidecars[crashed]));
+  CU_ASSERT_TRUE (refusals (&fleet.sidecars[crashed], "suspect_here") >= waited);
+  CU_ASSERT_EQUAL (refusals (&fleet.sidecars[crashed], "no_engine"), 0);
+  for (uint32_t i = 0; i < MANY; i++)
+    pfl_answer_clear (&crowd.answers[i]);
+  pfl_clear (&fleet);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "a copy that waited is judged again", a_copy_that_waited_is_judged_again },
+    { "a copy that waited carries the crash", a_copy_that_waited_carries_the_crash },
+    CU_TEST_INFO_NULL
+  };
+  CU_SuiteInfo suites[] = { { "path copies", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
+
+  log_init ("test-path-copies", "test", LOG_LEVEL_DEBUG);
+  CU_initialize_registry ();
+  CU_register_suites (suites);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  int failures = (int)CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
