Hold refusals against the attempts that ran; read the records once

A session of some hundred requests asked for each of them how often it ran, and read and parsed all records each time. They are read once now for as long as nothing is added. A request that was answered not run is looked up by its own id too: its body alone doesn't tell it from an earlier sending of the same key. With MEDLARPLANK_KEEP set, a failed session leaves its logs.

--- a/tests/driver.c
+++ b/tests/driver.c
@@ -1,6 +1,6 @@
 #include "driver.h"
 
-#include <CUnit/CUnit.h>
+#include <CUnit/Basic.h>
 #include <event2/bufferevent.h>
 #include <glib/gstdio.h>
 #include <signal.h>
@@ -10,7 +10,7 @@
 #include <unistd.h>
 
 #define POLL_US 2000
-#define LOG_TAIL_LINES 25
+#define LOG_TAIL_LINES 40
 
 drv_t *
 drv_new (const char *name)
@@ -26,6 +26,7 @@
   drv->calls = g_ptr_array_new ();
   drv->forwards = g_ptr_array_new ();
   drv->lines = g_ptr_array_new ();
+  drv->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_assert (drv->dir != NULL);
   return drv;
 }
@@ -222,6 +223,11 @@
 clean_up (drv_t *drv)
 {
   const char *file;
+  if (drv->failed && g_getenv ("MEDLARPLANK_KEEP") != NULL)
+    {
+      printf ("kept: %s\n", drv->dir);
+      return;
+    }
   GDir *dir = g_dir_open (drv->dir, 0, NULL);
   while ((file = g_dir_read_name (dir)) != NULL)
     {
@@ -251,6 +257,7 @@
   g_ptr_array_free (drv->forwards, TRUE);
   g_ptr_array_free (drv->processes, TRUE);
   g_ptr_array_free (drv->lines, TRUE);
+  g_hash_table_destroy (drv->runs);
   event_base_free (drv->base);
   g_free (drv->name);
   g_free (drv->dir);
@@ -275,3 +282,17 @@
   clean_up (drv);
   free_all (drv);
 }
+
+int
+drv_main (const char *suite, const drv_test_t *tests, uint32_t count)
+{
+  CU_initialize_registry ();
+  CU_pSuite added = CU_add_suite (suite, NULL, NULL);
+  for (uint32_t i = 0; i < count; i++)
+    CU_add_test (added, tests[i].name, tests[i].run);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned int failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures != 0;
+}
--- a/tests/driver.h
+++ b/tests/driver.h
@@ -100,6 +100,8 @@
   GPtrArray *calls;     /* drv_call_t */
   GPtrArray *forwards;  /* drv_forward_t */
   GPtrArray *lines;     /* of the transcript: drv_line_t */
+  GHashTable *runs;     /* what the records tell: hash of the body, or id -> how often it began */
+  uint64_t runs_bytes;  /* of the records that @runs was made from */
   drv_fleet_t fleet;
   drv_process_t *platform;
   drv_host_t hosts[DRV_HOSTS];
@@ -109,6 +111,16 @@
   bool failed;
 };
 
+/** struct drv_test - a session of a program */
+typedef struct
+{
+  const char *name;
+  void (*run) (void);
+} drv_test_t;
+
+/** drv_main() - run all sessions of a program. Return: its exit status */
+int drv_main (const char *suite, const drv_test_t *tests, uint32_t count);
+
 /** drv_new() - @name is that of the golden file */
 drv_t *drv_new (const char *name);
 /** drv_start() - the fleet, with version 1 of its manifest in force and all daemons ready */
@@ -215,6 +227,7 @@
   char *key;
   char *account;
   char *sent_body;
+  uint32_t router;
   drv_kind_t kind;
   bool streamed;
   uint32_t tokens;
@@ -223,6 +236,7 @@
   GHashTable *headers; /* names in lower case */
   GString *body;
   uint64_t sent_us;
+  uint64_t head_us; /* when the head of the answer came */
   uint64_t ended_us;
   /* of the parser */
   struct bufferevent *bev;
@@ -275,6 +289,8 @@
  * @count: to that many, then they pass again; 0 is all
  */
 void drv_forward_set (drv_forward_t *forward, drv_mode_t mode, const char *match, uint32_t count);
+/** drv_forward_cut() - cut all connections that are open now */
+void drv_forward_cut (drv_forward_t *forward);
 /** drv_forward_hits() - requests that a mode other than DRV_PASS was applied to */
 uint32_t drv_forward_hits (const drv_forward_t *forward);
 
@@ -296,6 +312,8 @@
 void drv_tell_any (drv_t *drv, const char *title, drv_call_t *const *calls, uint32_t count);
 /** drv_runs() - how often the body of @call has begun to run on all engines */
 uint32_t drv_runs (const drv_call_t *call);
+/** drv_request_ran() - whether an attempt of the request of this id began on an engine */
+bool drv_request_ran (drv_t *drv, const char *request);
 /** drv_check_promises() - what must hold after any session, over calls, records and logs */
 void drv_check_promises (drv_t *drv);
 /** drv_compare() - the transcript with the golden file */
--- a/tests/driver_call.c
+++ b/tests/driver_call.c
@@ -54,6 +54,7 @@
   if (call->chunked)
     call->left = 0;
   call->has_head = true;
+  call->head_us = (uint64_t)g_get_monotonic_time ();
   return true;
 }
 
@@ -209,6 +210,7 @@
   call->name = g_strdup (ask->name);
   call->key = g_strdup (ask->key);
   call->account = g_strdup (account);
+  call->router = ask->router;
   call->kind = ask->kind;
   call->streamed = ask->stream;
   call->tokens = ask->tokens != 0 ? ask->tokens : 4;
--- a/tests/driver_transcript.c
+++ b/tests/driver_transcript.c
@@ -1,6 +1,7 @@
 #include "driver.h"
 
 #include <CUnit/CUnit.h>
+#include <glib/gstdio.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -128,6 +129,8 @@
   GString *text = g_string_new (NULL);
   for (guint i = 0; i < drv->lines->len; i++)
     write_line (text, drv->lines->pdata[i]);
+  g_autofree char *folder = g_path_get_dirname (path);
+  g_mkdir_with_parents (folder, 0755);
   if (g_strcmp0 (g_getenv ("MEDLARPLANK_GOLDEN"), "write") == 0)
     g_file_set_contents (path, text->str, -1, NULL);
   if (!g_file_get_contents (path, &golden, NULL, NULL))
