Send nothing of a call that is cancelled as its connection comes about

A call's body is sent by reference, and its owner frees it after hcl_cancel(). Closing the connection disables its bufferevent, but the library ignores that while the connection is being made: when the connection came about in the same turn of the loop, it was enabled again and the request was written, from memory that was freed. A router or sidecar whose caller hung up in that moment sent an engine what may be another caller's body by then, and a request that had been taken back ran.

Ruled out: evhttp_cancel_request(), which must not be called from within the library's callbacks, where calls are cancelled too; to shut the socket down, which still reads the body's memory. What a closed connection's library puts into the output is taken out again at once, so nothing of it is read or sent.

--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -51,12 +51,23 @@
   hcl_conn_free (conn);
 }
 
+/* a bufferevent keeps others from its output */
+static void
+empty_output (hcl_conn_t *conn)
+{
+  struct evbuffer *output = bufferevent_get_output (conn->bev);
+
+  evbuffer_unfreeze (output, 1);
+  evbuffer_drain (output, evbuffer_get_length (output));
+  evbuffer_freeze (output, 1);
+}
+
 void
 hcl_conn_close (hcl_conn_t *conn)
 {
   leave_pool (conn);
   conn->closed = true;
-  /* no byte of a body that the caller may free may leave from here on */
+  /* no byte of a body that the caller may free may leave from here on; see on_output() too */
   bufferevent_disable (conn->bev, EV_READ | EV_WRITE);
   event_active (conn->event, EV_TIMEOUT, 0);
 }
@@ -84,13 +95,19 @@
   evutil_socket_t fd = bufferevent_getfd (conn->bev);
 
   (void)buffer;
+  /* A connection that comes about in the turn of the loop in which it is closed is written to all
+   * the same: the library enables it again and puts the request into it, whose body may be gone. */
+  if (conn->closed && info->n_added > 0)
+    empty_output (conn);
+  if (conn->closed)
+    return;
   if (info->n_added > 0 && conn->fresh)
     {
       conn->fresh = false;
       sck_tune_client (fd);
       event_del (conn->event);
     }
-  if (info->n_deleted > 0 && conn->call && fd >= 0 && !conn->closed)
+  if (info->n_deleted > 0 && conn->call && fd >= 0)
     conn->call->sent = true;
 }
 
