Ask others when the host that holds a request closes

Rolling replacement of all engines under load gave callers five 503s with reason leaving among 3,280 requests: each waited as the last of its four hops at a host that was then stopped, and the router had no hop left though all other engines ran. It now begins anew, without that host, with four more hops at most, once.

Ruled out: raising the limit of hops for all, which would let an overload ask twice as many.

--- a/src/process/limits.h
+++ b/src/process/limits.h
@@ -10,6 +10,7 @@
 #define LIM_CHAT_ID_BYTES 256     /* a chat id in a header */
 #define LIM_KEY_BYTES 256         /* an idempotency key */
 #define LIM_HOPS 4                /* sidecars asked for one request */
+#define LIM_HOPS_MOST 8           /* as LIM_HOPS, when one that held it closed meanwhile */
 #define LIM_REFERRALS 3           /* hosts named by one refusal */
 #define LIM_SAMPLES_PER_MESSAGE 8 /* load samples in one exchange message */
 #define LIM_SAMPLES_KEPT 64       /* load samples kept for one service */
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -112,7 +112,7 @@
 static att_step_t
 send_to (att_t *att, uint64_t engine_hash, bool may_wait, bool referred)
 {
-  g_assert (att->hops < LIM_HOPS);
+  g_assert (att->hops < att->hop_limit);
   att->hops++;
   att->asked[att->asked_count++] = engine_hash;
   att->last_engine = engine_hash;
@@ -128,11 +128,11 @@
 static att_step_t
 next_step (att_t *att, uint64_t now_us)
 {
-  bool last_hop = att->hops + 1 >= LIM_HOPS;
+  bool last_hop = att->hops + 1 >= att->hop_limit;
 
   if (now_us >= att->deadline_us)
     return give_up (att, VRD_NOT_RUN, VRD_REASON_DEADLINE);
-  if (att->hops >= LIM_HOPS)
+  if (att->hops >= att->hop_limit)
     return give_up (att, VRD_NOT_RUN, att->last_reason);
 
   bool have_target = skip_asked (att);
@@ -169,6 +169,26 @@
         (att_target_t){ .engine_hash = att->last_engine, .referred = true, .again = true });
 }
 
+static bool
+is_closed (vrd_reason_t reason)
+{
+  return reason == VRD_REASON_LEAVING || reason == VRD_REASON_STALE ||
+         reason == VRD_REASON_NO_ENGINE;
+}
+
+/* begin_anew() - A request that waits at a host as its last resort would be answered 503 when that
+ * host is stopped, though all others run: planned stops would show. It asks the others again
+ * instead, those over their bound a moment ago included. */
+static void
+begin_anew (att_t *att)
+{
+  att->hop_limit = MIN (att->hops + LIM_HOPS, LIM_HOPS_MOST);
+  att->asked[0] = att->last_engine;
+  att->asked_count = 1;
+  att->target_next = 0;
+  att->waiting_host = 0;
+}
+
 static att_step_t
 refused (att_t *att, uint64_t now_us, const att_outcome_t *outcome)
 {
@@ -177,6 +197,8 @@
     att->retry_after_ms = outcome->retry_after_ms;
   if (course_of (att, outcome->reason) != COURSE_NEXT)
     return give_up (att, VRD_NOT_RUN, outcome->reason);
+  if (att->waited && is_closed (outcome->reason))
+    begin_anew (att);
   if (outcome->reason == VRD_REASON_OVER_BOUND && att->waiting_host == 0 && !att->waited)
     att->waiting_host = att->last_engine;
   add_referrals (att, outcome);
@@ -235,6 +257,7 @@
   att->idempotent = options->idempotent;
   att->deadline_us = options->deadline_us;
   att->last_reason = VRD_REASON_NO_ENGINE;
+  att->hop_limit = LIM_HOPS;
   att->target_count = MIN (options->candidate_count, ATT_CANDIDATES);
   for (uint32_t i = 0; i < att->target_count; i++)
     att->targets[i].engine_hash = options->candidates[i];
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -78,10 +78,10 @@
   bool waited;       /* the last sidecar asked had leave to queue: nobody is asked after it */
   bool may_have_run; /* an earlier attempt may have run, so the request is never "not run" again */
   uint64_t deadline_us;
-  att_target_t targets[ATT_CANDIDATES + LIM_HOPS * (LIM_REFERRALS + 1)];
+  att_target_t targets[ATT_CANDIDATES + LIM_HOPS_MOST * (LIM_REFERRALS + 1)];
   uint32_t target_count;
   uint32_t target_next;
-  uint64_t asked[LIM_HOPS + 2];
+  uint64_t asked[LIM_HOPS_MOST + 2];
   uint32_t asked_count;
   uint64_t waiting_host; /* first that refused as over its bound: asked again, with leave to wait */
   uint64_t crashed[LIM_SUSPECT_CRASHES]; /* engines known to have crashed on this request */
@@ -89,6 +89,7 @@
   uint64_t last_engine;
   bool last_referred;
   uint32_t hops;
+  uint32_t hop_limit;
   uint32_t retries;
   uint32_t retry_after_ms;
   vrd_reason_t last_reason;
