--- /dev/null
+++ b/bench/bench_watch.c
@@ -0,0 +1,225 @@
+/**
+ * DOC: bench_watch
+ *
+ * Watches the daemons of a fleet while others load it: asks each sidecar for its load and bound
+ * many times a second, and every daemon for its counters. Prints lines of NAME<TAB>VALUE when it is
+ * told to end by SIGTERM or SIGINT.
+ */
+#include "load_client.h"
+#include "watch_sums.h"
+
+#include <event2/event.h>
+#include <getopt.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define INTERVAL_MS 20
+#define METRICS_EVERY 10 /* rounds */
+#define ASK_TIMEOUT_MS 500
+
+static const char usage_text[] =
+    "bench-watch --daemon GROUP,NAME,IP:PORT... [--bound GROUP,PERCENT]... [--interval-ms N]\n"
+    "  a router's GROUP is \"router\"\n";
+
+/** struct target - a daemon that is asked */
+typedef struct watch watch_t;
+typedef struct
+{
+  watch_t *watch;
+  wsm_daemon_t *daemon;
+  set_address_t address;
+} target_t;
+
+struct watch
+{
+  struct event_base *base;
+  lcl_t *client;
+  wsm_t *wsm;
+  GPtrArray *targets;
+  struct event *timer;
+  uint32_t interval_ms;
+  uint32_t pending; /* answers that this round waits for */
+  uint64_t round;
+};
+
+static void __attribute__ ((noreturn)) wrong (const char *message)
+{
+  g_printerr ("%s\n%s", message, usage_text);
+  exit (2);
+}
+
+static void
+answered (watch_t *watch)
+{
+  watch->pending--;
+  if (watch->pending == 0)
+    wsm_round (watch->wsm);
+}
+
+static void
+take_status (const lcl_answer_t *answer, void *context)
+{
+  target_t *target = context;
+  json_t *json = NULL;
+  if (answer->failure == NULL && answer->status == 200)
+    json = json_loadb (answer->body->str, answer->body->len, 0, NULL);
+  if (json_is_false (json_object_get (json, "draining")))
+    {
+      target->daemon->load = (uint32_t)json_integer_value (json_object_get (json, "load"));
+      target->daemon->bound_milli =
+          (uint32_t)json_integer_value (json_object_get (json, "bound_milli"));
+      target->daemon->known = true;
+    }
+  json_decref (json);
+  answered (target->watch);
+}
+
+static void
+take_metrics (const lcl_answer_t *answer, void *context)
+{
+  target_t *target = context;
+  if (answer->failure == NULL && answer->status == 200)
+    wsm_metrics (target->daemon, answer->body->str);
+  answered (target->watch);
+}
+
+static void
+ask (target_t *target, const char *path, lcl_done_t done)
+{
+  static const lcl_header_t none[] = { { NULL, NULL } };
+  const lcl_request_t request = { .address = &target->address,
+                                  .method = "GET",
+                                  .target = path,
+                                  .headers = none,
+                                  .timeout_ms = ASK_TIMEOUT_MS,
+                                  .done = done,
+                                  .context = target };
+  target->watch->pending++;
+  lcl_send (target->watch->client, &request);
+}
+
+/* A round that is not yet answered by all delays the next: samples of one moment are compared. */
+static void
+on_timer (evutil_socket_t fd, short what, void *context)
+{
+  watch_t *watch = context;
+  (void)fd;
+  (void)what;
+  if (watch->pending > 0)
+    return;
+  const bool metrics = watch->round++ % METRICS_EVERY == 0;
+  for (guint i = 0; i < watch->targets->len; i++)
+    {
+      target_t *target = g_ptr_array_index (watch->targets, i);
+      if (strcmp (target->daemon->group, "router") != 0)
+        ask (target, "/medlarplank/status", take_status);
+      if (metrics)
+        ask (target, "/metrics", take_metrics);
+    }
+}
+
+static void
+stop (evutil_socket_t fd, short what, void *base)
+{
+  (void)fd;
+  (void)what;
+  event_base_loopbreak (base);
+}
+
+static void
+add_daemon (watch_t *watch, const char *text)
+{
+  g_auto (GStrv) parts = g_strsplit (text, ",", 4);
+  if (g_strv_length (parts) != 3)
+    wrong ("a daemon is GROUP,NAME,IP:PORT");
+  target_t *target = g_new0 (target_t, 1);
+  GError *error = NULL;
+  if (!set_parse_address (parts[2], &target->address, &error))
+    wrong (error->message);
+  target->watch = watch;
+  target->daemon = wsm_add (watch->wsm, parts[0], parts[1]);
+  g_ptr_array_add (watch->targets, target);
+}
+
+static void
+add_bound (watch_t *watch, const char *text)
+{
+  g_auto (GStrv) parts = g_strsplit (text, ",", 3);
+  guint64 percent;
+  if (g_strv_length (parts) != 2 ||
+      !g_ascii_string_to_unsigned (parts[1], 10, 100, 100000, &percent, NULL))
+    wrong ("a bound is GROUP,PERCENT");
+  wsm_bound (watch->wsm, parts[0], (uint32_t)percent);
+}
+
+static void
+read_flags (watch_t *watch, int argc, char **argv)
+{
+  static const struct option flags[] = {
+    { "daemon", required_argument, NULL, 'd' },
+    { "bound", required_argument, NULL, 'b' },
+    { "interval-ms", required_argument, NULL, 'i' },
+    { NULL, 0, NULL, 0 },
+  };
+  int flag;
+  while ((flag = getopt_long (argc, argv, "", flags, NULL)) != -1)
+    if (flag == 'd')
+      add_daemon (watch, optarg);
+    else if (flag == 'b')
+      add_bound (watch, optarg);
+    else if (flag == 'i')
+      watch->interval_ms = (uint32_t)MAX (1, atoi (optarg));
+    else
+      wrong ("wrong flag");
+  if (optind != argc || watch->targets->len == 0)
+    wrong ("no daemon to watch");
+}
+
+static struct event_base *
+precise_base_new (void)
+{
+  struct event_config *config = event_config_new ();
+  event_config_set_flag (config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  struct event_base *base = event_base_new_with_config (config);
+  event_config_free (config);
+  return base;
+}
+
+static void
+run (watch_t *watch)
+{
+  struct event *interrupted = evsignal_new (watch->base, SIGINT, stop, watch->base);
+  struct event *terminated = evsignal_new (watch->base, SIGTERM, stop, watch->base);
+  struct timeval interval = { watch->interval_ms / 1000,
+                              (suseconds_t)(watch->interval_ms % 1000) * 1000 };
+  const gint64 started_us = g_get_monotonic_time ();
+  event_add (interrupted, NULL);
+  event_add (terminated, NULL);
+  watch->timer = event_new (watch->base, -1, EV_PERSIST, on_timer, watch);
+  event_add (watch->timer, &interval);
+  event_base_dispatch (watch->base);
+  wsm_print (watch->wsm, (double)(g_get_monotonic_time () - started_us) / G_USEC_PER_SEC);
+  event_free (watch->timer);
+  event_free (interrupted);
+  event_free (terminated);
+}
+
+int
+main (int argc, char **argv)
+{
+  watch_t watch = { .interval_ms = INTERVAL_MS };
+  watch.base = precise_base_new ();
+  watch.client = lcl_new (watch.base);
+  watch.wsm = wsm_new ();
+  watch.targets = g_ptr_array_new_with_free_func (g_free);
+  read_flags (&watch, argc, argv);
+  signal (SIGPIPE, SIG_IGN);
+  run (&watch);
+  lcl_free (watch.client);
+  wsm_free (watch.wsm);
+  g_ptr_array_free (watch.targets, TRUE);
+  event_base_free (watch.base);
+  return 0;
+}
--- a/bench/load_options.c
+++ b/bench/load_options.c
@@ -14,7 +14,7 @@
     "  [--zipf S] [--pause-ms N] [--first-bytes N] [--turn-bytes N] [--history-limit-bytes N]\n"
     "  [--max-tokens N] [--model NAME] [--class NAME[:WEIGHT[:MAX_TOKENS]]...]\n"
     "  [--stream SHARE] [--plain-share SHARE --plain-path PATH [--plain-method METHOD]]\n"
-    "  [--direct-share SHARE] [--timeout-ms N] [--idle N] [--seed N] [--json]\n";
+    "  [--direct-share SHARE] [--timeout-ms N] [--idle N] [--seed N] [--json | --tsv]\n";
 
 enum
 {
@@ -43,7 +43,8 @@
   FLAG_TIMEOUT,
   FLAG_IDLE,
   FLAG_SEED,
-  FLAG_JSON
+  FLAG_JSON,
+  FLAG_TSV
 };
 
 static const struct option flags[] = {
@@ -73,6 +74,7 @@
   { "idle", required_argument, NULL, FLAG_IDLE },
   { "seed", required_argument, NULL, FLAG_SEED },
   { "json", no_argument, NULL, FLAG_JSON },
+  { "tsv", no_argument, NULL, FLAG_TSV },
   { NULL, 0, NULL, 0 },
 };
 
@@ -245,6 +247,9 @@
     case FLAG_JSON:
       lop->json = true;
       break;
+    case FLAG_TSV:
+      lop->tsv = true;
+      break;
     default:
       wrong ("wrong flag");
     }
--- a/bench/load_options.h
+++ b/bench/load_options.h
@@ -83,6 +83,7 @@
   uint32_t idle;
   uint32_t seed;
   bool json;
+  bool tsv;
 } lop_t;
 
 /** lop_load() - ends the process with status 2 after a message when a flag is wrong */
--- a/bench/load_stats.c
+++ b/bench/load_stats.c
@@ -238,6 +238,23 @@
     }
 }
 
+/* One line for each number: its path in the tree, and the number. */
+static void
+print_lines (const json_t *json, const char *prefix)
+{
+  const char *name;
+  json_t *value;
+  json_object_foreach ((json_t *)json, name, value)
+    {
+      g_autofree char *path = g_strconcat (prefix, name, NULL);
+      g_autofree char *deeper = g_strconcat (path, "/", NULL);
+      if (json_is_object (value))
+        print_lines (value, deeper);
+      else
+        g_print ("%s\t%.6g\n", path, json_number_value (value));
+    }
+}
+
 lst_t *
 lst_new (void)
 {
@@ -318,6 +335,8 @@
       g_print ("%s\n", text);
       free (text);
     }
+  else if (options->tsv)
+    print_lines (json, "");
   else
     print_text (json, "");
   json_decref (json);
