Drive thousands of control tasks in one process to see how news spread

The control task's own code runs for 50, 500 or 4,580 daemons in virtual time; only its socket, the platform and the HTTP fetch are fakes, taken in by the linker, so that no rule of spreading stands twice.

--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,9 @@
 SESSIONLIB := $(patsubst %.c,$(OUT)/%.o,$(filter-out $(wildcard tests/test_*.c tests/session_*.c),$(wildcard tests/*.c)))
 SESSIONS := $(patsubst tests/session_%.c,$(OUT)/session-%,$(wildcard tests/session_*.c))
 BENCHES := $(patsubst bench/bench_%.c,$(OUT)/bench-%,$(wildcard bench/bench_*.c))
+SPREADLIB := $(patsubst %.c,$(OUT)/%.o,$(wildcard bench/spread/*.c))
 BENCHLIB := $(patsubst %.c,$(OUT)/%.o,$(filter-out $(wildcard bench/bench_*.c),$(wildcard bench/*.c)))
-CSRC    := $(filter-out src/proto/%,$(wildcard src/*/*.[ch] ctl/*.[ch] standin/*.[ch] tests/*.[ch] bench/*.[ch]))
+CSRC    := $(filter-out src/proto/%,$(wildcard src/*/*.[ch] ctl/*.[ch] standin/*.[ch] tests/*.[ch] bench/*.[ch] bench/spread/*.[ch]))
 
 all: $(DAEMON) $(CTL) $(STANDINS) $(BENCHES)
 
@@ -55,6 +56,10 @@
 $(OUT)/session-%: $(OUT)/tests/session_%.o $(SESSIONLIB) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ -lcunit $(LDLIBS)
 
+# Its fakes take the place of the library's exchange and fetch, so they come before it.
+$(OUT)/bench-spread: $(OUT)/bench/bench_spread.o $(SPREADLIB) $(BENCHLIB) $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
+
 $(OUT)/bench-%: $(OUT)/bench/bench_%.o $(BENCHLIB) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
