Read the platform's list when a peer has a newer one

As with the log, three daemons of a data centre follow the list closely, messages carry its revision, and others read when a peer has a higher one, at most each interval. A listed leaving is told to its host at once, and without peers a daemon reads the list itself. Messages grow by 8 bytes.

--- a/bench/bench_spread.c
+++ b/bench/bench_spread.c
@@ -113,6 +113,13 @@
   return node->ctrl->manifest.sent_version >= node->flt->man->version;
 }
 
+static bool
+has_list (const flt_node_t *node, void *context)
+{
+  (void)context;
+  return node->ctrl->list.revision >= node->flt->list_revision;
+}
+
 static bool
 is_router (const flt_node_t *node, void *context)
 {
@@ -203,6 +210,22 @@
   end (run);
 }
 
+static void
+bench_list (run_t *run)
+{
+  begin (run, 0);
+  for (uint32_t round = 0; round < ROUNDS; round++)
+    {
+      flt_list (run->flt, -1, MEM_LIVE);
+      uint64_t start_us = run->flt->now_us;
+      flt_wait_for (run->flt, has_list, NULL);
+      flt_run (run->flt, HORIZON_US, true);
+      print_heard (run, "list", start_us, NULL, NULL);
+      flt_run (run->flt, WINDOW_US, false);
+    }
+  end (run);
+}
+
 static void
 bench_leaving (run_t *run)
 {
@@ -455,9 +478,9 @@
 } part_t;
 
 static const part_t parts[] = {
-  { "quiet", bench_quiet }, { "version", bench_version }, { "leaving", bench_leaving },
-  { "mark", bench_mark },   { "means", bench_means },     { "evacuation", bench_evacuation },
-  { "drop", bench_drop },   { "cut", bench_cut },
+  { "quiet", bench_quiet },           { "version", bench_version }, { "list", bench_list },
+  { "leaving", bench_leaving },       { "mark", bench_mark },       { "means", bench_means },
+  { "evacuation", bench_evacuation }, { "drop", bench_drop },       { "cut", bench_cut },
 };
 
 static void
--- a/src/process/control_exchange.c
+++ b/src/process/control_exchange.c
@@ -149,6 +149,7 @@
 static void
 take_message (ctrl_t *ctrl, const mem_word_t *sender, const xch_message *message)
 {
+  ctrl->talk.heard_us = ctrl_now_us (ctrl);
   take_word (ctrl, sender);
   for (uint32_t i = 0; i < message->words.words_len; i++)
     hear_word (ctrl, &message->words.words_val[i]);
@@ -156,6 +157,7 @@
   hear_samples (ctrl, message);
   hear_marks (ctrl, message);
   ctrl_manifest_heard (ctrl, message->manifest_version, sender->host_hash);
+  ctrl_list_heard (ctrl, message->list_revision);
 }
 
 /* An older incarnation of a host is still answered: it hears so that it is not the last one. */
--- a/src/process/control_fill.c
+++ b/src/process/control_fill.c
@@ -168,6 +168,7 @@
   message->sender = to_wire (&own);
   message->manifest_version = ctrl_manifest_version (ctrl);
   message->manifest_offset = rep_next_offset (ctrl->manifest.rep);
+  message->list_revision = ctrl->list.revision;
   fill_samples (ctrl, message, now_us);
   fill_words (ctrl, message, to);
   fill_marks (ctrl, message, now_us);
--- a/src/process/control_list.c
+++ b/src/process/control_list.c
@@ -5,6 +5,11 @@
 #include <string.h>
 
 #define SOURCE "list"
+/* Daemons that do not follow the list read it when a peer has a higher revision, and this often. */
+#define RECHECK_US (30 * CLK_US_PER_S)
+/* One that hears no peer for this long reads the list itself. */
+#define SILENT_US (5 * CLK_US_PER_S)
+#define TELLS_LEAVING 4 /* hosts that a list shows as leaving, told at once */
 
 /*
  * A list that said leaving before this process had heard anything else may mean its predecessor
@@ -44,11 +49,41 @@
   return NULL;
 }
 
+/** struct told - hosts to tell that the list says they leave */
+typedef struct
+{
+  set_address_t peers[TELLS_LEAVING];
+  uint32_t count;
+} told_t;
+
+/*
+ * A host that the list says leaves reads that itself once a peer has the higher revision, which
+ * takes seconds in a large fleet. Those of its data centre that follow the list tell it at once.
+ */
+static void
+find_leaving (const ctrl_t *ctrl, const plt_hosts_t *hosts, told_t *told)
+{
+  told->count = 0;
+  if (!ctrl->peers.tails || ctrl->peers.members == NULL)
+    return;
+  for (uint32_t i = 0; i < hosts->host_count && told->count < TELLS_LEAVING; i++)
+    {
+      const mem_listed_t *host = &hosts->hosts[i];
+      if (host->state != MEM_LEAVING || strcmp (host->data_center, ctrl->dmn->set.data_center) != 0)
+        continue;
+      const mem_host_t *before = mem_find (ctrl->peers.members, host->name);
+      if (before != NULL && before->state == MEM_LIVE && before->hash != ctrl->own_hash)
+        told->peers[told->count++] = host->exchange;
+    }
+}
+
 static void
 take_hosts (ctrl_t *ctrl, const plt_hosts_t *hosts)
 {
   ctrl_list_t *list = &ctrl->list;
   uint64_t now_us = ctrl_now_us (ctrl);
+  told_t told;
+  find_leaving (ctrl, hosts, &told);
   if (hosts->full)
     mem_list_full (ctrl->mem, now_us, hosts->hosts, hosts->host_count, hosts->revision);
   else
@@ -61,6 +96,8 @@
   list->revision = hosts->revision;
   list->read_once = true;
   ctrl_talk_own_word (ctrl);
+  for (uint32_t i = 0; i < told.count; i++)
+    exc_now (ctrl->exc, &told.peers[i]);
 }
 
 /* A list store that was emptied or has just come up tells of no host. Believing it would stop the
@@ -71,11 +108,28 @@
   return !hosts->full || hosts->host_count > 0;
 }
 
+static uint64_t
+interval_us (const ctrl_t *ctrl)
+{
+  return (uint64_t)ctrl->dmn->set.list_interval_ms * CLK_US_PER_MS;
+}
+
+/* When to read again. Whoever does not follow the list relies on peers that do, so it must hear
+ * some; with one that already has a higher revision it does not wait. */
+static uint64_t
+wait_after (const ctrl_t *ctrl)
+{
+  bool silent = ctrl_now_us (ctrl) - ctrl->talk.heard_us >= SILENT_US;
+  bool behind = ctrl->list.heard_revision > ctrl->list.revision;
+  if (ctrl->peers.tails || silent || behind)
+    return interval_us (ctrl);
+  return MAX (interval_us (ctrl), RECHECK_US);
+}
+
 static void
 take_answer (ctrl_t *ctrl, const plt_hosts_t *hosts, uint64_t started_us)
 {
-  uint64_t interval_us = (uint64_t)ctrl->dmn->set.list_interval_ms * CLK_US_PER_MS;
-  ctrl_source_worked (ctrl, &ctrl->list.source, SOURCE, ctrl_jitter (ctrl, interval_us));
+  ctrl_source_worked (ctrl, &ctrl->list.source, SOURCE, ctrl_jitter (ctrl, interval_us (ctrl)));
   if (!is_credible (hosts))
     {
       if (!ctrl->list.empty)
@@ -85,6 +139,8 @@
     }
   ctrl->list.empty = false;
   take_hosts (ctrl, hosts);
+  ctrl->list.source.due_us = ctrl_now_us (ctrl) + ctrl_jitter (ctrl, wait_after (ctrl));
+  ctrl->list.heard_revision = 0;
   ctrl_fresh_heard_list (ctrl, started_us, true);
 }
 
@@ -104,8 +160,7 @@
       take_answer (ctrl, hosts, started_us);
       return;
     }
-  uint64_t interval_us = (uint64_t)ctrl->dmn->set.list_interval_ms * CLK_US_PER_MS;
-  ctrl_source_failed (ctrl, &ctrl->list.source, SOURCE, interval_us);
+  ctrl_source_failed (ctrl, &ctrl->list.source, SOURCE, interval_us (ctrl));
   ctrl_fresh_heard_list (ctrl, started_us, false);
 }
 
@@ -113,9 +168,26 @@
 ctrl_list_turn (ctrl_t *ctrl)
 {
   ctrl_source_t *source = &ctrl->list.source;
-  if (source->op != NULL || ctrl_now_us (ctrl) < source->due_us)
+  uint64_t now_us = ctrl_now_us (ctrl);
+  bool silent = now_us - ctrl->talk.heard_us >= SILENT_US && !source->down &&
+                now_us - ctrl->list.asked_us >= interval_us (ctrl);
+  if (source->op != NULL || (now_us < source->due_us && !silent))
     return;
   source->op = ctrl_op_new (ctrl);
+  ctrl->list.asked_us = now_us;
   exc_charge (ctrl->exc, CTRL_REQUEST_BYTES);
   ctrl->plt->hosts (ctrl->plt, ctrl->list.revision, on_hosts, source->op);
 }
+
+/* Never more often than its interval: while a data centre drops, the list changes all the time. */
+void
+ctrl_list_heard (ctrl_t *ctrl, uint64_t revision)
+{
+  ctrl_list_t *list = &ctrl->list;
+  if (revision <= list->revision)
+    return;
+  list->heard_revision = MAX (list->heard_revision, revision);
+  uint64_t soonest_us = list->asked_us + interval_us (ctrl);
+  if (!list->source.down)
+    list->source.due_us = MIN (list->source.due_us, soonest_us);
+}
--- a/src/process/control_manifest.c
+++ b/src/process/control_manifest.c
@@ -73,7 +73,7 @@
   uint64_t next_offset = rep_next_offset (ctrl->manifest.rep);
   if (next_offset < read->end_offset)
     return next_offset != next_before ? 0 : STUCK_US;
-  if (ctrl->peers.tails_log)
+  if (ctrl->peers.tails)
     return 0;
   return ctrl_jitter (ctrl, RECHECK_US);
 }
@@ -126,7 +126,7 @@
   ctrl_source_t *source = &ctrl->manifest.source;
   if (source->op != NULL || ctrl_now_us (ctrl) < source->due_us)
     return;
-  bool may_wait = ctrl->peers.tails_log && ctrl->fresh.log_ok && !source->down;
+  bool may_wait = ctrl->peers.tails && ctrl->fresh.log_ok && !source->down;
   source->op = ctrl_op_new (ctrl);
   exc_charge (ctrl->exc, CTRL_REQUEST_BYTES);
   ctrl->plt->read (ctrl->plt, REP_STREAM, rep_next_offset (ctrl->manifest.rep), READ_RECORDS,
@@ -181,7 +181,7 @@
 checkpoint_wanted (ctrl_t *ctrl)
 {
   const ctrl_manifest_t *manifest = &ctrl->manifest;
-  if (!ctrl->peers.tails_log || manifest->source.down || !rep_ready (manifest->rep))
+  if (!ctrl->peers.tails || manifest->source.down || !rep_ready (manifest->rep))
     return false;
   if (rep_checkpoint_due (manifest->rep, CHECKPOINT_RECORDS))
     return true;
--- a/src/process/control_members.c
+++ b/src/process/control_members.c
@@ -136,7 +136,7 @@
   peers->all = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   peers->sidecars = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   peers->same = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-  peers->tails_log = true;
+  peers->tails = true;
 }
 
 void
@@ -174,7 +174,7 @@
           service_of (ctrl, host->name) == own)
         g_array_append_val (peers->same, i);
     }
-  peers->tails_log = is_tail (ctrl, peers->members);
+  peers->tails = is_tail (ctrl, peers->members);
 }
 
 /* A snapshot costs milliseconds when there are thousands of hosts. When a data centre drops or
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -47,6 +47,8 @@
 
 /**
  * struct ctrl_list - the platform's list of hosts
+ * @asked_us: when it was read last
+ * @heard_revision: the highest that a peer has told since the last answer
  * @read_once: a list has come
  * @empty: the last answer told of no host at all, and was not believed
  * @own_state: of this host, in the list; MEM_GONE when it isn't there
@@ -56,6 +58,8 @@
 {
   ctrl_source_t source;
   uint64_t revision;
+  uint64_t asked_us;
+  uint64_t heard_revision;
   bool read_once;
   bool empty;
   mem_state_t own_state;
@@ -66,7 +70,7 @@
  * struct ctrl_peers - whom to exchange with, as indices into @members
  * @same: sidecars of the own service in the own region
  * @flushed_us: when @members was taken
- * @tails_log: this daemon is one of the few of its data centre that follow the log closely
+ * @tails: this daemon is one of the few of its data centre that follow the log and the list closely
  */
 typedef struct
 {
@@ -75,7 +79,7 @@
   GArray *sidecars;
   GArray *same;
   uint64_t flushed_us;
-  bool tails_log;
+  bool tails;
 } ctrl_peers_t;
 
 /**
@@ -111,9 +115,13 @@
   uint64_t next_us;
 } ctrl_fetch_t;
 
-/** struct ctrl_talk - what is said and heard in the exchange */
+/**
+ * struct ctrl_talk - what is said and heard in the exchange
+ * @heard_us: when a listed peer was heard last
+ */
 typedef struct
 {
+  uint64_t heard_us;
   uint32_t sequence;
   rmr_t rumours;
   bool has_own_sample;
@@ -222,6 +230,8 @@
 
 /* control_list.c */
 void ctrl_list_turn (ctrl_t *ctrl);
+/** ctrl_list_heard() - a peer has read the list up to @revision */
+void ctrl_list_heard (ctrl_t *ctrl, uint64_t revision);
 
 /* control_members.c */
 void ctrl_members_init (ctrl_t *ctrl);
--- a/src/process/settings_table.c
+++ b/src/process/settings_table.c
@@ -44,7 +44,7 @@
   ROW ("exchange-interval-ms", NUMBER, NONE, 100, 10000, exchange_interval_ms, "500",
        "Between two exchange messages that a daemon starts"),
   ROW ("list-interval-ms", NUMBER, NONE, 100, 60000, list_interval_ms, "1000",
-       "Between two readings of the platform's list"),
+       "Between two readings of the platform's list, by daemons that follow it closely"),
   ROW ("control-budget-bytes", NUMBER, NONE, 500, 7000, control_budget_bytes, "2000",
        "Bytes a second for control traffic, all that a daemon sends"),
   ROW ("claim-horizon-s", NUMBER, NONE, 1, 30 * DAY_S, claim_horizon_s, "86400",
--- a/src/proto/exchange.h
+++ b/src/proto/exchange.h
@@ -46,6 +46,7 @@
 	xch_word sender;
 	u_quad_t manifest_version;
 	u_quad_t manifest_offset;
+	u_quad_t list_revision;
 	struct {
 		u_int samples_len;
 		xch_sample *samples_val;
--- a/src/proto/exchange.x
+++ b/src/proto/exchange.x
@@ -32,6 +32,7 @@
   xch_word sender;
   unsigned hyper manifest_version;
   unsigned hyper manifest_offset;
+  unsigned hyper list_revision;
   xch_sample samples<XCH_SAMPLES>;
   xch_word words<XCH_WORDS>;
   xch_mark marks<XCH_MARKS>;
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -289,6 +289,98 @@
   event_base_free (base);
 }
 
+/* So many that "own" is not one of those that follow the log and the list. */
+static void
+list_crowd (rig_t *rig)
+{
+  for (uint32_t i = 0; i < 40; i++)
+    {
+      char name[16];
+      g_snprintf (name, sizeof name, "crowd-%u", i);
+      fkp_host (&rig->platform, name, false, rig_ip (), (uint16_t)(RIG_PORT + 10 + i), MEM_LIVE);
+    }
+  rig_turns (rig, 20);
+  CU_ASSERT_FALSE (rig->ctrl->peers.tails);
+}
+
+/* In a large fleet the list would be read thousands of times a second if every daemon read it each
+ * interval. Most hear from a peer that there is a new revision; then they must read it at once, but
+ * no more often than before while it keeps changing. */
+static void
+test_list_is_read_when_a_peer_has_a_new_one (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  said_t said;
+  uint32_t sequence = 1;
+  rig_start_fresh (&rig, base);
+  list_crowd (&rig);
+  uint64_t revision = rig.platform.revision;
+  rig_say (&said, "peer", sequence++)->list_revision = revision;
+  ctrl_talk_heard (&said.message, false, rig.ctrl);
+  rig_turns (&rig, 20);
+  uint32_t lists = rig.platform.lists;
+  rig_turns (&rig, 25);
+  CU_ASSERT_EQUAL (rig.platform.lists, lists);
+  fkp_host (&rig.platform, "third", false, rig_ip (), RIG_PORT + 2, MEM_LEAVING);
+  rig_say (&said, "peer", sequence++)->list_revision = revision + 1;
+  ctrl_talk_heard (&said.message, false, rig.ctrl);
+  rig_turn (&rig);
+  CU_ASSERT_EQUAL (rig.platform.lists, lists + 1);
+  CU_ASSERT_EQUAL (mem_find (rig.ctrl->peers.members, "third")->state, MEM_LEAVING);
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      rig_say (&said, "peer", sequence++)->list_revision = revision + 100;
+      ctrl_talk_heard (&said.message, false, rig.ctrl);
+      rig_turn (&rig);
+    }
+  CU_ASSERT_TRUE (rig.platform.lists - lists >= 2);
+  CU_ASSERT_TRUE (rig.platform.lists - lists <= 4);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* The exchange is cut off, by a wrong key or a firewall. A daemon that relies on peers to hear of a
+ * new list would go on with an old one for half a minute; without peers it reads the list itself.
+ */
+static void
+test_list_is_read_without_peers (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  said_t said;
+  rig_start_fresh (&rig, base);
+  list_crowd (&rig);
+  ctrl_talk_heard (rig_say (&said, "peer", 1), false, rig.ctrl);
+  rig_turns (&rig, 20);
+  uint32_t lists = rig.platform.lists;
+  rig_turns (&rig, 100);
+  CU_ASSERT_TRUE (rig.platform.lists - lists >= 4);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
+/* The list turns to leaving for a host that does not follow it. Until that host hears so it takes
+ * new work; those of its data centre that follow the list tell it at once, and once. */
+static void
+test_listed_leaving_is_told_to_the_host (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  CU_ASSERT_TRUE (rig.ctrl->peers.tails);
+  cnt_t *sent = cnt_get (rig.dmn.counters, "medlarplank_control_datagrams_sent_total", "");
+  rig_turns (&rig, 20);
+  uint64_t before = cnt_value (sent);
+  fkp_host (&rig.platform, "peer", false, rig_ip (), RIG_PORT + 1, MEM_LEAVING);
+  TURN_UNTIL (&rig, rig.told.peer_state == MEM_LEAVING);
+  CU_ASSERT_EQUAL (cnt_value (sent), before + 1);
+  rig_turns (&rig, 30);
+  CU_ASSERT_EQUAL (cnt_value (sent), before + 1);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
 int
 main (void)
 {
@@ -303,6 +395,9 @@
   CU_ADD_TEST (suite, test_peer_tells_of_leaving);
   CU_ADD_TEST (suite, test_leave_by_list);
   CU_ADD_TEST (suite, test_listed_leaving_at_start);
+  CU_ADD_TEST (suite, test_list_is_read_when_a_peer_has_a_new_one);
+  CU_ADD_TEST (suite, test_list_is_read_without_peers);
+  CU_ADD_TEST (suite, test_listed_leaving_is_told_to_the_host);
   CU_ADD_TEST (suite, test_empty_list_is_not_believed);
   CU_ADD_TEST (suite, test_checkpoint_is_appended_once);
   CU_basic_set_mode (CU_BRM_VERBOSE);
