--- a/src/request/place.c
+++ b/src/request/place.c
@@ -186,7 +186,10 @@
     {
       if (engines[i].weight <= 0.0f)
         continue;
-      plc_slot_t slot = { .key = engine_key (key, engines[i].hash),
+      const uint64_t engine = engine_key (key, engines[i].hash);
+      if (equal && count == want && engine < heap[0].key)
+        continue;
+      plc_slot_t slot = { .key = engine,
                           .engine_hash = engines[i].hash,
                           .index = engines[i].index };
       if (!equal)
