Measure claims with many sidecars on one rate-limited log

The promise of at most once was tested for order and faults, never for the appends that it costs. bench-claims drives the real readers in virtual time over a log in memory, as the control task drives them: append, long-polled read, the tick of 100 ms.

--- /dev/null
+++ b/bench/bench_claims.c
@@ -0,0 +1,422 @@
+/**
+ * DOC: bench_claims
+ *
+ * Claims at the size of a fleet: many sidecars follow claims streams of one log that takes so many
+ * appends a second and refuses the rest. Decisions only: readers of the real code in virtual time,
+ * over a log in memory, driven as the control task drives them. Prints one tab-separated line for
+ * each setting.
+ *
+ * Usage: bench-claims [KEYED_S STREAMS FOLLOWERS APPENDS_S [SECONDS]]; without arguments, a table.
+ */
+#include "figures.h"
+#include "process/clock.h"
+#include "process/limits.h"
+#include "random.h"
+#include "request/claim.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STEP_US CLK_US_PER_MS
+#define ROUND_TRIP_US (10 * CLK_US_PER_MS)
+#define TICK_US (100 * CLK_US_PER_MS)
+#define READ_WAIT_US (200 * CLK_US_PER_MS)
+#define READ_RECORDS 500
+#define RETRY_US (100 * CLK_US_PER_MS)
+#define DEADLINE_US (5 * (uint64_t)CLK_US_PER_S)
+#define SERVICE_US 50000.0
+#define HORIZON_US (3600 * (uint64_t)CLK_US_PER_S)
+#define WALL_BASE_MS UINT64_C (1800000000000)
+/* What HTTP and JSON add to an append with its answer, to a read with its answer, to a record. */
+#define APPEND_BYTES 300
+#define READ_BYTES 350
+#define RECORD_BYTES 30
+#define WARM_US (5 * (uint64_t)CLK_US_PER_S)
+
+typedef struct
+{
+  uint32_t keyed_s;
+  uint32_t streams;
+  uint32_t followers; /* sidecars that get the keyed requests of one stream */
+  uint32_t appends_s; /* 0: no limit */
+  uint32_t seconds;
+} plan_t;
+
+/* run_t - a request that was granted and runs at its engine */
+typedef struct
+{
+  uint64_t claim_id[2];
+  clm_key_t key;
+  uint64_t end_us;
+} run_t;
+
+/* asked_t - a request that waits for its claim */
+typedef struct
+{
+  uint64_t at_us;
+  clm_key_t key;
+} asked_t;
+
+/* follower_t - one sidecar and one stream, as the control task has it */
+typedef struct
+{
+  clm_t *clm;
+  GPtrArray *stream;
+  GArray *runs;
+  char *append;
+  uint64_t append_at_us; /* when it reaches the log, then when its answer is here */
+  bool append_judged;
+  bool append_taken;
+  uint64_t append_offset;
+  uint64_t append_due_us;
+  bool reading;
+  bool read_judged;
+  uint64_t read_at_us;
+  uint64_t read_until_us;
+  uint64_t read_end;
+  uint64_t tick_us;
+} follower_t;
+
+typedef struct
+{
+  plan_t plan;
+  uint64_t now_us;
+  uint64_t rand;
+  double credit;
+  GPtrArray **streams;
+  follower_t *followers;
+  uint64_t next_id;
+  uint64_t asked;
+  uint64_t granted;
+  uint64_t refused_claims;
+  uint64_t appends;
+  uint64_t refused_appends;
+  uint64_t entries;
+  uint64_t read_bytes;
+  uint64_t sent_bytes;
+  fig_list_t granted_ms;
+  fig_list_t refused_ms;
+} sim_t;
+
+static bool
+is_warm (const sim_t *sim)
+{
+  return sim->now_us >= WARM_US;
+}
+
+static uint64_t
+wall_ms (const sim_t *sim)
+{
+  return WALL_BASE_MS + sim->now_us / CLK_US_PER_MS;
+}
+
+static void
+take_results (sim_t *sim, follower_t *follower)
+{
+  clm_result_t result;
+  while (clm_result (follower->clm, sim->now_us, &result))
+    {
+      asked_t *asked = result.owner;
+      double ms = (double)(sim->now_us - asked->at_us) / CLK_US_PER_MS;
+      bool granted = result.verdict == CLM_GRANTED;
+      if (granted)
+        {
+          run_t run = { { result.claim_id[0], result.claim_id[1] }, asked->key, 0 };
+          run.end_us = sim->now_us + (uint64_t)rnd_exponential (&sim->rand, SERVICE_US);
+          g_array_append_val (follower->runs, run);
+        }
+      if (is_warm (sim))
+        {
+          fig_add (granted ? &sim->granted_ms : &sim->refused_ms, ms);
+          sim->granted += granted;
+          sim->refused_claims += !granted;
+        }
+      g_free (asked);
+    }
+}
+
+static void
+pump (sim_t *sim, follower_t *follower)
+{
+  if (follower->append == NULL && sim->now_us >= follower->append_due_us)
+    {
+      follower->append = clm_batch (follower->clm, sim->now_us, wall_ms (sim));
+      follower->append_at_us = sim->now_us + ROUND_TRIP_US / 2;
+      follower->append_judged = false;
+    }
+  if (!follower->reading && clm_wants (follower->clm))
+    {
+      follower->reading = true;
+      follower->read_judged = false;
+      follower->read_at_us = sim->now_us + ROUND_TRIP_US / 2;
+      follower->read_until_us = follower->read_at_us + READ_WAIT_US;
+    }
+}
+
+static bool
+log_takes (sim_t *sim)
+{
+  if (sim->plan.appends_s == 0)
+    return true;
+  if (sim->credit < 1)
+    return false;
+  sim->credit -= 1;
+  return true;
+}
+
+static uint32_t
+entries_of (const char *text)
+{
+  uint32_t count = 0;
+  for (; *text != '\0'; text++)
+    count += *text == '{';
+  return count;
+}
+
+/* The append has reached the log. */
+static void
+judge_append (sim_t *sim, follower_t *follower)
+{
+  follower->append_judged = true;
+  follower->append_at_us = sim->now_us + ROUND_TRIP_US / 2;
+  follower->append_taken = log_takes (sim);
+  if (is_warm (sim))
+    {
+      sim->appends++;
+      sim->sent_bytes += strlen (follower->append) + APPEND_BYTES;
+      sim->refused_appends += !follower->append_taken;
+      sim->entries += follower->append_taken ? entries_of (follower->append) : 0;
+    }
+  if (!follower->append_taken)
+    return;
+  follower->append_offset = follower->stream->len;
+  g_ptr_array_add (follower->stream, g_strdup (follower->append));
+}
+
+static void
+answer_append (sim_t *sim, follower_t *follower)
+{
+  g_clear_pointer (&follower->append, g_free);
+  if (follower->append_taken)
+    clm_appended (follower->clm, follower->append_offset);
+  else
+    {
+      clm_append_lost (follower->clm);
+      follower->append_due_us =
+          sim->now_us + (uint64_t)(RETRY_US * (0.75 + rnd_unit (&sim->rand) / 2));
+    }
+}
+
+static void
+step_append (sim_t *sim, follower_t *follower)
+{
+  if (follower->append == NULL || sim->now_us < follower->append_at_us)
+    return;
+  if (!follower->append_judged)
+    {
+      judge_append (sim, follower);
+      return;
+    }
+  answer_append (sim, follower);
+  take_results (sim, follower);
+  pump (sim, follower);
+}
+
+static void
+answer_read (sim_t *sim, follower_t *follower)
+{
+  follower->reading = false;
+  uint64_t from = clm_next_offset (follower->clm);
+  uint64_t bytes = READ_BYTES;
+  for (uint64_t at = from; at < follower->read_end; at++)
+    {
+      const char *text = g_ptr_array_index (follower->stream, at);
+      bytes += strlen (text) + RECORD_BYTES;
+      clm_feed (follower->clm, sim->now_us, wall_ms (sim), at, text, strlen (text));
+    }
+  clm_read_to (follower->clm, sim->now_us, follower->read_end);
+  if (is_warm (sim))
+    sim->read_bytes += bytes;
+}
+
+static void
+step_read (sim_t *sim, follower_t *follower)
+{
+  if (!follower->reading || sim->now_us < follower->read_at_us)
+    return;
+  if (!follower->read_judged)
+    {
+      uint64_t from = clm_next_offset (follower->clm);
+      if (follower->stream->len == from && sim->now_us < follower->read_until_us)
+        return;
+      follower->read_judged = true;
+      follower->read_end = MIN (follower->stream->len, from + READ_RECORDS);
+      follower->read_at_us = sim->now_us + ROUND_TRIP_US / 2;
+      return;
+    }
+  answer_read (sim, follower);
+  take_results (sim, follower);
+  pump (sim, follower);
+}
+
+static void
+step_runs (sim_t *sim, follower_t *follower)
+{
+  for (guint i = follower->runs->len; i-- > 0;)
+    {
+      run_t run = g_array_index (follower->runs, run_t, i);
+      if (sim->now_us < run.end_us)
+        continue;
+      clm_done (follower->clm, run.claim_id, &run.key, 200);
+      g_array_remove_index_fast (follower->runs, i);
+      pump (sim, follower);
+    }
+}
+
+static void
+ask (sim_t *sim)
+{
+  uint32_t count = sim->plan.streams * sim->plan.followers;
+  follower_t *follower = &sim->followers[rnd_below (&sim->rand, count)];
+  uint64_t claim_id[2] = { 1, ++sim->next_id };
+  asked_t *asked = g_new0 (asked_t, 1);
+  asked->at_us = sim->now_us;
+  asked->key = (clm_key_t){ { rnd_next (&sim->rand), rnd_next (&sim->rand) }, 5 };
+  sim->asked += is_warm (sim);
+  clm_request (follower->clm, sim->now_us, claim_id, &asked->key, sim->now_us + DEADLINE_US, asked);
+  take_results (sim, follower);
+  pump (sim, follower);
+}
+
+static void
+step (sim_t *sim)
+{
+  sim->now_us += STEP_US;
+  sim->credit += (double)sim->plan.appends_s * STEP_US / CLK_US_PER_S;
+  sim->credit = MIN (sim->credit, sim->plan.appends_s);
+  for (uint32_t i = 0; i < sim->plan.streams * sim->plan.followers; i++)
+    {
+      follower_t *follower = &sim->followers[i];
+      step_append (sim, follower);
+      step_read (sim, follower);
+      step_runs (sim, follower);
+      if (sim->now_us < follower->tick_us)
+        continue;
+      follower->tick_us += TICK_US;
+      take_results (sim, follower);
+      pump (sim, follower);
+    }
+}
+
+static void
+sim_start (sim_t *sim, const plan_t *plan)
+{
+  memset (sim, 0, sizeof *sim);
+  sim->plan = *plan;
+  sim->rand = 7;
+  sim->now_us = CLK_US_PER_S;
+  sim->credit = plan->appends_s;
+  sim->streams = g_new0 (GPtrArray *, plan->streams);
+  sim->followers = g_new0 (follower_t, plan->streams * plan->followers);
+  for (uint32_t i = 0; i < plan->streams; i++)
+    sim->streams[i] = g_ptr_array_new_with_free_func (g_free);
+  for (uint32_t i = 0; i < plan->streams * plan->followers; i++)
+    {
+      follower_t *follower = &sim->followers[i];
+      follower->clm = clm_new (HORIZON_US);
+      clm_begin (follower->clm, 0);
+      follower->stream = sim->streams[i % plan->streams];
+      follower->runs = g_array_new (FALSE, FALSE, sizeof (run_t));
+      follower->tick_us = sim->now_us + (uint64_t)(rnd_unit (&sim->rand) * TICK_US);
+    }
+}
+
+static void
+sim_clear (sim_t *sim)
+{
+  for (uint32_t i = 0; i < sim->plan.streams * sim->plan.followers; i++)
+    {
+      clm_free (sim->followers[i].clm);
+      g_array_free (sim->followers[i].runs, TRUE);
+      g_free (sim->followers[i].append);
+    }
+  for (uint32_t i = 0; i < sim->plan.streams; i++)
+    g_ptr_array_free (sim->streams[i], TRUE);
+  g_free (sim->streams);
+  g_free (sim->followers);
+  g_free (sim->granted_ms.values);
+  g_free (sim->refused_ms.values);
+}
+
+static void
+print_figures (sim_t *sim, double seconds)
+{
+  const plan_t *plan = &sim->plan;
+  double answered = MAX (1, sim->granted + sim->refused_claims);
+  double followers = plan->streams * plan->followers;
+  double taken = (double)(sim->appends - sim->refused_appends);
+  printf ("%u\t%u\t%u\t%u\t%.0f\t%.0f\t%.2f\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\n",
+          plan->keyed_s, plan->streams, plan->followers, plan->appends_s, taken / seconds,
+          (double)sim->refused_appends / seconds, (double)sim->appends / MAX (1, sim->granted),
+          (double)sim->entries / MAX (1, taken), 100.0 * (double)sim->refused_claims / answered,
+          fig_quantile (&sim->granted_ms, 0.5), fig_quantile (&sim->granted_ms, 0.99),
+          fig_quantile (&sim->refused_ms, 0.5), fig_quantile (&sim->refused_ms, 0.99),
+          (double)sim->sent_bytes / followers / seconds,
+          (double)sim->read_bytes / followers / seconds);
+  fflush (stdout);
+}
+
+static void
+run (const plan_t *plan)
+{
+  sim_t sim;
+  sim_start (&sim, plan);
+  uint64_t end_us = WARM_US + plan->seconds * (uint64_t)CLK_US_PER_S;
+  double next_us = (double)sim.now_us;
+  while (sim.now_us < end_us)
+    {
+      for (; next_us <= (double)sim.now_us;
+           next_us += rnd_exponential (&sim.rand, 1e6 / plan->keyed_s))
+        ask (&sim);
+      step (&sim);
+    }
+  print_figures (&sim, plan->seconds);
+  sim_clear (&sim);
+}
+
+static void
+print_table (void)
+{
+  static const uint32_t keyed_s[] = { 34, 340, 1700, 3400 };
+  static const uint32_t streams[] = { 12, 48, 192 };
+  static const uint32_t followers[] = { 1, 2, 4 };
+  for (uint32_t i = 0; i < G_N_ELEMENTS (keyed_s); i++)
+    for (uint32_t j = 0; j < G_N_ELEMENTS (streams); j++)
+      for (uint32_t k = 0; k < G_N_ELEMENTS (followers); k++)
+        {
+          plan_t plan = { keyed_s[i], streams[j], followers[k], 0, 15 };
+          run (&plan);
+          plan.appends_s = 300;
+          run (&plan);
+        }
+}
+
+int
+main (int argc, char **argv)
+{
+  puts (
+      "keyed/s\tstreams\tfollowers\tlimit/s\ttaken/s\trefused/s\tappends/granted\tentries/append\t"
+      "not run %\tgrant p50 ms\tp99\trefusal p50 ms\tp99\tsent B/s\tread B/s");
+  if (argc < 5)
+    {
+      print_table ();
+      return 0;
+    }
+  plan_t plan = { (uint32_t)atoi (argv[1]), (uint32_t)atoi (argv[2]), (uint32_t)atoi (argv[3]),
+                  (uint32_t)atoi (argv[4]), argc > 5 ? (uint32_t)atoi (argv[5]) : 15 };
+  run (&plan);
+  return 0;
+}
