Pace appends of claims by what the log refuses, and let ends ride along

A refused append was taken for a lost one: its claims were looked up in the log, all that waited with it were refused, it was given up after a second and released by one more entry.

- A refusal is certain, so the entries go with the next append, nothing is released.
- Each stream of each daemon keeps an interval between its appends, doubled by a refusal, while each append that is taken adds 0.05/s to the rate.
Under load batches grow, not appends.
- A claim that cannot be sent within 3 s (or before its deadline) by that interval is refused at once as not run; after 5 refusals in a row all are, and tries back off to one in 4 s.
- A done entry waits up to a second for a claim to go with.
If the sidecar dies meanwhile, a resend hears that the request may have run instead of that it ran.
Releases do not wait.
- Lost appends back off too, from 100 ms to 4 s; they were tried ten times a second.
- Reading is only needed while a claim waits or a loss is looked up.

The test of all claims runs twice as long at its end, for done entries are held back.

--- a/bench/bench_claims.c
+++ b/bench/bench_claims.c
@@ -25,7 +25,6 @@
 #define TICK_US (100 * CLK_US_PER_MS)
 #define READ_WAIT_US (200 * CLK_US_PER_MS)
 #define READ_RECORDS 500
-#define RETRY_US (100 * CLK_US_PER_MS)
 #define DEADLINE_US (5 * (uint64_t)CLK_US_PER_S)
 #define SERVICE_US 50000.0
 #define HORIZON_US (3600 * (uint64_t)CLK_US_PER_S)
@@ -71,7 +70,6 @@
   bool append_judged;
   bool append_taken;
   uint64_t append_offset;
-  uint64_t append_due_us;
   bool reading;
   bool read_judged;
   uint64_t read_at_us;
@@ -141,13 +139,13 @@
 static void
 pump (sim_t *sim, follower_t *follower)
 {
-  if (follower->append == NULL && sim->now_us >= follower->append_due_us)
+  if (follower->append == NULL)
     {
       follower->append = clm_batch (follower->clm, sim->now_us, wall_ms (sim));
       follower->append_at_us = sim->now_us + ROUND_TRIP_US / 2;
       follower->append_judged = false;
     }
-  if (!follower->reading && clm_wants (follower->clm))
+  if (!follower->reading && clm_wants_read (follower->clm))
     {
       follower->reading = true;
       follower->read_judged = false;
@@ -201,13 +199,9 @@
 {
   g_clear_pointer (&follower->append, g_free);
   if (follower->append_taken)
-    clm_appended (follower->clm, follower->append_offset);
+    clm_appended (follower->clm, sim->now_us, follower->append_offset);
   else
-    {
-      clm_append_lost (follower->clm);
-      follower->append_due_us =
-          sim->now_us + (uint64_t)(RETRY_US * (0.75 + rnd_unit (&sim->rand) / 2));
-    }
+    clm_append_refused (follower->clm, sim->now_us);
 }
 
 static void
--- a/src/process/control_claims.c
+++ b/src/process/control_claims.c
@@ -29,7 +29,6 @@
   ctrl_op_t *append_op;
   char *batch;
   uint64_t read_due_us;
-  uint64_t append_due_us;
   uint64_t backoff_us;
   uint64_t used_us;
   bool begun;
@@ -115,6 +114,16 @@
     clm_read_to (clm, now_us, read->end_offset);
 }
 
+static void
+tell_streams (ctrl_t *ctrl)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, ctrl->claims.streams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    clm_log_down (((ctrl_stream_t *)value)->clm, ctrl_now_us (ctrl));
+}
+
 static void
 note_log (ctrl_t *ctrl, bool works)
 {
@@ -124,6 +133,8 @@
   claims->down = !works;
   claims->probe_wait_us = PROBE_MIN_US;
   claims->probe_us = ctrl_now_us (ctrl) + ctrl_jitter (ctrl, PROBE_MIN_US);
+  if (!works)
+    tell_streams (ctrl);
   log_event (works ? LOG_LEVEL_NOTICE : LOG_LEVEL_WARNING, works ? "platform_back" : "platform_out",
              "source", "claims", NULL);
 }
@@ -152,6 +163,16 @@
   pump (stream);
 }
 
+static void
+count_append (ctrl_t *ctrl, plt_outcome_t outcome)
+{
+  static const char *const outcomes[] = { "taken", "refused", "unknown" };
+  char name[64];
+  g_snprintf (name, sizeof name, "medlarplank_claim_appends_total{outcome=\"%s\"}",
+              outcomes[outcome]);
+  ctrl_count (ctrl, name, "Appends to claims streams");
+}
+
 static void
 on_append (plt_outcome_t outcome, uint64_t offset, void *context)
 {
@@ -162,15 +183,19 @@
     return;
   stream->append_op = NULL;
   g_clear_pointer (&stream->batch, g_free);
-  if (outcome == PLT_OK)
-    {
-      clm_appended (stream->clm, offset);
-    }
-  else
+  switch (outcome)
     {
-      clm_append_lost (stream->clm);
-      stream->append_due_us = ctrl_now_us (ctrl) + ctrl_jitter (ctrl, RETRY_MIN_US);
+    case PLT_OK:
+      clm_appended (stream->clm, ctrl_now_us (ctrl), offset);
+      break;
+    case PLT_REFUSED:
+      clm_append_refused (stream->clm, ctrl_now_us (ctrl));
+      break;
+    case PLT_UNKNOWN:
+      clm_append_lost (stream->clm, ctrl_now_us (ctrl));
+      break;
     }
+  count_append (ctrl, outcome);
   answer_all (stream);
   pump (stream);
 }
@@ -180,7 +205,7 @@
 {
   ctrl_t *ctrl = stream->ctrl;
   uint64_t now_us = ctrl_now_us (ctrl);
-  if (stream->append_op != NULL || now_us < stream->append_due_us)
+  if (stream->append_op != NULL)
     return;
   stream->batch = clm_batch (stream->clm, now_us, clk_wall_ms (&ctrl->dmn->clk));
   if (stream->batch == NULL)
@@ -197,7 +222,7 @@
   ctrl_t *ctrl = stream->ctrl;
   if (stream->read_op != NULL || ctrl_now_us (ctrl) < stream->read_due_us)
     return;
-  if (!clm_wants (stream->clm))
+  if (!clm_wants_read (stream->clm))
     return;
   stream->read_op = ctrl_op_new (ctrl);
   stream->read_op->stream = stream;
--- a/src/request/claim.c
+++ b/src/request/claim.c
@@ -3,6 +3,7 @@
 #include "process/clock.h"
 #include "process/limits.h"
 #include "request/claim_keys.h"
+#include "request/claim_pace.h"
 
 #include <glib.h>
 #include <string.h>
@@ -11,10 +12,10 @@
 
 /* A claim whose append was lost is given up after this, unless it is read back. */
 #define LOST_WAIT_US CLK_US_PER_S
-/* While appends fail, they are tried again no faster than this ... */
-#define RETRY_US (100 * CLK_US_PER_MS)
-/* ... and one new claim may try this often. */
+/* While appends fail, one new claim may try this often. */
 #define PROBE_US CLK_US_PER_S
+/* So many refusals in a row are no surge that passes: callers must not wait for its end. */
+#define REFUSALS_DOWN 5
 /* A read may have been sent before the loss and so not show the append; the second was not. */
 #define READS_AFTER_LOSS 2
 
@@ -24,6 +25,7 @@
   uint64_t claim_id[2];
   clm_key_t key;
   uint64_t expiry_us;
+  uint64_t late_us; /* if it can't be sent by then, better tell so now */
   uint64_t give_up_us;
   void *owner;
   uint32_t sent_count;
@@ -46,12 +48,15 @@
 struct clm
 {
   cky_t *keys;
+  cpc_t pace;
   GHashTable *waiting; /* claim id -> wait_t */
   GQueue queue;        /* out_t to be appended, oldest first */
   GQueue flying;       /* out_t of the append in flight, or of a lost one until it is looked up */
   GQueue results;      /* judged_t */
+  uint32_t held;       /* of @queue, done entries */
+  uint64_t held_us;    /* since when the oldest of them waits */
   bool lost;           /* the append of @flying was lost */
-  bool down;           /* the last append was lost and none has worked since */
+  bool down;           /* appends were lost or refused and none has worked since */
   uint32_t reads_after_loss;
   uint64_t lost_us;
   uint64_t now_us;
@@ -92,6 +97,31 @@
   g_queue_push_tail (&clm->results, judged);
 }
 
+/* take_queued() and put_queued() keep count of what may be held back. */
+static out_t *
+take_queued (clm_t *clm)
+{
+  out_t *out = g_queue_pop_head (&clm->queue);
+  if (out != NULL && out->record.kind == CLR_DONE)
+    clm->held--;
+  return out;
+}
+
+static void
+count_held (clm_t *clm)
+{
+  if (clm->held++ == 0)
+    clm->held_us = clm->now_us;
+}
+
+static void
+put_queued_first (clm_t *clm, out_t *out)
+{
+  if (out->record.kind == CLR_DONE)
+    count_held (clm);
+  g_queue_push_head (&clm->queue, out);
+}
+
 static out_t *
 queued_end (clm_t *clm, const uint64_t claim_id[2])
 {
@@ -117,6 +147,8 @@
   memcpy (out->record.claim_id, claim_id, sizeof out->record.claim_id);
   out->record.key = *key;
   out->record.status = status;
+  if (kind == CLR_DONE)
+    count_held (clm);
   g_queue_push_tail (&clm->queue, out);
 }
 
@@ -220,7 +252,7 @@
     if (out->found)
       g_free (out);
     else
-      g_queue_push_head (&clm->queue, out);
+      put_queued_first (clm, out);
   clm->lost = false;
 }
 
@@ -245,7 +277,7 @@
 {
   while (clm->flying.length < LIM_CLAIM_ENTRIES && clm->queue.length > 0)
     {
-      out_t *out = g_queue_pop_head (&clm->queue);
+      out_t *out = take_queued (clm);
       if (!still_wanted (clm, out))
         {
           g_free (out);
@@ -260,6 +292,58 @@
     }
 }
 
+/* The append took no effect: what it carried is as if it had never been sent. */
+static void
+take_back (clm_t *clm)
+{
+  out_t *out;
+  while ((out = g_queue_pop_tail (&clm->flying)) != NULL)
+    {
+      wait_t *wait = g_hash_table_lookup (clm->waiting, out->record.claim_id);
+      if (out->record.kind == CLR_CLAIM && wait != NULL)
+        wait->sent_count--;
+      put_queued_first (clm, out);
+    }
+}
+
+static void
+go_down (clm_t *clm)
+{
+  clm->down = true;
+  clm->lost_us = clm->now_us;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, clm->waiting);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      wait_t *wait = value;
+      set_give_up (clm, wait, wait->sent_count == 0 ? 0 : clm->now_us + LOST_WAIT_US);
+    }
+}
+
+static uint64_t
+expected_us (const clm_t *clm)
+{
+  uint32_t batches = clm->queue.length / LIM_CLAIM_ENTRIES + (clm->flying.length > 0 ? 1 : 0);
+  return cpc_expected_us (&clm->pace, clm->now_us, batches);
+}
+
+/* Nobody shall wait for what can't come in time. */
+static void
+give_up_late (clm_t *clm)
+{
+  uint64_t next_us = cpc_expected_us (&clm->pace, clm->now_us, 0);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, clm->waiting);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      wait_t *wait = value;
+      if (wait->sent_count == 0 && wait->late_us <= next_us)
+        set_give_up (clm, wait, 0);
+    }
+}
+
 clm_t *
 clm_new (uint64_t horizon_us)
 {
@@ -268,6 +352,7 @@
   clm->waiting = g_hash_table_new_full (id_hash, id_equal, NULL, g_free);
   clm->horizon_us = horizon_us;
   clm->next_give_up_us = UINT64_MAX;
+  cpc_init (&clm->pace);
   return clm;
 }
 
@@ -287,15 +372,18 @@
 /* Whether a new claim may wait for the log. While it is out they are refused at once, but for one
  * in a while, or nobody would learn that it is back. */
 static bool
-may_wait (const clm_t *clm)
+may_wait (const clm_t *clm, const wait_t *wait)
 {
   if (g_hash_table_size (clm->waiting) >= LIM_CLAIMS_WAITING)
     return false;
   if (clm->queue.length >= LIM_CLAIM_QUEUE)
     return false;
+  if (expected_us (clm) >= wait->late_us)
+    return false;
   if (!clm->down)
     return true;
-  return g_hash_table_size (clm->waiting) == 0 && clm->now_us >= clm->lost_us + PROBE_US;
+  uint64_t probe_us = MAX (clm->lost_us + PROBE_US, clm->pace.due_us);
+  return g_hash_table_size (clm->waiting) == 0 && clm->now_us >= probe_us;
 }
 
 void
@@ -307,17 +395,19 @@
              void *owner)
 {
   see_now (clm, now_us);
+  cpc_stir (&clm->pace, claim_id[0] ^ claim_id[1]);
   wait_t wait = { .key = *key, .owner = owner };
   memcpy (wait.claim_id, claim_id, sizeof wait.claim_id);
   /* A claim must not be started on once its key may have been forgotten. */
   wait.expiry_us = MIN (expiry_us, now_us + clm->horizon_us / 2);
+  wait.late_us = MIN (wait.expiry_us, now_us + LIM_CLAIM_WAIT_US);
   wait.give_up_us = wait.expiry_us;
   cky_verdict_t known = cky_known (clm->keys, key);
   if (known.verdict != CLM_PENDING)
     judge (clm, &wait, known.verdict, known.status);
   else if (g_hash_table_contains (clm->waiting, claim_id))
     judge (clm, &wait, CLM_HELD, 0);
-  else if (!may_wait (clm))
+  else if (!may_wait (clm, &wait))
     judge (clm, &wait, CLM_LOG_DOWN, 0);
   else
     {
@@ -347,6 +437,8 @@
       enqueue (clm, CLR_DONE, claim_id, key, status);
       return;
     }
+  if (out->record.kind != CLR_DONE)
+    count_held (clm);
   out->record.kind = CLR_DONE;
   out->record.status = status;
 }
@@ -356,13 +448,12 @@
 {
   see_now (clm, now_us);
   sweep (clm);
-  if (clm->flying.length > 0)
-    return NULL;
-  if (clm->down && clm->now_us < clm->lost_us + RETRY_US)
+  if (clm->now_us < clm_due_us (clm))
     return NULL;
   take_off (clm);
   if (clm->flying.length == 0)
     return NULL;
+  cpc_started (&clm->pace, clm->now_us);
   clr_t records[LIM_CLAIM_ENTRIES];
   uint32_t count = 0;
   for (GList *link = clm->flying.head; link != NULL; link = link->next)
@@ -375,29 +466,43 @@
 }
 
 void
-clm_appended (clm_t *clm, uint64_t offset)
+clm_appended (clm_t *clm, uint64_t now_us, uint64_t offset)
 {
   (void)offset; /* claims are judged when they are read back, which is past it */
+  see_now (clm, now_us);
+  cpc_taken (&clm->pace, clm->now_us);
   g_queue_clear_full (&clm->flying, g_free);
   clm->lost = false;
   clm->down = false;
 }
 
 void
-clm_append_lost (clm_t *clm)
+clm_append_lost (clm_t *clm, uint64_t now_us)
 {
+  see_now (clm, now_us);
+  cpc_lost (&clm->pace, clm->now_us);
   clm->lost = true;
-  clm->down = true;
-  clm->lost_us = clm->now_us;
   clm->reads_after_loss = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, clm->waiting);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      wait_t *wait = value;
-      set_give_up (clm, wait, wait->sent_count == 0 ? 0 : clm->now_us + LOST_WAIT_US);
-    }
+  go_down (clm);
+}
+
+void
+clm_append_refused (clm_t *clm, uint64_t now_us)
+{
+  see_now (clm, now_us);
+  cpc_refused (&clm->pace, clm->now_us);
+  take_back (clm);
+  if (clm->pace.refusals >= REFUSALS_DOWN)
+    go_down (clm);
+  else
+    give_up_late (clm);
+}
+
+void
+clm_log_down (clm_t *clm, uint64_t now_us)
+{
+  see_now (clm, now_us);
+  go_down (clm);
 }
 
 void
@@ -448,6 +553,21 @@
   return g_hash_table_size (clm->waiting) > 0 || clm->queue.length > 0 || clm->flying.length > 0;
 }
 
+bool
+clm_wants_read (const clm_t *clm)
+{
+  return g_hash_table_size (clm->waiting) > 0 || clm->lost;
+}
+
+uint64_t
+clm_due_us (const clm_t *clm)
+{
+  if (clm->queue.length == 0 || clm->flying.length > 0)
+    return UINT64_MAX;
+  bool held = clm->held == clm->queue.length && clm->held < LIM_CLAIM_ENTRIES;
+  return MAX (clm->pace.due_us, held ? clm->held_us + LIM_CLAIM_HOLD_US : 0);
+}
+
 bool
 clm_result (clm_t *clm, uint64_t now_us, clm_result_t *result)
 {
--- a/src/request/claim.h
+++ b/src/request/claim.h
@@ -79,17 +79,30 @@
  *
  * At most one append is in flight. Its entries stay in the batch until they are read back: after
  * clm_append_lost() those not found up to the log's end are appended again, under the same ids.
+ * Appends keep an interval (claim_pace.h). A done entry alone is held back for up to
+ * %LIM_CLAIM_HOLD_US, to go with the next claim or release.
  */
 char *clm_batch (clm_t *clm, uint64_t now_us, uint64_t wall_ms);
 /** clm_appended() - the append was answered; granted only once read back up to @offset */
-void clm_appended (clm_t *clm, uint64_t offset);
+void clm_appended (clm_t *clm, uint64_t now_us, uint64_t offset);
 /**
  * clm_append_lost() - the append failed or its answer was lost: it may stand in the log
  *
  * From here until an append works again new claims are refused at once as CLM_LOG_DOWN, but for
  * one in a while that tries.
  */
-void clm_append_lost (clm_t *clm);
+void clm_append_lost (clm_t *clm, uint64_t now_us);
+
+/**
+ * clm_append_refused() - the append certainly took no effect: the log takes no more just now
+ *
+ * Its entries go with a later append, which is due after a longer interval. Claims that can't be
+ * made in time by then are refused at once as CLM_LOG_DOWN; after refusals in a row all are, until
+ * an append is taken again.
+ */
+void clm_append_refused (clm_t *clm, uint64_t now_us);
+/** clm_log_down() - reading failed: what is not on its way is refused at once as CLM_LOG_DOWN */
+void clm_log_down (clm_t *clm, uint64_t now_us);
 
 /** clm_begin() - the stream's first retained offset, before the first record or after a gap */
 void clm_begin (clm_t *clm, uint64_t first_offset);
@@ -105,6 +118,10 @@
 uint64_t clm_next_offset (const clm_t *clm);
 /** clm_wants() - whether anything waits for a read or an append */
 bool clm_wants (const clm_t *clm);
+/** clm_wants_read() - whether a claim waits to be judged, or a lost append to be looked up */
+bool clm_wants_read (const clm_t *clm);
+/** clm_due_us() - when clm_batch() may give the next record; UINT64_MAX when none is waiting */
+uint64_t clm_due_us (const clm_t *clm);
 /** clm_result() - takes the next answer. Return: false when there is none */
 bool clm_result (clm_t *clm, uint64_t now_us, clm_result_t *result);
 /** clm_key_count() - keys remembered, and released claims */
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -114,6 +114,11 @@
       call->appended (PLT_UNKNOWN, 0, call->context);
       return;
     }
+  if (fkp->append_refused)
+    {
+      call->appended (PLT_REFUSED, 0, call->context);
+      return;
+    }
   GPtrArray *records = stream_of (fkp, call->stream);
   uint64_t offset = records->len;
   g_ptr_array_add (records, g_strdup (call->data));
--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -16,6 +16,7 @@
  * @read_down: reads of the log fail
  * @read_stuck: reads of the log are not answered
  * @append_down: appends take no effect and fail
+ * @append_refused: appends certainly take no effect
  * @append_lost: appends take effect, but their answer is lost
  * @list_down: the list fails
  * @now_ms: the test moves it on; reads that wait end by it
@@ -27,6 +28,7 @@
   bool read_down;
   bool read_stuck;
   bool append_down;
+  bool append_refused;
   bool append_lost;
   bool list_down;
   uint64_t now_ms;
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -61,13 +61,15 @@
   clm_feed (one->clm, one->now_us, wall_ms (one), one->offset++, text, strlen (text));
 }
 
-/* The append is answered and read back. */
+/* The append, when it is due, is answered and read back. */
 static void
 one_turn (one_t *one)
 {
+  CU_ASSERT_NOT_EQUAL_FATAL (clm_due_us (one->clm), UINT64_MAX);
+  one->now_us = MAX (one->now_us, clm_due_us (one->clm));
   char *text = one_batch (one);
   CU_ASSERT_PTR_NOT_NULL_FATAL (text);
-  clm_appended (one->clm, one->offset);
+  clm_appended (one->clm, one->now_us, one->offset);
   one_feed (one, text);
   g_free (text);
 }
@@ -132,7 +134,7 @@
   one_init (&one);
   one_ask (&one, 1, &key_a);
   char *text = one_batch (&one);
-  clm_append_lost (one.clm);
+  clm_append_lost (one.clm, one.now_us);
   one.now_us += CLK_US_PER_S / 2;
   CU_ASSERT_PTR_NULL (one_batch (&one));
   one_feed (&one, text);
@@ -153,7 +155,7 @@
   one_init (&one);
   one_ask (&one, 1, &key_a);
   g_free (one_batch (&one));
-  clm_append_lost (one.clm);
+  clm_append_lost (one.clm, one.now_us);
   one.now_us += CLK_US_PER_S / 2;
   clm_read_to (one.clm, one.now_us, one.offset);
   CU_ASSERT_PTR_NULL (one_batch (&one));
@@ -174,7 +176,7 @@
   uint64_t claim_id[2] = { 7, 1 };
   one_ask (&one, 1, &key_a);
   char *late = one_batch (&one);
-  clm_append_lost (one.clm);
+  clm_append_lost (one.clm, one.now_us);
   one.now_us += CLK_US_PER_S / 2;
   clm_read_to (one.clm, one.now_us, one.offset);
   clm_read_to (one.clm, one.now_us, one.offset);
@@ -201,7 +203,7 @@
   char *late = one_batch (&one);
   clm_key_t key_b = { { 5, 5 }, 5 };
   one_ask (&one, 2, &key_b); /* waits for the append in flight */
-  clm_append_lost (one.clm);
+  clm_append_lost (one.clm, one.now_us);
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_LOG_DOWN);
   one_ask (&one, 3, &key_b);
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_LOG_DOWN);
@@ -231,7 +233,7 @@
   one_init (&one);
   one_ask (&one, 1, &key_a);
   char *text = one_batch (&one);
-  clm_appended (one.clm, one.offset);
+  clm_appended (one.clm, one.now_us, one.offset);
   one.now_us += EXPIRY_US;
   one_feed (&one, text);
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_TOO_LATE);
@@ -242,6 +244,176 @@
   clm_free (one.clm);
 }
 
+/* The log takes no more appends for now and says so. The caller must not be told that its request
+ * may have run, nor be refused while there is time: the same claim goes with the next append, under
+ * the same id, and without a release of what never stood in the log. */
+static void
+test_refused_append (void)
+{
+  one_t one;
+  one_init (&one);
+  one_ask (&one, 1, &key_a);
+  char *first = one_batch (&one);
+  clm_append_refused (one.clm, one.now_us);
+  CU_ASSERT_PTR_NULL (one_batch (&one));
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_PENDING);
+  one.now_us = clm_due_us (one.clm);
+  char *second = one_batch (&one);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (second);
+  CU_ASSERT_NSTRING_EQUAL (first, second, strcspn (first, "t")); /* but for the time */
+  clm_appended (one.clm, one.now_us, one.offset);
+  one_feed (&one, second);
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
+  CU_ASSERT_EQUAL (clm_due_us (one.clm), UINT64_MAX);
+  g_free (first);
+  g_free (second);
+  clm_free (one.clm);
+}
+
+/* The log is asked too often, and the next append is due later than some callers can wait. They
+ * hear so at once, whether they come before or after, and not at their deadline; others wait. */
+static void
+test_refused_in_a_hurry (void)
+{
+  one_t one;
+  one_init (&one);
+  uint64_t hasty[2] = { 7, 1 };
+  uint64_t hastier[2] = { 7, 2 };
+  clm_key_t key_b = { { 5, 5 }, 5 };
+  clm_request (one.clm, one.now_us, hasty, &key_a, one.now_us + 50 * CLK_US_PER_MS, NULL);
+  one_ask (&one, 3, &key_b);
+  g_free (one_batch (&one));
+  clm_append_refused (one.clm, one.now_us);
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_LOG_DOWN);
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_PENDING);
+  clm_request (one.clm, one.now_us, hastier, &key_a, one.now_us + 50 * CLK_US_PER_MS, NULL);
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_LOG_DOWN);
+  one_turn (&one);
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_PENDING);
+  clm_free (one.clm);
+}
+
+/* The log goes on refusing. What waits is told after a few tries that it did not run, later callers
+ * hear so at once, and the appends that still try grow rarer. One that is taken ends it. */
+static void
+test_refused_for_long (void)
+{
+  one_t one;
+  one_init (&one);
+  uint32_t tries = 0;
+  one_ask (&one, 1, &key_a);
+  while (one_verdict (&one) == CLM_PENDING)
+    {
+      one.now_us = clm_due_us (one.clm);
+      char *text = one_batch (&one);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (text);
+      g_free (text);
+      clm_append_refused (one.clm, one.now_us);
+      tries++;
+    }
+  CU_ASSERT_TRUE (tries <= 5);
+  CU_ASSERT_TRUE (one.now_us < 3 * CLK_US_PER_S);
+  tries = 0;
+  for (uint32_t second = 0; second < 40; second++)
+    {
+      one.now_us += CLK_US_PER_S;
+      one_ask (&one, 10 + second, &key_a);
+      one_ask (&one, 100 + second, &key_a);
+      char *text = one_batch (&one);
+      if (text != NULL)
+        {
+          tries++;
+          clm_append_refused (one.clm, one.now_us);
+        }
+      g_free (text);
+      CU_ASSERT_EQUAL (one_verdict (&one), CLM_LOG_DOWN);
+      CU_ASSERT_EQUAL (one_verdict (&one), CLM_LOG_DOWN);
+    }
+  CU_ASSERT_TRUE (tries >= 5 && tries <= 15);
+  one.now_us += 5 * CLK_US_PER_S;
+  one_ask (&one, 3, &key_a);
+  one_turn (&one);
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
+  one_ask (&one, 4, &key_a);
+  one_turn (&one);
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_HELD);
+  clm_free (one.clm);
+}
+
+/* Reading fails: claims that are not on their way are refused at once, although appending was not
+ * tried yet. */
+static void
+test_reading_fails (void)
+{
+  one_t one;
+  one_init (&one);
+  one_ask (&one, 1, &key_a);
+  one_turn (&one);
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
+  clm_key_t key_b = { { 5, 5 }, 5 };
+  one_ask (&one, 2, &key_b); /* waits for the interval */
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_PENDING);
+  clm_log_down (one.clm, one.now_us);
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_LOG_DOWN);
+  one.now_us += CLK_US_PER_S;
+  CU_ASSERT_PTR_NULL (one_batch (&one));
+  clm_free (one.clm);
+}
+
+static bool
+batch_has (one_t *one, const char *kind)
+{
+  char *text = one_batch (one);
+  bool found = text != NULL && strstr (text, kind) != NULL;
+  if (text != NULL)
+    {
+      clm_appended (one->clm, one->now_us, one->offset);
+      one_feed (one, text);
+    }
+  g_free (text);
+  return found;
+}
+
+/* Each end of a request would cost an append of its own, as many as the claims. It waits for the
+ * next claim, but not for long: until it is in the log, a resend at another sidecar hears that the
+ * request may have run instead of that it ran, and so it does when this process ends meanwhile. A
+ * release does not wait, as the caller is told that it may send again. */
+static void
+test_done_rides_along (void)
+{
+  one_t one;
+  one_init (&one);
+  clm_key_t key_b = { { 5, 5 }, 5 };
+  uint64_t first[2] = { 7, 1 };
+  uint64_t second[2] = { 7, 2 };
+  one_ask (&one, 1, &key_a);
+  one_turn (&one);
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
+  one.now_us += CLK_US_PER_S / 5;
+  clm_done (one.clm, first, &key_a, 200);
+  CU_ASSERT_TRUE (clm_wants (one.clm));
+  CU_ASSERT_FALSE (clm_wants_read (one.clm));
+  CU_ASSERT_FALSE (batch_has (&one, "\"d\""));
+  one_ask (&one, 2, &key_b);
+  CU_ASSERT_TRUE (batch_has (&one, "\"d\""));
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
+  one.now_us += CLK_US_PER_S / 5;
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_PENDING);
+  clm_done (one.clm, second, &key_b, 200);
+  CU_ASSERT_FALSE (batch_has (&one, "\"d\""));
+  one.now_us += 2 * CLK_US_PER_S;
+  CU_ASSERT_TRUE (batch_has (&one, "\"d\""));
+  one_ask (&one, 3, &(clm_key_t){ { 6, 6 }, 6 });
+  one.now_us += CLK_US_PER_S / 5;
+  one_turn (&one);
+  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
+  one.now_us += CLK_US_PER_S / 5;
+  clm_release (one.clm, (uint64_t[]){ 7, 3 }, &(clm_key_t){ { 6, 6 }, 6 });
+  CU_ASSERT_TRUE (batch_has (&one, "\"r\""));
+  clm_free (one.clm);
+}
+
 static void
 test_broken_records (void)
 {
@@ -434,15 +606,21 @@
     }
   if (world->now_us < reader->append_due_us)
     return;
+  if (world->faults && chance (world, 20))
+    {
+      clm_append_refused (reader->clm, world->now_us);
+      g_clear_pointer (&reader->append, g_free);
+      return;
+    }
   bool lost = world->faults && chance (world, 30);
   if (!lost || chance (world, 40))
     land (world, reader->append);
   else if (chance (world, 50))
     delay (world, reader->append);
   if (lost)
-    clm_append_lost (reader->clm);
+    clm_append_lost (reader->clm, world->now_us);
   else
-    clm_appended (reader->clm, world->log->len - 1);
+    clm_appended (reader->clm, world->now_us, world->log->len - 1);
   g_clear_pointer (&reader->append, g_free);
 }
 
@@ -578,9 +756,9 @@
   g_rand_free (world->rand);
 }
 
-/* Readers with clocks apart, appends that are lost, answered late or land much later, pages that
- * end early, pauses beyond expiry and beyond retention, restarts: within the horizon no key is
- * used by two grants. */
+/* Readers with clocks apart, appends that are refused, lost, answered late or land much later,
+ * pages that end early, pauses beyond expiry and beyond retention, restarts: within the horizon no
+ * key is used by two grants. */
 static void
 test_at_most_one_use (void)
 {
@@ -607,7 +785,7 @@
     {
       world_t world;
       world_run (&world, seed, false, 3000);
-      for (uint32_t i = 0; i < 40 * READERS; i++)
+      for (uint32_t i = 0; i < 80 * READERS; /* longer than a done entry is held back */ i++)
         {
           reader_t *reader = &world.readers[i % READERS];
           world.now_us += CLK_US_PER_S / 100;
@@ -635,6 +813,11 @@
   CU_add_test (suite, "a late copy of a released claim is dead", test_late_copy_is_dead);
   CU_add_test (suite, "the log is down", test_log_down);
   CU_add_test (suite, "read back too late", test_too_late);
+  CU_add_test (suite, "a refused append is repeated", test_refused_append);
+  CU_add_test (suite, "an append refused too late for some", test_refused_in_a_hurry);
+  CU_add_test (suite, "appends refused for long", test_refused_for_long);
+  CU_add_test (suite, "reading fails", test_reading_fails);
+  CU_add_test (suite, "a done entry rides along", test_done_rides_along);
   CU_add_test (suite, "broken records are skipped", test_broken_records);
   CU_add_test (suite, "memory is bounded", test_memory_is_bounded);
   CU_add_test (suite, "at most one use under faults", test_at_most_one_use);
--- a/tests/test_control_claims.c
+++ b/tests/test_control_claims.c
@@ -142,6 +142,29 @@
   event_base_free (base);
 }
 
+/* The platform refuses appends above its rate, for certain. The callers' claims must not be given
+ * up for that, as they would be for a lost one: they go with a later append, and only once. */
+static void
+test_claim_whose_append_was_refused (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  rig.platform.append_refused = true;
+  rig_deliver (&rig, claim (&rig, 1, 100));
+  rig_turns (&rig, 4);
+  CU_ASSERT_TRUE (rig.platform.appends >= 2);
+  rig_deliver (&rig, claim (&rig, 2, 200));
+  CU_ASSERT_EQUAL (rig.told.results, 0);
+  rig.platform.append_refused = false;
+  TURN_UNTIL (&rig, rig.told.results == 2);
+  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_GRANTED);
+  rig_turns (&rig, 10);
+  CU_ASSERT_EQUAL (fkp_length (&rig.platform, STREAM), 1);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
 /* A stream that nobody asks of for long is closed to free its keys. A claim that comes later opens
  * it again and must find what was claimed before: else the request would run twice. */
 static void
@@ -205,6 +228,7 @@
   CU_ADD_TEST (suite, test_claims_while_log_is_out);
   CU_ADD_TEST (suite, test_first_claim_while_log_is_known_down);
   CU_ADD_TEST (suite, test_claim_whose_append_was_lost);
+  CU_ADD_TEST (suite, test_claim_whose_append_was_refused);
   CU_ADD_TEST (suite, test_closed_stream_is_read_again);
   CU_ADD_TEST (suite, test_stop_waits_for_claims);
   CU_basic_set_mode (CU_BRM_VERBOSE);
