Pass on the length that an engine tells in answer to HEAD

The relay leaves the length to the listener, which declares that of the body; an answer to HEAD has none, so every HEAD told a length of 0 whatever the engine said: a caller that asks for the size of a document heard that it is empty.

The relay keeps the engine's length for HEAD alone.

--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -28,6 +28,17 @@
          g_ascii_string_to_unsigned (length, 10, 0, RLY_HELD_LIMIT_BYTES, &value, NULL);
 }
 
+/* keep_length() - of an answer to HEAD the length is all that there is of the body; else the
+ * listener declares it */
+static void
+keep_length (rly_t *rly, struct evkeyvalq *headers)
+{
+  const char *length = evhttp_find_header (headers, "Content-Length");
+
+  if (length != NULL && rly->to != NULL && strcmp (hsv_method (rly->to), "HEAD") == 0)
+    evhttp_add_header (&rly->headers, "Content-Length", length);
+}
+
 static void
 room (void *context)
 {
@@ -97,6 +108,7 @@
   for (header = headers->tqh_first; header != NULL; header = header->next.tqe_next)
     if (hdr_passes_back (header->key))
       evhttp_add_header (&rly->headers, header->key, header->value);
+  keep_length (rly, headers);
 }
 
 void
