Bound what comes of requests that are not whole yet

Anyone who can reach the listener may send the greater part of a long body on each of many connections, before any key is looked at: within the limits of 10000 connections and 4 MiB a body that is 40 GB, for up to 30 seconds. A router on a small host ends by it, and cuts off all that it serves.

What comes of requests that are not whole counts towards 256 MiB for the listener. Over that, the connections that hold most are answered by 503, as not run, until it fits: short requests of others are never among them.

Ruled out: to refuse whoever comes last, which lets those who hold the memory keep others out; to count whole requests too, which the sidecars' queues bound, and of which long histories may rightly take more.

--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -31,6 +31,8 @@
  *   answer leaves, without a byte written. There is no limit on the time between the two.
  * @request_timeout_ms: a connection is closed when a request takes longer to come; 0 is
  *   %LIM_HTTP_REQUEST_MS
+ * @coming_limit_bytes: of all requests that are not whole yet together; over it the one of which
+ *   most has come is answered by 503; 0 is %LIM_HTTP_COMING_BYTES
  * @on_call: a whole request within the limits; it must be answered once, now or later
  */
 typedef struct
@@ -44,6 +46,7 @@
   uint32_t connection_limit;
   uint32_t idle_timeout_ms;
   uint32_t request_timeout_ms;
+  uint32_t coming_limit_bytes;
   void (*on_call) (hsv_call_t *call, void *context);
   void *context;
 } hsv_options_t;
--- a/src/connection/http_server_check.c
+++ b/src/connection/http_server_check.c
@@ -11,6 +11,7 @@
 #include <event2/http_struct.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 typedef struct
 {
@@ -24,6 +25,8 @@
 static const refusal_t over_limit = { 503, HSV_REFUSED_CONNECTIONS, "overloaded",
                                       "too_many_connections",
                                       "too many connections are open; try again later" };
+static const refusal_t crowded = { 503, HSV_REFUSED_BODY, "overloaded", "too_many_bytes",
+                                   "too many long requests come at once; try again later" };
 static const refusal_t bad_framing = { 400, HSV_REFUSED_BAD, "invalid_request", "bad_framing",
                                        "the length of the body is not declared soundly" };
 static const refusal_t bad_target = { 400, HSV_REFUSED_BAD, "invalid_request", "bad_target",
@@ -171,6 +174,30 @@
     }
 }
 
+static char *
+page_of (const refusal_t *refusal, const char *body)
+{
+  return g_strdup_printf ("HTTP/1.1 %d Refused\r\n"
+                          "Content-Type: application/json\r\n"
+                          "Content-Length: %zu\r\n"
+                          "Connection: close\r\n"
+                          "%s: %s\r\n\r\n%s",
+                          refusal->status, strlen (body), VRD_HEADER, vrd_name (VRD_NOT_RUN), body);
+}
+
+/* The library is in the middle of reading and would not send; a page is small enough for a socket
+ * whose output is empty. */
+void
+hsv_turn_away (hsv_conn_t *conn)
+{
+  g_autofree char *body = refusal_body (conn->hsv, &crowded);
+  g_autofree char *page = page_of (&crowded, body);
+
+  conn->linger = true;
+  if (hsv_conn_dup (conn) >= 0)
+    send (conn->watch_fd, page, strlen (page), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 void
 hsv_restyle (hsv_conn_t *conn)
 {
@@ -178,6 +205,7 @@
   char head[sizeof "HTTP/1.1 400"] = "";
   const refusal_t *refusal;
   char *body;
+  char *page;
   int status;
 
   evbuffer_copyout (output, head, sizeof head - 1);
@@ -191,13 +219,9 @@
   /* a bufferevent keeps others from its output; nothing of the page has left yet */
   evbuffer_unfreeze (output, 1);
   evbuffer_drain (output, evbuffer_get_length (output));
-  evbuffer_add_printf (output,
-                       "HTTP/1.1 %d Refused\r\n"
-                       "Content-Type: application/json\r\n"
-                       "Content-Length: %zu\r\n"
-                       "Connection: close\r\n"
-                       "%s: %s\r\n\r\n%s",
-                       refusal->status, strlen (body), VRD_HEADER, vrd_name (VRD_NOT_RUN), body);
+  page = page_of (refusal, body);
+  evbuffer_add (output, page, strlen (page));
   evbuffer_freeze (output, 1);
+  g_free (page);
   g_free (body);
 }
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -30,6 +30,51 @@
     evconnlistener_disable (listener);
 }
 
+/* what came of a request counts until the request is whole */
+static void
+count_coming (hsv_conn_t *conn, uint64_t coming_bytes)
+{
+  conn->hsv->coming_bytes += coming_bytes - conn->coming_bytes;
+  conn->coming_bytes = coming_bytes;
+}
+
+static hsv_conn_t *
+most_came (hsv_t *hsv)
+{
+  hsv_conn_t *most = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, hsv->conns);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      hsv_conn_t *conn = value;
+
+      if (!conn->crowded && (!most || conn->coming_bytes > most->coming_bytes))
+        most = conn;
+    }
+  return most;
+}
+
+/*
+ * Anyone may send the greater part of a long body on each of many connections, before a key is
+ * looked at, and use up the memory of the host. Those that hold most of it go first, so short
+ * requests of others are not touched.
+ */
+static void
+make_room (hsv_t *hsv)
+{
+  hsv_conn_t *most;
+
+  while (hsv->coming_bytes > hsv->options.coming_limit_bytes && (most = most_came (hsv)))
+    {
+      most->crowded = true;
+      count_coming (most, 0);
+      bufferevent_disable (most->bev, EV_READ);
+      hsv_conn_soon (most);
+    }
+}
+
 /* the library may still hold the bufferevent: leave nothing in it that points here */
 static void
 conn_free (hsv_conn_t *conn)
@@ -38,6 +83,7 @@
 
   if (conn->busy)
     hsv->busy_count--;
+  count_coming (conn, 0);
   hsv->open_count--;
   cnt_add (hsv->connections, UINT64_MAX);
   evbuffer_remove_cb_entry (bufferevent_get_input (conn->bev), conn->input_cb);
@@ -105,6 +151,12 @@
   (void)what;
   if (!conn->evcon && !hsv_conn_adopt (conn))
     return;
+  if (conn->crowded && !conn->busy)
+    {
+      hsv_turn_away (conn);
+      evhttp_connection_free (conn->evcon);
+      return;
+    }
   if (conn->doomed)
     {
       if (conn->reset)
@@ -157,8 +209,14 @@
 
   (void)buffer;
   conn->read_bytes += info->n_deleted;
-  if (info->n_added > 0)
-    start_reading (conn);
+  if (info->n_added == 0)
+    return;
+  start_reading (conn);
+  if (conn->busy || conn->crowded)
+    return;
+  count_coming (conn, conn->coming_bytes + info->n_added);
+  if (conn->hsv->coming_bytes > conn->hsv->options.coming_limit_bytes)
+    make_room (conn->hsv);
 }
 
 /* runs inside the library's own writing: only notes, and leaves the rest to on_soon() */
@@ -284,6 +342,7 @@
   conn->busy = false;
   conn->hsv->busy_count--;
   conn->read_bytes = 0;
+  count_coming (conn, evbuffer_get_length (bufferevent_get_input (conn->bev)));
   if (conn->watch)
     event_del (conn->watch);
   bufferevent_set_timeouts (conn->bev, &conn->hsv->idle_timeout, &conn->hsv->idle_timeout);
@@ -307,6 +366,8 @@
       return;
     }
   event_del (conn->late);
+  count_coming (conn, 0);
+  conn->crowded = false; /* it is whole after all */
   conn->busy = true;
   hsv->busy_count++;
   cnt_add (hsv->requests, 1);
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -36,6 +36,7 @@
  * @drains: sockets of refused callers that are read out
  * @unlisten: closes the listening socket one turn of the loop after hsv_stop()
  * @linger: closes the idle connections some time after hsv_stop()
+ * @coming_bytes: of requests that are not whole yet
  * @busy_count: connections with a request whose answer has not left whole
  */
 struct hsv
@@ -50,6 +51,7 @@
   GHashTable *drains;
   struct event *unlisten;
   struct event *linger;
+  uint64_t coming_bytes;
   uint32_t open_count;
   uint32_t busy_count;
   bool stopping;
@@ -76,6 +78,8 @@
  * @room_due: the queue has drained; the call is to be told
  * @linger: read out what the caller still sends before the socket is closed
  * @read_bytes: read from the input since the last answer
+ * @coming_bytes: that came of a request which is not whole yet
+ * @crowded: to be answered by 503, so that others have room
  */
 struct hsv_conn
 {
@@ -91,6 +95,7 @@
   struct evhttp_request *request;
   hsv_call_t *call;
   uint64_t read_bytes;
+  uint64_t coming_bytes;
   bool busy;
   bool over;
   bool doomed;
@@ -98,6 +103,7 @@
   bool page;
   bool room_due;
   bool linger;
+  bool crowded;
 };
 
 /**
@@ -146,6 +152,10 @@
 /** hsv_restyle() - replace an error page that the library queued by ours */
 void hsv_restyle (hsv_conn_t *conn);
 
+/** hsv_turn_away() - answer by 503 in the middle of a request; the connection is to be closed
+ * after that */
+void hsv_turn_away (hsv_conn_t *conn);
+
 /** hsv_drain_start() - takes @fd over: reads it out, within limits, and closes it */
 void hsv_drain_start (hsv_t *hsv, evutil_socket_t fd);
 void hsv_drain_free (hsv_drain_t *drain);
--- a/src/process/limits.h
+++ b/src/process/limits.h
@@ -44,7 +44,8 @@
 #define LIM_HTTP_DRAIN_MS 2000
 #define LIM_HTTP_STOP_LINGER_MS 200     /* a request may still come on an idle connection */
 #define LIM_HTTP_REQUEST_MS (30 * 1000) /* from the first byte of a request to its last */
-#define LIM_HTTP_DEAD_PEER_S 5          /* a peer that acknowledges nothing is given up */
+#define LIM_HTTP_COMING_BYTES (256 * 1024 * 1024) /* of requests that are not whole yet */
+#define LIM_HTTP_DEAD_PEER_S 5                    /* a peer that acknowledges nothing is given up */
 #define LIM_HTTP_ANSWER_HEADER_BYTES (64 * 1024)
 #define LIM_HTTP_CONNECT_MS 1000
 
--- a/tests/http_bench.h
+++ b/tests/http_bench.h
@@ -13,6 +13,7 @@
 #define HBN_BODY_LIMIT_BYTES 1000
 #define HBN_HEADER_LIMIT_BYTES 2000
 #define HBN_CONNECTION_LIMIT 3
+#define HBN_COMING_LIMIT_BYTES 8000
 #define HBN_NO_TIMEOUT_MS (60 * 1000) /* longer than a test waits for anything */
 
 /**
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -276,6 +276,60 @@
   return hbn_counted (context, "medlarplank_http_connections") == 0;
 }
 
+#define MOST_BYTES 900 /* of a body of HBN_BODY_LIMIT_BYTES */
+
+/* a long request but for its last bytes, with @fill more in its head */
+static char *
+most_of_a_request (int fill)
+{
+  g_autofree char *filling = g_strnfill ((gsize)fill, 'f');
+  g_autofree char *body = g_strnfill (MOST_BYTES, 'b');
+
+  return g_strdup_printf ("POST /long HTTP/1.1\r\nX-Fill: %s\r\nContent-Length: %d\r\n\r\n%s",
+                          filling, HBN_BODY_LIMIT_BYTES, body);
+}
+
+/*
+ * Callers send the greater part of long requests and then wait, on many connections. Together they
+ * would use up the memory: the one that holds most is answered by 503, as not run, and the others
+ * go on; what they sent no longer counts once they are whole.
+ */
+static void
+test_bytes_to_come (void)
+{
+  static const int FILLS[] = { 1700, 1850, 1800 };
+  g_autofree char *rest = g_strnfill (HBN_BODY_LIMIT_BYTES - MOST_BYTES, 'b');
+  hbn_t bench;
+  raw_t *raws[G_N_ELEMENTS (FILLS)];
+
+  hbn_start (&bench);
+  bench.now = true;
+  for (guint i = 0; i < G_N_ELEMENTS (FILLS); i++)
+    {
+      g_autofree char *most = most_of_a_request (FILLS[i]);
+
+      raws[i] = hbn_ask (&bench, most);
+    }
+  CU_ASSERT_TRUE (raw_run_until (bench.base, hbn_ended, raws[1]));
+  CU_ASSERT_PTR_NOT_NULL (strstr (raws[1]->got->str, "HTTP/1.1 503 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (raws[1]->got->str, "too_many_bytes"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (raws[1]->got->str, "not_run"));
+  CU_ASSERT_FALSE (raws[1]->reset);
+  for (guint i = 0; i < G_N_ELEMENTS (FILLS); i += 2)
+    {
+      raw_send (raws[i], rest);
+      hbn_run_until_sees (&bench, raws[i], "\r\n\r\n/long");
+    }
+  for (int i = 0; i < 9; i++)
+    {
+      raw_send (raws[0], "GET /short HTTP/1.1\r\n\r\n");
+      g_string_truncate (raws[0]->got, 0);
+      hbn_run_until_sees (&bench, raws[0], "\r\n\r\n/short");
+    }
+  CU_ASSERT_EQUAL (hbn_refused (&bench, "body"), 1);
+  hbn_stop (&bench);
+}
+
 /*
  * A caller opens connections far over the limit and says nothing. The listener takes no more than
  * it must, leaving the rest to the kernel, and goes on once the flood ends.
@@ -417,6 +471,7 @@
   CU_add_test (suite, "body is no request", test_body_is_no_request);
   CU_add_test (suite, "at the limit", test_at_the_limit);
   CU_add_test (suite, "connection limit", test_connection_limit);
+  CU_add_test (suite, "bytes to come", test_bytes_to_come);
   CU_add_test (suite, "connection flood", test_connection_flood);
   CU_add_test (suite, "pipelined", test_pipelined);
   CU_add_test (suite, "stream", test_stream);
