--- /dev/null
+++ b/src/request/admit_bound.c
@@ -0,0 +1,129 @@
+#include "request/admit_private.h"
+
+static mean_estimate_t
+estimate_mean (const adm_t *adm, uint64_t now_us)
+{
+  const mean_sample_t own = adm_sample (adm, now_us);
+  return mean_estimate (&adm->mean, now_us, &own, adm->options.engine_count);
+}
+
+static uint64_t
+bound_of (const adm_t *adm, uint64_t now_us, const mean_estimate_t *estimate)
+{
+  const uint64_t open_milli = (uint64_t)adm->options.slots * MILLI;
+  if (adm->options.policy == ADM_POLICY_OPEN || adm->options.engine_count <= 1)
+    return open_milli;
+  if (estimate->count <= 1)
+    {
+      /* Nobody was heard. Just after the start that is no news, so one request at a time; later the
+       * exchange is out, and the slots alone bound, as refusing everywhere would be an outage. */
+      const bool young = adm->joined_us != 0 && now_us < adm->joined_us + LIM_SAMPLE_AGE_US;
+      return young ? MILLI : open_milli;
+    }
+  const uint64_t margin = estimate->margin_milli + dft_margin_milli (&adm->drift);
+  const uint64_t low = estimate->mean_milli > margin ? estimate->mean_milli - margin : 0;
+  /* No margin on the mean plus one: with all engines at one load none could admit, the load would
+   * fall, and the service would be stuck there, refusing. */
+  return MAX (low * adm->options.bound_percent / 100, estimate->mean_milli + MILLI);
+}
+
+static uint32_t
+reserve_of (const adm_t *adm)
+{
+  const uint32_t reserve = adm->options.slots / ADM_RESERVE_DIVISOR;
+  return reserve == 0 && adm->options.slots >= 4 ? 1 : reserve;
+}
+
+static bool
+is_alone (const adm_t *adm, uint64_t now_us)
+{
+  return now_us >= adm->mixed_us + ADM_ALONE_US;
+}
+
+/* Some slots are kept for accounts that had no more than the others. Without them a surging account
+ * holds every slot, and each request of the others waits for one of its long ones to end. */
+static uint32_t
+slots_for (const adm_t *adm, uint64_t now_us, const fq_item_t *item)
+{
+  const uint32_t slots = adm->options.slots;
+  if (adm->options.policy == ADM_POLICY_OPEN || is_alone (adm, now_us))
+    return slots;
+  return fq_is_behind (adm->queue, item) ? slots : slots - reserve_of (adm);
+}
+
+static uint64_t
+prefill_us (const adm_t *adm, uint32_t tokens)
+{
+  if (adm->options.prefill_tokens_s == 0)
+    return 0;
+  return (uint64_t)tokens * CLK_US_PER_S / adm->options.prefill_tokens_s;
+}
+
+uint64_t
+adm_ends_needed (uint32_t load, uint64_t limit)
+{
+  const uint64_t after = ((uint64_t)load + 1) * MILLI;
+  return after > limit ? (after - limit + MILLI - 1) / MILLI : 0;
+}
+
+/* The bound for a decision; the estimate is noted for the drift. */
+uint64_t
+adm_bound_now (adm_t *adm, uint64_t now_us)
+{
+  const mean_estimate_t estimate = estimate_mean (adm, now_us);
+  if (estimate.count > 1)
+    dft_note (&adm->drift, now_us, estimate.mean_milli);
+  return bound_of (adm, now_us, &estimate);
+}
+
+uint64_t
+adm_limit_milli (const adm_t *adm, uint64_t now_us, const fq_item_t *item, uint64_t bound_milli)
+{
+  return MIN ((uint64_t)slots_for (adm, now_us, item) * MILLI, bound_milli);
+}
+
+bool
+adm_fits (const adm_t *adm, uint64_t now_us, const fq_item_t *item, uint64_t bound_milli)
+{
+  return ((uint64_t)adm->load + 1) * MILLI <= adm_limit_milli (adm, now_us, item, bound_milli);
+}
+
+/* What going elsewhere costs: the prefix is read again, which takes the caller's time and as much
+ * of an engine's. A request without a chat has none. */
+uint64_t
+adm_cold_start_us (const adm_t *adm, const adm_request_t *request)
+{
+  return request->has_chat ? ADM_COLD_WEIGHT * prefill_us (adm, request->prompt_tokens) : 0;
+}
+
+uint64_t
+adm_length_us (const adm_t *adm, const adm_request_t *request)
+{
+  return prefill_us (adm, request->prompt_tokens) + (uint64_t)request->output_tokens * ADM_TOKEN_US;
+}
+
+uint64_t
+adm_wait_us (const adm_t *adm, uint64_t now_us, const fq_item_t *item, uint64_t bound_milli)
+{
+  const uint64_t ends =
+      adm_ends_needed (adm->load, adm_limit_milli (adm, now_us, item, bound_milli));
+  const uint64_t ahead = fq_ahead (adm->queue, item).count;
+  return (ends + ahead) * drn_interval_us (&adm->drain, now_us, adm->load);
+}
+
+/* Of another engine, from its sample, taking its requests to be as long as those here. */
+uint64_t
+adm_wait_there_us (const adm_t *adm, const mean_sample_t *there, uint64_t limit)
+{
+  if (there->load == 0 || there->waiting + adm_ends_needed (there->load, limit) == 0)
+    return 0;
+  return (there->waiting + adm_ends_needed (there->load, limit)) * adm->drain.length_us /
+         there->load;
+}
+
+uint64_t
+adm_bound_milli (const adm_t *adm, uint64_t now_us)
+{
+  const mean_estimate_t estimate = estimate_mean (adm, now_us);
+  return bound_of (adm, now_us, &estimate);
+}
