Carry loads on later hops and in bursts only; dispatch at once when they raise the bound

Now they go along on later hops, and on first hops for 100 ms after an engine had no room. A sidecar looks at its queue again when they came: requests waited up to 50 ms for its tick under a bound that had risen already.

--- a/src/request/router.c
+++ b/src/request/router.c
@@ -92,25 +92,25 @@
   return TRUE;
 }
 
-/* prepare_samples() - one table for each service in force, and no other */
+/* prepare_loads() - one table for each service in force, and no other */
 static void
-prepare_samples (rtr_t *rtr)
+prepare_loads (rtr_t *rtr)
 {
   man_t *man = ops_man (rtr->ops);
 
   if (man == NULL)
     return;
-  g_hash_table_foreach_remove (rtr->samples, is_unserved, man);
+  g_hash_table_foreach_remove (rtr->loads, is_unserved, man);
   for (uint32_t i = 0; i < man->service_count; i++)
     {
       uint64_t hash = man->services[i].hash;
-      mean_table_t *table;
+      rtr_loads_t *loads;
 
-      if (g_hash_table_contains (rtr->samples, &hash))
+      if (g_hash_table_contains (rtr->loads, &hash))
         continue;
-      table = g_new0 (mean_table_t, 1);
-      mean_init (table, rtr->id_high + i);
-      g_hash_table_insert (rtr->samples, g_memdup2 (&hash, sizeof hash), table);
+      loads = g_new0 (rtr_loads_t, 1);
+      mean_init (&loads->table, rtr->id_high + i);
+      g_hash_table_insert (rtr->loads, g_memdup2 (&hash, sizeof hash), loads);
     }
 }
 
@@ -120,7 +120,7 @@
   rtr_t *rtr = context;
 
   learn_members (rtr);
-  prepare_samples (rtr);
+  prepare_loads (rtr);
   rtr_place_rebuild (rtr);
 }
 
@@ -198,7 +198,7 @@
   rtr->hlt = hlt_new ();
   att_budget_init (&rtr->budget);
   rtr->incarnations = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
-  rtr->samples = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  rtr->loads = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   rtr->watches =
       g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, (GDestroyNotify)rtr_watch_free);
   rtr->told = g_new0 (rtr_told_t, RTR_TOLD_ENTRIES);
@@ -230,7 +230,7 @@
   hlt_free (rtr->hlt);
   rtr_place_clear (rtr);
   g_hash_table_destroy (rtr->incarnations);
-  g_hash_table_destroy (rtr->samples);
+  g_hash_table_destroy (rtr->loads);
   g_free (rtr->told);
   prv_free (rtr->prv);
   uwy_free (rtr->uwy);
--- a/src/request/router_hop.c
+++ b/src/request/router_hop.c
@@ -62,27 +62,38 @@
     }
 }
 
+/* is_full() - the engine had no room for it */
+static bool
+is_full (vrd_reason_t reason)
+{
+  return reason == VRD_REASON_OVER_BOUND || reason == VRD_REASON_DEADLINE ||
+         reason == VRD_REASON_QUEUE_FULL || reason == VRD_REASON_ACCOUNT_SHARE;
+}
+
 /* learn_load() - of the engine that answered, for the hops to come */
 static void
 learn_load (rtr_call_t *call, const char *text)
 {
   rtr_t *rtr = call->rtr;
-  mean_table_t *table = g_hash_table_lookup (rtr->samples, &call->service->hash);
+  rtr_loads_t *loads = g_hash_table_lookup (rtr->loads, &call->service->hash);
+  uint64_t now_us = ops_now_us (rtr->ops);
   hop_sample_t load;
 
-  if (table == NULL)
+  if (loads == NULL)
     return;
+  if (is_full (call->answer.reason))
+    loads->refused_us = now_us;
   if (!hop_load_read (text, &load))
     {
-      mean_forget (table, call->att.last_engine); /* it takes no work now */
+      mean_forget (&loads->table, call->att.last_engine); /* it takes no work now */
       return;
     }
-  mean_add (table, &(mean_sample_t){ .engine_hash = call->att.last_engine,
-                                     .service_hash = call->service->hash,
-                                     .load = load.load,
-                                     .waiting = load.waiting,
-                                     .cost = load.cost,
-                                     .taken_us = ops_now_us (rtr->ops) });
+  mean_add (&loads->table, &(mean_sample_t){ .engine_hash = call->att.last_engine,
+                                             .service_hash = call->service->hash,
+                                             .load = load.load,
+                                             .waiting = load.waiting,
+                                             .cost = load.cost,
+                                             .taken_us = now_us });
 }
 
 static void
@@ -221,14 +232,24 @@
   rtr_call_ended (call, &outcome);
 }
 
+/* wants_samples() - first hops carry none as a rule: most requests need no second, and the bytes
+ * would be for nothing. But when one was just refused over the bound, the mean may have risen. */
+static bool
+wants_samples (const rtr_call_t *call, const rtr_loads_t *loads, uint64_t now_us)
+{
+  return call->att.hops > 1 || now_us < loads->refused_us + RTR_BURST_US;
+}
+
 static void
 fill_samples (rtr_call_t *call, uint64_t now_us)
 {
-  mean_table_t *table = g_hash_table_lookup (call->rtr->samples, &call->service->hash);
+  rtr_loads_t *loads = g_hash_table_lookup (call->rtr->loads, &call->service->hash);
   mean_sample_t picked[HOP_SAMPLES];
   hop_t *hop = &call->hop;
 
-  hop->sample_count = table != NULL ? mean_pick (table, now_us, picked, HOP_SAMPLES) : 0;
+  hop->sample_count = 0;
+  if (loads != NULL && wants_samples (call, loads, now_us))
+    hop->sample_count = mean_pick (&loads->table, now_us, picked, HOP_SAMPLES);
   for (uint32_t i = 0; i < hop->sample_count; i++)
     hop->samples[i] =
         (hop_sample_t){ .engine_hash = picked[i].engine_hash,
--- a/src/request/router_place.c
+++ b/src/request/router_place.c
@@ -159,11 +159,11 @@
   for (uint32_t i = 0; i < message->count; i++)
     {
       const mean_sample_t *sample = &message->samples[i];
-      mean_table_t *table = g_hash_table_lookup (rtr->samples, &sample->service_hash);
+      rtr_loads_t *loads = g_hash_table_lookup (rtr->loads, &sample->service_hash);
 
       /* Of services that are not in force here, no table is made. */
-      if (table != NULL)
-        mean_add (table, sample);
+      if (loads != NULL)
+        mean_add (&loads->table, sample);
     }
 }
 
@@ -173,6 +173,7 @@
   rtr_t *rtr = call->rtr;
   const man_service_t *service = call->service;
   const rtr_pool_t *pool = pool_of (rtr, call->man, service);
+  const rtr_loads_t *loads = g_hash_table_lookup (rtr->loads, &service->hash);
   skip_t skip = { .rtr = rtr, .now_us = ops_now_us (rtr->ops) };
   chs_query_t query = { .now_us = skip.now_us,
                         .service_hash = service->hash,
@@ -181,7 +182,7 @@
                         .first_turn = first_turn || !call->hop.has_chat,
                         .cache_lifetime_us = (uint64_t)service->cache_lifetime_ms * CLK_US_PER_MS,
                         .tie = call->hop.key_hash[1], /* keys of a claims stream take turns */
-                        .samples = g_hash_table_lookup (rtr->samples, &service->hash),
+                        .samples = loads != NULL ? &loads->table : NULL,
                         .under_way = rtr->uwy,
                         .is_usable = is_usable,
                         .context = &skip };
--- a/src/request/router_private.h
+++ b/src/request/router_private.h
@@ -37,6 +37,8 @@
 #define RTR_STALL_US (60 * 1000 * 1000)
 #define RTR_PROVEN_ENTRIES 4096
 #define RTR_PROVEN_US (10 * 1000 * 1000)
+/* For this long after an engine had no room, first hops carry loads too: the mean is moving. */
+#define RTR_BURST_US (100 * 1000)
 #define RTR_TOLD_ENTRIES 8192
 #define RTR_TOLD_US (60 * 1000 * 1000)
 
@@ -61,6 +63,13 @@
   uint64_t *hashes;
 } rtr_pool_t;
 
+/** struct rtr_loads - loads heard of in one service; @refused_us: when one had no room */
+typedef struct
+{
+  mean_table_t table;
+  uint64_t refused_us;
+} rtr_loads_t;
+
 /** struct rtr_told - which engine a chat's home was told of last */
 typedef struct
 {
@@ -82,7 +91,7 @@
   att_budget_t budget;
   rtr_pool_t *pools; /* by service index of the version in force */
   uint32_t pool_count;
-  GHashTable *samples;      /* service hash -> mean_table_t */
+  GHashTable *loads;        /* service hash -> rtr_loads_t */
   GHashTable *incarnations; /* engine hash -> uint64_t, the newest heard */
   GHashTable *watches;      /* host hash -> rtr_watch_t */
   rtr_told_t *told;
--- a/src/request/sidecar_accept.c
+++ b/src/request/sidecar_accept.c
@@ -175,5 +175,7 @@
       return;
     }
   take_samples (sdc, &hop);
+  if (hop.sample_count > 0)
+    sdc_pump (sdc); /* the bound may have risen for those that wait already */
   sdc_call_offer (call_new (sdc, in, &hop));
 }
