Count what the data task sends for control

Hints, revokes, probes and loads are control traffic as well, and were in no figure. They are counted with the exchange now, by estimate.

--- a/src/request/hop.h
+++ b/src/request/hop.h
@@ -37,6 +37,7 @@
 #define HOP_DIRECTORY_PATH "/medlarplank/directory" /* POST: hand-over of a leaving sidecar */
 
 #define HOP_SAMPLES 6
+#define HOP_SAMPLE_BYTES 36 /* of one in the header, as a rule */
 /** struct hop_sample - load of one engine, as the router heard it */
 typedef struct
 {
--- a/src/request/ops.c
+++ b/src/request/ops.c
@@ -126,6 +126,8 @@
       return NULL;
     }
   ops->listening = true;
+  ops->control_bytes = cnt_get (options->dmn->counters, "medlarplank_control_bytes_sent_total",
+                                "Bytes of control traffic sent, with headers");
   ops->tick = event_new (options->base, -1, EV_PERSIST, on_tick, ops);
   ops->drain_poll = event_new (options->base, -1, EV_PERSIST, on_drain_poll, ops);
   event_add (ops->tick, &TICK);
@@ -214,6 +216,12 @@
   return ops->draining;
 }
 
+void
+ops_count_control (ops_t *ops, uint32_t bytes)
+{
+  cnt_add (ops->control_bytes, bytes);
+}
+
 const man_account_t *
 ops_account (const ops_t *ops, hsv_call_t *call)
 {
--- a/src/request/ops.h
+++ b/src/request/ops.h
@@ -28,6 +28,8 @@
 /* A host that stops goes on listening for this long, so that those who have not heard of it yet
  * get an answer in place of a refused connection. */
 #define OPS_LINGER_MS 1000
+/* Estimate of a sealed call without its body, or of the answer to one. */
+#define OPS_CALL_BYTES 300
 
 /**
  * struct ops_options - of ops_new()
@@ -71,6 +73,9 @@
  * start. Ask in the same event in which it would start. */
 bool ops_stale (ops_t *ops);
 bool ops_draining (const ops_t *ops);
+/** ops_count_control() - bytes that the data task sent for control, by estimate: hints, revokes,
+ * probes, loads. Counted with those of the control task, but not held back by its budget */
+void ops_count_control (ops_t *ops, uint32_t bytes);
 /** ops_account() - the client account whose key came with the call, or NULL */
 const man_account_t *ops_account (const ops_t *ops, hsv_call_t *call);
 
--- a/src/request/ops_private.h
+++ b/src/request/ops_private.h
@@ -30,6 +30,7 @@
   uint64_t linger_until_us;
   struct event *tick;
   struct event *drain_poll;
+  cnt_t *control_bytes;
 };
 
 /** ops_serve() - a call came to the listener */
--- a/src/request/router_hop.c
+++ b/src/request/router_hop.c
@@ -244,12 +244,13 @@
 fill_samples (rtr_call_t *call, uint64_t now_us)
 {
   rtr_loads_t *loads = g_hash_table_lookup (call->rtr->loads, &call->service->hash);
-  mean_sample_t picked[HOP_SAMPLES];
+  mean_sample_t picked[HOP_SAMPLES] = { 0 };
   hop_t *hop = &call->hop;
 
   hop->sample_count = 0;
   if (loads != NULL && wants_samples (call, loads, now_us))
     hop->sample_count = mean_pick (&loads->table, now_us, picked, HOP_SAMPLES);
+  ops_count_control (call->rtr->ops, hop->sample_count * HOP_SAMPLE_BYTES);
   for (uint32_t i = 0; i < hop->sample_count; i++)
     hop->samples[i] =
         (hop_sample_t){ .engine_hash = picked[i].engine_hash,
--- a/src/request/router_tell.c
+++ b/src/request/router_tell.c
@@ -25,6 +25,7 @@
   options.target = target;
   options.headers = &header;
   options.header_count = 1;
+  ops_count_control (rtr->ops, OPS_CALL_BYTES);
   return hcl_start (rtr->hcl, &options);
 }
 
--- a/src/request/router_watch.c
+++ b/src/request/router_watch.c
@@ -113,5 +113,6 @@
   options.address = &host->http;
   watch->probe_us = now_us;
   cnt_add (rtr->probes, 1);
+  ops_count_control (rtr->ops, OPS_CALL_BYTES);
   watch->probe = hcl_start (rtr->hcl, &options);
 }
--- a/src/request/sidecar_leave.c
+++ b/src/request/sidecar_leave.c
@@ -59,6 +59,7 @@
                       .body = sent->body,
                       .body_bytes = options.body_bytes },
             sdc->dmn->set.fleet_key, seal);
+  ops_count_control (sdc->ops, OPS_CALL_BYTES + (uint32_t)options.body_bytes);
   hcl_start (sdc->hcl, &options);
 }
 
--- a/src/request/sidecar_orders.c
+++ b/src/request/sidecar_orders.c
@@ -117,6 +117,7 @@
 
   if (strcmp (hsv_method (in), "POST") != 0)
     return false;
+  ops_count_control (sdc->ops, OPS_CALL_BYTES);
   if (strcmp (path, HOP_REVOKE_PATH) == 0)
     serve_revoke (sdc, in);
   else if (strcmp (path, HOP_SERVED_PATH) == 0)
