Do not take a slow caller for a stalled engine

An answer that brings nothing for a minute is given up. While a caller has not taken what is queued for it, the answer is not read on, so nothing comes: a caller that took more than a minute over the 256 KiB in its queue, though it read all the time, had its answer cut off, and the engine's run was cancelled.

The timers of router and sidecar let an answer be that the listener has held up since they last looked; the listener itself closes a connection that takes no byte for its idle timeout.

Without the change the test's caller gets half an answer once the timers run out.

--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -44,6 +44,7 @@
 {
   rly_t *rly = context;
 
+  rly->full = false;
   if (rly->from != NULL)
     hcl_pause (rly->from, false);
 }
@@ -71,7 +72,9 @@
 {
   if (!rly->begun)
     begin (rly);
-  if (!hsv_part (rly->to, data) && rly->from != NULL)
+  rly->full = !hsv_part (rly->to, data);
+  rly->was_full |= rly->full;
+  if (rly->full && rly->from != NULL)
     hcl_pause (rly->from, true);
 }
 
@@ -171,10 +174,20 @@
   hsv_abort (to);
 }
 
+bool
+rly_held_up (rly_t *rly)
+{
+  bool held_up = rly->full || rly->was_full;
+
+  rly->was_full = rly->full;
+  return held_up;
+}
+
 void
 rly_gone (rly_t *rly)
 {
   rly->to = NULL;
+  rly->full = false;
   if (rly->from != NULL)
     hcl_pause (rly->from, false);
 }
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -25,6 +25,8 @@
  * @from: the call that is read; NULL when it ended
  * @held: body of an answer that is held back
  * @begun: the first byte went to @to
+ * @full: @to has to take more before @from is read on
+ * @was_full: so it was since rly_held_up() was asked last
  */
 typedef struct
 {
@@ -35,6 +37,8 @@
   int status;
   bool holding;
   bool begun;
+  bool full;
+  bool was_full;
   bool events;
 } rly_t;
 
@@ -51,6 +55,9 @@
 /** rly_cut() - a begun answer broke off: the connection is cut, in an event stream after an error
  * event; ends the listener's call */
 void rly_cut (rly_t *rly, const flt_t *fault);
+/** rly_held_up() - whether the listener held the answer up since this was last asked: that nothing
+ * came of it meanwhile is no fault of the sender's */
+bool rly_held_up (rly_t *rly);
 /** rly_gone() - the listener's call ended by itself */
 void rly_gone (rly_t *rly);
 
--- a/src/request/router_hop.c
+++ b/src/request/router_hop.c
@@ -223,6 +223,12 @@
       set_hop_timer (call);
       return;
     }
+  /* A slow caller takes an answer in its own time; whether it takes any is the listener's watch. */
+  if (call->rly.begun && rly_held_up (&call->rly))
+    {
+      set_timer (call, RTR_STALL_US);
+      return;
+    }
   /* The sidecar may still hold the request in its queue, or in a socket's buffer if it is frozen;
    * nobody waits for the answer any more. */
   if (!call->answer.came)
--- a/src/request/sidecar_engine.c
+++ b/src/request/sidecar_engine.c
@@ -134,6 +134,11 @@
   (void)what;
   if (call->out == NULL)
     return;
+  if (call->rly.begun && rly_held_up (&call->rly))
+    {
+      set_timer (call, SDC_STALL_US);
+      return;
+    }
   if (!call->hop.idempotent && !call->head_came && !call->late)
     {
       /* Its caller hears now that it may have run. It is not taken from the engine: half done, it
--- a/tests/path_fleet.c
+++ b/tests/path_fleet.c
@@ -585,6 +585,8 @@
 
   g_string_append_len (answer->body, (const char *)evbuffer_pullup (data, -1), (gssize)bytes);
   evbuffer_drain (data, bytes);
+  if (answer->stop_reading)
+    hcl_pause (answer->call, true);
 }
 
 static void
--- a/tests/path_fleet.h
+++ b/tests/path_fleet.h
@@ -97,6 +97,7 @@
 typedef struct
 {
   bool done;
+  bool stop_reading; /* once something of the body has come */
   hcl_end_t end;
   int status;
   char verdict[32];
--- a/tests/test_path_answers.c
+++ b/tests/test_path_answers.c
@@ -1,5 +1,7 @@
 #include "path_fleet.h"
 #include "raw_peer.h"
+#include "request/router_private.h"
+#include "request/sidecar_private.h"
 
 #include <CUnit/Basic.h>
 #include <string.h>
@@ -33,12 +35,71 @@
   pfl_clear (&fleet);
 }
 
+static bool
+is_held_up (void *context)
+{
+  const pfl_t *fleet = context;
+  const rtr_call_t *call = g_queue_peek_head (&fleet->router.rtr->calls);
+
+  return call != NULL && call->rly.full;
+}
+
+static bool
+is_done (void *context)
+{
+  const pfl_answer_t *answer = context;
+
+  return answer->done;
+}
+
+static void
+let_the_timers_run_out (pfl_t *fleet)
+{
+  gpointer call = g_queue_peek_head (&fleet->router.rtr->calls);
+  GHashTableIter iter;
+
+  if (call != NULL)
+    rtr_hop_timer (-1, EV_TIMEOUT, call);
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    {
+      g_hash_table_iter_init (&iter, fleet->sidecars[i].sdc->calls);
+      if (g_hash_table_iter_next (&iter, NULL, &call) && ((sdc_call_t *)call)->rly.full)
+        sdc_engine_timer (-1, EV_TIMEOUT, call);
+    }
+}
+
+/* A caller reads a long answer so slowly that for a minute nothing more fits into its queue. The
+ * engine is read no further meanwhile; that must not be taken for a stalled engine, or the caller
+ * gets half an answer. */
+static void
+waits_for_a_slow_caller (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answer;
+
+  pfl_init (&fleet);
+  pfl_set_all (&fleet, PFL_LONG);
+  pfl_send (&fleet, &(pfl_request_t){ .path = "/look" }, &answer);
+  answer.stop_reading = true;
+  CU_ASSERT_TRUE (pfl_until (&fleet, is_held_up, &fleet));
+  let_the_timers_run_out (&fleet);
+  answer.stop_reading = false;
+  hcl_pause (answer.call, false);
+  let_the_timers_run_out (&fleet);
+  CU_ASSERT_TRUE (pfl_until (&fleet, is_done, &answer));
+  CU_ASSERT_TRUE (answer.end.whole);
+  CU_ASSERT_EQUAL (answer.body->len, PFL_LONG_BYTES);
+  pfl_answer_clear (&answer);
+  pfl_clear (&fleet);
+}
+
 int
 main (void)
 {
-  CU_TestInfo tests[] = {
-    { "relays the length of a HEAD answer", relays_the_length_of_a_head_answer }, CU_TEST_INFO_NULL
-  };
+  CU_TestInfo tests[] = { { "relays the length of a HEAD answer",
+                            relays_the_length_of_a_head_answer },
+                          { "waits for a slow caller", waits_for_a_slow_caller },
+                          CU_TEST_INFO_NULL };
   CU_SuiteInfo suites[] = { { "path answers", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
 
   log_init ("test-path-answers", "test", LOG_LEVEL_DEBUG);
