Give an idempotent request up after two sidecars broke off under it

Marks live at the sidecar, which is taken to outlive its engine. A request that takes down the sidecar's process or the whole host left no mark: the router asked the dead sidecar to revoke, nobody answered, and it went on to the next engine, up to four of them for one send.

Ruled out: to count such a loss as a crash and mark the request, as hosts may be replaced abruptly at any time and a lookup that many send would be refused for good after two of them. The router stops after the second loss, as may have run and with Retry-After.

--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -205,6 +205,16 @@
   return next_step (att, now_us);
 }
 
+/* note_broken() - A request may crash the sidecar's process, or the host, along with the engine;
+ * then nobody marks it. Return: whether it was there when as many broke off as it may crash */
+static bool
+note_broken (att_t *att)
+{
+  if (att->last_reason == VRD_REASON_CUT)
+    att->broken++;
+  return att->broken >= LIM_SUSPECT_CRASHES;
+}
+
 /* try_again() - the last attempt may have run */
 static att_step_t
 try_again (att_t *att, uint64_t now_us, att_budget_t *budget, vrd_t verdict)
@@ -299,5 +309,7 @@
 {
   if (verdict == VRD_NOT_RUN)
     return next_step (att, now_us);
+  if (note_broken (att))
+    return give_up (att, verdict, att->last_reason);
   return try_again (att, now_us, budget, verdict);
 }
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -86,6 +86,7 @@
   uint64_t waiting_host; /* first that refused as over its bound: asked again, with leave to wait */
   uint64_t crashed[LIM_SUSPECT_CRASHES]; /* engines known to have crashed on this request */
   uint32_t crashed_count;
+  uint32_t broken; /* sidecars that broke off and could not say that it did not run */
   uint64_t last_engine;
   bool last_referred;
   uint32_t hops;
--- a/tests/test_attempt.c
+++ b/tests/test_attempt.c
@@ -392,6 +392,30 @@
   CU_ASSERT_EQUAL (step.verdict, VRD_MAY_HAVE_RUN);
 }
 
+/* A request takes the sidecar down with the engine, so that nobody is left to mark it. The router
+ * tries it on one more engine, and after the second loss gives up: it would go through as many as
+ * it may ask. A sidecar that was there and says that it did not run is no such loss. */
+static void
+two_lost_sidecars_are_enough (void)
+{
+  att_t att;
+  att_budget_t budget;
+  att_outcome_t cut = lost ();
+  att_step_t step;
+
+  att_budget_init (&budget);
+  begin (&att, true, 6);
+  att_ended (&att, 1, &budget, &cut);
+  CU_ASSERT_EQUAL (att_revoked (&att, 1, &budget, VRD_NOT_RUN).action, ATT_SEND);
+  att_ended (&att, 2, &budget, &cut);
+  CU_ASSERT_EQUAL (att_revoked (&att, 2, &budget, VRD_MAY_HAVE_RUN).action, ATT_SEND);
+  att_ended (&att, 3, &budget, &cut);
+  step = att_revoked (&att, 3, &budget, VRD_MAY_HAVE_RUN);
+  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (step.verdict, VRD_MAY_HAVE_RUN);
+  CU_ASSERT_NOT_EQUAL (step.retry_after_ms, 0);
+}
+
 /* A first attempt may have run; the second is refused as not run. The request as a whole may have
  * run, and the caller must not be told otherwise. */
 static void
@@ -483,6 +507,7 @@
     { "non-idempotent moves only after not run", non_idempotent_moves_only_after_not_run },
     { "sidecar that says it ran needs no revoke", sidecar_that_says_it_ran_needs_no_revoke },
     { "budget bounds retries", budget_bounds_retries },
+    { "two lost sidecars are enough", two_lost_sidecars_are_enough },
     { "not run is said of the whole request", not_run_is_said_of_the_whole_request },
     { "begun answer is never tried again", begun_answer_is_never_tried_again },
     { "two crashes are added up", two_crashes_are_added_up },
