--- a/bench/bench_decisions.c
+++ b/bench/bench_decisions.c
@@ -25,6 +25,7 @@
   uint32_t bound_percent;
   uint32_t seeds;
   uint32_t window_s;
+  uint32_t warm_up_s; /* 0 for the usual */
   FILE *tsv;
 } options_t;
 
@@ -176,6 +177,8 @@
                         .router_count = options->routers,
                         .bound_percent = options->bound_percent };
   run.warm_up_us = (uint64_t)workload->cache_lifetime_s * WARM_UP_LIFETIMES * CLK_US_PER_S;
+  if (options->warm_up_s != 0)
+    run.warm_up_us = (uint64_t)options->warm_up_s * CLK_US_PER_S;
   run.window_us = options->window_s != 0 ? (uint64_t)options->window_s * CLK_US_PER_S
                                          : wld_window_us (workload, fault, options->engines);
   printf ("\n%s, %s, %u engines, %u routers, window %lu s\n%-10s", workload->name,
@@ -220,13 +223,17 @@
 static void
 read_options (int argc, char **argv, options_t *options)
 {
-  static const struct option known[] = {
-    { "workload", required_argument, NULL, 'w' }, { "policy", required_argument, NULL, 'p' },
-    { "fault", required_argument, NULL, 'f' },    { "engines", required_argument, NULL, 'e' },
-    { "routers", required_argument, NULL, 'r' },  { "bound", required_argument, NULL, 'b' },
-    { "seeds", required_argument, NULL, 's' },    { "window", required_argument, NULL, 't' },
-    { "tsv", required_argument, NULL, 'o' },      { NULL, 0, NULL, 0 }
-  };
+  static const struct option known[] = { { "workload", required_argument, NULL, 'w' },
+                                         { "policy", required_argument, NULL, 'p' },
+                                         { "fault", required_argument, NULL, 'f' },
+                                         { "engines", required_argument, NULL, 'e' },
+                                         { "routers", required_argument, NULL, 'r' },
+                                         { "bound", required_argument, NULL, 'b' },
+                                         { "seeds", required_argument, NULL, 's' },
+                                         { "window", required_argument, NULL, 't' },
+                                         { "tsv", required_argument, NULL, 'o' },
+                                         { "warm-up", required_argument, NULL, 'u' },
+                                         { NULL, 0, NULL, 0 } };
   int option;
   while ((option = getopt_long (argc, argv, "", known, NULL)) != -1)
     switch (option)
@@ -255,6 +262,9 @@
       case 't':
         options->window_s = (uint32_t)atoi (optarg);
         break;
+      case 'u':
+        options->warm_up_s = (uint32_t)atoi (optarg);
+        break;
       case 'o':
         open_tsv (options, optarg);
         break;
--- a/bench/world.c
+++ b/bench/world.c
@@ -97,7 +97,7 @@
     if (world->engines[i].present)
       eng_close (world, &world->engines[i]);
   for (uint32_t i = 0; i < world->options.router_count; i++)
-    hlt_free (world->routers[i].health);
+    rtr_close (&world->routers[i]);
   for (uint32_t i = 0; i < world->view_count; i++)
     lst_close (&world->views[i]);
   evt_clear (&world->events);
--- a/bench/world_parts.h
+++ b/bench/world_parts.h
@@ -9,6 +9,8 @@
 #include "random.h"
 #include "world.h"
 
+#include "request/hop.h"
+
 #define WLD_EXCHANGE_US (250 * 1000)
 #define WLD_WORDS 4
 #define WLD_WORD_AGE_US (5 * CLK_US_PER_S)
@@ -47,6 +49,7 @@
   mean_table_t samples;
   hlt_t *health;
   att_budget_t budget;
+  uwy_t *under_way;
   uint64_t now_us; /* for the callback of chs_choose() */
 } wld_router_t;
 
@@ -148,6 +151,7 @@
 
 /* world_router.c */
 void rtr_open (wld_t *world, wld_router_t *router, uint32_t index);
+void rtr_close (wld_router_t *router);
 void rtr_begin (wld_t *world, wld_router_t *router, wkl_session_t *session);
 void rtr_refused (wld_t *world, wld_flight_t *flight, const adm_decision_t *decision);
 void rtr_lost (wld_t *world, wld_flight_t *flight);
--- a/bench/world_router.c
+++ b/bench/world_router.c
@@ -29,6 +29,8 @@
     .first_turn = flight->session->turn == 0,
     .cache_lifetime_us = (uint64_t)world->options.workload->cache_lifetime_s * CLK_US_PER_S,
     .samples = full ? &router->samples : NULL,
+    .under_way = full ? router->under_way : NULL,
+    .tie = flight->request.fingerprint >> 9,
     .is_usable = is_usable,
     .context = router,
   };
@@ -165,6 +167,28 @@
                           .referral_count = decision->referral_count };
 }
 
+/* A hop brings load samples along. */
+static void
+bring_samples (wld_t *world, wld_router_t *router, wld_engine_t *engine)
+{
+  mean_sample_t samples[HOP_SAMPLES];
+  const uint32_t count = mean_pick (&router->samples, world->now_us, samples, HOP_SAMPLES);
+  for (uint32_t i = 0; i < count; i++)
+    if (samples[i].engine_hash != engine->hash)
+      mean_add (engine->daemon.mean, &samples[i]);
+}
+
+/* An answer tells the load of its engine. */
+static void
+learn_load (wld_t *world, wld_router_t *router, const wld_engine_t *engine)
+{
+  const mean_sample_t sample = adm_sample (engine->adm, world->now_us);
+  if (engine->leaving)
+    mean_forget (&router->samples, engine->hash);
+  else
+    mean_add (&router->samples, &sample);
+}
+
 /* Return: whether an engine took it; else *step says what comes next */
 static bool
 send (wld_t *world, wld_flight_t *flight, att_step_t *step)
@@ -179,8 +203,12 @@
       hlt_success (router->health, engine->hash);
       flight->request.may_wait = step->may_wait;
       flight->request.referred = step->referred;
+      bring_samples (world, router, engine);
+      uwy_begin (router->under_way, engine->hash);
       if (eng_offer (world, engine, flight, &decision))
         return true;
+      uwy_end (router->under_way, engine->hash);
+      learn_load (world, router, engine);
       outcome = outcome_of (&decision);
     }
   else
@@ -237,12 +265,20 @@
 rtr_open (wld_t *world, wld_router_t *router, uint32_t index)
 {
   router->health = hlt_new ();
+  router->under_way = uwy_new ();
   router->daemon.mean = &router->samples;
   router->daemon.view = &world->views[(world->engine_count + index) % world->view_count];
   mean_init (&router->samples, world->options.seed * 31 + index);
   att_budget_init (&router->budget);
 }
 
+void
+rtr_close (wld_router_t *router)
+{
+  hlt_free (router->health);
+  uwy_free (router->under_way);
+}
+
 void
 rtr_begin (wld_t *world, wld_router_t *router, wkl_session_t *session)
 {
@@ -264,6 +300,7 @@
   const att_outcome_t outcome = outcome_of (decision);
   if (wld_measured (world))
     world->figures->refusals[decision->reason]++;
+  uwy_end (flight->router->under_way, flight->att.last_engine);
   follow (world, flight,
           att_ended (&flight->att, world->now_us, &flight->router->budget, &outcome));
 }
@@ -274,6 +311,7 @@
   const att_outcome_t outcome = { .lost = true,
                                   .verdict = VRD_MAY_HAVE_RUN,
                                   .reason = VRD_REASON_CUT };
+  uwy_end (flight->router->under_way, flight->att.last_engine);
   if (flight->first_token_us != 0 && flight->first_token_us <= world->now_us)
     att_answer_begun (&flight->att);
   follow (world, flight,
@@ -284,7 +322,9 @@
 rtr_answered (wld_t *world, wld_flight_t *flight)
 {
   const att_outcome_t outcome = { .answered = true, .verdict = VRD_RAN };
+  uwy_end (flight->router->under_way, flight->att.last_engine);
   att_ended (&flight->att, world->now_us, &flight->router->budget, &outcome);
+  learn_load (world, flight->router, flight->engine);
   const adm_request_t *request = &flight->request;
   wld_engine_t *home = engine_of (world, request->home_hash);
   const bool tells = world->options.policy == WLD_FULL && request->has_chat &&
--- a/src/request/drift.c
+++ b/src/request/drift.c
@@ -3,7 +3,7 @@
 #include <glib.h>
 
 #define DFT_SMOOTHING 16 /* steps over which the drift is taken */
-#define DFT_MARGIN 2     /* times the mean size: about one and a half standard deviations */
+#define DFT_MARGIN 1     /* times the mean size */
 
 void
 dft_note (dft_t *drift, uint64_t now_us, uint64_t mean_milli)
