Start a claimed booking on a host that began to leave a moment ago

Cause: a claim granted just after the host began to leave was released and given back; the release is a record of its own, and the next sidecar's claim could stand before it in the log. Ruled out: letting the next hop take over the claim of the same request, which would make the judge trust more than log order; waiting for the release to be read back before the answer, which holds the caller for a round trip of the log. Change: within a second of the start of leaving, a grant still starts the request. A later grant is given back as before.

--- a/src/process/limits.h
+++ b/src/process/limits.h
@@ -30,6 +30,8 @@
 #define LIM_CLAIM_BACKOFF_US (4 * 1000 * 1000)      /* after failures in a row */
 #define LIM_CLAIM_WAIT_US (3 * 1000 * 1000) /* a claim that can't be sent by then is refused */
 #define LIM_CLAIM_HOLD_US (1000 * 1000)     /* a done entry waits so long for a claim to go with */
+/* What was admitted and claimed before a host began to leave may start for so long after. */
+#define LIM_LEAVING_GRACE_US (1000 * 1000)
 #define LIM_DIRECTORY_ENTRIES 16384
 #define LIM_SUSPECTS 1024
 #define LIM_SUSPECT_CRASHES 2
--- a/src/request/sidecar.c
+++ b/src/request/sidecar.c
@@ -128,6 +128,21 @@
   return VRD_REASON_NONE;
 }
 
+bool
+sdc_left_lately (const sdc_t *sdc)
+{
+  return sdc->left_us != 0 && ops_now_us (sdc->ops) - sdc->left_us < LIM_LEAVING_GRACE_US;
+}
+
+static void
+note_leaving (sdc_t *sdc)
+{
+  if (!is_leaving (sdc))
+    sdc->left_us = 0;
+  else if (sdc->left_us == 0)
+    sdc->left_us = ops_now_us (sdc->ops);
+}
+
 static void
 changed (void *context)
 {
@@ -139,6 +154,7 @@
   find_others (sdc);
   options = admission (sdc);
   adm_configure (sdc->adm, &options);
+  note_leaving (sdc);
   adm_set_leaving (sdc->adm, is_leaving (sdc));
   if (is_leaving (sdc))
     sdc_leave (sdc);
--- a/src/request/sidecar_claim.c
+++ b/src/request/sidecar_claim.c
@@ -58,17 +58,30 @@
   mbx_send (call->sdc->dmn->to_control, &message->head);
 }
 
-/* granted() - checked once more at the last moment: the result may have lain in the mailbox while
- * this process was paused, and while a slow log judged the claim the host may have begun to leave
- */
-static void
-granted (sdc_call_t *call)
+/* may_start() - VRD_REASON_NONE, or why not
+ *
+ * Checked once more at the last moment: the result may have lain in the mailbox while this process
+ * was paused, and while a slow log judged the claim the host may have begun to leave. A host that
+ * left just now starts it all the same. Given back, its claim would be released by a record that
+ * the next sidecar's claim can overtake: in a planned stop the caller would hear "may have run" of
+ * a booking that did not run. */
+static vrd_reason_t
+may_start (const sdc_call_t *call)
 {
-  sdc_t *sdc = call->sdc;
   vrd_reason_t reason = sdc_closed (call);
 
-  if (reason == VRD_REASON_NONE && ops_now_us (sdc->ops) >= call->deadline_us)
+  if (reason == VRD_REASON_LEAVING && sdc_left_lately (call->sdc))
+    reason = VRD_REASON_NONE;
+  if (reason == VRD_REASON_NONE && ops_now_us (call->sdc->ops) >= call->deadline_us)
     reason = VRD_REASON_DEADLINE;
+  return reason;
+}
+
+static void
+granted (sdc_call_t *call)
+{
+  vrd_reason_t reason = may_start (call);
+
   if (reason == VRD_REASON_NONE)
     {
       sdc_engine_start (call);
--- a/src/request/sidecar_private.h
+++ b/src/request/sidecar_private.h
@@ -66,6 +66,7 @@
   uint32_t suspects; /* calls in flight here that crashed another engine */
   bool engine_up;
   bool handed_over;
+  uint64_t left_us; /* when this host began to leave, 0 while it does not */
   hcl_call_t *probe;
   uint64_t probe_us; /* when it was started */
   uint32_t probe_cuts;
@@ -150,6 +151,8 @@
 void sdc_call_note (const sdc_call_t *call, const char *action, vrd_t verdict, vrd_reason_t reason);
 /** sdc_closed() - why no work of the call's service may start here now, or VRD_REASON_NONE */
 vrd_reason_t sdc_closed (const sdc_call_t *call);
+/** sdc_left_lately() - whether the only reason of sdc_closed() is leaving, since a moment ago */
+bool sdc_left_lately (const sdc_t *sdc);
 /** sdc_pump() - refuse and dispatch waiting requests as far as they go now */
 void sdc_pump (sdc_t *sdc);
 
