Refuse claims at once while the log is out

An append whose answer was lost after its record had been read back counted as an outage, so the next booking was refused although the log worked. And while the log was out a booking that came a second after the last failure was held for up to a second as a probe, so a caller with one booking at a time was never refused at once.

What was lost is still to be appended, if only the release of a claim that was given up, and finds out when the log is back; a new claim probes only when nothing is left.

--- a/src/request/claim.c
+++ b/src/request/claim.c
@@ -12,7 +12,7 @@
 
 /* A claim whose append was lost is given up after this, unless it is read back. */
 #define LOST_WAIT_US CLK_US_PER_S
-/* While appends fail, one new claim may try this often. */
+/* While appends fail and nothing else is left to append, one new claim may try this often. */
 #define PROBE_US CLK_US_PER_S
 /* So many refusals in a row are no surge that passes: callers must not wait for its end. */
 #define REFUSALS_DOWN 5
@@ -369,8 +369,18 @@
   g_free (clm);
 }
 
-/* Whether a new claim may wait for the log. While it is out they are refused at once, but for one
- * in a while, or nobody would learn that it is back. */
+static bool
+has_ends (const clm_t *clm)
+{
+  for (const GList *link = clm->queue.head; link != NULL; link = link->next)
+    if (((const out_t *)link->data)->record.kind != CLR_CLAIM)
+      return true;
+  return false;
+}
+
+/* Whether a new claim may wait for the log. While it is out they are refused at once. What was lost
+ * is still to be appended, if only the releases of claims that were given up, and finds out when
+ * the log is back; where nothing is left one claim in a while tries. */
 static bool
 may_wait (const clm_t *clm, const wait_t *wait)
 {
@@ -382,6 +392,8 @@
     return false;
   if (!clm->down)
     return true;
+  if (clm->flying.length > 0 || has_ends (clm))
+    return false;
   uint64_t probe_us = MAX (clm->lost_us + PROBE_US, clm->pace.due_us);
   return g_hash_table_size (clm->waiting) == 0 && clm->now_us >= probe_us;
 }
@@ -480,6 +492,11 @@
 clm_append_lost (clm_t *clm, uint64_t now_us)
 {
   see_now (clm, now_us);
+  if (all_found (clm))
+    {
+      clm_appended (clm, now_us, clm->next_offset); /* only its answer was lost: it was read back */
+      return;
+    }
   cpc_lost (&clm->pace, clm->now_us);
   clm->lost = true;
   clm->reads_after_loss = 0;
--- a/src/request/claim.h
+++ b/src/request/claim.h
@@ -88,8 +88,8 @@
 /**
  * clm_append_lost() - the append failed or its answer was lost: it may stand in the log
  *
- * From here until an append works again new claims are refused at once as CLM_LOG_DOWN, but for
- * one in a while that tries.
+ * Unless it was read back already, new claims are refused at once as CLM_LOG_DOWN until an append
+ * works again. clm_batch() goes on to give what is still to be appended.
  */
 void clm_append_lost (clm_t *clm, uint64_t now_us);
 
