Refuse what lay in the sockets during a pause

A sidecar that was frozen for 3 s heard that it was fresh 1 ms after it woke, before it had read its sockets, and then ran a booking that had lain there all the while: its deadline is relative, so it looked new, and its caller had long been told that it may have run.

Ruled out: a time in the hop's headers (hosts' clocks differ).

--- a/src/process/pause.c
+++ b/src/process/pause.c
@@ -12,6 +12,7 @@
   pse->gap_us = MAX (gap_us, PSE_GAP_MIN_US);
   /* Nothing was sent before the start, so the first notice counts whenever it was checked. */
   pse->woke_us = 0;
+  pse->settled_us = 0;
   pse->stale = true;
 }
 
@@ -23,6 +24,7 @@
   if (idle_us <= pse->gap_us)
     return false;
   pse->woke_us = now_us;
+  pse->settled_us = now_us + PSE_SETTLE_US;
   pse->stale = true;
   return true;
 }
@@ -50,3 +52,9 @@
 {
   return pse->stale;
 }
+
+bool
+pse_settling (const pse_t *pse, uint64_t now_us)
+{
+  return now_us < pse->settled_us;
+}
--- a/src/request/ops.c
+++ b/src/request/ops.c
@@ -207,7 +207,7 @@
       send_flag (ops, MSG_WOKE, ops->pse.woke_us);
       ops->options.changed (ops->options.context);
     }
-  return pse_stale (&ops->pse);
+  return pse_stale (&ops->pse) || pse_settling (&ops->pse, ops_now_us (ops));
 }
 
 bool
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -267,6 +267,7 @@
   pse_init (&pse, S, 250);
   CU_ASSERT_TRUE (pse_stale (&pse));
   CU_ASSERT_TRUE (pse_fresh (&pse, S));
+  CU_ASSERT_FALSE (pse_settling (&pse, S));
   CU_ASSERT_FALSE (pse_check (&pse, S + PSE_GAP_MIN_US));
   CU_ASSERT_FALSE (pse_stale (&pse));
   uint64_t woke_us = S + 2 * PSE_GAP_MIN_US + 1;
@@ -275,6 +276,8 @@
   CU_ASSERT_FALSE (pse_fresh (&pse, woke_us - 1));
   CU_ASSERT_TRUE (pse_stale (&pse));
   CU_ASSERT_TRUE (pse_fresh (&pse, woke_us));
+  CU_ASSERT_TRUE (pse_settling (&pse, woke_us + PSE_SETTLE_US - 1));
+  CU_ASSERT_FALSE (pse_settling (&pse, woke_us + PSE_SETTLE_US));
   CU_ASSERT_FALSE (pse_wake (&pse, woke_us));
   CU_ASSERT_TRUE (pse_wake (&pse, woke_us + 1));
   CU_ASSERT_TRUE (pse_stale (&pse));
