--- a/tests/driver_process.c
+++ b/tests/driver_process.c
@@ -91,12 +91,24 @@
   close (log_fd);
 }
 
+/* The signal alone stops nothing yet: until the kernel has stopped all threads, one of them may
+ * still take a request that the session sends next. */
+static void
+wait_stopped (drv_process_t *process)
+{
+  int status;
+  if (waitpid (process->pid, &status, WUNTRACED) != process->pid || !WIFSTOPPED (status))
+    drv_fail (process->drv, "%s did not stop", process->name);
+}
+
 void
 drv_signal (drv_process_t *process, int number)
 {
   if (process->pid <= 0)
     return;
   kill (process->pid, number);
+  if (number == SIGSTOP)
+    wait_stopped (process);
   if (number == SIGSTOP || number == SIGCONT)
     process->paused = number == SIGSTOP;
 }
