--- /dev/null
+++ b/tests/session_stop.c
@@ -0,0 +1,200 @@
+/**
+ * DOC: session_stop
+ *
+ * Planned stops and leaving hosts: no request in flight is cut off, and nothing new goes to a host
+ * that leaves.
+ */
+#include "driver.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define GRACE_MS 2000
+#define CHATS 20
+#define PACE_MS 30
+#define STREAM_TOKENS 200 /* of 5 ms each: a stream lasts a second */
+
+static drv_call_t *
+stream (drv_t *drv, uint32_t router, const char *name)
+{
+  drv_ask_t ask = {
+    .name = name, .chat = name, .router = router, .stream = true, .tokens = STREAM_TOKENS
+  };
+  drv_call_t *call = drv_ask (drv, &ask);
+  drv_begun (call);
+  return call;
+}
+
+/* The host whose engine answers @call. */
+static drv_host_t *
+host_of (drv_call_t *call)
+{
+  const char *name = drv_header (call, "x-medlarplank-engine");
+  for (uint32_t i = 0; i < call->drv->host_count; i++)
+    if (g_strcmp0 (name, call->drv->hosts[i].engine->name) == 0)
+      return &call->drv->hosts[i];
+  drv_fail (call->drv, "%s doesn't tell its engine", call->name);
+  return &call->drv->hosts[0];
+}
+
+static void
+chats_and_tell (drv_t *drv, const char *title)
+{
+  drv_call_t *calls[CHATS];
+  for (uint32_t i = 0; i < CHATS; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("%s %u", title, i);
+      drv_ask_t ask = { .name = name, .chat = name, .router = i % 2 };
+      calls[i] = drv_ask (drv, &ask);
+      drv_answered (calls[i]);
+    }
+  uint32_t own = 0;
+  for (uint32_t i = 0; i < CHATS; i++)
+    own += drv_own_answer (calls[i]) ? 1 : 0;
+  drv_say (drv, "%s: %u of %d chats answered", title, own, CHATS);
+}
+
+/* The host leaves in one of three ways while it streams an answer. The stream ends whole, and when
+ * the grace is over nothing new begins on its engine. */
+static void
+leave (drv_t *drv, const char *title, void (*how) (drv_host_t *host))
+{
+  drv_call_t *in_flight = stream (drv, 0, title);
+  drv_host_t *host = host_of (in_flight);
+  how (host);
+  drv_for (drv, GRACE_MS);
+  drv_left (host);
+  g_autofree char *after = g_strdup_printf ("after %s", title);
+  chats_and_tell (drv, after);
+  drv_answered (in_flight);
+  drv_tell (in_flight);
+}
+
+static void
+by_list (drv_host_t *host)
+{
+  host->state = "leaving";
+  drv_list (host->sidecar->drv);
+}
+
+static void
+by_tool (drv_host_t *host)
+{
+  drv_t *drv = host->sidecar->drv;
+  g_autofree char *flags = g_strdup_printf ("drain %s", host->sidecar->name);
+  drv_say (drv, "drain: status %d", drv_ended (drv_tool (drv, flags)));
+}
+
+static void
+by_signal (drv_host_t *host)
+{
+  drv_signal (host->sidecar, SIGTERM);
+}
+
+static void
+test_leaving (void)
+{
+  drv_t *drv = drv_new ("leaving");
+  drv_fleet_t fleet = { .models = 5, .plains = 1, .routers = 2 };
+  drv_start (drv, &fleet);
+  chats_and_tell (drv, "before");
+  leave (drv, "leaving by the list", by_list);
+  leave (drv, "leaving by the tool", by_tool);
+  leave (drv, "leaving by SIGTERM", by_signal);
+  drv_finish (drv);
+}
+
+static uint32_t
+count_ended (drv_call_t *const *calls)
+{
+  uint32_t ended = 0;
+  for (uint32_t i = 0; i < CHATS; i++)
+    ended += calls[i]->end != DRV_WAITING ? 1 : 0;
+  return ended;
+}
+
+static bool
+some_ended (void *context)
+{
+  return count_ended (context) >= CHATS / 2;
+}
+
+/* A sidecar is frozen; tags that were sent to it lie in its socket. Meanwhile its host is put on
+ * the list as leaving, and the grace goes by. When it wakes it finds the tags before it finds out
+ * that it leaves: it must refuse them, so that they run elsewhere. */
+static void
+test_leaving_frozen (void)
+{
+  drv_t *drv = drv_new ("leaving_frozen");
+  drv_fleet_t fleet = { .models = 3, .plains = 1, .routers = 2 };
+  drv_start (drv, &fleet);
+  drv_host_t *host = &drv->hosts[0];
+  drv_call_t *calls[CHATS];
+  drv_signal (host->sidecar, SIGSTOP);
+  for (uint32_t i = 0; i < CHATS; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("tag %u", i);
+      drv_ask_t ask = { .name = name, .kind = DRV_TAG, .chat = name, .router = i % 2 };
+      calls[i] = drv_ask (drv, &ask);
+      drv_for (drv, PACE_MS); /* one after the other, or most would be refused to the frozen host */
+    }
+  drv_until (drv, DRV_WAIT_MS, "tags on the other engines", some_ended, calls);
+  by_list (host);
+  drv_for (drv, GRACE_MS);
+  drv_say (drv, "some wait for the frozen host: %s", count_ended (calls) < CHATS ? "yes" : "no");
+  drv_left (host);
+  drv_signal (host->sidecar, SIGCONT);
+  drv_all_answered (drv);
+  uint32_t own = 0;
+  for (uint32_t i = 0; i < CHATS; i++)
+    if (drv_own_answer (calls[i]))
+      own++;
+    else
+      drv_tell (calls[i]);
+  drv_say (drv, "after it woke: %u of %d tags answered", own, CHATS);
+  drv_finish (drv);
+}
+
+/* A router and a sidecar are stopped while a stream and a keyed booking pass through them. Both end
+ * whole, the daemon ends with status 0, and the caller's next request finds the other router. */
+static void
+test_stop (void)
+{
+  drv_t *drv = drv_new ("stop");
+  drv_fleet_t fleet = {
+    .models = 2, .plains = 2, .routers = 2, .engine_flags = "--service-us=600000"
+  };
+  drv_start (drv, &fleet);
+  drv_ask_t booking = { .name = "booking through the stopping router",
+                        .kind = DRV_BOOKING,
+                        .key = "b" };
+  drv_call_t *in_flight = stream (drv, 0, "stream through the stopping router");
+  drv_call_t *booked = drv_ask (drv, &booking);
+  drv_for (drv, 50);
+  drv_signal (drv->routers[0], SIGTERM);
+  drv_say (drv, "router: status %d", drv_ended (drv->routers[0]));
+  drv_answered (in_flight);
+  drv_answered (booked);
+  drv_tell (in_flight);
+  drv_tell (booked);
+  in_flight = stream (drv, 1, "stream through the stopping sidecar");
+  drv_host_t *host = host_of (in_flight);
+  drv_signal (host->sidecar, SIGTERM);
+  drv_say (drv, "sidecar: status %d", drv_ended (host->sidecar));
+  drv_answered (in_flight);
+  drv_tell (in_flight);
+  drv_ask_t ask = { .name = "after both", .router = 1 };
+  drv_call_t *after = drv_ask (drv, &ask);
+  drv_answered (after);
+  drv_tell (after);
+  drv_finish (drv);
+}
+
+int
+main (void)
+{
+  static const drv_test_t tests[] = { { "hosts leave", test_leaving },
+                                      { "a host leaves while it is frozen", test_leaving_frozen },
+                                      { "daemons are stopped", test_stop } };
+  return drv_main ("stop", tests, G_N_ELEMENTS (tests));
+}
