Let the error event of a cut stream reach its caller

A stream that breaks off ends with an error event and a broken connection. The listener closed the connection in the next turn of its loop and dropped what was still queued, so the event, and the last parts of the answer, never left.

An aborted connection is closed once its queue has left, or when the caller takes nothing for the idle timeout; one of HTTP/1.0 is still reset at once. The event is sent only where an event of the engine has just ended: after half of one it would end that half, which would count as whole. Sidecars leave it to the router, or the caller would hear it twice.

Without the change of the listener the test's caller sees no error event.

--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -157,6 +157,8 @@
       evhttp_connection_free (conn->evcon);
       return;
     }
+  if (conn->doomed && !conn->reset && evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
+    return; /* what is queued says why: on_output() calls again once it has left */
   if (conn->doomed)
     {
       if (conn->reset)
@@ -226,6 +228,9 @@
   hsv_conn_t *conn = context;
   bool half_empty = evbuffer_get_length (buffer) < HSV_QUEUED_LIMIT_BYTES / 2;
 
+  if (conn->doomed && info->n_deleted > 0 && evbuffer_get_length (buffer) == 0)
+    hsv_conn_soon (conn);
+
   if (info->n_added > 0 && !conn->busy && !conn->page)
     {
       conn->page = true;
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -67,9 +67,27 @@
   hsv_begin (rly->to, rly->status);
 }
 
+/* ends_event() - an event that was cut off must not be ended by what the fleet adds, or its half
+ * would count as whole */
+static bool
+ends_event (struct evbuffer *data)
+{
+  static const char END[] = "\n\n";
+  static const char LONG_END[] = "\r\n\r\n";
+  size_t bytes = MIN (evbuffer_get_length (data), strlen (LONG_END));
+  size_t skipped = evbuffer_get_length (data) - bytes;
+  char last[sizeof LONG_END] = "";
+  struct evbuffer_ptr from;
+
+  evbuffer_ptr_set (data, &from, skipped, EVBUFFER_PTR_SET);
+  evbuffer_copyout_from (data, &from, last, bytes);
+  return g_str_has_suffix (last, END) || strcmp (last, LONG_END) == 0;
+}
+
 static void
 pass_part (rly_t *rly, struct evbuffer *data)
 {
+  rly->between = rly->events && ends_event (data);
   if (!rly->begun)
     begin (rly);
   rly->full = !hsv_part (rly->to, data);
@@ -161,7 +179,7 @@
   rly->to = NULL;
   if (to == NULL)
     return;
-  if (rly->events)
+  if (rly->events && rly->between)
     {
       struct evbuffer *part = evbuffer_new ();
       char *body = flt_body (fault);
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -25,6 +25,8 @@
  * @from: the call that is read; NULL when it ended
  * @held: body of an answer that is held back
  * @begun: the first byte went to @to
+ * @events: it is an event stream
+ * @between: an event has just ended there
  * @full: @to has to take more before @from is read on
  * @was_full: so it was since rly_held_up() was asked last
  */
@@ -40,6 +42,7 @@
   bool full;
   bool was_full;
   bool events;
+  bool between;
 } rly_t;
 
 void rly_init (rly_t *rly, hsv_call_t *to);
--- a/src/request/sidecar_engine.c
+++ b/src/request/sidecar_engine.c
@@ -39,6 +39,7 @@
     }
   call->head_came = true;
   rly_head (&call->rly, call->out, status, headers);
+  call->rly.events = false; /* its router tells the caller why a stream breaks off, and only once */
   rly_add_header (&call->rly, HOP_ATTEMPT_HEADER, call->attempt_text);
   rly_add_header (&call->rly, HOP_ENGINE_HEADER, call->sdc->dmn->set.name);
   rly_add_header (&call->rly, HOP_INCARNATION_HEADER, call->sdc->incarnation_text);
--- a/tests/test_path_answers.c
+++ b/tests/test_path_answers.c
@@ -93,12 +93,34 @@
   pfl_clear (&fleet);
 }
 
+/* A stream breaks off at the engine between two events. The caller is told why by an event of its
+ * own, and then by the broken connection; closing that must not overtake the event. */
+static void
+says_why_a_stream_breaks_off (void)
+{
+  pfl_t fleet;
+  pfl_answer_t answer;
+
+  pfl_init (&fleet);
+  pfl_set_all (&fleet, PFL_CUT_LATE);
+  pfl_ask (&fleet, &(pfl_request_t){ .path = "/look" }, &answer);
+  CU_ASSERT_TRUE (answer.done);
+  CU_ASSERT_FALSE (answer.end.whole);
+  CU_ASSERT_TRUE (g_str_has_prefix (answer.body->str, "data: one\n\nevent: error\ndata: {"));
+  CU_ASSERT_TRUE (g_str_has_suffix (answer.body->str, "}\n\n"));
+  CU_ASSERT_PTR_EQUAL (strstr (answer.body->str, "event: error"),
+                       g_strrstr (answer.body->str, "event: error"));
+  pfl_answer_clear (&answer);
+  pfl_clear (&fleet);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = { { "relays the length of a HEAD answer",
                             relays_the_length_of_a_head_answer },
                           { "waits for a slow caller", waits_for_a_slow_caller },
+                          { "says why a stream breaks off", says_why_a_stream_breaks_off },
                           CU_TEST_INFO_NULL };
   CU_SuiteInfo suites[] = { { "path answers", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
 
