Charge a client account for what its requests took beyond their estimate

Fair queueing charges a request by an estimate, and the estimate rests on what the caller says: the class that it names in X-Class, and with it the expected length, whatever max_tokens its body asks for. An account that names the class of short requests for its long ones was charged a fraction of what they take, and got that many times the others' share of the engine, and the head start of the class besides.

What a request took beyond its estimate is charged when it ends.

Ruled out: to trust max_tokens instead, which most requests overstate; to give back what was overestimated too, which would change the shares of honest accounts.

--- a/src/request/admit.c
+++ b/src/request/admit.c
@@ -231,6 +231,8 @@
   adm->load--;
   adm->cost -= request->item.cost;
   drn_finished (&adm->drain, now_us, now_us - request->dispatched_us);
+  /* The estimate rests on what the caller says: the class that it names, and so the length. */
+  fq_took (adm->queue, &request->item, (now_us - request->dispatched_us) / CLK_US_PER_MS);
   if (warm)
     adm_note_warm (adm, now_us, request);
 }
--- a/src/request/fairq.c
+++ b/src/request/fairq.c
@@ -416,3 +416,16 @@
     settle (fq, account);
   prune (fq);
 }
+
+void
+fq_took (fq_t *fq, const fq_item_t *item, uint64_t cost)
+{
+  fq_account_t *account;
+
+  if (cost <= item->cost)
+    return;
+  account = find_or_make (fq, item);
+  account->finish += scaled (MIN (cost - item->cost, UINT32_MAX), account->weight);
+  if (account->count > 0)
+    settle (fq, account);
+}
--- a/src/request/fairq.h
+++ b/src/request/fairq.h
@@ -90,5 +90,8 @@
 uint64_t fq_cost_ahead (const fq_t *fq, const fq_item_t *item);
 /** fq_served() - charge an account for a request that was dispatched without waiting */
 void fq_served (fq_t *fq, const fq_item_t *item);
+/** fq_took() - an item that was served took @cost in the end: its account is charged what that is
+ * above its estimate */
+void fq_took (fq_t *fq, const fq_item_t *item, uint64_t cost);
 
 #endif
--- a/tests/test_fairq.c
+++ b/tests/test_fairq.c
@@ -57,6 +57,29 @@
   fq_free (fq);
 }
 
+/* A client account names a class of short requests for its long ones, so that each costs it a tenth
+ * of what it takes. The other accounts must not get a tenth of the engine for that: what a request
+ * took beyond its estimate is charged when it ends. */
+static void
+test_understating_gains_nothing (void)
+{
+  fq_t *fq = fq_new (512);
+  fq_item_t understated[150], honest[150];
+  uint64_t took_understated = 0, took_honest = 0;
+  push_many (fq, understated, 150, make (1, 0, 1000));
+  push_many (fq, honest, 150, make (2, 0, 1000));
+  for (uint32_t i = 0; i < 110; i++)
+    {
+      const fq_item_t *item = fq_pop (fq);
+      const uint64_t took = item->account_hash == 1 ? 10000 : 1000;
+      *(item->account_hash == 1 ? &took_understated : &took_honest) += took;
+      fq_took (fq, item, took);
+    }
+  CU_ASSERT (took_understated <= took_honest * 5 / 4);
+  CU_ASSERT (took_honest <= took_understated * 5 / 4);
+  fq_free (fq);
+}
+
 static void
 test_weights_share_cost (void)
 {
@@ -270,6 +293,7 @@
   CU_pSuite suite = CU_add_suite ("fairq", NULL, NULL);
   CU_add_test (suite, "a surge waits behind itself", test_surge_waits_behind_itself);
   CU_add_test (suite, "weights share the cost", test_weights_share_cost);
+  CU_add_test (suite, "understating gains nothing", test_understating_gains_nothing);
   CU_add_test (suite, "a short class passes long ones", test_short_class_passes_long_ones);
   CU_add_test (suite, "a long class is not starved", test_long_class_is_not_starved);
   CU_add_test (suite, "what may not start is skipped", test_pop_allowed_skips);
