--- a/bench/bench_claims.c
+++ b/bench/bench_claims.c
@@ -297,9 +297,10 @@
       step_append (sim, follower);
       step_read (sim, follower);
       step_runs (sim, follower);
-      if (sim->now_us < follower->tick_us)
+      if (sim->now_us < MIN (follower->tick_us, clm_due_us (follower->clm)))
         continue;
-      follower->tick_us += TICK_US;
+      while (follower->tick_us <= sim->now_us)
+        follower->tick_us += TICK_US;
       take_results (sim, follower);
       pump (sim, follower);
     }
--- a/src/process/control_claims.c
+++ b/src/process/control_claims.c
@@ -18,6 +18,7 @@
  * struct ctrl_stream - one claims stream
  * @batch: text of the append in flight
  * @begun: its first retained offset is known
+ * @timer: the next append is due; the tick alone would let claims wait longer than their interval
  * @used_us: when a claim last came
  */
 struct ctrl_stream
@@ -27,6 +28,7 @@
   clm_t *clm;
   ctrl_op_t *read_op;
   ctrl_op_t *append_op;
+  struct event *timer;
   char *batch;
   uint64_t read_due_us;
   uint64_t backoff_us;
@@ -45,6 +47,7 @@
     stream->read_op->orphan = true;
   if (stream->append_op != NULL)
     stream->append_op->orphan = true;
+  event_free (stream->timer);
   clm_free (stream->clm);
   g_free (stream->batch);
   g_free (stream->name);
@@ -231,6 +234,21 @@
                    stream->begun ? READ_WAIT_MS : 0, on_read, stream->read_op);
 }
 
+static void
+set_timer (ctrl_stream_t *stream)
+{
+  uint64_t now_us = ctrl_now_us (stream->ctrl);
+  uint64_t due_us = clm_due_us (stream->clm);
+  if (due_us == UINT64_MAX || due_us <= now_us)
+    {
+      event_del (stream->timer);
+      return;
+    }
+  struct timeval wait = { (time_t)((due_us - now_us) / CLK_US_PER_S),
+                          (suseconds_t)((due_us - now_us) % CLK_US_PER_S) };
+  event_add (stream->timer, &wait);
+}
+
 /* At most one append and one read of a stream are under way; claims that come meanwhile go with
  * the next append. */
 static void
@@ -238,6 +256,18 @@
 {
   append_on (stream);
   read_on (stream);
+  set_timer (stream);
+}
+
+static void
+on_timer (evutil_socket_t socket, short what, void *context)
+{
+  ctrl_stream_t *stream = context;
+  (void)socket;
+  (void)what;
+  ctrl_fresh_check (stream->ctrl);
+  answer_all (stream);
+  pump (stream);
 }
 
 static bool
@@ -298,6 +328,7 @@
       stream = g_new0 (ctrl_stream_t, 1);
       stream->ctrl = ctrl;
       stream->name = g_strdup (name);
+      stream->timer = evtimer_new (ctrl->base, on_timer, stream);
       stream->clm = clm_new ((uint64_t)ctrl->dmn->set.claim_horizon_s * CLK_US_PER_S);
       g_hash_table_insert (ctrl->claims.streams, stream->name, stream);
       log_event (LOG_LEVEL_INFO, "claims_opened", "stream", name, NULL);
--- a/src/process/limits.h
+++ b/src/process/limits.h
@@ -25,7 +25,7 @@
 #define LIM_CLAIMS_WAITING 1024  /* claims of one stream that wait for the log */
 #define LIM_CLAIM_ENTRIES 256    /* entries in one record of a claims stream */
 #define LIM_CLAIM_QUEUE 4096     /* entries of one stream that are yet to be appended */
-#define LIM_CLAIM_INTERVAL_MIN_US (50 * 1000)       /* between two appends to one stream */
+#define LIM_CLAIM_INTERVAL_MIN_US (20 * 1000)       /* between two appends to one stream */
 #define LIM_CLAIM_INTERVAL_MAX_US (2 * 1000 * 1000) /* however often the log refuses */
 #define LIM_CLAIM_BACKOFF_US (4 * 1000 * 1000)      /* after failures in a row */
 #define LIM_CLAIM_WAIT_US (3 * 1000 * 1000) /* a claim that can't be sent by then is refused */
