Keep a retry for each client account

When a host was killed under a surge, the requests of the surging accounts that waited there used up the router's retry budget, and the one request of a quiet account that was lost with them was not tried again: its caller got 502 (cut) although it was idempotent and other engines were at hand.

The budget stays one for all accounts, as it protects the engines. Each account has one retry of its own on top, which comes back with its answers.

--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define RETRY_AFTER_DEFAULT_MS 1000
+#define RETRY_MILLI 1000
 
 /* What a refusal or failure with this reason asks for. */
 typedef enum
@@ -220,7 +221,8 @@
 try_again (att_t *att, uint64_t now_us, att_budget_t *budget, vrd_t verdict)
 {
   att->may_have_run = true;
-  if (!att->idempotent || now_us >= att->deadline_us || !att_budget_take (budget))
+  if (!att->idempotent || now_us >= att->deadline_us ||
+      !att_budget_take (budget, att->account_hash))
     return give_up (att, verdict, att->last_reason);
   att->retries++;
   return next_step (att, now_us);
@@ -239,24 +241,62 @@
   return att->crashed_count == LIM_SUSPECT_CRASHES;
 }
 
+static att_reserve_t *
+find_reserve (att_budget_t *budget, uint64_t account_hash)
+{
+  for (uint32_t i = 0; i < budget->reserve_count; i++)
+    if (budget->reserves[i].account_hash == account_hash)
+      return &budget->reserves[i];
+  return NULL;
+}
+
+/* When a host is lost, all that waited there try again at once. A surging account has the most of
+ * them and would leave the others without a retry, so each account has one that only it can take.
+ */
+static bool
+take_reserve (att_budget_t *budget, uint64_t account_hash)
+{
+  att_reserve_t *reserve = find_reserve (budget, account_hash);
+
+  if (account_hash == 0 || (reserve == NULL && budget->reserve_count == ATT_RESERVES))
+    return false;
+  if (reserve == NULL)
+    {
+      reserve = &budget->reserves[budget->reserve_count++];
+      *reserve = (att_reserve_t){ account_hash, ATT_RESERVE_MAX_MILLI };
+    }
+  if (reserve->tokens_milli < RETRY_MILLI)
+    return false;
+  reserve->tokens_milli -= RETRY_MILLI;
+  return true;
+}
+
 void
 att_budget_init (att_budget_t *budget)
 {
+  memset (budget, 0, sizeof *budget);
   budget->tokens_milli = ATT_BUDGET_MAX_MILLI;
 }
 
 void
-att_budget_success (att_budget_t *budget)
+att_budget_success (att_budget_t *budget, uint64_t account_hash)
 {
+  att_reserve_t *reserve = find_reserve (budget, account_hash);
+
   budget->tokens_milli = MIN (budget->tokens_milli + ATT_BUDGET_GAIN_MILLI, ATT_BUDGET_MAX_MILLI);
+  if (reserve == NULL)
+    return;
+  reserve->tokens_milli += ATT_BUDGET_GAIN_MILLI;
+  if (reserve->tokens_milli >= ATT_RESERVE_MAX_MILLI)
+    *reserve = budget->reserves[--budget->reserve_count];
 }
 
 bool
-att_budget_take (att_budget_t *budget)
+att_budget_take (att_budget_t *budget, uint64_t account_hash)
 {
-  if (budget->tokens_milli < 1000)
-    return false;
-  budget->tokens_milli -= 1000;
+  if (budget->tokens_milli < RETRY_MILLI)
+    return take_reserve (budget, account_hash);
+  budget->tokens_milli -= RETRY_MILLI;
   return true;
 }
 
@@ -265,6 +305,7 @@
 {
   memset (att, 0, sizeof *att);
   att->idempotent = options->idempotent;
+  att->account_hash = options->account_hash;
   att->deadline_us = options->deadline_us;
   att->last_reason = VRD_REASON_NO_ENGINE;
   att->hop_limit = LIM_HOPS;
@@ -285,7 +326,7 @@
 {
   if (outcome->answered)
     {
-      att_budget_success (budget);
+      att_budget_success (budget, att->account_hash);
       return (att_step_t){ .action = ATT_DONE, .verdict = VRD_RAN };
     }
   att->last_reason = outcome->reason;
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -5,7 +5,8 @@
  * A pure state machine: the caller does the sending and tells what came of it.
  *
  * Non-idempotent requests go to another engine only after VRD_NOT_RUN. Idempotent ones may be
- * tried again until the first byte of an answer went to the caller, within the retry budget.
+ * tried again until the first byte of an answer went to the caller, within the retry budget. That
+ * is shared by all client accounts, but for a reserve of each, which no other account can use up.
  */
 #ifndef REQUEST_ATTEMPT_H
 #define REQUEST_ATTEMPT_H
@@ -16,26 +17,44 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** struct att_budget - token bucket of retries: a fraction of recent successes */
+#define ATT_BUDGET_MAX_MILLI 10000 /* ten retries at once at most */
+#define ATT_BUDGET_GAIN_MILLI 100  /* a tenth of a retry for each success */
+#define ATT_RESERVE_MAX_MILLI 1000 /* one retry for each client account */
+#define ATT_RESERVES 256           /* client accounts that may be short of theirs at once */
+
+/** struct att_reserve - of a client account that has taken from it */
 typedef struct
 {
+  uint64_t account_hash;
   uint64_t tokens_milli;
-} att_budget_t;
+} att_reserve_t;
 
-#define ATT_BUDGET_MAX_MILLI 10000 /* ten retries at once at most */
-#define ATT_BUDGET_GAIN_MILLI 100  /* a tenth of a retry for each success */
+/**
+ * struct att_budget - retries of one router
+ * @tokens_milli: token bucket of all client accounts: a fraction of recent successes
+ * @reserves: for when that is empty; an account that is not among them has its whole reserve
+ */
+typedef struct
+{
+  uint64_t tokens_milli;
+  att_reserve_t reserves[ATT_RESERVES];
+  uint32_t reserve_count;
+} att_budget_t;
 
 void att_budget_init (att_budget_t *budget);
-void att_budget_success (att_budget_t *budget);
-bool att_budget_take (att_budget_t *budget);
+/** att_budget_success() - @account_hash 0 is none, which has no reserve either */
+void att_budget_success (att_budget_t *budget, uint64_t account_hash);
+bool att_budget_take (att_budget_t *budget, uint64_t account_hash);
 
 /**
  * struct att_options - of one request
+ * @account_hash: client account, for its reserve of retries
  * @candidates: engine hashes, best first; copied
  */
 typedef struct
 {
   bool idempotent;
+  uint64_t account_hash;
   uint64_t deadline_us;
   const uint64_t *candidates;
   uint32_t candidate_count;
@@ -77,6 +96,7 @@
   bool answer_begun;
   bool waited;       /* the last sidecar asked had leave to queue: nobody is asked after it */
   bool may_have_run; /* an earlier attempt may have run, so the request is never "not run" again */
+  uint64_t account_hash;
   uint64_t deadline_us;
   att_target_t targets[ATT_CANDIDATES + LIM_HOPS_MOST * (LIM_REFERRALS + 1)];
   uint32_t target_count;
--- a/src/request/router_call.c
+++ b/src/request/router_call.c
@@ -194,6 +194,7 @@
 rtr_call_start (rtr_call_t *call)
 {
   att_options_t options = { .idempotent = call->hop.idempotent,
+                            .account_hash = plc_hash_name (call->hop.account),
                             .deadline_us = call->deadline_us,
                             .candidates = call->place.candidates,
                             .candidate_count = call->place.candidate_count };
--- a/tests/test_attempt.c
+++ b/tests/test_attempt.c
@@ -416,6 +416,47 @@
   CU_ASSERT_NOT_EQUAL (step.retry_after_ms, 0);
 }
 
+static bool
+retries_lost_hop (att_budget_t *budget, uint64_t account_hash)
+{
+  att_options_t options = { .idempotent = true,
+                            .account_hash = account_hash,
+                            .deadline_us = DEADLINE_US,
+                            .candidates = CANDIDATES,
+                            .candidate_count = 6 };
+  att_outcome_t cut = lost ();
+  att_t att;
+
+  att_begin (&att, 0, &options);
+  att_ended (&att, 1, budget, &cut);
+  return att_revoked (&att, 1, budget, VRD_MAY_HAVE_RUN).action == ATT_SEND;
+}
+
+/* A surging account has many requests at a host that is killed; all try again and use up the
+ * budget. The single request of a quiet account, lost with them, must still go on elsewhere, as
+ * its caller did nothing to deserve an error. Its reserve fills again as its requests succeed. */
+static void
+surge_leaves_others_their_retry (void)
+{
+  att_budget_t budget;
+  uint32_t retried = 0;
+
+  att_budget_init (&budget);
+  for (uint32_t i = 0; i < 50; i++)
+    retried += retries_lost_hop (&budget, 1);
+  CU_ASSERT_EQUAL (retried, (ATT_BUDGET_MAX_MILLI + ATT_RESERVE_MAX_MILLI) / 1000);
+  CU_ASSERT_TRUE (retries_lost_hop (&budget, 2));
+  CU_ASSERT_FALSE (retries_lost_hop (&budget, 2));
+  for (uint32_t i = 0; i < 2 * ATT_RESERVES; i++)
+    retries_lost_hop (&budget, 100 + i);
+  CU_ASSERT_EQUAL (budget.reserve_count, ATT_RESERVES);
+  for (uint32_t i = 0; i < 10; i++)
+    att_budget_success (&budget, 2);
+  CU_ASSERT_EQUAL (budget.reserve_count, ATT_RESERVES - 1);
+  budget.tokens_milli = 0;
+  CU_ASSERT_TRUE (retries_lost_hop (&budget, 2));
+}
+
 /* A first attempt may have run; the second is refused as not run. The request as a whole may have
  * run, and the caller must not be told otherwise. */
 static void
@@ -508,6 +549,7 @@
     { "sidecar that says it ran needs no revoke", sidecar_that_says_it_ran_needs_no_revoke },
     { "budget bounds retries", budget_bounds_retries },
     { "two lost sidecars are enough", two_lost_sidecars_are_enough },
+    { "a surge leaves others their retry", surge_leaves_others_their_retry },
     { "not run is said of the whole request", not_run_is_said_of_the_whole_request },
     { "begun answer is never tried again", begun_answer_is_never_tried_again },
     { "two crashes are added up", two_crashes_are_added_up },
