Go on when the host that was the last resort is lost

With all engines over their bound a request waits at the first one, by its last hop. When that host was killed, an idempotent request was answered 502 (cut) though the retry budget allowed another attempt: no hop was left for it. The same came of a revoke that said not run.

A stopped host was handled already: the request asks the others anew. A lost one now does the same, once the retry budget has let it; hops stay bounded by LIM_HOPS_MOST, and two broken sidecars stay enough.

--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -178,8 +178,9 @@
 }
 
 /* begin_anew() - A request that waits at a host as its last resort would be answered 503 when that
- * host is stopped, though all others run: planned stops would show. It asks the others again
- * instead, those over their bound a moment ago included. */
+ * host is stopped or lost, though all others run: planned stops would show, and so would each
+ * killed host, to all that waited there. It asks the others again instead, those over their bound a
+ * moment ago included. */
 static void
 begin_anew (att_t *att)
 {
@@ -225,6 +226,8 @@
       !att_budget_take (budget, att->account_hash))
     return give_up (att, verdict, att->last_reason);
   att->retries++;
+  if (att->waited)
+    begin_anew (att);
   return next_step (att, now_us);
 }
 
@@ -348,6 +351,8 @@
 att_step_t
 att_revoked (att_t *att, uint64_t now_us, att_budget_t *budget, vrd_t verdict)
 {
+  if (verdict == VRD_NOT_RUN && att->waited)
+    begin_anew (att);
   if (verdict == VRD_NOT_RUN)
     return next_step (att, now_us);
   if (note_broken (att))
--- a/tests/test_attempt.c
+++ b/tests/test_attempt.c
@@ -1,6 +1,7 @@
 #include "request/attempt.h"
 
 #include <CUnit/Basic.h>
+#include <glib.h>
 
 #define DEADLINE_US 1000000
 
@@ -416,6 +417,36 @@
   CU_ASSERT_NOT_EQUAL (step.retry_after_ms, 0);
 }
 
+/* All engines are over their bound, and the request waits at the first, by its last hop, when that
+ * host is killed. The others end work all the time: the request asks them again and waits there,
+ * instead of an error for its caller. A host that says that it did not run it comes to the same. */
+static void
+lost_last_resort_is_not_the_end (void)
+{
+  static const vrd_t VERDICTS[] = { VRD_MAY_HAVE_RUN, VRD_NOT_RUN };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (VERDICTS); i++)
+    {
+      att_t att;
+      att_budget_t budget;
+      att_outcome_t full = refusal (VRD_REASON_OVER_BOUND);
+      att_outcome_t cut = lost ();
+      att_step_t step = begin (&att, true, 3);
+
+      att_budget_init (&budget);
+      while (step.action == ATT_SEND && !step.may_wait)
+        step = att_ended (&att, 1, &budget, &full);
+      CU_ASSERT_EQUAL (step.engine_hash, CANDIDATES[0]);
+      CU_ASSERT_EQUAL (att_ended (&att, 2, &budget, &cut).action, ATT_REVOKE);
+      step = att_revoked (&att, 3, &budget, VERDICTS[i]);
+      CU_ASSERT_EQUAL (step.action, ATT_SEND);
+      while (step.action == ATT_SEND && !step.may_wait)
+        step = att_ended (&att, 4, &budget, &full);
+      CU_ASSERT_EQUAL (step.action, ATT_SEND);
+      CU_ASSERT_EQUAL (step.engine_hash, CANDIDATES[1]);
+    }
+}
+
 static bool
 retries_lost_hop (att_budget_t *budget, uint64_t account_hash)
 {
@@ -549,6 +580,7 @@
     { "sidecar that says it ran needs no revoke", sidecar_that_says_it_ran_needs_no_revoke },
     { "budget bounds retries", budget_bounds_retries },
     { "two lost sidecars are enough", two_lost_sidecars_are_enough },
+    { "a lost last resort is not the end", lost_last_resort_is_not_the_end },
     { "a surge leaves others their retry", surge_leaves_others_their_retry },
     { "not run is said of the whole request", not_run_is_said_of_the_whole_request },
     { "begun answer is never tried again", begun_answer_is_never_tried_again },
