Tell news to two peers at once, within the budget

A word or a mark went on with the usual messages only, so it took a second for each tenfold of the fleet.

It needs three quarters of a second's budget.

--- a/bench/spread/exchange.c
+++ b/bench/spread/exchange.c
@@ -132,6 +132,12 @@
   exc->node->flt->counts.charged_bytes += bytes;
 }
 
+bool
+exc_has_spare (exc_t *exc)
+{
+  return bdg_has (&exc->budget, exc->node->flt->now_us, exc->options.budget_bytes / 4 * 3);
+}
+
 set_address_t
 exc_address (const exc_t *exc)
 {
--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -337,6 +337,12 @@
   cnt_add (exc->counts.bytes_sent, bytes);
 }
 
+bool
+exc_has_spare (exc_t *exc)
+{
+  return bdg_has (&exc->budget, clk_now_us (exc->options.clk), exc->options.budget_bytes / 4 * 3);
+}
+
 set_address_t
 exc_address (const exc_t *exc)
 {
--- a/src/connection/exchange.h
+++ b/src/connection/exchange.h
@@ -57,6 +57,9 @@
 void exc_flush (exc_t *exc);
 /** exc_charge() - other control traffic, which shares the byte budget */
 void exc_charge (exc_t *exc, uint32_t bytes);
+/** exc_has_spare() - whether three quarters of a second's budget are left, so that a message beyond
+ * the usual ones holds none of them back */
+bool exc_has_spare (exc_t *exc);
 /** exc_address() - where it listens; for a port that the system chose */
 set_address_t exc_address (const exc_t *exc);
 
--- a/src/process/control_exchange.c
+++ b/src/process/control_exchange.c
@@ -3,6 +3,9 @@
 #include "process/log.h"
 #include "request/place.h"
 
+/* News is told to so many peers at once: it then reaches most of a fleet within some round trips
+ * instead of exchange intervals. */
+#define TELLS_OF_NEWS 2
 #define CONFLICT_LOG_US (10 * CLK_US_PER_S)
 
 /* Return: false for a state that is none. */
@@ -44,28 +47,30 @@
     ctrl_stop_leave (ctrl, "peer");
 }
 
-/* That a host is live is no news to others when only this daemon had not heard of it, as it started
- * lately: it would pass on what every host says for minutes. */
-static void
+/* Return: whether it is news to others. That a host is live is none to others when only this daemon
+ * had not heard of it, as it started lately: it would pass on what every host says for minutes. */
+static bool
 take_word (ctrl_t *ctrl, const mem_word_t *word)
 {
   mem_word_t last;
   bool known = mem_word (ctrl->mem, word->host_hash, &last);
   bool changed = mem_hear (ctrl->mem, ctrl_now_us (ctrl), word);
-  if (changed && (known || word->state != MEM_LIVE))
+  bool news = changed && (known || word->state != MEM_LIVE);
+  if (news)
     rmr_add_word (&ctrl->talk.rumours, word);
+  return news;
 }
 
-static void
+static bool
 hear_word (ctrl_t *ctrl, const xch_word *heard)
 {
   mem_word_t word;
   if (!from_wire (heard, &word))
-    return;
-  if (word.host_hash == ctrl->own_hash)
-    hear_own_word (ctrl, &word);
-  else
-    take_word (ctrl, &word);
+    return false;
+  if (word.host_hash != ctrl->own_hash)
+    return take_word (ctrl, &word);
+  hear_own_word (ctrl, &word);
+  return false;
 }
 
 /* Return: false for a sample that does not count here. */
@@ -105,7 +110,7 @@
     samples->head.free (&samples->head);
 }
 
-static void
+static bool
 hear_marks (ctrl_t *ctrl, const xch_message *message)
 {
   msg_marks_t *marks = msg_new (MSG_MARKS);
@@ -120,10 +125,20 @@
       if (rmr_add_mark (&ctrl->talk.rumours, ctrl_now_us (ctrl), &mark))
         marks->marks[marks->count++] = mark;
     }
-  if (marks->count > 0)
+  bool news = marks->count > 0;
+  if (news)
     ctrl_send (ctrl, marks);
   else
     marks->head.free (&marks->head);
+  return news;
+}
+
+/* Within the budget: in a flood of news the usual messages carry it. */
+static void
+hurry (ctrl_t *ctrl)
+{
+  if (exc_has_spare (ctrl->exc))
+    ctrl_talk_tell (ctrl, TELLS_OF_NEWS);
 }
 
 /* Whether the sender is a listed host and this message was sent after all that was heard of it. */
@@ -150,14 +165,16 @@
 take_message (ctrl_t *ctrl, const mem_word_t *sender, const xch_message *message)
 {
   ctrl->talk.heard_us = ctrl_now_us (ctrl);
-  take_word (ctrl, sender);
+  bool news = take_word (ctrl, sender);
   for (uint32_t i = 0; i < message->words.words_len; i++)
-    hear_word (ctrl, &message->words.words_val[i]);
+    news = hear_word (ctrl, &message->words.words_val[i]) || news;
   ctrl_members_flush (ctrl);
   hear_samples (ctrl, message);
-  hear_marks (ctrl, message);
+  news = hear_marks (ctrl, message) || news;
   ctrl_manifest_heard (ctrl, message->manifest_version, sender->host_hash);
   ctrl_list_heard (ctrl, message->list_revision);
+  if (news)
+    hurry (ctrl);
 }
 
 /* An older incarnation of a host is still answered: it hears so that it is not the last one. */
@@ -289,6 +306,9 @@
 void
 ctrl_talk_own_marks (ctrl_t *ctrl, const msg_marks_t *message)
 {
+  bool news = false;
   for (uint32_t i = 0; i < message->count; i++)
-    rmr_add_mark (&ctrl->talk.rumours, ctrl_now_us (ctrl), &message->marks[i]);
+    news = rmr_add_mark (&ctrl->talk.rumours, ctrl_now_us (ctrl), &message->marks[i]) || news;
+  if (news)
+    hurry (ctrl);
 }
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -137,6 +137,37 @@
   event_base_free (base);
 }
 
+/* A host leaves. Passed on with the usual messages only, the word takes a second for each tenfold
+ * of the fleet, and meanwhile routers lose a hop to it. Whoever hears it first tells others at
+ * once, but old news and a used-up budget make no more traffic. */
+static void
+test_news_is_told_at_once (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  said_t said;
+  rig_start_fresh (&rig, base);
+  fkp_host (&rig.platform, "fourth", false, rig_ip (), RIG_PORT + 3, MEM_LIVE);
+  rig_turns (&rig, 20);
+  cnt_t *sent = cnt_get (rig.dmn.counters, "medlarplank_control_datagrams_sent_total", "");
+  uint64_t before = cnt_value (sent);
+  ctrl_talk_heard (rig_say (&said, "peer", 1), false, rig.ctrl);
+  CU_ASSERT_EQUAL (cnt_value (sent), before);
+  rig_say (&said, "peer", 2)->sender.state = MEM_LEAVING;
+  ctrl_talk_heard (&said.message, false, rig.ctrl);
+  CU_ASSERT_TRUE (cnt_value (sent) > before);
+  before = cnt_value (sent);
+  rig_say (&said, "peer", 3)->sender.state = MEM_LEAVING;
+  ctrl_talk_heard (&said.message, false, rig.ctrl);
+  CU_ASSERT_EQUAL (cnt_value (sent), before);
+  exc_charge (rig.ctrl->exc, rig.dmn.set.control_budget_bytes / 2);
+  rig_say (&said, "third", 1)->sender.state = MEM_LEAVING;
+  ctrl_talk_heard (&said.message, false, rig.ctrl);
+  CU_ASSERT_EQUAL (cnt_value (sent), before);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
 /* A process of this host's name with a later incarnation is heard of: the clock went back, or two
  * run at once. Nobody would believe this one; that must be seen in the log and the counters. */
 static void
@@ -224,10 +255,14 @@
   rig_say (&said, "third", 1);
   said.words[0] = (xch_word){ plc_hash_name ("peer"), 7, 3, MEM_LEAVING };
   said.message.words.words_len = 1;
+  cnt_t *sent = cnt_get (rig.dmn.counters, "medlarplank_control_datagrams_sent_total", "");
+  uint64_t before = cnt_value (sent);
   ctrl_talk_heard (&said.message, false, rig.ctrl);
   rig_settle (&rig);
   CU_ASSERT_EQUAL (rig.told.peer_state, MEM_LEAVING);
-  uint32_t told = 0;
+  /* Those that were sent at once count among its messages. */
+  uint64_t told = cnt_value (sent) - before;
+  CU_ASSERT_TRUE (told > 0);
   for (uint32_t i = 0; i < 3 * RMR_SENDS; i++)
     {
       said_t out;
@@ -374,6 +409,7 @@
   CU_ADD_TEST (suite, test_samples_and_marks_are_passed_on);
   CU_ADD_TEST (suite, test_incarnations_are_told_together);
   CU_ADD_TEST (suite, test_many_changes_are_told_together);
+  CU_ADD_TEST (suite, test_news_is_told_at_once);
   CU_ADD_TEST (suite, test_conflict_is_told);
   CU_ADD_TEST (suite, test_samples_keep_to_the_budget);
   CU_ADD_TEST (suite, test_replayed_message_is_not_heard);
