Tell a sidecar of the loads of its own service

Now a sidecar hears of its own service; routers hear of two as before. And a daemon that does not follow the list keeps 100 bytes a second for the platform instead of 400, so that a message has room for seven samples instead of five.

--- a/src/process/control_exchange.c
+++ b/src/process/control_exchange.c
@@ -250,6 +250,7 @@
   const mem_host_t *host = ctrl_peer_near (ctrl);
   if (host == NULL)
     return false;
+  ctrl->talk.callee_hash = host->hash;
   *peer = host->exchange;
   return true;
 }
@@ -265,7 +266,9 @@
       guint at = (guint)g_rand_int_range (ctrl->rand, 0, (gint32)peers->len);
       uint32_t index = g_array_index (peers, uint32_t, at);
       g_array_remove_index_fast (peers, at);
-      exc_now (ctrl->exc, &ctrl->peers.members->hosts[index].exchange);
+      const mem_host_t *host = &ctrl->peers.members->hosts[index];
+      ctrl->talk.callee_hash = host->hash;
+      exc_now (ctrl->exc, &host->exchange);
     }
 }
 
--- a/src/process/control_fill.c
+++ b/src/process/control_fill.c
@@ -1,6 +1,8 @@
 #include "process/control_private.h"
 
-#define PLATFORM_BYTES_S 400    /* of the budget, for reading the list and the log */
+/* Of the budget, for reading the list and the log; less when the daemon does not follow them. */
+#define TAIL_BYTES_S 400
+#define RECHECK_BYTES_S 100
 #define MESSAGES_PER_INTERVAL 2 /* one call, and on average one reply */
 #define BASE_BYTES 200 /* of a message without samples, with headers and now and then a word */
 #define SAMPLE_BYTES 32
@@ -34,9 +36,11 @@
  * byte budget. A message that is held back costs more than one that says less.
  */
 static uint32_t
-samples_per_message (const set_t *set)
+samples_per_message (const ctrl_t *ctrl)
 {
-  uint64_t budget_bytes = MAX (set->control_budget_bytes, PLATFORM_BYTES_S) - PLATFORM_BYTES_S;
+  const set_t *set = &ctrl->dmn->set;
+  uint32_t platform_bytes = ctrl->peers.tails ? TAIL_BYTES_S : RECHECK_BYTES_S;
+  uint64_t budget_bytes = MAX (set->control_budget_bytes, platform_bytes) - platform_bytes;
   uint64_t interval_bytes = budget_bytes * set->exchange_interval_ms / 1000 * 9 / 10;
   uint64_t message_bytes = interval_bytes / MESSAGES_PER_INTERVAL;
   if (message_bytes < BASE_BYTES + SAMPLE_BYTES)
@@ -80,22 +84,27 @@
   return talk->has_own_sample && talk->own_sample.taken_us + LIM_SAMPLE_AGE_US >= now_us;
 }
 
-/* A sidecar tells of its own engine first, then of its own service, and leaves a quarter for
- * another service; a router tells of two services. */
+/* The service of a host that is a sidecar, else NULL. */
+static const man_service_t *
+service_of_host (const ctrl_t *ctrl, uint64_t host_hash)
+{
+  const man_t *man = rep_manifest (ctrl->manifest.rep);
+  if (man == NULL || ctrl->peers.members == NULL)
+    return NULL;
+  const mem_host_t *host = mem_find_hash (ctrl->peers.members, host_hash);
+  return host != NULL && !host->router ? man_service_of_engine (man, host->name) : NULL;
+}
+
+/* To a router, which needs them of all services: most of the own one, a quarter of another; a
+ * router itself tells of two. */
 static void
-fill_samples (ctrl_t *ctrl, xch_message *message, uint64_t now_us)
+put_of_two_services (ctrl_t *ctrl, xch_message *message, uint64_t now_us, uint32_t room)
 {
-  uint32_t room = samples_per_message (&ctrl->dmn->set);
   mean_table_t *first = NULL;
   if (has_fresh_own_sample (ctrl, now_us))
-    {
-      put_sample (message, now_us, &ctrl->talk.own_sample);
-      first = ctrl_talk_table (ctrl, ctrl->talk.own_sample.service_hash);
-    }
+    first = ctrl_talk_table (ctrl, ctrl->talk.own_sample.service_hash);
   else
-    {
-      first = random_table (ctrl);
-    }
+    first = random_table (ctrl);
   if (first == NULL)
     return;
   mean_table_t *second = random_table (ctrl);
@@ -104,6 +113,22 @@
     put_picked (message, now_us, second, room);
 }
 
+/* A sidecar tells of its own engine in any case, which nobody knows better. Else a peer hears of
+ * what it has a use for: a sidecar of its own service. */
+static void
+fill_samples (ctrl_t *ctrl, xch_message *message, uint64_t now_us, uint64_t host_hash)
+{
+  uint32_t room = samples_per_message (ctrl);
+  if (has_fresh_own_sample (ctrl, now_us))
+    put_sample (message, now_us, &ctrl->talk.own_sample);
+  const man_service_t *service = service_of_host (ctrl, host_hash);
+  mean_table_t *table = service != NULL ? ctrl_talk_table (ctrl, service->hash) : NULL;
+  if (table != NULL)
+    put_picked (message, now_us, table, room);
+  else
+    put_of_two_services (ctrl, message, now_us, room);
+}
+
 /*
  * What the asker does not know of itself: that the platform's list, or a later incarnation, has
  * said that it leaves. It may have been paused meanwhile, and the list may be out by now.
@@ -169,7 +194,7 @@
   message->manifest_version = ctrl_manifest_version (ctrl);
   message->manifest_offset = rep_next_offset (ctrl->manifest.rep);
   message->list_revision = ctrl->list.revision;
-  fill_samples (ctrl, message, now_us);
+  fill_samples (ctrl, message, now_us, to != NULL ? to->host_hash : ctrl->talk.callee_hash);
   fill_words (ctrl, message, to);
   fill_marks (ctrl, message, now_us);
 }
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -118,10 +118,12 @@
 /**
  * struct ctrl_talk - what is said and heard in the exchange
  * @heard_us: when a listed peer was heard last
+ * @callee_hash: the host that the next call goes to
  */
 typedef struct
 {
   uint64_t heard_us;
+  uint64_t callee_hash;
   uint32_t sequence;
   rmr_t rumours;
   bool has_own_sample;
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -56,6 +56,51 @@
   event_base_free (base);
 }
 
+static void
+put_two_services (fkp_t *platform)
+{
+  json_t *patch = json_pack ("{s{s{s[ss]} s{ss s[s]}}}", "services", "pool", "engines", "own",
+                             "third", "desk", "kind", "model", "engines", "peer");
+  char *record = rep_publish_record ("two", 1, "ann", NULL, patch);
+  json_decref (patch);
+  fkp_put (platform, REP_STREAM, record);
+  g_free (record);
+}
+
+/* A sidecar has a use for samples of its own service only. Of messages that told it of others most
+ * was wasted, and its estimate of the mean was so much worse. */
+static void
+test_samples_are_those_that_the_peer_needs (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  said_t out;
+  rig_start_fresh (&rig, base);
+  put_two_services (&rig.platform);
+  TURN_UNTIL (&rig, rig.told.version == 2);
+  const uint64_t hashes[] = { POOL_HASH, plc_hash_name ("desk") };
+  uint64_t now_us = clk_now_us (&rig.dmn.clk);
+  for (uint32_t i = 0; i < 40; i++)
+    {
+      mean_sample_t sample = { 100 + i, hashes[i % 2], 1, 0, 0, now_us };
+      mean_add (ctrl_talk_table (rig.ctrl, hashes[i % 2]), &sample);
+    }
+  rig.ctrl->talk.has_own_sample = true;
+  rig.ctrl->talk.own_sample = (mean_sample_t){ rig.ctrl->own_hash, POOL_HASH, 3, 0, 0, now_us };
+  const char *peers[] = { "third", "peer" };
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      xch_word to = { .host_hash = plc_hash_name (peers[i]) };
+      ctrl_talk_fill (rig_say (&out, "x", 1), &to, rig.ctrl);
+      CU_ASSERT_EQUAL (out.message.samples.samples_len, XCH_SAMPLES);
+      CU_ASSERT_EQUAL (out.samples[0].engine_hash, rig.ctrl->own_hash);
+      for (uint32_t j = 1; j < out.message.samples.samples_len; j++)
+        CU_ASSERT_EQUAL (out.samples[j].service_hash, hashes[i]);
+    }
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
 /* A daemon that starts in a large fleet hears of thousands of incarnations within minutes. They go
  * to the data task together, but a host that leaves is told of at once. */
 static void
@@ -407,6 +452,7 @@
   CU_initialize_registry ();
   CU_pSuite suite = CU_add_suite ("control_exchange", NULL, NULL);
   CU_ADD_TEST (suite, test_samples_and_marks_are_passed_on);
+  CU_ADD_TEST (suite, test_samples_are_those_that_the_peer_needs);
   CU_ADD_TEST (suite, test_incarnations_are_told_together);
   CU_ADD_TEST (suite, test_many_changes_are_told_together);
   CU_ADD_TEST (suite, test_news_is_told_at_once);
