--- a/src/process/control_manifest.c
+++ b/src/process/control_manifest.c
@@ -274,9 +274,12 @@
     return;
   manifest->heard_version = version;
   manifest->heard_from = host_hash;
-  if (manifest->behind_since_us == 0)
+  /* A log that was out is tried once before its back-off ends: after an outage that many had, it
+   * brings a patch where a peer would bring each of them the whole manifest. */
+  bool first = manifest->behind_since_us == 0;
+  if (first)
     manifest->behind_since_us = ctrl_now_us (ctrl);
-  if (!manifest->source.down)
+  if (first || !manifest->source.down)
     manifest->source.due_us = 0;
 }
 
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -446,6 +446,40 @@
   event_base_free (base);
 }
 
+/* A region could not reach the log and can again; a version was published meanwhile. Its daemons
+ * hear of it from peers, long before their back-off ends. Were all to take the whole manifest from
+ * peers, that would be 258 KB each; the log has it as a patch. It is asked once, not at each word.
+ */
+static void
+test_log_is_tried_when_a_peer_is_ahead (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  said_t said;
+  rig_start_fresh (&rig, base);
+  rig.platform.read_down = true;
+  rig_turns (&rig, 300);
+  uint32_t reads = rig.platform.reads;
+  rig.ctrl->manifest.source.due_us = clk_now_us (&rig.dmn.clk) + CTRL_BACKOFF_MAX_US;
+  for (uint32_t i = 1; i <= 4; i++)
+    {
+      rig_say (&said, "peer", i)->manifest_version = 2;
+      ctrl_talk_heard (&said.message, false, rig.ctrl);
+      rig_turn (&rig);
+    }
+  CU_ASSERT_EQUAL (rig.platform.reads, reads + 1);
+  rig.ctrl->manifest.behind_since_us = 0;
+  rig.platform.read_down = false;
+  rig_put_version (&rig.platform, 1);
+  rig_say (&said, "peer", 9)->manifest_version = 2;
+  ctrl_talk_heard (&said.message, false, rig.ctrl);
+  rig_turn (&rig);
+  CU_ASSERT_EQUAL (rig.told.version, 2);
+  CU_ASSERT_PTR_NULL (rig.ctrl->fetch.call);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
 int
 main (void)
 {
@@ -462,6 +496,7 @@
   CU_ADD_TEST (suite, test_words_spread);
   CU_ADD_TEST (suite, test_version_comes_from_a_peer);
   CU_ADD_TEST (suite, test_stuck_log_does_not_hold_a_version_back);
+  CU_ADD_TEST (suite, test_log_is_tried_when_a_peer_is_ahead);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   int failures = (int)CU_get_number_of_failures ();
