Leave engines that routers do not reach out of the mean

Engines whose samples have all said no load for three seconds, while most have four or more, no longer count, and are named in refusals only when nobody else is.

Ruled out: a floor under the bound, which would give up the promise whenever the load falls.

--- a/bench/world.c
+++ b/bench/world.c
@@ -15,7 +15,7 @@
 const char *const wld_policy_names[WLD_POLICIES] = { "full",  "bounded", "rendezvous",
                                                      "least", "oracle",  "random" };
 const char *const wld_fault_names[WLD_FAULTS] = { "steady", "surge",  "join", "rolling",
-                                                  "flap",   "center", "late" };
+                                                  "flap",   "center", "dark", "late" };
 
 static uint64_t
 lag_of (wld_t *world)
--- a/bench/world.h
+++ b/bench/world.h
@@ -41,6 +41,7 @@
   WLD_ROLLING, /* every engine replaced under its name, one each cache lifetime */
   WLD_FLAP,    /* an engine unreachable for five seconds, again and again */
   WLD_CENTER,  /* a third of the engines lost at once, back after a minute, empty */
+  WLD_DARK,    /* an engine that no router reaches, while all daemons hear it */
   WLD_LATE,    /* as rolling, with lists 3 to 7 seconds late, each view by its own time */
   WLD_FAULTS
 } wld_fault_t;
--- a/bench/world_fault.c
+++ b/bench/world_fault.c
@@ -18,6 +18,7 @@
   ACT_LEAVE,
   ACT_CRASH,
   ACT_CUT,
+  ACT_DARK,
   ACT_MEND
 } action_t;
 
@@ -111,6 +112,9 @@
     case WLD_FLAP:
       plan_flap (world);
       break;
+    case WLD_DARK:
+      at (world, 0, ACT_DARK, &world->engines[0]);
+      break;
     case WLD_CENTER:
       plan_center (world);
       break;
@@ -159,6 +163,10 @@
       eng_count (world, engine, false);
       lst_change (world, engine, MEM_GONE);
       break;
+    case ACT_DARK:
+      engine->dark = true;
+      eng_count (world, engine, false);
+      break;
     case ACT_MEND:
       engine->reachable = true;
       eng_count (world, engine, true);
--- a/bench/world_parts.h
+++ b/bench/world_parts.h
@@ -67,6 +67,7 @@
   uint32_t sequence;
   bool present;
   bool reachable;
+  bool dark; /* to routers */
   bool leaving;
   bool counted;
 };
--- a/bench/world_router.c
+++ b/bench/world_router.c
@@ -198,7 +198,7 @@
   adm_decision_t decision;
   att_outcome_t outcome = { .verdict = VRD_NOT_RUN, .reason = VRD_REASON_CONNECT };
   flight->hops++;
-  if (engine->present && engine->reachable)
+  if (engine->present && engine->reachable && !engine->dark)
     {
       hlt_success (router->health, engine->hash);
       flight->request.may_wait = step->may_wait;
--- a/src/request/mean.c
+++ b/src/request/mean.c
@@ -31,6 +31,29 @@
   return i;
 }
 
+/* Moves those that routers seem to reach to the front, if those are the most, and busy: in a quiet
+ * service engines are idle for lack of requests. Return: how many count */
+static uint32_t
+reached_first (const mean_table_t *table,
+               const mean_sample_t **items,
+               uint32_t count,
+               uint64_t now_us)
+{
+  uint32_t reached = 0;
+  uint64_t sum = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const mean_sample_t *item = items[i];
+      if (mean_is_unreached (table, item, now_us))
+        continue;
+      sum += item->load;
+      items[i] = items[reached];
+      items[reached++] = item;
+    }
+  const bool busy = sum >= (uint64_t)MEAN_BUSY * reached && reached >= count - reached;
+  return busy && reached > 0 ? reached : count;
+}
+
 static uint32_t
 find_oldest (const mean_table_t *table)
 {
@@ -97,6 +120,23 @@
   return sqrt (variance / count * correction);
 }
 
+static void
+put (mean_table_t *table, uint32_t i, const mean_sample_t *sample, bool is_new)
+{
+  const bool idle = sample->load == 0 && sample->waiting == 0;
+  const bool was_idle = !is_new && table->idle_since_us[i] != 0;
+  table->samples[i] = *sample;
+  if (!idle || !was_idle)
+    table->idle_since_us[i] = idle ? sample->taken_us : 0;
+}
+
+bool
+mean_is_unreached (const mean_table_t *table, const mean_sample_t *sample, uint64_t now_us)
+{
+  const uint64_t since_us = table->idle_since_us[sample - table->samples];
+  return since_us != 0 && since_us + LIM_SAMPLE_AGE_US < now_us;
+}
+
 void
 mean_init (mean_table_t *table, uint64_t seed)
 {
@@ -111,17 +151,17 @@
   if (i < table->count)
     {
       if (sample->taken_us > table->samples[i].taken_us)
-        table->samples[i] = *sample;
+        put (table, i, sample, false);
       return;
     }
   if (table->count < LIM_SAMPLES_KEPT)
     {
-      table->samples[table->count++] = *sample;
+      put (table, table->count++, sample, true);
       return;
     }
   i = find_oldest (table);
   if (table->samples[i].taken_us < sample->taken_us)
-    table->samples[i] = *sample;
+    put (table, i, sample, true);
 }
 
 void
@@ -131,6 +171,7 @@
   if (i == table->count)
     return;
   table->samples[i] = table->samples[--table->count];
+  table->idle_since_us[i] = table->idle_since_us[table->count];
 }
 
 mean_estimate_t
@@ -142,7 +183,8 @@
   const mean_sample_t *fresh[LIM_SAMPLES_KEPT];
   uint64_t own_hash = own != NULL ? own->engine_hash : 0;
   uint32_t own_count = own != NULL ? 1 : 0;
-  uint32_t count = collect_fresh (table, now_us, own_hash, fresh);
+  uint32_t heard = collect_fresh (table, now_us, own_hash, fresh);
+  uint32_t count = reached_first (table, fresh, heard, now_us);
   double sum = 0;
   double squares = 0;
   for (uint32_t i = 0; i < count; i++)
@@ -150,7 +192,7 @@
       sum += fresh[i]->load;
       squares += (double)fresh[i]->load * fresh[i]->load;
     }
-  uint32_t total = MAX (engine_count, count + own_count);
+  uint32_t total = MAX (engine_count, heard + own_count) - (heard - count);
   uint32_t others = total - own_count;
   double others_mean = count > 0 ? sum / count : (own != NULL ? own->load : 0);
   double error = standard_error (sum, squares, count, others);
--- a/src/request/mean.h
+++ b/src/request/mean.h
@@ -13,6 +13,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#define MEAN_BUSY 4 /* requests */
+
 /**
  * struct mean_sample - the load of one engine at one time
  * @load: requests dispatched to it
@@ -29,10 +31,14 @@
   uint64_t taken_us;
 } mean_sample_t;
 
-/** struct mean_table - samples of one service */
+/**
+ * struct mean_table - samples of one service
+ * @idle_since_us: from when on all samples of an engine said no load, else 0
+ */
 typedef struct
 {
   mean_sample_t samples[LIM_SAMPLES_KEPT];
+  uint64_t idle_since_us[LIM_SAMPLES_KEPT];
   uint32_t count;
   uint64_t rng;
 } mean_table_t;
@@ -52,9 +58,19 @@
 /** mean_add() - keep a sample; an older one of the same engine goes, a full table drops its oldest
  */
 void mean_add (mean_table_t *table, const mean_sample_t *sample);
+/** mean_is_unreached() - whether an engine whose sample stands in @table has had no load for
+ * %LIM_SAMPLE_AGE_US: among busy engines, routers do not reach it */
+bool mean_is_unreached (const mean_table_t *table, const mean_sample_t *sample, uint64_t now_us);
 void mean_forget (mean_table_t *table, uint64_t engine_hash);
-/** mean_estimate() - over the samples not too old, with the daemon's @own load when it is an
- * engine's */
+/**
+ * mean_estimate() - over the samples not too old, with the daemon's @own load when it is an
+ * engine's
+ *
+ * Engines that have had no load for %LIM_SAMPLE_AGE_US while the others, not fewer, have
+ * %MEAN_BUSY or more on average are not part of the mean: they have room, are named by every
+ * refusal, and yet get nothing, so routers do not reach them. Counted, they would hold the bound of
+ * all others below what they carry.
+ */
 mean_estimate_t mean_estimate (const mean_table_t *table,
                                uint64_t now_us,
                                const mean_sample_t *own,
--- a/src/request/refer.c
+++ b/src/request/refer.c
@@ -20,6 +20,20 @@
   return query->is_live == NULL || query->is_live (sample->engine_hash, query->context);
 }
 
+/* One that routers seem not to reach is named only when there is nobody else. */
+static uint32_t
+drop_unreached (const mean_table_t *table,
+                const mean_sample_t **found,
+                uint32_t count,
+                uint64_t now_us)
+{
+  uint32_t kept = 0;
+  for (uint32_t i = 0; i < count; i++)
+    if (!mean_is_unreached (table, found[i], now_us))
+      found[kept++] = found[i];
+  return kept > 0 ? kept : count;
+}
+
 static uint32_t
 pick (const mean_sample_t *const *found, uint32_t count, uint64_t *rng)
 {
@@ -47,6 +61,7 @@
   for (uint32_t i = 0; i < table->count; i++)
     if (has_room (&table->samples[i], query))
       found[count++] = &table->samples[i];
+  count = drop_unreached (table, found, count, query->now_us);
   uint32_t chosen = 0;
   while (chosen < LIM_REFERRALS && count > 0)
     {
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -156,6 +156,33 @@
   rig_free (rig);
 }
 
+/* Routers do not reach one engine, which all sidecars hear well: it has no load, and room for all
+ * that is refused. Counted in the mean, it would hold the bound of the others below what they
+ * carry; callers would be refused, the load would fall, and with it the bound, until half were
+ * refused. */
+static void
+test_unreached_engine_is_not_counted (void)
+{
+  rig_t *rig = rig_new (110);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      for (uint64_t engine = OWN + 1; engine < OWN + ENGINES; engine++)
+        {
+          const mean_sample_t sample = { .engine_hash = engine,
+                                         .service_hash = SERVICE,
+                                         .load = engine == 13 ? 0 : 10,
+                                         .taken_us = rig->now_us };
+          mean_add (adm_mean (rig->adm), &sample);
+        }
+      rig->now_us += SECOND_US / 2;
+    }
+  fill (rig, 10);
+  CU_ASSERT (adm_bound_milli (rig->adm, rig->now_us) >= 11000);
+  const adm_decision_t decision = offer (rig, make (rig, 1, 0));
+  CU_ASSERT_EQUAL (decision.action, ADM_DISPATCH);
+  rig_free (rig);
+}
+
 /* The exchange is out. Refusing all that is over an unknown mean would turn a lost control path
  * into an outage; only an engine that has just started waits to hear of the others first. */
 static void
@@ -495,6 +522,7 @@
   CU_add_test (suite, "the bound holds", test_bound_holds);
   CU_add_test (suite, "bound of an idle service", test_bound_of_idle_service);
   CU_add_test (suite, "equal loads never lock", test_equal_loads_never_lock);
+  CU_add_test (suite, "unreached is not counted", test_unreached_engine_is_not_counted);
   CU_add_test (suite, "the mean is unknown", test_unknown_mean);
   CU_add_test (suite, "waits if cheaper than cold", test_waits_when_cheaper_than_cold_start);
   CU_add_test (suite, "waits if nobody has room", test_waits_when_nobody_has_room);
