Hold one copy of a request's body, not two

Router and sidecar copied the body and left the listener's own in place for as long as the request was under way, which is the whole time of a long answer. The listener now hands its body over.

--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -76,6 +76,9 @@
 struct evkeyvalq *hsv_headers (const hsv_call_t *call);
 /** hsv_body() - the whole body; not NUL-terminated; valid until the call is answered */
 const char *hsv_body (hsv_call_t *call, size_t *body_bytes);
+/** hsv_take_body() - the whole body, to be freed by g_free(), NULL when empty; the call has none
+ * any more */
+char *hsv_take_body (hsv_call_t *call, size_t *body_bytes);
 
 /** hsv_on_gone() - the caller closed its connection, or its half of it, or did not take bytes for
  * the idle timeout, before hsv_reply() or hsv_end(). The call is freed after @gone returns and must
--- a/src/connection/http_server_call.c
+++ b/src/connection/http_server_call.c
@@ -138,6 +138,20 @@
   return (const char *)evbuffer_pullup (body, -1);
 }
 
+char *
+hsv_take_body (hsv_call_t *call, size_t *body_bytes)
+{
+  struct evbuffer *body = evhttp_request_get_input_buffer (call->request);
+  char *taken;
+
+  *body_bytes = evbuffer_get_length (body);
+  if (*body_bytes == 0)
+    return NULL;
+  taken = g_malloc (*body_bytes);
+  evbuffer_remove (body, taken, *body_bytes);
+  return taken;
+}
+
 void
 hsv_on_gone (hsv_call_t *call, void (*gone) (void *context), void *context)
 {
--- a/src/request/router_accept.c
+++ b/src/request/router_accept.c
@@ -34,10 +34,9 @@
 static bool
 read_body (rtr_call_t *call, cbd_t *chat, objection_t *objection)
 {
-  const char *body = hsv_body (call->in, &call->body_bytes);
   const char *fault;
 
-  call->body = g_memdup2 (body, call->body_bytes);
+  call->body = hsv_take_body (call->in, &call->body_bytes);
   if (strcmp (call->method, "POST") != 0 || strcmp (hsv_path (call->in), CBD_PATH) != 0)
     return true;
   fault = cbd_parse (chat, call->body, call->body_bytes);
--- a/src/request/sidecar_accept.c
+++ b/src/request/sidecar_accept.c
@@ -60,10 +60,9 @@
 copy_request (sdc_call_t *call)
 {
   uint32_t limit = call->sdc->dmn->set.header_limit_count;
-  const char *body = hsv_body (call->in, &call->body_bytes);
 
   /* A non-idempotent request goes on when its router has gone, so all of it is kept. */
-  call->body = g_memdup2 (body, call->body_bytes);
+  call->body = hsv_take_body (call->in, &call->body_bytes);
   call->method = g_strdup (hsv_method (call->in));
   call->target = g_strdup (hsv_target (call->in));
   call->headers = g_new0 (hcl_header_t, limit);
