Run the tests of a program from one place

Each test program spelled out the same dozen lines of CUnit's registry. They are now suite_run(); a program keeps only the table of its tests, under the same names as before. Ruled out: a macro that makes the whole main, which would hide what some of them set up first.

--- a/tests/test_admin_seal.c
+++ b/tests/test_admin_seal.c
@@ -1,7 +1,6 @@
 #include "connection/admin_seal.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
-#include <CUnit/CUnit.h>
 #include <glib.h>
 #include <string.h>
 
@@ -71,17 +70,11 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("admin seal", NULL, NULL);
-  CU_ADD_TEST (suite, test_known_value);
-  CU_ADD_TEST (suite, test_only_its_own_order);
-  CU_ADD_TEST (suite, test_old_order);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_known_value),
+    SUITE_TEST (test_only_its_own_order),
+    SUITE_TEST (test_old_order),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("admin seal", tests);
 }
--- a/tests/test_attempt.c
+++ b/tests/test_attempt.c
@@ -1,6 +1,6 @@
 #include "request/attempt.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <glib.h>
 
 #define DEADLINE_US 1000000
@@ -561,7 +561,7 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = {
+  static const CU_TestInfo tests[] = {
     { "answers", answers },
     { "nobody to ask", nobody_to_ask },
     { "only candidate may queue", only_candidate_may_queue },
@@ -585,15 +585,7 @@
     { "not run is said of the whole request", not_run_is_said_of_the_whole_request },
     { "begun answer is never tried again", begun_answer_is_never_tried_again },
     { "two crashes are added up", two_crashes_are_added_up },
-    CU_TEST_INFO_NULL
+    CU_TEST_INFO_NULL,
   };
-  CU_SuiteInfo suites[] = { { "attempt", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
-
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return suite_run ("attempt", tests);
 }
--- a/tests/test_examples.c
+++ b/tests/test_examples.c
@@ -1,7 +1,6 @@
 #include "version/manifest.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
-#include <CUnit/CUnit.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -97,16 +96,10 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("examples", NULL, NULL);
-  CU_ADD_TEST (suite, test_tuul);
-  CU_ADD_TEST (suite, test_jogak);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_tuul),
+    SUITE_TEST (test_jogak),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("examples", tests);
 }
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -2,8 +2,8 @@
 #include "connection/wire.h"
 #include "process/clock.h"
 #include "process/limits.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -427,21 +427,18 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("exchange", NULL, NULL);
-  CU_ADD_TEST (suite, test_round_trip);
-  CU_ADD_TEST (suite, test_each_bit_is_covered);
-  CU_ADD_TEST (suite, test_wrong_key_and_sizes);
-  CU_ADD_TEST (suite, test_fuzz_decode);
-  CU_ADD_TEST (suite, test_fuzz_signed_bodies);
-  CU_ADD_TEST (suite, test_call_is_answered);
-  CU_ADD_TEST (suite, test_only_authentic_calls_are_answered);
-  CU_ADD_TEST (suite, test_replays_are_dropped);
-  CU_ADD_TEST (suite, test_budget_holds);
-  CU_ADD_TEST (suite, test_flush_drops_what_waited);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_round_trip),
+    SUITE_TEST (test_each_bit_is_covered),
+    SUITE_TEST (test_wrong_key_and_sizes),
+    SUITE_TEST (test_fuzz_decode),
+    SUITE_TEST (test_fuzz_signed_bodies),
+    SUITE_TEST (test_call_is_answered),
+    SUITE_TEST (test_only_authentic_calls_are_answered),
+    SUITE_TEST (test_replays_are_dropped),
+    SUITE_TEST (test_budget_holds),
+    SUITE_TEST (test_flush_drops_what_waited),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("exchange", tests);
 }
--- a/tests/test_history.c
+++ b/tests/test_history.c
@@ -1,6 +1,5 @@
 #include "request/history.h"
-
-#include <CUnit/Basic.h>
+#include "suite.h"
 
 #define NOW_US (UINT64_C (1000) * 1000 * 1000)
 
@@ -78,18 +77,12 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "remembers how attempts ended", remembers_how_attempts_ended },
-                          { "bars what comes late", bars_what_comes_late },
-                          { "does not deny what it forgot", does_not_deny_what_it_forgot },
-                          { "keeps bars when full", keeps_bars_when_full },
-                          CU_TEST_INFO_NULL };
-  CU_SuiteInfo suites[] = { { "history", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
-
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    { "remembers how attempts ended", remembers_how_attempts_ended },
+    { "bars what comes late", bars_what_comes_late },
+    { "does not deny what it forgot", does_not_deny_what_it_forgot },
+    { "keeps bars when full", keeps_bars_when_full },
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("history", tests);
 }
--- a/tests/test_hop.c
+++ b/tests/test_hop.c
@@ -1,6 +1,6 @@
 #include "request/hop.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <event2/http.h>
 #include <glib.h>
 #include <stdlib.h>
@@ -194,20 +194,14 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "reads what was written", reads_what_was_written },
-                          { "refuses a changed header", refuses_a_changed_header },
-                          { "carries the longest", carries_the_longest },
-                          { "refuses another key", refuses_another_key },
-                          { "tells broken from forged", tells_broken_from_forged },
-                          { "reads attempt ids", reads_attempt_ids },
-                          CU_TEST_INFO_NULL };
-  CU_SuiteInfo suites[] = { { "hop", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
-
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    { "reads what was written", reads_what_was_written },
+    { "refuses a changed header", refuses_a_changed_header },
+    { "carries the longest", carries_the_longest },
+    { "refuses another key", refuses_another_key },
+    { "tells broken from forged", tells_broken_from_forged },
+    { "reads attempt ids", reads_attempt_ids },
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("hop", tests);
 }
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -1,7 +1,7 @@
 #include "connection/http_client.h"
 #include "raw_peer.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <event2/http.h>
 #include <signal.h>
 #include <string.h>
@@ -699,29 +699,27 @@
 int
 main (void)
 {
-  CU_pSuite suite;
+  static const CU_TestInfo tests[] = {
+    { "whole answers", test_whole_answers },
+    { "cut answers", test_cut_answers },
+    { "crossed answer", test_crossed_answer },
+    { "stray bytes", test_stray_bytes },
+    { "no connection", test_no_connection },
+    { "closed while idle", test_closed_while_idle },
+    { "reset before write", test_reset_before_write },
+    { "closed after write", test_closed_after_write },
+    { "timeout", test_timeout },
+    { "bad options", test_bad_options },
+    { "request bytes", test_request_bytes },
+    { "cancel in callbacks", test_cancel_in_callbacks },
+    { "cancel early", test_cancel_early },
+    { "cancel while sending", test_cancel_while_sending },
+    { "pause", test_pause },
+    { "answer limit", test_answer_limit },
+    { "pool", test_pool },
+    CU_TEST_INFO_NULL,
+  };
 
   signal (SIGPIPE, SIG_IGN);
-  CU_initialize_registry ();
-  suite = CU_add_suite ("http_client", NULL, NULL);
-  CU_add_test (suite, "whole answers", test_whole_answers);
-  CU_add_test (suite, "cut answers", test_cut_answers);
-  CU_add_test (suite, "crossed answer", test_crossed_answer);
-  CU_add_test (suite, "stray bytes", test_stray_bytes);
-  CU_add_test (suite, "no connection", test_no_connection);
-  CU_add_test (suite, "closed while idle", test_closed_while_idle);
-  CU_add_test (suite, "reset before write", test_reset_before_write);
-  CU_add_test (suite, "closed after write", test_closed_after_write);
-  CU_add_test (suite, "timeout", test_timeout);
-  CU_add_test (suite, "bad options", test_bad_options);
-  CU_add_test (suite, "request bytes", test_request_bytes);
-  CU_add_test (suite, "cancel in callbacks", test_cancel_in_callbacks);
-  CU_add_test (suite, "cancel early", test_cancel_early);
-  CU_add_test (suite, "cancel while sending", test_cancel_while_sending);
-  CU_add_test (suite, "pause", test_pause);
-  CU_add_test (suite, "answer limit", test_answer_limit);
-  CU_add_test (suite, "pool", test_pool);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  return CU_get_number_of_failures () != 0;
+  return suite_run ("http_client", tests);
 }
--- a/tests/test_http_client_cancel.c
+++ b/tests/test_http_client_cancel.c
@@ -1,7 +1,7 @@
 #include "connection/http_client.h"
 #include "raw_peer.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <event2/event.h>
 #include <signal.h>
 #include <string.h>
@@ -117,13 +117,11 @@
 int
 main (void)
 {
-  CU_pSuite suite;
+  static const CU_TestInfo tests[] = {
+    { "cancel as it connects", test_cancel_as_it_connects },
+    CU_TEST_INFO_NULL,
+  };
 
   signal (SIGPIPE, SIG_IGN);
-  CU_initialize_registry ();
-  suite = CU_add_suite ("http_client_cancel", NULL, NULL);
-  CU_add_test (suite, "cancel as it connects", test_cancel_as_it_connects);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  return CU_get_number_of_failures () != 0;
+  return suite_run ("http_client_cancel", tests);
 }
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -1,6 +1,6 @@
 #include "http_bench.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <event2/keyvalq_struct.h>
 #include <signal.h>
 #include <string.h>
@@ -459,25 +459,23 @@
 int
 main (void)
 {
-  CU_pSuite suite;
+  static const CU_TestInfo tests[] = {
+    { "request", test_request },
+    { "refusals", test_refusals },
+    { "refused while sending", test_refused_while_sending },
+    { "flood while streaming", test_flood_while_streaming },
+    { "body is no request", test_body_is_no_request },
+    { "at the limit", test_at_the_limit },
+    { "connection limit", test_connection_limit },
+    { "bytes to come", test_bytes_to_come },
+    { "connection flood", test_connection_flood },
+    { "pipelined", test_pipelined },
+    { "stream", test_stream },
+    { "http 1 0", test_http_1_0 },
+    { "no body", test_no_body },
+    CU_TEST_INFO_NULL,
+  };
 
   signal (SIGPIPE, SIG_IGN);
-  CU_initialize_registry ();
-  suite = CU_add_suite ("http_server", NULL, NULL);
-  CU_add_test (suite, "request", test_request);
-  CU_add_test (suite, "refusals", test_refusals);
-  CU_add_test (suite, "refused while sending", test_refused_while_sending);
-  CU_add_test (suite, "flood while streaming", test_flood_while_streaming);
-  CU_add_test (suite, "body is no request", test_body_is_no_request);
-  CU_add_test (suite, "at the limit", test_at_the_limit);
-  CU_add_test (suite, "connection limit", test_connection_limit);
-  CU_add_test (suite, "bytes to come", test_bytes_to_come);
-  CU_add_test (suite, "connection flood", test_connection_flood);
-  CU_add_test (suite, "pipelined", test_pipelined);
-  CU_add_test (suite, "stream", test_stream);
-  CU_add_test (suite, "http 1 0", test_http_1_0);
-  CU_add_test (suite, "no body", test_no_body);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  return CU_get_number_of_failures () != 0;
+  return suite_run ("http_server", tests);
 }
--- a/tests/test_http_server_end.c
+++ b/tests/test_http_server_end.c
@@ -1,6 +1,6 @@
 #include "http_bench.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <event2/keyvalq_struct.h>
 #include <signal.h>
 #include <string.h>
@@ -347,24 +347,22 @@
 int
 main (void)
 {
-  CU_pSuite suite;
+  static const CU_TestInfo tests[] = {
+    { "gone while waiting", test_gone_while_waiting },
+    { "abort", test_abort },
+    { "back pressure", test_back_pressure },
+    { "idle timeout", test_idle_timeout },
+    { "gone in stream", test_gone_in_stream },
+    { "gone after answer", test_gone_after_answer },
+    { "stop", test_stop },
+    { "stop stream", test_stop_stream },
+    { "slow request", test_slow_request },
+    { "stop idle", test_stop_idle },
+    { "free at work", test_free_at_work },
+    { "address taken", test_address_taken },
+    CU_TEST_INFO_NULL,
+  };
 
   signal (SIGPIPE, SIG_IGN);
-  CU_initialize_registry ();
-  suite = CU_add_suite ("http_server_end", NULL, NULL);
-  CU_add_test (suite, "gone while waiting", test_gone_while_waiting);
-  CU_add_test (suite, "abort", test_abort);
-  CU_add_test (suite, "back pressure", test_back_pressure);
-  CU_add_test (suite, "idle timeout", test_idle_timeout);
-  CU_add_test (suite, "gone in stream", test_gone_in_stream);
-  CU_add_test (suite, "gone after answer", test_gone_after_answer);
-  CU_add_test (suite, "stop", test_stop);
-  CU_add_test (suite, "stop stream", test_stop_stream);
-  CU_add_test (suite, "slow request", test_slow_request);
-  CU_add_test (suite, "stop idle", test_stop_idle);
-  CU_add_test (suite, "free at work", test_free_at_work);
-  CU_add_test (suite, "address taken", test_address_taken);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  return CU_get_number_of_failures () != 0;
+  return suite_run ("http_server_end", tests);
 }
--- a/tests/test_manifest.c
+++ b/tests/test_manifest.c
@@ -1,7 +1,6 @@
 #include "version/manifest.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
-#include <CUnit/CUnit.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
@@ -356,26 +355,20 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("manifest", NULL, NULL);
-  CU_ADD_TEST (suite, test_reads_all);
-  CU_ADD_TEST (suite, test_account_by_key);
-  CU_ADD_TEST (suite, test_first_route_counts);
-  CU_ADD_TEST (suite, test_faults_have_paths);
-  CU_ADD_TEST (suite, test_faults_of_routes);
-  CU_ADD_TEST (suite, test_nothing_is_listed_twice);
-  CU_ADD_TEST (suite, test_syntax);
-  CU_ADD_TEST (suite, test_too_large);
-  CU_ADD_TEST (suite, test_digest_is_of_the_meaning);
-  CU_ADD_TEST (suite, test_patch);
-  CU_ADD_TEST (suite, test_documented_ranges);
-  CU_ADD_TEST (suite, test_references);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_reads_all),
+    SUITE_TEST (test_account_by_key),
+    SUITE_TEST (test_first_route_counts),
+    SUITE_TEST (test_faults_have_paths),
+    SUITE_TEST (test_faults_of_routes),
+    SUITE_TEST (test_nothing_is_listed_twice),
+    SUITE_TEST (test_syntax),
+    SUITE_TEST (test_too_large),
+    SUITE_TEST (test_digest_is_of_the_meaning),
+    SUITE_TEST (test_patch),
+    SUITE_TEST (test_documented_ranges),
+    SUITE_TEST (test_references),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("manifest", tests);
 }
--- a/tests/test_manifest_sync.c
+++ b/tests/test_manifest_sync.c
@@ -1,6 +1,6 @@
 #include "version/manifest_sync.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 #define KEY "a fleet key of enough bytes"
@@ -86,13 +86,10 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("manifest_sync", NULL, NULL);
-  CU_ADD_TEST (suite, test_round_trip);
-  CU_ADD_TEST (suite, test_foreign_answers_are_refused);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_round_trip),
+    SUITE_TEST (test_foreign_answers_are_refused),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("manifest_sync", tests);
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -5,9 +5,8 @@
  */
 #include "connection/platform.h"
 #include "connection/platform_answer.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
-#include <CUnit/CUnit.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <string.h>
@@ -331,7 +330,7 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = {
+  static const CU_TestInfo tests[] = {
     { "calls as documented", test_calls_as_documented },
     { "refusals only where certain", test_refusals_only_where_certain },
     { "free drops calls", test_free_drops_calls },
@@ -339,12 +338,5 @@
     { "broken lists are not believed", test_broken_lists_are_not_believed },
     CU_TEST_INFO_NULL,
   };
-  CU_SuiteInfo suites[] = { { .pName = "platform", .pTests = tests }, CU_SUITE_INFO_NULL };
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return suite_run ("platform", tests);
 }
--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -5,8 +5,8 @@
 #include "process/log.h"
 #include "process/mailbox.h"
 #include "process/messages.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <event2/thread.h>
 #include <fcntl.h>
 #include <stdbool.h>
@@ -427,40 +427,27 @@
     }
 }
 
-static CU_TestInfo tests[] = {
-  { "clock: paused", test_clock_paused },
-  { "clock: running", test_clock_running },
-  { "log: form of a line", test_log_form },
-  { "log: no forged field or line", test_log_not_forged },
-  { "log: bounded line", test_log_bounded },
-  { "log: a stalled reader", test_log_reader_stalls },
-  { "counters: text form", test_counters_text },
-  { "counters: names and labels are clean", test_counters_clean },
-  { "counters: bounded", test_counters_bounded },
-  { "counters: two threads", test_counters_threads },
-  { "mailbox: two threads, in order", test_mailbox_threads },
-  { "mailbox: unread messages are freed", test_mailbox_frees_unread },
-  { "messages: references are dropped", test_messages_drop_references },
-  { "messages: every kind", test_messages_of_every_kind },
-  CU_TEST_INFO_NULL,
-};
-
-static CU_SuiteInfo suites[] = {
-  { "process", NULL, NULL, NULL, NULL, tests },
-  CU_SUITE_INFO_NULL,
-};
-
 int
 main (void)
 {
-  unsigned int failures;
+  static const CU_TestInfo tests[] = {
+    { "clock: paused", test_clock_paused },
+    { "clock: running", test_clock_running },
+    { "log: form of a line", test_log_form },
+    { "log: no forged field or line", test_log_not_forged },
+    { "log: bounded line", test_log_bounded },
+    { "log: a stalled reader", test_log_reader_stalls },
+    { "counters: text form", test_counters_text },
+    { "counters: names and labels are clean", test_counters_clean },
+    { "counters: bounded", test_counters_bounded },
+    { "counters: two threads", test_counters_threads },
+    { "mailbox: two threads, in order", test_mailbox_threads },
+    { "mailbox: unread messages are freed", test_mailbox_frees_unread },
+    { "messages: references are dropped", test_messages_drop_references },
+    { "messages: every kind", test_messages_of_every_kind },
+    CU_TEST_INFO_NULL,
+  };
 
   evthread_use_pthreads ();
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return suite_run ("process", tests);
 }
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -1,8 +1,7 @@
 #include "version/judged.h"
 #include "version/replay.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
-#include <CUnit/CUnit.h>
 #include <inttypes.h>
 #include <string.h>
 
@@ -360,25 +359,19 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("replay", NULL, NULL);
-  CU_ADD_TEST (suite, test_publish_and_patch);
-  CU_ADD_TEST (suite, test_loser_of_a_race);
-  CU_ADD_TEST (suite, test_repeated_publish);
-  CU_ADD_TEST (suite, test_ids_do_not_decide);
-  CU_ADD_TEST (suite, test_invalid_records_change_nothing);
-  CU_ADD_TEST (suite, test_stale_checkpoint);
-  CU_ADD_TEST (suite, test_gap);
-  CU_ADD_TEST (suite, test_adopt);
-  CU_ADD_TEST (suite, test_checkpoint_due);
-  CU_ADD_TEST (suite, test_judged_ids_are_bounded);
-  CU_ADD_TEST (suite, test_claim_shards_stay);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_publish_and_patch),
+    SUITE_TEST (test_loser_of_a_race),
+    SUITE_TEST (test_repeated_publish),
+    SUITE_TEST (test_ids_do_not_decide),
+    SUITE_TEST (test_invalid_records_change_nothing),
+    SUITE_TEST (test_stale_checkpoint),
+    SUITE_TEST (test_gap),
+    SUITE_TEST (test_adopt),
+    SUITE_TEST (test_checkpoint_due),
+    SUITE_TEST (test_judged_ids_are_bounded),
+    SUITE_TEST (test_claim_shards_stay),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("replay", tests);
 }
--- a/tests/test_replay_property.c
+++ b/tests/test_replay_property.c
@@ -1,7 +1,6 @@
 #include "version/replay.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
-#include <CUnit/CUnit.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -319,15 +318,9 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("replay property", NULL, NULL);
-  CU_ADD_TEST (suite, test_readers_agree);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_readers_agree),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("replay property", tests);
 }
--- a/tests/test_request_parts.c
+++ b/tests/test_request_parts.c
@@ -4,8 +4,8 @@
 #include "request/fault.h"
 #include "request/headers.h"
 #include "request/order.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <glib.h>
 #include <string.h>
 
@@ -163,24 +163,16 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "reads a chat", reads_a_chat },
-                          { "refuses broken chats", refuses_broken_chats },
-                          { "refuses deep chats", refuses_deep_chats },
-                          { "digests keep accounts apart", digests_keep_accounts_apart },
-                          { "keeps what belongs to a connection",
-                            keeps_what_belongs_to_a_connection },
-                          { "errors carry the verdict", errors_carry_the_verdict },
-                          { "seals orders", seals_orders },
-                          { "explains a request", explains_a_request },
-                          CU_TEST_INFO_NULL };
-  CU_SuiteInfo suites[] = { { "request parts", NULL, NULL, NULL, NULL, tests },
-                            CU_SUITE_INFO_NULL };
-
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    { "reads a chat", reads_a_chat },
+    { "refuses broken chats", refuses_broken_chats },
+    { "refuses deep chats", refuses_deep_chats },
+    { "digests keep accounts apart", digests_keep_accounts_apart },
+    { "keeps what belongs to a connection", keeps_what_belongs_to_a_connection },
+    { "errors carry the verdict", errors_carry_the_verdict },
+    { "seals orders", seals_orders },
+    { "explains a request", explains_a_request },
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("request parts", tests);
 }
--- a/tests/test_rumour.c
+++ b/tests/test_rumour.c
@@ -1,7 +1,6 @@
 #include "process/clock.h"
 #include "process/rumour.h"
-
-#include <CUnit/Basic.h>
+#include "suite.h"
 
 #define NOW_US (UINT64_C (1000) * CLK_US_PER_S)
 
@@ -108,15 +107,12 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("rumour", NULL, NULL);
-  CU_ADD_TEST (suite, test_each_is_sent_a_bounded_number_of_times);
-  CU_ADD_TEST (suite, test_newer_word_replaces);
-  CU_ADD_TEST (suite, test_full_table_drops_what_was_sent_most);
-  CU_ADD_TEST (suite, test_marks_are_merged);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_each_is_sent_a_bounded_number_of_times),
+    SUITE_TEST (test_newer_word_replaces),
+    SUITE_TEST (test_full_table_drops_what_was_sent_most),
+    SUITE_TEST (test_marks_are_merged),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("rumour", tests);
 }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -1,8 +1,8 @@
 /* Unit tests of the settings and of their page in docs/. */
 #include "process/settings.h"
 #include "process/settings_table.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <glib/gstdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -329,36 +329,22 @@
   g_free (path);
 }
 
-static CU_TestInfo tests[] = {
-  { "defaults", test_defaults },
-  { "a flag goes before the environment", test_flag_before_environment },
-  { "wrong values", test_wrong_values },
-  { "wrong flags", test_wrong_flags },
-  { "engine by role", test_engine_by_role },
-  { "missing settings", test_missing },
-  { "claim horizon within log retention", test_horizon_within_retention },
-  { "fleet key", test_fleet_key },
-  { "fleet key file", test_fleet_key_file },
-  { "addresses", test_addresses },
-  { "docs/settings.md", test_page },
-  CU_TEST_INFO_NULL,
-};
-
-static CU_SuiteInfo suites[] = {
-  { "settings", NULL, NULL, NULL, NULL, tests },
-  CU_SUITE_INFO_NULL,
-};
-
 int
 main (void)
 {
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    { "defaults", test_defaults },
+    { "a flag goes before the environment", test_flag_before_environment },
+    { "wrong values", test_wrong_values },
+    { "wrong flags", test_wrong_flags },
+    { "engine by role", test_engine_by_role },
+    { "missing settings", test_missing },
+    { "claim horizon within log retention", test_horizon_within_retention },
+    { "fleet key", test_fleet_key },
+    { "fleet key file", test_fleet_key_file },
+    { "addresses", test_addresses },
+    { "docs/settings.md", test_page },
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("settings", tests);
 }
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -10,9 +10,8 @@
 #include "../standin/platform_hosts.h"
 #include "../standin/platform_log.h"
 #include "../standin/prefix_cache.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
-#include <CUnit/CUnit.h>
 #include <glib.h>
 #include <string.h>
 #include <unistd.h>
@@ -269,7 +268,7 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = {
+  static const CU_TestInfo tests[] = {
     { "cache finds the longest prefix", test_cache_finds_longest_prefix },
     { "cache evicts the oldest, tails first", test_cache_evicts_oldest_and_tails_first },
     { "batch serves by priority, then arrival", test_batch_serves_by_priority_then_arrival },
@@ -280,12 +279,5 @@
     { "list lags and is held for one reader", test_list_lags_and_is_held_for_one_reader },
     CU_TEST_INFO_NULL,
   };
-  CU_SuiteInfo suites[] = { { .pName = "standin", .pTests = tests }, CU_SUITE_INFO_NULL };
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return suite_run ("standin", tests);
 }
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -1,7 +1,6 @@
 #include "request/directory.h"
 #include "request/suspect.h"
-
-#include <CUnit/Basic.h>
+#include "suite.h"
 
 #define LIFETIME_US 1000000
 
@@ -141,18 +140,15 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("suspect", NULL, NULL);
-  CU_add_test (suite, "two crashes are final", test_two_crashes_are_final);
-  CU_add_test (suite, "marks merge", test_marks_merge);
-  CU_add_test (suite, "marks expire", test_marks_expire);
-  CU_add_test (suite, "an echo does not renew a mark", test_echo_does_not_renew);
-  CU_add_test (suite, "the limit drops the oldest", test_limit_drops_the_oldest);
-  CU_add_test (suite, "directory keeps and forgets", test_directory_keeps_and_forgets);
-  CU_add_test (suite, "directory is bounded", test_directory_is_bounded);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  const unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    { "two crashes are final", test_two_crashes_are_final },
+    { "marks merge", test_marks_merge },
+    { "marks expire", test_marks_expire },
+    { "an echo does not renew a mark", test_echo_does_not_renew },
+    { "the limit drops the oldest", test_limit_drops_the_oldest },
+    { "directory keeps and forgets", test_directory_keeps_and_forgets },
+    { "directory is bounded", test_directory_is_bounded },
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("suspect", tests);
 }
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -1,6 +1,6 @@
 #include "request/target.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <glib.h>
 
 static void
@@ -40,17 +40,10 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "takes plain paths", takes_plain_paths },
-                          { "refuses what an engine may read otherwise",
-                            refuses_what_an_engine_may_read_otherwise },
-                          CU_TEST_INFO_NULL };
-  CU_SuiteInfo suites[] = { { "target", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
-
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    { "takes plain paths", takes_plain_paths },
+    { "refuses what an engine may read otherwise", refuses_what_an_engine_may_read_otherwise },
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("target", tests);
 }
--- a/tests/test_version_fuzz.c
+++ b/tests/test_version_fuzz.c
@@ -1,7 +1,6 @@
 #include "version/replay.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
-#include <CUnit/CUnit.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -200,16 +199,10 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("version fuzz", NULL, NULL);
-  CU_ADD_TEST (suite, test_manifests);
-  CU_ADD_TEST (suite, test_records);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_manifests),
+    SUITE_TEST (test_records),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("version fuzz", tests);
 }
