Give the tests of attempts one rig

Each test spelled out an attempt, a budget and the two checks of a step that sends or gives up. They are now a rig and check_sent(), check_given_up(), with the same asserts.

--- a/tests/test_attempt.c
+++ b/tests/test_attempt.c
@@ -7,15 +7,31 @@
 
 static const uint64_t CANDIDATES[] = { 10, 11, 12, 13, 14, 15 };
 
+/** struct rig - one request, and the budget of its router */
+typedef struct
+{
+  att_t att;
+  att_budget_t budget;
+} rig_t;
+
+static rig_t
+with_budget (void)
+{
+  rig_t rig = { 0 };
+
+  att_budget_init (&rig.budget);
+  return rig;
+}
+
 static att_step_t
-begin (att_t *att, bool idempotent, uint32_t count)
+begin (rig_t *rig, bool idempotent, uint32_t count)
 {
   att_options_t options = { .idempotent = idempotent,
                             .deadline_us = DEADLINE_US,
                             .candidates = CANDIDATES,
                             .candidate_count = count };
 
-  return att_begin (att, 0, &options);
+  return att_begin (&rig->att, 0, &options);
 }
 
 static att_outcome_t
@@ -30,30 +46,53 @@
   return (att_outcome_t){ .verdict = VRD_MAY_HAVE_RUN, .reason = VRD_REASON_CUT, .lost = true };
 }
 
+static att_step_t
+ended (rig_t *rig, uint64_t now_us, const att_outcome_t *outcome)
+{
+  return att_ended (&rig->att, now_us, &rig->budget, outcome);
+}
+
+static att_step_t
+revoked (rig_t *rig, uint64_t now_us, vrd_t verdict)
+{
+  return att_revoked (&rig->att, now_us, &rig->budget, verdict);
+}
+
+static void
+check_sent (const att_step_t *step, uint64_t engine_hash)
+{
+  CU_ASSERT_EQUAL (step->action, ATT_SEND);
+  CU_ASSERT_EQUAL (step->engine_hash, engine_hash);
+}
+
+static void
+check_given_up (const att_step_t *step, vrd_t verdict)
+{
+  CU_ASSERT_EQUAL (step->action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (step->verdict, verdict);
+}
+
 static void
 answers (void)
 {
-  att_t att;
-  att_budget_t budget = { 0 };
+  rig_t rig = { 0 };
   att_outcome_t answered = { .answered = true, .verdict = VRD_RAN };
-  att_step_t step = begin (&att, true, 3);
+  att_step_t step = begin (&rig, true, 3);
 
-  CU_ASSERT_EQUAL (step.action, ATT_SEND);
-  CU_ASSERT_EQUAL (step.engine_hash, 10);
+  check_sent (&step, 10);
   CU_ASSERT_FALSE (step.may_wait);
   CU_ASSERT_FALSE (step.referred);
-  CU_ASSERT_EQUAL (att_ended (&att, 1, &budget, &answered).action, ATT_DONE);
-  CU_ASSERT_EQUAL (budget.tokens_milli, ATT_BUDGET_GAIN_MILLI);
+  CU_ASSERT_EQUAL (ended (&rig, 1, &answered).action, ATT_DONE);
+  CU_ASSERT_EQUAL (rig.budget.tokens_milli, ATT_BUDGET_GAIN_MILLI);
 }
 
 static void
 nobody_to_ask (void)
 {
-  att_t att;
-  att_step_t step = begin (&att, true, 0);
+  rig_t rig = { 0 };
+  att_step_t step = begin (&rig, true, 0);
 
-  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
-  CU_ASSERT_EQUAL (step.verdict, VRD_NOT_RUN);
+  check_given_up (&step, VRD_NOT_RUN);
   CU_ASSERT_EQUAL (step.reason, VRD_REASON_NO_ENGINE);
   CU_ASSERT_NOT_EQUAL (step.retry_after_ms, 0);
 }
@@ -61,32 +100,29 @@
 static void
 only_candidate_may_queue (void)
 {
-  att_t att;
-  att_budget_t budget = { 0 };
+  rig_t rig = { 0 };
   att_outcome_t full = refusal (VRD_REASON_OVER_BOUND);
 
-  CU_ASSERT_TRUE (begin (&att, true, 1).may_wait);
-  CU_ASSERT_EQUAL (att_ended (&att, 1, &budget, &full).action, ATT_GIVE_UP);
+  CU_ASSERT_TRUE (begin (&rig, true, 1).may_wait);
+  CU_ASSERT_EQUAL (ended (&rig, 1, &full).action, ATT_GIVE_UP);
 }
 
 static void
 referrals_go_first (void)
 {
-  att_t att;
-  att_budget_t budget = { 0 };
+  rig_t rig = { 0 };
   uint64_t referrals[] = { 20, 10, 21 };
   att_outcome_t full = refusal (VRD_REASON_OVER_BOUND);
-  att_step_t step;
 
-  begin (&att, false, 3);
+  begin (&rig, false, 3);
   full.referrals = referrals;
   full.referral_count = 3;
-  step = att_ended (&att, 1, &budget, &full);
+  att_step_t step = ended (&rig, 1, &full);
   CU_ASSERT_EQUAL (step.engine_hash, 20);
   CU_ASSERT_TRUE (step.referred);
   full.referral_count = 0;
   /* 10 was asked already and is passed over */
-  step = att_ended (&att, 2, &budget, &full);
+  step = ended (&rig, 2, &full);
   CU_ASSERT_EQUAL (step.engine_hash, 21);
 }
 
@@ -96,16 +132,15 @@
 static void
 last_hop_waits_at_the_first (void)
 {
-  att_t att;
-  att_budget_t budget = { 0 };
+  rig_t rig = { 0 };
   att_outcome_t full = refusal (VRD_REASON_OVER_BOUND);
-  att_step_t step = begin (&att, true, 6);
+  att_step_t step = begin (&rig, true, 6);
 
   full.retry_after_ms = 700;
   for (uint32_t hop = 1; hop < LIM_HOPS; hop++)
     {
       CU_ASSERT_FALSE (step.may_wait);
-      step = att_ended (&att, 1, &budget, &full);
+      step = ended (&rig, 1, &full);
       CU_ASSERT_EQUAL (step.action, ATT_SEND);
       full.retry_after_ms = 400 + hop;
     }
@@ -113,11 +148,10 @@
   CU_ASSERT_TRUE (step.may_wait);
   CU_ASSERT_TRUE (step.referred);
   full = refusal (VRD_REASON_QUEUE_FULL);
-  step = att_ended (&att, 1, &budget, &full);
-  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
-  CU_ASSERT_EQUAL (step.verdict, VRD_NOT_RUN);
+  step = ended (&rig, 1, &full);
+  check_given_up (&step, VRD_NOT_RUN);
   CU_ASSERT_EQUAL (step.retry_after_ms, 401);
-  CU_ASSERT_EQUAL (att.hops, LIM_HOPS);
+  CU_ASSERT_EQUAL (rig.att.hops, LIM_HOPS);
 }
 
 /* A request waits at its home, the last of four hops, when the home is stopped as planned. All
@@ -127,50 +161,45 @@
 static void
 begins_anew_when_a_host_closes (void)
 {
-  att_t att;
-  att_budget_t budget = { 0 };
+  rig_t rig = { 0 };
   att_outcome_t full = refusal (VRD_REASON_OVER_BOUND);
   att_outcome_t leaving = refusal (VRD_REASON_LEAVING);
-  att_step_t step = begin (&att, true, 3);
+  att_step_t step = begin (&rig, true, 3);
 
   for (uint32_t hop = 1; hop < LIM_HOPS; hop++)
-    step = att_ended (&att, 1, &budget, &full);
+    step = ended (&rig, 1, &full);
   CU_ASSERT_EQUAL (step.engine_hash, 10);
   CU_ASSERT_TRUE (step.may_wait);
-  step = att_ended (&att, 1, &budget, &leaving);
-  CU_ASSERT_EQUAL (step.action, ATT_SEND);
-  CU_ASSERT_EQUAL (step.engine_hash, 11);
+  step = ended (&rig, 1, &leaving);
+  check_sent (&step, 11);
   CU_ASSERT_FALSE (step.may_wait);
-  step = att_ended (&att, 1, &budget, &full);
+  step = ended (&rig, 1, &full);
   CU_ASSERT_EQUAL (step.engine_hash, 12);
-  step = att_ended (&att, 1, &budget, &full);
+  step = ended (&rig, 1, &full);
   CU_ASSERT_EQUAL (step.engine_hash, 11);
   CU_ASSERT_TRUE (step.may_wait);
-  step = att_ended (&att, 1, &budget, &leaving);
+  step = ended (&rig, 1, &leaving);
   CU_ASSERT_EQUAL (step.action, ATT_SEND);
-  CU_ASSERT_EQUAL (att.hops, LIM_HOPS_MOST);
+  CU_ASSERT_EQUAL (rig.att.hops, LIM_HOPS_MOST);
   CU_ASSERT_TRUE (step.may_wait);
-  step = att_ended (&att, 1, &budget, &leaving);
-  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
-  CU_ASSERT_EQUAL (step.verdict, VRD_NOT_RUN);
+  step = ended (&rig, 1, &leaving);
+  check_given_up (&step, VRD_NOT_RUN);
 }
 
 static void
 few_candidates_wait_sooner (void)
 {
-  att_t att;
-  att_budget_t budget = { 0 };
+  rig_t rig = { 0 };
   att_outcome_t full = refusal (VRD_REASON_OVER_BOUND);
-  att_step_t step;
 
-  begin (&att, true, 2);
-  step = att_ended (&att, 1, &budget, &full);
+  begin (&rig, true, 2);
+  att_step_t step = ended (&rig, 1, &full);
   CU_ASSERT_EQUAL (step.engine_hash, 11);
   CU_ASSERT_FALSE (step.may_wait);
-  step = att_ended (&att, 1, &budget, &full);
+  step = ended (&rig, 1, &full);
   CU_ASSERT_EQUAL (step.engine_hash, 10);
   CU_ASSERT_TRUE (step.may_wait);
-  CU_ASSERT_EQUAL (att_ended (&att, 1, &budget, &full).action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (ended (&rig, 1, &full).action, ATT_GIVE_UP);
 }
 
 /* The home sends a returning chat to the engine where it is warm, but that one is over its bound.
@@ -180,25 +209,23 @@
 static void
 home_is_asked_again (void)
 {
-  att_t att;
-  att_budget_t budget = { 0 };
+  rig_t rig = { 0 };
   uint64_t warm = 30;
   uint64_t room = 31;
   att_outcome_t elsewhere = refusal (VRD_REASON_ELSEWHERE);
   att_outcome_t full = refusal (VRD_REASON_OVER_BOUND);
-  att_step_t step;
 
-  begin (&att, true, 4);
+  begin (&rig, true, 4);
   elsewhere.referrals = &warm;
   elsewhere.referral_count = 1;
-  step = att_ended (&att, 1, &budget, &elsewhere);
+  att_step_t step = ended (&rig, 1, &elsewhere);
   CU_ASSERT_EQUAL (step.engine_hash, 30);
   full.referrals = &room;
   full.referral_count = 1;
-  step = att_ended (&att, 1, &budget, &full);
+  step = ended (&rig, 1, &full);
   CU_ASSERT_EQUAL (step.engine_hash, 10);
   CU_ASSERT_TRUE (step.referred);
-  step = att_ended (&att, 1, &budget, &elsewhere);
+  step = ended (&rig, 1, &elsewhere);
   CU_ASSERT_EQUAL (step.engine_hash, 30);
   CU_ASSERT_TRUE (step.may_wait);
 }
@@ -208,16 +235,14 @@
 static void
 one_engine_without_time_is_not_all (void)
 {
-  att_t att;
-  att_budget_t budget = { 0 };
+  rig_t rig = { 0 };
   att_outcome_t late = refusal (VRD_REASON_DEADLINE);
-  att_step_t step;
 
-  begin (&att, true, 2);
-  step = att_ended (&att, 1, &budget, &late);
+  begin (&rig, true, 2);
+  att_step_t step = ended (&rig, 1, &late);
   CU_ASSERT_EQUAL (step.engine_hash, 11);
   CU_ASSERT_TRUE (step.may_wait);
-  CU_ASSERT_EQUAL (att_ended (&att, 1, &budget, &late).action, ATT_GIVE_UP);
+  CU_ASSERT_EQUAL (ended (&rig, 1, &late).action, ATT_GIVE_UP);
 }
 
 static void
@@ -230,15 +255,12 @@
 
   for (uint32_t i = 0; i < sizeof REASONS / sizeof REASONS[0]; i++)
     {
-      att_t att;
-      att_budget_t budget = { 0 };
+      rig_t rig = { 0 };
       att_outcome_t refused = refusal (REASONS[i]);
-      att_step_t step;
 
-      begin (&att, false, 6);
-      step = att_ended (&att, 1, &budget, &refused);
-      CU_ASSERT_EQUAL (step.action, ATT_SEND);
-      CU_ASSERT_EQUAL (step.engine_hash, 11);
+      begin (&rig, false, 6);
+      att_step_t step = ended (&rig, 1, &refused);
+      check_sent (&step, 11);
     }
 }
 
@@ -246,20 +268,17 @@
 static uint32_t
 hops_until_given_up (vrd_reason_t reason)
 {
-  att_t att;
-  att_budget_t budget;
+  rig_t rig = with_budget ();
   uint64_t next = 100;
   att_outcome_t refused = refusal (reason);
-  att_step_t step = begin (&att, true, 6);
+  att_step_t step = begin (&rig, true, 6);
   uint32_t sent = 0;
 
-  att_budget_init (&budget);
   refused.referrals = &next;
   refused.referral_count = 1;
   for (; step.action == ATT_SEND; next++, sent++)
-    step = att_ended (&att, 1, &budget, &refused);
-  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
-  CU_ASSERT_EQUAL (step.verdict, VRD_NOT_RUN);
+    step = ended (&rig, 1, &refused);
+  check_given_up (&step, VRD_NOT_RUN);
   return sent;
 }
 
@@ -282,14 +301,12 @@
 
   for (uint32_t i = 0; i < sizeof REASONS / sizeof REASONS[0]; i++)
     {
-      att_t att;
-      att_budget_t budget = { 0 };
+      rig_t rig = { 0 };
       att_outcome_t refused = refusal (REASONS[i]);
-      att_step_t step;
 
-      begin (&att, false, 6);
+      begin (&rig, false, 6);
       refused.retry_after_ms = 5000;
-      step = att_ended (&att, 1, &budget, &refused);
+      att_step_t step = ended (&rig, 1, &refused);
       CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
       CU_ASSERT_EQUAL (step.reason, REASONS[i]);
       CU_ASSERT_EQUAL (step.retry_after_ms, 0);
@@ -299,30 +316,24 @@
 static void
 log_down_asks_to_come_back (void)
 {
-  att_t att;
-  att_budget_t budget = { 0 };
+  rig_t rig = { 0 };
   att_outcome_t refused = refusal (VRD_REASON_LOG_DOWN);
-  att_step_t step;
 
-  begin (&att, false, 6);
-  step = att_ended (&att, 1, &budget, &refused);
-  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
-  CU_ASSERT_EQUAL (step.verdict, VRD_NOT_RUN);
+  begin (&rig, false, 6);
+  att_step_t step = ended (&rig, 1, &refused);
+  check_given_up (&step, VRD_NOT_RUN);
   CU_ASSERT_NOT_EQUAL (step.retry_after_ms, 0);
 }
 
 static void
 past_deadline_gives_up_at_once (void)
 {
-  att_t att;
-  att_budget_t budget = { 0 };
+  rig_t rig = { 0 };
   att_outcome_t refused = refusal (VRD_REASON_LEAVING);
-  att_step_t step;
 
-  begin (&att, true, 6);
-  step = att_ended (&att, DEADLINE_US, &budget, &refused);
-  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
-  CU_ASSERT_EQUAL (step.verdict, VRD_NOT_RUN);
+  begin (&rig, true, 6);
+  att_step_t step = ended (&rig, DEADLINE_US, &refused);
+  check_given_up (&step, VRD_NOT_RUN);
   CU_ASSERT_EQUAL (step.reason, VRD_REASON_DEADLINE);
   CU_ASSERT_NOT_EQUAL (step.retry_after_ms, 0);
 }
@@ -333,39 +344,32 @@
 static void
 non_idempotent_moves_only_after_not_run (void)
 {
-  att_t att;
-  att_budget_t budget;
+  rig_t rig = with_budget ();
   att_outcome_t cut = lost ();
-  att_step_t step;
 
-  att_budget_init (&budget);
-  begin (&att, false, 6);
-  step = att_ended (&att, 1, &budget, &cut);
+  begin (&rig, false, 6);
+  att_step_t step = ended (&rig, 1, &cut);
   CU_ASSERT_EQUAL (step.action, ATT_REVOKE);
   CU_ASSERT_EQUAL (step.engine_hash, 10);
-  step = att_revoked (&att, 2, &budget, VRD_NOT_RUN);
-  CU_ASSERT_EQUAL (step.action, ATT_SEND);
-  CU_ASSERT_EQUAL (step.engine_hash, 11);
-  att_ended (&att, 3, &budget, &cut);
-  step = att_revoked (&att, 4, &budget, VRD_MAY_HAVE_RUN);
-  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
-  CU_ASSERT_EQUAL (step.verdict, VRD_MAY_HAVE_RUN);
+  step = revoked (&rig, 2, VRD_NOT_RUN);
+  check_sent (&step, 11);
+  ended (&rig, 3, &cut);
+  step = revoked (&rig, 4, VRD_MAY_HAVE_RUN);
+  check_given_up (&step, VRD_MAY_HAVE_RUN);
   CU_ASSERT_EQUAL (step.retry_after_ms, 0);
-  CU_ASSERT_EQUAL (budget.tokens_milli, ATT_BUDGET_MAX_MILLI);
+  CU_ASSERT_EQUAL (rig.budget.tokens_milli, ATT_BUDGET_MAX_MILLI);
 }
 
 static void
 sidecar_that_says_it_ran_needs_no_revoke (void)
 {
-  att_t att;
-  att_budget_t budget;
+  rig_t rig = with_budget ();
   att_outcome_t crashed = { .verdict = VRD_MAY_HAVE_RUN, .reason = VRD_REASON_ENGINE_CRASHED };
 
-  att_budget_init (&budget);
-  begin (&att, false, 6);
-  CU_ASSERT_EQUAL (att_ended (&att, 1, &budget, &crashed).action, ATT_GIVE_UP);
-  begin (&att, true, 6);
-  CU_ASSERT_EQUAL (att_ended (&att, 1, &budget, &crashed).action, ATT_SEND);
+  begin (&rig, false, 6);
+  CU_ASSERT_EQUAL (ended (&rig, 1, &crashed).action, ATT_GIVE_UP);
+  begin (&rig, true, 6);
+  CU_ASSERT_EQUAL (ended (&rig, 1, &crashed).action, ATT_SEND);
 }
 
 /* Many hops are lost at once. Idempotent requests go on elsewhere only while the budget lasts, so
@@ -373,24 +377,20 @@
 static void
 budget_bounds_retries (void)
 {
-  att_budget_t budget;
+  rig_t rig = with_budget ();
   att_outcome_t cut = lost ();
   att_step_t step;
   uint32_t retried = 0;
 
-  att_budget_init (&budget);
   for (uint32_t i = 0; i < 50; i++)
     {
-      att_t att;
-
-      begin (&att, true, 6);
-      att_ended (&att, 1, &budget, &cut);
-      step = att_revoked (&att, 1, &budget, VRD_MAY_HAVE_RUN);
+      begin (&rig, true, 6);
+      ended (&rig, 1, &cut);
+      step = revoked (&rig, 1, VRD_MAY_HAVE_RUN);
       retried += step.action == ATT_SEND;
     }
   CU_ASSERT_EQUAL (retried, ATT_BUDGET_MAX_MILLI / 1000);
-  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
-  CU_ASSERT_EQUAL (step.verdict, VRD_MAY_HAVE_RUN);
+  check_given_up (&step, VRD_MAY_HAVE_RUN);
 }
 
 /* A request takes the sidecar down with the engine, so that nobody is left to mark it. The router
@@ -399,21 +399,17 @@
 static void
 two_lost_sidecars_are_enough (void)
 {
-  att_t att;
-  att_budget_t budget;
+  rig_t rig = with_budget ();
   att_outcome_t cut = lost ();
-  att_step_t step;
 
-  att_budget_init (&budget);
-  begin (&att, true, 6);
-  att_ended (&att, 1, &budget, &cut);
-  CU_ASSERT_EQUAL (att_revoked (&att, 1, &budget, VRD_NOT_RUN).action, ATT_SEND);
-  att_ended (&att, 2, &budget, &cut);
-  CU_ASSERT_EQUAL (att_revoked (&att, 2, &budget, VRD_MAY_HAVE_RUN).action, ATT_SEND);
-  att_ended (&att, 3, &budget, &cut);
-  step = att_revoked (&att, 3, &budget, VRD_MAY_HAVE_RUN);
-  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
-  CU_ASSERT_EQUAL (step.verdict, VRD_MAY_HAVE_RUN);
+  begin (&rig, true, 6);
+  ended (&rig, 1, &cut);
+  CU_ASSERT_EQUAL (revoked (&rig, 1, VRD_NOT_RUN).action, ATT_SEND);
+  ended (&rig, 2, &cut);
+  CU_ASSERT_EQUAL (revoked (&rig, 2, VRD_MAY_HAVE_RUN).action, ATT_SEND);
+  ended (&rig, 3, &cut);
+  att_step_t step = revoked (&rig, 3, VRD_MAY_HAVE_RUN);
+  check_given_up (&step, VRD_MAY_HAVE_RUN);
   CU_ASSERT_NOT_EQUAL (step.retry_after_ms, 0);
 }
 
@@ -427,23 +423,20 @@
 
   for (uint32_t i = 0; i < G_N_ELEMENTS (VERDICTS); i++)
     {
-      att_t att;
-      att_budget_t budget;
+      rig_t rig = with_budget ();
       att_outcome_t full = refusal (VRD_REASON_OVER_BOUND);
       att_outcome_t cut = lost ();
-      att_step_t step = begin (&att, true, 3);
+      att_step_t step = begin (&rig, true, 3);
 
-      att_budget_init (&budget);
       while (step.action == ATT_SEND && !step.may_wait)
-        step = att_ended (&att, 1, &budget, &full);
+        step = ended (&rig, 1, &full);
       CU_ASSERT_EQUAL (step.engine_hash, CANDIDATES[0]);
-      CU_ASSERT_EQUAL (att_ended (&att, 2, &budget, &cut).action, ATT_REVOKE);
-      step = att_revoked (&att, 3, &budget, VERDICTS[i]);
+      CU_ASSERT_EQUAL (ended (&rig, 2, &cut).action, ATT_REVOKE);
+      step = revoked (&rig, 3, VERDICTS[i]);
       CU_ASSERT_EQUAL (step.action, ATT_SEND);
       while (step.action == ATT_SEND && !step.may_wait)
-        step = att_ended (&att, 4, &budget, &full);
-      CU_ASSERT_EQUAL (step.action, ATT_SEND);
-      CU_ASSERT_EQUAL (step.engine_hash, CANDIDATES[1]);
+        step = ended (&rig, 4, &full);
+      check_sent (&step, CANDIDATES[1]);
     }
 }
 
@@ -493,19 +486,15 @@
 static void
 not_run_is_said_of_the_whole_request (void)
 {
-  att_t att;
-  att_budget_t budget;
+  rig_t rig = with_budget ();
   att_outcome_t cut = lost ();
   att_outcome_t full = refusal (VRD_REASON_LOG_DOWN);
-  att_step_t step;
 
-  att_budget_init (&budget);
-  begin (&att, true, 6);
-  att_ended (&att, 1, &budget, &cut);
-  att_revoked (&att, 1, &budget, VRD_MAY_HAVE_RUN);
-  step = att_ended (&att, 2, &budget, &full);
-  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
-  CU_ASSERT_EQUAL (step.verdict, VRD_MAY_HAVE_RUN);
+  begin (&rig, true, 6);
+  ended (&rig, 1, &cut);
+  revoked (&rig, 1, VRD_MAY_HAVE_RUN);
+  att_step_t step = ended (&rig, 2, &full);
+  check_given_up (&step, VRD_MAY_HAVE_RUN);
 }
 
 /* The answer breaks off after its first byte went to the caller: a second engine's answer must
@@ -513,17 +502,13 @@
 static void
 begun_answer_is_never_tried_again (void)
 {
-  att_t att;
-  att_budget_t budget;
+  rig_t rig = with_budget ();
   att_outcome_t cut = lost ();
-  att_step_t step;
 
-  att_budget_init (&budget);
-  begin (&att, true, 6);
-  att_answer_begun (&att);
-  step = att_ended (&att, 1, &budget, &cut);
-  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
-  CU_ASSERT_EQUAL (step.verdict, VRD_MAY_HAVE_RUN);
+  begin (&rig, true, 6);
+  att_answer_begun (&rig.att);
+  att_step_t step = ended (&rig, 1, &cut);
+  check_given_up (&step, VRD_MAY_HAVE_RUN);
   CU_ASSERT_EQUAL (step.reason, VRD_REASON_CUT);
 }
 
@@ -533,28 +518,23 @@
 static void
 two_crashes_are_added_up (void)
 {
-  att_t att;
-  att_budget_t budget;
+  rig_t rig = with_budget ();
   att_outcome_t here = refusal (VRD_REASON_SUSPECT_HERE);
   att_outcome_t crashed = { .verdict = VRD_MAY_HAVE_RUN, .reason = VRD_REASON_ENGINE_CRASHED };
-  att_step_t step;
 
-  att_budget_init (&budget);
-  begin (&att, true, 6);
-  step = att_ended (&att, 1, &budget, &here);
+  begin (&rig, true, 6);
+  att_step_t step = ended (&rig, 1, &here);
   CU_ASSERT_EQUAL (step.action, ATT_SEND);
-  CU_ASSERT_EQUAL (att.crashed[0], 10);
-  step = att_ended (&att, 1, &budget, &here);
-  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
-  CU_ASSERT_EQUAL (step.verdict, VRD_NOT_RUN);
+  CU_ASSERT_EQUAL (rig.att.crashed[0], 10);
+  step = ended (&rig, 1, &here);
+  check_given_up (&step, VRD_NOT_RUN);
   CU_ASSERT_EQUAL (step.reason, VRD_REASON_SUSPECT);
   CU_ASSERT_EQUAL (step.retry_after_ms, 0);
 
-  begin (&att, true, 6);
-  att_ended (&att, 1, &budget, &crashed);
-  step = att_ended (&att, 1, &budget, &crashed);
-  CU_ASSERT_EQUAL (step.action, ATT_GIVE_UP);
-  CU_ASSERT_EQUAL (step.verdict, VRD_MAY_HAVE_RUN);
+  begin (&rig, true, 6);
+  ended (&rig, 1, &crashed);
+  step = ended (&rig, 1, &crashed);
+  check_given_up (&step, VRD_MAY_HAVE_RUN);
   CU_ASSERT_EQUAL (step.reason, VRD_REASON_SUSPECT);
 }
 
