--- a/tests/test_examples.c
+++ b/tests/test_examples.c
@@ -1,9 +1,12 @@
 #include "version/manifest.h"
 #include "suite.h"
 
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (man_t, man_unref)
+
 static man_t *
 load (const char *name)
 {
@@ -62,7 +65,7 @@
 static void
 test_tuul (void)
 {
-  man_t *man = load ("tuul");
+  g_autoptr (man_t) man = load ("tuul");
   const char *chat = "/v1/chat/completions";
 
   expect_demo_keys (man);
@@ -73,13 +76,12 @@
   expect_class (man, "POST", chat, "claims-7b-tags", "eligibility-tag", false);
   expect_class (man, "GET", "/portal/status/7", NULL, "status-check", true);
   expect_class (man, "GET", "/portal/documents/7", NULL, "document-lookup", true);
-  man_unref (man);
 }
 
 static void
 test_jogak (void)
 {
-  man_t *man = load ("jogak");
+  g_autoptr (man_t) man = load ("jogak");
   const char *chat = "/v1/chat/completions";
 
   expect_demo_keys (man);
@@ -90,7 +92,6 @@
   expect_class (man, "POST", chat, "desk-13b-tags", "colour-tag", true);
   expect_class (man, "POST", "/ledger/bookings", NULL, "booking", false);
   expect_class (man, "GET", "/ledger/bookings", NULL, "ledger-read", true);
-  man_unref (man);
 }
 
 int
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -4,6 +4,7 @@
 #include "process/limits.h"
 #include "suite.h"
 
+#include <glib.h>
 #include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -135,7 +136,7 @@
 static void
 test_fuzz_decode (void)
 {
-  GRand *rand = g_rand_new_with_seed (20261202);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (20261202);
   for (uint32_t round = 0; round < FUZZ_ROUNDS; round++)
     {
       char datagram[LIM_DATAGRAM_BYTES];
@@ -151,7 +152,6 @@
         bytes = (size_t)g_rand_int_range (rand, 0, LIM_DATAGRAM_BYTES + 1);
       CU_ASSERT_NOT_EQUAL (decode (datagram, bytes, KEY), WIR_OK);
     }
-  g_rand_free (rand);
 }
 
 /* Signs a call again, as a daemon with the key would. */
@@ -173,7 +173,7 @@
 static void
 test_fuzz_signed_bodies (void)
 {
-  GRand *rand = g_rand_new_with_seed (20261203);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (20261203);
   uint32_t broken = 0;
   for (uint32_t round = 0; round < FUZZ_ROUNDS; round++)
     {
@@ -190,7 +190,6 @@
       broken += outcome == WIR_BROKEN;
     }
   CU_ASSERT_TRUE (broken > FUZZ_ROUNDS / 3 && broken < FUZZ_ROUNDS);
-  g_rand_free (rand);
 }
 
 /** struct node - a daemon's end of the exchange */
--- a/tests/test_history.c
+++ b/tests/test_history.c
@@ -1,12 +1,16 @@
 #include "request/history.h"
 #include "suite.h"
 
+#include <glib.h>
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (hst_t, hst_free)
+
 #define NOW_US (UINT64_C (1000) * 1000 * 1000)
 
 static void
 remembers_how_attempts_ended (void)
 {
-  hst_t *hst = hst_new (8);
+  g_autoptr (hst_t) hst = hst_new (8);
   uint64_t ran[2] = { 1, 1 };
   uint64_t refused[2] = { 1, 2 };
   vrd_t verdict = VRD_MAY_HAVE_RUN;
@@ -17,7 +21,6 @@
   CU_ASSERT_EQUAL (verdict, VRD_NOT_RUN);
   CU_ASSERT_EQUAL (hst_revoke (hst, NOW_US, ran, 0), VRD_RAN);
   CU_ASSERT_EQUAL (hst_revoke (hst, NOW_US, refused, 0), VRD_NOT_RUN);
-  hst_free (hst);
 }
 
 /* A router loses its connection while the request is still on its way, and revokes it. The sidecar
@@ -26,7 +29,7 @@
 static void
 bars_what_comes_late (void)
 {
-  hst_t *hst = hst_new (8);
+  g_autoptr (hst_t) hst = hst_new (8);
   uint64_t attempt[2] = { 1, 1 };
   vrd_t verdict;
 
@@ -34,7 +37,6 @@
   CU_ASSERT_EQUAL (hst_revoke (hst, NOW_US, attempt, 0), VRD_NOT_RUN);
   CU_ASSERT_EQUAL (hst_find (hst, NOW_US + 1, attempt, &verdict), HST_BARRED);
   CU_ASSERT_EQUAL (hst_find (hst, NOW_US + HST_BAR_US, attempt, &verdict), HST_UNKNOWN);
-  hst_free (hst);
 }
 
 /* A booking ran, its answer was lost, and so many others ended since that the sidecar has forgotten
@@ -42,7 +44,7 @@
 static void
 does_not_deny_what_it_forgot (void)
 {
-  hst_t *hst = hst_new (4);
+  g_autoptr (hst_t) hst = hst_new (4);
   uint64_t ran[2] = { 1, 0 };
   uint64_t younger[2] = { 2, 0 };
   uint64_t sent_us = NOW_US - 1;
@@ -55,7 +57,6 @@
 
   CU_ASSERT_EQUAL (hst_revoke (hst, now_us, ran, now_us - sent_us), VRD_MAY_HAVE_RUN);
   CU_ASSERT_EQUAL (hst_revoke (hst, now_us, younger, 5), VRD_NOT_RUN);
-  hst_free (hst);
 }
 
 /* More attempts are revoked than the sidecar can bar. It must not drop a bar that still counts to
@@ -63,7 +64,7 @@
 static void
 keeps_bars_when_full (void)
 {
-  hst_t *hst = hst_new (4);
+  g_autoptr (hst_t) hst = hst_new (4);
   vrd_t verdict;
 
   for (uint64_t i = 0; i < 4; i++)
@@ -71,7 +72,6 @@
   CU_ASSERT_EQUAL (hst_revoke (hst, NOW_US, (uint64_t[2]){ 1, 4 }, 0), VRD_MAY_HAVE_RUN);
   CU_ASSERT_EQUAL (hst_find (hst, NOW_US, (uint64_t[2]){ 1, 0 }, &verdict), HST_BARRED);
   CU_ASSERT_EQUAL (hst_revoke (hst, NOW_US + HST_BAR_US, (uint64_t[2]){ 1, 4 }, 0), VRD_NOT_RUN);
-  hst_free (hst);
 }
 
 int
--- a/tests/test_manifest.c
+++ b/tests/test_manifest.c
@@ -1,10 +1,13 @@
 #include "version/manifest.h"
 #include "suite.h"
 
+#include <glib.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (man_t, man_unref)
+
 #define KEY_A "08a6bd4bf2a6c5b8e6b2a0a8f7a4a7b7fb0ee6d29a4a7fcc1c6e0b7b1a2f3c4d"
 #define KEY_B "18a6bd4bf2a6c5b8e6b2a0a8f7a4a7b7fb0ee6d29a4a7fcc1c6e0b7b1a2f3c4d"
 
@@ -47,13 +50,11 @@
 expect_patched (const char *patch_text, man_error_t code, const char *message)
 {
   GError *error = NULL;
-  man_t *base = good ();
-  json_t *patch = json_loads (patch_text, 0, NULL);
+  g_autoptr (man_t) base = good ();
+  json_auto_t *patch = json_loads (patch_text, 0, NULL);
   man_t *man = man_patch (base, patch, &error);
 
   expect_fault (man, error, code, message);
-  json_decref (patch);
-  man_unref (base);
 }
 
 static void
@@ -68,7 +69,7 @@
 static void
 test_reads_all (void)
 {
-  man_t *man = good ();
+  g_autoptr (man_t) man = good ();
   const man_account_t *east = man_account_named (man, "east");
   const man_service_t *pool = man_service_named (man, "pool");
   const man_service_t *desk = man_service_of_engine (man, "p1");
@@ -95,31 +96,27 @@
   CU_ASSERT_PTR_NULL (man_class_named (man, "shorter"));
   CU_ASSERT_PTR_NULL (man_service_named (man, ""));
   CU_ASSERT_PTR_NULL (man_service_of_engine (man, "e3"));
-  man_unref (man);
 }
 
 static void
 test_account_by_key (void)
 {
-  man_t *base = good ();
+  g_autoptr (man_t) base = good ();
   g_autofree char *hex = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "secret", -1);
-  json_t *patch = json_pack ("{s{s{ss}}}", "client_accounts", "north", "key_sha256", hex);
-  man_t *man = man_patch (base, patch, NULL);
+  json_auto_t *patch = json_pack ("{s{s{ss}}}", "client_accounts", "north", "key_sha256", hex);
+  g_autoptr (man_t) man = man_patch (base, patch, NULL);
 
   CU_ASSERT_STRING_EQUAL (man_account_for_key (man, "secret")->name, "north");
   CU_ASSERT_PTR_NULL (man_account_for_key (man, "secret "));
   CU_ASSERT_PTR_NULL (man_account_for_key (man, ""));
   CU_ASSERT_PTR_NULL (man_account_for_key (man, hex));
   CU_ASSERT_PTR_NULL (man_account_for_key (base, "secret"));
-  json_decref (patch);
-  man_unref (base);
-  man_unref (man);
 }
 
 static void
 test_first_route_counts (void)
 {
-  man_t *man = good ();
+  g_autoptr (man_t) man = good ();
   const man_route_t *chat = man_route_for (man, "POST", "/v1/chat/completions", "m");
   const man_route_t *desk = man_route_for (man, "GET", "/desk/lots/7", NULL);
 
@@ -133,7 +130,6 @@
   CU_ASSERT_PTR_NULL (man_route_for (man, "POST", "/v1/chat/completions", "other"));
   CU_ASSERT_PTR_NULL (man_route_for (man, "POST", "/v1/chat/completions", NULL));
   CU_ASSERT_PTR_NULL (man_route_for (man, "GET", "/desk", NULL));
-  man_unref (man);
 }
 
 static void
@@ -247,29 +243,25 @@
 static void
 test_digest_is_of_the_meaning (void)
 {
-  man_t *man = good ();
+  g_autoptr (man_t) man = good ();
   g_autofree char *spaced = json_dumps (man->json, JSON_INDENT (2) | JSON_SORT_KEYS);
-  man_t *same = man_parse (spaced, strlen (spaced), NULL);
-  json_t *patch = json_loads ("{\"classes\":{\"long\":{\"priority\":7}}}", 0, NULL);
-  man_t *other = man_patch (man, patch, NULL);
+  g_autoptr (man_t) same = man_parse (spaced, strlen (spaced), NULL);
+  json_auto_t *patch = json_loads ("{\"classes\":{\"long\":{\"priority\":7}}}", 0, NULL);
+  g_autoptr (man_t) other = man_patch (man, patch, NULL);
 
   CU_ASSERT_STRING_EQUAL (man->digest, same->digest);
   CU_ASSERT_STRING_NOT_EQUAL (man->digest, other->digest);
-  json_decref (patch);
-  man_unref (man);
-  man_unref (same);
-  man_unref (other);
 }
 
 /* The examples of RFC 7386 need documents of any shape; here each rule is laid over a manifest. */
 static void
 test_patch (void)
 {
-  man_t *base = good ();
-  json_t *patch = json_loads ("{\"client_accounts\":{\"west\":null,\"none\":null},"
-                              "\"services\":{\"pool\":{\"engines\":[\"e9\"],\"slots\":3}}}",
-                              0, NULL);
-  man_t *man = man_patch (base, patch, NULL);
+  g_autoptr (man_t) base = good ();
+  json_auto_t *patch = json_loads ("{\"client_accounts\":{\"west\":null,\"none\":null},"
+                                   "\"services\":{\"pool\":{\"engines\":[\"e9\"],\"slots\":3}}}",
+                                   0, NULL);
+  g_autoptr (man_t) man = man_patch (base, patch, NULL);
   const man_service_t *pool = man_service_named (man, "pool");
 
   CU_ASSERT_EQUAL (man->account_count, 1);
@@ -279,9 +271,6 @@
   CU_ASSERT_EQUAL (pool->kind, MAN_KIND_MODEL);
   CU_ASSERT_EQUAL (base->account_count, 2);
   CU_ASSERT_EQUAL (json_object_size (json_object_get (base->json, "client_accounts")), 2);
-  json_decref (patch);
-  man_unref (base);
-  man_unref (man);
 }
 
 static bool
--- a/tests/test_manifest_sync.c
+++ b/tests/test_manifest_sync.c
@@ -1,6 +1,7 @@
 #include "version/manifest_sync.h"
 #include "suite.h"
 
+#include <glib.h>
 #include <string.h>
 
 #define KEY "a fleet key of enough bytes"
@@ -52,9 +53,8 @@
   msy_nonce (other);
   CU_ASSERT_EQUAL (strlen (nonce), MSY_NONCE_BYTES - 1);
   CU_ASSERT_STRING_NOT_EQUAL (nonce, other);
-  char *body = write_answer (nonce, seal);
+  g_autofree char *body = write_answer (nonce, seal);
   CU_ASSERT_EQUAL (read_answer (KEY, nonce, seal, body), 12);
-  g_free (body);
 }
 
 /* Somebody answers in place of a daemon: with a recorded answer of long ago, a changed one, or one
--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -7,12 +7,15 @@
 #include "process/messages.h"
 #include "suite.h"
 
+#include <glib.h>
 #include <event2/thread.h>
 #include <fcntl.h>
 #include <stdbool.h>
 #include <string.h>
 #include <unistd.h>
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (cnt_set_t, cnt_set_free)
+
 #define LOG_FILL_LIMIT 100000
 #define STALL_DEADLINE_S 20
 
@@ -190,15 +193,14 @@
 static void
 test_counters_text (void)
 {
-  cnt_set_t *set = cnt_set_new ();
-  char *text;
+  g_autoptr (cnt_set_t) set = cnt_set_new ();
 
   cnt_add (cnt_get (set, "x_total{reason=\"cold\"}", "All of\nx."), 2);
   cnt_add (cnt_get (set, "x_total{reason=\"any\"}", "ignored"), 1);
   cnt_set_value (cnt_get (set, "x_total_bytes", "Bytes."), 7);
   cnt_add (cnt_get (set, "x_total", "ignored"), 3);
   cnt_add (cnt_get (set, "x_total", "ignored"), 1);
-  text = write_counters (set);
+  g_autofree char *text = write_counters (set);
   CU_ASSERT_STRING_EQUAL (text, "# HELP x_total All of\\nx.\n"
                                 "# TYPE x_total counter\n"
                                 "x_total 4\n"
@@ -208,8 +210,6 @@
                                 "# TYPE x_total_bytes gauge\n"
                                 "x_total_bytes 7\n");
   CU_ASSERT_EQUAL (cnt_value (cnt_get (set, "x_total", NULL)), 4);
-  g_free (text);
-  cnt_set_free (set);
 }
 
 /*
@@ -219,31 +219,27 @@
 static void
 test_counters_clean (void)
 {
-  cnt_set_t *set = cnt_set_new ();
-  char *text;
+  g_autoptr (cnt_set_t) set = cnt_set_new ();
 
   cnt_add (cnt_get_labelled (set, "x_total", "a-b", "q\"b\\n\n", "X."), 1);
   cnt_add (cnt_get (set, "x_y z{l=\"broken", "Y."), 2);
   cnt_add (cnt_get (set, "x_z{l=\"v\"} 9\nforged 1", "Z."), 3);
-  text = write_counters (set);
+  g_autofree char *text = write_counters (set);
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "x_total{a_b=\"q\\\"b\\\\n\\n\"} 1\n"));
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "x_y_z_l__broken 2\n"));
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "x_z_l__v___9_forged_1 3\n"));
-  g_free (text);
-  cnt_set_free (set);
 }
 
 static void
 test_counters_bounded (void)
 {
-  cnt_set_t *set = cnt_set_new ();
+  g_autoptr (cnt_set_t) set = cnt_set_new ();
   cnt_t *refused = cnt_get (set, "medlarplank_counters_refused_total", NULL);
 
   for (uint32_t i = 0; i < LIM_COUNTERS + 10; i++)
     cnt_add (cnt_get_labelled (set, "x_total", "n", LOG_U64 (i), "X."), 1);
   CU_ASSERT_EQUAL (cnt_value (refused), 11);
   CU_ASSERT_EQUAL (cnt_value (cnt_get (set, "x_total{n=\"0\"}", NULL)), 1);
-  cnt_set_free (set);
 }
 
 #define ADDS_PER_THREAD 100000
@@ -259,14 +255,13 @@
 static void
 test_counters_threads (void)
 {
-  cnt_set_t *set = cnt_set_new ();
+  g_autoptr (cnt_set_t) set = cnt_set_new ();
   cnt_t *cnt = cnt_get (set, "x_total", "X.");
   GThread *other = g_thread_new ("adder", add_many, cnt);
 
   add_many (cnt);
   g_thread_join (other);
   CU_ASSERT_EQUAL (cnt_value (cnt), 2 * ADDS_PER_THREAD);
-  cnt_set_free (set);
 }
 
 #define MAIL_COUNT 150000
@@ -295,10 +290,9 @@
 static void
 letter_free (mbx_message_t *message)
 {
-  letter_t *letter = (letter_t *)message;
+  g_autofree letter_t *letter = (letter_t *)message;
 
   (*letter->freed)++;
-  g_free (letter);
 }
 
 static void
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -2,9 +2,12 @@
 #include "version/replay.h"
 #include "suite.h"
 
+#include <glib.h>
 #include <inttypes.h>
 #include <string.h>
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (rep_t, rep_free)
+
 #define KEY "08a6bd4bf2a6c5b8e6b2a0a8f7a4a7b7fb0ee6d29a4a7fcc1c6e0b7b1a2f3c4d"
 
 /* A manifest that differs in one number. */
@@ -57,7 +60,7 @@
 static void
 test_publish_and_patch (void)
 {
-  rep_t *rep = rep_new ();
+  g_autoptr (rep_t) rep = rep_new ();
 
   rep_begin (rep, 0);
   CU_ASSERT_FALSE (rep_ready (rep));
@@ -69,7 +72,6 @@
   CU_ASSERT_EQUAL (feed_publish (rep, "b", 1, 9).version, 2);
   CU_ASSERT_EQUAL (rep_manifest (rep)->services[0].slots, 9);
   CU_ASSERT_EQUAL (rep_next_offset (rep), 2);
-  rep_free (rep);
 }
 
 /*
@@ -80,7 +82,7 @@
 static void
 test_loser_of_a_race (void)
 {
-  rep_t *rep = rep_new ();
+  g_autoptr (rep_t) rep = rep_new ();
   rep_judgement_t judgement;
 
   rep_begin (rep, 0);
@@ -91,7 +93,6 @@
   CU_ASSERT_STRING_EQUAL (judgement.id, "c");
   CU_ASSERT_STRING_EQUAL (judgement.reason, "version 2 by ann is in force; rebase");
   CU_ASSERT_EQUAL (rep_manifest (rep)->services[0].slots, 5);
-  rep_free (rep);
 }
 
 /*
@@ -101,7 +102,7 @@
 static void
 test_repeated_publish (void)
 {
-  rep_t *rep = rep_new ();
+  g_autoptr (rep_t) rep = rep_new ();
   rep_judgement_t judgement;
 
   rep_begin (rep, 0);
@@ -114,7 +115,6 @@
   judgement = feed_publish (rep, "b", 0, 4);
   CU_ASSERT_EQUAL (judgement.verdict, REP_REPEATED);
   CU_ASSERT_STRING_EQUAL (judgement.reason, "it was refused before");
-  rep_free (rep);
 }
 
 /*
@@ -125,8 +125,8 @@
 static void
 test_ids_do_not_decide (void)
 {
-  rep_t *old = rep_new ();
-  rep_t *young = rep_new ();
+  g_autoptr (rep_t) old = rep_new ();
+  g_autoptr (rep_t) young = rep_new ();
 
   rep_begin (old, 0);
   feed_publish (old, "a", 0, 4);
@@ -136,8 +136,6 @@
   CU_ASSERT_EQUAL (feed_publish (old, "x", 2, 7).verdict, REP_ACCEPTED);
   CU_ASSERT_EQUAL (feed_publish (young, "x", 2, 7).verdict, REP_ACCEPTED);
   CU_ASSERT_STRING_EQUAL (rep_manifest (old)->digest, rep_manifest (young)->digest);
-  rep_free (old);
-  rep_free (young);
 }
 
 static void
@@ -161,7 +159,7 @@
     "{\"kind\":\"checkpoint\",\"version\":2,\"as_of\":0,\"manifest\":{}}",
     "{\"kind\":\"checkpoint\",\"version\":1,\"as_of\":99,\"manifest\":{}}",
   };
-  rep_t *rep = rep_new ();
+  g_autoptr (rep_t) rep = rep_new ();
 
   rep_begin (rep, 0);
   feed_publish (rep, "a", 0, 4);
@@ -174,7 +172,6 @@
     }
   CU_ASSERT_EQUAL (version_of (rep), 1);
   CU_ASSERT_TRUE (rep_ready (rep));
-  rep_free (rep);
 }
 
 /*
@@ -185,9 +182,9 @@
 static void
 test_stale_checkpoint (void)
 {
-  rep_t *writer = rep_new ();
-  rep_t *fresh = rep_new ();
-  rep_t *late = rep_new ();
+  g_autoptr (rep_t) writer = rep_new ();
+  g_autoptr (rep_t) fresh = rep_new ();
+  g_autoptr (rep_t) late = rep_new ();
   g_autofree char *second = publish ("b", 1, 5);
   g_autofree char *third = publish ("c", 2, 6);
   g_autofree char *stale = NULL;
@@ -229,9 +226,6 @@
   feed (late, newer);
   CU_ASSERT_TRUE (rep_ready (late));
   CU_ASSERT_EQUAL (version_of (late), 3);
-  rep_free (writer);
-  rep_free (fresh);
-  rep_free (late);
 }
 
 /*
@@ -241,8 +235,8 @@
 static void
 test_gap (void)
 {
-  rep_t *rep = rep_new ();
-  rep_t *other = rep_new ();
+  g_autoptr (rep_t) rep = rep_new ();
+  g_autoptr (rep_t) other = rep_new ();
   g_autofree char *checkpoint = NULL;
 
   rep_begin (rep, 0);
@@ -263,15 +257,13 @@
   CU_ASSERT_EQUAL (feed (rep, checkpoint).verdict, REP_CHECKPOINT_SEEN);
   CU_ASSERT_TRUE (rep_ready (rep));
   CU_ASSERT_EQUAL (version_of (rep), 2);
-  rep_free (rep);
-  rep_free (other);
 }
 
 static void
 test_adopt (void)
 {
-  rep_t *peer = rep_new ();
-  rep_t *rep = rep_new ();
+  g_autoptr (rep_t) peer = rep_new ();
+  g_autoptr (rep_t) rep = rep_new ();
   man_t *first;
 
   rep_begin (peer, 0);
@@ -291,14 +283,12 @@
   CU_ASSERT_TRUE (rep_adopt (rep, rep_manifest (rep), 7));
   CU_ASSERT_TRUE (rep_ready (rep));
   man_unref (first);
-  rep_free (peer);
-  rep_free (rep);
 }
 
 static void
 test_checkpoint_due (void)
 {
-  rep_t *rep = rep_new ();
+  g_autoptr (rep_t) rep = rep_new ();
   g_autofree char *checkpoint = NULL;
 
   rep_begin (rep, 0);
@@ -315,7 +305,6 @@
   CU_ASSERT_FALSE (rep_checkpoint_due (rep, 1));
   rep_begin (rep, 3);
   CU_ASSERT_TRUE (rep_checkpoint_due (rep, 1));
-  rep_free (rep);
 }
 
 static void
@@ -341,8 +330,8 @@
 static void
 test_claim_shards_stay (void)
 {
-  rep_t *rep = rep_new ();
-  json_t *shards = json_pack ("{s{s{si}}}", "services", "pool", "claim_shards", 32);
+  g_autoptr (rep_t) rep = rep_new ();
+  json_auto_t *shards = json_pack ("{s{s{si}}}", "services", "pool", "claim_shards", 32);
   g_autofree char *text = rep_publish_record ("b", 1, "ann", NULL, shards);
   rep_judgement_t judgement;
 
@@ -352,8 +341,6 @@
   CU_ASSERT_EQUAL (judgement.verdict, REP_INVALID);
   CU_ASSERT_PTR_NOT_NULL (strstr (judgement.reason, "services.pool.claim_shards"));
   CU_ASSERT_EQUAL (judgement.version, 1);
-  json_decref (shards);
-  rep_free (rep);
 }
 
 int
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -238,26 +238,22 @@
 test_fleet_key_file (void)
 {
   static const char *const none[] = { NULL };
-  char *path = NULL;
-  char *flag;
-  char *message;
+  g_autofree char *path = NULL;
   int fd = g_file_open_tmp ("medlarplank-key-XXXXXX", &path, NULL);
   set_t set;
 
   CU_ASSERT_FATAL (fd >= 0);
   CU_ASSERT_EQUAL (write (fd, KEY "\n", sizeof KEY), sizeof KEY);
   close (fd);
-  flag = g_strconcat ("--fleet-key-file=", path, NULL);
+  g_autofree char *flag = g_strconcat ("--fleet-key-file=", path, NULL);
   load_router (none, FLAGS (flag), &set);
   CU_ASSERT_STRING_EQUAL (set.fleet_key, KEY);
-  message = g_strdup_printf ("fleet-key (MEDLARPLANK_FLEET_KEY) and fleet-key-file \"%s\" "
-                             "(--fleet-key-file): give only one of them",
-                             path);
+  g_autofree char *message =
+      g_strdup_printf ("fleet-key (MEDLARPLANK_FLEET_KEY) and fleet-key-file \"%s\" "
+                       "(--fleet-key-file): give only one of them",
+                       path);
   refuse_router (key_only, FLAGS (flag), message);
   g_unlink (path);
-  g_free (message);
-  g_free (flag);
-  g_free (path);
 }
 
 static void
@@ -271,7 +267,6 @@
   };
   set_address_t address;
   GError *error = NULL;
-  char *text;
 
   for (uint32_t i = 0; i < G_N_ELEMENTS (wrong); i++)
     {
@@ -280,9 +275,8 @@
       g_clear_error (&error);
     }
   CU_ASSERT (set_parse_address ("[FD00:0:0::1]:65535", &address, &error));
-  text = set_address_text (&address);
+  g_autofree char *text = set_address_text (&address);
   CU_ASSERT_STRING_EQUAL (text, "[fd00::1]:65535");
-  g_free (text);
 }
 
 /* The line of a setting as it must stand in docs/settings.md. */
@@ -306,8 +300,9 @@
 test_page (void)
 {
   const char *source = getenv ("MEDLARPLANK_SOURCE");
-  char *path = g_build_filename (source != NULL ? source : ".", "docs", "settings.md", NULL);
-  char *page = NULL;
+  g_autofree char *path =
+      g_build_filename (source != NULL ? source : ".", "docs", "settings.md", NULL);
+  g_autofree char *page = NULL;
   uint32_t count;
   uint32_t lines = 0;
   const set_row_t *rows = set_rows (&count);
@@ -315,18 +310,15 @@
   CU_ASSERT_FATAL (g_file_get_contents (path, &page, NULL, NULL));
   for (uint32_t i = 0; i < count; i++)
     {
-      char *line = page_line (&rows[i]);
+      g_autofree char *line = page_line (&rows[i]);
       bool found = strstr (page, line) != NULL;
       if (!found)
         printf ("\n  not in the page: %s", line);
       CU_ASSERT (found);
-      g_free (line);
     }
   for (const char *at = page; (at = strstr (at, "| `MEDLARPLANK_")) != NULL; at++)
     lines++;
   CU_ASSERT_EQUAL (lines, count);
-  g_free (page);
-  g_free (path);
 }
 
 int
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -16,10 +16,13 @@
 #include <string.h>
 #include <unistd.h>
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (bat_t, bat_free)
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (pfx_t, pfx_free)
+
 static void
 test_cache_finds_longest_prefix (void)
 {
-  pfx_t *cache = pfx_new (1024, NULL, NULL);
+  g_autoptr (pfx_t) cache = pfx_new (1024, NULL, NULL);
   char text[PFX_BLOCK_BYTES * 3 + 10];
   memset (text, 'a', sizeof text);
   CU_ASSERT_EQUAL (pfx_lookup (cache, text, sizeof text), 0);
@@ -30,7 +33,6 @@
   CU_ASSERT_EQUAL (pfx_lookup (cache, text, sizeof text), 2 * PFX_BLOCK_TOKENS);
   text[0] = 'b';
   CU_ASSERT_EQUAL (pfx_lookup (cache, text, sizeof text), 0);
-  pfx_free (cache);
 }
 
 static void
@@ -45,7 +47,7 @@
 test_cache_evicts_oldest_and_tails_first (void)
 {
   uint32_t evicted = 0;
-  pfx_t *cache = pfx_new (4 * PFX_BLOCK_TOKENS, count_evicted, &evicted);
+  g_autoptr (pfx_t) cache = pfx_new (4 * PFX_BLOCK_TOKENS, count_evicted, &evicted);
   char first[PFX_BLOCK_BYTES * 2];
   char second[PFX_BLOCK_BYTES * 2];
   char third[PFX_BLOCK_BYTES];
@@ -59,7 +61,6 @@
   CU_ASSERT_EQUAL (evicted, 1);
   CU_ASSERT_EQUAL (pfx_lookup (cache, first, sizeof first), 2 * PFX_BLOCK_TOKENS);
   CU_ASSERT_EQUAL (pfx_lookup (cache, second, sizeof second), PFX_BLOCK_TOKENS);
-  pfx_free (cache);
 }
 
 typedef struct
@@ -107,8 +108,8 @@
 static void
 test_batch_serves_by_priority_then_arrival (void)
 {
-  GString *trace = g_string_new (NULL);
-  bat_t *batch = batch_new (1, 0, trace);
+  g_autoptr (GString) trace = g_string_new (NULL);
+  g_autoptr (bat_t) batch = batch_new (1, 0, trace);
   job_t low = { .name = 'l', .job = { .priority = 2, .wanted_tokens = 1 } };
   job_t early = { .name = 'e', .job = { .priority = 1, .wanted_tokens = 2 } };
   job_t late = { .name = 't', .job = { .priority = 1, .wanted_tokens = 1 } };
@@ -123,15 +124,13 @@
     bat_step (batch);
   CU_ASSERT_STRING_EQUAL (trace->str, "ee.t.l.");
   CU_ASSERT_EQUAL (bat_running (batch) + bat_waiting (batch), 0);
-  bat_free (batch);
-  g_string_free (trace, TRUE);
 }
 
 static void
 test_batch_shares_prefill_and_slots (void)
 {
-  GString *trace = g_string_new (NULL);
-  bat_t *batch = batch_new (2, 10 * 1000, trace);
+  g_autoptr (GString) trace = g_string_new (NULL);
+  g_autoptr (bat_t) batch = batch_new (2, 10 * 1000, trace);
   job_t one = { .name = '1', .prompt_tokens = 15, .job = { .wanted_tokens = 2 } };
   job_t two = { .name = '2', .prompt_tokens = 15, .cut_after = 1, .job = { .wanted_tokens = 2 } };
   job_t three = { .name = '3', .job = { .wanted_tokens = 1 } };
@@ -147,8 +146,6 @@
   CU_ASSERT_STRING_EQUAL (trace->str, "11.2!");
   bat_step (batch);
   CU_ASSERT_STRING_EQUAL (trace->str, "11.2!3.");
-  bat_free (batch);
-  g_string_free (trace, TRUE);
 }
 
 static void
@@ -157,14 +154,12 @@
   cev_t *events = cev_new (1000, 50, 1);
   for (uint64_t i = 0; i < 100; i++)
     cev_add (events, 0, i, true);
-  json_t *early = cev_list (events, 999, 0);
-  json_t *due = cev_list (events, 1000, 0);
+  json_auto_t *early = cev_list (events, 999, 0);
+  json_auto_t *due = cev_list (events, 1000, 0);
   size_t seen = json_array_size (json_object_get (due, "events"));
   CU_ASSERT_EQUAL (json_array_size (json_object_get (early, "events")), 0);
   CU_ASSERT_EQUAL (json_integer_value (json_object_get (due, "next")), 100);
   CU_ASSERT (seen > 20 && seen < 80);
-  json_decref (early);
-  json_decref (due);
   cev_free (events);
 }
 
@@ -236,18 +231,17 @@
             json_int_t revision,
             bool full)
 {
-  json_t *view = phl_view (list, now_us, reader, since);
+  json_auto_t *view = phl_view (list, now_us, reader, since);
   CU_ASSERT_EQUAL (number_of (view, "revision"), revision);
   CU_ASSERT_EQUAL (json_is_true (json_object_get (view, "full")), full);
-  json_decref (view);
 }
 
 static void
 test_list_lags_and_is_held_for_one_reader (void)
 {
   phl_t *list = phl_new (1000);
-  json_t *first = one_host ("a", "live");
-  json_t *second = one_host ("b", "live");
+  json_auto_t *first = one_host ("a", "live");
+  json_auto_t *second = one_host ("b", "live");
   CU_ASSERT_TRUE (phl_set (list, 0, first, true));
   check_view (list, 999, NULL, 0, 0, true);
   check_view (list, 1000, NULL, 0, 1, true);
@@ -260,8 +254,6 @@
   json_decref (view);
   CU_ASSERT_TRUE (phl_hold (list, 2000, "router-1", false));
   check_view (list, 2000, "router-1", 9, 3, true);
-  json_decref (first);
-  json_decref (second);
   phl_free (list);
 }
 
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -2,12 +2,17 @@
 #include "request/suspect.h"
 #include "suite.h"
 
+#include <glib.h>
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (dir_t, dir_free)
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (sus_t, sus_free)
+
 #define LIFETIME_US 1000000
 
 static void
 test_two_crashes_are_final (void)
 {
-  sus_t *sus = sus_new (8, LIFETIME_US);
+  g_autoptr (sus_t) sus = sus_new (8, LIFETIME_US);
   CU_ASSERT_EQUAL (sus_check (sus, 1, 7, 100), SUS_CLEAR);
   CU_ASSERT (sus_add (sus, 1, 7, 100));
   CU_ASSERT (!sus_add (sus, 2, 7, 100));
@@ -17,7 +22,6 @@
   CU_ASSERT_EQUAL (sus_check (sus, 3, 7, 100), SUS_FINAL);
   CU_ASSERT_EQUAL (sus_check (sus, 3, 7, 300), SUS_FINAL);
   CU_ASSERT_EQUAL (sus_check (sus, 3, 8, 100), SUS_CLEAR);
-  sus_free (sus);
 }
 
 /* The first sidecar saw engine 100 crash, the second one engine 200. Each has heard the other's
@@ -25,8 +29,8 @@
 static void
 test_marks_merge (void)
 {
-  sus_t *one = sus_new (8, LIFETIME_US);
-  sus_t *two = sus_new (8, LIFETIME_US);
+  g_autoptr (sus_t) one = sus_new (8, LIFETIME_US);
+  g_autoptr (sus_t) two = sus_new (8, LIFETIME_US);
   sus_mark_t mark;
   sus_add (one, 10000, 7, 100);
   sus_add (two, 50000, 7, 200);
@@ -38,14 +42,12 @@
   CU_ASSERT_FATAL (sus_get (one, 60000, 7, &mark));
   CU_ASSERT (sus_merge (two, 60000, &mark));
   CU_ASSERT_EQUAL (sus_check (two, 60000, 7, 300), SUS_FINAL);
-  sus_free (one);
-  sus_free (two);
 }
 
 static void
 test_marks_expire (void)
 {
-  sus_t *sus = sus_new (8, LIFETIME_US);
+  g_autoptr (sus_t) sus = sus_new (8, LIFETIME_US);
   sus_mark_t mark;
   sus_add (sus, 1000, 7, 100);
   CU_ASSERT_EQUAL (sus_check (sus, 1000 + LIFETIME_US, 7, 100), SUS_NOT_HERE);
@@ -55,7 +57,6 @@
   mark = (sus_mark_t){ .fingerprint = 9, .engines = { 1 }, .age_ms = LIFETIME_US / 1000 + 1 };
   CU_ASSERT (!sus_merge (sus, 10 * LIFETIME_US, &mark));
   CU_ASSERT_EQUAL (sus_check (sus, 10 * LIFETIME_US, 9, 1), SUS_CLEAR);
-  sus_free (sus);
 }
 
 /* Two daemons tell each other the same mark for ever. It must still end, or a request that crashed
@@ -63,8 +64,8 @@
 static void
 test_echo_does_not_renew (void)
 {
-  sus_t *one = sus_new (8, LIFETIME_US);
-  sus_t *two = sus_new (8, LIFETIME_US);
+  g_autoptr (sus_t) one = sus_new (8, LIFETIME_US);
+  g_autoptr (sus_t) two = sus_new (8, LIFETIME_US);
   sus_mark_t mark;
   sus_add (one, 999, 7, 100);
   uint64_t now_us = 1999;
@@ -77,14 +78,12 @@
     }
   CU_ASSERT_EQUAL (sus_check (one, now_us, 7, 100), SUS_CLEAR);
   CU_ASSERT_EQUAL (sus_check (two, now_us, 7, 100), SUS_CLEAR);
-  sus_free (one);
-  sus_free (two);
 }
 
 static void
 test_limit_drops_the_oldest (void)
 {
-  sus_t *sus = sus_new (4, LIFETIME_US);
+  g_autoptr (sus_t) sus = sus_new (4, LIFETIME_US);
   sus_mark_t marks[8];
   for (uint64_t i = 1; i <= 6; i++)
     sus_add (sus, i, i, 100);
@@ -92,13 +91,12 @@
   CU_ASSERT_EQUAL (marks[0].fingerprint, 6);
   CU_ASSERT_EQUAL (marks[3].fingerprint, 3);
   CU_ASSERT_EQUAL (sus_check (sus, 6, 1, 100), SUS_CLEAR);
-  sus_free (sus);
 }
 
 static void
 test_directory_keeps_and_forgets (void)
 {
-  dir_t *dir = dir_new (64);
+  g_autoptr (dir_t) dir = dir_new (64);
   dir_entry_t entry;
   dir_put (dir, 10, 7, 100);
   dir_put (dir, 20, 7, 200);
@@ -111,7 +109,6 @@
   dir_forget (dir, 7);
   CU_ASSERT (!dir_get (dir, 20, 10, 7, &entry));
   CU_ASSERT_EQUAL (dir_count (dir), 0);
-  dir_free (dir);
 }
 
 static void
@@ -124,7 +121,7 @@
 static void
 test_directory_is_bounded (void)
 {
-  dir_t *dir = dir_new (64);
+  g_autoptr (dir_t) dir = dir_new (64);
   dir_entry_t entry;
   uint32_t visited = 0;
   for (uint64_t i = 1; i <= 1000; i++)
@@ -134,7 +131,6 @@
   CU_ASSERT (!dir_get (dir, 1000, 1000, 0x9e3779b97f4a7c15ULL, &entry));
   dir_each (dir, count_entry, &visited);
   CU_ASSERT_EQUAL (visited, dir_count (dir));
-  dir_free (dir);
 }
 
 int
--- a/tests/test_version_fuzz.c
+++ b/tests/test_version_fuzz.c
@@ -1,9 +1,12 @@
 #include "version/replay.h"
 #include "suite.h"
 
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (man_t, man_unref)
+
 #define SEED 20240817
 #define MANIFEST_ROUNDS 3000
 #define RECORD_ROUNDS 6000
@@ -117,11 +120,10 @@
 expect_stable (const man_t *man)
 {
   g_autofree char *text = json_dumps (man->json, JSON_SORT_KEYS | JSON_COMPACT);
-  man_t *again = man_parse (text, strlen (text), NULL);
+  g_autoptr (man_t) again = man_parse (text, strlen (text), NULL);
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (again);
   CU_ASSERT_STRING_EQUAL (again->digest, man->digest);
-  man_unref (again);
 }
 
 static void
@@ -135,7 +137,7 @@
       size_t text_bytes;
       g_autofree char *text = mutate (&fuzz, &text_bytes);
       g_autoptr (GError) error = NULL;
-      man_t *man = man_parse (text, text_bytes, &error);
+      g_autoptr (man_t) man = man_parse (text, text_bytes, &error);
 
       CU_ASSERT_TRUE ((man == NULL) == (error != NULL));
       if (error != NULL)
@@ -144,7 +146,6 @@
         continue;
       taken++;
       expect_stable (man);
-      man_unref (man);
     }
   printf ("seed %d: %u of %d taken ", SEED, taken, MANIFEST_ROUNDS);
   CU_ASSERT_TRUE (taken > 0 && taken < MANIFEST_ROUNDS);
