Let a test's HTTP listener end with its scope

All tests of the listener began and ended with the same lines: declare, start, ask, stop. hbn_new() gives one that goes with the test's scope.

--- a/tests/http_bench.c
+++ b/tests/http_bench.c
@@ -31,9 +31,10 @@
   g_ptr_array_add (bench->waiting, call);
 }
 
-void
-hbn_start_timeouts (hbn_t *bench, uint32_t idle_timeout_ms, uint32_t request_timeout_ms)
+hbn_t *
+hbn_new_timeouts (uint32_t idle_timeout_ms, uint32_t request_timeout_ms)
 {
+  hbn_t *bench = g_new0 (hbn_t, 1);
   hsv_options_t options = { .body_limit_bytes = HBN_BODY_LIMIT_BYTES,
                             .header_limit_bytes = HBN_HEADER_LIMIT_BYTES,
                             .header_limit_count = 20,
@@ -44,7 +45,6 @@
                             .on_call = on_call };
   GError *error = NULL;
 
-  memset (bench, 0, sizeof *bench);
   bench->base = event_base_new ();
   bench->counters = cnt_set_new ();
   bench->waiting = g_ptr_array_new ();
@@ -57,16 +57,17 @@
   bench->hsv = hsv_new (&options, &error);
   g_assert_no_error (error);
   bench->address.port = hsv_port (bench->hsv);
+  return bench;
 }
 
-void
-hbn_start (hbn_t *bench)
+hbn_t *
+hbn_new (void)
 {
-  hbn_start_timeouts (bench, HBN_NO_TIMEOUT_MS, HBN_NO_TIMEOUT_MS);
+  return hbn_new_timeouts (HBN_NO_TIMEOUT_MS, HBN_NO_TIMEOUT_MS);
 }
 
 void
-hbn_stop (hbn_t *bench)
+hbn_free (hbn_t *bench)
 {
   if (bench->hsv)
     hsv_free (bench->hsv);
@@ -74,6 +75,7 @@
   g_ptr_array_free (bench->waiting, TRUE);
   cnt_set_free (bench->counters);
   event_base_free (bench->base);
+  g_free (bench);
 }
 
 uint64_t
@@ -158,7 +160,6 @@
   CU_ASSERT_TRUE (raw_run_until (bench->base, sees, &expected));
 }
 
-/* a caller, freed by bench_stop() */
 raw_t *
 hbn_ask (hbn_t *bench, const char *request)
 {
@@ -169,7 +170,6 @@
   return raw;
 }
 
-/* a request that waits unanswered */
 raw_t *
 hbn_ask_waiting (hbn_t *bench, const char *request)
 {
--- a/tests/http_bench.h
+++ b/tests/http_bench.h
@@ -34,10 +34,11 @@
   bool now;
 } hbn_t;
 
-/** hbn_start() - with timeouts longer than a test */
-void hbn_start (hbn_t *bench);
-void hbn_start_timeouts (hbn_t *bench, uint32_t idle_timeout_ms, uint32_t request_timeout_ms);
-void hbn_stop (hbn_t *bench);
+/** hbn_new() - with timeouts longer than a test */
+hbn_t *hbn_new (void);
+hbn_t *hbn_new_timeouts (uint32_t idle_timeout_ms, uint32_t request_timeout_ms);
+void hbn_free (hbn_t *bench);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (hbn_t, hbn_free)
 /** hbn_counted() - value of a counter */
 uint64_t hbn_counted (hbn_t *bench, const char *name);
 /** hbn_refused() - requests refused for @reason */
@@ -52,7 +53,7 @@
 bool hbn_one_gone (void *context);
 bool hbn_not_busy (void *context);
 void hbn_run_until_sees (hbn_t *bench, raw_t *raw, const char *text);
-/** hbn_ask() - a caller that has sent @request; freed by hbn_stop() */
+/** hbn_ask() - a caller that has sent @request; freed by hbn_free() */
 raw_t *hbn_ask (hbn_t *bench, const char *request);
 /** hbn_ask_waiting() - as hbn_ask(), run until the call waits in @waiting */
 raw_t *hbn_ask_waiting (hbn_t *bench, const char *request);
--- a/tests/test_http_server_end.c
+++ b/tests/test_http_server_end.c
@@ -15,27 +15,24 @@
 {
   for (int kind = 0; kind < 6; kind++)
     {
-      hbn_t bench;
-      raw_t *raw;
+      g_autoptr (hbn_t) bench = hbn_new ();
+      raw_t *raw = hbn_ask_waiting (bench, "GET /1 HTTP/1.1\r\n\r\n");
 
-      hbn_start (&bench);
-      raw = hbn_ask_waiting (&bench, "GET /1 HTTP/1.1\r\n\r\n");
       if (kind >= 3)
         {
           raw_send (raw, "GET /2 HTTP/1.1\r\n\r\n");
-          raw_run_ms (bench.base, 5);
+          raw_run_ms (bench->base, 5);
         }
       if (kind % 3 == 2)
         shutdown (raw->fd, SHUT_WR);
       else
         raw_close (raw, kind % 3 == 1);
-      CU_ASSERT_TRUE (raw_run_until (bench.base, hbn_one_gone, &bench));
-      CU_ASSERT_EQUAL (hsv_busy (bench.hsv), 0);
-      raw_run_ms (bench.base, 5);
-      CU_ASSERT_EQUAL (bench.gone, 1);
-      CU_ASSERT_EQUAL (bench.calls, 1);
-      CU_ASSERT_EQUAL (hbn_counted (&bench, "medlarplank_http_connections"), 0);
-      hbn_stop (&bench);
+      CU_ASSERT_TRUE (raw_run_until (bench->base, hbn_one_gone, bench));
+      CU_ASSERT_EQUAL (hsv_busy (bench->hsv), 0);
+      raw_run_ms (bench->base, 5);
+      CU_ASSERT_EQUAL (bench->gone, 1);
+      CU_ASSERT_EQUAL (bench->calls, 1);
+      CU_ASSERT_EQUAL (hbn_counted (bench, "medlarplank_http_connections"), 0);
     }
 }
 
@@ -49,24 +46,20 @@
 {
   for (int minor = 0; minor < 2; minor++)
     {
-      hbn_t bench;
-      raw_t *raw;
-      char *request = g_strdup_printf ("GET /1 HTTP/1.%d\r\n\r\n", minor);
+      g_autoptr (hbn_t) bench = hbn_new ();
+      g_autofree char *request = g_strdup_printf ("GET /1 HTTP/1.%d\r\n\r\n", minor);
 
-      hbn_start (&bench);
-      raw = hbn_ask_waiting (&bench, request);
-      hsv_begin (hbn_call_at (&bench, 0), 200);
-      hbn_part (hbn_call_at (&bench, 0), "part");
-      hbn_run_until_sees (&bench, raw, "part");
-      hsv_abort (hbn_call_at (&bench, 0));
-      CU_ASSERT_TRUE (raw_run_until (bench.base, hbn_ended, raw));
+      raw_t *raw = hbn_ask_waiting (bench, request);
+      hsv_begin (hbn_call_at (bench, 0), 200);
+      hbn_part (hbn_call_at (bench, 0), "part");
+      hbn_run_until_sees (bench, raw, "part");
+      hsv_abort (hbn_call_at (bench, 0));
+      CU_ASSERT_TRUE (raw_run_until (bench->base, hbn_ended, raw));
       hbn_check_absent (raw, "0\r\n\r\n");
       if (minor == 0)
         CU_ASSERT_TRUE (raw->reset);
-      CU_ASSERT_EQUAL (bench.gone, 0);
-      CU_ASSERT_EQUAL (hsv_busy (bench.hsv), 0);
-      hbn_stop (&bench);
-      g_free (request);
+      CU_ASSERT_EQUAL (bench->gone, 0);
+      CU_ASSERT_EQUAL (hsv_busy (bench->hsv), 0);
     }
 }
 
@@ -83,31 +76,27 @@
 static void
 test_back_pressure (void)
 {
-  char *block = g_strnfill (64 * 1024, 'x');
-  hbn_t bench;
-  raw_t *raw;
+  g_autofree char *block = g_strnfill (64 * 1024, 'x');
+  g_autoptr (hbn_t) bench = hbn_new ();
+  raw_t *raw = hbn_ask_waiting (bench, "GET /1 HTTP/1.1\r\n\r\n");
 
-  hbn_start (&bench);
-  raw = hbn_ask_waiting (&bench, "GET /1 HTTP/1.1\r\n\r\n");
   event_del (raw->readable);
-  hsv_begin (hbn_call_at (&bench, 0), 200);
+  hsv_begin (hbn_call_at (bench, 0), 200);
   do
     {
-      while (hbn_part (hbn_call_at (&bench, 0), block))
+      while (hbn_part (hbn_call_at (bench, 0), block))
         ;
-      bench.rooms = 0;
-      raw_run_ms (bench.base, 20);
+      bench->rooms = 0;
+      raw_run_ms (bench->base, 20);
     }
-  while (bench.rooms > 0);
-  CU_ASSERT_EQUAL (bench.rooms, 0);
-  CU_ASSERT_FALSE (hbn_part (hbn_call_at (&bench, 0), block));
+  while (bench->rooms > 0);
+  CU_ASSERT_EQUAL (bench->rooms, 0);
+  CU_ASSERT_FALSE (hbn_part (hbn_call_at (bench, 0), block));
   event_add (raw->readable, NULL);
-  CU_ASSERT_TRUE (raw_run_until (bench.base, has_room, &bench));
-  CU_ASSERT_TRUE (hbn_part (hbn_call_at (&bench, 0), "last"));
-  hsv_end (hbn_call_at (&bench, 0));
-  hbn_run_until_sees (&bench, raw, "4\r\nlast\r\n0\r\n\r\n");
-  hbn_stop (&bench);
-  g_free (block);
+  CU_ASSERT_TRUE (raw_run_until (bench->base, has_room, bench));
+  CU_ASSERT_TRUE (hbn_part (hbn_call_at (bench, 0), "last"));
+  hsv_end (hbn_call_at (bench, 0));
+  hbn_run_until_sees (bench, raw, "4\r\nlast\r\n0\r\n\r\n");
 }
 
 /*
@@ -117,24 +106,20 @@
 static void
 test_idle_timeout (void)
 {
-  hbn_t bench;
-  raw_t *idle;
-  raw_t *raw;
+  g_autoptr (hbn_t) bench = hbn_new_timeouts (40, HBN_NO_TIMEOUT_MS);
+  raw_t *idle = hbn_ask (bench, "");
 
-  hbn_start_timeouts (&bench, 40, HBN_NO_TIMEOUT_MS);
-  idle = hbn_ask (&bench, "");
-  raw = hbn_ask_waiting (&bench, "GET /1 HTTP/1.1\r\n\r\n");
-  hsv_begin (hbn_call_at (&bench, 0), 200);
-  hbn_part (hbn_call_at (&bench, 0), "one");
-  CU_ASSERT_TRUE (raw_run_until (bench.base, hbn_ended, idle));
-  raw_run_ms (bench.base, 80);
+  raw_t *raw = hbn_ask_waiting (bench, "GET /1 HTTP/1.1\r\n\r\n");
+  hsv_begin (hbn_call_at (bench, 0), 200);
+  hbn_part (hbn_call_at (bench, 0), "one");
+  CU_ASSERT_TRUE (raw_run_until (bench->base, hbn_ended, idle));
+  raw_run_ms (bench->base, 80);
   CU_ASSERT_FALSE (raw->eof);
-  CU_ASSERT_EQUAL (bench.gone, 0);
-  hbn_part (hbn_call_at (&bench, 0), "two");
-  hsv_end (hbn_call_at (&bench, 0));
-  hbn_run_until_sees (&bench, raw, "0\r\n\r\n");
-  CU_ASSERT_TRUE (raw_run_until (bench.base, hbn_ended, raw));
-  hbn_stop (&bench);
+  CU_ASSERT_EQUAL (bench->gone, 0);
+  hbn_part (hbn_call_at (bench, 0), "two");
+  hsv_end (hbn_call_at (bench, 0));
+  hbn_run_until_sees (bench, raw, "0\r\n\r\n");
+  CU_ASSERT_TRUE (raw_run_until (bench->base, hbn_ended, raw));
 }
 
 /* gone in the middle of a stream, seen by the library itself while it writes */
@@ -143,18 +128,15 @@
 {
   for (int reset = 0; reset < 2; reset++)
     {
-      hbn_t bench;
-      raw_t *raw;
+      g_autoptr (hbn_t) bench = hbn_new ();
+      raw_t *raw = hbn_ask_waiting (bench, "GET /1 HTTP/1.1\r\n\r\n");
 
-      hbn_start (&bench);
-      raw = hbn_ask_waiting (&bench, "GET /1 HTTP/1.1\r\n\r\n");
-      hsv_begin (hbn_call_at (&bench, 0), 200);
-      hbn_part (hbn_call_at (&bench, 0), "part");
-      hbn_run_until_sees (&bench, raw, "part");
+      hsv_begin (hbn_call_at (bench, 0), 200);
+      hbn_part (hbn_call_at (bench, 0), "part");
+      hbn_run_until_sees (bench, raw, "part");
       raw_close (raw, reset);
-      CU_ASSERT_TRUE (raw_run_until (bench.base, hbn_one_gone, &bench));
-      CU_ASSERT_EQUAL (hsv_busy (bench.hsv), 0);
-      hbn_stop (&bench);
+      CU_ASSERT_TRUE (raw_run_until (bench->base, hbn_one_gone, bench));
+      CU_ASSERT_EQUAL (hsv_busy (bench->hsv), 0);
     }
 }
 
@@ -164,13 +146,10 @@
 {
   for (int kind = 0; kind < 4; kind++)
     {
-      hbn_t bench;
-      raw_t *raw;
-      hsv_call_t *call;
+      g_autoptr (hbn_t) bench = hbn_new ();
+      raw_t *raw = hbn_ask_waiting (bench, "GET /1 HTTP/1.1\r\n\r\n");
 
-      hbn_start (&bench);
-      raw = hbn_ask_waiting (&bench, "GET /1 HTTP/1.1\r\n\r\n");
-      call = hbn_call_at (&bench, 0);
+      hsv_call_t *call = hbn_call_at (bench, 0);
       raw_close (raw, kind == 3);
       if (kind == 0)
         hsv_abort (call);
@@ -181,10 +160,9 @@
           hsv_begin (call, 200);
           hsv_end (call);
         }
-      CU_ASSERT_TRUE (raw_run_until (bench.base, hbn_not_busy, &bench));
-      raw_run_ms (bench.base, 5);
-      CU_ASSERT_EQUAL (bench.gone, 0);
-      hbn_stop (&bench);
+      CU_ASSERT_TRUE (raw_run_until (bench->base, hbn_not_busy, bench));
+      raw_run_ms (bench->base, 5);
+      CU_ASSERT_EQUAL (bench->gone, 0);
     }
 }
 
@@ -196,35 +174,29 @@
 static void
 test_stop (void)
 {
-  hbn_t bench;
-  raw_t *waits;
-  raw_t *half;
-  raw_t *kept;
-  raw_t *queued;
+  g_autoptr (hbn_t) bench = hbn_new ();
 
-  hbn_start (&bench);
-  bench.now = true;
-  kept = hbn_ask (&bench, "GET /kept HTTP/1.1\r\n\r\n");
-  hbn_run_until_sees (&bench, kept, "\r\n\r\n/kept");
-  bench.now = false;
-  half = hbn_ask (&bench, "GET /half HT");
-  waits = hbn_ask_waiting (&bench, "GET /waits HTTP/1.1\r\n\r\n");
-  bench.now = true;
-  queued = hbn_ask (&bench, "GET /queued HTTP/1.1\r\n\r\n");
+  bench->now = true;
+  raw_t *kept = hbn_ask (bench, "GET /kept HTTP/1.1\r\n\r\n");
+  hbn_run_until_sees (bench, kept, "\r\n\r\n/kept");
+  bench->now = false;
+  raw_t *half = hbn_ask (bench, "GET /half HT");
+  raw_t *waits = hbn_ask_waiting (bench, "GET /waits HTTP/1.1\r\n\r\n");
+  bench->now = true;
+  raw_t *queued = hbn_ask (bench, "GET /queued HTTP/1.1\r\n\r\n");
   raw_send (kept, "GET /more HTTP/1.1\r\n\r\n");
-  hsv_stop (bench.hsv);
-  hbn_run_until_sees (&bench, kept, "\r\n\r\n/more");
-  hbn_run_until_sees (&bench, queued, "503"); /* the fourth connection */
-  raw_run_ms (bench.base, LIM_HTTP_STOP_LINGER_MS + 50);
+  hsv_stop (bench->hsv);
+  hbn_run_until_sees (bench, kept, "\r\n\r\n/more");
+  hbn_run_until_sees (bench, queued, "503"); /* the fourth connection */
+  raw_run_ms (bench->base, LIM_HTTP_STOP_LINGER_MS + 50);
   raw_send (half, "TP/1.1\r\n\r\n");
-  hbn_run_until_sees (&bench, half, "\r\n\r\n/half");
+  hbn_run_until_sees (bench, half, "\r\n\r\n/half");
   CU_ASSERT_PTR_NOT_NULL (strstr (half->got->str, "Connection: close\r\n"));
-  CU_ASSERT_EQUAL (hsv_busy (bench.hsv), 1);
-  hsv_reply_text (hbn_call_at (&bench, 0), 200, "text/plain", "/waits");
-  hbn_run_until_sees (&bench, waits, "\r\n\r\n/waits");
-  CU_ASSERT_TRUE (raw_run_until (bench.base, hbn_not_busy, &bench));
-  CU_ASSERT_EQUAL (hsv_port (bench.hsv), 0);
-  hbn_stop (&bench);
+  CU_ASSERT_EQUAL (hsv_busy (bench->hsv), 1);
+  hsv_reply_text (hbn_call_at (bench, 0), 200, "text/plain", "/waits");
+  hbn_run_until_sees (bench, waits, "\r\n\r\n/waits");
+  CU_ASSERT_TRUE (raw_run_until (bench->base, hbn_not_busy, bench));
+  CU_ASSERT_EQUAL (hsv_port (bench->hsv), 0);
 }
 
 /*
@@ -234,20 +206,17 @@
 static void
 test_stop_stream (void)
 {
-  hbn_t bench;
-  raw_t *raw;
+  g_autoptr (hbn_t) bench = hbn_new ();
+  raw_t *raw = hbn_ask_waiting (bench, "GET /1 HTTP/1.1\r\n\r\n");
 
-  hbn_start (&bench);
-  raw = hbn_ask_waiting (&bench, "GET /1 HTTP/1.1\r\n\r\n");
-  hsv_begin (hbn_call_at (&bench, 0), 200);
-  hsv_stop (bench.hsv);
-  raw_run_ms (bench.base, LIM_HTTP_STOP_LINGER_MS + 50);
-  CU_ASSERT_EQUAL (hsv_busy (bench.hsv), 1);
-  hbn_part (hbn_call_at (&bench, 0), "whole");
-  hsv_end (hbn_call_at (&bench, 0));
-  CU_ASSERT_TRUE (raw_run_until (bench.base, hbn_not_busy, &bench));
+  hsv_begin (hbn_call_at (bench, 0), 200);
+  hsv_stop (bench->hsv);
+  raw_run_ms (bench->base, LIM_HTTP_STOP_LINGER_MS + 50);
+  CU_ASSERT_EQUAL (hsv_busy (bench->hsv), 1);
+  hbn_part (hbn_call_at (bench, 0), "whole");
+  hsv_end (hbn_call_at (bench, 0));
+  CU_ASSERT_TRUE (raw_run_until (bench->base, hbn_not_busy, bench));
   CU_ASSERT_PTR_NOT_NULL (strstr (raw->got->str, "0\r\n\r\n"));
-  hbn_stop (&bench);
 }
 
 static bool
@@ -272,68 +241,58 @@
 test_slow_request (void)
 {
   struct timeval pause = { 0, 10 * 1000 };
-  hbn_t bench;
-  raw_t *raw;
+  g_autoptr (hbn_t) bench = hbn_new_timeouts (HBN_NO_TIMEOUT_MS, 50);
   struct event *dripping;
 
-  hbn_start_timeouts (&bench, HBN_NO_TIMEOUT_MS, 50);
-  raw = hbn_ask (&bench, "GET /");
-  dripping = event_new (bench.base, -1, EV_PERSIST, drip, raw);
+  raw_t *raw = hbn_ask (bench, "GET /");
+  dripping = event_new (bench->base, -1, EV_PERSIST, drip, raw);
   event_add (dripping, &pause);
-  CU_ASSERT_TRUE (raw_run_until (bench.base, one_slow, &bench));
-  CU_ASSERT_TRUE (raw_run_until (bench.base, hbn_ended, raw));
+  CU_ASSERT_TRUE (raw_run_until (bench->base, one_slow, bench));
+  CU_ASSERT_TRUE (raw_run_until (bench->base, hbn_ended, raw));
   event_free (dripping);
-  hbn_stop (&bench);
 }
 
 /* idle connections do not hold up a stop */
 static void
 test_stop_idle (void)
 {
-  hbn_t bench;
-  raw_t *idle;
-  raw_t *used;
+  g_autoptr (hbn_t) bench = hbn_new ();
 
-  hbn_start (&bench);
-  bench.now = true;
-  idle = hbn_ask (&bench, "");
-  used = hbn_ask (&bench, "GET /used HTTP/1.1\r\n\r\n");
-  hbn_run_until_sees (&bench, used, "\r\n\r\n/used");
-  hsv_stop (bench.hsv);
-  CU_ASSERT_TRUE (raw_run_until (bench.base, hbn_ended, idle));
-  CU_ASSERT_TRUE (raw_run_until (bench.base, hbn_ended, used));
-  CU_ASSERT_EQUAL (hsv_busy (bench.hsv), 0);
-  hbn_stop (&bench);
+  bench->now = true;
+  raw_t *idle = hbn_ask (bench, "");
+  raw_t *used = hbn_ask (bench, "GET /used HTTP/1.1\r\n\r\n");
+  hbn_run_until_sees (bench, used, "\r\n\r\n/used");
+  hsv_stop (bench->hsv);
+  CU_ASSERT_TRUE (raw_run_until (bench->base, hbn_ended, idle));
+  CU_ASSERT_TRUE (raw_run_until (bench->base, hbn_ended, used));
+  CU_ASSERT_EQUAL (hsv_busy (bench->hsv), 0);
 }
 
 /* freed with connections in every state, even one that evhttp has just taken */
 static void
 test_free_at_work (void)
 {
-  hbn_t bench;
+  g_autoptr (hbn_t) bench = hbn_new ();
 
-  hbn_start (&bench);
-  hbn_ask (&bench, "");
-  hbn_ask_waiting (&bench, "GET /1 HTTP/1.1\r\n\r\n");
-  hbn_ask (&bench, "");
-  event_base_loop (bench.base, EVLOOP_ONCE);
-  hsv_free (bench.hsv);
-  bench.hsv = NULL;
-  CU_ASSERT_EQUAL (bench.gone, 1);
-  hbn_stop (&bench);
+  hbn_ask (bench, "");
+  hbn_ask_waiting (bench, "GET /1 HTTP/1.1\r\n\r\n");
+  hbn_ask (bench, "");
+  event_base_loop (bench->base, EVLOOP_ONCE);
+  hsv_free (bench->hsv);
+  bench->hsv = NULL;
+  CU_ASSERT_EQUAL (bench->gone, 1);
 }
 
 static void
 test_address_taken (void)
 {
-  hbn_t bench;
+  g_autoptr (hbn_t) bench = hbn_new ();
   hsv_options_t options = { 0 };
   GError *error = NULL;
 
-  hbn_start (&bench);
-  options.base = bench.base;
-  options.counters = bench.counters;
-  options.listen = bench.address;
+  options.base = bench->base;
+  options.counters = bench->counters;
+  options.listen = bench->address;
   CU_ASSERT_PTR_NULL (hsv_new (&options, &error));
   CU_ASSERT_PTR_NOT_NULL (strstr (error->message, "Address already in use"));
   g_clear_error (&error);
@@ -341,7 +300,6 @@
   CU_ASSERT_PTR_NULL (hsv_new (&options, &error));
   CU_ASSERT_PTR_NOT_NULL (error);
   g_clear_error (&error);
-  hbn_stop (&bench);
 }
 
 int
