Say in one line what a call of the HTTP client brings

Nearly every step of these tests was a call and a check of its outcome, around a bench started and stopped by hand. call_brings() and call_fails() are both steps with the same asserts, and the bench goes with its scope. The check that no call ends in hcl_free() now frees the client itself before it asserts.

--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -9,6 +9,10 @@
 
 #define SECOND_US (1000 * 1000)
 #define IDLE_TIMEOUT_MS (10 * 1000)
+#define OK_ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+static const char *const OK_ONLY[] = { OK_ANSWER };
+static const char *const SILENT[] = { NULL };
 
 /* what a call has brought */
 typedef struct
@@ -87,10 +91,11 @@
 }
 
 /* a client, and a peer that answers by @scripts */
-static void
-bench_start (bench_t *bench, const char *const *scripts, uint32_t script_count)
+static bench_t *
+bench_new (const char *const *scripts, uint32_t script_count)
 {
-  memset (bench, 0, sizeof *bench);
+  bench_t *bench = g_new0 (bench_t, 1);
+
   bench->base = event_base_new ();
   bench->hcl = hcl_new (bench->base, 2, IDLE_TIMEOUT_MS);
   bench->heard.body = g_string_new (NULL);
@@ -104,17 +109,21 @@
                                     .on_data = on_data,
                                     .on_end = on_end,
                                     .context = &bench->heard };
+  return bench;
 }
 
 static void
-bench_stop (bench_t *bench)
+bench_free (bench_t *bench)
 {
-  hcl_free (bench->hcl);
+  g_clear_pointer (&bench->hcl, hcl_free);
   raw_server_free (bench->server);
   g_string_free (bench->heard.body, TRUE);
   event_base_free (bench->base);
+  g_free (bench);
 }
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (bench_t, bench_free)
+
 static void
 forget (heard_t *heard)
 {
@@ -144,11 +153,19 @@
 }
 
 static void
-check_whole (const heard_t *heard, int status, const char *body)
+call_fails (bench_t *bench, vrd_t verdict, vrd_reason_t reason)
 {
-  CU_ASSERT_TRUE (heard->end.whole);
-  CU_ASSERT_EQUAL (heard->end.status, status);
-  CU_ASSERT_STRING_EQUAL (heard->body->str, body);
+  call (bench);
+  check_failed (&bench->heard, verdict, reason);
+}
+
+static void
+call_brings (bench_t *bench, int status, const char *body)
+{
+  call (bench);
+  CU_ASSERT_TRUE (bench->heard.end.whole);
+  CU_ASSERT_EQUAL (bench->heard.end.status, status);
+  CU_ASSERT_STRING_EQUAL (bench->heard.body->str, body);
 }
 
 static void
@@ -163,23 +180,15 @@
     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
     "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbusy",
   };
-  bench_t bench;
-
-  bench_start (&bench, scripts, G_N_ELEMENTS (scripts));
-  call (&bench);
-  check_whole (&bench.heard, 200, "first");
-  call (&bench);
-  check_whole (&bench.heard, 200, "second");
-  call (&bench);
-  check_whole (&bench.heard, 201, "third");
-  call (&bench);
-  check_whole (&bench.heard, 204, "");
-  call (&bench);
-  check_whole (&bench.heard, 200, "");
-  call (&bench);
-  check_whole (&bench.heard, 503, "busy");
-  CU_ASSERT_EQUAL (bench.server->accepted, 1);
-  bench_stop (&bench);
+  g_autoptr (bench_t) bench = bench_new (scripts, G_N_ELEMENTS (scripts));
+
+  call_brings (bench, 200, "first");
+  call_brings (bench, 200, "second");
+  call_brings (bench, 201, "third");
+  call_brings (bench, 204, "");
+  call_brings (bench, 200, "");
+  call_brings (bench, 503, "busy");
+  CU_ASSERT_EQUAL (bench->server->accepted, 1);
 }
 
 /*
@@ -207,17 +216,14 @@
     "nonsense\r\n\r\n",
     "",
   };
-  bench_t bench;
+  g_autoptr (bench_t) bench = bench_new (scripts, G_N_ELEMENTS (scripts));
 
-  bench_start (&bench, scripts, G_N_ELEMENTS (scripts));
-  bench.server->close_after = true;
+  bench->server->close_after = true;
   for (uint32_t i = 0; i < G_N_ELEMENTS (scripts); i++)
     {
-      call (&bench);
-      check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
-      CU_ASSERT_EQUAL (bench.server->accepted, i + 1);
+      call_fails (bench, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
+      CU_ASSERT_EQUAL (bench->server->accepted, i + 1);
     }
-  bench_stop (&bench);
 }
 
 /*
@@ -232,22 +238,18 @@
     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother",
     "HTTP/1.1 200 OK\r\nX-Attempt: a\r\nContent-Length: 4\r\n\r\nours",
   };
-  bench_t bench;
+  g_autoptr (bench_t) bench = bench_new (scripts, G_N_ELEMENTS (scripts));
 
-  bench_start (&bench, scripts, G_N_ELEMENTS (scripts));
-  bench.options.check_name = "X-Attempt";
-  bench.options.check_value = "a";
+  bench->options.check_name = "X-Attempt";
+  bench->options.check_value = "a";
   for (uint32_t i = 0; i < 2; i++)
     {
-      call (&bench);
-      check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_CROSSED);
-      CU_ASSERT_EQUAL (bench.heard.head_status, 0);
-      CU_ASSERT_EQUAL (bench.heard.body->len, 0);
+      call_fails (bench, VRD_MAY_HAVE_RUN, VRD_REASON_CROSSED);
+      CU_ASSERT_EQUAL (bench->heard.head_status, 0);
+      CU_ASSERT_EQUAL (bench->heard.body->len, 0);
     }
-  call (&bench);
-  check_whole (&bench.heard, 200, "ours");
-  CU_ASSERT_EQUAL (bench.server->accepted, 3);
-  bench_stop (&bench);
+  call_brings (bench, 200, "ours");
+  CU_ASSERT_EQUAL (bench->server->accepted, 3);
 }
 
 /*
@@ -262,19 +264,14 @@
     "5\r\n\r\nstray",
     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nours",
   };
-  bench_t bench;
+  g_autoptr (bench_t) bench = bench_new (scripts, G_N_ELEMENTS (scripts));
 
-  bench_start (&bench, scripts, G_N_ELEMENTS (scripts));
-  call (&bench);
-  check_whole (&bench.heard, 200, "ok");
-  call (&bench);
-  check_whole (&bench.heard, 200, "ours");
-  CU_ASSERT_EQUAL (bench.server->accepted, 2);
-  raw_send (bench.server->conns->pdata[1], scripts[0]);
-  call (&bench);
-  check_whole (&bench.heard, 200, "ours");
-  CU_ASSERT_EQUAL (bench.server->accepted, 3);
-  bench_stop (&bench);
+  call_brings (bench, 200, "ok");
+  call_brings (bench, 200, "ours");
+  CU_ASSERT_EQUAL (bench->server->accepted, 2);
+  raw_send (bench->server->conns->pdata[1], scripts[0]);
+  call_brings (bench, 200, "ours");
+  CU_ASSERT_EQUAL (bench->server->accepted, 3);
 }
 
 /*
@@ -284,25 +281,19 @@
 static void
 test_no_connection (void)
 {
-  static const char *const scripts[] = { NULL };
-  bench_t bench;
+  g_autoptr (bench_t) bench = bench_new (SILENT, 1);
   set_address_t nobody = raw_address ();
 
-  bench_start (&bench, scripts, 1);
   nobody.port = 1;
-  bench.options.address = &nobody;
-  call (&bench);
-  check_failed (&bench.heard, VRD_NOT_RUN, VRD_REASON_CONNECT);
-  CU_ASSERT_EQUAL (bench.heard.end.status, 0);
-  bench.options.address = &bench.server->address;
-  raw_server_fill (bench.server);
-  bench.options.timeout_us = 20 * 1000;
-  call (&bench);
-  check_failed (&bench.heard, VRD_NOT_RUN, VRD_REASON_TIMEOUT);
-  bench.options.timeout_us = 0;
-  call (&bench);
-  check_failed (&bench.heard, VRD_NOT_RUN, VRD_REASON_CONNECT);
-  bench_stop (&bench);
+  bench->options.address = &nobody;
+  call_fails (bench, VRD_NOT_RUN, VRD_REASON_CONNECT);
+  CU_ASSERT_EQUAL (bench->heard.end.status, 0);
+  bench->options.address = &bench->server->address;
+  raw_server_fill (bench->server);
+  bench->options.timeout_us = 20 * 1000;
+  call_fails (bench, VRD_NOT_RUN, VRD_REASON_TIMEOUT);
+  bench->options.timeout_us = 0;
+  call_fails (bench, VRD_NOT_RUN, VRD_REASON_CONNECT);
 }
 
 /*
@@ -312,18 +303,14 @@
 static void
 test_closed_while_idle (void)
 {
-  static const char *const scripts[] = { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" };
-  bench_t bench;
+  g_autoptr (bench_t) bench = bench_new (OK_ONLY, 1);
 
-  bench_start (&bench, scripts, G_N_ELEMENTS (scripts));
   for (uint32_t i = 0; i < 4; i++)
     {
-      call (&bench);
-      check_whole (&bench.heard, 200, "ok");
-      CU_ASSERT_EQUAL (bench.server->accepted, i + 1);
-      raw_close (bench.server->conns->pdata[i], i % 2 == 1);
+      call_brings (bench, 200, "ok");
+      CU_ASSERT_EQUAL (bench->server->accepted, i + 1);
+      raw_close (bench->server->conns->pdata[i], i % 2 == 1);
     }
-  bench_stop (&bench);
 }
 
 /*
@@ -333,19 +320,15 @@
 static void
 test_reset_before_write (void)
 {
-  static const char *const scripts[] = { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" };
-  bench_t bench;
+  g_autoptr (bench_t) bench = bench_new (OK_ONLY, 1);
 
-  bench_start (&bench, scripts, 1);
-  call (&bench);
-  check_whole (&bench.heard, 200, "ok");
-  forget (&bench.heard);
-  hcl_start (bench.hcl, &bench.options);
-  raw_close (bench.server->conns->pdata[0], true);
-  CU_ASSERT_TRUE (raw_run_until (bench.base, has_ended, &bench.heard));
-  check_failed (&bench.heard, VRD_NOT_RUN, VRD_REASON_CONNECT);
-  CU_ASSERT_EQUAL (bench.server->accepted, 1);
-  bench_stop (&bench);
+  call_brings (bench, 200, "ok");
+  forget (&bench->heard);
+  hcl_start (bench->hcl, &bench->options);
+  raw_close (bench->server->conns->pdata[0], true);
+  CU_ASSERT_TRUE (raw_run_until (bench->base, has_ended, &bench->heard));
+  check_failed (&bench->heard, VRD_NOT_RUN, VRD_REASON_CONNECT);
+  CU_ASSERT_EQUAL (bench->server->accepted, 1);
 }
 
 /*
@@ -355,20 +338,16 @@
 static void
 test_closed_after_write (void)
 {
-  static const char *const scripts[] = { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", NULL };
-  bench_t bench;
+  static const char *const scripts[] = { OK_ANSWER, NULL };
 
   for (int reset = 0; reset < 2; reset++)
     {
-      bench_start (&bench, scripts, G_N_ELEMENTS (scripts));
-      call (&bench);
-      check_whole (&bench.heard, 200, "ok");
-      bench.server->close_after = true;
-      bench.server->reset_after = reset;
-      call (&bench);
-      check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
-      CU_ASSERT_EQUAL (bench.server->accepted, 1);
-      bench_stop (&bench);
+      g_autoptr (bench_t) bench = bench_new (scripts, G_N_ELEMENTS (scripts));
+      call_brings (bench, 200, "ok");
+      bench->server->close_after = true;
+      bench->server->reset_after = reset;
+      call_fails (bench, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
+      CU_ASSERT_EQUAL (bench->server->accepted, 1);
     }
 }
 
@@ -380,51 +359,43 @@
 test_timeout (void)
 {
   static const char *const scripts[] = { NULL, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
-                                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" };
-  bench_t bench;
+                                         OK_ANSWER };
+  g_autoptr (bench_t) bench = bench_new (scripts, G_N_ELEMENTS (scripts));
 
-  bench_start (&bench, scripts, G_N_ELEMENTS (scripts));
-  bench.options.timeout_us = 50 * 1000;
+  bench->options.timeout_us = 50 * 1000;
   for (uint32_t i = 0; i < 2; i++)
     {
-      call (&bench);
-      check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_TIMEOUT);
+      call_fails (bench, VRD_MAY_HAVE_RUN, VRD_REASON_TIMEOUT);
     }
-  bench.options.timeout_us = 3 * SECOND_US;
-  call (&bench);
-  check_whole (&bench.heard, 200, "ok");
-  CU_ASSERT_EQUAL (bench.server->accepted, 3);
-  bench_stop (&bench);
+  bench->options.timeout_us = 3 * SECOND_US;
+  call_brings (bench, 200, "ok");
+  CU_ASSERT_EQUAL (bench->server->accepted, 3);
 }
 
 static void
 test_bad_options (void)
 {
   static const hcl_header_t bad[] = { { "X-A", "b\r\nX-Evil: 1" }, { "X A", "b" }, { "X\n", "b" } };
-  static const char *const scripts[] = { NULL };
-  bench_t bench;
+  g_autoptr (bench_t) bench = bench_new (SILENT, 1);
 
-  bench_start (&bench, scripts, 1);
   for (size_t i = 0; i < G_N_ELEMENTS (bad) + 3; i++)
     {
-      bench.options.header_count = 0;
-      bench.options.target = "/x";
+      bench->options.header_count = 0;
+      bench->options.target = "/x";
       if (i < G_N_ELEMENTS (bad))
         {
-          bench.options.headers = &bad[i];
-          bench.options.header_count = 1;
+          bench->options.headers = &bad[i];
+          bench->options.header_count = 1;
         }
       else if (i == G_N_ELEMENTS (bad))
-        bench.options.target = "/x HTTP/1.1\r\nX-Evil: 1";
+        bench->options.target = "/x HTTP/1.1\r\nX-Evil: 1";
       else if (i == G_N_ELEMENTS (bad) + 1)
-        bench.options.target = "x";
+        bench->options.target = "x";
       else
-        bench.options.method = "BREW";
-      call (&bench);
-      check_failed (&bench.heard, VRD_NOT_RUN, VRD_REASON_CONNECT);
+        bench->options.method = "BREW";
+      call_fails (bench, VRD_NOT_RUN, VRD_REASON_CONNECT);
     }
-  CU_ASSERT_EQUAL (bench.server->accepted, 0);
-  bench_stop (&bench);
+  CU_ASSERT_EQUAL (bench->server->accepted, 0);
 }
 
 static bool
@@ -443,27 +414,22 @@
                                           { "Content-Length", "99" },
                                           { "Transfer-Encoding", "chunked" },
                                           { "Expect", "100-continue" } };
-  static const char *const scripts[] = { NULL };
-  bench_t bench;
-  char *expected;
-
-  bench_start (&bench, scripts, 1);
-  bench.server->keep_head = true;
-  bench.options.method = "POST";
-  bench.options.headers = headers;
-  bench.options.header_count = G_N_ELEMENTS (headers);
-  bench.options.body = "body";
-  bench.options.body_bytes = 4;
-  bench.heard.call = hcl_start (bench.hcl, &bench.options);
-  CU_ASSERT_FALSE (hcl_sent (bench.heard.call));
-  CU_ASSERT_TRUE (raw_run_until (bench.base, has_request, bench.server));
-  CU_ASSERT_TRUE (hcl_sent (bench.heard.call));
-  expected = g_strdup_printf (
+  g_autoptr (bench_t) bench = bench_new (SILENT, 1);
+
+  bench->server->keep_head = true;
+  bench->options.method = "POST";
+  bench->options.headers = headers;
+  bench->options.header_count = G_N_ELEMENTS (headers);
+  bench->options.body = "body";
+  bench->options.body_bytes = 4;
+  bench->heard.call = hcl_start (bench->hcl, &bench->options);
+  CU_ASSERT_FALSE (hcl_sent (bench->heard.call));
+  CU_ASSERT_TRUE (raw_run_until (bench->base, has_request, bench->server));
+  CU_ASSERT_TRUE (hcl_sent (bench->heard.call));
+  g_autofree char *expected = g_strdup_printf (
       "POST /x HTTP/1.1\r\nX-One: 1\r\nHost: %s:%u\r\nContent-Length: 4\r\n\r\nbody",
-      bench.server->address.ip, bench.server->address.port);
-  CU_ASSERT_STRING_EQUAL (((raw_t *)bench.server->conns->pdata[0])->got->str, expected);
-  g_free (expected);
-  bench_stop (&bench);
+      bench->server->address.ip, bench->server->address.port);
+  CU_ASSERT_STRING_EQUAL (((raw_t *)bench->server->conns->pdata[0])->got->str, expected);
 }
 
 /*
@@ -476,28 +442,26 @@
   static const char *const scripts[] = {
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n0\r\n\r\n",
   };
-  bench_t bench;
+  g_autoptr (bench_t) bench = bench_new (scripts, 1);
 
-  bench_start (&bench, scripts, 1);
   for (int i = 0; i < 2; i++)
     {
-      forget (&bench.heard);
-      bench.heard.cancel_in_head = i == 0;
-      bench.heard.cancel_in_data = i == 1;
-      bench.heard.call = hcl_start (bench.hcl, &bench.options);
-      CU_ASSERT_TRUE (raw_run_until (bench.base, i == 0 ? has_head : has_body, &bench.heard));
-      raw_run_ms (bench.base, 5);
-      CU_ASSERT_EQUAL (bench.heard.body->len, (gsize)i);
-      CU_ASSERT_EQUAL (bench.heard.ends, 0);
+      forget (&bench->heard);
+      bench->heard.cancel_in_head = i == 0;
+      bench->heard.cancel_in_data = i == 1;
+      bench->heard.call = hcl_start (bench->hcl, &bench->options);
+      CU_ASSERT_TRUE (raw_run_until (bench->base, i == 0 ? has_head : has_body, &bench->heard));
+      raw_run_ms (bench->base, 5);
+      CU_ASSERT_EQUAL (bench->heard.body->len, (gsize)i);
+      CU_ASSERT_EQUAL (bench->heard.ends, 0);
     }
-  forget (&bench.heard);
-  bench.heard.refuse_head = true;
-  hcl_start (bench.hcl, &bench.options);
-  CU_ASSERT_TRUE (raw_run_until (bench.base, has_ended, &bench.heard));
-  check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
-  CU_ASSERT_EQUAL (bench.heard.body->len, 0);
-  CU_ASSERT_EQUAL (bench.server->accepted, 3);
-  bench_stop (&bench);
+  forget (&bench->heard);
+  bench->heard.refuse_head = true;
+  hcl_start (bench->hcl, &bench->options);
+  CU_ASSERT_TRUE (raw_run_until (bench->base, has_ended, &bench->heard));
+  check_failed (&bench->heard, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
+  CU_ASSERT_EQUAL (bench->heard.body->len, 0);
+  CU_ASSERT_EQUAL (bench->server->accepted, 3);
 }
 
 /* cancelled before the connection stands, and by hcl_free() with calls in every state */
@@ -505,24 +469,23 @@
 test_cancel_early (void)
 {
   static const char *const scripts[] = { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf" };
-  bench_t bench;
+  g_autoptr (bench_t) bench = bench_new (scripts, 1);
   char *body = g_strdup ("body");
 
-  bench_start (&bench, scripts, 1);
-  bench.options.method = "POST";
-  bench.options.body = body;
-  bench.options.body_bytes = 4;
-  hcl_cancel (hcl_start (bench.hcl, &bench.options));
+  bench->options.method = "POST";
+  bench->options.body = body;
+  bench->options.body_bytes = 4;
+  hcl_cancel (hcl_start (bench->hcl, &bench->options));
   memset (body, 'x', 4);
   g_free (body);
-  bench.options.body_bytes = 0;
-  hcl_start (bench.hcl, &bench.options);
-  CU_ASSERT_TRUE (raw_run_until (bench.base, has_body, &bench.heard));
-  hcl_start (bench.hcl, &bench.options);
-  bench.options.target = "bad";
-  hcl_start (bench.hcl, &bench.options);
-  bench_stop (&bench);
-  CU_ASSERT_EQUAL (bench.heard.ends, 0);
+  bench->options.body_bytes = 0;
+  hcl_start (bench->hcl, &bench->options);
+  CU_ASSERT_TRUE (raw_run_until (bench->base, has_body, &bench->heard));
+  hcl_start (bench->hcl, &bench->options);
+  bench->options.target = "bad";
+  hcl_start (bench->hcl, &bench->options);
+  g_clear_pointer (&bench->hcl, hcl_free);
+  CU_ASSERT_EQUAL (bench->heard.ends, 0);
 }
 
 /* read what is in the socket of a deaf peer; Return: whether a byte of it is @odd */
@@ -560,28 +523,25 @@
   {
     BODY_BYTES = 32 * 1024 * 1024
   };
-  static const char *const scripts[] = { NULL };
-  bench_t bench;
+  g_autoptr (bench_t) bench = bench_new (SILENT, 1);
   raw_t *raw;
   struct event *cancel;
 
-  bench_start (&bench, scripts, 1);
-  bench.server->deaf = true;
-  bench.options.method = "POST";
-  bench.options.body = g_strnfill (BODY_BYTES, 'x');
-  bench.options.body_bytes = BODY_BYTES;
-  bench.heard.call = hcl_start (bench.hcl, &bench.options);
-  raw_run_ms (bench.base, 30);
-  raw = bench.server->conns->pdata[0];
+  bench->server->deaf = true;
+  bench->options.method = "POST";
+  bench->options.body = g_strnfill (BODY_BYTES, 'x');
+  bench->options.body_bytes = BODY_BYTES;
+  bench->heard.call = hcl_start (bench->hcl, &bench->options);
+  raw_run_ms (bench->base, 30);
+  raw = bench->server->conns->pdata[0];
   CU_ASSERT_FALSE (drain_has (raw, 'y'));
-  cancel = event_new (bench.base, -1, 0, cancel_and_reuse, &bench);
+  cancel = event_new (bench->base, -1, 0, cancel_and_reuse, bench);
   event_active (cancel, EV_TIMEOUT, 0);
-  event_base_loop (bench.base, EVLOOP_ONCE);
-  raw_run_ms (bench.base, 5);
+  event_base_loop (bench->base, EVLOOP_ONCE);
+  raw_run_ms (bench->base, 5);
   CU_ASSERT_FALSE (drain_has (raw, 'y'));
   event_free (cancel);
-  g_free ((char *)bench.options.body);
-  bench_stop (&bench);
+  g_free ((char *)bench->options.body);
 }
 
 /*
@@ -591,40 +551,36 @@
 static void
 test_pause (void)
 {
-  GString *script = g_string_new ("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n");
-  GString *received = g_string_new (NULL);
+  g_autoptr (GString) script = g_string_new ("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n");
+  g_autoptr (GString) received = g_string_new (NULL);
   const char *scripts[1];
-  bench_t bench;
   gsize while_paused;
 
   for (int i = 0; i < 200000; i++)
     g_string_append_c (script, 'a' + i % 26);
   scripts[0] = script->str;
-  bench_start (&bench, scripts, 1);
-  bench.heard.call = hcl_start (bench.hcl, &bench.options);
-  hcl_pause (bench.heard.call, true); /* before the head has come, then while data comes */
+  g_autoptr (bench_t) bench = bench_new (scripts, 1);
+  bench->heard.call = hcl_start (bench->hcl, &bench->options);
+  hcl_pause (bench->heard.call, true); /* before the head has come, then while data comes */
   for (int i = 0; i < 2; i++)
     {
-      g_string_append (received, bench.heard.body->str);
-      g_string_truncate (bench.heard.body, 0);
-      CU_ASSERT_TRUE (raw_run_until (bench.base, has_body, &bench.heard));
-      while_paused = bench.heard.body->len;
-      raw_run_ms (bench.base, 20);
-      CU_ASSERT_EQUAL (bench.heard.body->len, while_paused);
+      g_string_append (received, bench->heard.body->str);
+      g_string_truncate (bench->heard.body, 0);
+      CU_ASSERT_TRUE (raw_run_until (bench->base, has_body, &bench->heard));
+      while_paused = bench->heard.body->len;
+      raw_run_ms (bench->base, 20);
+      CU_ASSERT_EQUAL (bench->heard.body->len, while_paused);
       CU_ASSERT_TRUE (while_paused < 100000);
-      bench.heard.pause_in_data = true;
+      bench->heard.pause_in_data = true;
       if (i == 0)
-        hcl_pause (bench.heard.call, false);
+        hcl_pause (bench->heard.call, false);
     }
-  bench.heard.pause_in_data = false;
-  hcl_pause (bench.heard.call, false);
-  CU_ASSERT_TRUE (raw_run_until (bench.base, has_ended, &bench.heard));
-  g_string_append (received, bench.heard.body->str);
-  CU_ASSERT_TRUE (bench.heard.end.whole);
+  bench->heard.pause_in_data = false;
+  hcl_pause (bench->heard.call, false);
+  CU_ASSERT_TRUE (raw_run_until (bench->base, has_ended, &bench->heard));
+  g_string_append (received, bench->heard.body->str);
+  CU_ASSERT_TRUE (bench->heard.end.whole);
   CU_ASSERT_STRING_EQUAL (received->str, strstr (script->str, "\r\n\r\n") + 4);
-  g_string_free (script, TRUE);
-  g_string_free (received, TRUE);
-  bench_stop (&bench);
 }
 
 /* an answer over the limit counts as cut, however its length is declared */
@@ -636,17 +592,12 @@
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n123456\r\n5\r\n78901\r\n0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n1234567890",
   };
-  bench_t bench;
+  g_autoptr (bench_t) bench = bench_new (scripts, G_N_ELEMENTS (scripts));
 
-  bench_start (&bench, scripts, G_N_ELEMENTS (scripts));
-  bench.options.answer_limit_bytes = 10;
-  call (&bench);
-  check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
-  call (&bench);
-  check_failed (&bench.heard, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
-  call (&bench);
-  check_whole (&bench.heard, 200, "1234567890");
-  bench_stop (&bench);
+  bench->options.answer_limit_bytes = 10;
+  call_fails (bench, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
+  call_fails (bench, VRD_MAY_HAVE_RUN, VRD_REASON_CUT);
+  call_brings (bench, 200, "1234567890");
 }
 
 static bool
@@ -675,25 +626,21 @@
 static void
 test_pool (void)
 {
-  static const char *const scripts[] = { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" };
-  bench_t bench;
+  g_autoptr (bench_t) bench = bench_new (OK_ONLY, 1);
 
-  bench_start (&bench, scripts, 1);
   for (int i = 0; i < 3; i++)
-    hcl_start (bench.hcl, &bench.options);
-  CU_ASSERT_TRUE (raw_run_until (bench.base, three_ended, &bench.heard));
-  CU_ASSERT_EQUAL (bench.server->accepted, 3);
-  CU_ASSERT_TRUE (raw_run_until (bench.base, one_closed, bench.server));
-  raw_run_ms (bench.base, 5);
-  CU_ASSERT_EQUAL (closed_count (bench.server), 1);
-  bench_stop (&bench);
-
-  bench_start (&bench, scripts, 1);
-  hcl_free (bench.hcl);
-  bench.hcl = hcl_new (bench.base, 2, 20);
-  call (&bench);
-  CU_ASSERT_TRUE (raw_run_until (bench.base, one_closed, bench.server));
-  bench_stop (&bench);
+    hcl_start (bench->hcl, &bench->options);
+  CU_ASSERT_TRUE (raw_run_until (bench->base, three_ended, &bench->heard));
+  CU_ASSERT_EQUAL (bench->server->accepted, 3);
+  CU_ASSERT_TRUE (raw_run_until (bench->base, one_closed, bench->server));
+  raw_run_ms (bench->base, 5);
+  CU_ASSERT_EQUAL (closed_count (bench->server), 1);
+
+  g_autoptr (bench_t) brief = bench_new (OK_ONLY, 1);
+  hcl_free (brief->hcl);
+  brief->hcl = hcl_new (brief->base, 2, 20);
+  call (brief);
+  CU_ASSERT_TRUE (raw_run_until (brief->base, one_closed, brief->server));
 }
 
 int
