--- a/bench/bench_spread.c
+++ b/bench/bench_spread.c
@@ -13,6 +13,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #define SETTLE_US (5 * (uint64_t)CLK_US_PER_S)
 #define HORIZON_US (60 * (uint64_t)CLK_US_PER_S)
@@ -471,6 +472,62 @@
   end (run);
 }
 
+static uint64_t
+cpu_us (void)
+{
+  struct timespec ts;
+  clock_gettime (CLOCK_THREAD_CPUTIME_ID, &ts);
+  return (uint64_t)ts.tv_sec * CLK_US_PER_S + (uint64_t)ts.tv_nsec / 1000;
+}
+
+static void
+hear (flt_node_t *node, const flt_node_t *from, uint64_t incarnation)
+{
+  xch_message message = { 0 };
+  message.sender.host_hash = from->ctrl->own_hash;
+  message.sender.incarnation = incarnation;
+  message.sender.sequence = 1;
+  message.manifest_version = node->flt->man->version;
+  flt_enter (node);
+  node->ctrl->list.read_once = true;
+  ctrl_talk_heard (&message, true, node->ctrl);
+}
+
+/* One daemon with a whole table of hosts hears from each of a data centre that it has restarted,
+ * within two seconds. */
+static void
+bench_restarts (run_t *run)
+{
+  if (run->options.lost_percent != 0)
+    return;
+  begin (run, 0);
+  flt_t *flt = run->flt;
+  flt_node_t *node = &flt->nodes[0];
+  uint32_t restarted = flt->count / FLT_DATA_CENTERS;
+  mem_list_full (node->ctrl->mem, flt->now_us, flt->listed, flt->count, 1);
+  for (uint32_t i = 1; i < flt->count; i++)
+    hear (node, &flt->nodes[i], 1);
+  flt->now_us += WINDOW_US;
+  hear (node, &flt->nodes[1], 2);
+  flt->now_us += WINDOW_US;
+  cnt_t *told = cnt_get (flt->counters, "medlarplank_members_told_total", "");
+  uint64_t told_before = cnt_value (told);
+  uint64_t start_us = cpu_us ();
+  for (uint32_t i = 0; i < restarted; i++)
+    {
+      flt->now_us += 2 * CLK_US_PER_S / restarted;
+      hear (node, &flt->nodes[3 + i * FLT_DATA_CENTERS % (flt->count - 3)], 3);
+    }
+  flt->now_us += CLK_US_PER_S;
+  hear (node, &flt->nodes[2], 4);
+  print_row (run, "data centre restarts: words", "count", restarted);
+  print_row (run, "data centre restarts: snapshots told", "count",
+             (double)(cnt_value (told) - told_before));
+  print_row (run, "data centre restarts: processor time", "ms",
+             (double)(cpu_us () - start_us) / 1000);
+  end (run);
+}
+
 typedef struct
 {
   const char *name;
@@ -481,6 +538,7 @@
   { "quiet", bench_quiet },           { "version", bench_version }, { "list", bench_list },
   { "leaving", bench_leaving },       { "mark", bench_mark },       { "means", bench_means },
   { "evacuation", bench_evacuation }, { "drop", bench_drop },       { "cut", bench_cut },
+  { "restarts", bench_restarts },
 };
 
 static void
