Read each daemon's counters at equal distance in the control slope; correct the estimates of requests

control_slope.sh read one metric of all daemons and then the next, which takes seconds at 200 daemons, so that the window of each was longer than the time it was divided by: 1,795 bytes a second sent at 200 daemons where 1,510 are true. All are read in one pass now, and datagrams are counted too.

ss -tin over 20 s of a daemon that follows list and log: a list reading sends 92 bytes in 2.4 segments, 215 with headers; a log reading that waits 131 bytes in 3.7 segments (keep-alive probes), 324 with headers.

--- a/bench/bench_spread.c
+++ b/bench/bench_spread.c
@@ -20,6 +20,7 @@
 #define WINDOW_US (10 * (uint64_t)CLK_US_PER_S)
 #define ROUNDS 3
 #define LEAVER 5 /* a sidecar, of service 0 */
+#define TELLS 20
 #define FINGERPRINT 4711
 #define BOUND 0.25 /* load beyond the mean that the default bound allows */
 
@@ -528,6 +529,63 @@
   end (run);
 }
 
+static void
+tell (void *message, void (*handler) (mbx_message_t *message, void *context), void *task)
+{
+  mbx_message_t *head = message;
+  handler (head, task);
+  head->free (head);
+}
+
+/* What one snapshot costs a data task. */
+static double
+members_cost_us (flt_t *flt, void (*handler) (mbx_message_t *message, void *context), void *task)
+{
+  msg_version_t *version = msg_new (MSG_VERSION);
+  version->man = man_ref (flt->man);
+  tell (version, handler, task);
+  uint64_t start_us = 0;
+  for (uint32_t i = 0; i <= TELLS; i++)
+    {
+      msg_members_t *members = msg_new (MSG_MEMBERS);
+      members->members = mem_snapshot_ref (flt->members);
+      tell (members, handler, task);
+      if (i == 0)
+        start_us = cpu_us ();
+    }
+  return (double)(cpu_us () - start_us) / TELLS;
+}
+
+static void
+bench_data (run_t *run)
+{
+  if (run->options.lost_percent != 0)
+    return;
+  begin (run, 0);
+  flt_t *flt = run->flt;
+  dmn_t *router = &flt->nodes[flt->count - 1].dmn;
+  dmn_t *sidecar = &flt->nodes[0].dmn;
+  router->to_control = flt->mailbox;
+  sidecar->to_control = flt->mailbox;
+  g_strlcpy (router->set.listen.ip, "127.0.0.1", sizeof router->set.listen.ip);
+  sidecar->set.listen = router->set.listen;
+  sidecar->set.engine = router->set.listen;
+  rtr_t *rtr = rtr_new (router, flt->base, NULL);
+  sdc_t *sdc = sdc_new (sidecar, flt->base, NULL);
+  if (rtr == NULL || sdc == NULL)
+    {
+      fprintf (stderr, "bench_spread: no port\n");
+      exit (1);
+    }
+  print_row (run, "members told to a router's data task", "us",
+             members_cost_us (flt, rtr_message, rtr));
+  print_row (run, "members told to a sidecar's data task", "us",
+             members_cost_us (flt, sdc_message, sdc));
+  rtr_free (rtr);
+  sdc_free (sdc);
+  end (run);
+}
+
 typedef struct
 {
   const char *name;
@@ -538,7 +596,7 @@
   { "quiet", bench_quiet },           { "version", bench_version }, { "list", bench_list },
   { "leaving", bench_leaving },       { "mark", bench_mark },       { "means", bench_means },
   { "evacuation", bench_evacuation }, { "drop", bench_drop },       { "cut", bench_cut },
-  { "restarts", bench_restarts },
+  { "restarts", bench_restarts },     { "data", bench_data },
 };
 
 static void
--- a/bench/control_slope.sh
+++ b/bench/control_slope.sh
@@ -27,10 +27,12 @@
   done
 }
 
-sum () { # METRIC ADDRESS...: the metric added up over the daemons
-  local metric=$1
-  shift
-  for address in "$@"; do curl -fsS "http://$address/metrics"; done | awk -v m="$metric" '$1==m{s+=$2} END{printf "%.0f", s}'
+traffic () { # ADDRESS...: bytes sent, bytes received and datagrams sent, added up over the daemons
+  for address in "$@"; do curl -fsS "http://$address/metrics"; done | awk '
+    $1=="medlarplank_control_bytes_sent_total"{s+=$2}
+    $1=="medlarplank_control_bytes_received_total"{r+=$2}
+    $1=="medlarplank_control_datagrams_sent_total"{d+=$2}
+    END{printf "%.0f %.0f %.0f", s, r, d}'
 }
 
 ticks_of () {
@@ -91,27 +93,29 @@
 M
   "$out/medlarplankctl" --platform "$platform" manifest publish "$dir/manifest.json" --by bench --allow-missing-engines >/dev/null 2>&1
   wait_for all_ready "${addresses[@]}"
-  local in_force_s sent received ticks hz start_s elapsed_s
+  local in_force_s ticks hz start_s ticks_s elapsed_s before after
   hz=$(getconf CLK_TCK)
-  sent=$(sum medlarplank_control_bytes_sent_total "${addresses[@]}")
-  received=$(sum medlarplank_control_bytes_received_total "${addresses[@]}")
-  ticks=$(ticks_of "${daemons[@]}")
+  # Asking all daemons takes seconds, so each is asked as long after its first answer as the others.
   start_s=$EPOCHREALTIME
+  before=$(traffic "${addresses[@]}")
+  ticks_s=$EPOCHREALTIME
+  ticks=$(ticks_of "${daemons[@]}")
   sleep "$window_s"
-  elapsed_s=$(echo "$EPOCHREALTIME $start_s" | awk '{print $1 - $2}')
   ticks=$(($(ticks_of "${daemons[@]}") - ticks))
-  sent=$(($(sum medlarplank_control_bytes_sent_total "${addresses[@]}") - sent))
-  received=$(($(sum medlarplank_control_bytes_received_total "${addresses[@]}") - received))
+  ticks_s=$(echo "$EPOCHREALTIME $ticks_s" | awk '{print $1 - $2}')
+  elapsed_s=$(echo "$EPOCHREALTIME $start_s" | awk '{print $1 - $2}')
+  after=$(traffic "${addresses[@]}")
   # A patch, until every daemon has it in force; asking them all in turn is part of the time.
   echo '{"client_accounts":{"bench":{"weight":2000}}}' >"$dir/patch.json"
   start_s=$EPOCHREALTIME
   "$out/medlarplankctl" --platform "$platform" manifest publish --patch "$dir/patch.json" --by bench >/dev/null
   until all_at 2 "${addresses[@]}"; do :; done
   in_force_s=$(echo "$EPOCHREALTIME $start_s" | awk '{print $1 - $2}')
-  awk -v n="$((n + routers))" -v f="$in_force_s" -v s="$sent" -v r="$received" -v t="$ticks" -v hz="$hz" -v e="$elapsed_s" \
-    -v m="$(resident_of "${daemons[@]}")" 'BEGIN{printf "%d\t%.0f\t%.0f\t%.3f\t%.0f\t%.2f\n", n, s/n/e, r/n/e, 100*t/hz/n/e, m/n, f}'
+  echo "$before $after" | awk -v n="$((n + routers))" -v f="$in_force_s" -v t="$ticks" -v hz="$hz" \
+    -v e="$elapsed_s" -v te="$ticks_s" -v m="$(resident_of "${daemons[@]}")" '{
+      printf "%d\t%.0f\t%.0f\t%.2f\t%.3f\t%.0f\t%.2f\n", n, ($4-$1)/n/e, ($5-$2)/n/e, ($6-$3)/n/e, 100*t/hz/n/te, m/n, f}'
   stop_all
 }
 
-printf 'daemons\tsent_bytes_s\treceived_bytes_s\tcpu_percent\tresident_kb\tin_force_s\n'
+printf 'daemons\tsent_bytes_s\treceived_bytes_s\tdatagrams_s\tcpu_percent\tresident_kb\tin_force_s\n'
 for n in "$@"; do run "$n"; done
--- a/src/process/control_list.c
+++ b/src/process/control_list.c
@@ -175,7 +175,7 @@
     return;
   source->op = ctrl_op_new (ctrl);
   ctrl->list.asked_us = now_us;
-  exc_charge (ctrl->exc, CTRL_REQUEST_BYTES);
+  exc_charge (ctrl->exc, CTRL_LIST_BYTES);
   ctrl->plt->hosts (ctrl->plt, ctrl->list.revision, on_hosts, source->op);
 }
 
--- a/src/process/control_manifest.c
+++ b/src/process/control_manifest.c
@@ -128,7 +128,7 @@
     return;
   bool may_wait = ctrl->peers.tails && ctrl->fresh.log_ok && !source->down;
   source->op = ctrl_op_new (ctrl);
-  exc_charge (ctrl->exc, CTRL_REQUEST_BYTES);
+  exc_charge (ctrl->exc, CTRL_READ_BYTES);
   ctrl->plt->read (ctrl->plt, REP_STREAM, rep_next_offset (ctrl->manifest.rep), READ_RECORDS,
                    may_wait ? TAIL_WAIT_MS : 0, on_read, source->op);
 }
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -19,7 +19,11 @@
 #include "version/replay.h"
 
 #define CTRL_BACKOFF_MAX_US (UINT64_C (10) * CLK_US_PER_S)
-#define CTRL_REQUEST_BYTES 300 /* estimate of a request to the platform, for the byte budget */
+/* Estimates for the byte budget, with the headers of TCP and IP: see docs/measurements/control.md.
+ */
+#define CTRL_LIST_BYTES 220    /* reading the list, on a connection that is kept */
+#define CTRL_READ_BYTES 330    /* reading the log, while it waits for a record */
+#define CTRL_REQUEST_BYTES 300 /* another request */
 
 /**
  * struct ctrl_op - a call to the platform that is not answered yet
