Run the other test programs from the same place

The rest of the unit tests and the session with the daemon, by suite_run() too. The tests keep their names.

--- a/tests/session_daemon.c
+++ b/tests/session_daemon.c
@@ -1,7 +1,7 @@
 /* Sessions with the daemon as a process: settings, start, signals and exit status. */
 #include "driver.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <arpa/inet.h>
 #include <glib.h>
 #include <signal.h>
@@ -319,33 +319,20 @@
   drv_finish (drv);
 }
 
-static CU_TestInfo tests[] = {
-  { "settings are shown without the key", test_check_settings },
-  { "a wrong setting", test_wrong_setting },
-  { "an address in use", test_address_in_use },
-  { "an idle router stops", test_stop_router },
-  { "an idle sidecar stops", test_stop_sidecar },
-  { "more signals change nothing", test_stop_twice },
-  { "more signals cut off nothing in flight", test_signals_in_flight },
-  CU_TEST_INFO_NULL,
-};
-
-static CU_SuiteInfo suites[] = {
-  { "daemon", NULL, NULL, NULL, NULL, tests },
-  CU_SUITE_INFO_NULL,
-};
-
 int
 main (void)
 {
-  unsigned int failures;
+  static const CU_TestInfo tests[] = {
+    { "settings are shown without the key", test_check_settings },
+    { "a wrong setting", test_wrong_setting },
+    { "an address in use", test_address_in_use },
+    { "an idle router stops", test_stop_router },
+    { "an idle sidecar stops", test_stop_sidecar },
+    { "more signals change nothing", test_stop_twice },
+    { "more signals cut off nothing in flight", test_signals_in_flight },
+    CU_TEST_INFO_NULL,
+  };
 
   alarm (DEADLINE_S);
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return suite_run ("daemon", tests);
 }
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -1,6 +1,6 @@
 #include "request/admit.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 #define OWN 11
@@ -517,31 +517,28 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("admit", NULL, NULL);
-  CU_add_test (suite, "the bound holds", test_bound_holds);
-  CU_add_test (suite, "bound of an idle service", test_bound_of_idle_service);
-  CU_add_test (suite, "equal loads never lock", test_equal_loads_never_lock);
-  CU_add_test (suite, "unreached is not counted", test_unreached_engine_is_not_counted);
-  CU_add_test (suite, "the mean is unknown", test_unknown_mean);
-  CU_add_test (suite, "waits if cheaper than cold", test_waits_when_cheaper_than_cold_start);
-  CU_add_test (suite, "waits if nobody has room", test_waits_when_nobody_has_room);
-  CU_add_test (suite, "too late is refused at once", test_deadline_is_refused_at_once);
-  CU_add_test (suite, "a stall rejects early", test_stall_rejects_before_deadline);
-  CU_add_test (suite, "reserve for quiet accounts", test_reserve_for_quiet_accounts);
-  CU_add_test (suite, "an account's queue is bounded", test_account_queue_is_bounded);
-  CU_add_test (suite, "alone has all slots", test_account_alone_has_all_slots);
-  CU_add_test (suite, "home refers to the warm one", test_home_refers_to_where_it_is_warm);
-  CU_add_test (suite, "no referral for nothing", test_no_referral_to_gone_or_overloaded);
-  CU_add_test (suite, "a new engine refers back", test_new_engine_refers_to_former_home);
-  CU_add_test (suite, "cold chats go back", test_former_home_sends_cold_chats_back);
-  CU_add_test (suite, "leaving takes nothing", test_leaving_takes_nothing);
-  CU_add_test (suite, "stale and engine down", test_closed_reasons);
-  CU_add_test (suite, "poison is kept away", test_poison_is_kept_away);
-  CU_add_test (suite, "cancel of a waiting request", test_cancel_waiting);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  const unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    { "the bound holds", test_bound_holds },
+    { "bound of an idle service", test_bound_of_idle_service },
+    { "equal loads never lock", test_equal_loads_never_lock },
+    { "unreached is not counted", test_unreached_engine_is_not_counted },
+    { "the mean is unknown", test_unknown_mean },
+    { "waits if cheaper than cold", test_waits_when_cheaper_than_cold_start },
+    { "waits if nobody has room", test_waits_when_nobody_has_room },
+    { "too late is refused at once", test_deadline_is_refused_at_once },
+    { "a stall rejects early", test_stall_rejects_before_deadline },
+    { "reserve for quiet accounts", test_reserve_for_quiet_accounts },
+    { "an account's queue is bounded", test_account_queue_is_bounded },
+    { "alone has all slots", test_account_alone_has_all_slots },
+    { "home refers to the warm one", test_home_refers_to_where_it_is_warm },
+    { "no referral for nothing", test_no_referral_to_gone_or_overloaded },
+    { "a new engine refers back", test_new_engine_refers_to_former_home },
+    { "cold chats go back", test_former_home_sends_cold_chats_back },
+    { "leaving takes nothing", test_leaving_takes_nothing },
+    { "stale and engine down", test_closed_reasons },
+    { "poison is kept away", test_poison_is_kept_away },
+    { "cancel of a waiting request", test_cancel_waiting },
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("admit", tests);
 }
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -6,8 +6,8 @@
  */
 #include "process/clock.h"
 #include "request/claim.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <string.h>
@@ -827,28 +827,25 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("claim", NULL, NULL);
-  CU_add_test (suite, "the first claim of a key wins", test_first_wins);
-  CU_add_test (suite, "done keys and released keys", test_done_and_released);
-  CU_add_test (suite, "a lost answer is looked up", test_lost_answer);
-  CU_add_test (suite, "read back before its answer is lost", test_read_back_before_loss);
-  CU_add_test (suite, "a lost append is repeated", test_lost_append);
-  CU_add_test (suite, "a late copy of a released claim is dead", test_late_copy_is_dead);
-  CU_add_test (suite, "the log is down", test_log_down);
-  CU_add_test (suite, "read back too late", test_too_late);
-  CU_add_test (suite, "a refused append is repeated", test_refused_append);
-  CU_add_test (suite, "an append refused too late for some", test_refused_in_a_hurry);
-  CU_add_test (suite, "appends refused for long", test_refused_for_long);
-  CU_add_test (suite, "reading fails", test_reading_fails);
-  CU_add_test (suite, "a done entry rides along", test_done_rides_along);
-  CU_add_test (suite, "broken records are skipped", test_broken_records);
-  CU_add_test (suite, "memory is bounded", test_memory_is_bounded);
-  CU_add_test (suite, "at most one use under faults", test_at_most_one_use);
-  CU_add_test (suite, "all are judged without faults", test_all_are_judged);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned int failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    { "the first claim of a key wins", test_first_wins },
+    { "done keys and released keys", test_done_and_released },
+    { "a lost answer is looked up", test_lost_answer },
+    { "read back before its answer is lost", test_read_back_before_loss },
+    { "a lost append is repeated", test_lost_append },
+    { "a late copy of a released claim is dead", test_late_copy_is_dead },
+    { "the log is down", test_log_down },
+    { "read back too late", test_too_late },
+    { "a refused append is repeated", test_refused_append },
+    { "an append refused too late for some", test_refused_in_a_hurry },
+    { "appends refused for long", test_refused_for_long },
+    { "reading fails", test_reading_fails },
+    { "a done entry rides along", test_done_rides_along },
+    { "broken records are skipped", test_broken_records },
+    { "memory is bounded", test_memory_is_bounded },
+    { "at most one use under faults", test_at_most_one_use },
+    { "all are judged without faults", test_all_are_judged },
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("claim", tests);
 }
--- a/tests/test_claim_pace.c
+++ b/tests/test_claim_pace.c
@@ -6,8 +6,8 @@
 #include "process/clock.h"
 #include "process/limits.h"
 #include "request/claim_pace.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <glib.h>
 
 #define APPENDERS 100
@@ -127,14 +127,11 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("claim_pace", NULL, NULL);
-  CU_add_test (suite, "a crowd settles at the limit", test_crowd_settles);
-  CU_add_test (suite, "one alone comes back to its pace", test_one_comes_back);
-  CU_add_test (suite, "an outage keeps the interval", test_outage_keeps_interval);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned int failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    { "a crowd settles at the limit", test_crowd_settles },
+    { "one alone comes back to its pace", test_one_comes_back },
+    { "an outage keeps the interval", test_outage_keeps_interval },
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("claim_pace", tests);
 }
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -1,4 +1,5 @@
 #include "control_rig.h"
+#include "suite.h"
 #include "request/place.h"
 
 static void
@@ -384,25 +385,22 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("control", NULL, NULL);
-  CU_ADD_TEST (suite, test_start);
-  CU_ADD_TEST (suite, test_log_outage);
-  CU_ADD_TEST (suite, test_pause);
-  CU_ADD_TEST (suite, test_pause_of_data_task);
-  CU_ADD_TEST (suite, test_both_tasks_notice_one_pause);
-  CU_ADD_TEST (suite, test_pause_while_platform_is_out);
-  CU_ADD_TEST (suite, test_peer_tells_of_leaving);
-  CU_ADD_TEST (suite, test_leave_by_list);
-  CU_ADD_TEST (suite, test_listed_leaving_at_start);
-  CU_ADD_TEST (suite, test_list_is_read_when_a_peer_has_a_new_one);
-  CU_ADD_TEST (suite, test_list_is_read_without_peers);
-  CU_ADD_TEST (suite, test_listed_leaving_is_told_to_the_host);
-  CU_ADD_TEST (suite, test_empty_list_is_not_believed);
-  CU_ADD_TEST (suite, test_checkpoint_is_appended_once);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_start),
+    SUITE_TEST (test_log_outage),
+    SUITE_TEST (test_pause),
+    SUITE_TEST (test_pause_of_data_task),
+    SUITE_TEST (test_both_tasks_notice_one_pause),
+    SUITE_TEST (test_pause_while_platform_is_out),
+    SUITE_TEST (test_peer_tells_of_leaving),
+    SUITE_TEST (test_leave_by_list),
+    SUITE_TEST (test_listed_leaving_at_start),
+    SUITE_TEST (test_list_is_read_when_a_peer_has_a_new_one),
+    SUITE_TEST (test_list_is_read_without_peers),
+    SUITE_TEST (test_listed_leaving_is_told_to_the_host),
+    SUITE_TEST (test_empty_list_is_not_believed),
+    SUITE_TEST (test_checkpoint_is_appended_once),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("control", tests);
 }
--- a/tests/test_control_claims.c
+++ b/tests/test_control_claims.c
@@ -1,4 +1,5 @@
 #include "control_rig.h"
+#include "suite.h"
 
 #define STREAM "claims/pool/0"
 
@@ -221,19 +222,16 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("control_claims", NULL, NULL);
-  CU_ADD_TEST (suite, test_claim_is_granted_and_ended);
-  CU_ADD_TEST (suite, test_claim_of_another_daemon_is_first);
-  CU_ADD_TEST (suite, test_claims_while_log_is_out);
-  CU_ADD_TEST (suite, test_first_claim_while_log_is_known_down);
-  CU_ADD_TEST (suite, test_claim_whose_append_was_lost);
-  CU_ADD_TEST (suite, test_claim_whose_append_was_refused);
-  CU_ADD_TEST (suite, test_closed_stream_is_read_again);
-  CU_ADD_TEST (suite, test_stop_waits_for_claims);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_claim_is_granted_and_ended),
+    SUITE_TEST (test_claim_of_another_daemon_is_first),
+    SUITE_TEST (test_claims_while_log_is_out),
+    SUITE_TEST (test_first_claim_while_log_is_known_down),
+    SUITE_TEST (test_claim_whose_append_was_lost),
+    SUITE_TEST (test_claim_whose_append_was_refused),
+    SUITE_TEST (test_closed_stream_is_read_again),
+    SUITE_TEST (test_stop_waits_for_claims),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("control_claims", tests);
 }
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -1,5 +1,6 @@
 #include "connection/http_server.h"
 #include "control_rig.h"
+#include "suite.h"
 #include "request/order.h"
 #include "request/place.h"
 
@@ -483,23 +484,20 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("control_exchange", NULL, NULL);
-  CU_ADD_TEST (suite, test_samples_and_marks_are_passed_on);
-  CU_ADD_TEST (suite, test_samples_are_those_that_the_peer_needs);
-  CU_ADD_TEST (suite, test_incarnations_are_told_together);
-  CU_ADD_TEST (suite, test_many_changes_are_told_together);
-  CU_ADD_TEST (suite, test_news_is_told_at_once);
-  CU_ADD_TEST (suite, test_conflict_is_told);
-  CU_ADD_TEST (suite, test_samples_keep_to_the_budget);
-  CU_ADD_TEST (suite, test_replayed_message_is_not_heard);
-  CU_ADD_TEST (suite, test_words_spread);
-  CU_ADD_TEST (suite, test_version_comes_from_a_peer);
-  CU_ADD_TEST (suite, test_stuck_log_does_not_hold_a_version_back);
-  CU_ADD_TEST (suite, test_log_is_tried_when_a_peer_is_ahead);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_samples_and_marks_are_passed_on),
+    SUITE_TEST (test_samples_are_those_that_the_peer_needs),
+    SUITE_TEST (test_incarnations_are_told_together),
+    SUITE_TEST (test_many_changes_are_told_together),
+    SUITE_TEST (test_news_is_told_at_once),
+    SUITE_TEST (test_conflict_is_told),
+    SUITE_TEST (test_samples_keep_to_the_budget),
+    SUITE_TEST (test_replayed_message_is_not_heard),
+    SUITE_TEST (test_words_spread),
+    SUITE_TEST (test_version_comes_from_a_peer),
+    SUITE_TEST (test_stuck_log_does_not_hold_a_version_back),
+    SUITE_TEST (test_log_is_tried_when_a_peer_is_ahead),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("control_exchange", tests);
 }
--- a/tests/test_fairq.c
+++ b/tests/test_fairq.c
@@ -1,7 +1,7 @@
 #include "request/drain.h"
 #include "request/fairq.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 #define MANY 400
@@ -289,24 +289,21 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("fairq", NULL, NULL);
-  CU_add_test (suite, "a surge waits behind itself", test_surge_waits_behind_itself);
-  CU_add_test (suite, "weights share the cost", test_weights_share_cost);
-  CU_add_test (suite, "understating gains nothing", test_understating_gains_nothing);
-  CU_add_test (suite, "a short class passes long ones", test_short_class_passes_long_ones);
-  CU_add_test (suite, "a long class is not starved", test_long_class_is_not_starved);
-  CU_add_test (suite, "what may not start is skipped", test_pop_allowed_skips);
-  CU_add_test (suite, "limits of account and total", test_limits);
-  CU_add_test (suite, "expiry in order", test_expiry_in_order);
-  CU_add_test (suite, "the estimate ahead matches the service", test_ahead_matches_service);
-  CU_add_test (suite, "service without waiting is charged", test_served_is_charged);
-  CU_add_test (suite, "idle accounts are dropped", test_idle_accounts_are_dropped);
-  CU_add_test (suite, "who had less is behind", test_is_behind);
-  CU_add_test (suite, "drain follows load and stall", test_drain_follows_load_and_stall);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  const unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    { "a surge waits behind itself", test_surge_waits_behind_itself },
+    { "weights share the cost", test_weights_share_cost },
+    { "understating gains nothing", test_understating_gains_nothing },
+    { "a short class passes long ones", test_short_class_passes_long_ones },
+    { "a long class is not starved", test_long_class_is_not_starved },
+    { "what may not start is skipped", test_pop_allowed_skips },
+    { "limits of account and total", test_limits },
+    { "expiry in order", test_expiry_in_order },
+    { "the estimate ahead matches the service", test_ahead_matches_service },
+    { "service without waiting is charged", test_served_is_charged },
+    { "idle accounts are dropped", test_idle_accounts_are_dropped },
+    { "who had less is behind", test_is_behind },
+    { "drain follows load and stall", test_drain_follows_load_and_stall },
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("fairq", tests);
 }
--- a/tests/test_mean.c
+++ b/tests/test_mean.c
@@ -1,7 +1,7 @@
 #include "process/clock.h"
 #include "request/mean.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 #define S CLK_US_PER_S
@@ -143,17 +143,14 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("mean", NULL, NULL);
-  CU_ADD_TEST (suite, test_newest_sample_counts);
-  CU_ADD_TEST (suite, test_full_table_drops_oldest);
-  CU_ADD_TEST (suite, test_margin);
-  CU_ADD_TEST (suite, test_own_load_counts_once);
-  CU_ADD_TEST (suite, test_pick_is_recent_and_varied);
-  CU_ADD_TEST (suite, test_room_is_at_or_below_mean);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_newest_sample_counts),
+    SUITE_TEST (test_full_table_drops_oldest),
+    SUITE_TEST (test_margin),
+    SUITE_TEST (test_own_load_counts_once),
+    SUITE_TEST (test_pick_is_recent_and_varied),
+    SUITE_TEST (test_room_is_at_or_below_mean),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("mean", tests);
 }
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -3,8 +3,8 @@
 #include "request/health.h"
 #include "request/member.h"
 #include "request/place.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 #define S CLK_US_PER_S
@@ -286,22 +286,19 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("member", NULL, NULL);
-  CU_ADD_TEST (suite, test_snapshot_finds);
-  CU_ADD_TEST (suite, test_leaving_does_not_revert);
-  CU_ADD_TEST (suite, test_list_leaving_is_of_one_incarnation);
-  CU_ADD_TEST (suite, test_unlisted_word_is_ignored);
-  CU_ADD_TEST (suite, test_flap_damping_doubles);
-  CU_ADD_TEST (suite, test_long_uptime_halves_damping);
-  CU_ADD_TEST (suite, test_restart_is_a_flap_after_a_short_life);
-  CU_ADD_TEST (suite, test_return_is_one_flap);
-  CU_ADD_TEST (suite, test_health_backs_off);
-  CU_ADD_TEST (suite, test_health_distrusts_itself);
-  CU_ADD_TEST (suite, test_pause);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_snapshot_finds),
+    SUITE_TEST (test_leaving_does_not_revert),
+    SUITE_TEST (test_list_leaving_is_of_one_incarnation),
+    SUITE_TEST (test_unlisted_word_is_ignored),
+    SUITE_TEST (test_flap_damping_doubles),
+    SUITE_TEST (test_long_uptime_halves_damping),
+    SUITE_TEST (test_restart_is_a_flap_after_a_short_life),
+    SUITE_TEST (test_return_is_one_flap),
+    SUITE_TEST (test_health_backs_off),
+    SUITE_TEST (test_health_distrusts_itself),
+    SUITE_TEST (test_pause),
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("member", tests);
 }
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -1,10 +1,10 @@
 #include "path_fleet.h"
+#include "suite.h"
 
 #include "request/digest.h"
 #include "request/hop.h"
 #include "request/order.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 #define CHAT_BODY "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}"
@@ -645,36 +645,30 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "relays the answer", relays_the_answer },
-                          { "refuses what it cannot judge", refuses_what_it_cannot_judge },
-                          { "passes by a leaving host", passes_by_a_leaving_host },
-                          { "a burst finds room", a_burst_finds_room },
-                          { "stops gracefully", stops_gracefully },
-                          { "tries only idempotent again", tries_only_idempotent_again },
-                          { "never relays a crossed answer", never_relays_a_crossed_answer },
-                          { "never ends a cut stream", never_ends_a_cut_stream },
-                          { "loses two engines at most", loses_two_engines_at_most },
-                          { "loses two engines to resends", loses_two_engines_to_resends },
-                          { "keeps suspects apart", keeps_suspects_apart },
-                          { "cancels for a caller that left", cancels_for_a_caller_that_left },
-                          { "lets a booking finish", lets_a_booking_finish },
-                          { "refuses keys while the log is out",
-                            refuses_keys_while_the_log_is_out },
-                          { "answers at the deadline", answers_at_the_deadline },
-                          { "spreads what was answered", spreads_what_was_answered },
-                          { "leaves a frozen host", leaves_a_frozen_host },
-                          { "takes no work after a pause", takes_no_work_after_a_pause },
-                          { "sidecars obey only the fleet", sidecars_obey_only_the_fleet },
-                          { "bars a revoked attempt", bars_a_revoked_attempt },
-                          CU_TEST_INFO_NULL };
-  CU_SuiteInfo suites[] = { { "path", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
+  static const CU_TestInfo tests[] = {
+    { "relays the answer", relays_the_answer },
+    { "refuses what it cannot judge", refuses_what_it_cannot_judge },
+    { "passes by a leaving host", passes_by_a_leaving_host },
+    { "a burst finds room", a_burst_finds_room },
+    { "stops gracefully", stops_gracefully },
+    { "tries only idempotent again", tries_only_idempotent_again },
+    { "never relays a crossed answer", never_relays_a_crossed_answer },
+    { "never ends a cut stream", never_ends_a_cut_stream },
+    { "loses two engines at most", loses_two_engines_at_most },
+    { "loses two engines to resends", loses_two_engines_to_resends },
+    { "keeps suspects apart", keeps_suspects_apart },
+    { "cancels for a caller that left", cancels_for_a_caller_that_left },
+    { "lets a booking finish", lets_a_booking_finish },
+    { "refuses keys while the log is out", refuses_keys_while_the_log_is_out },
+    { "answers at the deadline", answers_at_the_deadline },
+    { "spreads what was answered", spreads_what_was_answered },
+    { "leaves a frozen host", leaves_a_frozen_host },
+    { "takes no work after a pause", takes_no_work_after_a_pause },
+    { "sidecars obey only the fleet", sidecars_obey_only_the_fleet },
+    { "bars a revoked attempt", bars_a_revoked_attempt },
+    CU_TEST_INFO_NULL,
+  };
 
   log_init ("test-path", "test", LOG_LEVEL_DEBUG);
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return suite_run ("path", tests);
 }
--- a/tests/test_path_answers.c
+++ b/tests/test_path_answers.c
@@ -1,9 +1,9 @@
 #include "path_fleet.h"
 #include "raw_peer.h"
+#include "suite.h"
 #include "request/router_private.h"
 #include "request/sidecar_private.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 static bool
@@ -117,19 +117,13 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "relays the length of a HEAD answer",
-                            relays_the_length_of_a_head_answer },
-                          { "waits for a slow caller", waits_for_a_slow_caller },
-                          { "says why a stream breaks off", says_why_a_stream_breaks_off },
-                          CU_TEST_INFO_NULL };
-  CU_SuiteInfo suites[] = { { "path answers", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
+  static const CU_TestInfo tests[] = {
+    { "relays the length of a HEAD answer", relays_the_length_of_a_head_answer },
+    { "waits for a slow caller", waits_for_a_slow_caller },
+    { "says why a stream breaks off", says_why_a_stream_breaks_off },
+    CU_TEST_INFO_NULL,
+  };
 
   log_init ("test-path-answers", "test", LOG_LEVEL_DEBUG);
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return suite_run ("path answers", tests);
 }
--- a/tests/test_path_chats.c
+++ b/tests/test_path_chats.c
@@ -1,8 +1,8 @@
 #include "path_fleet.h"
+#include "suite.h"
 
 #include "request/hop.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 #define CHAT_BODY "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}"
@@ -139,18 +139,13 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "returns to where it was served", returns_to_where_it_was_served },
-                          { "hands over what it knew", hands_over_what_it_knew },
-                          { "streams a long answer", streams_a_long_answer },
-                          CU_TEST_INFO_NULL };
-  CU_SuiteInfo suites[] = { { "path chats", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
+  static const CU_TestInfo tests[] = {
+    { "returns to where it was served", returns_to_where_it_was_served },
+    { "hands over what it knew", hands_over_what_it_knew },
+    { "streams a long answer", streams_a_long_answer },
+    CU_TEST_INFO_NULL,
+  };
 
   log_init ("test-path-chats", "test", LOG_LEVEL_DEBUG);
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return suite_run ("path chats", tests);
 }
--- a/tests/test_path_closed.c
+++ b/tests/test_path_closed.c
@@ -1,6 +1,6 @@
 #include "path_fleet.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 static const pfl_request_t BOOK = { .path = "/book", .body = "lot 7", .idempotency_key = "key 1" };
@@ -185,21 +185,14 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = {
+  static const CU_TestInfo tests[] = {
     { "a grant at the start of a stop runs", a_grant_at_the_start_of_a_stop_runs },
     { "a late grant starts nothing on a leaving host",
       a_late_grant_starts_nothing_on_a_leaving_host },
     { "a moved engine starts nothing that waited", a_moved_engine_starts_nothing_that_waited },
-    CU_TEST_INFO_NULL
+    CU_TEST_INFO_NULL,
   };
-  CU_SuiteInfo suites[] = { { "path closed", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
 
   log_init ("test-path-closed", "test", LOG_LEVEL_DEBUG);
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return suite_run ("path closed", tests);
 }
--- a/tests/test_path_copies.c
+++ b/tests/test_path_copies.c
@@ -1,8 +1,8 @@
 #include "path_fleet.h"
+#include "suite.h"
 
 #include "request/digest.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 #define MANY 60
@@ -144,19 +144,12 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = {
+  static const CU_TestInfo tests[] = {
     { "a copy that waited is judged again", a_copy_that_waited_is_judged_again },
     { "a copy that waited carries the crash", a_copy_that_waited_carries_the_crash },
-    CU_TEST_INFO_NULL
+    CU_TEST_INFO_NULL,
   };
-  CU_SuiteInfo suites[] = { { "path copies", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
 
   log_init ("test-path-copies", "test", LOG_LEVEL_DEBUG);
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return suite_run ("path copies", tests);
 }
--- a/tests/test_path_hostile.c
+++ b/tests/test_path_hostile.c
@@ -1,7 +1,7 @@
 #include "path_fleet.h"
 #include "raw_peer.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 static bool
@@ -105,20 +105,13 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = {
+  static const CU_TestInfo tests[] = {
     { "a control character blames no host", a_control_character_blames_no_host },
     { "the largest headers blame no host", the_largest_headers_blame_no_host },
     { "a disguised booking reaches no engine", a_disguised_booking_reaches_no_engine },
-    CU_TEST_INFO_NULL
+    CU_TEST_INFO_NULL,
   };
-  CU_SuiteInfo suites[] = { { "path hostile", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
 
   log_init ("test-path-hostile", "test", LOG_LEVEL_DEBUG);
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return suite_run ("path hostile", tests);
 }
--- a/tests/test_path_lost.c
+++ b/tests/test_path_lost.c
@@ -1,8 +1,8 @@
 #include "path_fleet.h"
+#include "suite.h"
 
 #include "request/hop.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 static const pfl_request_t BOOK = { .path = "/book", .body = "lot 7" };
@@ -197,21 +197,15 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "goes on after not run", goes_on_after_not_run },
-                          { "believes no successor", believes_no_successor },
-                          { "asks where it sent", asks_where_it_sent },
-                          { "moves only lookups after may have run",
-                            moves_only_lookups_after_may_have_run },
-                          { "skips a host that refuses", skips_a_host_that_refuses },
-                          CU_TEST_INFO_NULL };
-  CU_SuiteInfo suites[] = { { "path lost", NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
+  static const CU_TestInfo tests[] = {
+    { "goes on after not run", goes_on_after_not_run },
+    { "believes no successor", believes_no_successor },
+    { "asks where it sent", asks_where_it_sent },
+    { "moves only lookups after may have run", moves_only_lookups_after_may_have_run },
+    { "skips a host that refuses", skips_a_host_that_refuses },
+    CU_TEST_INFO_NULL,
+  };
 
   log_init ("test-path-lost", "test", LOG_LEVEL_DEBUG);
-  CU_initialize_registry ();
-  CU_register_suites (suites);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failures = (int)CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return suite_run ("path lost", tests);
 }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -2,8 +2,8 @@
 #include "request/place.h"
 #include "request/proven.h"
 #include "request/verdict.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -281,22 +281,19 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("place", NULL, NULL);
-  CU_add_test (suite, "rank matches the scores", test_rank_matches_scores);
-  CU_add_test (suite, "rank spreads by weight", test_rank_spreads_by_weight);
-  CU_add_test (suite, "a leave moves only its own chats", test_leave_moves_only_its_own_chats);
-  CU_add_test (suite, "rank ignores the order of the list", test_rank_ignores_list_order);
-  CU_add_test (suite, "rank of nothing and of one", test_rank_edges);
-  CU_add_test (suite, "chats of two accounts differ", test_chats_of_accounts_differ);
-  CU_add_test (suite, "choice skips and puts off", test_choose_skips_and_puts_off);
-  CU_add_test (suite, "choice evens out the load", test_choose_evens_out_without_a_chat);
-  CU_add_test (suite, "choice counts what is under way", test_choose_counts_what_is_under_way);
-  CU_add_test (suite, "proven lasts until forgotten", test_proven_lasts_until_forgotten);
-  CU_add_test (suite, "words of verdicts and reasons", test_verdict_words);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  const unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    { "rank matches the scores", test_rank_matches_scores },
+    { "rank spreads by weight", test_rank_spreads_by_weight },
+    { "a leave moves only its own chats", test_leave_moves_only_its_own_chats },
+    { "rank ignores the order of the list", test_rank_ignores_list_order },
+    { "rank of nothing and of one", test_rank_edges },
+    { "chats of two accounts differ", test_chats_of_accounts_differ },
+    { "choice skips and puts off", test_choose_skips_and_puts_off },
+    { "choice evens out the load", test_choose_evens_out_without_a_chat },
+    { "choice counts what is under way", test_choose_counts_what_is_under_way },
+    { "proven lasts until forgotten", test_proven_lasts_until_forgotten },
+    { "words of verdicts and reasons", test_verdict_words },
+    CU_TEST_INFO_NULL,
+  };
+  return suite_run ("place", tests);
 }
