Let those that follow the log tell of a version at once

A version starts with the 36 daemons that follow the log. Ruled out: all that hear of it tell others at once, as thousands would then read the log within half a second.

--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -382,6 +382,30 @@
   event_base_free (base);
 }
 
+/* A version reaches a large fleet through the few daemons that follow the log. With usual messages
+ * only, the first seconds go by with a few dozen that have it; so those tell others at once, but
+ * not of the version that they start with. */
+static void
+test_followers_of_the_log_tell_of_a_version (void)
+{
+  struct event_base *base = event_base_new ();
+  rig_t rig;
+  rig_start_fresh (&rig, base);
+  cnt_t *sent = cnt_get (rig.dmn.counters, "medlarplank_control_datagrams_sent_total", "");
+  CU_ASSERT_EQUAL (cnt_value (sent), 0);
+  rig_put_version (&rig.platform, 1);
+  TURN_UNTIL (&rig, rig.told.version == 2);
+  CU_ASSERT_EQUAL (cnt_value (sent), 2);
+  list_crowd (&rig);
+  uint64_t before = cnt_value (sent);
+  rig_put_version (&rig.platform, 2);
+  rig.ctrl->manifest.source.due_us = 0;
+  TURN_UNTIL (&rig, rig.told.version == 3);
+  CU_ASSERT_EQUAL (cnt_value (sent), before);
+  rig_tear_down (&rig);
+  event_base_free (base);
+}
+
 int
 main (void)
 {
@@ -399,6 +423,7 @@
     SUITE_TEST (test_list_is_read_without_peers),
     SUITE_TEST (test_listed_leaving_is_told_to_the_host),
     SUITE_TEST (test_empty_list_is_not_believed),
+    SUITE_TEST (test_followers_of_the_log_tell_of_a_version),
     SUITE_TEST (test_checkpoint_is_appended_once),
     CU_TEST_INFO_NULL,
   };
