--- a/tests/session_random.c
+++ b/tests/session_random.c
@@ -22,7 +22,7 @@
 #define STEP_MS 45
 #define DEADLINE_MS 3000
 #define MARGIN_MS 2000   /* over the deadline, on a machine that does much else */
-#define GRACE_US 4000000 /* after a host began to leave, until nothing new may begin there */
+#define GRACE_US 2500000 /* after a host began to leave, until nothing new may begin there */
 #define SETTLE_MS 25000  /* back-offs and damping of flapping hosts included */
 #define KEYS 64
 #define GOOD_ROUNDS 3
@@ -313,6 +313,8 @@
       set_state (rnd, victim, is_engine (victim) ? FIT : WAKING);
       break;
     case LEAVING:
+      if (victim->host->engine->leaving_runs < 0)
+        break; /* its grace is not over */
       check_left (rnd, victim->host);
       victim->host->state = "live";
       drv_list (rnd->drv);
