--- a/tests/driver.h
+++ b/tests/driver.h
@@ -66,7 +66,7 @@
   drv_forward_t *hop;      /* between routers and sidecar, or NULL */
   drv_forward_t *upstream; /* between sidecar and engine, or NULL */
   drv_forward_t *log;      /* between sidecar and platform, or NULL */
-  const char *state;       /* in the platform's list */
+  const char *state;       /* in the platform's list; NULL is not listed */
   bool plain;
 } drv_host_t;
 
--- a/tests/driver_platform.c
+++ b/tests/driver_platform.c
@@ -103,6 +103,8 @@
   for (uint32_t i = 0; i < drv->host_count; i++)
     {
       const drv_host_t *host = &drv->hosts[i];
+      if (host->state == NULL)
+        continue;
       const char *ip = host->hop != NULL ? drv_forward_ip (host->hop) : host->sidecar->ip;
       json_array_append_new (hosts, listed (host->sidecar, ip, host->state));
     }
