--- a/bench/claims.sh
+++ b/bench/claims.sh
@@ -67,7 +67,8 @@
 {"client_accounts":{"bench":{"key_sha256":"$(printf %s bench-key | sha256sum | cut -d' ' -f1)","queue_limit":512}},
  "classes":{"booking":{"priority":0,"deadline_ms":5000,"expected_tokens":1}},
  "services":{"ledger":{"kind":"plain","engines":[$names],"slots":256,"claim_shards":$shards}},
- "routes":[{"method":"POST","path":"/bookings","service":"ledger","class":"booking","idempotent":false}]}
+ "routes":[{"method":"POST","path":"/bookings","service":"ledger","class":"booking","idempotent":false},
+           {"method":"POST","path":"/lookups","service":"ledger","class":"booking","idempotent":true}]}
 M
 "$out/medlarplankctl" --platform "$platform" manifest publish "$dir/manifest.json" --by bench --allow-missing-engines >/dev/null 2>&1
 for ip in $net.11 $net.12; do wait_for curl -fsS "http://$ip:7080/readyz"; done
@@ -85,3 +86,14 @@
   seed=$((seed + 1))
   sleep 3
 done
+
+call () { # KEY PATH
+  curl -sS -i -o "$dir/answer" -w '%{http_code} after %{time_total} s' -X POST -H 'Authorization: Bearer bench-key' \
+    -H "Idempotency-Key: $1" -H 'Content-Type: application/json' -d '{}' "http://$net.11:7080/$2"
+  tr -d '\r' <"$dir/answer" | sed '/^$/q' | awk -F': ' 'tolower($1) ~ /retry-after|verdict/{printf "  %s: %s", $1, $2} END{print ""}'
+}
+
+echo "== the log refuses all appends: one keyed call after the other, then a repeatable one"
+curl -fsS -X POST "http://$platform/admin/fault" -d '{"log":"refuse"}' >/dev/null
+for ((i = 0; i < 4; i++)); do echo "keyed: $(call "last-$i" bookings)"; done
+echo "repeatable: $(call other lookups)"
