Write log lines and hop fields without printf

After the one hop header, log lines were 10 to 13% of a daemon's instructions (callgrind, two lines for each request and role) and the seal 11%. A line's head is made once, its date once a second, values are copied without an escape where none is needed; each line also cost a getpid call. Fields of a hop that are 0, as key and crashes mostly are, are left empty: the seal then covers fewer blocks.

The poll before each line stays: it keeps a stalled reader of the log from stopping the task.

--- a/src/process/log.c
+++ b/src/process/log.c
@@ -1,5 +1,6 @@
 #include "process/log.h"
 
+#include "process/digits.h"
 #include "process/limits.h"
 
 #include <errno.h>
@@ -16,29 +17,33 @@
 #define FACILITY_DAEMON 3
 #define CUT_FIELD " cut=true"
 #define CUT_VALUE "..."
+#define EVENT_BYTES 129
 
 G_STATIC_ASSERT (LIM_LOG_LINE_BYTES <= PIPE_BUF);
 
 /**
  * struct log_state - the one log of the process; standard error is one too
- * @lock: held while a line is written
+ * @lock: held while a line is made and written
+ * @date: of @second; most lines are written in the second of the one before
  * @dropped: lines lost since the last one that was written
  */
 typedef struct
 {
   GMutex lock;
-  char program[LIM_NAME_BYTES];
-  char host[LIM_NAME_BYTES];
   log_level_t level;
+  time_t second;
+  char date[32];
+  char tail[LIM_NAME_BYTES * 2 + 32]; /* host, program and process of a line's head */
   uint64_t dropped;
 } log_state_t;
 
-static log_state_t state = { .program = "medlarplank", .host = "-", .level = LOG_LEVEL_INFO };
+static log_state_t state = { .tail = "Z - medlarplank[0]: ", .level = LOG_LEVEL_INFO };
 
-/** struct line - a line in the making; room for CUT_FIELD and the newline is kept back */
+/** struct line - a line in the making; room for CUT_FIELD and the newline is kept back. A field is
+ * written first and taken back when it does not fit, hence the room for one more */
 typedef struct
 {
-  char text[LIM_LOG_LINE_BYTES];
+  char text[LIM_LOG_LINE_BYTES + LIM_LOG_VALUE_BYTES];
   size_t bytes;
   bool cut;
 } line_t;
@@ -83,30 +88,33 @@
   return 4;
 }
 
-/* Writes the value as it stands in a line, at most LIM_LOG_VALUE_BYTES with the final NUL. */
-static void
-format_value (const char *value, char out[LIM_LOG_VALUE_BYTES])
+/* Writes the value as it stands in a line, less than LIM_LOG_VALUE_BYTES. Return: its end. */
+static char *
+format_value (const char *value, char *out)
 {
   const size_t room = LIM_LOG_VALUE_BYTES - sizeof (CUT_VALUE "\"");
-  bool quoted = needs_quotes (value) || strlen (value) > room;
-  size_t bytes = 0;
+  const size_t value_bytes = strlen (value);
+  const char *start = out;
 
-  if (quoted)
-    out[bytes++] = '"';
+  if (value_bytes <= room && !needs_quotes (value))
+    {
+      memcpy (out, value, value_bytes);
+      return out + value_bytes;
+    }
+  *out++ = '"';
   for (; *value != '\0'; value++)
     {
       char piece[4];
       size_t piece_bytes = escape_byte ((unsigned char)*value, piece);
-      if (bytes + piece_bytes > room)
+      if ((size_t)(out - start) + piece_bytes > room)
         break;
-      memcpy (out + bytes, piece, piece_bytes);
-      bytes += piece_bytes;
+      memcpy (out, piece, piece_bytes);
+      out += piece_bytes;
     }
-  out[bytes] = '\0';
   if (*value != '\0')
-    g_strlcat (out, CUT_VALUE, LIM_LOG_VALUE_BYTES);
-  if (quoted)
-    g_strlcat (out, "\"", LIM_LOG_VALUE_BYTES);
+    out = g_stpcpy (out, CUT_VALUE);
+  *out++ = '"';
+  return out;
 }
 
 static void
@@ -123,35 +131,54 @@
 static void
 line_add_field (line_t *line, const char *field, const char *value)
 {
-  char text[LIM_LOG_VALUE_BYTES];
+  const size_t start = line->bytes;
 
-  format_value (value, text);
-  line->cut = line->cut || line->bytes + strlen (field) + strlen (text) + 2 > LINE_ROOM;
+  line->cut = line->cut || start + strlen (field) + 2 > LINE_ROOM;
   if (line->cut)
     return;
   line_append (line, " ");
   line_append (line, field);
   line_append (line, "=");
-  line_append (line, text);
+  line->bytes = (size_t)(format_value (value, line->text + line->bytes) - line->text);
+  if (line->bytes <= LINE_ROOM)
+    return;
+  line->cut = true;
+  line->bytes = start;
+}
+
+static void
+note_second (time_t second)
+{
+  struct tm utc;
+
+  if (second == state.second)
+    return;
+  gmtime_r (&second, &utc);
+  strftime (state.date, sizeof state.date, "%Y-%m-%dT%H:%M:%S", &utc);
+  state.second = second;
 }
 
 static void
 line_begin (line_t *line, log_level_t level, const char *event)
 {
-  char head[512];
-  char date[32];
   struct timespec now;
-  struct tm utc;
+  char *out = line->text;
 
   clock_gettime (CLOCK_REALTIME, &now);
-  gmtime_r (&now.tv_sec, &utc);
-  strftime (date, sizeof date, "%Y-%m-%dT%H:%M:%S", &utc);
-  g_snprintf (head, sizeof head, "<%d>%s.%03dZ %s %s[%d]: %.128s", FACILITY_DAEMON * 8 + (int)level,
-              date, (int)(now.tv_nsec / (1000 * 1000)), state.host, state.program, (int)getpid (),
-              event);
-  line->bytes = 0;
+  note_second (now.tv_sec);
+  *out++ = '<';
+  out = dgt_u64 (out, FACILITY_DAEMON * 8 + (uint64_t)level);
+  *out++ = '>';
+  out = g_stpcpy (out, state.date);
+  /* Three digits with leading zeros, behind a one that the full stop then overwrites. */
+  dgt_u64 (out, 1000 + (uint64_t)now.tv_nsec / (1000 * 1000));
+  *out = '.';
+  out += strlen (".000");
+  out = g_stpcpy (out, state.tail);
+  g_strlcpy (out, event, EVENT_BYTES);
+  out += strlen (out);
+  line->bytes = (size_t)(out - line->text);
   line->cut = false;
-  line_append (line, head);
 }
 
 static void
@@ -207,8 +234,8 @@
 void
 log_init (const char *program, const char *host, log_level_t level)
 {
-  g_strlcpy (state.program, program, sizeof state.program);
-  g_strlcpy (state.host, host, sizeof state.host);
+  g_snprintf (state.tail, sizeof state.tail, "Z %.*s %.*s[%d]: ", LIM_NAME_BYTES - 1, host,
+              LIM_NAME_BYTES - 1, program, (int)getpid ());
   state.level = level;
 }
 
@@ -221,6 +248,7 @@
 
   if (level > state.level)
     return;
+  g_mutex_lock (&state.lock);
   line_begin (&line, level, event);
   va_start (pairs, event);
   while ((field = va_arg (pairs, const char *)) != NULL)
@@ -231,8 +259,6 @@
     }
   va_end (pairs);
   line_end (&line);
-
-  g_mutex_lock (&state.lock);
   report_dropped ();
   if (state.dropped != 0 || !line_write (&line))
     state.dropped++;
@@ -242,13 +268,13 @@
 const char *
 log_u64 (log_num_t *num, uint64_t value)
 {
-  g_snprintf (num->text, sizeof num->text, "%" G_GUINT64_FORMAT, value);
+  *dgt_u64 (num->text, value) = '\0';
   return num->text;
 }
 
 const char *
 log_hex (log_num_t *num, uint64_t value)
 {
-  g_snprintf (num->text, sizeof num->text, "%016" G_GINT64_MODIFIER "x", value);
+  *dgt_hex (num->text, value) = '\0';
   return num->text;
 }
--- a/src/request/hop.c
+++ b/src/request/hop.c
@@ -1,5 +1,7 @@
 #include "request/hop.h"
 
+#include "process/digits.h"
+
 #include <errno.h>
 #include <event2/http.h>
 #include <glib.h>
@@ -35,11 +37,10 @@
 };
 
 #define SAMPLE_BYTES (16 + 4 * 10 + 5) /* a hash, four numbers and five marks between them */
-#define NUMBER_BYTES 21
 
 /* Three pairs, six hashes and samples, names and numbers, each with a separator. */
 G_STATIC_ASSERT (3 * 33 + 5 * 17 + 3 * LIM_NAME_BYTES + HOP_SAMPLES * SAMPLE_BYTES +
-                     5 * NUMBER_BYTES <
+                     5 * (DGT_U64_BYTES + 1) <
                  HOP_VALUE_BYTES);
 G_STATIC_ASSERT (HOP_HEADERS *(sizeof (hop_header_t) + 4) <= HOP_HEADERS_BYTES);
 G_STATIC_ASSERT (LIM_SUSPECT_CRASHES == 2); /* written as a pair, as an attempt id is */
@@ -97,7 +98,15 @@
 static bool
 parse_hash (const char *text, uint64_t *out)
 {
-  return strlen (text) == 16 && parse_hex (text, 16, out);
+  *out = 0;
+  return text[0] == '\0' ||
+         (strlen (text) == DGT_HEX_BYTES && parse_hex (text, DGT_HEX_BYTES, out));
+}
+
+static bool
+parse_pair (const char *text, uint64_t out[2])
+{
+  return text[0] == '\0' || hop_attempt_parse (text, out);
 }
 
 static bool
@@ -191,9 +200,9 @@
          parse_hash (values[FIELD_HOME], &hop->home_hash) &&
          parse_hash (values[FIELD_FORMER], &hop->former_hash) &&
          parse_hash (values[FIELD_FINGERPRINT], &hop->fingerprint) &&
-         hop_attempt_parse (values[FIELD_KEY], hop->key_hash) &&
+         parse_pair (values[FIELD_KEY], hop->key_hash) &&
          parse_hash (values[FIELD_BODY], &hop->body_hash) &&
-         hop_attempt_parse (values[FIELD_CRASHED], hop->crashed) &&
+         parse_pair (values[FIELD_CRASHED], hop->crashed) &&
          parse_decimal (values[FIELD_VERSION], UINT64_MAX, &hop->version) &&
          parse_samples (values[FIELD_LOADS], hop) &&
          parse_u32 (values[FIELD_DEADLINE], &hop->deadline_ms) &&
@@ -209,29 +218,12 @@
          (hop->referred ? FLAG_REFERRED : 0) | (hop->idempotent ? FLAG_IDEMPOTENT : 0);
 }
 
-/* The writers below return the end of what they wrote. */
+/* write_hash() - Return, as of all writers below: the end of what was written. 0 is left empty:
+ * most requests have neither a key nor a crash, and every byte is sealed twice. */
 static char *
 write_hash (char *out, uint64_t value)
 {
-  static const char digits[] = "0123456789abcdef";
-
-  for (int shift = 60; shift >= 0; shift -= 4)
-    *out++ = digits[value >> shift & 0xf];
-  return out;
-}
-
-static char *
-write_number (char *out, uint64_t value)
-{
-  char digits[NUMBER_BYTES];
-  uint32_t count = 0;
-
-  do
-    digits[count++] = (char)('0' + value % 10);
-  while ((value /= 10) != 0);
-  while (count > 0)
-    *out++ = digits[--count];
-  return out;
+  return value != 0 ? dgt_hex (out, value) : out;
 }
 
 static char *
@@ -250,15 +242,15 @@
 
       if (i > 0)
         *out++ = ',';
-      out = write_hash (out, sample->engine_hash);
+      out = dgt_hex (out, sample->engine_hash);
       *out++ = '/';
-      out = write_number (out, sample->load);
+      out = dgt_u64 (out, sample->load);
       *out++ = '/';
-      out = write_number (out, sample->waiting);
+      out = dgt_u64 (out, sample->waiting);
       *out++ = '/';
-      out = write_number (out, sample->cost);
+      out = dgt_u64 (out, sample->cost);
       *out++ = '/';
-      out = write_number (out, sample->age_ms);
+      out = dgt_u64 (out, sample->age_ms);
     }
   return out;
 }
@@ -266,7 +258,9 @@
 static char *
 write_pair (char *out, const uint64_t pair[2])
 {
-  return write_hash (write_hash (out, pair[0]), pair[1]);
+  if (pair[0] == 0 && pair[1] == 0)
+    return out;
+  return dgt_hex (dgt_hex (out, pair[0]), pair[1]);
 }
 
 static char *
@@ -297,17 +291,17 @@
     case FIELD_CRASHED:
       return write_pair (out, hop->crashed);
     case FIELD_VERSION:
-      return write_number (out, hop->version);
+      return dgt_u64 (out, hop->version);
     case FIELD_LOADS:
       return write_samples (out, hop);
     case FIELD_DEADLINE:
-      return write_number (out, hop->deadline_ms);
+      return dgt_u64 (out, hop->deadline_ms);
     case FIELD_PROMPT:
-      return write_number (out, hop->prompt_tokens);
+      return dgt_u64 (out, hop->prompt_tokens);
     case FIELD_OUTPUT:
-      return write_number (out, hop->output_tokens);
+      return dgt_u64 (out, hop->output_tokens);
     default:
-      return write_number (out, flags_of (hop));
+      return dgt_u64 (out, flags_of (hop));
     }
 }
 
@@ -369,7 +363,7 @@
 void
 hop_attempt_text (const uint64_t attempt[2], char out[33])
 {
-  *write_pair (out, attempt) = '\0';
+  *dgt_hex (dgt_hex (out, attempt[0]), attempt[1]) = '\0';
 }
 
 bool
