--- a/src/process/log.c
+++ b/src/process/log.c
@@ -162,8 +162,10 @@
 line_begin (line_t *line, log_level_t level, const char *event)
 {
   struct timespec now;
-  char *out = line->text;
+  char *out;
 
+  line->cut = false;
+  out = line->text;
   clock_gettime (CLOCK_REALTIME, &now);
   note_second (now.tv_sec);
   *out++ = '<';
@@ -178,7 +180,6 @@
   g_strlcpy (out, event, EVENT_BYTES);
   out += strlen (out);
   line->bytes = (size_t)(out - line->text);
-  line->cut = false;
 }
 
 static void
