Let a router remember whom a request crashed

The router now keeps the marks that it saw itself and sends them along, and counts what was answered as proven for 2 seconds instead of 10. What is left: a resend through another router that was answered within these 2 seconds, before the exchange told the sidecars.

--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -240,7 +240,8 @@
   for (uint32_t i = 0; i < att->crashed_count; i++)
     if (att->crashed[i] == att->last_engine)
       return false;
-  att->crashed[att->crashed_count++] = att->last_engine;
+  if (att->crashed_count < LIM_SUSPECT_CRASHES)
+    att->crashed[att->crashed_count++] = att->last_engine;
   return att->crashed_count == LIM_SUSPECT_CRASHES;
 }
 
@@ -315,6 +316,9 @@
   att->target_count = MIN (options->candidate_count, ATT_CANDIDATES);
   for (uint32_t i = 0; i < att->target_count; i++)
     att->targets[i].engine_hash = options->candidates[i];
+  for (uint32_t i = 0; options->crashed != NULL && i < LIM_SUSPECT_CRASHES; i++)
+    if (options->crashed[i] != 0)
+      att->crashed[att->crashed_count++] = options->crashed[i];
   return next_step (att, now_us);
 }
 
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -50,6 +50,8 @@
  * struct att_options - of one request
  * @account_hash: client account, for its reserve of retries
  * @candidates: engine hashes, best first; copied
+ * @crashed: %LIM_SUSPECT_CRASHES engines known to have crashed on this request before, 0 is empty;
+ *   or NULL
  */
 typedef struct
 {
@@ -58,6 +60,7 @@
   uint64_t deadline_us;
   const uint64_t *candidates;
   uint32_t candidate_count;
+  const uint64_t *crashed;
 } att_options_t;
 
 typedef enum
--- a/src/request/proven.h
+++ b/src/request/proven.h
@@ -6,6 +6,9 @@
  * check sent over and over would then load two engines and leave all others idle. What was answered
  * a moment ago is not a request that crashes each engine that runs it, so it may go anywhere.
  *
+ * Only briefly, as the engines may change: a router that has not seen the crash would then send a
+ * resend to a third engine, until the marks of the others reach it.
+ *
  * A direct-mapped table: of two fingerprints in one place the later is kept.
  */
 #ifndef REQUEST_PROVEN_H
--- a/src/request/router.c
+++ b/src/request/router.c
@@ -204,6 +204,7 @@
   rtr->told = g_new0 (rtr_told_t, RTR_TOLD_ENTRIES);
   rtr->prv = prv_new (RTR_PROVEN_ENTRIES, RTR_PROVEN_US);
   rtr->uwy = uwy_new ();
+  rtr->suspects = sus_new (LIM_SUSPECTS, RTR_SUSPECT_US);
   g_queue_init (&rtr->calls);
   /* Two routers that start in the same millisecond must not share attempt ids. */
   rtr->id_high = plc_hash_name (dmn->set.name) + dmn->incarnation;
@@ -234,6 +235,7 @@
   g_free (rtr->told);
   prv_free (rtr->prv);
   uwy_free (rtr->uwy);
+  sus_free (rtr->suspects);
   g_free (rtr);
 }
 
--- a/src/request/router_call.c
+++ b/src/request/router_call.c
@@ -159,6 +159,17 @@
     }
 }
 
+/* note_crash() - A resend comes at once, and may be placed elsewhere by then: it takes along what
+ * is known here, as the sidecar that it meets may not have heard of the crash yet. */
+static void
+note_crash (rtr_call_t *call)
+{
+  rtr_t *rtr = call->rtr;
+
+  prv_forget (rtr->prv, call->hop.fingerprint);
+  sus_add (rtr->suspects, ops_now_us (rtr->ops), call->hop.fingerprint, call->att.last_engine);
+}
+
 void
 rtr_call_ended (rtr_call_t *call, const att_outcome_t *outcome)
 {
@@ -169,7 +180,7 @@
   if (!outcome->answered)
     cnt_add (rtr->reasons[outcome->reason], 1);
   if (outcome->reason == VRD_REASON_ENGINE_CRASHED || outcome->reason == VRD_REASON_SUSPECT_HERE)
-    prv_forget (rtr->prv, call->hop.fingerprint);
+    note_crash (call);
   step = att_ended (&call->att, ops_now_us (rtr->ops), &rtr->budget, outcome);
   cnt_add (rtr->retries, call->att.retries - retries);
   rtr_call_step (call, step);
@@ -193,11 +204,14 @@
 void
 rtr_call_start (rtr_call_t *call)
 {
+  sus_mark_t mark;
+  bool suspect = sus_get (call->rtr->suspects, call->arrived_us, call->hop.fingerprint, &mark);
   att_options_t options = { .idempotent = call->hop.idempotent,
                             .account_hash = plc_hash_name (call->hop.account),
                             .deadline_us = call->deadline_us,
                             .candidates = call->place.candidates,
-                            .candidate_count = call->place.candidate_count };
+                            .candidate_count = call->place.candidate_count,
+                            .crashed = suspect ? mark.engines : NULL };
 
   hsv_on_gone (call->in, rtr_call_gone, call);
   rtr_call_step (call, att_begin (&call->att, call->arrived_us, &options));
--- a/src/request/router_private.h
+++ b/src/request/router_private.h
@@ -19,6 +19,7 @@
 #include "request/place.h"
 #include "request/proven.h"
 #include "request/relay.h"
+#include "request/suspect.h"
 
 #include <event2/event.h>
 
@@ -36,7 +37,8 @@
 /* An answer that brings nothing for this long is given up. */
 #define RTR_STALL_US (60 * 1000 * 1000)
 #define RTR_PROVEN_ENTRIES 4096
-#define RTR_PROVEN_US (10 * 1000 * 1000)
+#define RTR_PROVEN_US (2 * 1000 * 1000)
+#define RTR_SUSPECT_US (30 * 60 * (uint64_t)CLK_US_PER_S)
 /* For this long after an engine had no room, first hops carry loads too: the mean is moving. */
 #define RTR_BURST_US (100 * 1000)
 #define RTR_TOLD_ENTRIES 8192
@@ -96,6 +98,7 @@
   GHashTable *watches;      /* host hash -> rtr_watch_t */
   rtr_told_t *told;
   prv_t *prv;
+  sus_t *suspects; /* as seen from here, before the sidecars told one another */
   uwy_t *uwy;
   GQueue calls;
   uint64_t id_high;
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -370,6 +370,32 @@
   pfl_clear (&fleet);
 }
 
+/* A lookup was answered, so it is placed at random; then it crashes each engine that runs it. Its
+ * caller sends it again through the same router before the other sidecars heard of the crash. The
+ * router remembers whom it crashed, so that the third engine is not lost wherever it is placed. */
+static void
+loses_two_engines_to_what_was_answered (void)
+{
+  pfl_t fleet;
+  uint32_t answered;
+
+  pfl_init (&fleet);
+  for (uint32_t i = 0; i < 5; i++)
+    ask_status (&fleet, &LOOK, 200, "ran");
+  answered = pfl_runs (&fleet);
+  pfl_set_all (&fleet, PFL_CRASH);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      pfl_answer_t answer;
+
+      pfl_ask (&fleet, &LOOK, &answer);
+      CU_ASSERT_EQUAL (answer.status, 422);
+      pfl_answer_clear (&answer);
+    }
+  CU_ASSERT_EQUAL (pfl_runs (&fleet) - answered, 2);
+  pfl_clear (&fleet);
+}
+
 static bool
 one_gone (void *context)
 {
@@ -657,6 +683,7 @@
     { "loses two engines at most", loses_two_engines_at_most },
     { "loses two engines to resends", loses_two_engines_to_resends },
     { "keeps suspects apart", keeps_suspects_apart },
+    { "loses two engines to what was answered", loses_two_engines_to_what_was_answered },
     { "cancels for a caller that left", cancels_for_a_caller_that_left },
     { "lets a booking finish", lets_a_booking_finish },
     { "refuses keys while the log is out", refuses_keys_while_the_log_is_out },
