Round the mean up to the nearest request, so that a level can rise

With 300 or 925 engines that all stood at one load, a few of which had just ended a request, the mean was a little below that load: none of the others could admit one more, and the service stayed there. Warming up towards a load of 20, it stuck at four to seven and refused half of all requests.

--- a/src/request/admit.h
+++ b/src/request/admit.h
@@ -6,9 +6,9 @@
  * state machine without I/O.
  *
  * The bound: a request is dispatched only if the load after it stays within
- * max(c x mean, mean + 1), with the mean sampled and taken low by its margin. An engine at or
- * below the mean always has room, so there is always room somewhere in the service. The slots of
- * the engine bound it too, whichever is lower.
+ * max(c x (mean - margin), mean + 1), with the mean sampled, and in the second term rounded to the
+ * nearest request when that is more. An engine at or below the mean always has room, so there is
+ * always room somewhere in the service. The slots of the engine bound it too, whichever is lower.
  *
  * Over the bound a request waits here when that is expected to take less time than a cold start
  * elsewhere, when nobody else is known to have room, or when its router has nobody left to ask;
--- a/src/request/admit_bound.c
+++ b/src/request/admit_bound.c
@@ -7,6 +7,19 @@
   return mean_estimate (&adm->mean, now_us, &own, adm->options.engine_count);
 }
 
+/*
+ * The mean plus one request. Without a margin: with all engines at one load none could admit, the
+ * load would fall, and the service would be stuck there, refusing. And with the mean rounded to
+ * the nearest request: of engines that all stand at seven some have just ended one, the mean is a
+ * little below seven, none could have an eighth, and the service would never carry more.
+ */
+static uint64_t
+one_more_milli (uint64_t mean_milli)
+{
+  const uint64_t nearest = (mean_milli + MILLI / 2) / MILLI * MILLI;
+  return MAX (mean_milli, nearest) + MILLI;
+}
+
 static uint64_t
 bound_of (const adm_t *adm, uint64_t now_us, const mean_estimate_t *estimate)
 {
@@ -22,9 +35,7 @@
     }
   const uint64_t margin = estimate->margin_milli + dft_margin_milli (&adm->drift);
   const uint64_t low = estimate->mean_milli > margin ? estimate->mean_milli - margin : 0;
-  /* No margin on the mean plus one: with all engines at one load none could admit, the load would
-   * fall, and the service would be stuck there, refusing. */
-  return MAX (low * adm->options.bound_percent / 100, estimate->mean_milli + MILLI);
+  return MAX (low * adm->options.bound_percent / 100, one_more_milli (estimate->mean_milli));
 }
 
 static uint32_t
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -156,6 +156,25 @@
   rig_free (rig);
 }
 
+/* Every engine stands at seven and more is asked for; at any time one of them has just ended one.
+ * If its place held the others below eight, the service would stay at seven, refusing half. */
+static void
+test_level_can_rise (void)
+{
+  rig_t *rig = rig_new (112);
+  for (uint64_t engine = OWN + 1; engine < OWN + ENGINES; engine++)
+    {
+      const mean_sample_t sample = { .engine_hash = engine,
+                                     .service_hash = SERVICE,
+                                     .load = engine == 13 ? 6 : 7,
+                                     .taken_us = rig->now_us };
+      mean_add (adm_mean (rig->adm), &sample);
+    }
+  fill (rig, 8);
+  CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 0)).reason, VRD_REASON_OVER_BOUND);
+  rig_free (rig);
+}
+
 /* Routers do not reach one engine, which all sidecars hear well: it has no load, and room for all
  * that is refused. Counted in the mean, it would hold the bound of the others below what they
  * carry; callers would be refused, the load would fall, and with it the bound, until half were
@@ -522,6 +541,7 @@
     { "bound of an idle service", test_bound_of_idle_service },
     { "equal loads never lock", test_equal_loads_never_lock },
     { "unreached is not counted", test_unreached_engine_is_not_counted },
+    { "the level can rise", test_level_can_rise },
     { "the mean is unknown", test_unknown_mean },
     { "waits if cheaper than cold", test_waits_when_cheaper_than_cold_start },
     { "waits if nobody has room", test_waits_when_nobody_has_room },
