--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 lint:
 	clang-format --dry-run --Werror $(CSRC)
 	cppcheck --quiet --error-exitcode=1 --enable=warning,portability --inline-suppr \
-	  --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches --suppress=varFuncNullUB -DTAILQ_FOREACH=for '-DG_DEFINE_AUTOPTR_CLEANUP_FUNC(type,func)=' -Isrc $(filter %.c,$(CSRC))
+	  --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches --suppress=varFuncNullUB -DTAILQ_FOREACH=for '-DG_DEFINE_AUTOPTR_CLEANUP_FUNC(type,func)=' '-DG_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(type,func)=' -Isrc $(filter %.c,$(CSRC))
 
 TIDYSRC := $(filter-out src/proto/%,$(wildcard src/*/*.c ctl/*.c standin/*.c))
 tidy:
