--- a/tests/path_fleet.c
+++ b/tests/path_fleet.c
@@ -491,10 +491,11 @@
   return ready;
 }
 
-void
-pfl_init (pfl_t *fleet)
+pfl_t *
+pfl_new (void)
 {
-  memset (fleet, 0, sizeof *fleet);
+  pfl_t *fleet = g_new0 (pfl_t, 1);
+
   fleet->base = event_base_new ();
   fleet->counters = cnt_set_new ();
   fleet->man = make_manifest ();
@@ -517,10 +518,11 @@
   g_assert (pfl_until (fleet, is_ready, fleet));
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
     fleet->engines[i].run_count = 0;
+  return fleet;
 }
 
 void
-pfl_clear (pfl_t *fleet)
+pfl_free (pfl_t *fleet)
 {
   hcl_free (fleet->hcl);
   stop_daemon (&fleet->router);
@@ -540,6 +542,7 @@
   g_free (fleet->members.by_hash);
   g_hash_table_destroy (fleet->claims);
   event_base_free (fleet->base);
+  g_free (fleet);
 }
 
 evutil_socket_t
@@ -636,8 +639,8 @@
   answer->call = hcl_start (fleet->hcl, &options);
 }
 
-static bool
-is_done (void *context)
+bool
+pfl_done (void *context)
 {
   const pfl_answer_t *answer = context;
 
@@ -648,7 +651,7 @@
 pfl_ask (pfl_t *fleet, const pfl_request_t *request, pfl_answer_t *answer)
 {
   pfl_send (fleet, request, answer);
-  pfl_until (fleet, is_done, answer);
+  pfl_until (fleet, pfl_done, answer);
 }
 
 void
@@ -656,7 +659,17 @@
 {
   if (answer->call != NULL)
     hcl_cancel (answer->call);
-  g_string_free (answer->body, TRUE);
+  if (answer->body != NULL)
+    g_string_free (answer->body, TRUE);
+}
+
+uint32_t
+pfl_ask_engine (pfl_t *fleet, const pfl_request_t *request)
+{
+  g_auto (pfl_answer_t) answer = { 0 };
+
+  pfl_ask (fleet, request, &answer);
+  return pfl_engine_named (&answer);
 }
 
 uint32_t
@@ -666,6 +679,16 @@
   return (uint32_t)(answer->engine[1] - '0');
 }
 
+uint32_t
+pfl_held (const pfl_t *fleet)
+{
+  uint32_t held = 0;
+
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    held += fleet->engines[i].held->len;
+  return held;
+}
+
 uint32_t
 pfl_runs (const pfl_t *fleet)
 {
--- a/tests/path_fleet.h
+++ b/tests/path_fleet.h
@@ -110,14 +110,20 @@
 
 /** pfl_address() - a loopback address of this process; hosts have 1 to 4, engines 100 to 102 */
 set_address_t pfl_address (uint32_t last);
-void pfl_init (pfl_t *fleet);
-void pfl_clear (pfl_t *fleet);
+pfl_t *pfl_new (void);
+void pfl_free (pfl_t *fleet);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (pfl_t, pfl_free)
 /** pfl_until() - turn the loop until @done says so. Return: false after ten seconds */
 bool pfl_until (pfl_t *fleet, bool (*done) (void *context), void *context);
 void pfl_send (pfl_t *fleet, const pfl_request_t *request, pfl_answer_t *answer);
 /** pfl_ask() - send and wait for the end; pfl_answer_clear() afterwards */
 void pfl_ask (pfl_t *fleet, const pfl_request_t *request, pfl_answer_t *answer);
+/** pfl_ask_engine() - send and wait. Return: index of the engine that the answer names */
+uint32_t pfl_ask_engine (pfl_t *fleet, const pfl_request_t *request);
 void pfl_answer_clear (pfl_answer_t *answer);
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (pfl_answer_t, pfl_answer_clear)
+/** pfl_done() - condition of pfl_until(): the answer in @context has ended */
+bool pfl_done (void *context);
 /** pfl_flag() - a message of a daemon's control task */
 void pfl_flag (pfl_daemon_t *daemon, msg_kind_t kind, bool on);
 /** pfl_engine_named() - index of the engine, from the header of an answer */
@@ -125,6 +131,8 @@
 /** pfl_set_state() - of a sidecar's host, told to all */
 void pfl_set_state (pfl_t *fleet, uint32_t host, mem_state_t state);
 uint32_t pfl_runs (const pfl_t *fleet);
+/** pfl_held() - requests that hang at the engines */
+uint32_t pfl_held (const pfl_t *fleet);
 /** pfl_set_all() - the mode of all engines */
 void pfl_set_all (pfl_t *fleet, pfl_mode_t mode);
 /** pfl_release() - answer what hangs at an engine */
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -18,56 +18,48 @@
 static void
 ask_status (pfl_t *fleet, const pfl_request_t *request, int status, const char *verdict)
 {
-  pfl_answer_t answer;
+  g_auto (pfl_answer_t) answer = { 0 };
 
   pfl_ask (fleet, request, &answer);
   CU_ASSERT_TRUE (answer.end.whole);
   CU_ASSERT_EQUAL (answer.status, status);
   CU_ASSERT_STRING_EQUAL (answer.verdict, verdict);
-  pfl_answer_clear (&answer);
 }
 
 static void
 relays_the_answer (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   pfl_answer_t answer;
-  uint32_t engine;
 
-  pfl_init (&fleet);
-  pfl_ask (&fleet, &TALK, &answer);
+  pfl_ask (fleet, &TALK, &answer);
   CU_ASSERT_TRUE (answer.end.whole);
   CU_ASSERT_EQUAL (answer.status, 200);
   CU_ASSERT_STRING_EQUAL (answer.body->str, "ran:" CHAT_BODY);
   CU_ASSERT_STRING_EQUAL (answer.verdict, "ran");
   CU_ASSERT_EQUAL (strlen (answer.request), 32);
-  engine = pfl_engine_named (&answer);
-  CU_ASSERT_EQUAL (fleet.engines[engine].run_count, 1);
-  CU_ASSERT_FALSE (fleet.engines[engine].saw_secret);
+  uint32_t engine = pfl_engine_named (&answer);
+  CU_ASSERT_EQUAL (fleet->engines[engine].run_count, 1);
+  CU_ASSERT_FALSE (fleet->engines[engine].saw_secret);
   pfl_answer_clear (&answer);
   for (uint32_t i = 0; i < 5; i++)
     {
-      pfl_ask (&fleet, &TALK, &answer);
-      CU_ASSERT_EQUAL (pfl_engine_named (&answer), engine);
-      pfl_answer_clear (&answer);
+      CU_ASSERT_EQUAL (pfl_ask_engine (fleet, &TALK), engine);
     }
-  pfl_clear (&fleet);
 }
 
 static void
 refuses_what_it_cannot_judge (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
 
-  pfl_init (&fleet);
-  ask_status (&fleet, &(pfl_request_t){ .path = "/look", .key = "nobody" }, 401, "not_run");
-  ask_status (&fleet, &(pfl_request_t){ .path = "/none" }, 404, "not_run");
-  ask_status (&fleet, &(pfl_request_t){ .path = "/look", .klass = "none" }, 400, "not_run");
-  ask_status (&fleet, &(pfl_request_t){ .path = "/look", .deadline_ms = "0" }, 400, "not_run");
-  ask_status (&fleet, &(pfl_request_t){ .path = "/v1/chat/completions", .body = "{" }, 400,
+  ask_status (fleet, &(pfl_request_t){ .path = "/look", .key = "nobody" }, 401, "not_run");
+  ask_status (fleet, &(pfl_request_t){ .path = "/none" }, 404, "not_run");
+  ask_status (fleet, &(pfl_request_t){ .path = "/look", .klass = "none" }, 400, "not_run");
+  ask_status (fleet, &(pfl_request_t){ .path = "/look", .deadline_ms = "0" }, 400, "not_run");
+  ask_status (fleet, &(pfl_request_t){ .path = "/v1/chat/completions", .body = "{" }, 400,
               "not_run");
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
-  pfl_clear (&fleet);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 0);
 }
 
 /* The host of a chat's home begins to leave while routers still think it live. Its sidecar refuses
@@ -75,32 +67,21 @@
 static void
 passes_by_a_leaving_host (void)
 {
-  pfl_t fleet;
-  pfl_answer_t answer;
-  uint32_t home;
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  g_auto (pfl_answer_t) answer = { 0 };
 
-  pfl_init (&fleet);
-  pfl_ask (&fleet, &TALK, &answer);
-  home = pfl_engine_named (&answer);
-  pfl_answer_clear (&answer);
-  pfl_flag (&fleet.sidecars[home], MSG_DRAIN, true);
-  pfl_ask (&fleet, &TALK, &answer);
+  uint32_t home = pfl_ask_engine (fleet, &TALK);
+  pfl_flag (&fleet->sidecars[home], MSG_DRAIN, true);
+  pfl_ask (fleet, &TALK, &answer);
   CU_ASSERT_EQUAL (answer.status, 200);
   CU_ASSERT_NOT_EQUAL (pfl_engine_named (&answer), home);
-  CU_ASSERT_EQUAL (fleet.engines[home].run_count, 1);
-  pfl_answer_clear (&answer);
-  pfl_clear (&fleet);
+  CU_ASSERT_EQUAL (fleet->engines[home].run_count, 1);
 }
 
 static bool
 one_held (void *context)
 {
-  const pfl_t *fleet = context;
-  uint32_t held = 0;
-
-  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
-    held += fleet->engines[i].held->len;
-  return held == 1;
+  return pfl_held (context) == 1;
 }
 
 static pfl_engine_t *
@@ -112,25 +93,12 @@
   return NULL;
 }
 
-static bool
-is_done (void *context)
-{
-  const pfl_answer_t *answer = context;
-
-  return answer->done;
-}
-
 #define BURST 12
 
 static bool
 all_held (void *context)
 {
-  const pfl_t *fleet = context;
-  uint32_t held = 0;
-
-  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
-    held += fleet->engines[i].held->len;
-  return held == BURST;
+  return pfl_held (context) == BURST;
 }
 
 /* Requests arrive all at once at an idle service, half of what its engines can take, and no sidecar
@@ -139,31 +107,29 @@
 static void
 a_burst_finds_room (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   pfl_answer_t answers[BURST];
   char chats[BURST][8];
 
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_HANG);
+  pfl_set_all (fleet, PFL_HANG);
   for (uint32_t i = 0; i < BURST; i++)
     {
       g_snprintf (chats[i], sizeof chats[i], "b%u", i);
-      pfl_send (&fleet, &(pfl_request_t){ .path = TALK.path, .body = TALK.body, .chat = chats[i] },
+      pfl_send (fleet, &(pfl_request_t){ .path = TALK.path, .body = TALK.body, .chat = chats[i] },
                 &answers[i]);
     }
-  CU_ASSERT_TRUE (pfl_until (&fleet, all_held, &fleet));
+  CU_ASSERT_TRUE (pfl_until (fleet, all_held, fleet));
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
     {
-      CU_ASSERT_TRUE (fleet.engines[i].held->len <= 2 * BURST / PFL_SIDECARS);
-      pfl_release (&fleet.engines[i]);
+      CU_ASSERT_TRUE (fleet->engines[i].held->len <= 2 * BURST / PFL_SIDECARS);
+      pfl_release (&fleet->engines[i]);
     }
   for (uint32_t i = 0; i < BURST; i++)
     {
-      CU_ASSERT_TRUE (pfl_until (&fleet, is_done, &answers[i]));
+      CU_ASSERT_TRUE (pfl_until (fleet, pfl_done, &answers[i]));
       CU_ASSERT_EQUAL (answers[i].status, 200);
       pfl_answer_clear (&answers[i]);
     }
-  pfl_clear (&fleet);
 }
 
 static bool
@@ -178,12 +144,10 @@
 static bool
 listener_is_gone (void *context)
 {
-  pfl_answer_t answer;
-  bool gone;
+  g_auto (pfl_answer_t) answer = { 0 };
 
   pfl_ask (context, &(pfl_request_t){ .path = "/livez" }, &answer);
-  gone = !answer.end.whole && answer.end.reason == VRD_REASON_CONNECT;
-  pfl_answer_clear (&answer);
+  bool gone = !answer.end.whole && answer.end.reason == VRD_REASON_CONNECT;
   return gone;
 }
 
@@ -192,30 +156,25 @@
 static void
 stops_gracefully (void)
 {
-  pfl_t fleet;
-  pfl_answer_t answer;
-  pfl_engine_t *engine;
-  pfl_daemon_t *sidecar;
-
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_HANG);
-  pfl_send (&fleet, &TALK, &answer);
-  CU_ASSERT_TRUE (pfl_until (&fleet, one_held, &fleet));
-  engine = holder (&fleet);
-  sidecar = &fleet.sidecars[engine - fleet.engines];
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  g_auto (pfl_answer_t) answer = { 0 };
+
+  pfl_set_all (fleet, PFL_HANG);
+  pfl_send (fleet, &TALK, &answer);
+  CU_ASSERT_TRUE (pfl_until (fleet, one_held, fleet));
+  pfl_engine_t *engine = holder (fleet);
+  pfl_daemon_t *sidecar = &fleet->sidecars[engine - fleet->engines];
   pfl_flag (sidecar, MSG_DRAIN, true);
-  pfl_flag (&fleet.router, MSG_DRAIN, true);
-  CU_ASSERT_TRUE (pfl_until (&fleet, listener_is_gone, &fleet));
+  pfl_flag (&fleet->router, MSG_DRAIN, true);
+  CU_ASSERT_TRUE (pfl_until (fleet, listener_is_gone, fleet));
   CU_ASSERT_FALSE (sidecar->drained);
-  CU_ASSERT_FALSE (fleet.router.drained);
+  CU_ASSERT_FALSE (fleet->router.drained);
   pfl_release (engine);
-  CU_ASSERT_TRUE (pfl_until (&fleet, is_done, &answer));
+  CU_ASSERT_TRUE (pfl_until (fleet, pfl_done, &answer));
   CU_ASSERT_TRUE (answer.end.whole);
   CU_ASSERT_EQUAL (answer.status, 200);
-  CU_ASSERT_TRUE (pfl_until (&fleet, is_drained, sidecar));
-  CU_ASSERT_TRUE (pfl_until (&fleet, is_drained, &fleet.router));
-  pfl_answer_clear (&answer);
-  pfl_clear (&fleet);
+  CU_ASSERT_TRUE (pfl_until (fleet, is_drained, sidecar));
+  CU_ASSERT_TRUE (pfl_until (fleet, is_drained, &fleet->router));
 }
 
 /* The engine closes the connection instead of answering, and is up again at once. A lookup is tried
@@ -224,16 +183,14 @@
 static void
 tries_only_idempotent_again (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
 
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_CUT);
-  ask_status (&fleet, &BOOK, 502, "may_have_run");
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
-  CU_ASSERT_EQUAL (fleet.marks, 0);
-  ask_status (&fleet, &LOOK, 502, "may_have_run");
-  CU_ASSERT_TRUE (pfl_runs (&fleet) > 2);
-  pfl_clear (&fleet);
+  pfl_set_all (fleet, PFL_CUT);
+  ask_status (fleet, &BOOK, 502, "may_have_run");
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 1);
+  CU_ASSERT_EQUAL (fleet->marks, 0);
+  ask_status (fleet, &LOOK, 502, "may_have_run");
+  CU_ASSERT_TRUE (pfl_runs (fleet) > 2);
 }
 
 /* An engine answers under another request's id. What it says belongs to another caller: not a byte
@@ -241,17 +198,14 @@
 static void
 never_relays_a_crossed_answer (void)
 {
-  pfl_t fleet;
-  pfl_answer_t answer;
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  g_auto (pfl_answer_t) answer = { 0 };
 
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_CROSSED);
-  pfl_ask (&fleet, &BOOK, &answer);
+  pfl_set_all (fleet, PFL_CROSSED);
+  pfl_ask (fleet, &BOOK, &answer);
   CU_ASSERT_EQUAL (answer.status, 502);
   CU_ASSERT_PTR_NULL (strstr (answer.body->str, "somebody"));
   CU_ASSERT_PTR_NOT_NULL (strstr (answer.body->str, "\"crossed\""));
-  pfl_answer_clear (&answer);
-  pfl_clear (&fleet);
 }
 
 /* A stream breaks off at the engine after its first part went to the caller. The caller sees the
@@ -259,17 +213,14 @@
 static void
 never_ends_a_cut_stream (void)
 {
-  pfl_t fleet;
-  pfl_answer_t answer;
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  g_auto (pfl_answer_t) answer = { 0 };
 
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_CUT_LATE);
-  pfl_ask (&fleet, &TALK, &answer);
+  pfl_set_all (fleet, PFL_CUT_LATE);
+  pfl_ask (fleet, &TALK, &answer);
   CU_ASSERT_TRUE (answer.done);
   CU_ASSERT_FALSE (answer.end.whole);
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
-  pfl_answer_clear (&answer);
-  pfl_clear (&fleet);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 1);
 }
 
 /* A request crashes each engine that runs it. Two are lost; then it is refused for good, and so is
@@ -277,22 +228,20 @@
 static void
 loses_two_engines_at_most (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   pfl_answer_t answer;
 
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_CRASH);
+  pfl_set_all (fleet, PFL_CRASH);
   for (uint32_t i = 0; i < 3; i++)
     {
-      pfl_ask (&fleet, &TALK, &answer);
+      pfl_ask (fleet, &TALK, &answer);
       CU_ASSERT_EQUAL (answer.status, 422);
       CU_ASSERT_STRING_EQUAL (answer.retry_after, "");
       CU_ASSERT_PTR_NOT_NULL (strstr (answer.body->str, "\"suspect\""));
       pfl_answer_clear (&answer);
     }
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 2);
-  CU_ASSERT_EQUAL (fleet.marks, 2);
-  pfl_clear (&fleet);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 2);
+  CU_ASSERT_EQUAL (fleet->marks, 2);
 }
 
 /* The same with a booking, which is never tried again on its own: each send loses one engine. The
@@ -300,16 +249,14 @@
 static void
 loses_two_engines_to_resends (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
 
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_CRASH);
-  ask_status (&fleet, &BOOK, 502, "may_have_run");
-  ask_status (&fleet, &BOOK, 422, "may_have_run");
-  ask_status (&fleet, &BOOK, 422, "not_run");
-  ask_status (&fleet, &BOOK, 422, "not_run");
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 2);
-  pfl_clear (&fleet);
+  pfl_set_all (fleet, PFL_CRASH);
+  ask_status (fleet, &BOOK, 502, "may_have_run");
+  ask_status (fleet, &BOOK, 422, "may_have_run");
+  ask_status (fleet, &BOOK, 422, "not_run");
+  ask_status (fleet, &BOOK, 422, "not_run");
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 2);
 }
 
 #define FEW 6
@@ -317,12 +264,7 @@
 static bool
 few_held (void *context)
 {
-  const pfl_t *fleet = context;
-  uint32_t held = 0;
-
-  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
-    held += fleet->engines[i].held->len;
-  return held == FEW;
+  return pfl_held (context) == FEW;
 }
 
 typedef struct
@@ -346,28 +288,26 @@
 static void
 keeps_suspects_apart (void)
 {
-  pfl_t fleet;
-  moved_t moved = { .fleet = &fleet };
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  moved_t moved = { .fleet = fleet };
   pfl_answer_t answers[FEW];
   char chats[FEW][8];
 
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_HANG);
+  pfl_set_all (fleet, PFL_HANG);
   for (uint32_t i = 0; i < FEW; i++)
     {
       g_snprintf (chats[i], sizeof chats[i], "q%u", i);
-      pfl_send (&fleet, &(pfl_request_t){ .path = TALK.path, .body = TALK.body, .chat = chats[i] },
+      pfl_send (fleet, &(pfl_request_t){ .path = TALK.path, .body = TALK.body, .chat = chats[i] },
                 &answers[i]);
     }
-  CU_ASSERT_TRUE (pfl_until (&fleet, few_held, &fleet));
-  CU_ASSERT_TRUE (fleet.engines[0].held->len >= 2);
+  CU_ASSERT_TRUE (pfl_until (fleet, few_held, fleet));
+  CU_ASSERT_TRUE (fleet->engines[0].held->len >= 2);
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
-    moved.before[i] = fleet.engines[i].held->len;
-  pfl_crash (&fleet.engines[0]);
-  CU_ASSERT_TRUE (pfl_until (&fleet, one_moved_to_each, &moved));
+    moved.before[i] = fleet->engines[i].held->len;
+  pfl_crash (&fleet->engines[0]);
+  CU_ASSERT_TRUE (pfl_until (fleet, one_moved_to_each, &moved));
   for (uint32_t i = 0; i < FEW; i++)
     pfl_answer_clear (&answers[i]);
-  pfl_clear (&fleet);
 }
 
 /* A lookup was answered, so it is placed at random; then it crashes each engine that runs it. Its
@@ -376,24 +316,21 @@
 static void
 loses_two_engines_to_what_was_answered (void)
 {
-  pfl_t fleet;
-  uint32_t answered;
+  g_autoptr (pfl_t) fleet = pfl_new ();
 
-  pfl_init (&fleet);
   for (uint32_t i = 0; i < 5; i++)
-    ask_status (&fleet, &LOOK, 200, "ran");
-  answered = pfl_runs (&fleet);
-  pfl_set_all (&fleet, PFL_CRASH);
+    ask_status (fleet, &LOOK, 200, "ran");
+  uint32_t answered = pfl_runs (fleet);
+  pfl_set_all (fleet, PFL_CRASH);
   for (uint32_t i = 0; i < 4; i++)
     {
       pfl_answer_t answer;
 
-      pfl_ask (&fleet, &LOOK, &answer);
+      pfl_ask (fleet, &LOOK, &answer);
       CU_ASSERT_EQUAL (answer.status, 422);
       pfl_answer_clear (&answer);
     }
-  CU_ASSERT_EQUAL (pfl_runs (&fleet) - answered, 2);
-  pfl_clear (&fleet);
+  CU_ASSERT_EQUAL (pfl_runs (fleet) - answered, 2);
 }
 
 static bool
@@ -411,16 +348,14 @@
 static void
 cancels_for_a_caller_that_left (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   pfl_answer_t answer;
 
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_HANG);
-  pfl_send (&fleet, &TALK, &answer);
-  CU_ASSERT_TRUE (pfl_until (&fleet, one_held, &fleet));
+  pfl_set_all (fleet, PFL_HANG);
+  pfl_send (fleet, &TALK, &answer);
+  CU_ASSERT_TRUE (pfl_until (fleet, one_held, fleet));
   pfl_answer_clear (&answer);
-  CU_ASSERT_TRUE (pfl_until (&fleet, one_gone, &fleet));
-  pfl_clear (&fleet);
+  CU_ASSERT_TRUE (pfl_until (fleet, one_gone, fleet));
 }
 
 static bool
@@ -439,23 +374,21 @@
 static void
 lets_a_booking_finish (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   pfl_answer_t answer;
   pfl_request_t keyed = BOOK;
 
-  pfl_init (&fleet);
   keyed.idempotency_key = "order-7";
-  pfl_set_all (&fleet, PFL_HANG);
-  pfl_send (&fleet, &keyed, &answer);
-  CU_ASSERT_TRUE (pfl_until (&fleet, one_held, &fleet));
+  pfl_set_all (fleet, PFL_HANG);
+  pfl_send (fleet, &keyed, &answer);
+  CU_ASSERT_TRUE (pfl_until (fleet, one_held, fleet));
   pfl_answer_clear (&answer);
-  ask_status (&fleet, &keyed, 409, "may_have_run");
-  CU_ASSERT_FALSE (one_gone (&fleet));
-  pfl_release (holder (&fleet));
-  CU_ASSERT_TRUE (pfl_until (&fleet, claim_is_done, &fleet));
-  ask_status (&fleet, &keyed, 409, "ran");
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
-  pfl_clear (&fleet);
+  ask_status (fleet, &keyed, 409, "may_have_run");
+  CU_ASSERT_FALSE (one_gone (fleet));
+  pfl_release (holder (fleet));
+  CU_ASSERT_TRUE (pfl_until (fleet, claim_is_done, fleet));
+  ask_status (fleet, &keyed, 409, "ran");
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 1);
 }
 
 /* The platform's log is out. A keyed booking cannot be claimed and is refused as not run, at once;
@@ -463,22 +396,20 @@
 static void
 refuses_keys_while_the_log_is_out (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   pfl_answer_t answer;
   pfl_request_t keyed = BOOK;
 
-  pfl_init (&fleet);
-  fleet.log_down = true;
+  fleet->log_down = true;
   keyed.idempotency_key = "order-8";
-  pfl_ask (&fleet, &keyed, &answer);
+  pfl_ask (fleet, &keyed, &answer);
   CU_ASSERT_EQUAL (answer.status, 503);
   CU_ASSERT_STRING_EQUAL (answer.verdict, "not_run");
   CU_ASSERT_STRING_NOT_EQUAL (answer.retry_after, "");
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 0);
   pfl_answer_clear (&answer);
-  ask_status (&fleet, &BOOK, 200, "ran");
-  ask_status (&fleet, &LOOK, 200, "ran");
-  pfl_clear (&fleet);
+  ask_status (fleet, &BOOK, 200, "ran");
+  ask_status (fleet, &LOOK, 200, "ran");
 }
 
 /* An engine is frozen. The caller of a booking hears at its deadline that it may have run, and no
@@ -486,15 +417,13 @@
 static void
 answers_at_the_deadline (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   pfl_request_t soon = BOOK;
 
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_HANG);
+  pfl_set_all (fleet, PFL_HANG);
   soon.deadline_ms = "150";
-  ask_status (&fleet, &soon, 504, "may_have_run");
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
-  pfl_clear (&fleet);
+  ask_status (fleet, &soon, 504, "may_have_run");
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 1);
 }
 
 /* A counter asks for the status of one household over and over. Placed by its fingerprint alone,
@@ -502,14 +431,12 @@
 static void
 spreads_what_was_answered (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
 
-  pfl_init (&fleet);
   for (uint32_t i = 0; i < 60; i++)
-    ask_status (&fleet, &LOOK, 200, "ran");
+    ask_status (fleet, &LOOK, 200, "ran");
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
-    CU_ASSERT_TRUE (fleet.engines[i].run_count >= 8);
-  pfl_clear (&fleet);
+    CU_ASSERT_TRUE (fleet->engines[i].run_count >= 8);
 }
 
 /* The host of a chat's home is frozen: its kernel takes connections, but nothing answers. Without a
@@ -518,45 +445,36 @@
 static void
 leaves_a_frozen_host (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   pfl_answer_t answer;
   pfl_request_t soon = BOOK;
   set_address_t hole;
-  evutil_socket_t listener;
-  uint64_t start_us;
-  uint32_t home;
 
-  pfl_init (&fleet);
-  pfl_ask (&fleet, &TALK, &answer);
-  home = pfl_engine_named (&answer);
-  pfl_answer_clear (&answer);
-  listener = pfl_black_hole (&hole);
+  uint32_t home = pfl_ask_engine (fleet, &TALK);
+  evutil_socket_t listener = pfl_black_hole (&hole);
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
     if (i == home)
-      fleet.hosts[i].http = hole;
-  start_us = clk_now_us (&fleet.router.dmn.clk);
-  pfl_ask (&fleet, &TALK, &answer);
+      fleet->hosts[i].http = hole;
+  uint64_t start_us = clk_now_us (&fleet->router.dmn.clk);
+  pfl_ask (fleet, &TALK, &answer);
   CU_ASSERT_EQUAL (answer.status, 200);
   CU_ASSERT_NOT_EQUAL (pfl_engine_named (&answer), home);
-  CU_ASSERT_TRUE (clk_now_us (&fleet.router.dmn.clk) - start_us < 2 * CLK_US_PER_S);
+  CU_ASSERT_TRUE (clk_now_us (&fleet->router.dmn.clk) - start_us < 2 * CLK_US_PER_S);
   pfl_answer_clear (&answer);
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
-    fleet.hosts[i].http = hole;
+    fleet->hosts[i].http = hole;
   soon.deadline_ms = "1200";
-  ask_status (&fleet, &soon, 504, "may_have_run");
+  ask_status (fleet, &soon, 504, "may_have_run");
   evutil_closesocket (listener);
-  pfl_clear (&fleet);
 }
 
 static bool
 sidecars_stale (void *context)
 {
-  pfl_answer_t answer;
-  bool refused;
+  g_auto (pfl_answer_t) answer = { 0 };
 
   pfl_ask (context, &LOOK, &answer);
-  refused = answer.status == 503;
-  pfl_answer_clear (&answer);
+  bool refused = answer.status == 503;
   return refused;
 }
 
@@ -565,20 +483,17 @@
 static void
 takes_no_work_after_a_pause (void)
 {
-  pfl_t fleet;
-  uint32_t runs;
+  g_autoptr (pfl_t) fleet = pfl_new ();
 
-  pfl_init (&fleet);
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
-    pfl_flag (&fleet.sidecars[i], MSG_FRESHNESS, false);
-  CU_ASSERT_TRUE (pfl_until (&fleet, sidecars_stale, &fleet));
-  runs = pfl_runs (&fleet);
-  ask_status (&fleet, &BOOK, 503, "not_run");
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), runs);
+    pfl_flag (&fleet->sidecars[i], MSG_FRESHNESS, false);
+  CU_ASSERT_TRUE (pfl_until (fleet, sidecars_stale, fleet));
+  uint32_t runs = pfl_runs (fleet);
+  ask_status (fleet, &BOOK, 503, "not_run");
+  CU_ASSERT_EQUAL (pfl_runs (fleet), runs);
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
-    pfl_flag (&fleet.sidecars[i], MSG_FRESHNESS, true);
-  ask_status (&fleet, &BOOK, 200, "ran");
-  pfl_clear (&fleet);
+    pfl_flag (&fleet->sidecars[i], MSG_FRESHNESS, true);
+  ask_status (fleet, &BOOK, 200, "ran");
 }
 
 static bool
@@ -627,15 +542,13 @@
 {
   static const hcl_header_t FORGED[] = { { "X-Medlarplank-Seal", "00" },
                                          { "X-Medlarplank-Account", "first" } };
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
 
-  pfl_init (&fleet);
-  CU_ASSERT_EQUAL (call_sidecar (&fleet, FORGED, 2, "/look"), 403);
-  CU_ASSERT_EQUAL (call_sidecar (&fleet, FORGED, 2, HOP_REVOKE_PATH "?attempt=1"), 403);
-  CU_ASSERT_EQUAL (call_sidecar (&fleet, FORGED, 2, "/medlarplank/drain?time=1"), 403);
-  CU_ASSERT_EQUAL (call_sidecar (&fleet, FORGED, 2, "/medlarplank/manifest"), 403);
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
-  pfl_clear (&fleet);
+  CU_ASSERT_EQUAL (call_sidecar (fleet, FORGED, 2, "/look"), 403);
+  CU_ASSERT_EQUAL (call_sidecar (fleet, FORGED, 2, HOP_REVOKE_PATH "?attempt=1"), 403);
+  CU_ASSERT_EQUAL (call_sidecar (fleet, FORGED, 2, "/medlarplank/drain?time=1"), 403);
+  CU_ASSERT_EQUAL (call_sidecar (fleet, FORGED, 2, "/medlarplank/manifest"), 403);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 0);
 }
 
 /* A router gave an attempt up before it arrived, and went on elsewhere after "not run". The attempt
@@ -644,7 +557,7 @@
 bars_a_revoked_attempt (void)
 {
   static const char TARGET[] = HOP_REVOKE_PATH "?attempt=000000000000000a000000000000000b&age_ms=5";
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   char seal[ORD_SEAL_BYTES];
   hcl_header_t order = { .name = ORD_SEAL_HEADER, .value = seal };
   hop_t hop = { .attempt = { 0xa, 0xb },
@@ -654,18 +567,15 @@
                 .deadline_ms = 1000 };
   hop_header_t written[HOP_HEADERS];
   hcl_header_t headers[HOP_HEADERS];
-  uint32_t count;
 
-  pfl_init (&fleet);
   hop.body_hash = dgs_body ("POST", "/book", "", 0);
-  count = hop_write (&hop, PFL_FLEET_KEY, written);
+  uint32_t count = hop_write (&hop, PFL_FLEET_KEY, written);
   for (uint32_t i = 0; i < count; i++)
     headers[i] = (hcl_header_t){ .name = written[i].name, .value = written[i].value };
   ord_seal (&(ord_t){ .host = "e0", .method = "POST", .target = TARGET }, PFL_FLEET_KEY, seal);
-  CU_ASSERT_EQUAL (call_sidecar (&fleet, &order, 1, TARGET), 200);
-  CU_ASSERT_EQUAL (call_sidecar (&fleet, headers, count, "/book"), 503);
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
-  pfl_clear (&fleet);
+  CU_ASSERT_EQUAL (call_sidecar (fleet, &order, 1, TARGET), 200);
+  CU_ASSERT_EQUAL (call_sidecar (fleet, headers, count, "/book"), 503);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 0);
 }
 
 int
--- a/tests/test_path_answers.c
+++ b/tests/test_path_answers.c
@@ -19,20 +19,17 @@
 static void
 relays_the_length_of_a_head_answer (void)
 {
-  pfl_t fleet;
-  raw_t *raw;
+  g_autoptr (pfl_t) fleet = pfl_new ();
 
-  pfl_init (&fleet);
-  raw = raw_connect (fleet.base, &fleet.hosts[PFL_SIDECARS].http);
+  raw_t *raw = raw_connect (fleet->base, &fleet->hosts[PFL_SIDECARS].http);
   raw_send (raw, "HEAD /look HTTP/1.1\r\nX-Api-Key: " PFL_KEY "\r\n\r\n"
                  "POST /look HTTP/1.1\r\nX-Api-Key: " PFL_KEY "\r\nContent-Length: 4\r\n\r\nnext");
-  CU_ASSERT_TRUE (pfl_until (&fleet, saw_next, raw));
+  CU_ASSERT_TRUE (pfl_until (fleet, saw_next, raw));
   CU_ASSERT_TRUE (g_str_has_prefix (raw->got->str, "HTTP/1.1 200 "));
   CU_ASSERT_PTR_NOT_NULL (strstr (raw->got->str, "Content-Length: 4\r\n"));
   CU_ASSERT_PTR_NOT_NULL (strstr (raw->got->str, "\r\n\r\nHTTP/1.1 200 "));
   CU_ASSERT_PTR_NULL (strstr (raw->got->str, "Content-Length: 0\r\n"));
   raw_free (raw);
-  pfl_clear (&fleet);
 }
 
 static bool
@@ -44,14 +41,6 @@
   return call != NULL && call->rly.full;
 }
 
-static bool
-is_done (void *context)
-{
-  const pfl_answer_t *answer = context;
-
-  return answer->done;
-}
-
 static void
 let_the_timers_run_out (pfl_t *fleet)
 {
@@ -74,23 +63,20 @@
 static void
 waits_for_a_slow_caller (void)
 {
-  pfl_t fleet;
-  pfl_answer_t answer;
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  g_auto (pfl_answer_t) answer = { 0 };
 
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_LONG);
-  pfl_send (&fleet, &(pfl_request_t){ .path = "/look" }, &answer);
+  pfl_set_all (fleet, PFL_LONG);
+  pfl_send (fleet, &(pfl_request_t){ .path = "/look" }, &answer);
   answer.stop_reading = true;
-  CU_ASSERT_TRUE (pfl_until (&fleet, is_held_up, &fleet));
-  let_the_timers_run_out (&fleet);
+  CU_ASSERT_TRUE (pfl_until (fleet, is_held_up, fleet));
+  let_the_timers_run_out (fleet);
   answer.stop_reading = false;
   hcl_pause (answer.call, false);
-  let_the_timers_run_out (&fleet);
-  CU_ASSERT_TRUE (pfl_until (&fleet, is_done, &answer));
+  let_the_timers_run_out (fleet);
+  CU_ASSERT_TRUE (pfl_until (fleet, pfl_done, &answer));
   CU_ASSERT_TRUE (answer.end.whole);
   CU_ASSERT_EQUAL (answer.body->len, PFL_LONG_BYTES);
-  pfl_answer_clear (&answer);
-  pfl_clear (&fleet);
 }
 
 /* A stream breaks off at the engine between two events. The caller is told why by an event of its
@@ -98,20 +84,17 @@
 static void
 says_why_a_stream_breaks_off (void)
 {
-  pfl_t fleet;
-  pfl_answer_t answer;
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  g_auto (pfl_answer_t) answer = { 0 };
 
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_CUT_LATE);
-  pfl_ask (&fleet, &(pfl_request_t){ .path = "/look" }, &answer);
+  pfl_set_all (fleet, PFL_CUT_LATE);
+  pfl_ask (fleet, &(pfl_request_t){ .path = "/look" }, &answer);
   CU_ASSERT_TRUE (answer.done);
   CU_ASSERT_FALSE (answer.end.whole);
   CU_ASSERT_TRUE (g_str_has_prefix (answer.body->str, "data: one\n\nevent: error\ndata: {"));
   CU_ASSERT_TRUE (g_str_has_suffix (answer.body->str, "}\n\n"));
   CU_ASSERT_PTR_EQUAL (strstr (answer.body->str, "event: error"),
                        g_strrstr (answer.body->str, "event: error"));
-  pfl_answer_clear (&answer);
-  pfl_clear (&fleet);
 }
 
 int
--- a/tests/test_path_chats.c
+++ b/tests/test_path_chats.c
@@ -17,13 +17,11 @@
 ask_engine (pfl_t *fleet, const char *chat)
 {
   pfl_request_t request = talk (chat);
-  pfl_answer_t answer;
-  uint32_t engine;
+  g_auto (pfl_answer_t) answer = { 0 };
 
   pfl_ask (fleet, &request, &answer);
   CU_ASSERT_EQUAL (answer.status, 200);
-  engine = pfl_engine_named (&answer);
-  pfl_answer_clear (&answer);
+  uint32_t engine = pfl_engine_named (&answer);
   return engine;
 }
 
@@ -57,10 +55,9 @@
 serve_elsewhere (pfl_t *fleet, const char *chat, uint32_t home)
 {
   noted_t noted = { .fleet = fleet, .more_than = notes (fleet) };
-  uint32_t other;
 
   pfl_flag (&fleet->sidecars[home], MSG_FRESHNESS, false);
-  other = ask_engine (fleet, chat);
+  uint32_t other = ask_engine (fleet, chat);
   CU_ASSERT_NOT_EQUAL (other, home);
   CU_ASSERT_TRUE (pfl_until (fleet, is_noted, &noted));
   pfl_flag (&fleet->sidecars[home], MSG_FRESHNESS, true);
@@ -72,16 +69,12 @@
 static void
 returns_to_where_it_was_served (void)
 {
-  pfl_t fleet;
-  uint32_t home;
-  uint32_t other;
+  g_autoptr (pfl_t) fleet = pfl_new ();
 
-  pfl_init (&fleet);
-  home = ask_engine (&fleet, "c1");
-  other = serve_elsewhere (&fleet, "c1", home);
+  uint32_t home = ask_engine (fleet, "c1");
+  uint32_t other = serve_elsewhere (fleet, "c1", home);
   for (uint32_t i = 0; i < 3; i++)
-    CU_ASSERT_EQUAL (ask_engine (&fleet, "c1"), other);
-  pfl_clear (&fleet);
+    CU_ASSERT_EQUAL (ask_engine (fleet, "c1"), other);
 }
 
 /* The home of that chat leaves. It hands what it knew to the next home, which is not the engine
@@ -89,27 +82,23 @@
 static void
 hands_over_what_it_knew (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   char chat[16];
 
-  pfl_init (&fleet);
   for (uint32_t i = 0; i < 6; i++)
     {
-      noted_t noted = { .fleet = &fleet };
-      uint32_t home;
-      uint32_t other;
+      noted_t noted = { .fleet = fleet };
 
       g_snprintf (chat, sizeof chat, "h%u", i);
-      home = ask_engine (&fleet, chat);
-      other = serve_elsewhere (&fleet, chat, home);
-      noted.more_than = notes (&fleet);
-      pfl_set_state (&fleet, home, MEM_LEAVING);
-      CU_ASSERT_TRUE (pfl_until (&fleet, is_noted, &noted));
-      CU_ASSERT_EQUAL (ask_engine (&fleet, chat), other);
-      CU_ASSERT_EQUAL (ask_engine (&fleet, chat), other);
-      pfl_set_state (&fleet, home, MEM_LIVE);
+      uint32_t home = ask_engine (fleet, chat);
+      uint32_t other = serve_elsewhere (fleet, chat, home);
+      noted.more_than = notes (fleet);
+      pfl_set_state (fleet, home, MEM_LEAVING);
+      CU_ASSERT_TRUE (pfl_until (fleet, is_noted, &noted));
+      CU_ASSERT_EQUAL (ask_engine (fleet, chat), other);
+      CU_ASSERT_EQUAL (ask_engine (fleet, chat), other);
+      pfl_set_state (fleet, home, MEM_LIVE);
     }
-  pfl_clear (&fleet);
 }
 
 /* A long answer is streamed through router and sidecar with what is queued bounded at each; it must
@@ -117,13 +106,12 @@
 static void
 streams_a_long_answer (void)
 {
-  pfl_t fleet;
-  pfl_answer_t answer;
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  g_auto (pfl_answer_t) answer = { 0 };
   pfl_request_t request = talk ("long");
 
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_LONG);
-  pfl_ask (&fleet, &request, &answer);
+  pfl_set_all (fleet, PFL_LONG);
+  pfl_ask (fleet, &request, &answer);
   CU_ASSERT_TRUE (answer.end.whole);
   CU_ASSERT_EQUAL (answer.body->len, PFL_LONG_BYTES);
   for (size_t i = 0; i < answer.body->len; i += 1000)
@@ -132,8 +120,6 @@
         CU_FAIL ("a part is out of order");
         break;
       }
-  pfl_answer_clear (&answer);
-  pfl_clear (&fleet);
 }
 
 int
--- a/tests/test_path_closed.c
+++ b/tests/test_path_closed.c
@@ -6,14 +6,6 @@
 static const pfl_request_t BOOK = { .path = "/book", .body = "lot 7", .idempotency_key = "key 1" };
 static const pfl_request_t LOOK = { .path = "/look" };
 
-static bool
-is_done (void *context)
-{
-  const pfl_answer_t *answer = context;
-
-  return answer->done;
-}
-
 static bool
 claim_held (void *context)
 {
@@ -51,23 +43,19 @@
 static void
 a_grant_at_the_start_of_a_stop_runs (void)
 {
-  pfl_t fleet;
-  pfl_answer_t answer;
-  uint32_t leaving;
-
-  pfl_init (&fleet);
-  fleet.log_slow = true;
-  pfl_send (&fleet, &BOOK, &answer);
-  CU_ASSERT_TRUE_FATAL (pfl_until (&fleet, claim_held, &fleet));
-  leaving = sidecar_of (&fleet, fleet.held_by);
-  pfl_flag (&fleet.sidecars[leaving], MSG_DRAIN, true);
-  pfl_judge (&fleet);
-  CU_ASSERT_TRUE (pfl_until (&fleet, is_done, &answer));
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  g_auto (pfl_answer_t) answer = { 0 };
+
+  fleet->log_slow = true;
+  pfl_send (fleet, &BOOK, &answer);
+  CU_ASSERT_TRUE_FATAL (pfl_until (fleet, claim_held, fleet));
+  uint32_t leaving = sidecar_of (fleet, fleet->held_by);
+  pfl_flag (&fleet->sidecars[leaving], MSG_DRAIN, true);
+  pfl_judge (fleet);
+  CU_ASSERT_TRUE (pfl_until (fleet, pfl_done, &answer));
   CU_ASSERT_EQUAL (answer.status, 200);
-  CU_ASSERT_EQUAL (fleet.engines[leaving].run_count, 1);
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
-  pfl_answer_clear (&answer);
-  pfl_clear (&fleet);
+  CU_ASSERT_EQUAL (fleet->engines[leaving].run_count, 1);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 1);
 }
 
 /* A booking was admitted and waits for a slow log to judge its claim when its host begins to leave.
@@ -76,27 +64,23 @@
 static void
 a_late_grant_starts_nothing_on_a_leaving_host (void)
 {
-  pfl_t fleet;
-  pfl_answer_t answer;
-  uint32_t leaving;
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  g_auto (pfl_answer_t) answer = { 0 };
   later_t later;
 
-  pfl_init (&fleet);
-  fleet.log_slow = true;
-  pfl_send (&fleet, &BOOK, &answer);
-  CU_ASSERT_TRUE_FATAL (pfl_until (&fleet, claim_held, &fleet));
-  leaving = sidecar_of (&fleet, fleet.held_by);
-  pfl_flag (&fleet.sidecars[leaving], MSG_DRAIN, true);
-  later = (later_t){ &fleet,
-                     clk_now_us (&fleet.router.dmn.clk) + LIM_LEAVING_GRACE_US + GRACE_SLACK_US };
-  CU_ASSERT_TRUE (pfl_until (&fleet, is_later, &later));
-  pfl_judge (&fleet);
-  CU_ASSERT_TRUE (pfl_until (&fleet, is_done, &answer));
+  fleet->log_slow = true;
+  pfl_send (fleet, &BOOK, &answer);
+  CU_ASSERT_TRUE_FATAL (pfl_until (fleet, claim_held, fleet));
+  uint32_t leaving = sidecar_of (fleet, fleet->held_by);
+  pfl_flag (&fleet->sidecars[leaving], MSG_DRAIN, true);
+  later = (later_t){ fleet,
+                     clk_now_us (&fleet->router.dmn.clk) + LIM_LEAVING_GRACE_US + GRACE_SLACK_US };
+  CU_ASSERT_TRUE (pfl_until (fleet, is_later, &later));
+  pfl_judge (fleet);
+  CU_ASSERT_TRUE (pfl_until (fleet, pfl_done, &answer));
   CU_ASSERT_EQUAL (answer.status, 200);
-  CU_ASSERT_EQUAL (fleet.engines[leaving].run_count, 0);
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
-  pfl_answer_clear (&answer);
-  pfl_clear (&fleet);
+  CU_ASSERT_EQUAL (fleet->engines[leaving].run_count, 0);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 1);
 }
 
 #define MANY 60
@@ -160,26 +144,23 @@
 static void
 a_moved_engine_starts_nothing_that_waited (void)
 {
-  pfl_t fleet;
-  crowd_t crowd = { .fleet = &fleet };
-  uint32_t runs;
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  crowd_t crowd = { .fleet = fleet };
 
-  pfl_init (&fleet);
-  pfl_set_all (&fleet, PFL_HANG);
+  pfl_set_all (fleet, PFL_HANG);
   for (uint32_t i = 0; i < MANY; i++)
-    pfl_send (&fleet, &LOOK, &crowd.answers[i]);
-  CU_ASSERT_TRUE (pfl_until (&fleet, rest_waits, &crowd));
-  runs = pfl_runs (&fleet);
-  pfl_set_man (&fleet, moved_manifest (&fleet));
-  CU_ASSERT_TRUE (pfl_until (&fleet, rest_refused, &crowd));
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), runs);
+    pfl_send (fleet, &LOOK, &crowd.answers[i]);
+  CU_ASSERT_TRUE (pfl_until (fleet, rest_waits, &crowd));
+  uint32_t runs = pfl_runs (fleet);
+  pfl_set_man (fleet, moved_manifest (fleet));
+  CU_ASSERT_TRUE (pfl_until (fleet, rest_refused, &crowd));
+  CU_ASSERT_EQUAL (pfl_runs (fleet), runs);
   for (uint32_t i = 0; i < MANY; i++)
     {
       if (crowd.answers[i].done)
         CU_ASSERT_STRING_EQUAL (crowd.answers[i].verdict, "not_run");
       pfl_answer_clear (&crowd.answers[i]);
     }
-  pfl_clear (&fleet);
 }
 
 int
--- a/tests/test_path_copies.c
+++ b/tests/test_path_copies.c
@@ -75,31 +75,28 @@
 a_copy_that_waited_is_judged_again (void)
 {
   uint64_t fingerprint = dgs_fingerprint ("first", dgs_body ("GET", LOOK.path, NULL, 0));
-  pfl_t fleet;
-  crowd_t crowd = { .fleet = &fleet };
-  uint32_t runs;
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  crowd_t crowd = { .fleet = fleet };
 
-  pfl_init (&fleet);
   start_crowd (&crowd);
-  runs = pfl_runs (&fleet);
+  uint32_t runs = pfl_runs (fleet);
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
     {
       msg_marks_t *marks = msg_new (MSG_MARKS);
 
       marks->count = 1;
       marks->marks[0] = (sus_mark_t){ .fingerprint = fingerprint, .engines = { 71, 72 } };
-      mbx_send (fleet.sidecars[i].dmn.to_data, &marks->head);
+      mbx_send (fleet->sidecars[i].dmn.to_data, &marks->head);
     }
-  CU_ASSERT_TRUE (pfl_until (&fleet, rest_waits, &crowd));
+  CU_ASSERT_TRUE (pfl_until (fleet, rest_waits, &crowd));
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
-    pfl_release (&fleet.engines[i]);
-  CU_ASSERT_TRUE (pfl_until (&fleet, all_done, &crowd));
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), runs);
+    pfl_release (&fleet->engines[i]);
+  CU_ASSERT_TRUE (pfl_until (fleet, all_done, &crowd));
+  CU_ASSERT_EQUAL (pfl_runs (fleet), runs);
   CU_ASSERT_EQUAL (count_answers (&crowd, 200, "ran"), runs);
   CU_ASSERT_TRUE (count_answers (&crowd, 422, "not_run") > 0);
   for (uint32_t i = 0; i < MANY; i++)
     pfl_answer_clear (&crowd.answers[i]);
-  pfl_clear (&fleet);
 }
 
 static uint64_t
@@ -122,23 +119,20 @@
 static void
 a_copy_that_waited_carries_the_crash (void)
 {
-  pfl_t fleet;
-  crowd_t crowd = { .fleet = &fleet };
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  crowd_t crowd = { .fleet = fleet };
   uint32_t crashed = 0;
-  uint64_t waited;
 
-  pfl_init (&fleet);
   start_crowd (&crowd);
-  while (waiting_at (&fleet.sidecars[crashed]) == 0)
+  while (waiting_at (&fleet->sidecars[crashed]) == 0)
     crashed++;
-  waited = waiting_at (&fleet.sidecars[crashed]);
-  pfl_crash (&fleet.engines[crashed]);
-  CU_ASSERT_TRUE (pfl_until (&fleet, none_waits, &fleet.sidecars[crashed]));
-  CU_ASSERT_TRUE (refusals (&fleet.sidecars[crashed], "suspect_here") >= waited);
-  CU_ASSERT_EQUAL (refusals (&fleet.sidecars[crashed], "no_engine"), 0);
+  uint64_t waited = waiting_at (&fleet->sidecars[crashed]);
+  pfl_crash (&fleet->engines[crashed]);
+  CU_ASSERT_TRUE (pfl_until (fleet, none_waits, &fleet->sidecars[crashed]));
+  CU_ASSERT_TRUE (refusals (&fleet->sidecars[crashed], "suspect_here") >= waited);
+  CU_ASSERT_EQUAL (refusals (&fleet->sidecars[crashed], "no_engine"), 0);
   for (uint32_t i = 0; i < MANY; i++)
     pfl_answer_clear (&crowd.answers[i]);
-  pfl_clear (&fleet);
 }
 
 int
--- a/tests/test_path_hostile.c
+++ b/tests/test_path_hostile.c
@@ -39,22 +39,19 @@
 a_control_character_blames_no_host (void)
 {
   static const char *const VALUES[] = { "\x01", "a\x7f", "a\x1b[0m" };
-  pfl_t fleet;
-  uint64_t before;
+  g_autoptr (pfl_t) fleet = pfl_new ();
 
-  pfl_init (&fleet);
-  before = hops (&fleet);
+  uint64_t before = hops (fleet);
   for (uint32_t i = 0; i < G_N_ELEMENTS (VALUES); i++)
     {
       g_autofree char *text = g_strdup_printf (
           "GET /look HTTP/1.1\r\nHost: h\r\nX-Api-Key: " PFL_KEY "\r\nX-Note: %s\r\n\r\n",
           VALUES[i]);
 
-      CU_ASSERT_EQUAL (send_raw (&fleet, text), 400);
+      CU_ASSERT_EQUAL (send_raw (fleet, text), 400);
     }
-  CU_ASSERT_EQUAL (hops (&fleet), before);
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
-  pfl_clear (&fleet);
+  CU_ASSERT_EQUAL (hops (fleet), before);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 0);
 }
 
 /* A caller's headers are just within the router's limits, in the tightest form. What the router
@@ -63,10 +60,9 @@
 static void
 the_largest_headers_blame_no_host (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   GString *text = g_string_new ("GET /look HTTP/1.1\r\nX-Api-Key:" PFL_KEY "\r\n");
 
-  pfl_init (&fleet);
   for (uint32_t i = 0; i < 9; i++)
     {
       g_string_append_printf (text, "X%u:", i);
@@ -75,10 +71,9 @@
       g_string_append (text, "\r\n");
     }
   g_string_append (text, "\r\n");
-  CU_ASSERT_EQUAL (send_raw (&fleet, text->str), 200);
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
+  CU_ASSERT_EQUAL (send_raw (fleet, text->str), 200);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 1);
   g_string_free (text, TRUE);
-  pfl_clear (&fleet);
 }
 
 /* The booking's route says that it runs once, the lookups' wildcard that it may be repeated. A path
@@ -88,18 +83,16 @@
 {
   static const char *const TARGETS[] = { "/look/../book", "/look/%2e%2e/book", "/look//book",
                                          "/look;/book", "/look%2f..%2fbook" };
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
 
-  pfl_init (&fleet);
   for (uint32_t i = 0; i < G_N_ELEMENTS (TARGETS); i++)
     {
       g_autofree char *text = g_strdup_printf (
           "GET %s HTTP/1.1\r\nHost: h\r\nX-Api-Key: " PFL_KEY "\r\n\r\n", TARGETS[i]);
 
-      CU_ASSERT_EQUAL (send_raw (&fleet, text), 400);
+      CU_ASSERT_EQUAL (send_raw (fleet, text), 400);
     }
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
-  pfl_clear (&fleet);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 0);
 }
 
 int
--- a/tests/test_path_lost.c
+++ b/tests/test_path_lost.c
@@ -61,12 +61,8 @@
 static uint32_t
 stand_in (pfl_t *fleet, fake_t *fake)
 {
-  pfl_answer_t answer;
-  uint32_t first;
 
-  pfl_ask (fleet, &BOOK, &answer);
-  first = pfl_engine_named (&answer);
-  pfl_answer_clear (&answer);
+  uint32_t first = pfl_ask_engine (fleet, &BOOK);
   listen_as (fleet, fake, 60);
   fleet->hosts[first].http = pfl_address (60);
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
@@ -77,12 +73,11 @@
 static void
 ask (pfl_t *fleet, const pfl_request_t *request, int status, const char *verdict)
 {
-  pfl_answer_t answer;
+  g_auto (pfl_answer_t) answer = { 0 };
 
   pfl_ask (fleet, request, &answer);
   CU_ASSERT_EQUAL (answer.status, status);
   CU_ASSERT_STRING_EQUAL (answer.verdict, verdict);
-  pfl_answer_clear (&answer);
 }
 
 /* The connection to a sidecar breaks under a booking. The sidecar, asked, says that it never saw
@@ -91,21 +86,18 @@
 static void
 goes_on_after_not_run (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   fake_t fake = { .verdict = "not_run" };
   char incarnation[16];
-  uint32_t first;
 
-  pfl_init (&fleet);
-  first = stand_in (&fleet, &fake);
+  uint32_t first = stand_in (fleet, &fake);
   g_snprintf (incarnation, sizeof incarnation, "%u", 1000 + first);
   fake.incarnation = incarnation;
-  ask (&fleet, &BOOK, 200, "ran");
+  ask (fleet, &BOOK, 200, "ran");
   CU_ASSERT_EQUAL (fake.requests, 1);
   CU_ASSERT_EQUAL (fake.revokes, 1);
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 1);
   hsv_free (fake.hsv);
-  pfl_clear (&fleet);
 }
 
 /* The same, but the sidecar restarted in between: it has no memory of what its predecessor passed
@@ -113,16 +105,14 @@
 static void
 believes_no_successor (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   fake_t fake = { .verdict = "not_run", .incarnation = "999999" };
 
-  pfl_init (&fleet);
-  stand_in (&fleet, &fake);
-  ask (&fleet, &BOOK, 502, "may_have_run");
+  stand_in (fleet, &fake);
+  ask (fleet, &BOOK, 502, "may_have_run");
   CU_ASSERT_EQUAL (fake.revokes, 1);
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 0);
   hsv_free (fake.hsv);
-  pfl_clear (&fleet);
 }
 
 /* A host is replaced under its name. The router has heard of the successor, but its list still has
@@ -132,27 +122,24 @@
 static void
 asks_where_it_sent (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   fake_t predecessor = { .verdict = "may_have_run", .incarnation = "7" };
   fake_t successor = { .verdict = "not_run" };
   char incarnation[16];
-  uint32_t first;
 
-  pfl_init (&fleet);
-  first = stand_in (&fleet, &predecessor);
+  uint32_t first = stand_in (fleet, &predecessor);
   g_snprintf (incarnation, sizeof incarnation, "%u", 1000 + first);
   successor.incarnation = incarnation;
-  listen_as (&fleet, &successor, 61);
-  predecessor.moved = &fleet.hosts[first];
+  listen_as (fleet, &successor, 61);
+  predecessor.moved = &fleet->hosts[first];
   predecessor.moved_to = pfl_address (61);
-  ask (&fleet, &BOOK, 502, "may_have_run");
+  ask (fleet, &BOOK, 502, "may_have_run");
   CU_ASSERT_EQUAL (predecessor.requests, 1);
   CU_ASSERT_EQUAL (predecessor.revokes, 1);
   CU_ASSERT_EQUAL (successor.revokes, 0);
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 0);
   hsv_free (predecessor.hsv);
   hsv_free (successor.hsv);
-  pfl_clear (&fleet);
 }
 
 /* The sidecar had passed the booking on: nobody can tell what became of it, and it is not tried
@@ -160,21 +147,18 @@
 static void
 moves_only_lookups_after_may_have_run (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   fake_t fake = { .verdict = "may_have_run" };
   char incarnation[16];
-  uint32_t first;
 
-  pfl_init (&fleet);
-  first = stand_in (&fleet, &fake);
+  uint32_t first = stand_in (fleet, &fake);
   g_snprintf (incarnation, sizeof incarnation, "%u", 1000 + first);
   fake.incarnation = incarnation;
-  ask (&fleet, &BOOK, 502, "may_have_run");
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 0);
-  ask (&fleet, &LOOK, 200, "ran");
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 1);
+  ask (fleet, &BOOK, 502, "may_have_run");
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 0);
+  ask (fleet, &LOOK, 200, "ran");
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 1);
   hsv_free (fake.hsv);
-  pfl_clear (&fleet);
 }
 
 /* The sidecar's host refuses connections: not a byte left, so even a booking goes on at once, and
@@ -182,16 +166,14 @@
 static void
 skips_a_host_that_refuses (void)
 {
-  pfl_t fleet;
+  g_autoptr (pfl_t) fleet = pfl_new ();
   fake_t fake = { 0 };
 
-  pfl_init (&fleet);
-  stand_in (&fleet, &fake);
+  stand_in (fleet, &fake);
   hsv_free (fake.hsv);
   for (uint32_t i = 0; i < 5; i++)
-    ask (&fleet, &BOOK, 200, "ran");
-  CU_ASSERT_EQUAL (pfl_runs (&fleet), 5);
-  pfl_clear (&fleet);
+    ask (fleet, &BOOK, 200, "ran");
+  CU_ASSERT_EQUAL (pfl_runs (fleet), 5);
 }
 
 int
