Let a control task's rig end with its scope

Tests with one daemon wrote the same five lines around what they test. The rig takes an event base of its own now and goes with the scope; tests with two daemons on one base stay as they were.

--- a/tests/control_rig.c
+++ b/tests/control_rig.c
@@ -189,6 +189,23 @@
   TURN_UNTIL (rig, rig->told.fresh);
 }
 
+void
+rig_begin (rig_t *rig)
+{
+  rig_start_fresh (rig, event_base_new ());
+  rig->owns_base = true;
+}
+
+void
+rig_clear (rig_t *rig)
+{
+  struct event_base *base = rig->owns_base ? rig->base : NULL;
+
+  rig_tear_down (rig);
+  if (base != NULL)
+    event_base_free (base);
+}
+
 void
 rig_deliver (rig_t *rig, void *message)
 {
--- a/tests/control_rig.h
+++ b/tests/control_rig.h
@@ -46,6 +46,7 @@
   fkp_t platform;
   ctrl_t *ctrl;
   told_t told;
+  bool owns_base;
 } rig_t;
 
 /* Turns until @condition; fails the test when it does not come. */
@@ -65,6 +66,10 @@
 /** rig_start_fresh() - set up and start "own", and wait until it has heard all */
 void rig_start_fresh (rig_t *rig, struct event_base *base);
 void rig_tear_down (rig_t *rig);
+/** rig_begin() - as rig_start_fresh(), on an event base of its own, until rig_clear() */
+void rig_begin (rig_t *rig);
+void rig_clear (rig_t *rig);
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (rig_t, rig_clear)
 /** rig_list_hosts() - "own", "peer" and "third", live */
 void rig_list_hosts (fkp_t *platform);
 /** rig_put_version() - publish the version after @base */
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -31,9 +31,8 @@
 static void
 test_log_outage (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   rig.platform.read_down = true;
   rig_turns (&rig, 2);
   uint32_t reads = rig.platform.reads;
@@ -45,8 +44,6 @@
   rig_put_version (&rig.platform, 1);
   rig.platform.read_down = false;
   TURN_UNTIL (&rig, rig.told.version == 2);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* A daemon is stopped for half a minute and goes on. Meanwhile its host began to leave and the
@@ -80,9 +77,8 @@
 static void
 test_pause_of_data_task (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   rig_turn (&rig);
   msg_flag_t *woke = msg_new (MSG_WOKE);
   woke->at_us = clk_now_us (&rig.dmn.clk) + 1;
@@ -91,8 +87,6 @@
   CU_ASSERT_FALSE (rig.told.fresh);
   TURN_UNTIL (&rig, rig.told.fresh);
   CU_ASSERT_EQUAL (rig.told.fresh_at_us, woke_us);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* Both tasks notice the same pause, the control task first. Asking for all once more would double
@@ -101,9 +95,8 @@
 static void
 test_both_tasks_notice_one_pause (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   clk_advance (&rig.dmn.clk, RIG_PAUSE_US);
   rig_turn (&rig);
   rig_turn (&rig);
@@ -117,8 +110,6 @@
   CU_ASSERT_EQUAL (rig.told.stale_notices, 1);
   rig_turn (&rig);
   CU_ASSERT_EQUAL (rig.platform.lists, lists);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* A daemon wakes while the platform is out. It cannot ask whether its host began to leave; its
@@ -128,9 +119,8 @@
 static void
 test_pause_while_platform_is_out (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   rig.platform.read_down = true;
   rig.platform.list_down = true;
   clk_advance (&rig.dmn.clk, RIG_PAUSE_US);
@@ -153,8 +143,6 @@
   ctrl_talk_heard (&said.message, true, rig.ctrl);
   rig_settle (&rig);
   CU_ASSERT_TRUE (rig.told.fresh);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* While a daemon is stopped the list says that it leaves, then the list goes out. A peer says so
@@ -196,9 +184,8 @@
 static void
 test_leave_by_list (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   fkp_host (&rig.platform, "own", false, rig_ip (), RIG_PORT, MEM_LEAVING);
   TURN_UNTIL (&rig, rig.told.drains > 0);
   fkp_host (&rig.platform, "own", false, rig_ip (), RIG_PORT, MEM_LIVE);
@@ -213,8 +200,6 @@
   rig_send_flag (&rig, MSG_DRAIN);
   CU_ASSERT_TRUE (rig.ctrl->stop.done);
   CU_ASSERT_EQUAL (rig.told.drains, 1);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* A host was replaced; the list lags and says leaving, of the process before. The new one must not
@@ -266,9 +251,8 @@
 static void
 test_checkpoint_is_appended_once (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   for (uint32_t i = 1; i < 70; i++)
     rig_put_version (&rig.platform, i);
   TURN_UNTIL (&rig, rig.told.version == 70);
@@ -286,8 +270,6 @@
   rig_turns (&rig, 300);
   CU_ASSERT_EQUAL (rig.platform.appends, 1);
   g_free (record);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* So many that "own" is not one of those that follow the log and the list. */
@@ -310,11 +292,10 @@
 static void
 test_list_is_read_when_a_peer_has_a_new_one (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
+  g_auto (rig_t) rig = { 0 };
   said_t said;
   uint32_t sequence = 1;
-  rig_start_fresh (&rig, base);
+  rig_begin (&rig);
   list_crowd (&rig);
   uint64_t revision = rig.platform.revision;
   rig_say (&said, "peer", sequence++)->list_revision = revision;
@@ -337,8 +318,6 @@
     }
   CU_ASSERT_TRUE (rig.platform.lists - lists >= 2);
   CU_ASSERT_TRUE (rig.platform.lists - lists <= 4);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* The exchange is cut off, by a wrong key or a firewall. A daemon that relies on peers to hear of a
@@ -347,18 +326,15 @@
 static void
 test_list_is_read_without_peers (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
+  g_auto (rig_t) rig = { 0 };
   said_t said;
-  rig_start_fresh (&rig, base);
+  rig_begin (&rig);
   list_crowd (&rig);
   ctrl_talk_heard (rig_say (&said, "peer", 1), false, rig.ctrl);
   rig_turns (&rig, 20);
   uint32_t lists = rig.platform.lists;
   rig_turns (&rig, 100);
   CU_ASSERT_TRUE (rig.platform.lists - lists >= 4);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* The list turns to leaving for a host that does not follow it. Until that host hears so it takes
@@ -366,9 +342,8 @@
 static void
 test_listed_leaving_is_told_to_the_host (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   CU_ASSERT_TRUE (rig.ctrl->peers.tails);
   cnt_t *sent = cnt_get (rig.dmn.counters, "medlarplank_control_datagrams_sent_total", "");
   rig_turns (&rig, 20);
@@ -378,8 +353,6 @@
   CU_ASSERT_EQUAL (cnt_value (sent), before + 1);
   rig_turns (&rig, 30);
   CU_ASSERT_EQUAL (cnt_value (sent), before + 1);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* A version reaches a large fleet through the few daemons that follow the log. With usual messages
--- a/tests/test_control_claims.c
+++ b/tests/test_control_claims.c
@@ -19,9 +19,8 @@
 static void
 test_claim_is_granted_and_ended (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   rig_deliver (&rig, claim (&rig, 1, 100));
   TURN_UNTIL (&rig, rig.told.results == 1);
   CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_GRANTED);
@@ -43,8 +42,6 @@
   TURN_UNTIL (&rig, rig.told.results == 3);
   CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_DONE);
   CU_ASSERT_EQUAL (rig.told.result.status, 201);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* A claim of the key already stands in a stream that this daemon has not opened yet: granting
@@ -77,9 +74,8 @@
 static void
 test_claims_while_log_is_out (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   rig.platform.read_down = true;
   rig.platform.append_down = true;
   rig_deliver (&rig, claim (&rig, 1, 100));
@@ -97,8 +93,6 @@
   rig_deliver (&rig, claim (&rig, 50, 500));
   TURN_UNTIL (&rig, rig.told.results == 20);
   CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_GRANTED);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* Idle daemons hear of the outage by the manifest stream: then not even the first claim waits. It
@@ -106,9 +100,8 @@
 static void
 test_first_claim_while_log_is_known_down (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   rig.platform.read_down = true;
   rig_turns (&rig, 2);
   rig_deliver (&rig, claim (&rig, 1, 100));
@@ -121,8 +114,6 @@
   rig_deliver (&rig, claim (&rig, 2, 100));
   TURN_UNTIL (&rig, rig.told.results == 2);
   CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_GRANTED);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* The answer to an append is lost, but it took effect. The claim is found in the log by its id and
@@ -130,17 +121,14 @@
 static void
 test_claim_whose_append_was_lost (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   rig.platform.append_lost = true;
   rig_deliver (&rig, claim (&rig, 1, 100));
   TURN_UNTIL (&rig, rig.told.results == 1);
   CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_GRANTED);
   rig_turns (&rig, 10);
   CU_ASSERT_EQUAL (fkp_length (&rig.platform, STREAM), 1);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* The platform refuses appends above its rate, for certain. The callers' claims must not be given
@@ -148,9 +136,8 @@
 static void
 test_claim_whose_append_was_refused (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   rig.platform.append_refused = true;
   rig_deliver (&rig, claim (&rig, 1, 100));
   rig_turns (&rig, 4);
@@ -162,8 +149,6 @@
   CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_GRANTED);
   rig_turns (&rig, 10);
   CU_ASSERT_EQUAL (fkp_length (&rig.platform, STREAM), 1);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* A stream that nobody asks of for long is closed to free its keys. A claim that comes later opens
@@ -171,9 +156,8 @@
 static void
 test_closed_stream_is_read_again (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   rig_deliver (&rig, claim (&rig, 1, 100));
   TURN_UNTIL (&rig, rig.told.results == 1);
   CU_ASSERT_EQUAL (g_hash_table_size (rig.ctrl->claims.streams), 1);
@@ -186,8 +170,6 @@
   rig_deliver (&rig, claim (&rig, 2, 100));
   TURN_UNTIL (&rig, rig.told.results == 2);
   CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_HELD);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* A signal comes while a claim's end is still to be appended. If the process ended now the key
@@ -195,9 +177,8 @@
 static void
 test_stop_waits_for_claims (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   rig_deliver (&rig, claim (&rig, 1, 100));
   TURN_UNTIL (&rig, rig.told.results == 1);
   msg_claim_end_t *end = msg_new (MSG_CLAIM_END);
@@ -215,8 +196,6 @@
   rig_turns (&rig, 15);
   CU_ASSERT_TRUE (rig.ctrl->stop.done);
   CU_ASSERT_TRUE (ctrl_claims_idle (rig.ctrl));
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 int
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -21,9 +21,8 @@
 static void
 test_samples_and_marks_are_passed_on (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   said_t said;
   rig_say (&said, "peer", 1);
   put_sample (&said, "third", 5, 400);
@@ -53,8 +52,6 @@
   CU_ASSERT_EQUAL (out.samples[1].age_ms, 1400);
   CU_ASSERT_EQUAL (out.message.marks.marks_len, 1);
   CU_ASSERT_EQUAL (out.marks[0].age_ms, 2000);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 static void
@@ -73,10 +70,9 @@
 static void
 test_samples_are_those_that_the_peer_needs (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
+  g_auto (rig_t) rig = { 0 };
   said_t out;
-  rig_start_fresh (&rig, base);
+  rig_begin (&rig);
   put_two_services (&rig.platform);
   TURN_UNTIL (&rig, rig.told.version == 2);
   const uint64_t hashes[] = { POOL_HASH, plc_hash_name ("desk") };
@@ -98,8 +94,6 @@
       for (uint32_t j = 1; j < out.message.samples.samples_len; j++)
         CU_ASSERT_EQUAL (out.samples[j].service_hash, hashes[i]);
     }
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* A daemon that starts in a large fleet hears of thousands of incarnations within minutes. They go
@@ -107,10 +101,9 @@
 static void
 test_incarnations_are_told_together (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
+  g_auto (rig_t) rig = { 0 };
   said_t said;
-  rig_start_fresh (&rig, base);
+  rig_begin (&rig);
   rig_turns (&rig, 20);
   uint32_t before = rig.told.members;
   for (uint32_t sequence = 1; sequence <= 2; sequence++)
@@ -126,8 +119,6 @@
   ctrl_talk_heard (&said.message, false, rig.ctrl);
   rig_settle (&rig);
   CU_ASSERT_EQUAL (rig.told.peer_state, MEM_LEAVING);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* A data centre of a large fleet restarts: hundreds of hosts say so within a second, one by one. To
@@ -189,10 +180,9 @@
 static void
 test_news_is_told_at_once (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
+  g_auto (rig_t) rig = { 0 };
   said_t said;
-  rig_start_fresh (&rig, base);
+  rig_begin (&rig);
   fkp_host (&rig.platform, "fourth", false, rig_ip (), RIG_PORT + 3, MEM_LIVE);
   rig_turns (&rig, 20);
   cnt_t *sent = cnt_get (rig.dmn.counters, "medlarplank_control_datagrams_sent_total", "");
@@ -210,8 +200,6 @@
   rig_say (&said, "third", 1)->sender.state = MEM_LEAVING;
   ctrl_talk_heard (&said.message, false, rig.ctrl);
   CU_ASSERT_EQUAL (cnt_value (sent), before);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* A process of this host's name with a later incarnation is heard of: the clock went back, or two
@@ -219,10 +207,9 @@
 static void
 test_conflict_is_told (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
+  g_auto (rig_t) rig = { 0 };
   said_t said;
-  rig_start_fresh (&rig, base);
+  rig_begin (&rig);
   rig_say (&said, "peer", 1);
   said.words[0] = (xch_word){ rig.ctrl->own_hash, 51, 1, MEM_LEAVING };
   said.message.words.words_len = 1;
@@ -231,8 +218,6 @@
   cnt_t *conflicts = cnt_get (rig.dmn.counters, "medlarplank_incarnation_conflicts_total", "");
   CU_ASSERT_EQUAL (cnt_value (conflicts), 1);
   CU_ASSERT_EQUAL (rig.told.drains, 0);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* With the smallest budget a message still tells of the own engine, and no message needs so much
@@ -271,9 +256,8 @@
 static void
 test_replayed_message_is_not_heard (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   said_t said;
   rig_say (&said, "peer", 5);
   put_sample (&said, "peer", 5, 0);
@@ -287,16 +271,13 @@
   CU_ASSERT_FALSE (ctrl_talk_heard (&said.message, false, rig.ctrl));
   rig_settle (&rig);
   CU_ASSERT_EQUAL (rig.told.samples, 1);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 static void
 test_words_spread (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   said_t said;
   rig_say (&said, "third", 1);
   said.words[0] = (xch_word){ plc_hash_name ("peer"), 7, 3, MEM_LEAVING };
@@ -325,8 +306,6 @@
   ctrl_talk_heard (&said.message, false, rig.ctrl);
   ctrl_talk_fill (rig_say (&out, "x", 1), NULL, rig.ctrl);
   CU_ASSERT_EQUAL (out.message.words.words_len, 1);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /** struct server - a peer's data task, which serves the version in force there */
@@ -454,10 +433,9 @@
 static void
 test_log_is_tried_when_a_peer_is_ahead (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
+  g_auto (rig_t) rig = { 0 };
   said_t said;
-  rig_start_fresh (&rig, base);
+  rig_begin (&rig);
   rig.platform.read_down = true;
   rig_turns (&rig, 300);
   uint32_t reads = rig.platform.reads;
@@ -477,8 +455,6 @@
   rig_turn (&rig);
   CU_ASSERT_EQUAL (rig.told.version, 2);
   CU_ASSERT_PTR_NULL (rig.ctrl->fetch.call);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 int
