--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -54,6 +54,8 @@
   g_free (rig);
 }
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (rig_t, rig_free)
+
 /* The three other engines, 12, 13 and 14, are heard with this load. */
 static void
 hear (rig_t *rig, uint32_t load, uint32_t waiting)
@@ -105,7 +107,7 @@
 static void
 test_bound_holds (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, 8, 0);
   fill (rig, 9);
   /* mean (8 + 8 + 8 + 9) / 4 = 8.25, bound 10.31 */
@@ -117,17 +119,15 @@
   CU_ASSERT_EQUAL (decision.referral_count, 3);
   CU_ASSERT (decision.retry_after_ms > 0);
   CU_ASSERT_EQUAL (adm_load (rig->adm), 10);
-  rig_free (rig);
 }
 
 static void
 test_bound_of_idle_service (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, 0, 0);
   fill (rig, 1);
   CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 0)).reason, VRD_REASON_OVER_BOUND);
-  rig_free (rig);
 }
 
 /* The mean moves, so the bound is taken with a margin. All engines have come to the same load: if
@@ -136,7 +136,7 @@
 static void
 test_equal_loads_never_lock (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   for (uint32_t i = 0; i < 40; i++)
     {
       rig->now_us += SECOND_US;
@@ -153,7 +153,6 @@
   fill (rig, 8);
   CU_ASSERT (adm_bound_milli (rig->adm, rig->now_us) < 10000);
   CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 0)).action, ADM_DISPATCH);
-  rig_free (rig);
 }
 
 /* Every engine stands at seven and more is asked for; at any time one of them has just ended one.
@@ -182,7 +181,7 @@
 static void
 test_unreached_engine_is_not_counted (void)
 {
-  rig_t *rig = rig_new (110);
+  g_autoptr (rig_t) rig = rig_new (110);
   for (uint32_t i = 0; i < 8; i++)
     {
       for (uint64_t engine = OWN + 1; engine < OWN + ENGINES; engine++)
@@ -199,7 +198,6 @@
   CU_ASSERT (adm_bound_milli (rig->adm, rig->now_us) >= 11000);
   const adm_decision_t decision = offer (rig, make (rig, 1, 0));
   CU_ASSERT_EQUAL (decision.action, ADM_DISPATCH);
-  rig_free (rig);
 }
 
 /* The exchange is out. Refusing all that is over an unknown mean would turn a lost control path
@@ -207,12 +205,11 @@
 static void
 test_unknown_mean (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   adm_set_joined (rig->adm, rig->now_us);
   CU_ASSERT_EQUAL (adm_bound_milli (rig->adm, rig->now_us), 1000);
   rig->now_us += LIM_SAMPLE_AGE_US;
   CU_ASSERT_EQUAL (adm_bound_milli (rig->adm, rig->now_us), SLOTS * 1000);
-  rig_free (rig);
 }
 
 /* A long chat is warm here and its engine is one over the bound. Its caller is served soonest by
@@ -220,7 +217,7 @@
 static void
 test_waits_when_cheaper_than_cold_start (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, 8, 0);
   fill (rig, 10);
   adm_request_t *warm = make (rig, 1, 77);
@@ -232,20 +229,18 @@
   CU_ASSERT_PTR_EQUAL (adm_next (rig->adm, rig->now_us), warm);
   CU_ASSERT (warm->running);
   CU_ASSERT_EQUAL (adm_load (rig->adm), 10);
-  rig_free (rig);
 }
 
 static void
 test_waits_when_nobody_has_room (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, SLOTS, 3);
   fill (rig, SLOTS - 2);
   adm_request_t *other = make (rig, 9, 0);
   CU_ASSERT_EQUAL (offer (rig, other).action, ADM_DISPATCH);
   CU_ASSERT_EQUAL (offer (rig, make (rig, 10, 0)).action, ADM_DISPATCH);
   CU_ASSERT_EQUAL (offer (rig, make (rig, 9, 0)).action, ADM_WAIT);
-  rig_free (rig);
 }
 
 /* Every engine is full, and the deadline of a new request comes before any could start it. The
@@ -254,7 +249,7 @@
 static void
 test_deadline_is_refused_at_once (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, SLOTS, 3);
   for (uint32_t i = 0; i < SLOTS; i++)
     offer (rig, make (rig, 1 + i % 8, 0));
@@ -271,7 +266,6 @@
   CU_ASSERT_EQUAL (decision.reason, VRD_REASON_DEADLINE);
   CU_ASSERT (decision.retry_after_ms >= 100 && decision.retry_after_ms < 1000);
   CU_ASSERT_EQUAL (adm_waiting (rig->adm), 0);
-  rig_free (rig);
 }
 
 /* The engine stalls while a request waits for it. Its caller hears well before the deadline, as
@@ -279,7 +273,7 @@
 static void
 test_stall_rejects_before_deadline (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   adm_decision_t decision;
   hear (rig, SLOTS, 3);
   for (uint32_t i = 0; i < SLOTS; i++)
@@ -292,7 +286,6 @@
   CU_ASSERT_PTR_EQUAL (adm_reject (rig->adm, rig->now_us, &decision), waiting);
   CU_ASSERT_EQUAL (decision.reason, VRD_REASON_DEADLINE);
   CU_ASSERT_PTR_NULL (adm_reject (rig->adm, rig->now_us, &decision));
-  rig_free (rig);
 }
 
 /* One client account surges and holds all it can get. A request of a quiet account must find a
@@ -300,7 +293,7 @@
 static void
 test_reserve_for_quiet_accounts (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, SLOTS, 0);
   adm_finish (rig->adm, rig->now_us,
               (offer (rig, make (rig, 2, 0)), &rig->requests[rig->count - 1]), true);
@@ -310,13 +303,12 @@
   CU_ASSERT_EQUAL (running, SLOTS - SLOTS / ADM_RESERVE_DIVISOR);
   CU_ASSERT (adm_waiting (rig->adm) > 0);
   CU_ASSERT_EQUAL (offer (rig, make (rig, 2, 0)).action, ADM_DISPATCH);
-  rig_free (rig);
 }
 
 static void
 test_account_queue_is_bounded (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, SLOTS, 3);
   fill (rig, 4);
   for (uint32_t i = 0; i < SLOTS + 8; i++)
@@ -324,14 +316,13 @@
   CU_ASSERT_EQUAL (adm_waiting (rig->adm), 8);
   CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 0)).reason, VRD_REASON_ACCOUNT_SHARE);
   CU_ASSERT_EQUAL (offer (rig, make (rig, 2, 0)).action, ADM_DISPATCH);
-  rig_free (rig);
 }
 
 /* Nobody else has used the engine for a while: keeping slots free for others would waste them. */
 static void
 test_account_alone_has_all_slots (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, SLOTS, 0);
   for (uint32_t i = 0; i < SLOTS; i++)
     {
@@ -347,13 +338,12 @@
   CU_ASSERT_PTR_NOT_NULL (adm_next (rig->adm, rig->now_us));
   CU_ASSERT_PTR_NOT_NULL (adm_next (rig->adm, rig->now_us));
   CU_ASSERT_EQUAL (adm_load (rig->adm), SLOTS);
-  rig_free (rig);
 }
 
 static void
 test_home_refers_to_where_it_is_warm (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, 1, 0);
   adm_served_elsewhere (rig->adm, rig->now_us, 77, 13);
   const adm_decision_t decision = offer (rig, make (rig, 1, 77));
@@ -370,7 +360,6 @@
   CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 78)).reason, VRD_REASON_ELSEWHERE);
   rig->now_us++;
   CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 78)).action, ADM_DISPATCH);
-  rig_free (rig);
 }
 
 /* The engine that holds the context left, or its queue takes longer than to read the context anew.
@@ -378,7 +367,7 @@
 static void
 test_no_referral_to_gone_or_overloaded (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, 2, 0);
   rig->gone = 13;
   adm_served_elsewhere (rig->adm, rig->now_us, 77, 13);
@@ -392,7 +381,6 @@
   mean_add (adm_mean (rig->adm), &full);
   rig->now_us += 2;
   CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 78)).action, ADM_DISPATCH);
-  rig_free (rig);
 }
 
 /* An engine joins and becomes the home of chats that are warm on another one. It points there
@@ -400,7 +388,7 @@
 static void
 test_new_engine_refers_to_former_home (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, 1, 0);
   adm_set_joined (rig->adm, rig->now_us);
   adm_request_t *first = make (rig, 1, 77);
@@ -418,7 +406,6 @@
   CU_ASSERT_EQUAL (offer (rig, later).reason, VRD_REASON_ELSEWHERE);
   rig->now_us++;
   CU_ASSERT_EQUAL (offer (rig, later).action, ADM_DISPATCH);
-  rig_free (rig);
 }
 
 /* An engine was replaced, and its chats return to the new one, which asks this former home first.
@@ -427,7 +414,7 @@
 static void
 test_former_home_sends_cold_chats_back (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, 8, 0);
   adm_request_t *warm = make (rig, 1, 77);
   CU_ASSERT_EQUAL_FATAL (offer (rig, warm).action, ADM_DISPATCH);
@@ -450,7 +437,6 @@
       back->former_hash = 0;
       CU_ASSERT (chat == 77 || offer (rig, back).action == ADM_DISPATCH);
     }
-  rig_free (rig);
 }
 
 /* The host starts to leave while requests wait. They have run nowhere: their callers are sent on
@@ -458,7 +444,7 @@
 static void
 test_leaving_takes_nothing (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   adm_decision_t decision;
   hear (rig, SLOTS, 3);
   for (uint32_t i = 0; i < SLOTS + 2; i++)
@@ -473,13 +459,12 @@
   CU_ASSERT_PTR_NOT_NULL (adm_reject (rig->adm, rig->now_us, &decision));
   CU_ASSERT_PTR_NULL (adm_reject (rig->adm, rig->now_us, &decision));
   CU_ASSERT_EQUAL (adm_load (rig->adm), SLOTS - 1);
-  rig_free (rig);
 }
 
 static void
 test_closed_reasons (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, 1, 0);
   adm_set_stale (rig->adm, true);
   CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 0)).reason, VRD_REASON_STALE);
@@ -490,7 +475,6 @@
   CU_ASSERT (decision.referral_count > 0);
   adm_set_engine_up (rig->adm, true);
   CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 0)).action, ADM_DISPATCH);
-  rig_free (rig);
 }
 
 /* A request crashed this engine and its caller sends it again. It must not crash the engine twice;
@@ -498,7 +482,7 @@
 static void
 test_poison_is_kept_away (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, 1, 0);
   adm_request_t *poison = make (rig, 1, 0);
   CU_ASSERT_EQUAL_FATAL (offer (rig, poison).action, ADM_DISPATCH);
@@ -512,13 +496,12 @@
   const adm_decision_t decision = offer (rig, poison);
   CU_ASSERT_EQUAL (decision.reason, VRD_REASON_SUSPECT);
   CU_ASSERT_EQUAL (decision.retry_after_ms, 0);
-  rig_free (rig);
 }
 
 static void
 test_cancel_waiting (void)
 {
-  rig_t *rig = rig_new (125);
+  g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, SLOTS, 3);
   for (uint32_t i = 0; i < SLOTS + 1; i++)
     offer (rig, make (rig, 1 + i % 8, 0));
@@ -530,7 +513,6 @@
   CU_ASSERT_EQUAL (sample.load, SLOTS - 1);
   CU_ASSERT_EQUAL (sample.waiting, 0);
   CU_ASSERT_EQUAL (sample.cost, (SLOTS - 1) * REQUEST_MS);
-  rig_free (rig);
 }
 
 int
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -67,11 +67,10 @@
 {
   CU_ASSERT_NOT_EQUAL_FATAL (clm_due_us (one->clm), UINT64_MAX);
   one->now_us = MAX (one->now_us, clm_due_us (one->clm));
-  char *text = one_batch (one);
+  g_autofree char *text = one_batch (one);
   CU_ASSERT_PTR_NOT_NULL_FATAL (text);
   clm_appended (one->clm, one->now_us, one->offset);
   one_feed (one, text);
-  g_free (text);
 }
 
 static clm_verdict_t
--- a/tests/test_fairq.c
+++ b/tests/test_fairq.c
@@ -2,8 +2,11 @@
 #include "request/fairq.h"
 #include "suite.h"
 
+#include <glib.h>
 #include <string.h>
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (fq_t, fq_free)
+
 #define MANY 400
 #define CREDIT 60000
 
@@ -46,7 +49,7 @@
 static void
 test_surge_waits_behind_itself (void)
 {
-  fq_t *fq = fq_new (512);
+  g_autoptr (fq_t) fq = fq_new (512);
   fq_item_t surge[300];
   push_many (fq, surge, 300, make (1, 1, 2000));
   for (uint32_t i = 0; i < 20; i++)
@@ -54,7 +57,6 @@
   fq_item_t quiet = make (2, 1, 2000);
   CU_ASSERT_EQUAL_FATAL (fq_push (fq, &quiet), FQ_QUEUED);
   CU_ASSERT (pops_until (fq, &quiet) <= 2);
-  fq_free (fq);
 }
 
 /* A client account names a class of short requests for its long ones, so that each costs it a tenth
@@ -63,7 +65,7 @@
 static void
 test_understating_gains_nothing (void)
 {
-  fq_t *fq = fq_new (512);
+  g_autoptr (fq_t) fq = fq_new (512);
   fq_item_t understated[150], honest[150];
   uint64_t took_understated = 0, took_honest = 0;
   push_many (fq, understated, 150, make (1, 0, 1000));
@@ -77,13 +79,12 @@
     }
   CU_ASSERT (took_understated <= took_honest * 5 / 4);
   CU_ASSERT (took_honest <= took_understated * 5 / 4);
-  fq_free (fq);
 }
 
 static void
 test_weights_share_cost (void)
 {
-  fq_t *fq = fq_new (512);
+  g_autoptr (fq_t) fq = fq_new (512);
   fq_item_t one[150], three[150];
   fq_item_t like = make (3, 1, 500);
   push_many (fq, one, 150, make (1, 1, 1000));
@@ -97,13 +98,12 @@
     }
   CU_ASSERT (cost_three >= 2 * cost_one);
   CU_ASSERT (cost_three <= 4 * cost_one);
-  fq_free (fq);
 }
 
 static void
 test_short_class_passes_long_ones (void)
 {
-  fq_t *fq = fq_new (512);
+  g_autoptr (fq_t) fq = fq_new (512);
   fq_item_t long_ones[50];
   push_many (fq, long_ones, 25, make (1, 2, 6000));
   push_many (fq, long_ones + 25, 25, make (2, 2, 6000));
@@ -115,7 +115,6 @@
   const fq_item_t *second = fq_pop (fq);
   CU_ASSERT (first == &own || first == &other);
   CU_ASSERT (second == &own || second == &other);
-  fq_free (fq);
 }
 
 /* Status checks keep coming faster than they are served, from the account itself and from another
@@ -126,13 +125,12 @@
 {
   for (uint64_t flooder = 1; flooder <= 2; flooder++)
     {
-      fq_t *fq = fq_new (512);
+      g_autoptr (fq_t) fq = fq_new (512);
       fq_item_t flood[MANY];
       fq_item_t appeal = make (1, 3, 8000);
       push_many (fq, flood, MANY - 1, make (flooder, 0, 100));
       fq_push (fq, &appeal);
       CU_ASSERT (pops_until (fq, &appeal) <= 3 * FQ_HEAD_START / 100 + 2);
-      fq_free (fq);
     }
 }
 
@@ -147,7 +145,7 @@
 static void
 test_pop_allowed_skips (void)
 {
-  fq_t *fq = fq_new (512);
+  g_autoptr (fq_t) fq = fq_new (512);
   uint32_t asked = 0;
   fq_item_t one = make (1, 0, 10), two = make (2, 1, 10);
   fq_push (fq, &one);
@@ -157,13 +155,12 @@
   CU_ASSERT_EQUAL (asked, 3);
   CU_ASSERT_PTR_EQUAL (fq_pop (fq), &one);
   CU_ASSERT_EQUAL (fq_count (fq), 0);
-  fq_free (fq);
 }
 
 static void
 test_limits (void)
 {
-  fq_t *fq = fq_new (3);
+  g_autoptr (fq_t) fq = fq_new (3);
   fq_item_t items[5];
   for (uint32_t i = 0; i < 5; i++)
     {
@@ -178,13 +175,12 @@
   fq_remove (fq, &items[0]);
   CU_ASSERT_EQUAL (fq_push (fq, &items[2]), FQ_QUEUED);
   CU_ASSERT_EQUAL (fq_count (fq), 3);
-  fq_free (fq);
 }
 
 static void
 test_expiry_in_order (void)
 {
-  fq_t *fq = fq_new (512);
+  g_autoptr (fq_t) fq = fq_new (512);
   fq_item_t items[4];
   const uint64_t deadlines[4] = { 300, 100, 0, 200 };
   for (uint32_t i = 0; i < 4; i++)
@@ -201,13 +197,12 @@
   CU_ASSERT_PTR_NULL (fq_expired (fq, 1000));
   CU_ASSERT_PTR_EQUAL (fq_pop (fq), &items[2]);
   CU_ASSERT_PTR_NULL (fq_pop (fq));
-  fq_free (fq);
 }
 
 static void
 test_ahead_matches_service (void)
 {
-  fq_t *fq = fq_new (512);
+  g_autoptr (fq_t) fq = fq_new (512);
   fq_item_t one[60], two[60];
   push_many (fq, one, 60, make (1, 1, 1000));
   push_many (fq, two, 60, make (2, 1, 1000));
@@ -220,14 +215,13 @@
   fq_push (fq, &late);
   const uint32_t pops = pops_until (fq, &late);
   CU_ASSERT (pops >= 115 && pops <= 121);
-  fq_free (fq);
 }
 
 /* An account that was served without waiting has had its share: one that was idle goes first. */
 static void
 test_served_is_charged (void)
 {
-  fq_t *fq = fq_new (512);
+  g_autoptr (fq_t) fq = fq_new (512);
   fq_item_t busy = make (1, 1, 50000), idle = make (2, 1, 1000), again = make (1, 1, 10);
   fq_served (fq, &busy);
   fq_push (fq, &again);
@@ -235,21 +229,19 @@
   CU_ASSERT (!fq_goes_before (fq, &busy, &idle));
   CU_ASSERT_PTR_EQUAL (fq_pop (fq), &idle);
   CU_ASSERT_PTR_EQUAL (fq_pop (fq), &again);
-  fq_free (fq);
 }
 
 /* Accounts come and go by the thousand; what is remembered of them must not grow. */
 static void
 test_idle_accounts_are_dropped (void)
 {
-  fq_t *fq = fq_new (512);
+  g_autoptr (fq_t) fq = fq_new (512);
   for (uint64_t account = 1; account <= 20000; account++)
     {
       fq_item_t item = make (account, 1, 100);
       fq_served (fq, &item);
     }
   CU_ASSERT (fq_account_count (fq) < 200);
-  fq_free (fq);
 }
 
 /* One account has had all the service so far. It is ahead of the others, whatever it does next;
@@ -257,7 +249,7 @@
 static void
 test_is_behind (void)
 {
-  fq_t *fq = fq_new (512);
+  g_autoptr (fq_t) fq = fq_new (512);
   fq_set_credit (fq, CREDIT);
   fq_item_t surge = make (1, 1, 10000), quiet = make (2, 1, 10000);
   for (uint32_t i = 0; i < 50; i++)
@@ -270,7 +262,6 @@
       burst++;
     }
   CU_ASSERT (burst >= CREDIT / 10000 && burst <= CREDIT / 10000 + 4);
-  fq_free (fq);
 }
 
 static void
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -5,8 +5,13 @@
 #include "request/place.h"
 #include "suite.h"
 
+#include <glib.h>
 #include <string.h>
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (hlt_t, hlt_free)
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (mem_snapshot_t, mem_snapshot_unref)
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (mem_t, mem_free)
+
 #define S CLK_US_PER_S
 
 static mem_listed_t
@@ -47,12 +52,12 @@
 static void
 test_snapshot_finds (void)
 {
-  mem_t *mem = mem_new ();
+  g_autoptr (mem_t) mem = mem_new ();
   mem_listed_t hosts[3] = { listed ("c", MEM_LIVE), listed ("a", MEM_LIVE),
                             listed ("b", MEM_LIVE) };
   mem_list_full (mem, S, hosts, 3, 7);
   CU_ASSERT_TRUE (mem_changed (mem));
-  mem_snapshot_t *first = mem_snapshot (mem);
+  g_autoptr (mem_snapshot_t) first = mem_snapshot (mem);
   CU_ASSERT_FALSE (mem_changed (mem));
   CU_ASSERT_EQUAL (first->host_count, 3);
   CU_ASSERT_EQUAL (first->list_revision, 7);
@@ -67,13 +72,10 @@
   CU_ASSERT_PTR_NULL (mem_find (first, "d"));
   CU_ASSERT_PTR_NULL (mem_find_hash (first, 12345));
   mem_list_full (mem, 2 * S, hosts, 2, 8);
-  mem_snapshot_t *second = mem_snapshot (mem);
+  g_autoptr (mem_snapshot_t) second = mem_snapshot (mem);
   CU_ASSERT_EQUAL (second->host_count, 2);
   CU_ASSERT_PTR_NULL (mem_find (second, "b"));
   CU_ASSERT_EQUAL (first->host_count, 3);
-  mem_snapshot_unref (first);
-  mem_snapshot_unref (second);
-  mem_free (mem);
 }
 
 /* The platform's list lags: it still says live while the host itself has said that it leaves, and
@@ -82,7 +84,7 @@
 static void
 test_leaving_does_not_revert (void)
 {
-  mem_t *mem = mem_new ();
+  g_autoptr (mem_t) mem = mem_new ();
   list (mem, S, MEM_LIVE);
   CU_ASSERT_TRUE (hear (mem, S, 5, 1, MEM_LIVE));
   CU_ASSERT_TRUE (hear (mem, S, 5, 2, MEM_LEAVING));
@@ -98,7 +100,6 @@
   CU_ASSERT_EQUAL (look (mem).state, MEM_LEAVING);
   CU_ASSERT_TRUE (hear (mem, 5 * S, 6, 1, MEM_LIVE));
   CU_ASSERT_EQUAL (look (mem).state, MEM_LIVE);
-  mem_free (mem);
 }
 
 /* The list says leaving, the host restarts and says so, the list still says leaving of the former
@@ -107,7 +108,7 @@
 static void
 test_list_leaving_is_of_one_incarnation (void)
 {
-  mem_t *mem = mem_new ();
+  g_autoptr (mem_t) mem = mem_new ();
   list (mem, S, MEM_LIVE);
   hear (mem, S, 5, 1, MEM_LIVE);
   list (mem, 2 * S, MEM_LEAVING);
@@ -124,13 +125,12 @@
   list (mem, 6 * S, MEM_LIVE);
   list (mem, 7 * S, MEM_LEAVING);
   CU_ASSERT_EQUAL (look (mem).state, MEM_LEAVING);
-  mem_free (mem);
 }
 
 static void
 test_unlisted_word_is_ignored (void)
 {
-  mem_t *mem = mem_new ();
+  g_autoptr (mem_t) mem = mem_new ();
   CU_ASSERT_FALSE (hear (mem, S, 5, 1, MEM_LIVE));
   CU_ASSERT_EQUAL (look (mem).state, MEM_GONE);
   mem_word_t word;
@@ -139,7 +139,6 @@
   hear (mem, S, 5, 3, MEM_LIVE);
   CU_ASSERT_TRUE (mem_word (mem, plc_hash_name ("a"), &word));
   CU_ASSERT_EQUAL (word.sequence, 3);
-  mem_free (mem);
 }
 
 /* An engine flaps: it is listed, gone and listed again, over and over. Each return would pull its
@@ -148,7 +147,7 @@
 static void
 test_flap_damping_doubles (void)
 {
-  mem_t *mem = mem_new ();
+  g_autoptr (mem_t) mem = mem_new ();
   uint64_t now_us = S;
   list (mem, now_us, MEM_LIVE);
   CU_ASSERT_EQUAL (look (mem).settled_us, 0);
@@ -161,13 +160,12 @@
       CU_ASSERT_EQUAL (look (mem).joined_us, now_us);
       expected_us = MIN (expected_us * 2, MEM_DAMPING_MAX_US);
     }
-  mem_free (mem);
 }
 
 static void
 test_long_uptime_halves_damping (void)
 {
-  mem_t *mem = mem_new ();
+  g_autoptr (mem_t) mem = mem_new ();
   uint64_t now_us = S;
   list (mem, now_us, MEM_LIVE);
   for (uint32_t i = 0; i < 4; i++)
@@ -180,13 +178,12 @@
   list (mem, now_us, MEM_GONE);
   list (mem, now_us += S, MEM_LIVE);
   CU_ASSERT_EQUAL (look (mem).settled_us, now_us + 4 * MEM_DAMPING_MIN_US);
-  mem_free (mem);
 }
 
 static void
 test_restart_is_a_flap_after_a_short_life (void)
 {
-  mem_t *mem = mem_new ();
+  g_autoptr (mem_t) mem = mem_new ();
   list (mem, S, MEM_LIVE);
   hear (mem, S, 5, 1, MEM_LIVE);
   uint64_t late_us = S + MEM_LONG_UPTIME_US;
@@ -194,7 +191,6 @@
   CU_ASSERT_EQUAL (look (mem).settled_us, 0);
   hear (mem, late_us + S, 7, 1, MEM_LIVE);
   CU_ASSERT_EQUAL (look (mem).settled_us, late_us + S + MEM_DAMPING_MIN_US);
-  mem_free (mem);
 }
 
 /* A host goes and comes back: the list says so first, then its new incarnation is heard. That is
@@ -202,20 +198,19 @@
 static void
 test_return_is_one_flap (void)
 {
-  mem_t *mem = mem_new ();
+  g_autoptr (mem_t) mem = mem_new ();
   list (mem, S, MEM_LIVE);
   hear (mem, S, 5, 1, MEM_LIVE);
   list (mem, 2 * S, MEM_GONE);
   list (mem, 3 * S, MEM_LIVE);
   hear (mem, 4 * S, 6, 1, MEM_LIVE);
   CU_ASSERT_EQUAL (look (mem).settled_us, 3 * S + MEM_DAMPING_MIN_US);
-  mem_free (mem);
 }
 
 static void
 test_health_backs_off (void)
 {
-  hlt_t *hlt = hlt_new ();
+  g_autoptr (hlt_t) hlt = hlt_new ();
   uint64_t now_us = S;
   hlt_failure (hlt, now_us, 1);
   CU_ASSERT_TRUE (hlt_usable (hlt, now_us, 1));
@@ -235,7 +230,6 @@
     }
   hlt_success (hlt, 1);
   CU_ASSERT_TRUE (hlt_usable (hlt, now_us, 1));
-  hlt_free (hlt);
 }
 
 /* A router whose own network fails sees every sidecar as dead. If it skipped them all it would
@@ -244,7 +238,7 @@
 static void
 test_health_distrusts_itself (void)
 {
-  hlt_t *hlt = hlt_new ();
+  g_autoptr (hlt_t) hlt = hlt_new ();
   const uint64_t hosts[4] = { 1, 2, 3, 4 };
   for (uint64_t host = 1; host <= 3; host++)
     {
@@ -255,7 +249,6 @@
   CU_ASSERT_TRUE (hlt_distrust (hlt, hosts, 4));
   hlt_forget (hlt, 2);
   CU_ASSERT_FALSE (hlt_distrust (hlt, hosts, 4));
-  hlt_free (hlt);
 }
 
 /* A daemon is stopped and goes on later. A "fresh" that was sent before the stop still lies in its
--- a/tests/test_path_hostile.c
+++ b/tests/test_path_hostile.c
@@ -2,6 +2,7 @@
 #include "raw_peer.h"
 #include "suite.h"
 
+#include <glib.h>
 #include <string.h>
 
 static bool
@@ -61,7 +62,7 @@
 the_largest_headers_blame_no_host (void)
 {
   g_autoptr (pfl_t) fleet = pfl_new ();
-  GString *text = g_string_new ("GET /look HTTP/1.1\r\nX-Api-Key:" PFL_KEY "\r\n");
+  g_autoptr (GString) text = g_string_new ("GET /look HTTP/1.1\r\nX-Api-Key:" PFL_KEY "\r\n");
 
   for (uint32_t i = 0; i < 9; i++)
     {
@@ -73,7 +74,6 @@
   g_string_append (text, "\r\n");
   CU_ASSERT_EQUAL (send_raw (fleet, text->str), 200);
   CU_ASSERT_EQUAL (pfl_runs (fleet), 1);
-  g_string_free (text, TRUE);
 }
 
 /* The booking's route says that it runs once, the lookups' wildcard that it may be repeated. A path
