Say in one line what a claim comes to

Asking, reading back and comparing the verdict was written out at each claim; one_claims() and judged() do the three with the same asserts. A reader goes with its test's scope, and the queries of the choice start from one that they share.

Tests and asserts per program, the same before and after: claim: 17, 120396; control_claims: 8, 100; place: 11, 68577;

--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -18,6 +18,7 @@
 #define EXPIRY_US (2 * (uint64_t)CLK_US_PER_S)
 
 static const clm_key_t key_a = { { 1, 2 }, 3 };
+static const clm_key_t key_b = { { 5, 5 }, 5 };
 
 /* one_t - a reader alone with a log */
 typedef struct
@@ -33,15 +34,22 @@
   return WALL_BASE_MS + one->now_us / CLK_US_PER_MS;
 }
 
+static one_t
+one_begin (void)
+{
+  one_t one = { .clm = clm_new (HORIZON_US), .now_us = 1000 };
+  clm_begin (one.clm, 0);
+  return one;
+}
+
 static void
-one_init (one_t *one)
+one_clear (one_t *one)
 {
-  one->clm = clm_new (HORIZON_US);
-  one->now_us = 1000;
-  one->offset = 0;
-  clm_begin (one->clm, 0);
+  clm_free (one->clm);
 }
 
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (one_t, one_clear)
+
 static void
 one_ask (one_t *one, uint64_t id, const clm_key_t *key)
 {
@@ -80,11 +88,19 @@
   return clm_result (one->clm, one->now_us, &result) ? result.verdict : CLM_PENDING;
 }
 
+/* A claim of the key, and what comes of it once it was read back. */
+static void
+one_claims (one_t *one, uint64_t id, const clm_key_t *key, clm_verdict_t verdict)
+{
+  one_ask (one, id, key);
+  one_turn (one);
+  CU_ASSERT_EQUAL (one_verdict (one), verdict);
+}
+
 static void
 test_first_wins (void)
 {
-  one_t one;
-  one_init (&one);
+  g_auto (one_t) one = one_begin ();
   clm_key_t other_body = { { 1, 2 }, 4 };
   one_ask (&one, 1, &key_a);
   one_ask (&one, 2, &key_a);
@@ -95,25 +111,19 @@
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_HELD);
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_KEY_REUSED);
   CU_ASSERT_FALSE (clm_wants (one.clm));
-  clm_free (one.clm);
 }
 
 static void
 test_done_and_released (void)
 {
-  one_t one;
-  one_init (&one);
+  g_auto (one_t) one = one_begin ();
   clm_result_t result;
   uint64_t first[2] = { 7, 1 };
   uint64_t second[2] = { 7, 2 };
-  one_ask (&one, 1, &key_a);
-  one_turn (&one);
-  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
+  one_claims (&one, 1, &key_a, CLM_GRANTED);
   clm_release (one.clm, first, &key_a);
   one_turn (&one);
-  one_ask (&one, 2, &key_a);
-  one_turn (&one);
-  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
+  one_claims (&one, 2, &key_a, CLM_GRANTED);
   clm_done (one.clm, second, &key_a, 201);
   clm_release (one.clm, second, &key_a); /* it ran: this must not free the key */
   one_turn (&one);
@@ -121,7 +131,6 @@
   CU_ASSERT_TRUE_FATAL (clm_result (one.clm, one.now_us, &result));
   CU_ASSERT_EQUAL (result.verdict, CLM_DONE);
   CU_ASSERT_EQUAL (result.status, 201);
-  clm_free (one.clm);
 }
 
 /* The log takes the record but its answer is lost. The caller waits a little longer and runs: the
@@ -129,10 +138,9 @@
 static void
 test_lost_answer (void)
 {
-  one_t one;
-  one_init (&one);
+  g_auto (one_t) one = one_begin ();
   one_ask (&one, 1, &key_a);
-  char *text = one_batch (&one);
+  g_autofree char *text = one_batch (&one);
   clm_append_lost (one.clm, one.now_us);
   one.now_us += CLK_US_PER_S / 2;
   CU_ASSERT_PTR_NULL (one_batch (&one));
@@ -141,8 +149,6 @@
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
   CU_ASSERT_PTR_NULL (one_batch (&one));
   CU_ASSERT_FALSE (clm_wants (one.clm));
-  g_free (text);
-  clm_free (one.clm);
 }
 
 /* The record is read back before its append's answer is given up. The log works, so the next claim
@@ -150,20 +156,14 @@
 static void
 test_read_back_before_loss (void)
 {
-  one_t one;
-  one_init (&one);
-  clm_key_t key_b = { { 5, 5 }, 5 };
+  g_auto (one_t) one = one_begin ();
   one_ask (&one, 1, &key_a);
-  char *text = one_batch (&one);
+  g_autofree char *text = one_batch (&one);
   one_feed (&one, text);
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
   clm_append_lost (one.clm, one.now_us);
   CU_ASSERT_FALSE (clm_wants (one.clm));
-  one_ask (&one, 2, &key_b);
-  one_turn (&one);
-  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
-  g_free (text);
-  clm_free (one.clm);
+  one_claims (&one, 2, &key_b, CLM_GRANTED);
 }
 
 /* The append never took effect. It is repeated under the same id, but only after a read that began
@@ -171,8 +171,7 @@
 static void
 test_lost_append (void)
 {
-  one_t one;
-  one_init (&one);
+  g_auto (one_t) one = one_begin ();
   one_ask (&one, 1, &key_a);
   g_free (one_batch (&one));
   clm_append_lost (one.clm, one.now_us);
@@ -182,7 +181,6 @@
   clm_read_to (one.clm, one.now_us, one.offset);
   one_turn (&one);
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
-  clm_free (one.clm);
 }
 
 /* An append looks lost, is repeated, runs nowhere and is released; then the first copy lands. If it
@@ -191,11 +189,10 @@
 static void
 test_late_copy_is_dead (void)
 {
-  one_t one;
-  one_init (&one);
+  g_auto (one_t) one = one_begin ();
   uint64_t claim_id[2] = { 7, 1 };
   one_ask (&one, 1, &key_a);
-  char *late = one_batch (&one);
+  g_autofree char *late = one_batch (&one);
   clm_append_lost (one.clm, one.now_us);
   one.now_us += CLK_US_PER_S / 2;
   clm_read_to (one.clm, one.now_us, one.offset);
@@ -205,11 +202,7 @@
   clm_release (one.clm, claim_id, &key_a);
   one_turn (&one);
   one_feed (&one, late);
-  one_ask (&one, 2, &key_a);
-  one_turn (&one);
-  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
-  g_free (late);
-  clm_free (one.clm);
+  one_claims (&one, 2, &key_a, CLM_GRANTED);
 }
 
 /* The log is out: callers hear so at once and not at their deadline, the claim that was on its way
@@ -217,11 +210,9 @@
 static void
 test_log_down (void)
 {
-  one_t one;
-  one_init (&one);
+  g_auto (one_t) one = one_begin ();
   one_ask (&one, 1, &key_a);
-  char *late = one_batch (&one);
-  clm_key_t key_b = { { 5, 5 }, 5 };
+  g_autofree char *late = one_batch (&one);
   one_ask (&one, 2, &key_b); /* waits for the append in flight */
   clm_append_lost (one.clm, one.now_us);
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_LOG_DOWN);
@@ -235,15 +226,9 @@
   clm_read_to (one.clm, one.now_us, one.offset);
   clm_read_to (one.clm, one.now_us, one.offset);
   one_turn (&one);
-  one_ask (&one, 5, &key_a);
-  one_turn (&one);
-  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
+  one_claims (&one, 5, &key_a, CLM_GRANTED);
   one_feed (&one, late);
-  one_ask (&one, 6, &key_b);
-  one_turn (&one);
-  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
-  g_free (late);
-  clm_free (one.clm);
+  one_claims (&one, 6, &key_b, CLM_GRANTED);
 }
 
 /* The process is frozen between the append and reading it back. When it wakes the claim's time is
@@ -251,19 +236,14 @@
 static void
 test_too_late (void)
 {
-  one_t one;
-  one_init (&one);
+  g_auto (one_t) one = one_begin ();
   one_ask (&one, 1, &key_a);
-  char *text = one_batch (&one);
+  g_autofree char *text = one_batch (&one);
   clm_appended (one.clm, one.now_us, one.offset);
   one.now_us += EXPIRY_US;
   one_feed (&one, text);
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_TOO_LATE);
-  one_ask (&one, 2, &key_a);
-  one_turn (&one);
-  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
-  g_free (text);
-  clm_free (one.clm);
+  one_claims (&one, 2, &key_a, CLM_GRANTED);
 }
 
 /* The log takes no more appends for now and says so. The caller must not be told that its request
@@ -272,24 +252,20 @@
 static void
 test_refused_append (void)
 {
-  one_t one;
-  one_init (&one);
+  g_auto (one_t) one = one_begin ();
   one_ask (&one, 1, &key_a);
-  char *first = one_batch (&one);
+  g_autofree char *first = one_batch (&one);
   clm_append_refused (one.clm, one.now_us);
   CU_ASSERT_PTR_NULL (one_batch (&one));
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_PENDING);
   one.now_us = clm_due_us (one.clm);
-  char *second = one_batch (&one);
+  g_autofree char *second = one_batch (&one);
   CU_ASSERT_PTR_NOT_NULL_FATAL (second);
   CU_ASSERT_NSTRING_EQUAL (first, second, strcspn (first, "t")); /* but for the time */
   clm_appended (one.clm, one.now_us, one.offset);
   one_feed (&one, second);
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
   CU_ASSERT_EQUAL (clm_due_us (one.clm), UINT64_MAX);
-  g_free (first);
-  g_free (second);
-  clm_free (one.clm);
 }
 
 /* The log is asked too often, and the next append is due later than some callers can wait. They
@@ -297,11 +273,9 @@
 static void
 test_refused_in_a_hurry (void)
 {
-  one_t one;
-  one_init (&one);
+  g_auto (one_t) one = one_begin ();
   uint64_t hasty[2] = { 7, 1 };
   uint64_t hastier[2] = { 7, 2 };
-  clm_key_t key_b = { { 5, 5 }, 5 };
   clm_request (one.clm, one.now_us, hasty, &key_a, one.now_us + 50 * CLK_US_PER_MS, NULL);
   one_ask (&one, 3, &key_b);
   g_free (one_batch (&one));
@@ -313,7 +287,6 @@
   one_turn (&one);
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_PENDING);
-  clm_free (one.clm);
 }
 
 /* The log goes on refusing. What waits is told after a few tries that it did not run, later callers
@@ -321,8 +294,7 @@
 static void
 test_refused_for_long (void)
 {
-  one_t one;
-  one_init (&one);
+  g_auto (one_t) one = one_begin ();
   uint32_t tries = 0;
   one_ask (&one, 1, &key_a);
   while (one_verdict (&one) == CLM_PENDING)
@@ -354,13 +326,8 @@
     }
   CU_ASSERT_TRUE (tries >= 5 && tries <= 15);
   one.now_us += 5 * CLK_US_PER_S;
-  one_ask (&one, 3, &key_a);
-  one_turn (&one);
-  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
-  one_ask (&one, 4, &key_a);
-  one_turn (&one);
-  CU_ASSERT_EQUAL (one_verdict (&one), CLM_HELD);
-  clm_free (one.clm);
+  one_claims (&one, 3, &key_a, CLM_GRANTED);
+  one_claims (&one, 4, &key_a, CLM_HELD);
 }
 
 /* Reading fails: claims that are not on their way are refused at once, although appending was not
@@ -368,19 +335,14 @@
 static void
 test_reading_fails (void)
 {
-  one_t one;
-  one_init (&one);
-  one_ask (&one, 1, &key_a);
-  one_turn (&one);
-  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
-  clm_key_t key_b = { { 5, 5 }, 5 };
+  g_auto (one_t) one = one_begin ();
+  one_claims (&one, 1, &key_a, CLM_GRANTED);
   one_ask (&one, 2, &key_b); /* waits for the interval */
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_PENDING);
   clm_log_down (one.clm, one.now_us);
   CU_ASSERT_EQUAL (one_verdict (&one), CLM_LOG_DOWN);
   one.now_us += CLK_US_PER_S;
   CU_ASSERT_PTR_NULL (one_batch (&one));
-  clm_free (one.clm);
 }
 
 static bool
@@ -404,14 +366,10 @@
 static void
 test_done_rides_along (void)
 {
-  one_t one;
-  one_init (&one);
-  clm_key_t key_b = { { 5, 5 }, 5 };
+  g_auto (one_t) one = one_begin ();
   uint64_t first[2] = { 7, 1 };
   uint64_t second[2] = { 7, 2 };
-  one_ask (&one, 1, &key_a);
-  one_turn (&one);
-  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
+  one_claims (&one, 1, &key_a, CLM_GRANTED);
   one.now_us += CLK_US_PER_S / 5;
   clm_done (one.clm, first, &key_a, 200);
   CU_ASSERT_TRUE (clm_wants (one.clm));
@@ -433,49 +391,38 @@
   one.now_us += CLK_US_PER_S / 5;
   clm_release (one.clm, (uint64_t[]){ 7, 3 }, &(clm_key_t){ { 6, 6 }, 6 });
   CU_ASSERT_TRUE (batch_has (&one, "\"r\""));
-  clm_free (one.clm);
 }
 
 static void
 test_broken_records (void)
 {
-  one_t one;
-  one_init (&one);
+  g_auto (one_t) one = one_begin ();
   static const char *const broken[] = {
     "", "{}", "[1]", "[{\"c\":\"zz\"}]", "[[[", "[{\"c\":1,\"k\":2,\"b\":3,\"t\":-4}]", "\xff"
   };
   for (uint32_t i = 0; i < G_N_ELEMENTS (broken); i++)
     one_feed (&one, broken[i]);
   CU_ASSERT_EQUAL (clm_broken_count (one.clm), G_N_ELEMENTS (broken));
-  one_ask (&one, 1, &key_a);
-  one_turn (&one);
-  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
-  clm_free (one.clm);
+  one_claims (&one, 1, &key_a, CLM_GRANTED);
 }
 
 /* Keys are forgotten a horizon after their claim, and the memory is given back. */
 static void
 test_memory_is_bounded (void)
 {
-  one_t one;
-  one_init (&one);
+  g_auto (one_t) one = one_begin ();
   uint64_t most_bytes = 0;
   for (uint32_t i = 0; i < 40000; i++)
     {
       clm_key_t key = { { i, 9 }, 1 };
-      one_ask (&one, i, &key);
-      one_turn (&one);
-      CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
+      one_claims (&one, i, &key, CLM_GRANTED);
       one.now_us += HORIZON_US / 1000;
       most_bytes = MAX (most_bytes, clm_memory_bytes (one.clm));
     }
   CU_ASSERT_TRUE (clm_key_count (one.clm) <= 4000);
   CU_ASSERT_TRUE (most_bytes <= 1500 * 24); /* 1,000 keys within the horizon */
   clm_key_t oldest = { { 0, 9 }, 1 };
-  one_ask (&one, 1, &oldest);
-  one_turn (&one);
-  CU_ASSERT_EQUAL (one_verdict (&one), CLM_GRANTED);
-  clm_free (one.clm);
+  one_claims (&one, 1, &oldest, CLM_GRANTED);
 }
 
 /* ---- several readers over one log ---- */
--- a/tests/test_control_claims.c
+++ b/tests/test_control_claims.c
@@ -16,18 +16,23 @@
   return message;
 }
 
+/* A claim is handed in; its result is the one with number @results, and @verdict. */
+static void
+judged (rig_t *rig, uint64_t id, uint64_t key, uint32_t results, clm_verdict_t verdict)
+{
+  rig_deliver (rig, claim (rig, id, key));
+  TURN_UNTIL (rig, rig->told.results == results);
+  CU_ASSERT_EQUAL (rig->told.result.verdict, verdict);
+}
+
 static void
 test_claim_is_granted_and_ended (void)
 {
   g_auto (rig_t) rig = { 0 };
   rig_begin (&rig);
-  rig_deliver (&rig, claim (&rig, 1, 100));
-  TURN_UNTIL (&rig, rig.told.results == 1);
-  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_GRANTED);
+  judged (&rig, 1, 100, 1, CLM_GRANTED);
   CU_ASSERT_EQUAL (fkp_length (&rig.platform, STREAM), 1);
-  rig_deliver (&rig, claim (&rig, 2, 100));
-  TURN_UNTIL (&rig, rig.told.results == 2);
-  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_HELD);
+  judged (&rig, 2, 100, 2, CLM_HELD);
   msg_claim_end_t *end = msg_new (MSG_CLAIM_END);
   g_strlcpy (end->stream, STREAM, sizeof end->stream);
   end->claim_id[0] = 1;
@@ -38,9 +43,7 @@
   end->status = 201;
   rig_deliver (&rig, end);
   TURN_UNTIL (&rig, ctrl_claims_idle (rig.ctrl));
-  rig_deliver (&rig, claim (&rig, 3, 100));
-  TURN_UNTIL (&rig, rig.told.results == 3);
-  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_DONE);
+  judged (&rig, 3, 100, 3, CLM_DONE);
   CU_ASSERT_EQUAL (rig.told.result.status, 201);
 }
 
@@ -60,9 +63,7 @@
   rig_put_version (&rig.platform, 0);
   fkp_put (&rig.platform, STREAM, fkp_record (&other.platform, STREAM, 0));
   rig_start (&rig);
-  rig_deliver (&rig, claim (&rig, 2, 100));
-  TURN_UNTIL (&rig, rig.told.results == 1);
-  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_HELD);
+  judged (&rig, 2, 100, 1, CLM_HELD);
   rig_tear_down (&rig);
   rig_tear_down (&other);
   event_base_free (base);
@@ -78,9 +79,7 @@
   rig_begin (&rig);
   rig.platform.read_down = true;
   rig.platform.append_down = true;
-  rig_deliver (&rig, claim (&rig, 1, 100));
-  TURN_UNTIL (&rig, rig.told.results == 1);
-  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_LOG_DOWN);
+  judged (&rig, 1, 100, 1, CLM_LOG_DOWN);
   for (uint32_t id = 2; id < 20; id++)
     {
       rig_deliver (&rig, claim (&rig, id, 100 + id));
@@ -90,9 +89,7 @@
   rig.platform.read_down = false;
   rig.platform.append_down = false;
   rig_turns (&rig, 15);
-  rig_deliver (&rig, claim (&rig, 50, 500));
-  TURN_UNTIL (&rig, rig.told.results == 20);
-  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_GRANTED);
+  judged (&rig, 50, 500, 20, CLM_GRANTED);
 }
 
 /* Idle daemons hear of the outage by the manifest stream: then not even the first claim waits. It
@@ -111,9 +108,7 @@
   rig.ctrl->manifest.source.due_us = UINT64_MAX; /* which would find out too */
   rig.platform.read_down = false;
   rig_turns (&rig, 15);
-  rig_deliver (&rig, claim (&rig, 2, 100));
-  TURN_UNTIL (&rig, rig.told.results == 2);
-  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_GRANTED);
+  judged (&rig, 2, 100, 2, CLM_GRANTED);
 }
 
 /* The answer to an append is lost, but it took effect. The claim is found in the log by its id and
@@ -124,9 +119,7 @@
   g_auto (rig_t) rig = { 0 };
   rig_begin (&rig);
   rig.platform.append_lost = true;
-  rig_deliver (&rig, claim (&rig, 1, 100));
-  TURN_UNTIL (&rig, rig.told.results == 1);
-  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_GRANTED);
+  judged (&rig, 1, 100, 1, CLM_GRANTED);
   rig_turns (&rig, 10);
   CU_ASSERT_EQUAL (fkp_length (&rig.platform, STREAM), 1);
 }
@@ -167,9 +160,7 @@
       rig_turn (&rig);
     }
   CU_ASSERT_EQUAL (g_hash_table_size (rig.ctrl->claims.streams), 0);
-  rig_deliver (&rig, claim (&rig, 2, 100));
-  TURN_UNTIL (&rig, rig.told.results == 2);
-  CU_ASSERT_EQUAL (rig.told.result.verdict, CLM_HELD);
+  judged (&rig, 2, 100, 2, CLM_HELD);
 }
 
 /* A signal comes while a claim's end is still to be appended. If the process ended now the key
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -134,6 +134,18 @@
   CU_ASSERT_NOT_EQUAL (plc_hash_body ("a", "abc", 3), plc_hash_body ("b", "abc", 3));
 }
 
+static chs_query_t
+make_query (plc_engine_t *engines, const chs_engine_t *details)
+{
+  make_engines (engines, ENGINES);
+  return (chs_query_t){ .now_us = 1000,
+                        .engines = engines,
+                        .details = details,
+                        .engine_count = ENGINES,
+                        .service_hash = 7,
+                        .chat_hash = chat_number (1) };
+}
+
 static bool
 is_not_first (uint64_t engine_hash, void *context)
 {
@@ -145,15 +157,9 @@
 {
   plc_engine_t engines[ENGINES];
   chs_engine_t details[ENGINES] = { 0 };
-  make_engines (engines, ENGINES);
-  chs_query_t query = { .now_us = 1000,
-                        .engines = engines,
-                        .details = details,
-                        .engine_count = ENGINES,
-                        .service_hash = 7,
-                        .chat_hash = chat_number (1),
-                        .has_chat = true,
-                        .cache_lifetime_us = 500 };
+  chs_query_t query = make_query (engines, details);
+  query.has_chat = true;
+  query.cache_lifetime_us = 500;
   const chs_t all = chs_choose (&query);
   CU_ASSERT_EQUAL_FATAL (all.candidate_count, ATT_CANDIDATES);
   CU_ASSERT_EQUAL (all.home_hash, all.candidates[0]);
@@ -184,15 +190,9 @@
   plc_engine_t engines[ENGINES];
   const chs_engine_t details[ENGINES] = { 0 };
   mean_table_t samples;
-  make_engines (engines, ENGINES);
   mean_init (&samples, 1);
-  chs_query_t query = { .now_us = 1000,
-                        .engines = engines,
-                        .details = details,
-                        .engine_count = ENGINES,
-                        .service_hash = 7,
-                        .chat_hash = chat_number (1),
-                        .samples = &samples };
+  chs_query_t query = make_query (engines, details);
+  query.samples = &samples;
   const chs_t plain = chs_choose (&query);
   for (uint32_t i = 0; i < 2; i++)
     {
@@ -215,16 +215,10 @@
   const chs_engine_t details[ENGINES] = { 0 };
   mean_table_t samples;
   uwy_t *uwy = uwy_new ();
-  make_engines (engines, ENGINES);
   mean_init (&samples, 1);
-  chs_query_t query = { .now_us = 1000,
-                        .engines = engines,
-                        .details = details,
-                        .engine_count = ENGINES,
-                        .service_hash = 7,
-                        .chat_hash = chat_number (1),
-                        .samples = &samples,
-                        .under_way = uwy };
+  chs_query_t query = make_query (engines, details);
+  query.samples = &samples;
+  query.under_way = uwy;
   const chs_t plain = chs_choose (&query);
   query.tie = 1;
   CU_ASSERT_EQUAL (chs_choose (&query).candidates[0], plain.candidates[1]);
