Share the crowds of the path tests

Two programs had the same crowd of waiting requests, and one counted what hangs at the engines in three places. Both are in path_crowd now; a full house at an engine is one line in the tests of admission too.

--- a/tests/path_fleet.c
+++ b/tests/path_fleet.c
@@ -679,16 +679,6 @@
   return (uint32_t)(answer->engine[1] - '0');
 }
 
-uint32_t
-pfl_held (const pfl_t *fleet)
-{
-  uint32_t held = 0;
-
-  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
-    held += fleet->engines[i].held->len;
-  return held;
-}
-
 uint32_t
 pfl_runs (const pfl_t *fleet)
 {
--- a/tests/path_fleet.h
+++ b/tests/path_fleet.h
@@ -131,8 +131,6 @@
 /** pfl_set_state() - of a sidecar's host, told to all */
 void pfl_set_state (pfl_t *fleet, uint32_t host, mem_state_t state);
 uint32_t pfl_runs (const pfl_t *fleet);
-/** pfl_held() - requests that hang at the engines */
-uint32_t pfl_held (const pfl_t *fleet);
 /** pfl_set_all() - the mode of all engines */
 void pfl_set_all (pfl_t *fleet, pfl_mode_t mode);
 /** pfl_release() - answer what hangs at an engine */
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -104,6 +104,14 @@
     CU_ASSERT_EQUAL_FATAL (offer (rig, make (rig, 1 + i % 4, 0)).action, ADM_DISPATCH);
 }
 
+/* Requests of eight accounts, whatever becomes of them. */
+static void
+offer_many (rig_t *rig, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    offer (rig, make (rig, 1 + i % 8, 0));
+}
+
 static void
 test_bound_holds (void)
 {
@@ -251,8 +259,7 @@
 {
   g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, SLOTS, 3);
-  for (uint32_t i = 0; i < SLOTS; i++)
-    offer (rig, make (rig, 1 + i % 8, 0));
+  offer_many (rig, SLOTS);
   rig->now_us += 3 * SECOND_US;
   hear (rig, SLOTS, 3);
   for (uint32_t i = 0; i < SLOTS; i++)
@@ -276,8 +283,7 @@
   g_autoptr (rig_t) rig = rig_new (125);
   adm_decision_t decision;
   hear (rig, SLOTS, 3);
-  for (uint32_t i = 0; i < SLOTS; i++)
-    offer (rig, make (rig, 1 + i % 8, 0));
+  offer_many (rig, SLOTS);
   adm_request_t *waiting = make (rig, 9, 0);
   CU_ASSERT_EQUAL_FATAL (offer (rig, waiting).action, ADM_WAIT);
   CU_ASSERT_PTR_NULL (adm_reject (rig->adm, rig->now_us, &decision));
@@ -447,8 +453,7 @@
   g_autoptr (rig_t) rig = rig_new (125);
   adm_decision_t decision;
   hear (rig, SLOTS, 3);
-  for (uint32_t i = 0; i < SLOTS + 2; i++)
-    offer (rig, make (rig, 1 + i % 8, 0));
+  offer_many (rig, SLOTS + 2);
   CU_ASSERT_EQUAL (adm_waiting (rig->adm), 2);
   adm_set_leaving (rig->adm, true);
   CU_ASSERT_EQUAL (offer (rig, make (rig, 1, 0)).reason, VRD_REASON_LEAVING);
@@ -503,8 +508,7 @@
 {
   g_autoptr (rig_t) rig = rig_new (125);
   hear (rig, SLOTS, 3);
-  for (uint32_t i = 0; i < SLOTS + 1; i++)
-    offer (rig, make (rig, 1 + i % 8, 0));
+  offer_many (rig, SLOTS + 1);
   CU_ASSERT_EQUAL_FATAL (adm_waiting (rig->adm), 1);
   adm_cancel (rig->adm, &rig->requests[SLOTS]);
   adm_finish (rig->adm, rig->now_us, &rig->requests[0], true);
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -1,4 +1,4 @@
-#include "path_fleet.h"
+#include "path_crowd.h"
 #include "suite.h"
 
 #include "request/digest.h"
--- a/tests/test_path_closed.c
+++ b/tests/test_path_closed.c
@@ -1,4 +1,4 @@
-#include "path_fleet.h"
+#include "path_crowd.h"
 #include "suite.h"
 
 #include <string.h>
@@ -83,7 +83,6 @@
   CU_ASSERT_EQUAL (pfl_runs (fleet), 1);
 }
 
-#define MANY 60
 #define MOVED                                                                                      \
   "{\"services\":{\"pool\":{\"engines\":[\"e9\"]},"                                                \
   "\"desk\":{\"kind\":\"plain\",\"engines\":[\"e0\",\"e1\",\"e2\"]}}}"
@@ -100,42 +99,12 @@
   return man;
 }
 
-/** struct crowd - requests of a service whose engines are given to another one meanwhile */
-typedef struct
-{
-  pfl_t *fleet;
-  pfl_answer_t answers[MANY];
-} crowd_t;
-
-static uint32_t
-open_count (const crowd_t *crowd)
-{
-  uint32_t open = 0;
-
-  for (uint32_t i = 0; i < MANY; i++)
-    open += !crowd->answers[i].done;
-  return open;
-}
-
 static bool
 rest_refused (void *context)
 {
-  const crowd_t *crowd = context;
-
-  return open_count (crowd) == pfl_runs (crowd->fleet);
-}
-
-/* rest_waits() - all that were neither passed to an engine nor refused wait at a sidecar */
-static bool
-rest_waits (void *context)
-{
-  const crowd_t *crowd = context;
-  uint64_t waiting = 0;
+  const pfl_crowd_t *crowd = context;
 
-  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
-    waiting +=
-        cnt_value (cnt_get (crowd->fleet->sidecars[i].dmn.counters, "medlarplank_waiting", ""));
-  return waiting > 0 && open_count (crowd) == pfl_runs (crowd->fleet) + waiting;
+  return pfl_open (crowd) == pfl_runs (crowd->fleet);
 }
 
 /* Lookups wait at the sidecars when a new version gives their engines to another service. Whatever
@@ -145,17 +114,14 @@
 a_moved_engine_starts_nothing_that_waited (void)
 {
   g_autoptr (pfl_t) fleet = pfl_new ();
-  crowd_t crowd = { .fleet = fleet };
+  pfl_crowd_t crowd = { .fleet = fleet };
 
-  pfl_set_all (fleet, PFL_HANG);
-  for (uint32_t i = 0; i < MANY; i++)
-    pfl_send (fleet, &LOOK, &crowd.answers[i]);
-  CU_ASSERT_TRUE (pfl_until (fleet, rest_waits, &crowd));
+  CU_ASSERT_TRUE (pfl_start_crowd (&crowd, &LOOK));
   uint32_t runs = pfl_runs (fleet);
   pfl_set_man (fleet, moved_manifest (fleet));
   CU_ASSERT_TRUE (pfl_until (fleet, rest_refused, &crowd));
   CU_ASSERT_EQUAL (pfl_runs (fleet), runs);
-  for (uint32_t i = 0; i < MANY; i++)
+  for (uint32_t i = 0; i < PFL_CROWD; i++)
     {
       if (crowd.answers[i].done)
         CU_ASSERT_STRING_EQUAL (crowd.answers[i].verdict, "not_run");
--- a/tests/test_path_copies.c
+++ b/tests/test_path_copies.c
@@ -1,69 +1,24 @@
-#include "path_fleet.h"
+#include "path_crowd.h"
 #include "suite.h"
 
 #include "request/digest.h"
 
 #include <string.h>
 
-#define MANY 60
-
 static const pfl_request_t LOOK = { .path = "/look" };
 
-/** struct crowd - copies of one request */
-typedef struct
-{
-  pfl_t *fleet;
-  pfl_answer_t answers[MANY];
-} crowd_t;
-
-static uint32_t
-open_count (const crowd_t *crowd)
-{
-  uint32_t open = 0;
-
-  for (uint32_t i = 0; i < MANY; i++)
-    open += !crowd->answers[i].done;
-  return open;
-}
-
-static uint64_t
-waiting_at (pfl_daemon_t *sidecar)
-{
-  return cnt_value (cnt_get (sidecar->dmn.counters, "medlarplank_waiting", ""));
-}
-
-static bool
-rest_waits (void *context)
-{
-  const crowd_t *crowd = context;
-  uint64_t waiting = 0;
-
-  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
-    waiting += waiting_at (&crowd->fleet->sidecars[i]);
-  return waiting > 0 && open_count (crowd) == pfl_runs (crowd->fleet) + waiting;
-}
-
 static bool
 all_done (void *context)
 {
-  return open_count (context) == 0;
-}
-
-static void
-start_crowd (crowd_t *crowd)
-{
-  pfl_set_all (crowd->fleet, PFL_HANG);
-  for (uint32_t i = 0; i < MANY; i++)
-    pfl_send (crowd->fleet, &LOOK, &crowd->answers[i]);
-  CU_ASSERT_TRUE (pfl_until (crowd->fleet, rest_waits, crowd));
+  return pfl_open (context) == 0;
 }
 
 static uint32_t
-count_answers (const crowd_t *crowd, int status, const char *verdict)
+count_answers (const pfl_crowd_t *crowd, int status, const char *verdict)
 {
   uint32_t count = 0;
 
-  for (uint32_t i = 0; i < MANY; i++)
+  for (uint32_t i = 0; i < PFL_CROWD; i++)
     count += crowd->answers[i].status == status && strcmp (crowd->answers[i].verdict, verdict) == 0;
   return count;
 }
@@ -76,9 +31,9 @@
 {
   uint64_t fingerprint = dgs_fingerprint ("first", dgs_body ("GET", LOOK.path, NULL, 0));
   g_autoptr (pfl_t) fleet = pfl_new ();
-  crowd_t crowd = { .fleet = fleet };
+  pfl_crowd_t crowd = { .fleet = fleet };
 
-  start_crowd (&crowd);
+  CU_ASSERT_TRUE (pfl_start_crowd (&crowd, &LOOK));
   uint32_t runs = pfl_runs (fleet);
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
     {
@@ -88,14 +43,14 @@
       marks->marks[0] = (sus_mark_t){ .fingerprint = fingerprint, .engines = { 71, 72 } };
       mbx_send (fleet->sidecars[i].dmn.to_data, &marks->head);
     }
-  CU_ASSERT_TRUE (pfl_until (fleet, rest_waits, &crowd));
+  CU_ASSERT_TRUE (pfl_until (fleet, pfl_rest_waits, &crowd));
   for (uint32_t i = 0; i < PFL_SIDECARS; i++)
     pfl_release (&fleet->engines[i]);
   CU_ASSERT_TRUE (pfl_until (fleet, all_done, &crowd));
   CU_ASSERT_EQUAL (pfl_runs (fleet), runs);
   CU_ASSERT_EQUAL (count_answers (&crowd, 200, "ran"), runs);
   CU_ASSERT_TRUE (count_answers (&crowd, 422, "not_run") > 0);
-  for (uint32_t i = 0; i < MANY; i++)
+  for (uint32_t i = 0; i < PFL_CROWD; i++)
     pfl_answer_clear (&crowd.answers[i]);
 }
 
@@ -110,7 +65,7 @@
 static bool
 none_waits (void *context)
 {
-  return waiting_at (context) == 0;
+  return pfl_waiting (context) == 0;
 }
 
 /* Copies of one request run on an engine when it crashes, and others wait for it. Those must not go
@@ -120,18 +75,18 @@
 a_copy_that_waited_carries_the_crash (void)
 {
   g_autoptr (pfl_t) fleet = pfl_new ();
-  crowd_t crowd = { .fleet = fleet };
+  pfl_crowd_t crowd = { .fleet = fleet };
   uint32_t crashed = 0;
 
-  start_crowd (&crowd);
-  while (waiting_at (&fleet->sidecars[crashed]) == 0)
+  CU_ASSERT_TRUE (pfl_start_crowd (&crowd, &LOOK));
+  while (pfl_waiting (&fleet->sidecars[crashed]) == 0)
     crashed++;
-  uint64_t waited = waiting_at (&fleet->sidecars[crashed]);
+  uint64_t waited = pfl_waiting (&fleet->sidecars[crashed]);
   pfl_crash (&fleet->engines[crashed]);
   CU_ASSERT_TRUE (pfl_until (fleet, none_waits, &fleet->sidecars[crashed]));
   CU_ASSERT_TRUE (refusals (&fleet->sidecars[crashed], "suspect_here") >= waited);
   CU_ASSERT_EQUAL (refusals (&fleet->sidecars[crashed], "no_engine"), 0);
-  for (uint32_t i = 0; i < MANY; i++)
+  for (uint32_t i = 0; i < PFL_CROWD; i++)
     pfl_answer_clear (&crowd.answers[i]);
 }
 
