Hold the loads that ride on hops to the control budget

They go along only after a refusal over the bound, and draw on a bucket of the control budget; the exchange tells the loads as well, later.

The rest under a surge is not held back yet.

--- a/src/request/router_hop.c
+++ b/src/request/router_hop.c
@@ -239,11 +239,13 @@
 }
 
 /* wants_samples() - first hops carry none as a rule: most requests need no second, and the bytes
- * would be for nothing. But when one was just refused over the bound, the mean may have risen. */
+ * would be for nothing. But when one was just refused over the bound, the mean may have risen. What
+ * was refused for another reason, as a surging account's share, says nothing of the mean. */
 static bool
 wants_samples (const rtr_call_t *call, const rtr_loads_t *loads, uint64_t now_us)
 {
-  return call->att.hops > 1 || now_us < loads->refused_us + RTR_BURST_US;
+  return (call->att.hops > 1 && call->att.last_reason == VRD_REASON_OVER_BOUND) ||
+         now_us < loads->refused_us + RTR_BURST_US;
 }
 
 static void
@@ -256,6 +258,10 @@
   hop->sample_count = 0;
   if (loads != NULL && wants_samples (call, loads, now_us))
     hop->sample_count = mean_pick (&loads->table, now_us, picked, HOP_SAMPLES);
+  /* Under an overload every request takes four hops: without a limit their loads would be a hundred
+   * times all other control traffic. The exchange tells the loads as well, only later. */
+  if (!bdg_take (&call->rtr->loads_budget, now_us, hop->sample_count * HOP_SAMPLE_BYTES))
+    hop->sample_count = 0;
   ops_count_control (call->rtr->ops, hop->sample_count * HOP_SAMPLE_BYTES);
   for (uint32_t i = 0; i < hop->sample_count; i++)
     hop->samples[i] =
--- a/src/request/router_private.h
+++ b/src/request/router_private.h
@@ -9,6 +9,7 @@
 #ifndef REQUEST_ROUTER_PRIVATE_H
 #define REQUEST_ROUTER_PRIVATE_H
 
+#include "connection/budget.h"
 #include "connection/http_client.h"
 #include "process/daemon.h"
 #include "request/attempt.h"
@@ -97,6 +98,7 @@
   GHashTable *incarnations; /* engine hash -> uint64_t, the newest heard */
   GHashTable *watches;      /* host hash -> rtr_watch_t */
   rtr_told_t *told;
+  bdg_t loads_budget; /* of the loads that ride on hops */
   prv_t *prv;
   sus_t *suspects; /* as seen from here, before the sidecars told one another */
   uwy_t *uwy;
--- a/tests/path_fleet.c
+++ b/tests/path_fleet.c
@@ -392,6 +392,7 @@
   set->connection_limit = 100;
   set->idle_timeout_ms = 30000;
   set->exchange_interval_ms = 250;
+  set->control_budget_bytes = 2000;
   clk_init_running (&daemon->dmn.clk);
   daemon->dmn.counters = cnt_set_new ();
   daemon->dmn.incarnation = fleet->hosts[host].incarnation;
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -94,6 +94,7 @@
 }
 
 #define BURST 12
+#define OVERLOAD 90
 
 static bool
 all_held (void *context)
@@ -132,6 +133,31 @@
     }
 }
 
+/* All engines are full, so that each request is refused over the bound by one sidecar after the
+ * other. Each hop would carry the loads that the router heard of, and an overload multiply the
+ * control traffic. They are held to the budget: a second's worth, and what was gained meanwhile. */
+static void
+loads_on_hops_keep_the_budget (void)
+{
+  static const pfl_request_t SOON = { .path = "/look", .deadline_ms = "300" };
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  cnt_t *sent = cnt_get (fleet->router.dmn.counters, "medlarplank_control_bytes_sent_total", "");
+  uint64_t start_us = clk_now_us (&fleet->router.dmn.clk);
+  pfl_answer_t answers[OVERLOAD];
+
+  pfl_set_all (fleet, PFL_HANG);
+  for (uint32_t i = 0; i < OVERLOAD; i++)
+    pfl_send (fleet, &SOON, &answers[i]);
+  for (uint32_t i = 0; i < OVERLOAD; i++)
+    {
+      CU_ASSERT_TRUE (pfl_until (fleet, pfl_done, &answers[i]));
+      pfl_answer_clear (&answers[i]);
+    }
+  uint64_t elapsed_us = clk_now_us (&fleet->router.dmn.clk) - start_us;
+  CU_ASSERT_TRUE (cnt_value (sent) > 0);
+  CU_ASSERT_TRUE (cnt_value (sent) <= 2000 + 2000 * elapsed_us / CLK_US_PER_S);
+}
+
 static bool
 is_drained (void *context)
 {
@@ -586,6 +612,7 @@
     { "refuses what it cannot judge", refuses_what_it_cannot_judge },
     { "passes by a leaving host", passes_by_a_leaving_host },
     { "a burst finds room", a_burst_finds_room },
+    { "loads on hops keep the budget", loads_on_hops_keep_the_budget },
     { "stops gracefully", stops_gracefully },
     { "tries only idempotent again", tries_only_idempotent_again },
     { "never relays a crossed answer", never_relays_a_crossed_answer },
