--- a/bench/spread/exchange.c
+++ b/bench/spread/exchange.c
@@ -82,6 +82,8 @@
       g_free (datagram);
       return;
     }
+  exc->node->sent++;
+  exc->node->sent_bytes += bytes;
   flt->counts.datagrams++;
   flt->counts.exchange_bytes += bytes;
   deliver (exc, to, datagram);
--- a/bench/spread/fleet.h
+++ b/bench/spread/fleet.h
@@ -46,6 +46,7 @@
  * struct flt_node - one daemon
  * @dmn: goes first, so that the fake exchange finds the node
  * @heard_us: when it first had what the bench waits for, 0 before
+ * @sent, @sent_bytes: datagrams
  * @bias, @phase, @period_us: of the load of its engine over time
  */
 typedef struct
@@ -58,6 +59,8 @@
   uint32_t service;
   bool stopped;
   uint64_t heard_us;
+  uint64_t sent;
+  uint64_t sent_bytes;
   double bias;
   double phase;
   double period_us;
--- /dev/null
+++ b/bench/spread/run.c
@@ -0,0 +1,107 @@
+#include "run.h"
+
+#include "../figures.h"
+
+#include <stdio.h>
+
+#define SETTLE_US (5 * (uint64_t)CLK_US_PER_S)
+
+void
+run_print (const run_t *run, const char *what, const char *unit, double value)
+{
+  const flt_options_t *options = &run->options;
+  printf ("%u\t%u\t%s\t%s\t%.3f\n", options->engines + options->routers, options->lost_percent,
+          what, unit, value);
+  fflush (stdout);
+}
+
+void
+run_begin (run_t *run, uint32_t watched)
+{
+  run->options.watched = watched;
+  run->flt = flt_new (&run->options);
+  flt_run (run->flt, SETTLE_US, false);
+}
+
+void
+run_end (run_t *run)
+{
+  g_clear_pointer (&run->flt, flt_free);
+}
+
+/* Times since @start_us at which the nodes that @counts heard, as rows. */
+void
+run_print_heard (const run_t *run,
+                 const char *what,
+                 uint64_t start_us,
+                 bool (*counts) (const flt_node_t *node, void *context),
+                 void *context)
+{
+  fig_list_t list = { 0 };
+  uint32_t total = 0;
+  uint32_t within_2s = 0;
+  for (uint32_t i = 0; i < run->flt->count; i++)
+    {
+      const flt_node_t *node = &run->flt->nodes[i];
+      if (node->stopped || (counts != NULL && !counts (node, context)))
+        continue;
+      total++;
+      if (node->heard_us == 0)
+        continue;
+      uint64_t after_us = node->heard_us > start_us ? node->heard_us - start_us : 0;
+      within_2s += after_us <= 2 * CLK_US_PER_S;
+      fig_add (&list, (double)after_us / CLK_US_PER_S);
+    }
+  char row[96];
+  snprintf (row, sizeof row, "%s: half", what);
+  run_print (run, row, "s", fig_quantile (&list, 0.5));
+  snprintf (row, sizeof row, "%s: 99%%", what);
+  run_print (run, row, "s", fig_quantile (&list, 0.99));
+  snprintf (row, sizeof row, "%s: last", what);
+  run_print (run, row, "s", fig_quantile (&list, 1));
+  snprintf (row, sizeof row, "%s: within 2 s", what);
+  run_print (run, row, "%", total > 0 ? 100.0 * within_2s / total : 0);
+  snprintf (row, sizeof row, "%s: never", what);
+  run_print (run, row, "daemons", total - list.count);
+  g_free (list.values);
+}
+
+void
+run_print_traffic (const run_t *run, const char *what, const flt_counts_t *before, uint64_t span_us)
+{
+  const flt_counts_t *now = &run->flt->counts;
+  double node_s = (double)run->flt->count * (double)span_us / CLK_US_PER_S;
+  double span_s = (double)span_us / CLK_US_PER_S;
+  char row[96];
+  snprintf (row, sizeof row, "%s: exchange", what);
+  run_print (run, row, "bytes/s/daemon",
+             (double)(now->exchange_bytes - before->exchange_bytes) / node_s);
+  snprintf (row, sizeof row, "%s: with the platform", what);
+  run_print (run, row, "bytes/s/daemon",
+             (double)(now->exchange_bytes + now->charged_bytes - before->exchange_bytes -
+                      before->charged_bytes) /
+                 node_s);
+  snprintf (row, sizeof row, "%s: datagrams", what);
+  run_print (run, row, "1/s/daemon", (double)(now->datagrams - before->datagrams) / node_s);
+  snprintf (row, sizeof row, "%s: held back", what);
+  run_print (run, row, "1/s/daemon", (double)(now->held_back - before->held_back) / node_s);
+  snprintf (row, sizeof row, "%s: list reads", what);
+  run_print (run, row, "1/s", (double)(now->list_reads - before->list_reads) / span_s);
+  snprintf (row, sizeof row, "%s: log reads", what);
+  run_print (run, row, "1/s", (double)(now->log_reads - before->log_reads) / span_s);
+  snprintf (row, sizeof row, "%s: manifests from peers", what);
+  run_print (run, row, "count", (double)(now->fetches - before->fetches));
+}
+
+bool
+run_is_router (const flt_node_t *node, void *context)
+{
+  (void)context;
+  return node->dmn.set.role == SET_ROLE_ROUTER;
+}
+
+bool
+run_is_sidecar (const flt_node_t *node, void *context)
+{
+  return !run_is_router (node, context);
+}
