--- a/src/process/control_manifest.c
+++ b/src/process/control_manifest.c
@@ -15,8 +15,10 @@
  * as it brings a patch of some hundred bytes where a peer brings the whole manifest. */
 #define BEHIND_OUT_US (500 * CLK_US_PER_MS)
 #define BEHIND_SLOW_US (1500 * CLK_US_PER_MS)
-/* By those that follow the log. If all told others at once, thousands would read it at once. */
+/* By those that follow the log. If all told others at once, thousands would read it at once. In a
+ * small fleet most follow it, and would only use up each other's budget. */
 #define TELLS_OF_VERSION 4
+#define PEERS_PER_TELL 64
 #define CHECKPOINT_RECORDS 64
 #define CHECKPOINT_WAIT_S 10
 #define CHECKPOINTS_PER_RETENTION 4
@@ -259,11 +261,10 @@
              man->digest, "before", LOG_U64 (manifest->sent_version), NULL);
   ctrl_gauge (ctrl, "medlarplank_manifest_version", "Version of the manifest in force here",
               version);
-  bool first = manifest->sent_version == 0;
   manifest->sent_version = version;
   ctrl_peers_rebuild (ctrl);
-  if (ctrl->peers.tails && !first)
-    ctrl_talk_tell (ctrl, TELLS_OF_VERSION);
+  if (ctrl->peers.tails)
+    ctrl_talk_tell (ctrl, MIN (TELLS_OF_VERSION, ctrl->peers.all->len / PEERS_PER_TELL));
   ctrl_talk_version (ctrl);
   msg_version_t *message = msg_new (MSG_VERSION);
   message->man = man_ref (man);
