--- a/bench/overhead.sh
+++ b/bench/overhead.sh
@@ -117,3 +117,19 @@
 wait "$load"
 echo "500 streams, bytes each: router $(((after - before) * 1024 / 500))  sidecar $(((after_sidecar - before_sidecar) * 1024 / 500))"
 grep -E "^  (answered|failed|not_own|latency)" "$dir/streams"
+
+echo "== processor time of relaying: 500 streams of 50 tokens, and of 200; the difference is the tokens'"
+stream_ticks () { # MAX-TOKENS: prints what the load tool saw and the ticks of router and sidecar
+  local router_ticks sidecar_ticks
+  router_ticks=$(cpu_ticks "$pid_router")
+  sidecar_ticks=$(cpu_ticks "$pid_stream_sidecar")
+  "$out/bench-load" --target "$router" --account bench:bench-key --stream 1 --max-tokens "$1" --chats 500 \
+    --first-bytes 200 --requests 500 --concurrency 500 --seed 4 >"$dir/streams"
+  echo "$(($(cpu_ticks "$pid_router") - router_ticks)) $(($(cpu_ticks "$pid_stream_sidecar") - sidecar_ticks))" \
+    "$(awk '/answered:/{print $2; exit}' "$dir/streams") $(awk '/output_tokens_s:/{print $2; exit}' "$dir/streams")"
+}
+read -r router_short sidecar_short answered_short _ <<<"$(stream_ticks 50)"
+read -r router_long sidecar_long answered_long tokens_s <<<"$(stream_ticks 200)"
+echo "answered $answered_short and $answered_long of 500; $tokens_s tokens/s in the longer run; a token (us):" \
+  "router $(awk -v t="$((router_long - router_short))" -v hz="$ticks" 'BEGIN{printf "%.1f", t * 1e6 / hz / (500 * 150)}')" \
+  "sidecar $(awk -v t="$((sidecar_long - sidecar_short))" -v hz="$ticks" 'BEGIN{printf "%.1f", t * 1e6 / hz / (500 * 150)}')"
