Let the last rigs of one daemon and the tool's session share what there is

Four tests of the control task used the event base that their rig now owns. The session with the tool starts the platform in main() and runs by suite_run(); it fails, too, when the platform does not start or does not end, which CUnit only noted.

--- a/tests/session_ctl.c
+++ b/tests/session_ctl.c
@@ -1,7 +1,6 @@
 #include "connection/admin_seal.h"
+#include "suite.h"
 
-#include <CUnit/Basic.h>
-#include <CUnit/CUnit.h>
 #include <arpa/inet.h>
 #include <glib.h>
 #include <jansson.h>
@@ -446,26 +445,24 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("ctl", start_platform, stop_platform);
-  CU_ADD_TEST (suite, test_usage);
-  CU_ADD_TEST (suite, test_check);
-  CU_ADD_TEST (suite, test_first_publish);
-  CU_ADD_TEST (suite, test_lost_race);
-  CU_ADD_TEST (suite, test_change_that_may_not_follow);
-  CU_ADD_TEST (suite, test_lost_answer);
-  CU_ADD_TEST (suite, test_lost_append);
-  CU_ADD_TEST (suite, test_platform_out);
-  CU_ADD_TEST (suite, test_status_of_listed_hosts);
-  CU_ADD_TEST (suite, test_watch);
-  CU_ADD_TEST (suite, test_log_that_dropped_its_start);
-  CU_ADD_TEST (suite, test_orders_to_a_daemon);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_usage),
+    SUITE_TEST (test_check),
+    SUITE_TEST (test_first_publish),
+    SUITE_TEST (test_lost_race),
+    SUITE_TEST (test_change_that_may_not_follow),
+    SUITE_TEST (test_lost_answer),
+    SUITE_TEST (test_lost_append),
+    SUITE_TEST (test_platform_out),
+    SUITE_TEST (test_status_of_listed_hosts),
+    SUITE_TEST (test_watch),
+    SUITE_TEST (test_log_that_dropped_its_start),
+    SUITE_TEST (test_orders_to_a_daemon),
+    CU_TEST_INFO_NULL,
+  };
+
+  if (start_platform () != 0)
+    return 1;
+  int status = suite_run ("ctl", tests);
+  return stop_platform () != 0 ? 1 : status;
 }
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -53,15 +53,14 @@
 static void
 test_pause (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   clk_advance (&rig.dmn.clk, 2 * CLK_US_PER_S);
   ctrl_turn (rig.ctrl); /* asks for the list */
   clk_advance (&rig.dmn.clk, RIG_PAUSE_US);
   rig_put_version (&rig.platform, 1); /* ends the read of the log that waits */
   CU_ASSERT_EQUAL (fkp_answer (&rig.platform), 2);
-  event_base_loop (base, EVLOOP_NONBLOCK);
+  event_base_loop (rig.base, EVLOOP_NONBLOCK);
   CU_ASSERT_FALSE (rig.told.fresh);
   CU_ASSERT_EQUAL (rig.told.stale_notices, 1);
   CU_ASSERT_EQUAL (rig.told.fresh_at_us, clk_now_us (&rig.dmn.clk));
@@ -69,8 +68,6 @@
   TURN_UNTIL (&rig, rig.told.fresh);
   CU_ASSERT_EQUAL (rig.told.version, 2);
   CU_ASSERT_EQUAL (rig.told.fresh_at_us, woke_us);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* The data task noticed a pause that the control task did not. */
@@ -377,9 +374,8 @@
 static void
 test_followers_of_the_log_tell_of_a_version (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
-  rig_start_fresh (&rig, base);
+  g_auto (rig_t) rig = { 0 };
+  rig_begin (&rig);
   cnt_t *sent = cnt_get (rig.dmn.counters, "medlarplank_control_datagrams_sent_total", "");
   CU_ASSERT_EQUAL (cnt_value (sent), 0);
   rig_put_version (&rig.platform, 1);
@@ -396,8 +392,6 @@
   rig.ctrl->manifest.source.due_us = 0;
   TURN_UNTIL (&rig, rig.told.version == 4);
   CU_ASSERT_EQUAL (cnt_value (sent), before);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 int
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -373,11 +373,10 @@
 static void
 test_version_comes_from_a_peer (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
+  g_auto (rig_t) rig = { 0 };
   server_t server;
-  rig_start_fresh (&rig, base);
-  serve_version (&server, base, &rig, 2);
+  rig_begin (&rig);
+  serve_version (&server, rig.base, &rig, 2);
   server.fleet_key = "another key of enough bytes";
   rig.platform.read_down = true;
   rig_turns (&rig, 3);
@@ -388,7 +387,7 @@
   while (server.served == 0 && g_get_monotonic_time () < end_us)
     rig_turn (&rig);
   while (rig.ctrl->fetch.call != NULL && g_get_monotonic_time () < end_us)
-    event_base_loop (base, EVLOOP_ONCE);
+    event_base_loop (rig.base, EVLOOP_ONCE);
   CU_ASSERT_EQUAL (server.served, 1);
   CU_ASSERT_EQUAL (rig.told.version, 1);
   server.fleet_key = RIG_KEY;
@@ -397,8 +396,6 @@
   CU_ASSERT_EQUAL (rig.told.version, 2);
   CU_ASSERT_EQUAL (rep_next_offset (rig.ctrl->manifest.rep), 9);
   stop_serving (&server);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* The log does not answer, and its reader has not given up yet: the daemon hears of a version that
@@ -406,12 +403,11 @@
 static void
 test_stuck_log_does_not_hold_a_version_back (void)
 {
-  struct event_base *base = event_base_new ();
-  rig_t rig;
+  g_auto (rig_t) rig = { 0 };
   server_t server;
   said_t said;
-  rig_start_fresh (&rig, base);
-  serve_version (&server, base, &rig, 2);
+  rig_begin (&rig);
+  serve_version (&server, rig.base, &rig, 2);
   rig.platform.read_stuck = true;
   rig_say (&said, "peer", 1)->manifest_version = 2;
   ctrl_talk_heard (&said.message, false, rig.ctrl);
@@ -422,8 +418,6 @@
     rig_turn (&rig);
   CU_ASSERT_EQUAL (rig.told.version, 2);
   stop_serving (&server);
-  rig_tear_down (&rig);
-  event_base_free (base);
 }
 
 /* A region could not reach the log and can again; a version was published meanwhile. Its daemons
