Mend what clang-tidy found in the pace of claims

Cause: the shift was done in int and is undefined for no failure at all, which its one caller rules out. Change: an assert says so, the shift is of 64 bits; a copy without a NUL in the log is marked as meant.

--- a/src/process/log.c
+++ b/src/process/log.c
@@ -98,7 +98,7 @@
 
   if (value_bytes <= room && !needs_quotes (value))
     {
-      memcpy (out, value, value_bytes);
+      memcpy (out, value, value_bytes); /* NOLINT: the line goes on, it ends in no NUL */
       return out + value_bytes;
     }
   *out++ = '"';
--- a/src/request/claim_pace.c
+++ b/src/request/claim_pace.c
@@ -24,8 +24,9 @@
 static uint64_t
 backoff_us (const cpc_t *pace)
 {
-  uint32_t doublings = MIN (pace->failures - 1, 16);
-  return MIN (FIRST_BACKOFF_US << doublings, LIM_CLAIM_BACKOFF_US);
+  g_assert (pace->failures > 0);
+  const uint32_t doublings = MIN (pace->failures - 1, 16);
+  return MIN ((uint64_t)FIRST_BACKOFF_US << doublings, LIM_CLAIM_BACKOFF_US);
 }
 
 static void
