Let a known red test fail by its own name only

Cause: a line in KNOWN-RED.txt passed over every failure of its program. test-path's 'keeps suspects apart' fails 1 of 40 runs: after an engine's crash the other sidecar still counts it in the mean, is over its bound and refuses the second suspect, which then hears may_have_run with Retry-After. The promise holds in that run: no two suspects on one engine, one engine lost. Not mended yet, so it is listed. Ruled out: easing the test; it asks for a place that is there. Checked by the log of that run, replayed: listed it passes and is printed, under another program's name it fails.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs each test program given, prints the output of those that fail, and closes with
-# "N passed, N failed", counted in test cases. Tests listed in KNOWN-RED.txt are printed
-# and passed over. Usage: tests/run.sh BUILD-DIR PROGRAM...
+# "N passed, N failed", counted in test cases. A line "PROGRAM: TEST: cause" in KNOWN-RED.txt
+# lets just that test of that program fail; it is printed. Usage: tests/run.sh BUILD-DIR PROGRAM...
 set -u
 out=$1
 shift
@@ -23,10 +23,17 @@
   fi
   passed=$((passed + ok))
   if [ "$bad" -gt 0 ]; then
-    if [ -f "$top/KNOWN-RED.txt" ] && grep -q "^$name:" "$top/KNOWN-RED.txt"; then
-      echo "known red: $(grep "^$name:" "$top/KNOWN-RED.txt")"
-    else
-      failed=$((failed + bad))
+    # The daemons' log lines may stand between a test's name and its verdict.
+    awk '/^  Test: /{name=$0; sub(/^  Test: /, "", name); sub(/ \.\.\..*/, "", name)} /FAILED$/{print name}' \
+      "$log" >"$log.red"
+    unknown=$bad
+    while read -r test; do
+      if [ -f "$top/KNOWN-RED.txt" ] && grep -F "$name: $test: " "$top/KNOWN-RED.txt"; then
+        unknown=$((unknown - 1))
+      fi
+    done <"$log.red"
+    if [ "$unknown" -gt 0 ]; then
+      failed=$((failed + unknown))
       cat "$log"
     fi
   fi
