--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,11 @@
 comma   := ,
 SANFLAGS := $(if $(SAN),-fsanitize=address$(comma)undefined -fno-sanitize-recover=undefined,)
 WARN    := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith -Wformat=2
-CFLAGS  := -std=gnu11 -O2 -g $(WARN) $(SANFLAGS) -Isrc -MMD -MP $(shell pkg-config --cflags $(PKGS))
+CFLAGS  := -std=gnu11 -O2 -g $(WARN) $(SANFLAGS) -Isrc -I. -MMD -MP $(shell pkg-config --cflags $(PKGS))
 LDLIBS  := $(shell pkg-config --libs $(PKGS)) -lpthread -lm
 LDFLAGS := $(SANFLAGS)
 
-LIBSRC  := $(filter-out src/process/main.c,$(wildcard src/*/*.c))
+LIBSRC  := $(filter-out src/process/main.c,$(wildcard src/*/*.c)) $(wildcard platform/*.c)
 LIBOBJ  := $(LIBSRC:%.c=$(OUT)/%.o)
 LIB     := $(OUT)/libmedlarplank.a
 DAEMON  := $(OUT)/medlarplankd
@@ -22,7 +22,7 @@
 BENCHES := $(patsubst bench/bench_%.c,$(OUT)/bench-%,$(wildcard bench/bench_*.c))
 SPREADLIB := $(patsubst %.c,$(OUT)/%.o,$(wildcard bench/spread/*.c))
 BENCHLIB := $(patsubst %.c,$(OUT)/%.o,$(filter-out $(wildcard bench/bench_*.c),$(wildcard bench/*.c)))
-CSRC    := $(filter-out src/proto/%,$(wildcard src/*/*.[ch] ctl/*.[ch] standin/*.[ch] tests/*.[ch] bench/*.[ch] bench/spread/*.[ch]))
+CSRC    := $(filter-out src/proto/%,$(wildcard src/*/*.[ch] platform/*.[ch] ctl/*.[ch] standin/*.[ch] tests/*.[ch] bench/*.[ch] bench/spread/*.[ch]))
 
 all: $(DAEMON) $(CTL) $(STANDINS) $(BENCHES)
 
@@ -86,7 +86,7 @@
 	cppcheck --quiet --error-exitcode=1 --enable=warning,portability --inline-suppr \
 	  --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches --suppress=varFuncNullUB -DTAILQ_FOREACH=for '-DG_DEFINE_AUTOPTR_CLEANUP_FUNC(type,func)=' '-DG_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(type,func)=' -Isrc $(filter %.c,$(CSRC))
 
-TIDYSRC := $(filter-out src/proto/%,$(wildcard src/*/*.c ctl/*.c standin/*.c))
+TIDYSRC := $(filter-out src/proto/%,$(wildcard src/*/*.c platform/*.c ctl/*.c standin/*.c))
 tidy:
 	printf '%s\n' $(TIDYSRC) | xargs -P 4 -I{} clang-tidy --quiet {} -- \
 	  -std=gnu11 -Isrc -I. $(shell pkg-config --cflags $(PKGS)) 2>/dev/null
--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -108,7 +108,7 @@
   if (status < 200 || framing == FRM_BROKEN)
     return VRD_REASON_CUT;
   /* the library takes the end of the connection for the end of such an answer */
-  if (framing == FRM_NONE && needs_length (call, status))
+  if (framing == FRM_NONE && needs_length (call, status) && !call->until_close)
     return VRD_REASON_CUT;
   if (!call->check_name)
     return VRD_REASON_NONE;
@@ -237,6 +237,7 @@
   call->on_end = options->on_end;
   call->context = options->context;
   call->method = method_of (options->method);
+  call->until_close = options->until_close;
   g_hash_table_add (hcl->calls, call);
   return call;
 }
@@ -244,7 +245,8 @@
 static void
 send_call (hcl_call_t *call, const hcl_options_t *options)
 {
-  hcl_conn_t *conn = hcl_conn_take (call->hcl, options->address);
+  uint64_t idle_limit_us = options->idle_limit_us ? options->idle_limit_us : UINT64_MAX;
+  hcl_conn_t *conn = hcl_conn_take (call->hcl, options->address, idle_limit_us);
   struct evhttp_request *request = make_request (conn, options);
   ev_ssize_t limit = options->answer_limit_bytes ? (ev_ssize_t)options->answer_limit_bytes : -1;
 
@@ -312,12 +314,20 @@
   hcl->idle_limit = idle_limit;
   hcl->idle_timeout.tv_sec = idle_timeout_ms / 1000;
   hcl->idle_timeout.tv_usec = idle_timeout_ms % 1000 * 1000;
+  hcl_set_connect_limit (hcl, LIM_HTTP_CONNECT_MS);
   hcl->idle = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_queue_free);
   hcl->conns = g_hash_table_new (NULL, NULL);
   hcl->calls = g_hash_table_new (NULL, NULL);
   return hcl;
 }
 
+void
+hcl_set_connect_limit (hcl_t *hcl, uint32_t limit_ms)
+{
+  hcl->connect_limit.tv_sec = limit_ms / 1000;
+  hcl->connect_limit.tv_usec = limit_ms % 1000 * 1000;
+}
+
 void
 hcl_free (hcl_t *hcl)
 {
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -54,6 +54,9 @@
  * @body: borrowed until @on_end is called or hcl_cancel() returns
  * @timeout_us: for the whole call; 0 is none. Connecting has a limit besides, %LIM_HTTP_CONNECT_MS
  * @answer_limit_bytes: a longer body counts as cut; 0 is none
+ * @until_close: an answer without a declared length is whole when the peer closes the connection in
+ *   order, and cut when it resets it
+ * @idle_limit_us: take no kept connection that has been idle for longer; 0 is no limit
  * @check_name: response header that must be there with @check_value, else VRD_REASON_CROSSED and
  *   nothing of the answer is passed on; NULL for none
  * @on_head: status and headers of an answer that declares its length; false ends the call as cut
@@ -72,6 +75,8 @@
   size_t body_bytes;
   uint64_t timeout_us;
   uint32_t answer_limit_bytes;
+  bool until_close;
+  uint64_t idle_limit_us;
   const char *check_name;
   const char *check_value;
   bool (*on_head) (int status, struct evkeyvalq *headers, void *context);
@@ -82,6 +87,8 @@
 
 /** hcl_new() - at most @idle_limit idle connections are kept for each address */
 hcl_t *hcl_new (struct event_base *base, uint32_t idle_limit, uint32_t idle_timeout_ms);
+/** hcl_set_connect_limit() - of connections made from now on, in place of %LIM_HTTP_CONNECT_MS */
+void hcl_set_connect_limit (hcl_t *hcl, uint32_t limit_ms);
 /** hcl_free() - cancels all calls. Not from within @on_head or @on_data */
 void hcl_free (hcl_t *hcl);
 hcl_call_t *hcl_start (hcl_t *hcl, const hcl_options_t *options);
--- a/src/connection/http_client_internal.h
+++ b/src/connection/http_client_internal.h
@@ -29,6 +29,7 @@
   struct event_base *base;
   uint32_t idle_limit;
   struct timeval idle_timeout;
+  struct timeval connect_limit;
   GHashTable *idle;
   GHashTable *conns;
   GHashTable *calls;
@@ -39,6 +40,7 @@
  * @key: "IP PORT" of the peer
  * @event: the connect timeout, then the idle timeout; frees the connection when it is closed
  * @call: the one call on it
+ * @idle_since_us: when it was given back, on the monotonic clock
  * @fresh: not connected yet
  * @closed: not to be used again
  */
@@ -50,6 +52,7 @@
   struct bufferevent *bev;
   struct event *event;
   hcl_call_t *call;
+  int64_t idle_since_us;
   bool fresh;
   bool closed;
 };
@@ -77,10 +80,12 @@
   bool sent;
   bool headed;
   bool paused;
+  bool until_close;
 };
 
-/** hcl_conn_take() - an idle connection that the peer has not closed, or a new one */
-hcl_conn_t *hcl_conn_take (hcl_t *hcl, const set_address_t *address);
+/** hcl_conn_take() - a connection idle for at most @idle_limit_us that the peer has not closed, or
+ * a new one */
+hcl_conn_t *hcl_conn_take (hcl_t *hcl, const set_address_t *address, uint64_t idle_limit_us);
 /** hcl_conn_give() - back to the pool, or closed when it is not fit for another request */
 void hcl_conn_give (hcl_conn_t *conn);
 /** hcl_conn_close() - never used again; freed outside the library's callbacks */
--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -115,7 +115,6 @@
 conn_new (hcl_t *hcl, const set_address_t *address)
 {
   hcl_conn_t *conn = g_new0 (hcl_conn_t, 1);
-  struct timeval connect_limit = { LIM_HTTP_CONNECT_MS / 1000, LIM_HTTP_CONNECT_MS % 1000 * 1000 };
 
   conn->hcl = hcl;
   conn->key = key_of (address);
@@ -124,7 +123,7 @@
   g_assert (conn->evcon);
   conn->bev = evhttp_connection_get_bufferevent (conn->evcon);
   conn->event = evtimer_new (hcl->base, on_event, conn);
-  event_add (conn->event, &connect_limit);
+  event_add (conn->event, &hcl->connect_limit);
   evhttp_connection_set_retries (conn->evcon, 0);
   evhttp_connection_set_timeout_tv (conn->evcon, &never);
   evhttp_connection_set_max_headers_size (conn->evcon, LIM_HTTP_ANSWER_HEADER_BYTES);
@@ -152,8 +151,9 @@
 }
 
 hcl_conn_t *
-hcl_conn_take (hcl_t *hcl, const set_address_t *address)
+hcl_conn_take (hcl_t *hcl, const set_address_t *address, uint64_t idle_limit_us)
 {
+  int64_t now_us = g_get_monotonic_time ();
   char *key = key_of (address);
   GQueue *queue;
   hcl_conn_t *taken = NULL;
@@ -162,6 +162,9 @@
     {
       hcl_conn_t *conn = g_queue_peek_head (queue);
 
+      /* the one used last is at the head: the others have been idle for longer */
+      if ((uint64_t)(now_us - conn->idle_since_us) > idle_limit_us)
+        break;
       leave_pool (conn);
       event_del (conn->event);
       if (is_silent (conn))
@@ -190,6 +193,7 @@
       queue = g_queue_new ();
       g_hash_table_insert (hcl->idle, g_strdup (conn->key), queue);
     }
+  conn->idle_since_us = g_get_monotonic_time ();
   g_queue_push_head (queue, conn);
   event_add (conn->event, &hcl->idle_timeout);
   if (g_queue_get_length (queue) > hcl->idle_limit)
--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -213,6 +213,30 @@
     event_add (hsv->linger, &linger);
 }
 
+void
+hsv_configure (hsv_t *hsv,
+               uint32_t body_limit_bytes,
+               uint32_t header_limit_bytes,
+               uint32_t request_timeout_ms,
+               uint32_t idle_timeout_ms)
+{
+  hsv_options_t *options = &hsv->options;
+
+  options->body_limit_bytes = body_limit_bytes ? body_limit_bytes : options->body_limit_bytes;
+  options->header_limit_bytes =
+      header_limit_bytes ? header_limit_bytes : options->header_limit_bytes;
+  options->request_timeout_ms =
+      request_timeout_ms ? request_timeout_ms : options->request_timeout_ms;
+  options->idle_timeout_ms = idle_timeout_ms ? idle_timeout_ms : options->idle_timeout_ms;
+  set_limits (hsv);
+}
+
+void
+hsv_say_close (hsv_t *hsv)
+{
+  hsv->closing = true;
+}
+
 void
 hsv_stop (hsv_t *hsv)
 {
@@ -221,6 +245,7 @@
   if (hsv->stopping)
     return;
   hsv->stopping = true;
+  hsv->closing = true;
   event_add (hsv->unlisten, &next_turn);
   hsv_linger (hsv);
 }
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -57,6 +57,15 @@
 void hsv_free (hsv_t *hsv);
 /** hsv_port() - the port listened on, for a @listen with port 0 */
 uint16_t hsv_port (const hsv_t *hsv);
+/** hsv_configure() - other limits for connections made from now on; 0 keeps what is in force */
+void hsv_configure (hsv_t *hsv,
+                    uint32_t body_limit_bytes,
+                    uint32_t header_limit_bytes,
+                    uint32_t request_timeout_ms,
+                    uint32_t idle_timeout_ms);
+/** hsv_say_close() - answers from now on say "Connection: close"; it goes on listening, since a
+ * balancer sends connections until it has noticed that the daemon is not ready */
+void hsv_say_close (hsv_t *hsv);
 /** hsv_stop() - stop listening; answers from now on say "Connection: close". Connections that wait
  * in the kernel are still taken; idle ones are closed after %LIM_HTTP_STOP_LINGER_MS, since a
  * request may be on its way. */
--- a/src/connection/http_server_call.c
+++ b/src/connection/http_server_call.c
@@ -210,7 +210,7 @@
   declare_length (call, status, body_bytes);
   if (has_body (call, status))
     evbuffer_add (buffer, body, body_bytes);
-  if (call->conn->hsv->stopping)
+  if (call->conn->hsv->closing)
     say_close (call);
   end_call (call);
   evhttp_send_reply (request, status, NULL, buffer);
@@ -232,7 +232,7 @@
   if (has_body (call, status))
     while (evhttp_remove_header (output_headers (call), "Content-Length") == 0)
       ;
-  if (call->conn->hsv->stopping || is_http_1_0 (call))
+  if (call->conn->hsv->closing || is_http_1_0 (call))
     say_close (call);
   evhttp_send_reply_start (call->request, status, NULL);
 }
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -36,6 +36,7 @@
  * @drains: sockets of refused callers that are read out
  * @unlisten: closes the listening socket one turn of the loop after hsv_stop()
  * @linger: closes the idle connections some time after hsv_stop()
+ * @closing: answers say that the connection closes
  * @coming_bytes: of requests that are not whole yet
  * @busy_count: connections with a request whose answer has not left whole
  */
@@ -55,6 +56,7 @@
   uint32_t open_count;
   uint32_t busy_count;
   bool stopping;
+  bool closing;
   bool paused;
   cnt_t *connections;
   cnt_t *requests;
--- a/src/connection/platform.h
+++ b/src/connection/platform.h
@@ -21,12 +21,19 @@
 {
   PLT_OK,
   PLT_REFUSED, /* certain: it took no effect */
-  PLT_UNKNOWN  /* down, slow or cut: it may have taken effect */
+  PLT_UNKNOWN, /* down, slow or cut: it may have taken effect */
+  PLT_EXPIRED  /* of a read: the records asked for are no longer kept */
 } plt_outcome_t;
 
+/**
+ * struct plt_record - a record of a stream
+ * @key: of a record in a keyed stream, else NULL
+ * @data: NULL in a keyed stream when the record drops its key
+ */
 typedef struct
 {
   uint64_t offset;
+  const char *key;
   const char *data;
   size_t data_bytes;
 } plt_record_t;
@@ -50,6 +57,21 @@
 typedef void (*plt_appended_t) (plt_outcome_t outcome, uint64_t offset, void *context);
 typedef void (*plt_read_done_t) (const plt_read_t *read, void *context);
 
+/**
+ * struct plt_newest - one page of the newest record of each key of a keyed stream
+ * @more: further keys follow the last one of @records
+ * @end_offset: end of the stream when the page was made
+ */
+typedef struct
+{
+  plt_outcome_t outcome;
+  const plt_record_t *records;
+  uint32_t record_count;
+  bool more;
+  uint64_t end_offset;
+} plt_newest_t;
+typedef void (*plt_newest_done_t) (const plt_newest_t *newest, void *context);
+
 /** struct plt_hosts - @full: a whole list; otherwise changes since the revision asked from */
 typedef struct
 {
@@ -61,11 +83,19 @@
 } plt_hosts_t;
 typedef void (*plt_hosts_done_t) (const plt_hosts_t *hosts, void *context);
 
+/* keyed streams */
+#define PLT_STREAM_ROUTING "routing" /* the operators' newest configuration */
+#define PLT_STREAM_ENGINES "engines" /* entries of engines, each under its id */
+#define PLT_STREAM_ROUTERS "routers" /* addresses of routers, each under its host's name */
+
 /**
  * struct plt - the platform
- * @append: one record to a stream
+ * @append: one record to a stream; NULL when it has keyed streams only
+ * @put: one record to a keyed stream, the newest of @key from then on; NULL when it has none
  * @read: records from @from_offset on; waits up to @wait_ms for one when there is none
- * @hosts: the list, as changes since @revision where it can
+ * @hosts: the list, as changes since @revision where it can; NULL when it has none
+ * @newest: a page of a keyed stream's newest records, from the key after @after_key on, which is
+ *   NULL for the first; NULL when it has no keyed streams
  * @free: calls that have not been answered are dropped; not from within an answer
  */
 typedef struct plt plt_t;
@@ -85,6 +115,15 @@
                 plt_read_done_t done,
                 void *context);
   void (*hosts) (plt_t *plt, uint64_t revision, plt_hosts_done_t done, void *context);
+  void (*newest) (
+      plt_t *plt, const char *stream, const char *after_key, plt_newest_done_t done, void *context);
+  void (*put) (plt_t *plt,
+               const char *stream,
+               const char *key,
+               const char *data,
+               size_t data_bytes,
+               plt_appended_t done,
+               void *context);
   void (*free) (plt_t *plt);
 };
 
--- a/src/process/control_claims.c
+++ b/src/process/control_claims.c
@@ -195,6 +195,7 @@
       clm_append_refused (stream->clm, ctrl_now_us (ctrl));
       break;
     case PLT_UNKNOWN:
+    case PLT_EXPIRED: /* of reads only */
       clm_append_lost (stream->clm, ctrl_now_us (ctrl));
       break;
     }
--- /dev/null
+++ b/src/process/gateway_process.c
@@ -0,0 +1,387 @@
+#include "process/gateway_process.h"
+
+#include "connection/http_server.h"
+#include "process/log.h"
+#include "request/gateway.h"
+#include "version/stream_follow.h"
+
+#include <string.h>
+
+#define ADMIN_BODY_LIMIT_BYTES 4096
+#define ADMIN_HEADER_LIMIT_BYTES 8192
+#define ADMIN_HEADER_LIMIT_COUNT 32
+#define ADMIN_CONNECTION_LIMIT 64
+#define ADMIN_IDLE_TIMEOUT_MS 15000
+#define TICK_MS 100
+#define RETRY_WINDOW_US_PER_MS 1000
+
+/**
+ * struct gwp - a gateway
+ * @lapsed: ids of engines whose entry went while the store was out; gone at @lapsed_due_us unless
+ *   they come back
+ * @store_lost_us: since when the registry can't be read, 0 while it can
+ * @stop_us: when a stop signal came, 0 before
+ */
+struct gwp
+{
+  gwp_options_t options;
+  egs_t *engines;
+  gwy_t *gwy;
+  hsv_t *ready;
+  hsv_t *control;
+  kvw_t *routing_view;
+  kvw_t *engines_view;
+  sfl_t *routing;
+  sfl_t *registry;
+  rte_t *table;
+  GHashTable *lapsed;
+  uint64_t lapsed_due_us;
+  bool store_lost;
+  struct event *tick;
+  uint64_t stop_us;
+  bool was_ready;
+  cnt_t *version;
+  cnt_t *engine_count;
+};
+
+static uint64_t
+now_us (const gwp_t *gwp)
+{
+  return clk_now_us (gwp->options.clk);
+}
+
+bool
+gwp_is_ready (const gwp_t *gwp)
+{
+  return gwp->table && sfl_has_listed (gwp->registry) && gwp->stop_us == 0;
+}
+
+static void
+note_ready (gwp_t *gwp)
+{
+  bool ready = gwp_is_ready (gwp);
+
+  if (ready == gwp->was_ready)
+    return;
+  gwp->was_ready = ready;
+  log_event (LOG_LEVEL_NOTICE, ready ? "ready" : "not_ready", "version",
+             LOG_U64 (gwp->table ? rte_version (gwp->table) : 0), "engines",
+             LOG_U64 (egs_count (gwp->engines)), NULL);
+}
+
+/* A version only rises: an older one that the store tells late is not put in force again. */
+static void
+on_routing (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+{
+  gwp_t *gwp = context;
+  uint64_t held = gwp->table ? rte_version (gwp->table) : 0;
+  GError *error = NULL;
+  rte_t *table;
+
+  (void)key;
+  if (!value)
+    return;
+  table = gwp->options.readers.routing (value, value_bytes, &error);
+  if (!table)
+    {
+      log_event (LOG_LEVEL_ERROR, "version_unreadable", "offset", LOG_U64 (offset), "in_force",
+                 LOG_U64 (held), "error", error->message, NULL);
+      g_error_free (error);
+      return;
+    }
+  if (rte_version (table) > held)
+    {
+      log_event (LOG_LEVEL_NOTICE, "version", "version", LOG_U64 (rte_version (table)), "before",
+                 LOG_U64 (held), "routes", LOG_U64 (rte_route_count (table)), "offset",
+                 LOG_U64 (offset), NULL);
+      if (gwp->table)
+        rte_unref (gwp->table);
+      gwp->table = rte_ref (table);
+      gwy_set_table (gwp->gwy, table);
+      cnt_set_value (gwp->version, rte_version (table));
+    }
+  rte_unref (table);
+}
+
+static void
+log_engine (const gwp_t *gwp, const char *id, const char *state, uint64_t offset)
+{
+  log_event (LOG_LEVEL_NOTICE, "engine", "engine", id, "state", state, "offset", LOG_U64 (offset),
+             "engines", LOG_U64 (egs_count (gwp->engines)), NULL);
+}
+
+static void
+remove_engine (gwp_t *gwp, const char *id, uint64_t offset)
+{
+  if (!egs_find (gwp->engines, id))
+    return;
+  egs_gone (gwp->engines, id);
+  log_engine (gwp, id, "gone", offset);
+  gwy_engines_changed (gwp->gwy);
+}
+
+/*
+ * While the store was out, entries lapse of engines that live. Taken for gone, they would leave a
+ * service without engines for the two seconds until they are back.
+ */
+static bool
+may_have_lapsed (const gwp_t *gwp)
+{
+  return gwp->store_lost || now_us (gwp) < gwp->lapsed_due_us;
+}
+
+static void
+put_engine (gwp_t *gwp, const char *id, const char *value, size_t value_bytes, uint64_t offset)
+{
+  const egn_t *before = egs_find (gwp->engines, id);
+  egn_state_t state = before ? before->entry.state : EGN_GONE;
+  egn_entry_t entry;
+  GError *error = NULL;
+
+  if (!gwp->options.readers.engine (&entry, id, value, value_bytes, &error))
+    {
+      log_event (LOG_LEVEL_ERROR, "engine_unreadable", "engine", id, "error", error->message, NULL);
+      g_error_free (error);
+      return;
+    }
+  g_hash_table_remove (gwp->lapsed, id);
+  egs_put (gwp->engines, now_us (gwp), &entry);
+  if (entry.state == state)
+    return;
+  log_engine (gwp, id, entry.state == EGN_READY ? "ready" : "leaving", offset);
+  gwy_engines_changed (gwp->gwy);
+}
+
+static void
+on_engine (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+{
+  gwp_t *gwp = context;
+
+  if (value)
+    put_engine (gwp, key, value, value_bytes, offset);
+  else if (may_have_lapsed (gwp) && egs_find (gwp->engines, key))
+    g_hash_table_add (gwp->lapsed, g_strdup (key));
+  else
+    remove_engine (gwp, key, offset);
+  cnt_set_value (gwp->engine_count, egs_count (gwp->engines));
+}
+
+static void
+on_routing_told (sfl_state_t state, void *context)
+{
+  (void)state;
+  note_ready (context);
+}
+
+static void
+on_registry_told (sfl_state_t state, void *context)
+{
+  gwp_t *gwp = context;
+
+  gwp->store_lost = state == SFL_LOST;
+  if (state == SFL_REGAINED)
+    gwp->lapsed_due_us = now_us (gwp) + (uint64_t)GWP_LAPSE_MS * CLK_US_PER_MS;
+  note_ready (gwp);
+}
+
+static void
+end_lapsed (gwp_t *gwp)
+{
+  GHashTableIter iter;
+  gpointer id;
+
+  if (g_hash_table_size (gwp->lapsed) == 0 || may_have_lapsed (gwp))
+    return;
+  g_hash_table_iter_init (&iter, gwp->lapsed);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    {
+      remove_engine (gwp, id, 0);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+static void
+turn_certain (gwp_t *gwp)
+{
+  uint64_t heard_us = sfl_heard_us (gwp->routing);
+  uint64_t limit_us = (uint64_t)GWP_CERTAIN_MS * CLK_US_PER_MS;
+
+  gwy_set_certain (gwp->gwy, heard_us != 0 && now_us (gwp) - heard_us < limit_us);
+}
+
+static void
+turn_stop (gwp_t *gwp)
+{
+  uint64_t since_ms;
+
+  if (gwp->stop_us == 0)
+    return;
+  since_ms = (now_us (gwp) - gwp->stop_us) / CLK_US_PER_MS;
+  if (since_ms >= GWP_LISTEN_ON_MS)
+    gwy_stop (gwp->gwy);
+  if (since_ms < GWP_LISTEN_ON_MS)
+    return;
+  if (gwy_busy (gwp->gwy) > 0 && since_ms + GWP_EXIT_MARGIN_MS < gwp->options.set->grace_ms)
+    return;
+  event_base_loopexit (gwp->options.base, NULL);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *context)
+{
+  gwp_t *gwp = context;
+
+  (void)fd;
+  (void)what;
+  end_lapsed (gwp);
+  turn_certain (gwp);
+  turn_stop (gwp);
+}
+
+static void
+on_ready_call (hsv_call_t *call, void *context)
+{
+  const gwp_t *gwp = context;
+
+  if (strcmp (hsv_path (call), "/readyz") == 0)
+    hsv_reply_text (call, gwp_is_ready (gwp) ? 200 : 503, "text/plain",
+                    gwp_is_ready (gwp) ? "ready\n" : "not ready\n");
+  else
+    hsv_reply_text (call, 404, "text/plain", "no such path\n");
+}
+
+static void
+on_control_call (hsv_call_t *call, void *context)
+{
+  gwp_t *gwp = context;
+  GString *text;
+
+  if (strcmp (hsv_path (call), "/metrics") != 0)
+    {
+      on_ready_call (call, context);
+      return;
+    }
+  text = g_string_new (NULL);
+  cnt_write (gwp->options.counters, text);
+  hsv_reply_text (call, 200, "text/plain; version=0.0.4", text->str);
+  g_string_free (text, TRUE);
+}
+
+static hsv_t *
+listen_admin (gwp_t *gwp,
+              const set_address_t *address,
+              void (*on_call) (hsv_call_t *, void *),
+              GError **error)
+{
+  return hsv_new (&(hsv_options_t){ .base = gwp->options.base,
+                                    .counters = gwp->options.counters,
+                                    .listen = *address,
+                                    .body_limit_bytes = ADMIN_BODY_LIMIT_BYTES,
+                                    .header_limit_bytes = ADMIN_HEADER_LIMIT_BYTES,
+                                    .header_limit_count = ADMIN_HEADER_LIMIT_COUNT,
+                                    .connection_limit = ADMIN_CONNECTION_LIMIT,
+                                    .idle_timeout_ms = ADMIN_IDLE_TIMEOUT_MS,
+                                    .on_call = on_call,
+                                    .context = gwp },
+                  error);
+}
+
+static bool
+listen_all (gwp_t *gwp, GError **error)
+{
+  const set_t *set = gwp->options.set;
+
+  gwp->gwy = gwy_new (&(gwy_options_t){ .base = gwp->options.base,
+                                        .clk = gwp->options.clk,
+                                        .counters = gwp->options.counters,
+                                        .set = set,
+                                        .engines = gwp->engines,
+                                        .format = gwp->options.format,
+                                        .retries = { .ratio_milli = set->retry_ratio_milli,
+                                                     .slack = set->retry_slack,
+                                                     .window_us = (uint64_t)set->retry_window_ms *
+                                                                  RETRY_WINDOW_US_PER_MS } },
+                      error);
+  if (gwp->gwy)
+    gwp->ready = listen_admin (gwp, &set->ready_listen, on_ready_call, error);
+  if (gwp->ready)
+    gwp->control = listen_admin (gwp, &set->control_listen, on_control_call, error);
+  return gwp->control != NULL;
+}
+
+static void
+start_following (gwp_t *gwp)
+{
+  sfl_options_t options = { .base = gwp->options.base,
+                            .clk = gwp->options.clk,
+                            .plt = gwp->options.plt,
+                            .seed = gwp->options.incarnation,
+                            .context = gwp };
+
+  options.stream = PLT_STREAM_ROUTING;
+  options.view = gwp->routing_view;
+  options.wait_ms = GWP_ROUTING_WAIT_MS;
+  options.pace_ms = SFL_PACE_MIN_MS;
+  options.told = on_routing_told;
+  gwp->routing = sfl_new (&options);
+  options.stream = PLT_STREAM_ENGINES;
+  options.view = gwp->engines_view;
+  options.wait_ms = 0;
+  options.pace_ms = GWP_ENGINES_PACE_MS;
+  options.told = on_registry_told;
+  gwp->registry = sfl_new (&options);
+}
+
+gwp_t *
+gwp_new (const gwp_options_t *options, GError **error)
+{
+  gwp_t *gwp = g_new0 (gwp_t, 1);
+  struct timeval tick = { 0, TICK_MS * 1000 };
+
+  gwp->options = *options;
+  gwp->engines = egs_new ();
+  gwp->lapsed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  gwp->version = cnt_get (options->counters, "medlarplank_version", "Version in force");
+  gwp->engine_count = cnt_get (options->counters, "medlarplank_engines", "Engines registered");
+  gwp->routing_view = kvw_new (on_routing, gwp);
+  gwp->engines_view = kvw_new (on_engine, gwp);
+  gwp->tick = event_new (options->base, -1, EV_PERSIST, on_tick, gwp);
+  event_add (gwp->tick, &tick);
+  start_following (gwp);
+  if (listen_all (gwp, error))
+    return gwp;
+  gwp_free (gwp);
+  return NULL;
+}
+
+void
+gwp_free (gwp_t *gwp)
+{
+  gwp->options.plt->free (gwp->options.plt);
+  sfl_free (gwp->routing);
+  sfl_free (gwp->registry);
+  if (gwp->gwy)
+    gwy_free (gwp->gwy);
+  if (gwp->ready)
+    hsv_free (gwp->ready);
+  if (gwp->control)
+    hsv_free (gwp->control);
+  kvw_free (gwp->routing_view);
+  kvw_free (gwp->engines_view);
+  if (gwp->table)
+    rte_unref (gwp->table);
+  egs_free (gwp->engines);
+  g_hash_table_destroy (gwp->lapsed);
+  event_free (gwp->tick);
+  g_free (gwp);
+}
+
+void
+gwp_stop (gwp_t *gwp)
+{
+  if (gwp->stop_us != 0)
+    return;
+  gwp->stop_us = now_us (gwp);
+  gwy_say_close (gwp->gwy);
+  note_ready (gwp);
+}
--- /dev/null
+++ b/src/process/gateway_process.h
@@ -0,0 +1,71 @@
+/**
+ * DOC: gateway_process
+ *
+ * A gateway from start to stop: follows the routing rules and the registry of engines in the
+ * platform's store, tells the data task of both, answers the balancer's question whether it is
+ * ready, and ends gracefully. One thread; the caller runs the event base.
+ */
+#ifndef PROCESS_GATEWAY_PROCESS_H
+#define PROCESS_GATEWAY_PROCESS_H
+
+#include "connection/platform.h"
+#include "process/clock.h"
+#include "process/counters.h"
+#include "process/settings.h"
+#include "request/format.h"
+#include "version/routing.h"
+
+#include <event2/event.h>
+
+/* Engines renew their entries all the time, so a read that waited would come back at once. Twice
+ * within the shortest bound on a leaving engine (2 s), with room for a slow answer. */
+#define GWP_ENGINES_PACE_MS 700
+/* A longer wait would hide a connection that has gone silent for longer than a new version may take
+ * (2 s and what an outage excuses). */
+#define GWP_ROUTING_WAIT_MS 2500
+/* An engine whose entry lapsed while the store was out is back this soon after, if it lives. */
+#define GWP_LAPSE_MS 2500
+/* The version in force is taken for the newest while the store was heard this lately. */
+#define GWP_CERTAIN_MS 6000
+/* From a stop signal on connections still come until the balancer has asked twice, once a second.
+ */
+#define GWP_LISTEN_ON_MS 3000
+#define GWP_EXIT_MARGIN_MS 500 /* before the process would be killed */
+
+/**
+ * struct gwp_readers - how records of the store are read
+ * @routing: Return: a table, or NULL with @error
+ * @engine: Return: false with @error
+ */
+typedef struct
+{
+  rte_t *(*routing) (const char *text, size_t text_bytes, GError **error);
+  bool (*engine) (
+      egn_entry_t *out, const char *id, const char *text, size_t text_bytes, GError **error);
+} gwp_readers_t;
+
+/**
+ * struct gwp_options - options of gwp_new()
+ * @plt: freed with the process
+ */
+typedef struct
+{
+  struct event_base *base;
+  const clk_t *clk;
+  cnt_set_t *counters;
+  const set_t *set;
+  plt_t *plt;
+  const fmt_t *format;
+  gwp_readers_t readers;
+  uint64_t incarnation;
+} gwp_options_t;
+
+typedef struct gwp gwp_t;
+
+gwp_t *gwp_new (const gwp_options_t *options, GError **error);
+void gwp_free (gwp_t *gwp);
+/** gwp_stop() - a stop signal came; the event base's loop ends when all is answered */
+void gwp_stop (gwp_t *gwp);
+bool gwp_is_ready (const gwp_t *gwp);
+
+#endif
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -5,7 +5,11 @@
  * mailboxes. The control task runs on the main thread, which also gets the signals; the data task
  * runs on a thread of its own.
  */
+#include "platform/records.h"
+#include "platform/request_format.h"
+#include "platform/store.h"
 #include "process/daemon.h"
+#include "process/gateway_process.h"
 #include "process/messages.h"
 
 #include <event2/thread.h>
@@ -264,6 +268,99 @@
   return ended_well ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
+/** struct gateway - a gateway's process */
+typedef struct
+{
+  clk_t clk;
+  cnt_set_t *counters;
+  struct event_base *base;
+  gwp_t *gwp;
+  uint64_t incarnation;
+} gateway_t;
+
+static void
+on_gateway_stop (evutil_socket_t number, short events, void *context)
+{
+  gateway_t *gateway = context;
+
+  (void)events;
+  log_event (LOG_LEVEL_NOTICE, "stop_signal", "signal", LOG_U64 ((uint64_t)number), NULL);
+  gwp_stop (gateway->gwp);
+}
+
+/* The settings of a gateway are flags, so there is nothing to read again; no request is touched. */
+static void
+on_gateway_reload (evutil_socket_t number, short events, void *context)
+{
+  (void)number;
+  (void)events;
+  (void)context;
+  log_event (LOG_LEVEL_NOTICE, "reload_signal", "changed", "nothing", NULL);
+}
+
+static struct event *
+watch_gateway (gateway_t *gateway, int number, event_callback_fn handler)
+{
+  struct event *event = evsignal_new (gateway->base, number, handler, gateway);
+
+  g_assert (event);
+  event_add (event, NULL);
+  return event;
+}
+
+static void
+run_gateway_loop (gateway_t *gateway)
+{
+  struct event *signals[] = { watch_gateway (gateway, SIGTERM, on_gateway_stop),
+                              watch_gateway (gateway, SIGINT, on_gateway_stop),
+                              watch_gateway (gateway, SIGHUP, on_gateway_reload) };
+
+  log_event (LOG_LEVEL_NOTICE, "started", "version", SET_PROGRAM_VERSION, "role", "gateway",
+             "incarnation", LOG_U64 (gateway->incarnation), NULL);
+  event_base_dispatch (gateway->base);
+  log_event (LOG_LEVEL_NOTICE, "stopped", "graceful",
+             event_base_got_exit (gateway->base) ? "yes" : "no", NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (signals); i++)
+    event_free (signals[i]);
+}
+
+static int
+run_gateway (const set_t *set)
+{
+  gateway_t gateway = { 0 };
+  GError *error = NULL;
+  bool ended_well;
+
+  clk_init_running (&gateway.clk);
+  gateway.incarnation = clk_wall_ms (&gateway.clk);
+  gateway.counters = cnt_set_new ();
+  gateway.base = base_new ();
+  gateway.gwp = gwp_new (
+      &(gwp_options_t){ .base = gateway.base,
+                        .clk = &gateway.clk,
+                        .counters = gateway.counters,
+                        .set = set,
+                        .plt = pst_new (gateway.base, &set->platform),
+                        .format = prf_format (),
+                        .readers = { .routing = prc_read_routing, .engine = prc_read_engine },
+                        .incarnation = gateway.incarnation },
+      &error);
+  if (!gateway.gwp)
+    {
+      fprintf (stderr, "%s: cannot start: %s\n", PROGRAM, error->message);
+      g_error_free (error);
+      event_base_free (gateway.base);
+      cnt_set_free (gateway.counters);
+      return EXIT_FAILURE;
+    }
+  run_gateway_loop (&gateway);
+  ended_well = event_base_got_exit (gateway.base);
+  gwp_free (gateway.gwp);
+  event_base_free (gateway.base);
+  cnt_set_free (gateway.counters);
+  return ended_well ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
 static const char *
 environ_get (const char *name)
 {
@@ -287,9 +384,12 @@
     }
   log_init (PROGRAM, prc.dmn.set.name, prc.dmn.set.log_level);
   signal (SIGPIPE, SIG_IGN);
-  signal (SIGHUP, SIG_IGN);
+  if (prc.dmn.set.role != SET_ROLE_GATEWAY)
+    signal (SIGHUP, SIG_IGN);
   evthread_use_pthreads ();
   event_set_log_callback (log_libevent);
   warn_of_file_limit (&prc.dmn.set);
+  if (prc.dmn.set.role == SET_ROLE_GATEWAY)
+    return run_gateway (&prc.dmn.set);
   return run_process (&prc);
 }
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -6,7 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define ROWS_MAX 32
+#define ROWS_MAX 48
 #define DEFAULT_ORIGIN "default"
 
 /* What getopt_long() returns for a flag: the number of a row, or one of these. */
@@ -198,6 +198,8 @@
 {
   if (row->need == SET_NEED_SIDECAR)
     return load->set->role == SET_ROLE_SIDECAR;
+  if (row->need == SET_NEED_GATEWAY)
+    return load->set->role == SET_ROLE_GATEWAY;
   return row->need == SET_NEED_ALL;
 }
 
@@ -222,19 +224,35 @@
   return true;
 }
 
+static const char *
+role_name (const load_t *load)
+{
+  return given_named (load, "role")->text;
+}
+
+/* What only one role uses would be ignored at another, and its giver would not know. */
 static bool
-check_engine (const load_t *load, GError **error)
+check_role (const load_t *load, const char *name, set_role_t role, const char *why, GError **error)
 {
-  const given_t *engine = given_named (load, "engine");
+  const given_t *given = given_named (load, name);
 
-  if (load->set->role != SET_ROLE_ROUTER || engine->text == NULL)
+  if (load->set->role == role || given->text == NULL)
     return true;
-  g_set_error (error, SET_ERROR, SET_ERROR_CONFLICT,
-               "engine: \"%s\" (%s): only a sidecar has an engine, and role is router",
-               engine->text, engine->origin);
+  g_set_error (error, SET_ERROR, SET_ERROR_CONFLICT, "%s: \"%s\" (%s): %s, and role is %s", name,
+               given->text, given->origin, why, role_name (load));
   return false;
 }
 
+static bool
+check_roles (const load_t *load, GError **error)
+{
+  return check_role (load, "engine", SET_ROLE_SIDECAR, "only a sidecar has an engine", error) &&
+         check_role (load, "ready-listen", SET_ROLE_GATEWAY, "only a gateway listens there",
+                     error) &&
+         check_role (load, "control-listen", SET_ROLE_GATEWAY, "only a gateway listens there",
+                     error);
+}
+
 /*
  * With two keys it would hang on their order which one counts, and a daemon with the wrong one
  * hears nobody: its peers drop all that it says.
@@ -276,8 +294,8 @@
 static bool
 check_all (const load_t *load, GError **error)
 {
-  return check_needed (load, error) && check_engine (load, error) &&
-         check_fleet_key (load, error) && check_horizon (load, error);
+  return check_needed (load, error) && check_roles (load, error) && check_fleet_key (load, error) &&
+         check_horizon (load, error);
 }
 
 static void
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -20,7 +20,8 @@
 typedef enum
 {
   SET_ROLE_ROUTER,
-  SET_ROLE_SIDECAR
+  SET_ROLE_SIDECAR,
+  SET_ROLE_GATEWAY /* a router that calls engines itself, without sidecars */
 } set_role_t;
 
 /** struct set_address - an IP number and a port; host names are not looked up */
@@ -37,6 +38,12 @@
  * @exchange: UDP, towards the other daemons
  * @platform: the platform's log and host list
  * @engine: sidecar only: the engine beside it
+ * @ready_listen: gateway only: HTTP, where the balancer asks whether it is ready
+ * @control_listen: gateway only: HTTP, counters, and what peers ask
+ * @retry_ratio_milli: gateway only: retries for each thousand requests of a service, all gateways
+ * @retry_slack: gateway only: retries in a window beyond that, all gateways
+ * @retry_window_ms: gateway only: span that both are counted over
+ * @grace_ms: gateway only: from a stop signal until the process is killed
  * @fleet_key: shared secret of the daemons, at least 16 bytes
  * @idle_timeout_ms: a connection without a request is closed after this
  * @exchange_interval_ms: between two messages that a daemon starts
@@ -53,6 +60,12 @@
   set_address_t exchange;
   set_address_t platform;
   set_address_t engine;
+  set_address_t ready_listen;
+  set_address_t control_listen;
+  uint32_t retry_ratio_milli;
+  uint32_t retry_slack;
+  uint32_t retry_window_ms;
+  uint32_t grace_ms;
   char fleet_key[128];
   log_level_t log_level;
   uint32_t body_limit_bytes;
--- a/src/process/settings_table.c
+++ b/src/process/settings_table.c
@@ -26,6 +26,18 @@
   ROW ("exchange", ADDRESS, ALL, 0, 0, exchange, NULL, "UDP, towards the other daemons"),
   ROW ("platform", ADDRESS, ALL, 0, 0, platform, NULL, "The platform's log and host list"),
   ROW ("engine", ADDRESS, SIDECAR, 0, 0, engine, NULL, "The engine beside the sidecar"),
+  ROW ("ready-listen", ADDRESS, GATEWAY, 0, 0, ready_listen, NULL,
+       "HTTP, where the balancer asks whether the gateway is ready"),
+  ROW ("control-listen", ADDRESS, GATEWAY, 0, 0, control_listen, NULL,
+       "HTTP, counters and what other gateways ask"),
+  ROW ("retry-ratio", MILLI, NONE, 0, 1000, retry_ratio_milli, "0.1",
+       "Gateway: retries for each request of a service, of all gateways together"),
+  ROW ("retry-slack", NUMBER, NONE, 0, 1000000, retry_slack, "10",
+       "Gateway: retries in a window beyond that, of all gateways together"),
+  ROW ("retry-window", MILLI, NONE, 1000, 600 * 1000, retry_window_ms, "10",
+       "Gateway: seconds over which retries are counted"),
+  ROW ("grace", MILLI, NONE, 1000, 600 * 1000, grace_ms, "8",
+       "Gateway: seconds from a stop signal until the process is killed"),
   ROW ("fleet-key", SECRET, NONE, 16, sizeof (((set_t *)0)->fleet_key) - 1, fleet_key, NULL,
        "Secret that all daemons share; needed, here or in a file"),
   ROW ("fleet-key-file", SECRET_FILE, NONE, 0, 0, fleet_key, NULL,
@@ -55,7 +67,9 @@
 /* clang-format on */
 
 static const char *const role_names[] = {
-  [SET_ROLE_ROUTER] = "router", [SET_ROLE_SIDECAR] = "sidecar"
+  [SET_ROLE_ROUTER] = "router",
+  [SET_ROLE_SIDECAR] = "sidecar",
+  [SET_ROLE_GATEWAY] = "gateway",
 };
 
 static const char *const level_names[] = { [LOG_LEVEL_ERROR] = "error",
@@ -120,6 +134,23 @@
   return true;
 }
 
+/* a decimal number without sign or exponent; digits beyond the third decimal place do not count */
+static bool
+parse_milli (const set_row_t *row, const char *text, uint32_t *number)
+{
+  size_t whole = strspn (text, "0123456789");
+  size_t places = text[whole] == '.' ? strspn (text + whole + 1, "0123456789") : 0;
+  double value;
+
+  if (whole == 0 || text[whole + (text[whole] == '.') + places] != '\0')
+    return false;
+  value = g_ascii_strtod (text, NULL) * 1000;
+  if (value < row->minimum || value > row->maximum)
+    return false;
+  *number = (uint32_t)(value + 0.5);
+  return true;
+}
+
 static bool
 parse_secret (const set_row_t *row, const char *text, char *out)
 {
@@ -220,6 +251,8 @@
       return parse_address (text, field);
     case SET_KIND_NUMBER:
       return parse_number (row, text, field);
+    case SET_KIND_MILLI:
+      return parse_milli (row, text, field);
     case SET_KIND_LEVEL:
       return parse_level (text, field);
     case SET_KIND_SECRET:
@@ -274,13 +307,16 @@
   switch (row->kind)
     {
     case SET_KIND_ROLE:
-      return g_strdup ("router or sidecar");
+      return g_strdup ("router, sidecar or gateway");
     case SET_KIND_NAME:
       return g_strdup_printf ("1 to %d of a-z, 0-9, '.' and '-'", LIM_NAME_BYTES - 1);
     case SET_KIND_ADDRESS:
       return g_strdup ("IP number and port 1 to 65535, as 10.0.0.1:8080 or [fd00::1]:8080");
     case SET_KIND_NUMBER:
       return g_strdup_printf ("%u to %u", row->minimum, row->maximum);
+    case SET_KIND_MILLI:
+      return g_strdup_printf ("a decimal number, %u.%03u to %u.%03u", row->minimum / 1000,
+                              row->minimum % 1000, row->maximum / 1000, row->maximum % 1000);
     case SET_KIND_LEVEL:
       return g_strdup ("error, warning, notice, info or debug");
     case SET_KIND_SECRET:
@@ -298,9 +334,11 @@
   switch (row->need)
     {
     case SET_NEED_ALL:
-      return "both";
+      return "all";
     case SET_NEED_SIDECAR:
-      return "sidecar; refused for a router";
+      return "sidecar; refused for the others";
+    case SET_NEED_GATEWAY:
+      return "gateway; refused for the others";
     case SET_NEED_NONE:
       return "-";
     }
@@ -343,6 +381,9 @@
       return set_address_text (field);
     case SET_KIND_NUMBER:
       return g_strdup_printf ("%u", *(const uint32_t *)field);
+    case SET_KIND_MILLI:
+      return g_strdup_printf ("%u.%03u", *(const uint32_t *)field / 1000,
+                              *(const uint32_t *)field % 1000);
     case SET_KIND_LEVEL:
       return g_strdup (level_names[*(const log_level_t *)field]);
     case SET_KIND_SECRET:
--- a/src/process/settings_table.h
+++ b/src/process/settings_table.h
@@ -27,6 +27,7 @@
   SET_KIND_NAME,
   SET_KIND_ADDRESS,
   SET_KIND_NUMBER,
+  SET_KIND_MILLI, /* a decimal number, kept in thousandths */
   SET_KIND_LEVEL,
   SET_KIND_SECRET,     /* never a flag, never shown */
   SET_KIND_SECRET_FILE /* path of a file that holds the secret */
@@ -35,7 +36,8 @@
 typedef enum
 {
   SET_NEED_ALL,     /* every daemon must be given it */
-  SET_NEED_SIDECAR, /* a sidecar must be given it, a router must not */
+  SET_NEED_SIDECAR, /* a sidecar must be given it, the others must not */
+  SET_NEED_GATEWAY, /* a gateway must be given it, the others must not */
   SET_NEED_NONE     /* has a default, or another setting stands in for it */
 } set_need_t;
 
--- /dev/null
+++ b/src/request/course.c
@@ -0,0 +1,52 @@
+#include "request/course.h"
+
+void
+crs_init (crs_t *crs, const crs_rules_t *rules)
+{
+  *crs = (crs_t){ .rules = *rules };
+}
+
+static bool
+may_repeat (const crs_t *crs, crs_outcome_t outcome)
+{
+  if (outcome == CRS_NOT_RUN)
+    return crs->refused < CRS_REFUSALS && crs->ran < crs->rules.attempts;
+  if (crs->ran >= crs->rules.attempts)
+    return false;
+  if (outcome == CRS_BROKE)
+    return crs->rules.resumable;
+  return crs->rules.idempotent || crs->rules.resumable;
+}
+
+static crs_step_t
+last_step (const crs_t *crs, crs_outcome_t outcome)
+{
+  switch (outcome)
+    {
+    case CRS_FAILED:
+      return CRS_PASS;
+    case CRS_BROKE:
+      return CRS_CUT;
+    case CRS_NOT_RUN:
+      return crs->ran == 0 ? CRS_REFUSE : CRS_FAIL;
+    case CRS_UNKNOWN:
+      break;
+    }
+  return CRS_FAIL;
+}
+
+crs_step_t
+crs_next (crs_t *crs,
+          crs_outcome_t outcome,
+          uint64_t left_us,
+          bool (*may_retry) (void *context),
+          void *context)
+{
+  if (outcome == CRS_NOT_RUN)
+    crs->refused++;
+  else
+    crs->ran++;
+  if (left_us < CRS_LEAST_US || !may_repeat (crs, outcome) || !may_retry (context))
+    return last_step (crs, outcome);
+  return outcome == CRS_BROKE ? CRS_RESUME : CRS_AGAIN;
+}
--- /dev/null
+++ b/src/request/course.h
@@ -0,0 +1,73 @@
+/**
+ * DOC: course
+ *
+ * What comes after each outcome of a request that a router sends to engines itself. A pure state
+ * machine.
+ *
+ * Another engine is asked after a certainty that the one before did not run the request, or where
+ * the request may be repeated: an idempotent one, or a stream that can be resumed. Never more
+ * engines may run it than its route allows.
+ */
+#ifndef REQUEST_COURSE_H
+#define REQUEST_COURSE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Engines that refused a request with certainty, after which it is given up: each try costs the
+ * retry budget that all share, and by then the view of the service is wrong or all are full. */
+#define CRS_REFUSALS 3
+#define CRS_LEAST_US (20 * 1000) /* with less time left no engine can answer */
+
+typedef enum
+{
+  CRS_NOT_RUN, /* certain */
+  CRS_UNKNOWN, /* sent, and no answer that counts */
+  CRS_FAILED,  /* the engine answered with a failure of its own */
+  CRS_BROKE    /* the answer broke off after a part went to the caller */
+} crs_outcome_t;
+
+typedef enum
+{
+  CRS_AGAIN,  /* send the whole request to another engine */
+  CRS_RESUME, /* send it to go on after the last whole event */
+  CRS_PASS,   /* pass the engine's own failure on */
+  CRS_REFUSE, /* 503: it ran nowhere */
+  CRS_FAIL,   /* 502: it may have run */
+  CRS_CUT     /* break the begun answer off */
+} crs_step_t;
+
+/**
+ * struct crs_rules - of the route
+ * @idempotent: it may run more than once
+ * @resumable: a stream that may go on elsewhere
+ * @attempts: engines that may run it
+ */
+typedef struct
+{
+  bool idempotent;
+  bool resumable;
+  uint32_t attempts;
+} crs_rules_t;
+
+/** struct crs - @ran: engines that ran it or may have */
+typedef struct
+{
+  crs_rules_t rules;
+  uint32_t ran;
+  uint32_t refused;
+} crs_t;
+
+void crs_init (crs_t *crs, const crs_rules_t *rules);
+/**
+ * crs_next() - what follows @outcome
+ * @left_us: until the caller's deadline or the route's timeout
+ * @may_retry: asked only when it matters; takes from the retry budget
+ */
+crs_step_t crs_next (crs_t *crs,
+                     crs_outcome_t outcome,
+                     uint64_t left_us,
+                     bool (*may_retry) (void *context),
+                     void *context);
+
+#endif
--- /dev/null
+++ b/src/request/engines.c
@@ -0,0 +1,228 @@
+#include "request/engines.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define ERROR_GAIN 8 /* of the smoothing: about the last eight answers count */
+#define SLOW_GAIN 8
+#define MILLI 1000
+#define SLOW_LIMIT 20000 /* one answer counts as at most twenty times too slow */
+
+/**
+ * struct egs - the engines that the registry knows
+ * @by_id: id -> egn_t
+ * @by_service: interned service -> GPtrArray of egn_t
+ */
+struct egs
+{
+  GHashTable *by_id;
+  GHashTable *by_service;
+};
+
+static void
+egn_unref (gpointer data)
+{
+  egn_t *egn = data;
+
+  if (--egn->refs == 0)
+    g_free (egn);
+}
+
+static void
+array_free (gpointer data)
+{
+  g_ptr_array_free (data, TRUE);
+}
+
+egs_t *
+egs_new (void)
+{
+  egs_t *egs = g_new0 (egs_t, 1);
+
+  egs->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, egn_unref);
+  egs->by_service = g_hash_table_new_full (NULL, NULL, NULL, array_free);
+  return egs;
+}
+
+void
+egs_free (egs_t *egs)
+{
+  g_hash_table_destroy (egs->by_service);
+  g_hash_table_destroy (egs->by_id);
+  g_free (egs);
+}
+
+static GPtrArray *
+service_list (egs_t *egs, const char *service)
+{
+  GPtrArray *list = g_hash_table_lookup (egs->by_service, service);
+
+  if (!list)
+    {
+      list = g_ptr_array_new ();
+      g_hash_table_insert (egs->by_service, (gpointer)service, list);
+    }
+  return list;
+}
+
+static egn_t *
+egn_new (const egn_entry_t *entry)
+{
+  egn_t *egn = g_new0 (egn_t, 1);
+
+  egn->refs = 1;
+  egn->entry = *entry;
+  egn->hash = XXH64 (entry->id, strlen (entry->id), 0);
+  return egn;
+}
+
+egn_t *
+egs_put (egs_t *egs, uint64_t now_us, const egn_entry_t *entry)
+{
+  egn_t *egn = g_hash_table_lookup (egs->by_id, entry->id);
+
+  if (egn && egn->entry.service != entry->service)
+    {
+      egs_gone (egs, entry->id);
+      egn = NULL;
+    }
+  if (!egn)
+    {
+      egn = egn_new (entry);
+      g_hash_table_insert (egs->by_id, egn->entry.id, egn);
+      g_ptr_array_add (service_list (egs, entry->service), egn);
+    }
+  egn->entry = *entry;
+  egn->cold_until_us = entry->cold_ms > 0 ? now_us + (uint64_t)entry->cold_ms * MILLI : 0;
+  return egn;
+}
+
+void
+egs_gone (egs_t *egs, const char *id)
+{
+  egn_t *egn = g_hash_table_lookup (egs->by_id, id);
+
+  if (!egn)
+    return;
+  egn->entry.state = EGN_GONE;
+  g_ptr_array_remove (service_list (egs, egn->entry.service), egn);
+  g_hash_table_remove (egs->by_id, id);
+}
+
+egn_t *
+egs_find (const egs_t *egs, const char *id)
+{
+  return g_hash_table_lookup (egs->by_id, id);
+}
+
+const GPtrArray *
+egs_list (const egs_t *egs, const char *service)
+{
+  return service_list ((egs_t *)egs, service);
+}
+
+uint32_t
+egs_count (const egs_t *egs)
+{
+  return g_hash_table_size (egs->by_id);
+}
+
+void
+egn_begin (egn_t *egn)
+{
+  egn->refs++;
+  egn->own++;
+}
+
+void
+egn_end (egn_t *egn)
+{
+  g_assert (egn->own > 0);
+  egn->own--;
+  egn_unref (egn);
+}
+
+void
+egn_told (egn_t *egn, uint64_t now_us, const egn_load_t *load)
+{
+  uint32_t there = load->running + load->waiting;
+
+  egn->others = there > egn->own ? there - egn->own : 0;
+  egn->told_us = now_us;
+  if (load->slots > 0)
+    egn->entry.slots = load->slots;
+}
+
+void
+egn_worked (egn_t *egn, bool failed)
+{
+  uint32_t sample = failed ? MILLI : 0;
+
+  egn->failures = 0;
+  egn->skip_until_us = 0;
+  egn->error_milli = (egn->error_milli * (ERROR_GAIN - 1) + sample) / ERROR_GAIN;
+}
+
+void
+egn_failed (egn_t *egn, uint64_t now_us)
+{
+  uint32_t doublings;
+  uint64_t skip_us;
+
+  egn->failures++;
+  egn->error_milli = (egn->error_milli * (ERROR_GAIN - 1) + MILLI) / ERROR_GAIN;
+  if (egn->failures < EGN_FAILURES)
+    return;
+  doublings = MIN (egn->failures - EGN_FAILURES, 8U);
+  skip_us = MIN (EGN_SKIP_MIN_US << doublings, EGN_SKIP_MAX_US);
+  egn->skip_until_us = now_us + skip_us;
+  egn->probe_us = 0;
+}
+
+void
+egn_timed (egn_t *egn, uint64_t took_us, uint64_t expected_us)
+{
+  uint64_t sample = took_us * MILLI / MAX (expected_us, 1);
+
+  sample = MIN (sample, SLOW_LIMIT);
+  egn->slow_milli = (uint32_t)(((uint64_t)egn->slow_milli * (SLOW_GAIN - 1) + sample) / SLOW_GAIN);
+}
+
+uint32_t
+egn_load_now (const egn_t *egn, uint64_t now_us)
+{
+  uint64_t age_us = now_us > egn->told_us ? now_us - egn->told_us : 0;
+  uint64_t halvings = age_us / EGN_TOLD_US;
+  uint32_t others = halvings < 32 ? egn->others >> halvings : 0;
+
+  return egn->own + others;
+}
+
+bool
+egn_is_open (const egn_t *egn)
+{
+  return egn->entry.state == EGN_READY;
+}
+
+bool
+egn_is_skipped (const egn_t *egn, uint64_t now_us)
+{
+  if (egn->failures < EGN_FAILURES)
+    return false;
+  if (now_us < egn->skip_until_us)
+    return true;
+  return egn->probe_us != 0 && now_us < egn->probe_us + EGN_SKIP_MIN_US;
+}
+
+void
+egn_probe (egn_t *egn, uint64_t now_us)
+{
+  if (egn->failures >= EGN_FAILURES)
+    egn->probe_us = now_us;
+}
+
+uint32_t
+egn_slots (const egn_t *egn, uint32_t otherwise)
+{
+  return egn->entry.slots > 0 ? egn->entry.slots : otherwise;
+}
--- /dev/null
+++ b/src/request/engines.h
@@ -0,0 +1,131 @@
+/**
+ * DOC: engines
+ *
+ * The engines that a router calls without a sidecar beside them: what the registry says of each,
+ * how many requests this router has there, the load that they tell in their answers, and the
+ * evidence of failures. A pure state machine; an engine lives until the registry and the last
+ * request have let go of it.
+ */
+#ifndef REQUEST_ENGINES_H
+#define REQUEST_ENGINES_H
+
+#include "process/limits.h"
+#include "process/settings.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef enum
+{
+  EGN_READY,
+  EGN_LEAVING, /* it takes no new work, and serves what it has */
+  EGN_GONE     /* the registry knows it no longer; as EGN_LEAVING */
+} egn_state_t;
+
+/**
+ * struct egn_entry - what the registry says of an engine
+ * @id: of this start of the engine; another start has another
+ * @service: interned
+ * @slots: requests that it runs at once; 0 is unknown
+ * @cold_ms: how much longer it is slow after its start
+ */
+typedef struct
+{
+  char id[LIM_NAME_BYTES];
+  const char *service;
+  char data_center[LIM_NAME_BYTES];
+  set_address_t address;
+  uint32_t slots;
+  uint32_t cold_ms;
+  egn_state_t state;
+} egn_entry_t;
+
+/**
+ * struct egn_load - as an engine tells it
+ * @slots: 0 when it doesn't say
+ */
+typedef struct
+{
+  uint32_t running;
+  uint32_t waiting;
+  uint32_t slots;
+} egn_load_t;
+
+/**
+ * struct egn - an engine
+ * @hash: of its id
+ * @own: requests of this router that are there
+ * @peers: requests of other routers there, as they tell it
+ * @others: requests of other routers there when the engine told its load at @told_us
+ * @failures: in a row, of this router's requests
+ * @skip_until_us: until then it is asked only by a single probe
+ * @error_milli: share of answers that were failures, smoothed, in thousandths
+ * @slow_milli: time to its first byte over the expected one, smoothed, in thousandths
+ * @heard_us: when a byte of it came last
+ * @idle_ms: how long it keeps an idle connection; 0 when it didn't say
+ */
+typedef struct
+{
+  egn_entry_t entry;
+  uint64_t hash;
+  uint32_t refs;
+  uint32_t own;
+  uint32_t others;
+  uint64_t told_us;
+  uint32_t failures;
+  uint64_t skip_until_us;
+  uint64_t probe_us;
+  uint32_t error_milli;
+  uint32_t slow_milli;
+  uint64_t heard_us;
+  uint64_t cold_until_us;
+  uint32_t idle_ms;
+} egn_t;
+
+typedef struct egs egs_t;
+
+/* A load that an engine told counts in full for this long, and half after each as long again: at
+ * the lowest rate that a router is used at, an engine answers it about twice a second. */
+#define EGN_TOLD_US (UINT64_C (1000) * 1000)
+/* Failures in a row that put an engine aside: one may be the request's own fault. */
+#define EGN_FAILURES 2
+#define EGN_SKIP_MIN_US (UINT64_C (500) * 1000)
+#define EGN_SKIP_MAX_US (UINT64_C (4000) * 1000) /* a crashed engine is back after some seconds */
+
+egs_t *egs_new (void);
+void egs_free (egs_t *egs);
+/** egs_put() - the registry's entry of an engine, new or changed. Return: the engine */
+egn_t *egs_put (egs_t *egs, uint64_t now_us, const egn_entry_t *entry);
+/** egs_gone() - the registry knows @id no longer */
+void egs_gone (egs_t *egs, const char *id);
+/** egs_find() - by id, or NULL */
+egn_t *egs_find (const egs_t *egs, const char *id);
+/** egs_list() - engines of @service (interned) that the registry knows, as egn_t; valid until the
+ * next egs_put() or egs_gone() */
+const GPtrArray *egs_list (const egs_t *egs, const char *service);
+uint32_t egs_count (const egs_t *egs);
+
+/** egn_begin() - a request goes there; keeps the engine */
+void egn_begin (egn_t *egn);
+/** egn_end() - it ended; may free the engine */
+void egn_end (egn_t *egn);
+void egn_told (egn_t *egn, uint64_t now_us, const egn_load_t *load);
+/** egn_worked() - it answered, well or with a failure of its own (@failed) */
+void egn_worked (egn_t *egn, bool failed);
+/** egn_failed() - it could not be reached or broke off */
+void egn_failed (egn_t *egn, uint64_t now_us);
+/** egn_timed() - time to the first byte, against what was expected */
+void egn_timed (egn_t *egn, uint64_t took_us, uint64_t expected_us);
+/** egn_load_now() - requests there, of all routers as far as known */
+uint32_t egn_load_now (const egn_t *egn, uint64_t now_us);
+/** egn_is_open() - ready by the registry */
+bool egn_is_open (const egn_t *egn);
+/** egn_is_skipped() - put aside for failures, and no probe is due */
+bool egn_is_skipped (const egn_t *egn, uint64_t now_us);
+/** egn_probe() - a skipped engine whose time has come gets one request: note that it goes */
+void egn_probe (egn_t *egn, uint64_t now_us);
+/** egn_slots() - requests that it runs at once, or @otherwise when nobody said */
+uint32_t egn_slots (const egn_t *egn, uint32_t otherwise);
+
+#endif
--- a/src/request/fault.c
+++ b/src/request/fault.c
@@ -113,7 +113,11 @@
     hsv_add_header (call, FLT_REQUEST_HEADER, fault->request);
   if (fault->retry_after_ms != 0)
     {
-      snprintf (seconds, sizeof seconds, "%" PRIu32, (fault->retry_after_ms - 1) / 1000 + 1);
+      if (fault->exact_retry)
+        snprintf (seconds, sizeof seconds, "%" PRIu32 ".%03" PRIu32, fault->retry_after_ms / 1000,
+                  fault->retry_after_ms % 1000);
+      else
+        snprintf (seconds, sizeof seconds, "%" PRIu32, (fault->retry_after_ms - 1) / 1000 + 1);
       hsv_add_header (call, "Retry-After", seconds);
     }
   hsv_reply_text (call, status, "application/json", body);
--- a/src/request/fault.h
+++ b/src/request/fault.h
@@ -18,6 +18,7 @@
  * @code: a word for programs; NULL is that of @reason
  * @message: one sentence for people; NULL is that of @reason
  * @retry_after_ms: 0 is do not come back
+ * @exact_retry: @retry_after_ms is told in thousandths; else in whole seconds, rounded up
  * @request: the attempt id as text, or NULL
  */
 typedef struct
@@ -28,6 +29,7 @@
   vrd_t verdict;
   vrd_reason_t reason;
   uint32_t retry_after_ms;
+  bool exact_retry;
   const char *request;
 } flt_t;
 
--- /dev/null
+++ b/src/request/gateway.c
@@ -0,0 +1,185 @@
+#include "request/gateway_private.h"
+
+#include "process/log.h"
+
+uint64_t
+gwy_now_us (const gwy_t *gwy)
+{
+  return clk_now_us (gwy->options.clk);
+}
+
+static void
+service_free (gpointer data)
+{
+  gwy_service_t *service = data;
+
+  fq_free (service->queue);
+  g_free (service);
+}
+
+gwy_service_t *
+gwy_service (gwy_t *gwy, const char *name)
+{
+  gwy_service_t *service = g_hash_table_lookup (gwy->services, name);
+
+  if (service)
+    return service;
+  service = g_new0 (gwy_service_t, 1);
+  service->name = name;
+  service->queue = fq_new (GWY_WAIT_LIMIT);
+  service->run_us = GWY_RUN_US;
+  g_hash_table_insert (gwy->services, (gpointer)name, service);
+  return service;
+}
+
+static void
+pump_all (gwy_t *gwy)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, gwy->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    gwy_wait_pump (value, gwy);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  pump_all (context);
+}
+
+static void
+get_counters (gwy_t *gwy)
+{
+  cnt_set_t *set = gwy->options.counters;
+
+  gwy->answered = cnt_get (set, "medlarplank_gateway_answered_total", "Requests answered");
+  gwy->refused = cnt_get (set, "medlarplank_gateway_refused_total", "Requests refused, not run");
+  gwy->failed =
+      cnt_get (set, "medlarplank_gateway_failed_total", "Requests that failed or were cut");
+  gwy->retried = cnt_get (set, "medlarplank_gateway_retried_total", "Sends to another engine");
+  gwy->resumed =
+      cnt_get (set, "medlarplank_gateway_resumed_total", "Streams that went on elsewhere");
+  gwy->gone = cnt_get (set, "medlarplank_gateway_gone_total", "Requests whose caller left");
+}
+
+gwy_t *
+gwy_new (const gwy_options_t *options, GError **error)
+{
+  gwy_t *gwy = g_new0 (gwy_t, 1);
+  const set_t *set = options->set;
+  struct timeval tick = { 0, GWY_WAIT_TICK_MS * 1000 };
+
+  gwy->options = *options;
+  gwy->routers = 1;
+  gwy->services = g_hash_table_new_full (NULL, NULL, NULL, service_free);
+  gwy->calls = g_hash_table_new (NULL, NULL);
+  get_counters (gwy);
+  gwy->upstreams = hcl_new (options->base, GWY_IDLE_CONNECTIONS, GWY_IDLE_TIMEOUT_MS);
+  hcl_set_connect_limit (gwy->upstreams, GWY_CONNECT_MS);
+  gwy->tick = event_new (options->base, -1, EV_PERSIST, on_tick, gwy);
+  event_add (gwy->tick, &tick);
+  gwy->front = hsv_new (&(hsv_options_t){ .base = options->base,
+                                          .counters = options->counters,
+                                          .listen = set->listen,
+                                          .body_limit_bytes = set->body_limit_bytes,
+                                          .header_limit_bytes = set->header_limit_bytes,
+                                          .header_limit_count = set->header_limit_count,
+                                          .connection_limit = set->connection_limit,
+                                          .idle_timeout_ms = set->idle_timeout_ms,
+                                          .on_call = gwy_accept,
+                                          .context = gwy },
+                        error);
+  if (gwy->front)
+    return gwy;
+  gwy_free (gwy);
+  return NULL;
+}
+
+static void
+drop_calls (gwy_t *gwy)
+{
+  GList *calls = g_hash_table_get_keys (gwy->calls);
+
+  for (GList *link = calls; link; link = link->next)
+    {
+      gwy_call_t *call = link->data;
+
+      gwy_wait_remove (call);
+      gwy_hop_drop (call);
+      gwy_call_free (call);
+    }
+  g_list_free (calls);
+}
+
+void
+gwy_free (gwy_t *gwy)
+{
+  if (gwy->front)
+    hsv_free (gwy->front);
+  drop_calls (gwy);
+  hcl_free (gwy->upstreams);
+  event_free (gwy->tick);
+  g_hash_table_destroy (gwy->services);
+  g_hash_table_destroy (gwy->calls);
+  if (gwy->table)
+    rte_unref (gwy->table);
+  g_free (gwy);
+}
+
+void
+gwy_set_table (gwy_t *gwy, rte_t *table)
+{
+  const rte_limits_t *limits = rte_limits (table);
+
+  if (gwy->table)
+    rte_unref (gwy->table);
+  gwy->table = rte_ref (table);
+  hsv_configure (gwy->front, limits->body_bytes, limits->header_bytes, limits->header_timeout_ms,
+                 limits->idle_timeout_ms);
+}
+
+void
+gwy_set_certain (gwy_t *gwy, bool certain)
+{
+  gwy->certain = certain;
+}
+
+void
+gwy_set_routers (gwy_t *gwy, uint32_t routers)
+{
+  gwy->routers = MAX (routers, 1U);
+}
+
+void
+gwy_engines_changed (gwy_t *gwy)
+{
+  pump_all (gwy);
+}
+
+void
+gwy_say_close (gwy_t *gwy)
+{
+  hsv_say_close (gwy->front);
+}
+
+void
+gwy_stop (gwy_t *gwy)
+{
+  hsv_stop (gwy->front);
+}
+
+uint32_t
+gwy_busy (const gwy_t *gwy)
+{
+  return hsv_busy (gwy->front) + g_hash_table_size (gwy->calls);
+}
+
+uint16_t
+gwy_port (const gwy_t *gwy)
+{
+  return hsv_port (gwy->front);
+}
--- /dev/null
+++ b/src/request/gateway.h
@@ -0,0 +1,60 @@
+/**
+ * DOC: gateway
+ *
+ * The data task of a gateway: a router that sends requests to engines itself, where no sidecar
+ * stands beside them. It takes callers' requests, finds their route, waits for room, sends them to
+ * engines and relays the answers.
+ */
+#ifndef REQUEST_GATEWAY_H
+#define REQUEST_GATEWAY_H
+
+#include "process/clock.h"
+#include "process/counters.h"
+#include "process/settings.h"
+#include "request/engines.h"
+#include "request/format.h"
+#include "request/retry_share.h"
+#include "version/routing.h"
+
+#include <event2/event.h>
+
+typedef struct gwy gwy_t;
+
+/**
+ * struct gwy_options - options of gwy_new()
+ * @set: settings of the process; borrowed
+ * @engines: borrowed; the owner tells of changes by gwy_engines_changed()
+ * @format: of callers' requests and engines' answers
+ */
+typedef struct
+{
+  struct event_base *base;
+  const clk_t *clk;
+  cnt_set_t *counters;
+  const set_t *set;
+  egs_t *engines;
+  const fmt_t *format;
+  rsh_options_t retries;
+} gwy_options_t;
+
+gwy_t *gwy_new (const gwy_options_t *options, GError **error);
+/** gwy_free() - requests under way end as by a caller that has gone */
+void gwy_free (gwy_t *gwy);
+/** gwy_set_table() - another version of the routing rules is in force; takes a reference */
+void gwy_set_table (gwy_t *gwy, rte_t *table);
+/** gwy_set_certain() - whether the version in force is known to be the newest one; while it is not,
+ * what it does not know is answered by 503 */
+void gwy_set_certain (gwy_t *gwy, bool certain);
+/** gwy_set_routers() - routers that share the retry budget */
+void gwy_set_routers (gwy_t *gwy, uint32_t routers);
+/** gwy_engines_changed() - the registry told something: waiting requests may go on */
+void gwy_engines_changed (gwy_t *gwy);
+/** gwy_say_close() - a stop begins: answers say that their connection closes */
+void gwy_say_close (gwy_t *gwy);
+/** gwy_stop() - take no connection any more */
+void gwy_stop (gwy_t *gwy);
+/** gwy_busy() - 0 once all is answered after gwy_stop() */
+uint32_t gwy_busy (const gwy_t *gwy);
+uint16_t gwy_port (const gwy_t *gwy);
+
+#endif
--- /dev/null
+++ b/src/request/gateway_call.c
@@ -0,0 +1,314 @@
+/* The course of one request: where it goes next, and what its caller hears in the end. */
+#include "request/gateway_private.h"
+
+#include "process/log.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/*
+ * The part that is worth most in a cache, of those that requests share: the longest but the last
+ * one. A prompt of one part has no other.
+ */
+static uint64_t
+affinity_of (const fmt_request_t *request)
+{
+  uint32_t shared = request->part_count > 1 ? request->part_count - 1 : request->part_count;
+  const fmt_part_t *best = NULL;
+
+  for (uint32_t i = 0; i < shared; i++)
+    if (!best || request->parts[i].tokens >= best->tokens)
+      best = &request->parts[i];
+  return best ? best->hash : 0;
+}
+
+static uint64_t
+deadline_of (const rte_route_t *route, const fmt_request_t *request, uint64_t now_us)
+{
+  uint32_t limit_ms = route->timeout_ms;
+
+  if (request->deadline_ms > 0)
+    limit_ms = MIN (limit_ms, request->deadline_ms);
+  return now_us + (uint64_t)limit_ms * CLK_US_PER_MS;
+}
+
+static bool
+is_repeatable (const gwy_call_t *call)
+{
+  return call->route->kind == RTE_IDEMPOTENT || call->crs.rules.resumable;
+}
+
+static void
+on_deadline (evutil_socket_t fd, short what, void *context)
+{
+  gwy_call_t *call = context;
+
+  (void)fd;
+  (void)what;
+  if (call->waiting)
+    {
+      gwy_wait_remove (call);
+      gwy_call_refuse (call, VRD_REASON_DEADLINE, GWY_RETRY_MIN_MS);
+      return;
+    }
+  gwy_hop_drop (call);
+  gwy_call_log (call, "end", "timeout", VRD_REASON_TIMEOUT);
+  cnt_add (call->gwy->failed, 1);
+  if (!call->in)
+    gwy_call_free (call);
+  else if (call->rly.begun)
+    {
+      rly_cut (&call->rly, &(flt_t){ .reason = VRD_REASON_TIMEOUT });
+      gwy_call_free (call);
+    }
+  else
+    {
+      flt_reply (call->in, &(flt_t){ .reason = VRD_REASON_TIMEOUT, .verdict = VRD_MAY_HAVE_RUN });
+      gwy_call_free (call);
+    }
+}
+
+/* What may be repeated is cancelled, as nobody waits for it; the rest goes on, as an engine that
+ * has begun on it must not be left half-way. */
+static void
+on_gone (void *context)
+{
+  gwy_call_t *call = context;
+
+  cnt_add (call->gwy->gone, 1);
+  call->in = NULL;
+  rly_gone (&call->rly);
+  gwy_call_log (call, "gone", call->waiting ? "waiting" : "sent", VRD_REASON_NONE);
+  if (call->out && call->route->kind == RTE_NON_IDEMPOTENT)
+    return;
+  gwy_wait_remove (call);
+  gwy_hop_drop (call);
+  gwy_call_free (call);
+}
+
+static void
+arm (gwy_call_t *call)
+{
+  uint64_t left_us = call->deadline_us - call->arrived_us;
+  struct timeval wait = { (time_t)(left_us / CLK_US_PER_S), (suseconds_t)(left_us % CLK_US_PER_S) };
+
+  call->timer = evtimer_new (call->gwy->options.base, on_deadline, call);
+  event_add (call->timer, &wait);
+}
+
+gwy_call_t *
+gwy_call_new (gwy_t *gwy, hsv_call_t *in, const rte_route_t *route, const fmt_request_t *request)
+{
+  gwy_call_t *call = g_new0 (gwy_call_t, 1);
+  bool is_stream = route->kind == RTE_STREAM;
+  uint64_t dice;
+
+  call->gwy = gwy;
+  call->in = in;
+  call->table = rte_ref (gwy->table);
+  call->route = route;
+  call->request = *request;
+  g_strlcpy (call->id, request->id ? request->id : "", sizeof call->id);
+  call->arrived_us = gwy_now_us (gwy);
+  call->deadline_us = deadline_of (route, request, call->arrived_us);
+  call->affinity = route->sticky ? affinity_of (request) : 0;
+  dice = XXH64 (call->id, strlen (call->id), gwy->next_number++);
+  call->service = gwy_service (gwy, rte_target (route, dice));
+  call->body = hsv_take_body (in, &call->body_bytes);
+  crs_init (&call->crs, &(crs_rules_t){ .idempotent = route->kind == RTE_IDEMPOTENT,
+                                        .resumable = is_stream && route->resumable,
+                                        .attempts = route->attempts });
+  evs_init (&call->evs);
+  rly_init (&call->rly, in);
+  call->rly.passes_back = gwy->options.format->passes_back;
+  if (request->resumes)
+    {
+      call->evs.has_id = true;
+      call->evs.last_id = request->last_event;
+    }
+  g_hash_table_add (gwy->calls, call);
+  rsh_request (&call->service->retries, &gwy->options.retries, call->arrived_us);
+  hsv_on_gone (in, on_gone, call);
+  arm (call);
+  return call;
+}
+
+void
+gwy_call_free (gwy_call_t *call)
+{
+  g_assert (!call->out && !call->waiting);
+  g_hash_table_remove (call->gwy->calls, call);
+  event_free (call->timer);
+  evs_clear (&call->evs);
+  rly_clear (&call->rly);
+  g_free (call->body);
+  rte_unref (call->table);
+  g_free (call);
+}
+
+void
+gwy_call_log (const gwy_call_t *call, const char *event, const char *outcome, vrd_reason_t reason)
+{
+  uint64_t now_us = gwy_now_us (call->gwy);
+
+  log_event (
+      LOG_LEVEL_INFO, event, "id", call->id, "route", call->route->name, "version",
+      LOG_U64 (rte_version (call->table)), "engine", call->engine ? call->engine->entry.id : NULL,
+      "outcome", outcome, "reason", reason == VRD_REASON_NONE ? NULL : vrd_reason_name (reason),
+      "hops", LOG_U64 (call->hops), "status", LOG_U64 ((uint64_t)call->status), "ms",
+      LOG_U64 ((now_us - call->arrived_us) / CLK_US_PER_MS), "left_ms",
+      LOG_U64 (call->deadline_us > now_us ? (call->deadline_us - now_us) / CLK_US_PER_MS : 0),
+      NULL);
+}
+
+spr_choice_t
+gwy_call_choose (const gwy_call_t *call)
+{
+  const gwy_t *gwy = call->gwy;
+
+  return spr_choose (egs_list (gwy->options.engines, call->service->name), gwy_now_us (gwy),
+                     &(spr_request_t){ .affinity = call->affinity,
+                                       .data_center = gwy->options.set->data_center,
+                                       .tried = call->tried,
+                                       .tried_count = call->tried_count });
+}
+
+/* Nobody is left to ask: what the last outcome says stands. */
+static void
+give_up (gwy_call_t *call)
+{
+  if (call->crs.ran == 0)
+    {
+      gwy_call_refuse (call, VRD_REASON_NO_ENGINE, GWY_RETRY_MIN_MS);
+      return;
+    }
+  gwy_call_log (call, "end", "failed", VRD_REASON_NO_ENGINE);
+  cnt_add (call->gwy->failed, 1);
+  if (call->rly.begun)
+    rly_cut (&call->rly, &(flt_t){ .reason = VRD_REASON_CUT });
+  else
+    flt_reply (call->in, &(flt_t){ .reason = VRD_REASON_CUT, .verdict = VRD_MAY_HAVE_RUN });
+  gwy_call_free (call);
+}
+
+void
+gwy_call_place (gwy_call_t *call)
+{
+  spr_choice_t choice;
+
+  /* Who comes later must not overtake those that wait. */
+  if (fq_count (call->service->queue) > 0 && call->hops == 0)
+    {
+      gwy_wait_push (call);
+      return;
+    }
+  choice = gwy_call_choose (call);
+  if (choice.action == SPR_SEND)
+    gwy_hop_send (call, &choice);
+  else if (choice.action == SPR_WAIT && !call->rly.begun)
+    gwy_wait_push (call);
+  else
+    give_up (call);
+}
+
+static bool
+may_retry (void *context)
+{
+  gwy_call_t *call = context;
+  gwy_t *gwy = call->gwy;
+
+  return rsh_take (&call->service->retries, &gwy->options.retries, gwy_now_us (gwy), gwy->routers);
+}
+
+static void
+end_failed (gwy_call_t *call, vrd_reason_t reason)
+{
+  cnt_add (call->gwy->failed, 1);
+  gwy_call_log (call, "end", "failed", reason);
+  flt_reply (call->in, &(flt_t){ .reason = reason == VRD_REASON_TIMEOUT ? reason : VRD_REASON_CUT,
+                                 .verdict = VRD_MAY_HAVE_RUN });
+  gwy_call_free (call);
+}
+
+static void
+end_cut (gwy_call_t *call, vrd_reason_t reason)
+{
+  cnt_add (call->gwy->failed, 1);
+  gwy_call_log (call, "end", "cut", reason);
+  rly_cut (&call->rly, &(flt_t){ .reason = VRD_REASON_CUT });
+  gwy_call_free (call);
+}
+
+static void
+go_on (gwy_call_t *call, bool resume, vrd_reason_t reason)
+{
+  gwy_call_log (call, "retry", resume ? "resume" : "again", reason);
+  cnt_add (resume ? call->gwy->resumed : call->gwy->retried, 1);
+  call->resuming = resume;
+  if (resume)
+    evs_resume (&call->evs);
+  gwy_call_place (call);
+}
+
+void
+gwy_call_outcome (gwy_call_t *call, crs_outcome_t outcome, vrd_reason_t reason)
+{
+  uint64_t now_us = gwy_now_us (call->gwy);
+  uint64_t left_us = call->deadline_us > now_us ? call->deadline_us - now_us : 0;
+
+  if (!call->in)
+    {
+      gwy_call_free (call);
+      return;
+    }
+  switch (crs_next (&call->crs, outcome, left_us, may_retry, call))
+    {
+    case CRS_AGAIN:
+      go_on (call, call->rly.begun, reason);
+      return;
+    case CRS_RESUME:
+      go_on (call, true, reason);
+      return;
+    case CRS_PASS:
+      gwy_call_whole (call);
+      return;
+    case CRS_REFUSE:
+      gwy_call_refuse (call, reason, GWY_RETRY_MIN_MS);
+      return;
+    case CRS_FAIL:
+      if (call->rly.begun)
+        end_cut (call, reason);
+      else
+        end_failed (call, reason);
+      return;
+    case CRS_CUT:
+      end_cut (call, reason);
+      return;
+    }
+}
+
+void
+gwy_call_whole (gwy_call_t *call)
+{
+  cnt_add (call->gwy->answered, 1);
+  gwy_call_log (call, "end", "answered", VRD_REASON_NONE);
+  rly_whole (&call->rly);
+  gwy_call_free (call);
+}
+
+/* A request that may be repeated and has begun at no engine is free to come back at once. */
+void
+gwy_call_refuse (gwy_call_t *call, vrd_reason_t reason, uint32_t retry_after_ms)
+{
+  uint32_t wait_ms = CLAMP (retry_after_ms, GWY_RETRY_MIN_MS, GWY_RETRY_MAX_MS);
+
+  cnt_add (call->gwy->refused, 1);
+  call->status = 503;
+  gwy_call_log (call, "refuse", is_repeatable (call) ? "repeatable" : "not_run", reason);
+  flt_reply (call->in, &(flt_t){ .status = 503,
+                                 .reason = reason,
+                                 .verdict = VRD_NOT_RUN,
+                                 .retry_after_ms = wait_ms,
+                                 .exact_retry = true });
+  gwy_call_free (call);
+}
--- /dev/null
+++ b/src/request/gateway_hop.c
@@ -0,0 +1,252 @@
+/* One send of a request to an engine, and what came of it. */
+#include "request/gateway_private.h"
+
+#include "process/log.h"
+
+#include <event2/http.h>
+#include <string.h>
+
+#define STATUS_FAILURE 500
+#define EVENT_STREAM "text/event-stream"
+
+static bool
+is_event_stream (const struct evkeyvalq *headers)
+{
+  const char *type = evhttp_find_header (headers, "Content-Type");
+
+  return type && g_ascii_strncasecmp (type, EVENT_STREAM, strlen (EVENT_STREAM)) == 0;
+}
+
+static void
+let_go (gwy_call_t *call)
+{
+  egn_t *engine = call->engine;
+
+  call->out = NULL;
+  call->engine = NULL;
+  if (engine)
+    egn_end (engine);
+}
+
+void
+gwy_hop_drop (gwy_call_t *call)
+{
+  if (!call->out)
+    return;
+  hcl_cancel (call->out);
+  let_go (call);
+}
+
+/* Whether the head lets the answer be passed on as a stream of events. */
+static bool
+may_go_on (const gwy_call_t *call, int status, const struct evkeyvalq *headers)
+{
+  return status == 200 && is_event_stream (headers) && !call->answer.not_run;
+}
+
+static void
+note_answer (gwy_call_t *call, int status)
+{
+  uint64_t now_us = gwy_now_us (call->gwy);
+
+  call->head_us = now_us;
+  call->engine->heard_us = now_us;
+  if (call->answer.idle_ms > 0)
+    call->engine->idle_ms = call->answer.idle_ms;
+  if (call->answer.has_load)
+    egn_told (call->engine, now_us, &call->answer.load);
+  egn_worked (call->engine, status >= STATUS_FAILURE && !call->answer.not_run);
+}
+
+static bool
+on_head (int status, struct evkeyvalq *headers, void *context)
+{
+  gwy_call_t *call = context;
+
+  call->gwy->options.format->answer (&call->answer, status, headers,
+                                     call->id[0] != '\0' ? call->id : NULL);
+  if (call->answer.crossed)
+    return false;
+  call->headed = true;
+  note_answer (call, status);
+  call->rly.from = call->out;
+  if (call->resuming)
+    return may_go_on (call, status, headers) || call->answer.not_run;
+  if (call->answer.not_run)
+    return true;
+  call->status = status;
+  call->streaming = is_event_stream (headers) && status == 200;
+  rly_head (&call->rly, call->out, status, headers);
+  call->rly.events = false; /* nothing is added to an engine's events */
+  /* A failure is held back, as another engine may do better; and what has no length until its end
+   * is known to have come whole. */
+  if (!call->streaming &&
+      (status >= STATUS_FAILURE || !evhttp_find_header (headers, "Content-Length")))
+    call->rly.holding = true;
+  return true;
+}
+
+static void
+pass_events (gwy_call_t *call, struct evbuffer *data)
+{
+  struct evbuffer *whole = evbuffer_new ();
+
+  evs_feed (&call->evs, data, whole);
+  if (evbuffer_get_length (whole) > 0)
+    rly_data (&call->rly, whole);
+  evbuffer_free (whole);
+}
+
+static void
+on_data (struct evbuffer *data, void *context)
+{
+  gwy_call_t *call = context;
+
+  if (call->engine)
+    call->engine->heard_us = gwy_now_us (call->gwy);
+  if (!call->in || call->answer.not_run)
+    evbuffer_drain (data, evbuffer_get_length (data));
+  else if (call->streaming)
+    pass_events (call, data);
+  else
+    rly_data (&call->rly, data);
+}
+
+static void
+measure (gwy_call_t *call)
+{
+  uint64_t took_us = gwy_now_us (call->gwy) - call->sent_us;
+  gwy_service_t *service = call->service;
+
+  service->run_us = (service->run_us * (GWY_RUN_GAIN - 1) + took_us) / GWY_RUN_GAIN;
+}
+
+static void
+end_whole (gwy_call_t *call)
+{
+  if (call->answer.not_run)
+    gwy_call_outcome (call, CRS_NOT_RUN, VRD_REASON_OVER_BOUND);
+  else if (call->streaming && !evs_is_between (&call->evs))
+    gwy_call_outcome (call, call->rly.begun ? CRS_BROKE : CRS_UNKNOWN, VRD_REASON_CUT);
+  else if (call->status >= STATUS_FAILURE && call->in)
+    gwy_call_outcome (call, CRS_FAILED, VRD_REASON_NONE);
+  else
+    gwy_call_whole (call);
+}
+
+static void
+end_broken (gwy_call_t *call, const hcl_end_t *end)
+{
+  bool refused = call->headed && call->answer.not_run;
+
+  if (refused || end->verdict == VRD_NOT_RUN)
+    gwy_call_outcome (call, CRS_NOT_RUN, refused ? VRD_REASON_OVER_BOUND : end->reason);
+  else if (call->rly.begun)
+    gwy_call_outcome (call, CRS_BROKE, end->reason);
+  else
+    gwy_call_outcome (call, CRS_UNKNOWN, end->reason);
+}
+
+static void
+on_end (const hcl_end_t *end, void *context)
+{
+  gwy_call_t *call = context;
+  gwy_t *gwy = call->gwy;
+  gwy_service_t *service = call->service;
+
+  call->rly.from = NULL;
+  if (end->whole)
+    measure (call);
+  else if (!call->headed || !call->answer.not_run)
+    egn_failed (call->engine, gwy_now_us (gwy));
+  if (!end->whole)
+    gwy_call_log (call, "hop_lost", vrd_name (end->verdict), end->reason);
+  let_go (call);
+  if (end->whole)
+    end_whole (call);
+  else
+    end_broken (call, end);
+  gwy_wait_pump (service, gwy);
+}
+
+/* Return: how long a kept connection may have been idle, 0 for no limit */
+static uint64_t
+idle_limit_us (const gwy_call_t *call)
+{
+  uint64_t stated_us = (uint64_t)call->engine->idle_ms * CLK_US_PER_MS / GWY_FRESH_DIVISOR;
+
+  if (call->route->kind == RTE_IDEMPOTENT || call->crs.rules.resumable)
+    return 0;
+  return stated_us > 0 ? MIN (stated_us, GWY_FRESH_US) : GWY_FRESH_US;
+}
+
+static uint32_t
+priority_of (const gwy_call_t *call)
+{
+  if (call->account && call->account->has_priority)
+    return call->account->priority;
+  return call->route->priority;
+}
+
+static void
+begin_hop (gwy_call_t *call, const spr_choice_t *choice)
+{
+  uint64_t now_us = gwy_now_us (call->gwy);
+
+  call->engine = choice->engine;
+  call->tried[call->tried_count % GWY_TRIED] = choice->engine->hash;
+  call->tried_count = MIN (call->tried_count + 1, GWY_TRIED);
+  call->hops++;
+  call->sent_us = now_us;
+  call->headed = false;
+  memset (&call->answer, 0, sizeof call->answer);
+  egn_begin (choice->engine);
+  egn_probe (choice->engine, now_us);
+}
+
+static void
+log_place (const gwy_call_t *call, const spr_choice_t *choice)
+{
+  const egn_t *engine = choice->engine;
+  uint64_t age_ms = (call->sent_us - engine->told_us) / CLK_US_PER_MS;
+
+  log_event (LOG_LEVEL_INFO, "place", "id", call->id, "service", call->service->name, "engine",
+             engine->entry.id, "rank", LOG_U64 (choice->rank), "load", LOG_U64 (choice->load),
+             "mean_milli", LOG_U64 (choice->mean_milli), "load_age_ms",
+             engine->told_us ? LOG_U64 (age_ms) : NULL, "candidates", LOG_U64 (choice->candidates),
+             "waited_ms", LOG_U64 ((call->sent_us - call->arrived_us) / CLK_US_PER_MS), NULL);
+}
+
+void
+gwy_hop_send (gwy_call_t *call, const spr_choice_t *choice)
+{
+  hcl_header_t headers[FMT_HEADERS];
+  fmt_text_t text;
+  fmt_hop_t hop = { .engine_id = choice->engine->entry.id,
+                    .account = call->account ? call->account->name : NULL,
+                    .priority = priority_of (call),
+                    .resumes = call->resuming,
+                    .last_event = call->evs.last_id };
+  uint32_t count;
+
+  begin_hop (call, choice);
+  log_place (call, choice);
+  hop.left_ms =
+      (uint32_t)((call->deadline_us - MIN (call->sent_us, call->deadline_us)) / CLK_US_PER_MS);
+  count =
+      call->gwy->options.format->write (&hop, hsv_headers (call->in), headers, FMT_HEADERS, &text);
+  call->out =
+      hcl_start (call->gwy->upstreams, &(hcl_options_t){ .address = &choice->engine->entry.address,
+                                                         .method = hsv_method (call->in),
+                                                         .target = hsv_target (call->in),
+                                                         .headers = headers,
+                                                         .header_count = count,
+                                                         .body = call->body,
+                                                         .body_bytes = call->body_bytes,
+                                                         .until_close = true,
+                                                         .idle_limit_us = idle_limit_us (call),
+                                                         .on_head = on_head,
+                                                         .on_data = on_data,
+                                                         .on_end = on_end,
+                                                         .context = call });
+}
--- /dev/null
+++ b/src/request/gateway_private.h
@@ -0,0 +1,157 @@
+/**
+ * DOC: gateway_private
+ *
+ * Shared by the files of the gateway's data task: gateway.c (the task), gateway_accept.c (a
+ * caller's request is judged), gateway_call.c (its course), gateway_hop.c (the exchange with an
+ * engine), gateway_wait.c (requests that wait for room).
+ */
+#ifndef REQUEST_GATEWAY_PRIVATE_H
+#define REQUEST_GATEWAY_PRIVATE_H
+
+#include "connection/http_client.h"
+#include "connection/http_server.h"
+#include "request/course.h"
+#include "request/event_split.h"
+#include "request/fairq.h"
+#include "request/fault.h"
+#include "request/gateway.h"
+#include "request/relay.h"
+#include "request/spread.h"
+
+#define GWY_TRIED 8
+#define GWY_IDLE_CONNECTIONS 64
+#define GWY_IDLE_TIMEOUT_MS 10000
+/* An engine accepts in a few milliseconds. One that is dark does not answer at all, and a first
+ * packet that is lost is sent again after a second: another engine is nearer than that. */
+#define GWY_CONNECT_MS 250
+/* A request that must not be repeated goes over a kept connection only while the engine surely
+ * keeps it: one that it closes at the same moment leaves open whether it ran. */
+#define GWY_FRESH_US (1000 * 1000)
+#define GWY_FRESH_DIVISOR 4 /* of the idle time that the engine states */
+/* A retry sooner than this finds the same queue. */
+#define GWY_RETRY_MIN_MS 100
+#define GWY_RETRY_MAX_MS 2000
+#define GWY_WAIT_TICK_MS 25    /* waiting requests are looked at this often besides all events */
+#define GWY_WAIT_LIMIT 1024    /* requests of one service that wait here */
+#define GWY_RUN_US (50 * 1000) /* of a request, until it has been measured */
+#define GWY_RUN_GAIN 16
+
+/**
+ * struct gwy_service - what the gateway keeps of a service
+ * @name: interned
+ * @queue: requests that wait for room
+ * @run_us: smoothed time from send to end
+ */
+typedef struct
+{
+  const char *name;
+  fq_t *queue;
+  rsh_t retries;
+  uint64_t run_us;
+} gwy_service_t;
+
+struct gwy
+{
+  gwy_options_t options;
+  hsv_t *front;
+  hcl_t *upstreams;
+  rte_t *table;
+  bool certain;
+  uint32_t routers;
+  GHashTable *services; /* interned name -> gwy_service_t */
+  GHashTable *calls;
+  struct event *tick;
+  uint64_t next_number;
+  cnt_t *answered;
+  cnt_t *refused;
+  cnt_t *failed;
+  cnt_t *retried;
+  cnt_t *resumed;
+  cnt_t *gone;
+};
+
+/**
+ * struct gwy_call - a caller's request
+ * @in: NULL once the caller has gone
+ * @out: the hop under way, or NULL
+ * @request: borrows from the headers of @in
+ * @item: of @service's queue while @waiting
+ * @engine: of the hop under way, or NULL
+ * @answer: of the last hop's head, when @headed
+ * @streaming: the answer is a stream of events
+ * @sent_us, @head_us: of the last hop
+ */
+typedef struct
+{
+  gwy_t *gwy;
+  hsv_call_t *in;
+  hcl_call_t *out;
+  rte_t *table;
+  const rte_route_t *route;
+  const rte_account_t *account;
+  gwy_service_t *service;
+  fmt_request_t request;
+  char id[FMT_ID_BYTES];
+  fq_item_t item;
+  bool waiting;
+  crs_t crs;
+  evs_t evs;
+  rly_t rly;
+  char *body;
+  size_t body_bytes;
+  egn_t *engine;
+  uint64_t tried[GWY_TRIED];
+  uint32_t tried_count;
+  uint32_t hops;
+  uint64_t affinity;
+  fmt_answer_t answer;
+  int status;
+  bool headed;
+  bool streaming;
+  bool resuming;
+  uint64_t arrived_us;
+  uint64_t deadline_us;
+  uint64_t sent_us;
+  uint64_t head_us;
+  struct event *timer;
+} gwy_call_t;
+
+gwy_service_t *gwy_service (gwy_t *gwy, const char *name);
+uint64_t gwy_now_us (const gwy_t *gwy);
+
+/** gwy_accept() - a caller's request came */
+void gwy_accept (hsv_call_t *in, void *context);
+
+/** gwy_call_new() - the request was judged fit */
+gwy_call_t *
+gwy_call_new (gwy_t *gwy, hsv_call_t *in, const rte_route_t *route, const fmt_request_t *request);
+void gwy_call_free (gwy_call_t *call);
+/** gwy_call_place() - send it to an engine, let it wait, or refuse it */
+void gwy_call_place (gwy_call_t *call);
+/** gwy_call_choose() - whom it would go to now */
+spr_choice_t gwy_call_choose (const gwy_call_t *call);
+/** gwy_call_outcome() - the hop ended so; on to the next step */
+void gwy_call_outcome (gwy_call_t *call, crs_outcome_t outcome, vrd_reason_t reason);
+/** gwy_call_whole() - the answer is whole; frees the call */
+void gwy_call_whole (gwy_call_t *call);
+/** gwy_call_refuse() - it ran nowhere: 503; frees the call */
+void gwy_call_refuse (gwy_call_t *call, vrd_reason_t reason, uint32_t retry_after_ms);
+/** gwy_call_log() - one line of a decision on the request */
+void
+gwy_call_log (const gwy_call_t *call, const char *event, const char *outcome, vrd_reason_t reason);
+
+/** gwy_hop_send() - send the request to the engine of @choice */
+void gwy_hop_send (gwy_call_t *call, const spr_choice_t *choice);
+/** gwy_hop_drop() - end the hop under way, if any, without an outcome */
+void gwy_hop_drop (gwy_call_t *call);
+
+/** gwy_wait_push() - all engines are full: let it wait, or refuse it */
+void gwy_wait_push (gwy_call_t *call);
+/** gwy_wait_remove() - it waits no longer */
+void gwy_wait_remove (gwy_call_t *call);
+/** gwy_wait_pump() - send what waits for @service as far as there is room */
+void gwy_wait_pump (gwy_service_t *service, gwy_t *gwy);
+/** gwy_wait_ms() - expected until a request of @service could start; 0 when nothing waits */
+uint32_t gwy_wait_ms (gwy_t *gwy, const gwy_service_t *service, const fq_item_t *item);
+
+#endif
--- a/src/request/headers.c
+++ b/src/request/headers.c
@@ -51,6 +51,13 @@
          listed (CONNECTION_HEADERS, G_N_ELEMENTS (CONNECTION_HEADERS), name);
 }
 
+bool
+hdr_is_of_connection (const char *name)
+{
+  return g_ascii_strcasecmp (name, "Host") != 0 &&
+         listed (CONNECTION_HEADERS, G_N_ELEMENTS (CONNECTION_HEADERS), name);
+}
+
 bool
 hdr_passes_on (const char *name)
 {
--- a/src/request/headers.h
+++ b/src/request/headers.h
@@ -15,6 +15,9 @@
 
 #define HDR_FLEET_PREFIX "X-Medlarplank-"
 
+/** hdr_is_of_connection() - whether a header concerns only the connection that it came on, and is
+ * set anew on the next one */
+bool hdr_is_of_connection (const char *name);
 /** hdr_passes_on() - whether a request header goes on towards the engine */
 bool hdr_passes_on (const char *name);
 /** hdr_passes_back() - whether an answer header goes back towards the caller */
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -101,6 +101,7 @@
 {
   memset (rly, 0, sizeof *rly);
   rly->to = to;
+  rly->passes_back = hdr_passes_back;
   rly->held = evbuffer_new ();
   TAILQ_INIT (&rly->headers);
 }
@@ -127,7 +128,7 @@
   rly->events =
       type != NULL && g_ascii_strncasecmp (type, EVENT_STREAM, strlen (EVENT_STREAM)) == 0;
   for (header = headers->tqh_first; header != NULL; header = header->next.tqe_next)
-    if (hdr_passes_back (header->key))
+    if (rly->passes_back (header->key))
       evhttp_add_header (&rly->headers, header->key, header->value);
   keep_length (rly, headers);
 }
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -24,6 +24,8 @@
  * @to: NULL when nobody listens any more: the answer is then read and dropped
  * @from: the call that is read; NULL when it ended
  * @held: body of an answer that is held back
+ * @passes_back: which headers go on; hdr_passes_back() unless the owner sets another
+ * @holding: the answer waits until it is whole; an owner may set it after rly_head()
  * @begun: the first byte went to @to
  * @events: it is an event stream
  * @between: an event has just ended there
@@ -37,6 +39,7 @@
   struct evbuffer *held;
   struct evkeyvalq headers;
   int status;
+  bool (*passes_back) (const char *name);
   bool holding;
   bool begun;
   bool full;
--- /dev/null
+++ b/src/request/retry_share.c
@@ -0,0 +1,57 @@
+#include "request/retry_share.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define COUNT (RSH_BUCKETS + 1)
+#define MILLI 1000
+
+static void
+turn (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us)
+{
+  uint64_t epoch = now_us / (options->window_us / RSH_BUCKETS);
+
+  if (epoch >= rsh->epoch + COUNT)
+    {
+      memset (rsh->requests, 0, sizeof rsh->requests);
+      memset (rsh->retries, 0, sizeof rsh->retries);
+      rsh->epoch = epoch;
+    }
+  while (rsh->epoch < epoch)
+    {
+      rsh->epoch++;
+      rsh->requests[rsh->epoch % COUNT] = 0;
+      rsh->retries[rsh->epoch % COUNT] = 0;
+    }
+}
+
+static uint64_t
+sum (const uint32_t *counts)
+{
+  uint64_t total = 0;
+
+  for (uint32_t i = 0; i < COUNT; i++)
+    total += counts[i];
+  return total;
+}
+
+void
+rsh_request (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us)
+{
+  turn (rsh, options, now_us);
+  rsh->requests[rsh->epoch % COUNT]++;
+}
+
+bool
+rsh_take (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers)
+{
+  uint64_t allowed_milli;
+
+  turn (rsh, options, now_us);
+  allowed_milli = sum (rsh->requests) * options->ratio_milli +
+                  (uint64_t)options->slack * MILLI / MAX (routers, 1U);
+  if ((sum (rsh->retries) + 1) * MILLI > allowed_milli * RSH_PART_MILLI / MILLI)
+    return false;
+  rsh->retries[rsh->epoch % COUNT]++;
+  return true;
+}
--- /dev/null
+++ b/src/request/retry_share.h
@@ -0,0 +1,46 @@
+/**
+ * DOC: retry_share
+ *
+ * This router's share of the retries that all routers may send to a service together: in any window
+ * at most a ratio of the requests for it, and some slack. A pure state machine.
+ *
+ * Each router earns the ratio by its own requests and takes an equal part of the slack. A router
+ * that hears nobody still divides by all that it knows of, so that a cut does not multiply retries.
+ */
+#ifndef REQUEST_RETRY_SHARE_H
+#define REQUEST_RETRY_SHARE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define RSH_BUCKETS 20
+/* Of what is allowed, in thousandths: windows of different routers begin at different moments, and
+ * connections that are balanced unevenly give one router more failures than its share. */
+#define RSH_PART_MILLI 750
+
+/**
+ * struct rsh_options - the operators' bound
+ * @ratio_milli: retries for each thousand requests
+ * @slack: retries besides, in a window, of all routers together
+ */
+typedef struct
+{
+  uint32_t ratio_milli;
+  uint32_t slack;
+  uint64_t window_us;
+} rsh_options_t;
+
+/** struct rsh - of one service: counts in buckets that together cover the window and one bucket */
+typedef struct
+{
+  uint32_t requests[RSH_BUCKETS + 1];
+  uint32_t retries[RSH_BUCKETS + 1];
+  uint64_t epoch;
+} rsh_t;
+
+/** rsh_request() - a caller's request for the service came */
+void rsh_request (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us);
+/** rsh_take() - Return: whether one more send of a request may go out; it is then counted */
+bool rsh_take (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers);
+
+#endif
--- /dev/null
+++ b/src/request/spread.c
@@ -0,0 +1,228 @@
+#include "request/spread.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define MILLI 1000
+
+/** struct world - what the choice sees of the service */
+typedef struct
+{
+  const GPtrArray *engines;
+  uint64_t now_us;
+  const spr_request_t *request;
+  uint32_t open;
+  uint64_t mean_milli;
+  uint32_t slow_limit_milli;
+  bool distrust;
+} world_t;
+
+static egn_t *
+engine_at (const world_t *world, guint index)
+{
+  return g_ptr_array_index (world->engines, index);
+}
+
+static bool
+was_tried (const world_t *world, const egn_t *egn)
+{
+  for (uint32_t i = 0; i < world->request->tried_count; i++)
+    if (world->request->tried[i] == egn->hash)
+      return true;
+  return false;
+}
+
+static int
+compare_u32 (const void *a, const void *b)
+{
+  uint32_t left = *(const uint32_t *)a;
+  uint32_t right = *(const uint32_t *)b;
+
+  return left < right ? -1 : left > right;
+}
+
+/* The lower median, so that half of the engines turning slow does not make slow the usual. */
+static uint32_t
+slow_limit (const world_t *world)
+{
+  g_autofree uint32_t *values = g_new (uint32_t, world->engines->len + 1);
+  uint32_t count = 0;
+
+  for (guint i = 0; i < world->engines->len; i++)
+    if (engine_at (world, i)->slow_milli > 0)
+      values[count++] = engine_at (world, i)->slow_milli;
+  if (count < 2)
+    return UINT32_MAX;
+  qsort (values, count, sizeof *values, compare_u32);
+  return MAX (values[(count - 1) / 2], MILLI) * SPR_SLOW_FACTOR;
+}
+
+/*
+ * When most engines look lost, it is more likely that this router is cut off or that one kind of
+ * request fails everywhere: then all are asked, as they would be without the evidence.
+ */
+static void
+survey (world_t *world)
+{
+  uint64_t load = 0;
+  uint32_t skipped = 0;
+
+  for (guint i = 0; i < world->engines->len; i++)
+    {
+      const egn_t *egn = engine_at (world, i);
+
+      if (!egn_is_open (egn))
+        continue;
+      world->open++;
+      load += egn_load_now (egn, world->now_us);
+      skipped += egn->failures >= EGN_FAILURES ? 1 : 0;
+    }
+  world->mean_milli = world->open > 0 ? load * MILLI / world->open : 0;
+  world->distrust = skipped * 2 > world->open;
+  world->slow_limit_milli = slow_limit (world);
+}
+
+static bool
+may_ask (const world_t *world, const egn_t *egn)
+{
+  if (!egn_is_open (egn) || was_tried (world, egn))
+    return false;
+  return world->distrust || !egn_is_skipped (egn, world->now_us);
+}
+
+static bool
+is_doubtful (const world_t *world, const egn_t *egn)
+{
+  return egn->error_milli > SPR_ERROR_MILLI || egn->slow_milli > world->slow_limit_milli ||
+         world->now_us < egn->cold_until_us;
+}
+
+static bool
+has_room (const world_t *world, const egn_t *egn)
+{
+  uint32_t slots = egn_slots (egn, world->request->default_slots);
+
+  return slots == 0 || egn_load_now (egn, world->now_us) < slots;
+}
+
+static bool
+within_bound (const world_t *world, const egn_t *egn)
+{
+  uint64_t after = (uint64_t)egn_load_now (egn, world->now_us) + 1;
+
+  return after * MILLI <=
+         world->mean_milli * SPR_BOUND_MILLI / MILLI + (uint64_t)SPR_BOUND_MORE * MILLI;
+}
+
+static uint64_t
+rank_of (const world_t *world, const egn_t *egn)
+{
+  return XXH64 (&egn->hash, sizeof egn->hash, world->request->affinity);
+}
+
+/* Return: the best rank among those that pass, NULL when none does */
+static egn_t *
+first_in_rank (const world_t *world, bool bounded, bool trusted)
+{
+  egn_t *best = NULL;
+
+  for (guint i = 0; i < world->engines->len; i++)
+    {
+      egn_t *egn = engine_at (world, i);
+
+      if (!may_ask (world, egn) || !has_room (world, egn))
+        continue;
+      if (bounded && !within_bound (world, egn))
+        continue;
+      if (trusted && is_doubtful (world, egn))
+        continue;
+      if (!best || rank_of (world, egn) > rank_of (world, best))
+        best = egn;
+    }
+  return best;
+}
+
+static uint32_t
+distance (const world_t *world, const egn_t *egn)
+{
+  uint32_t load = egn_load_now (egn, world->now_us);
+  bool near = strcmp (egn->entry.data_center, world->request->data_center) == 0;
+
+  return load * 2 + (near ? 0 : SPR_NEAR_MORE * 2 + 1);
+}
+
+static egn_t *
+least_loaded (const world_t *world, bool trusted)
+{
+  egn_t *best = NULL;
+
+  for (guint i = 0; i < world->engines->len; i++)
+    {
+      egn_t *egn = engine_at (world, i);
+
+      if (!may_ask (world, egn) || !has_room (world, egn))
+        continue;
+      if (trusted && is_doubtful (world, egn))
+        continue;
+      if (!best || distance (world, egn) < distance (world, best))
+        best = egn;
+    }
+  return best;
+}
+
+static egn_t *
+choose_engine (const world_t *world)
+{
+  egn_t *egn = NULL;
+
+  if (world->request->affinity != 0)
+    egn = first_in_rank (world, true, true);
+  if (!egn)
+    egn = least_loaded (world, true);
+  if (!egn)
+    egn = least_loaded (world, false);
+  return egn;
+}
+
+static uint32_t
+rank_count (const world_t *world, const egn_t *chosen)
+{
+  uint32_t before = 0;
+
+  if (world->request->affinity == 0)
+    return 0;
+  for (guint i = 0; i < world->engines->len; i++)
+    before += rank_of (world, engine_at (world, i)) > rank_of (world, chosen) ? 1 : 0;
+  return before;
+}
+
+static uint32_t
+askable (const world_t *world)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < world->engines->len; i++)
+    count += may_ask (world, engine_at (world, i)) ? 1 : 0;
+  return count;
+}
+
+spr_choice_t
+spr_choose (const GPtrArray *engines, uint64_t now_us, const spr_request_t *request)
+{
+  world_t world = { .engines = engines, .now_us = now_us, .request = request };
+  spr_choice_t choice = { 0 };
+
+  survey (&world);
+  choice.candidates = askable (&world);
+  choice.mean_milli = (uint32_t)world.mean_milli;
+  choice.engine = choose_engine (&world);
+  if (!choice.engine)
+    {
+      choice.action = choice.candidates > 0 ? SPR_WAIT : SPR_NONE;
+      return choice;
+    }
+  choice.action = SPR_SEND;
+  choice.load = egn_load_now (choice.engine, now_us);
+  choice.rank = rank_count (&world, choice.engine);
+  return choice;
+}
--- /dev/null
+++ b/src/request/spread.h
@@ -0,0 +1,69 @@
+/**
+ * DOC: spread
+ *
+ * Which engine of a service gets a request that the router sends there itself. A pure function.
+ *
+ * Requests that share a long part of their prompt go to the engine that ranks first for that part
+ * by rendezvous hashing, where it is likely to be cached; to the next in rank when that one would
+ * go over the load bound. Requests without such a part go to the least loaded of the own data
+ * centre, or of all when that is much less loaded.
+ */
+#ifndef REQUEST_SPREAD_H
+#define REQUEST_SPREAD_H
+
+#include "request/engines.h"
+
+/*
+ * The bound, in thousandths of the mean load and in requests. Loads of other routers are known a
+ * second late; over twice the mean and three more an engine would be overloaded, so half of each
+ * is left for what is under way.
+ */
+#define SPR_BOUND_MILLI 1500
+#define SPR_BOUND_MORE 2
+/* An engine of the own data centre is preferred while it has at most so many requests more. */
+#define SPR_NEAR_MORE 1
+/* An engine that failed more than this share of its answers, in thousandths, goes last. */
+#define SPR_ERROR_MILLI 300
+/* An engine whose first bytes take so many times as long as the service's median goes last. */
+#define SPR_SLOW_FACTOR 3
+
+typedef enum
+{
+  SPR_SEND, /* to @engine */
+  SPR_WAIT, /* all engines that may be asked are full */
+  SPR_NONE  /* no engine is left to ask */
+} spr_action_t;
+
+/**
+ * struct spr_request - what the choice looks at
+ * @affinity: hash of the part of the prompt that is worth most in a cache; 0 for none
+ * @tried: engines that had this request already
+ * @default_slots: of an engine that doesn't tell its slots
+ */
+typedef struct
+{
+  uint64_t affinity;
+  const char *data_center;
+  const uint64_t *tried;
+  uint32_t tried_count;
+  uint32_t default_slots;
+} spr_request_t;
+
+/**
+ * struct spr_choice - the choice, and what it was made by
+ * @rank: 0 when @engine is the first for the affinity
+ */
+typedef struct
+{
+  spr_action_t action;
+  egn_t *engine;
+  uint32_t rank;
+  uint32_t load;
+  uint32_t mean_milli;
+  uint32_t candidates;
+} spr_choice_t;
+
+/** spr_choose() - among @engines, egn_t of one service */
+spr_choice_t spr_choose (const GPtrArray *engines, uint64_t now_us, const spr_request_t *request);
+
+#endif
--- /dev/null
+++ b/src/version/keyed_view.c
@@ -0,0 +1,146 @@
+#include "version/keyed_view.h"
+
+#include <glib.h>
+#include <string.h>
+
+/**
+ * struct entry - the newest record of a key
+ * @value: NULL when the key was dropped; kept, so that an older record can't bring it back
+ * @list: number of the list that it was seen in last
+ */
+typedef struct
+{
+  uint64_t offset;
+  char *value;
+  size_t value_bytes;
+  uint64_t list;
+} entry_t;
+
+struct kvw
+{
+  kvw_changed_t changed;
+  void *context;
+  GHashTable *entries;
+  uint64_t list;
+};
+
+static void
+entry_free (gpointer data)
+{
+  entry_t *entry = data;
+
+  g_free (entry->value);
+  g_free (entry);
+}
+
+kvw_t *
+kvw_new (kvw_changed_t changed, void *context)
+{
+  kvw_t *kvw = g_new0 (kvw_t, 1);
+
+  kvw->changed = changed;
+  kvw->context = context;
+  kvw->entries = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
+  return kvw;
+}
+
+void
+kvw_free (kvw_t *kvw)
+{
+  g_hash_table_destroy (kvw->entries);
+  g_free (kvw);
+}
+
+static char *
+copy_value (const char *value, size_t value_bytes)
+{
+  char *copy = g_malloc (value_bytes + 1);
+
+  memcpy (copy, value, value_bytes);
+  copy[value_bytes] = '\0';
+  return copy;
+}
+
+static void
+put (entry_t *entry, uint64_t offset, const char *value, size_t value_bytes)
+{
+  g_free (entry->value);
+  entry->offset = offset;
+  entry->value = value ? copy_value (value, value_bytes) : NULL;
+  entry->value_bytes = value ? value_bytes : 0;
+}
+
+bool
+kvw_apply (kvw_t *kvw, uint64_t offset, const char *key, const char *value, size_t value_bytes)
+{
+  entry_t *entry = g_hash_table_lookup (kvw->entries, key);
+  bool known = entry != NULL;
+
+  if (!known)
+    {
+      entry = g_new0 (entry_t, 1);
+      g_hash_table_insert (kvw->entries, g_strdup (key), entry);
+    }
+  entry->list = kvw->list;
+  if (known && entry->offset >= offset)
+    return false;
+  put (entry, offset, value, value_bytes);
+  kvw->changed (key, entry->value, entry->value_bytes, offset, kvw->context);
+  return true;
+}
+
+void
+kvw_list_begin (kvw_t *kvw)
+{
+  kvw->list++;
+}
+
+/* Dropped entries go for good here: nothing older than the list is read any more. */
+void
+kvw_list_end (kvw_t *kvw, uint64_t end_offset)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, kvw->entries);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      entry_t *entry = value;
+
+      if (entry->list == kvw->list || entry->offset >= end_offset)
+        continue;
+      if (entry->value)
+        kvw->changed (key, NULL, 0, end_offset, kvw->context);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+const char *
+kvw_get (const kvw_t *kvw, const char *key, size_t *value_bytes, uint64_t *offset)
+{
+  const entry_t *entry = g_hash_table_lookup (kvw->entries, key);
+
+  if (!entry || !entry->value)
+    return NULL;
+  *value_bytes = entry->value_bytes;
+  *offset = entry->offset;
+  return entry->value;
+}
+
+void
+kvw_each (const kvw_t *kvw, kvw_changed_t visit, void *context)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, kvw->entries);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const entry_t *entry = value;
+
+      if (entry->value)
+        visit (key, entry->value, entry->value_bytes, entry->offset, context);
+    }
+}
--- /dev/null
+++ b/src/version/routing.c
@@ -0,0 +1,277 @@
+#include "version/routing.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define HOST_BYTES 256
+#define PATH_BYTES 2048
+
+/**
+ * struct rte - a table
+ * @routes: "host/prefix/" -> rte_route_t
+ * @accounts: rte_account_t by name
+ * @keys: key -> rte_account_t of @accounts
+ */
+struct rte
+{
+  gint refs;
+  uint64_t version;
+  GHashTable *routes;
+  GHashTable *accounts;
+  GHashTable *keys;
+  rte_limits_t limits;
+  bool keys_required;
+};
+
+GQuark
+rte_error_quark (void)
+{
+  return g_quark_from_static_string ("rte-error-quark");
+}
+
+static void
+account_free (gpointer data)
+{
+  rte_account_t *account = data;
+
+  g_free (account->name);
+  g_free (account);
+}
+
+static void
+route_free (gpointer data)
+{
+  rte_route_free (data);
+}
+
+rte_t *
+rte_new (uint64_t version)
+{
+  rte_t *rte = g_new0 (rte_t, 1);
+
+  rte->refs = 1;
+  rte->version = version;
+  rte->routes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, route_free);
+  rte->accounts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, account_free);
+  rte->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return rte;
+}
+
+rte_t *
+rte_ref (rte_t *rte)
+{
+  g_atomic_int_inc (&rte->refs);
+  return rte;
+}
+
+void
+rte_unref (rte_t *rte)
+{
+  if (!g_atomic_int_dec_and_test (&rte->refs))
+    return;
+  g_hash_table_destroy (rte->routes);
+  g_hash_table_destroy (rte->keys);
+  g_hash_table_destroy (rte->accounts);
+  g_free (rte);
+}
+
+rte_route_t *
+rte_route_new (const char *name, const char *host, const char *path_prefix)
+{
+  rte_route_t *route = g_new0 (rte_route_t, 1);
+
+  route->name = g_strdup (name);
+  route->host = g_ascii_strdown (host, -1);
+  route->path_prefix = g_strdup (path_prefix);
+  route->targets = g_array_new (FALSE, TRUE, sizeof (rte_target_t));
+  return route;
+}
+
+void
+rte_route_target (rte_route_t *route, const char *service, uint32_t weight)
+{
+  rte_target_t target = { .service = g_intern_string (service), .weight = weight };
+
+  g_array_append_val (route->targets, target);
+}
+
+void
+rte_route_free (rte_route_t *route)
+{
+  g_free (route->name);
+  g_free (route->host);
+  g_free (route->path_prefix);
+  g_array_free (route->targets, TRUE);
+  g_free (route);
+}
+
+static uint64_t
+weight_sum (const rte_route_t *route)
+{
+  uint64_t sum = 0;
+
+  for (guint i = 0; i < route->targets->len; i++)
+    sum += g_array_index (route->targets, rte_target_t, i).weight;
+  return sum;
+}
+
+static const char *
+fault_of (const rte_route_t *route)
+{
+  const char *prefix = route->path_prefix;
+
+  if (route->host[0] == '\0' || strchr (route->host, '/') || strlen (route->host) >= HOST_BYTES)
+    return "has no sound host";
+  if (prefix[0] != '/' || !g_str_has_suffix (prefix, "/") || strlen (prefix) >= PATH_BYTES)
+    return "has a path prefix that does not begin and end with a slash";
+  if (weight_sum (route) == 0)
+    return "leads to no service";
+  if (route->timeout_ms == 0 || route->attempts == 0)
+    return "has no timeout or no attempts";
+  return NULL;
+}
+
+bool
+rte_add_route (rte_t *rte, rte_route_t *route, GError **error)
+{
+  char *place = g_strconcat (route->host, route->path_prefix, NULL);
+  const char *fault = fault_of (route);
+
+  if (!fault && g_hash_table_contains (rte->routes, place))
+    fault = "has the host and prefix of another";
+  if (!fault)
+    {
+      g_hash_table_insert (rte->routes, place, route);
+      return true;
+    }
+  g_set_error (error, RTE_ERROR, RTE_ERROR_ROUTE, "route \"%s\" %s", route->name, fault);
+  rte_route_free (route);
+  g_free (place);
+  return false;
+}
+
+bool
+rte_add_account (rte_t *rte,
+                 const rte_account_t *account,
+                 const char *const *keys,
+                 uint32_t key_count,
+                 GError **error)
+{
+  rte_account_t *copy;
+
+  if (g_hash_table_contains (rte->accounts, account->name))
+    {
+      g_set_error (error, RTE_ERROR, RTE_ERROR_ACCOUNT, "client account \"%s\" stands twice",
+                   account->name);
+      return false;
+    }
+  copy = g_memdup2 (account, sizeof *account);
+  copy->name = g_strdup (account->name);
+  copy->hash = XXH64 (copy->name, strlen (copy->name), 0);
+  g_hash_table_insert (rte->accounts, copy->name, copy);
+  for (uint32_t i = 0; i < key_count; i++)
+    if (!g_hash_table_insert (rte->keys, g_strdup (keys[i]), copy))
+      {
+        g_set_error (error, RTE_ERROR, RTE_ERROR_ACCOUNT,
+                     "a key of client account \"%s\" is held twice", account->name);
+        return false;
+      }
+  return true;
+}
+
+void
+rte_set_limits (rte_t *rte, const rte_limits_t *limits)
+{
+  rte->limits = *limits;
+}
+
+void
+rte_require_keys (rte_t *rte)
+{
+  rte->keys_required = true;
+}
+
+uint64_t
+rte_version (const rte_t *rte)
+{
+  return rte->version;
+}
+
+uint32_t
+rte_route_count (const rte_t *rte)
+{
+  return g_hash_table_size (rte->routes);
+}
+
+const rte_limits_t *
+rte_limits (const rte_t *rte)
+{
+  return &rte->limits;
+}
+
+bool
+rte_needs_key (const rte_t *rte, const rte_route_t *route)
+{
+  return rte->keys_required && !route->is_public;
+}
+
+/* Return: bytes of the host written to @out in lower case, 0 when it does not fit */
+static size_t
+write_host (const char *host, char *out)
+{
+  size_t bytes = host[0] == '[' ? strcspn (host, "]") + 1 : strcspn (host, ":");
+
+  if (bytes == 0 || bytes >= HOST_BYTES || bytes > strlen (host))
+    return 0;
+  for (size_t i = 0; i < bytes; i++)
+    out[i] = g_ascii_tolower (host[i]);
+  return bytes;
+}
+
+/* A prefix ends with a slash, so only the path's slashes are tried, the last one first. */
+const rte_route_t *
+rte_find (const rte_t *rte, const char *host, const char *target)
+{
+  char place[HOST_BYTES + PATH_BYTES];
+  size_t host_bytes = host ? write_host (host, place) : 0;
+  size_t path_bytes = strcspn (target, "?#");
+
+  if (host_bytes == 0)
+    return NULL;
+  path_bytes = MIN (path_bytes, PATH_BYTES - 1);
+  memcpy (place + host_bytes, target, path_bytes);
+  for (size_t at = path_bytes; at > 0; at--)
+    {
+      const rte_route_t *route;
+
+      if (target[at - 1] != '/')
+        continue;
+      place[host_bytes + at] = '\0';
+      route = g_hash_table_lookup (rte->routes, place);
+      if (route)
+        return route;
+    }
+  return NULL;
+}
+
+const rte_account_t *
+rte_account (const rte_t *rte, const char *key)
+{
+  return g_hash_table_lookup (rte->keys, key);
+}
+
+const char *
+rte_target (const rte_route_t *route, uint64_t dice)
+{
+  uint64_t left = dice % weight_sum (route);
+
+  for (guint i = 0; i < route->targets->len; i++)
+    {
+      const rte_target_t *target = &g_array_index (route->targets, rte_target_t, i);
+
+      if (left < target->weight)
+        return target->service;
+      left -= target->weight;
+    }
+  g_assert_not_reached ();
+}
--- /dev/null
+++ b/src/version/stream_follow.c
@@ -0,0 +1,202 @@
+#include "version/stream_follow.h"
+
+#include "process/log.h"
+
+#define READ_RECORDS 10000
+
+/**
+ * struct sfl - following a stream
+ * @timer: starts the next call
+ * @listing: the next call is for a page of the list
+ * @after: last key of the page before, NULL for the first
+ * @list_end: end of the stream when the first page was made
+ * @next: offset to read on from
+ * @backoff_ms: 0 while the platform answers
+ */
+struct sfl
+{
+  sfl_options_t options;
+  struct event *timer;
+  GRand *rand;
+  bool listing;
+  bool has_listed;
+  char *after;
+  uint64_t list_end;
+  uint64_t next;
+  uint64_t started_us;
+  uint64_t heard_us;
+  uint32_t backoff_ms;
+};
+
+static void
+start_in (sfl_t *sfl, uint64_t wait_us)
+{
+  struct timeval wait = { (time_t)(wait_us / CLK_US_PER_S), (suseconds_t)(wait_us % CLK_US_PER_S) };
+
+  event_add (sfl->timer, &wait);
+}
+
+static void
+list_anew (sfl_t *sfl)
+{
+  g_clear_pointer (&sfl->after, g_free);
+  sfl->listing = true;
+}
+
+static void
+log_dependency (const sfl_t *sfl, log_level_t level, const char *event)
+{
+  log_event (level, event, "dependency", "store", "stream", sfl->options.stream, "unheard_ms",
+             LOG_U64 (sfl->heard_us ? (sfl->started_us - sfl->heard_us) / CLK_US_PER_MS : 0), NULL);
+}
+
+static void
+failed (sfl_t *sfl)
+{
+  if (sfl->backoff_ms == 0)
+    {
+      log_dependency (sfl, LOG_LEVEL_WARNING, "dependency_lost");
+      sfl->options.told (SFL_LOST, sfl->options.context);
+    }
+  if (sfl->listing)
+    list_anew (sfl);
+  sfl->backoff_ms = MIN (MAX (sfl->backoff_ms * 2, SFL_BACKOFF_MIN_MS), SFL_BACKOFF_MAX_MS);
+  start_in (sfl, (uint64_t)sfl->backoff_ms * (uint32_t)g_rand_int_range (sfl->rand, 750, 1250));
+}
+
+static void
+worked (sfl_t *sfl)
+{
+  sfl->heard_us = clk_now_us (sfl->options.clk);
+  if (sfl->backoff_ms == 0)
+    return;
+  sfl->backoff_ms = 0;
+  log_dependency (sfl, LOG_LEVEL_NOTICE, "dependency_regained");
+  sfl->options.told (SFL_REGAINED, sfl->options.context);
+}
+
+/* The next read starts a pace after this one did, so that a slow answer does not add to it. */
+static void
+start_next (sfl_t *sfl, uint64_t pace_us)
+{
+  uint64_t due_us = sfl->started_us + pace_us;
+  uint64_t now_us = clk_now_us (sfl->options.clk);
+
+  start_in (sfl, due_us > now_us ? due_us - now_us : 0);
+}
+
+static void
+apply (sfl_t *sfl, const plt_record_t *records, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    kvw_apply (sfl->options.view, records[i].offset, records[i].key, records[i].data,
+               records[i].data_bytes);
+}
+
+static void
+on_page (const plt_newest_t *newest, void *context)
+{
+  sfl_t *sfl = context;
+
+  if (newest->outcome != PLT_OK || (newest->more && newest->record_count == 0))
+    {
+      failed (sfl);
+      return;
+    }
+  worked (sfl);
+  if (!sfl->after)
+    {
+      kvw_list_begin (sfl->options.view);
+      sfl->list_end = newest->end_offset;
+    }
+  apply (sfl, newest->records, newest->record_count);
+  if (newest->more)
+    {
+      g_free (sfl->after);
+      sfl->after = g_strdup (newest->records[newest->record_count - 1].key);
+      start_in (sfl, 0);
+      return;
+    }
+  kvw_list_end (sfl->options.view, sfl->list_end);
+  sfl->listing = false;
+  sfl->has_listed = true;
+  sfl->next = sfl->list_end;
+  g_clear_pointer (&sfl->after, g_free);
+  sfl->options.told (SFL_LISTED, sfl->options.context);
+  start_in (sfl, (uint64_t)SFL_PACE_MIN_MS * CLK_US_PER_MS);
+}
+
+static void
+on_read (const plt_read_t *read, void *context)
+{
+  sfl_t *sfl = context;
+  uint64_t pace_us = (uint64_t)sfl->options.pace_ms * CLK_US_PER_MS;
+
+  if (read->outcome == PLT_EXPIRED || (read->outcome == PLT_OK && read->first_offset > sfl->next))
+    {
+      log_event (LOG_LEVEL_NOTICE, "stream_expired", "stream", sfl->options.stream, "offset",
+                 LOG_U64 (sfl->next), NULL);
+      list_anew (sfl);
+      start_next (sfl, (uint64_t)SFL_PACE_MIN_MS * CLK_US_PER_MS);
+      return;
+    }
+  if (read->outcome != PLT_OK)
+    {
+      failed (sfl);
+      return;
+    }
+  worked (sfl);
+  apply (sfl, read->records, read->record_count);
+  sfl->next = MAX (sfl->next, read->next_offset);
+  start_next (sfl, pace_us);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *context)
+{
+  sfl_t *sfl = context;
+  plt_t *plt = sfl->options.plt;
+
+  (void)fd;
+  (void)what;
+  sfl->started_us = clk_now_us (sfl->options.clk);
+  if (sfl->listing)
+    plt->newest (plt, sfl->options.stream, sfl->after, on_page, sfl);
+  else
+    plt->read (plt, sfl->options.stream, sfl->next, READ_RECORDS, sfl->options.wait_ms, on_read,
+               sfl);
+}
+
+sfl_t *
+sfl_new (const sfl_options_t *options)
+{
+  sfl_t *sfl = g_new0 (sfl_t, 1);
+
+  sfl->options = *options;
+  sfl->timer = evtimer_new (options->base, on_timer, sfl);
+  sfl->rand = g_rand_new_with_seed ((guint32)options->seed);
+  sfl->listing = true;
+  start_in (sfl, 0);
+  return sfl;
+}
+
+void
+sfl_free (sfl_t *sfl)
+{
+  event_free (sfl->timer);
+  g_rand_free (sfl->rand);
+  g_free (sfl->after);
+  g_free (sfl);
+}
+
+bool
+sfl_has_listed (const sfl_t *sfl)
+{
+  return sfl->has_listed;
+}
+
+uint64_t
+sfl_heard_us (const sfl_t *sfl)
+{
+  return sfl->heard_us;
+}
--- /dev/null
+++ b/src/version/stream_follow.h
@@ -0,0 +1,62 @@
+/**
+ * DOC: stream_follow
+ *
+ * Follows a keyed stream of the platform into a view: lists the newest records first, then reads on
+ * from the end of that list; lists anew when the records to be read are no longer kept. Backs off
+ * while the platform fails.
+ */
+#ifndef VERSION_STREAM_FOLLOW_H
+#define VERSION_STREAM_FOLLOW_H
+
+#include "connection/platform.h"
+#include "process/clock.h"
+#include "version/keyed_view.h"
+
+#include <event2/event.h>
+
+/* The first failure is often a lost answer; after more of them the platform is down for seconds,
+ * and a fleet that asks at this rate stays far below what it may ask. */
+#define SFL_BACKOFF_MIN_MS 100
+#define SFL_BACKOFF_MAX_MS 800
+#define SFL_PACE_MIN_MS 50 /* between two reads that both brought records */
+
+typedef enum
+{
+  SFL_LISTED,  /* the view holds all that the platform has; told after each whole list */
+  SFL_LOST,    /* the platform fails */
+  SFL_REGAINED /* it answers again */
+} sfl_state_t;
+
+/**
+ * struct sfl_options - options of sfl_new()
+ * @stream: static
+ * @wait_ms: a read waits so long for a record; 0 is not at all
+ * @pace_ms: between the starts of two reads
+ * @told: how it goes
+ */
+typedef struct
+{
+  struct event_base *base;
+  const clk_t *clk;
+  plt_t *plt;
+  const char *stream;
+  kvw_t *view;
+  uint32_t wait_ms;
+  uint32_t pace_ms;
+  uint64_t seed;
+  void (*told) (sfl_state_t state, void *context);
+  void *context;
+} sfl_options_t;
+
+typedef struct sfl sfl_t;
+
+/** sfl_new() - starts at once */
+sfl_t *sfl_new (const sfl_options_t *options);
+/** sfl_free() - after the platform was freed, which drops the calls under way */
+void sfl_free (sfl_t *sfl);
+/** sfl_has_listed() - whether a whole list has come since the start */
+bool sfl_has_listed (const sfl_t *sfl);
+/** sfl_heard_us() - when the last good answer came; 0 when none has */
+uint64_t sfl_heard_us (const sfl_t *sfl);
+
+#endif
