--- a/src/process/control_fetch.c
+++ b/src/process/control_fetch.c
@@ -16,7 +16,7 @@
 on_head (int status, struct evkeyvalq *headers, void *context)
 {
   ctrl_t *ctrl = context;
-  const char *seal = evhttp_find_header (headers, MSY_SEAL_HEADER);
+  const char *seal = evhttp_find_header (headers, ASL_SEAL_HEADER);
   if (status != STATUS_OK || seal == NULL)
     return false;
   g_strlcpy (ctrl->fetch.seal, seal, sizeof ctrl->fetch.seal);
@@ -89,11 +89,11 @@
   fetch->body = evbuffer_new ();
   fetch->seal[0] = '\0';
   g_strlcpy (fetch->host, host->name, sizeof fetch->host);
-  msy_nonce (fetch->nonce);
+  asl_nonce (fetch->nonce);
   ord_t order = { .host = host->name, .method = "GET", .target = MSY_PATH };
   char seal[ORD_SEAL_BYTES];
   ord_seal (&order, ctrl->dmn->set.fleet_key, seal);
-  hcl_header_t headers[] = { { MSY_NONCE_HEADER, fetch->nonce }, { ORD_SEAL_HEADER, seal } };
+  hcl_header_t headers[] = { { ASL_NONCE_HEADER, fetch->nonce }, { ORD_SEAL_HEADER, seal } };
   hcl_options_t options = {
     .address = &host->http,
     .method = "GET",
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -113,8 +113,8 @@
 {
   hcl_call_t *call;
   struct evbuffer *body;
-  char nonce[MSY_NONCE_BYTES];
-  char seal[MSY_SEAL_BYTES];
+  char nonce[ASL_NONCE_BYTES];
+  char seal[ASL_SEAL_BYTES];
   char host[LIM_NAME_BYTES];
   uint64_t next_us;
 } ctrl_fetch_t;
--- /dev/null
+++ b/src/process/gateway_peers.h
@@ -0,0 +1,76 @@
+/**
+ * DOC: gateway_peers
+ *
+ * The other gateways: who they are by the stream of routers, who was heard lately by the exchange,
+ * how far they have read the store, and which of them follow it closely.
+ *
+ * A few gateways follow closely, chosen by rendezvous hashing over those that are heard, so that no
+ * one is set aside for it and the store's calls do not grow with the fleet. The others wait for
+ * longer, and hear from peers when there is news that they lack.
+ */
+#ifndef PROCESS_GATEWAY_PEERS_H
+#define PROCESS_GATEWAY_PEERS_H
+
+#include "process/clock.h"
+#include "process/counters.h"
+#include "process/settings.h"
+
+#include <event2/event.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define GPR_TAILS 3 /* gateways that follow the store closely: two may be lost at once */
+#define GPR_HEARD_US (UINT64_C (5000) * 1000) /* a peer heard within is alive */
+#define GPR_NEWS_TELLS 2 /* peers that are told at once when the store has news */
+
+/**
+ * struct gpr_known - what a gateway knows of the store
+ * @version: of the routing rules
+ * @engines_next: offset up to which the registry is known
+ * @store_age_ms: how long ago the store, or a peer that had heard it, was heard
+ */
+typedef struct
+{
+  uint64_t version;
+  uint64_t engines_next;
+  uint32_t store_age_ms;
+} gpr_known_t;
+
+/**
+ * struct gpr_options - options of gpr_new()
+ * @know: what this gateway knows now
+ * @heard: a peer knows @theirs; its control address is @control
+ */
+typedef struct
+{
+  struct event_base *base;
+  const clk_t *clk;
+  cnt_set_t *counters;
+  const set_t *set;
+  uint64_t incarnation;
+  gpr_known_t (*know) (void *context);
+  void (*heard) (const gpr_known_t *theirs, const set_address_t *control, void *context);
+  void *context;
+} gpr_options_t;
+
+typedef struct gpr gpr_t;
+
+gpr_t *gpr_new (const gpr_options_t *options, GError **error);
+void gpr_free (gpr_t *gpr);
+/** gpr_entry() - what a gateway writes of itself into the stream of routers, freed by g_free() */
+char *gpr_entry (const gpr_t *gpr);
+/** gpr_put() - an entry of the stream of routers; @entry NULL when it was dropped */
+void gpr_put (gpr_t *gpr, const char *name, const char *entry);
+/** gpr_tell_news() - tell some peers at once what is known here */
+void gpr_tell_news (gpr_t *gpr);
+/** gpr_count() - gateways that may be at work, this one too: those heard lately, and at least half
+ * of those known, since a cut must not make a gateway take the share of the others */
+uint32_t gpr_count (const gpr_t *gpr);
+/** gpr_follows_closely() - whether this gateway is one of the few */
+bool gpr_follows_closely (const gpr_t *gpr);
+/** gpr_some() - control address of a peer at random, those heard lately first. Return: false when
+ * none is known */
+bool gpr_some (gpr_t *gpr, set_address_t *control);
+
+#endif
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -1,9 +1,9 @@
 #include "process/gateway_process.h"
 
 #include "connection/http_server.h"
+#include "process/gateway_store.h"
 #include "process/log.h"
 #include "request/gateway.h"
-#include "version/stream_follow.h"
 
 #include <string.h>
 
@@ -17,9 +17,8 @@
 
 /**
  * struct gwp - a gateway
- * @lapsed: ids of engines whose entry went while the store was out; gone at @lapsed_due_us unless
- *   they come back
- * @store_lost_us: since when the registry can't be read, 0 while it can
+ * @lapsed: ids of engines whose entry went while the store could not be read, perhaps since it was
+ *   out; gone at @lapsed_due_us unless they come back
  * @stop_us: when a stop signal came, 0 before
  */
 struct gwp
@@ -27,16 +26,12 @@
   gwp_options_t options;
   egs_t *engines;
   gwy_t *gwy;
+  gst_t *store;
   hsv_t *ready;
   hsv_t *control;
-  kvw_t *routing_view;
-  kvw_t *engines_view;
-  sfl_t *routing;
-  sfl_t *registry;
   rte_t *table;
   GHashTable *lapsed;
   uint64_t lapsed_due_us;
-  bool store_lost;
   struct event *tick;
   uint64_t stop_us;
   bool was_ready;
@@ -53,7 +48,7 @@
 bool
 gwp_is_ready (const gwp_t *gwp)
 {
-  return gwp->table && sfl_has_listed (gwp->registry) && gwp->stop_us == 0;
+  return gwp->table && gwp->store && gst_has_engines (gwp->store) && gwp->stop_us == 0;
 }
 
 static void
@@ -71,16 +66,13 @@
 
 /* A version only rises: an older one that the store tells late is not put in force again. */
 static void
-on_routing (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+on_routing (const char *value, size_t value_bytes, uint64_t offset, void *context)
 {
   gwp_t *gwp = context;
   uint64_t held = gwp->table ? rte_version (gwp->table) : 0;
   GError *error = NULL;
   rte_t *table;
 
-  (void)key;
-  if (!value)
-    return;
   table = gwp->options.readers.routing (value, value_bytes, &error);
   if (!table)
     {
@@ -99,6 +91,7 @@
       gwp->table = rte_ref (table);
       gwy_set_table (gwp->gwy, table);
       cnt_set_value (gwp->version, rte_version (table));
+      gst_tell_news (gwp->store);
     }
   rte_unref (table);
 }
@@ -117,19 +110,10 @@
     return;
   egs_gone (gwp->engines, id);
   log_engine (gwp, id, "gone", offset);
+  gst_tell_news (gwp->store);
   gwy_engines_changed (gwp->gwy);
 }
 
-/*
- * While the store was out, entries lapse of engines that live. Taken for gone, they would leave a
- * service without engines for the two seconds until they are back.
- */
-static bool
-may_have_lapsed (const gwp_t *gwp)
-{
-  return gwp->store_lost || now_us (gwp) < gwp->lapsed_due_us;
-}
-
 static void
 put_engine (gwp_t *gwp, const char *id, const char *value, size_t value_bytes, uint64_t offset)
 {
@@ -149,39 +133,51 @@
   if (entry.state == state)
     return;
   log_engine (gwp, id, entry.state == EGN_READY ? "ready" : "leaving", offset);
+  gst_tell_news (gwp->store);
   gwy_engines_changed (gwp->gwy);
 }
 
+/*
+ * While the store is out, entries lapse of engines that live. Taken for gone, they would leave a
+ * service without engines for the two seconds until they are back. An entry that goes while the
+ * store is read is gone at once: its engine may take nothing more.
+ */
 static void
-on_engine (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+on_engine (const char *id,
+           const char *text,
+           size_t text_bytes,
+           uint64_t offset,
+           bool may_have_lapsed,
+           void *context)
 {
   gwp_t *gwp = context;
+  uint64_t due_us = now_us (gwp) + (uint64_t)GWP_LAPSE_MS * CLK_US_PER_MS;
 
-  if (value)
-    put_engine (gwp, key, value, value_bytes, offset);
-  else if (may_have_lapsed (gwp) && egs_find (gwp->engines, key))
-    g_hash_table_add (gwp->lapsed, g_strdup (key));
+  if (text)
+    put_engine (gwp, id, text, text_bytes, offset);
+  else if (may_have_lapsed && egs_find (gwp->engines, id))
+    {
+      log_engine (gwp, id, "perhaps_lapsed", offset);
+      g_hash_table_add (gwp->lapsed, g_strdup (id));
+      gwp->lapsed_due_us = due_us;
+    }
   else
-    remove_engine (gwp, key, offset);
+    remove_engine (gwp, id, offset);
   cnt_set_value (gwp->engine_count, egs_count (gwp->engines));
 }
 
 static void
-on_routing_told (sfl_state_t state, void *context)
+on_told (void *context)
 {
-  (void)state;
   note_ready (context);
 }
 
-static void
-on_registry_told (sfl_state_t state, void *context)
+static uint64_t
+version (void *context)
 {
-  gwp_t *gwp = context;
+  const gwp_t *gwp = context;
 
-  gwp->store_lost = state == SFL_LOST;
-  if (state == SFL_REGAINED)
-    gwp->lapsed_due_us = now_us (gwp) + (uint64_t)GWP_LAPSE_MS * CLK_US_PER_MS;
-  note_ready (gwp);
+  return gwp->table ? rte_version (gwp->table) : 0;
 }
 
 static void
@@ -190,7 +186,7 @@
   GHashTableIter iter;
   gpointer id;
 
-  if (g_hash_table_size (gwp->lapsed) == 0 || may_have_lapsed (gwp))
+  if (g_hash_table_size (gwp->lapsed) == 0 || now_us (gwp) < gwp->lapsed_due_us)
     return;
   g_hash_table_iter_init (&iter, gwp->lapsed);
   while (g_hash_table_iter_next (&iter, &id, NULL))
@@ -200,15 +196,6 @@
     }
 }
 
-static void
-turn_certain (gwp_t *gwp)
-{
-  uint64_t heard_us = sfl_heard_us (gwp->routing);
-  uint64_t limit_us = (uint64_t)GWP_CERTAIN_MS * CLK_US_PER_MS;
-
-  gwy_set_certain (gwp->gwy, heard_us != 0 && now_us (gwp) - heard_us < limit_us);
-}
-
 static void
 turn_stop (gwp_t *gwp)
 {
@@ -234,7 +221,9 @@
   (void)fd;
   (void)what;
   end_lapsed (gwp);
-  turn_certain (gwp);
+  gst_turn (gwp->store);
+  gwy_set_certain (gwp->gwy, gst_is_certain (gwp->store));
+  gwy_set_routers (gwp->gwy, gst_routers (gwp->store));
   turn_stop (gwp);
 }
 
@@ -256,6 +245,8 @@
   gwp_t *gwp = context;
   GString *text;
 
+  if (gst_answer (gwp->store, call, g_hash_table_size (gwp->lapsed) == 0))
+    return;
   if (strcmp (hsv_path (call), "/metrics") != 0)
     {
       on_ready_call (call, context);
@@ -309,27 +300,22 @@
   return gwp->control != NULL;
 }
 
-static void
-start_following (gwp_t *gwp)
+static bool
+open_store (gwp_t *gwp, GError **error)
 {
-  sfl_options_t options = { .base = gwp->options.base,
-                            .clk = gwp->options.clk,
-                            .plt = gwp->options.plt,
-                            .seed = gwp->options.incarnation,
-                            .context = gwp };
-
-  options.stream = PLT_STREAM_ROUTING;
-  options.view = gwp->routing_view;
-  options.wait_ms = GWP_ROUTING_WAIT_MS;
-  options.pace_ms = SFL_PACE_MIN_MS;
-  options.told = on_routing_told;
-  gwp->routing = sfl_new (&options);
-  options.stream = PLT_STREAM_ENGINES;
-  options.view = gwp->engines_view;
-  options.wait_ms = 0;
-  options.pace_ms = GWP_ENGINES_PACE_MS;
-  options.told = on_registry_told;
-  gwp->registry = sfl_new (&options);
+  gwp->store = gst_new (&(gst_options_t){ .base = gwp->options.base,
+                                          .clk = gwp->options.clk,
+                                          .counters = gwp->options.counters,
+                                          .set = gwp->options.set,
+                                          .plt = gwp->options.plt,
+                                          .incarnation = gwp->options.incarnation,
+                                          .version = version,
+                                          .routing = on_routing,
+                                          .engine = on_engine,
+                                          .told = on_told,
+                                          .context = gwp },
+                        error);
+  return gwp->store != NULL;
 }
 
 gwp_t *
@@ -343,12 +329,9 @@
   gwp->lapsed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gwp->version = cnt_get (options->counters, "medlarplank_version", "Version in force");
   gwp->engine_count = cnt_get (options->counters, "medlarplank_engines", "Engines registered");
-  gwp->routing_view = kvw_new (on_routing, gwp);
-  gwp->engines_view = kvw_new (on_engine, gwp);
   gwp->tick = event_new (options->base, -1, EV_PERSIST, on_tick, gwp);
   event_add (gwp->tick, &tick);
-  start_following (gwp);
-  if (listen_all (gwp, error))
+  if (open_store (gwp, error) && listen_all (gwp, error))
     return gwp;
   gwp_free (gwp);
   return NULL;
@@ -357,17 +340,14 @@
 void
 gwp_free (gwp_t *gwp)
 {
-  gwp->options.plt->free (gwp->options.plt);
-  sfl_free (gwp->routing);
-  sfl_free (gwp->registry);
+  if (gwp->store)
+    gst_free (gwp->store);
   if (gwp->gwy)
     gwy_free (gwp->gwy);
   if (gwp->ready)
     hsv_free (gwp->ready);
   if (gwp->control)
     hsv_free (gwp->control);
-  kvw_free (gwp->routing_view);
-  kvw_free (gwp->engines_view);
   if (gwp->table)
     rte_unref (gwp->table);
   egs_free (gwp->engines);
--- a/src/process/gateway_process.h
+++ b/src/process/gateway_process.h
@@ -17,20 +17,15 @@
 
 #include <event2/event.h>
 
-/* Engines renew their entries all the time, so a read that waited would come back at once. Twice
- * within the shortest bound on a leaving engine (2 s), with room for a slow answer. */
-#define GWP_ENGINES_PACE_MS 700
-/* A longer wait would hide a connection that has gone silent for longer than a new version may take
- * (2 s and what an outage excuses). */
-#define GWP_ROUTING_WAIT_MS 2500
 /* An engine whose entry lapsed while the store was out is back this soon after, if it lives. */
 #define GWP_LAPSE_MS 2500
-/* The version in force is taken for the newest while the store was heard this lately. */
-#define GWP_CERTAIN_MS 6000
-/* From a stop signal on connections still come until the balancer has asked twice, once a second.
+/*
+ * From a stop signal on connections still come until the balancer has asked twice, once a second.
+ * What is taken later than 3 s may not be ended when the process is killed, so idle connections are
+ * closed before.
  */
-#define GWP_LISTEN_ON_MS 3000
-#define GWP_EXIT_MARGIN_MS 500 /* before the process would be killed */
+#define GWP_LISTEN_ON_MS 2500
+#define GWP_EXIT_MARGIN_MS 250 /* before the process would be killed */
 
 /**
  * struct gwp_readers - how records of the store are read
--- /dev/null
+++ b/src/process/gateway_store.c
@@ -0,0 +1,507 @@
+#include "process/gateway_store.h"
+
+#include "connection/http_client.h"
+#include "process/gateway_peers.h"
+#include "process/log.h"
+#include "version/stream_follow.h"
+#include "version/view_share.h"
+
+#include <event2/http.h>
+#include <string.h>
+
+#define SEAL_KIND "medlarplank view answer"
+#define IDLE_CONNECTIONS 2
+#define IDLE_TIMEOUT_MS 10000
+#define STATUS_OK 200
+#define PUT_PACE_US (UINT64_C (1000) * 1000)
+
+enum
+{
+  ROUTING,
+  ENGINES,
+  ROUTERS,
+  STREAMS
+};
+
+static const char *const stream_names[STREAMS] = { PLT_STREAM_ROUTING, PLT_STREAM_ENGINES,
+                                                   PLT_STREAM_ROUTERS };
+
+/**
+ * struct fetch - asking a peer for what it has read more of
+ * @behind_us: since when a peer at @control has had more, 0 when none has
+ */
+typedef struct
+{
+  hcl_t *hcl;
+  hcl_call_t *call;
+  struct evbuffer *body;
+  char nonce[ASL_NONCE_BYTES];
+  char seal[ASL_SEAL_BYTES];
+  set_address_t control;
+  uint64_t behind_us;
+  uint64_t next_us;
+} fetch_t;
+
+/**
+ * struct gst - the store as it is known here
+ * @fresh_us: when the store was heard last by a peer whose knowledge we share
+ * @adopting: the records that are being applied came of a peer
+ * @unsettled: which is not sure of the keys that were dropped
+ * @entry_written, @entry_due_us: own entry in the stream of routers
+ */
+struct gst
+{
+  gst_options_t options;
+  gpr_t *peers;
+  kvw_t *views[STREAMS];
+  sfl_t *follows[STREAMS];
+  fetch_t fetch;
+  uint64_t fresh_us;
+  bool lost;
+  uint64_t regained_us;
+  bool adopting;
+  bool unsettled;
+  bool entry_written;
+  uint64_t entry_due_us;
+  uint32_t next_seed;
+  cnt_t *fetched;
+};
+
+static uint64_t
+now_us (const gst_t *gst)
+{
+  return clk_now_us (gst->options.clk);
+}
+
+static void
+on_routing (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+{
+  gst_t *gst = context;
+
+  (void)key;
+  if (value)
+    gst->options.routing (value, value_bytes, offset, gst->options.context);
+}
+
+static void
+on_engine (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+{
+  gst_t *gst = context;
+  bool catching_up = gst->follows[ENGINES] && sfl_is_catching_up (gst->follows[ENGINES]);
+
+  gst->options.engine (key, value, value_bytes, offset, gst->adopting ? gst->unsettled : catching_up,
+                       gst->options.context);
+}
+
+static void
+on_router (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+{
+  gst_t *gst = context;
+
+  (void)value_bytes;
+  (void)offset;
+  gpr_put (gst->peers, key, value);
+}
+
+static void
+on_routing_told (sfl_state_t state, void *context)
+{
+  gst_t *gst = context;
+
+  if (state == SFL_LISTED)
+    gst->options.told (gst->options.context);
+}
+
+static void
+on_engines_told (sfl_state_t state, void *context)
+{
+  gst_t *gst = context;
+
+  gst->lost = state == SFL_LOST;
+  if (state == SFL_REGAINED)
+    gst->regained_us = now_us (gst);
+  gst->options.told (gst->options.context);
+}
+
+static void
+on_routers_told (sfl_state_t state, void *context)
+{
+  (void)state;
+  (void)context;
+}
+
+/* Of the last answers of the store itself and of the peers that know no more than we do. */
+static uint64_t
+heard_us (const gst_t *gst)
+{
+  uint64_t own_us =
+      MIN (sfl_heard_us (gst->follows[ROUTING]), sfl_heard_us (gst->follows[ENGINES]));
+
+  return MAX (own_us, gst->fresh_us);
+}
+
+static gpr_known_t
+know (void *context)
+{
+  gst_t *gst = context;
+  uint64_t at_us = heard_us (gst);
+  uint64_t age_ms = at_us ? (now_us (gst) - at_us) / CLK_US_PER_MS : UINT32_MAX;
+
+  return (gpr_known_t){ .version = gst->options.version (gst->options.context),
+                        .engines_next = sfl_next (gst->follows[ENGINES]),
+                        .store_age_ms = (uint32_t)MIN (age_ms, UINT32_MAX) };
+}
+
+static void
+heard (const gpr_known_t *theirs, const set_address_t *control, void *context)
+{
+  gst_t *gst = context;
+  gpr_known_t ours = know (gst);
+  uint64_t age_us = (uint64_t)theirs->store_age_ms * CLK_US_PER_MS;
+
+  if (theirs->version > ours.version || theirs->engines_next > ours.engines_next)
+    {
+      gst->fetch.control = *control;
+      if (gst->fetch.behind_us == 0)
+        gst->fetch.behind_us = now_us (gst);
+      return;
+    }
+  /* One that knows less than we do vouches for nothing. */
+  if (theirs->version == ours.version && theirs->engines_next == ours.engines_next &&
+      age_us < now_us (gst))
+    gst->fresh_us = MAX (gst->fresh_us, now_us (gst) - age_us);
+}
+
+static void
+streams_of (const gst_t *gst, vsh_stream_t out[STREAMS])
+{
+  for (uint32_t i = 0; i < STREAMS; i++)
+    out[i] = (vsh_stream_t){ .name = stream_names[i],
+                             .view = gst->views[i],
+                             .next = sfl_next (gst->follows[i]) };
+}
+
+static void
+adopt (gst_t *gst, const char *body, size_t body_bytes)
+{
+  vsh_answer_t answer;
+  vsh_stream_t streams[STREAMS];
+
+  streams_of (gst, streams);
+  if (vsh_read (&answer, body, body_bytes))
+    {
+      gst->adopting = true;
+      gst->unsettled = !answer.settled;
+      for (uint32_t i = 0; i < STREAMS; i++)
+        sfl_advance (gst->follows[i], vsh_apply (&answer, &streams[i]));
+      gst->adopting = false;
+      cnt_add (gst->fetched, 1);
+      gst->options.told (gst->options.context);
+    }
+  vsh_clear (&answer);
+}
+
+static void
+log_fetch (const gst_t *gst, const char *outcome, const char *reason)
+{
+  g_autofree char *peer = set_address_text (&gst->fetch.control);
+
+  log_event (LOG_LEVEL_NOTICE, "view_from_peer", "peer", peer, "outcome", outcome, "reason", reason,
+             "version", LOG_U64 (gst->options.version (gst->options.context)), "engines_next",
+             LOG_U64 (sfl_next (gst->follows[ENGINES])), NULL);
+}
+
+static bool
+on_fetch_head (int status, struct evkeyvalq *headers, void *context)
+{
+  gst_t *gst = context;
+  const char *seal = evhttp_find_header (headers, ASL_SEAL_HEADER);
+
+  if (status != STATUS_OK || !seal)
+    return false;
+  g_strlcpy (gst->fetch.seal, seal, sizeof gst->fetch.seal);
+  return true;
+}
+
+static void
+on_fetch_data (struct evbuffer *data, void *context)
+{
+  gst_t *gst = context;
+
+  evbuffer_add_buffer (gst->fetch.body, data);
+}
+
+static void
+on_fetch_end (const hcl_end_t *end, void *context)
+{
+  gst_t *gst = context;
+  fetch_t *fetch = &gst->fetch;
+  size_t bytes = evbuffer_get_length (fetch->body);
+  const char *body = bytes > 0 ? (const char *)evbuffer_pullup (fetch->body, -1) : "";
+  char right[ASL_SEAL_BYTES];
+
+  fetch->call = NULL;
+  fetch->behind_us = 0;
+  asl_make (gst->options.set->fleet_key, SEAL_KIND, fetch->nonce, body, bytes, right);
+  if (!end->whole)
+    log_fetch (gst, "failed", vrd_reason_name (end->reason));
+  else if (!asl_same (fetch->seal, right))
+    log_fetch (gst, "refused", "seal");
+  else
+    {
+      adopt (gst, body, bytes);
+      log_fetch (gst, "taken", NULL);
+    }
+  evbuffer_free (fetch->body);
+  fetch->body = NULL;
+}
+
+static void
+fetch_start (gst_t *gst)
+{
+  fetch_t *fetch = &gst->fetch;
+  vsh_stream_t streams[STREAMS];
+  g_autofree char *target = NULL;
+  hcl_header_t header = { ASL_NONCE_HEADER, fetch->nonce };
+
+  streams_of (gst, streams);
+  target = vsh_target (streams, STREAMS);
+  asl_nonce (fetch->nonce);
+  fetch->seal[0] = '\0';
+  fetch->body = evbuffer_new ();
+  fetch->next_us = now_us (gst) + (uint64_t)GST_FETCH_PACE_MS * CLK_US_PER_MS;
+  fetch->call = hcl_start (
+      fetch->hcl, &(hcl_options_t){ .address = &fetch->control,
+                                    .method = "GET",
+                                    .target = target,
+                                    .headers = &header,
+                                    .header_count = 1,
+                                    .timeout_us = (uint64_t)GST_FETCH_TIMEOUT_MS * CLK_US_PER_MS,
+                                    .answer_limit_bytes = VSH_BYTES_LIMIT,
+                                    .on_head = on_fetch_head,
+                                    .on_data = on_fetch_data,
+                                    .on_end = on_fetch_end,
+                                    .context = gst });
+}
+
+/* The settings name a few gateways, which may be down or gone: each is asked in turn. */
+static bool
+next_seed (gst_t *gst, set_address_t *control)
+{
+  const set_t *set = gst->options.set;
+
+  for (uint32_t i = 0; i < set->seed_count; i++)
+    {
+      const set_address_t *seed = &set->seeds[gst->next_seed++ % set->seed_count];
+
+      if (strcmp (seed->ip, set->control_listen.ip) == 0 && seed->port == set->control_listen.port)
+        continue;
+      *control = *seed;
+      return true;
+    }
+  return false;
+}
+
+static bool
+lacks_all (const gst_t *gst)
+{
+  return gst->options.version (gst->options.context) == 0 || !gst_has_engines (gst);
+}
+
+static void
+turn_fetch (gst_t *gst)
+{
+  fetch_t *fetch = &gst->fetch;
+  uint64_t at_us = now_us (gst);
+
+  if (fetch->call || at_us < fetch->next_us)
+    return;
+  if (fetch->behind_us != 0 && at_us - fetch->behind_us >= (uint64_t)GST_BEHIND_MS * CLK_US_PER_MS)
+    {
+      gpr_known_t ours = know (gst);
+
+      fetch_start (gst);
+      log_event (LOG_LEVEL_INFO, "behind_peer", "version", LOG_U64 (ours.version), "engines_next",
+                 LOG_U64 (ours.engines_next), NULL);
+    }
+  else if (gst->lost && lacks_all (gst) &&
+           (gpr_some (gst->peers, &fetch->control) || next_seed (gst, &fetch->control)))
+    fetch_start (gst);
+}
+
+static void
+on_put (plt_outcome_t outcome, uint64_t offset, void *context)
+{
+  gst_t *gst = context;
+
+  gst->entry_written = outcome == PLT_OK;
+  log_event (LOG_LEVEL_NOTICE, "own_entry", "outcome", outcome == PLT_OK ? "written" : "not_known",
+             "offset", LOG_U64 (offset), NULL);
+}
+
+/* The newest record of the own key counts, so writing it once more after a lost answer is harmless;
+ * what is in the view already is not written again. */
+static void
+turn_entry (gst_t *gst)
+{
+  g_autofree char *entry = NULL;
+  const char *held;
+  size_t held_bytes;
+  uint64_t offset;
+
+  if (gst->entry_written || now_us (gst) < gst->entry_due_us ||
+      !sfl_has_listed (gst->follows[ROUTERS]))
+    return;
+  gst->entry_due_us = now_us (gst) + PUT_PACE_US;
+  entry = gpr_entry (gst->peers);
+  held = kvw_get (gst->views[ROUTERS], gst->options.set->name, &held_bytes, &offset);
+  if (held && strcmp (held, entry) == 0)
+    gst->entry_written = true;
+  else
+    gst->options.plt->put (gst->options.plt, PLT_STREAM_ROUTERS, gst->options.set->name, entry,
+                           strlen (entry), on_put, gst);
+}
+
+void
+gst_turn (gst_t *gst)
+{
+  uint32_t wait_ms = gpr_follows_closely (gst->peers) ? GST_CLOSE_WAIT_MS : GST_FAR_WAIT_MS;
+
+  sfl_set_wait (gst->follows[ROUTING], wait_ms);
+  sfl_set_wait (gst->follows[ENGINES], wait_ms);
+  turn_fetch (gst);
+  turn_entry (gst);
+}
+
+static void
+follow (gst_t *gst,
+        uint32_t stream,
+        uint32_t wait_ms,
+        kvw_changed_t changed,
+        void (*told) (sfl_state_t state, void *context))
+{
+  gst->views[stream] = kvw_new (changed, gst);
+  gst->follows[stream] = sfl_new (&(sfl_options_t){ .base = gst->options.base,
+                                                    .clk = gst->options.clk,
+                                                    .plt = gst->options.plt,
+                                                    .stream = stream_names[stream],
+                                                    .view = gst->views[stream],
+                                                    .wait_ms = wait_ms,
+                                                    .pace_ms = SFL_PACE_MIN_MS,
+                                                    .seed = gst->options.incarnation + stream,
+                                                    .told = told,
+                                                    .context = gst });
+}
+
+gst_t *
+gst_new (const gst_options_t *options, GError **error)
+{
+  gst_t *gst = g_new0 (gst_t, 1);
+
+  gst->options = *options;
+  gst->fetched = cnt_get (options->counters, "medlarplank_views_from_peers_total",
+                          "Times that records of the store were taken from a peer");
+  gst->fetch.hcl = hcl_new (options->base, IDLE_CONNECTIONS, IDLE_TIMEOUT_MS);
+  follow (gst, ROUTING, GST_CLOSE_WAIT_MS, on_routing, on_routing_told);
+  follow (gst, ENGINES, GST_CLOSE_WAIT_MS, on_engine, on_engines_told);
+  follow (gst, ROUTERS, GST_ROUTERS_WAIT_MS, on_router, on_routers_told);
+  gst->peers = gpr_new (&(gpr_options_t){ .base = options->base,
+                                          .clk = options->clk,
+                                          .counters = options->counters,
+                                          .set = options->set,
+                                          .incarnation = options->incarnation,
+                                          .know = know,
+                                          .heard = heard,
+                                          .context = gst },
+                        error);
+  if (gst->peers)
+    return gst;
+  gst_free (gst);
+  return NULL;
+}
+
+void
+gst_free (gst_t *gst)
+{
+  gst->options.plt->free (gst->options.plt);
+  if (gst->fetch.call)
+    hcl_cancel (gst->fetch.call);
+  if (gst->fetch.body)
+    evbuffer_free (gst->fetch.body);
+  hcl_free (gst->fetch.hcl);
+  if (gst->peers)
+    gpr_free (gst->peers);
+  for (uint32_t i = 0; i < STREAMS; i++)
+    {
+      sfl_free (gst->follows[i]);
+      kvw_free (gst->views[i]);
+    }
+  g_free (gst);
+}
+
+bool
+gst_has_engines (const gst_t *gst)
+{
+  return sfl_has_listed (gst->follows[ENGINES]);
+}
+
+bool
+gst_is_lost (const gst_t *gst)
+{
+  return gst->lost;
+}
+
+uint64_t
+gst_regained_us (const gst_t *gst)
+{
+  return gst->regained_us;
+}
+
+bool
+gst_is_certain (const gst_t *gst)
+{
+  uint64_t at_us = heard_us (gst);
+
+  return at_us != 0 && now_us (gst) - at_us < (uint64_t)GST_CERTAIN_MS * CLK_US_PER_MS;
+}
+
+uint32_t
+gst_routers (const gst_t *gst)
+{
+  return gpr_count (gst->peers);
+}
+
+void
+gst_tell_news (gst_t *gst)
+{
+  gpr_tell_news (gst->peers);
+}
+
+bool
+gst_answer (gst_t *gst, hsv_call_t *call, bool settled)
+{
+  const char *nonce = hsv_header (call, ASL_NONCE_HEADER);
+  vsh_stream_t streams[STREAMS];
+  uint64_t from[STREAMS] = { 0 };
+  char seal[ASL_SEAL_BYTES];
+  g_autofree char *body = NULL;
+
+  if (strcmp (hsv_path (call), VSH_PATH) != 0)
+    return false;
+  streams_of (gst, streams);
+  for (uint32_t i = 0; i < STREAMS; i++)
+    {
+      const char *text = hsv_query (call, stream_names[i]);
+
+      if (!text || !g_ascii_string_to_unsigned (text, 10, 0, UINT64_MAX, &from[i], NULL) || !nonce)
+        {
+          hsv_reply_text (call, 400, "text/plain", "from where on, and a nonce, must be told\n");
+          return true;
+        }
+    }
+  body = vsh_write (streams, from, STREAMS, settled);
+  asl_make (gst->options.set->fleet_key, SEAL_KIND, nonce, body, strlen (body), seal);
+  hsv_add_header (call, ASL_SEAL_HEADER, seal);
+  hsv_reply_text (call, 200, "application/json", body);
+  return true;
+}
--- /dev/null
+++ b/src/process/gateway_store.h
@@ -0,0 +1,84 @@
+/**
+ * DOC: gateway_store
+ *
+ * What a gateway knows of the platform's store: routing rules, engines and gateways. It reads the
+ * store itself, and takes from a peer what it lacks when it can't, or when a peer has read more.
+ */
+#ifndef PROCESS_GATEWAY_STORE_H
+#define PROCESS_GATEWAY_STORE_H
+
+#include "connection/http_server.h"
+#include "connection/platform.h"
+#include "process/clock.h"
+#include "process/counters.h"
+#include "process/settings.h"
+
+#include <glib.h>
+
+/*
+ * How long a read waits for a record. The few that follow closely notice within the shorter time
+ * when their connection has gone silent, and vouch for the others that there is no news.
+ */
+#define GST_CLOSE_WAIT_MS 1000
+#define GST_FAR_WAIT_MS 5000
+#define GST_ROUTERS_WAIT_MS 10000
+/* What is known is taken for the newest while the store, or a peer that heard it, was heard within
+ * this time: longer than the wait of those that follow closely and two messages between peers. */
+#define GST_CERTAIN_MS 2500
+/* A peer that has read more is asked for it when the store has not told it here by then. */
+#define GST_BEHIND_MS 150
+#define GST_FETCH_PACE_MS 300 /* between two questions to peers */
+#define GST_FETCH_TIMEOUT_MS 1000
+
+/**
+ * struct gst_options - options of gst_new()
+ * @plt: freed with it
+ * @version: of the routing rules in force
+ * @routing: a record of the routing rules
+ * @engine: an entry of the registry; @text NULL when it was dropped. @may_have_lapsed: it was
+ * dropped while the store could not be read here, perhaps since it was out
+ * @told: the registry was listed, lost or regained
+ */
+typedef struct
+{
+  struct event_base *base;
+  const clk_t *clk;
+  cnt_set_t *counters;
+  const set_t *set;
+  plt_t *plt;
+  uint64_t incarnation;
+  uint64_t (*version) (void *context);
+  void (*routing) (const char *text, size_t text_bytes, uint64_t offset, void *context);
+  void (*engine) (const char *id,
+                  const char *text,
+                  size_t text_bytes,
+                  uint64_t offset,
+                  bool may_have_lapsed,
+                  void *context);
+  void (*told) (void *context);
+  void *context;
+} gst_options_t;
+
+typedef struct gst gst_t;
+
+gst_t *gst_new (const gst_options_t *options, GError **error);
+void gst_free (gst_t *gst);
+/** gst_turn() - to be called every 100 ms or so */
+void gst_turn (gst_t *gst);
+/** gst_has_engines() - whether the registry has been read whole, here or by a peer */
+bool gst_has_engines (const gst_t *gst);
+/** gst_is_lost() - whether the registry can't be read from the store now */
+bool gst_is_lost (const gst_t *gst);
+/** gst_regained_us() - when it could be read again after the last time it was lost; 0 for never */
+uint64_t gst_regained_us (const gst_t *gst);
+/** gst_is_certain() - whether what is known is surely the newest */
+bool gst_is_certain (const gst_t *gst);
+/** gst_routers() - gateways that may be at work, this one too */
+uint32_t gst_routers (const gst_t *gst);
+/** gst_tell_news() - something new was read: tell some peers at once */
+void gst_tell_news (gst_t *gst);
+/** gst_answer() - a peer asks for what it lacks. Return: false when the call asks for another path
+ */
+bool gst_answer (gst_t *gst, hsv_call_t *call, bool settled);
+
+#endif
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -16,6 +16,7 @@
 #include <stdint.h>
 
 #define SET_PROGRAM_VERSION "0.1.0"
+#define SET_SEEDS 8
 
 typedef enum
 {
@@ -40,6 +41,7 @@
  * @engine: sidecar only: the engine beside it
  * @ready_listen: gateway only: HTTP, where the balancer asks whether it is ready
  * @control_listen: gateway only: HTTP, counters, and what peers ask
+ * @seeds: gateway only: control addresses of gateways that may be up
  * @retry_ratio_milli: gateway only: retries for each thousand requests of a service, all gateways
  * @retry_slack: gateway only: retries in a window beyond that, all gateways
  * @retry_window_ms: gateway only: span that both are counted over
@@ -62,6 +64,8 @@
   set_address_t engine;
   set_address_t ready_listen;
   set_address_t control_listen;
+  set_address_t seeds[SET_SEEDS];
+  uint32_t seed_count;
   uint32_t retry_ratio_milli;
   uint32_t retry_slack;
   uint32_t retry_window_ms;
--- a/src/process/settings_table.c
+++ b/src/process/settings_table.c
@@ -30,6 +30,8 @@
        "HTTP, where the balancer asks whether the gateway is ready"),
   ROW ("control-listen", ADDRESS, GATEWAY, 0, 0, control_listen, NULL,
        "HTTP, counters and what other gateways ask"),
+  ROW ("seeds", SEEDS, NONE, 0, 0, seeds, NULL,
+       "Gateway: control addresses of gateways to ask while the platform is out"),
   ROW ("retry-ratio", MILLI, NONE, 0, 1000, retry_ratio_milli, "0.1",
        "Gateway: retries for each request of a service, of all gateways together"),
   ROW ("retry-slack", NUMBER, NONE, 0, 1000000, retry_slack, "10",
@@ -236,6 +238,35 @@
   return true;
 }
 
+static bool
+parse_seeds (const char *text, set_t *set)
+{
+  g_auto (GStrv) parts = g_strsplit (text, ",", SET_SEEDS + 1);
+  uint32_t count = text[0] != '\0' ? g_strv_length (parts) : 0;
+
+  if (count > SET_SEEDS)
+    return false;
+  for (uint32_t i = 0; i < count; i++)
+    if (!parse_address (parts[i], &set->seeds[i]))
+      return false;
+  set->seed_count = count;
+  return true;
+}
+
+static char *
+seeds_text (const set_t *set)
+{
+  GString *text = g_string_new (NULL);
+
+  for (uint32_t i = 0; i < set->seed_count; i++)
+    {
+      g_autofree char *address = set_address_text (&set->seeds[i]);
+
+      g_string_append_printf (text, "%s%s", i > 0 ? "," : "", address);
+    }
+  return g_string_free (text, FALSE);
+}
+
 static bool
 parse_value (const set_row_t *row, const char *text, set_t *set)
 {
@@ -249,6 +280,8 @@
       return parse_name (text, field);
     case SET_KIND_ADDRESS:
       return parse_address (text, field);
+    case SET_KIND_SEEDS:
+      return parse_seeds (text, set);
     case SET_KIND_NUMBER:
       return parse_number (row, text, field);
     case SET_KIND_MILLI:
@@ -312,6 +345,8 @@
       return g_strdup_printf ("1 to %d of a-z, 0-9, '.' and '-'", LIM_NAME_BYTES - 1);
     case SET_KIND_ADDRESS:
       return g_strdup ("IP number and port 1 to 65535, as 10.0.0.1:8080 or [fd00::1]:8080");
+    case SET_KIND_SEEDS:
+      return g_strdup_printf ("up to %d addresses with commas between", SET_SEEDS);
     case SET_KIND_NUMBER:
       return g_strdup_printf ("%u to %u", row->minimum, row->maximum);
     case SET_KIND_MILLI:
@@ -379,6 +414,8 @@
       return g_strdup (field);
     case SET_KIND_ADDRESS:
       return set_address_text (field);
+    case SET_KIND_SEEDS:
+      return seeds_text (set);
     case SET_KIND_NUMBER:
       return g_strdup_printf ("%u", *(const uint32_t *)field);
     case SET_KIND_MILLI:
--- a/src/proto/exchange.h
+++ b/src/proto/exchange.h
@@ -47,6 +47,7 @@
 	u_quad_t manifest_version;
 	u_quad_t manifest_offset;
 	u_quad_t list_revision;
+	u_int store_age_ms;
 	struct {
 		u_int samples_len;
 		xch_sample *samples_val;
--- a/src/proto/exchange_xdr.c
+++ b/src/proto/exchange_xdr.c
@@ -117,6 +117,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->list_revision))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->samples.samples_val, (u_int *) &objp->samples.samples_len, XCH_SAMPLES,
 		sizeof (xch_sample), (xdrproc_t) xdr_xch_sample))
 		 return FALSE;
--- a/src/request/ops_serve.c
+++ b/src/request/ops_serve.c
@@ -61,13 +61,13 @@
       flt_bad_request (call, 503, "no_version", "no version of the manifest is known here");
       return;
     }
-  char seal[MSY_SEAL_BYTES];
+  char seal[ASL_SEAL_BYTES];
   g_autofree char *body =
-      msy_write (ops->options.dmn->set.fleet_key, hsv_header (call, MSY_NONCE_HEADER), ops->man,
+      msy_write (ops->options.dmn->set.fleet_key, hsv_header (call, ASL_NONCE_HEADER), ops->man,
                  ops->man_next_offset, seal);
 
   if (seal[0] != '\0')
-    hsv_add_header (call, MSY_SEAL_HEADER, seal);
+    hsv_add_header (call, ASL_SEAL_HEADER, seal);
   hsv_reply_text (call, 200, "application/json", body);
 }
 
--- /dev/null
+++ b/src/version/answer_seal.c
@@ -0,0 +1,46 @@
+#include "version/answer_seal.h"
+
+#include <glib.h>
+#include <stdint.h>
+#include <string.h>
+#include <sys/random.h>
+
+#define NONCE_RANDOM_BYTES 16
+
+void
+asl_nonce (char out[ASL_NONCE_BYTES])
+{
+  uint8_t random[NONCE_RANDOM_BYTES];
+  ssize_t got = getrandom (random, sizeof random, 0);
+  g_assert (got == sizeof random); /* of so few bytes it never gives only a part */
+  for (uint32_t i = 0; i < sizeof random; i++)
+    g_snprintf (out + 2 * (size_t)i, 3, "%02x", random[i]);
+}
+
+void
+asl_make (const char *fleet_key,
+          const char *kind,
+          const char *nonce,
+          const char *body,
+          size_t body_bytes,
+          char out[ASL_SEAL_BYTES])
+{
+  GHmac *hmac = g_hmac_new (G_CHECKSUM_SHA256, (const guchar *)fleet_key, strlen (fleet_key));
+  /* With their final NULs, which part the fields; a nonce holds none. */
+  g_hmac_update (hmac, (const guchar *)kind, (gssize)strlen (kind) + 1);
+  g_hmac_update (hmac, (const guchar *)nonce, (gssize)strlen (nonce) + 1);
+  g_hmac_update (hmac, (const guchar *)body, (gssize)body_bytes);
+  g_strlcpy (out, g_hmac_get_string (hmac), ASL_SEAL_BYTES);
+  g_hmac_unref (hmac);
+}
+
+bool
+asl_same (const char *given, const char right[ASL_SEAL_BYTES])
+{
+  if (strlen (given) != ASL_SEAL_BYTES - 1)
+    return false;
+  uint8_t difference = 0;
+  for (uint32_t i = 0; i < ASL_SEAL_BYTES - 1; i++)
+    difference |= (uint8_t)given[i] ^ (uint8_t)right[i];
+  return difference == 0;
+}
--- a/src/version/keyed_view.c
+++ b/src/version/keyed_view.c
@@ -22,6 +22,7 @@
   void *context;
   GHashTable *entries;
   uint64_t list;
+  uint64_t listed_offset;
 };
 
 static void
@@ -103,6 +104,7 @@
   gpointer key;
   gpointer value;
 
+  kvw->listed_offset = end_offset;
   g_hash_table_iter_init (&iter, kvw->entries);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
@@ -128,8 +130,14 @@
   return entry->value;
 }
 
+uint64_t
+kvw_listed_offset (const kvw_t *kvw)
+{
+  return kvw->listed_offset;
+}
+
 void
-kvw_each (const kvw_t *kvw, kvw_changed_t visit, void *context)
+kvw_since (const kvw_t *kvw, uint64_t from_offset, kvw_changed_t visit, void *context)
 {
   GHashTableIter iter;
   gpointer key;
@@ -140,7 +148,7 @@
     {
       const entry_t *entry = value;
 
-      if (entry->value)
+      if (entry->offset >= from_offset)
         visit (key, entry->value, entry->value_bytes, entry->offset, context);
     }
 }
--- a/src/version/manifest_sync.h
+++ b/src/version/manifest_sync.h
@@ -9,6 +9,7 @@
 #ifndef VERSION_MANIFEST_SYNC_H
 #define VERSION_MANIFEST_SYNC_H
 
+#include "version/answer_seal.h"
 #include "version/manifest.h"
 
 #include <glib.h>
@@ -17,24 +18,16 @@
 #include <stdint.h>
 
 #define MSY_PATH "/medlarplank/manifest"
-#define MSY_NONCE_HEADER "X-Medlarplank-Nonce"
-#define MSY_SEAL_HEADER "X-Medlarplank-Answer-Seal"
-#define MSY_NONCE_BYTES 33 /* with the final NUL */
-#define MSY_SEAL_BYTES 65  /* with the final NUL */
-
-/** msy_nonce() - a fresh nonce for the request */
-void msy_nonce (char out[MSY_NONCE_BYTES]);
-
 /**
  * msy_write() - the body of the answer, to be freed by g_free()
- * @nonce: of the request's MSY_NONCE_HEADER; NULL when it had none, then there is no seal
- * @seal: for MSY_SEAL_HEADER; "" without a nonce
+ * @nonce: of the request's ASL_NONCE_HEADER; NULL when it had none, then there is no seal
+ * @seal: for ASL_SEAL_HEADER; "" without a nonce
  */
 char *msy_write (const char *fleet_key,
                  const char *nonce,
                  const man_t *man,
                  uint64_t next_offset,
-                 char seal[MSY_SEAL_BYTES]);
+                 char seal[ASL_SEAL_BYTES]);
 
 /** msy_read() - the manifest in a sealed answer, with its version; NULL with an error otherwise */
 man_t *msy_read (const char *fleet_key,
--- a/src/version/stream_follow.c
+++ b/src/version/stream_follow.c
@@ -12,6 +12,7 @@
  * @list_end: end of the stream when the first page was made
  * @next: offset to read on from
  * @backoff_ms: 0 while the platform answers
+ * @catching_up: from the first failure until all that was written meanwhile has been read
  */
 struct sfl
 {
@@ -26,6 +27,7 @@
   uint64_t started_us;
   uint64_t heard_us;
   uint32_t backoff_ms;
+  bool catching_up;
 };
 
 static void
@@ -46,8 +48,10 @@
 static void
 log_dependency (const sfl_t *sfl, log_level_t level, const char *event)
 {
+  uint64_t now_us = clk_now_us (sfl->options.clk);
+
   log_event (level, event, "dependency", "store", "stream", sfl->options.stream, "unheard_ms",
-             LOG_U64 (sfl->heard_us ? (sfl->started_us - sfl->heard_us) / CLK_US_PER_MS : 0), NULL);
+             LOG_U64 (sfl->heard_us ? (now_us - sfl->heard_us) / CLK_US_PER_MS : 0), NULL);
 }
 
 static void
@@ -56,6 +60,7 @@
   if (sfl->backoff_ms == 0)
     {
       log_dependency (sfl, LOG_LEVEL_WARNING, "dependency_lost");
+      sfl->catching_up = true;
       sfl->options.told (SFL_LOST, sfl->options.context);
     }
   if (sfl->listing)
@@ -67,11 +72,12 @@
 static void
 worked (sfl_t *sfl)
 {
+  if (sfl->backoff_ms > 0)
+    log_dependency (sfl, LOG_LEVEL_NOTICE, "dependency_regained");
   sfl->heard_us = clk_now_us (sfl->options.clk);
   if (sfl->backoff_ms == 0)
     return;
   sfl->backoff_ms = 0;
-  log_dependency (sfl, LOG_LEVEL_NOTICE, "dependency_regained");
   sfl->options.told (SFL_REGAINED, sfl->options.context);
 }
 
@@ -119,8 +125,9 @@
     }
   kvw_list_end (sfl->options.view, sfl->list_end);
   sfl->listing = false;
+  sfl->catching_up = false;
   sfl->has_listed = true;
-  sfl->next = sfl->list_end;
+  sfl->next = MAX (sfl->next, sfl->list_end);
   g_clear_pointer (&sfl->after, g_free);
   sfl->options.told (SFL_LISTED, sfl->options.context);
   start_in (sfl, (uint64_t)SFL_PACE_MIN_MS * CLK_US_PER_MS);
@@ -148,6 +155,7 @@
   worked (sfl);
   apply (sfl, read->records, read->record_count);
   sfl->next = MAX (sfl->next, read->next_offset);
+  sfl->catching_up = sfl->next < read->end_offset && sfl->catching_up;
   start_next (sfl, pace_us);
 }
 
@@ -189,12 +197,41 @@
   g_free (sfl);
 }
 
+uint64_t
+sfl_next (const sfl_t *sfl)
+{
+  return sfl->next;
+}
+
+/* A list or read that is under way may bring older records; the view leaves those out. */
+void
+sfl_advance (sfl_t *sfl, uint64_t next)
+{
+  if (next <= sfl->next)
+    return;
+  sfl->next = next;
+  sfl->listing = false;
+  sfl->has_listed = true;
+}
+
+void
+sfl_set_wait (sfl_t *sfl, uint32_t wait_ms)
+{
+  sfl->options.wait_ms = wait_ms;
+}
+
 bool
 sfl_has_listed (const sfl_t *sfl)
 {
   return sfl->has_listed;
 }
 
+bool
+sfl_is_catching_up (const sfl_t *sfl)
+{
+  return sfl->catching_up;
+}
+
 uint64_t
 sfl_heard_us (const sfl_t *sfl)
 {
--- a/src/version/stream_follow.h
+++ b/src/version/stream_follow.h
@@ -54,8 +54,17 @@
 sfl_t *sfl_new (const sfl_options_t *options);
 /** sfl_free() - after the platform was freed, which drops the calls under way */
 void sfl_free (sfl_t *sfl);
+/** sfl_next() - offset that is read next; 0 until a list has come */
+uint64_t sfl_next (const sfl_t *sfl);
+/** sfl_advance() - a peer has told all records before @next */
+void sfl_advance (sfl_t *sfl, uint64_t next);
+/** sfl_set_wait() - how long a read waits from the next one on */
+void sfl_set_wait (sfl_t *sfl, uint32_t wait_ms);
 /** sfl_has_listed() - whether a whole list has come since the start */
 bool sfl_has_listed (const sfl_t *sfl);
+/** sfl_is_catching_up() - whether the records that come now were written while the platform failed
+ * here, as far as known; to be asked from within the view's callback */
+bool sfl_is_catching_up (const sfl_t *sfl);
 /** sfl_heard_us() - when the last good answer came; 0 when none has */
 uint64_t sfl_heard_us (const sfl_t *sfl);
 
--- /dev/null
+++ b/src/version/view_share.c
@@ -0,0 +1,111 @@
+#include "version/view_share.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+char *
+vsh_target (const vsh_stream_t *streams, uint32_t count)
+{
+  GString *target = g_string_new (VSH_PATH);
+
+  for (uint32_t i = 0; i < count; i++)
+    g_string_append_printf (target, "%c%s=%" PRIu64, i == 0 ? '?' : '&', streams[i].name,
+                            streams[i].next);
+  return g_string_free (target, FALSE);
+}
+
+static void
+add_record (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+{
+  json_t *records = context;
+  json_t *text = value ? json_stringn (value, value_bytes) : json_null ();
+
+  /* a value that is no UTF-8 cannot be told; the asker reads it from the store later */
+  if (text)
+    json_array_append_new (records, json_pack ("[s, I, o]", key, (json_int_t)offset, text));
+}
+
+/*
+ * Keys that were dropped before the last list are no longer known here. An asker that is further
+ * behind gets the whole list, so that it drops them too.
+ */
+static json_t *
+stream_json (const vsh_stream_t *stream, uint64_t from)
+{
+  bool whole = from < kvw_listed_offset (stream->view);
+  json_t *records = json_array ();
+
+  kvw_since (stream->view, whole ? 0 : from, add_record, records);
+  return json_pack ("{s:b, s:I, s:o}", "whole", whole, "next", (json_int_t)stream->next, "records",
+                    records);
+}
+
+char *
+vsh_write (const vsh_stream_t *streams, const uint64_t *from, uint32_t count, bool settled)
+{
+  json_t *json = json_pack ("{s:b}", "settled", settled);
+  char *text;
+  char *body;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (streams[i].next > from[i])
+      json_object_set_new (json, streams[i].name, stream_json (&streams[i], from[i]));
+  text = json_dumps (json, JSON_COMPACT);
+  body = g_strdup (text);
+  free (text);
+  json_decref (json);
+  return body;
+}
+
+bool
+vsh_read (vsh_answer_t *answer, const char *body, size_t body_bytes)
+{
+  const json_t *settled;
+
+  answer->json = json_loadb (body, body_bytes, JSON_REJECT_DUPLICATES, NULL);
+  settled = json_object_get (answer->json, "settled");
+  answer->settled = json_is_true (settled);
+  return json_is_boolean (settled);
+}
+
+static bool
+apply_record (kvw_t *view, json_t *record)
+{
+  const char *key;
+  json_int_t offset;
+  json_t *value;
+
+  if (json_unpack (record, "[s, I, o]", &key, &offset, &value) != 0 || offset < 0)
+    return false;
+  if (!json_is_string (value) && !json_is_null (value))
+    return false;
+  kvw_apply (view, (uint64_t)offset, key, json_string_value (value), json_string_length (value));
+  return true;
+}
+
+uint64_t
+vsh_apply (const vsh_answer_t *answer, const vsh_stream_t *stream)
+{
+  json_t *part = json_object_get (answer->json, stream->name);
+  json_int_t next = json_integer_value (json_object_get (part, "next"));
+  json_t *records = json_object_get (part, "records");
+  bool whole = json_is_true (json_object_get (part, "whole"));
+
+  if (!json_is_array (records) || next <= 0)
+    return 0;
+  if (whole)
+    kvw_list_begin (stream->view);
+  for (size_t i = 0; i < json_array_size (records); i++)
+    if (!apply_record (stream->view, json_array_get (records, i)))
+      return 0;
+  if (whole)
+    kvw_list_end (stream->view, (uint64_t)next);
+  return (uint64_t)next;
+}
+
+void
+vsh_clear (vsh_answer_t *answer)
+{
+  json_decref (answer->json);
+}
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -325,10 +325,10 @@
   ord_t order = { "peer", hsv_method (call), hsv_target (call), NULL, 0 };
   CU_ASSERT_STRING_EQUAL (hsv_path (call), MSY_PATH);
   CU_ASSERT_TRUE (ord_check (&order, RIG_KEY, hsv_header (call, ORD_SEAL_HEADER)));
-  char seal[MSY_SEAL_BYTES];
+  char seal[ASL_SEAL_BYTES];
   char *body =
-      msy_write (server->fleet_key, hsv_header (call, MSY_NONCE_HEADER), server->man, 9, seal);
-  hsv_add_header (call, MSY_SEAL_HEADER, seal);
+      msy_write (server->fleet_key, hsv_header (call, ASL_NONCE_HEADER), server->man, 9, seal);
+  hsv_add_header (call, ASL_SEAL_HEADER, seal);
   hsv_reply (call, 200, body, strlen (body));
   g_free (body);
   server->served++;
--- a/tests/test_manifest_sync.c
+++ b/tests/test_manifest_sync.c
@@ -14,7 +14,7 @@
     "\"routes\":[{\"path\":\"/a\",\"service\":\"pool\",\"class\":\"short\"}]}";
 
 static char *
-write_answer (const char *nonce, char seal[MSY_SEAL_BYTES])
+write_answer (const char *nonce, char seal[ASL_SEAL_BYTES])
 {
   man_t *man = man_parse (MANIFEST, strlen (MANIFEST), NULL);
   CU_ASSERT_PTR_NOT_NULL_FATAL (man);
@@ -46,12 +46,12 @@
 static void
 test_round_trip (void)
 {
-  char nonce[MSY_NONCE_BYTES];
-  char other[MSY_NONCE_BYTES];
-  char seal[MSY_SEAL_BYTES];
-  msy_nonce (nonce);
-  msy_nonce (other);
-  CU_ASSERT_EQUAL (strlen (nonce), MSY_NONCE_BYTES - 1);
+  char nonce[ASL_NONCE_BYTES];
+  char other[ASL_NONCE_BYTES];
+  char seal[ASL_SEAL_BYTES];
+  asl_nonce (nonce);
+  asl_nonce (other);
+  CU_ASSERT_EQUAL (strlen (nonce), ASL_NONCE_BYTES - 1);
   CU_ASSERT_STRING_NOT_EQUAL (nonce, other);
   g_autofree char *body = write_answer (nonce, seal);
   CU_ASSERT_EQUAL (read_answer (KEY, nonce, seal, body), 12);
@@ -63,11 +63,11 @@
 static void
 test_foreign_answers_are_refused (void)
 {
-  char nonce[MSY_NONCE_BYTES];
-  char other[MSY_NONCE_BYTES];
-  char seal[MSY_SEAL_BYTES];
-  msy_nonce (nonce);
-  msy_nonce (other);
+  char nonce[ASL_NONCE_BYTES];
+  char other[ASL_NONCE_BYTES];
+  char seal[ASL_SEAL_BYTES];
+  asl_nonce (nonce);
+  asl_nonce (other);
   char *body = write_answer (nonce, seal);
   CU_ASSERT_EQUAL (read_answer (KEY, other, seal, body), 0);
   CU_ASSERT_EQUAL (read_answer ("another key of enough bytes", nonce, seal, body), 0);
