Tell an outage of the store from a cut of this gateway alone

Ruled out: a late notice of the return (0.1 s in the trace). Change: entries may have lapsed only if nobody was heard to have read the store for 2.5 s.

--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -45,6 +45,8 @@
 /**
  * struct gst - the store as it is known here
  * @fresh_us: when the store was heard last by a peer whose knowledge we share
+ * @last_us: when anybody heard the store last, as far as known here
+ * @out_until_us: end of the last span in which nobody heard it for long
  * @adopting: the records that are being applied came of a peer
  * @unsettled: which is not sure of the keys that were dropped
  * @entry_written, @entry_due_us: own entry in the stream of routers
@@ -57,6 +59,8 @@
   sfl_t *follows[STREAMS];
   fetch_t fetch;
   uint64_t fresh_us;
+  uint64_t last_us;
+  uint64_t out_until_us;
   bool lost;
   uint64_t regained_us;
   bool adopting;
@@ -83,13 +87,38 @@
     gst->options.routing (value, value_bytes, offset, gst->options.context);
 }
 
+/* The store was heard at @at_us, here or by a peer. */
+static void
+note_heard (gst_t *gst, uint64_t at_us)
+{
+  if (at_us <= gst->last_us)
+    return;
+  if (gst->last_us != 0 && at_us - gst->last_us >= (uint64_t)GST_OUT_MS * CLK_US_PER_MS)
+    gst->out_until_us = at_us;
+  gst->last_us = at_us;
+}
+
+/*
+ * Entries that went while the store could not be read here may have lapsed only if it was out, not
+ * if this gateway alone was cut off from it: then their engines are gone, and bound by that.
+ */
+static bool
+was_out (const gst_t *gst)
+{
+  uint64_t after_us = (uint64_t)GST_OUT_AFTER_MS * CLK_US_PER_MS;
+
+  return gst->out_until_us != 0 && now_us (gst) - gst->out_until_us < after_us;
+}
+
 static void
 on_engine (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
 {
   gst_t *gst = context;
-  bool catching_up = gst->follows[ENGINES] && sfl_is_catching_up (gst->follows[ENGINES]);
+  bool catching_up = sfl_is_catching_up (gst->follows[ENGINES]);
 
-  gst->options.engine (key, value, value_bytes, offset, gst->adopting ? gst->unsettled : catching_up,
+  note_heard (gst, sfl_heard_us (gst->follows[ENGINES]));
+  gst->options.engine (key, value, value_bytes, offset,
+                       gst->adopting ? gst->unsettled : catching_up && was_out (gst),
                        gst->options.context);
 }
 
@@ -159,6 +188,8 @@
   gpr_known_t ours = know (gst);
   uint64_t age_us = (uint64_t)theirs->store_age_ms * CLK_US_PER_MS;
 
+  if (age_us < now_us (gst))
+    note_heard (gst, now_us (gst) - age_us);
   if (theirs->version > ours.version || theirs->engines_next > ours.engines_next)
     {
       gst->fetch.control = *control;
@@ -367,6 +398,7 @@
 {
   uint32_t wait_ms = gpr_follows_closely (gst->peers) ? GST_CLOSE_WAIT_MS : GST_FAR_WAIT_MS;
 
+  note_heard (gst, sfl_heard_us (gst->follows[ENGINES]));
   sfl_set_wait (gst->follows[ROUTING], wait_ms);
   sfl_set_wait (gst->follows[ENGINES], wait_ms);
   turn_fetch (gst);
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -27,6 +27,11 @@
 #define GST_CERTAIN_MS 2500
 /* A peer that has read more is asked for it when the store has not told it here by then. */
 #define GST_BEHIND_MS 150
+/* Entries lapse after three heartbeats, which are over a second apart, that the store did not take.
+ * While some gateway hears the store more often than this, it was not out. */
+#define GST_OUT_MS 2500
+#define GST_OUT_AFTER_MS                                                                           \
+  5000 /* so long after an outage entries may be found to have lapsed in it */
 #define GST_FETCH_PACE_MS 300 /* between two questions to peers */
 #define GST_FETCH_TIMEOUT_MS 1000
 
