Ask a peer for a version only when the store has not told it in time

Ruled out: parsing (0.7 ms by then). Change: behind a peer counts after 60% of the time for a version, 40% of that of draining, and at once only while the store can't be read here; a stall of the event loop is logged and counted.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -13,6 +13,7 @@
 #define ADMIN_CONNECTION_LIMIT 64
 #define ADMIN_IDLE_TIMEOUT_MS 15000
 #define TICK_MS 100
+#define STALL_MS 150 /* a tick so late is told: events of streams have stood as long */
 #define RETRY_WINDOW_US_PER_MS 1000
 
 /**
@@ -35,6 +36,8 @@
   struct event *tick;
   uint64_t stop_us;
   bool was_ready;
+  uint64_t ticked_us;
+  cnt_t *stalls;
   cnt_t *version;
   cnt_t *engine_count;
 };
@@ -217,6 +220,21 @@
   event_base_loopexit (gwp->options.base, NULL);
 }
 
+/* A host that is slow, frozen or out of processor time shows here first, before requests are late.
+ */
+static void
+note_stall (gwp_t *gwp)
+{
+  uint64_t at_us = now_us (gwp);
+  uint64_t late_ms = gwp->ticked_us ? (at_us - gwp->ticked_us) / CLK_US_PER_MS : 0;
+
+  gwp->ticked_us = at_us;
+  if (late_ms < TICK_MS + STALL_MS)
+    return;
+  cnt_add (gwp->stalls, 1);
+  log_event (LOG_LEVEL_WARNING, "stalled", "ms", LOG_U64 (late_ms - TICK_MS), NULL);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *context)
 {
@@ -224,6 +242,7 @@
 
   (void)fd;
   (void)what;
+  note_stall (gwp);
   end_lapsed (gwp);
   gst_turn (gwp->store);
   gwy_set_certain (gwp->gwy, gst_is_certain (gwp->store));
@@ -331,6 +350,8 @@
   gwp->options = *options;
   gwp->engines = egs_new ();
   gwp->lapsed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  gwp->stalls = cnt_get (options->counters, "medlarplank_stalls_total",
+                         "Times that the process stood still for long");
   gwp->version = cnt_get (options->counters, "medlarplank_version", "Version in force");
   gwp->engine_count = cnt_get (options->counters, "medlarplank_engines", "Engines registered");
   gwp->tick = event_new (options->base, -1, EV_PERSIST, on_tick, gwp);
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -28,7 +28,8 @@
 
 /**
  * struct fetch - asking a peer for what it has read more of
- * @behind_us: since when a peer at @control has had more, 0 when none has
+ * @behind_us: since when a peer at @control has had more of a stream, 0 when none has
+ * @asked: streams that are asked for
  */
 typedef struct
 {
@@ -38,7 +39,8 @@
   char nonce[ASL_NONCE_BYTES];
   char seal[ASL_SEAL_BYTES];
   set_address_t control;
-  uint64_t behind_us;
+  uint64_t behind_us[STREAMS];
+  bool asked[STREAMS];
   uint64_t next_us;
 } fetch_t;
 
@@ -83,6 +85,7 @@
   gst_t *gst = context;
 
   (void)key;
+  gst->fetch.behind_us[ROUTING] = 0;
   if (value)
     gst->options.routing (value, value_bytes, offset, gst->options.context);
 }
@@ -117,6 +120,7 @@
   bool catching_up = sfl_is_catching_up (gst->follows[ENGINES]);
 
   note_heard (gst, sfl_heard_us (gst->follows[ENGINES]));
+  gst->fetch.behind_us[ENGINES] = 0;
   gst->options.engine (key, value, value_bytes, offset,
                        gst->adopting ? gst->unsettled : catching_up && was_out (gst),
                        gst->options.context);
@@ -181,6 +185,18 @@
                         .store_age_ms = (uint32_t)MIN (age_ms, UINT32_MAX) };
 }
 
+static void
+note_behind (gst_t *gst, uint32_t stream, bool behind, const set_address_t *control)
+{
+  fetch_t *fetch = &gst->fetch;
+
+  if (!behind)
+    return;
+  fetch->control = *control;
+  if (fetch->behind_us[stream] == 0)
+    fetch->behind_us[stream] = now_us (gst);
+}
+
 static void
 heard (const gpr_known_t *theirs, const set_address_t *control, void *context)
 {
@@ -190,13 +206,8 @@
 
   if (age_us < now_us (gst))
     note_heard (gst, now_us (gst) - age_us);
-  if (theirs->version > ours.version || theirs->engines_next > ours.engines_next)
-    {
-      gst->fetch.control = *control;
-      if (gst->fetch.behind_us == 0)
-        gst->fetch.behind_us = now_us (gst);
-      return;
-    }
+  note_behind (gst, ROUTING, theirs->version > ours.version, control);
+  note_behind (gst, ENGINES, theirs->engines_next > ours.engines_next, control);
   /* One that knows less than we do vouches for nothing. */
   if (theirs->version == ours.version && theirs->engines_next == ours.engines_next &&
       age_us < now_us (gst))
@@ -272,7 +283,7 @@
   char right[ASL_SEAL_BYTES];
 
   fetch->call = NULL;
-  fetch->behind_us = 0;
+  memset (fetch->behind_us, 0, sizeof fetch->behind_us);
   asl_make (gst->options.set->fleet_key, SEAL_KIND, fetch->nonce, body, bytes, right);
   if (!end->whole)
     log_fetch (gst, "failed", vrd_reason_name (end->reason));
@@ -296,6 +307,9 @@
   hcl_header_t header = { ASL_NONCE_HEADER, fetch->nonce };
 
   streams_of (gst, streams);
+  for (uint32_t i = 0; i < STREAMS; i++)
+    if (!fetch->asked[i])
+      streams[i].next = UINT64_MAX; /* nothing is newer */
   target = vsh_target (streams, STREAMS);
   asl_nonce (fetch->nonce);
   fetch->seal[0] = '\0';
@@ -339,25 +353,48 @@
   return gst->options.version (gst->options.context) == 0 || !gst_has_engines (gst);
 }
 
+static uint64_t
+behind_limit_us (const gst_t *gst, uint32_t stream)
+{
+  const set_t *set = gst->options.set;
+  uint32_t limit_ms = GST_BEHIND_MS;
+
+  if (!gst->lost && stream == ROUTING)
+    limit_ms = set->version_ms * GST_ROUTING_BEHIND_PERCENT / 100;
+  else if (!gst->lost)
+    limit_ms = set->drain_ms * GST_ENGINES_BEHIND_PERCENT / 100;
+  return (uint64_t)limit_ms * CLK_US_PER_MS;
+}
+
+/* Return: whether a peer has had more of the stream for too long; it is forgotten when the store
+ * has told it here meanwhile, or else when another message says so again */
+static bool
+is_behind (gst_t *gst, uint32_t stream)
+{
+  uint64_t since_us = gst->fetch.behind_us[stream];
+
+  return since_us != 0 && now_us (gst) - since_us >= behind_limit_us (gst, stream);
+}
+
 static void
 turn_fetch (gst_t *gst)
 {
   fetch_t *fetch = &gst->fetch;
-  uint64_t at_us = now_us (gst);
+  bool lost_all = gst->lost && lacks_all (gst);
+  bool any = lost_all;
 
-  if (fetch->call || at_us < fetch->next_us)
+  if (fetch->call || now_us (gst) < fetch->next_us)
     return;
-  if (fetch->behind_us != 0 && at_us - fetch->behind_us >= (uint64_t)GST_BEHIND_MS * CLK_US_PER_MS)
+  for (uint32_t i = 0; i < STREAMS; i++)
     {
-      gpr_known_t ours = know (gst);
-
-      fetch_start (gst);
-      log_event (LOG_LEVEL_INFO, "behind_peer", "version", LOG_U64 (ours.version), "engines_next",
-                 LOG_U64 (ours.engines_next), NULL);
+      fetch->asked[i] = lost_all || is_behind (gst, i);
+      any = any || fetch->asked[i];
     }
-  else if (gst->lost && lacks_all (gst) &&
-           (gpr_some (gst->peers, &fetch->control) || next_seed (gst, &fetch->control)))
-    fetch_start (gst);
+  if (!any)
+    return;
+  if (lost_all && !gpr_some (gst->peers, &fetch->control) && !next_seed (gst, &fetch->control))
+    return;
+  fetch_start (gst);
 }
 
 static void
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -23,17 +23,24 @@
 #define GST_FAR_WAIT_MS 5000
 #define GST_ROUTERS_WAIT_MS 10000
 /*
- * Between two reads that bring a new version, or entries of engines: a part of the time in which they
- * must be in force. What comes meanwhile is read at once. A version of 1,100 routes takes a host of a
- * tenth of a core 0.1 s and a link of 10 Mbit/s 0.3 s; the rest is left for a store that is slow.
+ * Between two reads that bring a new version, or entries of engines: a part of the time in which
+ * they must be in force. What comes meanwhile is read at once. A version of 1,100 routes takes a
+ * host of a tenth of a core 0.1 s and a link of 10 Mbit/s 0.3 s; the rest is left for a store that
+ * is slow.
  */
 #define GST_ROUTING_PACE_PERCENT 45
-#define GST_ENGINES_PACE_PERCENT 20
+#define GST_ENGINES_PACE_PERCENT 30
 /* What is known is taken for the newest while the store, or a peer that heard it, was heard within
  * this time: longer than the wait of those that follow closely and two messages between peers. */
 #define GST_CERTAIN_MS 2500
-/* A peer that has read more is asked for it when the store has not told it here by then. */
+/*
+ * A peer that has read more is asked for it when the store has not told it here by then: at once
+ * when it can't be read here; else a read is under way or due, and a version that is told by a peer
+ * too costs both hosts 10 ms of a whole core.
+ */
 #define GST_BEHIND_MS 150
+#define GST_ROUTING_BEHIND_PERCENT 60 /* of the time in which a version must be in force */
+#define GST_ENGINES_BEHIND_PERCENT 40 /* of the time of draining */
 /* Entries lapse after three heartbeats, which are over a second apart, that the store did not take.
  * While some gateway hears the store more often than this, it was not out. */
 #define GST_OUT_MS 2500
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -99,8 +99,8 @@
 /** rte_add_route() - takes @route over. Return: false, with @route freed, when it is not sound: a
  * prefix without its slashes, no target, or the host and prefix of another route */
 bool rte_add_route (rte_t *rte, rte_route_t *route, GError **error);
-/** rte_reuse_route() - add the route of @before that was read from the same text. Return: false when
- * there is none, or its place is taken */
+/** rte_reuse_route() - add the route of @before that was read from the same text. Return: false
+ * when there is none, or its place is taken */
 bool rte_reuse_route (rte_t *rte, const rte_t *before, uint64_t source_hash);
 /** rte_add_account() - Return: false when a key is held by another account already */
 bool rte_add_account (rte_t *rte,
