Unit tests of routing rules, view, choice of engine, course, retry share and events

The exchange's message grew by four bytes (age of what is known of the store), so the length in test_exchange is the new one, as exact as before; the messages of settings name the new role.

--- /dev/null
+++ b/tests/test_course.c
@@ -0,0 +1,268 @@
+/* Unit tests of the course of a request at a gateway, its retry share and the split of events. */
+#include "request/course.h"
+#include "request/event_split.h"
+#include "request/retry_share.h"
+#include "suite.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define PLENTY_US (1000 * 1000)
+#define S_US (UINT64_C (1000) * 1000)
+
+static bool
+allow (void *context)
+{
+  uint32_t *asked = context;
+
+  (*asked)++;
+  return true;
+}
+
+static bool
+forbid (void *context)
+{
+  (void)context;
+  return false;
+}
+
+static crs_step_t
+next (crs_t *crs, crs_outcome_t outcome)
+{
+  uint32_t asked = 0;
+
+  return crs_next (crs, outcome, PLENTY_US, allow, &asked);
+}
+
+static crs_t
+make (bool idempotent, bool resumable, uint32_t attempts)
+{
+  crs_t crs;
+
+  crs_init (&crs, &(crs_rules_t){ idempotent, resumable, attempts });
+  return crs;
+}
+
+/* A booking is sent, and its connection ends without an answer. It may have run: it goes nowhere
+ * else, and its caller is not told that it did not run. */
+static void
+test_booking_is_sent_on_after_certainty_only (void)
+{
+  crs_t crs = make (false, false, 2);
+
+  CU_ASSERT_EQUAL (next (&crs, CRS_NOT_RUN), CRS_AGAIN);
+  CU_ASSERT_EQUAL (next (&crs, CRS_UNKNOWN), CRS_FAIL);
+  crs = make (false, false, 2);
+  CU_ASSERT_EQUAL (next (&crs, CRS_FAILED), CRS_PASS);
+  crs = make (false, false, 2);
+  CU_ASSERT_EQUAL (next (&crs, CRS_BROKE), CRS_CUT);
+}
+
+/* An idempotent request ran once with an unknown end; then every engine refuses it. It is a failure,
+ * not a refusal: it may have run. */
+static void
+test_not_run_is_said_only_if_it_ran_nowhere (void)
+{
+  crs_t crs = make (true, false, 3);
+
+  CU_ASSERT_EQUAL (next (&crs, CRS_UNKNOWN), CRS_AGAIN);
+  CU_ASSERT_EQUAL (next (&crs, CRS_NOT_RUN), CRS_AGAIN);
+  CU_ASSERT_EQUAL (next (&crs, CRS_NOT_RUN), CRS_AGAIN);
+  CU_ASSERT_EQUAL (next (&crs, CRS_NOT_RUN), CRS_FAIL);
+  crs = make (true, false, 3);
+  for (uint32_t i = 1; i < CRS_REFUSALS; i++)
+    CU_ASSERT_EQUAL (next (&crs, CRS_NOT_RUN), CRS_AGAIN);
+  CU_ASSERT_EQUAL (next (&crs, CRS_NOT_RUN), CRS_REFUSE);
+}
+
+static void
+test_no_more_engines_run_it_than_its_route_allows (void)
+{
+  crs_t crs = make (true, false, 2);
+
+  CU_ASSERT_EQUAL (next (&crs, CRS_FAILED), CRS_AGAIN);
+  CU_ASSERT_EQUAL (next (&crs, CRS_FAILED), CRS_PASS);
+  crs = make (false, true, 2);
+  CU_ASSERT_EQUAL (next (&crs, CRS_BROKE), CRS_RESUME);
+  CU_ASSERT_EQUAL (next (&crs, CRS_BROKE), CRS_CUT);
+  crs = make (false, true, 1);
+  CU_ASSERT_EQUAL (next (&crs, CRS_BROKE), CRS_CUT);
+}
+
+static void
+test_no_budget_or_time_no_retry (void)
+{
+  crs_t crs = make (true, false, 2);
+  uint32_t asked = 0;
+
+  CU_ASSERT_EQUAL (crs_next (&crs, CRS_FAILED, PLENTY_US, forbid, NULL), CRS_PASS);
+  crs = make (true, false, 2);
+  CU_ASSERT_EQUAL (crs_next (&crs, CRS_UNKNOWN, CRS_LEAST_US - 1, allow, &asked), CRS_FAIL);
+  CU_ASSERT_EQUAL (asked, 0);
+}
+
+static const rsh_options_t shares = { .ratio_milli = 200, .slack = 40, .window_us = 10 * S_US };
+
+static uint32_t
+take_all (rsh_t *rsh, uint64_t now_us, uint32_t routers)
+{
+  uint32_t taken = 0;
+
+  while (taken < 1000 && rsh_take (rsh, &shares, now_us, routers))
+    taken++;
+  return taken;
+}
+
+static void
+test_share_of_the_slack (void)
+{
+  rsh_t alone = { 0 };
+  rsh_t one_of_four = { 0 };
+
+  CU_ASSERT_EQUAL (take_all (&alone, 50 * S_US, 1), 30);
+  CU_ASSERT_EQUAL (take_all (&one_of_four, 50 * S_US, 4), 7);
+}
+
+/* Four routers, unevenly used, retry whatever they may, for a minute: in no window of ten seconds do
+ * they send more together than the bound allows. */
+static void
+test_routers_keep_the_bound_together (void)
+{
+  rsh_t routers[4] = { 0 };
+  uint32_t sent[600] = { 0 };
+  uint32_t requests[600] = { 0 };
+
+  for (uint32_t tick = 0; tick < 600; tick++)
+    for (uint32_t i = 0; i < 4; i++)
+      {
+        uint64_t now_us = (1000 + tick) * S_US / 10 + i * 7919;
+        uint32_t coming = tick % 97 < 40 ? i : 3 - i;
+
+        for (uint32_t k = 0; k < coming; k++)
+          rsh_request (&routers[i], &shares, now_us);
+        requests[tick] += coming;
+        sent[tick] += take_all (&routers[i], now_us, 4);
+      }
+  for (uint32_t from = 100; from < 500; from++)
+    {
+      uint32_t retries = 0;
+      uint32_t in_window = 0;
+
+      for (uint32_t tick = from; tick < from + 100; tick++)
+        {
+          retries += sent[tick];
+          in_window += requests[tick];
+        }
+      CU_ASSERT (retries * 1000 <= in_window * shares.ratio_milli + shares.slack * 1000);
+      CU_ASSERT (retries > 0);
+    }
+}
+
+/** struct split - a stream of events as it is passed on */
+typedef struct
+{
+  evs_t evs;
+  struct evbuffer *in;
+  GString *out;
+} split_t;
+
+static void
+split_init (split_t *split)
+{
+  evs_init (&split->evs);
+  split->in = evbuffer_new ();
+  split->out = g_string_new (NULL);
+}
+
+static void
+split_clear (split_t *split)
+{
+  evs_clear (&split->evs);
+  evbuffer_free (split->in);
+  g_string_free (split->out, TRUE);
+}
+
+static void
+feed (split_t *split, const char *text)
+{
+  struct evbuffer *whole = evbuffer_new ();
+
+  evbuffer_add (split->in, text, strlen (text));
+  evs_feed (&split->evs, split->in, whole);
+  g_string_append_len (split->out, (const char *)evbuffer_pullup (whole, -1),
+                       (gssize)evbuffer_get_length (whole));
+  evbuffer_free (whole);
+}
+
+static void
+test_events_are_passed_whole (void)
+{
+  static const char text[] = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid:3\ndata: c\n\n";
+
+  for (size_t step = 1; step < sizeof text; step++)
+    {
+      split_t split;
+
+      split_init (&split);
+      for (size_t at = 0; at < sizeof text - 1; at += step)
+        {
+          g_autofree char *part = g_strndup (text + at, step);
+
+          feed (&split, part);
+          CU_ASSERT (g_str_has_prefix (text, split.out->str));
+        }
+      CU_ASSERT_STRING_EQUAL (split.out->str, text);
+      CU_ASSERT (evs_is_between (&split.evs));
+      CU_ASSERT_EQUAL (split.evs.last_id, 3);
+      CU_ASSERT_EQUAL (split.evs.count, 4);
+      split_clear (&split);
+    }
+}
+
+/* An engine crashes in the middle of event 2; another goes on after event 1, and sends that one once
+ * more. The caller gets each event once and whole. */
+static void
+test_stream_goes_on_after_the_last_whole_event (void)
+{
+  split_t split;
+
+  split_init (&split);
+  feed (&split, "id: 1\ndata: a\n\nid: 2\nda");
+  CU_ASSERT (!evs_is_between (&split.evs));
+  evs_resume (&split.evs);
+  CU_ASSERT_EQUAL (split.evs.last_id, 1);
+  feed (&split, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  CU_ASSERT_STRING_EQUAL (split.out->str, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  CU_ASSERT (evs_is_between (&split.evs));
+  split_clear (&split);
+}
+
+static void
+test_endless_event_is_broken (void)
+{
+  split_t split;
+  g_autofree char *text = g_strnfill (EVS_EVENT_LIMIT_BYTES + 1, 'x');
+
+  split_init (&split);
+  feed (&split, text);
+  CU_ASSERT (split.evs.broken);
+  split_clear (&split);
+}
+
+int
+main (void)
+{
+  static const CU_TestInfo tests[] = { SUITE_TEST (test_booking_is_sent_on_after_certainty_only),
+                                       SUITE_TEST (test_not_run_is_said_only_if_it_ran_nowhere),
+                                       SUITE_TEST (
+                                           test_no_more_engines_run_it_than_its_route_allows),
+                                       SUITE_TEST (test_no_budget_or_time_no_retry),
+                                       SUITE_TEST (test_share_of_the_slack),
+                                       SUITE_TEST (test_routers_keep_the_bound_together),
+                                       SUITE_TEST (test_events_are_passed_whole),
+                                       SUITE_TEST (test_stream_goes_on_after_the_last_whole_event),
+                                       SUITE_TEST (test_endless_event_is_broken),
+                                       CU_TEST_INFO_NULL };
+
+  return suite_run ("course", tests);
+}
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -14,7 +14,7 @@
 #define FUZZ_ROUNDS 20000
 #define DEADLINE_S 5
 #define CALL_HMAC_AT 40             /* after ten words of the header */
-#define EMPTY_REPLY_BYTES (56 + 60) /* header with HMAC, message without elements */
+#define EMPTY_REPLY_BYTES (56 + 64) /* header with HMAC, message without elements */
 
 /** struct full - a message with every array full */
 typedef struct
--- /dev/null
+++ b/tests/test_routing.c
@@ -0,0 +1,263 @@
+/* Unit tests of the routing rules: the table itself, and its reading from the platform's records. */
+#include "platform/json_split.h"
+#include "platform/records.h"
+#include "suite.h"
+#include "version/routing.h"
+
+#include <string.h>
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (rte_t, rte_unref)
+
+static rte_route_t *
+make_route (const char *prefix, const char *service)
+{
+  rte_route_t *route = rte_route_new (prefix, "Shop.example", prefix);
+
+  route->timeout_ms = 1000;
+  route->attempts = 1;
+  rte_route_target (route, service, 1);
+  return route;
+}
+
+static const char *
+found (const rte_t *rte, const char *host, const char *target)
+{
+  const rte_route_t *route = rte_find (rte, host, target);
+
+  return route ? route->path_prefix : "none";
+}
+
+static void
+test_longest_prefix_wins (void)
+{
+  g_autoptr (rte_t) rte = rte_new (1);
+
+  CU_ASSERT (rte_add_route (rte, make_route ("/a/", "one"), NULL));
+  CU_ASSERT (rte_add_route (rte, make_route ("/a/b/", "two"), NULL));
+  CU_ASSERT_STRING_EQUAL (found (rte, "shop.example", "/a/x"), "/a/");
+  CU_ASSERT_STRING_EQUAL (found (rte, "shop.example", "/a/b/x?y=/z/"), "/a/b/");
+  CU_ASSERT_STRING_EQUAL (found (rte, "shop.example", "/a/b"), "/a/");
+  CU_ASSERT_STRING_EQUAL (found (rte, "shop.example", "/a"), "none");
+  CU_ASSERT_STRING_EQUAL (found (rte, "SHOP.example:8080", "/a/"), "/a/");
+  CU_ASSERT_STRING_EQUAL (found (rte, "other.example", "/a/"), "none");
+  CU_ASSERT_STRING_EQUAL (found (rte, "", "/a/"), "none");
+  CU_ASSERT_STRING_EQUAL (found (rte, NULL, "/a/"), "none");
+  CU_ASSERT_STRING_EQUAL (found (rte, "shop.example", "/b?x=/a/"), "none");
+}
+
+static void
+test_long_paths_are_cut_not_overrun (void)
+{
+  g_autoptr (rte_t) rte = rte_new (1);
+  g_autofree char *tail = g_strnfill (100000, 'x');
+  g_autofree char *target = g_strconcat ("/a/", tail, "/", NULL);
+  g_autofree char *host = g_strnfill (5000, 'h');
+
+  CU_ASSERT (rte_add_route (rte, make_route ("/a/", "one"), NULL));
+  CU_ASSERT_STRING_EQUAL (found (rte, "shop.example", target), "/a/");
+  CU_ASSERT_STRING_EQUAL (found (rte, host, target), "none");
+}
+
+static void
+refuse (rte_t *rte, rte_route_t *route, const char *word)
+{
+  g_autoptr (GError) error = NULL;
+
+  CU_ASSERT (!rte_add_route (rte, route, &error));
+  CU_ASSERT_PTR_NOT_NULL_FATAL (error);
+  CU_ASSERT_PTR_NOT_NULL (strstr (error->message, word));
+}
+
+static void
+test_unsound_routes_are_refused (void)
+{
+  g_autoptr (rte_t) rte = rte_new (1);
+  rte_route_t *route = make_route ("/b/", "one");
+
+  CU_ASSERT (rte_add_route (rte, make_route ("/a/", "one"), NULL));
+  refuse (rte, make_route ("/a/", "two"), "of another");
+  refuse (rte, make_route ("/a", "two"), "slash");
+  route->attempts = 0;
+  refuse (rte, route, "attempts");
+  refuse (rte, rte_route_new ("r", "h", "/c/"), "no service");
+  CU_ASSERT_EQUAL (rte_route_count (rte), 1);
+}
+
+static void
+test_weights_share_out (void)
+{
+  rte_route_t *route = rte_route_new ("r", "h", "/r/");
+  uint32_t first = 0;
+
+  rte_route_target (route, "big", 90);
+  rte_route_target (route, "small", 10);
+  for (uint64_t dice = 0; dice < 1000; dice++)
+    first += strcmp (rte_target (route, dice), "big") == 0 ? 1 : 0;
+  CU_ASSERT_EQUAL (first, 900);
+  rte_route_unref (route);
+}
+
+static void
+test_keys_belong_to_one_account (void)
+{
+  g_autoptr (rte_t) rte = rte_new (1);
+  const char *keys[] = { "k1", "k2" };
+  rte_account_t account = { .name = "alpha" };
+
+  CU_ASSERT (rte_add_account (rte, &account, keys, 2, NULL));
+  CU_ASSERT_STRING_EQUAL (rte_account (rte, "k2")->name, "alpha");
+  CU_ASSERT_PTR_NULL (rte_account (rte, "k3"));
+  CU_ASSERT (!rte_add_account (rte, &account, keys, 0, NULL));
+  account.name = "beta";
+  CU_ASSERT (!rte_add_account (rte, &account, keys, 1, NULL));
+}
+
+#define ROUTE_A                                                                                    \
+  "{\"name\":\"r\",\"host\":\"h.example\",\"path_prefix\":\"/a/\",\"kind\":\"stream\","            \
+  "\"timeout_ms\":15000,\"aim_ms\":800,\"priority\":1,\"backends\":[{\"service\":\"s\","           \
+  "\"weight\":90},{\"service\":\"t\",\"weight\":10}],\"attempts\":2,\"public\":false,"             \
+  "\"sticky\":true,\"resumable\":true,\"gap_target_ms\":300}"
+#define ROUTE_B                                                                                    \
+  "{\"host\":\"h.example\",\"path_prefix\":\"/b/\",\"kind\":\"non_idempotent\",\"service\":\"s\","     \
+  "\"public\":true,\"new\":{\"a\":[1,\"]\"]}}"
+#define REST                                                                                       \
+  "\"limits\":{\"max_body_bytes\":4096},\"tenants\":[{\"name\":\"one\",\"api_keys\":[\"key\"],"    \
+  "\"priority\":1}],\"later\":[{}]"
+
+static rte_t *
+read_config (const char *text, const rte_t *before)
+{
+  return prc_read_routing (text, strlen (text), before, NULL);
+}
+
+static void
+test_configuration_is_read (void)
+{
+  g_autoptr (rte_t) rte =
+      read_config ("{\"version\":7,\"routes\":[" ROUTE_A ", " ROUTE_B "]," REST "}", NULL);
+  const rte_route_t *route;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (rte);
+  CU_ASSERT_EQUAL (rte_version (rte), 7);
+  route = rte_find (rte, "h.example", "/a/1");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_EQUAL (route->kind, RTE_STREAM);
+  CU_ASSERT_EQUAL (route->timeout_ms, 15000);
+  CU_ASSERT_EQUAL (route->gap_ms, 300);
+  CU_ASSERT (route->resumable && route->sticky && !route->is_public);
+  CU_ASSERT (rte_needs_key (rte, route));
+  CU_ASSERT_STRING_EQUAL (rte_target (route, 95), "t");
+  CU_ASSERT (!rte_needs_key (rte, rte_find (rte, "h.example", "/b/")));
+  CU_ASSERT_EQUAL (rte_account (rte, "key")->priority, 1);
+  CU_ASSERT_EQUAL (rte_limits (rte)->body_bytes, 4096);
+}
+
+/* A series of versions changes a few of a thousand routes: the others must be the same objects, or a
+ * slow host stands still for each version; one that has changed must not be. */
+static void
+test_unchanged_routes_are_shared (void)
+{
+  g_autoptr (rte_t) old =
+      read_config ("{\"version\":7,\"routes\":[" ROUTE_A "," ROUTE_B "]," REST "}", NULL);
+  g_autoptr (rte_t) new = read_config ("{\"routes\":[{\"host\":\"h.example\",\"path_prefix\":\"/b/\","
+                                       "\"kind\":\"idempotent\",\"service\":\"s\"}," ROUTE_A
+                                       "],\"version\":9}",
+                                       old);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (new);
+  CU_ASSERT_PTR_EQUAL (rte_find (new, "h.example", "/a/"), rte_find (old, "h.example", "/a/"));
+  CU_ASSERT_EQUAL (rte_find (new, "h.example", "/b/")->kind, RTE_IDEMPOTENT);
+  CU_ASSERT_EQUAL (rte_find (old, "h.example", "/b/")->kind, RTE_NON_IDEMPOTENT);
+}
+
+static void
+test_broken_configurations_are_refused (void)
+{
+  static const char *const texts[] = {
+    "",
+    "[]",
+    "{",
+    "{\"version\":7}",
+    "{\"version\":0,\"routes\":[]}",
+    "{\"version\":\"7\",\"routes\":[]}",
+    "{\"version\":7,\"routes\":{}}",
+    "{\"version\":7,\"routes\":[" ROUTE_A "}",
+    "{\"version\":7,\"routes\":[" ROUTE_A "," ROUTE_A "]}",
+    "{\"version\":7,\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/\",\"kind\":\"other\"}]}",
+    "{\"version\":7,\"routes\":[7]}",
+    "{\"version\":7,\"routes\":[],\"tenants\":[{\"api_keys\":[]}]}",
+    "{\"version\":7,\"routes\":[],\"tenants\":[{\"name\":\"a\",\"api_keys\":[1]}]}",
+    "{\"version\":7,\"routes\":[\"\\",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      g_autoptr (GError) error = NULL;
+
+      CU_ASSERT_PTR_NULL (prc_read_routing (texts[i], strlen (texts[i]), NULL, &error));
+      CU_ASSERT_PTR_NOT_NULL (error);
+    }
+}
+
+static void
+test_cut_texts_end_the_split (void)
+{
+  static const char text[] = "{\"version\":7,\"routes\":[" ROUTE_A "," ROUTE_B "]," REST "}";
+
+  for (size_t bytes = 0; bytes < sizeof text - 1; bytes++)
+    {
+      g_autofree char *part = g_memdup2 (text, bytes + 1); /* so that a sanitizer sees an overrun */
+      rte_t *rte = prc_read_routing (part, bytes, NULL, NULL);
+
+      CU_ASSERT_PTR_NULL (rte);
+    }
+}
+
+static void
+test_engines_are_read (void)
+{
+  static const char text[] =
+      "{\"service\":\"s\",\"addr\":\"10.0.0.9:8080\",\"zone\":\"hall\",\"slots\":128,"
+      "\"state\":\"ready\",\"cold_left_ms\":20,\"seq\":4}";
+  egn_entry_t entry;
+
+  CU_ASSERT (prc_read_engine (&entry, "i-1", text, sizeof text - 1, NULL));
+  CU_ASSERT_STRING_EQUAL (entry.id, "i-1");
+  CU_ASSERT_PTR_EQUAL (entry.service, g_intern_string ("s"));
+  CU_ASSERT_STRING_EQUAL (entry.address.ip, "10.0.0.9");
+  CU_ASSERT_EQUAL (entry.state, EGN_READY);
+  CU_ASSERT_EQUAL (entry.slots, 128);
+  CU_ASSERT (!prc_read_engine (&entry, "i-1", "{\"service\":\"s\"}", 15, NULL));
+  CU_ASSERT (!prc_read_engine (&entry, "i-1", "x", 1, NULL));
+}
+
+/* A state that a later platform may add: no new work goes to an engine that may be leaving. */
+static void
+test_unknown_state_takes_no_work (void)
+{
+  static const char text[] =
+      "{\"service\":\"s\",\"addr\":\"10.0.0.9:8080\",\"state\":\"resting\"}";
+  egn_entry_t entry;
+
+  CU_ASSERT (prc_read_engine (&entry, "i-1", text, sizeof text - 1, NULL));
+  CU_ASSERT_EQUAL (entry.state, EGN_LEAVING);
+}
+
+int
+main (void)
+{
+  static const CU_TestInfo tests[] = { SUITE_TEST (test_longest_prefix_wins),
+                                       SUITE_TEST (test_long_paths_are_cut_not_overrun),
+                                       SUITE_TEST (test_unsound_routes_are_refused),
+                                       SUITE_TEST (test_weights_share_out),
+                                       SUITE_TEST (test_keys_belong_to_one_account),
+                                       SUITE_TEST (test_configuration_is_read),
+                                       SUITE_TEST (test_unchanged_routes_are_shared),
+                                       SUITE_TEST (test_broken_configurations_are_refused),
+                                       SUITE_TEST (test_cut_texts_end_the_split),
+                                       SUITE_TEST (test_engines_are_read),
+                                       SUITE_TEST (test_unknown_state_takes_no_work),
+                                       CU_TEST_INFO_NULL };
+
+  return suite_run ("routing", tests);
+}
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -140,7 +140,7 @@
   refuse_router (key_only, FLAGS ("--exchange-interval-ms", "-100"),
                  "exchange-interval-ms: \"-100\" (--exchange-interval-ms): must be 100 to 10000");
   refuse_router (key_only, FLAGS ("--role=proxy"),
-                 "role: \"proxy\" (--role): must be router or sidecar");
+                 "role: \"proxy\" (--role): must be router, sidecar or gateway");
   refuse_router (key_only, FLAGS ("--log-level=6"),
                  "log-level: \"6\" (--log-level): must be error, warning, notice, info or debug");
   refuse_router (key_only, FLAGS ("--name=Hall_1"),
@@ -193,7 +193,7 @@
   CU_ASSERT_EQUAL (set_load (&set, 1, (char **)argv, environment_get, &error), SET_EXIT_2);
   CU_ASSERT_PTR_NOT_NULL_FATAL (error);
   CU_ASSERT_STRING_EQUAL (error->message,
-                          "role: missing; give --role or MEDLARPLANK_ROLE: router or sidecar");
+                          "role: missing; give --role or MEDLARPLANK_ROLE: router, sidecar or gateway");
   g_error_free (error);
 }
 
--- /dev/null
+++ b/tests/test_spread.c
@@ -0,0 +1,317 @@
+/* Unit tests of which engine gets a request that the router sends there itself. */
+#include "request/spread.h"
+#include "suite.h"
+
+#include <string.h>
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (egs_t, egs_free)
+
+#define NOW_US (UINT64_C (100) * 1000 * 1000)
+#define HERE "hall-1"
+
+static egn_t *
+put (egs_t *egs, const char *id, egn_state_t state)
+{
+  egn_entry_t entry = { .service = g_intern_static_string ("pool"), .slots = 8, .state = state };
+
+  g_strlcpy (entry.id, id, sizeof entry.id);
+  g_strlcpy (entry.data_center, HERE, sizeof entry.data_center);
+  return egs_put (egs, NOW_US, &entry);
+}
+
+static egs_t *
+make_engines (uint32_t count)
+{
+  egs_t *egs = egs_new ();
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "e%u", i);
+      put (egs, id, EGN_READY);
+    }
+  egs_set_complete (egs);
+  return egs;
+}
+
+static spr_choice_t
+choose_at (const egs_t *egs, uint64_t now_us, uint64_t affinity)
+{
+  return spr_choose (egs_list (egs, g_intern_static_string ("pool")), now_us,
+                     &(spr_request_t){ .affinity = affinity, .data_center = HERE });
+}
+
+static spr_choice_t
+choose (const egs_t *egs, uint64_t affinity)
+{
+  return choose_at (egs, NOW_US, affinity);
+}
+
+static void
+load (egn_t *egn, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    egn_begin (egn);
+}
+
+static void
+unload (egs_t *egs, uint32_t engines)
+{
+  for (uint32_t i = 0; i < engines; i++)
+    {
+      char id[16];
+      egn_t *egn;
+
+      g_snprintf (id, sizeof id, "e%u", i);
+      egn = egs_find (egs, id);
+      while (egn && egn->own > 0)
+        egn_end (egn);
+    }
+}
+
+static void
+test_shared_part_has_one_home (void)
+{
+  g_autoptr (egs_t) egs = make_engines (6);
+  uint32_t homes[6] = { 0 };
+
+  for (uint64_t affinity = 1; affinity <= 600; affinity++)
+    {
+      spr_choice_t first = choose (egs, affinity);
+
+      CU_ASSERT_EQUAL (first.action, SPR_SEND);
+      CU_ASSERT_EQUAL (first.rank, 0);
+      CU_ASSERT_PTR_NULL (first.source);
+      CU_ASSERT_PTR_EQUAL (choose (egs, affinity).engine, first.engine);
+      homes[atoi (first.engine->entry.id + 1)]++;
+    }
+  for (uint32_t i = 0; i < 6; i++)
+    CU_ASSERT (homes[i] > 60 && homes[i] < 140);
+}
+
+/*
+ * One part gets a third of all requests. Its home goes to the bound and no further; the next in rank
+ * takes the rest, and is told to copy the part from the home in place of reading it again.
+ */
+static void
+test_hot_part_spills_at_the_bound (void)
+{
+  g_autoptr (egs_t) egs = make_engines (6);
+  egn_t *home = choose (egs, 42).engine;
+  spr_choice_t spill;
+
+  while (choose (egs, 42).engine == home)
+    egn_begin (home);
+  spill = choose (egs, 42);
+  CU_ASSERT (home->own <= SPR_BOUND_MORE + 1);
+  CU_ASSERT_EQUAL (spill.rank, 1);
+  CU_ASSERT_PTR_EQUAL (spill.source, home);
+  unload (egs, 6);
+}
+
+/*
+ * An engine is replaced: the new one ranks first for parts whose former home still has them. For a
+ * while the former home is the source, also while it takes no new work; later nobody is.
+ */
+static void
+test_new_home_copies_from_the_former (void)
+{
+  g_autoptr (egs_t) egs = make_engines (3);
+  egn_t *former = choose (egs, 7).engine;
+  egn_t *joined = NULL;
+  char id[16];
+
+  for (uint32_t i = 0; choose (egs, 7).engine == former; i++)
+    {
+      g_snprintf (id, sizeof id, "n%u", i);
+      joined = put (egs, id, EGN_READY);
+    }
+  CU_ASSERT_PTR_EQUAL (choose (egs, 7).engine, joined);
+  CU_ASSERT_PTR_EQUAL (choose (egs, 7).source, former);
+  put (egs, former->entry.id, EGN_LEAVING);
+  CU_ASSERT_PTR_EQUAL (choose (egs, 7).source, former);
+  egs_gone (egs, former->entry.id);
+  CU_ASSERT_PTR_NOT_EQUAL (choose (egs, 7).source, former);
+  CU_ASSERT_PTR_NULL (choose_at (egs, NOW_US + SPR_NEW_US, 7).source);
+}
+
+static void
+test_leaving_engine_gets_nothing (void)
+{
+  g_autoptr (egs_t) egs = make_engines (2);
+
+  put (egs, "e0", EGN_LEAVING);
+  for (uint64_t affinity = 0; affinity < 50; affinity++)
+    CU_ASSERT_STRING_EQUAL (choose (egs, affinity).engine->entry.id, "e1");
+  put (egs, "e1", EGN_LEAVING);
+  CU_ASSERT_EQUAL (choose (egs, 1).action, SPR_NONE);
+}
+
+static void
+test_full_engines_make_it_wait (void)
+{
+  g_autoptr (egs_t) egs = make_engines (2);
+
+  load (egs_find (egs, "e0"), 8);
+  load (egs_find (egs, "e1"), 8);
+  CU_ASSERT_EQUAL (choose (egs, 1).action, SPR_WAIT);
+  egn_end (egs_find (egs, "e0"));
+  CU_ASSERT_STRING_EQUAL (choose (egs, 1).engine->entry.id, "e0");
+  unload (egs, 2);
+}
+
+/* Other routers' requests count as the engine tells them, less and less as that grows old. */
+static void
+test_told_load_counts_and_ages (void)
+{
+  g_autoptr (egs_t) egs = make_engines (2);
+  egn_t *busy = egs_find (egs, "e0");
+
+  egn_told (busy, NOW_US, &(egn_load_t){ .running = 6, .waiting = 2, .slots = 8 });
+  CU_ASSERT_EQUAL (egn_load_now (busy, NOW_US), 8);
+  CU_ASSERT_STRING_EQUAL (choose (egs, 0).engine->entry.id, "e1");
+  CU_ASSERT_EQUAL (egn_load_now (busy, NOW_US + EGN_TOLD_US), 4);
+  CU_ASSERT_EQUAL (egn_load_now (busy, NOW_US + 100 * EGN_TOLD_US), 0);
+}
+
+/*
+ * An engine refuses connections. After two failures in a row it gets no more requests but one probe
+ * when its time has come; when it answers it is as the others.
+ */
+static void
+test_failing_engine_is_put_aside (void)
+{
+  g_autoptr (egs_t) egs = make_engines (3);
+  egn_t *bad = choose (egs, 9).engine;
+
+  egn_failed (bad, NOW_US);
+  egn_failed (bad, NOW_US);
+  CU_ASSERT_PTR_NOT_EQUAL (choose (egs, 9).engine, bad);
+  CU_ASSERT (!egn_is_skipped (bad, NOW_US + EGN_SKIP_MIN_US));
+  egn_probe (bad, NOW_US + EGN_SKIP_MIN_US);
+  CU_ASSERT (egn_is_skipped (bad, NOW_US + EGN_SKIP_MIN_US + 1));
+  for (uint32_t i = 0; i < 20; i++)
+    egn_worked (bad, false);
+  CU_ASSERT_PTR_EQUAL (choose (egs, 9).engine, bad);
+}
+
+/* All engines of a service look lost: more likely this router is cut off. It goes on trying. */
+static void
+test_router_distrusts_its_own_view (void)
+{
+  g_autoptr (egs_t) egs = make_engines (3);
+
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "e%u", i);
+      egn_failed (egs_find (egs, id), NOW_US);
+      egn_failed (egs_find (egs, id), NOW_US);
+    }
+  CU_ASSERT_EQUAL (choose (egs, 1).action, SPR_SEND);
+}
+
+static void
+test_erring_engine_goes_last (void)
+{
+  g_autoptr (egs_t) egs = make_engines (3);
+  egn_t *grey = choose (egs, 9).engine;
+
+  for (uint32_t i = 0; i < 8; i++)
+    egn_worked (grey, true);
+  CU_ASSERT_PTR_NOT_EQUAL (choose (egs, 9).engine, grey);
+  CU_ASSERT_EQUAL (choose (egs, 9).action, SPR_SEND);
+}
+
+static void
+test_tried_engines_are_left_out (void)
+{
+  g_autoptr (egs_t) egs = make_engines (2);
+  uint64_t tried[2] = { egs_find (egs, "e0")->hash, egs_find (egs, "e1")->hash };
+  spr_request_t request = { .data_center = HERE, .tried = tried, .tried_count = 1 };
+  const GPtrArray *list = egs_list (egs, g_intern_static_string ("pool"));
+
+  CU_ASSERT_STRING_EQUAL (spr_choose (list, NOW_US, &request).engine->entry.id, "e1");
+  request.tried_count = 2;
+  CU_ASSERT_EQUAL (spr_choose (list, NOW_US, &request).action, SPR_NONE);
+}
+
+/* The registry lets go of an engine while a request is there: the engine lives until it ends. */
+static void
+test_engine_outlives_its_entry (void)
+{
+  g_autoptr (egs_t) egs = make_engines (1);
+  egn_t *egn = egs_find (egs, "e0");
+
+  egn_begin (egn);
+  egs_gone (egs, "e0");
+  CU_ASSERT_EQUAL (egn->entry.state, EGN_GONE);
+  CU_ASSERT_EQUAL (egs_count (egs), 0);
+  egn_end (egn);
+}
+
+/*
+ * Load: 12 engines, 85 shared parts asked for with skew, 40 requests under way at a time, far from
+ * full. Beside it the plain baseline: hashing without a bound. The bound keeps each engine below
+ * twice the mean and three more; nearly all requests still go to their part's home.
+ */
+static void
+test_skewed_parts_stay_below_the_cap (void)
+{
+  g_autoptr (egs_t) egs = make_engines (12);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (7);
+  egn_t *under_way[40] = { NULL };
+  uint32_t at_home = 0;
+  uint32_t over = 0;
+  uint32_t over_plain = 0;
+  egn_t *plain[40] = { NULL };
+
+  for (uint32_t i = 0; i < 4000; i++)
+    {
+      uint64_t affinity = 1 + (uint64_t)(85 * g_rand_double (rand) * g_rand_double (rand));
+      spr_choice_t choice = choose (egs, affinity);
+      uint32_t slot = i % 40;
+      uint32_t same = 0;
+
+      at_home += choice.rank == 0 ? 1 : 0;
+      over += i >= 40 && choice.load > 2 * 40 / 12 + 3 ? 1 : 0;
+      if (under_way[slot])
+        egn_end (under_way[slot]);
+      under_way[slot] = choice.engine;
+      egn_begin (choice.engine);
+      plain[slot] = NULL;
+      for (uint32_t k = 0; k < 40; k++)
+        same += plain[k] == choice.engine ? 1 : 0;
+      plain[slot] = choice.rank == 0 ? choice.engine : choice.source;
+      for (uint32_t k = 0; k < 40; k++)
+        same += k != slot && plain[k] == plain[slot] ? 1 : 0;
+      over_plain += i >= 40 && same > 2 * 40 / 12 + 3 ? 1 : 0;
+    }
+  CU_ASSERT_EQUAL (over, 0);
+  CU_ASSERT (over_plain > 40);
+  CU_ASSERT (at_home > 2800);
+  for (uint32_t i = 0; i < 40; i++)
+    egn_end (under_way[i]);
+}
+
+int
+main (void)
+{
+  static const CU_TestInfo tests[] = { SUITE_TEST (test_shared_part_has_one_home),
+                                       SUITE_TEST (test_hot_part_spills_at_the_bound),
+                                       SUITE_TEST (test_new_home_copies_from_the_former),
+                                       SUITE_TEST (test_leaving_engine_gets_nothing),
+                                       SUITE_TEST (test_full_engines_make_it_wait),
+                                       SUITE_TEST (test_told_load_counts_and_ages),
+                                       SUITE_TEST (test_failing_engine_is_put_aside),
+                                       SUITE_TEST (test_router_distrusts_its_own_view),
+                                       SUITE_TEST (test_erring_engine_goes_last),
+                                       SUITE_TEST (test_tried_engines_are_left_out),
+                                       SUITE_TEST (test_engine_outlives_its_entry),
+                                       SUITE_TEST (test_skewed_parts_stay_below_the_cap),
+                                       CU_TEST_INFO_NULL };
+
+  return suite_run ("spread", tests);
+}
