Let what is held against an engine fade, and count against the others only

Ruled out: the load that engines tell (it was right). Change: errors halve in 1.5 s; doubt is relative to the service's median; the load bound goes before doubt. Tests: test_errors_of_all_put_none_aside, test_errors_fade, test_bound_goes_before_doubt.

--- a/src/request/engines.c
+++ b/src/request/engines.c
@@ -4,9 +4,7 @@
 #include <xxhash.h>
 
 #define ERROR_GAIN 8 /* of the smoothing: about the last eight answers count */
-#define SLOW_GAIN 8
 #define MILLI 1000
-#define SLOW_LIMIT 20000 /* one answer counts as at most twenty times too slow */
 
 /**
  * struct egs - the engines that the registry knows
@@ -162,14 +160,29 @@
     egn->entry.slots = load->slots;
 }
 
-void
-egn_worked (egn_t *egn, bool failed)
+uint32_t
+egn_errors_now (const egn_t *egn, uint64_t now_us)
+{
+  uint64_t halvings = now_us > egn->error_us ? (now_us - egn->error_us) / EGN_ERROR_HALF_US : 0;
+
+  return halvings < 32 ? egn->error_milli >> halvings : 0;
+}
+
+static void
+note_error (egn_t *egn, uint64_t now_us, uint32_t sample_milli)
 {
-  uint32_t sample = failed ? MILLI : 0;
+  uint32_t before = egn_errors_now (egn, now_us);
+
+  egn->error_milli = (before * (ERROR_GAIN - 1) + sample_milli) / ERROR_GAIN;
+  egn->error_us = now_us;
+}
 
+void
+egn_worked (egn_t *egn, uint64_t now_us, bool failed)
+{
   egn->failures = 0;
   egn->skip_until_us = 0;
-  egn->error_milli = (egn->error_milli * (ERROR_GAIN - 1) + sample) / ERROR_GAIN;
+  note_error (egn, now_us, failed ? MILLI : 0);
 }
 
 void
@@ -179,7 +192,7 @@
   uint64_t skip_us;
 
   egn->failures++;
-  egn->error_milli = (egn->error_milli * (ERROR_GAIN - 1) + MILLI) / ERROR_GAIN;
+  note_error (egn, now_us, MILLI);
   if (egn->failures < EGN_FAILURES)
     return;
   doublings = MIN (egn->failures - EGN_FAILURES, 8U);
@@ -188,15 +201,6 @@
   egn->probe_us = 0;
 }
 
-void
-egn_timed (egn_t *egn, uint64_t took_us, uint64_t expected_us)
-{
-  uint64_t sample = took_us * MILLI / MAX (expected_us, 1);
-
-  sample = MIN (sample, SLOW_LIMIT);
-  egn->slow_milli = (uint32_t)(((uint64_t)egn->slow_milli * (SLOW_GAIN - 1) + sample) / SLOW_GAIN);
-}
-
 uint32_t
 egn_load_now (const egn_t *egn, uint64_t now_us)
 {
--- a/src/request/engines.h
+++ b/src/request/engines.h
@@ -60,8 +60,8 @@
  * @others: requests of other routers there when the engine told its load at @told_us
  * @failures: in a row, of this router's requests
  * @skip_until_us: until then it is asked only by a single probe
- * @error_milli: share of answers that were failures, smoothed, in thousandths
- * @slow_milli: time to its first byte over the expected one, smoothed, in thousandths
+ * @error_milli: share of answers that were failures, smoothed, in thousandths, as of
+ *   @error_us
  * @heard_us: when a byte of it came last
  * @since_us: when it was seen first; 0 when it was there before this router knew any
  * @idle_ms: how long it keeps an idle connection; 0 when it didn't say
@@ -78,7 +78,7 @@
   uint64_t skip_until_us;
   uint64_t probe_us;
   uint32_t error_milli;
-  uint32_t slow_milli;
+  uint64_t error_us;
   uint64_t heard_us;
   uint64_t since_us;
   uint64_t cold_until_us;
@@ -92,6 +92,8 @@
 #define EGN_TOLD_US (UINT64_C (1000) * 1000)
 /* Failures in a row that put an engine aside: one may be the request's own fault. */
 #define EGN_FAILURES 2
+/* What is held against an engine halves in this time: it may be sound again, and is not asked. */
+#define EGN_ERROR_HALF_US (UINT64_C (1500) * 1000)
 #define EGN_SKIP_MIN_US (UINT64_C (500) * 1000)
 #define EGN_SKIP_MAX_US (UINT64_C (4000) * 1000) /* a crashed engine is back after some seconds */
 
@@ -116,13 +118,13 @@
 void egn_end (egn_t *egn);
 void egn_told (egn_t *egn, uint64_t now_us, const egn_load_t *load);
 /** egn_worked() - it answered, well or with a failure of its own (@failed) */
-void egn_worked (egn_t *egn, bool failed);
+void egn_worked (egn_t *egn, uint64_t now_us, bool failed);
 /** egn_failed() - it could not be reached or broke off */
 void egn_failed (egn_t *egn, uint64_t now_us);
-/** egn_timed() - time to the first byte, against what was expected */
-void egn_timed (egn_t *egn, uint64_t took_us, uint64_t expected_us);
 /** egn_load_now() - requests there, of all routers as far as known */
 uint32_t egn_load_now (const egn_t *egn, uint64_t now_us);
+/** egn_errors_now() - share of its late answers that were failures, in thousandths */
+uint32_t egn_errors_now (const egn_t *egn, uint64_t now_us);
 /** egn_is_open() - ready by the registry */
 bool egn_is_open (const egn_t *egn);
 /** egn_is_skipped() - put aside for failures, and no probe is due */
--- a/src/request/gateway_hop.c
+++ b/src/request/gateway_hop.c
@@ -55,7 +55,7 @@
     call->engine->idle_ms = call->answer.idle_ms;
   if (call->answer.has_load)
     egn_told (call->engine, now_us, &call->answer.load);
-  egn_worked (call->engine, status >= STATUS_FAILURE && !call->answer.not_run);
+  egn_worked (call->engine, now_us, status >= STATUS_FAILURE && !call->answer.not_run);
 }
 
 static bool
--- a/src/request/spread.c
+++ b/src/request/spread.c
@@ -13,7 +13,7 @@
   const spr_request_t *request;
   uint32_t open;
   uint64_t mean_milli;
-  uint32_t slow_limit_milli;
+  uint32_t error_limit_milli;
   bool distrust;
 } world_t;
 
@@ -41,20 +41,18 @@
   return left < right ? -1 : left > right;
 }
 
-/* The lower median, so that half of the engines turning slow does not make slow the usual. */
 static uint32_t
-slow_limit (const world_t *world)
+error_limit (const world_t *world)
 {
   g_autofree uint32_t *values = g_new (uint32_t, world->engines->len + 1);
   uint32_t count = 0;
 
   for (guint i = 0; i < world->engines->len; i++)
-    if (engine_at (world, i)->slow_milli > 0)
-      values[count++] = engine_at (world, i)->slow_milli;
-  if (count < 2)
-    return UINT32_MAX;
+    values[count++] = egn_errors_now (engine_at (world, i), world->now_us);
+  if (count == 0)
+    return SPR_ERROR_MILLI;
   qsort (values, count, sizeof *values, compare_u32);
-  return MAX (values[(count - 1) / 2], MILLI) * SPR_SLOW_FACTOR;
+  return MAX (values[count / 2] * SPR_ERROR_FACTOR, SPR_ERROR_MILLI);
 }
 
 /*
@@ -79,7 +77,7 @@
     }
   world->mean_milli = world->open > 0 ? load * MILLI / world->open : 0;
   world->distrust = skipped * 2 > world->open;
-  world->slow_limit_milli = slow_limit (world);
+  world->error_limit_milli = error_limit (world);
 }
 
 static bool
@@ -93,7 +91,7 @@
 static bool
 is_doubtful (const world_t *world, const egn_t *egn)
 {
-  return egn->error_milli > SPR_ERROR_MILLI || egn->slow_milli > world->slow_limit_milli ||
+  return egn_errors_now (egn, world->now_us) > world->error_limit_milli ||
          world->now_us < egn->cold_until_us;
 }
 
@@ -120,9 +118,26 @@
   return XXH64 (&egn->hash, sizeof egn->hash, world->request->affinity);
 }
 
-/* Return: the best rank among those that pass, NULL when none does */
+/** struct wish - what an engine must be to be chosen */
+typedef struct
+{
+  bool within_bound;
+  bool trusted;
+} wish_t;
+
+static bool
+meets (const world_t *world, const egn_t *egn, wish_t wish)
+{
+  if (!may_ask (world, egn) || !has_room (world, egn))
+    return false;
+  if (wish.within_bound && !within_bound (world, egn))
+    return false;
+  return !wish.trusted || !is_doubtful (world, egn);
+}
+
+/* Return: the best rank among those that meet the wish, NULL when none does */
 static egn_t *
-first_in_rank (const world_t *world, bool bounded, bool trusted)
+first_in_rank (const world_t *world, wish_t wish)
 {
   egn_t *best = NULL;
 
@@ -130,13 +145,7 @@
     {
       egn_t *egn = engine_at (world, i);
 
-      if (!may_ask (world, egn) || !has_room (world, egn))
-        continue;
-      if (bounded && !within_bound (world, egn))
-        continue;
-      if (trusted && is_doubtful (world, egn))
-        continue;
-      if (!best || rank_of (world, egn) > rank_of (world, best))
+      if (meets (world, egn, wish) && (!best || rank_of (world, egn) > rank_of (world, best)))
         best = egn;
     }
   return best;
@@ -152,7 +161,7 @@
 }
 
 static egn_t *
-least_loaded (const world_t *world, bool trusted)
+least_loaded (const world_t *world, wish_t wish)
 {
   egn_t *best = NULL;
 
@@ -160,27 +169,24 @@
     {
       egn_t *egn = engine_at (world, i);
 
-      if (!may_ask (world, egn) || !has_room (world, egn))
-        continue;
-      if (trusted && is_doubtful (world, egn))
-        continue;
-      if (!best || distance (world, egn) < distance (world, best))
+      if (meets (world, egn, wish) && (!best || distance (world, egn) < distance (world, best)))
         best = egn;
     }
   return best;
 }
 
+/* An engine over the bound makes all its requests wait, one that errs fails some: the bound goes
+ * before the doubt. */
 static egn_t *
 choose_engine (const world_t *world)
 {
+  static const wish_t wishes[] = { { true, true }, { true, false }, { false, false } };
   egn_t *egn = NULL;
 
   if (world->request->affinity != 0)
-    egn = first_in_rank (world, true, true);
-  if (!egn)
-    egn = least_loaded (world, true);
-  if (!egn)
-    egn = least_loaded (world, false);
+    egn = first_in_rank (world, wishes[0]);
+  for (size_t i = 0; !egn && i < G_N_ELEMENTS (wishes); i++)
+    egn = least_loaded (world, wishes[i]);
   return egn;
 }
 
--- a/src/request/spread.h
+++ b/src/request/spread.h
@@ -27,10 +27,10 @@
  * most shared parts within it.
  */
 #define SPR_NEW_US (UINT64_C (10) * 1000 * 1000)
-/* An engine that failed more than this share of its answers, in thousandths, goes last. */
+/* An engine that failed more than this share of its answers, in thousandths, and so many times the
+ * service's median, goes last. A service's own errors are in the median. */
 #define SPR_ERROR_MILLI 300
-/* An engine whose first bytes take so many times as long as the service's median goes last. */
-#define SPR_SLOW_FACTOR 3
+#define SPR_ERROR_FACTOR 2
 
 typedef enum
 {
