Count an engine that crashed no longer in the mean of its peers

Cause: the known red test (keeps suspects apart): a sidecar went on counting a crashed engine with no load, its bound fell in the moment in which it had to take over, and the second suspect was refused though there was room. In the trace: bound 2 at load 2, of samples 0 and 2. Ruled out: a fixed time in the test; a router that gives up too soon (it asked all). Change: a hop that names the engines that crashed on its request makes the sidecar forget their samples. Test: 'a lost engine is not counted' fails without the change.

--- a/src/request/admit.c
+++ b/src/request/admit.c
@@ -250,6 +250,18 @@
   sus_add (adm->suspects, now_us, request->fingerprint, adm->options.engine_hash);
 }
 
+/*
+ * A crashed engine told no load just before it was gone, or none since. Counted as idle, it lowers
+ * the bound of the others in the moment in which they take over its requests: one that crashed with
+ * them would find no place and be refused, though there is room.
+ */
+void
+adm_lost (adm_t *adm, uint64_t engine_hash)
+{
+  if (engine_hash != adm->options.engine_hash)
+    mean_forget (&adm->mean, engine_hash);
+}
+
 void
 adm_served_elsewhere (adm_t *adm, uint64_t now_us, uint64_t chat_hash, uint64_t engine_hash)
 {
--- a/src/request/admit.h
+++ b/src/request/admit.h
@@ -152,6 +152,8 @@
 void adm_cancel (adm_t *adm, adm_request_t *request);
 /** adm_crashed() - the engine crashed while it ran @request */
 void adm_crashed (adm_t *adm, uint64_t now_us, const adm_request_t *request);
+/** adm_lost() - a router tells that @engine_hash crashed: it no longer counts in the mean */
+void adm_lost (adm_t *adm, uint64_t engine_hash);
 /** adm_served_elsewhere() - a router tells the home where its chat was served */
 void adm_served_elsewhere (adm_t *adm, uint64_t now_us, uint64_t chat_hash, uint64_t engine_hash);
 
--- a/src/request/sidecar_call.c
+++ b/src/request/sidecar_call.c
@@ -245,6 +245,9 @@
     {
       memcpy (mark.engines, call->hop.crashed, sizeof mark.engines);
       sus_merge (suspects, now_us, &mark);
+      for (uint32_t i = 0; i < G_N_ELEMENTS (mark.engines); i++)
+        if (mark.engines[i] != 0)
+          adm_lost (sdc->adm, mark.engines[i]);
     }
   if (!call->suspect && sus_get (suspects, now_us, call->hop.fingerprint, &mark))
     {
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -519,11 +519,36 @@
   CU_ASSERT_EQUAL (sample.cost, (SLOTS - 1) * REQUEST_MS);
 }
 
+/* An engine crashes; the two that ran there go to the others, which carry two each. The crashed one
+ * is heard of with no load, so the mean stands at 1.5 and the third request is refused though all
+ * slots but two are free. Its caller hears that it may have run, and when to come back. */
+static void
+test_lost_engine_is_not_counted (void)
+{
+  g_autoptr (rig_t) rig = rig_new (125);
+  const mean_sample_t lost = { .engine_hash = OWN + 1,
+                               .service_hash = SERVICE,
+                               .taken_us = rig->now_us + 1 };
+
+  hear (rig, 2, 0);
+  rig->now_us++;
+  mean_add (adm_mean (rig->adm), &lost);
+  CU_ASSERT (adm_bound_milli (rig->adm, rig->now_us) < 3000);
+  for (uint32_t i = 0; i < 2; i++)
+    CU_ASSERT_EQUAL (adm_offer (rig->adm, rig->now_us, make (rig, 1, i)).action, ADM_DISPATCH);
+  CU_ASSERT (adm_bound_milli (rig->adm, rig->now_us) < 3000);
+  adm_lost (rig->adm, OWN + 1);
+  adm_lost (rig->adm, OWN);
+  CU_ASSERT (adm_bound_milli (rig->adm, rig->now_us) >= 3000);
+  CU_ASSERT_EQUAL (adm_offer (rig->adm, rig->now_us, make (rig, 1, 2)).action, ADM_DISPATCH);
+}
+
 int
 main (void)
 {
   static const CU_TestInfo tests[] = {
     { "the bound holds", test_bound_holds },
+    { "a lost engine is not counted", test_lost_engine_is_not_counted },
     { "bound of an idle service", test_bound_of_idle_service },
     { "equal loads never lock", test_equal_loads_never_lock },
     { "unreached is not counted", test_unreached_engine_is_not_counted },
