Log to standard output through a bounded buffer, histograms of times, explain from collected logs

Cause: a line was two system calls of a host of a tenth of a core; on-call has only logs and metrics, while explain asked live daemons. Change: daemons log to standard output, many lines a write; warnings leave at once, and while the reader stalls the last quarter of the buffer is kept for them.

--- a/ctl/cmd_order.c
+++ b/ctl/cmd_order.c
@@ -1,5 +1,6 @@
 #include "ask.h"
 #include "ctl.h"
+#include "explain_logs.h"
 
 #include <stdio.h>
 
@@ -75,8 +76,10 @@
                       .seal = ASK_CALL };
   ctl_exit_t code = CTL_OK;
 
+  if ((ctl->opt.given & OPT_LOGS) != 0)
+    return xpl_explain (ctl, request, ctl->opt.logs);
   if ((ctl->opt.given & OPT_DAEMON) == 0)
-    return ctl_complain (CTL_USAGE, "explain needs the router as --daemon");
+    return ctl_complain (CTL_USAGE, "explain needs the router as --daemon, or --logs");
   if (!ask_name (ctl, &call))
     return ctl_complain (CTL_FAILED, "the daemon does not answer");
   ask_all (ctl, &call, 1);
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -41,7 +41,7 @@
   { "drain", NULL, "HOST", "order a host to leave: no new work, finish what runs",
     COMMON_OPTIONS | OPT_DAEMON, false, cmd_drain },
   { "explain", NULL, "REQUEST-ID", "print why a request went where it went",
-    COMMON_OPTIONS | OPT_DAEMON, false, cmd_explain },
+    COMMON_OPTIONS | OPT_DAEMON | OPT_LOGS, false, cmd_explain },
 };
 
 static void
@@ -60,6 +60,8 @@
   puts ("\n"
         "  --platform IP:PORT       the platform's log and list (MEDLARPLANK_PLATFORM)\n"
         "  --daemon IP:PORT         one daemon, in place of those on the list\n"
+        "  --logs PATH              explain: a file or folder of collected logs, in place of a "
+        "daemon\n"
         "  --timeout-ms N           for the whole command; 10000\n"
         "  --json                   print JSON\n"
         "  --patch                  publish: FILE is a JSON merge patch (RFC 7386)\n"
--- a/ctl/options.c
+++ b/ctl/options.c
@@ -23,6 +23,7 @@
   { "daemon", required_argument, OPT_DAEMON },
   { "version", no_argument, OPT_VERSION },
   { "help", no_argument, OPT_HELP },
+  { "logs", required_argument, OPT_LOGS },
 };
 
 #define OPTION_COUNT G_N_ELEMENTS (TABLE)
@@ -102,6 +103,9 @@
       return read_timeout (opt, value, error);
     case OPT_BASE:
       return read_number ("base", value, G_MAXINT64, &opt->base, error);
+    case OPT_LOGS:
+      opt->logs = value;
+      return true;
     case OPT_BY:
       return read_by (opt, value, error);
     case OPT_HOSTS_CHECK:
--- a/ctl/options.h
+++ b/ctl/options.h
@@ -26,7 +26,8 @@
   OPT_ALLOW_MISSING = 1 << 7,
   OPT_DAEMON = 1 << 8,
   OPT_VERSION = 1 << 9,
-  OPT_HELP = 1 << 10
+  OPT_HELP = 1 << 10,
+  OPT_LOGS = 1 << 11
 };
 
 #define OPT_WORDS_MAX 8
@@ -37,6 +38,7 @@
  * struct opt - what was asked
  * @given: the options on the command line; OPT_PLATFORM also when the environment names it
  * @fleet_key: NULL when the environment has none
+ * @logs: file or folder of collected logs
  * @by: who publishes; the user's name when it is not given
  * @words: the command and its arguments
  */
@@ -49,6 +51,7 @@
   uint32_t timeout_ms;
   bool hosts_check;
   uint64_t base;
+  const char *logs;
   const char *by;
   const char *words[OPT_WORDS_MAX];
   uint32_t word_count;
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -105,6 +105,7 @@
 void
 ctrl_turn (ctrl_t *ctrl)
 {
+  log_flush ();
   ctrl_fresh_check (ctrl);
   ctrl_list_turn (ctrl);
   ctrl_members_flush (ctrl);
--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -151,7 +151,8 @@
   family = g_new0 (family_t, 1);
   family->base = g_strdup (base);
   family->help = g_strdup (help != NULL ? help : "");
-  family->is_counter = g_str_has_suffix (base, "_total");
+  family->is_counter = g_str_has_suffix (base, "_total") || g_str_has_suffix (base, "_bucket") ||
+                       g_str_has_suffix (base, "_sum_us") || g_str_has_suffix (base, "_count");
   g_hash_table_insert (set->families, family->base, family);
   return family;
 }
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -250,6 +250,7 @@
   gwy_set_certain (gwp->gwy, gst_is_certain (gwp->store));
   gwy_set_routers (gwp->gwy, gst_routers (gwp->store));
   turn_stop (gwp);
+  log_flush ();
 }
 
 static void
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -26,6 +26,8 @@
  * @lock: held while a line is made and written
  * @date: of @second; most lines are written in the second of the one before
  * @dropped: lines lost since the last one that was written
+ * @buffer: NULL when each line is written by itself
+ * @held_us: when the oldest line in the buffer came, 0 when it is empty
  */
 typedef struct
 {
@@ -35,9 +37,16 @@
   char date[32];
   char tail[LIM_NAME_BYTES * 2 + 32]; /* host, program and process of a line's head */
   uint64_t dropped;
+  int fd;
+  char *buffer;
+  size_t start;
+  size_t end;
+  int64_t held_us;
 } log_state_t;
 
-static log_state_t state = { .tail = "Z - medlarplank[0]: ", .level = LOG_LEVEL_INFO };
+static log_state_t state = {
+  .tail = "Z - medlarplank[0]: ", .level = LOG_LEVEL_INFO, .fd = STDERR_FILENO
+};
 
 /** struct line - a line in the making; room for CUT_FIELD and the newline is kept back. A field is
  * written first and taken back when it does not fit, hence the room for one more */
@@ -198,24 +207,80 @@
  * reader of the log stalls. A pipe that polls writable takes PIPE_BUF bytes, and a line is shorter.
  */
 static bool
-stderr_has_room (void)
+has_room (void)
 {
-  struct pollfd poll_fd = { .fd = STDERR_FILENO, .events = POLLOUT };
+  struct pollfd poll_fd = { .fd = state.fd, .events = POLLOUT };
 
   return poll (&poll_fd, 1, 0) == 1 && (poll_fd.revents & POLLOUT) != 0;
 }
 
-static bool
-line_write (const line_t *line)
+/* Return: bytes written, 0 when none are taken now */
+static size_t
+write_some (const char *bytes, size_t count)
 {
   ssize_t written;
 
-  if (!stderr_has_room ())
-    return false;
+  if (!has_room ())
+    return 0;
   do
-    written = write (STDERR_FILENO, line->text, line->bytes);
+    written = write (state.fd, bytes, MIN (count, LOG_WRITE_BYTES));
   while (written < 0 && errno == EINTR);
-  return written == (ssize_t)line->bytes;
+  return written > 0 ? (size_t)written : 0;
+}
+
+static void
+flush (void)
+{
+  size_t written;
+
+  while (state.start < state.end &&
+         (written = write_some (state.buffer + state.start, state.end - state.start)) > 0)
+    state.start += written;
+  if (state.start < state.end)
+    return;
+  state.start = 0;
+  state.end = 0;
+  state.held_us = 0;
+}
+
+/* Return: whether there is room for @bytes in the first @limit of the buffer */
+static bool
+make_room (size_t bytes, size_t limit)
+{
+  if (state.end + bytes <= limit)
+    return true;
+  flush ();
+  memmove (state.buffer, state.buffer + state.start, state.end - state.start);
+  state.end -= state.start;
+  state.start = 0;
+  return state.end + bytes <= limit;
+}
+
+static bool
+line_hold (const line_t *line, log_level_t level)
+{
+  bool urgent = level <= LOG_LEVEL_WARNING;
+  size_t limit = urgent ? LOG_BUFFER_BYTES : LOG_BUFFER_BYTES / 4 * 3;
+  int64_t now_us = g_get_monotonic_time ();
+
+  if (!make_room (line->bytes, limit))
+    return false;
+  memcpy (state.buffer + state.end, line->text, line->bytes);
+  state.end += line->bytes;
+  if (state.held_us == 0)
+    state.held_us = now_us;
+  if (urgent || state.end - state.start >= LOG_WRITE_BYTES ||
+      now_us - state.held_us >= LOG_HOLD_MS * 1000)
+    flush ();
+  return true;
+}
+
+static bool
+line_write (const line_t *line, log_level_t level)
+{
+  if (state.buffer)
+    return line_hold (line, level);
+  return write_some (line->text, line->bytes) == line->bytes;
 }
 
 static void
@@ -228,7 +293,7 @@
   line_begin (&line, LOG_LEVEL_WARNING, "log_lines_dropped");
   line_add_field (&line, "count", LOG_U64 (state.dropped));
   line_end (&line);
-  if (line_write (&line))
+  if (line_write (&line, LOG_LEVEL_WARNING))
     state.dropped = 0;
 }
 
@@ -240,6 +305,25 @@
   state.level = level;
 }
 
+void
+log_open (int fd)
+{
+  g_mutex_lock (&state.lock);
+  state.fd = fd;
+  if (!state.buffer)
+    state.buffer = g_malloc (LOG_BUFFER_BYTES);
+  g_mutex_unlock (&state.lock);
+}
+
+void
+log_flush (void)
+{
+  g_mutex_lock (&state.lock);
+  if (state.buffer)
+    flush ();
+  g_mutex_unlock (&state.lock);
+}
+
 void
 log_event (log_level_t level, const char *event, ...)
 {
@@ -261,7 +345,7 @@
   va_end (pairs);
   line_end (&line);
   report_dropped ();
-  if (state.dropped != 0 || !line_write (&line))
+  if (state.dropped != 0 || !line_write (&line, level))
     state.dropped++;
   g_mutex_unlock (&state.lock);
 }
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -1,10 +1,13 @@
 /**
  * DOC: log
  *
- * Syslog-style lines on standard error: "<PRI>TIMESTAMP HOST medlarplankd[PID]: EVENT key=value
- * ...". A value with a blank, quote, '=' or control character is quoted and escaped, so that no
- * caller can forge a field or a line. A line is bounded and leaves in one write. Safe from any
- * thread, and never waits: lines are dropped and counted while the reader of standard error stalls.
+ * Structured lines: "<PRI>TIMESTAMP HOST medlarplankd[PID]: EVENT key=value ...". A value with a
+ * blank, quote, '=' or control character is quoted and escaped, so that no caller can forge a field
+ * or a line. A line is bounded. Safe from any thread, and never waits: lines are dropped and
+ * counted while the reader stalls.
+ *
+ * Programs log to standard error, a line a write. A daemon calls log_open(): its lines go to
+ * standard output through a buffer, so that a busy one makes one write for many lines.
  */
 #ifndef PROCESS_LOG_H
 #define PROCESS_LOG_H
@@ -24,6 +27,21 @@
  */
 void log_init (const char *program, const char *host, log_level_t level);
 
+/**
+ * log_open() - from now on lines go to @fd through a buffer
+ *
+ * Lines of warnings and errors leave at once; others when %LOG_WRITE_BYTES have come together, or
+ * with the first line or log_flush() after %LOG_HOLD_MS. While @fd takes nothing, the last quarter
+ * of the buffer is kept for warnings and errors.
+ */
+void log_open (int fd);
+/** log_flush() - write what is buffered, as far as @fd takes it; to be called now and then */
+void log_flush (void);
+
+#define LOG_BUFFER_BYTES (64 * 1024)
+#define LOG_WRITE_BYTES 4096 /* what a pipe takes in one piece */
+#define LOG_HOLD_MS 10
+
 /**
  * log_event() - write one line
  * @level: severity, the syslog number
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -18,6 +18,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #define PROGRAM "medlarplankd"
 #define EXIT_SETTINGS 2
@@ -265,6 +266,7 @@
   ended_well = run_tasks (prc);
   close_process (prc);
   log_event (LOG_LEVEL_NOTICE, "stopped", "graceful", ended_well ? "yes" : "no", NULL);
+  log_flush ();
   return ended_well ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
@@ -320,6 +322,7 @@
   event_base_dispatch (gateway->base);
   log_event (LOG_LEVEL_NOTICE, "stopped", "graceful",
              event_base_got_exit (gateway->base) ? "yes" : "no", NULL);
+  log_flush ();
   for (size_t i = 0; i < G_N_ELEMENTS (signals); i++)
     event_free (signals[i]);
 }
@@ -383,6 +386,7 @@
       return EXIT_SETTINGS;
     }
   log_init (PROGRAM, prc.dmn.set.name, prc.dmn.set.log_level);
+  log_open (STDOUT_FILENO);
   signal (SIGPIPE, SIG_IGN);
   if (prc.dmn.set.role != SET_ROLE_GATEWAY)
     signal (SIGHUP, SIG_IGN);
--- a/src/request/gateway.c
+++ b/src/request/gateway.c
@@ -14,9 +14,33 @@
   gwy_service_t *service = data;
 
   fq_free (service->queue);
+  lat_free (service->waits);
+  lat_free (service->heads);
+  lat_free (service->answers);
+  lat_free (service->failures);
   g_free (service);
 }
 
+/* A name may come to stand in the counters' text: what would end its value there is left out. */
+static void
+make_histograms (gwy_t *gwy, gwy_service_t *service)
+{
+  cnt_set_t *set = gwy->options.counters;
+  bool own = g_hash_table_size (gwy->services) < GWY_HISTOGRAMS;
+  g_autofree char *name = g_strdup (own ? service->name : "other");
+  g_autofree char *labels =
+      g_strdup_printf ("service=\"%s\"", g_strdelimit (name, "\"\\\n{},", '_'));
+
+  service->waits = lat_new (set, "medlarplank_gateway_wait_ms", labels,
+                            "From a request's arrival until it was first sent");
+  service->heads = lat_new (set, "medlarplank_gateway_head_ms", labels,
+                            "From a send until the head of its answer");
+  service->answers = lat_new (set, "medlarplank_gateway_answer_ms", labels,
+                              "From a request's arrival until its answer was whole");
+  service->failures = lat_new (set, "medlarplank_gateway_failure_ms", labels,
+                               "From a request's arrival until it was refused or had failed");
+}
+
 gwy_service_t *
 gwy_service (gwy_t *gwy, const char *name)
 {
@@ -28,6 +52,7 @@
   service->name = name;
   service->queue = fq_new (GWY_WAIT_LIMIT);
   service->run_us = GWY_RUN_US;
+  make_histograms (gwy, service);
   g_hash_table_insert (gwy->services, (gpointer)name, service);
   return service;
 }
--- a/src/request/gateway_call.c
+++ b/src/request/gateway_call.c
@@ -38,6 +38,13 @@
   return call->route->kind == RTE_IDEMPOTENT || call->crs.rules.resumable;
 }
 
+static void
+note_failure (const gwy_call_t *call)
+{
+  cnt_add (call->gwy->failed, 1);
+  lat_add (call->service->failures, gwy_now_us (call->gwy) - call->arrived_us);
+}
+
 static void
 on_deadline (evutil_socket_t fd, short what, void *context)
 {
@@ -53,7 +60,7 @@
     }
   gwy_hop_drop (call);
   gwy_call_log (call, "end", "timeout", VRD_REASON_TIMEOUT);
-  cnt_add (call->gwy->failed, 1);
+  note_failure (call);
   if (!call->in)
     gwy_call_free (call);
   else if (call->rly.begun)
@@ -183,7 +190,7 @@
       return;
     }
   gwy_call_log (call, "end", "failed", VRD_REASON_NO_ENGINE);
-  cnt_add (call->gwy->failed, 1);
+  note_failure (call);
   if (call->rly.begun)
     rly_cut (&call->rly, &(flt_t){ .reason = VRD_REASON_CUT });
   else
@@ -223,7 +230,7 @@
 static void
 end_failed (gwy_call_t *call, vrd_reason_t reason)
 {
-  cnt_add (call->gwy->failed, 1);
+  note_failure (call);
   gwy_call_log (call, "end", "failed", reason);
   flt_reply (call->in, &(flt_t){ .reason = reason == VRD_REASON_TIMEOUT ? reason : VRD_REASON_CUT,
                                  .verdict = VRD_MAY_HAVE_RUN });
@@ -233,7 +240,7 @@
 static void
 end_cut (gwy_call_t *call, vrd_reason_t reason)
 {
-  cnt_add (call->gwy->failed, 1);
+  note_failure (call);
   gwy_call_log (call, "end", "cut", reason);
   rly_cut (&call->rly, &(flt_t){ .reason = VRD_REASON_CUT });
   gwy_call_free (call);
@@ -291,6 +298,7 @@
 gwy_call_whole (gwy_call_t *call)
 {
   cnt_add (call->gwy->answered, 1);
+  lat_add (call->service->answers, gwy_now_us (call->gwy) - call->arrived_us);
   gwy_call_log (call, "end", "answered", VRD_REASON_NONE);
   rly_whole (&call->rly);
   gwy_call_free (call);
@@ -303,6 +311,7 @@
   uint32_t wait_ms = CLAMP (retry_after_ms, GWY_RETRY_MIN_MS, GWY_RETRY_MAX_MS);
 
   cnt_add (call->gwy->refused, 1);
+  lat_add (call->service->failures, gwy_now_us (call->gwy) - call->arrived_us);
   call->status = 503;
   gwy_call_log (call, "refuse", is_repeatable (call) ? "repeatable" : "not_run", reason);
   flt_reply (call->in, &(flt_t){ .status = 503,
--- a/src/request/gateway_hop.c
+++ b/src/request/gateway_hop.c
@@ -51,6 +51,7 @@
 
   call->head_us = now_us;
   call->engine->heard_us = now_us;
+  lat_add (call->service->heads, now_us - call->sent_us);
   if (call->answer.idle_ms > 0)
     call->engine->idle_ms = call->answer.idle_ms;
   if (call->answer.has_load)
@@ -232,6 +233,8 @@
   uint32_t count;
 
   begin_hop (call, choice);
+  if (call->hops == 1)
+    lat_add (call->service->waits, call->sent_us - call->arrived_us);
   log_place (call, choice);
   hop.left_ms =
       (uint32_t)((call->deadline_us - MIN (call->sent_us, call->deadline_us)) / CLK_US_PER_MS);
--- a/src/request/gateway_private.h
+++ b/src/request/gateway_private.h
@@ -10,6 +10,7 @@
 
 #include "connection/http_client.h"
 #include "connection/http_server.h"
+#include "process/latency.h"
 #include "request/course.h"
 #include "request/event_split.h"
 #include "request/fairq.h"
@@ -35,12 +36,15 @@
 #define GWY_WAIT_LIMIT 1024    /* requests of one service that wait here */
 #define GWY_RUN_US (50 * 1000) /* of a request, until it has been measured */
 #define GWY_RUN_GAIN 16
+#define GWY_HISTOGRAMS 64 /* services with histograms of their own; all further ones share one */
 
 /**
  * struct gwy_service - what the gateway keeps of a service
  * @name: interned
  * @queue: requests that wait for room
  * @run_us: smoothed time from send to end
+ * @waits, @heads, @answers, @failures: from arrival to the first send, from a send to the head of
+ * its answer, from arrival to a whole answer and to a refusal or failure
  */
 typedef struct
 {
@@ -48,6 +52,10 @@
   fq_t *queue;
   rsh_t retries;
   uint64_t run_us;
+  lat_t *waits;
+  lat_t *heads;
+  lat_t *answers;
+  lat_t *failures;
 } gwy_service_t;
 
 struct gwy
--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -2,6 +2,7 @@
 #include "process/clock.h"
 #include "process/counters.h"
 #include "process/limits.h"
+#include "process/latency.h"
 #include "process/log.h"
 #include "process/mailbox.h"
 #include "process/messages.h"
@@ -177,6 +178,108 @@
   CU_ASSERT_PTR_NOT_NULL (strstr (capture.text, "]: after\n"));
 }
 
+static int
+open_outlet (int *read_fd)
+{
+  int ends[2];
+
+  CU_ASSERT_EQUAL_FATAL (pipe (ends), 0);
+  fcntl (ends[0], F_SETFL, O_NONBLOCK);
+  *read_fd = ends[0];
+  log_init ("medlarplankd", "hall-1", LOG_LEVEL_INFO);
+  log_open (ends[1]);
+  return ends[1];
+}
+
+static char *
+read_outlet (int fd)
+{
+  GString *text = g_string_new (NULL);
+  char part[8192];
+  ssize_t bytes;
+
+  while ((bytes = read (fd, part, sizeof part)) > 0)
+    g_string_append_len (text, part, bytes);
+  return g_string_free (text, FALSE);
+}
+
+/* A busy daemon writes many lines in one piece; a warning takes all before it along at once. */
+static void
+test_log_buffered (void)
+{
+  int read_fd;
+  int write_fd = open_outlet (&read_fd);
+  g_autofree char *before = NULL;
+  g_autofree char *after = NULL;
+
+  log_flush ();
+  log_event (LOG_LEVEL_INFO, "one", NULL);
+  log_event (LOG_LEVEL_INFO, "two", NULL);
+  before = read_outlet (read_fd);
+  CU_ASSERT_PTR_NULL (strstr (before, "two"));
+  log_event (LOG_LEVEL_WARNING, "three", NULL);
+  after = read_outlet (read_fd);
+  CU_ASSERT_PTR_NOT_NULL (strstr (after, ": two\n"));
+  CU_ASSERT (g_str_has_suffix (after, ": three\n"));
+  close (read_fd);
+  close (write_fd);
+}
+
+/*
+ * The reader of a daemon's log stalls while requests go on and then fail. No task may wait for it;
+ * the lines of single requests are dropped first, those of failures are kept, and the first line
+ * after the gap says how many are missing.
+ */
+static void
+test_log_keeps_failures (void)
+{
+  int read_fd;
+  int write_fd = open_outlet (&read_fd);
+  g_autofree char *text = NULL;
+  g_autofree char *later = NULL;
+
+  alarm (STALL_DEADLINE_S);
+  for (uint32_t i = 0; i < LOG_FILL_LIMIT; i++)
+    log_event (LOG_LEVEL_INFO, "fill", "i", LOG_U64 (i), NULL);
+  for (uint32_t i = 0; i < 50; i++)
+    log_event (LOG_LEVEL_WARNING, "failure", "i", LOG_U64 (i), NULL);
+  text = read_outlet (read_fd);
+  log_event (LOG_LEVEL_WARNING, "end", NULL);
+  log_flush ();
+  later = read_outlet (read_fd);
+  log_flush ();
+  alarm (0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "fill i=0\n"));
+  CU_ASSERT (strstr (text, "failure i=49\n") || strstr (later, "failure i=49\n"));
+  CU_ASSERT (strstr (text, "log_lines_dropped count=") ||
+             strstr (later, "log_lines_dropped count="));
+  CU_ASSERT_PTR_NOT_NULL (strstr (later, "]: end\n"));
+  close (read_fd);
+  close (write_fd);
+}
+
+static void
+test_latency_buckets (void)
+{
+  cnt_set_t *set = cnt_set_new ();
+  lat_t *lat = lat_new (set, "x_ms", "service=\"s\"", "A time.");
+  GString *text = g_string_new (NULL);
+
+  lat_add (lat, 5000);
+  lat_add (lat, 5001);
+  lat_add (lat, 60 * UINT64_C (1000000));
+  cnt_write (set, text);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text->str, "x_ms_bucket{service=\"s\",le=\"5\"} 1\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text->str, "x_ms_bucket{service=\"s\",le=\"10\"} 2\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text->str, "x_ms_bucket{service=\"s\",le=\"15000\"} 2\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text->str, "x_ms_bucket{service=\"s\",le=\"+Inf\"} 3\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text->str, "x_ms_count{service=\"s\"} 3\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text->str, "x_ms_sum_us{service=\"s\"} 60010001\n"));
+  g_string_free (text, TRUE);
+  lat_free (lat);
+  cnt_set_free (set);
+}
+
 static char *
 write_counters (cnt_set_t *set)
 {
@@ -431,6 +534,7 @@
     { "log: no forged field or line", test_log_not_forged },
     { "log: bounded line", test_log_bounded },
     { "log: a stalled reader", test_log_reader_stalls },
+    { "latency: buckets", test_latency_buckets },
     { "counters: text form", test_counters_text },
     { "counters: names and labels are clean", test_counters_clean },
     { "counters: bounded", test_counters_bounded },
@@ -439,6 +543,8 @@
     { "mailbox: unread messages are freed", test_mailbox_frees_unread },
     { "messages: references are dropped", test_messages_drop_references },
     { "messages: every kind", test_messages_of_every_kind },
+    { "log: buffered", test_log_buffered }, /* the log stays buffered: these two are last */
+    { "log: failures are kept", test_log_keeps_failures },
     CU_TEST_INFO_NULL,
   };
 
