Hold the line of dropped lines to the limit of the line it goes before

Cause: while the reader stalled each dropped line of a request put one more 'log_lines_dropped' into what is kept for failures, and filled it. Test: 'log: failures are kept' failed by it.

--- a/src/process/log.c
+++ b/src/process/log.c
@@ -283,8 +283,9 @@
   return write_some (line->text, line->bytes) == line->bytes;
 }
 
+/* Held to the limit of the line that it goes before: else it would fill what is kept for failures. */
 static void
-report_dropped (void)
+report_dropped (log_level_t level)
 {
   line_t line;
 
@@ -293,7 +294,7 @@
   line_begin (&line, LOG_LEVEL_WARNING, "log_lines_dropped");
   line_add_field (&line, "count", LOG_U64 (state.dropped));
   line_end (&line);
-  if (line_write (&line, LOG_LEVEL_WARNING))
+  if (line_write (&line, level))
     state.dropped = 0;
 }
 
@@ -344,7 +345,7 @@
     }
   va_end (pairs);
   line_end (&line);
-  report_dropped ();
+  report_dropped (level);
   if (state.dropped != 0 || !line_write (&line, level))
     state.dropped++;
   g_mutex_unlock (&state.lock);
