Give up hops that bring nothing; suspect requests whose engines crash

Cause: an engine that goes dark breaks nothing, and its callers waited until their deadlines; a request that crashes engines was sent to one after the other. Change: patience tells when a request that may be repeated leaves a silent engine (0.5 s of silence of all of its requests, with time for its prompt's tokens; or eight times the usual). crash_watch suspects a request when its connection broke and its engine alone was then down; marks go to the other gateways by the exchange; the second lone crash is final; what is served is cleared. Ruled out: 0.4 s without time for the prompt: 6 hops of 335 in a burst were given up while their engine read 30,000 tokens (shared tokens read again 251k -> 441k).

--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -2,6 +2,7 @@
 
 #include "connection/exchange.h"
 #include "process/log.h"
+#include "process/rumour.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -32,6 +33,7 @@
   GRand *rand;
   uint64_t own_hash;
   uint32_t sequence;
+  rmr_t rumours;
 };
 
 static uint64_t
@@ -65,6 +67,38 @@
   return peer->heard_us != 0 && now_us (gpr) - peer->heard_us < GPR_HEARD_US;
 }
 
+static void
+fill_marks (gpr_t *gpr, xch_message *message)
+{
+  sus_mark_t marks[XCH_MARKS];
+  uint32_t count = rmr_take_marks (&gpr->rumours, now_us (gpr), marks, XCH_MARKS);
+
+  G_STATIC_ASSERT (sizeof message->marks.marks_val->engines == sizeof marks->engines);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      xch_mark *out = &message->marks.marks_val[i];
+
+      out->fingerprint = marks[i].fingerprint;
+      memcpy (out->engines, marks[i].engines, sizeof out->engines);
+      out->age_ms = marks[i].age_ms;
+    }
+  message->marks.marks_len = count;
+}
+
+static void
+hear_marks (gpr_t *gpr, const xch_message *message)
+{
+  for (uint32_t i = 0; i < message->marks.marks_len; i++)
+    {
+      const xch_mark *heard = &message->marks.marks_val[i];
+      sus_mark_t mark = { .fingerprint = heard->fingerprint, .age_ms = heard->age_ms };
+
+      memcpy (mark.engines, heard->engines, sizeof mark.engines);
+      if (rmr_add_mark (&gpr->rumours, now_us (gpr), &mark))
+        gpr->options.suspect (&mark, gpr->options.context);
+    }
+}
+
 static void
 fill (xch_message *message, const xch_word *to, void *context)
 {
@@ -78,6 +112,7 @@
   message->manifest_version = known.version;
   message->list_revision = known.engines_next;
   message->store_age_ms = known.store_age_ms;
+  fill_marks (gpr, message);
 }
 
 /* Return: false for a message that is older than one heard before */
@@ -109,6 +144,7 @@
   (void)is_reply;
   if (!peer || !note_heard (gpr, peer, &message->sender))
     return false;
+  hear_marks (gpr, message);
   gpr->options.heard (&theirs, &peer->control, gpr->options.context);
   return true;
 }
@@ -159,6 +195,7 @@
   gpr->options = *options;
   gpr->peers = g_ptr_array_new_with_free_func (g_free);
   gpr->own_hash = hash_of (set->name);
+  rmr_init (&gpr->rumours);
   gpr->rand = g_rand_new_with_seed ((guint32)(gpr->own_hash ^ options->incarnation));
   gpr->exc = exc_new (&(exc_options_t){ .base = options->base,
                                         .clk = options->clk,
@@ -232,6 +269,13 @@
   g_ptr_array_add (gpr->peers, g_memdup2 (&peer, sizeof peer));
 }
 
+void
+gpr_add_suspect (gpr_t *gpr, const sus_mark_t *mark)
+{
+  rmr_add_mark (&gpr->rumours, now_us (gpr), mark);
+  gpr_tell_news (gpr);
+}
+
 void
 gpr_tell_news (gpr_t *gpr)
 {
--- a/src/process/gateway_peers.h
+++ b/src/process/gateway_peers.h
@@ -14,6 +14,7 @@
 #include "process/clock.h"
 #include "process/counters.h"
 #include "process/settings.h"
+#include "request/suspect.h"
 
 #include <event2/event.h>
 #include <glib.h>
@@ -41,6 +42,7 @@
  * struct gpr_options - options of gpr_new()
  * @know: what this gateway knows now
  * @heard: a peer knows @theirs; its control address is @control
+ * @suspect: a mark of a request that crashes its engines was heard, for the first time
  */
 typedef struct
 {
@@ -51,6 +53,7 @@
   uint64_t incarnation;
   gpr_known_t (*know) (void *context);
   void (*heard) (const gpr_known_t *theirs, const set_address_t *control, void *context);
+  void (*suspect) (const sus_mark_t *mark, void *context);
   void *context;
 } gpr_options_t;
 
@@ -62,6 +65,8 @@
 char *gpr_entry (const gpr_t *gpr);
 /** gpr_put() - an entry of the stream of routers; @entry NULL when it was dropped */
 void gpr_put (gpr_t *gpr, const char *name, const char *entry);
+/** gpr_add_suspect() - tell peers of a request that crashes its engines, some of them at once */
+void gpr_add_suspect (gpr_t *gpr, const sus_mark_t *mark);
 /** gpr_tell_news() - tell some peers at once what is known here */
 void gpr_tell_news (gpr_t *gpr);
 /** gpr_count() - gateways that may be at work, this one too: those heard lately, and at least half
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -181,6 +181,23 @@
   note_ready (gwp);
 }
 
+static void
+on_peers_suspect (const sus_mark_t *mark, void *context)
+{
+  gwp_t *gwp = context;
+
+  if (gwp->gwy)
+    gwy_heard_suspect (gwp->gwy, mark);
+}
+
+static void
+on_own_suspect (const sus_mark_t *mark, void *context)
+{
+  gwp_t *gwp = context;
+
+  gst_add_suspect (gwp->store, mark);
+}
+
 static uint64_t
 version (void *context)
 {
@@ -314,6 +331,8 @@
                                         .set = set,
                                         .engines = gwp->engines,
                                         .format = gwp->options.format,
+                                        .suspected = on_own_suspect,
+                                        .context = gwp,
                                         .retries = { .ratio_milli = set->retry_ratio_milli,
                                                      .slack = set->retry_slack,
                                                      .window_us = (uint64_t)set->retry_window_ms *
@@ -339,6 +358,7 @@
                                           .routing = on_routing,
                                           .engine = on_engine,
                                           .told = on_told,
+                                          .suspect = on_peers_suspect,
                                           .context = gwp },
                         error);
   return gwp->store != NULL;
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -64,7 +64,6 @@
   uint64_t last_us;
   uint64_t out_until_us;
   bool lost;
-  uint64_t regained_us;
   bool adopting;
   bool unsettled;
   bool entry_written;
@@ -151,8 +150,6 @@
   gst_t *gst = context;
 
   gst->lost = state == SFL_LOST;
-  if (state == SFL_REGAINED)
-    gst->regained_us = now_us (gst);
   gst->options.told (gst->options.context);
 }
 
@@ -214,6 +211,14 @@
     gst->fresh_us = MAX (gst->fresh_us, now_us (gst) - age_us);
 }
 
+static void
+suspect (const sus_mark_t *mark, void *context)
+{
+  gst_t *gst = context;
+
+  gst->options.suspect (mark, gst->options.context);
+}
+
 static void
 streams_of (const gst_t *gst, vsh_stream_t out[STREAMS])
 {
@@ -494,6 +499,7 @@
                                           .incarnation = options->incarnation,
                                           .know = know,
                                           .heard = heard,
+                                          .suspect = suspect,
                                           .context = gst },
                         error);
   if (gst->peers)
@@ -527,18 +533,6 @@
   return sfl_has_listed (gst->follows[ENGINES]);
 }
 
-bool
-gst_is_lost (const gst_t *gst)
-{
-  return gst->lost;
-}
-
-uint64_t
-gst_regained_us (const gst_t *gst)
-{
-  return gst->regained_us;
-}
-
 bool
 gst_is_certain (const gst_t *gst)
 {
@@ -559,6 +553,12 @@
   gpr_tell_news (gst->peers);
 }
 
+void
+gst_add_suspect (gst_t *gst, const sus_mark_t *mark)
+{
+  gpr_add_suspect (gst->peers, mark);
+}
+
 bool
 gst_answer (gst_t *gst, hsv_call_t *call, bool settled)
 {
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -12,6 +12,7 @@
 #include "process/clock.h"
 #include "process/counters.h"
 #include "process/settings.h"
+#include "request/suspect.h"
 
 #include <glib.h>
 
@@ -57,6 +58,7 @@
  * @engine: an entry of the registry; @text NULL when it was dropped. @may_have_lapsed: it was
  * dropped while the store could not be read here, perhaps since it was out
  * @told: the registry was listed, lost or regained
+ * @suspect: a peer tells of a request that crashes its engines
  */
 typedef struct
 {
@@ -75,6 +77,7 @@
                   bool may_have_lapsed,
                   void *context);
   void (*told) (void *context);
+  void (*suspect) (const sus_mark_t *mark, void *context);
   void *context;
 } gst_options_t;
 
@@ -86,16 +89,14 @@
 void gst_turn (gst_t *gst);
 /** gst_has_engines() - whether the registry has been read whole, here or by a peer */
 bool gst_has_engines (const gst_t *gst);
-/** gst_is_lost() - whether the registry can't be read from the store now */
-bool gst_is_lost (const gst_t *gst);
-/** gst_regained_us() - when it could be read again after the last time it was lost; 0 for never */
-uint64_t gst_regained_us (const gst_t *gst);
 /** gst_is_certain() - whether what is known is surely the newest */
 bool gst_is_certain (const gst_t *gst);
 /** gst_routers() - gateways that may be at work, this one too */
 uint32_t gst_routers (const gst_t *gst);
 /** gst_tell_news() - something new was read: tell some peers at once */
 void gst_tell_news (gst_t *gst);
+/** gst_add_suspect() - tell peers of a request that crashes its engines */
+void gst_add_suspect (gst_t *gst, const sus_mark_t *mark);
 /** gst_answer() - a peer asks for what it lacks. Return: false when the call asks for another path
  */
 bool gst_answer (gst_t *gst, hsv_call_t *call, bool settled);
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -283,7 +283,8 @@
   return write_some (line->text, line->bytes) == line->bytes;
 }
 
-/* Held to the limit of the line that it goes before: else it would fill what is kept for failures. */
+/* Held to the limit of the line that it goes before: else it would fill what is kept for failures.
+ */
 static void
 report_dropped (log_level_t level)
 {
--- a/src/request/gateway.c
+++ b/src/request/gateway.c
@@ -52,6 +52,7 @@
   service->name = name;
   service->queue = fq_new (GWY_WAIT_LIMIT);
   service->run_us = GWY_RUN_US;
+  service->head_us = GWY_RUN_US;
   make_histograms (gwy, service);
   g_hash_table_insert (gwy->services, (gpointer)name, service);
   return service;
@@ -68,12 +69,53 @@
     gwy_wait_pump (value, gwy);
 }
 
+static void
+watch_hops (gwy_t *gwy)
+{
+  g_autoptr (GList) calls = g_hash_table_get_keys (gwy->calls);
+
+  for (GList *link = calls; link; link = link->next)
+    if (g_hash_table_contains (gwy->calls, link->data))
+      gwy_hop_watch (link->data);
+}
+
+static void
+take_suspects (gwy_t *gwy)
+{
+  uint64_t now_us = gwy_now_us (gwy);
+  cwt_loss_t loss;
+  sus_mark_t mark;
+
+  while (cwt_take (&gwy->crashes, now_us, &loss))
+    {
+      if (!sus_add (gwy->suspects, now_us, loss.fingerprint, loss.engine_hash) ||
+          !sus_get (gwy->suspects, now_us, loss.fingerprint, &mark))
+        continue;
+      log_event (LOG_LEVEL_WARNING, "suspect", "fingerprint", LOG_HEX (loss.fingerprint), "engine",
+                 LOG_HEX (loss.engine_hash), "age_ms",
+                 LOG_U64 ((now_us - loss.lost_us) / CLK_US_PER_MS), NULL);
+      gwy->options.suspected (&mark, gwy->options.context);
+    }
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *context)
 {
+  gwy_t *gwy = context;
+
   (void)fd;
   (void)what;
-  pump_all (context);
+  pump_all (gwy);
+  if (++gwy->ticks % GWY_WATCH_TICKS != 0)
+    return;
+  watch_hops (gwy);
+  take_suspects (gwy);
+}
+
+void
+gwy_heard_suspect (gwy_t *gwy, const sus_mark_t *mark)
+{
+  sus_merge (gwy->suspects, gwy_now_us (gwy), mark);
 }
 
 static void
@@ -100,6 +142,7 @@
 
   gwy->options = *options;
   gwy->routers = 1;
+  gwy->suspects = sus_new (GWY_SUSPECTS, GWY_SUSPECT_US);
   gwy->services = g_hash_table_new_full (NULL, NULL, NULL, service_free);
   gwy->calls = g_hash_table_new (NULL, NULL);
   get_counters (gwy);
@@ -148,6 +191,7 @@
   drop_calls (gwy);
   hcl_free (gwy->upstreams);
   event_free (gwy->tick);
+  sus_free (gwy->suspects);
   g_hash_table_destroy (gwy->services);
   g_hash_table_destroy (gwy->calls);
   if (gwy->table)
--- a/src/request/gateway.h
+++ b/src/request/gateway.h
@@ -14,6 +14,7 @@
 #include "request/engines.h"
 #include "request/format.h"
 #include "request/retry_share.h"
+#include "request/suspect.h"
 #include "version/routing.h"
 
 #include <event2/event.h>
@@ -24,6 +25,7 @@
  * struct gwy_options - options of gwy_new()
  * @set: settings of the process; borrowed
  * @engines: borrowed; the owner tells of changes by gwy_engines_changed()
+ * @suspected: a request is suspected to crash its engines: other gateways are to hear of it
  * @format: of callers' requests and engines' answers
  */
 typedef struct
@@ -35,6 +37,8 @@
   egs_t *engines;
   const fmt_t *format;
   rsh_options_t retries;
+  void (*suspected) (const sus_mark_t *mark, void *context);
+  void *context;
 } gwy_options_t;
 
 gwy_t *gwy_new (const gwy_options_t *options, GError **error);
@@ -47,6 +51,8 @@
 void gwy_set_certain (gwy_t *gwy, bool certain);
 /** gwy_set_routers() - routers that share the retry budget */
 void gwy_set_routers (gwy_t *gwy, uint32_t routers);
+/** gwy_heard_suspect() - another gateway's mark */
+void gwy_heard_suspect (gwy_t *gwy, const sus_mark_t *mark);
 /** gwy_engines_changed() - the registry told something: waiting requests may go on */
 void gwy_engines_changed (gwy_t *gwy);
 /** gwy_say_close() - a stop begins: answers say that their connection closes */
--- a/src/request/gateway_accept.c
+++ b/src/request/gateway_accept.c
@@ -33,6 +33,26 @@
                     .exact_retry = true });
 }
 
+/* The digest of a body is worked out only while something is suspected. */
+static bool
+is_known_to_crash (const gwy_call_t *call)
+{
+  gwy_t *gwy = call->gwy;
+
+  return sus_count (gwy->suspects) > 0 &&
+         sus_check (gwy->suspects, gwy_now_us (gwy), gwy_call_fingerprint (call), 0) == SUS_FINAL;
+}
+
+/* Without Retry-After: wherever it ran, it would crash one more engine with all that runs there. */
+static void
+reject_suspect (gwy_call_t *call)
+{
+  cnt_add (call->gwy->refused, 1);
+  gwy_call_log (call, "refuse", "final", VRD_REASON_SUSPECT);
+  flt_reply (call->in, &(flt_t){ .reason = VRD_REASON_SUSPECT, .verdict = VRD_NOT_RUN });
+  gwy_call_free (call);
+}
+
 void
 gwy_accept (hsv_call_t *in, void *context)
 {
@@ -66,5 +86,8 @@
     }
   call = gwy_call_new (gwy, in, route, &request);
   call->account = account;
-  gwy_call_place (call);
+  if (is_known_to_crash (call))
+    reject_suspect (call);
+  else
+    gwy_call_place (call);
 }
--- a/src/request/gateway_call.c
+++ b/src/request/gateway_call.c
@@ -2,6 +2,7 @@
 #include "request/gateway_private.h"
 
 #include "process/log.h"
+#include "request/digest.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -294,9 +295,20 @@
     }
 }
 
+uint64_t
+gwy_call_fingerprint (const gwy_call_t *call)
+{
+  uint64_t body_hash =
+      dgs_body (hsv_method (call->in), hsv_target (call->in), call->body, call->body_bytes);
+
+  return dgs_fingerprint (call->account ? call->account->name : "", body_hash);
+}
+
 void
 gwy_call_whole (gwy_call_t *call)
 {
+  if (call->in && sus_count (call->gwy->suspects) > 0)
+    sus_clear (call->gwy->suspects, gwy_call_fingerprint (call));
   cnt_add (call->gwy->answered, 1);
   lat_add (call->service->answers, gwy_now_us (call->gwy) - call->arrived_us);
   gwy_call_log (call, "end", "answered", VRD_REASON_NONE);
--- a/src/request/gateway_hop.c
+++ b/src/request/gateway_hop.c
@@ -50,6 +50,9 @@
   uint64_t now_us = gwy_now_us (call->gwy);
 
   call->head_us = now_us;
+  call->heard_us = now_us;
+  call->service->head_us =
+      (call->service->head_us * (GWY_RUN_GAIN - 1) + now_us - call->sent_us) / GWY_RUN_GAIN;
   call->engine->heard_us = now_us;
   lat_add (call->service->heads, now_us - call->sent_us);
   if (call->answer.idle_ms > 0)
@@ -103,8 +106,9 @@
 {
   gwy_call_t *call = context;
 
+  call->heard_us = gwy_now_us (call->gwy);
   if (call->engine)
-    call->engine->heard_us = gwy_now_us (call->gwy);
+    call->engine->heard_us = call->heard_us;
   if (!call->in || call->answer.not_run)
     evbuffer_drain (data, evbuffer_get_length (data));
   else if (call->streaming)
@@ -148,6 +152,19 @@
     gwy_call_outcome (call, CRS_UNKNOWN, end->reason);
 }
 
+/* A connection that broke may be its engine's crash; one that is refused shows that it is down. */
+static void
+note_crash (gwy_call_t *call, const hcl_end_t *end)
+{
+  gwy_t *gwy = call->gwy;
+  uint64_t now_us = gwy_now_us (gwy);
+
+  if (end->verdict == VRD_NOT_RUN && end->reason == VRD_REASON_CONNECT)
+    cwt_down (&gwy->crashes, now_us, call->engine->hash);
+  else if (end->reason == VRD_REASON_CUT && call->in && !call->answer.crossed)
+    cwt_lost (&gwy->crashes, now_us, call->engine->hash, gwy_call_fingerprint (call));
+}
+
 static void
 on_end (const hcl_end_t *end, void *context)
 {
@@ -160,6 +177,8 @@
     measure (call);
   else if (!call->headed || !call->answer.not_run)
     egn_failed (call->engine, gwy_now_us (gwy));
+  if (!end->whole)
+    note_crash (call, end);
   if (!end->whole)
     gwy_call_log (call, "hop_lost", vrd_name (end->verdict), end->reason);
   let_go (call);
@@ -170,6 +189,42 @@
   gwy_wait_pump (service, gwy);
 }
 
+/* Whether the request may go on at another engine after this one. */
+static bool
+may_leave (const gwy_call_t *call)
+{
+  const crs_rules_t *rules = &call->crs.rules;
+
+  if (call->crs.ran + 1 >= rules->attempts)
+    return false;
+  return call->rly.begun ? rules->resumable : rules->idempotent || rules->resumable;
+}
+
+/*
+ * An engine that went dark keeps its connections: nothing breaks and nothing comes. Its callers
+ * would wait until their deadlines. The hop is closed first, so that the engine stops if it still
+ * works.
+ */
+void
+gwy_hop_watch (gwy_call_t *call)
+{
+  uint64_t now_us = gwy_now_us (call->gwy);
+  ptc_t ptc = { .sent_us = call->sent_us,
+                .heard_us = call->heard_us,
+                .engine_heard_us = call->engine ? call->engine->heard_us : 0,
+                .prompt_tokens = call->request.prompt_tokens,
+                .usual_us = call->service->head_us,
+                .gap_us = (uint64_t)call->route->gap_ms * CLK_US_PER_MS };
+
+  if (!call->out || !call->in || rly_held_up (&call->rly) || !may_leave (call) ||
+      !ptc_is_lost (&ptc, now_us))
+    return;
+  egn_failed (call->engine, now_us);
+  gwy_call_log (call, "hop_lost", "silent", VRD_REASON_TIMEOUT);
+  gwy_hop_drop (call);
+  gwy_call_outcome (call, call->rly.begun ? CRS_BROKE : CRS_UNKNOWN, VRD_REASON_TIMEOUT);
+}
+
 /* Return: how long a kept connection may have been idle, 0 for no limit */
 static uint64_t
 idle_limit_us (const gwy_call_t *call)
@@ -200,6 +255,7 @@
   call->hops++;
   call->sent_us = now_us;
   call->headed = false;
+  call->heard_us = 0;
   memset (&call->answer, 0, sizeof call->answer);
   egn_begin (choice->engine);
   egn_probe (choice->engine, now_us);
--- a/src/request/gateway_private.h
+++ b/src/request/gateway_private.h
@@ -12,10 +12,12 @@
 #include "connection/http_server.h"
 #include "process/latency.h"
 #include "request/course.h"
+#include "request/crash_watch.h"
 #include "request/event_split.h"
 #include "request/fairq.h"
 #include "request/fault.h"
 #include "request/gateway.h"
+#include "request/patience.h"
 #include "request/relay.h"
 #include "request/spread.h"
 
@@ -32,6 +34,9 @@
 /* A retry sooner than this finds the same queue. */
 #define GWY_RETRY_MIN_MS 100
 #define GWY_RETRY_MAX_MS 2000
+#define GWY_SUSPECTS 256
+#define GWY_SUSPECT_US (UINT64_C (60) * CLK_US_PER_S) /* its caller has sent it again by then */
+#define GWY_WATCH_TICKS 4      /* of those below between two looks at hops that bring nothing */
 #define GWY_WAIT_TICK_MS 25    /* waiting requests are looked at this often besides all events */
 #define GWY_WAIT_LIMIT 1024    /* requests of one service that wait here */
 #define GWY_RUN_US (50 * 1000) /* of a request, until it has been measured */
@@ -42,7 +47,7 @@
  * struct gwy_service - what the gateway keeps of a service
  * @name: interned
  * @queue: requests that wait for room
- * @run_us: smoothed time from send to end
+ * @run_us, @head_us: smoothed times from send to end, and to the head
  * @waits, @heads, @answers, @failures: from arrival to the first send, from a send to the head of
  * its answer, from arrival to a whole answer and to a refusal or failure
  */
@@ -52,6 +57,7 @@
   fq_t *queue;
   rsh_t retries;
   uint64_t run_us;
+  uint64_t head_us;
   lat_t *waits;
   lat_t *heads;
   lat_t *answers;
@@ -68,6 +74,9 @@
   uint32_t routers;
   GHashTable *services; /* interned name -> gwy_service_t */
   GHashTable *calls;
+  cwt_t crashes;
+  sus_t *suspects;
+  uint32_t ticks;
   struct event *tick;
   uint64_t next_number;
   cnt_t *answered;
@@ -87,7 +96,7 @@
  * @engine: of the hop under way, or NULL
  * @answer: of the last hop's head, when @headed
  * @streaming: the answer is a stream of events
- * @sent_us, @head_us: of the last hop
+ * @sent_us, @head_us, @heard_us: of the last hop; the last is when a byte of it came
  */
 typedef struct
 {
@@ -121,6 +130,7 @@
   uint64_t deadline_us;
   uint64_t sent_us;
   uint64_t head_us;
+  uint64_t heard_us;
   struct event *timer;
 } gwy_call_t;
 
@@ -150,6 +160,10 @@
 
 /** gwy_hop_send() - send the request to the engine of @choice */
 void gwy_hop_send (gwy_call_t *call, const spr_choice_t *choice);
+/** gwy_hop_watch() - give the hop up if it brings nothing and the request may go elsewhere */
+void gwy_hop_watch (gwy_call_t *call);
+/** gwy_call_fingerprint() - what suspects are known by */
+uint64_t gwy_call_fingerprint (const gwy_call_t *call);
 /** gwy_hop_drop() - end the hop under way, if any, without an outcome */
 void gwy_hop_drop (gwy_call_t *call);
 
--- /dev/null
+++ b/src/request/patience.c
@@ -0,0 +1,25 @@
+#include "request/patience.h"
+
+#include <glib.h>
+
+static uint64_t
+since (uint64_t at_us, uint64_t now_us)
+{
+  return now_us > at_us ? now_us - at_us : 0;
+}
+
+bool
+ptc_is_lost (const ptc_t *ptc, uint64_t now_us)
+{
+  uint64_t quiet_us = since (MAX (ptc->sent_us, ptc->heard_us), now_us);
+  uint64_t engine_quiet_us = since (MAX (ptc->sent_us, ptc->engine_heard_us), now_us);
+  uint64_t reading_us = ptc->prompt_tokens * PTC_TOKEN_US;
+  uint64_t late_us = MAX (ptc->usual_us * PTC_LATE_FACTOR, PTC_LATE_US) + reading_us;
+  uint64_t silent_us = MAX (ptc->usual_us * 2, PTC_SILENT_US) + reading_us;
+
+  if (ptc->heard_us != 0 && ptc->gap_us == 0)
+    return false;
+  if (ptc->heard_us != 0)
+    late_us = MAX (ptc->gap_us * PTC_GAP_FACTOR, PTC_LATE_US);
+  return quiet_us >= late_us || (quiet_us >= silent_us && engine_quiet_us >= silent_us);
+}
--- a/src/request/suspect.c
+++ b/src/request/suspect.c
@@ -211,3 +211,18 @@
     }
   return found;
 }
+
+void
+sus_clear (sus_t *sus, uint64_t fingerprint)
+{
+  sus_entry_t *entry = g_hash_table_lookup (sus->entries, &fingerprint);
+
+  if (entry)
+    drop (sus, entry);
+}
+
+uint32_t
+sus_count (const sus_t *sus)
+{
+  return g_hash_table_size (sus->entries);
+}
--- a/tests/test_course.c
+++ b/tests/test_course.c
@@ -1,6 +1,8 @@
 /* Unit tests of the course of a request at a gateway, its retry share and the split of events. */
 #include "request/course.h"
+#include "request/crash_watch.h"
 #include "request/event_split.h"
+#include "request/patience.h"
 #include "request/retry_share.h"
 #include "suite.h"
 
@@ -250,6 +252,123 @@
   split_clear (&split);
 }
 
+#define SENT_US (100 * S_US)
+
+static bool
+is_lost (const ptc_t *ptc, uint64_t after_ms)
+{
+  return ptc_is_lost (ptc, SENT_US + after_ms * 1000);
+}
+
+/* An engine goes dark with a request on it: nothing breaks, nothing comes of any request. It is
+ * given up within the time that its callers have; one that reads a long prompt is not. */
+static void
+test_dark_engine_is_given_up (void)
+{
+  ptc_t ptc = { .sent_us = SENT_US, .engine_heard_us = SENT_US - 1000, .usual_us = 50 * 1000 };
+
+  CU_ASSERT (!is_lost (&ptc, 490));
+  CU_ASSERT (is_lost (&ptc, 510));
+  ptc.prompt_tokens = 30000;
+  CU_ASSERT (!is_lost (&ptc, 1200));
+  CU_ASSERT (is_lost (&ptc, 1300));
+}
+
+/* Others are served by the same engine: this request alone may be queued, for longer than usual. */
+static void
+test_late_request_is_given_up_later (void)
+{
+  ptc_t ptc = { .sent_us = SENT_US, .usual_us = 50 * 1000 };
+
+  ptc.engine_heard_us = SENT_US + 990 * 1000;
+  CU_ASSERT (!is_lost (&ptc, 995));
+  CU_ASSERT (is_lost (&ptc, 1000));
+  ptc.usual_us = 300 * 1000;
+  ptc.engine_heard_us = SENT_US + 2290 * 1000;
+  CU_ASSERT (!is_lost (&ptc, 2300));
+}
+
+static void
+test_silent_stream_is_given_up (void)
+{
+  ptc_t ptc = { .sent_us = SENT_US, .heard_us = SENT_US + 100 * 1000, .usual_us = 50 * 1000 };
+
+  CU_ASSERT (!is_lost (&ptc, 60 * 1000));
+  ptc.gap_us = 300 * 1000;
+  ptc.engine_heard_us = SENT_US + 900 * 1000;
+  CU_ASSERT (!is_lost (&ptc, 1000));
+  CU_ASSERT (is_lost (&ptc, 1100));
+  ptc.engine_heard_us = ptc.heard_us;
+  CU_ASSERT (is_lost (&ptc, 610));
+}
+
+#define ENGINE_A 11
+#define ENGINE_B 12
+
+static uint32_t
+taken (cwt_t *cwt, uint64_t now_us)
+{
+  cwt_loss_t loss;
+  uint32_t count = 0;
+
+  while (cwt_take (cwt, now_us, &loss))
+    count++;
+  return count;
+}
+
+/* A request crashes its engine: its connection breaks, and the next one is refused. */
+static void
+test_lone_crash_makes_a_suspect (void)
+{
+  cwt_t cwt = { 0 };
+  cwt_loss_t loss;
+
+  cwt_lost (&cwt, SENT_US, ENGINE_A, 7);
+  CU_ASSERT_EQUAL (taken (&cwt, SENT_US + S_US), 0);
+  cwt_down (&cwt, SENT_US + S_US, ENGINE_A);
+  CU_ASSERT (cwt_take (&cwt, SENT_US + S_US, &loss));
+  CU_ASSERT_EQUAL (loss.fingerprint, 7);
+  CU_ASSERT_EQUAL (loss.engine_hash, ENGINE_A);
+  CU_ASSERT_EQUAL (taken (&cwt, SENT_US + S_US), 0);
+}
+
+/* The answer was lost on the way, and the engine goes on: nothing is suspected, also when the
+ * engine is released half a minute later. */
+static void
+test_lost_answer_makes_none (void)
+{
+  cwt_t cwt = { 0 };
+
+  cwt_lost (&cwt, SENT_US, ENGINE_A, 7);
+  cwt_lost (&cwt, SENT_US + S_US, ENGINE_A, 8);
+  cwt_down (&cwt, SENT_US + 30 * S_US, ENGINE_A);
+  CU_ASSERT_EQUAL (taken (&cwt, SENT_US + 31 * S_US), 0);
+}
+
+/* Two engines go down at once: the cause is no request. All of their callers will send again, and
+ * must not be refused for good. */
+static void
+test_common_crash_makes_none (void)
+{
+  cwt_t cwt = { 0 };
+
+  for (uint64_t request = 1; request <= 10; request++)
+    cwt_lost (&cwt, SENT_US + request, request % 2 ? ENGINE_A : ENGINE_B, request);
+  CU_ASSERT_EQUAL (taken (&cwt, SENT_US + S_US), 0);
+  CU_ASSERT_EQUAL (taken (&cwt, SENT_US + 10 * S_US), 0);
+}
+
+static void
+test_neighbours_of_a_crash_are_suspected (void)
+{
+  cwt_t cwt = { 0 };
+
+  for (uint64_t request = 1; request <= 3; request++)
+    cwt_lost (&cwt, SENT_US + request, ENGINE_A, request);
+  CU_ASSERT_EQUAL (taken (&cwt, SENT_US + S_US / 4), 0);
+  CU_ASSERT_EQUAL (taken (&cwt, SENT_US + S_US), 3);
+}
+
 int
 main (void)
 {
@@ -263,6 +382,13 @@
                                        SUITE_TEST (test_events_are_passed_whole),
                                        SUITE_TEST (test_stream_goes_on_after_the_last_whole_event),
                                        SUITE_TEST (test_endless_event_is_broken),
+                                       SUITE_TEST (test_dark_engine_is_given_up),
+                                       SUITE_TEST (test_late_request_is_given_up_later),
+                                       SUITE_TEST (test_silent_stream_is_given_up),
+                                       SUITE_TEST (test_lone_crash_makes_a_suspect),
+                                       SUITE_TEST (test_lost_answer_makes_none),
+                                       SUITE_TEST (test_common_crash_makes_none),
+                                       SUITE_TEST (test_neighbours_of_a_crash_are_suspected),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("course", tests);
