Stand-ins of the platform's store and registry; a randomized fault soak

The soak runs gateways, upstreams and the store as processes, injects faults by signals, loopback proxies and the store, and checks what callers got against what upstreams began.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 BENCHES := $(patsubst bench/bench_%.c,$(OUT)/bench-%,$(wildcard bench/bench_*.c))
 SPREADLIB := $(patsubst %.c,$(OUT)/%.o,$(wildcard bench/spread/*.c))
 BENCHLIB := $(patsubst %.c,$(OUT)/%.o,$(filter-out $(wildcard bench/bench_*.c),$(wildcard bench/*.c)))
-CSRC    := $(filter-out src/proto/%,$(wildcard src/*/*.[ch] platform/*.[ch] ctl/*.[ch] standin/*.[ch] tests/*.[ch] bench/*.[ch] bench/spread/*.[ch]))
+SOAK    := $(OUT)/soak-run
+CSRC    := $(filter-out src/proto/%,$(wildcard src/*/*.[ch] platform/*.[ch] ctl/*.[ch] standin/*.[ch] tests/*.[ch] soak/*.[ch] bench/*.[ch] bench/spread/*.[ch]))
 
 all: $(DAEMON) $(CTL) $(STANDINS) $(BENCHES)
 
@@ -63,6 +64,15 @@
 $(OUT)/bench-%: $(OUT)/bench/bench_%.o $(BENCHLIB) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
+$(SOAK): $(patsubst %.c,$(OUT)/%.o,$(wildcard soak/*.c)) $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
+
+# SEEDS: those to run; SECONDS: of faults in each.
+SEEDS   ?= 1 2 3
+SECONDS ?= 12
+soak: all $(SOAK)
+	soak/run.sh $(OUT) $(SECONDS) $(SEEDS)
+
 unit: $(UNIT)
 	tests/run.sh $(OUT) $(UNIT)
 
@@ -86,7 +96,7 @@
 	cppcheck --quiet --error-exitcode=1 --enable=warning,portability --inline-suppr \
 	  --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches --suppress=varFuncNullUB -DTAILQ_FOREACH=for '-DG_DEFINE_AUTOPTR_CLEANUP_FUNC(type,func)=' '-DG_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(type,func)=' -Isrc $(filter %.c,$(CSRC))
 
-TIDYSRC := $(filter-out src/proto/%,$(wildcard src/*/*.c platform/*.c ctl/*.c standin/*.c))
+TIDYSRC := $(filter-out src/proto/%,$(wildcard src/*/*.c platform/*.c ctl/*.c standin/*.c soak/*.c))
 tidy:
 	printf '%s\n' $(TIDYSRC) | xargs -P 4 -I{} clang-tidy --quiet {} -- \
 	  -std=gnu11 -Isrc -I. $(shell pkg-config --cflags $(PKGS)) 2>/dev/null
@@ -95,5 +105,5 @@
 	rm -rf build build-san
 
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
-.PHONY: all unit sessions check demo format lint tidy clean
+.PHONY: all soak unit sessions check demo format lint tidy clean
 .SECONDARY:
--- a/standin/http.c
+++ b/standin/http.c
@@ -270,6 +270,17 @@
   json_decref (json);
 }
 
+void
+sht_reply_bytes (sht_call_t *call, int status, const void *bytes, size_t count)
+{
+  struct evhttp_request *request = call->request;
+  struct evbuffer *body = evbuffer_new ();
+  evbuffer_add (body, bytes, count);
+  call_free (call);
+  evhttp_send_reply (request, status, NULL, body);
+  evbuffer_free (body);
+}
+
 void
 sht_begin_stream (sht_call_t *call)
 {
--- a/standin/http.h
+++ b/standin/http.h
@@ -46,6 +46,8 @@
 /** sht_reply() - the whole answer; takes the reference of @json, which may be NULL; ends the call
  */
 void sht_reply (sht_call_t *call, int status, json_t *json);
+/** sht_reply_bytes() - the whole answer, of any bytes; ends the call */
+void sht_reply_bytes (sht_call_t *call, int status, const void *bytes, size_t count);
 void sht_begin_stream (sht_call_t *call);
 void sht_stream (sht_call_t *call, const char *text);
 void sht_end_stream (sht_call_t *call);
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -35,6 +35,7 @@
 
 /**
  * struct spl - the platform
+ * @keyed: the keyed topics; of the log's states they know up, down and refuse
  * @fault_stream: the stream that the log's fault is for; NULL is all
  * @fault_count: calls that the fault still applies to; 0 is until it is changed
  * @append_credit_us: token bucket of the append rate
@@ -44,6 +45,7 @@
   spl_options_t options;
   struct event_base *base;
   plg_t *log;
+  struct kst *keyed;
   phl_t *hosts;
   GQueue waiters; /* spl_pending_t */
   spl_log_state_t log_state;
--- a/standin/platform_admin.c
+++ b/standin/platform_admin.c
@@ -1,3 +1,4 @@
+#include "keyed_store.h"
 #include "platform.h"
 
 #include <string.h>
@@ -40,7 +41,10 @@
       {
         platform->log_state = (spl_log_state_t)i;
         if (platform->log_state == SPL_DOWN)
-          spl_cut_waiters (platform);
+          {
+            spl_cut_waiters (platform);
+            kst_cut_waiters (platform->keyed);
+          }
         return true;
       }
   return false;
@@ -171,5 +175,6 @@
         routes[i].answer (platform, call);
         return;
       }
-  spl_answer_error (call, 404, "no such path");
+  if (!kst_call (platform->keyed, call))
+    spl_answer_error (call, 404, "no such path");
 }
--- a/standin/standin_platform.c
+++ b/standin/standin_platform.c
@@ -5,6 +5,7 @@
  * of hosts, over the interface told in src/connection/platform.h, with faults set by POST
  * /admin/fault.
  */
+#include "keyed_store.h"
 #include "platform.h"
 
 #include <getopt.h>
@@ -93,6 +94,7 @@
   platform->base = sht_base_new ();
   platform->log = plg_new (platform->options.retain_records, platform->options.retain_bytes);
   platform->hosts = phl_new (platform->options.list_lag_us);
+  platform->keyed = kst_new (platform);
   g_queue_init (&platform->waiters);
   signal (SIGPIPE, SIG_IGN);
   if (sht_listen (platform->base, platform->options.listen, call_came, platform) == NULL)
