--- a/soak/soak.h
+++ b/soak/soak.h
@@ -104,7 +104,7 @@
   uint64_t seed;
   uint64_t started_us;
   uint64_t until_us;
-  uint64_t fault_us; /* end of the last fault so far */
+  uint64_t store_heals_us; /* 0 while it is up */
   sok_process_t *store;
   sok_process_t *gateways[SOK_GATEWAYS];
   sok_process_t *upstreams[SOK_UPSTREAMS];
@@ -157,6 +157,8 @@
 /* soak_faults.c */
 /** sok_fault() - one at random; heals by itself */
 void sok_fault (sok_t *sok);
+/** sok_faults_look() - end what can't be ended from within the event loop */
+void sok_faults_look (sok_t *sok);
 /** sok_heal() - all at once */
 void sok_heal (sok_t *sok);
 
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -4,11 +4,10 @@
 
 #include <signal.h>
 
-/** struct healing - the end of a fault */
+/** struct healing - the end of a proxy's fault */
 typedef struct
 {
-  sok_t *sok;
-  sok_proxy_t *proxy; /* NULL when the store heals */
+  sok_proxy_t *proxy;
   struct event *timer;
 } healing_t;
 
@@ -17,7 +16,6 @@
 {
   sok_span_t span = { sok_now_us (), sok_now_us () + (uint64_t)ms * 1000 };
 
-  sok->fault_us = MAX (sok->fault_us, span.to_us);
   g_array_append_val (sok->disturbances, span);
 }
 
@@ -28,10 +26,7 @@
 
   (void)fd;
   (void)what;
-  if (healing->proxy)
-    sok_proxy_set (healing->proxy, SOK_PASS);
-  else
-    sok_store_admin (healing->sok, "/admin/fault", "{\"log\":\"up\"}");
+  sok_proxy_set (healing->proxy, SOK_PASS);
   event_free (healing->timer);
   g_free (healing);
 }
@@ -42,7 +37,6 @@
   healing_t *healing = g_new0 (healing_t, 1);
   struct timeval wait = { ms / 1000, ms % 1000 * 1000 };
 
-  healing->sok = sok;
   healing->proxy = proxy;
   healing->timer = evtimer_new (sok->base, on_heal, healing);
   event_add (healing->timer, &wait);
@@ -88,6 +82,23 @@
   heal_later (sok, proxy, ms);
 }
 
+static void
+fail_store (sok_t *sok, const char *state, uint32_t ms)
+{
+  sok_store_admin (sok, "/admin/fault", state);
+  sok->store_heals_us = sok_now_us () + (uint64_t)ms * 1000;
+  disturb (sok, ms);
+}
+
+void
+sok_faults_look (sok_t *sok)
+{
+  if (sok->store_heals_us == 0 || sok_now_us () < sok->store_heals_us)
+    return;
+  sok->store_heals_us = 0;
+  sok_store_admin (sok, "/admin/fault", "{\"log\":\"up\"}");
+}
+
 static void
 hit_store (sok_t *sok)
 {
@@ -97,13 +108,11 @@
     {
     case 0:
       sok_log (sok, "store: down for %u ms", ms);
-      sok_store_admin (sok, "/admin/fault", "{\"log\":\"down\"}");
-      heal_later (sok, NULL, ms);
+      fail_store (sok, "{\"log\":\"down\"}", ms);
       return;
     case 1:
       sok_log (sok, "store: refuses for %u ms", ms);
-      sok_store_admin (sok, "/admin/fault", "{\"log\":\"refuse\"}");
-      heal_later (sok, NULL, ms);
+      fail_store (sok, "{\"log\":\"refuse\"}", ms);
       return;
     default:
       sok_log (sok, "store: forgets its history");
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -68,6 +68,7 @@
       event_base_loopexit (sok->base, &tick);
       event_base_dispatch (sok->base);
       sok_processes_look (sok);
+      sok_faults_look (sok);
     }
 }
 
--- a/src/request/engines.c
+++ b/src/request/engines.c
@@ -160,6 +160,16 @@
     egn->entry.slots = load->slots;
 }
 
+void
+egn_full (egn_t *egn, uint64_t now_us)
+{
+  uint32_t rest = egn->own > 0 ? egn->own - 1 : 0;
+  uint32_t slots = egn->entry.slots;
+
+  egn->others = slots > rest ? slots - rest : 0;
+  egn->told_us = now_us - MIN (now_us, EGN_TOLD_US - EGN_FULL_US);
+}
+
 uint32_t
 egn_errors_now (const egn_t *egn, uint64_t now_us)
 {
--- a/src/request/engines.h
+++ b/src/request/engines.h
@@ -117,6 +117,13 @@
 /** egn_end() - it ended; may free the engine */
 void egn_end (egn_t *egn);
 void egn_told (egn_t *egn, uint64_t now_us, const egn_load_t *load);
+/* An engine that was full is asked again after this, if nothing of this router's ends there before.
+ */
+#define EGN_FULL_US (UINT64_C (100) * 1000)
+
+/** egn_full() - it refused a request of this router, which is still counted, as it had no place
+ * left */
+void egn_full (egn_t *egn, uint64_t now_us);
 /** egn_worked() - it answered, well or with a failure of its own (@failed) */
 void egn_worked (egn_t *egn, uint64_t now_us, bool failed);
 /** egn_failed() - it could not be reached or broke off */
--- a/src/request/format.h
+++ b/src/request/format.h
@@ -71,6 +71,7 @@
  * struct fmt_answer - what an engine's answer says of itself
  * @crossed: it answers another request
  * @not_run: the engine states that it did not run the request
+ * @is_other: it is another engine than the one expected
  * @genuine: it bears the engine's signature
  * @idle_ms: how long the engine keeps an idle connection; 0 is not said
  */
@@ -78,6 +79,7 @@
 {
   bool crossed;
   bool not_run;
+  bool is_other;
   bool genuine;
   bool has_load;
   egn_load_t load;
--- a/src/request/gateway_hop.c
+++ b/src/request/gateway_hop.c
@@ -126,6 +126,19 @@
   service->run_us = (service->run_us * (GWY_RUN_GAIN - 1) + took_us) / GWY_RUN_GAIN;
 }
 
+/*
+ * The engine had no place left. It may be asked again once it has one: were it left out for good, a
+ * request whose service has one engine would be refused though it could wait for milliseconds.
+ */
+static void
+note_refused (gwy_call_t *call, egn_t *engine)
+{
+  if (call->answer.is_other || call->tried_count == 0)
+    return;
+  egn_full (engine, gwy_now_us (call->gwy));
+  call->tried_count--;
+}
+
 static void
 end_whole (gwy_call_t *call)
 {
@@ -177,6 +190,8 @@
     measure (call);
   else if (!call->headed || !call->answer.not_run)
     egn_failed (call->engine, gwy_now_us (gwy));
+  if (call->headed && call->answer.not_run)
+    note_refused (call, call->engine);
   if (!end->whole)
     note_crash (call, end);
   if (!end->whole)
--- a/tests/driver.c
+++ b/tests/driver.c
@@ -167,12 +167,18 @@
 }
 
 void
-drv_start (drv_t *drv, const drv_fleet_t *fleet)
+drv_start_platform (drv_t *drv)
 {
-  drv->fleet = *fleet;
   g_setenv ("MEDLARPLANK_FLEET_KEY", DRV_FLEET_KEY, TRUE);
   start_platform (drv);
   drv_until (drv, DRV_WAIT_MS, "the platform", is_up, drv->platform);
+}
+
+void
+drv_start (drv_t *drv, const drv_fleet_t *fleet)
+{
+  drv->fleet = *fleet;
+  drv_start_platform (drv);
   start_hosts (drv);
   start_routers (drv);
   drv_list (drv);
