--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,11 @@
 soak: all $(SOAK)
 	soak/run.sh $(OUT) $(SECONDS) $(SEEDS)
 
+# The seeds that ever failed, each with its time.
+soak-seeds: all $(SOAK)
+	grep -v '^#' soak/seeds.txt | while read -r seed seconds cause; do \
+	  soak/run.sh $(OUT) "$$seconds" "$$seed" || exit 1; done
+
 unit: $(UNIT)
 	tests/run.sh $(OUT) $(UNIT)
 
@@ -92,6 +97,7 @@
 
 # varFuncNullUB is left to gcc's sentinel check, which knows that NULL is a pointer here.
 lint:
+	tests/check_tree.sh
 	clang-format --dry-run --Werror $(CSRC)
 	cppcheck --quiet --error-exitcode=1 --enable=warning,portability --inline-suppr \
 	  --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches --suppress=varFuncNullUB -DTAILQ_FOREACH=for '-DG_DEFINE_AUTOPTR_CLEANUP_FUNC(type,func)=' '-DG_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(type,func)=' -Isrc $(filter %.c,$(CSRC))
@@ -105,5 +111,5 @@
 	rm -rf build build-san
 
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
-.PHONY: all soak unit sessions check demo format lint tidy clean
+.PHONY: all soak soak-seeds unit sessions check demo format lint tidy clean
 .SECONDARY:
