Tell peers that a marked request was served; what was served moments ago is no suspect

Callers send that request alike; it ran at two engines that were killed, each at another gateway; who served it later forgot the marks, a gateway that had them as final never ran it and so never did. Ruled out: marks that echo (they expire), a hash that collides (the bodies are the same). Change: what was answered in the last 10 s is not marked; who serves a marked request tells that it is cleared by the way that marks go. tidy: two divisors that it could not see are above zero.

--- a/src/process/rumour.c
+++ b/src/process/rumour.c
@@ -111,6 +111,28 @@
   slot->sends_left = RMR_SENDS;
 }
 
+/* Return: whether it is news, which a mark is not that the slot holds as cleared since */
+static bool
+note_mark (rmr_mark_t *slot, const sus_mark_t *mark, uint64_t made_us)
+{
+  bool known = slot->mark.fingerprint == mark->fingerprint;
+  bool cleared = known && sus_is_cleared (&slot->mark);
+
+  if (sus_is_cleared (mark))
+    {
+      if (cleared)
+        return false;
+      slot->mark = *mark;
+      return true;
+    }
+  if (cleared && made_us <= slot->made_us)
+    return false;
+  if (!known)
+    memset (slot, 0, sizeof *slot);
+  slot->mark.fingerprint = mark->fingerprint;
+  return merge_engines (&slot->mark, mark);
+}
+
 bool
 rmr_add_mark (rmr_t *rmr, uint64_t now_us, const sus_mark_t *mark)
 {
@@ -118,13 +140,10 @@
   if (age_us > RMR_MARK_AGE_US)
     return false;
   rmr_mark_t *slot = mark_slot (rmr, mark->fingerprint);
-  bool known = slot->mark.fingerprint == mark->fingerprint;
-  if (!known)
-    memset (slot, 0, sizeof *slot);
-  slot->mark.fingerprint = mark->fingerprint;
-  if (!merge_engines (&slot->mark, mark))
+  uint64_t made_us = now_us - MIN (age_us, now_us);
+  if (!note_mark (slot, mark, made_us))
     return false;
-  slot->made_us = now_us - MIN (age_us, now_us);
+  slot->made_us = made_us;
   slot->sends_left = RMR_SENDS;
   return true;
 }
--- a/src/process/rumour.h
+++ b/src/process/rumour.h
@@ -42,7 +42,8 @@
 void rmr_init (rmr_t *rmr);
 /** rmr_add_word() - news of a host; goes before an older word of it */
 void rmr_add_word (rmr_t *rmr, const mem_word_t *word);
-/** rmr_add_mark() - Return: whether it is news */
+/** rmr_add_mark() - a mark, or that one is cleared, which goes before marks of crashes before it.
+ *  Return: whether it is news */
 bool rmr_add_mark (rmr_t *rmr, uint64_t now_us, const sus_mark_t *mark);
 /** rmr_take_words() - up to @want to send now, those sent least first. Return: how many */
 uint32_t rmr_take_words (rmr_t *rmr, mem_word_t *out, uint32_t want);
--- a/src/request/gateway.c
+++ b/src/request/gateway.c
@@ -88,7 +88,8 @@
 
   while (cwt_take (&gwy->crashes, now_us, &loss))
     {
-      if (!sus_add (gwy->suspects, now_us, loss.fingerprint, loss.engine_hash) ||
+      if (prv_has (gwy->proven, now_us, loss.fingerprint) ||
+          !sus_add (gwy->suspects, now_us, loss.fingerprint, loss.engine_hash) ||
           !sus_get (gwy->suspects, now_us, loss.fingerprint, &mark))
         continue;
       log_event (LOG_LEVEL_WARNING, "suspect", "fingerprint", LOG_HEX (loss.fingerprint), "engine",
@@ -112,10 +113,33 @@
   take_suspects (gwy);
 }
 
+static void
+tell_cleared (gwy_t *gwy, uint64_t fingerprint)
+{
+  sus_mark_t cleared = { .fingerprint = fingerprint };
+
+  log_event (LOG_LEVEL_INFO, "cleared", "fingerprint", LOG_HEX (fingerprint), NULL);
+  gwy->options.suspected (&cleared, gwy->options.context);
+}
+
 void
 gwy_heard_suspect (gwy_t *gwy, const sus_mark_t *mark)
 {
-  sus_merge (gwy->suspects, gwy_now_us (gwy), mark);
+  uint64_t now_us = gwy_now_us (gwy);
+
+  if (sus_is_cleared (mark) || !prv_has (gwy->proven, now_us, mark->fingerprint))
+    sus_merge (gwy->suspects, now_us, mark);
+  else
+    tell_cleared (gwy, mark->fingerprint);
+}
+
+/* Who marked it has perhaps not served it, and would refuse it until the mark expires. */
+void
+gwy_served (gwy_t *gwy, uint64_t fingerprint)
+{
+  prv_answered (gwy->proven, gwy_now_us (gwy), fingerprint);
+  if (sus_clear (gwy->suspects, fingerprint))
+    tell_cleared (gwy, fingerprint);
 }
 
 static void
@@ -143,6 +167,7 @@
   gwy->options = *options;
   gwy->routers = 1;
   gwy->suspects = sus_new (GWY_SUSPECTS, GWY_SUSPECT_US);
+  gwy->proven = prv_new (GWY_PROVEN, GWY_PROVEN_US);
   gwy->services = g_hash_table_new_full (NULL, NULL, NULL, service_free);
   gwy->calls = g_hash_table_new (NULL, NULL);
   get_counters (gwy);
@@ -191,6 +216,7 @@
   drop_calls (gwy);
   hcl_free (gwy->upstreams);
   event_free (gwy->tick);
+  prv_free (gwy->proven);
   sus_free (gwy->suspects);
   g_hash_table_destroy (gwy->services);
   g_hash_table_destroy (gwy->calls);
--- a/src/request/gateway_call.c
+++ b/src/request/gateway_call.c
@@ -307,8 +307,8 @@
 void
 gwy_call_whole (gwy_call_t *call)
 {
-  if (call->in && sus_count (call->gwy->suspects) > 0)
-    sus_clear (call->gwy->suspects, gwy_call_fingerprint (call));
+  if (call->in)
+    gwy_served (call->gwy, gwy_call_fingerprint (call));
   cnt_add (call->gwy->answered, 1);
   lat_add (call->service->answers, gwy_now_us (call->gwy) - call->arrived_us);
   gwy_call_log (call, "end", "answered", VRD_REASON_NONE);
--- a/src/request/gateway_private.h
+++ b/src/request/gateway_private.h
@@ -18,6 +18,7 @@
 #include "request/fault.h"
 #include "request/gateway.h"
 #include "request/patience.h"
+#include "request/proven.h"
 #include "request/relay.h"
 #include "request/spread.h"
 
@@ -36,6 +37,11 @@
 #define GWY_RETRY_MAX_MS 2000
 #define GWY_SUSPECTS 256
 #define GWY_SUSPECT_US (UINT64_C (60) * CLK_US_PER_S) /* its caller has sent it again by then */
+/* A status check that many callers send alike runs at whichever engines crash, and after two would
+ * be refused to all of them. What was served moments ago did not crash them; what does crash each
+ * engine is not served meanwhile, and after this time is marked again. */
+#define GWY_PROVEN 4096
+#define GWY_PROVEN_US (UINT64_C (10) * CLK_US_PER_S)
 #define GWY_WATCH_TICKS 4      /* of those below between two looks at hops that bring nothing */
 #define GWY_WAIT_TICK_MS 25    /* waiting requests are looked at this often besides all events */
 #define GWY_WAIT_LIMIT 1024    /* requests of one service that wait here */
@@ -76,6 +82,7 @@
   GHashTable *calls;
   cwt_t crashes;
   sus_t *suspects;
+  prv_t *proven; /* requests that were served lately */
   uint32_t ticks;
   struct event *tick;
   uint64_t next_number;
@@ -162,6 +169,9 @@
 void gwy_hop_send (gwy_call_t *call, const spr_choice_t *choice);
 /** gwy_hop_watch() - give the hop up if it brings nothing and the request may go elsewhere */
 void gwy_hop_watch (gwy_call_t *call);
+/** gwy_served() - an engine answered the request of @fingerprint: it is no suspect, here and at
+ * peers */
+void gwy_served (gwy_t *gwy, uint64_t fingerprint);
 /** gwy_call_fingerprint() - what suspects are known by */
 uint64_t gwy_call_fingerprint (const gwy_call_t *call);
 /** gwy_hop_drop() - end the hop under way, if any, without an outcome */
--- a/src/request/gateway_wait.c
+++ b/src/request/gateway_wait.c
@@ -25,8 +25,8 @@
 gwy_wait_ms (gwy_t *gwy, const gwy_service_t *service, const fq_item_t *item)
 {
   uint64_t ahead = fq_ahead (service->queue, item).count;
-  uint64_t slots = MAX (slots_of (gwy, service) / MAX (gwy->routers, 1U), 1);
-  uint64_t wait_us = (ahead + 1) * service->run_us / slots;
+  uint64_t slots = slots_of (gwy, service) / MAX (gwy->routers, 1U);
+  uint64_t wait_us = (ahead + 1) * service->run_us / (slots > 0 ? slots : 1);
 
   return (uint32_t)MIN (wait_us / CLK_US_PER_MS, UINT32_MAX);
 }
--- a/src/request/suspect.c
+++ b/src/request/suspect.c
@@ -174,6 +174,8 @@
   const uint64_t age_us = (uint64_t)mark->age_ms * 1000;
   if (age_us > sus->lifetime_us)
     return false;
+  if (sus_is_cleared (mark))
+    return sus_clear (sus, mark->fingerprint);
   drop_expired (sus, now_us);
   const uint64_t crashed_us = now_us > age_us ? now_us - age_us : 0;
   sus_entry_t *entry = find (sus, now_us, mark->fingerprint);
@@ -212,13 +214,23 @@
   return found;
 }
 
-void
+bool
 sus_clear (sus_t *sus, uint64_t fingerprint)
 {
   sus_entry_t *entry = g_hash_table_lookup (sus->entries, &fingerprint);
 
   if (entry)
     drop (sus, entry);
+  return entry != NULL;
+}
+
+bool
+sus_is_cleared (const sus_mark_t *mark)
+{
+  for (uint32_t i = 0; i < LIM_SUSPECT_CRASHES; i++)
+    if (mark->engines[i] != 0)
+      return false;
+  return true;
 }
 
 uint32_t
--- a/src/request/suspect.h
+++ b/src/request/suspect.h
@@ -34,11 +34,14 @@
 sus_verdict_t sus_check (sus_t *sus, uint64_t now_us, uint64_t fingerprint, uint64_t engine_hash);
 /** sus_add() - @engine_hash crashed while it ran @fingerprint. Return: whether this was new */
 bool sus_add (sus_t *sus, uint64_t now_us, uint64_t fingerprint, uint64_t engine_hash);
-/** sus_merge() - a mark heard from a peer. Return: whether it told anything new */
+/** sus_merge() - a mark heard from a peer, also that it is cleared. Return: whether it told
+ * anything new */
 bool sus_merge (sus_t *sus, uint64_t now_us, const sus_mark_t *mark);
 bool sus_get (const sus_t *sus, uint64_t now_us, uint64_t fingerprint, sus_mark_t *out);
-/** sus_clear() - @fingerprint was served: it crashes no engine */
-void sus_clear (sus_t *sus, uint64_t fingerprint);
+/** sus_clear() - @fingerprint was served: it crashes no engine. Return: whether it was marked */
+bool sus_clear (sus_t *sus, uint64_t fingerprint);
+/** sus_is_cleared() - whether @mark tells that its request was served, as it names no engine */
+bool sus_is_cleared (const sus_mark_t *mark);
 uint32_t sus_count (const sus_t *sus);
 /** sus_recent() - up to @want marks to pass on, newest first */
 uint32_t sus_recent (const sus_t *sus, uint64_t now_us, sus_mark_t *out, uint32_t want);
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -291,8 +291,11 @@
 const char *
 rte_target (const rte_route_t *route, uint64_t dice)
 {
-  uint64_t left = dice % weight_sum (route);
+  uint64_t sum = weight_sum (route);
+  uint64_t left;
 
+  g_assert (sum > 0);
+  left = dice % sum;
   for (guint i = 0; i < route->targets->len; i++)
     {
       const rte_target_t *target = &g_array_index (route->targets, rte_target_t, i);
--- a/tests/test_rumour.c
+++ b/tests/test_rumour.c
@@ -104,6 +104,28 @@
   CU_ASSERT_FALSE (rmr_add_mark (&rmr, NOW_US, &old));
 }
 
+/* Marks go on being told by those who have not heard yet that the request was served. Such a mark
+ * is older than that news and does not undo it; a crash after it does. */
+static void
+test_cleared_mark_stays_cleared (void)
+{
+  rmr_t rmr;
+  sus_mark_t crash = mark (9, 1, 0);
+  sus_mark_t served = mark (9, 0, 0);
+  sus_mark_t out[2];
+
+  rmr_init (&rmr);
+  CU_ASSERT_TRUE (rmr_add_mark (&rmr, NOW_US, &crash));
+  CU_ASSERT_TRUE (rmr_add_mark (&rmr, NOW_US + CLK_US_PER_S, &served));
+  CU_ASSERT_FALSE (rmr_add_mark (&rmr, NOW_US + CLK_US_PER_S, &served));
+  crash.age_ms = 2000;
+  CU_ASSERT_FALSE (rmr_add_mark (&rmr, NOW_US + 2 * CLK_US_PER_S, &crash));
+  CU_ASSERT_EQUAL (rmr_take_marks (&rmr, NOW_US + 2 * CLK_US_PER_S, out, 2), 1);
+  CU_ASSERT (sus_is_cleared (&out[0]));
+  crash.age_ms = 0;
+  CU_ASSERT_TRUE (rmr_add_mark (&rmr, NOW_US + 3 * CLK_US_PER_S, &crash));
+}
+
 int
 main (void)
 {
@@ -112,6 +134,7 @@
     SUITE_TEST (test_newer_word_replaces),
     SUITE_TEST (test_full_table_drops_what_was_sent_most),
     SUITE_TEST (test_marks_are_merged),
+    SUITE_TEST (test_cleared_mark_stays_cleared),
     CU_TEST_INFO_NULL,
   };
   return suite_run ("rumour", tests);
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -80,6 +80,24 @@
   CU_ASSERT_EQUAL (sus_check (two, now_us, 7, 100), SUS_CLEAR);
 }
 
+/* Callers send one status check alike. Two engines crash for reasons of their own, and a gateway
+ * that has just started refuses it to all of them, while the others serve it: it hears that it is
+ * served. */
+static void
+test_served_request_is_cleared_at_peers (void)
+{
+  g_autoptr (sus_t) started = sus_new (8, LIFETIME_US);
+  sus_mark_t crashes = { .fingerprint = 7, .engines = { 100, 200 } };
+  sus_mark_t served = { .fingerprint = 7 };
+
+  CU_ASSERT (sus_merge (started, 10, &crashes));
+  CU_ASSERT_EQUAL (sus_check (started, 10, 7, 300), SUS_FINAL);
+  CU_ASSERT (sus_merge (started, 20, &served));
+  CU_ASSERT_EQUAL (sus_check (started, 20, 7, 300), SUS_CLEAR);
+  CU_ASSERT (!sus_merge (started, 30, &served));
+  CU_ASSERT_EQUAL (sus_count (started), 0);
+}
+
 static void
 test_limit_drops_the_oldest (void)
 {
@@ -141,6 +159,7 @@
     { "marks merge", test_marks_merge },
     { "marks expire", test_marks_expire },
     { "an echo does not renew a mark", test_echo_does_not_renew },
+    { "a served request is cleared at peers", test_served_request_is_cleared_at_peers },
     { "the limit drops the oldest", test_limit_drops_the_oldest },
     { "directory keeps and forgets", test_directory_keeps_and_forgets },
     { "directory is bounded", test_directory_is_bounded },
