--- a/Makefile
+++ b/Makefile
@@ -71,12 +71,11 @@
 SEEDS   ?= 1 2 3
 SECONDS ?= 12
 soak: all $(SOAK)
-	soak/run.sh $(OUT) $(SECONDS) $(SEEDS)
+	printf '%s $(SECONDS)\n' $(SEEDS) | soak/run.sh $(OUT)
 
 # The seeds that ever failed, each with its time.
 soak-seeds: all $(SOAK)
-	grep -v '^#' soak/seeds.txt | while read -r seed seconds cause; do \
-	  soak/run.sh $(OUT) "$$seconds" "$$seed" || exit 1; done
+	soak/run.sh $(OUT) <soak/seeds.txt
 
 unit: $(UNIT)
 	tests/run.sh $(OUT) $(UNIT)
--- a/soak/run.sh
+++ b/soak/run.sh
@@ -1,20 +1,15 @@
 #!/usr/bin/env bash
-# Runs the soak with each seed and closes with "N passed, N failed". The output of a seed that fails is
-# printed whole. Usage: soak/run.sh BUILD-DIR SECONDS SEED...
+# Runs the soak once for each line "SEED SECONDS [cause]" of its input, three at a time, and closes with
+# "N passed, N failed". The output of a run that fails is printed whole. Usage: soak/run.sh BUILD-DIR
 set -u
 out=$1
-seconds=$2
-shift 2
-passed=0
-failed=0
-for seed in "$@"; do
-  if "$out/soak-run" --build "$out" --seed "$seed" --seconds "$seconds" >"$out/soak-$seed.log" 2>&1; then
-    passed=$((passed + 1))
-    tail -n 1 "$out/soak-$seed.log"
-  else
-    failed=$((failed + 1))
-    cat "$out/soak-$seed.log"
-  fi
-done
+dir=$(mktemp -d)
+trap 'rm -rf "$dir"' EXIT
+grep -v '^#' | awk '{ print $1, $2 }' |
+  xargs -P 3 -L 1 sh -c '"$0/soak-run" --build "$0" --seed "$2" --seconds "$3" >"$1/$2.log" 2>&1 && mv "$1/$2.log" "$1/$2.passed"; true' "$out" "$dir"
+passed=$(find "$dir" -name '*.passed' | wc -l)
+failed=$(find "$dir" -name '*.log' | wc -l)
+find "$dir" -name '*.passed' -exec tail -qn 1 {} +
+find "$dir" -name '*.log' -exec cat {} +
 echo "soak: $passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
