--- a/Makefile
+++ b/Makefile
@@ -89,6 +89,7 @@
 demo:
 	./install-packages.sh
 	$(MAKE) all
+	examples/demo_gateway.sh $(OUT)
 	examples/demo.sh $(OUT)
 
 format:
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -6,51 +6,11 @@
 set -eu
 cd "$(dirname "$0")/.."
 out=${1:-build}
-dir=$(mktemp -d)
-pids=()
-export MEDLARPLANK_FLEET_KEY=demo-fleet-key-0123456789
+. examples/demo_lib.sh
 platform=127.0.77.1:7000
 routers=(127.0.77.11:7080 127.0.77.12:7080)
 models=(bayangol-m1 bayangol-m2 sukhbaatar-m1 khan-uul-m1)
 plains=(bayangol-p1)
-failed=0
-
-stop_all () {
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  [ -n "${KEEP:-}" ] || rm -rf "$dir"
-}
-trap stop_all EXIT
-
-start () { # NAME PROGRAM ARGS...: a process in the background, its log in $dir/NAME.log
-  local name=$1
-  shift
-  "$out/$@" >"$dir/$name.log" 2>&1 &
-  pids+=($!)
-}
-
-wait_for () { # WHAT COMMAND...: until the command succeeds, for 10 seconds at most
-  local what=$1
-  shift
-  local end=$((SECONDS + 10))
-  until "$@" >/dev/null 2>&1; do
-    if [ "$SECONDS" -ge "$end" ]; then
-      echo "demo: $what did not come up" >&2
-      tail -n 5 "$dir"/*.log >&2
-      exit 1
-    fi
-    sleep 0.05
-  done
-}
-
-expect () { # WHAT CONDITION...: says when an answer is not as it should be
-  local what=$1
-  shift
-  if ! [ "$@" ]; then
-    echo "   UNEXPECTED: $what"
-    failed=$((failed + 1))
-  fi
-}
 
 data_center_of () {
   echo "hall-${1%-*}"
@@ -97,10 +57,6 @@
 for router in "${routers[@]}"; do wait_for "router $router" curl -fsS "http://$router/readyz"; done
 for n in 21 22 23 24 25; do wait_for "sidecar 127.0.77.$n" curl -fsS "http://127.0.77.$n:7080/readyz"; done
 
-field () { # NAME: the value of an answer's header
-  tr -d '\r' <"$dir/head" | awk -F': ' -v name="$1" 'tolower($1)==tolower(name){print $2}'
-}
-
 ask () { # ROUTER CHAT BODY: sends one turn; leaves status, head and body
   status=$(curl -sS -o "$dir/body" -D "$dir/head" -w '%{http_code}' -H "Authorization: Bearer demo-appeals-team" \
     -H "X-Chat-Id: $2" -H "Content-Type: application/json" -d "$3" "http://$1/v1/chat/completions")
@@ -160,11 +116,4 @@
 "$out/medlarplankctl" --platform "$platform" status || failed=$((failed + 1))
 
 echo "== stop: every daemon drains and exits 0"
-for pid in "${pids[@]}"; do kill -TERM "$pid"; done
-for pid in "${pids[@]}"; do
-  rc=0
-  wait "$pid" || rc=$?
-  expect "exit status of $pid" "$rc" = 0
-done
-pids=()
-[ "$failed" = 0 ] && echo "demo: all as expected" || { echo "demo: $failed not as expected"; exit 1; }
+stop_and_judge demo
