--- a/src/request/gateway_wait.c
+++ b/src/request/gateway_wait.c
@@ -20,13 +20,14 @@
   return slots;
 }
 
-/* All routers take from the same slots, so this one gets about its share of those that end. */
 uint32_t
 gwy_wait_ms (gwy_t *gwy, const gwy_service_t *service, const fq_item_t *item)
 {
-  uint64_t ahead = fq_ahead (service->queue, item).count;
-  uint64_t slots = slots_of (gwy, service) / MAX (gwy->routers, 1U);
-  uint64_t wait_us = (ahead + 1) * service->run_us / (slots > 0 ? slots : 1);
+  spr_line_t line = { .ahead = fq_ahead (service->queue, item).count,
+                      .run_us = service->run_us,
+                      .slots = slots_of (gwy, service),
+                      .gateways = gwy->routers };
+  uint64_t wait_us = spr_wait_us (&line);
 
   return (uint32_t)MIN (wait_us / CLK_US_PER_MS, UINT32_MAX);
 }
