--- a/src/request/gateway.c
+++ b/src/request/gateway.c
@@ -70,13 +70,17 @@
 }
 
 static void
-watch_hops (gwy_t *gwy)
+watch_calls (gwy_t *gwy)
 {
   g_autoptr (GList) calls = g_hash_table_get_keys (gwy->calls);
 
   for (GList *link = calls; link; link = link->next)
-    if (g_hash_table_contains (gwy->calls, link->data))
-      gwy_hop_watch (link->data);
+    {
+      if (g_hash_table_contains (gwy->calls, link->data))
+        gwy_hop_watch (link->data);
+      if (g_hash_table_contains (gwy->calls, link->data))
+        gwy_wait_watch (link->data);
+    }
 }
 
 static void
@@ -109,7 +113,7 @@
   pump_all (gwy);
   if (++gwy->ticks % GWY_WATCH_TICKS != 0)
     return;
-  watch_hops (gwy);
+  watch_calls (gwy);
   take_suspects (gwy);
 }
 
@@ -155,6 +159,8 @@
   gwy->resumed =
       cnt_get (set, "medlarplank_gateway_resumed_total", "Streams that went on elsewhere");
   gwy->gone = cnt_get (set, "medlarplank_gateway_gone_total", "Requests whose caller left");
+  gwy->waited =
+      cnt_get (set, "medlarplank_gateway_waited_total", "Times that requests waited for room");
 }
 
 gwy_t *
--- a/src/request/gateway_private.h
+++ b/src/request/gateway_private.h
@@ -42,8 +42,9 @@
  * engine is not served meanwhile, and after this time is marked again. */
 #define GWY_PROVEN 4096
 #define GWY_PROVEN_US (UINT64_C (10) * CLK_US_PER_S)
-#define GWY_WATCH_TICKS 4      /* of those below between two looks at hops that bring nothing */
-#define GWY_WAIT_TICK_MS 25    /* waiting requests are looked at this often besides all events */
+#define GWY_WATCH_TICKS 4   /* of those below between two looks at hops that bring nothing */
+#define GWY_WAIT_TICK_MS 25 /* waiting requests are looked at this often besides all events */
+#define GWY_WATCH_US (GWY_WATCH_TICKS * GWY_WAIT_TICK_MS * CLK_US_PER_MS)
 #define GWY_WAIT_LIMIT 1024    /* requests of one service that wait here */
 #define GWY_RUN_US (50 * 1000) /* of a request, until it has been measured */
 #define GWY_RUN_GAIN 16
@@ -92,6 +93,7 @@
   cnt_t *retried;
   cnt_t *resumed;
   cnt_t *gone;
+  cnt_t *waited;
 };
 
 /**
@@ -183,6 +185,8 @@
 void gwy_wait_remove (gwy_call_t *call);
 /** gwy_wait_pump() - send what waits for @service as far as there is room */
 void gwy_wait_pump (gwy_service_t *service, gwy_t *gwy);
+/** gwy_wait_watch() - refuse it if it waits and would be too late; frees it then */
+void gwy_wait_watch (gwy_call_t *call);
 /** gwy_wait_ms() - expected until a request of @service could start; 0 when nothing waits */
 uint32_t gwy_wait_ms (gwy_t *gwy, const gwy_service_t *service, const fq_item_t *item);
 
--- a/src/request/gateway_wait.c
+++ b/src/request/gateway_wait.c
@@ -48,6 +48,20 @@
                             .owner = call };
 }
 
+/*
+ * The wait is a guess: engines leave while requests wait. One that is refused at its deadline has
+ * lost the time in which its caller could have sent it again, and one that starts a moment before
+ * can't be answered in time. So waiting ends while there is still time for an answer to begin, or
+ * in the last quarter of a short time.
+ */
+static uint64_t
+least_us (const gwy_call_t *call)
+{
+  uint64_t quarter_us = (call->deadline_us - call->arrived_us) / 4;
+
+  return MIN (call->service->head_us + GWY_WATCH_US, quarter_us);
+}
+
 void
 gwy_wait_push (gwy_call_t *call)
 {
@@ -58,7 +72,7 @@
 
   fill_item (call);
   wait_ms = gwy_wait_ms (gwy, service, &call->item);
-  if (now_us + (uint64_t)wait_ms * CLK_US_PER_MS >= call->deadline_us)
+  if (now_us + (uint64_t)wait_ms * CLK_US_PER_MS + least_us (call) >= call->deadline_us)
     {
       gwy_call_refuse (call, VRD_REASON_DEADLINE, wait_ms);
       return;
@@ -69,6 +83,7 @@
       return;
     }
   call->waiting = true;
+  cnt_add (gwy->waited, 1);
   gwy_call_log (call, "wait", "queued", VRD_REASON_OVER_BOUND);
 }
 
@@ -81,6 +96,15 @@
   fq_remove (call->service->queue, &call->item);
 }
 
+void
+gwy_wait_watch (gwy_call_t *call)
+{
+  if (!call->waiting || gwy_now_us (call->gwy) + least_us (call) < call->deadline_us)
+    return;
+  gwy_wait_remove (call);
+  gwy_call_refuse (call, VRD_REASON_DEADLINE, gwy_wait_ms (call->gwy, call->service, &call->item));
+}
+
 static bool
 any (const fq_item_t *item, void *context)
 {
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -122,8 +122,8 @@
   g_autofree char *address = set_address_text (&grg->engines[engine]->address);
   g_autofree char *text =
       g_strdup_printf ("{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"hall-1\","
-                       "\"slots\":8,\"state\":\"%s\"}",
-                       address, state);
+                       "\"slots\":%u,\"state\":\"%s\"}",
+                       address, GRG_SLOTS, state);
   char id[8];
 
   g_snprintf (id, sizeof id, "e%u", engine);
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -13,6 +13,7 @@
 
 #define GRG_GATEWAYS 2
 #define GRG_ENGINES 3
+#define GRG_SLOTS 8   /* of each engine */
 #define GRG_PORT 7310 /* of the first gateway's control listener; the exchange has the next */
 
 /** struct grg_gateway - @front: what it calls of the store; @address: where callers connect */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -157,6 +157,40 @@
   raw_free (raw);
 }
 
+static bool
+one_is_refused (void *context)
+{
+  raw_t **calls = context;
+  uint32_t refused = 0;
+
+  for (uint32_t i = 0; i <= GRG_SLOTS; i++)
+    refused += begins (calls[i], "HTTP/1.1 503 ") ? 1 : 0;
+  return refused == 1;
+}
+
+/* The engine is busy for longer than was expected. The caller hears it while it can still ask
+ * again, not at its deadline, when it has gone. */
+static void
+test_wait_ends_before_the_deadline (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  raw_t *calls[GRG_SLOTS + 1];
+
+  grg_engine (grg, SCRIPTS (NULL), 1);
+  grg_config (grg, 7,
+              ",{\"host\":\"h.example\",\"path_prefix\":\"/long/\",\"kind\":\"non_idempotent\","
+              "\"service\":\"pool\",\"timeout_ms\":60000}");
+  CU_ASSERT (grg_wait (grg, "medlarplank_version", 7));
+  for (uint32_t i = 0; i < GRG_SLOTS; i++)
+    calls[i] = grg_send (grg, 0, "POST", "/long/", BOOKING);
+  calls[GRG_SLOTS] = grg_send (grg, 0, "POST", "/long/", BOOKING);
+  CU_ASSERT (grg_wait (grg, "medlarplank_gateway_waited_total", 1));
+  clk_init_paused (&grg->clk, clk_now_us (&grg->clk) + 59900 * CLK_US_PER_MS);
+  CU_ASSERT (raw_run_until (grg->base, one_is_refused, calls));
+  for (uint32_t i = 0; i <= GRG_SLOTS; i++)
+    raw_free (calls[i]);
+}
+
 /* The address belongs to another engine by now, which says so: the booking goes to the next one,
  * and never twice to the first. */
 static void
@@ -494,6 +528,7 @@
                                        SUITE_TEST (test_lost_booking_is_not_repeated),
                                        SUITE_TEST (test_full_engine_is_waited_for),
                                        SUITE_TEST (test_refusals_are_bounded),
+                                       SUITE_TEST (test_wait_ends_before_the_deadline),
                                        SUITE_TEST (test_other_engine_at_the_address),
                                        SUITE_TEST (test_lookup_is_tried_once_more),
                                        SUITE_TEST (test_crossed_answer_reaches_nobody),
