--- a/src/process/latency.c
+++ b/src/process/latency.c
@@ -14,12 +14,6 @@
   cnt_t *count;
 };
 
-uint32_t
-lat_bound_ms (uint32_t bucket)
-{
-  return bounds_ms[bucket];
-}
-
 static cnt_t *
 part (cnt_set_t *set, const char *base, const char *suffix, const char *labels, const char *help)
 {
--- a/src/process/latency.h
+++ b/src/process/latency.h
@@ -20,7 +20,5 @@
 lat_t *lat_new (cnt_set_t *set, const char *base, const char *labels, const char *help);
 void lat_free (lat_t *lat);
 void lat_add (lat_t *lat, uint64_t took_us);
-/** lat_bound_ms() - upper bound of a bucket; 0 for the last one */
-uint32_t lat_bound_ms (uint32_t bucket);
 
 #endif
