Leave a request whose answer was lost while there is time for another

Patience was a second, as long as that caller's whole time. Ruled out: the engine's silence as a whole (it serves others). Change: a request is late after a quarter of its time if that is less than a second, and never before eight times the usual. Test: test_course, fails with a second.

--- a/src/request/gateway_hop.c
+++ b/src/request/gateway_hop.c
@@ -229,6 +229,7 @@
                 .engine_heard_us = call->engine ? call->engine->heard_us : 0,
                 .prompt_tokens = call->request.prompt_tokens,
                 .usual_us = call->service->head_us,
+                .time_us = call->deadline_us - MIN (call->sent_us, call->deadline_us),
                 .gap_us = (uint64_t)call->route->gap_ms * CLK_US_PER_MS };
 
   if (!call->out || !call->in || rly_held_up (&call->rly) || !may_leave (call) ||
--- a/src/request/patience.h
+++ b/src/request/patience.h
@@ -21,6 +21,10 @@
  * same engine are served. */
 #define PTC_LATE_FACTOR 8
 #define PTC_LATE_US (UINT64_C (1000) * 1000)
+/* Of a request with little time: whose answer was lost on the way is to be sent again while there
+ * is time for an answer, also when the second one is lost. A status check has a second and takes 25
+ * ms. */
+#define PTC_LATE_PART 4
 /* Between events of a stream: so many times the pause that is still on time. */
 #define PTC_GAP_FACTOR 3
 
@@ -31,6 +35,7 @@
  * @engine_heard_us: when a byte of any request came from its engine, 0 when none has
  * @prompt_tokens: that the engine may have to read
  * @usual_us: from a send to the head, usually
+ * @time_us: from its send to its deadline
  * @gap_us: of a stream: the longest pause that is on time; 0 when it is not known
  */
 typedef struct
@@ -40,6 +45,7 @@
   uint64_t engine_heard_us;
   uint64_t prompt_tokens;
   uint64_t usual_us;
+  uint64_t time_us;
   uint64_t gap_us;
 } ptc_t;
 
--- a/tests/test_course.c
+++ b/tests/test_course.c
@@ -254,6 +254,8 @@
 
 #define SENT_US (100 * S_US)
 
+#define TIME_US (UINT64_C (12000) * 1000)
+
 static bool
 is_lost (const ptc_t *ptc, uint64_t after_ms)
 {
@@ -265,7 +267,9 @@
 static void
 test_dark_engine_is_given_up (void)
 {
-  ptc_t ptc = { .sent_us = SENT_US, .engine_heard_us = SENT_US - 1000, .usual_us = 50 * 1000 };
+  ptc_t ptc = {
+    .sent_us = SENT_US, .engine_heard_us = SENT_US - 1000, .usual_us = 50 * 1000, .time_us = TIME_US
+  };
 
   CU_ASSERT (!is_lost (&ptc, 490));
   CU_ASSERT (is_lost (&ptc, 510));
@@ -278,7 +282,7 @@
 static void
 test_late_request_is_given_up_later (void)
 {
-  ptc_t ptc = { .sent_us = SENT_US, .usual_us = 50 * 1000 };
+  ptc_t ptc = { .sent_us = SENT_US, .usual_us = 50 * 1000, .time_us = TIME_US };
 
   ptc.engine_heard_us = SENT_US + 990 * 1000;
   CU_ASSERT (!is_lost (&ptc, 995));
@@ -288,10 +292,27 @@
   CU_ASSERT (!is_lost (&ptc, 2300));
 }
 
+/* The answer of one status check is lost on the way, and its engine serves others. Its caller waits
+ * for a second: it must be sent again in time, but not while a slow engine still works on it. */
+static void
+test_lost_answer_of_a_short_request (void)
+{
+  ptc_t ptc = { .sent_us = SENT_US, .usual_us = 25 * 1000, .time_us = 1000 * 1000 };
+
+  ptc.engine_heard_us = SENT_US + 240 * 1000;
+  CU_ASSERT (!is_lost (&ptc, 245));
+  CU_ASSERT (is_lost (&ptc, 250));
+  ptc.usual_us = 60 * 1000;
+  CU_ASSERT (!is_lost (&ptc, 475));
+  CU_ASSERT (is_lost (&ptc, 480));
+}
+
 static void
 test_silent_stream_is_given_up (void)
 {
-  ptc_t ptc = { .sent_us = SENT_US, .heard_us = SENT_US + 100 * 1000, .usual_us = 50 * 1000 };
+  ptc_t ptc = {
+    .sent_us = SENT_US, .heard_us = SENT_US + 100 * 1000, .usual_us = 50 * 1000, .time_us = TIME_US
+  };
 
   CU_ASSERT (!is_lost (&ptc, 60 * 1000));
   ptc.gap_us = 300 * 1000;
@@ -384,6 +405,7 @@
                                        SUITE_TEST (test_endless_event_is_broken),
                                        SUITE_TEST (test_dark_engine_is_given_up),
                                        SUITE_TEST (test_late_request_is_given_up_later),
+                                       SUITE_TEST (test_lost_answer_of_a_short_request),
                                        SUITE_TEST (test_silent_stream_is_given_up),
                                        SUITE_TEST (test_lone_crash_makes_a_suspect),
                                        SUITE_TEST (test_lost_answer_makes_none),
