--- /dev/null
+++ b/src/process/gateway_fetch.h
@@ -0,0 +1,56 @@
+/**
+ * DOC: gateway_fetch
+ *
+ * Asks another gateway for what it has read of the platform's store, one question at a time, and
+ * answers such questions. An answer is sealed with the fleet key and the asker's nonce.
+ */
+#ifndef PROCESS_GATEWAY_FETCH_H
+#define PROCESS_GATEWAY_FETCH_H
+
+#include "connection/http_server.h"
+#include "process/settings.h"
+#include "version/view_share.h"
+
+#include <event2/event.h>
+
+#define GFT_TIMEOUT_MS 1000 /* a link of 10 Mbit/s brings a version of 350 KB in 0.3 s */
+
+/** struct gft_end - how a question ended; @body is NULL unless the answer is whole and its seal
+ * right
+ */
+typedef struct
+{
+  const set_address_t *peer;
+  const char *body;
+  size_t body_bytes;
+  const char *reason; /* of an answer that is not used */
+} gft_end_t;
+
+/** struct gft_options - options of gft_new(); @ended may ask again */
+typedef struct
+{
+  struct event_base *base;
+  const char *fleet_key;
+  void (*ended) (const gft_end_t *end, void *context);
+  void *context;
+} gft_options_t;
+
+typedef struct gft gft_t;
+
+gft_t *gft_new (const gft_options_t *options);
+/** gft_free() - drops the question under way */
+void gft_free (gft_t *gft);
+bool gft_is_busy (const gft_t *gft);
+/** gft_ask() - for what the gateway at @peer has beyond the next offset of each stream; only when
+ * not busy */
+void gft_ask (gft_t *gft, const set_address_t *peer, const vsh_stream_t *streams, uint32_t count);
+/**
+ * gft_answer() - answer a request on the control listener
+ * @settled: whether keys that were dropped lately are gone for sure
+ *
+ * Return: false when it is none of gft_ask()
+ */
+bool gft_answer (
+    const gft_t *gft, hsv_call_t *call, const vsh_stream_t *streams, uint32_t count, bool settled);
+
+#endif
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -1,18 +1,12 @@
 #include "process/gateway_store.h"
 
-#include "connection/http_client.h"
+#include "process/gateway_fetch.h"
 #include "process/gateway_peers.h"
 #include "process/log.h"
 #include "version/stream_follow.h"
-#include "version/view_share.h"
 
-#include <event2/http.h>
 #include <string.h>
 
-#define SEAL_KIND "medlarplank view answer"
-#define IDLE_CONNECTIONS 2
-#define IDLE_TIMEOUT_MS 10000
-#define STATUS_OK 200
 #define PUT_PACE_US (UINT64_C (1000) * 1000)
 
 enum
@@ -27,22 +21,16 @@
                                                    PLT_STREAM_ROUTERS };
 
 /**
- * struct fetch - asking a peer for what it has read more of
- * @behind_us: since when a peer at @control has had more of a stream, 0 when none has
- * @asked: streams that are asked for
+ * struct behind - what peers have read more of
+ * @since_us: since when a peer at @control has had more of a stream, 0 when none has
+ * @next_us: when a peer may be asked next
  */
 typedef struct
 {
-  hcl_t *hcl;
-  hcl_call_t *call;
-  struct evbuffer *body;
-  char nonce[ASL_NONCE_BYTES];
-  char seal[ASL_SEAL_BYTES];
   set_address_t control;
-  uint64_t behind_us[STREAMS];
-  bool asked[STREAMS];
+  uint64_t since_us[STREAMS];
   uint64_t next_us;
-} fetch_t;
+} behind_t;
 
 /**
  * struct gst - the store as it is known here
@@ -59,7 +47,8 @@
   gpr_t *peers;
   kvw_t *views[STREAMS];
   sfl_t *follows[STREAMS];
-  fetch_t fetch;
+  gft_t *fetch;
+  behind_t behind;
   uint64_t fresh_us;
   uint64_t last_us;
   uint64_t out_until_us;
@@ -84,7 +73,7 @@
   gst_t *gst = context;
 
   (void)key;
-  gst->fetch.behind_us[ROUTING] = 0;
+  gst->behind.since_us[ROUTING] = 0;
   if (value)
     gst->options.routing (value, value_bytes, offset, gst->options.context);
 }
@@ -119,7 +108,7 @@
   bool catching_up = sfl_is_catching_up (gst->follows[ENGINES]);
 
   note_heard (gst, sfl_heard_us (gst->follows[ENGINES]));
-  gst->fetch.behind_us[ENGINES] = 0;
+  gst->behind.since_us[ENGINES] = 0;
   gst->options.engine (key, value, value_bytes, offset,
                        gst->adopting ? gst->unsettled : catching_up && was_out (gst),
                        gst->options.context);
@@ -185,13 +174,11 @@
 static void
 note_behind (gst_t *gst, uint32_t stream, bool behind, const set_address_t *control)
 {
-  fetch_t *fetch = &gst->fetch;
-
   if (!behind)
     return;
-  fetch->control = *control;
-  if (fetch->behind_us[stream] == 0)
-    fetch->behind_us[stream] = now_us (gst);
+  gst->behind.control = *control;
+  if (gst->behind.since_us[stream] == 0)
+    gst->behind.since_us[stream] = now_us (gst);
 }
 
 static void
@@ -229,109 +216,50 @@
 }
 
 static void
-adopt (gst_t *gst, const char *body, size_t body_bytes)
+apply (gst_t *gst, const vsh_answer_t *answer)
 {
-  vsh_answer_t answer;
   vsh_stream_t streams[STREAMS];
 
   streams_of (gst, streams);
-  if (vsh_read (&answer, body, body_bytes))
-    {
-      gst->adopting = true;
-      gst->unsettled = !answer.settled;
-      for (uint32_t i = 0; i < STREAMS; i++)
-        sfl_advance (gst->follows[i], vsh_apply (&answer, &streams[i]));
-      gst->adopting = false;
-      cnt_add (gst->fetched, 1);
-      gst->options.told (gst->options.context);
-    }
-  vsh_clear (&answer);
-}
-
-static void
-log_fetch (const gst_t *gst, const char *outcome, const char *reason)
-{
-  g_autofree char *peer = set_address_text (&gst->fetch.control);
-
-  log_event (LOG_LEVEL_NOTICE, "view_from_peer", "peer", peer, "outcome", outcome, "reason", reason,
-             "version", LOG_U64 (gst->options.version (gst->options.context)), "engines_next",
-             LOG_U64 (sfl_next (gst->follows[ENGINES])), NULL);
-}
-
-static bool
-on_fetch_head (int status, struct evkeyvalq *headers, void *context)
-{
-  gst_t *gst = context;
-  const char *seal = evhttp_find_header (headers, ASL_SEAL_HEADER);
-
-  if (status != STATUS_OK || !seal)
-    return false;
-  g_strlcpy (gst->fetch.seal, seal, sizeof gst->fetch.seal);
-  return true;
+  gst->adopting = true;
+  gst->unsettled = !answer->settled;
+  for (uint32_t i = 0; i < STREAMS; i++)
+    sfl_advance (gst->follows[i], vsh_apply (answer, &streams[i]));
+  gst->adopting = false;
+  cnt_add (gst->fetched, 1);
+  gst->options.told (gst->options.context);
 }
 
-static void
-on_fetch_data (struct evbuffer *data, void *context)
+/* Return: why the answer was not taken, NULL when it was */
+static const char *
+adopt (gst_t *gst, const gft_end_t *end)
 {
-  gst_t *gst = context;
-
-  evbuffer_add_buffer (gst->fetch.body, data);
-}
+  const char *reason = end->reason;
+  vsh_answer_t answer;
 
-static void
-on_fetch_end (const hcl_end_t *end, void *context)
-{
-  gst_t *gst = context;
-  fetch_t *fetch = &gst->fetch;
-  size_t bytes = evbuffer_get_length (fetch->body);
-  const char *body = bytes > 0 ? (const char *)evbuffer_pullup (fetch->body, -1) : "";
-  char right[ASL_SEAL_BYTES];
-
-  fetch->call = NULL;
-  memset (fetch->behind_us, 0, sizeof fetch->behind_us);
-  asl_make (gst->options.set->fleet_key, SEAL_KIND, fetch->nonce, body, bytes, right);
-  if (!end->whole)
-    log_fetch (gst, "failed", vrd_reason_name (end->reason));
-  else if (!asl_same (fetch->seal, right))
-    log_fetch (gst, "refused", "seal");
+  if (!end->body)
+    return reason;
+  if (vsh_read (&answer, end->body, end->body_bytes))
+    apply (gst, &answer);
   else
-    {
-      adopt (gst, body, bytes);
-      log_fetch (gst, "taken", NULL);
-    }
-  evbuffer_free (fetch->body);
-  fetch->body = NULL;
+    reason = "unreadable";
+  vsh_clear (&answer);
+  return reason;
 }
 
 static void
-fetch_start (gst_t *gst)
+on_fetched (const gft_end_t *end, void *context)
 {
-  fetch_t *fetch = &gst->fetch;
-  vsh_stream_t streams[STREAMS];
-  g_autofree char *target = NULL;
-  hcl_header_t header = { ASL_NONCE_HEADER, fetch->nonce };
-
-  streams_of (gst, streams);
-  for (uint32_t i = 0; i < STREAMS; i++)
-    if (!fetch->asked[i])
-      streams[i].next = UINT64_MAX; /* nothing is newer */
-  target = vsh_target (streams, STREAMS);
-  asl_nonce (fetch->nonce);
-  fetch->seal[0] = '\0';
-  fetch->body = evbuffer_new ();
-  fetch->next_us = now_us (gst) + (uint64_t)GST_FETCH_PACE_MS * CLK_US_PER_MS;
-  fetch->call = hcl_start (
-      fetch->hcl, &(hcl_options_t){ .address = &fetch->control,
-                                    .method = "GET",
-                                    .target = target,
-                                    .headers = &header,
-                                    .header_count = 1,
-                                    .timeout_us = (uint64_t)GST_FETCH_TIMEOUT_MS * CLK_US_PER_MS,
-                                    .answer_limit_bytes = VSH_BYTES_LIMIT,
-                                    .on_head = on_fetch_head,
-                                    .on_data = on_fetch_data,
-                                    .on_end = on_fetch_end,
-                                    .context = gst });
+  gst_t *gst = context;
+  g_autofree char *peer = set_address_text (end->peer);
+  const char *reason;
+
+  memset (gst->behind.since_us, 0, sizeof gst->behind.since_us);
+  reason = adopt (gst, end);
+  log_event (LOG_LEVEL_NOTICE, "view_from_peer", "peer", peer, "outcome",
+             reason ? "not_taken" : "taken", "reason", reason, "version",
+             LOG_U64 (gst->options.version (gst->options.context)), "engines_next",
+             LOG_U64 (sfl_next (gst->follows[ENGINES])), NULL);
 }
 
 /* The settings name a few gateways, which may be down or gone: each is asked in turn. */
@@ -376,7 +304,7 @@
 static bool
 is_behind (gst_t *gst, uint32_t stream)
 {
-  uint64_t since_us = gst->fetch.behind_us[stream];
+  uint64_t since_us = gst->behind.since_us[stream];
 
   return since_us != 0 && now_us (gst) - since_us >= behind_limit_us (gst, stream);
 }
@@ -384,22 +312,25 @@
 static void
 turn_fetch (gst_t *gst)
 {
-  fetch_t *fetch = &gst->fetch;
+  behind_t *behind = &gst->behind;
   bool lost_all = gst->lost && lacks_all (gst);
   bool any = lost_all;
+  vsh_stream_t streams[STREAMS];
 
-  if (fetch->call || now_us (gst) < fetch->next_us)
+  if (gft_is_busy (gst->fetch) || now_us (gst) < behind->next_us)
     return;
+  streams_of (gst, streams);
   for (uint32_t i = 0; i < STREAMS; i++)
-    {
-      fetch->asked[i] = lost_all || is_behind (gst, i);
-      any = any || fetch->asked[i];
-    }
+    if (lost_all || is_behind (gst, i))
+      any = true;
+    else
+      streams[i].next = UINT64_MAX; /* nothing is newer */
   if (!any)
     return;
-  if (lost_all && !gpr_some (gst->peers, &fetch->control) && !next_seed (gst, &fetch->control))
+  if (lost_all && !gpr_some (gst->peers, &behind->control) && !next_seed (gst, &behind->control))
     return;
-  fetch_start (gst);
+  behind->next_us = now_us (gst) + (uint64_t)GST_FETCH_PACE_MS * CLK_US_PER_MS;
+  gft_ask (gst->fetch, &behind->control, streams, STREAMS);
 }
 
 static void
@@ -488,7 +419,10 @@
   gst->options = *options;
   gst->fetched = cnt_get (options->counters, "medlarplank_views_from_peers_total",
                           "Times that records of the store were taken from a peer");
-  gst->fetch.hcl = hcl_new (options->base, IDLE_CONNECTIONS, IDLE_TIMEOUT_MS);
+  gst->fetch = gft_new (&(gft_options_t){ .base = options->base,
+                                          .fleet_key = options->set->fleet_key,
+                                          .ended = on_fetched,
+                                          .context = gst });
   follow (gst, ROUTING, GST_CLOSE_WAIT_MS, on_routing, on_routing_told);
   follow (gst, ENGINES, GST_CLOSE_WAIT_MS, on_engine, on_engines_told);
   follow (gst, ROUTERS, GST_ROUTERS_WAIT_MS, on_router, on_routers_told);
@@ -512,11 +446,7 @@
 gst_free (gst_t *gst)
 {
   gst->options.plt->free (gst->options.plt);
-  if (gst->fetch.call)
-    hcl_cancel (gst->fetch.call);
-  if (gst->fetch.body)
-    evbuffer_free (gst->fetch.body);
-  hcl_free (gst->fetch.hcl);
+  gft_free (gst->fetch);
   if (gst->peers)
     gpr_free (gst->peers);
   for (uint32_t i = 0; i < STREAMS; i++)
@@ -562,28 +492,8 @@
 bool
 gst_answer (gst_t *gst, hsv_call_t *call, bool settled)
 {
-  const char *nonce = hsv_header (call, ASL_NONCE_HEADER);
   vsh_stream_t streams[STREAMS];
-  uint64_t from[STREAMS] = { 0 };
-  char seal[ASL_SEAL_BYTES];
-  g_autofree char *body = NULL;
 
-  if (strcmp (hsv_path (call), VSH_PATH) != 0)
-    return false;
   streams_of (gst, streams);
-  for (uint32_t i = 0; i < STREAMS; i++)
-    {
-      const char *text = hsv_query (call, stream_names[i]);
-
-      if (!text || !g_ascii_string_to_unsigned (text, 10, 0, UINT64_MAX, &from[i], NULL) || !nonce)
-        {
-          hsv_reply_text (call, 400, "text/plain", "from where on, and a nonce, must be told\n");
-          return true;
-        }
-    }
-  body = vsh_write (streams, from, STREAMS, settled);
-  asl_make (gst->options.set->fleet_key, SEAL_KIND, nonce, body, strlen (body), seal);
-  hsv_add_header (call, ASL_SEAL_HEADER, seal);
-  hsv_reply_text (call, 200, "application/json", body);
-  return true;
+  return gft_answer (gst->fetch, call, streams, STREAMS, settled);
 }
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -48,7 +48,6 @@
 #define GST_OUT_AFTER_MS                                                                           \
   5000 /* so long after an outage entries may be found to have lapsed in it */
 #define GST_FETCH_PACE_MS 300 /* between two questions to peers */
-#define GST_FETCH_TIMEOUT_MS 1000
 
 /**
  * struct gst_options - options of gst_new()
