Fingerprint of a request by a hash that is cheap enough for each answer

Change: XXH64 with the fleet key as its seed; drop a field that nobody read; shorter turn of a stop.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -14,7 +14,6 @@
 #define ADMIN_IDLE_TIMEOUT_MS 15000
 #define TICK_MS 100
 #define STALL_MS 150 /* a tick so late is told: events of streams have stood as long */
-#define RETRY_WINDOW_US_PER_MS 1000
 
 /**
  * struct gwp - a gateway
@@ -230,10 +229,9 @@
   if (gwp->stop_us == 0)
     return;
   since_ms = (now_us (gwp) - gwp->stop_us) / CLK_US_PER_MS;
-  if (since_ms >= GWP_LISTEN_ON_MS)
-    gwy_stop (gwp->gwy);
   if (since_ms < GWP_LISTEN_ON_MS)
     return;
+  gwy_stop (gwp->gwy);
   if (gwy_busy (gwp->gwy) > 0 && since_ms + GWP_EXIT_MARGIN_MS < gwp->options.set->grace_ms)
     return;
   event_base_loopexit (gwp->options.base, NULL);
@@ -336,7 +334,7 @@
                                         .retries = { .ratio_milli = set->retry_ratio_milli,
                                                      .slack = set->retry_slack,
                                                      .window_us = (uint64_t)set->retry_window_ms *
-                                                                  RETRY_WINDOW_US_PER_MS } },
+                                                                  CLK_US_PER_MS } },
                       error);
   if (gwp->gwy)
     gwp->ready = listen_admin (gwp, &set->ready_listen, on_ready_call, error);
--- a/src/request/gateway_accept.c
+++ b/src/request/gateway_accept.c
@@ -33,7 +33,6 @@
                     .exact_retry = true });
 }
 
-/* The digest of a body is worked out only while something is suspected. */
 static bool
 is_known_to_crash (const gwy_call_t *call)
 {
--- a/src/request/gateway_call.c
+++ b/src/request/gateway_call.c
@@ -2,7 +2,6 @@
 #include "request/gateway_private.h"
 
 #include "process/log.h"
-#include "request/digest.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -295,13 +294,23 @@
     }
 }
 
+static uint64_t
+add_text (uint64_t hash, const char *text)
+{
+  return XXH64 (text, strlen (text) + 1, hash);
+}
+
+/* It is worked out for each answer, so it has to be cheap. The seed is a secret that all gateways
+ * have, so that nobody outside can aim at the hash of another request. */
 uint64_t
 gwy_call_fingerprint (const gwy_call_t *call)
 {
-  uint64_t body_hash =
-      dgs_body (hsv_method (call->in), hsv_target (call->in), call->body, call->body_bytes);
+  uint64_t hash = add_text (0, call->gwy->options.set->fleet_key);
 
-  return dgs_fingerprint (call->account ? call->account->name : "", body_hash);
+  hash = add_text (hash, call->account ? call->account->name : "");
+  hash = add_text (hash, hsv_method (call->in));
+  hash = add_text (hash, hsv_target (call->in));
+  return XXH64 (call->body, call->body_bytes, hash);
 }
 
 void
--- a/src/request/gateway_hop.c
+++ b/src/request/gateway_hop.c
@@ -49,7 +49,6 @@
 {
   uint64_t now_us = gwy_now_us (call->gwy);
 
-  call->head_us = now_us;
   call->heard_us = now_us;
   call->service->head_us =
       (call->service->head_us * (GWY_RUN_GAIN - 1) + now_us - call->sent_us) / GWY_RUN_GAIN;
--- a/src/request/gateway_private.h
+++ b/src/request/gateway_private.h
@@ -105,7 +105,7 @@
  * @engine: of the hop under way, or NULL
  * @answer: of the last hop's head, when @headed
  * @streaming: the answer is a stream of events
- * @sent_us, @head_us, @heard_us: of the last hop; the last is when a byte of it came
+ * @sent_us, @heard_us: of the last hop; when a byte of it came last, 0 before
  */
 typedef struct
 {
@@ -138,13 +138,15 @@
   uint64_t arrived_us;
   uint64_t deadline_us;
   uint64_t sent_us;
-  uint64_t head_us;
   uint64_t heard_us;
   struct event *timer;
 } gwy_call_t;
 
 gwy_service_t *gwy_service (gwy_t *gwy, const char *name);
 uint64_t gwy_now_us (const gwy_t *gwy);
+/** gwy_served() - an engine answered the request of @fingerprint: it is no suspect, here and at
+ * peers */
+void gwy_served (gwy_t *gwy, uint64_t fingerprint);
 
 /** gwy_accept() - a caller's request came */
 void gwy_accept (hsv_call_t *in, void *context);
@@ -153,6 +155,9 @@
 gwy_call_t *
 gwy_call_new (gwy_t *gwy, hsv_call_t *in, const rte_route_t *route, const fmt_request_t *request);
 void gwy_call_free (gwy_call_t *call);
+/** gwy_call_fingerprint() - what suspects are known by, at all gateways; while its caller is there
+ */
+uint64_t gwy_call_fingerprint (const gwy_call_t *call);
 /** gwy_call_place() - send it to an engine, let it wait, or refuse it */
 void gwy_call_place (gwy_call_t *call);
 /** gwy_call_choose() - whom it would go to now */
@@ -171,11 +176,6 @@
 void gwy_hop_send (gwy_call_t *call, const spr_choice_t *choice);
 /** gwy_hop_watch() - give the hop up if it brings nothing and the request may go elsewhere */
 void gwy_hop_watch (gwy_call_t *call);
-/** gwy_served() - an engine answered the request of @fingerprint: it is no suspect, here and at
- * peers */
-void gwy_served (gwy_t *gwy, uint64_t fingerprint);
-/** gwy_call_fingerprint() - what suspects are known by */
-uint64_t gwy_call_fingerprint (const gwy_call_t *call);
 /** gwy_hop_drop() - end the hop under way, if any, without an outcome */
 void gwy_hop_drop (gwy_call_t *call);
 
