Never promise by 503 that a request has not run when its first send may have

Cause, found by reading: a request that may be repeated, was lost at its first engine and then waited for a place ended by 503 "not run" when its time was over or no engine was left. Change: one way to give a request up: cut if its answer has begun, 502 or 504 "may have run" if a send may have run, else 503 with Retry-After. A broken stream may wait for a place too, in place of being cut at once. Test: test_gateway, "lost lookup that waits may have run"; with the old order it gets 503.

--- a/src/request/gateway_call.c
+++ b/src/request/gateway_call.c
@@ -45,6 +45,27 @@
   lat_add (call->service->failures, gwy_now_us (call->gwy) - call->arrived_us);
 }
 
+static void
+end_failed (gwy_call_t *call, vrd_reason_t reason)
+{
+  bool in_time = reason != VRD_REASON_TIMEOUT && reason != VRD_REASON_DEADLINE;
+
+  note_failure (call);
+  gwy_call_log (call, "end", "failed", reason);
+  flt_reply (call->in, &(flt_t){ .reason = in_time ? VRD_REASON_CUT : VRD_REASON_TIMEOUT,
+                                 .verdict = VRD_MAY_HAVE_RUN });
+  gwy_call_free (call);
+}
+
+static void
+end_cut (gwy_call_t *call, vrd_reason_t reason)
+{
+  note_failure (call);
+  gwy_call_log (call, "end", "cut", reason);
+  rly_cut (&call->rly, &(flt_t){ .reason = VRD_REASON_CUT });
+  gwy_call_free (call);
+}
+
 static void
 on_deadline (evutil_socket_t fd, short what, void *context)
 {
@@ -55,7 +76,7 @@
   if (call->waiting)
     {
       gwy_wait_remove (call);
-      gwy_call_refuse (call, VRD_REASON_DEADLINE, GWY_RETRY_MIN_MS);
+      gwy_call_give_up (call, VRD_REASON_DEADLINE, GWY_RETRY_MIN_MS);
       return;
     }
   gwy_hop_drop (call);
@@ -180,24 +201,6 @@
                                        .tried_count = call->tried_count });
 }
 
-/* Nobody is left to ask: what the last outcome says stands. */
-static void
-give_up (gwy_call_t *call)
-{
-  if (call->crs.ran == 0)
-    {
-      gwy_call_refuse (call, VRD_REASON_NO_ENGINE, GWY_RETRY_MIN_MS);
-      return;
-    }
-  gwy_call_log (call, "end", "failed", VRD_REASON_NO_ENGINE);
-  note_failure (call);
-  if (call->rly.begun)
-    rly_cut (&call->rly, &(flt_t){ .reason = VRD_REASON_CUT });
-  else
-    flt_reply (call->in, &(flt_t){ .reason = VRD_REASON_CUT, .verdict = VRD_MAY_HAVE_RUN });
-  gwy_call_free (call);
-}
-
 void
 gwy_call_place (gwy_call_t *call)
 {
@@ -212,10 +215,10 @@
   choice = gwy_call_choose (call);
   if (choice.action == SPR_SEND)
     gwy_hop_send (call, &choice);
-  else if (choice.action == SPR_WAIT && !call->rly.begun)
+  else if (choice.action == SPR_WAIT)
     gwy_wait_push (call);
   else
-    give_up (call);
+    gwy_call_give_up (call, VRD_REASON_NO_ENGINE, GWY_RETRY_MIN_MS);
 }
 
 static bool
@@ -227,25 +230,6 @@
   return rsh_take (&call->service->retries, &gwy->options.retries, gwy_now_us (gwy), gwy->routers);
 }
 
-static void
-end_failed (gwy_call_t *call, vrd_reason_t reason)
-{
-  note_failure (call);
-  gwy_call_log (call, "end", "failed", reason);
-  flt_reply (call->in, &(flt_t){ .reason = reason == VRD_REASON_TIMEOUT ? reason : VRD_REASON_CUT,
-                                 .verdict = VRD_MAY_HAVE_RUN });
-  gwy_call_free (call);
-}
-
-static void
-end_cut (gwy_call_t *call, vrd_reason_t reason)
-{
-  note_failure (call);
-  gwy_call_log (call, "end", "cut", reason);
-  rly_cut (&call->rly, &(flt_t){ .reason = VRD_REASON_CUT });
-  gwy_call_free (call);
-}
-
 static void
 go_on (gwy_call_t *call, bool resume, vrd_reason_t reason)
 {
@@ -280,13 +264,10 @@
       gwy_call_whole (call);
       return;
     case CRS_REFUSE:
-      gwy_call_refuse (call, reason, GWY_RETRY_MIN_MS);
+      gwy_call_give_up (call, reason, GWY_RETRY_MIN_MS);
       return;
     case CRS_FAIL:
-      if (call->rly.begun)
-        end_cut (call, reason);
-      else
-        end_failed (call, reason);
+      gwy_call_give_up (call, reason, GWY_RETRY_MIN_MS);
       return;
     case CRS_CUT:
       end_cut (call, reason);
@@ -325,9 +306,8 @@
   gwy_call_free (call);
 }
 
-/* A request that may be repeated and has begun at no engine is free to come back at once. */
-void
-gwy_call_refuse (gwy_call_t *call, vrd_reason_t reason, uint32_t retry_after_ms)
+static void
+refuse (gwy_call_t *call, vrd_reason_t reason, uint32_t retry_after_ms)
 {
   uint32_t wait_ms = CLAMP (retry_after_ms, GWY_RETRY_MIN_MS, GWY_RETRY_MAX_MS);
 
@@ -342,3 +322,16 @@
                                  .exact_retry = true });
   gwy_call_free (call);
 }
+
+/* 503 promises that it has not run and never will, so a second send that finds no place must not
+ * end by it: the first one may have run. */
+void
+gwy_call_give_up (gwy_call_t *call, vrd_reason_t reason, uint32_t retry_after_ms)
+{
+  if (call->rly.begun)
+    end_cut (call, reason);
+  else if (call->crs.ran > 0)
+    end_failed (call, reason);
+  else
+    refuse (call, reason, retry_after_ms);
+}
--- a/src/request/gateway_private.h
+++ b/src/request/gateway_private.h
@@ -166,8 +166,9 @@
 void gwy_call_outcome (gwy_call_t *call, crs_outcome_t outcome, vrd_reason_t reason);
 /** gwy_call_whole() - the answer is whole; frees the call */
 void gwy_call_whole (gwy_call_t *call);
-/** gwy_call_refuse() - it ran nowhere: 503; frees the call */
-void gwy_call_refuse (gwy_call_t *call, vrd_reason_t reason, uint32_t retry_after_ms);
+/** gwy_call_give_up() - it goes no further: 503 if it ran nowhere, else that it may have run; frees
+ * the call */
+void gwy_call_give_up (gwy_call_t *call, vrd_reason_t reason, uint32_t retry_after_ms);
 /** gwy_call_log() - one line of a decision on the request */
 void
 gwy_call_log (const gwy_call_t *call, const char *event, const char *outcome, vrd_reason_t reason);
--- a/src/request/gateway_wait.c
+++ b/src/request/gateway_wait.c
@@ -74,12 +74,12 @@
   wait_ms = gwy_wait_ms (gwy, service, &call->item);
   if (now_us + (uint64_t)wait_ms * CLK_US_PER_MS + least_us (call) >= call->deadline_us)
     {
-      gwy_call_refuse (call, VRD_REASON_DEADLINE, wait_ms);
+      gwy_call_give_up (call, VRD_REASON_DEADLINE, wait_ms);
       return;
     }
   if (fq_push (service->queue, &call->item) != FQ_QUEUED)
     {
-      gwy_call_refuse (call, VRD_REASON_QUEUE_FULL, wait_ms);
+      gwy_call_give_up (call, VRD_REASON_QUEUE_FULL, wait_ms);
       return;
     }
   call->waiting = true;
@@ -102,7 +102,7 @@
   if (!call->waiting || gwy_now_us (call->gwy) + least_us (call) < call->deadline_us)
     return;
   gwy_wait_remove (call);
-  gwy_call_refuse (call, VRD_REASON_DEADLINE, gwy_wait_ms (call->gwy, call->service, &call->item));
+  gwy_call_give_up (call, VRD_REASON_DEADLINE, gwy_wait_ms (call->gwy, call->service, &call->item));
 }
 
 static bool
@@ -129,6 +129,6 @@
       if (choice.action == SPR_SEND)
         gwy_hop_send (call, &choice);
       else
-        gwy_call_refuse (call, VRD_REASON_NO_ENGINE, GWY_RETRY_MIN_MS);
+        gwy_call_give_up (call, VRD_REASON_NO_ENGINE, GWY_RETRY_MIN_MS);
     }
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -158,14 +158,37 @@
 }
 
 static bool
-one_is_refused (void *context)
+has_status (void *context)
 {
-  raw_t **calls = context;
-  uint32_t refused = 0;
+  return begins (context, "HTTP/1.1 ");
+}
 
-  for (uint32_t i = 0; i <= GRG_SLOTS; i++)
-    refused += begins (calls[i], "HTTP/1.1 503 ") ? 1 : 0;
-  return refused == 1;
+#define LONG_ROUTE(name, kind, more)                                                               \
+  ",{\"host\":\"h.example\",\"path_prefix\":\"/" name "/\",\"kind\":\"" kind                       \
+  "\",\"service\":\"pool\",\"timeout_ms\":60000" more "}"
+
+/* One engine that answers nothing, and whose slots are all taken by @calls. */
+static void
+fill_engine (grg_t *grg, raw_t *calls[GRG_SLOTS])
+{
+  grg_engine (grg, SCRIPTS (NULL), 1);
+  grg_config (grg, 7,
+              LONG_ROUTE ("long", "non_idempotent", "")
+                  LONG_ROUTE ("again", "idempotent", ",\"attempts\":2"));
+  CU_ASSERT (grg_wait (grg, "medlarplank_version", 7));
+  for (uint32_t i = 0; i < GRG_SLOTS; i++)
+    calls[i] = grg_send (grg, 0, "POST", "/long/", BOOKING);
+  while (grg_requests (grg) < GRG_SLOTS)
+    raw_run_ms (grg->base, 1);
+}
+
+/* The call waits; then its time is nearly over. */
+static void
+let_wait_end (grg_t *grg, raw_t *call)
+{
+  CU_ASSERT (grg_wait (grg, "medlarplank_gateway_waited_total", 1));
+  clk_init_paused (&grg->clk, clk_now_us (&grg->clk) + 59900 * CLK_US_PER_MS);
+  CU_ASSERT (raw_run_until (grg->base, has_status, call));
 }
 
 /* The engine is busy for longer than was expected. The caller hears it while it can still ask
@@ -176,17 +199,27 @@
   g_autoptr (grg_t) grg = grg_new (1);
   raw_t *calls[GRG_SLOTS + 1];
 
-  grg_engine (grg, SCRIPTS (NULL), 1);
-  grg_config (grg, 7,
-              ",{\"host\":\"h.example\",\"path_prefix\":\"/long/\",\"kind\":\"non_idempotent\","
-              "\"service\":\"pool\",\"timeout_ms\":60000}");
-  CU_ASSERT (grg_wait (grg, "medlarplank_version", 7));
-  for (uint32_t i = 0; i < GRG_SLOTS; i++)
-    calls[i] = grg_send (grg, 0, "POST", "/long/", BOOKING);
+  fill_engine (grg, calls);
   calls[GRG_SLOTS] = grg_send (grg, 0, "POST", "/long/", BOOKING);
-  CU_ASSERT (grg_wait (grg, "medlarplank_gateway_waited_total", 1));
-  clk_init_paused (&grg->clk, clk_now_us (&grg->clk) + 59900 * CLK_US_PER_MS);
-  CU_ASSERT (raw_run_until (grg->base, one_is_refused, calls));
+  let_wait_end (grg, calls[GRG_SLOTS]);
+  CU_ASSERT (begins (calls[GRG_SLOTS], "HTTP/1.1 503 ") && has (calls[GRG_SLOTS], "Retry-After: "));
+  for (uint32_t i = 0; i <= GRG_SLOTS; i++)
+    raw_free (calls[i]);
+}
+
+/* A lookup is lost at its first engine, and its second send finds no place. 503 would promise that
+ * it has not run. */
+static void
+test_lost_lookup_that_waits_may_have_run (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  raw_t *calls[GRG_SLOTS + 1];
+
+  fill_engine (grg, calls);
+  grg_engine (grg, SCRIPTS (NULL), 1)->reset_after = true;
+  calls[GRG_SLOTS] = grg_send (grg, 0, "GET", "/again/", "");
+  let_wait_end (grg, calls[GRG_SLOTS]);
+  CU_ASSERT (begins (calls[GRG_SLOTS], "HTTP/1.1 504 ") && has (calls[GRG_SLOTS], "may_have_run"));
   for (uint32_t i = 0; i <= GRG_SLOTS; i++)
     raw_free (calls[i]);
 }
@@ -529,6 +562,7 @@
                                        SUITE_TEST (test_full_engine_is_waited_for),
                                        SUITE_TEST (test_refusals_are_bounded),
                                        SUITE_TEST (test_wait_ends_before_the_deadline),
+                                       SUITE_TEST (test_lost_lookup_that_waits_may_have_run),
                                        SUITE_TEST (test_other_engine_at_the_address),
                                        SUITE_TEST (test_lookup_is_tried_once_more),
                                        SUITE_TEST (test_crossed_answer_reaches_nobody),
