Name a source to copy from at the first engine in rank too, unless it has the parts

A request at the first engine in rank named no source, though that engine may never have had the part (it was full, or has just come back to rank), and the other parts of a prompt may be elsewhere. Change: the source is the best in rank but the chosen one; it is left out where this gateway saw that engine answer the same shared parts in the last ten seconds. The tests of spread said that the first in rank has no source: they now say which one it is.

--- a/src/request/gateway.h
+++ b/src/request/gateway.h
@@ -21,6 +21,9 @@
 
 typedef struct gwy gwy_t;
 
+/* Shared parts stay in an engine's cache for longer than this, unless it is crammed. */
+#define GWY_WARM_US (UINT64_C (10) * CLK_US_PER_S)
+
 /**
  * struct gwy_options - options of gwy_new()
  * @set: settings of the process; borrowed
--- a/src/request/gateway_call.c
+++ b/src/request/gateway_call.c
@@ -22,6 +22,18 @@
   return best ? best->hash : 0;
 }
 
+/* Of all parts that requests share, in their order: an engine's cache holds them one after another.
+ */
+static uint64_t
+shared_parts_of (const fmt_request_t *request)
+{
+  uint64_t hash = 0;
+
+  for (uint32_t i = 0; i + 1 < request->part_count; i++)
+    hash = XXH64 (&request->parts[i].hash, sizeof request->parts[i].hash, hash);
+  return hash;
+}
+
 static uint64_t
 deadline_of (const rte_route_t *route, const fmt_request_t *request, uint64_t now_us)
 {
@@ -140,6 +152,7 @@
   call->arrived_us = gwy_now_us (gwy);
   call->deadline_us = deadline_of (route, request, call->arrived_us);
   call->affinity = route->sticky ? affinity_of (request) : 0;
+  call->shared_parts = shared_parts_of (request);
   dice = XXH64 (call->id, strlen (call->id), gwy->next_number++);
   call->service = gwy_service (gwy, rte_target (route, dice));
   call->body = hsv_take_body (in, &call->body_bytes);
--- a/src/request/gateway_hop.c
+++ b/src/request/gateway_hop.c
@@ -44,6 +44,12 @@
   return status == 200 && is_event_stream (headers) && !call->answer.not_run;
 }
 
+static uint64_t
+warm_key (const gwy_call_t *call, const egn_t *engine)
+{
+  return call->shared_parts ^ engine->hash;
+}
+
 static void
 note_answer (gwy_call_t *call, int status)
 {
@@ -53,6 +59,8 @@
   call->service->head_us =
       (call->service->head_us * (GWY_RUN_GAIN - 1) + now_us - call->sent_us) / GWY_RUN_GAIN;
   call->engine->heard_us = now_us;
+  if (status == 200)
+    prv_answered (call->gwy->warm, now_us, warm_key (call, call->engine));
   lat_add (call->service->heads, now_us - call->sent_us);
   if (call->answer.idle_ms > 0)
     call->engine->idle_ms = call->answer.idle_ms;
@@ -259,6 +267,17 @@
   return call->route->priority;
 }
 
+/*
+ * Where the parts were just read there is nothing to copy; and a source that has gone dark since
+ * makes the request wait.
+ */
+static void
+leave_out_source (const gwy_call_t *call, spr_choice_t *choice)
+{
+  if (prv_has (call->gwy->warm, gwy_now_us (call->gwy), warm_key (call, choice->engine)))
+    choice->source = NULL;
+}
+
 static void
 begin_hop (gwy_call_t *call, const spr_choice_t *choice)
 {
@@ -291,18 +310,20 @@
 }
 
 void
-gwy_hop_send (gwy_call_t *call, const spr_choice_t *choice)
+gwy_hop_send (gwy_call_t *call, spr_choice_t *choice)
 {
   hcl_header_t headers[FMT_HEADERS];
   fmt_text_t text;
-  fmt_hop_t hop = { .engine_id = choice->engine->entry.id,
-                    .account = call->account ? call->account->name : NULL,
-                    .cache_source = choice->source ? &choice->source->entry.address : NULL,
-                    .priority = priority_of (call),
-                    .resumes = call->resuming,
-                    .last_event = call->evs.last_id };
+  fmt_hop_t hop;
   uint32_t count;
 
+  leave_out_source (call, choice);
+  hop = (fmt_hop_t){ .engine_id = choice->engine->entry.id,
+                     .account = call->account ? call->account->name : NULL,
+                     .cache_source = choice->source ? &choice->source->entry.address : NULL,
+                     .priority = priority_of (call),
+                     .resumes = call->resuming,
+                     .last_event = call->evs.last_id };
   begin_hop (call, choice);
   if (call->hops == 1)
     lat_add (call->service->waits, call->sent_us - call->arrived_us);
--- a/src/request/gateway_private.h
+++ b/src/request/gateway_private.h
@@ -42,6 +42,7 @@
  * engine is not served meanwhile, and after this time is marked again. */
 #define GWY_PROVEN 4096
 #define GWY_PROVEN_US (UINT64_C (10) * CLK_US_PER_S)
+#define GWY_WARM 4096       /* prompts of which an engine is known to have the shared parts */
 #define GWY_WATCH_TICKS 4   /* of those below between two looks at hops that bring nothing */
 #define GWY_WAIT_TICK_MS 25 /* waiting requests are looked at this often besides all events */
 #define GWY_WATCH_US (GWY_WATCH_TICKS * GWY_WAIT_TICK_MS * CLK_US_PER_MS)
@@ -84,6 +85,7 @@
   cwt_t crashes;
   sus_t *suspects;
   prv_t *proven; /* requests that were served lately */
+  prv_t *warm;   /* shared parts that an engine read lately */
   uint32_t ticks;
   struct event *tick;
   uint64_t next_number;
@@ -104,6 +106,7 @@
  * @item: of @service's queue while @waiting
  * @engine: of the hop under way, or NULL
  * @answer: of the last hop's head, when @headed
+ * @affinity, @shared_parts: hashes of the part that it is placed by, and of all parts it shares
  * @streaming: the answer is a stream of events
  * @sent_us, @heard_us: of the last hop; when a byte of it came last, 0 before
  */
@@ -130,6 +133,7 @@
   uint32_t tried_count;
   uint32_t hops;
   uint64_t affinity;
+  uint64_t shared_parts;
   fmt_answer_t answer;
   int status;
   bool headed;
@@ -173,8 +177,8 @@
 void
 gwy_call_log (const gwy_call_t *call, const char *event, const char *outcome, vrd_reason_t reason);
 
-/** gwy_hop_send() - send the request to the engine of @choice */
-void gwy_hop_send (gwy_call_t *call, const spr_choice_t *choice);
+/** gwy_hop_send() - send the request to the engine of @choice, whose source may be left out */
+void gwy_hop_send (gwy_call_t *call, spr_choice_t *choice);
 /** gwy_hop_watch() - give the hop up if it brings nothing and the request may go elsewhere */
 void gwy_hop_watch (gwy_call_t *call);
 /** gwy_hop_drop() - end the hop under way, if any, without an outcome */
--- a/src/request/spread.c
+++ b/src/request/spread.c
@@ -210,7 +210,8 @@
 
 /*
  * All routers rank alike, so the engine that ranks first of those that have been there for a while
- * has served the part, also when it takes no new work any more. To copy the part from its cache
+ * has served the part, also when it takes no new work any more; and where the first one itself is
+ * chosen, the second one has, in a time when the first was full. To copy the part from its cache
  * takes a few milliseconds; to read 10,000 tokens again takes 94 ms, in which every other request
  * on that engine waits for its tokens.
  */
@@ -225,12 +226,12 @@
     {
       egn_t *egn = engine_at (world, i);
 
-      if (is_new (world, egn) || egn->failures > 0 || egn->entry.state == EGN_GONE)
+      if (egn == chosen || is_new (world, egn) || egn->failures > 0 || egn->entry.state == EGN_GONE)
         continue;
       if (!best || rank_of (world, egn) > rank_of (world, best))
         best = egn;
     }
-  return best == chosen ? NULL : best;
+  return best;
 }
 
 static uint32_t
--- a/src/request/spread.h
+++ b/src/request/spread.h
@@ -56,8 +56,8 @@
 
 /**
  * struct spr_choice - the choice, and what it was made by
- * @source: engine that likely has the request's shared parts in its cache, when @engine likely has
- *   not; else NULL
+ * @source: engine other than @engine that most likely has the request's shared parts in its cache;
+ *   NULL when there is none
  * @rank: 0 when @engine is the first for the affinity
  */
 typedef struct
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -2,6 +2,8 @@
  * answers. */
 #include "gateway_rig.h"
 #include "request/course.h"
+#include "request/gateway.h"
+#include "request/spread.h"
 #include "suite.h"
 
 #include <string.h>
@@ -240,6 +242,46 @@
   CU_ASSERT (other->answered <= 5);
 }
 
+/* Return: requests to any engine that named another one's cache to copy from */
+static uint32_t
+copies_asked (const grg_t *grg)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < grg->engine_count; i++)
+    for (guint j = 0; j < grg->engines[i]->conns->len; j++)
+      {
+        const raw_t *raw = g_ptr_array_index (grg->engines[i]->conns, j);
+
+        for (const char *at = raw->got->str; (at = strstr (at, "Kv-Fetch: ")); at++)
+          count++;
+      }
+  return count;
+}
+
+/* A chat comes to an engine that has perhaps never had it, so another one's cache is named. Its
+ * next turn finds it there: to name a source again would make it wait whenever that one has gone
+ * dark. */
+static void
+test_chat_is_copied_once (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  const char *turn = BOOKING "X-Prompt-Prefix: aa:900,bb:10\r\n";
+
+  grg_engine (grg, SCRIPTS (OK_ANSWER), 1);
+  grg_engine (grg, SCRIPTS (OK_ANSWER), 1);
+  clk_init_paused (&grg->clk, clk_now_us (&grg->clk) + SPR_NEW_US);
+  expect (grg, "POST", "/talk/", turn, "200");
+  CU_ASSERT_EQUAL (copies_asked (grg), 1);
+  expect (grg, "POST", "/talk/", turn, "200");
+  CU_ASSERT_EQUAL (copies_asked (grg), 1);
+  expect (grg, "POST", "/talk/", BOOKING "X-Prompt-Prefix: aa:900,cc:30,dd:10\r\n", "200");
+  CU_ASSERT_EQUAL (copies_asked (grg), 2);
+  clk_advance (&grg->clk, GWY_WARM_US);
+  expect (grg, "POST", "/talk/", turn, "200");
+  CU_ASSERT_EQUAL (copies_asked (grg), 3);
+}
+
 static void
 test_lookup_is_tried_once_more (void)
 {
@@ -564,6 +606,7 @@
                                        SUITE_TEST (test_wait_ends_before_the_deadline),
                                        SUITE_TEST (test_lost_lookup_that_waits_may_have_run),
                                        SUITE_TEST (test_other_engine_at_the_address),
+                                       SUITE_TEST (test_chat_is_copied_once),
                                        SUITE_TEST (test_lookup_is_tried_once_more),
                                        SUITE_TEST (test_crossed_answer_reaches_nobody),
                                        SUITE_TEST (test_answer_without_length),
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -82,7 +82,7 @@
 
       CU_ASSERT_EQUAL (first.action, SPR_SEND);
       CU_ASSERT_EQUAL (first.rank, 0);
-      CU_ASSERT_PTR_NULL (first.source);
+      CU_ASSERT (first.source && first.source != first.engine);
       CU_ASSERT_PTR_EQUAL (choose (egs, affinity).engine, first.engine);
       homes[atoi (first.engine->entry.id + 1)]++;
     }
@@ -99,6 +99,7 @@
 {
   g_autoptr (egs_t) egs = make_engines (6);
   egn_t *home = choose (egs, 42).engine;
+  egn_t *home_source = choose (egs, 42).source;
   spr_choice_t spill;
 
   while (choose (egs, 42).engine == home)
@@ -107,12 +108,13 @@
   CU_ASSERT (home->own <= SPR_BOUND_MORE + 1);
   CU_ASSERT_EQUAL (spill.rank, 1);
   CU_ASSERT_PTR_EQUAL (spill.source, home);
+  CU_ASSERT_PTR_EQUAL (spill.engine, home_source);
   unload (egs, 6);
 }
 
 /*
  * An engine is replaced: the new one ranks first for parts whose former home still has them. For a
- * while the former home is the source, also while it takes no new work; later nobody is.
+ * while the former home is the source, also while it takes no new work; later the next in rank is.
  */
 static void
 test_new_home_copies_from_the_former (void)
@@ -120,6 +122,7 @@
   g_autoptr (egs_t) egs = make_engines (3);
   egn_t *former = choose (egs, 7).engine;
   egn_t *joined = NULL;
+  spr_choice_t later;
   char id[16];
 
   for (uint32_t i = 0; choose (egs, 7).engine == former; i++)
@@ -133,7 +136,9 @@
   CU_ASSERT_PTR_EQUAL (choose (egs, 7).source, former);
   egs_gone (egs, former->entry.id);
   CU_ASSERT_PTR_NOT_EQUAL (choose (egs, 7).source, former);
-  CU_ASSERT_PTR_NULL (choose_at (egs, NOW_US + SPR_NEW_US, 7).source);
+  later = choose_at (egs, NOW_US + SPR_NEW_US, 7);
+  CU_ASSERT (later.engine == joined && later.source && later.source != former);
+  CU_ASSERT_PTR_NOT_EQUAL (later.source, joined);
 }
 
 static void
