Let the read of the list of gateways wait for nearly as long as the store allows

Cause: 22 gateways ask for it each 10 s although nothing comes. When the three that follow closely go at once, the others would be uncertain for as long; a read under way can't be ended yet.

--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -18,11 +18,13 @@
 
 /*
  * How long a read waits for a record. The few that follow closely notice within the shorter time
- * when their connection has gone silent, and vouch for the others that there is no news.
+ * when their connection has gone silent, and vouch for the others that there is no news. Whether
+ * the list of gateways can be read tells nothing, so that read waits for nearly as long as the
+ * store lets it.
  */
 #define GST_CLOSE_WAIT_MS 1000
 #define GST_FAR_WAIT_MS 5000
-#define GST_ROUTERS_WAIT_MS 10000
+#define GST_ROUTERS_WAIT_MS 25000
 /*
  * Between two reads that bring a new version, or entries of engines: a part of the time in which
  * they must be in force. What comes meanwhile is read at once. A version of 1,100 routes takes a
