--- a/src/process/control_claims.c
+++ b/src/process/control_claims.c
@@ -171,6 +171,7 @@
 {
   static const char *const outcomes[] = { "taken", "refused", "unknown" };
   char name[64];
+  g_assert ((size_t)outcome < G_N_ELEMENTS (outcomes));
   g_snprintf (name, sizeof name, "medlarplank_claim_appends_total{outcome=\"%s\"}",
               outcomes[outcome]);
   ctrl_count (ctrl, name, "Appends to claims streams");
