Pass on every header that the listener takes

Cause, found by reading: at most 64 headers went to an engine, the listener takes 100; the others were left out without a word, and the request meant something else. Change: the list of headers grows as needed. Test: test_gateway with 90 of them, fails with a limit of 64.

--- a/src/request/format.h
+++ b/src/request/format.h
@@ -15,7 +15,6 @@
 #include <stdint.h>
 
 #define FMT_PARTS 16 /* parts of a prompt that are looked at */
-#define FMT_HEADERS 64
 #define FMT_ID_BYTES 128
 
 /** struct fmt_part - a part of a prompt; equal hashes are the same tokens */
@@ -98,19 +97,18 @@
 /**
  * struct fmt - a format
  * @read: Return: NULL, or what is wrong with the request, for its caller
- * @write: headers of the request to an engine: those of the caller that pass on, and the router's.
- *   Return: how many were put in @out
+ * @write: adds the headers of the request to an engine to @out, of hcl_header_t: the router's, and
+ * those of the caller that pass on
  * @answer: @id is that of the request
  * @passes_back: whether an answer's header goes to the caller
  */
 typedef struct
 {
   const char *(*read) (fmt_request_t *out, const struct evkeyvalq *headers);
-  uint32_t (*write) (const fmt_hop_t *hop,
-                     const struct evkeyvalq *headers,
-                     hcl_header_t *out,
-                     uint32_t limit,
-                     fmt_text_t *text);
+  void (*write) (const fmt_hop_t *hop,
+                 const struct evkeyvalq *headers,
+                 GArray *out,
+                 fmt_text_t *text);
   void (*answer) (fmt_answer_t *out, int status, const struct evkeyvalq *headers, const char *id);
   bool (*passes_back) (const char *name);
 } fmt_t;
--- a/src/request/gateway_hop.c
+++ b/src/request/gateway_hop.c
@@ -312,10 +312,9 @@
 void
 gwy_hop_send (gwy_call_t *call, spr_choice_t *choice)
 {
-  hcl_header_t headers[FMT_HEADERS];
+  g_autoptr (GArray) headers = g_array_new (FALSE, FALSE, sizeof (hcl_header_t));
   fmt_text_t text;
   fmt_hop_t hop;
-  uint32_t count;
 
   leave_out_source (call, choice);
   hop = (fmt_hop_t){ .engine_id = choice->engine->entry.id,
@@ -330,20 +329,19 @@
   log_place (call, choice);
   hop.left_ms =
       (uint32_t)((call->deadline_us - MIN (call->sent_us, call->deadline_us)) / CLK_US_PER_MS);
-  count =
-      call->gwy->options.format->write (&hop, hsv_headers (call->in), headers, FMT_HEADERS, &text);
-  call->out =
-      hcl_start (call->gwy->upstreams, &(hcl_options_t){ .address = &choice->engine->entry.address,
-                                                         .method = hsv_method (call->in),
-                                                         .target = hsv_target (call->in),
-                                                         .headers = headers,
-                                                         .header_count = count,
-                                                         .body = call->body,
-                                                         .body_bytes = call->body_bytes,
-                                                         .until_close = true,
-                                                         .idle_limit_us = idle_limit_us (call),
-                                                         .on_head = on_head,
-                                                         .on_data = on_data,
-                                                         .on_end = on_end,
-                                                         .context = call });
+  call->gwy->options.format->write (&hop, hsv_headers (call->in), headers, &text);
+  call->out = hcl_start (call->gwy->upstreams,
+                         &(hcl_options_t){ .address = &choice->engine->entry.address,
+                                           .method = hsv_method (call->in),
+                                           .target = hsv_target (call->in),
+                                           .headers = (const hcl_header_t *)headers->data,
+                                           .header_count = headers->len,
+                                           .body = call->body,
+                                           .body_bytes = call->body_bytes,
+                                           .until_close = true,
+                                           .idle_limit_us = idle_limit_us (call),
+                                           .on_head = on_head,
+                                           .on_data = on_data,
+                                           .on_end = on_end,
+                                           .context = call });
 }
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -46,7 +46,7 @@
   set->exchange.port = (uint16_t)(GRG_PORT + 2 * index + 1);
   set->body_limit_bytes = 65536;
   set->header_limit_bytes = 8192;
-  set->header_limit_count = 64;
+  set->header_limit_count = 100;
   set->connection_limit = 100;
   set->idle_timeout_ms = 15000;
   set->exchange_interval_ms = 100;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -242,6 +242,26 @@
   CU_ASSERT (other->answered <= 5);
 }
 
+/* Each header that the listener takes reaches the engine, or the request would mean something else.
+ */
+static void
+test_all_headers_pass_on (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  g_autoptr (GString) more = g_string_new (NULL);
+  raw_server_t *engine = grg_engine (grg, SCRIPTS (OK_ANSWER), 1);
+
+  for (uint32_t i = 0; i < 90; i++)
+    g_string_append_printf (more, "X-Own-%u: %u\r\n", i, i);
+  expect (grg, "GET", "/look/", more->str, "200");
+  for (uint32_t i = 0; i < 90; i++)
+    {
+      g_autofree char *line = g_strdup_printf ("X-Own-%u: %u\r\n", i, i);
+
+      CU_ASSERT_PTR_NOT_NULL (strstr (engine_got (engine), line));
+    }
+}
+
 /* Return: requests to any engine that named another one's cache to copy from */
 static uint32_t
 copies_asked (const grg_t *grg)
@@ -606,6 +626,7 @@
                                        SUITE_TEST (test_wait_ends_before_the_deadline),
                                        SUITE_TEST (test_lost_lookup_that_waits_may_have_run),
                                        SUITE_TEST (test_other_engine_at_the_address),
+                                       SUITE_TEST (test_all_headers_pass_on),
                                        SUITE_TEST (test_chat_is_copied_once),
                                        SUITE_TEST (test_lookup_is_tried_once_more),
                                        SUITE_TEST (test_crossed_answer_reaches_nobody),
