Gateway: watch signals before listeners are open

They were set after the listeners were opened, so a stop in between would have cut what had connected. Change: signals first, as the other roles do; what comes early is told by the loop. The soak accepts an end by SIGTERM only of a process that has not logged a line: between exec and main nothing can handle it, and no socket is open.

--- a/soak/soak_fleet.c
+++ b/soak/soak_fleet.c
@@ -113,10 +113,30 @@
   process->disturbed = process->disturbed || number == SIGSTOP;
 }
 
+static bool
+has_logged (const sok_process_t *process, pid_t pid)
+{
+  g_autofree char *mark = g_strdup_printf ("[%d]: ", (int)pid);
+  g_autofree char *log = NULL;
+
+  return g_file_get_contents (process->log_path, &log, NULL, NULL) && strstr (log, mark) != NULL;
+}
+
+/*
+ * Between exec and main nothing can handle a signal, and SIGTERM ends the process as it would any.
+ * It has no socket open then, so nothing is lost. A gateway logs that it has started before it
+ * listens; the stand-ins log nothing, and their end is no promise.
+ */
+static bool
+was_told_before_it_ran (const sok_process_t *process, pid_t pid, int status)
+{
+  return WIFSIGNALED (status) && WTERMSIG (status) == SIGTERM && !has_logged (process, pid);
+}
+
 /* A process that was neither killed nor told to stop must not end; one that was told must end well,
  * and in its time. */
 static void
-judge_end (sok_process_t *process, int status)
+judge_end (sok_process_t *process, pid_t pid, int status)
 {
   uint64_t took_ms = (sok_now_us () - process->stop_us) / 1000;
 
@@ -124,6 +144,8 @@
     return;
   if (!process->stopping)
     sok_fail (process->sok, "%s ended by itself: status %x", process->name, (unsigned)status);
+  else if (was_told_before_it_ran (process, pid, status))
+    return;
   else if (!WIFEXITED (status) || WEXITSTATUS (status) != 0)
     sok_fail (process->sok, "%s was told to stop and ended with status %x", process->name,
               (unsigned)status);
@@ -144,7 +166,7 @@
     }
   if (process->pid > 0 && waitpid (process->pid, &status, WNOHANG) == process->pid)
     {
-      judge_end (process, status);
+      judge_end (process, process->pid, status);
       process->pid = 0;
       process->paused_until_us = 0;
       process->start_us = now_us + 50 * 1000 + sok_random (process->sok, 1000) * 1000;
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -270,6 +270,8 @@
   return ended_well ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
+#define GATEWAY_SIGNALS 3
+
 /** struct gateway - a gateway's process */
 typedef struct
 {
@@ -278,6 +280,7 @@
   struct event_base *base;
   gwp_t *gwp;
   uint64_t incarnation;
+  struct event *signals[GATEWAY_SIGNALS];
 } gateway_t;
 
 static void
@@ -310,21 +313,34 @@
   return event;
 }
 
+/* The signals go first: once a listener is open, a stop must already be a graceful one. What comes
+ * before the loop runs is told when it does. */
 static void
-run_gateway_loop (gateway_t *gateway)
+watch_gateway_signals (gateway_t *gateway)
+{
+  gateway->signals[0] = watch_gateway (gateway, SIGTERM, on_gateway_stop);
+  gateway->signals[1] = watch_gateway (gateway, SIGINT, on_gateway_stop);
+  gateway->signals[2] = watch_gateway (gateway, SIGHUP, on_gateway_reload);
+}
+
+static void
+gateway_clear (gateway_t *gateway)
 {
-  struct event *signals[] = { watch_gateway (gateway, SIGTERM, on_gateway_stop),
-                              watch_gateway (gateway, SIGINT, on_gateway_stop),
-                              watch_gateway (gateway, SIGHUP, on_gateway_reload) };
+  for (size_t i = 0; i < GATEWAY_SIGNALS; i++)
+    event_free (gateway->signals[i]);
+  event_base_free (gateway->base);
+  cnt_set_free (gateway->counters);
+}
 
+static void
+run_gateway_loop (gateway_t *gateway)
+{
   log_event (LOG_LEVEL_NOTICE, "started", "version", SET_PROGRAM_VERSION, "role", "gateway",
              "incarnation", LOG_U64 (gateway->incarnation), NULL);
   event_base_dispatch (gateway->base);
   log_event (LOG_LEVEL_NOTICE, "stopped", "graceful",
              event_base_got_exit (gateway->base) ? "yes" : "no", NULL);
   log_flush ();
-  for (size_t i = 0; i < G_N_ELEMENTS (signals); i++)
-    event_free (signals[i]);
 }
 
 static int
@@ -338,6 +354,7 @@
   gateway.incarnation = clk_wall_ms (&gateway.clk);
   gateway.counters = cnt_set_new ();
   gateway.base = base_new ();
+  watch_gateway_signals (&gateway);
   gateway.gwp = gwp_new (
       &(gwp_options_t){ .base = gateway.base,
                         .clk = &gateway.clk,
@@ -352,15 +369,13 @@
     {
       fprintf (stderr, "%s: cannot start: %s\n", PROGRAM, error->message);
       g_error_free (error);
-      event_base_free (gateway.base);
-      cnt_set_free (gateway.counters);
+      gateway_clear (&gateway);
       return EXIT_FAILURE;
     }
   run_gateway_loop (&gateway);
   ended_well = event_base_got_exit (gateway.base);
   gwp_free (gateway.gwp);
-  event_base_free (gateway.base);
-  cnt_set_free (gateway.counters);
+  gateway_clear (&gateway);
   return ended_well ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
