Refuse what comes on a kept connection late in a stop

Ruled out: connections taken after the listener had closed (none came). Change: after the time in which connections are taken (2.5 s) a gateway answers 503, not run, Retry-After 0.1 s. Test: test_gateway, "late request at a stop is refused", fails without.

--- a/soak/soak_fleet.c
+++ b/soak/soak_fleet.c
@@ -367,8 +367,11 @@
   uint64_t limit_us = sok_now_us () + START_LIMIT_US;
 
   start_store (sok);
-  sok_turn (sok, 300);
-  sok_publish (sok);
+  while (sok->acked_version == 0 && sok_now_us () < limit_us)
+    {
+      sok_turn (sok, 100);
+      sok_publish (sok);
+    }
   for (uint32_t i = 0; i < SOK_UPSTREAMS; i++)
     start_upstream (sok, i);
   for (uint32_t i = 0; i < SOK_GATEWAYS; i++)
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -12,7 +12,6 @@
 #define ADMIN_HEADER_LIMIT_COUNT 32
 #define ADMIN_CONNECTION_LIMIT 64
 #define ADMIN_IDLE_TIMEOUT_MS 15000
-#define TICK_MS 100
 #define STALL_MS 150 /* a tick so late is told: events of streams have stood as long */
 
 /**
@@ -246,10 +245,10 @@
   uint64_t late_ms = gwp->ticked_us ? (at_us - gwp->ticked_us) / CLK_US_PER_MS : 0;
 
   gwp->ticked_us = at_us;
-  if (late_ms < TICK_MS + STALL_MS)
+  if (late_ms < GWP_TICK_MS + STALL_MS)
     return;
   cnt_add (gwp->stalls, 1);
-  log_event (LOG_LEVEL_WARNING, "stalled", "ms", LOG_U64 (late_ms - TICK_MS), NULL);
+  log_event (LOG_LEVEL_WARNING, "stalled", "ms", LOG_U64 (late_ms - GWP_TICK_MS), NULL);
 }
 
 static void
@@ -366,7 +365,7 @@
 gwp_new (const gwp_options_t *options, GError **error)
 {
   gwp_t *gwp = g_new0 (gwp_t, 1);
-  struct timeval tick = { 0, TICK_MS * 1000 };
+  struct timeval tick = { 0, GWP_TICK_MS * 1000 };
 
   gwp->options = *options;
   gwp->engines = egs_new ();
--- a/src/process/gateway_process.h
+++ b/src/process/gateway_process.h
@@ -17,6 +17,7 @@
 
 #include <event2/event.h>
 
+#define GWP_TICK_MS 100 /* between two looks at what is due */
 /* An engine whose entry lapsed while the store was out is back this soon after, if it lives. */
 #define GWP_LAPSE_MS 2500
 /*
--- a/src/request/gateway.c
+++ b/src/request/gateway.c
@@ -272,6 +272,7 @@
 void
 gwy_stop (gwy_t *gwy)
 {
+  gwy->stopping = true;
   hsv_stop (gwy->front);
 }
 
--- a/src/request/gateway_accept.c
+++ b/src/request/gateway_accept.c
@@ -52,6 +52,24 @@
   gwy_call_free (call);
 }
 
+/*
+ * On a connection whose last answer began before the stop, and so did not say that it closes, one
+ * more request may come when most of the time to stop is over. It would be cut at its end: a stream
+ * that took four seconds was. Any other gateway has the time.
+ */
+static void
+reject_late (gwy_t *gwy, hsv_call_t *in, const fmt_request_t *request)
+{
+  cnt_add (gwy->refused, 1);
+  reject (gwy, in, request,
+          &(flt_t){ .status = 503,
+                    .code = "stopping",
+                    .message = "this router stops",
+                    .verdict = VRD_NOT_RUN,
+                    .retry_after_ms = GWY_RETRY_MIN_MS,
+                    .exact_retry = true });
+}
+
 void
 gwy_accept (hsv_call_t *in, void *context)
 {
@@ -68,6 +86,11 @@
               &(flt_t){ .status = 400, .code = "bad_request", .message = wrong });
       return;
     }
+  if (gwy->stopping)
+    {
+      reject_late (gwy, in, &request);
+      return;
+    }
   route = gwy->table ? rte_find (gwy->table, hsv_header (in, "Host"), hsv_target (in)) : NULL;
   if (!route)
     {
--- a/src/request/gateway_private.h
+++ b/src/request/gateway_private.h
@@ -79,6 +79,7 @@
   hcl_t *upstreams;
   rte_t *table;
   bool certain;
+  bool stopping; /* no connections are taken any more */
   uint32_t routers;
   GHashTable *services; /* interned name -> gwy_service_t */
   GHashTable *calls;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -614,6 +614,51 @@
   raw_free (raw);
 }
 
+static bool
+has_first_event (void *context)
+{
+  return has (context, "id: 1");
+}
+
+static bool
+has_stream_end (void *context)
+{
+  return has (context, STREAM_END);
+}
+
+static bool
+has_second_answer (void *context)
+{
+  const raw_t *raw = context;
+  const char *end = strstr (raw->got->str, STREAM_END);
+
+  return raw->eof || raw->reset || (end && strstr (end, "\r\n\r\n{"));
+}
+
+/* A stream began before the stop, so its head did not say that the connection closes. Its caller
+ * sends one more request on it, when the time to stop is nearly over: it must hear at once that it
+ * has not run, not be cut in the middle. */
+static void
+test_late_request_at_a_stop_is_refused (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  raw_server_t *engine = grg_engine (grg, SCRIPTS (STREAM_HEAD EVENT ("1")), 1);
+  raw_t *raw = grg_send (grg, 0, "POST", "/talk/", BOOKING);
+
+  CU_ASSERT (raw_run_until (grg->base, has_first_event, raw));
+  gwp_stop (grg->gateways[0].gwp);
+  clk_init_paused (&grg->clk, clk_now_us (&grg->clk) + GWP_LISTEN_ON_MS * CLK_US_PER_MS);
+  raw_run_ms (grg->base, 2 * GWP_TICK_MS);
+  raw_send (g_ptr_array_index (engine->conns, 0), STREAM_END);
+  CU_ASSERT (raw_run_until (grg->base, has_stream_end, raw));
+  raw_send (raw,
+            "GET /look/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r2\r\nX-Key: key-1\r\n\r\n");
+  CU_ASSERT (raw_run_until (grg->base, has_second_answer, raw));
+  CU_ASSERT (has (raw, STREAM_END "HTTP/1.1 503 ") && has (raw, "Retry-After: "));
+  CU_ASSERT_EQUAL (grg_requests (grg), 1);
+  raw_free (raw);
+}
+
 int
 main (void)
 {
@@ -643,6 +688,7 @@
                                        SUITE_TEST (test_old_version_is_not_put_in_force),
                                        SUITE_TEST (test_cut_gateway_learns_from_its_peer),
                                        SUITE_TEST (test_stop_is_graceful),
+                                       SUITE_TEST (test_late_request_at_a_stop_is_refused),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("gateway", tests);
