Read a daemon's log from its standard output in session_daemon

The expected lines are the same, word for word; errors of settings are still read from standard error.

--- a/tests/session_daemon.c
+++ b/tests/session_daemon.c
@@ -102,8 +102,8 @@
 static bool
 run_await (run_t *run, const char *event)
 {
-  while (strstr (run->err->str, event) == NULL)
-    if (!read_some (run->err_fd, run->err))
+  while (strstr (run->out->str, event) == NULL)
+    if (!read_some (run->out_fd, run->out))
       return false;
   return true;
 }
@@ -228,7 +228,7 @@
   CU_ASSERT_EQUAL (kill (run.pid, number), 0);
   run_end (&run);
   CU_ASSERT (ended_with (&run, 0));
-  CU_ASSERT_PTR_NOT_NULL (strstr (run.err->str, ": stopped graceful=yes\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (run.out->str, ": stopped graceful=yes\n"));
   run_free (&run);
 }
 
@@ -260,7 +260,7 @@
     CU_ASSERT_EQUAL (kill (run.pid, numbers[i]), 0);
   run_end (&run);
   CU_ASSERT (ended_with (&run, 0));
-  CU_ASSERT_PTR_NOT_NULL (strstr (run.err->str, ": stopped graceful=yes\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (run.out->str, ": stopped graceful=yes\n"));
   run_free (&run);
 }
 
