Give each demo run loopback addresses of its own

Ruled out: the tests and the soak, which take addresses by their process id already. Change: demo_lib.sh makes three bytes of the address from its process id, above those of the tests. Before: 1 of 2 runs at once failed.

--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -7,8 +7,8 @@
 cd "$(dirname "$0")/.."
 out=${1:-build}
 . examples/demo_lib.sh
-platform=127.0.77.1:7000
-routers=(127.0.77.11:7080 127.0.77.12:7080)
+platform=$net.1:7000
+routers=($net.11:7080 $net.12:7080)
 models=(bayangol-m1 bayangol-m2 sukhbaatar-m1 khan-uul-m1)
 plains=(bayangol-p1)
 
@@ -38,11 +38,11 @@
   n=$((n + 1))
   kind=model
   [[ $name == *-p* ]] && kind=plain
-  start "engine-$name" standin-engine --listen "127.0.77.$n:7090" --name "$name" --kind "$kind" --token-us 2000
-  daemon "$name" sidecar "127.0.77.$n" --engine="127.0.77.$n:7090"
+  start "engine-$name" standin-engine --listen "$net.$n:7090" --name "$name" --kind "$kind" --token-us 2000
+  daemon "$name" sidecar "$net.$n" --engine="$net.$n:7090"
 done
-daemon bayangol-r1 router 127.0.77.11
-daemon khan-uul-r1 router 127.0.77.12
+daemon bayangol-r1 router $net.11
+daemon khan-uul-r1 router $net.12
 wait_for "the platform" curl -fsS "http://$platform/hosts?since=0"
 curl -fsS -X POST -d "$hosts]" "http://$platform/admin/hosts" >/dev/null
 
@@ -55,7 +55,7 @@
 "$out/medlarplankctl" --platform "$platform" manifest check examples/tuul.json
 "$out/medlarplankctl" --platform "$platform" manifest publish examples/tuul.json --by demo --allow-missing-engines
 for router in "${routers[@]}"; do wait_for "router $router" curl -fsS "http://$router/readyz"; done
-for n in 21 22 23 24 25; do wait_for "sidecar 127.0.77.$n" curl -fsS "http://127.0.77.$n:7080/readyz"; done
+for n in 21 22 23 24 25; do wait_for "sidecar $net.$n" curl -fsS "http://$net.$n:7080/readyz"; done
 
 ask () { # ROUTER CHAT BODY: sends one turn; leaves status, head and body
   status=$(curl -sS -o "$dir/body" -D "$dir/head" -w '%{http_code}' -H "Authorization: Bearer demo-appeals-team" \
@@ -100,7 +100,7 @@
     "http://$router/portal/claims")
   echo "   by $router: $status, verdict $(field X-Medlarplank-Verdict): $(head -c 160 "$dir/body")"
 done
-engine_runs=$(curl -sS "http://127.0.77.25:7090/record" | grep -c '"state"' || true)
+engine_runs=$(curl -sS "http://$net.25:7090/record" | grep -c '"state"' || true)
 echo "   the engine ran it $engine_runs time(s)"
 expect "one run for one key" "$engine_runs" = 1
 
--- a/examples/demo_gateway.sh
+++ b/examples/demo_gateway.sh
@@ -8,8 +8,8 @@
 cd "$(dirname "$0")/.."
 out=${1:-build}
 . examples/demo_lib.sh
-store=127.0.78.1:7000
-gateways=(127.0.78.11 127.0.78.12)
+store=$net.1:7000
+gateways=($net.11 $net.12)
 
 route () { # NAME KIND SERVICE [MORE]
   printf '{"name":"%s","host":"claims","path_prefix":"/%s/","kind":"%s","timeout_ms":5000,"attempts":2,"service":"%s"%s}' \
@@ -45,7 +45,7 @@
 for n in 1 2 3 4 5; do
   service=desk events=4
   [ "$n" -gt 3 ] && service=portal events=0
-  start "engine-$n" standin-upstream --listen "127.0.78.2$n:8080" --store "$store" --service "$service" \
+  start "engine-$n" standin-upstream --listen "$net.2$n:8080" --store "$store" --service "$service" \
     --events "$events" --work-ms 10 --record "$dir/engine-$n.record" --drain-ms 2500
 done
 for n in 0 1; do
--- a/examples/demo_lib.sh
+++ b/examples/demo_lib.sh
@@ -1,5 +1,8 @@
-# What the demos share. Sourced with $out (the build's directory) set; sets $dir, $pids and $failed.
+# What the demos share. Sourced with $out (the build's directory) set; sets $dir, $net, $pids and $failed.
 dir=$(mktemp -d)
+# The first three bytes of the loopback addresses, this run's own: two demos on one machine would take each
+# other's ports. The tests stay below 127.129.
+net=127.$((129 + $$ / 250 % 120)).$(($$ % 250 + 1))
 pids=()
 failed=0
 export MEDLARPLANK_FLEET_KEY=demo-fleet-key-0123456789
