Charge accounts for what the gateway starts; the waiting line is a module of its own

Cause, found by reading: the gateway took the first request of its fair queue by peek and remove. Removing is what a request does that is given up, so nobody was ever charged: accounts did not take turns, a lower priority of one account could wait for ever behind a higher one, and requests that found room at once counted nothing. Also a refusal by an engine (a millisecond) was measured as a run, so that behind engines that refuse many the expected wait came out too short and requests waited in vain. Ruled out: the queue itself (test_fairq, and the sidecar, which pops). Change: src/request/line keeps the queue, the measured times, the expected wait and the end of waiting; it charges what starts, also without waiting, and what runs longer than usual. An account that had less may start two seconds of the gateway's share first, as the sidecar does. The account's priority is worked out once. The wait's test moved from test_spread with its figures. Before: 4 of the 8 tests of test_line fail (0 of 3 of a quiet account's requests in the next 7 starts; a second priority not started in 600). After: 8 of 8 pass, test_gateway and test_spread as before.

--- a/src/request/gateway.c
+++ b/src/request/gateway.c
@@ -13,7 +13,7 @@
 {
   gwy_service_t *service = data;
 
-  fq_free (service->queue);
+  lin_free (service->line);
   lat_free (service->waits);
   lat_free (service->heads);
   lat_free (service->answers);
@@ -50,9 +50,7 @@
     return service;
   service = g_new0 (gwy_service_t, 1);
   service->name = name;
-  service->queue = fq_new (GWY_WAIT_LIMIT);
-  service->run_us = GWY_RUN_US;
-  service->head_us = GWY_RUN_US;
+  service->line = lin_new ();
   make_histograms (gwy, service);
   g_hash_table_insert (gwy->services, (gpointer)name, service);
   return service;
@@ -66,7 +64,7 @@
 
   g_hash_table_iter_init (&iter, gwy->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    gwy_wait_pump (value, gwy);
+    gwy_wait_pump (value);
 }
 
 static void
--- a/src/request/gateway_accept.c
+++ b/src/request/gateway_accept.c
@@ -106,8 +106,7 @@
           return;
         }
     }
-  call = gwy_call_new (gwy, in, route, &request);
-  call->account = account;
+  call = gwy_call_new (gwy, in, route, account, &request);
   if (is_known_to_crash (call))
     reject_suspect (call);
   else
--- a/src/request/gateway_call.c
+++ b/src/request/gateway_call.c
@@ -85,7 +85,7 @@
 
   (void)fd;
   (void)what;
-  if (call->waiting)
+  if (call->line.waiting)
     {
       gwy_wait_remove (call);
       gwy_call_give_up (call, VRD_REASON_DEADLINE, GWY_RETRY_MIN_MS);
@@ -118,7 +118,7 @@
   cnt_add (call->gwy->gone, 1);
   call->in = NULL;
   rly_gone (&call->rly);
-  gwy_call_log (call, "gone", call->waiting ? "waiting" : "sent", VRD_REASON_NONE);
+  gwy_call_log (call, "gone", call->line.waiting ? "waiting" : "sent", VRD_REASON_NONE);
   if (call->out && call->route->kind == RTE_NON_IDEMPOTENT)
     return;
   gwy_wait_remove (call);
@@ -136,8 +136,18 @@
   event_add (call->timer, &wait);
 }
 
+static uint32_t
+priority_of (const rte_route_t *route, const rte_account_t *account)
+{
+  return account && account->has_priority ? account->priority : route->priority;
+}
+
 gwy_call_t *
-gwy_call_new (gwy_t *gwy, hsv_call_t *in, const rte_route_t *route, const fmt_request_t *request)
+gwy_call_new (gwy_t *gwy,
+              hsv_call_t *in,
+              const rte_route_t *route,
+              const rte_account_t *account,
+              const fmt_request_t *request)
 {
   gwy_call_t *call = g_new0 (gwy_call_t, 1);
   bool is_stream = route->kind == RTE_STREAM;
@@ -147,10 +157,16 @@
   call->in = in;
   call->table = rte_ref (gwy->table);
   call->route = route;
+  call->account = account;
   call->request = *request;
   g_strlcpy (call->id, request->id ? request->id : "", sizeof call->id);
   call->arrived_us = gwy_now_us (gwy);
   call->deadline_us = deadline_of (route, request, call->arrived_us);
+  call->line = (lin_item_t){ .arrived_us = call->arrived_us,
+                             .fair = { .account_hash = account ? account->hash : 0,
+                                       .priority = priority_of (route, account),
+                                       .deadline_us = call->deadline_us,
+                                       .owner = call } };
   call->affinity = route->sticky ? affinity_of (request) : 0;
   call->shared_parts = shared_parts_of (request);
   dice = XXH64 (call->id, strlen (call->id), gwy->next_number++);
@@ -177,7 +193,7 @@
 void
 gwy_call_free (gwy_call_t *call)
 {
-  g_assert (!call->out && !call->waiting);
+  g_assert (!call->out && !call->line.waiting);
   g_hash_table_remove (call->gwy->calls, call);
   event_free (call->timer);
   evs_clear (&call->evs);
@@ -220,7 +236,7 @@
   spr_choice_t choice;
 
   /* Who comes later must not overtake those that wait. */
-  if (fq_count (call->service->queue) > 0 && call->hops == 0)
+  if (lin_count (call->service->line) > 0 && call->hops == 0)
     {
       gwy_wait_push (call);
       return;
--- a/src/request/gateway_hop.c
+++ b/src/request/gateway_hop.c
@@ -56,9 +56,9 @@
   uint64_t now_us = gwy_now_us (call->gwy);
 
   call->heard_us = now_us;
-  call->service->head_us =
-      (call->service->head_us * (GWY_RUN_GAIN - 1) + now_us - call->sent_us) / GWY_RUN_GAIN;
   call->engine->heard_us = now_us;
+  if (!call->answer.not_run)
+    lin_note_head (call->service->line, now_us - call->sent_us);
   if (status == 200)
     prv_answered (call->gwy->warm, now_us, warm_key (call, call->engine));
   lat_add (call->service->heads, now_us - call->sent_us);
@@ -124,13 +124,13 @@
     rly_data (&call->rly, data);
 }
 
+/* A refusal takes a millisecond: were it measured, a service whose engines refuse many would seem
+ * to free its slots at once, and requests would wait for them in vain. */
 static void
 measure (gwy_call_t *call)
 {
-  uint64_t took_us = gwy_now_us (call->gwy) - call->sent_us;
-  gwy_service_t *service = call->service;
-
-  service->run_us = (service->run_us * (GWY_RUN_GAIN - 1) + took_us) / GWY_RUN_GAIN;
+  if (!call->answer.not_run)
+    lin_note_run (call->service->line, &call->line, gwy_now_us (call->gwy) - call->sent_us);
 }
 
 /*
@@ -208,7 +208,7 @@
     end_whole (call);
   else
     end_broken (call, end);
-  gwy_wait_pump (service, gwy);
+  gwy_wait_pump (service);
 }
 
 /* Whether the request may go on at another engine after this one. */
@@ -235,7 +235,7 @@
                 .heard_us = call->heard_us,
                 .engine_heard_us = call->engine ? call->engine->heard_us : 0,
                 .prompt_tokens = call->request.prompt_tokens,
-                .usual_us = call->service->head_us,
+                .usual_us = lin_head_us (call->service->line),
                 .time_us = call->deadline_us - MIN (call->sent_us, call->deadline_us),
                 .gap_us = (uint64_t)call->route->gap_ms * CLK_US_PER_MS };
 
@@ -259,14 +259,6 @@
   return stated_us > 0 ? MIN (stated_us, GWY_FRESH_US) : GWY_FRESH_US;
 }
 
-static uint32_t
-priority_of (const gwy_call_t *call)
-{
-  if (call->account && call->account->has_priority)
-    return call->account->priority;
-  return call->route->priority;
-}
-
 /*
  * Where the parts were just read there is nothing to copy; and a source that has gone dark since
  * makes the request wait.
@@ -291,6 +283,7 @@
   call->headed = false;
   call->heard_us = 0;
   memset (&call->answer, 0, sizeof call->answer);
+  lin_start (call->service->line, &call->line);
   egn_begin (choice->engine);
   egn_probe (choice->engine, now_us);
 }
@@ -320,7 +313,7 @@
   hop = (fmt_hop_t){ .engine_id = choice->engine->entry.id,
                      .account = call->account ? call->account->name : NULL,
                      .cache_source = choice->source ? &choice->source->entry.address : NULL,
-                     .priority = priority_of (call),
+                     .priority = call->line.fair.priority,
                      .resumes = call->resuming,
                      .last_event = call->evs.last_id };
   begin_hop (call, choice);
--- a/src/request/gateway_private.h
+++ b/src/request/gateway_private.h
@@ -14,9 +14,9 @@
 #include "request/course.h"
 #include "request/crash_watch.h"
 #include "request/event_split.h"
-#include "request/fairq.h"
 #include "request/fault.h"
 #include "request/gateway.h"
+#include "request/line.h"
 #include "request/patience.h"
 #include "request/proven.h"
 #include "request/relay.h"
@@ -45,27 +45,20 @@
 #define GWY_WARM 4096       /* prompts of which an engine is known to have the shared parts */
 #define GWY_WATCH_TICKS 4   /* of those below between two looks at hops that bring nothing */
 #define GWY_WAIT_TICK_MS 25 /* waiting requests are looked at this often besides all events */
-#define GWY_WATCH_US (GWY_WATCH_TICKS * GWY_WAIT_TICK_MS * CLK_US_PER_MS)
-#define GWY_WAIT_LIMIT 1024    /* requests of one service that wait here */
-#define GWY_RUN_US (50 * 1000) /* of a request, until it has been measured */
-#define GWY_RUN_GAIN 16
-#define GWY_HISTOGRAMS 64 /* services with histograms of their own; all further ones share one */
+#define GWY_HISTOGRAMS 64   /* services with histograms of their own; all further ones share one */
 
 /**
  * struct gwy_service - what the gateway keeps of a service
  * @name: interned
- * @queue: requests that wait for room
- * @run_us, @head_us: smoothed times from send to end, and to the head
+ * @line: requests that wait for room
  * @waits, @heads, @answers, @failures: from arrival to the first send, from a send to the head of
  * its answer, from arrival to a whole answer and to a refusal or failure
  */
 typedef struct
 {
   const char *name;
-  fq_t *queue;
+  lin_t *line;
   rsh_t retries;
-  uint64_t run_us;
-  uint64_t head_us;
   lat_t *waits;
   lat_t *heads;
   lat_t *answers;
@@ -104,7 +97,7 @@
  * @in: NULL once the caller has gone
  * @out: the hop under way, or NULL
  * @request: borrows from the headers of @in
- * @item: of @service's queue while @waiting
+ * @line: of @service's line
  * @engine: of the hop under way, or NULL
  * @answer: of the last hop's head, when @headed
  * @affinity, @shared_parts: hashes of the part that it is placed by, and of all parts it shares
@@ -122,8 +115,7 @@
   gwy_service_t *service;
   fmt_request_t request;
   char id[FMT_ID_BYTES];
-  fq_item_t item;
-  bool waiting;
+  lin_item_t line;
   crs_t crs;
   evs_t evs;
   rly_t rly;
@@ -157,8 +149,11 @@
 void gwy_accept (hsv_call_t *in, void *context);
 
 /** gwy_call_new() - the request was judged fit */
-gwy_call_t *
-gwy_call_new (gwy_t *gwy, hsv_call_t *in, const rte_route_t *route, const fmt_request_t *request);
+gwy_call_t *gwy_call_new (gwy_t *gwy,
+                          hsv_call_t *in,
+                          const rte_route_t *route,
+                          const rte_account_t *account,
+                          const fmt_request_t *request);
 void gwy_call_free (gwy_call_t *call);
 /** gwy_call_fingerprint() - what suspects are known by, at all gateways; while its caller is there
  */
@@ -190,10 +185,8 @@
 /** gwy_wait_remove() - it waits no longer */
 void gwy_wait_remove (gwy_call_t *call);
 /** gwy_wait_pump() - send what waits for @service as far as there is room */
-void gwy_wait_pump (gwy_service_t *service, gwy_t *gwy);
+void gwy_wait_pump (gwy_service_t *service);
 /** gwy_wait_watch() - refuse it if it waits and would be too late; frees it then */
 void gwy_wait_watch (gwy_call_t *call);
-/** gwy_wait_ms() - expected until a request of @service could start; 0 when nothing waits */
-uint32_t gwy_wait_ms (gwy_t *gwy, const gwy_service_t *service, const fq_item_t *item);
 
 #endif
--- a/src/request/gateway_wait.c
+++ b/src/request/gateway_wait.c
@@ -3,132 +3,87 @@
 
 #include "process/log.h"
 
-/* Slots of the engines that may be asked. */
-static uint64_t
-slots_of (gwy_t *gwy, const gwy_service_t *service)
+static lin_room_t
+room_of (gwy_t *gwy, const gwy_service_t *service)
 {
   const GPtrArray *engines = egs_list (gwy->options.engines, service->name);
-  uint64_t slots = 0;
+  lin_room_t room = { .gateways = gwy->routers };
 
   for (guint i = 0; i < engines->len; i++)
     {
       const egn_t *egn = g_ptr_array_index (engines, i);
 
       if (egn_is_open (egn) && !egn_is_skipped (egn, gwy_now_us (gwy)))
-        slots += egn_slots (egn, 1);
+        room.slots += egn_slots (egn, 1);
     }
-  return slots;
+  return room;
 }
 
-uint32_t
-gwy_wait_ms (gwy_t *gwy, const gwy_service_t *service, const fq_item_t *item)
+static uint32_t
+in_ms (uint64_t wait_us)
 {
-  spr_line_t line = { .ahead = fq_ahead (service->queue, item).count,
-                      .run_us = service->run_us,
-                      .slots = slots_of (gwy, service),
-                      .gateways = gwy->routers };
-  uint64_t wait_us = spr_wait_us (&line);
-
   return (uint32_t)MIN (wait_us / CLK_US_PER_MS, UINT32_MAX);
 }
 
-static void
-fill_item (gwy_call_t *call)
-{
-  const rte_account_t *account = call->account;
-  uint32_t priority = account && account->has_priority ? account->priority : call->route->priority;
-
-  call->item = (fq_item_t){ .account_hash = account ? account->hash : 0,
-                            .weight = FQ_WEIGHT_ONE,
-                            .priority = priority,
-                            .cost = (uint32_t)(call->service->run_us / CLK_US_PER_MS) + 1,
-                            .queue_limit = GWY_WAIT_LIMIT,
-                            .queued_us = gwy_now_us (call->gwy),
-                            .deadline_us = call->deadline_us,
-                            .owner = call };
-}
-
-/*
- * The wait is a guess: engines leave while requests wait. One that is refused at its deadline has
- * lost the time in which its caller could have sent it again, and one that starts a moment before
- * can't be answered in time. So waiting ends while there is still time for an answer to begin, or
- * in the last quarter of a short time.
- */
-static uint64_t
-least_us (const gwy_call_t *call)
-{
-  uint64_t quarter_us = (call->deadline_us - call->arrived_us) / 4;
-
-  return MIN (call->service->head_us + GWY_WATCH_US, quarter_us);
-}
-
 void
 gwy_wait_push (gwy_call_t *call)
 {
-  gwy_t *gwy = call->gwy;
-  gwy_service_t *service = call->service;
-  uint64_t now_us = gwy_now_us (gwy);
-  uint32_t wait_ms;
+  lin_room_t room = room_of (call->gwy, call->service);
+  uint64_t wait_us;
 
-  fill_item (call);
-  wait_ms = gwy_wait_ms (gwy, service, &call->item);
-  if (now_us + (uint64_t)wait_ms * CLK_US_PER_MS + least_us (call) >= call->deadline_us)
+  switch (lin_push (call->service->line, gwy_now_us (call->gwy), &room, &call->line, &wait_us))
     {
-      gwy_call_give_up (call, VRD_REASON_DEADLINE, wait_ms);
+    case LIN_WAITS:
+      cnt_add (call->gwy->waited, 1);
+      gwy_call_log (call, "wait", "queued", VRD_REASON_OVER_BOUND);
       return;
-    }
-  if (fq_push (service->queue, &call->item) != FQ_QUEUED)
-    {
-      gwy_call_give_up (call, VRD_REASON_QUEUE_FULL, wait_ms);
+    case LIN_TOO_LATE:
+      gwy_call_give_up (call, VRD_REASON_DEADLINE, in_ms (wait_us));
+      return;
+    case LIN_FULL:
+      gwy_call_give_up (call, VRD_REASON_QUEUE_FULL, in_ms (wait_us));
       return;
     }
-  call->waiting = true;
-  cnt_add (gwy->waited, 1);
-  gwy_call_log (call, "wait", "queued", VRD_REASON_OVER_BOUND);
 }
 
 void
 gwy_wait_remove (gwy_call_t *call)
 {
-  if (!call->waiting)
-    return;
-  call->waiting = false;
-  fq_remove (call->service->queue, &call->item);
+  lin_remove (call->service->line, &call->line);
 }
 
 void
 gwy_wait_watch (gwy_call_t *call)
 {
-  if (!call->waiting || gwy_now_us (call->gwy) + least_us (call) < call->deadline_us)
+  const gwy_service_t *service = call->service;
+  lin_room_t room;
+  uint64_t wait_us;
+
+  if (!call->line.waiting || !lin_is_late (service->line, gwy_now_us (call->gwy), &call->line))
     return;
   gwy_wait_remove (call);
-  gwy_call_give_up (call, VRD_REASON_DEADLINE, gwy_wait_ms (call->gwy, call->service, &call->item));
-}
-
-static bool
-any (const fq_item_t *item, void *context)
-{
-  (void)item;
-  (void)context;
-  return true;
+  room = room_of (call->gwy, service);
+  wait_us = lin_wait_us (service->line, &room, &call->line);
+  gwy_call_give_up (call, VRD_REASON_DEADLINE, in_ms (wait_us));
 }
 
 void
-gwy_wait_pump (gwy_service_t *service, gwy_t *gwy)
+gwy_wait_pump (gwy_service_t *service)
 {
-  fq_item_t *item;
+  gwy_call_t *call;
 
-  while ((item = fq_peek_allowed (service->queue, any, gwy)))
+  while ((call = lin_first (service->line)))
     {
-      gwy_call_t *call = item->owner;
       spr_choice_t choice = gwy_call_choose (call);
 
       if (choice.action == SPR_WAIT)
         return;
-      gwy_wait_remove (call);
       if (choice.action == SPR_SEND)
-        gwy_hop_send (call, &choice);
-      else
-        gwy_call_give_up (call, VRD_REASON_NO_ENGINE, GWY_RETRY_MIN_MS);
+        {
+          gwy_hop_send (call, &choice);
+          continue;
+        }
+      gwy_wait_remove (call);
+      gwy_call_give_up (call, VRD_REASON_NO_ENGINE, GWY_RETRY_MIN_MS);
     }
 }
--- /dev/null
+++ b/src/request/line.c
@@ -0,0 +1,154 @@
+#include "request/line.h"
+
+struct lin
+{
+  fq_t *queue;
+  uint64_t run_us;
+  uint64_t head_us;
+};
+
+lin_t *
+lin_new (void)
+{
+  lin_t *lin = g_new0 (lin_t, 1);
+
+  lin->queue = fq_new (LIN_LIMIT);
+  lin->run_us = LIN_RUN_US;
+  lin->head_us = LIN_RUN_US;
+  return lin;
+}
+
+void
+lin_free (lin_t *lin)
+{
+  fq_free (lin->queue);
+  g_free (lin);
+}
+
+static uint64_t
+smooth (uint64_t before_us, uint64_t sample_us)
+{
+  return (before_us * (LIN_GAIN - 1) + sample_us) / LIN_GAIN;
+}
+
+void
+lin_note_head (lin_t *lin, uint64_t head_us)
+{
+  lin->head_us = smooth (lin->head_us, head_us);
+}
+
+/* An account whose requests run longer than others' is charged for it, or it would have more of the
+ * slots by as much. */
+void
+lin_note_run (lin_t *lin, const lin_item_t *item, uint64_t run_us)
+{
+  lin->run_us = smooth (lin->run_us, run_us);
+  fq_took (lin->queue, &item->fair, run_us / CLK_US_PER_MS);
+}
+
+uint64_t
+lin_head_us (const lin_t *lin)
+{
+  return lin->head_us;
+}
+
+uint32_t
+lin_count (const lin_t *lin)
+{
+  return fq_count (lin->queue);
+}
+
+/* A gateway gets its share of the slots that come free, which is less than one slot where few
+ * engines serve many gateways. */
+uint64_t
+lin_share_us (const lin_room_t *room, uint64_t ahead, uint64_t run_us)
+{
+  return (ahead + 1) * run_us * MAX (room->gateways, 1U) / MAX (room->slots, 1U);
+}
+
+uint64_t
+lin_wait_us (const lin_t *lin, const lin_room_t *room, const lin_item_t *item)
+{
+  return lin_share_us (room, fq_ahead (lin->queue, &item->fair).count, lin->run_us);
+}
+
+/* What an answer needs at least, and the time until the owner looks again. */
+static uint64_t
+least_us (const lin_t *lin, const lin_item_t *item)
+{
+  uint64_t quarter_us = (item->fair.deadline_us - item->arrived_us) / 4;
+
+  return MIN (lin->head_us + LIN_WATCH_US, quarter_us);
+}
+
+bool
+lin_is_late (const lin_t *lin, uint64_t now_us, const lin_item_t *item)
+{
+  return now_us + least_us (lin, item) >= item->fair.deadline_us;
+}
+
+static void
+fill (const lin_t *lin, lin_item_t *item)
+{
+  item->fair.weight = FQ_WEIGHT_ONE;
+  item->fair.cost = (uint32_t)(lin->run_us / CLK_US_PER_MS) + 1;
+  item->fair.queue_limit = LIN_LIMIT;
+}
+
+lin_outcome_t
+lin_push (lin_t *lin, uint64_t now_us, const lin_room_t *room, lin_item_t *item, uint64_t *wait_us)
+{
+  g_assert (!item->waiting);
+  fill (lin, item);
+  fq_set_credit (lin->queue, LIN_CREDIT_MS * room->slots / MAX (room->gateways, 1U));
+  item->fair.queued_us = now_us;
+  *wait_us = lin_wait_us (lin, room, item);
+  if (lin_is_late (lin, now_us + *wait_us, item))
+    return LIN_TOO_LATE;
+  if (fq_push (lin->queue, &item->fair) != FQ_QUEUED)
+    return LIN_FULL;
+  item->waiting = true;
+  return LIN_WAITS;
+}
+
+void
+lin_remove (lin_t *lin, lin_item_t *item)
+{
+  if (!item->waiting)
+    return;
+  item->waiting = false;
+  fq_remove (lin->queue, &item->fair);
+}
+
+/* Also one that found room at once is charged: else an account that had all of the slots would have
+ * as much of them again as soon as others wait. */
+void
+lin_start (lin_t *lin, lin_item_t *item)
+{
+  if (item->waiting)
+    {
+      fq_item_t *first = fq_pop (lin->queue);
+
+      g_assert (first == &item->fair);
+      item->waiting = false;
+      return;
+    }
+  fill (lin, item);
+  fq_served (lin->queue, &item->fair);
+}
+
+static bool
+any (const fq_item_t *item, void *context)
+{
+  (void)item;
+  (void)context;
+  return true;
+}
+
+void *
+lin_first (const lin_t *lin)
+{
+  fq_item_t *item = fq_peek_allowed (lin->queue, any, NULL);
+
+  return item ? item->owner : NULL;
+}
--- /dev/null
+++ b/src/request/line.h
@@ -0,0 +1,88 @@
+/**
+ * DOC: line
+ *
+ * Requests that wait at a gateway for room at the engines of their service: who starts next, how
+ * long that is expected to take, and who is refused instead. A state machine without I/O.
+ *
+ * The wait is a guess: engines leave while requests wait. One that is refused at its deadline has
+ * lost the time in which its caller could have sent it again, and one that starts a moment before
+ * can't be answered in time. So waiting ends while there is still time for an answer to begin, or
+ * in the last quarter of a short time.
+ */
+#ifndef REQUEST_LINE_H
+#define REQUEST_LINE_H
+
+#include "process/clock.h"
+#include "request/fairq.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define LIN_LIMIT 1024         /* requests of one service that wait at one gateway */
+#define LIN_RUN_US (50 * 1000) /* of a request, until it has been measured */
+#define LIN_GAIN 16            /* of the smoothing: about the last sixteen answers count */
+/* Of all slots of this gateway's share: what an account that had less may start first. A burst of a
+ * quiet account, two seconds of everything, does not wait behind one that had the slots before. */
+#define LIN_CREDIT_MS 2000
+#define LIN_WATCH_US (100 * CLK_US_PER_MS) /* the owner calls lin_is_late() this often */
+
+typedef enum
+{
+  LIN_WAITS,
+  LIN_TOO_LATE, /* it could not be answered in time */
+  LIN_FULL
+} lin_outcome_t;
+
+/**
+ * struct lin_room - what a line waits for
+ * @slots: of all engines that may be asked
+ * @gateways: that share them, each with a line alike
+ */
+typedef struct
+{
+  uint64_t slots;
+  uint32_t gateways;
+} lin_room_t;
+
+/**
+ * struct lin_item - embedded in what waits; all but @waiting is set by its owner
+ * @fair: account, priority, deadline and owner
+ */
+typedef struct
+{
+  fq_item_t fair;
+  uint64_t arrived_us;
+  bool waiting;
+} lin_item_t;
+
+typedef struct lin lin_t;
+
+lin_t *lin_new (void);
+void lin_free (lin_t *lin);
+/** lin_push() - @wait_us: expected until it starts; valid for refusals too */
+lin_outcome_t
+lin_push (lin_t *lin, uint64_t now_us, const lin_room_t *room, lin_item_t *item, uint64_t *wait_us);
+void lin_remove (lin_t *lin, lin_item_t *item);
+/** lin_first() - owner of the request that starts next, or NULL */
+void *lin_first (const lin_t *lin);
+/** lin_start() - @item goes to an engine: lin_first(), or one that did not have to wait. Its
+ * account is charged for it */
+void lin_start (lin_t *lin, lin_item_t *item);
+/** lin_is_late() - whether to refuse @item, which waits, now */
+bool lin_is_late (const lin_t *lin, uint64_t now_us, const lin_item_t *item);
+/** lin_wait_us() - expected until @item would start if it were pushed now */
+uint64_t lin_wait_us (const lin_t *lin, const lin_room_t *room, const lin_item_t *item);
+uint32_t lin_count (const lin_t *lin);
+
+/** lin_note_head() - time from a send to the head of its answer, of a request that an engine ran */
+void lin_note_head (lin_t *lin, uint64_t head_us);
+/** lin_note_run() - time from a send of @item to the end of its answer, likewise */
+void lin_note_run (lin_t *lin, const lin_item_t *item, uint64_t run_us);
+/** lin_head_us() - usual time from a send to the head of its answer */
+uint64_t lin_head_us (const lin_t *lin);
+
+/** lin_share_us() - expected until a request with @ahead before it gets one of the slots that all
+ * gateways share, when each is kept for @run_us */
+uint64_t lin_share_us (const lin_room_t *room, uint64_t ahead, uint64_t run_us);
+
+#endif
--- a/src/request/spread.c
+++ b/src/request/spread.c
@@ -265,14 +265,3 @@
   choice.rank = rank_count (&world, choice.engine);
   return choice;
 }
-
-/* A gateway gets its share of the slots that come free, which is less than one slot where few
- * engines serve many gateways. */
-uint64_t
-spr_wait_us (const spr_line_t *line)
-{
-  uint64_t slots = line->slots > 0 ? line->slots : 1;
-  uint64_t gateways = line->gateways > 0 ? line->gateways : 1;
-
-  return (line->ahead + 1) * line->run_us * gateways / slots;
-}
--- a/src/request/spread.h
+++ b/src/request/spread.h
@@ -73,21 +73,5 @@
 
 /** spr_choose() - among @engines, egn_t of one service */
 spr_choice_t spr_choose (const GPtrArray *engines, uint64_t now_us, const spr_request_t *request);
-/**
- * struct spr_line - a queue of one gateway, before the slots that all gateways share
- * @ahead: requests before the one asked for
- * @run_us: that a request keeps its slot
- * @slots: of all engines that may be asked
- */
-typedef struct
-{
-  uint64_t ahead;
-  uint64_t run_us;
-  uint64_t slots;
-  uint32_t gateways;
-} spr_line_t;
-
-/** spr_wait_us() - expected until the request gets a slot, when all gateways queue alike */
-uint64_t spr_wait_us (const spr_line_t *line);
 
 #endif
--- /dev/null
+++ b/tests/test_line.c
@@ -0,0 +1,228 @@
+/* Unit tests of the requests that wait at a gateway for room. */
+#include "request/line.h"
+#include "suite.h"
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (lin_t, lin_free)
+
+#define NOW_US (UINT64_C (100) * CLK_US_PER_S)
+#define MANY 40
+
+static const lin_room_t ROOM = { .slots = 8, .gateways = 1 };
+
+/** struct asker - a request that waits */
+typedef struct
+{
+  lin_item_t line;
+  uint64_t account;
+} asker_t;
+
+static lin_outcome_t
+push_by (lin_t *lin, asker_t *asker, uint64_t account, uint32_t priority, uint64_t deadline_us)
+{
+  uint64_t wait_us;
+
+  *asker = (asker_t){ .account = account,
+                      .line = { .arrived_us = NOW_US,
+                                .fair = { .account_hash = account,
+                                          .priority = priority,
+                                          .deadline_us = deadline_us } } };
+  asker->line.fair.owner = asker;
+  return lin_push (lin, NOW_US, &ROOM, &asker->line, &wait_us);
+}
+
+static void
+push (lin_t *lin, asker_t *asker, uint64_t account, uint32_t priority)
+{
+  CU_ASSERT_EQUAL (push_by (lin, asker, account, priority, NOW_US + 60 * CLK_US_PER_S), LIN_WAITS);
+}
+
+static asker_t *
+start_first (lin_t *lin)
+{
+  asker_t *asker = lin_first (lin);
+
+  if (asker)
+    lin_start (lin, &asker->line);
+  return asker;
+}
+
+static void
+remove_all (lin_t *lin)
+{
+  for (asker_t *asker = lin_first (lin); asker; asker = lin_first (lin))
+    lin_remove (lin, &asker->line);
+}
+
+/*
+ * One account has forty requests in line when another one, which has had nothing, sends three. The
+ * other's caller sees its requests served in turn with the first's, not after all forty.
+ */
+static void
+test_an_account_waits_behind_itself (void)
+{
+  g_autoptr (lin_t) lin = lin_new ();
+  asker_t loud[MANY];
+  asker_t quiet[3];
+  uint32_t served = 0;
+
+  for (uint32_t i = 0; i < MANY; i++)
+    push (lin, &loud[i], 1, 1);
+  for (uint32_t i = 0; i < 10; i++)
+    start_first (lin);
+  for (uint32_t i = 0; i < 3; i++)
+    push (lin, &quiet[i], 2, 1);
+  for (uint32_t i = 0; i < 7; i++)
+    served += start_first (lin)->account == 2 ? 1 : 0;
+  CU_ASSERT_EQUAL (served, 3);
+  remove_all (lin);
+}
+
+/*
+ * There was room until now, so nothing waited, and one account had nearly all of it. Then all is
+ * full and both send. The one that had little starts first for a while.
+ */
+static void
+test_what_started_without_waiting_counts (void)
+{
+  g_autoptr (lin_t) lin = lin_new ();
+  asker_t loud[MANY];
+  asker_t quiet[MANY];
+  asker_t before = { .line = { .fair = { .account_hash = 1, .priority = 1 } } };
+  uint32_t served = 0;
+
+  for (uint32_t i = 0; i < 200; i++)
+    lin_start (lin, &before.line);
+  for (uint32_t i = 0; i < MANY; i++)
+    push (lin, &loud[i], 1, 1);
+  for (uint32_t i = 0; i < MANY; i++)
+    push (lin, &quiet[i], 2, 1);
+  for (uint32_t i = 0; i < 20; i++)
+    served += start_first (lin)->account == 2 ? 1 : 0;
+  CU_ASSERT (served >= 15);
+  remove_all (lin);
+}
+
+/* Two accounts send alike, but one's requests keep their slots four times as long. It gets about a
+ * fifth of the starts, as each has half of the slots' time then. */
+static void
+test_long_requests_count_by_their_time (void)
+{
+  g_autoptr (lin_t) lin = lin_new ();
+  asker_t of_long[200];
+  asker_t of_short[200];
+  uint32_t starts_of_long = 0;
+
+  for (uint32_t i = 0; i < 200; i++)
+    {
+      push (lin, &of_long[i], 1, 1);
+      push (lin, &of_short[i], 2, 1);
+    }
+  for (uint32_t i = 0; i < 200; i++)
+    {
+      asker_t *asker = start_first (lin);
+      bool is_long = asker->account == 1;
+
+      starts_of_long += is_long ? 1 : 0;
+      lin_note_run (lin, &asker->line, (is_long ? 80 : 20) * CLK_US_PER_MS);
+    }
+  CU_ASSERT (starts_of_long >= 30 && starts_of_long <= 80);
+  remove_all (lin);
+}
+
+/* A request of the second priority waits while those of the first go on coming. It starts all the
+ * same before long: priorities are a preference. */
+static void
+test_no_priority_starves (void)
+{
+  g_autoptr (lin_t) lin = lin_new ();
+  asker_t last;
+  g_autofree asker_t *first = g_new0 (asker_t, 600);
+  bool started = false;
+
+  push (lin, &last, 1, 2);
+  for (uint32_t i = 0; i < 600 && !started; i++)
+    {
+      push (lin, &first[i], 1, 1);
+      started = start_first (lin) == &last;
+    }
+  CU_ASSERT (started);
+  remove_all (lin);
+}
+
+/* One engine is left of a service, and 22 gateways queue for its six slots. Who expects a whole
+ * slot for itself queues requests that then wait to their deadline, instead of telling callers at
+ * once. */
+static void
+test_wait_is_for_a_share_of_the_slots (void)
+{
+  const lin_room_t few = { .slots = 6, .gateways = 22 };
+  const lin_room_t more = { .slots = 66, .gateways = 22 };
+  const lin_room_t unknown = { 0 };
+
+  CU_ASSERT_EQUAL (lin_share_us (&few, 9, 30000), 1100000);
+  CU_ASSERT_EQUAL (lin_share_us (&more, 9, 30000), 100000);
+  CU_ASSERT_EQUAL (lin_share_us (&unknown, 0, 30000), 30000);
+}
+
+/* What can't start in time is refused at once, with the wait that the caller is told. */
+static void
+test_hopeless_is_refused_at_once (void)
+{
+  g_autoptr (lin_t) lin = lin_new ();
+  asker_t askers[MANY];
+  asker_t hasty;
+
+  for (uint32_t i = 0; i < MANY; i++)
+    push (lin, &askers[i], 1, 1);
+  CU_ASSERT_EQUAL (push_by (lin, &hasty, 1, 1, NOW_US + 300 * CLK_US_PER_MS), LIN_TOO_LATE);
+  CU_ASSERT (!hasty.line.waiting);
+  CU_ASSERT_EQUAL (push_by (lin, &hasty, 1, 1, NOW_US + 500 * CLK_US_PER_MS), LIN_WAITS);
+  remove_all (lin);
+}
+
+/* All engines leave while a request waits that has a second in all. It hears so in its last
+ * quarter, while its caller can still send it elsewhere. */
+static void
+test_waiting_ends_before_the_deadline (void)
+{
+  g_autoptr (lin_t) lin = lin_new ();
+  asker_t asker;
+
+  for (uint32_t i = 0; i < 100; i++)
+    lin_note_head (lin, CLK_US_PER_S);
+  CU_ASSERT_EQUAL (push_by (lin, &asker, 1, 1, NOW_US + CLK_US_PER_S), LIN_WAITS);
+  CU_ASSERT (!lin_is_late (lin, NOW_US + 749 * CLK_US_PER_MS, &asker.line));
+  CU_ASSERT (lin_is_late (lin, NOW_US + 750 * CLK_US_PER_MS, &asker.line));
+  remove_all (lin);
+}
+
+static void
+test_line_is_bounded (void)
+{
+  g_autoptr (lin_t) lin = lin_new ();
+  g_autofree asker_t *askers = g_new0 (asker_t, LIN_LIMIT + 1);
+
+  for (uint32_t i = 0; i < LIN_LIMIT; i++)
+    push (lin, &askers[i], i % 7, 1);
+  CU_ASSERT_EQUAL (push_by (lin, &askers[LIN_LIMIT], 9, 1, NOW_US + UINT64_C (60) * CLK_US_PER_S),
+                   LIN_FULL);
+  CU_ASSERT_EQUAL (lin_count (lin), LIN_LIMIT);
+  remove_all (lin);
+  CU_ASSERT_EQUAL (lin_count (lin), 0);
+}
+
+int
+main (void)
+{
+  static const CU_TestInfo tests[] = { SUITE_TEST (test_an_account_waits_behind_itself),
+                                       SUITE_TEST (test_what_started_without_waiting_counts),
+                                       SUITE_TEST (test_long_requests_count_by_their_time),
+                                       SUITE_TEST (test_no_priority_starves),
+                                       SUITE_TEST (test_wait_is_for_a_share_of_the_slots),
+                                       SUITE_TEST (test_hopeless_is_refused_at_once),
+                                       SUITE_TEST (test_waiting_ends_before_the_deadline),
+                                       SUITE_TEST (test_line_is_bounded),
+                                       CU_TEST_INFO_NULL };
+
+  return suite_run ("line", tests);
+}
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -363,21 +363,6 @@
     egn_end (under_way[i]);
 }
 
-/* One engine is left of a service, and 22 gateways queue for its six slots. Who expects a whole
- * slot for itself queues requests that then wait to their deadline, instead of telling callers at
- * once. */
-static void
-test_wait_is_for_a_share_of_the_slots (void)
-{
-  spr_line_t line = { .ahead = 9, .run_us = 30000, .slots = 6, .gateways = 22 };
-
-  CU_ASSERT_EQUAL (spr_wait_us (&line), 1100000);
-  line.slots = 66;
-  CU_ASSERT_EQUAL (spr_wait_us (&line), 100000);
-  line = (spr_line_t){ .run_us = 30000 };
-  CU_ASSERT_EQUAL (spr_wait_us (&line), 30000);
-}
-
 int
 main (void)
 {
@@ -396,7 +381,6 @@
                                        SUITE_TEST (test_tried_engines_are_left_out),
                                        SUITE_TEST (test_engine_outlives_its_entry),
                                        SUITE_TEST (test_skewed_parts_stay_below_the_cap),
-                                       SUITE_TEST (test_wait_is_for_a_share_of_the_slots),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("spread", tests);
