--- a/src/request/router.c
+++ b/src/request/router.c
@@ -204,7 +204,7 @@
   rtr->told = g_new0 (rtr_told_t, RTR_TOLD_ENTRIES);
   rtr->prv = prv_new (RTR_PROVEN_ENTRIES, RTR_PROVEN_US);
   rtr->uwy = uwy_new ();
-  bdg_init (&rtr->loads_budget, dmn->set.control_budget_bytes, clk_now_us (&dmn->clk));
+  bdg_init (&rtr->news_budget, dmn->set.control_budget_bytes, clk_now_us (&dmn->clk));
   rtr->suspects = sus_new (LIM_SUSPECTS, RTR_SUSPECT_US);
   g_queue_init (&rtr->calls);
   /* Two routers that start in the same millisecond must not share attempt ids. */
--- a/src/request/router_hop.c
+++ b/src/request/router_hop.c
@@ -260,7 +260,7 @@
     hop->sample_count = mean_pick (&loads->table, now_us, picked, HOP_SAMPLES);
   /* Under an overload every request takes four hops: without a limit their loads would be a hundred
    * times all other control traffic. The exchange tells the loads as well, only later. */
-  if (!bdg_take (&call->rtr->loads_budget, now_us, hop->sample_count * HOP_SAMPLE_BYTES))
+  if (!bdg_take (&call->rtr->news_budget, now_us, hop->sample_count * HOP_SAMPLE_BYTES))
     hop->sample_count = 0;
   ops_count_control (call->rtr->ops, hop->sample_count * HOP_SAMPLE_BYTES);
   for (uint32_t i = 0; i < hop->sample_count; i++)
--- a/src/request/router_private.h
+++ b/src/request/router_private.h
@@ -98,7 +98,7 @@
   GHashTable *incarnations; /* engine hash -> uint64_t, the newest heard */
   GHashTable *watches;      /* host hash -> rtr_watch_t */
   rtr_told_t *told;
-  bdg_t loads_budget; /* of the loads that ride on hops */
+  bdg_t news_budget; /* of the loads that ride on hops, and of hints to homes */
   prv_t *prv;
   sus_t *suspects; /* as seen from here, before the sidecars told one another */
   uwy_t *uwy;
--- a/tests/test_path_chats.c
+++ b/tests/test_path_chats.c
@@ -2,6 +2,7 @@
 #include "suite.h"
 
 #include "request/hop.h"
+#include "request/ops.h"
 
 #include <string.h>
 
@@ -101,6 +102,33 @@
     }
 }
 
+/*
+ * One of three homes takes no work while sixty chats come, as in a surge: a third of them is served
+ * elsewhere. All are answered, and the home is told of as many as the control budget allows, and no
+ * more: without that a router sent three times the budget of all its control traffic.
+ */
+static void
+hints_keep_to_the_budget (void)
+{
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  dmn_t *dmn = &fleet->router.dmn;
+  cnt_t *hints = cnt_get (dmn->counters, "medlarplank_served_hints_total", "");
+  uint64_t began_us = clk_now_us (&dmn->clk);
+  uint64_t allowed_bytes;
+  char chat[16];
+
+  pfl_flag (&fleet->sidecars[0], MSG_FRESHNESS, false);
+  for (uint32_t i = 0; i < 60; i++)
+    {
+      g_snprintf (chat, sizeof chat, "s%u", i);
+      ask_engine (fleet, chat);
+    }
+  allowed_bytes = dmn->set.control_budget_bytes *
+                  (CLK_US_PER_S + clk_now_us (&dmn->clk) - began_us) / CLK_US_PER_S;
+  CU_ASSERT (cnt_value (hints) > 0);
+  CU_ASSERT (cnt_value (hints) * OPS_CALL_BYTES <= allowed_bytes);
+}
+
 /* A long answer is streamed through router and sidecar with what is queued bounded at each; it must
  * come out whole and in order. */
 static void
@@ -128,6 +156,7 @@
   static const CU_TestInfo tests[] = {
     { "returns to where it was served", returns_to_where_it_was_served },
     { "hands over what it knew", hands_over_what_it_knew },
+    { "hints keep to the budget", hints_keep_to_the_budget },
     { "streams a long answer", streams_a_long_answer },
     CU_TEST_INFO_NULL,
   };
