Ask no host that is heard whether it is frozen

While any request waits at a host for half a second, its router asked whether the host is frozen, twice a second for each of 15 hosts, though the hosts answered other requests all the time. Change: each answer's head counts as a sign of life of its host.

--- a/src/request/router_hop.c
+++ b/src/request/router_hop.c
@@ -103,6 +103,7 @@
   rtr_answer_t *answer = &call->answer;
 
   answer->came = true;
+  rtr_watch_heard (call->rtr, call->att.last_engine);
   answer->status = status;
   answer->verdict = vrd_parse (evhttp_find_header (headers, VRD_HEADER));
   answer->from_engine = answer->verdict == VRD_RAN && reason == NULL;
--- a/src/request/router_private.h
+++ b/src/request/router_private.h
@@ -203,6 +203,8 @@
 void rtr_hop_timer (evutil_socket_t fd, short what, void *context);
 /** rtr_hop_drop() - end the hop under way, if any, without an outcome */
 void rtr_hop_drop (rtr_call_t *call);
+/** rtr_watch_heard() - an answer came from the host: it is not frozen */
+void rtr_watch_heard (rtr_t *rtr, uint64_t host_hash);
 /** rtr_watch_quiet() - no answer has come for a while: see whether the host runs. If not, all
  * idempotent requests that wait for it go elsewhere */
 void rtr_watch_quiet (rtr_call_t *call);
--- a/src/request/router_tell.c
+++ b/src/request/router_tell.c
@@ -148,9 +148,9 @@
         told->told_us = 0;
       return;
     }
-  /* In a surge most chats are served away from their homes. A home that was not told refers the chat
-   * nowhere, and it is cold there; that is worth less than the control traffic's limit: a router
-   * sent 21,576 bytes a second. */
+  /* In a surge most chats are served away from their homes. A home that was not told refers the
+   * chat nowhere, and it is cold there; that is worth less than the control traffic's limit: a
+   * router sent 21,576 bytes a second. */
   if (known || home == NULL || !bdg_take (&rtr->news_budget, now_us, OPS_CALL_BYTES))
     return;
   *told = (rtr_told_t){ .chat_hash = chat_hash, .engine_hash = engine_hash, .told_us = now_us };
--- a/src/request/router_watch.c
+++ b/src/request/router_watch.c
@@ -94,6 +94,14 @@
   g_free (watch);
 }
 
+/* Hosts that answer other requests all the time need not be asked: in a surge, when requests wait
+ * for long at all of them, that was 8,300 bytes a second of a router. */
+void
+rtr_watch_heard (rtr_t *rtr, uint64_t host_hash)
+{
+  find_or_add (rtr, host_hash)->alive_us = ops_now_us (rtr->ops);
+}
+
 void
 rtr_watch_quiet (rtr_call_t *call)
 {
--- a/tests/test_path_lost.c
+++ b/tests/test_path_lost.c
@@ -2,6 +2,7 @@
 #include "suite.h"
 
 #include "request/hop.h"
+#include "request/router_private.h"
 
 #include <string.h>
 
@@ -176,6 +177,49 @@
   CU_ASSERT_EQUAL (pfl_runs (fleet), 5);
 }
 
+static bool
+is_held (void *context)
+{
+  const pfl_t *fleet = context;
+
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    if (fleet->engines[i].held->len > 0)
+      return true;
+  return false;
+}
+
+/*
+ * One request takes its time at an engine, and others at the same host are answered meanwhile, as
+ * in a surge that makes many wait. The router hears the host all the time, so it need not ask
+ * whether it is frozen; it asked twice a second for each host, which was more than half of its
+ * control traffic.
+ */
+static void
+asks_no_host_that_it_hears (void)
+{
+  g_autoptr (pfl_t) fleet = pfl_new ();
+  dmn_t *dmn = &fleet->router.dmn;
+  cnt_t *probes = cnt_get (dmn->counters, "medlarplank_probes_total", "");
+  pfl_request_t request = {
+    .path = "/v1/chat/completions",
+    .body = "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}",
+    .chat = "one chat"
+  };
+  g_auto (pfl_answer_t) slow = { 0 };
+  uint64_t until_us = clk_now_us (&dmn->clk) + 3 * RTR_QUIET_US;
+
+  pfl_set_all (fleet, PFL_HANG);
+  pfl_send (fleet, &request, &slow);
+  CU_ASSERT_TRUE (pfl_until (fleet, is_held, fleet));
+  pfl_set_all (fleet, PFL_ANSWER);
+  while (clk_now_us (&dmn->clk) < until_us)
+    ask (fleet, &request, 200, "ran");
+  CU_ASSERT_EQUAL (cnt_value (probes), 0);
+  for (uint32_t i = 0; i < PFL_SIDECARS; i++)
+    pfl_release (&fleet->engines[i]);
+  CU_ASSERT_TRUE (pfl_until (fleet, pfl_done, &slow));
+}
+
 int
 main (void)
 {
@@ -185,6 +229,7 @@
     { "asks where it sent", asks_where_it_sent },
     { "moves only lookups after may have run", moves_only_lookups_after_may_have_run },
     { "skips a host that refuses", skips_a_host_that_refuses },
+    { "asks no host that it hears", asks_no_host_that_it_hears },
     CU_TEST_INFO_NULL,
   };
 
