Measure pace by route, and silence by the usual time to a head

Cause, found by reading: a service whose routes differ by nature (20 ms and 2 s) would have made engines look slow for the route they had last, and one whose answers take seconds to begin would have made each engine with a request look silent; both put engines last and lose what their caches hold. Change: usual times are kept by route and kind of answer; an engine is silent after four times the usual time to a head, 0.4 s at least; a probe counts from the last send in place of a shifted time. Before: test_spread "silence is measured by the usual" cannot be written (no such input).

--- a/bench/gateway/sim_gateway.c
+++ b/bench/gateway/sim_gateway.c
@@ -150,6 +150,7 @@
                                        .repeatable = may_leave (request),
                                        .gateways = sim->site->gateways,
                                        .run_us = lin_run_us (line_of (request)),
+                                       .head_us = lin_head_us (line_of (request)),
                                        .tried = request->tried,
                                        .tried_count = request->tried_count });
 }
@@ -353,7 +354,7 @@
                                       : sim->now_us - send->sent_us;
 
   egn_paced (send->egn, sim->now_us,
-             pac_sample (&send->request->gateway->paces[kind->service], took_us));
+             pac_sample (&send->request->gateway->paces[kind - sim->site->kinds], took_us));
 }
 
 void
--- a/bench/gateway/sim_parts.h
+++ b/bench/gateway/sim_parts.h
@@ -70,7 +70,7 @@
   egs_t *engines;
   lin_t *lines[SIT_SERVICES];
   rsh_t retries[SIT_SERVICES];
-  pac_t paces[SIT_SERVICES];
+  pac_t paces[SIT_KINDS];
   GPtrArray *requests;
 } sim_gateway_t;
 
--- a/src/request/engines.c
+++ b/src/request/engines.c
@@ -135,28 +135,24 @@
   return g_hash_table_size (egs->by_id);
 }
 
-static uint64_t
-silent_us (const egn_t *egn, uint64_t now_us)
-{
-  if (egn->own == 0 || egn->heard_us >= egn->asked_us || now_us < egn->asked_us)
-    return 0;
-  return now_us - egn->asked_us;
-}
-
+/* From the end of its patience on it is silent, until so long after the last send that a probe is
+ * due.
+ */
 bool
-egn_is_silent (const egn_t *egn, uint64_t now_us, bool repeatable)
+egn_is_silent (const egn_t *egn, uint64_t now_us, uint64_t usual_us, bool repeatable)
 {
-  uint64_t for_us = silent_us (egn, now_us);
+  uint64_t from_us = egn->asked_us + MAX (EGN_SILENT_US, usual_us * EGN_SILENT_FACTOR);
+  uint64_t pause_us = EGN_SILENT_PROBE_US + (repeatable ? 0 : EGN_RISK_US);
 
-  return for_us >= EGN_SILENT_US && for_us < EGN_SILENT_PROBE_US + (repeatable ? 0 : EGN_RISK_US);
+  if (egn->own == 0 || egn->heard_us >= egn->asked_us || now_us < from_us)
+    return false;
+  return now_us < MAX (from_us, egn->sent_us) + pause_us;
 }
 
 void
 egn_begin (egn_t *egn, uint64_t now_us)
 {
-  if (silent_us (egn, now_us) >= EGN_SILENT_PROBE_US)
-    egn->asked_us = now_us - EGN_SILENT_US;
-  else if (egn->own == 0 || egn->heard_us >= egn->asked_us)
+  if (egn->own == 0 || egn->heard_us >= egn->asked_us)
     egn->asked_us = now_us;
   egn->sent_us = now_us;
   egn->refs++;
--- a/src/request/engines.h
+++ b/src/request/engines.h
@@ -119,6 +119,10 @@
  * within a few milliseconds, but for long prompts: 30,000 tokens are read in 268 ms.
  */
 #define EGN_SILENT_US (UINT64_C (400) * 1000)
+/* Where heads of answers usually take longer, in an overload or by their nature, so many times
+ * that.
+ */
+#define EGN_SILENT_FACTOR 4
 /* It gets a single request after so long, so that one that is sound again is found. */
 #define EGN_SILENT_PROBE_US (UINT64_C (4000) * 1000)
 #define EGN_SKIP_MIN_US (UINT64_C (500) * 1000)
@@ -168,8 +172,9 @@
 /** egn_errors_now() - share of its late answers that were failures, in thousandths */
 uint32_t egn_errors_now (const egn_t *egn, uint64_t now_us);
 /** egn_is_silent() - it has requests of this router and has brought nothing for too long, and no
- * probe is due; @repeatable as in egn_is_skipped() */
-bool egn_is_silent (const egn_t *egn, uint64_t now_us, bool repeatable);
+ * probe is due; @usual_us: from a send to the head of an answer; @repeatable as in
+ * egn_is_skipped() */
+bool egn_is_silent (const egn_t *egn, uint64_t now_us, uint64_t usual_us, bool repeatable);
 /** egn_paced() - an answer took @ratio_milli of the usual time, see pac_sample() */
 void egn_paced (egn_t *egn, uint64_t now_us, uint32_t ratio_milli);
 /** egn_pace_now() - of its late answers, against the usual, in thousandths; 1000 when not known */
--- a/src/request/gateway_call.c
+++ b/src/request/gateway_call.c
@@ -239,6 +239,7 @@
                                        .repeatable = gwy_call_may_leave (call),
                                        .gateways = gwy->routers,
                                        .run_us = lin_run_us (call->service->line),
+                                       .head_us = lin_head_us (call->service->line),
                                        .tried = call->tried,
                                        .tried_count = call->tried_count });
 }
--- a/src/request/gateway_hop.c
+++ b/src/request/gateway_hop.c
@@ -5,6 +5,7 @@
 
 #include <event2/http.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define STATUS_FAILURE 500
 #define EVENT_STREAM "text/event-stream"
@@ -126,22 +127,31 @@
     rly_data (&call->rly, data);
 }
 
+/* Of each route its own: what is usual on one is slow on another of the same service. */
+static pac_t *
+pace_of (const gwy_call_t *call)
+{
+  const char *name = call->route->name;
+  uint64_t hash = XXH64 (name, strlen (name), call->streaming);
+  gwy_pace_t *pace = &call->gwy->paces[hash % GWY_PACES];
+
+  if (pace->route_hash != hash)
+    *pace = (gwy_pace_t){ .route_hash = hash };
+  return &pace->pac;
+}
+
 /* An answer that its caller takes slowly says nothing of the engine; and an event has a time only
  * after another one. */
 static void
 note_pace (gwy_call_t *call, uint64_t now_us)
 {
-  gwy_service_t *service = call->service;
   uint64_t events = call->evs.count - call->events_before;
-  uint32_t ratio_milli;
+  uint64_t took_us;
 
   if (rly_held_up (&call->rly) || call->held_up || (call->streaming && events < 2))
     return;
-  if (call->streaming)
-    ratio_milli = pac_sample (&service->event_pace, (now_us - call->headed_us) / (events - 1));
-  else
-    ratio_milli = pac_sample (&service->answer_pace, now_us - call->sent_us);
-  egn_paced (call->engine, now_us, ratio_milli);
+  took_us = call->streaming ? (now_us - call->headed_us) / (events - 1) : now_us - call->sent_us;
+  egn_paced (call->engine, now_us, pac_sample (pace_of (call), took_us));
 }
 
 /* A refusal takes a millisecond: were it measured, a service whose engines refuse many would seem
--- a/src/request/gateway_private.h
+++ b/src/request/gateway_private.h
@@ -46,13 +46,14 @@
 #define GWY_WARM 4096       /* prompts of which an engine is known to have the shared parts */
 #define GWY_WATCH_TICKS 4   /* of those below between two looks at hops that bring nothing */
 #define GWY_WAIT_TICK_MS 25 /* waiting requests are looked at this often besides all events */
-#define GWY_HISTOGRAMS 64   /* services with histograms of their own; all further ones share one */
+/* Routes of which the usual times are known; of two in one place the later is kept. */
+#define GWY_PACES 256
+#define GWY_HISTOGRAMS 64 /* services with histograms of their own; all further ones share one */
 
 /**
  * struct gwy_service - what the gateway keeps of a service
  * @name: interned
  * @line: requests that wait for room
- * @event_pace, @answer_pace: usual times of an event of a stream, and of a plain answer
  * @waits, @heads, @answers, @failures: from arrival to the first send, from a send to the head of
  * its answer, from arrival to a whole answer and to a refusal or failure
  */
@@ -61,14 +62,19 @@
   const char *name;
   lin_t *line;
   rsh_t retries;
-  pac_t event_pace;
-  pac_t answer_pace;
   lat_t *waits;
   lat_t *heads;
   lat_t *answers;
   lat_t *failures;
 } gwy_service_t;
 
+/** struct gwy_pace - usual time of an event, or of an answer, on the route of that hash */
+typedef struct
+{
+  uint64_t route_hash;
+  pac_t pac;
+} gwy_pace_t;
+
 struct gwy
 {
   gwy_options_t options;
@@ -84,6 +90,7 @@
   sus_t *suspects;
   prv_t *proven; /* requests that were served lately */
   prv_t *warm;   /* shared parts that an engine read lately */
+  gwy_pace_t paces[GWY_PACES];
   uint32_t ticks;
   struct event *tick;
   uint64_t next_number;
--- a/src/request/router_tell.c
+++ b/src/request/router_tell.c
@@ -149,8 +149,8 @@
       return;
     }
   /* In a surge most chats are served away from their homes. A home that was not told refers the
-   * chat nowhere, and it is cold there; that is worth less than the control traffic's limit: a
-   * router sent 21,576 bytes a second. */
+   * chat nowhere, and it is cold there; that is worth less than the control traffic's limit:
+   * hints were 10,000 of the 21,000 bytes a second that a router sent. */
   if (known || home == NULL || !bdg_take (&rtr->news_budget, now_us, OPS_CALL_BYTES))
     return;
   *told = (rtr_told_t){ .chat_hash = chat_hash, .engine_hash = engine_hash, .told_us = now_us };
--- a/src/request/spread.h
+++ b/src/request/spread.h
@@ -55,7 +55,7 @@
  * @tried: engines that had this request already
  * @repeatable: it may go on at another engine when this one fails it
  * @gateways: that share the engines; 0 counts as one
- * @run_us: that a request usually keeps its slot
+ * @run_us, @head_us: that a request usually keeps its slot, and until the head of its answer
  * @default_slots: of an engine that doesn't tell its slots
  */
 typedef struct
@@ -67,6 +67,7 @@
   bool repeatable;
   uint32_t gateways;
   uint64_t run_us;
+  uint64_t head_us;
   uint32_t default_slots;
 } spr_request_t;
 
