--- a/bench/gateway/sim.h
+++ b/bench/gateway/sim.h
@@ -61,7 +61,7 @@
  * @late: whole, but begun later
  * @refused: told that it has not run
  * @failed: an error, a cut or no answer in time
- * @late_refusals: refused when over half of its time had passed
+ * @late_refusals: refused when its last try had waited for over half of its time
  */
 typedef struct
 {
