--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -122,7 +122,8 @@
   to->late += answer == SIM_SERVED && !on_time ? 1 : 0;
   to->refused += answer == SIM_REFUSED ? 1 : 0;
   to->failed += answer == SIM_FAILED ? 1 : 0;
-  to->late_refusals += answer == SIM_REFUSED && sim->now_us > request->line.arrived_us + half_us ? 1 : 0;
+  to->late_refusals +=
+      answer == SIM_REFUSED && sim->now_us > request->line.arrived_us + half_us ? 1 : 0;
 }
 
 void
