One copy of who may leave an engine, and of the slots that are open

Whether a request may go on elsewhere stood in the course (after an outcome), in the gateway's call and in the simulation; the sum of open slots in the gateway and the simulation.

--- a/bench/gateway/sim_gateway.c
+++ b/bench/gateway/sim_gateway.c
@@ -123,16 +123,6 @@
   return choice;
 }
 
-static bool
-may_leave (const sim_request_t *request)
-{
-  const crs_rules_t *rules = &request->crs.rules;
-
-  if (request->crs.ran + 1 >= rules->attempts)
-    return false;
-  return request->begun ? rules->resumable : rules->idempotent || rules->resumable;
-}
-
 static spr_choice_t
 choose (sim_t *sim, const sim_request_t *request)
 {
@@ -147,7 +137,7 @@
   return spr_choose (engines, sim->now_us,
                      &(spr_request_t){ .affinity = request->part,
                                        .data_center = data_center,
-                                       .repeatable = may_leave (request),
+                                       .repeatable = crs_may_leave (&request->crs, request->begun),
                                        .gateways = sim->site->gateways,
                                        .run_us = lin_run_us (line_of (request)),
                                        .head_us = lin_head_us (line_of (request)),
@@ -202,17 +192,9 @@
 room_of (const sim_t *sim, const sim_request_t *request)
 {
   const char *service = g_intern_string (sim->site->services[request->kind->service].name);
-  const GPtrArray *engines = egs_list (request->gateway->engines, service);
-  lin_room_t room = { .gateways = sim->site->gateways };
 
-  for (guint i = 0; i < engines->len; i++)
-    {
-      const egn_t *egn = g_ptr_array_index (engines, i);
-
-      if (egn_is_open (egn) && !egn_is_skipped (egn, sim->now_us, true))
-        room.slots += egn_slots (egn, 1);
-    }
-  return room;
+  return (lin_room_t){ .slots = egs_open_slots (request->gateway->engines, service, sim->now_us),
+                       .gateways = sim->site->gateways };
 }
 
 static void
@@ -428,7 +410,8 @@
                 .time_us = request->line.fair.deadline_us - send->sent_us };
 
   /* An engine that has begun an answer here ends it, but for a crash, which breaks it. */
-  if (send->heard_us != 0 || !may_leave (request) || !ptc_is_lost (&ptc, sim->now_us))
+  if (send->heard_us != 0 || !crs_may_leave (&request->crs, request->begun) ||
+      !ptc_is_lost (&ptc, sim->now_us))
     return;
   egn_failed (send->egn, sim->now_us);
   sim_engine_drop (sim, send);
--- a/src/request/course.c
+++ b/src/request/course.c
@@ -6,16 +6,27 @@
   *crs = (crs_t){ .rules = *rules };
 }
 
+/* Whether it may go on after what may have run; @ran: engines that may have run it by then. */
+static bool
+may_go_on (const crs_rules_t *rules, uint32_t ran, bool begun)
+{
+  if (ran >= rules->attempts)
+    return false;
+  return rules->resumable || (rules->idempotent && !begun);
+}
+
+bool
+crs_may_leave (const crs_t *crs, bool begun)
+{
+  return may_go_on (&crs->rules, crs->ran + 1, begun);
+}
+
 static bool
 may_repeat (const crs_t *crs, crs_outcome_t outcome)
 {
   if (outcome == CRS_NOT_RUN)
     return crs->refused < CRS_REFUSALS && crs->ran < crs->rules.attempts;
-  if (crs->ran >= crs->rules.attempts)
-    return false;
-  if (outcome == CRS_BROKE)
-    return crs->rules.resumable;
-  return crs->rules.idempotent || crs->rules.resumable;
+  return may_go_on (&crs->rules, crs->ran, outcome == CRS_BROKE);
 }
 
 static crs_step_t
--- a/src/request/course.h
+++ b/src/request/course.h
@@ -59,6 +59,9 @@
 } crs_t;
 
 void crs_init (crs_t *crs, const crs_rules_t *rules);
+/** crs_may_leave() - whether the request may go on elsewhere if the engine that has it, or gets it
+ * next, does not answer; @begun: a part of an answer went to the caller */
+bool crs_may_leave (const crs_t *crs, bool begun);
 /**
  * crs_next() - what follows @outcome
  * @left_us: until the caller's deadline or the route's timeout
--- a/src/request/engines.c
+++ b/src/request/engines.c
@@ -299,6 +299,22 @@
     egn->probe_us = now_us;
 }
 
+uint64_t
+egs_open_slots (const egs_t *egs, const char *service, uint64_t now_us)
+{
+  const GPtrArray *engines = egs_list (egs, service);
+  uint64_t slots = 0;
+
+  for (guint i = 0; i < engines->len; i++)
+    {
+      const egn_t *egn = g_ptr_array_index (engines, i);
+
+      if (egn_is_open (egn) && !egn_is_skipped (egn, now_us, true))
+        slots += egn_slots (egn, 1);
+    }
+  return slots;
+}
+
 uint32_t
 egn_slots (const egn_t *egn, uint32_t otherwise)
 {
--- a/src/request/engines.h
+++ b/src/request/engines.h
@@ -142,6 +142,9 @@
 /** egs_list() - engines of @service (interned) that the registry knows, as egn_t; valid until the
  * next egs_put() or egs_gone() */
 const GPtrArray *egs_list (const egs_t *egs, const char *service);
+/** egs_open_slots() - of the engines of @service (interned) that may be asked; one for each that
+ * doesn't tell its slots */
+uint64_t egs_open_slots (const egs_t *egs, const char *service, uint64_t now_us);
 /** egs_set_complete() - all engines that were there before are known */
 void egs_set_complete (egs_t *egs);
 uint32_t egs_count (const egs_t *egs);
--- a/src/request/gateway_call.c
+++ b/src/request/gateway_call.c
@@ -218,16 +218,6 @@
       NULL);
 }
 
-bool
-gwy_call_may_leave (const gwy_call_t *call)
-{
-  const crs_rules_t *rules = &call->crs.rules;
-
-  if (call->crs.ran + 1 >= rules->attempts)
-    return false;
-  return call->rly.begun ? rules->resumable : rules->idempotent || rules->resumable;
-}
-
 spr_choice_t
 gwy_call_choose (const gwy_call_t *call)
 {
@@ -236,7 +226,7 @@
   return spr_choose (egs_list (gwy->options.engines, call->service->name), gwy_now_us (gwy),
                      &(spr_request_t){ .affinity = call->affinity,
                                        .data_center = gwy->options.set->data_center,
-                                       .repeatable = gwy_call_may_leave (call),
+                                       .repeatable = crs_may_leave (&call->crs, call->rly.begun),
                                        .gateways = gwy->routers,
                                        .run_us = lin_run_us (call->service->line),
                                        .head_us = lin_head_us (call->service->line),
--- a/src/request/gateway_hop.c
+++ b/src/request/gateway_hop.c
@@ -270,7 +270,7 @@
       call->held_up = true;
       return;
     }
-  if (!gwy_call_may_leave (call) || !ptc_is_lost (&ptc, now_us))
+  if (!crs_may_leave (&call->crs, call->rly.begun) || !ptc_is_lost (&ptc, now_us))
     return;
   egn_failed (call->engine, now_us);
   gwy_call_log (call, "hop_lost", "silent", VRD_REASON_TIMEOUT);
--- a/src/request/gateway_private.h
+++ b/src/request/gateway_private.h
@@ -178,9 +178,6 @@
 void gwy_call_place (gwy_call_t *call);
 /** gwy_call_choose() - whom it would go to now */
 spr_choice_t gwy_call_choose (const gwy_call_t *call);
-/** gwy_call_may_leave() - whether it may go on at another engine after the next one, or the one it
- * is at */
-bool gwy_call_may_leave (const gwy_call_t *call);
 /** gwy_call_outcome() - the hop ended so; on to the next step */
 void gwy_call_outcome (gwy_call_t *call, crs_outcome_t outcome, vrd_reason_t reason);
 /** gwy_call_whole() - the answer is whole; frees the call */
--- a/src/request/gateway_wait.c
+++ b/src/request/gateway_wait.c
@@ -6,17 +6,9 @@
 static lin_room_t
 room_of (gwy_t *gwy, const gwy_service_t *service)
 {
-  const GPtrArray *engines = egs_list (gwy->options.engines, service->name);
-  lin_room_t room = { .gateways = gwy->routers };
-
-  for (guint i = 0; i < engines->len; i++)
-    {
-      const egn_t *egn = g_ptr_array_index (engines, i);
-
-      if (egn_is_open (egn) && !egn_is_skipped (egn, gwy_now_us (gwy), true))
-        room.slots += egn_slots (egn, 1);
-    }
-  return room;
+  return (lin_room_t){ .slots =
+                           egs_open_slots (gwy->options.engines, service->name, gwy_now_us (gwy)),
+                       .gateways = gwy->routers };
 }
 
 static uint32_t
--- a/tests/test_course.c
+++ b/tests/test_course.c
@@ -91,6 +91,25 @@
   CU_ASSERT_EQUAL (next (&crs, CRS_BROKE), CRS_CUT);
 }
 
+/* What may be the probe of an engine that failed, and what may leave one that is silent. */
+static void
+test_who_may_leave (void)
+{
+  crs_t booking;
+  crs_t lookup;
+  crs_t stream;
+
+  crs_init (&booking, &(crs_rules_t){ .attempts = 3 });
+  crs_init (&lookup, &(crs_rules_t){ .idempotent = true, .attempts = 2 });
+  crs_init (&stream, &(crs_rules_t){ .resumable = true, .attempts = 2 });
+  CU_ASSERT_FALSE (crs_may_leave (&booking, false));
+  CU_ASSERT_TRUE (crs_may_leave (&lookup, false));
+  CU_ASSERT_FALSE (crs_may_leave (&lookup, true));
+  CU_ASSERT_TRUE (crs_may_leave (&stream, true));
+  lookup.ran = 1;
+  CU_ASSERT_FALSE (crs_may_leave (&lookup, false));
+}
+
 static void
 test_no_budget_or_time_no_retry (void)
 {
@@ -397,6 +416,7 @@
                                        SUITE_TEST (test_not_run_is_said_only_if_it_ran_nowhere),
                                        SUITE_TEST (
                                            test_no_more_engines_run_it_than_its_route_allows),
+                                       SUITE_TEST (test_who_may_leave),
                                        SUITE_TEST (test_no_budget_or_time_no_retry),
                                        SUITE_TEST (test_share_of_the_slack),
                                        SUITE_TEST (test_routers_keep_the_bound_together),
