--- a/bench/bench_gateway.c
+++ b/bench/bench_gateway.c
@@ -45,7 +45,6 @@
   add_count (&to->during, &more->during);
   add_count (&to->quiet, &more->quiet);
   to->sends += more->sends;
-  to->retries += more->retries;
   to->retries_most = to->retries_most > more->retries_most ? to->retries_most : more->retries_most;
   to->read_tokens += more->read_tokens;
   to->prompt_tokens += more->prompt_tokens;
--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -137,7 +137,6 @@
   if (request->arrived_us < SIM_MEASURED_FROM_US)
     return;
   count (sim, &figures->all, request, answer);
-  count (sim, &figures->kinds[request->kind - sim->site->kinds], request, answer);
   if (request->arrived_us < SIM_FROM_US || request->arrived_us >= SIM_TO_US)
     return;
   count (sim, &figures->during, request, answer);
@@ -349,7 +348,6 @@
   figures->retries_most = INT64_MIN;
   for (uint32_t service = 0; service < SIT_SERVICES; service++)
     {
-      figures->retries += sim->retry_times[service]->len;
       figures->retries_most =
           MAX (figures->retries_most,
                beyond_allowance (sim, sim->retry_times[service], sim->request_times[service]));
--- a/bench/gateway/sim.h
+++ b/bench/gateway/sim.h
@@ -75,12 +75,11 @@
 
 /**
  * struct sim_figures - of one run, after SIM_MEASURED_FROM_US
- * @kinds: by kind
  * @quiet: of accounts that don't surge, and kinds of the plain service
  * @during: all requests that came while the fault lasted
  * @sends: to engines
- * @retries: sends after the first, of all gateways
- * @retries_most: in any window, less what the operators allow; above 0 is too many
+ * @retries_most: sends after the first, of all gateways, in any window, less what the operators
+ * allow; above 0 is too many
  * @read_tokens, @prompt_tokens: that model engines read, and were asked
  * @peak_milli: highest load of a model engine at a dispatch against the mean of that moment,
  *   median over the dispatches, in thousandths
@@ -91,9 +90,7 @@
   sim_count_t all;
   sim_count_t during;
   sim_count_t quiet;
-  sim_count_t kinds[SIT_KINDS];
   uint64_t sends;
-  uint64_t retries;
   int64_t retries_most;
   uint64_t read_tokens;
   uint64_t prompt_tokens;
