--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -6,13 +6,13 @@
  * Processor time is the thread's own, so that a busy machine shows less.
  */
 #include "connection/wire.h"
-#include "process/clock.h"
-#include "request/claim.h"
-#include "request/directory.h"
+#include "base/clock.h"
+#include "request/policy/claim.h"
+#include "request/policy/directory.h"
 #include "request/hop.h"
-#include "request/mean.h"
-#include "request/member.h"
-#include "request/place.h"
+#include "request/policy/mean.h"
+#include "request/policy/member.h"
+#include "request/policy/place.h"
 #include "version/manifest.h"
 #include "version/replay.h"
 
--- a/bench/bench_claims.c
+++ b/bench/bench_claims.c
@@ -9,10 +9,10 @@
  * Usage: bench-claims [KEYED_S STREAMS FOLLOWERS APPENDS_S [SECONDS]]; without arguments, a table.
  */
 #include "figures.h"
-#include "process/clock.h"
-#include "process/limits.h"
+#include "base/clock.h"
+#include "base/limits.h"
 #include "random.h"
-#include "request/claim.h"
+#include "request/policy/claim.h"
 
 #include <glib.h>
 #include <inttypes.h>
--- a/bench/bench_cost.c
+++ b/bench/bench_cost.c
@@ -6,9 +6,9 @@
  */
 #include "random.h"
 
-#include "request/admit.h"
-#include "request/choose.h"
-#include "request/spread.h"
+#include "request/policy/admit.h"
+#include "request/policy/choose.h"
+#include "request/policy/spread.h"
 
 #include <glib.h>
 #include <malloc.h>
--- a/bench/bench_spread.c
+++ b/bench/bench_spread.c
@@ -4,7 +4,7 @@
  * How fast news spread through a fleet of the size to design for, and how good the estimates of
  * mean loads are: see spread/fleet.h. Prints tab-separated lines. See docs/measurements/control.md.
  */
-#include "process/log.h"
+#include "base/log.h"
 #include "spread/run.h"
 
 #include <getopt.h>
--- a/bench/gateway/sim_gateway.c
+++ b/bench/gateway/sim_gateway.c
@@ -1,6 +1,6 @@
 #include "sim_parts.h"
 
-#include "request/patience.h"
+#include "request/policy/patience.h"
 
 #include <xxhash.h>
 
--- a/bench/gateway/sim_parts.h
+++ b/bench/gateway/sim_parts.h
@@ -10,11 +10,11 @@
 #include "../cache.h"
 #include "../events.h"
 #include "../random.h"
-#include "process/clock.h"
-#include "request/course.h"
-#include "request/line.h"
-#include "request/pace.h"
-#include "request/spread.h"
+#include "base/clock.h"
+#include "request/policy/course.h"
+#include "request/policy/line.h"
+#include "request/policy/pace.h"
+#include "request/policy/spread.h"
 #include "sim.h"
 
 #include <glib.h>
--- a/bench/gateway/site.c
+++ b/bench/gateway/site.c
@@ -1,6 +1,6 @@
 #include "site.h"
 
-#include "process/clock.h"
+#include "base/clock.h"
 
 #include <string.h>
 
--- a/bench/load_client.h
+++ b/bench/load_client.h
@@ -7,7 +7,7 @@
 #ifndef BENCH_LOAD_CLIENT_H
 #define BENCH_LOAD_CLIENT_H
 
-#include "process/settings.h"
+#include "base/settings.h"
 
 #include <event2/event.h>
 #include <glib.h>
--- a/bench/load_options.h
+++ b/bench/load_options.h
@@ -6,7 +6,7 @@
 #ifndef BENCH_LOAD_OPTIONS_H
 #define BENCH_LOAD_OPTIONS_H
 
-#include "process/settings.h"
+#include "base/settings.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/bench/spread/costs.c
+++ b/bench/spread/costs.c
@@ -1,3 +1,5 @@
+#include "request/router/router.h"
+#include "request/sidecar/sidecar.h"
 #include "run.h"
 
 #include <stdio.h>
--- a/bench/spread/fleet.c
+++ b/bench/spread/fleet.c
@@ -1,8 +1,8 @@
 #include "fleet.h"
 
 #include "../random.h"
-#include "process/log.h"
-#include "request/place.h"
+#include "base/log.h"
+#include "request/policy/place.h"
 
 #include <math.h>
 #include <string.h>
--- a/bench/world.h
+++ b/bench/world.h
@@ -14,11 +14,11 @@
 #include "figures.h"
 #include "workload.h"
 
-#include "request/admit.h"
-#include "request/attempt.h"
-#include "request/choose.h"
-#include "request/health.h"
-#include "request/member.h"
+#include "request/policy/admit.h"
+#include "request/policy/attempt.h"
+#include "request/policy/choose.h"
+#include "request/policy/health.h"
+#include "request/policy/member.h"
 
 #include <glib.h>
 
--- a/ctl/ask.c
+++ b/ctl/ask.c
@@ -1,6 +1,6 @@
 #include "ask.h"
 #include "connection/admin_seal.h"
-#include "request/order.h"
+#include "request/policy/order.h"
 
 #include <inttypes.h>
 #include <jansson.h>
--- a/ctl/ask.h
+++ b/ctl/ask.h
@@ -8,7 +8,7 @@
 #define CTL_ASK_H
 
 #include "ctl.h"
-#include "request/member.h"
+#include "request/policy/member.h"
 
 #include <glib.h>
 
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -10,7 +10,7 @@
 #include "connection/http_client.h"
 #include "connection/platform.h"
 #include "options.h"
-#include "process/clock.h"
+#include "base/clock.h"
 
 #include <event2/event.h>
 
--- a/ctl/options.h
+++ b/ctl/options.h
@@ -7,7 +7,7 @@
 #ifndef CTL_OPTIONS_H
 #define CTL_OPTIONS_H
 
-#include "process/settings.h"
+#include "base/settings.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -10,7 +10,7 @@
 #define SOAK_SOAK_H
 
 #include "connection/http_client.h"
-#include "process/settings.h"
+#include "base/settings.h"
 
 #include <event2/event.h>
 #include <glib.h>
--- a/src/process/clock.c
+++ b/src/base/clock.c
@@ -1,4 +1,4 @@
-#include "process/clock.h"
+#include "base/clock.h"
 
 #include <glib.h>
 #include <time.h>
--- a/src/process/clock.h
+++ b/src/base/clock.h
@@ -4,8 +4,8 @@
  * The one clock of a process. Decisions never read it: they take @now_us as an argument.
  * Tests hold a paused clock and advance it.
  */
-#ifndef PROCESS_CLOCK_H
-#define PROCESS_CLOCK_H
+#ifndef BASE_CLOCK_H
+#define BASE_CLOCK_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/process/counters.c
+++ b/src/base/counters.c
@@ -1,6 +1,6 @@
-#include "process/counters.h"
+#include "base/counters.h"
 
-#include "process/limits.h"
+#include "base/limits.h"
 
 #include <stdbool.h>
 #include <string.h>
--- a/src/process/counters.h
+++ b/src/base/counters.h
@@ -4,8 +4,8 @@
  * Named 64-bit counters and gauges of one process, written out in the Prometheus text form.
  * Names are registered once; adding is atomic and lock-free, so any task may count.
  */
-#ifndef PROCESS_COUNTERS_H
-#define PROCESS_COUNTERS_H
+#ifndef BASE_COUNTERS_H
+#define BASE_COUNTERS_H
 
 #include <glib.h>
 #include <stdint.h>
--- a/src/process/digits.c
+++ b/src/base/digits.c
@@ -1,4 +1,4 @@
-#include "process/digits.h"
+#include "base/digits.h"
 
 char *
 dgt_u64 (char *out, uint64_t value)
--- a/src/process/digits.h
+++ b/src/base/digits.h
@@ -3,8 +3,8 @@
  *
  * Numbers as text without printf, for what is written several times for each request.
  */
-#ifndef PROCESS_DIGITS_H
-#define PROCESS_DIGITS_H
+#ifndef BASE_DIGITS_H
+#define BASE_DIGITS_H
 
 #include <stdint.h>
 
--- a/src/process/latency.c
+++ b/src/base/latency.c
@@ -1,6 +1,6 @@
-#include "process/latency.h"
+#include "base/latency.h"
 
-#include "process/clock.h"
+#include "base/clock.h"
 
 /* A first token is due within 0.8 s and events 0.3 s apart, plain answers within 0.1 s: fine there,
  * coarse up to the longest timeouts. */
--- a/src/process/latency.h
+++ b/src/base/latency.h
@@ -3,10 +3,10 @@
  *
  * Histograms of times in the Prometheus form: cumulative buckets with fixed bounds, sum and count.
  */
-#ifndef PROCESS_LATENCY_H
-#define PROCESS_LATENCY_H
+#ifndef BASE_LATENCY_H
+#define BASE_LATENCY_H
 
-#include "process/counters.h"
+#include "base/counters.h"
 
 #define LAT_BUCKETS 13 /* the last one has no bound */
 
--- a/src/process/limits.h
+++ b/src/base/limits.h
@@ -3,8 +3,8 @@
  *
  * Every limit and tunable that is not a setting, in one place. A name ends in its unit.
  */
-#ifndef PROCESS_LIMITS_H
-#define PROCESS_LIMITS_H
+#ifndef BASE_LIMITS_H
+#define BASE_LIMITS_H
 
 #define LIM_NAME_BYTES 64         /* host, service, account and class names, with the final NUL */
 #define LIM_CHAT_ID_BYTES 256     /* a chat id in a header */
--- a/src/process/log.c
+++ b/src/base/log.c
@@ -1,7 +1,7 @@
-#include "process/log.h"
+#include "base/log.h"
 
-#include "process/digits.h"
-#include "process/limits.h"
+#include "base/digits.h"
+#include "base/limits.h"
 
 #include <errno.h>
 #include <glib.h>
--- a/src/process/log.h
+++ b/src/base/log.h
@@ -9,8 +9,8 @@
  * Programs log to standard error, a line a write. A daemon calls log_open(): its lines go to
  * standard output through a buffer, so that a busy one makes one write for many lines.
  */
-#ifndef PROCESS_LOG_H
-#define PROCESS_LOG_H
+#ifndef BASE_LOG_H
+#define BASE_LOG_H
 
 #include <stdint.h>
 
--- a/src/process/mailbox.c
+++ b/src/base/mailbox.c
@@ -1,4 +1,4 @@
-#include "process/mailbox.h"
+#include "base/mailbox.h"
 
 #include <errno.h>
 #include <glib.h>
--- a/src/process/mailbox.h
+++ b/src/base/mailbox.h
@@ -4,8 +4,8 @@
  * How tasks talk: a queue of typed messages that one task reads on its event base and any task
  * writes. A message is owned by the mailbox from mbx_send() on and by the reader afterwards.
  */
-#ifndef PROCESS_MAILBOX_H
-#define PROCESS_MAILBOX_H
+#ifndef BASE_MAILBOX_H
+#define BASE_MAILBOX_H
 
 #include <event2/event.h>
 #include <stdint.h>
--- a/src/process/pause.c
+++ b/src/base/pause.c
@@ -1,6 +1,6 @@
-#include "process/pause.h"
+#include "base/pause.h"
 
-#include "process/clock.h"
+#include "base/clock.h"
 
 #include <glib.h>
 
--- a/src/process/pause.h
+++ b/src/base/pause.h
@@ -16,8 +16,8 @@
  * run. The task reads all of that within %PSE_SETTLE_US and takes no work until then, however fast
  * it hears that it is fresh.
  */
-#ifndef PROCESS_PAUSE_H
-#define PROCESS_PAUSE_H
+#ifndef BASE_PAUSE_H
+#define BASE_PAUSE_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/process/settings.c
+++ b/src/base/settings.c
@@ -1,6 +1,6 @@
-#include "process/settings.h"
+#include "base/settings.h"
 
-#include "process/settings_table.h"
+#include "base/settings_table.h"
 
 #include <getopt.h>
 #include <stdio.h>
--- a/src/process/settings.h
+++ b/src/base/settings.h
@@ -5,11 +5,11 @@
  * variables (MEDLARPLANK_NAME); a flag goes before the environment. All are checked at start.
  * docs/settings.md is checked against the table by a test.
  */
-#ifndef PROCESS_SETTINGS_H
-#define PROCESS_SETTINGS_H
+#ifndef BASE_SETTINGS_H
+#define BASE_SETTINGS_H
 
-#include "process/limits.h"
-#include "process/log.h"
+#include "base/limits.h"
+#include "base/log.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/process/settings_table.c
+++ b/src/base/settings_table.c
@@ -1,4 +1,4 @@
-#include "process/settings_table.h"
+#include "base/settings_table.h"
 
 #include <arpa/inet.h>
 #include <stdio.h>
--- a/src/process/settings_table.h
+++ b/src/base/settings_table.h
@@ -4,10 +4,10 @@
  * The one table of settings: name, kind, range, default, which role needs it and what it is for.
  * Flags, environment, --help, --check-settings and docs/settings.md all follow from it.
  */
-#ifndef PROCESS_SETTINGS_TABLE_H
-#define PROCESS_SETTINGS_TABLE_H
+#ifndef BASE_SETTINGS_TABLE_H
+#define BASE_SETTINGS_TABLE_H
 
-#include "process/settings.h"
+#include "base/settings.h"
 
 #include <stddef.h>
 
--- a/src/connection/budget.c
+++ b/src/connection/budget.c
@@ -1,7 +1,7 @@
 #include "connection/budget.h"
 
-#include "process/clock.h"
-#include "process/limits.h"
+#include "base/clock.h"
+#include "base/limits.h"
 
 #include <glib.h>
 
--- a/src/connection/endpoint.h
+++ b/src/connection/endpoint.h
@@ -6,7 +6,7 @@
 #ifndef CONNECTION_ENDPOINT_H
 #define CONNECTION_ENDPOINT_H
 
-#include "process/settings.h"
+#include "base/settings.h"
 
 #include <stdbool.h>
 #include <sys/socket.h>
--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -1,8 +1,8 @@
 #include "connection/exchange.h"
 
 #include "connection/endpoint.h"
-#include "process/limits.h"
-#include "process/log.h"
+#include "base/limits.h"
+#include "base/log.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
--- a/src/connection/exchange.h
+++ b/src/connection/exchange.h
@@ -14,9 +14,9 @@
 
 #include "connection/budget.h"
 #include "connection/wire.h"
-#include "process/clock.h"
-#include "process/counters.h"
-#include "process/settings.h"
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/settings.h"
 
 #include <event2/event.h>
 #include <glib.h>
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -8,9 +8,9 @@
 #ifndef CONNECTION_HTTP_CLIENT_H
 #define CONNECTION_HTTP_CLIENT_H
 
-#include "process/clock.h"
-#include "process/settings.h"
-#include "request/verdict.h"
+#include "base/clock.h"
+#include "base/settings.h"
+#include "request/policy/verdict.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -8,8 +8,8 @@
 #ifndef CONNECTION_HTTP_SERVER_H
 #define CONNECTION_HTTP_SERVER_H
 
-#include "process/counters.h"
-#include "process/settings.h"
+#include "base/counters.h"
+#include "base/settings.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
--- a/src/connection/platform.h
+++ b/src/connection/platform.h
@@ -8,8 +8,8 @@
 #ifndef CONNECTION_PLATFORM_H
 #define CONNECTION_PLATFORM_H
 
-#include "process/settings.h"
-#include "request/member.h"
+#include "base/settings.h"
+#include "request/policy/member.h"
 
 #include <event2/event.h>
 #include <glib.h>
--- a/src/connection/platform_call.h
+++ b/src/connection/platform_call.h
@@ -8,7 +8,7 @@
 #define CONNECTION_PLATFORM_CALL_H
 
 #include "connection/http_client.h"
-#include "process/settings.h"
+#include "base/settings.h"
 
 typedef struct pcl pcl_t;
 
--- a/src/connection/socket.c
+++ b/src/connection/socket.c
@@ -1,5 +1,5 @@
 #include "connection/socket.h"
-#include "process/limits.h"
+#include "base/limits.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/src/version/stream_follow.c
+++ b/src/connection/stream_follow.c
@@ -1,6 +1,6 @@
-#include "version/stream_follow.h"
+#include "connection/stream_follow.h"
 
-#include "process/log.h"
+#include "base/log.h"
 
 #define READ_RECORDS 10000
 
--- a/src/version/stream_follow.h
+++ b/src/connection/stream_follow.h
@@ -5,11 +5,11 @@
  * from the end of that list; lists anew when the records to be read are no longer kept. Backs off
  * while the platform fails.
  */
-#ifndef VERSION_STREAM_FOLLOW_H
-#define VERSION_STREAM_FOLLOW_H
+#ifndef CONNECTION_STREAM_FOLLOW_H
+#define CONNECTION_STREAM_FOLLOW_H
 
 #include "connection/platform.h"
-#include "process/clock.h"
+#include "base/clock.h"
 #include "version/keyed_view.h"
 
 #include <event2/event.h>
--- a/src/connection/wire.c
+++ b/src/connection/wire.c
@@ -1,6 +1,6 @@
 #include "connection/wire.h"
 
-#include "process/limits.h"
+#include "base/limits.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -25,7 +25,7 @@
 
 #include "proto/exchange.h"
 
-/* libtirpc defines these as macros; they would swallow the functions of request/member.h. */
+/* libtirpc defines these as macros; they would swallow the functions of request/policy/member.h. */
 #undef mem_alloc
 #undef mem_free
 
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -6,8 +6,8 @@
  */
 #include "process/control_private.h"
 
-#include "process/log.h"
-#include "request/place.h"
+#include "base/log.h"
+#include "request/policy/place.h"
 
 #define IDLE_CONNECTIONS 1
 #define IDLE_TIMEOUT_MS 10000
--- a/src/process/control_exchange.c
+++ b/src/process/control_exchange.c
@@ -1,7 +1,7 @@
 #include "process/control_private.h"
 
-#include "process/log.h"
-#include "request/place.h"
+#include "base/log.h"
+#include "request/policy/place.h"
 
 /* News is told to so many peers at once: it then reaches most of a fleet within some round trips
  * instead of exchange intervals. */
--- a/src/process/control_fetch.c
+++ b/src/process/control_fetch.c
@@ -1,7 +1,7 @@
 #include "process/control_private.h"
 
-#include "process/log.h"
-#include "request/order.h"
+#include "base/log.h"
+#include "request/policy/order.h"
 
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
--- a/src/process/control_fresh.c
+++ b/src/process/control_fresh.c
@@ -1,6 +1,6 @@
 #include "process/control_private.h"
 
-#include "process/log.h"
+#include "base/log.h"
 
 #define PEERS_ASKED 4 /* at once after a pause */
 #define PEERS_NEEDED 2
--- a/src/process/control_list.c
+++ b/src/process/control_list.c
@@ -1,6 +1,6 @@
 #include "process/control_private.h"
 
-#include "process/log.h"
+#include "base/log.h"
 
 #include <string.h>
 
--- a/src/process/control_members.c
+++ b/src/process/control_members.c
@@ -1,6 +1,6 @@
 #include "process/control_private.h"
 
-#include "process/log.h"
+#include "base/log.h"
 
 /* Telling the members anew costs a microsecond or so for each host known. So long after the last
  * time, for each host, it takes a hundredth of a core at most, whatever is heard; less than half a
--- a/src/process/control_source.c
+++ b/src/process/control_source.c
@@ -1,6 +1,6 @@
 #include "process/control_private.h"
 
-#include "process/log.h"
+#include "base/log.h"
 
 ctrl_op_t *
 ctrl_op_new (ctrl_t *ctrl)
--- a/src/process/gateway_fetch.c
+++ b/src/process/gateway_fetch.c
@@ -1,7 +1,7 @@
 #include "process/gateway_fetch.h"
 
 #include "connection/http_client.h"
-#include "process/clock.h"
+#include "base/clock.h"
 
 #include <event2/http.h>
 #include <string.h>
--- a/src/process/gateway_fetch.h
+++ b/src/process/gateway_fetch.h
@@ -8,7 +8,7 @@
 #define PROCESS_GATEWAY_FETCH_H
 
 #include "connection/http_server.h"
-#include "process/settings.h"
+#include "base/settings.h"
 #include "version/view_share.h"
 
 #include <event2/event.h>
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -1,7 +1,7 @@
 #include "process/gateway_peers.h"
 
 #include "connection/exchange.h"
-#include "process/log.h"
+#include "base/log.h"
 #include "process/rumour.h"
 
 #include <inttypes.h>
--- a/src/process/gateway_peers.h
+++ b/src/process/gateway_peers.h
@@ -11,10 +11,10 @@
 #ifndef PROCESS_GATEWAY_PEERS_H
 #define PROCESS_GATEWAY_PEERS_H
 
-#include "process/clock.h"
-#include "process/counters.h"
-#include "process/settings.h"
-#include "request/suspect.h"
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/settings.h"
+#include "request/policy/suspect.h"
 
 #include <event2/event.h>
 #include <glib.h>
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -2,8 +2,8 @@
 
 #include "connection/http_server.h"
 #include "process/gateway_store.h"
-#include "process/log.h"
-#include "request/gateway.h"
+#include "base/log.h"
+#include "request/gateway/gateway.h"
 
 #include <string.h>
 
--- a/src/process/gateway_process.h
+++ b/src/process/gateway_process.h
@@ -9,10 +9,10 @@
 #define PROCESS_GATEWAY_PROCESS_H
 
 #include "connection/platform.h"
-#include "process/clock.h"
-#include "process/counters.h"
-#include "process/settings.h"
-#include "request/format.h"
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/settings.h"
+#include "request/gateway/format.h"
 #include "version/routing.h"
 
 #include <event2/event.h>
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -2,8 +2,8 @@
 
 #include "process/gateway_fetch.h"
 #include "process/gateway_peers.h"
-#include "process/log.h"
-#include "version/stream_follow.h"
+#include "base/log.h"
+#include "connection/stream_follow.h"
 
 #include <string.h>
 
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -9,10 +9,10 @@
 
 #include "connection/http_server.h"
 #include "connection/platform.h"
-#include "process/clock.h"
-#include "process/counters.h"
-#include "process/settings.h"
-#include "request/suspect.h"
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/settings.h"
+#include "request/policy/suspect.h"
 
 #include <glib.h>
 
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -8,9 +8,12 @@
 #include "platform/records.h"
 #include "platform/request_format.h"
 #include "platform/store.h"
-#include "process/daemon.h"
+#include "base/daemon.h"
+#include "process/control.h"
+#include "request/router/router.h"
+#include "request/sidecar/sidecar.h"
 #include "process/gateway_process.h"
-#include "process/messages.h"
+#include "request/messages.h"
 
 #include <event2/thread.h>
 #include <inttypes.h>
--- a/src/process/rumour.c
+++ b/src/process/rumour.c
@@ -1,6 +1,6 @@
 #include "process/rumour.h"
 
-#include "process/clock.h"
+#include "base/clock.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/process/rumour.h
+++ b/src/process/rumour.h
@@ -8,8 +8,8 @@
 #ifndef PROCESS_RUMOUR_H
 #define PROCESS_RUMOUR_H
 
-#include "request/member.h"
-#include "request/suspect.h"
+#include "request/policy/member.h"
+#include "request/policy/suspect.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/decision.c
+++ b/src/request/decision.c
@@ -1,6 +1,6 @@
 #include "request/decision.h"
 
-#include "process/log.h"
+#include "base/log.h"
 #include "request/hop.h"
 
 #include <glib.h>
--- a/src/request/decision.h
+++ b/src/request/decision.h
@@ -7,8 +7,8 @@
 #ifndef REQUEST_DECISION_H
 #define REQUEST_DECISION_H
 
-#include "process/limits.h"
-#include "request/verdict.h"
+#include "base/limits.h"
+#include "request/policy/verdict.h"
 
 #include <jansson.h>
 #include <stdint.h>
--- a/src/request/fault.h
+++ b/src/request/fault.h
@@ -8,7 +8,7 @@
 #define REQUEST_FAULT_H
 
 #include "connection/http_server.h"
-#include "request/verdict.h"
+#include "request/policy/verdict.h"
 
 #define FLT_REQUEST_HEADER "X-Medlarplank-Request"
 
--- a/src/request/event_split.c
+++ b/src/request/gateway/event_split.c
@@ -1,5 +1,5 @@
 #define _GNU_SOURCE /* memmem */
-#include "request/event_split.h"
+#include "request/gateway/event_split.h"
 
 #include <glib.h>
 #include <stdlib.h>
--- a/src/request/event_split.h
+++ b/src/request/gateway/event_split.h
@@ -4,8 +4,8 @@
  * Splits a stream of server-sent events into whole events and notes the id of the last one. What is
  * passed on is never half an event, so a stream that breaks off can go on elsewhere.
  */
-#ifndef REQUEST_EVENT_SPLIT_H
-#define REQUEST_EVENT_SPLIT_H
+#ifndef REQUEST_GATEWAY_EVENT_SPLIT_H
+#define REQUEST_GATEWAY_EVENT_SPLIT_H
 
 #include <event2/buffer.h>
 #include <stdbool.h>
--- a/src/request/format.h
+++ b/src/request/gateway/format.h
@@ -4,11 +4,11 @@
  * How callers and engines write what a router must know of a request: an interface that an adapter
  * fills in. The rest of the program sees these types only, never a header's name.
  */
-#ifndef REQUEST_FORMAT_H
-#define REQUEST_FORMAT_H
+#ifndef REQUEST_GATEWAY_FORMAT_H
+#define REQUEST_GATEWAY_FORMAT_H
 
 #include "connection/http_client.h"
-#include "request/engines.h"
+#include "request/policy/engines.h"
 
 #include <event2/keyvalq_struct.h>
 #include <stdbool.h>
--- a/src/request/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -1,6 +1,6 @@
-#include "request/gateway_private.h"
+#include "request/gateway/gateway_private.h"
 
-#include "process/log.h"
+#include "base/log.h"
 
 uint64_t
 gwy_now_us (const gwy_t *gwy)
--- a/src/request/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -5,16 +5,16 @@
  * stands beside them. It takes callers' requests, finds their route, waits for room, sends them to
  * engines and relays the answers.
  */
-#ifndef REQUEST_GATEWAY_H
-#define REQUEST_GATEWAY_H
+#ifndef REQUEST_GATEWAY_GATEWAY_H
+#define REQUEST_GATEWAY_GATEWAY_H
 
-#include "process/clock.h"
-#include "process/counters.h"
-#include "process/settings.h"
-#include "request/engines.h"
-#include "request/format.h"
-#include "request/retry_share.h"
-#include "request/suspect.h"
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/settings.h"
+#include "request/policy/engines.h"
+#include "request/gateway/format.h"
+#include "request/policy/retry_share.h"
+#include "request/policy/suspect.h"
 #include "version/routing.h"
 
 #include <event2/event.h>
--- a/src/request/gateway_accept.c
+++ b/src/request/gateway/gateway_accept.c
@@ -1,7 +1,7 @@
 /* Judges a caller's request before anything is kept of it: route, key, form. */
-#include "request/gateway_private.h"
+#include "request/gateway/gateway_private.h"
 
-#include "process/log.h"
+#include "base/log.h"
 
 static void
 reject (gwy_t *gwy, hsv_call_t *in, const fmt_request_t *request, const flt_t *fault)
--- a/src/request/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -1,7 +1,7 @@
 /* The course of one request: where it goes next, and what its caller hears in the end. */
-#include "request/gateway_private.h"
+#include "request/gateway/gateway_private.h"
 
-#include "process/log.h"
+#include "base/log.h"
 
 #include <string.h>
 #include <xxhash.h>
--- a/src/request/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -1,7 +1,7 @@
 /* One send of a request to an engine, and what came of it. */
-#include "request/gateway_private.h"
+#include "request/gateway/gateway_private.h"
 
-#include "process/log.h"
+#include "base/log.h"
 
 #include <event2/http.h>
 #include <string.h>
--- a/src/request/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -5,23 +5,23 @@
  * caller's request is judged), gateway_call.c (its course), gateway_hop.c (the exchange with an
  * engine), gateway_wait.c (requests that wait for room).
  */
-#ifndef REQUEST_GATEWAY_PRIVATE_H
-#define REQUEST_GATEWAY_PRIVATE_H
+#ifndef REQUEST_GATEWAY_GATEWAY_PRIVATE_H
+#define REQUEST_GATEWAY_GATEWAY_PRIVATE_H
 
 #include "connection/http_client.h"
 #include "connection/http_server.h"
-#include "process/latency.h"
-#include "request/course.h"
-#include "request/crash_watch.h"
-#include "request/event_split.h"
+#include "base/latency.h"
+#include "request/policy/course.h"
+#include "request/policy/crash_watch.h"
+#include "request/gateway/event_split.h"
 #include "request/fault.h"
-#include "request/gateway.h"
-#include "request/line.h"
-#include "request/pace.h"
-#include "request/patience.h"
-#include "request/proven.h"
+#include "request/gateway/gateway.h"
+#include "request/policy/line.h"
+#include "request/policy/pace.h"
+#include "request/policy/patience.h"
+#include "request/policy/proven.h"
 #include "request/relay.h"
-#include "request/spread.h"
+#include "request/policy/spread.h"
 
 #define GWY_TRIED 8
 #define GWY_IDLE_CONNECTIONS 64
--- a/src/request/gateway_wait.c
+++ b/src/request/gateway/gateway_wait.c
@@ -1,7 +1,7 @@
 /* Requests that wait for room at the engines of their service. */
-#include "request/gateway_private.h"
+#include "request/gateway/gateway_private.h"
 
-#include "process/log.h"
+#include "base/log.h"
 
 static lin_room_t
 room_of (gwy_t *gwy, const gwy_service_t *service)
--- a/src/request/hop.c
+++ b/src/request/hop.c
@@ -1,6 +1,6 @@
 #include "request/hop.h"
 
-#include "process/digits.h"
+#include "base/digits.h"
 
 #include <errno.h>
 #include <event2/http.h>
--- a/src/request/hop.h
+++ b/src/request/hop.h
@@ -12,7 +12,7 @@
 #ifndef REQUEST_HOP_H
 #define REQUEST_HOP_H
 
-#include "process/limits.h"
+#include "base/limits.h"
 
 #include <event2/keyvalq_struct.h>
 #include <stdbool.h>
--- a/src/process/messages.c
+++ b/src/request/messages.c
@@ -1,4 +1,4 @@
-#include "process/messages.h"
+#include "request/messages.h"
 
 #include <glib.h>
 
--- a/src/process/messages.h
+++ b/src/request/messages.h
@@ -4,14 +4,14 @@
  * What the control task and the data task of a daemon tell each other. Each struct starts with its
  * mbx_message_t; msg_new() makes one, and its free callback drops the references it holds.
  */
-#ifndef PROCESS_MESSAGES_H
-#define PROCESS_MESSAGES_H
+#ifndef REQUEST_MESSAGES_H
+#define REQUEST_MESSAGES_H
 
-#include "process/mailbox.h"
-#include "request/claim.h"
-#include "request/mean.h"
-#include "request/member.h"
-#include "request/suspect.h"
+#include "base/mailbox.h"
+#include "request/policy/claim.h"
+#include "request/policy/mean.h"
+#include "request/policy/member.h"
+#include "request/policy/suspect.h"
 #include "version/manifest.h"
 
 typedef enum
@@ -23,7 +23,7 @@
   MSG_MARKS,        /* msg_marks_t: heard from a peer */
   MSG_CLAIM_RESULT, /* msg_claim_result_t */
   MSG_FRESHNESS,    /* msg_flag_t: false after a pause until the daemon is current again; true
-                       counts only by pse_fresh (pse, at_us), see process/pause.h */
+                       counts only by pse_fresh (pse, at_us), see base/pause.h */
   MSG_DRAIN,        /* msg_flag_t: stop gracefully */
   /* data task to control task */
   MSG_CLAIM,      /* msg_claim_t */
--- a/src/request/ops.c
+++ b/src/request/ops.c
@@ -1,6 +1,6 @@
 #include "request/ops_private.h"
 
-#include "process/log.h"
+#include "base/log.h"
 #include "request/hop.h"
 
 #include <string.h>
--- a/src/request/ops.h
+++ b/src/request/ops.h
@@ -18,8 +18,8 @@
 #define REQUEST_OPS_H
 
 #include "connection/http_server.h"
-#include "process/daemon.h"
-#include "process/messages.h"
+#include "base/daemon.h"
+#include "request/messages.h"
 #include "request/decision.h"
 
 #include <jansson.h>
--- a/src/request/ops_private.h
+++ b/src/request/ops_private.h
@@ -6,7 +6,7 @@
 #ifndef REQUEST_OPS_PRIVATE_H
 #define REQUEST_OPS_PRIVATE_H
 
-#include "process/pause.h"
+#include "base/pause.h"
 #include "request/ops.h"
 
 #include <event2/event.h>
--- a/src/request/ops_serve.c
+++ b/src/request/ops_serve.c
@@ -1,10 +1,10 @@
 #include "request/ops_private.h"
 
 #include "connection/admin_seal.h"
-#include "process/log.h"
+#include "base/log.h"
 #include "request/fault.h"
 #include "request/hop.h"
-#include "request/order.h"
+#include "request/policy/order.h"
 #include "version/manifest_sync.h"
 
 #include <stdlib.h>
--- a/src/request/admit.c
+++ b/src/request/policy/admit.c
@@ -1,4 +1,4 @@
-#include "request/admit_private.h"
+#include "request/policy/admit_private.h"
 
 /* What a check of the waiting requests needs, taken once for all of them. */
 typedef struct
--- a/src/request/admit.h
+++ b/src/request/policy/admit.h
@@ -18,16 +18,16 @@
  * After each event (offer, finish, cancel, a fresh sample, a timer) the owner calls adm_reject()
  * and then adm_next(), each until NULL.
  */
-#ifndef REQUEST_ADMIT_H
-#define REQUEST_ADMIT_H
+#ifndef REQUEST_POLICY_ADMIT_H
+#define REQUEST_POLICY_ADMIT_H
 
-#include "process/clock.h"
-#include "process/limits.h"
-#include "request/directory.h"
-#include "request/fairq.h"
-#include "request/mean.h"
-#include "request/suspect.h"
-#include "request/verdict.h"
+#include "base/clock.h"
+#include "base/limits.h"
+#include "request/policy/directory.h"
+#include "request/policy/fairq.h"
+#include "request/policy/mean.h"
+#include "request/policy/suspect.h"
+#include "request/policy/verdict.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/admit_bound.c
+++ b/src/request/policy/admit_bound.c
@@ -1,4 +1,4 @@
-#include "request/admit_private.h"
+#include "request/policy/admit_private.h"
 
 static mean_estimate_t
 estimate_mean (const adm_t *adm, uint64_t now_us)
--- a/src/request/admit_private.h
+++ b/src/request/policy/admit_private.h
@@ -4,14 +4,14 @@
  * What the files of the admission share: admit.c has the state machine, admit_bound.c the bound
  * and the waits, admit_warm.c where a chat is warm, admit_refuse.c the refusals.
  */
-#ifndef REQUEST_ADMIT_PRIVATE_H
-#define REQUEST_ADMIT_PRIVATE_H
+#ifndef REQUEST_POLICY_ADMIT_PRIVATE_H
+#define REQUEST_POLICY_ADMIT_PRIVATE_H
 
-#include "request/admit.h"
+#include "request/policy/admit.h"
 
-#include "request/drain.h"
-#include "request/drift.h"
-#include "request/refer.h"
+#include "request/policy/drain.h"
+#include "request/policy/drift.h"
+#include "request/policy/refer.h"
 
 #define MILLI 1000
 
--- a/src/request/admit_refuse.c
+++ b/src/request/policy/admit_refuse.c
@@ -1,4 +1,4 @@
-#include "request/admit_private.h"
+#include "request/policy/admit_private.h"
 
 /* Up to half as much again at random: else all that were refused come back together. */
 static uint32_t
--- a/src/request/admit_warm.c
+++ b/src/request/policy/admit_warm.c
@@ -1,4 +1,4 @@
-#include "request/admit_private.h"
+#include "request/policy/admit_private.h"
 
 /* The lifetime is an expectation: some prefixes are kept for longer, and to ask for one in vain
  * costs only a hop. */
--- a/src/request/attempt.h
+++ b/src/request/policy/attempt.h
@@ -8,11 +8,11 @@
  * tried again until the first byte of an answer went to the caller, within the retry budget. That
  * is shared by all client accounts, but for a reserve of each, which no other account can use up.
  */
-#ifndef REQUEST_ATTEMPT_H
-#define REQUEST_ATTEMPT_H
+#ifndef REQUEST_POLICY_ATTEMPT_H
+#define REQUEST_POLICY_ATTEMPT_H
 
-#include "process/limits.h"
-#include "request/verdict.h"
+#include "base/limits.h"
+#include "request/policy/verdict.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/choose.c
+++ b/src/request/policy/choose.c
@@ -1,6 +1,6 @@
-#include "request/choose.h"
+#include "request/policy/choose.h"
 
-#include "request/refer.h"
+#include "request/policy/refer.h"
 
 #include <glib.h>
 #include <stddef.h>
--- a/src/request/choose.h
+++ b/src/request/policy/choose.h
@@ -10,13 +10,13 @@
  *
  * An engine that returned too lately (flap damping) is nobody's home, and goes last.
  */
-#ifndef REQUEST_CHOOSE_H
-#define REQUEST_CHOOSE_H
+#ifndef REQUEST_POLICY_CHOOSE_H
+#define REQUEST_POLICY_CHOOSE_H
 
-#include "request/attempt.h"
-#include "request/mean.h"
-#include "request/place.h"
-#include "request/under_way.h"
+#include "request/policy/attempt.h"
+#include "request/policy/mean.h"
+#include "request/policy/place.h"
+#include "request/policy/under_way.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/claim.c
+++ b/src/request/policy/claim.c
@@ -1,9 +1,9 @@
-#include "request/claim.h"
+#include "request/policy/claim.h"
 
-#include "process/clock.h"
-#include "process/limits.h"
-#include "request/claim_keys.h"
-#include "request/claim_pace.h"
+#include "base/clock.h"
+#include "base/limits.h"
+#include "request/policy/claim_keys.h"
+#include "request/policy/claim_pace.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/request/claim.h
+++ b/src/request/policy/claim.h
@@ -17,10 +17,10 @@
  * forgotten a horizon after it was last claimed, by the earlier of the log's time and the reader's
  * clock, so one host with a wrong clock can't make others forget.
  */
-#ifndef REQUEST_CLAIM_H
-#define REQUEST_CLAIM_H
+#ifndef REQUEST_POLICY_CLAIM_H
+#define REQUEST_POLICY_CLAIM_H
 
-#include "request/verdict.h"
+#include "request/policy/verdict.h"
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/request/claim_keys.c
+++ b/src/request/policy/claim_keys.c
@@ -1,6 +1,6 @@
-#include "request/claim_keys.h"
+#include "request/policy/claim_keys.h"
 
-#include "request/claim_table.h"
+#include "request/policy/claim_table.h"
 
 #include <string.h>
 #define XXH_INLINE_ALL
--- a/src/request/claim_keys.h
+++ b/src/request/policy/claim_keys.h
@@ -4,10 +4,10 @@
  * Who holds which key, as the entries of a claims stream tell it in log order. Every reader that
  * has read the same records comes to the same holder of each key.
  */
-#ifndef REQUEST_CLAIM_KEYS_H
-#define REQUEST_CLAIM_KEYS_H
+#ifndef REQUEST_POLICY_CLAIM_KEYS_H
+#define REQUEST_POLICY_CLAIM_KEYS_H
 
-#include "request/claim_record.h"
+#include "request/policy/claim_record.h"
 
 typedef struct cky cky_t;
 
--- a/src/request/claim_pace.c
+++ b/src/request/policy/claim_pace.c
@@ -1,7 +1,7 @@
-#include "request/claim_pace.h"
+#include "request/policy/claim_pace.h"
 
-#include "process/clock.h"
-#include "process/limits.h"
+#include "base/clock.h"
+#include "base/limits.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/request/claim_pace.h
+++ b/src/request/policy/claim_pace.h
@@ -9,8 +9,8 @@
  *
  * After failures in a row it backs off beyond that interval, up to %LIM_CLAIM_BACKOFF_US.
  */
-#ifndef REQUEST_CLAIM_PACE_H
-#define REQUEST_CLAIM_PACE_H
+#ifndef REQUEST_POLICY_CLAIM_PACE_H
+#define REQUEST_POLICY_CLAIM_PACE_H
 
 #include <stdint.h>
 
--- a/src/request/claim_record.c
+++ b/src/request/policy/claim_record.c
@@ -1,4 +1,4 @@
-#include "request/claim_record.h"
+#include "request/policy/claim_record.h"
 
 #include <inttypes.h>
 #include <jansson.h>
--- a/src/request/claim_record.h
+++ b/src/request/policy/claim_record.h
@@ -3,10 +3,10 @@
  *
  * The records of a claims stream as text: JSON arrays of the entries that claim.h describes.
  */
-#ifndef REQUEST_CLAIM_RECORD_H
-#define REQUEST_CLAIM_RECORD_H
+#ifndef REQUEST_POLICY_CLAIM_RECORD_H
+#define REQUEST_POLICY_CLAIM_RECORD_H
 
-#include "request/claim.h"
+#include "request/policy/claim.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/request/claim_table.c
+++ b/src/request/policy/claim_table.c
@@ -1,4 +1,4 @@
-#include "request/claim_table.h"
+#include "request/policy/claim_table.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/request/claim_table.h
+++ b/src/request/policy/claim_table.h
@@ -4,8 +4,8 @@
  * The keys that a reader of a claims stream remembers over the horizon: 24 bytes each in an
  * open-addressing table, as fingerprints. Expired entries are dropped when the table is rebuilt.
  */
-#ifndef REQUEST_CLAIM_TABLE_H
-#define REQUEST_CLAIM_TABLE_H
+#ifndef REQUEST_POLICY_CLAIM_TABLE_H
+#define REQUEST_POLICY_CLAIM_TABLE_H
 
 #include <stdint.h>
 
--- a/src/request/course.c
+++ b/src/request/policy/course.c
@@ -1,4 +1,4 @@
-#include "request/course.h"
+#include "request/policy/course.h"
 
 void
 crs_init (crs_t *crs, const crs_rules_t *rules)
--- a/src/request/course.h
+++ b/src/request/policy/course.h
@@ -8,8 +8,8 @@
  * the request may be repeated: an idempotent one, or a stream that can be resumed. Never more
  * engines may run it than its route allows.
  */
-#ifndef REQUEST_COURSE_H
-#define REQUEST_COURSE_H
+#ifndef REQUEST_POLICY_COURSE_H
+#define REQUEST_POLICY_COURSE_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/crash_watch.c
+++ b/src/request/policy/crash_watch.c
@@ -1,4 +1,4 @@
-#include "request/crash_watch.h"
+#include "request/policy/crash_watch.h"
 
 #include <string.h>
 
--- a/src/request/crash_watch.h
+++ b/src/request/policy/crash_watch.h
@@ -8,8 +8,8 @@
  * engine went down around that time: when several go at once, the cause is not a request. Requests
  * that ran beside it are suspected too; what is served later is cleared by its owner.
  */
-#ifndef REQUEST_CRASH_WATCH_H
-#define REQUEST_CRASH_WATCH_H
+#ifndef REQUEST_POLICY_CRASH_WATCH_H
+#define REQUEST_POLICY_CRASH_WATCH_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/digest.c
+++ b/src/request/policy/digest.c
@@ -1,4 +1,4 @@
-#include "request/digest.h"
+#include "request/policy/digest.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/request/digest.h
+++ b/src/request/policy/digest.h
@@ -4,8 +4,8 @@
  * Digests of requests that client accounts could otherwise make collide: an account must not be
  * able to craft a body or key that is taken for another's. Short forms of SHA-256.
  */
-#ifndef REQUEST_DIGEST_H
-#define REQUEST_DIGEST_H
+#ifndef REQUEST_POLICY_DIGEST_H
+#define REQUEST_POLICY_DIGEST_H
 
 #include <stddef.h>
 #include <stdint.h>
--- a/src/request/directory.c
+++ b/src/request/policy/directory.c
@@ -1,4 +1,4 @@
-#include "request/directory.h"
+#include "request/policy/directory.h"
 
 #include <glib.h>
 
--- a/src/request/directory.h
+++ b/src/request/policy/directory.h
@@ -5,8 +5,8 @@
  * last served when that was elsewhere. A bounded hash table; the oldest entry of a full bucket
  * goes.
  */
-#ifndef REQUEST_DIRECTORY_H
-#define REQUEST_DIRECTORY_H
+#ifndef REQUEST_POLICY_DIRECTORY_H
+#define REQUEST_POLICY_DIRECTORY_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/drain.c
+++ b/src/request/policy/drain.c
@@ -1,4 +1,4 @@
-#include "request/drain.h"
+#include "request/policy/drain.h"
 
 #include <glib.h>
 
--- a/src/request/drain.h
+++ b/src/request/policy/drain.h
@@ -5,8 +5,8 @@
  * By Little's law an engine with L requests of mean length S ends one every S / L, so the figure
  * follows the load at once and needs no window.
  */
-#ifndef REQUEST_DRAIN_H
-#define REQUEST_DRAIN_H
+#ifndef REQUEST_POLICY_DRAIN_H
+#define REQUEST_POLICY_DRAIN_H
 
 #include <stdint.h>
 
--- a/src/request/drift.c
+++ b/src/request/policy/drift.c
@@ -1,4 +1,4 @@
-#include "request/drift.h"
+#include "request/policy/drift.h"
 
 #include <glib.h>
 
--- a/src/request/drift.h
+++ b/src/request/policy/drift.h
@@ -5,8 +5,8 @@
  * tenths of a second old, so the true mean has drifted since; with all engines sampled this is the
  * whole error, and the sampling error alone would claim that there is none.
  */
-#ifndef REQUEST_DRIFT_H
-#define REQUEST_DRIFT_H
+#ifndef REQUEST_POLICY_DRIFT_H
+#define REQUEST_POLICY_DRIFT_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/engines.c
+++ b/src/request/policy/engines.c
@@ -1,4 +1,4 @@
-#include "request/engines.h"
+#include "request/policy/engines.h"
 
 #include <string.h>
 #include <xxhash.h>
--- a/src/request/engines.h
+++ b/src/request/policy/engines.h
@@ -6,11 +6,11 @@
  * evidence of failures. A pure state machine; an engine lives until the registry and the last
  * request have let go of it.
  */
-#ifndef REQUEST_ENGINES_H
-#define REQUEST_ENGINES_H
+#ifndef REQUEST_POLICY_ENGINES_H
+#define REQUEST_POLICY_ENGINES_H
 
-#include "process/limits.h"
-#include "process/settings.h"
+#include "base/limits.h"
+#include "base/settings.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/request/fairq.c
+++ b/src/request/policy/fairq.c
@@ -1,4 +1,4 @@
-#include "request/fairq.h"
+#include "request/policy/fairq.h"
 
 #define FQ_PRUNE_SLACK 64 /* idle accounts kept before they are looked through */
 
--- a/src/request/fairq.h
+++ b/src/request/policy/fairq.h
@@ -11,10 +11,10 @@
  * account, requests of a lower priority are passed over for %FQ_HEAD_START a priority, then one of
  * them is served. So no class and no account can starve another.
  */
-#ifndef REQUEST_FAIRQ_H
-#define REQUEST_FAIRQ_H
+#ifndef REQUEST_POLICY_FAIRQ_H
+#define REQUEST_POLICY_FAIRQ_H
 
-#include "process/limits.h"
+#include "base/limits.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/request/health.c
+++ b/src/request/policy/health.c
@@ -1,4 +1,4 @@
-#include "request/health.h"
+#include "request/policy/health.h"
 
 #include <glib.h>
 
--- a/src/request/health.h
+++ b/src/request/policy/health.h
@@ -6,8 +6,8 @@
  * doubles. When more than half of a service looks dead the router distrusts its own view and
  * keeps trying all: it is more likely cut off itself.
  */
-#ifndef REQUEST_HEALTH_H
-#define REQUEST_HEALTH_H
+#ifndef REQUEST_POLICY_HEALTH_H
+#define REQUEST_POLICY_HEALTH_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/line.c
+++ b/src/request/policy/line.c
@@ -1,4 +1,4 @@
-#include "request/line.h"
+#include "request/policy/line.h"
 
 struct lin
 {
--- a/src/request/line.h
+++ b/src/request/policy/line.h
@@ -9,11 +9,11 @@
  * can't be answered in time. So waiting ends while there is still time for an answer to begin, or
  * in the last quarter of a short time.
  */
-#ifndef REQUEST_LINE_H
-#define REQUEST_LINE_H
+#ifndef REQUEST_POLICY_LINE_H
+#define REQUEST_POLICY_LINE_H
 
-#include "process/clock.h"
-#include "request/fairq.h"
+#include "base/clock.h"
+#include "request/policy/fairq.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/mean.c
+++ b/src/request/policy/mean.c
@@ -1,4 +1,4 @@
-#include "request/mean.h"
+#include "request/policy/mean.h"
 
 #include <glib.h>
 #include <math.h>
--- a/src/request/mean.h
+++ b/src/request/policy/mean.h
@@ -5,10 +5,10 @@
  * each engine counts, for %LIM_SAMPLE_AGE_US; at most %LIM_SAMPLES_KEPT are kept, so neither
  * memory nor messages grow with the fleet.
  */
-#ifndef REQUEST_MEAN_H
-#define REQUEST_MEAN_H
+#ifndef REQUEST_POLICY_MEAN_H
+#define REQUEST_POLICY_MEAN_H
 
-#include "process/limits.h"
+#include "base/limits.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/member.c
+++ b/src/request/policy/member.c
@@ -1,6 +1,6 @@
-#include "request/member.h"
+#include "request/policy/member.h"
 
-#include "request/place.h"
+#include "request/policy/place.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/request/member.h
+++ b/src/request/policy/member.h
@@ -5,11 +5,11 @@
  * sidecar's own word goes before it; a router's direct failures are added to both. A pure state
  * machine; snapshots of it are immutable and counted, and go to the data task by message.
  */
-#ifndef REQUEST_MEMBER_H
-#define REQUEST_MEMBER_H
+#ifndef REQUEST_POLICY_MEMBER_H
+#define REQUEST_POLICY_MEMBER_H
 
-#include "process/limits.h"
-#include "process/settings.h"
+#include "base/limits.h"
+#include "base/settings.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/request/member_snapshot.c
+++ b/src/request/policy/member_snapshot.c
@@ -1,4 +1,4 @@
-#include "request/member.h"
+#include "request/policy/member.h"
 
 #include <string.h>
 
--- a/src/request/order.c
+++ b/src/request/policy/order.c
@@ -1,6 +1,6 @@
-#include "request/order.h"
+#include "request/policy/order.h"
 
-#include "request/digest.h"
+#include "request/policy/digest.h"
 
 #include <glib.h>
 #include <inttypes.h>
--- a/src/request/order.h
+++ b/src/request/policy/order.h
@@ -7,8 +7,8 @@
  * these calls are idempotent, and one that is sent again by a listener on the network tells the
  * daemon nothing new.
  */
-#ifndef REQUEST_ORDER_H
-#define REQUEST_ORDER_H
+#ifndef REQUEST_POLICY_ORDER_H
+#define REQUEST_POLICY_ORDER_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/request/pace.c
+++ b/src/request/policy/pace.c
@@ -1,4 +1,4 @@
-#include "request/pace.h"
+#include "request/policy/pace.h"
 
 #include <glib.h>
 
--- a/src/request/pace.h
+++ b/src/request/policy/pace.h
@@ -8,8 +8,8 @@
  * that are slower by six move it by less than a third, while they would double a mean and look
  * ordinary against it.
  */
-#ifndef REQUEST_PACE_H
-#define REQUEST_PACE_H
+#ifndef REQUEST_POLICY_PACE_H
+#define REQUEST_POLICY_PACE_H
 
 #include <stdint.h>
 
--- a/src/request/patience.c
+++ b/src/request/policy/patience.c
@@ -1,4 +1,4 @@
-#include "request/patience.h"
+#include "request/policy/patience.h"
 
 #include <glib.h>
 
--- a/src/request/patience.h
+++ b/src/request/policy/patience.h
@@ -7,8 +7,8 @@
  * Silence of one request alone may be a long queue; silence of all requests on an engine is not,
  * since an engine that works brings some token every few milliseconds.
  */
-#ifndef REQUEST_PATIENCE_H
-#define REQUEST_PATIENCE_H
+#ifndef REQUEST_POLICY_PATIENCE_H
+#define REQUEST_POLICY_PATIENCE_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/place.c
+++ b/src/request/policy/place.c
@@ -1,4 +1,4 @@
-#include "request/place.h"
+#include "request/policy/place.h"
 
 #include <math.h>
 #include <stdbool.h>
--- a/src/request/place.h
+++ b/src/request/policy/place.h
@@ -4,8 +4,8 @@
  * Weighted rendezvous hashing of chats over the engines of a service. Keyed by engine names, not
  * addresses, so that an engine that was replaced or flapped gets its chats back.
  */
-#ifndef REQUEST_PLACE_H
-#define REQUEST_PLACE_H
+#ifndef REQUEST_POLICY_PLACE_H
+#define REQUEST_POLICY_PLACE_H
 
 #include <stdint.h>
 
--- a/src/request/proven.c
+++ b/src/request/policy/proven.c
@@ -1,4 +1,4 @@
-#include "request/proven.h"
+#include "request/policy/proven.h"
 
 #include <glib.h>
 
--- a/src/request/proven.h
+++ b/src/request/policy/proven.h
@@ -11,8 +11,8 @@
  *
  * A direct-mapped table: of two fingerprints in one place the later is kept.
  */
-#ifndef REQUEST_PROVEN_H
-#define REQUEST_PROVEN_H
+#ifndef REQUEST_POLICY_PROVEN_H
+#define REQUEST_POLICY_PROVEN_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/refer.c
+++ b/src/request/policy/refer.c
@@ -1,4 +1,4 @@
-#include "request/refer.h"
+#include "request/policy/refer.h"
 
 #include <stddef.h>
 
--- a/src/request/refer.h
+++ b/src/request/policy/refer.h
@@ -4,10 +4,10 @@
  * Refusals point to room: which engines a sidecar names when it refuses a request, chosen from the
  * load samples that it has heard.
  */
-#ifndef REQUEST_REFER_H
-#define REQUEST_REFER_H
+#ifndef REQUEST_POLICY_REFER_H
+#define REQUEST_POLICY_REFER_H
 
-#include "request/mean.h"
+#include "request/policy/mean.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/retry_share.c
+++ b/src/request/policy/retry_share.c
@@ -1,4 +1,4 @@
-#include "request/retry_share.h"
+#include "request/policy/retry_share.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/request/retry_share.h
+++ b/src/request/policy/retry_share.h
@@ -7,8 +7,8 @@
  * Each router earns the ratio by its own requests and takes an equal part of the slack. A router
  * that hears nobody still divides by all that it knows of, so that a cut does not multiply retries.
  */
-#ifndef REQUEST_RETRY_SHARE_H
-#define REQUEST_RETRY_SHARE_H
+#ifndef REQUEST_POLICY_RETRY_SHARE_H
+#define REQUEST_POLICY_RETRY_SHARE_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/spread.c
+++ b/src/request/policy/spread.c
@@ -1,4 +1,4 @@
-#include "request/spread.h"
+#include "request/policy/spread.h"
 
 #include <string.h>
 #include <xxhash.h>
--- a/src/request/spread.h
+++ b/src/request/policy/spread.h
@@ -8,10 +8,10 @@
  * go over the load bound. Requests without such a part go to the least loaded of the own data
  * centre, or of all when that is much less loaded.
  */
-#ifndef REQUEST_SPREAD_H
-#define REQUEST_SPREAD_H
+#ifndef REQUEST_POLICY_SPREAD_H
+#define REQUEST_POLICY_SPREAD_H
 
-#include "request/engines.h"
+#include "request/policy/engines.h"
 
 /*
  * The bound: the mean load, and beyond it a part of the mean and some requests, both in
--- a/src/request/suspect.c
+++ b/src/request/policy/suspect.c
@@ -1,4 +1,4 @@
-#include "request/suspect.h"
+#include "request/policy/suspect.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/request/suspect.h
+++ b/src/request/policy/suspect.h
@@ -4,10 +4,10 @@
  * Requests whose engine crashed, by fingerprint (account and body digest). At most
  * %LIM_SUSPECT_CRASHES engines are lost to one request, however often it is sent.
  */
-#ifndef REQUEST_SUSPECT_H
-#define REQUEST_SUSPECT_H
+#ifndef REQUEST_POLICY_SUSPECT_H
+#define REQUEST_POLICY_SUSPECT_H
 
-#include "process/limits.h"
+#include "base/limits.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/under_way.c
+++ b/src/request/policy/under_way.c
@@ -1,4 +1,4 @@
-#include "request/under_way.h"
+#include "request/policy/under_way.h"
 
 #include <glib.h>
 
--- a/src/request/under_way.h
+++ b/src/request/policy/under_way.h
@@ -4,8 +4,8 @@
  * How many requests a router itself has under way at each engine: the one part of an engine's load
  * that it knows without delay.
  */
-#ifndef REQUEST_UNDER_WAY_H
-#define REQUEST_UNDER_WAY_H
+#ifndef REQUEST_POLICY_UNDER_WAY_H
+#define REQUEST_POLICY_UNDER_WAY_H
 
 #include <stdint.h>
 
--- a/src/request/verdict.c
+++ b/src/request/policy/verdict.c
@@ -1,4 +1,4 @@
-#include "request/verdict.h"
+#include "request/policy/verdict.h"
 
 #include <string.h>
 
--- a/src/request/verdict.h
+++ b/src/request/policy/verdict.h
@@ -4,8 +4,8 @@
  * Whether a request may have run. Every attempt ends in one, and every error that a caller sees
  * carries it, in the header %VRD_HEADER and in the body.
  */
-#ifndef REQUEST_VERDICT_H
-#define REQUEST_VERDICT_H
+#ifndef REQUEST_POLICY_VERDICT_H
+#define REQUEST_POLICY_VERDICT_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/chat_body.c
+++ b/src/request/router/chat_body.c
@@ -1,4 +1,4 @@
-#include "request/chat_body.h"
+#include "request/router/chat_body.h"
 
 #include <glib.h>
 #include <jansson.h>
--- a/src/request/chat_body.h
+++ b/src/request/router/chat_body.h
@@ -4,10 +4,10 @@
  * What the router reads of a chat completion's body: the model, the output asked for, and the first
  * messages, which name a chat whose caller sends no chat id.
  */
-#ifndef REQUEST_CHAT_BODY_H
-#define REQUEST_CHAT_BODY_H
+#ifndef REQUEST_ROUTER_CHAT_BODY_H
+#define REQUEST_ROUTER_CHAT_BODY_H
 
-#include "process/limits.h"
+#include "base/limits.h"
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/request/router.c
+++ b/src/request/router/router.c
@@ -1,6 +1,6 @@
-#include "request/router_private.h"
+#include "request/router/router_private.h"
 
-#include "process/log.h"
+#include "base/log.h"
 
 #include <stdio.h>
 
--- a/src/request/router_accept.c
+++ b/src/request/router/router_accept.c
@@ -1,10 +1,10 @@
-#include "request/router_private.h"
+#include "request/router/router_private.h"
 
-#include "request/chat_body.h"
-#include "request/digest.h"
+#include "request/router/chat_body.h"
+#include "request/policy/digest.h"
 #include "request/fault.h"
 #include "request/headers.h"
-#include "request/target.h"
+#include "request/router/target.h"
 
 #include <inttypes.h>
 #include <string.h>
--- a/src/request/router_place.c
+++ b/src/request/router/router_place.c
@@ -1,4 +1,4 @@
-#include "request/router_private.h"
+#include "request/router/router_private.h"
 
 #include <string.h>
 
--- a/src/request/router_private.h
+++ b/src/request/router/router_private.h
@@ -6,21 +6,22 @@
  * (one exchange with one sidecar), router_watch.c (whether a quiet host is frozen), router_tell.c
  * (what sidecars are told besides).
  */
-#ifndef REQUEST_ROUTER_PRIVATE_H
-#define REQUEST_ROUTER_PRIVATE_H
+#ifndef REQUEST_ROUTER_ROUTER_PRIVATE_H
+#define REQUEST_ROUTER_ROUTER_PRIVATE_H
 
 #include "connection/budget.h"
 #include "connection/http_client.h"
-#include "process/daemon.h"
-#include "request/attempt.h"
-#include "request/choose.h"
-#include "request/health.h"
+#include "base/daemon.h"
+#include "request/router/router.h"
+#include "request/policy/attempt.h"
+#include "request/policy/choose.h"
+#include "request/policy/health.h"
 #include "request/hop.h"
 #include "request/ops.h"
-#include "request/place.h"
-#include "request/proven.h"
+#include "request/policy/place.h"
+#include "request/policy/proven.h"
 #include "request/relay.h"
-#include "request/suspect.h"
+#include "request/policy/suspect.h"
 
 #include <event2/event.h>
 
--- a/src/request/router_tell.c
+++ b/src/request/router/router_tell.c
@@ -1,6 +1,6 @@
-#include "request/router_private.h"
+#include "request/router/router_private.h"
 
-#include "request/order.h"
+#include "request/policy/order.h"
 
 #include <event2/http.h>
 #include <inttypes.h>
--- a/src/request/target.c
+++ b/src/request/router/target.c
@@ -1,4 +1,4 @@
-#include "request/target.h"
+#include "request/router/target.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/request/target.h
+++ b/src/request/router/target.h
@@ -4,8 +4,8 @@
  * Whether all readers of a request's target see the same path. A route is chosen by the bytes of
  * the path, and says whether a call may be repeated; the engine may decode and tidy the path first.
  */
-#ifndef REQUEST_TARGET_H
-#define REQUEST_TARGET_H
+#ifndef REQUEST_ROUTER_TARGET_H
+#define REQUEST_ROUTER_TARGET_H
 
 #include <stdbool.h>
 
--- a/src/request/history.c
+++ b/src/request/sidecar/history.c
@@ -1,4 +1,4 @@
-#include "request/history.h"
+#include "request/sidecar/history.h"
 
 #include "request/hop.h"
 
--- a/src/request/history.h
+++ b/src/request/sidecar/history.h
@@ -5,11 +5,11 @@
  * sight of one. Two bounded tables: attempts that ended, and attempt ids that are barred because a
  * router gave them up before they arrived. A pure state machine.
  */
-#ifndef REQUEST_HISTORY_H
-#define REQUEST_HISTORY_H
+#ifndef REQUEST_SIDECAR_HISTORY_H
+#define REQUEST_SIDECAR_HISTORY_H
 
-#include "process/limits.h"
-#include "request/verdict.h"
+#include "base/limits.h"
+#include "request/policy/verdict.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/sidecar.c
+++ b/src/request/sidecar/sidecar.c
@@ -1,7 +1,7 @@
-#include "request/sidecar_private.h"
+#include "request/sidecar/sidecar_private.h"
 
-#include "process/log.h"
-#include "process/messages.h"
+#include "base/log.h"
+#include "request/messages.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/request/sidecar_accept.c
+++ b/src/request/sidecar/sidecar_accept.c
@@ -1,6 +1,6 @@
-#include "request/sidecar_private.h"
+#include "request/sidecar/sidecar_private.h"
 
-#include "request/digest.h"
+#include "request/policy/digest.h"
 #include "request/headers.h"
 
 #include <string.h>
--- a/src/request/sidecar_call.c
+++ b/src/request/sidecar/sidecar_call.c
@@ -1,4 +1,4 @@
-#include "request/sidecar_private.h"
+#include "request/sidecar/sidecar_private.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/request/sidecar_claim.c
+++ b/src/request/sidecar/sidecar_claim.c
@@ -1,6 +1,6 @@
-#include "request/sidecar_private.h"
+#include "request/sidecar/sidecar_private.h"
 
-#include "process/messages.h"
+#include "request/messages.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/request/sidecar_engine.c
+++ b/src/request/sidecar/sidecar_engine.c
@@ -1,4 +1,4 @@
-#include "request/sidecar_private.h"
+#include "request/sidecar/sidecar_private.h"
 
 #include <event2/http.h>
 #include <inttypes.h>
--- a/src/request/sidecar_leave.c
+++ b/src/request/sidecar/sidecar_leave.c
@@ -1,7 +1,7 @@
-#include "request/sidecar_private.h"
+#include "request/sidecar/sidecar_private.h"
 
-#include "process/log.h"
-#include "request/order.h"
+#include "base/log.h"
+#include "request/policy/order.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/src/request/sidecar_orders.c
+++ b/src/request/sidecar/sidecar_orders.c
@@ -1,6 +1,6 @@
-#include "request/sidecar_private.h"
+#include "request/sidecar/sidecar_private.h"
 
-#include "process/log.h"
+#include "base/log.h"
 
 #include <jansson.h>
 #include <string.h>
--- a/src/request/sidecar_private.h
+++ b/src/request/sidecar/sidecar_private.h
@@ -6,16 +6,17 @@
  * the engine), sidecar_probe.c (whether the engine is up, and who crashed it), sidecar_claim.c,
  * sidecar_orders.c (what other daemons tell), sidecar_leave.c (hand-over).
  */
-#ifndef REQUEST_SIDECAR_PRIVATE_H
-#define REQUEST_SIDECAR_PRIVATE_H
+#ifndef REQUEST_SIDECAR_SIDECAR_PRIVATE_H
+#define REQUEST_SIDECAR_SIDECAR_PRIVATE_H
 
 #include "connection/http_client.h"
-#include "process/daemon.h"
-#include "request/admit.h"
-#include "request/history.h"
+#include "base/daemon.h"
+#include "request/sidecar/sidecar.h"
+#include "request/policy/admit.h"
+#include "request/sidecar/history.h"
 #include "request/hop.h"
 #include "request/ops.h"
-#include "request/place.h"
+#include "request/policy/place.h"
 #include "request/relay.h"
 
 #include <event2/event.h>
--- a/src/version/judged.h
+++ b/src/version/judged.h
@@ -8,7 +8,7 @@
 #ifndef VERSION_JUDGED_H
 #define VERSION_JUDGED_H
 
-#include "process/limits.h"
+#include "base/limits.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/version/manifest.h
+++ b/src/version/manifest.h
@@ -7,7 +7,7 @@
 #ifndef VERSION_MANIFEST_H
 #define VERSION_MANIFEST_H
 
-#include "process/limits.h"
+#include "base/limits.h"
 
 #include <glib.h>
 #include <jansson.h>
--- a/src/version/manifest_read.c
+++ b/src/version/manifest_read.c
@@ -1,5 +1,5 @@
 #include "version/manifest_read.h"
-#include "request/place.h"
+#include "request/policy/place.h"
 #include "version/manifest_check.h"
 
 #include <stdlib.h>
--- a/src/version/record.h
+++ b/src/version/record.h
@@ -6,7 +6,7 @@
 #ifndef VERSION_RECORD_H
 #define VERSION_RECORD_H
 
-#include "process/limits.h"
+#include "base/limits.h"
 
 #include <glib.h>
 #include <jansson.h>
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -8,7 +8,7 @@
 #ifndef VERSION_ROUTING_H
 #define VERSION_ROUTING_H
 
-#include "process/limits.h"
+#include "base/limits.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/tests/control_rig.c
+++ b/tests/control_rig.c
@@ -1,6 +1,6 @@
 #include "control_rig.h"
 
-#include "request/place.h"
+#include "request/policy/place.h"
 
 #include <string.h>
 #include <unistd.h>
--- a/tests/path_fleet.c
+++ b/tests/path_fleet.c
@@ -1,6 +1,6 @@
 #include "path_fleet.h"
 
-#include "request/place.h"
+#include "request/policy/place.h"
 
 #include <arpa/inet.h>
 #include <event2/http.h>
--- a/tests/path_fleet.h
+++ b/tests/path_fleet.h
@@ -10,8 +10,10 @@
 
 #include "connection/http_client.h"
 #include "connection/http_server.h"
-#include "process/daemon.h"
-#include "process/messages.h"
+#include "base/daemon.h"
+#include "request/router/router.h"
+#include "request/sidecar/sidecar.h"
+#include "request/messages.h"
 
 #define PFL_SIDECARS 3
 #define PFL_KEY "the key of the first account"
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -6,7 +6,7 @@
 #ifndef TESTS_RAW_PEER_H
 #define TESTS_RAW_PEER_H
 
-#include "process/settings.h"
+#include "base/settings.h"
 
 #include <event2/event.h>
 #include <glib.h>
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -1,4 +1,4 @@
-#include "request/admit.h"
+#include "request/policy/admit.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/test_attempt.c
+++ b/tests/test_attempt.c
@@ -1,4 +1,4 @@
-#include "request/attempt.h"
+#include "request/policy/attempt.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -4,8 +4,8 @@
  * Claims of idempotency keys: single readers first, then several readers over one log under seeded
  * random faults.
  */
-#include "process/clock.h"
-#include "request/claim.h"
+#include "base/clock.h"
+#include "request/policy/claim.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_claim_pace.c
+++ b/tests/test_claim_pace.c
@@ -3,9 +3,9 @@
  *
  * Many that append to one log with a limit, each knowing only its own answers.
  */
-#include "process/clock.h"
-#include "process/limits.h"
-#include "request/claim_pace.h"
+#include "base/clock.h"
+#include "base/limits.h"
+#include "request/policy/claim_pace.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -1,6 +1,6 @@
 #include "control_rig.h"
 #include "suite.h"
-#include "request/place.h"
+#include "request/policy/place.h"
 
 static void
 test_start (void)
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -1,8 +1,8 @@
 #include "connection/http_server.h"
 #include "control_rig.h"
 #include "suite.h"
-#include "request/order.h"
-#include "request/place.h"
+#include "request/policy/order.h"
+#include "request/policy/place.h"
 
 #include <string.h>
 
--- a/tests/test_course.c
+++ b/tests/test_course.c
@@ -1,9 +1,9 @@
 /* Unit tests of the course of a request at a gateway, its retry share and the split of events. */
-#include "request/course.h"
-#include "request/crash_watch.h"
-#include "request/event_split.h"
-#include "request/patience.h"
-#include "request/retry_share.h"
+#include "request/policy/course.h"
+#include "request/policy/crash_watch.h"
+#include "request/gateway/event_split.h"
+#include "request/policy/patience.h"
+#include "request/policy/retry_share.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -1,7 +1,7 @@
 #include "connection/exchange.h"
 #include "connection/wire.h"
-#include "process/clock.h"
-#include "process/limits.h"
+#include "base/clock.h"
+#include "base/limits.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_fairq.c
+++ b/tests/test_fairq.c
@@ -1,5 +1,5 @@
-#include "request/drain.h"
-#include "request/fairq.h"
+#include "request/policy/drain.h"
+#include "request/policy/fairq.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -1,9 +1,9 @@
 /* A gateway's whole path, to the byte: what engines are sent, and what callers hear of their
  * answers. */
 #include "gateway_rig.h"
-#include "request/course.h"
-#include "request/gateway.h"
-#include "request/spread.h"
+#include "request/policy/course.h"
+#include "request/gateway/gateway.h"
+#include "request/policy/spread.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/test_history.c
+++ b/tests/test_history.c
@@ -1,4 +1,4 @@
-#include "request/history.h"
+#include "request/sidecar/history.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -1,5 +1,5 @@
 /* Unit tests of the requests that wait at a gateway for room. */
-#include "request/line.h"
+#include "request/policy/line.h"
 #include "suite.h"
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (lin_t, lin_free)
--- a/tests/test_mean.c
+++ b/tests/test_mean.c
@@ -1,5 +1,5 @@
-#include "process/clock.h"
-#include "request/mean.h"
+#include "base/clock.h"
+#include "request/policy/mean.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -1,8 +1,8 @@
-#include "process/clock.h"
-#include "process/pause.h"
-#include "request/health.h"
-#include "request/member.h"
-#include "request/place.h"
+#include "base/clock.h"
+#include "base/pause.h"
+#include "request/policy/health.h"
+#include "request/policy/member.h"
+#include "request/policy/place.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -1,5 +1,5 @@
 /* Unit tests of how fast an engine answers against the others of its service. */
-#include "request/pace.h"
+#include "request/policy/pace.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -1,9 +1,9 @@
 #include "path_crowd.h"
 #include "suite.h"
 
-#include "request/digest.h"
+#include "request/policy/digest.h"
 #include "request/hop.h"
-#include "request/order.h"
+#include "request/policy/order.h"
 
 #include <string.h>
 
--- a/tests/test_path_answers.c
+++ b/tests/test_path_answers.c
@@ -1,8 +1,8 @@
 #include "path_fleet.h"
 #include "raw_peer.h"
 #include "suite.h"
-#include "request/router_private.h"
-#include "request/sidecar_private.h"
+#include "request/router/router_private.h"
+#include "request/sidecar/sidecar_private.h"
 
 #include <string.h>
 
--- a/tests/test_path_copies.c
+++ b/tests/test_path_copies.c
@@ -1,7 +1,7 @@
 #include "path_crowd.h"
 #include "suite.h"
 
-#include "request/digest.h"
+#include "request/policy/digest.h"
 
 #include <string.h>
 
--- a/tests/test_path_lost.c
+++ b/tests/test_path_lost.c
@@ -2,7 +2,7 @@
 #include "suite.h"
 
 #include "request/hop.h"
-#include "request/router_private.h"
+#include "request/router/router_private.h"
 
 #include <string.h>
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -1,7 +1,7 @@
-#include "request/choose.h"
-#include "request/place.h"
-#include "request/proven.h"
-#include "request/verdict.h"
+#include "request/policy/choose.h"
+#include "request/policy/place.h"
+#include "request/policy/proven.h"
+#include "request/policy/verdict.h"
 #include "suite.h"
 
 #include <math.h>
--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -1,11 +1,11 @@
 /* Unit tests of src/process: clock, log, counters, mailbox and messages. */
-#include "process/clock.h"
-#include "process/counters.h"
-#include "process/limits.h"
-#include "process/latency.h"
-#include "process/log.h"
-#include "process/mailbox.h"
-#include "process/messages.h"
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/limits.h"
+#include "base/latency.h"
+#include "base/log.h"
+#include "base/mailbox.h"
+#include "request/messages.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_request_parts.c
+++ b/tests/test_request_parts.c
@@ -1,9 +1,9 @@
-#include "request/chat_body.h"
+#include "request/router/chat_body.h"
 #include "request/decision.h"
-#include "request/digest.h"
+#include "request/policy/digest.h"
 #include "request/fault.h"
 #include "request/headers.h"
-#include "request/order.h"
+#include "request/policy/order.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_rumour.c
+++ b/tests/test_rumour.c
@@ -1,4 +1,4 @@
-#include "process/clock.h"
+#include "base/clock.h"
 #include "process/rumour.h"
 #include "suite.h"
 
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -1,6 +1,6 @@
 /* Unit tests of the settings and of their page in docs/. */
-#include "process/settings.h"
-#include "process/settings_table.h"
+#include "base/settings.h"
+#include "base/settings_table.h"
 #include "suite.h"
 
 #include <glib/gstdio.h>
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -1,6 +1,6 @@
 /* Unit tests of which engine gets a request that the router sends there itself. */
-#include "process/clock.h"
-#include "request/spread.h"
+#include "base/clock.h"
+#include "request/policy/spread.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -1,5 +1,5 @@
-#include "request/directory.h"
-#include "request/suspect.h"
+#include "request/policy/directory.h"
+#include "request/policy/suspect.h"
 #include "suite.h"
 
 #include <glib.h>
