A hop that is given up is forgotten by the relay

Traced by the fault's address to hcl_pause: a hop was given up as silent, its request waited for the next engine's answer, and its caller left; the relay told the freed hop to read on. Change: gwy_hop_drop() clears the relay's source, as the router's does. Test: test_caller_leaves_between_two_engines, heap-use-after-free under the sanitizers before.

--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -35,6 +35,7 @@
   if (!call->out)
     return;
   hcl_cancel (call->out);
+  call->rly.from = NULL; /* the relay would pause what no longer exists */
   let_go (call);
 }
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -572,6 +572,42 @@
   raw_free (raw);
 }
 
+static bool
+has_one_event (void *context)
+{
+  return has (context, "id: 1");
+}
+
+static bool
+nobody_is_served (void *context)
+{
+  return grg_counter (context, 0, "medlarplank_gateway_gone_total") == 1;
+}
+
+/*
+ * A stream has begun at an engine that is lost, and goes on at another one, which has not answered
+ * yet, when its caller leaves. The relay must not reach for the hop that was given up: it was
+ * freed, and gateways crashed so.
+ */
+static void
+test_caller_leaves_between_two_engines (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  raw_server_t *second;
+  raw_t *raw;
+
+  grg_engine (grg, SCRIPTS (STREAM_HEAD EVENT ("1")), 1);
+  raw = grg_send (grg, 0, "POST", "/talk/", BOOKING);
+  CU_ASSERT (raw_run_until (grg->base, has_one_event, raw));
+  second = grg_engine (grg, SCRIPTS (NULL), 1);
+  register_start (grg, "8", "ready");
+  while (second->answered == 0)
+    raw_run_ms (grg->base, 1);
+  raw_close (raw, false);
+  CU_ASSERT (raw_run_until (grg->base, nobody_is_served, grg));
+  raw_free (raw);
+}
+
 /* A connection of the process before is kept, and would be used for the next booking: nobody would
  * know whether that has run. */
 static void
@@ -864,6 +900,7 @@
                                        SUITE_TEST (
                                            test_failure_passes_when_the_other_engine_refuses),
                                        SUITE_TEST (test_restarted_engine_has_lost_its_requests),
+                                       SUITE_TEST (test_caller_leaves_between_two_engines),
                                        SUITE_TEST (test_restarted_engine_keeps_no_connection),
                                        SUITE_TEST (test_unsound_entry_names_no_engine),
                                        SUITE_TEST (test_leaving_engine_gets_nothing_more),
