--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -119,38 +119,6 @@
     }
 }
 
-static void
-fill_parts (gpr_t *gpr, xch_message *message)
-{
-  hld_fact_t facts[XCH_PARTS];
-  uint64_t at_us = now_us (gpr);
-  uint32_t count = hld_take_news (gpr->options.holders, at_us, facts, XCH_PARTS);
-
-  for (uint32_t i = 0; i < count; i++)
-    message->parts.parts_val[i] =
-        (xch_part){ .prompt_hash = facts[i].prompt,
-                    .engine_hash = facts[i].engine,
-                    .age_ms = (u_int)((at_us - facts[i].at_us) / CLK_US_PER_MS) };
-  message->parts.parts_len = count;
-}
-
-static void
-hear_parts (gpr_t *gpr, const xch_message *message)
-{
-  uint64_t at_us = now_us (gpr);
-
-  for (uint32_t i = 0; i < message->parts.parts_len; i++)
-    {
-      const xch_part *part = &message->parts.parts_val[i];
-      uint64_t age_us = (uint64_t)part->age_ms * CLK_US_PER_MS;
-
-      hld_note (gpr->options.holders, at_us,
-                &(hld_fact_t){ .prompt = part->prompt_hash,
-                               .engine = part->engine_hash,
-                               .at_us = age_us < at_us ? at_us - age_us : 0 });
-    }
-}
-
 static void
 fill (xch_message *message, const xch_word *to, void *context)
 {
@@ -166,7 +134,6 @@
   message->manifest_offset = known.routers_next; /* gateways have no manifest */
   message->store_age_ms = known.store_age_ms;
   fill_marks (gpr, message);
-  fill_parts (gpr, message);
 }
 
 /* Return: false for a message that is older than one heard before */
@@ -205,7 +172,6 @@
   if (!note_heard (gpr, peer, &message->sender))
     return false;
   hear_marks (gpr, message);
-  hear_parts (gpr, message);
   gpr->options.heard (&theirs, &peer->control, gpr->options.context);
   return true;
 }
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -24,7 +24,6 @@
 {
   gwp_options_t options;
   egs_t *engines;
-  hld_t *holders;
   gwy_t *gwy;
   gst_t *store;
   hsv_t *ready;
@@ -360,7 +359,6 @@
                                         .counters = gwp->options.counters,
                                         .set = set,
                                         .engines = gwp->engines,
-                                        .holders = gwp->holders,
                                         .format = gwp->options.format,
                                         .suspected = on_own_suspect,
                                         .context = gwp,
@@ -385,7 +383,6 @@
                                           .set = gwp->options.set,
                                           .plt = gwp->options.plt,
                                           .incarnation = gwp->options.incarnation,
-                                          .holders = gwp->holders,
                                           .version = version,
                                           .routing = on_routing,
                                           .engine = on_engine,
@@ -404,7 +401,6 @@
 
   gwp->options = *options;
   gwp->engines = egs_new ();
-  gwp->holders = hld_new ();
   gwp->lapsed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gwp->stalls = cnt_get (options->counters, "medlarplank_stalls_total",
                          "Times that the process stood still for long");
@@ -432,7 +428,6 @@
   if (gwp->table)
     rte_unref (gwp->table);
   egs_free (gwp->engines);
-  hld_free (gwp->holders);
   g_hash_table_destroy (gwp->lapsed);
   event_free (gwp->tick);
   g_free (gwp);
--- a/src/proto/exchange.h
+++ b/src/proto/exchange.h
@@ -16,7 +16,6 @@
 #define XCH_SAMPLES 8
 #define XCH_WORDS 4
 #define XCH_MARKS 2
-#define XCH_PARTS 16
 
 struct xch_sample {
 	u_quad_t engine_hash;
@@ -43,13 +42,6 @@
 };
 typedef struct xch_mark xch_mark;
 
-struct xch_part {
-	u_quad_t prompt_hash;
-	u_quad_t engine_hash;
-	u_int age_ms;
-};
-typedef struct xch_part xch_part;
-
 struct xch_message {
 	xch_word sender;
 	u_quad_t manifest_version;
@@ -68,10 +60,6 @@
 		u_int marks_len;
 		xch_mark *marks_val;
 	} marks;
-	struct {
-		u_int parts_len;
-		xch_part *parts_val;
-	} parts;
 };
 typedef struct xch_message xch_message;
 
@@ -97,14 +85,12 @@
 extern  bool_t xdr_xch_sample (XDR *, xch_sample*);
 extern  bool_t xdr_xch_word (XDR *, xch_word*);
 extern  bool_t xdr_xch_mark (XDR *, xch_mark*);
-extern  bool_t xdr_xch_part (XDR *, xch_part*);
 extern  bool_t xdr_xch_message (XDR *, xch_message*);
 
 #else /* K&R C */
 extern bool_t xdr_xch_sample ();
 extern bool_t xdr_xch_word ();
 extern bool_t xdr_xch_mark ();
-extern bool_t xdr_xch_part ();
 extern bool_t xdr_xch_message ();
 
 #endif /* K&R C */
--- a/src/proto/exchange_xdr.c
+++ b/src/proto/exchange_xdr.c
@@ -104,20 +104,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_xch_part (XDR *xdrs, xch_part *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->prompt_hash))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->engine_hash))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->age_ms))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_xch_message (XDR *xdrs, xch_message *objp)
 {
@@ -142,8 +128,5 @@
 	 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, XCH_MARKS,
 		sizeof (xch_mark), (xdrproc_t) xdr_xch_mark))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, XCH_PARTS,
-		sizeof (xch_part), (xdrproc_t) xdr_xch_part))
-		 return FALSE;
 	return TRUE;
 }
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -172,6 +172,7 @@
   gwy->routers = 1;
   gwy->suspects = sus_new (GWY_SUSPECTS, GWY_SUSPECT_US);
   gwy->proven = prv_new (GWY_PROVEN, GWY_PROVEN_US);
+  gwy->warm = prv_new (GWY_WARM, GWY_WARM_US);
   gwy->services = g_hash_table_new_full (NULL, NULL, NULL, service_free);
   gwy->calls = g_hash_table_new (NULL, NULL);
   get_counters (gwy);
@@ -221,6 +222,7 @@
   hcl_free (gwy->upstreams);
   event_free (gwy->tick);
   prv_free (gwy->proven);
+  prv_free (gwy->warm);
   sus_free (gwy->suspects);
   g_hash_table_destroy (gwy->services);
   g_hash_table_destroy (gwy->calls);
--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -13,7 +13,6 @@
 #include "base/settings.h"
 #include "request/policy/engines.h"
 #include "request/gateway/format.h"
-#include "request/policy/holders.h"
 #include "request/policy/retry_share.h"
 #include "request/policy/suspect.h"
 #include "version/routing.h"
@@ -22,10 +21,12 @@
 
 typedef struct gwy gwy_t;
 
+/* Shared parts stay in an engine's cache for longer than this, unless it is crammed. */
+#define GWY_WARM_US (UINT64_C (10) * CLK_US_PER_S)
+
 /**
  * struct gwy_options - options of gwy_new()
  * @set: settings of the process; borrowed
- * @holders: borrowed; shared with what tells peers of it
  * @engines: borrowed; the owner tells of changes by gwy_engines_changed()
  * @suspected: a request is suspected to crash its engines: other gateways are to hear of it
  * @format: of callers' requests and engines' answers
@@ -37,7 +38,6 @@
   cnt_set_t *counters;
   const set_t *set;
   egs_t *engines;
-  hld_t *holders;
   const fmt_t *format;
   rsh_options_t retries;
   void (*suspected) (const sus_mark_t *mark, void *context);
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -227,14 +227,9 @@
 gwy_call_choose (const gwy_call_t *call)
 {
   const gwy_t *gwy = call->gwy;
-  hld_fact_t holders[HLD_ENGINES];
-  uint32_t holder_count =
-      hld_find (gwy->options.holders, gwy_now_us (gwy), call->shared_parts, holders);
 
   return spr_choose (egs_list (gwy->options.engines, call->service->name), gwy_now_us (gwy),
                      &(spr_request_t){ .affinity = call->affinity,
-                                       .holders = holders,
-                                       .holder_count = holder_count,
                                        .data_center = gwy->options.set->data_center,
                                        .repeatable = crs_may_leave (&call->crs, call->rly.begun),
                                        .gateways = gwy->routers,
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -46,14 +46,10 @@
   return status == 200 && is_event_stream (headers) && !call->answer.not_run;
 }
 
-/* An engine that has begun to answer has read the prompt. */
-static void
-note_holder (const gwy_call_t *call, uint64_t now_us)
+static uint64_t
+warm_key (const gwy_call_t *call, const egn_t *engine)
 {
-  if (call->shared_parts != 0)
-    hld_note (call->gwy->options.holders, now_us,
-              &(hld_fact_t){
-                  .prompt = call->shared_parts, .engine = call->engine->hash, .at_us = now_us });
+  return call->shared_parts ^ engine->hash;
 }
 
 static void
@@ -68,7 +64,7 @@
   if (!call->answer.not_run)
     lin_note_head (call->service->line, now_us - call->sent_us);
   if (status == 200)
-    note_holder (call, now_us);
+    prv_answered (call->gwy->warm, now_us, warm_key (call, call->engine));
   lat_add (call->service->heads, now_us - call->sent_us);
   if (call->answer.idle_ms > 0)
     call->engine->idle_ms = call->answer.idle_ms;
@@ -308,6 +304,17 @@
   return stated_us > 0 ? MIN (stated_us, GWY_FRESH_US) : GWY_FRESH_US;
 }
 
+/*
+ * Where the parts were just read there is nothing to copy; and a source that has gone dark since
+ * makes the request wait.
+ */
+static void
+leave_out_source (const gwy_call_t *call, spr_choice_t *choice)
+{
+  if (prv_has (call->gwy->warm, gwy_now_us (call->gwy), warm_key (call, choice->engine)))
+    choice->source = NULL;
+}
+
 static void
 begin_hop (gwy_call_t *call, const spr_choice_t *choice)
 {
@@ -334,8 +341,7 @@
   uint64_t age_ms = (call->sent_us - engine->told_us) / CLK_US_PER_MS;
 
   log_event (LOG_LEVEL_INFO, "place", "id", call->id, "service", call->service->name, "engine",
-             engine->entry.id, "rank", LOG_U64 (choice->rank), "holds",
-             choice->holds ? "yes" : "no", "cache_source",
+             engine->entry.id, "rank", LOG_U64 (choice->rank), "cache_source",
              choice->source ? choice->source->entry.id : NULL, "load", LOG_U64 (choice->load),
              "mean_milli", LOG_U64 (choice->mean_milli), "load_age_ms",
              engine->told_us ? LOG_U64 (age_ms) : NULL, "candidates", LOG_U64 (choice->candidates),
@@ -343,12 +349,13 @@
 }
 
 void
-gwy_hop_send (gwy_call_t *call, const spr_choice_t *choice)
+gwy_hop_send (gwy_call_t *call, spr_choice_t *choice)
 {
   g_autoptr (GArray) headers = g_array_new (FALSE, FALSE, sizeof (hcl_header_t));
   fmt_text_t text;
   fmt_hop_t hop;
 
+  leave_out_source (call, choice);
   hop = (fmt_hop_t){ .engine_id = choice->engine->entry.id,
                      .account = call->account ? call->account->name : NULL,
                      .cache_source = choice->source ? &choice->source->entry.address : NULL,
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -43,6 +43,7 @@
  * engine is not served meanwhile, and after this time is marked again. */
 #define GWY_PROVEN 4096
 #define GWY_PROVEN_US (UINT64_C (10) * CLK_US_PER_S)
+#define GWY_WARM 4096       /* prompts of which an engine is known to have the shared parts */
 #define GWY_WATCH_TICKS 4   /* of those below between two looks at hops that bring nothing */
 #define GWY_WAIT_TICK_MS 25 /* waiting requests are looked at this often besides all events */
 /* Routes of which the usual times are known; of two in one place the later is kept. */
@@ -88,6 +89,7 @@
   cwt_t crashes;
   sus_t *suspects;
   prv_t *proven; /* requests that were served lately */
+  prv_t *warm;   /* shared parts that an engine read lately */
   gwy_pace_t paces[GWY_PACES];
   uint32_t ticks;
   struct event *tick;
@@ -189,8 +191,8 @@
 void
 gwy_call_log (const gwy_call_t *call, const char *event, const char *outcome, vrd_reason_t reason);
 
-/** gwy_hop_send() - send the request to the engine of @choice */
-void gwy_hop_send (gwy_call_t *call, const spr_choice_t *choice);
+/** gwy_hop_send() - send the request to the engine of @choice, whose source may be left out */
+void gwy_hop_send (gwy_call_t *call, spr_choice_t *choice);
 /** gwy_hop_watch() - give the hop up if it brings nothing and the request may go elsewhere */
 void gwy_hop_watch (gwy_call_t *call);
 /** gwy_hop_restarted() - give the hop up if it is to the engine @hash, which has gone */
--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -190,25 +190,11 @@
   return XXH64 (&egn->rank_hash, sizeof egn->rank_hash, world->request->affinity);
 }
 
-/* Return: when @egn was last seen to hold the request's shared parts, 0 when it is not known to */
-static uint64_t
-held_us (const world_t *world, const egn_t *egn)
-{
-  for (uint32_t i = 0; i < world->request->holder_count; i++)
-    if (world->request->holders[i].engine == egn->hash)
-      return world->request->holders[i].at_us;
-  return 0;
-}
-
-/**
- * struct wish - what an engine must be to be chosen
- * @holds: it is known to hold the request's shared parts
- */
+/** struct wish - what an engine must be to be chosen */
 typedef struct
 {
   bool within_bound;
   bool trusted;
-  bool holds;
 } wish_t;
 
 static bool
@@ -218,8 +204,6 @@
     return false;
   if (wish.within_bound && !within_bound (world, egn))
     return false;
-  if (wish.holds && held_us (world, egn) == 0)
-    return false;
   return !wish.trusted || !is_doubtful (world, egn);
 }
 
@@ -276,15 +260,10 @@
 static egn_t *
 choose_engine (const world_t *world)
 {
-  static const wish_t wishes[] = { { .within_bound = true, .trusted = true },
-                                   { .within_bound = true },
-                                   { .within_bound = false } };
-  static const wish_t warm = { .within_bound = true, .trusted = true, .holds = true };
+  static const wish_t wishes[] = { { true, true }, { true, false }, { false, false } };
   egn_t *egn = NULL;
 
-  if (world->request->holder_count > 0)
-    egn = first_in_rank (world, warm);
-  if (!egn && world->request->affinity != 0)
+  if (world->request->affinity != 0)
     egn = first_in_rank (world, wishes[0]);
   for (size_t i = 0; !egn && i < G_N_ELEMENTS (wishes); i++)
     egn = least_loaded (world, wishes[i]);
@@ -309,53 +288,25 @@
   return egn->since_us != 0 && world->now_us - egn->since_us < SPR_NEW_US;
 }
 
-static bool
-may_be_source (const egn_t *egn, const egn_t *chosen)
-{
-  return egn != chosen && egn->failures == 0 && egn->entry.state != EGN_GONE;
-}
-
-static bool
-are_near (const egn_t *a, const egn_t *b)
-{
-  return strcmp (a->entry.data_center, b->entry.data_center) == 0;
-}
-
-/* A copy from another data centre takes twice as long. */
-static egn_t *
-holding_source (const world_t *world, const egn_t *chosen)
-{
-  egn_t *best = NULL;
-
-  for (guint i = 0; i < world->engines->len; i++)
-    {
-      egn_t *egn = engine_at (world, i);
-      bool is_nearer = best && are_near (egn, chosen) && !are_near (best, chosen);
-      bool is_farther = best && are_near (best, chosen) && !are_near (egn, chosen);
-
-      if (held_us (world, egn) == 0 || !may_be_source (egn, chosen) || is_farther)
-        continue;
-      if (!best || is_nearer || held_us (world, egn) > held_us (world, best))
-        best = egn;
-    }
-  return best;
-}
-
 /*
  * All routers rank alike, so the engine that ranks first of those that have been there for a while
  * has served the part, also when it takes no new work any more; and where the first one itself is
- * chosen, the second one has, in a time when the first was full.
+ * chosen, the second one has, in a time when the first was full. To copy the part from its cache
+ * takes a few milliseconds; to read 10,000 tokens again takes 94 ms, in which every other request
+ * on that engine waits for its tokens.
  */
 static egn_t *
-likely_source (const world_t *world, const egn_t *chosen)
+source_for (const world_t *world, const egn_t *chosen)
 {
   egn_t *best = NULL;
 
+  if (world->request->affinity == 0)
+    return NULL;
   for (guint i = 0; i < world->engines->len; i++)
     {
       egn_t *egn = engine_at (world, i);
 
-      if (is_new (world, egn) || !may_be_source (egn, chosen))
+      if (egn == chosen || is_new (world, egn) || egn->failures > 0 || egn->entry.state == EGN_GONE)
         continue;
       if (!best || rank_of (world, egn) > rank_of (world, best))
         best = egn;
@@ -363,24 +314,6 @@
   return best;
 }
 
-/*
- * To copy the part from another engine's cache takes a few milliseconds; to read 10,000 tokens
- * again takes 94 ms, in which every other request on that engine waits for its tokens. Where it was
- * read just now there is nothing to copy, and a source that has gone dark since makes the request
- * wait.
- */
-static egn_t *
-source_for (const world_t *world, const egn_t *chosen)
-{
-  uint64_t at_us = held_us (world, chosen);
-  egn_t *source;
-
-  if (world->request->affinity == 0 || (at_us != 0 && world->now_us < at_us + SPR_WARM_US))
-    return NULL;
-  source = holding_source (world, chosen);
-  return source ? source : likely_source (world, chosen);
-}
-
 static uint32_t
 askable (const world_t *world)
 {
@@ -409,7 +342,6 @@
   choice.action = SPR_SEND;
   choice.load = load_of (&world, choice.engine);
   choice.source = source_for (&world, choice.engine);
-  choice.holds = held_us (&world, choice.engine) != 0;
   choice.rank = rank_count (&world, choice.engine);
   return choice;
 }
--- a/src/request/policy/spread.h
+++ b/src/request/policy/spread.h
@@ -5,15 +5,13 @@
  *
  * Requests that share a long part of their prompt go to the engine that ranks first for that part
  * by rendezvous hashing, where it is likely to be cached; to the next in rank when that one would
- * go over the load bound. Where engines are known to hold the request's shared parts, the first of
- * these in rank goes before. Requests without such a part go to the least loaded of the own data
+ * go over the load bound. Requests without such a part go to the least loaded of the own data
  * centre, or of all when that is much less loaded.
  */
 #ifndef REQUEST_POLICY_SPREAD_H
 #define REQUEST_POLICY_SPREAD_H
 
 #include "request/policy/engines.h"
-#include "request/policy/holders.h"
 
 /*
  * The bound: the mean load, and beyond it a part of the mean and some requests, both in
@@ -22,8 +20,8 @@
  * to a few, whose loads are known better: a looser bound finds more of the prompts in caches
  * (bench-gateway).
  */
-#define SPR_BOUND_MILLI 450
-#define SPR_BOUND_MORE_MILLI 1200
+#define SPR_BOUND_MILLI 250
+#define SPR_BOUND_MORE_MILLI 1000
 #define SPR_FEW_GATEWAYS UINT64_C (4)
 /* Of its share of the slots' time, what a gateway waits at least between sends to a full engine. At
  * its whole share engines stood idle for moments (on time 0.976 of all for 0.991, bench-gateway).
@@ -44,9 +42,6 @@
 /* An engine that takes so many times as long as the service's median, in thousandths, likewise. */
 #define SPR_PACE_MILLI 2000
 
-/* An engine that had the parts so lately has them still. */
-#define SPR_WARM_US (UINT64_C (10) * 1000 * 1000)
-
 typedef enum
 {
   SPR_SEND, /* to @engine */
@@ -57,7 +52,6 @@
 /**
  * struct spr_request - what the choice looks at
  * @affinity: hash of the part of the prompt that is worth most in a cache; 0 for none
- * @holders: that hold the request's shared parts, as far as known, the one seen last first
  * @tried: engines that had this request already
  * @repeatable: it may go on at another engine when this one fails it
  * @gateways: that share the engines; 0 counts as one
@@ -68,8 +62,6 @@
 {
   uint64_t affinity;
   const char *data_center;
-  const hld_fact_t *holders;
-  uint32_t holder_count;
   const uint64_t *tried;
   uint32_t tried_count;
   bool repeatable;
@@ -82,8 +74,7 @@
 /**
  * struct spr_choice - the choice, and what it was made by
  * @source: engine other than @engine that most likely has the request's shared parts in its cache;
- *   NULL when there is none, or when @engine surely has them
- * @holds: @engine is known to hold them
+ *   NULL when there is none
  * @rank: 0 when @engine is the first for the affinity
  */
 typedef struct
@@ -91,7 +82,6 @@
   spr_action_t action;
   egn_t *engine;
   egn_t *source;
-  bool holds;
   uint32_t rank;
   uint32_t load;
   uint32_t mean_milli;
