--- a/bench/gateway/sim_gateway.c
+++ b/bench/gateway/sim_gateway.c
@@ -6,8 +6,6 @@
 
 #define TICK_US (25 * CLK_US_PER_MS)
 #define WATCH_TICKS 4
-#define TELL_TICKS 10 /* each gateway calls one every 500 ms, and is called as often */
-#define TOLD_LOADS 8  /* in a message */
 #define RETRY_MIN_US (100 * CLK_US_PER_MS)
 #define RETRY_MAX_US (2000 * CLK_US_PER_MS)
 
@@ -437,29 +435,6 @@
     watch_send (sim, request);
 }
 
-static void
-tell_loads (sim_t *sim, const sim_gateway_t *from, sim_gateway_t *to)
-{
-  egn_sample_t samples[TOLD_LOADS];
-  uint32_t count = egs_newest_loads (from->engines, sim->now_us, samples, TOLD_LOADS);
-
-  for (uint32_t i = 0; i < count; i++)
-    egs_heard_load (to->engines, sim->now_us, &samples[i]);
-}
-
-/* Two gateways tell each other the loads that they heard last. */
-static void
-exchange_loads (sim_t *sim, sim_gateway_t *gateway)
-{
-  guint other = (guint)rnd_below (&sim->dice, sim->gateways->len);
-  sim_gateway_t *peer = g_ptr_array_index (sim->gateways, other);
-
-  if (peer == gateway)
-    return;
-  tell_loads (sim, gateway, peer);
-  tell_loads (sim, peer, gateway);
-}
-
 void
 sim_on_tick (sim_t *sim, sim_gateway_t *gateway)
 {
@@ -467,8 +442,6 @@
 
   for (uint32_t i = 0; i < SIT_SERVICES; i++)
     pump (sim, gateway->lines[i]);
-  if (!is_plain (sim) && tick % TELL_TICKS == gateway->index % TELL_TICKS)
-    exchange_loads (sim, gateway);
   /* One that ends meanwhile changes places with the last, which is looked at the next time. */
   for (guint i = 0; tick % WATCH_TICKS == 0 && i < gateway->requests->len; i++)
     watch (sim, g_ptr_array_index (gateway->requests, i));
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -119,40 +119,6 @@
     }
 }
 
-static void
-fill_loads (gpr_t *gpr, xch_message *message)
-{
-  egn_sample_t samples[XCH_SAMPLES];
-  uint64_t at_us = now_us (gpr);
-  uint32_t count = egs_newest_loads (gpr->options.engines, at_us, samples, XCH_SAMPLES);
-
-  for (uint32_t i = 0; i < count; i++)
-    message->samples.samples_val[i] =
-        (xch_sample){ .engine_hash = samples[i].engine,
-                      .load = samples[i].running,
-                      .waiting = samples[i].waiting,
-                      .age_ms = (u_int)((at_us - samples[i].at_us) / CLK_US_PER_MS) };
-  message->samples.samples_len = count;
-}
-
-static void
-hear_loads (gpr_t *gpr, const xch_message *message)
-{
-  uint64_t at_us = now_us (gpr);
-
-  for (uint32_t i = 0; i < message->samples.samples_len; i++)
-    {
-      const xch_sample *heard = &message->samples.samples_val[i];
-      uint64_t age_us = (uint64_t)heard->age_ms * CLK_US_PER_MS;
-
-      egs_heard_load (gpr->options.engines, at_us,
-                      &(egn_sample_t){ .engine = heard->engine_hash,
-                                       .running = heard->load,
-                                       .waiting = heard->waiting,
-                                       .at_us = age_us < at_us ? at_us - age_us : 0 });
-    }
-}
-
 static void
 fill (xch_message *message, const xch_word *to, void *context)
 {
@@ -168,7 +134,6 @@
   message->manifest_offset = known.routers_next; /* gateways have no manifest */
   message->store_age_ms = known.store_age_ms;
   fill_marks (gpr, message);
-  fill_loads (gpr, message);
 }
 
 /* Return: false for a message that is older than one heard before */
@@ -207,7 +172,6 @@
   if (!note_heard (gpr, peer, &message->sender))
     return false;
   hear_marks (gpr, message);
-  hear_loads (gpr, message);
   gpr->options.heard (&theirs, &peer->control, gpr->options.context);
   return true;
 }
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -383,7 +383,6 @@
                                           .set = gwp->options.set,
                                           .plt = gwp->options.plt,
                                           .incarnation = gwp->options.incarnation,
-                                          .engines = gwp->engines,
                                           .version = version,
                                           .routing = on_routing,
                                           .engine = on_engine,
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -138,57 +138,6 @@
   return g_hash_table_size (egs->by_id);
 }
 
-static void
-keep_newest (egn_sample_t *out, uint32_t count, const egn_sample_t *sample)
-{
-  uint32_t at = count;
-
-  for (; at > 0 && out[at - 1].at_us < sample->at_us; at--)
-    out[at] = out[at - 1];
-  out[at] = *sample;
-}
-
-uint32_t
-egs_newest_loads (const egs_t *egs, uint64_t now_us, egn_sample_t *out, uint32_t want)
-{
-  GHashTableIter iter;
-  gpointer value;
-  uint32_t count = 0;
-
-  g_hash_table_iter_init (&iter, egs->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const egn_t *egn = value;
-      egn_sample_t sample = { egn->hash, egn->told.running, egn->told.waiting, egn->told_us };
-
-      if (egn->told_us == 0 || egn->told_us + EGN_TOLD_US <= now_us)
-        continue;
-      if (count == want && out[count - 1].at_us >= sample.at_us)
-        continue;
-      count = MIN (count, want - 1);
-      keep_newest (out, count++, &sample);
-    }
-  return count;
-}
-
-void
-egs_heard_load (egs_t *egs, uint64_t now_us, const egn_sample_t *sample)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  if (sample->at_us > now_us || sample->at_us + EGN_TOLD_US <= now_us)
-    return;
-  g_hash_table_iter_init (&iter, egs->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      egn_t *egn = value;
-
-      if (egn->hash == sample->engine && egn->told_us < sample->at_us)
-        egn_told (egn, sample->at_us, &(egn_load_t){ sample->running, sample->waiting, 0 });
-    }
-}
-
 /* From the end of its patience on it is silent, until so long after the last send that a probe is
  * due.
  */
@@ -226,7 +175,6 @@
 {
   uint32_t there = load->running + load->waiting;
 
-  egn->told = *load;
   egn->others = there > egn->own ? there - egn->own : 0;
   egn->told_us = now_us;
   if (load->slots > 0)
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -54,26 +54,13 @@
   uint32_t slots;
 } egn_load_t;
 
-/**
- * struct egn_sample - the load of an engine as one gateway heard it, for another one
- * @engine: hash of the engine
- */
-typedef struct
-{
-  uint64_t engine;
-  uint32_t running;
-  uint32_t waiting;
-  uint64_t at_us;
-} egn_sample_t;
-
 /**
  * struct egn - an engine
  * @hash: of its id and its start: what is known of one start doesn't hold for the next, whose cache
  *   is empty
  * @rank_hash: of its id, by which parts of prompts rank it
  * @own: requests of this router that are there
- * @told: the load that it told at @told_us, here or to another router
- * @others: requests of other routers there then
+ * @others: requests of other routers there when the engine told its load at @told_us
  * @failures: in a row, of this router's requests
  * @skip_until_us: until then it is asked only by a single probe
  * @error_milli: share of answers that were failures, smoothed, in thousandths, as of
@@ -94,7 +81,6 @@
   uint64_t rank_hash;
   uint32_t refs;
   uint32_t own;
-  egn_load_t told;
   uint32_t others;
   uint64_t told_us;
   uint32_t failures;
@@ -175,11 +161,6 @@
 /** egs_set_complete() - all engines that were there before are known */
 void egs_set_complete (egs_t *egs);
 uint32_t egs_count (const egs_t *egs);
-/** egs_newest_loads() - up to @want loads that were told last, not older than %EGN_TOLD_US. Return:
- * how many */
-uint32_t egs_newest_loads (const egs_t *egs, uint64_t now_us, egn_sample_t *out, uint32_t want);
-/** egs_heard_load() - another router tells a load; what was told later stays */
-void egs_heard_load (egs_t *egs, uint64_t now_us, const egn_sample_t *sample);
 
 /** egn_begin() - a request goes there; keeps the engine */
 void egn_begin (egn_t *egn, uint64_t now_us);
--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -5,8 +5,7 @@
 
 #define MILLI 1000
 
-/** struct world - what the choice sees of the service; @trust_milli: how far the loads that its
- * engines told still count, on average */
+/** struct world - what the choice sees of the service */
 typedef struct
 {
   const GPtrArray *engines;
@@ -15,7 +14,6 @@
   uint32_t open;
   uint64_t mean_milli;
   uint64_t usual_milli;
-  uint64_t trust_milli;
   uint32_t error_limit_milli;
   bool distrust;
 } world_t;
@@ -86,7 +84,6 @@
     }
   /* As if one idle engine more had told: the first one that tells says little of the others. */
   world->usual_milli = others * MILLI / (weights + MILLI);
-  world->trust_milli = weights / MAX (world->open, 1U);
   world->mean_milli = weights > 0 ? (own + others) * MILLI / weights : 0;
 }
 
@@ -100,6 +97,7 @@
   uint64_t own = 0;
   uint32_t skipped = 0;
 
+  weigh (world);
   for (guint i = 0; i < world->engines->len; i++)
     {
       const egn_t *egn = engine_at (world, i);
@@ -110,7 +108,6 @@
       own += egn->own;
       skipped += egn->failures >= EGN_FAILURES ? 1 : 0;
     }
-  weigh (world);
   if (world->mean_milli == 0 && world->open > 0)
     world->mean_milli = own * MILLI / world->open;
   world->distrust = skipped * 2 > world->open;
@@ -161,25 +158,23 @@
 
 /*
  * How far beyond the mean an engine may be. What other gateways send before they hear of each other
- * is the more the older the loads are, and a gateway among many knows less of it by its own sends.
- * Engines that are nearly full are slow, and one that is full makes its requests wait, so the
- * margin goes with the slots that are free; but half of it stays, or no prompt would meet its cache
- * any more just when there is no time to read it.
+ * is in proportion to their number. Engines that are nearly full are slow, and one that is full
+ * makes its requests wait, so the margin goes with the slots that are free; but half of it stays,
+ * or no prompt would meet its cache any more just when there is no time to read it.
  */
 static uint64_t
 margin_milli (const world_t *world, const egn_t *egn)
 {
+  uint64_t gateways = MAX (world->request->gateways, SPR_FEW_GATEWAYS);
   uint64_t any_milli = world->mean_milli * SPR_BOUND_MILLI / MILLI + SPR_BOUND_MORE_MILLI;
-  uint64_t known_milli = world->mean_milli * SPR_KNOWN_MILLI / MILLI + SPR_KNOWN_MORE_MILLI;
+  uint64_t few_milli = world->mean_milli * SPR_FEW_MILLI / MILLI + SPR_FEW_MORE_MILLI;
+  uint64_t margin_milli = any_milli + few_milli * SPR_FEW_GATEWAYS / gateways;
   uint64_t slots_milli = (uint64_t)egn_slots (egn, world->request->default_slots) * MILLI;
   uint64_t free_milli = slots_milli - MIN (slots_milli, world->mean_milli);
 
-  if (world->request->gateways > SPR_FEW_GATEWAYS)
-    known_milli = known_milli * SPR_MANY_MILLI / MILLI * world->trust_milli / MILLI;
   if (slots_milli == 0)
-    return any_milli + known_milli;
-  return any_milli * MAX (free_milli, slots_milli / SPR_MARGIN_KEPT) / slots_milli +
-         known_milli * free_milli / slots_milli;
+    return margin_milli;
+  return margin_milli * MAX (free_milli, slots_milli / SPR_MARGIN_KEPT) / slots_milli;
 }
 
 static bool
--- a/src/request/policy/spread.h
+++ b/src/request/policy/spread.h
@@ -15,19 +15,18 @@
 
 /*
  * The bound: the mean load, and beyond it a part of the mean and some requests, both in
- * thousandths. Over twice the mean and three more an engine would be overloaded. Of that a third is
- * given whatever is known of loads, and the rest as far as they were told lately, by engines or by
- * peers; to one of many gateways three quarters of it. A request that finds its part at home moves
- * no copy: with four gateways copies took 0.0124 to 0.0139 of a day's worth in place of 0.0171 to
- * 0.0255 with half of the margin, with 31 gateways 0.0145 in place of 0.0190; engines stayed within
- * the users' bound.
+ * thousandths. Over twice the mean and three more an engine would be overloaded. Loads of other
+ * routers are known late, and with many of them each sends without knowing what the others send. So
+ * of that a third go to any number of gateways, and the rest to a few, and less to more. A request
+ * that finds its part at home moves no copy: with four gateways 0.0124 to 0.0139 of a day's worth
+ * went for copies in place of 0.0171 to 0.0255 with half of the margin, and engines' loads stayed
+ * within the users' bound in 40 days of faults.
  */
 #define SPR_BOUND_MILLI 300
 #define SPR_BOUND_MORE_MILLI 1100
-#define SPR_KNOWN_MILLI 650
-#define SPR_KNOWN_MORE_MILLI 1400
-#define SPR_FEW_GATEWAYS 4
-#define SPR_MANY_MILLI 600
+#define SPR_FEW_MILLI 650
+#define SPR_FEW_MORE_MILLI 1400
+#define SPR_FEW_GATEWAYS UINT64_C (4)
 /* Of its share of the slots' time, what a gateway waits at least between sends to a full engine. At
  * its whole share engines stood idle for moments (on time 0.976 of all for 0.991, bench-gateway).
  */
