--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -138,6 +138,73 @@
   return g_hash_table_size (egs->by_id);
 }
 
+bool
+egn_is_doubted (const egn_t *egn, uint64_t now_us)
+{
+  return egn->doubted_us != 0 && now_us < egn->doubted_us + EGN_DOUBTED_US &&
+         egn->heard_us < egn->silent_us;
+}
+
+static void
+keep_latest (egn_doubt_t *out, uint32_t count, const egn_doubt_t *doubt)
+{
+  uint32_t at = count;
+
+  for (; at > 0 && out[at - 1].told_us < doubt->told_us; at--)
+    out[at] = out[at - 1];
+  out[at] = *doubt;
+}
+
+uint32_t
+egs_doubts (const egs_t *egs, uint64_t now_us, egn_doubt_t *out, uint32_t want)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, egs->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const egn_t *egn = value;
+      egn_doubt_t doubt = { egn->hash, egn->silent_us, egn->doubted_us };
+
+      if (!egn_is_doubted (egn, now_us))
+        continue;
+      if (count == want && out[count - 1].told_us >= doubt.told_us)
+        continue;
+      count = MIN (count, want - 1);
+      keep_latest (out, count++, &doubt);
+    }
+  return count;
+}
+
+static bool
+take_doubt (egn_t *egn, uint64_t now_us, const egn_doubt_t *doubt)
+{
+  bool before = egn_is_doubted (egn, now_us);
+
+  if (doubt->told_us <= egn->doubted_us)
+    return false;
+  egn->silent_us = doubt->silent_us;
+  egn->doubted_us = doubt->told_us;
+  return !before && egn_is_doubted (egn, now_us);
+}
+
+bool
+egs_doubt (egs_t *egs, uint64_t now_us, const egn_doubt_t *doubt)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (doubt->told_us > now_us || doubt->told_us + EGN_DOUBTED_US <= now_us)
+    return false;
+  g_hash_table_iter_init (&iter, egs->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const egn_t *)value)->hash == doubt->engine)
+      return take_doubt (value, now_us, doubt);
+  return false;
+}
+
 /* From the end of its patience on it is silent, until so long after the last send that a probe is
  * due.
  */
