--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -103,12 +103,10 @@
   xch_sample samples[XCH_SAMPLES] = { 0 };
   xch_word words[XCH_WORDS] = { 0 };
   xch_mark marks[XCH_MARKS] = { 0 };
-  xch_doubt doubts[XCH_DOUBTS] = { 0 };
   xch_message message = { 0 };
   message.samples.samples_val = samples;
   message.words.words_val = words;
   message.marks.marks_val = marks;
-  message.doubts.doubts_val = doubts;
   exc->options.fill (&message, to, exc->options.context);
   char datagram[LIM_DATAGRAM_BYTES];
   size_t bytes = wir_encode (datagram, sizeof datagram, exc->fleet_key, xid, is_reply, &message);
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -119,48 +119,6 @@
     }
 }
 
-static void
-fill_doubts (gpr_t *gpr, xch_message *message)
-{
-  egn_doubt_t doubts[XCH_DOUBTS];
-  uint64_t at_us = now_us (gpr);
-  uint32_t count = egs_doubts (gpr->options.engines, at_us, doubts, XCH_DOUBTS);
-
-  for (uint32_t i = 0; i < count; i++)
-    message->doubts.doubts_val[i] =
-        (xch_doubt){ .engine_hash = doubts[i].engine,
-                     .silent_ms = (u_int)((at_us - doubts[i].silent_us) / CLK_US_PER_MS),
-                     .told_ms = (u_int)((at_us - doubts[i].told_us) / CLK_US_PER_MS) };
-  message->doubts.doubts_len = count;
-}
-
-static uint64_t
-before_us (uint64_t at_us, uint32_t age_ms)
-{
-  uint64_t age_us = (uint64_t)age_ms * CLK_US_PER_MS;
-
-  return age_us < at_us ? at_us - age_us : 0;
-}
-
-static void
-hear_doubts (gpr_t *gpr, const xch_message *message)
-{
-  uint64_t at_us = now_us (gpr);
-  bool news = false;
-
-  for (uint32_t i = 0; i < message->doubts.doubts_len; i++)
-    {
-      const xch_doubt *heard = &message->doubts.doubts_val[i];
-
-      news |= egs_doubt (gpr->options.engines, at_us,
-                         &(egn_doubt_t){ .engine = heard->engine_hash,
-                                         .silent_us = before_us (at_us, heard->silent_ms),
-                                         .told_us = before_us (at_us, heard->told_ms) });
-    }
-  if (news)
-    gpr_tell_news (gpr);
-}
-
 static void
 fill (xch_message *message, const xch_word *to, void *context)
 {
@@ -176,7 +134,6 @@
   message->manifest_offset = known.routers_next; /* gateways have no manifest */
   message->store_age_ms = known.store_age_ms;
   fill_marks (gpr, message);
-  fill_doubts (gpr, message);
 }
 
 /* Return: false for a message that is older than one heard before */
@@ -215,7 +172,6 @@
   if (!note_heard (gpr, peer, &message->sender))
     return false;
   hear_marks (gpr, message);
-  hear_doubts (gpr, message);
   gpr->options.heard (&theirs, &peer->control, gpr->options.context);
   return true;
 }
--- a/src/process/gateway_peers.h
+++ b/src/process/gateway_peers.h
@@ -14,7 +14,6 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/settings.h"
-#include "request/policy/engines.h"
 #include "request/policy/suspect.h"
 
 #include <event2/event.h>
@@ -51,7 +50,6 @@
 
 /**
  * struct gpr_options - options of gpr_new()
- * @engines: borrowed; what is doubted of them goes to peers, and their doubts into it
  * @know: what this gateway knows now
  * @heard: a peer knows @theirs; its control address is @control
  * @suspect: a mark of a request that crashes its engines was heard, for the first time
@@ -63,7 +61,6 @@
   cnt_set_t *counters;
   const set_t *set;
   uint64_t incarnation;
-  egs_t *engines;
   gpr_known_t (*know) (void *context);
   void (*heard) (const gpr_known_t *theirs, const set_address_t *control, void *context);
   void (*suspect) (const sus_mark_t *mark, void *context);
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -228,14 +228,6 @@
   gst_add_suspect (gwp->store, mark);
 }
 
-static void
-on_doubt (void *context)
-{
-  gwp_t *gwp = context;
-
-  gst_tell_news (gwp->store);
-}
-
 static uint64_t
 version (void *context)
 {
@@ -369,7 +361,6 @@
                                         .engines = gwp->engines,
                                         .format = gwp->options.format,
                                         .suspected = on_own_suspect,
-                                        .doubted = on_doubt,
                                         .context = gwp,
                                         .retries = { .ratio_milli = set->retry_ratio_milli,
                                                      .slack = set->retry_slack,
@@ -392,7 +383,6 @@
                                           .set = gwp->options.set,
                                           .plt = gwp->options.plt,
                                           .incarnation = gwp->options.incarnation,
-                                          .engines = gwp->engines,
                                           .version = version,
                                           .routing = on_routing,
                                           .engine = on_engine,
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -463,7 +463,6 @@
                                           .counters = options->counters,
                                           .set = options->set,
                                           .incarnation = options->incarnation,
-                                          .engines = options->engines,
                                           .know = know,
                                           .heard = heard,
                                           .suspect = suspect,
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -12,7 +12,6 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/settings.h"
-#include "request/policy/engines.h"
 #include "request/policy/suspect.h"
 
 #include <glib.h>
@@ -55,7 +54,6 @@
 /**
  * struct gst_options - options of gst_new()
  * @plt: freed with it
- * @engines: borrowed; doubts of them are told to peers, and heard from them
  * @version: of the routing rules in force
  * @routing: a record of the routing rules
  * @engine: an entry of the registry; @text NULL when it was dropped. @may_have_lapsed: it was
@@ -71,7 +69,6 @@
   const set_t *set;
   plt_t *plt;
   uint64_t incarnation;
-  egs_t *engines;
   uint64_t (*version) (void *context);
   void (*routing) (const char *text, size_t text_bytes, uint64_t offset, void *context);
   void (*engine) (const char *id,
--- a/src/proto/exchange.h
+++ b/src/proto/exchange.h
@@ -16,7 +16,6 @@
 #define XCH_SAMPLES 8
 #define XCH_WORDS 4
 #define XCH_MARKS 2
-#define XCH_DOUBTS 8
 
 struct xch_sample {
 	u_quad_t engine_hash;
@@ -43,13 +42,6 @@
 };
 typedef struct xch_mark xch_mark;
 
-struct xch_doubt {
-	u_quad_t engine_hash;
-	u_int silent_ms;
-	u_int told_ms;
-};
-typedef struct xch_doubt xch_doubt;
-
 struct xch_message {
 	xch_word sender;
 	u_quad_t manifest_version;
@@ -68,10 +60,6 @@
 		u_int marks_len;
 		xch_mark *marks_val;
 	} marks;
-	struct {
-		u_int doubts_len;
-		xch_doubt *doubts_val;
-	} doubts;
 };
 typedef struct xch_message xch_message;
 
@@ -97,14 +85,12 @@
 extern  bool_t xdr_xch_sample (XDR *, xch_sample*);
 extern  bool_t xdr_xch_word (XDR *, xch_word*);
 extern  bool_t xdr_xch_mark (XDR *, xch_mark*);
-extern  bool_t xdr_xch_doubt (XDR *, xch_doubt*);
 extern  bool_t xdr_xch_message (XDR *, xch_message*);
 
 #else /* K&R C */
 extern bool_t xdr_xch_sample ();
 extern bool_t xdr_xch_word ();
 extern bool_t xdr_xch_mark ();
-extern bool_t xdr_xch_doubt ();
 extern bool_t xdr_xch_message ();
 
 #endif /* K&R C */
--- a/src/proto/exchange.x
+++ b/src/proto/exchange.x
@@ -5,7 +5,6 @@
 const XCH_SAMPLES = 8;
 const XCH_WORDS = 4;
 const XCH_MARKS = 2;
-const XCH_DOUBTS = 8;
 
 struct xch_sample {
   unsigned hyper engine_hash;
@@ -29,12 +28,6 @@
   unsigned int age_ms;
 };
 
-struct xch_doubt {
-  unsigned hyper engine_hash;
-  unsigned int silent_ms;
-  unsigned int told_ms;
-};
-
 struct xch_message {
   xch_word sender;
   unsigned hyper manifest_version;
@@ -44,7 +37,6 @@
   xch_sample samples<XCH_SAMPLES>;
   xch_word words<XCH_WORDS>;
   xch_mark marks<XCH_MARKS>;
-  xch_doubt doubts<XCH_DOUBTS>;
 };
 
 program MEDLARPLANK_EXCHANGE {
--- a/src/proto/exchange_xdr.c
+++ b/src/proto/exchange_xdr.c
@@ -104,20 +104,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_xch_doubt (XDR *xdrs, xch_doubt *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->engine_hash))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->silent_ms))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->told_ms))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_xch_message (XDR *xdrs, xch_message *objp)
 {
@@ -142,8 +128,5 @@
 	 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, XCH_MARKS,
 		sizeof (xch_mark), (xdrproc_t) xdr_xch_mark))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->doubts.doubts_val, (u_int *) &objp->doubts.doubts_len, XCH_DOUBTS,
-		sizeof (xch_doubt), (xdrproc_t) xdr_xch_doubt))
-		 return FALSE;
 	return TRUE;
 }
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -81,44 +81,6 @@
     }
 }
 
-/* Return: whether it is news that an engine of the service is silent */
-static bool
-doubt_silent (gwy_t *gwy, const gwy_service_t *service)
-{
-  const GPtrArray *engines = egs_list (gwy->options.engines, service->name);
-  uint64_t now_us = gwy_now_us (gwy);
-  bool news = false;
-
-  for (guint i = 0; i < engines->len; i++)
-    {
-      const egn_t *egn = g_ptr_array_index (engines, i);
-
-      if (!egn_is_silent (egn, now_us, lin_head_us (service->line), true) ||
-          !egs_doubt (gwy->options.engines, now_us,
-                      &(egn_doubt_t){ egn->hash, egn->asked_us, now_us }))
-        continue;
-      news = true;
-      log_event (LOG_LEVEL_NOTICE, "engine_silent", "engine", egn->entry.id, "ms",
-                 LOG_U64 ((now_us - egn->asked_us) / CLK_US_PER_MS), "own", LOG_U64 (egn->own),
-                 NULL);
-    }
-  return news;
-}
-
-static void
-tell_doubts (gwy_t *gwy)
-{
-  GHashTableIter iter;
-  gpointer value;
-  bool news = false;
-
-  g_hash_table_iter_init (&iter, gwy->services);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    news |= doubt_silent (gwy, value);
-  if (news)
-    gwy->options.doubted (gwy->options.context);
-}
-
 static void
 take_suspects (gwy_t *gwy)
 {
@@ -150,7 +112,6 @@
   if (++gwy->ticks % GWY_WATCH_TICKS != 0)
     return;
   watch_calls (gwy);
-  tell_doubts (gwy);
   take_suspects (gwy);
 }
 
--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -29,7 +29,6 @@
  * @set: settings of the process; borrowed
  * @engines: borrowed; the owner tells of changes by gwy_engines_changed()
  * @suspected: a request is suspected to crash its engines: other gateways are to hear of it
- * @doubted: an engine brings nothing any more: other gateways are to hear of it
  * @format: of callers' requests and engines' answers
  */
 typedef struct
@@ -42,7 +41,6 @@
   const fmt_t *format;
   rsh_options_t retries;
   void (*suspected) (const sus_mark_t *mark, void *context);
-  void (*doubted) (void *context);
   void *context;
 } gwy_options_t;
 
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -54,19 +54,6 @@
   uint32_t slots;
 } egn_load_t;
 
-/**
- * struct egn_doubt - an engine that brings nothing, as one gateway sees it, for another one
- * @engine: hash of the engine
- * @silent_us: since when it owes an answer
- * @told_us: when the gateway that sees it last said so
- */
-typedef struct
-{
-  uint64_t engine;
-  uint64_t silent_us;
-  uint64_t told_us;
-} egn_doubt_t;
-
 /**
  * struct egn - an engine
  * @hash: of its id and its start: what is known of one start doesn't hold for the next, whose cache
@@ -84,7 +71,6 @@
  * @heard_us: when a byte of it came last
  * @sent_us: when a request of this router went there last
  * @asked_us: when the first request after that byte went there
- * @silent_us: since when it owes an answer to some gateway, which said so at @doubted_us
  * @since_us: when it was seen first; 0 when it was there before this router knew any
  * @idle_ms: how long it keeps an idle connection; 0 when it didn't say
  */
@@ -108,8 +94,6 @@
   uint64_t heard_us;
   uint64_t asked_us;
   uint64_t sent_us;
-  uint64_t silent_us;
-  uint64_t doubted_us;
   uint64_t since_us;
   uint64_t cold_until_us;
   uint32_t idle_ms;
@@ -146,13 +130,6 @@
 #define EGN_SILENT_FACTOR 4
 /* It gets a single request after so long, so that one that is sound again is found. */
 #define EGN_SILENT_PROBE_US (UINT64_C (4000) * 1000)
-/*
- * A gateway among many finds a dark engine by requests of its own, one each, that are lost where
- * they can't go on elsewhere. Those who hear of it by a peer send it nothing for as long as it is
- * told again, and this long after: some messages may be lost. Who has heard a byte of the engine
- * since knows better.
- */
-#define EGN_DOUBTED_US (UINT64_C (1500) * 1000)
 #define EGN_SKIP_MIN_US (UINT64_C (500) * 1000)
 #define EGN_SKIP_MAX_US (UINT64_C (4000) * 1000) /* a crashed engine is back after some seconds */
 /* A probe is likely to fail. What may go on at another engine is lost for a moment only; the rest
@@ -184,12 +161,6 @@
 /** egs_set_complete() - all engines that were there before are known */
 void egs_set_complete (egs_t *egs);
 uint32_t egs_count (const egs_t *egs);
-/** egs_doubts() - up to @want engines that are doubted, the ones told last first. Return: how many
- */
-uint32_t egs_doubts (const egs_t *egs, uint64_t now_us, egn_doubt_t *out, uint32_t want);
-/** egs_doubt() - a gateway, this one or a peer, sees that an engine brings nothing. Return: whether
- * that is news */
-bool egs_doubt (egs_t *egs, uint64_t now_us, const egn_doubt_t *doubt);
 
 /** egn_begin() - a request goes there; keeps the engine */
 void egn_begin (egn_t *egn, uint64_t now_us);
@@ -220,9 +191,6 @@
  * probe is due; @usual_us: from a send to the head of an answer; @repeatable as in
  * egn_is_skipped() */
 bool egn_is_silent (const egn_t *egn, uint64_t now_us, uint64_t usual_us, bool repeatable);
-/** egn_is_doubted() - some gateway waits for its answers in vain, and it has not been heard since
- */
-bool egn_is_doubted (const egn_t *egn, uint64_t now_us);
 /** egn_paced() - an answer took @ratio_milli of the usual time, see pac_sample() */
 void egn_paced (egn_t *egn, uint64_t now_us, uint32_t ratio_milli);
 /** egn_pace_now() - of its late answers, against the usual, in thousandths; 1000 when not known */
--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -127,8 +127,7 @@
 {
   return egn_errors_now (egn, world->now_us) > world->error_limit_milli ||
          world->now_us < egn->cold_until_us || egn_pace_now (egn, world->now_us) > SPR_PACE_MILLI ||
-         egn_is_silent (egn, world->now_us, world->request->head_us, world->request->repeatable) ||
-         (!world->request->repeatable && egn_is_doubted (egn, world->now_us));
+         egn_is_silent (egn, world->now_us, world->request->head_us, world->request->repeatable);
 }
 
 /*
