When engines are crowded, prompts keep to the first few in rank

By the logs of places ranks 0 to 11 were used alike: each request took whatever slot came free, and had its prompt read there anew; engines that could do the work with their caches (1 million prompt tokens a second of 5.6) can't without. Ruled out: placing by stale loads (ranks are flat as engines are full, not as they seem over the bound). Change: from 80% of the slots on a request with shared parts goes to one of its first three engines in rank or waits; who waits for a full engine holds up its own account only, so a slot goes to one that wants that engine. Tests: test_crowded_parts_keep_to_the_first_few, test_one_that_may_not_start_holds_up_its_account_only.

--- a/bench/gateway/sim_gateway.c
+++ b/bench/gateway/sim_gateway.c
@@ -226,20 +226,33 @@
     refuse (sim, request, RETRY_MIN_US);
 }
 
+/** struct pick - context of may_start(); @choice: for the request that it was asked for last */
+typedef struct
+{
+  sim_t *sim;
+  spr_choice_t choice;
+} pick_t;
+
+static bool
+may_start (void *owner, void *context)
+{
+  pick_t *pick = context;
+
+  pick->choice = choose (pick->sim, owner);
+  return pick->choice.action != SPR_WAIT;
+}
+
 static void
 pump (sim_t *sim, lin_t *line)
 {
+  pick_t pick = { .sim = sim };
   sim_request_t *request;
 
-  while ((request = lin_first (line)))
+  while ((request = lin_first (line, may_start, &pick)))
     {
-      spr_choice_t choice = choose (sim, request);
-
-      if (choice.action == SPR_WAIT)
-        return;
-      if (choice.action == SPR_SEND)
+      if (pick.choice.action == SPR_SEND)
         {
-          send_to (sim, request, choice.engine);
+          send_to (sim, request, pick.choice.engine);
           continue;
         }
       lin_remove (line, &request->line);
--- a/src/request/gateway/gateway_wait.c
+++ b/src/request/gateway/gateway_wait.c
@@ -59,17 +59,24 @@
   gwy_call_give_up (call, VRD_REASON_DEADLINE, in_ms (wait_us));
 }
 
+/* It is sent, or refused as nobody is left to ask; @context is where the choice goes. */
+static bool
+may_start (void *owner, void *context)
+{
+  spr_choice_t *choice = context;
+
+  *choice = gwy_call_choose (owner);
+  return choice->action != SPR_WAIT;
+}
+
 void
 gwy_wait_pump (gwy_service_t *service)
 {
+  spr_choice_t choice;
   gwy_call_t *call;
 
-  while ((call = lin_first (service->line)))
+  while ((call = lin_first (service->line, may_start, &choice)))
     {
-      spr_choice_t choice = gwy_call_choose (call);
-
-      if (choice.action == SPR_WAIT)
-        return;
       if (choice.action == SPR_SEND)
         {
           gwy_hop_send (call, &choice);
--- a/src/request/policy/line.c
+++ b/src/request/policy/line.c
@@ -126,6 +126,12 @@
   fq_remove (lin->queue, &item->fair);
 }
 
+static bool
+is_item (const fq_item_t *item, void *context)
+{
+  return item == context;
+}
+
 /* Also one that found room at once is charged: else an account that had all of the slots would have
  * as much of them again as soon as others wait. */
 void
@@ -133,7 +139,7 @@
 {
   if (item->waiting)
     {
-      fq_item_t *first = fq_pop (lin->queue);
+      fq_item_t *first = fq_pop_allowed (lin->queue, is_item, &item->fair);
 
       g_assert (first == &item->fair);
       item->waiting = false;
@@ -143,18 +149,26 @@
   fq_served (lin->queue, &item->fair);
 }
 
+/** struct ask - the owner's answer to whether a request may start */
+typedef struct
+{
+  lin_may_t may;
+  void *context;
+} ask_t;
+
 static bool
-any (const fq_item_t *item, void *context)
+may_start (const fq_item_t *item, void *context)
 {
-  (void)item;
-  (void)context;
-  return true;
+  const ask_t *ask = context;
+
+  return ask->may (item->owner, ask->context);
 }
 
 void *
-lin_first (const lin_t *lin)
+lin_first (const lin_t *lin, lin_may_t may, void *context)
 {
-  fq_item_t *item = fq_peek_allowed (lin->queue, any, NULL);
+  ask_t ask = { may, context };
+  fq_item_t *item = fq_peek_allowed (lin->queue, may_start, &ask);
 
   return item ? item->owner : NULL;
 }
--- a/src/request/policy/line.h
+++ b/src/request/policy/line.h
@@ -63,8 +63,11 @@
 lin_outcome_t
 lin_push (lin_t *lin, uint64_t now_us, const lin_room_t *room, lin_item_t *item, uint64_t *wait_us);
 void lin_remove (lin_t *lin, lin_item_t *item);
-/** lin_first() - owner of the request that starts next, or NULL */
-void *lin_first (const lin_t *lin);
+/** lin_may_t - whether the request of @owner may start now */
+typedef bool (*lin_may_t) (void *owner, void *context);
+/** lin_first() - owner of the request that starts next, or NULL. One that may not start holds up
+ * its own account only */
+void *lin_first (const lin_t *lin, lin_may_t may, void *context);
 /** lin_start() - @item goes to an engine: lin_first(), or one that did not have to wait. Its
  * account is charged for it */
 void lin_start (lin_t *lin, lin_item_t *item);
--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -16,6 +16,7 @@
   uint64_t usual_milli;
   uint32_t error_limit_milli;
   bool distrust;
+  bool crowded;
 } world_t;
 
 static egn_t *
@@ -95,6 +96,7 @@
 survey (world_t *world)
 {
   uint64_t own = 0;
+  uint64_t slots = 0;
   uint32_t skipped = 0;
 
   weigh (world);
@@ -106,11 +108,13 @@
         continue;
       world->open++;
       own += egn->own;
+      slots += egn_slots (egn, world->request->default_slots);
       skipped += egn->failures >= EGN_FAILURES ? 1 : 0;
     }
   if (world->mean_milli == 0 && world->open > 0)
     world->mean_milli = own * MILLI / world->open;
   world->distrust = skipped * 2 > world->open;
+  world->crowded = slots > 0 && world->mean_milli * world->open >= slots * SPR_CROWDED_MILLI;
   world->error_limit_milli = error_limit (world);
 }
 
@@ -191,6 +195,30 @@
   return XXH64 (&egn->rank_hash, sizeof egn->rank_hash, world->request->affinity);
 }
 
+/* Return: the rank of the last of the first few, of those that may be asked and are trusted; 0 when
+ * there are no more than that many, UINT64_MAX when there is none */
+static uint64_t
+few_rank (const world_t *world)
+{
+  uint64_t top[SPR_FEW_HOMES] = { 0 };
+
+  for (guint i = 0; i < world->engines->len; i++)
+    {
+      const egn_t *egn = engine_at (world, i);
+      uint64_t rank = rank_of (world, egn);
+      uint32_t at = SPR_FEW_HOMES;
+
+      if (!may_ask (world, egn) || is_doubtful (world, egn))
+        continue;
+      for (; at > 0 && top[at - 1] < rank; at--)
+        if (at < SPR_FEW_HOMES)
+          top[at] = top[at - 1];
+      if (at < SPR_FEW_HOMES)
+        top[at] = rank;
+    }
+  return top[0] == 0 ? UINT64_MAX : top[SPR_FEW_HOMES - 1];
+}
+
 /** struct wish - what an engine must be to be chosen */
 typedef struct
 {
@@ -256,16 +284,43 @@
   return best;
 }
 
+/*
+ * Where slots are scarce, a request that took any free one would have its prompt read there anew,
+ * and all engines would do nothing else: in 3.5 times the traffic ranks from 0 to 11 were used
+ * alike, and a day's worth fell below zero. So it waits for the first few in rank, whose caches
+ * hold its part; the slot goes to one that waits for just that engine.
+ */
+static egn_t *
+first_of_few (const world_t *world, uint64_t last_rank)
+{
+  egn_t *best = NULL;
+
+  for (guint i = 0; i < world->engines->len; i++)
+    {
+      egn_t *egn = engine_at (world, i);
+
+      if (rank_of (world, egn) < last_rank || !meets (world, egn, (wish_t){ .trusted = true }))
+        continue;
+      if (!best || load_of (world, egn) < load_of (world, best))
+        best = egn;
+    }
+  return best;
+}
+
 /* An engine over the bound makes all its requests wait, one that errs fails some: the bound goes
  * before the doubt. */
 static egn_t *
 choose_engine (const world_t *world)
 {
   static const wish_t wishes[] = { { true, true }, { true, false }, { false, false } };
+  bool few_only = world->crowded && world->request->affinity != 0;
+  uint64_t last_rank = few_only ? few_rank (world) : UINT64_MAX;
   egn_t *egn = NULL;
 
   if (world->request->affinity != 0)
     egn = first_in_rank (world, wishes[0]);
+  if (last_rank != UINT64_MAX)
+    return egn && rank_of (world, egn) >= last_rank ? egn : first_of_few (world, last_rank);
   for (size_t i = 0; !egn && i < G_N_ELEMENTS (wishes); i++)
     egn = least_loaded (world, wishes[i]);
   return egn;
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -36,10 +36,18 @@
   CU_ASSERT_EQUAL (push_by (lin, asker, account, priority, NOW_US + 60 * CLK_US_PER_S), LIN_WAITS);
 }
 
+static bool
+any (void *owner, void *context)
+{
+  (void)owner;
+  (void)context;
+  return true;
+}
+
 static asker_t *
 start_first (lin_t *lin)
 {
-  asker_t *asker = lin_first (lin);
+  asker_t *asker = lin_first (lin, any, NULL);
 
   if (asker)
     lin_start (lin, &asker->line);
@@ -49,7 +57,7 @@
 static void
 remove_all (lin_t *lin)
 {
-  for (asker_t *asker = lin_first (lin); asker; asker = lin_first (lin))
+  for (asker_t *asker = lin_first (lin, any, NULL); asker; asker = lin_first (lin, any, NULL))
     lin_remove (lin, &asker->line);
 }
 
@@ -211,6 +219,35 @@
   CU_ASSERT_EQUAL (lin_count (lin), 0);
 }
 
+static bool
+is_not (void *owner, void *context)
+{
+  return owner != context;
+}
+
+/* The request at the head of an account waits for engines that are full. The account behind it has
+ * one whose engine has room: it starts, and is charged, while the first one keeps its place. */
+static void
+test_one_that_may_not_start_holds_up_its_account_only (void)
+{
+  lin_t *lin = lin_new ();
+  asker_t blocked = { 0 };
+  asker_t behind = { 0 };
+  asker_t other = { 0 };
+
+  push (lin, &blocked, 1, 0);
+  push (lin, &behind, 1, 0);
+  push (lin, &other, 2, 0);
+  CU_ASSERT_PTR_EQUAL (lin_first (lin, any, NULL), &blocked);
+  CU_ASSERT_PTR_EQUAL (lin_first (lin, is_not, &blocked), &other);
+  lin_start (lin, &other.line);
+  CU_ASSERT_PTR_NULL (lin_first (lin, is_not, &blocked));
+  CU_ASSERT_EQUAL (lin_count (lin), 2);
+  CU_ASSERT_PTR_EQUAL (start_first (lin), &blocked);
+  CU_ASSERT_PTR_EQUAL (start_first (lin), &behind);
+  lin_free (lin);
+}
+
 int
 main (void)
 {
@@ -222,6 +259,8 @@
                                        SUITE_TEST (test_hopeless_is_refused_at_once),
                                        SUITE_TEST (test_waiting_ends_before_the_deadline),
                                        SUITE_TEST (test_line_is_bounded),
+                                       SUITE_TEST (
+                                           test_one_that_may_not_start_holds_up_its_account_only),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("line", tests);
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -619,6 +619,48 @@
   unload (egs, 12);
 }
 
+/*
+ * Three and a half times the traffic: nearly all slots are taken. An engine far down in rank has
+ * one free. A request that took it would have its whole prompt read there, and so would all:
+ * engines would do nothing else, and answer fewer than half. It waits for the first few in rank,
+ * and goes to one of them as soon as that has room.
+ */
+static void
+test_crowded_parts_keep_to_the_first_few (void)
+{
+  g_autoptr (egs_t) egs = make_engines (12);
+  const GPtrArray *list = egs_list (egs, g_intern_static_string ("pool"));
+  spr_request_t request = { .affinity = 9, .data_center = HERE, .gateways = 22 };
+  egn_t *few[SPR_FEW_HOMES];
+  egn_t *far = NULL;
+
+  for (uint32_t i = 0; i < SPR_FEW_HOMES; i++)
+    {
+      request.tried = (uint64_t[]){ i > 0 ? few[0]->hash : 0, i > 1 ? few[1]->hash : 0 };
+      request.tried_count = i;
+      few[i] = spr_choose (list, NOW_US, &request).engine;
+    }
+  request.tried_count = 0;
+  for (guint k = 0; k < list->len; k++)
+    {
+      egn_t *egn = g_ptr_array_index (list, k);
+      bool is_few = egn == few[0] || egn == few[1] || egn == few[2];
+
+      egn_told (egn, NOW_US, &(egn_load_t){ .running = 8, .slots = 8 });
+      if (!is_few)
+        far = egn;
+    }
+  for (uint32_t i = 0; i < SPR_FEW_HOMES; i++)
+    load (few[i], 2); /* as many as this gateway may keep in an engine's queue */
+  egn_told (far, NOW_US, &(egn_load_t){ .running = 7, .slots = 8 });
+  CU_ASSERT_EQUAL (spr_choose (list, NOW_US, &request).action, SPR_WAIT);
+  egn_told (few[2], NOW_US, &(egn_load_t){ .running = 7, .slots = 8 });
+  CU_ASSERT_PTR_EQUAL (spr_choose (list, NOW_US, &request).engine, few[2]);
+  request.affinity = 0;
+  CU_ASSERT_EQUAL (spr_choose (list, NOW_US, &request).action, SPR_SEND);
+  unload (egs, 12);
+}
+
 int
 main (void)
 {
@@ -649,6 +691,7 @@
                                        SUITE_TEST (test_unknown_load_is_the_usual_one),
                                        SUITE_TEST (test_margin_goes_with_gateways_and_free_slots),
                                        SUITE_TEST (test_few_gateways_keep_parts_at_home),
+                                       SUITE_TEST (test_crowded_parts_keep_to_the_first_few),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("spread", tests);
