--- a/src/request/gateway/gateway_wait.c
+++ b/src/request/gateway/gateway_wait.c
@@ -72,7 +72,7 @@
 void
 gwy_wait_pump (gwy_service_t *service)
 {
-  spr_choice_t choice;
+  spr_choice_t choice = { 0 };
   gwy_call_t *call;
 
   while ((call = lin_first (service->line, may_start, &choice)))
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -652,6 +652,7 @@
     }
   for (uint32_t i = 0; i < SPR_FEW_HOMES; i++)
     load (few[i], 2); /* as many as this gateway may keep in an engine's queue */
+  CU_ASSERT_PTR_NOT_NULL_FATAL (far);
   egn_told (far, NOW_US, &(egn_load_t){ .running = 7, .slots = 8 });
   CU_ASSERT_EQUAL (spr_choose (list, NOW_US, &request).action, SPR_WAIT);
   egn_told (few[2], NOW_US, &(egn_load_t){ .running = 7, .slots = 8 });
