A fetch from a peer says nothing of the streams it did not ask for

Cause, found in reading: each fetch of engines' entries also cleared that a newer version was known of, so while engines come and go a peer was never asked for a version that the store did not give. Change: only what was asked for is noted.

--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -240,6 +240,21 @@
   return reason;
 }
 
+/* Of the streams that were not asked for nothing has come: who is behind with them still is. */
+static void
+note_asked (gst_t *gst, bool taken)
+{
+  for (uint32_t i = 0; i < STREAMS; i++)
+    {
+      if (!gst->asked[i])
+        continue;
+      if (taken)
+        rdu_caught_up (&gst->duties[i], true);
+      else
+        rdu_give_up (&gst->duties[i]);
+    }
+}
+
 static void
 on_fetched (const gft_end_t *end, void *context)
 {
@@ -247,11 +262,7 @@
   g_autofree char *peer = set_address_text (end->peer);
   const char *reason = adopt (gst, end);
 
-  for (uint32_t i = 0; i < STREAMS; i++)
-    if (reason || !gst->asked[i])
-      rdu_give_up (&gst->duties[i]);
-    else
-      rdu_caught_up (&gst->duties[i], true);
+  note_asked (gst, reason == NULL);
   log_event (LOG_LEVEL_NOTICE, "view_from_peer", "peer", peer, "outcome",
              reason ? "not_taken" : "taken", "reason", reason, "version",
              LOG_U64 (gst->options.version (gst->options.context)), "engines_next",
