--- a/src/request/policy/spread.h
+++ b/src/request/policy/spread.h
@@ -32,9 +32,11 @@
  */
 #define SPR_SHARE_PART 2
 #define SPR_MARGIN_KEPT 2 /* one part in so many of the margin stays when engines are full */
-/* Engines are crowded from this share of their slots on, in thousandths. */
+/* Engines are crowded from this share of their slots on, in thousandths. Below it a free slot is
+ * found near the first in rank anyway; other values were not measured. */
 #define SPR_CROWDED_MILLI 800
-/* Engines in rank that a request may go to then: a part has so many homes at most. */
+/* Engines in rank that a request may go to then: a part has so many homes at most. Three, so that
+ * one that fails and one that is full leave another; other values were not measured. */
 #define SPR_FEW_HOMES 3
 /* An engine of the own data centre is preferred while it has at most so many requests more. */
 #define SPR_NEAR_MORE 1
