--- a/bench/bench_gateway.c
+++ b/bench/bench_gateway.c
@@ -1,10 +1,12 @@
 /**
  * DOC: bench_gateway
  *
- * The gateway's decisions under the load and the faults of two deployments, beside baselines: a
- * line for each policy, fault and deployment, summed over seeds. See docs/measurements/gateway.md.
+ * The gateway's decisions under the load and the faults of two deployments, or of one that a file
+ * describes, beside baselines: a line for each policy, fault and deployment, summed over seeds. See
+ * docs/measurements/gateway.md.
  */
 #include "gateway/sim.h"
+#include "gateway/site_file.h"
 
 #include <getopt.h>
 #include <stdio.h>
@@ -13,9 +15,10 @@
 
 #define SEEDS 3
 
-/** struct pick - what to run; NULL or negative for all */
+/** struct pick - what to run; NULL or negative for all; @file: in place of the two deployments */
 typedef struct
 {
+  const sit_t *file;
   const char *site;
   const char *fault;
   const char *policy;
@@ -84,6 +87,19 @@
   fflush (stdout);
 }
 
+static void
+run_site (const pick_t *pick, const sit_t *site)
+{
+  for (int fault = 0; fault < SIM_FAULTS; fault++)
+    for (int policy = 0; policy < SIM_POLICIES; policy++)
+      if (wanted (sim_fault_name ((sim_fault_t)fault), pick->fault) &&
+          wanted (sim_policy_name ((sim_policy_t)policy), pick->policy))
+        run (&(sim_options_t){ .site = site,
+                               .fault = (sim_fault_t)fault,
+                               .policy = (sim_policy_t)policy },
+             pick->seeds);
+}
+
 static void
 run_all (const pick_t *pick)
 {
@@ -92,32 +108,31 @@
   printf (
       "site\tfault\tpolicy\trequests\ton_time\tlate\trefused\tfailed\trefused_late\tquiet_served\t"
       "read\tretries_beyond\tover_cap\tpeak\n");
-  for (uint32_t i = 0; (site = sit_at (i)); i++)
-    for (int fault = 0; fault < SIM_FAULTS; fault++)
-      for (int policy = 0; policy < SIM_POLICIES; policy++)
-        if (wanted (site->name, pick->site) &&
-            wanted (sim_fault_name ((sim_fault_t)fault), pick->fault) &&
-            wanted (sim_policy_name ((sim_policy_t)policy), pick->policy))
-          run (&(sim_options_t){ .site = site,
-                                 .fault = (sim_fault_t)fault,
-                                 .policy = (sim_policy_t)policy },
-               pick->seeds);
+  if (pick->file)
+    run_site (pick, pick->file);
+  for (uint32_t i = 0; !pick->file && (site = sit_at (i)); i++)
+    if (wanted (site->name, pick->site))
+      run_site (pick, site);
 }
 
 static void
 usage (FILE *out)
 {
-  fputs ("usage: bench-gateway [--site NAME] [--fault NAME] [--policy NAME] [--seeds N]\n", out);
+  fputs ("usage: bench-gateway [--site NAME | --file PATH] [--fault NAME] [--policy NAME] [--seeds "
+         "N]\n",
+         out);
 }
 
 int
 main (int argc, char **argv)
 {
-  static const struct option options[] = {
-    { "site", required_argument, NULL, 's' },   { "fault", required_argument, NULL, 'f' },
-    { "policy", required_argument, NULL, 'p' }, { "seeds", required_argument, NULL, 'n' },
-    { "help", no_argument, NULL, 'h' },         { 0 }
-  };
+  static const struct option options[] = { { "site", required_argument, NULL, 's' },
+                                           { "fault", required_argument, NULL, 'f' },
+                                           { "file", required_argument, NULL, 'F' },
+                                           { "policy", required_argument, NULL, 'p' },
+                                           { "seeds", required_argument, NULL, 'n' },
+                                           { "help", no_argument, NULL, 'h' },
+                                           { 0 } };
   pick_t pick = { .seeds = SEEDS };
   int option;
 
@@ -127,6 +142,11 @@
       case 's':
         pick.site = optarg;
         break;
+      case 'F':
+        pick.file = sif_read (optarg);
+        if (!pick.file)
+          return 2;
+        break;
       case 'f':
         pick.fault = optarg;
         break;
