--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -96,23 +96,21 @@
  * if this gateway alone was cut off from it: then their engines are gone, and bound by that.
  */
 static bool
-was_out (const gst_t *gst)
+may_have_lapsed (const gst_t *gst)
 {
-  uint64_t after_us = (uint64_t)GST_OUT_AFTER_MS * CLK_US_PER_MS;
+  bool unsure = gst->adopting ? gst->unsettled : sfl_is_catching_up (gst->follows[ENGINES]);
 
-  return gst->out_until_us != 0 && now_us (gst) - gst->out_until_us < after_us;
+  return rdu_may_have_lapsed (gst->out_until_us, unsure, now_us (gst));
 }
 
 static void
 on_engine (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
 {
   gst_t *gst = context;
-  bool catching_up = sfl_is_catching_up (gst->follows[ENGINES]);
 
   note_heard (gst, sfl_heard_us (gst->follows[ENGINES]));
   note_record (gst, ENGINES);
-  gst->options.engine (key, value, value_bytes, offset,
-                       gst->adopting ? gst->unsettled : catching_up && was_out (gst),
+  gst->options.engine (key, value, value_bytes, offset, may_have_lapsed (gst),
                        gst->options.context);
 }
 
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -47,8 +47,6 @@
 /* Entries lapse after three heartbeats, which are over a second apart, that the store did not take.
  * While some gateway hears the store more often than this, it was not out. */
 #define GST_OUT_MS 2500
-#define GST_OUT_AFTER_MS                                                                           \
-  5000 /* so long after an outage entries may be found to have lapsed in it */
 #define GST_FETCH_PACE_MS 300 /* between two questions to peers */
 
 /**
--- a/src/request/policy/read_duty.c
+++ b/src/request/policy/read_duty.c
@@ -76,3 +76,9 @@
     patience_us = 0;
   return is_behind_for (rdu, now_us, patience_us);
 }
+
+bool
+rdu_may_have_lapsed (uint64_t out_until_us, bool unsure, uint64_t now_us)
+{
+  return unsure && out_until_us != 0 && now_us < out_until_us + RDU_LAPSE_US;
+}
--- a/src/request/policy/read_duty.h
+++ b/src/request/policy/read_duty.h
@@ -33,6 +33,15 @@
   RDU_READ    /* one read */
 } rdu_read_t;
 
+/*
+ * So long after the store's return entries may be found to have lapsed while it was out: engines
+ * are back in it two seconds after, and a read that began in the outage ends within one. Taken for
+ * lapsed later, an entry that was removed since is kept for 2.5 s more, here and at all peers that
+ * take it over, and its engine gets requests after it has left: 3.0 to 3.3 s after, where 3 s is
+ * allowed.
+ */
+#define RDU_LAPSE_US (UINT64_C (3000) * 1000)
+
 /**
  * struct rdu_stream - what does not change of a stream
  * @small: its records are small: news of them comes from peers. Large ones are read at the store,
@@ -91,4 +100,9 @@
                     const rdu_view_t *view,
                     uint64_t now_us);
 
+/** rdu_may_have_lapsed() - whether an entry that is found dropped now may have lapsed while the
+ * store was out, until @out_until_us (0 for never); @unsure: it was dropped while the store could
+ * not be read here, or the peer that tells of it is not sure */
+bool rdu_may_have_lapsed (uint64_t out_until_us, bool unsure, uint64_t now_us);
+
 #endif
--- a/tests/test_read_duty.c
+++ b/tests/test_read_duty.c
@@ -126,6 +126,21 @@
   CU_ASSERT (rdu_asks_peer (&rdu, &engines, &rest, START_US + 2));
 }
 
+/*
+ * The store was out and is back; engines whose entries lapsed write them again within two seconds.
+ * After that an entry goes as its engine leaves. It must not be kept, however unsure the peer is
+ * that tells of it: callers' requests would reach an engine that has left.
+ */
+static void
+test_entries_lapse_only_around_an_outage (void)
+{
+  CU_ASSERT (rdu_may_have_lapsed (START_US, true, START_US + RDU_LAPSE_US - 1));
+  CU_ASSERT (!rdu_may_have_lapsed (START_US, true, START_US + RDU_LAPSE_US));
+  CU_ASSERT (!rdu_may_have_lapsed (START_US, false, START_US));
+  CU_ASSERT (!rdu_may_have_lapsed (0, true, START_US));
+  CU_ASSERT (!rdu_may_have_lapsed (START_US, true, START_US + 4500 * CLK_US_PER_MS));
+}
+
 int
 main (void)
 {
@@ -137,6 +152,7 @@
                                        SUITE_TEST (test_peer_is_asked_soon_while_the_store_is_lost),
                                        SUITE_TEST (test_copy_of_a_peer_vouches),
                                        SUITE_TEST (test_lost_copy_vouches_for_nothing),
+                                       SUITE_TEST (test_entries_lapse_only_around_an_outage),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("read_duty", tests);
