--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -126,32 +126,30 @@
   remove_engine (gwp, id, offset);
 }
 
-/* Return: the state that the registry told before of the same start of the engine, EGN_GONE when it
- * told none */
-static egn_state_t
-state_before (gwp_t *gwp, const egn_entry_t *entry, uint64_t offset)
+/** struct former - what was known under an id before an entry came; @state EGN_GONE when nothing
+ * was */
+typedef struct
 {
-  const egn_t *before = egs_find (gwp->engines, entry->id);
-  set_address_t address;
+  egn_state_t state;
   uint64_t hash;
+  set_address_t address;
+} former_t;
+
+static former_t
+former_of (const gwp_t *gwp, const char *id)
+{
+  const egn_t *egn = egs_find (gwp->engines, id);
 
-  if (!before)
-    return EGN_GONE;
-  if (before->entry.born_ms >= entry->born_ms)
-    return before->entry.state;
-  hash = before->hash;
-  address = before->entry.address;
-  egs_put (gwp->engines, now_us (gwp), entry);
-  log_engine (gwp, entry->id, "restarted", offset);
-  gwy_engine_restarted (gwp->gwy, hash, &address);
-  return EGN_GONE;
+  if (!egn)
+    return (former_t){ .state = EGN_GONE };
+  return (former_t){ egn->entry.state, egn->hash, egn->entry.address };
 }
 
 static void
 put_engine (gwp_t *gwp, const char *id, const char *value, size_t value_bytes, uint64_t offset)
 {
+  former_t former = former_of (gwp, id);
   egn_entry_t entry;
-  egn_state_t before;
   const egn_t *engine;
   GError *error = NULL;
 
@@ -161,9 +159,14 @@
       return;
     }
   g_hash_table_remove (gwp->lapsed, id);
-  before = state_before (gwp, &entry, offset);
   engine = egs_put (gwp->engines, now_us (gwp), &entry);
-  if (engine->entry.state == before)
+  if (former.state != EGN_GONE && engine->hash != former.hash)
+    {
+      log_engine (gwp, id, "restarted", offset);
+      gwy_engine_restarted (gwp->gwy, former.hash, &former.address);
+      former.state = EGN_GONE;
+    }
+  if (engine->entry.state == former.state)
     return;
   log_engine (gwp, id, engine->entry.state == EGN_READY ? "ready" : "leaving", offset);
   gst_tell_news (gwp->store);
