One copy of the fading and of the reading of hex; figures that were worked out say so

Cause: read again as a newcomer. What is held against an engine faded by the same lines twice (errors, pace); sixteen hex digits were read by the same loop in hop.c and claim_record.c; the name of a request's service was looked up by the same line twice in the simulation of bench-gateway.

Change: faded() in engines.c; dgt_parse_hex() beside dgt_hex(), whose callers all read sixteen digits after a check of the length; service_of(). A comment held a figure that was taken over and not measured here (53 of 96 failures): gone. Two in gateway_peers.h are by calculation and now say that.

--- a/bench/gateway/sim_gateway.c
+++ b/bench/gateway/sim_gateway.c
@@ -123,11 +123,16 @@
   return choice;
 }
 
+static const char *
+service_of (const sim_t *sim, const sim_request_t *request)
+{
+  return g_intern_string (sim->site->services[request->kind->service].name);
+}
+
 static spr_choice_t
 choose (sim_t *sim, const sim_request_t *request)
 {
-  const char *service = g_intern_string (sim->site->services[request->kind->service].name);
-  const GPtrArray *engines = egs_list (request->gateway->engines, service);
+  const GPtrArray *engines = egs_list (request->gateway->engines, service_of (sim, request));
   char data_center[16];
 
   if (is_plain (sim))
@@ -191,9 +196,8 @@
 static lin_room_t
 room_of (const sim_t *sim, const sim_request_t *request)
 {
-  const char *service = g_intern_string (sim->site->services[request->kind->service].name);
-
-  return (lin_room_t){ .slots = egs_open_slots (request->gateway->engines, service, sim->now_us),
+  return (lin_room_t){ .slots = egs_open_slots (request->gateway->engines,
+                                                service_of (sim, request), sim->now_us),
                        .gateways = sim->site->gateways };
 }
 
--- a/src/base/digits.c
+++ b/src/base/digits.c
@@ -1,5 +1,7 @@
 #include "base/digits.h"
 
+#include <glib.h>
+
 char *
 dgt_u64 (char *out, uint64_t value)
 {
@@ -23,3 +25,20 @@
     *out++ = digits[value >> shift & 0xf];
   return out;
 }
+
+bool
+dgt_parse_hex (const char *text, uint64_t *out)
+{
+  uint64_t value = 0;
+
+  for (uint32_t i = 0; i < DGT_HEX_BYTES; i++)
+    {
+      int digit = g_ascii_xdigit_value (text[i]);
+
+      if (digit < 0)
+        return false;
+      value = value << 4 | (uint64_t)digit;
+    }
+  *out = value;
+  return true;
+}
--- a/src/process/gateway_peers.h
+++ b/src/process/gateway_peers.h
@@ -25,12 +25,12 @@
 #define GPR_FANOUT 8 /* peers that ask the same one how it stands: 2 KB a second of answers */
 #define GPR_HEARD_US (UINT64_C (5000) * 1000) /* a peer heard within is alive */
 /* Of the exchange's interval, times the peers: a peer is heard four times in twice as long, by its
- * calls and by ours, so one in fifty is missed. */
+ * calls and by ours, so by calculation one in fifty is missed. */
 #define GPR_HEARD_TURNS 2
 /* An answer takes a few milliseconds; a host that is short of processor time takes longer. */
 #define GPR_ANSWER_US (UINT64_C (1000) * 1000)
-/* Peers that are told at once when the store has news; each tells as many in turn. Of 31 gateways
- * that leaves two on average that hear of it by their next regular message. */
+/* Peers that are told at once when the store has news; each tells as many in turn. By
+ * calculation two of 31 gateways are left that hear of it by their next regular message. */
 #define GPR_NEWS_TELLS 3
 
 /**
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -363,8 +363,7 @@
 }
 
 /* 503 promises that it has not run and never will, so a second send that finds no place must not
- * end by it: the first one may have run. What an engine said of it is worth more than 502: where
- * one plain engine was left of three, 53 of its 96 failures were replaced. */
+ * end by it: the first one may have run. What an engine said of it is worth more than 502. */
 void
 gwy_call_give_up (gwy_call_t *call, vrd_reason_t reason, uint32_t retry_after_ms)
 {
--- a/src/request/hop.c
+++ b/src/request/hop.c
@@ -78,29 +78,11 @@
   return difference == 0;
 }
 
-static bool
-parse_hex (const char *text, size_t digits, uint64_t *out)
-{
-  uint64_t value = 0;
-
-  for (size_t i = 0; i < digits; i++)
-    {
-      int digit = g_ascii_xdigit_value (text[i]);
-
-      if (digit < 0)
-        return false;
-      value = value << 4 | (uint64_t)digit;
-    }
-  *out = value;
-  return true;
-}
-
 static bool
 parse_hash (const char *text, uint64_t *out)
 {
   *out = 0;
-  return text[0] == '\0' ||
-         (strlen (text) == DGT_HEX_BYTES && parse_hex (text, DGT_HEX_BYTES, out));
+  return text[0] == '\0' || (strlen (text) == DGT_HEX_BYTES && dgt_parse_hex (text, out));
 }
 
 static bool
@@ -369,8 +351,8 @@
 bool
 hop_attempt_parse (const char *text, uint64_t attempt[2])
 {
-  return strlen (text) == 32 && parse_hex (text, 16, &attempt[0]) &&
-         parse_hex (text + 16, 16, &attempt[1]);
+  return strlen (text) == 2 * DGT_HEX_BYTES && dgt_parse_hex (text, &attempt[0]) &&
+         dgt_parse_hex (text + DGT_HEX_BYTES, &attempt[1]);
 }
 
 unsigned int
--- a/src/request/policy/claim_record.c
+++ b/src/request/policy/claim_record.c
@@ -1,5 +1,7 @@
 #include "request/policy/claim_record.h"
 
+#include "base/digits.h"
+
 #include <inttypes.h>
 #include <jansson.h>
 #include <string.h>
@@ -34,29 +36,14 @@
   return object;
 }
 
-static bool
-parse_hex (const char *text, size_t digits, uint64_t *out)
-{
-  uint64_t value = 0;
-  for (size_t i = 0; i < digits; i++)
-    {
-      int digit = g_ascii_xdigit_value (text[i]);
-      if (digit < 0)
-        return false;
-      value = value << 4 | (uint64_t)digit;
-    }
-  *out = value;
-  return true;
-}
-
 static bool
 get_hex (const json_t *object, const char *name, uint64_t *out, uint32_t words)
 {
   const char *text = json_string_value (json_object_get (object, name));
-  if (text == NULL || strlen (text) != 16 * words)
+  if (text == NULL || strlen (text) != DGT_HEX_BYTES * words)
     return false;
   for (uint32_t i = 0; i < words; i++)
-    if (!parse_hex (text + 16 * i, 16, &out[i]))
+    if (!dgt_parse_hex (text + DGT_HEX_BYTES * i, &out[i]))
       return false;
   return true;
 }
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -198,12 +198,19 @@
   return now_us < egn->full_until_us;
 }
 
+/* What is left of @milli, which was held against an engine at @at_us. */
+static uint32_t
+faded (uint32_t milli, uint64_t at_us, uint64_t now_us)
+{
+  uint64_t halvings = now_us > at_us ? (now_us - at_us) / EGN_ERROR_HALF_US : 0;
+
+  return halvings < 32 ? milli >> halvings : 0;
+}
+
 uint32_t
 egn_errors_now (const egn_t *egn, uint64_t now_us)
 {
-  uint64_t halvings = now_us > egn->error_us ? (now_us - egn->error_us) / EGN_ERROR_HALF_US : 0;
-
-  return halvings < 32 ? egn->error_milli >> halvings : 0;
+  return faded (egn->error_milli, egn->error_us, now_us);
 }
 
 static void
@@ -226,11 +233,9 @@
 uint32_t
 egn_pace_now (const egn_t *egn, uint64_t now_us)
 {
-  uint64_t halvings = now_us > egn->pace_us ? (now_us - egn->pace_us) / EGN_ERROR_HALF_US : 0;
-
   if (egn->pace_milli <= MILLI)
     return egn->pace_milli == 0 ? MILLI : egn->pace_milli;
-  return MILLI + (halvings < 32 ? (egn->pace_milli - MILLI) >> halvings : 0);
+  return MILLI + faded (egn->pace_milli - MILLI, egn->pace_us, now_us);
 }
 
 void
