Try, in parts: in an overload waits end with the aim of the route

Cause: a line ended waits only at the deadline, so in an overload all that is answered is late; an engine of many slots was filled beyond them by each gateway's 'one more'; an account's priority hid the route's. Change: waits end at the aim once requests wait without a break; queueing at engines only within the gateway's share of all slots; expected waits by the work of each route; routes are ranked within an account, also at the engines. Tests do not build yet.

--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -2,6 +2,9 @@
 
 #include "base/log.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 uint64_t
 gwy_now_us (const gwy_t *gwy)
 {
@@ -56,6 +59,17 @@
   return service;
 }
 
+gwy_usual_t *
+gwy_usual (gwy_t *gwy, const rte_route_t *route)
+{
+  uint64_t hash = XXH64 (route->name, strlen (route->name), 0);
+  gwy_usual_t *usual = &gwy->usual[hash % GWY_ROUTES];
+
+  if (usual->route_hash != hash)
+    *usual = (gwy_usual_t){ .route_hash = hash };
+  return usual;
+}
+
 static void
 pump_all (gwy_t *gwy)
 {
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -141,10 +141,23 @@
   event_add (call->timer, &wait);
 }
 
-static uint32_t
-priority_of (const rte_route_t *route, const rte_account_t *account)
+static lin_item_t
+line_item_of (gwy_call_t *call)
 {
-  return account && account->has_priority ? account->priority : route->priority;
+  gwy_usual_t *usual = gwy_usual (call->gwy, call->route);
+  uint64_t age_us = fas_age_us (&usual->first_ask, call->arrived_us, call->request.deadline_ms);
+  uint64_t aim_us = (uint64_t)call->route->aim_ms * CLK_US_PER_MS;
+
+  return (lin_item_t){ .arrived_us = call->arrived_us,
+                       .in_time_us = call->arrived_us + aim_us - MIN (age_us, aim_us),
+                       .run_us = usual->run_us,
+                       .returns = age_us > 0,
+                       .fair = { .account_hash = call->account ? call->account->hash : 0,
+                                 .priority = call->route->priority,
+                                 .has_precedence = call->account && call->account->has_priority,
+                                 .precedence = call->account ? call->account->priority : 0,
+                                 .deadline_us = call->deadline_us,
+                                 .owner = call } };
 }
 
 gwy_call_t *
@@ -167,11 +180,7 @@
   g_strlcpy (call->id, request->id ? request->id : "", sizeof call->id);
   call->arrived_us = gwy_now_us (gwy);
   call->deadline_us = deadline_of (route, request, call->arrived_us);
-  call->line = (lin_item_t){ .arrived_us = call->arrived_us,
-                             .fair = { .account_hash = account ? account->hash : 0,
-                                       .priority = priority_of (route, account),
-                                       .deadline_us = call->deadline_us,
-                                       .owner = call } };
+  call->line = line_item_of (call);
   call->affinity = route->sticky ? affinity_of (request) : 0;
   call->shared_parts = shared_parts_of (request);
   dice = XXH64 (call->id, strlen (call->id), gwy->next_number++);
@@ -217,7 +226,8 @@
       LOG_LEVEL_INFO, event, "id", call->id, "route", call->route->name, "version",
       LOG_U64 (rte_version (call->table)), "engine", call->engine ? call->engine->entry.id : NULL,
       "outcome", outcome, "reason", reason == VRD_REASON_NONE ? NULL : vrd_reason_name (reason),
-      "hops", LOG_U64 (call->hops), "status", LOG_U64 ((uint64_t)call->status), "ms",
+      "hops", LOG_U64 (call->hops), "status", LOG_U64 ((uint64_t)call->status), "head_ms",
+      call->headed ? LOG_U64 ((call->headed_us - call->sent_us) / CLK_US_PER_MS) : NULL, "ms",
       LOG_U64 ((now_us - call->arrived_us) / CLK_US_PER_MS), "left_ms",
       LOG_U64 (call->deadline_us > now_us ? (call->deadline_us - now_us) / CLK_US_PER_MS : 0),
       NULL);
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -133,13 +133,20 @@
 static pac_t *
 pace_of (const gwy_call_t *call)
 {
-  const char *name = call->route->name;
-  uint64_t hash = XXH64 (name, strlen (name), call->streaming);
-  gwy_pace_t *pace = &call->gwy->paces[hash % GWY_PACES];
+  gwy_usual_t *usual = gwy_usual (call->gwy, call->route);
 
-  if (pace->route_hash != hash)
-    *pace = (gwy_pace_t){ .route_hash = hash };
-  return &pace->pac;
+  return call->streaming ? &usual->event : &usual->answer;
+}
+
+static void
+note_run (gwy_call_t *call, uint64_t run_us)
+{
+  gwy_usual_t *usual = gwy_usual (call->gwy, call->route);
+
+  if (usual->run_us == 0)
+    usual->run_us = run_us;
+  usual->run_us = (usual->run_us * (GWY_RUN_GAIN - 1) + run_us) / GWY_RUN_GAIN;
+  lin_note_run (call->service->line, &call->line, run_us);
 }
 
 /* An answer that its caller takes slowly says nothing of the engine; and an event has a time only
@@ -165,7 +172,7 @@
 
   if (call->answer.not_run)
     return;
-  lin_note_run (call->service->line, &call->line, now_us - call->sent_us);
+  note_run (call, now_us - call->sent_us);
   if (call->status < STATUS_FAILURE)
     note_pace (call, now_us);
 }
@@ -315,6 +322,16 @@
     choice->source = NULL;
 }
 
+/* An account's priority goes before the route's, which orders requests of alike accounts. */
+static uint32_t
+priority_of (const gwy_call_t *call)
+{
+  uint32_t own = call->route->priority;
+  uint32_t first = call->account && call->account->has_priority ? call->account->priority : own;
+
+  return MIN (first, GWY_PRIORITIES - 1) * GWY_PRIORITIES + MIN (own, GWY_PRIORITIES - 1);
+}
+
 static void
 begin_hop (gwy_call_t *call, const spr_choice_t *choice)
 {
@@ -329,7 +346,7 @@
   call->held_up = false;
   call->heard_us = 0;
   memset (&call->answer, 0, sizeof call->answer);
-  lin_start (call->service->line, &call->line);
+  lin_start (call->service->line, now_us, &call->line);
   egn_begin (choice->engine, now_us);
   egn_probe (choice->engine, now_us);
 }
@@ -359,7 +376,7 @@
   hop = (fmt_hop_t){ .engine_id = choice->engine->entry.id,
                      .account = call->account ? call->account->name : NULL,
                      .cache_source = choice->source ? &choice->source->entry.address : NULL,
-                     .priority = call->line.fair.priority,
+                     .priority = priority_of (call),
                      .resumes = call->resuming,
                      .last_event = call->evs.last_id };
   begin_hop (call, choice);
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -16,6 +16,7 @@
 #include "request/gateway/event_split.h"
 #include "request/fault.h"
 #include "request/gateway/gateway.h"
+#include "request/policy/first_ask.h"
 #include "request/policy/line.h"
 #include "request/policy/pace.h"
 #include "request/policy/patience.h"
@@ -35,7 +36,7 @@
 #define GWY_FRESH_DIVISOR 4 /* of the idle time that the engine states */
 /* A retry sooner than this finds the same queue. */
 #define GWY_RETRY_MIN_MS 100
-#define GWY_RETRY_MAX_MS 2000
+#define GWY_RETRY_MAX_MS 8000
 #define GWY_SUSPECTS 256
 #define GWY_SUSPECT_US (UINT64_C (60) * CLK_US_PER_S) /* its caller has sent it again by then */
 /* A status check that many callers send alike runs at whichever engines crash, and after two would
@@ -47,7 +48,10 @@
 #define GWY_WATCH_TICKS 4   /* of those below between two looks at hops that bring nothing */
 #define GWY_WAIT_TICK_MS 25 /* waiting requests are looked at this often besides all events */
 /* Routes of which the usual times are known; of two in one place the later is kept. */
-#define GWY_PACES 256
+/* Of accounts, and of routes, that are told apart: engines know ten ranks in all. */
+#define GWY_PRIORITIES 3
+#define GWY_ROUTES 256
+#define GWY_RUN_GAIN 16 /* of the smoothing of a route's runs: about the last sixteen count */
 #define GWY_HISTOGRAMS 64 /* services with histograms of their own; all further ones share one */
 
 /**
@@ -68,12 +72,20 @@
   lat_t *failures;
 } gwy_service_t;
 
-/** struct gwy_pace - usual time of an event, or of an answer, on the route of that hash */
+/**
+ * struct gwy_usual - what is usual on the route of that hash
+ * @event, @answer: time of an event of a stream, and of a plain answer
+ * @first_ask: time that its callers have
+ * @run_us: that a request keeps its slot, smoothed; 0 before the first
+ */
 typedef struct
 {
   uint64_t route_hash;
-  pac_t pac;
-} gwy_pace_t;
+  pac_t event;
+  pac_t answer;
+  fas_t first_ask;
+  uint64_t run_us;
+} gwy_usual_t;
 
 struct gwy
 {
@@ -90,7 +102,7 @@
   sus_t *suspects;
   prv_t *proven; /* requests that were served lately */
   prv_t *warm;   /* shared parts that an engine read lately */
-  gwy_pace_t paces[GWY_PACES];
+  gwy_usual_t usual[GWY_ROUTES];
   uint32_t ticks;
   struct event *tick;
   uint64_t next_number;
@@ -158,6 +170,8 @@
 } gwy_call_t;
 
 gwy_service_t *gwy_service (gwy_t *gwy, const char *name);
+/** gwy_usual() - what is usual on @route */
+gwy_usual_t *gwy_usual (gwy_t *gwy, const rte_route_t *route);
 uint64_t gwy_now_us (const gwy_t *gwy);
 /** gwy_served() - an engine answered the request of @fingerprint: it is no suspect, here and at
  * peers */
--- a/src/request/gateway/gateway_wait.c
+++ b/src/request/gateway/gateway_wait.c
@@ -12,9 +12,11 @@
 }
 
 static uint32_t
-in_ms (uint64_t wait_us)
+retry_ms (const gwy_call_t *call, uint64_t wait_us)
 {
-  return (uint32_t)MIN (wait_us / CLK_US_PER_MS, UINT32_MAX);
+  uint64_t retry_us = lin_retry_us (call->service->line, gwy_now_us (call->gwy), wait_us);
+
+  return (uint32_t)MIN (retry_us / CLK_US_PER_MS, UINT32_MAX);
 }
 
 void
@@ -30,10 +32,10 @@
       gwy_call_log (call, "wait", "queued", VRD_REASON_OVER_BOUND);
       return;
     case LIN_TOO_LATE:
-      gwy_call_give_up (call, VRD_REASON_DEADLINE, in_ms (wait_us));
+      gwy_call_give_up (call, VRD_REASON_DEADLINE, retry_ms (call, wait_us));
       return;
     case LIN_FULL:
-      gwy_call_give_up (call, VRD_REASON_QUEUE_FULL, in_ms (wait_us));
+      gwy_call_give_up (call, VRD_REASON_QUEUE_FULL, retry_ms (call, wait_us));
       return;
     }
 }
@@ -41,7 +43,7 @@
 void
 gwy_wait_remove (gwy_call_t *call)
 {
-  lin_remove (call->service->line, &call->line);
+  lin_remove (call->service->line, gwy_now_us (call->gwy), &call->line);
 }
 
 void
@@ -56,7 +58,7 @@
   gwy_wait_remove (call);
   room = room_of (call->gwy, service);
   wait_us = lin_wait_us (service->line, &room, &call->line);
-  gwy_call_give_up (call, VRD_REASON_DEADLINE, in_ms (wait_us));
+  gwy_call_give_up (call, VRD_REASON_DEADLINE, retry_ms (call, wait_us));
 }
 
 /* It is sent, or refused as nobody is left to ask; @context is where the choice goes. */
--- a/src/request/policy/fairq.c
+++ b/src/request/policy/fairq.c
@@ -125,10 +125,16 @@
   return account->bands[band_to_serve (account)].head->data;
 }
 
+static uint32_t
+precedence_of (const fq_item_t *item)
+{
+  return item->has_precedence ? MIN (item->precedence, FQ_BANDS - 1) : band_of (item);
+}
+
 static uint64_t
-key_of (uint64_t start, uint32_t band)
+key_of (uint64_t start, const fq_item_t *item)
 {
-  return start + (uint64_t)band * FQ_HEAD_START;
+  return start + (uint64_t)precedence_of (item) * FQ_HEAD_START;
 }
 
 static void
@@ -144,11 +150,11 @@
   if (account->place == NULL)
     {
       account->finish = start_of (fq, account);
-      account->key = key_of (account->finish, band_to_serve (account));
+      account->key = key_of (account->finish, head_of (account));
       account->place = g_sequence_insert_sorted (fq->active, account, by_key, NULL);
       return;
     }
-  account->key = key_of (account->finish, band_to_serve (account));
+  account->key = key_of (account->finish, head_of (account));
   g_sequence_sort_changed (account->place, by_key, NULL);
 }
 
@@ -316,7 +322,7 @@
   const fq_account_t *other = find (fq, waiting->account_hash);
   if (account == other)
     return band_of (item) < band_of (waiting);
-  return key_of (start_of (fq, account), band_of (item)) < other->key;
+  return key_of (start_of (fq, account), item) < other->key;
 }
 
 fq_item_t *
@@ -380,7 +386,7 @@
       ahead.count += own->bands[i].length;
     }
   const uint64_t own_ahead = ahead.count > 0 ? scaled (ahead.cost, item->weight) : 0;
-  const uint64_t key = key_of (start_of (fq, own) + own_ahead, band);
+  const uint64_t key = key_of (start_of (fq, own) + own_ahead, item);
   GSequenceIter *at = g_sequence_get_begin_iter (fq->active);
   for (; !g_sequence_iter_is_end (at); at = g_sequence_iter_next (at))
     {
--- a/src/request/policy/fairq.h
+++ b/src/request/policy/fairq.h
@@ -31,6 +31,8 @@
   uint64_t account_hash;
   uint32_t weight;      /* thousandths */
   uint32_t priority;    /* 0 first */
+  bool has_precedence;  /* else @priority counts against other accounts too */
+  uint32_t precedence;  /* of its account against others; 0 first */
   uint32_t cost;        /* milliseconds of a slot */
   uint32_t queue_limit; /* of the account here */
   uint64_t queued_us;
--- a/src/request/policy/line.h
+++ b/src/request/policy/line.h
@@ -8,6 +8,11 @@
  * lost the time in which its caller could have sent it again, and one that starts a moment before
  * can't be answered in time. So waiting ends while there is still time for an answer to begin, or
  * in the last quarter of a short time.
+ *
+ * In an overload that is not enough: each slot that comes free goes to one that has waited for
+ * seconds, so all are answered, and all too late. Once requests have waited without a break for
+ * %LIN_PRESSED_US, one waits only as long as its answer can still begin in time; all others are
+ * refused at once. When nothing waits any more, late ones may wait again.
  */
 #ifndef REQUEST_POLICY_LINE_H
 #define REQUEST_POLICY_LINE_H
@@ -25,6 +30,9 @@
  * quiet account, two seconds of everything, does not wait behind one that had the slots before. */
 #define LIN_CREDIT_MS 2000
 #define LIN_WATCH_US (100 * CLK_US_PER_MS) /* the owner calls lin_is_late() this often */
+#define LIN_PRESSED_US (500 * CLK_US_PER_MS)
+#define LIN_CALM_US (250 * CLK_US_PER_MS)
+#define LIN_LEAST_PART 4 /* of the time in which an answer should begin: what a first try may wait */
 
 typedef enum
 {
@@ -47,11 +55,17 @@
 /**
  * struct lin_item - embedded in what waits; all but @waiting is set by its owner
  * @fair: account, priority, deadline and owner
+ * @in_time_us: an answer that begins by then is in time; 0 when any is
+ * @run_us: that one of its kind usually keeps its slot; 0 when it is not known
+ * @returns: its caller was refused before
  */
 typedef struct
 {
   fq_item_t fair;
   uint64_t arrived_us;
+  uint64_t in_time_us;
+  uint64_t run_us;
+  bool returns;
   bool waiting;
 } lin_item_t;
 
@@ -62,7 +76,7 @@
 /** lin_push() - @wait_us: expected until it starts; valid for refusals too */
 lin_outcome_t
 lin_push (lin_t *lin, uint64_t now_us, const lin_room_t *room, lin_item_t *item, uint64_t *wait_us);
-void lin_remove (lin_t *lin, lin_item_t *item);
+void lin_remove (lin_t *lin, uint64_t now_us, lin_item_t *item);
 /** lin_may_t - whether the request of @owner may start now */
 typedef bool (*lin_may_t) (void *owner, void *context);
 /** lin_first() - owner of the request that starts next, or NULL. One that may not start holds up
@@ -70,12 +84,14 @@
 void *lin_first (const lin_t *lin, lin_may_t may, void *context);
 /** lin_start() - @item goes to an engine: lin_first(), or one that did not have to wait. Its
  * account is charged for it */
-void lin_start (lin_t *lin, lin_item_t *item);
+void lin_start (lin_t *lin, uint64_t now_us, lin_item_t *item);
 /** lin_is_late() - whether to refuse @item, which waits, now */
 bool lin_is_late (const lin_t *lin, uint64_t now_us, const lin_item_t *item);
 /** lin_wait_us() - expected until @item would start if it were pushed now */
 uint64_t lin_wait_us (const lin_t *lin, const lin_room_t *room, const lin_item_t *item);
 uint32_t lin_count (const lin_t *lin);
+/** lin_retry_us() - when one that is refused now may hope for room; @wait_us as of lin_push() */
+uint64_t lin_retry_us (const lin_t *lin, uint64_t now_us, uint64_t wait_us);
 
 /** lin_note_head() - time from a send to the head of its answer, of a request that an engine ran */
 void lin_note_head (lin_t *lin, uint64_t head_us);
@@ -86,8 +102,7 @@
 /** lin_head_us() - usual time from a send to the head of its answer */
 uint64_t lin_head_us (const lin_t *lin);
 
-/** lin_share_us() - expected until a request with @ahead before it gets one of the slots that all
- * gateways share, when each is kept for @run_us */
-uint64_t lin_share_us (const lin_room_t *room, uint64_t ahead, uint64_t run_us);
+/** lin_share_us() - expected until this gateway's share of the slots has done @work_us of work */
+uint64_t lin_share_us (const lin_room_t *room, uint64_t work_us);
 
 #endif
--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -14,6 +14,8 @@
   uint32_t open;
   uint64_t mean_milli;
   uint64_t usual_milli;
+  uint64_t own;
+  uint64_t slots;
   uint32_t error_limit_milli;
   bool distrust;
   bool crowded;
@@ -95,8 +97,6 @@
 static void
 survey (world_t *world)
 {
-  uint64_t own = 0;
-  uint64_t slots = 0;
   uint32_t skipped = 0;
 
   weigh (world);
@@ -107,14 +107,15 @@
       if (!egn_is_open (egn))
         continue;
       world->open++;
-      own += egn->own;
-      slots += egn_slots (egn, world->request->default_slots);
+      world->own += egn->own;
+      world->slots += egn_slots (egn, world->request->default_slots);
       skipped += egn->failures >= EGN_FAILURES ? 1 : 0;
     }
   if (world->mean_milli == 0 && world->open > 0)
-    world->mean_milli = own * MILLI / world->open;
+    world->mean_milli = world->own * MILLI / world->open;
   world->distrust = skipped * 2 > world->open;
-  world->crowded = slots > 0 && world->mean_milli * world->open >= slots * SPR_CROWDED_MILLI;
+  world->crowded =
+      world->slots > 0 && world->mean_milli * world->open >= world->slots * SPR_CROWDED_MILLI;
   world->error_limit_milli = error_limit (world);
 }
 
@@ -148,6 +149,8 @@
   uint64_t gateways = MAX (world->request->gateways, 1U);
   uint64_t share_us = world->request->run_us * gateways / slots;
 
+  if (world->own * gateways >= world->slots + gateways - 1)
+    return false;
   return !egn_is_full (egn, world->now_us) && egn->own * gateways < slots + gateways - 1 &&
          world->now_us >= egn->sent_us + share_us / SPR_SHARE_PART;
 }
