--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -52,6 +52,7 @@
   if (service)
     return service;
   service = g_new0 (gwy_service_t, 1);
+  service->gwy = gwy;
   service->name = name;
   service->line = lin_new ();
   make_histograms (gwy, service);
@@ -78,7 +79,10 @@
 
   g_hash_table_iter_init (&iter, gwy->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    gwy_wait_pump (value);
+    {
+      gwy_wait_pump (value);
+      gwy_wait_expire (value);
+    }
 }
 
 static void
@@ -87,12 +91,8 @@
   g_autoptr (GList) calls = g_hash_table_get_keys (gwy->calls);
 
   for (GList *link = calls; link; link = link->next)
-    {
-      if (g_hash_table_contains (gwy->calls, link->data))
-        gwy_hop_watch (link->data);
-      if (g_hash_table_contains (gwy->calls, link->data))
-        gwy_wait_watch (link->data);
-    }
+    if (g_hash_table_contains (gwy->calls, link->data))
+      gwy_hop_watch (link->data);
 }
 
 static void
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -147,8 +147,11 @@
   gwy_usual_t *usual = gwy_usual (call->gwy, call->route);
   uint64_t age_us = fas_age_us (&usual->first_ask, call->arrived_us, call->request.deadline_ms);
   uint64_t aim_us = (uint64_t)call->route->aim_ms * CLK_US_PER_MS;
+  uint64_t silence_us = (uint64_t)call->route->silence_ms * CLK_US_PER_MS;
 
   return (lin_item_t){ .arrived_us = call->arrived_us,
+                       .deadline_us = call->deadline_us,
+                       .leaves_us = silence_us ? call->arrived_us + silence_us : 0,
                        .in_time_us = call->arrived_us + aim_us - MIN (age_us, aim_us),
                        .run_us = usual->run_us,
                        .returns = age_us > 0,
@@ -156,7 +159,6 @@
                                  .priority = call->route->priority,
                                  .has_precedence = call->account && call->account->has_priority,
                                  .precedence = call->account ? call->account->priority : 0,
-                                 .deadline_us = call->deadline_us,
                                  .owner = call } };
 }
 
@@ -238,15 +240,18 @@
 {
   const gwy_t *gwy = call->gwy;
 
-  return spr_choose (egs_list (gwy->options.engines, call->service->name), gwy_now_us (gwy),
-                     &(spr_request_t){ .affinity = call->affinity,
-                                       .data_center = gwy->options.set->data_center,
-                                       .repeatable = crs_may_leave (&call->crs, call->rly.begun),
-                                       .gateways = gwy->routers,
-                                       .run_us = lin_run_us (call->service->line),
-                                       .head_us = lin_head_us (call->service->line),
-                                       .tried = call->tried,
-                                       .tried_count = call->tried_count });
+  return spr_choose (
+      egs_list (gwy->options.engines, call->service->name), gwy_now_us (gwy),
+      &(spr_request_t){ .affinity = call->affinity,
+                        .data_center = gwy->options.set->data_center,
+                        .repeatable = crs_may_leave (&call->crs, call->rly.begun),
+                        .gateways = gwy->routers,
+                        .run_us = lin_run_us (call->service->line),
+                        .head_us = lin_head_us (call->service->line),
+                        .full_milli = gau_now_milli (&call->service->load, gwy_now_us (gwy)),
+                        .late = call->line.waiting && call->line.late,
+                        .tried = call->tried,
+                        .tried_count = call->tried_count });
 }
 
 void
@@ -255,7 +260,7 @@
   spr_choice_t choice;
 
   /* Who comes later must not overtake those that wait. */
-  if (lin_count (call->service->line) > 0 && call->hops == 0)
+  if (lin_count_in_time (call->service->line) > 0 && call->hops == 0)
     {
       gwy_wait_push (call);
       return;
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -52,6 +52,16 @@
   return call->shared_parts ^ engine->hash;
 }
 
+static void
+note_load (gwy_call_t *call, uint64_t now_us)
+{
+  const egn_load_t *load = &call->answer.load;
+
+  egn_told (call->engine, now_us, load);
+  gau_told (&call->service->load, now_us, load->running + load->waiting,
+            egn_slots (call->engine, 0));
+}
+
 static void
 note_answer (gwy_call_t *call, int status)
 {
@@ -69,7 +79,7 @@
   if (call->answer.idle_ms > 0)
     call->engine->idle_ms = call->answer.idle_ms;
   if (call->answer.has_load)
-    egn_told (call->engine, now_us, &call->answer.load);
+    note_load (call, now_us);
   egn_worked (call->engine, now_us, status >= STATUS_FAILURE && !call->answer.not_run);
 }
 
@@ -278,7 +288,8 @@
                 .prompt_tokens = call->request.prompt_tokens,
                 .usual_us = lin_head_us (call->service->line),
                 .time_us = call->deadline_us - MIN (call->sent_us, call->deadline_us),
-                .gap_us = (uint64_t)call->route->gap_ms * CLK_US_PER_MS };
+                .gap_us = (uint64_t)call->route->gap_ms * CLK_US_PER_MS,
+                .full = gau_now_milli (&call->service->load, now_us) >= GWY_FULL_MILLI };
 
   if (!call->out || !call->in)
     return;
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -18,6 +18,7 @@
 #include "request/gateway/gateway.h"
 #include "request/policy/first_ask.h"
 #include "request/policy/line.h"
+#include "request/policy/load_gauge.h"
 #include "request/policy/pace.h"
 #include "request/policy/patience.h"
 #include "request/policy/proven.h"
@@ -45,26 +46,30 @@
 #define GWY_PROVEN 4096
 #define GWY_PROVEN_US (UINT64_C (10) * CLK_US_PER_S)
 #define GWY_WARM 4096       /* prompts of which an engine is known to have the shared parts */
+#define GWY_FULL_MILLI 900  /* of the slots in use: requests queue at some of the engines */
 #define GWY_WATCH_TICKS 4   /* of those below between two looks at hops that bring nothing */
 #define GWY_WAIT_TICK_MS 25 /* waiting requests are looked at this often besides all events */
 /* Routes of which the usual times are known; of two in one place the later is kept. */
 /* Of accounts, and of routes, that are told apart: engines know ten ranks in all. */
 #define GWY_PRIORITIES 3
 #define GWY_ROUTES 256
-#define GWY_RUN_GAIN 16 /* of the smoothing of a route's runs: about the last sixteen count */
+#define GWY_RUN_GAIN 16   /* of the smoothing of a route's runs: about the last sixteen count */
 #define GWY_HISTOGRAMS 64 /* services with histograms of their own; all further ones share one */
 
 /**
  * struct gwy_service - what the gateway keeps of a service
  * @name: interned
  * @line: requests that wait for room
+ * @load: of its engines
  * @waits, @heads, @answers, @failures: from arrival to the first send, from a send to the head of
  * its answer, from arrival to a whole answer and to a refusal or failure
  */
 typedef struct
 {
+  gwy_t *gwy;
   const char *name;
   lin_t *line;
+  gau_t load;
   rsh_t retries;
   lat_t *waits;
   lat_t *heads;
@@ -220,7 +225,7 @@
 void gwy_wait_remove (gwy_call_t *call);
 /** gwy_wait_pump() - send what waits for @service as far as there is room */
 void gwy_wait_pump (gwy_service_t *service);
-/** gwy_wait_watch() - refuse it if it waits and would be too late; frees it then */
-void gwy_wait_watch (gwy_call_t *call);
+/** gwy_wait_expire() - refuse those of @service that wait in vain; frees them */
+void gwy_wait_expire (gwy_service_t *service);
 
 #endif
--- a/src/request/gateway/gateway_wait.c
+++ b/src/request/gateway/gateway_wait.c
@@ -47,18 +47,17 @@
 }
 
 void
-gwy_wait_watch (gwy_call_t *call)
+gwy_wait_expire (gwy_service_t *service)
 {
-  const gwy_service_t *service = call->service;
-  lin_room_t room;
-  uint64_t wait_us;
+  gwy_call_t *call;
+
+  while ((call = lin_expired (service->line, gwy_now_us (service->gwy))))
+    {
+      lin_room_t room = room_of (call->gwy, service);
+      uint64_t wait_us = lin_wait_us (service->line, &room, &call->line);
 
-  if (!call->line.waiting || !lin_is_late (service->line, gwy_now_us (call->gwy), &call->line))
-    return;
-  gwy_wait_remove (call);
-  room = room_of (call->gwy, service);
-  wait_us = lin_wait_us (service->line, &room, &call->line);
-  gwy_call_give_up (call, VRD_REASON_DEADLINE, retry_ms (call, wait_us));
+      gwy_call_give_up (call, VRD_REASON_DEADLINE, retry_ms (call, wait_us));
+    }
 }
 
 /* It is sent, or refused as nobody is left to ask; @context is where the choice goes. */
--- a/src/request/policy/line.c
+++ b/src/request/policy/line.c
@@ -1,12 +1,29 @@
 #include "request/policy/line.h"
 
+#define MILLI 1000
+#define LATE_MEAN_US (LIN_LATE_HALF_US * 1443 / MILLI) /* a half-life over the logarithm of two */
+
+/**
+ * struct lin - the line of a service
+ * @in_time, @late: the two queues
+ * @run_us, @head_us: usual times, smoothed
+ * @pressed_us: since when requests wait without a break
+ * @emptied_us: when the last one ceased to wait
+ * @late_starts_milli: starts of late requests, in thousandths, what is older counting less, as of
+ *   @late_at_us
+ * @odds_milli: share of first tries that start in time, smoothed, in thousandths
+ */
 struct lin
 {
-  fq_t *queue;
+  fq_t *in_time;
+  fq_t *late;
   uint64_t run_us;
   uint64_t head_us;
-  uint64_t pressed_us; /* since when requests wait without a break */
-  uint64_t emptied_us; /* when the last one ceased to wait */
+  uint64_t pressed_us;
+  uint64_t emptied_us;
+  uint64_t late_starts_milli;
+  uint64_t late_at_us;
+  uint32_t odds_milli;
 };
 
 lin_t *
@@ -14,16 +31,19 @@
 {
   lin_t *lin = g_new0 (lin_t, 1);
 
-  lin->queue = fq_new (LIN_LIMIT);
+  lin->in_time = fq_new (LIN_LIMIT);
+  lin->late = fq_new (LIN_LIMIT);
   lin->run_us = LIN_RUN_US;
   lin->head_us = LIN_RUN_US;
+  lin->odds_milli = MILLI;
   return lin;
 }
 
 void
 lin_free (lin_t *lin)
 {
-  fq_free (lin->queue);
+  fq_free (lin->in_time);
+  fq_free (lin->late);
   g_free (lin);
 }
 
@@ -39,13 +59,26 @@
   lin->head_us = smooth (lin->head_us, head_us);
 }
 
+/* @fair is the first member. */
+static lin_item_t *
+item_of (fq_item_t *fair)
+{
+  return (lin_item_t *)fair;
+}
+
+static fq_t *
+queue_of (const lin_t *lin, const lin_item_t *item)
+{
+  return item->late ? lin->late : lin->in_time;
+}
+
 /* An account whose requests run longer than others' is charged for it, or it would have more of the
  * slots by as much. */
 void
 lin_note_run (lin_t *lin, const lin_item_t *item, uint64_t run_us)
 {
   lin->run_us = smooth (lin->run_us, run_us);
-  fq_took (lin->queue, &item->fair, run_us / CLK_US_PER_MS);
+  fq_took (queue_of (lin, item), &item->fair, run_us / CLK_US_PER_MS);
 }
 
 uint64_t
@@ -63,7 +96,13 @@
 uint32_t
 lin_count (const lin_t *lin)
 {
-  return fq_count (lin->queue);
+  return fq_count (lin->in_time) + fq_count (lin->late);
+}
+
+uint32_t
+lin_count_in_time (const lin_t *lin)
+{
+  return fq_count (lin->in_time);
 }
 
 /* A gateway gets its share of the slots that come free, which is less than one slot where few
@@ -77,60 +116,103 @@
 uint64_t
 lin_wait_us (const lin_t *lin, const lin_room_t *room, const lin_item_t *item)
 {
-  uint64_t ahead_us = fq_ahead (lin->queue, &item->fair).cost * CLK_US_PER_MS;
+  uint64_t ahead_us = fq_ahead (lin->in_time, &item->fair).cost * CLK_US_PER_MS;
 
   return lin_share_us (room, ahead_us + lin->run_us);
 }
 
-/* What an answer needs at least, and the time until the owner looks again. */
-static uint64_t
-least_us (const lin_t *lin, const lin_item_t *item)
+static bool
+is_pressed (const lin_t *lin, uint64_t now_us)
 {
-  uint64_t quarter_us = (item->fair.deadline_us - item->arrived_us) / 4;
+  bool waits = lin_count (lin) > 0 || now_us < lin->emptied_us + LIN_CALM_US;
 
-  return MIN (lin->head_us + LIN_WATCH_US, quarter_us);
+  return waits && now_us >= lin->pressed_us + LIN_PRESSED_US;
 }
 
-static bool
-is_pressed (const lin_t *lin, uint64_t now_us)
+/*
+ * How long an overload still lasts nobody knows; the best guess is as long again as it has lasted.
+ * Who comes back sooner finds the same line, and as a second burst makes it longer.
+ */
+uint64_t
+lin_retry_us (const lin_t *lin, uint64_t now_us, uint64_t wait_us)
 {
-  bool waits = fq_count (lin->queue) > 0 || now_us < lin->emptied_us + LIN_CALM_US;
+  return is_pressed (lin, now_us) ? MAX (wait_us, now_us - lin->pressed_us) : wait_us;
+}
 
-  return waits && now_us >= lin->pressed_us + LIN_PRESSED_US;
+/* Return: the latest start after which an answer still begins before its caller is gone */
+static uint64_t
+last_start_us (const lin_t *lin, const lin_item_t *item)
+{
+  uint64_t end_us = item->deadline_us;
+  uint64_t least_us;
+
+  if (item->leaves_us != 0)
+    end_us = MIN (end_us, item->leaves_us);
+  least_us = MIN (lin->head_us + LIN_WATCH_US, (end_us - MIN (item->arrived_us, end_us)) / 4);
+  return end_us - least_us;
 }
 
-/* An answer of the usual delay begins in time when it starts by then. Where the engines alone take
- * longer than callers hope for, a first try may still wait a little. */
+/* Return: the latest start after which an answer still begins in time */
 static uint64_t
 in_time_start_us (const lin_t *lin, const lin_item_t *item)
 {
-  uint64_t start_us = item->in_time_us - MIN (lin->head_us, item->in_time_us);
+  uint64_t last_us = last_start_us (lin, item);
   uint64_t aim_us = item->in_time_us - MIN (item->arrived_us, item->in_time_us);
+  uint64_t start_us = item->in_time_us - MIN (lin->head_us, item->in_time_us);
+
+  if (item->in_time_us == 0)
+    return last_us;
+  if (!item->returns)
+    start_us = MAX (start_us, item->arrived_us + aim_us / LIN_LEAST_PART);
+  return MIN (start_us, last_us);
+}
 
-  return item->returns ? start_us : MAX (start_us, item->arrived_us + aim_us / LIN_LEAST_PART);
+static void
+fade_late (lin_t *lin, uint64_t now_us)
+{
+  uint64_t halvings = (now_us - lin->late_at_us) / LIN_LATE_HALF_US;
+
+  if (halvings == 0)
+    return;
+  lin->late_starts_milli = halvings < 32 ? lin->late_starts_milli >> halvings : 0;
+  lin->late_at_us += halvings * LIN_LATE_HALF_US;
 }
 
-/* Return: the latest start of @item that still gains its caller something */
+/* Return: expected until late requests start of which @ahead come first */
 static uint64_t
-last_start_us (const lin_t *lin, uint64_t now_us, const lin_item_t *item)
+late_wait_us (lin_t *lin, uint64_t now_us, uint64_t ahead)
 {
-  uint64_t last_us = item->fair.deadline_us - least_us (lin, item);
+  uint64_t wait_us = UINT64_MAX / 2;
+
+  if (!is_pressed (lin, now_us))
+    return 0;
+  fade_late (lin, now_us);
+  if (lin->late_starts_milli > 0)
+    wait_us = (ahead + 1) * LATE_MEAN_US * MILLI / lin->late_starts_milli;
+  if (lin->odds_milli >= LIN_MILD_MILLI)
+    wait_us = MIN (wait_us, now_us - lin->pressed_us);
+  return wait_us;
+}
 
-  if (item->in_time_us == 0 || !is_pressed (lin, now_us))
-    return last_us;
-  return MIN (last_us, in_time_start_us (lin, item));
+/* Whether a late request that comes now may hope to start by @last_us. */
+static bool
+late_may_start (lin_t *lin, uint64_t now_us, uint64_t last_us)
+{
+  return now_us + late_wait_us (lin, now_us, fq_count (lin->late)) < last_us;
 }
 
-bool
-lin_is_late (const lin_t *lin, uint64_t now_us, const lin_item_t *item)
+static void
+note_odds (lin_t *lin, const lin_item_t *item, uint32_t sample_milli)
 {
-  return now_us >= last_start_us (lin, now_us, item);
+  if (!item->returns)
+    lin->odds_milli = (lin->odds_milli * (LIN_ODDS_GAIN - 1) + sample_milli) / LIN_ODDS_GAIN;
 }
 
-uint64_t
-lin_retry_us (const lin_t *lin, uint64_t now_us, uint64_t wait_us)
+static void
+note_waits (lin_t *lin, uint64_t now_us)
 {
-  return is_pressed (lin, now_us) ? MAX (wait_us, now_us - lin->pressed_us) : wait_us;
+  if (lin_count (lin) == 0 && now_us >= lin->emptied_us + LIN_CALM_US)
+    lin->pressed_us = now_us;
 }
 
 static void
@@ -141,29 +223,46 @@
   item->fair.queue_limit = LIN_LIMIT;
 }
 
+static lin_outcome_t
+push_into (lin_t *lin, uint64_t now_us, lin_item_t *item, bool late)
+{
+  item->late = late;
+  item->fair.queued_us = now_us;
+  item->fair.deadline_us = late ? last_start_us (lin, item) : in_time_start_us (lin, item);
+  note_waits (lin, now_us);
+  if (fq_push (queue_of (lin, item), &item->fair) != FQ_QUEUED)
+    return LIN_FULL;
+  item->waiting = true;
+  return LIN_WAITS;
+}
+
 lin_outcome_t
 lin_push (lin_t *lin, uint64_t now_us, const lin_room_t *room, lin_item_t *item, uint64_t *wait_us)
 {
+  uint64_t in_time_us = in_time_start_us (lin, item);
+  uint64_t last_us = last_start_us (lin, item);
+  bool late;
+
   g_assert (!item->waiting);
   fill (lin, item);
-  fq_set_credit (lin->queue, LIN_CREDIT_MS * room->slots / MAX (room->gateways, 1U));
-  item->fair.queued_us = now_us;
+  fq_set_credit (lin->in_time, LIN_CREDIT_MS * room->slots / MAX (room->gateways, 1U));
+  item->late = false;
   *wait_us = lin_wait_us (lin, room, item);
-  if (now_us + *wait_us >= last_start_us (lin, now_us, item))
+  if (now_us + *wait_us >= last_us)
     return LIN_TOO_LATE;
-  if (fq_count (lin->queue) == 0 && now_us >= lin->emptied_us + LIN_CALM_US)
-    lin->pressed_us = now_us;
-  if (fq_push (lin->queue, &item->fair) != FQ_QUEUED)
-    return LIN_FULL;
-  item->waiting = true;
-  return LIN_WAITS;
+  late = now_us >= in_time_us || (is_pressed (lin, now_us) && now_us + *wait_us >= in_time_us);
+  if (late)
+    note_odds (lin, item, 0);
+  if (late && !late_may_start (lin, now_us, last_us))
+    return LIN_TOO_LATE;
+  return push_into (lin, now_us, item, late);
 }
 
 static void
 note_left (lin_t *lin, uint64_t now_us, lin_item_t *item)
 {
   item->waiting = false;
-  if (fq_count (lin->queue) == 0)
+  if (lin_count (lin) == 0)
     lin->emptied_us = now_us;
 }
 
@@ -172,16 +271,52 @@
 {
   if (!item->waiting)
     return;
-  fq_remove (lin->queue, &item->fair);
+  fq_remove (queue_of (lin, item), &item->fair);
   note_left (lin, now_us, item);
 }
 
+/* Return: whether @item, which can't be answered in time any more, waits on */
+static bool
+wait_on (lin_t *lin, uint64_t now_us, lin_item_t *item)
+{
+  item->waiting = false;
+  note_odds (lin, item, 0);
+  return late_may_start (lin, now_us, last_start_us (lin, item)) &&
+         push_into (lin, now_us, item, true) == LIN_WAITS;
+}
+
+static void *
+refuse (lin_t *lin, uint64_t now_us, fq_item_t *fair)
+{
+  note_left (lin, now_us, item_of (fair));
+  return fair->owner;
+}
+
+void *
+lin_expired (lin_t *lin, uint64_t now_us)
+{
+  fq_item_t *fair;
+
+  while ((fair = fq_expired (lin->in_time, now_us)))
+    if (!wait_on (lin, now_us, item_of (fair)))
+      return refuse (lin, now_us, fair);
+  fair = fq_expired (lin->late, now_us + late_wait_us (lin, now_us, 0));
+  return fair ? refuse (lin, now_us, fair) : NULL;
+}
+
 static bool
 is_item (const fq_item_t *item, void *context)
 {
   return item == context;
 }
 
+static void
+note_late_start (lin_t *lin, uint64_t now_us)
+{
+  fade_late (lin, now_us);
+  lin->late_starts_milli += MILLI;
+}
+
 /* Also one that found room at once is charged: else an account that had all of the slots would have
  * as much of them again as soon as others wait. */
 void
@@ -189,14 +324,19 @@
 {
   if (item->waiting)
     {
-      fq_item_t *first = fq_pop_allowed (lin->queue, is_item, &item->fair);
+      fq_item_t *first = fq_pop_allowed (queue_of (lin, item), is_item, &item->fair);
 
       g_assert (first == &item->fair);
+      if (item->late)
+        note_late_start (lin, now_us);
+      else
+        note_odds (lin, item, MILLI);
       note_left (lin, now_us, item);
       return;
     }
+  note_odds (lin, item, MILLI);
   fill (lin, item);
-  fq_served (lin->queue, &item->fair);
+  fq_served (lin->in_time, &item->fair);
 }
 
 /** struct ask - the owner's answer to whether a request may start */
@@ -218,7 +358,9 @@
 lin_first (const lin_t *lin, lin_may_t may, void *context)
 {
   ask_t ask = { may, context };
-  fq_item_t *item = fq_peek_allowed (lin->queue, may_start, &ask);
+  fq_item_t *item = fq_peek_allowed (lin->in_time, may_start, &ask);
 
+  if (!item)
+    item = fq_peek_allowed (lin->late, may_start, &ask);
   return item ? item->owner : NULL;
 }
--- a/src/request/policy/patience.c
+++ b/src/request/policy/patience.c
@@ -22,5 +22,10 @@
     return false;
   if (ptc->heard_us != 0)
     late_us = MAX (ptc->gap_us * PTC_GAP_FACTOR, PTC_LATE_US);
+  if (ptc->full)
+    {
+      late_us *= PTC_FULL_FACTOR;
+      silent_us *= PTC_FULL_FACTOR;
+    }
   return quiet_us >= late_us || (quiet_us >= silent_us && engine_quiet_us >= silent_us);
 }
--- a/src/request/policy/patience.h
+++ b/src/request/policy/patience.h
@@ -28,6 +28,11 @@
 /* Between events of a stream: so many times the pause that is still on time. */
 #define PTC_GAP_FACTOR 3
 
+/* Where all engines are full a less urgent request waits there behind others: it is lost only after
+ * so many times as long. In 3.5 times the usual traffic 5,400 of 74,000 requests were given up and
+ * sent again, which an engine of the same service then had to do. */
+#define PTC_FULL_FACTOR 4
+
 /**
  * struct ptc - a hop
  * @sent_us: when it was sent
@@ -37,6 +42,7 @@
  * @usual_us: from a send to the head, usually
  * @time_us: from its send to its deadline
  * @gap_us: of a stream: the longest pause that is on time; 0 when it is not known
+ * @full: the engines of its service are full
  */
 typedef struct
 {
@@ -47,6 +53,7 @@
   uint64_t usual_us;
   uint64_t time_us;
   uint64_t gap_us;
+  bool full;
 } ptc_t;
 
 /** ptc_is_lost() - whether to give the hop up */
--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -19,6 +19,8 @@
   uint32_t error_limit_milli;
   bool distrust;
   bool crowded;
+  bool full;
+  bool has_share;
 } world_t;
 
 static egn_t *
@@ -97,6 +99,7 @@
 static void
 survey (world_t *world)
 {
+  uint64_t gateways = MAX (world->request->gateways, 1U);
   uint32_t skipped = 0;
 
   weigh (world);
@@ -116,6 +119,8 @@
   world->distrust = skipped * 2 > world->open;
   world->crowded =
       world->slots > 0 && world->mean_milli * world->open >= world->slots * SPR_CROWDED_MILLI;
+  world->full = world->request->full_milli >= SPR_FULL_MILLI;
+  world->has_share = !world->request->late && world->own * gateways < world->slots + gateways - 1;
   world->error_limit_milli = error_limit (world);
 }
 
@@ -149,9 +154,8 @@
   uint64_t gateways = MAX (world->request->gateways, 1U);
   uint64_t share_us = world->request->run_us * gateways / slots;
 
-  if (world->own * gateways >= world->slots + gateways - 1)
-    return false;
-  return !egn_is_full (egn, world->now_us) && egn->own * gateways < slots + gateways - 1 &&
+  return world->has_share && !egn_is_full (egn, world->now_us) &&
+         egn->own * gateways < slots + gateways - 1 &&
          world->now_us >= egn->sent_us + share_us / SPR_SHARE_PART;
 }
 
@@ -160,7 +164,9 @@
 {
   uint32_t slots = egn_slots (egn, world->request->default_slots);
 
-  return slots == 0 || load_of (world, egn) < slots || may_queue (world, egn, slots);
+  if (slots == 0 || (!world->full && load_of (world, egn) < slots))
+    return true;
+  return may_queue (world, egn, slots);
 }
 
 /*
@@ -392,7 +398,7 @@
   survey (&world);
   choice.candidates = askable (&world);
   choice.mean_milli = (uint32_t)world.mean_milli;
-  choice.engine = choose_engine (&world);
+  choice.engine = world.full && !world.has_share ? NULL : choose_engine (&world);
   if (!choice.engine)
     {
       choice.action = choice.candidates > 0 ? SPR_WAIT : SPR_NONE;
--- a/src/request/policy/spread.h
+++ b/src/request/policy/spread.h
@@ -38,6 +38,9 @@
 /* Engines in rank that a request may go to then: a part has so many homes at most. Three, so that
  * one that fails and one that is full leave another; other values were not measured. */
 #define SPR_FEW_HOMES 3
+/* From here on no engine has room that this gateway knows of, and it keeps to its share of all
+ * slots. */
+#define SPR_FULL_MILLI 1000
 /* An engine of the own data centre is preferred while it has at most so many requests more. */
 #define SPR_NEAR_MORE 1
 /*
@@ -66,6 +69,8 @@
  * @repeatable: it may go on at another engine when this one fails it
  * @gateways: that share the engines; 0 counts as one
  * @run_us, @head_us: that a request usually keeps its slot, and until the head of its answer
+ * @full_milli: requests at the engines as told lately, in thousandths of their slots; 0 is unknown
+ * @late: it can't be answered in time any more: it takes only room that is surely free
  * @default_slots: of an engine that doesn't tell its slots
  */
 typedef struct
@@ -78,6 +83,8 @@
   uint32_t gateways;
   uint64_t run_us;
   uint64_t head_us;
+  uint32_t full_milli;
+  bool late;
   uint32_t default_slots;
 } spr_request_t;
 
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -36,6 +36,7 @@
  * @attempts: engines that may run one request
  * @priority: 0 is first
  * @gap_ms: of a stream: longest pause between events that is still on time; 0 is unknown
+ * @silence_ms: a stream's callers leave when nothing has come for so long; 0 is unknown
  * @is_public: needs no key
  * @sticky: requests share parts of their prompts
  * @resumable: a stream may go on at another engine
@@ -52,6 +53,7 @@
   uint32_t attempts;
   uint32_t priority;
   uint32_t gap_ms;
+  uint32_t silence_ms;
   bool is_public;
   bool sticky;
   bool resumable;
