Decide once for the store when it was out, by all streams and peers; the span follows the renewals

Cause: entries lapse from an outage of two renewals on (2.4 s where they are renewed every 1.2 s, 1.1 s in the session), but only 2.5 s of silence counted as one, and only by the registry's stream: session-gateway failed in 1 of 20 repeats. Ruled out: a smaller constant; the two streams disagree (1.93 s and 2.57 s), and where entries are renewed more often any constant is wrong. Change: a state machine of its own takes each moment at which the store was heard, in any order; the least span is two renewals less an eighth, of a new setting; close readers read twice as often.

--- a/examples/demo_gateway.sh
+++ b/examples/demo_gateway.sh
@@ -50,7 +50,7 @@
 done
 for n in 0 1; do
   ip=${gateways[$n]}
-  start "gateway-$n" medlarplankd --role=gateway --name="gateway-$n" --data-center=hall-bayangol --region=ulaanbaatar \
+  start "gateway-$n" medlarplankd --role=gateway --renewal-ms=500 --name="gateway-$n" --data-center=hall-bayangol --region=ulaanbaatar \
     --listen="$ip:8080" --ready-listen="$ip:8081" --control-listen="$ip:8082" --exchange="$ip:8083" --platform="$store"
 done
 for ip in "${gateways[@]}"; do wait_for "gateway $ip" curl -fsS "http://$ip:8081/readyz"; done
--- a/soak/soak_fleet.c
+++ b/soak/soak_fleet.c
@@ -2,6 +2,7 @@
 #include "soak.h"
 
 #include "connection/platform_call.h"
+#include "standin/keyed_store.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -238,6 +239,7 @@
 
   sok->store_proxies[index] = sok_proxy_new (sok->base, &proxy, &store);
   flag (process, "--role=gateway");
+  flag (process, "--renewal-ms=%u", KST_LAPSE_MS / 3);
   flag (process, "--name=%s", name);
   flag (process, "--data-center=hall-%u", index % 2);
   flag (process, "--region=soak");
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -46,6 +46,7 @@
  * @retry_slack: gateway only: retries in a window beyond that, all gateways
  * @retry_window_ms: gateway only: span that both are counted over
  * @version_ms: gateway only: time in which a new version must be in force
+ * @renewal_ms: gateway only: how often engines renew their entries
  * @drain_ms: gateway only: time in which an engine that leaves must get nothing more
  * @grace_ms: gateway only: from a stop signal until the process is killed
  * @fleet_key: shared secret of the daemons, at least 16 bytes
@@ -72,6 +73,7 @@
   uint32_t retry_slack;
   uint32_t retry_window_ms;
   uint32_t version_ms;
+  uint32_t renewal_ms;
   uint32_t drain_ms;
   uint32_t grace_ms;
   char fleet_key[128];
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -40,6 +40,8 @@
        "Gateway: seconds over which retries are counted"),
   ROW ("version-ms", NUMBER, NONE, 500, 600 * 1000, version_ms, "2000",
        "Gateway: time in which a new version must be in force"),
+  ROW ("renewal-ms", NUMBER, NONE, 100, 60 * 1000, renewal_ms, "1200",
+       "Gateway: how often engines renew their entries in the registry; they lapse after three times"),
   ROW ("drain-ms", NUMBER, NONE, 500, 600 * 1000, drain_ms, "2000",
        "Gateway: time in which an engine that leaves must get nothing more"),
   ROW ("grace", MILLI, NONE, 1000, 600 * 1000, grace_ms, "8",
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -4,6 +4,7 @@
 #include "connection/stream_follow.h"
 #include "process/gateway_fetch.h"
 #include "process/gateway_peers.h"
+#include "request/policy/outage.h"
 #include "request/policy/read_duty.h"
 
 #include <string.h>
@@ -27,8 +28,7 @@
  * @asked: streams that the peer was asked for that is being asked
  * @ahead: control address of the peer that was heard last to have more
  * @next_ask_us: when a peer may be asked next
- * @last_us: when anybody heard the store last, as far as known here
- * @out_until_us: end of the last span in which nobody heard it for long
+ * @outage: of the store, by all that heard it
  * @adopting: the records that are being applied came of a peer
  * @unsettled: which is not sure of the keys that were dropped
  * @entry_written, @entry_due_us: own entry in the stream of routers
@@ -44,8 +44,7 @@
   bool asked[STREAMS];
   set_address_t ahead;
   uint64_t next_ask_us;
-  uint64_t last_us;
-  uint64_t out_until_us;
+  otg_t outage;
   bool lost;
   bool adopting;
   bool unsettled;
@@ -80,15 +79,18 @@
     gst->options.routing (value, value_bytes, offset, gst->options.context);
 }
 
-/* The store was heard at @at_us, here or by a peer. */
+static uint64_t
+least_outage_us (const gst_t *gst)
+{
+  return otg_least_us (gst->options.set->renewal_ms);
+}
+
+/* Each stream has a connection of its own, and any of them shows that the store is there. */
 static void
-note_heard (gst_t *gst, uint64_t at_us)
+note_reads (gst_t *gst)
 {
-  if (at_us <= gst->last_us)
-    return;
-  if (gst->last_us != 0 && at_us - gst->last_us >= (uint64_t)GST_OUT_MS * CLK_US_PER_MS)
-    gst->out_until_us = at_us;
-  gst->last_us = at_us;
+  for (uint32_t i = 0; i < STREAMS; i++)
+    otg_heard (&gst->outage, sfl_heard_us (gst->follows[i]), least_outage_us (gst));
 }
 
 /*
@@ -100,7 +102,7 @@
 {
   bool unsure = gst->adopting ? gst->unsettled : sfl_is_catching_up (gst->follows[ENGINES]);
 
-  return rdu_may_have_lapsed (gst->out_until_us, unsure, now_us (gst));
+  return rdu_may_have_lapsed (gst->outage.until_us, unsure, now_us (gst));
 }
 
 static void
@@ -108,7 +110,7 @@
 {
   gst_t *gst = context;
 
-  note_heard (gst, sfl_heard_us (gst->follows[ENGINES]));
+  note_reads (gst);
   note_record (gst, ENGINES);
   gst->options.engine (key, value, value_bytes, offset, may_have_lapsed (gst),
                        gst->options.context);
@@ -401,7 +403,7 @@
   uint64_t age_us = (uint64_t)theirs->store_age_ms * CLK_US_PER_MS;
   uint64_t store_us = age_us < at_us ? at_us - age_us : 0;
 
-  note_heard (gst, store_us);
+  otg_heard (&gst->outage, store_us, least_outage_us (gst));
   rdu_heard (&gst->duties[ROUTING], at_us, theirs->version, ours.version, store_us);
   rdu_heard (&gst->duties[ENGINES], at_us, theirs->engines_next, ours.engines_next, store_us);
   rdu_heard (&gst->duties[ROUTERS], at_us, theirs->routers_next, ours.routers_next, store_us);
@@ -414,7 +416,7 @@
 void
 gst_turn (gst_t *gst)
 {
-  note_heard (gst, sfl_heard_us (gst->follows[ENGINES]));
+  note_reads (gst);
   turn_news (gst);
   turn_entry (gst);
 }
@@ -452,6 +454,13 @@
                                                     .context = gst });
 }
 
+/* Where entries are renewed often, an outage is short, and the store is to be heard more often. */
+static uint32_t
+close_wait_ms (const gst_t *gst)
+{
+  return (uint32_t)MIN (GST_CLOSE_WAIT_MS, least_outage_us (gst) / 2 / CLK_US_PER_MS);
+}
+
 gst_t *
 gst_new (const gst_options_t *options, GError **error)
 {
@@ -464,8 +473,8 @@
                                           .fleet_key = options->set->fleet_key,
                                           .ended = on_fetched,
                                           .context = gst });
-  follow (gst, ROUTING, GST_CLOSE_WAIT_MS, on_routing, on_routing_told);
-  follow (gst, ENGINES, GST_CLOSE_WAIT_MS, on_engine, on_engines_told);
+  follow (gst, ROUTING, close_wait_ms (gst), on_routing, on_routing_told);
+  follow (gst, ENGINES, close_wait_ms (gst), on_engine, on_engines_told);
   follow (gst, ROUTERS, GST_ROUTERS_WAIT_MS, on_router, on_routers_told);
   gst->peers = gpr_new (&(gpr_options_t){ .base = options->base,
                                           .clk = options->clk,
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -44,10 +44,7 @@
  */
 #define GST_ROUTING_BEHIND_PERCENT 60 /* of the time in which a version must be in force */
 #define GST_ENGINES_BEHIND_PERCENT 40 /* of the time of draining */
-/* Entries lapse after three heartbeats, which are over a second apart, that the store did not take.
- * While some gateway hears the store more often than this, it was not out. */
-#define GST_OUT_MS 2500
-#define GST_FETCH_PACE_MS 300 /* between two questions to peers */
+#define GST_FETCH_PACE_MS 300         /* between two questions to peers */
 
 /**
  * struct gst_options - options of gst_new()
--- a/src/proto/exchange.h
+++ b/src/proto/exchange.h
@@ -8,84 +8,91 @@
 
 #include <rpc/rpc.h>
 
-
 #ifdef __cplusplus
-extern "C" {
+extern "C"
+{
 #endif
 
 #define XCH_SAMPLES 8
 #define XCH_WORDS 4
 #define XCH_MARKS 2
 
-struct xch_sample {
-	u_quad_t engine_hash;
-	u_quad_t service_hash;
-	u_int load;
-	u_int waiting;
-	u_int cost;
-	u_int age_ms;
-};
-typedef struct xch_sample xch_sample;
-
-struct xch_word {
-	u_quad_t host_hash;
-	u_quad_t incarnation;
-	u_int sequence;
-	u_int state;
-};
-typedef struct xch_word xch_word;
-
-struct xch_mark {
-	u_quad_t fingerprint;
-	u_quad_t engines[2];
-	u_int age_ms;
-};
-typedef struct xch_mark xch_mark;
-
-struct xch_message {
-	xch_word sender;
-	u_quad_t manifest_version;
-	u_quad_t manifest_offset;
-	u_quad_t list_revision;
-	u_int store_age_ms;
-	struct {
-		u_int samples_len;
-		xch_sample *samples_val;
-	} samples;
-	struct {
-		u_int words_len;
-		xch_word *words_val;
-	} words;
-	struct {
-		u_int marks_len;
-		xch_mark *marks_val;
-	} marks;
-};
-typedef struct xch_message xch_message;
+  struct xch_sample
+  {
+    u_quad_t engine_hash;
+    u_quad_t service_hash;
+    u_int load;
+    u_int waiting;
+    u_int cost;
+    u_int age_ms;
+  };
+  typedef struct xch_sample xch_sample;
+
+  struct xch_word
+  {
+    u_quad_t host_hash;
+    u_quad_t incarnation;
+    u_int sequence;
+    u_int state;
+  };
+  typedef struct xch_word xch_word;
+
+  struct xch_mark
+  {
+    u_quad_t fingerprint;
+    u_quad_t engines[2];
+    u_int age_ms;
+  };
+  typedef struct xch_mark xch_mark;
+
+  struct xch_message
+  {
+    xch_word sender;
+    u_quad_t manifest_version;
+    u_quad_t manifest_offset;
+    u_quad_t list_revision;
+    u_int store_age_ms;
+    struct
+    {
+      u_int samples_len;
+      xch_sample *samples_val;
+    } samples;
+    struct
+    {
+      u_int words_len;
+      xch_word *words_val;
+    } words;
+    struct
+    {
+      u_int marks_len;
+      xch_mark *marks_val;
+    } marks;
+  };
+  typedef struct xch_message xch_message;
 
 #define MEDLARPLANK_EXCHANGE 0x20004d50
 #define MEDLARPLANK_EXCHANGE_V1 1
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define XCH_SWAP 1
-extern  xch_message * xch_swap_1(xch_message *, CLIENT *);
-extern  xch_message * xch_swap_1_svc(xch_message *, struct svc_req *);
-extern int medlarplank_exchange_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+  extern xch_message *xch_swap_1 (xch_message *, CLIENT *);
+  extern xch_message *xch_swap_1_svc (xch_message *, struct svc_req *);
+  extern int medlarplank_exchange_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define XCH_SWAP 1
-extern  xch_message * xch_swap_1();
-extern  xch_message * xch_swap_1_svc();
+extern xch_message *xch_swap_1 ();
+extern xch_message *xch_swap_1_svc ();
 extern int medlarplank_exchange_1_freeresult ();
 #endif /* K&R C */
 
-/* the xdr functions */
+  /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_xch_sample (XDR *, xch_sample*);
-extern  bool_t xdr_xch_word (XDR *, xch_word*);
-extern  bool_t xdr_xch_mark (XDR *, xch_mark*);
-extern  bool_t xdr_xch_message (XDR *, xch_message*);
+  extern bool_t xdr_xch_sample (XDR *, xch_sample *);
+  extern bool_t xdr_xch_word (XDR *, xch_word *);
+  extern bool_t xdr_xch_mark (XDR *, xch_mark *);
+  extern bool_t xdr_xch_message (XDR *, xch_message *);
 
 #else /* K&R C */
 extern bool_t xdr_xch_sample ();
--- a/src/proto/exchange_xdr.c
+++ b/src/proto/exchange_xdr.c
@@ -8,125 +8,132 @@
 bool_t
 xdr_xch_sample (XDR *xdrs, xch_sample *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
+  if (xdrs->x_op == XDR_ENCODE)
+    {
+      if (!xdr_u_quad_t (xdrs, &objp->engine_hash))
+        return FALSE;
+      if (!xdr_u_quad_t (xdrs, &objp->service_hash))
+        return FALSE;
+      buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+      if (buf == NULL)
+        {
+          if (!xdr_u_int (xdrs, &objp->load))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->waiting))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->cost))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->age_ms))
+            return FALSE;
+        }
+      else
+        {
+          IXDR_PUT_U_LONG (buf, objp->load);
+          IXDR_PUT_U_LONG (buf, objp->waiting);
+          IXDR_PUT_U_LONG (buf, objp->cost);
+          IXDR_PUT_U_LONG (buf, objp->age_ms);
+        }
+      return TRUE;
+    }
+  else if (xdrs->x_op == XDR_DECODE)
+    {
+      if (!xdr_u_quad_t (xdrs, &objp->engine_hash))
+        return FALSE;
+      if (!xdr_u_quad_t (xdrs, &objp->service_hash))
+        return FALSE;
+      buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+      if (buf == NULL)
+        {
+          if (!xdr_u_int (xdrs, &objp->load))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->waiting))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->cost))
+            return FALSE;
+          if (!xdr_u_int (xdrs, &objp->age_ms))
+            return FALSE;
+        }
+      else
+        {
+          objp->load = IXDR_GET_U_LONG (buf);
+          objp->waiting = IXDR_GET_U_LONG (buf);
+          objp->cost = IXDR_GET_U_LONG (buf);
+          objp->age_ms = IXDR_GET_U_LONG (buf);
+        }
+      return TRUE;
+    }
 
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->engine_hash))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->service_hash))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->load))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->waiting))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->cost))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->age_ms))
-				 return FALSE;
-		} else {
-			IXDR_PUT_U_LONG(buf, objp->load);
-			IXDR_PUT_U_LONG(buf, objp->waiting);
-			IXDR_PUT_U_LONG(buf, objp->cost);
-			IXDR_PUT_U_LONG(buf, objp->age_ms);
-		}
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->engine_hash))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->service_hash))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->load))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->waiting))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->cost))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->age_ms))
-				 return FALSE;
-		} else {
-			objp->load = IXDR_GET_U_LONG(buf);
-			objp->waiting = IXDR_GET_U_LONG(buf);
-			objp->cost = IXDR_GET_U_LONG(buf);
-			objp->age_ms = IXDR_GET_U_LONG(buf);
-		}
-	 return TRUE;
-	}
-
-	 if (!xdr_u_quad_t (xdrs, &objp->engine_hash))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->service_hash))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->load))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->waiting))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->cost))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->age_ms))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->engine_hash))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->service_hash))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->load))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->waiting))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->cost))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->age_ms))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_xch_word (XDR *xdrs, xch_word *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->host_hash))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->sequence))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->state))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_u_quad_t (xdrs, &objp->host_hash))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->sequence))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->state))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_xch_mark (XDR *xdrs, xch_mark *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	int i;
-	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
-		 return FALSE;
-	 if (!xdr_vector (xdrs, (char *)objp->engines, 2,
-		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->age_ms))
-		 return FALSE;
-	return TRUE;
+  int i;
+  if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+    return FALSE;
+  if (!xdr_vector (xdrs, (char *)objp->engines, 2, sizeof (u_quad_t), (xdrproc_t)xdr_u_quad_t))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->age_ms))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_xch_message (XDR *xdrs, xch_message *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_xch_word (xdrs, &objp->sender))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->manifest_version))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->manifest_offset))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->list_revision))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->samples.samples_val, (u_int *) &objp->samples.samples_len, XCH_SAMPLES,
-		sizeof (xch_sample), (xdrproc_t) xdr_xch_sample))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->words.words_val, (u_int *) &objp->words.words_len, XCH_WORDS,
-		sizeof (xch_word), (xdrproc_t) xdr_xch_word))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, XCH_MARKS,
-		sizeof (xch_mark), (xdrproc_t) xdr_xch_mark))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_xch_word (xdrs, &objp->sender))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->manifest_version))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->manifest_offset))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->list_revision))
+    return FALSE;
+  if (!xdr_u_int (xdrs, &objp->store_age_ms))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->samples.samples_val, (u_int *)&objp->samples.samples_len,
+                  XCH_SAMPLES, sizeof (xch_sample), (xdrproc_t)xdr_xch_sample))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->words.words_val, (u_int *)&objp->words.words_len, XCH_WORDS,
+                  sizeof (xch_word), (xdrproc_t)xdr_xch_word))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *)&objp->marks.marks_len, XCH_MARKS,
+                  sizeof (xch_mark), (xdrproc_t)xdr_xch_mark))
+    return FALSE;
+  return TRUE;
 }
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -55,6 +55,7 @@
   set->retry_slack = 50;
   set->retry_window_ms = 10000;
   set->version_ms = 2000;
+  set->renewal_ms = 1200;
   set->drain_ms = 2000;
   set->grace_ms = 8000;
   gateway->counters = cnt_set_new ();
--- a/tests/session_gateway.c
+++ b/tests/session_gateway.c
@@ -4,6 +4,7 @@
  * store out, a gateway that stops.
  */
 #include "driver.h"
+#include "standin/keyed_store.h"
 
 #include <CUnit/Basic.h>
 #include <signal.h>
@@ -117,6 +118,7 @@
   drv_process_t *process = drv_process_new (rig->drv, DRV_GATEWAY, name, NULL);
 
   drv_process_flag (process, "--role=gateway");
+  drv_process_flag (process, "--renewal-ms=%u", KST_LAPSE_MS / 3);
   drv_process_flag (process, "--name=%s", name);
   drv_process_flag (process, "--data-center=hall-bayangol");
   drv_process_flag (process, "--region=ulaanbaatar");
