--- a/src/connection/stream_follow.c
+++ b/src/connection/stream_follow.c
@@ -216,11 +216,23 @@
  * While the platform fails, a read does not wait there: one that begins in an outage is never
  * answered, and its whole wait would be added to the outage. A wait of 5 s made a version come 5 s
  * late.
+ *
+ * Nor does one wait for long that begins a pace after news. Others rest while this host has heard
+ * the store lately; after a pace of 1.2 s and a wait of 1 s it hadn't, and a hundred of them read
+ * at once.
  */
 static uint32_t
 wait_ms (const sfl_t *sfl)
 {
-  return sfl->resting || sfl->backoff_ms > 0 ? 0 : sfl->options.wait_ms;
+  uint32_t wait_ms = sfl->options.wait_ms;
+  uint64_t silent_ms = (clk_now_us (sfl->options.clk) - sfl->heard_us) / CLK_US_PER_MS;
+  uint64_t most_ms = wait_ms + wait_ms / SFL_SILENT_PART;
+
+  if (sfl->resting || sfl->backoff_ms > 0)
+    return 0;
+  if (sfl->heard_us == 0)
+    return wait_ms;
+  return (uint32_t)MIN (wait_ms, MAX (most_ms - MIN (silent_ms, most_ms), SFL_WAIT_MIN_MS));
 }
 
 static void
--- a/src/connection/stream_follow.h
+++ b/src/connection/stream_follow.h
@@ -21,6 +21,11 @@
 #define SFL_BACKOFF_MAX_MS 800
 #define SFL_PACE_MIN_MS 50 /* between two reads that both brought records */
 
+/* From one answer to the next a reader that follows lets pass its wait and this part of it, but for
+ * the least wait: a store that is asked for news and then left at once tells none. */
+#define SFL_SILENT_PART 4
+#define SFL_WAIT_MIN_MS 100
+
 typedef enum
 {
   SFL_LISTED,  /* the view holds all that the platform has; told after each whole list */
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -129,13 +129,62 @@
   gpr_put (gst->peers, key, value);
 }
 
+/* Before the own entry is seen, others may have written theirs: a fleet that starts together would
+ * all follow closely for as long. */
+static bool
+follows_closely (const gst_t *gst)
+{
+  size_t bytes;
+  uint64_t offset;
+  bool knows_fleet = kvw_get (gst->views[ROUTERS], gst->options.set->name, &bytes, &offset) != NULL;
+
+  return knows_fleet && gpr_follows_closely (gst->peers);
+}
+
+static rdu_view_t
+view_of (const gst_t *gst, uint32_t stream)
+{
+  const sfl_t *follow = gst->follows[stream];
+
+  return (rdu_view_t){ .close = follows_closely (gst),
+                       .listed = sfl_has_listed (follow),
+                       .lost = gst->lost,
+                       .own_us = sfl_heard_us (follow) };
+}
+
+static rdu_stream_t
+stream_of (const gst_t *gst, uint32_t stream)
+{
+  const set_t *set = gst->options.set;
+  bool routing = stream == ROUTING;
+  uint32_t percent = routing ? GST_ROUTING_BEHIND_PERCENT : GST_ENGINES_BEHIND_PERCENT;
+  uint64_t bound_us = (uint64_t)(routing ? set->version_ms : set->drain_ms) * CLK_US_PER_MS;
+
+  return (
+      rdu_stream_t){ .small = !routing, .ask_us = bound_us * percent / 100, .bound_us = bound_us };
+}
+
+static void
+turn_read (gst_t *gst, uint32_t stream)
+{
+  rdu_stream_t what = stream_of (gst, stream);
+  rdu_view_t view = view_of (gst, stream);
+  rdu_read_t duty = rdu_read (&gst->duties[stream], &what, &view, now_us (gst));
+
+  sfl_set_resting (gst->follows[stream], duty != RDU_FOLLOW);
+  if (duty == RDU_READ)
+    sfl_read_soon (gst->follows[stream]);
+}
+
 static void
 on_routing_told (sfl_state_t state, void *context)
 {
   gst_t *gst = context;
 
-  if (state == SFL_LISTED)
-    gst->options.told (gst->options.context);
+  if (state != SFL_LISTED)
+    return;
+  turn_read (gst, ROUTING);
+  gst->options.told (gst->options.context);
 }
 
 static void
@@ -144,6 +193,8 @@
   gst_t *gst = context;
 
   gst->lost = state == SFL_LOST;
+  if (state == SFL_LISTED)
+    turn_read (gst, ENGINES);
   gst->options.told (gst->options.context);
 }
 
@@ -154,17 +205,6 @@
   (void)context;
 }
 
-static rdu_view_t
-view_of (const gst_t *gst, uint32_t stream)
-{
-  const sfl_t *follow = gst->follows[stream];
-
-  return (rdu_view_t){ .close = gpr_follows_closely (gst->peers),
-                       .listed = sfl_has_listed (follow),
-                       .lost = gst->lost,
-                       .own_us = sfl_heard_us (follow) };
-}
-
 static uint64_t
 known_us (const gst_t *gst, uint32_t stream)
 {
@@ -295,17 +335,6 @@
   return gst->options.version (gst->options.context) == 0 || !gst_has_engines (gst);
 }
 
-static rdu_stream_t
-stream_of (const gst_t *gst, uint32_t stream)
-{
-  const set_t *set = gst->options.set;
-  uint32_t ask_ms = set->drain_ms * GST_ENGINES_BEHIND_PERCENT / 100;
-
-  if (stream == ROUTING)
-    ask_ms = set->version_ms * GST_ROUTING_BEHIND_PERCENT / 100;
-  return (rdu_stream_t){ .small = stream != ROUTING, .ask_us = (uint64_t)ask_ms * CLK_US_PER_MS };
-}
-
 static bool
 asks_peer (const gst_t *gst, uint32_t stream)
 {
@@ -343,18 +372,6 @@
   gft_ask (gst->fetch, &gst->ahead, streams, STREAMS);
 }
 
-static void
-turn_read (gst_t *gst, uint32_t stream)
-{
-  rdu_stream_t what = stream_of (gst, stream);
-  rdu_view_t view = view_of (gst, stream);
-  rdu_read_t duty = rdu_read (&gst->duties[stream], &what, &view, now_us (gst));
-
-  sfl_set_resting (gst->follows[stream], duty != RDU_FOLLOW);
-  if (duty == RDU_READ)
-    sfl_read_soon (gst->follows[stream]);
-}
-
 static void
 on_put (plt_outcome_t outcome, uint64_t offset, void *context)
 {
--- a/src/request/policy/read_duty.c
+++ b/src/request/policy/read_duty.c
@@ -39,11 +39,12 @@
 }
 
 static bool
-is_vouched (const rdu_t *rdu, const rdu_view_t *view, uint64_t now_us)
+is_vouched (const rdu_t *rdu, const rdu_stream_t *stream, const rdu_view_t *view, uint64_t now_us)
 {
   uint64_t known_us = rdu_known_us (rdu, view);
+  uint64_t most_us = MAX (RDU_VOUCHED_US, stream->bound_us * RDU_VOUCHED_PERCENT / 100);
 
-  return known_us != 0 && now_us < known_us + RDU_VOUCHED_US;
+  return known_us != 0 && now_us < known_us + most_us;
 }
 
 static bool
@@ -57,7 +58,7 @@
 {
   uint64_t patience_us = stream->small ? stream->ask_us : 0;
 
-  if (view->close || !view->listed || !is_vouched (rdu, view, now_us))
+  if (view->close || !view->listed || !is_vouched (rdu, stream, view, now_us))
     return RDU_FOLLOW;
   return is_behind_for (rdu, now_us, patience_us) ? RDU_READ : RDU_REST;
 }
--- a/src/request/policy/read_duty.h
+++ b/src/request/policy/read_duty.h
@@ -22,6 +22,9 @@
  * is not reached in calm; three lost followers make news two seconds late.
  */
 #define RDU_VOUCHED_US (UINT64_C (2000) * 1000)
+/* Where news may take longer than usual, so many percent of it count instead: word takes longer to
+ * reach a hundred gateways, and all that have not heard it read at once. */
+#define RDU_VOUCHED_PERCENT 60
 /* While the store can't be read here, a peer is asked for its news after this: it could still
  * come by a read that is just beginning again. */
 #define RDU_ASK_LOST_US (UINT64_C (150) * 1000)
@@ -47,11 +50,13 @@
  * @small: its records are small: news of them comes from peers. Large ones are read at the store,
  *   which has the bandwidth for it
  * @ask_us: a peer that has had more for so long is asked, also where the store should tell
+ * @bound_us: within which its news must be in force
  */
 typedef struct
 {
   bool small;
   uint64_t ask_us;
+  uint64_t bound_us;
 } rdu_stream_t;
 
 /**
--- a/tests/test_read_duty.c
+++ b/tests/test_read_duty.c
@@ -47,6 +47,23 @@
   CU_ASSERT_EQUAL (rdu_read (&rdu, &engines, &(rdu_view_t){ 0 }, START_US), RDU_FOLLOW);
 }
 
+/* Where news may take four seconds word of the store may be older by as much as that allows: a
+ * hundred gateways that had heard nothing for two seconds read all at once, though three of them
+ * follow. */
+static void
+test_vouching_lasts_longer_where_news_may_take_longer (void)
+{
+  rdu_stream_t slow = { .small = true, .ask_us = ASK_US, .bound_us = 4 * CLK_US_PER_S };
+  uint64_t end_us = START_US + slow.bound_us * RDU_VOUCHED_PERCENT / 100;
+  rdu_t rdu = vouched (START_US);
+
+  CU_ASSERT (end_us > START_US + RDU_VOUCHED_US);
+  CU_ASSERT_EQUAL (rdu_read (&rdu, &slow, &rest, end_us - 1), RDU_REST);
+  CU_ASSERT_EQUAL (rdu_read (&rdu, &slow, &rest, end_us), RDU_FOLLOW);
+  slow.bound_us = CLK_US_PER_S;
+  CU_ASSERT_EQUAL (rdu_read (&rdu, &slow, &rest, START_US + RDU_VOUCHED_US - 1), RDU_REST);
+}
+
 /* A peer heard the store just now, but knows less than this gateway: it may have heard it before
  * the news that this gateway has, and so before news that it lacks. */
 static void
@@ -146,6 +163,8 @@
 {
   static const CU_TestInfo tests[] = { SUITE_TEST (test_few_follow_the_rest_does_not),
                                        SUITE_TEST (test_who_is_not_vouched_for_reads),
+                                       SUITE_TEST (
+                                           test_vouching_lasts_longer_where_news_may_take_longer),
                                        SUITE_TEST (test_one_that_knows_less_vouches_for_nothing),
                                        SUITE_TEST (test_news_of_a_peer),
                                        SUITE_TEST (test_other_way_after_a_while),
--- a/tests/test_stream_follow.c
+++ b/tests/test_stream_follow.c
@@ -204,6 +204,32 @@
   rig_free (rig);
 }
 
+/*
+ * A reader that follows brings news, and reads again a pace later. Had it waited for as long as
+ * usual then, it would have heard nothing of the store for a pace and a wait: longer than all the
+ * others rest without word of it, so a hundred hosts would have read at once.
+ */
+static void
+test_a_read_after_news_is_answered_soon (void)
+{
+  static const plt_record_t record = {
+    .offset = 5, .key = "config", .data = "{}", .data_bytes = 2
+  };
+  rig_t *rig = rig_new (SFL_PACE_MIN_MS, 5, false);
+
+  CU_ASSERT (raw_run_until (rig->base, has_read_once, rig));
+  answer (rig, &(plt_read_t){ .outcome = PLT_OK,
+                              .next_offset = 6,
+                              .end_offset = 6,
+                              .records = &record,
+                              .record_count = 1 });
+  clk_init_paused (&rig->clk, clk_now_us (&rig->clk) + (uint64_t)WAIT_MS * CLK_US_PER_MS);
+  CU_ASSERT (raw_run_until (rig->base, has_read_twice, rig));
+  CU_ASSERT_EQUAL (rig->store.wait_ms[0], WAIT_MS);
+  CU_ASSERT_EQUAL (rig->store.wait_ms[1], MAX (WAIT_MS / SFL_SILENT_PART, SFL_WAIT_MIN_MS));
+  rig_free (rig);
+}
+
 /* One that was asked for fails, and its owner asks again at once: the backoff holds. */
 static void
 test_resting_keeps_its_backoff (void)
@@ -228,6 +254,7 @@
                                        SUITE_TEST (test_newest_of_a_series_is_read_at_once),
                                        SUITE_TEST (test_resting_reads_when_asked),
                                        SUITE_TEST (test_resting_keeps_its_backoff),
+                                       SUITE_TEST (test_a_read_after_news_is_answered_soon),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("stream_follow", tests);
