--- a/src/request/policy/outage.h
+++ b/src/request/policy/outage.h
@@ -41,8 +41,8 @@
 uint64_t otg_least_us (uint32_t renewal_ms);
 /** otg_heard() - the store was heard at @at_us; @least_us as of otg_least_us() */
 void otg_heard (otg_t *otg, uint64_t at_us, uint64_t least_us);
-/** otg_until_us() - the end of the last outage, now while it lasts; 0 for none. A peer's copy of the
- * registry may come before any word that the store is back */
+/** otg_until_us() - the end of the last outage, now while it lasts; 0 for none. A peer's copy of
+ * the registry may come before any word that the store is back */
 uint64_t otg_until_us (const otg_t *otg, uint64_t now_us, uint64_t least_us);
 
 #endif
