--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -374,6 +374,24 @@
   gwy_call_free (call);
 }
 
+/* What the decision was made by: the line as it stands. */
+static void
+log_refusal (const gwy_call_t *call, vrd_reason_t reason, uint32_t retry_after_ms)
+{
+  const lin_t *line = call->service->line;
+  uint64_t now_us = gwy_now_us (call->gwy);
+
+  log_event (LOG_LEVEL_INFO, "refuse", "id", call->id, "route", call->route->name, "version",
+             LOG_U64 (rte_version (call->table)), "outcome",
+             is_repeatable (call) ? "repeatable" : "not_run", "reason", vrd_reason_name (reason),
+             "hops", LOG_U64 (call->hops), "ms",
+             LOG_U64 ((now_us - call->arrived_us) / CLK_US_PER_MS), "retry_after_ms",
+             LOG_U64 (retry_after_ms), "overloaded",
+             lin_is_overloaded (line, now_us) ? "yes" : "no", "waiting", LOG_U64 (lin_count (line)),
+             "waiting_in_time", LOG_U64 (lin_count_in_time (line)), "odds_milli",
+             LOG_U64 (lin_odds_milli (line)), "returns", call->line.returns ? "yes" : "no", NULL);
+}
+
 static void
 refuse (gwy_call_t *call, vrd_reason_t reason, uint32_t retry_after_ms)
 {
@@ -381,8 +399,7 @@
 
   cnt_add (call->gwy->refused, 1);
   lat_add (call->service->failures, gwy_now_us (call->gwy) - call->arrived_us);
-  call->status = 503;
-  gwy_call_log (call, "refuse", is_repeatable (call) ? "repeatable" : "not_run", reason);
+  log_refusal (call, reason, wait_ms);
   flt_reply (call->in, &(flt_t){ .status = 503,
                                  .reason = reason,
                                  .verdict = VRD_NOT_RUN,
--- a/src/request/policy/line.c
+++ b/src/request/policy/line.c
@@ -121,14 +121,20 @@
   return lin_share_us (room, ahead_us + lin->run_us);
 }
 
-static bool
-is_pressed (const lin_t *lin, uint64_t now_us)
+bool
+lin_is_overloaded (const lin_t *lin, uint64_t now_us)
 {
   bool waits = lin_count (lin) > 0 || now_us < lin->emptied_us + LIN_CALM_US;
 
   return waits && now_us >= lin->pressed_us + LIN_PRESSED_US;
 }
 
+uint32_t
+lin_odds_milli (const lin_t *lin)
+{
+  return odd_share_milli (&lin->odds);
+}
+
 /*
  * How long an overload still lasts nobody knows; the best guess is as long again as it has lasted.
  * Who comes back sooner finds the same line, and as a second burst makes it longer.
@@ -136,7 +142,7 @@
 uint64_t
 lin_retry_us (const lin_t *lin, uint64_t now_us, uint64_t wait_us)
 {
-  return is_pressed (lin, now_us) ? MAX (wait_us, now_us - lin->pressed_us) : wait_us;
+  return lin_is_overloaded (lin, now_us) ? MAX (wait_us, now_us - lin->pressed_us) : wait_us;
 }
 
 /* Return: the latest start after which an answer still begins before its caller is gone */
@@ -184,7 +190,7 @@
 {
   uint64_t wait_us = UINT64_MAX / 2;
 
-  if (!is_pressed (lin, now_us))
+  if (!lin_is_overloaded (lin, now_us))
     return 0;
   fade_late (lin, now_us);
   if (lin->late_starts_milli > 0)
@@ -245,7 +251,8 @@
 static odd_turn_t
 turn_of (const lin_t *lin, uint64_t now_us, const lin_item_t *item)
 {
-  odd_turn_t turn = is_pressed (lin, now_us) ? odd_turn (&lin->odds, item->priority) : ODD_IN_TURN;
+  odd_turn_t turn =
+      lin_is_overloaded (lin, now_us) ? odd_turn (&lin->odds, item->priority) : ODD_IN_TURN;
 
   if (turn == ODD_GIVES_WAY && fq_has_credit (lin->in_time, &item->fair))
     return ODD_IN_TURN;
@@ -295,7 +302,7 @@
   if (now_us + *wait_us >= last_us)
     return LIN_TOO_LATE;
   late = now_us >= in_time_us || turn == ODD_GIVES_WAY ||
-         (is_pressed (lin, now_us) && now_us + *wait_us >= in_time_us);
+         (lin_is_overloaded (lin, now_us) && now_us + *wait_us >= in_time_us);
   if (late)
     note_odds (lin, now_us, item, false);
   return late ? push_late (lin, now_us, item) : push_into (lin, now_us, item, false, in_time_us);
--- a/src/request/policy/line.h
+++ b/src/request/policy/line.h
@@ -118,6 +118,10 @@
 uint64_t lin_wait_us (const lin_t *lin, const lin_room_t *room, const lin_item_t *item);
 /** lin_retry_us() - until one that is refused now may hope for room; @wait_us as of lin_push() */
 uint64_t lin_retry_us (const lin_t *lin, uint64_t now_us, uint64_t wait_us);
+/** lin_is_overloaded() - requests have waited without a break for too long */
+bool lin_is_overloaded (const lin_t *lin, uint64_t now_us);
+/** lin_odds_milli() - share of first tries that started in time lately, in thousandths */
+uint32_t lin_odds_milli (const lin_t *lin);
 uint32_t lin_count (const lin_t *lin);
 /** lin_count_in_time() - of those that can still be answered in time */
 uint32_t lin_count_in_time (const lin_t *lin);
