--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -24,9 +24,8 @@
  */
 #define GST_CLOSE_WAIT_MS 1000
 #define GST_ROUTERS_WAIT_MS 25000
-/* All gateways that start write into that list within a second or two, and none is in a hurry to
- * know them. */
-#define GST_ROUTERS_PACE_MS 2500
+/* All gateways that start write into that list, and none is in a hurry to know them. */
+#define GST_ROUTERS_PACE_MS 1000
 /*
  * Between two reads that bring a new version, or entries of engines: a part of the time in which
  * they must be in force. What comes meanwhile is read at once. A version of 1,100 routes takes a
