--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -328,9 +328,9 @@
 
 /*
  * Where slots are scarce, a request that took any free one would have its prompt read there anew,
- * and all engines would do nothing else: in 3.5 times the traffic ranks from 0 to 11 were used
- * alike, and a day's worth fell below zero. So it waits for the first few in rank, whose caches
- * hold its part; the slot goes to one that waits for just that engine.
+ * and all engines would do nothing else than read: callers would wait for prompts that another
+ * engine has in its cache. So it waits for the first few in rank, whose caches hold its part; the
+ * slot goes to one that waits for just that engine.
  */
 static egn_t *
 first_of_few (const world_t *world, uint64_t last_rank)
--- a/src/request/policy/spread.h
+++ b/src/request/policy/spread.h
@@ -17,10 +17,9 @@
  * The bound: the mean load, and beyond it a part of the mean and some requests, both in
  * thousandths. Over twice the mean and three more an engine would be overloaded. Loads of other
  * routers are known late, and with many of them each sends without knowing what the others send. So
- * of that a third go to any number of gateways, and the rest to a few, and less to more. A request
- * that finds its part at home moves no copy: with four and five gateways 0.0119 to 0.0177 of a
- * day's worth went for copies in place of 0.0171 to 0.0255 with half of the margin, and engines'
- * loads stayed within the users' bound in 40 days of faults.
+ * of that a third go to any number of gateways, and the rest to a few, and less to more. With a
+ * narrower margin more requests leave the home of their part, where no copy of it has to be moved
+ * or read; with a wider one more of them meet an engine over the bound.
  */
 #define SPR_BOUND_MILLI 300
 #define SPR_BOUND_MORE_MILLI 1100
