--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -48,6 +48,7 @@
  * @version_ms: gateway only: time in which a new version must be in force
  * @renewal_ms: gateway only: how often engines renew their entries
  * @drain_ms: gateway only: time in which an engine that leaves must get nothing more
+ * @center_drain_ms: gateway only: likewise the engines of a data centre that is drained
  * @grace_ms: gateway only: from a stop signal until the process is killed
  * @fleet_key: shared secret of the daemons, at least 16 bytes
  * @idle_timeout_ms: a connection without a request is closed after this
@@ -75,6 +76,7 @@
   uint32_t version_ms;
   uint32_t renewal_ms;
   uint32_t drain_ms;
+  uint32_t center_drain_ms;
   uint32_t grace_ms;
   char fleet_key[128];
   log_level_t log_level;
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -44,6 +44,8 @@
        "Gateway: how often engines renew their entries in the registry; they lapse after three times"),
   ROW ("drain-ms", NUMBER, NONE, 500, 600 * 1000, drain_ms, "2000",
        "Gateway: time in which an engine that leaves must get nothing more"),
+  ROW ("center-drain-ms", NUMBER, NONE, 500, 600 * 1000, center_drain_ms, "5000",
+       "Gateway: time in which the engines of a data centre that is drained must get nothing more"),
   ROW ("grace", MILLI, NONE, 1000, 600 * 1000, grace_ms, "8",
        "Gateway: seconds from a stop signal until the process is killed"),
   ROW ("fleet-key", SECRET, NONE, 16, sizeof (((set_t *)0)->fleet_key) - 1, fleet_key, NULL,
--- a/src/connection/platform.h
+++ b/src/connection/platform.h
@@ -84,10 +84,15 @@
 typedef void (*plt_hosts_done_t) (const plt_hosts_t *hosts, void *context);
 
 /* keyed streams */
-#define PLT_STREAM_ROUTING "routing" /* the operators' newest configuration */
+#define PLT_STREAM_ROUTING "routing" /* what operators write: by the keys below */
 #define PLT_STREAM_ENGINES "engines" /* entries of engines, each under its id */
 #define PLT_STREAM_ROUTERS "routers" /* addresses of routers, each under its host's name */
 
+/* keys of the stream of routing */
+#define PLT_KEY_CONFIG "config" /* the newest configuration */
+#define PLT_KEY_DRAIN_PREFIX                                                                       \
+  "drain/" /* and a data centre's name: it is drained while this is there */
+
 /**
  * struct plt - the platform
  * @append: one record to a stream; NULL when it has keyed streams only
--- a/src/connection/stream_follow.c
+++ b/src/connection/stream_follow.c
@@ -15,7 +15,6 @@
  * @list_end: end of the stream when the first page was made
  * @next: offset to read on from
  * @backoff_ms: 0 while the platform answers
- * @skipped: records were passed over before @next
  * @catching_up: from the first failure until all that was written meanwhile has been read
  */
 struct sfl
@@ -34,7 +33,6 @@
   uint64_t due_us;
   uint64_t heard_us;
   uint32_t backoff_ms;
-  bool skipped;
   bool catching_up;
 };
 
@@ -157,14 +155,15 @@
 }
 
 /*
- * The record that came is known to be old. Were the newest one read a pace later only, a host that
- * had not read for a while would stay behind for as long again: 1.4 s of the 3 s in which a version
- * must be in force.
+ * Records that are not read follow the one that came. Were the newest ones listed a pace later
+ * only, a host that had not read for a while would stay behind for as long again: 1.4 s of the 3 s
+ * in which a version must be in force. The last record alone would not do: those between may hold
+ * the newest of another key.
  */
 static void
-read_newest (sfl_t *sfl, uint64_t end_offset)
+list_newest (sfl_t *sfl)
 {
-  sfl->next = end_offset - 1;
+  list_anew (sfl);
   sfl->due_us = clk_now_us (sfl->options.clk);
   arm (sfl);
 }
@@ -190,21 +189,12 @@
       return;
     }
   worked (sfl);
-  /* What was passed over may have held the newest of its key, when the last record is another's. */
-  if (sfl->skipped && read->record_count == 0)
-    {
-      list_anew (sfl);
-      sfl->skipped = false;
-      start_next (sfl, pace_us);
-      return;
-    }
   apply (sfl, read->records, read->record_count);
   sfl->next = MAX (sfl->next, read->next_offset);
-  sfl->skipped = sfl->options.latest_only && sfl->next + 1 < read->end_offset;
   sfl->catching_up = sfl->next < read->end_offset && sfl->catching_up;
-  if (sfl->skipped)
+  if (sfl->options.latest_only && sfl->next + 1 < read->end_offset)
     {
-      read_newest (sfl, read->end_offset);
+      list_newest (sfl);
       return;
     }
   if (read->record_count == 0 && !sfl->resting)
--- a/src/connection/stream_follow.h
+++ b/src/connection/stream_follow.h
@@ -38,8 +38,8 @@
  * @stream: static
  * @wait_ms: a read waits so long for a record; 0 is not at all
  * @pace_ms: between the starts of two reads, when the first brought records
- * @latest_only: only the newest record of the stream counts; those between are passed over, so that
- *   a quick series of large records does not fill the host's link
+ * @latest_only: only the newest record of each key counts; where several have come they are listed,
+ *   so that a quick series of large records does not fill the host's link
  * @told: how it goes
  */
 typedef struct
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -129,9 +129,9 @@
   message->sender.host_hash = gpr->own_hash;
   message->sender.incarnation = gpr->options.incarnation;
   message->sender.sequence = ++gpr->sequence;
-  message->manifest_version = known.version;
+  message->manifest_offset = known.routing_next;
   message->list_revision = known.engines_next;
-  message->manifest_offset = known.routers_next; /* gateways have no manifest */
+  message->routers_offset = known.routers_next;
   message->store_age_ms = known.store_age_ms;
   fill_marks (gpr, message);
 }
@@ -159,9 +159,9 @@
 {
   gpr_t *gpr = context;
   peer_t *peer = find (gpr, message->sender.host_hash);
-  gpr_known_t theirs = { .version = message->manifest_version,
+  gpr_known_t theirs = { .routing_next = message->manifest_offset,
                          .engines_next = message->list_revision,
-                         .routers_next = message->manifest_offset,
+                         .routers_next = message->routers_offset,
                          .store_age_ms = message->store_age_ms };
 
   (void)is_reply;
@@ -408,6 +408,12 @@
   return 1 + MAX (alive_count (gpr), (gpr->peers->len + 1) / 2);
 }
 
+uint32_t
+gpr_known_count (const gpr_t *gpr)
+{
+  return 1 + gpr->peers->len;
+}
+
 bool
 gpr_follows_closely (const gpr_t *gpr)
 {
--- a/src/process/gateway_peers.h
+++ b/src/process/gateway_peers.h
@@ -35,14 +35,14 @@
 
 /**
  * struct gpr_known - what a gateway knows of the store
- * @version: of the routing rules
- * @engines_next: offset up to which the registry is known
+ * @routing_next: offset up to which what operators wrote is known
+ * @engines_next: likewise the registry
  * @routers_next: likewise the list of gateways
  * @store_age_ms: how long ago the store, or a peer that had heard it, was heard
  */
 typedef struct
 {
-  uint64_t version;
+  uint64_t routing_next;
   uint64_t engines_next;
   uint64_t routers_next;
   uint32_t store_age_ms;
@@ -82,6 +82,8 @@
 /** gpr_count() - gateways that may be at work, this one too: those heard lately, and at least half
  * of those known, since a cut must not make a gateway take the share of the others */
 uint32_t gpr_count (const gpr_t *gpr);
+/** gpr_known_count() - gateways that the stream of routers names, at work or not, this one too */
+uint32_t gpr_known_count (const gpr_t *gpr);
 /** gpr_follows_closely() - whether this gateway is one of the few */
 bool gpr_follows_closely (const gpr_t *gpr);
 /** gpr_some() - control address of a peer at random, those heard lately first. Return: false when
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -38,6 +38,7 @@
   cnt_t *stalls;
   cnt_t *version;
   cnt_t *engine_count;
+  cnt_t *drained_count;
 };
 
 static uint64_t
@@ -49,7 +50,8 @@
 bool
 gwp_is_ready (const gwp_t *gwp)
 {
-  return gwp->table && gwp->store && gst_has_engines (gwp->store) && gwp->stop_us == 0;
+  return gwp->table && gwp->store && gst_has_routing (gwp->store) && gst_has_engines (gwp->store) &&
+         gwp->stop_us == 0;
 }
 
 static void
@@ -97,6 +99,23 @@
   rte_unref (table);
 }
 
+static void
+on_drain (const char *data_center, bool drained, uint64_t offset, void *context)
+{
+  gwp_t *gwp = context;
+
+  if (!egs_set_drained (gwp->engines, now_us (gwp), data_center, drained))
+    return;
+  log_event (LOG_LEVEL_NOTICE, "data_center", "data_center", data_center, "state",
+             drained ? "drained" : "taken_back", "offset", LOG_U64 (offset), "engines",
+             LOG_U64 (egs_count_in (gwp->engines, data_center)), NULL);
+  cnt_set_value (gwp->drained_count, egs_drained_count (gwp->engines));
+  if (gwp->store)
+    gst_tell_news (gwp->store);
+  if (gwp->gwy)
+    gwy_engines_changed (gwp->gwy);
+}
+
 static void
 log_engine (const gwp_t *gwp, const char *id, const char *state, uint64_t offset)
 {
@@ -297,7 +316,7 @@
   end_lapsed (gwp);
   gst_turn (gwp->store);
   gwy_set_certain (gwp->gwy, gst_is_certain (gwp->store));
-  gwy_set_routers (gwp->gwy, gst_routers (gwp->store));
+  gwy_set_routers (gwp->gwy, gst_routers (gwp->store), gst_known_routers (gwp->store));
   turn_stop (gwp);
   log_flush ();
 }
@@ -388,6 +407,7 @@
                                           .incarnation = gwp->options.incarnation,
                                           .version = version,
                                           .routing = on_routing,
+                                          .drain = on_drain,
                                           .engine = on_engine,
                                           .told = on_told,
                                           .suspect = on_peers_suspect,
@@ -409,6 +429,8 @@
                          "Times that the process stood still for long");
   gwp->version = cnt_get (options->counters, "medlarplank_version", "Version in force");
   gwp->engine_count = cnt_get (options->counters, "medlarplank_engines", "Engines registered");
+  gwp->drained_count = cnt_get (options->counters, "medlarplank_drained_data_centers",
+                                "Data centres that operators drain");
   gwp->tick = event_new (options->base, -1, EV_PERSIST, on_tick, gwp);
   event_add (gwp->tick, &tick);
   if (open_store (gwp, error) && listen_all (gwp, error))
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -73,9 +73,11 @@
 {
   gst_t *gst = context;
 
-  (void)key;
   note_record (gst, ROUTING);
-  if (value)
+  if (g_str_has_prefix (key, PLT_KEY_DRAIN_PREFIX))
+    gst->options.drain (key + strlen (PLT_KEY_DRAIN_PREFIX), value != NULL, offset,
+                        gst->options.context);
+  else if (value)
     gst->options.routing (value, value_bytes, offset, gst->options.context);
 }
 
@@ -227,7 +229,7 @@
   uint64_t at_us = heard_us (gst);
   uint64_t age_ms = at_us ? (now_us (gst) - at_us) / CLK_US_PER_MS : UINT32_MAX;
 
-  return (gpr_known_t){ .version = gst->options.version (gst->options.context),
+  return (gpr_known_t){ .routing_next = sfl_next (gst->follows[ROUTING]),
                         .engines_next = sfl_next (gst->follows[ENGINES]),
                         .routers_next = sfl_next (gst->follows[ROUTERS]),
                         .store_age_ms = (uint32_t)MIN (age_ms, UINT32_MAX) };
@@ -423,10 +425,10 @@
   uint64_t store_us = age_us < at_us ? at_us - age_us : 0;
 
   otg_heard (&gst->outage, store_us, least_outage_us (gst));
-  rdu_heard (&gst->duties[ROUTING], at_us, theirs->version, ours.version, store_us);
+  rdu_heard (&gst->duties[ROUTING], at_us, theirs->routing_next, ours.routing_next, store_us);
   rdu_heard (&gst->duties[ENGINES], at_us, theirs->engines_next, ours.engines_next, store_us);
   rdu_heard (&gst->duties[ROUTERS], at_us, theirs->routers_next, ours.routers_next, store_us);
-  if (theirs->version > ours.version || theirs->engines_next > ours.engines_next ||
+  if (theirs->routing_next > ours.routing_next || theirs->engines_next > ours.engines_next ||
       theirs->routers_next > ours.routers_next)
     gst->ahead = *control;
   turn_news (gst);
@@ -526,6 +528,18 @@
   g_free (gst);
 }
 
+bool
+gst_has_routing (const gst_t *gst)
+{
+  return sfl_has_listed (gst->follows[ROUTING]);
+}
+
+uint32_t
+gst_known_routers (const gst_t *gst)
+{
+  return sfl_has_listed (gst->follows[ROUTERS]) ? gpr_known_count (gst->peers) : 0;
+}
+
 bool
 gst_has_engines (const gst_t *gst)
 {
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -51,6 +51,7 @@
  * @plt: freed with it
  * @version: of the routing rules in force
  * @routing: a record of the routing rules
+ * @drain: operators drain a data centre, or take it back
  * @engine: an entry of the registry; @text NULL when it was dropped. @may_have_lapsed: it was
  * dropped while the store could not be read here, perhaps since it was out
  * @told: the registry was listed, lost or regained
@@ -66,6 +67,7 @@
   uint64_t incarnation;
   uint64_t (*version) (void *context);
   void (*routing) (const char *text, size_t text_bytes, uint64_t offset, void *context);
+  void (*drain) (const char *data_center, bool drained, uint64_t offset, void *context);
   void (*engine) (const char *id,
                   const char *text,
                   size_t text_bytes,
@@ -83,12 +85,17 @@
 void gst_free (gst_t *gst);
 /** gst_turn() - to be called every 100 ms or so */
 void gst_turn (gst_t *gst);
+/** gst_has_routing() - whether all that operators wrote has been read, here or by a peer */
+bool gst_has_routing (const gst_t *gst);
 /** gst_has_engines() - whether the registry has been read whole, here or by a peer */
 bool gst_has_engines (const gst_t *gst);
 /** gst_is_certain() - whether what is known is surely the newest */
 bool gst_is_certain (const gst_t *gst);
 /** gst_routers() - gateways that may be at work, this one too */
 uint32_t gst_routers (const gst_t *gst);
+/** gst_known_routers() - gateways that have written themselves into the store, at work or not, this
+ * one too; 0 while the list of them has not been read */
+uint32_t gst_known_routers (const gst_t *gst);
 /** gst_tell_news() - something new was read: tell some peers at once */
 void gst_tell_news (gst_t *gst);
 /** gst_add_suspect() - tell peers of a request that crashes its engines */
--- a/src/proto/exchange.h
+++ b/src/proto/exchange.h
@@ -51,6 +51,7 @@
     u_quad_t manifest_version;
     u_quad_t manifest_offset;
     u_quad_t list_revision;
+    u_quad_t routers_offset;
     u_int store_age_ms;
     struct
     {
--- a/src/proto/exchange.x
+++ b/src/proto/exchange.x
@@ -33,6 +33,7 @@
   unsigned hyper manifest_version;
   unsigned hyper manifest_offset;
   unsigned hyper list_revision;
+  unsigned hyper routers_offset;
   unsigned int store_age_ms;
   xch_sample samples<XCH_SAMPLES>;
   xch_word words<XCH_WORDS>;
--- a/src/proto/exchange_xdr.c
+++ b/src/proto/exchange_xdr.c
@@ -124,6 +124,8 @@
     return FALSE;
   if (!xdr_u_quad_t (xdrs, &objp->list_revision))
     return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->routers_offset))
+    return FALSE;
   if (!xdr_u_int (xdrs, &objp->store_age_ms))
     return FALSE;
   if (!xdr_array (xdrs, (char **)&objp->samples.samples_val, (u_int *)&objp->samples.samples_len,
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -265,9 +265,10 @@
 }
 
 void
-gwy_set_routers (gwy_t *gwy, uint32_t routers)
+gwy_set_routers (gwy_t *gwy, uint32_t routers, uint32_t known)
 {
   gwy->routers = MAX (routers, 1U);
+  gwy->known_routers = known;
 }
 
 /*
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -249,6 +249,7 @@
 {
   const gwy_t *gwy = call->gwy;
   const gwy_service_t *service = call->service;
+  const rte_service_t *said = rte_service (gwy->table, service->name);
   uint64_t now_us = gwy_now_us (gwy);
 
   return spr_choose (
@@ -264,10 +265,21 @@
                         .told_milli = gau_told_milli (&service->load, now_us),
                         .surge = gau_is_surge (&service->load, now_us, service->under_way),
                         .late = call->line.waiting && call->line.late,
+                        .cold_per_s = said ? said->cold_per_s : 0,
+                        .cold_start_us = said ? said->cold_start_us : 0,
+                        .known_gateways = gwy->known_routers,
+                        .drain_us = (uint64_t)gwy->options.set->center_drain_ms * CLK_US_PER_MS,
                         .tried = call->tried,
                         .tried_count = call->tried_count });
 }
 
+void
+gwy_call_no_engine (gwy_call_t *call, const spr_choice_t *choice)
+{
+  gwy_call_give_up (call, choice->drained ? VRD_REASON_LEAVING : VRD_REASON_NO_ENGINE,
+                    choice->drained ? GWY_RETRY_DRAINED_MS : GWY_RETRY_MIN_MS);
+}
+
 void
 gwy_call_place (gwy_call_t *call)
 {
@@ -285,7 +297,7 @@
   else if (choice.action == SPR_WAIT)
     gwy_wait_push (call);
   else
-    gwy_call_give_up (call, VRD_REASON_NO_ENGINE, GWY_RETRY_MIN_MS);
+    gwy_call_no_engine (call, &choice);
 }
 
 static bool
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -241,18 +241,28 @@
     cwt_lost (&gwy->crashes, now_us, call->engine->hash, gwy_call_fingerprint (call));
 }
 
+static void
+note_lost (gwy_call_t *call, const hcl_end_t *end)
+{
+  uint64_t now_us = gwy_now_us (call->gwy);
+
+  if (end->verdict == VRD_NOT_RUN && end->reason == VRD_REASON_CONNECT)
+    egn_unreachable (call->engine, now_us);
+  else
+    egn_failed (call->engine, now_us);
+}
+
 static void
 on_end (const hcl_end_t *end, void *context)
 {
   gwy_call_t *call = context;
-  gwy_t *gwy = call->gwy;
   gwy_service_t *service = call->service;
 
   call->rly.from = NULL;
   if (end->whole)
     measure (call);
   else if (!call->headed || !call->answer.not_run)
-    egn_failed (call->engine, gwy_now_us (gwy));
+    note_lost (call, end);
   if (call->headed && call->answer.not_run)
     note_refused (call, call->engine);
   if (!end->whole)
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -38,6 +38,8 @@
 /* A retry sooner than this finds the same queue. */
 #define GWY_RETRY_MIN_MS 100
 #define GWY_RETRY_MAX_MS 8000
+/* All engines' data centres are drained: that takes operators seconds at the least. */
+#define GWY_RETRY_DRAINED_MS 2000
 #define GWY_SUSPECTS 256
 #define GWY_SUSPECT_US (UINT64_C (60) * CLK_US_PER_S) /* its caller has sent it again by then */
 /* A status check that many callers send alike runs at whichever engines crash, and after two would
@@ -104,6 +106,7 @@
   bool certain;
   bool stopping; /* no connections are taken any more */
   uint32_t routers;
+  uint32_t known_routers;
   GHashTable *services; /* interned name -> gwy_service_t */
   GHashTable *calls;
   cwt_t crashes;
@@ -211,6 +214,8 @@
 /** gwy_call_give_up() - it goes no further: 503 if it ran nowhere, else that it may have run; frees
  * the call */
 void gwy_call_give_up (gwy_call_t *call, vrd_reason_t reason, uint32_t retry_after_ms);
+/** gwy_call_no_engine() - @choice found none to ask; frees the call */
+void gwy_call_no_engine (gwy_call_t *call, const spr_choice_t *choice);
 /** gwy_call_log() - one line of a decision on the request */
 void
 gwy_call_log (const gwy_call_t *call, const char *event, const char *outcome, vrd_reason_t reason);
--- a/src/request/gateway/gateway_wait.c
+++ b/src/request/gateway/gateway_wait.c
@@ -84,6 +84,6 @@
           continue;
         }
       gwy_wait_remove (call);
-      gwy_call_give_up (call, VRD_REASON_NO_ENGINE, GWY_RETRY_MIN_MS);
+      gwy_call_no_engine (call, &choice);
     }
 }
--- /dev/null
+++ b/src/request/policy/cold_share.c
@@ -0,0 +1,29 @@
+#include "request/policy/cold_share.h"
+
+#include <xxhash.h>
+
+#define US_PER_S (UINT64_C (1000) * 1000)
+
+uint64_t
+cold_share_interval_us (uint32_t per_s, uint32_t gateways)
+{
+  return per_s > 0 ? US_PER_S * gateways * 100 / ((uint64_t)per_s * COLD_SHARE_PERCENT) : 0;
+}
+
+bool
+cold_share_has_turn (const cold_share_t *share, uint64_t now_us)
+{
+  uint64_t interval_us;
+  uint64_t first_us;
+
+  if (share->per_s == 0)
+    return true;
+  if (share->gateways == 0)
+    return false;
+  interval_us = cold_share_interval_us (share->per_s, share->gateways);
+  first_us =
+      XXH64 (&share->engine_hash, sizeof share->engine_hash, share->gateway_hash) % interval_us;
+  if (now_us < share->since_us + first_us)
+    return false;
+  return share->sent_us == 0 || now_us >= share->sent_us + interval_us;
+}
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -11,12 +11,14 @@
  * struct egs - the engines that the registry knows
  * @by_id: id -> egn_t
  * @by_service: interned service -> GPtrArray of egn_t
+ * @drained: data centre -> when it was drained, in microseconds
  * @complete: the first list has come: who is seen from now on has joined
  */
 struct egs
 {
   GHashTable *by_id;
   GHashTable *by_service;
+  GHashTable *drained;
   bool complete;
 };
 
@@ -42,6 +44,7 @@
 
   egs->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, egn_unref);
   egs->by_service = g_hash_table_new_full (NULL, NULL, NULL, array_free);
+  egs->drained = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return egs;
 }
 
@@ -49,6 +52,7 @@
 egs_free (egs_t *egs)
 {
   g_hash_table_destroy (egs->by_service);
+  g_hash_table_destroy (egs->drained);
   g_hash_table_destroy (egs->by_id);
   g_free (egs);
 }
@@ -78,6 +82,33 @@
   return egn;
 }
 
+/* Return: since when @data_center is drained, 0 when it isn't */
+static uint64_t
+drained_us (const egs_t *egs, const char *data_center)
+{
+  const uint64_t *since_us = g_hash_table_lookup (egs->drained, data_center);
+
+  return since_us ? *since_us : 0;
+}
+
+/* Its caches are gone, and it is as slow as one that has just started. */
+static void
+come_back (egn_t *egn, uint64_t now_us)
+{
+  egn->returned_us = now_us;
+  egn->since_us = now_us;
+}
+
+static void
+note_cold (egn_t *egn, uint64_t now_us)
+{
+  uint64_t cold_us = (uint64_t)egn->entry.cold_ms * MILLI;
+
+  if (cold_us > 0 && now_us >= egn->cold_until_us)
+    egn->cold_since_us = now_us;
+  egn->cold_until_us = cold_us > 0 ? now_us + cold_us : 0;
+}
+
 egn_t *
 egs_put (egs_t *egs, uint64_t now_us, const egn_entry_t *entry)
 {
@@ -98,10 +129,70 @@
       g_ptr_array_add (service_list (egs, entry->service), egn);
     }
   egn->entry = *entry;
-  egn->cold_until_us = entry->cold_ms > 0 ? now_us + (uint64_t)entry->cold_ms * MILLI : 0;
+  egn->drained_us = drained_us (egs, entry->data_center);
+  note_cold (egn, now_us);
   return egn;
 }
 
+bool
+egs_set_drained (egs_t *egs, uint64_t now_us, const char *data_center, bool drained)
+{
+  bool before = g_hash_table_contains (egs->drained, data_center);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (before == drained)
+    return false;
+  if (drained)
+    g_hash_table_insert (egs->drained, g_strdup (data_center), g_memdup2 (&now_us, sizeof now_us));
+  else
+    g_hash_table_remove (egs->drained, data_center);
+  g_hash_table_iter_init (&iter, egs->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      egn_t *egn = value;
+
+      if (strcmp (egn->entry.data_center, data_center) != 0)
+        continue;
+      egn->drained_us = drained ? now_us : 0;
+      if (!drained)
+        come_back (egn, now_us);
+    }
+  return true;
+}
+
+uint32_t
+egs_drained_count (const egs_t *egs)
+{
+  return g_hash_table_size (egs->drained);
+}
+
+uint32_t
+egs_count_in (const egs_t *egs, const char *data_center)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, egs->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += strcmp (((const egn_t *)value)->entry.data_center, data_center) == 0 ? 1 : 0;
+  return count;
+}
+
+bool
+egn_is_cold (const egn_t *egn, uint64_t now_us, uint64_t cold_start_us)
+{
+  return now_us < egn->cold_until_us ||
+         (egn->returned_us != 0 && now_us < egn->returned_us + cold_start_us);
+}
+
+uint64_t
+egn_cold_since_us (const egn_t *egn)
+{
+  return MAX (egn->cold_since_us, egn->returned_us);
+}
+
 void
 egs_gone (egs_t *egs, const char *id)
 {
@@ -222,9 +313,13 @@
   egn->error_us = now_us;
 }
 
+/* An engine may start again under its id, and its entry tells of that late. */
 void
 egn_worked (egn_t *egn, uint64_t now_us, bool failed)
 {
+  if (egn->down)
+    come_back (egn, now_us);
+  egn->down = false;
   egn->failures = 0;
   egn->skip_until_us = 0;
   note_error (egn, now_us, failed ? MILLI : 0);
@@ -263,6 +358,14 @@
   egn->probe_us = 0;
 }
 
+/* One connection in a row may be lost on its way to an engine that is sound. */
+void
+egn_unreachable (egn_t *egn, uint64_t now_us)
+{
+  egn_failed (egn, now_us);
+  egn->down = egn->failures >= EGN_FAILURES;
+}
+
 /* Between two halvings it falls in a straight line. */
 uint32_t
 egn_trust_milli (const egn_t *egn, uint64_t now_us)
@@ -287,7 +390,7 @@
 bool
 egn_is_open (const egn_t *egn)
 {
-  return egn->entry.state == EGN_READY;
+  return egn->entry.state == EGN_READY && egn->drained_us == 0;
 }
 
 bool
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -73,7 +73,11 @@
  * @heard_us: when a byte of it came last
  * @sent_us: when a request of this router went there last
  * @asked_us: when the first request after that byte went there
- * @since_us: when it was seen first; 0 when it was there before this router knew any
+ * @since_us: when it was seen first, or came back; 0 when it was there before this router knew any
+ * @cold_until_us, @cold_since_us: it bears little load until then; since when, 0 while it is not
+ * @returned_us: when its data centre was taken back, or it worked again after it was down
+ * @down: it was put aside, and refused connections
+ * @drained_us: since when operators drain its data centre; 0 when they don't
  * @idle_ms: how long it keeps an idle connection; 0 when it didn't say
  */
 typedef struct
@@ -98,6 +102,10 @@
   uint64_t sent_us;
   uint64_t since_us;
   uint64_t cold_until_us;
+  uint64_t cold_since_us;
+  uint64_t returned_us;
+  bool down;
+  uint64_t drained_us;
   uint32_t idle_ms;
 } egn_t;
 
@@ -150,6 +158,18 @@
  * Return: the engine
  */
 egn_t *egs_put (egs_t *egs, uint64_t now_us, const egn_entry_t *entry);
+/**
+ * egs_set_drained() - operators drain @data_center, or take it back
+ *
+ * Nothing more is sent to its engines while it is drained. When it is taken back they have lost
+ * their caches and may be cold, whatever their entries of before say.
+ *
+ * Return: whether that is news
+ */
+bool egs_set_drained (egs_t *egs, uint64_t now_us, const char *data_center, bool drained);
+uint32_t egs_drained_count (const egs_t *egs);
+/** egs_count_in() - engines of @data_center that the registry knows */
+uint32_t egs_count_in (const egs_t *egs, const char *data_center);
 /** egs_gone() - the registry knows @id no longer */
 void egs_gone (egs_t *egs, const char *id);
 /** egs_find() - by id, or NULL */
@@ -185,6 +205,8 @@
 void egn_worked (egn_t *egn, uint64_t now_us, bool failed);
 /** egn_failed() - it could not be reached or broke off */
 void egn_failed (egn_t *egn, uint64_t now_us);
+/** egn_unreachable() - likewise, as it took no connection: if it works again it has started anew */
+void egn_unreachable (egn_t *egn, uint64_t now_us);
 /** egn_load_now() - requests there, of all routers as far as known; @usual_milli: of others, at
  * engines of its service, in thousandths */
 uint32_t egn_load_now (const egn_t *egn, uint64_t now_us, uint64_t usual_milli);
@@ -200,8 +222,13 @@
 void egn_paced (egn_t *egn, uint64_t now_us, uint32_t ratio_milli);
 /** egn_pace_now() - of its late answers, against the usual, in thousandths; 1000 when not known */
 uint32_t egn_pace_now (const egn_t *egn, uint64_t now_us);
-/** egn_is_open() - ready by the registry */
+/** egn_is_open() - ready by the registry, and not drained */
 bool egn_is_open (const egn_t *egn);
+/** egn_is_cold() - it has just started, or may have: by its entry, or for @cold_start_us after it
+ * came back */
+bool egn_is_cold (const egn_t *egn, uint64_t now_us, uint64_t cold_start_us);
+/** egn_cold_since_us() - when it was seen to be cold; of one that is */
+uint64_t egn_cold_since_us (const egn_t *egn);
 /** egn_is_skipped() - put aside for failures, and no probe is due that is @repeatable or not */
 bool egn_is_skipped (const egn_t *egn, uint64_t now_us, bool repeatable);
 /** egn_probe() - a skipped engine whose time has come gets one request: note that it goes */
--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -1,5 +1,7 @@
 #include "request/policy/spread.h"
 
+#include "request/policy/cold_share.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -133,11 +135,33 @@
   return world->distrust || !egn_is_skipped (egn, world->now_us, world->request->repeatable);
 }
 
+static bool
+is_cold (const world_t *world, const egn_t *egn)
+{
+  return egn_is_cold (egn, world->now_us, world->request->cold_start_us);
+}
+
+/* One that is cold has room for this gateway at its turns, for what will be in its cache. */
+static bool
+has_turn (const world_t *world, const egn_t *egn)
+{
+  const spr_request_t *request = world->request;
+  cold_share_t share = { .per_s = request->cold_per_s,
+                         .gateways = request->known_gateways,
+                         .gateway_hash = request->gateway_hash,
+                         .engine_hash = egn->hash,
+                         .since_us = egn_cold_since_us (egn),
+                         .sent_us = egn->sent_us };
+
+  return !is_cold (world, egn) || cold_share_has_turn (&share, world->now_us);
+}
+
 static bool
 is_doubtful (const world_t *world, const egn_t *egn)
 {
   return egn_errors_now (egn, world->now_us) > world->error_limit_milli ||
-         world->now_us < egn->cold_until_us || egn_pace_now (egn, world->now_us) > SPR_PACE_MILLI ||
+         (world->request->cold_per_s == 0 && is_cold (world, egn)) ||
+         egn_pace_now (egn, world->now_us) > SPR_PACE_MILLI ||
          egn_is_silent (egn, world->now_us, world->request->head_us, world->request->repeatable);
 }
 
@@ -165,6 +189,8 @@
 {
   uint32_t slots = egn_slots (egn, world->request->default_slots);
 
+  if (!has_turn (world, egn))
+    return false;
   if (slots == 0 || (!world->full && load_of (world, egn) < slots))
     return true;
   return may_queue (world, egn, slots);
@@ -386,6 +412,14 @@
   return egn->since_us != 0 && world->now_us - egn->since_us < SPR_NEW_US;
 }
 
+/* Its data centre must get nothing more soon, a copy's read neither. */
+static bool
+is_drained_dry (const world_t *world, const egn_t *egn)
+{
+  return egn->drained_us != 0 &&
+         world->now_us >= egn->drained_us + world->request->drain_us / SPR_DRAIN_PART;
+}
+
 /*
  * All routers rank alike, so the engine that ranks first of those that have been there for a while
  * has served the part, also when it takes no new work any more; and where the first one itself is
@@ -404,7 +438,8 @@
     {
       egn_t *egn = engine_at (world, i);
 
-      if (egn == chosen || is_new (world, egn) || egn->failures > 0 || egn->entry.state == EGN_GONE)
+      if (egn == chosen || is_new (world, egn) || egn->failures > 0 ||
+          egn->entry.state == EGN_GONE || is_drained_dry (world, egn))
         continue;
       if (!best || rank_of (world, egn) > rank_of (world, best))
         best = egn;
@@ -422,6 +457,22 @@
   return count;
 }
 
+static bool
+is_all_drained (const world_t *world)
+{
+  bool any = false;
+
+  for (guint i = 0; i < world->engines->len; i++)
+    {
+      const egn_t *egn = engine_at (world, i);
+
+      if (egn_is_open (egn))
+        return false;
+      any = any || (egn->entry.state == EGN_READY && egn->drained_us != 0);
+    }
+  return any;
+}
+
 spr_choice_t
 spr_choose (const GPtrArray *engines, uint64_t now_us, const spr_request_t *request)
 {
@@ -435,6 +486,7 @@
   if (!choice.engine)
     {
       choice.action = choice.candidates > 0 ? SPR_WAIT : SPR_NONE;
+      choice.drained = choice.action == SPR_NONE && is_all_drained (&world);
       return choice;
     }
   choice.action = SPR_SEND;
--- a/src/request/policy/spread.h
+++ b/src/request/policy/spread.h
@@ -53,6 +53,10 @@
  * most shared parts within it.
  */
 #define SPR_NEW_US (UINT64_C (10) * 1000 * 1000)
+/* One part in so many of the time in which a data centre must be drained, its caches are copied
+ * from: what is popular there has new homes by then, and the engines that make the copies need
+ * time. */
+#define SPR_DRAIN_PART 2
 /* An engine that failed more than this share of its answers, in thousandths, and so many times the
  * service's median, goes last. A service's own errors are in the median. */
 #define SPR_ERROR_MILLI 300
@@ -80,6 +84,10 @@
  * @told_milli: requests at the engines as told lately, in thousandths of their slots; 0 is unknown
  * @late: it can't be answered in time any more: it takes only room that is surely free
  * @default_slots: of an engine that doesn't tell its slots
+ * @cold_per_s: requests a second that an engine bears while it is cold; 0 is unknown
+ * @cold_start_us: how long an engine is cold after its start
+ * @known_gateways: that may send to the engines, also those not heard lately; 0 is unknown
+ * @drain_us: from the order to drain a data centre until its engines must get nothing more
  */
 typedef struct
 {
@@ -97,6 +105,10 @@
   uint32_t told_milli;
   bool late;
   uint32_t default_slots;
+  uint32_t cold_per_s;
+  uint64_t cold_start_us;
+  uint32_t known_gateways;
+  uint64_t drain_us;
 } spr_request_t;
 
 /**
@@ -104,6 +116,7 @@
  * @source: engine other than @engine that most likely has the request's shared parts in its cache;
  *   NULL when there is none
  * @rank: 0 when @engine is the first for the affinity
+ * @drained: with %SPR_NONE: engines are left, but their data centres are drained
  */
 typedef struct
 {
@@ -114,6 +127,7 @@
   uint32_t load;
   uint32_t mean_milli;
   uint32_t candidates;
+  bool drained;
 } spr_choice_t;
 
 /** spr_choose() - among @engines, egn_t of one service */
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -12,6 +12,7 @@
  * @sources: source_hash -> rte_route_t of @routes
  * @accounts: rte_account_t by name
  * @keys: key -> rte_account_t of @accounts
+ * @services: interned name -> rte_service_t
  */
 struct rte
 {
@@ -21,6 +22,7 @@
   GHashTable *sources;
   GHashTable *accounts;
   GHashTable *keys;
+  GHashTable *services;
   rte_limits_t limits;
   bool keys_required;
 };
@@ -57,6 +59,7 @@
   rte->sources = g_hash_table_new (g_int64_hash, g_int64_equal);
   rte->accounts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, account_free);
   rte->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  rte->services = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   return rte;
 }
 
@@ -76,6 +79,7 @@
   g_hash_table_destroy (rte->routes);
   g_hash_table_destroy (rte->keys);
   g_hash_table_destroy (rte->accounts);
+  g_hash_table_destroy (rte->services);
   g_free (rte);
 }
 
@@ -207,6 +211,19 @@
   return true;
 }
 
+void
+rte_add_service (rte_t *rte, const rte_service_t *service)
+{
+  g_hash_table_insert (rte->services, (gpointer)service->name,
+                       g_memdup2 (service, sizeof *service));
+}
+
+const rte_service_t *
+rte_service (const rte_t *rte, const char *name)
+{
+  return g_hash_table_lookup (rte->services, name);
+}
+
 void
 rte_set_limits (rte_t *rte, const rte_limits_t *limits)
 {
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -75,6 +75,18 @@
   bool has_priority;
 } rte_account_t;
 
+/**
+ * struct rte_service - what operators say of a service
+ * @cold_per_s: requests a second that an engine bears while it is cold; 0 is unknown
+ * @cold_start_us: how long an engine is cold after its start; 0 is not at all
+ */
+typedef struct
+{
+  const char *name; /* interned */
+  uint32_t cold_per_s;
+  uint64_t cold_start_us;
+} rte_service_t;
+
 /**
  * struct rte_limits - what a caller may send, and how long it may take; 0 keeps the setting
  */
@@ -110,6 +122,9 @@
                       const char *const *keys,
                       uint32_t key_count,
                       GError **error);
+void rte_add_service (rte_t *rte, const rte_service_t *service);
+/** rte_service() - by its interned name; NULL when operators say nothing of it */
+const rte_service_t *rte_service (const rte_t *rte, const char *name);
 /** rte_set_limits() - what callers may send */
 void rte_set_limits (rte_t *rte, const rte_limits_t *limits);
 /** rte_require_keys() - callers must show a key, on routes that are not public */
--- a/tests/session_gateway.c
+++ b/tests/session_gateway.c
@@ -14,6 +14,7 @@
 #define UPSTREAMS 5
 #define STREAMS 3 /* of the upstreams, the first ones */
 #define MANY 20
+#define DATA_CENTER "hall-bayangol" /* of all upstreams */
 
 /** struct rig - the processes of the session */
 typedef struct
@@ -33,18 +34,19 @@
                                                          ",\"resumable\":true") routes             \
       "],\"tenants\":[{\"name\":\"alpha\",\"api_keys\":[\"key-1\"]}]}"
 
+/* @value empty: the key is dropped */
 static void
-publish (rig_t *rig, const char *config)
+write_record (rig_t *rig, const char *key, const char *value)
 {
-  size_t length = 1 + strlen ("config") + strlen (config);
+  size_t length = 1 + strlen (key) + strlen (value);
   GString *body = g_string_new (NULL);
   drv_call_t *call;
 
   /* a keyed record: its length, that of the key, key and value */
   for (int shift = 24; shift >= 0; shift -= 8)
     g_string_append_c (body, (char)(length >> shift));
-  g_string_append_c (body, (char)strlen ("config"));
-  g_string_append_printf (body, "config%s", config);
+  g_string_append_c (body, (char)strlen (key));
+  g_string_append_printf (body, "%s%s", key, value);
   call = drv_send_bytes (rig->drv, rig->drv->platform->ip, "POST",
                          "/log-append?topic=keyed.op&part=0", "", body->str, body->len);
   drv_answered (call);
@@ -52,6 +54,12 @@
   g_string_free (body, TRUE);
 }
 
+static void
+publish (rig_t *rig, const char *config)
+{
+  write_record (rig, "config", config);
+}
+
 static drv_call_t *
 ask (rig_t *rig, uint32_t gateway, const char *method, const char *path)
 {
@@ -184,6 +192,52 @@
   drv_say (rig->drv, "version 5: the new route is served by both");
 }
 
+static bool
+all_drained (void *context)
+{
+  const rig_t *rig = context;
+
+  for (uint32_t i = 0; i < GATEWAYS; i++)
+    if (drv_logged (rig->gateways[i], ": data_center ", "state=drained") == 0)
+      return false;
+  return true;
+}
+
+static bool
+second_is_ready (void *context)
+{
+  return drv_logged (((const rig_t *)context)->gateways[1], ": ready ", NULL) >= 2;
+}
+
+static bool
+all_taken_back (void *context)
+{
+  rig_t *rig = context;
+
+  for (uint32_t i = 0; i < GATEWAYS; i++)
+    if (status_of (rig, i, "/look/") != 200)
+      return false;
+  return true;
+}
+
+/* All upstreams stand in one data centre. While operators drain it nothing runs, and callers hear
+ * so at once; a gateway that starts meanwhile sends nothing there either. */
+static void
+data_center_is_drained (rig_t *rig)
+{
+  write_record (rig, "evacuate/" DATA_CENTER, "{}");
+  drv_until (rig->drv, DRV_WAIT_MS, "a drained data centre at all gateways", all_drained, rig);
+  drv_say (rig->drv, "its data centre is drained: %u of %u lookups, each is refused with %d",
+           ask_many (rig, "GET", "/look/"), MANY, status_of (rig, 0, "/look/"));
+  drv_kill (rig->gateways[1]);
+  drv_process_start (rig->gateways[1]);
+  drv_until (rig->drv, DRV_WAIT_MS, "a restarted gateway", second_is_ready, rig);
+  drv_say (rig->drv, "a gateway starts meanwhile: %d", status_of (rig, 1, "/look/"));
+  write_record (rig, "evacuate/" DATA_CENTER, "");
+  drv_until (rig->drv, DRV_WAIT_MS, "a data centre that is taken back", all_taken_back, rig);
+  drv_say (rig->drv, "it is taken back: %u of %u lookups", ask_many (rig, "GET", "/look/"), MANY);
+}
+
 static bool
 has_ended (void *context)
 {
@@ -274,6 +328,7 @@
   start (&rig);
   calm (&rig);
   configuration (&rig);
+  data_center_is_drained (&rig);
   upstream_leaves (&rig);
   upstream_crashes (&rig);
   store_out (&rig);
--- /dev/null
+++ b/tests/test_cold_share.c
@@ -0,0 +1,251 @@
+/* Unit tests of the turns at which gateways may send to engines that are cold, and of engines that
+ * come back. */
+#include "request/policy/cold_share.h"
+#include "request/policy/engines.h"
+#include "request/policy/spread.h"
+#include "suite.h"
+
+#include <string.h>
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (egs_t, egs_free)
+
+#define SECOND_US (UINT64_C (1000) * 1000)
+#define NOW_US (100 * SECOND_US)
+#define STEP_US (UINT64_C (25) * 1000) /* a gateway looks at what waits this often */
+#define COLD_US (3 * SECOND_US)
+#define PER_S 16       /* what a cold engine bears in a second */
+#define BOUND_PER_S 29 /* one and a half times that and five: above it engines crash */
+#define ENGINES 20
+#define GATEWAYS_MOST 880
+
+/* Return: the most that was sent within any one second */
+static uint32_t
+most_in_a_second (const GArray *sent_us)
+{
+  uint32_t most = 0;
+  guint from = 0;
+
+  for (guint to = 0; to < sent_us->len; to++)
+    {
+      while (g_array_index (sent_us, uint64_t, to) - g_array_index (sent_us, uint64_t, from) >=
+             SECOND_US)
+        from++;
+      most = MAX (most, to - from + 1);
+    }
+  return most;
+}
+
+/* Each gateway sends whenever it may, as in a burst; it sees the engine cold @late_us later than
+ * the gateway before. */
+static uint32_t
+flood (uint32_t gateways, uint64_t engine_hash, uint64_t late_us)
+{
+  g_autofree uint64_t *sent_us = g_new0 (uint64_t, gateways);
+  g_autoptr (GArray) all = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+
+  for (uint64_t at_us = NOW_US; at_us < NOW_US + COLD_US; at_us += STEP_US)
+    for (uint32_t i = 0; i < gateways; i++)
+      {
+        cold_share_t share = { .per_s = PER_S,
+                               .gateways = gateways,
+                               .gateway_hash = i + 1,
+                               .engine_hash = engine_hash,
+                               .since_us = NOW_US + i * late_us,
+                               .sent_us = sent_us[i] };
+
+        if (!cold_share_has_turn (&share, at_us))
+          continue;
+        sent_us[i] = at_us;
+        g_array_append_val (all, at_us);
+      }
+  return most_in_a_second (all);
+}
+
+/*
+ * All engines of a service return at once, cold, in a burst, and every gateway sends whatever it
+ * may. Callers would lose what runs on an engine that gets over its bound in a second, as it
+ * crashes: none does, from four gateways to hundreds, and whether they learn of it together or one
+ * after the other.
+ */
+static void
+test_no_engine_gets_over_its_bound (void)
+{
+  static const uint32_t fleets[] = { 1, 4, 22, 103, GATEWAYS_MOST };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (fleets); i++)
+    for (uint64_t engine = 1; engine <= ENGINES; engine++)
+      {
+        CU_ASSERT (flood (fleets[i], engine, 0) <= BOUND_PER_S);
+        CU_ASSERT (flood (fleets[i], engine, 1000) <= BOUND_PER_S);
+      }
+}
+
+/* Nor is it left idle: with few gateways it gets a good part of what it bears, with many at least
+ * something in its first seconds. */
+static void
+test_cold_engines_are_warmed (void)
+{
+  for (uint64_t engine = 1; engine <= ENGINES; engine++)
+    {
+      CU_ASSERT (flood (4, engine, 0) >= PER_S * COLD_SHARE_PERCENT / 100);
+      CU_ASSERT (flood (22, engine, 0) >= PER_S / 4);
+      CU_ASSERT (flood (103, engine, 0) >= 1);
+    }
+}
+
+/* A gateway that does not know the others sends nothing there; where nobody said what a cold engine
+ * bears there is no limit. */
+static void
+test_unknown_fleet_and_unknown_rate (void)
+{
+  cold_share_t share = { .per_s = PER_S };
+
+  CU_ASSERT (!cold_share_has_turn (&share, NOW_US));
+  share.per_s = 0;
+  CU_ASSERT (cold_share_has_turn (&share, NOW_US));
+}
+
+static egn_t *
+put (egs_t *egs, uint64_t now_us, const char *id, const char *data_center, uint32_t cold_ms)
+{
+  egn_entry_t entry = {
+    .service = g_intern_static_string ("pool"), .slots = 8, .state = EGN_READY, .cold_ms = cold_ms
+  };
+
+  g_strlcpy (entry.id, id, sizeof entry.id);
+  g_strlcpy (entry.data_center, data_center, sizeof entry.data_center);
+  return egs_put (egs, now_us, &entry);
+}
+
+static spr_choice_t
+choose (const egs_t *egs, uint64_t now_us, uint32_t known_gateways)
+{
+  return spr_choose (egs_list (egs, g_intern_static_string ("pool")), now_us,
+                     &(spr_request_t){ .data_center = "hall-1",
+                                       .gateways = 2,
+                                       .known_gateways = known_gateways,
+                                       .cold_per_s = PER_S,
+                                       .cold_start_us = COLD_US,
+                                       .drain_us = 5 * SECOND_US });
+}
+
+/*
+ * The only engines are cold, and all requests of a burst want them. What has no turn waits for the
+ * next one: it is neither refused, as if nobody were left, nor sent.
+ */
+static void
+test_request_waits_for_a_turn (void)
+{
+  g_autoptr (egs_t) egs = egs_new ();
+  uint64_t interval_us = cold_share_interval_us (PER_S, 2);
+  uint32_t sent = 0;
+
+  put (egs, NOW_US, "e0", "hall-1", COLD_US / 1000);
+  for (uint64_t at_us = NOW_US; at_us < NOW_US + SECOND_US; at_us += STEP_US)
+    {
+      spr_choice_t choice = choose (egs, at_us, 2);
+
+      CU_ASSERT (choice.action != SPR_NONE);
+      if (choice.action != SPR_SEND)
+        continue;
+      egn_begin (choice.engine, at_us);
+      egn_end (choice.engine);
+      sent++;
+    }
+  CU_ASSERT (sent >= 1 && sent <= 1 + SECOND_US / interval_us);
+  CU_ASSERT_EQUAL (choose (egs, NOW_US + SECOND_US, 0).action, SPR_WAIT);
+  CU_ASSERT_EQUAL (choose (egs, NOW_US + COLD_US, 0).action, SPR_SEND);
+}
+
+/*
+ * A data centre is taken back. Its engines' entries are from before it was drained and say nothing
+ * of a cold start: a burst that was sent there at once would crash them.
+ */
+static void
+test_engines_taken_back_are_cold (void)
+{
+  g_autoptr (egs_t) egs = egs_new ();
+  egn_t *engine = put (egs, NOW_US, "e0", "hall-1", 0);
+
+  CU_ASSERT (!egn_is_cold (engine, NOW_US, COLD_US));
+  egs_set_drained (egs, NOW_US, "hall-1", true);
+  egs_set_drained (egs, NOW_US + SECOND_US, "hall-1", false);
+  CU_ASSERT (egn_is_cold (engine, NOW_US + SECOND_US, COLD_US));
+  put (egs, NOW_US + SECOND_US, "e0", "hall-1", 0);
+  CU_ASSERT (egn_is_cold (engine, NOW_US + 2 * SECOND_US, COLD_US));
+  CU_ASSERT (!egn_is_cold (engine, NOW_US + SECOND_US + COLD_US, COLD_US));
+}
+
+/* An engine refuses connections, and answers again under its id before its entry tells that it has
+ * started anew. */
+static void
+test_engine_that_was_down_is_cold (void)
+{
+  g_autoptr (egs_t) egs = egs_new ();
+  egn_t *engine = put (egs, NOW_US, "e0", "hall-1", 0);
+
+  egn_unreachable (engine, NOW_US);
+  egn_worked (engine, NOW_US, false);
+  CU_ASSERT (!egn_is_cold (engine, NOW_US, COLD_US));
+  for (uint32_t i = 0; i < EGN_FAILURES; i++)
+    egn_unreachable (engine, NOW_US);
+  egn_worked (engine, NOW_US, false);
+  CU_ASSERT (egn_is_cold (engine, NOW_US, COLD_US));
+}
+
+/*
+ * A data centre is drained: nothing is sent to its engines, those that register later neither.
+ * Their caches are still copied from for a part of the time in which that must be so. With no other
+ * engine left, callers hear why at once.
+ */
+static void
+test_drained_engines_get_nothing (void)
+{
+  g_autoptr (egs_t) egs = egs_new ();
+  egn_t *other;
+
+  put (egs, NOW_US, "e0", "hall-1", 0);
+  other = put (egs, NOW_US, "e1", "hall-2", 0);
+  CU_ASSERT (egs_set_drained (egs, NOW_US, "hall-1", true));
+  CU_ASSERT (!egs_set_drained (egs, NOW_US, "hall-1", true));
+  put (egs, NOW_US, "e2", "hall-1", 0);
+  CU_ASSERT_PTR_EQUAL (choose (egs, NOW_US, 2).engine, other);
+  CU_ASSERT_EQUAL (choose (egs, NOW_US, 2).candidates, 1);
+  egs_set_drained (egs, NOW_US, "hall-2", true);
+  CU_ASSERT_EQUAL (choose (egs, NOW_US, 2).action, SPR_NONE);
+  CU_ASSERT (choose (egs, NOW_US, 2).drained);
+  egs_set_drained (egs, NOW_US, "hall-1", false);
+  CU_ASSERT_STRING_EQUAL (choose (egs, NOW_US + COLD_US, 2).engine->entry.data_center, "hall-1");
+}
+
+static void
+test_drained_caches_are_copied_for_a_while (void)
+{
+  g_autoptr (egs_t) egs = egs_new ();
+  spr_request_t request = { .data_center = "hall-1", .affinity = 7, .drain_us = 4 * SECOND_US };
+  const GPtrArray *engines;
+
+  put (egs, NOW_US, "e0", "hall-1", 0);
+  put (egs, NOW_US, "e1", "hall-2", 0);
+  engines = egs_list (egs, g_intern_static_string ("pool"));
+  egs_set_drained (egs, NOW_US, "hall-1", true);
+  CU_ASSERT_PTR_EQUAL (spr_choose (engines, NOW_US + SECOND_US, &request).source,
+                       egs_find (egs, "e0"));
+  CU_ASSERT_PTR_NULL (spr_choose (engines, NOW_US + 2 * SECOND_US, &request).source);
+}
+
+int
+main (void)
+{
+  static const CU_TestInfo tests[] = { SUITE_TEST (test_no_engine_gets_over_its_bound),
+                                       SUITE_TEST (test_cold_engines_are_warmed),
+                                       SUITE_TEST (test_unknown_fleet_and_unknown_rate),
+                                       SUITE_TEST (test_request_waits_for_a_turn),
+                                       SUITE_TEST (test_engines_taken_back_are_cold),
+                                       SUITE_TEST (test_engine_that_was_down_is_cold),
+                                       SUITE_TEST (test_drained_engines_get_nothing),
+                                       SUITE_TEST (test_drained_caches_are_copied_for_a_while),
+                                       CU_TEST_INFO_NULL };
+
+  return suite_run ("cold_share", tests);
+}
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -13,8 +13,9 @@
 #define KEY "sixteen bytes or more"
 #define FUZZ_ROUNDS 20000
 #define DEADLINE_S 5
-#define CALL_HMAC_AT 40             /* after ten words of the header */
-#define EMPTY_REPLY_BYTES (56 + 64) /* header with HMAC, message without elements */
+#define CALL_HMAC_AT 40 /* after ten words of the header */
+/* header with HMAC, message without elements: the sender, four offsets, an age and three counts */
+#define EMPTY_REPLY_BYTES (56 + 72)
 
 /** struct full - a message with every array full */
 typedef struct
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -734,6 +734,79 @@
   CU_ASSERT (grg_counter (grg, 1, "medlarplank_views_from_peers_total") > 0);
 }
 
+#define DRAIN PLT_KEY_DRAIN_PREFIX "hall-1"
+#define DRAINED_GAUGE "medlarplank_drained_data_centers"
+
+static bool
+second_is_drained (void *context)
+{
+  return grg_counter (context, 1, DRAINED_GAUGE) == 1;
+}
+
+static bool
+second_is_taken_back (void *context)
+{
+  return grg_counter (context, 1, DRAINED_GAUGE) == 0;
+}
+
+/*
+ * Operators drain the only data centre: from then on its engine gets nothing, a caller is told at
+ * once that its request has not run, and when to come back. Taken back, it serves again.
+ */
+static void
+test_drained_data_center_gets_nothing (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  raw_t *raw;
+
+  grg_engine (grg, SCRIPTS (OK_ANSWER), 1);
+  fks_put (grg->store, PLT_STREAM_ROUTING, DRAIN, "{}");
+  CU_ASSERT (grg_wait (grg, DRAINED_GAUGE, 1));
+  raw = grg_ask (grg, "GET", "/look/", "");
+  CU_ASSERT (has (raw, "HTTP/1.1 503 ") && has (raw, "Retry-After: 2"));
+  raw_free (raw);
+  CU_ASSERT_EQUAL (grg_requests (grg), 0);
+  fks_put (grg->store, PLT_STREAM_ROUTING, DRAIN, NULL);
+  CU_ASSERT (grg_wait (grg, DRAINED_GAUGE, 0));
+  expect (grg, "GET", "/look/", "", "200");
+}
+
+/*
+ * The store refuses one gateway while operators drain a data centre, and take it back: it must
+ * learn both from its peer. A copy of the peer's records that it gets late changes nothing.
+ */
+static void
+test_cut_gateway_hears_of_a_drain (void)
+{
+  g_autoptr (grg_t) grg = grg_new (2);
+
+  CU_ASSERT (raw_run_until (grg->base, second_heard_its_peer, grg));
+  grg->gateways[1].front->down = true;
+  fks_put (grg->store, PLT_STREAM_ROUTING, DRAIN, "{}");
+  CU_ASSERT (raw_run_until (grg->base, second_is_drained, grg));
+  fks_put (grg->store, PLT_STREAM_ROUTING, DRAIN, NULL);
+  CU_ASSERT (raw_run_until (grg->base, second_is_taken_back, grg));
+}
+
+/*
+ * The store drops its history, and with it the record that takes a data centre back. The list of
+ * the newest records lacks the drain: that must take it back, and a drain that still stands there
+ * must stay.
+ */
+static void
+test_drains_follow_a_list_of_the_newest (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+
+  fks_put (grg->store, PLT_STREAM_ROUTING, DRAIN, "{}");
+  fks_put (grg->store, PLT_STREAM_ROUTING, PLT_KEY_DRAIN_PREFIX "hall-2", "{}");
+  CU_ASSERT (grg_wait (grg, DRAINED_GAUGE, 2));
+  grg->gateways[0].front->expired = true;
+  fks_put (grg->store, PLT_STREAM_ROUTING, DRAIN, NULL);
+  CU_ASSERT (grg_wait (grg, DRAINED_GAUGE, 1));
+  CU_ASSERT (grg_wait (grg, "medlarplank_version", 1));
+}
+
 #define FLEET 5
 
 static bool
@@ -906,6 +979,9 @@
                                        SUITE_TEST (test_leaving_engine_gets_nothing_more),
                                        SUITE_TEST (test_old_version_is_not_put_in_force),
                                        SUITE_TEST (test_cut_gateway_learns_from_its_peer),
+                                       SUITE_TEST (test_drained_data_center_gets_nothing),
+                                       SUITE_TEST (test_cut_gateway_hears_of_a_drain),
+                                       SUITE_TEST (test_drains_follow_a_list_of_the_newest),
                                        SUITE_TEST (test_those_that_rest_hear_the_news),
                                        SUITE_TEST (test_stop_is_graceful),
                                        SUITE_TEST (test_late_request_at_a_stop_is_refused),
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -46,6 +46,25 @@
   CU_ASSERT_STRING_EQUAL (found (rte, "shop.example", "/b?x=/a/"), "none");
 }
 
+/* What a cold engine bears is read from the configuration; what is no number there is unknown, and
+ * a rate is rounded down, as more would be too much. */
+static void
+test_services_are_read (void)
+{
+  static const char text[] =
+      "{\"version\":3,\"routes\":[],\"services\":[{\"name\":\"pool\",\"cold_start_s\":2.5,"
+      "\"cold_per_s\":16.9},{\"name\":\"odd\",\"cold_start_s\":\"x\",\"cold_per_s\":-1}]}";
+  g_autoptr (rte_t) rte = prc_read_routing (text, strlen (text), NULL, NULL);
+  const rte_service_t *pool = rte_service (rte, g_intern_static_string ("pool"));
+  const rte_service_t *odd = rte_service (rte, g_intern_static_string ("odd"));
+
+  CU_ASSERT_EQUAL (pool->cold_per_s, 16);
+  CU_ASSERT_EQUAL (pool->cold_start_us, 2500 * 1000);
+  CU_ASSERT_EQUAL (odd->cold_per_s, 0);
+  CU_ASSERT_EQUAL (odd->cold_start_us, 0);
+  CU_ASSERT_PTR_NULL (rte_service (rte, g_intern_static_string ("none")));
+}
+
 static void
 test_long_paths_are_cut_not_overrun (void)
 {
@@ -218,6 +237,7 @@
 main (void)
 {
   static const CU_TestInfo tests[] = { SUITE_TEST (test_longest_prefix_wins),
+                                       SUITE_TEST (test_services_are_read),
                                        SUITE_TEST (test_long_paths_are_cut_not_overrun),
                                        SUITE_TEST (test_unsound_routes_are_refused),
                                        SUITE_TEST (test_weights_share_out),
--- a/tests/test_stream_follow.c
+++ b/tests/test_stream_follow.c
@@ -14,6 +14,7 @@
 {
   plt_t plt;
   uint32_t reads;
+  uint32_t lists;
   uint64_t from[CALLS];
   uint32_t wait_ms[CALLS];
   plt_read_done_t read_done;
@@ -60,6 +61,7 @@
 
   (void)stream;
   (void)after_key;
+  store->lists++;
   store->newest_done = done;
   store->context = context;
 }
@@ -159,17 +161,37 @@
   rig_free (rig);
 }
 
+static bool
+has_listed_twice (void *context)
+{
+  return ((const rig_t *)context)->store.lists >= 2;
+}
+
+static uint64_t
+offset_of (const rig_t *rig, const char *key)
+{
+  size_t bytes;
+  uint64_t offset = 0;
+
+  return kvw_get (rig->view, key, &bytes, &offset) ? offset : 0;
+}
+
 /*
- * Versions were published while this gateway did not read. Its read brings the first of them, and
- * the end of the stream shows newer ones: the newest is read at once, not a pace later, while it
- * would still answer by a version that it knows to be old.
+ * Versions were published and a data centre was drained while this gateway did not read. Its read
+ * brings the first record, and the end of the stream shows newer ones. The newest of each key are
+ * listed at once, not a pace later, while it would still answer by a version that it knows to be
+ * old; and with the last record alone the drain before it would be lost.
  */
 static void
-test_newest_of_a_series_is_read_at_once (void)
+test_newest_of_a_series_are_listed_at_once (void)
 {
   static const plt_record_t record = {
     .offset = 5, .key = "config", .data = "{}", .data_bytes = 2
   };
+  static const plt_record_t listed[] = {
+    { .offset = 8, .key = "config", .data = "{}", .data_bytes = 2 },
+    { .offset = 6, .key = "drain/hall-1", .data = "x", .data_bytes = 1 },
+  };
   rig_t *rig = rig_new (LONG_PACE_MS, 5, false);
 
   CU_ASSERT (raw_run_until (rig->base, has_read_once, rig));
@@ -178,8 +200,16 @@
                               .end_offset = 9,
                               .records = &record,
                               .record_count = 1 });
-  CU_ASSERT (raw_run_until (rig->base, has_read_twice, rig));
-  CU_ASSERT_EQUAL (rig->store.from[1], 8);
+  CU_ASSERT (raw_run_until (rig->base, has_listed_twice, rig));
+  rig->store.newest_done (&(plt_newest_t){ .outcome = PLT_OK,
+                                           .end_offset = 9,
+                                           .records = listed,
+                                           .record_count = G_N_ELEMENTS (listed) },
+                          rig->store.context);
+  CU_ASSERT_EQUAL (offset_of (rig, "config"), 8);
+  CU_ASSERT_EQUAL (offset_of (rig, "drain/hall-1"), 6);
+  CU_ASSERT_EQUAL (sfl_next (rig->sfl), 9);
+  CU_ASSERT_EQUAL (rig->store.reads, 1);
   rig_free (rig);
 }
 
@@ -251,7 +281,7 @@
 main (void)
 {
   static const CU_TestInfo tests[] = { SUITE_TEST (test_read_in_an_outage_does_not_wait),
-                                       SUITE_TEST (test_newest_of_a_series_is_read_at_once),
+                                       SUITE_TEST (test_newest_of_a_series_are_listed_at_once),
                                        SUITE_TEST (test_resting_reads_when_asked),
                                        SUITE_TEST (test_resting_keeps_its_backoff),
                                        SUITE_TEST (test_a_read_after_news_is_answered_soon),
