Routes and accounts can be bound to regions

Cause: what operators bind to regions was not read, so a request could be sent, retried or resumed anywhere and memory copied from anywhere. Change: regions of routes and accounts are read with the configuration, the region of each data centre is a setting (--regions), and the choice of an engine sees only those that both lists allow; an engine whose region is not known is in none. An empty or malformed list names no region, so that it can't open what it was to close. Gateways pass no bodies to each other, so nothing else leaves a region. Proof: 4,000 random services and lists (test_regions), and a gateway whose only allowed engine fails beside two free ones elsewhere (test_gateway). Not done: regions of services in the product's own manifest.

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -10,6 +10,7 @@
 
 #include "base/limits.h"
 #include "base/log.h"
+#include "base/region_map.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -35,6 +36,7 @@
 /**
  * struct set - the settings of a daemon
  * @name: host name in the platform's list; a sidecar carries the name of its engine
+ * @regions: gateway only: of all data centres
  * @listen: HTTP, towards callers (router) or routers (sidecar)
  * @exchange: UDP, towards the other daemons
  * @platform: the platform's log and host list
@@ -62,6 +64,7 @@
   char name[LIM_NAME_BYTES];
   char data_center[LIM_NAME_BYTES];
   char region[LIM_NAME_BYTES];
+  rgn_map_t regions;
   set_address_t listen;
   set_address_t exchange;
   set_address_t platform;
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -21,6 +21,9 @@
        "Host name in the platform's list; a sidecar carries the name of its engine"),
   ROW ("data-center", NAME, ALL, 0, 0, data_center, NULL, "Data centre of the host"),
   ROW ("region", NAME, ALL, 0, 0, region, NULL, "Region of the data centre"),
+  ROW ("regions", REGIONS, NONE, 0, 0, regions, NULL,
+       "Gateway: the region of each data centre; where routes or accounts are bound to regions, "
+       "engines elsewhere, and those whose region is not known, are not asked"),
   ROW ("listen", ADDRESS, ALL, 0, 0, listen, NULL,
        "HTTP, towards callers (router) or routers (sidecar)"),
   ROW ("exchange", ADDRESS, ALL, 0, 0, exchange, NULL, "UDP, towards the other daemons"),
@@ -290,6 +293,8 @@
       return parse_address (text, field);
     case SET_KIND_SEEDS:
       return parse_seeds (text, set);
+    case SET_KIND_REGIONS:
+      return text[0] == '\0' || rgn_parse (field, text);
     case SET_KIND_NUMBER:
       return parse_number (row, text, field);
     case SET_KIND_MILLI:
@@ -355,6 +360,11 @@
       return g_strdup ("IP number and port 1 to 65535, as 10.0.0.1:8080 or [fd00::1]:8080");
     case SET_KIND_SEEDS:
       return g_strdup_printf ("up to %d addresses with commas between", SET_SEEDS);
+    case SET_KIND_REGIONS:
+      return g_strdup_printf (
+          "up to %d of DATA-CENTRE=REGION with commas between, each data centre "
+          "once, names of 1 to %d bytes",
+          RGN_DATA_CENTERS, LIM_NAME_BYTES - 1);
     case SET_KIND_NUMBER:
       return g_strdup_printf ("%u to %u", row->minimum, row->maximum);
     case SET_KIND_MILLI:
@@ -424,6 +434,8 @@
       return set_address_text (field);
     case SET_KIND_SEEDS:
       return seeds_text (set);
+    case SET_KIND_REGIONS:
+      return rgn_text (field);
     case SET_KIND_NUMBER:
       return g_strdup_printf ("%u", *(const uint32_t *)field);
     case SET_KIND_MILLI:
--- a/src/base/settings_table.h
+++ b/src/base/settings_table.h
@@ -26,7 +26,8 @@
   SET_KIND_ROLE,
   SET_KIND_NAME,
   SET_KIND_ADDRESS,
-  SET_KIND_SEEDS, /* addresses with commas between, perhaps none */
+  SET_KIND_SEEDS,   /* addresses with commas between, perhaps none */
+  SET_KIND_REGIONS, /* data centres with their regions, perhaps none */
   SET_KIND_NUMBER,
   SET_KIND_MILLI, /* a decimal number, kept in thousandths */
   SET_KIND_LEVEL,
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -178,6 +178,7 @@
       return;
     }
   g_hash_table_remove (gwp->lapsed, id);
+  entry.region = g_intern_string (rgn_of (&gwp->options.set->regions, entry.data_center));
   engine = egs_put (gwp->engines, now_us (gwp), &entry);
   if (former.state != EGN_GONE && engine->hash != former.hash)
     {
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -268,6 +268,9 @@
                         .cold_per_s = said ? said->cold_per_s : 0,
                         .cold_start_us = said ? said->cold_start_us : 0,
                         .known_gateways = gwy->known_routers,
+                        .route_regions = (const char *const *)call->route->regions,
+                        .account_regions =
+                            call->account ? (const char *const *)call->account->regions : NULL,
                         .drain_us = (uint64_t)gwy->options.set->center_drain_ms * CLK_US_PER_MS,
                         .tried = call->tried,
                         .tried_count = call->tried_count });
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -28,6 +28,7 @@
  * @id: another start of the engine may have the same
  * @born_ms: when this start of it began, by its host's clock; 0 when it doesn't say
  * @service: interned
+ * @region: of its data centre, interned; NULL is unknown
  * @slots: requests that it runs at once; 0 is unknown
  * @cold_ms: how much longer it is slow after its start
  */
@@ -37,6 +38,7 @@
   uint64_t born_ms;
   const char *service;
   char data_center[LIM_NAME_BYTES];
+  const char *region;
   set_address_t address;
   uint32_t slots;
   uint32_t cold_ms;
--- a/src/request/policy/spread.h
+++ b/src/request/policy/spread.h
@@ -89,6 +89,7 @@
  * @cold_per_s: requests a second that an engine bears while it is cold; 0 is unknown
  * @cold_start_us: how long an engine is cold after its start
  * @known_gateways: that may send to the engines, also those not heard lately; 0 is unknown
+ * @route_regions, @account_regions: only engines in a region of both may get it; NULL is all
  * @drain_us: from the order to drain a data centre until its engines must get nothing more
  */
 typedef struct
@@ -110,6 +111,8 @@
   uint32_t cold_per_s;
   uint64_t cold_start_us;
   uint32_t known_gateways;
+  const char *const *route_regions;
+  const char *const *account_regions;
   uint64_t drain_us;
 } spr_request_t;
 
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -39,6 +39,7 @@
   rte_account_t *account = data;
 
   g_free (account->name);
+  g_strfreev (account->regions);
   g_free (account);
 }
 
@@ -115,6 +116,7 @@
   g_free (route->host);
   g_free (route->path_prefix);
   g_array_free (route->targets, TRUE);
+  g_strfreev (route->regions);
   g_free (route);
 }
 
@@ -199,6 +201,7 @@
     }
   copy = g_memdup2 (account, sizeof *account);
   copy->name = g_strdup (account->name);
+  copy->regions = g_strdupv (account->regions);
   copy->hash = XXH64 (copy->name, strlen (copy->name), 0);
   g_hash_table_insert (rte->accounts, copy->name, copy);
   for (uint32_t i = 0; i < key_count; i++)
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -40,6 +40,7 @@
  * @is_public: needs no key
  * @sticky: requests share parts of their prompts
  * @resumable: a stream may go on at another engine
+ * @regions: whose engines may get its requests; NULL is all
  * @source_hash: of the text that it was read from, for rte_reuse_route(); 0 when there is none
  */
 typedef struct
@@ -58,6 +59,7 @@
   bool sticky;
   bool resumable;
   GArray *targets; /* rte_target_t, at least one */
+  char **regions;
   uint64_t source_hash;
   gint refs;   /* tables that hold it */
   char *place; /* host and prefix */
@@ -66,6 +68,7 @@
 /**
  * struct rte_account - a client account
  * @priority: goes before the route's when @has_priority
+ * @regions: whose engines may get its requests; NULL is all
  */
 typedef struct
 {
@@ -73,6 +76,7 @@
   uint64_t hash;
   uint32_t priority;
   bool has_priority;
+  char **regions;
 } rte_account_t;
 
 /**
@@ -116,7 +120,8 @@
 /** rte_reuse_route() - add the route of @before that was read from the same text. Return: false
  * when there is none, or its place is taken */
 bool rte_reuse_route (rte_t *rte, const rte_t *before, uint64_t source_hash);
-/** rte_add_account() - Return: false when a key is held by another account already */
+/** rte_add_account() - with private copies. Return: false when a key is held by another account
+ * already */
 bool rte_add_account (rte_t *rte,
                       const rte_account_t *account,
                       const char *const *keys,
--- a/tests/check_tree.sh
+++ b/tests/check_tree.sh
@@ -4,7 +4,7 @@
 set -u
 cd "$(dirname "$0")/.."
 status=0
-names='X-Expect-Instance|X-Tenant|X-Prompt-Prefix|X-Response-Stamp|X-Not-Run|X-Token-Count|X-Engine-Load|Kv-Fetch|log-(newest|append|read|join)|keyed\.|api_keys|"backends"|cold_left_ms'
+names='X-Expect-Instance|X-Tenant|X-Prompt-Prefix|X-Response-Stamp|X-Not-Run|X-Token-Count|X-Engine-Load|Kv-Fetch|log-(newest|append|read|join)|keyed\.|api_keys|"backends"|cold_left_ms|cold_per_s"|allowed_regions|evacuate/'
 if grep -rnE "$names" src ctl --include='*.[ch]'; then
   echo "names of the platform's wire stand outside platform/"
   status=1
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -37,6 +37,7 @@
   set->role = SET_ROLE_GATEWAY;
   g_snprintf (set->name, sizeof set->name, "gateway-%u", index);
   g_strlcpy (set->data_center, "hall-1", sizeof set->data_center);
+  g_assert (rgn_parse (&set->regions, "hall-1=north,hall-2=south,hall-3=west"));
   g_strlcpy (set->fleet_key, "a fleet key of the tests", sizeof set->fleet_key);
   set->listen = raw_address ();
   set->ready_listen = raw_address ();
@@ -119,12 +120,17 @@
 
 void
 grg_register (grg_t *grg, uint32_t engine, const char *state)
+{
+  grg_register_in (grg, engine, "hall-1", state);
+}
+
+void
+grg_register_in (grg_t *grg, uint32_t engine, const char *data_center, const char *state)
 {
   g_autofree char *address = set_address_text (&grg->engines[engine]->address);
-  g_autofree char *text =
-      g_strdup_printf ("{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"hall-1\","
-                       "\"slots\":%u,\"state\":\"%s\"}",
-                       address, GRG_SLOTS, state);
+  g_autofree char *text = g_strdup_printf ("{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"%s\","
+                                           "\"slots\":%u,\"state\":\"%s\"}",
+                                           address, data_center, GRG_SLOTS, state);
   char id[8];
 
   g_snprintf (id, sizeof id, "e%u", engine);
@@ -133,12 +139,18 @@
 
 raw_server_t *
 grg_engine (grg_t *grg, const char *const *scripts, uint32_t count)
+{
+  return grg_engine_in (grg, "hall-1", scripts, count);
+}
+
+raw_server_t *
+grg_engine_in (grg_t *grg, const char *data_center, const char *const *scripts, uint32_t count)
 {
   uint32_t index = grg->engine_count++;
 
   grg->engines[index] = raw_server_new (grg->base, scripts, count);
   grg->engines[index]->keep_head = true;
-  grg_register (grg, index, "ready");
+  grg_register_in (grg, index, data_center, "ready");
   g_assert (grg_wait (grg, "medlarplank_engines", grg->engine_count));
   return grg->engines[index];
 }
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -50,8 +50,14 @@
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (grg_t, grg_free)
 /** grg_engine() - one more engine, which answers by @scripts, and wait until it is known */
 raw_server_t *grg_engine (grg_t *grg, const char *const *scripts, uint32_t count);
+/** grg_engine_in() - likewise, in another data centre than "hall-1", which is in the region
+ * "north"; "hall-2" is in "south", "hall-3" in "west" */
+raw_server_t *
+grg_engine_in (grg_t *grg, const char *data_center, const char *const *scripts, uint32_t count);
 /** grg_register() - the entry of an engine in the store */
 void grg_register (grg_t *grg, uint32_t engine, const char *state);
+/** grg_register_in() - likewise, in another data centre than "hall-1" */
+void grg_register_in (grg_t *grg, uint32_t engine, const char *data_center, const char *state);
 /** grg_wait() - turn the loop until the first gateway's counter has a value. Return: false after
  * five seconds */
 bool grg_wait (grg_t *grg, const char *counter, uint64_t value);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -807,6 +807,39 @@
   CU_ASSERT (grg_wait (grg, "medlarplank_version", 1));
 }
 
+#define BOUND_ROUTE                                                                                \
+  ",{\"host\":\"h.example\",\"path_prefix\":\"/bound/\",\"kind\":\"idempotent\",\"attempts\":3,"   \
+  "\"service\":\"pool\",\"allowed_regions\":[\"south\",\"east\"]}"
+#define LOOKUPS 12
+
+/*
+ * A route is bound to two regions, of which one has an engine. That engine fails, and free ones of
+ * two other regions could do better: its callers hear the failure, as no retry may leave the
+ * region. When the engine leaves, callers are told at once that nothing ran.
+ */
+static void
+test_bound_route_stays_in_its_region (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  const char *const ok[] = { OK_ANSWER };
+  const char *const bad[] = { OWN_FAILURE };
+
+  grg_engine (grg, ok, 1);
+  grg_engine_in (grg, "hall-2", bad, 1);
+  grg_engine_in (grg, "hall-3", ok, 1);
+  grg_config (grg, 7, BOUND_ROUTE);
+  CU_ASSERT (grg_wait (grg, "medlarplank_version", 7));
+  for (uint32_t i = 0; i < LOOKUPS; i++)
+    expect (grg, "GET", "/bound/", "", "500");
+  CU_ASSERT_EQUAL (grg->engines[0]->answered + grg->engines[2]->answered, 0);
+  CU_ASSERT_EQUAL (grg->engines[1]->answered, LOOKUPS);
+  fks_put (grg->store, PLT_STREAM_ENGINES, "e1", NULL);
+  CU_ASSERT (grg_wait (grg, "medlarplank_engines", 2));
+  expect (grg, "GET", "/bound/", "", "503");
+  expect (grg, "GET", "/look/", "", "200");
+  CU_ASSERT_EQUAL (grg->engines[0]->answered + grg->engines[2]->answered, 1);
+}
+
 #define FLEET 5
 
 static bool
@@ -982,6 +1015,7 @@
                                        SUITE_TEST (test_drained_data_center_gets_nothing),
                                        SUITE_TEST (test_cut_gateway_hears_of_a_drain),
                                        SUITE_TEST (test_drains_follow_a_list_of_the_newest),
+                                       SUITE_TEST (test_bound_route_stays_in_its_region),
                                        SUITE_TEST (test_those_that_rest_hear_the_news),
                                        SUITE_TEST (test_stop_is_graceful),
                                        SUITE_TEST (test_late_request_at_a_stop_is_refused),
--- /dev/null
+++ b/tests/test_regions.c
@@ -0,0 +1,207 @@
+/* Unit tests of requests that are bound to regions: the settings, the configuration, the choice. */
+#include "base/region_map.h"
+#include "platform/records.h"
+#include "request/policy/spread.h"
+#include "suite.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (egs_t, egs_free)
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (rte_t, rte_unref)
+
+#define NOW_US (UINT64_C (100) * 1000 * 1000)
+#define SEED 20261203
+#define ROUNDS 4000
+#define ENGINES 12
+#define REGIONS 3
+
+static const char *const region_names[REGIONS] = { "north", "south", "west" };
+
+static void
+test_map_is_read (void)
+{
+  rgn_map_t map = { 0 };
+  g_autofree char *text = NULL;
+
+  CU_ASSERT (rgn_parse (&map, "hall-1=north,hall-2=south,hall-3=north"));
+  CU_ASSERT_STRING_EQUAL (rgn_of (&map, "hall-3"), "north");
+  CU_ASSERT_PTR_NULL (rgn_of (&map, "hall-4"));
+  text = rgn_text (&map);
+  CU_ASSERT_STRING_EQUAL (text, "hall-1=north,hall-2=south,hall-3=north");
+}
+
+/* A slip in the settings must not leave half of a map in force. */
+static void
+test_unsound_map_is_refused_whole (void)
+{
+  static const char *const unsound[] = { "hall-1",   "hall-1=",         "=north",
+                                         "a=b=c",    "hall-1=north,",   "hall-1=north,hall-1=south",
+                                         ",a=north", "a=north,,b=north" };
+  g_autofree char *name = g_strnfill (LIM_NAME_BYTES, 'x');
+  g_autofree char *too_long = g_strconcat ("a=", name, NULL);
+  GString *many = g_string_new ("h=r");
+  rgn_map_t map = { 0 };
+
+  CU_ASSERT (rgn_parse (&map, "hall-1=north"));
+  for (size_t i = 0; i < G_N_ELEMENTS (unsound); i++)
+    CU_ASSERT (!rgn_parse (&map, unsound[i]));
+  CU_ASSERT (!rgn_parse (&map, too_long));
+  for (uint32_t i = 0; i < RGN_DATA_CENTERS; i++)
+    g_string_append_printf (many, ",h%u=r", i);
+  CU_ASSERT (!rgn_parse (&map, many->str));
+  CU_ASSERT_EQUAL (map.count, 1);
+  CU_ASSERT_STRING_EQUAL (rgn_of (&map, "hall-1"), "north");
+  g_string_free (many, TRUE);
+}
+
+#define ROUTE(prefix, more)                                                                        \
+  "{\"host\":\"h\",\"path_prefix\":\"" prefix "\",\"kind\":\"stream\",\"service\":\"pool\"" more "}"
+
+/* A list that holds no name binds to no region at all: read as "any", it would open what it was to
+ * close. */
+static void
+test_regions_are_read (void)
+{
+  static const char text[] = "{\"version\":3,\"routes\":[" ROUTE ("/any/", "") "," ROUTE (
+      "/one/",
+      ",\"allowed_"
+      "regions\":["
+      "\"north\","
+      "\"west\"]") "," ROUTE ("/none/",
+                              ",\"allowed_regions\":[]") "," ROUTE ("/odd/",
+                                                                    ",\"allowed_regions\":"
+                                                                    "\"north\"") "],\"tenants\":"
+                                                                                 "[{\"name\":"
+                                                                                 "\"a\",\"api_"
+                                                                                 "keys\":[\"k\"]"
+                                                                                 ",\"allowed_"
+                                                                                 "regions\":["
+                                                                                 "\"south\"]},"
+                                                                                 "{\"name\":"
+                                                                                 "\"b\",\"api_"
+                                                                                 "keys\":[\"l\"]"
+                                                                                 "}]}";
+  g_autoptr (rte_t) rte = prc_read_routing (text, strlen (text), NULL, NULL);
+
+  CU_ASSERT_PTR_NULL (rte_find (rte, "h", "/any/")->regions);
+  CU_ASSERT_STRING_EQUAL (rte_find (rte, "h", "/one/")->regions[1], "west");
+  CU_ASSERT_PTR_NULL (rte_find (rte, "h", "/none/")->regions[0]);
+  CU_ASSERT_PTR_NULL (rte_find (rte, "h", "/odd/")->regions[0]);
+  CU_ASSERT_STRING_EQUAL (rte_account (rte, "k")->regions[0], "south");
+  CU_ASSERT_PTR_NULL (rte_account (rte, "l")->regions);
+}
+
+/* One engine in four is in a data centre whose region the settings do not name. */
+static egs_t *
+random_engines (GRand *rand)
+{
+  egs_t *egs = egs_new ();
+
+  for (uint32_t i = 0; i < ENGINES; i++)
+    {
+      gint32 region = g_rand_int_range (rand, 0, REGIONS + 1);
+      egn_entry_t entry = { .service = g_intern_static_string ("pool"),
+                            .slots = 2,
+                            .state = g_rand_int_range (rand, 0, 5) == 0 ? EGN_LEAVING : EGN_READY,
+                            .region = region < REGIONS
+                                          ? g_intern_static_string (region_names[region])
+                                          : NULL };
+      egn_t *egn;
+
+      g_snprintf (entry.id, sizeof entry.id, "e%u", i);
+      egn = egs_put (egs, NOW_US, &entry);
+      for (gint32 load = g_rand_int_range (rand, 0, 4); load > 0; load--)
+        egn_begin (egn, NOW_US);
+      for (gint32 failures = g_rand_int_range (rand, 0, 4); failures > 0; failures--)
+        egn_failed (egn, NOW_US);
+    }
+  return egs;
+}
+
+static const char *const *
+random_regions (GRand *rand, const char *names[REGIONS + 1])
+{
+  uint32_t count = 0;
+
+  if (g_rand_boolean (rand))
+    return NULL;
+  for (uint32_t i = 0; i < REGIONS; i++)
+    if (g_rand_boolean (rand))
+      names[count++] = region_names[i];
+  names[count] = NULL;
+  return names;
+}
+
+static bool
+is_allowed (const egn_t *egn, const char *const *regions)
+{
+  return !regions || (egn->entry.region && g_strv_contains (regions, egn->entry.region));
+}
+
+/*
+ * Whatever the engines' load and failures, whatever the lists: neither a request nor the engine
+ * that its memory is copied from is outside of a region that its route and its account allow, and
+ * an engine that both allow and that is free is not passed over.
+ */
+static void
+test_nothing_leaves_its_regions (void)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (SEED);
+  uint32_t sent = 0;
+  uint32_t refused = 0;
+
+  for (uint32_t i = 0; i < ROUNDS; i++)
+    {
+      const char *by_route[REGIONS + 1];
+      const char *by_account[REGIONS + 1];
+      g_autoptr (egs_t) egs = random_engines (rand);
+      spr_request_t request = { .affinity = g_rand_int_range (rand, 0, 3),
+                                .data_center = "hall-1",
+                                .route_regions = random_regions (rand, by_route),
+                                .account_regions = random_regions (rand, by_account) };
+      const GPtrArray *list = egs_list (egs, g_intern_static_string ("pool"));
+      spr_choice_t choice = spr_choose (list, NOW_US, &request);
+      uint32_t allowed = 0;
+
+      for (guint k = 0; k < list->len; k++)
+        {
+          const egn_t *egn = g_ptr_array_index (list, k);
+
+          allowed += egn_is_open (egn) && is_allowed (egn, request.route_regions) &&
+                             is_allowed (egn, request.account_regions)
+                         ? 1
+                         : 0;
+        }
+      CU_ASSERT ((choice.action == SPR_NONE) == (choice.candidates == 0));
+      CU_ASSERT (choice.candidates <= allowed && (allowed > 0 || choice.action == SPR_NONE));
+      if (choice.engine)
+        CU_ASSERT (is_allowed (choice.engine, request.route_regions) &&
+                   is_allowed (choice.engine, request.account_regions));
+      if (choice.source)
+        CU_ASSERT (is_allowed (choice.source, request.route_regions) &&
+                   is_allowed (choice.source, request.account_regions));
+      sent += choice.action == SPR_SEND ? 1 : 0;
+      refused += choice.action == SPR_NONE ? 1 : 0;
+      for (guint k = 0; k < list->len; k++)
+        {
+          egn_t *egn = g_ptr_array_index (list, k);
+
+          while (egn->own > 0)
+            egn_end (egn);
+        }
+    }
+  CU_ASSERT (sent > ROUNDS / 2 && refused > ROUNDS / 50);
+}
+
+int
+main (void)
+{
+  static const CU_TestInfo tests[] = { SUITE_TEST (test_map_is_read),
+                                       SUITE_TEST (test_unsound_map_is_refused_whole),
+                                       SUITE_TEST (test_regions_are_read),
+                                       SUITE_TEST (test_nothing_leaves_its_regions),
+                                       CU_TEST_INFO_NULL };
+
+  return suite_run ("regions", tests);
+}
