A stream that begins anew at another engine drops the half event of the one before

Cause: an engine sent the head of its stream and half of the first event and crashed. Ruled out: kept connections and crossed answers (the second hop was on a connection of its own, its id matched). Change: evs_restart() at each send that is no resume. Test: test_half_an_event_is_not_kept_for_another_engine fails before and passes after.

--- a/src/request/gateway/event_split.c
+++ b/src/request/gateway/event_split.c
@@ -109,8 +109,15 @@
 }
 
 void
-evs_resume (evs_t *evs)
+evs_restart (evs_t *evs)
 {
   evbuffer_drain (evs->partial, evbuffer_get_length (evs->partial));
+  evs->broken = false;
+}
+
+void
+evs_resume (evs_t *evs)
+{
+  evs_restart (evs);
   evs->resumed = true;
 }
--- a/src/request/gateway/event_split.h
+++ b/src/request/gateway/event_split.h
@@ -36,6 +36,9 @@
 void evs_feed (evs_t *evs, struct evbuffer *in, struct evbuffer *out);
 /** evs_is_between() - no event has begun that has not ended */
 bool evs_is_between (const evs_t *evs);
+/** evs_restart() - the stream begins anew at another engine: half an event of the one before is
+ * dropped */
+void evs_restart (evs_t *evs);
 /** evs_resume() - the stream goes on after @last_id: half an event is dropped, and events that came
  * already are left out */
 void evs_resume (evs_t *evs);
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -320,6 +320,8 @@
   call->resuming = resume;
   if (resume)
     evs_resume (&call->evs);
+  else
+    evs_restart (&call->evs);
   gwy_call_place (call);
 }
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -807,6 +807,34 @@
   CU_ASSERT (grg_wait (grg, "medlarplank_version", 1));
 }
 
+/*
+ * An engine sends the head of its stream and half of the first event, and crashes. Nothing of that
+ * has gone to the caller, so the request starts anew at another engine. The half that was held back
+ * must not go before that engine's first event: the caller would get an answer of two runs.
+ */
+static void
+test_half_an_event_is_not_kept_for_another_engine (void)
+{
+  static const char half[] = STREAM_HEAD "c\r\nid: 1\ndata:s\r\n";
+  static const char whole[] = STREAM_HEAD EVENT ("1") EVENT ("2") STREAM_END;
+  g_autoptr (grg_t) grg = grg_new (1);
+  raw_server_t *crashes = grg_engine (grg, SCRIPTS (half), 1);
+
+  crashes->close_after = true;
+  grg_engine (grg, SCRIPTS (whole), 1);
+  for (uint32_t tries = 0; tries < 16 && crashes->answered == 0; tries++)
+    {
+      g_autofree char *more = g_strdup_printf (BOOKING "X-Prompt-Prefix: a%u:900,bb:10\r\n", tries);
+      raw_t *raw = grg_ask (grg, "POST", "/talk/", more);
+
+      CU_ASSERT (begins (raw, "HTTP/1.1 200 ") && g_str_has_suffix (raw->got->str, STREAM_END));
+      CU_ASSERT (has (raw, "\r\nid: 1\ndata:a\n\n") && has (raw, "\r\nid: 2\ndata:a\n\n"));
+      CU_ASSERT (!has (raw, "data:s"));
+      raw_free (raw);
+    }
+  CU_ASSERT (crashes->answered > 0);
+}
+
 #define BOUND_ROUTE                                                                                \
   ",{\"host\":\"h.example\",\"path_prefix\":\"/bound/\",\"kind\":\"idempotent\",\"attempts\":3,"   \
   "\"service\":\"pool\",\"allowed_regions\":[\"south\",\"east\"]}"
@@ -980,46 +1008,48 @@
 int
 main (void)
 {
-  static const CU_TestInfo tests[] = { SUITE_TEST (test_calm_request),
-                                       SUITE_TEST (test_callers_own_errors),
-                                       SUITE_TEST (test_uncertain_gateway_denies_nothing),
-                                       SUITE_TEST (test_lost_booking_is_not_repeated),
-                                       SUITE_TEST (test_full_engine_is_waited_for),
-                                       SUITE_TEST (test_refusals_are_bounded),
-                                       SUITE_TEST (test_wait_ends_before_the_deadline),
-                                       SUITE_TEST (test_lost_lookup_that_waits_may_have_run),
-                                       SUITE_TEST (test_other_engine_at_the_address),
-                                       SUITE_TEST (test_all_headers_pass_on),
-                                       SUITE_TEST (test_chat_is_copied_once),
-                                       SUITE_TEST (test_lookup_is_tried_once_more),
-                                       SUITE_TEST (test_crossed_answer_reaches_nobody),
-                                       SUITE_TEST (test_answer_without_length),
-                                       SUITE_TEST (test_answer_that_breaks_off),
-                                       SUITE_TEST (test_stream_goes_on_at_another_engine),
-                                       SUITE_TEST (test_resumed_stream_is_whole),
-                                       SUITE_TEST (test_broken_stream_has_no_end),
-                                       SUITE_TEST (test_nobody_to_ask_is_told_at_once),
-                                       SUITE_TEST (test_refused_connection_is_not_run),
-                                       SUITE_TEST (test_silent_engine_ends_at_the_deadline),
-                                       SUITE_TEST (test_caller_that_leaves_frees_its_engine),
-                                       SUITE_TEST (test_failure_passes_when_nobody_does_better),
-                                       SUITE_TEST (
-                                           test_failure_passes_when_the_other_engine_refuses),
-                                       SUITE_TEST (test_restarted_engine_has_lost_its_requests),
-                                       SUITE_TEST (test_caller_leaves_between_two_engines),
-                                       SUITE_TEST (test_restarted_engine_keeps_no_connection),
-                                       SUITE_TEST (test_unsound_entry_names_no_engine),
-                                       SUITE_TEST (test_leaving_engine_gets_nothing_more),
-                                       SUITE_TEST (test_old_version_is_not_put_in_force),
-                                       SUITE_TEST (test_cut_gateway_learns_from_its_peer),
-                                       SUITE_TEST (test_drained_data_center_gets_nothing),
-                                       SUITE_TEST (test_cut_gateway_hears_of_a_drain),
-                                       SUITE_TEST (test_drains_follow_a_list_of_the_newest),
-                                       SUITE_TEST (test_bound_route_stays_in_its_region),
-                                       SUITE_TEST (test_those_that_rest_hear_the_news),
-                                       SUITE_TEST (test_stop_is_graceful),
-                                       SUITE_TEST (test_late_request_at_a_stop_is_refused),
-                                       CU_TEST_INFO_NULL };
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_calm_request),
+    SUITE_TEST (test_callers_own_errors),
+    SUITE_TEST (test_uncertain_gateway_denies_nothing),
+    SUITE_TEST (test_lost_booking_is_not_repeated),
+    SUITE_TEST (test_full_engine_is_waited_for),
+    SUITE_TEST (test_refusals_are_bounded),
+    SUITE_TEST (test_wait_ends_before_the_deadline),
+    SUITE_TEST (test_lost_lookup_that_waits_may_have_run),
+    SUITE_TEST (test_other_engine_at_the_address),
+    SUITE_TEST (test_all_headers_pass_on),
+    SUITE_TEST (test_chat_is_copied_once),
+    SUITE_TEST (test_lookup_is_tried_once_more),
+    SUITE_TEST (test_crossed_answer_reaches_nobody),
+    SUITE_TEST (test_answer_without_length),
+    SUITE_TEST (test_answer_that_breaks_off),
+    SUITE_TEST (test_stream_goes_on_at_another_engine),
+    SUITE_TEST (test_resumed_stream_is_whole),
+    SUITE_TEST (test_broken_stream_has_no_end),
+    SUITE_TEST (test_nobody_to_ask_is_told_at_once),
+    SUITE_TEST (test_refused_connection_is_not_run),
+    SUITE_TEST (test_silent_engine_ends_at_the_deadline),
+    SUITE_TEST (test_caller_that_leaves_frees_its_engine),
+    SUITE_TEST (test_failure_passes_when_nobody_does_better),
+    SUITE_TEST (test_failure_passes_when_the_other_engine_refuses),
+    SUITE_TEST (test_restarted_engine_has_lost_its_requests),
+    SUITE_TEST (test_caller_leaves_between_two_engines),
+    SUITE_TEST (test_restarted_engine_keeps_no_connection),
+    SUITE_TEST (test_unsound_entry_names_no_engine),
+    SUITE_TEST (test_leaving_engine_gets_nothing_more),
+    SUITE_TEST (test_old_version_is_not_put_in_force),
+    SUITE_TEST (test_cut_gateway_learns_from_its_peer),
+    SUITE_TEST (test_drained_data_center_gets_nothing),
+    SUITE_TEST (test_cut_gateway_hears_of_a_drain),
+    SUITE_TEST (test_drains_follow_a_list_of_the_newest),
+    SUITE_TEST (test_half_an_event_is_not_kept_for_another_engine),
+    SUITE_TEST (test_bound_route_stays_in_its_region),
+    SUITE_TEST (test_those_that_rest_hear_the_news),
+    SUITE_TEST (test_stop_is_graceful),
+    SUITE_TEST (test_late_request_at_a_stop_is_refused),
+    CU_TEST_INFO_NULL
+  };
 
   return suite_run ("gateway", tests);
 }
