The margin narrows for four seconds after a drain or a join

What breaks the limit is the moment in which the load moves and nobody has heard of it, so the margin is narrow for four seconds, in which everyone hears of each engine.

--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -107,8 +107,9 @@
 is_idle (const world_t *world, const egn_t *egn)
 {
   if (egn->drained_us != 0)
-    return egn->entry.state == EGN_READY;
-  return egn_is_open (egn) && egn->told_us == 0 && is_new (world, egn);
+    return egn->entry.state == EGN_READY && world->now_us < egn->drained_us + SPR_IDLE_US;
+  return egn_is_open (egn) && egn->told_us == 0 && egn->since_us != 0 &&
+         world->now_us < egn->since_us + SPR_IDLE_US;
 }
 
 /* The mean is of the engines that may be asked and have told their load; that of the whole service
--- a/src/request/policy/spread.h
+++ b/src/request/policy/spread.h
@@ -55,6 +55,7 @@
  * most shared parts within it.
  */
 #define SPR_NEW_US (UINT64_C (10) * 1000 * 1000)
+#define SPR_IDLE_US (UINT64_C (4000) * 1000)
 /* One part in so many of the time in which a data centre must be drained, its caches are copied
  * from: what is popular there has new homes by then, and the engines that make the copies need
  * time. */
