An engine whose address answers as another one gets nothing more until the registry speaks of it

Cause: engines of a data centre came back under other ids at their addresses; their old entries had not lapsed, and each request sent there was answered by 421. Ruled out: full engines (the mean load was under 12 of 128). Change: 421 marks the engine as displaced until an entry of it comes again. Test: test_displaced_engines_are_asked_once.

--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -190,14 +190,19 @@
 }
 
 /*
- * The engine had no place left. It may be asked again once it has one: were it left out for good, a
- * request whose service has one engine would be refused though it could wait for milliseconds.
+ * Engines that crashed are back under other ids before their entries lapse. Were the old ones asked
+ * on, each refusal would cost a retry, and a request that met three of them would be refused while
+ * others were free.
  */
 static void
 note_refused (gwy_call_t *call, egn_t *engine)
 {
+  if (call->answer.is_other)
+    egn_displaced (engine);
   if (call->answer.is_other || call->tried_count == 0)
     return;
+  /* Left out for good, a request whose service has one engine would be refused though it could wait
+   * for milliseconds. */
   egn_full (engine, gwy_now_us (call->gwy));
   call->tried_count--;
 }
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -130,6 +130,7 @@
     }
   egn->entry = *entry;
   egn->drained_us = drained_us (egs, entry->data_center);
+  egn->displaced = false;
   note_cold (egn, now_us);
   return egn;
 }
@@ -358,6 +359,12 @@
   egn->probe_us = 0;
 }
 
+void
+egn_displaced (egn_t *egn)
+{
+  egn->displaced = true;
+}
+
 /* One connection in a row may be lost on its way to an engine that is sound. */
 void
 egn_unreachable (egn_t *egn, uint64_t now_us)
@@ -390,7 +397,7 @@
 bool
 egn_is_open (const egn_t *egn)
 {
-  return egn->entry.state == EGN_READY && egn->drained_us == 0;
+  return egn->entry.state == EGN_READY && egn->drained_us == 0 && !egn->displaced;
 }
 
 bool
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -80,6 +80,7 @@
  * @returned_us: when its data centre was taken back, or it worked again after it was down
  * @down: it was put aside, and refused connections
  * @drained_us: since when operators drain its data centre; 0 when they don't
+ * @displaced: another engine answers at its address
  * @idle_ms: how long it keeps an idle connection; 0 when it didn't say
  */
 typedef struct
@@ -108,6 +109,7 @@
   uint64_t returned_us;
   bool down;
   uint64_t drained_us;
+  bool displaced;
   uint32_t idle_ms;
 } egn_t;
 
@@ -207,6 +209,9 @@
 void egn_worked (egn_t *egn, uint64_t now_us, bool failed);
 /** egn_failed() - it could not be reached or broke off */
 void egn_failed (egn_t *egn, uint64_t now_us);
+/** egn_displaced() - another engine answered at its address: it has gone, and the registry will say
+ * so. It gets nothing until there is an entry of it again */
+void egn_displaced (egn_t *egn);
 /** egn_unreachable() - likewise, as it took no connection: if it works again it has started anew */
 void egn_unreachable (egn_t *egn, uint64_t now_us);
 /** egn_load_now() - requests there, of all routers as far as known; @usual_milli: of others, at
@@ -224,7 +229,7 @@
 void egn_paced (egn_t *egn, uint64_t now_us, uint32_t ratio_milli);
 /** egn_pace_now() - of its late answers, against the usual, in thousandths; 1000 when not known */
 uint32_t egn_pace_now (const egn_t *egn, uint64_t now_us);
-/** egn_is_open() - ready by the registry, and not drained */
+/** egn_is_open() - ready by the registry, neither drained nor displaced */
 bool egn_is_open (const egn_t *egn);
 /** egn_is_cold() - it has just started, or may have: by its entry, or for @cold_start_us after it
  * came back */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -19,6 +19,7 @@
 #define EVENT(id) "e\r\nid: " id "\ndata:a\n\n\r\n" /* fourteen bytes */
 #define STREAM_END "0\r\n\r\n"
 #define BOOKING "Content-Length: 0\r\n"
+#define LOOKUPS 12
 
 #define SCRIPTS(...)                                                                               \
   (const char *const[])                                                                            \
@@ -243,6 +244,37 @@
   CU_ASSERT (other->answered <= 5);
 }
 
+static bool
+first_is_asked (void *context)
+{
+  grg_t *grg = context;
+  uint32_t before = grg->engines[0]->answered;
+
+  expect (grg, "GET", "/look/", "", "200");
+  return grg->engines[0]->answered > before;
+}
+
+/*
+ * Two engines have crashed, and others answer at their addresses before the registry drops their
+ * entries. Each is asked once: asked on, they would use up the retries of all, and callers would be
+ * refused while the third engine is free. An entry that comes again is believed again.
+ */
+static void
+test_displaced_engines_are_asked_once (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  raw_server_t *first = grg_engine (grg, SCRIPTS (OTHER_ENGINE, OTHER_ENGINE, OK_ANSWER), 3);
+  raw_server_t *second = grg_engine (grg, SCRIPTS (OTHER_ENGINE), 1);
+  raw_server_t *third = grg_engine (grg, SCRIPTS (OK_ANSWER), 1);
+
+  for (uint32_t i = 0; i < LOOKUPS; i++)
+    expect (grg, "GET", "/look/", "", "200");
+  CU_ASSERT (first->answered <= 1 && second->answered <= 1);
+  CU_ASSERT_EQUAL (third->answered, LOOKUPS);
+  grg_register (grg, 0, "ready");
+  CU_ASSERT (raw_run_until (grg->base, first_is_asked, grg));
+}
+
 /* Each header that the listener takes reaches the engine, or the request would mean something else.
  */
 static void
@@ -838,8 +870,6 @@
 #define BOUND_ROUTE                                                                                \
   ",{\"host\":\"h.example\",\"path_prefix\":\"/bound/\",\"kind\":\"idempotent\",\"attempts\":3,"   \
   "\"service\":\"pool\",\"allowed_regions\":[\"south\",\"east\"]}"
-#define LOOKUPS 12
-
 /*
  * A route is bound to two regions, of which one has an engine. That engine fails, and free ones of
  * two other regions could do better: its callers hear the failure, as no retry may leave the
@@ -1018,6 +1048,7 @@
     SUITE_TEST (test_wait_ends_before_the_deadline),
     SUITE_TEST (test_lost_lookup_that_waits_may_have_run),
     SUITE_TEST (test_other_engine_at_the_address),
+    SUITE_TEST (test_displaced_engines_are_asked_once),
     SUITE_TEST (test_all_headers_pass_on),
     SUITE_TEST (test_chat_is_copied_once),
     SUITE_TEST (test_lookup_is_tried_once_more),
