Regions of requests are a module of their own; a cold rate under one a second is no missing limit

Read as a newcomer: the choice of an engine held the matching of regions; constants without a reason have one. A service that bears less than one request a second while cold was read as one without a limit: it counts as one.

--- a/src/connection/platform.h
+++ b/src/connection/platform.h
@@ -89,9 +89,8 @@
 #define PLT_STREAM_ROUTERS "routers" /* addresses of routers, each under its host's name */
 
 /* keys of the stream of routing */
-#define PLT_KEY_CONFIG "config" /* the newest configuration */
-#define PLT_KEY_DRAIN_PREFIX                                                                       \
-  "drain/" /* and a data centre's name: it is drained while this is there */
+#define PLT_KEY_CONFIG "config"       /* the newest configuration */
+#define PLT_KEY_DRAIN_PREFIX "drain/" /* and a data centre, drained while this is there */
 
 /**
  * struct plt - the platform
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -244,6 +244,15 @@
       NULL);
 }
 
+static home_regions_t
+homes_of (const gwy_call_t *call)
+{
+  char **by_account = call->account ? call->account->regions : NULL;
+
+  return (home_regions_t){ .route = (const char *const *)call->route->regions,
+                           .account = (const char *const *)by_account };
+}
+
 spr_choice_t
 gwy_call_choose (const gwy_call_t *call)
 {
@@ -268,9 +277,7 @@
                         .cold_per_s = said ? said->cold_per_s : 0,
                         .cold_start_us = said ? said->cold_start_us : 0,
                         .known_gateways = gwy->known_routers,
-                        .route_regions = (const char *const *)call->route->regions,
-                        .account_regions =
-                            call->account ? (const char *const *)call->account->regions : NULL,
+                        .homes = homes_of (call),
                         .drain_us = (uint64_t)gwy->options.set->center_drain_ms * CLK_US_PER_MS,
                         .tried = call->tried,
                         .tried_count = call->tried_count });
--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -506,36 +506,6 @@
   return count;
 }
 
-static bool
-is_bound (const spr_request_t *request)
-{
-  return request->route_regions || request->account_regions;
-}
-
-static bool
-is_at_home (const spr_request_t *request, const egn_t *egn)
-{
-  const char *const *const lists[] = { request->route_regions, request->account_regions };
-
-  for (size_t i = 0; i < G_N_ELEMENTS (lists); i++)
-    if (lists[i] && !(egn->entry.region && g_strv_contains (lists[i], egn->entry.region)))
-      return false;
-  return true;
-}
-
-/* What is bound to regions must not reach others by any way, a copy from their caches neither, so
- * the engines there are left out of the whole choice. */
-static GPtrArray *
-at_home (const GPtrArray *engines, const spr_request_t *request)
-{
-  GPtrArray *list = g_ptr_array_new ();
-
-  for (guint i = 0; i < engines->len; i++)
-    if (is_at_home (request, g_ptr_array_index (engines, i)))
-      g_ptr_array_add (list, g_ptr_array_index (engines, i));
-  return list;
-}
-
 static bool
 is_all_drained (const world_t *world)
 {
@@ -575,10 +545,14 @@
   return choice;
 }
 
+/* What is bound to regions must not reach others by any way, a copy from their caches neither, so
+ * the engines there are left out of the whole choice. */
 spr_choice_t
 spr_choose (const GPtrArray *engines, uint64_t now_us, const spr_request_t *request)
 {
-  g_autoptr (GPtrArray) bound = is_bound (request) ? at_home (engines, request) : NULL;
+  g_autoptr (GPtrArray) allowed = NULL;
 
-  return choose_of (bound ? bound : engines, now_us, request);
+  if (home_regions_bind (&request->homes))
+    allowed = home_regions_engines (&request->homes, engines);
+  return choose_of (allowed ? allowed : engines, now_us, request);
 }
--- a/src/request/policy/spread.h
+++ b/src/request/policy/spread.h
@@ -12,6 +12,7 @@
 #define REQUEST_POLICY_SPREAD_H
 
 #include "request/policy/engines.h"
+#include "request/policy/home_regions.h"
 
 /*
  * The bound: the mean load, and beyond it a part of the mean and some requests, both in
@@ -21,6 +22,8 @@
  * narrower margin more requests leave the home of their part, where no copy of it has to be moved
  * or read; with a wider one more of them meet an engine over the bound.
  */
+/* Users call an engine overloaded from so many times the mean of its service on, and so much more,
+ * in thousandths of a request. */
 #define SPR_OVERLOAD_FACTOR 2
 #define SPR_OVERLOAD_MORE_MILLI 3000
 #define SPR_BOUND_MILLI 300
@@ -55,6 +58,10 @@
  * most shared parts within it.
  */
 #define SPR_NEW_US (UINT64_C (10) * 1000 * 1000)
+/* An engine that is drained counts as idle for so long, and one that has joined until it tells its
+ * load: then the load has moved, and each of 22 gateways has heard of each engine. A margin that
+ * stays narrow for longer sends more requests away from their caches: a quarter more was read again
+ * where two data centres were drained one after the other. */
 #define SPR_IDLE_US (UINT64_C (4000) * 1000)
 /* One part in so many of the time in which a data centre must be drained, its caches are copied
  * from: what is popular there has new homes by then, and the engines that make the copies need
@@ -90,7 +97,7 @@
  * @cold_per_s: requests a second that an engine bears while it is cold; 0 is unknown
  * @cold_start_us: how long an engine is cold after its start
  * @known_gateways: that may send to the engines, also those not heard lately; 0 is unknown
- * @route_regions, @account_regions: only engines in a region of both may get it; NULL is all
+ * @homes: regions that it is bound to
  * @drain_us: from the order to drain a data centre until its engines must get nothing more
  */
 typedef struct
@@ -112,8 +119,7 @@
   uint32_t cold_per_s;
   uint64_t cold_start_us;
   uint32_t known_gateways;
-  const char *const *route_regions;
-  const char *const *account_regions;
+  home_regions_t homes;
   uint64_t drain_us;
 } spr_request_t;
 
--- a/tests/test_regions.c
+++ b/tests/test_regions.c
@@ -158,8 +158,8 @@
       g_autoptr (egs_t) egs = random_engines (rand);
       spr_request_t request = { .affinity = g_rand_int_range (rand, 0, 3),
                                 .data_center = "hall-1",
-                                .route_regions = random_regions (rand, by_route),
-                                .account_regions = random_regions (rand, by_account) };
+                                .homes = { .route = random_regions (rand, by_route),
+                                           .account = random_regions (rand, by_account) } };
       const GPtrArray *list = egs_list (egs, g_intern_static_string ("pool"));
       spr_choice_t choice = spr_choose (list, NOW_US, &request);
       uint32_t allowed = 0;
@@ -168,19 +168,19 @@
         {
           const egn_t *egn = g_ptr_array_index (list, k);
 
-          allowed += egn_is_open (egn) && is_allowed (egn, request.route_regions) &&
-                             is_allowed (egn, request.account_regions)
+          allowed += egn_is_open (egn) && is_allowed (egn, request.homes.route) &&
+                             is_allowed (egn, request.homes.account)
                          ? 1
                          : 0;
         }
       CU_ASSERT ((choice.action == SPR_NONE) == (choice.candidates == 0));
       CU_ASSERT (choice.candidates <= allowed && (allowed > 0 || choice.action == SPR_NONE));
       if (choice.engine)
-        CU_ASSERT (is_allowed (choice.engine, request.route_regions) &&
-                   is_allowed (choice.engine, request.account_regions));
+        CU_ASSERT (is_allowed (choice.engine, request.homes.route) &&
+                   is_allowed (choice.engine, request.homes.account));
       if (choice.source)
-        CU_ASSERT (is_allowed (choice.source, request.route_regions) &&
-                   is_allowed (choice.source, request.account_regions));
+        CU_ASSERT (is_allowed (choice.source, request.homes.route) &&
+                   is_allowed (choice.source, request.homes.account));
       sent += choice.action == SPR_SEND ? 1 : 0;
       refused += choice.action == SPR_NONE ? 1 : 0;
       for (guint k = 0; k < list->len; k++)
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -47,19 +47,21 @@
 }
 
 /* What a cold engine bears is read from the configuration; what is no number there is unknown, and
- * a rate is rounded down, as more would be too much. */
+ * a rate is rounded down, as more would be too much, but never to none, which would be no limit. */
 static void
 test_services_are_read (void)
 {
   static const char text[] =
       "{\"version\":3,\"routes\":[],\"services\":[{\"name\":\"pool\",\"cold_start_s\":2.5,"
-      "\"cold_per_s\":16.9},{\"name\":\"odd\",\"cold_start_s\":\"x\",\"cold_per_s\":-1}]}";
+      "\"cold_per_s\":16.9},{\"name\":\"slow\",\"cold_per_s\":0.5},{\"name\":\"odd\",\"cold_start_"
+      "s\":\"x\",\"cold_per_s\":-1}]}";
   g_autoptr (rte_t) rte = prc_read_routing (text, strlen (text), NULL, NULL);
   const rte_service_t *pool = rte_service (rte, g_intern_static_string ("pool"));
   const rte_service_t *odd = rte_service (rte, g_intern_static_string ("odd"));
 
   CU_ASSERT_EQUAL (pool->cold_per_s, 16);
   CU_ASSERT_EQUAL (pool->cold_start_us, 2500 * 1000);
+  CU_ASSERT_EQUAL (rte_service (rte, g_intern_static_string ("slow"))->cold_per_s, 1);
   CU_ASSERT_EQUAL (odd->cold_per_s, 0);
   CU_ASSERT_EQUAL (odd->cold_start_us, 0);
   CU_ASSERT_PTR_NULL (rte_service (rte, g_intern_static_string ("none")));
