--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -248,6 +248,7 @@
   uint64_t limit_milli = world->all_mean_milli * SPR_OVERLOAD_FACTOR + SPR_OVERLOAD_MORE_MILLI;
   uint64_t left_milli = limit_milli - MIN (limit_milli, world->mean_milli);
 
+  g_assert (usual_milli >= SPR_OVERLOAD_MORE_MILLI);
   return MAX (margin_milli * MIN (left_milli, usual_milli) / usual_milli, MILLI);
 }
 
