An entry that lapsed is kept for its own time, not for that of the last one

Cause: a gateway that could not read the store took entries that had gone for perhaps lapsed and kept their engines for 2.5 s; one due time stood for all, so each further lapse prolonged it. Traced by the log of edge-hall-bayangol-11: perhaps_lapsed offset=308, then further ones from offset 338 on. Test: a later lapse keeps no earlier one.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -4,6 +4,7 @@
 #include "process/gateway_store.h"
 #include "base/log.h"
 #include "request/gateway/gateway.h"
+#include "request/policy/lapses.h"
 
 #include <string.h>
 
@@ -16,8 +17,7 @@
 
 /**
  * struct gwp - a gateway
- * @lapsed: ids of engines whose entry went while the store could not be read, perhaps since it was
- *   out; gone at @lapsed_due_us unless they come back
+ * @lapsed: engines whose entry went while the store could not be read, perhaps since it was out
  * @stop_us: when a stop signal came, 0 before
  */
 struct gwp
@@ -29,8 +29,7 @@
   hsv_t *ready;
   hsv_t *control;
   rte_t *table;
-  GHashTable *lapsed;
-  uint64_t lapsed_due_us;
+  lapses_t *lapsed;
   struct event *tick;
   uint64_t stop_us;
   bool was_ready;
@@ -141,7 +140,7 @@
   log_event (LOG_LEVEL_ERROR, "engine_unreadable", "engine", id, "offset", LOG_U64 (offset),
              "error", error->message, NULL);
   g_error_free (error);
-  g_hash_table_remove (gwp->lapsed, id);
+  lapses_remove (gwp->lapsed, id);
   remove_engine (gwp, id, offset);
 }
 
@@ -177,7 +176,7 @@
       refuse_entry (gwp, id, offset, error);
       return;
     }
-  g_hash_table_remove (gwp->lapsed, id);
+  lapses_remove (gwp->lapsed, id);
   entry.region = g_intern_string (rgn_of (&gwp->options.set->regions, entry.data_center));
   engine = egs_put (gwp->engines, now_us (gwp), &entry);
   if (former.state != EGN_GONE && engine->hash != former.hash)
@@ -214,8 +213,7 @@
   else if (may_have_lapsed && egs_find (gwp->engines, id))
     {
       log_engine (gwp, id, "perhaps_lapsed", offset);
-      g_hash_table_add (gwp->lapsed, g_strdup (id));
-      gwp->lapsed_due_us = due_us;
+      lapses_add (gwp->lapsed, id, due_us);
     }
   else
     remove_engine (gwp, id, offset);
@@ -262,16 +260,12 @@
 static void
 end_lapsed (gwp_t *gwp)
 {
-  GHashTableIter iter;
-  gpointer id;
+  char *id;
 
-  if (g_hash_table_size (gwp->lapsed) == 0 || now_us (gwp) < gwp->lapsed_due_us)
-    return;
-  g_hash_table_iter_init (&iter, gwp->lapsed);
-  while (g_hash_table_iter_next (&iter, &id, NULL))
+  while ((id = lapses_take_due (gwp->lapsed, now_us (gwp))))
     {
       remove_engine (gwp, id, 0);
-      g_hash_table_iter_remove (&iter);
+      g_free (id);
     }
 }
 
@@ -340,7 +334,7 @@
   gwp_t *gwp = context;
   GString *text;
 
-  if (gst_answer (gwp->store, call, g_hash_table_size (gwp->lapsed) == 0))
+  if (gst_answer (gwp->store, call, lapses_count (gwp->lapsed) == 0))
     return;
   if (strcmp (hsv_path (call), "/metrics") != 0)
     {
@@ -425,7 +419,7 @@
 
   gwp->options = *options;
   gwp->engines = egs_new ();
-  gwp->lapsed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  gwp->lapsed = lapses_new ();
   gwp->stalls = cnt_get (options->counters, "medlarplank_stalls_total",
                          "Times that the process stood still for long");
   gwp->version = cnt_get (options->counters, "medlarplank_version", "Version in force");
@@ -454,7 +448,7 @@
   if (gwp->table)
     rte_unref (gwp->table);
   egs_free (gwp->engines);
-  g_hash_table_destroy (gwp->lapsed);
+  lapses_free (gwp->lapsed);
   event_free (gwp->tick);
   g_free (gwp);
 }
