Full engines are waited for, not counted as hops that failed

Callers saw 503 over_bound after 3 to 4 ms, with 3,996 of 4,000 ms left, while the only engine needed 3 ms a request (session-gateway, 'an upstream leaves: not all lookups answered').

Cause: two gateways share an engine of 16 slots. Each knows its own requests there; answers tell the load as of when they began, so the engine looks free to both at once. Each sends what it has, is refused within a millisecond, sends again, and three refusals for want of a slot ended the request as if three engines could not be reached.

Ruled out: the retry budget (1,000 in the session), the store, the upstream that leaves.

Change: CRS_FULL has a bound of its own; a gateway's requests at an engine that refused some keep to a window (what it took, one more with each pause or used round); with no retry left a request waits behind those in time, if a retry comes in time. refuse logs full and retry_wait_ms.

The simulation's engines have a queue of their own size, and may tell their load as of the begin.

--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -13,8 +13,8 @@
 #define WINDOW_US (10 * (uint64_t)CLK_US_PER_S)
 
 static const char *const policies[] = { "full", "uncharged", "patient", "hash", "least", "random" };
-static const char *const faults[] = { "steady", "burst", "hot_part", "hot_account", "grey",
-                                      "slow",   "mute",  "crash",    "overload",    "few" };
+static const char *const faults[] = { "steady", "burst", "hot_part", "hot_account", "grey",  "slow",
+                                      "mute",   "crash", "overload", "few",         "crowds" };
 
 const char *
 sim_policy_name (sim_policy_t policy)
@@ -40,11 +40,19 @@
   return sim->options.fault == SIM_FEW || sim->options.fault == SIM_HOT_ACCOUNT ? FEW_BURST : 1.0;
 }
 
+static uint32_t
+crowd (const sim_t *sim)
+{
+  return sim->faulty && sim->options.fault == SIM_CROWDS ? SIM_CROWD : 1;
+}
+
 static void
 plan_arrival (sim_t *sim, uint32_t kind)
 {
-  double rate_s = sim->site->kinds[kind].rate_s * growth (sim);
+  double rate_s = sim->site->kinds[kind].rate_s * growth (sim) / crowd (sim);
 
+  if (rate_s <= 0)
+    return;
   evt_add (&sim->events,
            sim->now_us + 1 + (uint64_t)rnd_exponential (&sim->dice, CLK_US_PER_S / rate_s),
            EVENT_ARRIVE, kind, NULL);
@@ -99,6 +107,7 @@
                                            .resumable = request->kind->resumable,
                                            .attempts = request->kind->attempts });
   request->tried_count = 0;
+  request->retry_due = false;
   request->hops = 0;
   rsh_request (&request->gateway->retries[request->kind->service], &sim->site->retries,
                sim->now_us);
@@ -110,7 +119,6 @@
 {
   sim_request_t *request = g_new0 (sim_request_t, 1);
 
-  plan_arrival (sim, kind);
   request->kind = &sim->site->kinds[kind];
   request->gateway = g_ptr_array_index (sim->gateways, rnd_below (&sim->dice, sim->site->gateways));
   request->account = draw_account (sim);
@@ -123,6 +131,14 @@
   sim_place (sim, request);
 }
 
+static void
+arrive_together (sim_t *sim, uint32_t kind)
+{
+  plan_arrival (sim, kind);
+  for (uint32_t i = 0; i < crowd (sim); i++)
+    arrive (sim, kind);
+}
+
 static void
 count (const sim_t *sim, sim_count_t *to, const sim_request_t *request, sim_answer_t answer)
 {
@@ -178,6 +194,7 @@
     case SIM_HOT_ACCOUNT:
     case SIM_OVERLOAD:
     case SIM_FEW:
+    case SIM_CROWDS:
     case SIM_FAULTS:
       break;
     }
@@ -250,7 +267,7 @@
     {
     case EVENT_ARRIVE:
       if (sim->now_us < SIM_END_US)
-        arrive (sim, event->number);
+        arrive_together (sim, event->number);
       return;
     case EVENT_RETURN:
       come_back (sim, event->data);
--- a/bench/gateway/sim.h
+++ b/bench/gateway/sim.h
@@ -38,9 +38,12 @@
   SIM_CRASH,       /* a quarter breaks off what it runs and refuses connections */
   SIM_OVERLOAD,    /* seven times the traffic, of which one account sends 60% */
   SIM_FEW,         /* half of the engines or more leave, and traffic doubles */
+  SIM_CROWDS,      /* requests come %SIM_CROWD at a time, seldomer by as much */
   SIM_FAULTS
 } sim_fault_t;
 
+#define SIM_CROWD 20
+
 #define SIM_MEASURED_FROM_US (UINT64_C (5) * 1000 * 1000) /* caches and times have settled */
 #define SIM_FROM_US (UINT64_C (10) * 1000 * 1000)
 #define SIM_TO_US (UINT64_C (20) * 1000 * 1000)
@@ -82,6 +85,7 @@
  * @during: all requests that came while the fault lasted; @kinds: of each kind
  * @after: those that came later than %SIM_SETTLED_US
  * @sends: to engines
+ * @early_refusals: refusals of requests that had been sent and had over half of their time left
  * @retries_most: sends after the first, of all gateways, in any window, less what the operators
  * allow; above 0 is too many
  * @read_tokens, @prompt_tokens: that model engines read, and were asked
@@ -97,6 +101,7 @@
   sim_count_t after;
   sim_count_t kinds[SIT_KINDS];
   uint64_t sends;
+  uint64_t early_refusals;
   int64_t retries_most;
   uint64_t read_tokens;
   uint64_t prompt_tokens;
--- a/bench/gateway/sim_parts.h
+++ b/bench/gateway/sim_parts.h
@@ -99,6 +99,7 @@
   uint32_t hops;
   bool begun;
   bool returned;
+  bool retry_due;
   bool over;
   uint64_t head_us; /* of the first answer, 0 before */
 } sim_request_t;
@@ -107,6 +108,7 @@
  * struct sim_send - of a request to an engine
  * @request: NULL once given up
  * @egn: in the gateway's view
+ * @begun_load: of its engine, when it began to run there
  * @reached: the engine took the connection
  */
 struct sim_send
@@ -116,6 +118,7 @@
   egn_t *egn;
   uint64_t sent_us;
   uint64_t heard_us;
+  egn_load_t begun_load;
   bool over;
   bool reached;
 };
@@ -146,6 +149,8 @@
 /** sim_engine_drop() - the send ended or was given up */
 void sim_engine_drop (sim_t *sim, sim_send_t *send);
 uint32_t sim_engine_load (const sim_engine_t *engine);
+/** sim_engine_told() - as its answers tell it now */
+egn_load_t sim_engine_told (const sim_engine_t *engine);
 /** sim_engine_set_mode() - a fault begins or ends */
 void sim_engine_set_mode (sim_t *sim, sim_engine_t *engine, sim_mode_t mode);
 
--- a/bench/gateway/site.h
+++ b/bench/gateway/site.h
@@ -19,12 +19,16 @@
 /**
  * struct sit_service - the engines of a service
  * @slots: requests that each runs at once
+ * @tells_begin: the load that its answers tell is that when they began to run
+ * @queue: requests that wait at each for one of its slots; it refuses the rest
  */
 typedef struct
 {
   const char *name;
   uint32_t engines;
   uint32_t slots;
+  uint32_t queue;
+  bool tells_begin;
 } sit_service_t;
 
 /**
--- a/bench/gateway/site_file.c
+++ b/bench/gateway/site_file.c
@@ -88,7 +88,8 @@
 {
   return (sit_service_t){ .name = text_of (reading, json, "name"),
                           .engines = count_of (reading, json, "engines"),
-                          .slots = count_of (reading, json, "slots") };
+                          .slots = count_of (reading, json, "slots"),
+                          .queue = count_of (reading, json, "queue") };
 }
 
 static void
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -237,7 +237,8 @@
       LOG_LEVEL_INFO, event, "id", call->id, "route", call->route->name, "version",
       LOG_U64 (rte_version (call->table)), "engine", call->engine ? call->engine->entry.id : NULL,
       "outcome", outcome, "reason", reason == VRD_REASON_NONE ? NULL : vrd_reason_name (reason),
-      "hops", LOG_U64 (call->hops), "status", LOG_U64 ((uint64_t)call->status), "head_ms",
+      "hops", LOG_U64 (call->hops), "full", LOG_U64 (call->crs.full), "status",
+      LOG_U64 ((uint64_t)call->status), "head_ms",
       call->headed ? LOG_U64 ((call->headed_us - call->sent_us) / CLK_US_PER_MS) : NULL, "ms",
       LOG_U64 ((now_us - call->arrived_us) / CLK_US_PER_MS), "left_ms",
       LOG_U64 (call->deadline_us > now_us ? (call->deadline_us - now_us) / CLK_US_PER_MS : 0),
@@ -310,17 +311,22 @@
     gwy_call_no_engine (call, &choice);
 }
 
-static bool
-may_retry (void *context)
+bool
+gwy_call_take_retry (gwy_call_t *call)
 {
-  gwy_call_t *call = context;
   gwy_t *gwy = call->gwy;
 
   return rsh_take (&call->service->retries, &gwy->options.retries, gwy_now_us (gwy), gwy->routers);
 }
 
+static bool
+may_retry (void *context)
+{
+  return gwy_call_take_retry (context);
+}
+
 static void
-go_on (gwy_call_t *call, bool resume, vrd_reason_t reason)
+prepare_retry (gwy_call_t *call, bool resume, vrd_reason_t reason)
 {
   gwy_call_log (call, "retry", resume ? "resume" : "again", reason);
   cnt_add (resume ? call->gwy->resumed : call->gwy->retried, 1);
@@ -329,6 +335,12 @@
     evs_resume (&call->evs);
   else
     evs_restart (&call->evs);
+}
+
+static void
+go_on (gwy_call_t *call, bool resume, vrd_reason_t reason)
+{
+  prepare_retry (call, resume, reason);
   gwy_call_place (call);
 }
 
@@ -352,6 +364,10 @@
     case CRS_RESUME:
       go_on (call, true, reason);
       return;
+    case CRS_WAIT:
+      prepare_retry (call, call->rly.begun, reason);
+      gwy_wait_for_retry (call);
+      return;
     case CRS_PASS:
       gwy_call_whole (call);
       return;
@@ -398,17 +414,21 @@
   gwy_call_free (call);
 }
 
-/* What the decision was made by: the line as it stands. */
+/* What the decision was made by: the line and the retry budget as they stand. */
 static void
 log_refusal (const gwy_call_t *call, vrd_reason_t reason, uint32_t retry_after_ms)
 {
+  gwy_t *gwy = call->gwy;
   const lin_t *line = call->service->line;
-  uint64_t now_us = gwy_now_us (call->gwy);
+  uint64_t now_us = gwy_now_us (gwy);
+  uint64_t retry_wait_us =
+      rsh_wait_us (&call->service->retries, &gwy->options.retries, now_us, gwy->routers);
 
   log_event (LOG_LEVEL_INFO, "refuse", "id", call->id, "route", call->route->name, "version",
              LOG_U64 (rte_version (call->table)), "outcome",
              is_repeatable (call) ? "repeatable" : "not_run", "reason", vrd_reason_name (reason),
-             "hops", LOG_U64 (call->hops), "ms",
+             "hops", LOG_U64 (call->hops), "full", LOG_U64 (call->crs.full), "retry_wait_ms",
+             LOG_U64 (retry_wait_us / CLK_US_PER_MS), "ms",
              LOG_U64 ((now_us - call->arrived_us) / CLK_US_PER_MS), "retry_after_ms",
              LOG_U64 (retry_after_ms), "overloaded",
              lin_is_overloaded (line, now_us) ? "yes" : "no", "waiting", LOG_U64 (lin_count (line)),
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -207,11 +207,17 @@
   call->tried_count--;
 }
 
+static crs_outcome_t
+refusal_of (const gwy_call_t *call)
+{
+  return call->answer.is_other ? CRS_NOT_RUN : CRS_FULL;
+}
+
 static void
 end_whole (gwy_call_t *call)
 {
   if (call->answer.not_run)
-    gwy_call_outcome (call, CRS_NOT_RUN, VRD_REASON_OVER_BOUND);
+    gwy_call_outcome (call, refusal_of (call), VRD_REASON_OVER_BOUND);
   else if (call->streaming && !evs_is_between (&call->evs))
     gwy_call_outcome (call, call->rly.begun ? CRS_BROKE : CRS_UNKNOWN, VRD_REASON_CUT);
   else if (call->status >= STATUS_FAILURE && call->in)
@@ -225,8 +231,10 @@
 {
   bool refused = call->headed && call->answer.not_run;
 
-  if (refused || end->verdict == VRD_NOT_RUN)
-    gwy_call_outcome (call, CRS_NOT_RUN, refused ? VRD_REASON_OVER_BOUND : end->reason);
+  if (refused)
+    gwy_call_outcome (call, refusal_of (call), VRD_REASON_OVER_BOUND);
+  else if (end->verdict == VRD_NOT_RUN)
+    gwy_call_outcome (call, CRS_NOT_RUN, end->reason);
   else if (call->rly.begun)
     gwy_call_outcome (call, CRS_BROKE, end->reason);
   else
@@ -369,6 +377,8 @@
   call->tried[call->tried_count % GWY_TRIED] = choice->engine->hash;
   call->tried_count = MIN (call->tried_count + 1, GWY_TRIED);
   call->hops++;
+  if (call->retry_due)
+    call->retry_due = !gwy_call_take_retry (call);
   call->sent_us = now_us;
   call->headed = false;
   call->held_up = false;
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -140,6 +140,7 @@
  * @sent_us, @headed_us, @heard_us: of the last hop: the send, the head, the last byte; 0 before
  * @events_before: whole events that had come before its head
  * @held_up: its caller took the answer slowly
+ * @retry_due: its next send is a retry that has not been taken from the budget yet
  * @failure_held: an engine's own failure is held whole, in case no other engine does better
  */
 typedef struct
@@ -179,6 +180,7 @@
   uint64_t events_before;
   bool held_up;
   bool failure_held;
+  bool retry_due;
   struct event *timer;
 } gwy_call_t;
 
@@ -209,6 +211,8 @@
 spr_choice_t gwy_call_choose (const gwy_call_t *call);
 /** gwy_call_outcome() - the hop ended so; on to the next step */
 void gwy_call_outcome (gwy_call_t *call, crs_outcome_t outcome, vrd_reason_t reason);
+/** gwy_call_take_retry() - from the budget that all gateways share. Return: whether one was left */
+bool gwy_call_take_retry (gwy_call_t *call);
 /** gwy_call_whole() - the answer is whole; frees the call */
 void gwy_call_whole (gwy_call_t *call);
 /** gwy_call_give_up() - it goes no further: 503 if it ran nowhere, else that it may have run; frees
@@ -231,6 +235,9 @@
 
 /** gwy_wait_push() - all engines are full: let it wait, or refuse it */
 void gwy_wait_push (gwy_call_t *call);
+/** gwy_wait_for_retry() - a full engine refused it and no retry is left: let it wait for one, or
+ * refuse it */
+void gwy_wait_for_retry (gwy_call_t *call);
 /** gwy_wait_remove() - it waits no longer */
 void gwy_wait_remove (gwy_call_t *call);
 /** gwy_wait_pump() - send what waits for @service as far as there is room */
--- a/src/request/gateway/gateway_wait.c
+++ b/src/request/gateway/gateway_wait.c
@@ -40,6 +40,30 @@
     }
 }
 
+static uint64_t
+retry_wait_us (const gwy_call_t *call)
+{
+  gwy_t *gwy = call->gwy;
+
+  return rsh_wait_us (&call->service->retries, &gwy->options.retries, gwy_now_us (gwy),
+                      gwy->routers);
+}
+
+void
+gwy_wait_for_retry (gwy_call_t *call)
+{
+  uint64_t wait_us = retry_wait_us (call);
+
+  if (!lin_push_behind (call->service->line, gwy_now_us (call->gwy), &call->line, wait_us))
+    {
+      gwy_call_give_up (call, VRD_REASON_OVER_BOUND, retry_ms (call, wait_us));
+      return;
+    }
+  call->retry_due = true;
+  cnt_add (call->gwy->waited, 1);
+  gwy_call_log (call, "wait", "retry_due", VRD_REASON_OVER_BOUND);
+}
+
 void
 gwy_wait_remove (gwy_call_t *call)
 {
@@ -64,9 +88,12 @@
 static bool
 may_start (void *owner, void *context)
 {
+  const gwy_call_t *call = owner;
   spr_choice_t *choice = context;
 
-  *choice = gwy_call_choose (owner);
+  if (call->retry_due && retry_wait_us (call) > 0)
+    return false;
+  *choice = gwy_call_choose (call);
   return choice->action != SPR_WAIT;
 }
 
--- a/src/request/policy/course.c
+++ b/src/request/policy/course.c
@@ -26,6 +26,8 @@
 {
   if (outcome == CRS_NOT_RUN)
     return crs->refused < CRS_REFUSALS && crs->ran < crs->rules.attempts;
+  if (outcome == CRS_FULL)
+    return crs->full < CRS_FULL_MOST && crs->ran < crs->rules.attempts;
   return may_go_on (&crs->rules, crs->ran, outcome == CRS_BROKE);
 }
 
@@ -39,6 +41,7 @@
     case CRS_BROKE:
       return CRS_CUT;
     case CRS_NOT_RUN:
+    case CRS_FULL:
       return crs->ran == 0 ? CRS_REFUSE : CRS_FAIL;
     case CRS_UNKNOWN:
       break;
@@ -46,6 +49,25 @@
   return CRS_FAIL;
 }
 
+static void
+note (crs_t *crs, crs_outcome_t outcome)
+{
+  switch (outcome)
+    {
+    case CRS_NOT_RUN:
+      crs->refused++;
+      return;
+    case CRS_FULL:
+      crs->full++;
+      return;
+    case CRS_UNKNOWN:
+    case CRS_FAILED:
+    case CRS_BROKE:
+      crs->ran++;
+      return;
+    }
+}
+
 crs_step_t
 crs_next (crs_t *crs,
           crs_outcome_t outcome,
@@ -53,11 +75,10 @@
           bool (*may_retry) (void *context),
           void *context)
 {
-  if (outcome == CRS_NOT_RUN)
-    crs->refused++;
-  else
-    crs->ran++;
-  if (left_us < CRS_LEAST_US || !may_repeat (crs, outcome) || !may_retry (context))
+  note (crs, outcome);
+  if (left_us < CRS_LEAST_US || !may_repeat (crs, outcome))
     return last_step (crs, outcome);
-  return outcome == CRS_BROKE ? CRS_RESUME : CRS_AGAIN;
+  if (may_retry (context))
+    return outcome == CRS_BROKE ? CRS_RESUME : CRS_AGAIN;
+  return outcome == CRS_FULL ? CRS_WAIT : last_step (crs, outcome);
 }
--- a/src/request/policy/course.h
+++ b/src/request/policy/course.h
@@ -15,13 +15,18 @@
 #include <stdint.h>
 
 /* Engines that refused a request with certainty, after which it is given up: each try costs the
- * retry budget that all share, and by then the view of the service is wrong or all are full. */
+ * retry budget that all share, and by then the view of the service is wrong. One that is full does
+ * not count: it has a place again within the time of a request. */
 #define CRS_REFUSALS 3
+/* Of refusals by full engines: a request that is larger than an engine's memory is refused so by
+ * each, and would use up the retries of all others. */
+#define CRS_FULL_MOST 5
 #define CRS_LEAST_US (20 * 1000) /* with less time left no engine can answer */
 
 typedef enum
 {
   CRS_NOT_RUN, /* certain */
+  CRS_FULL,    /* certain: the engine had no place left */
   CRS_UNKNOWN, /* sent, and no answer that counts */
   CRS_FAILED,  /* the engine answered with a failure of its own */
   CRS_BROKE    /* the answer broke off after a part went to the caller */
@@ -31,6 +36,7 @@
 {
   CRS_AGAIN,  /* send the whole request to another engine */
   CRS_RESUME, /* send it to go on after the last whole event */
+  CRS_WAIT,   /* as CRS_AGAIN, once the retry budget allows it */
   CRS_PASS,   /* pass the engine's own failure on */
   CRS_REFUSE, /* 503: it ran nowhere */
   CRS_FAIL,   /* 502: it may have run */
@@ -50,12 +56,18 @@
   uint32_t attempts;
 } crs_rules_t;
 
-/** struct crs - @ran: engines that ran it or may have */
+/**
+ * struct crs - state of one request
+ * @ran: engines that ran it or may have
+ * @refused: that refused it with certainty, other than those in @full
+ * @full: refusals by engines that had no place left
+ */
 typedef struct
 {
   crs_rules_t rules;
   uint32_t ran;
   uint32_t refused;
+  uint32_t full;
 } crs_t;
 
 void crs_init (crs_t *crs, const crs_rules_t *rules);
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -282,6 +282,27 @@
   egn->others = slots > rest ? slots - rest : 0;
   egn->told_us = now_us;
   egn->full_until_us = now_us + EGN_FULL_US;
+  egn->window_milli = (uint64_t)rest * MILLI;
+  egn->refused_us = now_us;
+}
+
+bool
+egn_has_window (const egn_t *egn, uint64_t now_us, uint64_t pause_us)
+{
+  if (egn->refused_us == 0 || now_us >= egn->refused_us + EGN_WINDOW_US)
+    return true;
+  if (egn->own > 0 && (uint64_t)(egn->own + 1) * MILLI <= egn->window_milli)
+    return true;
+  return now_us >= MAX (egn->refused_us, egn->sent_us) + pause_us;
+}
+
+static void
+widen_window (egn_t *egn)
+{
+  bool is_used = (uint64_t)(egn->own + 1) * MILLI > egn->window_milli;
+
+  if (is_used)
+    egn->window_milli += MILLI * MILLI / MAX (egn->window_milli, MILLI);
 }
 
 bool
@@ -321,6 +342,7 @@
   if (egn->down)
     come_back (egn, now_us);
   egn->down = false;
+  widen_window (egn);
   egn->failures = 0;
   egn->skip_until_us = 0;
   note_error (egn, now_us, failed ? MILLI : 0);
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -70,6 +70,8 @@
  * @error_milli: share of answers that were failures, smoothed, in thousandths, as of
  *   @error_us
  * @full_until_us: until then it has no place left, as it said
+ * @window_milli: requests that this router may have there, in thousandths, since it refused one as
+ *   it was full at @refused_us; 0 before the first refusal
  * @pace_milli: time of its answers against the service's usual, smoothed, in thousandths, as of
  *   @pace_us; 0 is not known
  * @heard_us: when a byte of it came last
@@ -99,6 +101,8 @@
   uint32_t error_milli;
   uint64_t error_us;
   uint64_t full_until_us;
+  uint64_t window_milli;
+  uint64_t refused_us;
   uint32_t pace_milli;
   uint64_t pace_us;
   uint64_t heard_us;
@@ -201,11 +205,26 @@
  */
 #define EGN_FULL_US (UINT64_C (100) * 1000)
 
+/* Without a refusal for so long, the window says nothing any more: other routers have other
+ * requests. */
+#define EGN_WINDOW_US (UINT64_C (10) * 1000 * 1000)
+
 /** egn_full() - it refused a request of this router, which is still counted, as it had no place
  * left */
 void egn_full (egn_t *egn, uint64_t now_us);
 /** egn_is_full() - it had no place left a moment ago */
 bool egn_is_full (const egn_t *egn, uint64_t now_us);
+/**
+ * egn_has_window() - whether the engine is likely to have a place for one request more of this
+ * router
+ * @pause_us: after a refusal, until one that took none of this router's is asked again
+ *
+ * Routers that share a full engine each hear of a slot that comes free, and not of one another. If
+ * each sent what it has waiting, most would be refused again within a millisecond, until the
+ * retries that all share are spent. So a refusal cuts the window to what the engine did take, and
+ * the window grows by one in the time of an answer's head while it is used to the full.
+ */
+bool egn_has_window (const egn_t *egn, uint64_t now_us, uint64_t pause_us);
 /** egn_worked() - it answered, well or with a failure of its own (@failed) */
 void egn_worked (egn_t *egn, uint64_t now_us, bool failed);
 /** egn_failed() - it could not be reached or broke off */
--- a/src/request/policy/line.c
+++ b/src/request/policy/line.c
@@ -334,6 +334,18 @@
   return late ? push_late (lin, now_us, item) : push_into (lin, now_us, item, false, in_time_us);
 }
 
+bool
+lin_push_behind (lin_t *lin, uint64_t now_us, lin_item_t *item, uint64_t wait_us)
+{
+  uint64_t until_us = last_start_us (lin, item);
+
+  g_assert (!item->waiting);
+  fill (lin, item);
+  if (wait_us >= until_us - MIN (now_us, until_us) || !late_may_start (lin, now_us, until_us))
+    return false;
+  return push_into (lin, now_us, item, true, until_us) == LIN_WAITS;
+}
+
 static void
 note_left (lin_t *lin, uint64_t now_us, lin_item_t *item)
 {
--- a/src/request/policy/line.h
+++ b/src/request/policy/line.h
@@ -109,6 +109,9 @@
 /** lin_push() - @wait_us: expected until it starts; valid for refusals too */
 lin_outcome_t
 lin_push (lin_t *lin, uint64_t now_us, const lin_room_t *room, lin_item_t *item, uint64_t *wait_us);
+/** lin_push_behind() - @item may start after @wait_us at the soonest, whatever room there is, and
+ * waits behind those in time. Return: false when that is too late; it is not in the line then */
+bool lin_push_behind (lin_t *lin, uint64_t now_us, lin_item_t *item, uint64_t wait_us);
 void lin_remove (lin_t *lin, uint64_t now_us, lin_item_t *item);
 /** lin_expired() - takes out one that is to be refused now. Return: its owner, or NULL; to be
  * called until then, every few milliseconds of those in which answers are to begin */
--- a/src/request/policy/retry_share.c
+++ b/src/request/policy/retry_share.c
@@ -42,16 +42,35 @@
   rsh->requests[rsh->epoch % COUNT]++;
 }
 
+/* Return: whether one more retry is within what is allowed */
+static bool
+is_allowed (const rsh_t *rsh, const rsh_options_t *options, uint32_t routers)
+{
+  uint64_t allowed_milli = sum (rsh->requests) * options->ratio_milli +
+                           (uint64_t)options->slack * MILLI / MAX (routers, 1U);
+
+  return (sum (rsh->retries) + 1) * MILLI <= allowed_milli * RSH_PART_MILLI / MILLI;
+}
+
 bool
 rsh_take (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers)
 {
-  uint64_t allowed_milli;
-
   turn (rsh, options, now_us);
-  allowed_milli = sum (rsh->requests) * options->ratio_milli +
-                  (uint64_t)options->slack * MILLI / MAX (routers, 1U);
-  if ((sum (rsh->retries) + 1) * MILLI > allowed_milli * RSH_PART_MILLI / MILLI)
+  if (!is_allowed (rsh, options, routers))
     return false;
   rsh->retries[rsh->epoch % COUNT]++;
   return true;
 }
+
+uint64_t
+rsh_wait_us (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers)
+{
+  uint64_t bucket_us = options->window_us / RSH_BUCKETS;
+  rsh_t ahead;
+
+  turn (rsh, options, now_us);
+  ahead = *rsh;
+  while (!is_allowed (&ahead, options, routers) && ahead.epoch < rsh->epoch + COUNT)
+    turn (&ahead, options, (ahead.epoch + 1) * bucket_us);
+  return ahead.epoch > rsh->epoch ? ahead.epoch * bucket_us - now_us : 0;
+}
--- a/src/request/policy/retry_share.h
+++ b/src/request/policy/retry_share.h
@@ -43,4 +43,7 @@
 /** rsh_take() - Return: whether one more send of a request may go out; it is then counted */
 bool rsh_take (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers);
 
+/** rsh_wait_us() - until rsh_take() allows a send if no request comes meanwhile; 0 for now */
+uint64_t rsh_wait_us (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers);
+
 #endif
--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -223,12 +223,24 @@
          world->now_us >= egn->sent_us + share_us / SPR_SHARE_PART;
 }
 
+/* The time in which this gateway's share of one slot comes free, and it hears whether the engine
+ * took what it sent there. */
+static uint64_t
+window_pause_us (const world_t *world, uint32_t slots)
+{
+  uint64_t gateways = MAX (world->request->gateways, 1U);
+  uint64_t share_us = world->request->run_us * gateways / MAX (slots, 1U);
+
+  return MAX (share_us / SPR_SHARE_PART, world->request->head_us);
+}
+
 static bool
 has_room (const world_t *world, const egn_t *egn)
 {
   uint32_t slots = egn_slots (egn, world->request->default_slots);
 
-  if (!has_turn (world, egn))
+  if (!has_turn (world, egn) ||
+      !egn_has_window (egn, world->now_us, window_pause_us (world, slots)))
     return false;
   if (slots == 0 || (!world->full && load_of (world, egn) < slots))
     return true;
--- a/tests/driver.h
+++ b/tests/driver.h
@@ -278,6 +278,10 @@
 const char *drv_verdict (const drv_call_t *call);
 /** drv_reason() - the code of the error, "" when it is none */
 char *drv_reason (const drv_call_t *call);
+/** drv_explain() - print what the call of request @id was answered, for the one who traces a
+ * failure
+ */
+void drv_explain (const drv_call_t *call, const char *id);
 /** drv_own_answer() - whether it is the whole answer to this request */
 bool drv_own_answer (const drv_call_t *call);
 
--- a/tests/driver_call.c
+++ b/tests/driver_call.c
@@ -4,6 +4,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -351,6 +352,15 @@
   return own;
 }
 
+void
+drv_explain (const drv_call_t *call, const char *id)
+{
+  uint64_t took_ms = (call->ended_us - call->sent_us) / 1000;
+
+  printf ("%s: status=%d end=%d took_ms=%" PRIu64 " body=%s\n", id, call->status, (int)call->end,
+          took_ms, call->body->str);
+}
+
 bool
 drv_own_answer (const drv_call_t *call)
 {
--- a/tests/session_gateway.c
+++ b/tests/session_gateway.c
@@ -80,6 +80,7 @@
 static uint32_t
 ask_many (rig_t *rig, const char *method, const char *path)
 {
+  uint32_t first_id = rig->next_id + 1;
   drv_call_t *calls[MANY];
   uint32_t good = 0;
 
@@ -87,8 +88,12 @@
     calls[i] = ask (rig, i % GATEWAYS, method, path);
   for (uint32_t i = 0; i < MANY; i++)
     {
+      g_autofree char *id = g_strdup_printf ("q%u", first_id + i);
+
       drv_answered (calls[i]);
       good += is_good (calls[i]) ? 1 : 0;
+      if (!is_good (calls[i]))
+        drv_explain (calls[i], id);
     }
   return good;
 }
--- a/tests/test_course.c
+++ b/tests/test_course.c
@@ -122,6 +122,23 @@
   CU_ASSERT_EQUAL (asked, 0);
 }
 
+/* Guards against refusals of requests that have time left, after a few tries at engines that are
+ * full for a moment. */
+static void
+test_full_engines_are_asked_again (void)
+{
+  crs_t crs = make (true, false, 2);
+
+  CU_ASSERT_EQUAL (next (&crs, CRS_NOT_RUN), CRS_AGAIN);
+  for (uint32_t i = 1; i < CRS_FULL_MOST; i++)
+    CU_ASSERT_EQUAL (next (&crs, CRS_FULL), CRS_AGAIN);
+  CU_ASSERT_EQUAL (next (&crs, CRS_NOT_RUN), CRS_AGAIN);
+  CU_ASSERT_EQUAL (next (&crs, CRS_FULL), CRS_REFUSE);
+  crs = make (true, false, 2);
+  CU_ASSERT_EQUAL (crs_next (&crs, CRS_FULL, PLENTY_US, forbid, NULL), CRS_WAIT);
+  CU_ASSERT_EQUAL (crs_next (&crs, CRS_NOT_RUN, PLENTY_US, forbid, NULL), CRS_REFUSE);
+}
+
 static const rsh_options_t shares = { .ratio_milli = 200, .slack = 40, .window_us = 10 * S_US };
 
 static uint32_t
@@ -144,6 +161,21 @@
   CU_ASSERT_EQUAL (take_all (&one_of_four, 50 * S_US, 4), 7);
 }
 
+static void
+test_wait_for_a_retry (void)
+{
+  rsh_t rsh = { 0 };
+  uint64_t now_us = 50 * S_US + 7;
+  uint64_t wait_us;
+
+  CU_ASSERT_EQUAL (rsh_wait_us (&rsh, &shares, now_us, 1), 0);
+  take_all (&rsh, now_us, 1);
+  wait_us = rsh_wait_us (&rsh, &shares, now_us, 1);
+  CU_ASSERT (wait_us > shares.window_us / 2);
+  CU_ASSERT_FALSE (rsh_take (&rsh, &shares, now_us + wait_us - 1, 1));
+  CU_ASSERT_TRUE (rsh_take (&rsh, &shares, now_us + wait_us, 1));
+}
+
 /* Four routers, unevenly used, retry whatever they may, for a minute: in no window of ten seconds
  * do they send more together than the bound allows. */
 static void
@@ -432,6 +464,8 @@
                                            test_no_more_engines_run_it_than_its_route_allows),
                                        SUITE_TEST (test_who_may_leave),
                                        SUITE_TEST (test_no_budget_or_time_no_retry),
+                                       SUITE_TEST (test_full_engines_are_asked_again),
+                                       SUITE_TEST (test_wait_for_a_retry),
                                        SUITE_TEST (test_share_of_the_slack),
                                        SUITE_TEST (test_routers_keep_the_bound_together),
                                        SUITE_TEST (test_events_are_passed_whole),
--- a/tests/test_gateway_load.c
+++ b/tests/test_gateway_load.c
@@ -176,6 +176,58 @@
   CU_ASSERT (unanswered (&kinds[0]) < unanswered (&kinds[2]) + 0.05);
 }
 
+#define SEEDS 3
+
+/** struct one_engine - a service of one engine, and look-ups for it that take @work_us each */
+typedef struct
+{
+  uint32_t gateways;
+  sit_service_t service;
+  double rate_s;
+  uint64_t work_us;
+} one_engine_t;
+
+static sim_figures_t
+play_one_engine (const one_engine_t *one, uint64_t seed)
+{
+  sit_t site = { .gateways = one->gateways,
+                 .data_centers = 3,
+                 .accounts = 10,
+                 .services = { { "models", 1, 1, 0, false }, one->service },
+                 .kinds = { { .name = "look-up",
+                              .service = 1,
+                              .kind = RTE_IDEMPOTENT,
+                              .attempts = 2,
+                              .rate_s = one->rate_s,
+                              .work_us = one->work_us,
+                              .aim_us = 300 * 1000,
+                              .deadline_us = 4000 * 1000 } },
+                 .retries = { .ratio_milli = 200, .slack = 1000, .window_us = 10 * 1000 * 1000 } };
+
+  return sim_run (
+      &(sim_options_t){ .site = &site, .fault = SIM_CROWDS, .policy = SIM_FULL, .seed = seed });
+}
+
+/* Guards against refusals of requests that have time and retries left, by gateways that ask the
+ * only engine, which is full, three times within some milliseconds. */
+static void
+test_a_full_engine_is_waited_for (void)
+{
+  static const one_engine_t sizes[] = { { 2, { "ledger", 1, 16, 0, true }, 200, 3000 },
+                                        { 22, { "portal", 1, 6, 6, true }, 50, 60 * 1000 },
+                                        { 103, { "portal", 1, 30, 15, true }, 250, 60 * 1000 } };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    for (uint64_t seed = 1; seed <= SEEDS; seed++)
+      {
+        sim_figures_t figures = play_one_engine (&sizes[i], seed);
+
+        CU_ASSERT (figures.all.requests > 1000);
+        CU_ASSERT (figures.sends > figures.all.requests);
+        CU_ASSERT_EQUAL (figures.early_refusals, 0);
+      }
+}
+
 int
 main (void)
 {
@@ -190,6 +242,7 @@
                                        SUITE_TEST (test_an_overload_is_answered_in_time),
                                        SUITE_TEST (test_an_overload_leaves_nothing_behind),
                                        SUITE_TEST (test_the_urgent_come_first_in_an_overload),
+                                       SUITE_TEST (test_a_full_engine_is_waited_for),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("gateway_load", tests);
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -446,6 +446,24 @@
   CU_ASSERT_EQUAL (late_where_slots_are_scarce (34), LIN_WAITS);
 }
 
+/* Who may not be sent yet does not hold up those in time, and does not wait for what comes too late
+ * for it. */
+static void
+test_one_that_needs_a_retry_waits_behind (void)
+{
+  g_autoptr (lin_t) lin = lin_new ();
+  asker_t first = { .line = { .arrived_us = NOW_US, .deadline_us = NOW_US + CLK_US_PER_S } };
+  asker_t second;
+
+  first.line.fair.owner = &first;
+  CU_ASSERT_FALSE (lin_push_behind (lin, NOW_US, &first.line, CLK_US_PER_S));
+  CU_ASSERT_FALSE (first.line.waiting);
+  CU_ASSERT_TRUE (lin_push_behind (lin, NOW_US, &first.line, CLK_US_PER_S / 2));
+  push (lin, &second, 1, 0);
+  CU_ASSERT_PTR_EQUAL (start_first (lin), &second);
+  CU_ASSERT_PTR_EQUAL (start_first (lin), &first);
+}
+
 int
 main (void)
 {
@@ -465,6 +483,7 @@
     SUITE_TEST (test_an_account_with_credit_keeps_its_place),
     SUITE_TEST (test_scarce_slots_are_for_those_in_time),
     SUITE_TEST (test_scarce_slots_in_a_surge_of_one),
+    SUITE_TEST (test_one_that_needs_a_retry_waits_behind),
     CU_TEST_INFO_NULL
   };
 
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -520,6 +520,35 @@
   unload (egs, 1);
 }
 
+/* Guards against gateways that each send all they have to a full engine as soon as it tells of one
+ * free slot. */
+static void
+test_refusals_cut_what_a_gateway_has_at_an_engine (void)
+{
+  g_autoptr (egs_t) egs = make_engines (1);
+  egn_t *engine = egs_find (egs, "e0");
+  const GPtrArray *list = egs_list (egs, g_intern_static_string ("pool"));
+  const egn_load_t one_free = { .running = 15, .slots = 16 };
+  spr_request_t request = { .data_center = HERE, .gateways = 2, .run_us = 3000, .head_us = 3000 };
+
+  load (engine, 10);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      egn_full (engine, NOW_US);
+      egn_end (engine);
+    }
+  egn_told (engine, NOW_US, &one_free);
+  CU_ASSERT_EQUAL (spr_choose (list, NOW_US, &request).action, SPR_WAIT);
+  egn_end (engine);
+  CU_ASSERT_EQUAL (spr_choose (list, NOW_US, &request).action, SPR_SEND);
+  egn_begin (engine, NOW_US);
+  CU_ASSERT_EQUAL (spr_choose (list, NOW_US, &request).action, SPR_WAIT);
+  for (uint32_t i = 0; i < 9; i++)
+    egn_worked (engine, NOW_US, false);
+  CU_ASSERT_EQUAL (spr_choose (list, NOW_US, &request).action, SPR_SEND);
+  unload (egs, 1);
+}
+
 /*
  * An overload is over. Some engines were full when they last told their load and were not asked
  * since; the others are nearly idle and tell so. The old figures must neither raise the bound of
@@ -783,6 +812,7 @@
     SUITE_TEST (test_probe_is_what_may_go_on),
     SUITE_TEST (test_slow_engine_goes_last),
     SUITE_TEST (test_each_gateway_keeps_its_share_of_few_slots),
+    SUITE_TEST (test_refusals_cut_what_a_gateway_has_at_an_engine),
     SUITE_TEST (test_old_loads_neither_raise_the_bound_nor_stay),
     SUITE_TEST (test_unknown_load_is_the_usual_one),
     SUITE_TEST (test_small_parts_have_two_homes_where_little_is_known),
