Connections that are not made cost no retry

Cause: the twin of the full engine's: nothing had reached an engine, and yet it counted as one of three refusals (hops=3) and took from the budget of arrivals (hops=1, the budget spent).

Evidence: refuse lines of the code before, by reason and hops; retry_wait_ms told the two apart. The few that met three other engines at the addresses they asked (421) are still refused, now by their own reason no_engine in place of over_bound, which was false.

--- a/bench/gateway/sim.h
+++ b/bench/gateway/sim.h
@@ -86,8 +86,8 @@
  * @after: those that came later than %SIM_SETTLED_US
  * @sends: to engines
  * @early_refusals: refusals of requests that had been sent and had over half of their time left
- * @retries_most: sends after the first, of all gateways, in any window, less what the operators
- * allow; above 0 is too many
+ * @retries_most: arrivals at engines after a request's first, of all gateways, in any window, less
+ * what the operators allow; above 0 is too many
  * @read_tokens, @prompt_tokens: that model engines read, and were asked
  * @peak_milli: highest load of a model engine at a dispatch against the mean of that moment,
  *   median over the dispatches, in thousandths
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -207,17 +207,26 @@
   call->tried_count--;
 }
 
-static crs_outcome_t
-refusal_of (const gwy_call_t *call)
+static void
+end_refused (gwy_call_t *call)
+{
+  if (call->answer.is_other)
+    gwy_call_outcome (call, CRS_NOT_RUN, VRD_REASON_NO_ENGINE);
+  else
+    gwy_call_outcome (call, CRS_FULL, VRD_REASON_OVER_BOUND);
+}
+
+static bool
+is_unsent (const hcl_end_t *end)
 {
-  return call->answer.is_other ? CRS_NOT_RUN : CRS_FULL;
+  return end->verdict == VRD_NOT_RUN && end->reason == VRD_REASON_CONNECT;
 }
 
 static void
 end_whole (gwy_call_t *call)
 {
   if (call->answer.not_run)
-    gwy_call_outcome (call, refusal_of (call), VRD_REASON_OVER_BOUND);
+    end_refused (call);
   else if (call->streaming && !evs_is_between (&call->evs))
     gwy_call_outcome (call, call->rly.begun ? CRS_BROKE : CRS_UNKNOWN, VRD_REASON_CUT);
   else if (call->status >= STATUS_FAILURE && call->in)
@@ -232,9 +241,9 @@
   bool refused = call->headed && call->answer.not_run;
 
   if (refused)
-    gwy_call_outcome (call, refusal_of (call), VRD_REASON_OVER_BOUND);
+    end_refused (call);
   else if (end->verdict == VRD_NOT_RUN)
-    gwy_call_outcome (call, CRS_NOT_RUN, end->reason);
+    gwy_call_outcome (call, is_unsent (end) ? CRS_UNSENT : CRS_NOT_RUN, end->reason);
   else if (call->rly.begun)
     gwy_call_outcome (call, CRS_BROKE, end->reason);
   else
@@ -248,7 +257,7 @@
   gwy_t *gwy = call->gwy;
   uint64_t now_us = gwy_now_us (gwy);
 
-  if (end->verdict == VRD_NOT_RUN && end->reason == VRD_REASON_CONNECT)
+  if (is_unsent (end))
     cwt_down (&gwy->crashes, now_us, call->engine->hash);
   else if (end->reason == VRD_REASON_CUT && call->in && !call->answer.crossed)
     cwt_lost (&gwy->crashes, now_us, call->engine->hash, gwy_call_fingerprint (call));
@@ -259,7 +268,7 @@
 {
   uint64_t now_us = gwy_now_us (call->gwy);
 
-  if (end->verdict == VRD_NOT_RUN && end->reason == VRD_REASON_CONNECT)
+  if (is_unsent (end))
     egn_unreachable (call->engine, now_us);
   else
     egn_failed (call->engine, now_us);
--- a/src/request/policy/course.c
+++ b/src/request/policy/course.c
@@ -24,10 +24,21 @@
 static bool
 may_repeat (const crs_t *crs, crs_outcome_t outcome)
 {
-  if (outcome == CRS_NOT_RUN)
-    return crs->refused < CRS_REFUSALS && crs->ran < crs->rules.attempts;
-  if (outcome == CRS_FULL)
-    return crs->full < CRS_FULL_MOST && crs->ran < crs->rules.attempts;
+  bool runs_left = crs->ran < crs->rules.attempts;
+
+  switch (outcome)
+    {
+    case CRS_NOT_RUN:
+      return crs->refused < CRS_REFUSALS && runs_left;
+    case CRS_FULL:
+      return crs->full < CRS_FULL_MOST && runs_left;
+    case CRS_UNSENT:
+      return crs->unsent < CRS_UNSENT_MOST && runs_left;
+    case CRS_UNKNOWN:
+    case CRS_FAILED:
+    case CRS_BROKE:
+      break;
+    }
   return may_go_on (&crs->rules, crs->ran, outcome == CRS_BROKE);
 }
 
@@ -42,6 +53,7 @@
       return CRS_CUT;
     case CRS_NOT_RUN:
     case CRS_FULL:
+    case CRS_UNSENT:
       return crs->ran == 0 ? CRS_REFUSE : CRS_FAIL;
     case CRS_UNKNOWN:
       break;
@@ -60,6 +72,9 @@
     case CRS_FULL:
       crs->full++;
       return;
+    case CRS_UNSENT:
+      crs->unsent++;
+      return;
     case CRS_UNKNOWN:
     case CRS_FAILED:
     case CRS_BROKE:
@@ -78,7 +93,7 @@
   note (crs, outcome);
   if (left_us < CRS_LEAST_US || !may_repeat (crs, outcome))
     return last_step (crs, outcome);
-  if (may_retry (context))
+  if (outcome == CRS_UNSENT || may_retry (context))
     return outcome == CRS_BROKE ? CRS_RESUME : CRS_AGAIN;
   return outcome == CRS_FULL ? CRS_WAIT : last_step (crs, outcome);
 }
--- a/src/request/policy/course.h
+++ b/src/request/policy/course.h
@@ -21,12 +21,17 @@
 /* Of refusals by full engines: a request that is larger than an engine's memory is refused so by
  * each, and would use up the retries of all others. */
 #define CRS_FULL_MOST 5
+/* Connections that were not made. They load no engine, so they take nothing from the retry budget,
+ * and each one tells this router which engine is down: after a data centre is lost several in a row
+ * are. */
+#define CRS_UNSENT_MOST 8
 #define CRS_LEAST_US (20 * 1000) /* with less time left no engine can answer */
 
 typedef enum
 {
   CRS_NOT_RUN, /* certain */
   CRS_FULL,    /* certain: the engine had no place left */
+  CRS_UNSENT,  /* certain: no connection to the engine was made */
   CRS_UNKNOWN, /* sent, and no answer that counts */
   CRS_FAILED,  /* the engine answered with a failure of its own */
   CRS_BROKE    /* the answer broke off after a part went to the caller */
@@ -59,8 +64,9 @@
 /**
  * struct crs - state of one request
  * @ran: engines that ran it or may have
- * @refused: that refused it with certainty, other than those in @full
+ * @refused: that refused it with certainty for other reasons than those below
  * @full: refusals by engines that had no place left
+ * @unsent: connections that were not made
  */
 typedef struct
 {
@@ -68,6 +74,7 @@
   uint32_t ran;
   uint32_t refused;
   uint32_t full;
+  uint32_t unsent;
 } crs_t;
 
 void crs_init (crs_t *crs, const crs_rules_t *rules);
--- a/tests/test_course.c
+++ b/tests/test_course.c
@@ -139,6 +139,18 @@
   CU_ASSERT_EQUAL (crs_next (&crs, CRS_NOT_RUN, PLENTY_US, forbid, NULL), CRS_REFUSE);
 }
 
+/* Guards against refusals after a few connections that were not made, or as the retries are spent
+ * on those, where many engines have been lost at once. */
+static void
+test_connections_that_fail_cost_no_retry (void)
+{
+  crs_t crs = make (false, false, 1);
+
+  for (uint32_t i = 1; i < CRS_UNSENT_MOST; i++)
+    CU_ASSERT_EQUAL (crs_next (&crs, CRS_UNSENT, PLENTY_US, forbid, NULL), CRS_AGAIN);
+  CU_ASSERT_EQUAL (next (&crs, CRS_UNSENT), CRS_REFUSE);
+}
+
 static const rsh_options_t shares = { .ratio_milli = 200, .slack = 40, .window_us = 10 * S_US };
 
 static uint32_t
@@ -465,6 +477,7 @@
                                        SUITE_TEST (test_who_may_leave),
                                        SUITE_TEST (test_no_budget_or_time_no_retry),
                                        SUITE_TEST (test_full_engines_are_asked_again),
+                                       SUITE_TEST (test_connections_that_fail_cost_no_retry),
                                        SUITE_TEST (test_wait_for_a_retry),
                                        SUITE_TEST (test_share_of_the_slack),
                                        SUITE_TEST (test_routers_keep_the_bound_together),
