Lines of refusals leave before the answer; held lines leave within 10 ms

On-call saw nothing of what a killed gateway had refused: session-gateway, a gateway killed right after it refused ten callers, none of ten lines.

Cause: lines are held until 4 KB, or the next line or flush after 10 ms; flushes came with the tick of 100 ms, so the last lines waited up to that long. Not the driver: the lines never left.

Change: notices leave at once, and refusals, rejections and failures are notices; a timer set by the first held line bounds all others, in all roles.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -28,6 +28,7 @@
  * @dropped: lines lost since the last one that was written
  * @buffer: NULL when each line is written by itself
  * @held_us: when the oldest line in the buffer came, 0 when it is empty
+ * @held: told when a first line is held, or NULL
  */
 typedef struct
 {
@@ -42,6 +43,8 @@
   size_t start;
   size_t end;
   int64_t held_us;
+  void (*held) (void *context);
+  void *held_context;
 } log_state_t;
 
 static log_state_t state = {
@@ -260,6 +263,8 @@
 line_hold (const line_t *line, log_level_t level)
 {
   bool urgent = level <= LOG_LEVEL_WARNING;
+  bool prompt = level <= LOG_LEVEL_NOTICE;
+  bool was_empty = state.end == state.start;
   size_t limit = urgent ? LOG_BUFFER_BYTES : LOG_BUFFER_BYTES / 4 * 3;
   int64_t now_us = g_get_monotonic_time ();
 
@@ -269,9 +274,11 @@
   state.end += line->bytes;
   if (state.held_us == 0)
     state.held_us = now_us;
-  if (urgent || state.end - state.start >= LOG_WRITE_BYTES ||
+  if (prompt || state.end - state.start >= LOG_WRITE_BYTES ||
       now_us - state.held_us >= LOG_HOLD_MS * 1000)
     flush ();
+  if (was_empty && state.end > state.start && state.held)
+    state.held (state.held_context);
   return true;
 }
 
@@ -317,6 +324,15 @@
   g_mutex_unlock (&state.lock);
 }
 
+void
+log_on_held (void (*held) (void *context), void *context)
+{
+  g_mutex_lock (&state.lock);
+  state.held = held;
+  state.held_context = context;
+  g_mutex_unlock (&state.lock);
+}
+
 void
 log_flush (void)
 {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -30,12 +30,15 @@
 /**
  * log_open() - from now on lines go to @fd through a buffer
  *
- * Lines of warnings and errors leave at once; others when %LOG_WRITE_BYTES have come together, or
+ * Lines of notices and above leave at once; others when %LOG_WRITE_BYTES have come together, or
  * with the first line or log_flush() after %LOG_HOLD_MS. While @fd takes nothing, the last quarter
  * of the buffer is kept for warnings and errors.
  */
 void log_open (int fd);
-/** log_flush() - write what is buffered, as far as @fd takes it; to be called now and then */
+/** log_on_held() - @held is called, in whatever thread logs, when a first line is held: log_flush()
+ * is due %LOG_HOLD_MS later. It may not log. NULL for none */
+void log_on_held (void (*held) (void *context), void *context);
+/** log_flush() - write what is buffered, as far as @fd takes it */
 void log_flush (void);
 
 #define LOG_BUFFER_BYTES (64 * 1024)
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -5,6 +5,7 @@
  * mailboxes. The control task runs on the main thread, which also gets the signals; the data task
  * runs on a thread of its own.
  */
+#include "base/log_flusher.h"
 #include "platform/records.h"
 #include "platform/request_format.h"
 #include "platform/store.h"
@@ -39,6 +40,7 @@
 {
   dmn_t dmn;
   struct event_base *control_base;
+  lfl_t *flusher;
   struct event_base *data_base;
   ctrl_t *ctrl;
   rtr_t *rtr;
@@ -152,6 +154,7 @@
                           "Milliseconds since 1970 at the start of the process."),
                  dmn->incarnation);
   prc->control_base = base_new ();
+  prc->flusher = lfl_new (prc->control_base);
   prc->data_base = base_new ();
   dmn->to_control = mbx_new (prc->control_base, pass_to_control, prc);
   dmn->to_data = mbx_new (prc->data_base, pass_to_data, prc);
@@ -190,6 +193,7 @@
   event_free (prc->on_sigterm);
   event_free (prc->on_sigint);
   event_base_free (prc->data_base);
+  lfl_free (prc->flusher);
   event_base_free (prc->control_base);
   cnt_set_free (prc->dmn.counters);
   libevent_global_shutdown ();
@@ -281,6 +285,7 @@
   clk_t clk;
   cnt_set_t *counters;
   struct event_base *base;
+  lfl_t *flusher;
   gwp_t *gwp;
   uint64_t incarnation;
   struct event *signals[GATEWAY_SIGNALS];
@@ -331,6 +336,7 @@
 {
   for (size_t i = 0; i < GATEWAY_SIGNALS; i++)
     event_free (gateway->signals[i]);
+  lfl_free (gateway->flusher);
   event_base_free (gateway->base);
   cnt_set_free (gateway->counters);
 }
@@ -358,6 +364,7 @@
   gateway.counters = cnt_set_new ();
   gateway.base = base_new ();
   watch_gateway_signals (&gateway);
+  gateway.flusher = lfl_new (gateway.base);
   gateway.gwp = gwp_new (
       &(gwp_options_t){ .base = gateway.base,
                         .clk = &gateway.clk,
--- a/src/request/gateway/gateway_accept.c
+++ b/src/request/gateway/gateway_accept.c
@@ -6,7 +6,7 @@
 static void
 reject (gwy_t *gwy, hsv_call_t *in, const fmt_request_t *request, const flt_t *fault)
 {
-  log_event (LOG_LEVEL_INFO, "reject", "id", request->id, "status",
+  log_event (LOG_LEVEL_NOTICE, "reject", "id", request->id, "status",
              LOG_U64 ((uint64_t)fault->status), "code", fault->code, "version",
              LOG_U64 (gwy->table ? rte_version (gwy->table) : 0), NULL);
   flt_reply (in, fault);
@@ -47,7 +47,7 @@
 reject_suspect (gwy_call_t *call)
 {
   cnt_add (call->gwy->refused, 1);
-  gwy_call_log (call, "refuse", "final", VRD_REASON_SUSPECT);
+  gwy_call_log_failure (call, "refuse", "final", VRD_REASON_SUSPECT);
   flt_reply (call->in, &(flt_t){ .reason = VRD_REASON_SUSPECT, .verdict = VRD_NOT_RUN });
   gwy_call_free (call);
 }
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -72,7 +72,7 @@
   bool in_time = reason != VRD_REASON_TIMEOUT && reason != VRD_REASON_DEADLINE;
 
   note_failure (call);
-  gwy_call_log (call, "end", "failed", reason);
+  gwy_call_log_failure (call, "end", "failed", reason);
   flt_reply (call->in, &(flt_t){ .reason = in_time ? VRD_REASON_CUT : VRD_REASON_TIMEOUT,
                                  .verdict = VRD_MAY_HAVE_RUN });
   gwy_call_free (call);
@@ -82,7 +82,7 @@
 end_cut (gwy_call_t *call, vrd_reason_t reason)
 {
   note_failure (call);
-  gwy_call_log (call, "end", "cut", reason);
+  gwy_call_log_failure (call, "end", "cut", reason);
   rly_cut (&call->rly, &(flt_t){ .reason = VRD_REASON_CUT });
   gwy_call_free (call);
 }
@@ -106,7 +106,7 @@
       gwy_call_whole (call);
       return;
     }
-  gwy_call_log (call, "end", "timeout", VRD_REASON_TIMEOUT);
+  gwy_call_log_failure (call, "end", "timeout", VRD_REASON_TIMEOUT);
   note_failure (call);
   if (!call->in)
     gwy_call_free (call);
@@ -228,13 +228,17 @@
   g_free (call);
 }
 
-void
-gwy_call_log (const gwy_call_t *call, const char *event, const char *outcome, vrd_reason_t reason)
+static void
+log_call (const gwy_call_t *call,
+          log_level_t level,
+          const char *event,
+          const char *outcome,
+          vrd_reason_t reason)
 {
   uint64_t now_us = gwy_now_us (call->gwy);
 
   log_event (
-      LOG_LEVEL_INFO, event, "id", call->id, "route", call->route->name, "version",
+      level, event, "id", call->id, "route", call->route->name, "version",
       LOG_U64 (rte_version (call->table)), "engine", call->engine ? call->engine->entry.id : NULL,
       "outcome", outcome, "reason", reason == VRD_REASON_NONE ? NULL : vrd_reason_name (reason),
       "hops", LOG_U64 (call->hops), "full", LOG_U64 (call->crs.full), "unsent",
@@ -245,6 +249,22 @@
       NULL);
 }
 
+void
+gwy_call_log (const gwy_call_t *call, const char *event, const char *outcome, vrd_reason_t reason)
+{
+  log_call (call, LOG_LEVEL_INFO, event, outcome, reason);
+}
+
+/* A notice leaves the process before the answer does, so it is there also when a kill follows. */
+void
+gwy_call_log_failure (const gwy_call_t *call,
+                      const char *event,
+                      const char *outcome,
+                      vrd_reason_t reason)
+{
+  log_call (call, LOG_LEVEL_NOTICE, event, outcome, reason);
+}
+
 static home_regions_t
 homes_of (const gwy_call_t *call)
 {
@@ -424,7 +444,7 @@
   uint64_t retry_wait_us =
       rsh_wait_us (&call->service->retries, &gwy->options.retries, now_us, gwy->routers);
 
-  log_event (LOG_LEVEL_INFO, "refuse", "id", call->id, "route", call->route->name, "version",
+  log_event (LOG_LEVEL_NOTICE, "refuse", "id", call->id, "route", call->route->name, "version",
              LOG_U64 (rte_version (call->table)), "outcome",
              is_repeatable (call) ? "repeatable" : "not_run", "reason", vrd_reason_name (reason),
              "hops", LOG_U64 (call->hops), "full", LOG_U64 (call->crs.full), "unsent",
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -223,6 +223,11 @@
 /** gwy_call_log() - one line of a decision on the request */
 void
 gwy_call_log (const gwy_call_t *call, const char *event, const char *outcome, vrd_reason_t reason);
+/** gwy_call_log_failure() - likewise, of what its caller will hear as a refusal or failure */
+void gwy_call_log_failure (const gwy_call_t *call,
+                           const char *event,
+                           const char *outcome,
+                           vrd_reason_t reason);
 
 /** gwy_hop_send() - send the request to the engine of @choice, whose source may be left out */
 void gwy_hop_send (gwy_call_t *call, spr_choice_t *choice);
--- a/tests/session_gateway.c
+++ b/tests/session_gateway.c
@@ -341,10 +341,30 @@
   drv_finish (rig.drv);
 }
 
+/* Guards against refusals that a killed gateway leaves no log line of. Each gateway refuses half of
+ * the lookups. */
+static void
+test_killed_gateway_has_logged (void)
+{
+  rig_t rig = { .drv = drv_new ("gateway_killed") };
+  uint32_t good;
+
+  start (&rig);
+  write_record (&rig, "evacuate/" DATA_CENTER, "{}");
+  drv_until (rig.drv, DRV_WAIT_MS, "a drained data centre at all gateways", all_drained, &rig);
+  good = ask_many (&rig, "GET", "/look/");
+  drv_kill (rig.gateways[1]);
+  drv_say (rig.drv, "%u of %u lookups, of the refused ones the killed gateway has logged %u", good,
+           MANY, drv_logged (rig.gateways[1], ": refuse ", "reason=leaving"));
+  drv_finish (rig.drv);
+}
+
 int
 main (void)
 {
-  static const drv_test_t tests[] = { { "the path on the users' platform", test_gateway } };
+  static const drv_test_t tests[] = { { "the path on the users' platform", test_gateway },
+                                      { "a killed gateway has logged its refusals",
+                                        test_killed_gateway_has_logged } };
 
   return drv_main ("gateway", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -235,6 +235,40 @@
   close (write_fd);
 }
 
+static void
+count_held (void *context)
+{
+  (*(uint32_t *)context)++;
+}
+
+/* Guards against lines of refusals that are lost with a process that is killed right after, and
+ * lines that wait for another one. */
+static void
+test_log_lines_leave_in_time (void)
+{
+  uint32_t held = 0;
+  int read_fd;
+  int write_fd = open_outlet (&read_fd);
+  g_autofree char *notice = NULL;
+
+  log_flush ();
+  log_on_held (count_held, &held);
+  log_event (LOG_LEVEL_NOTICE, "refuse", NULL);
+  notice = read_outlet (read_fd);
+  CU_ASSERT (g_str_has_suffix (notice, ": refuse\n"));
+  CU_ASSERT_EQUAL (held, 0);
+  log_event (LOG_LEVEL_INFO, "one", NULL);
+  log_event (LOG_LEVEL_INFO, "two", NULL);
+  CU_ASSERT_EQUAL (held, 1);
+  log_flush ();
+  log_event (LOG_LEVEL_INFO, "three", NULL);
+  CU_ASSERT_EQUAL (held, 2);
+  log_on_held (NULL, NULL);
+  log_flush ();
+  close (read_fd);
+  close (write_fd);
+}
+
 /*
  * The reader of a daemon's log stalls while requests go on and then fail. No task may wait for it;
  * the lines of single requests are dropped first, those of failures are kept, and the first line
@@ -552,7 +586,8 @@
     { "mailbox: unread messages are freed", test_mailbox_frees_unread },
     { "messages: references are dropped", test_messages_drop_references },
     { "messages: every kind", test_messages_of_every_kind },
-    { "log: buffered", test_log_buffered }, /* the log stays buffered: these two are last */
+    { "log: buffered", test_log_buffered }, /* the log stays buffered: these three are last */
+    { "log: lines leave in time", test_log_lines_leave_in_time },
     { "log: failures are kept", test_log_keeps_failures },
     CU_TEST_INFO_NULL,
   };
