Engines that have joined take their share of a burst

Cause: an engine that joined and told nothing counted as idle for the mean, as 15% over the usual load for the choice, and as carrying the mean for crowding. So it was out of the narrowed bound, and the service looked full: only the three first homes of a part were asked.

Change: it has the usual load at most, and does not carry when crowding is judged; where a gateway hears of engines seldom, half of the gateways begin there.

Tests fail before.

--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -19,6 +19,7 @@
   uint64_t usual_milli;
   uint64_t own;
   uint64_t slots;
+  uint32_t joined;
   uint32_t error_limit_milli;
   bool distrust;
   bool crowded;
@@ -32,9 +33,41 @@
   return g_ptr_array_index (world->engines, index);
 }
 
+static bool
+is_cold (const world_t *world, const egn_t *egn)
+{
+  return egn_is_cold (egn, world->now_us, world->request->cold_start_us);
+}
+
+/* It takes requests, and has joined or come back and told nothing yet. One that is cold gets little
+ * until it is warm. */
+static bool
+has_joined (const world_t *world, const egn_t *egn)
+{
+  if (!egn_is_open (egn) || egn->told_us != 0 || egn->since_us == 0)
+    return false;
+  return is_cold (world, egn) || world->now_us < egn->since_us + SPR_IDLE_US;
+}
+
+/* It has hardly any load, and lowers the mean of its service. */
+static bool
+is_idle (const world_t *world, const egn_t *egn)
+{
+  if (egn->drained_us != 0)
+    return egn->entry.state == EGN_READY;
+  return has_joined (world, egn);
+}
+
+/*
+ * Of an engine that has joined others know as little: it has at most what is usual. Were it taken
+ * for one that others fill, nobody would send there while the margin is narrow, and the engines
+ * that were there before would carry a burst alone.
+ */
 static uint32_t
 load_of (const world_t *world, const egn_t *egn)
 {
+  if (has_joined (world, egn))
+    return egn->own + (uint32_t)(world->usual_milli / MILLI);
   return egn_load_now (egn, world->now_us, world->usual_milli);
 }
 
@@ -101,24 +134,6 @@
   return egn->since_us != 0 && world->now_us - egn->since_us < SPR_NEW_US;
 }
 
-static bool
-is_cold (const world_t *world, const egn_t *egn)
-{
-  return egn_is_cold (egn, world->now_us, world->request->cold_start_us);
-}
-
-/* It has hardly any load, and lowers the mean of its service: it is drained, or has joined or come
- * back and told nothing yet. One that is cold gets little until it is warm. */
-static bool
-is_idle (const world_t *world, const egn_t *egn)
-{
-  if (egn->drained_us != 0)
-    return egn->entry.state == EGN_READY;
-  if (!egn_is_open (egn) || egn->told_us != 0 || egn->since_us == 0)
-    return false;
-  return is_cold (world, egn) || world->now_us < egn->since_us + SPR_IDLE_US;
-}
-
 /* The mean is of the engines that may be asked and have told their load; that of the whole service
  * is less while others of it stand idle. */
 static void
@@ -139,6 +154,16 @@
   world->all_mean_milli = busy > 0 ? world->mean_milli * busy / (busy + idle) : 0;
 }
 
+/* The mean is not that of engines that have joined, which have room for what the others have not.
+ */
+static bool
+is_crowded (const world_t *world)
+{
+  uint64_t load_milli = world->mean_milli * (world->open - world->joined);
+
+  return world->slots > 0 && load_milli >= world->slots * SPR_CROWDED_MILLI;
+}
+
 /*
  * When most engines look lost, it is more likely that this router is cut off or that one kind of
  * request fails everywhere: then all are asked, as they would be without the evidence.
@@ -159,14 +184,14 @@
       world->open++;
       world->own += egn->own;
       world->slots += egn_slots (egn, world->request->default_slots);
+      world->joined += has_joined (world, egn) ? 1 : 0;
       skipped += egn->failures >= EGN_FAILURES ? 1 : 0;
     }
   if (world->mean_milli == 0 && world->open > 0)
     world->mean_milli = world->own * MILLI / world->open;
   weigh_idle (world);
   world->distrust = skipped * 2 > world->open;
-  world->crowded =
-      world->slots > 0 && world->mean_milli * world->open >= world->slots * SPR_CROWDED_MILLI;
+  world->crowded = is_crowded (world);
   world->full = world->request->surge || (world->request->told_milli >= SPR_FULL_MILLI &&
                                           world->slots >= gateways * SPR_SHARE_SLOTS);
   world->has_share = !world->request->late && world->own * gateways < world->slots + gateways - 1;
@@ -286,11 +311,34 @@
   return margin_milli * MAX (free_milli, slots_milli / SPR_MARGIN_KEPT) / slots_milli;
 }
 
+/* Where a gateway's share of an engine is less than one request it hears of each engine once in
+ * seconds. */
+static bool
+is_seldom_heard (const world_t *world, const egn_t *egn)
+{
+  return egn_slots (egn, world->request->default_slots) < world->request->gateways;
+}
+
+/*
+ * Where gateways hear of engines seldom, all of them would send what they have for the home of a
+ * popular part before any of them hears of it: an engine that had joined got three times the mean
+ * within a second. So half of the gateways begin, and the others follow when they hear of it.
+ */
+static bool
+begins_at_joined (const world_t *world, const egn_t *egn)
+{
+  uint64_t hash = world->request->gateway_hash;
+
+  return !is_seldom_heard (world, egn) || (XXH64 (&hash, sizeof hash, egn->hash) & 1) != 0;
+}
+
 static bool
 within_bound (const world_t *world, const egn_t *egn)
 {
   uint64_t after_milli = ((uint64_t)load_of (world, egn) + 1) * MILLI;
 
+  if (has_joined (world, egn) && !begins_at_joined (world, egn))
+    return false;
   return after_milli <= world->mean_milli + margin_milli (world, egn);
 }
 
@@ -301,10 +349,10 @@
 }
 
 /*
- * Where a gateway's share of an engine is less than one request it hears of each engine once in
- * seconds, and least at its start, so nobody sees that the home of some popular parts is over the
- * bound: with 103 gateways 3.3% of the requests of a start went to engines over twice the mean.
- * There a part has two homes, and half of the gateways begin at the second one.
+ * Where a gateway hears of each engine once in seconds, and least at its start, nobody sees that
+ * the home of some popular parts is over the bound: with 103 gateways 3.3% of the requests of a
+ * start went to engines over twice the mean. There a part has two homes, and half of the gateways
+ * begin at the second one.
  */
 static bool
 begins_at_second (const world_t *world, const egn_t *egn)
@@ -314,8 +362,7 @@
 
   uint32_t tokens = world->request->affinity_tokens;
 
-  if (tokens == 0 || tokens > SPR_SMALL_TOKENS ||
-      egn_slots (egn, world->request->default_slots) >= world->request->gateways)
+  if (tokens == 0 || tokens > SPR_SMALL_TOKENS || !is_seldom_heard (world, egn))
     return false;
   return (XXH64 (&hash, sizeof hash, seed) & 1) != 0;
 }
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -730,6 +730,90 @@
   unload (egs, FLEET_ENGINES);
 }
 
+#define BUSY_ENGINES 20
+#define JOINED_ENGINES 15
+#define PARTS 200
+
+/* @busy: mean load of the engines that were there before, of 24 slots */
+static egs_t *
+make_engines_that_join (uint32_t busy)
+{
+  egs_t *egs = make_engines (BUSY_ENGINES);
+  const GPtrArray *list = egs_list (egs, g_intern_static_string ("pool"));
+
+  for (guint k = 0; k < list->len; k++)
+    egn_told (g_ptr_array_index (list, k), NOW_US,
+              &(egn_load_t){ .running = busy - 2 + k % 5, .slots = 24 });
+  for (uint32_t i = 0; i < JOINED_ENGINES; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "joined%u", i);
+      put (egs, id, EGN_READY)->entry.slots = 24;
+    }
+  return egs;
+}
+
+static egn_t *
+choose_by (const egs_t *egs, uint32_t gateways, uint64_t gateway_hash, uint64_t part)
+{
+  spr_request_t request = {
+    .affinity = part, .data_center = HERE, .gateways = gateways, .gateway_hash = gateway_hash
+  };
+
+  return spr_choose (egs_list (egs, g_intern_static_string ("pool")), NOW_US, &request).engine;
+}
+
+/* Return: of @PARTS choices, how many go to engines that have just joined */
+static uint32_t
+choices_of_joined (uint32_t busy)
+{
+  g_autoptr (egs_t) egs = make_engines_that_join (busy);
+  uint32_t joined = 0;
+
+  for (uint64_t part = 1; part <= PARTS; part++)
+    {
+      const egn_t *egn = choose_by (egs, 103, part, part);
+
+      joined += egn && egn->told_us == 0 ? 1 : 0;
+    }
+  return joined;
+}
+
+/* Guards against engines that stand idle after they joined in a burst, while those before them
+ * carry it alone and are overloaded. */
+static void
+test_engines_that_join_take_their_share (void)
+{
+  uint32_t share = PARTS * JOINED_ENGINES / (BUSY_ENGINES + JOINED_ENGINES);
+
+  CU_ASSERT (choices_of_joined (4) > share / 3);
+  CU_ASSERT (choices_of_joined (14) > share / 3);
+  CU_ASSERT (choices_of_joined (20) > share / 3);
+}
+
+/* Guards against all of many gateways sending to an engine that has joined before any of them hears
+ * of it. */
+static void
+test_half_of_the_gateways_begin_at_an_engine_that_joined (void)
+{
+  g_autoptr (egs_t) egs = make_engines_that_join (4);
+  const egn_t *home = NULL;
+  uint64_t part = 0;
+  uint32_t few = 0;
+  uint32_t many = 0;
+
+  while (!home || home->told_us != 0)
+    home = choose_by (egs, 1, 0, ++part);
+  for (uint64_t gateway = 1; gateway <= PARTS; gateway++)
+    {
+      few += choose_by (egs, 22, gateway, part) == home ? 1 : 0;
+      many += choose_by (egs, 103, gateway, part) == home ? 1 : 0;
+    }
+  CU_ASSERT_EQUAL (few, PARTS);
+  CU_ASSERT (many > PARTS / 3 && many < PARTS * 2 / 3);
+}
+
 /* Four gateways know each other's loads well. A part stays at its home until that has nearly twice
  * the mean, and leaves it before the users' bound of twice the mean and three. */
 static void
@@ -813,6 +897,8 @@
     SUITE_TEST (test_errors_fade),
     SUITE_TEST (test_bound_goes_before_doubt),
     SUITE_TEST (test_idle_engines_narrow_the_bound),
+    SUITE_TEST (test_engines_that_join_take_their_share),
+    SUITE_TEST (test_half_of_the_gateways_begin_at_an_engine_that_joined),
     SUITE_TEST (test_tried_engines_are_left_out),
     SUITE_TEST (test_engine_outlives_its_entry),
     SUITE_TEST (test_skewed_parts_stay_below_the_cap),
