--- a/src/base/log.c
+++ b/src/base/log.c
@@ -29,6 +29,7 @@
  * @buffer: NULL when each line is written by itself
  * @held_us: when the oldest line in the buffer came, 0 when it is empty
  * @held: told when a first line is held, or NULL
+ * @begins_hold: the line in the making is such a one
  */
 typedef struct
 {
@@ -45,6 +46,7 @@
   int64_t held_us;
   void (*held) (void *context);
   void *held_context;
+  bool begins_hold;
 } log_state_t;
 
 static log_state_t state = {
@@ -277,8 +279,7 @@
   if (prompt || state.end - state.start >= LOG_WRITE_BYTES ||
       now_us - state.held_us >= LOG_HOLD_MS * 1000)
     flush ();
-  if (was_empty && state.end > state.start && state.held)
-    state.held (state.held_context);
+  state.begins_hold = state.begins_hold || (was_empty && state.end > state.start);
   return true;
 }
 
@@ -345,6 +346,8 @@
 void
 log_event (log_level_t level, const char *event, ...)
 {
+  void (*held) (void *context);
+  void *held_context;
   line_t line;
   const char *field;
   va_list pairs;
@@ -352,6 +355,7 @@
   if (level > state.level)
     return;
   g_mutex_lock (&state.lock);
+  state.begins_hold = false;
   line_begin (&line, level, event);
   va_start (pairs, event);
   while ((field = va_arg (pairs, const char *)) != NULL)
@@ -365,7 +369,12 @@
   report_dropped (level);
   if (state.dropped != 0 || !line_write (&line, level))
     state.dropped++;
+  held = state.begins_hold ? state.held : NULL;
+  held_context = state.held_context;
   g_mutex_unlock (&state.lock);
+  /* Without the lock: the callback takes others, of libraries that log under them. */
+  if (held)
+    held (held_context);
 }
 
 const char *
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -311,7 +311,7 @@
 {
   bool is_used = (uint64_t)(egn->own + 1) * MILLI > egn->window_milli;
 
-  if (is_used)
+  if (egn->refused_us != 0 && is_used)
     egn->window_milli += MILLI * MILLI / MAX (egn->window_milli, MILLI);
 }
 
