--- a/src/base/log.c
+++ b/src/base/log.c
@@ -265,7 +265,6 @@
 line_hold (const line_t *line, log_level_t level)
 {
   bool urgent = level <= LOG_LEVEL_WARNING;
-  bool prompt = level <= LOG_LEVEL_NOTICE;
   bool was_empty = state.end == state.start;
   size_t limit = urgent ? LOG_BUFFER_BYTES : LOG_BUFFER_BYTES / 4 * 3;
   int64_t now_us = g_get_monotonic_time ();
@@ -276,7 +275,7 @@
   state.end += line->bytes;
   if (state.held_us == 0)
     state.held_us = now_us;
-  if (prompt || state.end - state.start >= LOG_WRITE_BYTES ||
+  if (urgent || state.end - state.start >= LOG_WRITE_BYTES ||
       now_us - state.held_us >= LOG_HOLD_MS * 1000)
     flush ();
   state.begins_hold = state.begins_hold || (was_empty && state.end > state.start);
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -30,7 +30,7 @@
 /**
  * log_open() - from now on lines go to @fd through a buffer
  *
- * Lines of notices and above leave at once; others when %LOG_WRITE_BYTES have come together, or
+ * Lines of warnings and errors leave at once; others when %LOG_WRITE_BYTES have come together, or
  * with the first line or log_flush() after %LOG_HOLD_MS. While @fd takes nothing, the last quarter
  * of the buffer is kept for warnings and errors.
  */
--- a/src/request/gateway/gateway_accept.c
+++ b/src/request/gateway/gateway_accept.c
@@ -9,6 +9,7 @@
   log_event (LOG_LEVEL_NOTICE, "reject", "id", request->id, "status",
              LOG_U64 ((uint64_t)fault->status), "code", fault->code, "version",
              LOG_U64 (gwy->table ? rte_version (gwy->table) : 0), NULL);
+  log_flush ();
   flt_reply (in, fault);
 }
 
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -255,7 +255,7 @@
   log_call (call, LOG_LEVEL_INFO, event, outcome, reason);
 }
 
-/* A notice leaves the process before the answer does, so it is there also when a kill follows. */
+/* The line leaves the process before the answer does, so it is there also when a kill follows. */
 void
 gwy_call_log_failure (const gwy_call_t *call,
                       const char *event,
@@ -263,6 +263,7 @@
                       vrd_reason_t reason)
 {
   log_call (call, LOG_LEVEL_NOTICE, event, outcome, reason);
+  log_flush ();
 }
 
 static home_regions_t
@@ -454,6 +455,7 @@
              lin_is_overloaded (line, now_us) ? "yes" : "no", "waiting", LOG_U64 (lin_count (line)),
              "waiting_in_time", LOG_U64 (lin_count_in_time (line)), "odds_milli",
              LOG_U64 (lin_odds_milli (line)), "returns", call->line.returns ? "yes" : "no", NULL);
+  log_flush ();
 }
 
 static void
