--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -340,6 +340,15 @@
   return rsh_take (&call->service->retries, &gwy->options.retries, gwy_now_us (gwy), gwy->routers);
 }
 
+uint64_t
+gwy_call_retry_wait_us (const gwy_call_t *call)
+{
+  gwy_t *gwy = call->gwy;
+
+  return rsh_wait_us (&call->service->retries, &gwy->options.retries, gwy_now_us (gwy),
+                      gwy->routers);
+}
+
 static bool
 may_retry (void *context)
 {
@@ -439,11 +448,9 @@
 static void
 log_refusal (const gwy_call_t *call, vrd_reason_t reason, uint32_t retry_after_ms)
 {
-  gwy_t *gwy = call->gwy;
   const lin_t *line = call->service->line;
-  uint64_t now_us = gwy_now_us (gwy);
-  uint64_t retry_wait_us =
-      rsh_wait_us (&call->service->retries, &gwy->options.retries, now_us, gwy->routers);
+  uint64_t now_us = gwy_now_us (call->gwy);
+  uint64_t retry_wait_us = gwy_call_retry_wait_us (call);
 
   log_event (LOG_LEVEL_NOTICE, "refuse", "id", call->id, "route", call->route->name, "version",
              LOG_U64 (rte_version (call->table)), "outcome",
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -213,6 +213,8 @@
 void gwy_call_outcome (gwy_call_t *call, crs_outcome_t outcome, vrd_reason_t reason);
 /** gwy_call_take_retry() - from the budget that all gateways share. Return: whether one was left */
 bool gwy_call_take_retry (gwy_call_t *call);
+/** gwy_call_retry_wait_us() - until that budget has one if no request comes meanwhile; 0 for now */
+uint64_t gwy_call_retry_wait_us (const gwy_call_t *call);
 /** gwy_call_whole() - the answer is whole; frees the call */
 void gwy_call_whole (gwy_call_t *call);
 /** gwy_call_give_up() - it goes no further: 503 if it ran nowhere, else that it may have run; frees
--- a/src/request/gateway/gateway_wait.c
+++ b/src/request/gateway/gateway_wait.c
@@ -40,19 +40,10 @@
     }
 }
 
-static uint64_t
-retry_wait_us (const gwy_call_t *call)
-{
-  gwy_t *gwy = call->gwy;
-
-  return rsh_wait_us (&call->service->retries, &gwy->options.retries, gwy_now_us (gwy),
-                      gwy->routers);
-}
-
 void
 gwy_wait_for_retry (gwy_call_t *call)
 {
-  uint64_t wait_us = retry_wait_us (call);
+  uint64_t wait_us = gwy_call_retry_wait_us (call);
 
   if (!lin_push_behind (call->service->line, gwy_now_us (call->gwy), &call->line, wait_us))
     {
@@ -91,7 +82,7 @@
   const gwy_call_t *call = owner;
   spr_choice_t *choice = context;
 
-  if (call->retry_due && retry_wait_us (call) > 0)
+  if (call->retry_due && gwy_call_retry_wait_us (call) > 0)
     return false;
   *choice = gwy_call_choose (call);
   return choice->action != SPR_WAIT;
