A retry's log line says what share of the budget it was taken from

Whether a gateway divides the retries by too few, forgets what it spent, or counts a retry at another time than it sends it could not be told from the logs. The line of a retry now says how many were spent in the window and how many allowed, by how many gateways that was divided and how long ago this one started; the 'place' line of the same id shows when it was sent. No logic changes: the division and the start of a share are functions of the policy, where a test can reach them.

--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -3,6 +3,7 @@
 #include "connection/exchange.h"
 #include "base/log.h"
 #include "process/rumour.h"
+#include "request/policy/retry_share.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -413,7 +414,7 @@
 uint32_t
 gpr_count (const gpr_t *gpr)
 {
-  return 1 + MAX (alive_count (gpr), (gpr->peers->len + 1) / 2);
+  return rsh_sharers (gpr->peers->len, alive_count (gpr));
 }
 
 uint32_t
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -55,6 +55,7 @@
   service->gwy = gwy;
   service->name = name;
   service->line = lin_new ();
+  rsh_init (&service->retries, gwy->started_us);
   make_histograms (gwy, service);
   g_hash_table_insert (gwy->services, (gpointer)name, service);
   return service;
@@ -184,6 +185,7 @@
 
   gwy->options = *options;
   gwy->name_hash = XXH64 (set->name, strlen (set->name), 0);
+  gwy->started_us = gwy_now_us (gwy);
   gwy->routers = 1;
   gwy->suspects = sus_new (GWY_SUSPECTS, GWY_SUSPECT_US);
   gwy->proven = prv_new (GWY_PROVEN, GWY_PROVEN_US);
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -355,10 +355,26 @@
   return gwy_call_take_retry (context);
 }
 
+/* With what this gateway knows of its share of the retries. */
+static void
+log_retry (const gwy_call_t *call, const char *outcome, vrd_reason_t reason)
+{
+  const gwy_t *gwy = call->gwy;
+  const rsh_t *retries = &call->service->retries;
+  uint64_t allowed_milli = rsh_allowed_milli (retries, &gwy->options.retries, gwy->routers);
+
+  log_event (LOG_LEVEL_INFO, "retry", "id", call->id, "service", call->service->name, "outcome",
+             outcome, "reason", vrd_reason_name (reason), "hops", LOG_U64 (call->hops), "spent",
+             LOG_U64 (rsh_spent (retries)), "allowed_milli", LOG_U64 (allowed_milli), "gateways",
+             LOG_U64 (gwy->routers), "started_ms_ago",
+             LOG_U64 ((gwy_now_us (gwy) - gwy->started_us) / CLK_US_PER_MS), "ms",
+             LOG_U64 ((gwy_now_us (gwy) - call->arrived_us) / CLK_US_PER_MS), NULL);
+}
+
 static void
 prepare_retry (gwy_call_t *call, bool resume, vrd_reason_t reason)
 {
-  gwy_call_log (call, "retry", resume ? "resume" : "again", reason);
+  log_retry (call, resume ? "resume" : "again", reason);
   cnt_add (resume ? call->gwy->resumed : call->gwy->retried, 1);
   call->resuming = resume;
   if (resume)
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -105,6 +105,7 @@
   rte_t *table;
   bool certain;
   bool stopping; /* no connections are taken any more */
+  uint64_t started_us;
   uint32_t routers;
   uint32_t known_routers;
   GHashTable *services; /* interned name -> gwy_service_t */
--- a/src/request/policy/retry_share.c
+++ b/src/request/policy/retry_share.c
@@ -42,14 +42,38 @@
   rsh->requests[rsh->epoch % COUNT]++;
 }
 
+uint32_t
+rsh_sharers (uint32_t known, uint32_t alive)
+{
+  return 1 + MAX (alive, (known + 1) / 2);
+}
+
+void
+rsh_init (rsh_t *rsh, uint64_t started_us)
+{
+  *rsh = (rsh_t){ .started_us = started_us };
+}
+
+uint32_t
+rsh_spent (const rsh_t *rsh)
+{
+  return (uint32_t)sum (rsh->retries);
+}
+
+uint64_t
+rsh_allowed_milli (const rsh_t *rsh, const rsh_options_t *options, uint32_t routers)
+{
+  uint64_t all_milli = sum (rsh->requests) * options->ratio_milli +
+                       (uint64_t)options->slack * MILLI / MAX (routers, 1U);
+
+  return all_milli * RSH_PART_MILLI / MILLI;
+}
+
 /* Return: whether one more retry is within what is allowed */
 static bool
 is_allowed (const rsh_t *rsh, const rsh_options_t *options, uint32_t routers)
 {
-  uint64_t allowed_milli = sum (rsh->requests) * options->ratio_milli +
-                           (uint64_t)options->slack * MILLI / MAX (routers, 1U);
-
-  return (sum (rsh->retries) + 1) * MILLI <= allowed_milli * RSH_PART_MILLI / MILLI;
+  return (sum (rsh->retries) + 1) * MILLI <= rsh_allowed_milli (rsh, options, routers);
 }
 
 bool
--- a/src/request/policy/retry_share.h
+++ b/src/request/policy/retry_share.h
@@ -30,14 +30,25 @@
   uint64_t window_us;
 } rsh_options_t;
 
-/** struct rsh - of one service: counts in buckets that together cover the window and one bucket */
+/**
+ * struct rsh - of one service: counts in buckets that together cover the window and one bucket
+ * @started_us: when this router started
+ */
 typedef struct
 {
   uint32_t requests[RSH_BUCKETS + 1];
   uint32_t retries[RSH_BUCKETS + 1];
   uint64_t epoch;
+  uint64_t started_us;
 } rsh_t;
 
+/** rsh_sharers() - routers that the slack is divided by: this one and others, of which the registry
+ * names @known and @alive were heard lately */
+uint32_t rsh_sharers (uint32_t known, uint32_t alive);
+
+/** rsh_init() - of a router that started at @started_us */
+void rsh_init (rsh_t *rsh, uint64_t started_us);
+
 /** rsh_request() - a caller's request for the service came */
 void rsh_request (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us);
 /** rsh_take() - Return: whether one more send of a request may go out; it is then counted */
@@ -46,4 +57,10 @@
 /** rsh_wait_us() - until rsh_take() allows a send if no request comes meanwhile; 0 for now */
 uint64_t rsh_wait_us (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers);
 
+/** rsh_spent() - retries counted now */
+uint32_t rsh_spent (const rsh_t *rsh);
+/** rsh_allowed_milli() - retries that this router may send in a window, in thousandths, by the
+ * requests counted now */
+uint64_t rsh_allowed_milli (const rsh_t *rsh, const rsh_options_t *options, uint32_t routers);
+
 #endif
