The slack of the retry budget is divided by all gateways of the registry

Engines got more retries than operators allow: a gateway that had just started counted itself alone until it had read the registry, and took all of the slack; one that heard nobody divided by half of those it knew.

Now all that the registry names count, heard or not, and before it was read there is no slack: a share is a fixed part whatever anyone hears. test_retry_sum: doubling 2.4 to 62 times the bound before, within it now; split and deaf with 5 gateways 1.04 before, within now; all of 385 restarted 124 before.

--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -414,13 +414,13 @@
 uint32_t
 gpr_count (const gpr_t *gpr)
 {
-  return rsh_sharers (gpr->peers->len, alive_count (gpr));
+  return 1 + MAX (alive_count (gpr), (gpr->peers->len + 1) / 2);
 }
 
 uint32_t
-gpr_known_count (const gpr_t *gpr)
+gpr_sharers (const gpr_t *gpr, bool listed)
 {
-  return 1 + gpr->peers->len;
+  return rsh_sharers (listed, gpr->peers->len, alive_count (gpr));
 }
 
 uint32_t
--- a/src/process/gateway_peers.h
+++ b/src/process/gateway_peers.h
@@ -84,8 +84,9 @@
 /** gpr_count() - gateways that may be at work, this one too: those heard lately, and at least half
  * of those known, since a cut must not make a gateway take the share of the others */
 uint32_t gpr_count (const gpr_t *gpr);
-/** gpr_known_count() - gateways that the stream of routers names, at work or not, this one too */
-uint32_t gpr_known_count (const gpr_t *gpr);
+/** gpr_sharers() - gateways that the stream of routers names, at work or not, this one too; 0
+ * before it was @listed */
+uint32_t gpr_sharers (const gpr_t *gpr, bool listed);
 /** gpr_before() - gateways alive that come before this one where a few of all are chosen */
 uint32_t gpr_before (const gpr_t *gpr);
 /** gpr_is_alone() - whether no peer was heard within %GPR_ALONE_US */
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -684,7 +684,7 @@
 uint32_t
 gst_known_routers (const gst_t *gst)
 {
-  return sfl_has_listed (gst->follows[ROUTERS]) ? gpr_known_count (gst->peers) : 0;
+  return gpr_sharers (gst->peers, sfl_has_listed (gst->follows[ROUTERS]));
 }
 
 bool
--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -52,8 +52,8 @@
 /** gwy_set_certain() - whether the version in force is known to be the newest one; while it is not,
  * what it does not know is answered by 503 */
 void gwy_set_certain (gwy_t *gwy, bool certain);
-/** gwy_set_routers() - routers that share the retry budget; @known: that may send to the engines,
- * also those not heard lately, 0 while they are not known */
+/** gwy_set_routers() - routers at work; @known: that share the retry budget and may send to the
+ * engines, also those not heard lately, 0 while they are not known */
 void gwy_set_routers (gwy_t *gwy, uint32_t routers, uint32_t known);
 /** gwy_heard_suspect() - another gateway's mark */
 void gwy_heard_suspect (gwy_t *gwy, const sus_mark_t *mark);
--- a/src/request/policy/retry_share.c
+++ b/src/request/policy/retry_share.c
@@ -43,9 +43,9 @@
 }
 
 uint32_t
-rsh_sharers (uint32_t known, uint32_t alive)
+rsh_sharers (bool listed, uint32_t known, uint32_t alive)
 {
-  return 1 + MAX (alive, (known + 1) / 2);
+  return listed ? 1 + MAX (known, alive) : 0;
 }
 
 void
@@ -63,8 +63,8 @@
 uint64_t
 rsh_allowed_milli (const rsh_t *rsh, const rsh_options_t *options, uint32_t routers)
 {
-  uint64_t all_milli = sum (rsh->requests) * options->ratio_milli +
-                       (uint64_t)options->slack * MILLI / MAX (routers, 1U);
+  uint64_t slack_milli = routers > 0 ? (uint64_t)options->slack * MILLI / routers : 0;
+  uint64_t all_milli = sum (rsh->requests) * options->ratio_milli + slack_milli;
 
   return all_milli * RSH_PART_MILLI / MILLI;
 }
--- a/src/request/policy/retry_share.h
+++ b/src/request/policy/retry_share.h
@@ -4,8 +4,9 @@
  * This router's share of the retries that all routers may send to a service together: in any window
  * at most a ratio of the requests for it, and some slack. A pure state machine.
  *
- * Each router earns the ratio by its own requests and takes an equal part of the slack. A router
- * that hears nobody still divides by all that it knows of, so that a cut does not multiply retries.
+ * Each router earns the ratio by its own requests and takes an equal part of the slack. It divides
+ * by all that the registry names, heard or not: each half of a fleet that is cut in two would take
+ * the part of the other. One that has not read the registry yet takes no slack.
  */
 #ifndef REQUEST_POLICY_RETRY_SHARE_H
 #define REQUEST_POLICY_RETRY_SHARE_H
@@ -42,16 +43,18 @@
   uint64_t started_us;
 } rsh_t;
 
-/** rsh_sharers() - routers that the slack is divided by: this one and others, of which the registry
- * names @known and @alive were heard lately */
-uint32_t rsh_sharers (uint32_t known, uint32_t alive);
+/** rsh_sharers() - routers that a share is a part of, this one too: the registry, once @listed,
+ * names
+ * @known others, of which @alive were heard lately; 0 before */
+uint32_t rsh_sharers (bool listed, uint32_t known, uint32_t alive);
 
 /** rsh_init() - of a router that started at @started_us */
 void rsh_init (rsh_t *rsh, uint64_t started_us);
 
 /** rsh_request() - a caller's request for the service came */
 void rsh_request (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us);
-/** rsh_take() - Return: whether one more send of a request may go out; it is then counted */
+/** rsh_take() - Return: whether one more send of a request may go out; it is then counted
+ * @routers: by rsh_sharers() */
 bool rsh_take (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers);
 
 /** rsh_wait_us() - until rsh_take() allows a send if no request comes meanwhile; 0 for now */
--- a/tests/test_retry_sum.c
+++ b/tests/test_retry_sum.c
@@ -91,7 +91,7 @@
 static uint32_t
 sharers_of (const member_t *member)
 {
-  return rsh_sharers (member->known, member->alive);
+  return rsh_sharers (member->lists, member->known, member->alive);
 }
 
 static uint32_t
