A gateway that has just started spends a small share of the retries for a window

Callers' engines got more retries than operators allow when gateways were killed several times within ten seconds: each start began with nothing spent, so each spent its share once more.

Now the first window after a start earns a quarter, and slack only as time passes; the time before it earned three quarters, and any number of starts within a window earn the quarter together, so the sum holds whatever was forgotten. Considered and left: asking peers what was spent before (nobody knows after all were killed), nothing at all in the first window (callers lose more).

--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -362,14 +362,16 @@
 {
   const gwy_t *gwy = call->gwy;
   const rsh_t *retries = &call->service->retries;
-  uint64_t allowed_milli = rsh_allowed_milli (retries, &gwy->options.retries, gwy->known_routers);
+  uint64_t now_us = gwy_now_us (gwy);
+  uint64_t allowed_milli =
+      rsh_allowed_milli (retries, &gwy->options.retries, now_us, gwy->known_routers);
 
   log_event (LOG_LEVEL_INFO, "retry", "id", call->id, "service", call->service->name, "outcome",
              outcome, "reason", vrd_reason_name (reason), "hops", LOG_U64 (call->hops), "spent",
              LOG_U64 (rsh_spent (retries)), "allowed_milli", LOG_U64 (allowed_milli), "gateways",
              LOG_U64 (gwy->known_routers), "started_ms_ago",
-             LOG_U64 ((gwy_now_us (gwy) - gwy->started_us) / CLK_US_PER_MS), "ms",
-             LOG_U64 ((gwy_now_us (gwy) - call->arrived_us) / CLK_US_PER_MS), NULL);
+             LOG_U64 ((now_us - gwy->started_us) / CLK_US_PER_MS), "ms",
+             LOG_U64 ((now_us - call->arrived_us) / CLK_US_PER_MS), NULL);
 }
 
 static void
--- a/src/request/policy/retry_share.c
+++ b/src/request/policy/retry_share.c
@@ -61,26 +61,34 @@
 }
 
 uint64_t
-rsh_allowed_milli (const rsh_t *rsh, const rsh_options_t *options, uint32_t routers)
+rsh_allowed_milli (const rsh_t *rsh,
+                   const rsh_options_t *options,
+                   uint64_t now_us,
+                   uint32_t routers)
 {
+  uint64_t age_us = now_us - rsh->started_us;
+  uint64_t counted_us = options->window_us / RSH_BUCKETS * COUNT;
   uint64_t slack_milli = routers > 0 ? (uint64_t)options->slack * MILLI / routers : 0;
-  uint64_t all_milli = sum (rsh->requests) * options->ratio_milli + slack_milli;
+  uint64_t ratio_milli = sum (rsh->requests) * options->ratio_milli;
 
-  return all_milli * RSH_PART_MILLI / MILLI;
+  if (age_us >= counted_us)
+    return (ratio_milli + slack_milli) * RSH_PART_MILLI / MILLI;
+  slack_milli = slack_milli * MIN (age_us, options->window_us) / options->window_us;
+  return (ratio_milli + slack_milli) * RSH_FIRST_MILLI / MILLI;
 }
 
 /* Return: whether one more retry is within what is allowed */
 static bool
-is_allowed (const rsh_t *rsh, const rsh_options_t *options, uint32_t routers)
+is_allowed (const rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers)
 {
-  return (sum (rsh->retries) + 1) * MILLI <= rsh_allowed_milli (rsh, options, routers);
+  return (sum (rsh->retries) + 1) * MILLI <= rsh_allowed_milli (rsh, options, now_us, routers);
 }
 
 bool
 rsh_take (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers)
 {
   turn (rsh, options, now_us);
-  if (!is_allowed (rsh, options, routers))
+  if (!is_allowed (rsh, options, now_us, routers))
     return false;
   rsh->retries[rsh->epoch % COUNT]++;
   return true;
@@ -90,11 +98,15 @@
 rsh_wait_us (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers)
 {
   uint64_t bucket_us = options->window_us / RSH_BUCKETS;
+  uint64_t at_us = now_us;
   rsh_t ahead;
 
   turn (rsh, options, now_us);
   ahead = *rsh;
-  while (!is_allowed (&ahead, options, routers) && ahead.epoch < rsh->epoch + COUNT)
-    turn (&ahead, options, (ahead.epoch + 1) * bucket_us);
-  return ahead.epoch > rsh->epoch ? ahead.epoch * bucket_us - now_us : 0;
+  while (!is_allowed (&ahead, options, at_us, routers) && ahead.epoch < rsh->epoch + COUNT)
+    {
+      at_us = (ahead.epoch + 1) * bucket_us;
+      turn (&ahead, options, at_us);
+    }
+  return at_us - now_us;
 }
--- a/src/request/policy/retry_share.h
+++ b/src/request/policy/retry_share.h
@@ -7,6 +7,11 @@
  * Each router earns the ratio by its own requests and takes an equal part of the slack. It divides
  * by all that the registry names, heard or not: each half of a fleet that is cut in two would take
  * the part of the other. One that has not read the registry yet takes no slack.
+ *
+ * What a router spent before a restart is not known after it. So its first window earns only
+ * %RSH_FIRST_MILLI, and of the slack as much as the time since its start is of the window: however
+ * often it starts in a window, all its starts earn no more than that, and with %RSH_PART_MILLI of
+ * the time before, no more than is allowed.
  */
 #ifndef REQUEST_POLICY_RETRY_SHARE_H
 #define REQUEST_POLICY_RETRY_SHARE_H
@@ -18,6 +23,7 @@
 /* Of what is allowed, in thousandths: windows of different routers begin at different moments, and
  * connections that are balanced unevenly give one router more failures than its share. */
 #define RSH_PART_MILLI 750
+#define RSH_FIRST_MILLI (1000 - RSH_PART_MILLI) /* likewise, in the first window after a start */
 
 /**
  * struct rsh_options - the operators' bound
@@ -64,6 +70,9 @@
 uint32_t rsh_spent (const rsh_t *rsh);
 /** rsh_allowed_milli() - retries that this router may send in a window, in thousandths, by the
  * requests counted now */
-uint64_t rsh_allowed_milli (const rsh_t *rsh, const rsh_options_t *options, uint32_t routers);
+uint64_t rsh_allowed_milli (const rsh_t *rsh,
+                            const rsh_options_t *options,
+                            uint64_t now_us,
+                            uint32_t routers);
 
 #endif
