A retry is counted when it is sent, not when it is decided

Engines could get more retries in a window than operators allow: a retry that found no room waited in the line, counted in the window of its decision, and arrived up to seconds later in another one, beside retries that were decided then.

The simulation of bench-gateway counts alike.

--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -107,7 +107,6 @@
                                            .resumable = request->kind->resumable,
                                            .attempts = request->kind->attempts });
   request->tried_count = 0;
-  request->retry_due = false;
   request->hops = 0;
   rsh_request (&request->gateway->retries[request->kind->service], &sim->site->retries,
                sim->now_us);
--- a/bench/gateway/sim_gateway.c
+++ b/bench/gateway/sim_gateway.c
@@ -207,11 +207,12 @@
                       sim->now_us, sim->site->gateways);
 }
 
-static bool
-take_retry (const sim_t *sim, sim_request_t *request)
+static void
+note_retry (const sim_t *sim, sim_request_t *request)
 {
-  return rsh_take (&request->gateway->retries[request->kind->service], &sim->site->retries,
-                   sim->now_us, sim->site->gateways);
+  if (crs_sends (&request->crs))
+    rsh_spend (&request->gateway->retries[request->kind->service], &sim->site->retries,
+               sim->now_us);
 }
 
 static void
@@ -220,8 +221,7 @@
   sim_send_t *sent = g_new0 (sim_send_t, 1);
 
   start (sim, request);
-  if (request->retry_due)
-    request->retry_due = !take_retry (sim, request);
+  note_retry (sim, request);
   *sent = (sim_send_t){
     .request = request, .engine = engine_of (sim, egn), .egn = egn, .sent_us = sim->now_us
   };
@@ -288,7 +288,7 @@
   const sim_request_t *request = owner;
   pick_t *pick = context;
 
-  if (request->retry_due && retry_wait_us (pick->sim, request) > 0)
+  if (request->crs.retry_due && retry_wait_us (pick->sim, request) > 0)
     return false;
   pick->choice = choose (pick->sim, request);
   return pick->choice.action != SPR_WAIT;
@@ -324,7 +324,7 @@
 {
   const asking_t *asking = context;
 
-  return is_plain (asking->sim) || take_retry (asking->sim, asking->request);
+  return is_plain (asking->sim) || retry_wait_us (asking->sim, asking->request) == 0;
 }
 
 static void
@@ -347,9 +347,7 @@
       sim_place (sim, request);
       return;
     case CRS_WAIT:
-      request->retry_due =
-          lin_push_behind (line_of (request), sim->now_us, &request->line, wait_us);
-      if (request->retry_due)
+      if (lin_push_behind (line_of (request), sim->now_us, &request->line, wait_us))
         return;
       note_early (sim, request);
       refuse (sim, request, wait_us);
--- a/bench/gateway/sim_parts.h
+++ b/bench/gateway/sim_parts.h
@@ -99,7 +99,6 @@
   uint32_t hops;
   bool begun;
   bool returned;
-  bool retry_due;
   bool over;
   uint64_t head_us; /* of the first answer, 0 before */
 } sim_request_t;
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -332,15 +332,6 @@
     gwy_call_no_engine (call, &choice);
 }
 
-bool
-gwy_call_take_retry (gwy_call_t *call)
-{
-  gwy_t *gwy = call->gwy;
-
-  return rsh_take (&call->service->retries, &gwy->options.retries, gwy_now_us (gwy),
-                   gwy->known_routers);
-}
-
 uint64_t
 gwy_call_retry_wait_us (const gwy_call_t *call)
 {
@@ -353,7 +344,7 @@
 static bool
 may_retry (void *context)
 {
-  return gwy_call_take_retry (context);
+  return gwy_call_retry_wait_us (context) == 0;
 }
 
 /* With what this gateway knows of its share of the retries. */
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -386,8 +386,8 @@
   call->tried[call->tried_count % GWY_TRIED] = choice->engine->hash;
   call->tried_count = MIN (call->tried_count + 1, GWY_TRIED);
   call->hops++;
-  if (call->retry_due)
-    call->retry_due = !gwy_call_take_retry (call);
+  if (crs_sends (&call->crs))
+    rsh_spend (&call->service->retries, &call->gwy->options.retries, now_us);
   call->sent_us = now_us;
   call->headed = false;
   call->held_up = false;
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -141,7 +141,6 @@
  * @sent_us, @headed_us, @heard_us: of the last hop: the send, the head, the last byte; 0 before
  * @events_before: whole events that had come before its head
  * @held_up: its caller took the answer slowly
- * @retry_due: its next send is a retry that has not been taken from the budget yet
  * @failure_held: an engine's own failure is held whole, in case no other engine does better
  */
 typedef struct
@@ -181,7 +180,6 @@
   uint64_t events_before;
   bool held_up;
   bool failure_held;
-  bool retry_due;
   struct event *timer;
 } gwy_call_t;
 
@@ -212,9 +210,8 @@
 spr_choice_t gwy_call_choose (const gwy_call_t *call);
 /** gwy_call_outcome() - the hop ended so; on to the next step */
 void gwy_call_outcome (gwy_call_t *call, crs_outcome_t outcome, vrd_reason_t reason);
-/** gwy_call_take_retry() - from the budget that all gateways share. Return: whether one was left */
-bool gwy_call_take_retry (gwy_call_t *call);
-/** gwy_call_retry_wait_us() - until that budget has one if no request comes meanwhile; 0 for now */
+/** gwy_call_retry_wait_us() - until the retry budget has one if no request comes meanwhile; 0 for
+ * now */
 uint64_t gwy_call_retry_wait_us (const gwy_call_t *call);
 /** gwy_call_whole() - the answer is whole; frees the call */
 void gwy_call_whole (gwy_call_t *call);
--- a/src/request/gateway/gateway_wait.c
+++ b/src/request/gateway/gateway_wait.c
@@ -50,7 +50,6 @@
       gwy_call_give_up (call, VRD_REASON_OVER_BOUND, retry_ms (call, wait_us));
       return;
     }
-  call->retry_due = true;
   cnt_add (call->gwy->waited, 1);
   gwy_call_log (call, "wait", "retry_due", VRD_REASON_OVER_BOUND);
 }
@@ -82,7 +81,7 @@
   const gwy_call_t *call = owner;
   spr_choice_t *choice = context;
 
-  if (call->retry_due && gwy_call_retry_wait_us (call) > 0)
+  if (call->crs.retry_due && gwy_call_retry_wait_us (call) > 0)
     return false;
   *choice = gwy_call_choose (call);
   return choice->action != SPR_WAIT;
--- a/src/request/policy/course.c
+++ b/src/request/policy/course.c
@@ -93,7 +93,19 @@
   note (crs, outcome);
   if (left_us < CRS_LEAST_US || !may_repeat (crs, outcome))
     return last_step (crs, outcome);
-  if (outcome == CRS_UNSENT || may_retry (context))
+  if (outcome == CRS_UNSENT)
+    return CRS_AGAIN;
+  crs->retry_due = true;
+  if (may_retry (context))
     return outcome == CRS_BROKE ? CRS_RESUME : CRS_AGAIN;
   return outcome == CRS_FULL ? CRS_WAIT : last_step (crs, outcome);
 }
+
+bool
+crs_sends (crs_t *crs)
+{
+  bool is_retry = crs->retry_due;
+
+  crs->retry_due = false;
+  return is_retry;
+}
--- a/src/request/policy/course.h
+++ b/src/request/policy/course.h
@@ -67,6 +67,7 @@
  * @refused: that refused it with certainty for other reasons than those below
  * @full: refusals by engines that had no place left
  * @unsent: connections that were not made
+ * @retry_due: the next send is a retry that the budget does not count yet
  */
 typedef struct
 {
@@ -75,6 +76,7 @@
   uint32_t refused;
   uint32_t full;
   uint32_t unsent;
+  bool retry_due;
 } crs_t;
 
 void crs_init (crs_t *crs, const crs_rules_t *rules);
@@ -84,12 +86,21 @@
 /**
  * crs_next() - what follows @outcome
  * @left_us: until the caller's deadline or the route's timeout
- * @may_retry: asked only when it matters; takes from the retry budget
+ * @may_retry: whether the retry budget has one now; asked only when it matters
  */
 crs_step_t crs_next (crs_t *crs,
                      crs_outcome_t outcome,
                      uint64_t left_us,
                      bool (*may_retry) (void *context),
                      void *context);
+/**
+ * crs_sends() - the request goes to an engine now
+ *
+ * A retry may wait for room for seconds after crs_next() and arrives in a later window, so it is
+ * counted when it is sent.
+ *
+ * Return: whether it is a retry, which the budget counts from now on
+ */
+bool crs_sends (crs_t *crs);
 
 #endif
--- a/src/request/policy/retry_share.c
+++ b/src/request/policy/retry_share.c
@@ -84,14 +84,11 @@
   return (sum (rsh->retries) + 1) * MILLI <= rsh_allowed_milli (rsh, options, now_us, routers);
 }
 
-bool
-rsh_take (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers)
+void
+rsh_spend (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us)
 {
   turn (rsh, options, now_us);
-  if (!is_allowed (rsh, options, now_us, routers))
-    return false;
   rsh->retries[rsh->epoch % COUNT]++;
-  return true;
 }
 
 uint64_t
--- a/src/request/policy/retry_share.h
+++ b/src/request/policy/retry_share.h
@@ -59,11 +59,11 @@
 
 /** rsh_request() - a caller's request for the service came */
 void rsh_request (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us);
-/** rsh_take() - Return: whether one more send of a request may go out; it is then counted
- * @routers: by rsh_sharers() */
-bool rsh_take (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers);
+/** rsh_spend() - a retry is sent */
+void rsh_spend (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us);
 
-/** rsh_wait_us() - until rsh_take() allows a send if no request comes meanwhile; 0 for now */
+/** rsh_wait_us() - until one more retry may be sent if no request comes meanwhile; 0 for now
+ * @routers: by rsh_sharers() */
 uint64_t rsh_wait_us (rsh_t *rsh, const rsh_options_t *options, uint64_t now_us, uint32_t routers);
 
 /** rsh_spent() - retries counted now */
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -6,6 +6,8 @@
 #include <CUnit/Basic.h>
 #include <string.h>
 
+#define SHORT_WINDOW_MS 100
+
 #define ROUTE(name, kind, more)                                                                    \
   "{\"name\":\"" name "\",\"host\":\"h.example\",\"path_prefix\":\"/" name "/\",\"kind\":\"" kind  \
   "\",\"timeout_ms\":2000,\"aim_ms\":500,\"service\":\"pool\"" more "}"
@@ -222,6 +224,34 @@
   return grg_counter (wish->grg, 0, wish->counter) == wish->value;
 }
 
+/** struct moment - context of has_come() */
+typedef struct
+{
+  const clk_t *clk;
+  uint64_t at_us;
+} moment_t;
+
+static bool
+has_come (void *context)
+{
+  const moment_t *moment = context;
+
+  return clk_now_us (moment->clk) >= moment->at_us;
+}
+
+void
+grg_settle (grg_t *grg)
+{
+  set_t *set = &grg->gateways[0].set;
+  moment_t settled = { .clk = &grg->clk };
+
+  set->retry_window_ms = SHORT_WINDOW_MS;
+  grg_restart (grg, 0);
+  settled.at_us = clk_now_us (&grg->clk) + UINT64_C (2) * SHORT_WINDOW_MS * CLK_US_PER_MS;
+  g_assert (raw_run_until (grg->base, has_come, &settled));
+  g_assert (raw_run_until (grg->base, all_ready, grg));
+}
+
 bool
 grg_wait (grg_t *grg, const char *counter, uint64_t value)
 {
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -56,6 +56,8 @@
 void grg_restart (grg_t *grg, uint32_t index);
 void grg_free (grg_t *grg);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (grg_t, grg_free)
+/** grg_settle() - the first gateway is one that started more than a window of its retries ago */
+void grg_settle (grg_t *grg);
 /** grg_engine() - one more engine, which answers by @scripts, and wait until it is known */
 raw_server_t *grg_engine (grg_t *grg, const char *const *scripts, uint32_t count);
 /** grg_engine_in() - likewise, in another data centre than "hall-1", which is in the region
--- a/tests/test_course.c
+++ b/tests/test_course.c
@@ -158,8 +158,8 @@
 {
   uint32_t taken = 0;
 
-  while (taken < 1000 && rsh_take (rsh, &shares, now_us, routers))
-    taken++;
+  for (; taken < 1000 && rsh_wait_us (rsh, &shares, now_us, routers) == 0; taken++)
+    rsh_spend (rsh, &shares, now_us);
   return taken;
 }
 
@@ -184,8 +184,8 @@
   take_all (&rsh, now_us, 1);
   wait_us = rsh_wait_us (&rsh, &shares, now_us, 1);
   CU_ASSERT (wait_us > shares.window_us / 2);
-  CU_ASSERT_FALSE (rsh_take (&rsh, &shares, now_us + wait_us - 1, 1));
-  CU_ASSERT_TRUE (rsh_take (&rsh, &shares, now_us + wait_us, 1));
+  CU_ASSERT_NOT_EQUAL (rsh_wait_us (&rsh, &shares, now_us + wait_us - 1, 1), 0);
+  CU_ASSERT_EQUAL (rsh_wait_us (&rsh, &shares, now_us + wait_us, 1), 0);
 }
 
 /* Four routers, unevenly used, retry whatever they may, for a minute: in no window of ten seconds
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -154,6 +154,7 @@
 {
   g_autoptr (grg_t) grg = grg_new (1);
 
+  grg_settle (grg);
   grg_engine (grg, SCRIPTS (SHED, SHED, SHED, SHED, OK_ANSWER), CRS_FULL_MOST);
   expect (grg, "POST", "/book/", BOOKING, "200");
   CU_ASSERT_EQUAL (grg_requests (grg), CRS_FULL_MOST);
@@ -166,6 +167,7 @@
   g_autoptr (grg_t) grg = grg_new (1);
   raw_t *raw;
 
+  grg_settle (grg);
   grg_engine (grg, SCRIPTS (SHED), 1);
   raw = grg_ask (grg, "POST", "/book/", BOOKING "X-Deadline-Ms: 60000\r\n");
   CU_ASSERT (begins (raw, "HTTP/1.1 503 ") && has (raw, "Retry-After: 0."));
@@ -275,10 +277,14 @@
 test_displaced_engines_are_asked_once (void)
 {
   g_autoptr (grg_t) grg = grg_new (1);
-  raw_server_t *first = grg_engine (grg, SCRIPTS (OTHER_ENGINE, OTHER_ENGINE, OK_ANSWER), 3);
-  raw_server_t *second = grg_engine (grg, SCRIPTS (OTHER_ENGINE), 1);
-  raw_server_t *third = grg_engine (grg, SCRIPTS (OK_ANSWER), 1);
+  raw_server_t *first;
+  raw_server_t *second;
+  raw_server_t *third;
 
+  grg_settle (grg);
+  first = grg_engine (grg, SCRIPTS (OTHER_ENGINE, OTHER_ENGINE, OK_ANSWER), 3);
+  second = grg_engine (grg, SCRIPTS (OTHER_ENGINE), 1);
+  third = grg_engine (grg, SCRIPTS (OK_ANSWER), 1);
   for (uint32_t i = 0; i < LOOKUPS; i++)
     expect (grg, "GET", "/look/", "", "200");
   CU_ASSERT (first->answered <= 1 && second->answered <= 1);
--- a/tests/test_retry_sum.c
+++ b/tests/test_retry_sum.c
@@ -1,4 +1,5 @@
 /* The sum of the retries of all gateways, in virtual time, whatever each of them knows. */
+#include "request/policy/course.h"
 #include "request/policy/retry_share.h"
 #include "tests/suite.h"
 
@@ -10,6 +11,8 @@
 #define WINDOW_TICKS 100
 #define TICKS 600
 #define GATEWAYS_MOST 770
+#define WAITING_MOST 64
+#define WAIT_TICKS 60
 #define REQUESTS_PER_S 5 /* at a gateway, on the average */
 
 /** struct member - a gateway of the fleet: what it knows of the others */
@@ -19,6 +22,8 @@
   uint32_t known;
   uint32_t alive;
   bool lists; /* it has read the registry since its start */
+  crs_t calls[WAITING_MOST];
+  uint32_t waiting;
 } member_t;
 
 /** struct fleet - gateways whose every request wants a retry; counts of each tick */
@@ -29,6 +34,7 @@
   rsh_options_t options;
   GRand *rand;
   bool uneven;
+  bool waits; /* retries find no room for seconds */
   uint32_t requests[TICKS];
   uint32_t retries[TICKS];
 } fleet_t;
@@ -104,6 +110,66 @@
   return (uint32_t)g_rand_int_range (fleet->rand, 0, 20) < per_s * 2 ? 1 : 0;
 }
 
+/* Room comes for all that wait at once, as it does when an engine is back. */
+static void
+send_due (fleet_t *fleet, member_t *member, uint32_t tick)
+{
+  bool has_room = !fleet->waits || tick % WAIT_TICKS == 0;
+  uint32_t left = 0;
+
+  for (uint32_t i = 0; i < member->waiting; i++)
+    {
+      crs_t *crs = &member->calls[i];
+
+      if (!has_room ||
+          rsh_wait_us (&member->rsh, &fleet->options, at_us (tick), sharers_of (member)))
+        {
+          member->calls[left++] = *crs;
+          continue;
+        }
+      if (crs_sends (crs))
+        rsh_spend (&member->rsh, &fleet->options, at_us (tick));
+      fleet->retries[tick]++;
+    }
+  member->waiting = left;
+}
+
+/** struct chance - whom a retry is asked of */
+typedef struct
+{
+  fleet_t *fleet;
+  member_t *member;
+  uint32_t tick;
+} chance_t;
+
+static bool
+may_retry (void *context)
+{
+  const chance_t *chance = context;
+
+  return rsh_wait_us (&chance->member->rsh, &chance->fleet->options, at_us (chance->tick),
+                      sharers_of (chance->member)) == 0;
+}
+
+/* Requests that failed are retried as far as it is allowed now, or a few wait for room instead. */
+static void
+decide (fleet_t *fleet, member_t *member, uint32_t tick)
+{
+  chance_t chance = { fleet, member, tick };
+
+  while (member->waiting < WAITING_MOST)
+    {
+      crs_t crs;
+
+      crs_init (&crs, &(crs_rules_t){ .idempotent = true, .attempts = 4 });
+      if (crs_next (&crs, CRS_FAILED, S_US, may_retry, &chance) != CRS_AGAIN)
+        return;
+      member->calls[member->waiting++] = crs;
+      if (!fleet->waits)
+        send_due (fleet, member, tick);
+    }
+}
+
 static void
 play (fleet_t *fleet, event_fn event)
 {
@@ -120,8 +186,8 @@
               rsh_request (&member->rsh, &fleet->options, at_us (tick));
               fleet->requests[tick]++;
             }
-          while (rsh_take (&member->rsh, &fleet->options, at_us (tick), sharers_of (member)))
-            fleet->retries[tick]++;
+          decide (fleet, member, tick);
+          send_due (fleet, member, tick);
         }
     }
 }
@@ -156,7 +222,7 @@
 }
 
 static void
-check_sum (event_fn event, bool uneven, uint32_t least_milli)
+check_sum (event_fn event, bool uneven, bool waits, uint32_t least_milli)
 {
   static const uint32_t sizes[] = { 4, 5, 22, 103, 385 };
 
@@ -166,6 +232,7 @@
       uint32_t worst;
 
       fleet->uneven = uneven;
+      fleet->waits = waits;
       play (fleet, event);
       worst = worst_milli (fleet);
       if (worst > 1000 || worst < least_milli)
@@ -179,13 +246,20 @@
 static void
 test_retries_that_are_allowed_are_used (void)
 {
-  check_sum (NULL, false, 600);
+  check_sum (NULL, false, false, 600);
 }
 
 static void
 test_uneven_connections (void)
 {
-  check_sum (NULL, true, 0);
+  check_sum (NULL, true, false, 0);
+}
+
+/* Guards against retries that wait for room being counted seconds before they are sent. */
+static void
+test_retries_that_wait_for_room (void)
+{
+  check_sum (NULL, false, true, 0);
 }
 
 static void
@@ -203,7 +277,7 @@
 static void
 test_all_restart_twice_in_a_window (void)
 {
-  check_sum (restart_all_twice, false, 0);
+  check_sum (restart_all_twice, false, false, 0);
 }
 
 static void
@@ -225,7 +299,7 @@
 static void
 test_halves_restart_in_turn (void)
 {
-  check_sum (restart_half_each_two_seconds, false, 0);
+  check_sum (restart_half_each_two_seconds, false, false, 0);
 }
 
 static void
@@ -239,7 +313,7 @@
 static void
 test_fleet_split_in_halves (void)
 {
-  check_sum (split, false, 0);
+  check_sum (split, false, false, 0);
 }
 
 static void
@@ -253,7 +327,7 @@
 static void
 test_all_are_deaf (void)
 {
-  check_sum (deafen, false, 0);
+  check_sum (deafen, false, false, 0);
 }
 
 static void
@@ -272,7 +346,7 @@
 static void
 test_fleet_doubles_and_nobody_has_heard (void)
 {
-  check_sum (join_many, false, 0);
+  check_sum (join_many, false, false, 0);
 }
 
 int
@@ -281,6 +355,7 @@
   static const CU_TestInfo tests[] = {
     SUITE_TEST (test_retries_that_are_allowed_are_used),
     SUITE_TEST (test_uneven_connections),
+    SUITE_TEST (test_retries_that_wait_for_room),
     SUITE_TEST (test_all_restart_twice_in_a_window),
     SUITE_TEST (test_halves_restart_in_turn),
     SUITE_TEST (test_fleet_split_in_halves),
