--- /dev/null
+++ b/tests/test_overloaded.c
@@ -0,0 +1,266 @@
+/* Many gateways before engines that each of them asks seldom, in virtual time: how many requests
+ * meet an engine that is overloaded. */
+#include "request/policy/spread.h"
+#include "tests/suite.h"
+
+#include <glib.h>
+#include <stdlib.h>
+
+#define S_US (UINT64_C (1000) * 1000)
+#define TICK_US (UINT64_C (5) * 1000)
+#define BEGIN_US (UINT64_C (1000) * S_US)
+#define WINDOW_TICKS 1000
+#define TICKS 5000
+#define RUN_TICKS 240 /* that a request keeps its slot */
+#define HEAD_TICKS 50 /* until the head of its answer */
+#define SLOTS 64
+#define PARTS 120
+#define GATEWAYS_MOST 31
+#define ENGINES_MOST 60
+#define SERVICE g_intern_static_string ("pool")
+
+/** struct kind - of requests: how many share a popular part, and its tokens */
+typedef struct
+{
+  uint32_t tokens;
+  uint32_t weight;
+} kind_t;
+
+static const kind_t kinds[] = { { 10500, 26 }, { 700, 34 }, { 2000, 40 } };
+
+/** struct run - a request at an engine */
+typedef struct
+{
+  uint32_t gateway;
+  uint32_t engine;
+  uint32_t sent;
+} run_t;
+
+/** struct fleet - what each gateway knows, and what is so */
+typedef struct
+{
+  egs_t *known[GATEWAYS_MOST];
+  uint32_t load[ENGINES_MOST];
+  GQueue runs[2]; /* that wait for their heads, that wait for their ends */
+  uint32_t gateways;
+  uint32_t engines;
+  uint32_t per_s;
+  uint32_t total;
+  GRand *rand;
+  uint32_t sent[TICKS];
+  uint32_t over[TICKS];
+} fleet_t;
+
+static egn_t *
+engine_of (const fleet_t *fleet, uint32_t gateway, uint32_t engine)
+{
+  char id[16];
+
+  g_snprintf (id, sizeof id, "e%u", engine);
+  return egs_find (fleet->known[gateway], id);
+}
+
+static void
+add_engine (fleet_t *fleet, uint32_t gateway, uint32_t engine)
+{
+  egn_entry_t entry = { .service = SERVICE, .slots = SLOTS, .state = EGN_READY };
+
+  g_snprintf (entry.id, sizeof entry.id, "e%u", engine);
+  g_strlcpy (entry.data_center, "hall", sizeof entry.data_center);
+  egs_put (fleet->known[gateway], BEGIN_US, &entry);
+}
+
+static fleet_t *
+fleet_new (uint32_t gateways, uint32_t engines, uint32_t per_s, uint32_t seed)
+{
+  fleet_t *fleet = g_new0 (fleet_t, 1);
+
+  fleet->gateways = gateways;
+  fleet->engines = engines;
+  fleet->per_s = per_s;
+  fleet->rand = g_rand_new_with_seed (seed);
+  for (uint32_t i = 0; i < gateways; i++)
+    {
+      fleet->known[i] = egs_new ();
+      for (uint32_t k = 0; k < engines; k++)
+        add_engine (fleet, i, k);
+      egs_set_complete (fleet->known[i]);
+    }
+  return fleet;
+}
+
+static void
+fleet_free (fleet_t *fleet)
+{
+  g_queue_clear_full (&fleet->runs[0], g_free);
+  g_queue_clear_full (&fleet->runs[1], g_free);
+  for (uint32_t i = 0; i < fleet->gateways; i++)
+    egs_free (fleet->known[i]);
+  g_rand_free (fleet->rand);
+  g_free (fleet);
+}
+
+/* A few parts are popular, most are not. */
+static uint64_t
+draw_part (fleet_t *fleet, uint32_t kind)
+{
+  double at = g_rand_double (fleet->rand);
+
+  return kind * 1000 + (uint64_t)(PARTS * at * at * at) + 1;
+}
+
+static uint32_t
+draw_kind (fleet_t *fleet)
+{
+  int32_t at = g_rand_int_range (fleet->rand, 0, 100);
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    if ((at -= (int32_t)kinds[i].weight) < 0)
+      return i;
+  return 0;
+}
+
+static bool
+is_overloaded (const fleet_t *fleet, uint32_t engine)
+{
+  return fleet->load[engine] * fleet->engines >
+         fleet->total * SPR_OVERLOAD_FACTOR + fleet->engines * SPR_OVERLOAD_MORE_MILLI / 1000;
+}
+
+static void
+send_one (fleet_t *fleet, uint32_t tick)
+{
+  uint32_t kind = draw_kind (fleet);
+  uint32_t gateway = (uint32_t)g_rand_int_range (fleet->rand, 0, (gint32)fleet->gateways);
+  uint64_t now_us = BEGIN_US + tick * TICK_US;
+  spr_request_t request = { .affinity = draw_part (fleet, kind),
+                            .affinity_tokens = kinds[kind].tokens,
+                            .data_center = "hall",
+                            .repeatable = true,
+                            .gateways = fleet->gateways,
+                            .gateway_hash = gateway * 7919 + 13,
+                            .run_us = RUN_TICKS * TICK_US,
+                            .head_us = HEAD_TICKS * TICK_US };
+  spr_choice_t choice = spr_choose (egs_list (fleet->known[gateway], SERVICE), now_us, &request);
+  run_t *run = g_new0 (run_t, 1);
+
+  g_assert (choice.action == SPR_SEND);
+  *run = (run_t){ gateway, (uint32_t)atoi (choice.engine->entry.id + 1), tick };
+  fleet->sent[tick]++;
+  fleet->over[tick] += is_overloaded (fleet, run->engine) ? 1 : 0;
+  fleet->load[run->engine]++;
+  fleet->total++;
+  egn_begin (choice.engine, now_us);
+  g_queue_push_tail (&fleet->runs[0], run);
+}
+
+static void
+take_heads (fleet_t *fleet, uint32_t tick)
+{
+  uint64_t now_us = BEGIN_US + tick * TICK_US;
+  run_t *run;
+
+  while ((run = g_queue_peek_head (&fleet->runs[0])) && tick >= run->sent + HEAD_TICKS)
+    {
+      egn_t *engine = engine_of (fleet, run->gateway, run->engine);
+
+      egn_told (engine, now_us,
+                &(egn_load_t){ .running = fleet->load[run->engine], .slots = SLOTS });
+      egn_worked (engine, now_us, false);
+      g_queue_push_tail (&fleet->runs[1], g_queue_pop_head (&fleet->runs[0]));
+    }
+}
+
+static void
+take_ends (fleet_t *fleet, uint32_t tick)
+{
+  run_t *run;
+
+  while ((run = g_queue_peek_head (&fleet->runs[1])) && tick >= run->sent + RUN_TICKS)
+    {
+      fleet->load[run->engine]--;
+      fleet->total--;
+      egn_end (engine_of (fleet, run->gateway, run->engine));
+      g_free (g_queue_pop_head (&fleet->runs[1]));
+    }
+}
+
+static void
+play (fleet_t *fleet)
+{
+  uint32_t ticks_per_s = S_US / TICK_US;
+
+  for (uint32_t tick = 0; tick < TICKS; tick++)
+    {
+      uint32_t due = (tick + 1) * fleet->per_s / ticks_per_s - tick * fleet->per_s / ticks_per_s;
+
+      take_heads (fleet, tick);
+      take_ends (fleet, tick);
+      for (; due > 0; due--)
+        send_one (fleet, tick);
+    }
+}
+
+/* Return: of the five seconds in which most requests met an overloaded engine, their share, in
+ * thousandths */
+static uint32_t
+worst_milli (const fleet_t *fleet)
+{
+  uint32_t worst = 0;
+
+  for (uint32_t from = 0; from + WINDOW_TICKS <= TICKS; from++)
+    {
+      uint32_t sent = 0;
+      uint32_t over = 0;
+
+      for (uint32_t tick = from; tick < from + WINDOW_TICKS; tick++)
+        {
+          sent += fleet->sent[tick];
+          over += fleet->over[tick];
+        }
+      worst = MAX (worst, over * 1000 / sent);
+    }
+  return worst;
+}
+
+static void
+check_share (uint32_t gateways, uint32_t engines, uint32_t per_s)
+{
+  for (uint32_t seed = 1; seed <= 5; seed++)
+    {
+      fleet_t *fleet = fleet_new (gateways, engines, per_s, seed);
+      uint32_t worst;
+
+      play (fleet);
+      worst = worst_milli (fleet);
+      g_print ("%u gateways, seed %u: %u of 1000\n", gateways, seed, worst);
+      CU_ASSERT (worst <= 30);
+      fleet_free (fleet);
+    }
+}
+
+/* Guards against homes of popular parts that all gateways fill before one of them hears of it. */
+static void
+test_seventeen_gateways_overload_few_engines (void)
+{
+  check_share (17, 25, 85);
+}
+
+/* Likewise, at another size. */
+static void
+test_thirty_one_gateways_overload_few_engines (void)
+{
+  check_share (31, 60, 230);
+}
+
+int
+main (void)
+{
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_seventeen_gateways_overload_few_engines),
+    SUITE_TEST (test_thirty_one_gateways_overload_few_engines),
+    CU_TEST_INFO_NULL,
+  };
+
+  return suite_run ("overloaded", tests);
+}
