What an engine says of itself in an answer is read and logged

Engines say in their answers that they leave, and refuse with a time in which they want rest; neither was read, and the logs could not tell whether requests reached such an engine as its word was unread, undone by an entry, or overtaken. Nothing is decided by it yet.

--- a/src/request/gateway/format.h
+++ b/src/request/gateway/format.h
@@ -16,6 +16,7 @@
 
 #define FMT_PARTS 16 /* parts of a prompt that are looked at */
 #define FMT_ID_BYTES 128
+#define FMT_REST_MOST_MS (24 * 3600 * 1000) /* a longer rest is a slip */
 
 /** struct fmt_part - a part of a prompt; equal hashes are the same tokens */
 typedef struct
@@ -73,6 +74,8 @@
  * @is_other: it is another engine than the one expected
  * @genuine: it bears the engine's signature
  * @idle_ms: how long the engine keeps an idle connection; 0 is not said
+ * @leaving: the engine that was expected says that it leaves
+ * @rest_ms: it refused the request and wants no more for so long; 0 is not said
  */
 typedef struct
 {
@@ -83,6 +86,8 @@
   bool has_load;
   egn_load_t load;
   uint32_t idle_ms;
+  bool leaving;
+  uint32_t rest_ms;
 } fmt_answer_t;
 
 /** struct fmt_text - room for values that fmt_t.write() makes */
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -78,6 +78,17 @@
   pass_on_load (call, now_us);
 }
 
+static void
+log_own_word (const gwy_call_t *call)
+{
+  const fmt_answer_t *answer = &call->answer;
+
+  if (!answer->leaving && answer->rest_ms == 0)
+    return;
+  log_event (LOG_LEVEL_INFO, "engine_says", "id", call->id, "engine", call->engine->entry.id,
+             "leaving", answer->leaving ? "yes" : "no", "rest_ms", LOG_U64 (answer->rest_ms), NULL);
+}
+
 static void
 note_answer (gwy_call_t *call, int status)
 {
@@ -94,6 +105,7 @@
   lat_add (call->service->heads, now_us - call->sent_us);
   if (call->answer.idle_ms > 0)
     call->engine->idle_ms = call->answer.idle_ms;
+  log_own_word (call);
   if (call->answer.has_load)
     note_load (call, now_us);
   egn_worked (call->engine, now_us, status >= STATUS_FAILURE && !call->answer.not_run);
