Failing tests: requests to an engine that said in an answer that it leaves

The engine's first answer says that it leaves; the registry knows nothing of it, forgets the engine, and has it back. It gets further requests all the same: listed until the fix.

--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -13,6 +13,7 @@
 #define OK_ANSWER OK_HEAD "X-Engine-Load: 1,0,8\r\nContent-Length: 4\r\n\r\nfine"
 #define OWN_FAILURE                                                                                \
   "HTTP/1.1 500 Oops\r\nX-Request-Id: r1\r\nX-Response-Stamp: s2\r\nContent-Length: 3\r\n\r\nbad"
+#define LEAVING_ANSWER OK_HEAD "Server-Leaving: 1\r\nContent-Length: 4\r\n\r\nfine"
 #define SHED "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 #define OTHER_ENGINE "HTTP/1.1 421 Other\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n"
 #define STREAM_HEAD OK_HEAD "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -719,6 +720,41 @@
   expect (grg, "GET", "/look/", "", "503");
 }
 
+/* Guards against requests to an engine that said in an answer that it leaves, while the registry
+ * does not know it yet. */
+static void
+test_engine_that_says_it_leaves_gets_nothing_more (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  raw_server_t *engine = grg_engine (grg, SCRIPTS (LEAVING_ANSWER), 1);
+
+  expect (grg, "GET", "/look/", "", "200");
+  expect (grg, "GET", "/look/", "", "503");
+  grg_register (grg, 0, "ready");
+  raw_run_ms (grg->base, 50);
+  expect (grg, "POST", "/book/", BOOKING, "503");
+  fks_put (grg->store, PLT_STREAM_ENGINES, "e0", NULL);
+  CU_ASSERT (grg_wait (grg, "medlarplank_engines", 0));
+  grg_register (grg, 0, "ready");
+  CU_ASSERT (grg_wait (grg, "medlarplank_engines", 1));
+  expect (grg, "GET", "/look/", "", "503");
+  CU_ASSERT_EQUAL (engine->answered, 1);
+}
+
+/* Guards against requests to the next in rank being lost with the one that leaves. */
+static void
+test_requests_go_on_beside_an_engine_that_leaves (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  raw_server_t *leaving = grg_engine (grg, SCRIPTS (LEAVING_ANSWER), 1);
+  raw_server_t *other = grg_engine (grg, SCRIPTS (OK_ANSWER), 1);
+
+  for (uint32_t i = 0; i < LOOKUPS; i++)
+    expect (grg, "GET", "/look/", "", "200");
+  CU_ASSERT (leaving->answered <= 1);
+  CU_ASSERT (other->answered >= LOOKUPS - 1);
+}
+
 /* A version only rises: the store tells an older one late, after it was slow. */
 static void
 test_old_version_is_not_put_in_force (void)
@@ -1317,6 +1353,8 @@
     SUITE_TEST (test_restarted_engine_keeps_no_connection),
     SUITE_TEST (test_unsound_entry_names_no_engine),
     SUITE_TEST (test_leaving_engine_gets_nothing_more),
+    SUITE_TEST (test_engine_that_says_it_leaves_gets_nothing_more),
+    SUITE_TEST (test_requests_go_on_beside_an_engine_that_leaves),
     SUITE_TEST (test_old_version_is_not_put_in_force),
     SUITE_TEST (test_cut_gateway_learns_from_its_peer),
     SUITE_TEST (test_drained_data_center_gets_nothing),
