An engine that says in an answer that it leaves gets nothing more

Callers' requests went to engines that were about to end: 2,166 and 2,721 ms after the engine had said so in an answer (2,000 allowed), while the platform's store was out and its registry still called them ready.

Ruled out: undone by an entry, as nothing had been read; overtaken, as the gateway sent both requests 2.1 and 2.7 s after.

The word of another engine at the address doesn't count.

--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -78,15 +78,18 @@
   pass_on_load (call, now_us);
 }
 
+/* Each answer says it again: the first one is worth a line that is always written. */
 static void
-log_own_word (const gwy_call_t *call)
+note_own_word (const gwy_call_t *call, uint64_t now_us)
 {
   const fmt_answer_t *answer = &call->answer;
+  bool is_news = answer->leaving && egs_leaves (call->gwy->options.engines, now_us, call->engine);
 
   if (!answer->leaving && answer->rest_ms == 0)
     return;
-  log_event (LOG_LEVEL_INFO, "engine_says", "id", call->id, "engine", call->engine->entry.id,
-             "leaving", answer->leaving ? "yes" : "no", "rest_ms", LOG_U64 (answer->rest_ms), NULL);
+  log_event (is_news ? LOG_LEVEL_NOTICE : LOG_LEVEL_INFO, "engine_says", "id", call->id, "engine",
+             call->engine->entry.id, "leaving", answer->leaving ? "yes" : "no", "rest_ms",
+             LOG_U64 (answer->rest_ms), NULL);
 }
 
 static void
@@ -105,7 +108,7 @@
   lat_add (call->service->heads, now_us - call->sent_us);
   if (call->answer.idle_ms > 0)
     call->engine->idle_ms = call->answer.idle_ms;
-  log_own_word (call);
+  note_own_word (call, now_us);
   if (call->answer.has_load)
     note_load (call, now_us);
   egn_worked (call->engine, now_us, status >= STATUS_FAILURE && !call->answer.not_run);
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -1,5 +1,7 @@
 #include "request/policy/engines.h"
 
+#include "request/policy/own_word.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -12,6 +14,7 @@
  * @by_id: id -> egn_t
  * @by_service: interned service -> GPtrArray of egn_t
  * @drained: data centre -> when it was drained, in microseconds
+ * @leavers: starts of engines that said that they leave
  * @complete: the first list has come: who is seen from now on has joined
  */
 struct egs
@@ -19,6 +22,7 @@
   GHashTable *by_id;
   GHashTable *by_service;
   GHashTable *drained;
+  oww_t *leavers;
   bool complete;
 };
 
@@ -44,6 +48,7 @@
 
   egs->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, egn_unref);
   egs->by_service = g_hash_table_new_full (NULL, NULL, NULL, array_free);
+  egs->leavers = oww_new ();
   egs->drained = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return egs;
 }
@@ -53,6 +58,7 @@
 {
   g_hash_table_destroy (egs->by_service);
   g_hash_table_destroy (egs->drained);
+  oww_free (egs->leavers);
   g_hash_table_destroy (egs->by_id);
   g_free (egs);
 }
@@ -134,6 +140,7 @@
     {
       egn = egn_new (entry);
       egn->since_us = egs->complete ? now_us : 0;
+      egn->says_leaving = oww_has (egs->leavers, egn->hash);
       g_hash_table_insert (egs->by_id, egn->entry.id, egn);
       g_ptr_array_add (service_list (egs, entry->service), egn);
     }
@@ -173,6 +180,13 @@
   return true;
 }
 
+bool
+egs_leaves (egs_t *egs, uint64_t now_us, egn_t *egn)
+{
+  egn->says_leaving = true;
+  return oww_add (egs->leavers, now_us, egn->hash);
+}
+
 uint32_t
 egs_drained_count (const egs_t *egs)
 {
@@ -477,7 +491,8 @@
 bool
 egn_is_open (const egn_t *egn)
 {
-  return egn->entry.state == EGN_READY && egn->drained_us == 0 && !egn->displaced;
+  return egn->entry.state == EGN_READY && egn->drained_us == 0 && !egn->displaced &&
+         !egn->says_leaving;
 }
 
 bool
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -92,6 +92,7 @@
  * @down: it was put aside, and refused connections
  * @drained_us: since when operators drain its data centre; 0 when they don't
  * @displaced: another engine answers at its address
+ * @says_leaving: it said in an answer that it leaves, whatever the registry says
  * @idle_ms: how long it keeps an idle connection; 0 when it didn't say
  */
 typedef struct
@@ -127,6 +128,7 @@
   bool down;
   uint64_t drained_us;
   bool displaced;
+  bool says_leaving;
   uint32_t idle_ms;
 } egn_t;
 
@@ -188,6 +190,9 @@
  * Return: whether that is news
  */
 bool egs_set_drained (egs_t *egs, uint64_t now_us, const char *data_center, bool drained);
+/** egs_leaves() - @egn said in an answer that it leaves: this start of it gets nothing more.
+ * Return: whether that is news */
+bool egs_leaves (egs_t *egs, uint64_t now_us, egn_t *egn);
 uint32_t egs_drained_count (const egs_t *egs);
 /** egs_count_in() - engines of @data_center that the registry knows */
 uint32_t egs_count_in (const egs_t *egs, const char *data_center);
@@ -265,7 +270,7 @@
 uint32_t egn_pace_now (const egn_t *egn, uint64_t now_us);
 /** egn_effort_now() - of its host, in percent of the usual, as far as what it told still counts */
 uint32_t egn_effort_now (const egn_t *egn, uint64_t now_us);
-/** egn_is_open() - ready by the registry, neither drained nor displaced */
+/** egn_is_open() - ready by the registry and its own word, neither drained nor displaced */
 bool egn_is_open (const egn_t *egn);
 /** egn_is_cold() - it has just started, or may have: by its entry, or for @cold_start_us after it
  * came back */
--- a/tests/test_own_word.c
+++ b/tests/test_own_word.c
@@ -1,5 +1,7 @@
 /* What engines say of themselves in their answers: that they leave, or want rest. */
 #include "platform/request_format.h"
+#include "request/policy/engines.h"
+#include "request/policy/own_word.h"
 #include "suite.h"
 
 #include <event2/http.h>
@@ -7,6 +9,8 @@
 #include <glib.h>
 #include <sys/queue.h>
 
+#define NOW_US (UINT64_C (1000) * 1000 * 1000)
+
 static fmt_answer_t
 answer_with (int status, const char *name, const char *value)
 {
@@ -66,6 +70,38 @@
   CU_ASSERT_TRUE (prf_format ()->passes_back ("X-Response-Stamp"));
 }
 
+/* Guards against an engine that left being asked again as its entry went and came back. */
+static void
+test_word_outlives_the_entry (void)
+{
+  egs_t *egs = egs_new ();
+  egn_entry_t entry = { .id = "e0", .born_ms = 5, .service = g_intern_static_string ("pool") };
+  egn_t *engine = egs_put (egs, NOW_US, &entry);
+
+  CU_ASSERT_TRUE (egs_leaves (egs, NOW_US, engine));
+  CU_ASSERT_FALSE (egs_leaves (egs, NOW_US, engine));
+  CU_ASSERT_FALSE (egn_is_open (egs_put (egs, NOW_US, &entry)));
+  egs_gone (egs, "e0");
+  CU_ASSERT_FALSE (egn_is_open (egs_put (egs, NOW_US, &entry)));
+  entry.born_ms = 6;
+  CU_ASSERT_TRUE (egn_is_open (egs_put (egs, NOW_US, &entry)));
+  egs_free (egs);
+}
+
+static void
+test_words_are_bounded_and_lapse (void)
+{
+  oww_t *oww = oww_new ();
+
+  for (uint64_t i = 1; i <= OWW_MOST + 1; i++)
+    CU_ASSERT_TRUE (oww_add (oww, NOW_US, i));
+  CU_ASSERT_FALSE (oww_has (oww, 1));
+  CU_ASSERT_TRUE (oww_has (oww, 2) && oww_has (oww, OWW_MOST + 1));
+  CU_ASSERT_TRUE (oww_add (oww, NOW_US + OWW_KEPT_US, 9999));
+  CU_ASSERT_FALSE (oww_has (oww, 2));
+  oww_free (oww);
+}
+
 int
 main (void)
 {
@@ -75,6 +111,8 @@
     SUITE_TEST (test_rest_is_read),
     SUITE_TEST (test_unsound_rest_says_nothing),
     SUITE_TEST (test_callers_do_not_hear_it),
+    SUITE_TEST (test_word_outlives_the_entry),
+    SUITE_TEST (test_words_are_bounded_and_lapse),
     CU_TEST_INFO_NULL,
   };
 
