Failing tests: requests to an engine that wants rest

An engine refuses with 503 and Retry-After. It gets further requests within that time, and callers whose only engine it is are told to come back in 0.1 s. Listed until the fix.

--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -14,6 +14,10 @@
 #define OWN_FAILURE                                                                                \
   "HTTP/1.1 500 Oops\r\nX-Request-Id: r1\r\nX-Response-Stamp: s2\r\nContent-Length: 3\r\n\r\nbad"
 #define LEAVING_ANSWER OK_HEAD "Server-Leaving: 1\r\nContent-Length: 4\r\n\r\nfine"
+#define REST_ANSWER                                                                                \
+  "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
+#define SHORT_REST_ANSWER                                                                          \
+  "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 0.4\r\nContent-Length: 0\r\n\r\n"
 #define SHED "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 #define OTHER_ENGINE "HTTP/1.1 421 Other\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n"
 #define STREAM_HEAD OK_HEAD "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -755,6 +759,55 @@
   CU_ASSERT (other->answered >= LOOKUPS - 1);
 }
 
+/* Guards against requests to an engine that refused one and wants none for a time. */
+static void
+test_engine_that_wants_rest_gets_none (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  raw_server_t *tired = grg_engine (grg, SCRIPTS (REST_ANSWER), 1);
+  raw_server_t *other;
+
+  expect (grg, "POST", "/book/", BOOKING, "503");
+  expect (grg, "GET", "/look/", "", "503");
+  CU_ASSERT_EQUAL (tired->answered, 1);
+  other = grg_engine (grg, SCRIPTS (OK_ANSWER), 1);
+  for (uint32_t i = 0; i < LOOKUPS; i++)
+    expect (grg, "GET", "/look/", "", "200");
+  CU_ASSERT_EQUAL (tired->answered, 1);
+  CU_ASSERT_EQUAL (other->answered, LOOKUPS);
+}
+
+/* Guards against a caller that waits, or comes back at once, while the only engine wants rest. */
+static void
+test_caller_hears_when_the_rest_ends (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  raw_t *raw;
+
+  grg_engine (grg, SCRIPTS (REST_ANSWER), 1);
+  raw_free (grg_ask (grg, "POST", "/book/", BOOKING));
+  raw = grg_ask (grg, "GET", "/look/", "");
+  CU_ASSERT (begins (raw, "HTTP/1.1 503 ") && has (raw, "Retry-After: 2."));
+  raw_free (raw);
+}
+
+/* Guards against a refusal where the only engine's rest ends in time, and against an engine that is
+ * left alone for good. */
+static void
+test_short_rest_is_waited_for (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  raw_server_t *tired;
+  uint64_t asked_us;
+
+  grg_settle (grg);
+  tired = grg_engine (grg, SCRIPTS (SHORT_REST_ANSWER, OK_ANSWER), 2);
+  asked_us = clk_now_us (&grg->clk);
+  expect (grg, "POST", "/book/", BOOKING, "200");
+  CU_ASSERT_EQUAL (tired->answered, 2);
+  CU_ASSERT (clk_now_us (&grg->clk) - asked_us >= 400 * CLK_US_PER_MS);
+}
+
 /* A version only rises: the store tells an older one late, after it was slow. */
 static void
 test_old_version_is_not_put_in_force (void)
@@ -1355,6 +1408,9 @@
     SUITE_TEST (test_leaving_engine_gets_nothing_more),
     SUITE_TEST (test_engine_that_says_it_leaves_gets_nothing_more),
     SUITE_TEST (test_requests_go_on_beside_an_engine_that_leaves),
+    SUITE_TEST (test_engine_that_wants_rest_gets_none),
+    SUITE_TEST (test_caller_hears_when_the_rest_ends),
+    SUITE_TEST (test_short_rest_is_waited_for),
     SUITE_TEST (test_old_version_is_not_put_in_force),
     SUITE_TEST (test_cut_gateway_learns_from_its_peer),
     SUITE_TEST (test_drained_data_center_gets_nothing),
