An engine that wants rest gets no request until it has rested

An engine refused with 503 and Retry-After: 3, and got 6 and 17 requests more from that gateway within that time: each cost the caller a hop and all gateways a retry.

Cause: the time was not read (first hypothesis), and a refusal counted as a queue that has a place again 100 ms later. Ruled out: undone or overtaken, as nothing was read.

Now the refusal's time stands for that start of the engine, the longest one if it says several, also when its entry goes and comes back (own_word). Where all that are left rest, a request waits for the first one if that is soon enough for it, and is refused otherwise, at once, with the rest as Retry-After.

--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -328,6 +328,8 @@
     gwy_hop_send (call, &choice);
   else if (choice.action == SPR_WAIT)
     gwy_wait_push (call);
+  else if (choice.rest_us > 0)
+    gwy_wait_for_rest (call, choice.rest_us);
   else
     gwy_call_no_engine (call, &choice);
 }
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -87,6 +87,9 @@
 
   if (!answer->leaving && answer->rest_ms == 0)
     return;
+  if (answer->rest_ms > 0)
+    egs_rests (call->gwy->options.engines, now_us, call->engine,
+               (uint64_t)answer->rest_ms * CLK_US_PER_MS);
   log_event (is_news ? LOG_LEVEL_NOTICE : LOG_LEVEL_INFO, "engine_says", "id", call->id, "engine",
              call->engine->entry.id, "leaving", answer->leaving ? "yes" : "no", "rest_ms",
              LOG_U64 (answer->rest_ms), NULL);
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -245,6 +245,9 @@
 /** gwy_wait_for_retry() - a full engine refused it and no retry is left: let it wait for one, or
  * refuse it */
 void gwy_wait_for_retry (gwy_call_t *call);
+/** gwy_wait_for_rest() - all engines that are left want rest, one of them for @rest_us: let it
+ * wait, or refuse it */
+void gwy_wait_for_rest (gwy_call_t *call, uint64_t rest_us);
 /** gwy_wait_remove() - it waits no longer */
 void gwy_wait_remove (gwy_call_t *call);
 /** gwy_wait_pump() - send what waits for @service as far as there is room */
--- a/src/request/gateway/gateway_wait.c
+++ b/src/request/gateway/gateway_wait.c
@@ -54,6 +54,18 @@
   gwy_call_log (call, "wait", "retry_due", VRD_REASON_OVER_BOUND);
 }
 
+void
+gwy_wait_for_rest (gwy_call_t *call, uint64_t rest_us)
+{
+  if (!lin_push_behind (call->service->line, gwy_now_us (call->gwy), &call->line, rest_us))
+    {
+      gwy_call_give_up (call, VRD_REASON_OVER_BOUND, (uint32_t)(rest_us / CLK_US_PER_MS));
+      return;
+    }
+  cnt_add (call->gwy->waited, 1);
+  gwy_call_log (call, "wait", "engines_rest", VRD_REASON_OVER_BOUND);
+}
+
 void
 gwy_wait_remove (gwy_call_t *call)
 {
@@ -84,7 +96,7 @@
   if (call->crs.retry_due && gwy_call_retry_wait_us (call) > 0)
     return false;
   *choice = gwy_call_choose (call);
-  return choice->action != SPR_WAIT;
+  return choice->action != SPR_WAIT && choice->rest_us == 0;
 }
 
 void
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -14,7 +14,7 @@
  * @by_id: id -> egn_t
  * @by_service: interned service -> GPtrArray of egn_t
  * @drained: data centre -> when it was drained, in microseconds
- * @leavers: starts of engines that said that they leave
+ * @words: what engines said of themselves
  * @complete: the first list has come: who is seen from now on has joined
  */
 struct egs
@@ -22,7 +22,7 @@
   GHashTable *by_id;
   GHashTable *by_service;
   GHashTable *drained;
-  oww_t *leavers;
+  oww_t *words;
   bool complete;
 };
 
@@ -48,7 +48,7 @@
 
   egs->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, egn_unref);
   egs->by_service = g_hash_table_new_full (NULL, NULL, NULL, array_free);
-  egs->leavers = oww_new ();
+  egs->words = oww_new ();
   egs->drained = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return egs;
 }
@@ -58,7 +58,7 @@
 {
   g_hash_table_destroy (egs->by_service);
   g_hash_table_destroy (egs->drained);
-  oww_free (egs->leavers);
+  oww_free (egs->words);
   g_hash_table_destroy (egs->by_id);
   g_free (egs);
 }
@@ -124,6 +124,15 @@
   egn->cold_until_us = cold_us > 0 ? now_us + cold_us : 0;
 }
 
+static void
+recall_word (const egs_t *egs, egn_t *egn)
+{
+  oww_word_t word = oww_get (egs->words, egn->hash);
+
+  egn->says_leaving = word.leaving;
+  egn->rest_until_us = word.rest_until_us;
+}
+
 egn_t *
 egs_put (egs_t *egs, uint64_t now_us, const egn_entry_t *entry)
 {
@@ -140,7 +149,7 @@
     {
       egn = egn_new (entry);
       egn->since_us = egs->complete ? now_us : 0;
-      egn->says_leaving = oww_has (egs->leavers, egn->hash);
+      recall_word (egs, egn);
       g_hash_table_insert (egs->by_id, egn->entry.id, egn);
       g_ptr_array_add (service_list (egs, entry->service), egn);
     }
@@ -184,7 +193,13 @@
 egs_leaves (egs_t *egs, uint64_t now_us, egn_t *egn)
 {
   egn->says_leaving = true;
-  return oww_add (egs->leavers, now_us, egn->hash);
+  return oww_leaves (egs->words, now_us, egn->hash);
+}
+
+void
+egs_rests (egs_t *egs, uint64_t now_us, egn_t *egn, uint64_t rest_us)
+{
+  egn->rest_until_us = oww_rests (egs->words, now_us, egn->hash, rest_us);
 }
 
 uint32_t
@@ -495,6 +510,12 @@
          !egn->says_leaving;
 }
 
+bool
+egn_is_resting (const egn_t *egn, uint64_t now_us)
+{
+  return now_us < egn->rest_until_us;
+}
+
 bool
 egn_is_skipped (const egn_t *egn, uint64_t now_us, bool repeatable)
 {
@@ -522,7 +543,7 @@
     {
       const egn_t *egn = g_ptr_array_index (engines, i);
 
-      if (egn_is_open (egn) && !egn_is_skipped (egn, now_us, true))
+      if (egn_is_open (egn) && !egn_is_resting (egn, now_us) && !egn_is_skipped (egn, now_us, true))
         slots += egn_slots (egn, 1);
     }
   return slots;
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -93,6 +93,7 @@
  * @drained_us: since when operators drain its data centre; 0 when they don't
  * @displaced: another engine answers at its address
  * @says_leaving: it said in an answer that it leaves, whatever the registry says
+ * @rest_until_us: it gets nothing until then, as it said in a refusal
  * @idle_ms: how long it keeps an idle connection; 0 when it didn't say
  */
 typedef struct
@@ -129,6 +130,7 @@
   uint64_t drained_us;
   bool displaced;
   bool says_leaving;
+  uint64_t rest_until_us;
   uint32_t idle_ms;
 } egn_t;
 
@@ -193,6 +195,8 @@
 /** egs_leaves() - @egn said in an answer that it leaves: this start of it gets nothing more.
  * Return: whether that is news */
 bool egs_leaves (egs_t *egs, uint64_t now_us, egn_t *egn);
+/** egs_rests() - @egn refused a request and wants none for @rest_us */
+void egs_rests (egs_t *egs, uint64_t now_us, egn_t *egn, uint64_t rest_us);
 uint32_t egs_drained_count (const egs_t *egs);
 /** egs_count_in() - engines of @data_center that the registry knows */
 uint32_t egs_count_in (const egs_t *egs, const char *data_center);
@@ -272,6 +276,8 @@
 uint32_t egn_effort_now (const egn_t *egn, uint64_t now_us);
 /** egn_is_open() - ready by the registry and its own word, neither drained nor displaced */
 bool egn_is_open (const egn_t *egn);
+/** egn_is_resting() - it wants no request now */
+bool egn_is_resting (const egn_t *egn, uint64_t now_us);
 /** egn_is_cold() - it has just started, or may have: by its entry, or for @cold_start_us after it
  * came back */
 bool egn_is_cold (const egn_t *egn, uint64_t now_us, uint64_t cold_start_us);
--- a/src/request/policy/own_word.c
+++ b/src/request/policy/own_word.c
@@ -2,15 +2,10 @@
 
 #include <glib.h>
 
-/**
- * struct oww - engines that leave
- * @said: hash of an engine -> when it said so, in microseconds
- * @order: the same hashes, the oldest first
- */
+/** struct oww - @words: hash of an engine -> oww_word_t */
 struct oww
 {
-  GHashTable *said;
-  GQueue order;
+  GHashTable *words;
 };
 
 oww_t *
@@ -18,54 +13,86 @@
 {
   oww_t *oww = g_new0 (oww_t, 1);
 
-  oww->said = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  g_queue_init (&oww->order);
+  oww->words = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   return oww;
 }
 
 void
 oww_free (oww_t *oww)
 {
-  g_hash_table_destroy (oww->said);
-  g_queue_clear_full (&oww->order, g_free);
+  g_hash_table_destroy (oww->words);
   g_free (oww);
 }
 
+static gboolean
+is_over (gpointer key, gpointer value, gpointer context)
+{
+  const oww_word_t *word = value;
+  const uint64_t *now_us = context;
+
+  (void)key;
+  return *now_us >= MAX (word->said_us + OWW_KEPT_US, word->rest_until_us);
+}
+
 static void
 drop_oldest (oww_t *oww)
 {
-  uint64_t *hash = g_queue_pop_head (&oww->order);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  gpointer oldest = NULL;
+  uint64_t oldest_us = UINT64_MAX;
 
-  g_hash_table_remove (oww->said, hash);
-  g_free (hash);
+  g_hash_table_iter_init (&iter, oww->words);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (((oww_word_t *)value)->said_us < oldest_us)
+      {
+        oldest = key;
+        oldest_us = ((oww_word_t *)value)->said_us;
+      }
+  g_hash_table_remove (oww->words, oldest);
 }
 
-static bool
-is_over (oww_t *oww, uint64_t now_us)
+static oww_word_t *
+word_of (oww_t *oww, uint64_t now_us, uint64_t engine_hash)
 {
-  const uint64_t *hash = g_queue_peek_head (&oww->order);
-  const uint64_t *at_us = hash ? g_hash_table_lookup (oww->said, hash) : NULL;
+  oww_word_t *word = g_hash_table_lookup (oww->words, &engine_hash);
 
-  return at_us && now_us >= *at_us + OWW_KEPT_US;
+  if (word)
+    return word;
+  g_hash_table_foreach_remove (oww->words, is_over, &now_us);
+  if (g_hash_table_size (oww->words) >= OWW_MOST)
+    drop_oldest (oww);
+  word = g_new0 (oww_word_t, 1);
+  g_hash_table_insert (oww->words, g_memdup2 (&engine_hash, sizeof engine_hash), word);
+  return word;
 }
 
 bool
-oww_add (oww_t *oww, uint64_t now_us, uint64_t engine_hash)
+oww_leaves (oww_t *oww, uint64_t now_us, uint64_t engine_hash)
 {
-  uint64_t *hash;
+  oww_word_t *word = word_of (oww, now_us, engine_hash);
+  bool is_news = !word->leaving;
 
-  if (oww_has (oww, engine_hash))
-    return false;
-  while (is_over (oww, now_us) || g_queue_get_length (&oww->order) >= OWW_MOST)
-    drop_oldest (oww);
-  hash = g_memdup2 (&engine_hash, sizeof engine_hash);
-  g_queue_push_tail (&oww->order, hash);
-  g_hash_table_insert (oww->said, hash, g_memdup2 (&now_us, sizeof now_us));
-  return true;
+  word->said_us = now_us;
+  word->leaving = true;
+  return is_news;
 }
 
-bool
-oww_has (const oww_t *oww, uint64_t engine_hash)
+uint64_t
+oww_rests (oww_t *oww, uint64_t now_us, uint64_t engine_hash, uint64_t rest_us)
+{
+  oww_word_t *word = word_of (oww, now_us, engine_hash);
+
+  word->said_us = now_us;
+  word->rest_until_us = MAX (word->rest_until_us, now_us + rest_us);
+  return word->rest_until_us;
+}
+
+oww_word_t
+oww_get (const oww_t *oww, uint64_t engine_hash)
 {
-  return g_hash_table_contains (oww->said, &engine_hash);
+  const oww_word_t *word = g_hash_table_lookup (oww->words, &engine_hash);
+
+  return word ? *word : (oww_word_t){ 0 };
 }
--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -201,7 +201,7 @@
 static bool
 may_ask (const world_t *world, const egn_t *egn)
 {
-  if (!egn_is_open (egn) || was_tried (world, egn))
+  if (!egn_is_open (egn) || egn_is_resting (egn, world->now_us) || was_tried (world, egn))
     return false;
   return world->distrust || !egn_is_skipped (egn, world->now_us, world->request->repeatable);
 }
@@ -602,6 +602,24 @@
   return any;
 }
 
+/* Return: until one that may be asked then has rested, 0 when none rests */
+static uint64_t
+least_rest_us (const world_t *world)
+{
+  uint64_t least_us = 0;
+
+  for (guint i = 0; i < world->engines->len; i++)
+    {
+      const egn_t *egn = engine_at (world, i);
+      uint64_t left_us = egn->rest_until_us - MIN (egn->rest_until_us, world->now_us);
+
+      if (left_us == 0 || !egn_is_open (egn) || was_tried (world, egn))
+        continue;
+      least_us = least_us == 0 ? left_us : MIN (least_us, left_us);
+    }
+  return least_us;
+}
+
 static spr_choice_t
 choose_of (const GPtrArray *engines, uint64_t now_us, const spr_request_t *request)
 {
@@ -616,6 +634,7 @@
     {
       choice.action = choice.candidates > 0 ? SPR_WAIT : SPR_NONE;
       choice.drained = choice.action == SPR_NONE && is_all_drained (&world);
+      choice.rest_us = choice.action == SPR_NONE ? least_rest_us (&world) : 0;
       return choice;
     }
   choice.action = SPR_SEND;
--- a/src/request/policy/spread.h
+++ b/src/request/policy/spread.h
@@ -127,6 +127,7 @@
  *   NULL when there is none
  * @rank: 0 when @engine is the first for the affinity
  * @drained: with %SPR_NONE: engines are left, but their data centres are drained
+ * @rest_us: with %SPR_NONE: until the first of those that are left has rested; 0 when none rests
  */
 typedef struct
 {
@@ -138,6 +139,7 @@
   uint32_t mean_milli;
   uint32_t candidates;
   bool drained;
+  uint64_t rest_us;
 } spr_choice_t;
 
 /** spr_choose() - among @engines, egn_t of one service */
