Failing test: an engine that left while nobody heard the store gets requests

One gateway does not hear the store for longer than an outage takes; meanwhile one of three entries goes. The engine gets requests beside two that are known to be there. The other side has a test too, which passes: where two of three entries went, callers are served by those. A gauge tells how many engines are kept so.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -39,6 +39,7 @@
   cnt_t *stalls;
   cnt_t *version;
   cnt_t *engine_count;
+  cnt_t *lapsed_count;
   cnt_t *drained_count;
   cnt_t *gateway_count;
 };
@@ -134,13 +135,20 @@
              "engines", LOG_U64 (egs_count (gwp->engines)), NULL);
 }
 
+static void
+count_engines (gwp_t *gwp)
+{
+  cnt_set_value (gwp->engine_count, egs_count (gwp->engines));
+  cnt_set_value (gwp->lapsed_count, lapses_count (gwp->lapsed));
+}
+
 static void
 remove_engine (gwp_t *gwp, const char *id, uint64_t offset)
 {
   if (!egs_find (gwp->engines, id))
     return;
   egs_gone (gwp->engines, id);
-  cnt_set_value (gwp->engine_count, egs_count (gwp->engines));
+  count_engines (gwp);
   log_engine (gwp, id, "gone", offset);
   gst_tell_news (gwp->store);
   gwy_engines_changed (gwp->gwy);
@@ -230,7 +238,7 @@
     }
   else
     remove_engine (gwp, id, offset);
-  cnt_set_value (gwp->engine_count, egs_count (gwp->engines));
+  count_engines (gwp);
 }
 
 static void
@@ -463,6 +471,8 @@
                          "Times that the process stood still for long");
   gwp->version = cnt_get (options->counters, "medlarplank_version", "Version in force");
   gwp->engine_count = cnt_get (options->counters, "medlarplank_engines", "Engines registered");
+  gwp->lapsed_count = cnt_get (options->counters, "medlarplank_lapsed_engines",
+                               "Engines whose entries have gone, perhaps in an outage alone");
   gwp->drained_count = cnt_get (options->counters, "medlarplank_drained_data_centers",
                                 "Data centres that operators drain");
   gwp->gateway_count =
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -1074,6 +1074,61 @@
   CU_ASSERT_EQUAL (grg_counter (grg, 1, "medlarplank_engines"), 2);
 }
 
+static bool
+first_is_certain (void *context)
+{
+  const grg_t *grg = context;
+
+  return gwp_is_ready (grg->gateways[0].gwp) &&
+         grg_counter (grg, 0, "medlarplank_lapsed_engines") > 0;
+}
+
+/* @count entries have gone while the only gateway did not hear the store. */
+static void
+drop_unheard (grg_t *grg, uint32_t count)
+{
+  grg->gateways[0].set.renewal_ms = SHORT_RENEWAL_MS;
+  grg->gateways[0].front->down = true;
+  raw_run_ms (grg->base, OUTAGE_MS);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("e%u", i);
+
+      fks_put (grg->store, PLT_STREAM_ENGINES, id, NULL);
+    }
+  grg->gateways[0].front->down = false;
+  CU_ASSERT (raw_run_until (grg->base, first_is_certain, grg));
+}
+
+/* Guards against requests to an engine that left while nobody heard the store, which was there. */
+static void
+test_engine_that_left_unheard_gets_nothing_beside_others (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+  raw_server_t *left = grg_engine (grg, SCRIPTS (OK_ANSWER), 1);
+
+  for (uint32_t i = 1; i < GRG_ENGINES; i++)
+    grg_engine (grg, SCRIPTS (OK_ANSWER), 1);
+  drop_unheard (grg, 1);
+  for (uint32_t i = 0; i < LOOKUPS; i++)
+    expect (grg, "GET", "/look/", "", "200");
+  CU_ASSERT_EQUAL (left->answered, 0);
+}
+
+/* Guards against a service without engines, as their entries lapsed while the store was out. */
+static void
+test_engines_that_lapsed_together_go_on (void)
+{
+  g_autoptr (grg_t) grg = grg_new (1);
+
+  for (uint32_t i = 0; i < GRG_ENGINES; i++)
+    grg_engine (grg, SCRIPTS (OK_ANSWER), 1);
+  drop_unheard (grg, GRG_ENGINES - 1);
+  for (uint32_t i = 0; i < LOOKUPS; i++)
+    expect (grg, "GET", "/look/", "", "200");
+  CU_ASSERT (grg->engines[0]->answered + grg->engines[1]->answered > 0);
+}
+
 #define FLEET 5
 
 static bool
@@ -1416,6 +1471,8 @@
     SUITE_TEST (test_drained_data_center_gets_nothing),
     SUITE_TEST (test_cut_gateway_hears_of_a_drain),
     SUITE_TEST (test_a_later_lapse_keeps_no_earlier_engine),
+    SUITE_TEST (test_engine_that_left_unheard_gets_nothing_beside_others),
+    SUITE_TEST (test_engines_that_lapsed_together_go_on),
     SUITE_TEST (test_drains_follow_a_list_of_the_newest),
     SUITE_TEST (test_half_an_event_is_not_kept_for_another_engine),
     SUITE_TEST (test_bound_route_stays_in_its_region),
