Of engines whose entries went unheard, few are asked no more

Cause: those that follow the store were turned away or cut off, the others rested for two seconds; nobody heard the store for 2.1 s, which is what an outage takes, and entries that went meanwhile were kept as perhaps lapsed for 2.5 s, by all gateways (first hypothesis; a single one that errs is ruled out here, all four did). Who has not asked can't know whether the store was out.

The entries themselves say more: in an outage those of all engines lapse within the time of a renewal. So engines whose entries went unheard are asked only where more than a third of a service's did; fewer have left rather, and the others bear what they had. They are still kept, so that one that comes back has lost nothing.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -235,6 +235,7 @@
     {
       log_engine (gwp, id, "perhaps_lapsed", offset);
       lapses_add (gwp->lapsed, id, due_us);
+      egs_lapsed (gwp->engines, id);
     }
   else
     remove_engine (gwp, id, offset);
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -156,6 +156,7 @@
   egn->entry = *entry;
   egn->drained_us = drained_us (egs, entry->data_center);
   egn->displaced = false;
+  egn->lapsed = false;
   note_cold (egn, now_us);
   return egn;
 }
@@ -234,6 +235,15 @@
   return MAX (egn->cold_since_us, egn->returned_us);
 }
 
+void
+egs_lapsed (egs_t *egs, const char *id)
+{
+  egn_t *egn = g_hash_table_lookup (egs->by_id, id);
+
+  if (egn)
+    egn->lapsed = true;
+}
+
 void
 egs_gone (egs_t *egs, const char *id)
 {
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -91,6 +91,7 @@
  * @returned_us: when its data centre was taken back, or it worked again after it was down
  * @down: it was put aside, and refused connections
  * @drained_us: since when operators drain its data centre; 0 when they don't
+ * @lapsed: its entry has gone while the store was not heard: it may live, or have left
  * @displaced: another engine answers at its address
  * @says_leaving: it said in an answer that it leaves, whatever the registry says
  * @rest_until_us: it gets nothing until then, as it said in a refusal
@@ -128,6 +129,7 @@
   uint64_t returned_us;
   bool down;
   uint64_t drained_us;
+  bool lapsed;
   bool displaced;
   bool says_leaving;
   uint64_t rest_until_us;
@@ -200,6 +202,9 @@
 uint32_t egs_drained_count (const egs_t *egs);
 /** egs_count_in() - engines of @data_center that the registry knows */
 uint32_t egs_count_in (const egs_t *egs, const char *data_center);
+/** egs_lapsed() - the entry of @id has gone, perhaps only as the store was out, until egs_put() or
+ * egs_gone() */
+void egs_lapsed (egs_t *egs, const char *id);
 /** egs_gone() - the registry knows @id no longer */
 void egs_gone (egs_t *egs, const char *id);
 /** egs_find_hash() - by the hash of its id and start, or NULL */
--- a/src/request/policy/spread.c
+++ b/src/request/policy/spread.c
@@ -22,6 +22,7 @@
   uint32_t joined;
   uint32_t error_limit_milli;
   bool distrust;
+  bool keeps_lapsed;
   bool crowded;
   bool full;
   bool has_share;
@@ -173,6 +174,7 @@
 {
   uint64_t gateways = MAX (world->request->gateways, 1U);
   uint32_t skipped = 0;
+  uint32_t lapsed = 0;
 
   weigh (world);
   for (guint i = 0; i < world->engines->len; i++)
@@ -186,11 +188,13 @@
       world->slots += egn_slots (egn, world->request->default_slots);
       world->joined += has_joined (world, egn) ? 1 : 0;
       skipped += egn->failures >= EGN_FAILURES ? 1 : 0;
+      lapsed += egn->lapsed ? 1 : 0;
     }
   if (world->mean_milli == 0 && world->open > 0)
     world->mean_milli = world->own * MILLI / world->open;
   weigh_idle (world);
   world->distrust = skipped * 2 > world->open;
+  world->keeps_lapsed = lapsed * SPR_LAPSED_PART > world->open;
   world->crowded = is_crowded (world);
   world->full = world->request->surge || (world->request->told_milli >= SPR_FULL_MILLI &&
                                           world->slots >= gateways * SPR_SHARE_SLOTS);
@@ -203,6 +207,8 @@
 {
   if (!egn_is_open (egn) || egn_is_resting (egn, world->now_us) || was_tried (world, egn))
     return false;
+  if (egn->lapsed && !world->keeps_lapsed)
+    return false;
   return world->distrust || !egn_is_skipped (egn, world->now_us, world->request->repeatable);
 }
 
--- a/src/request/policy/spread.h
+++ b/src/request/policy/spread.h
@@ -72,6 +72,13 @@
 /* An engine that takes so many times as long as the service's median, in thousandths, likewise. */
 #define SPR_PACE_MILLI 2000
 
+/*
+ * While the store is out, the entries of all engines lapse within the time of a renewal. Where no
+ * more than one in so many of a service's has gone, that engine has left rather, in a time in which
+ * nobody read the store: it is asked no more, and the others bear what it had.
+ */
+#define SPR_LAPSED_PART 3
+
 typedef enum
 {
   SPR_SEND, /* to @engine */
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -623,6 +623,36 @@
     CU_ASSERT (choose (egs, affinity).engine != unknown || choose (egs, affinity).load >= 9);
 }
 
+/* Return: of 100 prompts those that go to the first @lapsed of twelve engines */
+static uint32_t
+sent_to_lapsed (uint32_t lapsed)
+{
+  g_autoptr (egs_t) egs = make_engines (12);
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < lapsed; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "e%u", i);
+      egs_lapsed (egs, id);
+    }
+  for (uint64_t affinity = 1; affinity <= 100; affinity++)
+    count += choose (egs, affinity).engine->lapsed ? 1 : 0;
+  return count;
+}
+
+/* Guards against requests to an engine that left unheard, and against a service that has lost its
+ * engines in an outage. */
+static void
+test_engines_that_lapsed_are_asked_where_many_did (void)
+{
+  CU_ASSERT_EQUAL (sent_to_lapsed (1), 0);
+  CU_ASSERT_EQUAL (sent_to_lapsed (4), 0);
+  CU_ASSERT (sent_to_lapsed (5) > 20);
+  CU_ASSERT_EQUAL (sent_to_lapsed (12), 100);
+}
+
 /* Return: how many of 100 gateways send a prompt with a part of @tokens to its first home */
 static uint32_t
 at_first_home (uint32_t gateways, uint32_t tokens)
@@ -935,6 +965,7 @@
     SUITE_TEST (test_refusals_cut_what_a_gateway_has_at_an_engine),
     SUITE_TEST (test_old_loads_neither_raise_the_bound_nor_stay),
     SUITE_TEST (test_unknown_load_is_the_usual_one),
+    SUITE_TEST (test_engines_that_lapsed_are_asked_where_many_did),
     SUITE_TEST (test_small_parts_have_two_homes_where_little_is_known),
     SUITE_TEST (test_margin_goes_with_gateways_and_free_slots),
     SUITE_TEST (test_few_gateways_keep_parts_at_home),
