Failing tests: who reads the store when those that follow it are lost

The next gateway reads 2.2 s after the last word, where news must be in force within 2 s; and then rests for two seconds again, though nobody else reaches the store.

--- a/tests/test_read_duty.c
+++ b/tests/test_read_duty.c
@@ -52,6 +52,47 @@
   CU_ASSERT_EQUAL (rdu_read (&rdu, &engines, &(rdu_view_t){ 0 }, START_US), RDU_FOLLOW);
 }
 
+/* Guards against an engine that leaves, or a version, that is known later than it must be where
+ * those that follow are lost: the next one reads early enough for it. */
+static void
+test_next_one_reads_within_the_bound (void)
+{
+  static const uint32_t bounds_s[] = { 2, 3, 4, 8 };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (bounds_s); i++)
+    {
+      rdu_t rdu = vouched (START_US);
+      uint64_t bound_us = (uint64_t)bounds_s[i] * CLK_US_PER_S;
+      rdu_stream_t stream = { .patience_us = ASK_US, .bound_us = bound_us };
+      rdu_view_t next = { .listed = true, .before = 4, .count = 5 };
+
+      CU_ASSERT_EQUAL (rdu_read (&rdu, &stream, &next, START_US + bound_us * 85 / 100), RDU_READ);
+    }
+}
+
+/* Guards against the only gateway that reaches the store reading it once in two seconds. */
+static void
+test_one_that_had_to_read_follows_until_another_vouches (void)
+{
+  static const rdu_stream_t stream = { .patience_us = ASK_US, .bound_us = 2 * CLK_US_PER_S };
+  rdu_t rdu = vouched (START_US);
+  uint64_t now_us = START_US + 2 * CLK_US_PER_S;
+  rdu_view_t view = rest;
+
+  CU_ASSERT_EQUAL (rdu_read (&rdu, &stream, &view, now_us), RDU_READ);
+  view.own_us = view.tried_us = now_us;
+  CU_ASSERT_EQUAL (rdu_read (&rdu, &stream, &view, now_us + 1), RDU_FOLLOW);
+  view.lost = true;
+  CU_ASSERT_EQUAL (rdu_read (&rdu, &stream, &view, now_us + 2), RDU_REST);
+  view.lost = false;
+  rdu_heard (&rdu, now_us, 7, 7, now_us - 1);
+  CU_ASSERT_EQUAL (rdu_read (&rdu, &stream, &view, now_us + 3), RDU_FOLLOW);
+  rdu_heard (&rdu, now_us + 4, 7, 7, now_us + 4);
+  CU_ASSERT_EQUAL (rdu_read (&rdu, &stream, &view, now_us + 5), RDU_REST);
+  view.own_us = now_us + 6;
+  CU_ASSERT_EQUAL (rdu_read (&rdu, &stream, &view, now_us + 7), RDU_REST);
+}
+
 /* Where news may take four seconds word of the store may be older by as much as that allows: a
  * hundred gateways that had heard nothing for two seconds read all at once, though three of them
  * follow. */
@@ -226,6 +267,8 @@
   static const CU_TestInfo tests[] = {
     SUITE_TEST (test_few_follow_the_rest_does_not),
     SUITE_TEST (test_who_is_not_vouched_for_reads),
+    SUITE_TEST (test_next_one_reads_within_the_bound),
+    SUITE_TEST (test_one_that_had_to_read_follows_until_another_vouches),
     SUITE_TEST (test_vouching_lasts_longer_where_news_may_take_longer),
     SUITE_TEST (test_one_that_knows_less_vouches_for_nothing),
     SUITE_TEST (test_news_of_a_peer),
