A gateway that had to read the store follows it until another vouches

Of four gateways three were cut off from the store; the fourth rested on their last word for two seconds, read once, and rested for two seconds again, so it knew of a leaving engine 2,038 ms after the store did.

Now word of the store counts for three quarters at most of the time in which its news must be in force, so that the next one's turn, its read and its word fit in; and one that had to read follows until a peer has heard the store later than it has. While its reads fail it does not follow, so an outage costs no more calls.

--- a/src/request/policy/read_duty.c
+++ b/src/request/policy/read_duty.c
@@ -50,7 +50,11 @@
 vouched_until_us (const rdu_t *rdu, const rdu_stream_t *stream, const rdu_view_t *view)
 {
   uint64_t known_us = rdu_known_us (rdu, view);
-  uint64_t most_us = MAX (RDU_VOUCHED_US, stream->bound_us * RDU_VOUCHED_PERCENT / 100);
+  uint64_t most_us = RDU_VOUCHED_US;
+
+  if (stream->bound_us > 0)
+    most_us = MIN (most_us, stream->bound_us * RDU_VOUCHED_MOST_PERCENT / 100);
+  most_us = MAX (most_us, stream->bound_us * RDU_VOUCHED_PERCENT / 100);
 
   return known_us != 0 ? known_us + most_us : 0;
 }
@@ -73,17 +77,38 @@
   return rdu->behind_us != 0 && now_us >= rdu->behind_us + limit_us;
 }
 
+/* It was answered in its turn, and no peer has heard the store since. */
+static bool
+has_taken_over (const rdu_t *rdu, const rdu_view_t *view)
+{
+  return rdu->took_us != 0 && view->own_us >= rdu->took_us && !view->lost;
+}
+
+/*
+ * Those that follow may be lost for long, and the one that reads in its turn may be the only one
+ * that reaches the store. Were it to rest again until nobody vouches any more, news would be known
+ * later than it must be. So it follows, until a peer has heard the store later than it has itself.
+ */
 rdu_read_t
-rdu_read (const rdu_t *rdu, const rdu_stream_t *stream, const rdu_view_t *view, uint64_t now_us)
+rdu_read (rdu_t *rdu, const rdu_stream_t *stream, const rdu_view_t *view, uint64_t now_us)
 {
   uint64_t until_us = vouched_until_us (rdu, stream, view);
 
   if (view->close || !view->listed)
     return RDU_FOLLOW;
+  if (rdu->fresh_us > MAX (view->own_us, rdu->took_us))
+    rdu->took_us = 0;
+  if (has_taken_over (rdu, view))
+    return RDU_FOLLOW;
   if (now_us >= until_us && view->alone)
     return RDU_FOLLOW;
+  if (now_us >= until_us && !has_turn (view, until_us, now_us))
+    return RDU_REST;
   if (now_us >= until_us)
-    return has_turn (view, until_us, now_us) ? RDU_READ : RDU_REST;
+    {
+      rdu->took_us = rdu->took_us != 0 ? rdu->took_us : now_us;
+      return RDU_READ;
+    }
   return is_behind_for (rdu, now_us, rdu->large ? 0 : stream->patience_us) ? RDU_READ : RDU_REST;
 }
 
--- a/src/request/policy/read_duty.h
+++ b/src/request/policy/read_duty.h
@@ -25,6 +25,8 @@
 /* Where news may take longer than usual, so many percent of it count instead: word takes longer to
  * reach a hundred gateways, and all that have not heard it read at once. */
 #define RDU_VOUCHED_PERCENT 60
+/* And no more than so many: the rest is for the turn of the next one, its read, and its word. */
+#define RDU_VOUCHED_MOST_PERCENT 75
 /* While the store can't be read here, a peer is asked for its news after this: it could still
  * come by a read that is just beginning again. */
 #define RDU_ASK_LOST_US (UINT64_C (150) * 1000)
@@ -93,6 +95,7 @@
  * @fresh_us: when the store was heard, by a peer that knew no more than this gateway
  * @behind_us: since when a peer has had more, 0 when none has
  * @ahead_us: when that peer, or whom it has it from, heard the store
+ * @took_us: when it began to read as nobody vouched any more; 0 once a peer has vouched since
  * @large: the peer does not tell the news, as it is large: it is read at the store at once, and
  *   taken from a peer all the same when it has not come by the end of the patience
  */
@@ -101,6 +104,7 @@
   uint64_t fresh_us;
   uint64_t behind_us;
   uint64_t ahead_us;
+  uint64_t took_us;
   bool large;
 } rdu_t;
 
@@ -117,7 +121,7 @@
 uint64_t rdu_known_us (const rdu_t *rdu, const rdu_view_t *view);
 /** rdu_read() - what to read at the store now */
 rdu_read_t
-rdu_read (const rdu_t *rdu, const rdu_stream_t *stream, const rdu_view_t *view, uint64_t now_us);
+rdu_read (rdu_t *rdu, const rdu_stream_t *stream, const rdu_view_t *view, uint64_t now_us);
 /** rdu_asks_peer() - whether to take the stream's news from the peer that has more, now */
 bool rdu_asks_peer (const rdu_t *rdu,
                     const rdu_stream_t *stream,
