--- a/tests/test_overloaded.c
+++ b/tests/test_overloaded.c
@@ -277,7 +277,7 @@
           sent += fleet->sent[tick];
           over += fleet->over[tick];
         }
-      worst = MAX (worst, over * 1000 / sent);
+      worst = MAX (worst, over * 1000 / MAX (sent, 1U));
     }
   return worst;
 }
