Failing test: an older list of a peer brings dropped keys back

After 15 of 22 gateways were killed, others went from registry offset 94 to 96 by a peer's copy and never said that the engine removed at 94 was gone, and one that had said so took it back as ready with the entry of offset 75.

Read in the code and shown by the test: a whole copy of a peer that is behind the own list is applied like a newer one. Keys that the own list had dropped come back, and the offset of the list goes back, so that who asks from here gets no whole copy and misses the drops.

--- a/tests/test_keyed_view.c
+++ b/tests/test_keyed_view.c
@@ -221,6 +221,28 @@
   CU_ASSERT (!asl_same ("", seal));
 }
 
+/* Guards against an engine that is gone being brought back by a peer's whole copy that is older
+ * than the own list, and by those that then take it from here. */
+static void
+test_older_list_brings_nothing_back (void)
+{
+  told_t told = { 0 };
+  g_autoptr (kvw_t) kvw = kvw_new (changed, &told);
+
+  put (kvw, 4, "left", "ready");
+  kvw_list_begin (kvw);
+  put (kvw, 8, "stays", "ready");
+  kvw_list_end (kvw, 10);
+  CU_ASSERT_STRING_EQUAL (value_of (kvw, "left"), "none");
+  kvw_list_begin (kvw);
+  put (kvw, 4, "left", "ready");
+  put (kvw, 8, "stays", "ready");
+  kvw_list_end (kvw, 9);
+  CU_ASSERT_STRING_EQUAL (value_of (kvw, "left"), "none");
+  CU_ASSERT_STRING_EQUAL (value_of (kvw, "stays"), "ready");
+  CU_ASSERT_EQUAL (kvw_listed_offset (kvw), 10);
+}
+
 int
 main (void)
 {
@@ -231,6 +253,7 @@
                                        SUITE_TEST (test_unreadable_value_is_told_as_dropped),
                                        SUITE_TEST (test_other_bodies_are_refused),
                                        SUITE_TEST (test_seal_covers_nonce_kind_and_body),
+                                       SUITE_TEST (test_older_list_brings_nothing_back),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("keyed_view", tests);
