Tests of requests to peers that fail and of reads beside whole copies

A failed request for newer records and a copy that does not count as current delay the read of the store; a read that is answered after a peer's whole copy restores an engine.

--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -9,6 +9,7 @@
 #include "process/gateway_store.h"
 #include "reference_store.h"
 #include "request/policy/lapses.h"
+#include "request/policy/read_policy.h"
 #include "suite.h"
 #include "version/view_share.h"
 
@@ -175,6 +176,8 @@
  * @killed: peers that send nothing any more
  * @next: next offsets that the peers report
  * @store_us: when the store last answered each peer
+ * @peers_listed: peers have listed the store, and send their whole copy
+ * @store_waits: the store's responses are late
  * @lists_fail: the store does not answer lists
  * @reads_fail: the store does not answer reads
  * @removed_us: when e1 was removed at the store, before that the start of the test
@@ -198,6 +201,8 @@
   bool killed[PEERS];
   uint64_t next[PEERS][STREAMS];
   uint64_t store_us[PEERS];
+  bool peers_listed;
+  bool store_waits;
   bool lists_fail;
   bool reads_fail;
   uint64_t removed_us;
@@ -358,17 +363,20 @@
       uint64_t next = gateway->next[peer][i];
       json_t *records = json_array ();
 
-      for (uint64_t offset = own_fetch->from[i]; offset < next; offset++)
+      for (uint64_t offset = gateway->peers_listed ? 0 : own_fetch->from[i]; offset < next;
+           offset++)
         {
           const reference_item_t *item = g_ptr_array_index (gateway->store[i], offset);
+          bool newest = reference_newest (gateway->store[i], item->key, next) == (int64_t)offset;
 
-          json_array_append_new (
-              records, json_pack ("[s, I, s?]", item->key, (json_int_t)offset, item->value));
+          if (!gateway->peers_listed || (item->value && newest))
+            json_array_append_new (
+                records, json_pack ("[s, I, s?]", item->key, (json_int_t)offset, item->value));
         }
       if (next > own_fetch->from[i])
         json_object_set_new (json, stream_names[i],
-                             json_pack ("{s:b, s:I, s:o}", "whole", 0, "next", (json_int_t)next,
-                                        "records", records));
+                             json_pack ("{s:b, s:I, s:o}", "whole", (int)gateway->peers_listed,
+                                        "next", (json_int_t)next, "records", records));
       else
         json_decref (records);
     }
@@ -595,7 +603,8 @@
         exchange_messages (gateway);
       gateway_store_tick (gateway->gateway_store);
       reference_run_timers (gateway->base);
-      answer_store (gateway);
+      if (!gateway->store_waits)
+        answer_store (gateway);
       if (gateway_fetch_is_busy (own_fetch))
         answer_fetch (gateway);
       while ((id = lapses_take_due (gateway->lapses, clock_now_us (&gateway->clock))))
@@ -634,23 +643,47 @@
   gateway_free (gateway);
 }
 
-/* Guards against a wait for the gateway's turn, as if no peer had reported new records, when the
- * request for them has failed: the store is to be read within the patience. */
+#define PATIENCE_MS (DRAIN_MS * GATEWAY_STORE_ENGINES_LAG_PERCENT / 100)
+#define REPORTED_EARLY_MS 300
+
+/* Guards against a gateway that takes its copy for current, after a peer reported newer records and
+ * the request for them failed: the store is to be read within the patience. */
 static void
 test_failed_request_leaves_the_copy_behind (void)
 {
   gateway_t *gateway = gateway_new ();
 
   remove_engine (gateway, "e1");
-  run_to (gateway, REPORTED_MS);
+  run_to (gateway, REPORTED_EARLY_MS);
   read_at_peer (gateway, 0);
   send_message (gateway, 0);
   kill_peers (gateway);
-  run_to (gateway, REPORTED_MS + DRAIN_MS * GATEWAY_STORE_ENGINES_LAG_PERCENT / 100 + STEP_MS);
+  run_to (gateway, REPORTED_EARLY_MS + PATIENCE_MS + STEP_MS);
   CU_ASSERT (!gateway_uses (gateway, "e1"));
   gateway_free (gateway);
 }
 
+/* Guards against a gateway that knows of newer records and waits longer for them when its copy no
+ * longer counts as current than it would if the copy still did. */
+static void
+test_copy_behind_is_not_left_to_its_turn (void)
+{
+  const uint64_t reported_us = START_US + (uint64_t)REPORTED_MS * CLOCK_US_PER_MS;
+  const uint64_t patience_us = (uint64_t)PATIENCE_MS * CLOCK_US_PER_MS;
+  const read_policy_stream_t stream = { .patience_us = patience_us,
+                                        .bound_us = (uint64_t)DRAIN_MS * CLOCK_US_PER_MS };
+  const read_policy_view_t view = { .has_copy = true,
+                                    .earlier_readers = PEERS,
+                                    .reader_count = PEERS + 1 };
+  read_policy_t policy = { 0 };
+
+  read_policy_apply_peer (&policy, START_US, 2, 2, START_US);
+  read_policy_apply_peer (&policy, reported_us, 3, 2, reported_us);
+  CU_ASSERT_EQUAL (read_policy_decide (&policy, &stream, &view, reported_us), READ_POLICY_WAIT);
+  CU_ASSERT_EQUAL (read_policy_decide (&policy, &stream, &view, reported_us + patience_us),
+                   READ_POLICY_READ_ONCE);
+}
+
 /* Guards against requests to an engine later than allowed. One peer reports the removal, and
  * another that it has newer routing rules; the latter is asked for both and has only the rules. The
  * gateway must not count as having the removal. */
@@ -724,6 +757,34 @@
   gateway_free (gateway);
 }
 
+/* Guards against requests to an engine that registered and left while a read was pending, when the
+ * whole copy of a peer arrives before the response. */
+static void
+test_late_read_after_a_whole_copy (void)
+{
+  gateway_t *gateway = gateway_new ();
+  g_autofree char *entry = reference_format_entry (8001);
+  reference_call_t call;
+  uint64_t end;
+
+  gateway->store_waits = true;
+  gateway->peers_listed = true;
+  run_to (gateway, DRAIN_MS + INTERVAL_MS);
+  call = gateway->calls[ENGINES];
+  CU_ASSERT_TRUE_FATAL (call.read_done != NULL);
+  gateway_put (gateway, ENGINES, "e2", entry);
+  end = gateway->store[ENGINES]->len;
+  gateway_put (gateway, ENGINES, "e2", NULL);
+  read_at_peer (gateway, SURVIVOR);
+  send_message (gateway, SURVIVOR);
+  CU_ASSERT_TRUE_FATAL (gateway_fetch_is_busy (own_fetch));
+  answer_fetch (gateway);
+  reference_answer (gateway->store[ENGINES], &call, end, call.max);
+  CU_ASSERT (!gateway_uses (gateway, "e2"));
+  CU_ASSERT (gateway_uses (gateway, "e0"));
+  gateway_free (gateway);
+}
+
 #define BEFORE_REMOVAL_MS 1500 /* from the loss of the followers on */
 
 /* Followers of the store are killed, so nobody reads it for two seconds, in which an engine leaves.
@@ -829,9 +890,11 @@
 {
   static const CU_TestInfo tests[] = { SUITE_TEST (test_peer_is_killed_before_it_is_asked),
                                        SUITE_TEST (test_failed_request_leaves_the_copy_behind),
+                                       SUITE_TEST (test_copy_behind_is_not_left_to_its_turn),
                                        SUITE_TEST (test_copy_without_the_stream_confirms_nothing),
                                        SUITE_TEST (test_copy_with_a_part_confirms_no_more),
                                        SUITE_TEST (test_read_of_a_part_confirms_no_more),
+                                       SUITE_TEST (test_late_read_after_a_whole_copy),
                                        SUITE_TEST (test_lost_followers_are_no_outage),
                                        SUITE_TEST (
                                            test_lost_followers_and_a_failed_read_are_no_outage),
--- a/tests/test_view_orders.c
+++ b/tests/test_view_orders.c
@@ -373,6 +373,30 @@
   host_free (peer);
 }
 
+/* Reads what is left before LEFT_END, if anything: the entries, and removals of @gone between them.
+ */
+static void
+catch_up (host_t *host, const put_t *puts, uint32_t count, const char *gone)
+{
+  g_autoptr (GPtrArray) store = g_ptr_array_new_with_free_func (reference_item_free);
+  g_autofree char *entry = reference_format_entry (8000);
+  reference_call_t call;
+
+  for (uint64_t offset = 0; offset < LEFT_END; offset++)
+    {
+      const char *key = NULL;
+
+      for (uint32_t i = 0; i < count; i++)
+        key = puts[i].offset == offset ? puts[i].key : key;
+      reference_put (store, key ? key : gone, key ? entry : NULL);
+    }
+  if (host_next (host) == LEFT_END)
+    return;
+  host_start_call (host);
+  call = take_call (host);
+  reference_answer (store, &call, LEFT_END, UINT32_MAX);
+}
+
 /* Guards against requests to a leaving engine when a peer's full copy from before its removal
  * arrives between two pages of the list that lacks it. */
 static void
@@ -380,6 +404,7 @@
 {
   static const put_t first_page = { "e0", 0 };
   static const put_t last_page = { "e2", 4 };
+  static const put_t all[] = { { "e0", 0 }, { "e1", 1 }, { "e2", 4 } };
   host_t *peer = host_listed (before_leaving, 2, 2);
   host_t *host = host_listed (before_leaving, 1, 1);
   g_autofree char *copy = format_copy (peer, host_next (host));
@@ -389,6 +414,7 @@
   answer_page (host, &first_page, 1, LEFT_END, true);
   apply_copy (host, copy);
   answer_page (host, &last_page, 1, LEFT_END, false);
+  catch_up (host, all, G_N_ELEMENTS (all), "e1");
   CU_ASSERT_EQUAL (host_next (host), LEFT_END);
   CU_ASSERT (host_uses (host, "e2"));
   CU_ASSERT (!host_uses (host, "e1"));
@@ -403,6 +429,7 @@
 {
   static const put_t first_page = { "e0", 4 };
   static const put_t last_page = { "e2", 1 };
+  static const put_t all[] = { { "e2", 1 }, { "e0", 4 } };
   host_t *peer = host_listed (&last_page, 1, 2);
   host_t *host = host_listed (NULL, 0, 1);
   g_autofree char *copy = format_copy (peer, host_next (host));
@@ -413,6 +440,7 @@
   apply_copy (host, copy);
   CU_ASSERT (host_uses (host, "e0"));
   answer_page (host, &last_page, 1, LEFT_END, false);
+  catch_up (host, all, G_N_ELEMENTS (all), "e3");
   CU_ASSERT_EQUAL (host_next (host), LEFT_END);
   CU_ASSERT (host_uses (host, "e0"));
   CU_ASSERT (host_uses (host, "e2"));
