An engine that left is no longer restored by an older copy or listing

Cause: a listing deletes keys without tombstones, and what arrived after it was not compared with its offset. A gateway that starts waits 60 ms for a peer's whole copy and then lists the store as well; the list ended at 96, after the removal at 94, and the copy as of 94 arrived 0.3 s later. Its records were taken for new ones, and the offset of the listing went from 96 back to 94, so that the gateway answered others "from 94" without the removal.

Change: a view rejects a record from before its listing for a key it does not have, and a listing that is not newer deletes nothing and sets nothing back. Copies that are not newer are ignored; they are checked before the first record is applied. The pages of a list are listed together after the last one and dropped when a copy overtakes them, as a copy between two pages dropped live engines or kept deleted ones. New: stream_listed, and the offsets of a copy in view_from_peer.

--- a/src/connection/stream_follower.c
+++ b/src/connection/stream_follower.c
@@ -12,6 +12,8 @@
  * @suspended: no call may start
  * @listing: the next call requests a page of the list
  * @has_listed: see stream_follower_has_listed()
+ * @listed: records of the pages so far; NULL before the first page. They are listed in the view
+ * after the last page only, as the view may get other records between two pages
  * @last_listed_key: last key of the previous page, NULL for the first page
  * @list_end_offset: end of the stream when the first page was made
  * @next_offset: offset to read from
@@ -31,6 +33,7 @@
   bool suspended;
   bool listing;
   bool has_listed;
+  keyed_view_t *listed;
   char *last_listed_key;
   uint64_t list_end_offset;
   uint64_t next_offset;
@@ -73,9 +76,16 @@
 }
 
 static void
-reset_listing (stream_follower_t *follower)
+clear_pages (stream_follower_t *follower)
 {
+  g_clear_pointer (&follower->listed, keyed_view_free);
   g_clear_pointer (&follower->last_listed_key, g_free);
+}
+
+static void
+reset_listing (stream_follower_t *follower)
+{
+  clear_pages (follower);
   follower->listing = true;
 }
 
@@ -129,13 +139,67 @@
 }
 
 static void
-apply_records (stream_follower_t *follower, const platform_record_t *records, uint32_t count)
+apply_records (keyed_view_t *view, const platform_record_t *records, uint32_t count)
 {
   for (uint32_t i = 0; i < count; i++)
-    keyed_view_apply (follower->options.view, records[i].offset, records[i].key, records[i].data,
+    keyed_view_apply (view, records[i].offset, records[i].key, records[i].data,
                       records[i].data_bytes);
 }
 
+static void
+ignore_change (
+    const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+{
+  (void)key;
+  (void)value;
+  (void)value_bytes;
+  (void)offset;
+  (void)context;
+}
+
+static void
+apply_listed (
+    const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+{
+  stream_follower_t *follower = context;
+
+  keyed_view_apply (follower->options.view, offset, key, value, value_bytes);
+}
+
+static void
+add_page (stream_follower_t *follower, const platform_newest_t *newest)
+{
+  if (!follower->listed)
+    {
+      follower->listed = keyed_view_new (ignore_change, NULL);
+      follower->list_end_offset = newest->end_offset;
+    }
+  apply_records (follower->listed, newest->records, newest->record_count);
+  apply_records (follower->options.view, newest->records, newest->record_count);
+}
+
+static void
+apply_listing (stream_follower_t *follower)
+{
+  keyed_view_list_begin (follower->options.view);
+  keyed_view_visit_since (follower->listed, 0, apply_listed, follower);
+  keyed_view_list_end (follower->options.view, follower->list_end_offset);
+  clear_pages (follower);
+  follower->listing = false;
+  follower->catching_up = false;
+  follower->has_listed = true;
+  follower->next_offset = MAX (follower->next_offset, follower->list_end_offset);
+  log_event (LOG_LEVEL_NOTICE, "stream_listed", "stream", follower->options.stream, "end_offset",
+             LOG_U64 (follower->list_end_offset), NULL);
+  follower->options.on_event (STREAM_FOLLOWER_LISTED, follower->options.context);
+}
+
+static void
+schedule_after_listing (stream_follower_t *follower)
+{
+  schedule_in (follower, (uint64_t)STREAM_FOLLOWER_READ_INTERVAL_MIN_MS * CLOCK_US_PER_MS);
+}
+
 static void
 on_page (const platform_newest_t *newest, void *context)
 {
@@ -148,12 +212,12 @@
       return;
     }
   handle_success (follower);
-  if (!follower->last_listed_key)
+  if (!follower->listing)
     {
-      keyed_view_list_begin (follower->options.view);
-      follower->list_end_offset = newest->end_offset;
+      schedule_after_listing (follower);
+      return;
     }
-  apply_records (follower, newest->records, newest->record_count);
+  add_page (follower, newest);
   if (newest->more)
     {
       g_free (follower->last_listed_key);
@@ -161,14 +225,8 @@
       schedule_in (follower, 0);
       return;
     }
-  keyed_view_list_end (follower->options.view, follower->list_end_offset);
-  follower->listing = false;
-  follower->catching_up = false;
-  follower->has_listed = true;
-  follower->next_offset = MAX (follower->next_offset, follower->list_end_offset);
-  g_clear_pointer (&follower->last_listed_key, g_free);
-  follower->options.on_event (STREAM_FOLLOWER_LISTED, follower->options.context);
-  schedule_in (follower, (uint64_t)STREAM_FOLLOWER_READ_INTERVAL_MIN_MS * CLOCK_US_PER_MS);
+  apply_listing (follower);
+  schedule_after_listing (follower);
 }
 
 /*
@@ -207,7 +265,7 @@
       return;
     }
   handle_success (follower);
-  apply_records (follower, read->records, read->record_count);
+  apply_records (follower->options.view, read->records, read->record_count);
   follower->next_offset = MAX (follower->next_offset, read->next_offset);
   follower->catching_up = follower->next_offset < read->end_offset && follower->catching_up;
   if (follower->options.latest_only && follower->next_offset + 1 < read->end_offset)
@@ -315,7 +373,7 @@
 {
   event_free (follower->timer);
   g_rand_free (follower->rand);
-  g_free (follower->last_listed_key);
+  clear_pages (follower);
   g_free (follower);
 }
 
@@ -325,12 +383,14 @@
   return follower->next_offset;
 }
 
-/* The response to a pending list or read may hold older records, which the view ignores. */
+/* A pending page is ignored once it arrives. A pending read may hold older records, which the view
+ * ignores. */
 void
 stream_follower_advance (stream_follower_t *follower, uint64_t next_offset)
 {
   if (next_offset <= follower->next_offset)
     return;
+  clear_pages (follower);
   follower->next_offset = next_offset;
   follower->suspended = false;
   follower->listing = false;
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -37,6 +37,7 @@
  *   before the registry was read for the first time
  * @applying_copy: the records being applied come from a peer's copy
  * @copy_unsettled: that peer reported that removed keys may still be restored
+ * @copied_engines: what the last copy had of the engine registry
  * @entry_written: the gateway registry has this gateway's entry
  * @entry_retry_us: earliest time of the next attempt to write that entry
  */
@@ -57,6 +58,7 @@
   bool store_lost;
   bool applying_copy;
   bool copy_unsettled;
+  view_share_copy_t copied_engines;
   bool entry_written;
   uint64_t entry_retry_us;
   counter_t *fetch_count;
@@ -337,6 +339,7 @@
   fill_streams (store, streams);
   store->applying_copy = true;
   store->copy_unsettled = !answer->deletions_confirmed;
+  store->copied_engines = view_share_describe (answer, PLATFORM_STREAM_ENGINES);
   for (uint32_t i = 0; i < STREAM_COUNT; i++)
     stream_follower_advance (store->followers[i], view_share_apply (answer, &streams[i]));
   store->applying_copy = false;
@@ -377,14 +380,21 @@
     }
 }
 
+/* @engines_from: offset up to which this gateway had the registry before */
 static void
-log_fetch (const gateway_store_t *store, const gateway_fetch_result_t *result, const char *reason)
+log_fetch (const gateway_store_t *store,
+           const gateway_fetch_result_t *result,
+           uint64_t engines_from,
+           const char *reason)
 {
   g_autofree char *peer = address_to_text (result->peer);
 
   log_event (LOG_LEVEL_NOTICE, "view_from_peer", "peer", peer, "outcome",
              reason ? "not_taken" : "taken", "reason", reason, "version",
-             LOG_U64 (store->options.get_version (store->options.context)), "engines_next",
+             LOG_U64 (store->options.get_version (store->options.context)), "engines_from",
+             LOG_U64 (engines_from), "engines_sent",
+             LOG_U64 (reason ? 0 : store->copied_engines.next_offset), "engines_whole",
+             !reason && store->copied_engines.whole ? "yes" : "no", "engines_next",
              LOG_U64 (stream_follower_next_offset (store->followers[STREAM_ENGINES])), NULL);
 }
 
@@ -432,9 +442,10 @@
 on_fetched (const gateway_fetch_result_t *result, void *context)
 {
   gateway_store_t *store = context;
+  uint64_t engines_from = stream_follower_next_offset (store->followers[STREAM_ENGINES]);
   const char *reason = apply_result (store, result);
 
-  log_fetch (store, result, reason);
+  log_fetch (store, result, engines_from, reason);
   if (store->fetching_all)
     {
       store->fetching_all = false;
--- a/src/version/keyed_view.c
+++ b/src/version/keyed_view.c
@@ -80,6 +80,9 @@
   entry_t *entry = g_hash_table_lookup (view->entries, key);
   bool exists = entry != NULL;
 
+  /* The last listing had no such key, so the record was deleted before that listing. */
+  if (!exists && offset < view->listed_offset)
+    return false;
   if (!exists)
     {
       entry = g_new0 (entry_t, 1);
@@ -100,8 +103,8 @@
   view->list_number++;
 }
 
-/* Also discards the tombstones from before the listing: readers continue from its end, so that no
- * older record follows. */
+/* Also discards the tombstones from before the listing: keyed_view_apply() rejects the older
+ * records of keys that it does not know. */
 void
 keyed_view_list_end (keyed_view_t *view, uint64_t end_offset)
 {
@@ -109,6 +112,8 @@
   gpointer key;
   gpointer value;
 
+  if (end_offset <= view->listed_offset)
+    return;
   view->listed_offset = end_offset;
   view->revision++;
   g_hash_table_iter_init (&iter, view->entries);
--- a/src/version/view_share.c
+++ b/src/version/view_share.c
@@ -77,40 +77,95 @@
   return json_is_boolean (settled);
 }
 
-static bool
-apply_record (keyed_view_t *view, json_t *record)
+/**
+ * struct record - a record of a peer's answer
+ * @value: NULL when the key was deleted
+ */
+typedef struct
 {
   const char *key;
+  const char *value;
+  size_t value_bytes;
+  uint64_t offset;
+} record_t;
+
+/* Return: false when the record is malformed */
+static bool
+parse_record (json_t *json, record_t *record)
+{
   json_int_t offset;
   json_t *value;
 
-  if (json_unpack (record, "[s, I, o]", &key, &offset, &value) != 0 || offset < 0)
+  if (json_unpack (json, "[s, I, o]", &record->key, &offset, &value) != 0 || offset < 0)
     return false;
   if (!json_is_string (value) && !json_is_null (value))
     return false;
-  keyed_view_apply (view, (uint64_t)offset, key, json_string_value (value),
-                    json_string_length (value));
+  record->offset = (uint64_t)offset;
+  record->value = json_string_value (value);
+  record->value_bytes = json_string_length (value);
   return true;
 }
 
+/* Return: NULL when one of the records is malformed */
+static GArray *
+parse_records (const json_t *json)
+{
+  GArray *records = g_array_new (FALSE, FALSE, sizeof (record_t));
+  record_t record;
+
+  for (size_t i = 0; i < json_array_size (json); i++)
+    {
+      if (!parse_record (json_array_get (json, i), &record))
+        {
+          g_array_free (records, TRUE);
+          return NULL;
+        }
+      g_array_append_val (records, record);
+    }
+  return records;
+}
+
+static void
+apply_records (keyed_view_t *view, const GArray *records)
+{
+  for (guint i = 0; i < records->len; i++)
+    {
+      const record_t *record = &g_array_index (records, record_t, i);
+
+      keyed_view_apply (view, record->offset, record->key, record->value, record->value_bytes);
+    }
+}
+
+view_share_copy_t
+view_share_describe (const view_share_answer_t *answer, const char *stream)
+{
+  const json_t *json = json_object_get (answer->json, stream);
+  json_int_t next = json_integer_value (json_object_get (json, "next"));
+
+  if (!json_is_array (json_object_get (json, "records")) || next <= 0)
+    return (view_share_copy_t){ 0 };
+  return (view_share_copy_t){ .next_offset = (uint64_t)next,
+                              .whole = json_is_true (json_object_get (json, "whole")) };
+}
+
 uint64_t
 view_share_apply (const view_share_answer_t *answer, const view_share_stream_t *stream)
 {
-  json_t *stream_json = json_object_get (answer->json, stream->name);
-  json_int_t next = json_integer_value (json_object_get (stream_json, "next"));
-  json_t *records = json_object_get (stream_json, "records");
-  bool full_listing = json_is_true (json_object_get (stream_json, "whole"));
+  view_share_copy_t copy = view_share_describe (answer, stream->name);
+  g_autoptr (GArray) records = NULL;
 
-  if (!json_is_array (records) || next <= 0)
+  if (copy.next_offset <= stream->next_offset)
+    return 0;
+  records =
+      parse_records (json_object_get (json_object_get (answer->json, stream->name), "records"));
+  if (!records)
     return 0;
-  if (full_listing)
+  if (copy.whole)
     keyed_view_list_begin (stream->view);
-  for (size_t i = 0; i < json_array_size (records); i++)
-    if (!apply_record (stream->view, json_array_get (records, i)))
-      return 0;
-  if (full_listing)
-    keyed_view_list_end (stream->view, (uint64_t)next);
-  return (uint64_t)next;
+  apply_records (stream->view, records);
+  if (copy.whole)
+    keyed_view_list_end (stream->view, copy.next_offset);
+  return copy.next_offset;
 }
 
 bool
--- a/src/version/view_share.h
+++ b/src/version/view_share.h
@@ -59,9 +59,29 @@
 /** view_share_parse() - parse a response; view_share_clear() must follow in any case. Return: false
  * when @body was not formatted by view_share_format() */
 bool view_share_parse (view_share_answer_t *answer, const char *body, size_t body_bytes);
-/** view_share_apply() - apply the records of @stream in a response to its view. Return: the offset
- * before which the view is now complete; 0 when the response has no valid records of the stream */
+/**
+ * view_share_apply() - apply the records of @stream in a response to its view
+ *
+ * Applies all of them or none: none when one is malformed, or when the response is not newer than
+ * the view, which may have been read further since the request.
+ *
+ * Return: the offset before which the view is now complete; 0 when nothing was applied
+ */
 uint64_t view_share_apply (const view_share_answer_t *answer, const view_share_stream_t *stream);
+
+/**
+ * struct view_share_copy - what a response has of a stream; all zero for nothing
+ * @next_offset: the sender had all records before this offset
+ * @whole: the records of all keys and not only the new records
+ */
+typedef struct
+{
+  uint64_t next_offset;
+  bool whole;
+} view_share_copy_t;
+
+/** view_share_describe() - what the response has of @stream */
+view_share_copy_t view_share_describe (const view_share_answer_t *answer, const char *stream);
 /** view_share_is_large() - whether the response lacks the records of @stream because they exceed
  * the size limit of the peer; the requester has to read them from the store */
 bool view_share_is_large (const view_share_answer_t *answer, const char *stream);
