A copy counts as current only once it reaches the offset that was reported

Callers saw (in tests that force the order of messages, not in a play): an engine got requests until 3.9 s after it left, where 3 s are allowed.

Cause: that a gateway lacks records was one flag, which any readable copy, any record and a failed request reset, and the copy then counted as current as of the latest report of any peer. A peer that was asked and had only the routing rules, or a part of the records, thereby "confirmed" the removal it did not have; other gateways with the same offset took that over and rested as well.

Change: a report keeps its offset; it confirms the copy, and the gateway is no longer behind, once that is reached, or once a read that began later has brought all that the store has. An answer of the store that leaves records missing is contact and no confirmation. A gateway that knows of new records reads the store after its patience without waiting for its turn.

Stays listed: the first read after the loss of all followers fails, and the time in which nobody read counts as an outage.

--- a/src/connection/stream_follower.c
+++ b/src/connection/stream_follower.c
@@ -20,6 +20,8 @@
  * @started_us: start of the last call; 0 before the first
  * @due_us: earliest start of the next call
  * @last_answer_us: time of the last successful response; 0 before the first
+ * @listed_as_of_us: time of the response with the first page
+ * @current_as_of_us: see stream_follower_current_as_of_us()
  * @backoff_ms: 0 while calls succeed
  * @catching_up: set by the first failure, until all that was written meanwhile has been read
  */
@@ -40,6 +42,8 @@
   uint64_t started_us;
   uint64_t due_us;
   uint64_t last_answer_us;
+  uint64_t listed_as_of_us;
+  uint64_t current_as_of_us;
   uint32_t backoff_ms;
   bool catching_up;
   counter_t *list_count;
@@ -173,6 +177,7 @@
     {
       follower->listed = keyed_view_new (ignore_change, NULL);
       follower->list_end_offset = newest->end_offset;
+      follower->listed_as_of_us = follower->last_answer_us;
     }
   apply_records (follower->listed, newest->records, newest->record_count);
   apply_records (follower->options.view, newest->records, newest->record_count);
@@ -189,6 +194,7 @@
   follower->catching_up = false;
   follower->has_listed = true;
   follower->next_offset = MAX (follower->next_offset, follower->list_end_offset);
+  follower->current_as_of_us = follower->listed_as_of_us;
   log_event (LOG_LEVEL_NOTICE, "stream_listed", "stream", follower->options.stream, "end_offset",
              LOG_U64 (follower->list_end_offset), NULL);
   follower->options.on_event (STREAM_FOLLOWER_LISTED, follower->options.context);
@@ -267,6 +273,8 @@
   handle_success (follower);
   apply_records (follower->options.view, read->records, read->record_count);
   follower->next_offset = MAX (follower->next_offset, read->next_offset);
+  if (follower->next_offset >= read->end_offset)
+    follower->current_as_of_us = follower->last_answer_us;
   follower->catching_up = follower->next_offset < read->end_offset && follower->catching_up;
   if (follower->options.latest_only && follower->next_offset + 1 < read->end_offset)
     {
@@ -448,3 +456,9 @@
 {
   return follower->last_answer_us;
 }
+
+uint64_t
+stream_follower_current_as_of_us (const stream_follower_t *follower)
+{
+  return follower->current_as_of_us;
+}
--- a/src/connection/stream_follower.h
+++ b/src/connection/stream_follower.h
@@ -102,5 +102,8 @@
 uint64_t stream_follower_last_call_us (const stream_follower_t *follower);
 /** stream_follower_last_answer_us() - time of the last successful response; 0 before the first */
 uint64_t stream_follower_last_answer_us (const stream_follower_t *follower);
+/** stream_follower_current_as_of_us() - time of the last response after which the view had all that
+ * the platform had then; 0 for never. A response that brings only a part does not count */
+uint64_t stream_follower_current_as_of_us (const stream_follower_t *follower);
 
 #endif
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -71,20 +71,11 @@
   return clock_now_us (store->options.clock);
 }
 
-/* Records of a peer's copy are accounted for once the whole copy has been applied. */
-static void
-mark_caught_up (gateway_store_t *store, uint32_t stream)
-{
-  if (!store->applying_copy)
-    read_policy_caught_up (&store->policies[stream], false);
-}
-
 static void
 on_routing (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
 {
   gateway_store_t *store = context;
 
-  mark_caught_up (store, STREAM_ROUTING);
   if (g_str_has_prefix (key, PLATFORM_KEY_DRAIN_PREFIX))
     store->options.on_drain (key + strlen (PLATFORM_KEY_DRAIN_PREFIX), value != NULL, offset,
                              store->options.context);
@@ -132,7 +123,6 @@
   gateway_store_t *store = context;
 
   record_store_contact (store);
-  mark_caught_up (store, STREAM_ENGINES);
   store->options.on_engine (key, value, value_bytes, offset, may_have_lapsed (store),
                             store->options.context);
 }
@@ -144,7 +134,6 @@
 
   (void)value_bytes;
   (void)offset;
-  mark_caught_up (store, STREAM_ROUTERS);
   gateway_peers_put (store->peers, key, value);
 }
 
@@ -173,7 +162,7 @@
     .has_no_peers = gateway_peers_is_isolated (store->peers),
     .earlier_readers = gateways_before,
     .reader_count = gateway_peers_count_running (store->peers),
-    .answered_us = stream_follower_last_answer_us (follower),
+    .answered_us = stream_follower_current_as_of_us (follower),
     .read_started_us = stream_follower_last_call_us (follower)
   };
 }
@@ -196,8 +185,11 @@
 {
   read_policy_stream_t limits = policy_stream (store, stream);
   read_policy_view_t view = policy_view (store, stream);
-  read_policy_action_t action =
-      read_policy_decide (&store->policies[stream], &limits, &view, now_us (store));
+  read_policy_action_t action;
+
+  read_policy_update (&store->policies[stream], &view,
+                      stream_follower_next_offset (store->followers[stream]));
+  action = read_policy_decide (&store->policies[stream], &limits, &view, now_us (store));
 
   stream_follower_set_on_demand (store->followers[stream], action != READ_POLICY_FOLLOW);
   if (action == READ_POLICY_READ_ONCE)
@@ -371,10 +363,13 @@
 {
   for (uint32_t i = 0; i < STREAM_COUNT; i++)
     {
+      read_policy_view_t view = policy_view (store, i);
+
       if (!store->fetching[i])
         continue;
       if (applied)
-        read_policy_caught_up (&store->policies[i], true);
+        read_policy_fetch_ended (&store->policies[i], &view,
+                                 stream_follower_next_offset (store->followers[i]));
       else
         read_policy_fetch_failed (&store->policies[i]);
     }
@@ -533,7 +528,9 @@
     return;
   fill_streams (store, streams);
   for (uint32_t i = 0; i < STREAM_COUNT; i++)
-    if (!store->fetching[i])
+    if (store->fetching[i])
+      read_policy_fetch_started (&store->policies[i], now_us (store));
+    else
       streams[i].next_offset = UINT64_MAX; /* no record is newer, so none is sent */
   store->next_fetch_us =
       now_us (store) + (uint64_t)GATEWAY_STORE_FETCH_INTERVAL_MS * CLOCK_US_PER_MS;
--- a/src/request/policy/read_policy.c
+++ b/src/request/policy/read_policy.c
@@ -13,30 +13,93 @@
     read_policy->current_as_of_us = MAX (read_policy->current_as_of_us, store_us);
   if (theirs <= ours)
     return;
-  read_policy->ahead_as_of_us = MAX (read_policy->ahead_as_of_us, store_us);
+  read_policy->ahead.next_offset = MAX (read_policy->ahead.next_offset, theirs);
+  read_policy->ahead.store_us = MAX (read_policy->ahead.store_us, store_us);
+  read_policy->reported_us = now_us;
+  read_policy->fetch_due = true;
   if (read_policy->behind_since_us == 0)
     read_policy->behind_since_us = now_us;
 }
 
+static void
+confirm (read_policy_t *read_policy, const read_policy_report_t *report)
+{
+  read_policy->current_as_of_us = MAX (read_policy->current_as_of_us, report->store_us);
+}
+
 /* While new records come quickly, peers always have a higher offset and never the same one. So what
  * the peer confirms counts once its copy has been applied. */
 void
 read_policy_caught_up (read_policy_t *read_policy, bool of_peer)
 {
   if (of_peer)
-    read_policy->current_as_of_us =
-        MAX (read_policy->current_as_of_us, read_policy->ahead_as_of_us);
-  read_policy_fetch_failed (read_policy);
+    confirm (read_policy, &read_policy->ahead);
+  read_policy->ahead = (read_policy_report_t){ 0 };
+  read_policy->fetched = (read_policy_report_t){ 0 };
+  read_policy->behind_since_us = 0;
+  read_policy->fetch_due = false;
+  read_policy->new_records_too_large = false;
+}
+
+void
+read_policy_fetch_started (read_policy_t *read_policy, uint64_t now_us)
+{
+  read_policy->fetched = read_policy->ahead;
+  read_policy->fetch_started_us = now_us;
 }
 
 void
 read_policy_fetch_failed (read_policy_t *read_policy)
 {
-  read_policy->behind_since_us = 0;
-  read_policy->ahead_as_of_us = 0;
+  read_policy->fetched = (read_policy_report_t){ 0 };
+  read_policy->fetch_due = false;
   read_policy->new_records_too_large = false;
 }
 
+static bool
+lacks_fetched (const read_policy_t *read_policy, uint64_t ours)
+{
+  return read_policy->fetched.next_offset > ours;
+}
+
+void
+read_policy_fetch_ended (read_policy_t *read_policy, const read_policy_view_t *view, uint64_t ours)
+{
+  read_policy_update (read_policy, view, ours);
+  if (lacks_fetched (read_policy, ours))
+    read_policy_fetch_failed (read_policy);
+}
+
+/* What was reported before @at_us is no longer missing. */
+static void
+forget_reports_before (read_policy_t *read_policy, uint64_t at_us)
+{
+  if (read_policy->reported_us <= at_us)
+    read_policy_caught_up (read_policy, false);
+  else
+    read_policy->behind_since_us = MAX (read_policy->behind_since_us, at_us);
+}
+
+void
+read_policy_update (read_policy_t *read_policy, const read_policy_view_t *view, uint64_t ours)
+{
+  if (read_policy->behind_since_us == 0)
+    return;
+  if (ours >= read_policy->ahead.next_offset)
+    {
+      read_policy_caught_up (read_policy, true);
+      return;
+    }
+  if (read_policy->fetched.next_offset != 0 && !lacks_fetched (read_policy, ours))
+    {
+      confirm (read_policy, &read_policy->fetched);
+      read_policy->fetched = (read_policy_report_t){ 0 };
+      forget_reports_before (read_policy, read_policy->fetch_started_us);
+    }
+  if (view->answered_us >= view->read_started_us && view->read_started_us != 0)
+    forget_reports_before (read_policy, view->read_started_us);
+}
+
 void
 read_policy_fetch_too_large (read_policy_t *read_policy)
 {
@@ -96,7 +159,7 @@
  * The followers may be lost for a long time, and a gateway that reads in its turn may be the only
  * one that reaches the store. If it stopped until its copy is out of date again, new records would
  * exceed their bound. So it acts as a follower until a peer has a later answer of the store than
- * its own.
+ * its own. One that knows of new records does not wait for its turn: those that lack them are few.
  */
 read_policy_action_t
 read_policy_decide (read_policy_t *read_policy,
@@ -105,6 +168,7 @@
                     uint64_t now_us)
 {
   uint64_t until_us = current_until_us (read_policy, stream, view);
+  uint64_t patience_us = read_policy->new_records_too_large ? 0 : stream->patience_us;
 
   if (view->is_follower || !view->has_copy)
     return READ_POLICY_FOLLOW;
@@ -114,6 +178,8 @@
     return READ_POLICY_FOLLOW;
   if (now_us >= until_us && view->has_no_peers)
     return READ_POLICY_FOLLOW;
+  if (!view->store_call_failed && has_been_behind_for (read_policy, now_us, patience_us))
+    return READ_POLICY_READ_ONCE;
   if (now_us >= until_us && !has_turn (view, until_us, now_us))
     return READ_POLICY_WAIT;
   if (now_us >= until_us)
@@ -122,10 +188,8 @@
           read_policy->reading_since_us != 0 ? read_policy->reading_since_us : now_us;
       return READ_POLICY_READ_ONCE;
     }
-  return has_been_behind_for (read_policy, now_us,
-                              read_policy->new_records_too_large ? 0 : stream->patience_us)
-             ? READ_POLICY_READ_ONCE
-             : READ_POLICY_WAIT;
+  return has_been_behind_for (read_policy, now_us, patience_us) ? READ_POLICY_READ_ONCE
+                                                                : READ_POLICY_WAIT;
 }
 
 bool
@@ -140,7 +204,7 @@
     patience_us = stream->patience_us;
   if (view->store_call_failed)
     patience_us = MIN (patience_us, READ_POLICY_ASK_PEER_US);
-  return has_been_behind_for (read_policy, now_us, patience_us);
+  return read_policy->fetch_due && has_been_behind_for (read_policy, now_us, patience_us);
 }
 
 bool
--- a/src/request/policy/read_policy.h
+++ b/src/request/policy/read_policy.h
@@ -81,7 +81,8 @@
  * @has_no_peers: no message of a peer came lately, so none can confirm the copy
  * @earlier_readers: gateways whose turn to read comes earlier in a round
  * @reader_count: gateways that read in a round
- * @answered_us: when the store last answered a read of this gateway; 0 for never
+ * @answered_us: when the store last answered a read of this gateway that left none of its records
+ *   missing; 0 for never
  * @read_started_us: when this gateway's last read began; 0 for never
  */
 typedef struct
@@ -96,12 +97,26 @@
   uint64_t read_started_us;
 } read_policy_view_t;
 
+/**
+ * struct read_policy_report - what peers with higher offsets reported: all records that the store
+ * had at @store_us are before @next_offset; all zero for nothing
+ */
+typedef struct
+{
+  uint64_t next_offset;
+  uint64_t store_us;
+} read_policy_report_t;
+
 /**
  * struct read_policy - state of one stream; all zero at the start
  * @current_as_of_us: when the store answered the peer that confirmed this gateway's copy, or the
  *   one from which that peer has it; 0 for never
  * @behind_since_us: since when a peer has had a higher offset; 0 when none has
- * @ahead_as_of_us: when the store answered that peer, or the one from which it has the records
+ * @ahead: highest offset and latest answer of the store of such peers
+ * @reported_us: when the last of them reported
+ * @fetched: @ahead when the fetch in progress began; all zero once it has brought that
+ * @fetch_started_us: when that fetch began
+ * @fetch_due: a peer has reported a higher offset since the last failed fetch
  * @reading_since_us: when the gateway began to read because no peer confirmed its copy; 0
  *   once one does
  * @new_records_too_large: the peer declined to send the new records because they are large. They
@@ -112,7 +127,11 @@
 {
   uint64_t current_as_of_us;
   uint64_t behind_since_us;
-  uint64_t ahead_as_of_us;
+  read_policy_report_t ahead;
+  uint64_t reported_us;
+  read_policy_report_t fetched;
+  uint64_t fetch_started_us;
+  bool fetch_due;
   uint64_t reading_since_us;
   bool new_records_too_large;
 } read_policy_t;
@@ -128,8 +147,23 @@
     read_policy_t *read_policy, uint64_t now_us, uint64_t theirs, uint64_t ours, uint64_t store_us);
 /** read_policy_caught_up() - the new records came; @of_peer: from the peer, all that it had */
 void read_policy_caught_up (read_policy_t *read_policy, bool of_peer);
-/** read_policy_fetch_failed() - the fetch from the peer failed; its next message starts another */
+/** read_policy_fetch_started() - a fetch from a peer begins */
+void read_policy_fetch_started (read_policy_t *read_policy, uint64_t now_us);
+/** read_policy_fetch_failed() - the fetch from the peer failed; its next message starts another.
+ * The new records are still missing, so they are read from the store after the patience */
 void read_policy_fetch_failed (read_policy_t *read_policy);
+/** read_policy_fetch_ended() - the peer's copy was applied; it may lack the new records, which then
+ * counts as a failed fetch. For @ours, see read_policy_update() */
+void
+read_policy_fetch_ended (read_policy_t *read_policy, const read_policy_view_t *view, uint64_t ours);
+/**
+ * read_policy_update() - applies how far this gateway has the stream now
+ * @ours: offset up to which it has it
+ *
+ * New records count as missing until @ours reaches the reported offset, or until a read that began
+ * after the report has brought all that the store has.
+ */
+void read_policy_update (read_policy_t *read_policy, const read_policy_view_t *view, uint64_t ours);
 /** read_policy_fetch_too_large() - the peer declined the fetch: the new records are to be read from
  * the store */
 void read_policy_fetch_too_large (read_policy_t *read_policy);
