A newer list restores what an older copy lacked

Callers would see: a live engine or gateway that a peer's whole copy lacked (a peer of the version before can lose one between two pages) stayed unknown until its entry was written again, though the store listed it.

Change: such a record of a listing counts once the listing ends, if it is newer than the last one. Found by review. Failed before: test_newer_list_restores_what_a_copy_lacked.

--- a/src/version/keyed_view.c
+++ b/src/version/keyed_view.c
@@ -8,6 +8,8 @@
  * @value: NULL when the key was deleted; the entry stays as a tombstone, so that an older record
  *   that arrives late does not restore the key
  * @list_number: number of the listing during which the key was last seen
+ * @unconfirmed: the listing in progress has the key, but the last one did not; holds if the one in
+ *   progress is newer
  */
 typedef struct
 {
@@ -15,6 +17,7 @@
   char *value;
   size_t value_bytes;
   uint64_t list_number;
+  bool unconfirmed;
 } entry_t;
 
 struct view
@@ -22,6 +25,7 @@
   keyed_view_visit_t changed;
   void *context;
   GHashTable *entries; /* key -> entry_t */
+  bool listing;
   uint64_t list_number;
   uint64_t listed_offset;
   uint64_t revision;
@@ -81,17 +85,21 @@
   bool exists = entry != NULL;
 
   /* The last listing had no such key, so the record was deleted before that listing. */
-  if (!exists && offset < view->listed_offset)
+  if (!exists && offset < view->listed_offset && !view->listing)
     return false;
   if (!exists)
     {
       entry = g_new0 (entry_t, 1);
+      entry->unconfirmed = offset < view->listed_offset;
       g_hash_table_insert (view->entries, g_strdup (key), entry);
     }
   entry->list_number = view->list_number;
   if (exists && entry->offset >= offset)
     return false;
   entry_set (entry, offset, value, value_bytes);
+  if (entry->unconfirmed && offset < view->listed_offset)
+    return false;
+  entry->unconfirmed = false;
   view->revision++;
   view->changed (key, entry->value, entry->value_bytes, offset, view->context);
   return true;
@@ -101,6 +109,23 @@
 keyed_view_list_begin (keyed_view_t *view)
 {
   view->list_number++;
+  view->listing = true;
+}
+
+static gboolean
+remove_unconfirmed (gpointer key, gpointer value, gpointer context)
+{
+  (void)key;
+  (void)context;
+  return ((const entry_t *)value)->unconfirmed;
+}
+
+static void
+confirm (keyed_view_t *view, const char *key, entry_t *entry)
+{
+  entry->unconfirmed = false;
+  if (entry->value)
+    view->changed (key, entry->value, entry->value_bytes, entry->offset, view->context);
 }
 
 /* Also discards the tombstones from before the listing: keyed_view_apply() rejects the older
@@ -112,8 +137,12 @@
   gpointer key;
   gpointer value;
 
+  view->listing = false;
   if (end_offset <= view->listed_offset)
-    return;
+    {
+      g_hash_table_foreach_remove (view->entries, remove_unconfirmed, NULL);
+      return;
+    }
   view->listed_offset = end_offset;
   view->revision++;
   g_hash_table_iter_init (&iter, view->entries);
@@ -121,6 +150,8 @@
     {
       entry_t *entry = value;
 
+      if (entry->unconfirmed)
+        confirm (view, key, entry);
       if (entry->list_number == view->list_number || entry->offset >= end_offset)
         continue;
       if (entry->value)
--- a/src/version/keyed_view.h
+++ b/src/version/keyed_view.h
@@ -37,7 +37,7 @@
  * @end_offset: end of the stream before the first page was read
  *
  * Deletes the keys that were not listed, unless their record is newer than the listing. A listing
- * that is not newer than the last one deletes none.
+ * that is not newer than the last one deletes none, and adds none that the last one lacked.
  */
 void keyed_view_list_end (keyed_view_t *view, uint64_t end_offset);
 /** keyed_view_get() - the value of @key, with its size and offset; NULL when there is none */
--- a/tests/test_keyed_view.c
+++ b/tests/test_keyed_view.c
@@ -246,6 +246,25 @@
   CU_ASSERT_EQUAL (keyed_view_listed_offset (view), 10);
 }
 
+/* Guards against an entry that stays lost although the store lists it, after a whole copy of a peer
+ * lacked it: a peer of the version before may have lost it between two pages of a list. */
+static void
+test_newer_list_restores_what_a_copy_lacked (void)
+{
+  changes_t changes = { 0 };
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes);
+
+  keyed_view_list_begin (view);
+  apply (view, 2, "a", "x");
+  keyed_view_list_end (view, 5);
+  keyed_view_list_begin (view);
+  apply (view, 2, "a", "x");
+  apply (view, 3, "b", "y");
+  keyed_view_list_end (view, 6);
+  CU_ASSERT_STRING_EQUAL (get_value (view, "a"), "x");
+  CU_ASSERT_STRING_EQUAL (get_value (view, "b"), "y");
+}
+
 int
 main (void)
 {
@@ -257,6 +276,7 @@
                                        SUITE_TEST (test_invalid_bodies_are_rejected),
                                        SUITE_TEST (test_seal_covers_nonce_kind_and_body),
                                        SUITE_TEST (test_older_list_brings_nothing_back),
+                                       SUITE_TEST (test_newer_list_restores_what_a_copy_lacked),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("keyed_view", tests);
