A late response of the store does not count as current on arrival

Callers would see: an engine gets requests up to 0.9 s later than allowed at gateways that rest while a peer vouches for them.

Cause: a copy counted as current as of the arrival of the store's response. One that was made before a removal and arrived 900 ms later gave the age 0.

Change: a read that does not wait counts as of its start, one that waits as of the end of its wait at most, a list as of the start of its first page. Found by review. Failed before: test_late_response_confirms_no_more.

--- a/src/connection/stream_follower.c
+++ b/src/connection/stream_follower.c
@@ -20,7 +20,8 @@
  * @started_us: start of the last call; 0 before the first
  * @due_us: earliest start of the next call
  * @last_answer_us: time of the last successful response; 0 before the first
- * @listed_as_of_us: time of the response with the first page
+ * @call_wait_ms: how long the last read may wait at the platform
+ * @listed_as_of_us: start of the call for the first page
  * @current_as_of_us: see stream_follower_current_as_of_us()
  * @backoff_ms: 0 while calls succeed
  * @catching_up: set by the first failure, until all that was written meanwhile has been read
@@ -42,6 +43,7 @@
   uint64_t started_us;
   uint64_t due_us;
   uint64_t last_answer_us;
+  uint32_t call_wait_ms;
   uint64_t listed_as_of_us;
   uint64_t current_as_of_us;
   uint32_t backoff_ms;
@@ -177,7 +179,7 @@
     {
       follower->listed = keyed_view_new (ignore_change, NULL);
       follower->list_end_offset = newest->end_offset;
-      follower->listed_as_of_us = follower->last_answer_us;
+      follower->listed_as_of_us = follower->started_us;
     }
   apply_records (follower->listed, newest->records, newest->record_count);
   apply_records (follower->options.view, newest->records, newest->record_count);
@@ -249,6 +251,17 @@
   start_timer (follower);
 }
 
+/* Return: a time at which the platform had no more than it sent. The response may have been on its
+ * way for long; that of a read that waits is made at the end of the wait, or when a record comes.
+ */
+static uint64_t
+read_as_of_us (const stream_follower_t *follower)
+{
+  uint64_t waited_us = (uint64_t)follower->call_wait_ms * CLOCK_US_PER_MS;
+
+  return MIN (follower->last_answer_us, follower->started_us + waited_us);
+}
+
 static void
 on_read (const platform_read_t *read, void *context)
 {
@@ -274,7 +287,7 @@
   apply_records (follower->options.view, read->records, read->record_count);
   follower->next_offset = MAX (follower->next_offset, read->next_offset);
   if (follower->next_offset >= read->end_offset)
-    follower->current_as_of_us = follower->last_answer_us;
+    follower->current_as_of_us = read_as_of_us (follower);
   follower->catching_up = follower->next_offset < read->end_offset && follower->catching_up;
   if (follower->options.latest_only && follower->next_offset + 1 < read->end_offset)
     {
@@ -323,14 +336,15 @@
   (void)what;
   follower->started_us = clock_now_us (follower->options.clock);
   follower->call_pending = true;
+  follower->call_wait_ms = wait_ms (follower);
   counter_add (follower->listing ? follower->list_count : follower->read_count, 1);
   if (follower->listing)
     platform->newest (platform, follower->options.stream, follower->last_listed_key, on_page,
                       follower);
   else
     platform->read (platform, follower->options.stream, follower->next_offset,
-                    follower->options.latest_only ? 1 : RECORDS_PER_READ_MAX, wait_ms (follower),
-                    on_read, follower);
+                    follower->options.latest_only ? 1 : RECORDS_PER_READ_MAX,
+                    follower->call_wait_ms, on_read, follower);
 }
 
 static counter_t *
--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -785,6 +785,61 @@
   gateway_free (gateway);
 }
 
+#define LATE_MS 900 /* less than the timeout of a call */
+
+/* Guards against a report, to peers that rely on it, that the copy is current as of the arrival of
+ * a response which the store made before a removal. */
+static void
+test_late_response_confirms_no_more (void)
+{
+  gateway_t *gateway = gateway_new ();
+  xch_message message = { 0 };
+  xch_mark marks[XCH_MARKS];
+  xch_sample samples[XCH_SAMPLES];
+  reference_call_t call;
+  uint64_t end;
+
+  message.marks.marks_val = marks;
+  message.samples.samples_val = samples;
+  kill_peers (gateway);
+  gateway->store_waits = true;
+  while (!gateway->calls[ENGINES].read_done || !gateway->calls[ROUTING].read_done)
+    run_to (gateway, (uint32_t)((clock_now_us (&gateway->clock) - gateway->removed_us) /
+                                CLOCK_US_PER_MS) +
+                         STEP_MS);
+  end = gateway->store[ENGINES]->len;
+  remove_engine (gateway, "e1");
+  run_to (gateway, LATE_MS);
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    {
+      call = gateway->calls[i];
+      gateway->calls[i] = (reference_call_t){ 0 };
+      reference_answer (gateway->store[i], &call, i == ENGINES ? end : gateway->store[i]->len,
+                        call.max);
+    }
+  own_exchange->options.fill_message (&message, NULL, own_exchange->options.context);
+  CU_ASSERT_EQUAL (message.list_revision, end);
+  CU_ASSERT (message.store_age_ms >= LATE_MS);
+  gateway_free (gateway);
+}
+
+/* Guards against a wait for the gateway's turn, as if no peer had reported new records, when the
+ * request for them has failed and the copy no longer counts as current. */
+static void
+test_failed_request_before_the_copy_is_stale (void)
+{
+  gateway_t *gateway = gateway_new ();
+
+  remove_engine (gateway, "e1");
+  run_to (gateway, REPORTED_MS);
+  read_at_peer (gateway, 0);
+  send_message (gateway, 0);
+  kill_peers (gateway);
+  run_to (gateway, REPORTED_MS + PATIENCE_MS + STEP_MS);
+  CU_ASSERT (!gateway_uses (gateway, "e1"));
+  gateway_free (gateway);
+}
+
 #define BEFORE_REMOVAL_MS 1500 /* from the loss of the followers on */
 
 /* Followers of the store are killed, so nobody reads it for two seconds, in which an engine leaves.
@@ -895,6 +950,8 @@
                                        SUITE_TEST (test_copy_with_a_part_confirms_no_more),
                                        SUITE_TEST (test_read_of_a_part_confirms_no_more),
                                        SUITE_TEST (test_late_read_after_a_whole_copy),
+                                       SUITE_TEST (test_late_response_confirms_no_more),
+                                       SUITE_TEST (test_failed_request_before_the_copy_is_stale),
                                        SUITE_TEST (test_lost_followers_are_no_outage),
                                        SUITE_TEST (
                                            test_lost_followers_and_a_failed_read_are_no_outage),
