Popular prompt parts have several homes where load reports are rare

Callers saw: requests queued at the engine that caches a popular part while others had room; test_overloaded: 11 to 42 (17 gateways) and 79 to 101 (31) of 1,000 requests in five seconds over the limit, 30 allowed.

Cause: all gateways send the requests for a part to its first home, and each hears of that engine's load once in seconds; by then others have sent 20 to 29 more. The hottest part has more requests under way than one engine may have.

Evidence: of 126 and 1,900 requests over the limit all were chosen by affinity within the bound as believed, with loads 7 to 8 too low. With the true loads none is over; with the true mean, or high loads told to all at once, they are.

Change: a gateway counts its own requests by part and takes them for those of each other gateway. Where a part fills 70% of the distance from the mean to the limit, it has a home for each 15%; in the first two seconds two.

--- a/src/request/policy/engine_choice.c
+++ b/src/request/policy/engine_choice.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #define MILLI 1000
+#define US_PER_S (UINT64_C (1000) * 1000)
 
 /**
  * struct service_view - a request and the state of the engines of its service
@@ -399,24 +400,55 @@
   return XXH64 (&engine->rank_hash, sizeof engine->rank_hash, view->request->affinity);
 }
 
+/* Return: requests of all gateways for the request's part that are at engines at a time, in
+ * thousandths, if all send as many as this one */
+static uint64_t
+part_load_milli (const service_view_t *view, const part_rates_t *rates)
+{
+  const engine_choice_request_t *request = view->request;
+  uint64_t per_s_milli = part_rates_per_s_milli (rates, view->now_us, request->affinity);
+
+  return per_s_milli * MAX (request->gateways, 1U) * request->slot_time_us / US_PER_S;
+}
+
 /*
- * Where load reports are rare, most of all after a start, no gateway sees that the home of a
- * popular part is over the bound: with 103 gateways 3.3% of the requests after a start went to
- * engines over twice the mean. There a small part has two homes, and half of the gateways begin at
- * the second.
+ * Number of engines that cache the request's part. Where load reports are rare, no gateway sees
+ * that the home of a popular part is over the bound before all of them have sent more there: with
+ * 31 gateways, 100 of 1,000 requests reached engines over the limit when a fifth of the requests
+ * shared one part. So a part has a home for each fraction of the limit that its requests take up. A
+ * small part, which is read quickly, has two at least, and all parts have some while it is not
+ * known how popular they are.
  */
-static bool
-uses_second_home (const service_view_t *view, const engine_t *engine)
+static uint32_t
+count_homes (const service_view_t *view, const engine_t *first)
 {
-  uint64_t seed = view->request->affinity;
-  uint64_t hash = view->request->gateway_hash;
-
-  uint32_t tokens = view->request->affinity_tokens;
+  const engine_choice_request_t *request = view->request;
+  uint64_t distance_milli = view->mean_milli + ENGINE_CHOICE_OVERLOAD_EXTRA_MILLI;
+  uint64_t share_milli = part_load_milli (view, first->part_rates) * MILLI / distance_milli;
+  uint64_t homes = 1;
+
+  if (request->affinity_tokens == 0 ||
+      !(reports_seldom (view, first) || unreported_may_overload (view)))
+    return 1;
+  if (share_milli > ENGINE_CHOICE_POPULAR_MILLI)
+    homes = (share_milli - 1) / ENGINE_CHOICE_PART_SHARE_MILLI + 1;
+  if (request->affinity_tokens <= ENGINE_CHOICE_SMALL_PART_TOKENS)
+    homes = MAX (homes, ENGINE_CHOICE_SMALL_PART_HOMES);
+  if (request->slot_time_us != 0 &&
+      part_rates_age_us (first->part_rates, view->now_us) < ENGINE_CHOICE_START_US)
+    homes = MAX (homes, ENGINE_CHOICE_START_HOMES);
+  return (uint32_t)CLAMP (homes, 1, ENGINE_CHOICE_PART_HOMES_MAX);
+}
+
+/* Return: which of @homes this gateway uses for the request's part. As their number grows, few
+ * gateways use another one than before. */
+static uint32_t
+home_index (const service_view_t *view, uint32_t homes)
+{
+  uint64_t gateway = view->request->gateway_hash;
+  uint64_t hash = XXH64 (&gateway, sizeof gateway, view->request->affinity);
 
-  if (tokens == 0 || tokens > ENGINE_CHOICE_SMALL_PART_TOKENS ||
-      !(reports_seldom (view, engine) || unreported_may_overload (view)))
-    return false;
-  return (XXH64 (&hash, sizeof hash, seed) & 1) != 0;
+  return (uint32_t)((hash >> 32) * homes >> 32);
 }
 
 /* Return: the rank value of the last of the first ENGINE_CHOICE_HOMES_MAX candidates that are not
@@ -485,12 +517,18 @@
 static engine_t *
 find_home (const service_view_t *view, criteria_t criteria)
 {
-  engine_t *first = find_highest_rank (view, criteria, UINT64_MAX);
-  engine_t *second = NULL;
+  engine_t *home = find_highest_rank (view, criteria, UINT64_MAX);
+  uint32_t index = home ? home_index (view, count_homes (view, home)) : 0;
+
+  for (; index > 0; index--)
+    {
+      engine_t *next = find_highest_rank (view, criteria, rank_value (view, home));
 
-  if (first && uses_second_home (view, first))
-    second = find_highest_rank (view, criteria, rank_value (view, first));
-  return second ? second : first;
+      if (!next)
+        break;
+      home = next;
+    }
+  return home;
 }
 
 /* Return: twice the load after this request, weighted by the slowdown of the host, in thousandths;
@@ -682,6 +720,8 @@
       return choice;
     }
   choice.action = ENGINE_CHOICE_SEND;
+  if (request->affinity != 0)
+    part_rates_add (choice.engine->part_rates, now_us, request->affinity);
   choice.load = load_at (&view, choice.engine);
   choice.source = find_copy_source (&view, choice.engine);
   choice.rank = rank_position (&view, choice.engine);
--- a/src/request/policy/engine_choice.h
+++ b/src/request/policy/engine_choice.h
@@ -54,6 +54,19 @@
  * second copy costs little; a second home of parts of 10,000 tokens doubled the bytes of memory
  * moved in a day. */
 #define ENGINE_CHOICE_SMALL_PART_TOKENS 1000
+#define ENGINE_CHOICE_SMALL_PART_HOMES UINT64_C (2)
+/* Share of the distance from the mean to the overload limit, in thousandths, from which on the
+ * requests for one part need several homes. A lower one would be reached by a single request of one
+ * of many gateways. */
+#define ENGINE_CHOICE_POPULAR_MILLI 700
+/* Share of that distance that they may then take at each home, where other parts have theirs too.
+ */
+#define ENGINE_CHOICE_PART_SHARE_MILLI 150
+#define ENGINE_CHOICE_PART_HOMES_MAX 12
+/* Homes of each part in the first seconds of a gateway, in which it can't tell which are popular.
+ */
+#define ENGINE_CHOICE_START_HOMES UINT64_C (2)
+#define ENGINE_CHOICE_START_US (UINT64_C (2000) * 1000)
 /* An engine of the gateway's data centre is preferred while it has at most this many requests more
  * than one of another. */
 #define ENGINE_CHOICE_LOCAL_EXTRA_REQUESTS 1
@@ -160,7 +173,8 @@
   uint64_t backoff_us;
 } engine_choice_t;
 
-/** engine_choice_make() - chooses among @engines, an array of engine_t of one service */
+/** engine_choice_make() - chooses among @engines, an array of engine_t of one service, and counts
+ * the request for its part if it is to be sent */
 engine_choice_t engine_choice_make (const GPtrArray *engines,
                                     uint64_t now_us,
                                     const engine_choice_request_t *request);
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -10,10 +10,21 @@
 #define LATENCY_SMOOTHING 4
 #define MILLI 1000
 
+/**
+ * struct service - a service
+ * @list: its engines, as engine_t
+ * @part_rates: how often this gateway sends requests with each prompt part
+ */
+typedef struct
+{
+  GPtrArray *list;
+  part_rates_t *part_rates;
+} service_t;
+
 /**
  * struct engines - the engines that the registry lists
  * @by_id: id -> engine_t
- * @by_service: interned service -> GPtrArray of engine_t
+ * @by_service: interned service -> service_t
  * @drained: data centre -> start of its drain, in microseconds
  * @self_reports: what engines stated in their answers about leaving and backing off
  * @complete: the first list has been read: engines that are added later have joined
@@ -37,9 +48,13 @@
 }
 
 static void
-array_free (gpointer data)
+service_free (gpointer data)
 {
-  g_ptr_array_free (data, TRUE);
+  service_t *service = data;
+
+  g_ptr_array_free (service->list, TRUE);
+  part_rates_free (service->part_rates);
+  g_free (service);
 }
 
 engines_t *
@@ -48,7 +63,7 @@
   engines_t *engines = g_new0 (engines_t, 1);
 
   engines->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, engine_unref);
-  engines->by_service = g_hash_table_new_full (NULL, NULL, NULL, array_free);
+  engines->by_service = g_hash_table_new_full (NULL, NULL, NULL, service_free);
   engines->self_reports = self_reports_new ();
   engines->drained = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return engines;
@@ -64,17 +79,20 @@
   g_free (engines);
 }
 
-static GPtrArray *
-service_list (engines_t *engines, const char *service)
+/* @name: interned */
+static service_t *
+get_service (engines_t *engines, const char *name)
 {
-  GPtrArray *list = g_hash_table_lookup (engines->by_service, service);
+  service_t *service = g_hash_table_lookup (engines->by_service, name);
 
-  if (!list)
+  if (!service)
     {
-      list = g_ptr_array_new ();
-      g_hash_table_insert (engines->by_service, (gpointer)service, list);
+      service = g_new0 (service_t, 1);
+      service->list = g_ptr_array_new ();
+      service->part_rates = part_rates_new ();
+      g_hash_table_insert (engines->by_service, (gpointer)name, service);
     }
-  return list;
+  return service;
 }
 
 static engine_t *
@@ -149,11 +167,14 @@
     }
   if (!engine)
     {
+      service_t *service = get_service (engines, entry->service);
+
       engine = engine_new (entry);
+      engine->part_rates = service->part_rates;
       engine->joined_us = engines->complete ? now_us : 0;
       restore_self_report (engines, engine);
       g_hash_table_insert (engines->by_id, engine->entry.id, engine);
-      g_ptr_array_add (service_list (engines, entry->service), engine);
+      g_ptr_array_add (service->list, engine);
     }
   engine->entry = *entry;
   engine->drained_us = drain_start_us (engines, entry->data_center);
@@ -256,7 +277,7 @@
   if (!engine)
     return;
   engine->entry.state = ENGINE_GONE;
-  g_ptr_array_remove (service_list (engines, engine->entry.service), engine);
+  g_ptr_array_remove (get_service (engines, engine->entry.service)->list, engine);
   g_hash_table_remove (engines->by_id, id);
 }
 
@@ -282,7 +303,7 @@
 const GPtrArray *
 engines_of_service (const engines_t *engines, const char *service)
 {
-  return service_list ((engines_t *)engines, service);
+  return get_service ((engines_t *)engines, service)->list;
 }
 
 void
--- a/tests/test_engine_choice.c
+++ b/tests/test_engine_choice.c
@@ -712,6 +712,46 @@
   CU_ASSERT_EQUAL (count_at_first_home (100, 0), 100);
 }
 
+#define PART_GATEWAYS 40
+
+/* Return: how many of 40 gateways send a prompt with a part to its first home, after each has sent
+ * @sent_per_s of them in each of ten seconds */
+static uint32_t
+count_at_home_of_part (uint32_t sent_per_s, uint32_t gateways)
+{
+  uint32_t count = 0;
+
+  for (uint64_t i = 0; i < PART_GATEWAYS; i++)
+    {
+      g_autoptr (engines_t) engines = make_engines (12);
+      const GPtrArray *list = engines_of_service (engines, g_intern_static_string ("pool"));
+      engine_choice_request_t request = { .affinity = 9,
+                                          .affinity_tokens = ENGINE_CHOICE_SMALL_PART_TOKENS + 1,
+                                          .own_data_center = HERE,
+                                          .gateways = gateways,
+                                          .gateway_hash = i * i + 7,
+                                          .slot_time_us = CLOCK_US_PER_S };
+      uint64_t now_us = NOW_US;
+
+      for (uint32_t sent = 0; sent < 10 * sent_per_s; sent++, now_us += CLOCK_US_PER_S / sent_per_s)
+        engine_choice_make (list, now_us, &request);
+      now_us += ENGINE_CHOICE_START_US;
+      count += engine_choice_make (list, now_us, &request).rank == 0 ? 1 : 0;
+    }
+  return count;
+}
+
+/* Guards against all gateways filling the home of a popular part before one of them gets a report
+ * of its load. Few gateways get reports often enough. */
+static void
+test_popular_parts_have_several_homes (void)
+{
+  uint32_t popular = count_at_home_of_part (2, PART_GATEWAYS);
+
+  CU_ASSERT (popular >= 1 && popular <= PART_GATEWAYS / 4);
+  CU_ASSERT_EQUAL (count_at_home_of_part (2, 2), PART_GATEWAYS);
+}
+
 /* A home far over the mean hands over to the next in rank at a lower load with 22 gateways than
  * with 4, and with nearly full engines than with idle ones. */
 static void
@@ -997,6 +1037,7 @@
     SUITE_TEST (test_unknown_load_is_assumed_usual),
     SUITE_TEST (test_expired_engines_are_used_when_many_expired),
     SUITE_TEST (test_small_parts_have_two_homes_where_reports_are_rare),
+    SUITE_TEST (test_popular_parts_have_several_homes),
     SUITE_TEST (test_margin_falls_with_gateways_and_rises_with_free_slots),
     SUITE_TEST (test_few_gateways_keep_parts_at_home),
     SUITE_TEST (test_crowded_parts_keep_to_the_first_ranks),
