--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -804,9 +804,9 @@
   kill_peers (gateway);
   gateway->store_waits = true;
   while (!gateway->calls[ENGINES].read_done || !gateway->calls[ROUTING].read_done)
-    run_to (gateway, (uint32_t)((clock_now_us (&gateway->clock) - gateway->removed_us) /
-                                CLOCK_US_PER_MS) +
-                         STEP_MS);
+    run_to (gateway,
+            (uint32_t)((clock_now_us (&gateway->clock) - gateway->removed_us) / CLOCK_US_PER_MS) +
+                STEP_MS);
   end = gateway->store[ENGINES]->len;
   remove_engine (gateway, "e1");
   run_to (gateway, LATE_MS);
