--- a/src/request/policy/read_policy.c
+++ b/src/request/policy/read_policy.c
@@ -80,9 +80,19 @@
     read_policy->behind_since_us = MAX (read_policy->behind_since_us, at_us);
 }
 
+/* The records that a peer declined to send were too large; those after them need not be. */
+static void
+note_progress (read_policy_t *read_policy, uint64_t ours)
+{
+  if (ours > read_policy->ours)
+    read_policy->new_records_too_large = false;
+  read_policy->ours = ours;
+}
+
 void
 read_policy_update (read_policy_t *read_policy, const read_policy_view_t *view, uint64_t ours)
 {
+  note_progress (read_policy, ours);
   if (read_policy->behind_since_us == 0)
     return;
   if (ours >= read_policy->ahead.next_offset)
--- a/src/request/policy/read_policy.h
+++ b/src/request/policy/read_policy.h
@@ -114,6 +114,7 @@
  * @behind_since_us: since when a peer has had a higher offset; 0 when none has
  * @ahead: highest offset and latest answer of the store of such peers
  * @reported_us: when the last of them reported
+ * @ours: offset up to which the gateway had the stream at the last update
  * @fetched: @ahead when the fetch in progress began; all zero once it has brought that
  * @fetch_started_us: when that fetch began
  * @fetch_due: a peer has reported a higher offset since the last failed fetch
@@ -129,6 +130,7 @@
   uint64_t behind_since_us;
   read_policy_report_t ahead;
   uint64_t reported_us;
+  uint64_t ours;
   read_policy_report_t fetched;
   uint64_t fetch_started_us;
   bool fetch_due;
