--- a/src/request/policy/read_policy.c
+++ b/src/request/policy/read_policy.c
@@ -1,6 +1,33 @@
 #include "request/policy/read_policy.h"
 
 #include <glib.h>
+#include <string.h>
+
+static void
+insert_report (read_policy_t *read_policy, const read_policy_report_t *report)
+{
+  read_policy_report_t *reports = read_policy->reports;
+  uint32_t at = read_policy->report_count;
+
+  while (at > 0 && reports[at - 1].next_offset > report->next_offset)
+    at--;
+  if (at > 0 && reports[at - 1].next_offset == report->next_offset)
+    {
+      reports[at - 1].store_us = MAX (reports[at - 1].store_us, report->store_us);
+      return;
+    }
+  if (read_policy->report_count == READ_POLICY_REPORTS)
+    {
+      read_policy_report_t *last = &reports[READ_POLICY_REPORTS - 1];
+
+      last->next_offset = MAX (last->next_offset, report->next_offset);
+      last->store_us = MAX (last->store_us, report->store_us);
+      return;
+    }
+  memmove (&reports[at + 1], &reports[at], (read_policy->report_count - at) * sizeof *reports);
+  reports[at] = *report;
+  read_policy->report_count++;
+}
 
 /* A peer with a lower offset confirms nothing: the store may have answered it before the new
  * records.
@@ -13,18 +40,19 @@
     read_policy->current_as_of_us = MAX (read_policy->current_as_of_us, store_us);
   if (theirs <= ours)
     return;
-  read_policy->ahead.next_offset = MAX (read_policy->ahead.next_offset, theirs);
-  read_policy->ahead.store_us = MAX (read_policy->ahead.store_us, store_us);
-  read_policy->reported_us = now_us;
+  insert_report (read_policy, &(read_policy_report_t){ theirs, store_us, now_us });
   read_policy->fetch_due = true;
   if (read_policy->behind_since_us == 0)
     read_policy->behind_since_us = now_us;
 }
 
-static void
-confirm (read_policy_t *read_policy, const read_policy_report_t *report)
+/* Whether the records of @report are no longer missing. A read that began after it has brought
+ * them, if it left none missing. */
+static bool
+is_reached (const read_policy_report_t *report, const read_policy_view_t *view, uint64_t ours)
 {
-  read_policy->current_as_of_us = MAX (read_policy->current_as_of_us, report->store_us);
+  return ours >= report->next_offset || (view->read_started_us >= report->reported_us &&
+                                         view->answered_us >= view->read_started_us);
 }
 
 /* While new records come quickly, peers always have a higher offset and never the same one. So what
@@ -32,54 +60,38 @@
 void
 read_policy_caught_up (read_policy_t *read_policy, bool of_peer)
 {
-  if (of_peer)
-    confirm (read_policy, &read_policy->ahead);
-  read_policy->ahead = (read_policy_report_t){ 0 };
-  read_policy->fetched = (read_policy_report_t){ 0 };
+  for (uint32_t i = 0; of_peer && i < read_policy->report_count; i++)
+    read_policy->current_as_of_us =
+        MAX (read_policy->current_as_of_us, read_policy->reports[i].store_us);
+  read_policy->report_count = 0;
   read_policy->behind_since_us = 0;
   read_policy->fetch_due = false;
   read_policy->new_records_too_large = false;
 }
 
 void
-read_policy_fetch_started (read_policy_t *read_policy, uint64_t now_us)
+read_policy_fetch_started (read_policy_t *read_policy)
 {
-  read_policy->fetched = read_policy->ahead;
-  read_policy->fetch_started_us = now_us;
+  uint32_t count = read_policy->report_count;
+
+  read_policy->fetch_next_offset = count > 0 ? read_policy->reports[count - 1].next_offset : 0;
 }
 
 void
 read_policy_fetch_failed (read_policy_t *read_policy)
 {
-  read_policy->fetched = (read_policy_report_t){ 0 };
   read_policy->fetch_due = false;
   read_policy->new_records_too_large = false;
 }
 
-static bool
-lacks_fetched (const read_policy_t *read_policy, uint64_t ours)
-{
-  return read_policy->fetched.next_offset > ours;
-}
-
 void
 read_policy_fetch_ended (read_policy_t *read_policy, const read_policy_view_t *view, uint64_t ours)
 {
   read_policy_update (read_policy, view, ours);
-  if (lacks_fetched (read_policy, ours))
+  if (ours < read_policy->fetch_next_offset)
     read_policy_fetch_failed (read_policy);
 }
 
-/* What was reported before @at_us is no longer missing. */
-static void
-forget_reports_before (read_policy_t *read_policy, uint64_t at_us)
-{
-  if (read_policy->reported_us <= at_us)
-    read_policy_caught_up (read_policy, false);
-  else
-    read_policy->behind_since_us = MAX (read_policy->behind_since_us, at_us);
-}
-
 /* The records that a peer declined to send were too large; those after them need not be. */
 static void
 note_progress (read_policy_t *read_policy, uint64_t ours)
@@ -92,22 +104,26 @@
 void
 read_policy_update (read_policy_t *read_policy, const read_policy_view_t *view, uint64_t ours)
 {
+  uint64_t since_us = UINT64_MAX;
+  uint32_t kept = 0;
+
   note_progress (read_policy, ours);
-  if (read_policy->behind_since_us == 0)
-    return;
-  if (ours >= read_policy->ahead.next_offset)
+  for (uint32_t i = 0; i < read_policy->report_count; i++)
     {
-      read_policy_caught_up (read_policy, true);
-      return;
+      read_policy_report_t report = read_policy->reports[i];
+
+      if (ours >= report.next_offset)
+        read_policy->current_as_of_us = MAX (read_policy->current_as_of_us, report.store_us);
+      if (is_reached (&report, view, ours))
+        continue;
+      since_us = MIN (since_us, report.reported_us);
+      read_policy->reports[kept++] = report;
     }
-  if (read_policy->fetched.next_offset != 0 && !lacks_fetched (read_policy, ours))
-    {
-      confirm (read_policy, &read_policy->fetched);
-      read_policy->fetched = (read_policy_report_t){ 0 };
-      forget_reports_before (read_policy, read_policy->fetch_started_us);
-    }
-  if (view->answered_us >= view->read_started_us && view->read_started_us != 0)
-    forget_reports_before (read_policy, view->read_started_us);
+  read_policy->report_count = kept;
+  if (kept > 0)
+    read_policy->behind_since_us = since_us;
+  else if (read_policy->behind_since_us != 0)
+    read_policy_caught_up (read_policy, false);
 }
 
 void
--- a/src/request/policy/read_policy.h
+++ b/src/request/policy/read_policy.h
@@ -97,14 +97,19 @@
   uint64_t read_started_us;
 } read_policy_view_t;
 
+#define READ_POLICY_REPORTS 8 /* when full, the last two are taken for one */
+
 /**
- * struct read_policy_report - what peers with higher offsets reported: all records that the store
- * had at @store_us are before @next_offset; all zero for nothing
+ * struct read_policy_report - a report of a peer that has a higher offset
+ * @next_offset: all records that the store had at @store_us are before this offset
+ * @store_us: when the store answered the peer, or the one from which it has the records
+ * @reported_us: when a peer first reported an offset above that of the report before
  */
 typedef struct
 {
   uint64_t next_offset;
   uint64_t store_us;
+  uint64_t reported_us;
 } read_policy_report_t;
 
 /**
@@ -112,11 +117,10 @@
  * @current_as_of_us: when the store answered the peer that confirmed this gateway's copy, or the
  *   one from which that peer has it; 0 for never
  * @behind_since_us: since when a peer has had a higher offset; 0 when none has
- * @ahead: highest offset and latest answer of the store of such peers
- * @reported_us: when the last of them reported
+ * @reports: those whose offset this gateway has not reached, by ascending offset
+ * @report_count: number of @reports
  * @ours: offset up to which the gateway had the stream at the last update
- * @fetched: @ahead when the fetch in progress began; all zero once it has brought that
- * @fetch_started_us: when that fetch began
+ * @fetch_next_offset: highest offset reported when the fetch in progress began
  * @fetch_due: a peer has reported a higher offset since the last failed fetch
  * @reading_since_us: when the gateway began to read because no peer confirmed its copy; 0
  *   once one does
@@ -128,11 +132,10 @@
 {
   uint64_t current_as_of_us;
   uint64_t behind_since_us;
-  read_policy_report_t ahead;
-  uint64_t reported_us;
+  read_policy_report_t reports[READ_POLICY_REPORTS];
+  uint32_t report_count;
   uint64_t ours;
-  read_policy_report_t fetched;
-  uint64_t fetch_started_us;
+  uint64_t fetch_next_offset;
   bool fetch_due;
   uint64_t reading_since_us;
   bool new_records_too_large;
@@ -150,7 +153,7 @@
 /** read_policy_caught_up() - the new records came; @of_peer: from the peer, all that it had */
 void read_policy_caught_up (read_policy_t *read_policy, bool of_peer);
 /** read_policy_fetch_started() - a fetch from a peer begins */
-void read_policy_fetch_started (read_policy_t *read_policy, uint64_t now_us);
+void read_policy_fetch_started (read_policy_t *read_policy);
 /** read_policy_fetch_failed() - the fetch from the peer failed; its next message starts another.
  * The new records are still missing, so they are read from the store after the patience */
 void read_policy_fetch_failed (read_policy_t *read_policy);
@@ -162,8 +165,8 @@
  * read_policy_update() - applies how far this gateway has the stream now
  * @ours: offset up to which it has it
  *
- * New records count as missing until @ours reaches the reported offset, or until a read that began
- * after the report has brought all that the store has.
+ * New records count as missing until @ours reaches the offset of the report, or until a read that
+ * began after it has brought all that the store has.
  */
 void read_policy_update (read_policy_t *read_policy, const read_policy_view_t *view, uint64_t ours);
 /** read_policy_fetch_too_large() - the peer declined the fetch: the new records are to be read from
