A late message that a request was served no longer hides a newer crash

Callers would see: a request that has just crashed an engine is dispatched to further engines as if it were harmless, and crashes them as well.

Cause: gossip_add_mark() and suspect_merge_mark() took a clearing mark without comparing its age with that of the last crash. Gossip repeats marks for minutes, so one from before the crash may arrive after it; the crash was then deleted and the older mark sent on. Also, merging an older crash made the mark as old as that crash, so that a clearing mark from between the two still applied.

Evidence: tests that add the marks in this order; the crash was gone from both tables.

Change: a clearing mark that is older than the last known crash is ignored, and a merged mark keeps the time of its latest crash. On equal times the request counts as served, as before.

Failed before: test_late_clearing_mark_hides_no_later_crash, test_older_crash_makes_no_mark_older (test-gossip) and test_late_clearing_mark_keeps_later_crash (test-suspect).

--- a/src/process/gossip.c
+++ b/src/process/gossip.c
@@ -111,7 +111,8 @@
   slot->sends_left = GOSSIP_SENDS;
 }
 
-/* Return: whether @mark is new; it is not when the request was cleared later than it */
+/* Return: whether @mark is new; it is not when the request was cleared later than it, or crashed an
+ * engine later than it was cleared */
 static bool
 update_mark (gossip_mark_t *slot, const suspect_mark_t *mark, uint64_t created_us)
 {
@@ -120,9 +121,10 @@
 
   if (suspect_mark_is_cleared (mark))
     {
-      if (cleared)
+      if (cleared || (known && created_us < slot->created_us))
         return false;
       slot->mark = *mark;
+      slot->created_us = created_us;
       return true;
     }
   if (cleared && created_us <= slot->created_us)
@@ -130,7 +132,10 @@
   if (!known)
     memset (slot, 0, sizeof *slot);
   slot->mark.fingerprint = mark->fingerprint;
-  return merge_engines (&slot->mark, mark);
+  if (!merge_engines (&slot->mark, mark))
+    return false;
+  slot->created_us = MAX (slot->created_us, created_us);
+  return true;
 }
 
 bool
@@ -143,7 +148,6 @@
   uint64_t created_us = now_us - MIN (age_us, now_us);
   if (!update_mark (slot, mark, created_us))
     return false;
-  slot->created_us = created_us;
   slot->sends_left = GOSSIP_SENDS;
   return true;
 }
--- a/src/process/gossip.h
+++ b/src/process/gossip.h
@@ -28,8 +28,8 @@
   uint32_t sends_left;
 } gossip_report_t;
 
-/** struct gossip_mark - a mark, when it was created by the clock of this process, and how many more
- * messages are to carry it */
+/** struct gossip_mark - a mark, when its last crash was by the clock of this process or when it was
+ * cleared, and how many more messages are to carry it */
 typedef struct
 {
   suspect_mark_t mark;
@@ -49,8 +49,8 @@
 void gossip_add_report (gossip_t *gossip, const membership_report_t *report);
 /**
  * gossip_add_mark() - adds a mark; a request's marks are merged. One that tells that the request
- * was served (suspect_mark_is_cleared()) replaces marks of crashes, and earlier crashes are ignored
- * from then on
+ * was served (suspect_mark_is_cleared()) replaces marks of earlier crashes, which are ignored from
+ * then on; it is ignored itself after a later crash
  *
  * Return: whether the mark was new
  */
--- a/src/request/policy/suspect.c
+++ b/src/request/policy/suspect.c
@@ -176,20 +176,25 @@
   const uint64_t age_us = (uint64_t)mark->age_ms * 1000;
   if (age_us > suspects->lifetime_us)
     return false;
-  if (suspect_mark_is_cleared (mark))
-    return suspect_clear (suspects, mark->fingerprint);
   remove_expired (suspects, now_us);
-  const uint64_t crashed_us = now_us > age_us ? now_us - age_us : 0;
+  const uint64_t created_us = now_us > age_us ? now_us - age_us : 0;
   entry_t *entry = find (suspects, now_us, mark->fingerprint);
+  if (suspect_mark_is_cleared (mark))
+    {
+      if (entry == NULL || created_us < entry->crashed_us)
+        return false;
+      remove_entry (suspects, entry);
+      return true;
+    }
   if (entry == NULL)
-    entry = add_entry (suspects, mark->fingerprint, crashed_us);
+    entry = add_entry (suspects, mark->fingerprint, created_us);
   bool changed = false;
   for (uint32_t i = 0; i < LIMIT_SUSPECT_CRASHES; i++)
     changed |= add_engine (entry, mark->engines[i]);
   /* A later time alone is not taken over: ages are rounded when marks are sent, so two daemons that
    * send each other the same mark would renew it without end. */
   if (changed)
-    update_crash_time (suspects, entry, crashed_us);
+    update_crash_time (suspects, entry, created_us);
   return changed;
 }
 
--- a/src/request/policy/suspect.h
+++ b/src/request/policy/suspect.h
@@ -17,7 +17,7 @@
  * struct suspect_mark - the crashes of one request, as daemons tell them to each other
  * @engines: hashes of the engines that crashed; 0 for an unused slot. All 0 means that the request
  *   was served and is not suspect any more
- * @age_ms: time since the last crash
+ * @age_ms: time since the last crash, or since the request was served
  */
 typedef struct
 {
@@ -52,8 +52,8 @@
                         uint64_t now_us,
                         uint64_t fingerprint,
                         uint64_t engine_hash);
-/** suspect_merge_mark() - applies a mark of a peer; one without engines clears the request. Return:
- * whether it changed anything */
+/** suspect_merge_mark() - applies a mark of a peer; one without engines clears the request, unless
+ * an engine crashed later. Return: whether it changed anything */
 bool suspect_merge_mark (suspects_t *suspects, uint64_t now_us, const suspect_mark_t *mark);
 /** suspect_get_mark() - gets the mark of a request. Return: false when it is not suspect */
 bool suspect_get_mark (const suspects_t *suspects,
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -126,6 +126,44 @@
   CU_ASSERT_TRUE (gossip_add_mark (&gossip, NOW_US + 3 * CLOCK_US_PER_S, &crash));
 }
 
+/* Guards against a crash that is forgotten because an earlier message, that the request was served,
+ * arrives after its mark. */
+static void
+test_late_clearing_mark_hides_no_later_crash (void)
+{
+  gossip_t gossip;
+  suspect_mark_t crash = make_mark (9, 1, 0);
+  suspect_mark_t served = make_mark (9, 0, 0);
+  suspect_mark_t out[2];
+
+  gossip_init (&gossip);
+  CU_ASSERT_TRUE (gossip_add_mark (&gossip, NOW_US, &crash));
+  served.age_ms = 5000;
+  CU_ASSERT_FALSE (gossip_add_mark (&gossip, NOW_US + CLOCK_US_PER_S, &served));
+  CU_ASSERT_EQUAL (gossip_take_marks (&gossip, NOW_US + CLOCK_US_PER_S, out, 2), 1);
+  CU_ASSERT (!suspect_mark_is_cleared (&out[0]));
+}
+
+/* Guards against the same when the mark of a still earlier crash arrives in between. */
+static void
+test_older_crash_makes_no_mark_older (void)
+{
+  gossip_t gossip;
+  suspect_mark_t crash = make_mark (9, 1, 0);
+  suspect_mark_t older = make_mark (9, 2, 0);
+  suspect_mark_t served = make_mark (9, 0, 0);
+  suspect_mark_t out[2];
+
+  gossip_init (&gossip);
+  CU_ASSERT_TRUE (gossip_add_mark (&gossip, NOW_US, &crash));
+  older.age_ms = 9000;
+  CU_ASSERT_TRUE (gossip_add_mark (&gossip, NOW_US, &older));
+  served.age_ms = 5000;
+  CU_ASSERT_FALSE (gossip_add_mark (&gossip, NOW_US, &served));
+  CU_ASSERT_EQUAL (gossip_take_marks (&gossip, NOW_US, out, 2), 1);
+  CU_ASSERT_EQUAL (out[0].age_ms, 0);
+}
+
 int
 main (void)
 {
@@ -135,6 +173,8 @@
     SUITE_TEST (test_full_table_drops_most_sent_report),
     SUITE_TEST (test_marks_are_merged),
     SUITE_TEST (test_cleared_mark_stays_cleared),
+    SUITE_TEST (test_late_clearing_mark_hides_no_later_crash),
+    SUITE_TEST (test_older_crash_makes_no_mark_older),
     CU_TEST_INFO_NULL,
   };
   return suite_run ("rumour", tests);
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -98,6 +98,19 @@
   CU_ASSERT_EQUAL (suspect_count (started), 0);
 }
 
+/* Guards against a crash that is forgotten because an earlier message, that the request was served,
+ * arrives after its mark. */
+static void
+test_late_clearing_mark_keeps_later_crash (void)
+{
+  g_autoptr (suspects_t) suspects = suspect_new (8, LIFETIME_US);
+  suspect_mark_t served = { .fingerprint = 7, .age_ms = 20 };
+
+  CU_ASSERT (suspect_add_crash (suspects, 50000, 7, 100));
+  CU_ASSERT (!suspect_merge_mark (suspects, 60000, &served));
+  CU_ASSERT_EQUAL (suspect_check (suspects, 60000, 7, 100), SUSPECT_OTHER_ENGINE);
+}
+
 static void
 test_limit_drops_the_oldest (void)
 {
@@ -161,6 +174,7 @@
     { "marks expire", test_marks_expire },
     { "exchanged marks still expire", test_exchanged_marks_still_expire },
     { "a served request is cleared at peers", test_served_request_is_cleared_at_peers },
+    { "a late clearing mark keeps a later crash", test_late_clearing_mark_keeps_later_crash },
     { "the limit drops the oldest", test_limit_drops_the_oldest },
     { "directory keeps and forgets", test_directory_keeps_and_forgets },
     { "directory is bounded", test_directory_is_bounded },
