Updates of any size are no longer answered from a cached "large"

Callers would see: while a gateway can't read the store and the update that it lacks is above the limit, it keeps an outdated configuration, although its peers have the new one.

Cause: the cache of the last answer compared offsets, revisions and settled, but not the size limit. After the same peer had declined the update as too large, a request with any_size=1 got that answer again, until a record, the offsets asked for or settled changed.

Change: the limit is part of the cached answer's key, for streams that the requester lacks. Requesters with and without the limit that ask from the same offsets in turn are now encoded each time.

--- a/src/process/gateway_fetch.c
+++ b/src/process/gateway_fetch.c
@@ -26,6 +26,7 @@
  * @from: for each stream, the requester's next offset
  * @next: for each stream, the next offset here; 0 where the requester lacked nothing
  * @revision: likewise, the revision of the view
+ * @max_value_bytes: likewise, the size limit that applied
  * @settled: as in the answer
  * @body: the encoded answer; NULL before the first one
  */
@@ -34,6 +35,7 @@
   uint64_t from[GATEWAY_FETCH_STREAMS_MAX];
   uint64_t next[GATEWAY_FETCH_STREAMS_MAX];
   uint64_t revision[GATEWAY_FETCH_STREAMS_MAX];
+  size_t max_value_bytes[GATEWAY_FETCH_STREAMS_MAX];
   bool settled;
   char *body;
 } answer_cache_t;
@@ -265,7 +267,8 @@
     return false;
   for (uint32_t i = 0; i < count; i++)
     if (cached->from[i] != wanted->from[i] || cached->next[i] != wanted->next[i] ||
-        cached->revision[i] != wanted->revision[i])
+        cached->revision[i] != wanted->revision[i] ||
+        cached->max_value_bytes[i] != wanted->max_value_bytes[i])
       return false;
   return true;
 }
@@ -288,6 +291,7 @@
       wanted.from[i] = from[i];
       wanted.next[i] = lacks ? streams[i].next_offset : 0;
       wanted.revision[i] = lacks ? keyed_view_revision (streams[i].view) : 0;
+      wanted.max_value_bytes[i] = lacks ? streams[i].max_value_bytes : 0;
     }
   if (matches_cache (&fetch->cached, &wanted, count))
     return fetch->cached.body;
