A zero byte in one entry no longer makes a peer's copies unreadable

Callers would see: a gateway that starts from peers gets no copy, and one that lacks records waits for its patience and then reads the store, for all streams, at every gateway that asks a peer with such an entry.

Cause: a value with a zero byte is formatted as \u0000, which json_loadb() rejects unless JSON_ALLOW_NUL is given, and with it the whole body.

Evidence: a test that parses what view_share_format() makes of such an entry.

Change: zero bytes are allowed when a body is parsed. A key with one makes its stream malformed: json_unpack() would cut it off, so that the record would be taken for that of another key.

Failed before: test_zero_byte_makes_no_copy_unreadable and test_zero_byte_is_copied_in_values_only.

--- a/src/version/view_share.c
+++ b/src/version/view_share.c
@@ -71,7 +71,7 @@
 {
   const json_t *settled;
 
-  answer->json = json_loadb (body, body_bytes, JSON_REJECT_DUPLICATES, NULL);
+  answer->json = json_loadb (body, body_bytes, JSON_REJECT_DUPLICATES | JSON_ALLOW_NUL, NULL);
   settled = json_object_get (answer->json, "settled");
   answer->deletions_confirmed = json_is_true (settled);
   return json_is_boolean (settled);
@@ -95,8 +95,10 @@
 {
   json_int_t offset;
   json_t *value;
+  size_t key_bytes;
 
-  if (json_unpack (json, "[s, I, o]", &record->key, &offset, &value) != 0 || offset < 0)
+  if (json_unpack (json, "[s%, I, o]", &record->key, &key_bytes, &offset, &value) != 0 ||
+      offset < 0 || strlen (record->key) != key_bytes)
     return false;
   if (!json_is_string (value) && !json_is_null (value))
     return false;
--- a/tests/test_keyed_view.c
+++ b/tests/test_keyed_view.c
@@ -246,6 +246,54 @@
   CU_ASSERT_EQUAL (keyed_view_listed_offset (view), 10);
 }
 
+/* Guards against one entry with a zero byte that makes the copies of a peer unreadable, those of
+ * the other streams and keys too. */
+static void
+test_zero_byte_makes_no_copy_unreadable (void)
+{
+  static const char value[] = "x\0y";
+  changes_t changes = { 0 };
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes);
+  view_share_stream_t stream = { .name = "engines", .view = view, .next_offset = 2 };
+  const uint64_t from = 0;
+  view_share_answer_t answer;
+  g_autofree char *body = NULL;
+
+  apply (view, 0, "a", "x");
+  keyed_view_apply (view, 1, "b", value, sizeof value - 1);
+  body = view_share_format (&stream, &from, 1, true);
+  CU_ASSERT (view_share_parse (&answer, body, strlen (body)));
+  view_share_clear (&answer);
+}
+
+/* A zero byte must end neither a copied value nor a key, which could then be that of another entry.
+ */
+static void
+test_zero_byte_is_copied_in_values_only (void)
+{
+  static const char body[] = "{\"settled\":true,\"engines\":{\"whole\":true,\"next\":4,\"records\":"
+                             "[[\"a\",1,\"x\\u0000y\"]]}}";
+  static const char invalid[] = "{\"settled\":true,\"engines\":{\"whole\":true,\"next\":4,"
+                                "\"records\":[[\"a\\u0000b\",1,\"x\"]]}}";
+  changes_t changes = { 0 };
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes);
+  view_share_stream_t stream = { .name = "engines", .view = view };
+  view_share_answer_t answer;
+  size_t bytes = 0;
+  uint64_t offset;
+  const char *value;
+
+  CU_ASSERT (view_share_parse (&answer, invalid, strlen (invalid)));
+  CU_ASSERT_EQUAL (view_share_apply (&answer, &stream), 0);
+  view_share_clear (&answer);
+  CU_ASSERT_FATAL (view_share_parse (&answer, body, strlen (body)));
+  CU_ASSERT_EQUAL (view_share_apply (&answer, &stream), 4);
+  view_share_clear (&answer);
+  value = keyed_view_get (view, "a", &bytes, &offset);
+  CU_ASSERT_FATAL (value != NULL && bytes == 3);
+  CU_ASSERT_EQUAL (memcmp (value, "x\0y", 3), 0);
+}
+
 int
 main (void)
 {
@@ -257,6 +305,8 @@
                                        SUITE_TEST (test_invalid_bodies_are_rejected),
                                        SUITE_TEST (test_seal_covers_nonce_kind_and_body),
                                        SUITE_TEST (test_older_list_brings_nothing_back),
+                                       SUITE_TEST (test_zero_byte_makes_no_copy_unreadable),
+                                       SUITE_TEST (test_zero_byte_is_copied_in_values_only),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("keyed_view", tests);
