An older copy of the host list no longer ends the search for the announced one

Callers would see: requests go to a host that leaves for up to 30 s, at daemons that are not followers, when the only peer that announced the newer list was killed.

Cause: accept_answer() forgot the announced revision after any read that worked, also of an older copy. The list is eventually consistent, so the next read after such a copy was the one of every 30 s.

Evidence: a test in which the list first answers with the revision from before the announcement; the change that follows was not read.

Change: a daemon polls as a follower does until it has the announced revision, for 30 s at most after the last announcement of it. Without that limit a list that was reset, and so counts from the start again, would be polled by the whole fleet from then on; test_unreached_revision_is_given_up guards against it (fails with the limit removed). Cost: up to 30 reads in such a half minute instead of one or two, at the default interval of 1 s (computed).

Failed before: test_list_stays_behind_until_the_reported_revision.

--- a/src/process/control_list.c
+++ b/src/process/control_list.c
@@ -111,6 +111,16 @@
   return (uint64_t)ctrl->daemon->settings.list_interval_ms * CLOCK_US_PER_MS;
 }
 
+/* A read may return a copy from before the announced revision, so a successful one alone changes
+ * nothing. A list that was reset may never reach the revision, so it counts for a limited time. */
+static bool
+is_behind_peer (const control_t *ctrl)
+{
+  const control_list_t *list = &ctrl->list;
+  return list->peer_revision > list->revision &&
+         control_now_us (ctrl) - list->peer_revision_us < RECHECK_US;
+}
+
 /* The delay until the next read. A daemon that isn't a follower relies on peers to announce new
  * revisions, so it polls like a follower while it receives none of their messages, and while one
  * has announced a higher revision. */
@@ -118,8 +128,7 @@
 next_read_wait_us (const control_t *ctrl)
 {
   bool silent = control_now_us (ctrl) - ctrl->talk.last_received_us >= PEERS_SILENT_US;
-  bool behind = ctrl->list.peer_revision > ctrl->list.revision;
-  if (ctrl->peers.is_follower || silent || behind)
+  if (ctrl->peers.is_follower || silent || is_behind_peer (ctrl))
     return poll_interval_us (ctrl);
   return MAX (poll_interval_us (ctrl), RECHECK_US);
 }
@@ -140,7 +149,6 @@
   apply_hosts (ctrl, hosts);
   ctrl->list.poll.due_us =
       control_now_us (ctrl) + control_add_jitter (ctrl, next_read_wait_us (ctrl));
-  ctrl->list.peer_revision = 0;
   control_freshness_note_list_read (ctrl, started_us, true);
 }
 
@@ -187,7 +195,11 @@
   control_list_t *list = &ctrl->list;
   if (revision <= list->revision)
     return;
-  list->peer_revision = MAX (list->peer_revision, revision);
+  if (revision >= list->peer_revision || !is_behind_peer (ctrl))
+    {
+      list->peer_revision = revision;
+      list->peer_revision_us = control_now_us (ctrl);
+    }
   uint64_t soonest_us = list->last_read_us + poll_interval_us (ctrl);
   if (!list->poll.down)
     list->poll.due_us = MIN (list->poll.due_us, soonest_us);
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -61,7 +61,8 @@
  * struct control_list - the platform's list of hosts
  * @revision: of the last list that was applied
  * @last_read_us: when the last read was started
- * @peer_revision: the highest that a peer has announced since the last successful read
+ * @peer_revision: the highest that a peer has announced lately
+ * @peer_revision_us: when a peer last announced it
  * @read_once: a list has been applied
  * @empty: the last read returned a list without any host, which was ignored
  * @own_state: of this host according to the list; MEMBERSHIP_GONE when it isn't listed
@@ -76,6 +77,7 @@
   uint64_t revision;
   uint64_t last_read_us;
   uint64_t peer_revision;
+  uint64_t peer_revision_us;
   bool read_once;
   bool empty;
   membership_state_t own_state;
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -349,6 +349,63 @@
   CU_ASSERT_TRUE (rig.platform.lists - lists <= 4);
 }
 
+/* Guards against a daemon that takes its list for current, after a peer reported a newer one and
+ * was killed, because a read of an older copy of the list succeeded. Other peers do not know of the
+ * newer list either. */
+static void
+test_list_stays_behind_until_the_reported_revision (void)
+{
+  g_auto (rig_t) rig = { 0 };
+  rig_message_t incoming;
+  uint32_t sequence = 1;
+  rig_init (&rig);
+  add_local_hosts (&rig);
+  uint64_t revision = rig.platform.revision;
+  rig_compose (&incoming, "peer", 1)->list_revision = revision + 1;
+  control_exchange_receive (&incoming.message, false, rig.ctrl);
+  for (uint32_t i = 0; i < 30; i++)
+    {
+      rig_compose (&incoming, "third", sequence++)->list_revision = revision;
+      control_exchange_receive (&incoming.message, false, rig.ctrl);
+      rig_tick (&rig);
+    }
+  fake_platform_set_host (&rig.platform, "third", false, rig_loopback_ip (), RIG_PORT + 2,
+                          MEMBERSHIP_LEAVING);
+  for (uint32_t i = 0; i < 30; i++)
+    {
+      rig_compose (&incoming, "third", sequence++)->list_revision = revision;
+      control_exchange_receive (&incoming.message, false, rig.ctrl);
+      rig_tick (&rig);
+    }
+  CU_ASSERT_EQUAL (membership_find (rig.ctrl->peers.members, "third")->state, MEMBERSHIP_LEAVING);
+}
+
+/* Guards against a whole fleet that polls like followers from then on, after the list was reset: it
+ * does not reach the revision that was announced before. */
+static void
+test_unreached_revision_is_given_up (void)
+{
+  g_auto (rig_t) rig = { 0 };
+  rig_message_t incoming;
+  uint32_t sequence = 1;
+  uint32_t lists = 0;
+  rig_init (&rig);
+  add_local_hosts (&rig);
+  uint64_t revision = rig.platform.revision;
+  rig_compose (&incoming, "peer", 1)->list_revision = revision + 100;
+  control_exchange_receive (&incoming.message, false, rig.ctrl);
+  for (uint32_t i = 0; i < 450; i++)
+    {
+      if (i == 350)
+        lists = rig.platform.lists;
+      rig_compose (&incoming, "third", sequence++)->list_revision = revision;
+      control_exchange_receive (&incoming.message, false, rig.ctrl);
+      rig_tick (&rig);
+    }
+  CU_ASSERT_TRUE (lists >= 20);
+  CU_ASSERT_TRUE (rig.platform.lists - lists <= 1);
+}
+
 /* The exchange is cut off by a wrong key or a firewall. A daemon that isn't a follower would use an
  * outdated list for half a minute; without messages of peers it must read the list itself. */
 static void
@@ -436,6 +493,8 @@
     SUITE_TEST (test_listed_leaving_at_start),
     SUITE_TEST (test_list_is_read_when_peer_announces_revision),
     SUITE_TEST (test_list_is_read_without_peers),
+    SUITE_TEST (test_list_stays_behind_until_the_reported_revision),
+    SUITE_TEST (test_unreached_revision_is_given_up),
     SUITE_TEST (test_host_listed_as_leaving_is_notified),
     SUITE_TEST (test_empty_list_is_ignored),
     SUITE_TEST (test_followers_announce_new_version),
