A killed peer no longer hides the manifest versions of other peers

Callers would see: while the log is down, a new version is not in force at a daemon although its peers have it, as long as the host that announced a still newer one and was then killed is listed.

Cause: control_manifest_note_version() dropped every version below the highest announced, so the daemon fetched from the killed host only.

Change: once the host to fetch from was tried, any host with a newer version than here takes its place; one with the highest version still does at any time. A host that has announced nothing newer than here is not fetched from any more, as it would send the whole manifest each second. The log is read as before.

--- a/src/process/control_fetch.c
+++ b/src/process/control_fetch.c
@@ -69,6 +69,7 @@
 {
   control_t *ctrl = context;
   ctrl->fetch.call = NULL;
+  ctrl->manifest.source_tried = true;
   control_freshness_check_pause (ctrl);
   if (end->complete)
     adopt_manifest (ctrl);
--- a/src/process/control_manifest.c
+++ b/src/process/control_manifest.c
@@ -147,7 +147,7 @@
   if (ctrl->peers.members == NULL)
     return NULL;
   const membership_host_t *host =
-      membership_find_by_hash (ctrl->peers.members, ctrl->manifest.peer_hash);
+      membership_find_by_hash (ctrl->peers.members, ctrl->manifest.source_hash);
   return host != NULL ? host : control_pick_any_peer (ctrl);
 }
 
@@ -159,8 +159,9 @@
   control_manifest_t *manifest = &ctrl->manifest;
   uint64_t now_us = control_now_us (ctrl);
   uint64_t fetch_after_us = manifest->poll.down ? FETCH_AFTER_LOG_DOWN_US : FETCH_AFTER_LOG_SLOW_US;
-  bool behind =
-      manifest->behind_since_us != 0 && now_us - manifest->behind_since_us >= fetch_after_us;
+  bool behind = manifest->behind_since_us != 0 &&
+                manifest->source_version > control_manifest_version (ctrl) &&
+                now_us - manifest->behind_since_us >= fetch_after_us;
   bool out_of_sync =
       !replay_is_ready (manifest->replay) && (manifest->poll.down || ctrl->freshness.log_ok);
   bool needs_state =
@@ -289,10 +290,21 @@
 control_manifest_note_version (control_t *ctrl, uint64_t version, uint64_t host_hash)
 {
   control_manifest_t *manifest = &ctrl->manifest;
-  if (version <= control_manifest_version (ctrl) || version < manifest->peer_version)
+  if (host_hash == manifest->source_hash)
+    manifest->source_version = version;
+  if (version <= control_manifest_version (ctrl))
+    return;
+  /* The host with the highest version may have been killed: once it was tried, an older version
+   * that is newer than here will do, or none would come into force while the log is down. */
+  if (version >= manifest->peer_version || manifest->source_tried)
+    {
+      manifest->source_hash = host_hash;
+      manifest->source_version = version;
+      manifest->source_tried = false;
+    }
+  if (version < manifest->peer_version)
     return;
   manifest->peer_version = version;
-  manifest->peer_hash = host_hash;
   /* A log that was down is read once before its back-off ends: after an outage for many daemons it
    * brings each a patch, where peers would send each the whole manifest. */
   bool first = manifest->behind_since_us == 0;
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -110,7 +110,11 @@
  * struct control_manifest - the manifest stream
  * @replay: replays the stream and holds the version in force
  * @sent_version: the last version sent to the data task
- * @peer_version: the highest that a peer has announced, last by the host @peer_hash
+ * @peer_version: the highest that a peer has announced
+ * @source_hash: the host to fetch a version from
+ * @source_version: what it has announced
+ * @source_tried: it has been fetched from, so that other hosts with a newer version than here may
+ *                take its place
  * @behind_since_us: since when a peer has had a higher version, 0 when none has
  * @checkpoint_call: the append of @checkpoint in flight, or NULL
  * @checkpoint_due_us: when to append a checkpoint, 0 when none is due
@@ -122,7 +126,9 @@
   control_poll_t poll;
   uint64_t sent_version;
   uint64_t peer_version;
-  uint64_t peer_hash;
+  uint64_t source_hash;
+  uint64_t source_version;
+  bool source_tried;
   uint64_t behind_since_us;
   control_call_t *checkpoint_call;
   char *checkpoint;
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -458,6 +458,33 @@
   stop_version_server (&server);
 }
 
+/* Guards against a version that is not in force because one that is still newer was reported by a
+ * peer that was then killed, while the log is down: other peers have the former one. */
+static void
+test_killed_peer_hides_no_version_of_others (void)
+{
+  g_auto (rig_t) rig = { 0 };
+  version_server_t server;
+  rig_message_t incoming;
+  uint32_t sequence = 1;
+  rig_init (&rig);
+  start_version_server (&server, rig.base, &rig, 2);
+  rig.platform.read_down = true;
+  rig_ticks (&rig, 3);
+  rig_compose (&incoming, "third", 1)->manifest_version = 3;
+  control_exchange_receive (&incoming.message, false, rig.ctrl);
+  gint64 end_us = g_get_monotonic_time () + RIG_DEADLINE_S * G_USEC_PER_SEC;
+  while (rig.received.version != 2 && sequence < 2000 && g_get_monotonic_time () < end_us)
+    {
+      rig_compose (&incoming, "peer", sequence++)->manifest_version = 2;
+      control_exchange_receive (&incoming.message, false, rig.ctrl);
+      rig_tick (&rig);
+      g_usleep (1000);
+    }
+  CU_ASSERT_EQUAL (rig.received.version, 2);
+  stop_version_server (&server);
+}
+
 /* A read of the log hangs and has not timed out yet when a peer announces a new version. The daemon
  * must fetch it without waiting for the read to fail. */
 static void
@@ -529,6 +556,7 @@
     SUITE_TEST (test_host_first_seen_after_list_is_notified),
     SUITE_TEST (test_own_leaving_needs_newer_list),
     SUITE_TEST (test_version_is_fetched_from_peer),
+    SUITE_TEST (test_killed_peer_hides_no_version_of_others),
     SUITE_TEST (test_stuck_log_does_not_delay_version),
     SUITE_TEST (test_log_is_read_when_peer_is_ahead),
     CU_TEST_INFO_NULL,
