--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -61,7 +61,8 @@
  * struct control_list - the platform's list of hosts
  * @revision: of the last list that was applied
  * @last_read_us: when the last read was started
- * @peer_revision: the highest that a peer has announced since the last successful read
+ * @peer_revision: the highest that a peer has announced lately
+ * @peer_revision_us: when a peer last announced it
  * @read_once: a list has been applied
  * @empty: the last read returned a list without any host, which was ignored
  * @own_state: of this host according to the list; MEMBERSHIP_GONE when it isn't listed
@@ -76,6 +77,7 @@
   uint64_t revision;
   uint64_t last_read_us;
   uint64_t peer_revision;
+  uint64_t peer_revision_us;
   bool read_once;
   bool empty;
   membership_state_t own_state;
@@ -108,7 +110,11 @@
  * struct control_manifest - the manifest stream
  * @replay: replays the stream and holds the version in force
  * @sent_version: the last version sent to the data task
- * @peer_version: the highest that a peer has announced, last by the host @peer_hash
+ * @peer_version: the highest that a peer has announced
+ * @source_hash: the host to fetch a version from
+ * @source_version: what it has announced
+ * @source_tried: it has been fetched from, so that other hosts with a newer version than here may
+ *                take its place
  * @behind_since_us: since when a peer has had a higher version, 0 when none has
  * @checkpoint_call: the append of @checkpoint in flight, or NULL
  * @checkpoint_due_us: when to append a checkpoint, 0 when none is due
@@ -120,7 +126,9 @@
   control_poll_t poll;
   uint64_t sent_version;
   uint64_t peer_version;
-  uint64_t peer_hash;
+  uint64_t source_hash;
+  uint64_t source_version;
+  bool source_tried;
   uint64_t behind_since_us;
   control_call_t *checkpoint_call;
   char *checkpoint;
--- a/tests/test_keyed_view.c
+++ b/tests/test_keyed_view.c
@@ -265,6 +265,26 @@
   CU_ASSERT_STRING_EQUAL (get_value (view, "b"), "y");
 }
 
+/* Guards against one entry with a zero byte that makes the copies of a peer unreadable, those of
+ * the other streams and keys too. */
+static void
+test_zero_byte_makes_no_copy_unreadable (void)
+{
+  static const char value[] = "x\0y";
+  changes_t changes = { 0 };
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes);
+  view_share_stream_t stream = { .name = "engines", .view = view, .next_offset = 2 };
+  const uint64_t from = 0;
+  view_share_answer_t answer;
+  g_autofree char *body = NULL;
+
+  apply (view, 0, "a", "x");
+  keyed_view_apply (view, 1, "b", value, sizeof value - 1);
+  body = view_share_format (&stream, &from, 1, true);
+  CU_ASSERT (view_share_parse (&answer, body, strlen (body)));
+  view_share_clear (&answer);
+}
+
 int
 main (void)
 {
@@ -277,6 +297,7 @@
                                        SUITE_TEST (test_seal_covers_nonce_kind_and_body),
                                        SUITE_TEST (test_older_list_brings_nothing_back),
                                        SUITE_TEST (test_newer_list_restores_what_a_copy_lacked),
+                                       SUITE_TEST (test_zero_byte_makes_no_copy_unreadable),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("keyed_view", tests);
