An older copy of the host list no longer makes a leaving host live again

Callers would see: work for a host that leaves.

Cause: the list is eventually consistent, and an answer with a lower revision was applied like a newer one.

Change: it is ignored, unless the list stays lower for 30 s and so was reset. Failed before: test_older_list_restores_no_host.

--- a/src/process/control_list.c
+++ b/src/process/control_list.c
@@ -11,6 +11,8 @@
 #define RECHECK_US (30 * CLOCK_US_PER_S)
 /* A daemon that receives no message of a peer for this long reads the list itself. */
 #define PEERS_SILENT_US (5 * CLOCK_US_PER_S)
+/* A list that stays below the known revision for this long has been reset and no longer lags. */
+#define RESET_AFTER_US (30 * CLOCK_US_PER_S)
 #define LEAVING_CALLS_PER_TICK 4 /* calls per tick to hosts that are listed as leaving */
 
 /* As the list lags, a first list that has this host as leaving may refer to the previous process on
@@ -133,6 +135,27 @@
   return MAX (poll_interval_us (ctrl), RECHECK_US);
 }
 
+/* The list is eventually consistent: a copy of it may answer that lacks what was read before. */
+static bool
+is_older_copy (control_t *ctrl, const platform_hosts_t *hosts)
+{
+  control_list_t *list = &ctrl->list;
+  uint64_t now_us = control_now_us (ctrl);
+
+  if (hosts->revision >= list->revision)
+    {
+      list->older_since_us = 0;
+      return false;
+    }
+  if (list->older_since_us == 0)
+    {
+      list->older_since_us = now_us;
+      log_event (LOG_LEVEL_NOTICE, "older_list_ignored", "revision", LOG_U64 (hosts->revision),
+                 "known", LOG_U64 (list->revision), NULL);
+    }
+  return now_us - list->older_since_us < RESET_AFTER_US;
+}
+
 static void
 accept_answer (control_t *ctrl, const platform_hosts_t *hosts, uint64_t started_us)
 {
@@ -146,7 +169,8 @@
       return;
     }
   ctrl->list.empty = false;
-  apply_hosts (ctrl, hosts);
+  if (!is_older_copy (ctrl, hosts))
+    apply_hosts (ctrl, hosts);
   ctrl->list.poll.due_us =
       control_now_us (ctrl) + control_add_jitter (ctrl, next_read_wait_us (ctrl));
   control_freshness_note_list_read (ctrl, started_us, true);
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -63,6 +63,7 @@
  * @last_read_us: when the last read was started
  * @peer_revision: the highest that a peer has announced lately
  * @peer_revision_us: when a peer last announced it
+ * @older_since_us: since when the list has been answered with a lower revision; 0 when it is not
  * @read_once: a list has been applied
  * @empty: the last read returned a list without any host, which was ignored
  * @own_state: of this host according to the list; MEMBERSHIP_GONE when it isn't listed
@@ -78,6 +79,7 @@
   uint64_t last_read_us;
   uint64_t peer_revision;
   uint64_t peer_revision_us;
+  uint64_t older_since_us;
   bool read_once;
   bool empty;
   membership_state_t own_state;
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -529,7 +529,7 @@
   fill_streams (store, streams);
   for (uint32_t i = 0; i < STREAM_COUNT; i++)
     if (store->fetching[i])
-      read_policy_fetch_started (&store->policies[i]);
+      read_policy_fetch_started (&store->policies[i], now_us (store));
     else
       streams[i].next_offset = UINT64_MAX; /* no record is newer, so none is sent */
   store->next_fetch_us =
--- a/src/request/policy/read_policy.c
+++ b/src/request/policy/read_policy.c
@@ -70,14 +70,11 @@
 }
 
 void
-read_policy_fetch_started (read_policy_t *read_policy)
+read_policy_fetch_started (read_policy_t *read_policy, uint64_t now_us)
 {
   uint32_t count = read_policy->report_count;
 
-<<<<<<< HEAD
   read_policy->fetch_started_us = now_us;
-=======
->>>>>>> shape-fix
   read_policy->fetch_next_offset = count > 0 ? read_policy->reports[count - 1].next_offset : 0;
 }
 
--- a/src/request/policy/read_policy.h
+++ b/src/request/policy/read_policy.h
@@ -121,10 +121,7 @@
  * @report_count: number of @reports
  * @ours: offset up to which the gateway had the stream at the last update
  * @fetch_next_offset: highest offset reported when the fetch in progress began
-<<<<<<< HEAD
  * @fetch_started_us: when that or the last fetch began
-=======
->>>>>>> shape-fix
  * @fetch_due: a peer has reported a higher offset since the last failed fetch
  * @reading_since_us: when the gateway began to read because no peer confirmed its copy; 0
  *   once one does
@@ -140,10 +137,7 @@
   uint32_t report_count;
   uint64_t ours;
   uint64_t fetch_next_offset;
-<<<<<<< HEAD
   uint64_t fetch_started_us;
-=======
->>>>>>> shape-fix
   bool fetch_due;
   uint64_t reading_since_us;
   bool new_records_too_large;
@@ -161,7 +155,7 @@
 /** read_policy_caught_up() - the new records came; @of_peer: from the peer, all that it had */
 void read_policy_caught_up (read_policy_t *read_policy, bool of_peer);
 /** read_policy_fetch_started() - a fetch from a peer begins */
-void read_policy_fetch_started (read_policy_t *read_policy);
+void read_policy_fetch_started (read_policy_t *read_policy, uint64_t now_us);
 /** read_policy_fetch_failed() - the fetch from the peer failed; its next message starts another.
  * The new records are still missing, so they are read from the store after the patience */
 void read_policy_fetch_failed (read_policy_t *read_policy);
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -349,6 +349,27 @@
   CU_ASSERT_TRUE (rig.platform.lists - lists <= 4);
 }
 
+/* Guards against work for a host that leaves: the list is eventually consistent, and a copy of it
+ * from before the change answers after a newer one did. */
+static void
+test_older_list_restores_no_host (void)
+{
+  g_auto (rig_t) rig = { 0 };
+  uint64_t revision;
+  rig_init (&rig);
+  rig_ticks (&rig, 20);
+  revision = rig.platform.revision;
+  fake_platform_set_host (&rig.platform, "peer", false, rig_loopback_ip (), RIG_PORT + 1,
+                          MEMBERSHIP_LEAVING);
+  TICK_UNTIL (&rig, rig.received.peer_state == MEMBERSHIP_LEAVING);
+  fake_platform_set_host (&rig.platform, "peer", false, rig_loopback_ip (), RIG_PORT + 1,
+                          MEMBERSHIP_LIVE);
+  rig.platform.revision = revision;
+  rig_ticks (&rig, 20);
+  CU_ASSERT_EQUAL (rig.received.peer_state, MEMBERSHIP_LEAVING);
+  CU_ASSERT_EQUAL (rig.ctrl->list.revision, revision + 1);
+}
+
 /* Guards against a daemon that takes its list for current, after a peer reported a newer one and
  * was killed, because a read of an older copy of the list succeeded. Other peers do not know of the
  * newer list either. */
@@ -493,6 +514,7 @@
     SUITE_TEST (test_listed_leaving_at_start),
     SUITE_TEST (test_list_is_read_when_peer_announces_revision),
     SUITE_TEST (test_list_is_read_without_peers),
+    SUITE_TEST (test_older_list_restores_no_host),
     SUITE_TEST (test_list_stays_behind_until_the_reported_revision),
     SUITE_TEST (test_unreached_revision_is_given_up),
     SUITE_TEST (test_host_listed_as_leaving_is_notified),
