The popularity of a prompt part is its share of the requests, not a rate

Cause: requests a second are counted over seconds and stay high when the traffic falls, so that parts got more homes than they need.

Change: a gateway counts the share of each part in its requests and takes that share of the service's load, which needs neither the number of gateways nor the time of a request.

--- a/src/request/policy/engine_choice.c
+++ b/src/request/policy/engine_choice.c
@@ -6,7 +6,6 @@
 #include <xxhash.h>
 
 #define MILLI 1000
-#define US_PER_S (UINT64_C (1000) * 1000)
 
 /**
  * struct service_view - a request and the state of the engines of its service
@@ -401,14 +400,13 @@
 }
 
 /* Return: requests of all gateways for the request's part that are at engines at a time, in
- * thousandths, if all send as many as this one */
+ * thousandths, if its share of all requests is the same everywhere */
 static uint64_t
-part_load_milli (const service_view_t *view, const part_rates_t *rates)
+part_load_milli (const service_view_t *view, const part_shares_t *shares)
 {
-  const engine_choice_request_t *request = view->request;
-  uint64_t per_s_milli = part_rates_per_s_milli (rates, view->now_us, request->affinity);
+  uint64_t share_milli = part_shares_get_milli (shares, view->now_us, view->request->affinity);
 
-  return per_s_milli * MAX (request->gateways, 1U) * request->slot_time_us / US_PER_S;
+  return view->mean_milli * view->open * share_milli / MILLI;
 }
 
 /*
@@ -424,7 +422,7 @@
 {
   const engine_choice_request_t *request = view->request;
   uint64_t distance_milli = view->mean_milli + ENGINE_CHOICE_OVERLOAD_EXTRA_MILLI;
-  uint64_t share_milli = part_load_milli (view, first->part_rates) * MILLI / distance_milli;
+  uint64_t share_milli = part_load_milli (view, first->part_shares) * MILLI / distance_milli;
   uint64_t homes = 1;
 
   if (request->affinity_tokens == 0 ||
@@ -435,7 +433,7 @@
   if (request->affinity_tokens <= ENGINE_CHOICE_SMALL_PART_TOKENS)
     homes = MAX (homes, ENGINE_CHOICE_SMALL_PART_HOMES);
   if (request->slot_time_us != 0 &&
-      part_rates_age_us (first->part_rates, view->now_us) < ENGINE_CHOICE_START_US)
+      part_shares_age_us (first->part_shares, view->now_us) < ENGINE_CHOICE_START_US)
     homes = MAX (homes, ENGINE_CHOICE_START_HOMES);
   return (uint32_t)CLAMP (homes, 1, ENGINE_CHOICE_PART_HOMES_MAX);
 }
@@ -721,7 +719,7 @@
     }
   choice.action = ENGINE_CHOICE_SEND;
   if (request->affinity != 0)
-    part_rates_add (choice.engine->part_rates, now_us, request->affinity);
+    part_shares_add (choice.engine->part_shares, now_us, request->affinity);
   choice.load = load_at (&view, choice.engine);
   choice.source = find_copy_source (&view, choice.engine);
   choice.rank = rank_position (&view, choice.engine);
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -13,12 +13,12 @@
 /**
  * struct service - a service
  * @list: its engines, as engine_t
- * @part_rates: how often this gateway sends requests with each prompt part
+ * @part_shares: share of each prompt part in the requests of this gateway
  */
 typedef struct
 {
   GPtrArray *list;
-  part_rates_t *part_rates;
+  part_shares_t *part_shares;
 } service_t;
 
 /**
@@ -53,7 +53,7 @@
   service_t *service = data;
 
   g_ptr_array_free (service->list, TRUE);
-  part_rates_free (service->part_rates);
+  part_shares_free (service->part_shares);
   g_free (service);
 }
 
@@ -89,7 +89,7 @@
     {
       service = g_new0 (service_t, 1);
       service->list = g_ptr_array_new ();
-      service->part_rates = part_rates_new ();
+      service->part_shares = part_shares_new ();
       g_hash_table_insert (engines->by_service, (gpointer)name, service);
     }
   return service;
@@ -170,7 +170,7 @@
       service_t *service = get_service (engines, entry->service);
 
       engine = engine_new (entry);
-      engine->part_rates = service->part_rates;
+      engine->part_shares = service->part_shares;
       engine->joined_us = engines->complete ? now_us : 0;
       restore_self_report (engines, engine);
       g_hash_table_insert (engines->by_id, engine->entry.id, engine);
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -11,7 +11,7 @@
 
 #include "base/limits.h"
 #include "base/settings.h"
-#include "request/policy/part_rates.h"
+#include "request/policy/part_shares.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -73,7 +73,7 @@
  * @hash: of id and start time. What is known of one process doesn't hold for the next one under the
  *   same id, whose cache is empty
  * @rank_hash: of the id; rendezvous hashing of shared prompt parts uses it
- * @part_rates: of its service; shared with the other engines of the service
+ * @part_shares: of its service; shared with the other engines of the service
  * @refs: one of the registry's entry and one of each request of this gateway
  * @own_requests: requests of this gateway at the engine
  * @reported_us: when the engine last reported its load to this gateway; 0 for never
@@ -116,7 +116,7 @@
   engine_entry_t entry;
   uint64_t hash;
   uint64_t rank_hash;
-  part_rates_t *part_rates;
+  part_shares_t *part_shares;
   uint32_t refs;
   uint32_t own_requests;
   uint64_t reported_us;
