The soak runs with as many gateways as asked for

The requests that show that all gateways serve, at the start and after the faults, are sent by three at a time: the stand-in upstreams have few slots, and 30 gateways at once were refused by 503 for that reason alone. For three gateways nothing changes.

--- a/soak/soak.h
+++ b/soak/soak.h
@@ -20,7 +20,8 @@
 #include <stdio.h>
 #include <sys/types.h>
 
-#define SOAK_GATEWAYS 3
+#define SOAK_GATEWAYS 3 /* unless the command line says otherwise */
+#define SOAK_GATEWAYS_MAX 50
 /* the first SOAK_STREAM_UPSTREAMS send event streams, the others plain responses */
 #define SOAK_UPSTREAMS 5
 #define SOAK_STREAM_UPSTREAMS 3
@@ -158,10 +159,11 @@
   uint64_t until_us;
   uint64_t store_heals_us;
   soak_process_t *store;
-  soak_process_t *gateways[SOAK_GATEWAYS];
+  uint32_t gateway_count;
+  soak_process_t *gateways[SOAK_GATEWAYS_MAX];
   soak_process_t *upstreams[SOAK_UPSTREAMS];
-  uint32_t start_counts[SOAK_GATEWAYS];
-  soak_proxy_t *store_proxies[SOAK_GATEWAYS];
+  uint32_t start_counts[SOAK_GATEWAYS_MAX];
+  soak_proxy_t *store_proxies[SOAK_GATEWAYS_MAX];
   soak_proxy_t *upstream_proxies[SOAK_UPSTREAMS];
   GPtrArray *calls;
   GArray *disturbances;
--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -168,9 +168,9 @@
 static void
 check_version_order (soak_t *soak)
 {
-  uint32_t highest[SOAK_GATEWAYS] = { 0 };
-  uint64_t since_us[SOAK_GATEWAYS] = { 0 };
-  uint32_t incarnation[SOAK_GATEWAYS] = { 0 };
+  uint32_t highest[SOAK_GATEWAYS_MAX] = { 0 };
+  uint64_t since_us[SOAK_GATEWAYS_MAX] = { 0 };
+  uint32_t incarnation[SOAK_GATEWAYS_MAX] = { 0 };
 
   for (guint i = 0; i < soak->calls->len; i++)
     {
@@ -195,20 +195,24 @@
     }
 }
 
+#define BATCH_INTERVAL_MS 2000
+
 /* After all faults have ended, every gateway must serve every kind of request, and the route of the
- * newest version. */
+ * newest version. A few gateways send at a time, as the upstreams have few slots. */
 static void
 check_recovery (soak_t *soak)
 {
   guint first = soak->calls->len;
 
-  for (uint32_t i = 0; i < SOAK_GATEWAYS; i++)
+  for (uint32_t i = 0; i < soak->gateway_count; i++)
     {
       for (uint32_t kind = 0; kind < SOAK_KINDS; kind++)
         for (uint32_t repetition = 0; repetition < 4; repetition++)
           soak_send_request (soak, i, kind, 0, true);
       if (soak->acked_version > 1)
         soak_send_request (soak, i, SOAK_IDEMPOTENT, soak->acked_version, true);
+      if ((i + 1) % SOAK_GATEWAYS == 0 && i + 1 < soak->gateway_count)
+        soak_run_loop (soak, BATCH_INTERVAL_MS);
     }
   soak_run_loop (soak, 3000);
   for (guint i = first; i < soak->calls->len; i++)
--- a/soak/soak_client.c
+++ b/soak/soak_client.c
@@ -92,7 +92,7 @@
 void
 soak_send_random_request (soak_t *soak)
 {
-  uint32_t gateway = soak_random (soak, SOAK_GATEWAYS);
+  uint32_t gateway = soak_random (soak, soak->gateway_count);
   uint32_t draw = soak_random (soak, 20);
 
   if (draw == 0)
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -125,7 +125,7 @@
 void
 soak_inject_fault (soak_t *soak)
 {
-  uint32_t gateway = soak_random (soak, SOAK_GATEWAYS);
+  uint32_t gateway = soak_random (soak, soak->gateway_count);
   uint32_t upstream = soak_random (soak, SOAK_UPSTREAMS);
 
   switch (soak_random (soak, 8))
@@ -162,7 +162,7 @@
 void
 soak_end_faults (soak_t *soak)
 {
-  for (uint32_t i = 0; i < SOAK_GATEWAYS; i++)
+  for (uint32_t i = 0; i < soak->gateway_count; i++)
     soak_proxy_set_mode (soak->store_proxies[i], SOAK_PROXY_PASS);
   for (uint32_t i = 0; i < SOAK_UPSTREAMS; i++)
     soak_proxy_set_mode (soak->upstream_proxies[i], SOAK_PROXY_PASS);
--- a/soak/soak_fleet.c
+++ b/soak/soak_fleet.c
@@ -19,9 +19,9 @@
 /* Last number of the IP addresses; those with an index add it. */
 #define STORE_IP_OCTET 1
 #define GATEWAY_IP_OCTET 10
-#define UPSTREAM_IP_OCTET 30
-#define STORE_PROXY_IP_OCTET 50
-#define UPSTREAM_PROXY_IP_OCTET 70
+#define UPSTREAM_IP_OCTET 70
+#define STORE_PROXY_IP_OCTET 100
+#define UPSTREAM_PROXY_IP_OCTET 160
 #define RESTART_DELAY_MIN_MS 50
 #define RESTART_DELAY_SPREAD_MS 1000 /* added at random to the minimum */
 #define STOP_SLACK_MS 500            /* on top of the grace period, for the check of the exit */
@@ -84,7 +84,7 @@
     }
   close (log_fd);
   g_ptr_array_set_size (process->argv, (gint)process->argv->len - 1);
-  for (uint32_t i = 0; i < SOAK_GATEWAYS; i++)
+  for (uint32_t i = 0; i < process->soak->gateway_count; i++)
     if (process->soak->gateways[i] == process)
       process->soak->start_counts[i]++;
 }
@@ -185,7 +185,7 @@
 void
 soak_for_each_process (soak_t *soak, void (*visit) (soak_process_t *process))
 {
-  for (uint32_t i = 0; i < SOAK_GATEWAYS; i++)
+  for (uint32_t i = 0; i < soak->gateway_count; i++)
     if (soak->gateways[i])
       visit (soak->gateways[i]);
   for (uint32_t i = 0; i < SOAK_UPSTREAMS; i++)
@@ -352,11 +352,11 @@
 }
 
 static bool
-all_gateways_serve (soak_t *soak)
+gateways_serve (soak_t *soak, uint32_t begin, uint32_t end)
 {
   uint32_t first = soak->calls->len;
 
-  for (uint32_t i = 0; i < SOAK_GATEWAYS; i++)
+  for (uint32_t i = begin; i < end; i++)
     for (uint32_t kind = 0; kind < SOAK_KINDS; kind++)
       soak_send_request (soak, i, kind, 0, true);
   soak_run_loop (soak, 400);
@@ -371,6 +371,16 @@
   return true;
 }
 
+/* A few at a time, as the upstreams have few slots. */
+static bool
+all_gateways_serve (soak_t *soak)
+{
+  for (uint32_t i = 0; i < soak->gateway_count; i += SOAK_GATEWAYS)
+    if (!gateways_serve (soak, i, MIN (i + SOAK_GATEWAYS, soak->gateway_count)))
+      return false;
+  return true;
+}
+
 void
 soak_fleet_start (soak_t *soak)
 {
@@ -384,7 +394,7 @@
     }
   for (uint32_t i = 0; i < SOAK_UPSTREAMS; i++)
     start_upstream (soak, i);
-  for (uint32_t i = 0; i < SOAK_GATEWAYS; i++)
+  for (uint32_t i = 0; i < soak->gateway_count; i++)
     start_gateway (soak, i);
   while (!all_gateways_serve (soak))
     if (soak_now_us () > deadline_us)
@@ -399,7 +409,7 @@
 {
   soak_for_each_process (soak, process_free);
   process_free (soak->store);
-  for (uint32_t i = 0; i < SOAK_GATEWAYS; i++)
+  for (uint32_t i = 0; i < soak->gateway_count; i++)
     soak_proxy_free (soak->store_proxies[i]);
   for (uint32_t i = 0; i < SOAK_UPSTREAMS; i++)
     soak_proxy_free (soak->upstream_proxies[i]);
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -1,4 +1,4 @@
-/* soak --seed N [--seconds S] [--build DIR] [--keep] */
+/* soak --seed N [--seconds S] [--gateways N] [--build DIR] [--keep] */
 #include "soak.h"
 
 #include <event2/util.h>
@@ -146,11 +146,21 @@
     }
 }
 
-static const struct option option_table[] = { { "seed", required_argument, NULL, 's' },
-                                              { "seconds", required_argument, NULL, 't' },
-                                              { "build", required_argument, NULL, 'b' },
-                                              { "keep", no_argument, NULL, 'k' },
-                                              { NULL, 0, NULL, 0 } };
+static const struct option option_table[] = {
+  { "seed", required_argument, NULL, 's' },  { "seconds", required_argument, NULL, 't' },
+  { "build", required_argument, NULL, 'b' }, { "gateways", required_argument, NULL, 'g' },
+  { "keep", no_argument, NULL, 'k' },        { NULL, 0, NULL, 0 }
+};
+
+static bool
+parse_number (char option, guint64 *seed, guint64 *seconds, guint64 *gateways)
+{
+  if (option == 's')
+    return g_ascii_string_to_unsigned (optarg, 10, 0, G_MAXUINT32, seed, NULL);
+  if (option == 'g')
+    return g_ascii_string_to_unsigned (optarg, 10, 1, SOAK_GATEWAYS_MAX, gateways, NULL);
+  return option != '?' && g_ascii_string_to_unsigned (optarg, 10, 0, 3600, seconds, NULL);
+}
 
 int
 main (int argc, char **argv)
@@ -158,6 +168,7 @@
   static soak_t soak;
   const char *build = "build";
   guint64 seconds = 12;
+  guint64 gateways = SOAK_GATEWAYS;
   bool keep = false;
   int option;
 
@@ -167,14 +178,13 @@
         build = optarg;
       else if (option == 'k')
         keep = true;
-      else if (option == '?' ||
-               !g_ascii_string_to_unsigned (optarg, 10, 0, option == 's' ? G_MAXUINT32 : 3600,
-                                            option == 's' ? &soak.seed : &seconds, NULL))
+      else if (!parse_number ((char)option, &soak.seed, &seconds, &gateways))
         {
-          fprintf (stderr, "soak --seed N [--seconds S] [--build DIR] [--keep]\n");
+          fprintf (stderr, "soak --seed N [--seconds S] [--gateways N] [--build DIR] [--keep]\n");
           return 2;
         }
     }
+  soak.gateway_count = (uint32_t)gateways;
   init_soak (&soak, build);
   soak_fleet_start (&soak);
   if (soak.failures == 0)
