Test of overloaded engines: its end releases the engines

The simulation freed the requests under way at its end without ending them, so the engines that they refer to were never freed: 1.5 MB by LeakSanitizer. The program passes with the sanitizers.

--- a/tests/test_overloaded.c
+++ b/tests/test_overloaded.c
@@ -119,11 +119,24 @@
   return fleet;
 }
 
+/* Ends the requests that are still under way, which hold references to engines. */
+static void
+end_runs (fleet_t *fleet, GQueue *runs)
+{
+  run_t *run;
+
+  while ((run = g_queue_pop_head (runs)))
+    {
+      engine_end_request (engine_of (fleet, run->gateway, run->engine));
+      g_free (run);
+    }
+}
+
 static void
 fleet_free (fleet_t *fleet)
 {
-  g_queue_clear_full (&fleet->runs[0], g_free);
-  g_queue_clear_full (&fleet->runs[1], g_free);
+  end_runs (fleet, &fleet->runs[0]);
+  end_runs (fleet, &fleet->runs[1]);
   for (uint32_t i = 0; i < fleet->gateways; i++)
     engines_free (fleet->known[i]);
   g_rand_free (fleet->rand);
