--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -479,7 +479,8 @@
       rig_compose (&incoming, "peer", sequence++)->manifest_version = 2;
       control_exchange_receive (&incoming.message, false, rig.ctrl);
       rig_tick (&rig);
-      g_usleep (1000);
+      while (rig.ctrl->fetch.call != NULL && g_get_monotonic_time () < end_us)
+        event_base_loop (rig.base, EVLOOP_ONCE);
     }
   CU_ASSERT_EQUAL (rig.received.version, 2);
   stop_version_server (&server);
