Log and counter of the store's era

The logs of the incident can't tell a store that lost records from one that hides them. The store states in Store-Era how often it came back from a copy; nothing read it.

Reads and lists report the era, the follower logs store_era with the end of the stream beside its own position when it rises and counts it, and stream_listed states the offset that is read next. No logic changes.

--- a/src/connection/platform.h
+++ b/src/connection/platform.h
@@ -43,10 +43,12 @@
  * @first_offset: offset of the oldest record that is still retained
  * @next_offset: offset to continue reading from
  * @end_offset: end of the stream at the time of the read
+ * @era: number of the platform's last restoration from a copy; 0 when the platform doesn't state it
  */
 typedef struct
 {
   platform_outcome_t outcome;
+  uint64_t era;
   uint64_t first_offset;
   uint64_t next_offset;
   uint64_t end_offset;
@@ -62,10 +64,12 @@
  * during the callback
  * @more: further keys follow the last one of @records
  * @end_offset: end of the stream when the page was created
+ * @era: as in struct platform_read
  */
 typedef struct
 {
   platform_outcome_t outcome;
+  uint64_t era;
   const platform_record_t *records;
   uint32_t record_count;
   bool more;
--- a/src/connection/stream_follower.c
+++ b/src/connection/stream_follower.c
@@ -17,6 +17,7 @@
  * @last_listed_key: last key of the previous page, NULL for the first page
  * @list_end_offset: end of the stream when the first page was made
  * @next_offset: offset to read from
+ * @era: highest era that the platform stated; 0 before
  * @started_us: start of the last call; 0 before the first
  * @due_us: earliest start of the next call
  * @last_answer_us: time of the last successful response; 0 before the first
@@ -40,6 +41,7 @@
   char *last_listed_key;
   uint64_t list_end_offset;
   uint64_t next_offset;
+  uint64_t era;
   uint64_t started_us;
   uint64_t due_us;
   uint64_t last_answer_us;
@@ -51,6 +53,7 @@
   counter_t *list_count;
   counter_t *read_count;
   counter_t *failure_count;
+  counter_t *restoration_count;
 };
 
 static void
@@ -107,6 +110,19 @@
              NULL);
 }
 
+static void
+note_era (stream_follower_t *follower, uint64_t era, uint64_t end_offset)
+{
+  if (era <= follower->era)
+    return;
+  log_event (LOG_LEVEL_WARNING, "store_era", "stream", follower->options.stream, "era",
+             LOG_U64 (era), "before", LOG_U64 (follower->era), "end_offset", LOG_U64 (end_offset),
+             "next_offset", LOG_U64 (follower->next_offset), NULL);
+  if (follower->has_listed)
+    counter_add (follower->restoration_count, 1);
+  follower->era = era;
+}
+
 static void
 handle_failure (stream_follower_t *follower)
 {
@@ -198,7 +214,8 @@
   follower->next_offset = MAX (follower->next_offset, follower->list_end_offset);
   follower->current_as_of_us = follower->listed_as_of_us;
   log_event (LOG_LEVEL_NOTICE, "stream_listed", "stream", follower->options.stream, "end_offset",
-             LOG_U64 (follower->list_end_offset), NULL);
+             LOG_U64 (follower->list_end_offset), "next_offset", LOG_U64 (follower->next_offset),
+             NULL);
   follower->options.on_event (STREAM_FOLLOWER_LISTED, follower->options.context);
 }
 
@@ -214,6 +231,7 @@
   stream_follower_t *follower = context;
 
   follower->call_pending = false;
+  note_era (follower, newest->era, newest->end_offset);
   if (newest->outcome != PLATFORM_OK || (newest->more && newest->record_count == 0))
     {
       handle_failure (follower);
@@ -269,6 +287,7 @@
   uint64_t pace_us = (uint64_t)follower->options.pace_ms * CLOCK_US_PER_MS;
 
   follower->call_pending = false;
+  note_era (follower, read->era, read->end_offset);
   if (read->outcome == PLATFORM_EXPIRED ||
       (read->outcome == PLATFORM_OK && read->first_offset > follower->next_offset))
     {
@@ -367,6 +386,9 @@
   follower->read_count = counter (options, "medlarplank_store_reads_total", "Reads of the store");
   follower->failure_count = counter (options, "medlarplank_store_failures_total",
                                      "Pages and reads that the store did not answer");
+  follower->restoration_count =
+      counter (options, "medlarplank_store_restorations_total",
+               "Times that the store came back from a copy, as observed by this stream");
   follower->suspended = options->start_suspended;
   if (!follower->suspended)
     schedule_in (follower, 0);
