--- a/tests/fake_store.c
+++ b/tests/fake_store.c
@@ -13,6 +13,7 @@
   struct event_base *base;
   GHashTable *streams; /* stream name -> GPtrArray of record_t, indexed by offset */
   GPtrArray *clients;
+  uint64_t era;
 };
 
 typedef enum
@@ -86,7 +87,9 @@
 {
   const GPtrArray *stream = get_stream (call->client->store, call->stream);
   g_autoptr (GArray) records = g_array_new (FALSE, TRUE, sizeof (platform_record_t));
-  platform_read_t read = { .outcome = PLATFORM_OK, .end_offset = stream->len };
+  platform_read_t read = { .outcome = PLATFORM_OK,
+                           .era = call->client->store->era,
+                           .end_offset = stream->len };
 
   for (uint64_t offset = call->from; offset < stream->len && records->len < call->max; offset++)
     {
@@ -96,7 +99,7 @@
     }
   if (call->client->down)
     read.outcome = PLATFORM_UNKNOWN;
-  else if (call->client->expired)
+  else if (call->client->expired || call->from > stream->len)
     read.outcome = PLATFORM_EXPIRED;
   call->client->expired = false;
   read.records = (const platform_record_t *)(const void *)records->data;
@@ -112,6 +115,7 @@
   g_autoptr (GHashTable) seen_keys = g_hash_table_new (g_str_hash, g_str_equal);
   g_autoptr (GArray) records = g_array_new (FALSE, TRUE, sizeof (platform_record_t));
   platform_newest_t answer = { .outcome = call->client->down ? PLATFORM_UNKNOWN : PLATFORM_OK,
+                               .era = call->client->store->era,
                                .end_offset = stream->len };
 
   for (guint offset = stream->len; offset > 0; offset--)
@@ -190,7 +194,7 @@
 {
   fake_store_client_t *client = (fake_store_client_t *)platform;
   bool has_answer =
-      client->down || client->expired || get_stream (client->store, stream)->len > from_offset;
+      client->down || client->expired || get_stream (client->store, stream)->len != from_offset;
   call_t *call = call_new (platform, CALL_READ, stream, has_answer ? 0 : wait_ms, context);
 
   call->from = from_offset;
@@ -295,6 +299,18 @@
     answer_waiting_reads (g_ptr_array_index (store->clients, i), stream);
 }
 
+void
+fake_store_restore (fake_store_t *store, const char *stream, uint32_t end)
+{
+  GPtrArray *records = get_stream (store, stream);
+
+  g_assert (end <= records->len);
+  g_ptr_array_set_size (records, (gint)end);
+  store->era++;
+  for (guint i = 0; i < store->clients->len; i++)
+    answer_waiting_reads (g_ptr_array_index (store->clients, i), stream);
+}
+
 const char *
 fake_store_value (const fake_store_t *store, const char *stream, const char *key)
 {
