--- a/bench/spread/fake_platform.c
+++ b/bench/spread/fake_platform.c
@@ -145,8 +145,8 @@
     {
       update_manifest (node);
       read.outcome = PLATFORM_OK;
-      read.next_offset = fleet->log_end;
-      read.end_offset = fleet->log_end;
+      read.next.offset = fleet->log_end;
+      read.end.offset = fleet->log_end;
     }
   request->read (&read, request->op);
   g_free (request);
--- a/ctl/cmd_publish.c
+++ b/ctl/cmd_publish.c
@@ -170,11 +170,11 @@
 } append_wait_t;
 
 static void
-on_appended (platform_outcome_t outcome, uint64_t offset, void *context)
+on_appended (platform_outcome_t outcome, position_t position, void *context)
 {
   append_wait_t *appended = context;
 
-  (void)offset;
+  (void)position;
   appended->outcome = outcome;
   appended->done = true;
 }
--- a/ctl/manifest_reader.c
+++ b/ctl/manifest_reader.c
@@ -13,18 +13,18 @@
 static void
 apply_records (manifest_reader_t *reader, const platform_read_t *read)
 {
-  replay_set_first_offset (reader->replay, read->first_offset);
-  replay_set_end_offset (reader->replay, read->end_offset);
+  replay_set_first_offset (reader->replay, read->first.offset);
+  replay_set_end_offset (reader->replay, read->end.offset);
   for (uint32_t i = 0; i < read->record_count; i++)
     {
       const platform_record_t *record = &read->records[i];
       replay_result_t result =
-          replay_apply (reader->replay, record->offset, record->data, record->data_bytes);
+          replay_apply (reader->replay, record->position.offset, record->data, record->data_bytes);
 
       if (reader->on_result != NULL)
-        reader->on_result (&result, record->offset, reader->context);
+        reader->on_result (&result, record->position.offset, reader->context);
     }
-  reader->at_end = replay_next_offset (reader->replay) >= read->end_offset;
+  reader->at_end = replay_next_offset (reader->replay) >= read->end.offset;
 }
 
 static void
--- a/src/connection/platform.c
+++ b/src/connection/platform.c
@@ -59,10 +59,10 @@
                const char *text,
                size_t text_bytes)
 {
-  uint64_t offset = 0;
-  if (outcome == PLATFORM_OK && !platform_answer_parse_append (text, text_bytes, &offset))
+  position_t position = { 0 };
+  if (outcome == PLATFORM_OK && !platform_answer_parse_append (text, text_bytes, &position))
     outcome = PLATFORM_UNKNOWN;
-  call->appended (outcome, outcome == PLATFORM_OK ? offset : 0, call->context);
+  call->appended (outcome, outcome == PLATFORM_OK ? position : (position_t){ 0 }, call->context);
 }
 
 static void
--- a/src/connection/platform.h
+++ b/src/connection/platform.h
@@ -8,6 +8,7 @@
 #ifndef CONNECTION_PLATFORM_H
 #define CONNECTION_PLATFORM_H
 
+#include "base/position.h"
 #include "base/settings.h"
 #include "request/policy/membership.h"
 
@@ -32,48 +33,49 @@
  */
 typedef struct
 {
-  uint64_t offset;
+  position_t position;
   const char *key;
   const char *data;
   size_t data_bytes;
 } platform_record_t;
 
 /**
- * struct platform_read - result of a read; valid during the callback
- * @first_offset: offset of the oldest record that is still retained
- * @next_offset: offset to continue reading from
- * @end_offset: end of the stream at the time of the read
- * @era: number of the platform's last restoration from a copy; 0 when the platform doesn't state it
+ * struct platform_read - result of a read; valid during the callback. All positions are of the era
+ * that the response states, 0 when it states none
+ * @first: position of the oldest record that is still retained
+ * @next: position to continue reading from
+ * @end: end of the stream at the time of the read. Also set for %PLATFORM_EXPIRED, with the offset
+ * 0
  */
 typedef struct
 {
   platform_outcome_t outcome;
-  uint64_t era;
-  uint64_t first_offset;
-  uint64_t next_offset;
-  uint64_t end_offset;
+  position_t first;
+  position_t next;
+  position_t end;
   const platform_record_t *records;
   uint32_t record_count;
 } platform_read_t;
 
-typedef void (*platform_append_done_t) (platform_outcome_t outcome, uint64_t offset, void *context);
+/** platform_append_done_t - result of an append; @position of the record when it is %PLATFORM_OK */
+typedef void (*platform_append_done_t) (platform_outcome_t outcome,
+                                        position_t position,
+                                        void *context);
 typedef void (*platform_read_done_t) (const platform_read_t *read, void *context);
 
 /**
  * struct platform_newest - one page of the newest record of each key of a keyed stream; valid
  * during the callback
  * @more: further keys follow the last one of @records
- * @end_offset: end of the stream when the page was created
- * @era: as in struct platform_read
+ * @end: end of the stream when the page was created, as in struct platform_read
  */
 typedef struct
 {
   platform_outcome_t outcome;
-  uint64_t era;
   const platform_record_t *records;
   uint32_t record_count;
   bool more;
-  uint64_t end_offset;
+  position_t end;
 } platform_newest_t;
 typedef void (*platform_newest_done_t) (const platform_newest_t *newest, void *context);
 
--- a/src/connection/platform_answer.c
+++ b/src/connection/platform_answer.c
@@ -12,6 +12,15 @@
   return true;
 }
 
+/* The era is optional: 0 stands for a platform that never came back from a copy. Return: false when
+ * it is invalid */
+static bool
+get_era (const json_t *object, uint64_t *era)
+{
+  *era = 0;
+  return !json_object_get (object, "era") || get_u64 (object, "era", era);
+}
+
 static bool
 get_name (const json_t *object, const char *key, char out[LIMIT_NAME_BYTES])
 {
@@ -69,38 +78,40 @@
 }
 
 static bool
-get_record (const json_t *object, uint64_t offset, platform_record_t *record)
+get_record (const json_t *object, position_t expected, platform_record_t *record)
 {
   const json_t *data = json_object_get (object, "data");
-  if (!get_u64 (object, "offset", &record->offset) || !json_is_string (data))
+  record->position.era = expected.era;
+  if (!get_u64 (object, "offset", &record->position.offset) || !json_is_string (data))
     return false;
   record->data = json_string_value (data);
   record->data_bytes = json_string_length (data);
-  return record->offset == offset;
+  return position_equal (record->position, expected);
 }
 
 static bool
 get_records (platform_answer_read_t *out, uint64_t from, uint32_t max_records)
 {
   const json_t *list = json_object_get (out->json, "records");
-  uint64_t expected = MAX (from, out->read.first_offset);
+  position_t expected = { out->read.end.era, MAX (from, out->read.first.offset) };
   size_t count = json_array_size (list);
   if (!json_is_array (list) || count > MIN (max_records, PLATFORM_ANSWER_RECORDS_LIMIT))
     return false;
   out->records = g_new0 (platform_record_t, count + 1);
-  for (size_t i = 0; i < count; i++)
-    if (!get_record (json_array_get (list, i), expected++, &out->records[i]))
+  for (size_t i = 0; i < count; i++, expected.offset++)
+    if (!get_record (json_array_get (list, i), expected, &out->records[i]))
       return false;
   out->read.records = out->records;
   out->read.record_count = (uint32_t)count;
-  return out->read.next_offset == expected && (count == 0 || expected <= out->read.end_offset);
+  return out->read.next.offset == expected.offset &&
+         (count == 0 || expected.offset <= out->read.end.offset);
 }
 
 bool
-platform_answer_parse_append (const char *text, size_t text_bytes, uint64_t *offset)
+platform_answer_parse_append (const char *text, size_t text_bytes, position_t *position)
 {
   json_t *json = parse_json (text, text_bytes);
-  bool valid = get_u64 (json, "offset", offset);
+  bool valid = get_u64 (json, "offset", &position->offset) && get_era (json, &position->era);
   json_decref (json);
   return valid;
 }
@@ -115,11 +126,14 @@
   memset (out, 0, sizeof *out);
   out->json = parse_json (text, text_bytes);
   out->read.outcome = PLATFORM_OK;
-  bool valid = get_u64 (out->json, "first", &out->read.first_offset) &&
-               get_u64 (out->json, "next", &out->read.next_offset) &&
-               get_u64 (out->json, "end", &out->read.end_offset) &&
-               out->read.first_offset <= out->read.end_offset &&
-               get_records (out, from, max_records);
+  uint64_t era;
+  bool valid = get_u64 (out->json, "first", &out->read.first.offset) &&
+               get_u64 (out->json, "next", &out->read.next.offset) &&
+               get_u64 (out->json, "end", &out->read.end.offset) && get_era (out->json, &era) &&
+               out->read.first.offset <= out->read.end.offset;
+  if (valid)
+    out->read.first.era = out->read.next.era = out->read.end.era = era;
+  valid = valid && get_records (out, from, max_records);
   if (!valid)
     platform_answer_read_clear (out);
   return valid;
--- a/src/connection/platform_answer.h
+++ b/src/connection/platform_answer.h
@@ -16,7 +16,7 @@
 
 /** platform_answer_parse_append() - parse the response to an append. Return: false when it is
  * invalid */
-bool platform_answer_parse_append (const char *text, size_t text_bytes, uint64_t *offset);
+bool platform_answer_parse_append (const char *text, size_t text_bytes, position_t *position);
 
 /** platform_answer_read_t - a parsed response to a read; @read points into @json and @records */
 typedef struct
--- a/src/connection/stream_follower.c
+++ b/src/connection/stream_follower.c
@@ -4,10 +4,26 @@
 
 #define RECORDS_PER_READ_MAX 10000
 
+/**
+ * struct call - a call to the platform
+ * @from: position that a read asks for
+ * @is_first_page: it asks for the first page of a list
+ * @abandoned: its response is ignored
+ */
+typedef struct
+{
+  stream_follower_t *follower;
+  position_t from;
+  bool is_read;
+  bool is_first_page;
+  bool abandoned;
+} call_t;
+
 /**
  * struct follower - state of a follower
  * @timer: starts the next call; not pending while a call is, or while the follower rests
- * @call_pending: a call has not been answered
+ * @call: the call in progress; NULL for none
+ * @calls: that call, and abandoned ones without a response yet
  * @on_demand: reads start only by stream_follower_read_soon()
  * @suspended: no call may start
  * @listing: the next call requests a page of the list
@@ -15,9 +31,10 @@
  * @listed: records of the pages so far; NULL before the first page. They are listed in the view
  * after the last page only, as the view may get other records between two pages
  * @last_listed_key: last key of the previous page, NULL for the first page
- * @list_end_offset: end of the stream when the first page was made
- * @next_offset: offset to read from
- * @era: highest era that the platform stated; 0 before
+ * @list_end: end of the stream when the first page was made
+ * @next: position to read from
+ * @listed_unread: no read has succeeded since the last listing
+ * @era: highest era that the platform stated, or that a peer's copy was of; 0 before
  * @started_us: start of the last call; 0 before the first
  * @due_us: earliest start of the next call
  * @last_answer_us: time of the last successful response; 0 before the first
@@ -32,15 +49,17 @@
   stream_follower_options_t options;
   struct event *timer;
   GRand *rand;
-  bool call_pending;
+  call_t *call;
+  GPtrArray *calls;
   bool on_demand;
   bool suspended;
   bool listing;
   bool has_listed;
   keyed_view_t *listed;
   char *last_listed_key;
-  uint64_t list_end_offset;
-  uint64_t next_offset;
+  position_t list_end;
+  position_t next;
+  bool listed_unread;
   uint64_t era;
   uint64_t started_us;
   uint64_t due_us;
@@ -98,6 +117,29 @@
   follower->listing = true;
 }
 
+/* A read may wait at the platform for long. One that began in another era tells nothing. */
+static void
+abandon_read (stream_follower_t *follower)
+{
+  if (!follower->call || !follower->call->is_read)
+    return;
+  follower->call->abandoned = true;
+  follower->call = NULL;
+}
+
+/* Return: whether the response is to be ignored */
+static bool
+end_call (call_t *call)
+{
+  stream_follower_t *follower = call->follower;
+  bool abandoned = call->abandoned;
+
+  if (!abandoned)
+    follower->call = NULL;
+  g_ptr_array_remove_fast (follower->calls, call);
+  return abandoned;
+}
+
 static void
 log_dependency (const stream_follower_t *follower, log_level_t level, const char *event)
 {
@@ -110,17 +152,26 @@
              NULL);
 }
 
+/*
+ * A higher era means that the platform came back from a copy: the position to read from no longer
+ * exists, or is that of another record, so the newest records are listed again. Until then the view
+ * keeps what it has.
+ */
 static void
-note_era (stream_follower_t *follower, uint64_t era, uint64_t end_offset)
+note_era (stream_follower_t *follower, uint64_t era, const char *source)
 {
   if (era <= follower->era)
     return;
   log_event (LOG_LEVEL_WARNING, "store_era", "stream", follower->options.stream, "era",
-             LOG_U64 (era), "before", LOG_U64 (follower->era), "end_offset", LOG_U64 (end_offset),
-             "next_offset", LOG_U64 (follower->next_offset), NULL);
-  if (follower->has_listed)
-    counter_add (follower->restoration_count, 1);
+             LOG_U64 (era), "before", LOG_U64 (follower->era), "source", source, "next_offset",
+             LOG_U64 (follower->next.offset), NULL);
   follower->era = era;
+  if (!follower->has_listed)
+    return;
+  counter_add (follower->restoration_count, 1);
+  abandon_read (follower);
+  if (follower->next.era < era)
+    reset_listing (follower);
 }
 
 static void
@@ -160,62 +211,70 @@
   schedule_at (follower, follower->started_us + pace_us);
 }
 
+/* @known: a record without an era is of the era of this position */
 static void
-apply_records (keyed_view_t *view, const platform_record_t *records, uint32_t count)
+apply_records (keyed_view_t *view,
+               position_t known,
+               const platform_record_t *records,
+               uint32_t count)
 {
   for (uint32_t i = 0; i < count; i++)
-    keyed_view_apply (view, records[i].offset, records[i].key, records[i].data,
-                      records[i].data_bytes);
+    keyed_view_apply (view,
+                      position_from (known, records[i].position.era, records[i].position.offset),
+                      records[i].key, records[i].data, records[i].data_bytes);
 }
 
 static void
 ignore_change (
-    const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+    const char *key, const char *value, size_t value_bytes, position_t position, void *context)
 {
   (void)key;
   (void)value;
   (void)value_bytes;
-  (void)offset;
+  (void)position;
   (void)context;
 }
 
 static void
 apply_listed (
-    const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+    const char *key, const char *value, size_t value_bytes, position_t position, void *context)
 {
   stream_follower_t *follower = context;
 
-  keyed_view_apply (follower->options.view, offset, key, value, value_bytes);
+  keyed_view_apply (follower->options.view, position, key, value, value_bytes);
 }
 
 static void
 add_page (stream_follower_t *follower, const platform_newest_t *newest)
 {
+  position_t known = { .era = follower->era };
+
   if (!follower->listed)
     {
-      follower->listed = keyed_view_new (ignore_change, NULL);
-      follower->list_end_offset = newest->end_offset;
+      follower->listed = keyed_view_new (ignore_change, NULL, NULL);
+      follower->list_end = position_from (known, newest->end.era, newest->end.offset);
       follower->listed_as_of_us = follower->started_us;
     }
-  apply_records (follower->listed, newest->records, newest->record_count);
-  apply_records (follower->options.view, newest->records, newest->record_count);
+  apply_records (follower->listed, known, newest->records, newest->record_count);
+  apply_records (follower->options.view, known, newest->records, newest->record_count);
 }
 
 static void
 apply_listing (stream_follower_t *follower)
 {
   keyed_view_list_begin (follower->options.view);
-  keyed_view_visit_since (follower->listed, 0, apply_listed, follower);
-  keyed_view_list_end (follower->options.view, follower->list_end_offset);
+  keyed_view_visit_since (follower->listed, (position_t){ 0 }, apply_listed, follower);
+  keyed_view_list_end (follower->options.view, follower->list_end);
   clear_pages (follower);
   follower->listing = false;
+  follower->listed_unread = true;
   follower->catching_up = false;
   follower->has_listed = true;
-  follower->next_offset = MAX (follower->next_offset, follower->list_end_offset);
+  follower->next = position_later (follower->next, follower->list_end);
   follower->current_as_of_us = follower->listed_as_of_us;
-  log_event (LOG_LEVEL_NOTICE, "stream_listed", "stream", follower->options.stream, "end_offset",
-             LOG_U64 (follower->list_end_offset), "next_offset", LOG_U64 (follower->next_offset),
-             NULL);
+  log_event (LOG_LEVEL_NOTICE, "stream_listed", "stream", follower->options.stream, "era",
+             LOG_U64 (follower->list_end.era), "end_offset", LOG_U64 (follower->list_end.offset),
+             "next_offset", LOG_U64 (follower->next.offset), NULL);
   follower->options.on_event (STREAM_FOLLOWER_LISTED, follower->options.context);
 }
 
@@ -225,13 +284,27 @@
   schedule_in (follower, (uint64_t)STREAM_FOLLOWER_READ_INTERVAL_MIN_MS * CLOCK_US_PER_MS);
 }
 
+/* Whether a page, which the platform created in @page_era, is the next one of the listing in
+ * progress. */
+static bool
+continues_listing (const stream_follower_t *follower, bool is_first_page, uint64_t page_era)
+{
+  if (page_era < follower->era || is_first_page != (follower->listed == NULL))
+    return false;
+  return !follower->listed || follower->list_end.era == page_era;
+}
+
 static void
 on_page (const platform_newest_t *newest, void *context)
 {
-  stream_follower_t *follower = context;
+  call_t *call = context;
+  stream_follower_t *follower = call->follower;
+  uint64_t era = newest->end.era != 0 ? newest->end.era : follower->era;
+  bool is_first_page = call->is_first_page;
 
-  follower->call_pending = false;
-  note_era (follower, newest->era, newest->end_offset);
+  if (end_call (call))
+    return;
+  note_era (follower, era, "store");
   if (newest->outcome != PLATFORM_OK || (newest->more && newest->record_count == 0))
     {
       handle_failure (follower);
@@ -243,6 +316,12 @@
       schedule_after_listing (follower);
       return;
     }
+  if (!continues_listing (follower, is_first_page, era))
+    {
+      reset_listing (follower);
+      schedule_after_listing (follower);
+      return;
+    }
   add_page (follower, newest);
   if (newest->more)
     {
@@ -280,35 +359,74 @@
   return MIN (follower->last_answer_us, follower->started_us + waited_us);
 }
 
+/* Lists again, as the records to be read are no longer retained. If a listing has just ended where
+ * the platform can't continue, that is repeated slowly: at full pace it would only add to the
+ * platform's load. */
+static void
+handle_expired (stream_follower_t *follower)
+{
+  uint32_t wait_ms = follower->listed_unread ? STREAM_FOLLOWER_BACKOFF_MAX_MS
+                                             : STREAM_FOLLOWER_READ_INTERVAL_MIN_MS;
+
+  log_event (LOG_LEVEL_NOTICE, "stream_expired", "stream", follower->options.stream, "offset",
+             LOG_U64 (follower->next.offset), NULL);
+  reset_listing (follower);
+  schedule_next (follower, (uint64_t)wait_ms * CLOCK_US_PER_MS);
+}
+
+static void
+apply_read (stream_follower_t *follower, const platform_read_t *read)
+{
+  position_t known = { .era = follower->era };
+  position_t next = position_from (known, read->next.era, read->next.offset);
+  position_t end = position_from (known, read->end.era, read->end.offset);
+
+  apply_records (follower->options.view, known, read->records, read->record_count);
+  follower->listed_unread = false;
+  follower->next = position_later (follower->next, next);
+  if (!position_is_before (follower->next, end))
+    follower->current_as_of_us = read_as_of_us (follower);
+  follower->catching_up = position_is_before (follower->next, end) && follower->catching_up;
+}
+
+/* Whether the position that was read from is of the era of the response, and of the newest era. If
+ * not, the records are others than those that were asked for. */
+static bool
+is_of_one_era (const stream_follower_t *follower, position_t from, uint64_t era)
+{
+  return !follower->listing && from.era == era && follower->era == era;
+}
+
 static void
 on_read (const platform_read_t *read, void *context)
 {
-  stream_follower_t *follower = context;
+  call_t *call = context;
+  stream_follower_t *follower = call->follower;
   uint64_t pace_us = (uint64_t)follower->options.pace_ms * CLOCK_US_PER_MS;
+  position_t from = call->from;
+  uint64_t era = read->end.era != 0 ? read->end.era : from.era;
 
-  follower->call_pending = false;
-  note_era (follower, read->era, read->end_offset);
-  if (read->outcome == PLATFORM_EXPIRED ||
-      (read->outcome == PLATFORM_OK && read->first_offset > follower->next_offset))
+  if (end_call (call))
+    return;
+  note_era (follower, era, "store");
+  if (read->outcome != PLATFORM_OK && read->outcome != PLATFORM_EXPIRED)
+    {
+      handle_failure (follower);
+      return;
+    }
+  if (!is_of_one_era (follower, from, era))
     {
-      log_event (LOG_LEVEL_NOTICE, "stream_expired", "stream", follower->options.stream, "offset",
-                 LOG_U64 (follower->next_offset), NULL);
-      reset_listing (follower);
       schedule_next (follower, (uint64_t)STREAM_FOLLOWER_READ_INTERVAL_MIN_MS * CLOCK_US_PER_MS);
       return;
     }
-  if (read->outcome != PLATFORM_OK)
+  if (read->outcome == PLATFORM_EXPIRED || read->first.offset > follower->next.offset)
     {
-      handle_failure (follower);
+      handle_expired (follower);
       return;
     }
   handle_success (follower);
-  apply_records (follower->options.view, read->records, read->record_count);
-  follower->next_offset = MAX (follower->next_offset, read->next_offset);
-  if (follower->next_offset >= read->end_offset)
-    follower->current_as_of_us = read_as_of_us (follower);
-  follower->catching_up = follower->next_offset < read->end_offset && follower->catching_up;
-  if (follower->options.latest_only && follower->next_offset + 1 < read->end_offset)
+  apply_read (follower, read);
+  if (follower->options.latest_only && follower->next.offset + 1 < read->end.offset)
     {
       list_newest (follower);
       return;
@@ -345,25 +463,38 @@
                              STREAM_FOLLOWER_WAIT_MIN_MS));
 }
 
+static call_t *
+begin_call (stream_follower_t *follower)
+{
+  call_t *call = g_new0 (call_t, 1);
+
+  call->follower = follower;
+  call->from = follower->next;
+  call->is_read = !follower->listing;
+  call->is_first_page = follower->last_listed_key == NULL;
+  g_ptr_array_add (follower->calls, call);
+  follower->call = call;
+  follower->started_us = clock_now_us (follower->options.clock);
+  follower->call_wait_ms = wait_ms (follower);
+  counter_add (follower->listing ? follower->list_count : follower->read_count, 1);
+  return call;
+}
+
 static void
 on_timer (evutil_socket_t fd, short what, void *context)
 {
   stream_follower_t *follower = context;
   platform_t *platform = follower->options.platform;
+  call_t *call = begin_call (follower);
 
   (void)fd;
   (void)what;
-  follower->started_us = clock_now_us (follower->options.clock);
-  follower->call_pending = true;
-  follower->call_wait_ms = wait_ms (follower);
-  counter_add (follower->listing ? follower->list_count : follower->read_count, 1);
   if (follower->listing)
-    platform->newest (platform, follower->options.stream, follower->last_listed_key, on_page,
-                      follower);
+    platform->newest (platform, follower->options.stream, follower->last_listed_key, on_page, call);
   else
-    platform->read (platform, follower->options.stream, follower->next_offset,
+    platform->read (platform, follower->options.stream, follower->next.offset,
                     follower->options.latest_only ? 1 : RECORDS_PER_READ_MAX,
-                    follower->call_wait_ms, on_read, follower);
+                    follower->call_wait_ms, on_read, call);
 }
 
 static counter_t *
@@ -379,6 +510,7 @@
 
   follower->options = *options;
   follower->timer = evtimer_new (options->base, on_timer, follower);
+  follower->calls = g_ptr_array_new_with_free_func (g_free);
   follower->rand = g_rand_new_with_seed ((guint32)options->seed);
   follower->listing = true;
   follower->list_count =
@@ -408,7 +540,7 @@
   if (!follower->suspended)
     return;
   follower->suspended = false;
-  if (!follower->call_pending)
+  if (!follower->call)
     schedule_in (follower, 0);
 }
 
@@ -417,35 +549,39 @@
 {
   event_free (follower->timer);
   g_rand_free (follower->rand);
+  g_ptr_array_free (follower->calls, TRUE);
   clear_pages (follower);
   g_free (follower);
 }
 
-uint64_t
-stream_follower_next_offset (const stream_follower_t *follower)
+position_t
+stream_follower_next (const stream_follower_t *follower)
 {
-  return follower->next_offset;
+  return follower->next;
+}
+
+static bool
+is_idle (const stream_follower_t *follower)
+{
+  return !follower->suspended && !follower->call &&
+         !event_pending (follower->timer, EV_TIMEOUT, NULL);
 }
 
 /* A pending page is ignored once it arrives. A pending read may hold older records, which the view
- * ignores. */
+ * ignores, or records of an era before. */
 void
-stream_follower_advance (stream_follower_t *follower, uint64_t next_offset)
+stream_follower_advance (stream_follower_t *follower, position_t next)
 {
-  if (next_offset <= follower->next_offset)
+  if (!position_is_before (follower->next, next))
     return;
   clear_pages (follower);
-  follower->next_offset = next_offset;
+  follower->next = next;
+  note_era (follower, next.era, "peer");
   follower->suspended = false;
   follower->listing = false;
   follower->has_listed = true;
-}
-
-static bool
-is_idle (const stream_follower_t *follower)
-{
-  return !follower->suspended && !follower->call_pending &&
-         !event_pending (follower->timer, EV_TIMEOUT, NULL);
+  if (!follower->on_demand && is_idle (follower))
+    start_timer (follower);
 }
 
 void
@@ -463,6 +599,20 @@
     start_timer (follower);
 }
 
+void
+stream_follower_note_era (stream_follower_t *follower, uint64_t era)
+{
+  note_era (follower, era, "other_stream");
+  if (follower->listing && is_idle (follower))
+    start_timer (follower);
+}
+
+uint64_t
+stream_follower_era (const stream_follower_t *follower)
+{
+  return follower->era;
+}
+
 bool
 stream_follower_has_listed (const stream_follower_t *follower)
 {
--- a/src/connection/stream_follower.h
+++ b/src/connection/stream_follower.h
@@ -3,8 +3,9 @@
  *
  * Keeps a view up to date with a keyed stream of the platform. Lists the newest record of each key
  * first, then reads on from the end of that list; lists again when the records to be read are no
- * longer retained. Backs off while the platform fails. A resting follower reads only on request:
- * its owner learns from other hosts whether there are new records.
+ * longer retained, or when the platform has come back from a copy. Backs off while the platform
+ * fails. A resting follower reads only on request: its owner learns from other hosts whether there
+ * are new records.
  */
 #ifndef CONNECTION_STREAM_FOLLOWER_H
 #define CONNECTION_STREAM_FOLLOWER_H
@@ -79,11 +80,17 @@
  * pending calls
  */
 void stream_follower_free (stream_follower_t *follower);
-/** stream_follower_next_offset() - the offset to read next; 0 until a list has been completed */
-uint64_t stream_follower_next_offset (const stream_follower_t *follower);
-/** stream_follower_advance() - note that the view has got all records before offset @next from a
- * peer, so that they need not be listed or read; ends a hold */
-void stream_follower_advance (stream_follower_t *follower, uint64_t next);
+/** stream_follower_next() - the position to read next; all zero until a list has been completed */
+position_t stream_follower_next (const stream_follower_t *follower);
+/** stream_follower_advance() - note that the view has got all records before @next from a peer, so
+ * that they need not be listed or read; ends a hold */
+void stream_follower_advance (stream_follower_t *follower, position_t next);
+/** stream_follower_note_era() - the platform stated @era in another response; lists the stream
+ * again if it is higher than before */
+void stream_follower_note_era (stream_follower_t *follower, uint64_t era);
+/** stream_follower_era() - highest era that the platform stated in a response to this follower, or
+ * that is known from stream_follower_note_era() and stream_follower_advance() */
+uint64_t stream_follower_era (const stream_follower_t *follower);
 /** stream_follower_set_on_demand() - whether, after a completed list, no read starts by itself. A
  * pending call is not cancelled */
 void stream_follower_set_on_demand (stream_follower_t *follower, bool on_demand);
--- a/src/process/control_claims.c
+++ b/src/process/control_claims.c
@@ -110,17 +110,17 @@
   uint64_t now_us = control_now_us (stream->ctrl);
   uint64_t wall_ms = clock_wall_ms (&stream->ctrl->daemon->clock);
   claim_stream_t *claim_stream = stream->claim_stream;
-  if (!stream->begun || read->first_offset > claim_next_offset (claim_stream))
-    claim_set_first_offset (claim_stream, read->first_offset);
+  if (!stream->begun || read->first.offset > claim_next_offset (claim_stream))
+    claim_set_first_offset (claim_stream, read->first.offset);
   stream->begun = true;
   for (uint32_t i = 0; i < read->record_count; i++)
     {
       const platform_record_t *record = &read->records[i];
-      claim_apply_record (claim_stream, now_us, wall_ms, record->offset, record->data,
+      claim_apply_record (claim_stream, now_us, wall_ms, record->position.offset, record->data,
                           record->data_bytes);
     }
-  if (claim_next_offset (claim_stream) >= read->end_offset)
-    claim_read_to_end (claim_stream, now_us, read->end_offset);
+  if (claim_next_offset (claim_stream) >= read->end.offset)
+    claim_read_to_end (claim_stream, now_us, read->end.offset);
 }
 
 static void
@@ -184,7 +184,7 @@
 }
 
 static void
-on_append (platform_outcome_t outcome, uint64_t offset, void *context)
+on_append (platform_outcome_t outcome, position_t position, void *context)
 {
   control_call_t *call = context;
   control_t *ctrl = call->ctrl;
@@ -196,7 +196,7 @@
   switch (outcome)
     {
     case PLATFORM_OK:
-      claim_append_succeeded (stream->claim_stream, control_now_us (ctrl), offset);
+      claim_append_succeeded (stream->claim_stream, control_now_us (ctrl), position.offset);
       break;
     case PLATFORM_REFUSED:
       claim_append_refused (stream->claim_stream, control_now_us (ctrl));
--- a/src/process/control_manifest.c
+++ b/src/process/control_manifest.c
@@ -64,8 +64,8 @@
 {
   control_manifest_t *manifest = &ctrl->manifest;
   replay_result_t result =
-      replay_apply (manifest->replay, record->offset, record->data, record->data_bytes);
-  log_verdict (&result, record->offset);
+      replay_apply (manifest->replay, record->position.offset, record->data, record->data_bytes);
+  log_verdict (&result, record->position.offset);
   if (result.verdict == REPLAY_CHECKPOINT_SEEN || result.verdict == REPLAY_CHECKPOINT_USED)
     manifest->checkpoint_seen_us = control_now_us (ctrl);
   if (result.verdict == REPLAY_STALE_BASE || result.verdict == REPLAY_INVALID)
@@ -78,7 +78,7 @@
 next_read_wait_us (control_t *ctrl, const platform_read_t *read, uint64_t next_before)
 {
   uint64_t next_offset = replay_next_offset (ctrl->manifest.replay);
-  if (next_offset < read->end_offset)
+  if (next_offset < read->end.offset)
     return next_offset != next_before ? 0 : NO_PROGRESS_WAIT_US;
   if (ctrl->peers.is_follower)
     return 0;
@@ -90,17 +90,17 @@
 {
   replay_t *replay = ctrl->manifest.replay;
   uint64_t next_before = replay_next_offset (replay);
-  if (read->end_offset < next_before)
-    log_event (LOG_LEVEL_ERROR, "log_went_back", "end", LOG_U64 (read->end_offset), "read_to",
+  if (read->end.offset < next_before)
+    log_event (LOG_LEVEL_ERROR, "log_went_back", "end", LOG_U64 (read->end.offset), "read_to",
                LOG_U64 (next_before), NULL);
-  replay_set_first_offset (replay, read->first_offset);
-  replay_set_end_offset (replay, read->end_offset);
+  replay_set_first_offset (replay, read->first.offset);
+  replay_set_end_offset (replay, read->end.offset);
   for (uint32_t i = 0; i < read->record_count; i++)
     apply_record (ctrl, &read->records[i]);
   uint64_t wait_us = next_read_wait_us (ctrl, read, next_before);
   control_poll_succeeded (ctrl, &ctrl->manifest.poll, SOURCE, wait_us);
   control_manifest_send_if_changed (ctrl);
-  if (replay_next_offset (replay) >= read->end_offset)
+  if (replay_next_offset (replay) >= read->end.offset)
     control_freshness_note_log_read (ctrl, started_us, true);
 }
 
@@ -174,7 +174,7 @@
 }
 
 static void
-on_checkpoint (platform_outcome_t outcome, uint64_t offset, void *context)
+on_checkpoint (platform_outcome_t outcome, position_t position, void *context)
 {
   control_call_t *call = context;
   control_t *ctrl = call->ctrl;
@@ -185,8 +185,8 @@
   manifest->checkpoint_call = NULL;
   g_clear_pointer (&manifest->checkpoint, g_free);
   log_event (LOG_LEVEL_INFO, "checkpoint", "outcome",
-             outcome == PLATFORM_OK ? "appended" : "failed", "offset", LOG_U64 (offset), "version",
-             LOG_U64 (control_manifest_version (ctrl)), NULL);
+             outcome == PLATFORM_OK ? "appended" : "failed", "offset", LOG_U64 (position.offset),
+             "version", LOG_U64 (control_manifest_version (ctrl)), NULL);
   if (outcome == PLATFORM_OK)
     control_count_event (ctrl, "medlarplank_checkpoints_total",
                          "Checkpoints of the manifest appended");
--- a/src/process/gateway_fetch.c
+++ b/src/process/gateway_fetch.c
@@ -23,8 +23,8 @@
 
 /**
  * struct answer_cache - the last encoded answer; many requesters lack the same records
- * @from: for each stream, the requester's next offset
- * @next: for each stream, the next offset here; 0 where the requester lacked nothing
+ * @from: for each stream, the requester's next position
+ * @next: for each stream, the next position here; all zero where the requester lacked nothing
  * @revision: likewise, the revision of the view
  * @max_value_bytes: likewise, the size limit that applied
  * @settled: as in the answer
@@ -32,8 +32,8 @@
  */
 typedef struct
 {
-  uint64_t from[GATEWAY_FETCH_STREAMS_MAX];
-  uint64_t next[GATEWAY_FETCH_STREAMS_MAX];
+  position_t from[GATEWAY_FETCH_STREAMS_MAX];
+  position_t next[GATEWAY_FETCH_STREAMS_MAX];
   uint64_t revision[GATEWAY_FETCH_STREAMS_MAX];
   size_t max_value_bytes[GATEWAY_FETCH_STREAMS_MAX];
   bool settled;
@@ -243,18 +243,18 @@
   start_fetch (fetch, peer, target);
 }
 
-/* Return: false when the request lacks the offset of a stream */
+/* Return: false when the request lacks the position of a stream */
 static bool
-parse_offsets (http_server_call_t *call,
-               const view_share_stream_t *streams,
-               uint32_t count,
-               uint64_t *from)
+parse_positions (http_server_call_t *call,
+                 const view_share_stream_t *streams,
+                 uint32_t count,
+                 position_t *from)
 {
   for (uint32_t i = 0; i < count; i++)
     {
       const char *text = http_server_query_value (call, streams[i].name);
 
-      if (!text || !g_ascii_string_to_unsigned (text, 10, 0, UINT64_MAX, &from[i], NULL))
+      if (!text || !position_parse (text, &from[i]))
         return false;
     }
   return true;
@@ -266,7 +266,8 @@
   if (!cached->body || cached->settled != wanted->settled)
     return false;
   for (uint32_t i = 0; i < count; i++)
-    if (cached->from[i] != wanted->from[i] || cached->next[i] != wanted->next[i] ||
+    if (!position_equal (cached->from[i], wanted->from[i]) ||
+        !position_equal (cached->next[i], wanted->next[i]) ||
         cached->revision[i] != wanted->revision[i] ||
         cached->max_value_bytes[i] != wanted->max_value_bytes[i])
       return false;
@@ -278,7 +279,7 @@
 static const char *
 encode_answer (gateway_fetch_t *fetch,
                const view_share_stream_t *streams,
-               const uint64_t *from,
+               const position_t *from,
                uint32_t count,
                bool settled)
 {
@@ -286,10 +287,10 @@
 
   for (uint32_t i = 0; i < count; i++)
     {
-      bool lacks = streams[i].next_offset > from[i];
+      bool lacks = position_is_before (from[i], streams[i].next);
 
       wanted.from[i] = from[i];
-      wanted.next[i] = lacks ? streams[i].next_offset : 0;
+      wanted.next[i] = lacks ? streams[i].next : (position_t){ 0 };
       wanted.revision[i] = lacks ? keyed_view_revision (streams[i].view) : 0;
       wanted.max_value_bytes[i] = lacks ? streams[i].max_value_bytes : 0;
     }
@@ -358,7 +359,7 @@
   const char *nonce = http_server_request_header (call, ANSWER_SEAL_NONCE_HEADER);
   const char *control = http_server_query_value (call, CONTROL_QUERY);
   bool any_size = control || http_server_query_value (call, ANY_SIZE_QUERY);
-  uint64_t from[GATEWAY_FETCH_STREAMS_MAX];
+  position_t from[GATEWAY_FETCH_STREAMS_MAX];
   view_share_stream_t sent[GATEWAY_FETCH_STREAMS_MAX];
   char age[AGE_BYTES] = "";
   address_t requester;
@@ -368,7 +369,7 @@
   g_assert (count <= GATEWAY_FETCH_STREAMS_MAX);
   if (strcmp (http_server_path (call), VIEW_SHARE_PATH) != 0)
     return false;
-  if (!nonce || !parse_offsets (call, streams, count, from) ||
+  if (!nonce || !parse_positions (call, streams, count, from) ||
       (control && !address_parse (control, &requester, NULL)))
     {
       http_server_reply_text (call, 400, "text/plain",
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -174,6 +174,54 @@
     }
 }
 
+/* Gateways of a build without eras ignore the words of others. Streams differ in their era only for
+ * a moment, so one word is the rule. */
+static void
+fill_eras (const gateway_peers_t *peers,
+           const gateway_peers_progress_t *progress,
+           xch_message *message)
+{
+  const uint64_t eras[] = { progress->routing_next.era, progress->engines_next.era,
+                            progress->routers_next.era };
+  xch_word *words = message->words.words_val;
+
+  G_STATIC_ASSERT (G_N_ELEMENTS (eras) <= XCH_WORDS);
+  message->words.words_len = 0;
+  for (uint32_t i = 0; i < G_N_ELEMENTS (eras); i++)
+    if (eras[i] != (i == 0 ? 0 : eras[0]))
+      words[message->words.words_len++] =
+          (xch_word){ .host_hash = peers->own_hash, .incarnation = eras[i], .state = i };
+}
+
+/* @stream: 0 for the routing rules, whose era is that of the others unless they have one of their
+ * own */
+static uint64_t
+read_era (const xch_message *message, uint32_t stream)
+{
+  uint64_t era = 0;
+
+  for (uint32_t i = 0; i < message->words.words_len; i++)
+    {
+      const xch_word *word = &message->words.words_val[i];
+
+      if (word->host_hash == message->sender.host_hash &&
+          (word->state == 0 || word->state == stream))
+        era = word->incarnation;
+    }
+  return era;
+}
+
+static gateway_peers_progress_t
+read_progress (const xch_message *message)
+{
+  return (gateway_peers_progress_t){
+    .routing_next = { read_era (message, 0), message->manifest_offset },
+    .engines_next = { read_era (message, 1), message->list_revision },
+    .routers_next = { read_era (message, 2), message->routers_offset },
+    .store_age_ms = message->store_age_ms
+  };
+}
+
 static void
 fill_message (xch_message *message, const xch_word *to, void *context)
 {
@@ -184,10 +232,11 @@
   message->sender.host_hash = peers->own_hash;
   message->sender.incarnation = peers->options.incarnation;
   message->sender.sequence = ++peers->sequence;
-  message->manifest_offset = progress.routing_next;
-  message->list_revision = progress.engines_next;
-  message->routers_offset = progress.routers_next;
+  message->manifest_offset = progress.routing_next.offset;
+  message->list_revision = progress.engines_next.offset;
+  message->routers_offset = progress.routers_next.offset;
   message->store_age_ms = progress.store_age_ms;
+  fill_eras (peers, &progress, message);
   fill_marks (peers, message);
   fill_loads (peers, message);
 }
@@ -217,10 +266,7 @@
 {
   gateway_peers_t *peers = context;
   peer_t *peer = find_by_hash (peers, message->sender.host_hash);
-  gateway_peers_progress_t theirs = { .routing_next = message->manifest_offset,
-                                      .engines_next = message->list_revision,
-                                      .routers_next = message->routers_offset,
-                                      .store_age_ms = message->store_age_ms };
+  gateway_peers_progress_t theirs = read_progress (message);
 
   (void)is_reply;
   /* A gateway that has just started may not be known here yet. It gets a reply all the same;
--- a/src/process/gateway_peers.h
+++ b/src/process/gateway_peers.h
@@ -15,6 +15,7 @@
 
 #include "base/clock.h"
 #include "base/counters.h"
+#include "base/position.h"
 #include "base/settings.h"
 #include "request/policy/load_reports.h"
 #include "request/policy/suspect.h"
@@ -44,16 +45,16 @@
 
 /**
  * struct gateway_peers_progress - how far a gateway has read the store
- * @routing_next: next offset to read of the stream of routing rules
- * @engines_next: next offset to read of the engine registry
- * @routers_next: next offset to read of the gateway registry
+ * @routing_next: next position to read of the stream of routing rules
+ * @engines_next: next position to read of the engine registry
+ * @routers_next: next position to read of the gateway registry
  * @store_age_ms: time since the last contact with the store, direct or through peers
  */
 typedef struct
 {
-  uint64_t routing_next;
-  uint64_t engines_next;
-  uint64_t routers_next;
+  position_t routing_next;
+  position_t engines_next;
+  position_t routers_next;
   uint32_t store_age_ms;
 } gateway_peers_progress_t;
 
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -91,7 +91,7 @@
 
 /* An older version that is read late must not replace a newer one. */
 static void
-on_routing (const char *value, size_t value_bytes, uint64_t offset, void *context)
+on_routing (const char *value, size_t value_bytes, position_t position, void *context)
 {
   gateway_process_t *process = context;
   uint64_t version_in_force = process->table ? routing_version (process->table) : 0;
@@ -101,8 +101,8 @@
   table = process->options.readers.routing (value, value_bytes, process->table, &error);
   if (!table)
     {
-      log_event (LOG_LEVEL_ERROR, "version_unreadable", "offset", LOG_U64 (offset), "in_force",
-                 LOG_U64 (version_in_force), "error", error->message, NULL);
+      log_event (LOG_LEVEL_ERROR, "version_unreadable", "offset", LOG_U64 (position.offset),
+                 "in_force", LOG_U64 (version_in_force), "error", error->message, NULL);
       g_error_free (error);
       return;
     }
@@ -110,7 +110,8 @@
     {
       log_event (LOG_LEVEL_NOTICE, "version", "version", LOG_U64 (routing_version (table)),
                  "before", LOG_U64 (version_in_force), "routes",
-                 LOG_U64 (routing_route_count (table)), "offset", LOG_U64 (offset), NULL);
+                 LOG_U64 (routing_route_count (table)), "offset", LOG_U64 (position.offset), "era",
+                 LOG_U64 (position.era), NULL);
       if (process->table)
         routing_unref (process->table);
       process->table = routing_ref (table);
@@ -122,14 +123,14 @@
 }
 
 static void
-on_drain (const char *data_center, bool drained, uint64_t offset, void *context)
+on_drain (const char *data_center, bool drained, position_t position, void *context)
 {
   gateway_process_t *process = context;
 
   if (!engines_set_drained (process->engines, now_us (process), data_center, drained))
     return;
   log_event (LOG_LEVEL_NOTICE, "data_center", "data_center", data_center, "state",
-             drained ? "drained" : "taken_back", "offset", LOG_U64 (offset), "engines",
+             drained ? "drained" : "taken_back", "offset", LOG_U64 (position.offset), "engines",
              LOG_U64 (engines_count_in_data_center (process->engines, data_center)), NULL);
   counter_set (process->drained_count, engines_count_drained_data_centers (process->engines));
   gateway_store_send_news (process->store);
@@ -137,10 +138,14 @@
 }
 
 static void
-log_engine (const gateway_process_t *process, const char *id, const char *state, uint64_t offset)
+log_engine (const gateway_process_t *process,
+            const char *id,
+            const char *state,
+            position_t position)
 {
-  log_event (LOG_LEVEL_NOTICE, "engine", "engine", id, "state", state, "offset", LOG_U64 (offset),
-             "engines", LOG_U64 (engines_count (process->engines)), NULL);
+  log_event (LOG_LEVEL_NOTICE, "engine", "engine", id, "state", state, "offset",
+             LOG_U64 (position.offset), "engines", LOG_U64 (engines_count (process->engines)),
+             NULL);
 }
 
 static void
@@ -151,13 +156,13 @@
 }
 
 static void
-remove_engine (gateway_process_t *process, const char *id, uint64_t offset)
+remove_engine (gateway_process_t *process, const char *id, position_t position)
 {
   if (!engines_find (process->engines, id))
     return;
   engines_remove (process->engines, id);
   update_engine_counts (process);
-  log_engine (process, id, "gone", offset);
+  log_engine (process, id, "gone", position);
   gateway_store_send_news (process->store);
   gateway_engines_changed (process->gateway);
 }
@@ -165,13 +170,13 @@
 /* The entry may come from another writer. The engine is removed, since the store no longer confirms
  * its previous entry. */
 static void
-reject_entry (gateway_process_t *process, const char *id, uint64_t offset, GError *error)
+reject_entry (gateway_process_t *process, const char *id, position_t position, GError *error)
 {
-  log_event (LOG_LEVEL_ERROR, "engine_unreadable", "engine", id, "offset", LOG_U64 (offset),
-             "error", error->message, NULL);
+  log_event (LOG_LEVEL_ERROR, "engine_unreadable", "engine", id, "offset",
+             LOG_U64 (position.offset), "error", error->message, NULL);
   g_error_free (error);
   lapses_remove (process->lapsed, id);
-  remove_engine (process, id, offset);
+  remove_engine (process, id, position);
 }
 
 /** struct previous_entry - what was known of an engine id before a new entry; @state is ENGINE_GONE
@@ -198,7 +203,7 @@
             const char *id,
             const char *value,
             size_t value_bytes,
-            uint64_t offset)
+            position_t position)
 {
   previous_entry_t previous = get_previous_entry (process, id);
   engine_entry_t entry;
@@ -207,7 +212,7 @@
 
   if (!process->options.readers.engine (&entry, id, value, value_bytes, &error))
     {
-      reject_entry (process, id, offset, error);
+      reject_entry (process, id, position, error);
       return;
     }
   lapses_remove (process->lapsed, id);
@@ -216,13 +221,13 @@
   engine = engines_put (process->engines, now_us (process), &entry);
   if (previous.state != ENGINE_GONE && engine->hash != previous.hash)
     {
-      log_engine (process, id, "restarted", offset);
+      log_engine (process, id, "restarted", position);
       gateway_engine_restarted (process->gateway, previous.hash, &previous.address);
       previous.state = ENGINE_GONE;
     }
   if (engine->entry.state == previous.state)
     return;
-  log_engine (process, id, engine->entry.state == ENGINE_READY ? "ready" : "leaving", offset);
+  log_engine (process, id, engine->entry.state == ENGINE_READY ? "ready" : "leaving", position);
   gateway_store_send_news (process->store);
   gateway_engines_changed (process->gateway);
 }
@@ -237,7 +242,7 @@
 on_engine (const char *id,
            const char *text,
            size_t text_bytes,
-           uint64_t offset,
+           position_t position,
            bool may_have_lapsed,
            void *context)
 {
@@ -246,15 +251,15 @@
       now_us (process) + (uint64_t)GATEWAY_PROCESS_EXPIRED_ENGINE_MS * CLOCK_US_PER_MS;
 
   if (text)
-    put_engine (process, id, text, text_bytes, offset);
+    put_engine (process, id, text, text_bytes, position);
   else if (may_have_lapsed && engines_find (process->engines, id))
     {
-      log_engine (process, id, "perhaps_lapsed", offset);
+      log_engine (process, id, "perhaps_lapsed", position);
       lapses_add (process->lapsed, id, due_us);
       engines_note_expired (process->engines, id);
     }
   else
-    remove_engine (process, id, offset);
+    remove_engine (process, id, position);
   update_engine_counts (process);
 }
 
@@ -319,7 +324,7 @@
 
   while ((id = lapses_take_due (process->lapsed, now_us (process))))
     {
-      remove_engine (process, id, 0);
+      remove_engine (process, id, (position_t){ 0 });
       g_free (id);
     }
 }
@@ -462,22 +467,24 @@
 static bool
 open_store (gateway_process_t *process, GError **error)
 {
-  process->store =
-      gateway_store_new (&(gateway_store_options_t){ .base = process->options.base,
-                                                     .clock = process->options.clock,
-                                                     .counters = process->options.counters,
-                                                     .settings = process->options.settings,
-                                                     .platform = process->options.platform,
-                                                     .incarnation = process->options.incarnation,
-                                                     .get_version = get_version,
-                                                     .on_routing = on_routing,
-                                                     .on_drain = on_drain,
-                                                     .on_engine = on_engine,
-                                                     .on_status = on_store_status,
-                                                     .on_suspect = on_peer_suspect,
-                                                     .on_load = on_peer_load,
-                                                     .context = process },
-                         error);
+  process->store = gateway_store_new (
+      &(gateway_store_options_t){ .base = process->options.base,
+                                  .clock = process->options.clock,
+                                  .counters = process->options.counters,
+                                  .settings = process->options.settings,
+                                  .platform = process->options.platform,
+                                  .incarnation = process->options.incarnation,
+                                  .get_version = get_version,
+                                  .parse_version = process->options.readers.version,
+                                  .parse_engine = process->options.readers.engine,
+                                  .on_routing = on_routing,
+                                  .on_drain = on_drain,
+                                  .on_engine = on_engine,
+                                  .on_status = on_store_status,
+                                  .on_suspect = on_peer_suspect,
+                                  .on_load = on_peer_load,
+                                  .context = process },
+      error);
   return process->store != NULL;
 }
 
--- a/src/process/gateway_process.h
+++ b/src/process/gateway_process.h
@@ -41,6 +41,7 @@
  * struct gateway_process_parsers - parsers of the store's records
  * @routing: parses routing rules; unchanged parts may be shared with @before, the table in force,
  *   which may be NULL. Returns a table, or NULL with @error
+ * @version: returns the version of routing rules, 0 when they are invalid
  * @engine: parses an engine entry into @out. Returns false with @error when it is invalid
  */
 typedef struct
@@ -49,6 +50,7 @@
                          size_t text_bytes,
                          const routing_t *before,
                          GError **error);
+  uint64_t (*version) (const char *text, size_t text_bytes);
   bool (*engine) (
       engine_entry_t *out, const char *id, const char *text, size_t text_bytes, GError **error);
 } gateway_process_parsers_t;
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -7,6 +7,7 @@
 #include "process/gateway_start.h"
 #include "request/policy/store_outage.h"
 #include "request/policy/read_policy.h"
+#include "request/policy/restoration.h"
 
 #include <string.h>
 
@@ -38,8 +39,10 @@
  * @applying_copy: the records being applied come from a peer's copy
  * @copy_unsettled: that peer reported that removed keys may still be restored
  * @copied_engines: what the last copy had of the engine registry
- * @entry_written: the gateway registry has this gateway's entry
+ * @restorations: for each stream, what holds after the store came back from a copy
+ * @entry_written: the gateway registry has this gateway's entry, in the era of its last listing
  * @entry_retry_us: earliest time of the next attempt to write that entry
+ * @rand: spreads the writes of gateways whose entries were lost together
  */
 struct gateway_store
 {
@@ -59,10 +62,13 @@
   bool applying_copy;
   bool copy_unsettled;
   view_share_copy_t copied_engines;
+  restoration_t restorations[STREAM_COUNT];
   bool entry_written;
   uint64_t entry_retry_us;
+  GRand *rand;
   counter_t *fetch_count;
   counter_t *write_count;
+  counter_t *held_gauge;
 };
 
 static uint64_t
@@ -72,15 +78,61 @@
 }
 
 static void
-on_routing (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+on_routing (
+    const char *key, const char *value, size_t value_bytes, position_t position, void *context)
 {
   gateway_store_t *store = context;
 
   if (g_str_has_prefix (key, PLATFORM_KEY_DRAIN_PREFIX))
-    store->options.on_drain (key + strlen (PLATFORM_KEY_DRAIN_PREFIX), value != NULL, offset,
+    store->options.on_drain (key + strlen (PLATFORM_KEY_DRAIN_PREFIX), value != NULL, position,
                              store->options.context);
   else if (value)
-    store->options.on_routing (value, value_bytes, offset, store->options.context);
+    store->options.on_routing (value, value_bytes, position, store->options.context);
+}
+
+/* Versions only rise, whatever the store has. Nothing tells which of two orders to drain is newer.
+ */
+static keyed_view_order_t
+compare_routing (const char *key,
+                 const char *known,
+                 size_t known_bytes,
+                 const char *value,
+                 size_t value_bytes,
+                 void *context)
+{
+  const gateway_store_t *store = context;
+  uint64_t version;
+  uint64_t known_version;
+
+  if (strcmp (key, PLATFORM_KEY_CONFIG) != 0)
+    return KEYED_VIEW_UNORDERED;
+  version = store->options.parse_version (value, value_bytes);
+  known_version = store->options.parse_version (known, known_bytes);
+  if (version == known_version)
+    return KEYED_VIEW_SAME_AGE;
+  return version < known_version ? KEYED_VIEW_OLDER : KEYED_VIEW_NEWER;
+}
+
+static keyed_view_order_t
+compare_engines (const char *key,
+                 const char *known,
+                 size_t known_bytes,
+                 const char *value,
+                 size_t value_bytes,
+                 void *context)
+{
+  const gateway_store_t *store = context;
+  engine_entry_t entry;
+  engine_entry_t known_entry;
+  int order;
+
+  if (!store->options.parse_engine (&entry, key, value, value_bytes, NULL) ||
+      !store->options.parse_engine (&known_entry, key, known, known_bytes, NULL))
+    return KEYED_VIEW_UNORDERED;
+  order = restoration_compare_entries (&known_entry, &entry);
+  if (order == 0)
+    return KEYED_VIEW_SAME_AGE;
+  return order < 0 ? KEYED_VIEW_OLDER : KEYED_VIEW_NEWER;
 }
 
 static uint64_t
@@ -118,22 +170,24 @@
 }
 
 static void
-on_engine (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+on_engine (
+    const char *key, const char *value, size_t value_bytes, position_t position, void *context)
 {
   gateway_store_t *store = context;
 
   record_store_contact (store);
-  store->options.on_engine (key, value, value_bytes, offset, may_have_lapsed (store),
+  store->options.on_engine (key, value, value_bytes, position, may_have_lapsed (store),
                             store->options.context);
 }
 
 static void
-on_router (const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+on_router (
+    const char *key, const char *value, size_t value_bytes, position_t position, void *context)
 {
   gateway_store_t *store = context;
 
   (void)value_bytes;
-  (void)offset;
+  (void)position;
   gateway_peers_put (store->peers, key, value);
 }
 
@@ -143,10 +197,10 @@
 has_own_entry (const gateway_store_t *store)
 {
   size_t bytes;
-  uint64_t offset;
+  position_t position;
 
   return keyed_view_get (store->views[STREAM_ROUTERS], store->options.settings->name, &bytes,
-                         &offset) != NULL;
+                         &position) != NULL;
 }
 
 static read_policy_view_t
@@ -188,7 +242,7 @@
   read_policy_action_t action;
 
   read_policy_update (&store->policies[stream], &view,
-                      stream_follower_next_offset (store->followers[stream]));
+                      stream_follower_next (store->followers[stream]));
   action = read_policy_decide (&store->policies[stream], &limits, &view, now_us (store));
 
   stream_follower_set_on_demand (store->followers[stream], action != READ_POLICY_FOLLOW);
@@ -213,6 +267,84 @@
     stream_follower_resume (store->followers[i]);
 }
 
+static restoration_limits_t
+restoration_limits (const gateway_store_t *store, uint32_t stream)
+{
+  return stream == STREAM_ENGINES ? restoration_engine_limits (store->options.settings->renewal_ms)
+                                  : restoration_other_limits ();
+}
+
+/* The entry of this gateway may be among the records that the store has lost. All gateways find
+ * that at the same time, so they write at random times. */
+static void
+expect_lost_entry (gateway_store_t *store)
+{
+  store->entry_written = false;
+  store->entry_retry_us =
+      now_us (store) +
+      (uint64_t)g_rand_int_range (store->rand, 0, (gint32)RESTORATION_REWRITE_SPREAD_US);
+}
+
+static void
+log_restoration (const gateway_store_t *store, uint32_t stream, const char *step)
+{
+  log_event (LOG_LEVEL_NOTICE, "restoration", "stream", stream_names[stream], "step", step, "era",
+             LOG_U64 (store->restorations[stream].era), "kept",
+             LOG_U64 (keyed_view_held_count (store->views[stream])), "version",
+             LOG_U64 (store->options.get_version (store->options.context)), NULL);
+}
+
+static void
+note_listing (gateway_store_t *store, uint32_t stream)
+{
+  restoration_limits_t limits = restoration_limits (store, stream);
+  uint64_t era = keyed_view_listed (store->views[stream]).era;
+
+  if (!stream_follower_has_listed (store->followers[stream]) ||
+      !restoration_note_listing (&store->restorations[stream], now_us (store), era, &limits))
+    return;
+  log_restoration (store, stream, "listed");
+  if (stream == STREAM_ROUTERS)
+    expect_lost_entry (store);
+}
+
+static uint64_t
+highest_era (const gateway_store_t *store)
+{
+  uint64_t era = 0;
+
+  for (uint32_t i = 0; i < STREAM_COUNT; i++)
+    era = MAX (era, stream_follower_era (store->followers[i]));
+  return era;
+}
+
+/* The era is that of the whole store: what one stream has found holds for the others, whose reads
+ * may wait for long. */
+static void
+advance_restorations (gateway_store_t *store)
+{
+  uint64_t era = highest_era (store);
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < STREAM_COUNT; i++)
+    {
+      stream_follower_note_era (store->followers[i], era);
+      note_listing (store, i);
+      if (restoration_take_drop_due (&store->restorations[i], now_us (store)))
+        {
+          keyed_view_drop_missing (store->views[i]);
+          log_restoration (store, i, "missing_dropped");
+        }
+      if (restoration_take_apply_due (&store->restorations[i], now_us (store)))
+        {
+          keyed_view_apply_held (store->views[i]);
+          log_restoration (store, i, "held_applied");
+        }
+      kept += keyed_view_held_count (store->views[i]);
+    }
+  counter_set (store->held_gauge, kept);
+}
+
 static void
 on_routing_state (stream_follower_state_t state, void *context)
 {
@@ -225,6 +357,7 @@
     begin_reading_all (store);
   if (state != STREAM_FOLLOWER_LISTED)
     return;
+  advance_restorations (store);
   update_reading (store, STREAM_ROUTING);
   store->options.on_status (store->options.context);
 }
@@ -237,7 +370,10 @@
   store->store_lost = state == STREAM_FOLLOWER_LOST;
   hold_until_routing_listed (store, STREAM_ENGINES, state);
   if (state == STREAM_FOLLOWER_LISTED)
-    update_reading (store, STREAM_ENGINES);
+    {
+      advance_restorations (store);
+      update_reading (store, STREAM_ENGINES);
+    }
   store->options.on_status (store->options.context);
 }
 
@@ -245,6 +381,8 @@
 on_routers_state (stream_follower_state_t state, void *context)
 {
   hold_until_routing_listed (context, STREAM_ROUTERS, state);
+  if (state == STREAM_FOLLOWER_LISTED)
+    advance_restorations (context);
 }
 
 static uint64_t
@@ -277,9 +415,9 @@
   gateway_store_t *store = context;
 
   return (gateway_peers_progress_t){
-    .routing_next = stream_follower_next_offset (store->followers[STREAM_ROUTING]),
-    .engines_next = stream_follower_next_offset (store->followers[STREAM_ENGINES]),
-    .routers_next = stream_follower_next_offset (store->followers[STREAM_ROUTERS]),
+    .routing_next = stream_follower_next (store->followers[STREAM_ROUTING]),
+    .engines_next = stream_follower_next (store->followers[STREAM_ENGINES]),
+    .routers_next = stream_follower_next (store->followers[STREAM_ROUTERS]),
     .store_age_ms = store_age_ms (store)
   };
 }
@@ -304,12 +442,11 @@
 fill_streams (const gateway_store_t *store, view_share_stream_t out[STREAM_COUNT])
 {
   for (uint32_t i = 0; i < STREAM_COUNT; i++)
-    out[i] =
-        (view_share_stream_t){ .name = stream_names[i],
-                               .view = store->views[i],
-                               .next_offset = stream_follower_next_offset (store->followers[i]),
-                               .max_value_bytes =
-                                   i == STREAM_ROUTING ? GATEWAY_STORE_UPDATE_MAX_BYTES : 0 };
+    out[i] = (view_share_stream_t){ .name = stream_names[i],
+                                    .view = store->views[i],
+                                    .next = stream_follower_next (store->followers[i]),
+                                    .max_value_bytes =
+                                        i == STREAM_ROUTING ? GATEWAY_STORE_UPDATE_MAX_BYTES : 0 };
 }
 
 static void
@@ -335,6 +472,7 @@
   for (uint32_t i = 0; i < STREAM_COUNT; i++)
     stream_follower_advance (store->followers[i], view_share_apply (answer, &streams[i]));
   store->applying_copy = false;
+  advance_restorations (store);
   mark_too_large (store, answer);
   counter_add (store->fetch_count, 1);
   store->options.on_status (store->options.context);
@@ -369,28 +507,29 @@
         continue;
       if (applied)
         read_policy_fetch_ended (&store->policies[i], &view,
-                                 stream_follower_next_offset (store->followers[i]));
+                                 stream_follower_next (store->followers[i]));
       else
         read_policy_fetch_failed (&store->policies[i]);
     }
 }
 
-/* @engines_from: offset up to which this gateway had the registry before */
+/* @engines_from: position up to which this gateway had the registry before */
 static void
 log_fetch (const gateway_store_t *store,
            const gateway_fetch_result_t *result,
-           uint64_t engines_from,
+           position_t engines_from,
            const char *reason)
 {
+  position_t engines_next = stream_follower_next (store->followers[STREAM_ENGINES]);
   g_autofree char *peer = address_to_text (result->peer);
 
   log_event (LOG_LEVEL_NOTICE, "view_from_peer", "peer", peer, "outcome",
              reason ? "not_taken" : "taken", "reason", reason, "version",
              LOG_U64 (store->options.get_version (store->options.context)), "engines_from",
-             LOG_U64 (engines_from), "engines_sent",
-             LOG_U64 (reason ? 0 : store->copied_engines.next_offset), "engines_whole",
+             LOG_U64 (engines_from.offset), "engines_sent",
+             LOG_U64 (reason ? 0 : store->copied_engines.next.offset), "engines_whole",
              !reason && store->copied_engines.whole ? "yes" : "no", "engines_next",
-             LOG_U64 (stream_follower_next_offset (store->followers[STREAM_ENGINES])), NULL);
+             LOG_U64 (engines_next.offset), "engines_era", LOG_U64 (engines_next.era), NULL);
 }
 
 static bool
@@ -412,7 +551,7 @@
 
   for (uint32_t i = 0; i < STREAM_COUNT && age_us < at_us; i++)
     {
-      uint64_t next = stream_follower_next_offset (store->followers[i]);
+      position_t next = stream_follower_next (store->followers[i]);
 
       read_policy_apply_peer (&store->policies[i], at_us, next, next, at_us - age_us);
     }
@@ -437,7 +576,7 @@
 on_fetched (const gateway_fetch_result_t *result, void *context)
 {
   gateway_store_t *store = context;
-  uint64_t engines_from = stream_follower_next_offset (store->followers[STREAM_ENGINES]);
+  position_t engines_from = stream_follower_next (store->followers[STREAM_ENGINES]);
   const char *reason = apply_result (store, result);
 
   log_fetch (store, result, engines_from, reason);
@@ -518,6 +657,9 @@
          should_fetch (store, STREAM_ROUTERS);
 }
 
+/* Asks for records from here on; none is newer, so none is sent. */
+static const position_t no_newer_record = { UINT64_MAX, UINT64_MAX };
+
 static void
 fetch_if_due (gateway_store_t *store)
 {
@@ -531,7 +673,7 @@
     if (store->fetching[i])
       read_policy_fetch_started (&store->policies[i], now_us (store));
     else
-      streams[i].next_offset = UINT64_MAX; /* no record is newer, so none is sent */
+      streams[i].next = no_newer_record;
   store->next_fetch_us =
       now_us (store) + (uint64_t)GATEWAY_STORE_FETCH_INTERVAL_MS * CLOCK_US_PER_MS;
   gateway_fetch_newer (store->fetch, &store->ahead_control, streams, STREAM_COUNT,
@@ -539,14 +681,19 @@
                            policy_view (store, STREAM_ROUTING).store_call_failed);
 }
 
+/* An entry that was written in an era before is among the records that the store may have lost. */
 static void
-on_put (platform_outcome_t outcome, uint64_t offset, void *context)
+on_put (platform_outcome_t outcome, position_t position, void *context)
 {
   gateway_store_t *store = context;
+  position_t listed = keyed_view_listed (store->views[STREAM_ROUTERS]);
+  position_t written = position_from (listed, position.era, position.offset);
 
-  store->entry_written = outcome == PLATFORM_OK;
+  store->entry_written = outcome == PLATFORM_OK && written.era >= listed.era;
+  stream_follower_note_era (store->followers[STREAM_ROUTERS], written.era);
   log_event (LOG_LEVEL_NOTICE, "own_entry", "outcome",
-             outcome == PLATFORM_OK ? "written" : "not_known", "offset", LOG_U64 (offset), NULL);
+             outcome == PLATFORM_OK ? "written" : "not_known", "offset", LOG_U64 (written.offset),
+             "era", LOG_U64 (written.era), NULL);
 }
 
 /* Only the newest record of a key counts, so writing the entry again after a lost answer is
@@ -554,26 +701,21 @@
 static void
 write_own_entry (gateway_store_t *store)
 {
+  const char *name = store->options.settings->name;
   g_autofree char *entry = NULL;
-  const char *listed;
-  size_t listed_bytes;
-  uint64_t offset;
 
   if (store->entry_written || now_us (store) < store->entry_retry_us ||
       !stream_follower_has_listed (store->followers[STREAM_ROUTERS]))
     return;
   store->entry_retry_us = now_us (store) + OWN_ENTRY_RETRY_US;
   entry = gateway_peers_format_own_entry (store->peers);
-  listed = keyed_view_get (store->views[STREAM_ROUTERS], store->options.settings->name,
-                           &listed_bytes, &offset);
-  if (listed && strcmp (listed, entry) == 0)
+  if (keyed_view_has_in_era (store->views[STREAM_ROUTERS], name, entry, strlen (entry)))
     store->entry_written = true;
   else
     {
       counter_add (store->write_count, 1);
-      store->options.platform->put (store->options.platform, PLATFORM_STREAM_ROUTERS,
-                                    store->options.settings->name, entry, strlen (entry), on_put,
-                                    store);
+      store->options.platform->put (store->options.platform, PLATFORM_STREAM_ROUTERS, name, entry,
+                                    strlen (entry), on_put, store);
     }
 }
 
@@ -601,8 +743,9 @@
                           ours.engines_next, store_us);
   read_policy_apply_peer (&store->policies[STREAM_ROUTERS], at_us, theirs->routers_next,
                           ours.routers_next, store_us);
-  if (theirs->routing_next > ours.routing_next || theirs->engines_next > ours.engines_next ||
-      theirs->routers_next > ours.routers_next)
+  if (position_is_before (ours.routing_next, theirs->routing_next) ||
+      position_is_before (ours.engines_next, theirs->engines_next) ||
+      position_is_before (ours.routers_next, theirs->routers_next))
     store->ahead_control = *control;
   update_streams (store);
 }
@@ -611,6 +754,7 @@
 gateway_store_tick (gateway_store_t *store)
 {
   record_store_contact (store);
+  advance_restorations (store);
   gateway_start_advance (store->start);
   update_streams (store);
   write_own_entry (store);
@@ -633,9 +777,10 @@
                uint32_t stream,
                uint32_t wait_ms,
                keyed_view_visit_t changed,
+               keyed_view_compare_t compare,
                void (*on_state) (stream_follower_state_t state, void *context))
 {
-  store->views[stream] = keyed_view_new (changed, store);
+  store->views[stream] = keyed_view_new (changed, compare, store);
   store->followers[stream] = stream_follower_new (
       &(stream_follower_options_t){ .base = store->options.base,
                                     .clock = store->options.clock,
@@ -671,6 +816,10 @@
   store->write_count =
       counter_get_labelled (options->counters, "medlarplank_store_writes_total", "stream",
                             PLATFORM_STREAM_ROUTERS, "Records written into the store");
+  store->held_gauge = counter_get (options->counters, "medlarplank_store_kept_records",
+                                   "Records kept from before the store came back from a copy");
+  store->rand =
+      g_rand_new_with_seed ((guint32)options->incarnation ^ g_str_hash (options->settings->name));
   store->fetch = gateway_fetch_new (
       &(gateway_fetch_options_t){ .base = options->base,
                                   .clock = options->clock,
@@ -689,9 +838,11 @@
                                                      .pick_peer = start_pick_peer,
                                                      .fetch_all = start_fetch_all,
                                                      .context = store });
-  follow_stream (store, STREAM_ROUTING, poll_wait_ms (store), on_routing, on_routing_state);
-  follow_stream (store, STREAM_ENGINES, poll_wait_ms (store), on_engine, on_engines_state);
-  follow_stream (store, STREAM_ROUTERS, GATEWAY_STORE_ROUTERS_READ_WAIT_MS, on_router,
+  follow_stream (store, STREAM_ROUTING, poll_wait_ms (store), on_routing, compare_routing,
+                 on_routing_state);
+  follow_stream (store, STREAM_ENGINES, poll_wait_ms (store), on_engine, compare_engines,
+                 on_engines_state);
+  follow_stream (store, STREAM_ROUTERS, GATEWAY_STORE_ROUTERS_READ_WAIT_MS, on_router, NULL,
                  on_routers_state);
   store->peers = gateway_peers_new (&(gateway_peers_options_t){ .base = options->base,
                                                                 .clock = options->clock,
@@ -726,6 +877,7 @@
       keyed_view_free (store->views[i]);
     }
   gateway_start_free (store->start);
+  g_rand_free (store->rand);
   g_free (store);
 }
 
@@ -789,14 +941,14 @@
   gateway_fetch_responder_t state = {
     .settled = settled,
     .complete = has_listed_all (store) && !lacks_routing_or_engines (store) &&
-                stream_follower_next_offset (store->followers[STREAM_ROUTERS]) > 0,
+                stream_follower_next (store->followers[STREAM_ROUTERS]).offset > 0,
     .store_age_ms = store_age_ms (store)
   };
 
   gateway_peers_pick_control (store->peers, &state.referral);
   fill_streams (store, streams);
   for (uint32_t i = 0; i < STREAM_COUNT; i++)
-    bytes += keyed_view_bytes_since (streams[i].view, 0);
+    bytes += keyed_view_bytes_since (streams[i].view, (position_t){ 0 });
   state.too_large = bytes > GATEWAY_STORE_FULL_COPY_MAX_BYTES;
   return gateway_fetch_handle_request (store->fetch, call, streams, STREAM_COUNT, &state);
 }
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -372,15 +372,16 @@
   watch_gateway_signals (&gateway);
   gateway.flusher = log_flusher_new (gateway.base);
   gateway.process = gateway_process_new (
-      &(gateway_process_options_t){
-          .base = gateway.base,
-          .clock = &gateway.clock,
-          .counters = gateway.counters,
-          .settings = settings,
-          .platform = store_new (gateway.base, &settings->platform),
-          .format = request_format_get (),
-          .readers = { .routing = records_read_routing, .engine = records_read_engine },
-          .incarnation = gateway.incarnation },
+      &(gateway_process_options_t){ .base = gateway.base,
+                                    .clock = &gateway.clock,
+                                    .counters = gateway.counters,
+                                    .settings = settings,
+                                    .platform = store_new (gateway.base, &settings->platform),
+                                    .format = request_format_get (),
+                                    .readers = { .routing = records_read_routing,
+                                                 .version = records_read_version,
+                                                 .engine = records_read_engine },
+                                    .incarnation = gateway.incarnation },
       &error);
   if (!gateway.process)
     {
--- a/src/proto/exchange.x
+++ b/src/proto/exchange.x
@@ -15,6 +15,10 @@
   unsigned int age_ms;
 };
 
+/*
+ * Of a gateway's own host: "incarnation" is the era of its offset in the stream "state" (0 routing
+ * rules, 1 engines, 2 routers). Streams without a word of their own are in the era of the first.
+ */
 struct xch_word {
   unsigned hyper host_hash;
   unsigned hyper incarnation;
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -28,6 +28,7 @@
  * struct engine_entry - the registry's entry of an engine
  * @id: unchanged when the engine restarts
  * @born_ms: start time of the process by its host's clock; 0 when the entry doesn't state it
+ * @renewal: number of the write of the entry by that process; 0 when the entry doesn't state it
  * @service: interned
  * @region: region of the data centre, interned; NULL when unknown
  * @slots: requests that it runs concurrently; 0 when unknown
@@ -37,6 +38,7 @@
 {
   char id[LIMIT_NAME_BYTES];
   uint64_t born_ms;
+  uint64_t renewal;
   const char *service;
   char data_center[LIMIT_NAME_BYTES];
   const char *region;
--- a/src/request/policy/read_policy.c
+++ b/src/request/policy/read_policy.c
@@ -9,9 +9,9 @@
   read_policy_report_t *reports = read_policy->reports;
   uint32_t at = read_policy->report_count;
 
-  while (at > 0 && reports[at - 1].next_offset > report->next_offset)
+  while (at > 0 && position_is_before (report->next, reports[at - 1].next))
     at--;
-  if (at > 0 && reports[at - 1].next_offset == report->next_offset)
+  if (at > 0 && position_equal (reports[at - 1].next, report->next))
     {
       reports[at - 1].store_us = MAX (reports[at - 1].store_us, report->store_us);
       return;
@@ -20,7 +20,7 @@
     {
       read_policy_report_t *last = &reports[READ_POLICY_REPORTS - 1];
 
-      last->next_offset = MAX (last->next_offset, report->next_offset);
+      last->next = position_later (last->next, report->next);
       last->store_us = MAX (last->store_us, report->store_us);
       return;
     }
@@ -29,16 +29,18 @@
   read_policy->report_count++;
 }
 
-/* A peer with a lower offset confirms nothing: the store may have answered it before the new
- * records.
- */
+/* A peer with an earlier position confirms nothing: the store may have answered it before the new
+ * records, or before it came back from a copy. */
 void
-read_policy_apply_peer (
-    read_policy_t *read_policy, uint64_t now_us, uint64_t theirs, uint64_t ours, uint64_t store_us)
+read_policy_apply_peer (read_policy_t *read_policy,
+                        uint64_t now_us,
+                        position_t theirs,
+                        position_t ours,
+                        uint64_t store_us)
 {
-  if (theirs == ours)
+  if (position_equal (theirs, ours))
     read_policy->current_as_of_us = MAX (read_policy->current_as_of_us, store_us);
-  if (theirs <= ours)
+  if (!position_is_before (ours, theirs))
     return;
   insert_report (read_policy, &(read_policy_report_t){ theirs, store_us, now_us });
   read_policy->fetch_due = true;
@@ -49,14 +51,15 @@
 /* Whether the records of @report are no longer missing. A read that began after it has brought
  * them, if it left none missing. */
 static bool
-is_reached (const read_policy_report_t *report, const read_policy_view_t *view, uint64_t ours)
+is_reached (const read_policy_report_t *report, const read_policy_view_t *view, position_t ours)
 {
-  return ours >= report->next_offset || (view->read_started_us >= report->reported_us &&
-                                         view->answered_us >= view->read_started_us);
+  return !position_is_before (ours, report->next) ||
+         (view->read_started_us >= report->reported_us &&
+          view->answered_us >= view->read_started_us);
 }
 
-/* While new records come quickly, peers always have a higher offset and never the same one. So what
- * the peer confirms counts once its copy has been applied. */
+/* While new records come quickly, peers always have a later position and never the same one. So
+ * what the peer confirms counts once its copy has been applied. */
 void
 read_policy_caught_up (read_policy_t *read_policy, bool of_peer)
 {
@@ -75,7 +78,7 @@
   uint32_t count = read_policy->report_count;
 
   read_policy->fetch_started_us = now_us;
-  read_policy->fetch_next_offset = count > 0 ? read_policy->reports[count - 1].next_offset : 0;
+  read_policy->fetch_next = count > 0 ? read_policy->reports[count - 1].next : (position_t){ 0 };
 }
 
 void
@@ -86,24 +89,26 @@
 }
 
 void
-read_policy_fetch_ended (read_policy_t *read_policy, const read_policy_view_t *view, uint64_t ours)
+read_policy_fetch_ended (read_policy_t *read_policy,
+                         const read_policy_view_t *view,
+                         position_t ours)
 {
   read_policy_update (read_policy, view, ours);
-  if (ours < read_policy->fetch_next_offset)
+  if (position_is_before (ours, read_policy->fetch_next))
     read_policy_fetch_failed (read_policy);
 }
 
 /* The records that a peer declined to send were too large; those after them need not be. */
 static void
-note_progress (read_policy_t *read_policy, uint64_t ours)
+note_progress (read_policy_t *read_policy, position_t ours)
 {
-  if (ours > read_policy->ours)
+  if (position_is_before (read_policy->ours, ours))
     read_policy->new_records_too_large = false;
   read_policy->ours = ours;
 }
 
 void
-read_policy_update (read_policy_t *read_policy, const read_policy_view_t *view, uint64_t ours)
+read_policy_update (read_policy_t *read_policy, const read_policy_view_t *view, position_t ours)
 {
   uint64_t since_us = UINT64_MAX;
   uint32_t kept = 0;
@@ -113,7 +118,7 @@
     {
       read_policy_report_t report = read_policy->reports[i];
 
-      if (ours >= report.next_offset)
+      if (!position_is_before (ours, report.next))
         read_policy->current_as_of_us = MAX (read_policy->current_as_of_us, report.store_us);
       if (is_reached (&report, view, ours))
         continue;
--- a/src/request/policy/read_policy.h
+++ b/src/request/policy/read_policy.h
@@ -5,16 +5,18 @@
  * stream's records from a peer. A pure state machine, one for each stream of each gateway.
  *
  * A few gateways, the followers, read the store all the time. The others don't read it while their
- * copy is known to be current: while a peer that has the same offset has had an answer of the store
- * lately, or knows of another gateway's. Such a peer confirms the copy. The others learn of new
- * records by a higher offset of a peer. So the calls to the store grow with the number of followers
- * and of new records and not with that of gateways: on a calm day of 103 gateways it took 3,130
- * calls, and 7,566 when every gateway read for itself. No gateway depends on the followers: one
- * whose copy isn't confirmed any longer reads the store itself.
+ * copy is known to be current: while a peer that has the same position has had an answer of the
+ * store lately, or knows of another gateway's. Such a peer confirms the copy. The others learn of
+ * new records by a later position of a peer. So the calls to the store grow with the number of
+ * followers and of new records and not with that of gateways: on a calm day of 103 gateways it took
+ * 3,130 calls, and 7,566 when every gateway read for itself. No gateway depends on the followers:
+ * one whose copy isn't confirmed any longer reads the store itself.
  */
 #ifndef REQUEST_POLICY_READ_POLICY_H
 #define REQUEST_POLICY_READ_POLICY_H
 
+#include "base/position.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -100,14 +102,14 @@
 #define READ_POLICY_REPORTS 8 /* when full, the last two are taken for one */
 
 /**
- * struct read_policy_report - a report of a peer that has a higher offset
- * @next_offset: all records that the store had at @store_us are before this offset
+ * struct read_policy_report - a report of a peer that has a later position
+ * @next: all records that the store had at @store_us are before this position
  * @store_us: when the store answered the peer, or the one from which it has the records
- * @reported_us: when a peer first reported an offset above that of the report before
+ * @reported_us: when a peer first reported a position later than that of the report before
  */
 typedef struct
 {
-  uint64_t next_offset;
+  position_t next;
   uint64_t store_us;
   uint64_t reported_us;
 } read_policy_report_t;
@@ -116,13 +118,13 @@
  * struct read_policy - state of one stream; all zero at the start
  * @current_as_of_us: when the store answered the peer that confirmed this gateway's copy, or the
  *   one from which that peer has it; 0 for never
- * @behind_since_us: since when a peer has had a higher offset; 0 when none has
- * @reports: those whose offset this gateway has not reached, by ascending offset
+ * @behind_since_us: since when a peer has had a later position; 0 when none has
+ * @reports: those whose position this gateway has not reached, in order of position
  * @report_count: number of @reports
- * @ours: offset up to which the gateway had the stream at the last update
- * @fetch_next_offset: highest offset reported when the fetch in progress began
+ * @ours: position up to which the gateway had the stream at the last update
+ * @fetch_next: latest position reported when the fetch in progress began
  * @fetch_started_us: when that or the last fetch began
- * @fetch_due: a peer has reported a higher offset since the last failed fetch
+ * @fetch_due: a peer has reported a later position since the last failed fetch
  * @reading_since_us: when the gateway began to read because no peer confirmed its copy; 0
  *   once one does
  * @new_records_too_large: the peer declined to send the new records because they are large. They
@@ -135,8 +137,8 @@
   uint64_t behind_since_us;
   read_policy_report_t reports[READ_POLICY_REPORTS];
   uint32_t report_count;
-  uint64_t ours;
-  uint64_t fetch_next_offset;
+  position_t ours;
+  position_t fetch_next;
   uint64_t fetch_started_us;
   bool fetch_due;
   uint64_t reading_since_us;
@@ -145,13 +147,16 @@
 
 /**
  * read_policy_apply_peer() - applies a peer's message
- * @theirs: offset up to which the peer has the stream
- * @ours: offset up to which this gateway has it
+ * @theirs: position up to which the peer has the stream
+ * @ours: position up to which this gateway has it
  * @store_us: when the store answered the peer, or the one from which it has the records; 0 when
  *   that is not known
  */
-void read_policy_apply_peer (
-    read_policy_t *read_policy, uint64_t now_us, uint64_t theirs, uint64_t ours, uint64_t store_us);
+void read_policy_apply_peer (read_policy_t *read_policy,
+                             uint64_t now_us,
+                             position_t theirs,
+                             position_t ours,
+                             uint64_t store_us);
 /** read_policy_caught_up() - the new records came; @of_peer: from the peer, all that it had */
 void read_policy_caught_up (read_policy_t *read_policy, bool of_peer);
 /** read_policy_fetch_started() - a fetch from a peer begins */
@@ -161,16 +166,18 @@
 void read_policy_fetch_failed (read_policy_t *read_policy);
 /** read_policy_fetch_ended() - the peer's copy was applied; it may lack the new records, which then
  * counts as a failed fetch. For @ours, see read_policy_update() */
-void
-read_policy_fetch_ended (read_policy_t *read_policy, const read_policy_view_t *view, uint64_t ours);
+void read_policy_fetch_ended (read_policy_t *read_policy,
+                              const read_policy_view_t *view,
+                              position_t ours);
 /**
  * read_policy_update() - applies how far this gateway has the stream now
- * @ours: offset up to which it has it
+ * @ours: position up to which it has it
  *
- * New records count as missing until @ours reaches the offset of the report, or until a read that
+ * New records count as missing until @ours reaches the position of the report, or until a read that
  * began after it has brought all that the store has.
  */
-void read_policy_update (read_policy_t *read_policy, const read_policy_view_t *view, uint64_t ours);
+void
+read_policy_update (read_policy_t *read_policy, const read_policy_view_t *view, position_t ours);
 /** read_policy_fetch_too_large() - the peer declined the fetch: the new records are to be read from
  * the store */
 void read_policy_fetch_too_large (read_policy_t *read_policy);
@@ -184,7 +191,7 @@
                                          const read_policy_view_t *view,
                                          uint64_t now_us);
 /** read_policy_should_ask_peer() - whether to fetch the new records now from the peer that has a
- * higher offset */
+ * later position */
 bool read_policy_should_ask_peer (const read_policy_t *read_policy,
                                   const read_policy_stream_t *stream,
                                   const read_policy_view_t *view,
--- a/src/version/view_share.h
+++ b/src/version/view_share.h
@@ -19,8 +19,8 @@
 
 /**
  * struct view_share_stream - a stream and one gateway's view of it
- * @name: static string; also the query parameter with the offset from which records are requested
- * @next_offset: all records before this offset are included in @view
+ * @name: static string; also the query parameter with the position from which records are requested
+ * @next: all records before this position are included in @view
  * @max_value_bytes: maximum total size of the values in a response; the requester reads the store
  *   instead when they are larger; 0 for no limit
  */
@@ -28,7 +28,7 @@
 {
   const char *name;
   keyed_view_t *view;
-  uint64_t next_offset;
+  position_t next;
   size_t max_value_bytes;
 } view_share_stream_t;
 
@@ -37,11 +37,11 @@
 char *view_share_format_target (const view_share_stream_t *streams, uint32_t count);
 /**
  * view_share_format() - format the body of a response; free it with g_free()
- * @from: per stream, the offset before which the requester has all records
+ * @from: per stream, the position before which the requester has all records
  * @settled: whether recent deletions are confirmed, so that the requester may rely on them
  */
 char *view_share_format (const view_share_stream_t *streams,
-                         const uint64_t *from,
+                         const position_t *from,
                          uint32_t count,
                          bool settled);
 
@@ -63,20 +63,21 @@
  * view_share_apply() - apply the records of @stream in a response to its view
  *
  * Applies all of them or none: none when one is malformed, or when the response is not newer than
- * the view, which may have been read further since the request.
+ * the view, which may have been read further since the request. New records alone don't follow on a
+ * view of another era.
  *
- * Return: the offset before which the view is now complete; 0 when nothing was applied
+ * Return: the position before which the view is now complete; all zero when nothing was applied
  */
-uint64_t view_share_apply (const view_share_answer_t *answer, const view_share_stream_t *stream);
+position_t view_share_apply (const view_share_answer_t *answer, const view_share_stream_t *stream);
 
 /**
  * struct view_share_copy - what a response has of a stream; all zero for nothing
- * @next_offset: the sender had all records before this offset
+ * @next: the sender had all records before this position
  * @whole: the records of all keys and not only the new records
  */
 typedef struct
 {
-  uint64_t next_offset;
+  position_t next;
   bool whole;
 } view_share_copy_t;
 
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -111,18 +111,18 @@
 {
   if (fake->append_down)
     {
-      call->appended (PLATFORM_UNKNOWN, 0, call->context);
+      call->appended (PLATFORM_UNKNOWN, (position_t){ 0 }, call->context);
       return;
     }
   if (fake->append_refused)
     {
-      call->appended (PLATFORM_REFUSED, 0, call->context);
+      call->appended (PLATFORM_REFUSED, (position_t){ 0 }, call->context);
       return;
     }
   GPtrArray *records = get_stream (fake, call->stream);
-  uint64_t offset = records->len;
+  position_t position = { fake->era, records->len };
   g_ptr_array_add (records, g_strdup (call->data));
-  call->appended (fake->append_lost ? PLATFORM_UNKNOWN : PLATFORM_OK, offset, call->context);
+  call->appended (fake->append_lost ? PLATFORM_UNKNOWN : PLATFORM_OK, position, call->context);
 }
 
 static void
@@ -136,20 +136,21 @@
     }
   const GPtrArray *stream = get_stream (fake, call->stream);
   read.outcome = PLATFORM_OK;
-  read.first_offset = MIN (fake->first_offset, stream->len);
-  read.end_offset = stream->len;
-  uint64_t from = MAX (call->from_offset, read.first_offset);
+  read.first.era = read.next.era = read.end.era = fake->era;
+  read.first.offset = MIN (fake->first_offset, stream->len);
+  read.end.offset = stream->len;
+  uint64_t from = MAX (call->from_offset, read.first.offset);
   uint64_t count = from < stream->len ? MIN (stream->len - from, call->max_records) : 0;
   platform_record_t *records = g_new0 (platform_record_t, count + 1);
   for (uint64_t i = 0; i < count; i++)
     {
-      records[i].offset = from + i;
+      records[i].position = (position_t){ fake->era, from + i };
       records[i].data = g_ptr_array_index (stream, from + i);
       records[i].data_bytes = strlen (records[i].data);
     }
   read.records = records;
   read.record_count = (uint32_t)count;
-  read.next_offset = from + count;
+  read.next.offset = from + count;
   call->read (&read, call->context);
   g_free (records);
 }
--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -24,6 +24,7 @@
  * @now_ms: current time, set by the test; ends the wait of reads without records
  * @streams: records of each stream by its name
  * @first_offset: offset of the first record that is still kept, in all streams
+ * @era: that responses state; see fake_platform_restore()
  * @calls: calls without an answer yet
  * @hosts: the list of hosts, which is always answered in full
  * @revision: of the list of hosts; grows with each change
@@ -44,6 +45,7 @@
   uint64_t now_ms;
   GHashTable *streams; /* stream name -> GPtrArray of char *, indexed by offset */
   uint64_t first_offset;
+  uint64_t era;
   GQueue calls;
   membership_list_entry_t hosts[FAKE_PLATFORM_HOSTS_MAX];
   uint32_t host_count;
--- a/tests/fake_store.c
+++ b/tests/fake_store.c
@@ -74,9 +74,9 @@
 }
 
 static platform_record_t
-to_record (const record_t *record, uint64_t offset)
+to_record (const record_t *record, position_t position)
 {
-  return (platform_record_t){ .offset = offset,
+  return (platform_record_t){ .position = position,
                               .key = record->key,
                               .data = record->value,
                               .data_bytes = record->value ? strlen (record->value) : 0 };
@@ -87,13 +87,16 @@
 {
   const GPtrArray *stream = get_stream (call->client->store, call->stream);
   g_autoptr (GArray) records = g_array_new (FALSE, TRUE, sizeof (platform_record_t));
+  uint64_t era = call->client->store->era;
   platform_read_t read = { .outcome = PLATFORM_OK,
-                           .era = call->client->store->era,
-                           .end_offset = stream->len };
+                           .first.era = era,
+                           .next = { era, call->from },
+                           .end = { era, stream->len } };
 
   for (uint64_t offset = call->from; offset < stream->len && records->len < call->max; offset++)
     {
-      platform_record_t record = to_record (g_ptr_array_index (stream, offset), offset);
+      platform_record_t record =
+          to_record (g_ptr_array_index (stream, offset), (position_t){ era, offset });
 
       g_array_append_val (records, record);
     }
@@ -104,7 +107,7 @@
   call->client->expired = false;
   read.records = (const platform_record_t *)(const void *)records->data;
   read.record_count = read.outcome == PLATFORM_OK ? records->len : 0;
-  read.next_offset = call->from + read.record_count;
+  read.next.offset += read.record_count;
   call->read (&read, call->context);
 }
 
@@ -114,9 +117,9 @@
   const GPtrArray *stream = get_stream (call->client->store, call->stream);
   g_autoptr (GHashTable) seen_keys = g_hash_table_new (g_str_hash, g_str_equal);
   g_autoptr (GArray) records = g_array_new (FALSE, TRUE, sizeof (platform_record_t));
+  uint64_t era = call->client->store->era;
   platform_newest_t answer = { .outcome = call->client->down ? PLATFORM_UNKNOWN : PLATFORM_OK,
-                               .era = call->client->store->era,
-                               .end_offset = stream->len };
+                               .end = { era, stream->len } };
 
   for (guint offset = stream->len; offset > 0; offset--)
     {
@@ -124,7 +127,7 @@
 
       if (g_hash_table_add (seen_keys, record->key) && record->value)
         {
-          platform_record_t out = to_record (record, offset - 1);
+          platform_record_t out = to_record (record, (position_t){ era, offset - 1 });
 
           g_array_append_val (records, out);
         }
@@ -138,14 +141,16 @@
 answer_put (call_t *call)
 {
   fake_store_client_t *client = call->client;
+  position_t position = { .era = client->store->era };
 
   if (client->down)
     {
-      call->put (PLATFORM_UNKNOWN, 0, call->context);
+      call->put (PLATFORM_UNKNOWN, (position_t){ 0 }, call->context);
       return;
     }
   fake_store_put (client->store, call->stream, call->key, call->value);
-  call->put (PLATFORM_OK, get_stream (client->store, call->stream)->len - 1, call->context);
+  position.offset = get_stream (client->store, call->stream)->len - 1;
+  call->put (PLATFORM_OK, position, call->context);
 }
 
 static void
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -77,15 +77,16 @@
   gateway->counters = counter_registry_new ();
   gateway->front = fake_store_client (rig->store);
   gateway->gateway_process = gateway_process_new (
-      &(gateway_process_options_t){
-          .base = rig->base,
-          .clock = &rig->clock,
-          .counters = gateway->counters,
-          .settings = settings,
-          .platform = &gateway->front->platform,
-          .format = request_format_get (),
-          .readers = { .routing = records_read_routing, .engine = records_read_engine },
-          .incarnation = ++rig->starts },
+      &(gateway_process_options_t){ .base = rig->base,
+                                    .clock = &rig->clock,
+                                    .counters = gateway->counters,
+                                    .settings = settings,
+                                    .platform = &gateway->front->platform,
+                                    .format = request_format_get (),
+                                    .readers = { .routing = records_read_routing,
+                                                 .version = records_read_version,
+                                                 .engine = records_read_engine },
+                                    .incarnation = ++rig->starts },
       &error);
   g_assert_no_error (error);
   gateway->address = raw_peer_loopback_address ();
--- a/tests/reference_store.c
+++ b/tests/reference_store.c
@@ -93,7 +93,7 @@
 {
   const reference_item_t *item = g_ptr_array_index (store, offset);
 
-  return (platform_record_t){ .offset = offset,
+  return (platform_record_t){ .position.offset = offset,
                               .key = item->key,
                               .data = item->value,
                               .data_bytes = item->value ? strlen (item->value) : 0 };
@@ -125,8 +125,8 @@
 
       call->read_done (
           &(platform_read_t){ .outcome = PLATFORM_OK,
-                              .next_offset = call->from + count,
-                              .end_offset = end,
+                              .next.offset = call->from + count,
+                              .end.offset = end,
                               .records = (const platform_record_t *)(const void *)records->data,
                               .record_count = count },
           call->context);
@@ -135,7 +135,7 @@
   g_array_sort (records, compare_record_keys);
   call->newest_done (
       &(platform_newest_t){ .outcome = PLATFORM_OK,
-                            .end_offset = end,
+                            .end.offset = end,
                             .records = (const platform_record_t *)(const void *)records->data,
                             .record_count = MIN (records->len, page),
                             .more = records->len > page },
--- a/tests/test_gateway_fetch.c
+++ b/tests/test_gateway_fetch.c
@@ -10,12 +10,12 @@
 
 static void
 ignore_change (
-    const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+    const char *key, const char *value, size_t value_bytes, position_t position, void *context)
 {
   (void)key;
   (void)value;
   (void)value_bytes;
-  (void)offset;
+  (void)position;
   (void)context;
 }
 
@@ -35,10 +35,10 @@
   static const char *const expected[] = { "\"large\":true", "\"records\":[[" };
   g_autoptr (server_fixture_t) fixture = server_fixture_new ();
   clock_source_t clock;
-  keyed_view_t *view = keyed_view_new (ignore_change, NULL);
+  keyed_view_t *view = keyed_view_new (ignore_change, NULL, NULL);
   char value[VALUE_BYTES + 1];
   view_share_stream_t stream = {
-    .name = "routing", .view = view, .next_offset = 1, .max_value_bytes = UPDATE_MAX_BYTES
+    .name = "routing", .view = view, .next.offset = 1, .max_value_bytes = UPDATE_MAX_BYTES
   };
   gateway_fetch_responder_t state = { .settled = true, .complete = true };
   address_t control = fixture->address;
@@ -47,7 +47,7 @@
   clock_init_running (&clock);
   memset (value, 'x', VALUE_BYTES);
   value[VALUE_BYTES] = '\0';
-  keyed_view_apply (view, 0, "config", value, VALUE_BYTES);
+  keyed_view_apply (view, (position_t){ 0 }, "config", value, VALUE_BYTES);
   fetch = gateway_fetch_new (&(gateway_fetch_options_t){ .base = fixture->base,
                                                          .clock = &clock,
                                                          .fleet_key = "a key of the fleet",
--- a/tests/test_keyed_view.c
+++ b/tests/test_keyed_view.c
@@ -15,14 +15,21 @@
   char value[32];
 } changes_t;
 
+/* A position in a stream that never came back from a copy. */
+static position_t
+at (uint64_t offset)
+{
+  return (position_t){ .offset = offset };
+}
+
 static void
 record_change (
-    const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+    const char *key, const char *value, size_t value_bytes, position_t position, void *context)
 {
   changes_t *changes = context;
 
   (void)value_bytes;
-  (void)offset;
+  (void)position;
   changes->count++;
   g_strlcpy (changes->key, key, sizeof changes->key);
   g_strlcpy (changes->value, value ? value : "(deleted)", sizeof changes->value);
@@ -31,15 +38,15 @@
 static void
 apply (keyed_view_t *view, uint64_t offset, const char *key, const char *value)
 {
-  keyed_view_apply (view, offset, key, value, value ? strlen (value) : 0);
+  keyed_view_apply (view, at (offset), key, value, value ? strlen (value) : 0);
 }
 
 static const char *
 get_value (const keyed_view_t *view, const char *key)
 {
   size_t bytes;
-  uint64_t offset;
-  const char *value = keyed_view_get (view, key, &bytes, &offset);
+  position_t position;
+  const char *value = keyed_view_get (view, key, &bytes, &position);
 
   return value ? value : "none";
 }
@@ -50,7 +57,7 @@
 test_older_records_change_nothing (void)
 {
   changes_t changes = { 0 };
-  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes);
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, NULL, &changes);
 
   apply (view, 5, "a", "new");
   apply (view, 3, "a", "old");
@@ -70,14 +77,14 @@
 test_listing_deletes_missing_keys (void)
 {
   changes_t changes = { 0 };
-  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes);
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, NULL, &changes);
 
   apply (view, 1, "gone", "x");
   apply (view, 2, "stays", "x");
   apply (view, 12, "later", "x");
   keyed_view_list_begin (view);
   apply (view, 2, "stays", "x");
-  keyed_view_list_end (view, 10);
+  keyed_view_list_end (view, at (10));
   CU_ASSERT_STRING_EQUAL (get_value (view, "gone"), "none");
   CU_ASSERT_STRING_EQUAL (changes.key, "gone");
   CU_ASSERT_STRING_EQUAL (get_value (view, "stays"), "x");
@@ -96,7 +103,7 @@
 {
   memset (pair, 0, sizeof *pair);
   for (uint32_t i = 0; i < 2; i++)
-    pair->view[i] = keyed_view_new (record_change, &pair->changes[i]);
+    pair->view[i] = keyed_view_new (record_change, NULL, &pair->changes[i]);
 }
 
 static void
@@ -112,15 +119,15 @@
 static uint64_t
 transfer (pair_t *pair, uint64_t next, uint64_t from)
 {
-  view_share_stream_t sender = { .name = "engines", .view = pair->view[0], .next_offset = next };
-  view_share_stream_t receiver = { .name = "engines", .view = pair->view[1], .next_offset = from };
-  g_autofree char *body = view_share_format (&sender, &from, 1, true);
+  view_share_stream_t sender = { .name = "engines", .view = pair->view[0], .next = at (next) };
+  view_share_stream_t receiver = { .name = "engines", .view = pair->view[1], .next = at (from) };
+  g_autofree char *body = view_share_format (&sender, &receiver.next, 1, true);
   view_share_answer_t answer;
   uint64_t next_offset = 0;
 
   CU_ASSERT (view_share_parse (&answer, body, strlen (body)));
   CU_ASSERT (answer.deletions_confirmed);
-  next_offset = view_share_apply (&answer, &receiver);
+  next_offset = view_share_apply (&answer, &receiver).offset;
   view_share_clear (&answer);
   return next_offset;
 }
@@ -156,7 +163,7 @@
   apply (pair.view[0], 3, "a", NULL);
   keyed_view_list_begin (pair.view[0]);
   apply (pair.view[0], 2, "b", "y");
-  keyed_view_list_end (pair.view[0], 4);
+  keyed_view_list_end (pair.view[0], at (4));
   CU_ASSERT_EQUAL (transfer (&pair, 4, 2), 4);
   CU_ASSERT_STRING_EQUAL (get_value (pair.view[1], "a"), "none");
   CU_ASSERT_STRING_EQUAL (get_value (pair.view[1], "b"), "y");
@@ -190,7 +197,7 @@
     "{\"settled\":true,\"engines\":{\"whole\":false,\"records\":[]}}",
   };
   changes_t changes = { 0 };
-  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes);
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, NULL, &changes);
   view_share_stream_t stream = { .name = "engines", .view = view };
   view_share_answer_t answer;
 
@@ -202,7 +209,7 @@
   for (uint32_t i = 0; i < G_N_ELEMENTS (invalid_streams); i++)
     {
       CU_ASSERT (view_share_parse (&answer, invalid_streams[i], strlen (invalid_streams[i])));
-      CU_ASSERT_EQUAL (view_share_apply (&answer, &stream), 0);
+      CU_ASSERT_EQUAL (view_share_apply (&answer, &stream).offset, 0);
       view_share_clear (&answer);
     }
 }
@@ -230,20 +237,20 @@
 test_older_list_brings_nothing_back (void)
 {
   changes_t changes = { 0 };
-  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes);
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, NULL, &changes);
 
   apply (view, 4, "left", "ready");
   keyed_view_list_begin (view);
   apply (view, 8, "stays", "ready");
-  keyed_view_list_end (view, 10);
+  keyed_view_list_end (view, at (10));
   CU_ASSERT_STRING_EQUAL (get_value (view, "left"), "none");
   keyed_view_list_begin (view);
   apply (view, 4, "left", "ready");
   apply (view, 8, "stays", "ready");
-  keyed_view_list_end (view, 9);
+  keyed_view_list_end (view, at (9));
   CU_ASSERT_STRING_EQUAL (get_value (view, "left"), "none");
   CU_ASSERT_STRING_EQUAL (get_value (view, "stays"), "ready");
-  CU_ASSERT_EQUAL (keyed_view_listed_offset (view), 10);
+  CU_ASSERT_EQUAL (keyed_view_listed (view).offset, 10);
 }
 
 /* Guards against an entry that stays lost although the store lists it, after a whole copy of a peer
@@ -252,15 +259,15 @@
 test_newer_list_restores_what_a_copy_lacked (void)
 {
   changes_t changes = { 0 };
-  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes);
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, NULL, &changes);
 
   keyed_view_list_begin (view);
   apply (view, 2, "a", "x");
-  keyed_view_list_end (view, 5);
+  keyed_view_list_end (view, at (5));
   keyed_view_list_begin (view);
   apply (view, 2, "a", "x");
   apply (view, 3, "b", "y");
-  keyed_view_list_end (view, 6);
+  keyed_view_list_end (view, at (6));
   CU_ASSERT_STRING_EQUAL (get_value (view, "a"), "x");
   CU_ASSERT_STRING_EQUAL (get_value (view, "b"), "y");
 }
@@ -272,14 +279,14 @@
 {
   static const char value[] = "x\0y";
   changes_t changes = { 0 };
-  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes);
-  view_share_stream_t stream = { .name = "engines", .view = view, .next_offset = 2 };
-  const uint64_t from = 0;
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, NULL, &changes);
+  view_share_stream_t stream = { .name = "engines", .view = view, .next = at (2) };
+  const position_t from = { 0 };
   view_share_answer_t answer;
   g_autofree char *body = NULL;
 
   apply (view, 0, "a", "x");
-  keyed_view_apply (view, 1, "b", value, sizeof value - 1);
+  keyed_view_apply (view, at (1), "b", value, sizeof value - 1);
   body = view_share_format (&stream, &from, 1, true);
   CU_ASSERT (view_share_parse (&answer, body, strlen (body)));
   view_share_clear (&answer);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -143,12 +143,12 @@
 }
 
 static void
-appended (platform_outcome_t outcome, uint64_t offset, void *context)
+appended (platform_outcome_t outcome, position_t position, void *context)
 {
   fixture_t *fixture = context;
   fixture->answers++;
   fixture->outcome = outcome;
-  fixture->offset = offset;
+  fixture->offset = position.offset;
 }
 
 static void
@@ -298,7 +298,7 @@
   const char *gap =
       "{\"first\":8,\"next\":9,\"end\":9,\"records\":[{\"offset\":8,\"data\":\"x\"}]}";
   CU_ASSERT_TRUE_FATAL (platform_answer_parse_read (&read, gap, strlen (gap), 4, 1));
-  CU_ASSERT_EQUAL (read.read.first_offset, 8);
+  CU_ASSERT_EQUAL (read.read.first.offset, 8);
   platform_answer_read_clear (&read);
 }
 
--- a/tests/test_read_policy.c
+++ b/tests/test_read_policy.c
@@ -18,13 +18,20 @@
                                                   .has_copy = true,
                                                   .store_call_failed = true };
 
+/* A position in a stream that never came back from a copy. */
+static position_t
+at (uint64_t offset)
+{
+  return (position_t){ .offset = offset };
+}
+
 /* Return: the state after a peer with the same offset had an answer of the store at @store_us */
 static read_policy_t
 confirmed_at (uint64_t store_us)
 {
   read_policy_t read_policy = { 0 };
 
-  read_policy_apply_peer (&read_policy, store_us, 7, 7, store_us);
+  read_policy_apply_peer (&read_policy, store_us, at (7), at (7), store_us);
   return read_policy;
 }
 
@@ -110,10 +117,10 @@
   view.store_call_failed = true;
   CU_ASSERT_EQUAL (read_policy_decide (&read_policy, &stream, &view, now_us + 2), READ_POLICY_WAIT);
   view.store_call_failed = false;
-  read_policy_apply_peer (&read_policy, now_us, 7, 7, now_us - 1);
+  read_policy_apply_peer (&read_policy, now_us, at (7), at (7), now_us - 1);
   CU_ASSERT_EQUAL (read_policy_decide (&read_policy, &stream, &view, now_us + 3),
                    READ_POLICY_FOLLOW);
-  read_policy_apply_peer (&read_policy, now_us + 4, 7, 7, now_us + 4);
+  read_policy_apply_peer (&read_policy, now_us + 4, at (7), at (7), now_us + 4);
   CU_ASSERT_EQUAL (read_policy_decide (&read_policy, &stream, &view, now_us + 5), READ_POLICY_WAIT);
   view.answered_us = now_us + 6;
   CU_ASSERT_EQUAL (read_policy_decide (&read_policy, &stream, &view, now_us + 7), READ_POLICY_WAIT);
@@ -146,7 +153,7 @@
 {
   read_policy_t read_policy = { 0 };
 
-  read_policy_apply_peer (&read_policy, START_US, 6, 7, START_US);
+  read_policy_apply_peer (&read_policy, START_US, at (6), at (7), START_US);
   CU_ASSERT_EQUAL (read_policy_current_as_of_us (&read_policy, &other), 0);
 }
 
@@ -158,7 +165,7 @@
 {
   read_policy_t read_policy = confirmed_at (START_US);
 
-  read_policy_apply_peer (&read_policy, START_US, 8, 7, START_US);
+  read_policy_apply_peer (&read_policy, START_US, at (8), at (7), START_US);
   CU_ASSERT (read_policy_should_ask_peer (&read_policy, &engines_stream, &other, START_US));
   CU_ASSERT_EQUAL (read_policy_decide (&read_policy, &engines_stream, &other, START_US),
                    READ_POLICY_WAIT);
@@ -176,7 +183,7 @@
 {
   read_policy_t read_policy = confirmed_at (START_US);
 
-  read_policy_apply_peer (&read_policy, START_US, 8, 7, START_US);
+  read_policy_apply_peer (&read_policy, START_US, at (8), at (7), START_US);
   CU_ASSERT_EQUAL (
       read_policy_decide (&read_policy, &engines_stream, &other, START_US + PATIENCE_US),
       READ_POLICY_READ_ONCE);
@@ -193,7 +200,7 @@
 {
   read_policy_t read_policy = confirmed_at (START_US);
 
-  read_policy_apply_peer (&read_policy, START_US, 8, 7, START_US);
+  read_policy_apply_peer (&read_policy, START_US, at (8), at (7), START_US);
   CU_ASSERT (!read_policy_should_ask_peer (&read_policy, &engines_stream, &follower_lost,
                                            START_US + READ_POLICY_ASK_PEER_US - 1));
   CU_ASSERT (read_policy_should_ask_peer (&read_policy, &engines_stream, &follower_lost,
@@ -211,7 +218,7 @@
   read_policy_t read_policy = confirmed_at (START_US);
   uint64_t later_us = START_US + 2 * READ_POLICY_FRESH_US;
 
-  read_policy_apply_peer (&read_policy, later_us, 8, 7, later_us - 1);
+  read_policy_apply_peer (&read_policy, later_us, at (8), at (7), later_us - 1);
   CU_ASSERT_EQUAL (read_policy_decide (&read_policy, &engines_stream, &other, later_us),
                    READ_POLICY_READ_ONCE);
   read_policy_caught_up (&read_policy, true);
@@ -226,11 +233,11 @@
 {
   read_policy_t read_policy = confirmed_at (START_US);
 
-  read_policy_apply_peer (&read_policy, START_US + 1, 8, 7, START_US + 1);
+  read_policy_apply_peer (&read_policy, START_US + 1, at (8), at (7), START_US + 1);
   read_policy_fetch_failed (&read_policy);
   CU_ASSERT_EQUAL (read_policy_current_as_of_us (&read_policy, &other), START_US);
   CU_ASSERT (!read_policy_should_ask_peer (&read_policy, &engines_stream, &other, START_US + 1));
-  read_policy_apply_peer (&read_policy, START_US + 2, 8, 7, START_US + 2);
+  read_policy_apply_peer (&read_policy, START_US + 2, at (8), at (7), START_US + 2);
   CU_ASSERT (read_policy_should_ask_peer (&read_policy, &engines_stream, &other, START_US + 2));
 }
 
@@ -240,7 +247,7 @@
 {
   read_policy_t read_policy = confirmed_at (START_US);
 
-  read_policy_apply_peer (&read_policy, START_US, 8, 7, START_US);
+  read_policy_apply_peer (&read_policy, START_US, at (8), at (7), START_US);
   read_policy_fetch_too_large (&read_policy);
   CU_ASSERT_EQUAL (read_policy_decide (&read_policy, &engines_stream, &other, START_US),
                    READ_POLICY_READ_ONCE);
--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -124,7 +124,7 @@
   (void)any_size;
   fetch->peer = *peer;
   for (uint32_t i = 0; i < count; i++)
-    fetch->from[i] = streams[i].next_offset;
+    fetch->from[i] = streams[i].next.offset;
 }
 
 void
@@ -162,6 +162,13 @@
 static const char *const stream_names[STREAMS] = { PLATFORM_STREAM_ROUTING, PLATFORM_STREAM_ENGINES,
                                                    PLATFORM_STREAM_ROUTERS };
 
+/* A position in a stream that never came back from a copy. */
+static position_t
+at (uint64_t offset)
+{
+  return (position_t){ .offset = offset };
+}
+
 #define DRAIN_MS 3000
 #define STEP_MS 50
 #define INTERVAL_MS 500 /* of the exchange */
@@ -273,20 +280,20 @@
 }
 
 static void
-ignore_routing (const char *text, size_t text_bytes, uint64_t offset, void *context)
+ignore_routing (const char *text, size_t text_bytes, position_t position, void *context)
 {
   (void)text;
   (void)text_bytes;
-  (void)offset;
+  (void)position;
   (void)context;
 }
 
 static void
-ignore_drain (const char *data_center, bool drained, uint64_t offset, void *context)
+ignore_drain (const char *data_center, bool drained, position_t position, void *context)
 {
   (void)data_center;
   (void)drained;
-  (void)offset;
+  (void)position;
   (void)context;
 }
 
@@ -295,14 +302,14 @@
 on_gateway_engine (const char *id,
                    const char *text,
                    size_t text_bytes,
-                   uint64_t offset,
+                   position_t position,
                    bool may_have_lapsed,
                    void *context)
 {
   gateway_t *gateway = context;
   uint64_t now_us = clock_now_us (&gateway->clock);
 
-  (void)offset;
+  (void)position;
   if (!text && may_have_lapsed)
     {
       lapses_add (gateway->lapses, id,
@@ -677,8 +684,8 @@
                                     .reader_count = PEERS + 1 };
   read_policy_t policy = { 0 };
 
-  read_policy_apply_peer (&policy, START_US, 2, 2, START_US);
-  read_policy_apply_peer (&policy, reported_us, 3, 2, reported_us);
+  read_policy_apply_peer (&policy, START_US, at (2), at (2), START_US);
+  read_policy_apply_peer (&policy, reported_us, at (3), at (2), reported_us);
   CU_ASSERT_EQUAL (read_policy_decide (&policy, &stream, &view, reported_us), READ_POLICY_WAIT);
   CU_ASSERT_EQUAL (read_policy_decide (&policy, &stream, &view, reported_us + patience_us),
                    READ_POLICY_READ_ONCE);
--- a/tests/test_stream_follower.c
+++ b/tests/test_stream_follower.c
@@ -75,12 +75,12 @@
 
 static void
 ignore_change (
-    const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+    const char *key, const char *value, size_t value_bytes, position_t position, void *context)
 {
   (void)key;
   (void)value;
   (void)value_bytes;
-  (void)offset;
+  (void)position;
   (void)context;
 }
 
@@ -107,7 +107,7 @@
   clock_init_running (&fixture->clock);
   fixture->store.platform = (platform_t){ .read = on_read, .newest = on_newest };
   fixture->counters = counter_registry_new ();
-  fixture->view = keyed_view_new (ignore_change, fixture);
+  fixture->view = keyed_view_new (ignore_change, NULL, fixture);
   fixture->follower =
       stream_follower_new (&(stream_follower_options_t){ .base = fixture->base,
                                                          .clock = &fixture->clock,
@@ -122,7 +122,7 @@
   stream_follower_set_on_demand (fixture->follower, resting);
   CU_ASSERT (raw_peer_run_until (fixture->base, has_listed_once, fixture));
   fixture->store.newest_done (
-      &(platform_newest_t){ .outcome = PLATFORM_OK, .end_offset = end_offset },
+      &(platform_newest_t){ .outcome = PLATFORM_OK, .end.offset = end_offset },
       fixture->store.context);
   return fixture;
 }
@@ -183,9 +183,9 @@
 offset_of (const fixture_t *fixture, const char *key)
 {
   size_t bytes;
-  uint64_t offset = 0;
+  position_t position;
 
-  return keyed_view_get (fixture->view, key, &bytes, &offset) ? offset : 0;
+  return keyed_view_get (fixture->view, key, &bytes, &position) ? position.offset : 0;
 }
 
 /*
@@ -198,29 +198,29 @@
 test_series_is_listed_at_once (void)
 {
   static const platform_record_t record = {
-    .offset = 5, .key = "config", .data = "{}", .data_bytes = 2
+    .position.offset = 5, .key = "config", .data = "{}", .data_bytes = 2
   };
   static const platform_record_t listed[] = {
-    { .offset = 8, .key = "config", .data = "{}", .data_bytes = 2 },
-    { .offset = 6, .key = "drain/hall-1", .data = "x", .data_bytes = 1 },
+    { .position.offset = 8, .key = "config", .data = "{}", .data_bytes = 2 },
+    { .position.offset = 6, .key = "drain/hall-1", .data = "x", .data_bytes = 1 },
   };
   fixture_t *fixture = fixture_new (LONG_PACE_MS, 5, false);
 
   CU_ASSERT (raw_peer_run_until (fixture->base, has_read_once, fixture));
   answer_read (fixture, &(platform_read_t){ .outcome = PLATFORM_OK,
-                                            .next_offset = 6,
-                                            .end_offset = 9,
+                                            .next.offset = 6,
+                                            .end.offset = 9,
                                             .records = &record,
                                             .record_count = 1 });
   CU_ASSERT (raw_peer_run_until (fixture->base, has_listed_twice, fixture));
   fixture->store.newest_done (&(platform_newest_t){ .outcome = PLATFORM_OK,
-                                                    .end_offset = 9,
+                                                    .end.offset = 9,
                                                     .records = listed,
                                                     .record_count = G_N_ELEMENTS (listed) },
                               fixture->store.context);
   CU_ASSERT_EQUAL (offset_of (fixture, "config"), 8);
   CU_ASSERT_EQUAL (offset_of (fixture, "drain/hall-1"), 6);
-  CU_ASSERT_EQUAL (stream_follower_next_offset (fixture->follower), 9);
+  CU_ASSERT_EQUAL (stream_follower_next (fixture->follower).offset, 9);
   CU_ASSERT_EQUAL (fixture->store.reads, 1);
   fixture_free (fixture);
 }
@@ -238,7 +238,7 @@
   CU_ASSERT (raw_peer_run_until (fixture->base, has_read_once, fixture));
   CU_ASSERT_EQUAL (fixture->store.wait_ms[0], 0);
   answer_read (fixture,
-               &(platform_read_t){ .outcome = PLATFORM_OK, .next_offset = 5, .end_offset = 5 });
+               &(platform_read_t){ .outcome = PLATFORM_OK, .next.offset = 5, .end.offset = 5 });
   raw_peer_run_ms (fixture->base, 4 * STREAM_FOLLOWER_READ_INTERVAL_MIN_MS);
   CU_ASSERT_EQUAL (fixture->store.reads, 1);
   stream_follower_set_on_demand (fixture->follower, false);
@@ -256,14 +256,14 @@
 test_read_after_records_waits_less (void)
 {
   static const platform_record_t record = {
-    .offset = 5, .key = "config", .data = "{}", .data_bytes = 2
+    .position.offset = 5, .key = "config", .data = "{}", .data_bytes = 2
   };
   fixture_t *fixture = fixture_new (STREAM_FOLLOWER_READ_INTERVAL_MIN_MS, 5, false);
 
   CU_ASSERT (raw_peer_run_until (fixture->base, has_read_once, fixture));
   answer_read (fixture, &(platform_read_t){ .outcome = PLATFORM_OK,
-                                            .next_offset = 6,
-                                            .end_offset = 6,
+                                            .next.offset = 6,
+                                            .end.offset = 6,
                                             .records = &record,
                                             .record_count = 1 });
   clock_init_paused (&fixture->clock,
--- a/tests/test_view_orders.c
+++ b/tests/test_view_orders.c
@@ -57,11 +57,11 @@
 
 static void
 on_host_record (
-    const char *key, const char *value, size_t value_bytes, uint64_t offset, void *context)
+    const char *key, const char *value, size_t value_bytes, position_t position, void *context)
 {
   host_t *host = context;
 
-  (void)offset;
+  (void)position;
   reference_apply_entry (host->engines, clock_now_us (&host->clock), key, value, value_bytes);
 }
 
@@ -82,7 +82,7 @@
   clock_init_paused (&host->clock, START_US);
   host->counters = counter_registry_new ();
   host->engines = engines_new ();
-  host->view = keyed_view_new (on_host_record, host);
+  host->view = keyed_view_new (on_host_record, NULL, host);
   host->follower =
       stream_follower_new (&(stream_follower_options_t){ .base = host->base,
                                                          .clock = &host->clock,
@@ -110,7 +110,7 @@
 static uint64_t
 host_next (const host_t *host)
 {
-  return stream_follower_next_offset (host->follower);
+  return stream_follower_next (host->follower).offset;
 }
 
 static bool
@@ -138,7 +138,7 @@
       char *entry = reference_format_entry (8000);
 
       records[i] = (platform_record_t){
-        .offset = offsets[i], .key = keys[i], .data = entry, .data_bytes = strlen (entry)
+        .position.offset = offsets[i], .key = keys[i], .data = entry, .data_bytes = strlen (entry)
       };
     }
   return records;
@@ -194,7 +194,7 @@
                                           .records = records,
                                           .record_count = count,
                                           .more = more,
-                                          .end_offset = end },
+                                          .end.offset = end },
                     call.context);
   reference_run_timers (host->base);
   record_array_free (records, count);
@@ -208,8 +208,8 @@
 
   g_assert (call.read_done);
   call.read_done (&(platform_read_t){ .outcome = PLATFORM_OK,
-                                      .next_offset = end,
-                                      .end_offset = end,
+                                      .next.offset = end,
+                                      .end.offset = end,
                                       .records = records,
                                       .record_count = count },
                   call.context);
@@ -238,13 +238,14 @@
   return host;
 }
 
-/* The response to a request that lacks all from @from on. */
+/* The response to a request that lacks all from @from_offset on. */
 static char *
-format_copy (const host_t *peer, uint64_t from)
+format_copy (const host_t *peer, uint64_t from_offset)
 {
+  const position_t from = { .offset = from_offset };
   view_share_stream_t stream = { .name = PLATFORM_STREAM_ENGINES,
                                  .view = peer->view,
-                                 .next_offset = host_next (peer) };
+                                 .next.offset = host_next (peer) };
 
   return view_share_format (&stream, &from, 1, true);
 }
@@ -254,7 +255,7 @@
 {
   view_share_stream_t stream = { .name = PLATFORM_STREAM_ENGINES,
                                  .view = host->view,
-                                 .next_offset = host_next (host) };
+                                 .next.offset = host_next (host) };
   view_share_answer_t answer;
 
   CU_ASSERT_TRUE_FATAL (view_share_parse (&answer, body, strlen (body)));
@@ -283,7 +284,7 @@
   CU_ASSERT (host_uses (host, "e0"));
   CU_ASSERT (host_uses (host, "e2"));
   CU_ASSERT (!host_uses (host, "e1"));
-  CU_ASSERT_EQUAL (keyed_view_listed_offset (host->view), LEFT_END);
+  CU_ASSERT_EQUAL (keyed_view_listed (host->view).offset, LEFT_END);
   host_free (host);
   host_free (peer);
 }
@@ -475,8 +476,8 @@
   host_t *host = host_listed (before_leaving, 1, 1);
   g_autofree char *copy = NULL;
 
-  keyed_view_apply (peer->view, 3, "e1", NULL, 0);
-  stream_follower_advance (peer->follower, LEFT_END);
+  keyed_view_apply (peer->view, (position_t){ .offset = 3 }, "e1", NULL, 0);
+  stream_follower_advance (peer->follower, (position_t){ .offset = LEFT_END });
   copy = format_copy (peer, host_next (host));
   host_start_call (host);
   apply_copy (host, copy);
@@ -657,10 +658,10 @@
   int64_t last = reference_newest (registry, key, registry->len);
   const reference_item_t *item = newest < 0 ? NULL : g_ptr_array_index (registry, newest);
   size_t bytes;
-  uint64_t offset;
-  bool has = keyed_view_get (host->view, key, &bytes, &offset) != NULL;
+  position_t position;
+  bool has = keyed_view_get (host->view, key, &bytes, &position) != NULL;
 
-  if (has && (int64_t)offset < newest)
+  if (has && (int64_t)position.offset < newest)
     return item->value ? "outdated" : "restored";
   if (!has && item && item->value && last == newest)
     return "lost";
