--- a/src/connection/stream_follower.c
+++ b/src/connection/stream_follower.c
@@ -7,6 +7,7 @@
 /**
  * struct call - a call to the platform
  * @from: position that a read asks for
+ * @era: highest era that was known when the call began; a response that states none is of this one
  * @is_first_page: it asks for the first page of a list
  * @abandoned: its response is ignored
  */
@@ -14,6 +15,7 @@
 {
   stream_follower_t *follower;
   position_t from;
+  uint64_t era;
   bool is_read;
   bool is_first_page;
   bool abandoned;
@@ -299,7 +301,7 @@
 {
   call_t *call = context;
   stream_follower_t *follower = call->follower;
-  uint64_t era = newest->end.era != 0 ? newest->end.era : follower->era;
+  uint64_t era = newest->end.era != 0 ? newest->end.era : call->era;
   bool is_first_page = call->is_first_page;
 
   if (end_call (call))
@@ -404,7 +406,7 @@
   stream_follower_t *follower = call->follower;
   uint64_t pace_us = (uint64_t)follower->options.pace_ms * CLOCK_US_PER_MS;
   position_t from = call->from;
-  uint64_t era = read->end.era != 0 ? read->end.era : from.era;
+  uint64_t era = read->end.era != 0 ? read->end.era : call->era;
 
   if (end_call (call))
     return;
@@ -470,6 +472,7 @@
 
   call->follower = follower;
   call->from = follower->next;
+  call->era = follower->era;
   call->is_read = !follower->listing;
   call->is_first_page = follower->last_listed_key == NULL;
   g_ptr_array_add (follower->calls, call);
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -41,6 +41,7 @@
  * @copied_engines: what the last copy had of the engine registry
  * @restorations: for each stream, what holds after the store came back from a copy
  * @entry_written: the gateway registry has this gateway's entry, in the era of its last listing
+ * @entry_put: end of the gateway registry's last listing when that entry was last written
  * @entry_retry_us: earliest time of the next attempt to write that entry
  * @rand: spreads the writes of gateways whose entries were lost together
  */
@@ -64,6 +65,7 @@
   view_share_copy_t copied_engines;
   restoration_t restorations[STREAM_COUNT];
   bool entry_written;
+  position_t entry_put;
   uint64_t entry_retry_us;
   GRand *rand;
   counter_t *fetch_count;
@@ -686,10 +688,10 @@
 on_put (platform_outcome_t outcome, position_t position, void *context)
 {
   gateway_store_t *store = context;
-  position_t listed = keyed_view_listed (store->views[STREAM_ROUTERS]);
-  position_t written = position_from (listed, position.era, position.offset);
+  position_t written = position_from (store->entry_put, position.era, position.offset);
 
-  store->entry_written = outcome == PLATFORM_OK && written.era >= listed.era;
+  store->entry_written = outcome == PLATFORM_OK &&
+                         written.era >= keyed_view_listed (store->views[STREAM_ROUTERS]).era;
   stream_follower_note_era (store->followers[STREAM_ROUTERS], written.era);
   log_event (LOG_LEVEL_NOTICE, "own_entry", "outcome",
              outcome == PLATFORM_OK ? "written" : "not_known", "offset", LOG_U64 (written.offset),
@@ -714,6 +716,7 @@
   else
     {
       counter_add (store->write_count, 1);
+      store->entry_put = keyed_view_listed (store->views[STREAM_ROUTERS]);
       store->options.platform->put (store->options.platform, PLATFORM_STREAM_ROUTERS, name, entry,
                                     strlen (entry), on_put, store);
     }
--- a/tests/fake_store.c
+++ b/tests/fake_store.c
@@ -12,6 +12,7 @@
 {
   struct event_base *base;
   GHashTable *streams; /* stream name -> GPtrArray of record_t, indexed by offset */
+  GHashTable *copy;    /* stream name -> number of records in the last copy */
   GPtrArray *clients;
   uint64_t era;
 };
@@ -253,6 +254,7 @@
   store->base = base;
   store->streams =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+  store->copy = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   store->clients = g_ptr_array_new ();
   return store;
 }
@@ -263,6 +265,7 @@
   g_assert (store->clients->len == 0);
   g_ptr_array_free (store->clients, TRUE);
   g_hash_table_destroy (store->streams);
+  g_hash_table_destroy (store->copy);
   g_free (store);
 }
 
@@ -305,15 +308,34 @@
 }
 
 void
-fake_store_restore (fake_store_t *store, const char *stream, uint32_t end)
+fake_store_copy (fake_store_t *store)
 {
-  GPtrArray *records = get_stream (store, stream);
+  GHashTableIter iter;
+  gpointer name;
+  gpointer stream;
+
+  g_hash_table_remove_all (store->copy);
+  g_hash_table_iter_init (&iter, store->streams);
+  while (g_hash_table_iter_next (&iter, &name, &stream))
+    g_hash_table_insert (store->copy, g_strdup (name),
+                         GUINT_TO_POINTER (((const GPtrArray *)stream)->len));
+}
+
+void
+fake_store_restore (fake_store_t *store)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer stream;
 
-  g_assert (end <= records->len);
-  g_ptr_array_set_size (records, (gint)end);
   store->era++;
-  for (guint i = 0; i < store->clients->len; i++)
-    answer_waiting_reads (g_ptr_array_index (store->clients, i), stream);
+  g_hash_table_iter_init (&iter, store->streams);
+  while (g_hash_table_iter_next (&iter, &name, &stream))
+    {
+      g_ptr_array_set_size (stream, GPOINTER_TO_INT (g_hash_table_lookup (store->copy, name)));
+      for (guint i = 0; i < store->clients->len; i++)
+        answer_waiting_reads (g_ptr_array_index (store->clients, i), name);
+    }
 }
 
 const char *
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -38,9 +38,11 @@
 /** fake_store_put() - appends a record, and answers reads that wait for one; a NULL @value removes
  * the key */
 void fake_store_put (fake_store_t *store, const char *stream, const char *key, const char *value);
-/** fake_store_restore() - the store comes back from a copy in which @stream has @end records:
- * raises the era and answers the reads that wait */
-void fake_store_restore (fake_store_t *store, const char *stream, uint32_t end);
+/** fake_store_copy() - makes the copy that fake_store_restore() returns to */
+void fake_store_copy (fake_store_t *store);
+/** fake_store_restore() - drops all records since the last copy, of which the store has an empty
+ * one at first; begins a new era and answers the reads that wait */
+void fake_store_restore (fake_store_t *store);
 /** fake_store_value() - the newest value of @key; NULL when it has none */
 const char *fake_store_value (const fake_store_t *store, const char *stream, const char *key);
 
--- a/tests/test_store_restored.c
+++ b/tests/test_store_restored.c
@@ -49,9 +49,11 @@
 {
   g_autoptr (gateway_rig_t) rig = gateway_rig_new (GATEWAYS);
 
-  publish (rig, 2, 7);
+  publish (rig, 2, 3);
+  fake_store_copy (rig->store);
+  publish (rig, 4, 7);
   CU_ASSERT_TRUE_FATAL (reach_version (rig, 7));
-  fake_store_restore (rig->store, PLATFORM_STREAM_ROUTING, 3);
+  fake_store_restore (rig->store);
   publish (rig, 7, 8);
   CU_ASSERT_TRUE (reach_version (rig, 8));
 }
@@ -62,9 +64,11 @@
 {
   g_autoptr (gateway_rig_t) rig = gateway_rig_new (GATEWAYS);
 
-  publish (rig, 2, 4);
+  publish (rig, 2, 2);
+  fake_store_copy (rig->store);
+  publish (rig, 3, 4);
   CU_ASSERT_TRUE_FATAL (reach_version (rig, 4));
-  fake_store_restore (rig->store, PLATFORM_STREAM_ROUTING, 2);
+  fake_store_restore (rig->store);
   publish (rig, 4, 5);
   fake_store_put (rig->store, PLATFORM_STREAM_ROUTING, "drain/hall-9", "x");
   fake_store_put (rig->store, PLATFORM_STREAM_ROUTING, "drain/hall-9", NULL);
