Stand-in and soak: a platform that comes back from a copy

The stand-in platform makes copies and comes back from them, states its era, and lets go what was written since.

--- a/soak/run.sh
+++ b/soak/run.sh
@@ -1,13 +1,14 @@
 #!/usr/bin/env bash
 # Runs the soak once for each line "SEED SECONDS [cause]" of its input, three at a time, and closes with
 # "N passed, N failed". The output of a run that fails is printed whole. GATEWAYS: of each run, 3 by
-# default. Usage: soak/run.sh BUILD-DIR
+# default. In a line "SEED SECONDS restored [cause]", and in all with RESTORATIONS=1, the store comes
+# back from copies. Usage: soak/run.sh BUILD-DIR
 set -u
 out=$1
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
-grep -v '^#' | awk '{ print $1, $2 }' |
-  xargs -P 3 -L 1 sh -c '"$0/soak-run" --build "$0" --seed "$2" --seconds "$3" --gateways "${GATEWAYS:-3}" >"$1/$2.log" 2>&1 && mv "$1/$2.log" "$1/$2.passed"; true' "$out" "$dir"
+grep -v '^#' | awk -v all="${RESTORATIONS:-}" '{ print $1, $2, (all || $3 == "restored") ? "--restorations" : "" }' |
+  xargs -P 3 -L 1 sh -c '"$0/soak-run" --build "$0" --seed "$2" --seconds "$3" ${4:-} --gateways "${GATEWAYS:-3}" >"$1/$2${4:-}.log" 2>&1 && mv "$1/$2${4:-}.log" "$1/$2${4:-}.passed"; true' "$out" "$dir"
 passed=$(find "$dir" -name '*.passed' | wc -l)
 failed=$(find "$dir" -name '*.log' | wc -l)
 find "$dir" -name '*.passed' -exec tail -qn 1 {} +
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -121,6 +121,15 @@
   SOAK_KINDS
 };
 
+/** What happens next to the store, in a restoration from a copy. */
+typedef enum
+{
+  SOAK_RESTORATION_COPY,   /* a copy is made */
+  SOAK_RESTORATION_LEAVE,  /* the store goes away */
+  SOAK_RESTORATION_RETURN, /* it comes back from the copy */
+  SOAK_RESTORATION_REWRITE /* the operator writes the newest configuration again */
+} soak_restoration_step_t;
+
 /**
  * struct soak - state of one run of the test
  * @base: event loop
@@ -133,6 +142,9 @@
  * @started_us: time when the run began
  * @until_us: not used
  * @store_heals_us: time to end the fault of the store, 0 while it has none
+ * @restorations: the store comes back from copies
+ * @restoration_rand: random generator of these; @rand draws the same without them
+ * @restoration_step: what happens to the store at @restoration_us
  * @store: the stand-in platform
  * @gateways: the gateway processes
  * @upstreams: the upstream processes
@@ -144,6 +156,7 @@
  * @next_id: number of the newest request
  * @version: version of the newest configuration
  * @acked_version: newest version that the store acknowledged
+ * @acked_us: when it acknowledged each version, by version
  * @failures: number of violations found
  */
 struct soak
@@ -158,6 +171,10 @@
   uint64_t started_us;
   uint64_t until_us;
   uint64_t store_heals_us;
+  bool restorations;
+  GRand *restoration_rand;
+  soak_restoration_step_t restoration_step;
+  uint64_t restoration_us;
   soak_process_t *store;
   uint32_t gateway_count;
   soak_process_t *gateways[SOAK_GATEWAYS_MAX];
@@ -170,6 +187,7 @@
   uint32_t next_id;
   uint32_t version;
   uint32_t acked_version;
+  GArray *acked_us;
   uint32_t failures;
 };
 
@@ -206,6 +224,11 @@
 void soak_for_each_process (soak_t *soak, void (*visit) (soak_process_t *process));
 /** soak_publish() - publish the next version of the configuration, which adds a route */
 void soak_publish (soak_t *soak);
+/** soak_publish_again() - write the newest configuration again. Return: false when the store does
+ * not acknowledge it */
+bool soak_publish_again (soak_t *soak);
+/** soak_has_entry() - whether the store has the entry of a gateway */
+bool soak_has_entry (soak_t *soak, uint32_t gateway);
 /** soak_call_store_admin() - send a request to the administrative interface of the stand-in store
  */
 void soak_call_store_admin (soak_t *soak, const char *target, const char *body);
@@ -227,6 +250,9 @@
  * Must be called outside of the event loop, since the call to the store runs the loop itself.
  */
 void soak_poll_store_fault (soak_t *soak);
+/** soak_poll_restoration() - make the store come back from copies when the time has come; must be
+ * called like soak_poll_store_fault() */
+void soak_poll_restoration (soak_t *soak);
 /** soak_end_faults() - end all faults */
 void soak_end_faults (soak_t *soak);
 
--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -195,6 +195,26 @@
     }
 }
 
+/* Without a fault in between, a version is in force at all gateways in time. */
+static void
+check_version_time (soak_t *soak)
+{
+  for (guint i = 0; i < soak->calls->len; i++)
+    {
+      const soak_request_t *call = g_ptr_array_index (soak->calls, i);
+      uint64_t acked_us;
+
+      if (call->status != 404 || call->version > soak->acked_version)
+        continue;
+      acked_us = g_array_index (soak->acked_us, uint64_t, call->version);
+      if (call->sent_us > acked_us + (uint64_t)SOAK_DRAIN_MS * 1000 &&
+          was_undisturbed (soak, acked_us, call->sent_us))
+        soak_fail (
+            soak, "gateway %u denied version %u's route (%s) %u ms after it was acknowledged",
+            call->gateway, call->version, call->id, (unsigned)((call->sent_us - acked_us) / 1000));
+    }
+}
+
 #define BATCH_INTERVAL_MS 2000
 
 /* After all faults have ended, every gateway must serve every kind of request, and the route of the
@@ -227,12 +247,22 @@
     }
 }
 
+/* A gateway whose entry is not in the store can't be found by those that start. */
+static void
+check_entries (soak_t *soak)
+{
+  for (uint32_t i = 0; i < soak->gateway_count; i++)
+    if (!soak_has_entry (soak, i))
+      soak_fail (soak, "the store has no entry of gateway %u", i);
+}
+
 void
 soak_check (soak_t *soak)
 {
   records_t records = { .soak = soak };
 
   check_recovery (soak);
+  check_entries (soak);
   records.executions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   records.leaving_since_us = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   records.sent_ids = g_hash_table_new (g_str_hash, g_str_equal);
@@ -242,6 +272,7 @@
   for (guint i = 0; i < soak->calls->len; i++)
     check_call (&records, g_ptr_array_index (soak->calls, i));
   check_version_order (soak);
+  check_version_time (soak);
   g_hash_table_destroy (records.executions);
   g_hash_table_destroy (records.leaving_since_us);
   g_hash_table_destroy (records.sent_ids);
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -122,6 +122,70 @@
     }
 }
 
+/* Only one restoration at a time; other faults come meanwhile. */
+#define LOST_VERSIONS 4             /* versions published after the copy, at least */
+#define COPY_AGE_MAX_MS 3000        /* what was written in this time is lost */
+#define RESTORATION_AWAY_MAX_MS 800 /* time without the store before it comes back */
+#define REWRITE_DELAY_MAX_MS 1000
+#define RESTORATION_PAUSE_MAX_MS 3000
+
+static void
+schedule_restoration (soak_t *soak, soak_restoration_step_t step, uint32_t max_ms)
+{
+  uint32_t ms = (uint32_t)g_rand_int_range (soak->restoration_rand, 1, (gint32)max_ms);
+
+  soak->restoration_step = step;
+  soak->restoration_us = soak_now_us () + (uint64_t)ms * 1000;
+}
+
+/* The time until the operator's records are back counts as disturbed. */
+static void
+restore_store (soak_t *soak)
+{
+  soak_log (soak, "store: back from a copy");
+  soak_call_store_admin (soak, "/admin/restore", "");
+  soak_call_store_admin (soak, "/admin/fault", "{\"log\":\"up\"}");
+  record_disturbance (soak, REWRITE_DELAY_MAX_MS);
+  schedule_restoration (soak, SOAK_RESTORATION_REWRITE, REWRITE_DELAY_MAX_MS);
+}
+
+static void
+advance_restoration (soak_t *soak)
+{
+  switch (soak->restoration_step)
+    {
+    case SOAK_RESTORATION_COPY:
+      soak_call_store_admin (soak, "/admin/copy", "");
+      for (uint32_t i = 0; i < LOST_VERSIONS; i++)
+        soak_publish (soak);
+      schedule_restoration (soak, SOAK_RESTORATION_LEAVE, COPY_AGE_MAX_MS);
+      return;
+    case SOAK_RESTORATION_LEAVE:
+      soak_call_store_admin (soak, "/admin/fault", "{\"log\":\"down\"}");
+      record_disturbance (soak, RESTORATION_AWAY_MAX_MS);
+      schedule_restoration (soak, SOAK_RESTORATION_RETURN, RESTORATION_AWAY_MAX_MS);
+      return;
+    case SOAK_RESTORATION_RETURN:
+      restore_store (soak);
+      return;
+    case SOAK_RESTORATION_REWRITE:
+      if (soak_publish_again (soak))
+        schedule_restoration (soak, SOAK_RESTORATION_COPY, RESTORATION_PAUSE_MAX_MS);
+      else
+        {
+          record_disturbance (soak, REWRITE_DELAY_MAX_MS);
+          schedule_restoration (soak, SOAK_RESTORATION_REWRITE, REWRITE_DELAY_MAX_MS);
+        }
+    }
+}
+
+void
+soak_poll_restoration (soak_t *soak)
+{
+  if (soak->restorations && soak_now_us () >= soak->restoration_us)
+    advance_restoration (soak);
+}
+
 void
 soak_inject_fault (soak_t *soak)
 {
@@ -167,6 +231,13 @@
   for (uint32_t i = 0; i < SOAK_UPSTREAMS; i++)
     soak_proxy_set_mode (soak->upstream_proxies[i], SOAK_PROXY_PASS);
   soak_call_store_admin (soak, "/admin/fault", "{\"log\":\"up\"}");
+  if (soak->restorations && soak->restoration_step == SOAK_RESTORATION_RETURN)
+    restore_store (soak);
+  if (soak->restorations && !soak_publish_again (soak))
+    soak_fail (soak, "the store does not take the newest configuration");
+  if (soak->restorations)
+    soak_publish (soak);
+  soak->restorations = false;
   soak_for_each_process (soak, resume_now);
   soak_log (soak, "healed");
 }
--- a/soak/soak_fleet.c
+++ b/soak/soak_fleet.c
@@ -25,6 +25,7 @@
 #define RESTART_DELAY_MIN_MS 50
 #define RESTART_DELAY_SPREAD_MS 1000 /* added at random to the minimum */
 #define STOP_SLACK_MS 500            /* on top of the grace period, for the check of the exit */
+#define ROUTERS_TOPIC "keyed.medlarplank-routers"
 #define START_TIMEOUT_US (UINT64_C (15) * 1000 * 1000)
 
 address_t
@@ -333,22 +334,52 @@
   return g_string_free (text, FALSE);
 }
 
-void
-soak_publish (soak_t *soak)
+/* Return: whether the store acknowledged it */
+static bool
+write_config (soak_t *soak, uint32_t version)
 {
-  g_autofree char *config = format_config (soak->version + 1);
+  g_autofree char *config = format_config (version);
   size_t length = 1 + strlen ("config") + strlen (config);
   GString *body = g_string_new (NULL);
+  int status;
 
   for (int shift = 24; shift >= 0; shift -= 8)
     g_string_append_c (body, (char)(length >> shift));
   g_string_append_c (body, (char)strlen ("config"));
   g_string_append (body, "config");
   g_string_append (body, config);
-  if (call_store (soak, "/log-append?topic=keyed.op&part=0", body->str, body->len) == 200)
-    soak->acked_version = ++soak->version;
-  soak_log (soak, "version %u published", soak->version);
+  status = call_store (soak, "/log-append?topic=keyed.op&part=0", body->str, body->len);
   g_string_free (body, TRUE);
+  return status == 200;
+}
+
+void
+soak_publish (soak_t *soak)
+{
+  if (write_config (soak, soak->version + 1))
+    {
+      uint64_t at_us = soak_now_us ();
+
+      soak->acked_version = ++soak->version;
+      g_array_set_size (soak->acked_us, soak->version);
+      g_array_append_val (soak->acked_us, at_us);
+    }
+  soak_log (soak, "version %u published", soak->version);
+}
+
+bool
+soak_publish_again (soak_t *soak)
+{
+  return write_config (soak, soak->version);
+}
+
+bool
+soak_has_entry (soak_t *soak, uint32_t gateway)
+{
+  g_autofree char *target =
+      g_strdup_printf ("/admin/key?topic=%s&key=gateway-%u", ROUTERS_TOPIC, gateway);
+
+  return call_store (soak, target, "", 0) == 200;
 }
 
 static bool
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -1,4 +1,4 @@
-/* soak --seed N [--seconds S] [--gateways N] [--build DIR] [--keep] */
+/* soak --seed N [--seconds S] [--gateways N] [--restorations] [--build DIR] [--keep] */
 #include "soak.h"
 
 #include <event2/util.h>
@@ -70,6 +70,7 @@
       event_base_dispatch (soak->base);
       soak_poll_processes (soak);
       soak_poll_store_fault (soak);
+      soak_poll_restoration (soak);
     }
 }
 
@@ -116,11 +117,13 @@
   soak->build = build;
   soak->started_us = soak_now_us ();
   soak->rand = g_rand_new_with_seed ((guint32)soak->seed);
+  soak->restoration_rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->base = event_base_new ();
   soak->http_client = http_client_new (soak->base, 8, 10000);
   soak->dir = g_dir_make_tmp ("medlarplank-soak-XXXXXX", NULL);
   soak->ip_prefix = g_strdup_printf ("127.%u.%u", (pid >> 8 & 0x7f) + 1, pid & 0xff);
   soak->calls = g_ptr_array_new_with_free_func (soak_request_free);
+  soak->acked_us = g_array_new (FALSE, TRUE, sizeof (uint64_t));
   soak->disturbances = g_array_new (FALSE, FALSE, sizeof (soak_period_t));
 }
 
@@ -146,11 +149,13 @@
     }
 }
 
-static const struct option option_table[] = {
-  { "seed", required_argument, NULL, 's' },  { "seconds", required_argument, NULL, 't' },
-  { "build", required_argument, NULL, 'b' }, { "gateways", required_argument, NULL, 'g' },
-  { "keep", no_argument, NULL, 'k' },        { NULL, 0, NULL, 0 }
-};
+static const struct option option_table[] = { { "seed", required_argument, NULL, 's' },
+                                              { "seconds", required_argument, NULL, 't' },
+                                              { "build", required_argument, NULL, 'b' },
+                                              { "gateways", required_argument, NULL, 'g' },
+                                              { "keep", no_argument, NULL, 'k' },
+                                              { "restorations", no_argument, NULL, 'r' },
+                                              { NULL, 0, NULL, 0 } };
 
 static bool
 parse_number (char option, guint64 *seed, guint64 *seconds, guint64 *gateways)
@@ -170,6 +175,7 @@
   guint64 seconds = 12;
   guint64 gateways = SOAK_GATEWAYS;
   bool keep = false;
+  bool restorations = false;
   int option;
 
   while ((option = getopt_long (argc, argv, "", option_table, NULL)) != -1)
@@ -178,9 +184,12 @@
         build = optarg;
       else if (option == 'k')
         keep = true;
+      else if (option == 'r')
+        restorations = true;
       else if (!parse_number ((char)option, &soak.seed, &seconds, &gateways))
         {
-          fprintf (stderr, "soak --seed N [--seconds S] [--gateways N] [--build DIR] [--keep]\n");
+          fprintf (stderr, "soak --seed N [--seconds S] [--gateways N] [--restorations] "
+                           "[--build DIR] [--keep]\n");
           return 2;
         }
     }
@@ -189,6 +198,7 @@
   soak_fleet_start (&soak);
   if (soak.failures == 0)
     {
+      soak.restorations = restorations;
       run_faults (&soak, (uint32_t)seconds);
       soak_end_faults (&soak);
       soak_run_loop (&soak, RECOVERY_MS);
--- a/standin/keyed_store.c
+++ b/standin/keyed_store.c
@@ -6,6 +6,7 @@
 #define LENGTH_PREFIX_BYTES 4
 #define ENGINES_TOPIC "keyed.servers"
 #define EXPIRY_CHECK_MS 100
+#define ERA_HEADER "Store-Era"
 
 /** struct record - a record of a topic; @value is NULL if the record deletes the key */
 typedef struct
@@ -31,6 +32,8 @@
  * struct topic - a topic with one partition
  * @records: the retained records, from offset @first_offset on
  * @latest: key -> latest_t, for each key that has a value
+ * @copy_end: end of the topic at the last copy
+ * @copy: @latest at the last copy
  */
 typedef struct
 {
@@ -38,6 +41,8 @@
   GPtrArray *records;
   uint64_t first_offset;
   GHashTable *latest;
+  uint64_t copy_end;
+  GHashTable *copy;
 } topic_t;
 
 struct keyed_store
@@ -77,6 +82,12 @@
   g_free (latest);
 }
 
+static GHashTable *
+new_latest (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, latest_free);
+}
+
 static topic_t *
 get_or_create_topic (keyed_store_t *store, const char *name)
 {
@@ -87,7 +98,8 @@
   topic = g_new0 (topic_t, 1);
   topic->name = g_strdup (name);
   topic->records = g_ptr_array_new_with_free_func (record_free);
-  topic->latest = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, latest_free);
+  topic->latest = new_latest ();
+  topic->copy = new_latest ();
   g_hash_table_insert (store->topics, topic->name, topic);
   return topic;
 }
@@ -119,15 +131,25 @@
     g_string_append_len (out, value, (gssize)value_bytes);
 }
 
+/* All responses of the store state its era. */
+static void
+add_era (const keyed_store_t *store, http_call_t *call)
+{
+  g_autofree char *era = g_strdup_printf ("%" G_GUINT64_FORMAT, store->platform->era);
+
+  http_call_add_header (call, ERA_HEADER, era);
+}
+
 /* Format of the users' store: end offset, first retained offset, then records up to the limit, but
  * at least one. */
 static void
-reply_records (http_call_t *call, const topic_t *topic, uint64_t from)
+reply_records (const keyed_store_t *store, http_call_t *call, const topic_t *topic, uint64_t from)
 {
   uint64_t limit_bytes = http_call_query_u64 (call, "max_kb", 1024) * 1024;
   GString *body = g_string_new (NULL);
 
-  if (from < topic->first_offset)
+  add_era (store, call);
+  if (from < topic->first_offset || from > end_offset (topic))
     {
       http_call_reply_json (call, 410,
                             json_pack ("{s:I}", "first", (json_int_t)topic->first_offset));
@@ -160,12 +182,13 @@
 static void
 waiter_answer (waiter_t *waiter)
 {
+  const keyed_store_t *store = waiter->store;
   http_call_t *call = waiter->call;
   const topic_t *topic = waiter->topic;
   uint64_t from = waiter->from;
 
   waiter_free (waiter);
-  reply_records (call, topic, from);
+  reply_records (store, call, topic, from);
 }
 
 static void
@@ -264,6 +287,7 @@
   const uint8_t *cursor = (const uint8_t *)http_call_body (call, &remaining_bytes);
   uint64_t offset = end_offset (topic);
 
+  add_era (store, call);
   while (remaining_bytes > 0)
     if (!consume_record (store, topic, &cursor, &remaining_bytes))
       {
@@ -283,9 +307,9 @@
   struct timeval wait = { (time_t)(wait_ms / 1000), (suseconds_t)(wait_ms % 1000 * 1000) };
   waiter_t *waiter;
 
-  if (wait_ms == 0 || from < end_offset (topic))
+  if (wait_ms == 0 || from != end_offset (topic))
     {
-      reply_records (call, topic, from);
+      reply_records (store, call, topic, from);
       return;
     }
   waiter = g_new0 (waiter_t, 1);
@@ -324,7 +348,7 @@
   json_t *items = json_array ();
   GList *item = keys;
 
-  (void)store;
+  add_era (store, call);
   while (item && after && strcmp (item->data, after) <= 0)
     item = item->next;
   for (; item && json_array_size (items) < KEYED_STORE_PAGE_ITEMS; item = item->next)
@@ -346,6 +370,17 @@
   http_call_reply_json (call, 200, json_object ());
 }
 
+/* Whether a key has a value: 200 or 404, also during an injected fault. */
+static void
+handle_key (keyed_store_t *store, http_call_t *call, topic_t *topic)
+{
+  const char *key = http_call_query (call, "key");
+
+  (void)store;
+  http_call_reply_json (call, key && g_hash_table_contains (topic->latest, key) ? 200 : 404,
+                        json_object ());
+}
+
 static const struct
 {
   const char *method;
@@ -354,7 +389,8 @@
 } calls[] = { { "POST", "/log-append", handle_append },
               { "GET", "/log-read", handle_read },
               { "GET", "/log-newest", handle_newest },
-              { "POST", "/admin/forget", handle_forget } };
+              { "POST", "/admin/forget", handle_forget },
+              { "POST", "/admin/key", handle_key } };
 
 /* Return: whether the call was refused or aborted because of the state of the store */
 static bool
@@ -366,7 +402,10 @@
   if (platform->log_state == STANDIN_PLATFORM_LOG_DOWN)
     http_call_abort (call);
   else if (platform->log_state == STANDIN_PLATFORM_LOG_REFUSE)
-    standin_platform_answer_error (call, 503, "the store is out");
+    {
+      add_era (store, call);
+      standin_platform_answer_error (call, 503, "the store is out");
+    }
   else
     return false;
   return true;
@@ -403,6 +442,63 @@
     }
 }
 
+static void
+copy_latest (const GHashTable *from, GHashTable *to, uint64_t renewed_us)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_remove_all (to);
+  g_hash_table_iter_init (&iter, (GHashTable *)from);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      latest_t *latest = g_memdup2 (value, sizeof *latest);
+
+      g_bytes_ref (latest->value);
+      latest->renewed_us = renewed_us;
+      g_hash_table_replace (to, g_strdup (key), latest);
+    }
+}
+
+void
+keyed_store_copy (keyed_store_t *store)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, store->topics);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      topic_t *topic = value;
+
+      topic->copy_end = end_offset (topic);
+      copy_latest (topic->latest, topic->copy, 0);
+    }
+}
+
+/* Of a topic whose history was dropped after the copy, no record is left. */
+static void
+restore_topic (topic_t *topic)
+{
+  topic->first_offset = MIN (topic->first_offset, topic->copy_end);
+  if (end_offset (topic) > topic->copy_end)
+    g_ptr_array_set_size (topic->records, (gint)(topic->copy_end - topic->first_offset));
+  copy_latest (topic->copy, topic->latest, standin_platform_now_us ());
+}
+
+void
+keyed_store_restore (keyed_store_t *store)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  keyed_store_abort_waiters (store);
+  g_hash_table_iter_init (&iter, store->topics);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    restore_topic (value);
+}
+
 /* Entries also expire during an outage of the store, when they can't be renewed. */
 static void
 expire_entries (evutil_socket_t fd, short what, void *context)
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -56,6 +56,7 @@
  * @list_down: whether reads of the host list are aborted
  * @append_credit_us: token bucket of the append rate, in microseconds of accrued time
  * @credit_updated_us: when @append_credit_us was updated, on the monotonic clock
+ * @era: how often the platform came back from a copy
  * @appends: applied appends, of the log and the keyed topics
  * @reads: reads of the log and all calls to the keyed topics
  * @refused: refused appends to the log
@@ -75,6 +76,7 @@
   bool list_down;
   int64_t append_credit_us;
   uint64_t credit_updated_us;
+  uint64_t era;
   uint64_t appends;
   uint64_t reads;
   uint64_t refused;
--- a/standin/platform_admin.c
+++ b/standin/platform_admin.c
@@ -102,6 +102,26 @@
     standin_platform_answer_error (call, 400, "no such fault");
 }
 
+static void
+handle_copy (standin_platform_t *platform, http_call_t *call)
+{
+  record_log_copy (platform->log);
+  keyed_store_copy (platform->keyed);
+  http_call_reply_json (call, 200, json_object ());
+}
+
+/* What was written since the last copy is gone. */
+static void
+handle_restore (standin_platform_t *platform, http_call_t *call)
+{
+  platform->era++;
+  g_clear_pointer (&platform->fault_stream, g_free);
+  standin_platform_abort_waiters (platform);
+  record_log_restore (platform->log);
+  keyed_store_restore (platform->keyed);
+  http_call_reply_json (call, 200, json_pack ("{s:I}", "era", (json_int_t)platform->era));
+}
+
 static void
 handle_truncate (standin_platform_t *platform, http_call_t *call)
 {
@@ -152,6 +172,8 @@
   { "GET", "/health", handle_health },
   { "POST", "/admin/hosts", handle_set_hosts },
   { "POST", "/admin/fault", handle_set_fault },
+  { "POST", "/admin/copy", handle_copy },
+  { "POST", "/admin/restore", handle_restore },
   { "POST", "/admin/truncate", handle_truncate },
   { "GET", "/admin/log", handle_show_log },
   { "GET", "/admin/stats", handle_stats },
--- a/standin/platform_calls.c
+++ b/standin/platform_calls.c
@@ -91,6 +91,8 @@
     json = json_pack ("{s:I}", "offset", (json_int_t)pending->offset);
   else
     json = record_log_read (platform->log, pending->stream, pending->from, pending->max_records);
+  if (platform->era > 0)
+    json_object_set_new (json, "era", json_integer ((json_int_t)platform->era));
   if (pending->call != NULL)
     http_call_reply_json (pending->call, 200, json);
   else
@@ -242,7 +244,8 @@
     pending_abort (pending);
   else if (state == STANDIN_PLATFORM_LOG_SLOW || state == STANDIN_PLATFORM_LOG_SLOW_EFFECT)
     pending_delay (pending, platform->slow_delay_us);
-  else if (wait_ms == 0 || pending->from < record_log_end_offset (platform->log, pending->stream) ||
+  else if (wait_ms == 0 ||
+           pending->from != record_log_end_offset (platform->log, pending->stream) ||
            g_queue_get_length (&platform->waiters) >= MAX_WAITERS)
     pending_answer (pending);
   else
--- a/standin/record_log.c
+++ b/standin/record_log.c
@@ -10,6 +10,7 @@
   guint dropped_count;
   uint64_t array_offset; /* offset of element 0 of @records */
   uint64_t retained_bytes;
+  uint64_t copy_end; /* end of the stream at the last copy */
 } stream_t;
 
 struct record_log
@@ -177,6 +178,48 @@
     drop_oldest (log, stream);
 }
 
+void
+record_log_copy (record_log_t *log)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, log->streams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((stream_t *)value)->copy_end = end_offset (value);
+}
+
+/* Records that retention dropped after the copy do not return. */
+static void
+restore_stream (record_log_t *log, stream_t *stream)
+{
+  while (end_offset (stream) > stream->copy_end && first_offset (stream) < end_offset (stream))
+    {
+      GBytes *record = g_ptr_array_index (stream->records, stream->records->len - 1);
+      gsize record_bytes = g_bytes_get_size (record);
+
+      stream->retained_bytes -= record_bytes;
+      log->total_bytes -= record_bytes;
+      g_ptr_array_set_size (stream->records, (gint)stream->records->len - 1);
+    }
+  if (end_offset (stream) <= stream->copy_end)
+    return;
+  g_ptr_array_set_size (stream->records, 0);
+  stream->dropped_count = 0;
+  stream->array_offset = stream->copy_end;
+}
+
+void
+record_log_restore (record_log_t *log)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, log->streams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    restore_stream (log, value);
+}
+
 json_t *
 record_log_streams_json (const record_log_t *log)
 {
--- a/standin/record_log.h
+++ b/standin/record_log.h
@@ -45,6 +45,11 @@
                          uint32_t max_records);
 /** record_log_truncate() - drops the records before offset @before */
 void record_log_truncate (record_log_t *log, const char *stream_name, uint64_t before);
+/** record_log_copy() - makes the copy that record_log_restore() returns to */
+void record_log_copy (record_log_t *log);
+/** record_log_restore() - drops all records since the last copy; their offsets are given out again
+ */
+void record_log_restore (record_log_t *log);
 /** record_log_streams_json() - a new object of all streams: {"NAME":{"first","end","bytes"}} */
 json_t *record_log_streams_json (const record_log_t *log);
 
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -260,6 +260,37 @@
   host_list_free (list);
 }
 
+/* Guards against a stand-in that keeps what the users' store would lose: tests would pass by it. */
+static void
+test_log_comes_back_from_its_copy (void)
+{
+  record_log_t *log = record_log_new (3, 1000);
+  uint64_t offset;
+  json_t *read;
+
+  record_log_append (log, "s", "0", 1, &offset);
+  record_log_append (log, "s", "1", 1, &offset);
+  record_log_copy (log);
+  record_log_append (log, "s", "2", 1, &offset);
+  record_log_append (log, "new", "x", 1, &offset);
+  record_log_restore (log);
+  CU_ASSERT_EQUAL (record_log_end_offset (log, "s"), 2);
+  CU_ASSERT_EQUAL (record_log_end_offset (log, "new"), 0);
+  record_log_append (log, "s", "2 again", 7, &offset);
+  CU_ASSERT_EQUAL (offset, 2);
+  read = record_log_read (log, "s", 1, 10);
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (read, "records")), 2);
+  json_decref (read);
+  for (uint32_t i = 0; i < 5; i++)
+    record_log_append (log, "s", "y", 1, &offset);
+  record_log_restore (log);
+  CU_ASSERT_EQUAL (record_log_end_offset (log, "s"), 2);
+  read = record_log_read (log, "s", 0, 10);
+  CU_ASSERT_EQUAL (json_integer_value (json_object_get (read, "first")), 2);
+  json_decref (read);
+  record_log_free (log);
+}
+
 int
 main (void)
 {
@@ -273,6 +304,7 @@
     { "record file has each change immediately", test_record_file_has_each_change_immediately },
     { "log keeps offsets after retention", test_log_keeps_offsets_after_retention },
     { "host list lags and freezes for one reader", test_host_list_lags_and_freezes_for_one_reader },
+    SUITE_TEST (test_log_comes_back_from_its_copy),
     CU_TEST_INFO_NULL,
   };
   return suite_run ("standin", tests);
