--- a/bench/spread/fake_platform.c
+++ b/bench/spread/fake_platform.c
@@ -115,8 +115,8 @@
 update_manifest (fleet_node_t *node)
 {
   replay_t *replay = node->ctrl->manifest.replay;
-  replay_set_first_offset (replay, 0);
-  replay_adopt (replay, node->flt->manifest, node->flt->log_end);
+  replay_set_first (replay, (position_t){ 0 });
+  replay_adopt (replay, node->flt->manifest, (position_t){ .offset = node->flt->log_end });
 }
 
 void
@@ -214,8 +214,7 @@
   replay_t *source = peer->ctrl->manifest.replay;
   bool reached = !peer->stopped && is_partitioned (peer) == is_partitioned (node);
   if (reached && replay_is_ready (source) &&
-      replay_adopt (node->ctrl->manifest.replay, replay_manifest (source),
-                    replay_next_offset (source)))
+      replay_adopt (node->ctrl->manifest.replay, replay_manifest (source), replay_next (source)))
     {
       control_manifest_send_if_changed (node->ctrl);
       control_freshness_send_if_fresh (node->ctrl);
--- a/ctl/manifest_reader.c
+++ b/ctl/manifest_reader.c
@@ -13,18 +13,18 @@
 static void
 apply_records (manifest_reader_t *reader, const platform_read_t *read)
 {
-  replay_set_first_offset (reader->replay, read->first.offset);
-  replay_set_end_offset (reader->replay, read->end.offset);
+  replay_set_first (reader->replay, read->first);
+  replay_set_end (reader->replay, read->end);
   for (uint32_t i = 0; i < read->record_count; i++)
     {
       const platform_record_t *record = &read->records[i];
       replay_result_t result =
-          replay_apply (reader->replay, record->position.offset, record->data, record->data_bytes);
+          replay_apply (reader->replay, record->position, record->data, record->data_bytes);
 
       if (reader->on_result != NULL)
         reader->on_result (&result, record->position.offset, reader->context);
     }
-  reader->at_end = replay_next_offset (reader->replay) >= read->end.offset;
+  reader->at_end = !position_is_before (replay_next (reader->replay), read->end);
 }
 
 static void
@@ -57,7 +57,7 @@
   platform_t *platform = reader->ctl->platform;
 
   reader->at_end = false;
-  platform->read (platform, REPLAY_STREAM, replay_next_offset (reader->replay), READ_RECORDS,
+  platform->read (platform, REPLAY_STREAM, replay_next (reader->replay).offset, READ_RECORDS,
                   wait_ms, on_read, &wait);
   ctl_run_until (reader->ctl, &wait.done);
   return reader->outcome;
@@ -67,6 +67,7 @@
 adopt_reply (manifest_reader_t *reader, const json_t *answer)
 {
   const json_t *offset = json_object_get (answer, "next_offset");
+  const json_t *era = json_object_get (answer, "era");
   const json_t *version = json_object_get (answer, "version");
   manifest_t *manifest = manifest_from_json (json_object_get (answer, "manifest"), NULL);
   bool adopted;
@@ -74,7 +75,9 @@
   if (manifest == NULL)
     return false;
   manifest->version = (uint64_t)json_integer_value (version);
-  adopted = replay_adopt (reader->replay, manifest, (uint64_t)json_integer_value (offset));
+  adopted = replay_adopt (
+      reader->replay, manifest,
+      (position_t){ (uint64_t)json_integer_value (era), (uint64_t)json_integer_value (offset) });
   manifest_unref (manifest);
   return adopted;
 }
--- a/src/process/control_claims.c
+++ b/src/process/control_claims.c
@@ -384,7 +384,7 @@
   claims->probe_us = now_us + control_add_jitter (ctrl, claims->probe_wait_us);
   claims->probe_call = control_call_new (ctrl);
   exchange_charge_budget (ctrl->exchange, CONTROL_REQUEST_BYTES);
-  uint64_t from_offset = replay_next_offset (ctrl->manifest.replay);
+  uint64_t from_offset = replay_next (ctrl->manifest.replay).offset;
   ctrl->platform->read (ctrl->platform, REPLAY_STREAM, from_offset, 1, 0, on_probe,
                         claims->probe_call);
 }
--- a/src/process/control_compose.c
+++ b/src/process/control_compose.c
@@ -227,7 +227,7 @@
   membership_report_t own = control_exchange_next_own_report (ctrl);
   message->sender = encode_report (&own);
   message->manifest_version = control_manifest_version (ctrl);
-  message->manifest_offset = replay_next_offset (ctrl->manifest.replay);
+  message->manifest_offset = replay_next (ctrl->manifest.replay).offset;
   message->list_revision = ctrl->list.revision;
   message->routers_offset = control_claims_era (ctrl);
   fill_samples (ctrl, message, now_us, to != NULL ? to->host_hash : ctrl->talk.callee_hash);
--- a/src/process/control_fetch.c
+++ b/src/process/control_fetch.c
@@ -42,18 +42,18 @@
 {
   control_fetch_t *fetch = &ctrl->fetch;
   GError *error = NULL;
-  uint64_t next_offset = 0;
+  position_t next = { 0 };
   size_t bytes = evbuffer_get_length (fetch->body);
   const char *body = (const char *)evbuffer_pullup (fetch->body, -1);
   manifest_t *manifest = manifest_sync_parse (ctrl->daemon->settings.fleet_key, fetch->nonce,
-                                              fetch->seal, body, bytes, &next_offset, &error);
+                                              fetch->seal, body, bytes, &next, &error);
   if (manifest == NULL)
     {
       log_fetch_outcome (ctrl, "refused", 0, error->message);
       g_error_free (error);
       return;
     }
-  bool adopted = replay_adopt (ctrl->manifest.replay, manifest, next_offset);
+  bool adopted = replay_adopt (ctrl->manifest.replay, manifest, next);
   log_fetch_outcome (ctrl, adopted ? "adopted" : "no_news", manifest->version, NULL);
   manifest_unref (manifest);
   if (!adopted)
--- a/src/process/control_manifest.c
+++ b/src/process/control_manifest.c
@@ -23,6 +23,10 @@
 #define VERSION_CALLS_MAX 4
 #define PEERS_PER_VERSION_CALL 64
 #define CHECKPOINT_RECORDS 64
+/* Until a follower appends a version that the log lost, and until it does so again. */
+#define RESTORE_WAIT_MIN_S 0.1
+#define RESTORE_WAIT_MAX_S 1
+#define RESTORE_AGAIN_US (2 * CLOCK_US_PER_S)
 #define CHECKPOINT_MAX_WAIT_S 10
 #define CHECKPOINTS_PER_RETENTION 4
 
@@ -43,6 +47,10 @@
       return "checkpoint_used";
     case REPLAY_CHECKPOINT_SEEN:
       return "checkpoint_seen";
+    case REPLAY_RESTORED:
+      return "restored";
+    case REPLAY_RESTORE_SEEN:
+      return "restore_seen";
     case REPLAY_SKIPPED:
       break;
     }
@@ -50,13 +58,14 @@
 }
 
 static void
-log_verdict (const replay_result_t *result, uint64_t offset)
+log_verdict (const replay_result_t *result, position_t position)
 {
-  bool quiet = result->verdict == REPLAY_SKIPPED || result->verdict == REPLAY_CHECKPOINT_SEEN;
+  bool quiet = result->verdict == REPLAY_SKIPPED || result->verdict == REPLAY_CHECKPOINT_SEEN ||
+               result->verdict == REPLAY_RESTORE_SEEN;
   log_event (quiet ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO, "manifest_record", "verdict",
-             verdict_name (result->verdict), "offset", LOG_U64 (offset), "id", result->id,
-             "version", LOG_U64 (result->version), "reason",
-             result->reason[0] != '\0' ? result->reason : NULL, NULL);
+             verdict_name (result->verdict), "offset", LOG_U64 (position.offset), "era",
+             LOG_U64 (position.era), "id", result->id, "version", LOG_U64 (result->version),
+             "reason", result->reason[0] != '\0' ? result->reason : NULL, NULL);
 }
 
 static void
@@ -64,8 +73,8 @@
 {
   control_manifest_t *manifest = &ctrl->manifest;
   replay_result_t result =
-      replay_apply (manifest->replay, record->position.offset, record->data, record->data_bytes);
-  log_verdict (&result, record->position.offset);
+      replay_apply (manifest->replay, record->position, record->data, record->data_bytes);
+  log_verdict (&result, record->position);
   if (result.verdict == REPLAY_CHECKPOINT_SEEN || result.verdict == REPLAY_CHECKPOINT_USED)
     manifest->checkpoint_seen_us = control_now_us (ctrl);
   if (result.verdict == REPLAY_STALE_BASE || result.verdict == REPLAY_INVALID)
@@ -75,32 +84,54 @@
 
 /* Return: the delay until the next read. */
 static uint64_t
-next_read_wait_us (control_t *ctrl, const platform_read_t *read, uint64_t next_before)
+next_read_wait_us (control_t *ctrl, const platform_read_t *read, position_t next_before)
 {
-  uint64_t next_offset = replay_next_offset (ctrl->manifest.replay);
-  if (next_offset < read->end.offset)
-    return next_offset != next_before ? 0 : NO_PROGRESS_WAIT_US;
+  position_t next = replay_next (ctrl->manifest.replay);
+  if (position_is_before (next, read->end))
+    return position_equal (next, next_before) ? NO_PROGRESS_WAIT_US : 0;
   if (ctrl->peers.is_follower)
     return 0;
   return control_add_jitter (ctrl, RECHECK_US);
 }
 
+/* The log came back from a copy: the reader begins anew, and keeps the version in force. Without a
+ * new era, an end before the reader's position is an error of the platform. */
+static void
+note_era (control_t *ctrl, const platform_read_t *read)
+{
+  position_t next = replay_next (ctrl->manifest.replay);
+  if (read->end.era > next.era)
+    {
+      log_event (LOG_LEVEL_WARNING, "log_restored", "era", LOG_U64 (read->end.era), "before",
+                 LOG_U64 (next.era), "end", LOG_U64 (read->end.offset), "read_to",
+                 LOG_U64 (next.offset), "version", LOG_U64 (control_manifest_version (ctrl)), NULL);
+      control_count_event (ctrl, "medlarplank_log_restorations_total",
+                           "Times that the log came back from a copy");
+      ctrl->manifest.restore_due_us =
+          control_now_us (ctrl) +
+          (uint64_t)(g_rand_double_range (ctrl->rand, RESTORE_WAIT_MIN_S, RESTORE_WAIT_MAX_S) *
+                     CLOCK_US_PER_S);
+      control_claims_note_era (ctrl, read->end.era);
+    }
+  else if (position_is_before (read->end, next) && read->end.era == next.era)
+    log_event (LOG_LEVEL_ERROR, "log_went_back", "end", LOG_U64 (read->end.offset), "read_to",
+               LOG_U64 (next.offset), NULL);
+}
+
 static void
 apply_records (control_t *ctrl, const platform_read_t *read, uint64_t started_us)
 {
   replay_t *replay = ctrl->manifest.replay;
-  uint64_t next_before = replay_next_offset (replay);
-  if (read->end.offset < next_before)
-    log_event (LOG_LEVEL_ERROR, "log_went_back", "end", LOG_U64 (read->end.offset), "read_to",
-               LOG_U64 (next_before), NULL);
-  replay_set_first_offset (replay, read->first.offset);
-  replay_set_end_offset (replay, read->end.offset);
+  position_t next_before = replay_next (replay);
+  note_era (ctrl, read);
+  replay_set_first (replay, read->first);
+  replay_set_end (replay, read->end);
   for (uint32_t i = 0; i < read->record_count; i++)
     apply_record (ctrl, &read->records[i]);
   uint64_t wait_us = next_read_wait_us (ctrl, read, next_before);
   control_poll_succeeded (ctrl, &ctrl->manifest.poll, SOURCE, wait_us);
   control_manifest_send_if_changed (ctrl);
-  if (replay_next_offset (replay) >= read->end.offset)
+  if (!position_is_before (replay_next (replay), read->end))
     control_freshness_note_log_read (ctrl, started_us, true);
 }
 
@@ -137,7 +168,7 @@
   bool may_wait = ctrl->peers.is_follower && ctrl->freshness.log_ok && !poll->down;
   poll->call = control_call_new (ctrl);
   exchange_charge_budget (ctrl->exchange, CONTROL_LOG_READ_BYTES);
-  ctrl->platform->read (ctrl->platform, REPLAY_STREAM, replay_next_offset (ctrl->manifest.replay),
+  ctrl->platform->read (ctrl->platform, REPLAY_STREAM, replay_next (ctrl->manifest.replay).offset,
                         READ_MAX_RECORDS, may_wait ? LONG_POLL_MS : 0, on_read, poll->call);
 }
 
@@ -192,6 +223,40 @@
                          "Checkpoints of the manifest appended");
 }
 
+static void
+on_restore (platform_outcome_t outcome, position_t position, void *context)
+{
+  control_call_t *call = context;
+  control_t *ctrl = call->ctrl;
+  if (!control_call_end (call))
+    return;
+  ctrl->manifest.restore_call = NULL;
+  g_clear_pointer (&ctrl->manifest.restore, g_free);
+  log_event (LOG_LEVEL_NOTICE, "version_restored", "outcome",
+             outcome == PLATFORM_OK ? "appended" : "failed", "offset", LOG_U64 (position.offset),
+             "era", LOG_U64 (position.era), "version", LOG_U64 (control_manifest_version (ctrl)),
+             NULL);
+}
+
+/* Waits a random time, so that usually only one of the followers appends the version that the log
+ * has lost. Another one does if it isn't read back in time. */
+static void
+append_restore_if_due (control_t *ctrl)
+{
+  control_manifest_t *manifest = &ctrl->manifest;
+  uint64_t now_us = control_now_us (ctrl);
+  if (!ctrl->peers.is_follower || manifest->poll.down || manifest->restore_call != NULL ||
+      now_us < manifest->restore_due_us || !replay_restore_due (manifest->replay))
+    return;
+  manifest->restore_due_us = now_us + control_add_jitter (ctrl, RESTORE_AGAIN_US);
+  manifest->restore = replay_format_restore (manifest->replay);
+  size_t bytes = strlen (manifest->restore);
+  manifest->restore_call = control_call_new (ctrl);
+  exchange_charge_budget (ctrl->exchange, (uint32_t)bytes + CONTROL_REQUEST_BYTES);
+  ctrl->platform->append (ctrl->platform, REPLAY_STREAM, manifest->restore, bytes, on_restore,
+                          manifest->restore_call);
+}
+
 static bool
 is_checkpoint_due (control_t *ctrl)
 {
@@ -250,6 +315,7 @@
 control_manifest_clear (control_t *ctrl)
 {
   g_free (ctrl->manifest.checkpoint);
+  g_free (ctrl->manifest.restore);
   replay_free (ctrl->manifest.replay);
 }
 
@@ -267,9 +333,15 @@
   uint64_t version = control_manifest_version (ctrl);
   if (version >= manifest->peer_version)
     manifest->behind_since_us = 0;
-  if (!replay_is_ready (manifest->replay) || version <= manifest->sent_version)
+  if (!replay_is_ready (manifest->replay) || version < manifest->sent_version)
     return;
   manifest_t *man = replay_manifest (manifest->replay);
+  position_t next = replay_next (manifest->replay);
+  bool same = version == manifest->sent_version && strcmp (man->digest, manifest->sent_digest) == 0;
+  if (same && (next.era == manifest->sent_era || !replay_is_confirmed (manifest->replay)))
+    return;
+  manifest->sent_era = replay_is_confirmed (manifest->replay) ? next.era : manifest->sent_era;
+  g_strlcpy (manifest->sent_digest, man->digest, sizeof manifest->sent_digest);
   log_event (LOG_LEVEL_NOTICE, "version_in_force", "version", LOG_U64 (version), "digest",
              man->digest, "before", LOG_U64 (manifest->sent_version), NULL);
   control_set_gauge (ctrl, "medlarplank_manifest_version", "Version of the manifest in force here",
@@ -282,7 +354,7 @@
   control_exchange_update_services (ctrl);
   message_version_t *message = message_new (MESSAGE_VERSION);
   message->manifest = manifest_ref (man);
-  message->next_offset = replay_next_offset (manifest->replay);
+  message->next = next;
   control_send_to_data (ctrl, message);
 }
 
@@ -320,4 +392,5 @@
   start_read (ctrl);
   catch_up_from_peer (ctrl);
   append_checkpoint_if_due (ctrl);
+  append_restore_if_due (ctrl);
 }
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -690,8 +690,8 @@
   gateway_store_t *store = context;
   position_t written = position_from (store->entry_put, position.era, position.offset);
 
-  store->entry_written = outcome == PLATFORM_OK &&
-                         written.era >= keyed_view_listed (store->views[STREAM_ROUTERS]).era;
+  store->entry_written =
+      outcome == PLATFORM_OK && written.era >= keyed_view_listed (store->views[STREAM_ROUTERS]).era;
   stream_follower_note_era (store->followers[STREAM_ROUTERS], written.era);
   log_event (LOG_LEVEL_NOTICE, "own_entry", "outcome",
              outcome == PLATFORM_OK ? "written" : "not_known", "offset", LOG_U64 (written.offset),
--- a/src/request/data_task.c
+++ b/src/request/data_task.c
@@ -67,7 +67,7 @@
   if (data_task->manifest != NULL)
     manifest_unref (data_task->manifest);
   data_task->manifest = manifest_ref (message->manifest);
-  data_task->man_next_offset = message->next_offset;
+  data_task->man_next = message->next;
 }
 
 static void
--- a/src/request/data_task_private.h
+++ b/src/request/data_task_private.h
@@ -16,7 +16,7 @@
  * struct data_task - state of one data task
  * @http_server: the listener
  * @manifest: manifest in force, or NULL before the first one
- * @man_next_offset: offset in the manifest stream after the record of @manifest
+ * @man_next: position in the manifest stream after the record of @manifest
  * @members: list of hosts in force, or NULL before the first one
  * @pause: whether the task woke from a pause and its knowledge may be out of date
  * @draining: a graceful stop began
@@ -30,7 +30,7 @@
   data_task_options_t options;
   http_server_t *http_server;
   manifest_t *manifest;
-  uint64_t man_next_offset;
+  position_t man_next;
   membership_snapshot_t *members;
   decision_ring_t *decisions;
   pause_detector_t pause;
--- a/src/request/data_task_serve.c
+++ b/src/request/data_task_serve.c
@@ -66,7 +66,7 @@
   g_autofree char *body =
       manifest_sync_format (data_task->options.daemon->settings.fleet_key,
                             http_server_request_header (call, ANSWER_SEAL_NONCE_HEADER),
-                            data_task->manifest, data_task->man_next_offset, seal);
+                            data_task->manifest, data_task->man_next, seal);
 
   if (seal[0] != '\0')
     http_server_add_header (call, ANSWER_SEAL_HEADER, seal);
--- a/src/request/messages.h
+++ b/src/request/messages.h
@@ -42,13 +42,13 @@
 
 /**
  * struct message_version - a manifest in force
- * @next_offset: offset in the manifest stream after the record of @manifest
+ * @next: position in the manifest stream after the record of @manifest
  */
 typedef struct
 {
   mailbox_message_t head;
   manifest_t *manifest;
-  uint64_t next_offset;
+  position_t next;
 } message_version_t;
 
 typedef struct
--- a/src/version/manifest_record.c
+++ b/src/version/manifest_record.c
@@ -10,6 +10,8 @@
 static const char *const PUBLISH_KEYS[] = { "kind", "id", "base", "by", "manifest", "patch", NULL };
 static const char *const CHECKPOINT_KEYS[] = { "kind", "version", "as_of", "by", "manifest", NULL };
 
+static const char *const RESTORE_KEYS[] = { "kind", "version", "by", "manifest", NULL };
+
 static bool
 fail (manifest_record_t *record, const char *error_text)
 {
@@ -103,6 +105,20 @@
   return true;
 }
 
+static bool
+read_restore (manifest_record_t *record)
+{
+  if (!has_only_keys (record, RESTORE_KEYS) ||
+      !read_integer (record, "version", &record->version) ||
+      !read_name (record, "by", false, record->publisher))
+    return false;
+  record->manifest = json_object_get (record->json, "manifest");
+  if (record->manifest == NULL)
+    return fail (record, "manifest: is missing");
+  record->kind = MANIFEST_RECORD_RESTORE;
+  return true;
+}
+
 void
 manifest_record_parse (manifest_record_t *record, const char *data, size_t data_bytes)
 {
@@ -123,8 +139,10 @@
     read_publish (record);
   else if (g_strcmp0 (kind, "checkpoint") == 0)
     read_checkpoint (record);
+  else if (g_strcmp0 (kind, "restore") == 0)
+    read_restore (record);
   else
-    fail (record, "kind: is neither \"publish\" nor \"checkpoint\"");
+    fail (record, "kind: is neither \"publish\" nor \"checkpoint\" nor \"restore\"");
 }
 
 void
@@ -169,3 +187,10 @@
                                     (json_int_t)version, "as_of", (json_int_t)as_of, "by",
                                     publisher, "manifest", manifest));
 }
+
+char *
+manifest_record_format_restore (uint64_t version, const char *publisher, const json_t *manifest)
+{
+  return dump_and_unref (json_pack ("{ss sI ss sO}", "kind", "restore", "version",
+                                    (json_int_t)version, "by", publisher, "manifest", manifest));
+}
--- a/src/version/manifest_record.h
+++ b/src/version/manifest_record.h
@@ -19,14 +19,16 @@
 {
   MANIFEST_RECORD_INVALID, /* could not be parsed */
   MANIFEST_RECORD_PUBLISH,
-  MANIFEST_RECORD_CHECKPOINT
+  MANIFEST_RECORD_CHECKPOINT,
+  MANIFEST_RECORD_RESTORE
 } manifest_record_kind_t;
 
 /**
  * struct record - one parsed record; each kind uses only some of the fields
  * @id: id of a publish
  * @publisher: who published this version; "" when unknown
- * @version: of a publish, its base: the version that it was made from; of a checkpoint, its version
+ * @version: of a publish, its base: the version that it was made from; of a checkpoint and of a
+ *   restore, its version
  * @as_of: offset of the last record that a checkpoint includes
  * @json: the whole record
  * @manifest: borrowed from @json; NULL when a publish has a patch
@@ -63,5 +65,8 @@
                                          uint64_t as_of,
                                          const char *publisher,
                                          const json_t *manifest);
+/** manifest_record_format_restore() - format a restore; free the text with g_free() */
+char *
+manifest_record_format_restore (uint64_t version, const char *publisher, const json_t *manifest);
 
 #endif
--- a/src/version/manifest_sync.c
+++ b/src/version/manifest_sync.c
@@ -6,14 +6,15 @@
 #define SEAL_KIND "medlarplank manifest answer"
 
 static manifest_t *
-read_fields (json_t *json, uint64_t *next_offset, GError **error)
+read_fields (json_t *json, position_t *next, GError **error)
 {
   json_int_t version = 0;
-  json_int_t next = 0;
+  json_int_t offset = 0;
+  json_int_t era = 0;
   json_t *document = NULL;
-  int unpacked = json_unpack (json, "{s:I,s:I,s:o}", "version", &version, "next_offset", &next,
-                              "manifest", &document);
-  if (unpacked != 0 || version <= 0 || next <= 0)
+  int unpacked = json_unpack (json, "{s:I,s:I,s?I,s:o}", "version", &version, "next_offset",
+                              &offset, "era", &era, "manifest", &document);
+  if (unpacked != 0 || version <= 0 || offset <= 0 || era < 0)
     {
       g_set_error (error, MANIFEST_ERROR, MANIFEST_ERROR_MISSING,
                    "version, next_offset or manifest is missing or invalid");
@@ -23,7 +24,7 @@
   if (manifest == NULL)
     return NULL;
   manifest->version = (uint64_t)version;
-  *next_offset = (uint64_t)next;
+  *next = (position_t){ (uint64_t)era, (uint64_t)offset };
   return manifest;
 }
 
@@ -31,11 +32,13 @@
 manifest_sync_format (const char *fleet_key,
                       const char *nonce,
                       const manifest_t *manifest,
-                      uint64_t next_offset,
+                      position_t next,
                       char seal[ANSWER_SEAL_BYTES])
 {
   json_t *json = json_pack ("{s:I,s:I,s:O}", "version", (json_int_t)manifest->version,
-                            "next_offset", (json_int_t)next_offset, "manifest", manifest->json);
+                            "next_offset", (json_int_t)next.offset, "manifest", manifest->json);
+  if (next.era != 0)
+    json_object_set_new (json, "era", json_integer ((json_int_t)next.era));
   char *text = json_dumps (json, JSON_COMPACT);
   char *body = g_strdup (text);
   free (text);
@@ -52,7 +55,7 @@
                      const char *seal,
                      const char *body,
                      size_t body_bytes,
-                     uint64_t *next_offset,
+                     position_t *next,
                      GError **error)
 {
   char expected[ANSWER_SEAL_BYTES];
@@ -69,7 +72,7 @@
       g_set_error (error, MANIFEST_ERROR, MANIFEST_ERROR_SYNTAX, "the response is not JSON");
       return NULL;
     }
-  manifest_t *manifest = read_fields (json, next_offset, error);
+  manifest_t *manifest = read_fields (json, next, error);
   json_decref (json);
   return manifest;
 }
--- a/src/version/replay.c
+++ b/src/version/replay.c
@@ -5,15 +5,18 @@
 #include <string.h>
 
 /*
- * @manifest: when @has_state, the version in force after all records before @next_offset; otherwise
- *   the version in force before the gap, or NULL
+ * @manifest: when @has_state, the version in force by the log after all records before @next;
+ *   otherwise the version in force before the gap, or NULL
  * @publisher: who published @manifest; "" when unknown
- * @next_offset: offset of the next record to process
- * @has_state: the version in force at @next_offset is known, so that publishes can be decided
+ * @kept: the version in force, of an era before, while the log has an older one; else NULL
+ * @kept_publisher: who published @kept
+ * @next: position of the next record to process
+ * @has_state: the version in force at @next is known, so that publishes can be decided
  * @caught_up: all records that existed when the reader started have been processed; stays set until
  *   the next gap
- * @catch_up_offset: @caught_up is set when @next_offset reaches this offset
- * @first_offset: first offset that the log retained at the last read
+ * @catch_up: @caught_up is set when @next reaches this position
+ * @first: first position that the log retained at the last read
+ * @end: end of the log at the last read
  * @checkpoint_end: as_of + 1 of the newest checkpoint: where a reader that uses it continues
  * @publishes_since_checkpoint: publishes read after the newest checkpoint
  * @history: outcome of recent publishes
@@ -22,12 +25,15 @@
 {
   manifest_t *manifest;
   char publisher[LIMIT_NAME_BYTES];
-  uint64_t next_offset;
+  manifest_t *kept;
+  char kept_publisher[LIMIT_NAME_BYTES];
+  position_t next;
   bool has_state;
   bool caught_up;
-  uint64_t catch_up_offset;
-  uint64_t first_offset;
-  uint64_t checkpoint_end;
+  position_t catch_up;
+  position_t first;
+  position_t end;
+  position_t checkpoint_end;
   uint64_t publishes_since_checkpoint;
   publish_history_t *history;
 };
@@ -38,7 +44,13 @@
   return replay->manifest != NULL ? replay->manifest->version : 0;
 }
 
-/* Replaces the version in force; nothing else may set it. */
+static uint64_t
+replay_version (const replay_t *replay)
+{
+  return replay->kept != NULL ? replay->kept->version : current_version (replay);
+}
+
+/* Replaces the version by the log; nothing else may set it. */
 static void
 set_manifest (replay_t *replay, manifest_t *manifest, const char *publisher)
 {
@@ -46,12 +58,37 @@
   g_clear_pointer (&replay->manifest, manifest_unref);
   replay->manifest = manifest;
   g_strlcpy (replay->publisher, publisher, sizeof replay->publisher);
+  if (replay->kept != NULL && manifest->version >= replay->kept->version)
+    g_clear_pointer (&replay->kept, manifest_unref);
+}
+
+static manifest_t *
+in_force (const replay_t *replay)
+{
+  return replay->kept != NULL ? replay->kept : replay->manifest;
+}
+
+/* The versions of the log before the copy stay in force until the log has them, or later ones. */
+static void
+begin_era (replay_t *replay, position_t first)
+{
+  if (replay->kept == NULL)
+    {
+      replay->kept = g_steal_pointer (&replay->manifest);
+      g_strlcpy (replay->kept_publisher, replay->publisher, sizeof replay->kept_publisher);
+    }
+  g_clear_pointer (&replay->manifest, manifest_unref);
+  replay->publisher[0] = '\0';
+  replay->next = replay->first = replay->end = replay->catch_up = first;
+  replay->checkpoint_end = (position_t){ .era = first.era };
+  replay->publishes_since_checkpoint = 0;
+  replay->has_state = first.offset == 0;
 }
 
 static void
 update_caught_up (replay_t *replay)
 {
-  if (replay->has_state && replay->next_offset >= replay->catch_up_offset)
+  if (replay->has_state && !position_is_before (replay->next, replay->catch_up))
     replay->caught_up = true;
 }
 
@@ -62,14 +99,14 @@
   replay->caught_up = false;
 }
 
-/* Continues from the state of a checkpoint or a peer. Records from @next_offset on are processed,
+/* Continues from the state of a checkpoint or a peer. Records from @next on are processed,
  * some of them for a second time. */
 static void
-resume_from (replay_t *replay, manifest_t *manifest, const char *publisher, uint64_t next_offset)
+resume_from (replay_t *replay, manifest_t *manifest, const char *publisher, position_t next)
 {
   set_manifest (replay, manifest, publisher);
-  replay->catch_up_offset = MAX (replay->catch_up_offset, replay->next_offset);
-  replay->next_offset = next_offset;
+  replay->catch_up = position_later (replay->catch_up, replay->next);
+  replay->next = next;
   replay->has_state = true;
   replay->caught_up = false;
   update_caught_up (replay);
@@ -166,6 +203,13 @@
                        current_version (replay));
 }
 
+/* The position after the record at @offset of this era. */
+static position_t
+after_record (const replay_t *replay, uint64_t offset)
+{
+  return (position_t){ replay->next.era, offset + 1 };
+}
+
 /*
  * A process that was paused may append a checkpoint of an old version. A checkpoint is valid only
  * as of its own offset, so it is used only if every record after that offset can still be read:
@@ -177,7 +221,9 @@
   g_autoptr (GError) error = NULL;
   manifest_t *manifest;
 
-  if (record->as_of + 1 < replay->first_offset)
+  position_t next = after_record (replay, record->as_of);
+
+  if (position_is_before (next, replay->first))
     {
       set_verdict (result, REPLAY_CHECKPOINT_SEEN, "records after it are no longer retained");
       return;
@@ -189,7 +235,7 @@
       return;
     }
   manifest->version = record->version;
-  resume_from (replay, manifest, record->publisher, record->as_of + 1);
+  resume_from (replay, manifest, record->publisher, next);
   result->verdict = REPLAY_CHECKPOINT_USED;
 }
 
@@ -199,29 +245,32 @@
  * checked against the own version.
  */
 static bool
-is_consistent (const replay_t *replay, const manifest_record_t *record, uint64_t offset)
+is_consistent (const replay_t *replay, const manifest_record_t *record, position_t position)
 {
-  if (record->version == 0 || record->as_of >= offset)
+  if (record->version == 0 || record->as_of >= position.offset)
     return false;
   if (replay->has_state)
     return record->version <= current_version (replay);
-  return record->as_of + 1 < replay->first_offset || record->version >= current_version (replay);
+  return position_is_before (after_record (replay, record->as_of), replay->first) ||
+         record->version >= current_version (replay);
 }
 
 static void
 process_checkpoint (replay_t *replay,
                     const manifest_record_t *record,
-                    uint64_t offset,
+                    position_t position,
                     replay_result_t *result)
 {
-  if (!is_consistent (replay, record, offset))
+  position_t end = after_record (replay, record->as_of);
+
+  if (!is_consistent (replay, record, position))
     {
       set_verdict (result, REPLAY_INVALID, "the checkpoint contradicts the log");
       return;
     }
-  if (record->as_of + 1 > replay->checkpoint_end)
+  if (position_is_before (replay->checkpoint_end, end))
     {
-      replay->checkpoint_end = record->as_of + 1;
+      replay->checkpoint_end = end;
       replay->publishes_since_checkpoint = 0;
     }
   if (replay->has_state)
@@ -230,6 +279,33 @@
     use_checkpoint (replay, record, result);
 }
 
+/*
+ * Restores a version that the log lost when it came back from a copy. Readers that know the log's
+ * state decide alike, as for a publish. Without the state, whether the log has a higher version is
+ * unknown.
+ */
+static void
+process_restore (replay_t *replay, const manifest_record_t *record, replay_result_t *result)
+{
+  g_autoptr (GError) error = NULL;
+  manifest_t *manifest;
+
+  if (!replay->has_state || record->version <= current_version (replay))
+    {
+      set_verdict (result, REPLAY_RESTORE_SEEN, "the log has that version or a later one");
+      return;
+    }
+  manifest = manifest_from_json (record->manifest, &error);
+  if (manifest == NULL)
+    {
+      set_verdict (result, REPLAY_INVALID, error->message);
+      return;
+    }
+  manifest->version = record->version;
+  set_manifest (replay, manifest, record->publisher);
+  result->verdict = REPLAY_RESTORED;
+}
+
 replay_t *
 replay_new (void)
 {
@@ -245,20 +321,25 @@
   if (replay == NULL)
     return;
   g_clear_pointer (&replay->manifest, manifest_unref);
+  g_clear_pointer (&replay->kept, manifest_unref);
   publish_history_free (replay->history);
   g_free (replay);
 }
 
 void
-replay_set_first_offset (replay_t *replay, uint64_t first_offset)
+replay_set_first (replay_t *replay, position_t first)
 {
-  replay->first_offset = first_offset;
-  if (first_offset > replay->next_offset)
+  if (first.era < replay->next.era)
+    return;
+  if (first.era > replay->next.era)
+    begin_era (replay, first);
+  replay->first = first;
+  if (position_is_before (replay->next, first))
     {
       enter_gap (replay);
-      replay->next_offset = first_offset;
+      replay->next = first;
     }
-  else if (first_offset == 0 && replay->next_offset == 0)
+  else if (first.offset == 0 && replay->next.offset == 0)
     {
       replay->has_state = true;
     }
@@ -266,100 +347,128 @@
 }
 
 void
-replay_set_end_offset (replay_t *replay, uint64_t end_offset)
+replay_set_end (replay_t *replay, position_t end)
 {
+  if (end.era != replay->next.era)
+    return;
+  replay->end = end;
   if (replay_is_ready (replay))
     return;
   replay->caught_up = false;
-  replay->catch_up_offset = MAX (replay->catch_up_offset, end_offset);
+  replay->catch_up = position_later (replay->catch_up, end);
   update_caught_up (replay);
 }
 
 replay_result_t
-replay_apply (replay_t *replay, uint64_t offset, const char *data, size_t data_bytes)
+replay_apply (replay_t *replay, position_t position, const char *data, size_t data_bytes)
 {
   replay_result_t result = { .verdict = REPLAY_SKIPPED };
   manifest_record_t record;
 
-  result.version = current_version (replay);
-  if (offset != replay->next_offset)
+  result.version = replay_version (replay);
+  if (!position_equal (position, replay->next))
     {
       set_verdict (&result, REPLAY_SKIPPED, "it is not the next record in the log");
       return result;
     }
-  replay->next_offset = offset + 1;
+  replay->next = after_record (replay, position.offset);
   manifest_record_parse (&record, data, data_bytes);
   if (record.kind == MANIFEST_RECORD_PUBLISH)
     process_publish (replay, &record, &result);
   else if (record.kind == MANIFEST_RECORD_CHECKPOINT)
-    process_checkpoint (replay, &record, offset, &result);
+    process_checkpoint (replay, &record, position, &result);
+  else if (record.kind == MANIFEST_RECORD_RESTORE)
+    process_restore (replay, &record, &result);
   else
     set_verdict (&result, REPLAY_INVALID, record.error);
   manifest_record_clear (&record);
   update_caught_up (replay);
-  result.version = current_version (replay);
+  result.version = replay_version (replay);
   return result;
 }
 
 bool
-replay_adopt (replay_t *replay, manifest_t *manifest, uint64_t next_offset)
+replay_adopt (replay_t *replay, manifest_t *manifest, position_t next)
 {
-  bool is_newer =
-      replay->has_state ? next_offset > replay->next_offset : next_offset >= replay->first_offset;
+  bool is_newer = replay->has_state ? position_is_before (replay->next, next)
+                                    : !position_is_before (next, replay->first);
 
-  if (!is_newer || next_offset == 0 || manifest->version == 0 ||
-      manifest->version < current_version (replay))
+  if (!is_newer || next.offset == 0 || manifest->version == 0 ||
+      manifest->version < replay_version (replay))
     return false;
-  resume_from (replay, manifest_ref (manifest), "", next_offset);
+  if (next.era > replay->next.era)
+    begin_era (replay, next);
+  resume_from (replay, manifest_ref (manifest), "", next);
   return true;
 }
 
 bool
 replay_is_ready (const replay_t *replay)
 {
-  return replay->caught_up && replay->manifest != NULL;
+  return replay->caught_up && in_force (replay) != NULL;
 }
 
 manifest_t *
 replay_manifest (const replay_t *replay)
 {
-  return replay->manifest;
+  return in_force (replay);
+}
+
+position_t
+replay_next (const replay_t *replay)
+{
+  return replay->next;
 }
 
-uint64_t
-replay_next_offset (const replay_t *replay)
+bool
+replay_is_confirmed (const replay_t *replay)
+{
+  return replay->kept == NULL && replay->has_state;
+}
+
+bool
+replay_restore_due (const replay_t *replay)
+{
+  return replay->kept != NULL && replay->has_state &&
+         !position_is_before (replay->next, replay->end);
+}
+
+char *
+replay_format_restore (const replay_t *replay)
 {
-  return replay->next_offset;
+  g_assert (replay->kept != NULL);
+  return manifest_record_format_restore (replay->kept->version, replay->kept_publisher,
+                                         replay->kept->json);
 }
 
 bool
 replay_is_unpublished (const replay_t *replay)
 {
-  return replay->has_state && replay->caught_up && replay->manifest == NULL;
+  return replay->has_state && replay->caught_up && in_force (replay) == NULL;
 }
 
 const char *
 replay_publisher (const replay_t *replay)
 {
-  return replay->publisher;
+  return replay->kept != NULL ? replay->kept_publisher : replay->publisher;
 }
 
 bool
 replay_checkpoint_due (const replay_t *replay, uint64_t publishes_between)
 {
-  if (!replay_is_ready (replay))
+  if (!replay_is_ready (replay) || !replay_is_confirmed (replay))
     return false;
   return replay->publishes_since_checkpoint >= publishes_between ||
-         replay->checkpoint_end < replay->first_offset;
+         position_is_before (replay->checkpoint_end, replay->first);
 }
 
 char *
 replay_format_checkpoint (const replay_t *replay)
 {
-  if (!replay_is_ready (replay))
+  if (!replay_is_ready (replay) || !replay_is_confirmed (replay))
     return NULL;
-  g_assert (replay->next_offset > 0);
-  return manifest_record_format_checkpoint (replay->manifest->version, replay->next_offset - 1,
+  g_assert (replay->next.offset > 0);
+  return manifest_record_format_checkpoint (replay->manifest->version, replay->next.offset - 1,
                                             replay->publisher, replay->manifest->json);
 }
 
--- a/src/version/view_share.c
+++ b/src/version/view_share.c
@@ -53,7 +53,8 @@
 format_stream (const view_share_stream_t *stream, position_t from)
 {
   bool full_listing = position_is_before (from, keyed_view_listed (stream->view));
-  position_t first = full_listing ? (position_t){ 0 } : from;
+  const position_t beginning = { 0 };
+  position_t first = full_listing ? beginning : from;
   record_list_t list = { .era = stream->next.era };
   json_t *json;
 
--- a/tests/session_manifest.c
+++ b/tests/session_manifest.c
@@ -141,9 +141,33 @@
   driver_finish (driver);
 }
 
+/* The log comes back from a copy that lacks the newest version. Daemons keep it in force and write
+ * it again, so a router that starts then gets it too, and the next publish follows on it. */
+static void
+test_restored_log (void)
+{
+  driver_t *driver = driver_new ("manifest_restored");
+  driver_fleet_t fleet = { .model_hosts = 1, .plain_hosts = 1, .routers = 2 };
+  driver_start (driver, &fleet);
+  json_decref (driver_admin_call (driver->platform, "POST", "/admin/copy", NULL));
+  driver_transcript_add (driver, "published: status %d",
+                         driver_process_wait_exit (start_publish (driver, 1, 5, "")));
+  driver_wait_version (driver, 2);
+  json_decref (driver_admin_call (driver->platform, "POST", "/admin/restore", NULL));
+  restart_router (driver);
+  driver_wait_log_record (driver, "manifest", "\"restore\"");
+  driver_wait_version (driver, 2);
+  run_lookup (driver, 1, "by a router that started after the log came back");
+  driver_transcript_add (driver, "published on it: status %d",
+                         driver_process_wait_exit (start_publish (driver, 2, 6, "")));
+  driver_wait_version (driver, 3);
+  driver_finish (driver);
+}
+
 int
 main (void)
 {
-  static const driver_test_t tests[] = { { "versions never decrease", test_manifest } };
+  static const driver_test_t tests[] = { { "versions never decrease", test_manifest },
+                                         { "the log comes back from a copy", test_restored_log } };
   return driver_main ("manifest", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -384,7 +384,7 @@
   char seal[ANSWER_SEAL_BYTES];
   char *body = manifest_sync_format (server->fleet_key,
                                      http_server_request_header (call, ANSWER_SEAL_NONCE_HEADER),
-                                     server->manifest, 9, seal);
+                                     server->manifest, (position_t){ .offset = 9 }, seal);
   http_server_add_header (call, ANSWER_SEAL_HEADER, seal);
   http_server_reply (call, 200, body, strlen (body));
   g_free (body);
@@ -454,7 +454,7 @@
   while (rig.received.version != 2 && g_get_monotonic_time () < end_us)
     rig_tick (&rig);
   CU_ASSERT_EQUAL (rig.received.version, 2);
-  CU_ASSERT_EQUAL (replay_next_offset (rig.ctrl->manifest.replay), 9);
+  CU_ASSERT_EQUAL (replay_next (rig.ctrl->manifest.replay).offset, 9);
   stop_version_server (&server);
 }
 
--- a/tests/test_manifest_sync.c
+++ b/tests/test_manifest_sync.c
@@ -19,7 +19,7 @@
   manifest_t *manifest = manifest_parse (MANIFEST, strlen (MANIFEST), NULL);
   CU_ASSERT_PTR_NOT_NULL_FATAL (manifest);
   manifest->version = 12;
-  char *body = manifest_sync_format (KEY, nonce, manifest, 34, seal);
+  char *body = manifest_sync_format (KEY, nonce, manifest, (position_t){ .offset = 34 }, seal);
   manifest_unref (manifest);
   return body;
 }
@@ -28,17 +28,16 @@
 static uint64_t
 parse_response (const char *key, const char *nonce, const char *seal, const char *body)
 {
-  uint64_t next_offset = 0;
+  position_t next = { 0 };
   GError *error = NULL;
-  manifest_t *manifest =
-      manifest_sync_parse (key, nonce, seal, body, strlen (body), &next_offset, &error);
+  manifest_t *manifest = manifest_sync_parse (key, nonce, seal, body, strlen (body), &next, &error);
   if (manifest == NULL)
     {
       CU_ASSERT_PTR_NOT_NULL (error);
       g_clear_error (&error);
       return 0;
     }
-  CU_ASSERT_EQUAL (next_offset, 34);
+  CU_ASSERT (position_equal (next, (position_t){ .offset = 34 }));
   uint64_t version = manifest->version;
   manifest_unref (manifest);
   return version;
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -11,6 +11,13 @@
 #define KEY "08a6bd4bf2a6c5b8e6b2a0a8f7a4a7b7fb0ee6d29a4a7fcc1c6e0b7b1a2f3c4d"
 
 /* Manifests of different @slots are otherwise equal. */
+/* A position in a log that never came back from a copy. */
+static position_t
+at (uint64_t offset)
+{
+  return (position_t){ .offset = offset };
+}
+
 static json_t *
 make_manifest (uint32_t slots)
 {
@@ -40,7 +47,7 @@
 static replay_result_t
 feed (replay_t *replay, const char *text)
 {
-  return replay_apply (replay, replay_next_offset (replay), text, strlen (text));
+  return replay_apply (replay, replay_next (replay), text, strlen (text));
 }
 
 static replay_result_t
@@ -62,7 +69,7 @@
 {
   g_autoptr (replay_t) replay = replay_new ();
 
-  replay_set_first_offset (replay, 0);
+  replay_set_first (replay, at (0));
   CU_ASSERT_FALSE (replay_is_ready (replay));
   CU_ASSERT_TRUE (replay_is_unpublished (replay));
   CU_ASSERT_EQUAL (feed_publish (replay, "a", 0, 4).verdict, REPLAY_ACCEPTED);
@@ -71,7 +78,7 @@
   CU_ASSERT_STRING_EQUAL (replay_publisher (replay), "ann");
   CU_ASSERT_EQUAL (feed_publish (replay, "b", 1, 9).version, 2);
   CU_ASSERT_EQUAL (replay_manifest (replay)->services[0].slots, 9);
-  CU_ASSERT_EQUAL (replay_next_offset (replay), 2);
+  CU_ASSERT_EQUAL (replay_next (replay).offset, 2);
 }
 
 /*
@@ -85,7 +92,7 @@
   g_autoptr (replay_t) replay = replay_new ();
   replay_result_t result;
 
-  replay_set_first_offset (replay, 0);
+  replay_set_first (replay, at (0));
   feed_publish (replay, "a", 0, 4);
   feed_publish (replay, "b", 1, 5);
   result = feed_publish (replay, "c", 1, 6);
@@ -105,7 +112,7 @@
   g_autoptr (replay_t) replay = replay_new ();
   replay_result_t result;
 
-  replay_set_first_offset (replay, 0);
+  replay_set_first (replay, at (0));
   feed_publish (replay, "a", 0, 4);
   result = feed_publish (replay, "a", 0, 4);
   CU_ASSERT_EQUAL (result.verdict, REPLAY_REPEATED);
@@ -128,11 +135,11 @@
   g_autoptr (replay_t) early = replay_new ();
   g_autoptr (replay_t) adopter = replay_new ();
 
-  replay_set_first_offset (early, 0);
+  replay_set_first (early, at (0));
   feed_publish (early, "a", 0, 4);
   CU_ASSERT_EQUAL (feed_publish (early, "x", 2, 7).verdict, REPLAY_STALE_BASE);
   feed_publish (early, "b", 1, 5);
-  CU_ASSERT_TRUE (replay_adopt (adopter, replay_manifest (early), replay_next_offset (early)));
+  CU_ASSERT_TRUE (replay_adopt (adopter, replay_manifest (early), replay_next (early)));
   CU_ASSERT_EQUAL (feed_publish (early, "x", 2, 7).verdict, REPLAY_ACCEPTED);
   CU_ASSERT_EQUAL (feed_publish (adopter, "x", 2, 7).verdict, REPLAY_ACCEPTED);
   CU_ASSERT_STRING_EQUAL (replay_manifest (early)->digest, replay_manifest (adopter)->digest);
@@ -161,7 +168,7 @@
   };
   g_autoptr (replay_t) replay = replay_new ();
 
-  replay_set_first_offset (replay, 0);
+  replay_set_first (replay, at (0));
   feed_publish (replay, "a", 0, 4);
   for (size_t i = 0; i < G_N_ELEMENTS (INVALID); i++)
     {
@@ -191,7 +198,7 @@
   g_autofree char *stale = NULL;
   g_autofree char *newer = NULL;
 
-  replay_set_first_offset (writer, 0);
+  replay_set_first (writer, at (0));
   feed_publish (writer, "a", 0, 4);
   stale = replay_format_checkpoint (writer);                              /* as of 0 */
   feed (writer, second);                                                  /* at 1 */
@@ -200,13 +207,13 @@
   CU_ASSERT_EQUAL (feed (writer, stale).verdict, REPLAY_CHECKPOINT_SEEN); /* at 3 */
   CU_ASSERT_EQUAL (version_of (writer), 3);
 
-  replay_set_first_offset (complete_reader, 1);
-  replay_set_end_offset (complete_reader, 4);
+  replay_set_first (complete_reader, at (1));
+  replay_set_end (complete_reader, at (4));
   CU_ASSERT_EQUAL (feed (complete_reader, second).verdict, REPLAY_SKIPPED);
   CU_ASSERT_EQUAL (feed (complete_reader, third).verdict, REPLAY_SKIPPED);
   CU_ASSERT_EQUAL (feed (complete_reader, stale).verdict, REPLAY_CHECKPOINT_USED);
   CU_ASSERT_FALSE (replay_is_ready (complete_reader));
-  CU_ASSERT_EQUAL (replay_next_offset (complete_reader), 1);
+  CU_ASSERT_EQUAL (replay_next (complete_reader).offset, 1);
   CU_ASSERT_EQUAL (feed (complete_reader, second).verdict, REPLAY_ACCEPTED);
   CU_ASSERT_EQUAL (feed (complete_reader, third).verdict, REPLAY_ACCEPTED);
   CU_ASSERT_FALSE (replay_is_ready (complete_reader));
@@ -214,14 +221,14 @@
   CU_ASSERT_TRUE (replay_is_ready (complete_reader));
   CU_ASSERT_EQUAL (version_of (complete_reader), 3);
 
-  replay_set_first_offset (incomplete_reader, 2);
-  replay_set_end_offset (incomplete_reader, 5);
+  replay_set_first (incomplete_reader, at (2));
+  replay_set_end (incomplete_reader, at (5));
   CU_ASSERT_EQUAL (feed (incomplete_reader, third).verdict, REPLAY_SKIPPED);
   CU_ASSERT_EQUAL (feed (incomplete_reader, stale).verdict, REPLAY_CHECKPOINT_SEEN);
   CU_ASSERT_FALSE (replay_is_ready (incomplete_reader));
   CU_ASSERT_PTR_NULL (replay_manifest (incomplete_reader));
   CU_ASSERT_EQUAL (feed (incomplete_reader, newer).verdict, REPLAY_CHECKPOINT_USED); /* at 4 */
-  CU_ASSERT_EQUAL (replay_next_offset (incomplete_reader), 2);
+  CU_ASSERT_EQUAL (replay_next (incomplete_reader).offset, 2);
   CU_ASSERT_EQUAL (feed (incomplete_reader, third).verdict, REPLAY_ACCEPTED);
   feed (incomplete_reader, stale);
   feed (incomplete_reader, newer);
@@ -241,19 +248,19 @@
   g_autoptr (replay_t) other = replay_new ();
   g_autofree char *checkpoint = NULL;
 
-  replay_set_first_offset (replay, 0);
+  replay_set_first (replay, at (0));
   feed_publish (replay, "a", 0, 4);
-  replay_set_first_offset (other, 0);
+  replay_set_first (other, at (0));
   feed_publish (other, "a", 0, 4);
   feed_publish (other, "b", 1, 5);
   feed_publish (other, "c", 1, 6);
   checkpoint = replay_format_checkpoint (other); /* as of 2 */
-  replay_set_first_offset (replay, 3);
+  replay_set_first (replay, at (3));
   CU_ASSERT_FALSE (replay_is_ready (replay));
   CU_ASSERT_EQUAL (version_of (replay), 1);
   CU_ASSERT_EQUAL (feed_publish (replay, "d", 1, 7).verdict, REPLAY_SKIPPED);  /* at 3 */
   CU_ASSERT_EQUAL (feed (replay, checkpoint).verdict, REPLAY_CHECKPOINT_USED); /* at 4 */
-  CU_ASSERT_EQUAL (replay_next_offset (replay), 3);
+  CU_ASSERT_EQUAL (replay_next (replay).offset, 3);
   CU_ASSERT_FALSE (replay_is_ready (replay));
   CU_ASSERT_EQUAL (feed_publish (replay, "d", 1, 7).verdict, REPLAY_STALE_BASE);
   CU_ASSERT_EQUAL (feed (replay, checkpoint).verdict, REPLAY_CHECKPOINT_SEEN);
@@ -268,21 +275,21 @@
   g_autoptr (replay_t) replay = replay_new ();
   manifest_t *first;
 
-  replay_set_first_offset (peer, 0);
+  replay_set_first (peer, at (0));
   feed_publish (peer, "a", 0, 4);
   first = manifest_ref (replay_manifest (peer));
   feed_publish (peer, "b", 1, 5);
-  CU_ASSERT_TRUE (replay_adopt (replay, replay_manifest (peer), 2));
+  CU_ASSERT_TRUE (replay_adopt (replay, replay_manifest (peer), at (2)));
   CU_ASSERT_TRUE (replay_is_ready (replay));
-  CU_ASSERT_FALSE (replay_adopt (replay, first, 1));
-  CU_ASSERT_FALSE (replay_adopt (replay, first, 9));
-  replay_set_first_offset (replay, 1);
-  CU_ASSERT_EQUAL (replay_next_offset (replay), 2);
+  CU_ASSERT_FALSE (replay_adopt (replay, first, at (1)));
+  CU_ASSERT_FALSE (replay_adopt (replay, first, at (9)));
+  replay_set_first (replay, at (1));
+  CU_ASSERT_EQUAL (replay_next (replay).offset, 2);
   CU_ASSERT_EQUAL (feed_publish (replay, "c", 2, 6).version, 3);
-  replay_set_first_offset (replay, 7);
+  replay_set_first (replay, at (7));
   CU_ASSERT_FALSE (replay_is_ready (replay));
-  CU_ASSERT_FALSE (replay_adopt (replay, replay_manifest (replay), 6));
-  CU_ASSERT_TRUE (replay_adopt (replay, replay_manifest (replay), 7));
+  CU_ASSERT_FALSE (replay_adopt (replay, replay_manifest (replay), at (6)));
+  CU_ASSERT_TRUE (replay_adopt (replay, replay_manifest (replay), at (7)));
   CU_ASSERT_TRUE (replay_is_ready (replay));
   manifest_unref (first);
 }
@@ -293,7 +300,7 @@
   g_autoptr (replay_t) replay = replay_new ();
   g_autofree char *checkpoint = NULL;
 
-  replay_set_first_offset (replay, 0);
+  replay_set_first (replay, at (0));
   CU_ASSERT_FALSE (replay_checkpoint_due (replay, 2));
   CU_ASSERT_PTR_NULL (replay_format_checkpoint (replay));
   feed_publish (replay, "a", 0, 4);
@@ -303,9 +310,9 @@
   checkpoint = replay_format_checkpoint (replay); /* as of 1 */
   feed (replay, checkpoint);                      /* at 2 */
   CU_ASSERT_FALSE (replay_checkpoint_due (replay, 1));
-  replay_set_first_offset (replay, 2);
+  replay_set_first (replay, at (2));
   CU_ASSERT_FALSE (replay_checkpoint_due (replay, 1));
-  replay_set_first_offset (replay, 3);
+  replay_set_first (replay, at (3));
   CU_ASSERT_TRUE (replay_checkpoint_due (replay, 1));
 }
 
@@ -338,7 +345,7 @@
   g_autofree char *text = replay_format_publish ("b", 1, "ann", NULL, shards);
   replay_result_t result;
 
-  replay_set_first_offset (replay, 0);
+  replay_set_first (replay, at (0));
   feed_publish (replay, "a", 0, 4);
   result = feed (replay, text);
   CU_ASSERT_EQUAL (result.verdict, REPLAY_INVALID);
@@ -346,6 +353,94 @@
   CU_ASSERT_EQUAL (result.version, 1);
 }
 
+/* Feeds publishes "a", "b" and "c", which are versions 1 to 3. */
+static void
+feed_three (replay_t *replay, position_t first)
+{
+  replay_set_first (replay, first);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      const char id[] = { (char)('a' + i), '\0' };
+
+      feed_publish (replay, id, i, 4 + i);
+    }
+}
+
+/* A reader whose log came back with the first of three publishes. */
+static replay_t *
+new_restored (void)
+{
+  replay_t *replay = replay_new ();
+
+  feed_three (replay, at (0));
+  replay_set_first (replay, (position_t){ 1, 0 });
+  replay_set_end (replay, (position_t){ 1, 1 });
+  feed_publish (replay, "a", 0, 4);
+  return replay;
+}
+
+/* Guards against a version that is replaced by an older one, or by none, as the log came back from
+ * a copy without it. */
+static void
+test_version_stays_when_the_log_lost_it (void)
+{
+  g_autoptr (replay_t) replay = new_restored ();
+  g_autoptr (replay_t) starting = replay_new ();
+  g_autofree char *restore = NULL;
+
+  CU_ASSERT_EQUAL (replay_manifest (replay)->version, 3);
+  CU_ASSERT_TRUE (replay_is_ready (replay));
+  CU_ASSERT_FALSE (replay_is_confirmed (replay));
+  CU_ASSERT_FALSE (replay_checkpoint_due (replay, 1));
+  CU_ASSERT_TRUE_FATAL (replay_restore_due (replay));
+  restore = replay_format_restore (replay);
+  CU_ASSERT_EQUAL (feed (replay, restore).verdict, REPLAY_RESTORED);
+  CU_ASSERT_FALSE (replay_restore_due (replay));
+  CU_ASSERT_TRUE (replay_is_confirmed (replay));
+  CU_ASSERT_EQUAL (feed (replay, restore).verdict, REPLAY_RESTORE_SEEN);
+  replay_set_first (starting, (position_t){ 1, 0 });
+  replay_set_end (starting, (position_t){ 1, 2 });
+  feed_publish (starting, "a", 0, 4);
+  CU_ASSERT_EQUAL (feed (starting, restore).verdict, REPLAY_RESTORED);
+  CU_ASSERT_EQUAL (replay_manifest (starting)->version, 3);
+  CU_ASSERT_STRING_EQUAL (replay_manifest (starting)->digest, replay_manifest (replay)->digest);
+  CU_ASSERT_EQUAL (feed_publish (replay, "d", 3, 9).version, 4);
+  CU_ASSERT_EQUAL (feed_publish (starting, "d", 3, 9).version, 4);
+}
+
+/* The version that the log has counts once it is as high as the one that it lost. */
+static void
+test_versions_published_anew_come_into_force (void)
+{
+  g_autoptr (replay_t) replay = new_restored ();
+
+  CU_ASSERT_EQUAL (feed_publish (replay, "x", 1, 11).version, 3);
+  CU_ASSERT_FALSE (replay_is_confirmed (replay));
+  feed_publish (replay, "y", 2, 12);
+  CU_ASSERT_TRUE (replay_is_confirmed (replay));
+  CU_ASSERT_EQUAL (replay_manifest (replay)->version, 3);
+  CU_ASSERT_FALSE (replay_restore_due (replay));
+}
+
+/* Guards against records of the era before that come late, and against a peer that is still there.
+ */
+static void
+test_records_and_states_of_an_era_before_are_ignored (void)
+{
+  g_autoptr (replay_t) replay = new_restored ();
+  g_autoptr (replay_t) peer = replay_new ();
+  g_autofree char *text = format_publish ("d", 3, 9);
+
+  feed_three (peer, at (0));
+  replay_set_first (replay, at (9));
+  replay_set_end (replay, at (9));
+  CU_ASSERT_EQUAL (replay_apply (replay, at (3), text, strlen (text)).verdict, REPLAY_SKIPPED);
+  CU_ASSERT_FALSE (replay_adopt (replay, replay_manifest (peer), at (3)));
+  CU_ASSERT_TRUE (position_equal (replay_next (replay), (position_t){ 1, 1 }));
+  CU_ASSERT_TRUE (replay_adopt (peer, replay_manifest (replay), (position_t){ 1, 2 }));
+  CU_ASSERT_TRUE (position_equal (replay_next (peer), (position_t){ 1, 2 }));
+}
+
 int
 main (void)
 {
@@ -361,6 +456,9 @@
     SUITE_TEST (test_checkpoint_due),
     SUITE_TEST (test_history_is_bounded),
     SUITE_TEST (test_claim_shards_cannot_change),
+    SUITE_TEST (test_version_stays_when_the_log_lost_it),
+    SUITE_TEST (test_versions_published_anew_come_into_force),
+    SUITE_TEST (test_records_and_states_of_an_era_before_are_ignored),
     CU_TEST_INFO_NULL,
   };
   return suite_run ("replay", tests);
--- a/tests/test_replay_property.c
+++ b/tests/test_replay_property.c
@@ -54,6 +54,13 @@
   uint32_t adopted;
 } run_t;
 
+/* A position in a log that never came back from a copy. */
+static position_t
+at (uint64_t offset)
+{
+  return (position_t){ .offset = offset };
+}
+
 static json_t *
 first_manifest (void)
 {
@@ -81,7 +88,7 @@
     return;
   run->records[offset] = g_strdup (text);
   run->end_offset++;
-  result = replay_apply (run->reference, offset, text, strlen (text));
+  result = replay_apply (run->reference, at (offset), text, strlen (text));
   manifest = replay_manifest (run->reference);
   run->versions[offset] = manifest != NULL ? manifest->version : 0;
   run->digests[offset] = g_strdup (manifest != NULL ? manifest->digest : "");
@@ -157,7 +164,7 @@
 {
   const manifest_t *manifest = replay_manifest (reader->replay);
   uint64_t version = manifest != NULL ? manifest->version : 0;
-  uint64_t next_offset = replay_next_offset (reader->replay);
+  uint64_t next_offset = replay_next (reader->replay).offset;
 
   CU_ASSERT_TRUE_FATAL (version >= reader->last_version);
   reader->last_version = version;
@@ -174,16 +181,16 @@
 {
   uint64_t offset;
 
-  if (run->first_offset > replay_next_offset (reader->replay))
+  if (run->first_offset > replay_next (reader->replay).offset)
     run->gaps++;
   if (!replay_is_ready (reader->replay) && run->end_offset > 0)
     reader->start_version = run->versions[run->end_offset - 1];
-  replay_set_first_offset (reader->replay, run->first_offset);
-  replay_set_end_offset (reader->replay, run->end_offset);
-  offset = replay_next_offset (reader->replay);
+  replay_set_first (reader->replay, at (run->first_offset));
+  replay_set_end (reader->replay, at (run->end_offset));
+  offset = replay_next (reader->replay).offset;
   for (; count > 0 && offset < run->end_offset; count--, offset++)
     {
-      replay_result_t result = replay_apply (reader->replay, offset, run->records[offset],
+      replay_result_t result = replay_apply (reader->replay, at (offset), run->records[offset],
                                              strlen (run->records[offset]));
 
       run->checkpoints_used += result.verdict == REPLAY_CHECKPOINT_USED;
@@ -208,8 +215,7 @@
   const replay_t *peer = run->readers[choose (run, READERS)].replay;
 
   if (replay_is_ready (peer))
-    run->adopted +=
-        replay_adopt (reader->replay, replay_manifest (peer), replay_next_offset (peer));
+    run->adopted += replay_adopt (reader->replay, replay_manifest (peer), replay_next (peer));
   check_reader (run, reader);
 }
 
@@ -247,7 +253,7 @@
       read_some (run, reader, RECORDS_MAX);
       read_some (run, reader, RECORDS_MAX);
       CU_ASSERT_TRUE (replay_is_ready (reader->replay));
-      CU_ASSERT_EQUAL (replay_next_offset (reader->replay), run->end_offset);
+      CU_ASSERT_EQUAL (replay_next (reader->replay).offset, run->end_offset);
       CU_ASSERT_STRING_EQUAL (replay_manifest (reader->replay)->digest,
                               replay_manifest (run->reference)->digest);
     }
@@ -279,7 +285,7 @@
 
   run->rand = g_rand_new_with_seed (seed);
   run->reference = replay_new ();
-  replay_set_first_offset (run->reference, 0);
+  replay_set_first (run->reference, at (0));
   for (uint32_t i = 0; i < READERS; i++)
     run->readers[i].replay = replay_new ();
   return run;
--- a/tests/test_version_fuzz.c
+++ b/tests/test_version_fuzz.c
@@ -13,10 +13,18 @@
 #define MUTATIONS_MAX 6
 #define STREAM_RECORDS 40 /* records that one reader processes before a new one takes over */
 
+/* A position in a log that never came back from a copy. */
+static position_t
+at (uint64_t offset)
+{
+  return (position_t){ .offset = offset };
+}
+
 static const char *const MANIFESTS[] = { "examples/tuul.json", "examples/jogak.json",
                                          "tests/corpus/manifest.json" };
 static const char *const RECORDS[] = { "tests/corpus/publish.json", "tests/corpus/patch.json",
-                                       "tests/corpus/checkpoint.json" };
+                                       "tests/corpus/checkpoint.json",
+                                       "tests/corpus/restore.json" };
 static const char *const TOKENS[] = {
   "{",    "}",       "[",        "]",         "\"",       ",",         ":",
   "null", "true",    "-1",       "0",         "1e999",    "2.5",       "9223372036854775807",
@@ -27,7 +35,8 @@
 typedef struct
 {
   GRand *rand;
-  GString *texts[3];
+  GString *texts[4];
+  uint32_t text_count;
 } fuzz_t;
 
 static uint32_t
@@ -52,11 +61,11 @@
 }
 
 static fuzz_t
-new_fuzz (const char *const *names)
+new_fuzz (const char *const *names, uint32_t count)
 {
-  fuzz_t fuzz = { .rand = g_rand_new_with_seed (SEED) };
+  fuzz_t fuzz = { .rand = g_rand_new_with_seed (SEED), .text_count = count };
 
-  for (uint32_t i = 0; i < G_N_ELEMENTS (fuzz.texts); i++)
+  for (uint32_t i = 0; i < count; i++)
     fuzz.texts[i] = load (names[i]);
   return fuzz;
 }
@@ -64,7 +73,7 @@
 static void
 free_fuzz (fuzz_t *fuzz)
 {
-  for (uint32_t i = 0; i < G_N_ELEMENTS (fuzz->texts); i++)
+  for (uint32_t i = 0; i < fuzz->text_count; i++)
     g_string_free (fuzz->texts[i], TRUE);
   g_rand_free (fuzz->rand);
 }
@@ -72,7 +81,7 @@
 static void
 mutate_once (const fuzz_t *fuzz, GString *text)
 {
-  const GString *other = fuzz->texts[choose (fuzz, G_N_ELEMENTS (fuzz->texts))];
+  const GString *other = fuzz->texts[choose (fuzz, fuzz->text_count)];
   gssize pos = choose (fuzz, text->len + 1);
   gssize length = choose (fuzz, MIN (text->len - (gsize)pos, 200) + 1);
   uint32_t from = choose (fuzz, other->len);
@@ -103,7 +112,7 @@
 static char *
 mutate (const fuzz_t *fuzz, size_t *text_bytes)
 {
-  const GString *origin = fuzz->texts[choose (fuzz, G_N_ELEMENTS (fuzz->texts))];
+  const GString *origin = fuzz->texts[choose (fuzz, fuzz->text_count)];
   GString *text = g_string_new_len (origin->str, (gssize)origin->len);
   char *block;
 
@@ -129,7 +138,7 @@
 static void
 test_manifests (void)
 {
-  fuzz_t fuzz = new_fuzz (MANIFESTS);
+  fuzz_t fuzz = new_fuzz (MANIFESTS, G_N_ELEMENTS (MANIFESTS));
   uint32_t accepted = 0;
 
   for (uint32_t round = 0; round < MANIFEST_ROUNDS; round++)
@@ -157,15 +166,15 @@
 {
   replay_t *replay = replay_new ();
 
-  replay_set_first_offset (replay, choose (fuzz, 3));
-  replay_set_end_offset (replay, choose (fuzz, STREAM_RECORDS));
+  replay_set_first (replay, at (choose (fuzz, 3)));
+  replay_set_end (replay, at (choose (fuzz, STREAM_RECORDS)));
   return replay;
 }
 
 static void
 test_records (void)
 {
-  fuzz_t fuzz = new_fuzz (RECORDS);
+  fuzz_t fuzz = new_fuzz (RECORDS, G_N_ELEMENTS (RECORDS));
   replay_t *replay = new_reader (&fuzz);
   uint64_t version = 0;
   uint32_t verdicts[REPLAY_SKIPPED + 1] = { 0 };
@@ -174,7 +183,7 @@
     {
       size_t text_bytes;
       g_autofree char *text = mutate (&fuzz, &text_bytes);
-      replay_result_t result = replay_apply (replay, replay_next_offset (replay), text, text_bytes);
+      replay_result_t result = replay_apply (replay, replay_next (replay), text, text_bytes);
 
       verdicts[result.verdict]++;
       CU_ASSERT_TRUE_FATAL (result.version >= version);
