--- a/src/connection/stream_follower.c
+++ b/src/connection/stream_follower.c
@@ -253,7 +253,7 @@
 
   if (!follower->listed)
     {
-      follower->listed = keyed_view_new (ignore_change, NULL, NULL);
+      follower->listed = keyed_view_new (ignore_change, NULL, NULL, NULL);
       follower->list_end = position_from (known, newest->end.era, newest->end.offset);
       follower->listed_as_of_us = follower->started_us;
     }
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -467,24 +467,24 @@
 static bool
 open_store (gateway_process_t *process, GError **error)
 {
-  process->store = gateway_store_new (
-      &(gateway_store_options_t){ .base = process->options.base,
-                                  .clock = process->options.clock,
-                                  .counters = process->options.counters,
-                                  .settings = process->options.settings,
-                                  .platform = process->options.platform,
-                                  .incarnation = process->options.incarnation,
-                                  .get_version = get_version,
-                                  .parse_version = process->options.readers.version,
-                                  .parse_engine = process->options.readers.engine,
-                                  .on_routing = on_routing,
-                                  .on_drain = on_drain,
-                                  .on_engine = on_engine,
-                                  .on_status = on_store_status,
-                                  .on_suspect = on_peer_suspect,
-                                  .on_load = on_peer_load,
-                                  .context = process },
-      error);
+  process->store =
+      gateway_store_new (&(gateway_store_options_t){ .base = process->options.base,
+                                                     .clock = process->options.clock,
+                                                     .counters = process->options.counters,
+                                                     .settings = process->options.settings,
+                                                     .platform = process->options.platform,
+                                                     .incarnation = process->options.incarnation,
+                                                     .get_version = get_version,
+                                                     .order = { process->options.readers.version,
+                                                                process->options.readers.engine },
+                                                     .on_routing = on_routing,
+                                                     .on_drain = on_drain,
+                                                     .on_engine = on_engine,
+                                                     .on_status = on_store_status,
+                                                     .on_suspect = on_peer_suspect,
+                                                     .on_load = on_peer_load,
+                                                     .context = process },
+                         error);
   return process->store != NULL;
 }
 
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -5,14 +5,14 @@
 #include "process/gateway_fetch.h"
 #include "process/gateway_peers.h"
 #include "process/gateway_start.h"
+#include "process/own_entry.h"
+#include "process/record_order.h"
 #include "request/policy/store_outage.h"
 #include "request/policy/read_policy.h"
 #include "request/policy/restoration.h"
 
 #include <string.h>
 
-#define OWN_ENTRY_RETRY_US (UINT64_C (1000) * 1000)
-
 enum
 {
   STREAM_ROUTING,
@@ -40,10 +40,9 @@
  * @copy_unsettled: that peer reported that removed keys may still be restored
  * @copied_engines: what the last copy had of the engine registry
  * @restorations: for each stream, what holds after the store came back from a copy
- * @entry_written: the gateway registry has this gateway's entry, in the era of its last listing
- * @entry_put: end of the gateway registry's last listing when that entry was last written
- * @entry_retry_us: earliest time of the next attempt to write that entry
- * @rand: spreads the writes of gateways whose entries were lost together
+ * @kept_counts: for each stream, records kept from before the store came back from a copy
+ * @dropping_missing: entries are being dropped that nobody wrote again in time
+ * @own_entry: this gateway's entry in the gateway registry
  */
 struct gateway_store
 {
@@ -64,12 +63,10 @@
   bool copy_unsettled;
   view_share_copy_t copied_engines;
   restoration_t restorations[STREAM_COUNT];
-  bool entry_written;
-  position_t entry_put;
-  uint64_t entry_retry_us;
-  GRand *rand;
+  uint32_t kept_counts[STREAM_COUNT];
+  bool dropping_missing;
+  own_entry_t *own_entry;
   counter_t *fetch_count;
-  counter_t *write_count;
   counter_t *held_gauge;
 };
 
@@ -92,51 +89,6 @@
     store->options.on_routing (value, value_bytes, position, store->options.context);
 }
 
-/* Versions only rise, whatever the store has. Nothing tells which of two orders to drain is newer.
- */
-static keyed_view_order_t
-compare_routing (const char *key,
-                 const char *known,
-                 size_t known_bytes,
-                 const char *value,
-                 size_t value_bytes,
-                 void *context)
-{
-  const gateway_store_t *store = context;
-  uint64_t version;
-  uint64_t known_version;
-
-  if (strcmp (key, PLATFORM_KEY_CONFIG) != 0)
-    return KEYED_VIEW_UNORDERED;
-  version = store->options.parse_version (value, value_bytes);
-  known_version = store->options.parse_version (known, known_bytes);
-  if (version == known_version)
-    return KEYED_VIEW_SAME_AGE;
-  return version < known_version ? KEYED_VIEW_OLDER : KEYED_VIEW_NEWER;
-}
-
-static keyed_view_order_t
-compare_engines (const char *key,
-                 const char *known,
-                 size_t known_bytes,
-                 const char *value,
-                 size_t value_bytes,
-                 void *context)
-{
-  const gateway_store_t *store = context;
-  engine_entry_t entry;
-  engine_entry_t known_entry;
-  int order;
-
-  if (!store->options.parse_engine (&entry, key, value, value_bytes, NULL) ||
-      !store->options.parse_engine (&known_entry, key, known, known_bytes, NULL))
-    return KEYED_VIEW_UNORDERED;
-  order = restoration_compare_entries (&known_entry, &entry);
-  if (order == 0)
-    return KEYED_VIEW_SAME_AGE;
-  return order < 0 ? KEYED_VIEW_OLDER : KEYED_VIEW_NEWER;
-}
-
 static uint64_t
 min_outage_us (const gateway_store_t *store)
 {
@@ -161,9 +113,12 @@
 static bool
 may_have_lapsed (const gateway_store_t *store)
 {
-  bool unsure = store->applying_copy
-                    ? store->copy_unsettled
-                    : stream_follower_is_catching_up (store->followers[STREAM_ENGINES]);
+  bool unsure;
+
+  if (store->dropping_missing)
+    return false;
+  unsure = store->applying_copy ? store->copy_unsettled
+                                : stream_follower_is_catching_up (store->followers[STREAM_ENGINES]);
 
   uint64_t outage_end_us =
       store_outage_end_us (&store->outage, now_us (store), min_outage_us (store));
@@ -276,17 +231,6 @@
                                   : restoration_other_limits ();
 }
 
-/* The entry of this gateway may be among the records that the store has lost. All gateways find
- * that at the same time, so they write at random times. */
-static void
-expect_lost_entry (gateway_store_t *store)
-{
-  store->entry_written = false;
-  store->entry_retry_us =
-      now_us (store) +
-      (uint64_t)g_rand_int_range (store->rand, 0, (gint32)RESTORATION_REWRITE_SPREAD_US);
-}
-
 static void
 log_restoration (const gateway_store_t *store, uint32_t stream, const char *step)
 {
@@ -307,7 +251,7 @@
     return;
   log_restoration (store, stream, "listed");
   if (stream == STREAM_ROUTERS)
-    expect_lost_entry (store);
+    own_entry_check_again (store->own_entry);
 }
 
 static uint64_t
@@ -320,6 +264,33 @@
   return era;
 }
 
+static void
+drop_missing (gateway_store_t *store, uint32_t stream)
+{
+  store->dropping_missing = true;
+  keyed_view_drop_missing (store->views[stream]);
+  store->dropping_missing = false;
+  log_restoration (store, stream, "missing_dropped");
+}
+
+static void
+advance_restoration (gateway_store_t *store, uint32_t stream)
+{
+  restoration_t *restoration = &store->restorations[stream];
+
+  note_listing (store, stream);
+  if (!restoration_is_pending (restoration) && store->kept_counts[stream] == 0)
+    return;
+  if (restoration_take_drop_due (restoration, now_us (store)))
+    drop_missing (store, stream);
+  if (restoration_take_apply_due (restoration, now_us (store)))
+    {
+      keyed_view_apply_held (store->views[stream]);
+      log_restoration (store, stream, "held_applied");
+    }
+  store->kept_counts[stream] = keyed_view_held_count (store->views[stream]);
+}
+
 /* The era is that of the whole store: what one stream has found holds for the others, whose reads
  * may wait for long. */
 static void
@@ -331,18 +302,8 @@
   for (uint32_t i = 0; i < STREAM_COUNT; i++)
     {
       stream_follower_note_era (store->followers[i], era);
-      note_listing (store, i);
-      if (restoration_take_drop_due (&store->restorations[i], now_us (store)))
-        {
-          keyed_view_drop_missing (store->views[i]);
-          log_restoration (store, i, "missing_dropped");
-        }
-      if (restoration_take_apply_due (&store->restorations[i], now_us (store)))
-        {
-          keyed_view_apply_held (store->views[i]);
-          log_restoration (store, i, "held_applied");
-        }
-      kept += keyed_view_held_count (store->views[i]);
+      advance_restoration (store, i);
+      kept += store->kept_counts[i];
     }
   counter_set (store->held_gauge, kept);
 }
@@ -683,45 +644,6 @@
                            policy_view (store, STREAM_ROUTING).store_call_failed);
 }
 
-/* An entry that was written in an era before is among the records that the store may have lost. */
-static void
-on_put (platform_outcome_t outcome, position_t position, void *context)
-{
-  gateway_store_t *store = context;
-  position_t written = position_from (store->entry_put, position.era, position.offset);
-
-  store->entry_written =
-      outcome == PLATFORM_OK && written.era >= keyed_view_listed (store->views[STREAM_ROUTERS]).era;
-  stream_follower_note_era (store->followers[STREAM_ROUTERS], written.era);
-  log_event (LOG_LEVEL_NOTICE, "own_entry", "outcome",
-             outcome == PLATFORM_OK ? "written" : "not_known", "offset", LOG_U64 (written.offset),
-             "era", LOG_U64 (written.era), NULL);
-}
-
-/* Only the newest record of a key counts, so writing the entry again after a lost answer is
- * harmless. An entry that the registry already has is not written again. */
-static void
-write_own_entry (gateway_store_t *store)
-{
-  const char *name = store->options.settings->name;
-  g_autofree char *entry = NULL;
-
-  if (store->entry_written || now_us (store) < store->entry_retry_us ||
-      !stream_follower_has_listed (store->followers[STREAM_ROUTERS]))
-    return;
-  store->entry_retry_us = now_us (store) + OWN_ENTRY_RETRY_US;
-  entry = gateway_peers_format_own_entry (store->peers);
-  if (keyed_view_has_in_era (store->views[STREAM_ROUTERS], name, entry, strlen (entry)))
-    store->entry_written = true;
-  else
-    {
-      counter_add (store->write_count, 1);
-      store->entry_put = keyed_view_listed (store->views[STREAM_ROUTERS]);
-      store->options.platform->put (store->options.platform, PLATFORM_STREAM_ROUTERS, name, entry,
-                                    strlen (entry), on_put, store);
-    }
-}
-
 static void
 update_streams (gateway_store_t *store)
 {
@@ -760,7 +682,7 @@
   advance_restorations (store);
   gateway_start_advance (store->start);
   update_streams (store);
-  write_own_entry (store);
+  own_entry_write_if_due (store->own_entry);
 }
 
 static uint32_t
@@ -783,7 +705,7 @@
                keyed_view_compare_t compare,
                void (*on_state) (stream_follower_state_t state, void *context))
 {
-  store->views[stream] = keyed_view_new (changed, compare, store);
+  store->views[stream] = keyed_view_new (changed, store, compare, &store->options.order);
   store->followers[stream] = stream_follower_new (
       &(stream_follower_options_t){ .base = store->options.base,
                                     .clock = store->options.clock,
@@ -812,17 +734,13 @@
 gateway_store_new (const gateway_store_options_t *options, GError **error)
 {
   gateway_store_t *store = g_new0 (gateway_store_t, 1);
+  g_autofree char *entry = NULL;
 
   store->options = *options;
   store->fetch_count = counter_get (options->counters, "medlarplank_views_from_peers_total",
                                     "Times that records of the store were taken from a peer");
-  store->write_count =
-      counter_get_labelled (options->counters, "medlarplank_store_writes_total", "stream",
-                            PLATFORM_STREAM_ROUTERS, "Records written into the store");
   store->held_gauge = counter_get (options->counters, "medlarplank_store_kept_records",
                                    "Records kept from before the store came back from a copy");
-  store->rand =
-      g_rand_new_with_seed ((guint32)options->incarnation ^ g_str_hash (options->settings->name));
   store->fetch = gateway_fetch_new (
       &(gateway_fetch_options_t){ .base = options->base,
                                   .clock = options->clock,
@@ -841,10 +759,10 @@
                                                      .pick_peer = start_pick_peer,
                                                      .fetch_all = start_fetch_all,
                                                      .context = store });
-  follow_stream (store, STREAM_ROUTING, poll_wait_ms (store), on_routing, compare_routing,
-                 on_routing_state);
-  follow_stream (store, STREAM_ENGINES, poll_wait_ms (store), on_engine, compare_engines,
-                 on_engines_state);
+  follow_stream (store, STREAM_ROUTING, poll_wait_ms (store), on_routing,
+                 record_order_compare_routing, on_routing_state);
+  follow_stream (store, STREAM_ENGINES, poll_wait_ms (store), on_engine,
+                 record_order_compare_engines, on_engines_state);
   follow_stream (store, STREAM_ROUTERS, GATEWAY_STORE_ROUTERS_READ_WAIT_MS, on_router, NULL,
                  on_routers_state);
   store->peers = gateway_peers_new (&(gateway_peers_options_t){ .base = options->base,
@@ -863,6 +781,16 @@
       gateway_store_free (store);
       return NULL;
     }
+  entry = gateway_peers_format_own_entry (store->peers);
+  store->own_entry = own_entry_new (&(own_entry_options_t){
+      .clock = options->clock,
+      .counters = options->counters,
+      .platform = options->platform,
+      .name = options->settings->name,
+      .value = entry,
+      .view = store->views[STREAM_ROUTERS],
+      .follower = store->followers[STREAM_ROUTERS],
+      .seed = options->incarnation ^ g_str_hash (options->settings->name) });
   gateway_start_advance (store->start);
   return store;
 }
@@ -880,7 +808,7 @@
       keyed_view_free (store->views[i]);
     }
   gateway_start_free (store->start);
-  g_rand_free (store->rand);
+  own_entry_free (store->own_entry);
   g_free (store);
 }
 
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -13,7 +13,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/settings.h"
-#include "request/policy/engines.h"
+#include "process/record_order.h"
 #include "request/policy/load_reports.h"
 #include "request/policy/suspect.h"
 
@@ -59,8 +59,7 @@
  * @platform: client of the store; owned by the new object
  * @incarnation: start time of this process, in milliseconds since 1970
  * @get_version: returns the version of the routing rules in force, 0 for none
- * @parse_version: returns the version of routing rules, 0 when they are invalid
- * @parse_engine: parses an entry of the engine registry; returns false when it is invalid
+ * @order: orders records by their values
  * @on_routing: a record of routing rules was read
  * @on_drain: operators drain a data centre, or cancel the drain
  * @on_engine: an entry of the engine registry was read; @text is NULL when the entry was removed.
@@ -80,9 +79,7 @@
   platform_t *platform;
   uint64_t incarnation;
   uint64_t (*get_version) (void *context);
-  uint64_t (*parse_version) (const char *text, size_t text_bytes);
-  bool (*parse_engine) (
-      engine_entry_t *out, const char *id, const char *text, size_t text_bytes, GError **error);
+  record_order_t order;
   void (*on_routing) (const char *text, size_t text_bytes, position_t position, void *context);
   void (*on_drain) (const char *data_center, bool drained, position_t position, void *context);
   void (*on_engine) (const char *id,
--- a/src/request/policy/restoration.c
+++ b/src/request/policy/restoration.c
@@ -34,6 +34,12 @@
   return listed_before;
 }
 
+bool
+restoration_is_pending (const restoration_t *restoration)
+{
+  return restoration->drop_missing_us != 0 || restoration->apply_held_us != 0;
+}
+
 static bool
 take_due (uint64_t *due_us, uint64_t now_us)
 {
--- a/src/request/policy/restoration.h
+++ b/src/request/policy/restoration.h
@@ -60,6 +60,8 @@
                                uint64_t now_us,
                                uint64_t era,
                                const restoration_limits_t *limits);
+/** restoration_is_pending() - whether missing keys or held records may be kept */
+bool restoration_is_pending (const restoration_t *restoration);
 /** restoration_take_drop_due() - whether missing keys are to be dropped now; true once */
 bool restoration_take_drop_due (restoration_t *restoration, uint64_t now_us);
 /** restoration_take_apply_due() - whether held records are to be applied now; true once */
--- a/src/version/keyed_view.c
+++ b/src/version/keyed_view.c
@@ -37,8 +37,9 @@
 struct view
 {
   keyed_view_visit_t changed;
-  keyed_view_compare_t compare;
   void *context;
+  keyed_view_compare_t compare;
+  void *compare_context;
   GHashTable *entries; /* key -> entry_t */
   bool listing;
   uint64_t list_number;
@@ -64,13 +65,17 @@
 }
 
 keyed_view_t *
-keyed_view_new (keyed_view_visit_t changed, keyed_view_compare_t compare, void *context)
+keyed_view_new (keyed_view_visit_t changed,
+                void *changed_context,
+                keyed_view_compare_t compare,
+                void *compare_context)
 {
   keyed_view_t *view = g_new0 (keyed_view_t, 1);
 
   view->changed = changed;
+  view->context = changed_context;
   view->compare = compare;
-  view->context = context;
+  view->compare_context = compare_context;
   view->entries = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
   return view;
 }
@@ -128,7 +133,8 @@
 {
   if (!view->compare || !known->value)
     return KEYED_VIEW_UNORDERED;
-  return view->compare (key, known->value, known->value_bytes, value, value_bytes, view->context);
+  return view->compare (key, known->value, known->value_bytes, value, value_bytes,
+                        view->compare_context);
 }
 
 /** enum decision - what happens to a record of a later era than the known one */
--- a/src/version/keyed_view.h
+++ b/src/version/keyed_view.h
@@ -51,8 +51,10 @@
 
 /** keyed_view_new() - an empty view, which calls @changed whenever the record of a key changes;
  * without @compare, values tell no order */
-keyed_view_t *
-keyed_view_new (keyed_view_visit_t changed, keyed_view_compare_t compare, void *context);
+keyed_view_t *keyed_view_new (keyed_view_visit_t changed,
+                              void *changed_context,
+                              keyed_view_compare_t compare,
+                              void *compare_context);
 void keyed_view_free (keyed_view_t *view);
 /** keyed_view_apply() - apply a record; a @value of NULL deletes the key. Return: whether the
  * record replaces the known one */
--- a/tests/test_follower_eras.c
+++ b/tests/test_follower_eras.c
@@ -104,7 +104,7 @@
   fixture->base = event_base_new ();
   clock_init_paused (&fixture->clock, START_US);
   fixture->counters = counter_registry_new ();
-  fixture->view = keyed_view_new (ignore_change, NULL, NULL);
+  fixture->view = keyed_view_new (ignore_change, NULL, NULL, NULL);
   fixture->follower =
       stream_follower_new (&(stream_follower_options_t){ .base = fixture->base,
                                                          .clock = &fixture->clock,
--- a/tests/test_gateway_fetch.c
+++ b/tests/test_gateway_fetch.c
@@ -35,7 +35,7 @@
   static const char *const expected[] = { "\"large\":true", "\"records\":[[" };
   g_autoptr (server_fixture_t) fixture = server_fixture_new ();
   clock_source_t clock;
-  keyed_view_t *view = keyed_view_new (ignore_change, NULL, NULL);
+  keyed_view_t *view = keyed_view_new (ignore_change, NULL, NULL, NULL);
   char value[VALUE_BYTES + 1];
   view_share_stream_t stream = {
     .name = "routing", .view = view, .next.offset = 1, .max_value_bytes = UPDATE_MAX_BYTES
--- a/tests/test_keyed_view.c
+++ b/tests/test_keyed_view.c
@@ -57,7 +57,7 @@
 test_older_records_change_nothing (void)
 {
   changes_t changes = { 0 };
-  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, NULL, &changes);
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes, NULL, NULL);
 
   apply (view, 5, "a", "new");
   apply (view, 3, "a", "old");
@@ -77,7 +77,7 @@
 test_listing_deletes_missing_keys (void)
 {
   changes_t changes = { 0 };
-  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, NULL, &changes);
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes, NULL, NULL);
 
   apply (view, 1, "gone", "x");
   apply (view, 2, "stays", "x");
@@ -103,7 +103,7 @@
 {
   memset (pair, 0, sizeof *pair);
   for (uint32_t i = 0; i < 2; i++)
-    pair->view[i] = keyed_view_new (record_change, NULL, &pair->changes[i]);
+    pair->view[i] = keyed_view_new (record_change, &pair->changes[i], NULL, NULL);
 }
 
 static void
@@ -197,7 +197,7 @@
     "{\"settled\":true,\"engines\":{\"whole\":false,\"records\":[]}}",
   };
   changes_t changes = { 0 };
-  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, NULL, &changes);
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes, NULL, NULL);
   view_share_stream_t stream = { .name = "engines", .view = view };
   view_share_answer_t answer;
 
@@ -237,7 +237,7 @@
 test_older_list_brings_nothing_back (void)
 {
   changes_t changes = { 0 };
-  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, NULL, &changes);
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes, NULL, NULL);
 
   apply (view, 4, "left", "ready");
   keyed_view_list_begin (view);
@@ -259,7 +259,7 @@
 test_newer_list_restores_what_a_copy_lacked (void)
 {
   changes_t changes = { 0 };
-  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, NULL, &changes);
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes, NULL, NULL);
 
   keyed_view_list_begin (view);
   apply (view, 2, "a", "x");
@@ -279,7 +279,7 @@
 {
   static const char value[] = "x\0y";
   changes_t changes = { 0 };
-  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, NULL, &changes);
+  g_autoptr (keyed_view_t) view = keyed_view_new (record_change, &changes, NULL, NULL);
   view_share_stream_t stream = { .name = "engines", .view = view, .next = at (2) };
   const position_t from = { 0 };
   view_share_answer_t answer;
--- a/tests/test_stream_follower.c
+++ b/tests/test_stream_follower.c
@@ -107,7 +107,7 @@
   clock_init_running (&fixture->clock);
   fixture->store.platform = (platform_t){ .read = on_read, .newest = on_newest };
   fixture->counters = counter_registry_new ();
-  fixture->view = keyed_view_new (ignore_change, NULL, fixture);
+  fixture->view = keyed_view_new (ignore_change, fixture, NULL, NULL);
   fixture->follower =
       stream_follower_new (&(stream_follower_options_t){ .base = fixture->base,
                                                          .clock = &fixture->clock,
--- a/tests/test_view_eras.c
+++ b/tests/test_view_eras.c
@@ -53,7 +53,7 @@
 static keyed_view_t *
 new_view (void)
 {
-  return keyed_view_new (ignore_change, compare_numbers, NULL);
+  return keyed_view_new (ignore_change, NULL, compare_numbers, NULL);
 }
 
 static void
--- a/tests/test_view_orders.c
+++ b/tests/test_view_orders.c
@@ -82,7 +82,7 @@
   clock_init_paused (&host->clock, START_US);
   host->counters = counter_registry_new ();
   host->engines = engines_new ();
-  host->view = keyed_view_new (on_host_record, NULL, host);
+  host->view = keyed_view_new (on_host_record, host, NULL, NULL);
   host->follower =
       stream_follower_new (&(stream_follower_options_t){ .base = host->base,
                                                          .clock = &host->clock,
