--- a/src/connection/stream_follower.c
+++ b/src/connection/stream_follower.c
@@ -376,7 +376,8 @@
   schedule_next (follower, (uint64_t)wait_ms * CLOCK_US_PER_MS);
 }
 
-static void
+/* Return: number of records that the platform had after those of @read */
+static uint64_t
 apply_read (stream_follower_t *follower, const platform_read_t *read)
 {
   position_t known = { .era = follower->era };
@@ -389,6 +390,7 @@
   if (!position_is_before (follower->next, end))
     follower->current_as_of_us = read_as_of_us (follower);
   follower->catching_up = position_is_before (follower->next, end) && follower->catching_up;
+  return position_is_before (follower->next, end) ? end.offset - follower->next.offset : 0;
 }
 
 /* Whether the position that was read from is of the era of the response, and of the newest era. If
@@ -406,6 +408,8 @@
   stream_follower_t *follower = call->follower;
   uint64_t pace_us = (uint64_t)follower->options.pace_ms * CLOCK_US_PER_MS;
   position_t from = call->from;
+  position_t first;
+  uint64_t records_left;
   uint64_t era = read->end.era != 0 ? read->end.era : call->era;
 
   if (end_call (call))
@@ -421,14 +425,15 @@
       schedule_next (follower, (uint64_t)STREAM_FOLLOWER_READ_INTERVAL_MIN_MS * CLOCK_US_PER_MS);
       return;
     }
-  if (read->outcome == PLATFORM_EXPIRED || read->first.offset > follower->next.offset)
+  first = position_from (from, read->first.era, read->first.offset);
+  if (read->outcome == PLATFORM_EXPIRED || position_is_before (follower->next, first))
     {
       handle_expired (follower);
       return;
     }
   handle_success (follower);
-  apply_read (follower, read);
-  if (follower->options.latest_only && follower->next.offset + 1 < read->end.offset)
+  records_left = apply_read (follower, read);
+  if (follower->options.latest_only && records_left > 1)
     {
       list_newest (follower);
       return;
