--- a/tests/test_read_policy.c
+++ b/tests/test_read_policy.c
@@ -316,6 +316,26 @@
   CU_ASSERT (!read_policy_may_have_lapsed (START_US, true, START_US + 4500 * CLOCK_US_PER_MS));
 }
 
+/* Guards against gateways of two eras that confirm each other by the same offset, one of a build
+ * without eras among them, and against a gateway that does not ask the one that is ahead. */
+static void
+test_peer_of_another_era_confirms_nothing (void)
+{
+  read_policy_t read_policy = { 0 };
+
+  read_policy_apply_peer (&read_policy, START_US, (position_t){ 1, 7 }, (position_t){ 2, 7 },
+                          START_US);
+  read_policy_apply_peer (&read_policy, START_US, at (7), (position_t){ 2, 7 }, START_US);
+  read_policy_apply_peer (&read_policy, START_US, at (99), (position_t){ 2, 7 }, START_US);
+  CU_ASSERT_EQUAL (read_policy.current_as_of_us, 0);
+  CU_ASSERT_FALSE (read_policy.fetch_due);
+  read_policy_apply_peer (&read_policy, START_US, (position_t){ 3, 1 }, (position_t){ 2, 7 },
+                          START_US);
+  CU_ASSERT_EQUAL (read_policy.current_as_of_us, 0);
+  CU_ASSERT_TRUE (read_policy.fetch_due);
+  CU_ASSERT_EQUAL (read_policy.behind_since_us, START_US);
+}
+
 int
 main (void)
 {
@@ -334,6 +354,7 @@
     SUITE_TEST (test_large_records_are_asked_of_a_peer_after_the_patience),
     SUITE_TEST (test_reads_in_an_outage_do_not_grow_with_the_gateways),
     SUITE_TEST (test_entries_lapse_only_around_an_outage),
+    SUITE_TEST (test_peer_of_another_era_confirms_nothing),
     CU_TEST_INFO_NULL
   };
 
--- a/tests/test_store_restored.c
+++ b/tests/test_store_restored.c
@@ -187,6 +187,26 @@
   CU_ASSERT (gateway_rig_wait_counter (rig, "medlarplank_store_kept_records", 1));
 }
 
+/* Guards against requests to a data centre that operators drained after the copy. */
+static void
+test_drain_from_after_the_copy_stays (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  raw_server_t *engine = add_engine (rig);
+  uint32_t requests;
+
+  fake_store_copy (rig->store);
+  fake_store_put (rig->store, PLATFORM_STREAM_ROUTING, "drain/hall-1", "x");
+  CU_ASSERT_TRUE_FATAL (raw_peer_run_until (rig->base, is_refused, rig));
+  requests = engine->request_count;
+  fake_store_restore (rig->store);
+  publish (rig, 1, 2);
+  CU_ASSERT_TRUE (reach_version (rig, 2));
+  raw_peer_run_ms (rig->base, 200);
+  expect_status (rig, "/look/x", "HTTP/1.1 503");
+  CU_ASSERT_EQUAL (engine->request_count, requests);
+}
+
 /* A gateway that can't reach the store gets the new era from its peers. */
 static void
 test_gateway_without_the_store_learns_the_era (void)
@@ -233,6 +253,7 @@
     SUITE_TEST (test_own_entries_are_written_again),
     SUITE_TEST (test_engine_from_after_the_copy_is_kept),
     SUITE_TEST (test_engine_that_left_after_the_copy_gets_nothing),
+    SUITE_TEST (test_drain_from_after_the_copy_stays),
     SUITE_TEST (test_gateway_without_the_store_learns_the_era),
     SUITE_TEST (test_version_stays_over_two_restorations_and_a_start),
     CU_TEST_INFO_NULL
