The soak runs each of its seeds again

The line of a seed without restorations ended in a blank, which xargs -L takes as continued on the next line: only the first seed of each input ran, and the others passed over in silence. Seen by a count of 1 of 3. Fixed, and the runs are counted: fewer than lines is a failure. The runs with restorations were not affected.

--- a/soak/run.sh
+++ b/soak/run.sh
@@ -7,11 +7,12 @@
 out=$1
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
-grep -v '^#' | awk -v all="${RESTORATIONS:-}" '{ print $1, $2, (all || $3 == "restored") ? "--restorations" : "" }' |
-  xargs -P 3 -L 1 sh -c '"$0/soak-run" --build "$0" --seed "$2" --seconds "$3" ${4:-} --gateways "${GATEWAYS:-3}" >"$1/$2${4:-}.log" 2>&1 && mv "$1/$2${4:-}.log" "$1/$2${4:-}.passed"; true' "$out" "$dir"
+lines=$(grep -v '^#' | awk -v all="${RESTORATIONS:-}" \
+  '{ print $1, $2 ((all || $3 == "restored") ? " --restorations" : "") }')
+xargs -P 3 -L 1 sh -c '"$0/soak-run" --build "$0" --seed "$2" --seconds "$3" ${4:-} --gateways "${GATEWAYS:-3}" >"$1/$2${4:-}.log" 2>&1 && mv "$1/$2${4:-}.log" "$1/$2${4:-}.passed"; true' "$out" "$dir" <<<"$lines"
 passed=$(find "$dir" -name '*.passed' | wc -l)
 failed=$(find "$dir" -name '*.log' | wc -l)
 find "$dir" -name '*.passed' -exec tail -qn 1 {} +
 find "$dir" -name '*.log' -exec cat {} +
 echo "soak: $passed passed, $failed failed"
-[ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
+[ "$failed" -eq 0 ] && [ "$passed" -eq "$(wc -l <<<"$lines")" ]
