--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -454,7 +454,7 @@
   while (rig.received.version != 2 && g_get_monotonic_time () < end_us)
     rig_tick (&rig);
   CU_ASSERT_EQUAL (rig.received.version, 2);
-  CU_ASSERT_EQUAL (replay_next (rig.ctrl->manifest.replay).offset, 9);
+  CU_ASSERT (position_equal (replay_next (rig.ctrl->manifest.replay), (position_t){ .offset = 9 }));
   stop_version_server (&server);
 }
 
--- a/tests/test_keyed_view.c
+++ b/tests/test_keyed_view.c
@@ -209,7 +209,7 @@
   for (uint32_t i = 0; i < G_N_ELEMENTS (invalid_streams); i++)
     {
       CU_ASSERT (view_share_parse (&answer, invalid_streams[i], strlen (invalid_streams[i])));
-      CU_ASSERT_EQUAL (view_share_apply (&answer, &stream).offset, 0);
+      CU_ASSERT (position_equal (view_share_apply (&answer, &stream), at (0)));
       view_share_clear (&answer);
     }
 }
@@ -250,7 +250,7 @@
   keyed_view_list_end (view, at (9));
   CU_ASSERT_STRING_EQUAL (get_value (view, "left"), "none");
   CU_ASSERT_STRING_EQUAL (get_value (view, "stays"), "ready");
-  CU_ASSERT_EQUAL (keyed_view_listed (view).offset, 10);
+  CU_ASSERT (position_equal (keyed_view_listed (view), at (10)));
 }
 
 /* Guards against an entry that stays lost although the store lists it, after a whole copy of a peer
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -298,7 +298,7 @@
   const char *gap =
       "{\"first\":8,\"next\":9,\"end\":9,\"records\":[{\"offset\":8,\"data\":\"x\"}]}";
   CU_ASSERT_TRUE_FATAL (platform_answer_parse_read (&read, gap, strlen (gap), 4, 1));
-  CU_ASSERT_EQUAL (read.read.first.offset, 8);
+  CU_ASSERT (position_equal (read.read.first, (position_t){ .offset = 8 }));
   platform_answer_read_clear (&read);
 }
 
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -78,7 +78,7 @@
   CU_ASSERT_STRING_EQUAL (replay_publisher (replay), "ann");
   CU_ASSERT_EQUAL (feed_publish (replay, "b", 1, 9).version, 2);
   CU_ASSERT_EQUAL (replay_manifest (replay)->services[0].slots, 9);
-  CU_ASSERT_EQUAL (replay_next (replay).offset, 2);
+  CU_ASSERT (position_equal (replay_next (replay), at (2)));
 }
 
 /*
@@ -213,7 +213,7 @@
   CU_ASSERT_EQUAL (feed (complete_reader, third).verdict, REPLAY_SKIPPED);
   CU_ASSERT_EQUAL (feed (complete_reader, stale).verdict, REPLAY_CHECKPOINT_USED);
   CU_ASSERT_FALSE (replay_is_ready (complete_reader));
-  CU_ASSERT_EQUAL (replay_next (complete_reader).offset, 1);
+  CU_ASSERT (position_equal (replay_next (complete_reader), at (1)));
   CU_ASSERT_EQUAL (feed (complete_reader, second).verdict, REPLAY_ACCEPTED);
   CU_ASSERT_EQUAL (feed (complete_reader, third).verdict, REPLAY_ACCEPTED);
   CU_ASSERT_FALSE (replay_is_ready (complete_reader));
@@ -228,7 +228,7 @@
   CU_ASSERT_FALSE (replay_is_ready (incomplete_reader));
   CU_ASSERT_PTR_NULL (replay_manifest (incomplete_reader));
   CU_ASSERT_EQUAL (feed (incomplete_reader, newer).verdict, REPLAY_CHECKPOINT_USED); /* at 4 */
-  CU_ASSERT_EQUAL (replay_next (incomplete_reader).offset, 2);
+  CU_ASSERT (position_equal (replay_next (incomplete_reader), at (2)));
   CU_ASSERT_EQUAL (feed (incomplete_reader, third).verdict, REPLAY_ACCEPTED);
   feed (incomplete_reader, stale);
   feed (incomplete_reader, newer);
@@ -260,7 +260,7 @@
   CU_ASSERT_EQUAL (version_of (replay), 1);
   CU_ASSERT_EQUAL (feed_publish (replay, "d", 1, 7).verdict, REPLAY_SKIPPED);  /* at 3 */
   CU_ASSERT_EQUAL (feed (replay, checkpoint).verdict, REPLAY_CHECKPOINT_USED); /* at 4 */
-  CU_ASSERT_EQUAL (replay_next (replay).offset, 3);
+  CU_ASSERT (position_equal (replay_next (replay), at (3)));
   CU_ASSERT_FALSE (replay_is_ready (replay));
   CU_ASSERT_EQUAL (feed_publish (replay, "d", 1, 7).verdict, REPLAY_STALE_BASE);
   CU_ASSERT_EQUAL (feed (replay, checkpoint).verdict, REPLAY_CHECKPOINT_SEEN);
@@ -284,7 +284,7 @@
   CU_ASSERT_FALSE (replay_adopt (replay, first, at (1)));
   CU_ASSERT_FALSE (replay_adopt (replay, first, at (9)));
   replay_set_first (replay, at (1));
-  CU_ASSERT_EQUAL (replay_next (replay).offset, 2);
+  CU_ASSERT (position_equal (replay_next (replay), at (2)));
   CU_ASSERT_EQUAL (feed_publish (replay, "c", 2, 6).version, 3);
   replay_set_first (replay, at (7));
   CU_ASSERT_FALSE (replay_is_ready (replay));
--- a/tests/test_replay_property.c
+++ b/tests/test_replay_property.c
@@ -253,7 +253,7 @@
       read_some (run, reader, RECORDS_MAX);
       read_some (run, reader, RECORDS_MAX);
       CU_ASSERT_TRUE (replay_is_ready (reader->replay));
-      CU_ASSERT_EQUAL (replay_next (reader->replay).offset, run->end_offset);
+      CU_ASSERT (position_equal (replay_next (reader->replay), at (run->end_offset)));
       CU_ASSERT_STRING_EQUAL (replay_manifest (reader->replay)->digest,
                               replay_manifest (run->reference)->digest);
     }
--- a/tests/test_stream_follower.c
+++ b/tests/test_stream_follower.c
@@ -220,7 +220,8 @@
                               fixture->store.context);
   CU_ASSERT_EQUAL (offset_of (fixture, "config"), 8);
   CU_ASSERT_EQUAL (offset_of (fixture, "drain/hall-1"), 6);
-  CU_ASSERT_EQUAL (stream_follower_next (fixture->follower).offset, 9);
+  CU_ASSERT (
+      position_equal (stream_follower_next (fixture->follower), (position_t){ .offset = 9 }));
   CU_ASSERT_EQUAL (fixture->store.reads, 1);
   fixture_free (fixture);
 }
--- a/tests/test_view_orders.c
+++ b/tests/test_view_orders.c
@@ -284,7 +284,7 @@
   CU_ASSERT (host_uses (host, "e0"));
   CU_ASSERT (host_uses (host, "e2"));
   CU_ASSERT (!host_uses (host, "e1"));
-  CU_ASSERT_EQUAL (keyed_view_listed (host->view).offset, LEFT_END);
+  CU_ASSERT (position_equal (keyed_view_listed (host->view), (position_t){ .offset = LEFT_END }));
   host_free (host);
   host_free (peer);
 }
