Log lines of losses and of peers' marks; the stand-in upstream gets requests that end it

Cause: the logs of the incident could not tell which request a fingerprint is, which losses were not marked, or which marks a peer told. No decision changes.

--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -150,11 +150,23 @@
     engine_note_peer_load (engine, item->reported_us, item->load);
 }
 
+static uint32_t
+count_engines (const suspect_mark_t *mark)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < LIMIT_SUSPECT_CRASHES; i++)
+    count += mark->engines[i] != 0 ? 1 : 0;
+  return count;
+}
+
 void
 gateway_handle_peer_suspect (gateway_task_t *gateway, const suspect_mark_t *mark)
 {
   uint64_t now_us = gateway_now_us (gateway);
 
+  log_event (LOG_LEVEL_INFO, "peer_mark", "fingerprint", LOG_HEX (mark->fingerprint), "engines",
+             LOG_U64 (count_engines (mark)), "age_ms", LOG_U64 (mark->age_ms), NULL);
   if (suspect_mark_is_cleared (mark) ||
       !recent_answers_contain (gateway->served, now_us, mark->fingerprint))
     suspect_merge_mark (gateway->suspects, now_us, mark);
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -289,6 +289,17 @@
     gateway_call_hop_ended (call, RETRY_PLAN_OUTCOME_UNKNOWN, end->reason);
 }
 
+static void
+log_loss (const gateway_call_t *call, uint64_t now_us, uint64_t fingerprint)
+{
+  bool is_served = recent_answers_contain (call->gateway->served, now_us, fingerprint);
+
+  log_event (LOG_LEVEL_INFO, "loss", "id", call->id, "fingerprint", LOG_HEX (fingerprint), "engine",
+             call->engine->entry.id, "engine_hash", LOG_HEX (call->engine->hash), "sent_ms_ago",
+             LOG_U64 ((now_us - call->sent_us) / CLOCK_US_PER_MS), "served_lately",
+             is_served ? "yes" : "no", NULL);
+}
+
 /* A connection that broke may mean that the engine crashed; a refused connection shows that it is
  * down. */
 static void
@@ -296,13 +307,17 @@
 {
   gateway_task_t *gateway = call->gateway;
   uint64_t now_us = gateway_now_us (gateway);
+  uint64_t fingerprint;
 
   if (is_unsent (end))
     crash_watch_note_down (&gateway->crashes, now_us, call->engine->hash);
   else if (end->reason == VERDICT_REASON_CUT && call->client &&
            !call->response.is_for_other_request)
-    crash_watch_note_loss (&gateway->crashes, now_us, call->engine->hash,
-                           gateway_call_fingerprint (call));
+    {
+      fingerprint = gateway_call_fingerprint (call);
+      log_loss (call, now_us, fingerprint);
+      crash_watch_note_loss (&gateway->crashes, now_us, call->engine->hash, fingerprint);
+    }
 }
 
 static void
--- a/standin/standin_upstream.c
+++ b/standin/standin_upstream.c
@@ -6,7 +6,9 @@
  * answer or a stream of events. The record file gets a line for each start and end of a request:
  * "begin|end TIME_MS ID INSTANCE ACCOUNT FROM OUTCOME". A line "leaving" in the same format follows
  * each confirmed update of the entry during the exit. With --advertise the entry names another
- * address, for example of a proxy in front of it.
+ * address, for example of a proxy in front of it. With --crash-on, a request whose path contains
+ * the given text ends the process once it has run for --work-ms; its outcome in the record is
+ * "crash".
  */
 #include "connection/platform_client.h"
 #include "http_call.h"
@@ -30,6 +32,7 @@
   const char *service;
   const char *data_center;
   const char *record;
+  const char *crash_on;
   uint32_t slots;
   uint32_t work_ms;
   uint32_t events;
@@ -64,6 +67,7 @@
 /**
  * struct run - a running request
  * @call: NULL once its caller has disconnected
+ * @ends_upstream: it crashes the process
  * @next_event: number of the next event to send; 0 for a plain answer
  */
 typedef struct
@@ -73,6 +77,7 @@
   char *id;
   char *account;
   uint64_t next_event;
+  bool ends_upstream;
   struct event *timer;
 } run_t;
 
@@ -147,6 +152,11 @@
 
   (void)fd;
   (void)what;
+  if (run->ends_upstream)
+    {
+      write_record (run->upstream, "end", run, "crash");
+      _exit (EXIT_FAILURE);
+    }
   if (run->next_event == 0)
     {
       answer_plain (run);
@@ -192,6 +202,14 @@
   return true;
 }
 
+static bool
+ends_upstream (const upstream_t *upstream, const http_call_t *call)
+{
+  const char *text = upstream->options.crash_on;
+
+  return text && strstr (http_call_path (call), text) != NULL;
+}
+
 static void
 on_call (http_call_t *call, void *context)
 {
@@ -209,6 +227,7 @@
   run->call = call;
   run->id = g_strdup (id);
   run->account = g_strdup (account ? account : "-");
+  run->ends_upstream = ends_upstream (upstream, call);
   if (upstream->options.events > 0)
     run->next_event = (last_event_id ? g_ascii_strtoull (last_event_id, NULL, 10) : 0) + 1;
   run->timer = evtimer_new (upstream->base, on_run_timer, run);
@@ -319,6 +338,7 @@
   { "service", required_argument, NULL, 'v' },
   { "data-center", required_argument, NULL, 'z' },
   { "record", required_argument, NULL, 'r' },
+  { "crash-on", required_argument, NULL, 'c' },
   { "slots", required_argument, NULL, 'n' },
   { "work-ms", required_argument, NULL, 'w' },
   { "events", required_argument, NULL, 'e' },
@@ -348,7 +368,8 @@
   };
   const char **const texts[] = {
     ['a'] = &options->advertise, ['l'] = &options->listen,      ['s'] = &options->store,
-    ['v'] = &options->service,   ['z'] = &options->data_center, ['r'] = &options->record
+    ['v'] = &options->service,   ['z'] = &options->data_center, ['r'] = &options->record,
+    ['c'] = &options->crash_on
   };
 
   if (flag > 0 && (size_t)flag < G_N_ELEMENTS (numbers) && numbers[flag])
@@ -360,7 +381,7 @@
       g_printerr ("standin-upstream --listen IP:PORT --store IP:PORT --service NAME --record FILE\n"
                   "  [--advertise IP:PORT] [--data-center NAME] [--slots N] [--work-ms N] "
                   "[--events N] [--drain-ms N]\n"
-                  "  [--fail-percent N] [--lose-percent N]\n");
+                  "  [--fail-percent N] [--lose-percent N] [--crash-on TEXT]\n");
       exit (2);
     }
 }
