Failing test: requests that end upstreams, with real processes

Three gateways, ten upstreams that start again after a second; a lookup, a booking and a resumable stream that end whoever runs them: from one caller on a quiet service, from twelve callers at all gateways, beside traffic. Bounds are the users' rule (three upstreams may end; later than 3 s after the third at most three sends reach upstreams) and our promise (alone, no more than that end).

--- /dev/null
+++ b/tests/session_gateway_crash.c
@@ -0,0 +1,451 @@
+/**
+ * DOC: session_gateway_crash
+ *
+ * Requests that end every upstream that runs them, with real processes: upstreams that start again
+ * after a moment, and gateways through which callers send the request again and again. How many
+ * upstreams end is read from the records of the upstreams.
+ */
+#include "driver.h"
+#include "standin/keyed_store.h"
+
+#include <CUnit/Basic.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define GATEWAYS 3
+#define UPSTREAMS 10
+#define STREAM_UPSTREAMS 5  /* the first upstreams, which answer with event streams */
+#define RESTART_MS 1000     /* a crashed upstream starts again after this time */
+#define RESEND_MS 60        /* least time between two sends of one caller */
+#define CRASHES_MAX 3       /* upstreams that one request may end */
+#define LATE_MS 3000        /* time after the last of these in which all gateways learn of it */
+#define LATE_SENDS_MAX 3    /* sends to upstreams that are allowed later than that */
+#define LATE_PLAY_MS 2000   /* time after that for which callers go on */
+#define PLAY_LIMIT_MS 12000 /* for the first crashes to come */
+#define CALLERS_MAX 12
+#define BACKGROUND_CALLS 6
+#define BATCH_REQUESTS 20
+#define CRASH_TEXT "ends-upstreams"
+
+/** struct kind - A kind of requests; @name is also the first part of its path. */
+typedef struct
+{
+  const char *name;
+  const char *method;
+} kind_t;
+
+static const kind_t kinds[] = { { "look", "GET" }, { "book", "POST" }, { "talk", "POST" } };
+
+/**
+ * struct fleet - The processes of the session.
+ * @restart_at_us: When to start an upstream that has ended; 0 while it runs.
+ * @background: Requests of other callers in flight.
+ * @refused_others: Number of them that were refused as requests that end upstreams.
+ */
+typedef struct
+{
+  driver_t *driver;
+  driver_process_t *gateways[GATEWAYS];
+  driver_process_t *upstreams[UPSTREAMS];
+  gint64 restart_at_us[UPSTREAMS];
+  driver_call_t *background[BACKGROUND_CALLS];
+  uint32_t refused_others;
+  uint32_t next_id;
+} fleet_t;
+
+/**
+ * struct play - Callers that send one request again and again.
+ * @prefix: Of the ids of its requests.
+ * @last_status: Answer of each gateway to it, 0 before the first.
+ */
+typedef struct
+{
+  fleet_t *fleet;
+  const kind_t *kind;
+  uint32_t callers;
+  bool beside_traffic;
+  char prefix[32];
+  driver_call_t *calls[CALLERS_MAX];
+  uint32_t gateway_of[CALLERS_MAX];
+  int last_status[GATEWAYS];
+  uint32_t sent;
+} play_t;
+
+/** struct toll - What the upstreams recorded of one play. */
+typedef struct
+{
+  uint32_t crashes;
+  gint64 third_crash_ms;
+  uint32_t late_sends;
+  uint32_t sends;
+} toll_t;
+
+#define ROUTE(name, kind, service, more)                                                           \
+  "{\"name\":\"" name "\",\"host\":\"fleet\",\"path_prefix\":\"/" name "/\",\"kind\":\"" kind      \
+  "\",\"timeout_ms\":5000,\"attempts\":2,\"service\":\"" service "\"" more "}"
+
+#define ROUTES                                                                                     \
+  ROUTE ("look", "idempotent", "ledger", "")                                                       \
+  "," ROUTE ("book", "non_idempotent", "ledger", "") "," ROUTE ("talk", "stream", "pool",          \
+                                                                ",\"resumable\":true")
+#define TENANTS "{\"name\":\"alpha\",\"api_keys\":[\"key-1\"]}"
+
+static const char config[] = "{\"version\":1,\"routes\":[" ROUTES "],\"tenants\":[" TENANTS "]}";
+
+static void
+publish_config (fleet_t *fleet)
+{
+  size_t length = 1 + strlen ("config") + strlen (config);
+  GString *body = g_string_new (NULL);
+  driver_call_t *call;
+
+  for (int shift = 24; shift >= 0; shift -= 8)
+    g_string_append_c (body, (char)(length >> shift));
+  g_string_append_c (body, (char)strlen ("config"));
+  g_string_append_printf (body, "config%s", config);
+  call = driver_send_http_bytes (fleet->driver, fleet->driver->platform->ip, "POST",
+                                 "/log-append?topic=keyed.op&part=0", "", body->str, body->len);
+  driver_call_wait (call);
+  CU_ASSERT_EQUAL (call->status, 200);
+  g_string_free (body, TRUE);
+}
+
+static driver_call_t *
+send_request (
+    fleet_t *fleet, uint32_t gateway, const char *prefix, const char *method, const char *path)
+{
+  g_autofree char *headers = g_strdup_printf ("X-Request-Id: %s%u\r\nX-Key: key-1\r\n"
+                                              "X-Deadline-Ms: 4000\r\n",
+                                              prefix, ++fleet->next_id);
+
+  return driver_send_http (fleet->driver, fleet->gateways[gateway]->ip, method, path, headers, "");
+}
+
+static void
+start_upstream (fleet_t *fleet, uint32_t index)
+{
+  g_autofree char *name = g_strdup_printf ("upstream%u", index);
+  driver_process_t *process = driver_process_new (fleet->driver, DRIVER_UPSTREAM, name, NULL);
+  bool streams = index < STREAM_UPSTREAMS;
+
+  process->record_path = g_strdup_printf ("%s/%s.record", fleet->driver->dir, name);
+  driver_process_add_flag (process, "--store=%s:%d", fleet->driver->platform->ip, DRIVER_PORT);
+  driver_process_add_flag (process, "--service=%s", streams ? "pool" : "ledger");
+  driver_process_add_flag (process, "--events=%d", streams ? 5 : 0);
+  driver_process_add_flag (process, "--work-ms=%d", streams ? 20 : 40);
+  driver_process_add_flag (process, "--crash-on=" CRASH_TEXT);
+  driver_process_add_flag (process, "--record=%s", process->record_path);
+  fleet->upstreams[index] = process;
+  driver_process_start (process);
+}
+
+static void
+start_gateway (fleet_t *fleet, uint32_t index)
+{
+  g_autofree char *name = g_strdup_printf ("gateway%u", index);
+  driver_process_t *process = driver_process_new (fleet->driver, DRIVER_GATEWAY, name, NULL);
+
+  driver_process_add_flag (process, "--role=gateway");
+  driver_process_add_flag (process, "--renewal-ms=%u", KEYED_STORE_ENTRY_TTL_MS / 3);
+  driver_process_add_flag (process, "--name=%s", name);
+  driver_process_add_flag (process, "--data-center=hall-bayangol");
+  driver_process_add_flag (process, "--region=ulaanbaatar");
+  driver_process_add_flag (process, "--ready-listen=%s:%d", process->ip, DRIVER_PORT + 1);
+  driver_process_add_flag (process, "--control-listen=%s:%d", process->ip, DRIVER_PORT + 2);
+  driver_process_add_flag (process, "--exchange=%s:%d", process->ip, DRIVER_PORT + 3);
+  driver_process_add_flag (process, "--platform=%s:%d", fleet->driver->platform->ip, DRIVER_PORT);
+  driver_process_add_flag (process, "--exchange-interval-ms=500");
+  driver_process_add_flag (process, "--control-budget-bytes=4000");
+  driver_process_add_flag (process, "--retry-slack=1000");
+  fleet->gateways[index] = process;
+  driver_process_start (process);
+}
+
+static bool
+all_registered (void *context)
+{
+  const fleet_t *fleet = context;
+
+  for (uint32_t i = 0; i < GATEWAYS; i++)
+    if (driver_process_count_log_lines (fleet->gateways[i], ": engine ", "state=ready") <
+            UPSTREAMS ||
+        driver_process_count_log_lines (fleet->gateways[i], ": ready ", NULL) == 0)
+      return false;
+  return true;
+}
+
+static void
+start_fleet (fleet_t *fleet)
+{
+  driver_t *driver = fleet->driver;
+
+  driver_start_platform (driver);
+  publish_config (fleet);
+  for (uint32_t i = 0; i < UPSTREAMS; i++)
+    start_upstream (fleet, i);
+  for (uint32_t i = 0; i < GATEWAYS; i++)
+    start_gateway (fleet, i);
+  driver_wait_until (driver, DRIVER_WAIT_LIMIT_MS, "all upstreams at all gateways", all_registered,
+                     fleet);
+}
+
+/* Starts each upstream that has ended again, as the platform's supervisor does. */
+static void
+restart_upstreams (fleet_t *fleet)
+{
+  gint64 now_us = g_get_monotonic_time ();
+
+  for (uint32_t i = 0; i < UPSTREAMS; i++)
+    {
+      driver_process_t *upstream = fleet->upstreams[i];
+
+      if (!driver_process_reap (upstream))
+        continue;
+      if (fleet->restart_at_us[i] == 0)
+        fleet->restart_at_us[i] = now_us + RESTART_MS * 1000;
+      if (now_us < fleet->restart_at_us[i])
+        continue;
+      fleet->restart_at_us[i] = 0;
+      driver_process_start (upstream);
+    }
+}
+
+static bool
+all_upstreams_run (void *context)
+{
+  fleet_t *fleet = context;
+
+  restart_upstreams (fleet);
+  for (uint32_t i = 0; i < UPSTREAMS; i++)
+    if (fleet->upstreams[i]->pid <= 0)
+      return false;
+  return true;
+}
+
+static void
+poll_background (fleet_t *fleet)
+{
+  for (uint32_t i = 0; i < BACKGROUND_CALLS; i++)
+    {
+      const kind_t *kind = &kinds[i % G_N_ELEMENTS (kinds)];
+      g_autofree char *path = g_strdup_printf ("/%s/other-%u", kind->name, fleet->next_id);
+      const driver_call_t *call = fleet->background[i];
+
+      if (call && call->outcome == DRIVER_OUTCOME_PENDING)
+        continue;
+      fleet->refused_others += call && call->status == 422 ? 1 : 0;
+      fleet->background[i] = send_request (fleet, i % GATEWAYS, "other-", kind->method, path);
+    }
+}
+
+/* Each caller sends again once it has its answer, at the next gateway. */
+static void
+poll_caller (play_t *play, uint32_t caller)
+{
+  const driver_call_t *call = play->calls[caller];
+  g_autofree char *path = g_strdup_printf ("/%s/" CRASH_TEXT "-%s", play->kind->name, play->prefix);
+
+  if (call && (call->outcome == DRIVER_OUTCOME_PENDING ||
+               (gint64)call->sent_us + RESEND_MS * 1000 > g_get_monotonic_time ()))
+    return;
+  if (call)
+    play->last_status[play->gateway_of[caller]] = call->status;
+  play->gateway_of[caller] = play->sent++ % GATEWAYS;
+  play->calls[caller] =
+      send_request (play->fleet, play->gateway_of[caller], play->prefix, play->kind->method, path);
+}
+
+static void
+poll_play (play_t *play)
+{
+  restart_upstreams (play->fleet);
+  if (play->beside_traffic)
+    poll_background (play->fleet);
+  for (uint32_t i = 0; i < play->callers; i++)
+    poll_caller (play, i);
+}
+
+static int
+compare_times (const void *a, const void *b)
+{
+  gint64 left = *(const gint64 *)a;
+  gint64 right = *(const gint64 *)b;
+
+  return left < right ? -1 : left > right;
+}
+
+/* Collects the times, in ms, of the records @what whose request id begins with @prefix and whose
+ * last field is @outcome; any when that is NULL. */
+static GArray *
+collect_times (const fleet_t *fleet, const char *what, const char *prefix, const char *outcome)
+{
+  GArray *times = g_array_new (FALSE, FALSE, sizeof (gint64));
+
+  for (uint32_t i = 0; i < UPSTREAMS; i++)
+    {
+      g_autofree char *text = NULL;
+
+      if (!g_file_get_contents (fleet->upstreams[i]->record_path, &text, NULL, NULL))
+        continue;
+      g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+      for (char **line = lines; *line; line++)
+        {
+          g_auto (GStrv) fields = g_strsplit (*line, " ", 7);
+          gint64 time_ms;
+
+          if (g_strv_length (fields) != 7 || strcmp (fields[0], what) != 0 ||
+              !g_str_has_prefix (fields[2], prefix) ||
+              (outcome && strcmp (fields[6], outcome) != 0))
+            continue;
+          time_ms = g_ascii_strtoll (fields[1], NULL, 10);
+          g_array_append_val (times, time_ms);
+        }
+    }
+  g_array_sort (times, compare_times);
+  return times;
+}
+
+static toll_t
+count_toll (const play_t *play)
+{
+  g_autoptr (GArray) crashes = collect_times (play->fleet, "end", play->prefix, "crash");
+  g_autoptr (GArray) sends = collect_times (play->fleet, "begin", play->prefix, NULL);
+  toll_t toll = { .crashes = crashes->len, .sends = sends->len };
+
+  if (crashes->len < CRASHES_MAX)
+    return toll;
+  toll.third_crash_ms = g_array_index (crashes, gint64, CRASHES_MAX - 1);
+  for (guint i = 0; i < sends->len; i++)
+    toll.late_sends += g_array_index (sends, gint64, i) > toll.third_crash_ms + LATE_MS ? 1 : 0;
+  return toll;
+}
+
+static bool
+is_refused_everywhere (const play_t *play)
+{
+  for (uint32_t i = 0; i < GATEWAYS; i++)
+    if (play->last_status[i] != 422)
+      return false;
+  return true;
+}
+
+/* Callers go on until the time after the third crash is over, in which they may still reach
+ * upstreams, and longer. */
+static bool
+has_ended (void *context)
+{
+  play_t *play = context;
+  toll_t toll = count_toll (play);
+
+  poll_play (play);
+  if (play->callers == 1 && is_refused_everywhere (play))
+    return true;
+  return toll.third_crash_ms > 0 &&
+         g_get_real_time () / 1000 > toll.third_crash_ms + LATE_MS + LATE_PLAY_MS;
+}
+
+static void
+cancel_calls (play_t *play)
+{
+  for (uint32_t i = 0; i < play->callers; i++)
+    if (play->calls[i])
+      driver_call_wait (play->calls[i]);
+  for (uint32_t i = 0; play->beside_traffic && i < BACKGROUND_CALLS; i++)
+    if (play->fleet->background[i])
+      driver_call_wait (play->fleet->background[i]);
+  memset (play->fleet->background, 0, sizeof play->fleet->background);
+}
+
+static bool
+all_kinds_served (void *context)
+{
+  fleet_t *fleet = context;
+
+  if (!all_upstreams_run (fleet))
+    return false;
+  for (uint32_t i = 0; i < BATCH_REQUESTS; i++)
+    {
+      const kind_t *kind = &kinds[i % G_N_ELEMENTS (kinds)];
+      g_autofree char *path = g_strdup_printf ("/%s/%u", kind->name, fleet->next_id);
+      driver_call_t *call = send_request (fleet, i % GATEWAYS, "q", kind->method, path);
+
+      driver_call_wait (call);
+      if (call->status != 200)
+        return false;
+    }
+  return true;
+}
+
+static void
+run_play (fleet_t *fleet, const kind_t *kind, uint32_t callers, bool beside_traffic)
+{
+  play_t play = {
+    .fleet = fleet, .kind = kind, .callers = callers, .beside_traffic = beside_traffic
+  };
+  toll_t toll;
+
+  driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "a fleet that serves", all_kinds_served,
+                     fleet);
+  g_snprintf (play.prefix, sizeof play.prefix, "%s-%u-", kind->name, callers);
+  driver_wait_until (fleet->driver, PLAY_LIMIT_MS + LATE_MS + LATE_PLAY_MS, "the end of the play",
+                     has_ended, &play);
+  cancel_calls (&play);
+  toll = count_toll (&play);
+  printf ("%s, %u callers: %u upstreams ended, %u sends reached upstreams, %u of them late\n",
+          kind->name, callers, toll.crashes, toll.sends, toll.late_sends);
+  if (callers == 1)
+    CU_ASSERT (toll.crashes <= CRASHES_MAX);
+  CU_ASSERT (toll.late_sends <= LATE_SENDS_MAX);
+  CU_ASSERT_EQUAL (fleet->refused_others, 0);
+  driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "others to be served", all_kinds_served,
+                     fleet);
+}
+
+static void
+run_plays (const char *name, uint32_t callers, bool beside_traffic)
+{
+  fleet_t fleet = { .driver = driver_new (name) };
+
+  start_fleet (&fleet);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    run_play (&fleet, &kinds[i], callers, beside_traffic);
+  driver_transcript_add (fleet.driver, "others are served, the request is not sent any more");
+  driver_finish (fleet.driver);
+}
+
+/* Guards against a request that ends one upstream after the other on a quiet service, where nothing
+ * else shows that they ended. */
+static void
+test_single_caller (void)
+{
+  run_plays ("gateway_crash_single", 1, false);
+}
+
+/* Guards against a request whose copies end several upstreams at a time, so that each end seems to
+ * be excused by the others. */
+static void
+test_many_callers (void)
+{
+  run_plays ("gateway_crash_many", CALLERS_MAX, false);
+}
+
+/* Guards against a request that is not told from those that ran beside it. */
+static void
+test_beside_traffic (void)
+{
+  run_plays ("gateway_crash_traffic", 4, true);
+}
+
+int
+main (void)
+{
+  static const driver_test_t tests[] = {
+    { "a request that ends upstreams comes from a single caller", test_single_caller },
+    { "a request that ends upstreams comes from many callers at several gateways",
+      test_many_callers },
+    { "a request that ends upstreams comes beside traffic", test_beside_traffic }
+  };
+
+  return driver_main ("gateway_crash", tests, G_N_ELEMENTS (tests));
+}
