--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -2,7 +2,6 @@
 
 #include "connection/exchange.h"
 #include "base/log.h"
-#include "process/gossip.h"
 #include "request/policy/retry_budget.h"
 
 #include <string.h>
@@ -14,6 +13,7 @@
  * the previous incarnation can still arrive. */
 #define LOWER_INCARNATION_AFTER_US GATEWAY_PEERS_ALIVE_US
 
+#define SENT_AGE_WORD 16 /* state of a word with the age of a send; no stream has this number */
 #define RANK_SEED GATEWAY_PEERS_FOLLOWERS /* any value that is the same in all gateways */
 
 /**
@@ -40,9 +40,10 @@
 /**
  * struct gateway_peers - the peers of this gateway
  * @news_timer: sends messages to some peers in the next turn of the event loop
+ * @crashes_timer: likewise, marks of requests during which engines ended
  * @sequence: number of the last message sent
  * @heard_us: when the last message of any peer came
- * @gossip: marks of requests that crash engines, to be passed on
+ * @owner_mark: the mark for which the message that is being written is sent; NULL for none
  * @loads: high loads of engines, to be passed on
  */
 struct gateway_peers
@@ -50,12 +51,13 @@
   gateway_peers_options_t options;
   exchange_t *exchange;
   struct event *news_timer;
+  struct event *crashes_timer;
   GPtrArray *list; /* peer_t */
   GRand *rand;
   uint64_t own_hash;
   uint32_t sequence;
   uint64_t heard_us;
-  gossip_t gossip;
+  const crash_mark_t *owner_mark;
   load_reports_t loads;
 };
 
@@ -109,35 +111,99 @@
   return at_us - MAX (peer->heard_us, peer->known_us) < alive_timeout_us (peers);
 }
 
+/* Gateways of a build without them ignore words of this kind too. Where none is left, the mark goes
+ * without the age of its send, and may count less. */
 static void
-fill_marks (gateway_peers_t *peers, xch_message *message)
+write_sent_age (xch_message *message, const crash_mark_t *mark)
 {
-  suspect_mark_t marks[XCH_MARKS];
-  uint32_t count = gossip_take_marks (&peers->gossip, now_us (peers), marks, XCH_MARKS);
+  if (mark->sent_age_ms != UINT32_MAX && message->words.words_len < XCH_WORDS)
+    message->words.words_val[message->words.words_len++] = (xch_word){
+      .host_hash = mark->fingerprint, .incarnation = mark->sent_age_ms, .state = SENT_AGE_WORD
+    };
+}
 
-  G_STATIC_ASSERT (sizeof message->marks.marks_val->engines == sizeof marks->engines);
-  for (uint32_t i = 0; i < count; i++)
+static uint32_t
+read_sent_age (const xch_message *message, uint64_t fingerprint)
+{
+  for (uint32_t i = 0; i < message->words.words_len; i++)
     {
-      xch_mark *out = &message->marks.marks_val[i];
+      const xch_word *word = &message->words.words_val[i];
 
-      out->fingerprint = marks[i].fingerprint;
-      memcpy (out->engines, marks[i].engines, sizeof out->engines);
-      out->age_ms = marks[i].age_ms;
+      if (word->host_hash == fingerprint && word->state == SENT_AGE_WORD)
+        return (uint32_t)MIN (word->incarnation, UINT32_MAX);
     }
-  message->marks.marks_len = count;
+  return UINT32_MAX;
 }
 
+/* A mark takes an entry of the message for each two of its engines, one after the other. */
 static void
-read_marks (gateway_peers_t *peers, const xch_message *message)
+write_mark (xch_message *message, const crash_mark_t *mark)
 {
-  for (uint32_t i = 0; i < message->marks.marks_len; i++)
+  for (uint32_t part = 0; part < crash_mark_parts (mark); part++)
     {
-      const xch_mark *received = &message->marks.marks_val[i];
-      suspect_mark_t mark = { .fingerprint = received->fingerprint, .age_ms = received->age_ms };
+      xch_mark *out = &message->marks.marks_val[message->marks.marks_len++];
 
-      memcpy (mark.engines, received->engines, sizeof mark.engines);
-      if (gossip_add_mark (&peers->gossip, now_us (peers), &mark))
-        peers->options.on_suspect (&mark, peers->options.context);
+      *out = (xch_mark){ .fingerprint = mark->fingerprint, .age_ms = mark->age_ms };
+      for (uint32_t i = 0; i < CRASH_MARK_PART_ENGINES; i++)
+        if (part * CRASH_MARK_PART_ENGINES + i < mark->engine_count)
+          out->engines[i] = mark->engines[part * CRASH_MARK_PART_ENGINES + i];
+    }
+  write_sent_age (message, mark);
+}
+
+static void
+fill_marks (gateway_peers_t *peers, xch_message *message)
+{
+  crash_mark_t marks[XCH_MARKS];
+  uint32_t count;
+
+  G_STATIC_ASSERT (G_N_ELEMENTS (message->marks.marks_val->engines) == CRASH_MARK_PART_ENGINES);
+  message->marks.marks_len = 0;
+  if (peers->owner_mark)
+    write_mark (message, peers->owner_mark);
+  count = crash_record_take_marks (peers->options.crashes, now_us (peers), marks,
+                                   XCH_MARKS - message->marks.marks_len);
+  for (uint32_t i = 0; i < count; i++)
+    write_mark (message, &marks[i]);
+}
+
+/* Return: the entries of the message from @first on that make up the mark */
+static uint32_t
+read_mark (const xch_message *message, uint32_t first, crash_mark_t *mark)
+{
+  const xch_mark *received = &message->marks.marks_val[first];
+  uint32_t parts = 0;
+
+  *mark = (crash_mark_t){ .fingerprint = received->fingerprint,
+                          .age_ms = received->age_ms,
+                          .sent_age_ms = read_sent_age (message, received->fingerprint) };
+  while (first + parts < message->marks.marks_len &&
+         received[parts].fingerprint == mark->fingerprint)
+    {
+      for (uint32_t i = 0; i < CRASH_MARK_PART_ENGINES; i++)
+        if (received[parts].engines[i] != 0 && mark->engine_count < CRASH_MARK_ENGINES)
+          mark->engines[mark->engine_count++] = received[parts].engines[i];
+      parts++;
+    }
+  return parts;
+}
+
+static void
+read_marks (gateway_peers_t *peers, const xch_message *message, const char *peer)
+{
+  crash_mark_t mark;
+  uint32_t at = 0;
+
+  while (at < message->marks.marks_len)
+    {
+      at += read_mark (message, at, &mark);
+      if (!crash_record_merge (peers->options.crashes, now_us (peers), &mark))
+        continue;
+      log_event (
+          LOG_LEVEL_NOTICE, "peer_mark", "fingerprint", LOG_HEX (mark.fingerprint), "peer", peer,
+          "engines", LOG_U64 (mark.engine_count), "age_ms", LOG_U64 (mark.age_ms), "crashes",
+          LOG_U64 (crash_record_count_crashes (peers->options.crashes, mark.fingerprint)), NULL);
+      gateway_peers_tell_crashes (peers);
     }
 }
 
@@ -275,7 +341,7 @@
     return true;
   if (!record_message (peers, peer, &message->sender))
     return false;
-  read_marks (peers, message);
+  read_marks (peers, message, peer->name);
   read_loads (peers, message);
   peers->options.on_progress (&theirs, &peer->control, peers->options.context);
   return true;
@@ -381,19 +447,90 @@
 }
 
 static void
-on_news_timer (evutil_socket_t fd, short what, void *context)
+call_some_peers (gateway_peers_t *peers)
 {
-  gateway_peers_t *peers = context;
+  guint count = peers->list->len;
+  guint start = count ? (guint)g_rand_int_range (peers->rand, 0, (gint32)count) : 0;
+  uint32_t called = 0;
 
+  for (guint i = 0; i < count && called < GATEWAY_PEERS_NEWS_FANOUT; i++)
+    {
+      const peer_t *peer = g_ptr_array_index (peers->list, (start + i) % count);
+
+      if (!is_alive (peers, peer))
+        continue;
+      exchange_send_now (peers->exchange, &peer->exchange);
+      called++;
+    }
+}
+
+static void
+on_news_timer (evutil_socket_t fd, short what, void *context)
+{
   (void)fd;
   (void)what;
-  for (uint32_t i = 0; i < GATEWAY_PEERS_NEWS_FANOUT; i++)
-    {
-      const peer_t *peer = random_peer (peers, true);
+  call_some_peers (context);
+}
 
-      if (peer)
-        exchange_send_now (peers->exchange, &peer->exchange);
+/* Finds the live gateways that rank first for the fingerprint, this one too, which is NULL in
+ * @owners. Return: their number */
+static uint32_t
+find_owners (const gateway_peers_t *peers, uint64_t fingerprint, const peer_t **owners)
+{
+  uint64_t ranks[GATEWAY_PEERS_OWNERS] = { crash_record_rank_owner (fingerprint, peers->own_hash) };
+  uint32_t count = 1;
+
+  owners[0] = NULL;
+  for (guint i = 0; i < peers->list->len; i++)
+    {
+      const peer_t *peer = g_ptr_array_index (peers->list, i);
+      uint64_t rank = crash_record_rank_owner (fingerprint, peer->hash);
+      uint32_t at = count;
+
+      if (!is_alive (peers, peer))
+        continue;
+      while (at > 0 && ranks[at - 1] < rank)
+        at--;
+      if (at >= GATEWAY_PEERS_OWNERS)
+        continue;
+      count = MIN (count + 1, GATEWAY_PEERS_OWNERS);
+      for (uint32_t j = count - 1; j > at; j--)
+        {
+          ranks[j] = ranks[j - 1];
+          owners[j] = owners[j - 1];
+        }
+      ranks[at] = rank;
+      owners[at] = peer;
     }
+  return count;
+}
+
+static void
+tell_owners (gateway_peers_t *peers, const crash_mark_t *mark)
+{
+  const peer_t *owners[GATEWAY_PEERS_OWNERS];
+  uint32_t count = find_owners (peers, mark->fingerprint, owners);
+
+  peers->owner_mark = mark;
+  for (uint32_t i = 0; i < count; i++)
+    if (owners[i])
+      exchange_send_now (peers->exchange, &owners[i]->exchange);
+  peers->owner_mark = NULL;
+}
+
+static void
+on_crashes_timer (evutil_socket_t fd, short what, void *context)
+{
+  gateway_peers_t *peers = context;
+  crash_mark_t mark;
+
+  (void)fd;
+  (void)what;
+  if (crash_record_take_news (peers->options.crashes))
+    call_some_peers (peers);
+  while (exchange_has_spare_budget (peers->exchange) &&
+         crash_record_take_owner_mark (peers->options.crashes, now_us (peers), &mark))
+    tell_owners (peers, &mark);
 }
 
 gateway_peers_t *
@@ -405,8 +542,8 @@
   peers->options = *options;
   peers->list = g_ptr_array_new_with_free_func (g_free);
   peers->own_hash = hash_of (settings->name);
-  gossip_init (&peers->gossip);
   peers->news_timer = evtimer_new (options->base, on_news_timer, peers);
+  peers->crashes_timer = evtimer_new (options->base, on_crashes_timer, peers);
   peers->rand = g_rand_new_with_seed ((guint32)(peers->own_hash ^ options->incarnation));
   peers->exchange =
       exchange_new (&(exchange_options_t){ .base = options->base,
@@ -434,6 +571,7 @@
   if (peers->exchange)
     exchange_free (peers->exchange);
   event_free (peers->news_timer);
+  event_free (peers->crashes_timer);
   g_rand_free (peers->rand);
   g_ptr_array_free (peers->list, TRUE);
   g_free (peers);
@@ -484,11 +622,13 @@
   g_ptr_array_add (peers->list, g_memdup2 (&peer, sizeof peer));
 }
 
+/* An engine that ends breaks all its connections in one turn of the event loop. The timer comes
+ * after them, so that the requests to blame most are told first. */
 void
-gateway_peers_add_suspect (gateway_peers_t *peers, const suspect_mark_t *mark)
+gateway_peers_tell_crashes (gateway_peers_t *peers)
 {
-  gossip_add_mark (&peers->gossip, now_us (peers), mark);
-  gateway_peers_send_news (peers);
+  if (!event_pending (peers->crashes_timer, EV_TIMEOUT, NULL))
+    event_add (peers->crashes_timer, &(struct timeval){ 0, 0 });
 }
 
 void
--- a/src/process/gateway_peers.h
+++ b/src/process/gateway_peers.h
@@ -18,7 +18,7 @@
 #include "base/position.h"
 #include "base/settings.h"
 #include "request/policy/load_reports.h"
-#include "request/policy/suspect.h"
+#include "request/policy/crash_record.h"
 
 #include <event2/event.h>
 #include <glib.h>
@@ -43,6 +43,9 @@
  * By calculation two of 31 gateways are left, which learn of it from their next regular message. */
 #define GATEWAY_PEERS_NEWS_FANOUT 3
 
+/* Gateways that are told of the first crash of a request: one of them may be lost. */
+#define GATEWAY_PEERS_OWNERS 2
+
 /**
  * struct gateway_peers_progress - how far a gateway has read the store
  * @routing_next: next position to read of the stream of routing rules
@@ -61,9 +64,9 @@
 /**
  * struct gateway_peers_options - options of gateway_peers_new()
  * @incarnation: start time of this process, in milliseconds since 1970
+ * @crashes: requests during which engines ended; marks of peers are added to it
  * @get_progress: returns how far this gateway has read the store
  * @on_progress: a peer reported its progress @theirs; @control is its control address
- * @on_suspect: a peer reported something new about a request that crashes its engines
  * @on_load: a peer reported a load of an engine that is more recent than any report before
  */
 typedef struct
@@ -73,11 +76,11 @@
   counter_registry_t *counters;
   const settings_t *settings;
   uint64_t incarnation;
+  crash_record_t *crashes;
   gateway_peers_progress_t (*get_progress) (void *context);
   void (*on_progress) (const gateway_peers_progress_t *theirs,
                        const address_t *control,
                        void *context);
-  void (*on_suspect) (const suspect_mark_t *mark, void *context);
   void (*on_load) (const load_report_t *item, void *context);
   void *context;
 } gateway_peers_options_t;
@@ -94,9 +97,10 @@
 /** gateway_peers_put() - applies an entry of the gateway registry; @entry is NULL when it was
  * removed */
 void gateway_peers_put (gateway_peers_t *peers, const char *name, const char *entry);
-/** gateway_peers_add_suspect() - reports a request that crashes its engines to peers, to some of
- * them at once */
-void gateway_peers_add_suspect (gateway_peers_t *peers, const suspect_mark_t *mark);
+/** gateway_peers_tell_crashes() - sends the marks that are due, as far as the budget has room:
+ * first crashes to the owners of their fingerprints, others to a few peers, who pass them on at
+ * once */
+void gateway_peers_tell_crashes (gateway_peers_t *peers);
 /** gateway_peers_add_load() - adds a high load that an engine reported here to the next messages to
  * peers */
 void gateway_peers_add_load (gateway_peers_t *peers, const load_report_t *item);
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -38,6 +38,7 @@
   http_server_t *control_listener;
   routing_t *table;
   lapses_t *lapsed;
+  crash_record_t *crashes;
   struct event *tick;
   uint64_t accept_by_us;
   uint64_t stop_us;
@@ -275,15 +276,6 @@
   log_readiness (process);
 }
 
-static void
-on_peer_suspect (const suspect_mark_t *mark, void *context)
-{
-  gateway_process_t *process = context;
-
-  if (process->gateway)
-    gateway_handle_peer_suspect (process->gateway, mark);
-}
-
 static void
 on_peer_load (const load_report_t *item, void *context)
 {
@@ -302,11 +294,29 @@
 }
 
 static void
-on_own_suspect (const suspect_mark_t *mark, void *context)
+on_crashes (void *context)
 {
   gateway_process_t *process = context;
 
-  gateway_store_add_suspect (process->store, mark);
+  gateway_store_tell_crashes (process->store);
+}
+
+static crash_record_engine_t
+get_crashed_engine (uint64_t engine_hash, void *context)
+{
+  const gateway_process_t *process = context;
+  const engine_t *engine = engines_find_by_hash (process->engines, engine_hash);
+  bool is_known = engine || !engines_are_complete (process->engines);
+
+  if (!is_known || (engine && engine->displaced))
+    return (crash_record_engine_t){ .state = CRASH_RECORD_ENGINE_ENDED };
+  if (!engine)
+    return (crash_record_engine_t){ .state = CRASH_RECORD_ENGINE_LISTED };
+  return (crash_record_engine_t){ .state = engine->entry.state == ENGINE_LEAVING ||
+                                                   engine->reported_leaving
+                                               ? CRASH_RECORD_ENGINE_LEAVING
+                                               : CRASH_RECORD_ENGINE_LISTED,
+                                  .sound_us = engine->sound_us };
 }
 
 static uint64_t
@@ -443,7 +453,8 @@
           .settings = settings,
           .engines = process->engines,
           .format = process->options.format,
-          .on_suspect = on_own_suspect,
+          .crashes = process->crashes,
+          .on_crashes = on_crashes,
           .on_high_load = on_own_load,
           .context = process,
           .retries = { .ratio_milli = settings->retry_ratio_milli,
@@ -474,6 +485,7 @@
                                                      .settings = process->options.settings,
                                                      .platform = process->options.platform,
                                                      .incarnation = process->options.incarnation,
+                                                     .crashes = process->crashes,
                                                      .get_version = get_version,
                                                      .order = { process->options.readers.version,
                                                                 process->options.readers.engine },
@@ -481,7 +493,6 @@
                                                      .on_drain = on_drain,
                                                      .on_engine = on_engine,
                                                      .on_status = on_store_status,
-                                                     .on_suspect = on_peer_suspect,
                                                      .on_load = on_peer_load,
                                                      .context = process },
                          error);
@@ -497,6 +508,11 @@
   process->options = *options;
   process->engines = engines_new ();
   process->lapsed = lapses_new ();
+  process->crashes =
+      crash_record_new (&(crash_record_options_t){ .limit = GATEWAY_PROCESS_CRASHES_MAX,
+                                                   .lifetime_us = GATEWAY_PROCESS_CRASH_LIFETIME_US,
+                                                   .get_engine = get_crashed_engine,
+                                                   .context = process });
   process->stall_count = counter_get (options->counters, "medlarplank_stalls_total",
                                       "Times that the process stood still for long");
   process->version_gauge =
@@ -534,6 +550,7 @@
     routing_unref (process->table);
   engines_free (process->engines);
   lapses_free (process->lapsed);
+  crash_record_free (process->crashes);
   event_free (process->tick);
   g_free (process);
 }
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -385,14 +385,6 @@
   };
 }
 
-static void
-on_peer_suspect (const suspect_mark_t *mark, void *context)
-{
-  gateway_store_t *store = context;
-
-  store->options.on_suspect (mark, store->options.context);
-}
-
 static void
 on_peer_load (const load_report_t *item, void *context)
 {
@@ -770,9 +762,9 @@
                                                                 .counters = options->counters,
                                                                 .settings = options->settings,
                                                                 .incarnation = options->incarnation,
+                                                                .crashes = options->crashes,
                                                                 .get_progress = get_progress,
                                                                 .on_progress = on_peer_progress,
-                                                                .on_suspect = on_peer_suspect,
                                                                 .on_load = on_peer_load,
                                                                 .context = store },
                                     error);
@@ -853,9 +845,9 @@
 }
 
 void
-gateway_store_add_suspect (gateway_store_t *store, const suspect_mark_t *mark)
+gateway_store_tell_crashes (gateway_store_t *store)
 {
-  gateway_peers_add_suspect (store->peers, mark);
+  gateway_peers_tell_crashes (store->peers);
 }
 
 void
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -15,7 +15,7 @@
 #include "base/settings.h"
 #include "process/record_order.h"
 #include "request/policy/load_reports.h"
-#include "request/policy/suspect.h"
+#include "request/policy/crash_record.h"
 
 #include <glib.h>
 
@@ -58,6 +58,7 @@
  * struct gateway_store_options - options of gateway_store_new()
  * @platform: client of the store; owned by the new object
  * @incarnation: start time of this process, in milliseconds since 1970
+ * @crashes: requests during which engines ended; marks of peers are added to it
  * @get_version: returns the version of the routing rules in force, 0 for none
  * @order: orders records by their values
  * @on_routing: a record of routing rules was read
@@ -67,7 +68,6 @@
  *   have expired only because the engine could not renew it during an outage
  * @on_status: the store became reachable or unreachable, or a stream was read completely or updated
  *   from a peer's copy
- * @on_suspect: a peer reported a request that crashes its engines
  * @on_load: a peer reported a high load of an engine
  */
 typedef struct
@@ -78,6 +78,7 @@
   const settings_t *settings;
   platform_t *platform;
   uint64_t incarnation;
+  crash_record_t *crashes;
   uint64_t (*get_version) (void *context);
   record_order_t order;
   void (*on_routing) (const char *text, size_t text_bytes, position_t position, void *context);
@@ -89,7 +90,6 @@
                      bool may_have_lapsed,
                      void *context);
   void (*on_status) (void *context);
-  void (*on_suspect) (const suspect_mark_t *mark, void *context);
   void (*on_load) (const load_report_t *item, void *context);
   void *context;
 } gateway_store_options_t;
@@ -118,8 +118,8 @@
 uint32_t gateway_store_count_registered (const gateway_store_t *store);
 /** gateway_store_send_news() - sends some peers a message at once, since new records were read */
 void gateway_store_send_news (gateway_store_t *store);
-/** gateway_store_add_suspect() - reports a request that crashes its engines to peers */
-void gateway_store_add_suspect (gateway_store_t *store, const suspect_mark_t *mark);
+/** gateway_store_tell_crashes() - sends peers the marks of @crashes that are due */
+void gateway_store_tell_crashes (gateway_store_t *store);
 /** gateway_store_add_load() - reports a high load of an engine to peers */
 void gateway_store_add_load (gateway_store_t *store, const load_report_t *item);
 /** gateway_store_handle_request() - answers a peer that fetches records. @settled: whether no
--- a/src/proto/exchange.x
+++ b/src/proto/exchange.x
@@ -18,6 +18,8 @@
 /*
  * Of a gateway's own host: "incarnation" is the era of its offset in the stream "state" (0 routing
  * rules, 1 engines, 2 routers). Streams without a word of their own are in the era of the first.
+ * Between gateways, of a mark: "host_hash" is its fingerprint, "state" 16, and "incarnation" the time
+ * in ms since the request was sent to the last of the mark's engines.
  */
 struct xch_word {
   unsigned hyper host_hash;
@@ -26,6 +28,7 @@
   unsigned int state;
 };
 
+/* Between gateways a mark of three engines takes two entries, one after the other. */
 struct xch_mark {
   unsigned hyper fingerprint;
   unsigned hyper engines[2];
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -99,23 +99,14 @@
 }
 
 static void
-mark_suspects (gateway_task_t *gateway)
+review_crashes (gateway_task_t *gateway)
 {
-  uint64_t now_us = gateway_now_us (gateway);
-  crash_watch_loss_t loss;
-  suspect_mark_t mark;
+  crash_record_t *crashes = gateway->options.crashes;
 
-  while (crash_watch_take (&gateway->crashes, now_us, &loss))
-    {
-      if (recent_answers_contain (gateway->served, now_us, loss.fingerprint) ||
-          !suspect_add_crash (gateway->suspects, now_us, loss.fingerprint, loss.engine_hash) ||
-          !suspect_get_mark (gateway->suspects, now_us, loss.fingerprint, &mark))
-        continue;
-      log_event (LOG_LEVEL_WARNING, "suspect", "fingerprint", LOG_HEX (loss.fingerprint), "engine",
-                 LOG_HEX (loss.engine_hash), "age_ms",
-                 LOG_U64 ((now_us - loss.lost_us) / CLOCK_US_PER_MS), NULL);
-      gateway->options.on_suspect (&mark, gateway->options.context);
-    }
+  if (crash_record_is_empty (crashes))
+    return;
+  crash_record_review (crashes, gateway_now_us (gateway), gateway->config_current);
+  gateway->options.on_crashes (gateway->options.context);
 }
 
 static void
@@ -129,16 +120,7 @@
   if (++gateway->ticks % GATEWAY_WATCH_TICKS != 0)
     return;
   check_silent_hops (gateway);
-  mark_suspects (gateway);
-}
-
-static void
-announce_cleared (gateway_task_t *gateway, uint64_t fingerprint)
-{
-  suspect_mark_t cleared = { .fingerprint = fingerprint };
-
-  log_event (LOG_LEVEL_INFO, "cleared", "fingerprint", LOG_HEX (fingerprint), NULL);
-  gateway->options.on_suspect (&cleared, gateway->options.context);
+  review_crashes (gateway);
 }
 
 void
@@ -150,40 +132,6 @@
     engine_note_peer_load (engine, item->reported_us, item->load);
 }
 
-static uint32_t
-count_engines (const suspect_mark_t *mark)
-{
-  uint32_t count = 0;
-
-  for (uint32_t i = 0; i < LIMIT_SUSPECT_CRASHES; i++)
-    count += mark->engines[i] != 0 ? 1 : 0;
-  return count;
-}
-
-void
-gateway_handle_peer_suspect (gateway_task_t *gateway, const suspect_mark_t *mark)
-{
-  uint64_t now_us = gateway_now_us (gateway);
-
-  log_event (LOG_LEVEL_INFO, "peer_mark", "fingerprint", LOG_HEX (mark->fingerprint), "engines",
-             LOG_U64 (count_engines (mark)), "age_ms", LOG_U64 (mark->age_ms), NULL);
-  if (suspect_mark_is_cleared (mark) ||
-      !recent_answers_contain (gateway->served, now_us, mark->fingerprint))
-    suspect_merge_mark (gateway->suspects, now_us, mark);
-  else
-    announce_cleared (gateway, mark->fingerprint);
-}
-
-/* The gateway that marked the request has perhaps not served it, and would refuse it until its mark
- * expires; so the others are told that it is cleared. */
-void
-gateway_note_served (gateway_task_t *gateway, uint64_t fingerprint)
-{
-  recent_answers_add (gateway->served, gateway_now_us (gateway), fingerprint);
-  if (suspect_clear (gateway->suspects, fingerprint))
-    announce_cleared (gateway, fingerprint);
-}
-
 static void
 register_counters (gateway_task_t *gateway)
 {
@@ -203,6 +151,10 @@
       counter_get (registry, "medlarplank_gateway_gone_total", "Requests whose caller left");
   gateway->waited = counter_get (registry, "medlarplank_gateway_waited_total",
                                  "Times that requests waited for room");
+  gateway->losses =
+      counter_get (registry, "medlarplank_gateway_losses_total", "Requests whose engine broke off");
+  gateway->suspect_refused = counter_get (registry, "medlarplank_gateway_suspect_refused_total",
+                                          "Requests refused because engines had ended under them");
 }
 
 gateway_task_t *
@@ -216,8 +168,6 @@
   gateway->name_hash = XXH64 (settings->name, strlen (settings->name), 0);
   gateway->started_us = gateway_now_us (gateway);
   gateway->routers = 1;
-  gateway->suspects = suspect_new (GATEWAY_SUSPECTS_MAX, GATEWAY_SUSPECT_TTL_US);
-  gateway->served = recent_answers_new (GATEWAY_SERVED_MAX, GATEWAY_SERVED_TTL_US);
   gateway->cache_warm = recent_answers_new (GATEWAY_CACHE_WARM_MAX, GATEWAY_CACHE_WARM_US);
   gateway->services = g_hash_table_new_full (NULL, NULL, NULL, service_free);
   gateway->calls = g_hash_table_new (NULL, NULL);
@@ -269,9 +219,7 @@
   cancel_calls (gateway);
   http_client_free (gateway->upstreams);
   event_free (gateway->tick_timer);
-  recent_answers_free (gateway->served);
   recent_answers_free (gateway->cache_warm);
-  suspect_free (gateway->suspects);
   g_hash_table_destroy (gateway->services);
   g_hash_table_destroy (gateway->calls);
   if (gateway->table)
@@ -314,7 +262,6 @@
 {
   g_autoptr (GList) calls = g_hash_table_get_keys (gateway->calls);
 
-  crash_watch_note_down (&gateway->crashes, gateway_now_us (gateway), hash);
   http_client_close_idle (gateway->upstreams, address);
   for (GList *link = calls; link; link = link->next)
     if (g_hash_table_contains (gateway->calls, link->data))
--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -15,7 +15,7 @@
 #include "request/gateway/format.h"
 #include "request/policy/retry_budget.h"
 #include "request/policy/load_reports.h"
-#include "request/policy/suspect.h"
+#include "request/policy/crash_record.h"
 #include "version/routing.h"
 
 #include <event2/event.h>
@@ -32,8 +32,8 @@
  * @engines: engines of all services; the owner reports changes by gateway_engines_changed()
  * @format: adapter for the headers of clients and engines
  * @retries: limit of the retries that all gateways may send
- * @on_suspect: called with the mark of a request that is suspected of crashing engines, or that is
- *   cleared of it, for the other gateways
+ * @crashes: requests during which engines ended
+ * @on_crashes: @crashes may have marks for the other gateways; called a few times a second too
  * @on_high_load: called with a high load that an engine reported, for the other gateways
  * @context: passed to the callbacks
  */
@@ -46,7 +46,8 @@
   engines_t *engines;
   const format_t *format;
   retry_budget_options_t retries;
-  void (*on_suspect) (const suspect_mark_t *mark, void *context);
+  crash_record_t *crashes;
+  void (*on_crashes) (void *context);
   void (*on_high_load) (const load_report_t *item, void *context);
   void *context;
 } gateway_options_t;
@@ -69,9 +70,6 @@
 /** gateway_handle_peer_load() - takes over a high load that an engine reported to another gateway
  */
 void gateway_handle_peer_load (gateway_task_t *gateway, const load_report_t *item);
-/** gateway_handle_peer_suspect() - takes over another gateway's mark of a request that crashes
- * engines, or the clearing of one */
-void gateway_handle_peer_suspect (gateway_task_t *gateway, const suspect_mark_t *mark);
 /** gateway_engine_restarted() - the engine @hash at @address was replaced by a new process with its
  * id: the requests that ran there are lost */
 void gateway_engine_restarted (gateway_task_t *gateway, uint64_t hash, const address_t *address);
--- a/src/request/gateway/gateway_accept.c
+++ b/src/request/gateway/gateway_accept.c
@@ -42,27 +42,6 @@
               .exact_retry = true });
 }
 
-static bool
-is_known_to_crash (const gateway_call_t *call)
-{
-  gateway_task_t *gateway = call->gateway;
-
-  return suspect_count (gateway->suspects) > 0 &&
-         suspect_check (gateway->suspects, gateway_now_us (gateway),
-                        gateway_call_fingerprint (call), 0) == SUSPECT_REFUSED;
-}
-
-/* Without Retry-After: another attempt would crash one more engine, with all requests there. */
-static void
-reject_suspect (gateway_call_t *call)
-{
-  counter_add (call->gateway->refused, 1);
-  gateway_call_log_failure (call, "refuse", "final", VERDICT_REASON_SUSPECT);
-  error_reply_send (call->client, &(error_reply_t){ .reason = VERDICT_REASON_SUSPECT,
-                                                    .verdict = VERDICT_NOT_RUN });
-  gateway_call_free (call);
-}
-
 /*
  * During a stop, one more request may come on a connection whose last response began before the
  * stop and so carried no "Connection: close". If it were accepted late, its response would be cut
@@ -124,8 +103,6 @@
         }
     }
   call = gateway_call_new (gateway, client, route, account, &request);
-  if (is_known_to_crash (call))
-    reject_suspect (call);
-  else
+  if (!gateway_call_refuse_suspect (call))
     gateway_call_place (call);
 }
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -106,6 +106,8 @@
   call->last_byte_us = now_us;
   call->events_before_head = call->splitter.event_count;
   call->engine->last_byte_us = now_us;
+  if (!call->response.is_other_engine)
+    call->engine->sound_us = MAX (call->engine->sound_us, call->sent_us);
   if (!call->response.not_run)
     wait_queue_note_head (call->service->queue, now_us - call->sent_us);
   if (status == 200)
@@ -289,35 +291,45 @@
     gateway_call_hop_ended (call, RETRY_PLAN_OUTCOME_UNKNOWN, end->reason);
 }
 
-static void
-log_loss (const gateway_call_t *call, uint64_t now_us, uint64_t fingerprint)
+/* Return: for how long the engine had worked on the request when it broke off */
+static uint64_t
+compute_run_us (const gateway_call_t *call, uint64_t now_us)
+{
+  return call->has_head ? now_us - call->head_us : 0;
+}
+
+static const char *
+outcome_to_string (crash_record_outcome_t outcome)
 {
-  bool is_served = recent_answers_contain (call->gateway->served, now_us, fingerprint);
+  static const char *const names[] = {
+    [CRASH_RECORD_COUNTED] = "counted",     [CRASH_RECORD_TOGETHER] = "together",
+    [CRASH_RECORD_SERVED] = "served",       [CRASH_RECORD_PLANNED] = "planned",
+    [CRASH_RECORD_EXPLAINED] = "explained", [CRASH_RECORD_KNOWN] = "known",
+  };
 
-  log_event (LOG_LEVEL_INFO, "loss", "id", call->id, "fingerprint", LOG_HEX (fingerprint), "engine",
-             call->engine->entry.id, "engine_hash", LOG_HEX (call->engine->hash), "sent_ms_ago",
-             LOG_U64 ((now_us - call->sent_us) / CLOCK_US_PER_MS), "served_lately",
-             is_served ? "yes" : "no", NULL);
+  return names[outcome];
 }
 
-/* A connection that broke may mean that the engine crashed; a refused connection shows that it is
- * down. */
 static void
-record_crash (gateway_call_t *call, const http_client_result_t *end)
+record_loss (const gateway_call_t *call)
 {
   gateway_task_t *gateway = call->gateway;
   uint64_t now_us = gateway_now_us (gateway);
-  uint64_t fingerprint;
-
-  if (is_unsent (end))
-    crash_watch_note_down (&gateway->crashes, now_us, call->engine->hash);
-  else if (end->reason == VERDICT_REASON_CUT && call->client &&
-           !call->response.is_for_other_request)
-    {
-      fingerprint = gateway_call_fingerprint (call);
-      log_loss (call, now_us, fingerprint);
-      crash_watch_note_loss (&gateway->crashes, now_us, call->engine->hash, fingerprint);
-    }
+  crash_record_loss_t loss = { .fingerprint = call->fingerprint,
+                               .engine_hash = call->engine->hash,
+                               .sent_us = call->sent_us,
+                               .ran_us = compute_run_us (call, now_us) };
+  crash_record_outcome_t outcome = crash_record_add_loss (gateway->options.crashes, now_us, &loss);
+  uint32_t crashes = crash_record_count_crashes (gateway->options.crashes, loss.fingerprint);
+  bool is_trial = outcome == CRASH_RECORD_COUNTED && crashes >= CRASH_RECORD_TRIAL_CRASHES;
+
+  counter_add (gateway->losses, 1);
+  log_event (is_trial ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO, "loss", "id", call->id, "fingerprint",
+             LOG_HEX (loss.fingerprint), "engine", call->engine->entry.id, "engine_hash",
+             LOG_HEX (loss.engine_hash), "outcome", outcome_to_string (outcome), "crashes",
+             LOG_U64 (crashes), "sent_ms_ago", LOG_U64 ((now_us - loss.sent_us) / CLOCK_US_PER_MS),
+             "ran_ms", LOG_U64 (loss.ran_us / CLOCK_US_PER_MS), NULL);
+  gateway->options.on_crashes (gateway->options.context);
 }
 
 static void
@@ -344,8 +356,9 @@
     record_engine_failure (call, end);
   if (call->has_head && call->response.not_run)
     record_refusal (call, call->engine);
-  if (!end->complete)
-    record_crash (call, end);
+  if (end->reason == VERDICT_REASON_CUT && !end->complete && call->client &&
+      !call->response.is_for_other_request)
+    record_loss (call);
   if (!end->complete)
     gateway_call_log (call, "hop_lost", verdict_to_string (end->verdict), end->reason);
   release_engine (call);
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -12,7 +12,6 @@
 #include "connection/http_server.h"
 #include "base/latency.h"
 #include "request/policy/retry_plan.h"
-#include "request/policy/crash_watch.h"
 #include "request/gateway/event_splitter.h"
 #include "request/error_reply.h"
 #include "request/gateway/gateway.h"
@@ -25,7 +24,8 @@
 #include "request/relay.h"
 #include "request/policy/engine_choice.h"
 
-#define GATEWAY_TRIED_MAX 8 /* engines of one request that are remembered and not asked again */
+#define GATEWAY_TRIED_MAX 8     /* engines of one request that are remembered and not asked again */
+#define GATEWAY_EXCLUDED_MAX 16 /* engines that one request isn't sent to, with those it tried */
 #define GATEWAY_IDLE_CONNECTIONS_MAX 64 /* idle connections to engines that are kept */
 #define GATEWAY_IDLE_TIMEOUT_MS 10000
 /* An engine accepts a connection within milliseconds. An unreachable one doesn't respond at all,
@@ -43,15 +43,8 @@
 /* Retry-After while the data centres of all engines are drained: operators need seconds to change
  * that. */
 #define GATEWAY_RETRY_DRAINED_MS 2000
-#define GATEWAY_SUSPECTS_MAX 256
-/* its client has sent it again by then */
-#define GATEWAY_SUSPECT_TTL_US (UINT64_C (60) * CLOCK_US_PER_S)
-/* Many clients send the same status check, so one of them is likely to run at any engine that
- * crashes. After two such crashes the check would be refused to all clients as one that crashes
- * engines. A request that was served within this time is therefore not marked. One that really
- * crashes every engine isn't served meanwhile, and is marked again after this time. */
-#define GATEWAY_SERVED_MAX 4096
-#define GATEWAY_SERVED_TTL_US (UINT64_C (10) * CLOCK_US_PER_S)
+/* Retry-After of a request that may end engines, while that is being found out */
+#define GATEWAY_RETRY_SUSPECT_MS 1000
 /* pairs of prompt and engine whose cache has the shared parts */
 #define GATEWAY_CACHE_WARM_MAX 4096
 /* share of slots in use, in thousandths, from which requests queue */
@@ -123,13 +116,10 @@
   bool config_current; /* @table is known to be the newest version */
   bool stopping;       /* no connections and requests are accepted any more */
   uint64_t started_us;
-  uint32_t routers;       /* see gateway_set_routers() */
-  uint32_t known_routers; /* likewise, also those not heard from lately */
-  GHashTable *services;   /* interned name -> gateway_service_t */
-  GHashTable *calls;      /* set of gateway_call_t */
-  crash_watch_t crashes;
-  suspects_t *suspects;         /* requests that are suspected of crashing engines */
-  recent_answers_t *served;     /* fingerprints of requests that were served lately */
+  uint32_t routers;             /* see gateway_set_routers() */
+  uint32_t known_routers;       /* likewise, also those not heard from lately */
+  GHashTable *services;         /* interned name -> gateway_service_t */
+  GHashTable *calls;            /* set of gateway_call_t */
   recent_answers_t *cache_warm; /* prompts and engines that read their shared parts lately */
   gateway_route_stats_t route_stats[GATEWAY_ROUTE_STATS_SLOTS];
   uint32_t ticks;
@@ -142,6 +132,8 @@
   counter_t *resumed;
   counter_t *gone;
   counter_t *waited;
+  counter_t *losses;
+  counter_t *suspect_refused;
 };
 
 /**
@@ -150,6 +142,7 @@
  * @upstream: call of the HTTP client for the current hop, or NULL
  * @table: routing table by which the request is handled
  * @account: NULL on a route that needs no key
+ * @fingerprint: hash by which all gateways know a request that ends engines
  * @request: parsed headers of the request; borrows from @client
  * @queue_item: entry in the queue of @service
  * @course: decides what follows the outcome of a hop
@@ -181,6 +174,7 @@
   const routing_route_t *route;
   const routing_account_t *account;
   gateway_service_t *service;
+  uint64_t fingerprint;
   format_request_t request;
   char id[FORMAT_ID_BYTES];
   wait_queue_item_t queue_item;
@@ -217,9 +211,6 @@
 /** gateway_route_stats() - the statistics of a route */
 gateway_route_stats_t *gateway_route_stats (gateway_task_t *gateway, const routing_route_t *route);
 uint64_t gateway_now_us (const gateway_task_t *gateway);
-/** gateway_note_served() - an engine served the request with this fingerprint: clears it of the
- * suspicion of crashing engines, here and at the other gateways */
-void gateway_note_served (gateway_task_t *gateway, uint64_t fingerprint);
 
 /** gateway_accept() - checks a client's request, and rejects it or starts a call */
 void gateway_accept (http_server_call_t *client, void *context);
@@ -231,9 +222,9 @@
                                   const routing_account_t *account,
                                   const format_request_t *request);
 void gateway_call_free (gateway_call_t *call);
-/** gateway_call_fingerprint() - hash by which all gateways know a request that crashes engines;
- * valid only while the client is connected */
-uint64_t gateway_call_fingerprint (const gateway_call_t *call);
+/** gateway_call_refuse_suspect() - ends the call if its request must not be sent because engines
+ * ended under it. Return: whether it was ended */
+bool gateway_call_refuse_suspect (gateway_call_t *call);
 /** gateway_call_place() - sends the request to an engine, queues it, or refuses it */
 void gateway_call_place (gateway_call_t *call);
 /** gateway_call_choose_engine() - the engine to which the request would be sent now */
--- a/src/request/gateway/gateway_queue.c
+++ b/src/request/gateway/gateway_queue.c
@@ -113,6 +113,8 @@
 
   while ((call = wait_queue_first (service->queue, may_start, &choice)))
     {
+      if (gateway_call_refuse_suspect (call))
+        continue;
       if (choice.action == ENGINE_CHOICE_SEND)
         {
           gateway_hop_send (call, &choice);
--- /dev/null
+++ b/src/request/policy/crash_record.c
@@ -0,0 +1,589 @@
+#include "request/policy/crash_record.h"
+
+#include "base/clock.h"
+#include "request/policy/recent_answers.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define SERVED_MAX 4096 /* requests that are remembered as served */
+
+/** struct crash - an engine that ended under a request, which was sent to it at @sent_us (0 when
+ * unknown); @certain: the registry shows it */
+typedef struct
+{
+  uint64_t engine_hash;
+  uint64_t sent_us;
+  uint64_t lost_us;
+  bool certain;
+} crash_t;
+
+/**
+ * struct entry - a request
+ * @crashes: in the order of their times, @count of them
+ * @is_cleared: it was served, and has no crashes since
+ * @changed_us: time of the last crash, or when it was cleared
+ * @ran_us: as in crash_record_loss_t, of the last own loss
+ * @sends_left: messages to any peer that are still to carry it
+ * @owners_due: the owners of the fingerprint are still to be told
+ * @told: to the owners or to all
+ */
+typedef struct
+{
+  uint64_t fingerprint;
+  crash_t crashes[CRASH_MARK_ENGINES];
+  uint32_t count;
+  bool is_cleared;
+  uint64_t changed_us;
+  uint64_t ran_us;
+  uint32_t sends_left;
+  bool owners_due;
+  bool told;
+} entry_t;
+
+/**
+ * struct crash_record - the requests
+ * @unproven_us: when it was last unknown which entries of the registry have gone
+ * @next: entry that is sent next in turn
+ * @has_news: see crash_record_take_news()
+ */
+struct crash_record
+{
+  crash_record_options_t options;
+  GHashTable *by_fingerprint;
+  GPtrArray *list; /* entry_t */
+  recent_answers_t *served;
+  uint64_t unproven_us;
+  guint next;
+  bool has_news;
+};
+
+crash_record_t *
+crash_record_new (const crash_record_options_t *options)
+{
+  crash_record_t *record = g_new0 (crash_record_t, 1);
+
+  g_assert (options->limit > 0);
+  record->options = *options;
+  record->by_fingerprint = g_hash_table_new (g_int64_hash, g_int64_equal);
+  record->list = g_ptr_array_new_with_free_func (g_free);
+  record->served = recent_answers_new (SERVED_MAX, CRASH_RECORD_SERVED_US);
+  return record;
+}
+
+void
+crash_record_free (crash_record_t *record)
+{
+  if (!record)
+    return;
+  g_hash_table_destroy (record->by_fingerprint);
+  g_ptr_array_free (record->list, TRUE);
+  recent_answers_free (record->served);
+  g_free (record);
+}
+
+static entry_t *
+find (const crash_record_t *record, uint64_t fingerprint)
+{
+  return g_hash_table_lookup (record->by_fingerprint, &fingerprint);
+}
+
+static void
+remove_entry (crash_record_t *record, entry_t *entry)
+{
+  g_hash_table_remove (record->by_fingerprint, &entry->fingerprint);
+  g_ptr_array_remove_fast (record->list, entry);
+}
+
+/* One with few crashes goes first, and of these the oldest. */
+static void
+remove_least (crash_record_t *record)
+{
+  entry_t *least = g_ptr_array_index (record->list, 0);
+
+  for (guint i = 1; i < record->list->len; i++)
+    {
+      entry_t *entry = g_ptr_array_index (record->list, i);
+
+      if (entry->count < least->count ||
+          (entry->count == least->count && entry->changed_us < least->changed_us))
+        least = entry;
+    }
+  remove_entry (record, least);
+}
+
+static entry_t *
+find_or_add (crash_record_t *record, uint64_t fingerprint)
+{
+  entry_t *entry = find (record, fingerprint);
+
+  if (entry)
+    return entry;
+  if (record->list->len >= record->options.limit)
+    remove_least (record);
+  entry = g_new0 (entry_t, 1);
+  entry->fingerprint = fingerprint;
+  g_ptr_array_add (record->list, entry);
+  g_hash_table_insert (record->by_fingerprint, &entry->fingerprint, entry);
+  return entry;
+}
+
+static bool
+has_engine (const entry_t *entry, uint64_t engine_hash)
+{
+  for (uint32_t i = 0; i < entry->count; i++)
+    if (entry->crashes[i].engine_hash == engine_hash)
+      return true;
+  return false;
+}
+
+static bool
+is_final (const entry_t *entry)
+{
+  return entry->count == CRASH_MARK_ENGINES;
+}
+
+static void
+drop_crash (entry_t *entry, uint32_t index)
+{
+  entry->count--;
+  memmove (&entry->crashes[index], &entry->crashes[index + 1],
+           (entry->count - index) * sizeof entry->crashes[0]);
+}
+
+/* An engine that answers what was sent to it after the loss did not end by it; nor did one whose
+ * entry outlives it, even if it goes later. */
+static bool
+is_refuted (const crash_record_t *record,
+            uint64_t now_us,
+            const crash_t *crash,
+            const crash_record_engine_t *engine)
+{
+  uint64_t proven_from_us = MAX (crash->lost_us, record->unproven_us);
+
+  return engine->state == CRASH_RECORD_ENGINE_LEAVING || engine->sound_us > crash->lost_us ||
+         now_us > proven_from_us + CRASH_RECORD_PROOF_US;
+}
+
+static void
+review_entry (const crash_record_t *record, uint64_t now_us, entry_t *entry)
+{
+  uint32_t i = 0;
+
+  while (i < entry->count)
+    {
+      crash_t *crash = &entry->crashes[i];
+      crash_record_engine_t engine;
+
+      if (!crash->certain)
+        {
+          engine = record->options.get_engine (crash->engine_hash, record->options.context);
+          if (is_refuted (record, now_us, crash, &engine))
+            {
+              drop_crash (entry, i);
+              continue;
+            }
+          crash->certain = engine.state == CRASH_RECORD_ENGINE_ENDED;
+        }
+      i++;
+    }
+}
+
+/* Those that ran beside a request that ends engines, on an engine that it ended, are not to blame
+ * for that one. */
+static void
+excuse_others (crash_record_t *record, const entry_t *culprit)
+{
+  for (guint i = 0; i < record->list->len; i++)
+    {
+      entry_t *entry = g_ptr_array_index (record->list, i);
+      uint32_t j = 0;
+
+      while (!is_final (entry) && j < entry->count)
+        {
+          if (has_engine (culprit, entry->crashes[j].engine_hash))
+            drop_crash (entry, j);
+          else
+            j++;
+        }
+    }
+}
+
+static bool
+is_explained (const crash_record_t *record, uint64_t fingerprint, uint64_t engine_hash)
+{
+  for (guint i = 0; i < record->list->len; i++)
+    {
+      const entry_t *entry = g_ptr_array_index (record->list, i);
+
+      if (entry->fingerprint != fingerprint && is_final (entry) && has_engine (entry, engine_hash))
+        return true;
+    }
+  return false;
+}
+
+static void
+announce (crash_record_t *record, entry_t *entry)
+{
+  entry->sends_left = CRASH_RECORD_SENDS;
+  entry->owners_due = false;
+  record->has_news = true;
+}
+
+static void
+add_crash (crash_record_t *record, entry_t *entry, const crash_t *crash)
+{
+  crash_record_engine_t engine =
+      record->options.get_engine (crash->engine_hash, record->options.context);
+
+  entry->crashes[entry->count] = *crash;
+  entry->crashes[entry->count++].certain = engine.state == CRASH_RECORD_ENGINE_ENDED;
+  entry->is_cleared = false;
+  entry->changed_us = MAX (entry->changed_us, crash->lost_us);
+  if (is_final (entry))
+    excuse_others (record, entry);
+}
+
+static const crash_t *
+last_crash (const entry_t *entry)
+{
+  return &entry->crashes[entry->count - 1];
+}
+
+/* Whether a crash may have the cause of the last one that is counted, whichever came first. */
+static bool
+may_have_same_cause (const entry_t *entry, const crash_t *crash)
+{
+  const crash_t *last;
+
+  if (entry->count == 0)
+    return false;
+  last = last_crash (entry);
+  return crash->sent_us < last->lost_us && last->sent_us < crash->lost_us &&
+         crash->lost_us < last->lost_us + CRASH_RECORD_COMMON_CAUSE_US &&
+         last->lost_us < crash->lost_us + CRASH_RECORD_COMMON_CAUSE_US;
+}
+
+crash_record_outcome_t
+crash_record_add_loss (crash_record_t *record, uint64_t now_us, const crash_record_loss_t *loss)
+{
+  crash_record_engine_t engine =
+      record->options.get_engine (loss->engine_hash, record->options.context);
+  crash_t crash = { .engine_hash = loss->engine_hash, .sent_us = loss->sent_us, .lost_us = now_us };
+  entry_t *entry;
+
+  if (crash_record_was_served (record, now_us, loss->fingerprint))
+    return CRASH_RECORD_SERVED;
+  if (engine.state == CRASH_RECORD_ENGINE_LEAVING)
+    return CRASH_RECORD_PLANNED;
+  if (is_explained (record, loss->fingerprint, loss->engine_hash))
+    return CRASH_RECORD_EXPLAINED;
+  entry = find_or_add (record, loss->fingerprint);
+  review_entry (record, now_us, entry);
+  entry->ran_us = loss->ran_us;
+  if (is_final (entry) || has_engine (entry, loss->engine_hash))
+    return CRASH_RECORD_KNOWN;
+  if (may_have_same_cause (entry, &crash))
+    return CRASH_RECORD_TOGETHER;
+  add_crash (record, entry, &crash);
+  if (entry->count >= CRASH_RECORD_TRIAL_CRASHES)
+    announce (record, entry);
+  else
+    entry->owners_due = true;
+  return CRASH_RECORD_COUNTED;
+}
+
+/* The entry stays for a time without crashes, so that an older mark doesn't bring them back. */
+static void
+clear_entry (crash_record_t *record, entry_t *entry, uint64_t cleared_us)
+{
+  bool all_know = entry->count >= CRASH_RECORD_TRIAL_CRASHES || entry->sends_left > 0;
+
+  entry->count = 0;
+  entry->is_cleared = true;
+  entry->changed_us = cleared_us;
+  if (all_know)
+    announce (record, entry);
+  else
+    entry->owners_due = entry->told;
+}
+
+bool
+crash_record_note_served (crash_record_t *record, uint64_t now_us, uint64_t fingerprint)
+{
+  entry_t *entry = find (record, fingerprint);
+
+  recent_answers_add (record->served, now_us, fingerprint);
+  if (!entry || entry->count == 0)
+    return false;
+  clear_entry (record, entry, now_us);
+  return true;
+}
+
+bool
+crash_record_was_served (const crash_record_t *record, uint64_t now_us, uint64_t fingerprint)
+{
+  return recent_answers_contain (record->served, now_us, fingerprint);
+}
+
+/* The peer heard of it later than this gateway served the request, or never: it is told. */
+static bool
+answer_by_clearing (crash_record_t *record, entry_t *entry, uint64_t now_us)
+{
+  bool is_new = entry->sends_left == 0 || entry->count > 0;
+
+  entry->count = 0;
+  entry->is_cleared = true;
+  entry->changed_us = now_us;
+  announce (record, entry);
+  return is_new;
+}
+
+static bool
+merge_cleared (crash_record_t *record, entry_t *entry, uint64_t cleared_us)
+{
+  if (!entry || entry->count == 0 || cleared_us < entry->changed_us)
+    return false;
+  clear_entry (record, entry, cleared_us);
+  return true;
+}
+
+static bool
+is_sound (const crash_record_t *record, uint64_t engine_hash, uint64_t lost_us)
+{
+  crash_record_engine_t engine = record->options.get_engine (engine_hash, record->options.context);
+
+  return engine.state == CRASH_RECORD_ENGINE_LEAVING || engine.sound_us > lost_us;
+}
+
+/* The crashes of a mark are separate ones, but the last ones of two gateways may have one cause.
+ * Then the gateway that names more counts. */
+static bool
+merge_engines (crash_record_t *record, entry_t *entry, const crash_mark_t *mark, crash_t crash)
+{
+  uint32_t before = entry->count;
+
+  if (may_have_same_cause (entry, &crash))
+    {
+      if (mark->engine_count <= entry->count)
+        return false;
+      entry->count = 0;
+    }
+  for (uint32_t i = 0; i < mark->engine_count && !is_final (entry); i++)
+    {
+      crash.engine_hash = mark->engines[i];
+      if (!has_engine (entry, crash.engine_hash) &&
+          !is_sound (record, crash.engine_hash, crash.lost_us))
+        add_crash (record, entry, &crash);
+    }
+  return entry->count > before;
+}
+
+static uint64_t
+time_ago_us (uint64_t now_us, uint32_t age_ms)
+{
+  uint64_t age_us = (uint64_t)age_ms * CLOCK_US_PER_MS;
+
+  return now_us - MIN (age_us, now_us);
+}
+
+bool
+crash_record_merge (crash_record_t *record, uint64_t now_us, const crash_mark_t *mark)
+{
+  crash_t crash = { .sent_us = time_ago_us (now_us, mark->sent_age_ms),
+                    .lost_us = time_ago_us (now_us, mark->age_ms) };
+  entry_t *entry;
+
+  if ((uint64_t)mark->age_ms * CLOCK_US_PER_MS > record->options.lifetime_us)
+    return false;
+  if (mark->engine_count == 0)
+    return merge_cleared (record, find (record, mark->fingerprint), crash.lost_us);
+  entry = find_or_add (record, mark->fingerprint);
+  if (crash_record_was_served (record, now_us, mark->fingerprint))
+    return answer_by_clearing (record, entry, now_us);
+  if (entry->is_cleared && crash.lost_us <= entry->changed_us)
+    return false;
+  review_entry (record, now_us, entry);
+  if (is_final (entry) || !merge_engines (record, entry, mark, crash))
+    return false;
+  if (entry->count >= CRASH_RECORD_TRIAL_CRASHES)
+    announce (record, entry);
+  return true;
+}
+
+crash_record_verdict_t
+crash_record_check (crash_record_t *record, uint64_t now_us, uint64_t fingerprint)
+{
+  entry_t *entry = find (record, fingerprint);
+
+  if (!entry)
+    return CRASH_RECORD_ALLOWED;
+  review_entry (record, now_us, entry);
+  if (entry->count < CRASH_RECORD_TRIAL_CRASHES)
+    return CRASH_RECORD_ALLOWED;
+  if (!is_final (entry))
+    return CRASH_RECORD_ON_TRIAL;
+  for (uint32_t i = 0; i < entry->count; i++)
+    if (!entry->crashes[i].certain)
+      return CRASH_RECORD_PENDING;
+  return CRASH_RECORD_REFUSED;
+}
+
+uint32_t
+crash_record_count_crashes (const crash_record_t *record, uint64_t fingerprint)
+{
+  const entry_t *entry = find (record, fingerprint);
+
+  return entry ? entry->count : 0;
+}
+
+bool
+crash_record_is_empty (const crash_record_t *record)
+{
+  return record->list->len == 0;
+}
+
+void
+crash_record_review (crash_record_t *record, uint64_t now_us, bool registry_current)
+{
+  if (!registry_current)
+    record->unproven_us = now_us;
+  for (guint i = record->list->len; i > 0; i--)
+    {
+      entry_t *entry = g_ptr_array_index (record->list, i - 1);
+
+      review_entry (record, now_us, entry);
+      if ((entry->count == 0 && !entry->is_cleared) ||
+          now_us > entry->changed_us + record->options.lifetime_us)
+        remove_entry (record, entry);
+    }
+}
+
+static uint32_t
+age_ms (uint64_t now_us, uint64_t then_us)
+{
+  return (uint32_t)((now_us - MIN (then_us, now_us)) / CLOCK_US_PER_MS);
+}
+
+static crash_mark_t
+make_mark (const entry_t *entry, uint64_t now_us)
+{
+  crash_mark_t mark = { .fingerprint = entry->fingerprint,
+                        .engine_count = entry->count,
+                        .age_ms = age_ms (now_us, entry->changed_us),
+                        .sent_age_ms = UINT32_MAX };
+
+  for (uint32_t i = 0; i < entry->count; i++)
+    mark.engines[i] = entry->crashes[i].engine_hash;
+  if (entry->count > 0 && last_crash (entry)->sent_us > 0)
+    mark.sent_age_ms = age_ms (now_us, last_crash (entry)->sent_us);
+  return mark;
+}
+
+static uint32_t
+parts_of (uint32_t engine_count)
+{
+  return MAX ((engine_count + CRASH_MARK_PART_ENGINES - 1) / CRASH_MARK_PART_ENGINES, 1U);
+}
+
+static entry_t *
+least_sent (const crash_record_t *record, entry_t *const *taken, uint32_t taken_count)
+{
+  entry_t *best = NULL;
+
+  for (guint i = 0; i < record->list->len; i++)
+    {
+      entry_t *entry = g_ptr_array_index (record->list, i);
+      bool is_taken = false;
+
+      for (uint32_t j = 0; j < taken_count; j++)
+        is_taken = is_taken || taken[j] == entry;
+      if (!is_taken && entry->sends_left > (best ? best->sends_left : 0))
+        best = entry;
+    }
+  return best;
+}
+
+static entry_t *
+next_in_turn (crash_record_t *record, uint32_t room)
+{
+  for (guint i = 0; i < record->list->len; i++)
+    {
+      entry_t *entry = g_ptr_array_index (record->list, record->next++ % record->list->len);
+
+      if (entry->sends_left == 0 && entry->count >= CRASH_RECORD_TRIAL_CRASHES &&
+          room >= parts_of (entry->count))
+        return entry;
+    }
+  return NULL;
+}
+
+uint32_t
+crash_mark_parts (const crash_mark_t *mark)
+{
+  return parts_of (mark->engine_count);
+}
+
+#define TAKE_MAX 8 /* marks of one message */
+
+uint32_t
+crash_record_take_marks (crash_record_t *record, uint64_t now_us, crash_mark_t *out, uint32_t room)
+{
+  entry_t *taken[TAKE_MAX];
+  uint32_t count = 0;
+  uint32_t used = 0;
+  entry_t *entry;
+
+  while (count < TAKE_MAX && (entry = least_sent (record, taken, count)))
+    {
+      crash_mark_t mark = make_mark (entry, now_us);
+
+      used += crash_mark_parts (&mark);
+      if (used > room)
+        break;
+      entry->sends_left--;
+      entry->told = true;
+      taken[count] = entry;
+      out[count++] = mark;
+    }
+  if (count == 0 && used == 0 && (entry = next_in_turn (record, room)))
+    out[count++] = make_mark (entry, now_us);
+  return count;
+}
+
+bool
+crash_record_take_news (crash_record_t *record)
+{
+  bool has_news = record->has_news;
+
+  record->has_news = false;
+  return has_news;
+}
+
+bool
+crash_record_take_owner_mark (crash_record_t *record, uint64_t now_us, crash_mark_t *out)
+{
+  entry_t *first = NULL;
+
+  for (guint i = 0; i < record->list->len; i++)
+    {
+      entry_t *entry = g_ptr_array_index (record->list, i);
+
+      if (entry->owners_due && (entry->count > 0 || entry->told) &&
+          (!first || entry->ran_us < first->ran_us))
+        first = entry;
+    }
+  if (!first)
+    return false;
+  first->owners_due = false;
+  first->told = first->count > 0;
+  *out = make_mark (first, now_us);
+  return true;
+}
+
+uint64_t
+crash_record_rank_owner (uint64_t fingerprint, uint64_t gateway_hash)
+{
+  return XXH64 (&gateway_hash, sizeof gateway_hash, fingerprint);
+}
--- /dev/null
+++ b/src/request/policy/crash_record.h
@@ -0,0 +1,166 @@
+/**
+ * DOC: crash_record
+ *
+ * Requests during which engines ended, as a gateway knows them: by fingerprint, with the engines.
+ * At most %CRASH_MARK_ENGINES engines end under one request before it is refused, however often and
+ * through whichever gateways it is sent. A state machine without I/O.
+ *
+ * A connection that broke is a crash of its engine until the opposite is shown: the engine answers
+ * a request that was sent later, says that it leaves, or its entry outlives it. It is certain once
+ * the registry drops the engine. Crashes that may have one cause count once (a rack that loses
+ * power, a link that is cut). A request that was served is cleared.
+ *
+ * Gateways tell each other the crashes of a request as marks: the first crash to the owners of the
+ * fingerprint, who so see the crashes of all gateways; later ones to all.
+ */
+#ifndef REQUEST_POLICY_CRASH_RECORD_H
+#define REQUEST_POLICY_CRASH_RECORD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define CRASH_MARK_ENGINES 3
+/* crashes from which on a request is repeated by its caller only, and one copy runs at a time */
+#define CRASH_RECORD_TRIAL_CRASHES 2
+/* Engines that break off within this time of each other may have a common cause, unless the request
+ * was sent to the second one after the first had broken off. */
+#define CRASH_RECORD_COMMON_CAUSE_US (UINT64_C (500) * 1000)
+/* The registry drops an engine that ended within this time, while the store can be read. */
+#define CRASH_RECORD_PROOF_US (UINT64_C (10) * 1000 * 1000)
+/* What was served within this time is not blamed: many callers may send it alike, so it runs
+ * wherever an engine ends. */
+#define CRASH_RECORD_SERVED_US (UINT64_C (10) * 1000 * 1000)
+/* Messages that carry a change, more than log2 of the gateways of a large fleet. */
+#define CRASH_RECORD_SENDS 16
+
+/**
+ * struct crash_mark - the crashes of one request, as gateways tell them to each other
+ * @engines: hashes of the engines that ended, @engine_count of them; none when the request was
+ *   served
+ * @age_ms: time since the last crash, or since it was served
+ * @sent_age_ms: time since the request was sent to the last of the engines; %UINT32_MAX when
+ * unknown
+ */
+typedef struct
+{
+  uint64_t fingerprint;
+  uint64_t engines[CRASH_MARK_ENGINES];
+  uint32_t engine_count;
+  uint32_t age_ms;
+  uint32_t sent_age_ms;
+} crash_mark_t;
+
+#define CRASH_MARK_PART_ENGINES 2 /* engines that one part of a message holds */
+
+typedef enum
+{
+  CRASH_RECORD_ENGINE_LISTED,  /* the registry has it */
+  CRASH_RECORD_ENGINE_LEAVING, /* it ends as planned */
+  CRASH_RECORD_ENGINE_ENDED    /* the registry has it no more */
+} crash_record_engine_state_t;
+
+/** struct crash_record_engine - what shows whether an engine ended; @sound_us: when the latest
+ * request that it answered was sent, 0 for none */
+typedef struct
+{
+  crash_record_engine_state_t state;
+  uint64_t sound_us;
+} crash_record_engine_t;
+
+/**
+ * struct crash_record_options - options of crash_record_new()
+ * @limit: the most requests that are remembered
+ * @lifetime_us: a request is forgotten this long after its last crash
+ * @get_engine: what is known of an engine
+ */
+typedef struct
+{
+  uint32_t limit;
+  uint64_t lifetime_us;
+  crash_record_engine_t (*get_engine) (uint64_t engine_hash, void *context);
+  void *context;
+} crash_record_options_t;
+
+/**
+ * struct crash_record_loss - a request whose connection to its engine broke
+ * @sent_us: when it was sent there
+ * @ran_us: for how long the engine had worked on it, 0 when nothing had come of it yet. One that
+ *   ends engines mostly does so as it starts, so the others are told later
+ */
+typedef struct
+{
+  uint64_t fingerprint;
+  uint64_t engine_hash;
+  uint64_t sent_us;
+  uint64_t ran_us;
+} crash_record_loss_t;
+
+/** enum crash_record_outcome - what a loss counts as */
+typedef enum
+{
+  CRASH_RECORD_COUNTED,
+  CRASH_RECORD_TOGETHER,  /* may have the cause of the crash before */
+  CRASH_RECORD_SERVED,    /* the request was served lately */
+  CRASH_RECORD_PLANNED,   /* the engine was leaving */
+  CRASH_RECORD_EXPLAINED, /* another request is known to end engines, that one too */
+  CRASH_RECORD_KNOWN      /* this crash, or enough others, are counted already */
+} crash_record_outcome_t;
+
+/** enum crash_record_verdict - whether a request may be sent */
+typedef enum
+{
+  CRASH_RECORD_ALLOWED,
+  CRASH_RECORD_ON_TRIAL, /* one copy at a time, not beside another one on trial */
+  CRASH_RECORD_PENDING,  /* not now: enough engines seem to have ended, it is not yet certain */
+  CRASH_RECORD_REFUSED   /* not any more */
+} crash_record_verdict_t;
+
+typedef struct crash_record crash_record_t;
+
+/** crash_mark_parts() - parts of a message that the mark takes */
+uint32_t crash_mark_parts (const crash_mark_t *mark);
+
+crash_record_t *crash_record_new (const crash_record_options_t *options);
+void crash_record_free (crash_record_t *record);
+/** crash_record_add_loss() - records that the connection of a request to its engine broke */
+crash_record_outcome_t
+crash_record_add_loss (crash_record_t *record, uint64_t now_us, const crash_record_loss_t *loss);
+/** crash_record_note_served() - an engine answered the request: clears it here and, by a mark, at
+ * those that were told of it. Return: whether it had crashes */
+bool crash_record_note_served (crash_record_t *record, uint64_t now_us, uint64_t fingerprint);
+/** crash_record_was_served() - whether the request was served within %CRASH_RECORD_SERVED_US */
+bool crash_record_was_served (const crash_record_t *record, uint64_t now_us, uint64_t fingerprint);
+/** crash_record_merge() - applies a mark of a peer. Return: whether it told something new */
+bool crash_record_merge (crash_record_t *record, uint64_t now_us, const crash_mark_t *mark);
+/** crash_record_check() - whether the request may be sent */
+crash_record_verdict_t
+crash_record_check (crash_record_t *record, uint64_t now_us, uint64_t fingerprint);
+/** crash_record_count_crashes() - engines that count as ended by the request */
+uint32_t crash_record_count_crashes (const crash_record_t *record, uint64_t fingerprint);
+/** crash_record_is_empty() - whether nothing is remembered, so that no request has to be checked */
+bool crash_record_is_empty (const crash_record_t *record);
+/** crash_record_review() - compares all crashes that are not certain with what is known of the
+ * engines now, and forgets what is over; to be called a few times a second. @registry_current:
+ * whether an entry that has gone would be known */
+void crash_record_review (crash_record_t *record, uint64_t now_us, bool registry_current);
+/**
+ * crash_record_take_marks() - gets marks for a message to any peer, counting them as sent: changes
+ * first, those sent least often before others; without any, one of the others in turn, so that a
+ * gateway that starts learns of them
+ * @room: parts that fit into the message, see crash_mark_parts(), and into @out
+ *
+ * Return: the number of marks in @out
+ */
+uint32_t
+crash_record_take_marks (crash_record_t *record, uint64_t now_us, crash_mark_t *out, uint32_t room);
+/** crash_record_take_news() - whether there is a change to be told to all since the last call */
+bool crash_record_take_news (crash_record_t *record);
+/** crash_record_take_owner_mark() - gets the next mark that is due to be told to the owners of its
+ * fingerprint alone, that of the request on which an engine had worked least first. Return: false
+ * when there is none */
+bool crash_record_take_owner_mark (crash_record_t *record, uint64_t now_us, crash_mark_t *out);
+/** crash_record_rank_owner() - rank of a gateway, by the hash of its name, as an owner of the
+ * fingerprint; the highest ranks first */
+uint64_t crash_record_rank_owner (uint64_t fingerprint, uint64_t gateway_hash);
+
+#endif
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -24,6 +24,7 @@
 /**
  * struct engines - the engines that the registry lists
  * @by_id: id -> engine_t
+ * @by_hash: hash -> engine_t, the same engines
  * @by_service: interned service -> service_t
  * @drained: data centre -> start of its drain, in microseconds
  * @self_reports: what engines stated in their answers about leaving and backing off
@@ -32,6 +33,7 @@
 struct engines
 {
   GHashTable *by_id;
+  GHashTable *by_hash;
   GHashTable *by_service;
   GHashTable *drained;
   self_reports_t *self_reports;
@@ -63,6 +65,7 @@
   engines_t *engines = g_new0 (engines_t, 1);
 
   engines->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, engine_unref);
+  engines->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
   engines->by_service = g_hash_table_new_full (NULL, NULL, NULL, service_free);
   engines->self_reports = self_reports_new ();
   engines->drained = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -75,6 +78,7 @@
   g_hash_table_destroy (engines->by_service);
   g_hash_table_destroy (engines->drained);
   self_reports_free (engines->self_reports);
+  g_hash_table_destroy (engines->by_hash);
   g_hash_table_destroy (engines->by_id);
   g_free (engines);
 }
@@ -174,6 +178,7 @@
       engine->joined_us = engines->complete ? now_us : 0;
       restore_self_report (engines, engine);
       g_hash_table_insert (engines->by_id, engine->entry.id, engine);
+      g_hash_table_insert (engines->by_hash, &engine->hash, engine);
       g_ptr_array_add (service->list, engine);
     }
   engine->entry = *entry;
@@ -278,20 +283,14 @@
     return;
   engine->entry.state = ENGINE_GONE;
   g_ptr_array_remove (get_service (engines, engine->entry.service)->list, engine);
+  g_hash_table_remove (engines->by_hash, &engine->hash);
   g_hash_table_remove (engines->by_id, id);
 }
 
 engine_t *
 engines_find_by_hash (const engines_t *engines, uint64_t hash)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, engines->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((engine_t *)value)->hash == hash)
-      return value;
-  return NULL;
+  return g_hash_table_lookup (engines->by_hash, &hash);
 }
 
 engine_t *
@@ -312,6 +311,12 @@
   engines->complete = true;
 }
 
+bool
+engines_are_complete (const engines_t *engines)
+{
+  return engines->complete;
+}
+
 uint32_t
 engines_count (const engines_t *engines)
 {
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -96,6 +96,7 @@
  * @latency_ratio_milli: duration of its answers relative to the service's usual duration, smoothed,
  *   in thousandths; 0 when unknown
  * @last_byte_us: when its last byte was received
+ * @sound_us: when the latest request that it answered was sent
  * @unanswered_since_us: when the first request after that byte was sent
  * @last_sent_us: when this gateway last sent a request there
  * @joined_us: when the engine was first seen, or returned; 0 when it was in the first list that
@@ -138,6 +139,7 @@
   uint32_t error_rate_milli;
   uint32_t latency_ratio_milli;
   uint64_t last_byte_us;
+  uint64_t sound_us;
   uint64_t unanswered_since_us;
   uint64_t last_sent_us;
   uint64_t joined_us;
@@ -258,6 +260,8 @@
 /** engines_set_complete() - marks the first list as read: engines that are added later have joined
  */
 void engines_set_complete (engines_t *engines);
+/** engines_are_complete() - whether the first list was read */
+bool engines_are_complete (const engines_t *engines);
 /** engines_count() - number of engines in the registry */
 uint32_t engines_count (const engines_t *engines);
 
--- a/src/request/policy/retry_plan.c
+++ b/src/request/policy/retry_plan.c
@@ -21,6 +21,13 @@
   return may_rerun (&retry_plan->rules, retry_plan->ran + 1, begun);
 }
 
+void
+retry_plan_forbid_rerun (retry_plan_t *retry_plan)
+{
+  if (retry_plan->rules.max_runs > retry_plan->ran + 1)
+    retry_plan->rules.max_runs = retry_plan->ran + 1;
+}
+
 static bool
 may_repeat (const retry_plan_t *retry_plan, retry_plan_outcome_t outcome)
 {
--- a/src/request/policy/retry_plan.h
+++ b/src/request/policy/retry_plan.h
@@ -92,6 +92,8 @@
  * @begun: a part of a response went to the client
  */
 bool retry_plan_may_move (const retry_plan_t *retry_plan, bool begun);
+/** retry_plan_forbid_rerun() - the request must not run again after the current attempt */
+void retry_plan_forbid_rerun (retry_plan_t *retry_plan);
 /**
  * retry_plan_next() - decides what to do after an attempt ended with @outcome
  *
--- /dev/null
+++ b/tests/test_crash_record.c
@@ -0,0 +1,505 @@
+#include "base/clock.h"
+#include "request/policy/crash_record.h"
+#include "suite.h"
+
+#include <glib.h>
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (crash_record_t, crash_record_free)
+
+#define MS_US UINT64_C (1000)
+#define S_US UINT64_C (1000000)
+#define START_US (UINT64_C (1000) * S_US)
+#define LIFETIME_US (600 * S_US)
+#define LIMIT 64
+#define ENGINES 16
+#define CULPRIT 7
+#define OTHER 8
+
+/** struct rig - what the registry and answers show of the engines, by hash */
+typedef struct
+{
+  crash_record_engine_t engines[ENGINES];
+} rig_t;
+
+static crash_record_engine_t
+get_engine (uint64_t engine_hash, void *context)
+{
+  const rig_t *rig = context;
+
+  return rig->engines[engine_hash];
+}
+
+static crash_record_t *
+new_record (rig_t *rig)
+{
+  return crash_record_new (&(crash_record_options_t){
+      .limit = LIMIT, .lifetime_us = LIFETIME_US, .get_engine = get_engine, .context = rig });
+}
+
+/* A request that was sent to the engine @ago_us before is lost there. */
+static crash_record_outcome_t
+lose (
+    crash_record_t *record, uint64_t now_us, uint64_t fingerprint, uint64_t engine, uint64_t ago_us)
+{
+  return crash_record_add_loss (record, now_us,
+                                &(crash_record_loss_t){ .fingerprint = fingerprint,
+                                                        .engine_hash = engine,
+                                                        .sent_us = now_us - ago_us });
+}
+
+static void
+end_engine (rig_t *rig, uint64_t engine)
+{
+  rig->engines[engine].state = CRASH_RECORD_ENGINE_ENDED;
+}
+
+/* The request ends three engines, 100 ms apart, each time sent after the one before had ended. */
+static void
+end_three (rig_t *rig, crash_record_t *record, uint64_t first_us)
+{
+  for (uint64_t engine = 1; engine <= CRASH_MARK_ENGINES; engine++)
+    {
+      CU_ASSERT_EQUAL (
+          lose (record, first_us + engine * 100 * MS_US, CULPRIT, engine, 100 * MS_US - 1),
+          CRASH_RECORD_COUNTED);
+      end_engine (rig, engine);
+    }
+}
+
+static void
+test_first_crash_refuses_nothing (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  crash_mark_t mark;
+
+  CU_ASSERT_EQUAL (lose (record, START_US, CULPRIT, 1, S_US), CRASH_RECORD_COUNTED);
+  end_engine (&rig, 1);
+  crash_record_review (record, START_US + S_US, true);
+  CU_ASSERT_EQUAL (crash_record_count_crashes (record, CULPRIT), 1);
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + S_US, CULPRIT), CRASH_RECORD_ALLOWED);
+  CU_ASSERT (!crash_record_take_news (record));
+  CU_ASSERT (crash_record_take_owner_mark (record, START_US, &mark));
+  CU_ASSERT_EQUAL (mark.fingerprint, CULPRIT);
+  CU_ASSERT_EQUAL (mark.engine_count, 1);
+  CU_ASSERT (!crash_record_take_owner_mark (record, START_US, &mark));
+}
+
+/* Guards against a request that ends engines so fast that each end excuses the one before. */
+static void
+test_fast_series_of_crashes_is_refused (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  uint64_t now_us = START_US + S_US;
+
+  CU_ASSERT_EQUAL (lose (record, START_US, CULPRIT, 1, 40 * MS_US), CRASH_RECORD_COUNTED);
+  CU_ASSERT_EQUAL (lose (record, START_US + 60 * MS_US, CULPRIT, 2, 59 * MS_US),
+                   CRASH_RECORD_COUNTED);
+  CU_ASSERT (crash_record_take_news (record));
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + 60 * MS_US, CULPRIT),
+                   CRASH_RECORD_ON_TRIAL);
+  CU_ASSERT_EQUAL (lose (record, START_US + 120 * MS_US, CULPRIT, 3, 59 * MS_US),
+                   CRASH_RECORD_COUNTED);
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + 120 * MS_US, CULPRIT),
+                   CRASH_RECORD_PENDING);
+  for (uint64_t engine = 1; engine <= 3; engine++)
+    end_engine (&rig, engine);
+  CU_ASSERT_EQUAL (crash_record_check (record, now_us, CULPRIT), CRASH_RECORD_REFUSED);
+  CU_ASSERT_EQUAL (crash_record_check (record, now_us, OTHER), CRASH_RECORD_ALLOWED);
+}
+
+static void
+test_all_requests_of_a_crash_count (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+
+  for (uint64_t request = 1; request <= 3; request++)
+    CU_ASSERT_EQUAL (lose (record, START_US + request, request, 1, S_US), CRASH_RECORD_COUNTED);
+  end_engine (&rig, 1);
+  crash_record_review (record, START_US + S_US, true);
+  for (uint64_t request = 1; request <= 3; request++)
+    CU_ASSERT_EQUAL (crash_record_count_crashes (record, request), 1);
+}
+
+/* Guards against crashes that are counted after lost answers of an engine that is stopped regularly
+ * half a minute later. */
+static void
+test_lost_answer_is_no_crash (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+
+  lose (record, START_US, CULPRIT, 1, S_US);
+  lose (record, START_US + S_US, CULPRIT, 2, MS_US);
+  rig.engines[2].sound_us = START_US + S_US + 1;
+  crash_record_review (record, START_US + 2 * S_US, true);
+  CU_ASSERT_EQUAL (crash_record_count_crashes (record, CULPRIT), 1);
+  end_engine (&rig, 1);
+  crash_record_review (record, START_US + 30 * S_US, true);
+  CU_ASSERT_EQUAL (crash_record_count_crashes (record, CULPRIT), 0);
+  CU_ASSERT (crash_record_is_empty (record));
+}
+
+/* Guards against requests that are refused after a rack has lost power under them. */
+static void
+test_rack_without_power_refuses_nothing (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+
+  for (uint64_t request = 1; request <= 40; request++)
+    lose (record, START_US + request, request, request % 8, S_US);
+  /* those that were sent on, to an engine of the same rack */
+  for (uint64_t request = 1; request <= 40; request++)
+    lose (record, START_US + 30 * MS_US + request, request, (request + 1) % 8, 10 * MS_US);
+  for (uint64_t engine = 0; engine < 8; engine++)
+    end_engine (&rig, engine);
+  crash_record_review (record, START_US + 2 * S_US, true);
+  for (uint64_t request = 1; request <= 40; request++)
+    {
+      crash_record_verdict_t verdict = crash_record_check (record, START_US + 2 * S_US, request);
+
+      CU_ASSERT (verdict == CRASH_RECORD_ALLOWED || verdict == CRASH_RECORD_ON_TRIAL);
+      CU_ASSERT (crash_record_note_served (record, START_US + 2 * S_US, request));
+      CU_ASSERT_EQUAL (crash_record_check (record, START_US + 2 * S_US, request),
+                       CRASH_RECORD_ALLOWED);
+    }
+}
+
+/* Guards against a request that many callers send alike, and that so runs at all engines when they
+ * are killed at once. */
+static void
+test_kill_of_all_counts_once (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+
+  for (uint64_t engine = 0; engine < ENGINES; engine++)
+    {
+      lose (record, START_US + engine * 10 * MS_US, CULPRIT, engine, S_US);
+      end_engine (&rig, engine);
+    }
+  CU_ASSERT_EQUAL (crash_record_count_crashes (record, CULPRIT), 1);
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + S_US, CULPRIT), CRASH_RECORD_ALLOWED);
+}
+
+/* Guards against a request that many callers send alike, which runs wherever an engine ends. */
+static void
+test_served_request_is_not_blamed (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  uint64_t now_us = START_US;
+
+  for (uint64_t engine = 1; engine <= 6; engine++)
+    {
+      crash_record_note_served (record, now_us, CULPRIT);
+      now_us += S_US;
+      CU_ASSERT_EQUAL (lose (record, now_us, CULPRIT, engine, MS_US), CRASH_RECORD_SERVED);
+      end_engine (&rig, engine);
+    }
+  CU_ASSERT_EQUAL (crash_record_check (record, now_us, CULPRIT), CRASH_RECORD_ALLOWED);
+}
+
+/* Guards against requests that are refused as their engines were replaced by a release. */
+static void
+test_leaving_engine_is_no_crash (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+
+  for (uint64_t engine = 1; engine <= 6; engine++)
+    {
+      rig.engines[engine].state = CRASH_RECORD_ENGINE_LEAVING;
+      CU_ASSERT_EQUAL (lose (record, START_US + engine * S_US, CULPRIT, engine, MS_US),
+                       CRASH_RECORD_PLANNED);
+      end_engine (&rig, engine);
+    }
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + 9 * S_US, CULPRIT), CRASH_RECORD_ALLOWED);
+}
+
+/* Guards against requests that stay refused after a cut that reset all connections to engines. */
+static void
+test_cut_refuses_nothing_for_good (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+
+  for (uint64_t engine = 1; engine <= 4; engine++)
+    lose (record, START_US + engine * S_US, CULPRIT, engine, MS_US);
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + 4 * S_US, CULPRIT), CRASH_RECORD_PENDING);
+  rig.engines[2].sound_us = START_US + 5 * S_US;
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + 5 * S_US, CULPRIT),
+                   CRASH_RECORD_ON_TRIAL);
+  crash_record_review (record, START_US + 14 * S_US, true);
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + 14 * S_US, CULPRIT),
+                   CRASH_RECORD_ALLOWED);
+}
+
+/* Guards against crashes that are forgotten while the store is out and can't show that the engines
+ * ended. */
+static void
+test_crashes_stay_while_the_store_is_out (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  uint64_t now_us = START_US;
+
+  for (uint64_t engine = 1; engine <= 3; engine++)
+    lose (record, START_US + engine * S_US, CULPRIT, engine, MS_US);
+  for (; now_us < START_US + 60 * S_US; now_us += S_US)
+    crash_record_review (record, now_us, false);
+  CU_ASSERT_EQUAL (crash_record_check (record, now_us, CULPRIT), CRASH_RECORD_PENDING);
+  for (uint64_t engine = 1; engine <= 3; engine++)
+    end_engine (&rig, engine);
+  crash_record_review (record, now_us + S_US, true);
+  CU_ASSERT_EQUAL (crash_record_check (record, now_us + S_US, CULPRIT), CRASH_RECORD_REFUSED);
+}
+
+/* Guards against requests that ran beside one that ends engines being refused as well. */
+static void
+test_neighbours_are_excused (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+
+  for (uint64_t engine = 1; engine <= 2; engine++)
+    {
+      lose (record, START_US + engine * S_US - 1, OTHER, engine, MS_US);
+      lose (record, START_US + engine * S_US, CULPRIT, engine, MS_US);
+      end_engine (&rig, engine);
+    }
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + 2 * S_US, OTHER), CRASH_RECORD_ON_TRIAL);
+  end_engine (&rig, 3);
+  lose (record, START_US + 3 * S_US, CULPRIT, 3, MS_US);
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + 3 * S_US, CULPRIT), CRASH_RECORD_REFUSED);
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + 3 * S_US, OTHER), CRASH_RECORD_ALLOWED);
+  CU_ASSERT_EQUAL (lose (record, START_US + 3 * S_US + 1, OTHER, 3, MS_US), CRASH_RECORD_EXPLAINED);
+}
+
+/* Guards against crashes that no gateway adds up, as each of them sees one. */
+static void
+test_owner_adds_up_crashes_of_all (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) owner = new_record (&rig);
+  crash_mark_t mark;
+
+  for (uint64_t engine = 1; engine <= 3; engine++)
+    {
+      uint64_t now_us = START_US + engine * 100 * MS_US;
+      g_autoptr (crash_record_t) gateway = new_record (&rig);
+
+      lose (gateway, now_us, CULPRIT, engine, 50 * MS_US);
+      end_engine (&rig, engine);
+      CU_ASSERT_FATAL (crash_record_take_owner_mark (gateway, now_us, &mark));
+      CU_ASSERT (crash_record_merge (owner, now_us + MS_US, &mark));
+      CU_ASSERT (!crash_record_merge (owner, now_us + 2 * MS_US, &mark));
+    }
+  CU_ASSERT (crash_record_take_news (owner));
+  CU_ASSERT_EQUAL (crash_record_check (owner, START_US + S_US, CULPRIT), CRASH_RECORD_REFUSED);
+}
+
+/* Guards against a rack without power that counts as often as gateways have lost a request there
+ * that many callers send alike. */
+static void
+test_crashes_of_one_cause_are_not_added_up (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) owner = new_record (&rig);
+  crash_mark_t mark;
+
+  for (uint64_t engine = 1; engine <= 5; engine++)
+    {
+      uint64_t now_us = START_US + engine * 20 * MS_US;
+      g_autoptr (crash_record_t) gateway = new_record (&rig);
+
+      lose (gateway, now_us, CULPRIT, engine, S_US);
+      end_engine (&rig, engine);
+      CU_ASSERT_FATAL (crash_record_take_owner_mark (gateway, now_us, &mark));
+      crash_record_merge (owner, now_us + MS_US, &mark);
+    }
+  CU_ASSERT_EQUAL (crash_record_count_crashes (owner, CULPRIT), 1);
+}
+
+/* Guards against a harmless request that one gateway refuses to everyone, because it was told of
+ * crashes and never serves it itself. */
+static void
+test_served_request_is_cleared_at_peers (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) one = new_record (&rig);
+  g_autoptr (crash_record_t) two = new_record (&rig);
+  crash_mark_t mark;
+
+  end_three (&rig, one, START_US);
+  CU_ASSERT_EQUAL (crash_record_take_marks (one, START_US + S_US, &mark, 2), 1);
+  CU_ASSERT (crash_record_merge (two, START_US + S_US, &mark));
+  CU_ASSERT_EQUAL (crash_record_check (two, START_US + S_US, CULPRIT), CRASH_RECORD_REFUSED);
+  CU_ASSERT (crash_record_note_served (one, START_US + 2 * S_US, CULPRIT));
+  CU_ASSERT_EQUAL (crash_record_take_marks (one, START_US + 2 * S_US, &mark, 2), 1);
+  CU_ASSERT_EQUAL (mark.engine_count, 0);
+  CU_ASSERT (crash_record_merge (two, START_US + 2 * S_US, &mark));
+  CU_ASSERT_EQUAL (crash_record_check (two, START_US + 2 * S_US, CULPRIT), CRASH_RECORD_ALLOWED);
+}
+
+/* Guards against crashes that are forgotten because an earlier message, that the request was
+ * served, arrives after them; and the other way round. */
+static void
+test_marks_count_in_the_order_of_their_times (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  crash_mark_t crashes = { CULPRIT, { 1, 2 }, 2, 0, 0 };
+  crash_mark_t served = { .fingerprint = CULPRIT, .age_ms = 20 };
+
+  CU_ASSERT (crash_record_merge (record, START_US, &crashes));
+  CU_ASSERT (!crash_record_merge (record, START_US, &served));
+  CU_ASSERT_EQUAL (crash_record_count_crashes (record, CULPRIT), 2);
+  served.age_ms = 0;
+  CU_ASSERT (crash_record_merge (record, START_US + MS_US, &served));
+  crashes.age_ms = 10;
+  CU_ASSERT (!crash_record_merge (record, START_US + 2 * MS_US, &crashes));
+  CU_ASSERT_EQUAL (crash_record_count_crashes (record, CULPRIT), 0);
+}
+
+/* Guards against a gateway that is told of crashes by one that has just started, and knows that the
+ * request is served. */
+static void
+test_mark_of_a_served_request_is_answered (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  crash_mark_t mark = { CULPRIT, { 1, 2, 3 }, 3, 0, 0 };
+
+  crash_record_note_served (record, START_US, CULPRIT);
+  CU_ASSERT (crash_record_merge (record, START_US + S_US, &mark));
+  CU_ASSERT (crash_record_take_news (record));
+  CU_ASSERT_EQUAL (crash_record_take_marks (record, START_US + S_US, &mark, 2), 1);
+  CU_ASSERT_EQUAL (mark.engine_count, 0);
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + S_US, CULPRIT), CRASH_RECORD_ALLOWED);
+}
+
+/* Guards against marks that crowd out each other: each change is sent a bounded number of times,
+ * and what nobody changes is still told to gateways that start. */
+static void
+test_marks_are_sent_in_turn (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  uint32_t sent[4] = { 0 };
+  crash_mark_t marks[2];
+
+  for (uint64_t request = 0; request < 4; request++)
+    for (uint64_t engine = 1; engine <= 3; engine++)
+      lose (record, START_US + engine * S_US + request, request, engine + request * 3, MS_US);
+  for (uint32_t i = 0; i < 4 * CRASH_RECORD_SENDS; i++)
+    {
+      CU_ASSERT_EQUAL (crash_record_take_marks (record, START_US + 4 * S_US, marks, 2), 1);
+      CU_ASSERT_EQUAL (crash_mark_parts (&marks[0]), 2);
+      sent[marks[0].fingerprint]++;
+    }
+  for (uint32_t request = 0; request < 4; request++)
+    CU_ASSERT_EQUAL (sent[request], CRASH_RECORD_SENDS);
+  CU_ASSERT_EQUAL (crash_record_take_marks (record, START_US + 4 * S_US, marks, 1), 0);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      CU_ASSERT_EQUAL (crash_record_take_marks (record, START_US + 4 * S_US, marks, 2), 1);
+      sent[marks[0].fingerprint]++;
+    }
+  for (uint32_t request = 0; request < 4; request++)
+    CU_ASSERT_EQUAL (sent[request], CRASH_RECORD_SENDS + 2);
+}
+
+/* Guards against requests that had run for long being told before the one that has just begun. */
+static void
+test_owners_are_told_of_the_youngest_first (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  crash_mark_t mark;
+
+  for (uint64_t request = 1; request <= 5; request++)
+    crash_record_add_loss (record, START_US,
+                           &(crash_record_loss_t){ .fingerprint = request,
+                                                   .engine_hash = 1,
+                                                   .sent_us = START_US - S_US,
+                                                   .ran_us = (6 - request) * MS_US });
+  CU_ASSERT (crash_record_take_owner_mark (record, START_US, &mark));
+  CU_ASSERT_EQUAL (mark.fingerprint, 5);
+  CU_ASSERT (crash_record_take_owner_mark (record, START_US, &mark));
+  CU_ASSERT_EQUAL (mark.fingerprint, 4);
+}
+
+/* Guards against requests that are refused for good, or that fill the memory. */
+static void
+test_requests_are_forgotten (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  crash_mark_t old = { OTHER, { 1 }, 1, (uint32_t)(LIFETIME_US / MS_US) + 1, 0 };
+
+  end_three (&rig, record, START_US);
+  CU_ASSERT (!crash_record_merge (record, START_US + LIFETIME_US, &old));
+  for (uint64_t request = 100; request < 100 + 2 * LIMIT; request++)
+    lose (record, START_US + S_US + request, request, 4, MS_US);
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + 2 * S_US, CULPRIT), CRASH_RECORD_REFUSED);
+  CU_ASSERT_EQUAL (crash_record_count_crashes (record, 100), 0);
+  CU_ASSERT_EQUAL (crash_record_count_crashes (record, 99 + 2 * LIMIT), 1);
+  crash_record_review (record, START_US + LIFETIME_US + 2 * S_US, true);
+  CU_ASSERT (crash_record_is_empty (record));
+}
+
+/* Guards against marks that never go, as two gateways renew each other's. */
+static void
+test_exchanged_marks_still_expire (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) one = new_record (&rig);
+  g_autoptr (crash_record_t) two = new_record (&rig);
+  uint64_t now_us = START_US + S_US;
+  crash_mark_t mark;
+
+  end_three (&rig, one, START_US);
+  for (; now_us < START_US + 3 * LIFETIME_US; now_us += 7 * S_US + 777)
+    {
+      if (crash_record_take_marks (one, now_us, &mark, 2) == 1)
+        crash_record_merge (two, now_us, &mark);
+      if (crash_record_take_marks (two, now_us, &mark, 2) == 1)
+        crash_record_merge (one, now_us, &mark);
+      crash_record_review (one, now_us, true);
+      crash_record_review (two, now_us, true);
+    }
+  CU_ASSERT (crash_record_is_empty (one));
+  CU_ASSERT (crash_record_is_empty (two));
+}
+
+int
+main (void)
+{
+  static const CU_TestInfo tests[] = { SUITE_TEST (test_first_crash_refuses_nothing),
+                                       SUITE_TEST (test_fast_series_of_crashes_is_refused),
+                                       SUITE_TEST (test_all_requests_of_a_crash_count),
+                                       SUITE_TEST (test_lost_answer_is_no_crash),
+                                       SUITE_TEST (test_rack_without_power_refuses_nothing),
+                                       SUITE_TEST (test_kill_of_all_counts_once),
+                                       SUITE_TEST (test_served_request_is_not_blamed),
+                                       SUITE_TEST (test_leaving_engine_is_no_crash),
+                                       SUITE_TEST (test_cut_refuses_nothing_for_good),
+                                       SUITE_TEST (test_crashes_stay_while_the_store_is_out),
+                                       SUITE_TEST (test_neighbours_are_excused),
+                                       SUITE_TEST (test_owner_adds_up_crashes_of_all),
+                                       SUITE_TEST (test_crashes_of_one_cause_are_not_added_up),
+                                       SUITE_TEST (test_served_request_is_cleared_at_peers),
+                                       SUITE_TEST (test_marks_count_in_the_order_of_their_times),
+                                       SUITE_TEST (test_mark_of_a_served_request_is_answered),
+                                       SUITE_TEST (test_marks_are_sent_in_turn),
+                                       SUITE_TEST (test_owners_are_told_of_the_youngest_first),
+                                       SUITE_TEST (test_requests_are_forgotten),
+                                       SUITE_TEST (test_exchanged_marks_still_expire),
+                                       CU_TEST_INFO_NULL };
+
+  return suite_run ("crash_record", tests);
+}
--- a/tests/test_retry_plan.c
+++ b/tests/test_retry_plan.c
@@ -1,7 +1,6 @@
 /* Unit tests of how a gateway retries requests, limits retries, splits event streams, times
  * attempts out and attributes crashes. */
 #include "request/policy/retry_plan.h"
-#include "request/policy/crash_watch.h"
 #include "request/gateway/event_splitter.h"
 #include "request/policy/hop_timeout.h"
 #include "request/policy/retry_budget.h"
@@ -406,74 +405,6 @@
   CU_ASSERT (is_lost (&hop_timeout, 610));
 }
 
-#define ENGINE_A 11
-#define ENGINE_B 12
-
-static uint32_t
-count_suspects (crash_watch_t *crash_watch, uint64_t now_us)
-{
-  crash_watch_loss_t loss;
-  uint32_t count = 0;
-
-  while (crash_watch_take (crash_watch, now_us, &loss))
-    count++;
-  return count;
-}
-
-/* A request crashes its engine: its connection breaks, and the next one is refused. */
-static void
-test_single_crash_suspects_the_request (void)
-{
-  crash_watch_t crash_watch = { 0 };
-  crash_watch_loss_t loss;
-
-  crash_watch_note_loss (&crash_watch, SENT_US, ENGINE_A, 7);
-  CU_ASSERT_EQUAL (count_suspects (&crash_watch, SENT_US + S_US), 0);
-  crash_watch_note_down (&crash_watch, SENT_US + S_US, ENGINE_A);
-  CU_ASSERT (crash_watch_take (&crash_watch, SENT_US + S_US, &loss));
-  CU_ASSERT_EQUAL (loss.fingerprint, 7);
-  CU_ASSERT_EQUAL (loss.engine_hash, ENGINE_A);
-  CU_ASSERT_EQUAL (count_suspects (&crash_watch, SENT_US + S_US), 0);
-}
-
-/* Guards against a suspicion after responses that were lost in the network, when the engine is
- * stopped regularly half a minute later. */
-static void
-test_lost_response_suspects_nothing (void)
-{
-  crash_watch_t crash_watch = { 0 };
-
-  crash_watch_note_loss (&crash_watch, SENT_US, ENGINE_A, 7);
-  crash_watch_note_loss (&crash_watch, SENT_US + S_US, ENGINE_A, 8);
-  crash_watch_note_down (&crash_watch, SENT_US + 30 * S_US, ENGINE_A);
-  CU_ASSERT_EQUAL (count_suspects (&crash_watch, SENT_US + 31 * S_US), 0);
-}
-
-/* Guards against requests being rejected permanently after two engines failed at once, which no
- * request causes. */
-static void
-test_common_failure_suspects_nothing (void)
-{
-  crash_watch_t crash_watch = { 0 };
-
-  for (uint64_t request = 1; request <= 10; request++)
-    crash_watch_note_loss (&crash_watch, SENT_US + request, request % 2 ? ENGINE_A : ENGINE_B,
-                           request);
-  CU_ASSERT_EQUAL (count_suspects (&crash_watch, SENT_US + S_US), 0);
-  CU_ASSERT_EQUAL (count_suspects (&crash_watch, SENT_US + 10 * S_US), 0);
-}
-
-static void
-test_all_requests_of_a_crash_are_suspected (void)
-{
-  crash_watch_t crash_watch = { 0 };
-
-  for (uint64_t request = 1; request <= 3; request++)
-    crash_watch_note_loss (&crash_watch, SENT_US + request, ENGINE_A, request);
-  CU_ASSERT_EQUAL (count_suspects (&crash_watch, SENT_US + S_US / 4), 0);
-  CU_ASSERT_EQUAL (count_suspects (&crash_watch, SENT_US + S_US), 3);
-}
-
 /* Guards against a request of low priority being moved from one full engine to another, which only
  * adds load. */
 static void
@@ -490,6 +421,23 @@
   CU_ASSERT (is_lost (&hop_timeout, 2000));
 }
 
+/* Guards against a request that ends engines being sent to one more by the gateway itself. */
+static void
+test_rerun_is_forbidden (void)
+{
+  retry_plan_t retry_plan;
+  uint32_t asked = 0;
+
+  retry_plan_init (&retry_plan, &(retry_plan_rules_t){ .idempotent = true, .max_runs = 3 });
+  retry_plan_forbid_rerun (&retry_plan);
+  CU_ASSERT_EQUAL (
+      retry_plan_next (&retry_plan, RETRY_PLAN_OUTCOME_NOT_RUN, PLENTY_US, allow, &asked),
+      RETRY_PLAN_STEP_RESEND);
+  CU_ASSERT_EQUAL (
+      retry_plan_next (&retry_plan, RETRY_PLAN_OUTCOME_UNKNOWN, PLENTY_US, allow, &asked),
+      RETRY_PLAN_STEP_FAIL);
+}
+
 int
 main (void)
 {
@@ -510,11 +458,8 @@
                                        SUITE_TEST (test_late_request_is_abandoned_later),
                                        SUITE_TEST (test_lost_response_of_a_short_request),
                                        SUITE_TEST (test_silent_stream_is_abandoned),
-                                       SUITE_TEST (test_single_crash_suspects_the_request),
-                                       SUITE_TEST (test_lost_response_suspects_nothing),
-                                       SUITE_TEST (test_common_failure_suspects_nothing),
-                                       SUITE_TEST (test_all_requests_of_a_crash_are_suspected),
                                        SUITE_TEST (test_timeout_is_longer_if_engines_are_full),
+                                       SUITE_TEST (test_rerun_is_forbidden),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("retry_plan", tests);
