An engine that starts again under its id has ended under its requests

Cause: when the registry shows a restart, the requests there are given up; the failed engine was noted, the requests that ran there were not, so none was ever blamed. Change: each is a loss. test_restart_of_an_engine_is_its_end failed before: no loss was counted.

--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -417,8 +417,10 @@
 void
 gateway_hop_engine_restarted (gateway_call_t *call, uint64_t hash)
 {
-  if (call->upstream && call->engine->hash == hash)
-    give_up_hop (call, "restarted", VERDICT_REASON_CUT);
+  if (!call->upstream || call->engine->hash != hash)
+    return;
+  record_loss (call);
+  give_up_hop (call, "restarted", VERDICT_REASON_CUT);
 }
 
 /* Return: how long a connection that is reused may have been idle, 0 for no limit */
--- a/tests/test_gateway_crash.c
+++ b/tests/test_gateway_crash.c
@@ -133,6 +133,26 @@
   raw_peer_free (raw);
 }
 
+/* Guards against an engine that ends and starts again under its id, behind a cut that hides it. */
+static void
+test_restart_of_an_engine_is_its_end (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  raw_server_t *engine = add_engine (rig, is_silent);
+  raw_peer_t *raw = gateway_rig_send (rig, 0, "POST", "/book/", EMPTY_BODY);
+  g_autofree char *address = address_to_text (&engine->address);
+  g_autofree char *entry =
+      g_strdup_printf ("{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"hall-1\",\"slots\":8,"
+                       "\"state\":\"ready\",\"born\":8}",
+                       address);
+
+  while (engine->request_count == 0)
+    raw_peer_run_ms (rig->base, 1);
+  fake_store_put (rig->store, PLATFORM_STREAM_ENGINES, "e0", entry);
+  CU_ASSERT (gateway_rig_wait_counter (rig, LOSSES, 1));
+  raw_peer_free (raw);
+}
+
 int
 main (void)
 {
@@ -140,6 +160,7 @@
                                        SUITE_TEST (test_living_engine_refuses_nothing),
                                        SUITE_TEST (test_request_on_trial_is_not_repeated),
                                        SUITE_TEST (test_loss_counts_after_the_caller_left),
+                                       SUITE_TEST (test_restart_of_an_engine_is_its_end),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("gateway_crash", tests);
