Gateways that start are told of requests that end engines; sessions and soak of such requests

A gateway that has just started sends a request on that its peers refuse: they answer its mark of fewer crashes with theirs.

--- a/soak/soak.h
+++ b/soak/soak.h
@@ -47,6 +47,7 @@
  * @stopping: SIGTERM was sent, and the process must exit with status 0
  * @killed: SIGKILL was sent, so the exit status is not checked
  * @was_paused: SIGSTOP was sent since it was started, so its time to stop is not checked
+ * @may_crash: it ends with %EXIT_FAILURE when a request makes it
  */
 typedef struct
 {
@@ -61,6 +62,7 @@
   bool stopping;
   bool killed;
   bool was_paused;
+  bool may_crash;
 } soak_process_t;
 
 /** What a proxy does with its connections. */
@@ -88,6 +90,7 @@
  * @ended_us: time when it ended
  * @status: HTTP status of the response, 0 when none arrived
  * @complete: the whole response arrived
+ * @path: path that it was sent to
  * @valid_key: it was sent with an API key that exists
  * @stamp: name of the upstream that answered, from the response header X-Response-Stamp; else empty
  * @body: body of the response as far as it arrived
@@ -103,6 +106,7 @@
   uint32_t version;
   uint64_t sent_us;
   uint64_t ended_us;
+  char *path;
   int status;
   bool complete;
   bool valid_key;
@@ -121,6 +125,23 @@
   SOAK_KINDS
 };
 
+#define SOAK_CRASH_TEXT "ends-upstreams"
+#define SOAK_CRASHERS_MAX 4
+
+/**
+ * struct soak_crasher - a request that ends each upstream that runs it
+ * @kind: SOAK_IDEMPOTENT and so on
+ * @next_us: when a caller sends it next
+ * @until_us: until when callers send it
+ */
+typedef struct
+{
+  uint32_t kind;
+  char *path;
+  uint64_t next_us;
+  uint64_t until_us;
+} soak_crasher_t;
+
 /** What happens next to the store, in a restoration from a copy. */
 typedef enum
 {
@@ -145,6 +166,9 @@
  * @restorations: the store comes back from copies
  * @restoration_rand: random generator of these; @rand draws the same without them
  * @restoration_step: what happens to the store at @restoration_us
+ * @crashes: requests come that end upstreams
+ * @crash_rand: random generator of these; @rand draws the same without them
+ * @crashers: these requests, @crasher_count of them so far; the next begins at @next_crasher_us
  * @store: the stand-in platform
  * @gateways: the gateway processes
  * @upstreams: the upstream processes
@@ -175,6 +199,11 @@
   GRand *restoration_rand;
   soak_restoration_step_t restoration_step;
   uint64_t restoration_us;
+  bool crashes;
+  GRand *crash_rand;
+  soak_crasher_t crashers[SOAK_CRASHERS_MAX];
+  uint32_t crasher_count;
+  uint64_t next_crasher_us;
   soak_process_t *store;
   uint32_t gateway_count;
   soak_process_t *gateways[SOAK_GATEWAYS_MAX];
@@ -261,11 +290,23 @@
  * @kind's */
 void
 soak_send_request (soak_t *soak, uint32_t gateway, uint32_t kind, uint32_t version, bool valid_key);
+/** soak_send_to_path() - send a request with a valid key to @path, which is below the path of @kind
+ */
+void soak_send_to_path (soak_t *soak, uint32_t gateway, uint32_t kind, const char *path);
+/** soak_kind_path() - path of the requests of a kind */
+const char *soak_kind_path (uint32_t kind);
 /** soak_send_random_request() - send a request of a random kind to a random gateway */
 void soak_send_random_request (soak_t *soak);
 /** soak_request_free() - free a soak_request_t */
 void soak_request_free (gpointer data);
 
+/* soak_crash.c */
+/** soak_poll_crashers() - send requests that end upstreams when their time has come */
+void soak_poll_crashers (soak_t *soak);
+/** soak_check_crashers() - check that these requests are sent to upstreams no more, after all
+ * faults have ended */
+void soak_check_crashers (soak_t *soak);
+
 /* soak_check.c */
 /** soak_check() - check all guarantees, after all faults have ended */
 void soak_check (soak_t *soak);
--- a/soak/soak_client.c
+++ b/soak/soak_client.c
@@ -19,6 +19,7 @@
 
   g_string_free (call->body, TRUE);
   g_free (call->id);
+  g_free (call->path);
   g_free (call);
 }
 
@@ -53,12 +54,22 @@
   call->http_call = NULL;
 }
 
-void
-soak_send_request (soak_t *soak, uint32_t gateway, uint32_t kind, uint32_t version, bool valid_key)
+const char *
+soak_kind_path (uint32_t kind)
+{
+  return paths[kind];
+}
+
+static void
+send_request (soak_t *soak,
+              uint32_t gateway,
+              uint32_t kind,
+              uint32_t version,
+              const char *path,
+              bool valid_key)
 {
   soak_request_t *call = g_new0 (soak_request_t, 1);
   address_t address = soak_address (soak, GATEWAY_IP_OCTET + gateway, GATEWAY_PORT);
-  g_autofree char *path = version > 1 ? g_strdup_printf ("/v%u/", version) : g_strdup (paths[kind]);
   bool is_get = version > 1 || kind == SOAK_IDEMPOTENT;
   http_client_header_t headers[] = { { "Host", "h.example" },
                                      { "X-Request-Id", NULL },
@@ -71,6 +82,7 @@
   call->incarnation = soak->start_counts[gateway];
   call->kind = version > 1 ? SOAK_IDEMPOTENT : kind;
   call->version = version;
+  call->path = g_strdup (path);
   call->valid_key = valid_key;
   call->sent_us = soak_now_us ();
   call->body = g_string_new (NULL);
@@ -79,7 +91,7 @@
   call->http_call = http_client_start_call (
       soak->http_client, &(http_client_options_t){ .address = &address,
                                                    .method = is_get ? "GET" : "POST",
-                                                   .target = path,
+                                                   .target = call->path,
                                                    .headers = headers,
                                                    .header_count = G_N_ELEMENTS (headers),
                                                    .timeout_us = CLIENT_TIMEOUT_US,
@@ -89,6 +101,20 @@
                                                    .context = call });
 }
 
+void
+soak_send_request (soak_t *soak, uint32_t gateway, uint32_t kind, uint32_t version, bool valid_key)
+{
+  g_autofree char *path = version > 1 ? g_strdup_printf ("/v%u/", version) : g_strdup (paths[kind]);
+
+  send_request (soak, gateway, kind, version, path, valid_key);
+}
+
+void
+soak_send_to_path (soak_t *soak, uint32_t gateway, uint32_t kind, const char *path)
+{
+  send_request (soak, gateway, kind, 0, path, true);
+}
+
 void
 soak_send_random_request (soak_t *soak)
 {
--- a/soak/soak_fleet.c
+++ b/soak/soak_fleet.c
@@ -147,7 +147,8 @@
 {
   uint64_t stop_duration_ms = (soak_now_us () - process->stop_sent_us) / 1000;
 
-  if (process->killed)
+  if (process->killed ||
+      (process->may_crash && WIFEXITED (status) && WEXITSTATUS (status) == EXIT_FAILURE))
     return;
   if (!process->stopping)
     soak_fail (process->soak, "%s ended by itself: status %x", process->name, (unsigned)status);
@@ -230,6 +231,9 @@
   add_argument (process, "--record=%s/%s.record", soak->dir, name);
   add_argument (process, "--fail-percent=%u", streams ? 0 : 3);
   add_argument (process, "--lose-percent=%u", streams ? 0 : 2);
+  if (soak->crashes)
+    add_argument (process, "--crash-on=" SOAK_CRASH_TEXT);
+  process->may_crash = soak->crashes;
   soak->upstream_proxies[index] = soak_proxy_new (soak->base, &proxy, &own);
   soak->upstreams[index] = process;
   start_process (process);
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -1,4 +1,4 @@
-/* soak --seed N [--seconds S] [--gateways N] [--restorations] [--build DIR] [--keep] */
+/* soak --seed N [--seconds S] [--gateways N] [--restorations] [--crashes] [--build DIR] [--keep] */
 #include "soak.h"
 
 #include <event2/util.h>
@@ -71,6 +71,7 @@
       soak_poll_processes (soak);
       soak_poll_store_fault (soak);
       soak_poll_restoration (soak);
+      soak_poll_crashers (soak);
     }
 }
 
@@ -118,6 +119,7 @@
   soak->started_us = soak_now_us ();
   soak->rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->restoration_rand = g_rand_new_with_seed ((guint32)soak->seed);
+  soak->crash_rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->base = event_base_new ();
   soak->http_client = http_client_new (soak->base, 8, 10000);
   soak->dir = g_dir_make_tmp ("medlarplank-soak-XXXXXX", NULL);
@@ -149,13 +151,12 @@
     }
 }
 
-static const struct option option_table[] = { { "seed", required_argument, NULL, 's' },
-                                              { "seconds", required_argument, NULL, 't' },
-                                              { "build", required_argument, NULL, 'b' },
-                                              { "gateways", required_argument, NULL, 'g' },
-                                              { "keep", no_argument, NULL, 'k' },
-                                              { "restorations", no_argument, NULL, 'r' },
-                                              { NULL, 0, NULL, 0 } };
+static const struct option option_table[] = {
+  { "seed", required_argument, NULL, 's' },  { "seconds", required_argument, NULL, 't' },
+  { "build", required_argument, NULL, 'b' }, { "gateways", required_argument, NULL, 'g' },
+  { "keep", no_argument, NULL, 'k' },        { "restorations", no_argument, NULL, 'r' },
+  { "crashes", no_argument, NULL, 'c' },     { NULL, 0, NULL, 0 }
+};
 
 static bool
 parse_number (char option, guint64 *seed, guint64 *seconds, guint64 *gateways)
@@ -186,10 +187,12 @@
         keep = true;
       else if (option == 'r')
         restorations = true;
+      else if (option == 'c')
+        soak.crashes = true;
       else if (!parse_number ((char)option, &soak.seed, &seconds, &gateways))
         {
           fprintf (stderr, "soak --seed N [--seconds S] [--gateways N] [--restorations] "
-                           "[--build DIR] [--keep]\n");
+                           "[--crashes] [--build DIR] [--keep]\n");
           return 2;
         }
     }
@@ -199,6 +202,7 @@
   if (soak.failures == 0)
     {
       soak.restorations = restorations;
+      soak.next_crasher_us = soak_now_us ();
       run_faults (&soak, (uint32_t)seconds);
       soak_end_faults (&soak);
       soak_run_loop (&soak, RECOVERY_MS);
--- a/src/request/policy/crash_record.c
+++ b/src/request/policy/crash_record.c
@@ -405,6 +405,9 @@
   if (entry->is_cleared && crash.lost_us <= entry->changed_us)
     return false;
   review_entry (record, now_us, entry);
+  /* The peer may have just started: the reply tells it. */
+  if (entry->count >= CRASH_RECORD_TRIAL_CRASHES && mark->engine_count < entry->count)
+    entry->sends_left = MAX (entry->sends_left, 1);
   if (is_final (entry) || !merge_engines (record, entry, mark, crash))
     return false;
   if (entry->count >= CRASH_RECORD_TRIAL_CRASHES)
--- a/tests/test_crash_record.c
+++ b/tests/test_crash_record.c
@@ -382,6 +382,27 @@
   CU_ASSERT_EQUAL (crash_record_check (record, START_US + S_US, CULPRIT), CRASH_RECORD_ALLOWED);
 }
 
+/* Guards against a gateway that has just started, and ends one engine after the other until it
+ * knows what its peers have known for long. */
+static void
+test_mark_of_less_is_answered (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  crash_mark_t marks[2];
+  crash_mark_t first = { CULPRIT, { 4 }, 1, 0, 100 };
+
+  end_three (&rig, record, START_US);
+  for (uint64_t engine = 1; engine <= 2; engine++)
+    lose (record, START_US + engine * S_US, OTHER, engine + 8, MS_US);
+  for (uint32_t i = 0; i < 2 * CRASH_RECORD_SENDS; i++)
+    crash_record_take_marks (record, START_US + 3 * S_US, marks, 2);
+  crash_record_merge (record, START_US + 3 * S_US, &first);
+  CU_ASSERT_EQUAL (crash_record_take_marks (record, START_US + 3 * S_US, marks, 2), 1);
+  CU_ASSERT_EQUAL (marks[0].fingerprint, CULPRIT);
+  CU_ASSERT_EQUAL (marks[0].engine_count, 3);
+}
+
 /* Guards against marks that crowd out each other: each change is sent a bounded number of times,
  * and what nobody changes is still told to gateways that start. */
 static void
@@ -495,6 +516,7 @@
                                        SUITE_TEST (test_served_request_is_cleared_at_peers),
                                        SUITE_TEST (test_marks_count_in_the_order_of_their_times),
                                        SUITE_TEST (test_mark_of_a_served_request_is_answered),
+                                       SUITE_TEST (test_mark_of_less_is_answered),
                                        SUITE_TEST (test_marks_are_sent_in_turn),
                                        SUITE_TEST (test_owners_are_told_of_the_youngest_first),
                                        SUITE_TEST (test_requests_are_forgotten),
