--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -188,6 +188,17 @@
   return parts;
 }
 
+static void
+log_mark (const gateway_peers_t *peers, const crash_mark_t *mark, const char *peer)
+{
+  uint32_t crashes = crash_record_count_crashes (peers->options.crashes, mark->fingerprint);
+  bool is_first = mark->engine_count > 0 && crashes < CRASH_RECORD_TRIAL_CRASHES;
+
+  log_event (is_first ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "peer_mark", "fingerprint",
+             LOG_HEX (mark->fingerprint), "peer", peer, "engines", LOG_U64 (mark->engine_count),
+             "age_ms", LOG_U64 (mark->age_ms), "crashes", LOG_U64 (crashes), NULL);
+}
+
 static void
 read_marks (gateway_peers_t *peers, const xch_message *message, const char *peer)
 {
@@ -199,10 +210,7 @@
       at += read_mark (message, at, &mark);
       if (!crash_record_merge (peers->options.crashes, now_us (peers), &mark))
         continue;
-      log_event (
-          LOG_LEVEL_NOTICE, "peer_mark", "fingerprint", LOG_HEX (mark.fingerprint), "peer", peer,
-          "engines", LOG_U64 (mark.engine_count), "age_ms", LOG_U64 (mark.age_ms), "crashes",
-          LOG_U64 (crash_record_count_crashes (peers->options.crashes, mark.fingerprint)), NULL);
+      log_mark (peers, &mark, peer);
       gateway_peers_tell_crashes (peers);
     }
 }
