No request excuses another one that ended the same engines

What callers could see: a request that ends engines is let go after its third, and ends three more. Cause: when a request was found to end engines, the crashes that others shared with it were dropped, and later ones at its engines did not count for them. A neighbour that was at all three engines can be found first, by a mark of a peer that arrives before the own loss is read; then it excused the culprit, at all gateways.

Change: nothing is excused by another request. Neighbours with two crashes are on trial, and cleared by the first answer. test_neighbours_excuse_nothing_and_are_cleared takes the place of the test of the excuse; it fails on the code before (the culprit's crash counted as explained).

--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -302,9 +302,9 @@
 outcome_to_string (crash_record_outcome_t outcome)
 {
   static const char *const names[] = {
-    [CRASH_RECORD_COUNTED] = "counted",     [CRASH_RECORD_TOGETHER] = "together",
-    [CRASH_RECORD_SERVED] = "served",       [CRASH_RECORD_PLANNED] = "planned",
-    [CRASH_RECORD_EXPLAINED] = "explained", [CRASH_RECORD_KNOWN] = "known",
+    [CRASH_RECORD_COUNTED] = "counted", [CRASH_RECORD_TOGETHER] = "together",
+    [CRASH_RECORD_SERVED] = "served",   [CRASH_RECORD_PLANNED] = "planned",
+    [CRASH_RECORD_KNOWN] = "known",
   };
 
   return names[outcome];
--- a/src/request/policy/crash_record.c
+++ b/src/request/policy/crash_record.c
@@ -190,39 +190,6 @@
     }
 }
 
-/* Those that ran beside a request that ends engines, on an engine that it ended, are not to blame
- * for that one. */
-static void
-excuse_others (crash_record_t *record, const entry_t *culprit)
-{
-  for (guint i = 0; i < record->list->len; i++)
-    {
-      entry_t *entry = g_ptr_array_index (record->list, i);
-      uint32_t j = 0;
-
-      while (!is_final (entry) && j < entry->count)
-        {
-          if (has_engine (culprit, entry->crashes[j].engine_hash))
-            drop_crash (entry, j);
-          else
-            j++;
-        }
-    }
-}
-
-static bool
-is_explained (const crash_record_t *record, uint64_t fingerprint, uint64_t engine_hash)
-{
-  for (guint i = 0; i < record->list->len; i++)
-    {
-      const entry_t *entry = g_ptr_array_index (record->list, i);
-
-      if (entry->fingerprint != fingerprint && is_final (entry) && has_engine (entry, engine_hash))
-        return true;
-    }
-  return false;
-}
-
 static void
 announce (crash_record_t *record, entry_t *entry)
 {
@@ -241,8 +208,6 @@
   entry->crashes[entry->count++].certain = engine.state == CRASH_RECORD_ENGINE_ENDED;
   entry->is_cleared = false;
   entry->changed_us = MAX (entry->changed_us, crash->lost_us);
-  if (is_final (entry))
-    excuse_others (record, entry);
 }
 
 static const crash_t *
@@ -277,8 +242,6 @@
     return CRASH_RECORD_SERVED;
   if (engine.state == CRASH_RECORD_ENGINE_LEAVING)
     return CRASH_RECORD_PLANNED;
-  if (is_explained (record, loss->fingerprint, loss->engine_hash))
-    return CRASH_RECORD_EXPLAINED;
   entry = find_or_add (record, loss->fingerprint);
   review_entry (record, now_us, entry);
   entry->ran_us = loss->ran_us;
--- a/src/request/policy/crash_record.h
+++ b/src/request/policy/crash_record.h
@@ -99,11 +99,10 @@
 typedef enum
 {
   CRASH_RECORD_COUNTED,
-  CRASH_RECORD_TOGETHER,  /* may have the cause of the crash before */
-  CRASH_RECORD_SERVED,    /* the request was served lately */
-  CRASH_RECORD_PLANNED,   /* the engine was leaving */
-  CRASH_RECORD_EXPLAINED, /* another request is known to end engines, that one too */
-  CRASH_RECORD_KNOWN      /* this crash, or enough others, are counted already */
+  CRASH_RECORD_TOGETHER, /* may have the cause of the crash before */
+  CRASH_RECORD_SERVED,   /* the request was served lately */
+  CRASH_RECORD_PLANNED,  /* the engine was leaving */
+  CRASH_RECORD_KNOWN     /* this crash, or enough others, are counted already */
 } crash_record_outcome_t;
 
 /** enum crash_record_verdict - whether a request may be sent */
--- a/tests/test_crash_record.c
+++ b/tests/test_crash_record.c
@@ -258,9 +258,10 @@
   CU_ASSERT_EQUAL (crash_record_check (record, now_us + S_US, CULPRIT), CRASH_RECORD_REFUSED);
 }
 
-/* Guards against requests that ran beside one that ends engines being refused as well. */
+/* Guards against requests being refused as they ran beside one that ends engines, and against that
+ * one being excused as they ended the same engines. */
 static void
-test_neighbours_are_excused (void)
+test_neighbours_excuse_nothing_and_are_cleared (void)
 {
   rig_t rig = { 0 };
   g_autoptr (crash_record_t) record = new_record (&rig);
@@ -272,11 +273,13 @@
       end_engine (&rig, engine);
     }
   CU_ASSERT_EQUAL (crash_record_check (record, START_US + 2 * S_US, OTHER), CRASH_RECORD_ON_TRIAL);
+  lose (record, START_US + 3 * S_US - 1, OTHER, 3, MS_US);
+  CU_ASSERT_EQUAL (lose (record, START_US + 3 * S_US, CULPRIT, 3, MS_US), CRASH_RECORD_COUNTED);
   end_engine (&rig, 3);
-  lose (record, START_US + 3 * S_US, CULPRIT, 3, MS_US);
   CU_ASSERT_EQUAL (crash_record_check (record, START_US + 3 * S_US, CULPRIT), CRASH_RECORD_REFUSED);
-  CU_ASSERT_EQUAL (crash_record_check (record, START_US + 3 * S_US, OTHER), CRASH_RECORD_ALLOWED);
-  CU_ASSERT_EQUAL (lose (record, START_US + 3 * S_US + 1, OTHER, 3, MS_US), CRASH_RECORD_EXPLAINED);
+  CU_ASSERT (crash_record_note_served (record, START_US + 4 * S_US, OTHER));
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + 4 * S_US, OTHER), CRASH_RECORD_ALLOWED);
+  CU_ASSERT_EQUAL (crash_record_check (record, START_US + 4 * S_US, CULPRIT), CRASH_RECORD_REFUSED);
 }
 
 /* Guards against crashes that no gateway adds up, as each of them sees one. */
@@ -516,7 +519,7 @@
                                        SUITE_TEST (test_leaving_engine_is_no_crash),
                                        SUITE_TEST (test_cut_refuses_nothing_for_good),
                                        SUITE_TEST (test_crashes_stay_while_the_store_is_out),
-                                       SUITE_TEST (test_neighbours_are_excused),
+                                       SUITE_TEST (test_neighbours_excuse_nothing_and_are_cleared),
                                        SUITE_TEST (test_owner_adds_up_crashes_of_all),
                                        SUITE_TEST (test_crashes_of_one_cause_are_not_added_up),
                                        SUITE_TEST (test_served_request_is_cleared_at_peers),
