--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -2,6 +2,7 @@
 
 #include "connection/exchange.h"
 #include "base/log.h"
+#include "process/exchange_mark.h"
 #include "request/policy/retry_budget.h"
 
 #include <string.h>
@@ -13,7 +14,6 @@
  * the previous incarnation can still arrive. */
 #define LOWER_INCARNATION_AFTER_US GATEWAY_PEERS_ALIVE_US
 
-#define SENT_AGE_WORD 16 /* state of a word with the age of a send; no stream has this number */
 #define RANK_SEED GATEWAY_PEERS_FOLLOWERS /* any value that is the same in all gateways */
 
 /**
@@ -111,81 +111,19 @@
   return at_us - MAX (peer->heard_us, peer->known_us) < alive_timeout_us (peers);
 }
 
-/* Gateways of a build without them ignore words of this kind too. Where none is left, the mark goes
- * without the age of its send, and may count less. */
-static void
-write_sent_age (xch_message *message, const crash_mark_t *mark)
-{
-  if (mark->sent_age_ms != UINT32_MAX && message->words.words_len < XCH_WORDS)
-    message->words.words_val[message->words.words_len++] = (xch_word){
-      .host_hash = mark->fingerprint, .incarnation = mark->sent_age_ms, .state = SENT_AGE_WORD
-    };
-}
-
-static uint32_t
-read_sent_age (const xch_message *message, uint64_t fingerprint)
-{
-  for (uint32_t i = 0; i < message->words.words_len; i++)
-    {
-      const xch_word *word = &message->words.words_val[i];
-
-      if (word->host_hash == fingerprint && word->state == SENT_AGE_WORD)
-        return (uint32_t)MIN (word->incarnation, UINT32_MAX);
-    }
-  return UINT32_MAX;
-}
-
-/* A mark takes an entry of the message for each two of its engines, one after the other. */
-static void
-write_mark (xch_message *message, const crash_mark_t *mark)
-{
-  for (uint32_t part = 0; part < crash_mark_parts (mark); part++)
-    {
-      xch_mark *out = &message->marks.marks_val[message->marks.marks_len++];
-
-      *out = (xch_mark){ .fingerprint = mark->fingerprint, .age_ms = mark->age_ms };
-      for (uint32_t i = 0; i < CRASH_MARK_PART_ENGINES; i++)
-        if (part * CRASH_MARK_PART_ENGINES + i < mark->engine_count)
-          out->engines[i] = mark->engines[part * CRASH_MARK_PART_ENGINES + i];
-    }
-  write_sent_age (message, mark);
-}
-
 static void
 fill_marks (gateway_peers_t *peers, xch_message *message)
 {
   crash_mark_t marks[XCH_MARKS];
   uint32_t count;
 
-  G_STATIC_ASSERT (G_N_ELEMENTS (message->marks.marks_val->engines) == CRASH_MARK_PART_ENGINES);
   message->marks.marks_len = 0;
   if (peers->owner_mark)
-    write_mark (message, peers->owner_mark);
+    exchange_mark_write (message, peers->owner_mark);
   count = crash_record_take_marks (peers->options.crashes, now_us (peers), marks,
                                    XCH_MARKS - message->marks.marks_len);
   for (uint32_t i = 0; i < count; i++)
-    write_mark (message, &marks[i]);
-}
-
-/* Return: the entries of the message from @first on that make up the mark */
-static uint32_t
-read_mark (const xch_message *message, uint32_t first, crash_mark_t *mark)
-{
-  const xch_mark *received = &message->marks.marks_val[first];
-  uint32_t parts = 0;
-
-  *mark = (crash_mark_t){ .fingerprint = received->fingerprint,
-                          .age_ms = received->age_ms,
-                          .sent_age_ms = read_sent_age (message, received->fingerprint) };
-  while (first + parts < message->marks.marks_len &&
-         received[parts].fingerprint == mark->fingerprint)
-    {
-      for (uint32_t i = 0; i < CRASH_MARK_PART_ENGINES; i++)
-        if (received[parts].engines[i] != 0 && mark->engine_count < CRASH_MARK_ENGINES)
-          mark->engines[mark->engine_count++] = received[parts].engines[i];
-      parts++;
-    }
-  return parts;
+    exchange_mark_write (message, &marks[i]);
 }
 
 static void
@@ -207,7 +145,7 @@
 
   while (at < message->marks.marks_len)
     {
-      at += read_mark (message, at, &mark);
+      at += exchange_mark_read (message, at, &mark);
       if (!crash_record_merge (peers->options.crashes, now_us (peers), &mark))
         continue;
       log_mark (peers, &mark, peer);
--- a/src/process/gateway_process.h
+++ b/src/process/gateway_process.h
@@ -25,7 +25,7 @@
  */
 #define GATEWAY_PROCESS_ACCEPT_DELAY_MAX_MS 300
 #define GATEWAY_PROCESS_CRASHES_MAX 1024 /* requests remembered during which engines ended */
-/* A caller that gives up on such a request for less than this finds it still refused. */
+/* Callers send such a request again within minutes. */
 #define GATEWAY_PROCESS_CRASH_LIFETIME_US (UINT64_C (600) * CLOCK_US_PER_S)
 #define GATEWAY_PROCESS_TICK_MS 100 /* interval of periodic work */
 /* How long an engine is kept whose registry entry may have expired during an outage of the store: a
--- a/tests/test_crash_record.c
+++ b/tests/test_crash_record.c
@@ -1,8 +1,10 @@
 #include "base/clock.h"
+#include "process/exchange_mark.h"
 #include "request/policy/crash_record.h"
 #include "suite.h"
 
 #include <glib.h>
+#include <string.h>
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (crash_record_t, crash_record_free)
 
@@ -506,6 +508,32 @@
   CU_ASSERT (crash_record_is_empty (two));
 }
 
+/* Guards against a mark of three engines that a message splits into two of fewer. */
+static void
+test_marks_pass_through_messages (void)
+{
+  xch_mark marks[XCH_MARKS];
+  xch_word words[XCH_WORDS];
+
+  for (uint32_t engines = 0; engines <= CRASH_MARK_ENGINES; engines++)
+    {
+      crash_mark_t sent = { .fingerprint = CULPRIT,
+                            .engines = { 1, 2, 3 },
+                            .engine_count = engines,
+                            .age_ms = 20,
+                            .sent_age_ms = engines > 0 ? 30 : UINT32_MAX };
+      xch_message message = { .marks = { 0, marks }, .words = { 0, words } };
+      crash_mark_t received;
+
+      for (uint32_t i = engines; i < CRASH_MARK_ENGINES; i++)
+        sent.engines[i] = 0;
+      exchange_mark_write (&message, &sent);
+      CU_ASSERT_EQUAL (message.marks.marks_len, crash_mark_parts (&sent));
+      CU_ASSERT_EQUAL (exchange_mark_read (&message, 0, &received), message.marks.marks_len);
+      CU_ASSERT_EQUAL (memcmp (&received, &sent, sizeof sent), 0);
+    }
+}
+
 int
 main (void)
 {
@@ -530,6 +558,7 @@
                                        SUITE_TEST (test_owners_are_told_of_the_youngest_first),
                                        SUITE_TEST (test_requests_are_forgotten),
                                        SUITE_TEST (test_exchanged_marks_still_expire),
+                                       SUITE_TEST (test_marks_pass_through_messages),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("crash_record", tests);
