--- a/tests/driver.h
+++ b/tests/driver.h
@@ -269,6 +269,33 @@
 /** driver_build_manifest() - Return: The complete manifest of the session as JSON text. */
 char *driver_build_manifest (const driver_t *driver);
 
+/* Gateways and what they use */
+
+/**
+ * struct driver_upstream - A stand-in upstream; each has a record of its own.
+ * @streams: Whether it answers with streams of five events, in the service "pool", or plainly, in
+ *   the service "ledger".
+ * @crash_on: Text in the path of requests that end it, or NULL.
+ */
+typedef struct
+{
+  const char *name;
+  bool streams;
+  uint32_t work_ms;
+  const char *crash_on;
+} driver_upstream_t;
+
+/** driver_start_upstream() - Start a stand-in upstream that registers in the platform's store. */
+driver_process_t *driver_start_upstream (driver_t *driver, const driver_upstream_t *upstream);
+/** driver_start_gateway() - Start a gateway. */
+driver_process_t *driver_start_gateway (driver_t *driver,
+                                        const char *name,
+                                        uint32_t exchange_interval_ms,
+                                        uint32_t control_budget_bytes);
+/** driver_write_record() - Write an operator's record to the platform's store; an empty @value
+ * removes the key. */
+void driver_write_record (driver_t *driver, const char *key, const char *value);
+
 /* Callers */
 
 /** enum driver_request_kind_t - The four routes of the manifest. */
--- a/tests/session_gateway.c
+++ b/tests/session_gateway.c
@@ -6,7 +6,6 @@
  * upstream that leaves, one that crashes, an outage of the store, and a gateway that stops.
  */
 #include "driver.h"
-#include "standin/keyed_store.h"
 
 #include <CUnit/Basic.h>
 #include <signal.h>
@@ -36,32 +35,6 @@
                                                          ",\"resumable\":true") routes             \
       "],\"tenants\":[{\"name\":\"alpha\",\"api_keys\":[\"key-1\"]}]}"
 
-/* Writes a keyed record to the store; an empty @value removes the key. */
-static void
-write_record (fleet_t *fleet, const char *key, const char *value)
-{
-  size_t length = 1 + strlen (key) + strlen (value);
-  GString *body = g_string_new (NULL);
-  driver_call_t *call;
-
-  /* length of the record in four bytes, length of the key in one, key, value */
-  for (int shift = 24; shift >= 0; shift -= 8)
-    g_string_append_c (body, (char)(length >> shift));
-  g_string_append_c (body, (char)strlen (key));
-  g_string_append_printf (body, "%s%s", key, value);
-  call = driver_send_http_bytes (fleet->driver, fleet->driver->platform->ip, "POST",
-                                 "/log-append?topic=keyed.op&part=0", "", body->str, body->len);
-  driver_call_wait (call);
-  CU_ASSERT_EQUAL (call->status, 200);
-  g_string_free (body, TRUE);
-}
-
-static void
-publish_config (fleet_t *fleet, const char *config)
-{
-  write_record (fleet, "config", config);
-}
-
 static driver_call_t *
 send_request (fleet_t *fleet, uint32_t gateway, const char *method, const char *path)
 {
@@ -113,39 +86,19 @@
 start_upstream (fleet_t *fleet, uint32_t index)
 {
   g_autofree char *name = g_strdup_printf ("upstream%u", index);
-  driver_process_t *process = driver_process_new (fleet->driver, DRIVER_UPSTREAM, name, NULL);
   bool streams = index < STREAM_UPSTREAMS;
 
-  process->record_path = g_strdup_printf ("%s/%s.record", fleet->driver->dir, name);
-  driver_process_add_flag (process, "--store=%s:%d", fleet->driver->platform->ip, DRIVER_PORT);
-  driver_process_add_flag (process, "--service=%s", streams ? "pool" : "ledger");
-  driver_process_add_flag (process, "--events=%d", streams ? 5 : 0);
-  driver_process_add_flag (process, "--work-ms=%d", streams ? 10 : 3);
-  driver_process_add_flag (process, "--record=%s", process->record_path);
-  fleet->upstreams[index] = process;
-  driver_process_start (process);
+  fleet->upstreams[index] = driver_start_upstream (
+      fleet->driver,
+      &(driver_upstream_t){ .name = name, .streams = streams, .work_ms = streams ? 10 : 3 });
 }
 
 static void
 start_gateway (fleet_t *fleet, uint32_t index)
 {
   g_autofree char *name = g_strdup_printf ("gateway%u", index);
-  driver_process_t *process = driver_process_new (fleet->driver, DRIVER_GATEWAY, name, NULL);
-
-  driver_process_add_flag (process, "--role=gateway");
-  driver_process_add_flag (process, "--renewal-ms=%u", KEYED_STORE_ENTRY_TTL_MS / 3);
-  driver_process_add_flag (process, "--name=%s", name);
-  driver_process_add_flag (process, "--data-center=hall-bayangol");
-  driver_process_add_flag (process, "--region=ulaanbaatar");
-  driver_process_add_flag (process, "--ready-listen=%s:%d", process->ip, DRIVER_PORT + 1);
-  driver_process_add_flag (process, "--control-listen=%s:%d", process->ip, DRIVER_PORT + 2);
-  driver_process_add_flag (process, "--exchange=%s:%d", process->ip, DRIVER_PORT + 3);
-  driver_process_add_flag (process, "--platform=%s:%d", fleet->driver->platform->ip, DRIVER_PORT);
-  driver_process_add_flag (process, "--exchange-interval-ms=100");
-  driver_process_add_flag (process, "--control-budget-bytes=7000");
-  driver_process_add_flag (process, "--retry-slack=1000");
-  fleet->gateways[index] = process;
-  driver_process_start (process);
+
+  fleet->gateways[index] = driver_start_gateway (fleet->driver, name, 100, 7000);
 }
 
 static bool
@@ -167,7 +120,7 @@
   driver_t *driver = fleet->driver;
 
   driver_start_platform (driver);
-  publish_config (fleet, CONFIG ("1", ""));
+  driver_write_record (driver, "config", CONFIG ("1", ""));
   for (uint32_t i = 0; i < UPSTREAMS; i++)
     start_upstream (fleet, i);
   for (uint32_t i = 0; i < GATEWAYS; i++)
@@ -197,7 +150,8 @@
 static void
 test_new_route (fleet_t *fleet)
 {
-  publish_config (fleet, CONFIG ("5", "," ROUTE ("new", "idempotent", "ledger", "")));
+  driver_write_record (fleet->driver, "config",
+                       CONFIG ("5", "," ROUTE ("new", "idempotent", "ledger", "")));
   driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "the new route", new_route_is_served,
                      fleet);
   driver_transcript_add (fleet->driver, "version 5: the new route is served by both");
@@ -237,7 +191,7 @@
 static void
 test_drained_data_center (fleet_t *fleet)
 {
-  write_record (fleet, "evacuate/" DATA_CENTER, "{}");
+  driver_write_record (fleet->driver, "evacuate/" DATA_CENTER, "{}");
   driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "a drained data centre at all gateways",
                      all_drained, fleet);
   driver_transcript_add (
@@ -249,7 +203,7 @@
                      is_second_gateway_ready, fleet);
   driver_transcript_add (fleet->driver, "a gateway starts meanwhile: %d",
                          request_status (fleet, 1, "/look/"));
-  write_record (fleet, "evacuate/" DATA_CENTER, "");
+  driver_write_record (fleet->driver, "evacuate/" DATA_CENTER, "");
   driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "a data centre that is taken back",
                      all_serve_lookups, fleet);
   driver_transcript_add (fleet->driver, "it is taken back: %u of %u lookups",
@@ -372,7 +326,7 @@
   uint32_t answered;
 
   start_fleet (&fleet);
-  write_record (&fleet, "evacuate/" DATA_CENTER, "{}");
+  driver_write_record (fleet.driver, "evacuate/" DATA_CENTER, "{}");
   driver_wait_until (fleet.driver, DRIVER_WAIT_LIMIT_MS, "a drained data centre at all gateways",
                      all_drained, &fleet);
   answered = run_batch (&fleet, "GET", "/look/");
--- a/tests/session_gateway_crash.c
+++ b/tests/session_gateway_crash.c
@@ -6,7 +6,6 @@
  * upstreams end is read from the records of the upstreams.
  */
 #include "driver.h"
-#include "standin/keyed_store.h"
 
 #include <CUnit/Basic.h>
 #include <signal.h>
@@ -93,24 +92,6 @@
 
 static const char config[] = "{\"version\":1,\"routes\":[" ROUTES "],\"tenants\":[" TENANTS "]}";
 
-static void
-publish_config (fleet_t *fleet)
-{
-  size_t length = 1 + strlen ("config") + strlen (config);
-  GString *body = g_string_new (NULL);
-  driver_call_t *call;
-
-  for (int shift = 24; shift >= 0; shift -= 8)
-    g_string_append_c (body, (char)(length >> shift));
-  g_string_append_c (body, (char)strlen ("config"));
-  g_string_append_printf (body, "config%s", config);
-  call = driver_send_http_bytes (fleet->driver, fleet->driver->platform->ip, "POST",
-                                 "/log-append?topic=keyed.op&part=0", "", body->str, body->len);
-  driver_call_wait (call);
-  CU_ASSERT_EQUAL (call->status, 200);
-  g_string_free (body, TRUE);
-}
-
 static driver_call_t *
 send_request (
     fleet_t *fleet, uint32_t gateway, const char *prefix, const char *method, const char *path)
@@ -126,40 +107,20 @@
 start_upstream (fleet_t *fleet, uint32_t index)
 {
   g_autofree char *name = g_strdup_printf ("upstream%u", index);
-  driver_process_t *process = driver_process_new (fleet->driver, DRIVER_UPSTREAM, name, NULL);
   bool streams = index < STREAM_UPSTREAMS;
 
-  process->record_path = g_strdup_printf ("%s/%s.record", fleet->driver->dir, name);
-  driver_process_add_flag (process, "--store=%s:%d", fleet->driver->platform->ip, DRIVER_PORT);
-  driver_process_add_flag (process, "--service=%s", streams ? "pool" : "ledger");
-  driver_process_add_flag (process, "--events=%d", streams ? 5 : 0);
-  driver_process_add_flag (process, "--work-ms=%d", streams ? 20 : 40);
-  driver_process_add_flag (process, "--crash-on=" CRASH_TEXT);
-  driver_process_add_flag (process, "--record=%s", process->record_path);
-  fleet->upstreams[index] = process;
-  driver_process_start (process);
+  fleet->upstreams[index] = driver_start_upstream (
+      fleet->driver,
+      &(driver_upstream_t){
+          .name = name, .streams = streams, .work_ms = streams ? 20 : 40, .crash_on = CRASH_TEXT });
 }
 
 static void
 start_gateway (fleet_t *fleet, uint32_t index)
 {
   g_autofree char *name = g_strdup_printf ("gateway%u", index);
-  driver_process_t *process = driver_process_new (fleet->driver, DRIVER_GATEWAY, name, NULL);
-
-  driver_process_add_flag (process, "--role=gateway");
-  driver_process_add_flag (process, "--renewal-ms=%u", KEYED_STORE_ENTRY_TTL_MS / 3);
-  driver_process_add_flag (process, "--name=%s", name);
-  driver_process_add_flag (process, "--data-center=hall-bayangol");
-  driver_process_add_flag (process, "--region=ulaanbaatar");
-  driver_process_add_flag (process, "--ready-listen=%s:%d", process->ip, DRIVER_PORT + 1);
-  driver_process_add_flag (process, "--control-listen=%s:%d", process->ip, DRIVER_PORT + 2);
-  driver_process_add_flag (process, "--exchange=%s:%d", process->ip, DRIVER_PORT + 3);
-  driver_process_add_flag (process, "--platform=%s:%d", fleet->driver->platform->ip, DRIVER_PORT);
-  driver_process_add_flag (process, "--exchange-interval-ms=500");
-  driver_process_add_flag (process, "--control-budget-bytes=4000");
-  driver_process_add_flag (process, "--retry-slack=1000");
-  fleet->gateways[index] = process;
-  driver_process_start (process);
+
+  fleet->gateways[index] = driver_start_gateway (fleet->driver, name, 500, 4000);
 }
 
 static bool
@@ -181,7 +142,7 @@
   driver_t *driver = fleet->driver;
 
   driver_start_platform (driver);
-  publish_config (fleet);
+  driver_write_record (driver, "config", config);
   for (uint32_t i = 0; i < UPSTREAMS; i++)
     start_upstream (fleet, i);
   for (uint32_t i = 0; i < GATEWAYS; i++)
