--- a/src/request/policy/suspect.c
+++ b/src/request/policy/suspect.c
@@ -228,16 +228,6 @@
   return found;
 }
 
-bool
-suspect_clear (suspects_t *suspects, uint64_t fingerprint)
-{
-  entry_t *entry = g_hash_table_lookup (suspects->entries, &fingerprint);
-
-  if (entry)
-    remove_entry (suspects, entry);
-  return entry != NULL;
-}
-
 bool
 suspect_mark_is_cleared (const suspect_mark_t *mark)
 {
--- a/src/request/policy/suspect.h
+++ b/src/request/policy/suspect.h
@@ -60,9 +60,6 @@
                        uint64_t now_us,
                        uint64_t fingerprint,
                        suspect_mark_t *out);
-/** suspect_clear() - the request was served, so it crashes no engine. Return: whether it was
- * suspect */
-bool suspect_clear (suspects_t *suspects, uint64_t fingerprint);
 /** suspect_mark_is_cleared() - whether @mark names no engine, which says that its request was
  * served */
 bool suspect_mark_is_cleared (const suspect_mark_t *mark);
