--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -612,6 +612,19 @@
   return false;
 }
 
+static void
+log_suspect (const gateway_call_t *call, crash_record_verdict_t verdict)
+{
+  static const char *const outcomes[] = { [CRASH_RECORD_ON_TRIAL] = "copy_on_trial",
+                                          [CRASH_RECORD_PENDING] = "pending",
+                                          [CRASH_RECORD_REFUSED] = "refused" };
+  uint32_t crashes = crash_record_count_crashes (call->gateway->options.crashes, call->fingerprint);
+
+  log_event (LOG_LEVEL_NOTICE, "suspect", "id", call->id, "fingerprint",
+             LOG_HEX (call->fingerprint), "outcome", outcomes[verdict], "crashes",
+             LOG_U64 (crashes), NULL);
+}
+
 bool
 gateway_call_refuse_suspect (gateway_call_t *call)
 {
@@ -623,6 +636,7 @@
       (verdict == CRASH_RECORD_ON_TRIAL && !is_copy_running (call)))
     return false;
   counter_add (gateway->suspect_refused, 1);
+  log_suspect (call, verdict);
   if (call->queue_item.waiting)
     gateway_queue_remove (call);
   if (verdict == CRASH_RECORD_REFUSED && call->course.ran == 0 && !call->relay.has_started)
