--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -203,6 +203,7 @@
   gateway_store_t *gateway_store;
   engines_t *engines;
   lapses_t *lapses;
+  crash_record_t *crashes;
   char names[PEERS][16];
   uint32_t sequence;
   bool killed[PEERS];
@@ -500,6 +501,7 @@
   gateway->counters = counter_registry_new ();
   gateway->engines = engines_new ();
   gateway->lapses = lapses_new ();
+  gateway->crashes = crash_record_new (&(crash_record_options_t){ .limit = 1 });
   gateway->settings.version_ms = DRAIN_MS;
   gateway->settings.drain_ms = DRAIN_MS;
   gateway->settings.renewal_ms = 1200;
@@ -516,6 +518,7 @@
                                                      .settings = &gateway->settings,
                                                      .platform = &gateway->platform,
                                                      .incarnation = 1,
+                                                     .crashes = gateway->crashes,
                                                      .get_version = get_version,
                                                      .on_routing = ignore_routing,
                                                      .on_drain = ignore_drain,
@@ -545,6 +548,7 @@
     g_ptr_array_free (gateway->store[i], TRUE);
   engines_free (gateway->engines);
   lapses_free (gateway->lapses);
+  crash_record_free (gateway->crashes);
   counter_registry_free (gateway->counters);
   event_base_free (gateway->base);
   g_free (gateway);
