Log lines of software versions and of requests that resume a stream

The logs of the incident can't tell its hypotheses apart: no line had the version of an engine's software, and none said that a request resumes a stream, or which one. The registry's version and the header Resumes are read for that; nothing decides by them yet.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -144,9 +144,11 @@
             const char *state,
             position_t position)
 {
-  log_event (LOG_LEVEL_NOTICE, "engine", "engine", id, "state", state, "offset",
-             LOG_U64 (position.offset), "engines", LOG_U64 (engines_count (process->engines)),
-             NULL);
+  const engine_t *engine = engines_find (process->engines, id);
+
+  log_event (LOG_LEVEL_NOTICE, "engine", "engine", id, "state", state, "software",
+             engine ? engine->entry.software_version : NULL, "offset", LOG_U64 (position.offset),
+             "engines", LOG_U64 (engines_count (process->engines)), NULL);
 }
 
 static void
--- a/src/request/gateway/format.h
+++ b/src/request/gateway/format.h
@@ -35,6 +35,7 @@
  * @output_tokens: maximum length of the output of a model request
  * @parts: parts of the prompt in order; the last one belongs to this request or its chat alone
  * @resumes: the client resumes a stream after the event with the id @last_event
+ * @resumed_id: id of the attempt of the client whose response began that stream, or NULL
  */
 typedef struct
 {
@@ -46,6 +47,7 @@
   format_prompt_part_t parts[FORMAT_PROMPT_PARTS_MAX];
   uint32_t part_count;
   bool resumes;
+  const char *resumed_id;
   uint64_t last_event;
 } format_request_t;
 
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -155,6 +155,8 @@
       counter_get (registry, "medlarplank_gateway_losses_total", "Requests whose engine broke off");
   gateway->suspect_refused = counter_get (registry, "medlarplank_gateway_suspect_refused_total",
                                           "Requests refused because engines had ended under them");
+  gateway->resumptions = counter_get (registry, "medlarplank_gateway_resumptions_total",
+                                      "Requests by which clients resume streams");
 }
 
 gateway_task_t *
--- a/src/request/gateway/gateway_accept.c
+++ b/src/request/gateway/gateway_accept.c
@@ -62,6 +62,15 @@
                             .exact_retry = true });
 }
 
+static void
+note_resumption (gateway_task_t *gateway, const format_request_t *request)
+{
+  counter_add (gateway->resumptions, 1);
+  log_event (LOG_LEVEL_NOTICE, "resumption", "id", request->id, "resumed_id", request->resumed_id,
+             "last_event", LOG_U64 (request->last_event), "deadline_ms",
+             LOG_U64 (request->deadline_ms), NULL);
+}
+
 void
 gateway_accept (http_server_call_t *client, void *context)
 {
@@ -102,6 +111,8 @@
           return;
         }
     }
+  if (request.resumes)
+    note_resumption (gateway, &request);
   call = gateway_call_new (gateway, client, route, account, &request);
   if (!gateway_call_refuse_suspect (call))
     gateway_call_place (call);
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -489,14 +489,14 @@
   uint64_t told_us = MAX (engine->reported_us, engine->peer_report_us);
   uint64_t age_ms = (call->sent_us - MIN (told_us, call->sent_us)) / CLOCK_US_PER_MS;
 
-  log_event (LOG_LEVEL_INFO, "place", "id", call->id, "service", call->service->name, "engine",
-             engine->entry.id, "rank", LOG_U64 (choice->rank), "cache_source",
-             choice->source ? choice->source->entry.id : NULL, "load", LOG_U64 (choice->load),
-             "mean_milli", LOG_U64 (choice->mean_milli), "load_age_ms",
-             told_us ? LOG_U64 (age_ms) : NULL, "load_from",
-             told_us ? (of_peer ? "peer" : "engine") : NULL, "candidates",
-             LOG_U64 (choice->candidates), "waited_ms",
-             LOG_U64 ((call->sent_us - call->arrived_us) / CLOCK_US_PER_MS), NULL);
+  log_event (
+      LOG_LEVEL_INFO, "place", "id", call->id, "service", call->service->name, "engine",
+      engine->entry.id, "software", engine->entry.software_version, "rank", LOG_U64 (choice->rank),
+      "cache_source", choice->source ? choice->source->entry.id : NULL, "load",
+      LOG_U64 (choice->load), "mean_milli", LOG_U64 (choice->mean_milli), "load_age_ms",
+      told_us ? LOG_U64 (age_ms) : NULL, "load_from",
+      told_us ? (of_peer ? "peer" : "engine") : NULL, "candidates", LOG_U64 (choice->candidates),
+      "waited_ms", LOG_U64 ((call->sent_us - call->arrived_us) / CLOCK_US_PER_MS), NULL);
 }
 
 void
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -134,6 +134,7 @@
   counter_t *waited;
   counter_t *losses;
   counter_t *suspect_refused;
+  counter_t *resumptions;
 };
 
 /**
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -33,6 +33,9 @@
  * @region: region of the data centre, interned; NULL when unknown
  * @slots: requests that it runs concurrently; 0 when unknown
  * @cold_ms: remaining time in which it is slow after its start
+ * @software_version: of the engine's software; cut where it is too long, and empty when the entry
+ *   doesn't state it
+ * @software_hash: of the whole software version
  */
 typedef struct
 {
@@ -45,6 +48,8 @@
   address_t address;
   uint32_t slots;
   uint32_t cold_ms;
+  char software_version[LIMIT_NAME_BYTES];
+  uint64_t software_hash;
   engine_state_t state;
 } engine_entry_t;
 
