Failing test: streams beside two software versions, with real processes

The stand-in upstream states a software version in its entry and in the events of its streams. Eight tests with two versions side by side: an upstream ends, the last ones of a version end, callers resume at another gateway, a gateway is killed, gateways are restarted in turn and at once, a version appears, a gateway stood still.

--- a/standin/standin_upstream.c
+++ b/standin/standin_upstream.c
@@ -8,7 +8,8 @@
  * each confirmed update of the entry during the exit. With --advertise the entry names another
  * address, for example of a proxy in front of it. With --crash-on, a request whose path contains
  * the given text ends the process once it has run for --work-ms; its outcome in the record is
- * "crash".
+ * "crash". With --software-version the entry and each event of a stream state that version; it does
+ * not check at which version a stream that it continues began.
  */
 #include "connection/platform_client.h"
 #include "http_call.h"
@@ -33,6 +34,7 @@
   const char *data_center;
   const char *record;
   const char *crash_on;
+  const char *software_version;
   uint32_t slots;
   uint32_t work_ms;
   uint32_t events;
@@ -119,9 +121,10 @@
 static void
 send_event (run_t *run)
 {
-  g_autofree char *text =
-      g_strdup_printf ("id: %" G_GUINT64_FORMAT "\ndata: %s %" G_GUINT64_FORMAT "\n\n",
-                       run->next_event, run->id, run->next_event);
+  const char *version = run->upstream->options.software_version;
+  g_autofree char *text = g_strdup_printf (
+      "id: %" G_GUINT64_FORMAT "\ndata: %s %" G_GUINT64_FORMAT "%s%s\n\n", run->next_event, run->id,
+      run->next_event, version ? " " : "", version ? version : "");
 
   http_call_send_part (run->call, text);
 }
@@ -287,11 +290,12 @@
 renew_entry (upstream_t *upstream)
 {
   const options_t *options = &upstream->options;
-  g_autofree char *value =
-      g_strdup_printf ("{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"slots\":%u,"
-                       "\"state\":\"%s\"}",
-                       options->service, options->advertise, options->data_center, options->slots,
-                       upstream->leaving_since_us ? "draining" : "ready");
+  const char *version = options->software_version;
+  g_autofree char *value = g_strdup_printf (
+      "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"slots\":%u,\"state\":\"%s\"%s%s%s}",
+      options->service, options->advertise, options->data_center, options->slots,
+      upstream->leaving_since_us ? "draining" : "ready", version ? ",\"version\":\"" : "",
+      version ? version : "", version ? "\"" : "");
 
   store_entry (upstream, value);
 }
@@ -339,6 +343,7 @@
   { "data-center", required_argument, NULL, 'z' },
   { "record", required_argument, NULL, 'r' },
   { "crash-on", required_argument, NULL, 'c' },
+  { "software-version", required_argument, NULL, 'b' },
   { "slots", required_argument, NULL, 'n' },
   { "work-ms", required_argument, NULL, 'w' },
   { "events", required_argument, NULL, 'e' },
@@ -367,9 +372,9 @@
     ['d'] = &options->drain_ms, ['f'] = &options->fail_percent, ['o'] = &options->lose_percent,
   };
   const char **const texts[] = {
-    ['a'] = &options->advertise, ['l'] = &options->listen,      ['s'] = &options->store,
-    ['v'] = &options->service,   ['z'] = &options->data_center, ['r'] = &options->record,
-    ['c'] = &options->crash_on
+    ['a'] = &options->advertise, ['l'] = &options->listen,          ['s'] = &options->store,
+    ['v'] = &options->service,   ['z'] = &options->data_center,     ['r'] = &options->record,
+    ['c'] = &options->crash_on,  ['b'] = &options->software_version
   };
 
   if (flag > 0 && (size_t)flag < G_N_ELEMENTS (numbers) && numbers[flag])
@@ -378,10 +383,11 @@
     *texts[flag] = value;
   else
     {
-      g_printerr ("standin-upstream --listen IP:PORT --store IP:PORT --service NAME --record FILE\n"
-                  "  [--advertise IP:PORT] [--data-center NAME] [--slots N] [--work-ms N] "
-                  "[--events N] [--drain-ms N]\n"
-                  "  [--fail-percent N] [--lose-percent N] [--crash-on TEXT]\n");
+      g_printerr (
+          "standin-upstream --listen IP:PORT --store IP:PORT --service NAME --record FILE\n"
+          "  [--advertise IP:PORT] [--data-center NAME] [--slots N] [--work-ms N] "
+          "[--events N] [--drain-ms N]\n"
+          "  [--fail-percent N] [--lose-percent N] [--crash-on TEXT] [--software-version TEXT]\n");
       exit (2);
     }
 }
--- a/tests/driver.h
+++ b/tests/driver.h
@@ -276,6 +276,8 @@
  * @streams: Whether it answers with streams of five events, in the service "pool", or plainly, in
  *   the service "ledger".
  * @crash_on: Text in the path of requests that end it, or NULL.
+ * @software_version: Version that its entry and its events state, or NULL.
+ * @events: Events of a stream; 0 is five.
  */
 typedef struct
 {
@@ -283,6 +285,8 @@
   bool streams;
   uint32_t work_ms;
   const char *crash_on;
+  const char *software_version;
+  uint32_t events;
 } driver_upstream_t;
 
 /** driver_start_upstream() - Start a stand-in upstream that registers in the platform's store. */
--- a/tests/driver_gateway.c
+++ b/tests/driver_gateway.c
@@ -10,14 +10,17 @@
 driver_start_upstream (driver_t *driver, const driver_upstream_t *upstream)
 {
   driver_process_t *process = driver_process_new (driver, DRIVER_UPSTREAM, upstream->name, NULL);
+  uint32_t events = upstream->events > 0 ? upstream->events : UPSTREAM_EVENTS;
 
   process->record_path = g_strdup_printf ("%s/%s.record", driver->dir, upstream->name);
   driver_process_add_flag (process, "--store=%s:%d", driver->platform->ip, DRIVER_PORT);
   driver_process_add_flag (process, "--service=%s", upstream->streams ? "pool" : "ledger");
-  driver_process_add_flag (process, "--events=%d", upstream->streams ? UPSTREAM_EVENTS : 0);
+  driver_process_add_flag (process, "--events=%u", upstream->streams ? events : 0);
   driver_process_add_flag (process, "--work-ms=%u", upstream->work_ms);
   if (upstream->crash_on)
     driver_process_add_flag (process, "--crash-on=%s", upstream->crash_on);
+  if (upstream->software_version)
+    driver_process_add_flag (process, "--software-version=%s", upstream->software_version);
   driver_process_add_flag (process, "--record=%s", process->record_path);
   driver_process_start (process);
   return process;
--- /dev/null
+++ b/tests/session_versions.c
@@ -0,0 +1,523 @@
+/**
+ * DOC: session_versions
+ *
+ * Streams beside upstreams of two software versions of one service, with real processes. What the
+ * versions write doesn't fit together, so each stream may hold events of one only, whoever resumes
+ * it: its gateway, when the upstream ends, or its caller, at any gateway. Each event names the
+ * version that wrote it.
+ */
+#include "driver.h"
+
+#include <CUnit/Basic.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define GATEWAYS 3
+#define VERSIONS 2
+#define UPSTREAMS_PER_VERSION 2
+#define UPSTREAMS (VERSIONS * UPSTREAMS_PER_VERSION)
+#define STREAMS 12
+#define EVENTS 24
+#define EVENT_MS 40
+#define EVENTS_FIRST 6  /* events of each stream before something happens */
+#define RESUMED_MIN 6   /* of all streams, half must go on where a new one would begin */
+#define REFUSED_MS 1000 /* what can't go on is refused within this time */
+
+/**
+ * struct stream - A stream of a caller, which may take several requests.
+ * @id: Id of its first request.
+ * @call: The latest request.
+ * @gateway: Index of the gateway that it was sent to.
+ * @version: Version of its first event, empty before that.
+ * @last_event: Id of the last whole event.
+ * @events_read: Events of the latest request that were applied.
+ * @mixed: It holds events of two versions.
+ * @broken: An event is missing or comes twice.
+ */
+typedef struct
+{
+  char id[32];
+  driver_call_t *call;
+  uint32_t gateway;
+  char version[16];
+  uint64_t last_event;
+  uint32_t events_read;
+  bool mixed;
+  bool broken;
+} stream_t;
+
+/**
+ * struct fleet - The processes of the session.
+ * @upstreams: By version.
+ */
+typedef struct
+{
+  driver_t *driver;
+  driver_process_t *gateways[GATEWAYS];
+  driver_process_t *upstreams[VERSIONS][UPSTREAMS_PER_VERSION];
+  stream_t streams[STREAMS];
+  uint32_t next_id;
+} fleet_t;
+
+static const char *const versions[VERSIONS] = { "v1", "v2" };
+
+static const char config[] =
+    "{\"version\":1,\"routes\":[{\"name\":\"talk\",\"host\":\"fleet\",\"path_prefix\":\"/talk/\","
+    "\"kind\":\"stream\",\"timeout_ms\":8000,\"attempts\":2,\"service\":\"pool\",\"resumable\":"
+    "true}],\"tenants\":[{\"name\":\"alpha\",\"api_keys\":[\"key-1\"]}]}";
+
+static void
+start_version (fleet_t *fleet, uint32_t version)
+{
+  for (uint32_t i = 0; i < UPSTREAMS_PER_VERSION; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("upstream-%s-%u", versions[version], i);
+
+      fleet->upstreams[version][i] = driver_start_upstream (
+          fleet->driver, &(driver_upstream_t){ .name = name,
+                                               .streams = true,
+                                               .work_ms = EVENT_MS,
+                                               .events = EVENTS,
+                                               .software_version = versions[version] });
+    }
+}
+
+/** struct wait - What a gateway's log must hold. */
+typedef struct
+{
+  const fleet_t *fleet;
+  uint32_t gateway;
+  uint32_t engines;
+  uint32_t starts;
+} wait_t;
+
+static bool
+has_engines (void *context)
+{
+  const wait_t *wait = context;
+  const driver_process_t *gateway = wait->fleet->gateways[wait->gateway];
+
+  return driver_process_count_log_lines (gateway, ": engine ", "state=ready") >= wait->engines &&
+         driver_process_count_log_lines (gateway, ": ready ", NULL) >= wait->starts;
+}
+
+static void
+wait_engines (const fleet_t *fleet, uint32_t engines)
+{
+  for (uint32_t i = 0; i < GATEWAYS; i++)
+    {
+      wait_t wait = { fleet, i, engines, 1 };
+
+      driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "engines", has_engines, &wait);
+    }
+}
+
+/* Starts the gateways; those of the second version start if @both. */
+static void
+start_fleet (fleet_t *fleet, bool both)
+{
+  driver_start_platform (fleet->driver);
+  driver_write_record (fleet->driver, "config", config);
+  start_version (fleet, 0);
+  if (both)
+    start_version (fleet, 1);
+  for (uint32_t i = 0; i < GATEWAYS; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("gateway%u", i);
+
+      fleet->gateways[i] = driver_start_gateway (fleet->driver, name, 250, 7000);
+    }
+  wait_engines (fleet, both ? UPSTREAMS : UPSTREAMS_PER_VERSION);
+}
+
+static void
+apply_event (stream_t *stream, const char *event)
+{
+  const char *data = strstr (event, "data: ");
+  g_auto (GStrv) words = g_strsplit (data ? data : "", " ", 4);
+  uint64_t id = g_ascii_strtoull (event + strlen ("id: "), NULL, 10);
+
+  if (g_strv_length (words) != 4 || id != stream->last_event + 1)
+    {
+      stream->broken = true;
+      return;
+    }
+  if (stream->version[0] == '\0')
+    g_strlcpy (stream->version, words[3], sizeof stream->version);
+  stream->mixed = stream->mixed || strcmp (stream->version, words[3]) != 0;
+  stream->last_event = id;
+}
+
+/* Applies the new whole events of the latest request to the stream. */
+static void
+read_events (stream_t *stream)
+{
+  g_auto (GStrv) events = g_strsplit (stream->call->body->str, "\n\n", -1);
+  uint32_t count = g_strv_length (events);
+
+  if (stream->call->status != 200)
+    return;
+  for (; stream->events_read + 1 < count; stream->events_read++)
+    apply_event (stream, events[stream->events_read]);
+}
+
+static bool
+is_complete (const stream_t *stream)
+{
+  return stream->call->status == 200 && stream->call->outcome == DRIVER_OUTCOME_COMPLETE &&
+         stream->last_event == EVENTS && !stream->broken;
+}
+
+static void
+send_stream (fleet_t *fleet, stream_t *stream, uint32_t gateway, const char *more)
+{
+  g_autofree char *id = g_strdup_printf ("stream%u", ++fleet->next_id);
+  g_autofree char *path = g_strdup_printf ("/talk/%s", stream->id[0] ? stream->id : id);
+  g_autofree char *headers = g_strdup_printf ("X-Request-Id: %s\r\nX-Key: key-1\r\n"
+                                              "X-Deadline-Ms: 7000\r\n%s",
+                                              id, more);
+
+  if (stream->id[0] == '\0')
+    g_strlcpy (stream->id, id, sizeof stream->id);
+  stream->gateway = gateway;
+  stream->events_read = 0;
+  stream->call =
+      driver_send_http (fleet->driver, fleet->gateways[gateway]->ip, "POST", path, headers, "");
+}
+
+static bool
+all_have_begun (void *context)
+{
+  fleet_t *fleet = context;
+
+  for (uint32_t i = 0; i < STREAMS; i++)
+    {
+      stream_t *stream = &fleet->streams[i];
+
+      read_events (stream);
+      if (stream->last_event < EVENTS_FIRST)
+        return false;
+    }
+  return true;
+}
+
+/* Begins all streams, in turn at @gateways gateways from the first on, and waits until each has its
+ * first events. */
+static void
+begin_streams (fleet_t *fleet, uint32_t gateways)
+{
+  memset (fleet->streams, 0, sizeof fleet->streams);
+  for (uint32_t i = 0; i < STREAMS; i++)
+    send_stream (fleet, &fleet->streams[i], i % gateways, "");
+  driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "the first events", all_have_begun,
+                     fleet);
+}
+
+static void
+end_streams (fleet_t *fleet)
+{
+  for (uint32_t i = 0; i < STREAMS; i++)
+    {
+      driver_call_wait (fleet->streams[i].call);
+      read_events (&fleet->streams[i]);
+    }
+}
+
+/* The caller closes its connection, if that is still open, and resumes the stream. */
+static void
+resume_stream (fleet_t *fleet, stream_t *stream, uint32_t gateway)
+{
+  g_autofree char *more = NULL;
+
+  driver_call_cancel (stream->call);
+  read_events (stream);
+  more = g_strdup_printf ("Last-Event-Id: %" G_GUINT64_FORMAT "\r\nResumes: %s\r\n",
+                          stream->last_event, stream->id);
+  send_stream (fleet, stream, gateway, more);
+}
+
+/* All callers resume what is not complete, each at a gateway other than @except; the last one
+ * first, since gateways that choose in turn would choose alike in the same order. */
+static uint32_t
+resume_streams (fleet_t *fleet, uint32_t except)
+{
+  uint32_t resumed = 0;
+
+  for (uint32_t i = STREAMS; i > 0; i--)
+    {
+      stream_t *stream = &fleet->streams[i - 1];
+      uint32_t gateway = (stream->gateway + 1) % GATEWAYS;
+
+      read_events (stream);
+      if (is_complete (stream))
+        continue;
+      resume_stream (fleet, stream, gateway == except ? (gateway + 1) % GATEWAYS : gateway);
+      resumed++;
+    }
+  end_streams (fleet);
+  return resumed;
+}
+
+static uint32_t
+count_mixed (const fleet_t *fleet)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < STREAMS; i++)
+    count += fleet->streams[i].mixed ? 1 : 0;
+  return count;
+}
+
+static uint32_t
+count_broken (const fleet_t *fleet)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < STREAMS; i++)
+    count += fleet->streams[i].broken ? 1 : 0;
+  return count;
+}
+
+static uint32_t
+count_complete (const fleet_t *fleet, const char *version)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < STREAMS; i++)
+    count += is_complete (&fleet->streams[i]) &&
+                     (!version || strcmp (fleet->streams[i].version, version) == 0)
+                 ? 1
+                 : 0;
+  return count;
+}
+
+static uint32_t
+count_of_version (const fleet_t *fleet, const char *version)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < STREAMS; i++)
+    count += strcmp (fleet->streams[i].version, version) == 0 ? 1 : 0;
+  return count;
+}
+
+static void
+check_streams (const fleet_t *fleet, uint32_t complete_min)
+{
+  CU_ASSERT_EQUAL (count_mixed (fleet), 0);
+  CU_ASSERT_EQUAL (count_broken (fleet), 0);
+  CU_ASSERT (count_complete (fleet, NULL) >= complete_min);
+}
+
+static void
+finish (const fleet_t *fleet)
+{
+  driver_transcript_add (
+      fleet->driver,
+      "streams with events of two versions: %u, with events that are missing or come twice: %u",
+      count_mixed (fleet), count_broken (fleet));
+  driver_finish (fleet->driver);
+}
+
+/* Guards against streams that the gateway resumes, within the answer, at another version. */
+static void
+test_upstream_ends (void)
+{
+  fleet_t fleet = { .driver = driver_new ("versions") };
+
+  start_fleet (&fleet, true);
+  for (uint32_t i = 0; i < UPSTREAMS; i++)
+    {
+      driver_process_t *upstream = fleet.upstreams[i % VERSIONS][i / VERSIONS];
+
+      begin_streams (&fleet, GATEWAYS);
+      CU_ASSERT (count_of_version (&fleet, "v1") > 0 && count_of_version (&fleet, "v2") > 0);
+      driver_process_kill (upstream);
+      end_streams (&fleet);
+      check_streams (&fleet, STREAMS);
+      driver_process_start (upstream);
+      wait_engines (&fleet, UPSTREAMS + 1 + i);
+    }
+  finish (&fleet);
+}
+
+static void
+check_refusals (const fleet_t *fleet, const char *version)
+{
+  for (uint32_t i = 0; i < STREAMS; i++)
+    {
+      const stream_t *stream = &fleet->streams[i];
+
+      if (strcmp (stream->version, version) != 0)
+        continue;
+      CU_ASSERT_EQUAL (stream->call->status, 503);
+      CU_ASSERT_PTR_NOT_NULL (driver_call_header (stream->call, "retry-after"));
+      CU_ASSERT (stream->call->ended_us - stream->call->sent_us < REFUSED_MS * 1000);
+    }
+}
+
+/* Guards against streams of a version that has no upstream left going on at another one. */
+static void
+test_version_ends (void)
+{
+  fleet_t fleet = { .driver = driver_new ("versions") };
+
+  start_fleet (&fleet, true);
+  begin_streams (&fleet, GATEWAYS);
+  for (uint32_t i = 0; i < UPSTREAMS_PER_VERSION; i++)
+    driver_process_kill (fleet.upstreams[1][i]);
+  end_streams (&fleet);
+  CU_ASSERT_EQUAL (count_complete (&fleet, "v1"), count_of_version (&fleet, "v1"));
+  CU_ASSERT (count_of_version (&fleet, "v2") > 0);
+  resume_streams (&fleet, GATEWAYS);
+  CU_ASSERT_EQUAL (count_mixed (&fleet), 0);
+  check_refusals (&fleet, "v2");
+  finish (&fleet);
+}
+
+/* Guards against streams that change versions when their callers resume them at another gateway. */
+static void
+test_other_gateway (void)
+{
+  fleet_t fleet = { .driver = driver_new ("versions") };
+
+  start_fleet (&fleet, true);
+  begin_streams (&fleet, GATEWAYS);
+  CU_ASSERT_EQUAL (resume_streams (&fleet, GATEWAYS), STREAMS);
+  check_streams (&fleet, RESUMED_MIN);
+  finish (&fleet);
+}
+
+/* Guards against streams that change versions, or are lost, when their gateway is killed. */
+static void
+test_gateway_killed (void)
+{
+  fleet_t fleet = { .driver = driver_new ("versions") };
+
+  start_fleet (&fleet, true);
+  begin_streams (&fleet, 1);
+  driver_process_kill (fleet.gateways[0]);
+  CU_ASSERT_EQUAL (resume_streams (&fleet, 0), STREAMS);
+  check_streams (&fleet, RESUMED_MIN);
+  finish (&fleet);
+}
+
+static void
+wait_started (fleet_t *fleet, uint32_t gateway, uint32_t starts)
+{
+  wait_t wait = { fleet, gateway, 0, starts };
+
+  driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "a gateway that is ready", has_engines,
+                     &wait);
+}
+
+/* Guards against streams that change versions, or are lost, while gateways are restarted in turn.
+ */
+static void
+test_restarted_in_turn (void)
+{
+  fleet_t fleet = { .driver = driver_new ("versions") };
+
+  start_fleet (&fleet, true);
+  for (uint32_t i = 0; i < GATEWAYS; i++)
+    {
+      begin_streams (&fleet, GATEWAYS);
+      driver_process_kill (fleet.gateways[i]);
+      driver_process_start (fleet.gateways[i]);
+      resume_streams (&fleet, i);
+      check_streams (&fleet, RESUMED_MIN);
+      wait_started (&fleet, i, 2);
+    }
+  finish (&fleet);
+}
+
+/* Guards against streams that go on at any version when no gateway is left that knows theirs. */
+static void
+test_restarted_at_once (void)
+{
+  fleet_t fleet = { .driver = driver_new ("versions") };
+
+  start_fleet (&fleet, true);
+  begin_streams (&fleet, GATEWAYS);
+  for (uint32_t i = 0; i < GATEWAYS; i++)
+    driver_process_kill (fleet.gateways[i]);
+  for (uint32_t i = 0; i < GATEWAYS; i++)
+    driver_process_start (fleet.gateways[i]);
+  for (uint32_t i = 0; i < GATEWAYS; i++)
+    wait_started (&fleet, i, 2);
+  resume_streams (&fleet, GATEWAYS);
+  CU_ASSERT_EQUAL (count_mixed (&fleet), 0);
+  finish (&fleet);
+}
+
+/* Guards against streams that are lost or change versions as a second version appears. */
+static void
+test_version_appears (void)
+{
+  fleet_t fleet = { .driver = driver_new ("versions") };
+
+  start_fleet (&fleet, false);
+  begin_streams (&fleet, GATEWAYS);
+  start_version (&fleet, 1);
+  wait_engines (&fleet, UPSTREAMS);
+  resume_streams (&fleet, GATEWAYS);
+  check_streams (&fleet, RESUMED_MIN);
+  CU_ASSERT_EQUAL (count_of_version (&fleet, "v1"), STREAMS);
+  finish (&fleet);
+}
+
+static bool
+second_version_serves (void *context)
+{
+  fleet_t *fleet = context;
+
+  begin_streams (fleet, GATEWAYS);
+  end_streams (fleet);
+  return count_of_version (fleet, "v2") > 0;
+}
+
+/* Guards against streams that a gateway resumes by what it knew before it stood still. */
+static void
+test_paused_gateway (void)
+{
+  fleet_t fleet = { .driver = driver_new ("versions") };
+
+  start_fleet (&fleet, false);
+  driver_process_signal (fleet.gateways[2], SIGSTOP);
+  start_version (&fleet, 1);
+  for (uint32_t i = 0; i < GATEWAYS - 1; i++)
+    {
+      wait_t wait = { &fleet, i, UPSTREAMS, 1 };
+
+      driver_wait_until (fleet.driver, DRIVER_WAIT_LIMIT_MS, "engines", has_engines, &wait);
+    }
+  driver_process_signal (fleet.gateways[2], SIGCONT);
+  driver_wait_until (fleet.driver, DRIVER_WAIT_LIMIT_MS, "streams at the second version",
+                     second_version_serves, &fleet);
+  driver_process_signal (fleet.gateways[2], SIGSTOP);
+  begin_streams (&fleet, 2);
+  for (uint32_t i = 0; i < STREAMS; i++)
+    resume_stream (&fleet, &fleet.streams[i], 2);
+  driver_process_signal (fleet.gateways[2], SIGCONT);
+  end_streams (&fleet);
+  CU_ASSERT_EQUAL (count_mixed (&fleet), 0);
+  finish (&fleet);
+}
+
+int
+main (void)
+{
+  static const driver_test_t tests[] = {
+    { "an upstream ends under its streams", test_upstream_ends },
+    { "the last upstreams of a version end", test_version_ends },
+    { "callers resume at another gateway", test_other_gateway },
+    { "a gateway is killed and callers resume at the others", test_gateway_killed },
+    { "gateways are restarted in turn", test_restarted_in_turn },
+    { "all gateways are restarted at once", test_restarted_at_once },
+    { "a second version appears beside streams", test_version_appears },
+    { "callers resume at a gateway that stood still", test_paused_gateway }
+  };
+
+  return driver_main ("versions", tests, G_N_ELEMENTS (tests));
+}
