A gateway resumes a stream at the version that began it

Cause: a resumption within the answer chose among all engines of the service. Change: a stream is bound to the version of the engine that wrote its first event, and the choice of an engine sees only that version; where none is left the answer is cut at once.

--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -356,6 +356,7 @@
           .known_gateways = gateway->known_routers,
           .region_filter = bound_regions (call),
           .drain_us = (uint64_t)gateway->options.settings->center_drain_ms * CLOCK_US_PER_MS,
+          .version = call->version,
           .tried = excluded,
           .tried_count = excluded_count });
 }
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -157,6 +157,8 @@
  * @status: HTTP status of the response that is forwarded
  * @streaming: the response is a stream of events
  * @resuming: the current hop resumes a stream
+ * @version: version of the engine that wrote the first event of the stream, 0 before that. Further
+ *   events may come only from engines of the same version
  * @sent_us: time at which the last hop was sent
  * @head_us: time at which the head of its response came
  * @last_byte_us: time at which the last byte of its response came; 0 before the first
@@ -196,6 +198,7 @@
   bool has_head;
   bool streaming;
   bool resuming;
+  uint64_t version;
   uint64_t arrived_us;
   uint64_t deadline_us;
   uint64_t sent_us;
--- a/src/request/policy/engine_choice.c
+++ b/src/request/policy/engine_choice.c
@@ -221,6 +221,8 @@
 static bool
 is_candidate (const service_view_t *view, const engine_t *engine)
 {
+  if (view->request->version != 0 && engine->version != view->request->version)
+    return false;
   if (!engine_is_open (engine) || engine_is_backing_off (engine, view->now_us) ||
       was_tried (view, engine))
     return false;
--- a/src/request/policy/engine_choice.h
+++ b/src/request/policy/engine_choice.h
@@ -123,6 +123,7 @@
  *   unknown
  * @region_filter: regions that the request is restricted to
  * @drain_us: time from the order to drain a data centre until its engines must get nothing more
+ * @version: only engines of this version may get it, since one of them began its stream; 0 for any
  */
 typedef struct
 {
@@ -145,6 +146,7 @@
   uint32_t known_gateways;
   region_filter_t region_filter;
   uint64_t drain_us;
+  uint64_t version;
 } engine_choice_request_t;
 
 /**
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -111,6 +111,14 @@
   return engine;
 }
 
+static uint64_t
+hash_version (const engine_entry_t *entry)
+{
+  uint64_t hash = XXH64 (entry->service, strlen (entry->service), entry->software_hash);
+
+  return MAX (hash, 1U);
+}
+
 /* Return: start of the drain of @data_center, 0 when it is not drained */
 static uint64_t
 drain_start_us (const engines_t *engines, const char *data_center)
@@ -182,6 +190,7 @@
       g_ptr_array_add (service->list, engine);
     }
   engine->entry = *entry;
+  engine->version = hash_version (entry);
   engine->drained_us = drain_start_us (engines, entry->data_center);
   engine->displaced = false;
   engine->entry_expired = false;
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -80,6 +80,8 @@
  * @hash: of id and start time. What is known of one process doesn't hold for the next one under the
  *   same id, whose cache is empty
  * @rank_hash: of the id; rendezvous hashing of shared prompt parts uses it
+ * @version: of the service and the engine's software version. A stream goes on only at engines of
+ *   the version that began it; never 0
  * @part_shares: of its service; shared with the other engines of the service
  * @refs: one of the registry's entry and one of each request of this gateway
  * @own_requests: requests of this gateway at the engine
@@ -124,6 +126,7 @@
   engine_entry_t entry;
   uint64_t hash;
   uint64_t rank_hash;
+  uint64_t version;
   part_shares_t *part_shares;
   uint32_t refs;
   uint32_t own_requests;
