A client's resumption goes on at the version that began the stream, at any gateway

Cause: nothing knew at which version a stream had begun; a resumption was placed like a new request. Change: a stream is bound to the version of its first event. While more than one version of a service has had engines within a minute, or the registry is not current, a gateway tells others of its streams (two keepers by rendezvous hashing of the stream, in groups of 64 gateways), within the spare part of the byte budget. A gateway that doesn't know a stream asks its keepers for at most 250 ms, and refuses with 503 and Retry-After when nobody knows, unless it is certain that one version alone has served. Decisions are pure: stream_origins, origin_keepers, origin_batches, software_versions, resumption. Tried and dropped: keepers in a window of a ring and rounds that send all that is due; in virtual time half and more of the streams of a lost gateway were refused, since the questions (4 to 76 each) and half-empty messages used up the budget. The session waits until its gateways have heard each other: before that nobody can be told, and the users' rule on lost streams holds from 3 s after a start.

--- /dev/null
+++ b/src/process/gateway_origins.c
@@ -0,0 +1,305 @@
+#include "process/gateway_origins.h"
+
+#include "request/policy/origin_batches.h"
+#include "request/policy/origin_keepers.h"
+#include "request/policy/software_versions.h"
+
+#include <string.h>
+
+/** struct message - a message with storage for its arrays */
+typedef struct
+{
+  xch_origins_message xdr;
+  xch_origin origins[XCH_ORIGINS];
+  xch_question questions[XCH_QUESTIONS];
+  xch_unknown unknown[XCH_QUESTIONS];
+} message_t;
+
+/**
+ * struct gateway_origins - see the header
+ * @tell_timer: sends what is due
+ * @ask_timer: sends the questions in the next turn of the event loop
+ * @batches: streams that are due, by the gateway that is to be told
+ * @questions: that wait to be sent
+ */
+struct gateway_origins
+{
+  gateway_origins_options_t options;
+  struct event *tell_timer;
+  struct event *ask_timer;
+  origin_batches_t *batches;
+  xch_question questions[GATEWAY_ORIGINS_QUESTIONS_MAX];
+  uint32_t question_count;
+  counter_t *told_count;
+  counter_t *asked_count;
+  counter_t *unknown_count;
+};
+
+static uint64_t
+now_us (const gateway_origins_t *told)
+{
+  return clock_now_us (told->options.clock);
+}
+
+static message_t *
+message_new (const gateway_origins_t *told)
+{
+  message_t *message = g_new0 (message_t, 1);
+
+  message->xdr.sender_hash = gateway_peers_own_hash (told->options.peers);
+  message->xdr.origins.origins_val = message->origins;
+  message->xdr.questions.questions_val = message->questions;
+  message->xdr.unknown.unknown_val = message->unknown;
+  return message;
+}
+
+static void
+start_tell_timer (gateway_origins_t *told, uint32_t wait_ms)
+{
+  event_add (told->tell_timer, &(struct timeval){ 0, (suseconds_t)wait_ms * 1000 });
+}
+
+static void
+add_origin (message_t *message, const stream_origin_t *origin, uint64_t at_us)
+{
+  uint64_t ttl_us =
+      MIN (origin->expires_us - MIN (at_us, origin->expires_us), SOFTWARE_VERSIONS_LIFETIME_US);
+
+  message->origins[message->xdr.origins.origins_len++] =
+      (xch_origin){ .stream = origin->stream,
+                    .software_version = origin->version,
+                    .ttl_ms = (uint32_t)(ttl_us / CLOCK_US_PER_MS) };
+}
+
+/* Moves what is due into the batches of the gateways that keep it. */
+static void
+fill_batches (gateway_origins_t *told)
+{
+  g_autoptr (GArray) hashes = gateway_peers_get_hashes (told->options.peers);
+  const uint64_t *gateways = (const uint64_t *)(const void *)hashes->data;
+  uint64_t own_hash = gateway_peers_own_hash (told->options.peers);
+  stream_origin_t origin;
+
+  while (hashes->len > 1 && stream_origins_take (told->options.origins, now_us (told), &origin))
+    {
+      uint32_t keepers[ORIGIN_KEEPERS_MAX];
+      uint32_t count = origin_keepers_of (gateways, hashes->len, own_hash, origin.stream, keepers);
+
+      for (uint32_t i = 0; i < count; i++)
+        origin_batches_add (told->batches, gateways[keepers[i]], origin.stream);
+    }
+}
+
+static void
+send_batch (gateway_origins_t *told, uint64_t gateway, const uint64_t *streams, uint32_t count)
+{
+  g_autofree message_t *message = message_new (told);
+  stream_origin_t origin;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (stream_origins_get_open (told->options.origins, now_us (told), streams[i], &origin))
+      add_origin (message, &origin, now_us (told));
+  if (message->xdr.origins.origins_len > 0 &&
+      gateway_peers_send_origins (told->options.peers, gateway, false, &message->xdr))
+    counter_add (told->told_count, message->xdr.origins.origins_len);
+}
+
+/* Return: false when nothing is due */
+static bool
+send_next (gateway_origins_t *told)
+{
+  uint64_t streams[XCH_ORIGINS];
+  uint64_t gateway;
+  uint32_t count = origin_batches_take (told->batches, &gateway, streams, XCH_ORIGINS);
+
+  if (count == 0)
+    return false;
+  if (gateway_peers_is_alive (told->options.peers, gateway))
+    send_batch (told, gateway, streams, count);
+  else
+    origin_batches_drop (told->batches, gateway);
+  return true;
+}
+
+static void
+on_tell_timer (evutil_socket_t fd, short what, void *context)
+{
+  gateway_origins_t *told = context;
+  bool has_more = true;
+
+  (void)fd;
+  (void)what;
+  fill_batches (told);
+  while (has_more && gateway_peers_has_spare_budget (told->options.peers))
+    has_more = send_next (told);
+  if (has_more)
+    start_tell_timer (told, GATEWAY_ORIGINS_TELL_MS);
+  else
+    gateway_origins_tell (told, false);
+}
+
+static void
+send_questions (gateway_origins_t *told, uint64_t gateway, const message_t *questions)
+{
+  message_t message = *questions;
+
+  message.xdr.questions.questions_val = message.questions;
+  gateway_peers_send_origins (told->options.peers, gateway, true, &message.xdr);
+}
+
+/* Questions for the same gateway go in one message. */
+static void
+ask_gateways (gateway_origins_t *told, const uint64_t *gateways, uint32_t count)
+{
+  g_autofree message_t **messages = g_new0 (message_t *, count);
+  g_autofree uint32_t *keepers = g_new (uint32_t, count);
+  uint64_t own_hash = gateway_peers_own_hash (told->options.peers);
+
+  for (uint32_t i = 0; i < told->question_count; i++)
+    {
+      uint32_t found =
+          origin_keepers_of_any (gateways, count, own_hash, told->questions[i].stream, keepers);
+
+      for (uint32_t j = 0; j < found; j++)
+        {
+          message_t **message = &messages[keepers[j]];
+
+          if (!*message)
+            *message = message_new (told);
+          if ((*message)->xdr.questions.questions_len < XCH_QUESTIONS)
+            (*message)->questions[(*message)->xdr.questions.questions_len++] = told->questions[i];
+        }
+    }
+  for (uint32_t i = 0; i < count; i++)
+    if (messages[i])
+      {
+        send_questions (told, gateways[i], messages[i]);
+        g_free (messages[i]);
+      }
+}
+
+static void
+on_ask_timer (evutil_socket_t fd, short what, void *context)
+{
+  gateway_origins_t *told = context;
+  g_autoptr (GArray) hashes = gateway_peers_get_hashes (told->options.peers);
+
+  (void)fd;
+  (void)what;
+  ask_gateways (told, (const uint64_t *)(const void *)hashes->data, hashes->len);
+  told->question_count = 0;
+}
+
+gateway_origins_t *
+gateway_origins_new (const gateway_origins_options_t *options)
+{
+  gateway_origins_t *told = g_new0 (gateway_origins_t, 1);
+
+  told->options = *options;
+  told->batches = origin_batches_new (GATEWAY_ORIGINS_BATCH_MAX);
+  told->tell_timer = evtimer_new (options->base, on_tell_timer, told);
+  told->ask_timer = evtimer_new (options->base, on_ask_timer, told);
+  told->told_count = counter_get (options->counters, "medlarplank_origins_told_total",
+                                  "Software versions of streams told to other gateways");
+  told->asked_count = counter_get (options->counters, "medlarplank_origins_asked_total",
+                                   "Questions to other gateways for the version of a stream");
+  told->unknown_count = counter_get (options->counters, "medlarplank_origins_unknown_total",
+                                     "Questions of other gateways for streams not known here");
+  return told;
+}
+
+void
+gateway_origins_free (gateway_origins_t *told)
+{
+  event_free (told->tell_timer);
+  event_free (told->ask_timer);
+  origin_batches_free (told->batches);
+  g_free (told);
+}
+
+void
+gateway_origins_tell (gateway_origins_t *told, bool at_once)
+{
+  if (!stream_origins_has_due (told->options.origins))
+    return;
+  if (at_once || !event_pending (told->tell_timer, EV_TIMEOUT, NULL))
+    start_tell_timer (told, at_once ? 0 : GATEWAY_ORIGINS_TELL_MS);
+}
+
+void
+gateway_origins_ask (gateway_origins_t *told, uint64_t stream, uint64_t service_hash)
+{
+  counter_add (told->asked_count, 1);
+  if (told->question_count < GATEWAY_ORIGINS_QUESTIONS_MAX)
+    told->questions[told->question_count++] =
+        (xch_question){ .stream = stream, .service_hash = service_hash };
+  if (!event_pending (told->ask_timer, EV_TIMEOUT, NULL))
+    event_add (told->ask_timer, &(struct timeval){ 0, 0 });
+}
+
+static void
+take_origins (gateway_origins_t *told, const xch_origins_message *message)
+{
+  for (uint32_t i = 0; i < message->origins.origins_len; i++)
+    {
+      const xch_origin *origin = &message->origins.origins_val[i];
+      uint64_t ttl_us =
+          MIN ((uint64_t)origin->ttl_ms * CLOCK_US_PER_MS, SOFTWARE_VERSIONS_LIFETIME_US);
+
+      stream_origins_add (told->options.origins, now_us (told),
+                          &(stream_origin_t){ .stream = origin->stream,
+                                              .version = origin->software_version,
+                                              .expires_us = now_us (told) + ttl_us });
+    }
+  if (message->origins.origins_len > 0)
+    told->options.on_known (told->options.context);
+}
+
+static void
+take_unknown (gateway_origins_t *told, const xch_origins_message *message)
+{
+  for (uint32_t i = 0; i < message->unknown.unknown_len; i++)
+    {
+      const xch_unknown *answer = &message->unknown.unknown_val[i];
+
+      told->options.on_unknown (
+          &(gateway_origins_unknown_t){ .stream = answer->stream,
+                                        .sole_version = answer->sole_version,
+                                        .has_watched = answer->has_watched != 0 },
+          told->options.context);
+    }
+}
+
+static void
+answer_question (gateway_origins_t *told, message_t *answer, const xch_question *question)
+{
+  stream_origin_t origin;
+  gateway_origins_unknown_t unknown = { .stream = question->stream };
+
+  if (stream_origins_get (told->options.origins, now_us (told), question->stream, &origin))
+    {
+      add_origin (answer, &origin, now_us (told));
+      return;
+    }
+  counter_add (told->unknown_count, 1);
+  told->options.describe (question->service_hash, &unknown, told->options.context);
+  answer->unknown[answer->xdr.unknown.unknown_len++] =
+      (xch_unknown){ .stream = question->stream,
+                     .sole_version = unknown.sole_version,
+                     .has_watched = unknown.has_watched ? 1 : 0 };
+}
+
+void
+gateway_origins_receive (gateway_origins_t *told, const xch_origins_message *message)
+{
+  g_autofree message_t *answer = NULL;
+
+  take_origins (told, message);
+  take_unknown (told, message);
+  if (message->questions.questions_len == 0)
+    return;
+  answer = message_new (told);
+  for (uint32_t i = 0; i < message->questions.questions_len; i++)
+    answer_question (told, answer, &message->questions.questions_val[i]);
+  gateway_peers_send_origins (told->options.peers, message->sender_hash, true, &answer->xdr);
+}
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -1,6 +1,7 @@
 #include "process/gateway_process.h"
 
 #include "connection/http_server.h"
+#include "process/gateway_origins.h"
 #include "process/gateway_store.h"
 #include "base/log.h"
 #include "request/gateway/gateway.h"
@@ -22,6 +23,10 @@
  * @table: routing rules in force, NULL for none
  * @lapsed: engines whose entries were removed while the store could not be read, and may have
  *   expired only because of an outage
+ * @origins: at which software versions streams began
+ * @told: tells other gateways of them
+ * @current_us: when routing rules and engines were last current, 0 for never
+ * @watched_from_us: since when they have been, but for short times
  * @accept_by_us: latest time at which client connections are accepted, even if the gateway is not
  *   ready; 0 once they are
  * @stop_us: when the stop signal came, 0 before
@@ -39,6 +44,10 @@
   routing_t *table;
   lapses_t *lapsed;
   crash_record_t *crashes;
+  stream_origins_t *origins;
+  gateway_origins_t *told;
+  uint64_t current_us;
+  uint64_t watched_from_us;
   struct event *tick;
   uint64_t accept_by_us;
   uint64_t stop_us;
@@ -163,7 +172,7 @@
 {
   if (!engines_find (process->engines, id))
     return;
-  engines_remove (process->engines, id);
+  engines_remove (process->engines, now_us (process), id);
   update_engine_counts (process);
   log_engine (process, id, "gone", position);
   gateway_store_send_news (process->store);
@@ -303,6 +312,78 @@
   gateway_store_tell_crashes (process->store);
 }
 
+static void
+on_origins (bool at_once, void *context)
+{
+  gateway_process_t *process = context;
+
+  if (process->told)
+    gateway_origins_tell (process->told, at_once);
+}
+
+static void
+ask_origin (uint64_t stream, uint64_t service_hash, void *context)
+{
+  gateway_process_t *process = context;
+
+  if (process->told)
+    gateway_origins_ask (process->told, stream, service_hash);
+}
+
+static void
+on_peer_origins (const xch_origins_message *message, void *context)
+{
+  gateway_process_t *process = context;
+
+  if (process->told)
+    gateway_origins_receive (process->told, message);
+}
+
+static void
+describe_versions (uint64_t service_hash, gateway_origins_unknown_t *out, void *context)
+{
+  const gateway_process_t *process = context;
+
+  out->has_watched = gateway_describe_versions (process->gateway, service_hash, &out->sole_version);
+}
+
+static void
+on_known_origins (void *context)
+{
+  gateway_process_t *process = context;
+
+  gateway_origins_changed (process->gateway);
+}
+
+static void
+on_unknown_origin (const gateway_origins_unknown_t *answer, void *context)
+{
+  gateway_process_t *process = context;
+
+  gateway_handle_unknown_origin (process->gateway, answer->stream, answer->sole_version,
+                                 answer->has_watched);
+}
+
+/* In a shorter time without the store no version can have appeared, taken streams and gone. */
+static void
+update_watch (gateway_process_t *process)
+{
+  bool is_current = gateway_store_is_current (process->store);
+  uint64_t at_us = now_us (process);
+  bool is_first = process->current_us == 0;
+
+  if (is_current && is_first && !process->options.settings->first_start)
+    process->watched_from_us = at_us;
+  if (is_current && !is_first && at_us > process->current_us + SOFTWARE_VERSIONS_NEW_US)
+    process->watched_from_us = at_us;
+  if (is_current)
+    process->current_us = at_us;
+  gateway_set_registry_watched (
+      process->gateway, process->current_us != 0 &&
+                            (process->watched_from_us == 0 ||
+                             at_us >= process->watched_from_us + SOFTWARE_VERSIONS_LIFETIME_US));
+}
+
 static crash_record_engine_t
 get_crashed_engine (uint64_t engine_hash, void *context)
 {
@@ -385,6 +466,7 @@
   accept_when_ready (process);
   gateway_store_tick (process->store);
   gateway_set_config_current (process->gateway, gateway_store_is_current (process->store));
+  update_watch (process);
   counter_set (process->gateway_count, gateway_store_count_registered (process->store));
   gateway_set_routers (process->gateway, gateway_store_count_running (process->store),
                        gateway_store_count_registered (process->store));
@@ -458,6 +540,9 @@
           .crashes = process->crashes,
           .on_crashes = on_crashes,
           .on_high_load = on_own_load,
+          .origins = process->origins,
+          .on_origins = on_origins,
+          .ask_origin = ask_origin,
           .context = process,
           .retries = { .ratio_milli = settings->retry_ratio_milli,
                        .slack = settings->retry_slack_milli / 1000,
@@ -465,6 +550,16 @@
       error);
   if (process->gateway)
     {
+      process->told = gateway_origins_new (
+          &(gateway_origins_options_t){ .base = process->options.base,
+                                        .clock = process->options.clock,
+                                        .counters = process->options.counters,
+                                        .peers = gateway_store_peers (process->store),
+                                        .origins = process->origins,
+                                        .describe = describe_versions,
+                                        .on_known = on_known_origins,
+                                        .on_unknown = on_unknown_origin,
+                                        .context = process });
       gateway_pause_accept (process->gateway);
       process->accept_by_us =
           now_us (process) + (uint64_t)GATEWAY_PROCESS_ACCEPT_DELAY_MAX_MS * CLOCK_US_PER_MS;
@@ -496,6 +591,7 @@
                                                      .on_engine = on_engine,
                                                      .on_status = on_store_status,
                                                      .on_load = on_peer_load,
+                                                     .on_origins = on_peer_origins,
                                                      .context = process },
                          error);
   return process->store != NULL;
@@ -510,6 +606,7 @@
   process->options = *options;
   process->engines = engines_new ();
   process->lapsed = lapses_new ();
+  process->origins = stream_origins_new (GATEWAY_PROCESS_ORIGINS_MAX);
   process->crashes =
       crash_record_new (&(crash_record_options_t){ .limit = GATEWAY_PROCESS_CRASHES_MAX,
                                                    .lifetime_us = GATEWAY_PROCESS_CRASH_LIFETIME_US,
@@ -540,6 +637,7 @@
 void
 gateway_process_free (gateway_process_t *process)
 {
+  g_clear_pointer (&process->told, gateway_origins_free);
   if (process->store)
     gateway_store_free (process->store);
   if (process->gateway)
@@ -553,6 +651,7 @@
   engines_free (process->engines);
   lapses_free (process->lapsed);
   crash_record_free (process->crashes);
+  stream_origins_free (process->origins);
   event_free (process->tick);
   g_free (process);
 }
--- a/src/process/gateway_process.h
+++ b/src/process/gateway_process.h
@@ -27,6 +27,9 @@
 #define GATEWAY_PROCESS_CRASHES_MAX 1024 /* requests remembered during which engines ended */
 /* Callers send such a request again within minutes. */
 #define GATEWAY_PROCESS_CRASH_LIFETIME_US (UINT64_C (600) * CLOCK_US_PER_S)
+/* Streams whose software version is remembered: those of this gateway and of the gateways that it
+ * keeps them for, some 80 a second for up to a minute in a large fleet. */
+#define GATEWAY_PROCESS_ORIGINS_MAX 16384
 #define GATEWAY_PROCESS_TICK_MS 100 /* interval of periodic work */
 /* How long an engine is kept whose registry entry may have expired during an outage of the store: a
  * live engine has renewed its entry by then. */
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -385,6 +385,15 @@
   };
 }
 
+static void
+on_peer_origins (const xch_origins_message *message, void *context)
+{
+  gateway_store_t *store = context;
+
+  if (store->options.on_origins)
+    store->options.on_origins (message, store->options.context);
+}
+
 static void
 on_peer_load (const load_report_t *item, void *context)
 {
@@ -766,6 +775,7 @@
                                                                 .get_progress = get_progress,
                                                                 .on_progress = on_peer_progress,
                                                                 .on_load = on_peer_load,
+                                                                .on_origins = on_peer_origins,
                                                                 .context = store },
                                     error);
   if (!store->peers)
@@ -832,6 +842,12 @@
          now_us (store) - at_us < (uint64_t)GATEWAY_STORE_CURRENT_MS * CLOCK_US_PER_MS;
 }
 
+gateway_peers_t *
+gateway_store_peers (const gateway_store_t *store)
+{
+  return store->peers;
+}
+
 uint32_t
 gateway_store_count_running (const gateway_store_t *store)
 {
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/settings.h"
+#include "process/gateway_peers.h"
 #include "process/record_order.h"
 #include "request/policy/load_reports.h"
 #include "request/policy/crash_record.h"
@@ -69,6 +70,7 @@
  * @on_status: the store became reachable or unreachable, or a stream was read completely or updated
  *   from a peer's copy
  * @on_load: a peer reported a high load of an engine
+ * @on_origins: a peer sent a message about streams
  */
 typedef struct
 {
@@ -91,6 +93,7 @@
                      void *context);
   void (*on_status) (void *context);
   void (*on_load) (const load_report_t *item, void *context);
+  void (*on_origins) (const xch_origins_message *message, void *context);
   void *context;
 } gateway_store_options_t;
 
@@ -100,6 +103,8 @@
  * when the exchange cannot be opened; @platform is freed then too */
 gateway_store_t *gateway_store_new (const gateway_store_options_t *options, GError **error);
 void gateway_store_free (gateway_store_t *store);
+/** gateway_store_peers() - the other gateways; owned by @store */
+gateway_peers_t *gateway_store_peers (const gateway_store_t *store);
 /** gateway_store_tick() - periodic work; to be called about every 100 ms */
 void gateway_store_tick (gateway_store_t *store);
 /** gateway_store_has_routing() - whether the stream of routing rules has been loaded completely,
--- a/src/request/error_reply.c
+++ b/src/request/error_reply.c
@@ -50,6 +50,10 @@
       return "the hosts asked cannot be reached";
     case VERDICT_REASON_ENGINE_CRASHED:
       return "the engine crashed while it ran this request";
+    case VERDICT_REASON_VERSION_UNKNOWN:
+      return "it is not known at which software version the stream began";
+    case VERDICT_REASON_VERSION_GONE:
+      return "no engine of the software version that began the stream is left";
     default:
       return "the request could not be served";
     }
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -117,8 +117,10 @@
   (void)fd;
   (void)what;
   dispatch_all (gateway);
+  gateway_resume_poll (gateway);
   if (++gateway->ticks % GATEWAY_WATCH_TICKS != 0)
     return;
+  gateway_resume_review (gateway);
   check_silent_hops (gateway);
   review_crashes (gateway);
 }
@@ -157,6 +159,9 @@
                                           "Requests refused because engines had ended under them");
   gateway->resumptions = counter_get (registry, "medlarplank_gateway_resumptions_total",
                                       "Requests by which clients resume streams");
+  gateway->resumptions_refused =
+      counter_get (registry, "medlarplank_gateway_resumptions_refused_total",
+                   "Of these, refused as nobody knew at which software version the stream began");
 }
 
 gateway_task_t *
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -85,6 +85,7 @@
 end_cut (gateway_call_t *call, verdict_reason_t reason)
 {
   count_failure (call);
+  gateway_resume_note_end (call, false);
   gateway_call_log_failure (call, "end", "cut", reason);
   relay_abort (&call->relay, &(error_reply_t){ .reason = VERDICT_REASON_CUT });
   gateway_call_free (call);
@@ -97,7 +98,7 @@
 
   (void)fd;
   (void)what;
-  if (call->queue_item.waiting)
+  if (call->queue_item.waiting || call->resumption.pending)
     {
       gateway_queue_remove (call);
       gateway_call_fail (call, VERDICT_REASON_DEADLINE, GATEWAY_RETRY_MIN_MS);
@@ -115,6 +116,7 @@
     gateway_call_free (call);
   else if (call->relay.has_started)
     {
+      gateway_resume_note_end (call, false);
       relay_abort (&call->relay, &(error_reply_t){ .reason = VERDICT_REASON_TIMEOUT });
       gateway_call_free (call);
     }
@@ -134,6 +136,7 @@
   gateway_call_t *call = context;
 
   counter_add (call->gateway->gone, 1);
+  gateway_resume_note_end (call, false);
   call->client = NULL;
   relay_client_gone (&call->relay);
   gateway_call_log (call, "gone", call->queue_item.waiting ? "waiting" : "sent",
@@ -229,6 +232,7 @@
                    &(retry_plan_rules_t){ .idempotent = route->kind == ROUTING_IDEMPOTENT,
                                           .resumable = is_stream && route->resumable,
                                           .max_runs = route->attempts });
+  gateway_resume_init (call);
   event_splitter_init (&call->splitter);
   relay_init (&call->relay, client);
   call->relay.is_returned = gateway->options.format->is_returned;
@@ -248,6 +252,7 @@
 gateway_call_free (gateway_call_t *call)
 {
   g_assert (!call->upstream && !call->queue_item.waiting);
+  gateway_resume_leave (call);
   g_hash_table_remove (call->gateway->calls, call);
   event_free (call->timer);
   event_splitter_clear (&call->splitter);
@@ -385,6 +390,11 @@
 void
 gateway_call_fail_no_engine (gateway_call_t *call, const engine_choice_t *choice)
 {
+  if (call->version != 0)
+    {
+      gateway_call_fail (call, VERDICT_REASON_VERSION_GONE, GATEWAY_RETRY_VERSION_MS);
+      return;
+    }
   gateway_call_fail (call, choice->drained ? VERDICT_REASON_LEAVING : VERDICT_REASON_NO_ENGINE,
                      choice->drained ? GATEWAY_RETRY_DRAINED_MS : GATEWAY_RETRY_MIN_MS);
 }
@@ -521,6 +531,7 @@
 gateway_call_complete (gateway_call_t *call)
 {
   note_served (call);
+  gateway_resume_note_end (call, true);
   counter_add (call->gateway->answered, 1);
   latency_add (call->service->answer_histogram, gateway_now_us (call->gateway) - call->arrived_us);
   gateway_call_log (call, "end", "answered", VERDICT_REASON_NONE);
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -157,8 +157,7 @@
   struct evbuffer *whole = evbuffer_new ();
 
   event_splitter_feed (&call->splitter, data, whole);
-  if (call->version == 0 && call->engine && call->splitter.event_count > 0)
-    call->version = call->engine->version;
+  gateway_resume_note_event (call);
   if (evbuffer_get_length (whole) > 0)
     relay_forward (&call->relay, whole);
   evbuffer_free (whole);
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -3,7 +3,8 @@
  *
  * Types and functions shared by the files of the gateway's data task: gateway.c (the task),
  * gateway_accept.c (checks of a client's request), gateway_call.c (its steps and its end),
- * gateway_hop.c (one send to an engine), gateway_queue.c (requests queued while engines are full).
+ * gateway_hop.c (one send to an engine), gateway_queue.c (requests queued while engines are full),
+ * gateway_resume.c (streams, their software versions and clients that resume them).
  */
 #ifndef REQUEST_GATEWAY_GATEWAY_PRIVATE_H
 #define REQUEST_GATEWAY_GATEWAY_PRIVATE_H
@@ -21,6 +22,7 @@
 #include "request/policy/median_latency.h"
 #include "request/policy/hop_timeout.h"
 #include "request/policy/recent_answers.h"
+#include "request/policy/resumption.h"
 #include "request/relay.h"
 #include "request/policy/engine_choice.h"
 
@@ -45,6 +47,9 @@
 #define GATEWAY_RETRY_DRAINED_MS 2000
 /* Retry-After of a request that may end engines, while that is being found out */
 #define GATEWAY_RETRY_SUSPECT_MS 1000
+/* Retry-After of a stream that can't go on: an engine of its version may have crashed, and is back
+ * after some seconds */
+#define GATEWAY_RETRY_VERSION_MS 2000
 /* pairs of prompt and engine whose cache has the shared parts */
 #define GATEWAY_CACHE_WARM_MAX 4096
 /* share of slots in use, in thousandths, from which requests queue */
@@ -67,6 +72,8 @@
  * @queue: requests that wait while all engines are full
  * @load_gauge: load of all its engines together
  * @in_flight: requests of this gateway at its engines
+ * @has_streams: it serves streams that may be resumed
+ * @tells_origins: other gateways are told of its streams, as more than one version may serve
  * @mean_milli: mean load of its engines at the last choice, in thousandths of a request
  * @retries: this gateway's share of the retry budget
  * @wait_histogram: times from arrival to the first send
@@ -81,6 +88,8 @@
   wait_queue_t *queue;
   load_gauge_t load_gauge;
   uint64_t in_flight;
+  bool has_streams;
+  bool tells_origins;
   uint32_t mean_milli;
   retry_budget_t retries;
   latency_t *wait_histogram;
@@ -118,6 +127,9 @@
   uint64_t started_us;
   uint32_t routers;             /* see gateway_set_routers() */
   uint32_t known_routers;       /* likewise, also those not heard from lately */
+  uint32_t told_routers;        /* @known_routers when other gateways were told of streams */
+  bool registry_watched;        /* see gateway_set_registry_watched() */
+  uint32_t resuming_count;      /* calls whose version is being found out */
   GHashTable *services;         /* interned name -> gateway_service_t */
   GHashTable *calls;            /* set of gateway_call_t */
   recent_answers_t *cache_warm; /* prompts and engines that read their shared parts lately */
@@ -135,8 +147,24 @@
   counter_t *losses;
   counter_t *suspect_refused;
   counter_t *resumptions;
+  counter_t *resumptions_refused;
 };
 
+/**
+ * struct gateway_resumption - a client's request that resumes a stream, until its version is known
+ * @pending: it is not known yet
+ * @asked_us: when the other gateways were asked last, 0 for never
+ * @peer_sole: see resumption_view_t
+ * @peer_has_watched: likewise
+ */
+typedef struct
+{
+  bool pending;
+  uint64_t asked_us;
+  uint64_t peer_sole;
+  bool peer_has_watched;
+} gateway_resumption_t;
+
 /**
  * struct gateway_call - a client's request, from its arrival to the end of its response
  * @client: call of the listener; NULL once the client has gone
@@ -157,6 +185,8 @@
  * @status: HTTP status of the response that is forwarded
  * @streaming: the response is a stream of events
  * @resuming: the current hop resumes a stream
+ * @stream: hash by which all gateways know the stream of this response, 0 when it can't be resumed
+ * @resumption: valid for a request that resumes a stream
  * @version: version of the engine that wrote the first event of the stream, 0 before that. Further
  *   events may come only from engines of the same version
  * @sent_us: time at which the last hop was sent
@@ -198,6 +228,8 @@
   bool has_head;
   bool streaming;
   bool resuming;
+  uint64_t stream;
+  gateway_resumption_t resumption;
   uint64_t version;
   uint64_t arrived_us;
   uint64_t deadline_us;
@@ -273,6 +305,24 @@
 /** gateway_hop_cancel() - cancels the current hop, if any, without an outcome */
 void gateway_hop_cancel (gateway_call_t *call);
 
+/** gateway_resume_init() - sets the hash of the call's stream */
+void gateway_resume_init (gateway_call_t *call);
+/** gateway_resume_start() - places a request that resumes a stream at the version that began it,
+ * finds that out, or refuses the request */
+void gateway_resume_start (gateway_call_t *call);
+/** gateway_resume_leave() - the call ends, or goes on */
+void gateway_resume_leave (gateway_call_t *call);
+/** gateway_resume_poll() - decides again on the calls whose version is not known yet */
+void gateway_resume_poll (gateway_task_t *gateway);
+/** gateway_resume_note_event() - an event of the stream is forwarded: the first one binds the
+ * stream to the version of its engine */
+void gateway_resume_note_event (gateway_call_t *call);
+/** gateway_resume_note_end() - the response ends; @complete: the client has the whole stream */
+void gateway_resume_note_end (gateway_call_t *call, bool complete);
+/** gateway_resume_review() - begins or ends telling other gateways of streams, by the versions that
+ * serve; to be called a few times a second */
+void gateway_resume_review (gateway_task_t *gateway);
+
 /** gateway_queue_push() - all engines are full: queues the request, or refuses it */
 void gateway_queue_push (gateway_call_t *call);
 /** gateway_queue_for_retry() - a full engine refused the request and the retry budget is used up:
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -14,11 +14,13 @@
  * struct service - a service
  * @list: its engines, as engine_t
  * @part_shares: share of each prompt part in the requests of this gateway
+ * @versions: software versions of its engines
  */
 typedef struct
 {
   GPtrArray *list;
   part_shares_t *part_shares;
+  software_versions_t *versions;
 } service_t;
 
 /**
@@ -29,6 +31,7 @@
  * @drained: data centre -> start of its drain, in microseconds
  * @self_reports: what engines stated in their answers about leaving and backing off
  * @complete: the first list has been read: engines that are added later have joined
+ * @put_us: time of the last change
  */
 struct engines
 {
@@ -38,6 +41,7 @@
   GHashTable *drained;
   self_reports_t *self_reports;
   bool complete;
+  uint64_t put_us;
 };
 
 static void
@@ -56,6 +60,7 @@
 
   g_ptr_array_free (service->list, TRUE);
   part_shares_free (service->part_shares);
+  software_versions_free (service->versions);
   g_free (service);
 }
 
@@ -94,6 +99,7 @@
       service = g_new0 (service_t, 1);
       service->list = g_ptr_array_new ();
       service->part_shares = part_shares_new ();
+      service->versions = software_versions_new ();
       g_hash_table_insert (engines->by_service, (gpointer)name, service);
     }
   return service;
@@ -164,6 +170,20 @@
   engine->backoff_until_us = report.backoff_until_us;
 }
 
+static void
+set_version (engines_t *engines, uint64_t now_us, engine_t *engine)
+{
+  software_versions_t *versions = get_service (engines, engine->entry.service)->versions;
+  uint64_t version = hash_version (&engine->entry);
+
+  if (engine->version == version)
+    return;
+  if (engine->version != 0)
+    software_versions_remove (versions, now_us, engine->version);
+  software_versions_add (versions, now_us, version, !engines->complete);
+  engine->version = version;
+}
+
 engine_t *
 engines_put (engines_t *engines, uint64_t now_us, const engine_entry_t *entry)
 {
@@ -174,7 +194,7 @@
   if (engine &&
       (engine->entry.service != entry->service || engine->entry.born_ms != entry->born_ms))
     {
-      engines_remove (engines, entry->id);
+      engines_remove (engines, now_us, entry->id);
       engine = NULL;
     }
   if (!engine)
@@ -183,6 +203,7 @@
 
       engine = engine_new (entry);
       engine->part_shares = service->part_shares;
+      engine->versions = service->versions;
       engine->joined_us = engines->complete ? now_us : 0;
       restore_self_report (engines, engine);
       g_hash_table_insert (engines->by_id, engine->entry.id, engine);
@@ -190,7 +211,8 @@
       g_ptr_array_add (service->list, engine);
     }
   engine->entry = *entry;
-  engine->version = hash_version (entry);
+  set_version (engines, now_us, engine);
+  engines->put_us = now_us;
   engine->drained_us = drain_start_us (engines, entry->data_center);
   engine->displaced = false;
   engine->entry_expired = false;
@@ -284,7 +306,7 @@
 }
 
 void
-engines_remove (engines_t *engines, const char *id)
+engines_remove (engines_t *engines, uint64_t now_us, const char *id)
 {
   engine_t *engine = g_hash_table_lookup (engines->by_id, id);
 
@@ -292,6 +314,8 @@
     return;
   engine->entry.state = ENGINE_GONE;
   g_ptr_array_remove (get_service (engines, engine->entry.service)->list, engine);
+  software_versions_remove (engine->versions, now_us, engine->version);
+  engine->versions = NULL;
   g_hash_table_remove (engines->by_hash, &engine->hash);
   g_hash_table_remove (engines->by_id, id);
 }
@@ -317,7 +341,41 @@
 void
 engines_set_complete (engines_t *engines)
 {
+  GHashTableIter iter;
+  gpointer value;
+
+  if (engines->complete)
+    return;
   engines->complete = true;
+  g_hash_table_iter_init (&iter, engines->by_service);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    software_versions_end_first_list (((service_t *)value)->versions, engines->put_us);
+}
+
+const software_versions_t *
+engines_versions (const engines_t *engines, const char *service)
+{
+  return get_service ((engines_t *)engines, service)->versions;
+}
+
+uint64_t
+engines_hash_service (const char *service)
+{
+  return XXH64 (service, strlen (service), 0);
+}
+
+const software_versions_t *
+engines_versions_by_hash (const engines_t *engines, uint64_t service_hash)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, engines->by_service);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (engines_hash_service (key) == service_hash)
+      return ((const service_t *)value)->versions;
+  return NULL;
 }
 
 bool
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -12,6 +12,7 @@
 #include "base/limits.h"
 #include "base/settings.h"
 #include "request/policy/part_shares.h"
+#include "request/policy/software_versions.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -83,6 +84,7 @@
  * @version: of the service and the engine's software version. A stream goes on only at engines of
  *   the version that began it; never 0
  * @part_shares: of its service; shared with the other engines of the service
+ * @versions: software versions of its service; NULL once the registry has dropped it
  * @refs: one of the registry's entry and one of each request of this gateway
  * @own_requests: requests of this gateway at the engine
  * @reported_us: when the engine last reported its load to this gateway; 0 for never
@@ -128,6 +130,7 @@
   uint64_t rank_hash;
   uint64_t version;
   part_shares_t *part_shares;
+  software_versions_t *versions;
   uint32_t refs;
   uint32_t own_requests;
   uint64_t reported_us;
@@ -253,7 +256,7 @@
  * is unreachable; holds until engines_put() or engines_remove() */
 void engines_note_expired (engines_t *engines, const char *id);
 /** engines_remove() - removes the engine @id, which the registry no longer lists */
-void engines_remove (engines_t *engines, const char *id);
+void engines_remove (engines_t *engines, uint64_t now_us, const char *id);
 /** engines_find_by_hash() - finds the engine with @hash, of id and start time. Return: NULL when
  * none */
 engine_t *engines_find_by_hash (const engines_t *engines, uint64_t hash);
@@ -262,6 +265,13 @@
 /** engines_of_service() - engines of @service, which is interned, as an array of engine_t; valid
  * until the next engines_put() or engines_remove() */
 const GPtrArray *engines_of_service (const engines_t *engines, const char *service);
+/** engines_versions() - the software versions of @service, which is interned */
+const software_versions_t *engines_versions (const engines_t *engines, const char *service);
+/** engines_hash_service() - the hash by which gateways name a service to each other */
+uint64_t engines_hash_service (const char *service);
+/** engines_versions_by_hash() - the software versions of the service with that hash, or NULL */
+const software_versions_t *engines_versions_by_hash (const engines_t *engines,
+                                                     uint64_t service_hash);
 /** engines_count_open_slots() - sum of the slots of the engines of @service, which is interned,
  * that may get requests; an engine that doesn't state its slots counts as one */
 uint64_t engines_count_open_slots (const engines_t *engines, const char *service, uint64_t now_us);
--- a/src/request/policy/verdict.c
+++ b/src/request/policy/verdict.c
@@ -33,6 +33,8 @@
   [VERDICT_REASON_TIMEOUT] = "timeout",
   [VERDICT_REASON_CONNECT] = "connect",
   [VERDICT_REASON_ENGINE_CRASHED] = "engine_crashed",
+  [VERDICT_REASON_VERSION_UNKNOWN] = "version_unknown",
+  [VERDICT_REASON_VERSION_GONE] = "version_gone",
 };
 
 const char *
--- a/src/request/policy/verdict.h
+++ b/src/request/policy/verdict.h
@@ -32,25 +32,27 @@
   VERDICT_REASON_ELSEWHERE,  /* the first referral has the chat's context in its cache */
   VERDICT_REASON_COLD,  /* the home engine referred the chat here, but its context isn't cached */
   VERDICT_REASON_STALE, /* the daemon resumed after a pause; its cluster state is out of date */
-  VERDICT_REASON_SUSPECT_HERE,   /* this engine crashed earlier while it ran the request */
-  VERDICT_REASON_QUARANTINE,     /* another request that crashed an engine runs here */
-  VERDICT_REASON_NO_ENGINE,      /* the engine beside the sidecar does not answer */
-  VERDICT_REASON_WRONG_SERVICE,  /* the manifest in force doesn't assign this service to the engine
-                                  */
-  VERDICT_REASON_QUEUE_FULL,     /* the queue has reached its limit */
-  VERDICT_REASON_DEADLINE,       /* the request can't start before its deadline */
-  VERDICT_REASON_ACCOUNT_SHARE,  /* the client account's part of the queue is full */
-  VERDICT_REASON_REVOKED,        /* the router cancelled this attempt */
-  VERDICT_REASON_SUSPECT,        /* final: it crashed the maximum of engines for one request */
-  VERDICT_REASON_CLAIMED,        /* another attempt holds the same idempotency key */
-  VERDICT_REASON_KEY_REUSED,     /* the idempotency key was used before with another body */
-  VERDICT_REASON_KEY_TOO_OLD,    /* the idempotency key is older than claims are kept */
-  VERDICT_REASON_LOG_DOWN,       /* the key can't be claimed while the log is unavailable */
-  VERDICT_REASON_CUT,            /* the connection broke before the response was complete */
-  VERDICT_REASON_CROSSED,        /* the response belongs to another attempt */
-  VERDICT_REASON_TIMEOUT,        /* a time limit expired */
-  VERDICT_REASON_CONNECT,        /* the connection failed: nothing was sent */
-  VERDICT_REASON_ENGINE_CRASHED, /* the engine crashed while it ran the request */
+  VERDICT_REASON_SUSPECT_HERE,    /* this engine crashed earlier while it ran the request */
+  VERDICT_REASON_QUARANTINE,      /* another request that crashed an engine runs here */
+  VERDICT_REASON_NO_ENGINE,       /* the engine beside the sidecar does not answer */
+  VERDICT_REASON_WRONG_SERVICE,   /* the manifest in force doesn't assign this service to the engine
+                                   */
+  VERDICT_REASON_QUEUE_FULL,      /* the queue has reached its limit */
+  VERDICT_REASON_DEADLINE,        /* the request can't start before its deadline */
+  VERDICT_REASON_ACCOUNT_SHARE,   /* the client account's part of the queue is full */
+  VERDICT_REASON_REVOKED,         /* the router cancelled this attempt */
+  VERDICT_REASON_SUSPECT,         /* final: it crashed the maximum of engines for one request */
+  VERDICT_REASON_CLAIMED,         /* another attempt holds the same idempotency key */
+  VERDICT_REASON_KEY_REUSED,      /* the idempotency key was used before with another body */
+  VERDICT_REASON_KEY_TOO_OLD,     /* the idempotency key is older than claims are kept */
+  VERDICT_REASON_LOG_DOWN,        /* the key can't be claimed while the log is unavailable */
+  VERDICT_REASON_CUT,             /* the connection broke before the response was complete */
+  VERDICT_REASON_CROSSED,         /* the response belongs to another attempt */
+  VERDICT_REASON_TIMEOUT,         /* a time limit expired */
+  VERDICT_REASON_CONNECT,         /* the connection failed: nothing was sent */
+  VERDICT_REASON_ENGINE_CRASHED,  /* the engine crashed while it ran the request */
+  VERDICT_REASON_VERSION_UNKNOWN, /* nobody knows at which software version the stream began */
+  VERDICT_REASON_VERSION_GONE,    /* no engine of the version that began the stream is left */
   VERDICT_REASON_COUNT
 } verdict_reason_t;
 
--- a/tests/reference_store.c
+++ b/tests/reference_store.c
@@ -24,7 +24,7 @@
 
   if (!value)
     {
-      engines_remove (engines, key);
+      engines_remove (engines, now_us, key);
       return;
     }
   CU_ASSERT_TRUE_FATAL (records_read_engine (&entry, key, value, value_bytes, NULL));
--- a/tests/session_versions.c
+++ b/tests/session_versions.c
@@ -83,7 +83,7 @@
     }
 }
 
-/** struct wait - What a gateway's log must hold. */
+/** struct wait - What a gateway's log must hold, besides that it has heard the other gateways. */
 typedef struct
 {
   const fleet_t *fleet;
@@ -98,6 +98,8 @@
   const wait_t *wait = context;
   const driver_process_t *gateway = wait->fleet->gateways[wait->gateway];
 
+  if (driver_process_count_log_lines (gateway, ": peer_heard ", NULL) < GATEWAYS - 1)
+    return false;
   return driver_process_count_log_lines (gateway, ": engine ", "state=ready") >= wait->engines &&
          driver_process_count_log_lines (gateway, ": ready ", NULL) >= wait->starts;
 }
--- a/tests/test_engine_choice.c
+++ b/tests/test_engine_choice.c
@@ -191,7 +191,7 @@
   CU_ASSERT_PTR_EQUAL (choose (engines, 7).source, former);
   put (engines, former->entry.id, ENGINE_LEAVING);
   CU_ASSERT_PTR_EQUAL (choose (engines, 7).source, former);
-  engines_remove (engines, former->entry.id);
+  engines_remove (engines, NOW_US, former->entry.id);
   CU_ASSERT_PTR_NOT_EQUAL (choose (engines, 7).source, former);
   later = choose_at (engines, NOW_US + ENGINE_CHOICE_NEW_US, 7);
   CU_ASSERT (later.engine == joined && later.source && later.source != former);
@@ -398,7 +398,7 @@
   engine_t *engine = engines_find (engines, "e0");
 
   engine_begin_request (engine, NOW_US);
-  engines_remove (engines, "e0");
+  engines_remove (engines, NOW_US, "e0");
   CU_ASSERT_EQUAL (engine->entry.state, ENGINE_GONE);
   CU_ASSERT_EQUAL (engines_count (engines), 0);
   engine_end_request (engine);
--- a/tests/test_self_reports.c
+++ b/tests/test_self_reports.c
@@ -84,7 +84,7 @@
   CU_ASSERT_TRUE (engines_note_leaving (engines, NOW_US, engine));
   CU_ASSERT_FALSE (engines_note_leaving (engines, NOW_US, engine));
   CU_ASSERT_FALSE (engine_is_open (engines_put (engines, NOW_US, &entry)));
-  engines_remove (engines, "e0");
+  engines_remove (engines, NOW_US, "e0");
   CU_ASSERT_FALSE (engine_is_open (engines_put (engines, NOW_US, &entry)));
   entry.born_ms = 6;
   CU_ASSERT_TRUE (engine_is_open (engines_put (engines, NOW_US, &entry)));
@@ -121,7 +121,7 @@
   CU_ASSERT_TRUE (engine_is_backing_off (engine, NOW_US + 2999));
   CU_ASSERT_FALSE (engine_is_backing_off (engine, NOW_US + 3000));
   CU_ASSERT_TRUE (engine_is_open (engine));
-  engines_remove (engines, "e0");
+  engines_remove (engines, NOW_US, "e0");
   CU_ASSERT_TRUE (
       engine_is_backing_off (engines_put (engines, NOW_US + 200, &entry), NOW_US + 2999));
   engines_free (engines);
--- a/tests/test_software_versions.c
+++ b/tests/test_software_versions.c
@@ -60,7 +60,7 @@
   uint64_t version = put (engines, NOW_US, "e1", 2)->version;
 
   put (engines, NOW_US, "e0", 1);
-  engines_remove (engines, "e1");
+  engines_remove (engines, NOW_US, "e1");
   CU_ASSERT_EQUAL (choose (engines, version, 0).action, ENGINE_CHOICE_NONE);
   CU_ASSERT_EQUAL (choose (engines, 0, 0).action, ENGINE_CHOICE_SEND);
 }
--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -81,6 +81,19 @@
   (void)bytes;
 }
 
+bool
+exchange_send_origins (exchange_t *exchange,
+                       const address_t *peer,
+                       bool is_urgent,
+                       xch_origins_message *message)
+{
+  (void)exchange;
+  (void)peer;
+  (void)is_urgent;
+  (void)message;
+  return true;
+}
+
 bool
 exchange_has_spare_budget (exchange_t *exchange)
 {
@@ -620,7 +633,7 @@
         answer_fetch (gateway);
       while ((id = lapses_take_due (gateway->lapses, clock_now_us (&gateway->clock))))
         {
-          engines_remove (gateway->engines, id);
+          engines_remove (gateway->engines, clock_now_us (&gateway->clock), id);
           g_free (id);
         }
       check_report (gateway);
