--- a/src/connection/datagram.c
+++ b/src/connection/datagram.c
@@ -247,9 +247,9 @@
                  xch_message *message)
 {
   uint32_t datagram[XDR_UNITS (LIMIT_DATAGRAM_BYTES)];
-  body_t body = { (xdrproc_t)xdr_xch_message, message, sizeof *message };
   rpc_header_t header;
   memset (message, 0, sizeof *message);
+  body_t body = { (xdrproc_t)xdr_xch_message, message, sizeof *message };
   if (in_bytes > sizeof datagram)
     return DATAGRAM_TOO_LARGE;
   if (!has_valid_length (in_bytes))
@@ -279,9 +279,9 @@
                          xch_origins_message *message)
 {
   uint32_t datagram[XDR_UNITS (LIMIT_DATAGRAM_BYTES)];
-  body_t body = { (xdrproc_t)xdr_xch_origins_message, message, sizeof *message };
   rpc_header_t header;
   memset (message, 0, sizeof *message);
+  body_t body = { (xdrproc_t)xdr_xch_origins_message, message, sizeof *message };
   if (in_bytes > sizeof datagram)
     return DATAGRAM_TOO_LARGE;
   if (!has_valid_length (in_bytes))
--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -179,7 +179,7 @@
 static void
 handle_origins (exchange_t *exchange, const char *datagram, size_t bytes)
 {
-  xch_origins_message message = { 0 };
+  xch_origins_message message;
   datagram_outcome_t outcome =
       datagram_decode_origins (datagram, bytes, exchange->fleet_key, &message);
   if (outcome != DATAGRAM_OK)
@@ -204,7 +204,7 @@
     }
   uint32_t xid = 0;
   bool is_reply = false;
-  xch_message message = { 0 };
+  xch_message message;
   datagram_outcome_t outcome =
       datagram_decode (datagram, bytes, exchange->fleet_key, &xid, &is_reply, &message);
   if (outcome != DATAGRAM_OK)
