A version that has just appeared gets no streams for three seconds

Symptom (read, then shown by a test): a stream could begin at a version that another gateway had not heard of yet; that one took the old version for the only one there was and would have resumed the stream at it. Cause: gateways hear of engines at different times, up to 2.5 s apart while they count as current. Evidence: test_new_version_gets_no_stream_before_all_know_it fails without the line that leaves them out (trial), and passes with it; the session versions passes.

--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -362,6 +362,7 @@
           .region_filter = bound_regions (call),
           .drain_us = (uint64_t)gateway->options.settings->center_drain_ms * CLOCK_US_PER_MS,
           .version = call->version,
+          .begins_stream = call->stream != 0 && call->version == 0,
           .tried = excluded,
           .tried_count = excluded_count });
 }
--- a/src/request/policy/engine_choice.c
+++ b/src/request/policy/engine_choice.c
@@ -22,6 +22,8 @@
  * @crowded: nearly all slots are taken
  * @full: all slots are taken, so the gateway keeps to its share of them
  * @is_below_share: the gateway has less than its share of the slots
+ * @avoids_new_versions: engines of versions that have just appeared get no streams, see
+ *   software_versions.h
  */
 typedef struct
 {
@@ -41,6 +43,7 @@
   bool crowded;
   bool full;
   bool is_below_share;
+  bool avoids_new_versions;
 } service_view_t;
 
 static engine_t *
@@ -223,6 +226,9 @@
 {
   if (view->request->version != 0 && engine->version != view->request->version)
     return false;
+  if (view->avoids_new_versions &&
+      software_versions_is_new (engine->versions, view->now_us, engine->version))
+    return false;
   if (!engine_is_open (engine) || engine_is_backing_off (engine, view->now_us) ||
       was_tried (view, engine))
     return false;
@@ -702,6 +708,26 @@
   return min_us;
 }
 
+static bool
+has_several_versions (const GPtrArray *engines)
+{
+  for (guint i = 1; i < engines->len; i++)
+    if (((const engine_t *)g_ptr_array_index (engines, i))->version !=
+        ((const engine_t *)g_ptr_array_index (engines, 0))->version)
+      return true;
+  return false;
+}
+
+/* A version that has just appeared is used where there is no other. */
+static bool
+must_avoid_new_versions (service_view_t *view)
+{
+  if (!view->request->begins_stream || !has_several_versions (view->engines))
+    return false;
+  view->avoids_new_versions = true;
+  return count_candidates (view) > 0;
+}
+
 static engine_choice_t
 choose_among (const GPtrArray *engines, uint64_t now_us, const engine_choice_request_t *request)
 {
@@ -709,6 +735,7 @@
   engine_choice_t choice = { 0 };
 
   evaluate_service (&view);
+  view.avoids_new_versions = must_avoid_new_versions (&view);
   choice.candidates = count_candidates (&view);
   choice.mean_milli = (uint32_t)view.mean_milli;
   choice.engine = view.full && !view.is_below_share ? NULL : choose_engine (&view);
