Engines keep slots for streams that can go on at their version only

Symptom (shown by a test): with several versions, new streams filled all engines, and one that was resumed found no place at the engines of its version, while new ones could have gone elsewhere. Cause: the choice of an engine knew no difference between both. Change: where several versions serve and the service has streams that may be resumed, new requests leave 1/32 of an engine's slots free, one at least from eight slots on; a resumed stream may take them, is not bound to the gateway's share in an overload, and doesn't queue behind new requests. Evidence: test_room_is_kept_for_resumed_streams failed before (16 of 16 slots taken, the resumed stream had to wait).

--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -363,6 +363,7 @@
           .drain_us = (uint64_t)gateway->options.settings->center_drain_ms * CLOCK_US_PER_MS,
           .version = call->version,
           .begins_stream = call->stream != 0 && call->version == 0,
+          .has_streams = service->has_streams,
           .tried = excluded,
           .tried_count = excluded_count });
 }
@@ -405,8 +406,9 @@
 {
   engine_choice_t choice;
 
-  /* A new request must not overtake those in the queue. */
-  if (wait_queue_count_in_time (call->service->queue) > 0 && call->hops == 0)
+  /* A new request must not overtake those in the queue; a stream that is resumed may, as its client
+   * has waited, and slots are kept for it. */
+  if (wait_queue_count_in_time (call->service->queue) > 0 && call->hops == 0 && call->version == 0)
     {
       gateway_queue_push (call);
       return;
--- a/src/request/policy/engine_choice.c
+++ b/src/request/policy/engine_choice.c
@@ -22,6 +22,7 @@
  * @crowded: nearly all slots are taken
  * @full: all slots are taken, so the gateway keeps to its share of them
  * @is_below_share: the gateway has less than its share of the slots
+ * @keeps_slots: some slots of each engine are left to streams that are resumed
  * @avoids_new_versions: engines of versions that have just appeared get no streams, see
  *   software_versions.h
  */
@@ -43,6 +44,7 @@
   bool crowded;
   bool full;
   bool is_below_share;
+  bool keeps_slots;
   bool avoids_new_versions;
 } service_view_t;
 
@@ -296,18 +298,29 @@
   return MAX (share_us / ENGINE_CHOICE_SEND_RATE_FACTOR, view->request->usual_head_us);
 }
 
-/* Whether the engine has a slot, or a place in its queue, for one more request of this gateway. */
+static uint32_t
+kept_slots (const service_view_t *view, uint32_t slots)
+{
+  if (!view->keeps_slots || slots < ENGINE_CHOICE_KEPT_SLOTS_FROM)
+    return 0;
+  return MAX (slots / ENGINE_CHOICE_KEPT_SLOTS_DIVISOR, 1U);
+}
+
+/* Whether the engine has a slot, or a place in its queue, for one more request of this gateway. A
+ * stream that is bound to the engine's version may have any slot. */
 static bool
 has_room (const service_view_t *view, const engine_t *engine)
 {
   uint32_t slots = engine_slots (engine, view->request->default_slots);
+  uint32_t usable = slots - kept_slots (view, slots);
+  bool may_fill = !view->full || view->request->version != 0;
 
   if (!may_send_cold (view, engine) ||
       !engine_has_window (engine, view->now_us, window_pause_us (view, slots)))
     return false;
-  if (slots == 0 || (!view->full && load_at (view, engine) < slots))
+  if (slots == 0 || (may_fill && load_at (view, engine) < usable))
     return true;
-  return may_queue (view, engine, slots);
+  return may_queue (view, engine, usable);
 }
 
 static uint64_t
@@ -735,10 +748,13 @@
   engine_choice_t choice = { 0 };
 
   evaluate_service (&view);
+  view.keeps_slots =
+      request->has_streams && request->version == 0 && has_several_versions (engines);
   view.avoids_new_versions = must_avoid_new_versions (&view);
   choice.candidates = count_candidates (&view);
   choice.mean_milli = (uint32_t)view.mean_milli;
-  choice.engine = view.full && !view.is_below_share ? NULL : choose_engine (&view);
+  choice.engine =
+      view.full && !view.is_below_share && request->version == 0 ? NULL : choose_engine (&view);
   if (!choice.engine)
     {
       choice.action = choice.candidates > 0 ? ENGINE_CHOICE_WAIT : ENGINE_CHOICE_NONE;
--- a/src/request/policy/engine_choice.h
+++ b/src/request/policy/engine_choice.h
@@ -87,6 +87,13 @@
 /* An engine whose answers take more than this, in thousandths of the service's usual time, is used
  * last too. */
 #define ENGINE_CHOICE_LATENCY_RATIO_MILLI 2000
+/*
+ * Slots that new requests leave free, as 1/32 of an engine's, where several software versions
+ * serve: a stream that is resumed can go on at its version only, new requests at any.
+ */
+#define ENGINE_CHOICE_KEPT_SLOTS_DIVISOR 32
+/* Engines with fewer slots keep none free. */
+#define ENGINE_CHOICE_KEPT_SLOTS_FROM 8
 /*
  * While the store is unreachable, the entries of all engines expire within one renewal interval. If
  * at most one in this many of a service's entries has expired, the engine has probably left while
@@ -125,6 +132,7 @@
  * @drain_us: time from the order to drain a data centre until its engines must get nothing more
  * @version: only engines of this version may get it, since one of them began its stream; 0 for any
  * @begins_stream: it begins a stream that its client may resume
+ * @has_streams: the service has such streams
  */
 typedef struct
 {
@@ -149,6 +157,7 @@
   uint64_t drain_us;
   uint64_t version;
   bool begins_stream;
+  bool has_streams;
 } engine_choice_request_t;
 
 /**
--- a/tests/test_software_versions.c
+++ b/tests/test_software_versions.c
@@ -155,6 +155,62 @@
   CU_ASSERT_PTR_EQUAL (engine_choice_make (list, NOW_US, &request).engine, second);
 }
 
+/* Guards against streams that can't go on because new ones, which could go elsewhere, have filled
+ * the engines of their version. */
+static void
+test_room_is_kept_for_resumed_streams (void)
+{
+  g_autoptr (engines_t) engines = engines_new ();
+  engine_t *list[] = { put (engines, NOW_US, "e0", 1), put (engines, NOW_US, "e1", 2) };
+  const GPtrArray *all = engines_of_service (engines, g_intern_static_string ("pool"));
+  engine_choice_request_t fresh = { .own_data_center = "hall-1",
+                                    .begins_stream = true,
+                                    .has_streams = true };
+  engine_choice_request_t resumed = { .own_data_center = "hall-1",
+                                      .has_streams = true,
+                                      .version = list[1]->version };
+  uint32_t begun = 0;
+  engine_choice_t choice;
+
+  engines_set_complete (engines);
+  while ((choice = engine_choice_make (all, NOW_US, &fresh)).action == ENGINE_CHOICE_SEND)
+    {
+      engine_begin_request (choice.engine, NOW_US);
+      begun++;
+    }
+  CU_ASSERT_EQUAL (begun, 2 * (SLOTS - 1));
+  CU_ASSERT_PTR_EQUAL (engine_choice_make (all, NOW_US, &resumed).engine, list[1]);
+  resumed.surge = true;
+  CU_ASSERT_PTR_EQUAL (engine_choice_make (all, NOW_US, &resumed).engine, list[1]);
+  for (uint32_t i = 0; i < 2; i++)
+    while (list[i]->own_requests > 0)
+      engine_end_request (list[i]);
+}
+
+/* Guards against slots that stay free where one version serves and nothing needs them. */
+static void
+test_no_room_is_kept_for_one_version (void)
+{
+  g_autoptr (engines_t) engines = engines_new ();
+  engine_t *engine = put (engines, NOW_US, "e0", 1);
+  engine_choice_request_t fresh = { .own_data_center = "hall-1",
+                                    .begins_stream = true,
+                                    .has_streams = true };
+
+  engines_set_complete (engines);
+  for (uint32_t i = 0; i < SLOTS; i++)
+    {
+      CU_ASSERT_PTR_EQUAL (
+          engine_choice_make (engines_of_service (engines, g_intern_static_string ("pool")), NOW_US,
+                              &fresh)
+              .engine,
+          engine);
+      engine_begin_request (engine, NOW_US);
+    }
+  while (engine->own_requests > 0)
+    engine_end_request (engine);
+}
+
 /* Guards against a gateway that starts as a version appears, and takes it for one that all know. */
 static void
 test_first_list_tells_which_version_is_old (void)
@@ -181,6 +237,8 @@
     SUITE_TEST (test_versions_are_of_a_service),
     SUITE_TEST (test_new_version_gets_no_stream_before_all_know_it),
     SUITE_TEST (test_new_version_is_used_where_it_is_alone),
+    SUITE_TEST (test_room_is_kept_for_resumed_streams),
+    SUITE_TEST (test_no_room_is_kept_for_one_version),
     SUITE_TEST (test_first_list_tells_which_version_is_old),
     CU_TEST_INFO_NULL,
   };
