Soak: upstreams of two software versions and clients that resume streams

VERSIONS=1: stream upstreams state v1 or v2 in their entries and events; clients leave every third stream, lose others by faults, and go on at any gateway. A whole stream must hold events of one version, in order; after all has healed resumed streams must go on at least half as often as new ones begin. The soak's clients did neither before.

--- a/soak/soak.h
+++ b/soak/soak.h
@@ -95,8 +95,14 @@
  * @stamp: name of the upstream that answered, from the response header X-Response-Stamp; else empty
  * @body: body of the response as far as it arrived
  * @http_call: the call in flight, NULL when it has ended
+ * @resumed: the request whose stream this one resumes, or NULL
+ * @first_event: id of the event that it is to begin with
+ * @leaves: its client leaves in the middle of the stream
+ * @resume_after_us: time from its end until the client resumes the stream, 0 when not drawn yet
  */
-typedef struct
+typedef struct soak_request soak_request_t;
+
+struct soak_request
 {
   soak_t *soak;
   char *id;
@@ -113,7 +119,11 @@
   char stamp[64];
   GString *body;
   http_client_call_t *http_call;
-} soak_request_t;
+  const soak_request_t *resumed;
+  uint32_t first_event;
+  bool leaves;
+  uint64_t resume_after_us;
+};
 
 /** Kinds of requests. Each has a route of its own. */
 enum
@@ -169,6 +179,10 @@
  * @crashes: requests come that end upstreams
  * @crash_rand: random generator of these; @rand draws the same without them
  * @crashers: these requests, @crasher_count of them so far; the next begins at @next_crasher_us
+ * @versions: upstreams of streams have two software versions, and clients resume streams
+ * @clients_leave: clients leave some streams
+ * @resume_rand: random generator of these clients; @rand draws the same without them
+ * @open_streams: streams that may be resumed, soak_request_t
  * @store: the stand-in platform
  * @gateways: the gateway processes
  * @upstreams: the upstream processes
@@ -204,6 +218,10 @@
   soak_crasher_t crashers[SOAK_CRASHERS_MAX];
   uint32_t crasher_count;
   uint64_t next_crasher_us;
+  bool versions;
+  bool clients_leave;
+  GRand *resume_rand;
+  GPtrArray *open_streams;
   soak_process_t *store;
   uint32_t gateway_count;
   soak_process_t *gateways[SOAK_GATEWAYS_MAX];
@@ -293,6 +311,8 @@
 /** soak_send_to_path() - send a request with a valid key to @path, which is below the path of @kind
  */
 void soak_send_to_path (soak_t *soak, uint32_t gateway, uint32_t kind, const char *path);
+/** soak_send_resumption() - send a request that resumes the stream of @call after its last event */
+void soak_send_resumption (soak_t *soak, uint32_t gateway, const soak_request_t *call);
 /** soak_kind_path() - path of the requests of a kind */
 const char *soak_kind_path (uint32_t kind);
 /** soak_send_random_request() - send a request of a random kind to a random gateway */
@@ -307,6 +327,22 @@
  * faults have ended */
 void soak_check_crashers (soak_t *soak);
 
+/* soak_resume.c */
+/** soak_note_stream() - a request for a stream was sent; its client may leave and resume it */
+void soak_note_stream (soak_request_t *call);
+/** soak_poll_streams() - let clients leave streams and resume them when their time has come */
+void soak_poll_streams (soak_t *soak);
+/** soak_count_events() - number of whole events of the response */
+uint32_t soak_count_events (const soak_request_t *call);
+/** soak_last_event() - id of the last of them, of the stream before the response when there is none
+ */
+uint32_t soak_last_event (const soak_request_t *call);
+/** soak_stream_version() - software version of the first event of the whole stream, to be freed */
+char *soak_stream_version (const soak_request_t *call);
+/** soak_check_streams() - check that streams that clients resume go on, after all faults have ended
+ */
+void soak_check_streams (soak_t *soak);
+
 /* soak_check.c */
 /** soak_check() - check all guarantees, after all faults have ended */
 void soak_check (soak_t *soak);
--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -119,16 +119,20 @@
                call->stamp);
 }
 
-/* A stream must consist of this request's events, in order and each once; it may be cut short. */
+/* A stream must consist of this request's events, in order, each once and all of one software
+ * version; it may be cut short. */
 static void
 check_stream (const soak_request_t *call)
 {
   GString *expected = g_string_new (NULL);
+  g_autofree char *version = call->soak->versions ? soak_stream_version (call) : NULL;
 
-  for (uint32_t event = 1; event <= SOAK_EVENTS; event++)
-    g_string_append_printf (expected, "id: %u\ndata: %s %u\n\n", event, call->id, event);
+  for (uint32_t event = call->first_event; event <= SOAK_EVENTS; event++)
+    g_string_append_printf (expected, "id: %u\ndata: %s %u%s%s\n\n", event, call->id, event,
+                            version ? " " : "", version ? version : "");
   if (!g_str_has_prefix (expected->str, call->body->str))
-    soak_fail (call->soak, "%s got events out of order: \"%s\"", call->id, call->body->str);
+    soak_fail (call->soak, "%s got events out of order, or not of version %s: \"%s\"", call->id,
+               version ? version : "-", call->body->str);
   else if (call->complete && strcmp (expected->str, call->body->str) != 0)
     soak_fail (call->soak, "%s got a part that looks whole: \"%s\"", call->id, call->body->str);
   g_string_free (expected, TRUE);
@@ -263,6 +267,7 @@
 
   check_recovery (soak);
   check_entries (soak);
+  soak_check_streams (soak);
   soak_check_crashers (soak);
   records.executions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   records.leaving_since_us = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/soak/soak_client.c
+++ b/soak/soak_client.c
@@ -60,13 +60,26 @@
   return paths[kind];
 }
 
+/* Return: the id of the request that brought the first event of the stream */
+static const char *
+find_first_id (const soak_request_t *resumed)
+{
+  const char *id = NULL;
+
+  for (; resumed; resumed = resumed->resumed)
+    if (soak_count_events (resumed) > 0)
+      id = resumed->id;
+  return id;
+}
+
 static void
 send_request (soak_t *soak,
               uint32_t gateway,
               uint32_t kind,
               uint32_t version,
               const char *path,
-              bool valid_key)
+              bool valid_key,
+              const soak_request_t *resumed)
 {
   soak_request_t *call = g_new0 (soak_request_t, 1);
   address_t address = soak_address (soak, GATEWAY_IP_OCTET + gateway, GATEWAY_PORT);
@@ -74,7 +87,10 @@
   http_client_header_t headers[] = { { "Host", "h.example" },
                                      { "X-Request-Id", NULL },
                                      { "X-Key", valid_key ? "key-1" : "key-of-nobody" },
-                                     { "X-Deadline-Ms", DEADLINE_MS } };
+                                     { "X-Deadline-Ms", DEADLINE_MS },
+                                     { "Last-Event-Id", NULL },
+                                     { "Resumes", NULL } };
+  g_autofree char *last_event = NULL;
 
   call->soak = soak;
   call->id = g_strdup_printf ("s%" G_GUINT64_FORMAT "-%u", soak->seed, ++soak->next_id);
@@ -86,19 +102,26 @@
   call->valid_key = valid_key;
   call->sent_us = soak_now_us ();
   call->body = g_string_new (NULL);
+  call->resumed = resumed;
+  call->first_event = resumed ? soak_last_event (resumed) + 1 : 1;
+  last_event = g_strdup_printf ("%u", call->first_event - 1);
   headers[1].value = call->id;
+  headers[4].value = last_event;
+  headers[5].value = find_first_id (resumed);
   g_ptr_array_add (soak->calls, call);
   call->http_call = http_client_start_call (
-      soak->http_client, &(http_client_options_t){ .address = &address,
-                                                   .method = is_get ? "GET" : "POST",
-                                                   .target = call->path,
-                                                   .headers = headers,
-                                                   .header_count = G_N_ELEMENTS (headers),
-                                                   .timeout_us = CLIENT_TIMEOUT_US,
-                                                   .on_head = on_head,
-                                                   .on_data = on_data,
-                                                   .on_end = on_end,
-                                                   .context = call });
+      soak->http_client,
+      &(http_client_options_t){ .address = &address,
+                                .method = is_get ? "GET" : "POST",
+                                .target = call->path,
+                                .headers = headers,
+                                .header_count = G_N_ELEMENTS (headers) - (resumed ? 0 : 2),
+                                .timeout_us = CLIENT_TIMEOUT_US,
+                                .on_head = on_head,
+                                .on_data = on_data,
+                                .on_end = on_end,
+                                .context = call });
+  soak_note_stream (call);
 }
 
 void
@@ -106,13 +129,19 @@
 {
   g_autofree char *path = version > 1 ? g_strdup_printf ("/v%u/", version) : g_strdup (paths[kind]);
 
-  send_request (soak, gateway, kind, version, path, valid_key);
+  send_request (soak, gateway, kind, version, path, valid_key, NULL);
 }
 
 void
 soak_send_to_path (soak_t *soak, uint32_t gateway, uint32_t kind, const char *path)
 {
-  send_request (soak, gateway, kind, 0, path, true);
+  send_request (soak, gateway, kind, 0, path, true, NULL);
+}
+
+void
+soak_send_resumption (soak_t *soak, uint32_t gateway, const soak_request_t *call)
+{
+  send_request (soak, gateway, call->kind, 0, call->path, true, call);
 }
 
 void
--- a/soak/soak_fleet.c
+++ b/soak/soak_fleet.c
@@ -226,7 +226,9 @@
   add_argument (process, "--store=%s:%u", store.ip, store.port);
   add_argument (process, "--service=%s", streams ? "pool" : "ledger");
   add_argument (process, "--events=%u", streams ? SOAK_EVENTS : 0);
-  add_argument (process, "--work-ms=%u", streams ? 12 : 6);
+  add_argument (process, "--work-ms=%u", !streams ? 6 : soak->versions ? 40 : 12);
+  if (streams && soak->versions)
+    add_argument (process, "--software-version=v%u", 1 + index % 2);
   add_argument (process, "--drain-ms=%u", SOAK_DRAIN_MS + 300);
   add_argument (process, "--record=%s/%s.record", soak->dir, name);
   add_argument (process, "--fail-percent=%u", streams ? 0 : 3);
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -72,6 +72,7 @@
       soak_poll_store_fault (soak);
       soak_poll_restoration (soak);
       soak_poll_crashers (soak);
+      soak_poll_streams (soak);
     }
 }
 
@@ -120,6 +121,8 @@
   soak->rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->restoration_rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->crash_rand = g_rand_new_with_seed ((guint32)soak->seed);
+  soak->resume_rand = g_rand_new_with_seed ((guint32)soak->seed);
+  soak->open_streams = g_ptr_array_new ();
   soak->base = event_base_new ();
   soak->http_client = http_client_new (soak->base, 8, 10000);
   soak->dir = g_dir_make_tmp ("medlarplank-soak-XXXXXX", NULL);
@@ -151,12 +154,15 @@
     }
 }
 
-static const struct option option_table[] = {
-  { "seed", required_argument, NULL, 's' },  { "seconds", required_argument, NULL, 't' },
-  { "build", required_argument, NULL, 'b' }, { "gateways", required_argument, NULL, 'g' },
-  { "keep", no_argument, NULL, 'k' },        { "restorations", no_argument, NULL, 'r' },
-  { "crashes", no_argument, NULL, 'c' },     { NULL, 0, NULL, 0 }
-};
+static const struct option option_table[] = { { "seed", required_argument, NULL, 's' },
+                                              { "seconds", required_argument, NULL, 't' },
+                                              { "build", required_argument, NULL, 'b' },
+                                              { "gateways", required_argument, NULL, 'g' },
+                                              { "keep", no_argument, NULL, 'k' },
+                                              { "restorations", no_argument, NULL, 'r' },
+                                              { "crashes", no_argument, NULL, 'c' },
+                                              { "versions", no_argument, NULL, 'v' },
+                                              { NULL, 0, NULL, 0 } };
 
 static bool
 parse_number (char option, guint64 *seed, guint64 *seconds, guint64 *gateways)
@@ -189,10 +195,12 @@
         restorations = true;
       else if (option == 'c')
         soak.crashes = true;
+      else if (option == 'v')
+        soak.versions = true;
       else if (!parse_number ((char)option, &soak.seed, &seconds, &gateways))
         {
           fprintf (stderr, "soak --seed N [--seconds S] [--gateways N] [--restorations] "
-                           "[--crashes] [--build DIR] [--keep]\n");
+                           "[--crashes] [--versions] [--build DIR] [--keep]\n");
           return 2;
         }
     }
@@ -203,7 +211,9 @@
     {
       soak.restorations = restorations;
       soak.next_crasher_us = soak_now_us ();
+      soak.clients_leave = true;
       run_faults (&soak, (uint32_t)seconds);
+      soak.clients_leave = false;
       soak_end_faults (&soak);
       soak_run_loop (&soak, RECOVERY_MS);
       soak_check (&soak);
