A resumed stream tries engines of its version that failed, rather than none

Symptom (shown by a test): a stream whose version had engines that were put aside for failures, or whose entries had expired, was cut off or refused, though they may serve. Cause: doubts about an engine count only as long as most engines of the whole service are not in doubt; a resumed stream has only those of its version. Change: where a stream has no engine of its version left without doubt, doubts are ignored. Evidence: test_resumed_stream_tries_engines_that_failed failed before.

--- a/src/request/policy/engine_choice.c
+++ b/src/request/policy/engine_choice.c
@@ -741,6 +741,17 @@
   return count_candidates (view) > 0;
 }
 
+/* A stream that can go on at one version only tries its engines, even if they failed lately or
+ * their entries have expired, rather than none. */
+static void
+ignore_doubts (service_view_t *view)
+{
+  if (view->request->version == 0 || count_candidates (view) > 0)
+    return;
+  view->ignores_ejections = true;
+  view->uses_expired = true;
+}
+
 static engine_choice_t
 choose_among (const GPtrArray *engines, uint64_t now_us, const engine_choice_request_t *request)
 {
@@ -751,6 +762,7 @@
   view.keeps_slots =
       request->has_streams && request->version == 0 && has_several_versions (engines);
   view.avoids_new_versions = must_avoid_new_versions (&view);
+  ignore_doubts (&view);
   choice.candidates = count_candidates (&view);
   choice.mean_milli = (uint32_t)view.mean_milli;
   choice.engine =
--- a/tests/test_software_versions.c
+++ b/tests/test_software_versions.c
@@ -187,6 +187,30 @@
       engine_end_request (list[i]);
 }
 
+/* Guards against streams that are cut off because the only engines of their version failed a moment
+ * ago. */
+static void
+test_resumed_stream_tries_engines_that_failed (void)
+{
+  g_autoptr (engines_t) engines = engines_new ();
+  engine_t *engine = put (engines, NOW_US, "e0", 1);
+
+  for (uint32_t i = 1; i < 6; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "e%u", i);
+      put (engines, NOW_US, id, 2);
+    }
+  engines_set_complete (engines);
+  for (uint32_t i = 0; i < ENGINE_EJECTION_FAILURES; i++)
+    engine_note_failure (engine, NOW_US);
+  CU_ASSERT_PTR_NOT_EQUAL (choose (engines, 0, 0).engine, engine);
+  CU_ASSERT_PTR_EQUAL (choose (engines, engine->version, 0).engine, engine);
+  engines_note_expired (engines, "e0");
+  CU_ASSERT_PTR_EQUAL (choose (engines, engine->version, 0).engine, engine);
+}
+
 /* Guards against slots that stay free where one version serves and nothing needs them. */
 static void
 test_no_room_is_kept_for_one_version (void)
@@ -238,6 +262,7 @@
     SUITE_TEST (test_new_version_gets_no_stream_before_all_know_it),
     SUITE_TEST (test_new_version_is_used_where_it_is_alone),
     SUITE_TEST (test_room_is_kept_for_resumed_streams),
+    SUITE_TEST (test_resumed_stream_tries_engines_that_failed),
     SUITE_TEST (test_no_room_is_kept_for_one_version),
     SUITE_TEST (test_first_list_tells_which_version_is_old),
     CU_TEST_INFO_NULL,
