What a peer says of the only version counts if this gateway knows no other one

Read in review: a peer that is behind could name the old version as the only one to a gateway that knows of a second one. test_sole_version_must_be_certain has the case. A stream counts as ended for its client only if its answer was a stream; a message of questions is sent as it was made.

--- a/src/process/gateway_origins.c
+++ b/src/process/gateway_origins.c
@@ -138,15 +138,6 @@
     gateway_origins_tell (told, false);
 }
 
-static void
-send_questions (gateway_origins_t *told, uint64_t gateway, const message_t *questions)
-{
-  message_t message = *questions;
-
-  message.xdr.questions.questions_val = message.questions;
-  gateway_peers_send_origins (told->options.peers, gateway, true, &message.xdr);
-}
-
 /* Questions for the same gateway go in one message. */
 static void
 ask_gateways (gateway_origins_t *told, const uint64_t *gateways, uint32_t count)
@@ -173,7 +164,7 @@
   for (uint32_t i = 0; i < count; i++)
     if (messages[i])
       {
-        send_questions (told, gateways[i], messages[i]);
+        gateway_peers_send_origins (told->options.peers, gateways[i], true, &messages[i]->xdr);
         g_free (messages[i]);
       }
 }
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -534,7 +534,7 @@
 gateway_call_complete (gateway_call_t *call)
 {
   note_served (call);
-  gateway_resume_note_end (call, true);
+  gateway_resume_note_end (call, call->streaming);
   counter_add (call->gateway->answered, 1);
   latency_add (call->service->answer_histogram, gateway_now_us (call->gateway) - call->arrived_us);
   gateway_call_log (call, "end", "answered", VERDICT_REASON_NONE);
--- a/src/request/policy/resumption.c
+++ b/src/request/policy/resumption.c
@@ -36,7 +36,7 @@
     return go (view->known, "known");
   if (view->sole != 0 && view->is_current && view->has_watched)
     return go (view->sole, "sole");
-  if (view->peer_sole != 0)
+  if (view->peer_sole != 0 && view->peer_sole == view->sole)
     return go (view->peer_sole, "sole_by_peer");
   if (now_us >= view->started_us + RESUMPTION_TIMEOUT_US || (view->is_alone && view->is_current))
     return decide_unknown (view);
--- a/src/request/policy/resumption.h
+++ b/src/request/policy/resumption.h
@@ -39,7 +39,8 @@
  * @started_us: when the request came
  * @asked_us: when the other gateways were asked last, 0 for never
  * @peer_sole: a gateway that doesn't know the stream either, but has watched a current registry for
- *   long enough, states that this is the only version; 0 when none does
+ *   long enough, states that this is the only version; 0 when none does. It counts if this gateway
+ *   knows no other one either
  * @peer_has_watched: some gateway that doesn't know the stream has watched for long enough
  */
 typedef struct
--- a/src/request/policy/stream_origins.c
+++ b/src/request/policy/stream_origins.c
@@ -82,6 +82,7 @@
   if (entry)
     {
       entry->origin = *origin;
+      entry->ended = false;
       return;
     }
   forget_old (origins, now_us);
--- a/tests/test_stream_origins.c
+++ b/tests/test_stream_origins.c
@@ -219,6 +219,8 @@
   CU_ASSERT_EQUAL (decide (view, RESUMPTION_TIMEOUT_US), RESUMPTION_REFUSE);
   view.peer_sole = V1;
   CU_ASSERT_EQUAL (decide (view, 0), RESUMPTION_GO);
+  view.sole = 0;
+  CU_ASSERT_EQUAL (decide (view, RESUMPTION_TIMEOUT_US), RESUMPTION_REFUSE);
 }
 
 /* Guards against streams that change versions because their clients don't name them, and against
