--- a/tests/test_origin_fleet.c
+++ b/tests/test_origin_fleet.c
@@ -1,7 +1,8 @@
 /*
- * Gateways that lose one of them beside engines of two software versions, in virtual time: how many
- * of its streams go on at the others, at which version, and how many bytes that takes. Decisions
- * and the byte budget are those of the product; the exchange, clients and engines are simulated.
+ * Gateways that lose some of them beside engines of two software versions, in virtual time: how
+ * many of their streams go on at the others, at which version, and how many bytes that takes.
+ * Decisions and the byte budget are those of the product; the exchange, clients and engines are
+ * simulated.
  */
 #include "base/clock.h"
 #include "connection/byte_budget.h"
@@ -75,12 +76,14 @@
 
 /**
  * struct play - one play
+ * @lost_count: gateways that are lost together
  * @streams_per_s: that begin at each gateway
  * @duration_us: mean of a stream
  */
 typedef struct
 {
   uint32_t count;
+  uint32_t lost_count;
   double streams_per_s;
   uint64_t duration_us;
   gateway_t *gateways;
@@ -354,12 +357,6 @@
   g_array_free (exchanges, TRUE);
 }
 
-static uint32_t
-other_gateway (play_t *play, uint32_t gateway)
-{
-  return play->count == 1 ? 0 : (gateway + 1 + draw (play, play->count - 1)) % play->count;
-}
-
 static void
 add_question (play_t *play, uint32_t asker, const stream_t *stream, GArray *questions)
 {
@@ -376,23 +373,48 @@
   g_array_append_val (questions, question);
 }
 
-/* A gateway is killed; its clients resume their streams at others at once. */
+static uint32_t
+running_gateway (play_t *play)
+{
+  uint32_t index = draw (play, play->count);
+
+  for (uint32_t i = 0; i < play->count && play->gateways[index].is_lost; i++)
+    index = (index + 1) % play->count;
+  return index;
+}
+
 static void
-lose_gateway (play_t *play)
+add_questions_of (play_t *play, const gateway_t *lost, GArray *questions)
+{
+  for (guint i = 0; i < lost->streams->len; i++)
+    add_question (play, running_gateway (play), &g_array_index (lost->streams, stream_t, i),
+                  questions);
+}
+
+/* The only gateway is restarted in place of being lost. */
+static void
+kill_gateways (play_t *play)
+{
+  uint32_t first = draw (play, play->count);
+
+  for (uint32_t i = 0; i < play->lost_count; i++)
+    play->gateways[(first + i) % play->count].is_lost = play->count > 1;
+  if (play->count > 1)
+    return;
+  stream_origins_free (play->gateways[0].origins);
+  play->gateways[0].origins = stream_origins_new (LIMIT);
+}
+
+/* Gateways are killed together; their clients resume their streams at others at once. */
+static void
+lose_gateways (play_t *play)
 {
-  uint32_t lost = draw (play, play->count);
-  gateway_t *gateway = &play->gateways[lost];
   GArray *questions = g_array_new (FALSE, FALSE, sizeof (question_t));
 
-  gateway->is_lost = true;
-  if (play->count == 1)
-    {
-      stream_origins_free (gateway->origins);
-      gateway->origins = stream_origins_new (LIMIT);
-    }
-  for (guint i = 0; i < gateway->streams->len; i++)
-    add_question (play, other_gateway (play, lost), &g_array_index (gateway->streams, stream_t, i),
-                  questions);
+  kill_gateways (play);
+  for (uint32_t i = 0; i < play->count; i++)
+    if (play->gateways[i].is_lost || play->count == 1)
+      add_questions_of (play, &play->gateways[i], questions);
   for (uint64_t waited_us = 0; waited_us <= RESUMPTION_TIMEOUT_US + STEP_US; waited_us += STEP_US)
     {
       play_questions (play, questions);
@@ -441,9 +463,11 @@
 
 /* Half of the streams must go on, as the users' rule has it. */
 static void
-check_play (uint32_t count, double streams_per_s, uint64_t duration_ms, uint32_t seed)
+check_play (
+    uint32_t count, uint32_t lost_count, double streams_per_s, uint64_t duration_ms, uint32_t seed)
 {
   play_t play = { .count = count,
+                  .lost_count = lost_count,
                   .streams_per_s = streams_per_s,
                   .duration_us = duration_ms * MS_US };
   uint64_t sent = 0;
@@ -453,11 +477,12 @@
     step (&play);
   for (uint32_t i = 0; i < count; i++)
     sent += play.gateways[i].sent;
-  lose_gateway (&play);
-  printf ("%u gateways, %.0f streams/s of %u ms: %u went on, %u refused, %u at another version; "
-          "%u bytes/s a gateway\n",
-          count, streams_per_s, (unsigned)duration_ms, play.right, play.refused, play.wrong,
-          (unsigned)(sent * S_US / WARM_US / count));
+  lose_gateways (&play);
+  printf (
+      "%u of %u gateways, %.0f streams/s of %u ms: %u went on, %u refused, %u at another version; "
+      "%u bytes/s a gateway\n",
+      lost_count, count, streams_per_s, (unsigned)duration_ms, play.right, play.refused, play.wrong,
+      (unsigned)(sent * S_US / WARM_US / count));
   CU_ASSERT_EQUAL (play.wrong, 0);
   if (count > 1)
     CU_ASSERT (play.right >= play.refused);
@@ -468,45 +493,56 @@
 static void
 test_single_gateway (void)
 {
-  check_play (1, 22, 1000, 1);
+  check_play (1, 1, 22, 1000, 1);
 }
 
 /* Guards against streams that are lost with their gateway, or go on at another version. */
 static void
 test_5_gateways (void)
 {
-  check_play (5, 22, 1000, 1);
-  check_play (5, 39, 2000, 2);
-  check_play (5, 39, 10000, 3);
+  check_play (5, 1, 22, 1000, 1);
+  check_play (5, 1, 39, 2000, 2);
+  check_play (5, 1, 39, 10000, 3);
 }
 
 static void
 test_15_gateways (void)
 {
-  check_play (15, 22, 1000, 1);
-  check_play (15, 39, 2000, 2);
-  check_play (15, 39, 10000, 3);
+  check_play (15, 1, 22, 1000, 1);
+  check_play (15, 1, 39, 2000, 2);
+  check_play (15, 1, 39, 10000, 3);
+}
+
+/* Guards against keepers that are lost together with the gateway whose streams they keep. */
+static void
+test_half_of_the_gateways (void)
+{
+  check_play (5, 3, 22, 1000, 4);
+  check_play (15, 8, 22, 1000, 5);
 }
 
 static void
 test_385_gateways (void)
 {
-  check_play (385, 39, 2000, 2);
+  check_play (385, 1, 39, 2000, 2);
 }
 
 static void
 test_880_gateways (void)
 {
-  check_play (880, 39, 10000, 3);
+  check_play (880, 1, 39, 10000, 3);
 }
 
 int
 main (void)
 {
-  static const CU_TestInfo tests[] = {
-    SUITE_TEST (test_single_gateway), SUITE_TEST (test_5_gateways),   SUITE_TEST (test_15_gateways),
-    SUITE_TEST (test_385_gateways),   SUITE_TEST (test_880_gateways), CU_TEST_INFO_NULL
-  };
+  static const CU_TestInfo tests[] = { SUITE_TEST (test_single_gateway),
+                                       SUITE_TEST (test_5_gateways),
+                                       SUITE_TEST (test_15_gateways),
+                                       SUITE_TEST (test_half_of_the_gateways),
+                                       SUITE_TEST (test_385_gateways),
+                                       SUITE_TEST (test_880_gateways),
+                                       CU_TEST_INFO_NULL };
 
   return suite_run ("origin_fleet", tests);
 }
