--- a/src/process/gateway_origins.c
+++ b/src/process/gateway_origins.c
@@ -19,7 +19,7 @@
  * struct gateway_origins - see the header
  * @tell_timer: sends what is due
  * @ask_timer: sends the questions in the next turn of the event loop
- * @batches: streams that are due, by the gateway that is to be told
+ * @batches: streams that are due, by the gateway that is to be origins
  * @questions: that wait to be sent
  */
 struct gateway_origins
@@ -36,17 +36,17 @@
 };
 
 static uint64_t
-now_us (const gateway_origins_t *told)
+now_us (const gateway_origins_t *origins)
 {
-  return clock_now_us (told->options.clock);
+  return clock_now_us (origins->options.clock);
 }
 
 static message_t *
-message_new (const gateway_origins_t *told)
+message_new (const gateway_origins_t *origins)
 {
   message_t *message = g_new0 (message_t, 1);
 
-  message->xdr.sender_hash = gateway_peers_own_hash (told->options.peers);
+  message->xdr.sender_hash = gateway_peers_own_hash (origins->options.peers);
   message->xdr.origins.origins_val = message->origins;
   message->xdr.questions.questions_val = message->questions;
   message->xdr.unknown.unknown_val = message->unknown;
@@ -54,9 +54,9 @@
 }
 
 static void
-start_tell_timer (gateway_origins_t *told, uint32_t wait_ms)
+start_tell_timer (gateway_origins_t *origins, uint32_t wait_ms)
 {
-  event_add (told->tell_timer, &(struct timeval){ 0, (suseconds_t)wait_ms * 1000 });
+  event_add (origins->tell_timer, &(struct timeval){ 0, (suseconds_t)wait_ms * 1000 });
 }
 
 static void
@@ -73,98 +73,99 @@
 
 /* Moves what is due into the batches of the gateways that keep it. */
 static void
-fill_batches (gateway_origins_t *told)
+fill_batches (gateway_origins_t *origins)
 {
-  g_autoptr (GArray) hashes = gateway_peers_get_hashes (told->options.peers);
+  g_autoptr (GArray) hashes = gateway_peers_get_hashes (origins->options.peers);
   const uint64_t *gateways = (const uint64_t *)(const void *)hashes->data;
-  uint64_t own_hash = gateway_peers_own_hash (told->options.peers);
+  uint64_t own_hash = gateway_peers_own_hash (origins->options.peers);
   stream_origin_t origin;
 
-  while (hashes->len > 1 && stream_origins_take (told->options.origins, now_us (told), &origin))
+  while (hashes->len > 1 && stream_origins_take (origins->options.table, now_us (origins), &origin))
     {
       uint32_t keepers[ORIGIN_KEEPERS_MAX];
       uint32_t count = origin_keepers_of (gateways, hashes->len, own_hash, origin.stream, keepers);
 
       for (uint32_t i = 0; i < count; i++)
-        origin_batches_add (told->batches, gateways[keepers[i]], origin.stream);
+        origin_batches_add (origins->batches, gateways[keepers[i]], origin.stream);
     }
 }
 
 static void
-send_batch (gateway_origins_t *told, uint64_t gateway, const uint64_t *streams, uint32_t count)
+send_batch (gateway_origins_t *origins, uint64_t gateway, const uint64_t *streams, uint32_t count)
 {
-  g_autofree message_t *message = message_new (told);
+  g_autofree message_t *message = message_new (origins);
   stream_origin_t origin;
 
   for (uint32_t i = 0; i < count; i++)
-    if (stream_origins_get_open (told->options.origins, now_us (told), streams[i], &origin))
-      add_origin (message, &origin, now_us (told));
+    if (stream_origins_get_open (origins->options.table, now_us (origins), streams[i], &origin))
+      add_origin (message, &origin, now_us (origins));
   if (message->xdr.origins.origins_len > 0 &&
-      gateway_peers_send_origins (told->options.peers, gateway, false, &message->xdr))
-    counter_add (told->told_count, message->xdr.origins.origins_len);
+      gateway_peers_send_origins (origins->options.peers, gateway, false, &message->xdr))
+    counter_add (origins->told_count, message->xdr.origins.origins_len);
 }
 
 /* Return: false when nothing is due */
 static bool
-send_next (gateway_origins_t *told)
+send_next (gateway_origins_t *origins)
 {
   uint64_t streams[XCH_ORIGINS];
   uint64_t gateway;
-  uint32_t count = origin_batches_take (told->batches, &gateway, streams, XCH_ORIGINS);
+  uint32_t count = origin_batches_take (origins->batches, &gateway, streams, XCH_ORIGINS);
 
   if (count == 0)
     return false;
-  if (gateway_peers_is_alive (told->options.peers, gateway))
-    send_batch (told, gateway, streams, count);
+  if (gateway_peers_is_alive (origins->options.peers, gateway))
+    send_batch (origins, gateway, streams, count);
   else
-    origin_batches_drop (told->batches, gateway);
+    origin_batches_drop (origins->batches, gateway);
   return true;
 }
 
 static void
 on_tell_timer (evutil_socket_t fd, short what, void *context)
 {
-  gateway_origins_t *told = context;
+  gateway_origins_t *origins = context;
   bool has_more = true;
 
   (void)fd;
   (void)what;
-  fill_batches (told);
-  while (has_more && gateway_peers_has_spare_budget (told->options.peers))
-    has_more = send_next (told);
+  fill_batches (origins);
+  while (has_more && gateway_peers_has_spare_budget (origins->options.peers))
+    has_more = send_next (origins);
   if (has_more)
-    start_tell_timer (told, GATEWAY_ORIGINS_TELL_MS);
+    start_tell_timer (origins, GATEWAY_ORIGINS_TELL_MS);
   else
-    gateway_origins_tell (told, false);
+    gateway_origins_tell (origins, false);
 }
 
 /* Questions for the same gateway go in one message. */
 static void
-ask_gateways (gateway_origins_t *told, const uint64_t *gateways, uint32_t count)
+ask_gateways (gateway_origins_t *origins, const uint64_t *gateways, uint32_t count)
 {
   g_autofree message_t **messages = g_new0 (message_t *, count);
   g_autofree uint32_t *keepers = g_new (uint32_t, count);
-  uint64_t own_hash = gateway_peers_own_hash (told->options.peers);
+  uint64_t own_hash = gateway_peers_own_hash (origins->options.peers);
 
-  for (uint32_t i = 0; i < told->question_count; i++)
+  for (uint32_t i = 0; i < origins->question_count; i++)
     {
       uint32_t found =
-          origin_keepers_of_any (gateways, count, own_hash, told->questions[i].stream, keepers);
+          origin_keepers_of_any (gateways, count, own_hash, origins->questions[i].stream, keepers);
 
       for (uint32_t j = 0; j < found; j++)
         {
           message_t **message = &messages[keepers[j]];
 
           if (!*message)
-            *message = message_new (told);
+            *message = message_new (origins);
           if ((*message)->xdr.questions.questions_len < XCH_QUESTIONS)
-            (*message)->questions[(*message)->xdr.questions.questions_len++] = told->questions[i];
+            (*message)->questions[(*message)->xdr.questions.questions_len++] =
+                origins->questions[i];
         }
     }
   for (uint32_t i = 0; i < count; i++)
     if (messages[i])
       {
-        gateway_peers_send_origins (told->options.peers, gateways[i], true, &messages[i]->xdr);
+        gateway_peers_send_origins (origins->options.peers, gateways[i], true, &messages[i]->xdr);
         g_free (messages[i]);
       }
 }
@@ -172,64 +173,64 @@
 static void
 on_ask_timer (evutil_socket_t fd, short what, void *context)
 {
-  gateway_origins_t *told = context;
-  g_autoptr (GArray) hashes = gateway_peers_get_hashes (told->options.peers);
+  gateway_origins_t *origins = context;
+  g_autoptr (GArray) hashes = gateway_peers_get_hashes (origins->options.peers);
 
   (void)fd;
   (void)what;
-  ask_gateways (told, (const uint64_t *)(const void *)hashes->data, hashes->len);
-  told->question_count = 0;
+  ask_gateways (origins, (const uint64_t *)(const void *)hashes->data, hashes->len);
+  origins->question_count = 0;
 }
 
 gateway_origins_t *
 gateway_origins_new (const gateway_origins_options_t *options)
 {
-  gateway_origins_t *told = g_new0 (gateway_origins_t, 1);
-
-  told->options = *options;
-  told->batches = origin_batches_new (GATEWAY_ORIGINS_BATCH_MAX);
-  told->tell_timer = evtimer_new (options->base, on_tell_timer, told);
-  told->ask_timer = evtimer_new (options->base, on_ask_timer, told);
-  told->told_count = counter_get (options->counters, "medlarplank_origins_told_total",
-                                  "Software versions of streams told to other gateways");
-  told->asked_count = counter_get (options->counters, "medlarplank_origins_asked_total",
-                                   "Questions to other gateways for the version of a stream");
-  told->unknown_count = counter_get (options->counters, "medlarplank_origins_unknown_total",
-                                     "Questions of other gateways for streams not known here");
-  return told;
+  gateway_origins_t *origins = g_new0 (gateway_origins_t, 1);
+
+  origins->options = *options;
+  origins->batches = origin_batches_new (GATEWAY_ORIGINS_BATCH_MAX);
+  origins->tell_timer = evtimer_new (options->base, on_tell_timer, origins);
+  origins->ask_timer = evtimer_new (options->base, on_ask_timer, origins);
+  origins->told_count = counter_get (options->counters, "medlarplank_origins_told_total",
+                                     "Software versions of streams origins to other gateways");
+  origins->asked_count = counter_get (options->counters, "medlarplank_origins_asked_total",
+                                      "Questions to other gateways for the version of a stream");
+  origins->unknown_count = counter_get (options->counters, "medlarplank_origins_unknown_total",
+                                        "Questions of other gateways for streams not known here");
+  return origins;
 }
 
 void
-gateway_origins_free (gateway_origins_t *told)
+gateway_origins_free (gateway_origins_t *origins)
 {
-  event_free (told->tell_timer);
-  event_free (told->ask_timer);
-  origin_batches_free (told->batches);
-  g_free (told);
+  event_free (origins->tell_timer);
+  event_free (origins->ask_timer);
+  origin_batches_free (origins->batches);
+  g_free (origins);
 }
 
 void
-gateway_origins_tell (gateway_origins_t *told, bool at_once)
+gateway_origins_tell (gateway_origins_t *origins, bool at_once)
 {
-  if (!stream_origins_has_due (told->options.origins))
+  if (!stream_origins_has_due (origins->options.table))
     return;
-  if (at_once || !event_pending (told->tell_timer, EV_TIMEOUT, NULL))
-    start_tell_timer (told, at_once ? 0 : GATEWAY_ORIGINS_TELL_MS);
+  if (at_once || !event_pending (origins->tell_timer, EV_TIMEOUT, NULL))
+    start_tell_timer (origins, at_once ? 0 : GATEWAY_ORIGINS_TELL_MS);
 }
 
 void
-gateway_origins_ask (gateway_origins_t *told, uint64_t stream, uint64_t service_hash)
+gateway_origins_ask (gateway_origins_t *origins, uint64_t stream, uint64_t service_hash)
 {
-  counter_add (told->asked_count, 1);
-  if (told->question_count < GATEWAY_ORIGINS_QUESTIONS_MAX)
-    told->questions[told->question_count++] =
+  counter_add (origins->asked_count, 1);
+  if (origins->question_count < GATEWAY_ORIGINS_QUESTIONS_MAX)
+    origins->questions[origins->question_count++] =
         (xch_question){ .stream = stream, .service_hash = service_hash };
-  if (!event_pending (told->ask_timer, EV_TIMEOUT, NULL))
-    event_add (told->ask_timer, &(struct timeval){ 0, 0 });
+  if (!event_pending (origins->ask_timer, EV_TIMEOUT, NULL))
+    event_add (origins->ask_timer, &(struct timeval){ 0, 0 });
 }
 
 static void
-take_origins (gateway_origins_t *told, const xch_origins_message *message)
+take_origins (gateway_origins_t *origins, const xch_origins_message *message)
 {
   for (uint32_t i = 0; i < message->origins.origins_len; i++)
     {
@@ -237,43 +238,43 @@
       uint64_t ttl_us =
           MIN ((uint64_t)origin->ttl_ms * CLOCK_US_PER_MS, SOFTWARE_VERSIONS_LIFETIME_US);
 
-      stream_origins_add (told->options.origins, now_us (told),
+      stream_origins_add (origins->options.table, now_us (origins),
                           &(stream_origin_t){ .stream = origin->stream,
                                               .version = origin->software_version,
-                                              .expires_us = now_us (told) + ttl_us });
+                                              .expires_us = now_us (origins) + ttl_us });
     }
   if (message->origins.origins_len > 0)
-    told->options.on_known (told->options.context);
+    origins->options.on_known (origins->options.context);
 }
 
 static void
-take_unknown (gateway_origins_t *told, const xch_origins_message *message)
+take_unknown (gateway_origins_t *origins, const xch_origins_message *message)
 {
   for (uint32_t i = 0; i < message->unknown.unknown_len; i++)
     {
       const xch_unknown *answer = &message->unknown.unknown_val[i];
 
-      told->options.on_unknown (
+      origins->options.on_unknown (
           &(gateway_origins_unknown_t){ .stream = answer->stream,
                                         .sole_version = answer->sole_version,
                                         .has_watched = answer->has_watched != 0 },
-          told->options.context);
+          origins->options.context);
     }
 }
 
 static void
-answer_question (gateway_origins_t *told, message_t *answer, const xch_question *question)
+answer_question (gateway_origins_t *origins, message_t *answer, const xch_question *question)
 {
   stream_origin_t origin;
   gateway_origins_unknown_t unknown = { .stream = question->stream };
 
-  if (stream_origins_get (told->options.origins, now_us (told), question->stream, &origin))
+  if (stream_origins_get (origins->options.table, now_us (origins), question->stream, &origin))
     {
-      add_origin (answer, &origin, now_us (told));
+      add_origin (answer, &origin, now_us (origins));
       return;
     }
-  counter_add (told->unknown_count, 1);
-  told->options.describe (question->service_hash, &unknown, told->options.context);
+  counter_add (origins->unknown_count, 1);
+  origins->options.describe (question->service_hash, &unknown, origins->options.context);
   answer->unknown[answer->xdr.unknown.unknown_len++] =
       (xch_unknown){ .stream = question->stream,
                      .sole_version = unknown.sole_version,
@@ -281,16 +282,16 @@
 }
 
 void
-gateway_origins_receive (gateway_origins_t *told, const xch_origins_message *message)
+gateway_origins_receive (gateway_origins_t *origins, const xch_origins_message *message)
 {
   g_autofree message_t *answer = NULL;
 
-  take_origins (told, message);
-  take_unknown (told, message);
+  take_origins (origins, message);
+  take_unknown (origins, message);
   if (message->questions.questions_len == 0)
     return;
-  answer = message_new (told);
+  answer = message_new (origins);
   for (uint32_t i = 0; i < message->questions.questions_len; i++)
-    answer_question (told, answer, &message->questions.questions_val[i]);
-  gateway_peers_send_origins (told->options.peers, message->sender_hash, true, &answer->xdr);
+    answer_question (origins, answer, &message->questions.questions_val[i]);
+  gateway_peers_send_origins (origins->options.peers, message->sender_hash, true, &answer->xdr);
 }
--- a/src/process/gateway_origins.h
+++ b/src/process/gateway_origins.h
@@ -35,7 +35,7 @@
 
 /**
  * struct gateway_origins_options - options of gateway_origins_new(); the pointers are borrowed
- * @origins: the streams; what others tell is added to it
+ * @table: the streams; what others tell is added to it
  * @describe: fills in what this gateway knows of the versions of a service, for a question about a
  *   stream that it doesn't know
  * @on_known: others told of streams
@@ -47,7 +47,7 @@
   const clock_source_t *clock;
   counter_registry_t *counters;
   gateway_peers_t *peers;
-  stream_origins_t *origins;
+  stream_origins_t *table;
   void (*describe) (uint64_t service_hash, gateway_origins_unknown_t *out, void *context);
   void (*on_known) (void *context);
   void (*on_unknown) (const gateway_origins_unknown_t *answer, void *context);
@@ -57,13 +57,13 @@
 typedef struct gateway_origins gateway_origins_t;
 
 gateway_origins_t *gateway_origins_new (const gateway_origins_options_t *options);
-void gateway_origins_free (gateway_origins_t *told);
+void gateway_origins_free (gateway_origins_t *origins);
 /** gateway_origins_tell() - tells the streams that are due, see stream_origins_tell(). @at_once:
  * one of them was broken off, so its client may be at another gateway already */
-void gateway_origins_tell (gateway_origins_t *told, bool at_once);
+void gateway_origins_tell (gateway_origins_t *origins, bool at_once);
 /** gateway_origins_ask() - asks the gateways that may know a stream */
-void gateway_origins_ask (gateway_origins_t *told, uint64_t stream, uint64_t service_hash);
+void gateway_origins_ask (gateway_origins_t *origins, uint64_t stream, uint64_t service_hash);
 /** gateway_origins_receive() - handles a message of another gateway */
-void gateway_origins_receive (gateway_origins_t *told, const xch_origins_message *message);
+void gateway_origins_receive (gateway_origins_t *origins, const xch_origins_message *message);
 
 #endif
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -24,7 +24,7 @@
  * @lapsed: engines whose entries were removed while the store could not be read, and may have
  *   expired only because of an outage
  * @origins: at which software versions streams began
- * @told: tells other gateways of them
+ * @gateway_origins: tells other gateways of them
  * @current_us: when routing rules and engines were last current, 0 for never
  * @watched_from_us: since when they have been, but for short times
  * @accept_by_us: latest time at which client connections are accepted, even if the gateway is not
@@ -45,7 +45,7 @@
   lapses_t *lapsed;
   crash_record_t *crashes;
   stream_origins_t *origins;
-  gateway_origins_t *told;
+  gateway_origins_t *gateway_origins;
   uint64_t current_us;
   uint64_t watched_from_us;
   struct event *tick;
@@ -317,8 +317,8 @@
 {
   gateway_process_t *process = context;
 
-  if (process->told)
-    gateway_origins_tell (process->told, at_once);
+  if (process->gateway_origins)
+    gateway_origins_tell (process->gateway_origins, at_once);
 }
 
 static void
@@ -326,8 +326,8 @@
 {
   gateway_process_t *process = context;
 
-  if (process->told)
-    gateway_origins_ask (process->told, stream, service_hash);
+  if (process->gateway_origins)
+    gateway_origins_ask (process->gateway_origins, stream, service_hash);
 }
 
 static void
@@ -335,8 +335,8 @@
 {
   gateway_process_t *process = context;
 
-  if (process->told)
-    gateway_origins_receive (process->told, message);
+  if (process->gateway_origins)
+    gateway_origins_receive (process->gateway_origins, message);
 }
 
 static void
@@ -550,12 +550,12 @@
       error);
   if (process->gateway)
     {
-      process->told = gateway_origins_new (
+      process->gateway_origins = gateway_origins_new (
           &(gateway_origins_options_t){ .base = process->options.base,
                                         .clock = process->options.clock,
                                         .counters = process->options.counters,
                                         .peers = gateway_store_peers (process->store),
-                                        .origins = process->origins,
+                                        .table = process->origins,
                                         .describe = describe_versions,
                                         .on_known = on_known_origins,
                                         .on_unknown = on_unknown_origin,
@@ -637,7 +637,7 @@
 void
 gateway_process_free (gateway_process_t *process)
 {
-  g_clear_pointer (&process->told, gateway_origins_free);
+  g_clear_pointer (&process->gateway_origins, gateway_origins_free);
   if (process->store)
     gateway_store_free (process->store);
   if (process->gateway)
