--- a/tests/session_versions.c
+++ b/tests/session_versions.c
@@ -304,6 +304,25 @@
   return count;
 }
 
+static bool
+both_versions_serve (void *context)
+{
+  fleet_t *fleet = context;
+
+  begin_streams (fleet, GATEWAYS);
+  end_streams (fleet);
+  return count_of_version (fleet, "v1") > 0 && count_of_version (fleet, "v2") > 0;
+}
+
+/* A version that a gateway saw appear at its start takes streams after a moment. */
+static void
+start_both_versions (fleet_t *fleet)
+{
+  start_fleet (fleet, true);
+  driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "streams at both versions",
+                     both_versions_serve, fleet);
+}
+
 static void
 check_streams (const fleet_t *fleet, uint32_t complete_min)
 {
@@ -328,7 +347,7 @@
 {
   fleet_t fleet = { .driver = driver_new ("versions") };
 
-  start_fleet (&fleet, true);
+  start_both_versions (&fleet);
   for (uint32_t i = 0; i < UPSTREAMS; i++)
     {
       driver_process_t *upstream = fleet.upstreams[i % VERSIONS][i / VERSIONS];
@@ -365,7 +384,7 @@
 {
   fleet_t fleet = { .driver = driver_new ("versions") };
 
-  start_fleet (&fleet, true);
+  start_both_versions (&fleet);
   begin_streams (&fleet, GATEWAYS);
   for (uint32_t i = 0; i < UPSTREAMS_PER_VERSION; i++)
     driver_process_kill (fleet.upstreams[1][i]);
@@ -384,7 +403,7 @@
 {
   fleet_t fleet = { .driver = driver_new ("versions") };
 
-  start_fleet (&fleet, true);
+  start_both_versions (&fleet);
   begin_streams (&fleet, GATEWAYS);
   CU_ASSERT_EQUAL (resume_streams (&fleet, GATEWAYS), STREAMS);
   check_streams (&fleet, RESUMED_MIN);
@@ -397,7 +416,7 @@
 {
   fleet_t fleet = { .driver = driver_new ("versions") };
 
-  start_fleet (&fleet, true);
+  start_both_versions (&fleet);
   begin_streams (&fleet, 1);
   driver_process_kill (fleet.gateways[0]);
   CU_ASSERT_EQUAL (resume_streams (&fleet, 0), STREAMS);
@@ -421,7 +440,7 @@
 {
   fleet_t fleet = { .driver = driver_new ("versions") };
 
-  start_fleet (&fleet, true);
+  start_both_versions (&fleet);
   for (uint32_t i = 0; i < GATEWAYS; i++)
     {
       begin_streams (&fleet, GATEWAYS);
@@ -440,7 +459,7 @@
 {
   fleet_t fleet = { .driver = driver_new ("versions") };
 
-  start_fleet (&fleet, true);
+  start_both_versions (&fleet);
   begin_streams (&fleet, GATEWAYS);
   for (uint32_t i = 0; i < GATEWAYS; i++)
     driver_process_kill (fleet.gateways[i]);
@@ -469,16 +488,6 @@
   finish (&fleet);
 }
 
-static bool
-second_version_serves (void *context)
-{
-  fleet_t *fleet = context;
-
-  begin_streams (fleet, GATEWAYS);
-  end_streams (fleet);
-  return count_of_version (fleet, "v2") > 0;
-}
-
 /* Guards against streams that a gateway resumes by what it knew before it stood still. */
 static void
 test_paused_gateway (void)
@@ -496,7 +505,7 @@
     }
   driver_process_signal (fleet.gateways[2], SIGCONT);
   driver_wait_until (fleet.driver, DRIVER_WAIT_LIMIT_MS, "streams at the second version",
-                     second_version_serves, &fleet);
+                     both_versions_serve, &fleet);
   driver_process_signal (fleet.gateways[2], SIGSTOP);
   begin_streams (&fleet, 2);
   for (uint32_t i = 0; i < STREAMS; i++)
