--- a/tests/test_engine_entries.c
+++ b/tests/test_engine_entries.c
@@ -54,6 +54,35 @@
   CU_ASSERT_EQUAL (entry.born_ms, 0);
 }
 
+static uint64_t
+parse_software_hash (const char *more)
+{
+  g_autofree char *text = g_strdup_printf (ENTRY (ZONE, SLOTS, READY, "%s"), more);
+  engine_entry_t entry;
+
+  CU_ASSERT (parse_entry (text, &entry));
+  return entry.software_hash;
+}
+
+/* Guards against engines of two software versions that count as one, whatever their versions are.
+ */
+static void
+test_software_versions_differ (void)
+{
+  g_autofree char *stem = g_strnfill (2 * LIMIT_NAME_BYTES, 'v');
+  g_autofree char *first = g_strdup_printf (",\"version\":\"%s1\"", stem);
+  g_autofree char *second = g_strdup_printf (",\"version\":\"%s2\"", stem);
+
+  CU_ASSERT_EQUAL (parse_software_hash (",\"version\":\"v1\""),
+                   parse_software_hash (",\"seq\":9,\"version\":\"v1\""));
+  CU_ASSERT_NOT_EQUAL (parse_software_hash (",\"version\":\"v1\""),
+                       parse_software_hash (",\"version\":\"v1.1\""));
+  CU_ASSERT_NOT_EQUAL (parse_software_hash (",\"version\":\"v1\""), parse_software_hash (""));
+  CU_ASSERT_NOT_EQUAL (parse_software_hash (",\"version\":1"),
+                       parse_software_hash (",\"version\":2"));
+  CU_ASSERT_NOT_EQUAL (parse_software_hash (first), parse_software_hash (second));
+}
+
 /* Guards against use of an engine whose entry has a missing or invalid field, whichever it is. */
 static void
 test_invalid_entries_are_refused (void)
@@ -173,6 +202,7 @@
 {
   static const CU_TestInfo tests[] = { SUITE_TEST (test_valid_entry_is_parsed),
                                        SUITE_TEST (test_optional_fields),
+                                       SUITE_TEST (test_software_versions_differ),
                                        SUITE_TEST (test_invalid_entries_are_refused),
                                        SUITE_TEST (test_invalid_ids_are_refused),
                                        SUITE_TEST (test_long_names_are_refused),
--- a/tests/test_gateway_resume.c
+++ b/tests/test_gateway_resume.c
@@ -146,6 +146,20 @@
     }
 }
 
+/* Guards against a name that is cut, and so could be that of another stream. */
+static void
+test_long_name_is_an_error (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  g_autofree char *id = g_strnfill (FORMAT_ID_BYTES, 'x');
+  g_autofree char *more =
+      g_strdup_printf ("Content-Length: 0\r\nLast-Event-Id: 1\r\nResumes: %s\r\n", id);
+
+  add_engine (rig, "pool", "v1");
+  check_resumption (rig, "/talk/", more, "HTTP/1.1 400");
+  CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 0);
+}
+
 int
 main (void)
 {
@@ -155,6 +169,7 @@
     SUITE_TEST (test_gateway_that_is_cut_off),
     SUITE_TEST (test_version_that_has_gone),
     SUITE_TEST (test_stream_stays_at_its_service),
+    SUITE_TEST (test_long_name_is_an_error),
     CU_TEST_INFO_NULL,
   };
 
