Log line of a loss names the shared parts of the prompt

Without them the logs can't tell requests that share a part which ends engines (the first hypothesis of docs/incidents/prompt-part-that-ends-engines.md) from unrelated ones.

--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -311,10 +311,24 @@
   return names[outcome];
 }
 
+/* The parts of the prompt but the last one, which belongs to the request or its chat alone. Return:
+ * the text, owned by the caller; NULL when there are none */
+static char *
+write_shared_parts (const format_request_t *request)
+{
+  GString *text = g_string_new (NULL);
+
+  for (uint32_t i = 0; i + 1 < request->part_count; i++)
+    g_string_append_printf (text, "%s%016" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
+                            request->parts[i].hash);
+  return g_string_free (text, text->len == 0);
+}
+
 static void
 record_loss (const gateway_call_t *call)
 {
   gateway_task_t *gateway = call->gateway;
+  g_autofree char *parts = write_shared_parts (&call->request);
   uint64_t now_us = gateway_now_us (gateway);
   crash_record_loss_t loss = { .fingerprint = call->fingerprint,
                                .engine_hash = call->engine->hash,
@@ -329,7 +343,7 @@
              LOG_HEX (loss.fingerprint), "engine", call->engine->entry.id, "engine_hash",
              LOG_HEX (loss.engine_hash), "outcome", outcome_to_string (outcome), "crashes",
              LOG_U64 (crashes), "sent_ms_ago", LOG_U64 ((now_us - loss.sent_us) / CLOCK_US_PER_MS),
-             "ran_ms", LOG_U64 (loss.ran_us / CLOCK_US_PER_MS), NULL);
+             "ran_ms", LOG_U64 (loss.ran_us / CLOCK_US_PER_MS), "parts", parts, NULL);
   gateway->options.on_crashes (gateway->options.context);
 }
 
