Failing test: prompt parts that end upstreams, with real processes

The stand-in upstream ends on a part of the prompt that is not the last. Requests with it come at three gateways, no two alike, beside sound ones with the same key and first part: as first or second part, every 50 to 500 ms, one and two parts, plain answers and streams, with gateways killed. The test counts sends that reach upstreams later than 3 s after the fifth crash and sound requests that are served from 6 s after it on.

--- a/standin/standin_upstream.c
+++ b/standin/standin_upstream.c
@@ -8,8 +8,9 @@
  * each confirmed update of the entry during the exit. With --advertise the entry names another
  * address, for example of a proxy in front of it. With --crash-on, a request whose path contains
  * the given text ends the process once it has run for --work-ms; its outcome in the record is
- * "crash". With --software-version the entry and each event of a stream state that version; it does
- * not check at which version a stream that it continues began.
+ * "crash"; with --crash-on-part, which may be given several times, likewise one whose prompt has
+ * that part, unless it is the last. With --software-version the entry and each event of a stream
+ * state that version; it does not check at which version a stream that it continues began.
  */
 #include "connection/platform_client.h"
 #include "http_call.h"
@@ -24,6 +25,7 @@
 #define HEARTBEAT_MS 400
 #define EXIT_DELAY_MS 300 /* between the removal of the entry and the exit */
 #define ENGINES_TOPIC "keyed.servers"
+#define CRASH_PARTS_MAX 4
 
 typedef struct
 {
@@ -34,6 +36,8 @@
   const char *data_center;
   const char *record;
   const char *crash_on;
+  const char *crash_parts[CRASH_PARTS_MAX];
+  uint32_t crash_part_count;
   const char *software_version;
   uint32_t slots;
   uint32_t work_ms;
@@ -205,12 +209,31 @@
   return true;
 }
 
+/* @prompt: ID:TOKENS of each part, separated by commas */
+static bool
+has_crash_part (const options_t *options, const char *prompt)
+{
+  g_auto (GStrv) parts = g_strsplit (prompt, ",", -1);
+
+  for (char **part = parts; part[0] && part[1]; part++)
+    for (uint32_t i = 0; i < options->crash_part_count; i++)
+      {
+        size_t length = strlen (options->crash_parts[i]);
+
+        if (strncmp (*part, options->crash_parts[i], length) == 0 && (*part)[length] == ':')
+          return true;
+      }
+  return false;
+}
+
 static bool
 ends_upstream (const upstream_t *upstream, const http_call_t *call)
 {
   const char *text = upstream->options.crash_on;
+  const char *prompt = http_call_header (call, "X-Prompt-Prefix");
 
-  return text && strstr (http_call_path (call), text) != NULL;
+  return (text && strstr (http_call_path (call), text) != NULL) ||
+         (prompt && has_crash_part (&upstream->options, prompt));
 }
 
 static void
@@ -343,6 +366,7 @@
   { "data-center", required_argument, NULL, 'z' },
   { "record", required_argument, NULL, 'r' },
   { "crash-on", required_argument, NULL, 'c' },
+  { "crash-on-part", required_argument, NULL, 'p' },
   { "software-version", required_argument, NULL, 'b' },
   { "slots", required_argument, NULL, 'n' },
   { "work-ms", required_argument, NULL, 'w' },
@@ -381,13 +405,16 @@
     *numbers[flag] = parse_number (value);
   else if (flag > 0 && (size_t)flag < G_N_ELEMENTS (texts) && texts[flag])
     *texts[flag] = value;
+  else if (flag == 'p' && options->crash_part_count < CRASH_PARTS_MAX)
+    options->crash_parts[options->crash_part_count++] = value;
   else
     {
       g_printerr (
           "standin-upstream --listen IP:PORT --store IP:PORT --service NAME --record FILE\n"
           "  [--advertise IP:PORT] [--data-center NAME] [--slots N] [--work-ms N] "
           "[--events N] [--drain-ms N]\n"
-          "  [--fail-percent N] [--lose-percent N] [--crash-on TEXT] [--software-version TEXT]\n");
+          "  [--fail-percent N] [--lose-percent N] [--crash-on TEXT] [--crash-on-part ID]...\n"
+          "  [--software-version TEXT]\n");
       exit (2);
     }
 }
--- a/tests/driver.h
+++ b/tests/driver.h
@@ -276,6 +276,7 @@
  * @streams: Whether it answers with streams of five events, in the service "pool", or plainly, in
  *   the service "ledger".
  * @crash_on: Text in the path of requests that end it, or NULL.
+ * @crash_parts: Parts of the prompts of requests that end it, ending in NULL; NULL for none.
  * @software_version: Version that its entry and its events state, or NULL.
  * @events: Events of a stream; 0 is five.
  */
@@ -285,6 +286,7 @@
   bool streams;
   uint32_t work_ms;
   const char *crash_on;
+  const char *const *crash_parts;
   const char *software_version;
   uint32_t events;
 } driver_upstream_t;
--- a/tests/driver_gateway.c
+++ b/tests/driver_gateway.c
@@ -19,6 +19,8 @@
   driver_process_add_flag (process, "--work-ms=%u", upstream->work_ms);
   if (upstream->crash_on)
     driver_process_add_flag (process, "--crash-on=%s", upstream->crash_on);
+  for (const char *const *part = upstream->crash_parts; part && *part; part++)
+    driver_process_add_flag (process, "--crash-on-part=%s", *part);
   if (upstream->software_version)
     driver_process_add_flag (process, "--software-version=%s", upstream->software_version);
   driver_process_add_flag (process, "--record=%s", process->record_path);
--- a/tests/session_gateway_crash.c
+++ b/tests/session_gateway_crash.c
@@ -5,16 +5,15 @@
  * after a moment, and gateways through which callers send the request again and again. How many
  * upstreams end is read from the records of the upstreams.
  */
-#include "driver.h"
+#include "crash_rig.h"
 
 #include <CUnit/Basic.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define GATEWAYS 3
-#define UPSTREAMS 10
-#define STREAM_UPSTREAMS 5  /* the first upstreams, which answer with event streams */
+#define GATEWAYS CRASH_RIG_GATEWAYS
+#define UPSTREAMS CRASH_RIG_UPSTREAMS
 #define RESTART_MS 1000     /* a crashed upstream starts again after this time */
 #define RESEND_MS 60        /* least time between two sends of one caller */
 #define CRASHES_MAX 3       /* upstreams that one request may end */
@@ -37,17 +36,13 @@
 static const kind_t kinds[] = { { "look", "GET" }, { "book", "POST" }, { "talk", "POST" } };
 
 /**
- * struct fleet - The processes of the session.
- * @restart_at_us: When to start an upstream that has ended; 0 while it runs.
+ * struct fleet - The processes of the session, and other callers.
  * @background: Requests of other callers in flight.
  * @refused_others: Number of them that were refused as requests that end upstreams.
  */
 typedef struct
 {
-  driver_t *driver;
-  driver_process_t *gateways[GATEWAYS];
-  driver_process_t *upstreams[UPSTREAMS];
-  gint64 restart_at_us[UPSTREAMS];
+  crash_rig_t rig;
   driver_call_t *background[BACKGROUND_CALLS];
   uint32_t refused_others;
   uint32_t next_id;
@@ -80,18 +75,6 @@
   uint32_t sends;
 } toll_t;
 
-#define ROUTE(name, kind, service, more)                                                           \
-  "{\"name\":\"" name "\",\"host\":\"fleet\",\"path_prefix\":\"/" name "/\",\"kind\":\"" kind      \
-  "\",\"timeout_ms\":5000,\"attempts\":2,\"service\":\"" service "\"" more "}"
-
-#define ROUTES                                                                                     \
-  ROUTE ("look", "idempotent", "ledger", "")                                                       \
-  "," ROUTE ("book", "non_idempotent", "ledger", "") "," ROUTE ("talk", "stream", "pool",          \
-                                                                ",\"resumable\":true")
-#define TENANTS "{\"name\":\"alpha\",\"api_keys\":[\"key-1\"]}"
-
-static const char config[] = "{\"version\":1,\"routes\":[" ROUTES "],\"tenants\":[" TENANTS "]}";
-
 static driver_call_t *
 send_request (
     fleet_t *fleet, uint32_t gateway, const char *prefix, const char *method, const char *path)
@@ -100,88 +83,15 @@
                                               "X-Deadline-Ms: 4000\r\n",
                                               prefix, ++fleet->next_id);
 
-  return driver_send_http (fleet->driver, fleet->gateways[gateway]->ip, method, path, headers, "");
-}
-
-static void
-start_upstream (fleet_t *fleet, uint32_t index)
-{
-  g_autofree char *name = g_strdup_printf ("upstream%u", index);
-  bool streams = index < STREAM_UPSTREAMS;
-
-  fleet->upstreams[index] = driver_start_upstream (
-      fleet->driver,
-      &(driver_upstream_t){
-          .name = name, .streams = streams, .work_ms = streams ? 20 : 40, .crash_on = CRASH_TEXT });
-}
-
-static void
-start_gateway (fleet_t *fleet, uint32_t index)
-{
-  g_autofree char *name = g_strdup_printf ("gateway%u", index);
-
-  fleet->gateways[index] = driver_start_gateway (fleet->driver, name, 500, 4000);
-}
-
-static bool
-all_registered (void *context)
-{
-  const fleet_t *fleet = context;
-
-  for (uint32_t i = 0; i < GATEWAYS; i++)
-    if (driver_process_count_log_lines (fleet->gateways[i], ": engine ", "state=ready") <
-            UPSTREAMS ||
-        driver_process_count_log_lines (fleet->gateways[i], ": ready ", NULL) == 0)
-      return false;
-  return true;
+  return driver_send_http (fleet->rig.driver, fleet->rig.gateways[gateway]->ip, method, path,
+                           headers, "");
 }
 
 static void
-start_fleet (fleet_t *fleet)
+start_fleet (fleet_t *fleet, const char *name)
 {
-  driver_t *driver = fleet->driver;
-
-  driver_start_platform (driver);
-  driver_write_record (driver, "config", config);
-  for (uint32_t i = 0; i < UPSTREAMS; i++)
-    start_upstream (fleet, i);
-  for (uint32_t i = 0; i < GATEWAYS; i++)
-    start_gateway (fleet, i);
-  driver_wait_until (driver, DRIVER_WAIT_LIMIT_MS, "all upstreams at all gateways", all_registered,
-                     fleet);
-}
-
-/* Starts each upstream that has ended again, as the platform's supervisor does. */
-static void
-restart_upstreams (fleet_t *fleet)
-{
-  gint64 now_us = g_get_monotonic_time ();
-
-  for (uint32_t i = 0; i < UPSTREAMS; i++)
-    {
-      driver_process_t *upstream = fleet->upstreams[i];
-
-      if (!driver_process_reap (upstream))
-        continue;
-      if (fleet->restart_at_us[i] == 0)
-        fleet->restart_at_us[i] = now_us + RESTART_MS * 1000;
-      if (now_us < fleet->restart_at_us[i])
-        continue;
-      fleet->restart_at_us[i] = 0;
-      driver_process_start (upstream);
-    }
-}
-
-static bool
-all_upstreams_run (void *context)
-{
-  fleet_t *fleet = context;
-
-  restart_upstreams (fleet);
-  for (uint32_t i = 0; i < UPSTREAMS; i++)
-    if (fleet->upstreams[i]->pid <= 0)
-      return false;
-  return true;
+  crash_rig_start (&fleet->rig, driver_new (name),
+                   &(crash_rig_options_t){ .crash_on = CRASH_TEXT, .restart_ms = RESTART_MS });
 }
 
 static void
@@ -220,65 +130,27 @@
 static void
 poll_play (play_t *play)
 {
-  restart_upstreams (play->fleet);
+  crash_rig_restart_upstreams (&play->fleet->rig);
   if (play->beside_traffic)
     poll_background (play->fleet);
   for (uint32_t i = 0; i < play->callers; i++)
     poll_caller (play, i);
 }
 
-static int
-compare_times (const void *a, const void *b)
-{
-  gint64 left = *(const gint64 *)a;
-  gint64 right = *(const gint64 *)b;
-
-  return left < right ? -1 : left > right;
-}
-
-/* Collects the times, in ms, of the records @what whose request id begins with @prefix and whose
- * last field is @outcome; any when that is NULL. */
-static GArray *
-collect_times (const fleet_t *fleet, const char *what, const char *prefix, const char *outcome)
-{
-  GArray *times = g_array_new (FALSE, FALSE, sizeof (gint64));
-
-  for (uint32_t i = 0; i < UPSTREAMS; i++)
-    {
-      g_autofree char *text = NULL;
-
-      if (!g_file_get_contents (fleet->upstreams[i]->record_path, &text, NULL, NULL))
-        continue;
-      g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
-      for (char **line = lines; *line; line++)
-        {
-          g_auto (GStrv) fields = g_strsplit (*line, " ", 7);
-          gint64 time_ms;
-
-          if (g_strv_length (fields) != 7 || strcmp (fields[0], what) != 0 ||
-              !g_str_has_prefix (fields[2], prefix) ||
-              (outcome && strcmp (fields[6], outcome) != 0))
-            continue;
-          time_ms = g_ascii_strtoll (fields[1], NULL, 10);
-          g_array_append_val (times, time_ms);
-        }
-    }
-  g_array_sort (times, compare_times);
-  return times;
-}
-
 static toll_t
 count_toll (const play_t *play)
 {
-  g_autoptr (GArray) crashes = collect_times (play->fleet, "end", play->prefix, "crash");
-  g_autoptr (GArray) sends = collect_times (play->fleet, "begin", play->prefix, NULL);
+  g_autoptr (GArray) crashes = crash_rig_collect (&play->fleet->rig, "end", play->prefix, "crash");
+  g_autoptr (GArray) sends = crash_rig_collect (&play->fleet->rig, "begin", play->prefix, NULL);
   toll_t toll = { .crashes = crashes->len, .sends = sends->len };
 
   if (crashes->len < CRASHES_MAX)
     return toll;
-  toll.third_crash_ms = g_array_index (crashes, gint64, CRASHES_MAX - 1);
+  toll.third_crash_ms = g_array_index (crashes, crash_rig_record_t, CRASHES_MAX - 1).time_ms;
   for (guint i = 0; i < sends->len; i++)
-    toll.late_sends += g_array_index (sends, gint64, i) > toll.third_crash_ms + LATE_MS ? 1 : 0;
+    toll.late_sends +=
+        g_array_index (sends, crash_rig_record_t, i).time_ms > toll.third_crash_ms + LATE_MS ? 1
+                                                                                             : 0;
   return toll;
 }
 
@@ -323,7 +195,7 @@
 {
   fleet_t *fleet = context;
 
-  if (!all_upstreams_run (fleet))
+  if (!crash_rig_all_run (&fleet->rig))
     return false;
   for (uint32_t i = 0; i < BATCH_REQUESTS; i++)
     {
@@ -346,11 +218,11 @@
   };
   toll_t toll;
 
-  driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "a fleet that serves", all_kinds_served,
-                     fleet);
+  driver_wait_until (fleet->rig.driver, DRIVER_WAIT_LIMIT_MS, "a fleet that serves",
+                     all_kinds_served, fleet);
   g_snprintf (play.prefix, sizeof play.prefix, "%s-%u-", kind->name, callers);
-  driver_wait_until (fleet->driver, PLAY_LIMIT_MS + LATE_MS + LATE_PLAY_MS, "the end of the play",
-                     has_ended, &play);
+  driver_wait_until (fleet->rig.driver, PLAY_LIMIT_MS + LATE_MS + LATE_PLAY_MS,
+                     "the end of the play", has_ended, &play);
   cancel_calls (&play);
   toll = count_toll (&play);
   printf ("%s, %u callers: %u upstreams ended, %u sends reached upstreams, %u of them late\n",
@@ -359,20 +231,20 @@
     CU_ASSERT (toll.crashes <= CRASHES_MAX);
   CU_ASSERT (toll.late_sends <= LATE_SENDS_MAX);
   CU_ASSERT_EQUAL (fleet->refused_others, 0);
-  driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "others to be served", all_kinds_served,
-                     fleet);
+  driver_wait_until (fleet->rig.driver, DRIVER_WAIT_LIMIT_MS, "others to be served",
+                     all_kinds_served, fleet);
 }
 
 static void
 run_plays (const char *name, uint32_t callers, bool beside_traffic)
 {
-  fleet_t fleet = { .driver = driver_new (name) };
+  fleet_t fleet = { 0 };
 
-  start_fleet (&fleet);
+  start_fleet (&fleet, name);
   for (uint32_t i = 0; i < G_N_ELEMENTS (kinds); i++)
     run_play (&fleet, &kinds[i], callers, beside_traffic);
-  driver_transcript_add (fleet.driver, "others are served, the request is not sent any more");
-  driver_finish (fleet.driver);
+  driver_transcript_add (fleet.rig.driver, "others are served, the request is not sent any more");
+  driver_finish (fleet.rig.driver);
 }
 
 /* Guards against a request that ends one upstream after the other on a quiet service, where nothing
@@ -417,7 +289,7 @@
 static void
 restart_gateway (fleet_t *fleet, uint32_t index)
 {
-  driver_process_t *gateway = fleet->gateways[index];
+  driver_process_t *gateway = fleet->rig.gateways[index];
   gateway_log_t ready = { gateway, ": ready ",
                           driver_process_count_log_lines (gateway, ": ready ", NULL) };
   gateway_log_t told = { gateway, ": peer_mark ",
@@ -425,20 +297,20 @@
 
   driver_process_kill (gateway);
   driver_process_start (gateway);
-  driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "a gateway that is ready again",
+  driver_wait_until (fleet->rig.driver, DRIVER_WAIT_LIMIT_MS, "a gateway that is ready again",
                      has_logged_again, &ready);
-  driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "a gateway that was told of the request",
-                     has_logged_again, &told);
+  driver_wait_until (fleet->rig.driver, DRIVER_WAIT_LIMIT_MS,
+                     "a gateway that was told of the request", has_logged_again, &told);
 }
 
 /* Guards against gateways that end engines anew after each of them was restarted. */
 static void
 test_gateways_restart (void)
 {
-  fleet_t fleet = { .driver = driver_new ("gateway_crash_restart") };
+  fleet_t fleet = { 0 };
   play_t play = { .fleet = &fleet, .kind = &kinds[0], .callers = 1 };
 
-  start_fleet (&fleet);
+  start_fleet (&fleet, "gateway_crash_restart");
   run_play (&fleet, &kinds[0], 1, false);
   g_snprintf (play.prefix, sizeof play.prefix, "%s-1-", kinds[0].name);
   for (uint32_t i = 0; i < GATEWAYS; i++)
@@ -449,10 +321,10 @@
       driver_call_t *call = send_request (&fleet, i, play.prefix, "GET", path);
 
       driver_call_wait (call);
-      driver_transcript_add (fleet.driver, "gateway %u was restarted: %d", i, call->status);
+      driver_transcript_add (fleet.rig.driver, "gateway %u was restarted: %d", i, call->status);
     }
   CU_ASSERT (count_toll (&play).crashes <= CRASHES_MAX);
-  driver_finish (fleet.driver);
+  driver_finish (fleet.rig.driver);
 }
 
 /* Requests that many callers send alike, of all kinds. */
@@ -474,14 +346,14 @@
   uint32_t count = 0;
 
   for (uint32_t i = 0; i < GATEWAYS; i++)
-    count += driver_process_count_log_lines (fleet->gateways[i], ": refuse ", "reason=suspect");
+    count += driver_process_count_log_lines (fleet->rig.gateways[i], ": refuse ", "reason=suspect");
   return count;
 }
 
 static uint32_t
 count_begun (const fleet_t *fleet)
 {
-  g_autoptr (GArray) times = collect_times (fleet, "begin", "alike-", NULL);
+  g_autoptr (GArray) times = crash_rig_collect (&fleet->rig, "begin", "alike-", NULL);
 
   return times->len;
 }
@@ -509,20 +381,20 @@
     {
       begun_t begun = { fleet, 0 };
 
-      driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "a fleet that serves",
+      driver_wait_until (fleet->rig.driver, DRIVER_WAIT_LIMIT_MS, "a fleet that serves",
                          all_kinds_served, fleet);
       begun.before = count_begun (fleet);
       send_alike (fleet);
       poll_background (fleet);
-      driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "requests at upstreams", have_begun,
-                         &begun);
+      driver_wait_until (fleet->rig.driver, DRIVER_WAIT_LIMIT_MS, "requests at upstreams",
+                         have_begun, &begun);
       for (uint32_t i = 0; i < UPSTREAMS; i += divisor)
-        driver_process_signal (fleet->upstreams[i], number);
-      driver_wait_all_calls (fleet->driver);
+        driver_process_signal (fleet->rig.upstreams[i], number);
+      driver_wait_all_calls (fleet->rig.driver);
     }
-  driver_wait_until (fleet->driver, DRIVER_WAIT_LIMIT_MS, "a fleet that serves again",
+  driver_wait_until (fleet->rig.driver, DRIVER_WAIT_LIMIT_MS, "a fleet that serves again",
                      all_kinds_served, fleet);
-  driver_transcript_add (fleet->driver, "%s: requests refused as ending upstreams: %u", what,
+  driver_transcript_add (fleet->rig.driver, "%s: requests refused as ending upstreams: %u", what,
                          count_refused_as_suspect (fleet));
 }
 
@@ -531,14 +403,14 @@
 static void
 test_common_causes (void)
 {
-  fleet_t fleet = { .driver = driver_new ("gateway_crash_causes") };
+  fleet_t fleet = { 0 };
 
-  start_fleet (&fleet);
+  start_fleet (&fleet, "gateway_crash_causes");
   end_upstreams (&fleet, "half of the upstreams lose power", 2, SIGKILL);
   end_upstreams (&fleet, "all upstreams are killed at once", 1, SIGKILL);
   end_upstreams (&fleet, "half of the upstreams are replaced", 2, SIGTERM);
   memset (fleet.background, 0, sizeof fleet.background);
-  driver_finish (fleet.driver);
+  driver_finish (fleet.rig.driver);
 }
 
 int
