--- a/src/process/exchange_mark.h
+++ b/src/process/exchange_mark.h
@@ -1,9 +1,9 @@
 /**
  * DOC: exchange_mark
  *
- * Marks of requests during which engines ended, in messages of the exchange between gateways. A
- * mark takes an entry of the message for each two of its engines, one after the other, and a word
- * with the age of its send.
+ * Marks of requests and parts during which engines ended, in messages of the exchange between
+ * gateways. A mark takes an entry of the message for each two of its engines, one after the other,
+ * and a word with the age of its send.
  */
 #ifndef PROCESS_EXCHANGE_MARK_H
 #define PROCESS_EXCHANGE_MARK_H
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -133,8 +133,10 @@
   bool is_first = mark->engine_count > 0 && crashes < CRASH_RECORD_TRIAL_CRASHES;
 
   log_event (is_first ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "peer_mark", "fingerprint",
-             LOG_HEX (mark->fingerprint), "peer", peer, "engines", LOG_U64 (mark->engine_count),
-             "age_ms", LOG_U64 (mark->age_ms), "crashes", LOG_U64 (crashes), NULL);
+             LOG_HEX (mark->fingerprint), "of",
+             mark->kind == CRASH_SUBJECT_PART ? "part" : "request", "peer", peer, "engines",
+             LOG_U64 (mark->engine_count), "age_ms", LOG_U64 (mark->age_ms), "crashes",
+             LOG_U64 (crashes), NULL);
 }
 
 static void
@@ -460,6 +462,15 @@
   return count;
 }
 
+bool
+gateway_peers_is_first_owner (const gateway_peers_t *peers, uint64_t fingerprint)
+{
+  const peer_t *owners[GATEWAY_PEERS_OWNERS];
+
+  find_owners (peers, fingerprint, owners);
+  return owners[0] == NULL;
+}
+
 static void
 tell_owners (gateway_peers_t *peers, const crash_mark_t *mark)
 {
--- a/src/proto/exchange.x
+++ b/src/proto/exchange.x
@@ -30,7 +30,8 @@
   unsigned int state;
 };
 
-/* Between gateways a mark of three engines takes two entries, one after the other. */
+/* Between gateways a mark of three engines takes two entries, one after the other; in that of a part of
+ * prompts the top bit of "age_ms" is set. */
 struct xch_mark {
   unsigned hyper fingerprint;
   unsigned hyper engines[2];
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -157,6 +157,11 @@
       counter_get (registry, "medlarplank_gateway_losses_total", "Requests whose engine broke off");
   gateway->suspect_refused = counter_get (registry, "medlarplank_gateway_suspect_refused_total",
                                           "Requests refused because engines had ended under them");
+  gateway->part_refused = counter_get (registry, "medlarplank_gateway_part_refused_total",
+                                       "Of these, refused because of a part of their prompts");
+  gateway->part_retrials =
+      counter_get (registry, "medlarplank_gateway_part_retrials_total",
+                   "Requests sent once more to see whether a refused part still ends engines");
   gateway->resumptions = counter_get (registry, "medlarplank_gateway_resumptions_total",
                                       "Requests by which clients resume streams");
   gateway->versions_gauge =
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -182,25 +182,6 @@
                                   .owner = call } };
 }
 
-static uint64_t
-hash_text (uint64_t hash, const char *text)
-{
-  return XXH64 (text, strlen (text) + 1, hash);
-}
-
-/* Computed for each request, so the hash has to be cheap. Its seed is the fleet key, a secret that
- * all gateways share, so that no client can craft a request with the hash of another one. */
-static uint64_t
-compute_fingerprint (const gateway_call_t *call)
-{
-  uint64_t hash = hash_text (0, call->gateway->options.settings->fleet_key);
-
-  hash = hash_text (hash, call->account ? call->account->name : "");
-  hash = hash_text (hash, http_server_method (call->client));
-  hash = hash_text (hash, http_server_target (call->client));
-  return XXH64 (call->body, call->body_bytes, hash);
-}
-
 gateway_call_t *
 gateway_call_new (gateway_task_t *gateway,
                   http_server_call_t *client,
@@ -227,7 +208,7 @@
   target_hash = XXH64 (call->id, strlen (call->id), gateway->next_call_number++);
   call->service = gateway_service (gateway, routing_route_choose_service (route, target_hash));
   call->body = http_server_take_body (client, &call->body_bytes);
-  call->fingerprint = compute_fingerprint (call);
+  gateway_suspect_init (call);
   retry_plan_init (&call->course,
                    &(retry_plan_rules_t){ .idempotent = route->kind == ROUTING_IDEMPOTENT,
                                           .resumable = is_stream && route->resumable,
@@ -314,26 +295,6 @@
                             .account = (const char *const *)by_account };
 }
 
-/* Adds the engines of other requests on trial to those in @excluded. Return: the number there */
-static uint32_t
-exclude_trials (const gateway_call_t *call, uint64_t *excluded, uint32_t count)
-{
-  crash_record_t *crashes = call->gateway->options.crashes;
-  GHashTableIter iter;
-  gpointer key;
-
-  g_hash_table_iter_init (&iter, call->gateway->calls);
-  while (count < GATEWAY_EXCLUDED_MAX && g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      const gateway_call_t *other = key;
-
-      if (other->upstream && other->fingerprint != call->fingerprint &&
-          crash_record_count_crashes (crashes, other->fingerprint) >= CRASH_RECORD_TRIAL_CRASHES)
-        excluded[count++] = other->engine->hash;
-    }
-  return count;
-}
-
 static engine_choice_t
 choose_engine (const gateway_call_t *call, const uint64_t *excluded, uint32_t excluded_count)
 {
@@ -377,11 +338,10 @@
   uint32_t count = call->tried_count;
   engine_choice_t choice;
 
-  if (crash_record_count_crashes (call->gateway->options.crashes, call->fingerprint) >=
-      CRASH_RECORD_TRIAL_CRASHES)
+  if (gateway_suspect_is_on_trial (call))
     {
       memcpy (excluded, call->tried, count * sizeof excluded[0]);
-      count = exclude_trials (call, excluded, count);
+      count = gateway_suspect_exclude_trials (call, excluded, count);
       choice = choose_engine (call, excluded, count);
       if (choice.action == ENGINE_CHOICE_SEND || count == call->tried_count)
         return choice;
@@ -473,7 +433,7 @@
 retry (gateway_call_t *call, bool resume, verdict_reason_t reason)
 {
   prepare_retry (call, resume, reason);
-  if (!gateway_call_refuse_suspect (call))
+  if (!gateway_suspect_refuse (call))
     gateway_call_place (call);
 }
 
@@ -489,8 +449,7 @@
       return;
     }
   call->failure_buffered = call->failure_buffered || outcome == RETRY_PLAN_OUTCOME_FAILED;
-  if (crash_record_count_crashes (call->gateway->options.crashes, call->fingerprint) >=
-      CRASH_RECORD_TRIAL_CRASHES)
+  if (gateway_suspect_is_on_trial (call))
     retry_plan_forbid_rerun (&call->course);
   switch (retry_plan_next (&call->course, outcome, left_us, may_retry, call))
     {
@@ -519,21 +478,10 @@
     }
 }
 
-static void
-note_served (const gateway_call_t *call)
-{
-  gateway_task_t *gateway = call->gateway;
-
-  if (crash_record_note_served (gateway->options.crashes, gateway_now_us (gateway),
-                                call->fingerprint))
-    log_event (LOG_LEVEL_INFO, "cleared", "id", call->id, "fingerprint",
-               LOG_HEX (call->fingerprint), NULL);
-}
-
 void
 gateway_call_complete (gateway_call_t *call)
 {
-  note_served (call);
+  gateway_suspect_note_complete (call);
   gateway_resume_note_end (call, call->streaming);
   counter_add (call->gateway->answered, 1);
   latency_add (call->service->answer_histogram, gateway_now_us (call->gateway) - call->arrived_us);
@@ -598,65 +546,3 @@
   else
     refuse (call, reason, retry_after_ms);
 }
-
-/* Without Retry-After: another attempt would end one more engine, with all requests there. */
-static void
-reject_suspect (gateway_call_t *call)
-{
-  counter_add (call->gateway->refused, 1);
-  gateway_call_log_failure (call, "refuse", "final", VERDICT_REASON_SUSPECT);
-  error_reply_send (call->client, &(error_reply_t){ .reason = VERDICT_REASON_SUSPECT,
-                                                    .verdict = VERDICT_NOT_RUN });
-  gateway_call_free (call);
-}
-
-static bool
-is_copy_running (const gateway_call_t *call)
-{
-  GHashTableIter iter;
-  gpointer key;
-
-  g_hash_table_iter_init (&iter, call->gateway->calls);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      const gateway_call_t *other = key;
-
-      if (other != call && other->upstream && other->fingerprint == call->fingerprint)
-        return true;
-    }
-  return false;
-}
-
-static void
-log_suspect (const gateway_call_t *call, crash_record_verdict_t verdict)
-{
-  static const char *const outcomes[] = { [CRASH_RECORD_ON_TRIAL] = "copy_on_trial",
-                                          [CRASH_RECORD_PENDING] = "pending",
-                                          [CRASH_RECORD_REFUSED] = "refused" };
-  uint32_t crashes = crash_record_count_crashes (call->gateway->options.crashes, call->fingerprint);
-
-  log_event (LOG_LEVEL_NOTICE, "suspect", "id", call->id, "fingerprint",
-             LOG_HEX (call->fingerprint), "outcome", outcomes[verdict], "crashes",
-             LOG_U64 (crashes), NULL);
-}
-
-bool
-gateway_call_refuse_suspect (gateway_call_t *call)
-{
-  gateway_task_t *gateway = call->gateway;
-  crash_record_verdict_t verdict =
-      crash_record_check (gateway->options.crashes, gateway_now_us (gateway), call->fingerprint);
-
-  if (verdict == CRASH_RECORD_ALLOWED ||
-      (verdict == CRASH_RECORD_ON_TRIAL && !is_copy_running (call)))
-    return false;
-  counter_add (gateway->suspect_refused, 1);
-  log_suspect (call, verdict);
-  if (call->queue_item.waiting)
-    gateway_queue_remove (call);
-  if (verdict == CRASH_RECORD_REFUSED && call->course.ran == 0 && !call->relay.has_started)
-    reject_suspect (call);
-  else
-    gateway_call_fail (call, VERDICT_REASON_SUSPECT, GATEWAY_RETRY_SUSPECT_MS);
-  return true;
-}
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -2,6 +2,7 @@
 #include "request/gateway/gateway_private.h"
 
 #include "base/log.h"
+#include "connection/http_framing.h"
 
 #include <event2/http.h>
 #include <string.h>
@@ -132,6 +133,7 @@
   if (call->response.is_for_other_request)
     return false;
   call->has_head = true;
+  call->is_framed = http_framing_detect (headers) != HTTP_FRAMING_NONE;
   record_head (call, status);
   call->relay.from = call->upstream;
   if (call->resuming)
@@ -171,6 +173,7 @@
   call->last_byte_us = gateway_now_us (call->gateway);
   if (call->engine)
     call->engine->last_byte_us = call->last_byte_us;
+  gateway_suspect_note_data (call);
   if (!call->client || call->response.not_run)
     evbuffer_drain (data, evbuffer_get_length (data));
   else if (call->streaming)
@@ -292,61 +295,6 @@
     gateway_call_hop_ended (call, RETRY_PLAN_OUTCOME_UNKNOWN, end->reason);
 }
 
-/* Return: for how long the engine had worked on the request when it broke off */
-static uint64_t
-compute_run_us (const gateway_call_t *call, uint64_t now_us)
-{
-  return call->has_head ? now_us - call->head_us : 0;
-}
-
-static const char *
-outcome_to_string (crash_record_outcome_t outcome)
-{
-  static const char *const names[] = {
-    [CRASH_RECORD_COUNTED] = "counted", [CRASH_RECORD_TOGETHER] = "together",
-    [CRASH_RECORD_SERVED] = "served",   [CRASH_RECORD_PLANNED] = "planned",
-    [CRASH_RECORD_KNOWN] = "known",
-  };
-
-  return names[outcome];
-}
-
-/* The parts of the prompt but the last one, which belongs to the request or its chat alone. Return:
- * the text, owned by the caller; NULL when there are none */
-static char *
-write_shared_parts (const format_request_t *request)
-{
-  GString *text = g_string_new (NULL);
-
-  for (uint32_t i = 0; i + 1 < request->part_count; i++)
-    g_string_append_printf (text, "%s%016" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
-                            request->parts[i].hash);
-  return g_string_free (text, text->len == 0);
-}
-
-static void
-record_loss (const gateway_call_t *call)
-{
-  gateway_task_t *gateway = call->gateway;
-  g_autofree char *parts = write_shared_parts (&call->request);
-  uint64_t now_us = gateway_now_us (gateway);
-  crash_record_loss_t loss = { .fingerprint = call->fingerprint,
-                               .engine_hash = call->engine->hash,
-                               .sent_us = call->sent_us,
-                               .ran_us = compute_run_us (call, now_us) };
-  crash_record_outcome_t outcome = crash_record_add_loss (gateway->options.crashes, now_us, &loss);
-  uint32_t crashes = crash_record_count_crashes (gateway->options.crashes, loss.fingerprint);
-  bool is_trial = outcome == CRASH_RECORD_COUNTED && crashes >= CRASH_RECORD_TRIAL_CRASHES;
-
-  counter_add (gateway->losses, 1);
-  log_event (is_trial ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO, "loss", "id", call->id, "fingerprint",
-             LOG_HEX (loss.fingerprint), "engine", call->engine->entry.id, "engine_hash",
-             LOG_HEX (loss.engine_hash), "outcome", outcome_to_string (outcome), "crashes",
-             LOG_U64 (crashes), "sent_ms_ago", LOG_U64 ((now_us - loss.sent_us) / CLOCK_US_PER_MS),
-             "ran_ms", LOG_U64 (loss.ran_us / CLOCK_US_PER_MS), "parts", parts, NULL);
-  gateway->options.on_crashes (gateway->options.context);
-}
-
 static void
 record_engine_failure (gateway_call_t *call, const http_client_result_t *end)
 {
@@ -373,7 +321,7 @@
     record_refusal (call, call->engine);
   if (end->reason == VERDICT_REASON_CUT && !end->complete && !call->response.not_run &&
       !call->response.is_for_other_request)
-    record_loss (call);
+    gateway_suspect_record_loss (call);
   if (!end->complete)
     gateway_call_log (call, "hop_lost", verdict_to_string (end->verdict), end->reason);
   release_engine (call);
@@ -434,7 +382,7 @@
 {
   if (!call->upstream || call->engine->hash != hash)
     return;
-  record_loss (call);
+  gateway_suspect_record_loss (call);
   give_up_hop (call, "restarted", VERDICT_REASON_CUT);
 }
 
@@ -487,6 +435,7 @@
     retry_budget_count_retry (&call->service->retries, &call->gateway->options.retries, now_us);
   call->sent_us = now_us;
   call->has_head = false;
+  call->first_data_us = 0;
   call->client_was_slow = false;
   call->last_byte_us = 0;
   memset (&call->response, 0, sizeof call->response);
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -47,6 +47,8 @@
 #define GATEWAY_RETRY_DRAINED_MS 2000
 /* Retry-After of a request that may end engines, while that is being found out */
 #define GATEWAY_RETRY_SUSPECT_MS 1000
+/* Retry-After of a request with a part that ends engines */
+#define GATEWAY_RETRY_PART_MS 8000
 /* Retry-After of a stream that can't go on: an engine of its version may have crashed, and is back
  * after some seconds */
 #define GATEWAY_RETRY_VERSION_MS 2000
@@ -146,6 +148,8 @@
   counter_t *waited;
   counter_t *losses;
   counter_t *suspect_refused;
+  counter_t *part_refused;
+  counter_t *part_retrials;
   counter_t *resumptions;
   counter_t *resumptions_refused;
   counter_t *versions_gauge;
@@ -172,7 +176,8 @@
  * @upstream: call of the HTTP client for the current hop, or NULL
  * @table: routing table by which the request is handled
  * @account: NULL on a route that needs no key
- * @fingerprint: hash by which all gateways know a request that ends engines
+ * @subjects: the request, then the parts of its prompt but the last, as all gateways know them when
+ *   engines end under them
  * @request: parsed headers of the request; borrows from @client
  * @queue_item: entry in the queue of @service
  * @course: decides what follows the outcome of a hop
@@ -184,6 +189,7 @@
  * @shared_parts: hash of all prompt parts that other requests may share
  * @response: parsed headers of the last hop's response; valid when @has_head is set
  * @status: HTTP status of the response that is forwarded
+ * @is_framed: it has a length or comes in chunks, so that its end shows that it is whole
  * @streaming: the response is a stream of events
  * @resuming: the current hop resumes a stream
  * @stream: hash by which all gateways know the stream of this response, 0 when it can't be resumed
@@ -192,6 +198,7 @@
  *   events may come only from engines of the same version
  * @sent_us: time at which the last hop was sent
  * @head_us: time at which the head of its response came
+ * @first_data_us: time at which the first part of its body came; 0 before that
  * @last_byte_us: time at which the last byte of its response came; 0 before the first
  * @events_before_head: whole events of the stream that had come before this head
  * @client_was_slow: the client read the response of the last hop slowly
@@ -208,7 +215,8 @@
   const routing_route_t *route;
   const routing_account_t *account;
   gateway_service_t *service;
-  uint64_t fingerprint;
+  crash_subject_t subjects[FORMAT_PROMPT_PARTS_MAX];
+  uint32_t subject_count;
   format_request_t request;
   char id[FORMAT_ID_BYTES];
   wait_queue_item_t queue_item;
@@ -227,6 +235,7 @@
   format_response_t response;
   int status;
   bool has_head;
+  bool is_framed;
   bool streaming;
   bool resuming;
   uint64_t stream;
@@ -236,6 +245,7 @@
   uint64_t deadline_us;
   uint64_t sent_us;
   uint64_t head_us;
+  uint64_t first_data_us;
   uint64_t last_byte_us;
   uint64_t events_before_head;
   bool client_was_slow;
@@ -259,9 +269,6 @@
                                   const routing_account_t *account,
                                   const format_request_t *request);
 void gateway_call_free (gateway_call_t *call);
-/** gateway_call_refuse_suspect() - ends the call if its request must not be sent because engines
- * ended under it. Return: whether it was ended */
-bool gateway_call_refuse_suspect (gateway_call_t *call);
 /** gateway_call_place() - sends the request to an engine, queues it, or refuses it */
 void gateway_call_place (gateway_call_t *call);
 /** gateway_call_choose_engine() - the engine to which the request would be sent now */
@@ -294,6 +301,25 @@
                                const char *outcome,
                                verdict_reason_t reason);
 
+/** gateway_suspect_init() - sets the subjects of a call */
+void gateway_suspect_init (gateway_call_t *call);
+/** gateway_suspect_is_on_trial() - whether the request, or a part of its prompt, is on trial or
+ * refused because of the engines that ended under it */
+bool gateway_suspect_is_on_trial (const gateway_call_t *call);
+/** gateway_suspect_exclude_trials() - adds the engines of other calls on trial to the @count in
+ * @excluded, which has room for %GATEWAY_EXCLUDED_MAX. Return: the number there */
+uint32_t
+gateway_suspect_exclude_trials (const gateway_call_t *call, uint64_t *excluded, uint32_t count);
+/** gateway_suspect_refuse() - ends the call if its request must not be sent because engines ended
+ * under it or a part of its prompt. Return: whether it was ended */
+bool gateway_suspect_refuse (gateway_call_t *call);
+/** gateway_suspect_record_loss() - the engine of the current hop broke off */
+void gateway_suspect_record_loss (const gateway_call_t *call);
+/** gateway_suspect_note_data() - a part of the response's body came */
+void gateway_suspect_note_data (gateway_call_t *call);
+/** gateway_suspect_note_complete() - the response is complete */
+void gateway_suspect_note_complete (const gateway_call_t *call);
+
 /** gateway_hop_send() - sends the request to the engine of @choice; clears its cache source where
  * none is needed */
 void gateway_hop_send (gateway_call_t *call, engine_choice_t *choice);
--- a/src/request/gateway/gateway_queue.c
+++ b/src/request/gateway/gateway_queue.c
@@ -113,7 +113,7 @@
 
   while ((call = wait_queue_first (service->queue, may_start, &choice)))
     {
-      if (gateway_call_refuse_suspect (call))
+      if (gateway_suspect_refuse (call))
         continue;
       if (choice.action == ENGINE_CHOICE_SEND)
         {
--- /dev/null
+++ b/src/request/gateway/gateway_suspect.c
@@ -0,0 +1,342 @@
+/* Requests, and parts of their prompts, under which engines end: losses, and who may be sent. */
+#include "request/gateway/gateway_private.h"
+
+#include "base/log.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define STATUS_SUCCESS_MIN 200
+#define STATUS_SUCCESS_MAX 299
+
+static uint64_t
+hash_text (uint64_t hash, const char *text)
+{
+  return XXH64 (text, strlen (text) + 1, hash);
+}
+
+/* Computed for each request, so the hash has to be cheap. Its seed is the fleet key, a secret that
+ * all gateways share, so that no client can craft a request with the hash of another one. */
+static uint64_t
+hash_request (const gateway_call_t *call, uint64_t seed)
+{
+  uint64_t hash = hash_text (seed, call->account ? call->account->name : "");
+
+  hash = hash_text (hash, http_server_method (call->client));
+  hash = hash_text (hash, http_server_target (call->client));
+  return XXH64 (call->body, call->body_bytes, hash);
+}
+
+/* A part ends the engines of a service whoever sends it. */
+static uint64_t
+hash_part (const gateway_call_t *call, uint64_t seed, uint64_t part)
+{
+  return XXH64 (&part, sizeof part, hash_text (seed, call->service->name));
+}
+
+void
+gateway_suspect_init (gateway_call_t *call)
+{
+  uint64_t seed = hash_text (0, call->gateway->options.settings->fleet_key);
+
+  call->subjects[0] = (crash_subject_t){ hash_request (call, seed), CRASH_SUBJECT_REQUEST };
+  call->subject_count = 1;
+  for (uint32_t i = 0; i + 1 < call->request.part_count; i++)
+    call->subjects[call->subject_count++] =
+        (crash_subject_t){ hash_part (call, seed, call->request.parts[i].hash),
+                           CRASH_SUBJECT_PART };
+}
+
+static bool
+is_subject_on_trial (const gateway_call_t *call, uint32_t index)
+{
+  return crash_record_count_crashes (call->gateway->options.crashes,
+                                     call->subjects[index].fingerprint) >=
+         CRASH_RECORD_TRIAL_CRASHES;
+}
+
+bool
+gateway_suspect_is_on_trial (const gateway_call_t *call)
+{
+  for (uint32_t i = 0; i < call->subject_count; i++)
+    if (is_subject_on_trial (call, i))
+      return true;
+  return false;
+}
+
+uint32_t
+gateway_suspect_exclude_trials (const gateway_call_t *call, uint64_t *excluded, uint32_t count)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, call->gateway->calls);
+  while (count < GATEWAY_EXCLUDED_MAX && g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const gateway_call_t *other = key;
+
+      if (other != call && other->upstream && gateway_suspect_is_on_trial (other))
+        excluded[count++] = other->engine->hash;
+    }
+  return count;
+}
+
+static bool
+has_subject (const gateway_call_t *call, uint64_t fingerprint)
+{
+  for (uint32_t i = 0; i < call->subject_count; i++)
+    if (call->subjects[i].fingerprint == fingerprint)
+      return true;
+  return false;
+}
+
+static bool
+is_other_running (const gateway_call_t *call, uint64_t fingerprint)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, call->gateway->calls);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const gateway_call_t *other = key;
+
+      if (other != call && other->upstream && has_subject (other, fingerprint))
+        return true;
+    }
+  return false;
+}
+
+static const char *
+kind_to_string (crash_subject_kind_t kind)
+{
+  return kind == CRASH_SUBJECT_PART ? "part" : "request";
+}
+
+static void
+log_suspect (const gateway_call_t *call, const crash_subject_t *subject, const char *outcome)
+{
+  uint32_t crashes =
+      crash_record_count_crashes (call->gateway->options.crashes, subject->fingerprint);
+
+  log_event (LOG_LEVEL_NOTICE, "suspect", "id", call->id, "fingerprint",
+             LOG_HEX (subject->fingerprint), "of", kind_to_string (subject->kind), "outcome",
+             outcome, "crashes", LOG_U64 (crashes), NULL);
+}
+
+/* Without Retry-After: another attempt would end one more engine, with all requests there. */
+static void
+reject (gateway_call_t *call)
+{
+  counter_add (call->gateway->refused, 1);
+  gateway_call_log_failure (call, "refuse", "final", VERDICT_REASON_SUSPECT);
+  error_reply_send (call->client, &(error_reply_t){ .reason = VERDICT_REASON_SUSPECT,
+                                                    .verdict = VERDICT_NOT_RUN });
+  gateway_call_free (call);
+}
+
+/* A refused part is tried again by one gateway alone, or each of many would lose an engine. */
+static bool
+may_try_again (const gateway_call_t *call, const crash_subject_t *subject)
+{
+  const gateway_task_t *gateway = call->gateway;
+
+  return crash_record_is_retrial_due (gateway->options.crashes, gateway_now_us (gateway),
+                                      subject->fingerprint) &&
+         !is_other_running (call, subject->fingerprint) &&
+         gateway->options.is_first_owner (subject->fingerprint, gateway->options.context);
+}
+
+/* Return: %CRASH_RECORD_ALLOWED if the request may be sent as far as this subject is concerned */
+static crash_record_verdict_t
+check_subject (const gateway_call_t *call, const crash_subject_t *subject)
+{
+  const gateway_task_t *gateway = call->gateway;
+  crash_record_verdict_t verdict =
+      crash_record_check (gateway->options.crashes, gateway_now_us (gateway), subject->fingerprint);
+
+  if (verdict == CRASH_RECORD_ON_TRIAL && !is_other_running (call, subject->fingerprint))
+    return CRASH_RECORD_ALLOWED;
+  if (verdict < CRASH_RECORD_PENDING || !may_try_again (call, subject))
+    return verdict;
+  counter_add (gateway->part_retrials, 1);
+  log_suspect (call, subject, "tried_again");
+  return CRASH_RECORD_ALLOWED;
+}
+
+static void
+refuse (gateway_call_t *call, const crash_subject_t *subject, crash_record_verdict_t verdict)
+{
+  static const char *const outcomes[] = { [CRASH_RECORD_ON_TRIAL] = "copy_on_trial",
+                                          [CRASH_RECORD_PENDING] = "pending",
+                                          [CRASH_RECORD_REFUSED] = "refused" };
+  bool is_part = subject->kind == CRASH_SUBJECT_PART;
+  bool is_refused = verdict == CRASH_RECORD_REFUSED;
+
+  counter_add (call->gateway->suspect_refused, 1);
+  counter_add (call->gateway->part_refused, is_part ? 1 : 0);
+  log_suspect (call, subject, outcomes[verdict]);
+  if (call->queue_item.waiting)
+    gateway_queue_remove (call);
+  if (is_refused && !is_part && call->course.ran == 0 && !call->relay.has_started)
+    reject (call);
+  else
+    gateway_call_fail (call, VERDICT_REASON_SUSPECT,
+                       is_refused ? GATEWAY_RETRY_PART_MS : GATEWAY_RETRY_SUSPECT_MS);
+}
+
+bool
+gateway_suspect_refuse (gateway_call_t *call)
+{
+  for (uint32_t i = 0; i < call->subject_count; i++)
+    {
+      crash_record_verdict_t verdict = check_subject (call, &call->subjects[i]);
+
+      if (verdict == CRASH_RECORD_ALLOWED)
+        continue;
+      refuse (call, &call->subjects[i], verdict);
+      return true;
+    }
+  return false;
+}
+
+/* Return: for how long the engine had worked on the request when it broke off */
+static uint64_t
+compute_run_us (const gateway_call_t *call, uint64_t now_us)
+{
+  return call->has_head ? now_us - call->head_us : 0;
+}
+
+static const char *
+outcome_to_string (crash_record_outcome_t outcome)
+{
+  static const char *const names[] = {
+    [CRASH_RECORD_COUNTED] = "counted", [CRASH_RECORD_TOGETHER] = "together",
+    [CRASH_RECORD_SERVED] = "served",   [CRASH_RECORD_PLANNED] = "planned",
+    [CRASH_RECORD_KNOWN] = "known",
+  };
+
+  return names[outcome];
+}
+
+/* The parts of the prompt but the last one, which belongs to the request or its chat alone. Return:
+ * the text, owned by the caller; NULL when there are none */
+static char *
+write_shared_parts (const format_request_t *request)
+{
+  GString *text = g_string_new (NULL);
+
+  for (uint32_t i = 0; i + 1 < request->part_count; i++)
+    g_string_append_printf (text, "%s%016" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
+                            request->parts[i].hash);
+  return g_string_free (text, text->len == 0);
+}
+
+static void
+log_loss (const gateway_call_t *call,
+          const crash_record_loss_t *loss,
+          crash_record_outcome_t outcome)
+{
+  g_autofree char *parts = write_shared_parts (&call->request);
+  uint64_t now_us = gateway_now_us (call->gateway);
+  uint32_t crashes = crash_record_count_crashes (call->gateway->options.crashes, loss->fingerprint);
+  bool is_trial = outcome == CRASH_RECORD_COUNTED && crashes >= CRASH_RECORD_TRIAL_CRASHES;
+
+  log_event (is_trial ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO, "loss", "id", call->id, "fingerprint",
+             LOG_HEX (loss->fingerprint), "engine", call->engine->entry.id, "engine_hash",
+             LOG_HEX (loss->engine_hash), "outcome", outcome_to_string (outcome), "crashes",
+             LOG_U64 (crashes), "sent_ms_ago", LOG_U64 ((now_us - loss->sent_us) / CLOCK_US_PER_MS),
+             "ran_ms", LOG_U64 (loss->ran_us / CLOCK_US_PER_MS), "parts", parts, NULL);
+}
+
+/* @part: as in the line of the request's loss. The first crash of a part says nothing yet. */
+static void
+log_part_loss (const gateway_call_t *call,
+               const crash_record_loss_t *loss,
+               crash_record_outcome_t outcome,
+               uint64_t part)
+{
+  uint32_t crashes = crash_record_count_crashes (call->gateway->options.crashes, loss->fingerprint);
+
+  if (outcome == CRASH_RECORD_COUNTED && crashes >= CRASH_RECORD_TRIAL_CRASHES)
+    log_event (LOG_LEVEL_WARNING, "part_loss", "id", call->id, "part", LOG_HEX (part),
+               "fingerprint", LOG_HEX (loss->fingerprint), "engine", call->engine->entry.id,
+               "crashes", LOG_U64 (crashes), NULL);
+}
+
+void
+gateway_suspect_record_loss (const gateway_call_t *call)
+{
+  gateway_task_t *gateway = call->gateway;
+  uint64_t now_us = gateway_now_us (gateway);
+
+  for (uint32_t i = 0; i < call->subject_count; i++)
+    {
+      crash_record_loss_t loss = { .fingerprint = call->subjects[i].fingerprint,
+                                   .kind = call->subjects[i].kind,
+                                   .engine_hash = call->engine->hash,
+                                   .sent_us = call->sent_us,
+                                   .ran_us = compute_run_us (call, now_us) };
+      crash_record_outcome_t outcome =
+          crash_record_add_loss (gateway->options.crashes, now_us, &loss);
+
+      if (i == 0)
+        log_loss (call, &loss, outcome);
+      else
+        log_part_loss (call, &loss, outcome, call->request.parts[i - 1].hash);
+    }
+  counter_add (gateway->losses, 1);
+  gateway->options.on_crashes (gateway->options.context);
+}
+
+static void
+note_served (const gateway_call_t *call, const crash_subject_t *subject)
+{
+  gateway_task_t *gateway = call->gateway;
+
+  if (crash_record_note_served (gateway->options.crashes, gateway_now_us (gateway),
+                                subject->fingerprint))
+    log_event (LOG_LEVEL_INFO, "cleared", "id", call->id, "fingerprint",
+               LOG_HEX (subject->fingerprint), "of", kind_to_string (subject->kind), NULL);
+}
+
+static void
+note_parts_served (const gateway_call_t *call)
+{
+  for (uint32_t i = 1; i < call->subject_count; i++)
+    note_served (call, &call->subjects[i]);
+}
+
+static bool
+is_success (const gateway_call_t *call)
+{
+  return call->status >= STATUS_SUCCESS_MIN && call->status <= STATUS_SUCCESS_MAX;
+}
+
+static bool
+was_written_long (const gateway_call_t *call, uint64_t now_us)
+{
+  return call->first_data_us != 0 && now_us >= call->first_data_us + CRASH_RECORD_PART_WRITTEN_US;
+}
+
+void
+gateway_suspect_note_data (gateway_call_t *call)
+{
+  uint64_t now_us = gateway_now_us (call->gateway);
+
+  if (!is_success (call))
+    return;
+  if (call->first_data_us == 0)
+    call->first_data_us = now_us;
+  else if (was_written_long (call, now_us))
+    note_parts_served (call);
+}
+
+/* The end of a response without a length may be that of its engine. */
+void
+gateway_suspect_note_complete (const gateway_call_t *call)
+{
+  note_served (call, &call->subjects[0]);
+  if (is_success (call) && call->is_framed)
+    note_parts_served (call);
+}
--- a/src/request/policy/crash_record.c
+++ b/src/request/policy/crash_record.c
@@ -7,7 +7,20 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define SERVED_MAX 4096 /* requests that are remembered as served */
+#define MARK_TIME_ERROR_US CLOCK_US_PER_S
+#define SERVED_MAX 8192 /* subjects that are remembered as served */
+
+/** struct rules - what differs by kind; @served_us: time in which what was served isn't blamed;
+ * @has_retrials: see crash_record_is_retrial_due() */
+typedef struct
+{
+  uint64_t served_us;
+  bool has_retrials;
+} rules_t;
+
+static const rules_t rules[] = { [CRASH_SUBJECT_REQUEST] = { .served_us = CRASH_RECORD_SERVED_US },
+                                 [CRASH_SUBJECT_PART] = { .served_us = CRASH_RECORD_PART_SERVED_US,
+                                                          .has_retrials = true } };
 
 /** struct crash - an engine that ended under a request, which was sent to it at @sent_us (0 when
  * unknown); @certain: the registry shows it */
@@ -20,10 +33,11 @@
 } crash_t;
 
 /**
- * struct entry - a request
+ * struct entry - a request or part
  * @crashes: in the order of their times, @count of them
  * @is_cleared: it was served, and has no crashes since
  * @changed_us: time of the last crash, or when it was cleared
+ * @final_us: time of the crash from which on it is refused
  * @ran_us: as in crash_record_loss_t, of the last own loss
  * @sends_left: messages to any peer that are still to carry it
  * @owners_due: the owners of the fingerprint are still to be told
@@ -32,10 +46,12 @@
 typedef struct
 {
   uint64_t fingerprint;
+  crash_subject_kind_t kind;
   crash_t crashes[CRASH_MARK_ENGINES];
   uint32_t count;
   bool is_cleared;
   uint64_t changed_us;
+  uint64_t final_us;
   uint64_t ran_us;
   uint32_t sends_left;
   bool owners_due;
@@ -43,7 +59,7 @@
 } entry_t;
 
 /**
- * struct crash_record - the requests
+ * struct crash_record - the subjects
  * @unproven_us: when it was last unknown which entries of the registry have gone
  * @next: entry that is sent next in turn
  * @has_news: see crash_record_take_news()
@@ -114,7 +130,7 @@
 }
 
 static entry_t *
-find_or_add (crash_record_t *record, uint64_t fingerprint)
+find_or_add (crash_record_t *record, uint64_t fingerprint, crash_subject_kind_t kind)
 {
   entry_t *entry = find (record, fingerprint);
 
@@ -124,6 +140,7 @@
     remove_least (record);
   entry = g_new0 (entry_t, 1);
   entry->fingerprint = fingerprint;
+  entry->kind = kind;
   g_ptr_array_add (record->list, entry);
   g_hash_table_insert (record->by_fingerprint, &entry->fingerprint, entry);
   return entry;
@@ -208,6 +225,8 @@
   entry->crashes[entry->count++].certain = engine.state == CRASH_RECORD_ENGINE_ENDED;
   entry->is_cleared = false;
   entry->changed_us = MAX (entry->changed_us, crash->lost_us);
+  if (is_final (entry))
+    entry->final_us = entry->changed_us;
 }
 
 static const crash_t *
@@ -236,15 +255,18 @@
   crash_record_engine_t engine =
       record->options.get_engine (loss->engine_hash, record->options.context);
   crash_t crash = { .engine_hash = loss->engine_hash, .sent_us = loss->sent_us, .lost_us = now_us };
+  crash_subject_t subject = { loss->fingerprint, loss->kind };
   entry_t *entry;
 
-  if (crash_record_was_served (record, now_us, loss->fingerprint))
+  if (crash_record_was_served (record, now_us, subject))
     return CRASH_RECORD_SERVED;
   if (engine.state == CRASH_RECORD_ENGINE_LEAVING)
     return CRASH_RECORD_PLANNED;
-  entry = find_or_add (record, loss->fingerprint);
+  entry = find_or_add (record, loss->fingerprint, loss->kind);
   review_entry (record, now_us, entry);
   entry->ran_us = loss->ran_us;
+  if (is_final (entry))
+    entry->changed_us = now_us;
   if (is_final (entry) || has_engine (entry, loss->engine_hash))
     return CRASH_RECORD_KNOWN;
   if (may_have_same_cause (entry, &crash))
@@ -285,12 +307,13 @@
 }
 
 bool
-crash_record_was_served (const crash_record_t *record, uint64_t now_us, uint64_t fingerprint)
+crash_record_was_served (const crash_record_t *record, uint64_t now_us, crash_subject_t subject)
 {
-  return recent_answers_contain (record->served, now_us, fingerprint);
+  return recent_answers_contain_within (record->served, now_us, subject.fingerprint,
+                                        rules[subject.kind].served_us);
 }
 
-/* The peer heard of it later than this gateway served the request, or never: it is told. */
+/* The peer heard of it later than this gateway served it, or never: it is told. */
 static bool
 answer_by_clearing (crash_record_t *record, entry_t *entry, uint64_t now_us)
 {
@@ -343,6 +366,16 @@
   return entry->count > before;
 }
 
+/* The peer knows of a later crash of what is refused already. The time that a message takes makes
+ * crashes look later than they were. */
+static void
+adopt_later_crash (entry_t *entry, const crash_mark_t *mark, uint64_t lost_us)
+{
+  if (is_final (entry) && mark->engine_count == CRASH_MARK_ENGINES &&
+      lost_us > entry->changed_us + MARK_TIME_ERROR_US)
+    entry->changed_us = lost_us;
+}
+
 static uint64_t
 time_ago_us (uint64_t now_us, uint32_t age_ms)
 {
@@ -356,14 +389,15 @@
 {
   crash_t crash = { .sent_us = time_ago_us (now_us, mark->sent_age_ms),
                     .lost_us = time_ago_us (now_us, mark->age_ms) };
+  crash_subject_t subject = { mark->fingerprint, mark->kind };
   entry_t *entry;
 
   if ((uint64_t)mark->age_ms * CLOCK_US_PER_MS > record->options.lifetime_us)
     return false;
   if (mark->engine_count == 0)
     return merge_cleared (record, find (record, mark->fingerprint), crash.lost_us);
-  entry = find_or_add (record, mark->fingerprint);
-  if (crash_record_was_served (record, now_us, mark->fingerprint))
+  entry = find_or_add (record, mark->fingerprint, mark->kind);
+  if (crash_record_was_served (record, now_us, subject))
     return answer_by_clearing (record, entry, now_us);
   if (entry->is_cleared && crash.lost_us <= entry->changed_us)
     return false;
@@ -371,6 +405,7 @@
   /* The peer may have just started: the reply tells it. */
   if (entry->count >= CRASH_RECORD_TRIAL_CRASHES && mark->engine_count < entry->count)
     entry->sends_left = MAX (entry->sends_left, 1);
+  adopt_later_crash (entry, mark, crash.lost_us);
   if (is_final (entry) || !merge_engines (record, entry, mark, crash))
     return false;
   if (entry->count >= CRASH_RECORD_TRIAL_CRASHES)
@@ -396,6 +431,19 @@
   return CRASH_RECORD_REFUSED;
 }
 
+bool
+crash_record_is_retrial_due (const crash_record_t *record, uint64_t now_us, uint64_t fingerprint)
+{
+  const entry_t *entry = find (record, fingerprint);
+  uint64_t wait_us;
+
+  if (!entry || !is_final (entry) || !rules[entry->kind].has_retrials)
+    return false;
+  wait_us = (entry->changed_us - entry->final_us) * CRASH_RECORD_RETRIAL_FACTOR;
+  return now_us >= entry->changed_us +
+                       CLAMP (wait_us, CRASH_RECORD_RETRIAL_MIN_US, CRASH_RECORD_RETRIAL_MAX_US);
+}
+
 uint32_t
 crash_record_count_crashes (const crash_record_t *record, uint64_t fingerprint)
 {
@@ -436,6 +484,7 @@
 make_mark (const entry_t *entry, uint64_t now_us)
 {
   crash_mark_t mark = { .fingerprint = entry->fingerprint,
+                        .kind = entry->kind,
                         .engine_count = entry->count,
                         .age_ms = age_ms (now_us, entry->changed_us),
                         .sent_age_ms = UINT32_MAX };
@@ -453,6 +502,15 @@
   return MAX ((engine_count + CRASH_MARK_PART_ENGINES - 1) / CRASH_MARK_PART_ENGINES, 1U);
 }
 
+/* What is refused goes before what is on trial: under a burst of crashes many neighbours are, and
+ * the one to blame ends engines until all have heard of it. */
+static uint32_t
+urgency (const entry_t *entry)
+{
+  return entry->sends_left > 0 && is_final (entry) ? entry->sends_left + CRASH_RECORD_SENDS / 2
+                                                   : entry->sends_left;
+}
+
 static entry_t *
 least_sent (const crash_record_t *record, entry_t *const *taken, uint32_t taken_count)
 {
@@ -465,7 +523,7 @@
 
       for (uint32_t j = 0; j < taken_count; j++)
         is_taken = is_taken || taken[j] == entry;
-      if (!is_taken && entry->sends_left > (best ? best->sends_left : 0))
+      if (!is_taken && urgency (entry) > (best ? urgency (best) : 0))
         best = entry;
     }
   return best;
--- a/src/request/policy/crash_record.h
+++ b/src/request/policy/crash_record.h
@@ -1,17 +1,18 @@
 /**
  * DOC: crash_record
  *
- * Requests during which engines ended, as a gateway knows them: by fingerprint, with the engines.
- * At most %CRASH_MARK_ENGINES engines end under one request before it is refused, however often and
- * through whichever gateways it is sent. A state machine without I/O.
+ * Requests, and parts of prompts, during which engines ended, as a gateway knows them: by
+ * fingerprint, with the engines. At most %CRASH_MARK_ENGINES engines end under one of them before
+ * it is refused, however often and through whichever gateways it is sent. A state machine without
+ * I/O.
  *
  * A connection that broke is a crash of its engine until the opposite is shown: the engine answers
  * a request that was sent later, says that it leaves, or its entry outlives it. It is certain once
  * the registry drops the engine. Crashes that may have one cause count once (a rack that loses
- * power, a link that is cut). A request that was served is cleared.
+ * power, a link that is cut). What was served is cleared.
  *
- * Gateways tell each other the crashes of a request as marks: the first crash to the owners of the
- * fingerprint, who so see the crashes of all gateways; later ones to all.
+ * Gateways tell each other the crashes as marks: the first crash to the owners of the fingerprint,
+ * who so see the crashes of all gateways; later ones to all.
  */
 #ifndef REQUEST_POLICY_CRASH_RECORD_H
 #define REQUEST_POLICY_CRASH_RECORD_H
@@ -27,23 +28,49 @@
 #define CRASH_RECORD_COMMON_CAUSE_US (UINT64_C (500) * 1000)
 /* The registry drops an engine that ended within this time, while the store can be read. */
 #define CRASH_RECORD_PROOF_US (UINT64_C (10) * 1000 * 1000)
-/* What was served within this time is not blamed: many callers may send it alike, so it runs
- * wherever an engine ends. */
+/* A request that was served within this time is not blamed: many callers may send it alike, so it
+ * runs wherever an engine ends. */
 #define CRASH_RECORD_SERVED_US (UINT64_C (10) * 1000 * 1000)
+/* Likewise a part. A part that is shared by many requests is served again sooner, and one that
+ * begins to end engines must not pass as served for long. */
+#define CRASH_RECORD_PART_SERVED_US (UINT64_C (2) * 1000 * 1000)
+/* An answer that an engine has written for this long shows that its parts end no engine: one that
+ * does ends it as the answer begins. */
+#define CRASH_RECORD_PART_WRITTEN_US (UINT64_C (1) * 1000 * 1000)
+/* A part that is refused may be sent once more after this time, and after this multiple of the time
+ * for which it has been refused when that is longer, up to a maximum. Nothing else would show that
+ * it was refused wrongly. */
+#define CRASH_RECORD_RETRIAL_MIN_US (UINT64_C (20) * 1000 * 1000)
+#define CRASH_RECORD_RETRIAL_FACTOR 3
+#define CRASH_RECORD_RETRIAL_MAX_US (UINT64_C (300) * 1000 * 1000)
 /* Messages that carry a change, more than log2 of the gateways of a large fleet. */
 #define CRASH_RECORD_SENDS 16
 
+/** enum crash_subject_kind - what engines may end under */
+typedef enum
+{
+  CRASH_SUBJECT_REQUEST, /* a request that may be sent again */
+  CRASH_SUBJECT_PART     /* a part of the prompts of many requests */
+} crash_subject_kind_t;
+
+/** struct crash_subject - a request or a part; all gateways know it by @fingerprint */
+typedef struct
+{
+  uint64_t fingerprint;
+  crash_subject_kind_t kind;
+} crash_subject_t;
+
 /**
- * struct crash_mark - the crashes of one request, as gateways tell them to each other
- * @engines: hashes of the engines that ended, @engine_count of them; none when the request was
- *   served
+ * struct crash_mark - the crashes of one subject, as gateways tell them to each other
+ * @engines: hashes of the engines that ended, @engine_count of them; none when it was served
  * @age_ms: time since the last crash, or since it was served
- * @sent_age_ms: time since the request was sent to the last of the engines; %UINT32_MAX when
+ * @sent_age_ms: time since a request with it was sent to the last of the engines; %UINT32_MAX when
  * unknown
  */
 typedef struct
 {
   uint64_t fingerprint;
+  crash_subject_kind_t kind;
   uint64_t engines[CRASH_MARK_ENGINES];
   uint32_t engine_count;
   uint32_t age_ms;
@@ -69,8 +96,8 @@
 
 /**
  * struct crash_record_options - options of crash_record_new()
- * @limit: the most requests that are remembered
- * @lifetime_us: a request is forgotten this long after its last crash
+ * @limit: the most subjects that are remembered
+ * @lifetime_us: a subject is forgotten this long after its last crash
  * @get_engine: what is known of an engine
  */
 typedef struct
@@ -82,7 +109,7 @@
 } crash_record_options_t;
 
 /**
- * struct crash_record_loss - a request whose connection to its engine broke
+ * struct crash_record_loss - a subject of a request whose connection to its engine broke
  * @sent_us: when it was sent there
  * @ran_us: for how long the engine had worked on it, 0 when nothing had come of it yet. One that
  *   ends engines mostly does so as it starts, so the others are told later
@@ -90,6 +117,7 @@
 typedef struct
 {
   uint64_t fingerprint;
+  crash_subject_kind_t kind;
   uint64_t engine_hash;
   uint64_t sent_us;
   uint64_t ran_us;
@@ -105,7 +133,7 @@
   CRASH_RECORD_KNOWN     /* this crash, or enough others, are counted already */
 } crash_record_outcome_t;
 
-/** enum crash_record_verdict - whether a request may be sent */
+/** enum crash_record_verdict - whether a request with the subject may be sent */
 typedef enum
 {
   CRASH_RECORD_ALLOWED,
@@ -121,22 +149,28 @@
 
 crash_record_t *crash_record_new (const crash_record_options_t *options);
 void crash_record_free (crash_record_t *record);
-/** crash_record_add_loss() - records that the connection of a request to its engine broke */
+/** crash_record_add_loss() - records for one subject that the connection of a request to its engine
+ * broke */
 crash_record_outcome_t
 crash_record_add_loss (crash_record_t *record, uint64_t now_us, const crash_record_loss_t *loss);
-/** crash_record_note_served() - an engine answered the request: clears it here and, by a mark, at
- * those that were told of it. Return: whether it had crashes */
+/** crash_record_note_served() - an engine answered the request, or wrote an answer on the part:
+ * clears it here and, by a mark, at those that were told of it. Return: whether it had crashes */
 bool crash_record_note_served (crash_record_t *record, uint64_t now_us, uint64_t fingerprint);
-/** crash_record_was_served() - whether the request was served within %CRASH_RECORD_SERVED_US */
-bool crash_record_was_served (const crash_record_t *record, uint64_t now_us, uint64_t fingerprint);
+/** crash_record_was_served() - whether it was served too lately to be blamed */
+bool
+crash_record_was_served (const crash_record_t *record, uint64_t now_us, crash_subject_t subject);
 /** crash_record_merge() - applies a mark of a peer. Return: whether it told something new */
 bool crash_record_merge (crash_record_t *record, uint64_t now_us, const crash_mark_t *mark);
-/** crash_record_check() - whether the request may be sent */
+/** crash_record_check() - whether a request with the subject may be sent */
 crash_record_verdict_t
 crash_record_check (crash_record_t *record, uint64_t now_us, uint64_t fingerprint);
-/** crash_record_count_crashes() - engines that count as ended by the request */
+/** crash_record_is_retrial_due() - whether one request with a refused part may be sent once more,
+ * by the first of its owners only */
+bool
+crash_record_is_retrial_due (const crash_record_t *record, uint64_t now_us, uint64_t fingerprint);
+/** crash_record_count_crashes() - engines that count as ended by the subject */
 uint32_t crash_record_count_crashes (const crash_record_t *record, uint64_t fingerprint);
-/** crash_record_is_empty() - whether nothing is remembered, so that no request has to be checked */
+/** crash_record_is_empty() - whether nothing is remembered, so that nothing has to be checked */
 bool crash_record_is_empty (const crash_record_t *record);
 /** crash_record_review() - compares all crashes that are not certain with what is known of the
  * engines now, and forgets what is over; to be called a few times a second. @registry_current:
--- a/src/request/policy/recent_answers.c
+++ b/src/request/policy/recent_answers.c
@@ -57,10 +57,19 @@
 }
 
 bool
-recent_answers_contain (const recent_answers_t *answers, uint64_t now_us, uint64_t fingerprint)
+recent_answers_contain_within (const recent_answers_t *answers,
+                               uint64_t now_us,
+                               uint64_t fingerprint,
+                               uint64_t within_us)
 {
   const entry_t *entry = entry_at (answers, fingerprint);
 
   return entry->answered_us != 0 && entry->fingerprint == fingerprint &&
-         now_us < entry->answered_us + answers->lifetime_us;
+         now_us < entry->answered_us + within_us;
+}
+
+bool
+recent_answers_contain (const recent_answers_t *answers, uint64_t now_us, uint64_t fingerprint)
+{
+  return recent_answers_contain_within (answers, now_us, fingerprint, answers->lifetime_us);
 }
--- a/src/request/policy/recent_answers.h
+++ b/src/request/policy/recent_answers.h
@@ -35,5 +35,10 @@
  * lifetime */
 bool
 recent_answers_contain (const recent_answers_t *answers, uint64_t now_us, uint64_t fingerprint);
+/** recent_answers_contain_within() - likewise, within @within_us, which is at most the lifetime */
+bool recent_answers_contain_within (const recent_answers_t *answers,
+                                    uint64_t now_us,
+                                    uint64_t fingerprint,
+                                    uint64_t within_us);
 
 #endif
--- a/tests/test_crash_record.c
+++ b/tests/test_crash_record.c
@@ -357,7 +357,7 @@
 {
   rig_t rig = { 0 };
   g_autoptr (crash_record_t) record = new_record (&rig);
-  crash_mark_t crashes = { CULPRIT, { 1, 2 }, 2, 0, 0 };
+  crash_mark_t crashes = { CULPRIT, CRASH_SUBJECT_REQUEST, { 1, 2 }, 2, 0, 0 };
   crash_mark_t served = { .fingerprint = CULPRIT, .age_ms = 20 };
 
   CU_ASSERT (crash_record_merge (record, START_US, &crashes));
@@ -377,7 +377,7 @@
 {
   rig_t rig = { 0 };
   g_autoptr (crash_record_t) record = new_record (&rig);
-  crash_mark_t mark = { CULPRIT, { 1, 2, 3 }, 3, 0, 0 };
+  crash_mark_t mark = { CULPRIT, CRASH_SUBJECT_REQUEST, { 1, 2, 3 }, 3, 0, 0 };
 
   crash_record_note_served (record, START_US, CULPRIT);
   CU_ASSERT (crash_record_merge (record, START_US + S_US, &mark));
@@ -395,7 +395,7 @@
   rig_t rig = { 0 };
   g_autoptr (crash_record_t) record = new_record (&rig);
   crash_mark_t marks[2];
-  crash_mark_t first = { CULPRIT, { 4 }, 1, 0, 100 };
+  crash_mark_t first = { CULPRIT, CRASH_SUBJECT_REQUEST, { 4 }, 1, 0, 100 };
 
   end_three (&rig, record, START_US);
   for (uint64_t engine = 1; engine <= 2; engine++)
@@ -471,7 +471,8 @@
 {
   rig_t rig = { 0 };
   g_autoptr (crash_record_t) record = new_record (&rig);
-  crash_mark_t old = { OTHER, { 1 }, 1, (uint32_t)(LIFETIME_US / MS_US) + 1, 0 };
+  crash_mark_t old = { OTHER, CRASH_SUBJECT_REQUEST, { 1 }, 1, (uint32_t)(LIFETIME_US / MS_US) + 1,
+                       0 };
 
   end_three (&rig, record, START_US);
   CU_ASSERT (!crash_record_merge (record, START_US + LIFETIME_US, &old));
@@ -538,6 +539,137 @@
     }
 }
 
+/* A request with the part is lost at the engine; it was sent there @ago_us before. */
+static crash_record_outcome_t
+lose_part (crash_record_t *record, uint64_t now_us, uint64_t engine, uint64_t ago_us)
+{
+  return crash_record_add_loss (record, now_us,
+                                &(crash_record_loss_t){ .fingerprint = CULPRIT,
+                                                        .kind = CRASH_SUBJECT_PART,
+                                                        .engine_hash = engine,
+                                                        .sent_us = now_us - ago_us });
+}
+
+/* Return: the time of the last crash */
+static uint64_t
+end_three_with_part (rig_t *rig, crash_record_t *record)
+{
+  uint64_t now_us = START_US;
+
+  for (uint64_t engine = 1; engine <= CRASH_MARK_ENGINES; engine++)
+    {
+      now_us = START_US + engine * 100 * MS_US;
+      CU_ASSERT_EQUAL (lose_part (record, now_us, engine, 100 * MS_US - 1), CRASH_RECORD_COUNTED);
+      end_engine (rig, engine);
+    }
+  CU_ASSERT_EQUAL (crash_record_check (record, now_us, CULPRIT), CRASH_RECORD_REFUSED);
+  return now_us;
+}
+
+/* Guards against a part that begins to end engines and passes as served for long. */
+static void
+test_part_is_blamed_sooner_than_a_request (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+
+  crash_record_note_served (record, START_US, CULPRIT);
+  CU_ASSERT_EQUAL (lose_part (record, START_US + S_US, 1, MS_US), CRASH_RECORD_SERVED);
+  CU_ASSERT_EQUAL (lose (record, START_US + 3 * S_US, CULPRIT, 1, MS_US), CRASH_RECORD_SERVED);
+  CU_ASSERT_EQUAL (lose_part (record, START_US + 3 * S_US, 1, MS_US), CRASH_RECORD_COUNTED);
+}
+
+/* Guards against a part that is refused for good, as nobody may show that it ends no engine. */
+static void
+test_refused_part_is_tried_again_ever_later (void)
+{
+  static const uint64_t waits_s[] = { 20, 60, 240, 300, 300 };
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  uint64_t last_us = end_three_with_part (&rig, record);
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (waits_s); i++)
+    {
+      uint64_t due_us = last_us + waits_s[i] * S_US;
+
+      CU_ASSERT (!crash_record_is_retrial_due (record, due_us - 1, CULPRIT));
+      CU_ASSERT (crash_record_is_retrial_due (record, due_us, CULPRIT));
+      crash_record_review (record, due_us, true);
+      CU_ASSERT_EQUAL (lose_part (record, due_us, 4 + i, MS_US), CRASH_RECORD_KNOWN);
+      CU_ASSERT_EQUAL (crash_record_check (record, due_us, CULPRIT), CRASH_RECORD_REFUSED);
+      last_us = due_us;
+    }
+  CU_ASSERT (crash_record_note_served (record, last_us + S_US, CULPRIT));
+  CU_ASSERT_EQUAL (crash_record_check (record, last_us + S_US, CULPRIT), CRASH_RECORD_ALLOWED);
+  CU_ASSERT (crash_record_take_news (record));
+}
+
+/* Guards against a request that is sent again because parts are. */
+static void
+test_refused_request_is_not_tried_again (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+
+  end_three (&rig, record, START_US);
+  CU_ASSERT (!crash_record_is_retrial_due (record, START_US + LIFETIME_US / 2, CULPRIT));
+}
+
+/* Guards against a second try by a gateway that takes the place of the one that made the first. */
+static void
+test_peers_learn_of_a_failed_retrial (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) owner = new_record (&rig);
+  g_autoptr (crash_record_t) other = new_record (&rig);
+  uint64_t due_us = end_three_with_part (&rig, owner) + CRASH_RECORD_RETRIAL_MIN_US;
+  crash_mark_t mark;
+
+  CU_ASSERT_EQUAL (crash_record_take_marks (owner, START_US + S_US, &mark, 2), 1);
+  crash_record_merge (other, START_US + S_US, &mark);
+  lose_part (owner, due_us, 4, MS_US);
+  CU_ASSERT (crash_record_is_retrial_due (other, due_us + S_US, CULPRIT));
+  CU_ASSERT_EQUAL (crash_record_take_marks (owner, due_us + S_US, &mark, 2), 1);
+  crash_record_merge (other, due_us + S_US, &mark);
+  CU_ASSERT (!crash_record_is_retrial_due (other, due_us + S_US, CULPRIT));
+}
+
+/* Guards against the part to blame waiting behind its many neighbours. */
+static void
+test_refused_goes_before_trials (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  crash_mark_t mark;
+
+  for (uint64_t request = 100; request < 120; request++)
+    for (uint64_t engine = 1; engine <= 2; engine++)
+      lose (record, START_US + engine * S_US, request, engine, MS_US);
+  for (uint64_t engine = 1; engine <= 3; engine++)
+    lose_part (record, START_US + engine * S_US, engine, MS_US);
+  CU_ASSERT_EQUAL (crash_record_take_marks (record, START_US + 4 * S_US, &mark, 2), 1);
+  CU_ASSERT_EQUAL (mark.fingerprint, CULPRIT);
+  CU_ASSERT_EQUAL (mark.kind, CRASH_SUBJECT_PART);
+}
+
+/* Guards against a build without parts that takes the mark of one for that of a request. */
+static void
+test_mark_of_a_part_looks_outdated_to_older_builds (void)
+{
+  xch_mark marks[XCH_MARKS] = { 0 };
+  xch_word words[XCH_WORDS] = { 0 };
+  crash_mark_t sent = { CULPRIT, CRASH_SUBJECT_PART, { 1, 2, 3 }, 3, 20, 30 };
+  xch_message message = { .marks = { 0, marks }, .words = { 0, words } };
+  crash_mark_t received;
+
+  exchange_mark_write (&message, &sent);
+  CU_ASSERT (marks[0].age_ms * MS_US > LIFETIME_US);
+  CU_ASSERT_EQUAL (exchange_mark_read (&message, 0, &received), 2);
+  CU_ASSERT_EQUAL (received.kind, CRASH_SUBJECT_PART);
+  CU_ASSERT_EQUAL (received.age_ms, 20);
+  CU_ASSERT_EQUAL (received.engine_count, 3);
+}
+
 int
 main (void)
 {
@@ -563,6 +695,13 @@
                                        SUITE_TEST (test_requests_are_forgotten),
                                        SUITE_TEST (test_exchanged_marks_still_expire),
                                        SUITE_TEST (test_marks_pass_through_messages),
+                                       SUITE_TEST (test_part_is_blamed_sooner_than_a_request),
+                                       SUITE_TEST (test_refused_part_is_tried_again_ever_later),
+                                       SUITE_TEST (test_refused_request_is_not_tried_again),
+                                       SUITE_TEST (test_peers_learn_of_a_failed_retrial),
+                                       SUITE_TEST (test_refused_goes_before_trials),
+                                       SUITE_TEST (
+                                           test_mark_of_a_part_looks_outdated_to_older_builds),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("crash_record", tests);
