--- a/soak/soak.h
+++ b/soak/soak.h
@@ -137,10 +137,15 @@
 
 #define SOAK_CRASH_TEXT "ends-upstreams"
 #define SOAK_CRASHERS_MAX 4
+#define SOAK_CRASH_PARTS 2 /* every other crasher is a part */
 
 /**
- * struct soak_crasher - a request that ends each upstream that runs it
+ * struct soak_crasher - a request that ends each upstream that runs it, or requests with a part of
+ * their prompts that does
  * @kind: SOAK_IDEMPOTENT and so on
+ * @path: of the request; of requests with a part, no two of which are alike, how it begins
+ * @part: NULL for a request
+ * @sent: requests with the part
  * @next_us: when a caller sends it next
  * @until_us: until when callers send it
  */
@@ -148,10 +153,15 @@
 {
   uint32_t kind;
   char *path;
+  const char *part;
+  uint32_t sent;
   uint64_t next_us;
   uint64_t until_us;
 } soak_crasher_t;
 
+/** soak_crash_parts - these parts */
+extern const char *const soak_crash_parts[SOAK_CRASH_PARTS];
+
 /** What happens next to the store, in a restoration from a copy. */
 typedef enum
 {
@@ -308,9 +318,11 @@
  * @kind's */
 void
 soak_send_request (soak_t *soak, uint32_t gateway, uint32_t kind, uint32_t version, bool valid_key);
-/** soak_send_to_path() - send a request with a valid key to @path, which is below the path of @kind
- */
-void soak_send_to_path (soak_t *soak, uint32_t gateway, uint32_t kind, const char *path);
+/** soak_send_to_path() - send a request with a valid key to @path, which is below the path of
+ * @kind.
+ * @part: second part of its prompt; NULL for any that ends no upstream */
+void soak_send_to_path (
+    soak_t *soak, uint32_t gateway, uint32_t kind, const char *path, const char *part);
 /** soak_send_resumption() - send a request that resumes the stream of @call after its last event */
 void soak_send_resumption (soak_t *soak, uint32_t gateway, const soak_request_t *call);
 /** soak_kind_path() - path of the requests of a kind */
--- a/soak/soak_client.c
+++ b/soak/soak_client.c
@@ -8,6 +8,7 @@
 #define GATEWAY_IP_OCTET 10
 #define GATEWAY_PORT 8080
 #define DEADLINE_MS "2400"
+#define SUBJECTS 8 /* second parts of prompts that end no upstream */
 #define CLIENT_TIMEOUT_US (UINT64_C (4000) * 1000)
 
 static const char *const paths[SOAK_KINDS] = { "/look/", "/book/", "/talk/", "/tell/" };
@@ -78,6 +79,7 @@
               uint32_t kind,
               uint32_t version,
               const char *path,
+              const char *part,
               bool valid_key,
               const soak_request_t *resumed)
 {
@@ -88,9 +90,11 @@
                                      { "X-Request-Id", NULL },
                                      { "X-Key", valid_key ? "key-1" : "key-of-nobody" },
                                      { "X-Deadline-Ms", DEADLINE_MS },
+                                     { "X-Prompt-Prefix", NULL },
                                      { "Last-Event-Id", NULL },
                                      { "Resumes", NULL } };
   g_autofree char *last_event = NULL;
+  g_autofree char *prompt = NULL;
 
   call->soak = soak;
   call->id = g_strdup_printf ("s%" G_GUINT64_FORMAT "-%u", soak->seed, ++soak->next_id);
@@ -105,9 +109,13 @@
   call->resumed = resumed;
   call->first_event = resumed ? soak_last_event (resumed) + 1 : 1;
   last_event = g_strdup_printf ("%u", call->first_event - 1);
+  prompt =
+      part ? g_strdup_printf ("f1f1:800,%s:400,%x:20", part, soak->next_id)
+           : g_strdup_printf ("f1f1:800,50b%u:400,%x:20", soak->next_id % SUBJECTS, soak->next_id);
   headers[1].value = call->id;
-  headers[4].value = last_event;
-  headers[5].value = find_first_id (resumed);
+  headers[4].value = prompt;
+  headers[5].value = last_event;
+  headers[6].value = find_first_id (resumed);
   g_ptr_array_add (soak->calls, call);
   call->http_call = http_client_start_call (
       soak->http_client,
@@ -129,19 +137,20 @@
 {
   g_autofree char *path = version > 1 ? g_strdup_printf ("/v%u/", version) : g_strdup (paths[kind]);
 
-  send_request (soak, gateway, kind, version, path, valid_key, NULL);
+  send_request (soak, gateway, kind, version, path, NULL, valid_key, NULL);
 }
 
 void
-soak_send_to_path (soak_t *soak, uint32_t gateway, uint32_t kind, const char *path)
+soak_send_to_path (
+    soak_t *soak, uint32_t gateway, uint32_t kind, const char *path, const char *part)
 {
-  send_request (soak, gateway, kind, 0, path, true, NULL);
+  send_request (soak, gateway, kind, 0, path, part, true, NULL);
 }
 
 void
 soak_send_resumption (soak_t *soak, uint32_t gateway, const soak_request_t *call)
 {
-  send_request (soak, gateway, call->kind, 0, call->path, true, call);
+  send_request (soak, gateway, call->kind, 0, call->path, NULL, true, call);
 }
 
 void
--- a/soak/soak_crash.c
+++ b/soak/soak_crash.c
@@ -1,12 +1,13 @@
-/* Requests that end each upstream that runs them: callers send them again and again, through all
- * gateways, beside all other faults. */
+/* Requests that end each upstream that runs them, and requests with a part of their prompts that
+ * does: callers send them again and again, through all gateways, beside all other faults. */
 #include "soak.h"
 
 #include <string.h>
 
-#define CRASHES_MAX 3     /* upstreams that one such request may end */
-#define LATE_SENDS_MAX 3  /* sends to upstreams that are allowed once all gateways may know */
-#define ACTIVE_MIN_MS 300 /* for how long callers send it */
+#define CRASHES_MAX 3      /* upstreams that one such request may end */
+#define PART_CRASHES_MAX 5 /* likewise, requests with such a part */
+#define LATE_SENDS_MAX 3   /* sends to upstreams that are allowed once all gateways may know */
+#define ACTIVE_MIN_MS 300  /* for how long callers send it */
 #define ACTIVE_SPREAD_MS 2200
 #define INTERVAL_MIN_MS 30 /* between two sends */
 #define INTERVAL_SPREAD_MS 170
@@ -14,6 +15,8 @@
 #define CHECK_ROUNDS 2    /* sends of the check to each gateway */
 #define CHECK_ANSWER_MS 400
 
+const char *const soak_crash_parts[SOAK_CRASH_PARTS] = { "dead01", "dead02" };
+
 static uint32_t
 draw (soak_t *soak, uint32_t below)
 {
@@ -27,13 +30,27 @@
   uint32_t active_ms = ACTIVE_MIN_MS + draw (soak, ACTIVE_SPREAD_MS);
 
   crasher->kind = draw (soak, SOAK_KINDS);
-  crasher->path = g_strdup_printf ("%s" SOAK_CRASH_TEXT "-%u", soak_kind_path (crasher->kind),
-                                   ++soak->crasher_count);
+  if (soak->crasher_count % 2 == 1)
+    crasher->part = soak_crash_parts[soak->crasher_count / 2 % SOAK_CRASH_PARTS];
+  crasher->path = crasher->part
+                      ? g_strdup_printf ("%s%s-", soak_kind_path (crasher->kind), crasher->part)
+                      : g_strdup_printf ("%s" SOAK_CRASH_TEXT "-%u", soak_kind_path (crasher->kind),
+                                         soak->crasher_count + 1);
+  soak->crasher_count++;
   crasher->until_us = soak_now_us () + (uint64_t)active_ms * 1000;
   soak->next_crasher_us = crasher->until_us + (uint64_t)draw (soak, PAUSE_MAX_MS) * 1000;
   soak_log (soak, "%s comes for %u ms", crasher->path, active_ms);
 }
 
+static void
+send_crasher (soak_t *soak, uint32_t gateway, soak_crasher_t *crasher)
+{
+  g_autofree char *path = crasher->part ? g_strdup_printf ("%s%u", crasher->path, crasher->sent++)
+                                        : g_strdup (crasher->path);
+
+  soak_send_to_path (soak, gateway, crasher->kind, path, crasher->part);
+}
+
 static void
 poll_crasher (soak_t *soak, soak_crasher_t *crasher)
 {
@@ -44,7 +61,7 @@
     return;
   interval_ms = INTERVAL_MIN_MS + draw (soak, INTERVAL_SPREAD_MS);
   crasher->next_us = now_us + (uint64_t)interval_ms * 1000;
-  soak_send_to_path (soak, draw (soak, soak->gateway_count), crasher->kind, crasher->path);
+  send_crasher (soak, draw (soak, soak->gateway_count), crasher);
 }
 
 void
@@ -66,7 +83,8 @@
       const soak_request_t *call = g_ptr_array_index (soak->calls, i);
 
       if (strcmp (call->id, id) == 0)
-        return strcmp (call->path, crasher->path) == 0;
+        return crasher->part ? g_str_has_prefix (call->path, crasher->path)
+                             : strcmp (call->path, crasher->path) == 0;
     }
   return false;
 }
@@ -104,16 +122,17 @@
 
 /* One that had not ended enough upstreams before may end the rest of them now. */
 static void
-check_crasher (soak_t *soak, const soak_crasher_t *crasher)
+check_crasher (soak_t *soak, soak_crasher_t *crasher)
 {
+  uint32_t crashes_max = crasher->part ? PART_CRASHES_MAX : CRASHES_MAX;
   uint32_t crashes = count_records (soak, crasher, "end", "crash");
   uint32_t begun = count_records (soak, crasher, "begin", NULL);
-  uint32_t allowed = LATE_SENDS_MAX + CRASHES_MAX - MIN (crashes, CRASHES_MAX);
+  uint32_t allowed = LATE_SENDS_MAX + crashes_max - MIN (crashes, crashes_max);
   uint32_t late;
 
   for (uint32_t i = 0; i < CHECK_ROUNDS * soak->gateway_count; i++)
     {
-      soak_send_to_path (soak, i % soak->gateway_count, crasher->kind, crasher->path);
+      send_crasher (soak, i % soak->gateway_count, crasher);
       soak_run_loop (soak, CHECK_ANSWER_MS);
     }
   late = count_records (soak, crasher, "begin", NULL) - begun;
--- a/soak/soak_fleet.c
+++ b/soak/soak_fleet.c
@@ -234,7 +234,11 @@
   add_argument (process, "--fail-percent=%u", streams ? 0 : 3);
   add_argument (process, "--lose-percent=%u", streams ? 0 : 2);
   if (soak->crashes)
-    add_argument (process, "--crash-on=" SOAK_CRASH_TEXT);
+    {
+      add_argument (process, "--crash-on=" SOAK_CRASH_TEXT);
+      for (uint32_t part = 0; part < SOAK_CRASH_PARTS; part++)
+        add_argument (process, "--crash-on-part=%s", soak_crash_parts[part]);
+    }
   process->may_crash = soak->crashes;
   soak->upstream_proxies[index] = soak_proxy_new (soak->base, &proxy, &own);
   soak->upstreams[index] = process;
