Parts are refused only on evidence of several requests, beside others that are answered

Causes, from the traces: (1) requests that were sent to an upstream that had ended already, through a proxy or before the entry lapsed, counted it as a crash; (2) one request that ends upstreams again and again counted for its parts each time; (3) on a small service suspects shared their trials; (4) a part that all requests have can't be told from the service; (5) a retrial that met a reset connection counted as failed, and came only after 20 s. Change: a loss at an engine that had broken off before the request was sent counts for nothing; the third crash of a part needs a second request; a request on trial waits for an engine without another one; a part is refused only once a request without it was answered (answered_parts), which marks tell; a failed retrial counts once its engine has ended, and the first one comes after 4 s, the next after five times as long as it has been refused. Owners are told what was lost most often first, then the last crash.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -407,7 +407,8 @@
                                                    engine->reported_leaving
                                                ? CRASH_RECORD_ENGINE_LEAVING
                                                : CRASH_RECORD_ENGINE_LISTED,
-                                  .sound_us = engine->sound_us };
+                                  .sound_us = engine->sound_us,
+                                  .broke_us = engine->broke_us };
 }
 
 static uint64_t
--- a/src/proto/exchange.x
+++ b/src/proto/exchange.x
@@ -21,7 +21,8 @@
  * Of a gateway's own host: "incarnation" is the era of its offset in the stream "state" (0 routing
  * rules, 1 engines, 2 routers). Streams without a word of their own are in the era of the first.
  * Between gateways, of a mark: "host_hash" is its fingerprint, "state" 16, and "incarnation" the time
- * in ms since the request was sent to the last of the mark's engines.
+ * in ms since the request was sent to the last of the mark's engines. Of a mark of a part, "sequence" is the
+ * low half of the fingerprint of that request.
  */
 struct xch_word {
   unsigned hyper host_hash;
@@ -31,7 +32,7 @@
 };
 
 /* Between gateways a mark of three engines takes two entries, one after the other; in that of a part of
- * prompts the top bit of "age_ms" is set. */
+ * prompts the top bit of "age_ms" is set, and the next one if requests without it are answered. */
 struct xch_mark {
   unsigned hyper fingerprint;
   unsigned hyper engines[2];
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -330,23 +330,18 @@
 }
 
 /* Two requests on trial that run at one engine can't be told apart when it ends, so each gets one
- * of its own where there is one. */
+ * of its own. */
 engine_choice_t
 gateway_call_choose_engine (const gateway_call_t *call)
 {
   uint64_t excluded[GATEWAY_EXCLUDED_MAX];
   uint32_t count = call->tried_count;
-  engine_choice_t choice;
 
-  if (gateway_suspect_is_on_trial (call))
-    {
-      memcpy (excluded, call->tried, count * sizeof excluded[0]);
-      count = gateway_suspect_exclude_trials (call, excluded, count);
-      choice = choose_engine (call, excluded, count);
-      if (choice.action == ENGINE_CHOICE_SEND || count == call->tried_count)
-        return choice;
-    }
-  return choose_engine (call, call->tried, call->tried_count);
+  if (!gateway_suspect_is_on_trial (call))
+    return choose_engine (call, call->tried, count);
+  memcpy (excluded, call->tried, count * sizeof excluded[0]);
+  count = gateway_suspect_exclude_trials (call, excluded, count);
+  return choose_engine (call, excluded, count);
 }
 
 void
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -302,7 +302,10 @@
   uint64_t now_us = gateway_now_us (call->gateway);
 
   if (is_unsent (end))
-    engine_note_unreachable (call->engine, now_us);
+    {
+      engine_note_break (call->engine, now_us);
+      engine_note_unreachable (call->engine, now_us);
+    }
   else
     engine_note_failure (call->engine, now_us);
 }
@@ -437,6 +440,7 @@
   call->sent_us = now_us;
   call->has_head = false;
   call->first_data_us = 0;
+  call->is_written_long = false;
   call->client_was_slow = false;
   call->last_byte_us = 0;
   memset (&call->response, 0, sizeof call->response);
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -12,6 +12,7 @@
 #include "connection/http_client.h"
 #include "connection/http_server.h"
 #include "base/latency.h"
+#include "request/policy/answered_parts.h"
 #include "request/policy/retry_plan.h"
 #include "request/gateway/event_splitter.h"
 #include "request/error_reply.h"
@@ -75,6 +76,7 @@
  * @load_gauge: load of all its engines together
  * @in_flight: requests of this gateway at its engines
  * @engines_in_use: engines that have requests of this gateway
+ * @answered: parts of the prompts that it answered last
  * @has_streams: it serves streams that may be resumed
  * @tells_origins: other gateways are told of its streams, as more than one version may serve
  * @mean_milli: mean load of its engines at the last choice, in thousandths of a request
@@ -92,6 +94,7 @@
   load_gauge_t load_gauge;
   uint64_t in_flight;
   uint32_t engines_in_use;
+  answered_parts_t answered;
   bool has_streams;
   bool tells_origins;
   uint32_t mean_milli;
@@ -201,6 +204,7 @@
  * @sent_us: time at which the last hop was sent
  * @head_us: time at which the head of its response came
  * @first_data_us: time at which the first part of its body came; 0 before that
+ * @is_written_long: for long enough to show that the parts of the prompt end no engine
  * @last_byte_us: time at which the last byte of its response came; 0 before the first
  * @events_before_head: whole events of the stream that had come before this head
  * @client_was_slow: the client read the response of the last hop slowly
@@ -248,6 +252,7 @@
   uint64_t sent_us;
   uint64_t head_us;
   uint64_t first_data_us;
+  bool is_written_long;
   uint64_t last_byte_us;
   uint64_t events_before_head;
   bool client_was_slow;
--- a/src/request/gateway/gateway_suspect.c
+++ b/src/request/gateway/gateway_suspect.c
@@ -147,14 +147,30 @@
          gateway->options.is_first_owner (subject->fingerprint, gateway->options.context);
 }
 
+static void
+confirm (const gateway_call_t *call, const crash_subject_t *subject)
+{
+  crash_record_t *crashes = call->gateway->options.crashes;
+
+  if (!crash_record_needs_confirmation (crashes, subject->fingerprint) ||
+      !answered_parts_lack (&call->service->answered, gateway_now_us (call->gateway),
+                            subject->fingerprint))
+    return;
+  crash_record_confirm (crashes, subject->fingerprint);
+  log_suspect (call, subject, "confirmed");
+  call->gateway->options.on_crashes (call->gateway->options.context);
+}
+
 /* Return: %CRASH_RECORD_ALLOWED if the request may be sent as far as this subject is concerned */
 static crash_record_verdict_t
 check_subject (const gateway_call_t *call, const crash_subject_t *subject)
 {
   const gateway_task_t *gateway = call->gateway;
-  crash_record_verdict_t verdict =
-      crash_record_check (gateway->options.crashes, gateway_now_us (gateway), subject->fingerprint);
+  crash_record_verdict_t verdict;
 
+  confirm (call, subject);
+  verdict =
+      crash_record_check (gateway->options.crashes, gateway_now_us (gateway), subject->fingerprint);
   if (verdict == CRASH_RECORD_ON_TRIAL && !is_other_running (call, subject->fingerprint))
     return CRASH_RECORD_ALLOWED;
   if (verdict < CRASH_RECORD_PENDING || !may_try_again (call, subject))
@@ -213,7 +229,7 @@
   static const char *const names[] = {
     [CRASH_RECORD_COUNTED] = "counted", [CRASH_RECORD_TOGETHER] = "together",
     [CRASH_RECORD_SERVED] = "served",   [CRASH_RECORD_PLANNED] = "planned",
-    [CRASH_RECORD_KNOWN] = "known",
+    [CRASH_RECORD_DOWN] = "down",       [CRASH_RECORD_KNOWN] = "known",
   };
 
   return names[outcome];
@@ -275,6 +291,7 @@
     {
       crash_record_loss_t loss = { .fingerprint = call->subjects[i].fingerprint,
                                    .kind = call->subjects[i].kind,
+                                   .request = call->subjects[0].fingerprint,
                                    .engine_hash = call->engine->hash,
                                    .sent_us = call->sent_us,
                                    .service_hash = service_hash,
@@ -288,6 +305,7 @@
       else
         log_part_loss (call, &loss, outcome, call->request.parts[i - 1].hash);
     }
+  engine_note_break (call->engine, now_us);
   counter_add (gateway->losses, 1);
   gateway->options.on_crashes (gateway->options.context);
 }
@@ -306,6 +324,8 @@
 static void
 note_parts_served (const gateway_call_t *call)
 {
+  answered_parts_add (&call->service->answered, gateway_now_us (call->gateway), call->subjects,
+                      call->subject_count);
   for (uint32_t i = 1; i < call->subject_count; i++)
     note_served (call, &call->subjects[i]);
 }
@@ -331,8 +351,11 @@
     return;
   if (call->first_data_us == 0)
     call->first_data_us = now_us;
-  else if (was_written_long (call, now_us))
-    note_parts_served (call);
+  else if (!call->is_written_long && was_written_long (call, now_us))
+    {
+      call->is_written_long = true;
+      note_parts_served (call);
+    }
 }
 
 /* The end of a response without a length may be that of its engine. */
--- /dev/null
+++ b/src/request/policy/answered_parts.c
@@ -0,0 +1,43 @@
+#include "request/policy/answered_parts.h"
+
+void
+answered_parts_add (answered_parts_t *answered,
+                    uint64_t now_us,
+                    const crash_subject_t *subjects,
+                    uint32_t count)
+{
+  answered_parts_answer_t answer = { .answered_us = now_us };
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (subjects[i].kind != CRASH_SUBJECT_PART)
+        continue;
+      if (answer.count == ANSWERED_PARTS_PER_ANSWER)
+        return;
+      answer.parts[answer.count++] = subjects[i].fingerprint;
+    }
+  answered->answers[answered->next++ % ANSWERED_PARTS_ANSWERS] = answer;
+}
+
+static bool
+has_part (const answered_parts_answer_t *answer, uint64_t fingerprint)
+{
+  for (uint32_t i = 0; i < answer->count; i++)
+    if (answer->parts[i] == fingerprint)
+      return true;
+  return false;
+}
+
+bool
+answered_parts_lack (const answered_parts_t *answered, uint64_t now_us, uint64_t fingerprint)
+{
+  for (uint32_t i = 0; i < ANSWERED_PARTS_ANSWERS; i++)
+    {
+      const answered_parts_answer_t *answer = &answered->answers[i];
+
+      if (answer->answered_us != 0 && now_us < answer->answered_us + ANSWERED_PARTS_LIFETIME_US &&
+          !has_part (answer, fingerprint))
+        return true;
+    }
+  return false;
+}
--- /dev/null
+++ b/src/request/policy/answered_parts.h
@@ -0,0 +1,42 @@
+/**
+ * DOC: answered_parts
+ *
+ * The shared parts of the prompts that a service answered last. A part is to blame for the ends of
+ * engines only where requests without it are answered: one that all requests of a service have
+ * can't be told from the service itself.
+ */
+#ifndef REQUEST_POLICY_ANSWERED_PARTS_H
+#define REQUEST_POLICY_ANSWERED_PARTS_H
+
+#include "request/policy/crash_record.h"
+
+#define ANSWERED_PARTS_ANSWERS 8    /* answers that are remembered */
+#define ANSWERED_PARTS_PER_ANSWER 8 /* parts of each */
+/* An answer shows for this long that the service answers. */
+#define ANSWERED_PARTS_LIFETIME_US (UINT64_C (10) * 1000 * 1000)
+
+/** struct answered_parts_answer - @answered_us: 0 for none */
+typedef struct
+{
+  uint64_t answered_us;
+  uint64_t parts[ANSWERED_PARTS_PER_ANSWER];
+  uint32_t count;
+} answered_parts_answer_t;
+
+/** struct answered_parts - the last answers of a service; zeroed at first */
+typedef struct
+{
+  answered_parts_answer_t answers[ANSWERED_PARTS_ANSWERS];
+  uint32_t next;
+} answered_parts_t;
+
+/** answered_parts_add() - a request with these subjects was answered; one with more parts than are
+ * remembered is left out */
+void answered_parts_add (answered_parts_t *answered,
+                         uint64_t now_us,
+                         const crash_subject_t *subjects,
+                         uint32_t count);
+/** answered_parts_lack() - whether a request without the part was answered lately */
+bool answered_parts_lack (const answered_parts_t *answered, uint64_t now_us, uint64_t fingerprint);
+
+#endif
--- a/src/request/policy/crash_record.c
+++ b/src/request/policy/crash_record.c
@@ -12,20 +12,24 @@
 #define SERVED_MAX 8192 /* subjects that are remembered as served */
 
 /** struct rules - what differs by kind; @served_us: time in which what was served isn't blamed;
- * @has_retrials: see crash_record_is_retrial_due() */
+ * @has_retrials: see crash_record_is_retrial_due(); @needs_confirmation: see
+ * crash_record_confirm() */
 typedef struct
 {
   uint64_t served_us;
   bool has_retrials;
+  bool needs_confirmation;
 } rules_t;
 
 static const rules_t rules[] = { [CRASH_SUBJECT_REQUEST] = { .served_us = CRASH_RECORD_SERVED_US },
                                  [CRASH_SUBJECT_PART] = { .served_us = CRASH_RECORD_PART_SERVED_US,
-                                                          .has_retrials = true } };
+                                                          .has_retrials = true,
+                                                          .needs_confirmation = true } };
 
 /**
  * struct crash - an engine that ended under a request
  * @sent_us: when the request was sent to it; 0 when unknown
+ * @request: of a part, low half of the fingerprint of that request; 0 when unknown
  * @certain: the registry shows it
  * @service_hash: service of the engine, 0 when unknown
  * @together: engines that broke off under the same subject and do not count, as they may have the
@@ -36,6 +40,7 @@
 {
   uint64_t engine_hash;
   uint64_t sent_us;
+  uint32_t request;
   uint64_t lost_us;
   bool certain;
   uint64_t service_hash;
@@ -49,6 +54,9 @@
  * @is_cleared: it was served, and has no crashes since
  * @changed_us: time of the last crash, or when it was cleared
  * @final_us: time of the crash from which on it is refused
+ * @confirmed: of a part, see crash_record_confirm()
+ * @later: the last own crash since then, if @has_later
+ * @losses: own losses since it was served, also those that do not count
  * @ran_us: as in crash_record_loss_t, of the last own loss
  * @held_until_us: it is told from then on
  * @sends_left: messages to any peer that are still to carry it
@@ -64,6 +72,10 @@
   bool is_cleared;
   uint64_t changed_us;
   uint64_t final_us;
+  bool confirmed;
+  crash_t later;
+  bool has_later;
+  uint32_t losses;
   uint64_t ran_us;
   uint64_t held_until_us;
   uint32_t sends_left;
@@ -175,6 +187,18 @@
   return entry->count == CRASH_MARK_ENGINES;
 }
 
+/* Whether a part would be refused for the crashes of one request, which may itself be to blame. */
+static bool
+lacks_other_request (const entry_t *entry, uint32_t request)
+{
+  if (request == 0 || entry->count + 1 < CRASH_MARK_ENGINES)
+    return false;
+  for (uint32_t i = 0; i < entry->count; i++)
+    if (entry->crashes[i].request == request)
+      return true;
+  return false;
+}
+
 static void
 drop_crash (entry_t *entry, uint32_t index)
 {
@@ -222,28 +246,35 @@
                              count_engines_around (entry, crash));
 }
 
+/* Return: whether the crash still counts */
+static bool
+review_crash (const crash_record_t *record, uint64_t now_us, const entry_t *entry, crash_t *crash)
+{
+  crash_record_engine_t engine;
+
+  if (crash->certain)
+    return true;
+  engine = record->options.get_engine (crash->engine_hash, record->options.context);
+  if (is_refuted (record, now_us, crash, &engine) || is_excused (record, entry, crash))
+    return false;
+  crash->certain = engine.state == CRASH_RECORD_ENGINE_ENDED;
+  return true;
+}
+
 static void
 review_entry (const crash_record_t *record, uint64_t now_us, entry_t *entry)
 {
   uint32_t i = 0;
 
   while (i < entry->count)
-    {
-      crash_t *crash = &entry->crashes[i];
-      crash_record_engine_t engine;
-
-      if (!crash->certain)
-        {
-          engine = record->options.get_engine (crash->engine_hash, record->options.context);
-          if (is_refuted (record, now_us, crash, &engine) || is_excused (record, entry, crash))
-            {
-              drop_crash (entry, i);
-              continue;
-            }
-          crash->certain = engine.state == CRASH_RECORD_ENGINE_ENDED;
-        }
+    if (review_crash (record, now_us, entry, &entry->crashes[i]))
       i++;
-    }
+    else
+      drop_crash (entry, i);
+  entry->confirmed = entry->confirmed && is_final (entry);
+  entry->has_later = entry->has_later && review_crash (record, now_us, entry, &entry->later);
+  if (entry->has_later && entry->later.certain)
+    entry->changed_us = MAX (entry->changed_us, entry->later.lost_us);
   if (entry->count < CRASH_RECORD_TRIAL_CRASHES && !entry->is_cleared)
     entry->sends_left = 0;
 }
@@ -309,6 +340,7 @@
       record->options.get_engine (loss->engine_hash, record->options.context);
   crash_t crash = { .engine_hash = loss->engine_hash,
                     .sent_us = loss->sent_us,
+                    .request = loss->kind == CRASH_SUBJECT_PART ? (uint32_t)loss->request : 0,
                     .lost_us = now_us,
                     .service_hash = loss->service_hash };
   crash_subject_t subject = { loss->fingerprint, loss->kind };
@@ -321,14 +353,21 @@
     return CRASH_RECORD_SERVED;
   if (engine.state == CRASH_RECORD_ENGINE_LEAVING)
     return CRASH_RECORD_PLANNED;
+  if (engine.broke_us != 0 && engine.broke_us >= engine.sound_us && loss->sent_us > engine.broke_us)
+    return CRASH_RECORD_DOWN;
   entry = find_or_add (record, loss->fingerprint, loss->kind);
   review_entry (record, now_us, entry);
+  entry->losses++;
   entry->ran_us = loss->ran_us;
-  if (loss->engines_in_use > LOSS_BURSTS_ENGINES_MIN)
+  if (loss->engines_in_use > LOSS_BURSTS_ENGINES_MIN && entry->count == 0)
     entry->held_until_us = now_us + CRASH_RECORD_HOLD_US;
   if (is_final (entry))
-    entry->changed_us = now_us;
-  if (is_final (entry) || has_engine (entry, loss->engine_hash))
+    {
+      entry->later = crash;
+      entry->has_later = true;
+    }
+  if (is_final (entry) || has_engine (entry, loss->engine_hash) ||
+      lacks_other_request (entry, crash.request))
     return CRASH_RECORD_KNOWN;
   if (may_have_same_cause (entry, &crash))
     {
@@ -352,6 +391,9 @@
   bool all_know = entry->count >= CRASH_RECORD_TRIAL_CRASHES || entry->sends_left > 0;
 
   entry->count = 0;
+  entry->losses = 0;
+  entry->confirmed = false;
+  entry->has_later = false;
   entry->is_cleared = true;
   entry->changed_us = cleared_us;
   if (all_know)
@@ -386,6 +428,9 @@
   bool is_new = entry->sends_left == 0 || entry->count > 0;
 
   entry->count = 0;
+  entry->losses = 0;
+  entry->confirmed = false;
+  entry->has_later = false;
   entry->is_cleared = true;
   entry->changed_us = now_us;
   announce (record, entry);
@@ -425,7 +470,8 @@
   for (uint32_t i = 0; i < mark->engine_count && !is_final (entry); i++)
     {
       crash.engine_hash = mark->engines[i];
-      if (!has_engine (entry, crash.engine_hash) &&
+      crash.request = i + 1 == mark->engine_count ? mark->request : 0;
+      if (!has_engine (entry, crash.engine_hash) && !lacks_other_request (entry, crash.request) &&
           !is_sound (record, crash.engine_hash, crash.lost_us))
         add_crash (record, entry, &crash);
     }
@@ -442,6 +488,17 @@
     entry->changed_us = lost_us;
 }
 
+/* Return: whether it was not known */
+static bool
+adopt_confirmation (crash_record_t *record, entry_t *entry, const crash_mark_t *mark)
+{
+  if (!mark->confirmed || entry->confirmed || !is_final (entry))
+    return false;
+  entry->confirmed = true;
+  announce (record, entry);
+  return true;
+}
+
 static uint64_t
 time_ago_us (uint64_t now_us, uint32_t age_ms)
 {
@@ -472,8 +529,11 @@
   if (entry->count >= CRASH_RECORD_TRIAL_CRASHES && mark->engine_count < entry->count)
     entry->sends_left = MAX (entry->sends_left, 1);
   adopt_later_crash (entry, mark, crash.lost_us);
+  if (adopt_confirmation (record, entry, mark))
+    return true;
   if (is_final (entry) || !merge_engines (record, entry, mark, crash))
     return false;
+  adopt_confirmation (record, entry, mark);
   if (entry->count >= CRASH_RECORD_TRIAL_CRASHES)
     announce (record, entry);
   return true;
@@ -489,7 +549,7 @@
   review_entry (record, now_us, entry);
   if (entry->count < CRASH_RECORD_TRIAL_CRASHES)
     return CRASH_RECORD_ALLOWED;
-  if (!is_final (entry))
+  if (!is_final (entry) || crash_record_needs_confirmation (record, fingerprint))
     return CRASH_RECORD_ON_TRIAL;
   for (uint32_t i = 0; i < entry->count; i++)
     if (!entry->crashes[i].certain)
@@ -501,13 +561,33 @@
 crash_record_is_retrial_due (const crash_record_t *record, uint64_t now_us, uint64_t fingerprint)
 {
   const entry_t *entry = find (record, fingerprint);
+  uint64_t last_us;
   uint64_t wait_us;
 
   if (!entry || !is_final (entry) || !rules[entry->kind].has_retrials)
     return false;
-  wait_us = (entry->changed_us - entry->final_us) * CRASH_RECORD_RETRIAL_FACTOR;
-  return now_us >= entry->changed_us +
-                       CLAMP (wait_us, CRASH_RECORD_RETRIAL_MIN_US, CRASH_RECORD_RETRIAL_MAX_US);
+  last_us = MAX (entry->changed_us, entry->has_later ? entry->later.lost_us : 0);
+  wait_us = (last_us - entry->final_us) * CRASH_RECORD_RETRIAL_FACTOR;
+  return now_us >=
+         last_us + CLAMP (wait_us, CRASH_RECORD_RETRIAL_MIN_US, CRASH_RECORD_RETRIAL_MAX_US);
+}
+
+bool
+crash_record_needs_confirmation (const crash_record_t *record, uint64_t fingerprint)
+{
+  const entry_t *entry = find (record, fingerprint);
+
+  return entry && is_final (entry) && rules[entry->kind].needs_confirmation && !entry->confirmed;
+}
+
+void
+crash_record_confirm (crash_record_t *record, uint64_t fingerprint)
+{
+  entry_t *entry = find (record, fingerprint);
+
+  g_assert (entry && is_final (entry));
+  entry->confirmed = true;
+  announce (record, entry);
 }
 
 uint32_t
@@ -551,6 +631,7 @@
 {
   crash_mark_t mark = { .fingerprint = entry->fingerprint,
                         .kind = entry->kind,
+                        .confirmed = entry->confirmed,
                         .engine_count = entry->count,
                         .age_ms = age_ms (now_us, entry->changed_us),
                         .sent_age_ms = UINT32_MAX };
@@ -559,6 +640,8 @@
     mark.engines[i] = entry->crashes[i].engine_hash;
   if (entry->count > 0 && last_crash (entry)->sent_us > 0)
     mark.sent_age_ms = age_ms (now_us, last_crash (entry)->sent_us);
+  if (entry->count > 0)
+    mark.request = last_crash (entry)->request;
   return mark;
 }
 
@@ -655,6 +738,21 @@
   return true;
 }
 
+/* Whether the owners are to be told of one sooner than of another: what was lost more often, then
+ * the crash that came last, and of one crash the request on which the engine had worked least. With
+ * the oldest first, a gateway that loses more than it may tell would never come to the next crash.
+ */
+static bool
+is_told_before (const entry_t *one, const entry_t *other)
+{
+  if (one->losses != other->losses)
+    return one->losses > other->losses;
+  if (one->changed_us > other->changed_us + CRASH_RECORD_HOLD_US ||
+      other->changed_us > one->changed_us + CRASH_RECORD_HOLD_US)
+    return one->changed_us > other->changed_us;
+  return one->ran_us < other->ran_us;
+}
+
 bool
 crash_record_take_owner_mark (crash_record_t *record, uint64_t now_us, crash_mark_t *out)
 {
@@ -666,7 +764,7 @@
 
       review_entry (record, now_us, entry);
       if (entry->owners_due && now_us >= entry->held_until_us &&
-          (entry->count > 0 || entry->told) && (!first || entry->ran_us < first->ran_us))
+          (entry->count > 0 || entry->told) && (!first || is_told_before (entry, first)))
         first = entry;
     }
   if (!first)
--- a/src/request/policy/crash_record.h
+++ b/src/request/policy/crash_record.h
@@ -41,8 +41,8 @@
 /* A part that is refused may be sent once more after this time, and after this multiple of the time
  * for which it has been refused when that is longer, up to a maximum. Nothing else would show that
  * it was refused wrongly. */
-#define CRASH_RECORD_RETRIAL_MIN_US (UINT64_C (20) * 1000 * 1000)
-#define CRASH_RECORD_RETRIAL_FACTOR 3
+#define CRASH_RECORD_RETRIAL_MIN_US (UINT64_C (4) * 1000 * 1000)
+#define CRASH_RECORD_RETRIAL_FACTOR 5
 #define CRASH_RECORD_RETRIAL_MAX_US (UINT64_C (300) * 1000 * 1000)
 /* A crash is told this much later where it may turn out to be one of most engines. */
 #define CRASH_RECORD_HOLD_US (UINT64_C (40) * 1000)
@@ -68,7 +68,9 @@
  * @engines: hashes of the engines that ended, @engine_count of them; none when it was served
  * @age_ms: time since the last crash, or since it was served
  * @sent_age_ms: time since a request with it was sent to the last of the engines; %UINT32_MAX when
- * unknown
+ *   unknown
+ * @request: of a part, low half of the fingerprint of that request; 0 when unknown
+ * @confirmed: of a part, see crash_record_confirm()
  */
 typedef struct
 {
@@ -78,6 +80,8 @@
   uint32_t engine_count;
   uint32_t age_ms;
   uint32_t sent_age_ms;
+  uint32_t request;
+  bool confirmed;
 } crash_mark_t;
 
 #define CRASH_MARK_PART_ENGINES 2 /* engines that one part of a message holds */
@@ -90,11 +94,14 @@
 } crash_record_engine_state_t;
 
 /** struct crash_record_engine - what shows whether an engine ended; @sound_us: when the latest
- * request that it answered was sent, 0 for none */
+ * request that it answered was sent, 0 for none; @broke_us: when it first broke off since, 0 for
+ * not
+ */
 typedef struct
 {
   crash_record_engine_state_t state;
   uint64_t sound_us;
+  uint64_t broke_us;
 } crash_record_engine_t;
 
 /**
@@ -113,6 +120,8 @@
 
 /**
  * struct crash_record_loss - a subject of a request whose connection to its engine broke
+ * @request: fingerprint of the request. A part is not refused for the crashes of a single one,
+ * which may itself be to blame
  * @sent_us: when it was sent there
  * @service_hash: service of the engine
  * @engines_in_use: engines of that service that had requests of this gateway just before, also lost
@@ -124,6 +133,7 @@
 {
   uint64_t fingerprint;
   crash_subject_kind_t kind;
+  uint64_t request;
   uint64_t engine_hash;
   uint64_t sent_us;
   uint64_t service_hash;
@@ -138,6 +148,7 @@
   CRASH_RECORD_TOGETHER, /* may have the cause of the crash before, or of those of most engines */
   CRASH_RECORD_SERVED,   /* the request was served lately */
   CRASH_RECORD_PLANNED,  /* the engine was leaving */
+  CRASH_RECORD_DOWN,     /* the engine had broken off before the request was sent */
   CRASH_RECORD_KNOWN     /* this crash, or enough others, are counted already */
 } crash_record_outcome_t;
 
@@ -176,6 +187,11 @@
  * by the first of its owners only */
 bool
 crash_record_is_retrial_due (const crash_record_t *record, uint64_t now_us, uint64_t fingerprint);
+/** crash_record_needs_confirmation() - whether enough engines have ended under a part, but it is
+ * not known yet that requests without it are answered; until then it is on trial */
+bool crash_record_needs_confirmation (const crash_record_t *record, uint64_t fingerprint);
+/** crash_record_confirm() - a request without the part was answered by its service */
+void crash_record_confirm (crash_record_t *record, uint64_t fingerprint);
 /** crash_record_count_crashes() - engines that count as ended by the subject */
 uint32_t crash_record_count_crashes (const crash_record_t *record, uint64_t fingerprint);
 /** crash_record_is_empty() - whether nothing is remembered, so that nothing has to be checked */
@@ -197,8 +213,8 @@
 /** crash_record_take_news() - whether there is a change to be told to all since the last call */
 bool crash_record_take_news (crash_record_t *record, uint64_t now_us);
 /** crash_record_take_owner_mark() - gets the next mark that is due to be told to the owners of its
- * fingerprint alone, that of the request on which an engine had worked least first. Return: false
- * when there is none */
+ * fingerprint alone: what was lost most often first, then the last crash, and of one crash the
+ * request on which the engine had worked least. Return: false when there is none */
 bool crash_record_take_owner_mark (crash_record_t *record, uint64_t now_us, crash_mark_t *out);
 /** crash_record_rank_owner() - rank of a gateway, by the hash of its name, as an owner of the
  * fingerprint; the highest ranks first */
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines.c
@@ -405,6 +405,13 @@
   return now_us < MAX (silent_from_us, engine->last_sent_us) + probe_interval_us;
 }
 
+void
+engine_note_break (engine_t *engine, uint64_t now_us)
+{
+  if (engine->broke_us == 0 || engine->sound_us > engine->broke_us)
+    engine->broke_us = now_us;
+}
+
 void
 engine_begin_request (engine_t *engine, uint64_t now_us)
 {
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines.h
@@ -106,6 +106,7 @@
  *   in thousandths; 0 when unknown
  * @last_byte_us: when its last byte was received
  * @sound_us: when the latest request that it answered was sent
+ * @broke_us: when it first broke off, or could not be reached, since it last answered; 0 for never
  * @unanswered_since_us: when the first request after that byte was sent
  * @last_sent_us: when this gateway last sent a request there
  * @joined_us: when the engine was first seen, or returned; 0 when it was in the first list that
@@ -151,6 +152,7 @@
   uint32_t latency_ratio_milli;
   uint64_t last_byte_us;
   uint64_t sound_us;
+  uint64_t broke_us;
   uint64_t unanswered_since_us;
   uint64_t last_sent_us;
   uint64_t joined_us;
@@ -286,6 +288,8 @@
 /** engine_begin_request() - counts a request that is sent to @engine, and keeps a reference for it
  */
 void engine_begin_request (engine_t *engine, uint64_t now_us);
+/** engine_note_break() - it broke off a request, or can't be reached */
+void engine_note_break (engine_t *engine, uint64_t now_us);
 /** engine_end_request() - ends a request that engine_begin_request() counted; may free @engine */
 void engine_end_request (engine_t *engine);
 /** engine_note_load() - records the @load that @engine reported in an answer */
--- a/tests/session_part_crash.c
+++ b/tests/session_part_crash.c
@@ -17,7 +17,7 @@
 #define CONTACT_MS 3000      /* after which all gateways know what any of them has learned */
 #define CRASHES_MAX 5        /* upstreams that one part may end before the time runs */
 #define LATE_SENDS_MAX 3     /* sends to upstreams that are allowed later */
-#define PLAY_MS 15000
+#define PLAY_MS 18000
 #define GATEWAY_KILL_MS 2500 /* from one kill of a gateway to the next */
 #define DEADLY_PARTS 2
 
