--- a/tests/driver.h
+++ b/tests/driver.h
@@ -404,7 +404,8 @@
 /** driver_send_request() - Send a request to a router and return at once. */
 driver_call_t *driver_send_request (driver_t *driver, const driver_request_t *request);
 /**
- * driver_send_http() - Send any HTTP request to DRIVER_PORT of @ip and return at once.
+ * driver_send_http() - Send any HTTP request to DRIVER_PORT of @ip, or to the port that follows it
+ * after a colon, and return at once.
  * @headers: Complete header lines, each ending in CRLF, or NULL.
  * @body: Text, or NULL for an empty body.
  */
--- a/tests/driver_call.c
+++ b/tests/driver_call.c
@@ -136,9 +136,11 @@
                         size_t body_bytes)
 {
   driver_call_t *call = g_new0 (driver_call_t, 1);
-  struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons (DRIVER_PORT) };
+  g_auto (GStrv) address = g_strsplit (ip, ":", 2);
+  guint64 port = address[1] != NULL ? g_ascii_strtoull (address[1], NULL, 10) : DRIVER_PORT;
+  struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
   struct evbuffer *output;
-  inet_pton (AF_INET, ip, &to.sin_addr);
+  inet_pton (AF_INET, address[0], &to.sin_addr);
   call->driver = driver;
   call->headers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   call->body = g_string_new (NULL);
