--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -239,42 +239,6 @@
   http_server->closing = true;
 }
 
-bool
-http_server_refuse (http_server_t *http_server, bool refuse)
-{
-  if (http_server->stopping || refuse == !http_server->bound)
-    return true;
-  if (!refuse)
-    return bind_listener (http_server, NULL);
-  http_server->options.listen.port = http_server_port (http_server);
-  http_server->paused = false;
-  unlisten (http_server);
-  return true;
-}
-
-bool
-http_server_reached_quota (const http_server_t *http_server)
-{
-  return http_server->has_quota && http_server->quota_left == 0;
-}
-
-void
-http_server_limit_accepts (http_server_t *http_server, uint32_t quota)
-{
-  bool was_reached = http_server_reached_quota (http_server);
-
-  http_server->has_quota = quota > 0;
-  http_server->quota_left = quota;
-  if (was_reached && http_server_refuse (http_server, true))
-    http_server_refuse (http_server, false);
-}
-
-uint32_t
-http_server_connection_count (const http_server_t *http_server)
-{
-  return http_server->open_count;
-}
-
 void
 http_server_stop (http_server_t *http_server)
 {
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -76,16 +76,6 @@
 void http_server_pause_accepting (http_server_t *http_server);
 /** http_server_resume_accepting() - accept connections again after http_server_pause_accepting() */
 void http_server_resume_accepting (http_server_t *http_server);
-/** http_server_refuse() - close the listening socket, or open it again: new connections, and those
- * in the kernel's queue, are reset unread meanwhile. Return: false if it can't be opened */
-bool http_server_refuse (http_server_t *http_server, bool refuse);
-/** http_server_limit_accepts() - take @quota connections from now on, 0 for any number; the others
- * wait in the kernel's queue until the next call, which resets them unread */
-void http_server_limit_accepts (http_server_t *http_server, uint32_t quota);
-/** http_server_reached_quota() - whether these connections have come */
-bool http_server_reached_quota (const http_server_t *http_server);
-/** http_server_connection_count() - all open connections */
-uint32_t http_server_connection_count (const http_server_t *http_server);
 /** http_server_stop() - stop listening and send "Connection: close" in all responses from now on.
  * Connections in the kernel's queue are still accepted. Idle ones are closed after
  * %LIMIT_HTTP_STOP_LINGER_MS, since a request may be on its way */
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -20,8 +20,7 @@
 {
   struct evconnlistener *listener;
 
-  if (!http_server->bound || http_server->paused == !accepting ||
-      (accepting && http_server->has_quota && http_server->quota_left == 0))
+  if (!http_server->bound || http_server->paused == !accepting)
     return;
   http_server->paused = !accepting;
   listener = evhttp_bound_socket_get_listener (http_server->bound);
@@ -315,11 +314,8 @@
   bufferevent_incref (bev);
   g_hash_table_insert (http_server->new_conns, bev, conn);
   http_server_conn_defer (conn);
-  if (http_server->has_quota && http_server->quota_left > 0)
-    http_server->quota_left--;
-  if ((http_server->has_quota && http_server->quota_left == 0) ||
-      http_server->open_count >=
-          (uint64_t)http_server->options.connection_limit + LIMIT_HTTP_EXCESS_CONNECTIONS)
+  if (http_server->open_count >=
+      (uint64_t)http_server->options.connection_limit + LIMIT_HTTP_EXCESS_CONNECTIONS)
     set_accepting (http_server, false);
   return bev;
 }
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -42,7 +42,6 @@
  * @busy_count: connections with a request whose response has not been sent completely
  * @closing: responses have "Connection: close"
  * @paused: the listener accepts no connections
- * @has_quota: it accepts @quota_left more, see http_server_limit_accepts()
  */
 struct http_server
 {
@@ -58,8 +57,6 @@
   struct event *close_idle;
   uint64_t incomplete_bytes;
   uint32_t open_count;
-  bool has_quota;
-  uint32_t quota_left;
   uint32_t busy_count;
   bool stopping;
   bool closing;
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -109,31 +109,6 @@
   gateway->options.on_crashes (gateway->options.context);
 }
 
-static void
-update_accept_gate (gateway_task_t *gateway)
-{
-  uint64_t now_us = gateway_now_us (gateway);
-  uint64_t due_us = gateway->ticked_us + GATEWAY_TICK_MS * CLOCK_US_PER_MS;
-  uint64_t late_us = gateway->ticked_us != 0 && now_us > due_us ? now_us - due_us : 0;
-  accept_gate_input_t input = { .late_us = late_us,
-                                .connections = http_server_connection_count (gateway->listener),
-                                .connection_limit = gateway->options.settings->connection_limit,
-                                .quota_used = http_server_reached_quota (gateway->listener) };
-  bool closed;
-
-  gateway->ticked_us = now_us;
-  if (accept_gate_update (&gateway->accept_gate, &input))
-    {
-      closed = gateway->accept_gate.closed;
-      counter_add (gateway->accept_refusals, closed ? 1 : 0);
-      log_event (LOG_LEVEL_WARNING, "new_connections", "outcome", closed ? "refused" : "taken",
-                 "late_ms", LOG_U64 (late_us / CLOCK_US_PER_MS), "connections",
-                 LOG_U64 (input.connections), NULL);
-    }
-  http_server_refuse (gateway->listener, gateway->accept_gate.closed);
-  http_server_limit_accepts (gateway->listener, gateway->accept_gate.quota);
-}
-
 static void
 on_tick (evutil_socket_t fd, short what, void *context)
 {
@@ -141,7 +116,6 @@
 
   (void)fd;
   (void)what;
-  update_accept_gate (gateway);
   dispatch_all (gateway);
   gateway_resume_poll (gateway);
   if (++gateway->ticks % GATEWAY_WATCH_TICKS != 0)
@@ -188,9 +162,6 @@
   gateway->part_retrials =
       counter_get (registry, "medlarplank_gateway_part_retrials_total",
                    "Requests sent once more to see whether a refused part still ends engines");
-  gateway->accept_refusals =
-      counter_get (registry, "medlarplank_gateway_accept_refusals_total",
-                   "Times that new connections began to be refused, as more came than are served");
   gateway->resumptions = counter_get (registry, "medlarplank_gateway_resumptions_total",
                                       "Requests by which clients resume streams");
   gateway->versions_gauge =
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -12,7 +12,6 @@
 #include "connection/http_client.h"
 #include "connection/http_server.h"
 #include "base/latency.h"
-#include "request/policy/accept_gate.h"
 #include "request/policy/answered_parts.h"
 #include "request/policy/retry_plan.h"
 #include "request/gateway/event_splitter.h"
@@ -143,8 +142,6 @@
   recent_answers_t *cache_warm; /* prompts and engines that read their shared parts lately */
   gateway_route_stats_t route_stats[GATEWAY_ROUTE_STATS_SLOTS];
   uint32_t ticks;
-  uint64_t ticked_us; /* last tick, 0 before */
-  accept_gate_t accept_gate;
   struct event *tick_timer;
   uint64_t next_call_number;
   counter_t *answered;
@@ -158,7 +155,6 @@
   counter_t *suspect_refused;
   counter_t *part_refused;
   counter_t *part_retrials;
-  counter_t *accept_refusals;
   counter_t *resumptions;
   counter_t *resumptions_refused;
   counter_t *versions_gauge;
