An answer without a part confirms it also when the part comes again much later

Cause: a part is refused once its service has answered a request without it, and the gateway looked for one of the last ten seconds when a request with the part came. The part came again after half a minute without other requests, so it was on trial at each of the 40 gateways. Change: the answer must be later than ten seconds before the crash for which the part is refused, however old it is now.

--- a/src/request/gateway/gateway_suspect.c
+++ b/src/request/gateway/gateway_suspect.c
@@ -151,10 +151,10 @@
 confirm (const gateway_call_t *call, const crash_subject_t *subject)
 {
   crash_record_t *crashes = call->gateway->options.crashes;
+  uint64_t from_us;
 
-  if (!crash_record_needs_confirmation (crashes, subject->fingerprint) ||
-      !answered_parts_lack (&call->service->answered, gateway_now_us (call->gateway),
-                            subject->fingerprint))
+  if (!crash_record_needs_confirmation (crashes, subject->fingerprint, &from_us) ||
+      !answered_parts_lack (&call->service->answered, from_us, subject->fingerprint))
     return;
   crash_record_confirm (crashes, subject->fingerprint);
   log_suspect (call, subject, "confirmed");
--- a/src/request/policy/answered_parts.c
+++ b/src/request/policy/answered_parts.c
@@ -29,14 +29,13 @@
 }
 
 bool
-answered_parts_lack (const answered_parts_t *answered, uint64_t now_us, uint64_t fingerprint)
+answered_parts_lack (const answered_parts_t *answered, uint64_t from_us, uint64_t fingerprint)
 {
   for (uint32_t i = 0; i < ANSWERED_PARTS_ANSWERS; i++)
     {
       const answered_parts_answer_t *answer = &answered->answers[i];
 
-      if (answer->answered_us != 0 && now_us < answer->answered_us + ANSWERED_PARTS_LIFETIME_US &&
-          !has_part (answer, fingerprint))
+      if (answer->answered_us > from_us && !has_part (answer, fingerprint))
         return true;
     }
   return false;
--- a/src/request/policy/answered_parts.h
+++ b/src/request/policy/answered_parts.h
@@ -12,9 +12,6 @@
 
 #define ANSWERED_PARTS_ANSWERS 8    /* answers that are remembered */
 #define ANSWERED_PARTS_PER_ANSWER 8 /* parts of each */
-/* An answer shows for this long that the service answers. */
-#define ANSWERED_PARTS_LIFETIME_US (UINT64_C (10) * 1000 * 1000)
-
 /** struct answered_parts_answer - @answered_us: 0 for none */
 typedef struct
 {
@@ -36,7 +33,7 @@
                          uint64_t now_us,
                          const crash_subject_t *subjects,
                          uint32_t count);
-/** answered_parts_lack() - whether a request without the part was answered lately */
-bool answered_parts_lack (const answered_parts_t *answered, uint64_t now_us, uint64_t fingerprint);
+/** answered_parts_lack() - whether a request without the part was answered after @from_us */
+bool answered_parts_lack (const answered_parts_t *answered, uint64_t from_us, uint64_t fingerprint);
 
 #endif
--- a/src/request/policy/crash_record.c
+++ b/src/request/policy/crash_record.c
@@ -199,6 +199,12 @@
   return false;
 }
 
+static bool
+is_unconfirmed (const entry_t *entry)
+{
+  return is_final (entry) && rules[entry->kind].needs_confirmation && !entry->confirmed;
+}
+
 static void
 drop_crash (entry_t *entry, uint32_t index)
 {
@@ -549,7 +555,7 @@
   review_entry (record, now_us, entry);
   if (entry->count < CRASH_RECORD_TRIAL_CRASHES)
     return CRASH_RECORD_ALLOWED;
-  if (!is_final (entry) || crash_record_needs_confirmation (record, fingerprint))
+  if (!is_final (entry) || is_unconfirmed (entry))
     return CRASH_RECORD_ON_TRIAL;
   for (uint32_t i = 0; i < entry->count; i++)
     if (!entry->crashes[i].certain)
@@ -573,11 +579,16 @@
 }
 
 bool
-crash_record_needs_confirmation (const crash_record_t *record, uint64_t fingerprint)
+crash_record_needs_confirmation (const crash_record_t *record,
+                                 uint64_t fingerprint,
+                                 uint64_t *from_us)
 {
   const entry_t *entry = find (record, fingerprint);
 
-  return entry && is_final (entry) && rules[entry->kind].needs_confirmation && !entry->confirmed;
+  if (!entry || !is_unconfirmed (entry))
+    return false;
+  *from_us = entry->final_us - MIN (CRASH_RECORD_CONTRAST_US, entry->final_us);
+  return true;
 }
 
 void
--- a/tests/test_part_fleet.c
+++ b/tests/test_part_fleet.c
@@ -171,10 +171,11 @@
     {
       uint64_t fingerprint = run->subjects[i].fingerprint;
       crash_record_verdict_t verdict;
+      uint64_t from_us;
       bool is_alone;
 
-      if (crash_record_needs_confirmation (record, fingerprint) &&
-          answered_parts_lack (&play->answered[run->gateway], now_us, fingerprint))
+      if (crash_record_needs_confirmation (record, fingerprint, &from_us) &&
+          answered_parts_lack (&play->answered[run->gateway], from_us, fingerprint))
         crash_record_confirm (record, fingerprint);
       verdict = crash_record_check (record, now_us, fingerprint);
       is_alone = verdict != CRASH_RECORD_ALLOWED && !is_other_running (run, fingerprint);
