Engines that a part ends through other gateways excuse it no more; any remembered answer confirms

Cause: a loss counts for nothing when half of the engines that a gateway uses break off within 500 ms without the part; requests with it at other gateways end those engines, which this gateway can't know. Change: within 50 ms, in which all engines that are killed at once break off. Cause: only an answer from shortly before the third crash or later confirmed the part, so it stayed on trial at each gateway. Change: any answer without the part that is remembered does.

--- a/src/request/gateway/gateway_suspect.c
+++ b/src/request/gateway/gateway_suspect.c
@@ -151,10 +151,9 @@
 confirm (const gateway_call_t *call, const crash_subject_t *subject)
 {
   crash_record_t *crashes = call->gateway->options.crashes;
-  uint64_t from_us;
 
-  if (!crash_record_needs_confirmation (crashes, subject->fingerprint, &from_us) ||
-      !answered_parts_lack (&call->service->answered, from_us, subject->fingerprint))
+  if (!crash_record_needs_confirmation (crashes, subject->fingerprint) ||
+      !answered_parts_lack (&call->service->answered, subject->fingerprint))
     return;
   crash_record_confirm (crashes, subject->fingerprint);
   log_suspect (call, subject, "confirmed");
@@ -324,8 +323,7 @@
 static void
 note_parts_served (const gateway_call_t *call)
 {
-  answered_parts_add (&call->service->answered, gateway_now_us (call->gateway), call->subjects,
-                      call->subject_count);
+  answered_parts_add (&call->service->answered, call->subjects, call->subject_count);
   for (uint32_t i = 1; i < call->subject_count; i++)
     note_served (call, &call->subjects[i]);
 }
--- a/src/request/policy/answered_parts.c
+++ b/src/request/policy/answered_parts.c
@@ -1,12 +1,9 @@
 #include "request/policy/answered_parts.h"
 
 void
-answered_parts_add (answered_parts_t *answered,
-                    uint64_t now_us,
-                    const crash_subject_t *subjects,
-                    uint32_t count)
+answered_parts_add (answered_parts_t *answered, const crash_subject_t *subjects, uint32_t count)
 {
-  answered_parts_answer_t answer = { .answered_us = now_us };
+  answered_parts_answer_t answer = { 0 };
 
   for (uint32_t i = 0; i < count; i++)
     {
@@ -16,7 +13,7 @@
         return;
       answer.parts[answer.count++] = subjects[i].fingerprint;
     }
-  answered->answers[answered->next++ % ANSWERED_PARTS_ANSWERS] = answer;
+  answered->answers[answered->count++ % ANSWERED_PARTS_ANSWERS] = answer;
 }
 
 static bool
@@ -29,14 +26,10 @@
 }
 
 bool
-answered_parts_lack (const answered_parts_t *answered, uint64_t from_us, uint64_t fingerprint)
+answered_parts_lack (const answered_parts_t *answered, uint64_t fingerprint)
 {
-  for (uint32_t i = 0; i < ANSWERED_PARTS_ANSWERS; i++)
-    {
-      const answered_parts_answer_t *answer = &answered->answers[i];
-
-      if (answer->answered_us > from_us && !has_part (answer, fingerprint))
-        return true;
-    }
+  for (uint32_t i = 0; i < ANSWERED_PARTS_ANSWERS && i < answered->count; i++)
+    if (!has_part (&answered->answers[i], fingerprint))
+      return true;
   return false;
 }
--- a/src/request/policy/answered_parts.h
+++ b/src/request/policy/answered_parts.h
@@ -12,28 +12,27 @@
 
 #define ANSWERED_PARTS_ANSWERS 8    /* answers that are remembered */
 #define ANSWERED_PARTS_PER_ANSWER 8 /* parts of each */
-/** struct answered_parts_answer - @answered_us: 0 for none */
+/** struct answered_parts_answer - the parts of one prompt */
 typedef struct
 {
-  uint64_t answered_us;
   uint64_t parts[ANSWERED_PARTS_PER_ANSWER];
   uint32_t count;
 } answered_parts_answer_t;
 
-/** struct answered_parts - the last answers of a service; zeroed at first */
+/** struct answered_parts - the last answers of a service; zeroed at first; @count: of all answers
+ * so far
+ */
 typedef struct
 {
   answered_parts_answer_t answers[ANSWERED_PARTS_ANSWERS];
-  uint32_t next;
+  uint32_t count;
 } answered_parts_t;
 
 /** answered_parts_add() - a request with these subjects was answered; one with more parts than are
  * remembered is left out */
-void answered_parts_add (answered_parts_t *answered,
-                         uint64_t now_us,
-                         const crash_subject_t *subjects,
-                         uint32_t count);
-/** answered_parts_lack() - whether a request without the part was answered after @from_us */
-bool answered_parts_lack (const answered_parts_t *answered, uint64_t from_us, uint64_t fingerprint);
+void
+answered_parts_add (answered_parts_t *answered, const crash_subject_t *subjects, uint32_t count);
+/** answered_parts_lack() - whether one of the answers was to a request without the part */
+bool answered_parts_lack (const answered_parts_t *answered, uint64_t fingerprint);
 
 #endif
--- a/src/request/policy/crash_record.c
+++ b/src/request/policy/crash_record.c
@@ -579,16 +579,11 @@
 }
 
 bool
-crash_record_needs_confirmation (const crash_record_t *record,
-                                 uint64_t fingerprint,
-                                 uint64_t *from_us)
+crash_record_needs_confirmation (const crash_record_t *record, uint64_t fingerprint)
 {
   const entry_t *entry = find (record, fingerprint);
 
-  if (!entry || !is_unconfirmed (entry))
-    return false;
-  *from_us = entry->final_us - MIN (CRASH_RECORD_CONTRAST_US, entry->final_us);
-  return true;
+  return entry && is_unconfirmed (entry);
 }
 
 void
--- a/src/request/policy/crash_record.h
+++ b/src/request/policy/crash_record.h
@@ -187,16 +187,9 @@
  * by the first of its owners only */
 bool
 crash_record_is_retrial_due (const crash_record_t *record, uint64_t now_us, uint64_t fingerprint);
-/* An answer without a part shows that the service answers, if it came no longer than this before
- * the crash for which the part is refused. */
-#define CRASH_RECORD_CONTRAST_US (UINT64_C (10) * 1000 * 1000)
-
 /** crash_record_needs_confirmation() - whether enough engines have ended under a part, but it is
- * not known yet that requests without it are answered, after *@from_us; until then it is on trial
- */
-bool crash_record_needs_confirmation (const crash_record_t *record,
-                                      uint64_t fingerprint,
-                                      uint64_t *from_us);
+ * not known yet that requests without it are answered; until then it is on trial */
+bool crash_record_needs_confirmation (const crash_record_t *record, uint64_t fingerprint);
 /** crash_record_confirm() - a request without the part was answered by its service */
 void crash_record_confirm (crash_record_t *record, uint64_t fingerprint);
 /** crash_record_count_crashes() - engines that count as ended by the subject */
--- a/src/request/policy/loss_bursts.h
+++ b/src/request/policy/loss_bursts.h
@@ -12,7 +12,7 @@
 #include <stdint.h>
 
 /* Engines that break off within this time do so together. */
-#define LOSS_BURSTS_SPAN_US (UINT64_C (500) * 1000)
+#define LOSS_BURSTS_SPAN_US (UINT64_C (50) * 1000)
 #define LOSS_BURSTS_SERVICES 8 /* services whose last burst is remembered */
 #define LOSS_BURSTS_ENGINES 64 /* engines of a burst; it counts as of no more */
 /* Fewer engines may end under two requests at the same time. */
--- a/tests/test_crash_record.c
+++ b/tests/test_crash_record.c
@@ -556,7 +556,6 @@
 static uint64_t
 end_three_with_part (rig_t *rig, crash_record_t *record)
 {
-  uint64_t from_us;
   uint64_t now_us = START_US;
 
   for (uint64_t engine = 1; engine <= CRASH_MARK_ENGINES; engine++)
@@ -566,10 +565,9 @@
       end_engine (rig, engine);
     }
   CU_ASSERT_EQUAL (crash_record_check (record, now_us, CULPRIT), CRASH_RECORD_ON_TRIAL);
-  CU_ASSERT (crash_record_needs_confirmation (record, CULPRIT, &from_us));
-  CU_ASSERT_EQUAL (from_us, now_us - CRASH_RECORD_CONTRAST_US);
+  CU_ASSERT (crash_record_needs_confirmation (record, CULPRIT));
   crash_record_confirm (record, CULPRIT);
-  CU_ASSERT (!crash_record_needs_confirmation (record, CULPRIT, &from_us));
+  CU_ASSERT (!crash_record_needs_confirmation (record, CULPRIT));
   CU_ASSERT_EQUAL (crash_record_check (record, now_us, CULPRIT), CRASH_RECORD_REFUSED);
   return now_us;
 }
@@ -676,17 +674,16 @@
                                  { CULPRIT, CRASH_SUBJECT_PART },
                                  { 100, CRASH_SUBJECT_PART } };
 
-  CU_ASSERT (!answered_parts_lack (&answered, 0, CULPRIT));
+  CU_ASSERT (!answered_parts_lack (&answered, CULPRIT));
   for (uint32_t i = 0; i < 2 * ANSWERED_PARTS_ANSWERS; i++)
     {
       subjects[2].fingerprint++;
-      answered_parts_add (&answered, START_US, subjects, G_N_ELEMENTS (subjects));
+      answered_parts_add (&answered, subjects, G_N_ELEMENTS (subjects));
     }
-  CU_ASSERT (!answered_parts_lack (&answered, START_US - 1, CULPRIT));
-  CU_ASSERT (answered_parts_lack (&answered, START_US - 1, 101));
-  CU_ASSERT (!answered_parts_lack (&answered, START_US, 101));
-  answered_parts_add (&answered, START_US, subjects, 1);
-  CU_ASSERT (answered_parts_lack (&answered, START_US - 1, CULPRIT));
+  CU_ASSERT (!answered_parts_lack (&answered, CULPRIT));
+  CU_ASSERT (answered_parts_lack (&answered, 101));
+  answered_parts_add (&answered, subjects, 1);
+  CU_ASSERT (answered_parts_lack (&answered, CULPRIT));
 }
 
 /* Guards against a request that is sent again because parts are. */
--- a/tests/test_part_fleet.c
+++ b/tests/test_part_fleet.c
@@ -13,6 +13,7 @@
 #define S_US UINT64_C (1000000)
 #define LEAD_US (3 * S_US) /* sound requests alone */
 #define PLAY_US (17 * S_US)
+#define QUIET_US (30 * S_US)
 /* The users' rule: later than this after the fifth crash, three sends may reach engines; from twice
  * this on, half of the sound requests begin at the first attempt. */
 #define CRASHES_MAX 5
@@ -31,8 +32,9 @@
 #define FIRST_PARTS 3
 #define SUBJECT_SECONDS 5 /* time after which a subject is asked for again, on average */
 #define RECORD_LIMIT 1024
-#define SUBJECTS_MAX 3 /* of a request: itself and two parts */
-#define CULPRIT UINT64_C (0xdead)
+#define SUBJECTS_MAX 3            /* of a request: itself and two parts */
+#define CULPRIT UINT64_C (0xdead) /* the first part that ends engines; the others follow */
+#define DEADLY_PARTS_MAX 2
 
 typedef struct play play_t;
 
@@ -52,6 +54,7 @@
   uint32_t gateway;
   crash_subject_t subjects[SUBJECTS_MAX];
   bool is_deadly;
+  uint32_t deadly_part;
   uint32_t attempts;
   uint64_t first_sent_us;
   uint64_t sent_us;
@@ -67,17 +70,21 @@
 
 /**
  * struct fleet - what a play is about
- * @deadly_per_s: requests with the part that ends engines
- * @is_first: it is their first part
+ * @slots: requests that an engine runs at once; 0 for any number
  * @requests_per_s: sound ones
+ * @deadly_per_s: requests with a part that ends engines
+ * @is_first: it is their first part
+ * @deadly_parts: number of these parts, one in each request; 0 is one
  */
 typedef struct
 {
   uint32_t gateways;
   uint32_t engines;
+  uint32_t slots;
   uint32_t requests_per_s;
   uint32_t deadly_per_s;
   bool is_first;
+  uint32_t deadly_parts;
 } fleet_t;
 
 /**
@@ -98,9 +105,10 @@
   GArray *ended_us;   /* by hash of the engine; 0 while it runs */
   GArray *leaving_us; /* likewise */
   uint64_t next_number;
-  uint32_t crashes;
-  uint64_t last_crash_us; /* the fifth, or the last if there are fewer */
-  uint32_t late_sends;
+  bool is_quiet; /* no sound requests come */
+  uint32_t crashes[DEADLY_PARTS_MAX];
+  uint64_t last_crash_us[DEADLY_PARTS_MAX]; /* the fifth, or the last if there are fewer */
+  uint32_t late_sends[DEADLY_PARTS_MAX];
   uint32_t sound;
   uint32_t sound_begun;
   uint32_t sound_refused;
@@ -171,11 +179,10 @@
     {
       uint64_t fingerprint = run->subjects[i].fingerprint;
       crash_record_verdict_t verdict;
-      uint64_t from_us;
       bool is_alone;
 
-      if (crash_record_needs_confirmation (record, fingerprint, &from_us) &&
-          answered_parts_lack (&play->answered[run->gateway], from_us, fingerprint))
+      if (crash_record_needs_confirmation (record, fingerprint) &&
+          answered_parts_lack (&play->answered[run->gateway], fingerprint))
         crash_record_confirm (record, fingerprint);
       verdict = crash_record_check (record, now_us, fingerprint);
       is_alone = verdict != CRASH_RECORD_ALLOWED && !is_other_running (run, fingerprint);
@@ -233,6 +240,7 @@
       engine_t *engine = &play->engines[(start + i) % count];
 
       if (engine->ended_us == 0 && engine->leaving_us == 0 &&
+          (play->fleet->slots == 0 || engine->runs->len < play->fleet->slots) &&
           (!is_trial || !has_trial (engine, run->gateway)))
         return engine;
     }
@@ -271,16 +279,22 @@
   play_t *play = run->play;
   uint64_t now_us = crash_sim_now_us (play->sim);
 
-  if (run->is_deadly && play->crashes >= CRASHES_MAX && now_us > play->last_crash_us + CONTACT_US)
-    play->late_sends++;
+  if (run->is_deadly && play->crashes[run->deadly_part] >= CRASHES_MAX &&
+      now_us > play->last_crash_us[run->deadly_part] + CONTACT_US)
+    play->late_sends[run->deadly_part]++;
 }
 
 static bool
 is_counted (const run_t *run)
 {
-  return !run->is_deadly && (run->play->fleet->deadly_per_s == 0 ||
-                             (run->play->crashes > 0 &&
-                              run->first_sent_us > run->play->last_crash_us + 2 * CONTACT_US));
+  const play_t *play = run->play;
+
+  if (run->is_deadly)
+    return false;
+  for (uint32_t i = 0; play->fleet->deadly_per_s > 0 && i < MAX (play->fleet->deadly_parts, 1); i++)
+    if (play->crashes[i] == 0 || run->first_sent_us <= play->last_crash_us[i] + 2 * CONTACT_US)
+      return false;
+  return true;
 }
 
 /* Return: whether the request was sent to an engine */
@@ -357,16 +371,16 @@
 }
 
 static void
-end_engine (play_t *play, engine_t *engine)
+add_runs (GPtrArray *runs, const engine_t *engine)
 {
-  g_autoptr (GPtrArray) lost = g_ptr_array_new ();
-  uint32_t index = (uint32_t)(engine - play->engines);
-  uint64_t now_us = crash_sim_now_us (play->sim);
-
-  engine->ended_us = now_us;
-  g_array_index (play->ended_us, uint64_t, engine->hash) = now_us;
   for (guint i = 0; i < engine->runs->len; i++)
-    g_ptr_array_add (lost, g_ptr_array_index (engine->runs, i));
+    g_ptr_array_add (runs, g_ptr_array_index (engine->runs, i));
+}
+
+/* All connections of these runs break at the same moment. */
+static void
+lose_runs (play_t *play, const GPtrArray *lost)
+{
   for (guint i = 0; i < lost->len; i++)
     record_losses (g_ptr_array_index (lost, i));
   for (guint i = 0; i < lost->len; i++)
@@ -375,6 +389,18 @@
     leave_engine (g_ptr_array_index (lost, i));
   for (guint i = 0; i < lost->len; i++)
     repeat_run (g_ptr_array_index (lost, i));
+}
+
+static void
+end_engine (play_t *play, engine_t *engine)
+{
+  g_autoptr (GPtrArray) lost = g_ptr_array_new ();
+  uint32_t index = (uint32_t)(engine - play->engines);
+
+  engine->ended_us = crash_sim_now_us (play->sim);
+  g_array_index (play->ended_us, uint64_t, engine->hash) = engine->ended_us;
+  add_runs (lost, engine);
+  lose_runs (play, lost);
   crash_sim_schedule (play->sim, BACK_US, on_back, g_memdup2 (&index, sizeof index));
 }
 
@@ -395,8 +421,8 @@
 
   if (!run)
     return;
-  if (++play->crashes <= CRASHES_MAX)
-    play->last_crash_us = crash_sim_now_us (sim);
+  if (++play->crashes[run->deadly_part] <= CRASHES_MAX)
+    play->last_crash_us[run->deadly_part] = crash_sim_now_us (sim);
   end_engine (play, run->engine);
 }
 
@@ -405,8 +431,7 @@
 {
   play_t *play = run->play;
 
-  answered_parts_add (&play->answered[run->gateway], crash_sim_now_us (play->sim), run->subjects,
-                      SUBJECTS_MAX);
+  answered_parts_add (&play->answered[run->gateway], run->subjects, SUBJECTS_MAX);
   for (uint32_t i = first_subject; i < SUBJECTS_MAX; i++)
     crash_record_note_served (crash_sim_record (play->sim, run->gateway),
                               crash_sim_now_us (play->sim), run->subjects[i].fingerprint);
@@ -469,13 +494,16 @@
   run->play = play;
   run->gateway = crash_sim_draw (play->sim, 0, fleet->gateways);
   run->is_deadly = is_deadly;
+  run->deadly_part = is_deadly ? play->next_number % MAX (fleet->deadly_parts, 1) : 0;
   run->first_sent_us = crash_sim_now_us (play->sim);
   run->subjects[0] =
       (crash_subject_t){ (UINT64_C (1) << 40) + play->next_number++, CRASH_SUBJECT_REQUEST };
   run->subjects[1] =
-      (crash_subject_t){ is_deadly && fleet->is_first ? CULPRIT : first, CRASH_SUBJECT_PART };
+      (crash_subject_t){ is_deadly && fleet->is_first ? CULPRIT + run->deadly_part : first,
+                         CRASH_SUBJECT_PART };
   run->subjects[2] =
-      (crash_subject_t){ is_deadly && !fleet->is_first ? CULPRIT : subject, CRASH_SUBJECT_PART };
+      (crash_subject_t){ is_deadly && !fleet->is_first ? CULPRIT + run->deadly_part : subject,
+                         CRASH_SUBJECT_PART };
   g_hash_table_insert (play->runs, &run->subjects[0].fingerprint, run);
   play->sound += is_counted (run) ? 1 : 0;
   if (!send_run (run))
@@ -491,7 +519,8 @@
   crash_sim_schedule (sim,
                       crash_sim_draw (sim, 1, 2 * (uint32_t)S_US / play->fleet->requests_per_s),
                       on_sound, NULL);
-  add_run (play, false);
+  if (!play->is_quiet)
+    add_run (play, false);
 }
 
 static void
@@ -565,6 +594,19 @@
   return count;
 }
 
+static void
+check_part (const play_t *play, uint32_t part)
+{
+  const fleet_t *fleet = play->fleet;
+
+  printf ("%u gateways, %u engines of %u slots, %u requests/s, %u deadly/s%s: %u engines ended, %u "
+          "sends late\n",
+          fleet->gateways, fleet->engines, fleet->slots, fleet->requests_per_s, fleet->deadly_per_s,
+          fleet->is_first ? " as first part" : "", play->crashes[part], play->late_sends[part]);
+  CU_ASSERT (play->crashes[part] > 0);
+  CU_ASSERT (play->late_sends[part] <= LATE_SENDS_MAX);
+}
+
 static void
 check_deadly (const fleet_t *fleet, uint32_t seed)
 {
@@ -574,13 +616,10 @@
   crash_sim_run (play.sim, LEAD_US);
   crash_sim_schedule (play.sim, 0, on_deadly, NULL);
   crash_sim_run (play.sim, PLAY_US);
-  printf ("%u gateways, %u engines, %u requests/s, %u deadly/s%s: %u engines ended, %u sends late, "
-          "%u of %u sound ones begun at once, %u refused, %u subjects refused at the end\n",
-          fleet->gateways, fleet->engines, fleet->requests_per_s, fleet->deadly_per_s,
-          fleet->is_first ? " as first part" : "", play.crashes, play.late_sends, play.sound_begun,
-          play.sound, play.sound_refused, count_refused_subjects (&play));
-  CU_ASSERT (play.crashes > 0);
-  CU_ASSERT (play.late_sends <= LATE_SENDS_MAX);
+  for (uint32_t part = 0; part < MAX (fleet->deadly_parts, 1); part++)
+    check_part (&play, part);
+  printf ("  %u of %u sound requests begun at once, %u refused, %u subjects refused at the end\n",
+          play.sound_begun, play.sound, play.sound_refused, count_refused_subjects (&play));
   CU_ASSERT (play.sound >= 20);
   CU_ASSERT (play.sound_begun * 2 >= play.sound);
   end_play (&play);
@@ -624,18 +663,65 @@
   check_fleet ((fleet_t){ .gateways = 880, .engines = 3700, .requests_per_s = 12000 });
 }
 
+static void
+test_engines_of_8_slots (void)
+{
+  check_fleet ((fleet_t){ .gateways = 15, .engines = 60, .slots = 8, .requests_per_s = 200 });
+}
+
+static void
+test_engines_of_64_slots (void)
+{
+  check_fleet ((fleet_t){ .gateways = 15, .engines = 20, .slots = 64, .requests_per_s = 600 });
+}
+
+/* Guards against two parts of which each excuses the other. */
+static void
+test_two_parts (void)
+{
+  static const uint32_t gateways[] = { 1, 15, 385, 880 };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (gateways); i++)
+    check_deadly (&(fleet_t){ .gateways = gateways[i],
+                              .engines = 10 + 4 * gateways[i],
+                              .requests_per_s = 40 + 10 * gateways[i],
+                              .deadly_per_s = 24,
+                              .deadly_parts = 2 },
+                  21 + i);
+}
+
+/* Guards against a part that stays on trial at each gateway, as its service answers nothing else
+ * when it comes. */
+static void
+test_part_comes_alone (void)
+{
+  fleet_t fleet = { .gateways = 40, .engines = 40, .requests_per_s = 200, .deadly_per_s = 12 };
+  play_t play = { .fleet = &fleet };
+
+  start_play (&play, 31);
+  crash_sim_run (play.sim, LEAD_US);
+  play.is_quiet = true;
+  crash_sim_run (play.sim, QUIET_US);
+  crash_sim_schedule (play.sim, 0, on_deadly, NULL);
+  crash_sim_run (play.sim, PLAY_US);
+  check_part (&play, 0);
+  end_play (&play);
+}
+
 /** enum trouble - ends of engines for which no part is to blame */
 typedef enum
 {
   TROUBLE_RACK,     /* an eighth of all at once, and then another eighth */
   TROUBLE_KILL_ALL, /* all at once, and again when they are back */
   TROUBLE_RELEASE,  /* one after the other says that it leaves, and ends */
-  TROUBLE_LOOP      /* one ends again and again as soon as it is back */
+  TROUBLE_LOOP,     /* one ends again and again as soon as it is back */
+  TROUBLE_CUT       /* all connections to half of the engines are reset, which live */
 } trouble_t;
 
 static void
 make_trouble (play_t *play, trouble_t trouble, uint32_t round)
 {
+  g_autoptr (GPtrArray) cut = g_ptr_array_new ();
   uint32_t count = play->fleet->engines;
 
   for (uint32_t i = 0; i < count; i++)
@@ -646,6 +732,8 @@
                     (trouble == TROUBLE_RELEASE && i % 16 == round % 16) ||
                     (trouble == TROUBLE_LOOP && i == 0);
 
+      if (trouble == TROUBLE_CUT && i % 2 == 0)
+        add_runs (cut, engine);
       if (!is_hit || engine->ended_us != 0)
         continue;
       if (trouble == TROUBLE_RELEASE)
@@ -655,6 +743,7 @@
         }
       end_engine (play, engine);
     }
+  lose_runs (play, cut);
 }
 
 static void
@@ -663,7 +752,8 @@
   static const char *const names[] = { [TROUBLE_RACK] = "racks",
                                        [TROUBLE_KILL_ALL] = "kill of all",
                                        [TROUBLE_RELEASE] = "release",
-                                       [TROUBLE_LOOP] = "engine in a loop" };
+                                       [TROUBLE_LOOP] = "engine in a loop",
+                                       [TROUBLE_CUT] = "cut" };
   play_t play = { .fleet = &fleet };
 
   start_play (&play, 77);
@@ -718,6 +808,13 @@
   check_all_troubles (TROUBLE_LOOP, 5, BACK_US + S_US / 2);
 }
 
+/* Guards against parts that are blamed as connections to engines are reset. */
+static void
+test_cut (void)
+{
+  check_all_troubles (TROUBLE_CUT, 1, 6 * S_US);
+}
+
 int
 main (void)
 {
@@ -725,10 +822,15 @@
                                        SUITE_TEST (test_15_gateways),
                                        SUITE_TEST (test_385_gateways),
                                        SUITE_TEST (test_880_gateways),
+                                       SUITE_TEST (test_engines_of_8_slots),
+                                       SUITE_TEST (test_engines_of_64_slots),
+                                       SUITE_TEST (test_two_parts),
+                                       SUITE_TEST (test_part_comes_alone),
                                        SUITE_TEST (test_racks),
                                        SUITE_TEST (test_kill_of_all),
                                        SUITE_TEST (test_release),
                                        SUITE_TEST (test_engine_that_ends_again_and_again),
+                                       SUITE_TEST (test_cut),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("part_fleet", tests);
