--- a/src/request/policy/crash_record.c
+++ b/src/request/policy/crash_record.c
@@ -1,12 +1,9 @@
-#include "request/policy/crash_record.h"
+#include "request/policy/crash_record_private.h"
 
 #include "base/clock.h"
-#include "request/policy/loss_bursts.h"
-#include "request/policy/recent_answers.h"
 
 #include <glib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #define MARK_TIME_ERROR_US CLOCK_US_PER_S
 #define SERVED_MAX 8192 /* subjects that are remembered as served */
@@ -26,81 +23,6 @@
                                                           .has_retrials = true,
                                                           .needs_confirmation = true } };
 
-/**
- * struct crash - an engine that ended under a request
- * @sent_us: when the request was sent to it; 0 when unknown
- * @request: of a part, low half of the fingerprint of that request; 0 when unknown
- * @certain: the registry shows it
- * @service_hash: service of the engine, 0 when unknown
- * @together: engines that broke off under the same subject and do not count, as they may have the
- *   cause of this one
- * @last_together: the last of these
- */
-typedef struct
-{
-  uint64_t engine_hash;
-  uint64_t sent_us;
-  uint32_t request;
-  uint64_t lost_us;
-  bool certain;
-  uint64_t service_hash;
-  uint32_t together;
-  uint64_t last_together;
-} crash_t;
-
-/**
- * struct entry - a request or part
- * @crashes: in the order of their times, @count of them
- * @is_cleared: it was served, and has no crashes since
- * @changed_us: time of the last crash, or when it was cleared
- * @final_us: time of the crash from which on it is refused
- * @confirmed: of a part, see crash_record_confirm()
- * @later: the last own crash since then, if @has_later
- * @losses: own losses since it was served, also those that do not count
- * @ran_us: as in crash_record_loss_t, of the last own loss
- * @held_until_us: it is told from then on
- * @sends_left: messages to any peer that are still to carry it
- * @owners_due: the owners of the fingerprint are still to be told
- * @told: to the owners or to all
- */
-typedef struct
-{
-  uint64_t fingerprint;
-  crash_subject_kind_t kind;
-  crash_t crashes[CRASH_MARK_ENGINES];
-  uint32_t count;
-  bool is_cleared;
-  uint64_t changed_us;
-  uint64_t final_us;
-  bool confirmed;
-  crash_t later;
-  bool has_later;
-  uint32_t losses;
-  uint64_t ran_us;
-  uint64_t held_until_us;
-  uint32_t sends_left;
-  bool owners_due;
-  bool told;
-} entry_t;
-
-/**
- * struct crash_record - the subjects
- * @unproven_us: when it was last unknown which entries of the registry have gone
- * @next: entry that is sent next in turn
- * @news_us: from when on there is a change to be told to all; 0 for none
- */
-struct crash_record
-{
-  crash_record_options_t options;
-  GHashTable *by_fingerprint;
-  GPtrArray *list; /* entry_t */
-  recent_answers_t *served;
-  loss_bursts_t bursts;
-  uint64_t unproven_us;
-  guint next;
-  uint64_t news_us;
-};
-
 crash_record_t *
 crash_record_new (const crash_record_options_t *options)
 {
@@ -181,12 +103,6 @@
   return false;
 }
 
-static bool
-is_final (const entry_t *entry)
-{
-  return entry->count == CRASH_MARK_ENGINES;
-}
-
 /* Whether a part would be refused for the crashes of one request, which may itself be to blame. */
 static bool
 lacks_other_request (const entry_t *entry, uint32_t request)
@@ -267,8 +183,8 @@
   return true;
 }
 
-static void
-review_entry (const crash_record_t *record, uint64_t now_us, entry_t *entry)
+void
+crash_record_review_entry (const crash_record_t *record, uint64_t now_us, entry_t *entry)
 {
   uint32_t i = 0;
 
@@ -308,12 +224,6 @@
     entry->final_us = entry->changed_us;
 }
 
-static const crash_t *
-last_crash (const entry_t *entry)
-{
-  return &entry->crashes[entry->count - 1];
-}
-
 /* Whether a crash may have the cause of the last one that is counted, whichever came first. */
 static bool
 may_have_same_cause (const entry_t *entry, const crash_t *crash)
@@ -362,7 +272,7 @@
   if (engine.broke_us != 0 && engine.broke_us >= engine.sound_us && loss->sent_us > engine.broke_us)
     return CRASH_RECORD_DOWN;
   entry = find_or_add (record, loss->fingerprint, loss->kind);
-  review_entry (record, now_us, entry);
+  crash_record_review_entry (record, now_us, entry);
   entry->losses++;
   entry->ran_us = loss->ran_us;
   if (loss->engines_in_use > LOSS_BURSTS_ENGINES_MIN && entry->count == 0)
@@ -530,7 +440,7 @@
     return answer_by_clearing (record, entry, now_us);
   if (entry->is_cleared && crash.lost_us <= entry->changed_us)
     return false;
-  review_entry (record, now_us, entry);
+  crash_record_review_entry (record, now_us, entry);
   /* The peer may have just started: the reply tells it. */
   if (entry->count >= CRASH_RECORD_TRIAL_CRASHES && mark->engine_count < entry->count)
     entry->sends_left = MAX (entry->sends_left, 1);
@@ -552,7 +462,7 @@
 
   if (!entry)
     return CRASH_RECORD_ALLOWED;
-  review_entry (record, now_us, entry);
+  crash_record_review_entry (record, now_us, entry);
   if (entry->count < CRASH_RECORD_TRIAL_CRASHES)
     return CRASH_RECORD_ALLOWED;
   if (!is_final (entry) || is_unconfirmed (entry))
@@ -619,170 +529,9 @@
     {
       entry_t *entry = g_ptr_array_index (record->list, i - 1);
 
-      review_entry (record, now_us, entry);
+      crash_record_review_entry (record, now_us, entry);
       if ((entry->count == 0 && !entry->is_cleared) ||
           now_us > entry->changed_us + record->options.lifetime_us)
         remove_entry (record, entry);
     }
 }
-
-static uint32_t
-age_ms (uint64_t now_us, uint64_t then_us)
-{
-  return (uint32_t)((now_us - MIN (then_us, now_us)) / CLOCK_US_PER_MS);
-}
-
-static crash_mark_t
-make_mark (const entry_t *entry, uint64_t now_us)
-{
-  crash_mark_t mark = { .fingerprint = entry->fingerprint,
-                        .kind = entry->kind,
-                        .confirmed = entry->confirmed,
-                        .engine_count = entry->count,
-                        .age_ms = age_ms (now_us, entry->changed_us),
-                        .sent_age_ms = UINT32_MAX };
-
-  for (uint32_t i = 0; i < entry->count; i++)
-    mark.engines[i] = entry->crashes[i].engine_hash;
-  if (entry->count > 0 && last_crash (entry)->sent_us > 0)
-    mark.sent_age_ms = age_ms (now_us, last_crash (entry)->sent_us);
-  if (entry->count > 0)
-    mark.request = last_crash (entry)->request;
-  return mark;
-}
-
-static uint32_t
-parts_of (uint32_t engine_count)
-{
-  return MAX ((engine_count + CRASH_MARK_PART_ENGINES - 1) / CRASH_MARK_PART_ENGINES, 1U);
-}
-
-/* What is refused goes before what is on trial: under a burst of crashes many neighbours are, and
- * the one to blame ends engines until all have heard of it. */
-static uint32_t
-urgency (const entry_t *entry)
-{
-  return entry->sends_left > 0 && is_final (entry) ? entry->sends_left + CRASH_RECORD_SENDS / 2
-                                                   : entry->sends_left;
-}
-
-static entry_t *
-least_sent (const crash_record_t *record,
-            uint64_t now_us,
-            entry_t *const *taken,
-            uint32_t taken_count)
-{
-  entry_t *best = NULL;
-
-  for (guint i = 0; i < record->list->len; i++)
-    {
-      entry_t *entry = g_ptr_array_index (record->list, i);
-      bool is_taken = false;
-
-      for (uint32_t j = 0; j < taken_count; j++)
-        is_taken = is_taken || taken[j] == entry;
-      if (!is_taken && now_us >= entry->held_until_us &&
-          urgency (entry) > (best ? urgency (best) : 0))
-        best = entry;
-    }
-  return best;
-}
-
-static entry_t *
-next_in_turn (crash_record_t *record, uint32_t room)
-{
-  for (guint i = 0; i < record->list->len; i++)
-    {
-      entry_t *entry = g_ptr_array_index (record->list, record->next++ % record->list->len);
-
-      if (entry->sends_left == 0 && entry->count >= CRASH_RECORD_TRIAL_CRASHES &&
-          room >= parts_of (entry->count))
-        return entry;
-    }
-  return NULL;
-}
-
-uint32_t
-crash_mark_parts (const crash_mark_t *mark)
-{
-  return parts_of (mark->engine_count);
-}
-
-#define TAKE_MAX 8 /* marks of one message */
-
-uint32_t
-crash_record_take_marks (crash_record_t *record, uint64_t now_us, crash_mark_t *out, uint32_t room)
-{
-  entry_t *taken[TAKE_MAX];
-  uint32_t count = 0;
-  uint32_t used = 0;
-  entry_t *entry;
-
-  while (count < TAKE_MAX && (entry = least_sent (record, now_us, taken, count)))
-    {
-      crash_mark_t mark = make_mark (entry, now_us);
-
-      used += crash_mark_parts (&mark);
-      if (used > room)
-        break;
-      entry->sends_left--;
-      entry->told = true;
-      taken[count] = entry;
-      out[count++] = mark;
-    }
-  if (count == 0 && used == 0 && (entry = next_in_turn (record, room)))
-    out[count++] = make_mark (entry, now_us);
-  return count;
-}
-
-bool
-crash_record_take_news (crash_record_t *record, uint64_t now_us)
-{
-  if (record->news_us == 0 || now_us < record->news_us)
-    return false;
-  record->news_us = 0;
-  return true;
-}
-
-/* Whether the owners are to be told of one sooner than of another: what was lost more often, then
- * the crash that came last, and of one crash the request on which the engine had worked least. With
- * the oldest first, a gateway that loses more than it may tell would never come to the next crash.
- */
-static bool
-is_told_before (const entry_t *one, const entry_t *other)
-{
-  if (one->losses != other->losses)
-    return one->losses > other->losses;
-  if (one->changed_us > other->changed_us + CRASH_RECORD_HOLD_US ||
-      other->changed_us > one->changed_us + CRASH_RECORD_HOLD_US)
-    return one->changed_us > other->changed_us;
-  return one->ran_us < other->ran_us;
-}
-
-bool
-crash_record_take_owner_mark (crash_record_t *record, uint64_t now_us, crash_mark_t *out)
-{
-  entry_t *first = NULL;
-
-  for (guint i = 0; i < record->list->len; i++)
-    {
-      entry_t *entry = g_ptr_array_index (record->list, i);
-
-      review_entry (record, now_us, entry);
-      if (entry->owners_due && now_us >= entry->held_until_us &&
-          (entry->count > 0 || entry->told) && (!first || is_told_before (entry, first)))
-        first = entry;
-    }
-  if (!first)
-    return false;
-  first->owners_due = false;
-  first->told = first->count > 0;
-  *out = make_mark (first, now_us);
-  return true;
-}
-
-uint64_t
-crash_record_rank_owner (uint64_t fingerprint, uint64_t gateway_hash)
-{
-  return XXH64 (&gateway_hash, sizeof gateway_hash, fingerprint);
-}
--- /dev/null
+++ b/src/request/policy/crash_record_private.h
@@ -0,0 +1,107 @@
+/**
+ * DOC: crash_record_private
+ *
+ * Declarations shared by crash_record.c, which decides what counts as a crash and what may be sent,
+ * and crash_record_tell.c, which decides what the other gateways are told, and when.
+ */
+#ifndef REQUEST_POLICY_CRASH_RECORD_PRIVATE_H
+#define REQUEST_POLICY_CRASH_RECORD_PRIVATE_H
+
+#include "request/policy/crash_record.h"
+#include "request/policy/loss_bursts.h"
+#include "request/policy/recent_answers.h"
+
+#include <glib.h>
+
+/**
+ * struct crash - an engine that ended under a request
+ * @sent_us: when the request was sent to it; 0 when unknown
+ * @request: of a part, low half of the fingerprint of that request; 0 when unknown
+ * @certain: the registry shows it
+ * @service_hash: service of the engine, 0 when unknown
+ * @together: engines that broke off under the same subject and do not count, as they may have the
+ *   cause of this one
+ * @last_together: the last of these
+ */
+typedef struct
+{
+  uint64_t engine_hash;
+  uint64_t sent_us;
+  uint32_t request;
+  uint64_t lost_us;
+  bool certain;
+  uint64_t service_hash;
+  uint32_t together;
+  uint64_t last_together;
+} crash_t;
+
+/**
+ * struct entry - a request or part
+ * @crashes: in the order of their times, @count of them
+ * @is_cleared: it was served, and has no crashes since
+ * @changed_us: time of the last crash, or when it was cleared
+ * @final_us: time of the crash from which on it is refused
+ * @confirmed: of a part, see crash_record_confirm()
+ * @later: the last own crash since then, if @has_later
+ * @losses: own losses since it was served, also those that do not count
+ * @ran_us: as in crash_record_loss_t, of the last own loss
+ * @held_until_us: it is told from then on
+ * @sends_left: messages to any peer that are still to carry it
+ * @owners_due: the owners of the fingerprint are still to be told
+ * @told: to the owners or to all
+ */
+typedef struct
+{
+  uint64_t fingerprint;
+  crash_subject_kind_t kind;
+  crash_t crashes[CRASH_MARK_ENGINES];
+  uint32_t count;
+  bool is_cleared;
+  uint64_t changed_us;
+  uint64_t final_us;
+  bool confirmed;
+  crash_t later;
+  bool has_later;
+  uint32_t losses;
+  uint64_t ran_us;
+  uint64_t held_until_us;
+  uint32_t sends_left;
+  bool owners_due;
+  bool told;
+} entry_t;
+
+/**
+ * struct crash_record - the subjects
+ * @unproven_us: when it was last unknown which entries of the registry have gone
+ * @next: entry that is sent next in turn
+ * @news_us: from when on there is a change to be told to all; 0 for none
+ */
+struct crash_record
+{
+  crash_record_options_t options;
+  GHashTable *by_fingerprint;
+  GPtrArray *list; /* entry_t */
+  recent_answers_t *served;
+  loss_bursts_t bursts;
+  uint64_t unproven_us;
+  guint next;
+  uint64_t news_us;
+};
+
+static inline bool
+is_final (const entry_t *entry)
+{
+  return entry->count == CRASH_MARK_ENGINES;
+}
+
+static inline const crash_t *
+last_crash (const entry_t *entry)
+{
+  return &entry->crashes[entry->count - 1];
+}
+
+/** crash_record_review_entry() - compares the crashes that are not certain with what is known of
+ * their engines now, and drops those that count no more */
+void crash_record_review_entry (const crash_record_t *record, uint64_t now_us, entry_t *entry);
+
+#endif
