--- a/src/process/exchange_mark.c
+++ b/src/process/exchange_mark.c
@@ -6,6 +6,7 @@
 /* In the age of a mark of a part. A build that knows no parts takes the mark for outdated. */
 #define PART_AGE_BIT (UINT32_C (1) << 31)
 #define CONFIRMED_AGE_BIT (UINT32_C (1) << 30)
+#define CLAIMED_AGE_BIT (UINT32_C (1) << 29)
 
 /* Gateways of a build without them ignore words of this kind too. Where none is left, the mark goes
  * without what it tells of the send, and may count less or more. */
@@ -39,7 +40,7 @@
 exchange_mark_write (xch_message *message, const crash_mark_t *mark)
 {
   uint32_t bits = (mark->kind == CRASH_SUBJECT_PART ? PART_AGE_BIT : 0) |
-                  (mark->confirmed ? CONFIRMED_AGE_BIT : 0);
+                  (mark->confirmed ? CONFIRMED_AGE_BIT : 0) | (mark->claimed ? CLAIMED_AGE_BIT : 0);
 
   G_STATIC_ASSERT (G_N_ELEMENTS (message->marks.marks_val->engines) == CRASH_MARK_PART_ENGINES);
   for (uint32_t part = 0; part < crash_mark_parts (mark); part++)
@@ -63,9 +64,10 @@
 
   *mark = (crash_mark_t){ .fingerprint = received->fingerprint,
                           .kind = is_part ? CRASH_SUBJECT_PART : CRASH_SUBJECT_REQUEST,
-                          .age_ms = is_part ? received->age_ms & (CONFIRMED_AGE_BIT - 1)
-                                            : received->age_ms,
+                          .age_ms =
+                              is_part ? received->age_ms & (CLAIMED_AGE_BIT - 1) : received->age_ms,
                           .confirmed = is_part && (received->age_ms & CONFIRMED_AGE_BIT) != 0,
+                          .claimed = is_part && (received->age_ms & CLAIMED_AGE_BIT) != 0,
                           .sent_age_ms = UINT32_MAX };
   read_send (message, mark);
   while (first + parts < message->marks.marks_len &&
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -136,7 +136,7 @@
              LOG_HEX (mark->fingerprint), "of",
              mark->kind == CRASH_SUBJECT_PART ? "part" : "request", "peer", peer, "engines",
              LOG_U64 (mark->engine_count), "age_ms", LOG_U64 (mark->age_ms), "crashes",
-             LOG_U64 (crashes), NULL);
+             LOG_U64 (crashes), "claimed", mark->claimed ? "yes" : "no", NULL);
 }
 
 static void
@@ -462,15 +462,6 @@
   return count;
 }
 
-bool
-gateway_peers_is_first_owner (const gateway_peers_t *peers, uint64_t fingerprint)
-{
-  const peer_t *owners[GATEWAY_PEERS_OWNERS];
-
-  find_owners (peers, fingerprint, owners);
-  return owners[0] == NULL;
-}
-
 static void
 tell_owners (gateway_peers_t *peers, const crash_mark_t *mark)
 {
--- a/src/process/gateway_peers.h
+++ b/src/process/gateway_peers.h
@@ -104,9 +104,6 @@
  * first crashes to the owners of their fingerprints, others to a few peers, who pass them on at
  * once */
 void gateway_peers_tell_crashes (gateway_peers_t *peers);
-/** gateway_peers_is_first_owner() - whether no other live gateway ranks before this one as an owner
- * of the fingerprint */
-bool gateway_peers_is_first_owner (const gateway_peers_t *peers, uint64_t fingerprint);
 /** gateway_peers_add_load() - adds a high load that an engine reported here to the next messages to
  * peers */
 void gateway_peers_add_load (gateway_peers_t *peers, const load_report_t *item);
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -312,14 +312,6 @@
   gateway_store_tell_crashes (process->store);
 }
 
-static bool
-is_first_owner (uint64_t fingerprint, void *context)
-{
-  gateway_process_t *process = context;
-
-  return gateway_store_is_first_owner (process->store, fingerprint);
-}
-
 static void
 on_origins (bool at_once, void *context)
 {
@@ -548,7 +540,6 @@
           .format = process->options.format,
           .crashes = process->crashes,
           .on_crashes = on_crashes,
-          .is_first_owner = is_first_owner,
           .on_high_load = on_own_load,
           .origins = process->origins,
           .on_origins = on_origins,
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -866,12 +866,6 @@
   gateway_peers_tell_crashes (store->peers);
 }
 
-bool
-gateway_store_is_first_owner (const gateway_store_t *store, uint64_t fingerprint)
-{
-  return gateway_peers_is_first_owner (store->peers, fingerprint);
-}
-
 void
 gateway_store_add_load (gateway_store_t *store, const load_report_t *item)
 {
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -125,8 +125,6 @@
 void gateway_store_send_news (gateway_store_t *store);
 /** gateway_store_tell_crashes() - sends peers the marks of @crashes that are due */
 void gateway_store_tell_crashes (gateway_store_t *store);
-/** gateway_store_is_first_owner() - see gateway_peers_is_first_owner() */
-bool gateway_store_is_first_owner (const gateway_store_t *store, uint64_t fingerprint);
 /** gateway_store_add_load() - reports a high load of an engine to peers */
 void gateway_store_add_load (gateway_store_t *store, const load_report_t *item);
 /** gateway_store_handle_request() - answers a peer that fetches records. @settled: whether no
--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -35,7 +35,6 @@
  * @retries: limit of the retries that all gateways may send
  * @crashes: requests and parts of prompts during which engines ended
  * @on_crashes: @crashes may have marks for the other gateways; called a few times a second too
- * @is_first_owner: whether this gateway ranks first of all as an owner of a fingerprint in @crashes
  * @on_high_load: called with a high load that an engine reported, for the other gateways
  * @origins: at which software versions streams began
  * @on_origins: some of @origins are to be told to the other gateways; @at_once: one of them was
@@ -54,7 +53,6 @@
   retry_budget_options_t retries;
   crash_record_t *crashes;
   void (*on_crashes) (void *context);
-  bool (*is_first_owner) (uint64_t fingerprint, void *context);
   void (*on_high_load) (const load_report_t *item, void *context);
   stream_origins_t *origins;
   void (*on_origins) (bool at_once, void *context);
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -234,6 +234,7 @@
 {
   g_assert (!call->upstream && !call->queue_item.waiting);
   gateway_resume_leave (call);
+  gateway_suspect_leave (call);
   g_hash_table_remove (call->gateway->calls, call);
   event_free (call->timer);
   event_splitter_clear (&call->splitter);
@@ -428,7 +429,7 @@
 retry (gateway_call_t *call, bool resume, verdict_reason_t reason)
 {
   prepare_retry (call, resume, reason);
-  if (!gateway_suspect_refuse (call))
+  if (!gateway_suspect_stop (call))
     gateway_call_place (call);
 }
 
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -53,6 +53,10 @@
 /* Retry-After of a stream that can't go on: an engine of its version may have crashed, and is back
  * after some seconds */
 #define GATEWAY_RETRY_VERSION_MS 2000
+/* Requests that wait while another one shows whether a part of their prompts ends engines, and for
+ * how long each may */
+#define GATEWAY_HELD_MAX 64
+#define GATEWAY_HELD_US (UINT64_C (3) * 1000 * 1000)
 /* pairs of prompt and engine whose cache has the shared parts */
 #define GATEWAY_CACHE_WARM_MAX 4096
 /* share of slots in use, in thousandths, from which requests queue */
@@ -137,6 +141,7 @@
   uint32_t told_routers;        /* @known_routers when other gateways were told of streams */
   bool registry_watched;        /* see gateway_set_registry_watched() */
   uint32_t resuming_count;      /* calls whose version is being found out */
+  uint32_t held_count;          /* calls with @held_us */
   GHashTable *services;         /* interned name -> gateway_service_t */
   GHashTable *calls;            /* set of gateway_call_t */
   recent_answers_t *cache_warm; /* prompts and engines that read their shared parts lately */
@@ -183,6 +188,8 @@
  * @account: NULL on a route that needs no key
  * @subjects: the request, then the parts of its prompt but the last, as all gateways know them when
  *   engines end under them
+ * @held_us: when it began to wait for what another request shows of a part of its prompt; 0 if it
+ *   does not
  * @request: parsed headers of the request; borrows from @client
  * @queue_item: entry in the queue of @service
  * @course: decides what follows the outcome of a hop
@@ -223,6 +230,7 @@
   gateway_service_t *service;
   crash_subject_t subjects[FORMAT_PROMPT_PARTS_MAX];
   uint32_t subject_count;
+  uint64_t held_us;
   format_request_t request;
   char id[FORMAT_ID_BYTES];
   wait_queue_item_t queue_item;
@@ -317,9 +325,14 @@
  * @excluded, which has room for %GATEWAY_EXCLUDED_MAX. Return: the number there */
 uint32_t
 gateway_suspect_exclude_trials (const gateway_call_t *call, uint64_t *excluded, uint32_t count);
-/** gateway_suspect_refuse() - ends the call if its request must not be sent because engines ended
- * under it or a part of its prompt. Return: whether it was ended */
-bool gateway_suspect_refuse (gateway_call_t *call);
+/** gateway_suspect_stop() - ends or queues the call if its request may not be sent now because
+ * engines ended under it or a part of its prompt. Return: whether it did */
+bool gateway_suspect_stop (gateway_call_t *call);
+/** gateway_suspect_must_wait() - whether the call was queued by gateway_suspect_stop() and is to
+ * stay there */
+bool gateway_suspect_must_wait (const gateway_call_t *call);
+/** gateway_suspect_leave() - the call waits no more for what another request shows */
+void gateway_suspect_leave (gateway_call_t *call);
 /** gateway_suspect_record_loss() - the engine of the current hop broke off */
 void gateway_suspect_record_loss (const gateway_call_t *call);
 /** gateway_suspect_note_data() - a part of the response's body came */
@@ -365,6 +378,9 @@
 /** gateway_queue_for_backoff() - all engines that are left asked for no requests for a time, which
  * ends first after @rest_us: queues the request until then, or refuses it */
 void gateway_queue_for_backoff (gateway_call_t *call, uint64_t rest_us);
+/** gateway_queue_for_trial() - queues the request until another one has shown whether a part of its
+ * prompt ends engines. Return: false if its deadline leaves no time */
+bool gateway_queue_for_trial (gateway_call_t *call);
 /** gateway_queue_remove() - takes the request out of the queue, if it is queued */
 void gateway_queue_remove (gateway_call_t *call);
 /** gateway_queue_dispatch() - sends queued requests of @service as far as its engines have room */
--- a/src/request/gateway/gateway_queue.c
+++ b/src/request/gateway/gateway_queue.c
@@ -71,6 +71,17 @@
   gateway_call_log (call, "wait", "engines_rest", VERDICT_REASON_OVER_BOUND);
 }
 
+bool
+gateway_queue_for_trial (gateway_call_t *call)
+{
+  if (!wait_queue_push_delayed (call->service->queue, gateway_now_us (call->gateway),
+                                &call->queue_item, 0))
+    return false;
+  counter_add (call->gateway->waited, 1);
+  gateway_call_log (call, "wait", "part_on_trial", VERDICT_REASON_SUSPECT);
+  return true;
+}
+
 void
 gateway_queue_remove (gateway_call_t *call)
 {
@@ -101,6 +112,8 @@
 
   if (call->course.retry_due && gateway_call_retry_wait_us (call) > 0)
     return false;
+  if (gateway_suspect_must_wait (call))
+    return false;
   *choice = gateway_call_choose_engine (call);
   return choice->action != ENGINE_CHOICE_WAIT && choice->backoff_us == 0;
 }
@@ -113,7 +126,7 @@
 
   while ((call = wait_queue_first (service->queue, may_start, &choice)))
     {
-      if (gateway_suspect_refuse (call))
+      if (gateway_suspect_stop (call))
         continue;
       if (choice.action == ENGINE_CHOICE_SEND)
         {
--- a/src/request/gateway/gateway_resume.c
+++ b/src/request/gateway/gateway_resume.c
@@ -98,7 +98,7 @@
   if (!software_versions_has (versions_of (call->gateway, call->service->name), call->version))
     select_service (call);
   log_decision (call, "goes_on", decision->basis);
-  if (!gateway_suspect_refuse (call))
+  if (!gateway_suspect_stop (call))
     gateway_call_place (call);
 }
 
--- a/src/request/gateway/gateway_suspect.c
+++ b/src/request/gateway/gateway_suspect.c
@@ -135,16 +135,62 @@
   gateway_call_free (call);
 }
 
-/* A refused part is tried again by one gateway alone, or each of many would lose an engine. */
-static bool
-may_try_again (const gateway_call_t *call, const crash_subject_t *subject)
+/** enum step - what becomes of a request as far as one subject is concerned */
+typedef enum
+{
+  STEP_SEND,
+  STEP_WAIT, /* what another request shows of the part decides */
+  STEP_REFUSE
+} step_t;
+
+static crash_record_verdict_t
+check_subject (const gateway_call_t *call, const crash_subject_t *subject)
 {
   const gateway_task_t *gateway = call->gateway;
 
-  return crash_record_is_retrial_due (gateway->options.crashes, gateway_now_us (gateway),
-                                      subject->fingerprint) &&
-         !is_other_running (call, subject->fingerprint) &&
-         gateway->options.is_first_owner (subject->fingerprint, gateway->options.context);
+  return crash_record_check (gateway->options.crashes, gateway_now_us (gateway),
+                             subject->fingerprint);
+}
+
+static uint32_t
+count_refused (const gateway_call_t *call)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < call->subject_count; i++)
+    count += check_subject (call, &call->subjects[i]) >= CRASH_RECORD_PENDING ? 1 : 0;
+  return count;
+}
+
+static step_t
+try_again (const gateway_call_t *call, const crash_subject_t *subject)
+{
+  gateway_task_t *gateway = call->gateway;
+  uint64_t now_us = gateway_now_us (gateway);
+  bool was_due =
+      crash_record_is_retrial_due (gateway->options.crashes, now_us, subject->fingerprint);
+  crash_record_claim_t claim = crash_record_claim_retrial (
+      gateway->options.crashes, now_us,
+      &(crash_record_candidate_t){ .fingerprint = subject->fingerprint,
+                                   .request = call->subjects[0].fingerprint,
+                                   .others = count_refused (call) - 1,
+                                   .gateway_hash = gateway->name_hash,
+                                   .gateways = gateway->known_routers });
+
+  if (claim == CRASH_RECORD_CLAIM_NONE)
+    return STEP_REFUSE;
+  if (claim == CRASH_RECORD_CLAIM_WAIT)
+    {
+      if (was_due)
+        gateway->options.on_crashes (gateway->options.context);
+      return STEP_WAIT;
+    }
+  if (!is_other_running (call, subject->fingerprint))
+    {
+      counter_add (gateway->part_retrials, 1);
+      log_suspect (call, subject, "tried_again");
+    }
+  return STEP_SEND;
 }
 
 static void
@@ -160,23 +206,38 @@
   call->gateway->options.on_crashes (call->gateway->options.context);
 }
 
-/* Return: %CRASH_RECORD_ALLOWED if the request may be sent as far as this subject is concerned */
-static crash_record_verdict_t
-check_subject (const gateway_call_t *call, const crash_subject_t *subject)
+static step_t
+decide (const gateway_call_t *call, const crash_subject_t *subject)
 {
-  const gateway_task_t *gateway = call->gateway;
-  crash_record_verdict_t verdict;
+  bool is_part = subject->kind == CRASH_SUBJECT_PART;
 
   confirm (call, subject);
-  verdict =
-      crash_record_check (gateway->options.crashes, gateway_now_us (gateway), subject->fingerprint);
-  if (verdict == CRASH_RECORD_ON_TRIAL && !is_other_running (call, subject->fingerprint))
-    return CRASH_RECORD_ALLOWED;
-  if (verdict < CRASH_RECORD_PENDING || !may_try_again (call, subject))
-    return verdict;
-  counter_add (gateway->part_retrials, 1);
-  log_suspect (call, subject, "tried_again");
-  return CRASH_RECORD_ALLOWED;
+  switch (check_subject (call, subject))
+    {
+    case CRASH_RECORD_ALLOWED:
+      return STEP_SEND;
+    case CRASH_RECORD_ON_TRIAL:
+      if (!is_other_running (call, subject->fingerprint))
+        return STEP_SEND;
+      return is_part ? STEP_WAIT : STEP_REFUSE;
+    case CRASH_RECORD_PENDING:
+    case CRASH_RECORD_REFUSED:
+      return is_part ? try_again (call, subject) : STEP_REFUSE;
+    }
+  g_assert_not_reached ();
+}
+
+/* Return: the first subject for which the request may not be sent now; NULL if it may */
+static const crash_subject_t *
+find_obstacle (const gateway_call_t *call, step_t *step)
+{
+  for (uint32_t i = 0; i < call->subject_count; i++)
+    {
+      *step = decide (call, &call->subjects[i]);
+      if (*step != STEP_SEND)
+        return &call->subjects[i];
+    }
+  return NULL;
 }
 
 static void
@@ -200,19 +261,58 @@
                        is_refused ? GATEWAY_RETRY_PART_MS : GATEWAY_RETRY_SUSPECT_MS);
 }
 
-bool
-gateway_suspect_refuse (gateway_call_t *call)
+static bool
+may_wait (const gateway_call_t *call)
 {
-  for (uint32_t i = 0; i < call->subject_count; i++)
-    {
-      crash_record_verdict_t verdict = check_subject (call, &call->subjects[i]);
+  if (call->held_us != 0)
+    return gateway_now_us (call->gateway) < call->held_us + GATEWAY_HELD_US;
+  return call->gateway->held_count < GATEWAY_HELD_MAX;
+}
 
-      if (verdict == CRASH_RECORD_ALLOWED)
-        continue;
-      refuse (call, &call->subjects[i], verdict);
-      return true;
+/* Return: whether it waits in the queue of its service */
+static bool
+hold (gateway_call_t *call, const crash_subject_t *subject)
+{
+  if (!may_wait (call) || (!call->queue_item.waiting && !gateway_queue_for_trial (call)))
+    return false;
+  if (call->held_us == 0)
+    {
+      call->held_us = gateway_now_us (call->gateway);
+      call->gateway->held_count++;
+      log_suspect (call, subject, "waits");
     }
-  return false;
+  return true;
+}
+
+void
+gateway_suspect_leave (gateway_call_t *call)
+{
+  if (call->held_us != 0)
+    call->gateway->held_count--;
+  call->held_us = 0;
+}
+
+bool
+gateway_suspect_must_wait (const gateway_call_t *call)
+{
+  step_t step;
+
+  return call->held_us != 0 && may_wait (call) && find_obstacle (call, &step) && step == STEP_WAIT;
+}
+
+bool
+gateway_suspect_stop (gateway_call_t *call)
+{
+  step_t step;
+  const crash_subject_t *obstacle = find_obstacle (call, &step);
+
+  if (obstacle && step == STEP_WAIT && hold (call, obstacle))
+    return true;
+  gateway_suspect_leave (call);
+  if (!obstacle)
+    return false;
+  refuse (call, obstacle, check_subject (call, obstacle));
+  return true;
 }
 
 /* Return: for how long the engine had worked on the request when it broke off */
--- a/src/request/policy/crash_record.c
+++ b/src/request/policy/crash_record.c
@@ -9,18 +9,15 @@
 #define SERVED_MAX 8192 /* subjects that are remembered as served */
 
 /** struct rules - what differs by kind; @served_us: time in which what was served isn't blamed;
- * @has_retrials: see crash_record_is_retrial_due(); @needs_confirmation: see
- * crash_record_confirm() */
+ * @needs_confirmation: see crash_record_confirm() */
 typedef struct
 {
   uint64_t served_us;
-  bool has_retrials;
   bool needs_confirmation;
 } rules_t;
 
 static const rules_t rules[] = { [CRASH_SUBJECT_REQUEST] = { .served_us = CRASH_RECORD_SERVED_US },
                                  [CRASH_SUBJECT_PART] = { .served_us = CRASH_RECORD_PART_SERVED_US,
-                                                          .has_retrials = true,
                                                           .needs_confirmation = true } };
 
 crash_record_t *
@@ -47,12 +44,6 @@
   g_free (record);
 }
 
-static entry_t *
-find (const crash_record_t *record, uint64_t fingerprint)
-{
-  return g_hash_table_lookup (record->by_fingerprint, &fingerprint);
-}
-
 static void
 remove_entry (crash_record_t *record, entry_t *entry)
 {
@@ -80,7 +71,7 @@
 static entry_t *
 find_or_add (crash_record_t *record, uint64_t fingerprint, crash_subject_kind_t kind)
 {
-  entry_t *entry = find (record, fingerprint);
+  entry_t *entry = find_entry (record, fingerprint);
 
   if (entry)
     return entry;
@@ -184,7 +175,24 @@
 }
 
 void
-crash_record_review_entry (const crash_record_t *record, uint64_t now_us, entry_t *entry)
+crash_record_announce (crash_record_t *record, entry_t *entry, uint32_t sends)
+{
+  entry->sends_left = MAX (entry->sends_left, sends);
+  entry->owners_due = false;
+  record->news_us = record->news_us == 0 ? entry->held_until_us + 1
+                                         : MIN (record->news_us, entry->held_until_us + 1);
+}
+
+static void
+note_later_crash (crash_record_t *record, entry_t *entry)
+{
+  if (entry->later.lost_us > entry->changed_us + MARK_TIME_ERROR_US)
+    crash_record_announce (record, entry, CRASH_RECORD_SENDS);
+  entry->changed_us = entry->later.lost_us;
+}
+
+void
+crash_record_review_entry (crash_record_t *record, uint64_t now_us, entry_t *entry)
 {
   uint32_t i = 0;
 
@@ -195,21 +203,12 @@
       drop_crash (entry, i);
   entry->confirmed = entry->confirmed && is_final (entry);
   entry->has_later = entry->has_later && review_crash (record, now_us, entry, &entry->later);
-  if (entry->has_later && entry->later.certain)
-    entry->changed_us = MAX (entry->changed_us, entry->later.lost_us);
+  if (entry->has_later && entry->later.certain && entry->later.lost_us > entry->changed_us)
+    note_later_crash (record, entry);
   if (entry->count < CRASH_RECORD_TRIAL_CRASHES && !entry->is_cleared)
     entry->sends_left = 0;
 }
 
-static void
-announce (crash_record_t *record, entry_t *entry)
-{
-  entry->sends_left = CRASH_RECORD_SENDS;
-  entry->owners_due = false;
-  record->news_us = record->news_us == 0 ? entry->held_until_us + 1
-                                         : MIN (record->news_us, entry->held_until_us + 1);
-}
-
 static void
 add_crash (crash_record_t *record, entry_t *entry, const crash_t *crash)
 {
@@ -294,7 +293,7 @@
     return CRASH_RECORD_TOGETHER;
   add_crash (record, entry, &crash);
   if (entry->count >= CRASH_RECORD_TRIAL_CRASHES)
-    announce (record, entry);
+    crash_record_announce (record, entry, CRASH_RECORD_SENDS);
   else
     entry->owners_due = true;
   return CRASH_RECORD_COUNTED;
@@ -310,10 +309,11 @@
   entry->losses = 0;
   entry->confirmed = false;
   entry->has_later = false;
+  entry->claim = (claim_t){ 0 };
   entry->is_cleared = true;
   entry->changed_us = cleared_us;
   if (all_know)
-    announce (record, entry);
+    crash_record_announce (record, entry, CRASH_RECORD_SENDS);
   else
     entry->owners_due = entry->told;
 }
@@ -321,7 +321,7 @@
 bool
 crash_record_note_served (crash_record_t *record, uint64_t now_us, uint64_t fingerprint)
 {
-  entry_t *entry = find (record, fingerprint);
+  entry_t *entry = find_entry (record, fingerprint);
 
   recent_answers_add (record->served, now_us, fingerprint);
   if (!entry || entry->count == 0)
@@ -347,9 +347,10 @@
   entry->losses = 0;
   entry->confirmed = false;
   entry->has_later = false;
+  entry->claim = (claim_t){ 0 };
   entry->is_cleared = true;
   entry->changed_us = now_us;
-  announce (record, entry);
+  crash_record_announce (record, entry, CRASH_RECORD_SENDS);
   return is_new;
 }
 
@@ -386,7 +387,7 @@
   for (uint32_t i = 0; i < mark->engine_count && !is_final (entry); i++)
     {
       crash.engine_hash = mark->engines[i];
-      crash.request = i + 1 == mark->engine_count ? mark->request : 0;
+      crash.request = i + 1 == mark->engine_count && !mark->claimed ? mark->request : 0;
       if (!has_engine (entry, crash.engine_hash) && !lacks_other_request (entry, crash.request) &&
           !is_sound (record, crash.engine_hash, crash.lost_us))
         add_crash (record, entry, &crash);
@@ -395,13 +396,19 @@
 }
 
 /* The peer knows of a later crash of what is refused already. The time that a message takes makes
- * crashes look later than they were. */
-static void
-adopt_later_crash (entry_t *entry, const crash_mark_t *mark, uint64_t lost_us)
+ * crashes look later than they were. Return: whether it was not known */
+static bool
+adopt_later_crash (crash_record_t *record,
+                   entry_t *entry,
+                   const crash_mark_t *mark,
+                   uint64_t lost_us)
 {
-  if (is_final (entry) && mark->engine_count == CRASH_MARK_ENGINES &&
-      lost_us > entry->changed_us + MARK_TIME_ERROR_US)
-    entry->changed_us = lost_us;
+  if (!is_final (entry) || mark->engine_count != CRASH_MARK_ENGINES ||
+      lost_us <= entry->changed_us + MARK_TIME_ERROR_US)
+    return false;
+  entry->changed_us = lost_us;
+  crash_record_announce (record, entry, CRASH_RECORD_SENDS);
+  return true;
 }
 
 /* Return: whether it was not known */
@@ -411,7 +418,7 @@
   if (!mark->confirmed || entry->confirmed || !is_final (entry))
     return false;
   entry->confirmed = true;
-  announce (record, entry);
+  crash_record_announce (record, entry, CRASH_RECORD_SENDS);
   return true;
 }
 
@@ -426,15 +433,16 @@
 bool
 crash_record_merge (crash_record_t *record, uint64_t now_us, const crash_mark_t *mark)
 {
-  crash_t crash = { .sent_us = time_ago_us (now_us, mark->sent_age_ms),
+  crash_t crash = { .sent_us = mark->claimed ? 0 : time_ago_us (now_us, mark->sent_age_ms),
                     .lost_us = time_ago_us (now_us, mark->age_ms) };
   crash_subject_t subject = { mark->fingerprint, mark->kind };
+  bool is_new;
   entry_t *entry;
 
   if ((uint64_t)mark->age_ms * CLOCK_US_PER_MS > record->options.lifetime_us)
     return false;
   if (mark->engine_count == 0)
-    return merge_cleared (record, find (record, mark->fingerprint), crash.lost_us);
+    return merge_cleared (record, find_entry (record, mark->fingerprint), crash.lost_us);
   entry = find_or_add (record, mark->fingerprint, mark->kind);
   if (crash_record_was_served (record, now_us, subject))
     return answer_by_clearing (record, entry, now_us);
@@ -444,21 +452,24 @@
   /* The peer may have just started: the reply tells it. */
   if (entry->count >= CRASH_RECORD_TRIAL_CRASHES && mark->engine_count < entry->count)
     entry->sends_left = MAX (entry->sends_left, 1);
-  adopt_later_crash (entry, mark, crash.lost_us);
-  if (adopt_confirmation (record, entry, mark))
+  is_new = adopt_later_crash (record, entry, mark, crash.lost_us);
+  is_new = crash_record_merge_claim (record, now_us, entry, mark) || is_new;
+  is_new = adopt_confirmation (record, entry, mark) || is_new;
+  if (is_new)
     return true;
   if (is_final (entry) || !merge_engines (record, entry, mark, crash))
     return false;
   adopt_confirmation (record, entry, mark);
+  crash_record_merge_claim (record, now_us, entry, mark);
   if (entry->count >= CRASH_RECORD_TRIAL_CRASHES)
-    announce (record, entry);
+    crash_record_announce (record, entry, CRASH_RECORD_SENDS);
   return true;
 }
 
 crash_record_verdict_t
 crash_record_check (crash_record_t *record, uint64_t now_us, uint64_t fingerprint)
 {
-  entry_t *entry = find (record, fingerprint);
+  entry_t *entry = find_entry (record, fingerprint);
 
   if (!entry)
     return CRASH_RECORD_ALLOWED;
@@ -473,25 +484,10 @@
   return CRASH_RECORD_REFUSED;
 }
 
-bool
-crash_record_is_retrial_due (const crash_record_t *record, uint64_t now_us, uint64_t fingerprint)
-{
-  const entry_t *entry = find (record, fingerprint);
-  uint64_t last_us;
-  uint64_t wait_us;
-
-  if (!entry || !is_final (entry) || !rules[entry->kind].has_retrials)
-    return false;
-  last_us = MAX (entry->changed_us, entry->has_later ? entry->later.lost_us : 0);
-  wait_us = (last_us - entry->final_us) * CRASH_RECORD_RETRIAL_FACTOR;
-  return now_us >=
-         last_us + CLAMP (wait_us, CRASH_RECORD_RETRIAL_MIN_US, CRASH_RECORD_RETRIAL_MAX_US);
-}
-
 bool
 crash_record_needs_confirmation (const crash_record_t *record, uint64_t fingerprint)
 {
-  const entry_t *entry = find (record, fingerprint);
+  const entry_t *entry = find_entry (record, fingerprint);
 
   return entry && is_unconfirmed (entry);
 }
@@ -499,17 +495,17 @@
 void
 crash_record_confirm (crash_record_t *record, uint64_t fingerprint)
 {
-  entry_t *entry = find (record, fingerprint);
+  entry_t *entry = find_entry (record, fingerprint);
 
   g_assert (entry && is_final (entry));
   entry->confirmed = true;
-  announce (record, entry);
+  crash_record_announce (record, entry, CRASH_RECORD_SENDS);
 }
 
 uint32_t
 crash_record_count_crashes (const crash_record_t *record, uint64_t fingerprint)
 {
-  const entry_t *entry = find (record, fingerprint);
+  const entry_t *entry = find_entry (record, fingerprint);
 
   return entry ? entry->count : 0;
 }
--- a/src/request/policy/crash_record.h
+++ b/src/request/policy/crash_record.h
@@ -44,10 +44,17 @@
 #define CRASH_RECORD_RETRIAL_MIN_US (UINT64_C (4) * 1000 * 1000)
 #define CRASH_RECORD_RETRIAL_FACTOR 5
 #define CRASH_RECORD_RETRIAL_MAX_US (UINT64_C (300) * 1000 * 1000)
+/* A claim of a retrial is told to all for this time before the request is sent. */
+#define CRASH_RECORD_CLAIM_SETTLE_US (UINT64_C (200) * 1000)
+#define CRASH_RECORD_CLAIM_STEP_US (UINT64_C (500) * 1000)
+/* Other requests with the part wait for this time for what the retrial shows. */
+#define CRASH_RECORD_CLAIM_US (UINT64_C (2) * 1000 * 1000)
 /* A crash is told this much later where it may turn out to be one of most engines. */
 #define CRASH_RECORD_HOLD_US (UINT64_C (40) * 1000)
 /* Messages that carry a change, more than log2 of the gateways of a large fleet. */
 #define CRASH_RECORD_SENDS 16
+/* Likewise, the claim of a retrial, which is over soon. */
+#define CRASH_RECORD_CLAIM_SENDS 8
 
 /** enum crash_subject_kind - what engines may end under */
 typedef enum
@@ -67,10 +74,11 @@
  * struct crash_mark - the crashes of one subject, as gateways tell them to each other
  * @engines: hashes of the engines that ended, @engine_count of them; none when it was served
  * @age_ms: time since the last crash, or since it was served
- * @sent_age_ms: time since a request with it was sent to the last of the engines; %UINT32_MAX when
- *   unknown
+ * @sent_age_ms: time since a request with it was sent to the last of the engines, or since the
+ *   retrial was claimed; %UINT32_MAX when unknown
  * @request: of a part, low half of the fingerprint of that request; 0 when unknown
  * @confirmed: of a part, see crash_record_confirm()
+ * @claimed: a gateway is about to send @request, see crash_record_claim_retrial()
  */
 typedef struct
 {
@@ -82,6 +90,7 @@
   uint32_t sent_age_ms;
   uint32_t request;
   bool confirmed;
+  bool claimed;
 } crash_mark_t;
 
 #define CRASH_MARK_PART_ENGINES 2 /* engines that one part of a message holds */
@@ -161,6 +170,33 @@
   CRASH_RECORD_REFUSED   /* not any more */
 } crash_record_verdict_t;
 
+/** enum crash_record_claim - whether a request may be the retrial of a refused part */
+typedef enum
+{
+  CRASH_RECORD_CLAIM_NONE, /* not now */
+  CRASH_RECORD_CLAIM_WAIT, /* a retrial begins or runs, its end decides */
+  CRASH_RECORD_CLAIM_SEND  /* this request is the retrial */
+} crash_record_claim_t;
+
+/**
+ * struct crash_record_candidate - a request that may be the retrial of a refused part
+ * @fingerprint: of the part
+ * @request: fingerprint of the request
+ * @others: further refused subjects of the request. Its end would not tell which of them is to
+ *   blame, so a request with fewer of them has time to come first
+ * @gateway_hash: hash of the name of the gateway to which it came
+ * @gateways: number of all gateways. When a retrial is due, about one of them may claim it, and
+ *   twice as many after each %CRASH_RECORD_CLAIM_STEP_US
+ */
+typedef struct
+{
+  uint64_t fingerprint;
+  uint64_t request;
+  uint32_t others;
+  uint64_t gateway_hash;
+  uint32_t gateways;
+} crash_record_candidate_t;
+
 typedef struct crash_record crash_record_t;
 
 /** crash_mark_parts() - parts of a message that the mark takes */
@@ -183,10 +219,15 @@
 /** crash_record_check() - whether a request with the subject may be sent */
 crash_record_verdict_t
 crash_record_check (crash_record_t *record, uint64_t now_us, uint64_t fingerprint);
-/** crash_record_is_retrial_due() - whether one request with a refused part may be sent once more,
- * by the first of its owners only */
+/** crash_record_is_retrial_due() - whether one request with a refused part may be sent once more */
 bool
 crash_record_is_retrial_due (const crash_record_t *record, uint64_t now_us, uint64_t fingerprint);
+/** crash_record_claim_retrial() - asks whether a request may be the retrial of a refused part, and
+ * claims it when it is due. The claim is told to all gateways before the request is sent; of
+ * several that are made at the same time the one of the lowest request counts */
+crash_record_claim_t crash_record_claim_retrial (crash_record_t *record,
+                                                 uint64_t now_us,
+                                                 const crash_record_candidate_t *candidate);
 /** crash_record_needs_confirmation() - whether enough engines have ended under a part, but it is
  * not known yet that requests without it are answered; until then it is on trial */
 bool crash_record_needs_confirmation (const crash_record_t *record, uint64_t fingerprint);
--- a/src/request/policy/crash_record_private.h
+++ b/src/request/policy/crash_record_private.h
@@ -2,7 +2,8 @@
  * DOC: crash_record_private
  *
  * Declarations shared by crash_record.c, which decides what counts as a crash and what may be sent,
- * and crash_record_tell.c, which decides what the other gateways are told, and when.
+ * crash_record_retrial.c, which decides when a refused part is tried again and by whom, and
+ * crash_record_tell.c, which decides what the other gateways are told, and when.
  */
 #ifndef REQUEST_POLICY_CRASH_RECORD_PRIVATE_H
 #define REQUEST_POLICY_CRASH_RECORD_PRIVATE_H
@@ -35,6 +36,19 @@
   uint64_t last_together;
 } crash_t;
 
+/**
+ * struct claim - a retrial that a gateway claims
+ * @at_us: when; 0 for never
+ * @request: low half of the fingerprint of the request
+ * @own_request: the whole fingerprint if it came to this gateway, else 0
+ */
+typedef struct
+{
+  uint64_t at_us;
+  uint32_t request;
+  uint64_t own_request;
+} claim_t;
+
 /**
  * struct entry - a request or part
  * @crashes: in the order of their times, @count of them
@@ -43,6 +57,7 @@
  * @final_us: time of the crash from which on it is refused
  * @confirmed: of a part, see crash_record_confirm()
  * @later: the last own crash since then, if @has_later
+ * @claim: the last claim of a retrial, of this gateway or another one
  * @losses: own losses since it was served, also those that do not count
  * @ran_us: as in crash_record_loss_t, of the last own loss
  * @held_until_us: it is told from then on
@@ -62,6 +77,7 @@
   bool confirmed;
   crash_t later;
   bool has_later;
+  claim_t claim;
   uint32_t losses;
   uint64_t ran_us;
   uint64_t held_until_us;
@@ -100,8 +116,24 @@
   return &entry->crashes[entry->count - 1];
 }
 
+static inline entry_t *
+find_entry (const crash_record_t *record, uint64_t fingerprint)
+{
+  return g_hash_table_lookup (record->by_fingerprint, &fingerprint);
+}
+
 /** crash_record_review_entry() - compares the crashes that are not certain with what is known of
  * their engines now, and drops those that count no more */
-void crash_record_review_entry (const crash_record_t *record, uint64_t now_us, entry_t *entry);
+void crash_record_review_entry (crash_record_t *record, uint64_t now_us, entry_t *entry);
+/** crash_record_announce() - all gateways are to be told of the entry, by @sends messages */
+void crash_record_announce (crash_record_t *record, entry_t *entry, uint32_t sends);
+/** crash_record_has_claim() - whether a retrial begins or runs */
+bool crash_record_has_claim (const entry_t *entry, uint64_t now_us);
+/** crash_record_merge_claim() - applies the claim of a mark, if it has one. Return: whether it was
+ * not known */
+bool crash_record_merge_claim (crash_record_t *record,
+                               uint64_t now_us,
+                               entry_t *entry,
+                               const crash_mark_t *mark);
 
 #endif
--- a/src/request/policy/crash_record_tell.c
+++ b/src/request/policy/crash_record_tell.c
@@ -27,6 +27,12 @@
     mark.sent_age_ms = age_ms (now_us, last_crash (entry)->sent_us);
   if (entry->count > 0)
     mark.request = last_crash (entry)->request;
+  if (crash_record_has_claim (entry, now_us))
+    {
+      mark.claimed = true;
+      mark.request = entry->claim.request;
+      mark.sent_age_ms = age_ms (now_us, entry->claim.at_us);
+    }
   return mark;
 }
 
@@ -37,12 +43,15 @@
 }
 
 /* What is refused goes before what is on trial: under a burst of crashes many neighbours are, and
- * the one to blame ends engines until all have heard of it. */
+ * the one to blame ends engines until all have heard of it. A claim has the least time. */
 static uint32_t
-urgency (const entry_t *entry)
+urgency (const entry_t *entry, uint64_t now_us)
 {
-  return entry->sends_left > 0 && is_final (entry) ? entry->sends_left + CRASH_RECORD_SENDS / 2
-                                                   : entry->sends_left;
+  if (entry->sends_left == 0)
+    return 0;
+  if (crash_record_has_claim (entry, now_us))
+    return entry->sends_left + CRASH_RECORD_SENDS;
+  return entry->sends_left + (is_final (entry) ? CRASH_RECORD_SENDS / 2 : 0);
 }
 
 static entry_t *
@@ -61,7 +70,7 @@
       for (uint32_t j = 0; j < taken_count; j++)
         is_taken = is_taken || taken[j] == entry;
       if (!is_taken && now_us >= entry->held_until_us &&
-          urgency (entry) > (best ? urgency (best) : 0))
+          urgency (entry, now_us) > (best ? urgency (best, now_us) : 0))
         best = entry;
     }
   return best;
--- a/tests/crash_sim.c
+++ b/tests/crash_sim.c
@@ -187,15 +187,6 @@
   return count;
 }
 
-bool
-crash_sim_is_first_owner (const crash_sim_t *sim, uint32_t gateway, uint64_t fingerprint)
-{
-  uint32_t owners[OWNERS] = { 0 };
-
-  find_owners (sim, fingerprint, owners);
-  return owners[0] == gateway;
-}
-
 static void
 tell_owners (crash_sim_t *sim, uint32_t from, const crash_mark_t *mark)
 {
--- a/tests/crash_sim.h
+++ b/tests/crash_sim.h
@@ -49,8 +49,6 @@
 void crash_sim_run (crash_sim_t *sim, uint64_t span_us);
 /** crash_sim_tell() - sends the marks of a gateway that are due */
 void crash_sim_tell (crash_sim_t *sim, uint32_t gateway);
-/** crash_sim_is_first_owner() - whether the gateway ranks first for the fingerprint */
-bool crash_sim_is_first_owner (const crash_sim_t *sim, uint32_t gateway, uint64_t fingerprint);
 /** crash_sim_restart() - the gateway forgets all */
 void crash_sim_restart (crash_sim_t *sim, uint32_t gateway);
 
--- a/tests/test_crash_record.c
+++ b/tests/test_crash_record.c
@@ -358,7 +358,7 @@
 {
   rig_t rig = { 0 };
   g_autoptr (crash_record_t) record = new_record (&rig);
-  crash_mark_t crashes = { CULPRIT, CRASH_SUBJECT_REQUEST, { 1, 2 }, 2, 0, 0, 0, false };
+  crash_mark_t crashes = { CULPRIT, CRASH_SUBJECT_REQUEST, { 1, 2 }, 2, 0, 0, 0, false, false };
   crash_mark_t served = { .fingerprint = CULPRIT, .age_ms = 20 };
 
   CU_ASSERT (crash_record_merge (record, START_US, &crashes));
@@ -378,7 +378,7 @@
 {
   rig_t rig = { 0 };
   g_autoptr (crash_record_t) record = new_record (&rig);
-  crash_mark_t mark = { CULPRIT, CRASH_SUBJECT_REQUEST, { 1, 2, 3 }, 3, 0, 0, 0, false };
+  crash_mark_t mark = { CULPRIT, CRASH_SUBJECT_REQUEST, { 1, 2, 3 }, 3, 0, 0, 0, false, false };
 
   crash_record_note_served (record, START_US, CULPRIT);
   CU_ASSERT (crash_record_merge (record, START_US + S_US, &mark));
@@ -396,7 +396,7 @@
   rig_t rig = { 0 };
   g_autoptr (crash_record_t) record = new_record (&rig);
   crash_mark_t marks[2];
-  crash_mark_t first = { CULPRIT, CRASH_SUBJECT_REQUEST, { 4 }, 1, 0, 100, 0, false };
+  crash_mark_t first = { CULPRIT, CRASH_SUBJECT_REQUEST, { 4 }, 1, 0, 100, 0, false, false };
 
   end_three (&rig, record, START_US);
   for (uint64_t engine = 1; engine <= 2; engine++)
@@ -473,7 +473,7 @@
   rig_t rig = { 0 };
   g_autoptr (crash_record_t) record = new_record (&rig);
   crash_mark_t old = {
-    OTHER, CRASH_SUBJECT_REQUEST, { 1 }, 1, (uint32_t)(LIFETIME_US / MS_US) + 1, 0, 0, false
+    OTHER, CRASH_SUBJECT_REQUEST, { 1 }, 1, (uint32_t)(LIFETIME_US / MS_US) + 1, 0, 0, false, false
   };
 
   end_three (&rig, record, START_US);
@@ -742,7 +742,7 @@
 {
   xch_mark marks[XCH_MARKS] = { 0 };
   xch_word words[XCH_WORDS] = { 0 };
-  crash_mark_t sent = { CULPRIT, CRASH_SUBJECT_PART, { 1, 2, 3 }, 3, 20, 30, 40, true };
+  crash_mark_t sent = { CULPRIT, CRASH_SUBJECT_PART, { 1, 2, 3 }, 3, 20, 30, 40, true, true };
   xch_message message = { .marks = { 0, marks }, .words = { 0, words } };
   crash_mark_t received;
 
@@ -754,6 +754,7 @@
   CU_ASSERT_EQUAL (received.engine_count, 3);
   CU_ASSERT_EQUAL (received.request, 40);
   CU_ASSERT (received.confirmed);
+  CU_ASSERT (received.claimed);
 }
 
 /* Guards against the parts of a request that ends engines again and again being refused for it. */
@@ -766,7 +767,7 @@
   crash_record_loss_t loss = { .fingerprint = CULPRIT,
                                .kind = CRASH_SUBJECT_PART,
                                .request = OTHER };
-  crash_mark_t mark = { CULPRIT, CRASH_SUBJECT_PART, { 9 }, 1, 0, 1, OTHER, false };
+  crash_mark_t mark = { CULPRIT, CRASH_SUBJECT_PART, { 9 }, 1, 0, 1, OTHER, false, false };
 
   for (uint64_t engine = 1; engine <= 4; engine++)
     {
--- a/tests/test_gateway_crash.c
+++ b/tests/test_gateway_crash.c
@@ -341,6 +341,86 @@
   CU_ASSERT_EQUAL (gateway_rig_counter (rig, 0, PART_REFUSED), 0);
 }
 
+#define HELD 3
+
+static bool
+has_read_all (void *context)
+{
+  return gateway_rig_counter (context, 0, "medlarplank_http_requests_total") == 3 + HELD;
+}
+
+static bool
+has_response (void *context)
+{
+  return ((const raw_peer_t *)context)->received->len > 0;
+}
+
+/* Ends two engines under the part, and sends requests with it to a third one, which is silent. */
+static raw_server_t *
+start_trial (gateway_rig_t *rig, raw_peer_t **callers)
+{
+  raw_server_t *engine;
+
+  use_next_engine (rig, breaks_off);
+  send_with_part (rig, "a", "502");
+  use_next_engine (rig, breaks_off);
+  send_with_part (rig, "b", "502");
+  engine = use_next_engine (rig, is_silent);
+  for (uint32_t i = 0; i <= HELD; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/book/c%u", i);
+
+      callers[i] = gateway_rig_send (rig, 0, "POST", path, PART);
+      while (engine->request_count == 0)
+        raw_peer_run_ms (rig->base, 1);
+    }
+  CU_ASSERT (raw_peer_run_until (rig->base, has_read_all, rig));
+  CU_ASSERT_EQUAL (engine->request_count, 1);
+  return engine;
+}
+
+static void
+end_trial (gateway_rig_t *rig, raw_peer_t **callers, const char *status)
+{
+  g_autofree char *head = g_strconcat ("HTTP/1.1 ", status, " ", NULL);
+
+  for (uint32_t i = 0; i <= HELD; i++)
+    {
+      CU_ASSERT (raw_peer_run_until (rig->base, has_response, callers[i]));
+      CU_ASSERT (i == 0 || starts_with (callers[i], head));
+      raw_peer_free (callers[i]);
+    }
+}
+
+/* Guards against sound requests that are refused while another one with a part on trial runs. */
+static void
+test_requests_wait_for_the_one_on_trial (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  raw_peer_t *callers[HELD + 1];
+  raw_server_t *engine = start_trial (rig, callers);
+
+  engine->scripts = answers;
+  raw_peer_send (g_ptr_array_index (engine->connections, 0), OK_RESPONSE);
+  end_trial (rig, callers, "200");
+  CU_ASSERT_EQUAL (gateway_rig_counter (rig, 0, REFUSED), 0);
+}
+
+/* Guards against requests that wait for a trial and go on ending engines after it. */
+static void
+test_requests_that_wait_are_refused_with_the_part (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  raw_peer_t *callers[HELD + 1];
+  raw_server_t *engine = start_trial (rig, callers);
+
+  engine->scripts = answers;
+  answer_another (rig);
+  raw_peer_close (g_ptr_array_index (engine->connections, 0), true);
+  end_trial (rig, callers, "503");
+  CU_ASSERT_EQUAL (gateway_rig_counter (rig, 0, PART_REFUSED), HELD);
+}
+
 int
 main (void)
 {
@@ -353,6 +433,9 @@
                                        SUITE_TEST (test_part_is_refused_after_three_engines),
                                        SUITE_TEST (test_answer_without_a_length_excuses_no_part),
                                        SUITE_TEST (test_long_answer_excuses_its_parts),
+                                       SUITE_TEST (test_requests_wait_for_the_one_on_trial),
+                                       SUITE_TEST (
+                                           test_requests_that_wait_are_refused_with_the_part),
                                        SUITE_TEST (test_stream_that_ends_inside_an_event_is_a_loss),
                                        CU_TEST_INFO_NULL };
 
--- a/tests/test_part_fleet.c
+++ b/tests/test_part_fleet.c
@@ -29,12 +29,19 @@
 #define WRITE_MIN_MS 200 /* from then until the answer is whole */
 #define WRITE_MAX_MS 3000
 #define ATTEMPTS 2
+#define HELD_US (3 * S_US) /* for which a request may wait for what another one shows */
+#define TICK_US (25 * MS_US)
 #define FIRST_PARTS 3
 #define SUBJECT_SECONDS 5 /* time after which a subject is asked for again, on average */
 #define RECORD_LIMIT 1024
 #define SUBJECTS_MAX 3            /* of a request: itself and two parts */
 #define CULPRIT UINT64_C (0xdead) /* the first part that ends engines; the others follow */
 #define DEADLY_PARTS_MAX 2
+#define SUBJECT UINT64_C (0x50) /* the first sound part that is refused; the others follow */
+#define SUBJECTS_REFUSED 8
+#define SUBJECT_PLAY_US (15 * S_US)
+#define WAVE_US (8 * S_US) /* for which requests with a part that ends engines come, twice */
+#define WAVE_PAUSE_US (20 * S_US)
 
 typedef struct play play_t;
 
@@ -47,7 +54,8 @@
   GPtrArray *runs; /* run_t */
 } engine_t;
 
-/** struct run - a request, at an engine or before; @begun_us: when its answer began, 0 before */
+/** struct run - a request, at an engine or before; @begun_us: when its answer began, 0 before;
+ * @held_us: when it began to wait for what another one shows of a part, 0 for never */
 typedef struct
 {
   play_t *play;
@@ -59,6 +67,7 @@
   uint64_t first_sent_us;
   uint64_t sent_us;
   uint64_t begun_us;
+  uint64_t held_us;
   engine_t *engine;
 } run_t;
 
@@ -105,13 +114,17 @@
   GArray *ended_us;   /* by hash of the engine; 0 while it runs */
   GArray *leaving_us; /* likewise */
   uint64_t next_number;
-  bool is_quiet; /* no sound requests come */
+  bool is_quiet;       /* no sound requests come */
+  bool without_deadly; /* no others do */
   uint32_t crashes[DEADLY_PARTS_MAX];
   uint64_t last_crash_us[DEADLY_PARTS_MAX]; /* the fifth, or the last if there are fewer */
   uint32_t late_sends[DEADLY_PARTS_MAX];
   uint32_t sound;
   uint32_t sound_begun;
   uint32_t sound_refused;
+  uint64_t subjects_from_us; /* requests with refused sound parts count from then on */
+  uint32_t subject_sent;
+  uint32_t subject_begun;
 };
 
 static crash_record_engine_t
@@ -167,35 +180,74 @@
   return false;
 }
 
-/* As gateway_suspect_refuse() */
-static bool
-is_refused (const run_t *run)
+static uint32_t
+count_refused (const run_t *run)
+{
+  crash_record_t *record = crash_sim_record (run->play->sim, run->gateway);
+  uint64_t now_us = crash_sim_now_us (run->play->sim);
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < SUBJECTS_MAX; i++)
+    if (crash_record_check (record, now_us, run->subjects[i].fingerprint) >= CRASH_RECORD_PENDING)
+      count++;
+  return count;
+}
+
+/** enum step_kind - what becomes of a request now */
+typedef enum
+{
+  STEP_SEND,
+  STEP_WAIT,
+  STEP_REFUSE
+} step_kind_t;
+
+/* As gateway_suspect_stop() */
+static step_kind_t
+decide_subject (const run_t *run, uint64_t fingerprint)
 {
   const play_t *play = run->play;
   crash_record_t *record = crash_sim_record (play->sim, run->gateway);
   uint64_t now_us = crash_sim_now_us (play->sim);
+  crash_record_verdict_t verdict;
+
+  if (crash_record_needs_confirmation (record, fingerprint) &&
+      answered_parts_lack (&play->answered[run->gateway], fingerprint))
+    crash_record_confirm (record, fingerprint);
+  verdict = crash_record_check (record, now_us, fingerprint);
+  if (verdict == CRASH_RECORD_ALLOWED)
+    return STEP_SEND;
+  if (verdict == CRASH_RECORD_ON_TRIAL)
+    return is_other_running (run, fingerprint) ? STEP_WAIT : STEP_SEND;
+  switch (
+      crash_record_claim_retrial (record, now_us,
+                                  &(crash_record_candidate_t){ .fingerprint = fingerprint,
+                                                               .request = number_of (run),
+                                                               .others = count_refused (run) - 1,
+                                                               .gateway_hash = run->gateway + 1,
+                                                               .gateways = play->fleet->gateways }))
+    {
+    case CRASH_RECORD_CLAIM_NONE:
+      return STEP_REFUSE;
+    case CRASH_RECORD_CLAIM_WAIT:
+      crash_sim_tell (play->sim, run->gateway);
+      return STEP_WAIT;
+    case CRASH_RECORD_CLAIM_SEND:
+      return STEP_SEND;
+    }
+  return STEP_REFUSE;
+}
 
+static step_kind_t
+decide (const run_t *run)
+{
   for (uint32_t i = 0; i < SUBJECTS_MAX; i++)
     {
-      uint64_t fingerprint = run->subjects[i].fingerprint;
-      crash_record_verdict_t verdict;
-      bool is_alone;
-
-      if (crash_record_needs_confirmation (record, fingerprint) &&
-          answered_parts_lack (&play->answered[run->gateway], fingerprint))
-        crash_record_confirm (record, fingerprint);
-      verdict = crash_record_check (record, now_us, fingerprint);
-      is_alone = verdict != CRASH_RECORD_ALLOWED && !is_other_running (run, fingerprint);
+      step_kind_t step = decide_subject (run, run->subjects[i].fingerprint);
 
-      if (verdict == CRASH_RECORD_ALLOWED || (verdict == CRASH_RECORD_ON_TRIAL && is_alone))
-        continue;
-      if (verdict != CRASH_RECORD_ON_TRIAL && is_alone &&
-          crash_record_is_retrial_due (record, now_us, fingerprint) &&
-          crash_sim_is_first_owner (play->sim, run->gateway, fingerprint))
-        continue;
-      return true;
+      if (step != STEP_SEND)
+        return step;
     }
-  return false;
+  return STEP_SEND;
 }
 
 static bool
@@ -264,6 +316,7 @@
 }
 
 static void on_begin (crash_sim_t *sim, void *data);
+static void on_held (crash_sim_t *sim, void *data);
 
 static void
 schedule_step (run_t *run, uint64_t wait_us, crash_sim_handler_t handler)
@@ -297,14 +350,30 @@
   return true;
 }
 
-/* Return: whether the request was sent to an engine */
+static bool
+hold_run (run_t *run)
+{
+  uint64_t now_us = crash_sim_now_us (run->play->sim);
+
+  if (run->held_us == 0)
+    run->held_us = now_us;
+  else if (now_us >= run->held_us + HELD_US)
+    return false;
+  schedule_step (run, TICK_US, on_held);
+  return true;
+}
+
+/* Return: whether the request was sent to an engine, or waits */
 static bool
 send_run (run_t *run)
 {
   play_t *play = run->play;
+  step_kind_t step = decide (run);
   engine_t *engine;
 
-  if (is_refused (run))
+  if (step == STEP_WAIT && hold_run (run))
+    return true;
+  if (step != STEP_SEND)
     {
       play->sound_refused += run->is_deadly ? 0 : 1;
       return false;
@@ -323,6 +392,17 @@
   return true;
 }
 
+static void
+on_held (crash_sim_t *sim, void *data)
+{
+  const play_t *play = crash_sim_context (sim);
+  uint64_t number = ((const step_t *)data)->number;
+  run_t *run = g_hash_table_lookup (play->runs, &number);
+
+  if (run && !run->engine && !send_run (run))
+    end_run (run);
+}
+
 static void
 on_back (crash_sim_t *sim, void *data)
 {
@@ -476,19 +556,30 @@
     }
   if (is_counted (run) && run->attempts == 1)
     play->sound_begun++;
+  if (run->subjects[2].fingerprint < SUBJECT + SUBJECTS_REFUSED && run->attempts == 1 &&
+      run->first_sent_us >= play->subjects_from_us)
+    play->subject_begun++;
   write_us = crash_sim_draw (sim, WRITE_MIN_MS, WRITE_MAX_MS) * MS_US;
   if (write_us > CRASH_RECORD_PART_WRITTEN_US)
     schedule_step (run, CRASH_RECORD_PART_WRITTEN_US, on_written_long);
   schedule_step (run, write_us, on_whole);
 }
 
+/** struct kind - what kind of request comes; @subject: its second part, 0 to draw one */
+typedef struct
+{
+  bool is_deadly;
+  uint64_t subject;
+} kind_t;
+
 static void
-add_run (play_t *play, bool is_deadly)
+add_run (play_t *play, const kind_t *kind)
 {
   const fleet_t *fleet = play->fleet;
   run_t *run = g_new0 (run_t, 1);
-  uint64_t subject =
-      0x50000000 + crash_sim_draw (play->sim, 0, fleet->requests_per_s * SUBJECT_SECONDS);
+  bool is_deadly = kind->is_deadly;
+  uint32_t drawn = crash_sim_draw (play->sim, 0, fleet->requests_per_s * SUBJECT_SECONDS);
+  uint64_t subject = kind->subject != 0 ? kind->subject : 0x50000000 + (uint64_t)drawn;
   uint64_t first = 0x1000 + crash_sim_draw (play->sim, 0, FIRST_PARTS);
 
   run->play = play;
@@ -520,7 +611,7 @@
                       crash_sim_draw (sim, 1, 2 * (uint32_t)S_US / play->fleet->requests_per_s),
                       on_sound, NULL);
   if (!play->is_quiet)
-    add_run (play, false);
+    add_run (play, &(kind_t){ 0 });
 }
 
 static void
@@ -531,7 +622,8 @@
   (void)data;
   crash_sim_schedule (sim, crash_sim_draw (sim, 1, 2 * (uint32_t)S_US / play->fleet->deadly_per_s),
                       on_deadly, NULL);
-  add_run (play, true);
+  if (!play->without_deadly)
+    add_run (play, &(kind_t){ .is_deadly = true });
 }
 
 static void
@@ -708,6 +800,95 @@
   end_play (&play);
 }
 
+/* Guards against a part that ends an engine at each of many gateways when it comes again. */
+static void
+test_part_comes_again (void)
+{
+  static const uint32_t gateways[] = { 1, 15, 385, 880 };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (gateways); i++)
+    {
+      fleet_t fleet = { .gateways = gateways[i],
+                        .engines = 10 + 4 * gateways[i],
+                        .requests_per_s = 40 + 10 * gateways[i],
+                        .deadly_per_s = 100 };
+      play_t play = { .fleet = &fleet };
+
+      start_play (&play, 41 + i);
+      crash_sim_run (play.sim, LEAD_US);
+      crash_sim_schedule (play.sim, 0, on_deadly, NULL);
+      for (uint32_t wave = 0; wave < 2; wave++)
+        {
+          play.without_deadly = false;
+          crash_sim_run (play.sim, WAVE_US);
+          play.without_deadly = true;
+          crash_sim_run (play.sim, WAVE_PAUSE_US);
+        }
+      check_part (&play, 0);
+      end_play (&play);
+    }
+}
+
+static void
+on_subject (crash_sim_t *sim, void *data)
+{
+  play_t *play = crash_sim_context (sim);
+
+  (void)data;
+  crash_sim_schedule (sim, S_US / SUBJECTS_REFUSED, on_subject, NULL);
+  add_run (play, &(kind_t){ .subject = SUBJECT + play->subject_sent++ % SUBJECTS_REFUSED });
+}
+
+/* Ends three engines, as if under each of the parts. */
+static void
+blame_subjects (play_t *play)
+{
+  crash_mark_t mark = { .kind = CRASH_SUBJECT_PART, .sent_age_ms = UINT32_MAX, .confirmed = true };
+
+  for (uint32_t i = 0; i < CRASH_MARK_ENGINES; i++)
+    {
+      mark.engines[mark.engine_count++] = play->engines[i].hash;
+      end_engine (play, &play->engines[i]);
+    }
+  for (uint32_t i = 0; i < SUBJECTS_REFUSED; i++)
+    {
+      mark.fingerprint = SUBJECT + i;
+      crash_record_merge (crash_sim_record (play->sim, 0), crash_sim_now_us (play->sim), &mark);
+    }
+  crash_sim_tell (play->sim, 0);
+}
+
+/* Guards against a sound part that stays refused at all gateways, as the one that may try it again
+ * gets no request with it. */
+static void
+test_sound_part_is_served_again (void)
+{
+  static const uint32_t gateways[] = { 1, 15, 385, 880 };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (gateways); i++)
+    {
+      fleet_t fleet = { .gateways = gateways[i],
+                        .engines = 10 + 4 * gateways[i],
+                        .requests_per_s = 40 + 10 * gateways[i] };
+      play_t play = { .fleet = &fleet };
+
+      start_play (&play, 51 + i);
+      crash_sim_run (play.sim, LEAD_US);
+      blame_subjects (&play);
+      crash_sim_schedule (play.sim, S_US, on_subject, NULL);
+      crash_sim_run (play.sim, 2 * CONTACT_US);
+      play.subjects_from_us = crash_sim_now_us (play.sim);
+      play.subject_sent = 0;
+      play.subject_begun = 0;
+      crash_sim_run (play.sim, SUBJECT_PLAY_US);
+      printf ("%u gateways: %u of %u requests with a sound part that was refused begun at once\n",
+              fleet.gateways, play.subject_begun, play.subject_sent);
+      CU_ASSERT (play.subject_sent >= 20);
+      CU_ASSERT (play.subject_begun * 2 >= play.subject_sent);
+      end_play (&play);
+    }
+}
+
 /** enum trouble - ends of engines for which no part is to blame */
 typedef enum
 {
@@ -826,6 +1007,8 @@
                                        SUITE_TEST (test_engines_of_64_slots),
                                        SUITE_TEST (test_two_parts),
                                        SUITE_TEST (test_part_comes_alone),
+                                       SUITE_TEST (test_part_comes_again),
+                                       SUITE_TEST (test_sound_part_is_served_again),
                                        SUITE_TEST (test_racks),
                                        SUITE_TEST (test_kill_of_all),
                                        SUITE_TEST (test_release),
