A gateway takes new connections only once it has caught up, and refuses those that wait, unread

Cause: the listener took all connections of an iteration of the event loop at once, so reading new requests went before work on those in progress.

Change: accept_gate. Connections are taken eight at a time; an event of the lowest priority, which runs when nothing else is due, allows the next ones. So what has been read is worked on first, with no rate to estimate. Where some have waited for 250 ms all the time, the listening socket is opened anew: the kernel refuses those in its queue at no cost for this process. The gateway stays ready, or the herd would go to the next one. A pause of the host is no reason to refuse: the time runs from the first tick that sees connections wait. An owner's pause and a stop go before the gate.

--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -127,6 +127,45 @@
   unlisten (context);
 }
 
+/* Has the lowest priority, so it runs when all other events have been handled. */
+static void
+on_idle (evutil_socket_t fd, short what, void *context)
+{
+  http_server_t *http_server = context;
+
+  (void)fd;
+  (void)what;
+  accept_gate_note_idle (&http_server->gate, http_server_has_waiting (http_server));
+  http_server_set_accepting (http_server, true);
+}
+
+/* If it fails, the next http_server_shed() tries again. */
+static void
+listen_again (http_server_t *http_server)
+{
+  http_server->paused = false;
+  if (bind_listener (http_server, NULL) && !http_server_may_accept (http_server))
+    http_server_set_accepting (http_server, false);
+}
+
+bool
+http_server_shed (http_server_t *http_server, uint64_t now_us)
+{
+  bool sheds;
+
+  if (http_server->stopping || http_server->held)
+    return false;
+  sheds = accept_gate_sheds (&http_server->gate, now_us, http_server_has_waiting (http_server));
+  if (sheds)
+    {
+      http_server->options.listen.port = http_server_port (http_server);
+      unlisten (http_server);
+    }
+  if (!http_server->bound)
+    listen_again (http_server);
+  return sheds;
+}
+
 static void
 on_close_idle (evutil_socket_t fd, short what, void *context)
 {
@@ -157,6 +196,11 @@
   http_server->drains = g_hash_table_new (NULL, NULL);
   http_server->unlisten = evtimer_new (options->base, on_unlisten, http_server);
   http_server->close_idle = evtimer_new (options->base, on_close_idle, http_server);
+  if (options->takes_few)
+    {
+      http_server->idle = event_new (options->base, -1, 0, on_idle, http_server);
+      event_priority_set (http_server->idle, HTTP_SERVER_PRIORITIES - 1);
+    }
   get_counters (http_server);
   apply_limits (http_server);
   if (!bind_listener (http_server, error))
@@ -184,6 +228,8 @@
   g_list_free (drains);
   event_free (http_server->unlisten);
   event_free (http_server->close_idle);
+  if (http_server->idle)
+    event_free (http_server->idle);
   g_hash_table_destroy (http_server->new_conns);
   g_hash_table_destroy (http_server->conns);
   g_hash_table_destroy (http_server->drains);
@@ -248,6 +294,7 @@
     return;
   http_server->stopping = true;
   http_server->closing = true;
+  http_server_set_accepting (http_server, true);
   event_add (http_server->unlisten, &at_once);
   http_server_close_idle_later (http_server);
 }
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -18,6 +18,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* priorities of the event base: the last one is for new connections, the middle one for all else */
+#define HTTP_SERVER_PRIORITIES 3
+
 typedef struct http_server http_server_t; /* a server: one listening socket and its connections */
 typedef struct http_server_call http_server_call_t; /* a request that has not been answered */
 
@@ -35,6 +38,8 @@
  *   %LIMIT_HTTP_REQUEST_MS
  * @incomplete_limit_bytes: limit on the sum of all requests that have been received in part;
  *   when it is exceeded, the largest of them is rejected by 503; 0 for %LIMIT_HTTP_INCOMPLETE_BYTES
+ * @takes_few: new connections are taken a few at a time, when @base has nothing else to do, see
+ *   http_server_shed(); @base needs %HTTP_SERVER_PRIORITIES
  * @on_call: receives each complete request within the limits; it must be answered exactly once,
  *   at once or later
  */
@@ -50,6 +55,7 @@
   uint32_t idle_timeout_ms;
   uint32_t request_timeout_ms;
   uint32_t incomplete_limit_bytes;
+  bool takes_few;
   void (*on_call) (http_server_call_t *call, void *context);
   void *context;
 } http_server_options_t;
@@ -76,6 +82,10 @@
 void http_server_pause_accepting (http_server_t *http_server);
 /** http_server_resume_accepting() - accept connections again after http_server_pause_accepting() */
 void http_server_resume_accepting (http_server_t *http_server);
+/** http_server_shed() - refuses the connections that wait, unread, if they have waited for too
+ * long; to be called several times in %ACCEPT_GATE_WAIT_US by the owner of a server that
+ * @takes_few. Return: whether it did */
+bool http_server_shed (http_server_t *http_server, uint64_t now_us);
 /** http_server_stop() - stop listening and send "Connection: close" in all responses from now on.
  * Connections in the kernel's queue are still accepted. Idle ones are closed after
  * %LIMIT_HTTP_STOP_LINGER_MS, since a request may be on its way */
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -15,12 +15,13 @@
   return conn->dup_fd;
 }
 
-static void
-set_accepting (http_server_t *http_server, bool accepting)
+void
+http_server_set_accepting (http_server_t *http_server, bool accepting)
 {
   struct evconnlistener *listener;
 
-  if (!http_server->bound || http_server->paused == !accepting)
+  if (!http_server->bound || http_server->paused == !accepting ||
+      (accepting && !http_server_may_accept (http_server)))
     return;
   http_server->paused = !accepting;
   listener = evhttp_bound_socket_get_listener (http_server->bound);
@@ -30,16 +31,38 @@
     evconnlistener_disable (listener);
 }
 
+bool
+http_server_may_accept (const http_server_t *http_server)
+{
+  uint64_t limit = (uint64_t)http_server->options.connection_limit + LIMIT_HTTP_EXCESS_CONNECTIONS;
+
+  return !http_server->held && http_server->open_count < limit &&
+         (!http_server->idle || http_server->stopping || accept_gate_is_open (&http_server->gate));
+}
+
+bool
+http_server_has_waiting (const http_server_t *http_server)
+{
+  struct pollfd poll_fd = { .events = POLLIN };
+
+  if (!http_server->bound)
+    return false;
+  poll_fd.fd = evhttp_bound_socket_get_fd (http_server->bound);
+  return poll (&poll_fd, 1, 0) > 0;
+}
+
 void
 http_server_pause_accepting (http_server_t *http_server)
 {
-  set_accepting (http_server, false);
+  http_server->held = true;
+  http_server_set_accepting (http_server, false);
 }
 
 void
 http_server_resume_accepting (http_server_t *http_server)
 {
-  set_accepting (http_server, true);
+  http_server->held = false;
+  http_server_set_accepting (http_server, true);
 }
 
 /* Updates the server's sum of incomplete requests too */
@@ -111,7 +134,7 @@
   else if (conn->dup_fd >= 0)
     evutil_closesocket (conn->dup_fd);
   g_free (conn);
-  set_accepting (http_server, true);
+  http_server_set_accepting (http_server, true);
 }
 
 /*
@@ -314,9 +337,13 @@
   bufferevent_incref (bev);
   g_hash_table_insert (http_server->new_conns, bev, conn);
   http_server_conn_defer (conn);
-  if (http_server->open_count >=
-      (uint64_t)http_server->options.connection_limit + LIMIT_HTTP_EXCESS_CONNECTIONS)
-    set_accepting (http_server, false);
+  if (http_server->idle)
+    {
+      accept_gate_note_taken (&http_server->gate);
+      event_active (http_server->idle, EV_TIMEOUT, 0);
+    }
+  if (!http_server_may_accept (http_server))
+    http_server_set_accepting (http_server, false);
   return bev;
 }
 
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -11,6 +11,7 @@
 #define CONNECTION_HTTP_SERVER_INTERNAL_H
 
 #include "connection/http_server.h"
+#include "request/policy/accept_gate.h"
 
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
@@ -42,6 +43,9 @@
  * @busy_count: connections with a request whose response has not been sent completely
  * @closing: responses have "Connection: close"
  * @paused: the listener accepts no connections
+ * @held: its owner has paused it
+ * @gate: used if the options say so
+ * @idle: runs when no other event is due; used with @gate
  */
 struct http_server
 {
@@ -61,6 +65,9 @@
   bool stopping;
   bool closing;
   bool paused;
+  bool held;
+  accept_gate_t gate;
+  struct event *idle;
   counter_t *connections;
   counter_t *requests;
   counter_t *gone;
@@ -136,6 +143,13 @@
   void *room_context;
 };
 
+/** http_server_may_accept() - whether a connection may be taken now */
+bool http_server_may_accept (const http_server_t *http_server);
+/** http_server_set_accepting() - has the listener accept connections, if http_server_may_accept(),
+ * or none */
+void http_server_set_accepting (http_server_t *http_server, bool accepting);
+/** http_server_has_waiting() - whether connections wait in the kernel's queue */
+bool http_server_has_waiting (const http_server_t *http_server);
 /** http_server_close_idle_later() - close the idle connections after %LIMIT_HTTP_STOP_LINGER_MS */
 void http_server_close_idle_later (http_server_t *http_server);
 
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -12,6 +12,7 @@
 #include "platform/request_format.h"
 #include "platform/store.h"
 #include "base/daemon.h"
+#include "connection/http_server.h"
 #include "process/control.h"
 #include "request/router/router.h"
 #include "request/sidecar/sidecar.h"
@@ -143,6 +144,8 @@
   base = event_base_new_with_config (config);
   event_config_free (config);
   g_assert (base != NULL);
+  if (event_base_priority_init (base, HTTP_SERVER_PRIORITIES) < 0)
+    g_assert_not_reached ();
   return base;
 }
 
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -109,6 +109,22 @@
   gateway->options.on_crashes (gateway->options.context);
 }
 
+/* The line is written once in a while, as the connections may go on coming for long. */
+static void
+shed_connections (gateway_task_t *gateway)
+{
+  uint64_t now_us = gateway_now_us (gateway);
+
+  if (!http_server_shed (gateway->listener, now_us))
+    return;
+  counter_add (gateway->sheds, 1);
+  if (gateway->shed_logged_us != 0 && now_us < gateway->shed_logged_us + GATEWAY_SHED_LOG_US)
+    return;
+  gateway->shed_logged_us = now_us;
+  log_event (LOG_LEVEL_WARNING, "connections_refused", "calls",
+             LOG_U64 (g_hash_table_size (gateway->calls)), NULL);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *context)
 {
@@ -116,6 +132,7 @@
 
   (void)fd;
   (void)what;
+  shed_connections (gateway);
   dispatch_all (gateway);
   gateway_resume_poll (gateway);
   if (++gateway->ticks % GATEWAY_WATCH_TICKS != 0)
@@ -162,6 +179,8 @@
   gateway->part_retrials =
       counter_get (registry, "medlarplank_gateway_part_retrials_total",
                    "Requests sent once more to see whether a refused part still ends engines");
+  gateway->sheds = counter_get (registry, "medlarplank_gateway_sheds_total",
+                                "Times that the new connections that waited were refused unread");
   gateway->resumptions = counter_get (registry, "medlarplank_gateway_resumptions_total",
                                       "Requests by which clients resume streams");
   gateway->versions_gauge =
@@ -201,6 +220,7 @@
                                                  .header_limit_count = settings->header_limit_count,
                                                  .connection_limit = settings->connection_limit,
                                                  .idle_timeout_ms = settings->idle_timeout_ms,
+                                                 .takes_few = true,
                                                  .on_call = gateway_accept,
                                                  .context = gateway },
                        error);
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -61,6 +61,7 @@
 #define GATEWAY_CACHE_WARM_MAX 4096
 /* share of slots in use, in thousandths, from which requests queue */
 #define GATEWAY_NEARLY_FULL_MILLI 900
+#define GATEWAY_SHED_LOG_US (UINT64_C (5) * 1000 * 1000)
 #define GATEWAY_WATCH_TICKS 4 /* ticks between two searches for hops whose engine is silent */
 #define GATEWAY_TICK_MS 25    /* queued requests are checked this often, and after all events */
 /* Levels of priority of an account, and of a route. Engines distinguish ten in all, so the pairs of
@@ -147,6 +148,7 @@
   recent_answers_t *cache_warm; /* prompts and engines that read their shared parts lately */
   gateway_route_stats_t route_stats[GATEWAY_ROUTE_STATS_SLOTS];
   uint32_t ticks;
+  uint64_t shed_logged_us; /* 0 for never */
   struct event *tick_timer;
   uint64_t next_call_number;
   counter_t *answered;
@@ -160,6 +162,7 @@
   counter_t *suspect_refused;
   counter_t *part_refused;
   counter_t *part_retrials;
+  counter_t *sheds;
   counter_t *resumptions;
   counter_t *resumptions_refused;
   counter_t *versions_gauge;
--- a/tests/server_fixture.c
+++ b/tests/server_fixture.c
@@ -31,14 +31,16 @@
   g_ptr_array_add (fixture->waiting, call);
 }
 
-server_fixture_t *
-server_fixture_new_with_timeouts (uint32_t idle_timeout_ms, uint32_t request_timeout_ms)
+static server_fixture_t *
+new_server (uint32_t idle_timeout_ms, uint32_t request_timeout_ms, bool takes_few)
 {
   server_fixture_t *fixture = g_new0 (server_fixture_t, 1);
-  http_server_options_t options = { .body_limit_bytes = SERVER_FIXTURE_BODY_LIMIT_BYTES,
+  http_server_options_t options = { .takes_few = takes_few,
+                                    .body_limit_bytes = SERVER_FIXTURE_BODY_LIMIT_BYTES,
                                     .header_limit_bytes = SERVER_FIXTURE_HEADER_LIMIT_BYTES,
                                     .header_limit_count = 20,
-                                    .connection_limit = SERVER_FIXTURE_CONNECTION_LIMIT,
+                                    .connection_limit = takes_few ? SERVER_FIXTURE_HERD_LIMIT
+                                                                  : SERVER_FIXTURE_CONNECTION_LIMIT,
                                     .idle_timeout_ms = idle_timeout_ms,
                                     .request_timeout_ms = request_timeout_ms,
                                     .incomplete_limit_bytes = SERVER_FIXTURE_INCOMPLETE_LIMIT_BYTES,
@@ -46,6 +48,7 @@
   GError *error = NULL;
 
   fixture->base = event_base_new ();
+  event_base_priority_init (fixture->base, HTTP_SERVER_PRIORITIES);
   fixture->counters = counter_registry_new ();
   fixture->waiting = g_ptr_array_new ();
   fixture->clients = g_ptr_array_new_with_free_func ((GDestroyNotify)raw_peer_free);
@@ -60,6 +63,18 @@
   return fixture;
 }
 
+server_fixture_t *
+server_fixture_new_with_timeouts (uint32_t idle_timeout_ms, uint32_t request_timeout_ms)
+{
+  return new_server (idle_timeout_ms, request_timeout_ms, false);
+}
+
+server_fixture_t *
+server_fixture_new_taking_few (void)
+{
+  return new_server (SERVER_FIXTURE_NO_TIMEOUT_MS, SERVER_FIXTURE_NO_TIMEOUT_MS, true);
+}
+
 server_fixture_t *
 server_fixture_new (void)
 {
--- a/tests/test_http_server_end.c
+++ b/tests/test_http_server_end.c
@@ -1,3 +1,4 @@
+#include "request/policy/accept_gate.h"
 #include "server_fixture.h"
 #include "suite.h"
 
@@ -290,6 +291,119 @@
   CU_ASSERT_EQUAL (fixture->disconnects, 1);
 }
 
+#define HERD (3 * ACCEPT_GATE_BATCH)
+
+#define BUSY_ITERATIONS 50
+
+/** struct busy - keeps the event loop busy: the event is due in each iteration */
+typedef struct
+{
+  struct event_base *base;
+  struct event *event;
+  uint32_t iterations;
+} busy_t;
+
+static void
+on_busy (evutil_socket_t fd, short what, void *context)
+{
+  struct timeval at_once = { 0, 0 };
+  busy_t *busy = context;
+
+  (void)fd;
+  (void)what;
+  event_add (busy->event, &at_once);
+  if (++busy->iterations == BUSY_ITERATIONS)
+    event_base_loopbreak (busy->base);
+}
+
+static void
+run_busy (server_fixture_t *fixture)
+{
+  busy_t busy = { .base = fixture->base };
+
+  busy.event = event_new (fixture->base, -1, 0, on_busy, &busy);
+  on_busy (-1, 0, &busy);
+  event_base_dispatch (fixture->base);
+  event_free (busy.event);
+}
+
+static bool
+are_all_answered (void *context)
+{
+  return ((server_fixture_t *)context)->calls == HERD;
+}
+
+static void
+connect_herd (server_fixture_t *fixture, raw_peer_t **clients)
+{
+  for (uint32_t i = 0; i < HERD; i++)
+    clients[i] = server_fixture_connect (fixture, "GET /herd HTTP/1.1\r\n\r\n");
+}
+
+static void
+test_takes_all_in_time (void)
+{
+  g_autoptr (server_fixture_t) fixture = server_fixture_new_taking_few ();
+  raw_peer_t *clients[HERD];
+
+  fixture->reply_at_once = true;
+  connect_herd (fixture, clients);
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, are_all_answered, fixture));
+}
+
+/* Guards against a server that reads requests while it can't serve those it has read. */
+static void
+test_sheds_unread (void)
+{
+  g_autoptr (server_fixture_t) fixture = server_fixture_new_taking_few ();
+  raw_peer_t *clients[HERD];
+  raw_peer_t *later;
+
+  fixture->reply_at_once = true;
+  connect_herd (fixture, clients);
+  run_busy (fixture);
+  CU_ASSERT_EQUAL (fixture->calls, ACCEPT_GATE_BATCH);
+  CU_ASSERT (!http_server_shed (fixture->http_server, 1));
+  CU_ASSERT (http_server_shed (fixture->http_server, 1 + ACCEPT_GATE_WAIT_US));
+  CU_ASSERT_TRUE (
+      raw_peer_run_until (fixture->base, server_fixture_connection_closed, clients[HERD - 1]));
+  CU_ASSERT_TRUE (clients[HERD - 1]->reset);
+  CU_ASSERT_EQUAL (fixture->calls, ACCEPT_GATE_BATCH);
+  later = server_fixture_connect (fixture, "GET /later HTTP/1.1\r\n\r\n");
+  server_fixture_run_until_received (fixture, later, "/later");
+}
+
+/* Guards against connections that are reset by a stop, as they wait behind others. */
+static void
+test_stop_takes_what_waits (void)
+{
+  g_autoptr (server_fixture_t) fixture = server_fixture_new_taking_few ();
+  raw_peer_t *clients[HERD];
+
+  fixture->reply_at_once = true;
+  connect_herd (fixture, clients);
+  run_busy (fixture);
+  http_server_stop (fixture->http_server);
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, are_all_answered, fixture));
+}
+
+static void
+test_is_held_by_its_owner (void)
+{
+  g_autoptr (server_fixture_t) fixture = server_fixture_new_taking_few ();
+  raw_peer_t *client;
+
+  http_server_pause_accepting (fixture->http_server);
+  client = server_fixture_connect (fixture, "GET /held HTTP/1.1\r\n\r\n");
+  for (uint64_t i = 1; i < 5; i++)
+    CU_ASSERT (!http_server_shed (fixture->http_server, i * ACCEPT_GATE_WAIT_US));
+  raw_peer_run_ms (fixture->base, 20);
+  CU_ASSERT_EQUAL (fixture->calls, 0);
+  http_server_resume_accepting (fixture->http_server);
+  fixture->reply_at_once = true;
+  server_fixture_run_until_received (fixture, client, "/held");
+}
+
 static void
 test_address_taken (void)
 {
@@ -324,6 +438,10 @@
     { "slow request", test_slow_request },
     { "stop idle", test_stop_idle },
     { "free while busy", test_free_while_busy },
+    { "takes all in time", test_takes_all_in_time },
+    { "sheds unread", test_sheds_unread },
+    { "stop takes what waits", test_stop_takes_what_waits },
+    { "is held by its owner", test_is_held_by_its_owner },
     { "address taken", test_address_taken },
     CU_TEST_INFO_NULL,
   };
