--- a/soak/soak.h
+++ b/soak/soak.h
@@ -162,6 +162,22 @@
 /** soak_crash_parts - these parts */
 extern const char *const soak_crash_parts[SOAK_CRASH_PARTS];
 
+/**
+ * struct soak_herd - most new connections of a time
+ * @rand: random generator of these; the other ones draw the same without them
+ * @gateway: to which they go until @until_us
+ * @send_us: when the next request is sent
+ * @next_us: when the next herd begins; 0 for never
+ */
+typedef struct
+{
+  GRand *rand;
+  uint32_t gateway;
+  uint64_t until_us;
+  uint64_t send_us;
+  uint64_t next_us;
+} soak_herd_t;
+
 /** What happens next to the store, in a restoration from a copy. */
 typedef enum
 {
@@ -192,6 +208,7 @@
  * @part_rand: random generator of requests with parts that end upstreams; @crash_rand draws the
  * same without them
  * @part_crashers: likewise for these requests, @part_crasher_count, @next_part_crasher_us
+ * @herd: requests of which most go to one gateway
  * @versions: upstreams of streams have two software versions, and clients resume streams
  * @clients_leave: clients leave some streams
  * @resume_rand: random generator of these clients; @rand draws the same without them
@@ -235,6 +252,7 @@
   soak_crasher_t part_crashers[SOAK_CRASH_PARTS];
   uint32_t part_crasher_count;
   uint64_t next_part_crasher_us;
+  soak_herd_t herd;
   bool versions;
   bool clients_leave;
   GRand *resume_rand;
@@ -340,6 +358,8 @@
 void soak_request_free (gpointer data);
 
 /* soak_crash.c */
+/** soak_poll_herd() - sends the requests of a herd that are due */
+void soak_poll_herd (soak_t *soak);
 /** soak_poll_crashers() - send requests that end upstreams when their time has come */
 void soak_poll_crashers (soak_t *soak);
 /** soak_check_crashers() - check that these requests are sent to upstreams no more, after all
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -72,6 +72,7 @@
       soak_poll_store_fault (soak);
       soak_poll_restoration (soak);
       soak_poll_crashers (soak);
+      soak_poll_herd (soak);
       soak_poll_streams (soak);
     }
 }
@@ -122,6 +123,7 @@
   soak->restoration_rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->crash_rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->part_rand = g_rand_new_with_seed ((guint32)soak->seed + 1);
+  soak->herd.rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->resume_rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->open_streams = g_ptr_array_new ();
   soak->base = event_base_new ();
@@ -155,15 +157,13 @@
     }
 }
 
-static const struct option option_table[] = { { "seed", required_argument, NULL, 's' },
-                                              { "seconds", required_argument, NULL, 't' },
-                                              { "build", required_argument, NULL, 'b' },
-                                              { "gateways", required_argument, NULL, 'g' },
-                                              { "keep", no_argument, NULL, 'k' },
-                                              { "restorations", no_argument, NULL, 'r' },
-                                              { "crashes", no_argument, NULL, 'c' },
-                                              { "versions", no_argument, NULL, 'v' },
-                                              { NULL, 0, NULL, 0 } };
+static const struct option option_table[] = {
+  { "seed", required_argument, NULL, 's' },  { "seconds", required_argument, NULL, 't' },
+  { "build", required_argument, NULL, 'b' }, { "gateways", required_argument, NULL, 'g' },
+  { "keep", no_argument, NULL, 'k' },        { "restorations", no_argument, NULL, 'r' },
+  { "crashes", no_argument, NULL, 'c' },     { "versions", no_argument, NULL, 'v' },
+  { "herds", no_argument, NULL, 'h' },       { NULL, 0, NULL, 0 }
+};
 
 static bool
 parse_number (char option, guint64 *seed, guint64 *seconds, guint64 *gateways)
@@ -184,6 +184,7 @@
   guint64 gateways = SOAK_GATEWAYS;
   bool keep = false;
   bool restorations = false;
+  bool herds = false;
   int option;
 
   while ((option = getopt_long (argc, argv, "", option_table, NULL)) != -1)
@@ -198,10 +199,12 @@
         soak.crashes = true;
       else if (option == 'v')
         soak.versions = true;
+      else if (option == 'h')
+        herds = true;
       else if (!parse_number ((char)option, &soak.seed, &seconds, &gateways))
         {
           fprintf (stderr, "soak --seed N [--seconds S] [--gateways N] [--restorations] "
-                           "[--crashes] [--versions] [--build DIR] [--keep]\n");
+                           "[--crashes] [--versions] [--herds] [--build DIR] [--keep]\n");
           return 2;
         }
     }
@@ -212,9 +215,11 @@
     {
       soak.restorations = restorations;
       soak.next_crasher_us = soak_now_us ();
+      soak.herd.next_us = herds ? soak_now_us () : 0;
       soak.clients_leave = true;
       run_faults (&soak, (uint32_t)seconds);
       soak.clients_leave = false;
+      soak.herd.next_us = 0;
       soak_end_faults (&soak);
       soak_run_loop (&soak, RECOVERY_MS);
       soak_check (&soak);
--- a/src/request/policy/crash_record.h
+++ b/src/request/policy/crash_record.h
@@ -45,10 +45,10 @@
 #define CRASH_RECORD_RETRIAL_FACTOR 5
 #define CRASH_RECORD_RETRIAL_MAX_US (UINT64_C (300) * 1000 * 1000)
 /* A claim of a retrial is told to all for this time before the request is sent. */
-#define CRASH_RECORD_CLAIM_SETTLE_US (UINT64_C (200) * 1000)
+#define CRASH_RECORD_CLAIM_SETTLE_US (UINT64_C (400) * 1000)
 #define CRASH_RECORD_CLAIM_STEP_US (UINT64_C (500) * 1000)
 /* Other requests with the part wait for this time for what the retrial shows. */
-#define CRASH_RECORD_CLAIM_US (UINT64_C (2) * 1000 * 1000)
+#define CRASH_RECORD_CLAIM_US (UINT64_C (2500) * 1000)
 /* A crash is told this much later where it may turn out to be one of most engines. */
 #define CRASH_RECORD_HOLD_US (UINT64_C (40) * 1000)
 /* Messages that carry a change, more than log2 of the gateways of a large fleet. */
