--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -38,8 +38,8 @@
  *   %LIMIT_HTTP_REQUEST_MS
  * @incomplete_limit_bytes: limit on the sum of all requests that have been received in part;
  *   when it is exceeded, the largest of them is rejected by 503; 0 for %LIMIT_HTTP_INCOMPLETE_BYTES
- * @takes_few: new connections are taken a few at a time, when @base has nothing else to do, see
- *   http_server_shed(); @base needs %HTTP_SERVER_PRIORITIES
+ * @takes_few: new connections are taken a few at a time, when @base has nothing else to do, and
+ *   none over the limit, see http_server_shed(); @base needs %HTTP_SERVER_PRIORITIES
  * @on_call: receives each complete request within the limits; it must be answered exactly once,
  *   at once or later
  */
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -34,7 +34,8 @@
 bool
 http_server_may_accept (const http_server_t *http_server)
 {
-  uint64_t limit = (uint64_t)http_server->options.connection_limit + LIMIT_HTTP_EXCESS_CONNECTIONS;
+  uint64_t excess = http_server->idle ? 0 : LIMIT_HTTP_EXCESS_CONNECTIONS;
+  uint64_t limit = http_server->options.connection_limit + excess;
 
   return !http_server->held && http_server->open_count < limit &&
          (!http_server->idle || http_server->stopping || accept_gate_is_open (&http_server->gate));
--- a/tests/test_http_server_end.c
+++ b/tests/test_http_server_end.c
@@ -387,6 +387,28 @@
   CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, are_all_answered, fixture));
 }
 
+/* Guards against a server that reads requests only to say that it has too many connections. */
+static void
+test_takes_none_over_the_limit (void)
+{
+  g_autoptr (server_fixture_t) fixture = server_fixture_new_taking_few ();
+  raw_peer_t *last = NULL;
+
+  for (uint32_t i = 0; i <= SERVER_FIXTURE_HERD_LIMIT; i++)
+    last = server_fixture_connect (fixture, "GET /herd HTTP/1.1\r\n\r\n");
+  while (fixture->calls < SERVER_FIXTURE_HERD_LIMIT)
+    raw_peer_run_ms (fixture->base, 1);
+  CU_ASSERT (!http_server_shed (fixture->http_server, 1));
+  CU_ASSERT (http_server_shed (fixture->http_server, 1 + ACCEPT_GATE_WAIT_US));
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, server_fixture_connection_closed, last));
+  CU_ASSERT_TRUE (last->reset);
+  CU_ASSERT_EQUAL (server_fixture_refused_count (fixture, "connections"), 0);
+  raw_peer_close (g_ptr_array_index (fixture->clients, 0), false);
+  fixture->reply_at_once = true;
+  last = server_fixture_connect (fixture, "GET /later HTTP/1.1\r\n\r\n");
+  server_fixture_run_until_received (fixture, last, "/later");
+}
+
 static void
 test_is_held_by_its_owner (void)
 {
@@ -441,6 +463,7 @@
     { "takes all in time", test_takes_all_in_time },
     { "sheds unread", test_sheds_unread },
     { "stop takes what waits", test_stop_takes_what_waits },
+    { "takes none over the limit", test_takes_none_over_the_limit },
     { "is held by its owner", test_is_held_by_its_owner },
     { "address taken", test_address_taken },
     CU_TEST_INFO_NULL,
