--- a/tests/test_crash_record.c
+++ b/tests/test_crash_record.c
@@ -718,6 +718,104 @@
   CU_ASSERT (!crash_record_is_retrial_due (other, due_us + S_US, CULPRIT));
 }
 
+#define SETTLED_US CRASH_RECORD_CLAIM_SETTLE_US
+
+static crash_record_claim_t
+claim (crash_record_t *record, uint64_t now_us, uint64_t request)
+{
+  return crash_record_claim_retrial (
+      record, now_us,
+      &(crash_record_candidate_t){
+          .fingerprint = CULPRIT, .request = request, .gateway_hash = 1, .gateways = 1 });
+}
+
+static void
+tell (crash_record_t *from, crash_record_t *to, uint64_t now_us)
+{
+  crash_mark_t mark;
+
+  CU_ASSERT_EQUAL (crash_record_take_marks (from, now_us, &mark, 2), 1);
+  crash_record_merge (to, now_us, &mark);
+}
+
+/* Guards against a retrial at each gateway that gets a request with the part at the same time. */
+static void
+test_one_of_two_claims_counts (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  g_autoptr (crash_record_t) other = new_record (&rig);
+  uint64_t due_us = end_three_with_part (&rig, record) + CRASH_RECORD_RETRIAL_MIN_US;
+
+  tell (record, other, due_us - S_US);
+  CU_ASSERT_EQUAL (claim (record, due_us - 1, 7), CRASH_RECORD_CLAIM_NONE);
+  CU_ASSERT_EQUAL (claim (record, due_us, 7), CRASH_RECORD_CLAIM_WAIT);
+  CU_ASSERT_EQUAL (claim (other, due_us + S_US / 2, 5), CRASH_RECORD_CLAIM_WAIT);
+  tell (record, other, due_us + S_US / 2);
+  CU_ASSERT_EQUAL (claim (other, due_us + S_US / 2 + SETTLED_US, 5), CRASH_RECORD_CLAIM_SEND);
+  CU_ASSERT_EQUAL (claim (record, due_us + SETTLED_US - 1, 7), CRASH_RECORD_CLAIM_WAIT);
+  tell (other, record, due_us + SETTLED_US - 1);
+  CU_ASSERT_EQUAL (claim (record, due_us + SETTLED_US, 7), CRASH_RECORD_CLAIM_WAIT);
+  CU_ASSERT_EQUAL (claim (record, due_us + SETTLED_US, 9), CRASH_RECORD_CLAIM_WAIT);
+}
+
+/* Guards against requests that wait for a retrial which has ended an engine already. */
+static void
+test_claim_ends_with_a_crash (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  uint64_t due_us = end_three_with_part (&rig, record) + CRASH_RECORD_RETRIAL_MIN_US;
+
+  claim (record, due_us, 7);
+  CU_ASSERT_EQUAL (claim (record, due_us + SETTLED_US, 7), CRASH_RECORD_CLAIM_SEND);
+  lose_part (record, due_us + SETTLED_US, 4, MS_US);
+  CU_ASSERT_EQUAL (claim (record, due_us + SETTLED_US, 8), CRASH_RECORD_CLAIM_NONE);
+}
+
+/* Guards against a sound part that is tried together with the one to blame. */
+static void
+test_request_with_several_refused_parts_comes_later (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  uint64_t due_us = end_three_with_part (&rig, record) + CRASH_RECORD_RETRIAL_MIN_US;
+  crash_record_candidate_t candidate = {
+    .fingerprint = CULPRIT, .request = 7, .others = 1, .gateway_hash = 1, .gateways = 1
+  };
+
+  CU_ASSERT_EQUAL (crash_record_claim_retrial (record, due_us, &candidate),
+                   CRASH_RECORD_CLAIM_NONE);
+  candidate.others = 0;
+  CU_ASSERT_EQUAL (crash_record_claim_retrial (record, due_us, &candidate),
+                   CRASH_RECORD_CLAIM_WAIT);
+}
+
+/* Guards against the claims of all gateways exceeding the budget of their messages. */
+static void
+test_few_gateways_may_claim_at_first (void)
+{
+  rig_t rig = { 0 };
+  uint32_t counts[] = { 0, 0, 0 };
+
+  for (uint64_t gateway = 1; gateway <= 1024; gateway++)
+    for (uint32_t i = 0; i < G_N_ELEMENTS (counts); i++)
+      {
+        g_autoptr (crash_record_t) record = new_record (&rig);
+        uint64_t due_us = end_three_with_part (&rig, record) + CRASH_RECORD_RETRIAL_MIN_US;
+        crash_record_candidate_t candidate = {
+          .fingerprint = CULPRIT, .request = 7, .gateway_hash = gateway, .gateways = 1024
+        };
+
+        if (crash_record_claim_retrial (record, due_us + i * 5 * CRASH_RECORD_CLAIM_STEP_US,
+                                        &candidate) == CRASH_RECORD_CLAIM_WAIT)
+          counts[i]++;
+      }
+  CU_ASSERT (counts[0] <= 8);
+  CU_ASSERT (counts[1] >= 16 && counts[1] <= 64);
+  CU_ASSERT_EQUAL (counts[2], 1024);
+}
+
 /* Guards against the part to blame waiting behind its many neighbours. */
 static void
 test_refused_goes_before_trials (void)
@@ -793,41 +891,46 @@
 int
 main (void)
 {
-  static const CU_TestInfo tests[] = { SUITE_TEST (test_first_crash_refuses_nothing),
-                                       SUITE_TEST (test_fast_series_of_crashes_is_refused),
-                                       SUITE_TEST (test_all_requests_of_a_crash_count),
-                                       SUITE_TEST (test_lost_answer_is_no_crash),
-                                       SUITE_TEST (test_rack_without_power_refuses_nothing),
-                                       SUITE_TEST (test_kill_of_all_counts_once),
-                                       SUITE_TEST (test_served_request_is_not_blamed),
-                                       SUITE_TEST (test_leaving_engine_is_no_crash),
-                                       SUITE_TEST (test_cut_refuses_nothing_for_good),
-                                       SUITE_TEST (test_crashes_stay_while_the_store_is_out),
-                                       SUITE_TEST (test_neighbours_excuse_nothing_and_are_cleared),
-                                       SUITE_TEST (test_owner_adds_up_crashes_of_all),
-                                       SUITE_TEST (test_crashes_of_one_cause_are_not_added_up),
-                                       SUITE_TEST (test_served_request_is_cleared_at_peers),
-                                       SUITE_TEST (test_marks_count_in_the_order_of_their_times),
-                                       SUITE_TEST (test_mark_of_a_served_request_is_answered),
-                                       SUITE_TEST (test_mark_of_less_is_answered),
-                                       SUITE_TEST (test_marks_are_sent_in_turn),
-                                       SUITE_TEST (test_owners_are_told_of_the_youngest_first),
-                                       SUITE_TEST (test_requests_are_forgotten),
-                                       SUITE_TEST (test_exchanged_marks_still_expire),
-                                       SUITE_TEST (test_marks_pass_through_messages),
-                                       SUITE_TEST (test_part_is_blamed_sooner_than_a_request),
-                                       SUITE_TEST (test_refused_part_is_tried_again_ever_later),
-                                       SUITE_TEST (test_refused_request_is_not_tried_again),
-                                       SUITE_TEST (test_retrial_at_a_living_engine_is_repeated),
-                                       SUITE_TEST (test_peers_adopt_a_confirmation),
-                                       SUITE_TEST (test_part_of_all_answers_is_not_to_blame),
-                                       SUITE_TEST (test_engine_that_is_down_ends_no_more),
-                                       SUITE_TEST (test_peers_learn_of_a_failed_retrial),
-                                       SUITE_TEST (test_refused_goes_before_trials),
-                                       SUITE_TEST (test_part_is_not_refused_for_one_request),
-                                       SUITE_TEST (
-                                           test_mark_of_a_part_looks_outdated_to_older_builds),
-                                       CU_TEST_INFO_NULL };
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_first_crash_refuses_nothing),
+    SUITE_TEST (test_fast_series_of_crashes_is_refused),
+    SUITE_TEST (test_all_requests_of_a_crash_count),
+    SUITE_TEST (test_lost_answer_is_no_crash),
+    SUITE_TEST (test_rack_without_power_refuses_nothing),
+    SUITE_TEST (test_kill_of_all_counts_once),
+    SUITE_TEST (test_served_request_is_not_blamed),
+    SUITE_TEST (test_leaving_engine_is_no_crash),
+    SUITE_TEST (test_cut_refuses_nothing_for_good),
+    SUITE_TEST (test_crashes_stay_while_the_store_is_out),
+    SUITE_TEST (test_neighbours_excuse_nothing_and_are_cleared),
+    SUITE_TEST (test_owner_adds_up_crashes_of_all),
+    SUITE_TEST (test_crashes_of_one_cause_are_not_added_up),
+    SUITE_TEST (test_served_request_is_cleared_at_peers),
+    SUITE_TEST (test_marks_count_in_the_order_of_their_times),
+    SUITE_TEST (test_mark_of_a_served_request_is_answered),
+    SUITE_TEST (test_mark_of_less_is_answered),
+    SUITE_TEST (test_marks_are_sent_in_turn),
+    SUITE_TEST (test_owners_are_told_of_the_youngest_first),
+    SUITE_TEST (test_requests_are_forgotten),
+    SUITE_TEST (test_exchanged_marks_still_expire),
+    SUITE_TEST (test_marks_pass_through_messages),
+    SUITE_TEST (test_part_is_blamed_sooner_than_a_request),
+    SUITE_TEST (test_refused_part_is_tried_again_ever_later),
+    SUITE_TEST (test_refused_request_is_not_tried_again),
+    SUITE_TEST (test_retrial_at_a_living_engine_is_repeated),
+    SUITE_TEST (test_peers_adopt_a_confirmation),
+    SUITE_TEST (test_part_of_all_answers_is_not_to_blame),
+    SUITE_TEST (test_engine_that_is_down_ends_no_more),
+    SUITE_TEST (test_peers_learn_of_a_failed_retrial),
+    SUITE_TEST (test_one_of_two_claims_counts),
+    SUITE_TEST (test_claim_ends_with_a_crash),
+    SUITE_TEST (test_request_with_several_refused_parts_comes_later),
+    SUITE_TEST (test_few_gateways_may_claim_at_first),
+    SUITE_TEST (test_refused_goes_before_trials),
+    SUITE_TEST (test_part_is_not_refused_for_one_request),
+    SUITE_TEST (test_mark_of_a_part_looks_outdated_to_older_builds),
+    CU_TEST_INFO_NULL
+  };
 
   return suite_run ("crash_record", tests);
 }
