--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 LDLIBS  := $(shell pkg-config --libs $(PKGS)) -lpthread -lm
 LDFLAGS := $(SANFLAGS)
 
-LIBSRC  := $(filter-out src/process/main.c,$(wildcard src/*/*.c src/*/*/*.c)) $(wildcard platform/*.c)
+LIBSRC  := $(filter-out src/process/main.c,$(wildcard src/*/*.c src/*/*/*.c src/*/*/*/*.c)) $(wildcard platform/*.c)
 LIBOBJ  := $(LIBSRC:%.c=$(OUT)/%.o)
 LIB     := $(OUT)/libmedlarplank.a
 DAEMON  := $(OUT)/medlarplankd
@@ -24,7 +24,7 @@
 GATEWAYSIM := $(patsubst %.c,$(OUT)/%.o,$(wildcard bench/gateway/*.c))
 BENCHLIB := $(patsubst %.c,$(OUT)/%.o,$(filter-out $(wildcard bench/bench_*.c),$(wildcard bench/*.c)))
 SOAK    := $(OUT)/soak-run
-CSRC    := $(filter-out src/proto/%,$(wildcard src/*/*.[ch] src/*/*/*.[ch] platform/*.[ch] ctl/*.[ch] standin/*.[ch] tests/*.[ch] soak/*.[ch] bench/*.[ch] bench/spread/*.[ch] bench/gateway/*.[ch]))
+CSRC    := $(filter-out src/proto/%,$(wildcard src/*/*.[ch] src/*/*/*.[ch] src/*/*/*/*.[ch] platform/*.[ch] ctl/*.[ch] standin/*.[ch] tests/*.[ch] soak/*.[ch] bench/*.[ch] bench/spread/*.[ch] bench/gateway/*.[ch]))
 
 all: $(DAEMON) $(CTL) $(STANDINS) $(BENCHES)
 
@@ -110,7 +110,7 @@
 	cppcheck --quiet --error-exitcode=1 --enable=warning,portability --inline-suppr \
 	  --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches --suppress=varFuncNullUB -DTAILQ_FOREACH=for '-DG_DEFINE_AUTOPTR_CLEANUP_FUNC(type,func)=' '-DG_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(type,func)=' -Isrc $(filter %.c,$(CSRC))
 
-TIDYSRC := $(filter-out src/proto/%,$(wildcard src/*/*.c src/*/*/*.c platform/*.c ctl/*.c standin/*.c soak/*.c))
+TIDYSRC := $(filter-out src/proto/%,$(wildcard src/*/*.c src/*/*/*.c src/*/*/*/*.c platform/*.c ctl/*.c standin/*.c soak/*.c))
 tidy:
 	printf '%s\n' $(TIDYSRC) | xargs -P 4 -I{} clang-tidy --quiet {} -- \
 	  -std=gnu11 -Isrc -I. $(shell pkg-config --cflags $(PKGS)) 2>/dev/null
--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -8,12 +8,12 @@
  */
 #include "connection/datagram.h"
 #include "base/clock.h"
-#include "request/policy/claim.h"
-#include "request/policy/chat_directory.h"
+#include "request/policy/claims/claim.h"
+#include "request/policy/placement/chat_directory.h"
 #include "request/hop.h"
-#include "request/policy/load_samples.h"
-#include "request/policy/membership.h"
-#include "request/policy/rendezvous.h"
+#include "request/policy/load/load_samples.h"
+#include "request/policy/engines/membership.h"
+#include "request/policy/placement/rendezvous.h"
 #include "version/manifest.h"
 #include "version/replay.h"
 
--- a/bench/bench_claims.c
+++ b/bench/bench_claims.c
@@ -12,7 +12,7 @@
 #include "base/clock.h"
 #include "base/limits.h"
 #include "random.h"
-#include "request/policy/claim.h"
+#include "request/policy/claims/claim.h"
 
 #include <glib.h>
 #include <inttypes.h>
--- a/bench/bench_cost.c
+++ b/bench/bench_cost.c
@@ -6,9 +6,9 @@
  */
 #include "random.h"
 
-#include "request/policy/admission.h"
-#include "request/policy/candidates.h"
-#include "request/policy/engine_choice.h"
+#include "request/policy/queueing/admission.h"
+#include "request/policy/placement/candidates.h"
+#include "request/policy/placement/engine_choice.h"
 
 #include <glib.h>
 #include <malloc.h>
--- a/bench/figures.h
+++ b/bench/figures.h
@@ -6,7 +6,7 @@
 #ifndef BENCH_FIGURES_H
 #define BENCH_FIGURES_H
 
-#include "request/policy/verdict.h"
+#include "request/policy/retries/verdict.h"
 
 #include <stdint.h>
 
--- a/bench/fleet_sim.h
+++ b/bench/fleet_sim.h
@@ -15,11 +15,11 @@
 #include "figures.h"
 #include "workload.h"
 
-#include "request/policy/admission.h"
-#include "request/policy/forwarding.h"
-#include "request/policy/candidates.h"
-#include "request/policy/health.h"
-#include "request/policy/membership.h"
+#include "request/policy/queueing/admission.h"
+#include "request/policy/retries/forwarding.h"
+#include "request/policy/placement/candidates.h"
+#include "request/policy/engines/health.h"
+#include "request/policy/engines/membership.h"
 
 #include <glib.h>
 
--- a/bench/gateway/sim_gateway.c
+++ b/bench/gateway/sim_gateway.c
@@ -1,6 +1,6 @@
 #include "sim_parts.h"
 
-#include "request/policy/hop_timeout.h"
+#include "request/policy/retries/hop_timeout.h"
 
 #include <xxhash.h>
 
--- a/bench/gateway/sim_parts.h
+++ b/bench/gateway/sim_parts.h
@@ -11,11 +11,11 @@
 #include "../event_queue.h"
 #include "../random.h"
 #include "base/clock.h"
-#include "request/policy/retry_plan.h"
-#include "request/policy/wait_queue.h"
-#include "request/policy/load_gauge.h"
-#include "request/policy/median_latency.h"
-#include "request/policy/engine_choice.h"
+#include "request/policy/retries/retry_plan.h"
+#include "request/policy/queueing/wait_queue.h"
+#include "request/policy/load/load_gauge.h"
+#include "request/policy/load/median_latency.h"
+#include "request/policy/placement/engine_choice.h"
 #include "sim.h"
 
 #include <glib.h>
--- a/bench/gateway/site.h
+++ b/bench/gateway/site.h
@@ -7,7 +7,7 @@
 #ifndef BENCH_GATEWAY_SITE_H
 #define BENCH_GATEWAY_SITE_H
 
-#include "request/policy/retry_budget.h"
+#include "request/policy/retries/retry_budget.h"
 #include "version/routing.h"
 
 #include <stdint.h>
--- a/bench/load_client.c
+++ b/bench/load_client.c
@@ -1,7 +1,7 @@
 #include "load_client.h"
 
 #include "request/hop.h"
-#include "request/policy/verdict.h"
+#include "request/policy/retries/verdict.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
--- a/bench/spread/fleet.c
+++ b/bench/spread/fleet.c
@@ -2,7 +2,7 @@
 
 #include "../random.h"
 #include "base/log.h"
-#include "request/policy/rendezvous.h"
+#include "request/policy/placement/rendezvous.h"
 
 #include <math.h>
 #include <string.h>
--- a/ctl/admin_call.c
+++ b/ctl/admin_call.c
@@ -1,6 +1,6 @@
 #include "admin_call.h"
 #include "connection/admin_seal.h"
-#include "request/policy/call_seal.h"
+#include "request/policy/digests/call_seal.h"
 
 #include <inttypes.h>
 #include <jansson.h>
--- a/ctl/admin_call.h
+++ b/ctl/admin_call.h
@@ -8,7 +8,7 @@
 #define CTL_ADMIN_CALL_H
 
 #include "ctl.h"
-#include "request/policy/membership.h"
+#include "request/policy/engines/membership.h"
 
 #include <glib.h>
 
--- a/src/connection/datagram.h
+++ b/src/connection/datagram.h
@@ -36,7 +36,7 @@
 #include "proto/exchange.h"
 
 /* libtirpc defines these as macros, which would replace the functions of
- * request/policy/membership.h.
+ * request/policy/engines/membership.h.
  */
 #undef mem_alloc
 #undef membership_free
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -10,7 +10,7 @@
 
 #include "base/clock.h"
 #include "base/settings.h"
-#include "request/policy/verdict.h"
+#include "request/policy/retries/verdict.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
--- a/src/connection/http_server_check.c
+++ b/src/connection/http_server_check.c
@@ -6,7 +6,7 @@
 #include "connection/http_error.h"
 #include "connection/http_framing.h"
 #include "connection/http_server_internal.h"
-#include "request/policy/verdict.h"
+#include "request/policy/retries/verdict.h"
 
 #include <event2/http_struct.h>
 #include <stdlib.h>
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -11,7 +11,7 @@
 #define CONNECTION_HTTP_SERVER_INTERNAL_H
 
 #include "connection/http_server.h"
-#include "request/policy/accept_gate.h"
+#include "request/policy/queueing/accept_gate.h"
 
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
--- a/src/connection/platform.h
+++ b/src/connection/platform.h
@@ -10,7 +10,7 @@
 
 #include "base/position.h"
 #include "base/settings.h"
-#include "request/policy/membership.h"
+#include "request/policy/engines/membership.h"
 
 #include <event2/event.h>
 #include <glib.h>
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -7,7 +7,7 @@
 #include "process/control_private.h"
 
 #include "base/log.h"
-#include "request/policy/rendezvous.h"
+#include "request/policy/placement/rendezvous.h"
 
 #define HTTP_IDLE_CONNECTIONS 1
 #define HTTP_IDLE_TIMEOUT_MS 10000
--- a/src/process/control_exchange.c
+++ b/src/process/control_exchange.c
@@ -1,7 +1,7 @@
 #include "process/control_private.h"
 
 #include "base/log.h"
-#include "request/policy/rendezvous.h"
+#include "request/policy/placement/rendezvous.h"
 
 /* A message with news triggers calls to this many peers at once. The news then reaches most of the
  * fleet within a few round trips instead of a few exchange intervals. */
--- a/src/process/control_fetch.c
+++ b/src/process/control_fetch.c
@@ -1,7 +1,7 @@
 #include "process/control_private.h"
 
 #include "base/log.h"
-#include "request/policy/call_seal.h"
+#include "request/policy/digests/call_seal.h"
 
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
--- a/src/process/control_list.c
+++ b/src/process/control_list.c
@@ -1,7 +1,7 @@
 #include "process/control_private.h"
 
 #include "base/log.h"
-#include "request/policy/rendezvous.h"
+#include "request/policy/placement/rendezvous.h"
 
 #include <string.h>
 
--- a/src/process/control_private.h
+++ b/src/process/control_private.h
@@ -16,7 +16,7 @@
 #include "request/messages.h"
 #include "base/pause.h"
 #include "process/gossip.h"
-#include "request/policy/leave_notice.h"
+#include "request/policy/engines/leave_notice.h"
 #include "version/manifest_sync.h"
 #include "version/replay.h"
 
--- a/src/process/exchange_mark.h
+++ b/src/process/exchange_mark.h
@@ -9,7 +9,7 @@
 #define PROCESS_EXCHANGE_MARK_H
 
 #include "connection/datagram.h"
-#include "request/policy/crash_record.h"
+#include "request/policy/suspects/crash_record.h"
 
 /** exchange_mark_write() - adds @mark to a message, which has room for crash_mark_parts() entries
  */
--- a/src/process/gateway_fetch.h
+++ b/src/process/gateway_fetch.h
@@ -11,7 +11,7 @@
 #include "connection/http_server.h"
 #include "base/settings.h"
 #include "base/clock.h"
-#include "request/policy/bootstrap.h"
+#include "request/policy/store/bootstrap.h"
 #include "version/view_share.h"
 
 #include <event2/event.h>
--- a/src/process/gateway_origins.c
+++ b/src/process/gateway_origins.c
@@ -1,8 +1,8 @@
 #include "process/gateway_origins.h"
 
-#include "request/policy/origin_batches.h"
-#include "request/policy/origin_keepers.h"
-#include "request/policy/software_versions.h"
+#include "request/policy/streams/origin_batches.h"
+#include "request/policy/streams/origin_keepers.h"
+#include "request/policy/engines/software_versions.h"
 
 #include <string.h>
 
--- a/src/process/gateway_origins.h
+++ b/src/process/gateway_origins.h
@@ -11,7 +11,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "process/gateway_peers.h"
-#include "request/policy/stream_origins.h"
+#include "request/policy/streams/stream_origins.h"
 
 #include <event2/event.h>
 
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -3,7 +3,7 @@
 #include "connection/exchange.h"
 #include "base/log.h"
 #include "process/exchange_mark.h"
-#include "request/policy/retry_budget.h"
+#include "request/policy/retries/retry_budget.h"
 
 #include <string.h>
 #include <xxhash.h>
--- a/src/process/gateway_peers.h
+++ b/src/process/gateway_peers.h
@@ -18,8 +18,8 @@
 #include "base/position.h"
 #include "base/settings.h"
 #include "connection/datagram.h"
-#include "request/policy/load_reports.h"
-#include "request/policy/crash_record.h"
+#include "request/policy/load/load_reports.h"
+#include "request/policy/suspects/crash_record.h"
 
 #include <event2/event.h>
 #include <glib.h>
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -6,7 +6,7 @@
 #include "process/gateway_store.h"
 #include "base/log.h"
 #include "request/gateway/gateway.h"
-#include "request/policy/lapses.h"
+#include "request/policy/engines/lapses.h"
 
 #include <string.h>
 
--- a/src/process/gateway_shares.c
+++ b/src/process/gateway_shares.c
@@ -2,9 +2,9 @@
 
 #include "base/log.h"
 #include "connection/stream_follower.h"
-#include "request/policy/software_versions.h"
-#include "request/policy/stream_lists.h"
-#include "request/policy/version_shares.h"
+#include "request/policy/engines/software_versions.h"
+#include "request/policy/streams/stream_lists.h"
+#include "request/policy/streams/version_shares.h"
 #include "version/keyed_view.h"
 
 #include <string.h>
--- a/src/process/gateway_shares.h
+++ b/src/process/gateway_shares.h
@@ -15,9 +15,9 @@
 #include "base/settings.h"
 #include "connection/platform.h"
 #include "process/gateway_store.h"
-#include "request/policy/engines.h"
-#include "request/policy/stream_origins.h"
-#include "request/policy/version_search.h"
+#include "request/policy/engines/engines.h"
+#include "request/policy/streams/stream_origins.h"
+#include "request/policy/streams/version_search.h"
 #include "version/routing.h"
 
 #include <event2/event.h>
--- a/src/process/gateway_start.h
+++ b/src/process/gateway_start.h
@@ -9,7 +9,7 @@
 
 #include "base/clock.h"
 #include "base/settings.h"
-#include "request/policy/bootstrap.h"
+#include "request/policy/store/bootstrap.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -7,9 +7,9 @@
 #include "process/gateway_start.h"
 #include "process/own_entry.h"
 #include "process/record_order.h"
-#include "request/policy/store_outage.h"
-#include "request/policy/read_policy.h"
-#include "request/policy/restoration.h"
+#include "request/policy/store/store_outage.h"
+#include "request/policy/store/read_policy.h"
+#include "request/policy/store/restoration.h"
 
 #include <string.h>
 
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -15,8 +15,8 @@
 #include "base/settings.h"
 #include "process/gateway_peers.h"
 #include "process/record_order.h"
-#include "request/policy/load_reports.h"
-#include "request/policy/crash_record.h"
+#include "request/policy/load/load_reports.h"
+#include "request/policy/suspects/crash_record.h"
 
 #include <glib.h>
 
--- a/src/process/gossip.h
+++ b/src/process/gossip.h
@@ -9,8 +9,8 @@
 #ifndef PROCESS_GOSSIP_H
 #define PROCESS_GOSSIP_H
 
-#include "request/policy/membership.h"
-#include "request/policy/suspect.h"
+#include "request/policy/engines/membership.h"
+#include "request/policy/suspects/suspect.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/process/own_entry.c
+++ b/src/process/own_entry.c
@@ -1,7 +1,7 @@
 #include "process/own_entry.h"
 
 #include "base/log.h"
-#include "request/policy/restoration.h"
+#include "request/policy/store/restoration.h"
 
 #include <string.h>
 
--- a/src/process/record_order.c
+++ b/src/process/record_order.c
@@ -1,7 +1,7 @@
 #include "process/record_order.h"
 
 #include "connection/platform.h"
-#include "request/policy/restoration.h"
+#include "request/policy/store/restoration.h"
 
 #include <string.h>
 
--- a/src/process/record_order.h
+++ b/src/process/record_order.h
@@ -7,7 +7,7 @@
 #ifndef PROCESS_RECORD_ORDER_H
 #define PROCESS_RECORD_ORDER_H
 
-#include "request/policy/engines.h"
+#include "request/policy/engines/engines.h"
 #include "version/keyed_view.h"
 
 #include <glib.h>
--- a/src/request/data_task_serve.c
+++ b/src/request/data_task_serve.c
@@ -4,7 +4,7 @@
 #include "base/log.h"
 #include "request/error_reply.h"
 #include "request/hop.h"
-#include "request/policy/call_seal.h"
+#include "request/policy/digests/call_seal.h"
 #include "version/manifest_sync.h"
 
 #include <stdlib.h>
--- a/src/request/decision.h
+++ b/src/request/decision.h
@@ -9,7 +9,7 @@
 #define REQUEST_DECISION_H
 
 #include "base/limits.h"
-#include "request/policy/verdict.h"
+#include "request/policy/retries/verdict.h"
 
 #include <jansson.h>
 #include <stdint.h>
--- a/src/request/error_reply.h
+++ b/src/request/error_reply.h
@@ -8,7 +8,7 @@
 #define REQUEST_ERROR_REPLY_H
 
 #include "connection/http_server.h"
-#include "request/policy/verdict.h"
+#include "request/policy/retries/verdict.h"
 
 #define ERROR_REPLY_REQUEST_HEADER "X-Medlarplank-Request" /* the attempt id */
 
--- a/src/request/gateway/format.h
+++ b/src/request/gateway/format.h
@@ -8,7 +8,7 @@
 #define REQUEST_GATEWAY_FORMAT_H
 
 #include "connection/http_client.h"
-#include "request/policy/engines.h"
+#include "request/policy/engines/engines.h"
 
 #include <event2/keyvalq_struct.h>
 #include <stdbool.h>
--- a/src/request/messages.h
+++ b/src/request/messages.h
@@ -9,10 +9,10 @@
 #define REQUEST_MESSAGES_H
 
 #include "base/mailbox.h"
-#include "request/policy/claim.h"
-#include "request/policy/load_samples.h"
-#include "request/policy/membership.h"
-#include "request/policy/suspect.h"
+#include "request/policy/claims/claim.h"
+#include "request/policy/load/load_samples.h"
+#include "request/policy/engines/membership.h"
+#include "request/policy/suspects/suspect.h"
 #include "version/manifest.h"
 
 typedef enum
--- a/src/request/policy/claim.c
+++ b/src/request/policy/claims/claim.c
@@ -1,9 +1,9 @@
-#include "request/policy/claim.h"
+#include "request/policy/claims/claim.h"
 
 #include "base/clock.h"
 #include "base/limits.h"
-#include "request/policy/claim_keys.h"
-#include "request/policy/claim_pace.h"
+#include "request/policy/claims/claim_keys.h"
+#include "request/policy/claims/claim_pace.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/request/policy/claim.h
+++ b/src/request/policy/claims/claim.h
@@ -25,11 +25,11 @@
  * outcomes again. Until all have, no daemon may request a claim: one that starts meanwhile would be
  * granted a key whose claim the log lost, and the request would run twice.
  */
-#ifndef REQUEST_POLICY_CLAIM_H
-#define REQUEST_POLICY_CLAIM_H
+#ifndef REQUEST_POLICY_CLAIMS_CLAIM_H
+#define REQUEST_POLICY_CLAIMS_CLAIM_H
 
 #include "base/position.h"
-#include "request/policy/verdict.h"
+#include "request/policy/retries/verdict.h"
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/request/policy/claim_keys.c
+++ b/src/request/policy/claims/claim_keys.c
@@ -1,6 +1,6 @@
-#include "request/policy/claim_keys.h"
+#include "request/policy/claims/claim_keys.h"
 
-#include "request/policy/claim_table.h"
+#include "request/policy/claims/claim_table.h"
 
 #include <string.h>
 #define XXH_INLINE_ALL
--- a/src/request/policy/claim_keys.h
+++ b/src/request/policy/claims/claim_keys.h
@@ -4,10 +4,10 @@
  * Which claim holds which key, computed from the entries of a claims stream in the order of the
  * log. All readers that have read the same records have the same holder for each key.
  */
-#ifndef REQUEST_POLICY_CLAIM_KEYS_H
-#define REQUEST_POLICY_CLAIM_KEYS_H
+#ifndef REQUEST_POLICY_CLAIMS_CLAIM_KEYS_H
+#define REQUEST_POLICY_CLAIMS_CLAIM_KEYS_H
 
-#include "request/policy/claim_record.h"
+#include "request/policy/claims/claim_record.h"
 
 typedef struct claim_keys claim_keys_t;
 
--- a/src/request/policy/claim_pace.c
+++ b/src/request/policy/claims/claim_pace.c
@@ -1,4 +1,4 @@
-#include "request/policy/claim_pace.h"
+#include "request/policy/claims/claim_pace.h"
 
 #include "base/clock.h"
 #include "base/limits.h"
--- a/src/request/policy/claim_pace.h
+++ b/src/request/policy/claims/claim_pace.h
@@ -10,8 +10,8 @@
  *
  * After failures in a row the stream backs off for longer, up to %LIMIT_CLAIM_BACKOFF_US.
  */
-#ifndef REQUEST_POLICY_CLAIM_PACE_H
-#define REQUEST_POLICY_CLAIM_PACE_H
+#ifndef REQUEST_POLICY_CLAIMS_CLAIM_PACE_H
+#define REQUEST_POLICY_CLAIMS_CLAIM_PACE_H
 
 #include <stdint.h>
 
--- a/src/request/policy/claim_record.c
+++ b/src/request/policy/claims/claim_record.c
@@ -1,4 +1,4 @@
-#include "request/policy/claim_record.h"
+#include "request/policy/claims/claim_record.h"
 
 #include "base/digits.h"
 
--- a/src/request/policy/claim_record.h
+++ b/src/request/policy/claims/claim_record.h
@@ -3,10 +3,10 @@
  *
  * Text form of the records of a claims stream: JSON arrays of the entries that claim.h describes.
  */
-#ifndef REQUEST_POLICY_CLAIM_RECORD_H
-#define REQUEST_POLICY_CLAIM_RECORD_H
+#ifndef REQUEST_POLICY_CLAIMS_CLAIM_RECORD_H
+#define REQUEST_POLICY_CLAIMS_CLAIM_RECORD_H
 
-#include "request/policy/claim.h"
+#include "request/policy/claims/claim.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/request/policy/claim_table.c
+++ b/src/request/policy/claims/claim_table.c
@@ -1,4 +1,4 @@
-#include "request/policy/claim_table.h"
+#include "request/policy/claims/claim_table.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/request/policy/claim_table.h
+++ b/src/request/policy/claims/claim_table.h
@@ -5,8 +5,8 @@
  * addressing and 24 bytes per key, which are stored as fingerprints. Expired entries are dropped
  * when the table is rebuilt.
  */
-#ifndef REQUEST_POLICY_CLAIM_TABLE_H
-#define REQUEST_POLICY_CLAIM_TABLE_H
+#ifndef REQUEST_POLICY_CLAIMS_CLAIM_TABLE_H
+#define REQUEST_POLICY_CLAIMS_CLAIM_TABLE_H
 
 #include <stdint.h>
 
--- a/src/request/policy/call_seal.c
+++ b/src/request/policy/digests/call_seal.c
@@ -1,6 +1,6 @@
-#include "request/policy/call_seal.h"
+#include "request/policy/digests/call_seal.h"
 
-#include "request/policy/digest.h"
+#include "request/policy/digests/digest.h"
 
 #include <glib.h>
 #include <inttypes.h>
--- a/src/request/policy/call_seal.h
+++ b/src/request/policy/digests/call_seal.h
@@ -9,8 +9,8 @@
  * replay a call. That is harmless: all these calls are idempotent, and a replay tells the daemon
  * nothing new.
  */
-#ifndef REQUEST_POLICY_CALL_SEAL_H
-#define REQUEST_POLICY_CALL_SEAL_H
+#ifndef REQUEST_POLICY_DIGESTS_CALL_SEAL_H
+#define REQUEST_POLICY_DIGESTS_CALL_SEAL_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/request/policy/digest.c
+++ b/src/request/policy/digests/digest.c
@@ -1,4 +1,4 @@
-#include "request/policy/digest.h"
+#include "request/policy/digests/digest.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/request/policy/digest.h
+++ b/src/request/policy/digests/digest.h
@@ -5,8 +5,8 @@
  * a body or an idempotency key that is taken for another account's. They are SHA-256, shortened to
  * 64 or 128 bits.
  */
-#ifndef REQUEST_POLICY_DIGEST_H
-#define REQUEST_POLICY_DIGEST_H
+#ifndef REQUEST_POLICY_DIGESTS_DIGEST_H
+#define REQUEST_POLICY_DIGESTS_DIGEST_H
 
 #include <stddef.h>
 #include <stdint.h>
--- a/src/request/policy/cold_start_limit.c
+++ b/src/request/policy/engines/cold_start_limit.c
@@ -1,4 +1,4 @@
-#include "request/policy/cold_start_limit.h"
+#include "request/policy/engines/cold_start_limit.h"
 
 #include <glib.h>
 #include <xxhash.h>
--- a/src/request/policy/cold_start_limit.h
+++ b/src/request/policy/engines/cold_start_limit.h
@@ -11,8 +11,8 @@
  * agreed on; answers show a crash too late. Intervals need neither messages nor a common clock, and
  * a gateway that was suspended may send one request when it resumes.
  */
-#ifndef REQUEST_POLICY_COLD_START_LIMIT_H
-#define REQUEST_POLICY_COLD_START_LIMIT_H
+#ifndef REQUEST_POLICY_ENGINES_COLD_START_LIMIT_H
+#define REQUEST_POLICY_ENGINES_COLD_START_LIMIT_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -1,6 +1,6 @@
-#include "request/policy/engines.h"
+#include "request/policy/engines/engines.h"
 
-#include "request/policy/self_reports.h"
+#include "request/policy/engines/self_reports.h"
 
 #include <string.h>
 #include <xxhash.h>
--- a/src/request/policy/engines.h
+++ b/src/request/policy/engines/engines.h
@@ -6,13 +6,13 @@
  * failures show. A state machine without I/O; the caller passes the time. An engine is freed when
  * the registry has dropped it and the last request there has ended.
  */
-#ifndef REQUEST_POLICY_ENGINES_H
-#define REQUEST_POLICY_ENGINES_H
+#ifndef REQUEST_POLICY_ENGINES_ENGINES_H
+#define REQUEST_POLICY_ENGINES_ENGINES_H
 
 #include "base/limits.h"
 #include "base/settings.h"
-#include "request/policy/part_shares.h"
-#include "request/policy/software_versions.h"
+#include "request/policy/placement/part_shares.h"
+#include "request/policy/engines/software_versions.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/request/policy/health.c
+++ b/src/request/policy/engines/health.c
@@ -1,4 +1,4 @@
-#include "request/policy/health.h"
+#include "request/policy/engines/health.h"
 
 #include <glib.h>
 
--- a/src/request/policy/health.h
+++ b/src/request/policy/engines/health.h
@@ -7,8 +7,8 @@
  * of the hosts of a service seem to be down, the router is more likely cut off itself, and keeps
  * trying them all.
  */
-#ifndef REQUEST_POLICY_HEALTH_H
-#define REQUEST_POLICY_HEALTH_H
+#ifndef REQUEST_POLICY_ENGINES_HEALTH_H
+#define REQUEST_POLICY_ENGINES_HEALTH_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/lapses.c
+++ b/src/request/policy/engines/lapses.c
@@ -1,4 +1,4 @@
-#include "request/policy/lapses.h"
+#include "request/policy/engines/lapses.h"
 
 #include <glib.h>
 
--- a/src/request/policy/lapses.h
+++ b/src/request/policy/engines/lapses.h
@@ -5,8 +5,8 @@
  * Each is kept for a time of its own, in which a live engine writes its entry again. A pure state
  * machine.
  */
-#ifndef REQUEST_POLICY_LAPSES_H
-#define REQUEST_POLICY_LAPSES_H
+#ifndef REQUEST_POLICY_ENGINES_LAPSES_H
+#define REQUEST_POLICY_ENGINES_LAPSES_H
 
 #include <stdint.h>
 
--- a/src/request/policy/leave_notice.c
+++ b/src/request/policy/engines/leave_notice.c
@@ -1,4 +1,4 @@
-#include "request/policy/leave_notice.h"
+#include "request/policy/engines/leave_notice.h"
 
 #include <glib.h>
 
--- a/src/request/policy/leave_notice.h
+++ b/src/request/policy/engines/leave_notice.h
@@ -6,8 +6,8 @@
  * may be lost, and a host that reads an old copy of the list learns of its leaving only from its
  * peers. A pure state machine.
  */
-#ifndef REQUEST_POLICY_LEAVE_NOTICE_H
-#define REQUEST_POLICY_LEAVE_NOTICE_H
+#ifndef REQUEST_POLICY_ENGINES_LEAVE_NOTICE_H
+#define REQUEST_POLICY_ENGINES_LEAVE_NOTICE_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/membership.c
+++ b/src/request/policy/engines/membership.c
@@ -1,6 +1,6 @@
-#include "request/policy/membership.h"
+#include "request/policy/engines/membership.h"
 
-#include "request/policy/rendezvous.h"
+#include "request/policy/placement/rendezvous.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/request/policy/membership.h
+++ b/src/request/policy/engines/membership.h
@@ -10,8 +10,8 @@
  * the time and the input. Snapshots of it are immutable and reference-counted, and are sent to the
  * data task by message.
  */
-#ifndef REQUEST_POLICY_MEMBERSHIP_H
-#define REQUEST_POLICY_MEMBERSHIP_H
+#ifndef REQUEST_POLICY_ENGINES_MEMBERSHIP_H
+#define REQUEST_POLICY_ENGINES_MEMBERSHIP_H
 
 #include "base/limits.h"
 #include "base/settings.h"
--- a/src/request/policy/membership_snapshot.c
+++ b/src/request/policy/engines/membership_snapshot.c
@@ -1,4 +1,4 @@
-#include "request/policy/membership.h"
+#include "request/policy/engines/membership.h"
 
 #include <string.h>
 
--- a/src/request/policy/region_filter.c
+++ b/src/request/policy/engines/region_filter.c
@@ -1,4 +1,4 @@
-#include "request/policy/region_filter.h"
+#include "request/policy/engines/region_filter.h"
 
 bool
 region_filter_is_active (const region_filter_t *regions)
--- a/src/request/policy/region_filter.h
+++ b/src/request/policy/engines/region_filter.h
@@ -4,10 +4,10 @@
  * Restriction of a request to regions, which operators set for its route or for its client account.
  * When both are restricted, an engine must be allowed by both. Pure functions.
  */
-#ifndef REQUEST_POLICY_REGION_FILTER_H
-#define REQUEST_POLICY_REGION_FILTER_H
+#ifndef REQUEST_POLICY_ENGINES_REGION_FILTER_H
+#define REQUEST_POLICY_ENGINES_REGION_FILTER_H
 
-#include "request/policy/engines.h"
+#include "request/policy/engines/engines.h"
 
 /**
  * struct region_filter - names of the allowed regions, in lists that end with NULL
--- a/src/request/policy/self_reports.c
+++ b/src/request/policy/engines/self_reports.c
@@ -1,4 +1,4 @@
-#include "request/policy/self_reports.h"
+#include "request/policy/engines/self_reports.h"
 
 #include <glib.h>
 
--- a/src/request/policy/self_reports.h
+++ b/src/request/policy/engines/self_reports.h
@@ -8,8 +8,8 @@
  * unreachable. It may also drop an engine's entry and list it again. So a statement of an engine
  * process holds until the process ends, whatever its registry entry says.
  */
-#ifndef REQUEST_POLICY_SELF_REPORTS_H
-#define REQUEST_POLICY_SELF_REPORTS_H
+#ifndef REQUEST_POLICY_ENGINES_SELF_REPORTS_H
+#define REQUEST_POLICY_ENGINES_SELF_REPORTS_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/software_versions.c
+++ b/src/request/policy/engines/software_versions.c
@@ -1,4 +1,4 @@
-#include "request/policy/software_versions.h"
+#include "request/policy/engines/software_versions.h"
 
 #include <glib.h>
 
--- a/src/request/policy/software_versions.h
+++ b/src/request/policy/engines/software_versions.h
@@ -6,8 +6,8 @@
  *
  * A stream goes on only at the version that began it, see version_shares.h.
  */
-#ifndef REQUEST_POLICY_SOFTWARE_VERSIONS_H
-#define REQUEST_POLICY_SOFTWARE_VERSIONS_H
+#ifndef REQUEST_POLICY_ENGINES_SOFTWARE_VERSIONS_H
+#define REQUEST_POLICY_ENGINES_SOFTWARE_VERSIONS_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/completion_rate.c
+++ b/src/request/policy/load/completion_rate.c
@@ -1,4 +1,4 @@
-#include "request/policy/completion_rate.h"
+#include "request/policy/load/completion_rate.h"
 
 #include <glib.h>
 
--- a/src/request/policy/completion_rate.h
+++ b/src/request/policy/load/completion_rate.h
@@ -5,8 +5,8 @@
  * sidecar are derived from it. By Little's law an engine with L requests of mean duration S
  * completes one every S / L, so the estimate follows the load at once, without a time window.
  */
-#ifndef REQUEST_POLICY_COMPLETION_RATE_H
-#define REQUEST_POLICY_COMPLETION_RATE_H
+#ifndef REQUEST_POLICY_LOAD_COMPLETION_RATE_H
+#define REQUEST_POLICY_LOAD_COMPLETION_RATE_H
 
 #include <stdint.h>
 
--- a/src/request/policy/in_flight.c
+++ b/src/request/policy/load/in_flight.c
@@ -1,4 +1,4 @@
-#include "request/policy/in_flight.h"
+#include "request/policy/load/in_flight.h"
 
 #include <glib.h>
 
--- a/src/request/policy/in_flight.h
+++ b/src/request/policy/load/in_flight.h
@@ -4,8 +4,8 @@
  * How many of a router's own requests each engine is serving: the only part of an engine's load
  * that the router knows without delay.
  */
-#ifndef REQUEST_POLICY_IN_FLIGHT_H
-#define REQUEST_POLICY_IN_FLIGHT_H
+#ifndef REQUEST_POLICY_LOAD_IN_FLIGHT_H
+#define REQUEST_POLICY_LOAD_IN_FLIGHT_H
 
 #include <stdint.h>
 
--- a/src/request/policy/load_drift.c
+++ b/src/request/policy/load/load_drift.c
@@ -1,4 +1,4 @@
-#include "request/policy/load_drift.h"
+#include "request/policy/load/load_drift.h"
 
 #include <glib.h>
 
--- a/src/request/policy/load_drift.h
+++ b/src/request/policy/load/load_drift.h
@@ -6,8 +6,8 @@
  * change is the whole error of the estimate, and the sampling error alone, which is then 0, would
  * understate it.
  */
-#ifndef REQUEST_POLICY_LOAD_DRIFT_H
-#define REQUEST_POLICY_LOAD_DRIFT_H
+#ifndef REQUEST_POLICY_LOAD_LOAD_DRIFT_H
+#define REQUEST_POLICY_LOAD_LOAD_DRIFT_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/load_gauge.c
+++ b/src/request/policy/load/load_gauge.c
@@ -1,4 +1,4 @@
-#include "request/policy/load_gauge.h"
+#include "request/policy/load/load_gauge.h"
 
 #include <glib.h>
 
--- a/src/request/policy/load_gauge.h
+++ b/src/request/policy/load/load_gauge.h
@@ -13,8 +13,8 @@
  * requests. If only this gateway's traffic has grown, it holds requests back for the fraction of a
  * second until further reports have come.
  */
-#ifndef REQUEST_POLICY_LOAD_GAUGE_H
-#define REQUEST_POLICY_LOAD_GAUGE_H
+#ifndef REQUEST_POLICY_LOAD_LOAD_GAUGE_H
+#define REQUEST_POLICY_LOAD_LOAD_GAUGE_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/load_reports.c
+++ b/src/request/policy/load/load_reports.c
@@ -1,4 +1,4 @@
-#include "request/policy/load_reports.h"
+#include "request/policy/load/load_reports.h"
 
 #include <stdlib.h>
 
--- a/src/request/policy/load_reports.h
+++ b/src/request/policy/load/load_reports.h
@@ -9,8 +9,8 @@
  * prompt part, without knowing of each other. So a load near the overload limit is passed on, with
  * its age.
  */
-#ifndef REQUEST_POLICY_LOAD_REPORTS_H
-#define REQUEST_POLICY_LOAD_REPORTS_H
+#ifndef REQUEST_POLICY_LOAD_LOAD_REPORTS_H
+#define REQUEST_POLICY_LOAD_LOAD_REPORTS_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/load_samples.c
+++ b/src/request/policy/load/load_samples.c
@@ -1,4 +1,4 @@
-#include "request/policy/load_samples.h"
+#include "request/policy/load/load_samples.h"
 
 #include <glib.h>
 #include <math.h>
--- a/src/request/policy/load_samples.h
+++ b/src/request/policy/load/load_samples.h
@@ -5,8 +5,8 @@
  * estimated from them. The newest sample of each engine counts, for %LIMIT_LOAD_SAMPLE_AGE_US. At
  * most %LIMIT_LOAD_SAMPLES are kept, so neither memory nor messages grow with the fleet.
  */
-#ifndef REQUEST_POLICY_LOAD_SAMPLES_H
-#define REQUEST_POLICY_LOAD_SAMPLES_H
+#ifndef REQUEST_POLICY_LOAD_LOAD_SAMPLES_H
+#define REQUEST_POLICY_LOAD_LOAD_SAMPLES_H
 
 #include "base/limits.h"
 
--- a/src/request/policy/median_latency.c
+++ b/src/request/policy/load/median_latency.c
@@ -1,4 +1,4 @@
-#include "request/policy/median_latency.h"
+#include "request/policy/load/median_latency.h"
 
 #include <glib.h>
 
--- a/src/request/policy/median_latency.h
+++ b/src/request/policy/load/median_latency.h
@@ -9,8 +9,8 @@
  * six times slower, the median rises by less than a third, so that they remain visible as slow; a
  * mean would double.
  */
-#ifndef REQUEST_POLICY_MEDIAN_LATENCY_H
-#define REQUEST_POLICY_MEDIAN_LATENCY_H
+#ifndef REQUEST_POLICY_LOAD_MEDIAN_LATENCY_H
+#define REQUEST_POLICY_LOAD_MEDIAN_LATENCY_H
 
 #include <stdint.h>
 
--- a/src/request/policy/candidates.c
+++ b/src/request/policy/placement/candidates.c
@@ -1,6 +1,6 @@
-#include "request/policy/candidates.h"
+#include "request/policy/placement/candidates.h"
 
-#include "request/policy/referral.h"
+#include "request/policy/placement/referral.h"
 
 #include <glib.h>
 #include <stddef.h>
--- a/src/request/policy/candidates.h
+++ b/src/request/policy/placement/candidates.h
@@ -12,13 +12,13 @@
  *
  * An engine that has returned too recently (flap damping) is no chat's home, and goes last.
  */
-#ifndef REQUEST_POLICY_CANDIDATES_H
-#define REQUEST_POLICY_CANDIDATES_H
+#ifndef REQUEST_POLICY_PLACEMENT_CANDIDATES_H
+#define REQUEST_POLICY_PLACEMENT_CANDIDATES_H
 
-#include "request/policy/forwarding.h"
-#include "request/policy/load_samples.h"
-#include "request/policy/rendezvous.h"
-#include "request/policy/in_flight.h"
+#include "request/policy/retries/forwarding.h"
+#include "request/policy/load/load_samples.h"
+#include "request/policy/placement/rendezvous.h"
+#include "request/policy/load/in_flight.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/chat_directory.c
+++ b/src/request/policy/placement/chat_directory.c
@@ -1,4 +1,4 @@
-#include "request/policy/chat_directory.h"
+#include "request/policy/placement/chat_directory.h"
 
 #include <glib.h>
 
--- a/src/request/policy/chat_directory.h
+++ b/src/request/policy/placement/chat_directory.h
@@ -5,8 +5,8 @@
  * and for those that hash to it but were last served by another engine. A hash table of fixed size;
  * when a bucket is full, its oldest entry is replaced.
  */
-#ifndef REQUEST_POLICY_CHAT_DIRECTORY_H
-#define REQUEST_POLICY_CHAT_DIRECTORY_H
+#ifndef REQUEST_POLICY_PLACEMENT_CHAT_DIRECTORY_H
+#define REQUEST_POLICY_PLACEMENT_CHAT_DIRECTORY_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/engine_choice.c
+++ b/src/request/policy/placement/engine_choice.c
@@ -1,6 +1,6 @@
-#include "request/policy/engine_choice.h"
+#include "request/policy/placement/engine_choice.h"
 
-#include "request/policy/service_view.h"
+#include "request/policy/placement/service_view.h"
 
 #include <string.h>
 #include <xxhash.h>
--- a/src/request/policy/engine_choice.h
+++ b/src/request/policy/placement/engine_choice.h
@@ -8,11 +8,11 @@
  * that engine would exceed the load bound. Requests without such a part go to the least loaded
  * engine of the gateway's data centre, or of all data centres when that one has much less load.
  */
-#ifndef REQUEST_POLICY_ENGINE_CHOICE_H
-#define REQUEST_POLICY_ENGINE_CHOICE_H
+#ifndef REQUEST_POLICY_PLACEMENT_ENGINE_CHOICE_H
+#define REQUEST_POLICY_PLACEMENT_ENGINE_CHOICE_H
 
-#include "request/policy/engines.h"
-#include "request/policy/region_filter.h"
+#include "request/policy/engines/engines.h"
+#include "request/policy/engines/region_filter.h"
 
 /* The overload limit, as users define it: this multiple of the mean load of a service plus this
  * number of requests, in thousandths. */
--- a/src/request/policy/part_shares.c
+++ b/src/request/policy/placement/part_shares.c
@@ -1,4 +1,4 @@
-#include "request/policy/part_shares.h"
+#include "request/policy/placement/part_shares.h"
 
 #include <glib.h>
 #include <math.h>
--- a/src/request/policy/part_shares.h
+++ b/src/request/policy/placement/part_shares.h
@@ -11,8 +11,8 @@
  * Counts fade with time. The table is bounded: where too many parts share a set of it, the one with
  * the lowest count is forgotten.
  */
-#ifndef REQUEST_POLICY_PART_SHARES_H
-#define REQUEST_POLICY_PART_SHARES_H
+#ifndef REQUEST_POLICY_PLACEMENT_PART_SHARES_H
+#define REQUEST_POLICY_PLACEMENT_PART_SHARES_H
 
 #include <stdint.h>
 
--- a/src/request/policy/referral.c
+++ b/src/request/policy/placement/referral.c
@@ -1,4 +1,4 @@
-#include "request/policy/referral.h"
+#include "request/policy/placement/referral.h"
 
 #include <stddef.h>
 
--- a/src/request/policy/referral.h
+++ b/src/request/policy/placement/referral.h
@@ -4,10 +4,10 @@
  * Selects the engines with free capacity that a sidecar names when it rejects a request. They are
  * chosen from the load samples that other sidecars sent.
  */
-#ifndef REQUEST_POLICY_REFERRAL_H
-#define REQUEST_POLICY_REFERRAL_H
+#ifndef REQUEST_POLICY_PLACEMENT_REFERRAL_H
+#define REQUEST_POLICY_PLACEMENT_REFERRAL_H
 
-#include "request/policy/load_samples.h"
+#include "request/policy/load/load_samples.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/rendezvous.c
+++ b/src/request/policy/placement/rendezvous.c
@@ -1,4 +1,4 @@
-#include "request/policy/rendezvous.h"
+#include "request/policy/placement/rendezvous.h"
 
 #include <math.h>
 #include <stdbool.h>
--- a/src/request/policy/rendezvous.h
+++ b/src/request/policy/placement/rendezvous.h
@@ -4,8 +4,8 @@
  * Weighted rendezvous hashing of chats over the engines of a service. The hash is of an engine's
  * name and not of its address, so an engine that was replaced or was away gets its chats back.
  */
-#ifndef REQUEST_POLICY_RENDEZVOUS_H
-#define REQUEST_POLICY_RENDEZVOUS_H
+#ifndef REQUEST_POLICY_PLACEMENT_RENDEZVOUS_H
+#define REQUEST_POLICY_PLACEMENT_RENDEZVOUS_H
 
 #include <stdint.h>
 
--- a/src/request/policy/service_view.c
+++ b/src/request/policy/placement/service_view.c
@@ -1,6 +1,6 @@
-#include "request/policy/service_view.h"
+#include "request/policy/placement/service_view.h"
 
-#include "request/policy/cold_start_limit.h"
+#include "request/policy/engines/cold_start_limit.h"
 
 #include <stdlib.h>
 #include <xxhash.h>
--- a/src/request/policy/service_view.h
+++ b/src/request/policy/placement/service_view.h
@@ -4,10 +4,10 @@
  * The engines of a service as they are for one request, for engine_choice.c: which of them may get
  * it, have room for it, and are within the load bound. Pure functions.
  */
-#ifndef REQUEST_POLICY_SERVICE_VIEW_H
-#define REQUEST_POLICY_SERVICE_VIEW_H
+#ifndef REQUEST_POLICY_PLACEMENT_SERVICE_VIEW_H
+#define REQUEST_POLICY_PLACEMENT_SERVICE_VIEW_H
 
-#include "request/policy/engine_choice.h"
+#include "request/policy/placement/engine_choice.h"
 
 /**
  * struct service_view - a request and the state of the engines of its service
--- a/src/request/policy/accept_gate.c
+++ b/src/request/policy/queueing/accept_gate.c
@@ -1,4 +1,4 @@
-#include "request/policy/accept_gate.h"
+#include "request/policy/queueing/accept_gate.h"
 
 bool
 accept_gate_is_open (const accept_gate_t *gate)
--- a/src/request/policy/accept_gate.h
+++ b/src/request/policy/queueing/accept_gate.h
@@ -9,8 +9,8 @@
  *
  * A pure state machine.
  */
-#ifndef REQUEST_POLICY_ACCEPT_GATE_H
-#define REQUEST_POLICY_ACCEPT_GATE_H
+#ifndef REQUEST_POLICY_QUEUEING_ACCEPT_GATE_H
+#define REQUEST_POLICY_QUEUEING_ACCEPT_GATE_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/admission.c
+++ b/src/request/policy/queueing/admission.c
@@ -1,4 +1,4 @@
-#include "request/policy/admission_private.h"
+#include "request/policy/queueing/admission_private.h"
 
 /* Context of may_serve(), computed once for all waiting requests. */
 typedef struct
--- a/src/request/policy/admission.h
+++ b/src/request/policy/queueing/admission.h
@@ -20,16 +20,16 @@
  * After each event (offer, finish, cancel, a new sample, a timer) the caller calls
  * admission_next_rejected() and then admission_next(), each until it returns NULL.
  */
-#ifndef REQUEST_POLICY_ADMISSION_H
-#define REQUEST_POLICY_ADMISSION_H
+#ifndef REQUEST_POLICY_QUEUEING_ADMISSION_H
+#define REQUEST_POLICY_QUEUEING_ADMISSION_H
 
 #include "base/clock.h"
 #include "base/limits.h"
-#include "request/policy/chat_directory.h"
-#include "request/policy/fair_queue.h"
-#include "request/policy/load_samples.h"
-#include "request/policy/suspect.h"
-#include "request/policy/verdict.h"
+#include "request/policy/placement/chat_directory.h"
+#include "request/policy/queueing/fair_queue.h"
+#include "request/policy/load/load_samples.h"
+#include "request/policy/suspects/suspect.h"
+#include "request/policy/retries/verdict.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/admission_bound.c
+++ b/src/request/policy/queueing/admission_bound.c
@@ -1,4 +1,4 @@
-#include "request/policy/admission_private.h"
+#include "request/policy/queueing/admission_private.h"
 
 static load_samples_estimate_t
 estimate_mean (const admission_t *admission, uint64_t now_us)
--- a/src/request/policy/admission_cached.c
+++ b/src/request/policy/queueing/admission_cached.c
@@ -1,4 +1,4 @@
-#include "request/policy/admission_private.h"
+#include "request/policy/queueing/admission_private.h"
 
 /* Longer than the lifetime, which is an expected value: some contexts are cached for longer, and a
  * referral in vain costs only one more hop. */
--- a/src/request/policy/admission_private.h
+++ b/src/request/policy/queueing/admission_private.h
@@ -5,14 +5,14 @@
  * admission_bound.c the bound and the estimates of waits, admission_cached.c the referrals to the
  * engine that has a chat's context in its cache, admission_refuse.c the other decisions to reject.
  */
-#ifndef REQUEST_POLICY_ADMISSION_PRIVATE_H
-#define REQUEST_POLICY_ADMISSION_PRIVATE_H
+#ifndef REQUEST_POLICY_QUEUEING_ADMISSION_PRIVATE_H
+#define REQUEST_POLICY_QUEUEING_ADMISSION_PRIVATE_H
 
-#include "request/policy/admission.h"
+#include "request/policy/queueing/admission.h"
 
-#include "request/policy/completion_rate.h"
-#include "request/policy/load_drift.h"
-#include "request/policy/referral.h"
+#include "request/policy/load/completion_rate.h"
+#include "request/policy/load/load_drift.h"
+#include "request/policy/placement/referral.h"
 
 #define MILLI 1000
 
--- a/src/request/policy/admission_refuse.c
+++ b/src/request/policy/queueing/admission_refuse.c
@@ -1,4 +1,4 @@
-#include "request/policy/admission_private.h"
+#include "request/policy/queueing/admission_private.h"
 
 /* Adds up to half of the time at random, so that clients that were rejected together don't retry
  * together. */
--- a/src/request/policy/fair_queue.c
+++ b/src/request/policy/queueing/fair_queue.c
@@ -1,4 +1,4 @@
-#include "request/policy/fair_queue.h"
+#include "request/policy/queueing/fair_queue.h"
 
 #define PRUNE_MIN_ACCOUNTS 64 /* accounts known before idle ones are dropped */
 
--- a/src/request/policy/fair_queue.h
+++ b/src/request/policy/queueing/fair_queue.h
@@ -13,8 +13,8 @@
  * others before it got a cost of %FAIR_QUEUE_PRIORITY_COST for each level between them. So no
  * priority and no account can starve another.
  */
-#ifndef REQUEST_POLICY_FAIR_QUEUE_H
-#define REQUEST_POLICY_FAIR_QUEUE_H
+#ifndef REQUEST_POLICY_QUEUEING_FAIR_QUEUE_H
+#define REQUEST_POLICY_QUEUEING_FAIR_QUEUE_H
 
 #include "base/limits.h"
 
--- a/src/request/policy/priority_fairness.c
+++ b/src/request/policy/queueing/priority_fairness.c
@@ -1,4 +1,4 @@
-#include "request/policy/priority_fairness.h"
+#include "request/policy/queueing/priority_fairness.h"
 
 #define MILLI 1000
 /* Counts decay in steps of 1/12, eight per half-life: (11/12)^8 is about 1/2. */
--- a/src/request/policy/priority_fairness.h
+++ b/src/request/policy/queueing/priority_fairness.h
@@ -12,8 +12,8 @@
  * priority to the next, with the higher priority ahead: a priority with a larger share than a
  * higher one yields to it, and one that is further behind goes first for a while.
  */
-#ifndef REQUEST_POLICY_PRIORITY_FAIRNESS_H
-#define REQUEST_POLICY_PRIORITY_FAIRNESS_H
+#ifndef REQUEST_POLICY_QUEUEING_PRIORITY_FAIRNESS_H
+#define REQUEST_POLICY_QUEUEING_PRIORITY_FAIRNESS_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/wait_queue.c
+++ b/src/request/policy/queueing/wait_queue.c
@@ -1,4 +1,4 @@
-#include "request/policy/wait_queue.h"
+#include "request/policy/queueing/wait_queue.h"
 
 #define MILLI 1000
 /* At most this part (a quarter) of a request's time is kept for a retry elsewhere, so that a
--- a/src/request/policy/wait_queue.h
+++ b/src/request/policy/queueing/wait_queue.h
@@ -20,12 +20,12 @@
  * A request never waits until its deadline: a client that is rejected then has no time left to
  * retry, and a request that starts just before its deadline can't be answered in time.
  */
-#ifndef REQUEST_POLICY_WAIT_QUEUE_H
-#define REQUEST_POLICY_WAIT_QUEUE_H
+#ifndef REQUEST_POLICY_QUEUEING_WAIT_QUEUE_H
+#define REQUEST_POLICY_QUEUEING_WAIT_QUEUE_H
 
 #include "base/clock.h"
-#include "request/policy/fair_queue.h"
-#include "request/policy/priority_fairness.h"
+#include "request/policy/queueing/fair_queue.h"
+#include "request/policy/queueing/priority_fairness.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/first_attempt.c
+++ b/src/request/policy/retries/first_attempt.c
@@ -1,4 +1,4 @@
-#include "request/policy/first_attempt.h"
+#include "request/policy/retries/first_attempt.h"
 
 #define MILLI 1000
 #define US_PER_MS 1000
--- a/src/request/policy/first_attempt.h
+++ b/src/request/policy/retries/first_attempt.h
@@ -8,8 +8,8 @@
  * Callers of one route have about the same time, so a request that states much less than the
  * others is a later attempt.
  */
-#ifndef REQUEST_POLICY_FIRST_ATTEMPT_H
-#define REQUEST_POLICY_FIRST_ATTEMPT_H
+#ifndef REQUEST_POLICY_RETRIES_FIRST_ATTEMPT_H
+#define REQUEST_POLICY_RETRIES_FIRST_ATTEMPT_H
 
 #include <stdint.h>
 
--- a/src/request/policy/forwarding.c
+++ b/src/request/policy/retries/forwarding.c
@@ -1,4 +1,4 @@
-#include "request/policy/forwarding.h"
+#include "request/policy/retries/forwarding.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/request/policy/forwarding.h
+++ b/src/request/policy/retries/forwarding.h
@@ -10,11 +10,11 @@
  * of the router. All client accounts share the budget, and each has a reserve that no other one
  * uses.
  */
-#ifndef REQUEST_POLICY_FORWARDING_H
-#define REQUEST_POLICY_FORWARDING_H
+#ifndef REQUEST_POLICY_RETRIES_FORWARDING_H
+#define REQUEST_POLICY_RETRIES_FORWARDING_H
 
 #include "base/limits.h"
-#include "request/policy/verdict.h"
+#include "request/policy/retries/verdict.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/hop_timeout.c
+++ b/src/request/policy/retries/hop_timeout.c
@@ -1,4 +1,4 @@
-#include "request/policy/hop_timeout.h"
+#include "request/policy/retries/hop_timeout.h"
 
 #include <glib.h>
 
--- a/src/request/policy/hop_timeout.h
+++ b/src/request/policy/retries/hop_timeout.h
@@ -8,8 +8,8 @@
  * sends no data for any request has failed, since a working engine emits a token every few
  * milliseconds; then the shorter timeout applies.
  */
-#ifndef REQUEST_POLICY_HOP_TIMEOUT_H
-#define REQUEST_POLICY_HOP_TIMEOUT_H
+#ifndef REQUEST_POLICY_RETRIES_HOP_TIMEOUT_H
+#define REQUEST_POLICY_RETRIES_HOP_TIMEOUT_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/retry_budget.c
+++ b/src/request/policy/retries/retry_budget.c
@@ -1,4 +1,4 @@
-#include "request/policy/retry_budget.h"
+#include "request/policy/retries/retry_budget.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/request/policy/retry_budget.h
+++ b/src/request/policy/retries/retry_budget.h
@@ -15,8 +15,8 @@
  * of the window. However often a router restarts within a window, its retries stay within that
  * part, and together with %RETRY_BUDGET_PART_MILLI from before the restart within the limit.
  */
-#ifndef REQUEST_POLICY_RETRY_BUDGET_H
-#define REQUEST_POLICY_RETRY_BUDGET_H
+#ifndef REQUEST_POLICY_RETRIES_RETRY_BUDGET_H
+#define REQUEST_POLICY_RETRIES_RETRY_BUDGET_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/retry_plan.c
+++ b/src/request/policy/retries/retry_plan.c
@@ -1,4 +1,4 @@
-#include "request/policy/retry_plan.h"
+#include "request/policy/retries/retry_plan.h"
 
 void
 retry_plan_init (retry_plan_t *retry_plan, const retry_plan_rules_t *rules)
--- a/src/request/policy/retry_plan.h
+++ b/src/request/policy/retries/retry_plan.h
@@ -8,8 +8,8 @@
  * be repeated: it is idempotent, or its response is a stream that can be resumed. The route limits
  * how many engines may execute it.
  */
-#ifndef REQUEST_POLICY_RETRY_PLAN_H
-#define REQUEST_POLICY_RETRY_PLAN_H
+#ifndef REQUEST_POLICY_RETRIES_RETRY_PLAN_H
+#define REQUEST_POLICY_RETRIES_RETRY_PLAN_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/verdict.c
+++ b/src/request/policy/retries/verdict.c
@@ -1,4 +1,4 @@
-#include "request/policy/verdict.h"
+#include "request/policy/retries/verdict.h"
 
 #include <string.h>
 
--- a/src/request/policy/verdict.h
+++ b/src/request/policy/retries/verdict.h
@@ -4,8 +4,8 @@
  * States whether an engine may have executed a request. Every attempt ends with a verdict, and
  * every error response to a client carries it in the header %VERDICT_HEADER and in the body.
  */
-#ifndef REQUEST_POLICY_VERDICT_H
-#define REQUEST_POLICY_VERDICT_H
+#ifndef REQUEST_POLICY_RETRIES_VERDICT_H
+#define REQUEST_POLICY_RETRIES_VERDICT_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/bootstrap.c
+++ b/src/request/policy/store/bootstrap.c
@@ -1,4 +1,4 @@
-#include "request/policy/bootstrap.h"
+#include "request/policy/store/bootstrap.h"
 
 #include <glib.h>
 
--- a/src/request/policy/bootstrap.h
+++ b/src/request/policy/store/bootstrap.h
@@ -11,8 +11,8 @@
  * each other. At any other start requests are waiting, so a peer that has nothing either is not
  * waited for.
  */
-#ifndef REQUEST_POLICY_BOOTSTRAP_H
-#define REQUEST_POLICY_BOOTSTRAP_H
+#ifndef REQUEST_POLICY_STORE_BOOTSTRAP_H
+#define REQUEST_POLICY_STORE_BOOTSTRAP_H
 
 #include "base/settings.h"
 
--- a/src/request/policy/read_policy.c
+++ b/src/request/policy/store/read_policy.c
@@ -1,4 +1,4 @@
-#include "request/policy/read_policy.h"
+#include "request/policy/store/read_policy.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/request/policy/read_policy.h
+++ b/src/request/policy/store/read_policy.h
@@ -12,8 +12,8 @@
  * 3,130 calls, and 7,566 when every gateway read for itself. No gateway depends on the followers:
  * one whose copy isn't confirmed any longer reads the store itself.
  */
-#ifndef REQUEST_POLICY_READ_POLICY_H
-#define REQUEST_POLICY_READ_POLICY_H
+#ifndef REQUEST_POLICY_STORE_READ_POLICY_H
+#define REQUEST_POLICY_STORE_READ_POLICY_H
 
 #include "base/position.h"
 
--- a/src/request/policy/restoration.c
+++ b/src/request/policy/store/restoration.c
@@ -1,4 +1,4 @@
-#include "request/policy/restoration.h"
+#include "request/policy/store/restoration.h"
 
 #define US_PER_MS 1000
 
--- a/src/request/policy/restoration.h
+++ b/src/request/policy/store/restoration.h
@@ -6,10 +6,10 @@
  * again within seconds. Until then nothing goes back: the view of each stream keeps what was known
  * (see version/keyed_view), and this module decides until when. Pure state machines and functions.
  */
-#ifndef REQUEST_POLICY_RESTORATION_H
-#define REQUEST_POLICY_RESTORATION_H
+#ifndef REQUEST_POLICY_STORE_RESTORATION_H
+#define REQUEST_POLICY_STORE_RESTORATION_H
 
-#include "request/policy/engines.h"
+#include "request/policy/engines/engines.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/store_outage.c
+++ b/src/request/policy/store/store_outage.c
@@ -1,4 +1,4 @@
-#include "request/policy/store_outage.h"
+#include "request/policy/store/store_outage.h"
 
 #include <stdbool.h>
 
--- a/src/request/policy/store_outage.h
+++ b/src/request/policy/store/store_outage.h
@@ -13,8 +13,8 @@
  * A peer may report an answer of the store late. A moment inside what looked like an outage
  * shortens it or shows that there was none. The result doesn't depend on the order of the reports.
  */
-#ifndef REQUEST_POLICY_STORE_OUTAGE_H
-#define REQUEST_POLICY_STORE_OUTAGE_H
+#ifndef REQUEST_POLICY_STORE_STORE_OUTAGE_H
+#define REQUEST_POLICY_STORE_STORE_OUTAGE_H
 
 #include <stdint.h>
 
--- a/src/request/policy/origin_batches.c
+++ b/src/request/policy/streams/origin_batches.c
@@ -1,4 +1,4 @@
-#include "request/policy/origin_batches.h"
+#include "request/policy/streams/origin_batches.h"
 
 #include <glib.h>
 
--- a/src/request/policy/origin_batches.h
+++ b/src/request/policy/streams/origin_batches.h
@@ -5,8 +5,8 @@
  * byte budget allows a few messages a second, so the one with most streams goes first. A state
  * machine without I/O.
  */
-#ifndef REQUEST_POLICY_ORIGIN_BATCHES_H
-#define REQUEST_POLICY_ORIGIN_BATCHES_H
+#ifndef REQUEST_POLICY_STREAMS_ORIGIN_BATCHES_H
+#define REQUEST_POLICY_STREAMS_ORIGIN_BATCHES_H
 
 #include <stdint.h>
 
--- a/src/request/policy/origin_keepers.c
+++ b/src/request/policy/streams/origin_keepers.c
@@ -1,4 +1,4 @@
-#include "request/policy/origin_keepers.h"
+#include "request/policy/streams/origin_keepers.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/request/policy/origin_keepers.h
+++ b/src/request/policy/streams/origin_keepers.h
@@ -9,8 +9,8 @@
  * that keeps it by rendezvous hashing. Large groups make messages small and many, small ones make
  * many questions.
  */
-#ifndef REQUEST_POLICY_ORIGIN_KEEPERS_H
-#define REQUEST_POLICY_ORIGIN_KEEPERS_H
+#ifndef REQUEST_POLICY_STREAMS_ORIGIN_KEEPERS_H
+#define REQUEST_POLICY_STREAMS_ORIGIN_KEEPERS_H
 
 #include <stdint.h>
 
--- a/src/request/policy/resumption.c
+++ b/src/request/policy/streams/resumption.c
@@ -1,4 +1,4 @@
-#include "request/policy/resumption.h"
+#include "request/policy/streams/resumption.h"
 
 static resumption_t
 go (uint64_t version, const char *basis)
--- a/src/request/policy/resumption.h
+++ b/src/request/policy/streams/resumption.h
@@ -5,10 +5,10 @@
  * goes on, or that it is refused, since an engine of another version would continue the stream with
  * events that don't fit. A pure function.
  */
-#ifndef REQUEST_POLICY_RESUMPTION_H
-#define REQUEST_POLICY_RESUMPTION_H
+#ifndef REQUEST_POLICY_STREAMS_RESUMPTION_H
+#define REQUEST_POLICY_STREAMS_RESUMPTION_H
 
-#include "request/policy/version_search.h"
+#include "request/policy/streams/version_search.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/stream_lists.c
+++ b/src/request/policy/streams/stream_lists.c
@@ -1,4 +1,4 @@
-#include "request/policy/stream_lists.h"
+#include "request/policy/streams/stream_lists.h"
 
 #include "base/digits.h"
 
--- a/src/request/policy/stream_lists.h
+++ b/src/request/policy/streams/stream_lists.h
@@ -9,11 +9,11 @@
  * A record holds the lists of one gateway, one for each service, and replaces its record before. A
  * state machine without I/O.
  */
-#ifndef REQUEST_POLICY_STREAM_LISTS_H
-#define REQUEST_POLICY_STREAM_LISTS_H
+#ifndef REQUEST_POLICY_STREAMS_STREAM_LISTS_H
+#define REQUEST_POLICY_STREAMS_STREAM_LISTS_H
 
-#include "request/policy/stream_origins.h"
-#include "request/policy/version_shares.h"
+#include "request/policy/streams/stream_origins.h"
+#include "request/policy/streams/version_shares.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/request/policy/stream_origins.c
+++ b/src/request/policy/streams/stream_origins.c
@@ -1,4 +1,4 @@
-#include "request/policy/stream_origins.h"
+#include "request/policy/streams/stream_origins.h"
 
 #include <glib.h>
 
--- a/src/request/policy/stream_origins.h
+++ b/src/request/policy/streams/stream_origins.h
@@ -5,8 +5,8 @@
  * that other gateways told it of, so that a stream goes on at its version wherever its client
  * resumes it. A state machine without I/O.
  */
-#ifndef REQUEST_POLICY_STREAM_ORIGINS_H
-#define REQUEST_POLICY_STREAM_ORIGINS_H
+#ifndef REQUEST_POLICY_STREAMS_STREAM_ORIGINS_H
+#define REQUEST_POLICY_STREAMS_STREAM_ORIGINS_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/version_search.c
+++ b/src/request/policy/streams/version_search.c
@@ -1,4 +1,4 @@
-#include "request/policy/version_search.h"
+#include "request/policy/streams/version_search.h"
 
 static version_search_t
 found (version_search_t search, uint64_t version, const char *basis)
--- a/src/request/policy/version_search.h
+++ b/src/request/policy/streams/version_search.h
@@ -4,11 +4,11 @@
  * Finds the version at which a stream of any gateway began, by the tables of shares and the lists
  * of open streams. A pure function.
  */
-#ifndef REQUEST_POLICY_VERSION_SEARCH_H
-#define REQUEST_POLICY_VERSION_SEARCH_H
+#ifndef REQUEST_POLICY_STREAMS_VERSION_SEARCH_H
+#define REQUEST_POLICY_STREAMS_VERSION_SEARCH_H
 
-#include "request/policy/stream_lists.h"
-#include "request/policy/version_shares.h"
+#include "request/policy/streams/stream_lists.h"
+#include "request/policy/streams/version_shares.h"
 
 /**
  * struct version_search - the result
--- a/src/request/policy/version_shares.c
+++ b/src/request/policy/streams/version_shares.c
@@ -1,4 +1,4 @@
-#include "request/policy/version_shares.h"
+#include "request/policy/streams/version_shares.h"
 
 #include "base/digits.h"
 
--- a/src/request/policy/version_shares.h
+++ b/src/request/policy/streams/version_shares.h
@@ -12,8 +12,8 @@
  * in force, for longer than a gateway whose registry counts as current may be behind: each of these
  * knows all tables by which streams may begin. Pure functions and a state machine without I/O.
  */
-#ifndef REQUEST_POLICY_VERSION_SHARES_H
-#define REQUEST_POLICY_VERSION_SHARES_H
+#ifndef REQUEST_POLICY_STREAMS_VERSION_SHARES_H
+#define REQUEST_POLICY_STREAMS_VERSION_SHARES_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/request/policy/answered_parts.c
+++ b/src/request/policy/suspects/answered_parts.c
@@ -1,4 +1,4 @@
-#include "request/policy/answered_parts.h"
+#include "request/policy/suspects/answered_parts.h"
 
 void
 answered_parts_add (answered_parts_t *answered, const crash_subject_t *subjects, uint32_t count)
--- a/src/request/policy/answered_parts.h
+++ b/src/request/policy/suspects/answered_parts.h
@@ -5,10 +5,10 @@
  * engines only where requests without it are answered: one that all requests of a service have
  * can't be told from the service itself.
  */
-#ifndef REQUEST_POLICY_ANSWERED_PARTS_H
-#define REQUEST_POLICY_ANSWERED_PARTS_H
+#ifndef REQUEST_POLICY_SUSPECTS_ANSWERED_PARTS_H
+#define REQUEST_POLICY_SUSPECTS_ANSWERED_PARTS_H
 
-#include "request/policy/crash_record.h"
+#include "request/policy/suspects/crash_record.h"
 
 #define ANSWERED_PARTS_ANSWERS 8    /* answers that are remembered */
 #define ANSWERED_PARTS_PER_ANSWER 8 /* parts of each */
--- a/src/request/policy/crash_record.c
+++ b/src/request/policy/suspects/crash_record.c
@@ -1,4 +1,4 @@
-#include "request/policy/crash_record_private.h"
+#include "request/policy/suspects/crash_record_private.h"
 
 #include "base/clock.h"
 
--- a/src/request/policy/crash_record.h
+++ b/src/request/policy/suspects/crash_record.h
@@ -15,8 +15,8 @@
  * Gateways tell each other the crashes as marks: the first crash to the owners of the fingerprint,
  * who so see the crashes of all gateways; later ones to all.
  */
-#ifndef REQUEST_POLICY_CRASH_RECORD_H
-#define REQUEST_POLICY_CRASH_RECORD_H
+#ifndef REQUEST_POLICY_SUSPECTS_CRASH_RECORD_H
+#define REQUEST_POLICY_SUSPECTS_CRASH_RECORD_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/crash_record_private.h
+++ b/src/request/policy/suspects/crash_record_private.h
@@ -5,12 +5,12 @@
  * crash_record_retrial.c, which decides when a refused part is tried again and by whom, and
  * crash_record_tell.c, which decides what the other gateways are told, and when.
  */
-#ifndef REQUEST_POLICY_CRASH_RECORD_PRIVATE_H
-#define REQUEST_POLICY_CRASH_RECORD_PRIVATE_H
+#ifndef REQUEST_POLICY_SUSPECTS_CRASH_RECORD_PRIVATE_H
+#define REQUEST_POLICY_SUSPECTS_CRASH_RECORD_PRIVATE_H
 
-#include "request/policy/crash_record.h"
-#include "request/policy/loss_bursts.h"
-#include "request/policy/recent_answers.h"
+#include "request/policy/suspects/crash_record.h"
+#include "request/policy/suspects/loss_bursts.h"
+#include "request/policy/suspects/recent_answers.h"
 
 #include <glib.h>
 
--- a/src/request/policy/crash_record_retrial.c
+++ b/src/request/policy/suspects/crash_record_retrial.c
@@ -1,5 +1,5 @@
 /* When a refused part is tried again, and by which of all gateways. */
-#include "request/policy/crash_record_private.h"
+#include "request/policy/suspects/crash_record_private.h"
 
 #include "base/clock.h"
 
--- a/src/request/policy/crash_record_tell.c
+++ b/src/request/policy/suspects/crash_record_tell.c
@@ -1,5 +1,5 @@
 /* What a gateway tells the others of its crashes: to the owners of a fingerprint, or to all. */
-#include "request/policy/crash_record_private.h"
+#include "request/policy/suspects/crash_record_private.h"
 
 #include "base/clock.h"
 
--- a/src/request/policy/loss_bursts.c
+++ b/src/request/policy/suspects/loss_bursts.c
@@ -1,4 +1,4 @@
-#include "request/policy/loss_bursts.h"
+#include "request/policy/suspects/loss_bursts.h"
 
 #include <glib.h>
 
--- a/src/request/policy/loss_bursts.h
+++ b/src/request/policy/suspects/loss_bursts.h
@@ -5,8 +5,8 @@
  * all were killed, or the network of this gateway was cut. No request and no part of a prompt is to
  * blame for that, unless it was at these engines itself. A state machine without I/O.
  */
-#ifndef REQUEST_POLICY_LOSS_BURSTS_H
-#define REQUEST_POLICY_LOSS_BURSTS_H
+#ifndef REQUEST_POLICY_SUSPECTS_LOSS_BURSTS_H
+#define REQUEST_POLICY_SUSPECTS_LOSS_BURSTS_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/recent_answers.c
+++ b/src/request/policy/suspects/recent_answers.c
@@ -1,4 +1,4 @@
-#include "request/policy/recent_answers.h"
+#include "request/policy/suspects/recent_answers.h"
 
 #include <glib.h>
 
--- a/src/request/policy/recent_answers.h
+++ b/src/request/policy/suspects/recent_answers.h
@@ -12,8 +12,8 @@
  *
  * A direct-mapped table: of two fingerprints with the same index the later one is kept.
  */
-#ifndef REQUEST_POLICY_RECENT_ANSWERS_H
-#define REQUEST_POLICY_RECENT_ANSWERS_H
+#ifndef REQUEST_POLICY_SUSPECTS_RECENT_ANSWERS_H
+#define REQUEST_POLICY_SUSPECTS_RECENT_ANSWERS_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/policy/suspect.c
+++ b/src/request/policy/suspects/suspect.c
@@ -1,4 +1,4 @@
-#include "request/policy/suspect.h"
+#include "request/policy/suspects/suspect.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/request/policy/suspect.h
+++ b/src/request/policy/suspects/suspect.h
@@ -5,8 +5,8 @@
  * At most %LIMIT_SUSPECT_CRASHES engines are lost to one request, however often it is sent. Daemons
  * tell each other these crashes as marks.
  */
-#ifndef REQUEST_POLICY_SUSPECT_H
-#define REQUEST_POLICY_SUSPECT_H
+#ifndef REQUEST_POLICY_SUSPECTS_SUSPECT_H
+#define REQUEST_POLICY_SUSPECTS_SUSPECT_H
 
 #include "base/limits.h"
 
--- a/src/request/router/router_accept.c
+++ b/src/request/router/router_accept.c
@@ -1,7 +1,7 @@
 #include "request/router/router_private.h"
 
 #include "request/router/chat_body.h"
-#include "request/policy/digest.h"
+#include "request/policy/digests/digest.h"
 #include "request/error_reply.h"
 #include "request/header_filter.h"
 #include "request/router/request_target.h"
--- a/src/request/router/router_notify.c
+++ b/src/request/router/router_notify.c
@@ -1,6 +1,6 @@
 #include "request/router/router_private.h"
 
-#include "request/policy/call_seal.h"
+#include "request/policy/digests/call_seal.h"
 
 #include <event2/http.h>
 #include <inttypes.h>
--- a/src/request/router/router_private.h
+++ b/src/request/router/router_private.h
@@ -17,15 +17,15 @@
 #include "connection/http_client.h"
 #include "base/daemon.h"
 #include "request/router/router.h"
-#include "request/policy/forwarding.h"
-#include "request/policy/candidates.h"
-#include "request/policy/health.h"
+#include "request/policy/retries/forwarding.h"
+#include "request/policy/placement/candidates.h"
+#include "request/policy/engines/health.h"
 #include "request/hop.h"
 #include "request/data_task.h"
-#include "request/policy/rendezvous.h"
-#include "request/policy/recent_answers.h"
+#include "request/policy/placement/rendezvous.h"
+#include "request/policy/suspects/recent_answers.h"
 #include "request/relay.h"
-#include "request/policy/suspect.h"
+#include "request/policy/suspects/suspect.h"
 
 #include <event2/event.h>
 
--- a/src/request/sidecar/history.h
+++ b/src/request/sidecar/history.h
@@ -10,7 +10,7 @@
 #define REQUEST_SIDECAR_HISTORY_H
 
 #include "base/limits.h"
-#include "request/policy/verdict.h"
+#include "request/policy/retries/verdict.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/request/sidecar/sidecar_accept.c
+++ b/src/request/sidecar/sidecar_accept.c
@@ -1,6 +1,6 @@
 #include "request/sidecar/sidecar_private.h"
 
-#include "request/policy/digest.h"
+#include "request/policy/digests/digest.h"
 #include "request/header_filter.h"
 
 #include <string.h>
--- a/src/request/sidecar/sidecar_handover.c
+++ b/src/request/sidecar/sidecar_handover.c
@@ -1,7 +1,7 @@
 #include "request/sidecar/sidecar_private.h"
 
 #include "base/log.h"
-#include "request/policy/call_seal.h"
+#include "request/policy/digests/call_seal.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/src/request/sidecar/sidecar_private.h
+++ b/src/request/sidecar/sidecar_private.h
@@ -17,11 +17,11 @@
 #include "connection/http_client.h"
 #include "base/daemon.h"
 #include "request/sidecar/sidecar.h"
-#include "request/policy/admission.h"
+#include "request/policy/queueing/admission.h"
 #include "request/sidecar/history.h"
 #include "request/hop.h"
 #include "request/data_task.h"
-#include "request/policy/rendezvous.h"
+#include "request/policy/placement/rendezvous.h"
 #include "request/relay.h"
 
 #include <event2/event.h>
--- a/src/version/manifest_read.c
+++ b/src/version/manifest_read.c
@@ -1,5 +1,5 @@
 #include "version/manifest_read.h"
-#include "request/policy/rendezvous.h"
+#include "request/policy/placement/rendezvous.h"
 #include "version/json_reader.h"
 
 #include <stdlib.h>
--- a/tests/check_tree.sh
+++ b/tests/check_tree.sh
@@ -36,10 +36,12 @@
 while IFS=: read -r folder allowed; do
   [ -n "$folder" ] || continue
   [ -d "src/$folder" ] || { echo "the folder src/$folder is not there"; status=1; }
-  for file in src/"$folder"/*.[ch]; do
+  files=(src/"$folder"/*.[ch])
+  [ "$folder" != request/policy ] || files=(src/request/policy/*/*.[ch])
+  for file in "${files[@]}"; do
     [ "$file" != src/process/main.c ] || continue
     checked=$((checked + 1))
-    for included in $(grep -hoE '^#include "[a-z/_]+/[a-z_]+\.h"' "$file" | sed -E 's/#include "(.*)\/[^/]+"/\1/' | sort -u); do
+    for included in $(grep -hoE '^#include "[a-z/_]+/[a-z_]+\.h"' "$file" | sed -E 's/#include "(.*)\/[^/]+"/\1/; s/^(request\/policy)\/.*/\1/' | sort -u); do
       case " $folder $allowed " in
         *" $included "*) ;;
         *) echo "$file includes $included/, which is above $folder/"; status=1 ;;
@@ -48,7 +50,7 @@
   done
 done <<< "$layers"
 [ "$checked" -ge "$(find src -name '*.[ch]' ! -path src/process/main.c | wc -l)" ] || { echo "a file of src/ lies in no layer"; status=1; }
-if grep -nE '#include .*(event2/|sys/socket|base/log\.h|base/mailbox\.h)' src/request/policy/*.[ch]; then
+if grep -nE '#include .*(event2/|sys/socket|base/log\.h|base/mailbox\.h)' src/request/policy/*/*.[ch]; then
   echo "src/request/policy/ holds decisions: no sockets, events or logs"
   status=1
 fi
--- a/tests/control_rig.c
+++ b/tests/control_rig.c
@@ -1,6 +1,6 @@
 #include "control_rig.h"
 
-#include "request/policy/rendezvous.h"
+#include "request/policy/placement/rendezvous.h"
 
 #include <string.h>
 #include <unistd.h>
--- a/tests/crash_sim.h
+++ b/tests/crash_sim.h
@@ -8,7 +8,7 @@
 #ifndef TESTS_CRASH_SIM_H
 #define TESTS_CRASH_SIM_H
 
-#include "request/policy/crash_record.h"
+#include "request/policy/suspects/crash_record.h"
 
 #include <glib.h>
 
--- a/tests/origin_fleet_engines.h
+++ b/tests/origin_fleet_engines.h
@@ -7,7 +7,7 @@
 #ifndef TESTS_ORIGIN_FLEET_ENGINES_H
 #define TESTS_ORIGIN_FLEET_ENGINES_H
 
-#include "request/policy/software_versions.h"
+#include "request/policy/engines/software_versions.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/tests/origin_fleet_shares.c
+++ b/tests/origin_fleet_shares.c
@@ -1,13 +1,13 @@
 #include "origin_fleet_shares.h"
 
-#include "request/policy/origin_batches.h"
-#include "request/policy/origin_keepers.h"
-#include "request/policy/resumption.h"
-#include "request/policy/software_versions.h"
-#include "request/policy/stream_lists.h"
-#include "request/policy/stream_origins.h"
-#include "request/policy/version_search.h"
-#include "request/policy/version_shares.h"
+#include "request/policy/streams/origin_batches.h"
+#include "request/policy/streams/origin_keepers.h"
+#include "request/policy/streams/resumption.h"
+#include "request/policy/engines/software_versions.h"
+#include "request/policy/streams/stream_lists.h"
+#include "request/policy/streams/stream_origins.h"
+#include "request/policy/streams/version_search.h"
+#include "request/policy/streams/version_shares.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/tests/reference_store.c
+++ b/tests/reference_store.c
@@ -1,7 +1,7 @@
 #include "reference_store.h"
 
 #include "platform/records.h"
-#include "request/policy/engine_choice.h"
+#include "request/policy/placement/engine_choice.h"
 
 #include <CUnit/Basic.h>
 #include <string.h>
--- a/tests/reference_store.h
+++ b/tests/reference_store.h
@@ -8,7 +8,7 @@
 #define TESTS_REFERENCE_STORE_H
 
 #include "connection/platform.h"
-#include "request/policy/engines.h"
+#include "request/policy/engines/engines.h"
 
 /** struct reference_item - a record; @at_us: when it was written, if the test needs that */
 typedef struct
--- a/tests/test_accept_gate.c
+++ b/tests/test_accept_gate.c
@@ -1,4 +1,4 @@
-#include "request/policy/accept_gate.h"
+#include "request/policy/queueing/accept_gate.h"
 #include "suite.h"
 
 #define TICK_US (UINT64_C (25) * 1000)
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -1,5 +1,5 @@
 /* Unit tests of the admission control of an engine. */
-#include "request/policy/admission.h"
+#include "request/policy/queueing/admission.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/test_bootstrap.c
+++ b/tests/test_bootstrap.c
@@ -1,7 +1,7 @@
 /* Unit tests of how a gateway that starts gets the content of the store, and of how peers serve it.
  */
 #include "base/clock.h"
-#include "request/policy/bootstrap.h"
+#include "request/policy/store/bootstrap.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_burst_end.c
+++ b/tests/test_burst_end.c
@@ -1,6 +1,6 @@
 /* Simulates the end of a burst in virtual time, and counts the requests that are sent to an
  * overloaded engine. */
-#include "request/policy/engine_choice.h"
+#include "request/policy/placement/engine_choice.h"
 #include "tests/suite.h"
 
 #include <glib.h>
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -5,8 +5,8 @@
  * under seeded random faults.
  */
 #include "base/clock.h"
-#include "request/policy/claim.h"
-#include "request/policy/claim_keys.h"
+#include "request/policy/claims/claim.h"
+#include "request/policy/claims/claim_keys.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_claim_pace.c
+++ b/tests/test_claim_pace.c
@@ -5,7 +5,7 @@
  */
 #include "base/clock.h"
 #include "base/limits.h"
-#include "request/policy/claim_pace.h"
+#include "request/policy/claims/claim_pace.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_cold_start_limit.c
+++ b/tests/test_cold_start_limit.c
@@ -1,8 +1,8 @@
 /* Unit tests of the rate limit of gateways for engines in their cold start, and of engines that
  * return. */
-#include "request/policy/cold_start_limit.h"
-#include "request/policy/engines.h"
-#include "request/policy/engine_choice.h"
+#include "request/policy/engines/cold_start_limit.h"
+#include "request/policy/engines/engines.h"
+#include "request/policy/placement/engine_choice.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -1,6 +1,6 @@
 #include "control_rig.h"
 #include "suite.h"
-#include "request/policy/rendezvous.h"
+#include "request/policy/placement/rendezvous.h"
 
 static void
 test_start (void)
--- a/tests/test_control_exchange.c
+++ b/tests/test_control_exchange.c
@@ -1,8 +1,8 @@
 #include "connection/http_server.h"
 #include "control_rig.h"
 #include "suite.h"
-#include "request/policy/call_seal.h"
-#include "request/policy/rendezvous.h"
+#include "request/policy/digests/call_seal.h"
+#include "request/policy/placement/rendezvous.h"
 
 #include <string.h>
 
--- a/tests/test_crash_record.c
+++ b/tests/test_crash_record.c
@@ -1,7 +1,7 @@
 #include "base/clock.h"
 #include "process/exchange_mark.h"
-#include "request/policy/answered_parts.h"
-#include "request/policy/crash_record.h"
+#include "request/policy/suspects/answered_parts.h"
+#include "request/policy/suspects/crash_record.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_engine_choice.c
+++ b/tests/test_engine_choice.c
@@ -1,6 +1,6 @@
 /* Unit tests of the choice of the engine to which a gateway sends a request. */
 #include "base/clock.h"
-#include "request/policy/engine_choice.h"
+#include "request/policy/placement/engine_choice.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/test_fair_queue.c
+++ b/tests/test_fair_queue.c
@@ -1,5 +1,5 @@
-#include "request/policy/completion_rate.h"
-#include "request/policy/fair_queue.h"
+#include "request/policy/load/completion_rate.h"
+#include "request/policy/queueing/fair_queue.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -1,5 +1,5 @@
 /* Unit tests of how a router forwards a request to engines through their sidecars. */
-#include "request/policy/forwarding.h"
+#include "request/policy/retries/forwarding.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -2,9 +2,9 @@
  * get. */
 #include "gateway_rig.h"
 #include "process/gateway_store.h"
-#include "request/policy/retry_plan.h"
+#include "request/policy/retries/retry_plan.h"
 #include "request/gateway/gateway.h"
-#include "request/policy/engine_choice.h"
+#include "request/policy/placement/engine_choice.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/test_gateway_crash.c
+++ b/tests/test_gateway_crash.c
@@ -1,6 +1,6 @@
 /* A complete gateway whose engines break off: which requests it sends on, and which it refuses. */
 #include "gateway_rig.h"
-#include "request/policy/crash_record.h"
+#include "request/policy/suspects/crash_record.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/test_http_server_end.c
+++ b/tests/test_http_server_end.c
@@ -1,4 +1,4 @@
-#include "request/policy/accept_gate.h"
+#include "request/policy/queueing/accept_gate.h"
 #include "server_fixture.h"
 #include "suite.h"
 
--- a/tests/test_lapses.c
+++ b/tests/test_lapses.c
@@ -1,5 +1,5 @@
 /* Unit tests of entries that went missing while the store could not be read. */
-#include "request/policy/lapses.h"
+#include "request/policy/engines/lapses.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_leave_notice.c
+++ b/tests/test_leave_notice.c
@@ -1,7 +1,7 @@
 #include "base/clock.h"
-#include "request/policy/leave_notice.h"
-#include "request/policy/membership.h"
-#include "request/policy/rendezvous.h"
+#include "request/policy/engines/leave_notice.h"
+#include "request/policy/engines/membership.h"
+#include "request/policy/placement/rendezvous.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_load_reports.c
+++ b/tests/test_load_reports.c
@@ -1,6 +1,6 @@
 /* Unit tests of the reports of high engine loads that gateways pass on to each other. */
-#include "request/policy/engines.h"
-#include "request/policy/load_reports.h"
+#include "request/policy/engines/engines.h"
+#include "request/policy/load/load_reports.h"
 #include "tests/suite.h"
 
 #include <glib.h>
--- a/tests/test_load_samples.c
+++ b/tests/test_load_samples.c
@@ -1,5 +1,5 @@
 #include "base/clock.h"
-#include "request/policy/load_samples.h"
+#include "request/policy/load/load_samples.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/test_loss_bursts.c
+++ b/tests/test_loss_bursts.c
@@ -1,5 +1,5 @@
-#include "request/policy/crash_record.h"
-#include "request/policy/loss_bursts.h"
+#include "request/policy/suspects/crash_record.h"
+#include "request/policy/suspects/loss_bursts.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_median_latency.c
+++ b/tests/test_median_latency.c
@@ -1,5 +1,5 @@
 /* Unit tests of the comparison of an engine's latency with the median of its service. */
-#include "request/policy/median_latency.h"
+#include "request/policy/load/median_latency.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -1,8 +1,8 @@
 #include "base/clock.h"
 #include "base/pause.h"
-#include "request/policy/health.h"
-#include "request/policy/membership.h"
-#include "request/policy/rendezvous.h"
+#include "request/policy/engines/health.h"
+#include "request/policy/engines/membership.h"
+#include "request/policy/placement/rendezvous.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -1,8 +1,8 @@
 /* Unit tests of decisions in an overload: the time since a caller's first attempt, the load gauge,
  * and the fairness between priorities. */
-#include "request/policy/first_attempt.h"
-#include "request/policy/load_gauge.h"
-#include "request/policy/priority_fairness.h"
+#include "request/policy/retries/first_attempt.h"
+#include "request/policy/load/load_gauge.h"
+#include "request/policy/queueing/priority_fairness.h"
 #include "suite.h"
 
 #define MS UINT64_C (1000)
--- a/tests/test_overloaded.c
+++ b/tests/test_overloaded.c
@@ -1,7 +1,7 @@
 /* Simulates many gateways, each of which calls each engine seldom, in virtual time, and counts the
  * requests that are sent to an overloaded engine. */
-#include "request/policy/load_reports.h"
-#include "request/policy/engine_choice.h"
+#include "request/policy/load/load_reports.h"
+#include "request/policy/placement/engine_choice.h"
 #include "tests/suite.h"
 
 #include <glib.h>
--- a/tests/test_own_entry.c
+++ b/tests/test_own_entry.c
@@ -2,7 +2,7 @@
  * No sockets; the clock is paused. */
 #include "process/own_entry.h"
 #include "reference_store.h"
-#include "request/policy/restoration.h"
+#include "request/policy/store/restoration.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/test_part_fleet.c
+++ b/tests/test_part_fleet.c
@@ -4,7 +4,7 @@
  * callers are simulated.
  */
 #include "crash_sim.h"
-#include "request/policy/answered_parts.h"
+#include "request/policy/suspects/answered_parts.h"
 #include "suite.h"
 
 #include <stdio.h>
--- a/tests/test_part_shares.c
+++ b/tests/test_part_shares.c
@@ -1,6 +1,6 @@
 /* Unit tests of the share of each prompt part in a gateway's requests. */
 #include "base/clock.h"
-#include "request/policy/part_shares.h"
+#include "request/policy/placement/part_shares.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -1,9 +1,9 @@
 #include "testbed_burst.h"
 #include "suite.h"
 
-#include "request/policy/digest.h"
+#include "request/policy/digests/digest.h"
 #include "request/hop.h"
-#include "request/policy/call_seal.h"
+#include "request/policy/digests/call_seal.h"
 
 #include <string.h>
 
--- a/tests/test_path_copies.c
+++ b/tests/test_path_copies.c
@@ -1,7 +1,7 @@
 #include "testbed_burst.h"
 #include "suite.h"
 
-#include "request/policy/digest.h"
+#include "request/policy/digests/digest.h"
 
 #include <string.h>
 
--- a/tests/test_read_policy.c
+++ b/tests/test_read_policy.c
@@ -2,7 +2,7 @@
  * records.
  */
 #include "base/clock.h"
-#include "request/policy/read_policy.h"
+#include "request/policy/store/read_policy.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_regions.c
+++ b/tests/test_regions.c
@@ -1,7 +1,7 @@
 /* Unit tests of requests that are restricted to regions: settings, configuration and choice. */
 #include "base/region_map.h"
 #include "platform/records.h"
-#include "request/policy/engine_choice.h"
+#include "request/policy/placement/engine_choice.h"
 #include "suite.h"
 
 #include <stdlib.h>
--- a/tests/test_rendezvous.c
+++ b/tests/test_rendezvous.c
@@ -1,7 +1,7 @@
-#include "request/policy/candidates.h"
-#include "request/policy/rendezvous.h"
-#include "request/policy/recent_answers.h"
-#include "request/policy/verdict.h"
+#include "request/policy/placement/candidates.h"
+#include "request/policy/placement/rendezvous.h"
+#include "request/policy/suspects/recent_answers.h"
+#include "request/policy/retries/verdict.h"
 #include "suite.h"
 
 #include <math.h>
--- a/tests/test_request_parts.c
+++ b/tests/test_request_parts.c
@@ -1,9 +1,9 @@
 #include "request/router/chat_body.h"
 #include "request/decision.h"
-#include "request/policy/digest.h"
+#include "request/policy/digests/digest.h"
 #include "request/error_reply.h"
 #include "request/header_filter.h"
-#include "request/policy/call_seal.h"
+#include "request/policy/digests/call_seal.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_restoration.c
+++ b/tests/test_restoration.c
@@ -1,6 +1,6 @@
 /* Unit tests of how long a stream keeps what was known before the store came back from a copy, and
  * of the order of engine entries. */
-#include "request/policy/restoration.h"
+#include "request/policy/store/restoration.h"
 #include "suite.h"
 
 #define START_US (UINT64_C (100) * 1000 * 1000)
--- a/tests/test_retry_plan.c
+++ b/tests/test_retry_plan.c
@@ -1,9 +1,9 @@
 /* Unit tests of how a gateway retries requests, limits retries, splits event streams, times
  * attempts out and attributes crashes. */
-#include "request/policy/retry_plan.h"
+#include "request/policy/retries/retry_plan.h"
 #include "request/gateway/event_splitter.h"
-#include "request/policy/hop_timeout.h"
-#include "request/policy/retry_budget.h"
+#include "request/policy/retries/hop_timeout.h"
+#include "request/policy/retries/retry_budget.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_retry_sum.c
+++ b/tests/test_retry_sum.c
@@ -1,7 +1,7 @@
 /* Unit tests of the sum of the retries of all gateways, simulated in virtual time: it must stay
  * within the configured limit whatever each gateway knows of the others. */
-#include "request/policy/retry_plan.h"
-#include "request/policy/retry_budget.h"
+#include "request/policy/retries/retry_plan.h"
+#include "request/policy/retries/retry_budget.h"
 #include "tests/suite.h"
 
 #include <glib.h>
--- a/tests/test_self_reports.c
+++ b/tests/test_self_reports.c
@@ -1,8 +1,8 @@
 /* Unit tests of what engines state about themselves in their answers: that they are leaving, or
  * want no requests for a time. */
 #include "platform/request_format.h"
-#include "request/policy/engines.h"
-#include "request/policy/self_reports.h"
+#include "request/policy/engines/engines.h"
+#include "request/policy/engines/self_reports.h"
 #include "suite.h"
 
 #include <event2/http.h>
--- a/tests/test_shares_lag.c
+++ b/tests/test_shares_lag.c
@@ -1,7 +1,7 @@
 /* Tests of gateways whose copy of the tables of shares is behind that of others, while they are
  * current by routing rules and engines. */
 #include "gateway_rig.h"
-#include "request/policy/version_shares.h"
+#include "request/policy/streams/version_shares.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/test_software_versions.c
+++ b/tests/test_software_versions.c
@@ -1,6 +1,6 @@
 /* Unit tests of engines of several software versions in one service: which of them a stream may go
  * on at, and what a gateway concludes from the versions that it has seen. */
-#include "request/policy/engine_choice.h"
+#include "request/policy/placement/engine_choice.h"
 #include "suite.h"
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (engines_t, engines_free)
--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -8,8 +8,8 @@
 #include "process/gateway_process.h"
 #include "process/gateway_store.h"
 #include "reference_store.h"
-#include "request/policy/lapses.h"
-#include "request/policy/read_policy.h"
+#include "request/policy/engines/lapses.h"
+#include "request/policy/store/read_policy.h"
 #include "suite.h"
 #include "version/view_share.h"
 
--- a/tests/test_store_outage.c
+++ b/tests/test_store_outage.c
@@ -1,5 +1,5 @@
 /* Unit tests of how an outage of the platform's store is told from the silence of one stream. */
-#include "request/policy/store_outage.h"
+#include "request/policy/store/store_outage.h"
 #include "suite.h"
 
 #include <stdbool.h>
--- a/tests/test_stream_origins.c
+++ b/tests/test_stream_origins.c
@@ -1,10 +1,10 @@
 /* Unit tests of what gateways know of the software versions of streams, of which gateways keep it,
  * and of the decision on a client's request that resumes a stream. */
-#include "request/policy/origin_batches.h"
-#include "request/policy/origin_keepers.h"
-#include "request/policy/resumption.h"
-#include "request/policy/software_versions.h"
-#include "request/policy/stream_origins.h"
+#include "request/policy/streams/origin_batches.h"
+#include "request/policy/streams/origin_keepers.h"
+#include "request/policy/streams/resumption.h"
+#include "request/policy/engines/software_versions.h"
+#include "request/policy/streams/stream_origins.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -1,5 +1,5 @@
-#include "request/policy/chat_directory.h"
-#include "request/policy/suspect.h"
+#include "request/policy/placement/chat_directory.h"
+#include "request/policy/suspects/suspect.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_version_search.c
+++ b/tests/test_version_search.c
@@ -1,6 +1,6 @@
 /* Unit tests of the search for the version at which a stream began, by tables of shares and lists
  * of open streams. */
-#include "request/policy/version_search.h"
+#include "request/policy/streams/version_search.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/test_version_shares.c
+++ b/tests/test_version_shares.c
@@ -1,6 +1,6 @@
 /* Unit tests of the tables by which streams begin at the software versions of a service, and of
  * their changes. */
-#include "request/policy/version_shares.h"
+#include "request/policy/streams/version_shares.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -1,5 +1,5 @@
 /* Unit tests of the queues in which requests wait at a gateway for a free slot. */
-#include "request/policy/wait_queue.h"
+#include "request/policy/queueing/wait_queue.h"
 #include "suite.h"
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (wait_queue_t, wait_queue_free)
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -1,6 +1,6 @@
 #include "testbed.h"
 
-#include "request/policy/rendezvous.h"
+#include "request/policy/placement/rendezvous.h"
 
 #include <arpa/inet.h>
 #include <event2/http.h>
