What engines can do with the caches of runs: configuration and request headers

The configuration of a service may state how much memory a cached token takes, the bandwidth between engines, and whether their engines back up or move runs. A request to an engine may name a backup, or the copy that it continues from.

--- a/src/request/gateway/format.h
+++ b/src/request/gateway/format.h
@@ -51,11 +51,24 @@
   uint64_t last_event;
 } format_request_t;
 
+/**
+ * struct format_copy - the copy of a run's cache from which another engine continues the run
+ * @address: of the engine that holds the copy, or of the engine that moved it there
+ * @id: by which that engine knows the copy
+ */
+typedef struct
+{
+  address_t address;
+  char id[FORMAT_ID_BYTES];
+} format_copy_t;
+
 /**
  * struct format_upstream_request - what the gateway tells an engine with a request
  * @engine_id: the engine that is meant; another one at the same address must refuse the request
  * @account: name of the client account; NULL on a route that needs no key
  * @cache_source: engine to copy missing parts of the prompt from, out of its cache; NULL for none
+ * @backup: engine that receives a copy of the run's cache while it grows; NULL for none
+ * @copy: copy of the run's cache to continue from; NULL for none
  * @left_ms: time left until the client's deadline
  * @priority: 0 is the most urgent
  * @resumes: resume the stream after the event with the id @last_event
@@ -65,6 +78,8 @@
   const char *engine_id;
   const char *account;
   const address_t *cache_source;
+  const address_t *backup;
+  const format_copy_t *copy;
   uint32_t left_ms;
   uint32_t priority;
   bool resumes;
@@ -103,6 +118,8 @@
   char last_event[24];
   char priority[12];
   char cache_source[64];
+  char backup[64];
+  char copy[FORMAT_ID_BYTES + 64];
 } format_buffers_t;
 
 /**
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -85,17 +85,41 @@
   char **regions;
 } routing_account_t;
 
+/**
+ * struct routing_engine_traits - what the engines of a service can do with their caches; all zero
+ * when the configuration doesn't state it
+ * @cache_token_bytes: memory of one cached token
+ * @cache_tokens: capacity of an engine's cache
+ * @link_mbps: bandwidth between two engines, in megabits per second
+ * @cache_listeners: waiting calls for cache events that an engine accepts
+ * @copy_lifetime_us: time after which an engine drops the copy of a run that is not used
+ * @has_backups: an engine can send the cache of a run to another engine while the run grows
+ * @has_moves: an engine can move a run to another engine
+ */
+typedef struct
+{
+  uint64_t copy_lifetime_us;
+  uint32_t cache_token_bytes;
+  uint32_t cache_tokens;
+  uint32_t link_mbps;
+  uint32_t cache_listeners;
+  bool has_backups;
+  bool has_moves;
+} routing_engine_traits_t;
+
 /**
  * struct routing_find_service - configuration of a service
  * @name: interned string
  * @cold_requests_per_s: requests per second that a cold engine can handle; 0 when unknown
  * @cold_start_us: time after its start during which an engine counts as cold; 0 when it never does
+ * @engine: what its engines can do with their caches
  */
 typedef struct
 {
   const char *name; /* interned */
   uint32_t cold_requests_per_s;
   uint64_t cold_start_us;
+  routing_engine_traits_t engine;
 } routing_service_t;
 
 /**
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -67,6 +67,41 @@
   CU_ASSERT_PTR_NULL (routing_find_service (routing, g_intern_static_string ("none")));
 }
 
+static bool
+states_nothing (const routing_engine_traits_t *engine)
+{
+  return engine->cache_token_bytes == 0 && engine->cache_tokens == 0 && engine->link_mbps == 0 &&
+         engine->cache_listeners == 0 && engine->copy_lifetime_us == 0 && !engine->has_moves &&
+         !engine->has_backups;
+}
+
+/* An engine that states nothing of its caches, or nonsense, must not be asked for copies. */
+static void
+test_engine_traits_are_read (void)
+{
+  static const char text[] =
+      "{\"version\":3,\"routes\":[],\"services\":[{\"name\":\"pool\",\"engine\":{"
+      "\"kv_token_bytes\":163840,\"kv_capacity\":507096,\"link_mbps\":740000.0,\"moves\":true,"
+      "\"backups\":true,\"most\":2,\"handle_s\":5.0}},{\"name\":\"odd\",\"engine\":{"
+      "\"kv_token_bytes\":\"x\",\"moves\":1,\"most\":-1}},{\"name\":\"plain\"}]}";
+  g_autoptr (routing_t) routing = records_read_routing (text, strlen (text), NULL, NULL);
+  const routing_engine_traits_t *pool =
+      &routing_find_service (routing, g_intern_static_string ("pool"))->engine;
+  const routing_engine_traits_t *odd =
+      &routing_find_service (routing, g_intern_static_string ("odd"))->engine;
+  const routing_engine_traits_t *plain =
+      &routing_find_service (routing, g_intern_static_string ("plain"))->engine;
+
+  CU_ASSERT_EQUAL (pool->cache_token_bytes, 163840);
+  CU_ASSERT_EQUAL (pool->cache_tokens, 507096);
+  CU_ASSERT_EQUAL (pool->link_mbps, 740000);
+  CU_ASSERT_EQUAL (pool->cache_listeners, 2);
+  CU_ASSERT_EQUAL (pool->copy_lifetime_us, 5 * 1000 * 1000);
+  CU_ASSERT_TRUE (pool->has_moves && pool->has_backups);
+  CU_ASSERT_TRUE (states_nothing (odd));
+  CU_ASSERT_TRUE (states_nothing (plain));
+}
+
 static void
 test_long_paths_do_not_overflow (void)
 {
@@ -243,6 +278,7 @@
 {
   static const CU_TestInfo tests[] = { SUITE_TEST (test_longest_prefix_wins),
                                        SUITE_TEST (test_services_are_read),
+                                       SUITE_TEST (test_engine_traits_are_read),
                                        SUITE_TEST (test_long_paths_do_not_overflow),
                                        SUITE_TEST (test_invalid_routes_are_rejected),
                                        SUITE_TEST (test_targets_are_chosen_by_weight),
