A gateway's copy of the store in three files

gateway_store.c held the streams, the copies from peers and the return of the store from a copy in 965 lines. The latter two move to files of their own; no statement changes.

--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -1,77 +1,15 @@
-#include "process/gateway_store.h"
+#include "process/gateway_store_private.h"
 
 #include "base/log.h"
-#include "connection/stream_follower.h"
-#include "process/gateway_fetch.h"
-#include "process/gateway_peers.h"
-#include "process/gateway_start.h"
-#include "process/own_entry.h"
-#include "process/record_order.h"
-#include "request/policy/store/store_outage.h"
-#include "request/policy/store/read_policy.h"
-#include "request/policy/store/restoration.h"
 
 #include <string.h>
 
-enum
-{
-  STREAM_ROUTING,
-  STREAM_ENGINES,
-  STREAM_ROUTERS,
-  STREAM_COUNT
-};
-
-static const char *const stream_names[STREAM_COUNT] = { PLATFORM_STREAM_ROUTING,
-                                                        PLATFORM_STREAM_ENGINES,
-                                                        PLATFORM_STREAM_ROUTERS };
-
-/**
- * struct gateway_store - a gateway's copy of the store
- * @policies: for each stream, whether to read it from the store or fetch it from peers
- * @start: decides how the copy is loaded at the start
- * @fetching_all: the fetch in progress is the full copy at the start
- * @fetching: streams that the fetch in progress asks for
- * @ahead_control: control address of the peer that last reported newer records than ours
- * @next_fetch_us: earliest time of the next fetch
- * @outage: last outage of the store, as observed here and by peers
- * @store_lost: the last read of the engine registry failed, or a read of the routing rules failed
- *   before the registry was read for the first time
- * @applying_copy: the records being applied come from a peer's copy
- * @copy_unsettled: that peer reported that removed keys may still be restored
- * @copied_engines: what the last copy had of the engine registry
- * @restorations: for each stream, what holds after the store came back from a copy
- * @kept_counts: for each stream, records kept from before the store came back from a copy
- * @dropping_missing: entries are being dropped that nobody wrote again in time
- * @own_entry: this gateway's entry in the gateway registry
- */
-struct gateway_store
-{
-  gateway_store_options_t options;
-  gateway_peers_t *peers;
-  keyed_view_t *views[STREAM_COUNT];
-  stream_follower_t *followers[STREAM_COUNT];
-  gateway_fetch_t *fetch;
-  read_policy_t policies[STREAM_COUNT];
-  gateway_start_t *start;
-  bool fetching_all;
-  bool fetching[STREAM_COUNT];
-  address_t ahead_control;
-  uint64_t next_fetch_us;
-  store_outage_t outage;
-  bool store_lost;
-  bool applying_copy;
-  bool copy_unsettled;
-  view_share_copy_t copied_engines;
-  restoration_t restorations[STREAM_COUNT];
-  uint32_t kept_counts[STREAM_COUNT];
-  bool dropping_missing;
-  own_entry_t *own_entry;
-  counter_t *fetch_count;
-  counter_t *held_gauge;
-};
+const char *const gateway_store_stream_names[STREAM_COUNT] = { PLATFORM_STREAM_ROUTING,
+                                                               PLATFORM_STREAM_ENGINES,
+                                                               PLATFORM_STREAM_ROUTERS };
 
-static uint64_t
-now_us (const gateway_store_t *store)
+uint64_t
+gateway_store_now_us (const gateway_store_t *store)
 {
   return clock_now_us (store->options.clock);
 }
@@ -121,9 +59,9 @@
                                 : stream_follower_is_catching_up (store->followers[STREAM_ENGINES]);
 
   uint64_t outage_end_us =
-      store_outage_end_us (&store->outage, now_us (store), min_outage_us (store));
+      store_outage_end_us (&store->outage, gateway_store_now_us (store), min_outage_us (store));
 
-  return read_policy_may_have_lapsed (outage_end_us, unsure, now_us (store));
+  return read_policy_may_have_lapsed (outage_end_us, unsure, gateway_store_now_us (store));
 }
 
 static void
@@ -163,8 +101,8 @@
                          &position) != NULL;
 }
 
-static read_policy_view_t
-policy_view (const gateway_store_t *store, uint32_t stream)
+read_policy_view_t
+gateway_store_policy_view (const gateway_store_t *store, uint32_t stream)
 {
   const stream_follower_t *follower = store->followers[stream];
   uint32_t gateways_before = gateway_peers_count_ranked_before (store->peers);
@@ -181,8 +119,8 @@
   };
 }
 
-static read_policy_stream_t
-policy_stream (const gateway_store_t *store, uint32_t stream)
+read_policy_stream_t
+gateway_store_policy_stream (const gateway_store_t *store, uint32_t stream)
 {
   const settings_t *settings = store->options.settings;
   bool routing = stream == STREAM_ROUTING;
@@ -197,13 +135,14 @@
 static void
 update_reading (gateway_store_t *store, uint32_t stream)
 {
-  read_policy_stream_t limits = policy_stream (store, stream);
-  read_policy_view_t view = policy_view (store, stream);
+  read_policy_stream_t limits = gateway_store_policy_stream (store, stream);
+  read_policy_view_t view = gateway_store_policy_view (store, stream);
   read_policy_action_t action;
 
   read_policy_update (&store->policies[stream], &view,
                       stream_follower_next (store->followers[stream]));
-  action = read_policy_decide (&store->policies[stream], &limits, &view, now_us (store));
+  action =
+      read_policy_decide (&store->policies[stream], &limits, &view, gateway_store_now_us (store));
 
   stream_follower_set_on_demand (store->followers[stream], action != READ_POLICY_FOLLOW);
   if (action == READ_POLICY_READ_ONCE)
@@ -220,97 +159,13 @@
     stream_follower_suspend (store->followers[stream]);
 }
 
-static void
-begin_reading_all (gateway_store_t *store)
+void
+gateway_store_begin_reading_all (gateway_store_t *store)
 {
   for (uint32_t i = 0; i < STREAM_COUNT; i++)
     stream_follower_resume (store->followers[i]);
 }
 
-static restoration_limits_t
-restoration_limits (const gateway_store_t *store, uint32_t stream)
-{
-  return stream == STREAM_ENGINES ? restoration_engine_limits (store->options.settings->renewal_ms)
-                                  : restoration_other_limits ();
-}
-
-static void
-log_restoration (const gateway_store_t *store, uint32_t stream, const char *step)
-{
-  log_event (LOG_LEVEL_NOTICE, "restoration", "stream", stream_names[stream], "step", step, "era",
-             LOG_U64 (store->restorations[stream].era), "kept",
-             LOG_U64 (keyed_view_held_count (store->views[stream])), "version",
-             LOG_U64 (store->options.get_version (store->options.context)), NULL);
-}
-
-static void
-note_listing (gateway_store_t *store, uint32_t stream)
-{
-  restoration_limits_t limits = restoration_limits (store, stream);
-  uint64_t era = keyed_view_listed (store->views[stream]).era;
-
-  if (!stream_follower_has_listed (store->followers[stream]) ||
-      !restoration_note_listing (&store->restorations[stream], now_us (store), era, &limits))
-    return;
-  log_restoration (store, stream, "listed");
-  if (stream == STREAM_ROUTERS)
-    own_entry_check_again (store->own_entry);
-}
-
-static uint64_t
-highest_era (const gateway_store_t *store)
-{
-  uint64_t era = 0;
-
-  for (uint32_t i = 0; i < STREAM_COUNT; i++)
-    era = MAX (era, stream_follower_era (store->followers[i]));
-  return era;
-}
-
-static void
-drop_missing (gateway_store_t *store, uint32_t stream)
-{
-  store->dropping_missing = true;
-  keyed_view_drop_missing (store->views[stream]);
-  store->dropping_missing = false;
-  log_restoration (store, stream, "missing_dropped");
-}
-
-static void
-advance_restoration (gateway_store_t *store, uint32_t stream)
-{
-  restoration_t *restoration = &store->restorations[stream];
-
-  note_listing (store, stream);
-  if (!restoration_is_pending (restoration) && store->kept_counts[stream] == 0)
-    return;
-  if (restoration_take_drop_due (restoration, now_us (store)))
-    drop_missing (store, stream);
-  if (restoration_take_apply_due (restoration, now_us (store)))
-    {
-      keyed_view_apply_held (store->views[stream]);
-      log_restoration (store, stream, "held_applied");
-    }
-  store->kept_counts[stream] = keyed_view_held_count (store->views[stream]);
-}
-
-/* The era is that of the whole store: what one stream has found holds for the others, whose reads
- * may wait for long. */
-static void
-advance_restorations (gateway_store_t *store)
-{
-  uint64_t era = highest_era (store);
-  uint32_t kept = 0;
-
-  for (uint32_t i = 0; i < STREAM_COUNT; i++)
-    {
-      stream_follower_note_era (store->followers[i], era);
-      advance_restoration (store, i);
-      kept += store->kept_counts[i];
-    }
-  counter_set (store->held_gauge, kept);
-}
-
 static void
 on_routing_state (stream_follower_state_t state, void *context)
 {
@@ -320,10 +175,10 @@
       !stream_follower_has_listed (store->followers[STREAM_ENGINES]))
     store->store_lost = true;
   else
-    begin_reading_all (store);
+    gateway_store_begin_reading_all (store);
   if (state != STREAM_FOLLOWER_LISTED)
     return;
-  advance_restorations (store);
+  gateway_store_advance_restorations (store);
   update_reading (store, STREAM_ROUTING);
   store->options.on_status (store->options.context);
 }
@@ -337,7 +192,7 @@
   hold_until_routing_listed (store, STREAM_ENGINES, state);
   if (state == STREAM_FOLLOWER_LISTED)
     {
-      advance_restorations (store);
+      gateway_store_advance_restorations (store);
       update_reading (store, STREAM_ENGINES);
     }
   store->options.on_status (store->options.context);
@@ -348,13 +203,13 @@
 {
   hold_until_routing_listed (context, STREAM_ROUTERS, state);
   if (state == STREAM_FOLLOWER_LISTED)
-    advance_restorations (context);
+    gateway_store_advance_restorations (context);
 }
 
 static uint64_t
 stream_current_us (const gateway_store_t *store, uint32_t stream)
 {
-  read_policy_view_t view = policy_view (store, stream);
+  read_policy_view_t view = gateway_store_policy_view (store, stream);
 
   return read_policy_current_as_of_us (&store->policies[stream], &view);
 }
@@ -366,11 +221,11 @@
   return MIN (stream_current_us (store, STREAM_ROUTING), stream_current_us (store, STREAM_ENGINES));
 }
 
-static uint32_t
-store_age_ms (const gateway_store_t *store)
+uint32_t
+gateway_store_contact_age_ms (const gateway_store_t *store)
 {
   uint64_t at_us = current_as_of_us (store);
-  uint64_t age_ms = at_us ? (now_us (store) - at_us) / CLOCK_US_PER_MS : UINT32_MAX;
+  uint64_t age_ms = at_us ? (gateway_store_now_us (store) - at_us) / CLOCK_US_PER_MS : UINT32_MAX;
 
   return (uint32_t)MIN (age_ms, UINT32_MAX);
 }
@@ -384,7 +239,7 @@
     .routing_next = stream_follower_next (store->followers[STREAM_ROUTING]),
     .engines_next = stream_follower_next (store->followers[STREAM_ENGINES]),
     .routers_next = stream_follower_next (store->followers[STREAM_ROUTERS]),
-    .store_age_ms = store_age_ms (store)
+    .store_age_ms = gateway_store_contact_age_ms (store)
   };
 }
 
@@ -405,255 +260,12 @@
   store->options.on_load (item, store->options.context);
 }
 
-static void
-fill_streams (const gateway_store_t *store, view_share_stream_t out[STREAM_COUNT])
-{
-  for (uint32_t i = 0; i < STREAM_COUNT; i++)
-    out[i] = (view_share_stream_t){ .name = stream_names[i],
-                                    .view = store->views[i],
-                                    .next = stream_follower_next (store->followers[i]),
-                                    .max_value_bytes =
-                                        i == STREAM_ROUTING ? GATEWAY_STORE_UPDATE_MAX_BYTES : 0 };
-}
-
-static void
-mark_too_large (gateway_store_t *store, const view_share_answer_t *answer)
-{
-  for (uint32_t i = 0; i < STREAM_COUNT; i++)
-    if (view_share_is_large (answer, stream_names[i]))
-      {
-        read_policy_fetch_too_large (&store->policies[i]);
-        store->fetching[i] = false;
-      }
-}
-
-static void
-apply_answer (gateway_store_t *store, const view_share_answer_t *answer)
-{
-  view_share_stream_t streams[STREAM_COUNT];
-
-  fill_streams (store, streams);
-  store->applying_copy = true;
-  store->copy_unsettled = !answer->deletions_confirmed;
-  store->copied_engines = view_share_describe (answer, PLATFORM_STREAM_ENGINES);
-  for (uint32_t i = 0; i < STREAM_COUNT; i++)
-    stream_follower_advance (store->followers[i], view_share_apply (answer, &streams[i]));
-  store->applying_copy = false;
-  advance_restorations (store);
-  mark_too_large (store, answer);
-  counter_add (store->fetch_count, 1);
-  store->options.on_status (store->options.context);
-}
-
-/* Return: why the answer was not applied, NULL when it was */
-static const char *
-apply_result (gateway_store_t *store, const gateway_fetch_result_t *result)
-{
-  const char *reason = result->reason;
-  view_share_answer_t answer;
-
-  if (!result->body)
-    return reason;
-  if (view_share_parse (&answer, result->body, result->body_bytes))
-    apply_answer (store, &answer);
-  else
-    reason = "unreadable";
-  view_share_clear (&answer);
-  return reason;
-}
-
-/* Streams that were not fetched are as far behind as before. */
-static void
-record_fetch_outcome (gateway_store_t *store, bool applied)
-{
-  for (uint32_t i = 0; i < STREAM_COUNT; i++)
-    {
-      read_policy_view_t view = policy_view (store, i);
-
-      if (!store->fetching[i])
-        continue;
-      if (applied)
-        read_policy_fetch_ended (&store->policies[i], &view,
-                                 stream_follower_next (store->followers[i]));
-      else
-        read_policy_fetch_failed (&store->policies[i]);
-    }
-}
-
-/* @engines_from: position up to which this gateway had the registry before */
-static void
-log_fetch (const gateway_store_t *store,
-           const gateway_fetch_result_t *result,
-           position_t engines_from,
-           const char *reason)
-{
-  position_t engines_next = stream_follower_next (store->followers[STREAM_ENGINES]);
-  g_autofree char *peer = address_to_text (result->peer);
-
-  log_event (LOG_LEVEL_NOTICE, "view_from_peer", "peer", peer, "outcome",
-             reason ? "not_taken" : "taken", "reason", reason, "version",
-             LOG_U64 (store->options.get_version (store->options.context)), "engines_from",
-             LOG_U64 (engines_from.offset), "engines_sent",
-             LOG_U64 (reason ? 0 : store->copied_engines.next.offset), "engines_whole",
-             !reason && store->copied_engines.whole ? "yes" : "no", "engines_next",
-             LOG_U64 (engines_next.offset), "engines_era", LOG_U64 (engines_next.era), NULL);
-}
-
-static bool
-has_listed_all (const gateway_store_t *store)
-{
-  for (uint32_t i = 0; i < STREAM_COUNT; i++)
-    if (!stream_follower_has_listed (store->followers[i]))
-      return false;
-  return true;
-}
-
-/* After a full copy this gateway is exactly as current as the peer was: its last contact with the
- * store is that of the peer. */
-static void
-record_full_copy (gateway_store_t *store, uint32_t store_age_ms)
-{
-  uint64_t at_us = now_us (store);
-  uint64_t age_us = (uint64_t)store_age_ms * CLOCK_US_PER_MS;
-
-  for (uint32_t i = 0; i < STREAM_COUNT && age_us < at_us; i++)
-    {
-      position_t next = stream_follower_next (store->followers[i]);
-
-      read_policy_apply_peer (&store->policies[i], at_us, next, next, at_us - age_us);
-    }
-}
-
-static void
-finish_start_fetch (gateway_store_t *store, const gateway_fetch_result_t *result, bool applied)
-{
-  if (!gateway_start_is_loading (store->start))
-    return;
-  if (applied && has_listed_all (store))
-    {
-      record_full_copy (store, result->store_age_ms);
-      gateway_start_fetch_applied (store->start);
-    }
-  else
-    gateway_start_fetch_failed (store->start, result->refusal, &result->referral);
-  gateway_start_advance (store->start);
-}
-
-static void
-on_fetched (const gateway_fetch_result_t *result, void *context)
-{
-  gateway_store_t *store = context;
-  position_t engines_from = stream_follower_next (store->followers[STREAM_ENGINES]);
-  const char *reason = apply_result (store, result);
-
-  log_fetch (store, result, engines_from, reason);
-  if (store->fetching_all)
-    {
-      store->fetching_all = false;
-      finish_start_fetch (store, result, reason == NULL);
-    }
-  else
-    record_fetch_outcome (store, reason == NULL);
-}
-
-static bool
-start_has_all_streams (void *context)
-{
-  return has_listed_all (context);
-}
-
-static bool
-start_is_store_down (void *context)
-{
-  return ((const gateway_store_t *)context)->store_lost;
-}
-
-static bool
-start_is_fetching (void *context)
-{
-  return gateway_fetch_is_busy (((const gateway_store_t *)context)->fetch);
-}
-
-static void
-start_read_store (void *context)
-{
-  begin_reading_all (context);
-}
-
-static bool
-start_pick_peer (address_t *control, void *context)
-{
-  return gateway_peers_pick_control (((gateway_store_t *)context)->peers, control);
-}
-
-static void
-start_fetch_all (const address_t *control, void *context)
-{
-  gateway_store_t *store = context;
-  view_share_stream_t streams[STREAM_COUNT];
-
-  fill_streams (store, streams);
-  store->fetching_all = true;
-  gateway_fetch_all (store->fetch, control, streams, STREAM_COUNT);
-}
-
-static bool
-lacks_routing_or_engines (const gateway_store_t *store)
-{
-  return store->options.get_version (store->options.context) == 0 ||
-         !gateway_store_has_engines (store);
-}
-
-static bool
-should_fetch (const gateway_store_t *store, uint32_t stream)
-{
-  read_policy_stream_t limits = policy_stream (store, stream);
-  read_policy_view_t view = policy_view (store, stream);
-
-  return read_policy_should_ask_peer (&store->policies[stream], &limits, &view, now_us (store));
-}
-
-/* The gateway registry is short, so every fetch includes it. */
-static bool
-choose_fetched_streams (gateway_store_t *store)
-{
-  store->fetching[STREAM_ROUTING] = should_fetch (store, STREAM_ROUTING);
-  store->fetching[STREAM_ENGINES] = should_fetch (store, STREAM_ENGINES);
-  store->fetching[STREAM_ROUTERS] = true;
-  return store->fetching[STREAM_ROUTING] || store->fetching[STREAM_ENGINES] ||
-         should_fetch (store, STREAM_ROUTERS);
-}
-
-/* Asks for records from here on; none is newer, so none is sent. */
-static const position_t no_newer_record = { UINT64_MAX, UINT64_MAX };
-
-static void
-fetch_if_due (gateway_store_t *store)
-{
-  view_share_stream_t streams[STREAM_COUNT];
-
-  if (gateway_start_is_loading (store->start) || gateway_fetch_is_busy (store->fetch) ||
-      now_us (store) < store->next_fetch_us || !choose_fetched_streams (store))
-    return;
-  fill_streams (store, streams);
-  for (uint32_t i = 0; i < STREAM_COUNT; i++)
-    if (store->fetching[i])
-      read_policy_fetch_started (&store->policies[i], now_us (store));
-    else
-      streams[i].next = no_newer_record;
-  store->next_fetch_us =
-      now_us (store) + (uint64_t)GATEWAY_STORE_FETCH_INTERVAL_MS * CLOCK_US_PER_MS;
-  gateway_fetch_newer (store->fetch, &store->ahead_control, streams, STREAM_COUNT,
-                       store->policies[STREAM_ROUTING].new_records_too_large ||
-                           policy_view (store, STREAM_ROUTING).store_call_failed);
-}
-
 static void
 update_streams (gateway_store_t *store)
 {
   for (uint32_t i = 0; i < STREAM_COUNT; i++)
     update_reading (store, i);
-  fetch_if_due (store);
+  gateway_store_fetch_if_due (store);
 }
 
 static void
@@ -661,7 +273,7 @@
 {
   gateway_store_t *store = context;
   gateway_peers_progress_t ours = get_progress (store);
-  uint64_t at_us = now_us (store);
+  uint64_t at_us = gateway_store_now_us (store);
   uint64_t age_us = (uint64_t)theirs->store_age_ms * CLOCK_US_PER_MS;
   uint64_t store_us = age_us < at_us ? at_us - age_us : 0;
 
@@ -683,7 +295,7 @@
 gateway_store_tick (gateway_store_t *store)
 {
   record_store_contact (store);
-  advance_restorations (store);
+  gateway_store_advance_restorations (store);
   gateway_start_advance (store->start);
   update_streams (store);
   own_entry_write_if_due (store->own_entry);
@@ -715,7 +327,7 @@
                                     .clock = store->options.clock,
                                     .counters = store->options.counters,
                                     .platform = store->options.platform,
-                                    .stream = stream_names[stream],
+                                    .stream = gateway_store_stream_names[stream],
                                     .view = store->views[stream],
                                     .wait_ms = wait_ms,
                                     .pace_ms = read_interval_ms (store, stream),
@@ -750,19 +362,19 @@
                                   .clock = options->clock,
                                   .fleet_key = options->settings->fleet_key,
                                   .control_address = &options->settings->control_listen,
-                                  .on_finished = on_fetched,
+                                  .on_finished = gateway_store_on_fetched,
+                                  .context = store });
+  store->start = gateway_start_new (
+      &(gateway_start_options_t){ .clock = options->clock,
+                                  .settings = options->settings,
+                                  .seed = options->incarnation,
+                                  .has_all_streams = gateway_store_start_has_all_streams,
+                                  .is_store_down = gateway_store_start_is_store_down,
+                                  .is_fetching = gateway_store_start_is_fetching,
+                                  .read_store = gateway_store_start_read_store,
+                                  .pick_peer = gateway_store_start_pick_peer,
+                                  .fetch_all = gateway_store_start_fetch_all,
                                   .context = store });
-  store->start =
-      gateway_start_new (&(gateway_start_options_t){ .clock = options->clock,
-                                                     .settings = options->settings,
-                                                     .seed = options->incarnation,
-                                                     .has_all_streams = start_has_all_streams,
-                                                     .is_store_down = start_is_store_down,
-                                                     .is_fetching = start_is_fetching,
-                                                     .read_store = start_read_store,
-                                                     .pick_peer = start_pick_peer,
-                                                     .fetch_all = start_fetch_all,
-                                                     .context = store });
   follow_stream (store, STREAM_ROUTING, poll_wait_ms (store), on_routing,
                  record_order_compare_routing, on_routing_state);
   follow_stream (store, STREAM_ENGINES, poll_wait_ms (store), on_engine,
@@ -841,8 +453,8 @@
 {
   uint64_t at_us = current_as_of_us (store);
 
-  return at_us != 0 &&
-         now_us (store) - at_us < (uint64_t)GATEWAY_STORE_CURRENT_MS * CLOCK_US_PER_MS;
+  return at_us != 0 && gateway_store_now_us (store) - at_us <
+                           (uint64_t)GATEWAY_STORE_CURRENT_MS * CLOCK_US_PER_MS;
 }
 
 gateway_peers_t *
@@ -943,23 +555,3 @@
 {
   gateway_peers_add_load (store->peers, item);
 }
-
-bool
-gateway_store_handle_request (gateway_store_t *store, http_server_call_t *call, bool settled)
-{
-  view_share_stream_t streams[STREAM_COUNT];
-  size_t bytes = 0;
-  gateway_fetch_responder_t state = {
-    .settled = settled,
-    .complete = has_listed_all (store) && !lacks_routing_or_engines (store) &&
-                stream_follower_next (store->followers[STREAM_ROUTERS]).offset > 0,
-    .store_age_ms = store_age_ms (store)
-  };
-
-  gateway_peers_pick_control (store->peers, &state.referral);
-  fill_streams (store, streams);
-  for (uint32_t i = 0; i < STREAM_COUNT; i++)
-    bytes += keyed_view_bytes_since (streams[i].view, (position_t){ 0 });
-  state.too_large = bytes > GATEWAY_STORE_FULL_COPY_MAX_BYTES;
-  return gateway_fetch_handle_request (store->fetch, call, streams, STREAM_COUNT, &state);
-}
