Limits on bytes without end, at client and server

Cause: evhttp limits neither heads of status 100 nor lines between chunks nor single chunks, and the gateway buffered events, errors and responses without a length until the deadline. One call of 4 s took 4.4 GB and a whole core (heads of status 100), or a whole core (size line, extension, body).

Change: http_input reads what a peer sends before evhttp does, and ends the call, as possibly run, or the request, as not run, at its limits. Reading of a response is limited to 16 MB/s. A response head has two seconds. Long responses without a length are streamed; events, errors and refusals without end are cut. Small parts that are kept are copied: 64 KB in chunks of a byte took 18 MB in platform_client. The raw server of the tests took the end of a connection for another request where it keeps heads.

--- a/soak/soak.h
+++ b/soak/soak.h
@@ -73,7 +73,8 @@
   SOAK_PROXY_RESET,   /* resets open and new connections */
   SOAK_PROXY_ONE_WAY, /* forwards nothing towards the client */
   SOAK_PROXY_BLOCK,   /* forwards nothing and keeps connections open */
-  SOAK_PROXY_MODES    /* number of modes */
+  SOAK_PROXY_MODES,   /* number of modes that are drawn with the other faults */
+  SOAK_PROXY_FLOOD    /* bytes without end in place of those towards the client */
 } soak_proxy_mode_t;
 
 typedef struct soak_proxy soak_proxy_t;
@@ -173,6 +174,17 @@
 /** soak_crash_parts - these parts */
 extern const char *const soak_crash_parts[SOAK_CRASH_PARTS];
 
+/**
+ * struct soak_floods - upstreams and stores that send bytes without end
+ * @rand: random generator of these; the other ones draw the same without them
+ * @next_us: when the next one begins; 0 for never
+ */
+typedef struct
+{
+  GRand *rand;
+  uint64_t next_us;
+} soak_floods_t;
+
 /**
  * struct soak_herd - most new connections of a time
  * @rand: random generator of these; the other ones draw the same without them
@@ -255,6 +267,7 @@
  * same without them
  * @part_crashers: likewise for these requests, @part_crasher_count, @next_part_crasher_us
  * @herd: requests of which most go to one gateway
+ * @floods: upstreams and stores that send bytes without end
  * @losses: all gateways are lost, in rounds
  * @versions: upstreams of streams have two software versions, and clients resume streams
  * @clients_leave: clients leave some streams
@@ -300,6 +313,7 @@
   uint32_t part_crasher_count;
   uint64_t next_part_crasher_us;
   soak_herd_t herd;
+  soak_floods_t floods;
   soak_losses_t losses;
   bool versions;
   bool clients_leave;
@@ -411,6 +425,12 @@
 void soak_request_free (gpointer data);
 
 /* soak_crash.c */
+/** soak_poll_floods() - begins a flood that is due, and checks the memory of the gateways */
+void soak_poll_floods (soak_t *soak);
+/** soak_fault_link() - puts a proxy into a mode for some time */
+void soak_fault_link (soak_t *soak, soak_proxy_t *proxy, soak_proxy_mode_t mode, uint32_t ms);
+/** soak_proxy_set_flood() - chooses what %SOAK_PROXY_FLOOD sends */
+void soak_proxy_set_flood (soak_proxy_t *proxy, const char *begin, const char *unit);
 /** soak_poll_herd() - sends the requests of a herd that are due */
 void soak_poll_herd (soak_t *soak);
 /** soak_poll_crashers() - send requests that end upstreams when their time has come */
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -71,6 +71,13 @@
     }
 }
 
+void
+soak_fault_link (soak_t *soak, soak_proxy_t *proxy, soak_proxy_mode_t mode, uint32_t ms)
+{
+  soak_proxy_set_mode (proxy, mode);
+  schedule_recovery (soak, proxy, ms);
+}
+
 static void
 fault_proxy (soak_t *soak, soak_proxy_t *proxy, const char *name, uint32_t index)
 {
@@ -79,8 +86,7 @@
   uint32_t ms = 200 + soak_random (soak, 2300);
 
   soak_log (soak, "%s of %u: %s for %u ms", name, index, names[mode], ms);
-  soak_proxy_set_mode (proxy, mode);
-  schedule_recovery (soak, proxy, ms);
+  soak_fault_link (soak, proxy, mode, ms);
 }
 
 static void
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -1,5 +1,5 @@
 /* soak --seed N [--seconds S] [--gateways N] [--restorations] [--crashes]
- * [--versions] [--herds] [--losses] [--build DIR] [--keep] */
+ * [--versions] [--herds] [--losses] [--floods] [--build DIR] [--keep] */
 #include "soak.h"
 
 #include <event2/util.h>
@@ -74,6 +74,7 @@
       soak_poll_restoration (soak);
       soak_poll_crashers (soak);
       soak_poll_herd (soak);
+      soak_poll_floods (soak);
       soak_poll_losses (soak);
       soak_poll_streams (soak);
     }
@@ -126,6 +127,7 @@
   soak->crash_rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->part_rand = g_rand_new_with_seed ((guint32)soak->seed + 1);
   soak->herd.rand = g_rand_new_with_seed ((guint32)soak->seed);
+  soak->floods.rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->losses.rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->resume_rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->open_streams = g_ptr_array_new ();
@@ -160,17 +162,14 @@
     }
 }
 
-static const struct option option_table[] = { { "seed", required_argument, NULL, 's' },
-                                              { "seconds", required_argument, NULL, 't' },
-                                              { "build", required_argument, NULL, 'b' },
-                                              { "gateways", required_argument, NULL, 'g' },
-                                              { "keep", no_argument, NULL, 'k' },
-                                              { "restorations", no_argument, NULL, 'r' },
-                                              { "crashes", no_argument, NULL, 'c' },
-                                              { "versions", no_argument, NULL, 'v' },
-                                              { "herds", no_argument, NULL, 'h' },
-                                              { "losses", no_argument, NULL, 'l' },
-                                              { NULL, 0, NULL, 0 } };
+static const struct option option_table[] = {
+  { "seed", required_argument, NULL, 's' },  { "seconds", required_argument, NULL, 't' },
+  { "build", required_argument, NULL, 'b' }, { "gateways", required_argument, NULL, 'g' },
+  { "keep", no_argument, NULL, 'k' },        { "restorations", no_argument, NULL, 'r' },
+  { "crashes", no_argument, NULL, 'c' },     { "versions", no_argument, NULL, 'v' },
+  { "herds", no_argument, NULL, 'h' },       { "losses", no_argument, NULL, 'l' },
+  { "floods", no_argument, NULL, 'f' },      { NULL, 0, NULL, 0 }
+};
 
 static bool
 parse_number (char option, guint64 *seed, guint64 *seconds, guint64 *gateways)
@@ -192,6 +191,7 @@
   bool keep = false;
   bool restorations = false;
   bool herds = false;
+  bool floods = false;
   int option;
 
   while ((option = getopt_long (argc, argv, "", option_table, NULL)) != -1)
@@ -208,13 +208,16 @@
         soak.versions = true;
       else if (option == 'h')
         herds = true;
+      else if (option == 'f')
+        floods = true;
       else if (option == 'l')
         soak.losses.enabled = true;
       else if (!parse_number ((char)option, &soak.seed, &seconds, &gateways))
         {
-          fprintf (stderr,
-                   "soak --seed N [--seconds S] [--gateways N] [--restorations] "
-                   "[--crashes] [--versions] [--herds] [--losses] [--build DIR] [--keep]\n");
+          fprintf (
+              stderr,
+              "soak --seed N [--seconds S] [--gateways N] [--restorations] "
+              "[--crashes] [--versions] [--herds] [--losses] [--floods] [--build DIR] [--keep]\n");
           return 2;
         }
     }
@@ -226,6 +229,7 @@
       soak.restorations = restorations;
       soak.next_crasher_us = soak_now_us ();
       soak.herd.next_us = herds ? soak_now_us () : 0;
+      soak.floods.next_us = floods ? soak_now_us () : 0;
       soak.clients_leave = !soak.losses.enabled;
       if (soak.losses.enabled)
         soak_begin_losses (&soak);
@@ -233,6 +237,7 @@
       soak_end_losses (&soak);
       soak.clients_leave = false;
       soak.herd.next_us = 0;
+      soak.floods.next_us = 0;
       soak_end_faults (&soak);
       soak_run_loop (&soak, RECOVERY_MS);
       soak_check (&soak);
--- a/soak/soak_proxy.c
+++ b/soak/soak_proxy.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #define DELAY_MS 150
+#define FLOOD_BYTES (64 * 1024) /* queued at a time */
 
 struct soak_proxy
 {
@@ -16,6 +17,8 @@
   address_t target;
   struct evconnlistener *listener;
   soak_proxy_mode_t mode;
+  const char *flood_begin;
+  const char *flood_unit;
   GHashTable *conns; /* set of proxied_conn_t */
 };
 
@@ -75,6 +78,36 @@
   forward (conn, 1);
 }
 
+static void
+on_flood_sent (struct bufferevent *end, void *context)
+{
+  const proxied_conn_t *conn = context;
+  struct evbuffer *output = bufferevent_get_output (end);
+
+  while (conn->proxy->mode == SOAK_PROXY_FLOOD && evbuffer_get_length (output) < FLOOD_BYTES)
+    evbuffer_add (output, conn->proxy->flood_unit, strlen (conn->proxy->flood_unit));
+}
+
+static void on_event (struct bufferevent *end, short what, void *context);
+static void on_read (struct bufferevent *end, void *context);
+
+/* What the target sends is dropped, and the client gets bytes without end. */
+static void
+flood (proxied_conn_t *conn, int from)
+{
+  struct evbuffer *input = bufferevent_get_input (conn->ends[1]);
+
+  if (from == 1)
+    {
+      evbuffer_drain (input, evbuffer_get_length (input));
+      return;
+    }
+  forward (conn, 0);
+  bufferevent_setcb (conn->ends[0], on_read, on_flood_sent, on_event, conn);
+  bufferevent_write (conn->ends[0], conn->proxy->flood_begin, strlen (conn->proxy->flood_begin));
+  on_flood_sent (conn->ends[0], conn);
+}
+
 static void
 on_read (struct bufferevent *end, void *context)
 {
@@ -90,6 +123,9 @@
       return;
     case SOAK_PROXY_BLOCK:
       return;
+    case SOAK_PROXY_FLOOD:
+      flood (conn, from);
+      return;
     case SOAK_PROXY_ONE_WAY:
       if (from == 1)
         return;
@@ -186,6 +222,13 @@
   g_free (proxy);
 }
 
+void
+soak_proxy_set_flood (soak_proxy_t *proxy, const char *begin, const char *unit)
+{
+  proxy->flood_begin = begin;
+  proxy->flood_unit = unit;
+}
+
 /* Connections that were blocked stay blocked when the fault ends, as on the users' platform;
  * connections made after it work. */
 void
@@ -193,13 +236,14 @@
 {
   GList *conns = g_hash_table_get_keys (proxy->conns);
   bool was_silent = proxy->mode == SOAK_PROXY_BLOCK || proxy->mode == SOAK_PROXY_ONE_WAY;
+  bool was_flooded = proxy->mode == SOAK_PROXY_FLOOD;
 
   proxy->mode = mode;
   for (GList *link = conns; link; link = link->next)
     {
       proxied_conn_t *conn = link->data;
 
-      if (mode == SOAK_PROXY_RESET)
+      if (mode == SOAK_PROXY_RESET || was_flooded)
         close_conn (conn, true);
       else if (was_silent)
         {
--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -70,5 +70,21 @@
 #define LIMIT_HTTP_DEAD_PEER_S 5 /* until a peer that acknowledges nothing is given up */
 #define LIMIT_HTTP_RESPONSE_HEADER_BYTES (64 * 1024) /* headers of a response from an upstream */
 #define LIMIT_HTTP_CONNECT_MS 1000                   /* until a connection attempt is given up */
+/* Outside of bodies, see http_input. An upstream that is sound sends one "100 Continue" at most. */
+#define LIMIT_HTTP_INTERIM_HEADS 8
+#define LIMIT_HTTP_RESPONSE_LINES 1024  /* of heads and trailers */
+#define LIMIT_HTTP_HEAD_MS 2000         /* from the first byte of a response head to its last */
+#define LIMIT_HTTP_CHUNK_LINE_BYTES 256 /* the size line of a chunk, with its extension */
+#define LIMIT_HTTP_BLANK_LINES 16       /* between chunks, beside the one that ends each */
+/* evhttp passes on whole chunks, so a call's connection may hold so much memory */
+#define LIMIT_HTTP_CHUNK_BYTES (896 * 1024)
+/* A request in chunks of six bytes took two seconds until its limit */
+#define LIMIT_HTTP_REQUEST_CHUNKS 16384
+#define LIMIT_HTTP_CHUNK_MEAN_BYTES 256 /* of the chunks after those */
+/* Reading of one response: a body without end took a whole core. A line costs as much processor
+ * time as so many bytes. */
+#define LIMIT_HTTP_READ_BYTES_PER_S (16 * 1024 * 1024)
+#define LIMIT_HTTP_READ_BURST_BYTES (2 * 1024 * 1024)
+#define LIMIT_HTTP_LINE_COST_BYTES 1024
 
 #endif
--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#define COPIED_PART_BYTES 4096 /* smaller parts are copied when they are kept */
+
 /* Return: 0 for an unsupported method */
 static enum evhttp_cmd_type
 method_from_name (const char *name)
@@ -74,6 +76,13 @@
   end_call (call, false, VERDICT_REASON_CONNECT);
 }
 
+void
+http_client_cut_call (http_client_call_t *call)
+{
+  call->sent = true;
+  end_call (call, false, VERDICT_REASON_CUT);
+}
+
 static void
 on_call_event (evutil_socket_t fd, short what, void *context)
 {
@@ -150,8 +159,7 @@
     end_call (call, false, VERDICT_REASON_CUT);
   if (!conn->call)
     return -1;
-  if (call->paused)
-    bufferevent_disable (conn->bev, EV_READ);
+  http_client_conn_update_reading (conn);
   return 0;
 }
 
@@ -259,6 +267,7 @@
   call->conn = conn;
   conn->call = call;
   evhttp_connection_set_max_body_size (conn->evcon, limit);
+  http_client_conn_expect (conn, options->answer_limit_bytes);
   evhttp_make_request (conn->evcon, request, call->method, options->target);
 }
 
@@ -297,12 +306,24 @@
 http_client_set_paused (http_client_call_t *call, bool paused)
 {
   call->paused = paused;
-  if (!call->conn || !call->head_received)
-    return;
-  if (paused)
-    bufferevent_disable (call->conn->bev, EV_READ);
-  else
-    bufferevent_enable (call->conn->bev, EV_READ);
+  if (call->conn && call->head_received)
+    http_client_conn_update_reading (call->conn);
+}
+
+/* Moved parts keep their own blocks of memory: 64 KB in chunks of a byte took 18 MB */
+void
+http_client_keep_data (struct evbuffer *kept, struct evbuffer *data)
+{
+  size_t bytes = evbuffer_get_length (data);
+
+  if (bytes >= COPIED_PART_BYTES)
+    {
+      evbuffer_add_buffer (kept, data);
+      return;
+    }
+  if (bytes > 0)
+    evbuffer_add (kept, evbuffer_pullup (data, -1), bytes);
+  evbuffer_drain (data, bytes);
 }
 
 bool
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -113,6 +113,11 @@
  * reader. Data that has already been read is still passed on: at most one chunk or one read of the
  * socket */
 void http_client_set_paused (http_client_call_t *call, bool paused);
+/** http_client_cut_call() - end a call whose response is over a limit, and close its connection. It
+ * ends by @on_end with VERDICT_MAY_HAVE_RUN, whatever was sent, and VERDICT_REASON_CUT */
+void http_client_cut_call (http_client_call_t *call);
+/** http_client_keep_data() - move the @data of on_data to the end of @kept */
+void http_client_keep_data (struct evbuffer *kept, struct evbuffer *data);
 /** http_client_close_idle() - close the idle connections to @address, after the process there has
  * ended */
 void http_client_close_idle (http_client_t *http_client, const address_t *address);
--- a/src/connection/http_client_internal.h
+++ b/src/connection/http_client_internal.h
@@ -11,6 +11,7 @@
 #define CONNECTION_HTTP_CLIENT_INTERNAL_H
 
 #include "connection/http_client.h"
+#include "connection/http_input.h"
 
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -42,7 +43,13 @@
 /**
  * struct http_client_conn - a connection to a peer
  * @key: "IP PORT" of the peer
- * @event: the connect timeout, later the idle timeout; also frees a closed connection
+ * @event: the connect timeout, later that of a response head or the idle timeout; also frees a
+ *   closed connection
+ * @resume: resumes reading after a pause to limit the rate
+ * @input_cb: observes what is read
+ * @input: what the current response has brought
+ * @read_tokens: bytes that may be read at once; below 0 while reading is paused
+ * @filled_us: time of the last change of @read_tokens, on the monotonic clock
  * @call: the current call; NULL when idle
  * @idle_since_us: time at which it was returned to the pool, on the monotonic clock
  * @connecting: not connected yet
@@ -55,7 +62,12 @@
   struct evhttp_connection *evcon;
   struct bufferevent *bev;
   struct event *event;
+  struct event *resume;
+  struct evbuffer_cb_entry *input_cb;
   http_client_call_t *call;
+  http_input_t input;
+  int64_t read_tokens;
+  int64_t filled_us;
   int64_t idle_since_us;
   bool connecting;
   bool closed;
@@ -103,6 +115,11 @@
 /** http_client_conn_free() - free a connection at once; only outside of libevent's callbacks */
 void http_client_conn_free (http_client_conn_t *conn);
 
+/** http_client_conn_expect() - prepare for the response to a new call */
+void http_client_conn_expect (http_client_conn_t *conn, uint32_t answer_limit_bytes);
+/** http_client_conn_update_reading() - read, or don't while the call or the rate limit pauses it */
+void http_client_conn_update_reading (http_client_conn_t *conn);
+
 /** http_client_call_connect_failed() - end a call whose connection was not established in time */
 void http_client_call_connect_failed (http_client_call_t *call);
 
--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -33,13 +33,16 @@
   conn->closed = true;
   g_hash_table_remove (conn->http_client->conns, conn);
   evhttp_connection_set_closecb (conn->evcon, NULL, NULL);
+  evbuffer_remove_cb_entry (bufferevent_get_input (conn->bev), conn->input_cb);
   evhttp_connection_free (conn->evcon);
   event_free (conn->event);
+  event_free (conn->resume);
   g_free (conn->key);
   g_free (conn);
 }
 
-/* Runs after the connect timeout, after the idle timeout, or when the connection was closed */
+/* Runs after the timeout for connecting, for a response head or for idle connections, or when the
+ * connection was closed */
 static void
 on_event (evutil_socket_t fd, short what, void *context)
 {
@@ -47,8 +50,10 @@
 
   (void)fd;
   (void)what;
-  if (conn->call)
+  if (conn->call && conn->connecting)
     http_client_call_connect_failed (conn->call);
+  else if (conn->call)
+    http_client_cut_call (conn->call);
   http_client_conn_free (conn);
 }
 
@@ -113,6 +118,113 @@
     conn->call->sent = true;
 }
 
+static bool
+is_paced (const http_client_conn_t *conn)
+{
+  return conn->read_tokens < 0;
+}
+
+void
+http_client_conn_update_reading (http_client_conn_t *conn)
+{
+  bool is_paused = conn->call && conn->call->head_received && conn->call->paused;
+
+  if (conn->closed)
+    return;
+  if (is_paused || is_paced (conn))
+    bufferevent_disable (conn->bev, EV_READ);
+  else
+    bufferevent_enable (conn->bev, EV_READ);
+}
+
+static void
+refill_tokens (http_client_conn_t *conn)
+{
+  int64_t now_us = g_get_monotonic_time ();
+  int64_t passed_us = MIN (now_us - conn->filled_us, CLOCK_US_PER_S);
+
+  conn->read_tokens += passed_us * LIMIT_HTTP_READ_BYTES_PER_S / CLOCK_US_PER_S;
+  conn->read_tokens = MIN (conn->read_tokens, LIMIT_HTTP_READ_BURST_BYTES);
+  conn->filled_us = now_us;
+}
+
+static void
+on_resume (evutil_socket_t fd, short what, void *context)
+{
+  http_client_conn_t *conn = context;
+
+  (void)fd;
+  (void)what;
+  refill_tokens (conn);
+  conn->read_tokens = MAX (conn->read_tokens, 0);
+  http_client_conn_update_reading (conn);
+}
+
+/* A peer that sends without end must not take the time of all other connections */
+static void
+spend_tokens (http_client_conn_t *conn, int64_t cost_bytes)
+{
+  int64_t wait_us;
+  struct timeval wait = { 0, 0 };
+
+  refill_tokens (conn);
+  conn->read_tokens -= cost_bytes;
+  if (!is_paced (conn))
+    return;
+  wait_us = -conn->read_tokens * CLOCK_US_PER_S / LIMIT_HTTP_READ_BYTES_PER_S;
+  wait.tv_sec = (time_t)(wait_us / CLOCK_US_PER_S);
+  wait.tv_usec = (suseconds_t)(wait_us % CLOCK_US_PER_S);
+  event_add (conn->resume, &wait);
+  http_client_conn_update_reading (conn);
+}
+
+/* The head of a response has a time limit from its first byte: one sent a byte at a time would
+ * keep the call until its deadline, too late to ask another upstream */
+static void
+watch_head (http_client_conn_t *conn, bool was_started)
+{
+  struct timeval limit = { LIMIT_HTTP_HEAD_MS / 1000, LIMIT_HTTP_HEAD_MS % 1000 * 1000 };
+
+  if (conn->input.head_started && !was_started)
+    event_add (conn->event, &limit);
+  else if (!conn->input.head_started && was_started)
+    event_del (conn->event);
+}
+
+/* Runs before evhttp sees the bytes */
+static void
+on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *context)
+{
+  http_client_conn_t *conn = context;
+  bool was_started = conn->input.head_started;
+  uint64_t lines_before = conn->input.lines;
+
+  if (info->n_added == 0 || conn->closed || !conn->call)
+    return;
+  if (!http_input_read_last (&conn->input, buffer, info->n_added))
+    {
+      http_client_cut_call (conn->call);
+      return;
+    }
+  watch_head (conn, was_started);
+  spend_tokens (conn, (int64_t)(info->n_added +
+                                (conn->input.lines - lines_before) * LIMIT_HTTP_LINE_COST_BYTES));
+}
+
+/* A response that comes before its request is sent stays unread by evhttp, so the buffer is
+ * limited; it holds any chunk within its limit, as evhttp passes on whole ones. */
+void
+http_client_conn_expect (http_client_conn_t *conn, uint32_t answer_limit_bytes)
+{
+  uint64_t chunk_bytes = MAX (answer_limit_bytes, LIMIT_HTTP_CHUNK_BYTES);
+
+  http_input_init (&conn->input,
+                   &(http_input_limits_t){ .head_bytes = LIMIT_HTTP_RESPONSE_HEADER_BYTES,
+                                           .head_lines = LIMIT_HTTP_RESPONSE_LINES,
+                                           .chunk_bytes = chunk_bytes });
+  bufferevent_setwatermark (conn->bev, EV_READ, 0, chunk_bytes + LIMIT_HTTP_RESPONSE_HEADER_BYTES);
+}
+
 static http_client_conn_t *
 conn_new (http_client_t *http_client, const address_t *address)
 {
@@ -125,6 +237,10 @@
   g_assert (conn->evcon);
   conn->bev = evhttp_connection_get_bufferevent (conn->evcon);
   conn->event = evtimer_new (http_client->base, on_event, conn);
+  conn->resume = evtimer_new (http_client->base, on_resume, conn);
+  conn->input_cb = evbuffer_add_cb (bufferevent_get_input (conn->bev), on_input, conn);
+  conn->read_tokens = LIMIT_HTTP_READ_BURST_BYTES;
+  conn->filled_us = g_get_monotonic_time ();
   event_add (conn->event, &http_client->connect_limit);
   evhttp_connection_set_retries (conn->evcon, 0);
   evhttp_connection_set_timeout_tv (conn->evcon, &never_timeout);
@@ -199,6 +315,7 @@
       g_hash_table_insert (http_client->idle, g_strdup (conn->key), queue);
     }
   conn->idle_since_us = g_get_monotonic_time ();
+  http_client_conn_update_reading (conn);
   g_queue_push_head (queue, conn);
   event_add (conn->event, &http_client->idle_timeout);
   if (g_queue_get_length (queue) > http_client->idle_limit)
--- a/src/connection/http_server_check.c
+++ b/src/connection/http_server_check.c
@@ -46,6 +46,10 @@
                                            "the headers are too many or too large" };
 static const rejection_t large_body = { 413, HTTP_SERVER_REFUSED_BODY, "invalid_request",
                                         "body_too_large", "the body is too large" };
+static const rejection_t bad_chunks = { 400, HTTP_SERVER_REFUSED_MALFORMED, "invalid_request",
+                                        "bad_chunks",
+                                        "the chunks of the body are too many, or too long outside "
+                                        "of their data" };
 static const rejection_t internal = { 500, HTTP_SERVER_REFUSED_MALFORMED, "internal", "internal",
                                       "the request could not be read" };
 
@@ -136,6 +140,8 @@
 
   if (call->conn->over_limit)
     rejection = &over_limit;
+  else if (call->conn->input.state == HTTP_INPUT_OVER)
+    rejection = &bad_chunks;
   else if (!is_valid_framing (call))
     rejection = &bad_framing;
   else if (header_count (http_server_request_headers (call)) >
@@ -199,8 +205,10 @@
 void
 http_server_reject_incomplete (http_server_conn_t *conn)
 {
-  g_autofree char *body = rejection_body (conn->http_server, &too_many_incomplete);
-  g_autofree char *page = format_response (&too_many_incomplete, body);
+  const rejection_t *rejection =
+      conn->input.state == HTTP_INPUT_OVER ? &bad_chunks : &too_many_incomplete;
+  g_autofree char *body = rejection_body (conn->http_server, rejection);
+  g_autofree char *page = format_response (rejection, body);
 
   conn->drain_input = true;
   if (http_server_conn_dup_fd (conn) >= 0)
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -92,6 +92,15 @@
   return largest;
 }
 
+static void
+evict (http_server_conn_t *conn)
+{
+  conn->evicted = true;
+  set_incomplete_bytes (conn, 0);
+  bufferevent_disable (conn->bev, EV_READ);
+  http_server_conn_defer (conn);
+}
+
 /*
  * Guards against clients that send most of a long body on each of many connections, before their
  * API key is checked, to exhaust the host's memory. The largest incomplete requests are evicted
@@ -104,12 +113,7 @@
 
   while (http_server->incomplete_bytes > http_server->options.incomplete_limit_bytes &&
          (largest = find_largest_incomplete (http_server)))
-    {
-      largest->evicted = true;
-      set_incomplete_bytes (largest, 0);
-      bufferevent_disable (largest->bev, EV_READ);
-      http_server_conn_defer (largest);
-    }
+    evict (largest);
 }
 
 /* libevent may keep the bufferevent, so all callbacks with a pointer to @conn are removed from it
@@ -245,18 +249,30 @@
     event_add (conn->request_timer, &conn->http_server->request_timeout);
 }
 
+/* The head is limited by evhttp, and the body by its limit */
+static void
+expect_request (http_server_conn_t *conn)
+{
+  http_input_init (&conn->input,
+                   &(http_input_limits_t){ .free_chunks = LIMIT_HTTP_REQUEST_CHUNKS });
+}
+
 static void
 on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *context)
 {
   http_server_conn_t *conn = context;
 
-  (void)buffer;
   conn->read_bytes += info->n_deleted;
   if (info->n_added == 0)
     return;
   start_request_timer (conn);
   if (conn->busy || conn->evicted)
     return;
+  if (!http_input_read_last (&conn->input, buffer, info->n_added))
+    {
+      evict (conn);
+      return;
+    }
   set_incomplete_bytes (conn, conn->incomplete_bytes + info->n_added);
   if (conn->http_server->incomplete_bytes > conn->http_server->options.incomplete_limit_bytes)
     evict_incomplete (conn->http_server);
@@ -325,6 +341,7 @@
   conn->http_server = http_server;
   conn->bev = bev;
   conn->dup_fd = -1;
+  expect_request (conn);
   conn->deferred = event_new (base, -1, 0, on_deferred, conn);
   conn->request_timer = evtimer_new (base, on_request_timeout, conn);
   conn->input_cb = evbuffer_add_cb (bufferevent_get_input (bev), on_input, conn);
@@ -391,13 +408,17 @@
 on_response_sent (struct evhttp_request *request, void *context)
 {
   http_server_conn_t *conn = context;
+  struct evbuffer *input = bufferevent_get_input (conn->bev);
 
   (void)request;
   conn->request = NULL;
   conn->busy = false;
   conn->http_server->busy_count--;
   conn->read_bytes = 0;
-  set_incomplete_bytes (conn, evbuffer_get_length (bufferevent_get_input (conn->bev)));
+  set_incomplete_bytes (conn, evbuffer_get_length (input));
+  expect_request (conn);
+  if (!http_input_read_last (&conn->input, input, evbuffer_get_length (input)))
+    evict (conn);
   if (conn->disconnect_watch)
     event_del (conn->disconnect_watch);
   bufferevent_set_timeouts (conn->bev, &conn->http_server->idle_timeout,
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -10,6 +10,7 @@
 #ifndef CONNECTION_HTTP_SERVER_INTERNAL_H
 #define CONNECTION_HTTP_SERVER_INTERNAL_H
 
+#include "connection/http_input.h"
 #include "connection/http_server.h"
 #include "request/policy/queueing/accept_gate.h"
 
@@ -93,7 +94,9 @@
  * @check_error_page: libevent may have queued an error page of its own
  * @notify_writable: the queue has shrunk; the call's callback is to be run
  * @drain_input: read and discard what the client still sends before the socket is closed
- * @evicted: its incomplete request is rejected by 503, to get below the limit on their sum
+ * @evicted: its incomplete request is rejected by 503, to get below the limit on their sum, or by
+ *   400 where @input is over a limit
+ * @input: what the current request has brought
  */
 struct http_server_conn
 {
@@ -118,6 +121,7 @@
   bool notify_writable;
   bool drain_input;
   bool evicted;
+  http_input_t input;
 };
 
 /**
@@ -180,8 +184,8 @@
  * error body */
 void http_server_replace_error_page (http_server_conn_t *conn);
 
-/** http_server_reject_incomplete() - reject an incomplete request by 503; the caller then closes
- * the connection */
+/** http_server_reject_incomplete() - reject an incomplete request by 503 or 400; the caller then
+ * closes the connection */
 void http_server_reject_incomplete (http_server_conn_t *conn);
 
 /** http_server_drain_start() - take over @fd: discard its input, within limits, and close it */
--- a/src/connection/platform_client.c
+++ b/src/connection/platform_client.c
@@ -66,7 +66,7 @@
   if (call->too_large)
     evbuffer_drain (data, part_bytes);
   else
-    evbuffer_add_buffer (call->answer, data);
+    http_client_keep_data (call->answer, data);
 }
 
 static void
--- a/src/process/control_fetch.c
+++ b/src/process/control_fetch.c
@@ -27,7 +27,7 @@
 on_data (struct evbuffer *data, void *context)
 {
   control_t *ctrl = context;
-  evbuffer_add_buffer (ctrl->fetch.body, data);
+  http_client_keep_data (ctrl->fetch.body, data);
 }
 
 static void
--- a/src/process/gateway_fetch.c
+++ b/src/process/gateway_fetch.c
@@ -122,7 +122,7 @@
 {
   gateway_fetch_t *fetch = context;
 
-  evbuffer_add_buffer (fetch->body, data);
+  http_client_keep_data (fetch->body, data);
 }
 
 static void
--- a/src/request/gateway/event_splitter.c
+++ b/src/request/gateway/event_splitter.c
@@ -1,10 +1,14 @@
 #define _GNU_SOURCE /* memmem */
 #include "request/gateway/event_splitter.h"
 
+#include "connection/http_client.h"
+
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
+#define END_BYTES_MAX 3 /* of what ends an event: LF, CR, LF */
+
 void
 event_splitter_init (event_splitter_t *splitter)
 {
@@ -17,11 +21,12 @@
   evbuffer_free (splitter->partial);
 }
 
-/* Return: length of the first event, with the empty line that ends it; 0 when it is not whole */
+/* Return: length of the first event, with the empty line that ends it; 0 when it is not whole. The
+ * first @searched bytes have no event's end, but may have the start of it. */
 static size_t
-first_event_bytes (const char *text, size_t bytes)
+first_event_bytes (const char *text, size_t bytes, size_t searched)
 {
-  const char *at = text;
+  const char *at = text + (searched > END_BYTES_MAX ? searched - END_BYTES_MAX : 0);
   const char *end = text + bytes;
 
   while ((at = memchr (at, '\n', (size_t)(end - at))))
@@ -83,18 +88,20 @@
 void
 event_splitter_feed (event_splitter_t *splitter, struct evbuffer *in, struct evbuffer *out)
 {
-  evbuffer_add_buffer (splitter->partial, in);
+  http_client_keep_data (splitter->partial, in);
   while (!splitter->overflowed)
     {
       size_t have = evbuffer_get_length (splitter->partial);
       const char *text = have > 0 ? (const char *)evbuffer_pullup (splitter->partial, -1) : "";
-      size_t bytes = first_event_bytes (text, have);
+      size_t bytes = first_event_bytes (text, have, splitter->searched_bytes);
 
       if (bytes == 0)
         {
+          splitter->searched_bytes = have;
           splitter->overflowed = have > EVENT_SPLITTER_LIMIT_BYTES;
           return;
         }
+      splitter->searched_bytes = 0;
       if (accept_event (splitter, text, bytes))
         evbuffer_remove_buffer (splitter->partial, out, bytes);
       else
@@ -112,6 +119,7 @@
 event_splitter_restart (event_splitter_t *splitter)
 {
   evbuffer_drain (splitter->partial, evbuffer_get_length (splitter->partial));
+  splitter->searched_bytes = 0;
   splitter->overflowed = false;
 }
 
--- a/src/request/gateway/event_splitter.h
+++ b/src/request/gateway/event_splitter.h
@@ -11,11 +11,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define EVENT_SPLITTER_LIMIT_BYTES (1024 * 1024) /* a longer event makes the stream invalid */
+/* A longer event makes the stream invalid. An event without end takes twice this memory. */
+#define EVENT_SPLITTER_LIMIT_BYTES (384 * 1024)
 
 /**
  * struct splitter - state of one stream of events
  * @partial: what has come of an event that has not ended yet
+ * @searched_bytes: of @partial, in which no event ends
  * @last_id: id of the last event that had one; valid when @has_id is set
  * @event_count: number of whole events that were forwarded
  * @resumed: the stream was resumed: events up to @last_id are dropped
@@ -24,6 +26,7 @@
 typedef struct
 {
   struct evbuffer *partial;
+  size_t searched_bytes;
   uint64_t last_id;
   uint64_t event_count;
   bool has_id;
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -134,6 +134,7 @@
   if (call->response.is_for_other_request)
     return false;
   call->has_head = true;
+  call->dropped_bytes = 0;
   call->is_framed = http_framing_detect (headers) != HTTP_FRAMING_NONE;
   record_head (call, status);
   call->relay.from = call->upstream;
@@ -166,6 +167,23 @@
   evbuffer_free (whole);
 }
 
+/* Bodies without end, of refusals and errors, and events without end */
+static bool
+is_over_limit (gateway_call_t *call, struct evbuffer *data)
+{
+  size_t bytes = evbuffer_get_length (data);
+
+  if (call->response.not_run)
+    {
+      call->dropped_bytes += bytes;
+      return call->dropped_bytes > RELAY_HELD_LIMIT_BYTES;
+    }
+  if (call->streaming)
+    return call->splitter.overflowed;
+  return call->client && call->status >= STATUS_SERVER_ERROR && call->relay.is_buffering &&
+         evbuffer_get_length (call->relay.held_data) + bytes > RELAY_HELD_LIMIT_BYTES;
+}
+
 static void
 on_data (struct evbuffer *data, void *context)
 {
@@ -175,7 +193,9 @@
   if (call->engine)
     call->engine->last_byte_us = call->last_byte_us;
   gateway_suspect_note_data (call);
-  if (!call->client || call->response.not_run)
+  if (is_over_limit (call, data))
+    http_client_cut_call (call->upstream);
+  else if (!call->client || call->response.not_run)
     evbuffer_drain (data, evbuffer_get_length (data));
   else if (call->streaming)
     forward_events (call, data);
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -250,6 +250,7 @@
  * @client_was_slow: the client read the response of the last hop slowly
  * @failure_buffered: the error response of an engine is buffered, to be forwarded if no other
  *   engine serves the request
+ * @dropped_bytes: of the body of an engine's refusal
  * @timer: fires at the deadline
  */
 typedef struct
@@ -300,6 +301,7 @@
   uint64_t events_before_head;
   bool client_was_slow;
   bool failure_buffered;
+  uint64_t dropped_bytes;
   struct event *timer;
 } gateway_call_t;
 
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -144,11 +144,20 @@
 relay_forward (relay_t *relay, struct evbuffer *data)
 {
   if (relay->to == NULL)
-    evbuffer_drain (data, evbuffer_get_length (data));
-  else if (relay->is_buffering)
-    evbuffer_add_buffer (relay->held_data, data);
-  else
-    stream_part (relay, data);
+    {
+      evbuffer_drain (data, evbuffer_get_length (data));
+      return;
+    }
+  if (!relay->is_buffering)
+    {
+      stream_part (relay, data);
+      return;
+    }
+  http_client_keep_data (relay->held_data, data);
+  if (evbuffer_get_length (relay->held_data) <= RELAY_HELD_LIMIT_BYTES)
+    return;
+  relay->is_buffering = false;
+  stream_part (relay, relay->held_data);
 }
 
 void
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -19,6 +19,9 @@
 #include <stdint.h>
 
 #define RELAY_BUFFER_LIMIT_BYTES (64 * 1024) /* longest response that is buffered */
+/* Likewise for a response that does not declare its length; more of it is streamed at the pace of
+ * the client, since one without end must not take memory. */
+#define RELAY_HELD_LIMIT_BYTES (512 * 1024)
 
 /**
  * struct relay - state of one response; embedded in the call that owns it
--- a/tests/raw_peer.c
+++ b/tests/raw_peer.c
@@ -125,6 +125,8 @@
       if (raw->fd != fd)
         continue;
       on_readable (fd, what, raw);
+      if (raw->eof)
+        return; /* a head that is kept is not another request */
       end = strstr (raw->received->str, "\r\n\r\n");
       if (!end)
         return;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -1,6 +1,8 @@
 /* Tests of a complete gateway, byte by byte: what it sends to engines, and which responses clients
  * get. */
 #include "gateway_rig.h"
+#include "request/gateway/event_splitter.h"
+#include "request/relay.h"
 #include "process/gateway_store.h"
 #include "request/policy/retries/retry_plan.h"
 #include "request/gateway/gateway.h"
@@ -464,6 +466,80 @@
   CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 2);
 }
 
+#define INTERIM "HTTP/1.1 100 Continue\r\n\r\n"
+#define MANY_INTERIM INTERIM INTERIM INTERIM INTERIM INTERIM INTERIM INTERIM INTERIM INTERIM
+
+/* Text of a body without end, as far as a gateway may take it. */
+static char *
+endless_response (const char *head, const char *unit, size_t bytes)
+{
+  GString *text = g_string_new (head);
+
+  while (text->len < bytes)
+    g_string_append (text, unit);
+  return g_string_free (text, FALSE);
+}
+
+/* The start of a response that goes on and on is no response: the request may have run, and only
+ * what may be repeated is sent to another engine. */
+static void
+test_endless_head_is_no_response (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  raw_server_t *endless;
+
+  gateway_rig_skip_retry_window (rig);
+  endless = gateway_rig_add_engine (rig, SCRIPTS (MANY_INTERIM OK_RESPONSE), 1);
+  expect (rig, "POST", "/book/", EMPTY_BODY, "502");
+  CU_ASSERT_EQUAL (endless->request_count, 1);
+  gateway_rig_add_engine (rig, SCRIPTS (OK_RESPONSE), 1);
+  for (uint32_t i = 0; i < 4; i++)
+    expect (rig, "GET", "/look/", "", "200");
+}
+
+/* An event or an error page without end took memory until the deadline. */
+static void
+test_endless_body_is_cut (void)
+{
+  static const char error[] = "HTTP/1.1 500 Error\r\nX-Request-Id: r1\r\n\r\n";
+  static const char refusal[] = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n";
+  g_autofree char *data = g_strnfill (0x1000, 'x');
+  g_autofree char *chunk = g_strconcat ("1000\r\n", data, "\r\n", NULL);
+  g_autofree char *event =
+      endless_response (STREAM_HEAD, chunk, EVENT_SPLITTER_LIMIT_BYTES + 100000);
+  g_autofree char *page = endless_response (error, "error", RELAY_HELD_LIMIT_BYTES + 100000);
+  g_autofree char *busy = endless_response (refusal, chunk, RELAY_HELD_LIMIT_BYTES + 100000);
+
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+      const char *const scripts[] = { i == 0 ? event : i == 1 ? page : busy };
+
+      gateway_rig_add_engine (rig, scripts, 1);
+      expect (rig, "POST", i == 0 ? "/tell/" : "/book/", EMPTY_BODY, i == 2 ? "503" : "502");
+    }
+}
+
+/* A response without a length is buffered until it has ended, so that another engine may be asked
+ * if it breaks off; a long one is passed on as the client reads it. */
+static void
+test_long_response_without_length_is_streamed (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  g_autofree char *text =
+      endless_response (OK_HEAD "\r\n", "some text ", RELAY_HELD_LIMIT_BYTES + 100000);
+  raw_peer_t *raw;
+
+  gateway_rig_add_engine (rig, SCRIPTS (text), 1)->close_after = true;
+  raw = gateway_rig_fetch (rig, "GET", "/look/", "");
+  CU_ASSERT (starts_with (raw, "HTTP/1.1 200 "));
+  CU_ASSERT (contains (raw, "Transfer-Encoding: chunked\r\n"));
+  CU_ASSERT (g_str_has_suffix (raw->received->str, "text \r\n0\r\n\r\n"));
+  CU_ASSERT (raw->received->len > RELAY_HELD_LIMIT_BYTES);
+  raw_peer_free (raw);
+}
+
 /* A stream breaks off in the middle of event 3. The other engine must be asked to resume after
  * event 2, and the client must get one stream with the head from the first engine. */
 static void
@@ -1477,6 +1553,9 @@
     SUITE_TEST (test_response_to_another_request_is_dropped),
     SUITE_TEST (test_response_without_length),
     SUITE_TEST (test_response_that_breaks_off),
+    SUITE_TEST (test_endless_head_is_no_response),
+    SUITE_TEST (test_endless_body_is_cut),
+    SUITE_TEST (test_long_response_without_length_is_streamed),
     SUITE_TEST (test_stream_is_resumed_at_another_engine),
     SUITE_TEST (test_resumed_stream_is_whole),
     SUITE_TEST (test_broken_stream_has_no_end),
