--- a/src/request/policy/engines/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -458,7 +458,7 @@
 {
   uint32_t own = request_history_at (&engine->own_history, reported_us, engine->own_requests);
 
-  if (reported_us <= MAX (engine->reported_us, engine->peer_report_us) )
+  if (reported_us <= MAX (engine->reported_us, engine->peer_report_us))
     return;
   engine->peer_report_others = load > own ? load - own : 0;
   engine->peer_report_us = reported_us;
