Runs go on from a copy of their cache at another engine

Cause: a stream that can't be resumed fails when its engine ends. Engines can copy the cache of a run to another engine while it grows, which then continues the same run.

Change: a gateway estimates the chance of a loss from engines that ended, broke off, failed or are being replaced, and asks for a copy where the value at loss times that chance exceeds the cost. After the loss the request goes to the engine with the copy; if that refuses it, what follows is as before.

--- a/bench/gateway/sim_gateway.c
+++ b/bench/gateway/sim_gateway.c
@@ -358,6 +358,7 @@
     {
     case RETRY_PLAN_STEP_RESEND:
     case RETRY_PLAN_STEP_RESUME:
+    case RETRY_PLAN_STEP_CONTINUE: /* no engine of the simulation has copies */
       sim_place_request (sim, request);
       return;
     case RETRY_PLAN_STEP_WAIT:
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -63,6 +63,8 @@
  * @renewal_ms: gateway only: interval at which engines renew their registry entries
  * @drain_ms: gateway only: time within which a leaving engine must receive no more requests
  * @center_drain_ms: gateway only: likewise for the engines of a data centre that is drained
+ * @stream_backups: gateway only: the caches of streams are copied to other engines where engines
+ *   were lost lately
  * @grace_ms: gateway only: time from a stop signal until the process is killed
  * @fleet_key: shared secret of all daemons, at least 16 bytes
  * @log_level: less severe lines are not logged
@@ -100,6 +102,7 @@
   uint32_t renewal_ms;
   uint32_t drain_ms;
   uint32_t center_drain_ms;
+  bool stream_backups;
   uint32_t grace_ms;
   char fleet_key[128];
   log_level_t log_level;
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -17,6 +17,7 @@
   gateway_service_t *service = data;
 
   wait_queue_free (service->queue);
+  g_clear_pointer (&service->losses, loss_rate_free);
   latency_free (service->wait_histogram);
   latency_free (service->head_histogram);
   latency_free (service->answer_histogram);
@@ -138,6 +139,7 @@
   if (++gateway->ticks % GATEWAY_WATCH_TICKS != 0)
     return;
   gateway_resume_review (gateway);
+  gateway_copies_review (gateway);
   check_silent_hops (gateway);
   review_crashes (gateway);
 }
@@ -190,6 +192,7 @@
       counter_get (registry, "medlarplank_gateway_resumptions_refused_total",
                    "Of these, refused as nobody knew at which software version the stream began");
   gateway_resume_register_counters (gateway);
+  gateway_copies_register_counters (gateway);
 }
 
 gateway_task_t *
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -297,38 +297,47 @@
                             .account = (const char *const *)by_account };
 }
 
-static engine_choice_t
-choose_engine (const gateway_call_t *call, const uint64_t *excluded, uint32_t excluded_count)
+engine_choice_request_t
+gateway_call_placement (const gateway_call_t *call)
 {
   const gateway_task_t *gateway = call->gateway;
   const gateway_service_t *service = call->service;
   const routing_service_t *rules = routing_find_service (gateway->table, service->name);
   uint64_t now_us = gateway_now_us (gateway);
 
-  return engine_choice_make (
-      engines_of_service (gateway->options.engines, service->name), now_us,
-      &(engine_choice_request_t){
-          .affinity = call->affinity,
-          .affinity_tokens = call->affinity_tokens,
-          .own_data_center = gateway->options.settings->data_center,
-          .repeatable = retry_plan_may_move (&call->course, call->relay.has_started),
-          .gateways = gateway->routers,
-          .gateway_hash = gateway->name_hash,
-          .slot_time_us = wait_queue_run_us (service->queue),
-          .usual_head_us = wait_queue_head_us (service->queue),
-          .utilization_milli = load_gauge_utilization_milli (&service->load_gauge, now_us),
-          .surge = load_gauge_is_surge (&service->load_gauge, now_us, service->in_flight),
-          .past_deadline = call->queue_item.waiting && call->queue_item.is_late,
-          .cold_per_s = rules ? rules->cold_requests_per_s : 0,
-          .cold_start_us = rules ? rules->cold_start_us : 0,
-          .known_gateways = gateway->known_routers,
-          .region_filter = bound_regions (call),
-          .drain_us = (uint64_t)gateway->options.settings->center_drain_ms * CLOCK_US_PER_MS,
-          .version = call->version,
-          .begin_version = gateway_resume_begin_version (call),
-          .has_streams = service->has_streams,
-          .tried = excluded,
-          .tried_count = excluded_count });
+  return (engine_choice_request_t){
+    .affinity = call->affinity,
+    .affinity_tokens = call->affinity_tokens,
+    .own_data_center = gateway->options.settings->data_center,
+    .repeatable = retry_plan_may_move (&call->course, call->relay.has_started),
+    .gateways = gateway->routers,
+    .gateway_hash = gateway->name_hash,
+    .slot_time_us = wait_queue_run_us (service->queue),
+    .usual_head_us = wait_queue_head_us (service->queue),
+    .utilization_milli = load_gauge_utilization_milli (&service->load_gauge, now_us),
+    .surge = load_gauge_is_surge (&service->load_gauge, now_us, service->in_flight),
+    .past_deadline = call->queue_item.waiting && call->queue_item.is_late,
+    .cold_per_s = rules ? rules->cold_requests_per_s : 0,
+    .cold_start_us = rules ? rules->cold_start_us : 0,
+    .known_gateways = gateway->known_routers,
+    .region_filter = bound_regions (call),
+    .drain_us = (uint64_t)gateway->options.settings->center_drain_ms * CLOCK_US_PER_MS,
+    .version = call->version,
+    .begin_version = gateway_resume_begin_version (call),
+    .has_streams = service->has_streams
+  };
+}
+
+static engine_choice_t
+choose_engine (const gateway_call_t *call, const uint64_t *excluded, uint32_t excluded_count)
+{
+  const gateway_task_t *gateway = call->gateway;
+  engine_choice_request_t request = gateway_call_placement (call);
+
+  request.tried = excluded;
+  request.tried_count = excluded_count;
+  return engine_choice_make (engines_of_service (gateway->options.engines, call->service->name),
+                             gateway_now_us (gateway), &request);
 }
 
 /* A version that has lost its engines is taken out of the table of shares within a second or two.
@@ -440,9 +449,9 @@
 }
 
 static void
-prepare_retry (gateway_call_t *call, bool resume, verdict_reason_t reason)
+prepare_retry (gateway_call_t *call, bool resume, const char *outcome, verdict_reason_t reason)
 {
-  log_retry (call, resume ? "resume" : "again", reason);
+  log_retry (call, outcome, reason);
   counter_add (resume ? call->gateway->resumed : call->gateway->retried, 1);
   call->resuming = resume;
   if (call->course.ran == 0)
@@ -456,10 +465,18 @@
 static void
 retry (gateway_call_t *call, bool resume, verdict_reason_t reason)
 {
-  prepare_retry (call, resume, reason);
+  prepare_retry (call, resume, resume ? "resume" : "again", reason);
   gateway_call_start (call);
 }
 
+static void
+continue_from_copy (gateway_call_t *call, verdict_reason_t reason)
+{
+  prepare_retry (call, call->relay.has_started, "from_copy", reason);
+  if (!gateway_suspect_stop (call))
+    gateway_copies_continue (call);
+}
+
 void
 gateway_call_hop_ended (gateway_call_t *call, retry_plan_outcome_t outcome, verdict_reason_t reason)
 {
@@ -474,6 +491,7 @@
   call->failure_buffered = call->failure_buffered || outcome == RETRY_PLAN_OUTCOME_FAILED;
   if (gateway_suspect_is_on_trial (call))
     retry_plan_forbid_rerun (&call->course);
+  gateway_copies_check (call);
   switch (retry_plan_next (&call->course, outcome, left_us, may_retry, call))
     {
     case RETRY_PLAN_STEP_RESEND:
@@ -482,8 +500,12 @@
     case RETRY_PLAN_STEP_RESUME:
       retry (call, true, reason);
       return;
+    case RETRY_PLAN_STEP_CONTINUE:
+      continue_from_copy (call, reason);
+      return;
     case RETRY_PLAN_STEP_WAIT:
-      prepare_retry (call, call->relay.has_started, reason);
+      prepare_retry (call, call->relay.has_started, call->relay.has_started ? "resume" : "again",
+                     reason);
       gateway_queue_for_retry (call);
       return;
     case RETRY_PLAN_STEP_PASS_ON:
@@ -508,6 +530,7 @@
   gateway_suspect_note_complete (call);
   gateway_resume_note_end (call, call->streaming);
   gateway_resume_count_complete (call);
+  gateway_copies_note_complete (call);
   counter_add (call->gateway->answered, 1);
   latency_add (call->service->answer_histogram, gateway_now_us (call->gateway) - call->arrived_us);
   gateway_call_log (call, "end", "answered", VERDICT_REASON_NONE);
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -241,6 +241,11 @@
 {
   if (call->response.is_other_engine)
     engine_note_displaced (engine);
+  if (call->course.is_continuing)
+    {
+      gateway_copies_note_missing (call);
+      return; /* an engine that has no copy may have free slots */
+    }
   if (call->response.is_other_engine || call->tried_count == 0)
     return;
   /* A full engine stays a candidate: if it were excluded, a request whose service has only this
@@ -310,6 +315,7 @@
 {
   uint64_t now_us = gateway_now_us (call->gateway);
 
+  gateway_copies_note_break (call);
   if (is_unsent (end))
     {
       engine_note_break (call->engine, now_us);
@@ -387,6 +393,7 @@
   if (!retry_plan_may_move (&call->course, call->relay.has_started) ||
       !hop_timeout_has_expired (&hop_timeout, now_us))
     return;
+  gateway_copies_note_break (call);
   engine_note_failure (call->engine, now_us);
   give_up_hop (call, "silent", VERDICT_REASON_TIMEOUT);
 }
@@ -484,6 +491,7 @@
 {
   g_autoptr (GArray) headers = g_array_new (FALSE, FALSE, sizeof (http_client_header_t));
   format_buffers_t text;
+  format_copy_t copy = call->copy; /* the run may get another one */
   format_upstream_request_t hop;
 
   drop_needless_source (call, choice);
@@ -492,6 +500,7 @@
                                      .account = call->account ? call->account->name : NULL,
                                      .cache_source =
                                          choice->source ? &choice->source->entry.address : NULL,
+                                     .copy = call->course.is_continuing ? &copy : NULL,
                                      .priority = compute_priority (call),
                                      .resumes = call->resuming,
                                      .last_event = call->splitter.last_id };
@@ -500,6 +509,7 @@
     latency_add (call->service->wait_histogram, call->sent_us - call->arrived_us);
   log_place (call, choice);
   gateway_resume_note_send (call);
+  hop.backup = gateway_copies_choose (call);
   hop.left_ms =
       (uint32_t)((call->deadline_us - MIN (call->sent_us, call->deadline_us)) / CLOCK_US_PER_MS);
   call->gateway->options.format->write_request (&hop, http_server_request_headers (call->client),
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -5,7 +5,8 @@
  * gateway_accept.c (checks of a client's request), gateway_call.c (its steps and its end),
  * gateway_hop.c (one send to an engine), gateway_queue.c (requests queued while engines are full),
  * gateway_resume.c (streams, their software versions and clients that resume them),
- * gateway_resume_log.c (log and counters of these).
+ * gateway_resume_log.c (log and counters of these), gateway_copies.c (copies of the caches of runs,
+ * from which they go on when their engines end).
  */
 #ifndef REQUEST_GATEWAY_GATEWAY_PRIVATE_H
 #define REQUEST_GATEWAY_GATEWAY_PRIVATE_H
@@ -13,6 +14,7 @@
 #include "connection/http_client.h"
 #include "connection/http_server.h"
 #include "base/latency.h"
+#include "request/policy/copies/loss_rate.h"
 #include "request/policy/suspects/answered_parts.h"
 #include "request/policy/retries/retry_plan.h"
 #include "request/gateway/event_splitter.h"
@@ -107,6 +109,7 @@
  * @told_epoch: number of its last table when other gateways were told of its streams
  * @mean_milli: mean load of its engines at the last choice, in thousandths of a request
  * @retries: this gateway's share of the retry budget
+ * @losses: how likely its engines are lost; NULL where runs get no copies
  * @wait_histogram: times from arrival to the first send
  * @head_histogram: times from a send to the head of its response
  * @answer_histogram: times from arrival to the end of the response
@@ -125,6 +128,7 @@
   uint64_t told_epoch;
   uint32_t mean_milli;
   retry_budget_t retries;
+  loss_rate_t *losses;
   latency_t *wait_histogram;
   latency_t *head_histogram;
   latency_t *answer_histogram;
@@ -189,6 +193,11 @@
   counter_t *resumptions_refused;
   counter_t *resumption_outcomes[GATEWAY_RESUMPTION_OUTCOMES];
   counter_t *versions_gauge;
+  counter_t *backups;
+  counter_t *backup_tokens;
+  counter_t *continued;
+  counter_t *copies_missing;
+  counter_t *continued_whole;
 };
 
 /**
@@ -250,6 +259,9 @@
  * @client_was_slow: the client read the response of the last hop slowly
  * @failure_buffered: the error response of an engine is buffered, to be forwarded if no other
  *   engine serves the request
+ * @copy_engine: hash of the engine that gets the copy of the current run's cache, 0 for none
+ * @copy: by which that engine knows the copy
+ * @has_continued: the current hop, or an earlier one, went on from a copy
  * @timer: fires at the deadline
  */
 typedef struct
@@ -300,6 +312,9 @@
   uint64_t events_before_head;
   bool client_was_slow;
   bool failure_buffered;
+  uint64_t copy_engine;
+  format_copy_t copy;
+  bool has_continued;
   struct event *timer;
 } gateway_call_t;
 
@@ -326,6 +341,8 @@
 void gateway_call_place (gateway_call_t *call);
 /** gateway_call_choose_engine() - the engine to which the request would be sent now */
 engine_choice_t gateway_call_choose_engine (const gateway_call_t *call);
+/** gateway_call_placement() - the request as engines are chosen for it, but those that it tried */
+engine_choice_request_t gateway_call_placement (const gateway_call_t *call);
 /** gateway_call_hop_ended() - a hop ended with @outcome; takes the next step, which may free the
  * call */
 void gateway_call_hop_ended (gateway_call_t *call,
@@ -416,6 +433,25 @@
  * counts the versions that serve; to be called a few times a second */
 void gateway_resume_review (gateway_task_t *gateway);
 
+/** gateway_copies_register_counters() - registers the counters of copies */
+void gateway_copies_register_counters (gateway_task_t *gateway);
+/** gateway_copies_review() - looks which engines were lost; to be called a few times a second */
+void gateway_copies_review (gateway_task_t *gateway);
+/** gateway_copies_note_break() - the engine of the current hop broke off, or is silent */
+void gateway_copies_note_break (const gateway_call_t *call);
+/** gateway_copies_choose() - the engine that is to get a copy of the cache of the run at
+ * @call->engine, to which the request is sent now. Return: its address; NULL for no copy */
+const address_t *gateway_copies_choose (gateway_call_t *call);
+/** gateway_copies_check() - drops the copy from the plan of the request if the engine that has it
+ * can't be asked now; before retry_plan_next() */
+void gateway_copies_check (gateway_call_t *call);
+/** gateway_copies_continue() - sends the request to the engine that has the copy */
+void gateway_copies_continue (gateway_call_t *call);
+/** gateway_copies_note_missing() - the engine that was to have the copy refused the request */
+void gateway_copies_note_missing (const gateway_call_t *call);
+/** gateway_copies_note_complete() - the response is complete */
+void gateway_copies_note_complete (const gateway_call_t *call);
+
 /** gateway_resume_register_counters() - registers the counters of resumptions by outcome */
 void gateway_resume_register_counters (gateway_task_t *gateway);
 /** gateway_resume_log_decision() - logs whether the stream goes on, and what that is based on */
--- a/src/request/policy/retries/retry_plan.c
+++ b/src/request/policy/retries/retry_plan.c
@@ -15,15 +15,28 @@
   return rules->resumable || (rules->idempotent && !begun);
 }
 
+static bool
+may_continue (const retry_plan_t *retry_plan)
+{
+  return retry_plan->has_copy && retry_plan->continued < RETRY_PLAN_COPIES_MAX;
+}
+
 bool
 retry_plan_may_move (const retry_plan_t *retry_plan, bool begun)
 {
-  return may_rerun (&retry_plan->rules, retry_plan->ran + 1, begun);
+  return may_continue (retry_plan) || may_rerun (&retry_plan->rules, retry_plan->ran + 1, begun);
+}
+
+void
+retry_plan_set_copy (retry_plan_t *retry_plan, bool has_copy)
+{
+  retry_plan->has_copy = has_copy;
 }
 
 void
 retry_plan_forbid_rerun (retry_plan_t *retry_plan)
 {
+  retry_plan->has_copy = false;
   if (retry_plan->rules.max_runs > retry_plan->ran + 1)
     retry_plan->rules.max_runs = retry_plan->ran + 1;
 }
@@ -90,6 +103,38 @@
     }
 }
 
+static bool
+is_not_run (retry_plan_outcome_t outcome)
+{
+  return outcome == RETRY_PLAN_OUTCOME_NOT_RUN || outcome == RETRY_PLAN_OUTCOME_FULL ||
+         outcome == RETRY_PLAN_OUTCOME_UNSENT;
+}
+
+/* Return: the outcome that decides what follows */
+static retry_plan_outcome_t
+take_outcome (retry_plan_t *retry_plan, retry_plan_outcome_t outcome)
+{
+  bool is_copy_missing = retry_plan->is_continuing && is_not_run (outcome);
+
+  retry_plan->is_continuing = false;
+  if (is_copy_missing)
+    {
+      retry_plan->has_copy = false;
+      return retry_plan->lost;
+    }
+  count_outcome (retry_plan, outcome);
+  return outcome;
+}
+
+static void
+begin_continuing (retry_plan_t *retry_plan, retry_plan_outcome_t outcome)
+{
+  retry_plan->lost = outcome;
+  retry_plan->is_continuing = true;
+  retry_plan->has_copy = false;
+  retry_plan->continued++;
+}
+
 retry_plan_step_t
 retry_plan_next (retry_plan_t *retry_plan,
                  retry_plan_outcome_t outcome,
@@ -97,17 +142,24 @@
                  bool (*may_retry) (void *context),
                  void *context)
 {
-  count_outcome (retry_plan, outcome);
-  if (left_us < RETRY_PLAN_MIN_TIME_US || !may_repeat (retry_plan, outcome))
+  bool goes_on;
+
+  outcome = take_outcome (retry_plan, outcome);
+  goes_on = may_continue (retry_plan) && !is_not_run (outcome);
+  if (left_us < RETRY_PLAN_MIN_TIME_US || (!goes_on && !may_repeat (retry_plan, outcome)))
     return final_step (retry_plan, outcome);
   if (outcome == RETRY_PLAN_OUTCOME_UNSENT)
     return RETRY_PLAN_STEP_RESEND;
   retry_plan->retry_due = true;
-  if (may_retry (context))
-    return outcome == RETRY_PLAN_OUTCOME_BROKE_OFF ? RETRY_PLAN_STEP_RESUME
-                                                   : RETRY_PLAN_STEP_RESEND;
-  return outcome == RETRY_PLAN_OUTCOME_FULL ? RETRY_PLAN_STEP_WAIT
-                                            : final_step (retry_plan, outcome);
+  if (!may_retry (context))
+    return outcome == RETRY_PLAN_OUTCOME_FULL ? RETRY_PLAN_STEP_WAIT
+                                              : final_step (retry_plan, outcome);
+  if (goes_on)
+    {
+      begin_continuing (retry_plan, outcome);
+      return RETRY_PLAN_STEP_CONTINUE;
+    }
+  return outcome == RETRY_PLAN_OUTCOME_BROKE_OFF ? RETRY_PLAN_STEP_RESUME : RETRY_PLAN_STEP_RESEND;
 }
 
 bool
--- a/src/request/policy/retries/retry_plan.h
+++ b/src/request/policy/retries/retry_plan.h
@@ -6,7 +6,8 @@
  *
  * The request goes to another engine if the previous one certainly did not execute it, or if it may
  * be repeated: it is idempotent, or its response is a stream that can be resumed. The route limits
- * how many engines may execute it.
+ * how many engines may execute it. Where another engine has a copy of the run's cache, the run goes
+ * on there: it is the same run, so that holds for every request.
  */
 #ifndef REQUEST_POLICY_RETRIES_RETRY_PLAN_H
 #define REQUEST_POLICY_RETRIES_RETRY_PLAN_H
@@ -26,6 +27,9 @@
  * retry budget, and each shows this gateway that an engine is down: after the loss of a data centre
  * several fail in a row. */
 #define RETRY_PLAN_UNSENT_MAX 8
+/* Times that a run may go on from a copy. A request that ends each engine that runs it would
+ * otherwise end as many as have copies. */
+#define RETRY_PLAN_COPIES_MAX 2
 #define RETRY_PLAN_MIN_TIME_US (20 * 1000) /* with less time left no engine can answer */
 
 /** enum retry_plan_outcome - how an attempt at an engine ended */
@@ -44,11 +48,12 @@
 {
   RETRY_PLAN_STEP_RESEND, /* send the whole request to another engine */
   RETRY_PLAN_STEP_RESUME, /* send it to another engine, to continue after the last complete event */
-  RETRY_PLAN_STEP_WAIT,   /* as RETRY_PLAN_STEP_RESEND, once the retry budget allows it */
-  RETRY_PLAN_STEP_PASS_ON, /* pass the engine's error response to the client */
-  RETRY_PLAN_STEP_REJECT,  /* answer 503: no engine executed the request */
-  RETRY_PLAN_STEP_FAIL,    /* answer 502: an engine may have executed the request */
-  RETRY_PLAN_STEP_CUT_OFF  /* close the client's connection within the response */
+  RETRY_PLAN_STEP_CONTINUE, /* send it to the engine with the copy of the run's cache */
+  RETRY_PLAN_STEP_WAIT,     /* as RETRY_PLAN_STEP_RESEND, once the retry budget allows it */
+  RETRY_PLAN_STEP_PASS_ON,  /* pass the engine's error response to the client */
+  RETRY_PLAN_STEP_REJECT,   /* answer 503: no engine executed the request */
+  RETRY_PLAN_STEP_FAIL,     /* answer 502: an engine may have executed the request */
+  RETRY_PLAN_STEP_CUT_OFF   /* close the client's connection within the response */
 } retry_plan_step_t;
 
 /**
@@ -71,6 +76,10 @@
  * @rejected: engines that certainly didn't execute it, other than those counted below
  * @rejected_full: rejections by full engines
  * @unsent: failed connections
+ * @continued: times that the run went on from a copy
+ * @lost: outcome of the attempt before the current one, which goes on from a copy
+ * @has_copy: another engine has a copy of the current run's cache
+ * @is_continuing: the current attempt goes on from a copy
  * @retry_due: the next attempt is a retry that the retry budget hasn't counted yet
  */
 typedef struct
@@ -80,6 +89,10 @@
   uint32_t rejected;
   uint32_t rejected_full;
   uint32_t unsent;
+  uint32_t continued;
+  retry_plan_outcome_t lost;
+  bool has_copy;
+  bool is_continuing;
   bool retry_due;
 } retry_plan_t;
 
@@ -92,11 +105,17 @@
  * @begun: a part of a response went to the client
  */
 bool retry_plan_may_move (const retry_plan_t *retry_plan, bool begun);
-/** retry_plan_forbid_rerun() - the request must not run again after the current attempt */
+/** retry_plan_set_copy() - another engine has a copy of the current run's cache, or none has one */
+void retry_plan_set_copy (retry_plan_t *retry_plan, bool has_copy);
+/** retry_plan_forbid_rerun() - the request must not run again after the current attempt, not even
+ * from a copy */
 void retry_plan_forbid_rerun (retry_plan_t *retry_plan);
 /**
  * retry_plan_next() - decides what to do after an attempt ended with @outcome
  *
+ * When an engine refuses to go on from a copy, it has none, and what follows is decided by the
+ * outcome of the attempt before.
+ *
  * @left_us: time until the client's deadline or the route's timeout, whichever is earlier
  * @may_retry: Return: whether the retry budget allows a retry now; called only if that matters
  * @context: argument of @may_retry
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -17,18 +17,31 @@
       "talk", "stream",                                                                            \
       ",\"attempts\":2,\"resumable\":true,\"sticky\":true") "," ROUTE ("tell", "stream", "")
 
-void
-gateway_rig_publish_config (gateway_rig_t *rig, uint32_t version, const char *routes)
+static void
+publish (gateway_rig_t *rig, uint32_t version, const char *routes, const char *engine)
 {
   g_autofree char *text =
       g_strdup_printf ("{\"version\":%u,\"routes\":[" ROUTES
-                       "%s],\"tenants\":[{\"name\":\"alpha\",\"api_keys\":[\"key-1\"]}],"
+                       "%s],\"services\":[{\"name\":\"pool\",\"engine\":{%s}}],"
+                       "\"tenants\":[{\"name\":\"alpha\",\"api_keys\":[\"key-1\"]}],"
                        "\"limits\":{\"max_body_bytes\":65536,\"max_header_bytes\":8192}}",
-                       version, routes);
+                       version, routes, engine);
 
   fake_store_put (rig->store, PLATFORM_STREAM_ROUTING, "config", text);
 }
 
+void
+gateway_rig_publish_config (gateway_rig_t *rig, uint32_t version, const char *routes)
+{
+  publish (rig, version, routes, "");
+}
+
+void
+gateway_rig_publish_engine (gateway_rig_t *rig, uint32_t version, const char *engine)
+{
+  publish (rig, version, "", engine);
+}
+
 static void
 fill_settings (gateway_rig_t *rig, uint32_t index)
 {
@@ -60,6 +73,7 @@
   settings->renewal_ms = 1200;
   settings->drain_ms = 2000;
   settings->grace_ms = 8000;
+  settings->stream_backups = true;
   if (rig->seeded)
     {
       settings->seeds[0] = rig->gateways[0].settings.control_listen;
@@ -204,7 +218,7 @@
 {
   uint32_t index = rig->engine_count++;
 
-  rig->engines[index] = raw_server_new (rig->base, scripts, count);
+  rig->engines[index] = raw_server_new_on (rig->base, index, scripts, count);
   rig->engines[index]->keep_head = true;
   gateway_rig_register_in (rig, index, data_center, "ready");
   g_assert (gateway_rig_wait_counter (rig, "medlarplank_engines", rig->engine_count));
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -36,7 +36,7 @@
  * @clock: clock of all gateways; it runs, and a test may pause it
  * @seeded: the first gateway is a seed of all gateways
  * @starts: number of starts of gateways, which gives each its incarnation
- * @engines: engines of the service "pool", with the ids "e0", "e1", ...
+ * @engines: engines of the service "pool", with the ids "e0", "e1", ..., each on a host of its own
  */
 typedef struct
 {
@@ -101,5 +101,8 @@
 /** gateway_rig_publish_config() - writes a configuration into the store; @routes holds further
  * routes, each after a comma, or "" */
 void gateway_rig_publish_config (gateway_rig_t *rig, uint32_t version, const char *routes);
+/** gateway_rig_publish_engine() - likewise, without further routes; @engine holds what the engines
+ * of "pool" can do, as members of a JSON object */
+void gateway_rig_publish_engine (gateway_rig_t *rig, uint32_t version, const char *engine);
 
 #endif
--- a/tests/raw_peer.c
+++ b/tests/raw_peer.c
@@ -154,6 +154,15 @@
 
 raw_server_t *
 raw_server_new (struct event_base *base, const char *const *scripts, uint32_t count)
+{
+  return raw_server_new_on (base, 0, scripts, count);
+}
+
+raw_server_t *
+raw_server_new_on (struct event_base *base,
+                   uint32_t host,
+                   const char *const *scripts,
+                   uint32_t count)
 {
   raw_server_t *server = g_new0 (raw_server_t, 1);
   struct sockaddr_in name;
@@ -163,6 +172,11 @@
   server->scripts = scripts;
   server->script_count = count;
   server->address = raw_peer_loopback_address ();
+  if (host > 0)
+    {
+      *strrchr (server->address.ip, '.') = '\0';
+      g_snprintf (server->address.ip + strlen (server->address.ip), 5, ".%u", host + 1);
+    }
   server->connections = g_ptr_array_new_with_free_func ((GDestroyNotify)raw_peer_free);
   server->fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
   name = sockaddr_of (&server->address);
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -71,6 +71,12 @@
 
 /** raw_server_new() - start a server on a free port of raw_peer_loopback_address() */
 raw_server_t *raw_server_new (struct event_base *base, const char *const *scripts, uint32_t count);
+/** raw_server_new_on() - likewise, on another host: @host up to 200 is another address, 0 is that
+ * of raw_server_new() */
+raw_server_t *raw_server_new_on (struct event_base *base,
+                                 uint32_t host,
+                                 const char *const *scripts,
+                                 uint32_t count);
 /** raw_server_fill() - stop accepting and fill the kernel's queue, so that further connections are
  * never established */
 void raw_server_fill (raw_server_t *server);
