--- a/src/request/gateway/gateway_copies.c
+++ b/src/request/gateway/gateway_copies.c
@@ -39,21 +39,29 @@
 }
 
 static void
-review_service (gateway_service_t *service)
+review (gateway_service_t *service)
 {
   gateway_task_t *gateway = service->gateway;
-  uint64_t now_us = gateway_now_us (gateway);
 
-  if (!find_traits (gateway, service->name))
+  loss_rate_review (service->losses, gateway_now_us (gateway),
+                    engines_of_service (gateway->options.engines, service->name));
+}
+
+/* Return: the losses of the service; NULL where runs get no copies */
+static loss_rate_t *
+get_losses (gateway_service_t *service)
+{
+  if (!find_traits (service->gateway, service->name))
     {
       g_clear_pointer (&service->losses, loss_rate_free);
-      return;
+      return NULL;
     }
   if (!service->losses)
-    service->losses = loss_rate_new ();
-  if (loss_rate_is_review_due (service->losses, now_us))
-    loss_rate_review (service->losses, now_us,
-                      engines_of_service (gateway->options.engines, service->name));
+    {
+      service->losses = loss_rate_new ();
+      review (service);
+    }
+  return service->losses;
 }
 
 void
@@ -64,14 +72,21 @@
 
   g_hash_table_iter_init (&iter, gateway->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    review_service (value);
+    {
+      loss_rate_t *losses = get_losses (value);
+
+      if (losses && loss_rate_is_review_due (losses, gateway_now_us (gateway)))
+        review (value);
+    }
 }
 
 void
 gateway_copies_note_break (const gateway_call_t *call)
 {
-  if (call->service->losses)
-    loss_rate_note_break (call->service->losses, gateway_now_us (call->gateway), call->engine);
+  loss_rate_t *losses = get_losses (call->service);
+
+  if (losses)
+    loss_rate_note_break (losses, gateway_now_us (call->gateway), call->engine);
 }
 
 /* A run is known to engines by the id of its request, and goes on after the id of an event. */
@@ -80,7 +95,7 @@
 {
   bool has_event_ids = call->splitter.has_id || call->splitter.event_count == 0;
 
-  return call->client && call->service->losses && call->route->kind == ROUTING_STREAM &&
+  return call->client && get_losses (call->service) && call->route->kind == ROUTING_STREAM &&
          call->id[0] != '\0' && has_event_ids && !gateway_suspect_is_on_trial (call);
 }
 
