--- a/src/request/gateway/gateway_copies.c
+++ b/src/request/gateway/gateway_copies.c
@@ -118,6 +118,14 @@
   return (uint32_t)MIN (tokens, UINT32_MAX);
 }
 
+static uint64_t
+usual_run_us (const gateway_call_t *call)
+{
+  uint64_t run_us = gateway_route_stats (call->gateway, call->route)->run_us;
+
+  return run_us > 0 ? run_us : wait_queue_run_us (call->service->queue);
+}
+
 static backup_choice_t
 choose (const gateway_call_t *call,
         const routing_engine_traits_t *traits,
@@ -132,7 +140,7 @@
                                   .engine = call->engine,
                                   .loss = loss,
                                   .id_hash = XXH64 (call->id, strlen (call->id), 0),
-                                  .run_us = wait_queue_run_us (call->service->queue),
+                                  .run_us = usual_run_us (call),
                                   .tokens = count_tokens (call),
                                   .prompt_tokens = call->request.prompt_tokens,
                                   .token_bytes = traits->cache_token_bytes,
@@ -170,7 +178,6 @@
 gateway_copies_choose (gateway_call_t *call)
 {
   const routing_engine_traits_t *traits = find_traits (call->gateway, call->service->name);
-  uint64_t run_us = wait_queue_run_us (call->service->queue);
   loss_rate_estimate_t loss;
   backup_choice_t choice;
 
@@ -179,7 +186,7 @@
   if (!traits || !may_have_copy (call))
     return NULL;
   loss = loss_rate_estimate (call->service->losses, gateway_now_us (call->gateway), call->engine,
-                             run_us);
+                             usual_run_us (call));
   if (loss.chance_ppm == 0)
     return NULL;
   choice = choose (call, traits, &loss);
@@ -188,16 +195,14 @@
   return choice.engine ? take_engine (call, choice.engine) : NULL;
 }
 
-/* Events without an id can't be continued, and those of two software versions are never joined. */
-static bool
-is_usable (const gateway_call_t *call, const engine_t *target)
+static backup_obstacle_t
+check_target (const gateway_call_t *call, const engine_t *target)
 {
   const gateway_task_t *gateway = call->gateway;
-  engine_choice_request_t placement = make_placement (call, target->version);
+  engine_choice_request_t placement = make_placement (call, call->version);
 
-  if (!may_have_copy (call) || (call->version != 0 && target->version != call->version))
-    return false;
-  return backup_choice_may_continue (
+  placement.begin_version = 0;
+  return backup_choice_check_target (
       engines_of_service (gateway->options.engines, call->service->name), gateway_now_us (gateway),
       &placement, target);
 }
@@ -206,12 +211,17 @@
 void
 gateway_copies_check (gateway_call_t *call)
 {
-  const engine_t *target;
+  const engine_t *target = engines_find_by_hash (call->gateway->options.engines, call->copy_engine);
+  backup_obstacle_t obstacle;
 
   if (!call->course.has_copy)
     return;
-  target = engines_find_by_hash (call->gateway->options.engines, call->copy_engine);
-  retry_plan_set_copy (&call->course, target && is_usable (call, target));
+  obstacle = check_target (call, target);
+  if (obstacle != BACKUP_OBSTACLE_NONE)
+    log_event (LOG_LEVEL_INFO, "copy_unused", "id", call->id, "service", call->service->name,
+               "backup", target ? target->entry.id : NULL, "reason",
+               backup_obstacle_to_string (obstacle), NULL);
+  retry_plan_set_copy (&call->course, obstacle == BACKUP_OBSTACLE_NONE && may_have_copy (call));
 }
 
 void
--- a/src/request/policy/copies/backup_choice.c
+++ b/src/request/policy/copies/backup_choice.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #define PPM UINT64_C (1000000)
+#define MILLI 1000
 #define BITS_PER_BYTE UINT64_C (8)
 
 /* A megabit per second is a bit per microsecond. */
@@ -46,6 +47,7 @@
   return engine->broke_us != 0 && now_us < engine->broke_us + LOSS_RATE_WINDOW_US;
 }
 
+/* The load is left to the moment when the run goes on: it will be another one by then. */
 static bool
 may_keep (const service_view_t *view,
           const backup_choice_request_t *request,
@@ -57,11 +59,12 @@
          service_view_is_candidate (view, engine) && !service_view_is_degraded (view, engine) &&
          region_filter_allows (&placement->region_filter, engine) &&
          !engine_is_cold (engine, view->now_us, placement->cold_start_us) &&
-         !has_broken_off (engine, view->now_us) && service_view_within_bound (view, engine);
+         !has_broken_off (engine, view->now_us);
 }
 
-/* Return: the less loaded one of the two that rank first for the run, as all gateways know the
- * loads late and would choose the same one; NULL when there is none */
+/* Return: the engine that ranks first for the run, or the second where that has much less load;
+ * NULL when there is none. All runs of an engine go on at once when it ends, so their copies are
+ * spread: the least loaded engine would get them all. */
 static engine_t *
 find_engine (const service_view_t *view, const backup_choice_request_t *request, bool is_near)
 {
@@ -85,7 +88,8 @@
       top[at] = engine;
       ranks[at] = rank;
     }
-  if (top[1] && service_view_load_at (view, top[1]) < service_view_load_at (view, top[0]))
+  if (top[1] && service_view_load_at (view, top[1]) + BACKUP_CHOICE_LOAD_DIFFERENCE <=
+                    service_view_load_at (view, top[0]))
     return top[1];
   return top[0];
 }
@@ -124,16 +128,48 @@
   return choice;
 }
 
-bool
-backup_choice_may_continue (const GPtrArray *engines,
+/* The run fails if its target may not have it, so it gets nearer to the overload limit than new
+ * requests do. */
+static bool
+is_under_limit (const service_view_t *view, const engine_t *target)
+{
+  uint64_t distance_milli = view->service_mean_milli + ENGINE_CHOICE_OVERLOAD_EXTRA_MILLI;
+  uint64_t load_after_milli = ((uint64_t)service_view_load_at (view, target) + 1) * MILLI;
+
+  return load_after_milli <=
+         view->service_mean_milli + distance_milli * BACKUP_CHOICE_LIMIT_MILLI / MILLI;
+}
+
+backup_obstacle_t
+backup_choice_check_target (const GPtrArray *engines,
                             uint64_t now_us,
                             const engine_choice_request_t *placement,
                             const engine_t *target)
 {
   service_view_t view;
 
+  if (!target)
+    return BACKUP_OBSTACLE_GONE;
+  if (placement->version != 0 && placement->version != target->version)
+    return BACKUP_OBSTACLE_VERSION;
   service_view_init (&view, engines, now_us, placement);
-  return service_view_is_candidate (&view, target) &&
-         region_filter_allows (&placement->region_filter, target) &&
-         service_view_has_room (&view, target) && service_view_within_bound (&view, target);
+  if (!service_view_is_candidate (&view, target) ||
+      !region_filter_allows (&placement->region_filter, target))
+    return BACKUP_OBSTACLE_CLOSED;
+  if (!service_view_has_room (&view, target) ||
+      !(service_view_within_bound (&view, target) || is_under_limit (&view, target)))
+    return BACKUP_OBSTACLE_LOAD;
+  return BACKUP_OBSTACLE_NONE;
+}
+
+const char *
+backup_obstacle_to_string (backup_obstacle_t obstacle)
+{
+  static const char *const words[] = { [BACKUP_OBSTACLE_NONE] = "none",
+                                       [BACKUP_OBSTACLE_GONE] = "gone",
+                                       [BACKUP_OBSTACLE_VERSION] = "version",
+                                       [BACKUP_OBSTACLE_CLOSED] = "closed",
+                                       [BACKUP_OBSTACLE_LOAD] = "load" };
+
+  return words[obstacle];
 }
--- a/src/request/policy/copies/backup_choice.h
+++ b/src/request/policy/copies/backup_choice.h
@@ -20,11 +20,16 @@
  * Factor on the time that a copy takes. Operators bear the bytes that are moved between engines
  * whether or not the copy is used, and other copies wait for the link. At 163,840 bytes a token and
  * 740,000 Mbit/s, a stream of 829 tokens that runs for 1.3 s and can't be resumed gets a copy from
- * a chance of 0.6% on; without the factor a single engine in 100 that ended would be enough.
+ * a chance of 0.5% on; without the factor a single engine in 100 that ended would be enough.
  */
 #define BACKUP_CHOICE_COST_FACTOR 4
 /* A copy to another data centre takes twice as long. */
 #define BACKUP_CHOICE_FAR_FACTOR 2
+/* The second engine in rank gets the copy if it has at least so many requests less. */
+#define BACKUP_CHOICE_LOAD_DIFFERENCE 4
+/* A run may go on at an engine whose load is then up to this share, in thousandths, of the way from
+ * the mean to the overload limit. The rest allows for requests that are not reported yet. */
+#define BACKUP_CHOICE_LIMIT_MILLI 750
 
 /**
  * struct backup_choice_request - a run, and what is known of its service
@@ -72,12 +77,27 @@
 backup_choice_t backup_choice_make (const GPtrArray *engines,
                                     uint64_t now_us,
                                     const backup_choice_request_t *request);
-/** backup_choice_may_continue() - whether @target, which has the copy, may get the request now: it
- * takes requests, is of the version, and stays within the load bound and the limit of cold starts
+/** enum backup_obstacle - why a run can't go on from its copy */
+typedef enum
+{
+  BACKUP_OBSTACLE_NONE,
+  BACKUP_OBSTACLE_GONE,    /* the engine with the copy has ended, or started again */
+  BACKUP_OBSTACLE_VERSION, /* it is of another software version than the events that came */
+  BACKUP_OBSTACLE_CLOSED,  /* it leaves, is drained, failed lately, or wants no requests */
+  BACKUP_OBSTACLE_LOAD     /* it would exceed its slots, the load bound, or its pace when cold */
+} backup_obstacle_t;
+
+/**
+ * backup_choice_check_target() - whether the engine with the copy may get the request now
+ *
+ * @placement: as for the choice of an engine; @version is that of the events that came, 0 for none
+ * @target: NULL when it is not listed any more
  */
-bool backup_choice_may_continue (const GPtrArray *engines,
-                                 uint64_t now_us,
-                                 const engine_choice_request_t *placement,
-                                 const engine_t *target);
+backup_obstacle_t backup_choice_check_target (const GPtrArray *engines,
+                                              uint64_t now_us,
+                                              const engine_choice_request_t *placement,
+                                              const engine_t *target);
+/** backup_obstacle_to_string() - a word for logs */
+const char *backup_obstacle_to_string (backup_obstacle_t obstacle);
 
 #endif
--- a/src/request/policy/copies/loss_rate.c
+++ b/src/request/policy/copies/loss_rate.c
@@ -28,7 +28,8 @@
  * struct loss_rate - the losses of one service
  * @known: hash -> known_t
  * @losses: ring of the last ones, of which @loss_count were ever recorded
- * @changing: engines that leave, or joined in the window, at the last review
+ * @changing: engines that leave, or joined in the window, at the last review; 0 without a release
+ * @left_us: when an engine was last seen leaving, or had gone; 0 for never
  */
 struct loss_rate
 {
@@ -36,6 +37,7 @@
   loss_t losses[LOSS_RATE_EVENTS_MAX];
   uint32_t loss_count;
   uint32_t changing;
+  uint64_t left_us;
   uint64_t reviewed_us;
 };
 
@@ -81,11 +83,15 @@
 }
 
 static bool
-is_changing (const engine_t *engine, uint64_t now_us)
+is_leaving (const engine_t *engine)
 {
-  bool has_joined = engine->joined_us != 0 && now_us < engine->joined_us + LOSS_RATE_WINDOW_US;
+  return engine->reported_leaving || engine->entry.state == ENGINE_LEAVING;
+}
 
-  return has_joined || engine->reported_leaving || engine->entry.state == ENGINE_LEAVING;
+static bool
+has_joined (const engine_t *engine, uint64_t now_us)
+{
+  return engine->joined_us != 0 && now_us < engine->joined_us + LOSS_RATE_WINDOW_US;
 }
 
 static void
@@ -121,25 +127,42 @@
       known->is_listed = false;
       if (is_listed)
         continue;
+      rate->left_us = now_us;
       if (!known->has_announced)
         add_loss (rate, now_us, known->host, known->center);
       g_hash_table_iter_remove (&iter);
     }
 }
 
-void
-loss_rate_review (loss_rate_t *rate, uint64_t now_us, const GPtrArray *engines)
+/* Engines that join while none leaves are no release: the service grows, or starts. */
+static uint32_t
+count_changing (loss_rate_t *rate, uint64_t now_us, const GPtrArray *engines)
 {
-  rate->reviewed_us = now_us;
-  rate->changing = 0;
+  uint32_t leaving = 0;
+  uint32_t joined = 0;
+
   for (guint i = 0; i < engines->len; i++)
     {
       const engine_t *engine = g_ptr_array_index (engines, i);
 
-      list_engine (rate, engine);
-      rate->changing += is_changing (engine, now_us) ? 1 : 0;
+      if (is_leaving (engine))
+        leaving++;
+      else if (has_joined (engine, now_us))
+        joined++;
     }
+  if (leaving > 0)
+    rate->left_us = now_us;
+  return rate->left_us != 0 && now_us < rate->left_us + LOSS_RATE_WINDOW_US ? leaving + joined : 0;
+}
+
+void
+loss_rate_review (loss_rate_t *rate, uint64_t now_us, const GPtrArray *engines)
+{
+  rate->reviewed_us = now_us;
+  for (guint i = 0; i < engines->len; i++)
+    list_engine (rate, g_ptr_array_index (engines, i));
   drop_unlisted (rate, now_us);
+  rate->changing = count_changing (rate, now_us, engines);
 }
 
 static uint32_t
--- a/src/request/policy/copies/loss_rate.h
+++ b/src/request/policy/copies/loss_rate.h
@@ -33,7 +33,7 @@
  * @chance_ppm: in millionths
  * @own_ppm: from what the engine itself did
  * @lost: engines of the service that were lost in the window
- * @changing: engines that leave, or joined in the window
+ * @changing: engines that leave, or joined in the window while others left
  * @engines: engines of the service
  * @is_center_in_doubt: many engines of its data centre were lost
  */
--- a/tests/test_retry_plan.c
+++ b/tests/test_retry_plan.c
@@ -60,6 +60,77 @@
   CU_ASSERT_EQUAL (next (&retry_plan, RETRY_PLAN_OUTCOME_BROKE_OFF), RETRY_PLAN_STEP_CUT_OFF);
 }
 
+static retry_plan_t
+make_with_copy (bool resumable, uint32_t attempts)
+{
+  retry_plan_t retry_plan = make (false, resumable, attempts);
+
+  retry_plan_set_copy (&retry_plan, true);
+  return retry_plan;
+}
+
+/* Guards against a run that ends with its engine although another one has its copy, and against
+ * copies that never end. */
+static void
+test_run_goes_on_from_a_copy (void)
+{
+  static const retry_plan_outcome_t lost[] = { RETRY_PLAN_OUTCOME_UNKNOWN,
+                                               RETRY_PLAN_OUTCOME_FAILED,
+                                               RETRY_PLAN_OUTCOME_BROKE_OFF };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (lost); i++)
+    {
+      retry_plan_t retry_plan = make_with_copy (false, 1);
+
+      CU_ASSERT_TRUE (retry_plan_may_move (&retry_plan, true));
+      for (uint32_t copies = 0; copies < RETRY_PLAN_COPIES_MAX; copies++)
+        {
+          CU_ASSERT_EQUAL (next (&retry_plan, lost[i]), RETRY_PLAN_STEP_CONTINUE);
+          CU_ASSERT_TRUE (retry_plan_note_send (&retry_plan));
+          retry_plan_set_copy (&retry_plan, true);
+        }
+      CU_ASSERT_EQUAL (next (&retry_plan, RETRY_PLAN_OUTCOME_BROKE_OFF), RETRY_PLAN_STEP_CUT_OFF);
+    }
+}
+
+/* Guards against a second run, or a caller that is told that nothing ran, after an engine that has
+ * no copy. */
+static void
+test_missing_copy_leaves_the_outcome_before (void)
+{
+  retry_plan_t retry_plan = make_with_copy (false, 3);
+
+  CU_ASSERT_EQUAL (next (&retry_plan, RETRY_PLAN_OUTCOME_UNKNOWN), RETRY_PLAN_STEP_CONTINUE);
+  CU_ASSERT_EQUAL (next (&retry_plan, RETRY_PLAN_OUTCOME_FULL), RETRY_PLAN_STEP_FAIL);
+  retry_plan = make_with_copy (false, 3);
+  CU_ASSERT_EQUAL (next (&retry_plan, RETRY_PLAN_OUTCOME_BROKE_OFF), RETRY_PLAN_STEP_CONTINUE);
+  CU_ASSERT_EQUAL (next (&retry_plan, RETRY_PLAN_OUTCOME_UNSENT), RETRY_PLAN_STEP_CUT_OFF);
+  retry_plan = make_with_copy (true, 2);
+  CU_ASSERT_EQUAL (next (&retry_plan, RETRY_PLAN_OUTCOME_BROKE_OFF), RETRY_PLAN_STEP_CONTINUE);
+  CU_ASSERT_EQUAL (next (&retry_plan, RETRY_PLAN_OUTCOME_NOT_RUN), RETRY_PLAN_STEP_RESUME);
+  CU_ASSERT_EQUAL (next (&retry_plan, RETRY_PLAN_OUTCOME_BROKE_OFF), RETRY_PLAN_STEP_CUT_OFF);
+}
+
+/* Guards against copies that exceed the retry budget or the deadline, or that carry a request on
+ * trial to a further engine. */
+static void
+test_copy_keeps_to_the_limits (void)
+{
+  retry_plan_t retry_plan = make_with_copy (false, 1);
+  uint32_t asked = 0;
+
+  CU_ASSERT_EQUAL (
+      retry_plan_next (&retry_plan, RETRY_PLAN_OUTCOME_BROKE_OFF, PLENTY_US, forbid, NULL),
+      RETRY_PLAN_STEP_CUT_OFF);
+  retry_plan = make_with_copy (false, 1);
+  CU_ASSERT_EQUAL (retry_plan_next (&retry_plan, RETRY_PLAN_OUTCOME_BROKE_OFF,
+                                    RETRY_PLAN_MIN_TIME_US - 1, allow, &asked),
+                   RETRY_PLAN_STEP_CUT_OFF);
+  retry_plan = make_with_copy (false, 1);
+  retry_plan_forbid_rerun (&retry_plan);
+  CU_ASSERT_EQUAL (next (&retry_plan, RETRY_PLAN_OUTCOME_BROKE_OFF), RETRY_PLAN_STEP_CUT_OFF);
+}
+
 /* Guards against 503 for a request that one engine may have executed before all others rejected
  * it. */
 static void
@@ -442,6 +513,9 @@
 main (void)
 {
   static const CU_TestInfo tests[] = { SUITE_TEST (test_non_idempotent_is_resent_only_if_not_run),
+                                       SUITE_TEST (test_run_goes_on_from_a_copy),
+                                       SUITE_TEST (test_missing_copy_leaves_the_outcome_before),
+                                       SUITE_TEST (test_copy_keeps_to_the_limits),
                                        SUITE_TEST (test_may_have_run_is_not_reported_as_not_run),
                                        SUITE_TEST (test_route_limits_engines_that_may_run),
                                        SUITE_TEST (test_which_requests_may_move),
