Choose engines and copy sources by the parts they hold

The copy source was the next in rank, which often lacked the part, and a request whose home was over the bound went to the next in rank, which copied the part though another engine had it. Where a service states the size of a cached token and part-directory is on, each answer records its engine as a holder. The home by rank stays first; a known holder within the bound comes before a new home, the copy source is a holder, of the own data centre first, and an engine that certainly has the part gets no source. Parts of up to 2,500 tokens, and longer ones that a data centre uses often, have homes in each data centre, and a local holder comes before a remote home.

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -63,6 +63,7 @@
  * @renewal_ms: gateway only: interval at which engines renew their registry entries
  * @drain_ms: gateway only: time within which a leaving engine must receive no more requests
  * @center_drain_ms: gateway only: likewise for the engines of a data centre that is drained
+ * @part_directory: gateway only: engines are chosen by the prompt parts they are known to hold
  * @grace_ms: gateway only: time from a stop signal until the process is killed
  * @fleet_key: shared secret of all daemons, at least 16 bytes
  * @log_level: less severe lines are not logged
@@ -100,6 +101,7 @@
   uint32_t renewal_ms;
   uint32_t drain_ms;
   uint32_t center_drain_ms;
+  bool part_directory;
   uint32_t grace_ms;
   char fleet_key[128];
   log_level_t log_level;
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -52,6 +52,9 @@
        "Gateway: time in which an engine that leaves must get nothing more"),
   ROW ("center-drain-ms", NUMBER, NONE, 500, 600 * 1000, center_drain_ms, "5000",
        "Gateway: time in which the engines of a data centre that is drained must get nothing more"),
+  ROW ("part-directory", BOOLEAN, NONE, 0, 0, part_directory, "true",
+       "Gateway: whether engines are chosen by which of them are known to have a prompt's shared "
+       "parts, for services whose configuration states the size of a cached token"),
   ROW ("grace", MILLI, NONE, 1000, 600 * 1000, grace_ms, "8",
        "Gateway: seconds from a stop signal until the process is killed"),
   ROW ("fleet-key", SECRET, NONE, 16, sizeof (((settings_t *)0)->fleet_key) - 1, fleet_key, NULL,
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -204,6 +204,7 @@
   gateway->started_us = gateway_now_us (gateway);
   gateway->routers = 1;
   gateway->cache_warm = recent_answers_new (GATEWAY_CACHE_WARM_MAX, GATEWAY_CACHE_WARM_US);
+  gateway_parts_init (gateway);
   gateway->services = g_hash_table_new_full (NULL, NULL, NULL, service_free);
   gateway->calls = g_hash_table_new (NULL, NULL);
   register_counters (gateway);
@@ -256,6 +257,7 @@
   http_client_free (gateway->upstreams);
   event_free (gateway->tick_timer);
   recent_answers_free (gateway->cache_warm);
+  part_holders_free (gateway->holders);
   g_hash_table_destroy (gateway->services);
   g_hash_table_destroy (gateway->calls);
   if (gateway->table)
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -308,6 +308,8 @@
   return engine_choice_make (
       engines_of_service (gateway->options.engines, service->name), now_us,
       &(engine_choice_request_t){
+          .holders = gateway_parts_holders (call),
+          .shared_parts = call->shared_parts,
           .affinity = call->affinity,
           .affinity_tokens = call->affinity_tokens,
           .own_data_center = gateway->options.settings->data_center,
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -113,7 +113,10 @@
   if (!call->response.not_run)
     wait_queue_note_head (call->service->queue, now_us - call->sent_us);
   if (status == 200)
-    recent_answers_add (call->gateway->cache_warm, now_us, cache_warm_key (call, call->engine));
+    {
+      recent_answers_add (call->gateway->cache_warm, now_us, cache_warm_key (call, call->engine));
+      gateway_parts_note_answer (call);
+    }
   latency_add (call->service->head_histogram, now_us - call->sent_us);
   if (call->response.idle_ms > 0)
     call->engine->idle_ms = call->response.idle_ms;
@@ -461,6 +464,15 @@
   engine_note_probe (choice->engine, now_us);
 }
 
+/* Return: which of the engines in the line were known to hold the shared parts, or NULL */
+static const char *
+known_caches (const engine_choice_t *choice)
+{
+  if (choice->engine_holds)
+    return "engine";
+  return choice->source && choice->source_holds ? "source" : NULL;
+}
+
 static void
 log_place (const gateway_call_t *call, const engine_choice_t *choice)
 {
@@ -472,9 +484,9 @@
   log_event (
       LOG_LEVEL_INFO, "place", "id", call->id, "service", call->service->name, "engine",
       engine->entry.id, "software", engine->entry.software_version, "rank", LOG_U64 (choice->rank),
-      "cache_source", choice->source ? choice->source->entry.id : NULL, "load",
-      LOG_U64 (choice->load), "mean_milli", LOG_U64 (choice->mean_milli), "load_age_ms",
-      told_us ? LOG_U64 (age_ms) : NULL, "load_from",
+      "cache_source", choice->source ? choice->source->entry.id : NULL, "cache_known",
+      known_caches (choice), "load", LOG_U64 (choice->load), "mean_milli",
+      LOG_U64 (choice->mean_milli), "load_age_ms", told_us ? LOG_U64 (age_ms) : NULL, "load_from",
       told_us ? (of_peer ? "peer" : "engine") : NULL, "candidates", LOG_U64 (choice->candidates),
       "waited_ms", LOG_U64 ((call->sent_us - call->arrived_us) / CLOCK_US_PER_MS), NULL);
 }
@@ -487,6 +499,7 @@
   format_upstream_request_t hop;
 
   drop_needless_source (call, choice);
+  gateway_parts_note_choice (call, choice);
   call->service->mean_milli = choice->mean_milli;
   hop = (format_upstream_request_t){ .engine_id = choice->engine->entry.id,
                                      .account = call->account ? call->account->name : NULL,
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -4,8 +4,9 @@
  * Types and functions shared by the files of the gateway's data task: gateway.c (the task),
  * gateway_accept.c (checks of a client's request), gateway_call.c (its steps and its end),
  * gateway_hop.c (one send to an engine), gateway_queue.c (requests queued while engines are full),
- * gateway_resume.c (streams, their software versions and clients that resume them),
- * gateway_resume_log.c (log and counters of these).
+ * gateway_parts.c (engines that hold shared parts of prompts), gateway_resume.c (streams, their
+ * software versions and clients that resume them), gateway_resume_log.c (log and counters of
+ * these).
  */
 #ifndef REQUEST_GATEWAY_GATEWAY_PRIVATE_H
 #define REQUEST_GATEWAY_GATEWAY_PRIVATE_H
@@ -60,6 +61,8 @@
 #define GATEWAY_HELD_US (UINT64_C (3) * 1000 * 1000)
 /* pairs of prompt and engine whose cache has the shared parts */
 #define GATEWAY_CACHE_WARM_MAX 4096
+/* shared parts of prompts whose holders are remembered: 0.6 MB by calculation */
+#define GATEWAY_PARTS_MAX 4096
 /* share of slots in use, in thousandths, from which requests queue */
 #define GATEWAY_NEARLY_FULL_MILLI 900
 #define GATEWAY_SHED_LOG_US (UINT64_C (5) * 1000 * 1000)
@@ -168,6 +171,7 @@
   GHashTable *services;         /* interned name -> gateway_service_t */
   GHashTable *calls;            /* set of gateway_call_t */
   recent_answers_t *cache_warm; /* prompts and engines that read their shared parts lately */
+  part_holders_t *holders;      /* engines that hold shared parts; NULL when that is set off */
   gateway_route_stats_t route_stats[GATEWAY_ROUTE_STATS_SLOTS];
   uint32_t ticks;
   uint64_t shed_logged_us; /* 0 for never */
@@ -185,6 +189,9 @@
   counter_t *part_refused;
   counter_t *part_retrials;
   counter_t *sheds;
+  counter_t *parts_held;
+  counter_t *parts_copied;
+  counter_t *parts_guessed;
   counter_t *resumptions;
   counter_t *resumptions_refused;
   counter_t *resumption_outcomes[GATEWAY_RESUMPTION_OUTCOMES];
@@ -390,6 +397,16 @@
 /** gateway_hop_cancel() - cancels the current hop, if any, without an outcome */
 void gateway_hop_cancel (gateway_call_t *call);
 
+/** gateway_parts_init() - makes the table of the engines that hold shared parts of prompts */
+void gateway_parts_init (gateway_task_t *gateway);
+/** gateway_parts_holders() - the table for the call's service; NULL when it doesn't apply there */
+const part_holders_t *gateway_parts_holders (const gateway_call_t *call);
+/** gateway_parts_note_choice() - counts what is known of the engine and the copy source of @choice
+ */
+void gateway_parts_note_choice (const gateway_call_t *call, const engine_choice_t *choice);
+/** gateway_parts_note_answer() - the engine of the current hop answered, so it holds the parts */
+void gateway_parts_note_answer (gateway_call_t *call);
+
 /** gateway_resume_init() - sets the hash of the call's stream */
 void gateway_resume_init (gateway_call_t *call);
 /** gateway_resume_start() - places a request at the version at which its stream goes on or begins,
--- a/src/request/policy/placement/engine_choice.c
+++ b/src/request/policy/placement/engine_choice.c
@@ -1,5 +1,6 @@
 #include "request/policy/placement/engine_choice.h"
 
+#include "request/policy/placement/known_holders.h"
 #include "request/policy/placement/service_view.h"
 
 #include <string.h>
@@ -88,18 +89,28 @@
   return top[0] == 0 ? UINT64_MAX : top[ENGINE_CHOICE_HOMES_MAX - 1];
 }
 
-/** struct criteria - conditions for an engine to be chosen */
+/** struct criteria - conditions for an engine to be chosen; @own_data_center: that of the gateway
+ */
 typedef struct
 {
   bool within_bound;
   bool not_degraded;
+  bool own_data_center;
 } criteria_t;
 
+static bool
+is_local (const service_view_t *view, const engine_t *engine)
+{
+  return strcmp (engine->entry.data_center, view->request->own_data_center) == 0;
+}
+
 static bool
 meets (const service_view_t *view, const engine_t *engine, criteria_t criteria)
 {
   if (!service_view_is_candidate (view, engine) || !service_view_has_room (view, engine))
     return false;
+  if (criteria.own_data_center && !is_local (view, engine))
+    return false;
   if (criteria.within_bound && !service_view_within_bound (view, engine))
     return false;
   return !criteria.not_degraded || !service_view_is_degraded (view, engine);
@@ -144,6 +155,180 @@
   return home;
 }
 
+/* Whether the engine takes new requests of the request's version. */
+static bool
+is_open (const service_view_t *view, const engine_t *engine)
+{
+  const engine_choice_request_t *request = view->request;
+  uint64_t version = request->version != 0 ? request->version : request->begin_version;
+
+  return engine_is_open (engine) && (version == 0 || engine->version == version);
+}
+
+/* Return: the engine with the highest rank value below @below that takes new requests, whatever its
+ * load, or NULL; of this gateway's data centre alone if @own_data_center */
+static engine_t *
+find_highest_open (const service_view_t *view, bool own_data_center, uint64_t below)
+{
+  engine_t *best = NULL;
+  uint64_t best_rank = 0;
+
+  for (guint i = 0; i < view->engines->len; i++)
+    {
+      engine_t *engine = service_view_engine (view, i);
+      uint64_t rank = rank_value (view, engine);
+
+      if (rank >= below || (best && rank <= best_rank) || !is_open (view, engine) ||
+          (own_data_center && !is_local (view, engine)))
+        continue;
+      best = engine;
+      best_rank = rank;
+    }
+  return best;
+}
+
+/** struct open_engines - engines that take new requests; @local: in this gateway's data centre */
+typedef struct
+{
+  uint32_t all;
+  uint32_t local;
+} open_engines_t;
+
+static open_engines_t
+count_open (const service_view_t *view)
+{
+  open_engines_t open = { 0 };
+
+  for (guint i = 0; i < view->engines->len; i++)
+    {
+      const engine_t *engine = service_view_engine (view, i);
+
+      if (!is_open (view, engine))
+        continue;
+      open.all++;
+      open.local += is_local (view, engine) ? 1 : 0;
+    }
+  return open;
+}
+
+/* Whether copies of the part in each data centre cost less than the bytes of the requests for it
+ * that would go to another one. */
+static bool
+has_local_homes (const service_view_t *view, const engine_t *first, open_engines_t open)
+{
+  const engine_choice_request_t *request = view->request;
+  uint64_t uses;
+
+  if (request->affinity_tokens <= ENGINE_CHOICE_LOCAL_PART_TOKENS)
+    return true;
+  if (request->slot_time_us == 0)
+    return false;
+  uses = part_load_milli (view, first->part_shares) * ENGINE_CHOICE_LOCAL_PART_US /
+         request->slot_time_us / MILLI;
+  return uses * open.local / open.all >= ENGINE_CHOICE_LOCAL_PART_USES;
+}
+
+/* Return: the @index-th engine in rank that takes new requests, whatever its load; the last when
+ * there are fewer, NULL when there is none */
+static engine_t *
+find_open_at (const service_view_t *view, bool own_data_center, uint32_t index)
+{
+  engine_t *engine = find_highest_open (view, own_data_center, UINT64_MAX);
+
+  for (; engine && index > 0; index--)
+    {
+      engine_t *next = find_highest_open (view, own_data_center, rank_value (view, engine));
+
+      if (!next)
+        break;
+      engine = next;
+    }
+  return engine;
+}
+
+/* Return: the home that all gateways agree on, which may have no room, or NULL */
+static engine_t *
+find_agreed_home (const service_view_t *view)
+{
+  engine_t *first = find_highest_open (view, false, UINT64_MAX);
+
+  return first ? find_open_at (view, false, home_index (view, count_homes (view, first))) : NULL;
+}
+
+/* Return: likewise of the gateways of this data centre; NULL where the part has no home in each
+ * data centre. The homes are divided among the data centres in proportion to their engines. */
+static engine_t *
+find_local_home (const service_view_t *view)
+{
+  engine_t *first = view->request->holders ? find_highest_open (view, true, UINT64_MAX) : NULL;
+  open_engines_t open = count_open (view);
+  uint64_t homes;
+
+  if (!first || !has_local_homes (view, first, open))
+    return NULL;
+  homes = ((uint64_t)count_homes (view, first) * open.local + open.all - 1) / open.all;
+  return find_open_at (view, true, home_index (view, (uint32_t)homes));
+}
+
+/* Return: the known holder with the highest rank that meets the criteria, or NULL */
+static engine_t *
+find_holder (const service_view_t *view, const known_holders_t *known, criteria_t criteria)
+{
+  engine_t *best = NULL;
+
+  for (guint i = 0; known->count > 0 && i < view->engines->len; i++)
+    {
+      engine_t *engine = service_view_engine (view, i);
+
+      if (known_holders_state (known, engine) == KNOWN_HOLDERS_UNKNOWN ||
+          !meets (view, engine, criteria))
+        continue;
+      if (!best || rank_value (view, engine) > rank_value (view, best))
+        best = engine;
+    }
+  return best;
+}
+
+/* Return: the engine in this gateway's data centre that has the request's part, or is to have it;
+ * NULL when there is none */
+static engine_t *
+find_local (const service_view_t *view, const known_holders_t *known, criteria_t criteria)
+{
+  engine_t *home = find_local_home (view);
+
+  criteria.own_data_center = true;
+  if (home && meets (view, home, criteria))
+    return home;
+  return find_holder (view, known, criteria);
+}
+
+/*
+ * The home by rank comes first, so that gateways that know nothing of the part agree. When it can't
+ * be used, an engine that has the part is better than the next in rank, which would copy it: 10,000
+ * tokens are 1.6 GB. An engine of the own data centre that has the part is better than a home
+ * elsewhere, as the request and its answer stay local.
+ */
+static engine_t *
+find_home_or_holder (const service_view_t *view, const known_holders_t *known, criteria_t criteria)
+{
+  engine_t *home;
+  engine_t *engine;
+
+  if (!view->request->holders)
+    return find_home (view, criteria);
+  home = find_agreed_home (view);
+  if (home && !meets (view, home, criteria))
+    home = NULL;
+  if (home && is_local (view, home))
+    return home;
+  engine = find_local (view, known, criteria);
+  if (!engine)
+    engine = home;
+  if (!engine)
+    engine = find_holder (view, known, criteria);
+  return engine ? engine : find_home (view, criteria);
+}
+
 /* Return: twice the load after this request, weighted by the slowdown of the host, in thousandths;
  * with a penalty for another data centre that is larger than ENGINE_CHOICE_LOCAL_EXTRA_REQUESTS
  * requests */
@@ -153,10 +338,9 @@
   uint64_t load_after = (uint64_t)service_view_load_at (view, engine) + 1;
   uint64_t slowdown_milli = (uint64_t)engine_slowdown_percent (engine, view->now_us) * MILLI /
                             ENGINE_SLOWDOWN_NONE_PERCENT;
-  bool is_local = strcmp (engine->entry.data_center, view->request->own_data_center) == 0;
 
   return load_after * slowdown_milli * 2 +
-         (is_local ? 0 : (ENGINE_CHOICE_LOCAL_EXTRA_REQUESTS * 2 + 1) * MILLI);
+         (is_local (view, engine) ? 0 : (ENGINE_CHOICE_LOCAL_EXTRA_REQUESTS * 2 + 1) * MILLI);
 }
 
 static engine_t *
@@ -202,20 +386,34 @@
   return best;
 }
 
+/* Whether the engine has the request's part or is to have it. */
+static bool
+may_use_when_crowded (const service_view_t *view,
+                      const known_holders_t *known,
+                      const engine_t *engine,
+                      uint64_t last_rank)
+{
+  return rank_value (view, engine) >= last_rank ||
+         known_holders_state (known, engine) != KNOWN_HOLDERS_UNKNOWN ||
+         engine == find_local_home (view);
+}
+
 /* An engine over the bound delays all its requests and a degraded one fails or delays some, so a
  * degraded engine within the bound is preferred to one over it. */
 static engine_t *
-choose_engine (const service_view_t *view)
+choose_engine (const service_view_t *view, const known_holders_t *known)
 {
-  static const criteria_t preferences[] = { { true, true }, { true, false }, { false, false } };
+  static const criteria_t preferences[] = { { true, true, false },
+                                            { true, false, false },
+                                            { false, false, false } };
   bool first_ranks_only = view->crowded && view->request->affinity != 0;
   uint64_t last_rank = first_ranks_only ? last_home_rank (view) : UINT64_MAX;
   engine_t *engine = NULL;
 
   if (view->request->affinity != 0)
-    engine = find_home (view, preferences[0]);
+    engine = find_home_or_holder (view, known, preferences[0]);
   if (last_rank != UINT64_MAX)
-    return engine && rank_value (view, engine) >= last_rank
+    return engine && may_use_when_crowded (view, known, engine, last_rank)
                ? engine
                : find_least_loaded_home (view, last_rank);
   for (size_t i = 0; !engine && i < G_N_ELEMENTS (preferences); i++)
@@ -244,6 +442,50 @@
              engine->drained_us + view->request->drain_us / ENGINE_CHOICE_DRAIN_COPY_DIVISOR;
 }
 
+static bool
+may_copy_from (const service_view_t *view, const engine_t *engine)
+{
+  return engine->failures == 0 && engine->entry.state != ENGINE_GONE &&
+         !is_drain_copy_over (view, engine);
+}
+
+/* Return: whether @engine is a better source than @best, which may be NULL: it holds more of the
+ * parts, is nearer, or ranks higher */
+static bool
+is_better_holder (const service_view_t *view,
+                  const known_holders_t *known,
+                  const engine_t *engine,
+                  const engine_t *best)
+{
+  known_holders_state_t state = known_holders_state (known, engine);
+  known_holders_state_t best_state =
+      best ? known_holders_state (known, best) : KNOWN_HOLDERS_UNKNOWN;
+
+  if (state != best_state)
+    return state > best_state;
+  if (state == KNOWN_HOLDERS_UNKNOWN)
+    return false;
+  if (is_local (view, engine) != is_local (view, best))
+    return is_local (view, engine);
+  return rank_value (view, engine) > rank_value (view, best);
+}
+
+static engine_t *
+find_known_source (const service_view_t *view, const known_holders_t *known, const engine_t *chosen)
+{
+  engine_t *best = NULL;
+
+  for (guint i = 0; known->count > 0 && i < view->engines->len; i++)
+    {
+      engine_t *engine = service_view_engine (view, i);
+
+      if (engine != chosen && !engine->displaced && may_copy_from (view, engine) &&
+          is_better_holder (view, known, engine, best))
+        best = engine;
+    }
+  return best;
+}
+
 /*
  * All gateways rank alike, so the highest-ranked engine that is not new has served the part, even
  * if it takes no new requests now. If that engine is the chosen one, the next has served it while
@@ -251,35 +493,50 @@
  * tokens again takes 94 ms, in which every other request on that engine waits for its tokens.
  */
 static engine_t *
-find_copy_source (const service_view_t *view, const engine_t *chosen)
+find_likely_source (const service_view_t *view, const engine_t *chosen)
 {
   engine_t *best = NULL;
 
-  if (view->request->affinity == 0)
-    return NULL;
   for (guint i = 0; i < view->engines->len; i++)
     {
       engine_t *engine = service_view_engine (view, i);
 
-      if (engine == chosen || service_view_is_new (view, engine) || engine->failures > 0 ||
-          engine->entry.state == ENGINE_GONE || is_drain_copy_over (view, engine))
+      if (engine == chosen || service_view_is_new (view, engine) || !may_copy_from (view, engine))
         continue;
       if (!best || rank_value (view, engine) > rank_value (view, best))
         best = engine;
     }
   return best;
 }
+
+/* An engine that certainly has the part needs no source. One that held it some time ago gets one:
+ * where the part is still there nothing is copied. */
+static engine_t *
+find_copy_source (const service_view_t *view, const known_holders_t *known, const engine_t *chosen)
+{
+  engine_t *source;
+
+  if (view->request->affinity == 0 ||
+      known_holders_state (known, chosen) == KNOWN_HOLDERS_ALL_CERTAIN)
+    return NULL;
+  source = find_known_source (view, known, chosen);
+  return source ? source : find_likely_source (view, chosen);
+}
+
 static engine_choice_t
 choose_among (const GPtrArray *engines, uint64_t now_us, const engine_choice_request_t *request)
 {
   service_view_t view;
+  known_holders_t known;
   engine_choice_t choice = { 0 };
 
   service_view_init (&view, engines, now_us, request);
+  known_holders_init (&known, now_us, request);
   choice.candidates = service_view_count_candidates (&view);
   choice.mean_milli = (uint32_t)view.mean_milli;
-  choice.engine =
-      view.full && !view.is_below_share && request->version == 0 ? NULL : choose_engine (&view);
+  choice.engine = view.full && !view.is_below_share && request->version == 0
+                      ? NULL
+                      : choose_engine (&view, &known);
   if (!choice.engine)
     {
       choice.action = choice.candidates > 0 ? ENGINE_CHOICE_WAIT : ENGINE_CHOICE_NONE;
@@ -292,7 +549,10 @@
   if (request->affinity != 0)
     part_shares_add (choice.engine->part_shares, now_us, request->affinity);
   choice.load = service_view_load_at (&view, choice.engine);
-  choice.source = find_copy_source (&view, choice.engine);
+  choice.source = find_copy_source (&view, &known, choice.engine);
+  choice.engine_holds = known_holders_state (&known, choice.engine) != KNOWN_HOLDERS_UNKNOWN;
+  choice.source_holds =
+      choice.source && known_holders_state (&known, choice.source) != KNOWN_HOLDERS_UNKNOWN;
   choice.rank = rank_position (&view, choice.engine);
   return choice;
 }
--- a/src/request/policy/placement/engine_choice.h
+++ b/src/request/policy/placement/engine_choice.h
@@ -7,10 +7,16 @@
  * by rendezvous hashing, its home, where the part is likely to be cached; to the next in rank when
  * that engine would exceed the load bound. Requests without such a part go to the least loaded
  * engine of the gateway's data centre, or of all data centres when that one has much less load.
+ *
+ * Where it is known which engines hold a part, the rank is corrected: a holder is preferred to an
+ * engine that would have to copy the part because its home can't be used, and holders of the
+ * gateway's data centre are preferred to engines elsewhere. Parts that are cheap to copy, or that
+ * the data centre uses often, have homes in each data centre.
  */
 #ifndef REQUEST_POLICY_PLACEMENT_ENGINE_CHOICE_H
 #define REQUEST_POLICY_PLACEMENT_ENGINE_CHOICE_H
 
+#include "request/policy/directory/part_holders.h"
 #include "request/policy/engines/engines.h"
 #include "request/policy/engines/region_filter.h"
 
@@ -55,6 +61,14 @@
  * moved in a day. */
 #define ENGINE_CHOICE_SMALL_PART_TOKENS 1000
 #define ENGINE_CHOICE_SMALL_PART_HOMES UINT64_C (2)
+/* Tokens of a part that has homes in each data centre where holders are known. A copy of 2,500
+ * tokens costs as much as the bytes of a few requests to another data centre. */
+#define ENGINE_CHOICE_LOCAL_PART_TOKENS 2500
+/* A longer part has too when a data centre is expected to use it this often within the time below.
+ * A copy of 10,000 tokens costs ten times the bytes of such a request, and the estimate rests on a
+ * few requests of one gateway. */
+#define ENGINE_CHOICE_LOCAL_PART_USES UINT64_C (40)
+#define ENGINE_CHOICE_LOCAL_PART_US (UINT64_C (30) * 1000 * 1000)
 /* Share of the distance from the mean to the overload limit, in thousandths, from which on the
  * requests for one part need several homes. A lower one would be reached by a single request of one
  * of many gateways. */
@@ -133,9 +147,13 @@
  * @version: only engines of this version may get it, since one of them began its stream; 0 for any
  * @begin_version: it begins a stream, at an engine of this version; 0 for any
  * @has_streams: the service has such streams
+ * @holders: engines that are known to hold parts; NULL to go by rank alone
+ * @shared_parts: hash of all parts of its prompt that other requests may share; 0 for none
  */
 typedef struct
 {
+  const part_holders_t *holders;
+  uint64_t shared_parts;
   uint64_t affinity;
   const char *own_data_center;
   const uint64_t *tried;
@@ -166,6 +184,8 @@
  * @source: another engine that most likely has the request's shared parts in its cache, to copy
  *   them from; NULL when there is none
  * @rank: of @engine for the affinity; 0 is the first
+ * @engine_holds: @engine is known to hold the request's shared parts, or the longest of them
+ * @source_holds: likewise for @source
  * @load: estimated requests at @engine
  * @mean_milli: mean load of the service, in thousandths of a request
  * @candidates: number of engines that may get the request, also those that are full
@@ -182,6 +202,8 @@
   uint32_t load;
   uint32_t mean_milli;
   uint32_t candidates;
+  bool engine_holds;
+  bool source_holds;
   bool drained;
   uint64_t backoff_us;
 } engine_choice_t;
