Prefer holders to further homes of popular parts, and measure copies

In bench-gateway most copies of long parts went to further homes of popular parts, whose number each gateway estimates from a few requests. While half as many engines are known to have the part as it needs homes, these serve it, spread by gateway. A long part is read at a busy holder, up to 0.6 of the distance to the overload limit, before another engine copies it.

--- a/bench/bench_gateway.c
+++ b/bench/bench_gateway.c
@@ -18,6 +18,8 @@
 /**
  * struct selection - what to run
  * @file: a deployment to run instead of the built-in ones, or NULL
+ * @gateways: number of gateways, 0 for the site's
+ * @seconds: length of a run, 0 for the usual one
  * @site, @fault, @policy: run only the one of this name; NULL for all
  */
 typedef struct
@@ -26,6 +28,8 @@
   const char *site;
   const char *fault;
   const char *policy;
+  uint32_t gateways;
+  uint32_t seconds;
   uint32_t seeds;
 } selection_t;
 
@@ -57,6 +61,10 @@
                                 : more->retries_over_budget;
   to->read_tokens += more->read_tokens;
   to->prompt_tokens += more->prompt_tokens;
+  to->copied_tokens += more->copied_tokens;
+  to->repeated_tokens += more->repeated_tokens;
+  to->remote_sends += more->remote_sends;
+  to->remote_tokens += more->remote_tokens;
   to->overloaded_accepts += more->overloaded_accepts;
   to->relative_load_milli = to->relative_load_milli > more->relative_load_milli
                                 ? to->relative_load_milli
@@ -84,14 +92,17 @@
       figures = sim_run (&one);
       add_figures (&sum, &figures);
     }
-  printf ("%s\t%s\t%s\t%u\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.3f\t%lld\t%llu\t%.3f\n",
+  printf ("%s\t%s\t%s\t%u\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.3f\t%lld\t%llu\t%.3f\t%llu\t%"
+          "llu\t%llu\t%llu\n",
           options->site->name, sim_fault_name (options->fault), sim_policy_name (options->policy),
           during->requests, ratio (during->on_time, during->requests),
           ratio (during->late, during->requests), ratio (during->refused, during->requests),
           ratio (during->failed, during->requests), ratio (during->late_refusals, during->requests),
           ratio (sum.quiet.on_time + sum.quiet.late, sum.quiet.requests),
           ratio (sum.read_tokens, sum.prompt_tokens), (long long)sum.retries_over_budget,
-          (unsigned long long)sum.overloaded_accepts, sum.relative_load_milli / 1000.0);
+          (unsigned long long)sum.overloaded_accepts, sum.relative_load_milli / 1000.0,
+          (unsigned long long)sum.copied_tokens, (unsigned long long)sum.repeated_tokens,
+          (unsigned long long)sum.remote_sends, (unsigned long long)sum.remote_tokens);
   fflush (stdout);
 }
 
@@ -103,6 +114,8 @@
       if (is_selected (sim_fault_name ((sim_fault_t)fault), selection->fault) &&
           is_selected (sim_policy_name ((sim_policy_t)policy), selection->policy))
         run (&(sim_options_t){ .site = site,
+                               .gateways = selection->gateways,
+                               .seconds = selection->seconds,
                                .fault = (sim_fault_t)fault,
                                .policy = (sim_policy_t)policy },
              selection->seeds);
@@ -115,7 +128,8 @@
 
   printf (
       "site\tfault\tpolicy\trequests\ton_time\tlate\trefused\tfailed\trefused_late\tquiet_served\t"
-      "read\tretries_beyond\tover_cap\tpeak\n");
+      "read\tretries_beyond\tover_cap\tpeak\tcopied_tokens\trepeated_tokens\tremote_sends\t"
+      "remote_tokens\n");
   if (selection->file)
     run_site (selection, selection->file);
   for (uint32_t i = 0; !selection->file && (site = site_get (i)); i++)
@@ -127,7 +141,7 @@
 usage (FILE *out)
 {
   fputs ("usage: bench-gateway [--site NAME | --file PATH] [--fault NAME] [--policy NAME] [--seeds "
-         "N]\n",
+         "N] [--gateways N] [--seconds N]\n",
          out);
 }
 
@@ -139,6 +153,8 @@
                                            { "file", required_argument, NULL, 'F' },
                                            { "policy", required_argument, NULL, 'p' },
                                            { "seeds", required_argument, NULL, 'n' },
+                                           { "gateways", required_argument, NULL, 'g' },
+                                           { "seconds", required_argument, NULL, 't' },
                                            { "help", no_argument, NULL, 'h' },
                                            { 0 } };
   selection_t selection = { .seeds = DEFAULT_SEEDS };
@@ -161,6 +177,12 @@
       case 'p':
         selection.policy = optarg;
         break;
+      case 'g':
+        selection.gateways = (uint32_t)strtoul (optarg, NULL, 10);
+        break;
+      case 't':
+        selection.seconds = (uint32_t)strtoul (optarg, NULL, 10);
+        break;
       case 'n':
         selection.seeds = (uint32_t)strtoul (optarg, NULL, 10);
         break;
--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -12,8 +12,8 @@
 #define FAULTY_ENGINES_DIVISOR 4    /* one engine in so many, rounded up, has the fault */
 #define RETRY_WINDOW_US (10 * (uint64_t)CLOCK_US_PER_S)
 
-static const char *const policy_names[] = { "full", "uncharged", "patient",
-                                            "hash", "least",     "random" };
+static const char *const policy_names[] = { "full",      "uncharged", "patient", "copies",
+                                            "directory", "hash",      "least",   "random" };
 static const char *const fault_names[] = { "steady",   "burst", "hot_part", "hot_account",
                                            "grey",     "slow",  "mute",     "crash",
                                            "overload", "few",   "crowds" };
@@ -30,6 +30,12 @@
   return fault_names[fault];
 }
 
+bool
+sim_has_copies (const sim_t *sim)
+{
+  return sim->options.policy == SIM_COPIES || sim->options.policy == SIM_DIRECTORY;
+}
+
 static double
 traffic_factor (const sim_t *sim)
 {
@@ -173,7 +179,7 @@
   g_assert (!request->over && !request->attempt && !request->queue_item.waiting);
   request->over = true;
   g_ptr_array_remove_fast (request->gateway->requests, request);
-  if (request->arrived_us < SIM_MEASURED_FROM_US)
+  if (request->arrived_us < sim->measured_from_us)
     return;
   count_answer (sim, &figures->all, request, answer);
   if (request->arrived_us >= SIM_RECOVERED_FROM_US)
@@ -277,7 +283,7 @@
   switch ((sim_event_kind_t)event->kind)
     {
     case EVENT_ARRIVAL:
-      if (sim->now_us < SIM_ARRIVALS_END_US)
+      if (sim->now_us < sim->arrivals_end_us)
         handle_arrivals (sim, event->number);
       return;
     case EVENT_CLIENT_RETRY:
@@ -420,11 +426,17 @@
 {
   sim_t sim = { .options = *options,
                 .scaled_site = *options->site,
-                .random = options->seed * 2 + 1 };
+                .random = options->seed * 2 + 1,
+                .own_parts = options->seed };
   event_queue_entry_t event;
 
   scale_down (&sim.scaled_site, MAX (options->scale_divisor, 1U));
+  if (options->gateways > 0)
+    sim.scaled_site.gateways = options->gateways;
   sim.site = &sim.scaled_site;
+  sim.arrivals_end_us =
+      options->seconds > 0 ? (uint64_t)options->seconds * CLOCK_US_PER_S : SIM_ARRIVALS_END_US;
+  sim.measured_from_us = options->seconds > 0 ? sim.arrivals_end_us / 2 : SIM_MEASURED_FROM_US;
   init_run (&sim);
   while (event_queue_pop (&sim.events, &event))
     {
--- a/bench/gateway/sim.h
+++ b/bench/gateway/sim.h
@@ -21,6 +21,9 @@
  *   waiting queue is not fair between accounts
  * @SIM_PATIENT: as SIM_FULL, but every request may wait in one queue until its deadline, whatever
  *   its target time, and the gauge of the service's total load is not used
+ * @SIM_COPIES: as SIM_FULL; engines copy shared parts from the engine that the decision names, and
+ *   keep what each request alone has until their caches are full
+ * @SIM_DIRECTORY: as SIM_COPIES, and gateways remember which engines hold parts
  * @SIM_HASH: the engine is chosen by rendezvous hashing of the shared prompt prefix, without a load
  *   bound, a waiting queue or a limit on retries
  * @SIM_LEAST: as SIM_HASH, but the engine with the fewest requests of this gateway is chosen
@@ -32,6 +35,8 @@
   SIM_FULL,
   SIM_UNCHARGED,
   SIM_PATIENT,
+  SIM_COPIES,
+  SIM_DIRECTORY,
   SIM_HASH,
   SIM_LEAST,
   SIM_RANDOM,
@@ -84,6 +89,9 @@
  * @site: the site to simulate
  * @scale_divisor: divides the numbers of gateways and of model engines and the request rates; the
  *   number of plain engines stays; 0 counts as 1
+ * @gateways: number of gateways, instead of the site's; 0 for the site's
+ * @seconds: length of the run, of which the second half is measured; 0 for
+ *   %SIM_ARRIVALS_END_US, measured from %SIM_MEASURED_FROM_US on
  * @policy: how gateways decide
  * @fault: what goes wrong
  * @seed: of the random numbers; runs with equal options are identical
@@ -92,6 +100,8 @@
 {
   const site_t *site;
   uint32_t scale_divisor;
+  uint32_t gateways;
+  uint32_t seconds;
   sim_policy_t policy;
   sim_fault_t fault;
   uint64_t seed;
@@ -132,6 +142,10 @@
  *   the budget was exceeded
  * @read_tokens: prompt tokens that model engines had to process, from %SIM_MEASURED_FROM_US on
  * @prompt_tokens: prompt tokens that model engines received, including those found in their caches
+ * @copied_tokens: prompt tokens that model engines copied from each other, likewise
+ * @repeated_tokens: of @read_tokens, those of shared parts that another engine had
+ * @remote_sends: attempts at model engines of another data centre than the gateway's, likewise
+ * @remote_tokens: prompt tokens of these
  * @relative_load_milli: load of a model engine after it accepted a request, relative to the mean
  *   load of all model engines that accept requests; median over all accepted requests, in
  *   thousandths
@@ -150,6 +164,10 @@
   int64_t retries_over_budget;
   uint64_t read_tokens;
   uint64_t prompt_tokens;
+  uint64_t copied_tokens;
+  uint64_t repeated_tokens;
+  uint64_t remote_sends;
+  uint64_t remote_tokens;
   uint32_t relative_load_milli;
   uint64_t overloaded_accepts;
 } sim_figures_t;
--- a/bench/gateway/sim_engine.c
+++ b/bench/gateway/sim_engine.c
@@ -5,6 +5,7 @@
 #define STEP_US_PER_REQUEST 97   /* that each running request adds to a step */
 #define TOKENS_PER_EVENT 7       /* of a streamed response, so also steps per event */
 #define PROMPT_TOKENS_PER_MS 112 /* that a model engine processes */
+#define COPIED_TOKENS_PER_MS 560 /* that a model engine copies from another one */
 #define REFUSAL_DELAY_US 1000    /* until the gateway learns that an engine refused a request */
 #define SLOW_FACTOR 6            /* by which responses take longer under SIM_SLOW */
 
@@ -40,19 +41,62 @@
   g_free (engine);
 }
 
+static bool
+is_cached_elsewhere (const sim_t *sim, const sim_engine_t *engine, const sim_request_t *request)
+{
+  for (guint i = 0; i < sim->engines->len; i++)
+    {
+      const sim_engine_t *other = g_ptr_array_index (sim->engines, i);
+
+      if (other != engine && other->mode != ENGINE_DOWN &&
+          cache_model_peek (other->cache, request->prefix) > 0)
+        return true;
+    }
+  return false;
+}
+
+/* Return: the time that it takes to copy the missing shared part from the attempt's source; 0 when
+ * there is nothing to copy or the source doesn't have it */
+static uint64_t
+copy_part (sim_t *sim, const sim_attempt_t *attempt)
+{
+  const sim_engine_t *engine = attempt->engine;
+  const sim_engine_t *source = attempt->source;
+  const sim_request_t *request = attempt->request;
+  uint32_t tokens = request->kind->prefix_tokens;
+  bool is_far;
+
+  if (!source || source->mode == ENGINE_DOWN || request->prefix == 0 ||
+      cache_model_peek (engine->cache, request->prefix) > 0 ||
+      cache_model_peek (source->cache, request->prefix) == 0)
+    return 0;
+  is_far = !g_str_equal (source->entry.data_center, engine->entry.data_center);
+  cache_model_put (engine->cache, request->prefix, tokens);
+  if (sim->now_us >= sim->measured_from_us)
+    sim->figures.copied_tokens += tokens;
+  return (uint64_t)tokens * CLOCK_US_PER_MS / COPIED_TOKENS_PER_MS * (is_far ? 2 : 1);
+}
+
 /* Returns the time when the prompt is processed; the engine processes one prompt at a time. */
 static uint64_t
-process_prompt (sim_t *sim, sim_engine_t *engine, const sim_request_t *request)
+process_prompt (sim_t *sim, sim_engine_t *engine, const sim_attempt_t *attempt)
 {
+  const sim_request_t *request = attempt->request;
   const site_kind_t *kind = request->kind;
+  uint64_t copy_us = copy_part (sim, attempt);
   uint32_t cached = cache_model_use (engine->cache, request->prefix);
   uint32_t tokens = kind->own_tokens + kind->prefix_tokens - MIN (cached, kind->prefix_tokens);
-  uint64_t start_us = MAX (sim->now_us, engine->prompts_done_us);
+  uint64_t start_us = MAX (sim->now_us + copy_us, engine->prompts_done_us);
 
   cache_model_put (engine->cache, request->prefix, kind->prefix_tokens);
-  if (sim->now_us >= SIM_MEASURED_FROM_US)
+  if (sim_has_copies (sim))
+    cache_model_put (engine->cache, random_next (&sim->own_parts),
+                     kind->own_tokens + kind->events * TOKENS_PER_EVENT);
+  if (sim->now_us >= sim->measured_from_us)
     {
       sim->figures.read_tokens += tokens;
+      if (cached < kind->prefix_tokens && is_cached_elsewhere (sim, engine, request))
+        sim->figures.repeated_tokens += kind->prefix_tokens - cached;
       sim->figures.prompt_tokens += kind->own_tokens + kind->prefix_tokens;
     }
   engine->prompts_done_us = start_us + (uint64_t)tokens * CLOCK_US_PER_MS / PROMPT_TOKENS_PER_MS;
@@ -82,7 +126,7 @@
     }
   else
     {
-      uint64_t prompt_us = process_prompt (sim, engine, attempt->request) - sim->now_us;
+      uint64_t prompt_us = process_prompt (sim, engine, attempt) - sim->now_us;
       uint64_t rest_us = step_us (engine) * TOKENS_PER_EVENT * kind->events;
 
       head_us = sim->now_us + slowdown * (prompt_us + step_us (engine) * TOKENS_PER_EVENT);
@@ -102,7 +146,7 @@
   uint64_t relative_milli;
 
   const uint32_t service = SITE_MODEL_SERVICE;
-  if (engine->service != service || sim->now_us < SIM_MEASURED_FROM_US)
+  if (engine->service != service || sim->now_us < sim->measured_from_us)
     return;
   for (guint i = 0; i < sim->engines->len; i++)
     {
--- a/bench/gateway/sim_gateway.c
+++ b/bench/gateway/sim_gateway.c
@@ -5,6 +5,8 @@
 #include <xxhash.h>
 
 #define TICK_US (25 * CLOCK_US_PER_MS)
+#define CACHE_WARM_ENTRIES 4096
+#define PARTS_MAX 4096
 #define TIMEOUT_CHECK_TICKS 4 /* ticks between two checks for attempts without a response */
 /* Of the slots of a service in use, in thousandths, from which it counts as full; equal to
  * GATEWAY_NEARLY_FULL_MILLI. */
@@ -16,7 +18,7 @@
 static bool
 is_baseline (const sim_t *sim)
 {
-  return sim->options.policy > SIM_PATIENT;
+  return sim->options.policy > SIM_DIRECTORY;
 }
 
 sim_gateway_t *
@@ -25,6 +27,11 @@
   sim_gateway_t *gateway = g_new0 (sim_gateway_t, 1);
 
   gateway->index = index;
+  g_snprintf (gateway->data_center, sizeof gateway->data_center, "hall-%u",
+              index % sim->site->data_centers);
+  gateway->cache_warm = recent_answers_new (CACHE_WARM_ENTRIES, PART_HOLDERS_CERTAIN_US);
+  if (sim->options.policy == SIM_DIRECTORY)
+    gateway->holders = part_holders_new (PARTS_MAX);
   gateway->engines = engines_new ();
   gateway->requests = g_ptr_array_new ();
   for (uint32_t i = 0; i < SITE_SERVICES; i++)
@@ -49,6 +56,8 @@
   for (uint32_t i = 0; i < SITE_SERVICES; i++)
     wait_queue_free (gateway->queues[i]);
   engines_free (gateway->engines);
+  part_holders_free (gateway->holders);
+  recent_answers_free (gateway->cache_warm);
   g_ptr_array_free (gateway->requests, TRUE);
   g_free (gateway);
 }
@@ -163,18 +172,17 @@
 {
   const GPtrArray *engines =
       engines_of_service (request->gateway->engines, service_name (sim, request));
-  char data_center[16];
 
   if (is_baseline (sim))
     return baseline_choice (sim, request, engines);
-  g_snprintf (data_center, sizeof data_center, "hall-%u",
-              request->gateway->index % sim->site->data_centers);
   return engine_choice_make (
       engines, sim->now_us,
       &(engine_choice_request_t){
+          .holders = request->gateway->holders,
+          .shared_parts = request->prefix,
           .affinity = request->prefix,
           .affinity_tokens = request->kind->prefix_tokens,
-          .own_data_center = data_center,
+          .own_data_center = request->gateway->data_center,
           .repeatable = retry_plan_may_move (&request->retry_plan, request->begun),
           .gateways = sim->site->gateways,
           .gateway_hash = request->gateway->index,
@@ -224,9 +232,32 @@
                               &sim->site->retries, sim->now_us);
 }
 
+/* Return: the engine that the request's part is copied from, or NULL; none is named to an engine
+ * that answered a request for the part a short time ago */
+static sim_engine_t *
+copy_source (const sim_t *sim, const sim_request_t *request, const engine_choice_t *choice)
+{
+  if (!sim_has_copies (sim) || !choice->source ||
+      recent_answers_contain (request->gateway->cache_warm, sim->now_us,
+                              request->prefix ^ choice->engine->hash))
+    return NULL;
+  return find_engine (sim, choice->source);
+}
+
+static void
+count_remote (sim_t *sim, const sim_request_t *request, const engine_t *egn)
+{
+  if (request->kind->service != SITE_MODEL_SERVICE || sim->now_us < sim->measured_from_us ||
+      g_str_equal (egn->entry.data_center, request->gateway->data_center))
+    return;
+  sim->figures.remote_sends++;
+  sim->figures.remote_tokens += request->kind->prefix_tokens + request->kind->own_tokens;
+}
+
 static void
-send_request (sim_t *sim, sim_request_t *request, engine_t *egn)
+send_request (sim_t *sim, sim_request_t *request, const engine_choice_t *choice)
 {
+  engine_t *egn = choice->engine;
   sim_attempt_t *attempt = g_new0 (sim_attempt_t, 1);
 
   leave_queue (sim, request);
@@ -234,12 +265,14 @@
   *attempt = (sim_attempt_t){ .request = request,
                               .engine = find_engine (sim, egn),
                               .known_engine = egn,
+                              .source = copy_source (sim, request, choice),
                               .sent_us = sim->now_us };
   g_ptr_array_add (sim->attempts, attempt);
   request->attempt = attempt;
   request->tried[request->tried_count % SIM_TRIED_MAX] = egn->hash;
   request->tried_count = MIN (request->tried_count + 1, SIM_TRIED_MAX);
   sim->figures.sends++;
+  count_remote (sim, request, egn);
   if (request->attempt_count++ > request->retry_plan.unsent)
     g_array_append_val (sim->retry_times[request->kind->service], sim->now_us);
   engine_begin_request (egn, sim->now_us);
@@ -280,7 +313,7 @@
     }
   choice = choose_engine (sim, request);
   if (choice.action == ENGINE_CHOICE_SEND)
-    send_request (sim, request, choice.engine);
+    send_request (sim, request, &choice);
   else if (choice.action == ENGINE_CHOICE_WAIT)
     wait_in_queue (sim, request);
   else
@@ -316,7 +349,7 @@
     {
       if (context.choice.action == ENGINE_CHOICE_SEND)
         {
-          send_request (sim, request, context.choice.engine);
+          send_request (sim, request, &context.choice);
           continue;
         }
       wait_queue_remove (queue, sim->now_us, &request->queue_item);
@@ -393,6 +426,18 @@
   return request;
 }
 
+static void
+note_parts (const sim_t *sim, const sim_attempt_t *attempt)
+{
+  sim_gateway_t *gateway = attempt->request->gateway;
+  uint64_t part = attempt->request->prefix;
+  uint64_t engine = attempt->known_engine->hash;
+
+  recent_answers_add (gateway->cache_warm, sim->now_us, part ^ engine);
+  if (gateway->holders)
+    part_holders_add (gateway->holders, sim->now_us, part, engine, sim->now_us);
+}
+
 void
 sim_on_response_head (sim_t *sim, sim_attempt_t *attempt)
 {
@@ -419,6 +464,7 @@
       sim_on_response_end (sim, attempt, false, RETRY_PLAN_OUTCOME_FAILED);
       return;
     }
+  note_parts (sim, attempt);
   request->begun = request->kind->events > 0;
   if (request->head_us == 0)
     request->head_us = sim->now_us;
@@ -553,6 +599,6 @@
    * next round. */
   for (guint i = 0; tick % TIMEOUT_CHECK_TICKS == 0 && i < gateway->requests->len; i++)
     check_timeout (sim, g_ptr_array_index (gateway->requests, i));
-  if (sim->now_us < SIM_ARRIVALS_END_US + 20 * (uint64_t)CLOCK_US_PER_S)
+  if (sim->now_us < sim->arrivals_end_us + 20 * (uint64_t)CLOCK_US_PER_S)
     event_queue_add (&sim->events, sim->now_us + TICK_US, EVENT_TICK, gateway->index, NULL);
 }
--- a/bench/gateway/sim_parts.h
+++ b/bench/gateway/sim_parts.h
@@ -11,10 +11,12 @@
 #include "../event_queue.h"
 #include "../random.h"
 #include "base/clock.h"
+#include "request/policy/directory/part_holders.h"
 #include "request/policy/retries/retry_plan.h"
 #include "request/policy/queueing/wait_queue.h"
 #include "request/policy/load/load_gauge.h"
 #include "request/policy/load/median_latency.h"
+#include "request/policy/suspects/recent_answers.h"
 #include "request/policy/placement/engine_choice.h"
 #include "sim.h"
 
@@ -107,11 +109,17 @@
  * @loads: by service
  * @retries: by service, its share of the retry budget
  * @paces: by kind of request, the usual duration
+ * @data_center: its own
+ * @holders: engines that it knows to hold parts; NULL unless the policy is %SIM_DIRECTORY
+ * @cache_warm: parts and engines that answered lately, as in the product
  * @requests: its sim_request_t that are not over
  */
 typedef struct
 {
   uint32_t index;
+  char data_center[16];
+  part_holders_t *holders;
+  recent_answers_t *cache_warm;
   engines_t *engines;
   wait_queue_t *queues[SITE_SERVICES];
   sim_known_load_t loads[SITE_SERVICES];
@@ -161,6 +169,7 @@
  * @request: NULL once the attempt is over
  * @engine: the engine itself
  * @known_engine: the engine in the gateway's view
+ * @source: the engine to copy the shared part from, or NULL
  * @sent_us: when the gateway sent it
  * @heard_us: when the response head arrived, 0 before
  * @begun_load: load of the engine when it began to run the attempt
@@ -172,6 +181,7 @@
   sim_request_t *request;
   sim_engine_t *engine;
   engine_t *known_engine;
+  sim_engine_t *source;
   uint64_t sent_us;
   uint64_t heard_us;
   engine_load_t begun_load;
@@ -183,8 +193,11 @@
  * struct sim - a run
  * @scaled_site: the site of the options after division by the scale divisor
  * @site: points to @scaled_site
+ * @measured_from_us: requests that arrive earlier are not counted
+ * @arrivals_end_us: no request arrives later
  * @now_us: virtual time
  * @random: state of the random numbers
+ * @own_parts: likewise, for the identities of the parts that one request alone has
  * @events: what happens next
  * @engines: sim_engine_t of all services
  * @gateways: all sim_gateway_t
@@ -200,8 +213,11 @@
   sim_options_t options;
   site_t scaled_site;
   const site_t *site;
+  uint64_t measured_from_us;
+  uint64_t arrivals_end_us;
   uint64_t now_us;
   uint64_t random;
+  uint64_t own_parts;
   event_queue_t events;
   GPtrArray *engines;
   GPtrArray *gateways;
@@ -214,6 +230,8 @@
   sim_figures_t figures;
 } sim_t;
 
+/** sim_has_copies() - whether engines copy parts from each other */
+bool sim_has_copies (const sim_t *sim);
 sim_engine_t *sim_engine_new (sim_t *sim, uint32_t service, uint32_t index);
 void sim_engine_free (gpointer engine);
 /** sim_engine_accept() - @send arrives at its engine, which runs it, queues it or refuses it */
--- a/src/request/policy/placement/engine_choice.c
+++ b/src/request/policy/placement/engine_choice.c
@@ -246,35 +246,65 @@
   return engine;
 }
 
-/* Return: the home that all gateways agree on, which may have no room, or NULL */
-static engine_t *
-find_agreed_home (const service_view_t *view)
+/** struct homes - homes of the request's part; @count: how many the part needs; @own: that of this
+ * gateway, which may have no room, or NULL */
+typedef struct
+{
+  uint32_t count;
+  engine_t *own;
+} homes_t;
+
+/* The homes that all gateways agree on. */
+static homes_t
+find_common_homes (const service_view_t *view)
 {
   engine_t *first = find_highest_open (view, false, UINT64_MAX);
+  homes_t homes = { 0 };
 
-  return first ? find_open_at (view, false, home_index (view, count_homes (view, first))) : NULL;
+  if (!first)
+    return homes;
+  homes.count = count_homes (view, first);
+  homes.own = find_open_at (view, false, home_index (view, homes.count));
+  return homes;
 }
 
-/* Return: likewise of the gateways of this data centre; NULL where the part has no home in each
+/* Likewise of the gateways of this data centre; there are none where the part has no home in each
  * data centre. The homes are divided among the data centres in proportion to their engines. */
-static engine_t *
-find_local_home (const service_view_t *view)
+static homes_t
+find_local_homes (const service_view_t *view)
 {
   engine_t *first = view->request->holders ? find_highest_open (view, true, UINT64_MAX) : NULL;
   open_engines_t open = count_open (view);
-  uint64_t homes;
+  homes_t homes = { 0 };
 
   if (!first || !has_local_homes (view, first, open))
-    return NULL;
-  homes = ((uint64_t)count_homes (view, first) * open.local + open.all - 1) / open.all;
-  return find_open_at (view, true, home_index (view, (uint32_t)homes));
+    return homes;
+  homes.count = (uint32_t)(((uint64_t)count_homes (view, first) * open.local + open.all - 1) /
+                           MAX (open.all, 1U));
+  homes.own = find_open_at (view, true, home_index (view, homes.count));
+  return homes;
 }
 
-/* Return: the known holder with the highest rank that meets the criteria, or NULL */
-static engine_t *
-find_holder (const service_view_t *view, const known_holders_t *known, criteria_t criteria)
+/** struct found - known holders that meet criteria; @first: the highest in rank; @own: the one for
+ * this gateway when requests are spread over all of them */
+typedef struct
 {
-  engine_t *best = NULL;
+  uint32_t count;
+  engine_t *first;
+  engine_t *own;
+} found_t;
+
+static uint64_t
+spread_value (const service_view_t *view, const engine_t *engine)
+{
+  return XXH64 (&engine->rank_hash, sizeof engine->rank_hash,
+                view->request->affinity ^ view->request->gateway_hash);
+}
+
+static found_t
+find_holders (const service_view_t *view, const known_holders_t *known, criteria_t criteria)
+{
+  found_t found = { 0 };
 
   for (guint i = 0; known->count > 0 && i < view->engines->len; i++)
     {
@@ -283,10 +313,38 @@
       if (known_holders_state (known, engine) == KNOWN_HOLDERS_UNKNOWN ||
           !meets (view, engine, criteria))
         continue;
-      if (!best || rank_value (view, engine) > rank_value (view, best))
-        best = engine;
+      found.count++;
+      if (!found.first || rank_value (view, engine) > rank_value (view, found.first))
+        found.first = engine;
+      if (!found.own || spread_value (view, engine) > spread_value (view, found.own))
+        found.own = engine;
     }
-  return best;
+  return found;
+}
+
+/*
+ * Return: the home of this gateway, or NULL when it doesn't meet the criteria. A popular part has
+ * several homes, and each gateway estimates their number from a few requests, so it varies. While
+ * enough engines are known to have the part, one of these serves instead of a home that would copy
+ * it. In bench-gateway most copies of 10,000 tokens were made for such homes.
+ */
+static engine_t *
+select_home (const service_view_t *view,
+             const known_holders_t *known,
+             const homes_t *homes,
+             criteria_t criteria)
+{
+  found_t found;
+
+  if (!homes->own)
+    return NULL;
+  if (homes->count > 1 && known_holders_state (known, homes->own) == KNOWN_HOLDERS_UNKNOWN)
+    {
+      found = find_holders (view, known, criteria);
+      if (found.count * ENGINE_CHOICE_HOLDERS_DIVISOR >= homes->count)
+        return found.own;
+    }
+  return meets (view, homes->own, criteria) ? homes->own : NULL;
 }
 
 /* Return: the engine in this gateway's data centre that has the request's part, or is to have it;
@@ -294,12 +352,51 @@
 static engine_t *
 find_local (const service_view_t *view, const known_holders_t *known, criteria_t criteria)
 {
-  engine_t *home = find_local_home (view);
+  homes_t homes = find_local_homes (view);
+  engine_t *home;
 
   criteria.own_data_center = true;
-  if (home && meets (view, home, criteria))
-    return home;
-  return find_holder (view, known, criteria);
+  home = select_home (view, known, &homes, criteria);
+  return home ? home : find_holders (view, known, criteria).first;
+}
+
+/* Whether the engine stays far enough below the overload limit with the request. Less is left for
+ * what other gateways send meanwhile than within the bound. */
+static bool
+is_below_limit (const service_view_t *view, const engine_t *engine)
+{
+  uint64_t limit_milli =
+      view->service_mean_milli * ENGINE_CHOICE_OVERLOAD_FACTOR + ENGINE_CHOICE_OVERLOAD_EXTRA_MILLI;
+  uint64_t distance_milli = limit_milli - MIN (limit_milli, view->mean_milli);
+  uint64_t load_after_milli = ((uint64_t)service_view_load_at (view, engine) + 1) * MILLI;
+
+  return load_after_milli <=
+         view->mean_milli + distance_milli * ENGINE_CHOICE_HOLDER_SHARE_MILLI / MILLI;
+}
+
+/* Return: the least loaded engine that certainly has the request's part and would rather take the
+ * request over its bound than have the part copied to another engine, or NULL. Nearly full engines
+ * are slow, so there is none then. */
+static engine_t *
+find_busy_holder (const service_view_t *view, const known_holders_t *known)
+{
+  engine_t *best = NULL;
+
+  if (view->request->affinity_tokens <= ENGINE_CHOICE_LOCAL_PART_TOKENS || view->crowded ||
+      known->count == 0)
+    return NULL;
+  for (guint i = 0; i < view->engines->len; i++)
+    {
+      engine_t *engine = service_view_engine (view, i);
+
+      if (known_holders_state (known, engine) != KNOWN_HOLDERS_ALL_CERTAIN ||
+          !meets (view, engine, (criteria_t){ .not_degraded = true }) ||
+          !is_below_limit (view, engine))
+        continue;
+      if (!best || service_view_load_at (view, engine) < service_view_load_at (view, best))
+        best = engine;
+    }
+  return best;
 }
 
 /*
@@ -311,21 +408,23 @@
 static engine_t *
 find_home_or_holder (const service_view_t *view, const known_holders_t *known, criteria_t criteria)
 {
+  homes_t homes;
   engine_t *home;
   engine_t *engine;
 
   if (!view->request->holders)
     return find_home (view, criteria);
-  home = find_agreed_home (view);
-  if (home && !meets (view, home, criteria))
-    home = NULL;
+  homes = find_common_homes (view);
+  home = select_home (view, known, &homes, criteria);
   if (home && is_local (view, home))
     return home;
   engine = find_local (view, known, criteria);
   if (!engine)
     engine = home;
   if (!engine)
-    engine = find_holder (view, known, criteria);
+    engine = find_holders (view, known, criteria).first;
+  if (!engine)
+    engine = find_busy_holder (view, known);
   return engine ? engine : find_home (view, criteria);
 }
 
@@ -395,7 +494,7 @@
 {
   return rank_value (view, engine) >= last_rank ||
          known_holders_state (known, engine) != KNOWN_HOLDERS_UNKNOWN ||
-         engine == find_local_home (view);
+         engine == find_local_homes (view).own;
 }
 
 /* An engine over the bound delays all its requests and a degraded one fails or delays some, so a
--- a/src/request/policy/placement/engine_choice.h
+++ b/src/request/policy/placement/engine_choice.h
@@ -69,6 +69,11 @@
  * few requests of one gateway. */
 #define ENGINE_CHOICE_LOCAL_PART_USES UINT64_C (40)
 #define ENGINE_CHOICE_LOCAL_PART_US (UINT64_C (30) * 1000 * 1000)
+/* Divisor: known holders that are 1/2 of the homes that a popular part needs are enough. */
+#define ENGINE_CHOICE_HOLDERS_DIVISOR 2
+/* A longer part is read at one that certainly holds it up to this share of the distance from the
+ * mean to the overload limit, in thousandths, before another engine copies it. */
+#define ENGINE_CHOICE_HOLDER_SHARE_MILLI 600
 /* Share of the distance from the mean to the overload limit, in thousandths, from which on the
  * requests for one part need several homes. A lower one would be reached by a single request of one
  * of many gateways. */
--- a/tests/test_part_choice.c
+++ b/tests/test_part_choice.c
@@ -254,6 +254,73 @@
   CU_ASSERT (common > 20);
 }
 
+static engine_choice_t
+choose_shared (const engines_t *engines,
+               const part_holders_t *holders,
+               uint64_t gateway,
+               uint32_t gateways)
+{
+  return engine_choice_make (engines_of_service (engines, g_intern_static_string ("pool")), NOW_US,
+                             &(engine_choice_request_t){ .holders = holders,
+                                                         .shared_parts = ALL_PARTS,
+                                                         .affinity = PART,
+                                                         .affinity_tokens = LONG_TOKENS,
+                                                         .gateways = gateways,
+                                                         .gateway_hash = gateway,
+                                                         .own_data_center = "elsewhere" });
+}
+
+/* Guards against a copy of a long part because its only holder is a request over its bound, and
+ * against that going on up to the overload limit. */
+static void
+test_long_part_waits_for_a_busy_holder (void)
+{
+  g_autoptr (engines_t) engines = make_engines ();
+  g_autoptr (part_holders_t) holders = part_holders_new (100);
+  engine_t *home = choose_shared (engines, NULL, 1, 12).engine;
+  uint32_t by_rank = 0;
+  uint32_t by_holder = 0;
+
+  hold (holders, home);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    load (put (engines, i, 1), 6);
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      by_rank += choose_shared (engines, NULL, 1, 12).engine == home ? 1 : 0;
+      by_holder += choose_shared (engines, holders, 1, 12).engine == home ? 1 : 0;
+      load (home, 1);
+    }
+  CU_ASSERT (by_rank > 0 && by_holder > by_rank);
+  CU_ASSERT (6 + by_holder < 2 * 6 + 3);
+  unload (engines);
+}
+
+/* Guards against gateways that estimate the homes of a popular part differently having it copied to
+ * each: engines that have it serve, spread over all of them, while they are half of the homes. */
+static void
+test_popular_part_is_spread_over_holders (void)
+{
+  g_autoptr (engines_t) engines = make_engines ();
+  g_autoptr (part_holders_t) holders = part_holders_new (100);
+  uint32_t unknown = 0;
+
+  for (uint32_t i = 0; i < ENGINES; i++)
+    load (put (engines, i, 1), 2);
+  for (uint32_t i = 0; i < 200; i++)
+    choose_shared (engines, NULL, 1, 31);
+  hold (holders, put (engines, 3, 1));
+  for (uint64_t gateway = 1; gateway <= 31; gateway++)
+    unknown += choose_shared (engines, holders, gateway, 31).engine_holds ? 0 : 1;
+  CU_ASSERT (unknown > 20);
+  for (uint32_t i = 0; i < ENGINES / 2; i++)
+    hold (holders, put (engines, i, 1));
+  for (uint64_t gateway = 1; gateway <= 31; gateway++)
+    CU_ASSERT (choose_shared (engines, holders, gateway, 31).engine_holds);
+  CU_ASSERT_PTR_NOT_EQUAL (choose_shared (engines, holders, 1, 31).engine,
+                           choose_shared (engines, holders, 3, 31).engine);
+  unload (engines);
+}
+
 int
 main (void)
 {
@@ -264,6 +331,8 @@
                                        SUITE_TEST (test_restart_and_drain_empty_caches),
                                        SUITE_TEST (test_short_parts_stay_in_the_data_center),
                                        SUITE_TEST (test_full_data_center_uses_the_common_home),
+                                       SUITE_TEST (test_long_part_waits_for_a_busy_holder),
+                                       SUITE_TEST (test_popular_part_is_spread_over_holders),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("part_choice", tests);
