--- a/src/request/policy/placement/engine_choice.c
+++ b/src/request/policy/placement/engine_choice.c
@@ -348,13 +348,17 @@
 }
 
 /* Return: the engine in this gateway's data centre that has the request's part, or is to have it;
- * NULL when there is none */
+ * NULL when there is none. While nobody is known to have the part, a home of the data centre would
+ * read it again though another one may have it, so the common home comes first. */
 static engine_t *
 find_local (const service_view_t *view, const known_holders_t *known, criteria_t criteria)
 {
-  homes_t homes = find_local_homes (view);
+  homes_t homes;
   engine_t *home;
 
+  if (known->count == 0)
+    return NULL;
+  homes = find_local_homes (view);
   criteria.own_data_center = true;
   home = select_home (view, known, &homes, criteria);
   return home ? home : find_holders (view, known, criteria).first;
@@ -494,7 +498,7 @@
 {
   return rank_value (view, engine) >= last_rank ||
          known_holders_state (known, engine) != KNOWN_HOLDERS_UNKNOWN ||
-         engine == find_local_homes (view).own;
+         (known->count > 0 && engine == find_local_homes (view).own);
 }
 
 /* An engine over the bound delays all its requests and a degraded one fails or delays some, so a
