--- a/tests/test_gateway_load.c
+++ b/tests/test_gateway_load.c
@@ -108,6 +108,33 @@
   CU_ASSERT (on_time (&full.quiet) > 0.5);
 }
 
+static sim_figures_t
+simulate_long (sim_policy_t policy)
+{
+  return sim_run (&(sim_options_t){ .site = site_find ("tuul"),
+                                    .fault = SIM_STEADY,
+                                    .policy = policy,
+                                    .seconds = 300,
+                                    .seed = 1 });
+}
+
+/* Guards against long parts being copied to further engines although some have them, and against
+ * requests to other data centres for parts that could be kept in each; without more prompts read or
+ * more engines overloaded than by rank alone. */
+static void
+test_known_holders_save_copies_and_distance (void)
+{
+  sim_figures_t by_rank = simulate_long (SIM_COPIES);
+  sim_figures_t known = simulate_long (SIM_DIRECTORY);
+
+  CU_ASSERT (known.copied_tokens * 2 < by_rank.copied_tokens);
+  CU_ASSERT (known.remote_sends * 3 < by_rank.remote_sends);
+  CU_ASSERT (known.remote_tokens * 3 < by_rank.remote_tokens);
+  CU_ASSERT (known.overloaded_accepts < by_rank.overloaded_accepts);
+  CU_ASSERT (known.read_tokens * 50 < by_rank.read_tokens * 51);
+  CU_ASSERT (known.all.on_time * 1000 >= known.all.requests * 999);
+}
+
 /* A quarter of the engines accepts requests and never answers them. */
 static void
 test_unresponsive_engines_cost_little (void)
@@ -253,6 +280,7 @@
                                        SUITE_TEST (test_hot_part_does_not_overload_its_home),
                                        SUITE_TEST (test_few_engines_are_used_to_the_full),
                                        SUITE_TEST (test_quiet_accounts_are_answered),
+                                       SUITE_TEST (test_known_holders_save_copies_and_distance),
                                        SUITE_TEST (test_unresponsive_engines_cost_little),
                                        SUITE_TEST (test_slow_engines_cost_little),
                                        SUITE_TEST (test_retries_stay_within_the_allowance),
