--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -65,6 +65,7 @@
  * @center_drain_ms: gateway only: likewise for the engines of a data centre that is drained
  * @stream_backups: gateway only: the caches of streams are copied to other engines where engines
  *   were lost lately
+ * @part_directory: gateway only: engines are chosen by the prompt parts they are known to hold
  * @grace_ms: gateway only: time from a stop signal until the process is killed
  * @fleet_key: shared secret of all daemons, at least 16 bytes
  * @log_level: less severe lines are not logged
@@ -103,6 +104,7 @@
   uint32_t drain_ms;
   uint32_t center_drain_ms;
   bool stream_backups;
+  bool part_directory;
   uint32_t grace_ms;
   char fleet_key[128];
   log_level_t log_level;
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -55,6 +55,9 @@
   ROW ("stream-backups", BOOLEAN, NONE, 0, 0, stream_backups, "true",
        "Gateway: whether engines that can do so copy the cache of a stream to another engine while it "
        "runs, where engines were lost lately, so that it goes on when its engine ends"),
+  ROW ("part-directory", BOOLEAN, NONE, 0, 0, part_directory, "true",
+       "Gateway: whether engines are chosen by which of them are known to have a prompt's shared "
+       "parts, for services whose configuration states the size of a cached token"),
   ROW ("grace", MILLI, NONE, 1000, 600 * 1000, grace_ms, "8",
        "Gateway: seconds from a stop signal until the process is killed"),
   ROW ("fleet-key", SECRET, NONE, 16, sizeof (((settings_t *)0)->fleet_key) - 1, fleet_key, NULL,
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -306,6 +306,8 @@
   uint64_t now_us = gateway_now_us (gateway);
 
   return (engine_choice_request_t){
+    .holders = gateway_parts_holders (call),
+    .shared_parts = call->shared_parts,
     .affinity = call->affinity,
     .affinity_tokens = call->affinity_tokens,
     .own_data_center = gateway->options.settings->data_center,
