Shared room: plain requests at few slots wait in the engines' queues

Change: src/request/policy/room. Each gateway learns the load and the speed of engines from their responses, draws the engine by them, and sends a share of its requests that follows the queues that engines report; the accounts with most requests bear the rest. Setting shared-room, on by default. bench/gateway gets uneven engines and gateways, and an ideal queue.

--- a/Makefile
+++ b/Makefile
@@ -52,8 +52,8 @@
 $(OUT)/test-%: $(OUT)/tests/test_%.o $(SESSIONLIB) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ -lcunit $(LDLIBS)
 
-# Plays the simulation of bench-gateway.
-$(OUT)/test-gateway_load: $(OUT)/tests/test_gateway_load.o $(GATEWAYSIM) $(BENCHLIB) $(SESSIONLIB) $(LIB)
+# Play the simulation of bench-gateway.
+$(OUT)/test-gateway_load $(OUT)/test-room_load: $(OUT)/test-%: $(OUT)/tests/test_%.o $(GATEWAYSIM) $(BENCHLIB) $(SESSIONLIB) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ -lcunit $(LDLIBS)
 
 # The parts of the stand-ins that have unit tests of their own.
@@ -66,7 +66,7 @@
 $(OUT)/bench-spread: $(OUT)/bench/bench_spread.o $(SPREADLIB) $(BENCHLIB) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
-$(OUT)/bench-gateway: $(OUT)/bench/bench_gateway.o $(GATEWAYSIM) $(BENCHLIB) $(LIB)
+$(OUT)/bench-gateway $(OUT)/bench-room: $(OUT)/bench-%: $(OUT)/bench/bench_%.o $(GATEWAYSIM) $(BENCHLIB) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
 $(OUT)/bench-%: $(OUT)/bench/bench_%.o $(BENCHLIB) $(LIB)
--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -12,8 +12,8 @@
 #define FAULTY_ENGINES_DIVISOR 4    /* one engine in so many, rounded up, has the fault */
 #define RETRY_WINDOW_US (10 * (uint64_t)CLOCK_US_PER_S)
 
-static const char *const policy_names[] = { "full", "uncharged", "patient",
-                                            "hash", "least",     "random" };
+static const char *const policy_names[] = { "full",  "uncharged", "patient",  "hash",
+                                            "least", "random",    "unshared", "ideal" };
 static const char *const fault_names[] = { "steady",   "burst", "hot_part", "hot_account",
                                            "grey",     "slow",  "mute",     "crash",
                                            "overload", "few",   "crowds" };
@@ -30,11 +30,21 @@
   return fault_names[fault];
 }
 
+static uint64_t
+fault_end_us (const sim_t *sim)
+{
+  return sim->options.fault_us > 0 ? SIM_FAULT_BEGIN_US + sim->options.fault_us : SIM_FAULT_END_US;
+}
+
 static double
 traffic_factor (const sim_t *sim)
 {
   if (!sim->faulty)
     return 1.0;
+  if (sim->options.surge_factor > 0)
+    return 1.0 + (sim->options.surge_factor - 1) * LARGE_ACCOUNTS_SHARE / LARGE_ACCOUNTS;
+  if (sim->options.traffic_milli > 0)
+    return sim->options.traffic_milli / 1000.0;
   if (sim->options.fault == SIM_BURST)
     return BURST_FACTOR;
   if (sim->options.fault == SIM_OVERLOAD)
@@ -76,6 +86,9 @@
   if (sim->faulty && has_surging_account (sim) &&
       random_unit (&sim->random) < SURGING_ACCOUNT_SHARE)
     return SURGING_ACCOUNT;
+  if (sim->faulty && sim->options.surge_factor > 0 &&
+      random_unit (&sim->random) < 1 - 1 / traffic_factor (sim))
+    return 0;
   if (random_unit (&sim->random) < LARGE_ACCOUNTS_SHARE)
     return random_below (&sim->random, LARGE_ACCOUNTS);
   return LARGE_ACCOUNTS + random_below (&sim->random, small_accounts);
@@ -121,14 +134,24 @@
   g_array_append_val (sim->request_times[request->kind->service], sim->now_us);
 }
 
+static uint32_t
+draw_gateway (sim_t *sim)
+{
+  double position;
+
+  if (!sim->site->unevenness.gateways)
+    return random_below (&sim->random, sim->site->gateways);
+  position = random_unit (&sim->random);
+  return (uint32_t)(position * position * sim->site->gateways);
+}
+
 static void
 add_request (sim_t *sim, uint32_t kind)
 {
   sim_request_t *request = g_new0 (sim_request_t, 1);
 
   request->kind = &sim->site->kinds[kind];
-  request->gateway =
-      g_ptr_array_index (sim->gateways, random_below (&sim->random, sim->site->gateways));
+  request->gateway = g_ptr_array_index (sim->gateways, draw_gateway (sim));
   request->account = draw_account (sim);
   request->prefix = draw_prefix (sim, request->kind);
   request->arrived_us = sim->now_us;
@@ -161,6 +184,11 @@
   total->late += answer == SIM_SERVED && !on_time ? 1 : 0;
   total->refused += answer == SIM_REFUSED ? 1 : 0;
   total->failed += answer == SIM_FAILED ? 1 : 0;
+  total->waited_late +=
+      answer == SIM_SERVED && !on_time &&
+              request->head_us - request->waited_us <= request->arrived_us + request->kind->aim_us
+          ? 1
+          : 0;
   total->late_refusals +=
       answer == SIM_REFUSED && sim->now_us > request->queue_item.arrived_us + half_us ? 1 : 0;
 }
@@ -178,9 +206,10 @@
   count_answer (sim, &figures->all, request, answer);
   if (request->arrived_us >= SIM_RECOVERED_FROM_US)
     count_answer (sim, &figures->after, request, answer);
-  if (request->arrived_us < SIM_FAULT_BEGIN_US || request->arrived_us >= SIM_FAULT_END_US)
+  if (request->arrived_us < SIM_FAULT_BEGIN_US || request->arrived_us >= fault_end_us (sim))
     return;
   count_answer (sim, &figures->during, request, answer);
+  count_answer (sim, &figures->accounts[request->account % SIM_ACCOUNTS_MAX], request, answer);
   count_answer (sim, &figures->kinds[request->kind - sim->site->kinds], request, answer);
   if (request->account != SURGING_ACCOUNT && request->kind->service != SITE_MODEL_SERVICE)
     count_answer (sim, &figures->quiet, request, answer);
@@ -315,6 +344,7 @@
   sim->gateways = g_ptr_array_new_with_free_func (sim_gateway_free);
   sim->requests = g_ptr_array_new_with_free_func (g_free);
   sim->attempts = g_ptr_array_new_with_free_func (g_free);
+  sim->ideal_queue = g_ptr_array_new ();
   sim->relative_loads = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   for (uint32_t service = 0; service < SITE_SERVICES; service++)
     {
@@ -328,7 +358,7 @@
   for (uint32_t kind = 0; kind < SITE_KINDS; kind++)
     schedule_arrivals (sim, kind);
   event_queue_add (&sim->events, SIM_FAULT_BEGIN_US, EVENT_FAULT_BEGINS, 0, NULL);
-  event_queue_add (&sim->events, SIM_FAULT_END_US, EVENT_FAULT_ENDS, 0, NULL);
+  event_queue_add (&sim->events, fault_end_us (sim), EVENT_FAULT_ENDS, 0, NULL);
 }
 
 /* Every request is over by its deadline, so none refers to an engine any more. */
@@ -339,6 +369,7 @@
   g_ptr_array_free (sim->engines, TRUE);
   g_ptr_array_free (sim->requests, TRUE);
   g_ptr_array_free (sim->attempts, TRUE);
+  g_ptr_array_free (sim->ideal_queue, TRUE);
   g_array_free (sim->relative_loads, TRUE);
   for (uint32_t service = 0; service < SITE_SERVICES; service++)
     {
--- a/bench/gateway/sim.h
+++ b/bench/gateway/sim.h
@@ -25,6 +25,9 @@
  *   bound, a waiting queue or a limit on retries
  * @SIM_LEAST: as SIM_HASH, but the engine with the fewest requests of this gateway is chosen
  * @SIM_RANDOM: as SIM_HASH, but a random engine is chosen
+ * @SIM_UNSHARED: as SIM_FULL, with the setting shared-room off
+ * @SIM_IDEAL: plain requests wait in one queue of all gateways, which knows the state of all
+ *   engines at once; others as with SIM_LEAST
  * @SIM_POLICIES: the number of policies
  */
 typedef enum
@@ -35,6 +38,8 @@
   SIM_HASH,
   SIM_LEAST,
   SIM_RANDOM,
+  SIM_UNSHARED,
+  SIM_IDEAL,
   SIM_POLICIES
 } sim_policy_t;
 
@@ -69,7 +74,8 @@
   SIM_FAULTS
 } sim_fault_t;
 
-#define SIM_CROWD_SIZE 20 /* requests that arrive at the same moment under SIM_CROWDS */
+#define SIM_ACCOUNTS_MAX 32 /* client accounts of a site */
+#define SIM_CROWD_SIZE 20   /* requests that arrive at the same moment under SIM_CROWDS */
 
 /* Requests that arrive earlier are not counted: caches are cold and durations are not known yet. */
 #define SIM_MEASURED_FROM_US (UINT64_C (5) * 1000 * 1000)
@@ -87,6 +93,9 @@
  * @policy: how gateways decide
  * @fault: what goes wrong
  * @seed: of the random numbers; runs with equal options are identical
+ * @traffic_milli: traffic during the fault, in thousandths of the usual; 0: as @fault has it
+ * @surge_factor: by which the first account's traffic grows during the fault; 0: it does not
+ * @fault_us: duration of the fault; 0 for the usual one
  */
 typedef struct
 {
@@ -95,6 +104,9 @@
   sim_policy_t policy;
   sim_fault_t fault;
   uint64_t seed;
+  uint32_t traffic_milli;
+  uint32_t surge_factor;
+  uint64_t fault_us;
 } sim_options_t;
 
 /**
@@ -104,6 +116,7 @@
  * @late: answered completely, but the answer began later
  * @refused: rejected with the assurance that no engine ran the request
  * @failed: an error, a truncated answer or no answer before the deadline
+ * @waited_late: those of @late that would have been on time without waiting for a slot
  * @late_refusals: rejected when the client had waited for more than half of the deadline since it
  *   sent the request for the last time
  */
@@ -115,6 +128,7 @@
   uint32_t refused;
   uint32_t failed;
   uint32_t late_refusals;
+  uint32_t waited_late;
 } sim_count_t;
 
 /**
@@ -124,6 +138,8 @@
  * @quiet: those of @during to the plain service, without the account that surges in some faults
  * @after: requests that arrived from %SIM_RECOVERED_FROM_US on
  * @kinds: those of @during, by kind of request
+ * @accounts: those of @during, by client account
+ * @plain_overloaded: as @overloaded_accepts, at plain engines
  * @sends: attempts, in the whole run: a request is sent to an engine once or several times
  * @early_refusals: rejections, in the whole run, of requests that had been sent to an engine and
  *   had more than half of their time left
@@ -145,6 +161,8 @@
   sim_count_t quiet;
   sim_count_t after;
   sim_count_t kinds[SITE_KINDS];
+  sim_count_t accounts[SIM_ACCOUNTS_MAX];
+  uint64_t plain_overloaded;
   uint64_t sends;
   uint64_t early_refusals;
   int64_t retries_over_budget;
--- a/bench/gateway/sim_engine.c
+++ b/bench/gateway/sim_engine.c
@@ -65,6 +65,23 @@
   return STEP_US + STEP_US_PER_REQUEST * (uint64_t)engine->running->len;
 }
 
+/* Return: duration of the work of a plain request that @engine starts now */
+static double
+plain_work_us (sim_t *sim, const sim_engine_t *engine, const site_kind_t *kind)
+{
+  const site_unevenness_t *uneven = &sim->site->unevenness;
+  double work_us = random_lognormal (&sim->random, (double)kind->work_us, 0.5);
+
+  if (uneven->long_milli > 0 && random_below (&sim->random, 1000) < uneven->long_milli)
+    work_us *= uneven->long_factor;
+  if (uneven->slow_milli > 0 && engine->index == SIM_SLOW_ENGINE)
+    work_us *= uneven->slow_milli / 1000.0;
+  if (uneven->crowded_milli > 0 && engine->index == SIM_CROWDED_ENGINE &&
+      engine->running->len > uneven->crowded_above)
+    work_us *= uneven->crowded_milli / 1000.0;
+  return work_us;
+}
+
 static void
 schedule_response (sim_t *sim, sim_attempt_t *attempt)
 {
@@ -76,8 +93,7 @@
 
   if (kind->events == 0)
     {
-      head_us = sim->now_us +
-                slowdown * (uint64_t)random_lognormal (&sim->random, (double)kind->work_us, 0.5);
+      head_us = sim->now_us + slowdown * (uint64_t)plain_work_us (sim, engine, kind);
       end_us = head_us;
     }
   else
@@ -101,8 +117,10 @@
   uint32_t ready_engines = 0;
   uint64_t relative_milli;
 
-  const uint32_t service = SITE_MODEL_SERVICE;
-  if (engine->service != service || sim->now_us < SIM_MEASURED_FROM_US)
+  uint32_t service = engine->service;
+  bool over;
+
+  if (sim->now_us < SIM_MEASURED_FROM_US)
     return;
   for (guint i = 0; i < sim->engines->len; i++)
     {
@@ -114,7 +132,13 @@
       ready_engines++;
     }
   relative_milli = sum > 0 ? (uint64_t)load * 1000 * ready_engines / sum : 0;
-  sim->figures.overloaded_accepts += load * ready_engines > 2 * sum + 3 * ready_engines ? 1 : 0;
+  over = load * ready_engines > 2 * sum + 3 * ready_engines;
+  if (service != SITE_MODEL_SERVICE)
+    {
+      sim->figures.plain_overloaded += over ? 1 : 0;
+      return;
+    }
+  sim->figures.overloaded_accepts += over ? 1 : 0;
   g_array_append_vals (sim->relative_loads, &(uint32_t){ (uint32_t)relative_milli }, 1);
 }
 
@@ -136,6 +160,7 @@
 start_attempt (sim_t *sim, sim_attempt_t *attempt)
 {
   g_ptr_array_add (attempt->engine->running, attempt);
+  attempt->begun_us = sim->now_us;
   attempt->begun_load = sim_engine_reported_load (attempt->engine);
   if (attempt->engine->mode != ENGINE_UNRESPONSIVE)
     schedule_response (sim, attempt);
--- a/bench/gateway/sim_gateway.c
+++ b/bench/gateway/sim_gateway.c
@@ -16,7 +16,7 @@
 static bool
 is_baseline (const sim_t *sim)
 {
-  return sim->options.policy > SIM_PATIENT;
+  return sim->options.policy > SIM_PATIENT && sim->options.policy != SIM_UNSHARED;
 }
 
 sim_gateway_t *
@@ -101,7 +101,7 @@
 {
   uint64_t random_rank = random_next (&sim->random) >> 16;
 
-  if (sim->options.policy == SIM_LEAST)
+  if (sim->options.policy == SIM_LEAST || sim->options.policy == SIM_IDEAL)
     return ((UINT64_C (1) << 62) - ((uint64_t)egn->own_requests << 48)) + random_rank;
   if (sim->options.policy == SIM_HASH && request->prefix != 0)
     return XXH64 (&egn->hash, sizeof egn->hash, request->prefix);
@@ -158,6 +158,25 @@
          load_gauge_is_surge (&load->gauge, sim->now_us, load->in_flight);
 }
 
+static uint32_t
+room_draw (const sim_request_t *request)
+{
+  uint64_t seed[] = { request->queue_item.arrived_us, request->account, request->gateway->index };
+
+  return (uint32_t)(XXH64 (seed, sizeof seed, 0) % 1000);
+}
+
+/* Whether the requests of the service wait in the engines' queues, by room_choice.c. */
+static bool
+has_shared_room (const sim_t *sim, const sim_request_t *request)
+{
+  return sim->options.policy == SIM_FULL &&
+         room_choice_is_scarce (engines_count_open_slots (request->gateway->engines,
+                                                          service_name (sim, request), sim->now_us),
+                                sim->site->services[request->kind->service].engines,
+                                sim->site->gateways);
+}
+
 static engine_choice_t
 choose_engine (sim_t *sim, const sim_request_t *request)
 {
@@ -182,6 +201,10 @@
           .usual_head_us = wait_queue_head_us (queue_of (request)),
           .surge = is_surge (sim, request),
           .utilization_milli = reported_load_milli (sim, request),
+          .shared_room = sim->options.policy == SIM_FULL,
+          .room_account = request->queue_item.fair_entry.account_hash,
+          .room_draw = room_draw (request),
+          .target_us = request->queue_item.target_us,
           .past_deadline = request->queue_item.waiting && request->queue_item.is_late,
           .tried = request->tried,
           .tried_count = request->tried_count });
@@ -224,8 +247,8 @@
                               &sim->site->retries, sim->now_us);
 }
 
-static void
-send_request (sim_t *sim, sim_request_t *request, engine_t *egn)
+void
+sim_send_request (sim_t *sim, sim_request_t *request, engine_t *egn)
 {
   sim_attempt_t *attempt = g_new0 (sim_attempt_t, 1);
 
@@ -251,10 +274,11 @@
 static wait_queue_capacity_t
 queue_capacity (const sim_t *sim, const sim_request_t *request)
 {
-  return (wait_queue_capacity_t){ .slots = engines_count_open_slots (request->gateway->engines,
-                                                                     service_name (sim, request),
-                                                                     sim->now_us),
-                                  .gateways = sim->site->gateways };
+  return (wait_queue_capacity_t){
+    .slots = engines_count_open_slots (request->gateway->engines, service_name (sim, request),
+                                       sim->now_us),
+    .gateways = has_shared_room (sim, request) ? 1 : sim->site->gateways
+  };
 }
 
 static void
@@ -273,14 +297,22 @@
 {
   engine_choice_t choice;
 
-  if (wait_queue_count_in_time (queue_of (request)) > 0 && request->attempt_count == 0)
+  if (sim_ideal_applies (sim, request))
+    {
+      sim_ideal_place (sim, request);
+      return;
+    }
+  if (has_shared_room (sim, request) && request->attempt_count == 0)
+    engines_note_room_request (request->gateway->engines, service_name (sim, request), sim->now_us,
+                               request->queue_item.fair_entry.account_hash);
+  else if (wait_queue_count_in_time (queue_of (request)) > 0 && request->attempt_count == 0)
     {
       wait_in_queue (sim, request);
       return;
     }
   choice = choose_engine (sim, request);
   if (choice.action == ENGINE_CHOICE_SEND)
-    send_request (sim, request, choice.engine);
+    sim_send_request (sim, request, choice.engine);
   else if (choice.action == ENGINE_CHOICE_WAIT)
     wait_in_queue (sim, request);
   else
@@ -316,7 +348,7 @@
     {
       if (context.choice.action == ENGINE_CHOICE_SEND)
         {
-          send_request (sim, request, context.choice.engine);
+          sim_send_request (sim, request, context.choice.engine);
           continue;
         }
       wait_queue_remove (queue, sim->now_us, &request->queue_item);
@@ -421,7 +453,10 @@
     }
   request->begun = request->kind->events > 0;
   if (request->head_us == 0)
-    request->head_us = sim->now_us;
+    {
+      request->head_us = sim->now_us;
+      request->waited_us = attempt->begun_us - request->arrived_us;
+    }
 }
 
 static void
@@ -459,6 +494,7 @@
   else
     continue_request (sim, request, outcome);
   start_waiting (sim, queue);
+  sim_ideal_dispatch (sim);
 }
 
 void
@@ -494,6 +530,7 @@
       sim_engine_remove (sim, attempt);
       detach_attempt (attempt);
     }
+  was_waiting = g_ptr_array_remove (sim->ideal_queue, request) || was_waiting;
   sim_finish_request (sim, request, was_waiting ? SIM_REFUSED : SIM_FAILED);
 }
 
--- a/bench/gateway/sim_parts.h
+++ b/bench/gateway/sim_parts.h
@@ -16,11 +16,14 @@
 #include "request/policy/load/load_gauge.h"
 #include "request/policy/load/median_latency.h"
 #include "request/policy/placement/engine_choice.h"
+#include "request/policy/room/room_choice.h"
 #include "sim.h"
 
 #include <glib.h>
 
-#define SIM_TRIED_MAX 8 /* engines that a request remembers to have been sent to */
+#define SIM_SLOW_ENGINE 1    /* engine of the plain service that is always slower */
+#define SIM_CROWDED_ENGINE 2 /* engine of the plain service that slows down when crowded */
+#define SIM_TRIED_MAX 8      /* engines that a request remembers to have been sent to */
 
 /**
  * enum sim_event_kind - kinds of events, with the event fields that they use
@@ -136,6 +139,7 @@
  * @returned: the client was rejected once and has sent it again, or will
  * @over: the client has its final answer
  * @head_us: when the first response head arrived, 0 before
+ * @waited_us: from the arrival until the engine began to run it
  */
 typedef struct
 {
@@ -154,6 +158,7 @@
   bool returned;
   bool over;
   uint64_t head_us;
+  uint64_t waited_us;
 } sim_request_t;
 
 /**
@@ -163,6 +168,7 @@
  * @known_engine: the engine in the gateway's view
  * @sent_us: when the gateway sent it
  * @heard_us: when the response head arrived, 0 before
+ * @begun_us: when the engine began to run it
  * @begun_load: load of the engine when it began to run the attempt
  * @over: it has ended or was abandoned; events of it that are still queued have no effect
  * @reached: the engine accepted the connection
@@ -174,6 +180,7 @@
   engine_t *known_engine;
   uint64_t sent_us;
   uint64_t heard_us;
+  uint64_t begun_us;
   engine_load_t begun_load;
   bool over;
   bool reached;
@@ -193,6 +200,7 @@
  * @retry_times: by service, when retries were sent: uint64_t in ascending order
  * @request_times: by service, when clients sent requests, likewise
  * @relative_loads: uint32_t, what the median of sim_figures.relative_load_milli is taken of
+ * @ideal_queue: sim_request_t that wait under SIM_IDEAL, in order of arrival
  * @faulty: the fault has begun and has not ended
  */
 typedef struct
@@ -210,6 +218,7 @@
   GArray *retry_times[SITE_SERVICES];
   GArray *request_times[SITE_SERVICES];
   GArray *relative_loads;
+  GPtrArray *ideal_queue;
   bool faulty;
   sim_figures_t figures;
 } sim_t;
@@ -228,6 +237,15 @@
 /** sim_engine_set_mode() - changes the behaviour; %ENGINE_DOWN aborts all attempts at @engine */
 void sim_engine_set_mode (sim_t *sim, sim_engine_t *engine, sim_engine_mode_t mode);
 
+/** sim_ideal_applies() - whether @request is placed by sim_ideal_place() */
+bool sim_ideal_applies (const sim_t *sim, const sim_request_t *request);
+/** sim_ideal_place() - sends @request to the best free engine, or lets it wait for one */
+void sim_ideal_place (sim_t *sim, sim_request_t *request);
+/** sim_ideal_dispatch() - sends waiting requests to free engines */
+void sim_ideal_dispatch (sim_t *sim);
+/** sim_send_request() - sends @request to @egn, without a further decision */
+void sim_send_request (sim_t *sim, sim_request_t *request, engine_t *egn);
+
 sim_gateway_t *sim_gateway_new (sim_t *sim, uint32_t index);
 void sim_gateway_free (gpointer gateway);
 /** sim_place_request() - sends @request to an engine, queues it or rejects it */
--- a/bench/gateway/site.h
+++ b/bench/gateway/site.h
@@ -69,6 +69,25 @@
   uint64_t deadline_us;
 } site_kind_t;
 
+/**
+ * struct site_unevenness - how engines of the plain service, requests and gateways of a site differ
+ * from each other; with zeros they do not
+ * @slow_milli: duration of work at the second engine, in thousandths of the usual
+ * @crowded_milli: duration of work that the third engine starts while it runs more than
+ *   @crowded_above requests, in thousandths of the usual
+ * @long_milli: plain requests, in thousandths, whose work takes @long_factor times as long
+ * @gateways: the first gateways get several times the traffic of the last ones
+ */
+typedef struct
+{
+  uint32_t slow_milli;
+  uint32_t crowded_milli;
+  uint32_t crowded_above;
+  uint32_t long_milli;
+  uint32_t long_factor;
+  bool gateways;
+} site_unevenness_t;
+
 /**
  * struct site - a site
  * @gateways: number of gateways, spread evenly over the data centres, as are the engines
@@ -86,6 +105,7 @@
   site_service_t services[SITE_SERVICES];
   site_kind_t kinds[SITE_KINDS];
   retry_budget_options_t retries;
+  site_unevenness_t unevenness;
 } site_t;
 
 /** site_find() - Return: the built-in site @name, or NULL */
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -54,6 +54,7 @@
  * @seed_count: number of @seeds
  * @first_start: gateway only: the whole fleet is being started for the first time, so that this
  *   gateway waits for peers before it reads the platform
+ * @shared_room: gateway only: decides for plain services with few slots by what all gateways share
  * @retry_ratio_milli: gateway only: retries allowed per thousand requests of a service, by all
  *   gateways together
  * @retry_slack_milli: gateway only: thousandths of retries allowed per window in addition, by all
@@ -93,6 +94,7 @@
   address_t seeds[SETTINGS_SEEDS_MAX];
   uint32_t seed_count;
   bool first_start;
+  bool shared_room;
   uint32_t retry_ratio_milli;
   uint32_t retry_slack_milli;
   uint32_t retry_window_ms;
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -38,6 +38,9 @@
   ROW ("first-start", BOOLEAN, NONE, 0, 0, first_start, "false",
        "Gateway: whether the whole fleet starts for the first time, so that peers are waited for "
        "before the platform is read"),
+  ROW ("shared-room", BOOLEAN, NONE, 0, 0, shared_room, "true",
+       "Gateway: whether plain requests wait in the queues of their engines, which all gateways "
+       "share, where slots are fewer than four for each gateway"),
   ROW ("retry-ratio", MILLI, NONE, 0, 1000, retry_ratio_milli, "0.1",
        "Gateway: retries for each request of a service, of all gateways together"),
   ROW ("retry-slack", MILLI, NONE, 0, 1000000 * 1000, retry_slack_milli, "10",
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -168,6 +168,8 @@
       counter_get (registry, "medlarplank_gateway_resumed_total", "Streams that went on elsewhere");
   gateway->gone =
       counter_get (registry, "medlarplank_gateway_gone_total", "Requests whose caller left");
+  gateway->room_waited = counter_get (registry, "medlarplank_gateway_room_waited_total",
+                                      "Times that requests waited by the shared-room setting");
   gateway->waited = counter_get (registry, "medlarplank_gateway_waited_total",
                                  "Times that requests waited for room");
   gateway->losses =
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -323,6 +323,10 @@
           .cold_start_us = rules ? rules->cold_start_us : 0,
           .known_gateways = gateway->known_routers,
           .region_filter = bound_regions (call),
+          .shared_room = gateway->options.settings->shared_room && !service->has_streams,
+          .room_account = call->queue_item.fair_entry.account_hash,
+          .room_draw = gateway_queue_room_draw (call),
+          .target_us = call->route->target_response_ms > 0 ? call->queue_item.target_us : 0,
           .drain_us = (uint64_t)gateway->options.settings->center_drain_ms * CLOCK_US_PER_MS,
           .version = call->version,
           .begin_version = gateway_resume_begin_version (call),
@@ -383,7 +387,8 @@
 
   /* A new request must not overtake those in the queue; a stream that is resumed may, as its client
    * has waited, and slots are kept for it. */
-  if (wait_queue_count_in_time (call->service->queue) > 0 && call->hops == 0 && call->version == 0)
+  if (!gateway_queue_note_shared_room (call) &&
+      wait_queue_count_in_time (call->service->queue) > 0 && call->hops == 0 && call->version == 0)
     {
       gateway_queue_push (call);
       return;
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -105,6 +105,8 @@
  * @answered: parts of the prompts that it answered last
  * @has_streams: it serves streams that may be resumed
  * @told_epoch: number of its last table when other gateways were told of its streams
+ * @room_held: the last line in the log said that room_share.h holds requests back
+ * @room_logged_us: time of that line
  * @mean_milli: mean load of its engines at the last choice, in thousandths of a request
  * @retries: this gateway's share of the retry budget
  * @wait_histogram: times from arrival to the first send
@@ -124,6 +126,8 @@
   bool has_streams;
   uint64_t told_epoch;
   uint32_t mean_milli;
+  bool room_held;
+  uint64_t room_logged_us;
   retry_budget_t retries;
   latency_t *wait_histogram;
   latency_t *head_histogram;
@@ -180,6 +184,7 @@
   counter_t *resumed;
   counter_t *gone;
   counter_t *waited;
+  counter_t *room_waited;
   counter_t *losses;
   counter_t *suspect_refused;
   counter_t *part_refused;
@@ -443,6 +448,11 @@
 bool gateway_queue_for_trial (gateway_call_t *call);
 /** gateway_queue_remove() - takes the request out of the queue, if it is queued */
 void gateway_queue_remove (gateway_call_t *call);
+/** gateway_queue_room_draw() - Return: the number of @call for room_choice.c */
+uint32_t gateway_queue_room_draw (const gateway_call_t *call);
+/** gateway_queue_note_shared_room() - Return: whether room_choice.c decides for @call, which is
+ * then counted for its account at its first attempt */
+bool gateway_queue_note_shared_room (const gateway_call_t *call);
 /** gateway_queue_dispatch() - sends queued requests of @service as far as its engines have room */
 void gateway_queue_dispatch (gateway_service_t *service);
 /** gateway_queue_expire() - refuses the queued requests of @service that can't start in time; frees
--- a/src/request/gateway/gateway_queue.c
+++ b/src/request/gateway/gateway_queue.c
@@ -2,14 +2,76 @@
 #include "request/gateway/gateway_private.h"
 
 #include "base/log.h"
+#include "request/policy/room/room_choice.h"
 
+#include <xxhash.h>
+
+#define MILLI 1000
+#define ROOM_LOG_INTERVAL_US CLOCK_US_PER_S /* between two lines on the room of a service */
+
+static uint64_t
+count_slots (const gateway_service_t *service)
+{
+  return engines_count_open_slots (service->gateway->options.engines, service->name,
+                                   gateway_now_us (service->gateway));
+}
+
+static bool
+has_shared_room (const gateway_service_t *service)
+{
+  const gateway_task_t *gateway = service->gateway;
+  const GPtrArray *engines = engines_of_service (gateway->options.engines, service->name);
+
+  return gateway->options.settings->shared_room && !service->has_streams &&
+         room_choice_is_scarce (count_slots (service), engines->len, gateway->routers);
+}
+
+/* Requests that wait for room in the queues that all gateways share need no share of the slots. */
 static wait_queue_capacity_t
 measure_room (gateway_task_t *gateway, const gateway_service_t *service)
 {
-  return (wait_queue_capacity_t){ .slots = engines_count_open_slots (gateway->options.engines,
-                                                                     service->name,
-                                                                     gateway_now_us (gateway)),
-                                  .gateways = gateway->routers };
+  return (wait_queue_capacity_t){ .slots = count_slots (service),
+                                  .gateways = has_shared_room (service) ? 1 : gateway->routers };
+}
+
+uint32_t
+gateway_queue_room_draw (const gateway_call_t *call)
+{
+  uint64_t seed[] = { call->arrived_us, call->gateway->name_hash,
+                      call->queue_item.fair_entry.account_hash };
+
+  return (uint32_t)(XXH64 (seed, sizeof seed, 0) % MILLI);
+}
+
+bool
+gateway_queue_note_shared_room (const gateway_call_t *call)
+{
+  const gateway_service_t *service = call->service;
+
+  if (call->affinity != 0 || !has_shared_room (service))
+    return false;
+  if (call->hops == 0)
+    engines_note_room_request (call->gateway->options.engines, service->name,
+                               gateway_now_us (call->gateway),
+                               call->queue_item.fair_entry.account_hash);
+  return true;
+}
+
+/* At most one line in a second for each service. */
+static void
+log_room (gateway_service_t *service)
+{
+  uint64_t now_us = gateway_now_us (service->gateway);
+  uint32_t milli = engines_room_share_milli (service->gateway->options.engines, service->name);
+  bool held = milli < MILLI;
+
+  if (held == service->room_held || now_us < service->room_logged_us + ROOM_LOG_INTERVAL_US ||
+      !has_shared_room (service))
+    return;
+  service->room_held = held;
+  service->room_logged_us = now_us;
+  log_event (LOG_LEVEL_INFO, "room", "service", service->name, "outcome", held ? "held" : "open",
+             "share_milli", LOG_U64 (milli), NULL);
 }
 
 static uint32_t
@@ -32,6 +94,8 @@
     {
     case WAIT_QUEUE_QUEUED:
       counter_add (call->gateway->waited, 1);
+      counter_add (call->gateway->room_waited,
+                   call->affinity == 0 && has_shared_room (call->service) ? 1 : 0);
       gateway_call_log (call, "wait", "queued", VERDICT_REASON_OVER_BOUND);
       return;
     case WAIT_QUEUE_TOO_LATE:
@@ -93,6 +157,7 @@
 {
   gateway_call_t *call;
 
+  log_room (service);
   while ((call = wait_queue_pop_expired (service->queue, gateway_now_us (service->gateway))))
     {
       wait_queue_capacity_t capacity = measure_room (call->gateway, service);
--- a/src/request/policy/engines/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -14,12 +14,14 @@
  * struct service - a service
  * @list: its engines, as engine_t
  * @part_shares: share of each prompt part in the requests of this gateway
+ * @room_share: share of the requests to send where slots are scarce
  * @versions: software versions of its engines
  */
 typedef struct
 {
   GPtrArray *list;
   part_shares_t *part_shares;
+  room_share_t *room_share;
   software_versions_t *versions;
 } service_t;
 
@@ -60,6 +62,7 @@
 
   g_ptr_array_free (service->list, TRUE);
   part_shares_free (service->part_shares);
+  room_share_free (service->room_share);
   software_versions_free (service->versions);
   g_free (service);
 }
@@ -99,6 +102,7 @@
       service = g_new0 (service_t, 1);
       service->list = g_ptr_array_new ();
       service->part_shares = part_shares_new ();
+      service->room_share = room_share_new ();
       service->versions = software_versions_new ();
       g_hash_table_insert (engines->by_service, (gpointer)name, service);
     }
@@ -203,6 +207,7 @@
 
       engine = engine_new (entry);
       engine->part_shares = service->part_shares;
+      engine->room_share = service->room_share;
       engine->versions = service->versions;
       engine->joined_us = engines->complete ? now_us : 0;
       restore_self_report (engines, engine);
@@ -316,6 +321,7 @@
   g_ptr_array_remove (get_service (engines, engine->entry.service)->list, engine);
   software_versions_remove (engine->versions, now_us, engine->version);
   engine->versions = NULL;
+  engine->room_share = NULL;
   g_hash_table_remove (engines->by_hash, &engine->hash);
   g_hash_table_remove (engines->by_id, id);
 }
@@ -429,6 +435,18 @@
   engine_unref (engine);
 }
 
+static void
+note_room (engine_t *engine, uint64_t now_us, const engine_load_t *load)
+{
+  room_engine_note_report (&engine->room,
+                           &(room_engine_report_t){ .running = load->running,
+                                                    .waiting = load->waiting,
+                                                    .slots = engine->entry.slots,
+                                                    .others = engine->other_requests });
+  if (engine->room_share)
+    room_share_note_report (engine->room_share, now_us, load->waiting, engine->entry.slots);
+}
+
 void
 engine_note_load (engine_t *engine, uint64_t now_us, const engine_load_t *load)
 {
@@ -438,6 +456,7 @@
   engine->reported_us = now_us;
   if (load->slots > 0)
     engine->entry.slots = load->slots;
+  note_room (engine, now_us, load);
   if (load->slowdown_percent > 0)
     {
       engine->slowdown_percent = load->slowdown_percent;
@@ -466,6 +485,8 @@
   engine->full_until_us = now_us + ENGINE_FULL_US;
   engine->window_milli = (uint64_t)accepted * MILLI;
   engine->refused_us = now_us;
+  if (engine->room_share)
+    room_share_note_full (engine->room_share, now_us);
 }
 
 bool
@@ -550,6 +571,7 @@
   engine->latency_ratio_milli =
       (previous_milli * (LATENCY_SMOOTHING - 1) + ratio_milli) / LATENCY_SMOOTHING;
   engine->latency_ratio_us = now_us;
+  room_engine_note_duration (&engine->room, ratio_milli);
 }
 
 void
@@ -676,6 +698,21 @@
   return slots;
 }
 
+void
+engines_note_room_request (engines_t *engines,
+                           const char *service,
+                           uint64_t now_us,
+                           uint64_t account)
+{
+  room_share_note_request (get_service (engines, service)->room_share, now_us, account);
+}
+
+uint32_t
+engines_room_share_milli (engines_t *engines, const char *service)
+{
+  return room_share_milli (get_service (engines, service)->room_share);
+}
+
 uint32_t
 engine_slots (const engine_t *engine, uint32_t fallback)
 {
--- a/src/request/policy/engines/engines.h
+++ b/src/request/policy/engines/engines.h
@@ -13,6 +13,8 @@
 #include "base/settings.h"
 #include "request/policy/placement/part_shares.h"
 #include "request/policy/engines/software_versions.h"
+#include "request/policy/room/room_engine.h"
+#include "request/policy/room/room_share.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -84,6 +86,8 @@
  * @version: of the service and the engine's software version. A stream goes on only at engines of
  *   the version that began it; never 0
  * @part_shares: of its service; shared with the other engines of the service
+ * @room_share: of its service; NULL once the registry has dropped it
+ * @room: what is known of its speed and usual load
  * @versions: software versions of its service; NULL once the registry has dropped it
  * @refs: one of the registry's entry and one of each request of this gateway
  * @own_requests: requests of this gateway at the engine
@@ -131,6 +135,8 @@
   uint64_t rank_hash;
   uint64_t version;
   part_shares_t *part_shares;
+  room_share_t *room_share;
+  room_engine_t room;
   software_versions_t *versions;
   uint32_t refs;
   uint32_t own_requests;
@@ -276,6 +282,15 @@
 /** engines_count_open_slots() - sum of the slots of the engines of @service, which is interned,
  * that may get requests; an engine that doesn't state its slots counts as one */
 uint64_t engines_count_open_slots (const engines_t *engines, const char *service, uint64_t now_us);
+/** engines_note_room_request() - counts a new request of @account at @service, which is interned,
+ * for room_share.h */
+void engines_note_room_request (engines_t *engines,
+                                const char *service,
+                                uint64_t now_us,
+                                uint64_t account);
+/** engines_room_share_milli() - share of the requests of @service, which is interned, that
+ * room_share.h lets it send, in thousandths */
+uint32_t engines_room_share_milli (engines_t *engines, const char *service);
 /** engines_set_complete() - marks the first list as read: engines that are added later have joined
  */
 void engines_set_complete (engines_t *engines);
--- a/src/request/policy/placement/engine_choice.c
+++ b/src/request/policy/placement/engine_choice.c
@@ -1,6 +1,7 @@
 #include "request/policy/placement/engine_choice.h"
 
 #include "request/policy/placement/service_view.h"
+#include "request/policy/room/room_choice.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -278,8 +279,11 @@
   service_view_init (&view, engines, now_us, request);
   choice.candidates = service_view_count_candidates (&view);
   choice.mean_milli = (uint32_t)view.mean_milli;
-  choice.engine =
-      view.full && !view.is_below_share && request->version == 0 ? NULL : choose_engine (&view);
+  if (view.shared_room)
+    choice.engine = room_choice_make (&view);
+  else
+    choice.engine =
+        view.full && !view.is_below_share && request->version == 0 ? NULL : choose_engine (&view);
   if (!choice.engine)
     {
       choice.action = choice.candidates > 0 ? ENGINE_CHOICE_WAIT : ENGINE_CHOICE_NONE;
--- a/src/request/policy/placement/engine_choice.h
+++ b/src/request/policy/placement/engine_choice.h
@@ -133,6 +133,10 @@
  * @version: only engines of this version may get it, since one of them began its stream; 0 for any
  * @begin_version: it begins a stream, at an engine of this version; 0 for any
  * @has_streams: the service has such streams
+ * @shared_room: where many gateways share few slots, room_choice.c decides
+ * @room_account: hash of the client account
+ * @target_us: time by which its response should begin; 0 for none
+ * @room_draw: random number below 1000 that stays with the request
  */
 typedef struct
 {
@@ -158,6 +162,10 @@
   bool surge;
   bool past_deadline;
   bool has_streams;
+  bool shared_room;
+  uint64_t room_account;
+  uint64_t target_us;
+  uint32_t room_draw;
 } engine_choice_request_t;
 
 /**
--- a/src/request/policy/placement/service_view.c
+++ b/src/request/policy/placement/service_view.c
@@ -1,6 +1,7 @@
 #include "request/policy/placement/service_view.h"
 
 #include "request/policy/engines/cold_start_limit.h"
+#include "request/policy/room/room_choice.h"
 
 #include <stdlib.h>
 #include <xxhash.h>
@@ -221,9 +222,15 @@
 bool
 service_view_is_degraded (const service_view_t *view, const engine_t *engine)
 {
-  return engine_error_rate_milli (engine, view->now_us) > view->error_limit_milli ||
+  return service_view_is_failing (view, engine) ||
          (view->request->cold_per_s == 0 && is_cold (view, engine)) ||
-         engine_latency_ratio_milli (engine, view->now_us) > ENGINE_CHOICE_LATENCY_RATIO_MILLI ||
+         engine_latency_ratio_milli (engine, view->now_us) > ENGINE_CHOICE_LATENCY_RATIO_MILLI;
+}
+
+bool
+service_view_is_failing (const service_view_t *view, const engine_t *engine)
+{
+  return engine_error_rate_milli (engine, view->now_us) > view->error_limit_milli ||
          engine_is_silent (engine, view->now_us, view->request->usual_head_us,
                            view->request->repeatable);
 }
@@ -278,6 +285,9 @@
   if (!may_send_cold (view, engine) ||
       !engine_has_window (engine, view->now_us, window_pause_us (view, slots)))
     return false;
+  /* room_choice.c limits the requests at an engine and in its queue by the load it expects. */
+  if (view->shared_room)
+    return !engine_is_full (engine, view->now_us);
   if (slots == 0 || (may_fill && service_view_load_at (view, engine) < usable))
     return true;
   return may_queue (view, engine, usable);
@@ -445,4 +455,5 @@
   view->keeps_slots =
       request->has_streams && request->version == 0 && has_several_versions (engines);
   ignore_doubts (view);
+  view->shared_room = room_choice_applies (view);
 }
--- a/src/request/policy/placement/service_view.h
+++ b/src/request/policy/placement/service_view.h
@@ -24,6 +24,7 @@
  * @crowded: nearly all slots are taken
  * @full: all slots are taken, so the gateway keeps to its share of them
  * @is_below_share: the gateway has less than its share of the slots
+ * @shared_room: the request is one of room_choice.c
  * @keeps_slots: some slots of each engine are left to streams that are resumed
  */
 typedef struct
@@ -44,6 +45,7 @@
   bool crowded;
   bool full;
   bool is_below_share;
+  bool shared_room;
   bool keeps_slots;
 } service_view_t;
 
@@ -65,6 +67,8 @@
 /** service_view_is_degraded() - whether @engine fails, is slow or silent, or is cold where no limit
  * is known for that: other engines within the bound are used first */
 bool service_view_is_degraded (const service_view_t *view, const engine_t *engine);
+/** service_view_is_failing() - whether @engine fails or is silent */
+bool service_view_is_failing (const service_view_t *view, const engine_t *engine);
 /** service_view_has_room() - whether @engine has a slot, or a place in its queue, for one more
  * request of this gateway */
 bool service_view_has_room (const service_view_t *view, const engine_t *engine);
