--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -54,6 +54,7 @@
  * @seed_count: number of @seeds
  * @first_start: gateway only: the whole fleet is being started for the first time, so that this
  *   gateway waits for peers before it reads the platform
+ * @shared_room: gateway only: decides for plain services with few slots by what all gateways share
  * @retry_ratio_milli: gateway only: retries allowed per thousand requests of a service, by all
  *   gateways together
  * @retry_slack_milli: gateway only: thousandths of retries allowed per window in addition, by all
@@ -65,6 +66,7 @@
  * @center_drain_ms: gateway only: likewise for the engines of a data centre that is drained
  * @stream_backups: gateway only: the caches of streams are copied to other engines where engines
  *   were lost lately
+ * @local_part_homes: gateway only: small or popular parts have homes in each data centre
  * @part_directory: gateway only: engines are chosen by the prompt parts they are known to hold
  * @grace_ms: gateway only: time from a stop signal until the process is killed
  * @fleet_key: shared secret of all daemons, at least 16 bytes
@@ -96,6 +98,7 @@
   address_t seeds[SETTINGS_SEEDS_MAX];
   uint32_t seed_count;
   bool first_start;
+  bool shared_room;
   uint32_t retry_ratio_milli;
   uint32_t retry_slack_milli;
   uint32_t retry_window_ms;
@@ -105,6 +108,7 @@
   uint32_t center_drain_ms;
   bool stream_backups;
   bool part_directory;
+  bool local_part_homes;
   uint32_t grace_ms;
   char fleet_key[128];
   log_level_t log_level;
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -38,6 +38,9 @@
   ROW ("first-start", BOOLEAN, NONE, 0, 0, first_start, "false",
        "Gateway: whether the whole fleet starts for the first time, so that peers are waited for "
        "before the platform is read"),
+  ROW ("shared-room", BOOLEAN, NONE, 0, 0, shared_room, "true",
+       "Gateway: whether plain requests wait in the queues of their engines, which all gateways "
+       "share, where slots are fewer than four for each gateway"),
   ROW ("retry-ratio", MILLI, NONE, 0, 1000, retry_ratio_milli, "0.1",
        "Gateway: retries for each request of a service, of all gateways together"),
   ROW ("retry-slack", MILLI, NONE, 0, 1000000 * 1000, retry_slack_milli, "10",
@@ -58,6 +61,9 @@
   ROW ("part-directory", BOOLEAN, NONE, 0, 0, part_directory, "true",
        "Gateway: whether engines are chosen by which of them are known to have a prompt's shared "
        "parts, for services whose configuration states the size of a cached token"),
+  ROW ("local-part-homes", BOOLEAN, NONE, 0, 0, local_part_homes, "false",
+       "Gateway: with the directory, whether small or popular parts have homes in each data centre: "
+       "fewer bytes between data centres, more copies"),
   ROW ("grace", MILLI, NONE, 1000, 600 * 1000, grace_ms, "8",
        "Gateway: seconds from a stop signal until the process is killed"),
   ROW ("fleet-key", SECRET, NONE, 16, sizeof (((settings_t *)0)->fleet_key) - 1, fleet_key, NULL,
--- a/src/request/gateway/gateway_copies.c
+++ b/src/request/gateway/gateway_copies.c
@@ -207,7 +207,9 @@
       &placement, target);
 }
 
-/* An engine that has started again since has another hash, and no copy. */
+/* An engine that has started again since has another hash, and no copy. Before the first event
+ * there is hardly a copy yet, and an engine that ended while it looked for one had begun a second
+ * run. */
 void
 gateway_copies_check (gateway_call_t *call)
 {
@@ -216,6 +218,11 @@
 
   if (!call->course.has_copy)
     return;
+  if (call->splitter.event_count == 0)
+    {
+      retry_plan_set_copy (&call->course, false);
+      return;
+    }
   obstacle = check_target (call, target);
   if (obstacle != BACKUP_OBSTACLE_NONE)
     log_event (LOG_LEVEL_INFO, "copy_unused", "id", call->id, "service", call->service->name,
--- a/src/request/policy/placement/engine_choice.c
+++ b/src/request/policy/placement/engine_choice.c
@@ -2,6 +2,7 @@
 
 #include "request/policy/placement/known_holders.h"
 #include "request/policy/placement/service_view.h"
+#include "request/policy/room/room_choice.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -219,6 +220,8 @@
   const engine_choice_request_t *request = view->request;
   uint64_t uses;
 
+  if (!request->has_local_homes)
+    return false;
   if (request->affinity_tokens <= ENGINE_CHOICE_LOCAL_PART_TOKENS)
     return true;
   if (request->slot_time_us == 0)
@@ -637,9 +640,12 @@
   known_holders_init (&known, now_us, request);
   choice.candidates = service_view_count_candidates (&view);
   choice.mean_milli = (uint32_t)view.mean_milli;
-  choice.engine = view.full && !view.is_below_share && request->version == 0
-                      ? NULL
-                      : choose_engine (&view, &known);
+  if (view.shared_room)
+    choice.engine = room_choice_make (&view);
+  else
+    choice.engine = view.full && !view.is_below_share && request->version == 0
+                        ? NULL
+                        : choose_engine (&view, &known);
   if (!choice.engine)
     {
       choice.action = choice.candidates > 0 ? ENGINE_CHOICE_WAIT : ENGINE_CHOICE_NONE;
--- a/src/request/policy/placement/engine_choice.h
+++ b/src/request/policy/placement/engine_choice.h
@@ -153,7 +153,12 @@
  * @begin_version: it begins a stream, at an engine of this version; 0 for any
  * @has_streams: the service has such streams
  * @holders: engines that are known to hold parts; NULL to go by rank alone
+ * @has_local_homes: with @holders: small or popular parts have homes in each data centre
  * @shared_parts: hash of all parts of its prompt that other requests may share; 0 for none
+ * @shared_room: where many gateways share few slots, room_choice.c decides
+ * @room_account: hash of the client account
+ * @target_us: time by which its response should begin; 0 for none
+ * @room_draw: random number below 1000 that stays with the request
  */
 typedef struct
 {
@@ -181,6 +186,11 @@
   bool surge;
   bool past_deadline;
   bool has_streams;
+  bool has_local_homes;
+  bool shared_room;
+  uint64_t room_account;
+  uint64_t target_us;
+  uint32_t room_draw;
 } engine_choice_request_t;
 
 /**
