Reports of peers are reduced by the own requests of their time

Cause: a load that a peer passes on was reduced by the requests that this gateway has at the engine now, not by those of the time of the report, so an engine looked emptier or fuller by what began or ended since.

An end without a time counts as later than all reports until a later time is known.

--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -29,7 +29,7 @@
   if (!engine)
     return;
   call->service->engines_in_use -= engine->own_requests == 1 ? 1 : 0;
-  engine_end_request (engine);
+  engine_end_request_at (engine, gateway_now_us (call->gateway));
   call->service->in_flight--;
 }
 
--- a/src/request/policy/engines/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -418,17 +418,25 @@
     engine->unanswered_since_us = now_us;
   engine->last_sent_us = now_us;
   engine->refs++;
+  request_history_add (&engine->own_history, now_us, engine->own_requests);
   engine->own_requests++;
 }
 
 void
-engine_end_request (engine_t *engine)
+engine_end_request_at (engine_t *engine, uint64_t now_us)
 {
   g_assert (engine->own_requests > 0);
+  request_history_add (&engine->own_history, now_us, engine->own_requests);
   engine->own_requests--;
   engine_unref (engine);
 }
 
+void
+engine_end_request (engine_t *engine)
+{
+  engine_end_request_at (engine, REQUEST_HISTORY_UNKNOWN_US);
+}
+
 void
 engine_note_load (engine_t *engine, uint64_t now_us, const engine_load_t *load)
 {
@@ -448,9 +456,11 @@
 void
 engine_note_peer_load (engine_t *engine, uint64_t reported_us, uint32_t load)
 {
-  if (reported_us <= MAX (engine->reported_us, engine->peer_report_us))
+  uint32_t own = request_history_at (&engine->own_history, reported_us, engine->own_requests);
+
+  if (reported_us <= MAX (engine->reported_us, engine->peer_report_us) )
     return;
-  engine->peer_report_others = load > engine->own_requests ? load - engine->own_requests : 0;
+  engine->peer_report_others = load > own ? load - own : 0;
   engine->peer_report_us = reported_us;
 }
 
--- a/src/request/policy/engines/engines.h
+++ b/src/request/policy/engines/engines.h
@@ -11,6 +11,7 @@
 
 #include "base/limits.h"
 #include "base/settings.h"
+#include "request/policy/load/request_history.h"
 #include "request/policy/placement/part_shares.h"
 #include "request/policy/engines/software_versions.h"
 
@@ -88,6 +89,7 @@
  * @refs: one of the registry's entry and one of each request of this gateway
  * @own_requests: requests of this gateway at the engine
  * @reported_us: when the engine last reported its load to this gateway; 0 for never
+ * @own_history: @own_requests in the last seconds
  * @peer_report_us: when it reported the load that another gateway passed on; 0 for never
  * @other_requests: requests of other gateways there, as of @reported_us
  * @peer_report_others: requests of other gateways there, as of @peer_report_us
@@ -134,6 +136,7 @@
   software_versions_t *versions;
   uint32_t refs;
   uint32_t own_requests;
+  request_history_t own_history;
   uint64_t reported_us;
   uint64_t peer_report_us;
   uint32_t other_requests;
@@ -289,8 +292,11 @@
 void engine_begin_request (engine_t *engine, uint64_t now_us);
 /** engine_note_break() - it broke off a request, or can't be reached */
 void engine_note_break (engine_t *engine, uint64_t now_us);
-/** engine_end_request() - ends a request that engine_begin_request() counted; may free @engine */
+/** engine_end_request() - ends a request that engine_begin_request() counted, at a time that is not
+ * known; may free @engine */
 void engine_end_request (engine_t *engine);
+/** engine_end_request_at() - likewise, at @now_us */
+void engine_end_request_at (engine_t *engine, uint64_t now_us);
 /** engine_note_load() - records the @load that @engine reported in an answer */
 void engine_note_load (engine_t *engine, uint64_t now_us, const engine_load_t *load);
 /** engine_note_peer_load() - records that @engine reported @load requests to another gateway at
