A gateway's own report is not replaced by its echo

Cause: a report comes back from a peer younger by up to a millisecond and the time on the way, each time it is passed on, and replaced the original: requests sent in between counted as part of it.

Change: the same load, at most 20 ms younger than the engine's own report, is taken for that one.

--- a/src/request/policy/engines/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -444,6 +444,7 @@
 
   engine->other_requests = total > engine->own_requests ? total - engine->own_requests : 0;
   engine->reported_us = now_us;
+  engine->reported_load = total;
   if (load->slots > 0)
     engine->entry.slots = load->slots;
   if (load->slowdown_percent > 0)
@@ -458,7 +459,8 @@
 {
   uint32_t own = request_history_at (&engine->own_history, reported_us, engine->own_requests);
 
-  if (reported_us <= MAX (engine->reported_us, engine->peer_report_us) )
+  if (reported_us <= MAX (engine->reported_us, engine->peer_report_us) ||
+      (load == engine->reported_load && reported_us <= engine->reported_us + ENGINE_REPORT_ECHO_US))
     return;
   engine->peer_report_others = load > own ? load - own : 0;
   engine->peer_report_us = reported_us;
@@ -473,6 +475,7 @@
 
   engine->other_requests = slots > accepted ? slots - accepted : 0;
   engine->reported_us = now_us;
+  engine->reported_load = 0; /* what it did not report has no echo */
   engine->full_until_us = now_us + ENGINE_FULL_US;
   engine->window_milli = (uint64_t)accepted * MILLI;
   engine->refused_us = now_us;
--- a/src/request/policy/engines/engines.h
+++ b/src/request/policy/engines/engines.h
@@ -90,6 +90,7 @@
  * @own_requests: requests of this gateway at the engine
  * @reported_us: when the engine last reported its load to this gateway; 0 for never
  * @own_history: @own_requests in the last seconds
+ * @reported_load: all requests there as of @reported_us, by its own answer to this gateway
  * @peer_report_us: when it reported the load that another gateway passed on; 0 for never
  * @other_requests: requests of other gateways there, as of @reported_us
  * @peer_report_others: requests of other gateways there, as of @peer_report_us
@@ -136,6 +137,7 @@
   software_versions_t *versions;
   uint32_t refs;
   uint32_t own_requests;
+  uint32_t reported_load;
   request_history_t own_history;
   uint64_t reported_us;
   uint64_t peer_report_us;
@@ -184,6 +186,9 @@
  * the estimate halved towards zero each second, and 0.5% with this rule.
  */
 #define ENGINE_REPORT_HALF_LIFE_US (UINT64_C (1500) * 1000)
+/* A report comes back from peers younger by a millisecond and by the time on the way each time it
+ * is passed on. The same load within this time of an own report is taken for that one. */
+#define ENGINE_REPORT_ECHO_US (UINT64_C (20) * 1000)
 /*
  * Half-life of a reported load in the mean of the service. The mean has reports of many engines and
  * needs no old ones; as it follows the load late, it is too high after a burst, and with it the
