The only gateway resumes streams while the store is out

Cause: a gateway trusts its tables of shares in an outage while it hears most of the others in its registry; one that is alone hears nobody, so after 2.5 s without the store it refused each resumed stream (basis=not_current) although it began streams by the same table. Ruled out by a trial: with two, three and five gateways that all lose the store the tables stay trusted for ten seconds.

Change: shares_trust, a state machine that gateways and the simulated fleet share. A gateway without others in its registry counts the store as out for all. A gateway that is not in the registry here and says that it reached the store since ends the trust, in fleets of any size: it may write a table.

Left: a lone gateway that is cut off from the store and from one that started meanwhile.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -27,7 +27,7 @@
  * @origins: at which software versions streams began
  * @gateway_origins: tells other gateways of them
  * @shares: tells that of streams of all gateways
- * @outage_us: when most of the other gateways were last heard while no one could read the store
+ * @shares_trust: whether the tables of shares count while the store is out
  * @accept_by_us: latest time at which client connections are accepted, even if the gateway is not
  *   ready; 0 once they are
  * @stop_us: when the stop signal came, 0 before
@@ -48,7 +48,7 @@
   stream_origins_t *origins;
   gateway_origins_t *gateway_origins;
   gateway_shares_t *shares;
-  uint64_t outage_us;
+  shares_trust_t shares_trust;
   struct event *tick;
   uint64_t accept_by_us;
   uint64_t stop_us;
@@ -276,21 +276,12 @@
   update_engine_counts (process);
 }
 
-/* While the store is out nobody can put a table in force. One gateway alone can't tell an outage
- * from its own lost connection, most of them can. */
 static bool
 may_trust_shares (gateway_process_t *process)
 {
-  uint64_t at_us = now_us (process);
+  shares_trust_view_t view = gateway_store_shares_view (process->store);
 
-  if (gateway_store_is_current (process->store))
-    {
-      process->outage_us = 0;
-      return true;
-    }
-  if (gateway_store_hears_most (process->store))
-    process->outage_us = at_us;
-  return process->outage_us != 0 && at_us < process->outage_us + VERSION_SHARES_ANNOUNCED_US;
+  return shares_trust_update (&process->shares_trust, &view, now_us (process));
 }
 
 static void
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -881,10 +881,13 @@
   return stream_follower_has_listed (store->followers[STREAM_ROUTERS]);
 }
 
-bool
-gateway_store_hears_most (const gateway_store_t *store)
+shares_trust_view_t
+gateway_store_shares_view (const gateway_store_t *store)
 {
-  return gateway_peers_hears_most (store->peers);
+  shares_trust_view_t view = { .is_current = gateway_store_is_current (store) };
+
+  gateway_peers_count (store->peers, &view);
+  return view;
 }
 
 /** struct listing - gateways that are being listed */
