A run goes on from its copy without a check of suspects that can't stop it

Cause: that check may queue a request, which would then go with the name of the copy to another engine. It never does for a request that isn't on trial, and one on trial has no copy.

Change: the check is gone; fields of calls without padding.

--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -469,12 +469,12 @@
   gateway_call_start (call);
 }
 
+/* A request on trial does not go on from a copy, so nothing can stop or queue this one. */
 static void
 continue_from_copy (gateway_call_t *call, verdict_reason_t reason)
 {
   prepare_retry (call, call->relay.has_started, "from_copy", reason);
-  if (!gateway_suspect_stop (call))
-    gateway_copies_continue (call);
+  gateway_copies_continue (call);
 }
 
 void
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -259,9 +259,9 @@
  * @client_was_slow: the client read the response of the last hop slowly
  * @failure_buffered: the error response of an engine is buffered, to be forwarded if no other
  *   engine serves the request
+ * @has_continued: the current hop, or an earlier one, went on from a copy
  * @copy_engine: hash of the engine that gets the copy of the current run's cache, 0 for none
  * @copy: by which that engine knows the copy
- * @has_continued: the current hop, or an earlier one, went on from a copy
  * @timer: fires at the deadline
  */
 typedef struct
@@ -312,9 +312,9 @@
   uint64_t events_before_head;
   bool client_was_slow;
   bool failure_buffered;
+  bool has_continued;
   uint64_t copy_engine;
   format_copy_t copy;
-  bool has_continued;
   struct event *timer;
 } gateway_call_t;
 
