--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -277,9 +277,9 @@
  * @failure_buffered: the error response of an engine is buffered, to be forwarded if no other
  *   engine serves the request
  * @dropped_bytes: of the body of an engine's refusal
+ * @has_continued: the current hop, or an earlier one, went on from a copy
  * @copy_engine: hash of the engine that gets the copy of the current run's cache, 0 for none
  * @copy: by which that engine knows the copy
- * @has_continued: the current hop, or an earlier one, went on from a copy
  * @timer: fires at the deadline
  */
 typedef struct
@@ -331,9 +331,9 @@
   bool client_was_slow;
   bool failure_buffered;
   uint64_t dropped_bytes;
+  bool has_continued;
   uint64_t copy_engine;
   format_copy_t copy;
-  bool has_continued;
   struct event *timer;
 } gateway_call_t;
 
