--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -55,7 +55,7 @@
        "Gateway: time in which an engine that leaves must get nothing more"),
   ROW ("center-drain-ms", NUMBER, NONE, 500, 600 * 1000, center_drain_ms, "5000",
        "Gateway: time in which the engines of a data centre that is drained must get nothing more"),
-  ROW ("stream-backups", BOOLEAN, NONE, 0, 0, stream_backups, "true",
+  ROW ("stream-backups", BOOLEAN, NONE, 0, 0, stream_backups, "false",
        "Gateway: whether engines that can do so copy the cache of a stream to another engine while it "
        "runs, where engines were lost lately, so that it goes on when its engine ends"),
   ROW ("part-directory", BOOLEAN, NONE, 0, 0, part_directory, "true",
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -57,7 +57,6 @@
   uint64_t own_hash;
   uint32_t sequence;
   uint64_t heard_us;
-  uint64_t stranger_store_us; /* see struct shares_trust_view */
   const crash_mark_t *owner_mark;
   load_reports_t loads;
 };
@@ -276,16 +275,6 @@
   return true;
 }
 
-static void
-note_stranger (gateway_peers_t *peers, uint32_t store_age_ms)
-{
-  uint64_t age_us = (uint64_t)store_age_ms * CLOCK_US_PER_MS;
-  uint64_t at_us = now_us (peers);
-
-  if (store_age_ms != UINT32_MAX && age_us < at_us)
-    peers->stranger_store_us = MAX (peers->stranger_store_us, at_us - age_us);
-}
-
 static bool
 on_message (const xch_message *message, bool is_reply, void *context)
 {
@@ -297,10 +286,7 @@
   /* A gateway that has just started may not be known here yet. It gets a reply all the same;
    * without one it would take this gateway for dead and follow the store itself. */
   if (!peer)
-    {
-      note_stranger (peers, theirs.store_age_ms);
-      return true;
-    }
+    return true;
   if (!record_message (peers, peer, &message->sender))
     return false;
   read_marks (peers, message, peer->name);
@@ -638,12 +624,10 @@
   return count;
 }
 
-void
-gateway_peers_count (const gateway_peers_t *peers, shares_trust_view_t *view)
+bool
+gateway_peers_hears_most (const gateway_peers_t *peers)
 {
-  view->known = peers->list->len;
-  view->heard = count_alive (peers);
-  view->stranger_store_us = peers->stranger_store_us;
+  return 2 * count_alive (peers) > peers->list->len;
 }
 
 bool
--- a/src/process/gateway_peers.h
+++ b/src/process/gateway_peers.h
@@ -19,7 +19,6 @@
 #include "base/settings.h"
 #include "connection/datagram.h"
 #include "request/policy/load/load_reports.h"
-#include "request/policy/streams/shares_trust.h"
 #include "request/policy/suspects/crash_record.h"
 
 #include <event2/event.h>
@@ -131,8 +130,9 @@
 /** gateway_peers_send_parts() - sends a message about engines that hold parts of prompts to a
  * random gateway that counts as alive. Return: whether it was sent */
 bool gateway_peers_send_parts (gateway_peers_t *peers, xch_parts_message *message);
-/** gateway_peers_count() - sets what @view tells of other gateways */
-void gateway_peers_count (const gateway_peers_t *peers, shares_trust_view_t *view);
+/** gateway_peers_hears_most() - whether more than half of the other gateways in the registry count
+ * as alive */
+bool gateway_peers_hears_most (const gateway_peers_t *peers);
 /** gateway_peers_may_have_served() - whether the gateway called @name may have served within
  * @within_us: it was heard, or was found in the registry, in that time */
 bool
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -29,7 +29,7 @@
  * @gateway_origins: tells other gateways of them
  * @directory: tells other gateways which engines hold parts of prompts
  * @shares: tells that of streams of all gateways
- * @shares_trust: whether the tables of shares count while the store is out
+ * @outage_us: when most of the other gateways were last heard while no one could read the store
  * @accept_by_us: latest time at which client connections are accepted, even if the gateway is not
  *   ready; 0 once they are
  * @stop_us: when the stop signal came, 0 before
@@ -51,7 +51,7 @@
   gateway_origins_t *gateway_origins;
   gateway_directory_t *directory;
   gateway_shares_t *shares;
-  shares_trust_t shares_trust;
+  uint64_t outage_us;
   struct event *tick;
   uint64_t accept_by_us;
   uint64_t stop_us;
@@ -279,12 +279,21 @@
   update_engine_counts (process);
 }
 
+/* While the store is out nobody can put a table in force. One gateway alone can't tell an outage
+ * from its own lost connection, most of them can. */
 static bool
 may_trust_shares (gateway_process_t *process)
 {
-  shares_trust_view_t view = gateway_store_shares_view (process->store);
+  uint64_t at_us = now_us (process);
 
-  return shares_trust_update (&process->shares_trust, &view, now_us (process));
+  if (gateway_store_is_current (process->store))
+    {
+      process->outage_us = 0;
+      return true;
+    }
+  if (gateway_store_hears_most (process->store))
+    process->outage_us = at_us;
+  return process->outage_us != 0 && at_us < process->outage_us + VERSION_SHARES_ANNOUNCED_US;
 }
 
 static void
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -503,13 +503,10 @@
   return stream_follower_has_listed (store->followers[STREAM_ROUTERS]);
 }
 
-shares_trust_view_t
-gateway_store_shares_view (const gateway_store_t *store)
+bool
+gateway_store_hears_most (const gateway_store_t *store)
 {
-  shares_trust_view_t view = { .is_current = gateway_store_is_current (store) };
-
-  gateway_peers_count (store->peers, &view);
-  return view;
+  return gateway_peers_hears_most (store->peers);
 }
 
 /** struct listing - gateways that are being listed */
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -135,8 +135,9 @@
 uint32_t gateway_store_rank (const gateway_store_t *store);
 /** gateway_store_has_routers() - whether the gateway registry has been loaded completely */
 bool gateway_store_has_routers (const gateway_store_t *store);
-/** gateway_store_shares_view() - what tells whether the tables of shares may be trusted */
-shares_trust_view_t gateway_store_shares_view (const gateway_store_t *store);
+/** gateway_store_hears_most() - whether most of the other gateways in the registry count as alive
+ */
+bool gateway_store_hears_most (const gateway_store_t *store);
 /** gateway_store_list_gateways() - the names of the gateways in the registry, this one too, that
  * may have served within @within_us, as an array to be freed */
 GPtrArray *gateway_store_list_gateways (const gateway_store_t *store, uint64_t within_us);
--- a/tests/driver_gateway.c
+++ b/tests/driver_gateway.c
@@ -40,6 +40,7 @@
   driver_process_t *process = driver_process_new (driver, DRIVER_GATEWAY, name, NULL);
 
   driver_process_add_flag (process, "--role=gateway");
+  driver_process_add_flag (process, "--stream-backups=true");
   driver_process_add_flag (process, "--renewal-ms=%u", KEYED_STORE_ENTRY_TTL_MS / 3);
   driver_process_add_flag (process, "--name=%s", name);
   driver_process_add_flag (process, "--data-center=hall-bayangol");
