--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -73,6 +73,7 @@
   settings->renewal_ms = 1200;
   settings->drain_ms = 2000;
   settings->part_directory = true;
+  settings->local_part_homes = true;
   settings->grace_ms = 8000;
   settings->stream_backups = true;
   if (rig->seeded)
