--- a/src/request/policy/placement/engine_choice.h
+++ b/src/request/policy/placement/engine_choice.h
@@ -151,6 +151,8 @@
   uint64_t drain_us;
   uint64_t version;
   uint64_t begin_version;
+  uint64_t room_account;
+  uint64_t target_us;
   uint32_t affinity_tokens;
   uint32_t tried_count;
   uint32_t gateways;
@@ -158,14 +160,12 @@
   uint32_t default_slots;
   uint32_t cold_per_s;
   uint32_t known_gateways;
+  uint32_t room_draw;
   bool repeatable;
   bool surge;
   bool past_deadline;
   bool has_streams;
   bool shared_room;
-  uint64_t room_account;
-  uint64_t target_us;
-  uint32_t room_draw;
 } engine_choice_request_t;
 
 /**
