--- a/src/request/policy/placement/engine_choice.c
+++ b/src/request/policy/placement/engine_choice.c
@@ -583,7 +583,7 @@
       engine_t *engine = service_view_engine (view, i);
 
       if (engine != chosen && !engine->displaced && may_copy_from (view, engine) &&
-          is_better_holder (view, known, engine, best))
+          !service_view_is_degraded (view, engine) && is_better_holder (view, known, engine, best))
         best = engine;
     }
   return best;
--- a/tests/test_part_choice.c
+++ b/tests/test_part_choice.c
@@ -181,6 +181,23 @@
     }
 }
 
+/* Guards against requests that wait for a copy from an engine that fails. */
+static void
+test_failing_holder_is_no_source (void)
+{
+  g_autoptr (engines_t) engines = make_engines ();
+  g_autoptr (part_holders_t) holders = part_holders_new (100);
+  engine_t *failing = ranked (engines, 4);
+  engine_t *sound = ranked (engines, 6);
+
+  hold (holders, failing);
+  hold (holders, sound);
+  CU_ASSERT_PTR_EQUAL (choose (engines, holders, "elsewhere").source, failing);
+  for (uint32_t i = 0; i < 8; i++)
+    engine_note_answer (failing, NOW_US, true);
+  CU_ASSERT_PTR_EQUAL (choose (engines, holders, "elsewhere").source, sound);
+}
+
 /* Guards against an ended engine, or one whose data centre was drained, counting as a holder: its
  * cache is empty. */
 static void
@@ -335,6 +352,7 @@
                                        SUITE_TEST (test_holder_is_preferred_to_a_new_home),
                                        SUITE_TEST (test_holders_keep_the_bound),
                                        SUITE_TEST (test_source_is_a_near_holder),
+                                       SUITE_TEST (test_failing_holder_is_no_source),
                                        SUITE_TEST (test_restart_and_drain_empty_caches),
                                        SUITE_TEST (test_short_parts_stay_in_the_data_center),
                                        SUITE_TEST (test_full_data_center_uses_the_common_home),
