--- a/tests/test_part_directory.c
+++ b/tests/test_part_directory.c
@@ -9,9 +9,7 @@
   "Content-Length: 4\r\n\r\nfine"
 #define TURN "Content-Length: 0\r\nX-Prompt-Prefix: aa:900,bb:10\r\n"
 #define SHORT_TURN "Content-Length: 0\r\nX-Prompt-Prefix: cc:90,bb:10\r\n"
-/* Ends the list of routes in the configuration of the rig. */
-#define TRAITS                                                                                     \
-  "],\"services\":[{\"name\":\"pool\",\"engine\":{\"kv_token_bytes\":163840}}],\"more\":["
+#define TRAITS "\"kv_token_bytes\":163840"
 
 static bool
 is_answered (void *context)
@@ -36,7 +34,7 @@
   static const char *const scripts[] = { RESPONSE };
   gateway_rig_t *rig = gateway_rig_new (2);
 
-  gateway_rig_publish_config (rig, 2, traits);
+  gateway_rig_publish_engine (rig, 2, traits);
   for (uint32_t i = 0; i < 3; i++)
     gateway_rig_add_engine (rig, scripts, 1);
   g_assert (gateway_rig_wait_counter (rig, "medlarplank_version", 2));
