--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -239,7 +239,7 @@
 uint16_t
 http_server_port (const http_server_t *http_server)
 {
-  struct sockaddr_storage storage;
+  struct sockaddr_storage storage = { 0 };
   socklen_t bytes = sizeof storage;
   struct sockaddr *address = (struct sockaddr *)&storage;
 
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -328,11 +328,11 @@
   bool is_written_long;
   uint64_t last_byte_us;
   uint64_t events_before_head;
+  uint64_t dropped_bytes;
+  uint64_t copy_engine;
   bool client_was_slow;
   bool failure_buffered;
-  uint64_t dropped_bytes;
   bool has_continued;
-  uint64_t copy_engine;
   format_copy_t copy;
   struct event *timer;
 } gateway_call_t;
