--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -239,17 +239,20 @@
 uint16_t
 http_server_port (const http_server_t *http_server)
 {
-  struct sockaddr_storage storage = { 0 };
-  socklen_t bytes = sizeof storage;
-  struct sockaddr *address = (struct sockaddr *)&storage;
-
+  union
+  {
+    struct sockaddr any;
+    struct sockaddr_in v4;
+    struct sockaddr_in6 v6;
+  } address;
+  socklen_t bytes = sizeof address;
+
+  memset (&address, 0, sizeof address);
   if (!http_server->bound)
     return 0;
-  if (getsockname (evhttp_bound_socket_get_fd (http_server->bound), address, &bytes) < 0)
+  if (getsockname (evhttp_bound_socket_get_fd (http_server->bound), &address.any, &bytes) < 0)
     return 0;
-  if (address->sa_family == AF_INET6)
-    return ntohs (((struct sockaddr_in6 *)address)->sin6_port);
-  return ntohs (((struct sockaddr_in *)address)->sin_port);
+  return ntohs (address.any.sa_family == AF_INET6 ? address.v6.sin6_port : address.v4.sin_port);
 }
 
 void
