--- a/tests/flood_peer.c
+++ b/tests/flood_peer.c
@@ -84,6 +84,16 @@
     }
 }
 
+/* The time between two bytes of a slow sender, or until the other side resets the connection. */
+static void
+await_pause (flood_peer_t *peer)
+{
+  struct pollfd poll_fd = { .fd = peer->fd };
+
+  if (peer->flood.pause_ms > 0)
+    poll (&poll_fd, 1, (int)peer->flood.pause_ms);
+}
+
 static void
 flood_connection (flood_peer_t *peer)
 {
@@ -93,7 +103,7 @@
   while (sound && !is_stopped (peer))
     {
       sound = send_all (peer, peer->block->str, peer->block->len);
-      g_usleep (peer->flood.pause_ms * 1000UL);
+      await_pause (peer);
     }
   if (peer->listen_fd < 0)
     read_text (peer);
