--- a/standin/standin_upstream.c
+++ b/standin/standin_upstream.c
@@ -10,7 +10,10 @@
  * the given text ends the process once it has run for --work-ms; its outcome in the record is
  * "crash"; with --crash-on-part, which may be given several times, likewise one whose prompt has
  * that part, unless it is the last. With --software-version the entry and each event of a stream
- * state that version; it does not check at which version a stream that it continues began.
+ * state that version; it does not check at which version a stream that it continues began. With
+ * --token-us, an event holds %TOKENS_PER_EVENT tokens, each of which takes that time and
+ * --token-us-per-run for each request that runs, and the second figure of X-Token-Count is the
+ * number of a request's tokens.
  */
 #include "connection/platform_client.h"
 #include "http_call.h"
@@ -27,6 +30,7 @@
 #define EXIT_DELAY_MS 300 /* between the removal of the entry and the exit */
 #define ENGINES_TOPIC "keyed.servers"
 #define CRASH_PARTS_MAX 4
+#define TOKENS_PER_EVENT 8
 
 typedef struct
 {
@@ -43,6 +47,8 @@
   uint32_t slots;
   uint32_t work_ms;
   uint32_t events;
+  uint32_t token_us;
+  uint32_t token_us_per_run;
   uint32_t drain_ms;
   uint32_t fail_percent;
   uint32_t lose_percent;
@@ -79,6 +85,7 @@
  * @backup: IP:PORT of the upstream that gets a copy of its cache, or NULL
  * @ends_upstream: it crashes the process
  * @next_event: number of the next event to send; 0 for a plain answer
+ * @events: number of its events
  */
 typedef struct
 {
@@ -88,6 +95,7 @@
   char *account;
   char *backup;
   uint64_t next_event;
+  uint64_t events;
   bool ends_upstream;
   struct event *timer;
 } run_t;
@@ -157,11 +165,25 @@
   run_free (run);
 }
 
+/* Return: the time until the next event or the plain answer of a request */
+static struct timeval
+event_time (const upstream_t *upstream)
+{
+  const options_t *options = &upstream->options;
+  uint64_t event_us = (uint64_t)options->work_ms * 1000;
+
+  if (options->token_us > 0)
+    event_us = (uint64_t)TOKENS_PER_EVENT *
+               (options->token_us + (uint64_t)options->token_us_per_run * upstream->running);
+  return (struct timeval){ (time_t)(event_us / G_USEC_PER_SEC),
+                           (suseconds_t)(event_us % G_USEC_PER_SEC) };
+}
+
 static void
 on_run_timer (evutil_socket_t fd, short what, void *context)
 {
   run_t *run = context;
-  struct timeval wait = { 0, (suseconds_t)run->upstream->options.work_ms * 1000 };
+  struct timeval wait = event_time (run->upstream);
 
   (void)fd;
   (void)what;
@@ -176,7 +198,7 @@
       return;
     }
   send_event (run);
-  if (run->next_event++ < run->upstream->options.events)
+  if (run->next_event++ < run->events)
     {
       run_copies_send (run->upstream->copies, run->backup, run->id, false);
       event_add (run->timer, &wait);
@@ -245,6 +267,18 @@
          (prompt && has_crash_part (&upstream->options, prompt));
 }
 
+/* @token_count: tokens of the prompt and of the answer, separated by a comma */
+static uint64_t
+count_events (const options_t *options, const char *token_count)
+{
+  const char *comma = token_count ? strchr (token_count, ',') : NULL;
+  uint64_t tokens = comma ? g_ascii_strtoull (comma + 1, NULL, 10) : 0;
+
+  if (options->token_us == 0 || tokens == 0)
+    return options->events;
+  return (tokens + TOKENS_PER_EVENT - 1) / TOKENS_PER_EVENT;
+}
+
 static void
 on_call (http_call_t *call, void *context)
 {
@@ -252,7 +286,7 @@
   const char *id = http_call_header (call, "X-Request-Id");
   const char *account = http_call_header (call, "X-Tenant");
   const char *last_event_id = http_call_header (call, "Last-Event-Id");
-  struct timeval wait = { 0, (suseconds_t)upstream->options.work_ms * 1000 };
+  struct timeval wait;
   run_t *run;
 
   if (run_copies_receive (upstream->copies, now_us (), call) || refuse_request (upstream, call, id))
@@ -266,8 +300,10 @@
   run->ends_upstream = ends_upstream (upstream, call);
   if (upstream->options.events > 0)
     run->next_event = (last_event_id ? g_ascii_strtoull (last_event_id, NULL, 10) : 0) + 1;
+  run->events = count_events (&upstream->options, http_call_header (call, "X-Token-Count"));
   run->timer = evtimer_new (upstream->base, on_run_timer, run);
   upstream->running++;
+  wait = event_time (upstream);
   run_copies_send (upstream->copies, run->backup, run->id, false);
   write_record (upstream, "begin", run,
                 http_call_header (call, "X-Key")     ? "key-shown"
@@ -384,6 +420,8 @@
   { "software-version", required_argument, NULL, 'b' },
   { "slots", required_argument, NULL, 'n' },
   { "work-ms", required_argument, NULL, 'w' },
+  { "token-us", required_argument, NULL, 't' },
+  { "token-us-per-run", required_argument, NULL, 'u' },
   { "events", required_argument, NULL, 'e' },
   { "drain-ms", required_argument, NULL, 'd' },
   { "fail-percent", required_argument, NULL, 'f' },
@@ -406,8 +444,9 @@
 apply_flag (options_t *options, int flag, const char *value)
 {
   uint32_t *const numbers[] = {
-    ['n'] = &options->slots,    ['w'] = &options->work_ms,      ['e'] = &options->events,
-    ['d'] = &options->drain_ms, ['f'] = &options->fail_percent, ['o'] = &options->lose_percent,
+    ['n'] = &options->slots,    ['w'] = &options->work_ms,          ['e'] = &options->events,
+    ['d'] = &options->drain_ms, ['f'] = &options->fail_percent,     ['o'] = &options->lose_percent,
+    ['t'] = &options->token_us, ['u'] = &options->token_us_per_run,
   };
   const char **const texts[] = {
     ['a'] = &options->advertise, ['l'] = &options->listen,          ['s'] = &options->store,
@@ -428,7 +467,7 @@
           "  [--advertise IP:PORT] [--data-center NAME] [--slots N] [--work-ms N] "
           "[--events N] [--drain-ms N]\n"
           "  [--fail-percent N] [--lose-percent N] [--crash-on TEXT] [--crash-on-part ID]...\n"
-          "  [--software-version TEXT]\n");
+          "  [--software-version TEXT] [--token-us N --token-us-per-run N]\n");
       exit (2);
     }
 }
--- a/tests/driver_gateway.c
+++ b/tests/driver_gateway.c
@@ -17,6 +17,11 @@
   driver_process_add_flag (process, "--service=%s", upstream->streams ? "pool" : "ledger");
   driver_process_add_flag (process, "--events=%u", upstream->streams ? events : 0);
   driver_process_add_flag (process, "--work-ms=%u", upstream->work_ms);
+  if (upstream->token_us > 0)
+    {
+      driver_process_add_flag (process, "--token-us=%u", upstream->token_us);
+      driver_process_add_flag (process, "--token-us-per-run=%u", upstream->token_us_per_run);
+    }
   if (upstream->slots > 0)
     driver_process_add_flag (process, "--slots=%u", upstream->slots);
   if (upstream->crash_on)
