Log what was believed of an engine that got too much, and the mean and its age

Change: 'place' tells own, bound_milli and mean_age_ms; 'overloaded' (notice, once a second and service) tells what was known of an engine whose answer states more than the overload limit; _gateway_overloaded_total counts these.

--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -185,6 +185,9 @@
                    "Requests sent once more to see whether a refused part still ends engines");
   gateway->sheds = counter_get (registry, "medlarplank_gateway_sheds_total",
                                 "Times that the new connections that waited were refused unread");
+  gateway->overloaded =
+      counter_get (registry, "medlarplank_gateway_overloaded_total",
+                   "Answers of engines that had more requests than the overload limit");
   gateway->resumptions = counter_get (registry, "medlarplank_gateway_resumptions_total",
                                       "Requests by which clients resume streams");
   gateway->versions_gauge =
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -56,6 +56,38 @@
   return call->shared_parts ^ engine->hash;
 }
 
+/* Return: the time since the engine stated the load that was known of it, in ms; NULL for never */
+#define BELIEF_AGE_MS(belief, at_us)                                                               \
+  ((belief)->told_us ? LOG_U64 (((at_us)-MIN ((belief)->told_us, (at_us))) / CLOCK_US_PER_MS)      \
+                     : NULL)
+
+static const char *
+belief_source (const gateway_belief_t *belief)
+{
+  if (belief->told_us == 0)
+    return NULL;
+  return belief->is_told_by_peer ? "peer" : "engine";
+}
+
+static void
+log_overloaded (const gateway_call_t *call, uint64_t now_us, uint32_t load)
+{
+  const gateway_belief_t *belief = &call->belief;
+
+  if (call->service->overloaded_logged_us != 0 &&
+      now_us < call->service->overloaded_logged_us + GATEWAY_OVERLOADED_LOG_US)
+    return;
+  call->service->overloaded_logged_us = now_us;
+  log_event (LOG_LEVEL_NOTICE, "overloaded", "id", call->id, "service", call->service->name,
+             "engine", call->engine->entry.id, "load", LOG_U64 (load), "rank",
+             LOG_U64 (belief->rank), "believed", LOG_U64 (belief->load), "own",
+             LOG_U64 (belief->own_requests), "load_age_ms", BELIEF_AGE_MS (belief, call->sent_us),
+             "load_from", belief_source (belief), "bound_milli", LOG_U64 (belief->bound_milli),
+             "mean_milli", LOG_U64 (belief->mean_milli), "mean_age_ms",
+             LOG_U64 (belief->mean_age_us / CLOCK_US_PER_MS), "sent_ms_ago",
+             LOG_U64 ((now_us - call->sent_us) / CLOCK_US_PER_MS), NULL);
+}
+
 static void
 announce_high_load (const gateway_call_t *call, uint64_t now_us)
 {
@@ -64,9 +96,12 @@
                          .load = call->response.load.running + call->response.load.waiting,
                          .reported_us = now_us };
 
-  if (load_reports_is_high (item.load, call->service->mean_milli, ENGINE_CHOICE_OVERLOAD_FACTOR,
-                            ENGINE_CHOICE_OVERLOAD_EXTRA_MILLI))
-    gateway->options.on_high_load (&item, gateway->options.context);
+  if (!load_reports_is_high (item.load, call->service->mean_milli, ENGINE_CHOICE_OVERLOAD_FACTOR,
+                             ENGINE_CHOICE_OVERLOAD_EXTRA_MILLI))
+    return;
+  counter_add (gateway->overloaded, 1);
+  log_overloaded (call, now_us, item.load);
+  gateway->options.on_high_load (&item, gateway->options.context);
 }
 
 static void
@@ -500,22 +535,39 @@
   return choice->source && choice->source_holds ? "source" : NULL;
 }
 
+/* Must be called before the request is counted at the engine. */
+static void
+record_belief (gateway_call_t *call, const engine_choice_t *choice)
+{
+  const engine_t *engine = choice->engine;
+
+  call->belief =
+      (gateway_belief_t){ .load = choice->load,
+                          .own_requests = engine->own_requests,
+                          .mean_milli = choice->mean_milli,
+                          .mean_age_us = choice->mean_age_us,
+                          .bound_milli = choice->bound_milli,
+                          .rank = choice->rank,
+                          .told_us = MAX (engine->reported_us, engine->peer_report_us),
+                          .is_told_by_peer = engine->peer_report_us > engine->reported_us };
+}
+
 static void
 log_place (const gateway_call_t *call, const engine_choice_t *choice)
 {
   const engine_t *engine = choice->engine;
-  bool of_peer = engine->peer_report_us > engine->reported_us;
-  uint64_t told_us = MAX (engine->reported_us, engine->peer_report_us);
-  uint64_t age_ms = (call->sent_us - MIN (told_us, call->sent_us)) / CLOCK_US_PER_MS;
+  const gateway_belief_t *belief = &call->belief;
 
   log_event (
       LOG_LEVEL_INFO, "place", "id", call->id, "service", call->service->name, "engine",
       engine->entry.id, "software", engine->entry.software_version, "rank", LOG_U64 (choice->rank),
       "cache_source", choice->source ? choice->source->entry.id : NULL, "cache_known",
-      known_caches (choice), "load", LOG_U64 (choice->load), "mean_milli",
-      LOG_U64 (choice->mean_milli), "load_age_ms", told_us ? LOG_U64 (age_ms) : NULL, "load_from",
-      told_us ? (of_peer ? "peer" : "engine") : NULL, "candidates", LOG_U64 (choice->candidates),
-      "waited_ms", LOG_U64 ((call->sent_us - call->arrived_us) / CLOCK_US_PER_MS), NULL);
+      known_caches (choice), "load", LOG_U64 (choice->load), "own", LOG_U64 (belief->own_requests),
+      "load_age_ms", BELIEF_AGE_MS (belief, call->sent_us), "load_from", belief_source (belief),
+      "bound_milli", LOG_U64 (choice->bound_milli), "mean_milli", LOG_U64 (choice->mean_milli),
+      "mean_age_ms", LOG_U64 (choice->mean_age_us / CLOCK_US_PER_MS), "candidates",
+      LOG_U64 (choice->candidates), "waited_ms",
+      LOG_U64 ((call->sent_us - call->arrived_us) / CLOCK_US_PER_MS), NULL);
 }
 
 void
@@ -537,6 +589,7 @@
                                      .priority = compute_priority (call),
                                      .resumes = call->resuming,
                                      .last_event = call->splitter.last_id };
+  record_belief (call, choice);
   begin_hop (call, choice);
   if (call->hops == 1)
     latency_add (call->service->wait_histogram, call->sent_us - call->arrived_us);
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -93,6 +93,9 @@
 /* gateways whose answers on one resumption are told apart; further ones are not counted */
 #define GATEWAY_ANSWERS_MAX 16
 
+/* Time between two log lines of one service about an engine that has got too much. */
+#define GATEWAY_OVERLOADED_LOG_US (UINT64_C (1000) * 1000)
+
 /** What became of a client's request that resumes a stream. */
 typedef enum
 {
@@ -118,6 +121,7 @@
  * @room_held: the last line in the log said that room_share.h holds requests back
  * @room_logged_us: time of that line
  * @mean_milli: mean load of its engines at the last choice, in thousandths of a request
+ * @overloaded_logged_us: time of the last line about an engine that has got too much; 0 for never
  * @retries: this gateway's share of the retry budget
  * @losses: how likely its engines are lost; NULL where runs get no copies
  * @wait_histogram: times from arrival to the first send
@@ -137,6 +141,7 @@
   bool has_streams;
   uint64_t told_epoch;
   uint32_t mean_milli;
+  uint64_t overloaded_logged_us;
   bool room_held;
   uint64_t room_logged_us;
   retry_budget_t retries;
@@ -203,6 +208,7 @@
   counter_t *part_refused;
   counter_t *part_retrials;
   counter_t *sheds;
+  counter_t *overloaded;
   counter_t *parts_held;
   counter_t *parts_copied;
   counter_t *parts_guessed;
@@ -217,6 +223,28 @@
   counter_t *continued_whole;
 };
 
+/**
+ * struct gateway_belief - what was known of an engine when a request was sent there
+ * @load: requests at the engine, as estimated, in which @own_requests of this gateway are counted
+ * @mean_milli: mean load of the service, in thousandths of a request
+ * @mean_age_us: mean age of the reports that it is made of
+ * @bound_milli: load that the engine could have with the request, in thousandths of a request
+ * @rank: of the engine
+ * @told_us: when the engine stated its load; 0 for never
+ * @is_told_by_peer: it stated that to another gateway
+ */
+typedef struct
+{
+  uint32_t load;
+  uint32_t own_requests;
+  uint32_t mean_milli;
+  uint64_t mean_age_us;
+  uint64_t bound_milli;
+  uint32_t rank;
+  uint64_t told_us;
+  bool is_told_by_peer;
+} gateway_belief_t;
+
 /**
  * struct gateway_resumption - a client's request that resumes a stream
  * @asked_us: when the other gateways were asked last, 0 for never
@@ -251,6 +279,7 @@
  * @queue_item: entry in the queue of @service
  * @course: decides what follows the outcome of a hop
  * @engine: engine of the current hop, or NULL
+ * @belief: what was known of it
  * @tried: hashes of engines that are not asked again
  * @hops: sends to engines so far
  * @affinity: hash of the prompt part by which an engine is chosen; 0 for none
@@ -303,6 +332,7 @@
   char *body;
   size_t body_bytes;
   engine_t *engine;
+  gateway_belief_t belief;
   uint64_t tried[GATEWAY_TRIED_MAX];
   uint32_t tried_count;
   uint32_t hops;
--- a/src/request/policy/placement/engine_choice.c
+++ b/src/request/policy/placement/engine_choice.c
@@ -640,6 +640,7 @@
   known_holders_init (&known, now_us, request);
   choice.candidates = service_view_count_candidates (&view);
   choice.mean_milli = (uint32_t)view.mean_milli;
+  choice.mean_age_us = view.mean_age_us;
   if (view.shared_room)
     choice.engine = room_choice_make (&view);
   else
@@ -658,6 +659,7 @@
   if (request->affinity != 0)
     part_shares_add (choice.engine->part_shares, now_us, request->affinity);
   choice.load = service_view_load_at (&view, choice.engine);
+  choice.bound_milli = service_view_bound_milli (&view, choice.engine);
   choice.source = find_copy_source (&view, &known, choice.engine);
   choice.engine_holds = known_holders_state (&known, choice.engine) != KNOWN_HOLDERS_UNKNOWN;
   choice.source_holds =
--- a/src/request/policy/placement/engine_choice.h
+++ b/src/request/policy/placement/engine_choice.h
@@ -203,6 +203,8 @@
  * @source_holds: likewise for @source
  * @load: estimated requests at @engine
  * @mean_milli: mean load of the service, in thousandths of a request
+ * @mean_age_us: mean age of the reports that it is made of; 0 when there are none
+ * @bound_milli: load that the engine may have with the request, in thousandths of a request
  * @candidates: number of engines that may get the request, also those that are full
  * @drained: with %ENGINE_CHOICE_NONE: there are engines, but all their data centres are drained
  * @backoff_us: with %ENGINE_CHOICE_NONE: time until the first engine that asked for no requests
@@ -216,6 +218,8 @@
   uint32_t rank;
   uint32_t load;
   uint32_t mean_milli;
+  uint64_t mean_age_us;
+  uint64_t bound_milli;
   uint32_t candidates;
   bool engine_holds;
   bool source_holds;
--- a/src/request/policy/placement/service_view.c
+++ b/src/request/policy/placement/service_view.c
@@ -94,6 +94,7 @@
   uint64_t weights = 0;
   uint64_t own = 0;
   uint64_t others = 0;
+  uint64_t ages_us = 0;
 
   for (guint i = 0; i < view->engines->len; i++)
     {
@@ -102,12 +103,14 @@
           engine_is_open (engine) ? engine_load_weight_milli (engine, view->now_us) : 0;
 
       weights += weight;
+      ages_us += weight * (view->now_us - MIN (engine->reported_us, view->now_us));
       own += (uint64_t)weight * engine->own_requests;
       others += (uint64_t)weight * engine->other_requests;
     }
   /* One idle engine is added: the first report says little about the other engines. */
   view->others_mean_milli = others * MILLI / (weights + MILLI);
   view->mean_milli = weights > 0 ? (own + others) * MILLI / weights : 0;
+  view->mean_age_us = weights > 0 ? ages_us / weights : 0;
 }
 
 bool
@@ -371,6 +374,12 @@
          (XXH64 (&hash, sizeof hash, engine->hash) & 1) != 0;
 }
 
+uint64_t
+service_view_bound_milli (const service_view_t *view, const engine_t *engine)
+{
+  return view->mean_milli + bound_margin_milli (view, engine);
+}
+
 bool
 service_view_within_bound (const service_view_t *view, const engine_t *engine)
 {
@@ -378,8 +387,9 @@
 
   if (has_joined (view, engine) && !uses_joined_engine (view, engine))
     return false;
-  return load_after_milli <= view->mean_milli + bound_margin_milli (view, engine);
+  return load_after_milli <= service_view_bound_milli (view, engine);
 }
+
 uint32_t
 service_view_count_candidates (const service_view_t *view)
 {
--- a/src/request/policy/placement/service_view.h
+++ b/src/request/policy/placement/service_view.h
@@ -14,6 +14,7 @@
  * @open: engines that take new requests
  * @mean_milli: mean load of the open engines, in thousandths of a request
  * @service_mean_milli: likewise, with the idle engines
+ * @mean_age_us: mean age of the reports that @mean_milli is made of; 0 when there are none
  * @others_mean_milli: mean number of requests of other gateways at an engine, in thousandths
  * @own: requests of this gateway at open engines
  * @slots: of the open engines
@@ -34,6 +35,7 @@
   const engine_choice_request_t *request;
   uint32_t open;
   uint64_t mean_milli;
+  uint64_t mean_age_us;
   uint64_t service_mean_milli;
   uint64_t others_mean_milli;
   uint64_t own;
@@ -72,6 +74,9 @@
 /** service_view_has_room() - whether @engine has a slot, or a place in its queue, for one more
  * request of this gateway */
 bool service_view_has_room (const service_view_t *view, const engine_t *engine);
+/** service_view_bound_milli() - load that @engine may have with the request, in thousandths of a
+ * request */
+uint64_t service_view_bound_milli (const service_view_t *view, const engine_t *engine);
 /** service_view_within_bound() - whether @engine stays within the load bound with the request */
 bool service_view_within_bound (const service_view_t *view, const engine_t *engine);
 /** service_view_reports_seldom() - whether this gateway's share of @engine is less than one slot,
