Gateways tell each other their requests, and divide their sum for the mean load

Callers saw: requests at one engine that held over twice the mean and three, while others had room. Change: each message of the exchange tells the sender's requests at each service with more than eight engines, and the latest of others, in place of four of its eight loads; the sum over all gateways divided by the engines is the mean. A gateway that hears of none goes by reports as before. Why it works: the sum is the mean by definition, idle engines included, whatever is heard of single engines.

--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -14,6 +14,9 @@
  * the previous incarnation can still arrive. */
 #define LOWER_INCARNATION_AFTER_US GATEWAY_PEERS_ALIVE_US
 
+/* Samples of a message that tell requests of gateways; the others tell loads of engines. */
+#define REQUEST_COUNTS (XCH_SAMPLES / 2)
+
 #define RANK_SEED GATEWAY_PEERS_FOLLOWERS /* any value that is the same in all gateways */
 
 /**
@@ -44,7 +47,7 @@
  * @sequence: number of the last message sent
  * @heard_us: when the last message of any peer came
  * @owner_mark: the mark for which the message that is being written is sent; NULL for none
- * @loads: high loads of engines, to be passed on
+ * @loads: loads of engines, to be passed on
  */
 struct gateway_peers
 {
@@ -155,21 +158,53 @@
     }
 }
 
+static uint32_t
+age_ms (const gateway_peers_t *peers, uint64_t at_us)
+{
+  return (uint32_t)((now_us (peers) - MIN (at_us, now_us (peers))) / CLOCK_US_PER_MS);
+}
+
+static uint32_t
+fill_requests (gateway_peers_t *peers, xch_message *message)
+{
+  fleet_requests_told_t told[REQUEST_COUNTS];
+  uint32_t count =
+      peers->options.list_requests (peers->own_hash, told, REQUEST_COUNTS, peers->options.context);
+
+  for (uint32_t i = 0; i < count; i++)
+    message->samples.samples_val[i] =
+        (xch_sample){ .engine_hash = told[i].count.gateway_hash,
+                      .service_hash = told[i].service_hash,
+                      .load = told[i].count.requests,
+                      .age_ms = age_ms (peers, told[i].count.told_us) };
+  return count;
+}
+
 static void
 fill_loads (gateway_peers_t *peers, xch_message *message)
 {
   load_report_t items[XCH_SAMPLES];
-  uint32_t count = load_reports_latest (&peers->loads, now_us (peers), items, XCH_SAMPLES);
+  uint32_t first = fill_requests (peers, message);
+  uint32_t count = load_reports_latest (&peers->loads, now_us (peers), items, XCH_SAMPLES - first);
 
   for (uint32_t i = 0; i < count; i++)
-    {
-      xch_sample *out = &message->samples.samples_val[i];
+    message->samples.samples_val[first + i] =
+        (xch_sample){ .engine_hash = items[i].engine_hash,
+                      .load = items[i].load,
+                      .age_ms = age_ms (peers, items[i].reported_us) };
+  message->samples.samples_len = first + count;
+}
 
-      out->engine_hash = items[i].engine_hash;
-      out->load = items[i].load;
-      out->age_ms = (uint32_t)((now_us (peers) - items[i].reported_us) / CLOCK_US_PER_MS);
-    }
-  message->samples.samples_len = count;
+static void
+read_requests (gateway_peers_t *peers, const xch_sample *received, uint64_t told_us)
+{
+  fleet_requests_told_t told = { .service_hash = received->service_hash,
+                                 .count = { .gateway_hash = received->engine_hash,
+                                            .requests = received->load,
+                                            .told_us = told_us } };
+
+  if (told.count.gateway_hash != peers->own_hash)
+    peers->options.on_requests (&told, peers->options.context);
 }
 
 static void
@@ -179,11 +214,14 @@
     {
       const xch_sample *received = &message->samples.samples_val[i];
       uint64_t age_us = (uint64_t)received->age_ms * CLOCK_US_PER_MS;
+      uint64_t at_us = now_us (peers) - MIN (age_us, now_us (peers));
       load_report_t item = { .engine_hash = received->engine_hash,
                              .load = received->load,
-                             .reported_us = now_us (peers) - MIN (age_us, now_us (peers)) };
+                             .reported_us = at_us };
 
-      if (load_reports_add (&peers->loads, now_us (peers), &item))
+      if (received->service_hash != 0)
+        read_requests (peers, received, at_us);
+      else if (load_reports_add (&peers->loads, now_us (peers), &item))
         peers->options.on_load (&item, peers->options.context);
     }
 }
--- a/src/process/gateway_peers.h
+++ b/src/process/gateway_peers.h
@@ -18,6 +18,7 @@
 #include "base/position.h"
 #include "base/settings.h"
 #include "connection/datagram.h"
+#include "request/policy/load/fleet_requests.h"
 #include "request/policy/load/load_reports.h"
 #include "request/policy/suspects/crash_record.h"
 
@@ -68,7 +69,10 @@
  * @crashes: requests during which engines ended; marks of peers are added to it
  * @get_progress: returns how far this gateway has read the store
  * @on_progress: a peer reported its progress @theirs; @control is its control address
+ * @list_requests: lists up to @want numbers of requests that gateways have at engines; this gateway
+ *   is @own_hash
  * @on_load: a peer reported a load of an engine that is more recent than any report before
+ * @on_requests: a peer told how many requests a gateway has at the engines of a service
  * @on_origins: a message about streams came
  * @on_parts: a message about engines that hold parts of prompts came
  */
@@ -84,7 +88,12 @@
   void (*on_progress) (const gateway_peers_progress_t *theirs,
                        const address_t *control,
                        void *context);
+  uint32_t (*list_requests) (uint64_t own_hash,
+                             fleet_requests_told_t *out,
+                             uint32_t want,
+                             void *context);
   void (*on_load) (const load_report_t *item, void *context);
+  void (*on_requests) (const fleet_requests_told_t *told, void *context);
   void (*on_origins) (const xch_origins_message *message, void *context);
   void (*on_parts) (const xch_parts_message *message, void *context);
   void *context;
@@ -106,7 +115,7 @@
  * first crashes to the owners of their fingerprints, others to a few peers, who pass them on at
  * once */
 void gateway_peers_tell_crashes (gateway_peers_t *peers);
-/** gateway_peers_add_load() - adds a high load that an engine reported here to the next messages to
+/** gateway_peers_add_load() - adds a load that an engine reported here to the next messages to
  * peers */
 void gateway_peers_add_load (gateway_peers_t *peers, const load_report_t *item);
 /** gateway_peers_send_news() - sends %GATEWAY_PEERS_NEWS_FANOUT peers a message in the next turn of
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -325,6 +325,23 @@
     gateway_handle_peer_load (process->gateway, item);
 }
 
+static uint32_t
+list_requests (uint64_t own_hash, fleet_requests_told_t *out, uint32_t want, void *context)
+{
+  const gateway_process_t *process = context;
+
+  return engines_list_fleet_requests (process->engines, clock_now_us (process->options.clock),
+                                      own_hash, out, want);
+}
+
+static void
+on_peer_requests (const fleet_requests_told_t *told, void *context)
+{
+  gateway_process_t *process = context;
+
+  engines_note_fleet_requests (process->engines, clock_now_us (process->options.clock), told);
+}
+
 static void
 on_own_load (const load_report_t *item, void *context)
 {
@@ -624,7 +641,7 @@
           .format = process->options.format,
           .crashes = process->crashes,
           .on_crashes = on_crashes,
-          .on_high_load = on_own_load,
+          .on_load = on_own_load,
           .origins = process->origins,
           .on_origins = on_origins,
           .ask_origin = ask_origin,
@@ -688,7 +705,9 @@
                                                      .on_drain = on_drain,
                                                      .on_engine = on_engine,
                                                      .on_status = on_store_status,
+                                                     .list_requests = list_requests,
                                                      .on_load = on_peer_load,
+                                                     .on_requests = on_peer_requests,
                                                      .on_origins = on_peer_origins,
                                                      .on_parts = on_peer_parts,
                                                      .on_shares = on_shares,
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -269,6 +269,22 @@
   store->options.on_load (item, store->options.context);
 }
 
+static uint32_t
+list_requests (uint64_t own_hash, fleet_requests_told_t *out, uint32_t want, void *context)
+{
+  const gateway_store_t *store = context;
+
+  return store->options.list_requests (own_hash, out, want, store->options.context);
+}
+
+static void
+on_peer_requests (const fleet_requests_told_t *told, void *context)
+{
+  gateway_store_t *store = context;
+
+  store->options.on_requests (told, store->options.context);
+}
+
 static void
 update_streams (gateway_store_t *store)
 {
@@ -398,7 +414,9 @@
                                                                 .crashes = options->crashes,
                                                                 .get_progress = get_progress,
                                                                 .on_progress = on_peer_progress,
+                                                                .list_requests = list_requests,
                                                                 .on_load = on_peer_load,
+                                                                .on_requests = on_peer_requests,
                                                                 .on_origins = on_peer_origins,
                                                                 .on_parts = on_peer_parts,
                                                                 .context = store },
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -15,6 +15,7 @@
 #include "base/settings.h"
 #include "process/gateway_peers.h"
 #include "process/record_order.h"
+#include "request/policy/load/fleet_requests.h"
 #include "request/policy/load/load_reports.h"
 #include "request/policy/suspects/crash_record.h"
 
@@ -69,7 +70,9 @@
  *   have expired only because the engine could not renew it during an outage
  * @on_status: the store became reachable or unreachable, or a stream was read completely or updated
  *   from a peer's copy
- * @on_load: a peer reported a high load of an engine
+ * @list_requests: as in gateway_peers_options_t
+ * @on_load: a peer reported a load of an engine
+ * @on_requests: a peer told how many requests a gateway has at the engines of a service
  * @on_origins: a peer sent a message about streams
  * @on_parts: a peer sent a message about engines that hold parts of prompts
  * @on_shares: the tables of shares of a service's software versions were read
@@ -94,7 +97,12 @@
                      bool may_have_lapsed,
                      void *context);
   void (*on_status) (void *context);
+  uint32_t (*list_requests) (uint64_t own_hash,
+                             fleet_requests_told_t *out,
+                             uint32_t want,
+                             void *context);
   void (*on_load) (const load_report_t *item, void *context);
+  void (*on_requests) (const fleet_requests_told_t *told, void *context);
   void (*on_origins) (const xch_origins_message *message, void *context);
   void (*on_parts) (const xch_parts_message *message, void *context);
   void (*on_shares) (const char *service, const char *text, size_t bytes, void *context);
@@ -148,7 +156,7 @@
 void gateway_store_send_news (gateway_store_t *store);
 /** gateway_store_tell_crashes() - sends peers the marks of @crashes that are due */
 void gateway_store_tell_crashes (gateway_store_t *store);
-/** gateway_store_add_load() - reports a high load of an engine to peers */
+/** gateway_store_add_load() - reports a load of an engine to peers */
 void gateway_store_add_load (gateway_store_t *store, const load_report_t *item);
 /** gateway_store_handle_request() - answers a peer that fetches records. @settled: whether no
  * removed engine entry may still be restored. Return: false, without an answer, when the request
--- a/src/proto/exchange.x
+++ b/src/proto/exchange.x
@@ -9,6 +9,10 @@
 const XCH_QUESTIONS = 16;
 const XCH_PARTS = 32;
 
+/*
+ * Between gateways "service_hash" is 0 in a sample of an engine. In one of a gateway "engine_hash" is that of its
+ * name, and "load" is the number of requests that it has at the engines of the service.
+ */
 struct xch_sample {
   unsigned hyper engine_hash;
   unsigned hyper service_hash;
--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -36,7 +36,7 @@
  * @retries: limit of the retries that all gateways may send
  * @crashes: requests and parts of prompts during which engines ended
  * @on_crashes: @crashes may have marks for the other gateways; called a few times a second too
- * @on_high_load: called with a high load that an engine reported, for the other gateways
+ * @on_load: called with a high load that an engine reported, for the other gateways
  * @origins: at which software versions streams began here, and those that others told of
  * @on_origins: some of @origins are to be told to the other gateways; @at_once: one of them was
  *   broken off
@@ -62,7 +62,7 @@
   retry_budget_options_t retries;
   crash_record_t *crashes;
   void (*on_crashes) (void *context);
-  void (*on_high_load) (const load_report_t *item, void *context);
+  void (*on_load) (const load_report_t *item, void *context);
   stream_origins_t *origins;
   void (*on_origins) (bool at_once, void *context);
   void (*ask_origin) (uint64_t stream, uint64_t service_hash, void *context);
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -101,7 +101,7 @@
     return;
   counter_add (gateway->overloaded, 1);
   log_overloaded (call, now_us, item.load);
-  gateway->options.on_high_load (&item, gateway->options.context);
+  gateway->options.on_load (&item, gateway->options.context);
 }
 
 static void
--- a/src/request/policy/engines/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -14,6 +14,7 @@
  * struct service - a service
  * @list: its engines, as engine_t
  * @part_shares: share of each prompt part in the requests of this gateway
+ * @fleet_requests: requests of all gateways at its engines
  * @room_share: share of the requests to send where slots are scarce
  * @versions: software versions of its engines
  */
@@ -21,6 +22,7 @@
 {
   GPtrArray *list;
   part_shares_t *part_shares;
+  fleet_requests_t *fleet_requests;
   room_share_t *room_share;
   software_versions_t *versions;
 } service_t;
@@ -62,6 +64,7 @@
 
   g_ptr_array_free (service->list, TRUE);
   part_shares_free (service->part_shares);
+  g_free (service->fleet_requests);
   room_share_free (service->room_share);
   software_versions_free (service->versions);
   g_free (service);
@@ -102,6 +105,7 @@
       service = g_new0 (service_t, 1);
       service->list = g_ptr_array_new ();
       service->part_shares = part_shares_new ();
+      service->fleet_requests = g_new0 (fleet_requests_t, 1);
       service->room_share = room_share_new ();
       service->versions = software_versions_new ();
       g_hash_table_insert (engines->by_service, (gpointer)name, service);
@@ -207,6 +211,7 @@
 
       engine = engine_new (entry);
       engine->part_shares = service->part_shares;
+      engine->fleet_requests = service->fleet_requests;
       engine->room_share = service->room_share;
       engine->versions = service->versions;
       engine->joined_us = engines->complete ? now_us : 0;
@@ -370,6 +375,89 @@
   return XXH64 (service, strlen (service), 0);
 }
 
+static uint32_t
+count_own_requests (const service_t *service)
+{
+  uint32_t requests = 0;
+
+  for (guint i = 0; i < service->list->len; i++)
+    {
+      const engine_t *engine = g_ptr_array_index (service->list, i);
+
+      requests += engine_is_open (engine) ? engine->own_requests : 0;
+    }
+  return requests;
+}
+
+static uint32_t
+list_own_requests (const engines_t *engines,
+                   uint64_t now_us,
+                   uint64_t own_hash,
+                   fleet_requests_told_t *out,
+                   uint32_t want)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, engines->by_service);
+  while (count < want && g_hash_table_iter_next (&iter, &name, &value))
+    {
+      if (((service_t *)value)->list->len <= ENGINES_FEW)
+        continue;
+      out[count] = (fleet_requests_told_t){ .service_hash = engines_hash_service (name),
+                                            .count = { .gateway_hash = own_hash,
+                                                       .requests = count_own_requests (value),
+                                                       .told_us = now_us } };
+      count++;
+    }
+  return count;
+}
+
+uint32_t
+engines_list_fleet_requests (const engines_t *engines,
+                             uint64_t now_us,
+                             uint64_t own_hash,
+                             fleet_requests_told_t *out,
+                             uint32_t want)
+{
+  uint32_t services = list_own_requests (engines, now_us, own_hash, out, want);
+  uint32_t count = services;
+  uint32_t each = services > 0 ? (want - services) / services : 0;
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, engines->by_service);
+  while (each > 0 && count + each <= want && g_hash_table_iter_next (&iter, &name, &value))
+    {
+      const service_t *service = value;
+      g_autofree fleet_request_count_t *latest = g_new (fleet_request_count_t, each);
+      uint32_t found = service->list->len > ENGINES_FEW
+                           ? fleet_requests_latest (service->fleet_requests, now_us, latest, each)
+                           : 0;
+
+      for (uint32_t i = 0; i < found; i++, count++)
+        out[count] = (fleet_requests_told_t){ .service_hash = engines_hash_service (name),
+                                              .count = latest[i] };
+    }
+  return count;
+}
+
+void
+engines_note_fleet_requests (engines_t *engines, uint64_t now_us, const fleet_requests_told_t *told)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, engines->by_service);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    if (engines_hash_service (name) == told->service_hash)
+      fleet_requests_note (((service_t *)value)->fleet_requests, now_us, &told->count);
+}
+
 GPtrArray *
 engines_list_services (const engines_t *engines)
 {
--- a/src/request/policy/engines/engines.h
+++ b/src/request/policy/engines/engines.h
@@ -11,6 +11,7 @@
 
 #include "base/limits.h"
 #include "base/settings.h"
+#include "request/policy/load/fleet_requests.h"
 #include "request/policy/load/request_history.h"
 #include "request/policy/placement/part_shares.h"
 #include "request/policy/engines/software_versions.h"
@@ -87,6 +88,7 @@
  * @version: of the service and the engine's software version. A stream goes on only at engines of
  *   the version that began it; never 0
  * @part_shares: of its service; shared with the other engines of the service
+ * @fleet_requests: likewise
  * @room_share: of its service; NULL once the registry has dropped it
  * @room: what is known of its speed and usual load
  * @versions: software versions of its service; NULL once the registry has dropped it
@@ -138,6 +140,7 @@
   uint64_t rank_hash;
   uint64_t version;
   part_shares_t *part_shares;
+  fleet_requests_t *fleet_requests;
   room_share_t *room_share;
   room_engine_t room;
   software_versions_t *versions;
@@ -285,6 +288,27 @@
 const software_versions_t *engines_versions (const engines_t *engines, const char *service);
 /** engines_hash_service() - the hash by which gateways name a service to each other */
 uint64_t engines_hash_service (const char *service);
+/* Engines of a service up to which each gateway hears each of them often enough to know the mean
+ * load. */
+#define ENGINES_FEW 8
+/**
+ * engines_list_fleet_requests() - the requests of gateways at services with more than %ENGINES_FEW
+ * engines, for another gateway
+ *
+ * Those of this gateway, @own_hash, come first, then the latest of others, by turns of the
+ * services.
+ *
+ * Return: their number, at most @want
+ */
+uint32_t engines_list_fleet_requests (const engines_t *engines,
+                                      uint64_t now_us,
+                                      uint64_t own_hash,
+                                      fleet_requests_told_t *out,
+                                      uint32_t want);
+/** engines_note_fleet_requests() - records the requests of another gateway */
+void engines_note_fleet_requests (engines_t *engines,
+                                  uint64_t now_us,
+                                  const fleet_requests_told_t *told);
 /** engines_list_services() - the interned names of all services, as an array to be freed */
 GPtrArray *engines_list_services (const engines_t *engines);
 /** engines_count_open_slots() - sum of the slots of the engines of @service, which is interned,
@@ -320,8 +344,7 @@
 /** engine_note_load() - records the @load that @engine reported in an answer */
 void engine_note_load (engine_t *engine, uint64_t now_us, const engine_load_t *load);
 /** engine_note_peer_load() - records that @engine reported @load requests to another gateway at
- * @reported_us. Gateways pass on high loads only, so this is used for the engine and not for the
- * mean */
+ * @reported_us */
 void engine_note_peer_load (engine_t *engine, uint64_t reported_us, uint32_t load);
 /* Time after which a full engine is tried again when no request of this gateway ends there first.
  */
--- a/src/request/policy/placement/service_view.c
+++ b/src/request/policy/placement/service_view.c
@@ -84,6 +84,32 @@
   return MAX (values[count / 2] * ENGINE_CHOICE_ERROR_RATE_FACTOR, ENGINE_CHOICE_ERROR_RATE_MILLI);
 }
 
+/* The mean load, where it is known what all gateways have at the open engines. */
+static void
+use_fleet_requests (service_view_t *view)
+{
+  fleet_requests_sum_t sum;
+  uint32_t own = 0;
+  uint32_t open = 0;
+
+  for (guint i = 0; i < view->engines->len; i++)
+    {
+      const engine_t *engine = service_view_engine (view, i);
+
+      own += engine_is_open (engine) ? engine->own_requests : 0;
+      open += engine_is_open (engine) ? 1 : 0;
+    }
+  if (open == 0)
+    return;
+  sum = fleet_requests_sum (service_view_engine (view, 0)->fleet_requests, view->now_us, own,
+                            view->request->gateways);
+  if (!sum.is_known)
+    return;
+  view->mean_milli = sum.milli / open;
+  view->others_mean_milli = (sum.milli - own * UINT64_C (1000)) / open;
+  view->mean_age_us = sum.age_us;
+}
+
 /*
  * Weights the reported loads by their age. After a burst, engines that were not called since still
  * look full: counted fully, they would raise the bound of all others.
@@ -111,6 +137,7 @@
   view->others_mean_milli = others * MILLI / (weights + MILLI);
   view->mean_milli = weights > 0 ? (own + others) * MILLI / weights : 0;
   view->mean_age_us = weights > 0 ? ages_us / weights : 0;
+  use_fleet_requests (view);
 }
 
 bool
@@ -322,10 +349,12 @@
 
 /*
  * Load above the mean that an engine may have. The number of requests that other gateways send
- * before they learn of each other's is in proportion to the number of gateways. Nearly full engines
- * are slow, and a full one makes its requests wait, so the margin falls with the free slots; half
- * of it remains, or no prompt would reach the engine that caches it when there is no time to read
- * it again.
+ * before they learn of each other's is in proportion to the number of gateways, and is largest for
+ * a part that has several homes as it is popular. Such a request has its part elsewhere too, while
+ * one with a single home has it read or copied there, so the margin is wider for that one. Nearly
+ * full engines are slow, and a full one makes its requests wait, so the margin falls with the free
+ * slots; half of it remains, or no prompt would reach the engine that caches it when there is no
+ * time to read it again.
  */
 static uint64_t
 bound_margin_milli (const service_view_t *view, const engine_t *engine)
