Gateways pass on all loads that engines state, not only those over the limit

Cause: a load was passed on only once it was at the overload limit, so a gateway knew of an engine below it by its own last request there, 1.8 s ago in the median, and each of 22 gateways had to overload the next home of a popular part to learn that it was full. Change: the latest four loads go into each message, whatever they are, with the bytes of before; services with up to eight engines tell high loads only. test_overloaded passes loads on as the product does.

--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -36,7 +36,7 @@
  * @retries: limit of the retries that all gateways may send
  * @crashes: requests and parts of prompts during which engines ended
  * @on_crashes: @crashes may have marks for the other gateways; called a few times a second too
- * @on_load: called with a high load that an engine reported, for the other gateways
+ * @on_load: called with a load that an engine reported, for the other gateways
  * @origins: at which software versions streams began here, and those that others told of
  * @on_origins: some of @origins are to be told to the other gateways; @at_once: one of them was
  *   broken off
@@ -106,7 +106,7 @@
  *   were not heard from lately; 0 while their number is not known
  */
 void gateway_set_routers (gateway_task_t *gateway, uint32_t routers, uint32_t known);
-/** gateway_handle_peer_load() - takes over a high load that an engine reported to another gateway
+/** gateway_handle_peer_load() - takes over a load that an engine reported to another gateway
  */
 void gateway_handle_peer_load (gateway_task_t *gateway, const load_report_t *item);
 /** gateway_note_peer_part() - another gateway knew the engine @engine to hold the shared part @part
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -88,20 +88,30 @@
              LOG_U64 ((now_us - call->sent_us) / CLOCK_US_PER_MS), NULL);
 }
 
+static bool
+note_overload (const gateway_call_t *call, uint64_t now_us, uint32_t load)
+{
+  if (!load_reports_is_high (load, call->service->mean_milli, ENGINE_CHOICE_OVERLOAD_FACTOR,
+                             ENGINE_CHOICE_OVERLOAD_EXTRA_MILLI))
+    return false;
+  counter_add (call->gateway->overloaded, 1);
+  log_overloaded (call, now_us, load);
+  return true;
+}
+
+/* Where a service has few engines each gateway hears each of them often, so the place in a message
+ * is left to others, unless the load is high. */
 static void
-announce_high_load (const gateway_call_t *call, uint64_t now_us)
+announce_load (const gateway_call_t *call, uint64_t now_us)
 {
-  const gateway_task_t *gateway = call->gateway;
+  const gateway_options_t *options = &call->gateway->options;
   load_report_t item = { .engine_hash = call->engine->hash,
                          .load = call->response.load.running + call->response.load.waiting,
                          .reported_us = now_us };
+  bool is_high = note_overload (call, now_us, item.load);
 
-  if (!load_reports_is_high (item.load, call->service->mean_milli, ENGINE_CHOICE_OVERLOAD_FACTOR,
-                             ENGINE_CHOICE_OVERLOAD_EXTRA_MILLI))
-    return;
-  counter_add (gateway->overloaded, 1);
-  log_overloaded (call, now_us, item.load);
-  gateway->options.on_load (&item, gateway->options.context);
+  if (is_high || engines_of_service (options->engines, call->service->name)->len > ENGINES_FEW)
+    options->on_load (&item, options->context);
 }
 
 static void
@@ -112,7 +122,7 @@
   engine_note_load (call->engine, now_us, load);
   load_gauge_add (&call->service->load_gauge, now_us, load->running + load->waiting,
                   engine_slots (call->engine, 0), call->service->in_flight);
-  announce_high_load (call, now_us);
+  announce_load (call, now_us);
 }
 
 /* An engine repeats in each response that it leaves; the first notice is logged at a level that is
--- a/src/request/policy/load/load_reports.c
+++ b/src/request/policy/load/load_reports.c
@@ -15,7 +15,7 @@
 {
   uint64_t limit_milli = mean_milli * factor + more_milli;
 
-  return (uint64_t)load * MILLI >= limit_milli * LOAD_REPORTS_HIGH_MILLI / MILLI;
+  return (uint64_t)load * MILLI >= limit_milli;
 }
 
 /* Return: the slot of the engine, or the slot with the oldest report when it has none */
--- a/tests/load_fleet.c
+++ b/tests/load_fleet.c
@@ -17,7 +17,7 @@
 #define HEAD_MS 35
 #define READ_MS 20 /* an engine without the part takes this much longer */
 #define SLOTS 128
-#define CHATS 448
+#define CHATS_DEFAULT 448
 #define CHAT_SKEW 0.3
 #define CHAT_TOKENS 2041
 #define HOT_CHAT 0
@@ -25,7 +25,8 @@
 #define STRIDE_TOKENS 8
 #define TOKEN_US 3410.0
 #define TOKEN_US_PER_RUN 97.0
-#define MESSAGE_ITEMS 8
+#define MESSAGE_LOADS 4
+#define MESSAGE_COUNTS 3  /* beside that of the sender */
 #define MESSAGE_BYTES 220 /* without reports */
 #define REPORT_BYTES 32
 #define KEPT_PARTS_S 60 /* for which an engine keeps a part */
@@ -43,9 +44,9 @@
 
 typedef struct
 {
-  GArray *runs; /* run_t */
-  uint64_t kept_us[CHATS];
-  double pace; /* of the usual */
+  GArray *runs;      /* run_t */
+  uint64_t *kept_us; /* by chat */
+  double pace;       /* of the usual */
   bool ran_hot;
 } sim_engine_t;
 
@@ -54,11 +55,11 @@
   engines_t *known;
   engine_t **engines;
   load_reports_t reports;
-  uint32_t mean_milli;
   uint64_t exchange_us;
+  uint32_t own_requests;
 } sim_gateway_t;
 
-/** struct fleet - @sent, @over: by tick. */
+/** struct fleet - @chat_ends: running sum of the chats' popularity; @sent, @over: by tick. */
 typedef struct
 {
   load_fleet_options_t options;
@@ -69,7 +70,7 @@
   uint32_t tick;
   uint32_t total;
   double due;
-  double chat_sum;
+  double *chat_ends;
   uint32_t *sent;
   uint32_t *over;
   uint64_t bytes;
@@ -108,8 +109,10 @@
   fleet->engines = g_new0 (sim_engine_t, options->engines);
   fleet->sent = g_new0 (uint32_t, ticks);
   fleet->over = g_new0 (uint32_t, ticks);
-  for (uint32_t i = 0; i < CHATS; i++)
-    fleet->chat_sum += pow (i + 1, -CHAT_SKEW);
+  fleet->options.chats = options->chats > 0 ? options->chats : CHATS_DEFAULT;
+  fleet->chat_ends = g_new0 (double, fleet->options.chats);
+  for (uint32_t i = 0; i < fleet->options.chats; i++)
+    fleet->chat_ends[i] = (i > 0 ? fleet->chat_ends[i - 1] : 0) + pow (i + 1, -CHAT_SKEW);
   for (uint32_t i = 0; i < options->gateways; i++)
     {
       add_engines (fleet, &fleet->gateways[i]);
@@ -120,6 +123,7 @@
   for (uint32_t i = 0; i < options->engines; i++)
     {
       fleet->engines[i].runs = g_array_new (FALSE, FALSE, sizeof (run_t));
+      fleet->engines[i].kept_us = g_new0 (uint64_t, fleet->options.chats);
       fleet->engines[i].pace = options->slow_milli && i % 4 == 0 ? options->slow_milli / 1000.0 : 1;
     }
   return fleet;
@@ -135,6 +139,7 @@
       for (guint k = 0; k < runs->len; k++)
         engine_end_request (fleet->gateways[g_array_index (runs, run_t, k).gateway].engines[i]);
       g_array_free (runs, TRUE);
+      g_free (fleet->engines[i].kept_us);
     }
   for (uint32_t i = 0; i < fleet->options.gateways; i++)
     {
@@ -142,6 +147,7 @@
       g_free (fleet->gateways[i].engines);
     }
   g_rand_free (fleet->rand);
+  g_free (fleet->chat_ends);
   g_free (fleet->gateways);
   g_free (fleet->engines);
   g_free (fleet->sent);
@@ -164,16 +170,24 @@
 static uint32_t
 draw_chat (fleet_t *fleet)
 {
+  uint32_t first = 0;
+  uint32_t last = fleet->options.chats - 1;
   double at;
-  uint32_t chat = 0;
 
   if (is_hot (fleet) &&
       (uint32_t)g_rand_int_range (fleet->rand, 0, 1000) < fleet->options.hot_milli)
     return HOT_CHAT;
-  at = g_rand_double (fleet->rand) * fleet->chat_sum;
-  while (chat + 1 < CHATS && (at -= pow (chat + 1, -CHAT_SKEW)) > 0)
-    chat++;
-  return chat;
+  at = g_rand_double (fleet->rand) * fleet->chat_ends[last];
+  while (first < last)
+    {
+      uint32_t middle = (first + last) / 2;
+
+      if (fleet->chat_ends[middle] < at)
+        first = middle + 1;
+      else
+        last = middle;
+    }
+  return first;
 }
 
 static uint32_t
@@ -252,13 +266,13 @@
                 .strides = draw_strides (fleet) };
 
   g_assert (choice.action == ENGINE_CHOICE_SEND);
-  gateway->mean_milli = choice.mean_milli;
   count (fleet, engine, chat, &choice);
   fleet->reads += has_part ? 0 : 1;
   at->kept_us[chat] = fleet->now_us;
   g_array_append_val (at->runs, run);
   fleet->total++;
   engine_begin_request (choice.engine, fleet->now_us);
+  gateway->own_requests++;
 }
 
 static void
@@ -272,9 +286,7 @@
   run->has_head = true;
   engine_note_load (known, fleet->now_us, &(engine_load_t){ .running = load, .slots = SLOTS });
   engine_note_answer (known, fleet->now_us, false);
-  if (load_reports_is_high (load, gateway->mean_milli, ENGINE_CHOICE_OVERLOAD_FACTOR,
-                            ENGINE_CHOICE_OVERLOAD_EXTRA_MILLI))
-    load_reports_add (&gateway->reports, fleet->now_us, &item);
+  load_reports_add (&gateway->reports, fleet->now_us, &item);
 }
 
 static void
@@ -301,26 +313,56 @@
           continue;
         }
       engine_end_request_at (fleet->gateways[run->gateway].engines[index], fleet->now_us);
+      fleet->gateways[run->gateway].own_requests--;
       g_array_remove_index_fast (engine->runs, i);
       fleet->total--;
     }
 }
 
+static fleet_requests_t *
+requests_of (const sim_gateway_t *gateway)
+{
+  return gateway->engines[0]->fleet_requests;
+}
+
 static void
-send_reports (fleet_t *fleet, sim_gateway_t *from, sim_gateway_t *to)
+send_counts (fleet_t *fleet, const sim_gateway_t *from, sim_gateway_t *to)
 {
-  load_report_t items[MESSAGE_ITEMS];
-  uint32_t items_count = load_reports_latest (&from->reports, fleet->now_us, items, MESSAGE_ITEMS);
+  fleet_request_count_t items[MESSAGE_COUNTS + 1];
+  uint32_t items_count =
+      fleet_requests_latest (requests_of (from), fleet->now_us, items + 1, MESSAGE_COUNTS) + 1;
 
-  fleet->bytes += MESSAGE_BYTES + items_count * REPORT_BYTES;
-  if ((uint32_t)g_rand_int_range (fleet->rand, 0, 1000) < fleet->options.lost_milli)
-    return;
+  items[0] = (fleet_request_count_t){ (uint64_t)(from - fleet->gateways), from->own_requests,
+                                      fleet->now_us };
+  fleet->bytes += items_count * REPORT_BYTES;
+  for (uint32_t i = 0; i < items_count; i++)
+    if (items[i].gateway_hash != (uint64_t)(to - fleet->gateways))
+      fleet_requests_note (requests_of (to), fleet->now_us, &items[i]);
+}
+
+static void
+send_loads (fleet_t *fleet, const sim_gateway_t *from, sim_gateway_t *to)
+{
+  load_report_t items[MESSAGE_LOADS];
+  uint32_t items_count = load_reports_latest (&from->reports, fleet->now_us, items, MESSAGE_LOADS);
+
+  fleet->bytes += items_count * REPORT_BYTES;
   for (uint32_t i = 0; i < items_count; i++)
     if (load_reports_add (&to->reports, fleet->now_us, &items[i]))
       engine_note_peer_load (engines_find_by_hash (to->known, items[i].engine_hash),
                              items[i].reported_us, items[i].load);
 }
 
+static void
+send_message (fleet_t *fleet, sim_gateway_t *from, sim_gateway_t *to)
+{
+  fleet->bytes += MESSAGE_BYTES;
+  if ((uint32_t)g_rand_int_range (fleet->rand, 0, 1000) < fleet->options.lost_milli)
+    return;
+  send_counts (fleet, from, to);
+  send_loads (fleet, from, to);
+}
+
 static void
 exchange (fleet_t *fleet, uint32_t index)
 {
@@ -335,8 +377,8 @@
       UINT64_C (1000);
   if (peer == index)
     return;
-  send_reports (fleet, gateway, &fleet->gateways[peer]);
-  send_reports (fleet, &fleet->gateways[peer], gateway);
+  send_message (fleet, gateway, &fleet->gateways[peer]);
+  send_message (fleet, &fleet->gateways[peer], gateway);
 }
 
 static void
--- a/tests/load_fleet.h
+++ b/tests/load_fleet.h
@@ -20,6 +20,7 @@
  * @wave_milli: The rate rises and falls by this much, in thousandths, once in 11 s.
  * @hot_milli: Requests of one chat, in thousandths, from @hot_from_ms to @hot_to_ms.
  * @burst_milli: Requests that arrive in that time, in thousandths of the usual; 0 is the usual.
+ * @chats: Of all requests; 0 is 448.
  * @exchange_ms: Between two messages that a gateway begins.
  * @lost_milli: Messages between gateways that are lost, in thousandths.
  * @slow_milli: Time that a quarter of the engines takes, in thousandths of the usual; 0 is the
@@ -37,6 +38,7 @@
   uint32_t hot_from_ms;
   uint32_t hot_to_ms;
   uint32_t burst_milli;
+  uint32_t chats;
   uint32_t exchange_ms;
   uint32_t lost_milli;
   uint32_t slow_milli;
@@ -57,6 +59,7 @@
  * @load_missed: Load that was believed too low at overloaded engines, mean, in thousandths.
  * @mean_missed: Mean that was believed too high at these choices, mean, in thousandths.
  * @bytes_per_s: Sent by a gateway to others, headers included.
+ * @worst_ms: When these five seconds began.
  */
 typedef struct
 {
--- a/tests/test_overloaded.c
+++ b/tests/test_overloaded.c
@@ -57,8 +57,7 @@
 /**
  * struct fleet - the state that each gateway knows, and the actual state
  * @known: engines as each gateway knows them
- * @reports: reports of high loads at each gateway
- * @mean_milli: mean load as each gateway estimates it
+ * @reports: reports of loads at each gateway
  * @load: actual requests at each engine
  * @total: actual requests at all engines
  * @sent: requests sent at each tick
@@ -69,7 +68,6 @@
   const kind_t *kinds;
   engines_t *known[GATEWAYS_MOST];
   load_reports_t reports[GATEWAYS_MOST];
-  uint32_t mean_milli[GATEWAYS_MOST];
   uint32_t load[ENGINES_MOST];
   GQueue runs[2]; /* requests without the head of the answer, and with it */
   uint32_t gateways;
@@ -190,7 +188,6 @@
   run_t *run = g_new0 (run_t, 1);
 
   g_assert (choice.action == ENGINE_CHOICE_SEND);
-  fleet->mean_milli[gateway] = choice.mean_milli;
   *run = (run_t){ gateway, (uint32_t)atoi (choice.engine->entry.id + 1), tick };
   fleet->sent[tick]++;
   fleet->over[tick] += is_overloaded (fleet, run->engine) ? 1 : 0;
@@ -207,9 +204,7 @@
                          .load = fleet->load[run->engine],
                          .reported_us = now_us };
 
-  if (load_reports_is_high (item.load, fleet->mean_milli[run->gateway],
-                            ENGINE_CHOICE_OVERLOAD_FACTOR, ENGINE_CHOICE_OVERLOAD_EXTRA_MILLI))
-    load_reports_add (&fleet->reports[run->gateway], now_us, &item);
+  load_reports_add (&fleet->reports[run->gateway], now_us, &item);
 }
 
 static void
