A hot part has as many homes as it needs, from its second request on

Cause: a part had at most 12 homes, and its share was taken over eight seconds, in which its first homes filled one after the other. Change: the share of the last second counts if it is larger; no cap on the homes, which are found by sorting the ranks once; each gateway uses the homes in an order of its own. A part with one home has a wider margin where the mean is told, since its prompt would be read anew elsewhere, while the requests of a part with several homes keep the narrow one. Why it works: at 103 gateways a chat with three tenths of 1,357 requests a second needs 33 homes even if all loads were known.

--- a/src/request/policy/placement/engine_choice.c
+++ b/src/request/policy/placement/engine_choice.c
@@ -4,6 +4,7 @@
 #include "request/policy/placement/service_view.h"
 #include "request/policy/room/room_choice.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -26,46 +27,6 @@
   return view->mean_milli * view->open * share_milli / MILLI;
 }
 
-/*
- * Number of engines that cache the request's part. Where load reports are rare, no gateway sees
- * that the home of a popular part is over the bound before all of them have sent more there: with
- * 31 gateways, 100 of 1,000 requests reached engines over the limit when a fifth of the requests
- * shared one part. So a part has a home for each fraction of the limit that its requests take up. A
- * small part, which is read quickly, has two at least, and all parts have some while it is not
- * known how popular they are.
- */
-static uint32_t
-count_homes (const service_view_t *view, const engine_t *first)
-{
-  const engine_choice_request_t *request = view->request;
-  uint64_t distance_milli = view->mean_milli + ENGINE_CHOICE_OVERLOAD_EXTRA_MILLI;
-  uint64_t share_milli = part_load_milli (view, first->part_shares) * MILLI / distance_milli;
-  uint64_t homes = 1;
-
-  if (request->affinity_tokens == 0 ||
-      !(service_view_reports_seldom (view, first) || service_view_unreported_may_overload (view)))
-    return 1;
-  if (share_milli > ENGINE_CHOICE_POPULAR_MILLI)
-    homes = (share_milli - 1) / ENGINE_CHOICE_PART_SHARE_MILLI + 1;
-  if (request->affinity_tokens <= ENGINE_CHOICE_SMALL_PART_TOKENS)
-    homes = MAX (homes, ENGINE_CHOICE_SMALL_PART_HOMES);
-  if (request->slot_time_us != 0 &&
-      part_shares_age_us (first->part_shares, view->now_us) < ENGINE_CHOICE_START_US)
-    homes = MAX (homes, ENGINE_CHOICE_START_HOMES);
-  return (uint32_t)CLAMP (homes, 1, ENGINE_CHOICE_PART_HOMES_MAX);
-}
-
-/* Return: which of @homes this gateway uses for the request's part. As their number grows, few
- * gateways use another one than before. */
-static uint32_t
-home_index (const service_view_t *view, uint32_t homes)
-{
-  uint64_t gateway = view->request->gateway_hash;
-  uint64_t hash = XXH64 (&gateway, sizeof gateway, view->request->affinity);
-
-  return (uint32_t)((hash >> 32) * homes >> 32);
-}
-
 /* Return: the rank value of the last of the first ENGINE_CHOICE_HOMES_MAX candidates that are not
  * degraded; 0 when there are fewer, UINT64_MAX when there is none */
 static uint64_t
@@ -117,45 +78,24 @@
   return !criteria.not_degraded || !service_view_is_degraded (view, engine);
 }
 
-/* Return: the engine with the highest rank value below @below that meets the criteria, or NULL */
+/* Return: the engine with the highest rank value that meets the criteria, or NULL */
 static engine_t *
-find_highest_rank (const service_view_t *view, criteria_t criteria, uint64_t below)
+find_highest_rank (const service_view_t *view, criteria_t criteria)
 {
   engine_t *best = NULL;
-  uint64_t best_rank = 0;
 
   for (guint i = 0; i < view->engines->len; i++)
     {
       engine_t *engine = service_view_engine (view, i);
-      uint64_t rank = rank_value (view, engine);
 
-      if (rank >= below || (best && rank <= best_rank) || !meets (view, engine, criteria))
+      if ((best && rank_value (view, engine) <= rank_value (view, best)) ||
+          !meets (view, engine, criteria))
         continue;
       best = engine;
-      best_rank = rank;
     }
   return best;
 }
 
-/* Return: the engine that caches the request's prompt part for this gateway, or NULL when none
- * meets the criteria */
-static engine_t *
-find_home (const service_view_t *view, criteria_t criteria)
-{
-  engine_t *home = find_highest_rank (view, criteria, UINT64_MAX);
-  uint32_t index = home ? home_index (view, count_homes (view, home)) : 0;
-
-  for (; index > 0; index--)
-    {
-      engine_t *next = find_highest_rank (view, criteria, rank_value (view, home));
-
-      if (!next)
-        break;
-      home = next;
-    }
-  return home;
-}
-
 /* Whether the engine takes new requests of the request's version. */
 static bool
 is_open (const service_view_t *view, const engine_t *engine)
@@ -166,28 +106,56 @@
   return engine_is_open (engine) && (version == 0 || engine->version == version);
 }
 
-/* Return: the engine with the highest rank value below @below that takes new requests, whatever its
- * load, or NULL; of this gateway's data centre alone if @own_data_center */
+/* Return: the engine with the highest rank value that takes new requests, whatever its load, or
+ * NULL; of this gateway's data centre alone if @own_data_center */
 static engine_t *
-find_highest_open (const service_view_t *view, bool own_data_center, uint64_t below)
+find_highest_open (const service_view_t *view, bool own_data_center)
 {
   engine_t *best = NULL;
-  uint64_t best_rank = 0;
 
   for (guint i = 0; i < view->engines->len; i++)
     {
       engine_t *engine = service_view_engine (view, i);
-      uint64_t rank = rank_value (view, engine);
 
-      if (rank >= below || (best && rank <= best_rank) || !is_open (view, engine) ||
-          (own_data_center && !is_local (view, engine)))
+      if (!is_open (view, engine) || (own_data_center && !is_local (view, engine)) ||
+          (best && rank_value (view, engine) <= rank_value (view, best)))
         continue;
       best = engine;
-      best_rank = rank;
     }
   return best;
 }
 
+/*
+ * Number of engines that cache the request's part. Where load reports are rare, no gateway sees
+ * that the home of a popular part is over the bound before all of them have sent more there: with
+ * 31 gateways, 100 of 1,000 requests reached engines over the limit when a fifth of the requests
+ * shared one part. So a part has a home for each fraction of the limit that its requests take up. A
+ * small part, which is read quickly, has two at least, and all parts have some while it is not
+ * known how popular they are.
+ */
+static uint32_t
+count_homes (const service_view_t *view)
+{
+  const engine_choice_request_t *request = view->request;
+  const engine_t *first = find_highest_open (view, false);
+  uint64_t distance_milli = view->mean_milli + ENGINE_CHOICE_OVERLOAD_EXTRA_MILLI;
+  uint64_t share_milli;
+  uint64_t homes = 1;
+
+  if (!first || request->affinity_tokens == 0 ||
+      !(service_view_reports_seldom (view, first) || service_view_unreported_may_overload (view)))
+    return 1;
+  share_milli = part_load_milli (view, first->part_shares) * MILLI / distance_milli;
+  if (share_milli > ENGINE_CHOICE_POPULAR_MILLI)
+    homes = (share_milli - 1) / ENGINE_CHOICE_PART_SHARE_MILLI + 1;
+  if (request->affinity_tokens <= ENGINE_CHOICE_SMALL_PART_TOKENS)
+    homes = MAX (homes, ENGINE_CHOICE_SMALL_PART_HOMES);
+  if (request->slot_time_us != 0 &&
+      part_shares_age_us (first->part_shares, view->now_us) < ENGINE_CHOICE_START_US)
+    homes = MAX (homes, ENGINE_CHOICE_START_HOMES);
+  return (uint32_t)CLAMP (homes, 1, MAX (view->open, 1U));
+}
+
 /** struct open_engines - engines that take new requests; @local: in this gateway's data centre */
 typedef struct
 {
@@ -231,22 +199,102 @@
   return uses * open.local / open.all >= ENGINE_CHOICE_LOCAL_PART_USES;
 }
 
-/* Return: the @index-th engine in rank that takes new requests, whatever its load; the last when
- * there are fewer, NULL when there is none */
+/* Order in which this gateway uses the homes of the request's part: each has another one, so that
+ * together they use all of them. */
+static uint64_t
+spread_value (const service_view_t *view, const engine_t *engine)
+{
+  return XXH64 (&engine->rank_hash, sizeof engine->rank_hash,
+                view->request->affinity ^ view->request->gateway_hash);
+}
+
+static int
+compare_descending (const void *a, const void *b)
+{
+  uint64_t left = *(const uint64_t *)a;
+  uint64_t right = *(const uint64_t *)b;
+
+  return left > right ? -1 : left < right;
+}
+
+/* Return: the rank values of the engines that take new requests, the highest first, @count of them;
+ * of this gateway's data centre alone if @own_data_center. To be freed */
+static uint64_t *
+sort_ranks (const service_view_t *view, bool own_data_center, uint32_t *count)
+{
+  uint64_t *ranks = g_new (uint64_t, view->engines->len + 1);
+
+  *count = 0;
+  for (guint i = 0; i < view->engines->len; i++)
+    {
+      const engine_t *engine = service_view_engine (view, i);
+
+      if (is_open (view, engine) && (!own_data_center || is_local (view, engine)))
+        ranks[(*count)++] = rank_value (view, engine);
+    }
+  qsort (ranks, *count, sizeof *ranks, compare_descending);
+  return ranks;
+}
+
+/* Return: the home that this gateway uses first of the first @homes engines in rank that take new
+ * requests, whatever its load; NULL when there is none */
 static engine_t *
-find_open_at (const service_view_t *view, bool own_data_center, uint32_t index)
+find_open_home (const service_view_t *view, bool own_data_center, uint32_t homes)
 {
-  engine_t *engine = find_highest_open (view, own_data_center, UINT64_MAX);
+  engine_t *best = NULL;
+  uint32_t count;
+  g_autofree uint64_t *ranks = NULL;
 
-  for (; engine && index > 0; index--)
+  if (homes == 1)
+    return find_highest_open (view, own_data_center);
+  ranks = sort_ranks (view, own_data_center, &count);
+  for (guint i = 0; count > 0 && i < view->engines->len; i++)
     {
-      engine_t *next = find_highest_open (view, own_data_center, rank_value (view, engine));
+      engine_t *engine = service_view_engine (view, i);
 
-      if (!next)
-        break;
-      engine = next;
+      if (!is_open (view, engine) || (own_data_center && !is_local (view, engine)) ||
+          rank_value (view, engine) < ranks[MIN (homes, count) - 1])
+        continue;
+      if (!best || spread_value (view, engine) > spread_value (view, best))
+        best = engine;
     }
-  return engine;
+  return best;
+}
+
+/* Return: likewise, the first one that meets the criteria; NULL when none does */
+static engine_t *
+find_home_above (const service_view_t *view, criteria_t criteria, uint64_t last_rank)
+{
+  engine_t *best = NULL;
+
+  for (guint i = 0; i < view->engines->len; i++)
+    {
+      engine_t *engine = service_view_engine (view, i);
+
+      if (rank_value (view, engine) < last_rank ||
+          (best && spread_value (view, engine) <= spread_value (view, best)) ||
+          !meets (view, engine, criteria))
+        continue;
+      best = engine;
+    }
+  return best;
+}
+
+/* Return: the engine that caches the request's prompt part for this gateway, or the next in rank;
+ * NULL when none meets the criteria */
+static engine_t *
+find_home (const service_view_t *view, criteria_t criteria)
+{
+  engine_t *home = NULL;
+  uint32_t count;
+  g_autofree uint64_t *ranks = NULL;
+
+  if (view->homes > 1)
+    {
+      ranks = sort_ranks (view, false, &count);
+      home = find_home_above (view, criteria, ranks[MIN (view->homes, count) - 1]);
+    }
+  return home ? home : find_highest_rank (view, criteria);
 }
 
 /** struct homes - homes of the request's part; @count: how many the part needs; @own: that of this
@@ -261,13 +309,9 @@
 static homes_t
 find_common_homes (const service_view_t *view)
 {
-  engine_t *first = find_highest_open (view, false, UINT64_MAX);
-  homes_t homes = { 0 };
+  homes_t homes = { .count = view->homes };
 
-  if (!first)
-    return homes;
-  homes.count = count_homes (view, first);
-  homes.own = find_open_at (view, false, home_index (view, homes.count));
+  homes.own = find_open_home (view, false, homes.count);
   return homes;
 }
 
@@ -276,15 +320,15 @@
 static homes_t
 find_local_homes (const service_view_t *view)
 {
-  engine_t *first = view->request->holders ? find_highest_open (view, true, UINT64_MAX) : NULL;
+  engine_t *first = view->request->holders ? find_highest_open (view, true) : NULL;
   open_engines_t open = count_open (view);
   homes_t homes = { 0 };
 
   if (!first || !has_local_homes (view, first, open))
     return homes;
-  homes.count = (uint32_t)(((uint64_t)count_homes (view, first) * open.local + open.all - 1) /
-                           MAX (open.all, 1U));
-  homes.own = find_open_at (view, true, home_index (view, homes.count));
+  homes.count =
+      (uint32_t)(((uint64_t)view->homes * open.local + open.all - 1) / MAX (open.all, 1U));
+  homes.own = find_open_home (view, true, homes.count);
   return homes;
 }
 
@@ -297,13 +341,6 @@
   engine_t *own;
 } found_t;
 
-static uint64_t
-spread_value (const service_view_t *view, const engine_t *engine)
-{
-  return XXH64 (&engine->rank_hash, sizeof engine->rank_hash,
-                view->request->affinity ^ view->request->gateway_hash);
-}
-
 static found_t
 find_holders (const service_view_t *view, const known_holders_t *known, criteria_t criteria)
 {
@@ -637,6 +674,7 @@
   engine_choice_t choice = { 0 };
 
   service_view_init (&view, engines, now_us, request);
+  view.homes = count_homes (&view);
   known_holders_init (&known, now_us, request);
   choice.candidates = service_view_count_candidates (&view);
   choice.mean_milli = (uint32_t)view.mean_milli;
--- a/src/request/policy/placement/engine_choice.h
+++ b/src/request/policy/placement/engine_choice.h
@@ -28,8 +28,9 @@
  * The load bound of an engine is the mean load plus a margin. The margin is a fraction of the mean
  * plus a number of requests, both in thousandths, and stays below the distance to the overload
  * limit, because the load that other gateways cause is known late. A third of that distance is
- * granted to any number of gateways. The rest is granted to ENGINE_CHOICE_FEW_GATEWAYS or fewer,
- * and falls in inverse proportion to their number above that. A narrower margin sends more requests
+ * granted to any number of gateways. The rest is granted to ENGINE_CHOICE_FEW_GATEWAYS or fewer, or
+ * to ENGINE_CHOICE_FEW_GATEWAYS_ONE_HOME where the request's part has one home only, and falls in
+ * inverse proportion to their number above that. A narrower margin sends more requests
  * away from the engine that caches their prompt part; a wider one sends more of them to engines
  * over the bound.
  */
@@ -38,6 +39,7 @@
 #define ENGINE_CHOICE_FEW_MARGIN_MILLI 650
 #define ENGINE_CHOICE_FEW_MARGIN_EXTRA_MILLI 1400
 #define ENGINE_CHOICE_FEW_GATEWAYS UINT64_C (4)
+#define ENGINE_CHOICE_FEW_GATEWAYS_ONE_HOME UINT64_C (5)
 /* A gateway sends to a full engine at most this many times as often as its share of the slots comes
  * free. With a factor of 1 engines were idle for moments: 0.976 of all requests were on time
  * instead of 0.991 in bench-gateway. */
@@ -81,7 +83,6 @@
 /* Share of that distance that they may then take at each home, where other parts have theirs too.
  */
 #define ENGINE_CHOICE_PART_SHARE_MILLI 150
-#define ENGINE_CHOICE_PART_HOMES_MAX 12
 /* Homes of each part in the first seconds of a gateway, in which it can't tell which are popular.
  */
 #define ENGINE_CHOICE_START_HOMES UINT64_C (2)
--- a/src/request/policy/placement/part_shares.c
+++ b/src/request/policy/placement/part_shares.c
@@ -10,12 +10,14 @@
 /**
  * struct entry - the count of a part
  * @count_milli: requests, in thousandths, as of @as_of_us; 0 for an empty entry
+ * @recent_milli: likewise, which fade sooner
  */
 typedef struct
 {
   uint64_t part;
   uint64_t as_of_us;
   uint64_t count_milli;
+  uint64_t recent_milli;
 } entry_t;
 
 /**
@@ -42,12 +44,24 @@
   g_free (shares);
 }
 
+static uint64_t
+fade (uint64_t milli, uint64_t as_of_us, uint64_t now_us, uint64_t half_life_us)
+{
+  double age_us = now_us > as_of_us ? (double)(now_us - as_of_us) : 0;
+
+  return (uint64_t)((double)milli * exp2 (-age_us / (double)half_life_us));
+}
+
 static uint64_t
 faded_count_milli (const entry_t *entry, uint64_t now_us)
 {
-  double age_us = now_us > entry->as_of_us ? (double)(now_us - entry->as_of_us) : 0;
+  return fade (entry->count_milli, entry->as_of_us, now_us, PART_SHARES_HALF_LIFE_US);
+}
 
-  return (uint64_t)((double)entry->count_milli * exp2 (-age_us / (double)PART_SHARES_HALF_LIFE_US));
+static uint64_t
+faded_recent_milli (const entry_t *entry, uint64_t now_us)
+{
+  return fade (entry->recent_milli, entry->as_of_us, now_us, PART_SHARES_RECENT_HALF_LIFE_US);
 }
 
 static const entry_t *
@@ -76,6 +90,7 @@
 count_one (entry_t *entry, uint64_t now_us)
 {
   entry->count_milli = faded_count_milli (entry, now_us) + MILLI;
+  entry->recent_milli = faded_recent_milli (entry, now_us) + MILLI;
   entry->as_of_us = now_us;
 }
 
@@ -95,14 +110,26 @@
   count_one (&shares->all, now_us);
 }
 
+/* A part of which there was one request lately may be any part. */
+static uint64_t
+recent_share_milli (const part_shares_t *shares, const entry_t *entry, uint64_t now_us)
+{
+  uint64_t recent_milli = faded_recent_milli (entry, now_us);
+  uint64_t all_milli =
+      faded_recent_milli (&shares->all, now_us) + PART_SHARES_RECENT_ASSUMED_REQUESTS * MILLI;
+
+  return recent_milli > MILLI ? (recent_milli - MILLI) * MILLI / all_milli : 0;
+}
+
 uint32_t
 part_shares_get_milli (const part_shares_t *shares, uint64_t now_us, uint64_t part)
 {
   const entry_t *entry = find_entry (shares, part);
   uint64_t all_milli =
       faded_count_milli (&shares->all, now_us) + PART_SHARES_ASSUMED_REQUESTS * MILLI;
+  uint64_t share_milli = entry ? faded_count_milli (entry, now_us) * MILLI / all_milli : 0;
 
-  return entry ? (uint32_t)(faded_count_milli (entry, now_us) * MILLI / all_milli) : 0;
+  return (uint32_t)(entry ? MAX (share_milli, recent_share_milli (shares, entry, now_us)) : 0);
 }
 
 uint64_t
--- a/src/request/policy/placement/part_shares.h
+++ b/src/request/policy/placement/part_shares.h
@@ -20,6 +20,11 @@
 #define PART_SHARES_HALF_LIFE_US (UINT64_C (5500) * 1000)
 /* Requests with other parts that are added to those counted, as a few requests say little. */
 #define PART_SHARES_ASSUMED_REQUESTS UINT64_C (12)
+/* A part that has just become popular has a small part of the requests that are counted above for
+ * seconds, in which its home is overloaded. So the share of the last second counts if it is larger.
+ */
+#define PART_SHARES_RECENT_HALF_LIFE_US (UINT64_C (1000) * 1000)
+#define PART_SHARES_RECENT_ASSUMED_REQUESTS UINT64_C (4)
 
 /** struct part_shares - the counts of one service */
 typedef struct part_shares part_shares_t;
--- a/src/request/policy/placement/service_view.c
+++ b/src/request/policy/placement/service_view.c
@@ -108,6 +108,7 @@
   view->mean_milli = sum.milli / open;
   view->others_mean_milli = (sum.milli - own * UINT64_C (1000)) / open;
   view->mean_age_us = sum.age_us;
+  view->is_mean_told = true;
 }
 
 /*
@@ -359,13 +360,15 @@
 static uint64_t
 bound_margin_milli (const service_view_t *view, const engine_t *engine)
 {
-  uint64_t gateways = MAX (view->request->gateways, ENGINE_CHOICE_FEW_GATEWAYS);
+  bool is_wide = view->homes == 1 && view->is_mean_told;
+  uint64_t few = is_wide ? ENGINE_CHOICE_FEW_GATEWAYS_ONE_HOME : ENGINE_CHOICE_FEW_GATEWAYS;
+  uint64_t gateways = MAX (view->request->gateways, few);
   uint64_t any_gateways_milli =
       view->mean_milli * ENGINE_CHOICE_MARGIN_MILLI / MILLI + ENGINE_CHOICE_MARGIN_EXTRA_MILLI;
   uint64_t few_gateways_milli = view->mean_milli * ENGINE_CHOICE_FEW_MARGIN_MILLI / MILLI +
                                 ENGINE_CHOICE_FEW_MARGIN_EXTRA_MILLI;
-  uint64_t margin_milli = narrow_margin_milli (
-      view, any_gateways_milli + few_gateways_milli * ENGINE_CHOICE_FEW_GATEWAYS / gateways);
+  uint64_t margin_milli =
+      narrow_margin_milli (view, any_gateways_milli + few_gateways_milli * few / gateways);
   uint64_t slots_milli = (uint64_t)engine_slots (engine, view->request->default_slots) * MILLI;
   uint64_t free_milli = slots_milli - MIN (slots_milli, view->mean_milli);
 
@@ -489,7 +492,7 @@
                    uint64_t now_us,
                    const engine_choice_request_t *request)
 {
-  *view = (service_view_t){ .engines = engines, .now_us = now_us, .request = request };
+  *view = (service_view_t){ .engines = engines, .now_us = now_us, .request = request, .homes = 1 };
   evaluate (view);
   view->keeps_slots =
       request->has_streams && request->version == 0 && has_several_versions (engines);
--- a/src/request/policy/placement/service_view.h
+++ b/src/request/policy/placement/service_view.h
@@ -13,6 +13,7 @@
  * struct service_view - a request and the state of the engines of its service
  * @open: engines that take new requests
  * @mean_milli: mean load of the open engines, in thousandths of a request
+ * @is_mean_told: gateways tell each other of their requests, and it is made of these
  * @service_mean_milli: likewise, with the idle engines
  * @mean_age_us: mean age of the reports that @mean_milli is made of; 0 when there are none
  * @others_mean_milli: mean number of requests of other gateways at an engine, in thousandths
@@ -26,6 +27,7 @@
  * @full: all slots are taken, so the gateway keeps to its share of them
  * @is_below_share: the gateway has less than its share of the slots
  * @shared_room: the request is one of room_choice.c
+ * @homes: engines that are to cache the request's prompt part; 1 before it is set
  * @keeps_slots: some slots of each engine are left to streams that are resumed
  */
 typedef struct
@@ -41,6 +43,7 @@
   uint64_t own;
   uint64_t slots;
   uint32_t joined;
+  uint32_t homes;
   uint32_t error_limit_milli;
   bool ignores_ejections;
   bool uses_expired;
@@ -48,6 +51,7 @@
   bool full;
   bool is_below_share;
   bool shared_room;
+  bool is_mean_told;
   bool keeps_slots;
 } service_view_t;
 
--- a/tests/test_engine_choice.c
+++ b/tests/test_engine_choice.c
@@ -754,6 +754,104 @@
   CU_ASSERT_EQUAL (count_at_home_of_part (2), PART_GATEWAYS);
 }
 
+/* Guards against a cap on the homes of a hot part: with many engines each of a dozen homes got
+ * several times the mean. */
+static void
+test_hot_part_has_as_many_homes_as_it_needs (void)
+{
+  bool used[100] = { false };
+  uint32_t homes = 0;
+
+  for (uint64_t i = 0; i < 200; i++)
+    {
+      g_autoptr (engines_t) engines = make_engines (100);
+      const GPtrArray *list = engines_of_service (engines, g_intern_static_string ("pool"));
+      engine_choice_request_t request = { .affinity = 9,
+                                          .affinity_tokens = ENGINE_CHOICE_SMALL_PART_TOKENS + 1,
+                                          .own_data_center = HERE,
+                                          .gateways = 103,
+                                          .gateway_hash = i * i + 7,
+                                          .slot_time_us = CLOCK_US_PER_S };
+
+      for (guint k = 0; k < list->len; k++)
+        engine_note_load (g_ptr_array_index (list, k), NOW_US + 10 * CLOCK_US_PER_S,
+                          &(engine_load_t){ .running = 10, .slots = 64 });
+      for (uint32_t sent = 0; sent < 40; sent++)
+        engine_choice_make (list, NOW_US + sent * CLOCK_US_PER_S / 4, &request);
+      used[atoi (
+          engine_choice_make (list, NOW_US + 10 * CLOCK_US_PER_S, &request).engine->entry.id + 1)] =
+          true;
+    }
+  for (uint32_t i = 0; i < 100; i++)
+    homes += used[i] ? 1 : 0;
+  CU_ASSERT (homes > 40);
+}
+
+/* Return: the load of other gateways at the home of a part up to which it gets requests, where each
+ * engine has a load of 10 */
+static uint32_t
+home_limit (bool is_mean_told)
+{
+  g_autoptr (engines_t) engines = make_engines (12);
+  const GPtrArray *list = engines_of_service (engines, g_intern_static_string ("pool"));
+  engine_choice_request_t request = { .affinity = 9,
+                                      .affinity_tokens = ENGINE_CHOICE_SMALL_PART_TOKENS + 1,
+                                      .own_data_center = HERE,
+                                      .gateways = 6 };
+  engine_t *home = engine_choice_make (list, NOW_US, &request).engine;
+  uint32_t limit = 10;
+
+  for (uint64_t i = 1; is_mean_told && i < 6; i++)
+    engines_note_fleet_requests (
+        engines, NOW_US,
+        &(fleet_requests_told_t){ engines_hash_service ("pool"), { i, 24, NOW_US } });
+  for (; limit < 60; limit++)
+    {
+      for (guint k = 0; k < list->len; k++)
+        engine_note_load (
+            g_ptr_array_index (list, k), NOW_US,
+            &(engine_load_t){ .running = g_ptr_array_index (list, k) == home ? limit : 10,
+                              .slots = 128 });
+      if (engine_choice_make (list, NOW_US, &request).engine != home)
+        break;
+    }
+  return limit;
+}
+
+/* Guards against prompts that are read anew at other engines although it is known that their home
+ * is below the overload limit; where that is not known, the bound stays lower. */
+static void
+test_single_home_has_a_wider_margin_where_the_mean_is_known (void)
+{
+  /* with the margin of ENGINE_CHOICE_FEW_GATEWAYS it gets requests up to a load of 18.6 */
+  uint32_t told = home_limit (true);
+
+  CU_ASSERT (told > 18);
+  CU_ASSERT (told < 2 * 10 + 3);
+  CU_ASSERT (home_limit (false) <= told);
+}
+
+/* Guards against a mean of the engines that this gateway heard, of which the busy ones are heard
+ * more often: with it the bound of all rose while one part was popular. */
+static void
+test_told_requests_make_the_mean (void)
+{
+  g_autoptr (engines_t) engines = make_engines (12);
+  const GPtrArray *list = engines_of_service (engines, g_intern_static_string ("pool"));
+  engine_choice_request_t request = { .own_data_center = HERE, .gateways = 4 };
+
+  engine_note_load (g_ptr_array_index (list, 0), NOW_US,
+                    &(engine_load_t){ .running = 30, .slots = 64 });
+  CU_ASSERT_EQUAL (engine_choice_make (list, NOW_US, &request).mean_milli, 30000);
+  for (uint64_t i = 1; i < 4; i++)
+    engines_note_fleet_requests (
+        engines, NOW_US,
+        &(fleet_requests_told_t){ engines_hash_service ("pool"), { i, 20, NOW_US } });
+  CU_ASSERT_EQUAL (engine_choice_make (list, NOW_US, &request).mean_milli, 5000);
+  CU_ASSERT_EQUAL (
+      engine_choice_make (list, NOW_US + FLEET_REQUESTS_AGE_MAX_US, &request).mean_milli, 30000);
+}
+
 /* A home far over the mean hands over to the next in rank at a lower load with 22 gateways than
  * with 4, and with nearly full engines than with idle ones. */
 static void
@@ -1040,6 +1138,9 @@
     SUITE_TEST (test_expired_engines_are_used_when_many_expired),
     SUITE_TEST (test_small_parts_have_two_homes_where_reports_are_rare),
     SUITE_TEST (test_popular_parts_have_several_homes),
+    SUITE_TEST (test_hot_part_has_as_many_homes_as_it_needs),
+    SUITE_TEST (test_single_home_has_a_wider_margin_where_the_mean_is_known),
+    SUITE_TEST (test_told_requests_make_the_mean),
     SUITE_TEST (test_margin_falls_with_gateways_and_rises_with_free_slots),
     SUITE_TEST (test_few_gateways_keep_parts_at_home),
     SUITE_TEST (test_crowded_parts_keep_to_the_first_ranks),
--- a/tests/test_part_shares.c
+++ b/tests/test_part_shares.c
@@ -52,6 +52,25 @@
   CU_ASSERT (part_shares_get_milli (shares, now_us, POPULAR) <= 5);
 }
 
+/* Guards against a part that has just become popular being counted as rare for seconds, and against
+ * two requests for any part looking like that. */
+static void
+test_sudden_popularity_is_seen_within_a_second (void)
+{
+  g_autoptr (part_shares_t) shares = part_shares_new ();
+  uint64_t step_us = CLOCK_US_PER_S / 13;
+  uint64_t now_us = send_requests (shares, 390, step_us, 1000);
+
+  part_shares_add (shares, now_us, POPULAR);
+  CU_ASSERT (part_shares_get_milli (shares, now_us, POPULAR) <= 10);
+  for (uint64_t i = 1; i <= 13; i++, now_us += step_us)
+    part_shares_add (shares, now_us, i % 3 == 0 ? POPULAR : i * 1000033);
+  CU_ASSERT (part_shares_get_milli (shares, now_us, POPULAR) >= 100);
+  for (uint64_t i = 1; i <= 39; i++, now_us += step_us)
+    part_shares_add (shares, now_us, i * 1000037);
+  CU_ASSERT (part_shares_get_milli (shares, now_us, POPULAR) <= 40);
+}
+
 /* Guards against the first request of a gateway that makes its part look popular. */
 static void
 test_few_requests_show_no_share (void)
@@ -69,6 +88,7 @@
 {
   static const CU_TestInfo tests[] = { SUITE_TEST (test_share_does_not_depend_on_the_traffic),
                                        SUITE_TEST (test_share_fades),
+                                       SUITE_TEST (test_sudden_popularity_is_seen_within_a_second),
                                        SUITE_TEST (test_few_requests_show_no_share),
                                        CU_TEST_INFO_NULL };
 
