The told mean is not used for requests that are restricted to regions

Such requests go by reports, as before. Found by reading; the test fails without it (mean 15 for 8).

--- a/src/request/policy/load/fleet_requests.c
+++ b/src/request/policy/load/fleet_requests.c
@@ -88,7 +88,7 @@
   if (heard == 0)
     return (fleet_requests_sum_t){ .milli = (uint64_t)own * MILLI };
   return (fleet_requests_sum_t){ .is_known = true,
-                                 .milli = own * UINT64_C (1000) +
+                                 .milli = (uint64_t)own * MILLI +
                                           requests * MILLI * MAX (others, heard) / heard,
                                  .age_us = ages_us / heard };
 }
--- a/src/request/policy/placement/service_view.c
+++ b/src/request/policy/placement/service_view.c
@@ -84,7 +84,8 @@
   return MAX (values[count / 2] * ENGINE_CHOICE_ERROR_RATE_FACTOR, ENGINE_CHOICE_ERROR_RATE_MILLI);
 }
 
-/* The mean load, where it is known what all gateways have at the open engines. */
+/* The mean load, where it is known what all gateways have at the open engines. What they have at
+ * the engines of some regions is not. */
 static void
 use_fleet_requests (service_view_t *view)
 {
@@ -99,14 +100,14 @@
       own += engine_is_open (engine) ? engine->own_requests : 0;
       open += engine_is_open (engine) ? 1 : 0;
     }
-  if (open == 0)
+  if (open == 0 || region_filter_is_active (&view->request->region_filter))
     return;
   sum = fleet_requests_sum (service_view_engine (view, 0)->fleet_requests, view->now_us, own,
                             view->request->gateways);
   if (!sum.is_known)
     return;
   view->mean_milli = sum.milli / open;
-  view->others_mean_milli = (sum.milli - own * UINT64_C (1000)) / open;
+  view->others_mean_milli = (sum.milli - (uint64_t)own * MILLI) / open;
   view->mean_age_us = sum.age_us;
   view->is_mean_told = true;
 }
--- a/tests/test_engine_choice.c
+++ b/tests/test_engine_choice.c
@@ -852,6 +852,31 @@
       engine_choice_make (list, NOW_US + FLEET_REQUESTS_AGE_MAX_US, &request).mean_milli, 30000);
 }
 
+/* Guards against the requests at all engines being divided by those of some regions. */
+static void
+test_told_requests_are_no_mean_of_some_regions (void)
+{
+  static const char *const regions[] = { "north", NULL };
+  g_autoptr (engines_t) engines = make_engines (12);
+  const GPtrArray *list = engines_of_service (engines, g_intern_static_string ("pool"));
+  engine_choice_request_t request = { .own_data_center = HERE,
+                                      .gateways = 4,
+                                      .region_filter = { .route = regions } };
+
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      engine_t *engine = g_ptr_array_index (list, i);
+
+      engine->entry.region = g_intern_static_string ("north");
+      engine_note_load (engine, NOW_US, &(engine_load_t){ .running = 8, .slots = 64 });
+    }
+  for (uint64_t i = 1; i < 4; i++)
+    engines_note_fleet_requests (
+        engines, NOW_US,
+        &(fleet_requests_told_t){ engines_hash_service ("pool"), { i, 20, NOW_US } });
+  CU_ASSERT_EQUAL (engine_choice_make (list, NOW_US, &request).mean_milli, 8000);
+}
+
 /* A home far over the mean hands over to the next in rank at a lower load with 22 gateways than
  * with 4, and with nearly full engines than with idle ones. */
 static void
@@ -1141,6 +1166,7 @@
     SUITE_TEST (test_hot_part_has_as_many_homes_as_it_needs),
     SUITE_TEST (test_single_home_has_a_wider_margin_where_the_mean_is_known),
     SUITE_TEST (test_told_requests_make_the_mean),
+    SUITE_TEST (test_told_requests_are_no_mean_of_some_regions),
     SUITE_TEST (test_margin_falls_with_gateways_and_rises_with_free_slots),
     SUITE_TEST (test_few_gateways_keep_parts_at_home),
     SUITE_TEST (test_crowded_parts_keep_to_the_first_ranks),
