A test of a resumption waits until its gateway knows the other one

Trace: the first gateway had not read the entry of the second (only the second logs peer_heard) when the request came. It waits for that now; what it checks is as before.

--- a/tests/test_gateway_resume.c
+++ b/tests/test_gateway_resume.c
@@ -289,6 +289,7 @@
 
   add_engine (rig, "pool", "v1");
   add_engine (rig, "pool", "v2");
+  CU_ASSERT_TRUE (gateway_rig_wait_counter (rig, "medlarplank_gateways", 2));
   lines = log_of_refusal (rig, RESUMES ("lost"));
   check_fields (lines, "resumption_decided", asked);
   unnamed_lines = log_of_refusal (rig, "Content-Length: 0\r\nLast-Event-Id: 1\r\n");
