--- a/src/request/policy/load/fleet_requests.h
+++ b/src/request/policy/load/fleet_requests.h
@@ -4,10 +4,8 @@
  * Requests that all gateways together have at the engines of a service, from what gateways tell
  * each other of their own. A state machine without I/O; the caller passes the time.
  *
- * Divided by the number of engines this is the mean load. The loads that engines report are no
- * measure of it for one of many gateways: engines with many requests are heard more often, so their
- * mean was 2.5 requests above 7 while one prompt part was popular; with a correction for that it
- * was a third of the true one while engines that had joined filled up.
+ * Divided by the number of engines this is the mean load. The loads that engines state in their
+ * answers are no measure of it: engines with many requests are heard more often.
  */
 #ifndef REQUEST_POLICY_LOAD_FLEET_REQUESTS_H
 #define REQUEST_POLICY_LOAD_FLEET_REQUESTS_H
