--- a/src/request/policy/directory/part_holders.h
+++ b/src/request/policy/directory/part_holders.h
@@ -17,7 +17,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Engines of one part that are remembered. A popular part has up to 12 homes, but one gateway needs
+/* Engines of one part that are remembered. A popular part may have dozens, but one gateway needs
  * a few only, to send to or to copy from. */
 #define PART_HOLDERS_PER_PART 8
 /* Parts that share a set of the table. */
