--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -274,6 +274,8 @@
 {
   const gateway_store_t *store = context;
 
+  if (!store->options.list_requests)
+    return 0;
   return store->options.list_requests (own_hash, out, want, store->options.context);
 }
 
@@ -282,7 +284,8 @@
 {
   gateway_store_t *store = context;
 
-  store->options.on_requests (told, store->options.context);
+  if (store->options.on_requests)
+    store->options.on_requests (told, store->options.context);
 }
 
 static void
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -70,9 +70,10 @@
  *   have expired only because the engine could not renew it during an outage
  * @on_status: the store became reachable or unreachable, or a stream was read completely or updated
  *   from a peer's copy
- * @list_requests: as in gateway_peers_options_t
+ * @list_requests: as in gateway_peers_options_t; NULL lists none
  * @on_load: a peer reported a load of an engine
- * @on_requests: a peer told how many requests a gateway has at the engines of a service
+ * @on_requests: a peer told how many requests a gateway has at the engines of a service; may be
+ *   NULL
  * @on_origins: a peer sent a message about streams
  * @on_parts: a peer sent a message about engines that hold parts of prompts
  * @on_shares: the tables of shares of a service's software versions were read
