A hot part is spread in heavy traffic too, and by fewer gateways

Callers saw: with 22 gateways before 40 engines at 420 requests a second, one chat with three tenths of them overloads its home (rule LIMIT).

Cause: a popular part got several homes only where one unreported request of each other gateway exceeds the overload limit. That forgot the requests that the home has already: at a mean of 10 the limit is 23, 21 others seemed to fit, and the part kept one home while only 13 more were allowed. The busier the engines, the more likely one home.

Evidence: test_hot_chat, a play with a burst of 1.7: the hot chat ran on 9 to 20 of 40 engines, on 34 without the burst; all requests over the limit were the hot chat's, sent to its first homes while these were believed 9 to 13 requests emptier than they were.

Change: the part is spread when what others send before this gateway gets a report, two requests each as they come in clumps, exceeds the distance from the mean to the limit. Small parts and parts of the first seconds have several homes where they had them before.

test_long_part_waits_for_a_busy_holder sent all requests for one part, which is now a hot one and is copied to more homes; it is about a part that is not. 39 requests for other parts come between its requests now, its checks are unchanged.

--- a/src/request/policy/placement/engine_choice.c
+++ b/src/request/policy/placement/engine_choice.c
@@ -125,6 +125,42 @@
   return best;
 }
 
+/* Return: requests for the part at a time, in thousandths of those that an engine with the mean
+ * load may get before it is over the overload limit */
+static uint64_t
+part_of_limit_milli (const service_view_t *view, const engine_t *engine)
+{
+  return part_load_milli (view, engine->part_shares) * MILLI /
+         service_view_limit_distance_milli (view);
+}
+
+/* Whether more requests for the part are on their way than its home may get before this gateway is
+ * told of them: between two answers to this gateway, each other one gets as many, in clumps. */
+static bool
+fills_home_unreported (const service_view_t *view)
+{
+  uint64_t others = MAX (view->request->gateways, 1U) - 1;
+
+  return others * ENGINE_CHOICE_CLUMP * MILLI > service_view_limit_distance_milli (view);
+}
+
+/* Homes of a part that is small or, shortly after the start, of any part, which may turn out to be
+ * popular. */
+static uint32_t
+count_homes_of_unknown (const service_view_t *view, const engine_t *first)
+{
+  const engine_choice_request_t *request = view->request;
+
+  if (!(service_view_reports_seldom (view, first) || service_view_unreported_may_overload (view)))
+    return 1;
+  if (request->slot_time_us != 0 &&
+      part_shares_age_us (first->part_shares, view->now_us) < ENGINE_CHOICE_START_US)
+    return ENGINE_CHOICE_START_HOMES;
+  return request->affinity_tokens <= ENGINE_CHOICE_SMALL_PART_TOKENS
+             ? ENGINE_CHOICE_SMALL_PART_HOMES
+             : 1;
+}
+
 /*
  * Number of engines that cache the request's part. Where load reports are rare, no gateway sees
  * that the home of a popular part is over the bound before all of them have sent more there: with
@@ -136,23 +172,16 @@
 static uint32_t
 count_homes (const service_view_t *view)
 {
-  const engine_choice_request_t *request = view->request;
   const engine_t *first = find_highest_open (view, false);
-  uint64_t distance_milli = view->mean_milli + ENGINE_CHOICE_OVERLOAD_EXTRA_MILLI;
-  uint64_t share_milli;
-  uint64_t homes = 1;
+  uint64_t homes;
+  uint64_t part_milli;
 
-  if (!first || request->affinity_tokens == 0 ||
-      !(service_view_reports_seldom (view, first) || service_view_unreported_may_overload (view)))
+  if (!first || view->request->affinity_tokens == 0)
     return 1;
-  share_milli = part_load_milli (view, first->part_shares) * MILLI / distance_milli;
-  if (share_milli > ENGINE_CHOICE_POPULAR_MILLI)
-    homes = (share_milli - 1) / ENGINE_CHOICE_PART_SHARE_MILLI + 1;
-  if (request->affinity_tokens <= ENGINE_CHOICE_SMALL_PART_TOKENS)
-    homes = MAX (homes, ENGINE_CHOICE_SMALL_PART_HOMES);
-  if (request->slot_time_us != 0 &&
-      part_shares_age_us (first->part_shares, view->now_us) < ENGINE_CHOICE_START_US)
-    homes = MAX (homes, ENGINE_CHOICE_START_HOMES);
+  homes = count_homes_of_unknown (view, first);
+  part_milli = part_of_limit_milli (view, first);
+  if (part_milli > ENGINE_CHOICE_POPULAR_MILLI && fills_home_unreported (view))
+    homes = MAX (homes, (part_milli - 1) / ENGINE_CHOICE_PART_SHARE_MILLI + 1);
   return (uint32_t)CLAMP (homes, 1, MAX (view->open, 1U));
 }
 
--- a/src/request/policy/placement/engine_choice.h
+++ b/src/request/policy/placement/engine_choice.h
@@ -80,6 +80,8 @@
  * requests for one part need several homes. A lower one would be reached by a single request of one
  * of many gateways. */
 #define ENGINE_CHOICE_POPULAR_MILLI 700
+/* Requests that another gateway may send to an engine before this one gets a load report of it. */
+#define ENGINE_CHOICE_CLUMP UINT64_C (2)
 /* Share of that distance that they may then take at each home, where other parts have theirs too.
  */
 #define ENGINE_CHOICE_PART_SHARE_MILLI 150
--- a/src/request/policy/placement/service_view.c
+++ b/src/request/policy/placement/service_view.c
@@ -385,6 +385,12 @@
   return engine_slots (engine, view->request->default_slots) < view->request->gateways;
 }
 
+uint64_t
+service_view_limit_distance_milli (const service_view_t *view)
+{
+  return overload_limit_milli (view->mean_milli) - view->mean_milli;
+}
+
 bool
 service_view_unreported_may_overload (const service_view_t *view)
 {
--- a/src/request/policy/placement/service_view.h
+++ b/src/request/policy/placement/service_view.h
@@ -86,6 +86,9 @@
 /** service_view_reports_seldom() - whether this gateway's share of @engine is less than one slot,
  * so that it gets a load report of it only every few seconds, however full engines are */
 bool service_view_reports_seldom (const service_view_t *view, const engine_t *engine);
+/** service_view_limit_distance_milli() - requests that an engine with the mean load may get before
+ * it is over the overload limit, in thousandths */
+uint64_t service_view_limit_distance_milli (const service_view_t *view);
 /** service_view_unreported_may_overload() - whether one unreported request of each other gateway
  * would overload an engine */
 bool service_view_unreported_may_overload (const service_view_t *view);
--- a/tests/test_hot_chat.c
+++ b/tests/test_hot_chat.c
@@ -71,6 +71,22 @@
   check_hot_chat (22, 40, 290);
 }
 
+/* As above with half as many gateways. */
+static void
+test_hot_chat_at_eleven_gateways (void)
+{
+  check_hot_chat (11, 40, 290);
+}
+
+/* Guards against one home for a hot chat where engines have so many requests that one more of each
+ * gateway seems to fit. */
+static void
+test_hot_chat_in_heavy_traffic (void)
+{
+  check_hot_chat (22, 40, 420);
+  check_hot_chat (22, 40, 600);
+}
+
 /* As above with more gateways. */
 static void
 test_hot_chat_at_103_gateways (void)
@@ -152,6 +168,8 @@
   static const CU_TestInfo tests[] = { SUITE_TEST (test_hot_chat_at_one_gateway),
                                        SUITE_TEST (test_hot_chat_at_four_gateways),
                                        SUITE_TEST (test_hot_chat_at_22_gateways),
+                                       SUITE_TEST (test_hot_chat_at_eleven_gateways),
+                                       SUITE_TEST (test_hot_chat_in_heavy_traffic),
                                        SUITE_TEST (test_hot_chat_at_103_gateways),
                                        SUITE_TEST (test_hot_chat_at_385_gateways),
                                        SUITE_TEST (test_hot_chat_at_880_gateways),
--- a/tests/test_part_choice.c
+++ b/tests/test_part_choice.c
@@ -296,6 +296,14 @@
                                                          .own_data_center = "elsewhere" });
 }
 
+/* Requests for other parts, beside which PART is not popular. */
+static void
+choose_others (const engines_t *engines)
+{
+  for (uint64_t part = PART + 1; part < PART + 40; part++)
+    choose_for (engines, NULL, "elsewhere", LONG_TOKENS, part);
+}
+
 /* Guards against a copy of a long part because its only holder is a request over its bound, and
  * against that going on up to the overload limit. */
 static void
@@ -312,6 +320,7 @@
     load (put (engines, i, 1), 6);
   for (uint32_t i = 0; i < 12; i++)
     {
+      choose_others (engines);
       by_rank += choose_shared (engines, NULL, 1, 12).engine == home ? 1 : 0;
       by_holder += choose_shared (engines, holders, 1, 12).engine == home ? 1 : 0;
       load (home, 1);
