Engines that have joined count once against the told mean

Callers saw: while a data centre returned, requests went to engines far from their homes and their prompts were read again, since gateways tell each other their requests.

Cause: the sum of the requests was divided by all open engines, those that had just joined included, and the limit made of it was lowered for the same engines once more. The mean that is made of reports leaves them out, as they have none.

Change: the sum is divided by the engines in use; those that have joined count in the mean of the whole service, as they do with reports.

--- a/src/request/policy/placement/service_view.c
+++ b/src/request/policy/placement/service_view.c
@@ -85,29 +85,30 @@
 }
 
 /* The mean load, where it is known what all gateways have at the open engines. What they have at
- * the engines of some regions is not. */
+ * the engines of some regions is not. Engines that have joined count in the mean of the service
+ * only, as where it is made of reports. */
 static void
 use_fleet_requests (service_view_t *view)
 {
   fleet_requests_sum_t sum;
   uint32_t own = 0;
-  uint32_t open = 0;
+  uint32_t in_use = 0;
 
   for (guint i = 0; i < view->engines->len; i++)
     {
       const engine_t *engine = service_view_engine (view, i);
 
       own += engine_is_open (engine) ? engine->own_requests : 0;
-      open += engine_is_open (engine) ? 1 : 0;
+      in_use += engine_is_open (engine) && !has_joined (view, engine) ? 1 : 0;
     }
-  if (open == 0 || region_filter_is_active (&view->request->region_filter))
+  if (in_use == 0 || region_filter_is_active (&view->request->region_filter))
     return;
   sum = fleet_requests_sum (service_view_engine (view, 0)->fleet_requests, view->now_us, own,
                             view->request->gateways);
   if (!sum.is_known)
     return;
-  view->mean_milli = sum.milli / open;
-  view->others_mean_milli = (sum.milli - (uint64_t)own * MILLI) / open;
+  view->mean_milli = sum.milli / in_use;
+  view->others_mean_milli = (sum.milli - (uint64_t)own * MILLI) / in_use;
   view->mean_age_us = sum.age_us;
   view->is_mean_told = true;
 }
--- a/tests/test_engine_choice.c
+++ b/tests/test_engine_choice.c
@@ -1000,6 +1000,25 @@
   return engines;
 }
 
+/* Guards against idle engines that count twice, in the mean and in the limit made of it: while a
+ * data centre returned, the engines with the load were all over their bound. */
+static void
+test_told_requests_are_divided_by_the_engines_in_use (void)
+{
+  g_autoptr (engines_t) engines = make_engines_that_join (10);
+  engine_choice_request_t request = { .own_data_center = HERE, .gateways = 4 };
+
+  for (uint64_t i = 1; i < 4; i++)
+    engines_note_fleet_requests (
+        engines, NOW_US,
+        &(fleet_requests_told_t){ engines_hash_service ("pool"), { i, 100, NOW_US } });
+  CU_ASSERT_EQUAL (
+      engine_choice_make (engines_of_service (engines, g_intern_static_string ("pool")), NOW_US,
+                          &request)
+          .mean_milli,
+      300 * 1000 / BUSY_ENGINES);
+}
+
 static engine_t *
 choose_by (const engines_t *engines, uint32_t gateways, uint64_t gateway_hash, uint64_t part)
 {
@@ -1148,6 +1167,7 @@
     SUITE_TEST (test_degraded_engine_is_preferred_to_overloaded),
     SUITE_TEST (test_idle_engines_narrow_the_bound),
     SUITE_TEST (test_engines_that_join_take_their_share),
+    SUITE_TEST (test_told_requests_are_divided_by_the_engines_in_use),
     SUITE_TEST (test_half_of_the_gateways_use_a_joined_engine_first),
     SUITE_TEST (test_tried_engines_are_left_out),
     SUITE_TEST (test_engine_outlives_its_entry),
