A part that is not hot stays at its home nearer to the overload limit

Cause: the margin over the mean was that for 22 gateways that know little, about half of the distance to the limit, also for parts of which hardly any request is on its way. Loads that are known vary more than loads that are assumed to be near the mean, so more engines were beyond it.

Change: for a part with one home that is not popular, the part of the margin in proportion to the mean is granted to as many gateways as requests fit to an engine, five for four, once a third of the other gateways have told their requests. The constant part, which counts in light traffic, is as before.

The test of the wider margin sent all requests for one part, which is a hot one; 20 requests for other parts come between them, its checks are unchanged.

--- a/src/request/policy/load/fleet_requests.c
+++ b/src/request/policy/load/fleet_requests.c
@@ -88,6 +88,7 @@
   if (heard == 0)
     return (fleet_requests_sum_t){ .milli = (uint64_t)own * MILLI };
   return (fleet_requests_sum_t){ .is_known = true,
+                                 .is_certain = heard * FLEET_REQUESTS_CERTAIN_DIVISOR >= others,
                                  .milli = (uint64_t)own * MILLI +
                                           requests * MILLI * MAX (others, heard) / heard,
                                  .age_us = ages_us / heard };
--- a/src/request/policy/load/fleet_requests.h
+++ b/src/request/policy/load/fleet_requests.h
@@ -17,6 +17,8 @@
 /* Maximum age of a number. With 22 gateways most are younger than a second; of hundreds, those
  * heard in this time are a sample. */
 #define FLEET_REQUESTS_AGE_MAX_US (UINT64_C (1500) * 1000)
+/* Divisor: numbers of 1/3 of the other gateways make the sum certain. */
+#define FLEET_REQUESTS_CERTAIN_DIVISOR 3
 
 /**
  * struct fleet_request_count - what a gateway told
@@ -48,12 +50,14 @@
 /**
  * struct fleet_requests_sum - requests of all gateways
  * @is_known: some other gateway told its number; one that hears of none may be cut off
+ * @is_certain: one in FLEET_REQUESTS_CERTAIN_DIVISOR of them did
  * @milli: in thousandths
  * @age_us: mean age of the numbers
  */
 typedef struct
 {
   bool is_known;
+  bool is_certain;
   uint64_t milli;
   uint64_t age_us;
 } fleet_requests_sum_t;
--- a/src/request/policy/placement/engine_choice.c
+++ b/src/request/policy/placement/engine_choice.c
@@ -169,20 +169,22 @@
  * small part, which is read quickly, has two at least, and all parts have some while it is not
  * known how popular they are.
  */
-static uint32_t
-count_homes (const service_view_t *view)
+static void
+set_homes (service_view_t *view)
 {
   const engine_t *first = find_highest_open (view, false);
   uint64_t homes;
   uint64_t part_milli;
 
+  view->homes = 1;
   if (!first || view->request->affinity_tokens == 0)
-    return 1;
+    return;
   homes = count_homes_of_unknown (view, first);
   part_milli = part_of_limit_milli (view, first);
-  if (part_milli > ENGINE_CHOICE_POPULAR_MILLI && fills_home_unreported (view))
+  view->is_popular = part_milli > ENGINE_CHOICE_POPULAR_MILLI;
+  if (view->is_popular && fills_home_unreported (view))
     homes = MAX (homes, (part_milli - 1) / ENGINE_CHOICE_PART_SHARE_MILLI + 1);
-  return (uint32_t)CLAMP (homes, 1, MAX (view->open, 1U));
+  view->homes = (uint32_t)CLAMP (homes, 1, MAX (view->open, 1U));
 }
 
 /** struct open_engines - engines that take new requests; @local: in this gateway's data centre */
@@ -703,7 +705,7 @@
   engine_choice_t choice = { 0 };
 
   service_view_init (&view, engines, now_us, request);
-  view.homes = count_homes (&view);
+  set_homes (&view);
   known_holders_init (&known, now_us, request);
   choice.candidates = service_view_count_candidates (&view);
   choice.mean_milli = (uint32_t)view.mean_milli;
--- a/src/request/policy/placement/engine_choice.h
+++ b/src/request/policy/placement/engine_choice.h
@@ -28,18 +28,19 @@
  * The load bound of an engine is the mean load plus a margin. The margin is a fraction of the mean
  * plus a number of requests, both in thousandths, and stays below the distance to the overload
  * limit, because the load that other gateways cause is known late. A third of that distance is
- * granted to any number of gateways. The rest is granted to ENGINE_CHOICE_FEW_GATEWAYS or fewer, or
- * to ENGINE_CHOICE_FEW_GATEWAYS_ONE_HOME where the request's part has one home only, and falls in
- * inverse proportion to their number above that. A narrower margin sends more requests
- * away from the engine that caches their prompt part; a wider one sends more of them to engines
- * over the bound.
+ * granted to any number of gateways. The rest is granted to ENGINE_CHOICE_FEW_GATEWAYS or fewer and
+ * falls in inverse proportion to their number above that. The part in proportion to the mean is
+ * granted to more, by the distance in requests, for a part with a single home that is not popular,
+ * once the mean is known well. A narrower margin sends more requests away from the engine that
+ * caches their prompt part; a wider one sends more of them to engines over the bound.
  */
 #define ENGINE_CHOICE_MARGIN_MILLI 300
 #define ENGINE_CHOICE_MARGIN_EXTRA_MILLI 1100
 #define ENGINE_CHOICE_FEW_MARGIN_MILLI 650
 #define ENGINE_CHOICE_FEW_MARGIN_EXTRA_MILLI 1400
 #define ENGINE_CHOICE_FEW_GATEWAYS UINT64_C (4)
-#define ENGINE_CHOICE_FEW_GATEWAYS_ONE_HOME UINT64_C (5)
+/* Gateways for each request that fits to an engine with the mean load. */
+#define ENGINE_CHOICE_FEW_GATEWAYS_ONE_HOME_MILLI UINT64_C (1250)
 /* A gateway sends to a full engine at most this many times as often as its share of the slots comes
  * free. With a factor of 1 engines were idle for moments: 0.976 of all requests were on time
  * instead of 0.991 in bench-gateway. */
--- a/src/request/policy/placement/service_view.c
+++ b/src/request/policy/placement/service_view.c
@@ -110,7 +110,7 @@
   view->mean_milli = sum.milli / in_use;
   view->others_mean_milli = (sum.milli - (uint64_t)own * MILLI) / in_use;
   view->mean_age_us = sum.age_us;
-  view->is_mean_told = true;
+  view->is_mean_certain = sum.is_certain;
 }
 
 /*
@@ -350,27 +350,45 @@
               MILLI);
 }
 
+/* Return: the number of gateways up to which the margin that is in proportion to the mean is
+ * granted in full */
+static uint64_t
+few_gateways (const service_view_t *view)
+{
+  uint64_t one_home = service_view_limit_distance_milli (view) *
+                      ENGINE_CHOICE_FEW_GATEWAYS_ONE_HOME_MILLI / MILLI / MILLI;
+
+  if (view->homes > 1 || view->is_popular || !view->is_mean_certain)
+    return ENGINE_CHOICE_FEW_GATEWAYS;
+  return MAX (one_home, ENGINE_CHOICE_FEW_GATEWAYS);
+}
+
+/* Return: the part of @milli that is granted to this many gateways, where @few get all of it */
+static uint64_t
+grant_milli (const service_view_t *view, uint64_t milli, uint64_t few)
+{
+  return milli * few / MAX (view->request->gateways, few);
+}
+
 /*
  * Load above the mean that an engine may have. The number of requests that other gateways send
  * before they learn of each other's is in proportion to the number of gateways, and is largest for
- * a part that has several homes as it is popular. Such a request has its part elsewhere too, while
- * one with a single home has it read or copied there, so the margin is wider for that one. Nearly
- * full engines are slow, and a full one makes its requests wait, so the margin falls with the free
- * slots; half of it remains, or no prompt would reach the engine that caches it when there is no
- * time to read it again.
+ * a popular part. Other parts with a single home are read or copied elsewhere when that has no
+ * room, so the margin is wider for these, the more requests fit to an engine. Nearly full engines
+ * are slow, and a full one makes its requests wait, so the margin falls with the free slots; half
+ * of it remains, or no prompt would reach the engine that caches it when there is no time to read
+ * it again.
  */
 static uint64_t
 bound_margin_milli (const service_view_t *view, const engine_t *engine)
 {
-  bool is_wide = view->homes == 1 && view->is_mean_told;
-  uint64_t few = is_wide ? ENGINE_CHOICE_FEW_GATEWAYS_ONE_HOME : ENGINE_CHOICE_FEW_GATEWAYS;
-  uint64_t gateways = MAX (view->request->gateways, few);
   uint64_t any_gateways_milli =
       view->mean_milli * ENGINE_CHOICE_MARGIN_MILLI / MILLI + ENGINE_CHOICE_MARGIN_EXTRA_MILLI;
-  uint64_t few_gateways_milli = view->mean_milli * ENGINE_CHOICE_FEW_MARGIN_MILLI / MILLI +
-                                ENGINE_CHOICE_FEW_MARGIN_EXTRA_MILLI;
-  uint64_t margin_milli =
-      narrow_margin_milli (view, any_gateways_milli + few_gateways_milli * few / gateways);
+  uint64_t few_gateways_milli =
+      grant_milli (view, view->mean_milli * ENGINE_CHOICE_FEW_MARGIN_MILLI / MILLI,
+                   few_gateways (view)) +
+      grant_milli (view, ENGINE_CHOICE_FEW_MARGIN_EXTRA_MILLI, ENGINE_CHOICE_FEW_GATEWAYS);
+  uint64_t margin_milli = narrow_margin_milli (view, any_gateways_milli + few_gateways_milli);
   uint64_t slots_milli = (uint64_t)engine_slots (engine, view->request->default_slots) * MILLI;
   uint64_t free_milli = slots_milli - MIN (slots_milli, view->mean_milli);
 
--- a/src/request/policy/placement/service_view.h
+++ b/src/request/policy/placement/service_view.h
@@ -13,7 +13,7 @@
  * struct service_view - a request and the state of the engines of its service
  * @open: engines that take new requests
  * @mean_milli: mean load of the open engines, in thousandths of a request
- * @is_mean_told: gateways tell each other of their requests, and it is made of these
+ * @is_mean_certain: gateways tell each other of their requests, and many of them did
  * @service_mean_milli: likewise, with the idle engines
  * @mean_age_us: mean age of the reports that @mean_milli is made of; 0 when there are none
  * @others_mean_milli: mean number of requests of other gateways at an engine, in thousandths
@@ -27,6 +27,8 @@
  * @full: all slots are taken, so the gateway keeps to its share of them
  * @is_below_share: the gateway has less than its share of the slots
  * @shared_room: the request is one of room_choice.c
+ * @is_popular: the request's prompt part takes up most of what an engine may have beyond the mean;
+ *   set with @homes
  * @homes: engines that are to cache the request's prompt part; 1 before it is set
  * @keeps_slots: some slots of each engine are left to streams that are resumed
  */
@@ -51,7 +53,8 @@
   bool full;
   bool is_below_share;
   bool shared_room;
-  bool is_mean_told;
+  bool is_mean_certain;
+  bool is_popular;
   bool keeps_slots;
 } service_view_t;
 
--- a/tests/test_engine_choice.c
+++ b/tests/test_engine_choice.c
@@ -787,6 +787,19 @@
   CU_ASSERT (homes > 40);
 }
 
+/* Requests for other parts, beside which that of @like is not popular. */
+static void
+choose_other_parts (const GPtrArray *list, const engine_choice_request_t *like)
+{
+  engine_choice_request_t request = *like;
+
+  for (uint64_t i = 1; i <= 20; i++)
+    {
+      request.affinity = like->affinity + i;
+      engine_choice_make (list, NOW_US, &request);
+    }
+}
+
 /* Return: the load of other gateways at the home of a part up to which it gets requests, where each
  * engine has a load of 10 */
 static uint32_t
@@ -812,6 +825,7 @@
             g_ptr_array_index (list, k), NOW_US,
             &(engine_load_t){ .running = g_ptr_array_index (list, k) == home ? limit : 10,
                               .slots = 128 });
+      choose_other_parts (list, &request);
       if (engine_choice_make (list, NOW_US, &request).engine != home)
         break;
     }
