--- a/tests/test_fleet_requests.c
+++ b/tests/test_fleet_requests.c
@@ -72,6 +72,20 @@
   CU_ASSERT_EQUAL (fleet_requests_sum (&table, NOW_US, 5, 1).milli, 35000);
 }
 
+/* Guards against a wide margin over a mean that is made of a few gateways' numbers. */
+static void
+test_sum_is_certain_when_a_third_have_told (void)
+{
+  fleet_requests_t table = { 0 };
+
+  for (uint64_t i = 1; i <= 7; i++)
+    {
+      CU_ASSERT_FALSE (fleet_requests_sum (&table, NOW_US, 5, 22).is_certain);
+      note (&table, i, 10, NOW_US);
+    }
+  CU_ASSERT_TRUE (fleet_requests_sum (&table, NOW_US, 5, 22).is_certain);
+}
+
 /* Guards against the numbers of a lost exchange holding on. */
 static void
 test_old_numbers_do_not_count (void)
@@ -130,6 +144,7 @@
                                        SUITE_TEST (test_latest_are_passed_on_first),
                                        SUITE_TEST (test_own_requests_count_once),
                                        SUITE_TEST (test_more_gateways_than_known_are_counted),
+                                       SUITE_TEST (test_sum_is_certain_when_a_third_have_told),
                                        SUITE_TEST (test_old_numbers_do_not_count),
                                        SUITE_TEST (test_message_tells_own_number_first),
                                        CU_TEST_INFO_NULL };
