Log who ended a connection, why, and what was on hand

Cause: a request that got neither an answer nor a refusal left no line: libevent closes connections by itself, and the listener's own timers closed them silently. An engine's end of a kept connection could not be told from a reset of a new one. Change: connection_ended at the callers' side, with the version in force, which the gateway adds; upstream_ended for each send without a whole answer. A caller that closes an idle connection has no line. The end of every connection is counted by reason.

--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -1,4 +1,5 @@
 #include "connection/http_client_internal.h"
+#include "base/log.h"
 #include "connection/http_framing.h"
 
 #include <string.h>
@@ -48,12 +49,50 @@
   g_free (call);
 }
 
+static const char *
+end_cause (const http_client_call_t *call, verdict_reason_t reason)
+{
+  static const char *const errors[] = { [HTTP_CLIENT_ERROR_CLOSED] = "closed",
+                                        [HTTP_CLIENT_ERROR_RESET] = "reset",
+                                        [HTTP_CLIENT_ERROR_ANSWER] = "bad_answer" };
+
+  if (call->given_up)
+    return "given_up";
+  if (reason == VERDICT_REASON_CUT && call->conn->error != HTTP_CLIENT_ERROR_NONE)
+    return errors[call->conn->error];
+  return reason == VERDICT_REASON_CUT ? "bad_answer" : verdict_reason_to_string (reason);
+}
+
+/* One line for each call without a whole response: who ended it, and on what connection. Whether
+ * a kept connection was closed by its peer just before tells a lost send from a lost run. */
+static void
+log_end (const http_client_call_t *call, verdict_reason_t reason)
+{
+  const http_client_conn_t *conn = call->conn;
+  bool by_peer =
+      conn && !call->given_up &&
+      (conn->error == HTTP_CLIENT_ERROR_CLOSED || conn->error == HTTP_CLIENT_ERROR_RESET);
+
+  if (!conn || call->id[0] == '\0')
+    return;
+  log_event (LOG_LEVEL_INFO, "upstream_ended", "id", call->id, "address", conn->key, "by",
+             by_peer ? "peer" : "us", "reason", end_cause (call, reason), "kept",
+             conn->was_kept ? "yes" : "no", "idle_ms",
+             conn->was_kept ? LOG_U64 ((uint64_t)conn->idle_us / CLOCK_US_PER_MS) : NULL, "sent",
+             call->sent ? "yes" : "no", "head", call->head_received ? "yes" : "no", "bytes",
+             LOG_U64 (call->received_bytes), "ms",
+             LOG_U64 ((uint64_t)(g_get_monotonic_time () - call->started_us) / CLOCK_US_PER_MS),
+             NULL);
+}
+
 /* The call's event runs on_end later, since that callback may call any function of the client */
 static void
 end_call (http_client_call_t *call, bool whole, verdict_reason_t reason)
 {
   http_client_conn_t *conn = call->conn;
 
+  if (!whole)
+    log_end (call, reason);
   call->result.complete = whole;
   call->result.verdict = whole ? VERDICT_RAN : call->sent ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN;
   call->result.reason =
@@ -80,6 +119,7 @@
 http_client_cut_call (http_client_call_t *call)
 {
   call->sent = true;
+  call->given_up = true;
   end_call (call, false, VERDICT_REASON_CUT);
 }
 
@@ -188,6 +228,20 @@
     end_call (call, false, VERDICT_REASON_CUT);
 }
 
+/* Runs before on_done() for the same failure */
+static void
+on_error (enum evhttp_request_error error, void *context)
+{
+  http_client_conn_t *conn = context;
+
+  if (error == EVREQ_HTTP_EOF)
+    conn->error = HTTP_CLIENT_ERROR_CLOSED;
+  else if (error == EVREQ_HTTP_BUFFER_ERROR || error == EVREQ_HTTP_TIMEOUT)
+    conn->error = HTTP_CLIENT_ERROR_RESET;
+  else
+    conn->error = HTTP_CLIENT_ERROR_ANSWER;
+}
+
 static bool
 is_set_by_client (const char *name)
 {
@@ -228,6 +282,7 @@
   struct evhttp_request *request = evhttp_request_new (on_done, conn);
 
   evhttp_request_set_header_cb (request, on_head);
+  evhttp_request_set_error_cb (request, on_error);
   evhttp_request_set_chunked_cb (request, on_chunk);
   add_headers (evhttp_request_get_output_headers (request), options);
   if (options->body_bytes > 0)
@@ -251,6 +306,10 @@
   call->context = options->context;
   call->method = method_from_name (options->method);
   call->until_close = options->until_close;
+  call->started_us = g_get_monotonic_time ();
+  for (uint32_t i = 0; i < options->header_count; i++)
+    if (g_ascii_strcasecmp (options->headers[i].name, "X-Request-Id") == 0)
+      g_strlcpy (call->id, options->headers[i].value, sizeof call->id);
   g_hash_table_add (http_client->calls, call);
   return call;
 }
@@ -266,6 +325,7 @@
 
   call->conn = conn;
   conn->call = call;
+  conn->error = HTTP_CLIENT_ERROR_NONE;
   evhttp_connection_set_max_body_size (conn->evcon, limit);
   http_client_conn_expect (conn, options->answer_limit_bytes);
   evhttp_make_request (conn->evcon, request, call->method, options->target);
@@ -296,6 +356,8 @@
 
   if (conn)
     {
+      call->given_up = true;
+      log_end (call, VERDICT_REASON_NONE);
       conn->call = NULL;
       http_client_conn_close (conn);
     }
--- a/src/connection/http_client_internal.h
+++ b/src/connection/http_client_internal.h
@@ -17,8 +17,19 @@
 #include <event2/http.h>
 #include <glib.h>
 
+#define HTTP_CLIENT_LOGGED_ID_BYTES 64
+
 typedef struct http_client_conn http_client_conn_t;
 
+/** http_client_error_t - what libevent reports when a connection fails under a call */
+typedef enum
+{
+  HTTP_CLIENT_ERROR_NONE,
+  HTTP_CLIENT_ERROR_CLOSED, /* by the peer */
+  HTTP_CLIENT_ERROR_RESET,  /* by the peer, or by the kernel after a time without it */
+  HTTP_CLIENT_ERROR_ANSWER  /* bytes that are no response, or one over a limit */
+} http_client_error_t;
+
 /**
  * struct http_client - client of one task
  * @idle_limit: maximum number of idle connections per address
@@ -54,6 +65,9 @@
  * @idle_since_us: time at which it was returned to the pool, on the monotonic clock
  * @connecting: not connected yet
  * @closed: must not be used again; @event is about to free it
+ * @was_kept: the current call did not open it
+ * @idle_us: how long it had been idle before the current call
+ * @error: what libevent reported last for the current call
  */
 struct http_client_conn
 {
@@ -71,6 +85,9 @@
   int64_t idle_since_us;
   bool connecting;
   bool closed;
+  bool was_kept;
+  int64_t idle_us;
+  http_client_error_t error;
 };
 
 /**
@@ -80,6 +97,10 @@
  * @sent: a byte of the request may have been sent
  * @head_received: the head of the response was accepted and passed on
  * @paused: reading the response is stopped
+ * @id: value of X-Request-Id, "" for none; the end of a call without one is not logged
+ * @started_us: on the monotonic clock
+ * @received_bytes: of the response, with its head
+ * @given_up: http_client_cut_call() ended it
  */
 struct http_client_call
 {
@@ -98,6 +119,10 @@
   bool head_received;
   bool paused;
   bool until_close;
+  char id[HTTP_CLIENT_LOGGED_ID_BYTES];
+  int64_t started_us;
+  uint64_t received_bytes;
+  bool given_up;
 };
 
 /** http_client_conn_acquire() - get an idle connection that the peer has not closed and that has
--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -201,6 +201,7 @@
 
   if (info->n_added == 0 || conn->closed || !conn->call)
     return;
+  conn->call->received_bytes += info->n_added;
   if (!http_input_read_last (&conn->input, buffer, info->n_added))
     {
       http_client_cut_call (conn->call);
@@ -288,6 +289,8 @@
         break;
       remove_from_pool (conn);
       event_del (conn->event);
+      conn->idle_us = now_us - conn->idle_since_us;
+      conn->was_kept = true;
       if (has_nothing_to_read (conn))
         found = conn;
       else
--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -30,6 +30,14 @@
   for (int i = 0; i < HTTP_SERVER_REFUSED_COUNT; i++)
     http_server->refused[i] = counter_get (registry, rejected_metric_names[i],
                                            "Requests refused by the listener before they ran");
+  for (int i = 0; i < HTTP_SERVER_END_COUNT; i++)
+    {
+      g_autofree char *name =
+          g_strdup_printf ("medlarplank_http_ended_total{reason=\"%s\"}",
+                           http_server_end_reason_to_string ((http_server_end_reason_t)i));
+
+      http_server->ended[i] = counter_get (registry, name, "Connections of callers that ended");
+    }
 }
 
 static bool
@@ -179,7 +187,7 @@
       http_server_conn_t *conn = link->data;
 
       if (http_server_conn_is_idle (conn))
-        evhttp_connection_free (conn->evcon);
+        http_server_conn_end (conn, HTTP_SERVER_END_STOPPING);
     }
   g_list_free (conns);
 }
@@ -220,6 +228,7 @@
   for (GList *link = new_conns; link; link = link->next)
     http_server_conn_attach (link->data);
   g_list_free (new_conns);
+  http_server->freeing = true;
   unlisten (http_server);
   evhttp_free (http_server->http);
   drains = g_hash_table_get_keys (http_server->drains);
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -24,6 +24,49 @@
 typedef struct http_server http_server_t; /* a server: one listening socket and its connections */
 typedef struct http_server_call http_server_call_t; /* a request that has not been answered */
 
+/** http_server_on_hand_t - what a connection had on hand when it ended */
+typedef enum
+{
+  HTTP_SERVER_HAND_NONE,
+  HTTP_SERVER_HAND_PART_OF_REQUEST,
+  HTTP_SERVER_HAND_REQUEST, /* whole, and no byte of its response queued */
+  HTTP_SERVER_HAND_ANSWER   /* a response that is not sent to its last byte */
+} http_server_on_hand_t;
+
+/** http_server_end_reason_t - why a connection ended */
+typedef enum
+{
+  HTTP_SERVER_END_CLOSED, /* closed or reset by the client */
+  HTTP_SERVER_END_IDLE_TIMEOUT,
+  HTTP_SERVER_END_REQUEST_TIMEOUT, /* a request took too long to arrive */
+  HTTP_SERVER_END_ANSWER_UNREAD,   /* the client accepted no byte for the idle timeout */
+  HTTP_SERVER_END_ANSWER_CUT,      /* http_server_abort() */
+  HTTP_SERVER_END_STOPPING,
+  HTTP_SERVER_END_EVICTED, /* an incomplete request was rejected to bound their sum */
+  HTTP_SERVER_END_REFUSED, /* after the response that rejected its request */
+  HTTP_SERVER_END_ERROR,
+  HTTP_SERVER_END_COUNT
+} http_server_end_reason_t;
+
+/**
+ * struct http_server_ended - the end of a connection
+ * @by_us: the server closed it, otherwise the client
+ * @idle_ms: time since the last byte from or to the client
+ * @idle_limit_ms: idle timeout of the connection
+ * @part_bytes: received bytes of an incomplete request
+ * @unread_bytes: bytes left in the socket, which the client takes for sent
+ */
+typedef struct
+{
+  bool by_us;
+  http_server_end_reason_t reason;
+  http_server_on_hand_t on_hand;
+  uint64_t idle_ms;
+  uint32_t idle_limit_ms;
+  uint64_t part_bytes;
+  uint64_t unread_bytes;
+} http_server_ended_t;
+
 /**
  * struct http_server_options - options of http_server_new()
  * @body_limit_bytes: a request with a longer body is rejected by 413
@@ -42,6 +85,8 @@
  *   none over the limit, see http_server_shed(); @base needs %HTTP_SERVER_PRIORITIES
  * @on_call: receives each complete request within the limits; it must be answered exactly once,
  *   at once or later
+ * @on_ended: told of each connection that ends otherwise than by its client while it is idle, or
+ *   after a last response; may be NULL
  */
 typedef struct
 {
@@ -57,12 +102,17 @@
   uint32_t incomplete_limit_bytes;
   bool takes_few;
   void (*on_call) (http_server_call_t *call, void *context);
+  void (*on_ended) (const http_server_ended_t *ended, void *context);
   void *context;
 } http_server_options_t;
 
 /** http_server_new() - start to listen. Return: NULL with @error set when the address can't be
  * bound */
 http_server_t *http_server_new (const http_server_options_t *options, GError **error);
+/** http_server_end_reason_to_string() - name of a reason, for logs */
+const char *http_server_end_reason_to_string (http_server_end_reason_t reason);
+/** http_server_on_hand_to_string() - name of what was on hand, for logs */
+const char *http_server_on_hand_to_string (http_server_on_hand_t on_hand);
 /** http_server_free() - close all connections; pending calls end as if their client had
  * disconnected. Must not be called from within a callback of the server */
 void http_server_free (http_server_t *http_server);
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -156,6 +156,7 @@
   http_server_t *http_server = conn->http_server;
 
   g_hash_table_remove (http_server->conns, evcon);
+  http_server_note_end (conn);
   conn->call = NULL;
   if (request && evhttp_request_get_connection (request))
     request = NULL;
@@ -171,6 +172,14 @@
   conn_free (conn);
 }
 
+void
+http_server_conn_end (http_server_conn_t *conn, http_server_end_reason_t reason)
+{
+  conn->ended_by_us = true;
+  conn->end_reason = reason;
+  evhttp_connection_free (conn->evcon);
+}
+
 /*
  * Closes by a reset instead of an end of file: for an HTTP/1.0 client, whose response ends where
  * the connection does, an end of file would make a truncated response look complete. Connecting to
@@ -197,7 +206,7 @@
   if (conn->evicted && !conn->busy)
     {
       http_server_reject_incomplete (conn);
-      evhttp_connection_free (conn->evcon);
+      http_server_conn_end (conn, HTTP_SERVER_END_EVICTED);
       return;
     }
   if (conn->closing && !conn->close_by_reset &&
@@ -207,7 +216,7 @@
     {
       if (conn->close_by_reset)
         reset_socket (conn);
-      evhttp_connection_free (conn->evcon);
+      http_server_conn_end (conn, HTTP_SERVER_END_ANSWER_CUT);
       return;
     }
   if (conn->check_error_page)
@@ -239,7 +248,7 @@
   (void)fd;
   (void)what;
   counter_add (conn->http_server->refused[HTTP_SERVER_REFUSED_SLOW], 1);
-  evhttp_connection_free (conn->evcon);
+  http_server_conn_end (conn, HTTP_SERVER_END_REQUEST_TIMEOUT);
 }
 
 static void
@@ -265,6 +274,7 @@
   conn->read_bytes += info->n_deleted;
   if (info->n_added == 0)
     return;
+  conn->active_us = g_get_monotonic_time ();
   start_request_timer (conn);
   if (conn->busy || conn->evicted)
     return;
@@ -285,6 +295,8 @@
   http_server_conn_t *conn = context;
   bool half_empty = evbuffer_get_length (buffer) < HTTP_SERVER_QUEUED_LIMIT_BYTES / 2;
 
+  if (info->n_deleted > 0)
+    conn->active_us = g_get_monotonic_time ();
   if (conn->closing && info->n_deleted > 0 && evbuffer_get_length (buffer) == 0)
     http_server_conn_defer (conn);
 
@@ -341,6 +353,8 @@
   conn->http_server = http_server;
   conn->bev = bev;
   conn->dup_fd = -1;
+  conn->active_us = g_get_monotonic_time ();
+  conn->idle_limit_ms = http_server->options.idle_timeout_ms;
   expect_request (conn);
   conn->deferred = event_new (base, -1, 0, on_deferred, conn);
   conn->request_timer = evtimer_new (base, on_request_timeout, conn);
@@ -413,6 +427,7 @@
   (void)request;
   conn->request = NULL;
   conn->busy = false;
+  conn->idle_limit_ms = conn->http_server->options.idle_timeout_ms;
   conn->http_server->busy_count--;
   conn->read_bytes = 0;
   set_incomplete_bytes (conn, evbuffer_get_length (input));
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -10,6 +10,7 @@
 #ifndef CONNECTION_HTTP_SERVER_INTERNAL_H
 #define CONNECTION_HTTP_SERVER_INTERNAL_H
 
+#include "base/clock.h"
 #include "connection/http_input.h"
 #include "connection/http_server.h"
 #include "request/policy/queueing/accept_gate.h"
@@ -43,6 +44,7 @@
  * @open_count: all connections
  * @busy_count: connections with a request whose response has not been sent completely
  * @closing: responses have "Connection: close"
+ * @freeing: in http_server_free()
  * @paused: the listener accepts no connections
  * @held: its owner has paused it
  * @gate: used if the options say so
@@ -65,6 +67,7 @@
   uint32_t busy_count;
   bool stopping;
   bool closing;
+  bool freeing;
   bool paused;
   bool held;
   accept_gate_t gate;
@@ -74,6 +77,7 @@
   counter_t *gone;
   counter_t *bad_headers;
   counter_t *refused[HTTP_SERVER_REFUSED_COUNT];
+  counter_t *ended[HTTP_SERVER_END_COUNT];
 };
 
 /**
@@ -97,6 +101,9 @@
  * @evicted: its incomplete request is rejected by 503, to get below the limit on their sum, or by
  *   400 where @input is over a limit
  * @input: what the current request has brought
+ * @ended_by_us: the server is closing it, for @end_reason
+ * @active_us: time of the last byte from or to the client, on the monotonic clock
+ * @idle_limit_ms: idle timeout that is set on it
  */
 struct http_server_conn
 {
@@ -122,6 +129,10 @@
   bool drain_input;
   bool evicted;
   http_input_t input;
+  bool ended_by_us;
+  http_server_end_reason_t end_reason;
+  int64_t active_us;
+  uint32_t idle_limit_ms;
 };
 
 /**
@@ -164,6 +175,8 @@
 void http_server_handle_request (struct evhttp_request *request, void *context);
 /** http_server_conn_defer() - run the connection's pending work outside of libevent's callbacks */
 void http_server_conn_defer (http_server_conn_t *conn);
+/** http_server_conn_end() - close and free the connection; only outside of libevent's callbacks */
+void http_server_conn_end (http_server_conn_t *conn, http_server_end_reason_t reason);
 /** http_server_conn_is_idle() - whether no byte of a request or response is in a buffer or in the
  * socket */
 bool http_server_conn_is_idle (http_server_conn_t *conn);
@@ -188,6 +201,9 @@
  * closes the connection */
 void http_server_reject_incomplete (http_server_conn_t *conn);
 
+/** http_server_note_end() - count and report the end of a connection whose socket is still open */
+void http_server_note_end (http_server_conn_t *conn);
+
 /** http_server_drain_start() - take over @fd: discard its input, within limits, and close it */
 void http_server_drain_start (http_server_t *http_server, evutil_socket_t fd);
 void http_server_drain_free (http_server_drain_t *drain);
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -200,6 +200,24 @@
   gateway_copies_register_counters (gateway);
 }
 
+/* Levels: a request or an answer that was on hand is worth a line always, a mere idle connection
+ * only where details are wanted. */
+static void
+on_connection_ended (const http_server_ended_t *ended, void *context)
+{
+  gateway_task_t *gateway = context;
+  bool had_whole = ended->on_hand == HTTP_SERVER_HAND_REQUEST ||
+                   ended->on_hand == HTTP_SERVER_HAND_ANSWER || ended->unread_bytes > 0;
+
+  log_event (had_whole && ended->by_us ? LOG_LEVEL_NOTICE : LOG_LEVEL_INFO, "connection_ended",
+             "by", ended->by_us ? "us" : "caller", "reason",
+             http_server_end_reason_to_string (ended->reason), "on_hand",
+             http_server_on_hand_to_string (ended->on_hand), "idle_ms", LOG_U64 (ended->idle_ms),
+             "idle_limit_ms", LOG_U64 (ended->idle_limit_ms), "part_bytes",
+             LOG_U64 (ended->part_bytes), "unread_bytes", LOG_U64 (ended->unread_bytes), "version",
+             LOG_U64 (gateway->table ? routing_version (gateway->table) : 0), NULL);
+}
+
 gateway_task_t *
 gateway_new (const gateway_options_t *options, GError **error)
 {
@@ -232,6 +250,7 @@
                                                  .idle_timeout_ms = settings->idle_timeout_ms,
                                                  .takes_few = true,
                                                  .on_call = gateway_accept,
+                                                 .on_ended = on_connection_ended,
                                                  .context = gateway },
                        error);
   if (gateway->listener)
--- a/tests/server_fixture.c
+++ b/tests/server_fixture.c
@@ -31,6 +31,15 @@
   g_ptr_array_add (fixture->waiting, call);
 }
 
+static void
+on_ended (const http_server_ended_t *ended, void *context)
+{
+  server_fixture_t *fixture = context;
+
+  fixture->ends++;
+  fixture->ended = *ended;
+}
+
 static server_fixture_t *
 new_server (uint32_t idle_timeout_ms, uint32_t request_timeout_ms, bool takes_few)
 {
@@ -44,7 +53,8 @@
                                     .idle_timeout_ms = idle_timeout_ms,
                                     .request_timeout_ms = request_timeout_ms,
                                     .incomplete_limit_bytes = SERVER_FIXTURE_INCOMPLETE_LIMIT_BYTES,
-                                    .on_call = on_call };
+                                    .on_call = on_call,
+                                    .on_ended = on_ended };
   GError *error = NULL;
 
   fixture->base = event_base_new ();
--- a/tests/server_fixture.h
+++ b/tests/server_fixture.h
@@ -24,6 +24,8 @@
  * @calls: number of calls so far
  * @disconnects: number of calls whose client has disconnected
  * @writable_count: number of callbacks of http_server_on_writable()
+ * @ends: number of ended connections that were told
+ * @ended: the last one
  * @reply_at_once: answer each call within on_call, with its target as the body
  */
 typedef struct
@@ -37,6 +39,8 @@
   uint32_t calls;
   uint32_t disconnects;
   uint32_t writable_count;
+  uint32_t ends;
+  http_server_ended_t ended;
   bool reply_at_once;
 } server_fixture_t;
 
--- a/tests/test_http_server_end.c
+++ b/tests/test_http_server_end.c
@@ -259,6 +259,57 @@
   event_free (send_timer);
 }
 
+static bool
+has_ended (void *context)
+{
+  return ((server_fixture_t *)context)->ends == 1;
+}
+
+static void
+check_ended (server_fixture_t *fixture,
+             bool by_us,
+             http_server_end_reason_t reason,
+             http_server_on_hand_t on_hand)
+{
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, has_ended, fixture));
+  CU_ASSERT_EQUAL (fixture->ended.by_us, by_us);
+  CU_ASSERT_EQUAL (fixture->ended.reason, reason);
+  CU_ASSERT_EQUAL (fixture->ended.on_hand, on_hand);
+  fixture->ends = 0;
+}
+
+/* Who ended a connection, why, and what was on hand; nothing for the usual ends */
+static void
+test_ends_are_told (void)
+{
+  g_autoptr (server_fixture_t) fixture = server_fixture_new_with_timeouts (150, 60);
+  raw_peer_t *raw = server_fixture_connect (fixture, "GET /part HT");
+
+  check_ended (fixture, true, HTTP_SERVER_END_REQUEST_TIMEOUT, HTTP_SERVER_HAND_PART_OF_REQUEST);
+  raw = server_fixture_connect (fixture, "GET /part HT");
+  raw_peer_run_ms (fixture->base, 5);
+  raw_peer_close (raw, false);
+  check_ended (fixture, false, HTTP_SERVER_END_CLOSED, HTTP_SERVER_HAND_PART_OF_REQUEST);
+  raw = server_fixture_connect_waiting (fixture, "GET /1 HTTP/1.1\r\n\r\n");
+  raw_peer_close (raw, true);
+  check_ended (fixture, false, HTTP_SERVER_END_CLOSED, HTTP_SERVER_HAND_REQUEST);
+  raw = server_fixture_connect (fixture, "GET /2 HTTP/1.1\r\n\r\n");
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, server_fixture_two_waiting, fixture));
+  http_server_begin_reply (server_fixture_call_at (fixture, 1), 200);
+  http_server_abort (server_fixture_call_at (fixture, 1));
+  check_ended (fixture, true, HTTP_SERVER_END_ANSWER_CUT, HTTP_SERVER_HAND_ANSWER);
+  server_fixture_connect (fixture, "");
+  check_ended (fixture, true, HTTP_SERVER_END_IDLE_TIMEOUT, HTTP_SERVER_HAND_NONE);
+  fixture->reply_at_once = true;
+  raw = server_fixture_connect (fixture, "GET /3 HTTP/1.1\r\nConnection: close\r\n\r\n");
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, server_fixture_connection_closed, raw));
+  raw = server_fixture_connect (fixture, "GET /4 HTTP/1.1\r\n\r\n");
+  server_fixture_run_until_received (fixture, raw, "\r\n\r\n/4");
+  raw_peer_close (raw, false);
+  raw_peer_run_ms (fixture->base, 20);
+  CU_ASSERT_EQUAL (fixture->ends, 0);
+}
+
 /* Idle connections do not delay a stop */
 static void
 test_stop_idle (void)
@@ -458,6 +509,7 @@
     { "stop", test_stop },
     { "stop stream", test_stop_stream },
     { "slow request", test_slow_request },
+    { "ends are told", test_ends_are_told },
     { "stop idle", test_stop_idle },
     { "free while busy", test_free_while_busy },
     { "takes all in time", test_takes_all_in_time },
