Soak: sound upstreams that are silent, beside changes of the configuration and planned stops

Change: SILENCES=1 (--silences). Upstreams get SIGSTOP for 0.6 to 2 s (one, some, all, in turn, overlapping); every part of the configuration changes within half a second of that (timeouts, attempts, aims, weights, routes moved to another service and back, keys that nobody uses, the four limits, all routes and hundreds of unused ones at once); in half of the rounds gateways get SIGTERM and SIGHUP in series. Clients keep their connections, use them again after up to four fifths of the least idle timeout that may be in force, and send a quarter of their requests in parts. Whether a gateway had read a request that got no answer is told by the state of the client's socket (an orderly close, all acknowledged), the upstreams' records and the gateways' logs. No answer may be cut or given up (502, 504) before the route's time and the deadline; a 503 needs Retry-After and must not have run. Refusals are counted and printed. It has random generators of its own; the record of the configuration is the same as before without it.

--- a/Makefile
+++ b/Makefile
@@ -75,7 +75,8 @@
 $(SOAK): $(patsubst %.c,$(OUT)/%.o,$(wildcard soak/*.c)) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
-# SEEDS: those to run; SECONDS: of faults in each.
+# SEEDS: those to run; SECONDS: of faults in each. Kinds of faults beside the usual ones, or with SILENCES=1 in place of
+# them, are told in soak/run.sh.
 SEEDS   ?= 1 2 3
 SECONDS ?= 12
 soak: all $(SOAK)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -25,11 +25,18 @@
 /* the first SOAK_STREAM_UPSTREAMS send event streams, the others plain responses */
 #define SOAK_UPSTREAMS 5
 #define SOAK_STREAM_UPSTREAMS 3
-#define SOAK_EVENTS 6 /* events of one stream */
+#define SOAK_UPSTREAMS_MAX 9 /* with those of the services that routes are moved to */
+#define SOAK_EVENTS 6        /* events of one stream */
 /* No request may begin on an upstream later than this after the upstream announced its leaving;
  * also the gateways' limits for a version to be in force and for a drain. */
 #define SOAK_DRAIN_MS 1500
-#define SOAK_GRACE_MS 4000  /* time that a gateway has to stop after SIGTERM */
+#define SOAK_GRACE_MS 4000 /* time that a gateway has to stop after SIGTERM */
+/* Likewise beside silences: gateways accept for 2.5 s after SIGTERM, and what comes then may take
+ * its deadline. */
+#define SOAK_LONG_GRACE_MS 6000
+#define SOAK_DEADLINE_MS 2400 /* of each request */
+/* A gateway has a request so long after it was sent, at most. */
+#define SOAK_ARRIVAL_US (UINT64_C (100) * 1000)
 #define SOAK_SETTLE_MS 3000 /* time limits are checked only this long after the last fault */
 
 typedef struct soak soak_t;
@@ -106,9 +113,22 @@
  * @unreached: likewise, attempts without a response
  * @followed: its client followed up its refusal, or that it had no response, by another attempt
  * @versions_serve: upstreams of all versions served when it was sent
+ * @idle_us: time for which its kept connection was idle before, 0 for a new one
+ * @end: how it ended, when it was sent on a kept connection
  */
 typedef struct soak_request soak_request_t;
 
+/** How a request on a kept connection ended. */
+typedef enum
+{
+  SOAK_END_NONE,        /* it has not ended, or was sent on no such connection */
+  SOAK_END_ANSWERED,    /* by a whole response */
+  SOAK_END_UNCONNECTED, /* no connection was made */
+  SOAK_END_CLOSED,      /* by an orderly close once the gateway had read all of it */
+  SOAK_END_RESET,       /* by a reset, or before it was sent whole */
+  SOAK_END_TIMEOUT      /* its client gave up */
+} soak_end_t;
+
 struct soak_request
 {
   soak_t *soak;
@@ -135,6 +155,8 @@
   uint32_t unreached;
   bool followed;
   bool versions_serve;
+  uint64_t idle_us;
+  soak_end_t end;
 };
 
 /** Kinds of requests. Each has a route of its own. */
@@ -236,6 +258,74 @@
   soak_loss_t gateways[SOAK_GATEWAYS_MAX];
 } soak_losses_t;
 
+/**
+ * struct soak_config - the parts of a configuration that change
+ * @timeout_ms: of the route of each kind of requests
+ * @aim_ms: likewise, its target latency
+ * @attempts: likewise
+ * @moved_percent: likewise, weight of the other service
+ * @written_us: time when it was sent to the store
+ * @fillers: number of routes that no client uses
+ * @keys: set of the API keys that no client uses, a bit each
+ * @idle_timeout_ms: 0 when no limits are stated
+ */
+typedef struct
+{
+  uint32_t timeout_ms[SOAK_KINDS];
+  uint32_t aim_ms[SOAK_KINDS];
+  uint32_t attempts[SOAK_KINDS];
+  uint32_t moved_percent[SOAK_KINDS];
+  uint64_t written_us;
+  uint32_t fillers;
+  uint32_t keys;
+  uint32_t max_body_bytes;
+  uint32_t max_header_bytes;
+  uint32_t header_timeout_ms;
+  uint32_t idle_timeout_ms;
+} soak_config_t;
+
+/** Ends of requests that are counted beside silences. */
+typedef enum
+{
+  SOAK_COUNT_ANSWERED,
+  SOAK_COUNT_REFUSED,
+  SOAK_COUNT_GIVEN_UP,    /* 502, 504 or cut */
+  SOAK_COUNT_UNREAD,      /* reset by a gateway that was being stopped and hadn't read it */
+  SOAK_COUNT_UNCONNECTED, /* no gateway was there */
+  SOAK_COUNT_KILLED,      /* its gateway was killed, or at the end of its grace */
+  SOAK_COUNTS
+} soak_count_t;
+
+/**
+ * struct soak_silences - sound upstreams that are silent for some time, beside changes of the
+ * configuration and planned stops of gateways
+ * @enabled: there are some, and no other faults are drawn
+ * @rand: random generator of these; the other ones draw the same without them
+ * @client_rand: likewise, of clients with kept connections
+ * @next_us: when the next round begins; 0 for never
+ * @send_us: when the next request is sent
+ * @began_us: time of the first round
+ * @plan: what is still to come of the rounds, step_t
+ * @stops: signals that end gateways, stop_t
+ * @read_ids: ids of the requests in the logs of the gateways, read at the end
+ * @counts: requests that ended in each way that is printed
+ * @connections: kept connections of the clients, connection_t
+ */
+typedef struct
+{
+  bool enabled;
+  GRand *rand;
+  GRand *client_rand;
+  uint64_t next_us;
+  uint64_t send_us;
+  uint64_t began_us;
+  GArray *plan;
+  GArray *stops;
+  GHashTable *read_ids;
+  uint32_t counts[SOAK_COUNTS];
+  GPtrArray *connections;
+} soak_silences_t;
+
 /** What happens next to the store, in a restoration from a copy. */
 typedef enum
 {
@@ -269,13 +359,16 @@
  * @herd: requests of which most go to one gateway
  * @floods: upstreams and stores that send bytes without end
  * @losses: all gateways are lost, in rounds
+ * @silences: upstreams that are silent for some time
+ * @config: the newest configuration
+ * @configs: those that were written, by version
  * @versions: upstreams of streams have two software versions, and clients resume streams
  * @clients_leave: clients leave some streams
  * @resume_rand: random generator of these clients; @rand draws the same without them
  * @open_streams: streams that may be resumed, soak_request_t
  * @store: the stand-in platform
  * @gateways: the gateway processes
- * @upstreams: the upstream processes
+ * @upstreams: the upstream processes, @upstream_count of them
  * @start_counts: how often each gateway was started
  * @store_proxies: proxies between each gateway and the store
  * @upstream_proxies: proxies between all gateways and each upstream
@@ -315,6 +408,9 @@
   soak_herd_t herd;
   soak_floods_t floods;
   soak_losses_t losses;
+  soak_silences_t silences;
+  soak_config_t config;
+  GArray *configs;
   bool versions;
   bool clients_leave;
   GRand *resume_rand;
@@ -322,10 +418,11 @@
   soak_process_t *store;
   uint32_t gateway_count;
   soak_process_t *gateways[SOAK_GATEWAYS_MAX];
-  soak_process_t *upstreams[SOAK_UPSTREAMS];
+  uint32_t upstream_count;
+  soak_process_t *upstreams[SOAK_UPSTREAMS_MAX];
   uint32_t start_counts[SOAK_GATEWAYS_MAX];
   soak_proxy_t *store_proxies[SOAK_GATEWAYS_MAX];
-  soak_proxy_t *upstream_proxies[SOAK_UPSTREAMS];
+  soak_proxy_t *upstream_proxies[SOAK_UPSTREAMS_MAX];
   GPtrArray *calls;
   GArray *disturbances;
   uint32_t next_id;
@@ -364,6 +461,11 @@
 void soak_process_signal (soak_process_t *process, int number);
 /** soak_poll_processes() - reap, restart and resume processes whose time has come */
 void soak_poll_processes (soak_t *soak);
+/** soak_has_logged() - whether the running process has written a line of its log, as gateways do
+ * once they handle signals */
+bool soak_has_logged (const soak_process_t *process);
+/** soak_grace_ms() - the time that a gateway has to stop after SIGTERM */
+uint32_t soak_grace_ms (const soak_t *soak);
 /** soak_for_each_process() - call @visit for each process that faults may be injected into */
 void soak_for_each_process (soak_t *soak, void (*visit) (soak_process_t *process));
 /** soak_publish() - publish the next version of the configuration, which adds a route */
@@ -377,6 +479,45 @@
  */
 void soak_call_store_admin (soak_t *soak, const char *target, const char *body);
 
+/* soak_config.c */
+/** soak_config_init() - the configuration of a run without changes of it */
+void soak_config_init (soak_config_t *config);
+/** soak_config_format() - the record of a configuration. Return: to be freed */
+char *soak_config_format (const soak_config_t *config, uint32_t version);
+/** soak_config_change() - change some part of it. Return: what, for the output, to be freed */
+char *soak_config_change (soak_config_t *config, GRand *rand);
+/** soak_config_least() - call @get for each configuration that may be in force at some gateway
+ * between two times. Return: the least value */
+uint64_t soak_config_least (const soak_t *soak,
+                            uint64_t from_us,
+                            uint64_t to_us,
+                            uint64_t (*get) (const soak_config_t *config, uint32_t kind),
+                            uint32_t kind);
+
+/* soak_keeper.c */
+/** soak_keeper_send() - send @call on a kept connection. @head: the header fields, each with its
+ * line break */
+void soak_keeper_send (soak_request_t *call, const char *method, const char *head);
+/** soak_keeper_free() - close all kept connections */
+void soak_keeper_free (soak_t *soak);
+
+/* soak_silences.c */
+/** soak_silences_init() - prepare their state */
+void soak_silences_init (soak_t *soak);
+/** soak_begin_silences() - begin with rounds of silences */
+void soak_begin_silences (soak_t *soak);
+/** soak_end_silences() - begin no more of them, nor signals or changes */
+void soak_end_silences (soak_t *soak);
+/** soak_poll_silences() - do what is due; must be called like soak_poll_store_fault() */
+void soak_poll_silences (soak_t *soak);
+/** soak_note_stop() - a signal that ends a gateway is sent to it */
+void soak_note_stop (soak_t *soak, const soak_process_t *process, int number);
+/** soak_check_end() - check how a request ended beside silences. @executions: how often upstreams
+ * began to execute it */
+void soak_check_end (const soak_request_t *call, uint32_t executions);
+/** soak_log_ends() - print how many requests ended in which way */
+void soak_log_ends (soak_t *soak);
+
 /* soak_proxy.c */
 /** soak_proxy_new() - start a proxy that listens on @listen and connects to @target */
 soak_proxy_t *
--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -93,7 +93,7 @@
 static void
 read_upstream_records (records_t *records)
 {
-  for (uint32_t i = 0; i < SOAK_UPSTREAMS; i++)
+  for (uint32_t i = 0; i < records->soak->upstream_count; i++)
     {
       g_autofree char *path = g_strdup_printf ("%s/upstream-%u.record", records->soak->dir, i);
       g_autofree char *text = NULL;
@@ -152,6 +152,7 @@
   uint32_t count = executions ? executions->count : 0;
   bool repeatable = call->kind == SOAK_IDEMPOTENT || call->kind == SOAK_RESUMABLE_STREAM;
 
+  soak_check_end (call, count);
   if (!repeatable && count > 1)
     soak_fail (records->soak, "%s, which may run once, ran %u times", call->id, count);
   if (repeatable && count > 2)
@@ -254,11 +255,13 @@
   for (guint i = first; i < soak->calls->len; i++)
     {
       const soak_request_t *call = g_ptr_array_index (soak->calls, i);
-      bool is_upstream_failure = call->stamp[0] != '\0' && call->status == 500;
+      bool is_upstream_failure =
+          (call->stamp[0] != '\0' && call->status == 500) || call->status == 502;
 
-      /* The stand-in upstream fails or loses a few plain responses on purpose. */
-      if ((call->status != 200 || !call->complete) && !is_upstream_failure && call->status != 502 &&
-          !resumes_lost_stream (call, began_us))
+      /* The stand-in upstream fails or loses a few plain responses on purpose, unless it is sound.
+       */
+      if ((call->status != 200 || !call->complete) &&
+          (!is_upstream_failure || soak->silences.enabled) && !resumes_lost_stream (call, began_us))
         soak_fail (soak, "after all had healed, gateway %u answered %s (kind %u, version %u) by %d",
                    call->gateway, call->id, call->kind, call->version, call->status);
     }
@@ -291,6 +294,7 @@
   read_upstream_records (&records);
   for (guint i = 0; i < soak->calls->len; i++)
     check_call (&records, g_ptr_array_index (soak->calls, i));
+  soak_log_ends (soak);
   check_version_order (soak);
   check_version_time (soak);
   g_hash_table_destroy (records.executions);
--- a/soak/soak_client.c
+++ b/soak/soak_client.c
@@ -7,7 +7,7 @@
 
 #define GATEWAY_IP_OCTET 10
 #define GATEWAY_PORT 8080
-#define DEADLINE_MS "2400"
+#define DEADLINE_MS G_STRINGIFY (SOAK_DEADLINE_MS)
 #define SUBJECTS 8 /* second parts of prompts that end no upstream */
 #define CLIENT_TIMEOUT_US (UINT64_C (4000) * 1000)
 
@@ -80,6 +80,35 @@
   return id;
 }
 
+static void
+send_kept (soak_request_t *call, bool is_get, const http_client_header_t *headers, uint32_t count)
+{
+  GString *head = g_string_new (NULL);
+
+  for (uint32_t i = 0; i < count; i++)
+    g_string_append_printf (head, "%s: %s\r\n", headers[i].name, headers[i].value);
+  soak_keeper_send (call, is_get ? "GET" : "POST", head->str);
+  g_string_free (head, TRUE);
+}
+
+static void
+send_pooled (soak_request_t *call, bool is_get, const http_client_header_t *headers, uint32_t count)
+{
+  address_t address = soak_address (call->soak, GATEWAY_IP_OCTET + call->gateway, GATEWAY_PORT);
+
+  call->http_call = http_client_start_call (
+      call->soak->http_client, &(http_client_options_t){ .address = &address,
+                                                         .method = is_get ? "GET" : "POST",
+                                                         .target = call->path,
+                                                         .headers = headers,
+                                                         .header_count = count,
+                                                         .timeout_us = CLIENT_TIMEOUT_US,
+                                                         .on_head = on_head,
+                                                         .on_data = on_data,
+                                                         .on_end = on_end,
+                                                         .context = call });
+}
+
 static soak_request_t *
 send_request (soak_t *soak,
               uint32_t gateway,
@@ -91,7 +120,6 @@
               const soak_request_t *resumed)
 {
   soak_request_t *call = g_new0 (soak_request_t, 1);
-  address_t address = soak_address (soak, GATEWAY_IP_OCTET + gateway, GATEWAY_PORT);
   bool is_get = version > 1 || kind == SOAK_IDEMPOTENT;
   http_client_header_t headers[] = { { "Host", "h.example" },
                                      { "X-Request-Id", NULL },
@@ -100,6 +128,7 @@
                                      { "X-Prompt-Prefix", NULL },
                                      { "Last-Event-Id", NULL },
                                      { "Resumes", NULL } };
+  uint32_t header_count = G_N_ELEMENTS (headers) - (resumed ? 0 : 2);
   g_autofree char *last_event = NULL;
   g_autofree char *prompt = NULL;
 
@@ -124,18 +153,10 @@
   headers[5].value = last_event;
   headers[6].value = find_first_id (resumed);
   g_ptr_array_add (soak->calls, call);
-  call->http_call = http_client_start_call (
-      soak->http_client,
-      &(http_client_options_t){ .address = &address,
-                                .method = is_get ? "GET" : "POST",
-                                .target = call->path,
-                                .headers = headers,
-                                .header_count = G_N_ELEMENTS (headers) - (resumed ? 0 : 2),
-                                .timeout_us = CLIENT_TIMEOUT_US,
-                                .on_head = on_head,
-                                .on_data = on_data,
-                                .on_end = on_end,
-                                .context = call });
+  if (soak->silences.enabled)
+    send_kept (call, is_get, headers, header_count);
+  else
+    send_pooled (call, is_get, headers, header_count);
   call->versions_serve = soak_versions_serve (soak);
   soak_note_stream (call);
   return call;
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -240,7 +240,7 @@
 {
   for (uint32_t i = 0; i < soak->gateway_count; i++)
     soak_proxy_set_mode (soak->store_proxies[i], SOAK_PROXY_PASS);
-  for (uint32_t i = 0; i < SOAK_UPSTREAMS; i++)
+  for (uint32_t i = 0; i < soak->upstream_count; i++)
     soak_proxy_set_mode (soak->upstream_proxies[i], SOAK_PROXY_PASS);
   soak_call_store_admin (soak, "/admin/fault", "{\"log\":\"up\"}");
   if (soak->restorations && soak->restoration_step == SOAK_RESTORATION_RETURN)
--- a/soak/soak_fleet.c
+++ b/soak/soak_fleet.c
@@ -110,6 +110,7 @@
   if (process->pid <= 0)
     return;
   kill (process->pid, number);
+  soak_note_stop (process->soak, process, number);
   if (number == SIGTERM && !process->stopping)
     {
       process->stopping = true;
@@ -128,6 +129,18 @@
   return g_file_get_contents (process->log_path, &log, NULL, NULL) && strstr (log, prefix) != NULL;
 }
 
+bool
+soak_has_logged (const soak_process_t *process)
+{
+  return has_logged (process, process->pid);
+}
+
+uint32_t
+soak_grace_ms (const soak_t *soak)
+{
+  return soak->silences.enabled ? SOAK_LONG_GRACE_MS : SOAK_GRACE_MS;
+}
+
 /*
  * Between exec and main no signal handler is installed, so SIGTERM terminates the process. It has
  * no open socket then, so no request is lost. Recognized by the missing log line: a gateway logs
@@ -157,7 +170,7 @@
   else if (!WIFEXITED (status) || WEXITSTATUS (status) != 0)
     soak_fail (process->soak, "%s was told to stop and ended with status %x", process->name,
                (unsigned)status);
-  else if (!process->was_paused && stop_duration_ms > SOAK_GRACE_MS + STOP_SLACK_MS)
+  else if (!process->was_paused && stop_duration_ms > soak_grace_ms (process->soak) + STOP_SLACK_MS)
     soak_fail (process->soak, "%s took %u ms to stop", process->name, (unsigned)stop_duration_ms);
 }
 
@@ -190,7 +203,7 @@
   for (uint32_t i = 0; i < soak->gateway_count; i++)
     if (soak->gateways[i])
       visit (soak->gateways[i]);
-  for (uint32_t i = 0; i < SOAK_UPSTREAMS; i++)
+  for (uint32_t i = 0; i < soak->upstream_count; i++)
     if (soak->upstreams[i])
       visit (soak->upstreams[i]);
 }
@@ -217,7 +230,39 @@
 {
   if (soak->losses.enabled)
     return 200;
-  return soak->versions ? 40 : 12;
+  return soak->versions || soak->silences.enabled ? 40 : 12;
+}
+
+/** struct upstream_kind - upstreams from the index @first on, of one service */
+typedef struct
+{
+  const char *service;
+  uint32_t first;
+  bool streams;
+} upstream_kind_t;
+
+static const upstream_kind_t *
+upstream_kind (uint32_t index)
+{
+  static const upstream_kind_t kinds[] = { { "pool", 0, true },
+                                           { "ledger", SOAK_STREAM_UPSTREAMS, false },
+                                           { "stage", SOAK_UPSTREAMS, true },
+                                           { "annex", SOAK_UPSTREAMS + 2, false } };
+  uint32_t at = G_N_ELEMENTS (kinds) - 1;
+
+  while (index < kinds[at].first)
+    at--;
+  return &kinds[at];
+}
+
+/* Sound ones fail and lose nothing; nothing lies between them and the gateways. */
+static void
+add_upstream_faults (soak_process_t *process, const soak_t *soak, bool streams)
+{
+  bool sound = streams || soak->silences.enabled;
+
+  add_argument (process, "--fail-percent=%u", sound ? 0 : 3);
+  add_argument (process, "--lose-percent=%u", sound ? 0 : 2);
 }
 
 static void
@@ -228,22 +273,22 @@
   address_t store = soak_address (soak, STORE_IP_OCTET, HTTP_PORT);
   g_autofree char *name = g_strdup_printf ("upstream-%u", index);
   soak_process_t *process = process_new (soak, "standin-upstream", name);
-  bool streams = index < SOAK_STREAM_UPSTREAMS;
+  bool streams = upstream_kind (index)->streams;
+  const address_t *advertised = soak->silences.enabled ? &own : &proxy;
 
   add_argument (process, "--listen=%s:%u", own.ip, own.port);
-  add_argument (process, "--advertise=%s:%u", proxy.ip, proxy.port);
+  add_argument (process, "--advertise=%s:%u", advertised->ip, advertised->port);
   add_argument (process, "--store=%s:%u", store.ip, store.port);
-  add_argument (process, "--service=%s", streams ? "pool" : "ledger");
+  add_argument (process, "--service=%s", upstream_kind (index)->service);
   add_argument (process, "--events=%u", streams ? SOAK_EVENTS : 0);
   add_argument (process, "--work-ms=%u", streams ? event_ms (soak) : 6);
-  if (soak->losses.enabled)
+  if (soak->losses.enabled || soak->silences.enabled)
     add_argument (process, "--slots=48");
   if (streams && soak->versions)
     add_argument (process, "--software-version=v%u", 1 + index % 2);
   add_argument (process, "--drain-ms=%u", SOAK_DRAIN_MS + 300);
   add_argument (process, "--record=%s/%s.record", soak->dir, name);
-  add_argument (process, "--fail-percent=%u", streams ? 0 : 3);
-  add_argument (process, "--lose-percent=%u", streams ? 0 : 2);
+  add_upstream_faults (process, soak, streams);
   if (soak->crashes)
     {
       add_argument (process, "--crash-on=" SOAK_CRASH_TEXT);
@@ -283,7 +328,7 @@
   add_argument (process, "--retry-slack=60");
   add_argument (process, "--version-ms=%u", SOAK_DRAIN_MS);
   add_argument (process, "--drain-ms=%u", SOAK_DRAIN_MS);
-  add_argument (process, "--grace=%u", SOAK_GRACE_MS / 1000);
+  add_argument (process, "--grace=%u", soak_grace_ms (soak) / 1000);
   soak->gateways[index] = process;
   start_process (process);
 }
@@ -330,36 +375,11 @@
   call_store (soak, target, body, strlen (body));
 }
 
-#define ROUTE(name, kind, service, extra_members)                                                  \
-  "{\"name\":\"" name "\",\"host\":\"h.example\",\"path_prefix\":\"/" name "/\",\"kind\":\"" kind  \
-  "\",\"timeout_ms\":2500,\"aim_ms\":300,\"service\":\"" service "\"" extra_members "},"
-
-static char *
-format_config (uint32_t version)
-{
-  GString *text = g_string_new (NULL);
-
-  g_string_append_printf (text, "{\"version\":%u,\"routes\":[", version);
-  g_string_append (text, ROUTE ("look", "idempotent", "ledger", ",\"attempts\":2"));
-  g_string_append (text, ROUTE ("book", "non_idempotent", "ledger", ""));
-  g_string_append (text, ROUTE ("talk", "stream", "pool", ",\"attempts\":2,\"resumable\":true"));
-  for (uint32_t route = 2; route <= version; route++)
-    g_string_append_printf (text,
-                            "{\"name\":\"v%u\",\"host\":\"h.example\",\"path_prefix\":\"/v%u/\","
-                            "\"kind\":\"idempotent\",\"timeout_ms\":2500,\"attempts\":2,"
-                            "\"service\":\"ledger\"},",
-                            route, route);
-  g_string_append (text, "{\"name\":\"tell\",\"host\":\"h.example\",\"path_prefix\":\"/tell/\","
-                         "\"kind\":\"stream\",\"timeout_ms\":2500,\"service\":\"pool\"}],"
-                         "\"tenants\":[{\"name\":\"alpha\",\"api_keys\":[\"key-1\"]}]}");
-  return g_string_free (text, FALSE);
-}
-
 /* Return: whether the store acknowledged it */
 static bool
 write_config (soak_t *soak, uint32_t version)
 {
-  g_autofree char *config = format_config (version);
+  g_autofree char *config = soak_config_format (&soak->config, version);
   size_t length = 1 + strlen ("config") + strlen (config);
   GString *body = g_string_new (NULL);
   int status;
@@ -377,6 +397,9 @@
 void
 soak_publish (soak_t *soak)
 {
+  soak->config.written_us = soak_now_us ();
+  g_array_set_size (soak->configs, soak->version + 1);
+  g_array_append_val (soak->configs, soak->config);
   if (write_config (soak, soak->version + 1))
     {
       uint64_t at_us = soak_now_us ();
@@ -411,7 +434,9 @@
   for (uint32_t i = begin; i < end; i++)
     for (uint32_t kind = 0; kind < SOAK_KINDS; kind++)
       soak_send_request (soak, i, kind, 0, true);
-  soak_run_loop (soak, 400 + (soak->losses.enabled ? SOAK_EVENTS * event_ms (soak) : 0));
+  soak_run_loop (
+      soak,
+      400 + (soak->losses.enabled || soak->silences.enabled ? SOAK_EVENTS * event_ms (soak) : 0));
   for (uint32_t i = first; i < soak->calls->len; i++)
     {
       const soak_request_t *call = g_ptr_array_index (soak->calls, i);
@@ -444,7 +469,7 @@
       soak_run_loop (soak, 100);
       soak_publish (soak);
     }
-  for (uint32_t i = 0; i < SOAK_UPSTREAMS; i++)
+  for (uint32_t i = 0; i < soak->upstream_count; i++)
     start_upstream (soak, i);
   for (uint32_t i = 0; i < soak->gateway_count; i++)
     start_gateway (soak, i);
@@ -463,6 +488,6 @@
   process_free (soak->store);
   for (uint32_t i = 0; i < soak->gateway_count; i++)
     soak_proxy_free (soak->store_proxies[i]);
-  for (uint32_t i = 0; i < SOAK_UPSTREAMS; i++)
+  for (uint32_t i = 0; i < soak->upstream_count; i++)
     soak_proxy_free (soak->upstream_proxies[i]);
 }
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -1,5 +1,5 @@
 /* soak --seed N [--seconds S] [--gateways N] [--restorations] [--crashes]
- * [--versions] [--herds] [--losses] [--floods] [--build DIR] [--keep] */
+ * [--versions] [--herds] [--losses] [--floods] [--silences] [--build DIR] [--keep] */
 #include "soak.h"
 
 #include <event2/util.h>
@@ -76,6 +76,7 @@
       soak_poll_herd (soak);
       soak_poll_floods (soak);
       soak_poll_losses (soak);
+      soak_poll_silences (soak);
       soak_poll_streams (soak);
     }
 }
@@ -90,7 +91,7 @@
     {
       soak_send_random_request (soak);
       soak_run_loop (soak, REQUEST_INTERVAL_MS);
-      if (soak_now_us () < next_fault_us)
+      if (soak->silences.enabled || soak_now_us () < next_fault_us)
         continue;
       soak_inject_fault (soak);
       next_fault_us =
@@ -138,12 +139,17 @@
   soak->calls = g_ptr_array_new_with_free_func (soak_request_free);
   soak->acked_us = g_array_new (FALSE, TRUE, sizeof (uint64_t));
   soak->disturbances = g_array_new (FALSE, FALSE, sizeof (soak_period_t));
+  soak->configs = g_array_new (FALSE, TRUE, sizeof (soak_config_t));
+  soak->upstream_count = soak->silences.enabled ? SOAK_UPSTREAMS_MAX : SOAK_UPSTREAMS;
+  soak_config_init (&soak->config);
+  soak_silences_init (soak);
 }
 
 static void
 clean_up_soak (soak_t *soak, bool keep)
 {
   http_client_free (soak->http_client);
+  soak_keeper_free (soak);
   soak_fleet_stop (soak);
   if (soak->failures > 0 || keep)
     printf ("logs and records are in %s\n", soak->dir);
@@ -162,14 +168,19 @@
     }
 }
 
-static const struct option option_table[] = {
-  { "seed", required_argument, NULL, 's' },  { "seconds", required_argument, NULL, 't' },
-  { "build", required_argument, NULL, 'b' }, { "gateways", required_argument, NULL, 'g' },
-  { "keep", no_argument, NULL, 'k' },        { "restorations", no_argument, NULL, 'r' },
-  { "crashes", no_argument, NULL, 'c' },     { "versions", no_argument, NULL, 'v' },
-  { "herds", no_argument, NULL, 'h' },       { "losses", no_argument, NULL, 'l' },
-  { "floods", no_argument, NULL, 'f' },      { NULL, 0, NULL, 0 }
-};
+static const struct option option_table[] = { { "seed", required_argument, NULL, 's' },
+                                              { "seconds", required_argument, NULL, 't' },
+                                              { "build", required_argument, NULL, 'b' },
+                                              { "gateways", required_argument, NULL, 'g' },
+                                              { "keep", no_argument, NULL, 'k' },
+                                              { "restorations", no_argument, NULL, 'r' },
+                                              { "crashes", no_argument, NULL, 'c' },
+                                              { "versions", no_argument, NULL, 'v' },
+                                              { "herds", no_argument, NULL, 'h' },
+                                              { "losses", no_argument, NULL, 'l' },
+                                              { "floods", no_argument, NULL, 'f' },
+                                              { "silences", no_argument, NULL, 'q' },
+                                              { NULL, 0, NULL, 0 } };
 
 static bool
 parse_number (char option, guint64 *seed, guint64 *seconds, guint64 *gateways)
@@ -212,15 +223,24 @@
         floods = true;
       else if (option == 'l')
         soak.losses.enabled = true;
+      else if (option == 'q')
+        soak.silences.enabled = true;
       else if (!parse_number ((char)option, &soak.seed, &seconds, &gateways))
         {
           fprintf (
               stderr,
               "soak --seed N [--seconds S] [--gateways N] [--restorations] "
-              "[--crashes] [--versions] [--herds] [--losses] [--floods] [--build DIR] [--keep]\n");
+              "[--crashes] [--versions] [--herds] [--losses] [--floods] [--silences] [--build DIR] "
+              "[--keep]\n"
+              "--silences goes with --gateways, --herds and --losses only\n");
           return 2;
         }
     }
+  if (soak.silences.enabled && (restorations || floods || soak.crashes || soak.versions))
+    {
+      fprintf (stderr, "--silences is for sound upstreams and stores, and for one version\n");
+      return 2;
+    }
   soak.gateway_count = (uint32_t)gateways;
   init_soak (&soak, build);
   soak_fleet_start (&soak);
@@ -233,13 +253,16 @@
       soak.clients_leave = !soak.losses.enabled;
       if (soak.losses.enabled)
         soak_begin_losses (&soak);
+      if (soak.silences.enabled)
+        soak_begin_silences (&soak);
       run_faults (&soak, (uint32_t)seconds);
       soak_end_losses (&soak);
+      soak_end_silences (&soak);
       soak.clients_leave = false;
       soak.herd.next_us = 0;
       soak.floods.next_us = 0;
       soak_end_faults (&soak);
-      soak_run_loop (&soak, RECOVERY_MS);
+      soak_run_loop (&soak, RECOVERY_MS + (soak.silences.enabled ? SOAK_LONG_GRACE_MS : 0));
       soak_check (&soak);
     }
   printf ("seed %u: %u requests, %u answered, %u promises broken\n", (unsigned)soak.seed,
