--- a/soak/soak.h
+++ b/soak/soak.h
@@ -289,10 +289,11 @@
 {
   SOAK_COUNT_ANSWERED,
   SOAK_COUNT_REFUSED,
-  SOAK_COUNT_GIVEN_UP,    /* 502, 504 or cut */
+  SOAK_COUNT_GIVEN_UP,    /* by 502 or 504 or cut, once their time had passed */
   SOAK_COUNT_UNREAD,      /* reset by a gateway that was being stopped and hadn't read it */
   SOAK_COUNT_UNCONNECTED, /* no gateway was there */
   SOAK_COUNT_KILLED,      /* its gateway was killed, or at the end of its grace */
+  SOAK_COUNT_BROKEN,      /* in a way that is not allowed */
   SOAK_COUNTS
 } soak_count_t;
 
--- a/soak/soak_silences.c
+++ b/soak/soak_silences.c
@@ -308,7 +308,7 @@
   return g_hash_table_contains (soak->silences.read_ids, call->id);
 }
 
-static void
+static soak_count_t
 fail_call (const soak_request_t *call, const char *what)
 {
   soak_t *soak = call->soak;
@@ -322,6 +322,7 @@
              (unsigned)((call->ended_us - call->sent_us) / 1000),
              (unsigned)(least_time_us (call) / 1000), (unsigned)(call->idle_us / 1000),
              stop_us > 0 ? ", while the gateway was being stopped" : "");
+  return SOAK_COUNT_BROKEN;
 }
 
 /* No byte of a response came. A gateway that is being stopped need not read what comes, but answers
@@ -332,11 +333,11 @@
   bool is_read = call->end == SOAK_END_CLOSED || executions > 0 || is_logged (call);
 
   if (call->end == SOAK_END_TIMEOUT)
-    fail_call (call, "had no answer");
-  else if (is_read)
-    fail_call (call, "was read and had no answer");
-  else if (call->end == SOAK_END_RESET && stopped_us (call, SIGTERM) == 0)
-    fail_call (call, "was not read, on a connection that was open");
+    return fail_call (call, "had no answer");
+  if (is_read)
+    return fail_call (call, "was read and had no answer");
+  if (call->end == SOAK_END_RESET && stopped_us (call, SIGTERM) == 0)
+    return fail_call (call, "was not read, on a connection that was open");
   return SOAK_COUNT_UNREAD;
 }
 
@@ -345,7 +346,7 @@
 check_failure (const soak_request_t *call, const char *what)
 {
   if (call->ended_us - call->sent_us < least_time_us (call))
-    fail_call (call, what);
+    return fail_call (call, what);
   return SOAK_COUNT_GIVEN_UP;
 }
 
@@ -373,16 +374,14 @@
     return check_failure (call, "was cut");
   if (call->status == 502 || call->status == 504)
     return check_failure (call, "was given up");
+  if (call->status == 503 && call->retry_after_us == 0)
+    return fail_call (call, "was refused without Retry-After");
   if (call->status == 503)
-    {
-      if (call->retry_after_us == 0)
-        fail_call (call, "was refused without Retry-After");
-      return SOAK_COUNT_REFUSED;
-    }
+    return SOAK_COUNT_REFUSED;
   /* Keys of nobody, and routes of versions that come. */
   if (call->status != 200 && !(call->status == 401 && !call->valid_key) &&
       !(call->status == 404 && call->version > 1))
-    fail_call (call, "was answered by an error");
+    return fail_call (call, "was answered by an error");
   return SOAK_COUNT_ANSWERED;
 }
 
@@ -403,10 +402,10 @@
 
   if (!soak->silences.enabled)
     return;
-  soak_log (
-      soak,
-      "silences: %u requests answered, %u refused, %u given up, %u not read by a gateway that "
-      "stopped, %u without one, %u lost with theirs",
-      counts[SOAK_COUNT_ANSWERED], counts[SOAK_COUNT_REFUSED], counts[SOAK_COUNT_GIVEN_UP],
-      counts[SOAK_COUNT_UNREAD], counts[SOAK_COUNT_UNCONNECTED], counts[SOAK_COUNT_KILLED]);
+  soak_log (soak,
+            "silences: %u requests answered, %u refused, %u given up after their time, %u not read "
+            "by a gateway that "
+            "stopped, %u without one, %u lost with theirs",
+            counts[SOAK_COUNT_ANSWERED], counts[SOAK_COUNT_REFUSED], counts[SOAK_COUNT_GIVEN_UP],
+            counts[SOAK_COUNT_UNREAD], counts[SOAK_COUNT_UNCONNECTED], counts[SOAK_COUNT_KILLED]);
 }
