--- a/tests/driver.h
+++ b/tests/driver.h
@@ -275,6 +275,7 @@
  * struct driver_upstream - A stand-in upstream; each has a record of its own.
  * @streams: Whether it answers with streams of five events, in the service "pool", or plainly, in
  *   the service "ledger".
+ * @service: Another service than these, or NULL.
  * @crash_on: Text in the path of requests that end it, or NULL.
  * @crash_parts: Parts of the prompts of requests that end it, ending in NULL; NULL for none.
  * @software_version: Version that its entry and its events state, or NULL.
@@ -286,6 +287,7 @@
 typedef struct
 {
   const char *name;
+  const char *service;
   bool streams;
   uint32_t work_ms;
   const char *crash_on;
@@ -388,6 +390,9 @@
  * @remaining_bytes: Bytes that are missing from the body or, if it is chunked, from the current
  *   chunk; -1 if the response has no Content-Length.
  * @in_chunk: Whether the parser is within a chunk or before the line break that closes it.
+ * @has_last_chunk: Whether just the line break that ends a chunked body is missing.
+ * @is_kept: Whether the connection stays open after a complete response, for driver_send_next();
+ *   may be set as soon as the request is sent.
  */
 struct driver_call
 {
@@ -412,6 +417,8 @@
   bool chunked;
   int64_t remaining_bytes;
   bool in_chunk;
+  bool has_last_chunk;
+  bool is_kept;
 };
 
 /** driver_send_request() - Send a request to a router and return at once. */
@@ -436,6 +443,15 @@
                                        const char *headers,
                                        const char *body,
                                        size_t body_bytes);
+/** driver_call_is_connected() - Return: Whether the call is complete, and its connection was kept
+ * and is still open. */
+bool driver_call_is_connected (const driver_call_t *call);
+/** driver_send_next() - Send a request without a body on the connection of such a call, which is
+ * kept again. */
+driver_call_t *driver_send_next (driver_call_t *before,
+                                 const char *method,
+                                 const char *target,
+                                 const char *headers);
 void driver_call_free (driver_call_t *call);
 /** driver_call_wait() - Wait until the call has ended. */
 void driver_call_wait (driver_call_t *call);
--- a/tests/driver_call.c
+++ b/tests/driver_call.c
@@ -12,13 +12,28 @@
 /* An HTTP client that shares no code with the library under test, so that a fault of the library's
  * parser cannot hide itself. */
 
+static void
+close_connection (driver_call_t *call)
+{
+  bufferevent_free (call->bev);
+  call->bev = NULL;
+}
+
+static bool
+may_be_reused (const driver_call_t *call)
+{
+  const char *connection = driver_call_header (call, "connection");
+  return call->is_kept && call->outcome == DRIVER_OUTCOME_COMPLETE &&
+         (connection == NULL || g_ascii_strcasecmp (connection, "close") != 0);
+}
+
 static void
 end_call (driver_call_t *call, driver_outcome_t end)
 {
   call->outcome = end;
   call->ended_us = (uint64_t)g_get_monotonic_time ();
-  bufferevent_free (call->bev);
-  call->bev = NULL;
+  if (!may_be_reused (call))
+    close_connection (call);
 }
 
 static void
@@ -70,7 +85,7 @@
     call->remaining_bytes -= (int64_t)bytes;
 }
 
-/* Return: Whether the last chunk has arrived. */
+/* Return: Whether the last chunk has arrived, with the line break that ends the body. */
 static bool
 read_chunks (driver_call_t *call, struct evbuffer *in)
 {
@@ -84,6 +99,11 @@
       char *line = evbuffer_readln (in, NULL, EVBUFFER_EOL_CRLF_STRICT);
       if (line == NULL)
         return false;
+      if (call->has_last_chunk)
+        {
+          free (line);
+          return true;
+        }
       if (call->in_chunk)
         call->in_chunk = false; /* the line break that closes a chunk */
       else
@@ -92,8 +112,7 @@
           call->in_chunk = true;
         }
       free (line);
-      if (call->in_chunk && call->remaining_bytes == 0)
-        return true;
+      call->has_last_chunk = call->in_chunk && call->remaining_bytes == 0;
     }
   return false;
 }
@@ -103,6 +122,8 @@
 {
   driver_call_t *call = context;
   struct evbuffer *in = bufferevent_get_input (bev);
+  if (call->outcome != DRIVER_OUTCOME_PENDING)
+    return;
   if (!call->has_head && !parse_header (call, in))
     return;
   bool whole = false;
@@ -122,10 +143,43 @@
 {
   driver_call_t *call = context;
   (void)bev;
-  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+  if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+    return;
+  if (call->outcome != DRIVER_OUTCOME_PENDING)
+    close_connection (call);
+  else
     end_call (call, call->has_head ? DRIVER_OUTCOME_TRUNCATED : DRIVER_OUTCOME_NO_RESPONSE);
 }
 
+static driver_call_t *
+call_new (driver_t *driver, const char *body, size_t body_bytes)
+{
+  driver_call_t *call = g_new0 (driver_call_t, 1);
+  call->driver = driver;
+  call->headers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  call->body = g_string_new (NULL);
+  call->sent_body = g_strndup (body != NULL ? body : "", body_bytes);
+  call->sent_us = (uint64_t)g_get_monotonic_time ();
+  g_ptr_array_add (driver->calls, call);
+  return call;
+}
+
+static void
+write_request (driver_call_t *call,
+               const char *method,
+               const char *target,
+               const char *headers,
+               const char *body,
+               size_t body_bytes)
+{
+  struct evbuffer *output = bufferevent_get_output (call->bev);
+  bufferevent_setcb (call->bev, on_read, NULL, on_event, call);
+  evbuffer_add_printf (output, "%s %s HTTP/1.1\r\nHost: fleet\r\nContent-Length: %zu\r\n%s\r\n",
+                       method, target, body_bytes, headers != NULL ? headers : "");
+  evbuffer_add (output, body, body_bytes);
+  bufferevent_enable (call->bev, EV_READ | EV_WRITE);
+}
+
 driver_call_t *
 driver_send_http_bytes (driver_t *driver,
                         const char *ip,
@@ -135,30 +189,39 @@
                         const char *body,
                         size_t body_bytes)
 {
-  driver_call_t *call = g_new0 (driver_call_t, 1);
+  driver_call_t *call = call_new (driver, body, body_bytes);
   g_auto (GStrv) address = g_strsplit (ip, ":", 2);
   guint64 port = address[1] != NULL ? g_ascii_strtoull (address[1], NULL, 10) : DRIVER_PORT;
   struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
-  struct evbuffer *output;
   inet_pton (AF_INET, address[0], &to.sin_addr);
-  call->driver = driver;
-  call->headers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  call->body = g_string_new (NULL);
-  call->sent_body = g_strndup (body != NULL ? body : "", body_bytes);
-  call->sent_us = (uint64_t)g_get_monotonic_time ();
-  g_ptr_array_add (driver->calls, call);
   call->bev = bufferevent_socket_new (driver->base, -1, BEV_OPT_CLOSE_ON_FREE);
-  bufferevent_setcb (call->bev, on_read, NULL, on_event, call);
-  output = bufferevent_get_output (call->bev);
-  evbuffer_add_printf (output, "%s %s HTTP/1.1\r\nHost: fleet\r\nContent-Length: %zu\r\n%s\r\n",
-                       method, target, body_bytes, headers != NULL ? headers : "");
-  evbuffer_add (output, body, body_bytes);
-  bufferevent_enable (call->bev, EV_READ | EV_WRITE);
+  write_request (call, method, target, headers, body, body_bytes);
   if (bufferevent_socket_connect (call->bev, (struct sockaddr *)&to, sizeof to) != 0)
     end_call (call, DRIVER_OUTCOME_NO_RESPONSE);
   return call;
 }
 
+driver_call_t *
+driver_send_next (driver_call_t *before,
+                  const char *method,
+                  const char *target,
+                  const char *headers)
+{
+  driver_call_t *call = call_new (before->driver, NULL, 0);
+  g_assert (driver_call_is_connected (before));
+  call->is_kept = true;
+  call->bev = before->bev;
+  before->bev = NULL;
+  write_request (call, method, target, headers, NULL, 0);
+  return call;
+}
+
+bool
+driver_call_is_connected (const driver_call_t *call)
+{
+  return call->outcome == DRIVER_OUTCOME_COMPLETE && call->bev != NULL;
+}
+
 driver_call_t *
 driver_send_http (driver_t *driver,
                   const char *ip,
--- a/tests/driver_gateway.c
+++ b/tests/driver_gateway.c
@@ -10,11 +10,13 @@
 driver_start_upstream (driver_t *driver, const driver_upstream_t *upstream)
 {
   driver_process_t *process = driver_process_new (driver, DRIVER_UPSTREAM, upstream->name, NULL);
+  const char *service = upstream->streams ? "pool" : "ledger";
   uint32_t events = upstream->events > 0 ? upstream->events : UPSTREAM_EVENTS;
 
   process->record_path = g_strdup_printf ("%s/%s.record", driver->dir, upstream->name);
   driver_process_add_flag (process, "--store=%s:%d", driver->platform->ip, DRIVER_PORT);
-  driver_process_add_flag (process, "--service=%s", upstream->streams ? "pool" : "ledger");
+  driver_process_add_flag (process, "--service=%s",
+                           upstream->service ? upstream->service : service);
   driver_process_add_flag (process, "--events=%u", upstream->streams ? events : 0);
   driver_process_add_flag (process, "--work-ms=%u", upstream->work_ms);
   if (upstream->token_us > 0)
