A request leaves a silent engine only when another one is certain to take it

What callers saw: streams were cut and lookups ended by 502 or 504 with seconds left, while the engines of a service were silent for a second and then went on. No engine had ended.

Cause: after half a second without a byte the hop was closed first. Only then the retry budget, the software version, the time left and the other engines were asked; where one of them said no, the answer ended there, though the engine that had it would have sent it half a second later. The class: something in hand is given up before its replacement is certain.

Change: hop_move decides, from all that another attempt needs (attempts, crash suspicion, time, budget, and an engine that is not itself quiet, failing or full), whether the hop is left now; until then it stays open, and the question is asked again each 200 ms. A request that was given up in this way and is then refused by its next engines waits for one until its deadline, instead of ending after some refusals or by the queue's odds. An engine with streams in progress counts as quiet although nothing was sent there since its last byte.

Why it works: the connection that may still bring the answer is closed in the same step in which the request is sent to an engine that was checked in that step. Dead hosts are left at the same limits as before where another engine can take the request.

--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -360,6 +360,20 @@
   return choice;
 }
 
+bool
+gateway_call_has_successor (const gateway_call_t *call)
+{
+  engine_choice_request_t request = gateway_call_placement (call);
+
+  request.tried = call->tried;
+  request.tried_count = call->tried_count;
+  request.only_sound = true;
+  return engine_choice_make (
+             engines_of_service (call->gateway->options.engines, call->service->name),
+             gateway_now_us (call->gateway), &request)
+             .action == ENGINE_CHOICE_SEND;
+}
+
 /* Two requests on trial that run at one engine can't be told apart when it ends, so each gets one
  * of its own. */
 engine_choice_t
@@ -392,6 +406,26 @@
                      choice->drained ? GATEWAY_RETRY_DRAINED_MS : GATEWAY_RETRY_MIN_MS);
 }
 
+/* Whether an engine that may serve the request is listed, though none can be asked now: they failed
+ * lately, or were tried. */
+static bool
+may_wait_given_up (const gateway_call_t *call)
+{
+  const GPtrArray *engines =
+      engines_of_service (call->gateway->options.engines, call->service->name);
+
+  if (!call->course.was_given_up)
+    return false;
+  for (guint i = 0; i < engines->len; i++)
+    {
+      const engine_t *engine = g_ptr_array_index (engines, i);
+
+      if (engine_is_open (engine) && (call->version == 0 || engine->version == call->version))
+        return true;
+    }
+  return false;
+}
+
 void
 gateway_call_place (gateway_call_t *call)
 {
@@ -412,6 +446,8 @@
     gateway_queue_push (call);
   else if (choice.backoff_us > 0)
     gateway_queue_for_backoff (call, choice.backoff_us);
+  else if (may_wait_given_up (call))
+    gateway_queue_given_up (call);
   else
     gateway_call_fail_no_engine (call, &choice);
 }
--- a/src/request/gateway/gateway_copies.c
+++ b/src/request/gateway/gateway_copies.c
@@ -196,12 +196,13 @@
 }
 
 static backup_obstacle_t
-check_target (const gateway_call_t *call, const engine_t *target)
+check_target (const gateway_call_t *call, const engine_t *target, bool only_sound)
 {
   const gateway_task_t *gateway = call->gateway;
   engine_choice_request_t placement = make_placement (call, call->version);
 
   placement.begin_version = 0;
+  placement.only_sound = only_sound;
   return backup_choice_check_target (
       engines_of_service (gateway->options.engines, call->service->name), gateway_now_us (gateway),
       &placement, target);
@@ -223,7 +224,7 @@
       retry_plan_set_copy (&call->course, false);
       return;
     }
-  obstacle = check_target (call, target);
+  obstacle = check_target (call, target, false);
   if (obstacle != BACKUP_OBSTACLE_NONE)
     log_event (LOG_LEVEL_INFO, "copy_unused", "id", call->id, "service", call->service->name,
                "backup", target ? target->entry.id : NULL, "reason",
@@ -231,6 +232,15 @@
   retry_plan_set_copy (&call->course, obstacle == BACKUP_OBSTACLE_NONE && may_have_copy (call));
 }
 
+bool
+gateway_copies_may_continue (const gateway_call_t *call)
+{
+  const engine_t *target = engines_find_by_hash (call->gateway->options.engines, call->copy_engine);
+
+  return call->course.has_copy && call->splitter.event_count > 0 && may_have_copy (call) &&
+         check_target (call, target, true) == BACKUP_OBSTACLE_NONE;
+}
+
 void
 gateway_copies_continue (gateway_call_t *call)
 {
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -430,15 +430,68 @@
       reason);
 }
 
+static bool
+has_successor (void *context)
+{
+  gateway_call_t *call = context;
+
+  call->move_checked_us = gateway_now_us (call->gateway);
+  return gateway_copies_may_continue (call) || gateway_call_has_successor (call);
+}
+
+static hop_move_t
+decide_move (gateway_call_t *call, uint64_t now_us)
+{
+  return hop_move_decide (
+      &(hop_move_state_t){ .may_move = retry_plan_may_move (&call->course, call->relay.has_started),
+                           .on_trial = gateway_suspect_is_on_trial (call),
+                           .left_us = call->deadline_us - MIN (now_us, call->deadline_us),
+                           .usual_us = wait_queue_head_us (call->service->queue),
+                           .budget_wait_us = gateway_call_retry_wait_us (call),
+                           .has_successor = has_successor,
+                           .context = call });
+}
+
+/* One line when the hop is first found silent, and one for each other thing that is missing. */
+static void
+log_silence (const gateway_call_t *call, hop_move_t move, uint64_t now_us)
+{
+  const engine_t *engine = call->engine;
+  uint64_t heard_us = MAX (call->sent_us, call->last_byte_us);
+  uint64_t engine_heard_us = MAX (call->sent_us, engine->last_byte_us);
+
+  log_event (LOG_LEVEL_INFO, "hop_silent", "id", call->id, "service", call->service->name, "engine",
+             engine->entry.id, "outcome", hop_move_to_string (move), "quiet_ms",
+             LOG_U64 ((now_us - heard_us) / CLOCK_US_PER_MS), "engine_quiet_ms",
+             LOG_U64 ((now_us - engine_heard_us) / CLOCK_US_PER_MS), "own",
+             LOG_U64 (engine->own_requests), "events", LOG_U64 (call->splitter.event_count), "ran",
+             LOG_U64 (call->course.ran), "left_ms",
+             LOG_U64 ((call->deadline_us - MIN (now_us, call->deadline_us)) / CLOCK_US_PER_MS),
+             "version", LOG_U64 (routing_version (call->table)), "in_force",
+             LOG_U64 (routing_version (call->gateway->table)), NULL);
+}
+
+/* The hop is closed before the request is sent elsewhere, so that the engine stops working on it if
+ * it is still alive. */
+static void
+leave_silent_engine (gateway_call_t *call, uint64_t now_us)
+{
+  gateway_copies_note_break (call);
+  engine_note_failure (call->engine, now_us);
+  retry_plan_note_given_up (&call->course);
+  give_up_hop (call, "silent", VERDICT_REASON_TIMEOUT);
+}
+
 /*
  * When the host or network of an engine fails, its connections stay open and silent, and clients
- * would wait until their deadlines. The hop is closed before the request is sent elsewhere, so that
- * the engine stops working on it if it is still alive.
+ * would wait until their deadlines. An engine that is only slow to go on keeps the request unless
+ * another one is certain to take it: what it has begun is lost once the hop is closed.
  */
 void
 gateway_hop_check_silence (gateway_call_t *call)
 {
   uint64_t now_us = gateway_now_us (call->gateway);
+  hop_move_t move;
   hop_timeout_t hop_timeout = {
     .sent_us = call->sent_us,
     .last_byte_us = call->last_byte_us,
@@ -458,12 +511,15 @@
       call->client_was_slow = true;
       return;
     }
-  if (!retry_plan_may_move (&call->course, call->relay.has_started) ||
-      !hop_timeout_has_expired (&hop_timeout, now_us))
+  if (!hop_timeout_has_expired (&hop_timeout, now_us) ||
+      now_us < call->move_checked_us + GATEWAY_MOVE_RETRY_US)
     return;
-  gateway_copies_note_break (call);
-  engine_note_failure (call->engine, now_us);
-  give_up_hop (call, "silent", VERDICT_REASON_TIMEOUT);
+  move = decide_move (call, now_us);
+  if (move == HOP_MOVE_NOW || move != call->move)
+    log_silence (call, move, now_us);
+  call->move = move;
+  if (move == HOP_MOVE_NOW)
+    leave_silent_engine (call, now_us);
 }
 
 void
@@ -528,6 +584,8 @@
   call->is_written_long = false;
   call->client_was_slow = false;
   call->last_byte_us = 0;
+  call->move = HOP_MOVE_NOW;
+  call->move_checked_us = 0;
   memset (&call->response, 0, sizeof call->response);
   wait_queue_start (call->service->queue, now_us, &call->queue_item);
   call->service->engines_in_use += choice->engine->own_requests == 0 ? 1 : 0;
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -24,6 +24,7 @@
 #include "request/error_reply.h"
 #include "request/gateway/gateway.h"
 #include "request/policy/retries/first_attempt.h"
+#include "request/policy/retries/hop_move.h"
 #include "request/policy/queueing/wait_queue.h"
 #include "request/policy/load/load_gauge.h"
 #include "request/policy/load/median_latency.h"
@@ -74,6 +75,8 @@
 #define GATEWAY_NEARLY_FULL_MILLI 900
 #define GATEWAY_SHED_LOG_US (UINT64_C (5) * 1000 * 1000)
 #define GATEWAY_WATCH_TICKS 4 /* ticks between two searches for hops whose engine is silent */
+/* Time after which another engine is looked for again for a request at a silent engine. */
+#define GATEWAY_MOVE_RETRY_US (UINT64_C (200) * 1000)
 /* Time for which a stream waits for the first table of shares. */
 #define GATEWAY_SHARES_WAIT_US (UINT64_C (3000) * 1000)
 /* Time for which a stream waits whose version has no engine left: until that is noticed, and
@@ -301,6 +304,9 @@
  * @first_data_us: time at which the first part of its body came; 0 before that
  * @is_written_long: for long enough to show that the parts of the prompt end no engine
  * @last_byte_us: time at which the last byte of its response came; 0 before the first
+ * @move: what was last missing to leave the engine of the current hop for its silence, or
+ *   %HOP_MOVE_NOW
+ * @move_checked_us: time at which another engine was last looked for; 0 before that
  * @events_before_head: whole events of the stream that had come before this head
  * @client_was_slow: the client read the response of the last hop slowly
  * @failure_buffered: the error response of an engine is buffered, to be forwarded if no other
@@ -357,6 +363,8 @@
   uint64_t first_data_us;
   bool is_written_long;
   uint64_t last_byte_us;
+  hop_move_t move;
+  uint64_t move_checked_us;
   uint64_t events_before_head;
   uint64_t dropped_bytes;
   uint64_t copy_engine;
@@ -390,6 +398,9 @@
 void gateway_call_place (gateway_call_t *call);
 /** gateway_call_choose_engine() - the engine to which the request would be sent now */
 engine_choice_t gateway_call_choose_engine (const gateway_call_t *call);
+/** gateway_call_has_successor() - whether an engine that is surely sound has room for the request
+ */
+bool gateway_call_has_successor (const gateway_call_t *call);
 /** gateway_call_placement() - the request as engines are chosen for it, but those that it tried */
 engine_choice_request_t gateway_call_placement (const gateway_call_t *call);
 /** gateway_call_hop_ended() - a hop ended with @outcome; takes the next step, which may free the
@@ -448,7 +459,7 @@
  * none is needed */
 void gateway_hop_send (gateway_call_t *call, engine_choice_t *choice);
 /** gateway_hop_check_silence() - gives the current hop up if its engine is silent for too long and
- * the request may go to another one */
+ * another one can take the request */
 void gateway_hop_check_silence (gateway_call_t *call);
 /** gateway_hop_engine_restarted() - gives the current hop up if it went to the engine @hash, which
  * has gone */
@@ -504,6 +515,8 @@
 /** gateway_copies_check() - drops the copy from the plan of the request if the engine that has it
  * can't be asked now; before retry_plan_next() */
 void gateway_copies_check (gateway_call_t *call);
+/** gateway_copies_may_continue() - whether the run can go on from its copy now */
+bool gateway_copies_may_continue (const gateway_call_t *call);
 /** gateway_copies_continue() - sends the request to the engine that has the copy */
 void gateway_copies_continue (gateway_call_t *call);
 /** gateway_copies_note_missing() - the engine that was to have the copy refused the request */
@@ -530,6 +543,9 @@
 /** gateway_queue_for_retry() - a full engine refused the request and the retry budget is used up:
  * queues it until a retry is allowed, or refuses it */
 void gateway_queue_for_retry (gateway_call_t *call);
+/** gateway_queue_given_up() - no engine can be asked now for a request that was given up at a
+ * silent one: queues it until its deadline, as its client can't be told that it did not run */
+void gateway_queue_given_up (gateway_call_t *call);
 /** gateway_queue_for_backoff() - all engines that are left asked for no requests for a time, which
  * ends first after @rest_us: queues the request until then, or refuses it */
 void gateway_queue_for_backoff (gateway_call_t *call, uint64_t rest_us);
--- a/src/request/gateway/gateway_queue.c
+++ b/src/request/gateway/gateway_queue.c
@@ -89,6 +89,11 @@
   wait_queue_capacity_t capacity = measure_room (call->gateway, call->service);
   uint64_t wait_us;
 
+  if (call->course.was_given_up)
+    {
+      gateway_queue_given_up (call);
+      return;
+    }
   switch (wait_queue_push (call->service->queue, gateway_now_us (call->gateway), &capacity,
                            &call->queue_item, &wait_us))
     {
@@ -112,6 +117,11 @@
 {
   uint64_t wait_us = gateway_call_retry_wait_us (call);
 
+  if (call->course.was_given_up)
+    {
+      gateway_queue_given_up (call);
+      return;
+    }
   if (!wait_queue_push_delayed (call->service->queue, gateway_now_us (call->gateway),
                                 &call->queue_item, wait_us))
     {
@@ -122,9 +132,29 @@
   gateway_call_log (call, "wait", "retry_due", VERDICT_REASON_OVER_BOUND);
 }
 
+/* Of the engines that it tried one may be free again, also the silent one. */
+void
+gateway_queue_given_up (gateway_call_t *call)
+{
+  call->tried_count = 0;
+  if (!wait_queue_push_held (call->service->queue, gateway_now_us (call->gateway),
+                             &call->queue_item))
+    {
+      gateway_call_fail (call, VERDICT_REASON_QUEUE_FULL, GATEWAY_RETRY_MIN_MS);
+      return;
+    }
+  counter_add (call->gateway->waited, 1);
+  gateway_call_log (call, "wait", "given_up", VERDICT_REASON_OVER_BOUND);
+}
+
 void
 gateway_queue_for_backoff (gateway_call_t *call, uint64_t rest_us)
 {
+  if (call->course.was_given_up)
+    {
+      gateway_queue_given_up (call);
+      return;
+    }
   if (!wait_queue_push_delayed (call->service->queue, gateway_now_us (call->gateway),
                                 &call->queue_item, rest_us))
     {
@@ -180,6 +210,8 @@
   if (gateway_suspect_must_wait (call))
     return false;
   *choice = gateway_call_choose_engine (call);
+  if (call->course.was_given_up)
+    return choice->action == ENGINE_CHOICE_SEND;
   return choice->action != ENGINE_CHOICE_WAIT && choice->backoff_us == 0;
 }
 
--- a/src/request/policy/engines/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -483,12 +483,17 @@
   return g_hash_table_size (engines->by_id);
 }
 
+static uint64_t
+silence_limit_us (uint64_t usual_us)
+{
+  return MAX (ENGINE_SILENT_US, usual_us * ENGINE_SILENT_FACTOR);
+}
+
 /* An engine is silent from the limit on, until the next probe is due after the last send. */
 bool
 engine_is_silent (const engine_t *engine, uint64_t now_us, uint64_t usual_us, bool repeatable)
 {
-  uint64_t silent_from_us =
-      engine->unanswered_since_us + MAX (ENGINE_SILENT_US, usual_us * ENGINE_SILENT_FACTOR);
+  uint64_t silent_from_us = engine->unanswered_since_us + silence_limit_us (usual_us);
   uint64_t probe_interval_us =
       ENGINE_SILENT_PROBE_US + (repeatable ? 0 : ENGINE_UNREPEATABLE_PROBE_DELAY_US);
 
@@ -498,6 +503,14 @@
   return now_us < MAX (silent_from_us, engine->last_sent_us) + probe_interval_us;
 }
 
+bool
+engine_is_quiet (const engine_t *engine, uint64_t now_us, uint64_t usual_us)
+{
+  uint64_t since_us = MAX (engine->last_byte_us, engine->unanswered_since_us);
+
+  return engine->own_requests > 0 && now_us >= since_us + silence_limit_us (usual_us);
+}
+
 void
 engine_note_break (engine_t *engine, uint64_t now_us)
 {
--- a/src/request/policy/engines/engines.h
+++ b/src/request/policy/engines/engines.h
@@ -394,6 +394,9 @@
  * long, and no probe is due; @usual_us is the usual time from a request to the head of its answer;
  * @repeatable as in engine_is_ejected() */
 bool engine_is_silent (const engine_t *engine, uint64_t now_us, uint64_t usual_us, bool repeatable);
+/** engine_is_quiet() - whether @engine has requests of this gateway and has sent nothing for any of
+ * them for as long as a silent one; @usual_us as in engine_is_silent() */
+bool engine_is_quiet (const engine_t *engine, uint64_t now_us, uint64_t usual_us);
 /** engine_note_latency() - records that an answer took @ratio_milli thousandths of the usual time,
  * see median_latency_add() */
 void engine_note_latency (engine_t *engine, uint64_t now_us, uint32_t ratio_milli);
--- a/src/request/policy/placement/engine_choice.c
+++ b/src/request/policy/placement/engine_choice.c
@@ -725,7 +725,7 @@
       return choice;
     }
   choice.action = ENGINE_CHOICE_SEND;
-  if (request->affinity != 0)
+  if (request->affinity != 0 && !request->only_sound)
     part_shares_add (choice.engine->part_shares, now_us, request->affinity);
   choice.load = service_view_load_at (&view, choice.engine);
   choice.bound_milli = service_view_bound_milli (&view, choice.engine);
--- a/src/request/policy/placement/engine_choice.h
+++ b/src/request/policy/placement/engine_choice.h
@@ -163,6 +163,8 @@
  * @room_account: hash of the client account
  * @target_us: time by which its response should begin; 0 for none
  * @room_draw: random number below 1000 that stays with the request
+ * @only_sound: only an engine that failed nothing lately and isn't quiet may get it, as the request
+ *   leaves another one for it. The choice is not counted in the shares of parts
  */
 typedef struct
 {
@@ -195,6 +197,7 @@
   bool has_streams;
   bool has_local_homes;
   bool shared_room;
+  bool only_sound;
 } engine_choice_request_t;
 
 /**
--- a/src/request/policy/placement/service_view.c
+++ b/src/request/policy/placement/service_view.c
@@ -223,6 +223,15 @@
   return view->request->version != 0 ? view->request->version : view->request->begin_version;
 }
 
+/* Whether nothing is known of the engine that makes it doubtful that it answers. */
+static bool
+is_sound (const service_view_t *view, const engine_t *engine)
+{
+  return engine->failures < ENGINE_EJECTION_FAILURES &&
+         engine_error_rate_milli (engine, view->now_us) <= view->error_limit_milli &&
+         !engine_is_quiet (engine, view->now_us, view->request->usual_head_us);
+}
+
 bool
 service_view_is_candidate (const service_view_t *view, const engine_t *engine)
 {
@@ -231,6 +240,8 @@
   if (!engine_is_open (engine) || engine_is_backing_off (engine, view->now_us) ||
       was_tried (view, engine))
     return false;
+  if (view->request->only_sound && !is_sound (view, engine))
+    return false;
   if (engine->entry_expired && !view->uses_expired)
     return false;
   return view->ignores_ejections ||
--- a/src/request/policy/queueing/wait_queue.c
+++ b/src/request/policy/queueing/wait_queue.c
@@ -382,6 +382,14 @@
   return push_into (wait_queue, now_us, item, true, until_us) == WAIT_QUEUE_QUEUED;
 }
 
+bool
+wait_queue_push_held (wait_queue_t *wait_queue, uint64_t now_us, wait_queue_item_t *item)
+{
+  g_assert (!item->waiting);
+  set_fair_queue_fields (wait_queue, item);
+  return push_into (wait_queue, now_us, item, true, UINT64_MAX) == WAIT_QUEUE_QUEUED;
+}
+
 static void
 note_wait_ends (wait_queue_t *wait_queue, uint64_t now_us, wait_queue_item_t *item)
 {
--- a/src/request/policy/queueing/wait_queue.h
+++ b/src/request/policy/queueing/wait_queue.h
@@ -140,6 +140,13 @@
                               uint64_t now_us,
                               wait_queue_item_t *item,
                               uint64_t wait_us);
+/**
+ * wait_queue_push_held() - queues a request that must not be rejected, with the late ones; it never
+ * expires, so its owner ends it at its deadline
+ *
+ * Return: false if the queue has reached its limit
+ */
+bool wait_queue_push_held (wait_queue_t *wait_queue, uint64_t now_us, wait_queue_item_t *item);
 /** wait_queue_remove() - removes @item if it is waiting */
 void wait_queue_remove (wait_queue_t *wait_queue, uint64_t now_us, wait_queue_item_t *item);
 /**
--- a/src/request/policy/retries/retry_plan.c
+++ b/src/request/policy/retries/retry_plan.c
@@ -33,6 +33,12 @@
   retry_plan->has_copy = has_copy;
 }
 
+void
+retry_plan_note_given_up (retry_plan_t *retry_plan)
+{
+  retry_plan->was_given_up = true;
+}
+
 void
 retry_plan_forbid_rerun (retry_plan_t *retry_plan)
 {
@@ -135,6 +141,28 @@
   retry_plan->continued++;
 }
 
+/* Engines that refuse, or take no connection, are asked again later: the attempt that was given up
+ * can't be had back. */
+static bool
+must_wait (const retry_plan_t *retry_plan, retry_plan_outcome_t outcome)
+{
+  if (!retry_plan->was_given_up)
+    return false;
+  return is_not_run (outcome) ? retry_plan->ran < retry_plan->rules.max_runs
+                              : may_rerun (&retry_plan->rules, retry_plan->ran,
+                                           outcome == RETRY_PLAN_OUTCOME_BROKE_OFF);
+}
+
+static retry_plan_step_t
+begin_waiting (retry_plan_t *retry_plan)
+{
+  retry_plan->rejected = 0;
+  retry_plan->rejected_full = 0;
+  retry_plan->unsent = 0;
+  retry_plan->retry_due = true;
+  return RETRY_PLAN_STEP_WAIT;
+}
+
 retry_plan_step_t
 retry_plan_next (retry_plan_t *retry_plan,
                  retry_plan_outcome_t outcome,
@@ -142,18 +170,23 @@
                  bool (*may_retry) (void *context),
                  void *context)
 {
+  bool was_refused = is_not_run (outcome);
   bool goes_on;
 
   outcome = take_outcome (retry_plan, outcome);
   goes_on = may_continue (retry_plan) && !is_not_run (outcome);
-  if (left_us < RETRY_PLAN_MIN_TIME_US || (!goes_on && !may_repeat (retry_plan, outcome)))
+  if (left_us < RETRY_PLAN_MIN_TIME_US)
     return final_step (retry_plan, outcome);
+  if (!goes_on && !may_repeat (retry_plan, outcome))
+    return was_refused && must_wait (retry_plan, outcome) ? begin_waiting (retry_plan)
+                                                          : final_step (retry_plan, outcome);
   if (outcome == RETRY_PLAN_OUTCOME_UNSENT)
     return RETRY_PLAN_STEP_RESEND;
   retry_plan->retry_due = true;
   if (!may_retry (context))
-    return outcome == RETRY_PLAN_OUTCOME_FULL ? RETRY_PLAN_STEP_WAIT
-                                              : final_step (retry_plan, outcome);
+    return outcome == RETRY_PLAN_OUTCOME_FULL || (was_refused && must_wait (retry_plan, outcome))
+               ? RETRY_PLAN_STEP_WAIT
+               : final_step (retry_plan, outcome);
   if (goes_on)
     {
       begin_continuing (retry_plan, outcome);
--- a/src/request/policy/retries/retry_plan.h
+++ b/src/request/policy/retries/retry_plan.h
@@ -49,7 +49,8 @@
   RETRY_PLAN_STEP_RESEND, /* send the whole request to another engine */
   RETRY_PLAN_STEP_RESUME, /* send it to another engine, to continue after the last complete event */
   RETRY_PLAN_STEP_CONTINUE, /* send it to the engine with the copy of the run's cache */
-  RETRY_PLAN_STEP_WAIT,     /* as RETRY_PLAN_STEP_RESEND, once the retry budget allows it */
+  RETRY_PLAN_STEP_WAIT,     /* as RETRY_PLAN_STEP_RESEND or RETRY_PLAN_STEP_RESUME, once the retry
+                               budget allows it */
   RETRY_PLAN_STEP_PASS_ON,  /* pass the engine's error response to the client */
   RETRY_PLAN_STEP_REJECT,   /* answer 503: no engine executed the request */
   RETRY_PLAN_STEP_FAIL,     /* answer 502: an engine may have executed the request */
@@ -81,6 +82,7 @@
  * @has_copy: another engine has a copy of the current run's cache
  * @is_continuing: the current attempt goes on from a copy
  * @retry_due: the next attempt is a retry that the retry budget hasn't counted yet
+ * @was_given_up: an attempt was given up although its engine might still have answered
  */
 typedef struct
 {
@@ -94,6 +96,7 @@
   bool has_copy;
   bool is_continuing;
   bool retry_due;
+  bool was_given_up;
 } retry_plan_t;
 
 /** retry_plan_init() - starts a request, copying @rules */
@@ -107,6 +110,9 @@
 bool retry_plan_may_move (const retry_plan_t *retry_plan, bool begun);
 /** retry_plan_set_copy() - another engine has a copy of the current run's cache, or none has one */
 void retry_plan_set_copy (retry_plan_t *retry_plan, bool has_copy);
+/** retry_plan_note_given_up() - the current attempt is given up although its engine might still
+ * answer. From now on the request waits for another engine rather than fail while it may run */
+void retry_plan_note_given_up (retry_plan_t *retry_plan);
 /** retry_plan_forbid_rerun() - the request must not run again after the current attempt, not even
  * from a copy */
 void retry_plan_forbid_rerun (retry_plan_t *retry_plan);
