One silence of an engine counts as one failure, and its next byte ends that

What callers saw: after a silence of a second an engine got no requests for four seconds, and where several had been silent the others refused what they could not take.

Cause: all requests at the engine are given up within a tenth of a second, and each doubled the time for which it is kept out.

Evidence: test_one_silence_is_one_failure and test_byte_ends_the_ejection fail with engine_note_failure() in place of engine_note_silence() and a plain assignment of last_byte_us.

Change: engine_note_silence() counts once for an ejection; a further silence after it doubles its time as before. A byte that arrives from an engine that is out for its silence, for a request that stayed there, ends the ejection. Failures of other kinds are not excused by it.

Price: an engine that is dead gets two more single requests of each gateway within the first four seconds.

--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -152,7 +152,7 @@
   call->head_us = now_us;
   call->last_byte_us = now_us;
   call->events_before_head = call->splitter.event_count;
-  call->engine->last_byte_us = now_us;
+  engine_note_byte (call->engine, now_us);
   if (!call->response.is_other_engine)
     call->engine->sound_us = MAX (call->engine->sound_us, call->sent_us);
   if (!call->response.not_run)
@@ -239,7 +239,7 @@
 
   call->last_byte_us = gateway_now_us (call->gateway);
   if (call->engine)
-    call->engine->last_byte_us = call->last_byte_us;
+    engine_note_byte (call->engine, call->last_byte_us);
   gateway_suspect_note_data (call);
   if (is_over_limit (call, data))
     http_client_cut_call (call->upstream);
@@ -477,7 +477,7 @@
 leave_silent_engine (gateway_call_t *call, uint64_t now_us)
 {
   gateway_copies_note_break (call);
-  engine_note_failure (call->engine, now_us);
+  engine_note_silence (call->engine, now_us);
   retry_plan_note_given_up (&call->course);
   give_up_hop (call, "silent", VERDICT_REASON_TIMEOUT);
 }
--- a/src/request/policy/engines/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -704,6 +704,27 @@
   engine->probe_us = 0;
 }
 
+/* All requests at a silent engine are given up at about the same time. Counted one by one they
+ * would eject it for seconds beyond the end of a short silence. */
+void
+engine_note_silence (engine_t *engine, uint64_t now_us)
+{
+  engine->was_silent = true;
+  if (now_us >= engine->ejected_until_us)
+    engine_note_failure (engine, now_us);
+}
+
+void
+engine_note_byte (engine_t *engine, uint64_t now_us)
+{
+  engine->last_byte_us = now_us;
+  if (!engine->was_silent)
+    return;
+  engine->was_silent = false;
+  engine->failures = 0;
+  engine->ejected_until_us = 0;
+}
+
 void
 engine_note_displaced (engine_t *engine)
 {
--- a/src/request/policy/engines/engines.h
+++ b/src/request/policy/engines/engines.h
@@ -128,6 +128,7 @@
  * @backoff_until_us: in a refusal the engine asked for no requests until then
  * @idle_ms: how long the engine keeps an idle connection; 0 when it didn't state it
  * @unreachable: it was ejected because it accepted no connections
+ * @was_silent: requests were given up as it was silent, and it has sent nothing since
  * @entry_expired: its entry expired while the store was unreachable, so it may be running or have
  *   left
  * @displaced: another engine answers at its address
@@ -177,6 +178,7 @@
   uint64_t backoff_until_us;
   uint32_t idle_ms;
   bool unreachable;
+  bool was_silent;
   bool entry_expired;
   bool displaced;
   bool reported_leaving;
@@ -376,6 +378,10 @@
 void engine_note_answer (engine_t *engine, uint64_t now_us, bool failed);
 /** engine_note_failure() - records that @engine broke off a request or could not be reached */
 void engine_note_failure (engine_t *engine, uint64_t now_us);
+/** engine_note_silence() - records that a request was given up as @engine was silent */
+void engine_note_silence (engine_t *engine, uint64_t now_us);
+/** engine_note_byte() - records that @engine sent something; ends an ejection for silence */
+void engine_note_byte (engine_t *engine, uint64_t now_us);
 /** engine_note_displaced() - records that another engine answered at the address of @engine, which
  * has therefore gone; it gets no requests until the registry has a new entry of it */
 void engine_note_displaced (engine_t *engine);
