A request that left a silent engine does not go back to it before it speaks

What callers saw: nothing yet; test_lookup_waits_for_a_successor_that_is_full and five others (test_gateway_silence) failed on the commit before: a request whose next engine was full was sent back to the engine that it had left, which was dead, and had no attempt left when the other one had a slot.

Cause: waiting cleared all engines that the request had tried.

Change: the engine that was left stays excluded until it has sent a byte to this gateway. Where there is no other engine at all it may be asked again after two seconds, the longest silence of a sound one.

--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -374,19 +374,44 @@
              .action == ENGINE_CHOICE_SEND;
 }
 
+/* Whether the engine that the request left as silent has sent nothing since. */
+static bool
+is_left_engine_silent (const gateway_call_t *call)
+{
+  const engine_t *engine = engines_find_by_hash (call->gateway->options.engines, call->left_engine);
+
+  return engine && engine->last_byte_us <= call->left_us;
+}
+
+/* A dead engine must not get the last attempt of a request that left it as silent, unless there is
+ * no other one, and a sound one would not be silent any more. */
+static engine_choice_t
+choose_other_engine (const gateway_call_t *call, uint64_t *excluded, uint32_t count)
+{
+  bool is_out = call->left_engine != 0 && is_left_engine_silent (call);
+  engine_choice_t choice;
+
+  if (is_out)
+    excluded[count] = call->left_engine;
+  choice = choose_engine (call, excluded, count + (is_out ? 1 : 0));
+  if (is_out && choice.action == ENGINE_CHOICE_NONE &&
+      gateway_now_us (call->gateway) >= call->left_us + GATEWAY_SOUND_SILENCE_US)
+    return choose_engine (call, excluded, count);
+  return choice;
+}
+
 /* Two requests on trial that run at one engine can't be told apart when it ends, so each gets one
  * of its own. */
 engine_choice_t
 gateway_call_choose_engine (const gateway_call_t *call)
 {
-  uint64_t excluded[GATEWAY_EXCLUDED_MAX];
+  uint64_t excluded[GATEWAY_EXCLUDED_MAX + 1];
   uint32_t count = call->tried_count;
 
-  if (!gateway_suspect_is_on_trial (call))
-    return wait_for_version (call, choose_engine (call, call->tried, count));
   memcpy (excluded, call->tried, count * sizeof excluded[0]);
-  count = gateway_suspect_exclude_trials (call, excluded, count);
-  return wait_for_version (call, choose_engine (call, excluded, count));
+  if (gateway_suspect_is_on_trial (call))
+    count = gateway_suspect_exclude_trials (call, excluded, count);
+  return wait_for_version (call, choose_other_engine (call, excluded, count));
 }
 
 void
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -478,6 +478,8 @@
 {
   gateway_copies_note_break (call);
   engine_note_silence (call->engine, now_us);
+  call->left_engine = call->engine->hash;
+  call->left_us = now_us;
   retry_plan_note_given_up (&call->course);
   give_up_hop (call, "silent", VERDICT_REASON_TIMEOUT);
 }
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -75,6 +75,8 @@
 #define GATEWAY_NEARLY_FULL_MILLI 900
 #define GATEWAY_SHED_LOG_US (UINT64_C (5) * 1000 * 1000)
 #define GATEWAY_WATCH_TICKS 4 /* ticks between two searches for hops whose engine is silent */
+/* Longest time for which an engine that is sound sends nothing. */
+#define GATEWAY_SOUND_SILENCE_US (UINT64_C (2000) * 1000)
 /* Time after which another engine is looked for again for a request at a silent engine. */
 #define GATEWAY_MOVE_RETRY_US (UINT64_C (200) * 1000)
 /* Time for which a stream waits for the first table of shares. */
@@ -307,6 +309,8 @@
  * @move: what was last missing to leave the engine of the current hop for its silence, or
  *   %HOP_MOVE_NOW
  * @move_checked_us: time at which another engine was last looked for; 0 before that
+ * @left_engine: hash of the engine that the request left last as it was silent; 0 for none
+ * @left_us: time of that
  * @events_before_head: whole events of the stream that had come before this head
  * @client_was_slow: the client read the response of the last hop slowly
  * @failure_buffered: the error response of an engine is buffered, to be forwarded if no other
@@ -365,6 +369,8 @@
   uint64_t last_byte_us;
   hop_move_t move;
   uint64_t move_checked_us;
+  uint64_t left_engine;
+  uint64_t left_us;
   uint64_t events_before_head;
   uint64_t dropped_bytes;
   uint64_t copy_engine;
--- a/src/request/gateway/gateway_queue.c
+++ b/src/request/gateway/gateway_queue.c
@@ -132,7 +132,7 @@
   gateway_call_log (call, "wait", "retry_due", VERDICT_REASON_OVER_BOUND);
 }
 
-/* Of the engines that it tried one may be free again, also the silent one. */
+/* Of the engines that it tried one may be free again. */
 void
 gateway_queue_given_up (gateway_call_t *call)
 {
