Stand-in platform: the lifetime of engine entries is an option

Entries lapsed 1.5 s after their last renewal, so an upstream that is silent for 1.5 s or more counted as gone, and gateways refused requests for it. The default is unchanged.

--- a/standin/keyed_store.c
+++ b/standin/keyed_store.c
@@ -514,8 +514,8 @@
       const latest_t *latest = g_hash_table_lookup (topic->latest, link->data);
       g_autofree char *key = g_strdup (link->data);
 
-      if (latest && standin_platform_now_us () - latest->renewed_us >
-                        (uint64_t)KEYED_STORE_ENTRY_TTL_MS * 1000)
+      if (latest &&
+          standin_platform_now_us () - latest->renewed_us > store->platform->options.entry_ttl_us)
         store_record (store, topic, key, NULL);
     }
 }
--- a/standin/keyed_store.h
+++ b/standin/keyed_store.h
@@ -12,8 +12,9 @@
 #include "platform.h"
 
 #define KEYED_STORE_MAX_RECORD_BYTES (1024 * 1024)
-#define KEYED_STORE_PAGE_ITEMS 500    /* items in one answer to GET /log-newest */
-#define KEYED_STORE_ENTRY_TTL_MS 1500 /* over three heartbeats of a stand-in upstream */
+#define KEYED_STORE_PAGE_ITEMS 500 /* items in one answer to GET /log-newest */
+/* Default lifetime of an engine entry, over three heartbeats of a stand-in upstream */
+#define KEYED_STORE_ENTRY_TTL_MS 1500
 
 typedef struct keyed_store keyed_store_t;
 
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -32,6 +32,7 @@
  * @retain_bytes: bytes that each stream retains
  * @list_lag_us: delay before readers see a change of the host list
  * @max_appends_s: limit on appends per second; 0 is unlimited
+ * @entry_ttl_us: time after which an engine entry that is not renewed expires
  */
 typedef struct
 {
@@ -40,6 +41,7 @@
   uint64_t retain_bytes;
   uint64_t list_lag_us;
   uint64_t max_appends_s;
+  uint64_t entry_ttl_us;
 } standin_platform_options_t;
 
 /**
--- a/standin/standin_platform.c
+++ b/standin/standin_platform.c
@@ -24,6 +24,7 @@
   { "retain-bytes", required_argument, NULL, 'b' },
   { "list-lag-ms", required_argument, NULL, 'g' },
   { "appends-s", required_argument, NULL, 'a' },
+  { "entry-ttl-ms", required_argument, NULL, 'e' },
   { NULL, 0, NULL, 0 },
 };
 
@@ -58,9 +59,12 @@
     case 'a':
       options->max_appends_s = parse_number (value);
       break;
+    case 'e':
+      options->entry_ttl_us = parse_number (value) * 1000;
+      break;
     default:
       g_printerr ("standin-platform --listen IP:PORT [--retain-records N] [--retain-bytes N]\n"
-                  "  [--list-lag-ms N] [--appends-s N]\n");
+                  "  [--list-lag-ms N] [--appends-s N] [--entry-ttl-ms N]\n");
       exit (2);
     }
 }
@@ -69,7 +73,8 @@
 parse_flags (int argc, char **argv)
 {
   standin_platform_options_t options = { .retain_records = 100000,
-                                         .retain_bytes = 64 * 1024 * 1024 };
+                                         .retain_bytes = 64 * 1024 * 1024,
+                                         .entry_ttl_us = KEYED_STORE_ENTRY_TTL_MS * 1000 };
   int flag;
   while ((flag = getopt_long (argc, argv, "", flags, NULL)) != -1)
     apply_flag (&options, flag, optarg);
