--- a/tests/silence_rig.c
+++ b/tests/silence_rig.c
@@ -7,15 +7,18 @@
 #define CONTROL_BUDGET_BYTES 4000
 #define UPSTREAM_SLOTS 128
 #define ROUTE_MS 5000
+#define GAP_MS 300 /* longest regular pause between events */
+#define SHORT_GAP_MS 150
+#define SHORT_AIM_MS 1500
 #define RECORD_FIELDS 7
 
 static const struct
 {
   const char *service;
-  bool streams;
-} upstreams[SILENCE_RIG_UPSTREAMS] = { { "pool", true },    { "pool", true },    { "pool", true },
-                                       { "ledger", false }, { "ledger", false }, { "pool2", true },
-                                       { "ledger2", false } };
+  const char *version; /* of upstreams of streams */
+} upstreams[SILENCE_RIG_UPSTREAMS] = { { "pool", "v1" },   { "pool", "v1" },   { "pool", "v2" },
+                                       { "ledger", NULL }, { "ledger", NULL }, { "pool2", "v1" },
+                                       { "ledger2", NULL } };
 
 /* Return: The targets of a route as JSON members. */
 static char *
@@ -28,10 +31,19 @@
   return g_strdup_printf ("\"service\":\"%s%s\"", service, part == SILENCE_RIG_SERVICE ? "2" : "");
 }
 
+/* Return: What only routes of streams have, as JSON members. */
+static char *
+make_stream_members (silence_rig_part_t part)
+{
+  return g_strdup_printf (",\"resumable\":true,\"gap_target_ms\":%u",
+                          part == SILENCE_RIG_GAP ? SHORT_GAP_MS : GAP_MS);
+}
+
 static char *
 make_route (const char *name, const char *kind, const char *service, silence_rig_part_t part)
 {
   g_autofree char *targets = make_targets (service, part);
+  g_autofree char *more = strcmp (kind, "stream") == 0 ? make_stream_members (part) : g_strdup ("");
   uint32_t timeout_ms = part == SILENCE_RIG_TIMEOUT ? SILENCE_RIG_ROUTE_MS : ROUTE_MS;
   uint32_t attempts = part == SILENCE_RIG_FEWER_ATTEMPTS  ? 1
                       : part == SILENCE_RIG_MORE_ATTEMPTS ? 3
@@ -40,8 +52,7 @@
   return g_strdup_printf ("{\"name\":\"%s\",\"host\":\"fleet\",\"path_prefix\":\"/%s/\","
                           "\"kind\":\"%s\",\"timeout_ms\":%u,\"attempts\":%u,\"aim_ms\":%u,%s%s}",
                           name, name, kind, timeout_ms, attempts,
-                          part == SILENCE_RIG_AIM ? 1500 : timeout_ms, targets,
-                          strcmp (kind, "stream") == 0 ? ",\"resumable\":true" : "");
+                          part == SILENCE_RIG_AIM ? SHORT_AIM_MS : timeout_ms, targets, more);
 }
 
 void
@@ -68,7 +79,7 @@
 start_upstream (silence_rig_t *rig, uint32_t index)
 {
   g_autofree char *name = g_strdup_printf ("upstream%u", index);
-  bool streams = upstreams[index].streams;
+  bool streams = upstreams[index].version != NULL;
 
   rig->upstreams[index] = driver_start_upstream (
       rig->driver,
@@ -78,7 +89,19 @@
                             .work_ms = streams ? SILENCE_RIG_EVENT_MS : SILENCE_RIG_LOOKUP_MS,
                             .events = SILENCE_RIG_EVENTS,
                             .slots = UPSTREAM_SLOTS,
-                            .software_version = streams ? "v1" : NULL });
+                            .software_version = upstreams[index].version });
+}
+
+static bool
+all_registered (void *context)
+{
+  const silence_rig_t *rig = context;
+  json_t *newest =
+      driver_admin_call (rig->driver->platform, "GET", "/log-newest?topic=keyed.servers", NULL);
+  size_t count = json_array_size (json_object_get (newest, "items"));
+
+  json_decref (newest);
+  return count >= SILENCE_RIG_UPSTREAMS;
 }
 
 /* Return: Whether the gateway has read the entries of both gateways. */
@@ -109,13 +132,18 @@
 }
 
 void
-silence_rig_start (silence_rig_t *rig, driver_t *driver)
+silence_rig_start (silence_rig_t *rig, driver_t *driver, uint32_t entry_ttl_ms)
 {
+  g_autofree char *flags = g_strdup_printf ("--entry-ttl-ms=%u", entry_ttl_ms);
+
   rig->driver = driver;
+  driver->fleet.platform_flags = flags;
   driver_start_platform (driver);
+  driver->fleet.platform_flags = NULL;
   silence_rig_publish (rig, SILENCE_RIG_NOTHING, SILENCE_RIG_IDLE_MS);
   for (uint32_t i = 0; i < SILENCE_RIG_UPSTREAMS; i++)
     start_upstream (rig, i);
+  driver_wait_until (driver, DRIVER_WAIT_LIMIT_MS, "the upstreams' entries", all_registered, rig);
   for (uint32_t i = 0; i < SILENCE_RIG_GATEWAYS; i++)
     {
       g_autofree char *name = g_strdup_printf ("gateway%u", i);
--- a/tests/silence_rig.h
+++ b/tests/silence_rig.h
@@ -34,6 +34,7 @@
   SILENCE_RIG_FEWER_ATTEMPTS,
   SILENCE_RIG_MORE_ATTEMPTS,
   SILENCE_RIG_AIM,
+  SILENCE_RIG_GAP,
   SILENCE_RIG_TENANTS,
   SILENCE_RIG_IDLE_TIMEOUT,
   SILENCE_RIG_HEADER_TIMEOUT,
@@ -53,9 +54,12 @@
   uint32_t version;
 } silence_rig_t;
 
-/** silence_rig_start() - Start all processes; wait until the gateways know each other and all
- * upstreams. */
-void silence_rig_start (silence_rig_t *rig, driver_t *driver);
+/**
+ * silence_rig_start() - Start all processes; wait until the gateways know each other and all
+ * upstreams.
+ * @entry_ttl_ms: Time after which the store drops the entry of an upstream that does not renew it.
+ */
+void silence_rig_start (silence_rig_t *rig, driver_t *driver, uint32_t entry_ttl_ms);
 /** silence_rig_publish() - Publish a version that differs from the first one in one part, and in
  * the idle timeout of connections. */
 void silence_rig_publish (silence_rig_t *rig, silence_rig_part_t part, uint32_t idle_ms);
