--- a/src/request/policy/engines/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -483,12 +483,17 @@
   return g_hash_table_size (engines->by_id);
 }
 
+static uint64_t
+silence_limit_us (uint64_t usual_us)
+{
+  return MAX (ENGINE_SILENT_US, usual_us * ENGINE_SILENT_FACTOR);
+}
+
 /* An engine is silent from the limit on, until the next probe is due after the last send. */
 bool
 engine_is_silent (const engine_t *engine, uint64_t now_us, uint64_t usual_us, bool repeatable)
 {
-  uint64_t silent_from_us =
-      engine->unanswered_since_us + MAX (ENGINE_SILENT_US, usual_us * ENGINE_SILENT_FACTOR);
+  uint64_t silent_from_us = engine->unanswered_since_us + silence_limit_us (usual_us);
   uint64_t probe_interval_us =
       ENGINE_SILENT_PROBE_US + (repeatable ? 0 : ENGINE_UNREPEATABLE_PROBE_DELAY_US);
 
@@ -498,6 +503,14 @@
   return now_us < MAX (silent_from_us, engine->last_sent_us) + probe_interval_us;
 }
 
+bool
+engine_is_quiet (const engine_t *engine, uint64_t now_us, uint64_t usual_us)
+{
+  uint64_t since_us = MAX (engine->last_byte_us, engine->unanswered_since_us);
+
+  return engine->own_requests > 0 && now_us >= since_us + silence_limit_us (usual_us);
+}
+
 void
 engine_note_break (engine_t *engine, uint64_t now_us)
 {
@@ -691,6 +704,27 @@
   engine->probe_us = 0;
 }
 
+/* All requests at a silent engine are given up at about the same time. Counted one by one they
+ * would eject it for seconds beyond the end of a short silence. */
+void
+engine_note_silence (engine_t *engine, uint64_t now_us)
+{
+  engine->was_silent = true;
+  if (now_us >= engine->ejected_until_us)
+    engine_note_failure (engine, now_us);
+}
+
+void
+engine_note_byte (engine_t *engine, uint64_t now_us)
+{
+  engine->last_byte_us = now_us;
+  if (!engine->was_silent)
+    return;
+  engine->was_silent = false;
+  engine->failures = 0;
+  engine->ejected_until_us = 0;
+}
+
 void
 engine_note_displaced (engine_t *engine)
 {
