Hold raised limits of bytes on connections that are open

Callers saw: after a version raised max_body_bytes or max_header_bytes, 413 or 431 for a proper request on a connection from before, though new connections took it. Cause: evhttp copies both limits, and the read watermark is set, when a connection is accepted; a change reached new ones only. Change: raised limits hold at once on all connections, also for a request that is being read; lowered ones from a connection's next request on, so that none that began under the longer limit is refused in its midst. Evidence: test-http_server_limits; raised body limit, raised header limit and raised limits in request fail on (refused), all pass now.

--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -281,6 +281,8 @@
                        uint32_t idle_timeout_ms)
 {
   http_server_options_t *options = &http_server->options;
+  GHashTableIter iter;
+  gpointer conn;
 
   options->body_limit_bytes = body_limit_bytes ? body_limit_bytes : options->body_limit_bytes;
   options->header_limit_bytes =
@@ -289,6 +291,9 @@
       request_timeout_ms ? request_timeout_ms : options->request_timeout_ms;
   options->idle_timeout_ms = idle_timeout_ms ? idle_timeout_ms : options->idle_timeout_ms;
   apply_limits (http_server);
+  g_hash_table_iter_init (&iter, http_server->conns);
+  while (g_hash_table_iter_next (&iter, NULL, &conn))
+    http_server_conn_raise_limits (conn);
 }
 
 void
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -118,7 +118,8 @@
 void http_server_free (http_server_t *http_server);
 /** http_server_port() - the bound port, which the kernel chooses when @listen has port 0 */
 uint16_t http_server_port (const http_server_t *http_server);
-/** http_server_configure() - change the limits for new connections; 0 leaves a limit as it is */
+/** http_server_configure() - change the limits; 0 leaves a limit as it is. Raised limits of bytes
+ * hold at once, lowered ones from the next request on */
 void http_server_configure (http_server_t *http_server,
                             uint32_t body_limit_bytes,
                             uint32_t header_limit_bytes,
--- a/src/connection/http_server_check.c
+++ b/src/connection/http_server_check.c
@@ -166,7 +166,7 @@
 
   if (evbuffer_search_eol (input, NULL, NULL, EVBUFFER_EOL_LF).pos < 0)
     bytes += evbuffer_get_length (input);
-  return bytes > conn->http_server->options.header_limit_bytes;
+  return bytes > conn->header_limit_bytes;
 }
 
 static const rejection_t *
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -313,6 +313,28 @@
     }
 }
 
+/* Also limits what libevent buffers: while a response is sent, it keeps reading without parsing */
+void
+http_server_conn_set_limits (http_server_conn_t *conn, uint64_t body_bytes, uint64_t header_bytes)
+{
+  conn->body_limit_bytes = body_bytes;
+  conn->header_limit_bytes = header_bytes;
+  bufferevent_setwatermark (conn->bev, EV_READ, 0, body_bytes + header_bytes + 1024);
+  if (!conn->evcon)
+    return;
+  evhttp_connection_set_max_body_size (conn->evcon, (ev_ssize_t)body_bytes);
+  evhttp_connection_set_max_headers_size (conn->evcon, (ev_ssize_t)header_bytes);
+}
+
+void
+http_server_conn_raise_limits (http_server_conn_t *conn)
+{
+  const http_server_options_t *options = &conn->http_server->options;
+
+  http_server_conn_set_limits (conn, MAX (conn->body_limit_bytes, options->body_limit_bytes),
+                               MAX (conn->header_limit_bytes, options->header_limit_bytes));
+}
+
 /*
  * evhttp does not report a connection before its first request. But as soon as it uses a
  * bufferevent, the evhttp connection is the context of the bufferevent's callbacks. on_deferred()
@@ -345,7 +367,6 @@
   http_server_t *http_server = context;
   struct bufferevent *bev = bufferevent_socket_new (base, -1, 0);
   http_server_conn_t *conn;
-  size_t input_limit_bytes;
 
   if (!bev)
     return NULL;
@@ -362,10 +383,8 @@
   conn->output_cb = evbuffer_add_cb (bufferevent_get_output (bev), on_output, conn);
   conn->over_limit = ++http_server->open_count > http_server->options.connection_limit;
   counter_add (http_server->connections, 1);
-  /* while a response is sent, libevent keeps reading without parsing: limit what it can buffer */
-  input_limit_bytes =
-      (size_t)http_server->options.body_limit_bytes + http_server->options.header_limit_bytes;
-  bufferevent_setwatermark (bev, EV_READ, 0, input_limit_bytes + 1024);
+  http_server_conn_set_limits (conn, http_server->options.body_limit_bytes,
+                               http_server->options.header_limit_bytes);
   bufferevent_incref (bev);
   g_hash_table_insert (http_server->new_conns, bev, conn);
   http_server_conn_defer (conn);
@@ -431,6 +450,8 @@
   conn->http_server->busy_count--;
   conn->read_bytes = 0;
   set_incomplete_bytes (conn, evbuffer_get_length (input));
+  http_server_conn_set_limits (conn, conn->http_server->options.body_limit_bytes,
+                               conn->http_server->options.header_limit_bytes);
   expect_request (conn);
   if (!http_input_read_last (&conn->input, input, evbuffer_get_length (input)))
     evict (conn);
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -103,6 +103,7 @@
  * @input: what the current request has brought
  * @ended_by_us: the server is closing it, for @end_reason
  * @active_us: time of the last byte from or to the client, on the monotonic clock
+ * @body_limit_bytes, @header_limit_bytes: limits of its current request
  * @idle_limit_ms: idle timeout that is set on it
  */
 struct http_server_conn
@@ -132,6 +133,8 @@
   bool ended_by_us;
   http_server_end_reason_t end_reason;
   int64_t active_us;
+  uint64_t body_limit_bytes;
+  uint64_t header_limit_bytes;
   uint32_t idle_limit_ms;
 };
 
@@ -177,6 +180,12 @@
 void http_server_conn_defer (http_server_conn_t *conn);
 /** http_server_conn_end() - close and free the connection; only outside of libevent's callbacks */
 void http_server_conn_end (http_server_conn_t *conn, http_server_end_reason_t reason);
+/** http_server_conn_set_limits() - set the limits of the next request */
+void
+http_server_conn_set_limits (http_server_conn_t *conn, uint64_t body_bytes, uint64_t header_bytes);
+/** http_server_conn_raise_limits() - apply limits that were raised, also to a request that is being
+ * read; lowered ones apply from the next request on */
+void http_server_conn_raise_limits (http_server_conn_t *conn);
 /** http_server_conn_is_idle() - whether no byte of a request or response is in a buffer or in the
  * socket */
 bool http_server_conn_is_idle (http_server_conn_t *conn);
--- /dev/null
+++ b/tests/test_http_server_limits.c
@@ -0,0 +1,138 @@
+#include "server_fixture.h"
+#include "suite.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define IDLE_MS 100
+
+static void
+request (server_fixture_t *fixture, raw_peer_t *raw, const char *target)
+{
+  g_autofree char *text = g_strdup_printf ("GET %s HTTP/1.1\r\n\r\n", target);
+  g_autofree char *body = g_strconcat ("\r\n\r\n", target, NULL);
+
+  raw_peer_send (raw, text);
+  server_fixture_run_until_received (fixture, raw, body);
+}
+
+static raw_peer_t *
+connect_kept (server_fixture_t *fixture)
+{
+  raw_peer_t *raw = server_fixture_connect (fixture, "");
+
+  fixture->reply_at_once = true;
+  request (fixture, raw, "/kept");
+  return raw;
+}
+
+static char *
+post (const char *target, uint32_t body_bytes)
+{
+  g_autofree char *body = g_strnfill (body_bytes, 'b');
+
+  return g_strdup_printf ("POST %s HTTP/1.1\r\nContent-Length: %u\r\n\r\n%s", target, body_bytes,
+                          body);
+}
+
+static void
+test_raised_body_limit (void)
+{
+  g_autoptr (server_fixture_t) fixture = server_fixture_new ();
+  g_autofree char *text = post ("/long", 5 * SERVER_FIXTURE_BODY_LIMIT_BYTES);
+  raw_peer_t *raw = connect_kept (fixture);
+
+  http_server_configure (fixture->http_server, 5 * SERVER_FIXTURE_BODY_LIMIT_BYTES, 0, 0, 0);
+  raw_peer_send (raw, text);
+  server_fixture_run_until_received (fixture, raw, "\r\n\r\n/long");
+}
+
+static void
+test_raised_header_limit (void)
+{
+  g_autoptr (server_fixture_t) fixture = server_fixture_new ();
+  g_autofree char *filler = g_strnfill (2 * SERVER_FIXTURE_HEADER_LIMIT_BYTES, 'h');
+  g_autofree char *text = g_strdup_printf ("GET /long HTTP/1.1\r\nX-Fill: %s\r\n\r\n", filler);
+  raw_peer_t *raw = connect_kept (fixture);
+
+  http_server_configure (fixture->http_server, 0, 4 * SERVER_FIXTURE_HEADER_LIMIT_BYTES, 0, 0);
+  raw_peer_send (raw, text);
+  server_fixture_run_until_received (fixture, raw, "\r\n\r\n/long");
+}
+
+/* Raised between the head of a request and its body */
+static void
+test_raised_limits_in_request (void)
+{
+  g_autoptr (server_fixture_t) fixture = server_fixture_new ();
+  raw_peer_t *raw = connect_kept (fixture);
+
+  raw_peer_send (raw, "POST /long HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n");
+  raw_peer_run_ms (fixture->base, 10);
+  http_server_configure (fixture->http_server, 4 * SERVER_FIXTURE_BODY_LIMIT_BYTES, 0, 0, 0);
+  for (int i = 0; i < 3; i++)
+    {
+      g_autofree char *data = g_strnfill (SERVER_FIXTURE_BODY_LIMIT_BYTES, 'b');
+      g_autofree char *chunk =
+          g_strdup_printf ("%x\r\n%s\r\n", SERVER_FIXTURE_BODY_LIMIT_BYTES, data);
+
+      raw_peer_send (raw, chunk);
+    }
+  raw_peer_send (raw, "0\r\n\r\n");
+  server_fixture_run_until_received (fixture, raw, "\r\n\r\n/long");
+}
+
+/* A request whose head was read under the longer limits is read to its end */
+static void
+test_lowered_limits_in_request (void)
+{
+  g_autoptr (server_fixture_t) fixture = server_fixture_new ();
+  g_autofree char *text = post ("/long", SERVER_FIXTURE_BODY_LIMIT_BYTES);
+  raw_peer_t *raw = connect_kept (fixture);
+  g_autofree char *first = g_strndup (text, 500);
+
+  raw_peer_send (raw, first);
+  raw_peer_run_ms (fixture->base, 10);
+  http_server_configure (fixture->http_server, 10, 100, 1000, 1000);
+  raw_peer_send (raw, text + 500);
+  server_fixture_run_until_received (fixture, raw, "\r\n\r\n/long");
+}
+
+/* The upstream is silent for longer than the idle limit, before and within a stream */
+static void
+test_answer_waits_longer_than_idle_limit (void)
+{
+  g_autoptr (server_fixture_t) fixture =
+      server_fixture_new_with_timeouts (IDLE_MS, SERVER_FIXTURE_NO_TIMEOUT_MS);
+  raw_peer_t *raw =
+      server_fixture_connect_waiting (fixture, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+
+  raw_peer_run_ms (fixture->base, IDLE_MS * 3);
+  http_server_begin_reply (server_fixture_call_at (fixture, 0), 200);
+  server_fixture_send_part (server_fixture_call_at (fixture, 0), "one");
+  raw_peer_run_ms (fixture->base, IDLE_MS / 2);
+  http_server_configure (fixture->http_server, 0, 0, 0, IDLE_MS / 2);
+  raw_peer_run_ms (fixture->base, IDLE_MS * 3);
+  server_fixture_send_part (server_fixture_call_at (fixture, 0), "two");
+  fixture->reply_at_once = true;
+  http_server_end_reply (server_fixture_call_at (fixture, 0));
+  server_fixture_run_until_received (fixture, raw, "two");
+  server_fixture_run_until_received (fixture, raw, "\r\n\r\n/2");
+  CU_ASSERT_EQUAL (fixture->disconnects, 0);
+}
+
+int
+main (void)
+{
+  static const CU_TestInfo tests[] = {
+    { "raised body limit", test_raised_body_limit },
+    { "raised header limit", test_raised_header_limit },
+    { "raised limits in request", test_raised_limits_in_request },
+    { "lowered limits in request", test_lowered_limits_in_request },
+    { "answer waits longer than idle limit", test_answer_waits_longer_than_idle_limit },
+    CU_TEST_INFO_NULL,
+  };
+
+  signal (SIGPIPE, SIG_IGN);
+  return suite_run ("http_server_limits", tests);
+}
