Let open connections live as long as their callers may take them to

Callers saw: a request on a connection that had been idle for less than four fifths of the limit in force met its close; around a change of idle_timeout_ms, both ways. Cause: the limit of a connection was that of its accept or last answer. After a raise, a connection that was idle went by the shorter limit. After a cut, one answered next went by the shorter limit before its caller could know of it. Change: a raise extends the connections that are idle; the longer limit holds for 10 s after a cut, longer than a version takes to be in force everywhere, for connections that are opened or answered meanwhile.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -66,7 +66,8 @@
 #define LIMIT_HTTP_DRAIN_MS 2000                 /* time spent on one of them */
 #define LIMIT_HTTP_STOP_LINGER_MS 200     /* idle connections stay open: a request may follow */
 #define LIMIT_HTTP_REQUEST_MS (30 * 1000) /* from the first byte of a request to its last */
-#define LIMIT_HTTP_UNREAD_MS 500          /* longer for a connection whose bytes are not read yet */
+#define LIMIT_HTTP_LOWERED_IDLE_MS (10 * 1000) /* a version is in force everywhere before */
+#define LIMIT_HTTP_UNREAD_MS 500 /* longer for a connection whose bytes are not read yet */
 #define LIMIT_HTTP_UNREAD_EXTENSIONS 4
 #define LIMIT_HTTP_INCOMPLETE_BYTES (256 * 1024 * 1024) /* all incomplete requests together */
 #define LIMIT_HTTP_DEAD_PEER_S 5 /* until a peer that acknowledges nothing is given up */
--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -272,6 +272,32 @@
     event_add (http_server->close_idle, &close_idle);
 }
 
+uint32_t
+http_server_idle_limit_ms (const http_server_t *http_server)
+{
+  uint32_t limit_ms = http_server->options.idle_timeout_ms;
+
+  if (g_get_monotonic_time () >= http_server->longer_idle_until_us)
+    return limit_ms;
+  return MAX (limit_ms, http_server->longer_idle_ms);
+}
+
+/* Clients hear of a shorter timeout later than the server, and use a connection for as long as the
+ * one that they know allows. If the shorter one held at once, requests would meet the close. */
+static void
+set_idle_timeout (http_server_t *http_server, uint32_t idle_timeout_ms)
+{
+  uint32_t before_ms = http_server_idle_limit_ms (http_server);
+
+  if (idle_timeout_ms < http_server->options.idle_timeout_ms)
+    {
+      http_server->longer_idle_ms = before_ms;
+      http_server->longer_idle_until_us =
+          g_get_monotonic_time () + LIMIT_HTTP_LOWERED_IDLE_MS * CLOCK_US_PER_MS;
+    }
+  http_server->options.idle_timeout_ms = idle_timeout_ms;
+}
+
 void
 http_server_configure (http_server_t *http_server,
                        uint32_t body_limit_bytes,
@@ -288,7 +314,8 @@
       header_limit_bytes ? header_limit_bytes : options->header_limit_bytes;
   options->request_timeout_ms =
       request_timeout_ms ? request_timeout_ms : options->request_timeout_ms;
-  options->idle_timeout_ms = idle_timeout_ms ? idle_timeout_ms : options->idle_timeout_ms;
+  if (idle_timeout_ms)
+    set_idle_timeout (http_server, idle_timeout_ms);
   apply_limits (http_server);
   g_hash_table_iter_init (&iter, http_server->conns);
   while (g_hash_table_iter_next (&iter, NULL, &conn))
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -238,13 +238,24 @@
   event_active (conn->deferred, EV_TIMEOUT, 0);
 }
 
+static void
+set_idle_limit (http_server_conn_t *conn, uint32_t idle_limit_ms)
+{
+  uint64_t passed_ms = (uint64_t)(g_get_monotonic_time () - conn->idle_since_us) / CLOCK_US_PER_MS;
+  uint64_t left_ms = idle_limit_ms - MIN (passed_ms, idle_limit_ms);
+  struct timeval left = { (time_t)(left_ms / 1000), (suseconds_t)(left_ms % 1000 * 1000) };
+
+  conn->idle_limit_ms = idle_limit_ms;
+  event_add (conn->read_timer, &left);
+}
+
 static void
 start_idle_timer (http_server_conn_t *conn)
 {
   conn->in_request = false;
   conn->extensions = 0;
-  conn->idle_limit_ms = conn->http_server->options.idle_timeout_ms;
-  event_add (conn->read_timer, &conn->http_server->idle_timeout);
+  conn->idle_since_us = g_get_monotonic_time ();
+  set_idle_limit (conn, http_server_idle_limit_ms (conn->http_server));
 }
 
 /* Limits the time of a request as a whole: a client that sends a byte now and then is never idle
@@ -379,6 +390,8 @@
 
   http_server_conn_set_limits (conn, MAX (conn->body_limit_bytes, options->body_limit_bytes),
                                MAX (conn->header_limit_bytes, options->header_limit_bytes));
+  if (!conn->busy && !conn->in_request && conn->idle_limit_ms < options->idle_timeout_ms)
+    set_idle_limit (conn, options->idle_timeout_ms);
 }
 
 /*
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -35,6 +35,7 @@
 
 /**
  * struct http_server - a server
+ * @longer_idle_ms: idle timeout before it was lowered, which holds until @longer_idle_until_us
  * @new_conns: connections by bufferevent, before evhttp has attached an evhttp connection to it
  * @conns: connections by evhttp connection
  * @drains: sockets of rejected clients whose remaining input is read and discarded
@@ -54,6 +55,8 @@
 {
   http_server_options_t options;
   struct timeval idle_timeout;
+  uint32_t longer_idle_ms;
+  int64_t longer_idle_until_us;
   struct timeval request_timeout;
   struct evhttp *http;
   struct evhttp_bound_socket *bound;
@@ -106,6 +109,7 @@
  * @ended_by_us: the server is closing it, for @end_reason
  * @active_us: time of the last byte from or to the client, on the monotonic clock
  * @body_limit_bytes, @header_limit_bytes: limits of its current request
+ * @idle_since_us: opened or answered then, on the monotonic clock
  * @idle_limit_ms: idle timeout that is set on it
  */
 struct http_server_conn
@@ -139,6 +143,7 @@
   int64_t active_us;
   uint64_t body_limit_bytes;
   uint64_t header_limit_bytes;
+  int64_t idle_since_us;
   uint32_t idle_limit_ms;
 };
 
@@ -170,6 +175,9 @@
 /** http_server_set_accepting() - has the listener accept connections, if http_server_may_accept(),
  * or none */
 void http_server_set_accepting (http_server_t *http_server, bool accepting);
+/** http_server_idle_limit_ms() - the idle timeout for a connection that is opened or answered now
+ */
+uint32_t http_server_idle_limit_ms (const http_server_t *http_server);
 /** http_server_has_waiting() - whether connections wait in the kernel's queue */
 bool http_server_has_waiting (const http_server_t *http_server);
 /** http_server_close_idle_later() - close the idle connections after %LIMIT_HTTP_STOP_LINGER_MS */
@@ -188,7 +196,8 @@
 void
 http_server_conn_set_limits (http_server_conn_t *conn, uint64_t body_bytes, uint64_t header_bytes);
 /** http_server_conn_raise_limits() - apply limits that were raised, also to a request that is being
- * read; lowered ones apply from the next request on */
+ * read and to the time that the connection has been idle; lowered ones apply from the next request
+ * on */
 void http_server_conn_raise_limits (http_server_conn_t *conn);
 /** http_server_conn_is_idle() - whether no byte of a request or response is in a buffer or in the
  * socket */
--- a/tests/test_http_server_limits.c
+++ b/tests/test_http_server_limits.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define IDLE_MS 100
+#define LONGER_IDLE_MS 600
 #define HEAD_MS 100
 #define HERD 60 /* more connections than libevent's first epoll_wait() reports */
 
@@ -106,6 +107,45 @@
   server_fixture_run_until_received (fixture, raw, "\r\n\r\n/long");
 }
 
+/* Callers use a connection for up to four fifths of the newest limit */
+static void
+test_raised_idle_limit (void)
+{
+  for (int is_used = 0; is_used < 2; is_used++)
+    {
+      g_autoptr (server_fixture_t) fixture =
+          server_fixture_new_with_timeouts (IDLE_MS, SERVER_FIXTURE_NO_TIMEOUT_MS);
+      raw_peer_t *raw = is_used ? connect_kept (fixture) : server_fixture_connect (fixture, "");
+
+      fixture->reply_at_once = true;
+      raw_peer_run_ms (fixture->base, IDLE_MS / 2);
+      http_server_configure (fixture->http_server, 0, 0, 0, LONGER_IDLE_MS);
+      raw_peer_run_ms (fixture->base, LONGER_IDLE_MS * 4 / 5 - IDLE_MS / 2);
+      CU_ASSERT_FALSE_FATAL (is_closed (raw));
+      request (fixture, raw, "/late");
+      CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, server_fixture_connection_closed, raw));
+    }
+}
+
+/* Callers hear of a shorter limit later than the server, so the longer one holds meanwhile */
+static void
+test_lowered_idle_limit (void)
+{
+  for (int is_used_before = 0; is_used_before < 2; is_used_before++)
+    {
+      g_autoptr (server_fixture_t) fixture =
+          server_fixture_new_with_timeouts (LONGER_IDLE_MS, SERVER_FIXTURE_NO_TIMEOUT_MS);
+      raw_peer_t *raw = connect_kept (fixture);
+
+      http_server_configure (fixture->http_server, 0, 0, 0, IDLE_MS);
+      if (!is_used_before)
+        request (fixture, raw, "/after");
+      raw_peer_run_ms (fixture->base, LONGER_IDLE_MS * 4 / 5);
+      CU_ASSERT_FALSE_FATAL (is_closed (raw));
+      request (fixture, raw, "/late");
+    }
+}
+
 /* A pause inside a request is not an idle connection */
 static void
 test_pause_in_body (void)
@@ -195,6 +235,8 @@
     { "raised header limit", test_raised_header_limit },
     { "raised limits in request", test_raised_limits_in_request },
     { "lowered limits in request", test_lowered_limits_in_request },
+    { "raised idle limit", test_raised_idle_limit },
+    { "lowered idle limit", test_lowered_idle_limit },
     { "pause in body", test_pause_in_body },
     { "whole requests unread", test_whole_requests_unread },
     { "rest of request unread", test_rest_of_request_unread },
