Give long bodies their time, and refuse a late request by 408

Callers saw: a request with a long body on a slow link ended with a closed connection and no answer once header_timeout_ms had passed, the sooner the lower a version set it. Cause: the timeout, which is on the headers, ran until the last byte of the body, and its end closed without a word. Change: header_timeout_ms bounds the head; a body has 30 s, or the timeout if longer. A request that is late is refused by 408, not run, which callers may repeat.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -64,8 +64,9 @@
 #define LIMIT_HTTP_DRAINS 64 /* refused connections whose input is dropped before close */
 #define LIMIT_HTTP_DRAIN_BYTES (4 * 1024 * 1024) /* input dropped for one of them */
 #define LIMIT_HTTP_DRAIN_MS 2000                 /* time spent on one of them */
-#define LIMIT_HTTP_STOP_LINGER_MS 200     /* idle connections stay open: a request may follow */
-#define LIMIT_HTTP_REQUEST_MS (30 * 1000) /* from the first byte of a request to its last */
+#define LIMIT_HTTP_STOP_LINGER_MS 200 /* idle connections stay open: a request may follow */
+#define LIMIT_HTTP_REQUEST_MS                                                                      \
+  (30 * 1000) /* for the body of a request, and for its head by default */
 #define LIMIT_HTTP_LOWERED_IDLE_MS (10 * 1000) /* a version is in force everywhere before */
 #define LIMIT_HTTP_UNREAD_MS 500 /* longer for a connection whose bytes are not read yet */
 #define LIMIT_HTTP_UNREAD_EXTENSIONS 4
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -77,8 +77,8 @@
  * @idle_timeout_ms: a connection is closed after this time without a request, or, while a
  *   response is sent, without a byte written. The time between request and response is not
  *   limited. Bytes that have come in time are read first
- * @request_timeout_ms: a connection is closed when receiving a request takes longer; 0 for
- *   %LIMIT_HTTP_REQUEST_MS
+ * @request_timeout_ms: a request whose head takes longer from its first byte to its last is
+ * rejected by 408; 0 for %LIMIT_HTTP_REQUEST_MS, which is also the least time that a body may take
  * @incomplete_limit_bytes: limit on the sum of all requests that have been received in part;
  *   when it is exceeded, the largest of them is rejected by 503; 0 for %LIMIT_HTTP_INCOMPLETE_BYTES
  * @takes_few: new connections are taken a few at a time, when @base has nothing else to do, and
--- a/src/connection/http_server_check.c
+++ b/src/connection/http_server_check.c
@@ -29,6 +29,8 @@
   503, HTTP_SERVER_REFUSED_BODY, "overloaded", "too_many_bytes",
   "too many long requests come at once; try again later"
 };
+static const rejection_t too_slow = { 408, HTTP_SERVER_REFUSED_SLOW, "invalid_request",
+                                      "request_timeout", "the request took too long to arrive" };
 static const rejection_t bad_framing = { 400, HTTP_SERVER_REFUSED_MALFORMED, "invalid_request",
                                          "bad_framing",
                                          "the length of the body is not declared soundly" };
@@ -203,10 +205,11 @@
 /* Writes to the socket directly, since libevent is in the middle of reading and would not send. The
  * response is small enough for the empty send buffer of the socket. */
 void
-http_server_reject_incomplete (http_server_conn_t *conn)
+http_server_reject_incomplete (http_server_conn_t *conn, bool is_late)
 {
-  const rejection_t *rejection =
-      conn->input.state == HTTP_INPUT_OVER ? &bad_chunks : &too_many_incomplete;
+  const rejection_t *rejection = is_late                                ? &too_slow
+                                 : conn->input.state == HTTP_INPUT_OVER ? &bad_chunks
+                                                                        : &too_many_incomplete;
   g_autofree char *body = rejection_body (conn->http_server, rejection);
   g_autofree char *page = format_response (rejection, body);
 
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -205,7 +205,7 @@
     return;
   if (conn->evicted && !conn->busy)
     {
-      http_server_reject_incomplete (conn);
+      http_server_reject_incomplete (conn, false);
       http_server_conn_end (conn, HTTP_SERVER_END_EVICTED);
       return;
     }
@@ -258,17 +258,31 @@
   set_idle_limit (conn, http_server_idle_limit_ms (conn->http_server));
 }
 
-/* Limits the time of a request as a whole: a client that sends a byte now and then is never idle
- * and would keep the connection forever */
+/* Limits the time of the head: a client that sends a byte now and then is never idle and would keep
+ * the connection forever */
 static void
 start_request_timer (http_server_conn_t *conn)
 {
   if (conn->busy || conn->in_request)
     return;
   conn->in_request = true;
+  conn->in_body = false;
   event_add (conn->read_timer, &conn->http_server->request_timeout);
 }
 
+/* The timeout of a configuration is on the head. A long body may take longer on a slow link */
+static void
+start_body_timer (http_server_conn_t *conn)
+{
+  uint32_t body_ms = MAX (LIMIT_HTTP_REQUEST_MS, conn->http_server->options.request_timeout_ms);
+  struct timeval limit = { body_ms / 1000, body_ms % 1000 * 1000 };
+
+  if (!conn->in_request || conn->in_body || conn->input.head_started)
+    return;
+  conn->in_body = true;
+  event_add (conn->read_timer, &limit);
+}
+
 static void
 stop_read_timer (http_server_conn_t *conn)
 {
@@ -311,7 +325,7 @@
       http_server_conn_end (conn, HTTP_SERVER_END_IDLE_TIMEOUT);
       return;
     }
-  counter_add (conn->http_server->refused[HTTP_SERVER_REFUSED_SLOW], 1);
+  http_server_reject_incomplete (conn, true);
   http_server_conn_end (conn, HTTP_SERVER_END_REQUEST_TIMEOUT);
 }
 
@@ -340,6 +354,7 @@
       evict (conn);
       return;
     }
+  start_body_timer (conn);
   set_incomplete_bytes (conn, conn->incomplete_bytes + info->n_added);
   if (conn->http_server->incomplete_bytes > conn->http_server->options.incomplete_limit_bytes)
     evict_incomplete (conn->http_server);
@@ -518,7 +533,10 @@
     event_del (conn->disconnect_watch);
   start_idle_timer (conn);
   if (evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0)
-    start_request_timer (conn);
+    {
+      start_request_timer (conn);
+      start_body_timer (conn);
+    }
   if (conn->http_server->stopping)
     http_server_close_idle_later (
         conn->http_server); /* the response may have been sent without "Connection: close" */
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -105,6 +105,7 @@
  *   400 where @input is over a limit
  * @input: what the current request has brought
  * @in_request: a byte of a request has been read, and not the last one
+ * @in_body: its head has been read whole
  * @extensions: how often @read_timer was extended since bytes were unread
  * @ended_by_us: the server is closing it, for @end_reason
  * @active_us: time of the last byte from or to the client, on the monotonic clock
@@ -137,6 +138,7 @@
   bool evicted;
   http_input_t input;
   bool in_request;
+  bool in_body;
   uint32_t extensions;
   bool ended_by_us;
   http_server_end_reason_t end_reason;
@@ -219,9 +221,9 @@
  * error body */
 void http_server_replace_error_page (http_server_conn_t *conn);
 
-/** http_server_reject_incomplete() - reject an incomplete request by 503 or 400; the caller then
- * closes the connection */
-void http_server_reject_incomplete (http_server_conn_t *conn);
+/** http_server_reject_incomplete() - reject an incomplete request by 503 or 400, or by 408 when it
+ * @is_late; the caller then closes the connection */
+void http_server_reject_incomplete (http_server_conn_t *conn, bool is_late);
 
 /** http_server_note_end() - count and report the end of a connection whose socket is still open */
 void http_server_note_end (http_server_conn_t *conn);
