--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -113,7 +113,6 @@
   evhttp_set_allowed_methods (http_server->http, methods);
   evhttp_set_max_headers_size (http_server->http, http_server->options.header_limit_bytes);
   evhttp_set_max_body_size (http_server->http, http_server->options.body_limit_bytes);
-  evhttp_set_timeout_tv (http_server->http, &http_server->idle_timeout);
   evhttp_set_default_content_type (http_server->http, NULL);
   evhttp_set_bevcb (http_server->http, http_server_conn_new, http_server);
   evhttp_set_gencb (http_server->http, http_server_handle_request, http_server);
@@ -273,6 +272,32 @@
     event_add (http_server->close_idle, &close_idle);
 }
 
+uint32_t
+http_server_idle_limit_ms (const http_server_t *http_server)
+{
+  uint32_t limit_ms = http_server->options.idle_timeout_ms;
+
+  if (g_get_monotonic_time () >= http_server->longer_idle_until_us)
+    return limit_ms;
+  return MAX (limit_ms, http_server->longer_idle_ms);
+}
+
+/* Clients hear of a shorter timeout later than the server, and use a connection for as long as the
+ * one that they know allows. If the shorter one held at once, requests would meet the close. */
+static void
+set_idle_timeout (http_server_t *http_server, uint32_t idle_timeout_ms)
+{
+  uint32_t before_ms = http_server_idle_limit_ms (http_server);
+
+  if (idle_timeout_ms < http_server->options.idle_timeout_ms)
+    {
+      http_server->longer_idle_ms = before_ms;
+      http_server->longer_idle_until_us =
+          g_get_monotonic_time () + LIMIT_HTTP_LOWERED_IDLE_MS * CLOCK_US_PER_MS;
+    }
+  http_server->options.idle_timeout_ms = idle_timeout_ms;
+}
+
 void
 http_server_configure (http_server_t *http_server,
                        uint32_t body_limit_bytes,
@@ -281,14 +306,20 @@
                        uint32_t idle_timeout_ms)
 {
   http_server_options_t *options = &http_server->options;
+  GHashTableIter iter;
+  gpointer conn;
 
   options->body_limit_bytes = body_limit_bytes ? body_limit_bytes : options->body_limit_bytes;
   options->header_limit_bytes =
       header_limit_bytes ? header_limit_bytes : options->header_limit_bytes;
   options->request_timeout_ms =
       request_timeout_ms ? request_timeout_ms : options->request_timeout_ms;
-  options->idle_timeout_ms = idle_timeout_ms ? idle_timeout_ms : options->idle_timeout_ms;
+  if (idle_timeout_ms)
+    set_idle_timeout (http_server, idle_timeout_ms);
   apply_limits (http_server);
+  g_hash_table_iter_init (&iter, http_server->conns);
+  while (g_hash_table_iter_next (&iter, NULL, &conn))
+    http_server_conn_raise_limits (conn);
 }
 
 void
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -74,11 +74,11 @@
  * @header_limit_count: a request with more headers is rejected by 431
  * @connection_limit: connections over it are closed after a response 503. With
  *   %LIMIT_HTTP_EXCESS_CONNECTIONS more connections, no further ones are accepted
- * @idle_timeout_ms: a connection is closed after this time without a byte read, or, while a
+ * @idle_timeout_ms: a connection is closed after this time without a request, or, while a
  *   response is sent, without a byte written. The time between request and response is not
- *   limited
- * @request_timeout_ms: a connection is closed when receiving a request takes longer; 0 for
- *   %LIMIT_HTTP_REQUEST_MS
+ *   limited. Bytes that have come in time are read first
+ * @request_timeout_ms: a request whose head takes longer from its first byte to its last is
+ * rejected by 408; 0 for %LIMIT_HTTP_REQUEST_MS, which is also the least time that a body may take
  * @incomplete_limit_bytes: limit on the sum of all requests that have been received in part;
  *   when it is exceeded, the largest of them is rejected by 503; 0 for %LIMIT_HTTP_INCOMPLETE_BYTES
  * @takes_few: new connections are taken a few at a time, when @base has nothing else to do, and
@@ -118,7 +118,9 @@
 void http_server_free (http_server_t *http_server);
 /** http_server_port() - the bound port, which the kernel chooses when @listen has port 0 */
 uint16_t http_server_port (const http_server_t *http_server);
-/** http_server_configure() - change the limits for new connections; 0 leaves a limit as it is */
+/** http_server_configure() - change the limits; 0 leaves a limit as it is. Raised limits hold at
+ * once, also on open connections; lowered ones from a connection's next request on, that of the
+ * idle timeout %LIMIT_HTTP_LOWERED_IDLE_MS later */
 void http_server_configure (http_server_t *http_server,
                             uint32_t body_limit_bytes,
                             uint32_t header_limit_bytes,
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -35,6 +35,7 @@
 
 /**
  * struct http_server - a server
+ * @longer_idle_ms: idle timeout before it was lowered, which holds until @longer_idle_until_us
  * @new_conns: connections by bufferevent, before evhttp has attached an evhttp connection to it
  * @conns: connections by evhttp connection
  * @drains: sockets of rejected clients whose remaining input is read and discarded
@@ -54,6 +55,8 @@
 {
   http_server_options_t options;
   struct timeval idle_timeout;
+  uint32_t longer_idle_ms;
+  int64_t longer_idle_until_us;
   struct timeval request_timeout;
   struct evhttp *http;
   struct evhttp_bound_socket *bound;
@@ -84,7 +87,7 @@
  * struct http_server_conn - a connection of a client
  * @evcon: NULL until http_server_conn_attach()
  * @deferred: runs work that must not run inside a callback of libevent
- * @request_timer: closes the connection when receiving a request takes too long
+ * @read_timer: closes the connection when it is idle, or receiving a request takes too long
  * @disconnect_watch: detects that the client closes while a call is pending, on @dup_fd
  * @dup_fd: duplicate of the socket, -1 if there is none
  * @request: the request in progress, as long as libevent may leave it to us to free
@@ -101,8 +104,13 @@
  * @evicted: its incomplete request is rejected by 503, to get below the limit on their sum, or by
  *   400 where @input is over a limit
  * @input: what the current request has brought
+ * @in_request: a byte of a request has been read, and not the last one
+ * @in_body: its head has been read whole
+ * @extensions: how often @read_timer was extended since bytes were unread
  * @ended_by_us: the server is closing it, for @end_reason
  * @active_us: time of the last byte from or to the client, on the monotonic clock
+ * @body_limit_bytes, @header_limit_bytes: limits of its current request
+ * @idle_since_us: opened or answered then, on the monotonic clock
  * @idle_limit_ms: idle timeout that is set on it
  */
 struct http_server_conn
@@ -113,7 +121,7 @@
   struct evbuffer_cb_entry *input_cb;
   struct evbuffer_cb_entry *output_cb;
   struct event *deferred;
-  struct event *request_timer;
+  struct event *read_timer;
   struct event *disconnect_watch;
   evutil_socket_t dup_fd;
   struct evhttp_request *request;
@@ -129,9 +137,15 @@
   bool drain_input;
   bool evicted;
   http_input_t input;
+  bool in_request;
+  bool in_body;
+  uint32_t extensions;
   bool ended_by_us;
   http_server_end_reason_t end_reason;
   int64_t active_us;
+  uint64_t body_limit_bytes;
+  uint64_t header_limit_bytes;
+  int64_t idle_since_us;
   uint32_t idle_limit_ms;
 };
 
@@ -163,6 +177,9 @@
 /** http_server_set_accepting() - has the listener accept connections, if http_server_may_accept(),
  * or none */
 void http_server_set_accepting (http_server_t *http_server, bool accepting);
+/** http_server_idle_limit_ms() - the idle timeout for a connection that is opened or answered now
+ */
+uint32_t http_server_idle_limit_ms (const http_server_t *http_server);
 /** http_server_has_waiting() - whether connections wait in the kernel's queue */
 bool http_server_has_waiting (const http_server_t *http_server);
 /** http_server_close_idle_later() - close the idle connections after %LIMIT_HTTP_STOP_LINGER_MS */
@@ -177,6 +194,13 @@
 void http_server_conn_defer (http_server_conn_t *conn);
 /** http_server_conn_end() - close and free the connection; only outside of libevent's callbacks */
 void http_server_conn_end (http_server_conn_t *conn, http_server_end_reason_t reason);
+/** http_server_conn_set_limits() - set the limits of the next request */
+void
+http_server_conn_set_limits (http_server_conn_t *conn, uint64_t body_bytes, uint64_t header_bytes);
+/** http_server_conn_raise_limits() - apply limits that were raised, also to a request that is being
+ * read and to the time that the connection has been idle; lowered ones apply from the next request
+ * on */
+void http_server_conn_raise_limits (http_server_conn_t *conn);
 /** http_server_conn_is_idle() - whether no byte of a request or response is in a buffer or in the
  * socket */
 bool http_server_conn_is_idle (http_server_conn_t *conn);
@@ -197,9 +221,9 @@
  * error body */
 void http_server_replace_error_page (http_server_conn_t *conn);
 
-/** http_server_reject_incomplete() - reject an incomplete request by 503 or 400; the caller then
- * closes the connection */
-void http_server_reject_incomplete (http_server_conn_t *conn);
+/** http_server_reject_incomplete() - reject an incomplete request by 503 or 400, or by 408 when it
+ * @is_late; the caller then closes the connection */
+void http_server_reject_incomplete (http_server_conn_t *conn, bool is_late);
 
 /** http_server_note_end() - count and report the end of a connection whose socket is still open */
 void http_server_note_end (http_server_conn_t *conn);
