Failing tests: streams that go on at another version after a restart, or by tables that the store has forgotten

test_unnamed_stream_after_a_restart: a client names no attempt; the engines of its stream's version have left, and the restarted gateway knows the other version only. test_store_with_older_tables, test_older_tables_while_another_gateway_knows_the_later_ones: the store came back from a copy without the table by which the stream began. In each the stream is sent to an engine of the other version.

--- a/tests/test_gateway_resume.c
+++ b/tests/test_gateway_resume.c
@@ -137,6 +137,33 @@
   CU_ASSERT_EQUAL (count_ends (rig, "unknown"), 0);
 }
 
+static bool
+has_table (void *context)
+{
+  const gateway_rig_t *rig = context;
+
+  return fake_store_value (rig->store, PLATFORM_STREAM_ROUTERS,
+                           PLATFORM_KEY_SHARES_PREFIX "pool") != NULL;
+}
+
+/* Guards against a stream whose client doesn't name it and that goes on at another version, as the
+ * engines of its own have left and all gateways were restarted. */
+static void
+test_unnamed_stream_after_a_restart (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+
+  add_engine (rig, "pool", "v1");
+  CU_ASSERT (raw_peer_run_until (rig->base, has_table, rig));
+  begin_stream (rig, "/talk/");
+  add_engine (rig, "pool", "v2");
+  fake_store_put (rig->store, PLATFORM_STREAM_ENGINES, "e0", NULL);
+  gateway_rig_restart (rig, 0);
+  CU_ASSERT (gateway_rig_wait_counter (rig, "medlarplank_engines", 1));
+  check_resumption (rig, "/talk/", "Content-Length: 0\r\nLast-Event-Id: 1\r\n", "HTTP/1.1 503");
+  CU_ASSERT_EQUAL (rig->engines[1]->request_count, 0);
+}
+
 /* Guards against a stream of a route that is divided between services going on at the other one. */
 static void
 test_stream_stays_at_its_service (void)
@@ -326,6 +353,7 @@
     SUITE_TEST (test_stream_goes_on_at_the_only_version),
     SUITE_TEST (test_gateway_that_is_cut_off),
     SUITE_TEST (test_version_that_has_gone),
+    SUITE_TEST (test_unnamed_stream_after_a_restart),
     SUITE_TEST (test_stream_stays_at_its_service),
     SUITE_TEST (test_long_name_is_an_error),
     SUITE_TEST (test_version_is_decided_before_a_trial),
--- a/tests/test_shares_lag.c
+++ b/tests/test_shares_lag.c
@@ -387,6 +387,69 @@
   CU_ASSERT_EQUAL (rig->engines[0]->request_count, 0);
 }
 
+/* Return: of a stream that began at the second engine, by a table that the store's copy lacks */
+static versions_t
+begin_after_the_copy (gateway_rig_t *rig)
+{
+  versions_t versions = start (rig);
+  version_history_t history = { .count = 1,
+                                .in_force = 1,
+                                .tables = { make_table (1, versions.first, 0) } };
+
+  put_history (rig, &history);
+  wait_read (rig, 0);
+  wait_read (rig, 1);
+  fake_store_copy (rig->store);
+  history = (version_history_t){ .count = 1,
+                                 .in_force = 2,
+                                 .tables = { make_table (2, versions.second, versions.first) } };
+  put_history (rig, &history);
+  wait_read (rig, 0);
+  wait_read (rig, 1);
+  fetch (rig, 0, "Content-Length: 0\r\n");
+  CU_ASSERT_EQUAL_FATAL (rig->engines[1]->request_count, 1);
+  return versions;
+}
+
+/* Guards against a stream that goes on at another version as all gateways were lost and the store
+ * came back from a copy with older tables. */
+static void
+test_store_with_older_tables (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (2);
+
+  begin_after_the_copy (rig);
+  fake_store_restore (rig->store);
+  gateway_rig_restart (rig, 0);
+  gateway_rig_restart (rig, 1);
+  add_links (rig);
+  fetch (rig, 0, "Content-Length: 0\r\nLast-Event-Id: 1\r\nResumes: r1\r\n");
+  CU_ASSERT_EQUAL (rig->engines[0]->request_count, 0);
+}
+
+static bool
+goes_on (void *context)
+{
+  gateway_rig_t *rig = context;
+
+  fetch (rig, 0, "Content-Length: 0\r\nLast-Event-Id: 1\r\nResumes: r1\r\n");
+  return rig->engines[0]->request_count > 0 || rig->engines[1]->request_count > 1;
+}
+
+/* Guards against a stream that goes on at another version, or nowhere, at a gateway that starts with
+ * the older tables of a copy while another one knows the later ones. */
+static void
+test_older_tables_while_another_gateway_knows_the_later_ones (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (2);
+
+  begin_after_the_copy (rig);
+  fake_store_restore (rig->store);
+  gateway_rig_restart (rig, 0);
+  CU_ASSERT (raw_peer_run_until (rig->base, goes_on, rig));
+  CU_ASSERT_EQUAL (rig->engines[0]->request_count, 0);
+}
+
 int
 main (void)
 {
@@ -396,6 +459,8 @@
     SUITE_TEST (test_table_stays_as_long_as_streams_may_be_resumed),
     SUITE_TEST (test_stream_whose_end_did_not_reach_its_client),
     SUITE_TEST (test_store_that_forgot_the_tables),
+    SUITE_TEST (test_store_with_older_tables),
+    SUITE_TEST (test_older_tables_while_another_gateway_knows_the_later_ones),
     CU_TEST_INFO_NULL,
   };
 
