A stream whose client names no attempt goes on only where the tables have one version

Callers saw a stream answered 200 and joined from two software versions, where all gateways had been restarted after the engines of the first version had left: basis=unnamed went by the only version that the process had seen since its start, without tables and without trust. Now the tables of shares must be trusted and have that version alone: they stay for as long as streams of theirs may be open, whoever was restarted. Nothing changes for named attempts.

--- a/src/process/gateway_shares.h
+++ b/src/process/gateway_shares.h
@@ -69,6 +69,7 @@
 uint64_t gateway_shares_last_epoch (const gateway_shares_t *shares, const char *service);
 /**
  * gateway_shares_find() - looks for the version at which a stream of any gateway began
+ * @stream: 0 for one that its client doesn't name
  * @since_us: what was read before may be too old
  */
 version_search_t gateway_shares_find (gateway_shares_t *shares,
--- a/src/request/gateway/gateway_resume.c
+++ b/src/request/gateway/gateway_resume.c
@@ -53,9 +53,8 @@
                              .started_us = call->arrived_us,
                              .asked_us = call->resumption.asked_us };
 
-  if (call->stream == 0)
-    return view;
-  view.known = stream_origins_find (options->origins, now_us, call->stream);
+  if (call->stream != 0)
+    view.known = stream_origins_find (options->origins, now_us, call->stream);
   if (view.known == 0)
     view.search = options->find_version (call->service->name, call->stream, call->arrived_us,
                                          options->context);
--- a/src/request/policy/streams/resumption.c
+++ b/src/request/policy/streams/resumption.c
@@ -12,14 +12,6 @@
   return (resumption_t){ .step = RESUMPTION_REFUSE, .basis = basis };
 }
 
-/* Clients that don't name the attempt are older than the rule that they must; nobody can look their
- * streams up. */
-static resumption_t
-decide_unnamed (const resumption_view_t *view)
-{
-  return view->sole != 0 ? go (view->sole, "unnamed") : refuse ("unnamed");
-}
-
 /* Streams begin without a table only while one version has ever served. */
 static resumption_t
 decide_by_tables (const resumption_view_t *view)
@@ -33,6 +25,20 @@
                                    : refuse (view->search.basis);
 }
 
+/* Clients that don't name the attempt are older than the rule that they must; nobody can look their
+ * streams up, so there is nothing to ask other gateways. What this process has seen of the versions
+ * is no evidence: it may have started after the engines at which the stream began had left. */
+static resumption_t
+decide_unnamed (const resumption_view_t *view)
+{
+  resumption_t decision = decide_by_tables (view);
+
+  decision.basis = "unnamed";
+  if (decision.step == RESUMPTION_REFUSE && view->search.is_reading)
+    decision.step = RESUMPTION_WAIT;
+  return decision;
+}
+
 resumption_t
 resumption_decide (const resumption_view_t *view, uint64_t now_us)
 {
--- a/src/request/policy/streams/resumption.h
+++ b/src/request/policy/streams/resumption.h
@@ -32,7 +32,8 @@
  * struct resumption_view - what a gateway knows when it decides
  * @known: version at which the stream began, if it began or went on here, or others told of it;
  *   else 0
- * @search: what the tables and lists tell
+ * @search: what the tables and lists tell; of a stream that is not named, which version is the only
+ *   one in all tables
  * @sole: the only version of the service in the registry lately, see software_versions_sole(); 0
  *   when there are several
  * @is_current: the registry is current
--- a/src/request/policy/streams/version_search.c
+++ b/src/request/policy/streams/version_search.c
@@ -48,10 +48,13 @@
                               .basis = "no_table" };
   version_history_t history =
       view->is_history_read ? drop_announced (view->history) : *view->history;
-  uint64_t version = version_history_find (&history, 0, stream);
+  uint64_t version;
 
   if (!search.has_table)
     return search;
+  if (stream == 0)
+    return found (search, version_history_sole (&history), "sole");
+  version = version_history_find (&history, 0, stream);
   if (version != 0)
     return found (search, version, "share");
   if (view->lists)
--- a/src/request/policy/streams/version_search.h
+++ b/src/request/policy/streams/version_search.h
@@ -52,6 +52,8 @@
   const char *service;
 } version_search_view_t;
 
+/** version_search_find() - @stream: 0 for one that its client doesn't name, which has no version of
+ * its own: that is certain only while the tables have no other one */
 version_search_t version_search_find (const version_search_view_t *view, uint64_t stream);
 
 #endif
--- a/src/request/policy/streams/version_shares.c
+++ b/src/request/policy/streams/version_shares.c
@@ -117,6 +117,23 @@
   return found;
 }
 
+uint64_t
+version_history_sole (const version_history_t *history)
+{
+  uint64_t sole = 0;
+
+  for (uint32_t i = 0; i < history->count; i++)
+    for (uint32_t j = 0; j < history->tables[i].count; j++)
+      {
+        uint64_t version = history->tables[i].shares[j].version;
+
+        if (sole != 0 && version != sole)
+          return 0;
+        sole = version;
+      }
+  return sole;
+}
+
 static json_t *
 make_table_json (const version_table_t *table)
 {
--- a/src/request/policy/streams/version_shares.h
+++ b/src/request/policy/streams/version_shares.h
@@ -80,6 +80,9 @@
 /** version_history_find() - the version that all tables from the number @floor on choose for
  * @stream. Return: 0 when they differ or there is none */
 uint64_t version_history_find (const version_history_t *history, uint64_t floor, uint64_t stream);
+/** version_history_sole() - the only version that the tables have. Return: 0 when there are several
+ * or none */
+uint64_t version_history_sole (const version_history_t *history);
 /** version_history_format() - as text, to be freed by g_free() */
 char *version_history_format (const version_history_t *history);
 /** version_history_parse() - parses what version_history_format() formats. Return: false for any
--- a/tests/test_stream_origins.c
+++ b/tests/test_stream_origins.c
@@ -297,9 +297,33 @@
 
   view.is_named = false;
   CU_ASSERT_EQUAL (decide (view, 0), RESUMPTION_REFUSE);
+  view.search.is_reading = true;
+  CU_ASSERT_EQUAL (decide (view, 0), RESUMPTION_WAIT);
+  view.search.is_reading = false;
   view.sole = V1;
+  CU_ASSERT_EQUAL (decide (view, 0), RESUMPTION_REFUSE);
+  view.search.version = V1;
+  CU_ASSERT_EQUAL (decide (view, 0), RESUMPTION_GO);
   view.is_current = false;
   CU_ASSERT_EQUAL (decide (view, 0), RESUMPTION_GO);
+  view.is_trusted = false;
+  CU_ASSERT_EQUAL (decide (view, 0), RESUMPTION_REFUSE);
+}
+
+/* Guards against an unnamed stream that goes on at the only version that this gateway has seen,
+ * before the first table, though it is cut off. */
+static void
+test_unnamed_stream_without_a_table (void)
+{
+  resumption_view_t view = unknown;
+
+  view.is_named = false;
+  view.search = (version_search_t){ .basis = "no_table" };
+  CU_ASSERT_EQUAL (decide (view, 0), RESUMPTION_REFUSE);
+  view.sole = V1;
+  CU_ASSERT_EQUAL (decide (view, 0), RESUMPTION_GO);
+  view.is_current = false;
+  CU_ASSERT_EQUAL (decide (view, 0), RESUMPTION_REFUSE);
 }
 
 int
@@ -318,6 +342,7 @@
     SUITE_TEST (test_tables_must_be_trusted),
     SUITE_TEST (test_sole_version_must_be_certain),
     SUITE_TEST (test_unnamed_stream),
+    SUITE_TEST (test_unnamed_stream_without_a_table),
     CU_TEST_INFO_NULL,
   };
 
--- a/tests/test_version_search.c
+++ b/tests/test_version_search.c
@@ -194,6 +194,24 @@
   CU_ASSERT (late && late->floor == 2);
 }
 
+/* Guards against a stream without a name that goes on while a table has another version, and
+ * against the refusal of such streams where there is one. */
+static void
+test_stream_without_a_name (void)
+{
+  g_autoptr (GPtrArray) names = make_names (1);
+  version_history_t history = { .count = 2,
+                                .in_force = 2,
+                                .tables = { make_table (1, 12, 0), make_table (2, 6, 0) } };
+
+  CU_ASSERT_EQUAL (find (&history, NULL, names, 0).version, V1);
+  history.tables[0] = make_table (1, 0, 12);
+  CU_ASSERT_EQUAL (find (&history, NULL, names, 0).version, 0);
+  CU_ASSERT_FALSE (find (&history, NULL, names, 0).needs_lists);
+  history.tables[0] = make_table (1, 6, 6);
+  CU_ASSERT_EQUAL (find (&history, NULL, names, 0).version, 0);
+}
+
 /* Guards against lists that grow with each renewal until streams are left out. */
 static void
 test_renewed_list_has_each_stream_once (void)
@@ -302,6 +320,7 @@
 main (void)
 {
   CU_TestInfo tests[] = {
+    SUITE_TEST (test_stream_without_a_name),
     SUITE_TEST (test_streams_before_and_after_a_change),
     SUITE_TEST (test_missing_lists),
     SUITE_TEST (test_list_of_the_process_before_is_kept),
