--- a/standin/standin_upstream.c
+++ b/standin/standin_upstream.c
@@ -13,17 +13,20 @@
  * state that version; it does not check at which version a stream that it continues began. With
  * --token-us, an event holds %TOKENS_PER_EVENT tokens, each of which takes that time and
  * --token-us-per-run for each request that runs, and the second figure of X-Token-Count is the
- * number of a request's tokens.
+ * number of a request's tokens. With --backlog, that many connections may wait until it accepts
+ * them; while the process is stopped, others are not established.
  */
 #include "connection/platform_client.h"
 #include "http_call.h"
 #include "run_copies.h"
 
+#include <errno.h>
 #include <getopt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define HEARTBEAT_MS 400
@@ -52,6 +55,7 @@
   uint32_t drain_ms;
   uint32_t fail_percent;
   uint32_t lose_percent;
+  uint32_t backlog;
 } options_t;
 
 /**
@@ -426,6 +430,7 @@
   { "drain-ms", required_argument, NULL, 'd' },
   { "fail-percent", required_argument, NULL, 'f' },
   { "lose-percent", required_argument, NULL, 'o' },
+  { "backlog", required_argument, NULL, 'k' },
   { NULL, 0, NULL, 0 },
 };
 
@@ -446,7 +451,7 @@
   uint32_t *const numbers[] = {
     ['n'] = &options->slots,    ['w'] = &options->work_ms,          ['e'] = &options->events,
     ['d'] = &options->drain_ms, ['f'] = &options->fail_percent,     ['o'] = &options->lose_percent,
-    ['t'] = &options->token_us, ['u'] = &options->token_us_per_run,
+    ['t'] = &options->token_us, ['u'] = &options->token_us_per_run, ['k'] = &options->backlog,
   };
   const char **const texts[] = {
     ['a'] = &options->advertise, ['l'] = &options->listen,          ['s'] = &options->store,
@@ -467,7 +472,7 @@
           "  [--advertise IP:PORT] [--data-center NAME] [--slots N] [--work-ms N] "
           "[--events N] [--drain-ms N]\n"
           "  [--fail-percent N] [--lose-percent N] [--crash-on TEXT] [--crash-on-part ID]...\n"
-          "  [--software-version TEXT] [--token-us N --token-us-per-run N]\n");
+          "  [--software-version TEXT] [--token-us N --token-us-per-run N] [--backlog N]\n");
       exit (2);
     }
 }
@@ -513,16 +518,30 @@
   event_add (upstream->heartbeat, &interval);
 }
 
+/* A second listen() of a socket sets its backlog anew. */
+static void
+set_backlog (struct evhttp_bound_socket *bound, void *context)
+{
+  const upstream_t *upstream = context;
+
+  if (listen (evhttp_bound_socket_get_fd (bound), (int)upstream->options.backlog) < 0)
+    g_printerr ("cannot set the backlog: %s\n", g_strerror (errno));
+}
+
 int
 main (int argc, char **argv)
 {
   static upstream_t upstream; /* static, so that leak checkers treat its memory as reachable */
+  struct evhttp *http;
 
   upstream.options = parse_flags (argc, argv);
   signal (SIGPIPE, SIG_IGN);
   upstream_init (&upstream);
-  if (!http_call_listen (upstream.base, upstream.options.listen, on_call, &upstream))
+  http = http_call_listen (upstream.base, upstream.options.listen, on_call, &upstream);
+  if (!http)
     return 1;
+  if (upstream.options.backlog > 0)
+    evhttp_foreach_bound_socket (http, set_backlog, &upstream);
   event_add (evsignal_new (upstream.base, SIGTERM, on_stop, &upstream), NULL);
   renew_entry (&upstream);
   event_base_dispatch (upstream.base);
--- a/tests/driver.h
+++ b/tests/driver.h
@@ -281,6 +281,7 @@
  * @software_version: Version that its entry and its events state, or NULL.
  * @events: Events of a stream; 0 is five.
  * @slots: Requests that it runs at once; 0 is 16.
+ * @backlog: Connections that may wait until it accepts them; 0 is the usual number.
  * @token_us: Time of a token, of which an event holds eight, in place of @work_ms; 0 for none.
  * @token_us_per_run: More of it for each request that runs.
  */
@@ -295,6 +296,7 @@
   const char *software_version;
   uint32_t events;
   uint32_t slots;
+  uint32_t backlog;
   uint32_t token_us;
   uint32_t token_us_per_run;
 } driver_upstream_t;
