Session of silent upstreams that take no connections

A gateway that can't connect in 250 ms tries the next upstream, and when all are in the same state refuses; and upstreams that took no connection are put aside, so that queued requests wait on when they are awake again. A play fills the backlogs of stopped upstreams.

Trace: 104 bookings and 11 lookups were refused as no_engine 250 or 500 ms after they came, after one or two connections of 250 ms. Streams that came 0.4 to 0.8 s after the begin were queued as over_bound, with no hop; the upstreams went on at 1.2 s and finished the streams they had, but those in the queue were placed at 4.6 s, after the second silence: they ended at 5 s in the middle, and four were refused as no_engine.

--- a/tests/session_silent_upstreams.c
+++ b/tests/session_silent_upstreams.c
@@ -94,6 +94,20 @@
   run_plays ("silent_lapses", list, G_N_ELEMENTS (list));
 }
 
+/* Guards against upstreams that are taken for dead when they don't take a connection in time. */
+static void
+test_dark (void)
+{
+  static const silence_t one[] = { { 0, 2000, 0x09 } };
+  static const silence_t all[] = { { 0, 1200, SILENCE_RIG_ALL }, { 2500, 2000, SILENCE_RIG_ALL } };
+  static const silence_play_options_t list[] = {
+    { "some are dark", SILENCES (one), .is_dark = true },
+    { "all are dark", SILENCES (all), .is_dark = true }
+  };
+
+  run_plays ("silent_dark", list, G_N_ELEMENTS (list));
+}
+
 /* Guards against connections that are closed with a request on hand. */
 static void
 test_kept (void)
@@ -114,6 +128,7 @@
     { "requests are lost while some upstreams are silent", test_part },
     { "requests are lost while all upstreams are silent", test_all },
     { "requests in hand are lost when the entries of silent upstreams lapse", test_lapses },
+    { "requests are lost while silent upstreams take no connections", test_dark },
     { "requests on kept connections are lost while upstreams are silent", test_kept }
   };
 
--- a/tests/silence_play.c
+++ b/tests/silence_play.c
@@ -93,7 +93,10 @@
   for (uint32_t i = 0; i < SILENCE_RIG_UPSTREAMS; i++)
     paused |= play->rig->upstreams[i]->is_paused ? 1U << i : 0;
   silence_rig_signal (play->rig, paused & ~set, SIGCONT);
+  silence_rig_lighten (play->rig, paused & ~set);
   silence_rig_signal (play->rig, set & ~paused, SIGSTOP);
+  if (play->options.is_dark)
+    silence_rig_darken (play->rig, set & ~paused);
 }
 
 static uint32_t
--- a/tests/silence_play.h
+++ b/tests/silence_play.h
@@ -25,6 +25,7 @@
  * @keeps: Whether callers keep their connections, instead of the steady load.
  * @lapses: Whether the store drops the entries of silent upstreams, so that new requests may be
  *   refused.
+ * @is_dark: Whether silent upstreams take no new connections.
  */
 typedef struct
 {
@@ -34,6 +35,7 @@
   bool changes;
   bool keeps;
   bool lapses;
+  bool is_dark;
 } silence_play_options_t;
 
 /** struct silence_connection - A caller that keeps its connection. */
--- a/tests/silence_rig.c
+++ b/tests/silence_rig.c
@@ -1,11 +1,15 @@
 #include "silence_rig.h"
 
+#include <arpa/inet.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define EXCHANGE_INTERVAL_MS 500
 #define CONTROL_BUDGET_BYTES 4000
 #define UPSTREAM_SLOTS 128
+#define UPSTREAM_BACKLOG 64
 #define ROUTE_MS 5000
 #define GAP_MS 300 /* longest regular pause between events */
 #define SHORT_GAP_MS 150
@@ -89,6 +93,7 @@
                             .work_ms = streams ? SILENCE_RIG_EVENT_MS : SILENCE_RIG_LOOKUP_MS,
                             .events = SILENCE_RIG_EVENTS,
                             .slots = UPSTREAM_SLOTS,
+                            .backlog = UPSTREAM_BACKLOG,
                             .software_version = upstreams[index].version });
 }
 
@@ -163,6 +168,48 @@
       driver_process_signal (rig->upstreams[i], number);
 }
 
+static void
+close_fd (gpointer fd)
+{
+  close (*(int *)fd);
+}
+
+static GArray *
+fill_backlog (const driver_process_t *upstream)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons (DRIVER_PORT) };
+  GArray *fds = g_array_new (FALSE, FALSE, sizeof (int));
+
+  inet_pton (AF_INET, upstream->ip, &to.sin_addr);
+  g_array_set_clear_func (fds, close_fd);
+  for (uint32_t i = 0; i < UPSTREAM_BACKLOG + 2; i++)
+    {
+      int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+      g_assert (fd >= 0);
+      g_array_append_val (fds, fd);
+      if (connect (fd, (struct sockaddr *)&to, sizeof to) < 0)
+        continue; /* it is not established at once */
+    }
+  return fds;
+}
+
+void
+silence_rig_darken (silence_rig_t *rig, uint32_t set)
+{
+  for (uint32_t i = 0; i < SILENCE_RIG_UPSTREAMS; i++)
+    if (set >> i & 1)
+      rig->fillers[i] = fill_backlog (rig->upstreams[i]);
+}
+
+void
+silence_rig_lighten (silence_rig_t *rig, uint32_t set)
+{
+  for (uint32_t i = 0; i < SILENCE_RIG_UPSTREAMS; i++)
+    if (set >> i & 1)
+      g_clear_pointer (&rig->fillers[i], g_array_unref);
+}
+
 void
 silence_rig_stop_upstreams (silence_rig_t *rig)
 {
--- a/tests/silence_rig.h
+++ b/tests/silence_rig.h
@@ -44,6 +44,7 @@
 
 /**
  * struct silence_rig - The processes.
+ * @fillers: Connections that fill the backlog of a silent upstream, as descriptors; NULL for none.
  * @version: Newest version of the configuration.
  */
 typedef struct
@@ -51,6 +52,7 @@
   driver_t *driver;
   driver_process_t *gateways[SILENCE_RIG_GATEWAYS];
   driver_process_t *upstreams[SILENCE_RIG_UPSTREAMS];
+  GArray *fillers[SILENCE_RIG_UPSTREAMS];
   uint32_t version;
 } silence_rig_t;
 
@@ -65,6 +67,10 @@
 void silence_rig_publish (silence_rig_t *rig, silence_rig_part_t part, uint32_t idle_ms);
 /** silence_rig_signal() - Send a signal to the upstreams of a bit set. */
 void silence_rig_signal (silence_rig_t *rig, uint32_t set, int number);
+/** silence_rig_darken() - Let the silent upstreams of a bit set take no connections, until
+ * silence_rig_lighten(). */
+void silence_rig_darken (silence_rig_t *rig, uint32_t set);
+void silence_rig_lighten (silence_rig_t *rig, uint32_t set);
 /** silence_rig_stop_upstreams() - Stop all upstreams in order, so that none runs anything later. */
 void silence_rig_stop_upstreams (silence_rig_t *rig);
 /** silence_rig_count_runs() - Count from the records of the upstreams how often each request began.
