--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -131,7 +131,7 @@
   evbuffer_remove_cb_entry (bufferevent_get_input (conn->bev), conn->input_cb);
   evbuffer_remove_cb_entry (bufferevent_get_output (conn->bev), conn->output_cb);
   event_free (conn->deferred);
-  event_free (conn->request_timer);
+  event_free (conn->read_timer);
   if (conn->disconnect_watch)
     event_free (conn->disconnect_watch);
   if (conn->dup_fd >= 0 && conn->drain_input)
@@ -205,7 +205,7 @@
     return;
   if (conn->evicted && !conn->busy)
     {
-      http_server_reject_incomplete (conn);
+      http_server_reject_incomplete (conn, false);
       http_server_conn_end (conn, HTTP_SERVER_END_EVICTED);
       return;
     }
@@ -238,24 +238,95 @@
   event_active (conn->deferred, EV_TIMEOUT, 0);
 }
 
-/* Closes the connection of a client that sends its request too slowly. One that sends a byte now
- * and then is never idle, so the idle timeout would let it keep the connection forever */
 static void
-on_request_timeout (evutil_socket_t fd, short what, void *context)
+set_idle_limit (http_server_conn_t *conn, uint32_t idle_limit_ms)
 {
-  http_server_conn_t *conn = context;
+  uint64_t passed_ms = (uint64_t)(g_get_monotonic_time () - conn->idle_since_us) / CLOCK_US_PER_MS;
+  uint64_t left_ms = idle_limit_ms - MIN (passed_ms, idle_limit_ms);
+  struct timeval left = { (time_t)(left_ms / 1000), (suseconds_t)(left_ms % 1000 * 1000) };
 
-  (void)fd;
-  (void)what;
-  counter_add (conn->http_server->refused[HTTP_SERVER_REFUSED_SLOW], 1);
-  http_server_conn_end (conn, HTTP_SERVER_END_REQUEST_TIMEOUT);
+  conn->idle_limit_ms = idle_limit_ms;
+  event_add (conn->read_timer, &left);
+}
+
+static void
+start_idle_timer (http_server_conn_t *conn)
+{
+  conn->in_request = false;
+  conn->extensions = 0;
+  conn->idle_since_us = g_get_monotonic_time ();
+  set_idle_limit (conn, http_server_idle_limit_ms (conn->http_server));
 }
 
+/* Limits the time of the head: a client that sends a byte now and then is never idle and would keep
+ * the connection forever */
 static void
 start_request_timer (http_server_conn_t *conn)
 {
-  if (!conn->busy && !evtimer_pending (conn->request_timer, NULL))
-    event_add (conn->request_timer, &conn->http_server->request_timeout);
+  if (conn->busy || conn->in_request)
+    return;
+  conn->in_request = true;
+  conn->in_body = false;
+  event_add (conn->read_timer, &conn->http_server->request_timeout);
+}
+
+/* The timeout of a configuration is on the head. A long body may take longer on a slow link */
+static void
+start_body_timer (http_server_conn_t *conn)
+{
+  uint32_t body_ms = MAX (LIMIT_HTTP_REQUEST_MS, conn->http_server->options.request_timeout_ms);
+  struct timeval limit = { body_ms / 1000, body_ms % 1000 * 1000 };
+
+  if (!conn->in_request || conn->in_body || conn->input.head_started)
+    return;
+  conn->in_body = true;
+  event_add (conn->read_timer, &limit);
+}
+
+static void
+stop_read_timer (http_server_conn_t *conn)
+{
+  conn->in_request = false;
+  conn->extensions = 0;
+  event_del (conn->read_timer);
+}
+
+static bool
+has_unread_bytes (const http_server_conn_t *conn)
+{
+  int unread = 0;
+
+  return ioctl (bufferevent_getfd (conn->bev), FIONREAD, &unread) == 0 && unread > 0;
+}
+
+/*
+ * A process that did not run for a while finds timers that are due and requests that had come in
+ * time. Those are read first. libevent's own read timeout must not be used for this reason: where a
+ * socket is readable and its timeout is due in the same iteration, it reports the timeout alone.
+ */
+static void
+on_read_timeout (evutil_socket_t fd, short what, void *context)
+{
+  static const struct timeval extension = { 0, LIMIT_HTTP_UNREAD_MS * 1000 };
+  http_server_conn_t *conn = context;
+
+  (void)fd;
+  (void)what;
+  if (!conn->evcon && !http_server_conn_attach (conn))
+    return;
+  if (has_unread_bytes (conn) && conn->extensions < LIMIT_HTTP_UNREAD_EXTENSIONS)
+    {
+      conn->extensions++;
+      event_add (conn->read_timer, &extension);
+      return;
+    }
+  if (!conn->in_request)
+    {
+      http_server_conn_end (conn, HTTP_SERVER_END_IDLE_TIMEOUT);
+      return;
+    }
+  http_server_reject_incomplete (conn, true);
+  http_server_conn_end (conn, HTTP_SERVER_END_REQUEST_TIMEOUT);
 }
 
 /* The head is limited by evhttp, and the body by its limit */
@@ -283,6 +354,7 @@
       evict (conn);
       return;
     }
+  start_body_timer (conn);
   set_incomplete_bytes (conn, conn->incomplete_bytes + info->n_added);
   if (conn->http_server->incomplete_bytes > conn->http_server->options.incomplete_limit_bytes)
     evict_incomplete (conn->http_server);
@@ -313,6 +385,30 @@
     }
 }
 
+/* Also limits what libevent buffers: while a response is sent, it keeps reading without parsing */
+void
+http_server_conn_set_limits (http_server_conn_t *conn, uint64_t body_bytes, uint64_t header_bytes)
+{
+  conn->body_limit_bytes = body_bytes;
+  conn->header_limit_bytes = header_bytes;
+  bufferevent_setwatermark (conn->bev, EV_READ, 0, body_bytes + header_bytes + 1024);
+  if (!conn->evcon)
+    return;
+  evhttp_connection_set_max_body_size (conn->evcon, (ev_ssize_t)body_bytes);
+  evhttp_connection_set_max_headers_size (conn->evcon, (ev_ssize_t)header_bytes);
+}
+
+void
+http_server_conn_raise_limits (http_server_conn_t *conn)
+{
+  const http_server_options_t *options = &conn->http_server->options;
+
+  http_server_conn_set_limits (conn, MAX (conn->body_limit_bytes, options->body_limit_bytes),
+                               MAX (conn->header_limit_bytes, options->header_limit_bytes));
+  if (!conn->busy && !conn->in_request && conn->idle_limit_ms < options->idle_timeout_ms)
+    set_idle_limit (conn, options->idle_timeout_ms);
+}
+
 /*
  * evhttp does not report a connection before its first request. But as soon as it uses a
  * bufferevent, the evhttp connection is the context of the bufferevent's callbacks. on_deferred()
@@ -335,6 +431,7 @@
   conn->evcon = evcon;
   g_hash_table_insert (conn->http_server->conns, evcon, conn);
   evhttp_connection_set_closecb (evcon, on_close, conn);
+  bufferevent_set_timeouts (bev, NULL, &conn->http_server->idle_timeout);
   bufferevent_decref (bev);
   return true;
 }
@@ -345,7 +442,6 @@
   http_server_t *http_server = context;
   struct bufferevent *bev = bufferevent_socket_new (base, -1, 0);
   http_server_conn_t *conn;
-  size_t input_limit_bytes;
 
   if (!bev)
     return NULL;
@@ -354,18 +450,16 @@
   conn->bev = bev;
   conn->dup_fd = -1;
   conn->active_us = g_get_monotonic_time ();
-  conn->idle_limit_ms = http_server->options.idle_timeout_ms;
   expect_request (conn);
   conn->deferred = event_new (base, -1, 0, on_deferred, conn);
-  conn->request_timer = evtimer_new (base, on_request_timeout, conn);
+  conn->read_timer = evtimer_new (base, on_read_timeout, conn);
   conn->input_cb = evbuffer_add_cb (bufferevent_get_input (bev), on_input, conn);
   conn->output_cb = evbuffer_add_cb (bufferevent_get_output (bev), on_output, conn);
+  start_idle_timer (conn);
   conn->over_limit = ++http_server->open_count > http_server->options.connection_limit;
   counter_add (http_server->connections, 1);
-  /* while a response is sent, libevent keeps reading without parsing: limit what it can buffer */
-  input_limit_bytes =
-      (size_t)http_server->options.body_limit_bytes + http_server->options.header_limit_bytes;
-  bufferevent_setwatermark (bev, EV_READ, 0, input_limit_bytes + 1024);
+  http_server_conn_set_limits (conn, http_server->options.body_limit_bytes,
+                               http_server->options.header_limit_bytes);
   bufferevent_incref (bev);
   g_hash_table_insert (http_server->new_conns, bev, conn);
   http_server_conn_defer (conn);
@@ -427,19 +521,22 @@
   (void)request;
   conn->request = NULL;
   conn->busy = false;
-  conn->idle_limit_ms = conn->http_server->options.idle_timeout_ms;
   conn->http_server->busy_count--;
   conn->read_bytes = 0;
   set_incomplete_bytes (conn, evbuffer_get_length (input));
+  http_server_conn_set_limits (conn, conn->http_server->options.body_limit_bytes,
+                               conn->http_server->options.header_limit_bytes);
   expect_request (conn);
   if (!http_input_read_last (&conn->input, input, evbuffer_get_length (input)))
     evict (conn);
   if (conn->disconnect_watch)
     event_del (conn->disconnect_watch);
-  bufferevent_set_timeouts (conn->bev, &conn->http_server->idle_timeout,
-                            &conn->http_server->idle_timeout);
+  start_idle_timer (conn);
   if (evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0)
-    start_request_timer (conn);
+    {
+      start_request_timer (conn);
+      start_body_timer (conn);
+    }
   if (conn->http_server->stopping)
     http_server_close_idle_later (
         conn->http_server); /* the response may have been sent without "Connection: close" */
@@ -458,7 +555,7 @@
       evhttp_send_error (request, 503, NULL);
       return;
     }
-  event_del (conn->request_timer);
+  stop_read_timer (conn);
   set_incomplete_bytes (conn, 0);
   conn->evicted = false; /* its rest arrived before it was rejected */
   conn->busy = true;
@@ -466,7 +563,6 @@
   counter_add (http_server->requests, 1);
   conn->request = request;
   evhttp_request_set_on_complete_cb (request, on_response_sent, conn);
-  /* libevent also reads while it writes: a client that waits for its response must not time out */
   bufferevent_set_timeouts (conn->bev, NULL, &http_server->idle_timeout);
   call = http_server_call_new (conn, request);
   conn->call = call;
@@ -481,13 +577,11 @@
 bool
 http_server_conn_is_idle (http_server_conn_t *conn)
 {
-  int unread = 0;
-
   if (conn->busy || conn->read_bytes > 0)
     return false;
   if (evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0)
     return false;
   if (evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
     return false;
-  return ioctl (bufferevent_getfd (conn->bev), FIONREAD, &unread) == 0 && unread == 0;
+  return !has_unread_bytes (conn);
 }
