Soak: every second silent upstream accepts few connections

Cause: a paused process still has connections made by its kernel, so with SILENCES=1 no connection was ever late. Servers whose queue is full let new connections wait; gateways give them up after 250 ms.

--- a/soak/soak_fleet.c
+++ b/soak/soak_fleet.c
@@ -25,6 +25,7 @@
 #define RESTART_DELAY_MIN_MS 50
 #define RESTART_DELAY_SPREAD_MS 1000 /* added at random to the minimum */
 #define STOP_SLACK_MS 500            /* on top of the grace period, for the check of the exit */
+#define SILENT_BACKLOG 16
 #define ROUTERS_TOPIC "keyed.medlarplank-routers"
 #define START_TIMEOUT_US (UINT64_C (15) * 1000 * 1000)
 
@@ -255,14 +256,16 @@
   return &kinds[at];
 }
 
-/* Sound ones fail and lose nothing; nothing lies between them and the gateways. */
+/* Sound ones fail and lose nothing. Every second one accepts few connections while it is silent. */
 static void
-add_upstream_faults (soak_process_t *process, const soak_t *soak, bool streams)
+add_upstream_faults (soak_process_t *process, const soak_t *soak, uint32_t index)
 {
-  bool sound = streams || soak->silences.enabled;
+  bool sound = upstream_kind (index)->streams || soak->silences.enabled;
 
   add_argument (process, "--fail-percent=%u", sound ? 0 : 3);
   add_argument (process, "--lose-percent=%u", sound ? 0 : 2);
+  if (soak->silences.enabled && index % 2 == 1)
+    add_argument (process, "--backlog=%u", SILENT_BACKLOG);
 }
 
 static void
@@ -288,7 +291,7 @@
     add_argument (process, "--software-version=v%u", 1 + index % 2);
   add_argument (process, "--drain-ms=%u", SOAK_DRAIN_MS + 300);
   add_argument (process, "--record=%s/%s.record", soak->dir, name);
-  add_upstream_faults (process, soak, streams);
+  add_upstream_faults (process, soak, index);
   if (soak->crashes)
     {
       add_argument (process, "--crash-on=" SOAK_CRASH_TEXT);
--- a/standin/standin_upstream.c
+++ b/standin/standin_upstream.c
@@ -13,17 +13,21 @@
  * state that version; it does not check at which version a stream that it continues began. With
  * --token-us, an event holds %TOKENS_PER_EVENT tokens, each of which takes that time and
  * --token-us-per-run for each request that runs, and the second figure of X-Token-Count is the
- * number of a request's tokens.
+ * number of a request's tokens. --backlog limits the connections that wait to be accepted while the
+ * process does not run; further ones are not made until it goes on.
  */
 #include "connection/platform_client.h"
 #include "http_call.h"
 #include "run_copies.h"
 
+#include <errno.h>
+#include <event2/http.h>
 #include <getopt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define HEARTBEAT_MS 400
@@ -45,6 +49,7 @@
   uint32_t crash_part_count;
   const char *software_version;
   uint32_t slots;
+  uint32_t backlog;
   uint32_t work_ms;
   uint32_t events;
   uint32_t token_us;
@@ -419,6 +424,7 @@
   { "crash-on-part", required_argument, NULL, 'p' },
   { "software-version", required_argument, NULL, 'b' },
   { "slots", required_argument, NULL, 'n' },
+  { "backlog", required_argument, NULL, 'q' },
   { "work-ms", required_argument, NULL, 'w' },
   { "token-us", required_argument, NULL, 't' },
   { "token-us-per-run", required_argument, NULL, 'u' },
@@ -446,7 +452,7 @@
   uint32_t *const numbers[] = {
     ['n'] = &options->slots,    ['w'] = &options->work_ms,          ['e'] = &options->events,
     ['d'] = &options->drain_ms, ['f'] = &options->fail_percent,     ['o'] = &options->lose_percent,
-    ['t'] = &options->token_us, ['u'] = &options->token_us_per_run,
+    ['t'] = &options->token_us, ['u'] = &options->token_us_per_run, ['q'] = &options->backlog,
   };
   const char **const texts[] = {
     ['a'] = &options->advertise, ['l'] = &options->listen,          ['s'] = &options->store,
@@ -467,7 +473,7 @@
           "  [--advertise IP:PORT] [--data-center NAME] [--slots N] [--work-ms N] "
           "[--events N] [--drain-ms N]\n"
           "  [--fail-percent N] [--lose-percent N] [--crash-on TEXT] [--crash-on-part ID]...\n"
-          "  [--software-version TEXT] [--token-us N --token-us-per-run N]\n");
+          "  [--software-version TEXT] [--token-us N --token-us-per-run N] [--backlog N]\n");
       exit (2);
     }
 }
@@ -489,6 +495,27 @@
   return options;
 }
 
+/* A second call of listen() changes the limit of the first one. */
+static void
+set_backlog (struct evhttp_bound_socket *bound, void *context)
+{
+  const upstream_t *upstream = context;
+
+  if (listen (evhttp_bound_socket_get_fd (bound), (int)upstream->options.backlog) != 0)
+    g_printerr ("the backlog cannot be set: %s\n", g_strerror (errno));
+}
+
+static bool
+start_listening (upstream_t *upstream)
+{
+  struct evhttp *http =
+      http_call_listen (upstream->base, upstream->options.listen, on_call, upstream);
+
+  if (http && upstream->options.backlog > 0)
+    evhttp_foreach_bound_socket (http, set_backlog, upstream);
+  return http != NULL;
+}
+
 static void
 upstream_init (upstream_t *upstream)
 {
@@ -521,7 +548,7 @@
   upstream.options = parse_flags (argc, argv);
   signal (SIGPIPE, SIG_IGN);
   upstream_init (&upstream);
-  if (!http_call_listen (upstream.base, upstream.options.listen, on_call, &upstream))
+  if (!start_listening (&upstream))
     return 1;
   event_add (evsignal_new (upstream.base, SIGTERM, on_stop, &upstream), NULL);
   renew_entry (&upstream);
