Tests of silent engines: dead hosts behind successors that refuse, copies, quiet engines, restarts

Cause: the tests of successors that refuse took an engine that goes on for a dead one: the request had gone back to it on a new connection, on which the test sent nothing. The engine now answers all that it has in hand, and each of these six tests has a second one in which the host stays dead, as strict as before.

New: a copy that is gone, missing or sound, other engines whose streams stand still, and a restart without retry budget.

--- a/tests/test_gateway_silence.c
+++ b/tests/test_gateway_silence.c
@@ -272,12 +272,15 @@
                          : g_str_has_suffix (text, "fine");
 }
 
-/* The engine goes on, unless the gateway has closed the connection. */
+/* The engine goes on with what it has in hand, and answers later requests at once. */
 static void
 speak (const hand_t *hand)
 {
+  hand->engine->scripts = hand->is_stream ? goes_on : answers;
   if (!hand->upstream->eof)
     raw_peer_send (hand->upstream, hand->is_stream ? EVENT ("3") STREAM_END : OK_RESPONSE);
+  else if (hand->engine->request_count > 1 && !latest_connection (hand->engine)->eof)
+    raw_peer_send (latest_connection (hand->engine), hand->engine->scripts[0]);
 }
 
 static void
@@ -598,8 +601,18 @@
   check_moved_over_config (&stream);
 }
 
+/** end_t - what the silent engine does */
+typedef enum
+{
+  GOES_ON,
+  IS_DEAD
+} end_t;
+
 static void
-check_refused_by_successor (const kind_t *kind, const char *const *scripts, uint32_t count)
+check_refused_by_successor (const kind_t *kind,
+                            end_t how,
+                            const char *const *scripts,
+                            uint32_t count)
 {
   gateway_rig_t *rig = start (true);
   hand_t hand = begin (rig, kind);
@@ -607,7 +620,8 @@
   add_ready (rig, scripts, count);
   pass (rig, 600);
   pass (rig, 500);
-  speak (&hand);
+  if (how == GOES_ON)
+    speak (&hand);
   pass_until_end (&hand);
   CU_ASSERT (is_whole (&hand));
   end (&hand);
@@ -617,54 +631,68 @@
 static void
 test_lookup_waits_for_a_successor_that_is_full (void)
 {
-  check_refused_by_successor (&lookup, full_at_first, REFUSALS + 1);
+  check_refused_by_successor (&lookup, GOES_ON, full_at_first, REFUSALS + 1);
 }
 
 static void
 test_stream_waits_for_a_successor_that_is_full (void)
 {
-  check_refused_by_successor (&stream, full_at_first_stream, REFUSALS + 1);
+  check_refused_by_successor (&stream, GOES_ON, full_at_first_stream, REFUSALS + 1);
+}
+
+/* Guards against a request that goes back to a dead host, as its successor is full for a while. */
+static void
+test_lookup_leaves_a_dead_host_for_a_full_engine (void)
+{
+  check_refused_by_successor (&lookup, IS_DEAD, full_at_first, REFUSALS + 1);
+}
+
+static void
+test_stream_leaves_a_dead_host_for_a_full_engine (void)
+{
+  check_refused_by_successor (&stream, IS_DEAD, full_at_first_stream, REFUSALS + 1);
 }
 
 /* The successor does not take the request, and another one joins after that. */
 static void
-check_later_engine (hand_t *hand, const kind_t *kind)
+check_later_engine (hand_t *hand, const kind_t *kind, end_t how)
 {
   pass (hand->rig, 500);
   CU_ASSERT_FALSE (has_ended (hand->client));
   add_ready (hand->rig, kind->answer, 1);
-  speak (hand);
+  if (how == GOES_ON)
+    speak (hand);
   pass_until_end (hand);
   CU_ASSERT (is_whole (hand));
   end (hand);
 }
 
 static void
-check_replaced_successor (const kind_t *kind)
+check_replaced_successor (const kind_t *kind, end_t how)
 {
   gateway_rig_t *rig = start (true);
   hand_t hand = begin (rig, kind);
 
   add_ready (rig, is_other, 1);
   pass (rig, 600);
-  check_later_engine (&hand, kind);
+  check_later_engine (&hand, kind, how);
 }
 
 /* Guards against a request that ends because its successor's address is that of another engine. */
 static void
 test_lookup_waits_after_a_successor_that_was_replaced (void)
 {
-  check_replaced_successor (&lookup);
+  check_replaced_successor (&lookup, GOES_ON);
 }
 
 static void
 test_stream_waits_after_a_successor_that_was_replaced (void)
 {
-  check_replaced_successor (&stream);
+  check_replaced_successor (&stream, GOES_ON);
 }
 
 static void
-check_unreachable_successor (const kind_t *kind)
+check_unreachable_successor (const kind_t *kind, end_t how)
 {
   gateway_rig_t *rig = start (true);
   hand_t hand = begin (rig, kind);
@@ -672,20 +700,45 @@
   raw_server_fill (add_ready (rig, silent, 1));
   pass (rig, 600);
   run_checks (rig); /* together longer than GATEWAY_CONNECT_TIMEOUT_MS */
-  check_later_engine (&hand, kind);
+  check_later_engine (&hand, kind, how);
 }
 
 /* Guards against a request that ends because no connection to its successor is made. */
 static void
 test_lookup_waits_after_a_successor_that_is_unreachable (void)
 {
-  check_unreachable_successor (&lookup);
+  check_unreachable_successor (&lookup, GOES_ON);
 }
 
 static void
 test_stream_waits_after_a_successor_that_is_unreachable (void)
 {
-  check_unreachable_successor (&stream);
+  check_unreachable_successor (&stream, GOES_ON);
+}
+
+/* Guards against a request that goes back to a dead host, as its successor did not take it. */
+static void
+test_lookup_leaves_a_dead_host_after_a_replaced_successor (void)
+{
+  check_replaced_successor (&lookup, IS_DEAD);
+}
+
+static void
+test_stream_leaves_a_dead_host_after_a_replaced_successor (void)
+{
+  check_replaced_successor (&stream, IS_DEAD);
+}
+
+static void
+test_lookup_leaves_a_dead_host_after_an_unreachable_successor (void)
+{
+  check_unreachable_successor (&lookup, IS_DEAD);
+}
+
+static void
+test_stream_leaves_a_dead_host_after_an_unreachable_successor (void)
+{
+  check_unreachable_successor (&stream, IS_DEAD);
 }
 
 static void
@@ -888,6 +941,206 @@
   end (&hand);
 }
 
+/* A stream stands still at one of two other engines, of which each gets @later requests later. */
+static void
+check_not_moved_to_quiet (uint32_t later)
+{
+  gateway_rig_t *rig = start (true);
+  hand_t hand = begin (rig, &lookup);
+  raw_server_t *quiet = add_ready (rig, silent, 1);
+  raw_peer_t *clients[4] = { gateway_rig_send (rig, 0, "POST", "/tell/b", REQUEST) };
+
+  CU_ASSERT (raw_peer_run_until (rig->base, has_request, quiet));
+  raw_peer_send (latest_connection (quiet), STREAM_HEAD EVENT ("1") EVENT ("2"));
+  CU_ASSERT (raw_peer_run_until (rig->base, has_second_event, clients[0]));
+  add_ready (rig, silent, 1);
+  clock_advance (&rig->clock, 450 * CLOCK_US_PER_MS);
+  for (uint32_t i = 1; i <= later; i++)
+    clients[i] = gateway_rig_send (rig, 0, "POST", "/book/b", REQUEST);
+  run_checks (rig);
+  pass (rig, 200);
+  for (guint i = 0; i < quiet->connections->len; i++)
+    CU_ASSERT_PTR_NULL (strstr (
+        ((raw_peer_t *)g_ptr_array_index (quiet->connections, i))->received->str, "/look/a"));
+  for (uint32_t i = 0; i <= later; i++)
+    raw_peer_free (clients[i]);
+  end (&hand);
+}
+
+/* Guards against a request that is moved to a silent engine, though the one that was found for it
+ * is another one. */
+static void
+test_lookup_is_not_moved_to_a_quiet_engine (void)
+{
+  check_not_moved_to_quiet (1);
+}
+
+/* Guards against an engine whose streams stand still counting as sound, as it got a new request. */
+static void
+test_new_request_makes_no_quiet_engine_sound (void)
+{
+  check_not_moved_to_quiet (3);
+}
+
+#define BACKUPS                                                                                    \
+  "{\"name\":\"pool\",\"engine\":{\"kv_token_bytes\":1000,\"kv_capacity\":507096,"                 \
+  "\"link_mbps\":740000,\"handle_s\":5,\"backups\":true}}"
+#define WITH_TOKENS REQUEST "X-Token-Count: 20,5\r\n"
+
+static const char *const whole_stream[] = { STREAM_HEAD EVENT ("1") STREAM_END };
+static const char *const broken_stream[] = { STREAM_HEAD EVENT ("1") };
+static const char *const has_no_copy[] = { FULL };
+
+static void
+set_scripts (gateway_rig_t *rig, const char *const *scripts, bool close_after)
+{
+  for (uint32_t i = 0; i < rig->engine_count; i++)
+    {
+      rig->engines[i]->scripts = scripts;
+      rig->engines[i]->request_count = 0;
+      rig->engines[i]->close_after = close_after;
+      for (guint c = 0; c < rig->engines[i]->connections->len; c++)
+        g_string_truncate (
+            ((raw_peer_t *)g_ptr_array_index (rig->engines[i]->connections, c))->received, 0);
+    }
+}
+
+static bool
+any_has_request (void *context)
+{
+  return gateway_rig_request_count (context) > 0;
+}
+
+static raw_peer_t *
+busy_connection (const raw_server_t *engine)
+{
+  for (guint i = 0; i < engine->connections->len; i++)
+    {
+      raw_peer_t *raw = g_ptr_array_index (engine->connections, i);
+
+      if (raw->received->len > 0)
+        return raw;
+    }
+  return NULL;
+}
+
+/* Begins a stream that can't be resumed, with a copy at the engine with the index @backup. */
+static hand_t
+begin_with_copy (uint32_t *backup)
+{
+  gateway_rig_t *rig = start (true);
+  hand_t hand = { .rig = rig, .is_stream = true };
+
+  put_config (rig, CONFIG ("3", ROUTES (LONG_TIMEOUT, "pool"), BACKUPS), CONFIG_VERSION + 1);
+  add_ready (rig, silent, 1);
+  add_ready (rig, silent, 1);
+  set_scripts (rig, whole_stream, false);
+  raw_peer_free (gateway_rig_fetch (rig, "POST", "/tell/first", WITH_TOKENS));
+  set_scripts (rig, broken_stream, true);
+  raw_peer_free (gateway_rig_fetch (rig, "POST", "/tell/lost", WITH_TOKENS));
+  set_scripts (rig, silent, false);
+  hand.client = gateway_rig_send (rig, 0, "POST", "/tell/a", WITH_TOKENS);
+  CU_ASSERT (raw_peer_run_until (rig->base, any_has_request, rig));
+  *backup = rig->engine_count;
+  for (uint32_t i = 0; i < rig->engine_count; i++)
+    if (rig->engines[i]->request_count > 0)
+      hand.engine = rig->engines[i];
+  hand.upstream = busy_connection (hand.engine);
+  for (uint32_t i = 0; i < rig->engine_count; i++)
+    {
+      g_autofree char *address = address_to_text (&rig->engines[i]->address);
+      g_autofree char *header = g_strdup_printf ("X-Kv-Backup: %s\r\n", address);
+
+      if (strstr (hand.upstream->received->str, header))
+        *backup = i;
+    }
+  CU_ASSERT_FATAL (*backup < rig->engine_count);
+  raw_peer_send (hand.upstream, STREAM_HEAD EVENT ("1") EVENT ("2"));
+  CU_ASSERT (raw_peer_run_until (rig->base, has_second_event, hand.client));
+  clock_init_paused (&rig->clock, clock_now_us (&rig->clock));
+  return hand;
+}
+
+/* Guards against a stream that is cut for a free engine at which it may not go on, as the engine
+ * with its copy is gone. */
+static void
+test_stream_is_kept_when_its_copy_is_gone (void)
+{
+  uint32_t backup;
+  hand_t hand = begin_with_copy (&backup);
+  g_autofree char *id = g_strdup_printf ("e%u", backup);
+
+  fake_store_put (hand.rig->store, PLATFORM_STREAM_ENGINES, id, NULL);
+  CU_ASSERT (gateway_rig_wait_counter (hand.rig, "medlarplank_engines", 2));
+  check_kept (&hand);
+  end (&hand);
+}
+
+/* Guards against a stream that is cut as the engine with its copy has none after all. */
+static void
+test_stream_outlives_a_copy_that_is_missing (void)
+{
+  uint32_t backup;
+  hand_t hand = begin_with_copy (&backup);
+
+  hand.rig->engines[backup]->scripts = has_no_copy;
+  pass_long_silence (hand.rig);
+  speak (&hand);
+  check_whole (&hand);
+  end (&hand);
+}
+
+/* Guards against a stream that stays at a dead host though another engine has its copy. */
+static void
+test_stream_leaves_a_dead_host_for_its_copy (void)
+{
+  uint32_t backup;
+  hand_t hand = begin_with_copy (&backup);
+
+  hand.rig->engines[backup]->scripts = goes_on;
+  pass (hand.rig, 600);
+  check_whole (&hand);
+  CU_ASSERT_EQUAL (hand.rig->engines[backup]->request_count, 1);
+  end (&hand);
+}
+
+/* Guards against a request that ends where its engine's restart finds no other engine free. */
+static void
+check_restarted (const kind_t *kind)
+{
+  gateway_rig_t *rig = start (false);
+  hand_t hand = begin (rig, kind);
+
+  add_ready (rig, kind->answer, 1);
+  pass (rig, 600);
+  put_entry (rig, &(entry_t){ .slots = 8, .state = "ready", .version = "", .born = 7 });
+  hand.engine->scripts = kind->answer;
+  for (uint32_t i = 0; i < STEPS_MAX && !hand.upstream->eof; i++)
+    run_checks (rig);
+  CU_ASSERT (hand.upstream->eof);
+  rig->engines[1]->scripts = answers;
+  rig->engines[0]->scripts = answers;
+  for (uint32_t i = 0; i < 20; i++)
+    raw_peer_free (gateway_rig_fetch (rig, "POST", "/book/b", REQUEST));
+  rig->engines[1]->scripts = kind->answer;
+  rig->engines[0]->scripts = kind->answer;
+  pass_until_end (&hand);
+  CU_ASSERT (is_whole (&hand));
+  end (&hand);
+}
+
+static void
+test_lookup_outlives_a_restart_without_budget (void)
+{
+  check_restarted (&lookup);
+}
+
+static void
+test_stream_outlives_a_restart_without_budget (void)
+{
+  check_restarted (&stream);
+}
+
 int
 main (void)
 {
@@ -915,10 +1168,16 @@
     SUITE_TEST (test_stream_is_moved_by_its_own_configuration),
     SUITE_TEST (test_lookup_waits_for_a_successor_that_is_full),
     SUITE_TEST (test_stream_waits_for_a_successor_that_is_full),
+    SUITE_TEST (test_lookup_leaves_a_dead_host_for_a_full_engine),
+    SUITE_TEST (test_stream_leaves_a_dead_host_for_a_full_engine),
     SUITE_TEST (test_lookup_waits_after_a_successor_that_was_replaced),
     SUITE_TEST (test_stream_waits_after_a_successor_that_was_replaced),
     SUITE_TEST (test_lookup_waits_after_a_successor_that_is_unreachable),
     SUITE_TEST (test_stream_waits_after_a_successor_that_is_unreachable),
+    SUITE_TEST (test_lookup_leaves_a_dead_host_after_a_replaced_successor),
+    SUITE_TEST (test_stream_leaves_a_dead_host_after_a_replaced_successor),
+    SUITE_TEST (test_lookup_leaves_a_dead_host_after_an_unreachable_successor),
+    SUITE_TEST (test_stream_leaves_a_dead_host_after_an_unreachable_successor),
     SUITE_TEST (test_lookup_leaves_a_dead_host_when_an_engine_joins),
     SUITE_TEST (test_stream_leaves_a_dead_host_when_an_engine_joins),
     SUITE_TEST (test_lookup_leaves_a_dead_host_at_the_limit),
@@ -932,6 +1191,13 @@
     SUITE_TEST (test_lookup_leaves_a_dead_host_when_the_budget_allows),
     SUITE_TEST (test_stream_leaves_a_dead_host_when_the_budget_allows),
     SUITE_TEST (test_silences_in_turn_cost_no_answer),
+    SUITE_TEST (test_lookup_is_not_moved_to_a_quiet_engine),
+    SUITE_TEST (test_new_request_makes_no_quiet_engine_sound),
+    SUITE_TEST (test_stream_is_kept_when_its_copy_is_gone),
+    SUITE_TEST (test_stream_outlives_a_copy_that_is_missing),
+    SUITE_TEST (test_stream_leaves_a_dead_host_for_its_copy),
+    SUITE_TEST (test_lookup_outlives_a_restart_without_budget),
+    SUITE_TEST (test_stream_outlives_a_restart_without_budget),
     CU_TEST_INFO_NULL
   };
 
