--- a/tests/test_engine_silence.c
+++ b/tests/test_engine_silence.c
@@ -3,8 +3,6 @@
 #include "request/policy/placement/engine_choice.h"
 #include "suite.h"
 
-G_DEFINE_AUTOPTR_CLEANUP_FUNC (engines_t, engines_free)
-
 #define START_US (UINT64_C (100) * CLOCK_US_PER_S)
 #define USUAL_US (UINT64_C (50) * CLOCK_US_PER_MS) /* from a request to the head of its answer */
 #define LIMIT_US (UINT64_C (500) * CLOCK_US_PER_MS)
@@ -36,7 +34,7 @@
 {
   for (uint32_t i = 0; i < count; i++)
     {
-      engine_note_failure (engine, now_us);
+      engine_note_silence (engine, now_us);
       engine_end_request_at (engine, now_us);
     }
 }
@@ -45,9 +43,33 @@
 static void
 speak (engine_t *engine, uint64_t now_us)
 {
-  engine->last_byte_us = now_us;
+  engine_note_byte (engine, now_us);
+}
+
+/* An engine stays until its last request has ended. */
+static void
+end_requests (engines_t *engines)
+{
+  const GPtrArray *list = engines_of_service (engines, g_intern_static_string ("pool"));
+
+  for (guint i = 0; i < list->len; i++)
+    {
+      engine_t *engine = g_ptr_array_index (list, i);
+
+      while (engine->own_requests > 0)
+        engine_end_request_at (engine, START_US);
+    }
+}
+
+static void
+free_engines (engines_t *engines)
+{
+  end_requests (engines);
+  engines_free (engines);
 }
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (engines_t, free_engines)
+
 static engine_choice_t
 choose (const engines_t *engines, uint64_t now_us, const uint64_t *tried, uint32_t tried_count)
 {
