Tables of shares count only in the era of the store that they were written in

Callers could see a stream answered 200 and joined from two software versions where the store had come back from a copy without the table by which it began, and gateways had been restarted since: a gateway that starts took the copy's tables, or the first one after none, for all there were. Numbers of tables were given out again too, so a list's floor could name another table.

A history states its era now. A gateway that knew and trusted it until the store went away writes it again; no other one begins streams by it, or goes by it. Where nobody knows it, a new history with one table and a stated gap replaces it: for a minute only streams in lists and in memory go on, others hear 503 with Retry-After. Numbers of an era are above those of all before. A record of an era before that comes late is ignored.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -300,8 +300,10 @@
 update_current (gateway_process_t *process)
 {
   gateway_set_config_current (process->gateway, gateway_store_is_current (process->store));
-  gateway_set_shares_known (process->gateway, gateway_store_has_routers (process->store),
-                            may_trust_shares (process));
+  gateway_set_shares_known (
+      process->gateway,
+      gateway_store_has_routers (process->store) && gateway_store_era (process->store) == 0,
+      gateway_store_has_routers (process->store) && may_trust_shares (process));
 }
 
 static void
@@ -568,7 +570,7 @@
   accept_when_ready (process);
   gateway_store_tick (process->store);
   update_current (process);
-  gateway_shares_tick (process->shares, process->table);
+  gateway_shares_tick (process->shares, process->table, may_trust_shares (process));
   counter_set (process->gateway_count, gateway_store_count_registered (process->store));
   gateway_set_routers (process->gateway, gateway_store_count_running (process->store),
                        gateway_store_count_registered (process->store));
--- a/src/process/gateway_shares.c
+++ b/src/process/gateway_shares.c
@@ -13,6 +13,9 @@
 /* As a fleet starts for the first time its gateways know each other after this time. */
 #define FIRST_TURN_US (UINT64_C (1500) * 1000)
 #define TURN_US (UINT64_C (1000) * 1000) /* after which the next gateway writes a history */
+/* Likewise after the store came back from a copy, where it knows the tables: before those that
+ * don't. */
+#define RESTORE_TURN_US (UINT64_C (100) * 1000)
 /* Interval of the lists of one gateway while tables differ, and the lists of all gateways together.
  */
 #define LIST_INTERVAL_US (UINT64_C (500) * 1000)
@@ -37,6 +40,8 @@
  *   has none that can be resumed. No route's time limit bounds it: a client that is refused comes
  *   again after the time that it is told, with a new deadline
  * @full_until_us: version -> until when its engines count as nearly full
+ * @is_whole: the known history has all tables by which streams may have begun, also where the store
+ *   has forgotten some
  * @is_starting: the first table was read, and what follows from that is to be done
  * @due_since_us: since when the next history is to be written, 0 when it is not
  * @retry_us: earliest time of the next write
@@ -52,6 +57,7 @@
   stream_list_t *list;
   uint64_t lifetime_us;
   GHashTable *full_until_us;
+  bool is_whole;
   bool is_starting;
   uint64_t due_since_us;
   uint64_t retry_us;
@@ -64,6 +70,7 @@
  * @lifetimes_of: version of the rules that the lifetimes are from
  * @lifetime_count: number of services that have theirs
  * @started_us: start of this process
+ * @era: of the store; @was_trusted: the tables counted when it was noted last
  * @record_due: the record of this gateway's lists is to be written
  * @record: it is being written; NULL when none is
  * @written: the last record that was written, NULL for none
@@ -79,6 +86,8 @@
   uint64_t lifetimes_of;
   uint32_t lifetime_count;
   uint64_t started_us;
+  uint64_t era;
+  bool was_trusted;
   bool record_due;
   char *record;
   char *written;
@@ -131,6 +140,37 @@
              : NULL;
 }
 
+/* After the store came back from a copy a history from before counts only where it was known until
+ * then: the copy may be older. */
+static void
+note_era (gateway_shares_t *shares)
+{
+  uint64_t era = gateway_store_era (shares->options.store);
+  GHashTableIter iter;
+  gpointer service;
+
+  if (era == shares->era)
+    return;
+  shares->era = era;
+  if (shares->was_trusted)
+    return;
+  g_hash_table_iter_init (&iter, shares->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    ((service_shares_t *)service)->is_whole = false;
+}
+
+static bool
+is_of_this_era (const service_shares_t *service, const version_history_t *history)
+{
+  return history->era >= service->shares->era;
+}
+
+static bool
+has_streams_to_list (const version_history_t *history)
+{
+  return history->count > 1 || history->gap != VERSION_GAP_NONE;
+}
+
 /* A history is in this stream before it is in the gateway registry, so whoever has read this stream
  * after a stream began knows the table that it began by. */
 static void
@@ -246,6 +286,10 @@
       now_us (shares));
 }
 
+static const char *const gap_names[] = {
+  [VERSION_GAP_NONE] = "none", [VERSION_GAP_LISTS] = "lists", [VERSION_GAP_TABLES] = "tables"
+};
+
 static void
 log_table (const service_shares_t *service, const char *step)
 {
@@ -257,7 +301,7 @@
              LOG_U64 (history->count), "versions",
              LOG_U64 (history->count > 0 ? history->tables[history->count - 1].count : 0), "listed",
              LOG_U64 (list ? list->streams->len : 0), "floor", LOG_U64 (list ? list->floor : 0),
-             NULL);
+             "era", LOG_U64 (history->era), "gap", gap_names[history->gap], NULL);
 }
 
 /* A list must not replace that of the process before while it is not known. */
@@ -293,10 +337,19 @@
   const version_history_t *history = &service->known.history;
 
   service->is_starting = false;
-  if (history->count > 1 || history->tables[0].count > 1)
+  if (has_streams_to_list (history) || history->tables[0].count > 1)
     stream_follower_resume (shares->follower);
 }
 
+/* A writer that doesn't know yet that the store came back from a copy may state what the others
+ * have already gone on from. */
+static bool
+is_outdated (const service_shares_t *service, const version_history_t *history)
+{
+  return history->era < service->known.history.era ||
+         (service->is_whole && !is_of_this_era (service, history));
+}
+
 void
 gateway_shares_put (gateway_shares_t *shares,
                     const char *service_name,
@@ -312,11 +365,18 @@
       log_event (LOG_LEVEL_ERROR, "stream_shares_unreadable", "service", service_name, NULL);
       return;
     }
+  note_era (shares);
+  if (is_outdated (service, &history))
+    {
+      log_table (service, "older_ignored");
+      return;
+    }
   is_first = service->used_epoch == 0;
+  service->is_whole = service->is_whole || is_of_this_era (service, &history);
   version_shares_update (&service->known, now_us (shares), &history);
   service->is_starting = service->is_starting || is_first;
   service->used_epoch = service->known.history.in_force;
-  if (!is_first && service->known.history.count > 1 && may_make_list (shares))
+  if (!is_first && has_streams_to_list (&service->known.history) && may_make_list (shares))
     renew_list (service);
   log_table (service, "read");
 }
@@ -525,7 +585,9 @@
   const gateway_shares_t *shares = service->shares;
   uint64_t at_us = now_us (shares);
   uint64_t turns = gateway_store_rank (shares->options.store);
-  uint64_t wait_us = turns * TURN_US + (service->known.history.count == 0 ? FIRST_TURN_US : 0);
+  bool restores = service->is_whole && !is_of_this_era (service, &service->known.history);
+  uint64_t wait_us =
+      turns * (restores ? RESTORE_TURN_US : TURN_US) + (service->is_whole ? 0 : FIRST_TURN_US);
 
   if (!is_due)
     service->due_since_us = 0;
@@ -563,11 +625,33 @@
       read_lists (service->shares);
       return false;
     }
-  return written->count == 0 ||
+  return written->count == 0 || !is_of_this_era (service, written) ||
          (known->count > 0 && written->in_force <= known->in_force &&
           written->tables[written->count - 1].epoch <= known->tables[known->count - 1].epoch);
 }
 
+/* The tables of an era before are stated again, or replaced where nobody knows them. Lists tell as
+ * much as before, unless they, and the entry of their gateway, are forgotten. */
+static bool
+plan_restored (const service_shares_t *service,
+               const version_table_t *wanted,
+               version_history_t *out)
+{
+  const gateway_store_t *store = service->shares->options.store;
+
+  if (!gateway_store_has_listed_gateways (store))
+    return false;
+  if (!service->is_whole)
+    {
+      *out = version_history_begin (wanted, service->shares->era);
+      return wanted->count > 0;
+    }
+  out->era = service->shares->era;
+  if (gateway_store_lacks_gateways (store))
+    out->gap = MAX (out->gap, VERSION_GAP_LISTS);
+  return true;
+}
+
 static void
 plan_service (service_shares_t *service)
 {
@@ -581,7 +665,12 @@
   wanted = make_wanted_table (service);
   is_due =
       version_shares_plan (&service->known, now_us (shares), &wanted, service->lifetime_us, &next);
-  if (!is_due && service->known.history.count > 0 && !has_history_in_store (service))
+  if (!is_of_this_era (service, &service->known.history))
+    {
+      next = service->known.history;
+      is_due = plan_restored (service, &wanted, &next);
+    }
+  else if (!is_due && service->known.history.count > 0 && !has_history_in_store (service))
     {
       is_due = true;
       next = service->known.history;
@@ -613,7 +702,7 @@
 {
   const gateway_shares_t *shares = service->shares;
 
-  return service->known.history.count > 1 && !shares->record &&
+  return has_streams_to_list (&service->known.history) && !shares->record &&
          now_us (shares) >= shares->record_retry_us;
 }
 
@@ -639,8 +728,10 @@
 }
 
 void
-gateway_shares_tick (gateway_shares_t *shares, const routing_t *routing)
+gateway_shares_tick (gateway_shares_t *shares, const routing_t *routing, bool is_trusted)
 {
+  note_era (shares);
+  shares->was_trusted = is_trusted;
   if (routing)
     update_lifetimes (shares, routing);
   update_services (shares);
@@ -663,7 +754,8 @@
 {
   const service_shares_t *service = g_hash_table_lookup (shares->services, service_name);
 
-  return service && service->used_epoch != 0;
+  return service && service->used_epoch != 0 &&
+         (service->is_whole || is_of_this_era (service, &service->known.history));
 }
 
 bool
@@ -693,9 +785,9 @@
   version_history_t latest = service->known.history;
   const version_history_t *written = &service->written;
 
-  if (written->count == 0)
+  if (written->count == 0 || written->era < latest.era)
     return latest;
-  if (latest.count == 0 ||
+  if (latest.count == 0 || written->era > latest.era ||
       written->tables[written->count - 1].epoch > latest.tables[latest.count - 1].epoch)
     latest = *written;
   latest.in_force = MAX (latest.in_force, written->in_force);
@@ -713,6 +805,7 @@
   version_history_t history = { 0 };
   g_autoptr (GPtrArray) gateways = NULL;
 
+  note_era (shares);
   if (!is_read)
     read_lists (shares);
   if (!gateway_store_has_routers (shares->options.store) ||
@@ -723,6 +816,9 @@
                                .basis = "reading" };
   if (service)
     history = get_latest_history (service);
+  if (history.era < shares->era)
+    history.gap =
+        MAX (history.gap, service && service->is_whole ? VERSION_GAP_LISTS : VERSION_GAP_TABLES);
   gateways = gateway_store_list_gateways (shares->options.store, SOFTWARE_VERSIONS_LIFETIME_US);
   return version_search_find (
       &(version_search_view_t){
--- a/src/process/gateway_shares.h
+++ b/src/process/gateway_shares.h
@@ -52,9 +52,10 @@
 void
 gateway_shares_put (gateway_shares_t *shares, const char *service, const char *text, size_t bytes);
 /** gateway_shares_tick() - writes what is due; to be called about every 100 ms. @routing: the rules
- * in force, NULL for none */
-void gateway_shares_tick (gateway_shares_t *shares, const routing_t *routing);
-/** gateway_shares_has_table() - whether @service, which is interned, has a table of shares */
+ * in force, NULL for none. @is_trusted: no table that this gateway doesn't know is in force */
+void gateway_shares_tick (gateway_shares_t *shares, const routing_t *routing, bool is_trusted);
+/** gateway_shares_has_table() - whether @service, which is interned, has a table of shares by which
+ * streams may begin: not one of an era before that others may have replaced */
 bool gateway_shares_has_table (const gateway_shares_t *shares, const char *service);
 /** gateway_shares_choose() - the version at which @stream begins. Return: 0, for any version, when
  * there is no table */
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -561,6 +561,40 @@
   return names;
 }
 
+bool
+gateway_store_has_listed_gateways (const gateway_store_t *store)
+{
+  return keyed_view_listed (store->views[STREAM_ROUTERS]).era == gateway_store_era (store);
+}
+
+/** struct entry_count - counts entries of gateways that are not of @era */
+typedef struct
+{
+  uint64_t era;
+  uint32_t count;
+} entry_count_t;
+
+static void
+count_entry (
+    const char *key, const char *value, size_t value_bytes, position_t position, void *context)
+{
+  entry_count_t *entries = context;
+
+  (void)value_bytes;
+  if (value && position.era < entries->era && !g_str_has_prefix (key, PLATFORM_KEY_SHARES_PREFIX))
+    entries->count++;
+}
+
+bool
+gateway_store_lacks_gateways (const gateway_store_t *store)
+{
+  const keyed_view_t *view = store->views[STREAM_ROUTERS];
+  entry_count_t entries = { .era = keyed_view_listed (view).era };
+
+  keyed_view_visit_since (view, (position_t){ 0 }, count_entry, &entries);
+  return entries.count > 0;
+}
+
 bool
 gateway_store_has_shares (const gateway_store_t *store, const char *service, const char *text)
 {
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -150,6 +150,13 @@
 /** gateway_store_list_gateways() - the names of the gateways in the registry, this one too, that
  * may have served within @within_us, as an array to be freed */
 GPtrArray *gateway_store_list_gateways (const gateway_store_t *store, uint64_t within_us);
+/** gateway_store_era() - the highest era of the store that this gateway knows */
+uint64_t gateway_store_era (const gateway_store_t *store);
+/** gateway_store_has_listed_gateways() - whether the registry of gateways was listed in this era */
+bool gateway_store_has_listed_gateways (const gateway_store_t *store);
+/** gateway_store_lacks_gateways() - whether a gateway is known whose present entry the store has
+ * forgotten, as it came back from a copy */
+bool gateway_store_lacks_gateways (const gateway_store_t *store);
 /** gateway_store_has_shares() - whether the store, in its present era, has @text as the tables of
  * shares of @service */
 bool gateway_store_has_shares (const gateway_store_t *store, const char *service, const char *text);
--- a/src/process/gateway_store_restore.c
+++ b/src/process/gateway_store_restore.c
@@ -34,8 +34,8 @@
     own_entry_check_again (store->own_entry);
 }
 
-static uint64_t
-highest_era (const gateway_store_t *store)
+uint64_t
+gateway_store_era (const gateway_store_t *store)
 {
   uint64_t era = 0;
 
@@ -76,7 +76,7 @@
 void
 gateway_store_advance_restorations (gateway_store_t *store)
 {
-  uint64_t era = highest_era (store);
+  uint64_t era = gateway_store_era (store);
   uint32_t kept = 0;
 
   for (uint32_t i = 0; i < STREAM_COUNT; i++)
--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -86,9 +86,9 @@
 /** gateway_set_config_current() - sets whether the version in force is known to be the newest one.
  * While it is not, unknown routes and keys get 503, as a newer version may have them */
 void gateway_set_config_current (gateway_task_t *gateway, bool certain);
-/** gateway_set_shares_known() - sets whether the tables of shares have been @listed since the
- * start, and whether none is in force that this gateway doesn't know */
-void gateway_set_shares_known (gateway_task_t *gateway, bool listed, bool trusted);
+/** gateway_set_shares_known() - sets whether a service without a table of shares never had one
+ * (@no_shares_before), and whether the tables that are known count (@trusted) */
+void gateway_set_shares_known (gateway_task_t *gateway, bool no_shares_before, bool trusted);
 /** gateway_search_again() - more may be known of the versions of streams */
 void gateway_search_again (gateway_task_t *gateway);
 /** gateway_note_origin_asked() - a question of @ask_origin was sent to @sent of the @keepers
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -182,7 +182,7 @@
   uint32_t routers;             /* see gateway_set_routers() */
   uint32_t known_routers;       /* likewise, also those not heard from lately */
   uint32_t told_routers;        /* @known_routers when other gateways were told of streams */
-  bool shares_listed;           /* see gateway_set_shares_known() */
+  bool no_shares_before;        /* see gateway_set_shares_known() */
   bool shares_trusted;          /* likewise */
   uint32_t resuming_count;      /* calls whose version is being found out */
   uint32_t held_count;          /* calls with @held_us */
--- a/src/request/gateway/gateway_resume.c
+++ b/src/request/gateway/gateway_resume.c
@@ -169,7 +169,7 @@
 
   return call->stream == 0 ||
          gateway->options.has_shares (call->service->name, gateway->options.context) ||
-         (gateway->shares_listed &&
+         (gateway->no_shares_before &&
           software_versions_count (versions_of (gateway, call->service->name),
                                    gateway_now_us (gateway)) <= 1);
 }
@@ -337,10 +337,10 @@
 }
 
 void
-gateway_set_shares_known (gateway_task_t *gateway, bool listed, bool trusted)
+gateway_set_shares_known (gateway_task_t *gateway, bool no_shares_before, bool trusted)
 {
-  gateway->shares_listed = listed;
-  gateway->shares_trusted = listed && trusted;
+  gateway->no_shares_before = no_shares_before;
+  gateway->shares_trusted = trusted;
 }
 
 void
--- a/src/request/policy/streams/version_search.c
+++ b/src/request/policy/streams/version_search.c
@@ -43,7 +43,8 @@
 version_search_t
 version_search_find (const version_search_view_t *view, uint64_t stream)
 {
-  version_search_t search = { .has_table = view->history->count > 0,
+  version_search_t search = { .has_table = view->history->count > 0 ||
+                                           view->history->gap != VERSION_GAP_NONE,
                               .tables = view->history->count,
                               .basis = "no_table" };
   version_history_t history =
--- a/src/request/policy/streams/version_shares.c
+++ b/src/request/policy/streams/version_shares.c
@@ -12,6 +12,9 @@
 #define HEX_BYTES (DIGITS_HEX_BYTES + 1)
 #define EPOCH_MAX (INT64_C (1) << 48)
 #define UNIT_BITS 53 /* of the mantissa of a double */
+/* Tables of an era have higher numbers than those of the eras before, forgotten ones too. */
+#define ERA_SHIFT 24
+#define ERA_MAX (INT64_C (1) << (48 - ERA_SHIFT))
 
 static int
 compare_weights (const void *a, const void *b)
@@ -103,6 +106,8 @@
 {
   uint64_t found = 0;
 
+  if (history->gap == VERSION_GAP_TABLES || (history->gap == VERSION_GAP_LISTS && floor > 0))
+    return 0;
   for (uint32_t i = 0; i < history->count; i++)
     {
       uint64_t version;
@@ -122,6 +127,8 @@
 {
   uint64_t sole = 0;
 
+  if (history->gap == VERSION_GAP_TABLES)
+    return 0;
   for (uint32_t i = 0; i < history->count; i++)
     for (uint32_t j = 0; j < history->tables[i].count; j++)
       {
@@ -159,6 +166,10 @@
   for (uint32_t i = 0; i < history->count; i++)
     json_array_append_new (tables, make_table_json (&history->tables[i]));
   root = json_pack ("{s:I, s:o}", "in_force", (json_int_t)history->in_force, "tables", tables);
+  if (history->era > 0)
+    json_object_set_new (root, "era", json_integer ((json_int_t)history->era));
+  if (history->gap != VERSION_GAP_NONE)
+    json_object_set_new (root, "gap", json_integer (history->gap));
   text = json_dumps (root, JSON_COMPACT | JSON_SORT_KEYS);
   json_decref (root);
   return text;
@@ -198,11 +209,16 @@
 {
   const json_t *tables = json_object_get (root, "tables");
   json_int_t in_force = json_integer_value (json_object_get (root, "in_force"));
+  json_int_t era = json_integer_value (json_object_get (root, "era"));
+  json_int_t gap = json_integer_value (json_object_get (root, "gap"));
   size_t count = json_array_size (tables);
 
-  if (in_force <= 0 || count == 0 || count > VERSION_TABLES_MAX)
+  if (in_force <= 0 || count == 0 || count > VERSION_TABLES_MAX || era < 0 || era >= ERA_MAX ||
+      gap < VERSION_GAP_NONE || gap > VERSION_GAP_TABLES)
     return false;
-  *out = (version_history_t){ .in_force = (uint64_t)in_force };
+  *out = (version_history_t){ .in_force = (uint64_t)in_force,
+                              .era = (uint64_t)era,
+                              .gap = (version_gap_t)gap };
   for (; out->count < count; out->count++)
     {
       version_table_t *table = &out->tables[out->count];
@@ -262,6 +278,8 @@
   version_shares_t next = *shares;
 
   next.history = *history;
+  if (shares->history.gap != history->gap || shares->history.era != history->era)
+    next.gap_since_us = now_us;
   if (has_same_table (shares, history))
     next.history.in_force = MAX (history->in_force, shares->history.in_force);
   for (uint32_t i = 0; i < history->count; i++)
@@ -340,7 +358,7 @@
   uint64_t last = history->count > 0 ? history->tables[history->count - 1].epoch : 0;
 
   history->tables[history->count] = *wanted;
-  history->tables[history->count].epoch = last + 1;
+  history->tables[history->count].epoch = MAX (last + 1, history->era << ERA_SHIFT);
   history->count++;
 }
 
@@ -354,6 +372,30 @@
   return true;
 }
 
+version_history_t
+version_history_begin (const version_table_t *wanted, uint64_t era)
+{
+  version_history_t history = { .era = era, .gap = VERSION_GAP_TABLES };
+
+  append_table (&history, wanted);
+  history.in_force = history.tables[0].epoch;
+  return history;
+}
+
+/* What the store may have forgotten is of no stream that can be open. */
+static bool
+close_gap (const version_shares_t *shares,
+           uint64_t now_us,
+           uint64_t lifetime_us,
+           version_history_t *history)
+{
+  if (history->gap == VERSION_GAP_NONE ||
+      now_us < shares->gap_since_us + lifetime_us + VERSION_SHARES_ANNOUNCED_US)
+    return false;
+  history->gap = VERSION_GAP_NONE;
+  return true;
+}
+
 /* Puts the latest table in force that was announced for long enough. */
 static bool
 advance_in_force (const version_shares_t *shares, uint64_t now_us, version_history_t *history)
@@ -463,6 +505,7 @@
   *out = shares->history;
   changes = drop_old_tables (shares, now_us, lifetime_us, out);
   changes = advance_in_force (shares, now_us, out) || changes;
+  changes = close_gap (shares, now_us, lifetime_us, out) || changes;
   if (is_version_gone (shares, now_us, wanted))
     {
       drop_announced (out);
--- a/src/request/policy/streams/version_shares.h
+++ b/src/request/policy/streams/version_shares.h
@@ -55,16 +55,31 @@
   version_share_t shares[VERSION_SHARES_MAX];
 } version_table_t;
 
+/** enum version_gap - what the store may have forgotten of open streams, as it came back from a
+ * copy
+ */
+typedef enum
+{
+  VERSION_GAP_NONE,
+  VERSION_GAP_LISTS, /* gateways and their lists: that a stream is in no list tells nothing */
+  VERSION_GAP_TABLES /* tables too: only a stream that is in a list is certain */
+} version_gap_t;
+
 /**
  * struct version_history - the tables of a service that matter for open streams
  * @count: 0 when the service has no table yet
  * @in_force: epoch of the table by which streams begin; later ones are announced
+ * @era: of the store when the history was written. In a later one the store may have forgotten
+ *   tables after these
+ * @gap: for as long as streams of before may be open
  * @tables: the oldest first
  */
 typedef struct
 {
   uint32_t count;
   uint64_t in_force;
+  uint64_t era;
+  version_gap_t gap;
   version_table_t tables[VERSION_TABLES_MAX];
 } version_history_t;
 
@@ -78,10 +93,11 @@
 /** version_history_has() - whether a table has @version */
 bool version_history_has (const version_history_t *history, uint64_t version);
 /** version_history_find() - the version that all tables from the number @floor on choose for
- * @stream. Return: 0 when they differ or there is none */
+ * @stream. Return: 0 when they differ, there is none, or others may have been forgotten; with a
+ * @floor also when lists may */
 uint64_t version_history_find (const version_history_t *history, uint64_t floor, uint64_t stream);
 /** version_history_sole() - the only version that the tables have. Return: 0 when there are several
- * or none */
+ * or none, or others may have been forgotten */
 uint64_t version_history_sole (const version_history_t *history);
 /** version_history_format() - as text, to be freed by g_free() */
 char *version_history_format (const version_history_t *history);
@@ -96,6 +112,7 @@
  * @served: versions that this gateway has seen engines of, the first @served_count ones
  * @gone_since_us: since when a version of the table in force has no engines; 0 when each has
  * @losses_since_us: since when engines are gone and none is new, by the last table; 0 when not
+ * @gap_since_us: when this gateway first saw the gap of the history
  */
 typedef struct
 {
@@ -104,6 +121,7 @@
   uint64_t in_force_us[VERSION_TABLES_MAX];
   uint64_t losses_since_us;
   uint64_t gone_since_us;
+  uint64_t gap_since_us;
   uint64_t served[VERSION_SERVED_MAX];
   uint32_t served_count;
 } version_shares_t;
@@ -111,6 +129,9 @@
 /** version_shares_update() - takes over a history from the store */
 void
 version_shares_update (version_shares_t *shares, uint64_t now_us, const version_history_t *history);
+/** version_history_begin() - a history of the table @wanted, which is in force at once, for an @era
+ * in which nobody knows the tables before */
+version_history_t version_history_begin (const version_table_t *wanted, uint64_t era);
 /**
  * version_shares_plan() - the next step of the history
  * @wanted: shares by the engines in the registry now
--- a/tests/test_shares_lag.c
+++ b/tests/test_shares_lag.c
@@ -462,7 +462,8 @@
 static versions_t
 begin_after_the_copy (gateway_rig_t *rig)
 {
-  versions_t versions = start (rig);
+  versions_t versions = start_with (rig, stream_script, MANY_SLOTS);
+  version_share_t shares[] = { { versions.first, SLOTS }, { versions.second, MANY_SLOTS } };
   version_history_t history = { .count = 1,
                                 .in_force = 1,
                                 .tables = { make_table (1, versions.first, 0) } };
@@ -473,7 +474,8 @@
   fake_store_copy (rig->store);
   history = (version_history_t){ .count = 1,
                                  .in_force = 2,
-                                 .tables = { make_table (2, versions.second, versions.first) } };
+                                 .tables = { version_table_make (shares, 2) } };
+  history.tables[0].epoch = 2;
   put_history (rig, &history);
   wait_read (rig, 0);
   wait_read (rig, 1);
--- a/tests/test_version_shares.c
+++ b/tests/test_version_shares.c
@@ -398,6 +398,93 @@
   CU_ASSERT (now_us < gone_us + VERSION_SHARES_GONE_US + VERSION_SHARES_ANNOUNCED_US + S_US / 2);
 }
 
+static version_history_t
+make_gap (version_gap_t gap)
+{
+  version_share_t all[] = { { V1, 8 }, { V2, 8 } };
+  version_share_t first[] = { { V1, 8 } };
+
+  return (
+      version_history_t){ .count = 2,
+                          .in_force = 2,
+                          .era = 3,
+                          .gap = gap,
+                          .tables = { make_table_of (first, 1, 1), make_table_of (all, 2, 2) } };
+}
+
+/* Guards against streams that go on by tables, or as they are in no list, though the store has
+ * forgotten others; and against a gap that is lost on the way. */
+static void
+test_gaps_leave_no_evidence (void)
+{
+  version_history_t whole = make_gap (VERSION_GAP_NONE);
+  version_history_t lists = make_gap (VERSION_GAP_LISTS);
+  version_history_t tables = make_gap (VERSION_GAP_TABLES);
+  g_autofree char *text = version_history_format (&tables);
+  version_history_t read;
+
+  for (uint64_t stream = 1; stream <= 100; stream++)
+    {
+      CU_ASSERT_EQUAL (version_history_find (&lists, 0, stream),
+                       version_history_find (&whole, 0, stream));
+      CU_ASSERT_NOT_EQUAL (version_history_find (&whole, 2, stream), 0);
+      CU_ASSERT_EQUAL (version_history_find (&lists, 2, stream), 0);
+      CU_ASSERT_EQUAL (version_history_find (&tables, 0, stream), 0);
+    }
+  tables.count = 1;
+  CU_ASSERT_EQUAL (version_history_sole (&tables), 0);
+  tables.gap = VERSION_GAP_LISTS;
+  CU_ASSERT_EQUAL (version_history_sole (&tables), V1);
+  CU_ASSERT (version_history_parse (text, strlen (text), &read));
+  CU_ASSERT (read.era == 3 && read.gap == VERSION_GAP_TABLES);
+}
+
+/* Guards against a table of a new era that has the number of one that the store has forgotten, and
+ * against a gap that ends while streams of before may be open, or never. */
+static void
+test_new_era (void)
+{
+  uint64_t now_us = NOW_US;
+  version_table_t both = make_table (6, 6);
+  version_table_t wanted = make_table (12, 2);
+  version_shares_t shares = { .losses_since_us = 0 };
+  version_history_t next = version_history_begin (&both, 3);
+  uint64_t epoch = next.in_force;
+  uint64_t closed_us = 0;
+
+  CU_ASSERT (next.count == 1 && next.gap == VERSION_GAP_TABLES && next.era == 3);
+  CU_ASSERT (epoch > version_history_begin (&both, 2).in_force + 1000000);
+  version_shares_update (&shares, now_us, &next);
+  for (; now_us < NOW_US + 2 * LIFETIME_US; now_us += S_US / 10)
+    {
+      if (version_shares_plan (&shares, now_us, &wanted, LIFETIME_US, &next))
+        version_shares_update (&shares, now_us, &next);
+      if (shares.history.gap == VERSION_GAP_NONE && closed_us == 0)
+        closed_us = now_us;
+    }
+  CU_ASSERT (closed_us >= NOW_US + LIFETIME_US + VERSION_SHARES_ANNOUNCED_US);
+  CU_ASSERT (closed_us < NOW_US + LIFETIME_US + VERSION_SHARES_ANNOUNCED_US + S_US);
+  CU_ASSERT (shares.history.era == 3 && shares.history.in_force == epoch + 1);
+}
+
+/* Guards against the number of a table that was announced after the copy, which gets another one
+ * though the tables of before are known. */
+static void
+test_numbers_of_a_new_era (void)
+{
+  uint64_t now_us = NOW_US;
+  version_shares_t shares = make_shares (&now_us);
+  version_table_t wanted = make_table (6, 6);
+  version_history_t next = shares.history;
+
+  next.era = 1;
+  next.gap = VERSION_GAP_LISTS;
+  version_shares_update (&shares, now_us, &next);
+  now_us += S_US;
+  CU_ASSERT_TRUE_FATAL (version_shares_plan (&shares, now_us, &wanted, LIFETIME_US, &next));
+  CU_ASSERT (next.count == 2 && next.tables[1].epoch > 1000000 && next.era == 1);
+}
+
 int
 main (void)
 {
@@ -415,6 +502,9 @@
     SUITE_TEST (test_history_is_bounded),
     SUITE_TEST (test_version_that_goes_while_the_history_is_full),
     SUITE_TEST (test_two_writers_of_a_number),
+    SUITE_TEST (test_gaps_leave_no_evidence),
+    SUITE_TEST (test_new_era),
+    SUITE_TEST (test_numbers_of_a_new_era),
     SUITE_TEST (test_announced_table_with_the_number_of_one_in_force),
     CU_TEST_INFO_NULL,
   };
