Tests of silent engines: successors that rest, a service without engines for a moment, regions

Seen: a successor that asks for no requests for 3 s counts as no engine, so that a dead host gets the last attempt after 2 s; a request whose successor was replaced ends at once while no engine is listed, though one joins in the next second.

--- a/tests/test_gateway_silence.c
+++ b/tests/test_gateway_silence.c
@@ -20,6 +20,9 @@
                                                                              ",\"gap_target_ms\":" \
                                                                              "100")
 #define BOOK(timeout) ROUTE ("book", "non_idempotent", timeout, "pool", ",\"attempts\":1")
+#define NEAR                                                                                       \
+  ROUTE ("near", "idempotent", LONG_TIMEOUT, "pool",                                               \
+         ",\"attempts\":2,\"allowed_regions\":[\"north\"]")
 #define CONFIG(version, routes, services)                                                          \
   "{\"version\":" version ",\"routes\":[" routes "],\"services\":[" services                       \
   "],\"tenants\":[{\"name\":\"alpha\",\"api_keys\":[\"key-1\"]}],"                                 \
@@ -33,6 +36,7 @@
 #define STREAM_END "0\r\n\r\n"
 #define FULL "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 #define OTHER_ENGINE "HTTP/1.1 421 Other\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n"
+#define RESTS "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
 #define REQUEST "Content-Length: 0\r\n"
 
 /* A check comes each %GATEWAY_WATCH_TICKS ticks, so that one lies within these. */
@@ -47,6 +51,8 @@
 static const char *const answers[] = { OK_RESPONSE };
 static const char *const goes_on[] = { STREAM_HEAD EVENT ("3") STREAM_END };
 static const char *const is_other[] = { OTHER_ENGINE };
+static const char *const rests_at_first[] = { RESTS, OK_RESPONSE };
+static const char *const rests_at_first_stream[] = { RESTS, STREAM_HEAD EVENT ("3") STREAM_END };
 static const char *const full_at_first[] = { FULL, FULL, FULL, FULL, FULL, FULL, OK_RESPONSE };
 static const char *const full_at_first_stream[] = {
   FULL, FULL, FULL, FULL, FULL, FULL, STREAM_HEAD EVENT ("3") STREAM_END
@@ -144,7 +150,8 @@
   if (!has_budget)
     rig->gateways[0].settings.retry_slack_milli = 0;
   gateway_rig_skip_retry_window (rig);
-  put_config (rig, CONFIG ("2", ROUTES (LONG_TIMEOUT, "pool") "," BOOK (LONG_TIMEOUT), POOL),
+  put_config (rig,
+              CONFIG ("2", ROUTES (LONG_TIMEOUT, "pool") "," BOOK (LONG_TIMEOUT) "," NEAR, POOL),
               CONFIG_VERSION);
   gateway_rig_add_engine (rig, silent, 1);
   return rig;
@@ -941,6 +948,77 @@
   end (&hand);
 }
 
+/* Guards against a request that ends because its successor asks for no requests for a while. */
+static void
+test_lookup_waits_for_a_successor_that_rests (void)
+{
+  check_refused_by_successor (&lookup, IS_DEAD, rests_at_first, 2);
+}
+
+static void
+test_stream_waits_for_a_successor_that_rests (void)
+{
+  check_refused_by_successor (&stream, IS_DEAD, rests_at_first_stream, 2);
+}
+
+/* Adds an engine where none is listed. */
+static void
+add_alone (gateway_rig_t *rig, const char *const *scripts)
+{
+  entry_t entry = ready;
+
+  entry.engine = rig->engine_count;
+  rig->engines[rig->engine_count] = raw_server_new_on (rig->base, entry.engine, scripts, 1);
+  rig->engines[rig->engine_count++]->keep_head = true;
+  put_entry (rig, &entry);
+  CU_ASSERT (gateway_rig_wait_counter (rig, "medlarplank_engines", 1));
+}
+
+static void
+check_replaced_successor_alone (const kind_t *kind)
+{
+  gateway_rig_t *rig = start (true);
+  hand_t hand = begin (rig, kind);
+
+  remove_entry (rig);
+  add_alone (rig, is_other);
+  pass (rig, 600);
+  pass (rig, 500);
+  CU_ASSERT_FALSE (has_ended (hand.client));
+  put_entry (rig, &(entry_t){ .slots = 8, .state = "ready", .version = "", .born = 7 });
+  hand.engine->scripts = kind->answer;
+  pass_until_end (&hand);
+  CU_ASSERT (is_whole (&hand));
+  end (&hand);
+}
+
+/* Guards against a request that ends while no engine is listed, and one joins in the next second.
+ */
+static void
+test_lookup_waits_while_no_engine_is_listed (void)
+{
+  check_replaced_successor_alone (&lookup);
+}
+
+static void
+test_stream_waits_while_no_engine_is_listed (void)
+{
+  check_replaced_successor_alone (&stream);
+}
+
+/* Guards against a request that is given up for an engine outside of its regions. */
+static void
+test_lookup_is_kept_beside_another_region (void)
+{
+  gateway_rig_t *rig = start (true);
+  hand_t hand = send_to (rig, rig->engines[0], "/near/a", false);
+  raw_server_t *other = gateway_rig_add_engine_in (rig, "hall-2", answers, 1);
+
+  check_kept (&hand);
+  CU_ASSERT_EQUAL (other->request_count, 0);
+  end (&hand);
+}
+
 /* A stream stands still at one of two other engines, of which each gets @later requests later. */
 static void
 check_not_moved_to_quiet (uint32_t later)
@@ -1191,6 +1269,11 @@
     SUITE_TEST (test_lookup_leaves_a_dead_host_when_the_budget_allows),
     SUITE_TEST (test_stream_leaves_a_dead_host_when_the_budget_allows),
     SUITE_TEST (test_silences_in_turn_cost_no_answer),
+    SUITE_TEST (test_lookup_waits_for_a_successor_that_rests),
+    SUITE_TEST (test_stream_waits_for_a_successor_that_rests),
+    SUITE_TEST (test_lookup_waits_while_no_engine_is_listed),
+    SUITE_TEST (test_stream_waits_while_no_engine_is_listed),
+    SUITE_TEST (test_lookup_is_kept_beside_another_region),
     SUITE_TEST (test_lookup_is_not_moved_to_a_quiet_engine),
     SUITE_TEST (test_new_request_makes_no_quiet_engine_sound),
     SUITE_TEST (test_stream_is_kept_when_its_copy_is_gone),
