Give a caller that reads no byte ten seconds, whatever the idle limit

Callers saw: an answer cut where their link stood still for the idle limit, which a version may set below a second. Cause: the idle timeout, which is on connections without a request, was the write timeout of answers as well. Evidence: test-http_server_limits; answer read slowly fails on, passes now.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -67,7 +67,8 @@
 #define LIMIT_HTTP_STOP_LINGER_MS 200 /* idle connections stay open: a request may follow */
 #define LIMIT_HTTP_REQUEST_MS                                                                      \
   (30 * 1000) /* for the body of a request, and for its head by default */
-#define LIMIT_HTTP_LOWERED_IDLE_MS (10 * 1000) /* a version is in force everywhere before */
+#define LIMIT_HTTP_LOWERED_IDLE_MS (10 * 1000)  /* a version is in force everywhere before */
+#define LIMIT_HTTP_ANSWER_UNREAD_MS (10 * 1000) /* least time for a client that reads no byte */
 #define LIMIT_HTTP_UNREAD_MS 500 /* longer for a connection whose bytes are not read yet */
 #define LIMIT_HTTP_UNREAD_EXTENSIONS 4
 #define LIMIT_HTTP_INCOMPLETE_BYTES (256 * 1024 * 1024) /* all incomplete requests together */
--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -104,7 +104,8 @@
   uint16_t methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
                      EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
 
-  http_server->idle_timeout = timeval_from_ms (http_server->options.idle_timeout_ms);
+  http_server->unread_timeout =
+      timeval_from_ms (MAX (http_server->options.idle_timeout_ms, LIMIT_HTTP_ANSWER_UNREAD_MS));
   if (http_server->options.request_timeout_ms == 0)
     http_server->options.request_timeout_ms = LIMIT_HTTP_REQUEST_MS;
   if (http_server->options.incomplete_limit_bytes == 0)
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -75,7 +75,8 @@
  * @connection_limit: connections over it are closed after a response 503. With
  *   %LIMIT_HTTP_EXCESS_CONNECTIONS more connections, no further ones are accepted
  * @idle_timeout_ms: a connection is closed after this time without a request, or, while a
- *   response is sent, without a byte written. The time between request and response is not
+ *   response is sent, without a byte written for that time, but %LIMIT_HTTP_ANSWER_UNREAD_MS at
+ *   least. The time between request and response is not
  *   limited. Bytes that have come in time are read first
  * @request_timeout_ms: a request whose head takes longer from its first byte to its last is
  * rejected by 408; 0 for %LIMIT_HTTP_REQUEST_MS, which is also the least time that a body may take
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -431,7 +431,7 @@
   conn->evcon = evcon;
   g_hash_table_insert (conn->http_server->conns, evcon, conn);
   evhttp_connection_set_closecb (evcon, on_close, conn);
-  bufferevent_set_timeouts (bev, NULL, &conn->http_server->idle_timeout);
+  bufferevent_set_timeouts (bev, NULL, &conn->http_server->unread_timeout);
   bufferevent_decref (bev);
   return true;
 }
@@ -563,7 +563,7 @@
   counter_add (http_server->requests, 1);
   conn->request = request;
   evhttp_request_set_on_complete_cb (request, on_response_sent, conn);
-  bufferevent_set_timeouts (conn->bev, NULL, &http_server->idle_timeout);
+  bufferevent_set_timeouts (conn->bev, NULL, &http_server->unread_timeout);
   call = http_server_call_new (conn, request);
   conn->call = call;
   if (http_server_check_request (call))
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -35,6 +35,7 @@
 
 /**
  * struct http_server - a server
+ * @unread_timeout: a connection whose client accepts no byte of its response is closed then
  * @longer_idle_ms: idle timeout before it was lowered, which holds until @longer_idle_until_us
  * @new_conns: connections by bufferevent, before evhttp has attached an evhttp connection to it
  * @conns: connections by evhttp connection
@@ -54,7 +55,7 @@
 struct http_server
 {
   http_server_options_t options;
-  struct timeval idle_timeout;
+  struct timeval unread_timeout;
   uint32_t longer_idle_ms;
   int64_t longer_idle_until_us;
   struct timeval request_timeout;
--- a/tests/test_http_server_limits.c
+++ b/tests/test_http_server_limits.c
@@ -4,8 +4,8 @@
 #include <signal.h>
 #include <string.h>
 
-#define IDLE_MS 100
-#define LONGER_IDLE_MS 1000
+#define IDLE_MS 300
+#define LONGER_IDLE_MS 3000
 #define HEAD_MS 100
 #define HERD 60 /* more connections than libevent's first epoll_wait() reports */
 
@@ -265,6 +265,27 @@
   CU_ASSERT_EQUAL (fixture->disconnects, 0);
 }
 
+/* A caller whose link stands still for longer than the idle limit gets the rest of its answer */
+static void
+test_answer_read_slowly (void)
+{
+  g_autofree char *block = g_strnfill (64 * 1024, 'x');
+  g_autoptr (server_fixture_t) fixture =
+      server_fixture_new_with_timeouts (IDLE_MS, SERVER_FIXTURE_NO_TIMEOUT_MS);
+  raw_peer_t *raw = server_fixture_connect_waiting (fixture, "GET /1 HTTP/1.1\r\n\r\n");
+
+  event_del (raw->readable);
+  http_server_begin_reply (server_fixture_call_at (fixture, 0), 200);
+  for (int i = 0; i < 200; i++)
+    server_fixture_send_part (server_fixture_call_at (fixture, 0), block);
+  raw_peer_run_ms (fixture->base, IDLE_MS * 3);
+  CU_ASSERT_EQUAL_FATAL (fixture->disconnects, 0);
+  event_add (raw->readable, NULL);
+  server_fixture_send_part (server_fixture_call_at (fixture, 0), "last");
+  http_server_end_reply (server_fixture_call_at (fixture, 0));
+  server_fixture_run_until_received (fixture, raw, "4\r\nlast\r\n0\r\n\r\n");
+}
+
 int
 main (void)
 {
@@ -281,6 +302,7 @@
     { "whole requests unread", test_whole_requests_unread },
     { "rest of request unread", test_rest_of_request_unread },
     { "answer waits longer than idle limit", test_answer_waits_longer_than_idle_limit },
+    { "answer read slowly", test_answer_read_slowly },
     CU_TEST_INFO_NULL,
   };
 
