A history that replaces unknown tables is announced, and is not replaced by the tables of before

Streams began by the first, at v1; the second took its place and gave v2 (basis=share). The first is announced for 3 s now, in which no stream begins by it, so one that is written meanwhile is seen; after that a record without the table in force is ignored.

--- a/src/process/gateway_shares.c
+++ b/src/process/gateway_shares.c
@@ -286,9 +286,10 @@
       now_us (shares));
 }
 
-static const char *const gap_names[] = {
-  [VERSION_GAP_NONE] = "none", [VERSION_GAP_LISTS] = "lists", [VERSION_GAP_TABLES] = "tables"
-};
+static const char *const gap_names[] = { [VERSION_GAP_NONE] = "none",
+                                         [VERSION_GAP_LISTS] = "lists",
+                                         [VERSION_GAP_TABLES] = "tables",
+                                         [VERSION_GAP_ANNOUNCED] = "announced" };
 
 static void
 log_table (const service_shares_t *service, const char *step)
@@ -341,13 +342,20 @@
     stream_follower_resume (shares->follower);
 }
 
-/* A writer that doesn't know yet that the store came back from a copy may state what the others
- * have already gone on from. */
+/* A writer that doesn't know yet that the store came back from a copy, or that others know the
+ * tables, may state what they have already gone on from. */
 static bool
 is_outdated (const service_shares_t *service, const version_history_t *history)
 {
-  return history->era < service->known.history.era ||
-         (service->is_whole && !is_of_this_era (service, history));
+  const version_history_t *known = &service->known.history;
+
+  if (history->era < known->era)
+    return true;
+  if (service->is_whole &&
+      (!is_of_this_era (service, history) || history->gap == VERSION_GAP_ANNOUNCED))
+    return true;
+  return known->gap == VERSION_GAP_TABLES && history->era == known->era &&
+         history->tables[history->count - 1].epoch < known->in_force;
 }
 
 void
@@ -372,7 +380,8 @@
       return;
     }
   is_first = service->used_epoch == 0;
-  service->is_whole = service->is_whole || is_of_this_era (service, &history);
+  service->is_whole = service->is_whole ||
+                      (is_of_this_era (service, &history) && history.gap != VERSION_GAP_ANNOUNCED);
   version_shares_update (&service->known, now_us (shares), &history);
   service->is_starting = service->is_starting || is_first;
   service->used_epoch = service->known.history.in_force;
@@ -585,9 +594,11 @@
   const gateway_shares_t *shares = service->shares;
   uint64_t at_us = now_us (shares);
   uint64_t turns = gateway_store_rank (shares->options.store);
-  bool restores = service->is_whole && !is_of_this_era (service, &service->known.history);
-  uint64_t wait_us =
-      turns * (restores ? RESTORE_TURN_US : TURN_US) + (service->is_whole ? 0 : FIRST_TURN_US);
+  bool has_any = service->known.history.count > 0;
+  bool is_old = !is_of_this_era (service, &service->known.history);
+  bool restores = is_old && service->is_whole;
+  uint64_t wait_us = turns * (restores ? RESTORE_TURN_US : TURN_US) +
+                     (!has_any || (is_old && !service->is_whole) ? FIRST_TURN_US : 0);
 
   if (!is_due)
     service->due_since_us = 0;
@@ -754,8 +765,7 @@
 {
   const service_shares_t *service = g_hash_table_lookup (shares->services, service_name);
 
-  return service && service->used_epoch != 0 &&
-         (service->is_whole || is_of_this_era (service, &service->known.history));
+  return service && service->used_epoch != 0 && service->is_whole;
 }
 
 bool
--- a/src/request/policy/streams/version_shares.c
+++ b/src/request/policy/streams/version_shares.c
@@ -106,7 +106,7 @@
 {
   uint64_t found = 0;
 
-  if (history->gap == VERSION_GAP_TABLES || (history->gap == VERSION_GAP_LISTS && floor > 0))
+  if (history->gap >= VERSION_GAP_TABLES || (history->gap == VERSION_GAP_LISTS && floor > 0))
     return 0;
   for (uint32_t i = 0; i < history->count; i++)
     {
@@ -127,7 +127,7 @@
 {
   uint64_t sole = 0;
 
-  if (history->gap == VERSION_GAP_TABLES)
+  if (history->gap >= VERSION_GAP_TABLES)
     return 0;
   for (uint32_t i = 0; i < history->count; i++)
     for (uint32_t j = 0; j < history->tables[i].count; j++)
@@ -214,7 +214,7 @@
   size_t count = json_array_size (tables);
 
   if (in_force <= 0 || count == 0 || count > VERSION_TABLES_MAX || era < 0 || era >= ERA_MAX ||
-      gap < VERSION_GAP_NONE || gap > VERSION_GAP_TABLES)
+      gap < VERSION_GAP_NONE || gap > VERSION_GAP_ANNOUNCED)
     return false;
   *out = (version_history_t){ .in_force = (uint64_t)in_force,
                               .era = (uint64_t)era,
@@ -375,7 +375,7 @@
 version_history_t
 version_history_begin (const version_table_t *wanted, uint64_t era)
 {
-  version_history_t history = { .era = era, .gap = VERSION_GAP_TABLES };
+  version_history_t history = { .era = era, .gap = VERSION_GAP_ANNOUNCED };
 
   append_table (&history, wanted);
   history.in_force = history.tables[0].epoch;
@@ -389,10 +389,12 @@
            uint64_t lifetime_us,
            version_history_t *history)
 {
-  if (history->gap == VERSION_GAP_NONE ||
-      now_us < shares->gap_since_us + lifetime_us + VERSION_SHARES_ANNOUNCED_US)
+  bool is_announced = history->gap == VERSION_GAP_ANNOUNCED;
+  uint64_t open_us = (is_announced ? 0 : lifetime_us) + VERSION_SHARES_ANNOUNCED_US;
+
+  if (history->gap == VERSION_GAP_NONE || now_us < shares->gap_since_us + open_us)
     return false;
-  history->gap = VERSION_GAP_NONE;
+  history->gap = is_announced ? VERSION_GAP_TABLES : VERSION_GAP_NONE;
   return true;
 }
 
--- a/src/request/policy/streams/version_shares.h
+++ b/src/request/policy/streams/version_shares.h
@@ -61,8 +61,10 @@
 typedef enum
 {
   VERSION_GAP_NONE,
-  VERSION_GAP_LISTS, /* gateways and their lists: that a stream is in no list tells nothing */
-  VERSION_GAP_TABLES /* tables too: only a stream that is in a list is certain */
+  VERSION_GAP_LISTS,    /* gateways and their lists: that a stream is in no list tells nothing */
+  VERSION_GAP_TABLES,   /* tables too: only a stream that is in a list is certain */
+  VERSION_GAP_ANNOUNCED /* likewise, and no stream may begin yet: a gateway may still state the
+                           tables that it knows */
 } version_gap_t;
 
 /**
@@ -129,8 +131,8 @@
 /** version_shares_update() - takes over a history from the store */
 void
 version_shares_update (version_shares_t *shares, uint64_t now_us, const version_history_t *history);
-/** version_history_begin() - a history of the table @wanted, which is in force at once, for an @era
- * in which nobody knows the tables before */
+/** version_history_begin() - a history of the table @wanted, which is announced, for an @era in
+ * which nobody knows the tables before */
 version_history_t version_history_begin (const version_table_t *wanted, uint64_t era);
 /**
  * version_shares_plan() - the next step of the history
--- a/tests/test_shares_lag.c
+++ b/tests/test_shares_lag.c
@@ -500,6 +500,34 @@
   CU_ASSERT_EQUAL (rig->engines[0]->request_count, 0);
 }
 
+/* Guards against streams that begin by tables of before, and then go on by these, after a gateway
+ * has replaced them as it didn't know them: two wrote at once. */
+static void
+test_tables_of_before_come_after_their_replacement (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (2);
+  versions_t versions = start (rig);
+  version_history_t before = {
+    .count = 1, .in_force = 1, .era = 1, .tables = { make_table (1, versions.first, 0) }
+  };
+  version_history_t begun = { .count = 1,
+                              .in_force = UINT64_C (1) << 24,
+                              .era = 1,
+                              .gap = VERSION_GAP_TABLES,
+                              .tables = { make_table (UINT64_C (1) << 24, versions.second, 0) } };
+
+  fake_store_copy (rig->store);
+  fake_store_restore (rig->store);
+  raw_peer_run_ms (rig->base, 1500);
+  put_history (rig, &begun);
+  wait_read (rig, 0);
+  put_history (rig, &before);
+  wait_read (rig, 0);
+  fetch (rig, 0, "Content-Length: 0\r\n");
+  CU_ASSERT_EQUAL (rig->engines[0]->request_count, 0);
+  CU_ASSERT_EQUAL (rig->engines[1]->request_count, 1);
+}
+
 static bool
 goes_on (void *context)
 {
@@ -534,6 +562,7 @@
     SUITE_TEST (test_stream_whose_end_did_not_reach_its_client),
     SUITE_TEST (test_store_that_forgot_the_tables),
     SUITE_TEST (test_store_with_older_tables),
+    SUITE_TEST (test_tables_of_before_come_after_their_replacement),
     SUITE_TEST (test_older_tables_while_another_gateway_knows_the_later_ones),
     CU_TEST_INFO_NULL,
   };
--- a/tests/test_version_shares.c
+++ b/tests/test_version_shares.c
@@ -450,20 +450,25 @@
   version_shares_t shares = { .losses_since_us = 0 };
   version_history_t next = version_history_begin (&both, 3);
   uint64_t epoch = next.in_force;
+  uint64_t begun_us = 0;
   uint64_t closed_us = 0;
 
-  CU_ASSERT (next.count == 1 && next.gap == VERSION_GAP_TABLES && next.era == 3);
+  CU_ASSERT (next.count == 1 && next.gap == VERSION_GAP_ANNOUNCED && next.era == 3);
   CU_ASSERT (epoch > version_history_begin (&both, 2).in_force + 1000000);
   version_shares_update (&shares, now_us, &next);
   for (; now_us < NOW_US + 2 * LIFETIME_US; now_us += S_US / 10)
     {
       if (version_shares_plan (&shares, now_us, &wanted, LIFETIME_US, &next))
         version_shares_update (&shares, now_us, &next);
+      if (shares.history.gap == VERSION_GAP_TABLES && begun_us == 0)
+        begun_us = now_us;
       if (shares.history.gap == VERSION_GAP_NONE && closed_us == 0)
         closed_us = now_us;
     }
-  CU_ASSERT (closed_us >= NOW_US + LIFETIME_US + VERSION_SHARES_ANNOUNCED_US);
-  CU_ASSERT (closed_us < NOW_US + LIFETIME_US + VERSION_SHARES_ANNOUNCED_US + S_US);
+  CU_ASSERT (begun_us >= NOW_US + VERSION_SHARES_ANNOUNCED_US);
+  CU_ASSERT (begun_us < NOW_US + VERSION_SHARES_ANNOUNCED_US + S_US);
+  CU_ASSERT (closed_us >= begun_us + LIFETIME_US + VERSION_SHARES_ANNOUNCED_US);
+  CU_ASSERT (closed_us < begun_us + LIFETIME_US + VERSION_SHARES_ANNOUNCED_US + S_US);
   CU_ASSERT (shares.history.era == 3 && shares.history.in_force == epoch + 1);
 }
 
