Requests wait for engines that take no connection for a moment

Cause: an engine to which no connection was made counted as tried for good, so that with all of them tried the request was refused, or waited for its version and held back its account; and each connection that failed doubled the time for which an engine is put aside, though all had been begun before the first of them failed.

Change: such a request is queued and may try the same engines again, as long as one of them has not failed for longer than a sound engine is silent, two seconds; connections that fail while their engine is put aside are not counted. Ten failed connections end a request in place of eight, so that they last longer than that silence. An engine that has failed for longer is refused for at once, as before.

--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -432,11 +432,41 @@
                      choice->drained ? GATEWAY_RETRY_DRAINED_MS : GATEWAY_RETRY_MIN_MS);
 }
 
+/* Whether the engine may just be silent: it has not failed for longer than a sound one is. */
+static bool
+may_be_sound (const engine_t *engine, uint64_t now_us)
+{
+  return engine->broke_us == 0 || engine->sound_us > engine->broke_us ||
+         now_us < engine->broke_us + GATEWAY_SOUND_SILENCE_US;
+}
+
+/* Whether an engine to which no connection was made may take the request a moment later. */
+static bool
+may_connect_later (const gateway_call_t *call)
+{
+  const GPtrArray *engines =
+      engines_of_service (call->gateway->options.engines, call->service->name);
+  uint64_t version = call->version != 0 ? call->version : gateway_resume_begin_version (call);
+  uint64_t now_us = gateway_now_us (call->gateway);
+
+  for (guint i = 0; call->course.unsent > 0 && call->tried_count > 0 && i < engines->len; i++)
+    {
+      const engine_t *engine = g_ptr_array_index (engines, i);
+
+      if (engine_is_open (engine) && (version == 0 || engine->version == version) &&
+          may_be_sound (engine, now_us))
+        return true;
+    }
+  return false;
+}
+
 void
 gateway_call_end_unplaced (gateway_call_t *call, const engine_choice_t *choice)
 {
   if (call->course.was_given_up)
     gateway_queue_given_up (call);
+  else if (may_connect_later (call))
+    gateway_queue_unsent (call);
   else
     gateway_call_fail_no_engine (call, choice);
 }
@@ -457,6 +487,8 @@
   choice = gateway_call_choose_engine (call);
   if (choice.action == ENGINE_CHOICE_SEND)
     gateway_hop_send (call, &choice);
+  else if (choice.action == ENGINE_CHOICE_WAIT && may_connect_later (call))
+    gateway_queue_unsent (call);
   else if (choice.action == ENGINE_CHOICE_WAIT)
     gateway_queue_push (call);
   else if (choice.backoff_us > 0)
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -557,6 +557,9 @@
 /** gateway_queue_given_up() - no engine can be asked now for a request that was given up at a
  * silent one: queues it until its deadline, as its client can't be told that it did not run */
 void gateway_queue_given_up (gateway_call_t *call);
+/** gateway_queue_unsent() - no connection was made to the engines that the request tried: queues it
+ * to try them again, or refuses it */
+void gateway_queue_unsent (gateway_call_t *call);
 /** gateway_queue_for_backoff() - all engines that are left asked for no requests for a time, which
  * ends first after @rest_us: queues the request until then, or refuses it */
 void gateway_queue_for_backoff (gateway_call_t *call, uint64_t rest_us);
--- a/src/request/gateway/gateway_queue.c
+++ b/src/request/gateway/gateway_queue.c
@@ -148,6 +148,20 @@
   gateway_call_log (call, "wait", "given_up", VERDICT_REASON_OVER_BOUND);
 }
 
+void
+gateway_queue_unsent (gateway_call_t *call)
+{
+  call->tried_count = 0;
+  if (!wait_queue_push_delayed (call->service->queue, gateway_now_us (call->gateway),
+                                &call->queue_item, 0))
+    {
+      gateway_call_fail (call, VERDICT_REASON_CONNECT, GATEWAY_RETRY_MIN_MS);
+      return;
+    }
+  counter_add (call->gateway->waited, 1);
+  gateway_call_log (call, "wait", "unsent", VERDICT_REASON_CONNECT);
+}
+
 void
 gateway_queue_for_backoff (gateway_call_t *call, uint64_t rest_us)
 {
--- a/src/request/policy/engines/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -733,10 +733,13 @@
   engine->displaced = true;
 }
 
-/* A single connection attempt may be lost on the network, although the engine works. */
+/* A single connection attempt may be lost on the network, although the engine works. Those that
+ * fail while it is ejected were begun before, and show nothing new. */
 void
 engine_note_unreachable (engine_t *engine, uint64_t now_us)
 {
+  if (now_us < engine->ejected_until_us)
+    return;
   engine_note_failure (engine, now_us);
   engine->unreachable = engine->failures >= ENGINE_EJECTION_FAILURES;
 }
--- a/src/request/policy/retries/retry_plan.h
+++ b/src/request/policy/retries/retry_plan.h
@@ -26,7 +26,7 @@
 /* Failed connections before the request fails. They put no load on engines, so they don't use the
  * retry budget, and each shows this gateway that an engine is down: after the loss of a data centre
  * several fail in a row. */
-#define RETRY_PLAN_UNSENT_MAX 8
+#define RETRY_PLAN_UNSENT_MAX 10
 /* Times that a run may go on from a copy. A request that ends each engine that runs it would
  * otherwise end as many as have copies. */
 #define RETRY_PLAN_COPIES_MAX 2
