--- a/tests/test_engine_silence.c
+++ b/tests/test_engine_silence.c
@@ -213,6 +213,23 @@
   CU_ASSERT_PTR_EQUAL (choose (engines, START_US + LIMIT_US, NULL, 0).engine, other);
 }
 
+/* Guards against an engine that counts as sound by a late byte of a stream, though it has refused
+ * connections or broken off requests since it fell silent. */
+static void
+test_byte_ends_no_ejection_for_breaks (void)
+{
+  g_autoptr (engines_t) engines = engines_new ();
+  engine_t *engine = put (engines, "e0");
+  uint64_t now_us = START_US + LIMIT_US;
+
+  send (engine, START_US, 2);
+  leave (engine, now_us, 1);
+  for (uint32_t i = 0; i < 4; i++)
+    engine_note_failure (engine, now_us + i);
+  speak (engine, now_us + CLOCK_US_PER_MS);
+  CU_ASSERT (engine_is_ejected (engine, now_us + 2 * CLOCK_US_PER_MS, true));
+}
+
 int
 main (void)
 {
@@ -225,6 +242,7 @@
     SUITE_TEST (test_all_engines_speak_after_a_silence),
     SUITE_TEST (test_engine_that_was_silent_takes_requests_of_another),
     SUITE_TEST (test_dead_engine_is_avoided),
+    SUITE_TEST (test_byte_ends_no_ejection_for_breaks),
     CU_TEST_INFO_NULL
   };
 
--- a/tests/test_gateway_silence.c
+++ b/tests/test_gateway_silence.c
@@ -13,7 +13,7 @@
   "\",\"timeout_ms\":" timeout ",\"aim_ms\":500,\"service\":\"" service "\"" more "}"
 #define ROUTES(timeout, service)                                                                   \
   ROUTE ("look", "idempotent", timeout, service, ",\"attempts\":2")                                \
-  "," ROUTE (                                                                                      \
+  "," ROUTE ("seek", "idempotent", timeout, service, ",\"attempts\":3") "," ROUTE (                \
       "talk", "stream", timeout, service,                                                          \
       ",\"attempts\":2,\"resumable\":true,\"gap_target_ms\":100") "," ROUTE ("tell", "stream",     \
                                                                              timeout, service,     \
@@ -1141,6 +1141,114 @@
   check_restarted (&stream);
 }
 
+typedef struct
+{
+  const raw_server_t *engine;
+  uint32_t count;
+} count_wait_t;
+
+static bool
+has_count (void *context)
+{
+  const count_wait_t *wait = context;
+
+  return wait->engine->request_count >= wait->count;
+}
+
+/* Sends a stream to @engine, which has sent two events of it. */
+static raw_peer_t *
+add_stream (gateway_rig_t *rig, raw_server_t *engine)
+{
+  uint32_t before = engine->request_count;
+  count_wait_t wait = { engine, before + 1 };
+  raw_peer_t *client = gateway_rig_send (rig, 0, "POST", "/tell/b", REQUEST);
+
+  CU_ASSERT (raw_peer_run_until (rig->base, has_count, &wait));
+  raw_peer_send (latest_connection (engine), STREAM_HEAD EVENT ("1") EVENT ("2"));
+  CU_ASSERT (raw_peer_run_until (rig->base, has_second_event, client));
+  return client;
+}
+
+static bool
+engine_got (const raw_server_t *engine, const char *path)
+{
+  for (guint i = 0; i < engine->connections->len; i++)
+    if (strstr (((raw_peer_t *)g_ptr_array_index (engine->connections, i))->received->str, path))
+      return true;
+  return false;
+}
+
+/* Guards against a request that leaves its engine as one engine is sound, and is then sent to
+ * another one whose streams stand still, as it has fewer requests. */
+static void
+test_lookup_goes_to_the_engine_that_was_found_sound (void)
+{
+  gateway_rig_t *rig = start (true);
+  hand_t hand = begin (rig, &lookup);
+  raw_server_t *sound;
+  raw_server_t *quiet;
+  raw_peer_t *clients[4];
+
+  put_entry (rig, &(entry_t){ .engine = 0, .slots = 8, .state = "draining", .version = "" });
+  sound = add_ready (rig, silent, 1);
+  for (uint32_t i = 0; i < 3; i++)
+    clients[i] = add_stream (rig, sound);
+  quiet = add_ready (rig, silent, 1);
+  clients[3] = add_stream (rig, quiet);
+  clock_advance (&rig->clock, 450 * CLOCK_US_PER_MS);
+  raw_peer_send (latest_connection (sound), EVENT ("3"));
+  run_checks (rig);
+  pass (rig, 200);
+  CU_ASSERT (engine_got (sound, "/look/a"));
+  CU_ASSERT_FALSE (engine_got (quiet, "/look/a"));
+  for (uint32_t i = 0; i < 4; i++)
+    raw_peer_free (clients[i]);
+  end (&hand);
+}
+
+/* Guards against the last attempt of a request going back to the first of two dead hosts that it
+ * left, while the third engine is full for a while. */
+static void
+test_lookup_goes_back_to_neither_of_two_dead_hosts (void)
+{
+  gateway_rig_t *rig = start (true);
+  hand_t hand = send_to (rig, rig->engines[0], "/seek/a", false);
+  raw_server_t *second = add_ready (rig, silent, 1);
+
+  pass (rig, 600);
+  CU_ASSERT (raw_peer_run_until (rig->base, has_request, second));
+  add_ready (rig, full_at_first, REFUSALS + 1);
+  pass_until_end (&hand);
+  CU_ASSERT (is_whole (&hand));
+  CU_ASSERT_EQUAL (rig->engines[0]->request_count, 1);
+  CU_ASSERT_EQUAL (second->request_count, 1);
+  end (&hand);
+}
+
+static const char *const breaks_off[] = { "" };
+
+/* Guards against a request that left a silent engine and ends, with an attempt and seconds left, as
+ * its second engine breaks off while no retry is allowed. */
+static void
+test_lookup_waits_after_a_successor_that_breaks_off (void)
+{
+  gateway_rig_t *rig = start (true);
+  hand_t hand;
+  raw_server_t *second;
+
+  rig->gateways[0].settings.retry_slack_milli = 2000;
+  gateway_rig_skip_retry_window (rig);
+  hand = send_to (rig, rig->engines[0], "/seek/a", false);
+  second = add_ready (rig, breaks_off, 1);
+  second->close_after = true;
+  pass (rig, 600);
+  CU_ASSERT (raw_peer_run_until (rig->base, has_request, second));
+  rig->engines[0]->scripts = answers;
+  pass_until_end (&hand);
+  CU_ASSERT (is_whole (&hand));
+  end (&hand);
+}
+
 int
 main (void)
 {
@@ -1198,6 +1306,9 @@
     SUITE_TEST (test_stream_leaves_a_dead_host_for_its_copy),
     SUITE_TEST (test_lookup_outlives_a_restart_without_budget),
     SUITE_TEST (test_stream_outlives_a_restart_without_budget),
+    SUITE_TEST (test_lookup_goes_to_the_engine_that_was_found_sound),
+    SUITE_TEST (test_lookup_goes_back_to_neither_of_two_dead_hosts),
+    SUITE_TEST (test_lookup_waits_after_a_successor_that_breaks_off),
     CU_TEST_INFO_NULL
   };
 
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -471,6 +471,88 @@
   CU_ASSERT_PTR_EQUAL (start_first (wait_queue), &first);
 }
 
+static void
+hold (wait_queue_t *wait_queue, request_t *request, uint64_t account)
+{
+  *request = (request_t){ .account = account,
+                          .line = { .arrived_us = NOW_US,
+                                    .deadline_us = NOW_US + 60 * CLOCK_US_PER_S,
+                                    .fair_entry = { .account_hash = account } } };
+  request->line.fair_entry.owner = request;
+  CU_ASSERT_TRUE (wait_queue_push_held (wait_queue, NOW_US, &request->line));
+}
+
+static bool
+is_not_held (void *owner, void *context)
+{
+  return owner != context;
+}
+
+/* Guards against a request that left a silent engine, and may wait until its deadline, holding back
+ * others of its account that could start. */
+static void
+test_held_request_holds_back_no_other (void)
+{
+  g_autoptr (wait_queue_t) wait_queue = wait_queue_new ();
+  request_t held;
+  request_t other = { .line = { .arrived_us = NOW_US,
+                                .deadline_us = NOW_US + 60 * CLOCK_US_PER_S,
+                                .fair_entry = { .account_hash = 1 } } };
+
+  other.line.fair_entry.owner = &other;
+  hold (wait_queue, &held, 1);
+  CU_ASSERT_TRUE (wait_queue_push_delayed (wait_queue, NOW_US, &other.line, 0));
+  CU_ASSERT_PTR_EQUAL (wait_queue_first (wait_queue, is_not_held, &held), &other);
+  remove_all (wait_queue);
+}
+
+/* Guards against one request that waits as it left a silent engine making its whole service count
+ * as overloaded, though no request waits for a slot. */
+static void
+test_held_request_is_no_overload (void)
+{
+  g_autoptr (wait_queue_t) wait_queue = wait_queue_new ();
+  request_t held;
+
+  hold (wait_queue, &held, 1);
+  CU_ASSERT_FALSE (wait_queue_is_overloaded (wait_queue, OVERLOADED_US));
+  remove_all (wait_queue);
+}
+
+/* Return: whether a request that has three seconds is rejected, as it has waited for 0.4 s, beside
+ * one that has been held for five */
+static bool
+is_rejected (bool has_held)
+{
+  g_autoptr (wait_queue_t) wait_queue = wait_queue_new ();
+  uint64_t now_us = NOW_US + 5 * CLOCK_US_PER_S;
+  request_t held;
+  request_t other = { .line = { .arrived_us = now_us,
+                                .target_us = now_us + 300 * CLOCK_US_PER_MS,
+                                .deadline_us = now_us + 3 * CLOCK_US_PER_S,
+                                .fair_entry = { .account_hash = 2 } } };
+  bool was_rejected;
+  uint64_t wait_us;
+
+  other.line.fair_entry.owner = &other;
+  if (has_held)
+    hold (wait_queue, &held, 1);
+  CU_ASSERT_EQUAL (wait_queue_push (wait_queue, now_us, &ROOM, &other.line, &wait_us),
+                   WAIT_QUEUE_QUEUED);
+  was_rejected = wait_queue_pop_expired (wait_queue, now_us + 400 * CLOCK_US_PER_MS) != NULL;
+  remove_all (wait_queue);
+  return was_rejected;
+}
+
+/* Guards against a request with seconds left being refused, as another one has waited for longer
+ * than that since it left a silent engine. */
+static void
+test_held_request_refuses_no_other (void)
+{
+  CU_ASSERT_FALSE (is_rejected (false));
+  CU_ASSERT_FALSE (is_rejected (true));
+}
+
 int
 main (void)
 {
@@ -491,6 +573,9 @@
                                        SUITE_TEST (test_scarce_slots_are_for_requests_in_time),
                                        SUITE_TEST (test_scarce_slots_in_a_surge_of_one),
                                        SUITE_TEST (test_delayed_retry_waits_with_late_requests),
+                                       SUITE_TEST (test_held_request_holds_back_no_other),
+                                       SUITE_TEST (test_held_request_is_no_overload),
+                                       SUITE_TEST (test_held_request_refuses_no_other),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("wait_queue", tests);
