Requests that wait after a silent engine hold back no others

With one request that had left a silent engine and waited for another, its whole service counted as overloaded after half a second, and requests of other accounts were refused with seconds left; others of its own account waited behind it. With three attempts a request could go back to the first of two dead hosts. A byte of an engine ended its ejection also for breaks and refused connections. Each silent hop made a choice among all engines five times a second: 0.7 ms each at 3,700 engines.

Cause: such requests were put into the queue of late ones, which decides on others by how long it has been waiting; only the last engine that was left was remembered; one flag stood for all failures since.

Change: held requests have a list of their own, before the others, which is no sign of an overload; each is asked for ten times a second at most. All engines that were left are remembered. The flag holds while all failures are silences. Requests of a service that are alike share the answer that no engine is there in a check. A response of an engine's own is passed on at once. The engine of a copy must be as sound as any other successor.

Before: test_held_request_holds_back_no_other, test_held_request_is_no_overload, test_held_request_refuses_no_other, test_lookup_goes_back_to_neither_of_two_dead_hosts, test_byte_ends_no_ejection_for_breaks fail. After: they pass; test-gateway_silence 60 of 61 (one listed), test-gateway 59 of 59. The processor time at 3,700 engines was not measured again.

--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -375,13 +375,30 @@
              .action == ENGINE_CHOICE_SEND;
 }
 
-/* Whether the engine that the request left as silent has sent nothing since. */
-static bool
-is_left_engine_silent (const gateway_call_t *call)
+/* Adds the engines that the request left as silent, and that have sent nothing since, to the @count
+ * in @excluded. Return: the number there */
+static uint32_t
+exclude_left (const gateway_call_t *call, uint64_t *excluded, uint32_t count)
 {
-  const engine_t *engine = engines_find_by_hash (call->gateway->options.engines, call->left_engine);
+  for (uint32_t i = 0; i < call->left_count; i++)
+    {
+      const engine_t *engine =
+          engines_find_by_hash (call->gateway->options.engines, call->left[i].hash);
 
-  return engine && engine->last_byte_us <= call->left_us;
+      if (engine && engine->last_byte_us <= call->left[i].at_us)
+        excluded[count++] = call->left[i].hash;
+    }
+  return count;
+}
+
+static uint64_t
+last_left_us (const gateway_call_t *call)
+{
+  uint64_t at_us = 0;
+
+  for (uint32_t i = 0; i < call->left_count; i++)
+    at_us = MAX (at_us, call->left[i].at_us);
+  return at_us;
 }
 
 /* A dead engine must not get the last attempt of a request that left it as silent, unless there is
@@ -389,14 +406,11 @@
 static engine_choice_t
 choose_other_engine (const gateway_call_t *call, uint64_t *excluded, uint32_t count)
 {
-  bool is_out = call->left_engine != 0 && is_left_engine_silent (call);
-  engine_choice_t choice;
+  uint32_t with_left = exclude_left (call, excluded, count);
+  engine_choice_t choice = choose_engine (call, excluded, with_left);
 
-  if (is_out)
-    excluded[count] = call->left_engine;
-  choice = choose_engine (call, excluded, count + (is_out ? 1 : 0));
-  if (is_out && choice.action == ENGINE_CHOICE_NONE && choice.backoff_us == 0 &&
-      gateway_now_us (call->gateway) >= call->left_us + GATEWAY_SOUND_SILENCE_US)
+  if (with_left > count && choice.action == ENGINE_CHOICE_NONE && choice.backoff_us == 0 &&
+      gateway_now_us (call->gateway) >= last_left_us (call) + GATEWAY_SOUND_SILENCE_US)
     return choose_engine (call, excluded, count);
   return choice;
 }
@@ -406,7 +420,7 @@
 engine_choice_t
 gateway_call_choose_engine (const gateway_call_t *call)
 {
-  uint64_t excluded[GATEWAY_EXCLUDED_MAX + 1];
+  uint64_t excluded[GATEWAY_EXCLUDED_MAX + GATEWAY_LEFT_MAX];
   uint32_t count = call->tried_count;
 
   memcpy (excluded, call->tried, count * sizeof excluded[0]);
--- a/src/request/gateway/gateway_copies.c
+++ b/src/request/gateway/gateway_copies.c
@@ -224,7 +224,7 @@
       retry_plan_set_copy (&call->course, false);
       return;
     }
-  obstacle = check_target (call, target, false);
+  obstacle = check_target (call, target, call->is_moving);
   if (obstacle != BACKUP_OBSTACLE_NONE)
     log_event (LOG_LEVEL_INFO, "copy_unused", "id", call->id, "service", call->service->name,
                "backup", target ? target->entry.id : NULL, "reason",
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -430,15 +430,47 @@
       reason);
 }
 
+/* Requests that tried nothing else and may go anywhere find the same engines. */
+static bool
+is_like_others (const gateway_call_t *call)
+{
+  return call->tried_count <= 1 && !call->route->regions &&
+         !(call->account && call->account->regions);
+}
+
+/* The choice among thousands of engines is made once in a check for all requests that are alike. */
+static bool
+is_known_unmovable (const gateway_call_t *call)
+{
+  const gateway_service_t *service = call->service;
+
+  return is_like_others (call) && service->unmovable_ticks == call->gateway->ticks &&
+         service->unmovable_version == call->version;
+}
+
+static bool
+finds_successor (gateway_call_t *call)
+{
+  bool is_found = gateway_call_has_successor (call);
+
+  if (!is_found && is_like_others (call))
+    {
+      call->service->unmovable_ticks = call->gateway->ticks;
+      call->service->unmovable_version = call->version;
+    }
+  return is_found;
+}
+
 static bool
 has_successor (void *context)
 {
   gateway_call_t *call = context;
 
   call->move_checked_us = gateway_now_us (call->gateway);
-  return gateway_copies_may_continue (call) ||
-         (retry_plan_may_rerun (&call->course, call->relay.has_started) &&
-          gateway_call_has_successor (call));
+  if (gateway_copies_may_continue (call))
+    return true;
+  return retry_plan_may_rerun (&call->course, call->relay.has_started) &&
+         !is_known_unmovable (call) && finds_successor (call);
 }
 
 static hop_move_t
@@ -480,8 +512,9 @@
 {
   gateway_copies_note_break (call);
   engine_note_silence (call->engine, now_us);
-  call->left_engine = call->engine->hash;
-  call->left_us = now_us;
+  call->left[call->left_count % GATEWAY_LEFT_MAX] =
+      (gateway_left_t){ .hash = call->engine->hash, .at_us = now_us };
+  call->left_count = MIN (call->left_count + 1, GATEWAY_LEFT_MAX);
   call->is_moving = true;
   retry_plan_note_given_up (&call->course);
   give_up_hop (call, "silent", VERDICT_REASON_TIMEOUT);
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -75,8 +75,12 @@
 #define GATEWAY_NEARLY_FULL_MILLI 900
 #define GATEWAY_SHED_LOG_US (UINT64_C (5) * 1000 * 1000)
 #define GATEWAY_WATCH_TICKS 4 /* ticks between two searches for hops whose engine is silent */
+#define GATEWAY_LEFT_MAX 4    /* engines that a request left as silent and that are remembered */
 /* Longest time for which an engine that is sound sends nothing. */
 #define GATEWAY_SOUND_SILENCE_US (UINT64_C (2000) * 1000)
+/* Time after which an engine is looked for again for a request that was given up at a silent one.
+ */
+#define GATEWAY_HELD_RETRY_US (UINT64_C (100) * 1000)
 /* Time after which another engine is looked for again for a request at a silent engine. */
 #define GATEWAY_MOVE_RETRY_US (UINT64_C (200) * 1000)
 /* Time for which a stream waits for the first table of shares. */
@@ -122,6 +126,9 @@
  * @engines_in_use: engines that have requests of this gateway
  * @answered: parts of the prompts that it answered last
  * @has_streams: it serves streams that may be resumed
+ * @unmovable_ticks: @ticks of its gateway when no engine was found for a request at a silent one,
+ * of
+ *   @unmovable_version; 0 for never
  * @told_epoch: number of its last table when other gateways were told of its streams
  * @room_held: the last line in the log said that room_share.h holds requests back
  * @room_logged_us: time of that line
@@ -144,6 +151,8 @@
   uint32_t engines_in_use;
   answered_parts_t answered;
   bool has_streams;
+  uint32_t unmovable_ticks;
+  uint64_t unmovable_version;
   uint64_t told_epoch;
   uint32_t mean_milli;
   uint64_t overloaded_logged_us;
@@ -250,6 +259,14 @@
   bool is_told_by_peer;
 } gateway_belief_t;
 
+/** struct gateway_left - an engine that a request left as it was silent; @hash: of it; @at_us: when
+ */
+typedef struct
+{
+  uint64_t hash;
+  uint64_t at_us;
+} gateway_left_t;
+
 /**
  * struct gateway_resumption - a client's request that resumes a stream
  * @asked_us: when the other gateways were asked last, 0 for never
@@ -310,8 +327,7 @@
  *   %HOP_MOVE_NOW
  * @move_checked_us: time at which another engine was last looked for; 0 before that
  * @is_moving: it is sent from a silent engine to one that must be sound
- * @left_engine: hash of the engine that the request left last as it was silent; 0 for none
- * @left_us: time of that
+ * @left: engines that the request left as they were silent, the first @left_count of them
  * @events_before_head: whole events of the stream that had come before this head
  * @client_was_slow: the client read the response of the last hop slowly
  * @failure_buffered: the error response of an engine is buffered, to be forwarded if no other
@@ -366,16 +382,16 @@
   uint64_t sent_us;
   uint64_t head_us;
   uint64_t first_data_us;
-  bool is_written_long;
   uint64_t last_byte_us;
-  hop_move_t move;
   uint64_t move_checked_us;
-  bool is_moving;
-  uint64_t left_engine;
-  uint64_t left_us;
+  gateway_left_t left[GATEWAY_LEFT_MAX];
+  uint32_t left_count;
+  hop_move_t move;
   uint64_t events_before_head;
   uint64_t dropped_bytes;
   uint64_t copy_engine;
+  bool is_written_long;
+  bool is_moving;
   bool client_was_slow;
   bool failure_buffered;
   bool has_continued;
--- a/src/request/gateway/gateway_queue.c
+++ b/src/request/gateway/gateway_queue.c
@@ -212,21 +212,35 @@
     }
 }
 
+static bool
+may_go_on (gateway_call_t *call, engine_choice_t *choice)
+{
+  uint64_t now_us = gateway_now_us (call->gateway);
+
+  if (now_us < call->move_checked_us + GATEWAY_HELD_RETRY_US)
+    return false;
+  *choice = gateway_call_choose_engine (call);
+  if (choice->action == ENGINE_CHOICE_SEND)
+    return true;
+  call->move_checked_us = now_us;
+  return false;
+}
+
 /* Whether a queued request can leave the queue now: to be sent, or refused because no engine is
  * left to ask. Stores the choice of an engine in @context. */
 static bool
 may_start (void *owner, void *context)
 {
-  const gateway_call_t *call = owner;
+  gateway_call_t *call = owner;
   engine_choice_t *choice = context;
 
   if (call->course.retry_due && gateway_call_retry_wait_us (call) > 0)
     return false;
   if (gateway_suspect_must_wait (call))
     return false;
-  *choice = gateway_call_choose_engine (call);
   if (call->course.was_given_up)
-    return choice->action == ENGINE_CHOICE_SEND;
+    return may_go_on (call, choice);
+  *choice = gateway_call_choose_engine (call);
   return choice->action != ENGINE_CHOICE_WAIT && choice->backoff_us == 0;
 }
 
--- a/src/request/policy/engines/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -667,6 +667,7 @@
   engine->unreachable = false;
   grow_window (engine);
   engine->failures = 0;
+  engine->was_silent = false;
   engine->ejected_until_us = 0;
   add_error_sample (engine, now_us, failed ? MILLI : 0);
 }
@@ -697,6 +698,7 @@
   uint64_t ejection_us;
 
   engine->failures++;
+  engine->was_silent = false;
   add_error_sample (engine, now_us, MILLI);
   if (engine->failures < ENGINE_EJECTION_FAILURES)
     return;
@@ -711,9 +713,11 @@
 void
 engine_note_silence (engine_t *engine, uint64_t now_us)
 {
-  engine->was_silent = true;
+  bool only_silent = engine->failures == 0 || engine->was_silent;
+
   if (now_us >= engine->ejected_until_us)
     engine_note_failure (engine, now_us);
+  engine->was_silent = only_silent;
 }
 
 void
--- a/src/request/policy/engines/engines.h
+++ b/src/request/policy/engines/engines.h
@@ -129,7 +129,7 @@
  * @backoff_until_us: in a refusal the engine asked for no requests until then
  * @idle_ms: how long the engine keeps an idle connection; 0 when it didn't state it
  * @unreachable: it was ejected because it accepted no connections
- * @was_silent: requests were given up as it was silent, and it has sent nothing since
+ * @was_silent: all of @failures are requests given up as it was silent
  * @entry_expired: its entry expired while the store was unreachable, so it may be running or have
  *   left
  * @displaced: another engine answers at its address
--- a/src/request/policy/queueing/wait_queue.c
+++ b/src/request/policy/queueing/wait_queue.c
@@ -20,11 +20,13 @@
  * @odds: share of first attempts that started in time
  * @quiet_odds: the same for accounts with credit
  * @scarce: this gateway's share is less than %WAIT_QUEUE_SCARCE_SLOTS
+ * @held: requests that must not be rejected, wait_queue_item_t, the oldest first
  */
 struct wait_queue
 {
   fair_queue_t *in_time;
   fair_queue_t *late;
+  GQueue held;
   uint64_t run_us;
   uint64_t head_us;
   uint64_t busy_since_us;
@@ -43,6 +45,7 @@
 
   wait_queue->in_time = fair_queue_new (WAIT_QUEUE_LIMIT);
   wait_queue->late = fair_queue_new (WAIT_QUEUE_LIMIT);
+  g_queue_init (&wait_queue->held);
   wait_queue->run_us = WAIT_QUEUE_DEFAULT_RUN_US;
   wait_queue->head_us = WAIT_QUEUE_DEFAULT_RUN_US;
   return wait_queue;
@@ -53,6 +56,7 @@
 {
   fair_queue_free (wait_queue->in_time);
   fair_queue_free (wait_queue->late);
+  g_queue_clear (&wait_queue->held);
   g_free (wait_queue);
 }
 
@@ -386,8 +390,15 @@
 wait_queue_push_held (wait_queue_t *wait_queue, uint64_t now_us, wait_queue_item_t *item)
 {
   g_assert (!item->waiting);
+  if (g_queue_get_length (&wait_queue->held) >= WAIT_QUEUE_LIMIT)
+    return false;
   set_fair_queue_fields (wait_queue, item);
-  return push_into (wait_queue, now_us, item, true, UINT64_MAX) == WAIT_QUEUE_QUEUED;
+  item->is_late = true;
+  item->is_held = true;
+  item->waiting = true;
+  item->fair_entry.queued_us = now_us;
+  g_queue_push_tail (&wait_queue->held, item);
+  return true;
 }
 
 static void
@@ -398,11 +409,24 @@
     wait_queue->emptied_us = now_us;
 }
 
+static void
+remove_held (wait_queue_t *wait_queue, wait_queue_item_t *item)
+{
+  g_queue_remove (&wait_queue->held, item);
+  item->is_held = false;
+  item->waiting = false;
+}
+
 void
 wait_queue_remove (wait_queue_t *wait_queue, uint64_t now_us, wait_queue_item_t *item)
 {
   if (!item->waiting)
     return;
+  if (item->is_held)
+    {
+      remove_held (wait_queue, item);
+      return;
+    }
   fair_queue_remove (queue_of (wait_queue, item), &item->fair_entry);
   note_wait_ends (wait_queue, now_us, item);
 }
@@ -454,6 +478,8 @@
 void
 wait_queue_start (wait_queue_t *wait_queue, uint64_t now_us, wait_queue_item_t *item)
 {
+  if (item->waiting && item->is_held)
+    remove_held (wait_queue, item);
   if (item->waiting)
     {
       fair_queue_item_t *first =
@@ -491,7 +517,16 @@
 wait_queue_first (const wait_queue_t *wait_queue, wait_queue_may_start_t may, void *context)
 {
   start_check_t check = { may, context };
-  fair_queue_item_t *item = fair_queue_peek_allowed (wait_queue->in_time, may_start, &check);
+  fair_queue_item_t *item;
+
+  for (const GList *link = wait_queue->held.head; link; link = link->next)
+    {
+      const wait_queue_item_t *held = link->data;
+
+      if (may_start (&held->fair_entry, &check))
+        return held->fair_entry.owner;
+    }
+  item = fair_queue_peek_allowed (wait_queue->in_time, may_start, &check);
 
   if (!item)
     item = fair_queue_peek_allowed (wait_queue->late, may_start, &check);
--- a/src/request/policy/queueing/wait_queue.h
+++ b/src/request/policy/queueing/wait_queue.h
@@ -87,8 +87,8 @@
 } wait_queue_capacity_t;
 
 /**
- * struct wait_queue_item - embedded in a waiting request; its owner sets all but @waiting and
- * @is_late
+ * struct wait_queue_item - embedded in a waiting request; its owner sets all but @waiting,
+ * @is_late and @is_held
  * @fair_entry: entry in the fair queue, with the account and the owner
  * @priority: 0 is the highest
  * @arrived_us: when the request arrived
@@ -98,6 +98,7 @@
  * @run_us: usual duration of this kind of request at an engine; 0 if unknown
  * @is_retry: the client retries after a rejection
  * @is_late: it is in the second queue
+ * @is_held: it is one of the held ones
  * @waiting: it is in one of the queues
  */
 typedef struct
@@ -111,6 +112,7 @@
   uint64_t run_us;
   bool is_retry;
   bool is_late;
+  bool is_held;
   bool waiting;
 } wait_queue_item_t;
 
@@ -141,8 +143,9 @@
                               wait_queue_item_t *item,
                               uint64_t wait_us);
 /**
- * wait_queue_push_held() - queues a request that must not be rejected, with the late ones; it never
- * expires, so its owner ends it at its deadline
+ * wait_queue_push_held() - queues a request that must not be rejected, before all others; it never
+ * expires, so its owner ends it at its deadline. It holds back no other request, and is no sign of
+ * an overload
  *
  * Return: false if the queue has reached its limit
  */
--- a/src/request/policy/retries/retry_plan.c
+++ b/src/request/policy/retries/retry_plan.c
@@ -152,7 +152,7 @@
 static bool
 must_wait (const retry_plan_t *retry_plan, retry_plan_outcome_t outcome)
 {
-  if (!retry_plan->was_given_up)
+  if (!retry_plan->was_given_up || outcome == RETRY_PLAN_OUTCOME_FAILED)
     return false;
   return is_not_run (outcome) ? retry_plan->ran < retry_plan->rules.max_runs
                               : may_rerun (&retry_plan->rules, retry_plan->ran,
