A refused connection is tried again after a pause

A connection that is refused fails at once, so that all ten attempts were spent in some ticks, where it used to wait for the next table of shares.

--- a/src/request/gateway/gateway_queue.c
+++ b/src/request/gateway/gateway_queue.c
@@ -226,6 +226,16 @@
   return false;
 }
 
+/* A connection that is refused fails at once; without a pause all attempts would be spent in a
+ * moment. */
+static bool
+was_just_unsent (const gateway_call_t *call)
+{
+  return call->course.unsent > 0 &&
+         gateway_now_us (call->gateway) <
+             call->sent_us + GATEWAY_CONNECT_TIMEOUT_MS * CLOCK_US_PER_MS;
+}
+
 /* Whether a queued request can leave the queue now: to be sent, or refused because no engine is
  * left to ask. Stores the choice of an engine in @context. */
 static bool
@@ -238,6 +248,8 @@
     return false;
   if (gateway_suspect_must_wait (call))
     return false;
+  if (was_just_unsent (call))
+    return false;
   if (call->course.was_given_up)
     return may_go_on (call, choice);
   *choice = gateway_call_choose_engine (call);
