--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -126,9 +126,9 @@
  * @engines_in_use: engines that have requests of this gateway
  * @answered: parts of the prompts that it answered last
  * @has_streams: it serves streams that may be resumed
- * @unmovable_ticks: @ticks of its gateway when no engine was found for a request at a silent one,
- * of
- *   @unmovable_version; 0 for never
+ * @unmovable_ticks: @ticks of its gateway when no other engine was last found for a request at a
+ *   silent one; 0 for never
+ * @unmovable_version: software version of that request
  * @told_epoch: number of its last table when other gateways were told of its streams
  * @room_held: the last line in the log said that room_share.h holds requests back
  * @room_logged_us: time of that line
--- a/tests/test_http_server_limits.c
+++ b/tests/test_http_server_limits.c
@@ -206,6 +206,16 @@
   return ((server_fixture_t *)context)->calls == 2 * HERD;
 }
 
+/* Keeps the event loop from running until its timers of that time are due */
+static void
+block_loop (uint32_t ms)
+{
+  int64_t due_us = g_get_monotonic_time () + (int64_t)ms * 1000;
+
+  while (g_get_monotonic_time () <= due_us)
+    g_thread_yield ();
+}
+
 /* The server did not run while the idle limit passed; the requests came before it did */
 static void
 test_whole_requests_unread (void)
@@ -218,7 +228,7 @@
     herd[i] = connect_kept (fixture);
   for (int i = 0; i < HERD; i++)
     raw_peer_send (herd[i], "GET /whole HTTP/1.1\r\n\r\n");
-  g_usleep (IDLE_MS * 6 * 1000);
+  block_loop (IDLE_MS * 6);
   CU_ASSERT_TRUE_FATAL (raw_peer_run_until (fixture->base, are_herd_answered, fixture));
   for (int i = 0; i < HERD; i++)
     server_fixture_run_until_received (fixture, herd[i], "\r\n\r\n/whole");
@@ -238,7 +248,7 @@
   fixture->reply_at_once = true;
   raw_peer_run_ms (fixture->base, HEAD_MS / 2);
   raw_peer_send (raw, rest);
-  g_usleep (HEAD_MS * 2 * 1000);
+  block_loop (HEAD_MS * 2);
   server_fixture_run_until_received (fixture, raw, "\r\n\r\n/whole");
 }
 
