An odd key in the store hides no other record

What callers saw: a gateway that lists a topic in which another writer left a record with a key that is not UTF-8, or has a NUL, never got the other records: it was not ready after a start, and kept an old view after a store that came back from a copy. A page with only keys that nobody reads (keyed.op has others) was asked for again without end.

--- a/src/connection/platform.h
+++ b/src/connection/platform.h
@@ -66,7 +66,8 @@
 /**
  * struct platform_newest - one page of the newest record of each key of a keyed stream; valid
  * during the callback
- * @more: further keys follow the last one of @records
+ * @more: further keys follow
+ * @after: what the next page is asked for with; NULL when that is the key of the last record
  * @end: end of the stream when the page was created, as in struct platform_read
  */
 typedef struct
@@ -75,6 +76,7 @@
   const platform_record_t *records;
   uint32_t record_count;
   bool more;
+  const char *after;
   position_t end;
 } platform_newest_t;
 typedef void (*platform_newest_done_t) (const platform_newest_t *newest, void *context);
@@ -119,8 +121,8 @@
  * @read: returns records from @from_offset on; waits up to @wait_ms for one when there is none
  * @hosts: returns the list of hosts, as changes since @revision if possible; NULL for a
  *   platform without such a list
- * @newest: returns a page of the newest records of a keyed stream, starting after @after_key,
- *   which is NULL for the first page; NULL for a platform without keyed streams
+ * @newest: returns a page of the newest records of a keyed stream, the first one, or with @after
+ *   the one that follows the page that gave it; NULL for a platform without keyed streams
  * @free: drops pending calls without a callback; must not be called from within a callback
  */
 typedef struct platform platform_t;
@@ -145,7 +147,7 @@
                  void *context);
   void (*newest) (platform_t *platform,
                   const char *stream,
-                  const char *after_key,
+                  const char *after,
                   platform_newest_done_t done,
                   void *context);
   void (*put) (platform_t *platform,
--- a/src/connection/stream_follower.c
+++ b/src/connection/stream_follower.c
@@ -32,7 +32,7 @@
  * @has_listed: see stream_follower_has_listed()
  * @listed: records of the pages so far; NULL before the first page. They are listed in the view
  * after the last page only, as the view may get other records between two pages
- * @last_listed_key: last key of the previous page, NULL for the first page
+ * @next_page: what the next page is asked for with, NULL for the first page
  * @list_end: end of the stream when the first page was made
  * @next: position to read from
  * @listed_unread: no read has succeeded since the last listing
@@ -58,7 +58,7 @@
   bool listing;
   bool has_listed;
   keyed_view_t *listed;
-  char *last_listed_key;
+  char *next_page;
   position_t list_end;
   position_t next;
   bool listed_unread;
@@ -109,7 +109,7 @@
 clear_pages (stream_follower_t *follower)
 {
   g_clear_pointer (&follower->listed, keyed_view_free);
-  g_clear_pointer (&follower->last_listed_key, g_free);
+  g_clear_pointer (&follower->next_page, g_free);
 }
 
 static void
@@ -296,6 +296,20 @@
   return !follower->listed || follower->list_end.era == page_era;
 }
 
+/* Return: what the page after @newest is asked for with; NULL when it is the last one, or when no
+ * other one can be asked for */
+static const char *
+page_after (const stream_follower_t *follower, const platform_newest_t *newest)
+{
+  const char *after = newest->after;
+
+  if (!newest->more)
+    return NULL;
+  if (!after && newest->record_count > 0)
+    after = newest->records[newest->record_count - 1].key;
+  return g_strcmp0 (after, follower->next_page) != 0 ? after : NULL;
+}
+
 static void
 on_page (const platform_newest_t *newest, void *context)
 {
@@ -307,7 +321,7 @@
   if (end_call (call))
     return;
   note_era (follower, era, "store");
-  if (newest->outcome != PLATFORM_OK || (newest->more && newest->record_count == 0))
+  if (newest->outcome != PLATFORM_OK || (newest->more && !page_after (follower, newest)))
     {
       handle_failure (follower);
       return;
@@ -327,8 +341,10 @@
   add_page (follower, newest);
   if (newest->more)
     {
-      g_free (follower->last_listed_key);
-      follower->last_listed_key = g_strdup (newest->records[newest->record_count - 1].key);
+      char *next_page = g_strdup (page_after (follower, newest));
+
+      g_free (follower->next_page);
+      follower->next_page = next_page;
       schedule_in (follower, 0);
       return;
     }
@@ -479,7 +495,7 @@
   call->from = follower->next;
   call->era = follower->era;
   call->is_read = !follower->listing;
-  call->is_first_page = follower->last_listed_key == NULL;
+  call->is_first_page = follower->next_page == NULL;
   g_ptr_array_add (follower->calls, call);
   follower->call = call;
   follower->started_us = clock_now_us (follower->options.clock);
@@ -498,7 +514,7 @@
   (void)fd;
   (void)what;
   if (follower->listing)
-    platform->newest (platform, follower->options.stream, follower->last_listed_key, on_page, call);
+    platform->newest (platform, follower->options.stream, follower->next_page, on_page, call);
   else
     platform->read (platform, follower->options.stream, follower->next.offset,
                     follower->options.latest_only ? 1 : RECORDS_PER_READ_MAX,
