An engine's own entry outlasts what another writer states of its start

Callers got 503 for as long as an engine ran: another writer had left one entry under the engine's id with a later start (born 2^63-1, 9e15, or a time of next year), and each entry of the engine itself, which states its real start, was taken for a delayed write of an earlier process. Gateways that started later were not affected.

Cause: a number of someone else's was believed for its size, without a limit and without a way back. A process renews its entry, so a start that was stated once now yields to an entry of an earlier start that is ready, and any start to an earlier one that writes twice. A delayed entry of an earlier process still changes nothing where the later one has renewed its entry, or where the delayed one is leaving.

The order of entries after the store came back from a copy went by the same numbers: an odd seq or born kept the engine's entries of the new era out for good. They are now held back only until the platform would have removed an entry that nobody renews.

--- a/src/process/record_order.c
+++ b/src/process/record_order.c
@@ -45,5 +45,6 @@
   by_entry = restoration_compare_entries (&known_entry, &entry);
   if (by_entry == 0)
     return KEYED_VIEW_SAME_AGE;
-  return by_entry < 0 ? KEYED_VIEW_OLDER : KEYED_VIEW_NEWER;
+  /* the known one may be of another writer, whose numbers the engine never reaches */
+  return by_entry < 0 ? KEYED_VIEW_PERHAPS_OLDER : KEYED_VIEW_NEWER;
 }
--- a/src/request/policy/engines/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -192,12 +192,32 @@
   engine->version = version;
 }
 
+/*
+ * An entry of an earlier start is a write that was delayed, or the later start was stated by
+ * another writer. A process renews its entry, so a start that was stated once yields to an earlier
+ * one that is ready, and any start to an earlier one that writes twice.
+ */
+static bool
+is_delayed_write (engine_t *engine, const engine_entry_t *entry)
+{
+  bool repeated = engine->earlier_start_wrote;
+
+  if (entry->born_ms >= engine->entry.born_ms)
+    {
+      engine->start_renewed = entry->born_ms == engine->entry.born_ms;
+      engine->earlier_start_wrote = false;
+      return false;
+    }
+  engine->earlier_start_wrote = true;
+  return !repeated && (engine->start_renewed || entry->state != ENGINE_READY);
+}
+
 engine_t *
 engines_put (engines_t *engines, uint64_t now_us, const engine_entry_t *entry)
 {
   engine_t *engine = g_hash_table_lookup (engines->by_id, entry->id);
 
-  if (engine && entry->born_ms < engine->entry.born_ms)
+  if (engine && is_delayed_write (engine, entry))
     return engine;
   if (engine &&
       (engine->entry.service != entry->service || engine->entry.born_ms != entry->born_ms))
--- a/src/request/policy/engines/engines.h
+++ b/src/request/policy/engines/engines.h
@@ -130,6 +130,8 @@
  * @idle_ms: how long the engine keeps an idle connection; 0 when it didn't state it
  * @unreachable: it was ejected because it accepted no connections
  * @was_silent: all of @failures are requests given up as it was silent
+ * @start_renewed: more than one entry stated its start
+ * @earlier_start_wrote: the last entry was of an earlier start, and was taken for a delayed one
  * @entry_expired: its entry expired while the store was unreachable, so it may be running or have
  *   left
  * @displaced: another engine answers at its address
@@ -181,6 +183,8 @@
   uint32_t idle_ms;
   bool unreachable;
   bool was_silent;
+  bool start_renewed;
+  bool earlier_start_wrote;
   bool entry_expired;
   bool displaced;
   bool reported_leaving;
--- a/src/version/keyed_view.h
+++ b/src/version/keyed_view.h
@@ -35,6 +35,7 @@
 typedef enum
 {
   KEYED_VIEW_OLDER,
+  KEYED_VIEW_PERHAPS_OLDER, /* unless nothing newer comes until keyed_view_apply_held() */
   KEYED_VIEW_SAME_AGE,
   KEYED_VIEW_NEWER,
   KEYED_VIEW_UNORDERED /* the values don't tell */
@@ -80,7 +81,7 @@
  * listing and which the stream does not have in this era */
 void keyed_view_drop_missing (keyed_view_t *view);
 /** keyed_view_apply_held() - apply the records that were held back because values tell no order, or
- * because the key was deleted in the era before */
+ * perhaps another one, or because the key was deleted in the era before */
 void keyed_view_apply_held (keyed_view_t *view);
 /** keyed_view_get() - the value of @key, with its size and position; NULL when there is none */
 const char *keyed_view_get (const keyed_view_t *view,
--- a/tests/test_engine_choice.c
+++ b/tests/test_engine_choice.c
@@ -125,6 +125,47 @@
   CU_ASSERT (!engine_is_open (engine));
 }
 
+/* Guards against one entry with a later start, left by another writer, that keeps an engine out. */
+static void
+test_engine_takes_its_entry_back_from_another_writer (void)
+{
+  static const uint64_t starts[] = { 8, 9000000000000000, INT64_MAX };
+  static const engine_state_t states[] = { ENGINE_READY, ENGINE_LEAVING };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (starts) * G_N_ELEMENTS (states); i++)
+    {
+      g_autoptr (engines_t) engines = make_engines (1);
+      uint64_t hash = put_start (engines, "e0", 7, ENGINE_READY)->hash;
+      engine_t *engine;
+
+      put_start (engines, "e0", 7, ENGINE_READY);
+      put_start (engines, "e0", starts[i / 2], states[i % 2]);
+      engine = put_start (engines, "e0", 7, ENGINE_READY);
+      CU_ASSERT (engine->hash == hash && engine_is_open (engine));
+      put_start (engines, "e0", starts[i / 2], ENGINE_READY);
+      put_start (engines, "e0", 7, ENGINE_LEAVING);
+      engine = put_start (engines, "e0", 7, ENGINE_LEAVING);
+      CU_ASSERT (engine->hash == hash && !engine_is_open (engine));
+    }
+}
+
+/* Guards against a leaving engine that gets requests again by a delayed entry of an earlier start.
+ */
+static void
+test_renewed_start_outlasts_a_delayed_entry (void)
+{
+  g_autoptr (engines_t) engines = make_engines (1);
+  engine_t *engine;
+
+  put_start (engines, "e0", 8, ENGINE_READY);
+  engine = put_start (engines, "e0", 8, ENGINE_LEAVING);
+  CU_ASSERT_PTR_EQUAL (put_start (engines, "e0", 7, ENGINE_READY), engine);
+  CU_ASSERT (!engine_is_open (engine));
+  CU_ASSERT_PTR_EQUAL (put_start (engines, "e0", 8, ENGINE_LEAVING), engine);
+  CU_ASSERT_PTR_EQUAL (put_start (engines, "e0", 7, ENGINE_READY), engine);
+  CU_ASSERT (!engine_is_open (engine));
+}
+
 static void
 test_shared_part_has_one_home (void)
 {
@@ -1166,6 +1207,8 @@
   static const CU_TestInfo tests[] = {
     SUITE_TEST (test_restarted_engine_is_a_new_one),
     SUITE_TEST (test_late_entry_of_an_older_start_changes_nothing),
+    SUITE_TEST (test_engine_takes_its_entry_back_from_another_writer),
+    SUITE_TEST (test_renewed_start_outlasts_a_delayed_entry),
     SUITE_TEST (test_shared_part_has_one_home),
     SUITE_TEST (test_hot_part_spills_at_the_bound),
     SUITE_TEST (test_new_home_copies_from_the_former),
--- a/tests/test_view_eras.c
+++ b/tests/test_view_eras.c
@@ -1,6 +1,8 @@
 /* Unit tests of views of a stream that comes back from a copy: what stays meanwhile, and until
  * when.
  */
+#include "platform/records.h"
+#include "process/record_order.h"
 #include "suite.h"
 #include "version/keyed_view.h"
 #include "version/view_share.h"
@@ -102,6 +104,44 @@
   CU_ASSERT_EQUAL (keyed_view_held_count (view), 0);
 }
 
+static void
+apply_engine (keyed_view_t *view, uint64_t era, uint64_t offset, const char *more)
+{
+  g_autofree char *text = g_strdup_printf ("{\"service\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":"
+                                           "\"a\",\"slots\":8,\"state\":\"ready\"%s}",
+                                           more);
+
+  apply (view, era, offset, "i-1", text);
+}
+
+/* Guards against numbers of another writer that outlast the engine's entries in the next era. */
+static void
+test_engine_takes_its_entry_back_after_the_store_returned (void)
+{
+  static const char *const odd[] = { ",\"seq\":9223372036854775807,\"born\":7",
+                                     ",\"seq\":5,\"born\":9000000000000000" };
+  record_order_t order = { .parse_version = records_read_version,
+                           .parse_engine = records_read_engine };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      g_autoptr (keyed_view_t) view =
+          keyed_view_new (ignore_change, NULL, record_order_compare_engines, &order);
+
+      apply_engine (view, 1, 1, ",\"seq\":4,\"born\":7");
+      apply_engine (view, 1, 2, odd[i]);
+      keyed_view_list_begin (view);
+      apply_engine (view, 2, 0, ",\"seq\":3,\"born\":7");
+      keyed_view_list_end (view, (position_t){ 2, 1 });
+      CU_ASSERT_PTR_NOT_NULL (strstr (get_value (view, "i-1"), odd[i]));
+      apply_engine (view, 2, 1, ",\"seq\":6,\"born\":7");
+      keyed_view_apply_held (view);
+      CU_ASSERT_PTR_NOT_NULL (strstr (get_value (view, "i-1"), "\"seq\":6"));
+      apply_engine (view, 2, 2, ",\"seq\":7,\"born\":7");
+      CU_ASSERT_PTR_NOT_NULL (strstr (get_value (view, "i-1"), "\"seq\":7"));
+    }
+}
+
 /* Guards against a live engine that is dropped because it registered after the copy. */
 static void
 test_missing_key_stays_until_dropped (void)
@@ -454,6 +494,7 @@
 {
   static const CU_TestInfo tests[] = {
     SUITE_TEST (test_older_value_of_the_copy_replaces_nothing),
+    SUITE_TEST (test_engine_takes_its_entry_back_after_the_store_returned),
     SUITE_TEST (test_missing_key_stays_until_dropped),
     SUITE_TEST (test_deleted_key_of_the_copy_stays_deleted),
     SUITE_TEST (test_deleted_key_that_stays_in_the_stream_returns),
