Large records of another writer fill no memory and no copies for peers

What callers saw: a gateway that started while the store was out did not become ready, though its peers had all it needs; the peers kept each large record whole, up to 262,144 bytes of them.

Cause: nothing bounded the size of an entry in the registries of engines and gateways. From 384 KiB on a gateway sends no copy to one that starts, which two large records reach; 250 are the 64 MB of a host.

A value of more than 16 KiB, far more than any entry, is replaced in the view by a text that nobody can read, and logged (record_too_large). The configuration has no such limit.

Also new: a table of each field of an engine's entry with 50 odd values, under the engine's own key and with its next entry after it, read, listed and across a store that comes back from a copy.

--- a/src/connection/stream_follower.c
+++ b/src/connection/stream_follower.c
@@ -2,6 +2,8 @@
 
 #include "base/log.h"
 
+#include <string.h>
+
 #define RECORDS_PER_READ_MAX 10000
 
 /**
@@ -215,15 +217,33 @@
 
 /* @known: a record without an era is of the era of this position */
 static void
-apply_records (keyed_view_t *view,
+apply_record (const stream_follower_t *follower,
+              keyed_view_t *view,
+              position_t known,
+              const platform_record_t *record)
+{
+  position_t position = position_from (known, record->position.era, record->position.offset);
+  uint32_t bytes_max = follower->options.value_bytes_max;
+
+  if (bytes_max == 0 || record->data_bytes <= bytes_max)
+    keyed_view_apply (view, position, record->key, record->data, record->data_bytes);
+  else if (keyed_view_apply (view, position, record->key, STREAM_FOLLOWER_TOO_LARGE,
+                             strlen (STREAM_FOLLOWER_TOO_LARGE)) &&
+           view == follower->options.view)
+    log_event (LOG_LEVEL_WARNING, "record_too_large", "stream", follower->options.stream, "key",
+               record->key, "bytes", LOG_U64 (record->data_bytes), "offset",
+               LOG_U64 (position.offset), NULL);
+}
+
+static void
+apply_records (const stream_follower_t *follower,
+               keyed_view_t *view,
                position_t known,
                const platform_record_t *records,
                uint32_t count)
 {
   for (uint32_t i = 0; i < count; i++)
-    keyed_view_apply (view,
-                      position_from (known, records[i].position.era, records[i].position.offset),
-                      records[i].key, records[i].data, records[i].data_bytes);
+    apply_record (follower, view, known, &records[i]);
 }
 
 static void
@@ -257,8 +277,8 @@
       follower->list_end = position_from (known, newest->end.era, newest->end.offset);
       follower->listed_as_of_us = follower->started_us;
     }
-  apply_records (follower->listed, known, newest->records, newest->record_count);
-  apply_records (follower->options.view, known, newest->records, newest->record_count);
+  apply_records (follower, follower->listed, known, newest->records, newest->record_count);
+  apply_records (follower, follower->options.view, known, newest->records, newest->record_count);
 }
 
 static void
@@ -400,7 +420,7 @@
   position_t next = position_from (known, read->next.era, read->next.offset);
   position_t end = position_from (known, read->end.era, read->end.offset);
 
-  apply_records (follower->options.view, known, read->records, read->record_count);
+  apply_records (follower, follower->options.view, known, read->records, read->record_count);
   follower->listed_unread = false;
   follower->next = position_later (follower->next, next);
   if (!position_is_before (follower->next, end))
--- a/src/connection/stream_follower.h
+++ b/src/connection/stream_follower.h
@@ -31,6 +31,9 @@
 #define STREAM_FOLLOWER_WAIT_MARGIN_DIVISOR 4
 #define STREAM_FOLLOWER_WAIT_MIN_MS 100
 
+/* Value of a record in the view that is larger than the stream's records may be. */
+#define STREAM_FOLLOWER_TOO_LARGE "(too large)"
+
 typedef enum
 {
   STREAM_FOLLOWER_LISTED,  /* a list was completed: the view holds all that the platform had then */
@@ -47,6 +50,7 @@
  * @latest_only: only the newest record of each key matters. When more than one new record
  *   exists they are listed instead of read, so that a quick series of large records does not
  *   saturate the host's link
+ * @value_bytes_max: size of the largest value that the view gets; 0 for no limit
  * @start_suspended: no call starts before stream_follower_resume()
  * @seed: for the jitter of the backoff
  * @on_event: called with each event of stream_follower_state_t
@@ -62,6 +66,7 @@
   uint32_t wait_ms;
   uint32_t pace_ms;
   bool latest_only;
+  uint32_t value_bytes_max;
   bool start_suspended;
   uint64_t seed;
   void (*on_event) (stream_follower_state_t state, void *context);
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -350,20 +350,21 @@
                void (*on_state) (stream_follower_state_t state, void *context))
 {
   store->views[stream] = keyed_view_new (changed, store, compare, &store->options.order);
-  store->followers[stream] = stream_follower_new (
-      &(stream_follower_options_t){ .base = store->options.base,
-                                    .clock = store->options.clock,
-                                    .counters = store->options.counters,
-                                    .platform = store->options.platform,
-                                    .stream = gateway_store_stream_names[stream],
-                                    .view = store->views[stream],
-                                    .wait_ms = wait_ms,
-                                    .pace_ms = read_interval_ms (store, stream),
-                                    .latest_only = stream == STREAM_ROUTING,
-                                    .start_suspended = true,
-                                    .seed = store->options.incarnation + stream,
-                                    .on_event = on_state,
-                                    .context = store });
+  store->followers[stream] = stream_follower_new (&(stream_follower_options_t){
+      .base = store->options.base,
+      .clock = store->options.clock,
+      .counters = store->options.counters,
+      .platform = store->options.platform,
+      .stream = gateway_store_stream_names[stream],
+      .view = store->views[stream],
+      .wait_ms = wait_ms,
+      .pace_ms = read_interval_ms (store, stream),
+      .latest_only = stream == STREAM_ROUTING,
+      .value_bytes_max = stream == STREAM_ROUTING ? 0 : GATEWAY_STORE_ENTRY_MAX_BYTES,
+      .start_suspended = true,
+      .seed = store->options.incarnation + stream,
+      .on_event = on_state,
+      .context = store });
 }
 
 /* With a short renewal interval, entries expire in a short outage already; reads must wait less
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -54,6 +54,9 @@
 /* Limit of a full copy for a starting gateway. It is higher, since a registry of hundreds of
  * engines exceeds the limit above and only a few starting gateways are served at a time. */
 #define GATEWAY_STORE_FULL_COPY_MAX_BYTES (384 * 1024)
+/* Limit of an entry of an engine or a router. Larger ones come from other writers, and would fill
+ * the memory and the copies for peers. */
+#define GATEWAY_STORE_ENTRY_MAX_BYTES (16 * 1024)
 #define GATEWAY_STORE_FETCH_INTERVAL_MS 300 /* minimum interval between two fetches from peers */
 
 /**
--- a/tests/odd_store.c
+++ b/tests/odd_store.c
@@ -1,6 +1,8 @@
 #include "odd_store.h"
 
+#include "platform/records.h"
 #include "platform/store.h"
+#include "process/record_order.h"
 #include "raw_peer.h"
 
 #include <event2/buffer.h>
@@ -9,6 +11,7 @@
 
 #define PORT 18095
 #define PACE_MS 1
+#define ANSWER_BYTES_MAX (1024 * 1024)
 
 /** struct record - @key is NULL when the content is no key and value */
 typedef struct
@@ -18,7 +21,7 @@
   GBytes *value;
 } record_t;
 
-/** struct odd_store - @records: of record_t, by offset */
+/** struct odd_store - @records: of record_t, by offset; @copied: number of them in the copy */
 struct odd_store
 {
   struct event_base *base;
@@ -26,8 +29,13 @@
   address_t address;
   GPtrArray *records;
   uint32_t page_items;
+  uint32_t copied;
+  uint64_t era;
 };
 
+static const record_order_t order = { .parse_version = records_read_version,
+                                      .parse_engine = records_read_engine };
+
 static void
 record_free (gpointer data)
 {
@@ -59,7 +67,8 @@
 {
   add_number (body, store->records->len, 8);
   add_number (body, 0, 8);
-  for (uint64_t i = query_number (uri, "from="); i < store->records->len; i++)
+  for (uint64_t i = query_number (uri, "from=");
+       i < store->records->len && evbuffer_get_length (body) < ANSWER_BYTES_MAX; i++)
     {
       const record_t *record = g_ptr_array_index (store->records, i);
       gsize count;
@@ -162,7 +171,9 @@
     i++;
   g_clear_pointer (&after, g_bytes_unref);
   evbuffer_add_printf (body, "{\"items\":[");
-  for (; i < newest->len && count < store->page_items; i++, count++)
+  for (; i < newest->len && count < store->page_items &&
+         evbuffer_get_length (body) < ANSWER_BYTES_MAX;
+       i++, count++)
     {
       if (count > 0)
         evbuffer_add_printf (body, ",");
@@ -178,7 +189,9 @@
   const odd_store_t *store = context;
   const char *uri = evhttp_request_get_uri (request);
   struct evbuffer *body = evbuffer_new ();
+  g_autofree char *era = g_strdup_printf ("%" G_GUINT64_FORMAT, store->era);
 
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Store-Era", era);
   if (strstr (uri, "read"))
     answer_read (store, body, uri);
   else
@@ -196,6 +209,7 @@
   store->http = evhttp_new (store->base);
   store->records = g_ptr_array_new_with_free_func (record_free);
   store->page_items = page_items;
+  store->era = 1;
   store->address = raw_peer_loopback_address ();
   store->address.port = PORT;
   evhttp_set_gencb (store->http, on_request, store);
@@ -251,6 +265,19 @@
   g_ptr_array_add (store->records, record);
 }
 
+void
+odd_store_copy (odd_store_t *store)
+{
+  store->copied = store->records->len;
+}
+
+void
+odd_store_restore (odd_store_t *store)
+{
+  store->era++;
+  g_ptr_array_set_size (store->records, (gint)store->copied);
+}
+
 static void
 ignore_state (stream_follower_state_t state, void *context)
 {
@@ -262,12 +289,16 @@
 odd_reader_new (odd_store_t *store, const char *stream, keyed_view_visit_t changed, void *context)
 {
   odd_reader_t *reader = g_new0 (odd_reader_t, 1);
+  keyed_view_compare_t compare =
+      strcmp (stream, PLATFORM_STREAM_ENGINES) == 0   ? record_order_compare_engines
+      : strcmp (stream, PLATFORM_STREAM_ROUTING) == 0 ? record_order_compare_routing
+                                                      : NULL;
 
   reader->store = store;
   clock_init_running (&reader->clock);
   reader->counters = counter_registry_new ();
   reader->platform = store_new (store->base, &store->address);
-  reader->view = keyed_view_new (changed, context, NULL, NULL);
+  reader->view = keyed_view_new (changed, context, compare, (void *)&order);
   reader->follower =
       stream_follower_new (&(stream_follower_options_t){ .base = store->base,
                                                          .clock = &reader->clock,
@@ -296,7 +327,8 @@
   const odd_reader_t *reader = context;
 
   return stream_follower_has_listed (reader->follower) &&
-         stream_follower_next (reader->follower).offset == reader->store->records->len;
+         position_equal (stream_follower_next (reader->follower),
+                         (position_t){ reader->store->era, reader->store->records->len });
 }
 
 bool
--- a/tests/odd_store.h
+++ b/tests/odd_store.h
@@ -38,6 +38,10 @@
 /** odd_store_put_raw() - append a record whose content need not be a key and a value; lists lack it
  */
 void odd_store_put_raw (odd_store_t *store, const char *bytes, size_t count);
+/** odd_store_copy() - make the copy that odd_store_restore() returns to */
+void odd_store_copy (odd_store_t *store);
+/** odd_store_restore() - begin a new era with the records of the last copy */
+void odd_store_restore (odd_store_t *store);
 
 /** odd_reader_new() - begin to read @stream, which the store has under any name; @changed as of
  * keyed_view_new() */
