A gateway writes its entry again when another writer has replaced it

What callers saw: a gateway under whose name another writer had left a record, or that it had deleted, was not found by gateways that started later, for as long as it ran: requests of all gateways count without it, and streams that began there are not asked for there.

Cause: the entry was checked once after the start, and once in each era of the store. Others keep the last address that they can read, those that come later have none.

Now the entry counts as written until the registry has a later record of the key with another value, or none; then it is checked again like after a copy, spread over the same time, so two writers of one key don't write without end at full pace.

--- a/src/process/own_entry.c
+++ b/src/process/own_entry.c
@@ -12,6 +12,7 @@
  * @was_checked: the registry was looked through for it
  * @is_new: it had no entry of this name then
  * @written: the registry has it, in the era of its last listing
+ * @written_at: position from which on another record of its key replaces it
  * @retry_us: earliest time of the next attempt to write it
  * @listed_at_write: end of the registry's last listing at the last write; a response that states no
  *   era is of that one
@@ -24,6 +25,7 @@
   bool was_checked;
   bool is_new;
   bool written;
+  position_t written_at;
   uint64_t retry_us;
   position_t listed_at_write;
   counter_t *write_count;
@@ -68,6 +70,7 @@
 
   own_entry->written =
       outcome == PLATFORM_OK && at.era >= keyed_view_listed (own_entry->options.view).era;
+  own_entry->written_at = at;
   stream_follower_note_era (own_entry->options.follower, at.era);
   log_event (LOG_LEVEL_NOTICE, "own_entry", "outcome",
              outcome == PLATFORM_OK ? "written" : "not_known", "offset", LOG_U64 (at.offset), "era",
@@ -98,6 +101,26 @@
   own_entry->is_new = !keyed_view_get (options->view, options->name, &bytes, &position);
 }
 
+static bool
+has_entry (const own_entry_t *own_entry)
+{
+  const own_entry_options_t *options = &own_entry->options;
+
+  return keyed_view_has_in_era (options->view, options->name, own_entry->value,
+                                strlen (own_entry->value));
+}
+
+/* Whether another writer has replaced or deleted the entry. */
+static bool
+is_replaced (const own_entry_t *own_entry)
+{
+  const own_entry_options_t *options = &own_entry->options;
+
+  return own_entry->written && own_entry->written_at.era == keyed_view_listed (options->view).era &&
+         position_is_before (own_entry->written_at, stream_follower_next (options->follower)) &&
+         !has_entry (own_entry);
+}
+
 /* Only the newest record of a key counts, so writing the entry again after a lost answer is
  * harmless. */
 void
@@ -105,14 +128,21 @@
 {
   const own_entry_options_t *options = &own_entry->options;
 
+  if (is_replaced (own_entry))
+    {
+      log_event (LOG_LEVEL_WARNING, "own_entry", "outcome", "replaced", NULL);
+      own_entry_check_again (own_entry);
+    }
   if (own_entry->written || now_us (own_entry) < own_entry->retry_us ||
       !stream_follower_has_listed (options->follower))
     return;
   check_first (own_entry);
   own_entry->retry_us = now_us (own_entry) + RETRY_US;
-  if (keyed_view_has_in_era (options->view, options->name, own_entry->value,
-                             strlen (own_entry->value)))
-    own_entry->written = true;
+  if (has_entry (own_entry))
+    {
+      own_entry->written = true;
+      own_entry->written_at = keyed_view_listed (options->view);
+    }
   else
     write_entry (own_entry);
 }
--- a/src/process/own_entry.h
+++ b/src/process/own_entry.h
@@ -3,7 +3,8 @@
  *
  * Keeps this gateway's entry in the gateway registry, by which the other gateways find it. The
  * entry is the same at each start, so it is written only when the registry lacks it: at the first
- * start, and when the store has come back from a copy without it.
+ * start, when the store has come back from a copy without it, and when another writer has replaced
+ * it.
  */
 #ifndef PROCESS_OWN_ENTRY_H
 #define PROCESS_OWN_ENTRY_H
--- a/tests/test_own_entry.c
+++ b/tests/test_own_entry.c
@@ -225,6 +225,57 @@
   fixture_free (fixture);
 }
 
+static void
+read_record (fixture_t *fixture, uint64_t offset, const char *value)
+{
+  keyed_view_apply (fixture->view, (position_t){ 1, offset }, NAME, value,
+                    value ? strlen (value) : 0);
+  stream_follower_advance (fixture->follower, (position_t){ 1, offset + 1 });
+}
+
+/* Guards against a gateway that stays lost to the others since another writer wrote under its name.
+ */
+static void
+test_entry_of_another_writer_is_replaced (void)
+{
+  static const char *const odd_values[] = { "[[[[", "0 10.0.0.1:70000 10.0.0.1:2", NULL };
+  fixture_t *fixture = fixture_new (1);
+  uint64_t offset = 7;
+
+  list_registry (fixture, 1, false);
+  pass_time (fixture, 0);
+  CU_ASSERT_EQUAL_FATAL (fixture->puts, 1);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (odd_values); i++, offset += 2)
+    {
+      fixture->put_done (PLATFORM_OK, (position_t){ 1, offset }, fixture->put_context);
+      pass_time (fixture, RESTORATION_REWRITE_SPREAD_US);
+      CU_ASSERT_EQUAL (fixture->puts, i + 1);
+      read_record (fixture, offset, VALUE);
+      pass_time (fixture, RESTORATION_REWRITE_SPREAD_US);
+      CU_ASSERT_EQUAL (fixture->puts, i + 1);
+      read_record (fixture, offset + 1, odd_values[i]);
+      pass_time (fixture, 0);
+      pass_time (fixture, RESTORATION_REWRITE_SPREAD_US);
+      CU_ASSERT_EQUAL_FATAL (fixture->puts, i + 2);
+    }
+  fixture_free (fixture);
+}
+
+/* Likewise where the registry had the entry at the start. */
+static void
+test_listed_entry_is_replaced_when_another_writer_changes_it (void)
+{
+  fixture_t *fixture = fixture_new (1);
+
+  list_registry (fixture, 1, true);
+  pass_time (fixture, 0);
+  read_record (fixture, 3, "7");
+  pass_time (fixture, 0);
+  pass_time (fixture, RESTORATION_REWRITE_SPREAD_US);
+  CU_ASSERT_EQUAL (fixture->puts, 1);
+  fixture_free (fixture);
+}
+
 #define GATEWAYS 880
 #define SLOTS 10
 
@@ -260,11 +311,15 @@
 int
 main (void)
 {
-  static const CU_TestInfo tests[] = { SUITE_TEST (test_entry_that_the_registry_has_is_not_written),
-                                       SUITE_TEST (test_write_of_an_era_before_does_not_count),
-                                       SUITE_TEST (test_late_write_without_an_era_does_not_count),
-                                       SUITE_TEST (test_gateways_write_at_different_times),
-                                       CU_TEST_INFO_NULL };
+  static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_entry_that_the_registry_has_is_not_written),
+    SUITE_TEST (test_write_of_an_era_before_does_not_count),
+    SUITE_TEST (test_late_write_without_an_era_does_not_count),
+    SUITE_TEST (test_entry_of_another_writer_is_replaced),
+    SUITE_TEST (test_listed_entry_is_replaced_when_another_writer_changes_it),
+    SUITE_TEST (test_gateways_write_at_different_times),
+    CU_TEST_INFO_NULL
+  };
 
   return suite_run ("own entry", tests);
 }
