A configuration with a number too large keeps out no later version

What callers saw: after one record of another writer whose version was far too large, each version of the operators counted as a delayed one: routes, keys and limits stayed as that record had them, for good. Across a store that came back from a copy a record that was never in force did the same: only its version was read, the rest of it was not.

Cause: the number was believed for its size. A version that leaps by more than 10^9 above the one before is now replaced by any later record with a higher version than that one; ordinary versions still only rise, and a lower one is still taken for a delayed write. The order of records of two eras reads the whole configuration, and knows no order where one leaps.

A valid version that was written between the copy and the gateway's listing comes in force ten seconds after the listing, as before.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "request/gateway/gateway.h"
 #include "request/policy/engines/lapses.h"
+#include "version/version_order.h"
 
 #include <string.h>
 
@@ -23,6 +24,7 @@
  * @ready_listener: listener of readiness checks
  * @control_listener: listener of peers and of metrics requests
  * @table: routing rules in force, NULL for none
+ * @versions: their version
  * @lapsed: engines whose entries were removed while the store could not be read, and may have
  *   expired only because of an outage
  * @origins: at which software versions streams began
@@ -45,6 +47,7 @@
   http_server_t *ready_listener;
   http_server_t *control_listener;
   routing_t *table;
+  version_order_t versions;
   lapses_t *lapsed;
   crash_record_t *crashes;
   stream_origins_t *origins;
@@ -103,7 +106,7 @@
              LOG_U64 (engines_count (process->engines)), NULL);
 }
 
-/* An older version that is read late must not replace a newer one. */
+/* An older version that is written late must not replace a newer one. */
 static void
 on_routing (const char *value, size_t value_bytes, position_t position, void *context)
 {
@@ -120,7 +123,7 @@
       g_error_free (error);
       return;
     }
-  if (routing_version (table) > version_in_force)
+  if (version_order_take (&process->versions, routing_version (table)))
     {
       log_event (LOG_LEVEL_NOTICE, "version", "version", LOG_U64 (routing_version (table)),
                  "before", LOG_U64 (version_in_force), "routes",
--- a/src/process/record_order.c
+++ b/src/process/record_order.c
@@ -2,6 +2,7 @@
 
 #include "connection/platform.h"
 #include "request/policy/store/restoration.h"
+#include "version/version_order.h"
 
 #include <string.h>
 
@@ -23,6 +24,8 @@
   known_version = order->parse_version (known, known_bytes);
   if (version == known_version)
     return KEYED_VIEW_SAME_AGE;
+  if (version != 0 && version_order_is_leap (version, known_version))
+    return KEYED_VIEW_UNORDERED;
   return version < known_version ? KEYED_VIEW_OLDER : KEYED_VIEW_NEWER;
 }
 
