--- a/tests/odd_store.c
+++ b/tests/odd_store.c
@@ -295,6 +295,7 @@
                                                       : NULL;
 
   reader->store = store;
+  reader->stream = stream;
   clock_init_running (&reader->clock);
   reader->counters = counter_registry_new ();
   reader->platform = store_new (store->base, &store->address);
@@ -351,5 +352,5 @@
 odd_reader_failures (const odd_reader_t *reader)
 {
   return counter_value (counter_get_labelled (reader->counters, "medlarplank_store_failures_total",
-                                              "stream", PLATFORM_STREAM_ENGINES, ""));
+                                              "stream", reader->stream, ""));
 }
--- a/tests/odd_store.h
+++ b/tests/odd_store.h
@@ -18,6 +18,7 @@
 typedef struct
 {
   odd_store_t *store;
+  const char *stream;
   platform_t *platform;
   clock_source_t clock;
   counter_registry_t *counters;
--- a/tests/test_odd_values.c
+++ b/tests/test_odd_values.c
@@ -4,13 +4,15 @@
 #include "odd_values.h"
 #include "platform/records.h"
 #include "suite.h"
-#include "version/view_share.h"
+#include "version/version_order.h"
 
 #include <string.h>
 
 #define PAGE_ITEMS 500
 #define KEY_BYTES 16
 #define NOW_US 1000000
+/* above the odd ones that are no leap */
+#define FIRST_VERSION 100000
 
 static const odd_field_t engine_fields[] = {
   { "service", "\"pool\"" }, { "addr", "\"10.0.0.9:8080\"" },
@@ -214,6 +216,181 @@
     }
 }
 
+static const odd_field_t config_fields[] = {
+  { "version", "7" },
+  { "routes", "[{\"host\":\"h\",\"path_prefix\":\"/\",\"kind\":\"stream\",\"service\":\"pool\"}]" },
+  { "services", "[{\"name\":\"pool\"}]" },
+  { "tenants", "[{\"name\":\"alpha\",\"api_keys\":[\"key\"]}]" },
+  { "limits", "{\"max_body_bytes\":65536}" }
+};
+static const odd_field_t route_fields[] = {
+  { "name", "\"look\"" },   { "host", "\"h\"" },       { "path_prefix", "\"/\"" },
+  { "kind", "\"stream\"" }, { "service", "\"pool\"" }, { "backends", "[]" },
+  { "timeout_ms", "2000" }, { "aim_ms", "500" },       { "attempts", "2" },
+  { "priority", "3" },      { "gap_target_ms", "30" }, { "public", "false" },
+  { "sticky", "true" },     { "resumable", "true" },   { "allowed_regions", "null" },
+};
+static const odd_field_t service_fields[] = {
+  { "name", "\"pool\"" }, { "cold_start_s", "1" }, { "cold_per_s", "1" }, { "engine", "{}" }
+};
+static const odd_field_t traits_fields[] = { { "handle_s", "1" },    { "kv_token_bytes", "1" },
+                                             { "kv_capacity", "1" }, { "link_mbps", "1" },
+                                             { "most", "1" },        { "backups", "true" },
+                                             { "moves", "true" } };
+static const odd_field_t account_fields[] = { { "name", "\"alpha\"" },
+                                              { "api_keys", "[\"key\"]" },
+                                              { "priority", "1" },
+                                              { "allowed_regions", "[\"north\"]" } };
+static const odd_field_t limits_fields[] = { { "max_header_bytes", "8192" },
+                                             { "max_body_bytes", "65536" },
+                                             { "header_timeout_ms", "1000" },
+                                             { "idle_timeout_ms", "1000" } };
+
+/** struct rules - what a reader makes of the stream of routing rules; @sound: versions that were in
+ * force with what the operators wrote */
+typedef struct
+{
+  version_order_t versions;
+  routing_t *table;
+  GHashTable *sound;
+} rules_t;
+
+static bool
+is_sound (const routing_t *table)
+{
+  const routing_route_t *route = routing_find_route (table, "h", "/x");
+
+  return route && routing_needs_key (table, route) &&
+         strcmp (routing_route_choose_service (route, 0), "pool") == 0 &&
+         routing_find_account (table, "key");
+}
+
+static void
+on_rules (
+    const char *key, const char *value, size_t value_bytes, position_t position, void *context)
+{
+  rules_t *rules = context;
+  routing_t *table;
+
+  (void)position;
+  if (strcmp (key, PLATFORM_KEY_CONFIG) != 0 || !value)
+    return;
+  table = records_read_routing (value, value_bytes, rules->table, NULL);
+  if (!table)
+    return;
+  if (version_order_take (&rules->versions, routing_version (table)))
+    {
+      g_clear_pointer (&rules->table, routing_unref);
+      rules->table = routing_ref (table);
+      if (is_sound (table))
+        g_hash_table_add (rules->sound, GUINT_TO_POINTER (routing_version (table)));
+    }
+  routing_unref (table);
+}
+
+/* Writes a configuration whose member at @position is @format with an odd value in place of @, or
+ * that is odd as a whole. */
+static void
+write_odd_config (odd_store_t *store, const GString *odd, uint32_t position, const char *format)
+{
+  GString *text = g_string_new (format);
+  g_autofree char *whole = NULL;
+
+  g_string_replace (text, "@", odd->str, 1);
+  whole = odd_values_record (config_fields, G_N_ELEMENTS (config_fields), position, text->str);
+  if (position < G_N_ELEMENTS (config_fields))
+    odd_store_put_text (store, PLATFORM_KEY_CONFIG, whole);
+  else
+    odd_store_put (store, PLATFORM_KEY_CONFIG, strlen (PLATFORM_KEY_CONFIG), odd->str, odd->len);
+  g_string_free (text, TRUE);
+}
+
+static uint32_t
+own_version (guint number)
+{
+  return FIRST_VERSION + 10 * number;
+}
+
+static void
+write_own_config (odd_store_t *store, uint32_t version)
+{
+  odd_field_t own[G_N_ELEMENTS (config_fields)];
+  g_autofree char *digits = g_strdup_printf ("%u", version);
+  g_autofree char *text = NULL;
+
+  memcpy (own, config_fields, sizeof own);
+  own[0].text = digits;
+  text = odd_values_record (own, G_N_ELEMENTS (own), G_N_ELEMENTS (own), NULL);
+  odd_store_put_text (store, PLATFORM_KEY_CONFIG, text);
+}
+
+/* Plays configurations with odd parts, with the operators' next one after each. */
+static void
+play_configs (const odd_field_t *fields, uint32_t count, uint32_t position, const char *format)
+{
+  g_autoptr (GPtrArray) odd = odd_values_make (fields, count);
+  odd_store_t *store = odd_store_new (PAGE_ITEMS);
+  rules_t rules = { .sound = g_hash_table_new (NULL, NULL) };
+  odd_reader_t *reader = odd_reader_new (store, PLATFORM_STREAM_ROUTING, on_rules, &rules);
+
+  write_own_config (store, 1);
+  CU_ASSERT (odd_reader_run (reader));
+  for (guint i = 0; i < odd->len; i++)
+    {
+      write_odd_config (store, g_ptr_array_index (odd, i), position, format);
+      write_own_config (store, own_version (i));
+    }
+  CU_ASSERT (odd_reader_run (reader));
+  for (guint i = 0; i < odd->len; i++)
+    if (!g_hash_table_contains (rules.sound, GUINT_TO_POINTER (own_version (i))))
+      {
+        CU_FAIL ("a version of the operators did not come in force");
+        printf ("%.200s\n", ((const GString *)g_ptr_array_index (odd, i))->str);
+      }
+  CU_ASSERT_EQUAL (odd_reader_failures (reader), 0);
+  g_clear_pointer (&rules.table, routing_unref);
+  g_hash_table_unref (rules.sound);
+  odd_reader_free (reader);
+  odd_store_free (store);
+}
+
+/* Guards against operators' versions that don't come in force after one of another writer. */
+static void
+test_next_configuration_is_in_force (void)
+{
+  play_configs (config_fields, G_N_ELEMENTS (config_fields), UINT32_MAX, "");
+  play_configs (route_fields, G_N_ELEMENTS (route_fields), 1, "[@]");
+  play_configs (service_fields, G_N_ELEMENTS (service_fields), 2, "[@]");
+  play_configs (traits_fields, G_N_ELEMENTS (traits_fields), 2,
+                "[{\"name\":\"pool\",\"engine\":@}]");
+  play_configs (account_fields, G_N_ELEMENTS (account_fields), 3, "[@]");
+  play_configs (limits_fields, G_N_ELEMENTS (limits_fields), 4, "@");
+}
+
+/* Guards against streams that are given up at once, as four times a large target is a small number.
+ */
+static void
+test_large_targets_do_not_wrap (void)
+{
+  static const char *const fields[] = { "aim_ms", "gap_target_ms", "timeout_ms" };
+  static const uint64_t factors[] = { 4, 8, 4 };
+  static const uint64_t numbers[] = { UINT32_MAX, 1u << 30, 1u << 29 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (fields) * G_N_ELEMENTS (numbers); i++)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "{\"version\":1,\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/\",\"kind\":\"stream\","
+          "\"service\":\"pool\",\"%s\":%" G_GUINT64_FORMAT "}]}",
+          fields[i % 3], numbers[i / 3]);
+      routing_t *table = records_read_routing (text, strlen (text), NULL, NULL);
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (table);
+      CU_ASSERT_EQUAL (routing_find_route (table, "h", "/")->client_silence_limit_ms,
+                       MIN (numbers[i / 3] * factors[i % 3], UINT32_MAX));
+      routing_unref (table);
+    }
+}
+
 int
 main (void)
 {
@@ -221,6 +398,8 @@
                                        SUITE_TEST (test_next_entry_of_a_listed_engine_holds),
                                        SUITE_TEST (test_odd_entry_restores_no_deleted_engine),
                                        SUITE_TEST (test_next_entry_of_an_engine_holds_in_a_new_era),
+                                       SUITE_TEST (test_next_configuration_is_in_force),
+                                       SUITE_TEST (test_large_targets_do_not_wrap),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("odd_values", tests);
