--- a/tests/test_odd_values.c
+++ b/tests/test_odd_values.c
@@ -391,6 +391,21 @@
     }
 }
 
+/* Guards against requests without a key that are served, as the list of accounts is none. */
+static void
+test_accounts_that_are_no_list_are_refused (void)
+{
+  static const char *const odd[] = { "7", "{}", "\"x\"", "true", "{\"alpha\":[\"key\"]}" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      g_autofree char *text =
+          g_strdup_printf ("{\"version\":1,\"routes\":[],\"tenants\":%s}", odd[i]);
+
+      CU_ASSERT_PTR_NULL (records_read_routing (text, strlen (text), NULL, NULL));
+    }
+}
+
 int
 main (void)
 {
@@ -400,6 +415,7 @@
                                        SUITE_TEST (test_next_entry_of_an_engine_holds_in_a_new_era),
                                        SUITE_TEST (test_next_configuration_is_in_force),
                                        SUITE_TEST (test_large_targets_do_not_wrap),
+                                       SUITE_TEST (test_accounts_that_are_no_list_are_refused),
                                        CU_TEST_INFO_NULL };
 
   return suite_run ("odd_values", tests);
