--- a/tests/odd_values.c
+++ b/tests/odd_values.c
@@ -1,8 +1,13 @@
 #include "odd_values.h"
 
+#include <string.h>
+
 #define DEEP 2000
 #define DEEPER 60000
 #define RECORD_BYTES_MAX 262144
+#define CHANGES_MAX 4
+#define ERASED_BYTES_MAX 12
+#define CUT_BYTES 7
 
 static const char *const odd_texts[] = {
   "null",
@@ -110,7 +115,7 @@
   g_autofree char *valid = odd_values_record (fields, count, count, NULL);
   GString *text;
 
-  for (size_t bytes = 1; valid[bytes] != '\0'; bytes += 7)
+  for (size_t bytes = 1; bytes < strlen (valid); bytes += CUT_BYTES)
     g_ptr_array_add (out, g_string_new_len (valid, (gssize)bytes));
   for (uint32_t i = 0; i < count; i++)
     {
@@ -148,3 +153,35 @@
       g_ptr_array_add (out, g_string_new (odd_texts[i]));
   return out;
 }
+
+static void
+change (GRand *rand, GString *text)
+{
+  gsize at = (gsize)g_rand_int_range (rand, 0, (gint32)text->len + 1);
+  gsize erased = (gsize)g_rand_int_range (rand, 1, ERASED_BYTES_MAX);
+  guint token = (guint)g_rand_int_range (rand, 0, G_N_ELEMENTS (odd_texts));
+
+  switch (g_rand_int_range (rand, 0, 4))
+    {
+    case 0:
+      g_string_insert_c (text, (gssize)at, (char)g_rand_int_range (rand, 0, 256));
+      break;
+    case 1:
+      if (at < text->len)
+        text->str[at] = (char)g_rand_int_range (rand, 0, 256);
+      break;
+    case 2:
+      g_string_insert (text, (gssize)at, odd_texts[token]);
+      break;
+    default:
+      g_string_erase (text, (gssize)at, (gssize)MIN (text->len - at, erased));
+      break;
+    }
+}
+
+void
+odd_values_mutate (GRand *rand, GString *text)
+{
+  for (int32_t i = g_rand_int_range (rand, 1, CHANGES_MAX + 1); i > 0; i--)
+    change (rand, text);
+}
--- a/tests/odd_values.h
+++ b/tests/odd_values.h
@@ -25,5 +25,8 @@
 /** odd_values_make() - records with one odd field each, and some that are odd as a whole. Return:
  * an array of GString */
 GPtrArray *odd_values_make (const odd_field_t *fields, uint32_t count);
+/** odd_values_mutate() - change, insert or remove a few bytes or tokens at random places of @text
+ */
+void odd_values_mutate (GRand *rand, GString *text);
 
 #endif
