--- a/soak/soak.h
+++ b/soak/soak.h
@@ -207,6 +207,20 @@
   uint64_t next_us;
 } soak_floods_t;
 
+/**
+ * struct soak_odd - another writer that leaves odd records in the store
+ * @enabled: there is one
+ * @rand: random generator of it; the other ones draw the same without it
+ * @next_us: when the next record is written; 0 for never
+ */
+typedef struct
+{
+  bool enabled;
+  GRand *rand;
+  uint64_t next_us;
+  struct platform_client *client;
+} soak_odd_t;
+
 /**
  * struct soak_herd - most new connections of a time
  * @rand: random generator of these; the other ones draw the same without them
@@ -359,6 +373,7 @@
  * @part_crashers: likewise for these requests, @part_crasher_count, @next_part_crasher_us
  * @herd: requests of which most go to one gateway
  * @floods: upstreams and stores that send bytes without end
+ * @odd: another writer that leaves odd records in the store
  * @losses: all gateways are lost, in rounds
  * @silences: upstreams that are silent for some time
  * @config: the newest configuration
@@ -408,6 +423,7 @@
   uint64_t next_part_crasher_us;
   soak_herd_t herd;
   soak_floods_t floods;
+  soak_odd_t odd;
   soak_losses_t losses;
   soak_silences_t silences;
   soak_config_t config;
@@ -448,6 +464,9 @@
 void soak_log (soak_t *soak, const char *format, ...) G_GNUC_PRINTF (2, 3);
 /** soak_random() - draw a number. Return: 0 to @below - 1 */
 uint32_t soak_random (soak_t *soak, uint32_t below);
+#define SOAK_ROUTERS_TOPIC "keyed.medlarplank-routers"
+/** soak_store_address() - address of the store */
+address_t soak_store_address (const soak_t *soak);
 /** soak_address() - get the run's address whose last number is @last */
 address_t soak_address (const soak_t *soak, uint32_t last, uint16_t port);
 /** soak_run_loop() - run the event loop for @ms, with regular checks of processes and faults */
@@ -581,6 +600,14 @@
  * faults have ended */
 void soak_check_crashers (soak_t *soak);
 
+/* soak_odd.c */
+/** soak_begin_odd() - begin to write odd records into the store, if there are any */
+void soak_begin_odd (soak_t *soak);
+/** soak_end_odd() - write no more */
+void soak_end_odd (soak_t *soak);
+/** soak_poll_odd() - write one when its time has come */
+void soak_poll_odd (soak_t *soak);
+
 /* soak_losses.c */
 /** soak_begin_losses() - begin to kill all gateways in rounds */
 void soak_begin_losses (soak_t *soak);
--- a/soak/soak_fleet.c
+++ b/soak/soak_fleet.c
@@ -26,7 +26,6 @@
 #define RESTART_DELAY_SPREAD_MS 1000 /* added at random to the minimum */
 #define STOP_SLACK_MS 500            /* on top of the grace period, for the check of the exit */
 #define SILENT_BACKLOG 16
-#define ROUTERS_TOPIC "keyed.medlarplank-routers"
 #define START_TIMEOUT_US (UINT64_C (15) * 1000 * 1000)
 
 address_t
@@ -348,6 +347,12 @@
   (void)context;
 }
 
+address_t
+soak_store_address (const soak_t *soak)
+{
+  return soak_address (soak, STORE_IP_OCTET, HTTP_PORT);
+}
+
 /* Waits for the response, since faults do not affect the administrative interface of the stand-in.
  * Return: the HTTP status, -1 when there was no response */
 static int
@@ -424,7 +429,7 @@
 soak_has_entry (soak_t *soak, uint32_t gateway)
 {
   g_autofree char *target =
-      g_strdup_printf ("/admin/key?topic=%s&key=gateway-%u", ROUTERS_TOPIC, gateway);
+      g_strdup_printf ("/admin/key?topic=%s&key=gateway-%u", SOAK_ROUTERS_TOPIC, gateway);
 
   return call_store (soak, target, "", 0) == 200;
 }
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -1,5 +1,5 @@
 /* soak --seed N [--seconds S] [--gateways N] [--restorations] [--crashes]
- * [--versions] [--herds] [--losses] [--floods] [--silences] [--build DIR] [--keep] */
+ * [--versions] [--herds] [--losses] [--floods] [--silences] [--odd] [--build DIR] [--keep] */
 #include "soak.h"
 
 #include <event2/util.h>
@@ -75,6 +75,7 @@
       soak_poll_crashers (soak);
       soak_poll_herd (soak);
       soak_poll_floods (soak);
+      soak_poll_odd (soak);
       soak_poll_losses (soak);
       soak_poll_silences (soak);
       soak_poll_streams (soak);
@@ -168,19 +169,15 @@
     }
 }
 
-static const struct option option_table[] = { { "seed", required_argument, NULL, 's' },
-                                              { "seconds", required_argument, NULL, 't' },
-                                              { "build", required_argument, NULL, 'b' },
-                                              { "gateways", required_argument, NULL, 'g' },
-                                              { "keep", no_argument, NULL, 'k' },
-                                              { "restorations", no_argument, NULL, 'r' },
-                                              { "crashes", no_argument, NULL, 'c' },
-                                              { "versions", no_argument, NULL, 'v' },
-                                              { "herds", no_argument, NULL, 'h' },
-                                              { "losses", no_argument, NULL, 'l' },
-                                              { "floods", no_argument, NULL, 'f' },
-                                              { "silences", no_argument, NULL, 'q' },
-                                              { NULL, 0, NULL, 0 } };
+static const struct option option_table[] = {
+  { "seed", required_argument, NULL, 's' },  { "seconds", required_argument, NULL, 't' },
+  { "build", required_argument, NULL, 'b' }, { "gateways", required_argument, NULL, 'g' },
+  { "keep", no_argument, NULL, 'k' },        { "restorations", no_argument, NULL, 'r' },
+  { "crashes", no_argument, NULL, 'c' },     { "versions", no_argument, NULL, 'v' },
+  { "herds", no_argument, NULL, 'h' },       { "losses", no_argument, NULL, 'l' },
+  { "floods", no_argument, NULL, 'f' },      { "silences", no_argument, NULL, 'q' },
+  { "odd", no_argument, NULL, 'o' },         { NULL, 0, NULL, 0 }
+};
 
 static bool
 parse_number (char option, guint64 *seed, guint64 *seconds, guint64 *gateways)
@@ -225,14 +222,15 @@
         soak.losses.enabled = true;
       else if (option == 'q')
         soak.silences.enabled = true;
+      else if (option == 'o')
+        soak.odd.enabled = true;
       else if (!parse_number ((char)option, &soak.seed, &seconds, &gateways))
         {
-          fprintf (
-              stderr,
-              "soak --seed N [--seconds S] [--gateways N] [--restorations] "
-              "[--crashes] [--versions] [--herds] [--losses] [--floods] [--silences] [--build DIR] "
-              "[--keep]\n"
-              "--silences goes with --gateways, --herds and --losses only\n");
+          fprintf (stderr, "soak --seed N [--seconds S] [--gateways N] [--restorations] "
+                           "[--crashes] [--versions] [--herds] [--losses] [--floods] [--silences] "
+                           "[--odd] [--build DIR] "
+                           "[--keep]\n"
+                           "--silences goes with --gateways, --herds, --losses and --odd only\n");
           return 2;
         }
     }
@@ -255,7 +253,10 @@
         soak_begin_losses (&soak);
       if (soak.silences.enabled)
         soak_begin_silences (&soak);
+      if (soak.odd.enabled)
+        soak_begin_odd (&soak);
       run_faults (&soak, (uint32_t)seconds);
+      soak_end_odd (&soak);
       soak_end_losses (&soak);
       soak_end_silences (&soak);
       soak.clients_leave = false;
