Services that only another writer's entries name fill no memory

What callers saw: nothing yet; a gateway grew by 19 KB for each service that an entry of the registry named, and by the tables of its shares, and kept that for good. 3,000 writes under one key, each with another service, reach the 64 MB of a host.

Cause: what is known of a service was made as the first entry named it.

--- a/src/process/gateway_shares.c
+++ b/src/process/gateway_shares.c
@@ -701,10 +701,10 @@
   shares->lifetime_count = names->len;
   for (guint i = 0; i < names->len; i++)
     {
-      service_shares_t *service = get_service (shares, g_ptr_array_index (names, i));
+      const char *name = g_ptr_array_index (names, i);
 
-      if (routing_longest_stream_ms (routing, service->name) > 0)
-        service->lifetime_us = SOFTWARE_VERSIONS_LIFETIME_US;
+      if (routing_longest_stream_ms (routing, name) > 0)
+        get_service (shares, name)->lifetime_us = SOFTWARE_VERSIONS_LIFETIME_US;
     }
 }
 
--- a/src/request/policy/engines/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -13,7 +13,8 @@
 /**
  * struct service - a service
  * @list: its engines, as engine_t
- * @part_shares: share of each prompt part in the requests of this gateway
+ * @part_shares: share of each prompt part in the requests of this gateway; NULL until its engines
+ * are asked for, as entries of other writers may name any number of services
  * @fleet_requests: requests of all gateways at its engines
  * @room_share: share of the requests to send where slots are scarce
  * @versions: software versions of its engines
@@ -63,7 +64,7 @@
   service_t *service = data;
 
   g_ptr_array_free (service->list, TRUE);
-  part_shares_free (service->part_shares);
+  g_clear_pointer (&service->part_shares, part_shares_free);
   g_free (service->fleet_requests);
   room_share_free (service->room_share);
   software_versions_free (service->versions);
@@ -104,7 +105,6 @@
     {
       service = g_new0 (service_t, 1);
       service->list = g_ptr_array_new ();
-      service->part_shares = part_shares_new ();
       service->fleet_requests = g_new0 (fleet_requests_t, 1);
       service->room_share = room_share_new ();
       service->versions = software_versions_new ();
@@ -113,6 +113,20 @@
   return service;
 }
 
+/* Likewise, for requests. */
+static service_t *
+use_service (engines_t *engines, const char *name)
+{
+  service_t *service = get_service (engines, name);
+
+  if (service->part_shares)
+    return service;
+  service->part_shares = part_shares_new ();
+  for (guint i = 0; i < service->list->len; i++)
+    ((engine_t *)g_ptr_array_index (service->list, i))->part_shares = service->part_shares;
+  return service;
+}
+
 static engine_t *
 engine_new (const engine_entry_t *entry)
 {
@@ -339,16 +353,21 @@
 engines_remove (engines_t *engines, uint64_t now_us, const char *id)
 {
   engine_t *engine = g_hash_table_lookup (engines->by_id, id);
+  const char *name = engine ? engine->entry.service : NULL;
+  service_t *service;
 
   if (!engine)
     return;
+  service = get_service (engines, name);
   engine->entry.state = ENGINE_GONE;
-  g_ptr_array_remove (get_service (engines, engine->entry.service)->list, engine);
+  g_ptr_array_remove (service->list, engine);
   software_versions_remove (engine->versions, now_us, engine->version);
   engine->versions = NULL;
   engine->room_share = NULL;
   g_hash_table_remove (engines->by_hash, &engine->hash);
   g_hash_table_remove (engines->by_id, id);
+  if (!service->part_shares && service->list->len == 0)
+    g_hash_table_remove (engines->by_service, name);
 }
 
 engine_t *
@@ -366,7 +385,7 @@
 const GPtrArray *
 engines_of_service (const engines_t *engines, const char *service)
 {
-  return get_service ((engines_t *)engines, service)->list;
+  return use_service ((engines_t *)engines, service)->list;
 }
 
 void
@@ -386,7 +405,7 @@
 const software_versions_t *
 engines_versions (const engines_t *engines, const char *service)
 {
-  return get_service ((engines_t *)engines, service)->versions;
+  return use_service ((engines_t *)engines, service)->versions;
 }
 
 uint64_t
--- a/tests/test_odd_values.c
+++ b/tests/test_odd_values.c
@@ -216,6 +216,53 @@
     }
 }
 
+#define SERVICES 3000
+
+/* Guards against memory that fills with services of another writer, under one key or many. */
+static void
+test_services_of_another_writer_are_forgotten (void)
+{
+  engines_t *engines = engines_new ();
+  engine_entry_t entry = { .slots = 8, .state = ENGINE_READY };
+  g_autofree char *stem = g_strnfill (10000, 's');
+  g_autofree char *long_name = g_strdup_printf ("\"%s\"", stem);
+  g_autofree char *text =
+      odd_values_record (engine_fields, G_N_ELEMENTS (engine_fields), 0, long_name);
+
+  for (uint32_t i = 0; i < SERVICES; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("odd-%u", i);
+      g_autoptr (GPtrArray) services = NULL;
+
+      key_of (i % 2 == 0 ? 0 : i, entry.id);
+      entry.service = g_intern_string (name);
+      CU_ASSERT_PTR_NULL (engines_put (engines, NOW_US, &entry)->part_shares);
+      if (i % 2 == 1)
+        engines_remove (engines, NOW_US, entry.id);
+      services = engines_list_services (engines);
+      CU_ASSERT_EQUAL (services->len, 1);
+    }
+  CU_ASSERT (!records_read_engine (&entry, "e", text, strlen (text), NULL));
+  engines_free (engines);
+}
+
+/* Guards against the loss of what is known of a service that requests use, as its engines leave. */
+static void
+test_service_in_use_is_kept (void)
+{
+  engines_t *engines = engines_new ();
+  engine_entry_t entry = { .id = "e", .slots = 8, .service = g_intern_static_string ("pool") };
+  const engine_t *engine = engines_put (engines, NOW_US, &entry);
+  const GPtrArray *list = engines_of_service (engines, entry.service);
+  const part_shares_t *shares = engine->part_shares;
+
+  CU_ASSERT_PTR_NOT_NULL (shares);
+  engines_remove (engines, NOW_US, "e");
+  CU_ASSERT_PTR_EQUAL (engines_put (engines, NOW_US, &entry)->part_shares, shares);
+  CU_ASSERT_PTR_EQUAL (engines_of_service (engines, entry.service), list);
+  engines_free (engines);
+}
+
 static const odd_field_t config_fields[] = {
   { "version", "7" },
   { "routes", "[{\"host\":\"h\",\"path_prefix\":\"/\",\"kind\":\"stream\",\"service\":\"pool\"}]" },
@@ -413,6 +460,8 @@
                                        SUITE_TEST (test_next_entry_of_a_listed_engine_holds),
                                        SUITE_TEST (test_odd_entry_restores_no_deleted_engine),
                                        SUITE_TEST (test_next_entry_of_an_engine_holds_in_a_new_era),
+                                       SUITE_TEST (test_services_of_another_writer_are_forgotten),
+                                       SUITE_TEST (test_service_in_use_is_kept),
                                        SUITE_TEST (test_next_configuration_is_in_force),
                                        SUITE_TEST (test_large_targets_do_not_wrap),
                                        SUITE_TEST (test_accounts_that_are_no_list_are_refused),
