A test of 3,000 services interns no strings

Under the sanitizers test_odd_values failed with a leak of 16,384 bytes: GLib leaves its table of interned strings behind as that grows, which 3,000 names of services made it do.

--- a/tests/test_odd_values.c
+++ b/tests/test_odd_values.c
@@ -224,6 +224,7 @@
 {
   engines_t *engines = engines_new ();
   engine_entry_t entry = { .slots = 8, .state = ENGINE_READY };
+  g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
   g_autofree char *stem = g_strnfill (10000, 's');
   g_autofree char *long_name = g_strdup_printf ("\"%s\"", stem);
   g_autofree char *text =
@@ -231,11 +232,12 @@
 
   for (uint32_t i = 0; i < SERVICES; i++)
     {
-      g_autofree char *name = g_strdup_printf ("odd-%u", i);
       g_autoptr (GPtrArray) services = NULL;
 
       key_of (i % 2 == 0 ? 0 : i, entry.id);
-      entry.service = g_intern_string (name);
+      /* not interned: GLib never frees its table of strings as that grows */
+      entry.service = g_strdup_printf ("odd-%u", i);
+      g_ptr_array_add (names, (gpointer)entry.service);
       CU_ASSERT_PTR_NULL (engines_put (engines, NOW_US, &entry)->part_shares);
       if (i % 2 == 1)
         engines_remove (engines, NOW_US, entry.id);
