A restart that an entry states loses no request of an engine that writes on

Callers got 502 for requests that ran: one entry of another writer, under an engine's id and with a later start, was taken for a restart, and all requests in hand at the engine were given up at once, though it answered them later.

Class: something in hand is given up before what replaces it is certain. A process that has renewed its entry is now kept for two renewals more. If it writes again, the restart was not one; if not, its requests that got no byte since are given up. Of an engine that wrote once, the statement holds at once, as before.

Before: test_stated_restart_loses_no_request_of_an_engine_that_writes_on failed (502 in place of 200).

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "request/gateway/gateway.h"
 #include "request/policy/engines/lapses.h"
+#include "request/policy/engines/restart_claims.h"
 
 #include <string.h>
 
@@ -46,6 +47,7 @@
   http_server_t *control_listener;
   routing_t *table;
   lapses_t *lapsed;
+  restart_claims_t *restart_claims;
   crash_record_t *crashes;
   stream_origins_t *origins;
   gateway_origins_t *gateway_origins;
@@ -201,6 +203,8 @@
 {
   engine_state_t state;
   uint64_t hash;
+  uint64_t born_ms;
+  bool start_renewed;
   address_t address;
 } previous_entry_t;
 
@@ -211,7 +215,24 @@
 
   if (!engine)
     return (previous_entry_t){ .state = ENGINE_GONE };
-  return (previous_entry_t){ engine->entry.state, engine->hash, engine->entry.address };
+  return (previous_entry_t){ engine->entry.state, engine->hash, engine->entry.born_ms,
+                             engine->start_renewed, engine->entry.address };
+}
+
+/* A process that renewed its entry may still run, as another writer may have stated the restart. */
+static void
+note_restart (gateway_process_t *process, const previous_entry_t *previous, const engine_t *engine)
+{
+  uint64_t renewal_us = (uint64_t)process->options.settings->renewal_ms * CLOCK_US_PER_MS;
+
+  gateway_engine_restarted (process->gateway, &previous->address);
+  restart_claims_refute (process->restart_claims, engine->hash);
+  if (engine->entry.born_ms < previous->born_ms)
+    return;
+  if (previous->start_renewed)
+    restart_claims_add (process->restart_claims, now_us (process), previous->hash, renewal_us);
+  else
+    gateway_give_up_engine (process->gateway, previous->hash, now_us (process));
 }
 
 static void
@@ -238,7 +259,7 @@
   if (previous.state != ENGINE_GONE && engine->hash != previous.hash)
     {
       log_engine (process, id, "restarted", position);
-      gateway_engine_restarted (process->gateway, previous.hash, &previous.address);
+      note_restart (process, &previous, engine);
       previous.state = ENGINE_GONE;
     }
   if (engine->entry.state == previous.state)
@@ -526,6 +547,15 @@
     }
 }
 
+static void
+give_up_replaced_engines (gateway_process_t *process)
+{
+  restart_claim_t claim;
+
+  while (restart_claims_take_due (process->restart_claims, now_us (process), &claim))
+    gateway_give_up_engine (process->gateway, claim.hash, claim.made_us);
+}
+
 static void
 stop_when_due (gateway_process_t *process)
 {
@@ -567,6 +597,7 @@
   (void)what;
   check_stall (process);
   remove_expired (process);
+  give_up_replaced_engines (process);
   accept_when_ready (process);
   gateway_store_tick (process->store);
   update_current (process);
@@ -741,6 +772,7 @@
   process->options = *options;
   process->engines = engines_new ();
   process->lapsed = lapses_new ();
+  process->restart_claims = restart_claims_new ();
   process->origins = stream_origins_new (GATEWAY_PROCESS_ORIGINS_MAX);
   process->crashes =
       crash_record_new (&(crash_record_options_t){ .limit = GATEWAY_PROCESS_CRASHES_MAX,
@@ -788,6 +820,7 @@
     routing_unref (process->table);
   engines_free (process->engines);
   lapses_free (process->lapsed);
+  restart_claims_free (process->restart_claims);
   crash_record_free (process->crashes);
   stream_origins_free (process->origins);
   event_free (process->tick);
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -317,20 +317,25 @@
   gateway->known_routers = known;
 }
 
+void
+gateway_engine_restarted (gateway_task_t *gateway, const address_t *address)
+{
+  http_client_close_idle (gateway->upstreams, address);
+}
+
 /*
  * When the network to an engine is cut while it crashes and restarts under the same id, its
  * connections show no error, and clients would wait until their deadlines for requests that are
  * lost. The registry shows the restart, so the requests are given up here.
  */
 void
-gateway_engine_restarted (gateway_task_t *gateway, uint64_t hash, const address_t *address)
+gateway_give_up_engine (gateway_task_t *gateway, uint64_t hash, uint64_t replaced_us)
 {
   g_autoptr (GList) calls = g_hash_table_get_keys (gateway->calls);
 
-  http_client_close_idle (gateway->upstreams, address);
   for (GList *link = calls; link; link = link->next)
     if (g_hash_table_contains (gateway->calls, link->data))
-      gateway_hop_engine_restarted (link->data, hash);
+      gateway_hop_give_up_engine (link->data, hash, replaced_us);
 }
 
 void
--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -113,9 +113,12 @@
  * at @known_us. Return: whether to pass it on */
 bool
 gateway_note_peer_part (gateway_task_t *gateway, uint64_t part, uint64_t engine, uint64_t known_us);
-/** gateway_engine_restarted() - the engine @hash at @address was replaced by a new process with its
- * id: the requests that ran there are lost */
-void gateway_engine_restarted (gateway_task_t *gateway, uint64_t hash, const address_t *address);
+/** gateway_engine_restarted() - the engine at @address is said to have been replaced by a new
+ * process with its id: idle connections to it are closed */
+void gateway_engine_restarted (gateway_task_t *gateway, const address_t *address);
+/** gateway_give_up_engine() - the process @hash of an engine was replaced before @replaced_us: the
+ * requests that ran there, and got no byte since, are lost */
+void gateway_give_up_engine (gateway_task_t *gateway, uint64_t hash, uint64_t replaced_us);
 /** gateway_engines_changed() - the set of engines changed; sends queued requests for which there is
  * room now */
 void gateway_engines_changed (gateway_task_t *gateway);
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -561,9 +561,9 @@
 }
 
 void
-gateway_hop_engine_restarted (gateway_call_t *call, uint64_t hash)
+gateway_hop_give_up_engine (gateway_call_t *call, uint64_t hash, uint64_t replaced_us)
 {
-  if (!call->upstream || call->engine->hash != hash)
+  if (!call->upstream || call->engine->hash != hash || call->last_byte_us > replaced_us)
     return;
   gateway_suspect_record_loss (call);
   retry_plan_note_given_up (&call->course);
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -488,9 +488,9 @@
 /** gateway_hop_check_silence() - gives the current hop up if its engine is silent for too long and
  * another one can take the request */
 void gateway_hop_check_silence (gateway_call_t *call);
-/** gateway_hop_engine_restarted() - gives the current hop up if it went to the engine @hash, which
- * has gone */
-void gateway_hop_engine_restarted (gateway_call_t *call, uint64_t hash);
+/** gateway_hop_give_up_engine() - gives the current hop up if it went to the engine @hash, which
+ * was replaced before @replaced_us, and brought no byte since */
+void gateway_hop_give_up_engine (gateway_call_t *call, uint64_t hash, uint64_t replaced_us);
 /** gateway_hop_cancel() - cancels the current hop, if any, without an outcome */
 void gateway_hop_cancel (gateway_call_t *call);
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -716,6 +716,29 @@
   raw_peer_free (raw);
 }
 
+/* Guards against a request that is given up by one entry of another writer, while its engine runs.
+ */
+static void
+test_stated_restart_loses_no_request_of_an_engine_that_writes_on (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  raw_server_t *engine = gateway_rig_add_engine (rig, SCRIPTS (NULL), 1);
+  raw_peer_t *raw;
+
+  gateway_rig_register (rig, 0, "ready");
+  raw = gateway_rig_send (rig, 0, "POST", "/book/", EMPTY_BODY);
+  while (engine->request_count == 0)
+    raw_peer_run_ms (rig->base, 1);
+  register_restart (rig, "9000000000000000", "ready");
+  gateway_rig_add_engine (rig, SCRIPTS (NULL), 1); /* returns once its entry has been read */
+  gateway_rig_register (rig, 0, "ready");
+  gateway_rig_add_engine (rig, SCRIPTS (NULL), 1);
+  raw_peer_send (g_ptr_array_index (engine->connections, 0), OK_RESPONSE);
+  CU_ASSERT (raw_peer_run_until (rig->base, is_answered, raw));
+  CU_ASSERT (starts_with (raw, "HTTP/1.1 200 "));
+  raw_peer_free (raw);
+}
+
 static bool
 has_one_event (void *context)
 {
@@ -1566,6 +1589,7 @@
     SUITE_TEST (test_engine_error_is_forwarded_without_alternative),
     SUITE_TEST (test_engine_error_is_forwarded_when_the_other_engine_refuses),
     SUITE_TEST (test_restarted_engine_has_lost_its_requests),
+    SUITE_TEST (test_stated_restart_loses_no_request_of_an_engine_that_writes_on),
     SUITE_TEST (test_caller_leaves_between_two_engines),
     SUITE_TEST (test_connections_to_a_restarted_engine_are_closed),
     SUITE_TEST (test_invalid_entry_removes_its_engine),
