A NUL in a head no longer ends it, nor the length it states

What callers saw: an engine that stopped within its answer's head, with NULs behind what it had written (as a crash leaves them in a buffer), gave a 200 with an empty or short body, framed as whole. On the way in, a request whose head had such a line ran without its body, and the body was read as the next request.

Cause: evhttp reads heads as C strings. A line that starts with a NUL is the empty line that ends the head, and a value ends at a NUL, so "Content-Length: 3<NUL>4" is 3. An answer without a length ends with its connection, so what was left of the head passed for a whole answer.

The mend: http_input sees all bytes before evhttp does, and refuses a NUL outside of a body: the call ends as cut (may have run), a request by 400. It holds for all that the client reads: engines, sidecars, gateways and the store.

--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -115,6 +115,14 @@
   end_call (call, false, VERDICT_REASON_CONNECT);
 }
 
+void
+http_client_call_bad_answer (http_client_call_t *call)
+{
+  call->sent = true;
+  call->conn->error = HTTP_CLIENT_ERROR_ANSWER;
+  end_call (call, false, VERDICT_REASON_CUT);
+}
+
 void
 http_client_cut_call (http_client_call_t *call)
 {
--- a/src/connection/http_client_internal.h
+++ b/src/connection/http_client_internal.h
@@ -147,5 +147,8 @@
 
 /** http_client_call_connect_failed() - end a call whose connection was not established in time */
 void http_client_call_connect_failed (http_client_call_t *call);
+/** http_client_call_bad_answer() - end a call that got bytes that are no response; it may have run
+ */
+void http_client_call_bad_answer (http_client_call_t *call);
 
 #endif
--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -204,7 +204,10 @@
   conn->call->received_bytes += info->n_added;
   if (!http_input_read_last (&conn->input, buffer, info->n_added))
     {
-      http_client_cut_call (conn->call);
+      if (conn->input.state == HTTP_INPUT_INVALID)
+        http_client_call_bad_answer (conn->call);
+      else
+        http_client_cut_call (conn->call);
       return;
     }
   watch_head (conn, was_started);
--- a/src/connection/http_input.c
+++ b/src/connection/http_input.c
@@ -18,7 +18,12 @@
   input->state = HTTP_INPUT_OVER;
 }
 
-/* As evhttp does, takes a line that starts with a NUL for an empty one */
+static bool
+is_refused (const http_input_t *input)
+{
+  return input->state == HTTP_INPUT_OVER || input->state == HTTP_INPUT_INVALID;
+}
+
 static bool
 is_empty_line (const http_input_t *input)
 {
@@ -155,7 +160,9 @@
 
   if (input->state == HTTP_INPUT_FIRST_LINE)
     input->head_started = true;
-  if (!add_to_line (input, bytes, length))
+  if (memchr (bytes, '\0', length))
+    input->state = HTTP_INPUT_INVALID;
+  else if (!add_to_line (input, bytes, length))
     set_over (input);
   else if (end)
     end_line (input);
@@ -165,7 +172,7 @@
 bool
 http_input_read (http_input_t *input, const char *bytes, size_t count)
 {
-  while (count > 0 && input->state != HTTP_INPUT_OVER && input->state != HTTP_INPUT_REST)
+  while (count > 0 && !is_refused (input) && input->state != HTTP_INPUT_REST)
     {
       size_t taken = input->state == HTTP_INPUT_CHUNK_DATA ? read_data (input, count)
                                                            : read_line (input, bytes, count);
@@ -173,7 +180,7 @@
       bytes += taken;
       count -= taken;
     }
-  return input->state != HTTP_INPUT_OVER;
+  return !is_refused (input);
 }
 
 bool
@@ -192,5 +199,5 @@
         return false;
       count -= part.iov_len;
     }
-  return input->state != HTTP_INPUT_OVER;
+  return !is_refused (input);
 }
--- a/src/connection/http_input.h
+++ b/src/connection/http_input.h
@@ -5,6 +5,9 @@
  * size lines of chunks, trailers. evhttp has no limits of its own there, or searches an unfinished
  * line anew after each read: an upstream that repeated "100 Continue" took 4 GB and a core.
  *
+ * Also refuses what evhttp would take for the end of a message though it is none: a line that
+ * starts with a NUL is an empty one to evhttp, and a value ends at a NUL.
+ *
  * Reads the bytes in the order of arrival, before evhttp does, and keeps no more than part of a
  * line. A state machine without sockets. Where the framing of a head is ambiguous, it assumes
  * chunks: such messages are refused once their head is complete (http_framing).
@@ -41,8 +44,9 @@
   HTTP_INPUT_CHUNK_LINE,
   HTTP_INPUT_CHUNK_DATA,
   HTTP_INPUT_TRAILER,
-  HTTP_INPUT_REST, /* a body that is not in chunks, or nothing */
-  HTTP_INPUT_OVER  /* a limit was exceeded */
+  HTTP_INPUT_REST,   /* a body that is not in chunks, or nothing */
+  HTTP_INPUT_OVER,   /* a limit was exceeded */
+  HTTP_INPUT_INVALID /* no HTTP; evhttp may find the end of the message too early */
 } http_input_state_t;
 
 /**
@@ -78,8 +82,8 @@
 
 /** http_input_init() - expect the first byte of a message */
 void http_input_init (http_input_t *input, const http_input_limits_t *limits);
-/** http_input_read() - take the next bytes of the message. Return: false when a limit is exceeded;
- * the message must not be used then */
+/** http_input_read() - take the next bytes of the message. Return: false when a limit is exceeded
+ * or the message is invalid; it must not be used then */
 bool http_input_read (http_input_t *input, const char *bytes, size_t count);
 /** http_input_read_last() - likewise for the last @count bytes of @buffer */
 bool http_input_read_last (http_input_t *input, struct evbuffer *buffer, size_t count);
--- a/src/connection/http_server_check.c
+++ b/src/connection/http_server_check.c
@@ -146,6 +146,8 @@
     rejection = &bad_chunks;
   else if (!is_valid_framing (call))
     rejection = &bad_framing;
+  else if (call->conn->input.state == HTTP_INPUT_INVALID)
+    rejection = &bad_request;
   else if (header_count (http_server_request_headers (call)) >
            call->conn->http_server->options.header_limit_count)
     rejection = &large_headers;
@@ -207,12 +209,18 @@
 void
 http_server_reject_incomplete (http_server_conn_t *conn, bool is_late)
 {
-  const rejection_t *rejection = is_late                                ? &too_slow
-                                 : conn->input.state == HTTP_INPUT_OVER ? &bad_chunks
-                                                                        : &too_many_incomplete;
-  g_autofree char *body = rejection_body (conn->http_server, rejection);
-  g_autofree char *page = format_response (rejection, body);
+  const rejection_t *rejection = &too_many_incomplete;
+  g_autofree char *body = NULL;
+  g_autofree char *page = NULL;
 
+  if (is_late)
+    rejection = &too_slow;
+  else if (conn->input.state == HTTP_INPUT_OVER)
+    rejection = &bad_chunks;
+  else if (conn->input.state == HTTP_INPUT_INVALID)
+    rejection = &bad_request;
+  body = rejection_body (conn->http_server, rejection);
+  page = format_response (rejection, body);
   conn->drain_input = true;
   if (http_server_conn_dup_fd (conn) >= 0)
     send (conn->dup_fd, page, strlen (page), MSG_DONTWAIT | MSG_NOSIGNAL);
