Garbage in place of a chunk's size no longer ends a body

What callers saw: an answer in chunks whose engine sent garbage where the size of the next chunk is due (" ", " junk", "-0"), or left out the end of a chunk, was passed on as whole though it was cut there. A request with such a body ran with the part before it.

Cause: evhttp reads the size by strtoll() and takes a line with no digits before a space, "-0", "+0" and "0x0" for the last chunk. It also skips empty lines, so that "3\r\nabc0\r\n\r\n", without the end of the chunk, is whole. http_input, which reads the same bytes first, was as lenient.

The mend: http_input takes a size of hex digits followed by the end of the line, a space, a tab or a semicolon, asks for the end of line after the data, and for a header whose name is Transfer-Encoding, not one that starts so. All else ends the call as cut, or the request by 400. LIMIT_HTTP_BLANK_LINES goes, as no empty lines are allowed.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -80,7 +80,6 @@
 #define LIMIT_HTTP_RESPONSE_LINES 1024  /* of heads and trailers */
 #define LIMIT_HTTP_HEAD_MS 2000         /* from the first byte of a response head to its last */
 #define LIMIT_HTTP_CHUNK_LINE_BYTES 256 /* the size line of a chunk, with its extension */
-#define LIMIT_HTTP_BLANK_LINES 16       /* between chunks, beside the one that ends each */
 /* evhttp passes on whole chunks, so a call's connection may hold so much memory */
 #define LIMIT_HTTP_CHUNK_BYTES (896 * 1024)
 /* A request in chunks of six bytes took two seconds until its limit */
--- a/src/connection/http_input.c
+++ b/src/connection/http_input.c
@@ -30,6 +30,21 @@
   return input->line[0] == '\0';
 }
 
+static bool
+is_chunk_line (const http_input_t *input)
+{
+  return input->state == HTTP_INPUT_CHUNK_LINE || input->state == HTTP_INPUT_CHUNK_END;
+}
+
+/* "Transfer-Encoding: ..." */
+static bool
+is_encoding (const char *line)
+{
+  size_t bytes = strlen (ENCODING_NAME);
+
+  return g_ascii_strncasecmp (line, ENCODING_NAME, bytes) == 0 && line[bytes] == ':';
+}
+
 /* "HTTP/1.1 100 Continue" */
 static bool
 is_interim (const char *line)
@@ -53,20 +68,26 @@
     set_over (input);
 }
 
+/* Stricter than evhttp, which takes " " and "-0" for the size of the last chunk */
+static bool
+is_valid_size_line (const char *line)
+{
+  size_t digits = strspn (line, "0123456789abcdefABCDEF");
+
+  return digits > 0 && (line[digits] == '\0' || strchr ("; \t", line[digits]));
+}
+
 static void
 end_chunk_line (http_input_t *input)
 {
-  char *end;
-  gint64 bytes = g_ascii_strtoll (input->line, &end, 16);
+  gint64 bytes = g_ascii_strtoll (input->line, NULL, 16);
 
-  if (is_empty_line (input))
+  if (!is_valid_size_line (input->line))
     {
-      /* one ends the data of each chunk */
-      if (++input->blank_lines > input->chunks + LIMIT_HTTP_BLANK_LINES)
-        set_over (input);
+      input->state = HTTP_INPUT_INVALID;
       return;
     }
-  if (bytes < 0 || (input->limits.chunk_bytes && (uint64_t)bytes > input->limits.chunk_bytes))
+  if (input->limits.chunk_bytes && (uint64_t)bytes > input->limits.chunk_bytes)
     {
       set_over (input);
       return;
@@ -85,7 +106,7 @@
   size_t kept = MIN (input->line_bytes, LIMIT_HTTP_CHUNK_LINE_BYTES);
 
   input->lines++;
-  if (input->state != HTTP_INPUT_CHUNK_LINE && ++input->head_lines > input->limits.head_lines &&
+  if (!is_chunk_line (input) && ++input->head_lines > input->limits.head_lines &&
       input->limits.head_lines)
     {
       set_over (input);
@@ -104,12 +125,15 @@
     case HTTP_INPUT_HEADERS:
       if (is_empty_line (input))
         end_head (input);
-      else if (g_ascii_strncasecmp (input->line, ENCODING_NAME, strlen (ENCODING_NAME)) == 0)
+      else if (is_encoding (input->line))
         input->chunked = true;
       break;
     case HTTP_INPUT_CHUNK_LINE:
       end_chunk_line (input);
       break;
+    case HTTP_INPUT_CHUNK_END:
+      input->state = is_empty_line (input) ? HTTP_INPUT_CHUNK_LINE : HTTP_INPUT_INVALID;
+      break;
     case HTTP_INPUT_TRAILER:
       if (is_empty_line (input))
         input->state = HTTP_INPUT_REST;
@@ -124,18 +148,17 @@
 static bool
 add_to_line (http_input_t *input, const char *bytes, size_t count)
 {
-  bool is_chunk_line = input->state == HTTP_INPUT_CHUNK_LINE;
+  bool outside_head = is_chunk_line (input);
 
   if (input->line_bytes < LIMIT_HTTP_CHUNK_LINE_BYTES)
     memcpy (input->line + input->line_bytes, bytes,
             MIN (count, LIMIT_HTTP_CHUNK_LINE_BYTES - input->line_bytes));
   input->line_bytes += count;
-  if (!is_chunk_line)
+  if (!outside_head)
     input->head_bytes += count + 1;
-  if (is_chunk_line && input->line_bytes > LIMIT_HTTP_CHUNK_LINE_BYTES)
+  if (outside_head && input->line_bytes > LIMIT_HTTP_CHUNK_LINE_BYTES)
     return false;
-  return is_chunk_line || !input->limits.head_bytes ||
-         input->head_bytes <= input->limits.head_bytes;
+  return outside_head || !input->limits.head_bytes || input->head_bytes <= input->limits.head_bytes;
 }
 
 /* Return: the number of bytes taken */
@@ -147,7 +170,7 @@
   input->left_bytes -= taken;
   input->data_bytes += taken;
   if (input->left_bytes == 0)
-    input->state = HTTP_INPUT_CHUNK_LINE;
+    input->state = HTTP_INPUT_CHUNK_END;
   return taken;
 }
 
--- a/src/connection/http_input.h
+++ b/src/connection/http_input.h
@@ -6,7 +6,8 @@
  * line anew after each read: an upstream that repeated "100 Continue" took 4 GB and a core.
  *
  * Also refuses what evhttp would take for the end of a message though it is none: a line that
- * starts with a NUL is an empty one to evhttp, and a value ends at a NUL.
+ * starts with a NUL is an empty one to evhttp, and a value ends at a NUL; a size line without a
+ * size, or with a sign, may be that of the last chunk.
  *
  * Reads the bytes in the order of arrival, before evhttp does, and keeps no more than part of a
  * line. A state machine without sockets. Where the framing of a head is ambiguous, it assumes
@@ -43,6 +44,7 @@
   HTTP_INPUT_HEADERS,
   HTTP_INPUT_CHUNK_LINE,
   HTTP_INPUT_CHUNK_DATA,
+  HTTP_INPUT_CHUNK_END, /* the end of line after the data */
   HTTP_INPUT_TRAILER,
   HTTP_INPUT_REST,   /* a body that is not in chunks, or nothing */
   HTTP_INPUT_OVER,   /* a limit was exceeded */
@@ -58,7 +60,6 @@
  * @line_bytes: length of the current line so far
  * @left_bytes: rest of the current chunk
  * @data_bytes: in all chunks
- * @blank_lines: empty lines where the size line of a chunk is expected
  * @lines: all lines; they cost processor time beside their bytes
  */
 typedef struct
@@ -75,7 +76,6 @@
   uint64_t head_lines;
   uint64_t data_bytes;
   uint64_t chunks;
-  uint64_t blank_lines;
   uint64_t lines;
   uint32_t interim_heads;
 } http_input_t;
--- a/tests/test_cut_heads.c
+++ b/tests/test_cut_heads.c
@@ -62,6 +62,9 @@
   { "GET", BYTES ("HTTP/1.1 204 None\r\nX-Request-Id: r1\r\n\r\n"), "", 0, false },
   { "GET", BYTES ("HTTP/1.1 304 Same\r\nContent-Length: 7\r\n\r\n"), "", 0, false },
   { "HEAD", BYTES ("HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r\n"), "", 0, false },
+  { "GET",
+    BYTES ("HTTP/1.1 200 OK\r\nTransfer-Encodings: none\r\nContent-Length: 6\r\n\r\nabc\r\nd"),
+    "abc\r\nd", 0, false },
   { "HEAD", BYTES (CHUNKED_HEAD), "", 0, false },
   { "GET",
     BYTES ("HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\nHTTP/1.1 100\r\n\r\n"
@@ -135,6 +138,32 @@
   { BYTES (CHUNKED_HEAD "3\r\nabc\r\n0\r\n\0\r\n") },
 };
 
+static const malformed_t chunk_answers[] = {
+  { BYTES (CHUNKED_HEAD "3\r\nabc\r\n \r\n\r\n") },
+  { BYTES (CHUNKED_HEAD "3\r\nabc\r\n junk\r\n\r\n") },
+  { BYTES (CHUNKED_HEAD "3\r\nabc\r\n;a=b\r\n\r\n") },
+  { BYTES (CHUNKED_HEAD "3\r\nabc\r\n\t\r\n\r\n") },
+  { BYTES (CHUNKED_HEAD "3\r\nabc\r\n-0\r\n\r\n") },
+  { BYTES (CHUNKED_HEAD "3\r\nabc\r\n+0\r\n\r\n") },
+  { BYTES (CHUNKED_HEAD "3\r\nabc\r\n0x0\r\n\r\n") },
+  { BYTES (CHUNKED_HEAD "3\r\nabc\r\n 0\r\n\r\n") },
+  { BYTES (CHUNKED_HEAD "3\r\nabc0\r\n\r\n") },
+  { BYTES (CHUNKED_HEAD "3\r\nabc\r\n\r\n0\r\n\r\n") },
+  { BYTES (CHUNKED_HEAD "\r\n0\r\n\r\n") },
+  { BYTES (CHUNKED_HEAD "3\r\nabcd\r\n0\r\n\r\n") },
+};
+
+static const malformed_t chunk_requests[] = {
+  { BYTES (CHUNKED_REQUEST "3\r\nabc\r\n \r\n\r\n") },
+  { BYTES (CHUNKED_REQUEST "3\r\nabc\r\n junk\r\n\r\n") },
+  { BYTES (CHUNKED_REQUEST "3\r\nabc\r\n-0\r\n\r\n") },
+  { BYTES (CHUNKED_REQUEST "3\r\nabc\r\n+0\r\n\r\n") },
+  { BYTES (CHUNKED_REQUEST "3\r\nabc\r\n0x0\r\n\r\n") },
+  { BYTES (CHUNKED_REQUEST "3\r\nabc0\r\n\r\n") },
+  { BYTES (CHUNKED_REQUEST "3\r\nabc\r\n\r\n0\r\n\r\n") },
+  { BYTES (CHUNKED_REQUEST "3\r\nabcd\r\n0\r\n\r\n") },
+};
+
 static const malformed_t nul_requests[] = {
   { BYTES ("GET /a\0b HTTP/1.1\r\nHost: h\r\n\r\n") },
   { BYTES ("POST / HTTP/1.1\r\nHost: h\r\n\0\r\nContent-Length: 3\r\n\r\nabc") },
@@ -345,6 +374,13 @@
   check_malformed_answers (nul_answers, G_N_ELEMENTS (nul_answers));
 }
 
+/* Garbage where the size of a chunk is due was taken for the last chunk */
+static void
+test_chunks_of_answers (void)
+{
+  check_malformed_answers (chunk_answers, G_N_ELEMENTS (chunk_answers));
+}
+
 static bool
 has_no_connection (void *context)
 {
@@ -456,13 +492,25 @@
   check_malformed_requests (nul_requests, G_N_ELEMENTS (nul_requests));
 }
 
+/* Garbage where the size of a chunk is due ended the body of a request */
+static void
+test_chunks_of_requests (void)
+{
+  check_malformed_requests (chunk_requests, G_N_ELEMENTS (chunk_requests));
+}
+
 int
 main (void)
 {
   static const CU_TestInfo tests[] = {
-    { "cut answers", test_cut_answers },         { "malformed heads", test_malformed_heads },
-    { "NUL in answers", test_nul_in_answers },   { "cut requests", test_cut_requests },
-    { "NUL in requests", test_nul_in_requests }, CU_TEST_INFO_NULL,
+    { "cut answers", test_cut_answers },
+    { "malformed heads", test_malformed_heads },
+    { "NUL in answers", test_nul_in_answers },
+    { "chunks of answers", test_chunks_of_answers },
+    { "cut requests", test_cut_requests },
+    { "NUL in requests", test_nul_in_requests },
+    { "chunks of requests", test_chunks_of_requests },
+    CU_TEST_INFO_NULL,
   };
 
   signal (SIGPIPE, SIG_IGN);
