A stream stays at a silent engine until another one has its copy

What callers saw: a stream that can't be resumed was cut although its engine, silent for two seconds, went on. The gateway had left it for the engine that was to have the copy of its run, and that one had none.

Cause: the hop to the silent engine was closed before the request was sent to the other one. Whether that one has the copy shows only in its answer: "If no copy exists, the request receives 503 and is not run".

Change: the hop to the silent engine stays open, unread, while the request is sent to the engine with the copy. A response that goes on there closes it, and so do 200 ms without an answer, as both would then work on the run (the bound is 400 ms). A refusal, or a connection that is not made, leaves the run where it is, with half an event and all that the engine has sent meanwhile. One of the two hops is read at any time, so events come from one engine. A retry is counted when the request is sent, as before. A run that went on from copies twice is no longer moved for a third one that the plan does not allow.

Ruled out: to read both hops. What the silent engine sends while the other one has begun would come twice, and what is sent last would decide.

What remains: an engine with the copy that takes the request and does not answer for 200 ms gets it, as before.

--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -376,7 +376,7 @@
 http_client_set_paused (http_client_call_t *call, bool paused)
 {
   call->paused = paused;
-  if (call->conn && call->head_received)
+  if (call->conn)
     http_client_conn_update_reading (call->conn);
 }
 
@@ -396,6 +396,12 @@
   evbuffer_drain (data, bytes);
 }
 
+bool
+http_client_has_ended (const http_client_call_t *call)
+{
+  return !call->conn;
+}
+
 bool
 http_client_may_have_sent (const http_client_call_t *call)
 {
--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -127,7 +127,7 @@
 void
 http_client_conn_update_reading (http_client_conn_t *conn)
 {
-  bool is_paused = conn->call && conn->call->head_received && conn->call->paused;
+  bool is_paused = conn->call && conn->call->paused;
 
   if (conn->closed)
     return;
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -233,7 +233,7 @@
 void
 gateway_call_free (gateway_call_t *call)
 {
-  g_assert (!call->upstream && !call->queue_item.waiting);
+  g_assert (!call->upstream && !call->fallback.engine && !call->queue_item.waiting);
   gateway_resume_leave (call);
   gateway_suspect_leave (call);
   g_hash_table_remove (call->gateway->calls, call);
@@ -580,6 +580,14 @@
   gateway_copies_continue (call);
 }
 
+void
+gateway_call_continue (gateway_call_t *call)
+{
+  retry_plan_continue (&call->course, call->relay.has_started ? RETRY_PLAN_OUTCOME_BROKE_OFF
+                                                              : RETRY_PLAN_OUTCOME_UNKNOWN);
+  continue_from_copy (call, VERDICT_REASON_TIMEOUT);
+}
+
 void
 gateway_call_hop_ended (gateway_call_t *call, retry_plan_outcome_t outcome, verdict_reason_t reason)
 {
--- a/src/request/gateway/gateway_copies.c
+++ b/src/request/gateway/gateway_copies.c
@@ -81,12 +81,12 @@
 }
 
 void
-gateway_copies_note_break (const gateway_call_t *call)
+gateway_copies_note_break (const gateway_call_t *call, const engine_t *engine)
 {
   loss_rate_t *losses = get_losses (call->service);
 
   if (losses)
-    loss_rate_note_break (losses, gateway_now_us (call->gateway), call->engine);
+    loss_rate_note_break (losses, gateway_now_us (call->gateway), engine);
 }
 
 /* A run is known to engines by the id of its request, and goes on after the id of an event. */
@@ -237,8 +237,8 @@
 {
   const engine_t *target = engines_find_by_hash (call->gateway->options.engines, call->copy_engine);
 
-  return call->course.has_copy && call->splitter.event_count > 0 && may_have_copy (call) &&
-         check_target (call, target, true) == BACKUP_OBSTACLE_NONE;
+  return retry_plan_may_continue (&call->course) && call->splitter.event_count > 0 &&
+         may_have_copy (call) && check_target (call, target, true) == BACKUP_OBSTACLE_NONE;
 }
 
 void
@@ -259,6 +259,8 @@
 gateway_copies_note_missing (const gateway_call_t *call)
 {
   counter_add (call->gateway->copies_missing, 1);
+  log_event (LOG_LEVEL_INFO, "copy_unused", "id", call->id, "service", call->service->name,
+             "backup", call->engine->entry.id, "reason", "missing", NULL);
 }
 
 void
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -19,6 +19,14 @@
   return type && g_ascii_strncasecmp (type, EVENT_STREAM, strlen (EVENT_STREAM)) == 0;
 }
 
+void
+gateway_hop_release (gateway_call_t *call, engine_t *engine)
+{
+  call->service->engines_in_use -= engine->own_requests == 1 ? 1 : 0;
+  engine_end_request_at (engine, gateway_now_us (call->gateway));
+  call->service->in_flight--;
+}
+
 static void
 release_engine (gateway_call_t *call)
 {
@@ -26,15 +34,12 @@
 
   call->upstream = NULL;
   call->engine = NULL;
-  if (!engine)
-    return;
-  call->service->engines_in_use -= engine->own_requests == 1 ? 1 : 0;
-  engine_end_request_at (engine, gateway_now_us (call->gateway));
-  call->service->in_flight--;
+  if (engine)
+    gateway_hop_release (call, engine);
 }
 
 void
-gateway_hop_cancel (gateway_call_t *call)
+gateway_hop_cancel_current (gateway_call_t *call)
 {
   if (!call->upstream)
     return;
@@ -43,6 +48,13 @@
   release_engine (call);
 }
 
+void
+gateway_hop_cancel (gateway_call_t *call)
+{
+  gateway_hop_cancel_current (call);
+  gateway_fallback_cancel (call);
+}
+
 /* Whether the response continues a stream of events that was resumed. */
 static bool
 can_forward_stream (const gateway_call_t *call, int status, const struct evkeyvalq *headers)
@@ -172,11 +184,25 @@
                       status >= STATUS_SERVER_ERROR && !call->response.not_run);
 }
 
+static bool
+begin_resumed (gateway_call_t *call, int status, const struct evkeyvalq *headers)
+{
+  if (call->response.not_run)
+    return true;
+  if (!can_forward_stream (call, status, headers))
+    return false;
+  gateway_fallback_drop (call);
+  return true;
+}
+
 static bool
 on_head (int status, struct evkeyvalq *headers, void *context)
 {
-  gateway_call_t *call = context;
+  gateway_hop_t *hop = context;
+  gateway_call_t *call = hop->call;
 
+  if (hop->is_fallback)
+    return false;
   call->gateway->options.format->read_response (&call->response, status, headers,
                                                 call->id[0] != '\0' ? call->id : NULL);
   if (call->response.is_for_other_request)
@@ -187,7 +213,7 @@
   record_head (call, status);
   call->relay.from = call->upstream;
   if (call->resuming)
-    return can_forward_stream (call, status, headers) || call->response.not_run;
+    return begin_resumed (call, status, headers);
   if (call->response.not_run)
     return true;
   call->status = status;
@@ -235,8 +261,15 @@
 static void
 on_data (struct evbuffer *data, void *context)
 {
-  gateway_call_t *call = context;
+  gateway_hop_t *hop = context;
+  gateway_call_t *call = hop->call;
 
+  if (hop->is_fallback)
+    {
+      call->fallback.is_broken = true;
+      evbuffer_drain (data, evbuffer_get_length (data));
+      return;
+    }
   call->last_byte_us = gateway_now_us (call->gateway);
   if (call->engine)
     engine_note_byte (call->engine, call->last_byte_us);
@@ -383,7 +416,7 @@
 {
   uint64_t now_us = gateway_now_us (call->gateway);
 
-  gateway_copies_note_break (call);
+  gateway_copies_note_break (call, call->engine);
   if (is_unsent (end))
     {
       engine_note_break (call->engine, now_us);
@@ -393,13 +426,41 @@
     engine_note_failure (call->engine, now_us);
 }
 
+static void
+finish (gateway_call_t *call, const http_client_result_t *end)
+{
+  if (end->complete)
+    finish_complete (call);
+  else
+    finish_broken (call, end);
+}
+
+/* The engine with the copy has ended the current hop while the one before is still open. */
+static void
+finish_with_fallback (gateway_call_t *call, const http_client_result_t *end)
+{
+  bool is_refused = call->has_head && call->response.not_run;
+
+  if (!is_refused && end->verdict != VERDICT_NOT_RUN)
+    gateway_fallback_drop (call);
+  else if (gateway_fallback_use (call, !is_refused))
+    return;
+  finish (call, end);
+}
+
 static void
 on_end (const http_client_result_t *end, void *context)
 {
-  gateway_call_t *call = context;
+  gateway_hop_t *hop = context;
+  gateway_call_t *call = hop->call;
   gateway_service_t *service = call->service;
   bool is_whole = end->complete && !is_cut_inside_event (call);
 
+  if (hop->is_fallback)
+    {
+      gateway_fallback_note_end (call);
+      return;
+    }
   call->relay.from = NULL;
   if (is_whole)
     record_times (call);
@@ -413,10 +474,10 @@
   if (!is_whole)
     gateway_call_log (call, "hop_lost", verdict_to_string (end->verdict), end->reason);
   release_engine (call);
-  if (end->complete)
-    finish_complete (call);
+  if (call->fallback.engine)
+    finish_with_fallback (call, end);
   else
-    finish_broken (call, end);
+    finish (call, end);
   gateway_queue_dispatch (service);
 }
 
@@ -505,16 +566,29 @@
              LOG_U64 (routing_version (call->gateway->table)), NULL);
 }
 
+void
+gateway_hop_note_left (gateway_call_t *call, const engine_t *engine, uint64_t now_us)
+{
+  call->left[call->left_count % GATEWAY_LEFT_MAX] =
+      (gateway_left_t){ .hash = engine->hash, .at_us = now_us };
+  call->left_count = MIN (call->left_count + 1, GATEWAY_LEFT_MAX);
+}
+
 /* The hop is closed before the request is sent elsewhere, so that the engine stops working on it if
- * it is still alive. */
+ * it is still alive. Whether an engine has the copy of a run shows only there, so the hop stays
+ * open until that engine has answered. */
 static void
 leave_silent_engine (gateway_call_t *call, uint64_t now_us)
 {
-  gateway_copies_note_break (call);
+  if (gateway_copies_may_continue (call))
+    {
+      if (gateway_fallback_keep (call))
+        gateway_call_continue (call);
+      return;
+    }
+  gateway_copies_note_break (call, call->engine);
   engine_note_silence (call->engine, now_us);
-  call->left[call->left_count % GATEWAY_LEFT_MAX] =
-      (gateway_left_t){ .hash = call->engine->hash, .at_us = now_us };
-  call->left_count = MIN (call->left_count + 1, GATEWAY_LEFT_MAX);
+  gateway_hop_note_left (call, call->engine, now_us);
   call->is_moving = true;
   retry_plan_note_given_up (&call->course);
   give_up_hop (call, "silent", VERDICT_REASON_TIMEOUT);
@@ -544,6 +618,9 @@
 
   if (!call->upstream || !call->client)
     return;
+  gateway_fallback_check (call, now_us);
+  if (call->fallback.engine)
+    return;
   if (relay_was_blocked (&call->relay))
     {
       call->client_was_slow = true;
@@ -563,6 +640,12 @@
 void
 gateway_hop_give_up_engine (gateway_call_t *call, uint64_t hash, uint64_t replaced_us)
 {
+  if (call->fallback.engine && call->fallback.engine->hash == hash &&
+      call->fallback.last_byte_us <= replaced_us)
+    {
+      retry_plan_note_given_up (&call->course);
+      gateway_fallback_cancel (call);
+    }
   if (!call->upstream || call->engine->hash != hash || call->last_byte_us > replaced_us)
     return;
   gateway_suspect_record_loss (call);
@@ -685,6 +768,7 @@
   format_buffers_t text;
   format_copy_t copy = call->copy; /* the run may get another one */
   format_upstream_request_t hop;
+  gateway_hop_t *context = &call->hop_contexts[call->hop_index];
 
   drop_needless_source (call, choice);
   gateway_parts_note_choice (call, choice);
@@ -697,6 +781,7 @@
                                      .priority = compute_priority (call),
                                      .resumes = call->resuming,
                                      .last_event = call->splitter.last_id };
+  *context = (gateway_hop_t){ .call = call };
   record_belief (call, choice);
   begin_hop (call, choice);
   if (call->hops == 1)
@@ -722,5 +807,5 @@
                                 .on_head = on_head,
                                 .on_data = on_data,
                                 .on_end = on_end,
-                                .context = call });
+                                .context = context });
 }
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -6,10 +6,9 @@
  * gateway_hop.c (one send to an engine), gateway_queue.c (requests queued while engines are full),
  * gateway_resume.c (streams, their software versions and clients that resume them),
  * gateway_resume_log.c (log and counters of these), gateway_copies.c (copies of the caches of runs,
- * from which they go on when their engines end).
- * gateway_parts.c (engines that hold shared parts of prompts), gateway_resume.c (streams, their
- * software versions and clients that resume them), gateway_resume_log.c (log and counters of
- * these).
+ * from which they go on when their engines end), gateway_fallback.c (hops that stay open until
+ * the engine with the copy has answered), gateway_parts.c (engines that hold shared parts of
+ * prompts).
  */
 #ifndef REQUEST_GATEWAY_GATEWAY_PRIVATE_H
 #define REQUEST_GATEWAY_GATEWAY_PRIVATE_H
@@ -83,6 +82,9 @@
 #define GATEWAY_HELD_RETRY_US (UINT64_C (100) * 1000)
 /* Time after which another engine is looked for again for a request at a silent engine. */
 #define GATEWAY_MOVE_RETRY_US (UINT64_C (200) * 1000)
+/* Time that the engine with a copy has to answer before the hop that the run leaves is closed: both
+ * may then work on it, which must be over after 400 ms. Less than a connection takes to fail. */
+#define GATEWAY_FALLBACK_US (UINT64_C (200) * 1000)
 /* Time for which a stream waits for the first table of shares. */
 #define GATEWAY_SHARES_WAIT_US (UINT64_C (3000) * 1000)
 /* Time for which a stream waits whose version has no engine left: until that is noticed, and
@@ -267,6 +269,48 @@
   uint64_t at_us;
 } gateway_left_t;
 
+typedef struct gateway_call gateway_call_t;
+
+/** struct gateway_hop - what the callbacks of a hop get; @is_fallback: it is not the current hop */
+typedef struct
+{
+  gateway_call_t *call;
+  bool is_fallback;
+} gateway_hop_t;
+
+/**
+ * struct gateway_fallback - a hop that stays open, unread, while the request is tried elsewhere,
+ * and what its call goes on with if it is refused there; fields as those of the call
+ * @upstream: NULL when there is no fallback, or it has ended
+ * @engine: NULL when there is no fallback
+ * @is_broken: bytes of its response were lost, so the call can't go back to it
+ */
+typedef struct
+{
+  http_client_call_t *upstream;
+  engine_t *engine;
+  bool is_broken;
+  retry_plan_t course;
+  event_splitter_t splitter;
+  gateway_belief_t belief;
+  uint64_t tried[GATEWAY_TRIED_MAX];
+  uint32_t tried_count;
+  format_response_t response;
+  bool has_head;
+  bool is_framed;
+  bool resuming;
+  bool is_written_long;
+  bool has_continued;
+  uint64_t sent_us;
+  uint64_t head_us;
+  uint64_t first_data_us;
+  uint64_t last_byte_us;
+  uint64_t events_before_head;
+  uint64_t dropped_bytes;
+  uint64_t copy_engine;
+  format_copy_t copy;
+} gateway_fallback_t;
+
 /**
  * struct gateway_resumption - a client's request that resumes a stream
  * @asked_us: when the other gateways were asked last, 0 for never
@@ -301,6 +345,8 @@
  * @queue_item: entry in the queue of @service
  * @course: decides what follows the outcome of a hop
  * @engine: engine of the current hop, or NULL
+ * @hop_contexts: of the current hop, at @hop_index, and of the fallback
+ * @fallback: the hop before, until the engine of the current one has answered
  * @belief: what was known of it
  * @tried: hashes of engines that are not asked again
  * @hops: sends to engines so far
@@ -338,11 +384,14 @@
  * @copy: by which that engine knows the copy
  * @timer: fires at the deadline
  */
-typedef struct
+struct gateway_call
 {
   gateway_task_t *gateway;
   http_server_call_t *client;
   http_client_call_t *upstream;
+  gateway_hop_t hop_contexts[2];
+  uint32_t hop_index;
+  gateway_fallback_t fallback;
   routing_t *table;
   const routing_route_t *route;
   const routing_account_t *account;
@@ -397,7 +446,7 @@
   bool has_continued;
   format_copy_t copy;
   struct event *timer;
-} gateway_call_t;
+};
 
 /** gateway_service() - the state of a service, made when it is not there yet; @name is interned */
 gateway_service_t *gateway_service (gateway_task_t *gateway, const char *name);
@@ -432,6 +481,9 @@
 void gateway_call_hop_ended (gateway_call_t *call,
                              retry_plan_outcome_t outcome,
                              verdict_reason_t reason);
+/** gateway_call_continue() - sends the request to the engine with the copy of its run, while the
+ * hop before is the fallback */
+void gateway_call_continue (gateway_call_t *call);
 /** gateway_call_retry_wait_us() - time until the retry budget allows a retry if no request comes
  * meanwhile; 0 if it allows one now */
 uint64_t gateway_call_retry_wait_us (const gateway_call_t *call);
@@ -493,6 +545,30 @@
 void gateway_hop_give_up_engine (gateway_call_t *call, uint64_t hash, uint64_t replaced_us);
 /** gateway_hop_cancel() - cancels the current hop, if any, without an outcome */
 void gateway_hop_cancel (gateway_call_t *call);
+/** gateway_hop_cancel_current() - likewise, but keeps the fallback */
+void gateway_hop_cancel_current (gateway_call_t *call);
+/** gateway_hop_note_left() - the request leaves @engine, which is silent */
+void gateway_hop_note_left (gateway_call_t *call, const engine_t *engine, uint64_t now_us);
+/** gateway_hop_release() - a hop of the call to @engine has ended */
+void gateway_hop_release (gateway_call_t *call, engine_t *engine);
+
+/** gateway_fallback_keep() - makes the current hop the fallback: it stays open, unread, and the
+ * call has no current hop. Return: false if the hop has ended, which its callback tells in a moment
+ */
+bool gateway_fallback_keep (gateway_call_t *call);
+/** gateway_fallback_use() - the fallback is the current hop again, in place of one that ended
+ * without running the request; @has_copy: the engine of that one may still have the copy. Return:
+ * false if the fallback has broken off meanwhile; it is dropped then */
+bool gateway_fallback_use (gateway_call_t *call, bool has_copy);
+/** gateway_fallback_drop() - closes the fallback, if any: the request goes on elsewhere */
+void gateway_fallback_drop (gateway_call_t *call);
+/** gateway_fallback_cancel() - closes the fallback, if any: the call ends */
+void gateway_fallback_cancel (gateway_call_t *call);
+/** gateway_fallback_note_end() - the fallback has ended */
+void gateway_fallback_note_end (gateway_call_t *call);
+/** gateway_fallback_check() - ends the time for which the current hop and the fallback are both
+ * open; to be called a few times a second */
+void gateway_fallback_check (gateway_call_t *call, uint64_t now_us);
 
 /** gateway_parts_init() - makes the table of the engines that hold shared parts of prompts */
 void gateway_parts_init (gateway_task_t *gateway);
@@ -534,8 +610,8 @@
 void gateway_copies_register_counters (gateway_task_t *gateway);
 /** gateway_copies_review() - looks which engines were lost; to be called a few times a second */
 void gateway_copies_review (gateway_task_t *gateway);
-/** gateway_copies_note_break() - the engine of the current hop broke off, or is silent */
-void gateway_copies_note_break (const gateway_call_t *call);
+/** gateway_copies_note_break() - @engine broke off, or is silent */
+void gateway_copies_note_break (const gateway_call_t *call, const engine_t *engine);
 /** gateway_copies_choose() - the engine that is to get a copy of the cache of the run at
  * @call->engine, to which the request is sent now. Return: its address; NULL for no copy */
 const address_t *gateway_copies_choose (gateway_call_t *call);
--- a/src/request/policy/retries/retry_plan.c
+++ b/src/request/policy/retries/retry_plan.c
@@ -15,8 +15,8 @@
   return rules->resumable || (rules->idempotent && !begun);
 }
 
-static bool
-may_continue (const retry_plan_t *retry_plan)
+bool
+retry_plan_may_continue (const retry_plan_t *retry_plan)
 {
   return retry_plan->has_copy && retry_plan->continued < RETRY_PLAN_COPIES_MAX;
 }
@@ -24,7 +24,8 @@
 bool
 retry_plan_may_move (const retry_plan_t *retry_plan, bool begun)
 {
-  return may_continue (retry_plan) || may_rerun (&retry_plan->rules, retry_plan->ran + 1, begun);
+  return retry_plan_may_continue (retry_plan) ||
+         may_rerun (&retry_plan->rules, retry_plan->ran + 1, begun);
 }
 
 bool
@@ -147,6 +148,14 @@
   retry_plan->continued++;
 }
 
+void
+retry_plan_continue (retry_plan_t *retry_plan, retry_plan_outcome_t outcome)
+{
+  outcome = take_outcome (retry_plan, outcome);
+  retry_plan->retry_due = true;
+  begin_continuing (retry_plan, outcome);
+}
+
 /* Engines that refuse, or take no connection, are asked again later: the attempt that was given up
  * can't be had back. */
 static bool
@@ -179,7 +188,7 @@
   bool goes_on;
 
   outcome = take_outcome (retry_plan, outcome);
-  goes_on = may_continue (retry_plan) && !is_not_run (outcome);
+  goes_on = retry_plan_may_continue (retry_plan) && !is_not_run (outcome);
   if (left_us < RETRY_PLAN_MIN_TIME_US)
     return final_step (retry_plan, outcome);
   if (!goes_on && !may_repeat (retry_plan, outcome))
--- a/src/request/policy/retries/retry_plan.h
+++ b/src/request/policy/retries/retry_plan.h
@@ -111,6 +111,12 @@
 /** retry_plan_may_rerun() - likewise, whether or not another engine has a copy of the run's cache
  */
 bool retry_plan_may_rerun (const retry_plan_t *retry_plan, bool begun);
+/** retry_plan_may_continue() - whether the run may go on from a copy of its cache */
+bool retry_plan_may_continue (const retry_plan_t *retry_plan);
+/** retry_plan_continue() - the run goes on from its copy, as it may, while the engine before still
+ * has the request; @outcome: of the attempt there, once it is ended. To go back to that engine, the
+ * caller takes the plan of before */
+void retry_plan_continue (retry_plan_t *retry_plan, retry_plan_outcome_t outcome);
 /** retry_plan_set_copy() - another engine has a copy of the current run's cache, or none has one */
 void retry_plan_set_copy (retry_plan_t *retry_plan, bool has_copy);
 /** retry_plan_note_given_up() - the current attempt is given up although its engine might still
--- a/tests/test_gateway_silence.c
+++ b/tests/test_gateway_silence.c
@@ -1168,6 +1168,123 @@
   end (&hand);
 }
 
+#define HALF_AN_EVENT "6\r\nid: 3\n\r\n"
+#define OTHER_HALF "9\r\ndata: a\n\n\r\n"
+
+/* The request has reached the engine with the copy, which has not answered, and neither has the
+ * silent one. */
+static raw_peer_t *
+try_copy (hand_t *hand, uint32_t backup)
+{
+  raw_server_t *engine = hand->rig->engines[backup];
+
+  pass (hand->rig, 600);
+  CU_ASSERT (raw_peer_run_until (hand->rig->base, has_request, engine));
+  CU_ASSERT_PTR_NOT_NULL (strstr (busy_connection (engine)->received->str, "Last-Event-Id: 2\r\n"));
+  CU_ASSERT_FALSE (hand->upstream->eof);
+  return busy_connection (engine);
+}
+
+static bool
+has_eof (void *context)
+{
+  return ((const raw_peer_t *)context)->eof;
+}
+
+/* Guards against bytes of a stream that are lost as it was tried at an engine without a copy. */
+static void
+test_half_an_event_outlives_a_copy_that_is_missing (void)
+{
+  uint32_t backup;
+  hand_t hand = begin_with_copy (&backup);
+  raw_peer_t *other;
+
+  raw_peer_send (hand.upstream, HALF_AN_EVENT);
+  run_checks (hand.rig);
+  other = try_copy (&hand, backup);
+  raw_peer_send (hand.upstream, OTHER_HALF STREAM_END);
+  raw_peer_send (other, FULL);
+  check_whole (&hand);
+  end (&hand);
+}
+
+/* Guards against a request that works at two engines for 400 ms. */
+static void
+test_silent_engine_is_left_in_time_for_its_copy (void)
+{
+  uint32_t backup;
+  hand_t hand = begin_with_copy (&backup);
+  raw_peer_t *other = try_copy (&hand, backup);
+
+  clock_advance (&hand.rig->clock, GATEWAY_FALLBACK_US);
+  CU_ASSERT (raw_peer_run_until (hand.rig->base, has_eof, hand.upstream));
+  raw_peer_send (other, STREAM_HEAD EVENT ("3") STREAM_END);
+  check_whole (&hand);
+  end (&hand);
+}
+
+/* Guards against events that come from both engines. */
+static void
+test_events_come_from_one_of_two_engines (void)
+{
+  uint32_t backup;
+  hand_t hand = begin_with_copy (&backup);
+  raw_peer_t *other = try_copy (&hand, backup);
+
+  raw_peer_send (hand.upstream, EVENT ("3") STREAM_END);
+  run_checks (hand.rig);
+  CU_ASSERT_EQUAL (count_events (&hand), 2);
+  raw_peer_send (other, STREAM_HEAD EVENT ("3"));
+  CU_ASSERT (raw_peer_run_until (hand.rig->base, has_eof, hand.upstream));
+  raw_peer_send (other, STREAM_END);
+  check_whole (&hand);
+  end (&hand);
+}
+
+/* Guards against engines that work on for a caller that has left. */
+static void
+test_caller_leaves_while_two_engines_have_its_request (void)
+{
+  uint32_t backup;
+  hand_t hand = begin_with_copy (&backup);
+  raw_peer_t *other = try_copy (&hand, backup);
+
+  raw_peer_close (hand.client, false);
+  CU_ASSERT (raw_peer_run_until (hand.rig->base, has_eof, hand.upstream));
+  CU_ASSERT (raw_peer_run_until (hand.rig->base, has_eof, other));
+  end (&hand);
+}
+
+/* Guards against a stream that is cut as no connection to the engine with its copy is made. */
+static void
+test_stream_outlives_a_copy_that_is_unreachable (void)
+{
+  uint32_t backup;
+  hand_t hand = begin_with_copy (&backup);
+  raw_server_t *engine = hand.rig->engines[backup];
+
+  for (guint i = 0; i < engine->connections->len; i++)
+    raw_peer_close (g_ptr_array_index (engine->connections, i), false);
+  raw_server_fill (engine);
+  check_kept (&hand);
+  end (&hand);
+}
+
+/* Guards against a stream that goes on at an engine that has broken off meanwhile. */
+static void
+test_stream_ends_when_both_engines_fail (void)
+{
+  uint32_t backup;
+  hand_t hand = begin_with_copy (&backup);
+  raw_peer_t *other = try_copy (&hand, backup);
+
+  raw_peer_close (hand.upstream, false);
+  raw_peer_send (other, FULL);
+  CU_ASSERT (raw_peer_run_until (hand.rig->base, has_eof, hand.client));
+  CU_ASSERT_FALSE (is_whole (&hand));
+  end (&hand);
+}
+
 /* Guards against a stream that stays at a dead host though another engine has its copy. */
 static void
 test_stream_leaves_a_dead_host_for_its_copy (void)
@@ -1382,6 +1499,12 @@
     SUITE_TEST (test_new_request_makes_no_quiet_engine_sound),
     SUITE_TEST (test_stream_is_kept_when_its_copy_is_gone),
     SUITE_TEST (test_stream_outlives_a_copy_that_is_missing),
+    SUITE_TEST (test_half_an_event_outlives_a_copy_that_is_missing),
+    SUITE_TEST (test_silent_engine_is_left_in_time_for_its_copy),
+    SUITE_TEST (test_events_come_from_one_of_two_engines),
+    SUITE_TEST (test_caller_leaves_while_two_engines_have_its_request),
+    SUITE_TEST (test_stream_outlives_a_copy_that_is_unreachable),
+    SUITE_TEST (test_stream_ends_when_both_engines_fail),
     SUITE_TEST (test_stream_leaves_a_dead_host_for_its_copy),
     SUITE_TEST (test_lookup_outlives_a_restart_without_budget),
     SUITE_TEST (test_stream_outlives_a_restart_without_budget),
--- a/tests/test_retry_plan.c
+++ b/tests/test_retry_plan.c
@@ -111,6 +111,25 @@
   CU_ASSERT_EQUAL (next (&retry_plan, RETRY_PLAN_OUTCOME_BROKE_OFF), RETRY_PLAN_STEP_CUT_OFF);
 }
 
+/* Guards against an attempt beside a silent one that counts as no retry, or leaves another outcome
+ * than the attempt before when the copy is missing. */
+static void
+test_attempt_beside_a_silent_one (void)
+{
+  retry_plan_t retry_plan = make_with_copy (false, 1);
+
+  CU_ASSERT_TRUE (retry_plan_may_continue (&retry_plan));
+  for (uint32_t copies = 0; copies < RETRY_PLAN_COPIES_MAX; copies++)
+    {
+      retry_plan_continue (&retry_plan, RETRY_PLAN_OUTCOME_BROKE_OFF);
+      CU_ASSERT_TRUE (retry_plan_note_send (&retry_plan));
+      retry_plan_set_copy (&retry_plan, true);
+    }
+  CU_ASSERT_FALSE (retry_plan_may_continue (&retry_plan));
+  CU_ASSERT_EQUAL (retry_plan.ran, RETRY_PLAN_COPIES_MAX);
+  CU_ASSERT_EQUAL (next (&retry_plan, RETRY_PLAN_OUTCOME_FULL), RETRY_PLAN_STEP_CUT_OFF);
+}
+
 /* Guards against copies that exceed the retry budget or the deadline, or that carry a request on
  * trial to a further engine. */
 static void
@@ -515,6 +534,7 @@
   static const CU_TestInfo tests[] = { SUITE_TEST (test_non_idempotent_is_resent_only_if_not_run),
                                        SUITE_TEST (test_run_goes_on_from_a_copy),
                                        SUITE_TEST (test_missing_copy_leaves_the_outcome_before),
+                                       SUITE_TEST (test_attempt_beside_a_silent_one),
                                        SUITE_TEST (test_copy_keeps_to_the_limits),
                                        SUITE_TEST (test_may_have_run_is_not_reported_as_not_run),
                                        SUITE_TEST (test_route_limits_engines_that_may_run),
