A status line that runs into other bytes is no status

What callers saw: an engine that stopped within its status line and sent a new one ("HTTP/1.1 200HTTP/1.1 503 Busy") gave a 200 with the body of a failure; "HTTP/1.1 2000 OK" was passed on as status 2000, which is no answer in the protocol.

Cause: evhttp takes the status by atoi(), whatever follows the digits.

The mend: http_input, which sees the first line before evhttp does, asks for HTTP/1.x, three digits and a space or the end of the line, and ends the call as cut otherwise. Requests are not concerned: evhttp splits their first line at its last space.

--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -223,7 +223,8 @@
   uint64_t chunk_bytes = MAX (answer_limit_bytes, LIMIT_HTTP_CHUNK_BYTES);
 
   http_input_init (&conn->input,
-                   &(http_input_limits_t){ .head_bytes = LIMIT_HTTP_RESPONSE_HEADER_BYTES,
+                   &(http_input_limits_t){ .is_response = true,
+                                           .head_bytes = LIMIT_HTTP_RESPONSE_HEADER_BYTES,
                                            .head_lines = LIMIT_HTTP_RESPONSE_LINES,
                                            .chunk_bytes = chunk_bytes });
   bufferevent_setwatermark (conn->bev, EV_READ, 0, chunk_bytes + LIMIT_HTTP_RESPONSE_HEADER_BYTES);
--- a/src/connection/http_input.c
+++ b/src/connection/http_input.c
@@ -45,6 +45,18 @@
   return g_ascii_strncasecmp (line, ENCODING_NAME, bytes) == 0 && line[bytes] == ':';
 }
 
+/* "HTTP/1.1 200 OK"; evhttp reads "2000" and "200OK" as a status too */
+static bool
+is_status_line (const char *line)
+{
+  static const char pattern[] = "HTTP/1.D DDD";
+
+  for (size_t i = 0; i < sizeof pattern - 1; i++)
+    if (pattern[i] == 'D' ? !g_ascii_isdigit (line[i]) : line[i] != pattern[i])
+      return false;
+  return line[sizeof pattern - 1] == '\0' || line[sizeof pattern - 1] == ' ';
+}
+
 /* "HTTP/1.1 100 Continue" */
 static bool
 is_interim (const char *line)
@@ -120,7 +132,9 @@
     case HTTP_INPUT_FIRST_LINE:
       input->interim = is_interim (input->line);
       input->chunked = false;
-      input->state = HTTP_INPUT_HEADERS;
+      input->state = input->limits.is_response && !is_status_line (input->line)
+                         ? HTTP_INPUT_INVALID
+                         : HTTP_INPUT_HEADERS;
       break;
     case HTTP_INPUT_HEADERS:
       if (is_empty_line (input))
--- a/src/connection/http_input.h
+++ b/src/connection/http_input.h
@@ -25,6 +25,7 @@
 
 /**
  * struct http_input_limits - limits for one message; 0 for none
+ * @is_response: the first line must be a status line
  * @head_bytes: all heads and trailers together
  * @head_lines: likewise; evhttp keeps each header in allocations of its own
  * @chunk_bytes: one chunk: evhttp passes on whole chunks only
@@ -32,6 +33,7 @@
  */
 typedef struct
 {
+  bool is_response;
   uint64_t head_bytes;
   uint64_t head_lines;
   uint64_t chunk_bytes;
--- a/tests/test_cut_heads.c
+++ b/tests/test_cut_heads.c
@@ -115,6 +115,16 @@
            "0\r\n\r\n") },
 };
 
+static const malformed_t status_answers[] = {
+  { BYTES ("HTTP/1.1 2000 OK\r\n\r\nabc") },
+  { BYTES ("HTTP/1.1 200OK\r\n\r\nabc") },
+  { BYTES ("HTTP/1.1 200HTTP/1.1 503 Busy\r\nContent-Length: 3\r\n\r\nabc") },
+  { BYTES ("HTTP/1.1 +200 OK\r\n\r\nabc") },
+  { BYTES ("HTTP/1.1  200 OK\r\n\r\nabc") },
+  { BYTES ("HTTP/1.+1 200 OK\r\n\r\nabc") },
+  { BYTES ("HTTP/0.9 200 OK\r\n\r\nabc") },
+};
+
 static const malformed_t nul_answers[] = {
   { BYTES ("\0") },
   { BYTES ("\0\r\n\r\n") },
@@ -367,6 +377,13 @@
   check_malformed_answers (head_answers, G_N_ELEMENTS (head_answers));
 }
 
+/* A status line that ran into other bytes was passed on with the status that it began with */
+static void
+test_status_lines (void)
+{
+  check_malformed_answers (status_answers, G_N_ELEMENTS (status_answers));
+}
+
 /* A NUL ended the head of an answer, or its length, and callers got an empty or short 200 */
 static void
 test_nul_in_answers (void)
@@ -505,6 +522,7 @@
   static const CU_TestInfo tests[] = {
     { "cut answers", test_cut_answers },
     { "malformed heads", test_malformed_heads },
+    { "status lines", test_status_lines },
     { "NUL in answers", test_nul_in_answers },
     { "chunks of answers", test_chunks_of_answers },
     { "cut requests", test_cut_requests },
