--- a/tests/cut_peer.c
+++ b/tests/cut_peer.c
@@ -98,6 +98,8 @@
     }
   conn->peer->request_count++;
   conn->play = conn->peer->play;
+  if (conn->play.then)
+    conn->peer->play = *conn->play.then;
   conn->sent = 0;
   on_next (conn->fd, 0, conn);
 }
--- a/tests/cut_peer.h
+++ b/tests/cut_peer.h
@@ -27,14 +27,16 @@
  * struct cut_peer_play - the answer to each request but the one of @kept
  * @step: bytes sent at a time, 0 for all
  * @kept: the first request on each connection gets an answer of its own, "ok"
+ * @then: the play from the next request on; NULL for the same one
  */
-typedef struct
+typedef struct cut_peer_play
 {
   const char *bytes;
   size_t count;
   size_t step;
   cut_peer_end_t end;
   bool kept;
+  const struct cut_peer_play *then;
 } cut_peer_play_t;
 
 typedef struct cut_peer cut_peer_t; /* a server and its connections */
