A whole answer behind a head of status 1xx is no longer lost

What callers saw: 502 (may have run) where an engine had answered in full and closed its connection: behind "100 Continue" when answer and close came at once, and always behind 102, 103 and other statuses 1xx.

Cause: after 100 evhttp acts as if it wrote the request once more: it waits until the socket is writable, and an end of the connection that it reads meanwhile fails the call, though the whole answer came before it. For other statuses 1xx evhttp does not read on, and the client ended the call as cut.

The mend: all statuses 1xx but 101 are followed by another head. Reading stops behind one until evhttp is ready for the next; evhttp itself starts it again.

--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -2,8 +2,10 @@
 #include "base/log.h"
 #include "connection/http_framing.h"
 
+#include <event2/http_struct.h>
 #include <string.h>
 
+#define STATUS_CONTINUE 100
 #define COPIED_PART_BYTES 4096 /* smaller parts are copied when they are kept */
 
 /* Return: 0 for an unsupported method */
@@ -189,10 +191,12 @@
 
   if (!call)
     return -1;
-  if (status == 100)
+  if (http_framing_is_interim (status))
     {
       /* or libevent would add them to those of the final response */
       evhttp_clear_headers (headers);
+      request->response_code = STATUS_CONTINUE; /* the only one after which it reads another head */
+      http_client_conn_hold (conn);
       return 0;
     }
   call->result.status = status;
--- a/src/connection/http_client_internal.h
+++ b/src/connection/http_client_internal.h
@@ -57,6 +57,7 @@
  * @event: the connect timeout, later that of a response head or the idle timeout; also frees a
  *   closed connection
  * @resume: resumes reading after a pause to limit the rate
+ * @hold: stops reading after a head of status 1xx
  * @input_cb: observes what is read
  * @input: what the current response has brought
  * @read_tokens: bytes that may be read at once; below 0 while reading is paused
@@ -77,6 +78,7 @@
   struct bufferevent *bev;
   struct event *event;
   struct event *resume;
+  struct event *hold;
   struct evbuffer_cb_entry *input_cb;
   http_client_call_t *call;
   http_input_t input;
@@ -145,6 +147,9 @@
 /** http_client_conn_update_reading() - read, or don't while the call or the rate limit pauses it */
 void http_client_conn_update_reading (http_client_conn_t *conn);
 
+/** http_client_conn_hold() - read no more until evhttp is ready for the next head */
+void http_client_conn_hold (http_client_conn_t *conn);
+
 /** http_client_call_connect_failed() - end a call whose connection was not established in time */
 void http_client_call_connect_failed (http_client_call_t *call);
 /** http_client_call_bad_answer() - end a call that got bytes that are no response; it may have run
--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -37,6 +37,7 @@
   evhttp_connection_free (conn->evcon);
   event_free (conn->event);
   event_free (conn->resume);
+  event_free (conn->hold);
   g_free (conn->key);
   g_free (conn);
 }
@@ -160,6 +161,25 @@
   http_client_conn_update_reading (conn);
 }
 
+static void
+on_hold (evutil_socket_t fd, short what, void *context)
+{
+  http_client_conn_t *conn = context;
+
+  (void)fd;
+  (void)what;
+  bufferevent_disable (conn->bev, EV_READ);
+}
+
+/* After status 100 evhttp acts as if it wrote the request once more, and fails the call when it
+ * reads the end of the connection meanwhile, though the whole response came before it. It enables
+ * reading itself, now and when it is ready; this runs in between, before the socket is polled. */
+void
+http_client_conn_hold (http_client_conn_t *conn)
+{
+  event_active (conn->hold, EV_TIMEOUT, 0);
+}
+
 /* A peer that sends without end must not take the time of all other connections */
 static void
 spend_tokens (http_client_conn_t *conn, int64_t cost_bytes)
@@ -243,6 +263,7 @@
   conn->bev = evhttp_connection_get_bufferevent (conn->evcon);
   conn->event = evtimer_new (http_client->base, on_event, conn);
   conn->resume = evtimer_new (http_client->base, on_resume, conn);
+  conn->hold = evtimer_new (http_client->base, on_hold, conn);
   conn->input_cb = evbuffer_add_cb (bufferevent_get_input (conn->bev), on_input, conn);
   conn->read_tokens = LIMIT_HTTP_READ_BURST_BYTES;
   conn->filled_us = g_get_monotonic_time ();
--- a/src/connection/http_framing.c
+++ b/src/connection/http_framing.c
@@ -55,6 +55,12 @@
   return 0;
 }
 
+bool
+http_framing_is_interim (int status)
+{
+  return status >= 100 && status < 200 && status != 101;
+}
+
 bool
 http_framing_is_valid_name (const char *name)
 {
--- a/src/connection/http_framing.h
+++ b/src/connection/http_framing.h
@@ -26,6 +26,9 @@
 /** http_framing_content_length() - the value of Content-Length, for headers of
  * %HTTP_FRAMING_LENGTH; 0 when there is none */
 uint64_t http_framing_content_length (const struct evkeyvalq *headers);
+/** http_framing_is_interim() - whether a response of this status is followed by another one to the
+ * same request: 1xx but 101, which changes the protocol */
+bool http_framing_is_interim (int status);
 /** http_framing_is_valid_name() - whether @name is a valid header name (a token of RFC 9110) */
 bool http_framing_is_valid_name (const char *name);
 /** http_framing_is_valid_value() - whether @value has no control character but tab: a line break
--- a/src/connection/http_input.c
+++ b/src/connection/http_input.c
@@ -1,5 +1,7 @@
 #include "connection/http_input.h"
 
+#include "connection/http_framing.h"
+
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -63,7 +65,7 @@
 {
   const char *status = strchr (line, ' ');
 
-  return status && strncmp (line, "HTTP/", 5) == 0 && atoi (status) == 100;
+  return status && strncmp (line, "HTTP/", 5) == 0 && http_framing_is_interim (atoi (status));
 }
 
 static void
--- a/src/connection/http_input.h
+++ b/src/connection/http_input.h
@@ -56,7 +56,7 @@
 /**
  * struct http_input - what one message has brought so far
  * @head_started: the first byte of a head has arrived, the last one has not
- * @interim: the current head is of status 100, after which evhttp reads another one
+ * @interim: the current head is of status 1xx, after which another one follows
  * @chunked: the current head has a Transfer-Encoding
  * @line: start of the current line, without its end
  * @line_bytes: length of the current line so far
--- a/tests/test_gateway_cut.c
+++ b/tests/test_gateway_cut.c
@@ -12,6 +12,8 @@
 #define LENGTH_ANSWER HEAD "Content-Length: 6\r\n\r\nabcdef"
 #define CHUNKED_ANSWER HEAD "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n"
 #define OPEN_ANSWER HEAD "\r\nabcdef"
+#define INTERIM_ANSWER                                                                             \
+  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nX: y\r\n\r\n" LENGTH_ANSWER
 #define STREAM_HEAD HEAD "Content-Type: text/event-stream\r\n"
 #define EVENT(id) "id: " id "\ndata:a\n\n" /* fourteen bytes */
 #define EVENTS EVENT ("1") EVENT ("2") EVENT ("3")
@@ -44,6 +46,7 @@
   { "GET", "/look/", LENGTH_ANSWER, "abcdef", 0, 1, true },
   { "GET", "/look/", CHUNKED_ANSWER, "abcdef", 0, 1, true },
   { "GET", "/look/", OPEN_ANSWER, "abcdef", sizeof HEAD + 1, 1, true },
+  { "GET", "/look/", INTERIM_ANSWER, "abcdef", 0, 1, true },
   { "POST", "/book/", LENGTH_ANSWER, "abcdef", 0, 1, false },
   { "POST", "/book/", CHUNKED_ANSWER, "abcdef", 0, 1, false },
   { "POST", "/book/", OPEN_ANSWER, "abcdef", sizeof HEAD + 1, 1, false },
