Requests in progress at the end of the grace time get an answer

Callers saw: a request that a gateway had read, and that waited in its queue while the gateway was stopped, ended with a closed connection: neither an answer nor a refusal, 7.8 s after SIGTERM with a grace time of 8 s.

Cause: at the end of its grace time a gateway left its loop with whatever was in progress, and closed the connections. A request in the queue had run nowhere and could have been refused; one at a slow or silent upstream could have been told that it may have run. The class: an end that is foreseen gives up what is in hand without a word.

The fix: 600 ms before the grace time ends, what waits is refused with Retry-After, what was sent ends by 502, and streams that have begun are cut as before. The process ends once these answers are written, at the latest 250 ms before the grace time ends.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -529,6 +529,7 @@
 static void
 stop_when_due (gateway_process_t *process)
 {
+  uint32_t grace_ms = process->options.settings->grace_ms;
   uint64_t since_ms;
 
   if (process->stop_us == 0)
@@ -537,8 +538,10 @@
   if (since_ms < GATEWAY_PROCESS_STOP_ACCEPT_MS)
     return;
   gateway_stop (process->gateway);
+  if (since_ms + GATEWAY_PROCESS_END_CALLS_MARGIN_MS >= grace_ms)
+    gateway_end_calls (process->gateway);
   if (gateway_busy_count (process->gateway) > 0 &&
-      since_ms + GATEWAY_PROCESS_EXIT_MARGIN_MS < process->options.settings->grace_ms)
+      since_ms + GATEWAY_PROCESS_EXIT_MARGIN_MS < grace_ms)
     return;
   event_base_loopexit (process->options.base, NULL);
 }
--- a/src/process/gateway_process.h
+++ b/src/process/gateway_process.h
@@ -40,6 +40,9 @@
  * request that arrives later than 3 s may not be finished when the process is killed.
  */
 #define GATEWAY_PROCESS_STOP_ACCEPT_MS 2500
+/* What is in progress is ended this long before the process would be killed, so that its callers
+ * get an answer: they could not tell a closed connection from a request that is lost. */
+#define GATEWAY_PROCESS_END_CALLS_MARGIN_MS 600
 /* the process exits this long before it would be killed */
 #define GATEWAY_PROCESS_EXIT_MARGIN_MS 250
 
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -365,6 +365,16 @@
   http_server_stop (gateway->listener);
 }
 
+void
+gateway_end_calls (gateway_task_t *gateway)
+{
+  g_autoptr (GList) calls = g_hash_table_get_keys (gateway->calls);
+
+  for (GList *link = calls; link; link = link->next)
+    if (g_hash_table_contains (gateway->calls, link->data))
+      gateway_call_end_by_stop (link->data);
+}
+
 uint32_t
 gateway_busy_count (const gateway_task_t *gateway)
 {
--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -127,6 +127,9 @@
 void gateway_announce_close (gateway_task_t *gateway);
 /** gateway_stop() - accepts no further connections and requests */
 void gateway_stop (gateway_task_t *gateway);
+/** gateway_end_calls() - ends all requests in progress with a refusal or a failure, shortly before
+ * the process exits */
+void gateway_end_calls (gateway_task_t *gateway);
 /** gateway_busy_count() - number of connections and requests that are not finished; 0 when a stop
  * is complete
  */
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -698,3 +698,21 @@
   else
     refuse (call, reason, retry_after_ms);
 }
+
+void
+gateway_call_end_by_stop (gateway_call_t *call)
+{
+  bool is_sent = call->upstream != NULL;
+
+  gateway_queue_remove (call);
+  gateway_hop_cancel (call);
+  if (!call->client)
+    gateway_call_free (call);
+  else if (!is_sent || call->relay.has_started || call->failure_buffered)
+    gateway_call_fail (call, VERDICT_REASON_LEAVING, GATEWAY_RETRY_MIN_MS);
+  else
+    {
+      gateway_resume_count_failure (call, VERDICT_REASON_LEAVING, true);
+      end_failed (call, VERDICT_REASON_LEAVING);
+    }
+}
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -446,6 +446,9 @@
 /** gateway_call_end_unplaced() - likewise, unless it is worth to wait for an engine that was asked
  * before; frees or queues it */
 void gateway_call_end_unplaced (gateway_call_t *call, const engine_choice_t *choice);
+/** gateway_call_end_by_stop() - ends the call as the process is about to exit: by 503 if the
+ * request ran nowhere and is at no engine, else as one that failed; frees it */
+void gateway_call_end_by_stop (gateway_call_t *call);
 /** gateway_call_log() - logs one decision on the request */
 void gateway_call_log (const gateway_call_t *call,
                        const char *event,
