A stop that is held up at its end still writes its answers

Callers saw: a gateway that was held up shortly before the end of its grace time closed the connections of all requests in progress without an answer.

Cause: both margins had passed when it ran again, so that the answers were made and the loop was left in the same turn, before anything was written.

The fix: once the requests have been ended, the process stays for one more tick of 100 ms unless all connections are closed.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -34,6 +34,7 @@
  * @accept_by_us: latest time at which client connections are accepted, even if the gateway is not
  *   ready; 0 once they are
  * @stop_us: when the stop signal came, 0 before
+ * @has_ended_calls: gateway_end_calls() has been called
  * @was_ready: readiness that was logged last
  * @ticked_us: time of the last tick, 0 for none
  */
@@ -57,6 +58,7 @@
   struct event *tick;
   uint64_t accept_by_us;
   uint64_t stop_us;
+  bool has_ended_calls;
   bool was_ready;
   uint64_t ticked_us;
   counter_t *stall_count;
@@ -568,8 +570,13 @@
   if (since_ms < GATEWAY_PROCESS_STOP_ACCEPT_MS)
     return;
   gateway_stop (process->gateway);
-  if (since_ms + GATEWAY_PROCESS_END_CALLS_MARGIN_MS >= grace_ms)
-    gateway_end_calls (process->gateway);
+  if (since_ms + GATEWAY_PROCESS_END_CALLS_MARGIN_MS >= grace_ms && !process->has_ended_calls)
+    {
+      process->has_ended_calls = true;
+      gateway_end_calls (process->gateway);
+      if (gateway_busy_count (process->gateway) > 0)
+        return; /* the answers are written before the next tick */
+    }
   if (gateway_busy_count (process->gateway) > 0 &&
       since_ms + GATEWAY_PROCESS_EXIT_MARGIN_MS < grace_ms)
     return;
--- a/tests/session_gateway_stop.c
+++ b/tests/session_gateway_stop.c
@@ -11,8 +11,10 @@
 #include <signal.h>
 #include <string.h>
 
-#define WORK_MS 12000 /* longer than the grace time */
-#define QUEUED 6      /* of each kind */
+#define WORK_MS 12000        /* longer than the grace time */
+#define QUEUED 6             /* of each kind */
+#define HOLD_UP_FROM_MS 7200 /* of a grace time of 8 s */
+#define HOLD_UP_TO_MS 7900
 #define EXCHANGE_MS 100
 #define CONTROL_BYTES 7000
 
@@ -99,11 +101,11 @@
   return count;
 }
 
-/* Guards against requests that are closed without an answer at the end of the grace time. */
+/* A gateway that @is_held_up does not run shortly before its grace time ends. */
 static void
-test_end_of_grace (void)
+run_stop (const char *name, bool is_held_up)
 {
-  fleet_t fleet = { .driver = driver_new ("gateway_stop") };
+  fleet_t fleet = { .driver = driver_new (name) };
   driver_call_t *at_work;
   driver_call_t *at_silent;
   driver_call_t *queued[2 * QUEUED];
@@ -127,6 +129,13 @@
     queued[i] = send_request (&fleet, i % 2 ? "/look/next" : "/book/next");
   driver_wait_until (fleet.driver, DRIVER_WAIT_LIMIT_MS, "requests that wait", are_queued, &fleet);
   driver_process_signal (fleet.gateway, SIGTERM);
+  if (is_held_up)
+    {
+      driver_run_loop (fleet.driver, HOLD_UP_FROM_MS);
+      driver_process_signal (fleet.gateway, SIGSTOP);
+      driver_run_loop (fleet.driver, HOLD_UP_TO_MS - HOLD_UP_FROM_MS);
+      driver_process_signal (fleet.gateway, SIGCONT);
+    }
   driver_wait_until (fleet.driver, DRIVER_WAIT_LIMIT_MS, "the end of the gateway", has_exited,
                      &fleet);
   driver_wait_all_calls (fleet.driver);
@@ -142,11 +151,26 @@
   driver_finish (fleet.driver);
 }
 
+/* Guards against requests that are closed without an answer at the end of the grace time. */
+static void
+test_end_of_grace (void)
+{
+  run_stop ("gateway_stop", false);
+}
+
+/* Guards against answers that are dropped as the process ends in the turn that has made them. */
+static void
+test_held_up_at_the_end (void)
+{
+  run_stop ("gateway_stop_held_up", true);
+}
+
 int
 main (void)
 {
   static const driver_test_t tests[] = {
     { "requests are closed without an answer at the end of the grace time", test_end_of_grace },
+    { "likewise at a gateway that is held up then", test_held_up_at_the_end },
   };
 
   return driver_main ("gateway_stop", tests, G_N_ELEMENTS (tests));
