--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -36,6 +36,7 @@
  * @accept_by_us: latest time at which client connections are accepted, even if the gateway is not
  *   ready; 0 once they are
  * @stop_us: when the stop signal came, 0 before
+ * @has_ended_calls: gateway_end_calls() has been called
  * @was_ready: readiness that was logged last
  * @ticked_us: time of the last tick, 0 for none
  */
@@ -60,6 +61,7 @@
   struct event *tick;
   uint64_t accept_by_us;
   uint64_t stop_us;
+  bool has_ended_calls;
   bool was_ready;
   uint64_t ticked_us;
   counter_t *stall_count;
@@ -562,6 +564,7 @@
 static void
 stop_when_due (gateway_process_t *process)
 {
+  uint32_t grace_ms = process->options.settings->grace_ms;
   uint64_t since_ms;
 
   if (process->stop_us == 0)
@@ -570,8 +573,15 @@
   if (since_ms < GATEWAY_PROCESS_STOP_ACCEPT_MS)
     return;
   gateway_stop (process->gateway);
+  if (since_ms + GATEWAY_PROCESS_END_CALLS_MARGIN_MS >= grace_ms && !process->has_ended_calls)
+    {
+      process->has_ended_calls = true;
+      gateway_end_calls (process->gateway);
+      if (gateway_busy_count (process->gateway) > 0)
+        return; /* the answers are written before the next tick */
+    }
   if (gateway_busy_count (process->gateway) > 0 &&
-      since_ms + GATEWAY_PROCESS_EXIT_MARGIN_MS < process->options.settings->grace_ms)
+      since_ms + GATEWAY_PROCESS_EXIT_MARGIN_MS < grace_ms)
     return;
   event_base_loopexit (process->options.base, NULL);
 }
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -302,6 +302,7 @@
   gateway->table = routing_ref (table);
   http_server_configure (gateway->listener, limits->body_bytes, limits->header_bytes,
                          limits->header_timeout_ms, limits->idle_timeout_ms);
+  http_server_note_held_up (gateway->listener); /* by reading the table */
 }
 
 void
@@ -369,6 +370,16 @@
   http_server_stop (gateway->listener);
 }
 
+void
+gateway_end_calls (gateway_task_t *gateway)
+{
+  g_autoptr (GList) calls = g_hash_table_get_keys (gateway->calls);
+
+  for (GList *link = calls; link; link = link->next)
+    if (g_hash_table_contains (gateway->calls, link->data))
+      gateway_call_end_by_stop (link->data);
+}
+
 uint32_t
 gateway_busy_count (const gateway_task_t *gateway)
 {
