A request whose caller left before it was read is not passed on

What callers and engines see: a gateway that is behind (a stalled process, a busy loop, connections that wait until it has started) reads requests whose callers gave up long ago, and sends each to an engine, which works for nobody.

Cause: the server watches the socket of a caller only once its request has been passed on. The close that lies behind the request in the socket is then seen one iteration of the loop later, after the request was written to a kept connection of an engine.

Evidence: on the code before, test-http_server_end, "client that left before it was read", fails for each of close, reset and half-close, on a new and on a kept connection (CU_ASSERT_EQUAL(fixture->calls,0), 6 of 6), and test-gateway, test_unread_request_of_a_client_that_left_is_not_sent, fails with CU_ASSERT_EQUAL(engine->request_count,1).

Why this fix works: whoever is to get the answer is looked for after the whole request has been read and before anything is done with it. A caller that leaves later is reported by the watch before the write to an engine: its event is in the kernel's queue earlier than that of the socket to the engine. Requests that wait or are sent again were looked at for the same reason: their callers are watched, so their close comes first too. A half-closed connection counted as left while a request was pending, and now counts so before as well.

--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -203,6 +203,11 @@
   (void)what;
   if (!conn->evcon && !http_server_conn_attach (conn))
     return;
+  if (conn->caller_left)
+    {
+      evhttp_connection_free (conn->evcon);
+      return;
+    }
   if (conn->evicted && !conn->busy)
     {
       http_server_reject_incomplete (conn, false);
@@ -568,6 +573,13 @@
   conn->call = call;
   if (http_server_check_request (call))
     return;
+  /* A server that was behind finds requests that nobody waits for any more. */
+  conn->caller_left = caller_closed (bufferevent_getfd (conn->bev));
+  if (conn->caller_left)
+    {
+      http_server_conn_defer (conn);
+      return;
+    }
   http_server->options.on_call (call, http_server->options.context);
   conn = g_hash_table_lookup (http_server->conns, evcon);
   if (conn && conn->call)
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -101,6 +101,7 @@
  *   response
  * @check_error_page: libevent may have queued an error page of its own
  * @notify_writable: the queue has shrunk; the call's callback is to be run
+ * @caller_left: the client had closed before its request was read; @deferred closes it too
  * @drain_input: read and discard what the client still sends before the socket is closed
  * @evicted: its incomplete request is rejected by 503, to get below the limit on their sum, or by
  *   400 where @input is over a limit
@@ -135,6 +136,7 @@
   bool close_by_reset;
   bool check_error_page;
   bool notify_writable;
+  bool caller_left;
   bool drain_input;
   bool evicted;
   http_input_t input;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -680,6 +680,27 @@
   raw_peer_free (raw);
 }
 
+/* Guards against requests that reach an engine long after their client has left, as the gateway did
+ * not read them in time. */
+static void
+test_unread_request_of_a_client_that_left_is_not_sent (void)
+{
+  static const char *const targets[] = { "/look/", "/book/", "/talk/" };
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  raw_server_t *engine = gateway_rig_add_engine (rig, SCRIPTS (OK_RESPONSE), 1);
+
+  expect (rig, "POST", "/look/", EMPTY_BODY, "200"); /* leaves a connection to the engine */
+  for (size_t i = 0; i < G_N_ELEMENTS (targets); i++)
+    {
+      raw_peer_t *raw = gateway_rig_send (rig, 0, "POST", targets[i], EMPTY_BODY);
+
+      raw_peer_close (raw, false);
+      raw_peer_run_ms (rig->base, 50);
+      raw_peer_free (raw);
+    }
+  CU_ASSERT_EQUAL (engine->request_count, 1);
+}
+
 static bool
 is_answered (void *context)
 {
@@ -1563,6 +1584,7 @@
     SUITE_TEST (test_refused_connection_is_not_run),
     SUITE_TEST (test_silent_engine_ends_at_the_deadline),
     SUITE_TEST (test_client_that_disconnects_frees_its_engine),
+    SUITE_TEST (test_unread_request_of_a_client_that_left_is_not_sent),
     SUITE_TEST (test_engine_error_is_forwarded_without_alternative),
     SUITE_TEST (test_engine_error_is_forwarded_when_the_other_engine_refuses),
     SUITE_TEST (test_restarted_engine_has_lost_its_requests),
--- a/tests/test_http_server_end.c
+++ b/tests/test_http_server_end.c
@@ -38,6 +38,32 @@
     }
 }
 
+/* Guards against requests that are passed on for nobody: their client had closed before they were
+ * read. */
+static void
+test_client_that_left_before_it_was_read (void)
+{
+  for (int kind = 0; kind < 6; kind++)
+    {
+      g_autoptr (server_fixture_t) fixture = server_fixture_new ();
+      raw_peer_t *raw = server_fixture_connect (fixture, kind < 3 ? "" : "GET /1 HTTP/1.1\r\n\r\n");
+
+      fixture->reply_at_once = true;
+      if (kind >= 3)
+        server_fixture_run_until_received (fixture, raw, "\r\n\r\n/1");
+      fixture->calls = 0;
+      raw_peer_send (raw, "GET /2 HTTP/1.1\r\n\r\n");
+      if (kind % 3 == 2)
+        shutdown (raw->fd, SHUT_WR);
+      else
+        raw_peer_close (raw, kind % 3 == 1);
+      CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, server_fixture_is_idle, fixture));
+      raw_peer_run_ms (fixture->base, 20);
+      CU_ASSERT_EQUAL (fixture->calls, 0);
+      CU_ASSERT_EQUAL (server_fixture_counter_value (fixture, "medlarplank_http_connections"), 0);
+    }
+}
+
 /*
  * An engine fails in the middle of a streamed response. The client must be able to see that it is
  * truncated: by a missing last chunk, or with HTTP/1.0 by a reset, since an end of file would mean
@@ -501,6 +527,7 @@
 {
   static const CU_TestInfo tests[] = {
     { "disconnect while pending", test_disconnect_while_pending },
+    { "client that left before it was read", test_client_that_left_before_it_was_read },
     { "abort", test_abort },
     { "back pressure", test_back_pressure },
     { "idle timeout", test_idle_timeout },
