A request that was given up is not delivered later by the kernel

What callers and engines see: a caller leaves, or a silent engine is left for another one, while part of the request still is in the gateway's kernel: the engine is cut off, or its process reads nothing for a second. When it goes on, it gets the whole request, with an end of file behind it, and works on it for nobody: GONE beside engines that are silent, and a run in vain beside each hop that was given up.

Cause: a cancelled call ends by an ordinary close. What libevent holds is discarded, but what the kernel has taken it goes on sending until it is acknowledged.

On loopback the body must be longer than the receive window; behind a cut link one of a few bytes is delivered in the same way (by reading, not run).

Why this fix works: a connection whose call was given up is reset where the peer's kernel may lack bytes, which discards them. Where the peer has all of them it is closed as before, as an end of file is sent again when it is lost and a reset is not. A peer that had read all but the last acknowledgement learns of the end by the reset, or by that of its own next bytes.

Not shown: that a GONE which was seen had this cause.

--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -103,6 +103,7 @@
   if (!conn)
     return;
   conn->call = NULL;
+  conn->abandoned = !whole;
   if (whole)
     http_client_conn_release (conn);
   else
@@ -359,6 +360,7 @@
       call->given_up = true;
       log_end (call, VERDICT_REASON_NONE);
       conn->call = NULL;
+      conn->abandoned = true;
       http_client_conn_close (conn);
     }
   call_free (call);
--- a/src/connection/http_client_internal.h
+++ b/src/connection/http_client_internal.h
@@ -65,6 +65,7 @@
  * @idle_since_us: time at which it was returned to the pool, on the monotonic clock
  * @connecting: not connected yet
  * @closed: must not be used again; @event is about to free it
+ * @abandoned: its call was given up
  * @was_kept: the current call did not open it
  * @idle_us: how long it had been idle before the current call
  * @error: what libevent reported last for the current call
@@ -85,6 +86,7 @@
   int64_t idle_since_us;
   bool connecting;
   bool closed;
+  bool abandoned;
   bool was_kept;
   int64_t idle_us;
   http_client_error_t error;
--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -26,10 +26,22 @@
     g_hash_table_remove (conn->http_client->idle, conn->key);
 }
 
+/* After a plain close the kernel goes on sending the rest of a request that nobody waits for, and a
+ * peer that was cut off or silent would run it seconds later. */
+static void
+discard_unsent (http_client_conn_t *conn)
+{
+  evutil_socket_t fd = bufferevent_getfd (conn->bev);
+
+  if (conn->abandoned && fd >= 0 && socket_has_unacknowledged (fd))
+    socket_reset (fd);
+}
+
 void
 http_client_conn_free (http_client_conn_t *conn)
 {
   remove_from_pool (conn);
+  discard_unsent (conn);
   conn->closed = true;
   g_hash_table_remove (conn->http_client->conns, conn);
   evhttp_connection_set_closecb (conn->evcon, NULL, NULL);
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -1,5 +1,6 @@
 #define _GNU_SOURCE /* POLLRDHUP */
 #include "connection/http_server_internal.h"
+#include "connection/socket.h"
 
 #include <fcntl.h>
 #include <poll.h>
@@ -180,20 +181,6 @@
   evhttp_connection_free (conn->evcon);
 }
 
-/*
- * Closes by a reset instead of an end of file: for an HTTP/1.0 client, whose response ends where
- * the connection does, an end of file would make a truncated response look complete. Connecting to
- * AF_UNSPEC sends the reset at once, before libevent shuts the socket down.
- */
-static void
-reset_socket (http_server_conn_t *conn)
-{
-  struct sockaddr no_address = { .sa_family = AF_UNSPEC };
-
-  if (connect (bufferevent_getfd (conn->bev), &no_address, sizeof no_address) < 0)
-    return;
-}
-
 static void
 on_deferred (evutil_socket_t fd, short what, void *context)
 {
@@ -219,8 +206,10 @@
     return; /* send the queued response first; on_output() calls again when it has been sent */
   if (conn->closing)
     {
+      /* An HTTP/1.0 response ends where the connection does, so an end of file would make a
+       * truncated one look complete. */
       if (conn->close_by_reset)
-        reset_socket (conn);
+        socket_reset (bufferevent_getfd (conn->bev));
       http_server_conn_end (conn, HTTP_SERVER_END_ANSWER_CUT);
       return;
     }
--- a/src/connection/socket.c
+++ b/src/connection/socket.c
@@ -1,8 +1,10 @@
 #include "connection/socket.h"
 #include "base/limits.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 void
@@ -28,3 +30,21 @@
   socket_set_options (fd);
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms, sizeof unacknowledged_ms);
 }
+
+bool
+socket_has_unacknowledged (int fd)
+{
+  int bytes = 0;
+
+  return ioctl (fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
+/* Connecting to AF_UNSPEC sends the reset at once, before libevent shuts the socket down. */
+void
+socket_reset (int fd)
+{
+  struct sockaddr no_address = { .sa_family = AF_UNSPEC };
+
+  if (connect (fd, &no_address, sizeof no_address) < 0)
+    return;
+}
--- a/src/connection/socket.h
+++ b/src/connection/socket.h
@@ -1,11 +1,13 @@
 /**
  * DOC: socket
  *
- * Socket options of a daemon's TCP connections.
+ * Socket options of a daemon's TCP connections, and how these end.
  */
 #ifndef CONNECTION_SOCKET_H
 #define CONNECTION_SOCKET_H
 
+#include <stdbool.h>
+
 /**
  * socket_set_options() - set the options of a connection, or of a listener, whose connections
  * inherit them
@@ -27,4 +29,10 @@
  */
 void socket_set_client_options (int fd);
 
+/** socket_has_unacknowledged() - whether the peer's kernel may lack some of the bytes sent */
+bool socket_has_unacknowledged (int fd);
+
+/** socket_reset() - end a connection by a reset at once; what was not sent yet is discarded */
+void socket_reset (int fd);
+
 #endif
--- a/tests/test_http_client_cancel.c
+++ b/tests/test_http_client_cancel.c
@@ -9,6 +9,7 @@
 
 #define ATTEMPTS 50
 #define BODY_BYTES 4096
+#define LONG_BODY_BYTES (600 * 1024) /* more than the peer's kernel takes unread */
 
 /** fixture_t - a client, a server that never responds, and a pipe whose event cancels the call */
 typedef struct
@@ -116,11 +117,61 @@
   event_base_free (fixture.base);
 }
 
+static bool
+is_sent (void *context)
+{
+  const fixture_t *fixture = context;
+
+  return fixture->server->accepted > 0 && http_client_may_have_sent (fixture->call);
+}
+
+static bool
+has_ended (void *context)
+{
+  return ((const raw_peer_t *)context)->eof;
+}
+
+/* Guards against a cancelled request that the kernel still delivers, whole, once its peer reads. */
+static void
+test_cancel_while_the_peer_does_not_read (void)
+{
+  static const char *const SILENT[] = { NULL };
+  fixture_t fixture = { .body = g_strnfill (LONG_BODY_BYTES, 'x') };
+  raw_peer_t *raw;
+
+  fixture.base = event_base_new ();
+  fixture.http_client = http_client_new (fixture.base, 2, 10000);
+  fixture.server = raw_server_new (fixture.base, SILENT, 1);
+  fixture.server->keep_head = true;
+  fixture.server->never_read = true;
+  fixture.call = http_client_start_call (
+      fixture.http_client, &(http_client_options_t){ .address = &fixture.server->address,
+                                                     .method = "POST",
+                                                     .target = "/x",
+                                                     .body = fixture.body,
+                                                     .body_bytes = LONG_BODY_BYTES,
+                                                     .on_end = on_end });
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture.base, is_sent, &fixture));
+  raw_peer_run_ms (fixture.base, 20);
+  http_client_cancel_call (fixture.call);
+  raw_peer_run_ms (fixture.base, 5);
+  raw = g_ptr_array_index (fixture.server->connections, 0);
+  event_add (raw->readable, NULL);
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture.base, has_ended, raw));
+  CU_ASSERT_TRUE (raw->reset);
+  CU_ASSERT_TRUE (raw->received->len < LONG_BODY_BYTES);
+  http_client_free (fixture.http_client);
+  raw_server_free (fixture.server);
+  event_base_free (fixture.base);
+  g_free (fixture.body);
+}
+
 int
 main (void)
 {
   static const CU_TestInfo tests[] = {
     { "cancel as it connects", test_cancel_as_it_connects },
+    { "cancel while the peer does not read", test_cancel_while_the_peer_does_not_read },
     CU_TEST_INFO_NULL,
   };
 
