--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -116,6 +116,14 @@
   end_call (call, false, VERDICT_REASON_CONNECT);
 }
 
+void
+http_client_call_bad_answer (http_client_call_t *call)
+{
+  call->sent = true;
+  call->conn->error = HTTP_CLIENT_ERROR_ANSWER;
+  end_call (call, false, VERDICT_REASON_CUT);
+}
+
 void
 http_client_cut_call (http_client_call_t *call)
 {
@@ -370,7 +378,7 @@
 http_client_set_paused (http_client_call_t *call, bool paused)
 {
   call->paused = paused;
-  if (call->conn && call->head_received)
+  if (call->conn)
     http_client_conn_update_reading (call->conn);
 }
 
@@ -390,6 +398,12 @@
   evbuffer_drain (data, bytes);
 }
 
+bool
+http_client_has_ended (const http_client_call_t *call)
+{
+  return !call->conn;
+}
+
 bool
 http_client_may_have_sent (const http_client_call_t *call)
 {
