A router leaves a silent host only for one that was heard of

What callers saw: an idempotent request at a host whose kernel takes connections, but which is silent for two seconds, ended although the host went on: by an error where no retry was allowed, or after a series of hosts that were silent too.

Cause: one health check without an answer revoked all idempotent requests at the host. Only then the retry budget and the other hosts were asked, as gateways did with engines before.

Change: such a request leaves its host when the step that would follow is a send, with a retry, to a host that was heard of within a second. One that was not is asked first, and its answer moves the request. A host whose last health check was not answered gets none that leaves another one. What stays is looked at again with each health check, every half second or more, and by the answer of any other host.

Evidence: test-path, "stays while all hosts are silent" and "stays at a silent host without a retry", failed on the code before (the answer of the host came to nobody: status, body; the second one also ended before four health checks).

What remains: a sidecar that is heard of and then refuses the request still ends it where no other one is left.

The port of testbed_open_black_hole() may be used again at once, as the new tests close connections that were accepted there.

--- a/src/request/router/router_call.c
+++ b/src/request/router/router_call.c
@@ -108,8 +108,10 @@
 {
   const membership_host_t *host = router_find_host (call->router, step->engine_hash);
 
-  if (host == NULL)
+  if (host == NULL ||
+      (call->avoids_silent_hosts && router_host_probe_is_silent (call->router, step->engine_hash)))
     return false;
+  call->avoids_silent_hosts = false;
   call->hop.may_wait = step->may_wait;
   call->hop.referred = step->referred;
   router_call_log_decision (call, "send", step->engine_hash, VERDICT_NOT_RUN,
@@ -137,8 +139,6 @@
 void
 router_call_take_step (router_call_t *call, forwarding_step_t step)
 {
-  static const forwarding_outcome_t UNKNOWN_HOST = { .verdict = VERDICT_NOT_RUN,
-                                                     .reason = VERDICT_REASON_CONNECT };
   forwarding_budget_t *budget = &call->router->retry_budget;
 
   for (;;)
@@ -155,7 +155,7 @@
             }
           if (send_hop (call, &step))
             return;
-          step = forwarding_attempt_ended (&call->attempts, now_us, budget, &UNKNOWN_HOST);
+          step = forwarding_attempt_ended (&call->attempts, now_us, budget, &ROUTER_UNKNOWN_HOST);
           break;
         case FORWARDING_REVOKE:
           if (send_revoke (call, &step))
--- a/src/request/router/router_private.h
+++ b/src/request/router/router_private.h
@@ -41,6 +41,12 @@
  * keeps its sockets open, and would delay each request up to its deadline. */
 #define ROUTER_HOST_PROBE_DELAY_US (500 * 1000)
 #define ROUTER_HOST_PROBE_TIMEOUT_US (500 * 1000)
+/* A host that was heard of within this time takes the request of a silent one without being asked.
+ */
+#define ROUTER_HOST_HEARD_US (ROUTER_HOST_PROBE_DELAY_US + ROUTER_HOST_PROBE_TIMEOUT_US)
+/* The outcome of a hop to a host that can't be asked */
+#define ROUTER_UNKNOWN_HOST                                                                        \
+  ((const forwarding_outcome_t){ .verdict = VERDICT_NOT_RUN, .reason = VERDICT_REASON_CONNECT })
 /* An answer that sends no data for this long is cancelled. */
 #define ROUTER_STALL_TIMEOUT_US (60 * 1000 * 1000)
 /* Requests that were answered recently, and for how long that counts */
@@ -193,6 +199,7 @@
  * @sent_address: address that the last hop went to, which the member list may have replaced since
  * @revoke_verdict: what the sidecar answered to a revoke
  * @timed_out: not used
+ * @avoids_silent_hosts: it leaves a silent host, and is sent to none of that kind
  * @caller_gone: the caller has disconnected
  * @timer: the deadline and the check for a frozen host, and later a stalled answer
  */
@@ -229,6 +236,7 @@
   address_t sent_address;
   verdict_t revoke_verdict;
   bool timed_out;
+  bool avoids_silent_hosts;
   bool caller_gone;
   struct event *timer;
 } router_call_t;
@@ -281,9 +289,12 @@
  * router_host_probe_check() - checks a host that has not answered the request for a while
  *
  * No check is made when the host answered another request recently or a check is under way. If the
- * check times out, all idempotent requests that wait for the host are sent to other engines.
+ * check times out, the idempotent requests that wait for the host leave it as far as the retry
+ * budget allows it and another host is there that has been heard of; the others stay.
  */
 void router_host_probe_check (router_call_t *call);
+/** router_host_probe_is_silent() - whether the host did not answer its last health check */
+bool router_host_probe_is_silent (const router_t *router, uint64_t host_hash);
 void router_host_probe_free (router_host_probe_t *host_probe);
 /** router_revoke() - revokes the last attempt at its sidecar; the answer decides the next step */
 void router_revoke (router_call_t *call, const membership_host_t *host);
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -3,6 +3,7 @@
 
 #include "request/policy/digests/digest.h"
 #include "request/hop.h"
+#include "request/router/router_private.h"
 #include "request/policy/digests/call_seal.h"
 
 #include <string.h>
@@ -508,6 +509,110 @@
   evutil_closesocket (listener);
 }
 
+#define SILENT_PROBES 4
+
+/** struct silent_request - a request at a host whose kernel accepts connections */
+typedef struct
+{
+  testbed_t *testbed;
+  testbed_answer_t answer;
+  evutil_socket_t listener;
+  evutil_socket_t fd; /* the request came on it */
+  char text[8192];
+} silent_request_t;
+
+static bool
+was_probed_often (void *context)
+{
+  const silent_request_t *silent = context;
+  counter_registry_t *counters = silent->testbed->router.daemon.counters;
+
+  return counter_value (counter_get (counters, "medlarplank_probes_total", "")) >= SILENT_PROBES;
+}
+
+/* Accepts all connections to the host until one has the request. */
+static bool
+accept_request (silent_request_t *silent)
+{
+  ssize_t bytes;
+
+  while ((silent->fd = accept (silent->listener, NULL, NULL)) >= 0)
+    {
+      bytes = recv (silent->fd, silent->text, sizeof silent->text - 1, MSG_DONTWAIT);
+      silent->text[MAX (bytes, 0)] = '\0';
+      if (strncmp (silent->text, "POST", strlen ("POST")) == 0)
+        return true;
+      evutil_closesocket (silent->fd);
+    }
+  return false;
+}
+
+static void
+answer_late (silent_request_t *silent)
+{
+  const char *hop = strstr (silent->text, HOP_HEADER ": ");
+  g_autofree char *text = NULL;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (hop);
+  text = g_strdup_printf ("HTTP/1.1 200 OK\r\n" HOP_ATTEMPT_HEADER ": %.32s\r\n" VERDICT_HEADER
+                          ": ran\r\nContent-Length: 4\r\n\r\nlate",
+                          hop + strlen (HOP_HEADER ": "));
+  CU_ASSERT (send (silent->fd, text, strlen (text), MSG_NOSIGNAL) == (ssize_t)strlen (text));
+}
+
+/* The request stays until its host goes on. */
+static void
+check_stays (silent_request_t *silent)
+{
+  CU_ASSERT_TRUE (testbed_wait_until (silent->testbed, was_probed_often, silent));
+  evutil_make_socket_nonblocking (silent->listener);
+  if (!silent->answer.done && accept_request (silent))
+    answer_late (silent);
+  CU_ASSERT_TRUE (testbed_wait_until (silent->testbed, testbed_is_done, &silent->answer));
+  CU_ASSERT_EQUAL (silent->answer.status, 200);
+  CU_ASSERT_STRING_EQUAL (silent->answer.body->str, "late");
+  evutil_closesocket (silent->listener);
+  if (silent->fd >= 0)
+    evutil_closesocket (silent->fd);
+  testbed_answer_clear (&silent->answer);
+}
+
+/* Guards against a request that is revoked at a silent host, though all others are silent too. */
+static void
+stays_while_all_hosts_are_silent (void)
+{
+  g_autoptr (testbed_t) testbed = testbed_new ();
+  silent_request_t silent = { .testbed = testbed, .fd = -1 };
+  address_t black_hole;
+
+  silent.listener = testbed_open_black_hole (&black_hole);
+  for (uint32_t i = 0; i < TESTBED_SIDECARS; i++)
+    testbed->hosts[i].http = black_hole;
+  testbed_send (testbed, &CHAT, &silent.answer);
+  check_stays (&silent);
+}
+
+/* Guards against a request that is revoked at a silent host, and only then found to have no retry.
+ */
+static void
+stays_at_a_silent_host_without_a_retry (void)
+{
+  g_autoptr (testbed_t) testbed = testbed_new ();
+  silent_request_t silent = { .testbed = testbed, .fd = -1 };
+  forwarding_budget_t *budget = &testbed->router.router_task->retry_budget;
+  address_t black_hole;
+  uint32_t home = testbed_ask_engine (testbed, &CHAT);
+
+  silent.listener = testbed_open_black_hole (&black_hole);
+  testbed->hosts[home].http = black_hole;
+  budget->tokens_milli = 0;
+  for (uint32_t i = 0; i < FORWARDING_RESERVES_MAX; i++)
+    budget->reserves[i] = (forwarding_reserve_t){ .account_hash = i + 1 };
+  budget->reserve_count = FORWARDING_RESERVES_MAX;
+  testbed_send (testbed, &CHAT, &silent.answer);
+  check_stays (&silent);
+}
+
 static bool
 sidecars_refuse (void *context)
 {
@@ -650,6 +755,8 @@
     { "answers at the deadline", answers_at_the_deadline },
     { "spreads a repeated request over all engines", spreads_a_repeated_request_over_all_engines },
     { "avoids a frozen host", avoids_a_frozen_host },
+    { "stays while all hosts are silent", stays_while_all_hosts_are_silent },
+    { "stays at a silent host without a retry", stays_at_a_silent_host_without_a_retry },
     { "refuses requests after a pause", refuses_requests_after_a_pause },
     { "sidecars accept only sealed requests", sidecars_accept_only_sealed_requests },
     { "refuses a revoked attempt", refuses_a_revoked_attempt },
--- a/tests/testbed.c
+++ b/tests/testbed.c
@@ -557,6 +557,7 @@
   struct sockaddr_in name = { .sin_family = AF_INET, .sin_port = htons (HOST_PORT) };
 
   *address = testbed_address (90);
+  evutil_make_listen_socket_reuseable (fd);
   inet_pton (AF_INET, address->ip, &name.sin_addr);
   g_assert (bind (fd, (struct sockaddr *)&name, sizeof name) == 0 && listen (fd, 16) == 0);
   return fd;
