Servers of tests that take few are held to 8,000 bytes in part again

Cause: gave test_rest_of_request_unread a head of 60 KB. For that it set the limit on requests received in part of all servers that take a few connections at a time from 8,000 bytes to the product's default, and did not say so. The five tests of such servers in test-http_server_end and test_whole_requests_unread became easier by that: a herd could hold more.

Change: these have 8,000 bytes again; the one test that needs a long head names its own limit, that of the head which it configures.

With 8,000 bytes test_rest_of_request_unread can't be played, as the server ends a request over that limit.

--- a/tests/server_fixture.c
+++ b/tests/server_fixture.c
@@ -41,21 +41,23 @@
 }
 
 static server_fixture_t *
-new_server (uint32_t idle_timeout_ms, uint32_t request_timeout_ms, bool takes_few)
+new_server (uint32_t idle_timeout_ms,
+            uint32_t request_timeout_ms,
+            bool takes_few,
+            uint32_t incomplete_limit_bytes)
 {
   server_fixture_t *fixture = g_new0 (server_fixture_t, 1);
-  http_server_options_t options = {
-    .takes_few = takes_few,
-    .body_limit_bytes = SERVER_FIXTURE_BODY_LIMIT_BYTES,
-    .header_limit_bytes = SERVER_FIXTURE_HEADER_LIMIT_BYTES,
-    .header_limit_count = 20,
-    .connection_limit = takes_few ? SERVER_FIXTURE_HERD_LIMIT : SERVER_FIXTURE_CONNECTION_LIMIT,
-    .idle_timeout_ms = idle_timeout_ms,
-    .request_timeout_ms = request_timeout_ms,
-    .incomplete_limit_bytes = takes_few ? 0 : SERVER_FIXTURE_INCOMPLETE_LIMIT_BYTES,
-    .on_call = on_call,
-    .on_ended = on_ended
-  };
+  http_server_options_t options = { .takes_few = takes_few,
+                                    .body_limit_bytes = SERVER_FIXTURE_BODY_LIMIT_BYTES,
+                                    .header_limit_bytes = SERVER_FIXTURE_HEADER_LIMIT_BYTES,
+                                    .header_limit_count = 20,
+                                    .connection_limit = takes_few ? SERVER_FIXTURE_HERD_LIMIT
+                                                                  : SERVER_FIXTURE_CONNECTION_LIMIT,
+                                    .idle_timeout_ms = idle_timeout_ms,
+                                    .request_timeout_ms = request_timeout_ms,
+                                    .incomplete_limit_bytes = incomplete_limit_bytes,
+                                    .on_call = on_call,
+                                    .on_ended = on_ended };
   GError *error = NULL;
 
   fixture->base = event_base_new ();
@@ -77,13 +79,20 @@
 server_fixture_t *
 server_fixture_new_with_timeouts (uint32_t idle_timeout_ms, uint32_t request_timeout_ms)
 {
-  return new_server (idle_timeout_ms, request_timeout_ms, false);
+  return new_server (idle_timeout_ms, request_timeout_ms, false,
+                     SERVER_FIXTURE_INCOMPLETE_LIMIT_BYTES);
 }
 
 server_fixture_t *
 server_fixture_new_taking_few (void)
 {
-  return new_server (SERVER_FIXTURE_NO_TIMEOUT_MS, SERVER_FIXTURE_NO_TIMEOUT_MS, true);
+  return server_fixture_new_with_incomplete_limit (SERVER_FIXTURE_INCOMPLETE_LIMIT_BYTES);
+}
+
+server_fixture_t *
+server_fixture_new_with_incomplete_limit (uint32_t limit_bytes)
+{
+  return new_server (SERVER_FIXTURE_NO_TIMEOUT_MS, SERVER_FIXTURE_NO_TIMEOUT_MS, true, limit_bytes);
 }
 
 server_fixture_t *
--- a/tests/server_fixture.h
+++ b/tests/server_fixture.h
@@ -13,9 +13,9 @@
 #define SERVER_FIXTURE_BODY_LIMIT_BYTES 1000
 #define SERVER_FIXTURE_HEADER_LIMIT_BYTES 2000
 #define SERVER_FIXTURE_CONNECTION_LIMIT 3
-#define SERVER_FIXTURE_HERD_LIMIT 100              /* of a server that takes a few at a time */
-#define SERVER_FIXTURE_INCOMPLETE_LIMIT_BYTES 8000 /* but of a server that takes a few */
-#define SERVER_FIXTURE_NO_TIMEOUT_MS (60 * 1000)   /* longer than any test */
+#define SERVER_FIXTURE_HERD_LIMIT 100 /* of a server that takes a few at a time */
+#define SERVER_FIXTURE_INCOMPLETE_LIMIT_BYTES 8000
+#define SERVER_FIXTURE_NO_TIMEOUT_MS (60 * 1000) /* longer than any test */
 
 /**
  * server_fixture_t - a server and its clients
@@ -51,6 +51,9 @@
                                                     uint32_t request_timeout_ms);
 /** server_fixture_new_taking_few() - create a server that takes a few connections at a time */
 server_fixture_t *server_fixture_new_taking_few (void);
+/** server_fixture_new_with_incomplete_limit() - likewise, with that limit on requests that have
+ * been received in part */
+server_fixture_t *server_fixture_new_with_incomplete_limit (uint32_t limit_bytes);
 void server_fixture_free (server_fixture_t *fixture);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (server_fixture_t, server_fixture_free)
 /** server_fixture_counter_value() - the value of a counter */
--- a/tests/test_http_server_limits.c
+++ b/tests/test_http_server_limits.c
@@ -6,6 +6,7 @@
 
 #define IDLE_MS 300
 #define LONGER_IDLE_MS 3000
+#define LONG_HEAD_LIMIT_BYTES (100 * 1000)
 #define HEAD_MS 100
 #define HERD 60 /* more connections than libevent's first epoll_wait() reports */
 
@@ -238,12 +239,13 @@
 static void
 test_rest_of_request_unread (void)
 {
-  g_autoptr (server_fixture_t) fixture = server_fixture_new_taking_few ();
+  g_autoptr (server_fixture_t) fixture =
+      server_fixture_new_with_incomplete_limit (LONG_HEAD_LIMIT_BYTES);
   g_autofree char *filler = g_strnfill (60 * 1000, 'h');
   g_autofree char *rest = g_strdup_printf ("X-Fill: %s\r\n\r\n", filler);
   raw_peer_t *raw;
 
-  http_server_configure (fixture->http_server, 0, 100 * 1000, HEAD_MS, 0);
+  http_server_configure (fixture->http_server, 0, LONG_HEAD_LIMIT_BYTES, HEAD_MS, 0);
   raw = server_fixture_connect (fixture, "GET /whole HTTP/1.1\r\n");
   fixture->reply_at_once = true;
   raw_peer_run_ms (fixture->base, HEAD_MS / 2);
