A limit that a configuration leaves out is the daemon's own

What callers saw: once a configuration had lowered a limit on heads, bodies or the time for a head, requests within the daemon's own limit were refused (413, 431, 408) under later configurations that set none. Which limit held depended on the versions that a process had seen, so a gateway that had started lately took what others refused.

Cause: http_server_configure() took 0 as "as it is". routing.h has it as the value of the daemon's own setting.

Change: the server keeps the options that it was made with, and takes a limit from them where the configuration has none. A lowered idle timeout still holds only once callers can know of it.

Evidence: "limits that are left out" of test-http_server_limits failed on the code before in four asserts (idle timeout, a body, a head, a slow head), and passes. 373 asserts of that test and 206 of test-http_server_end pass.

--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -204,6 +204,7 @@
   http_server_t *http_server = g_new0 (http_server_t, 1);
 
   http_server->options = *options;
+  http_server->own_options = *options;
   http_server->http = evhttp_new (options->base);
   http_server->new_conns = g_hash_table_new (NULL, NULL);
   http_server->conns = g_hash_table_new (NULL, NULL);
@@ -313,16 +314,14 @@
                        uint32_t idle_timeout_ms)
 {
   http_server_options_t *options = &http_server->options;
+  const http_server_options_t *own = &http_server->own_options;
   GHashTableIter iter;
   gpointer conn;
 
-  options->body_limit_bytes = body_limit_bytes ? body_limit_bytes : options->body_limit_bytes;
-  options->header_limit_bytes =
-      header_limit_bytes ? header_limit_bytes : options->header_limit_bytes;
-  options->request_timeout_ms =
-      request_timeout_ms ? request_timeout_ms : options->request_timeout_ms;
-  if (idle_timeout_ms)
-    set_idle_timeout (http_server, idle_timeout_ms);
+  options->body_limit_bytes = body_limit_bytes ? body_limit_bytes : own->body_limit_bytes;
+  options->header_limit_bytes = header_limit_bytes ? header_limit_bytes : own->header_limit_bytes;
+  options->request_timeout_ms = request_timeout_ms ? request_timeout_ms : own->request_timeout_ms;
+  set_idle_timeout (http_server, idle_timeout_ms ? idle_timeout_ms : own->idle_timeout_ms);
   apply_limits (http_server);
   g_hash_table_iter_init (&iter, http_server->conns);
   while (g_hash_table_iter_next (&iter, NULL, &conn))
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -119,7 +119,7 @@
 void http_server_free (http_server_t *http_server);
 /** http_server_port() - the bound port, which the kernel chooses when @listen has port 0 */
 uint16_t http_server_port (const http_server_t *http_server);
-/** http_server_configure() - change the limits; 0 leaves a limit as it is. Raised limits hold at
+/** http_server_configure() - change the limits; 0 for that of the options. Raised limits hold at
  * once, also on open connections; lowered ones from a connection's next request on, that of the
  * idle timeout %LIMIT_HTTP_LOWERED_IDLE_MS later */
 void http_server_configure (http_server_t *http_server,
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -35,6 +35,8 @@
 
 /**
  * struct http_server - a server
+ * @options: those in force, with the limits of the last configuration
+ * @own_options: those that it was made with
  * @unread_timeout: a connection whose client accepts no byte of its response is closed then
  * @longer_idle_ms: idle timeout before it was lowered, which holds until @longer_idle_until_us
  * @new_conns: connections by bufferevent, before evhttp has attached an evhttp connection to it
@@ -55,6 +57,7 @@
 struct http_server
 {
   http_server_options_t options;
+  http_server_options_t own_options;
   struct timeval unread_timeout;
   uint32_t longer_idle_ms;
   int64_t longer_idle_until_us;
--- a/tests/test_http_server_limits.c
+++ b/tests/test_http_server_limits.c
@@ -1,3 +1,4 @@
+#include "connection/http_server_internal.h"
 #include "server_fixture.h"
 #include "suite.h"
 
@@ -92,6 +93,31 @@
   server_fixture_run_until_received (fixture, raw, "\r\n\r\n/long");
 }
 
+/* Guards against limits of a former configuration that hold as a later one leaves them out */
+static void
+test_limits_that_are_left_out (void)
+{
+  g_autoptr (server_fixture_t) fixture =
+      server_fixture_new_with_timeouts (IDLE_MS, SERVER_FIXTURE_NO_TIMEOUT_MS);
+  g_autofree char *body = post ("/long", SERVER_FIXTURE_BODY_LIMIT_BYTES);
+  g_autofree char *filler = g_strnfill (SERVER_FIXTURE_HEADER_LIMIT_BYTES / 2, 'h');
+  g_autofree char *head = g_strdup_printf ("GET /filled HTTP/1.1\r\nX-Fill: %s\r\n\r\n", filler);
+  raw_peer_t *raw;
+
+  fixture->reply_at_once = true;
+  http_server_configure (fixture->http_server, 10, 100, HEAD_MS, LONGER_IDLE_MS);
+  http_server_configure (fixture->http_server, 0, 0, 0, 0);
+  CU_ASSERT_EQUAL (fixture->http_server->options.idle_timeout_ms, IDLE_MS);
+  server_fixture_run_until_received (fixture, server_fixture_connect (fixture, body),
+                                     "\r\n\r\n/long");
+  server_fixture_run_until_received (fixture, server_fixture_connect (fixture, head),
+                                     "\r\n\r\n/filled");
+  raw = server_fixture_connect (fixture, "GET /slow HTTP/1.1\r\n");
+  raw_peer_run_ms (fixture->base, 3 * HEAD_MS);
+  raw_peer_send (raw, "\r\n");
+  server_fixture_run_until_received (fixture, raw, "\r\n\r\n/slow");
+}
+
 /* A request whose head was read under the longer limits is read to its end */
 static void
 test_lowered_limits_in_request (void)
@@ -305,6 +331,7 @@
     { "raised body limit", test_raised_body_limit },
     { "raised header limit", test_raised_header_limit },
     { "raised limits in request", test_raised_limits_in_request },
+    { "limits that are left out", test_limits_that_are_left_out },
     { "lowered limits in request", test_lowered_limits_in_request },
     { "raised idle limit", test_raised_idle_limit },
     { "lowered idle limit", test_lowered_idle_limit },
