Tests of streams in a series of silences

What is guarded against: a stream leaves a silent engine, the next one falls silent as it comes, and so on, until its route allows no other attempt, and then it is cut or refused though every engine goes on.

Virtual time (test-silence_fleet): each engine that a request moves to falls silent at that moment, for 0.6 to 2 s, with two, three and four attempts of the route, at 1 to 880 gateways.

Byte by byte (test-gateway_silence): a stream moves from one to the next of three engines, goes on in silence at the last one for two seconds, and comes whole; each engine gets it once.

--- a/tests/silence_fleet.c
+++ b/tests/silence_fleet.c
@@ -28,6 +28,7 @@
 #define USUAL_US (50 * MS)
 #define SLOTS 32
 #define ATTEMPTS 2
+#define LEFT_MAX 4 /* engines that a request left and that are remembered */
 #define SILENCE_MIN_US (600 * MS)
 #define SILENCE_MAX_US (2000 * MS)
 #define TURN_US (500 * MS)
@@ -52,9 +53,10 @@
   uint64_t last_byte_us;
   uint64_t deadline_us;
   uint64_t checked_us;
-  uint64_t left_engine;
-  uint64_t left_us;
-  uint64_t tried[ATTEMPTS + 1];
+  uint64_t left_engines[LEFT_MAX];
+  uint64_t left_us[LEFT_MAX];
+  uint32_t moved;
+  uint64_t tried[SILENCE_FLEET_ATTEMPTS_MAX + 1];
   uint32_t tried_count;
   retry_plan_t plan;
   uint32_t gateway;
@@ -106,13 +108,17 @@
 choose (const fleet_t *fleet, const request_t *request, bool only_sound)
 {
   const member_t *member = &fleet->members[request->gateway];
-  uint64_t excluded[ATTEMPTS + 2];
+  uint64_t excluded[SILENCE_FLEET_ATTEMPTS_MAX + 1 + LEFT_MAX];
   uint32_t count = request->tried_count;
-  const engine_t *left = engines_find_by_hash (member->engines, request->left_engine);
 
   memcpy (excluded, request->tried, count * sizeof excluded[0]);
-  if (left && left->last_byte_us <= request->left_us)
-    excluded[count++] = request->left_engine;
+  for (uint32_t i = 0; i < LEFT_MAX; i++)
+    {
+      const engine_t *left = engines_find_by_hash (member->engines, request->left_engines[i]);
+
+      if (left && left->last_byte_us <= request->left_us[i])
+        excluded[count++] = request->left_engines[i];
+    }
   return engine_choice_make (
       list_of (member), fleet->now_us,
       &(engine_choice_request_t){
@@ -135,6 +141,24 @@
                                fleet->now_us, fleet->options.gateways);
 }
 
+static uint64_t
+draw_silence_us (fleet_t *fleet)
+{
+  return (uint64_t)g_rand_int_range (fleet->random, SILENCE_MIN_US, SILENCE_MAX_US + 1);
+}
+
+static void
+follow (fleet_t *fleet, const request_t *request)
+{
+  true_engine_t *actual = &fleet->engines[request->engine];
+
+  if (fleet->options.fault != SILENCE_FLEET_FOLLOWS || request->moved == 0 ||
+      fleet->now_us < actual->silent_to_us + TURN_US)
+    return;
+  actual->silent_from_us = fleet->now_us;
+  actual->silent_to_us = fleet->now_us + draw_silence_us (fleet);
+}
+
 static void
 send_to (fleet_t *fleet, request_t *request, engine_t *known)
 {
@@ -155,6 +179,7 @@
   engine_begin_request (known, fleet->now_us);
   engine_note_probe (known, fleet->now_us);
   fleet->engines[request->engine].running++;
+  follow (fleet, request);
 }
 
 static void
@@ -245,6 +270,8 @@
   uint64_t left_us = request->deadline_us - MIN (fleet->now_us, request->deadline_us);
 
   fleet->result.moved++;
+  request->moved++;
+  fleet->result.moved_most = MAX (fleet->result.moved_most, request->moved);
   if (fleet->engines[request->engine].silent_to_us == UINT64_MAX)
     fleet->result.leave_ms = MAX (fleet->result.leave_ms, (uint32_t)(quiet_us / MS));
   if (fleet->options.leaves_at_once)
@@ -252,8 +279,8 @@
   else
     {
       engine_note_silence (request->known, fleet->now_us);
-      request->left_engine = request->known->hash;
-      request->left_us = fleet->now_us;
+      request->left_engines[request->moved % LEFT_MAX] = request->known->hash;
+      request->left_us[request->moved % LEFT_MAX] = fleet->now_us;
       retry_plan_note_given_up (&request->plan);
     }
   leave (fleet, request);
@@ -297,7 +324,7 @@
 is_out_of_attempts (const fleet_t *fleet, const request_t *request)
 {
   return request->engine >= 0 && fleet->engines[request->engine].silent_to_us == UINT64_MAX &&
-         request->plan.ran + 1 >= ATTEMPTS;
+         request->plan.ran + 1 >= fleet->options.attempts;
 }
 
 /* Return: whether the request is still in hand after this tick */
@@ -345,7 +372,7 @@
   request->deadline_us = fleet->now_us + DEADLINE_US;
   retry_plan_init (&request->plan, &(retry_plan_rules_t){ .idempotent = !request->is_stream,
                                                           .resumable = request->is_stream,
-                                                          .max_runs = ATTEMPTS });
+                                                          .max_runs = fleet->options.attempts });
   retry_budget_count_request (&member->budget, &fleet->budget, fleet->now_us);
   fleet->arrivals[tick_of (fleet)]++;
   fleet->result.requests++;
@@ -379,6 +406,7 @@
   switch (fleet->options.fault)
     {
     case SILENCE_FLEET_ONE:
+    case SILENCE_FLEET_FOLLOWS:
     case SILENCE_FLEET_DEAD:
       return engine % SILENCE_FLEET_VIEW == 0;
     case SILENCE_FLEET_SOME:
@@ -394,8 +422,7 @@
 set_silence (fleet_t *fleet, uint32_t engine)
 {
   true_engine_t *actual = &fleet->engines[engine];
-  uint64_t lasts_us =
-      (uint64_t)g_rand_int_range (fleet->random, SILENCE_MIN_US, SILENCE_MAX_US + 1);
+  uint64_t lasts_us = draw_silence_us (fleet);
 
   if (!is_affected (fleet, engine))
     return;
@@ -477,6 +504,8 @@
   silence_fleet_result_t result;
 
   fleet->options = *options;
+  if (options->attempts == 0)
+    fleet->options.attempts = ATTEMPTS;
   fleet->random = g_rand_new_with_seed (options->seed);
   fleet->now_us = START_US;
   fleet->view = MIN (options->engines, (uint32_t)SILENCE_FLEET_VIEW);
--- a/tests/test_gateway_silence.c
+++ b/tests/test_gateway_silence.c
@@ -23,6 +23,9 @@
 #define NEAR                                                                                       \
   ROUTE ("near", "idempotent", LONG_TIMEOUT, "pool",                                               \
          ",\"attempts\":2,\"allowed_regions\":[\"north\"]")
+#define WALK                                                                                       \
+  ROUTE ("walk", "stream", LONG_TIMEOUT, "pool",                                                   \
+         ",\"attempts\":4,\"resumable\":true,\"gap_target_ms\":100")
 #define CONFIG(version, routes, services)                                                          \
   "{\"version\":" version ",\"routes\":[" routes "],\"services\":[" services                       \
   "],\"tenants\":[{\"name\":\"alpha\",\"api_keys\":[\"key-1\"]}],"                                 \
@@ -150,9 +153,10 @@
   if (!has_budget)
     rig->gateways[0].settings.retry_slack_milli = 0;
   gateway_rig_skip_retry_window (rig);
-  put_config (rig,
-              CONFIG ("2", ROUTES (LONG_TIMEOUT, "pool") "," BOOK (LONG_TIMEOUT) "," NEAR, POOL),
-              CONFIG_VERSION);
+  put_config (
+      rig,
+      CONFIG ("2", ROUTES (LONG_TIMEOUT, "pool") "," BOOK (LONG_TIMEOUT) "," NEAR "," WALK, POOL),
+      CONFIG_VERSION);
   gateway_rig_add_engine (rig, silent, 1);
   return rig;
 }
@@ -948,6 +952,31 @@
   end (&hand);
 }
 
+/* Guards against a stream that is cut as each engine that it moves to is silent in its turn. */
+static void
+test_stream_outlives_a_series_of_silences (void)
+{
+  gateway_rig_t *rig = start (true);
+  hand_t hand = send_to (rig, rig->engines[0], "/walk/a", true);
+
+  for (uint32_t i = 1; i < GATEWAY_RIG_ENGINES_MAX; i++)
+    {
+      raw_server_t *next = add_ready (rig, silent, 1);
+
+      pass (rig, 600);
+      CU_ASSERT (raw_peer_run_until (rig->base, has_request, next));
+      CU_ASSERT_PTR_NOT_NULL (
+          strstr (latest_connection (next)->received->str, "Last-Event-Id: 2\r\n"));
+    }
+  raw_peer_send (latest_connection (rig->engines[2]), STREAM_HEAD);
+  pass_long_silence (rig);
+  CU_ASSERT_FALSE (latest_connection (rig->engines[2])->eof);
+  CU_ASSERT_EQUAL (gateway_rig_request_count (rig), GATEWAY_RIG_ENGINES_MAX);
+  raw_peer_send (latest_connection (rig->engines[2]), EVENT ("3") STREAM_END);
+  check_whole (&hand);
+  end (&hand);
+}
+
 /* Guards against a request that ends because its successor asks for no requests for a while. */
 static void
 test_lookup_waits_for_a_successor_that_rests (void)
@@ -1490,6 +1519,7 @@
     SUITE_TEST (test_lookup_leaves_a_dead_host_when_the_budget_allows),
     SUITE_TEST (test_stream_leaves_a_dead_host_when_the_budget_allows),
     SUITE_TEST (test_silences_in_turn_cost_no_answer),
+    SUITE_TEST (test_stream_outlives_a_series_of_silences),
     SUITE_TEST (test_lookup_waits_for_a_successor_that_rests),
     SUITE_TEST (test_stream_waits_for_a_successor_that_rests),
     SUITE_TEST (test_lookup_waits_while_no_engine_is_listed),
