Tests of the tables' link keep the context of each read

The product ends each call once; the link gave one call two answers. Each read has a context of its own now. No check changed.

--- a/tests/test_shares_lag.c
+++ b/tests/test_shares_lag.c
@@ -30,7 +30,7 @@
 } link_state_t;
 
 /** struct store_link - the link of a gateway to the stream with the tables; @next: end of what it
- * has read; @done: of the read that waits */
+ * has read */
 typedef struct
 {
   link_state_t state;
@@ -42,23 +42,32 @@
                 uint32_t wait_ms,
                 platform_read_done_t done,
                 void *context);
+} store_link_t;
+
+/** struct linked_read - a read that waits; there may be several, as an abandoned one waits on */
+typedef struct
+{
+  store_link_t *link;
   platform_read_done_t done;
   void *context;
-} store_link_t;
+} linked_read_t;
 
 static store_link_t links[2];
 static platform_t *linked[2];
+static GPtrArray *reads; /* of linked_read_t */
 
 static void
 on_read (const platform_read_t *read, void *context)
 {
-  store_link_t *link = context;
+  linked_read_t *linked_read = context;
+  store_link_t *link = linked_read->link;
   platform_read_t failed = { .outcome = PLATFORM_UNKNOWN };
 
   if (link->state != LINK_HANGS)
-    link->done (link->state == LINK_UP ? read : &failed, link->context);
+    linked_read->done (link->state == LINK_UP ? read : &failed, linked_read->context);
   if (link->state == LINK_UP)
     link->next = read->next.offset;
+  g_ptr_array_remove_fast (reads, linked_read);
 }
 
 static void
@@ -71,21 +80,25 @@
               void *context)
 {
   store_link_t *link = platform == linked[0] ? &links[0] : &links[1];
+  linked_read_t *linked_read;
 
   if (strcmp (stream, PLATFORM_STREAM_ROUTERS) != 0)
     {
       link->read (platform, stream, from_offset, max_records, wait_ms, done, context);
       return;
     }
-  link->done = done;
-  link->context = context;
+  linked_read = g_new (linked_read_t, 1);
+  *linked_read = (linked_read_t){ link, done, context };
+  g_ptr_array_add (reads, linked_read);
   link->read (platform, stream, from_offset, max_records, link->state == LINK_FAILS ? 0 : wait_ms,
-              on_read, link);
+              on_read, linked_read);
 }
 
 static void
 add_links (gateway_rig_t *rig)
 {
+  g_clear_pointer (&reads, g_ptr_array_unref);
+  reads = g_ptr_array_new_with_free_func (g_free);
   for (uint32_t i = 0; i < G_N_ELEMENTS (links); i++)
     {
       linked[i] = &rig->gateways[i].front->platform;
