--- a/tests/cut_peer.c
+++ b/tests/cut_peer.c
@@ -89,9 +89,9 @@
 }
 
 static void
-answer (conn_t *conn)
+answer (conn_t *conn, bool is_probe)
 {
-  if (conn->peer->play.kept && conn->requests++ == 0)
+  if (is_probe || (conn->peer->play.kept && conn->requests++ == 0))
     {
       g_assert (send (conn->fd, KEPT_ANSWER, strlen (KEPT_ANSWER), MSG_NOSIGNAL) > 0);
       return;
@@ -111,6 +111,7 @@
   char bytes[4096];
   ssize_t count = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT);
   const char *end;
+  bool is_probe;
 
   (void)what;
   if (count <= 0)
@@ -122,8 +123,9 @@
   end = strstr (conn->received->str, "\r\n\r\n");
   if (!end)
     return;
+  is_probe = g_str_has_prefix (conn->received->str, "GET /health ");
   g_string_erase (conn->received, 0, end + 4 - conn->received->str);
-  answer (conn);
+  answer (conn, is_probe);
 }
 
 static void
--- a/tests/cut_peer.h
+++ b/tests/cut_peer.h
@@ -2,7 +2,7 @@
  * DOC: cut_peer
  *
  * A server for tests that answers with given bytes, NULs too, all at once or a few at a time, and
- * ends the connection after them in the way that a test chooses.
+ * ends the connection after them in the way that a test chooses. "GET /health" is answered "ok".
  */
 #ifndef TESTS_CUT_PEER_H
 #define TESTS_CUT_PEER_H
--- a/tests/test_gateway_cut.c
+++ b/tests/test_gateway_cut.c
@@ -2,6 +2,7 @@
  * route. */
 #include "cut_peer.h"
 #include "gateway_rig.h"
+#include "raw_answer.h"
 #include "suite.h"
 
 #include <signal.h>
@@ -120,42 +121,6 @@
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (fleet_t, fleet_free)
 
-/* Reads chunks. Return: whether the last one came, with nothing after it */
-static bool
-read_chunks (const char *text, GString *body)
-{
-  for (;;)
-    {
-      char *end;
-      size_t bytes = (size_t)g_ascii_strtoull (text, &end, 16);
-
-      if (end == text || !g_str_has_prefix (end, "\r\n") || strlen (end) < bytes + 4)
-        return false;
-      text = end + 2;
-      g_string_append_len (body, text, (gssize)bytes);
-      text += bytes + 2;
-      if (bytes == 0)
-        return *text == '\0';
-    }
-}
-
-/* Return: whether the caller takes the answer for whole */
-static bool
-read_answer (const char *text, GString *body)
-{
-  const char *end = strstr (text, "\r\n\r\n");
-  const char *length = strstr (text, "\r\nContent-Length: ");
-
-  if (!end)
-    return false;
-  if (length && length < end)
-    {
-      g_string_append (body, end + 4);
-      return body->len == g_ascii_strtoull (length + strlen ("\r\nContent-Length: "), NULL, 10);
-    }
-  return read_chunks (end + 4, body);
-}
-
 static bool
 may_be_whole (const route_t *route, const cut_peer_play_t *play)
 {
@@ -189,7 +154,7 @@
           const char *answer)
 {
   g_autoptr (GString) body = g_string_new (NULL);
-  bool is_whole = read_answer (answer, body);
+  bool is_whole = raw_answer_read (answer, body);
 
   if (fleet->is_sound_then && route->is_repeatable &&
       (!is_whole || !g_str_has_prefix (answer, "HTTP/1.1 200 ")))
