A stream without a length or an event was broken off

What callers saw: an engine that had sent only the head of a stream, with no length, and closed (it stopped before its first event) gave a whole 200 without events: the stream ended as complete before its last piece, and nothing was sent again.

Cause: such a stream ends with its connection, and it was asked only whether it ended inside an event.

An answer without a length that closes after a whole event stays whole: nothing tells it from one that was to go on.

The mend: without one event it counts as broken off, so that a request that may be repeated goes on elsewhere and another gets 502 (may have run). A request that resumes may have had the last event already, so its stream may be empty.

--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -337,12 +337,24 @@
   return end->verdict == VERDICT_NOT_RUN && end->reason == VERDICT_REASON_CONNECT;
 }
 
+/* A stream without a length ends with its connection, so one that ends inside an event, or before
+ * its first one, was broken off. One that is resumed may have no more events. */
+static bool
+is_cut_stream (const gateway_call_t *call)
+{
+  if (!call->streaming || call->is_framed || call->response.not_run)
+    return false;
+  return !event_splitter_is_between (&call->splitter) ||
+         (call->splitter.event_count == 0 && !call->request.resumes);
+}
+
 static void
 finish_complete (gateway_call_t *call)
 {
   if (call->response.not_run)
     finish_refused (call);
-  else if (call->streaming && !event_splitter_is_between (&call->splitter))
+  else if (is_cut_stream (call) ||
+           (call->streaming && !event_splitter_is_between (&call->splitter)))
     gateway_call_hop_ended (
         call, call->relay.has_started ? RETRY_PLAN_OUTCOME_BROKE_OFF : RETRY_PLAN_OUTCOME_UNKNOWN,
         VERDICT_REASON_CUT);
@@ -369,15 +381,6 @@
     gateway_call_hop_ended (call, RETRY_PLAN_OUTCOME_UNKNOWN, end->reason);
 }
 
-/* A stream without a length ends with its connection, so one that ends inside an event was broken
- * off. */
-static bool
-is_cut_inside_event (const gateway_call_t *call)
-{
-  return call->streaming && !call->is_framed && !call->response.not_run &&
-         !event_splitter_is_between (&call->splitter);
-}
-
 static void
 record_engine_failure (gateway_call_t *call, const http_client_result_t *end)
 {
@@ -398,7 +401,7 @@
 {
   gateway_call_t *call = context;
   gateway_service_t *service = call->service;
-  bool is_whole = end->complete && !is_cut_inside_event (call);
+  bool is_whole = end->complete && !is_cut_stream (call);
 
   call->relay.from = NULL;
   if (is_whole)
