A connection that its peer closes after a 204 or 304 is not used again

What callers saw: a request that may not be repeated could end with 502, as it was written on a connection whose engine had announced to close it. Cause: removes the Connection header of responses without a length, so that their bodies are read to the end of the connection. A 204 or 304 has no body, so the only effect there was that "close" was lost, and the connection went back to the pool. Such responses keep the header now; others still end with their connection, so nothing else changes. The test failed before: 3 connections expected, fewer were made (tests/test_http_client.c:671, CU_ASSERT_EQUAL(fixture->server->accepted,3)); it passed on a trial without the call that removes the header.

--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -180,12 +180,21 @@
                                                          : VERDICT_REASON_CROSSED;
 }
 
+/* A response that can't have a body ends with its head, and leaves its connection to the next
+ * request unless its Connection header says otherwise. */
+static bool
+may_have_body (const struct evhttp_request *request)
+{
+  return request->type != EVHTTP_REQ_HEAD && request->response_code != HTTP_NOCONTENT &&
+         request->response_code != HTTP_NOTMODIFIED;
+}
+
 /* libevent takes a response without a length for empty where a Connection header is other than
  * "close"; it ends with its connection nevertheless */
 static void
-read_until_close (struct evkeyvalq *headers)
+read_until_close (const struct evhttp_request *request, struct evkeyvalq *headers)
 {
-  if (http_framing_detect (headers) != HTTP_FRAMING_NONE)
+  if (!may_have_body (request) || http_framing_detect (headers) != HTTP_FRAMING_NONE)
     return;
   while (evhttp_remove_header (headers, "Connection") == 0)
     continue;
@@ -218,7 +227,7 @@
       end_call (call, false, reason);
       return -1;
     }
-  read_until_close (headers);
+  read_until_close (request, headers);
   call->head_received = true;
   if (call->on_head && !call->on_head (status, headers, call->context) && conn->call)
     end_call (call, false, VERDICT_REASON_CUT);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -654,6 +654,23 @@
   CU_ASSERT_TRUE (raw_peer_run_until (short_idle->base, one_closed, short_idle->server));
 }
 
+/* Guards against requests on a connection that its peer is about to close. */
+static void
+test_closed_after_responses_without_a_body (void)
+{
+  static const char *const scripts[] = {
+    "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n",
+    "HTTP/1.1 304 Not Modified\r\nConnection: close\r\n\r\n",
+    OK_ANSWER,
+  };
+  g_autoptr (fixture_t) fixture = fixture_new (scripts, G_N_ELEMENTS (scripts));
+
+  run_successful_call (fixture, 204, "");
+  run_successful_call (fixture, 304, "");
+  run_successful_call (fixture, 200, "ok");
+  CU_ASSERT_EQUAL (fixture->server->accepted, 3);
+}
+
 int
 main (void)
 {
@@ -666,6 +683,7 @@
     { "closed while idle", test_closed_while_idle },
     { "reset before write", test_reset_before_write },
     { "closed after write", test_closed_after_write },
+    { "closed after responses without a body", test_closed_after_responses_without_a_body },
     { "timeout", test_timeout },
     { "bad options", test_bad_options },
     { "request bytes", test_request_bytes },
