--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -119,7 +119,7 @@
 void http_server_free (http_server_t *http_server);
 /** http_server_port() - the bound port, which the kernel chooses when @listen has port 0 */
 uint16_t http_server_port (const http_server_t *http_server);
-/** http_server_configure() - change the limits; 0 leaves a limit as it is. Raised limits hold at
+/** http_server_configure() - change the limits; 0 for that of the options. Raised limits hold at
  * once, also on open connections; lowered ones from a connection's next request on, that of the
  * idle timeout %LIMIT_HTTP_LOWERED_IDLE_MS later */
 void http_server_configure (http_server_t *http_server,
@@ -139,6 +139,9 @@
  * long; to be called several times in %ACCEPT_GATE_WAIT_US by the owner of a server that
  * @takes_few. Return: whether it did */
 bool http_server_shed (http_server_t *http_server, uint64_t now_us);
+/** http_server_note_held_up() - the event loop was held up by other work than requests, so that
+ * connections had to wait for it */
+void http_server_note_held_up (http_server_t *http_server);
 /** http_server_stop() - stop listening and send "Connection: close" in all responses from now on.
  * Connections in the kernel's queue are still accepted. Idle ones are closed after
  * %LIMIT_HTTP_STOP_LINGER_MS, since a request may be on its way */
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -9,6 +9,7 @@
 #include "request/gateway/gateway.h"
 #include "request/policy/engines/lapses.h"
 #include "request/policy/engines/restart_claims.h"
+#include "version/version_order.h"
 
 #include <string.h>
 
@@ -24,6 +25,7 @@
  * @ready_listener: listener of readiness checks
  * @control_listener: listener of peers and of metrics requests
  * @table: routing rules in force, NULL for none
+ * @versions: their version
  * @lapsed: engines whose entries were removed while the store could not be read, and may have
  *   expired only because of an outage
  * @origins: at which software versions streams began
@@ -34,6 +36,7 @@
  * @accept_by_us: latest time at which client connections are accepted, even if the gateway is not
  *   ready; 0 once they are
  * @stop_us: when the stop signal came, 0 before
+ * @has_ended_calls: gateway_end_calls() has been called
  * @was_ready: readiness that was logged last
  * @ticked_us: time of the last tick, 0 for none
  */
@@ -46,6 +49,7 @@
   http_server_t *ready_listener;
   http_server_t *control_listener;
   routing_t *table;
+  version_order_t versions;
   lapses_t *lapsed;
   restart_claims_t *restart_claims;
   crash_record_t *crashes;
@@ -57,6 +61,7 @@
   struct event *tick;
   uint64_t accept_by_us;
   uint64_t stop_us;
+  bool has_ended_calls;
   bool was_ready;
   uint64_t ticked_us;
   counter_t *stall_count;
@@ -105,7 +110,7 @@
              LOG_U64 (engines_count (process->engines)), NULL);
 }
 
-/* An older version that is read late must not replace a newer one. */
+/* An older version that is written late must not replace a newer one. */
 static void
 on_routing (const char *value, size_t value_bytes, position_t position, void *context)
 {
@@ -122,7 +127,7 @@
       g_error_free (error);
       return;
     }
-  if (routing_version (table) > version_in_force)
+  if (version_order_take (&process->versions, routing_version (table)))
     {
       log_event (LOG_LEVEL_NOTICE, "version", "version", LOG_U64 (routing_version (table)),
                  "before", LOG_U64 (version_in_force), "routes",
@@ -559,6 +564,7 @@
 static void
 stop_when_due (gateway_process_t *process)
 {
+  uint32_t grace_ms = process->options.settings->grace_ms;
   uint64_t since_ms;
 
   if (process->stop_us == 0)
@@ -567,8 +573,15 @@
   if (since_ms < GATEWAY_PROCESS_STOP_ACCEPT_MS)
     return;
   gateway_stop (process->gateway);
+  if (since_ms + GATEWAY_PROCESS_END_CALLS_MARGIN_MS >= grace_ms && !process->has_ended_calls)
+    {
+      process->has_ended_calls = true;
+      gateway_end_calls (process->gateway);
+      if (gateway_busy_count (process->gateway) > 0)
+        return; /* the answers are written before the next tick */
+    }
   if (gateway_busy_count (process->gateway) > 0 &&
-      since_ms + GATEWAY_PROCESS_EXIT_MARGIN_MS < process->options.settings->grace_ms)
+      since_ms + GATEWAY_PROCESS_EXIT_MARGIN_MS < grace_ms)
     return;
   event_base_loopexit (process->options.base, NULL);
 }
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -46,6 +46,9 @@
 #define GATEWAY_REUSE_IDLE_MAX_US (1000 * 1000)
 /* reuse within this part of the idle time that the engine states */
 #define GATEWAY_REUSE_IDLE_DIVISOR 4
+/* Likewise, in thousandths, for a request that may be repeated: a send that crosses the engine's
+ * close costs a retry, and the answer where none is left. */
+#define GATEWAY_REUSE_IDLE_REPEATABLE_MILLI 750
 /* Bounds of Retry-After. A retry sooner than the minimum would find the same queue. */
 #define GATEWAY_RETRY_MIN_MS 100
 #define GATEWAY_RETRY_MAX_MS 8000
@@ -498,6 +501,9 @@
 /** gateway_call_end_unplaced() - likewise, unless it is worth to wait for an engine that was asked
  * before; frees or queues it */
 void gateway_call_end_unplaced (gateway_call_t *call, const engine_choice_t *choice);
+/** gateway_call_end_by_stop() - ends the call as the process is about to exit: by 503 if the
+ * request ran nowhere and is at no engine, else as one that failed; frees it */
+void gateway_call_end_by_stop (gateway_call_t *call);
 /** gateway_call_log() - logs one decision on the request */
 void gateway_call_log (const gateway_call_t *call,
                        const char *event,
--- a/tests/test_http_server_limits.c
+++ b/tests/test_http_server_limits.c
@@ -1,3 +1,4 @@
+#include "connection/http_server_internal.h"
 #include "server_fixture.h"
 #include "suite.h"
 
@@ -6,6 +7,7 @@
 
 #define IDLE_MS 300
 #define LONGER_IDLE_MS 3000
+#define LONG_HEAD_LIMIT_BYTES (100 * 1000)
 #define HEAD_MS 100
 #define HERD 60 /* more connections than libevent's first epoll_wait() reports */
 
@@ -91,6 +93,31 @@
   server_fixture_run_until_received (fixture, raw, "\r\n\r\n/long");
 }
 
+/* Guards against limits of a former configuration that hold as a later one leaves them out */
+static void
+test_limits_that_are_left_out (void)
+{
+  g_autoptr (server_fixture_t) fixture =
+      server_fixture_new_with_timeouts (IDLE_MS, SERVER_FIXTURE_NO_TIMEOUT_MS);
+  g_autofree char *body = post ("/long", SERVER_FIXTURE_BODY_LIMIT_BYTES);
+  g_autofree char *filler = g_strnfill (SERVER_FIXTURE_HEADER_LIMIT_BYTES / 2, 'h');
+  g_autofree char *head = g_strdup_printf ("GET /filled HTTP/1.1\r\nX-Fill: %s\r\n\r\n", filler);
+  raw_peer_t *raw;
+
+  fixture->reply_at_once = true;
+  http_server_configure (fixture->http_server, 10, 100, HEAD_MS, LONGER_IDLE_MS);
+  http_server_configure (fixture->http_server, 0, 0, 0, 0);
+  CU_ASSERT_EQUAL (fixture->http_server->options.idle_timeout_ms, IDLE_MS);
+  server_fixture_run_until_received (fixture, server_fixture_connect (fixture, body),
+                                     "\r\n\r\n/long");
+  server_fixture_run_until_received (fixture, server_fixture_connect (fixture, head),
+                                     "\r\n\r\n/filled");
+  raw = server_fixture_connect (fixture, "GET /slow HTTP/1.1\r\n");
+  raw_peer_run_ms (fixture->base, 3 * HEAD_MS);
+  raw_peer_send (raw, "\r\n");
+  server_fixture_run_until_received (fixture, raw, "\r\n\r\n/slow");
+}
+
 /* A request whose head was read under the longer limits is read to its end */
 static void
 test_lowered_limits_in_request (void)
@@ -238,12 +265,13 @@
 static void
 test_rest_of_request_unread (void)
 {
-  g_autoptr (server_fixture_t) fixture = server_fixture_new_taking_few ();
+  g_autoptr (server_fixture_t) fixture =
+      server_fixture_new_with_incomplete_limit (LONG_HEAD_LIMIT_BYTES);
   g_autofree char *filler = g_strnfill (60 * 1000, 'h');
   g_autofree char *rest = g_strdup_printf ("X-Fill: %s\r\n\r\n", filler);
   raw_peer_t *raw;
 
-  http_server_configure (fixture->http_server, 0, 100 * 1000, HEAD_MS, 0);
+  http_server_configure (fixture->http_server, 0, LONG_HEAD_LIMIT_BYTES, HEAD_MS, 0);
   raw = server_fixture_connect (fixture, "GET /whole HTTP/1.1\r\n");
   fixture->reply_at_once = true;
   raw_peer_run_ms (fixture->base, HEAD_MS / 2);
@@ -303,6 +331,7 @@
     { "raised body limit", test_raised_body_limit },
     { "raised header limit", test_raised_header_limit },
     { "raised limits in request", test_raised_limits_in_request },
+    { "limits that are left out", test_limits_that_are_left_out },
     { "lowered limits in request", test_lowered_limits_in_request },
     { "raised idle limit", test_raised_idle_limit },
     { "lowered idle limit", test_lowered_idle_limit },
