A response that lies unread comes before the time limit of its call

What would be seen: a process that did not run for a while gives a call up whose response had come in time. Calls with a time limit are those to the store, and a router's to hosts; a list of engines that was answered counts as lost, and is asked for again.

Cause: the timer of a call is an event of its own. In the iteration in which it is due the socket is read once, some kilobytes, and then the timer ends the call, though the rest lies in the socket. The listener has had this since; the client had not.

Change: a time limit that is found over 50 ms late or more, with bytes unread, is followed by one of 500 ms, once a call. A call whose reading is paused, and one that is in time, end as before; so a response without end gains nothing.

Evidence: test-http_client, "unread response comes before the timeout" (100 KB in the socket, the loop blocked for twice the limit), failed on the code before (not complete) and passes. test-http_client_cancel, test-endless_input, test-path and test-gateway_silence pass.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -71,6 +71,7 @@
 #define LIMIT_HTTP_ANSWER_UNREAD_MS (10 * 1000) /* least time for a client that reads no byte */
 #define LIMIT_HTTP_UNREAD_MS 500 /* longer for a connection whose bytes are not read yet */
 #define LIMIT_HTTP_UNREAD_EXTENSIONS 4
+#define LIMIT_HTTP_LATE_TIMER_MS 50 /* from which on a process did not run when a timer was due */
 #define LIMIT_HTTP_INCOMPLETE_BYTES (256 * 1024 * 1024) /* all incomplete requests together */
 #define LIMIT_HTTP_DEAD_PEER_S 5 /* until a peer that acknowledges nothing is given up */
 #define LIMIT_HTTP_RESPONSE_HEADER_BYTES (64 * 1024) /* headers of a response from an upstream */
--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -4,6 +4,7 @@
 
 #include <event2/http_struct.h>
 #include <string.h>
+#include <sys/ioctl.h>
 
 #define STATUS_CONTINUE 100
 #define COPIED_PART_BYTES 4096 /* smaller parts are copied when they are kept */
@@ -134,6 +135,30 @@
   end_call (call, false, VERDICT_REASON_CUT);
 }
 
+static bool
+has_unread_bytes (const http_client_conn_t *conn)
+{
+  int unread = 0;
+
+  return ioctl (bufferevent_getfd (conn->bev), FIONREAD, &unread) == 0 && unread > 0;
+}
+
+/* A process that did not run for a while finds the timeout due and a response that had come in
+ * time. That is read first, in a time of its own; one without end in that alone. */
+static bool
+extend_late_timeout (http_client_call_t *call)
+{
+  static const struct timeval extension = { 0, LIMIT_HTTP_UNREAD_MS * 1000 };
+  int64_t late_us = g_get_monotonic_time () - call->due_us;
+
+  if (call->due_us == 0 || late_us < LIMIT_HTTP_LATE_TIMER_MS * 1000 || call->paused ||
+      !has_unread_bytes (call->conn))
+    return false;
+  call->due_us = 0;
+  event_add (call->event, &extension);
+  return true;
+}
+
 static void
 on_call_event (evutil_socket_t fd, short what, void *context)
 {
@@ -146,7 +171,8 @@
   (void)what;
   if (call->conn)
     {
-      end_call (call, false, VERDICT_REASON_TIMEOUT);
+      if (!extend_late_timeout (call))
+        end_call (call, false, VERDICT_REASON_TIMEOUT);
       return;
     }
   end = call->result;
@@ -378,7 +404,10 @@
       return call;
     }
   if (options->timeout_us > 0)
-    event_add (call->event, &timeout);
+    {
+      call->due_us = call->started_us + (int64_t)options->timeout_us;
+      event_add (call->event, &timeout);
+    }
   send_call (call, options);
   return call;
 }
--- a/src/connection/http_client_internal.h
+++ b/src/connection/http_client_internal.h
@@ -103,6 +103,7 @@
  * @paused: reading the response is stopped
  * @id: value of X-Request-Id, "" for none; the end of a call without one is not logged
  * @started_us: on the monotonic clock
+ * @due_us: likewise, of the timeout; 0 for none
  * @received_bytes: of the response, with its head
  * @given_up: http_client_cut_call() ended it
  */
@@ -125,6 +126,7 @@
   bool until_close;
   char id[HTTP_CLIENT_LOGGED_ID_BYTES];
   int64_t started_us;
+  int64_t due_us;
   uint64_t received_bytes;
   bool given_up;
 };
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -374,6 +374,38 @@
   CU_ASSERT_EQUAL (fixture->server->accepted, 3);
 }
 
+#define LONG_BODY_BYTES (100 * 1000) /* more than is read at once */
+#define SHORT_TIMEOUT_MS 100
+
+static bool
+server_has_request (void *context)
+{
+  return ((const raw_server_t *)context)->request_count > 0;
+}
+
+/* Guards against a response that came in time and is given up, as the process did not run until
+ * its time was over. */
+static void
+test_unread_response_comes_before_the_timeout (void)
+{
+  g_autoptr (fixture_t) fixture = fixture_new (SILENT, 1);
+  g_autofree char *body = g_strnfill (LONG_BODY_BYTES, 'b');
+  g_autofree char *answer =
+      g_strdup_printf ("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", LONG_BODY_BYTES, body);
+  int64_t due_us;
+
+  fixture->options.timeout_us = SHORT_TIMEOUT_MS * 1000;
+  fixture->state.call = http_client_start_call (fixture->http_client, &fixture->options);
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, server_has_request, fixture->server));
+  raw_peer_send (g_ptr_array_index (fixture->server->connections, 0), answer);
+  due_us = g_get_monotonic_time () + 2 * SHORT_TIMEOUT_MS * 1000;
+  while (g_get_monotonic_time () < due_us)
+    g_thread_yield ();
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, has_ended, &fixture->state));
+  CU_ASSERT_TRUE (fixture->state.end.complete);
+  CU_ASSERT_EQUAL (fixture->state.body->len, LONG_BODY_BYTES);
+}
+
 static void
 test_bad_options (void)
 {
@@ -685,6 +717,7 @@
     { "closed after write", test_closed_after_write },
     { "closed after responses without a body", test_closed_after_responses_without_a_body },
     { "timeout", test_timeout },
+    { "unread response comes before the timeout", test_unread_response_comes_before_the_timeout },
     { "bad options", test_bad_options },
     { "request bytes", test_request_bytes },
     { "cancel in callbacks", test_cancel_in_callbacks },
