--- a/tests/test_shares_lag.c
+++ b/tests/test_shares_lag.c
@@ -87,6 +87,7 @@
       link->read (platform, stream, from_offset, max_records, wait_ms, done, context);
       return;
     }
+  link->next = from_offset; /* what came before it may have come from a peer */
   linked_read = g_new (linked_read_t, 1);
   *linked_read = (linked_read_t){ link, done, context };
   g_ptr_array_add (reads, linked_read);
