A stream goes on at its silent engine when that of its copy restarts

What callers saw: a stream was cut though its engine, silent for a moment, went on. While it was tried at the engine that was to have its copy, that engine restarted; the hop there was given up, and with it the one that was kept open. Cause: gateway_hop_give_up_engine() cancelled both hops. The request returns to the hop that it has not left, as it does after a refusal. The test failed before: tests/test_gateway_silence.c:1314 CU_ASSERT_FALSE(hand.upstream->eof), and 301 is_whole (hand).

--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -638,6 +638,17 @@
     leave_silent_engine (call, now_us);
 }
 
+/* Return: whether the request goes on at the engine that it has not left yet */
+static bool
+return_to_fallback (gateway_call_t *call)
+{
+  if (!call->fallback.engine)
+    return false;
+  gateway_call_log (call, "hop_lost", "restarted", VERDICT_REASON_CUT);
+  gateway_hop_cancel_current (call);
+  return gateway_fallback_use (call, false);
+}
+
 void
 gateway_hop_give_up_engine (gateway_call_t *call, uint64_t hash, uint64_t replaced_us)
 {
@@ -650,6 +661,8 @@
   if (!call->upstream || call->engine->hash != hash || call->last_byte_us > replaced_us)
     return;
   gateway_suspect_record_loss (call);
+  if (return_to_fallback (call))
+    return;
   retry_plan_note_given_up (&call->course);
   give_up_hop (call, "restarted", VERDICT_REASON_CUT);
 }
--- a/tests/test_gateway_silence.c
+++ b/tests/test_gateway_silence.c
@@ -1299,6 +1299,24 @@
   end (&hand);
 }
 
+/* Guards against a stream that is cut as the engine with its copy restarts while it is tried. */
+static void
+test_stream_outlives_a_restart_of_the_engine_with_its_copy (void)
+{
+  uint32_t backup;
+  hand_t hand = begin_with_copy (&backup);
+  raw_peer_t *other = try_copy (&hand, backup);
+
+  put_entry (
+      hand.rig,
+      &(entry_t){ .engine = backup, .slots = 8, .state = "ready", .version = "", .born = 7 });
+  CU_ASSERT (raw_peer_run_until (hand.rig->base, has_eof, other));
+  CU_ASSERT_FALSE (hand.upstream->eof);
+  speak (&hand);
+  check_whole (&hand);
+  end (&hand);
+}
+
 /* Guards against a stream that goes on at an engine that has broken off meanwhile. */
 static void
 test_stream_ends_when_both_engines_fail (void)
@@ -1534,6 +1552,7 @@
     SUITE_TEST (test_events_come_from_one_of_two_engines),
     SUITE_TEST (test_caller_leaves_while_two_engines_have_its_request),
     SUITE_TEST (test_stream_outlives_a_copy_that_is_unreachable),
+    SUITE_TEST (test_stream_outlives_a_restart_of_the_engine_with_its_copy),
     SUITE_TEST (test_stream_ends_when_both_engines_fail),
     SUITE_TEST (test_stream_leaves_a_dead_host_for_its_copy),
     SUITE_TEST (test_lookup_outlives_a_restart_without_budget),
