The check of a silent hop uses no call that has ended

gateway_fallback_check() may end the call: where the engine with the copy has refused it without an end, and the hop that was kept open is broken as well, the request fails, and gateway_hop_check_silence() went on to read the freed call, and then the engine of a hop that is gone. Found by reading; no run has shown it, as data must come on a paused connection first. The check now ends there; what is left to do for such a call is done at the next one.

--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -619,9 +619,11 @@
 
   if (!call->upstream || !call->client)
     return;
-  gateway_fallback_check (call, now_us);
   if (call->fallback.engine)
-    return;
+    {
+      gateway_fallback_check (call, now_us); /* may end the call */
+      return;
+    }
   if (relay_was_blocked (&call->relay))
     {
       call->client_was_slow = true;
