A router asks silent hosts again while a request waits at a dead one

What callers saw: 504 at the deadline, though a sound host was there. All hosts were silent; the request stayed at its own, as it should; the others went on, its own did not. Cause: a host is taken for silent until it is heard of, and the search for another host passes over silent ones without asking them, so that none is heard of unless another request goes there. The search asks them now, one health check at a time for each host, at most once per check of the host that is waited for; an answer moves the request. The test failed before: tests/test_path.c:649 CU_ASSERT_EQUAL(answer.status,200).

--- a/src/request/router/router_host_probe.c
+++ b/src/request/router/router_host_probe.c
@@ -60,6 +60,15 @@
   return host_probe != NULL && host_probe->is_silent;
 }
 
+static void
+ask (router_t *router, const membership_host_t *host)
+{
+  router_host_probe_t *host_probe = find_or_add (router, host->hash);
+
+  if (host_probe->request == NULL)
+    start_probe (host_probe, host);
+}
+
 /* find_successor() - Return: the host that would get the request if it left its host now, NULL when
  * it would end */
 static const membership_host_t *
@@ -77,6 +86,8 @@
 
       if (host != NULL && !router_host_probe_is_silent (router, step.engine_hash))
         return host;
+      if (host != NULL)
+        ask (router, host); /* its answer moves the request */
       step = forwarding_attempt_ended (&attempts, now_us, &budget, &ROUTER_UNKNOWN_HOST);
     }
   return NULL;
@@ -97,8 +108,7 @@
   successor = find_or_add (router, host->hash);
   if (data_task_now_us (router->data_task) < successor->last_heard_us + ROUTER_HOST_HEARD_US)
     return true;
-  if (successor->request == NULL)
-    start_probe (successor, host);
+  ask (router, host);
   return false;
 }
 
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -613,6 +613,44 @@
   check_stays (&silent);
 }
 
+static bool
+is_silent_everywhere (void *context)
+{
+  const testbed_t *testbed = context;
+
+  for (uint32_t i = 0; i < TESTBED_SIDECARS; i++)
+    if (!router_host_probe_is_silent (testbed->router.router_task, testbed->hosts[i].hash))
+      return false;
+  return true;
+}
+
+/* Guards against a request that stays at a dead host though another one that was silent goes on. */
+static void
+leaves_a_dead_host_when_another_goes_on (void)
+{
+  g_autoptr (testbed_t) testbed = testbed_new ();
+  testbed_answer_t answer;
+  address_t sound[TESTBED_SIDECARS];
+  address_t black_hole;
+  uint32_t home = testbed_ask_engine (testbed, &CHAT);
+  evutil_socket_t listener = testbed_open_black_hole (&black_hole);
+
+  for (uint32_t i = 0; i < TESTBED_SIDECARS; i++)
+    {
+      sound[i] = testbed->hosts[i].http;
+      testbed->hosts[i].http = black_hole;
+    }
+  testbed_send (testbed, &CHAT, &answer);
+  CU_ASSERT_TRUE (testbed_wait_until (testbed, is_silent_everywhere, testbed));
+  for (uint32_t i = 0; i < TESTBED_SIDECARS; i++)
+    if (i != home)
+      testbed->hosts[i].http = sound[i];
+  CU_ASSERT_TRUE (testbed_wait_until (testbed, testbed_is_done, &answer));
+  CU_ASSERT_EQUAL (answer.status, 200);
+  testbed_answer_clear (&answer);
+  evutil_closesocket (listener);
+}
+
 static bool
 sidecars_refuse (void *context)
 {
@@ -757,6 +795,7 @@
     { "avoids a frozen host", avoids_a_frozen_host },
     { "stays while all hosts are silent", stays_while_all_hosts_are_silent },
     { "stays at a silent host without a retry", stays_at_a_silent_host_without_a_retry },
+    { "leaves a dead host when another goes on", leaves_a_dead_host_when_another_goes_on },
     { "refuses requests after a pause", refuses_requests_after_a_pause },
     { "sidecars accept only sealed requests", sidecars_accept_only_sealed_requests },
     { "refuses a revoked attempt", refuses_a_revoked_attempt },
