Soak: a request that is sent in parts has the time limit that holds when it is whole

Trace: a quarter of the requests are sent in three parts with up to 200 ms between two of them. Version 9, published at 5.720, lowers /talk/ from 2500 to 2022 ms. The gateway had the whole request at 5.970, under version 10, and ended it at 2023 ms with left_ms=0, as its engine was silent. In its log all streams of /talk/ under versions 1 to 8 have 2399 ms and all under 9 to 14 have 2022 ms.

The check took the least limit of the configurations up to 100 ms after the first part was sent. It now does so up to 100 ms after the last one. Requests that are sent at once are checked as before, and the limits of all versions up to then still count, so that a limit that is not kept is found as before.

--- a/soak/soak.h
+++ b/soak/soak.h
@@ -95,6 +95,7 @@
  * @kind: kind of request, SOAK_IDEMPOTENT and so on
  * @version: version of the configuration that added its route, 0 for a route of the first version
  * @sent_us: time when it was sent
+ * @written_us: time when its last part was sent; 0 where parts are not told apart
  * @ended_us: time when it ended
  * @status: HTTP status of the response, 0 when none arrived
  * @complete: the whole response arrived
@@ -138,6 +139,7 @@
   uint32_t kind;
   uint32_t version;
   uint64_t sent_us;
+  uint64_t written_us;
   uint64_t ended_us;
   char *path;
   int status;
--- a/soak/soak_keeper.c
+++ b/soak/soak_keeper.c
@@ -252,6 +252,8 @@
       return;
     }
   connection->sent_bytes += sent > 0 ? (gsize)sent : 0;
+  if (connection->call && connection->sent_bytes == connection->request->len)
+    connection->call->written_us = soak_now_us ();
   if (connection->sent_bytes < connection->part_bytes)
     event_add (connection->writable, NULL);
   else
--- a/soak/soak_silences.c
+++ b/soak/soak_silences.c
@@ -269,12 +269,13 @@
 }
 
 /* Return: the time that the gateway had for it at least, by its route and its deadline. It may have
- * come to the gateway a little later than it was sent. */
+ * come to the gateway a little later than its last part was sent. */
 static uint64_t
 least_time_us (const soak_request_t *call)
 {
-  uint64_t by_route_us = soak_config_least (
-      call->soak, call->sent_us, call->sent_us + SOAK_ARRIVAL_US, timeout_us, call->kind);
+  uint64_t arrived_us = MAX (call->sent_us, call->written_us) + SOAK_ARRIVAL_US;
+  uint64_t by_route_us =
+      soak_config_least (call->soak, call->sent_us, arrived_us, timeout_us, call->kind);
 
   return MIN (by_route_us, SOAK_DEADLINE_MS * UINT64_C (1000));
 }
