Session of the grown site: signal only gateways that are ready again

Cause, as far as shown: a gateway got signals as soon as its log had a line "ready", and the log of a process that is started again goes on from the one before it. So SIGTERM or SIGHUP could meet a process that had not yet installed its handlers, which ends it, as it must; the session then failed with "ended with status 15" or 1.

Change: a gateway gets no signal until it has been ready as often as it was started. All checks stay. The first failure is printed once more after the logs, so that it also stands in output that was cut.

--- a/tests/driver.c
+++ b/tests/driver.c
@@ -39,6 +39,8 @@
   g_autofree char *message = g_strdup_vprintf (format, args);
   va_end (args);
   printf ("\n%s: %s\n", driver->name, message);
+  if (!driver->failed)
+    driver->first_failure = g_strdup (message);
   driver->failed = true;
   CU_FAIL ("the session failed; see above");
 }
@@ -267,6 +269,7 @@
   g_ptr_array_free (driver->transcript, TRUE);
   g_hash_table_destroy (driver->run_counts);
   event_base_free (driver->base);
+  g_free (driver->first_failure);
   g_free (driver->name);
   g_free (driver->dir);
   g_free (driver->network);
@@ -284,7 +287,10 @@
   if (!driver->failed)
     driver_transcript_compare (driver);
   if (driver->failed)
-    g_ptr_array_foreach (driver->processes, (GFunc)(void (*) (void))print_log_tail, NULL);
+    {
+      g_ptr_array_foreach (driver->processes, (GFunc)(void (*) (void))print_log_tail, NULL);
+      printf ("%s: %s\n", driver->name, driver->first_failure);
+    }
   for (guint i = 0; i < driver->processes->len; i++)
     driver_process_kill (driver->processes->pdata[i]);
   remove_dir (driver);
--- a/tests/driver.h
+++ b/tests/driver.h
@@ -130,6 +130,7 @@
  * @run_counts: Number of runs that the engines recorded, by body hash and by request id.
  * @counted_record_bytes: Total size of the record files when @run_counts was computed.
  * @failed: Whether driver_fail() was called.
+ * @first_failure: Its first message, printed once more after the logs; NULL for none.
  */
 struct driver
 {
@@ -151,6 +152,7 @@
   driver_process_t *routers[DRIVER_MAX_HOSTS];
   uint32_t router_count;
   bool failed;
+  char *first_failure;
 };
 
 /** struct driver_test - A test of a session program. */
--- a/tests/session_grown_site.c
+++ b/tests/session_grown_site.c
@@ -76,7 +76,8 @@
   driver_process_t *process;
   uint64_t switch_us;
   uint64_t stopped_us; /* SIGTERM; 0 for none */
-  GArray *stops;       /* all of these, as uint64_t */
+  uint32_t starts;
+  GArray *stops; /* all of these, as uint64_t */
 } gateway_t;
 
 typedef struct
@@ -228,6 +229,7 @@
       g_autofree char *name = g_strdup_printf ("gateway%u", i);
 
       site->gateways[i].stops = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+      site->gateways[i].starts = 1;
       site->gateways[i].process =
           driver_start_gateway (site->driver, name, EXCHANGE_MS, CONTROL_BYTES);
     }
@@ -272,6 +274,7 @@
         driver_fail (site->driver, "gateway%u ended with status %d", i, gateway->process->status);
       note (site, "ended:", gateway->process->name);
       driver_process_start (gateway->process);
+      gateway->starts++;
       gateway->stopped_us = 0;
     }
 }
@@ -287,9 +290,9 @@
   site->signal_us = later_us (draw (site, SIGNAL_MS));
   for (uint32_t i = 0; i < GATEWAYS; i++)
     stopped += site->gateways[i].stopped_us != 0 ? 1 : 0;
-  /* SIGHUP ends a process that has just started */
+  /* a signal ends a process that has just started, whose log goes on from the one before it */
   if (gateway->process->pid <= 0 || gateway->stopped_us != 0 ||
-      driver_process_count_log_lines (gateway->process, ": ready ", NULL) == 0)
+      driver_process_count_log_lines (gateway->process, ": ready ", NULL) < gateway->starts)
     return;
   if (draw (site, 2) == 0 || stopped >= 3)
     {
