Refusals of the server for lack of room carry Retry-After

What callers saw: a 503 for too many connections, or for too many long requests at once, had no Retry-After, unlike all other refusals, so a caller that honours it came back at once, on a new connection, to a server that had just said that it has no room for one.

Cause: the server writes its own rejections, which gateways and routers never see, and only theirs had the header.

Evidence: the two tests of these limits ask for the header now; on the code before both fail (test_http_server.c:235 and :293), now 13 of 13 pass.

--- a/src/connection/http_server_check.c
+++ b/src/connection/http_server_check.c
@@ -13,6 +13,9 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#define RETRY_AFTER_S "1" /* of rejections for a lack of room */
+#define STATUS_NO_ROOM 503
+
 typedef struct
 {
   int status;
@@ -22,11 +25,11 @@
   const char *message;
 } rejection_t;
 
-static const rejection_t over_limit = { 503, HTTP_SERVER_REFUSED_CONNECTIONS, "overloaded",
-                                        "too_many_connections",
+static const rejection_t over_limit = { STATUS_NO_ROOM, HTTP_SERVER_REFUSED_CONNECTIONS,
+                                        "overloaded", "too_many_connections",
                                         "too many connections are open; try again later" };
 static const rejection_t too_many_incomplete = {
-  503, HTTP_SERVER_REFUSED_BODY, "overloaded", "too_many_bytes",
+  STATUS_NO_ROOM, HTTP_SERVER_REFUSED_BODY, "overloaded", "too_many_bytes",
   "too many long requests come at once; try again later"
 };
 static const rejection_t too_slow = { 408, HTTP_SERVER_REFUSED_SLOW, "invalid_request",
@@ -72,6 +75,8 @@
   http_server_conn_dup_fd (call->conn);
   http_server_add_header (call, "Connection", "close");
   http_server_add_header (call, VERDICT_HEADER, verdict_to_string (VERDICT_NOT_RUN));
+  if (rejection->status == STATUS_NO_ROOM)
+    http_server_add_header (call, "Retry-After", RETRY_AFTER_S);
   http_server_reply_text (call, rejection->status, "application/json", body);
   g_free (body);
 }
@@ -199,9 +204,11 @@
                           "Content-Type: application/json\r\n"
                           "Content-Length: %zu\r\n"
                           "Connection: close\r\n"
-                          "%s: %s\r\n\r\n%s",
-                          rejection->status, strlen (body), VERDICT_HEADER,
-                          verdict_to_string (VERDICT_NOT_RUN), body);
+                          "%s%s: %s\r\n\r\n%s",
+                          rejection->status, strlen (body),
+                          rejection->status == STATUS_NO_ROOM ? "Retry-After: " RETRY_AFTER_S "\r\n"
+                                                              : "",
+                          VERDICT_HEADER, verdict_to_string (VERDICT_NOT_RUN), body);
 }
 
 /* Writes to the socket directly, since libevent is in the middle of reading and would not send. The
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -232,6 +232,7 @@
   CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, server_fixture_connection_closed, raw));
   CU_ASSERT_PTR_NOT_NULL (strstr (raw->received->str, "HTTP/1.1 503 "));
   CU_ASSERT_PTR_NOT_NULL (strstr (raw->received->str, "too_many_connections"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (raw->received->str, "\r\nRetry-After: 1\r\n"));
   CU_ASSERT_EQUAL (server_fixture_refused_count (fixture, "connections"), 1);
   raw_peer_close (clients[0], false);
   raw_peer_close (clients[1], false);
@@ -289,6 +290,7 @@
   CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, server_fixture_connection_closed, clients[1]));
   CU_ASSERT_PTR_NOT_NULL (strstr (clients[1]->received->str, "HTTP/1.1 503 "));
   CU_ASSERT_PTR_NOT_NULL (strstr (clients[1]->received->str, "too_many_bytes"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (clients[1]->received->str, "\r\nRetry-After: 1\r\n"));
   CU_ASSERT_PTR_NOT_NULL (strstr (clients[1]->received->str, "not_run"));
   CU_ASSERT_FALSE (clients[1]->reset);
   for (guint i = 0; i < G_N_ELEMENTS (PADDINGS); i += 2)
