--- a/tests/test_odd_values.c
+++ b/tests/test_odd_values.c
@@ -22,6 +22,8 @@
   { "born", "7" },           { "models", "[]" }
 };
 
+#define MODELS_FIELD (G_N_ELEMENTS (engine_fields) - 1) /* the one that gateways don't read */
+
 /** struct fleet - what a reader makes of the registry */
 typedef struct
 {
@@ -216,6 +218,73 @@
     }
 }
 
+/* Guards against a sound engine that stays out for a field that gateways don't read. */
+static void
+test_unread_field_keeps_no_engine_out (void)
+{
+  static const char *const unread[] = { "18446744073709551616",
+                                        "-9223372036854775809",
+                                        "1e999",
+                                        "[{\"id\":123456789012345678901234567890}]",
+                                        "{\"a\":[1e999,{}]}",
+                                        "\"a\\u0000b\"",
+                                        "{\"a\\u0000b\":1}" };
+  static const char *const names[] = { "models", "other", "\\u006dodels", "Slots", "a\\u0000b" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (unread) * G_N_ELEMENTS (names); i++)
+    {
+      odd_field_t fields[G_N_ELEMENTS (engine_fields)];
+      g_autofree char *text = NULL;
+      engine_entry_t entry;
+
+      memcpy (fields, engine_fields, sizeof fields);
+      fields[MODELS_FIELD].name = names[i / G_N_ELEMENTS (unread)];
+      text = odd_values_record (fields, G_N_ELEMENTS (fields), MODELS_FIELD,
+                                unread[i % G_N_ELEMENTS (unread)]);
+      if (!records_read_engine (&entry, "e", text, strlen (text), NULL))
+        {
+          CU_FAIL ("an unread field keeps an engine out");
+          printf ("%s\n", text);
+          continue;
+        }
+      CU_ASSERT_EQUAL (entry.address.port, 8080);
+      CU_ASSERT_EQUAL (entry.slots, 8);
+      CU_ASSERT_EQUAL (entry.renewal, 5);
+      CU_ASSERT_STRING_EQUAL (entry.service, "pool");
+      CU_ASSERT_STRING_EQUAL (entry.software_version, "v1");
+    }
+}
+
+/* Likewise against one that is used with a field that is out of range, or that ends early. */
+static void
+test_read_field_out_of_range_is_refused (void)
+{
+  static const char *const odd[] = { "18446744073709551616", "-9223372036854775809", "1e999",
+                                     "[123456789012345678901234567890]", "\"a\\u0000b\"" };
+  static const char *const ends[] = {
+    "",           "7",  ",\"slots\":9}", ",\"sl\\u006fts\":9}", ",\"a\"}", "}{}",
+    ",\"a\":[}}", ",}", ", }",           ",\"a\":nil}"
+  };
+  g_autofree char *valid =
+      odd_values_record (engine_fields, G_N_ELEMENTS (engine_fields), MODELS_FIELD, "1e999");
+  engine_entry_t entry;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (odd) * MODELS_FIELD; i++)
+    {
+      g_autofree char *text =
+          odd_values_record (engine_fields, G_N_ELEMENTS (engine_fields),
+                             (uint32_t)(i % MODELS_FIELD), odd[i / MODELS_FIELD]);
+
+      CU_ASSERT (!records_read_engine (&entry, "e", text, strlen (text), NULL));
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (ends); i++)
+    {
+      g_autofree char *text = g_strdup_printf ("%.*s%s", (int)strlen (valid) - 1, valid, ends[i]);
+
+      CU_ASSERT (!records_read_engine (&entry, "e", text, strlen (text), NULL));
+    }
+}
+
 #define SERVICES 3000
 
 /* Guards against memory that fills with services of another writer, under one key or many. */
@@ -462,6 +531,8 @@
                                        SUITE_TEST (test_next_entry_of_a_listed_engine_holds),
                                        SUITE_TEST (test_odd_entry_restores_no_deleted_engine),
                                        SUITE_TEST (test_next_entry_of_an_engine_holds_in_a_new_era),
+                                       SUITE_TEST (test_unread_field_keeps_no_engine_out),
+                                       SUITE_TEST (test_read_field_out_of_range_is_refused),
                                        SUITE_TEST (test_services_of_another_writer_are_forgotten),
                                        SUITE_TEST (test_service_in_use_is_kept),
                                        SUITE_TEST (test_next_configuration_is_in_force),
