Log: a record with a NUL hides no other one

A daemon that reads manifests or claims got no record of a stream any more once one of its records had a NUL: no later version came into force there, and requests with an idempotency key were refused as not run (log_down).

The parser of the answer of a read refuses an escaped NUL by default, and with it the whole answer, each time anew. Now it passes the record on with its length, and the reader of its content refuses that record alone. Names and addresses of hosts are read as before, so that none of them ends at a NUL.

--- a/src/connection/platform_answer.c
+++ b/src/connection/platform_answer.c
@@ -124,7 +124,8 @@
                             uint32_t max_records)
 {
   memset (out, 0, sizeof *out);
-  out->json = parse_json (text, text_bytes);
+  /* A record may have a NUL, and must not hide the others. */
+  out->json = json_loadb (text, text_bytes, JSON_REJECT_DUPLICATES | JSON_ALLOW_NUL, NULL);
   out->read.outcome = PLATFORM_OK;
   uint64_t era;
   bool valid = get_u64 (out->json, "first", &out->read.first.offset) &&
