Restored version: it leaves room for the publishes that follow

A record of another writer that restores a version near 2^53 kept out what operators published after it: the publish on that version was accepted as 2^53 + 1, and each one after it refused, as its base is no integer in 0..2^53. The daemons went on with the configuration before, for good.

A restored version may be 2^52 at most now; publishes may go on from there to 2^53. Versions that a log lost count publishes, and are far below.

--- a/src/version/manifest_record.c
+++ b/src/version/manifest_record.c
@@ -6,6 +6,8 @@
 #define RECORD_BYTES_MAX (LIMIT_MANIFEST_BYTES + 4096)
 /* Every JSON library represents integers up to here exactly; many store them as doubles. */
 #define INTEGER_MAX (INT64_C (1) << 53)
+/* The publishes that follow need versions too. */
+#define RESTORED_VERSION_MAX (INTEGER_MAX / 2)
 
 static const char *const PUBLISH_KEYS[] = { "kind", "id", "base", "by", "manifest", "patch", NULL };
 static const char *const CHECKPOINT_KEYS[] = { "kind", "version", "as_of", "by", "manifest", NULL };
@@ -112,6 +114,8 @@
       !read_integer (record, "version", &record->version) ||
       !read_name (record, "by", false, record->publisher))
     return false;
+  if (record->version > RESTORED_VERSION_MAX)
+    return fail (record, "version: is larger than 2^52");
   record->manifest = json_object_get (record->json, "manifest");
   if (record->manifest == NULL)
     return fail (record, "manifest: is missing");
--- a/tests/test_odd_log.c
+++ b/tests/test_odd_log.c
@@ -182,6 +182,24 @@
     }
 }
 
+/* Likewise of a version that is as large as a record may state. */
+static void
+test_restored_version_leaves_room_for_others (void)
+{
+  static const char *const versions[] = { "4503599627370496", "4503599627370497",
+                                          "9007199254740991", "9007199254740992" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
+    {
+      GString *text = g_string_new (NULL);
+
+      g_string_printf (text, "{\"kind\":\"restore\",\"version\":%s,\"manifest\":" SOUND "}",
+                       versions[i]);
+      check_publishes (text);
+      g_string_free (text, TRUE);
+    }
+}
+
 /** struct claimer - a reader of a claims stream */
 typedef struct
 {
@@ -422,6 +440,7 @@
 main (void)
 {
   static const CU_TestInfo tests[] = { SUITE_TEST (test_next_publish_is_accepted),
+                                       SUITE_TEST (test_restored_version_leaves_room_for_others),
                                        SUITE_TEST (test_next_claim_is_granted),
                                        SUITE_TEST (test_odd_record_hides_no_other),
                                        SUITE_TEST (test_name_with_a_nul_is_refused),
