A finished response is sent also to a client that ended its own side

What callers would see: a request whose answer was ready ended without a byte, where the caller had ended its own side of the connection and that end was read in the same iteration of the loop as the engine's answer.

Cause: on_socket_event() closes a busy connection at the end of the client's side. A connection stays busy until its response is written; a finished response has no call any more, so http_server_reject_left() says nothing, and the response in the output buffer is dropped with the connection.

Why the fix works: without a call the response is whole and queued. It is written, or the write fails where the client is gone, or the time limit for unread responses ends it; each closes the connection.

The test failed before: received text without the body of the response (test_http_server_end.c, "half-closed client gets the finished response", CU_ASSERT_PTR_NOT_NULL failed).

--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -484,7 +484,8 @@
   http_server_conn_t *conn = context;
 
   (void)what;
-  if (!conn->busy || !caller_closed (fd))
+  /* without a call, the whole response is queued: it may still be received */
+  if (!conn->busy || !conn->call || !caller_closed (fd))
     return;
   conn->caller_left = true;
   http_server_reject_left (conn, false);
--- a/tests/test_http_server_end.c
+++ b/tests/test_http_server_end.c
@@ -95,6 +95,21 @@
     }
 }
 
+/* Guards against a finished response that is dropped unsent, since its client ended its own side of
+ * the connection just before. */
+static void
+test_half_closed_client_gets_the_finished_response (void)
+{
+  g_autoptr (server_fixture_t) fixture = server_fixture_new ();
+  raw_peer_t *raw = server_fixture_connect_waiting (fixture, "GET /1 HTTP/1.1\r\n\r\n");
+
+  shutdown (raw->fd, SHUT_WR);
+  http_server_reply_text (server_fixture_call_at (fixture, 0), 200, "text/plain", "/1");
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, server_fixture_connection_closed, raw));
+  CU_ASSERT_PTR_NOT_NULL (strstr (raw->received->str, "\r\n\r\n/1"));
+  CU_ASSERT_EQUAL (server_fixture_counter_value (fixture, "medlarplank_http_connections"), 0);
+}
+
 /*
  * An engine fails in the middle of a streamed response. The client must be able to see that it is
  * truncated: by a missing last chunk, or with HTTP/1.0 by a reset, since an end of file would mean
@@ -593,6 +608,8 @@
     { "disconnect while pending", test_disconnect_while_pending },
     { "client that left before it was read", test_client_that_left_before_it_was_read },
     { "half-closed client is refused", test_half_closed_client_is_refused },
+    { "half-closed client gets the finished response",
+      test_half_closed_client_gets_the_finished_response },
     { "abort", test_abort },
     { "back pressure", test_back_pressure },
     { "idle timeout", test_idle_timeout },
