Router: a refusal that was read comes before a timer that is due

What callers would see: a request that a host had refused as not run is revoked at that host, moved a round trip later, or told 504 may_have_run at its deadline; and the host counts as failed.

Cause: the timer of a hop fires every half second for the check of silent hosts. Where it is due in the iteration in which a refusal is read (by chance, or as the process did not run for a while), it runs between on_head() and on_end(). The head is there, so the timer takes the hop for a stalled answer. Answers of engines set the timer anew; refusals don't.

Why the fix works: a hop whose exchange has ended is left to on_end(), and a refusal whose head was read decides as it does there: it is complete with its headers.

The test failed before: one revoke was counted (test_path_answers.c: counter_value (revokes) == revokes failed).

--- a/src/request/router/router_hop.c
+++ b/src/request/router/router_hop.c
@@ -221,8 +221,8 @@
 
   (void)fd;
   (void)what;
-  if (call->outbound == NULL)
-    return;
+  if (call->outbound == NULL || http_client_has_ended (call->outbound))
+    return; /* on_end() is called in a moment */
   if (!call->answer.received &&
       data_task_now_us (call->router->data_task) < call->deadline_us + ROUTER_DEADLINE_GRACE_US)
     {
@@ -241,7 +241,10 @@
    * frozen. It is revoked, since its answer would come too late. */
   if (!call->answer.received)
     router_revoke_and_forget (call);
-  outcome = lost_outcome (call, VERDICT_MAY_HAVE_RUN, VERDICT_REASON_TIMEOUT);
+  if (call->answer.received && !call->answer.from_engine)
+    outcome = refusal_outcome (call); /* a refusal is complete with its headers */
+  else
+    outcome = lost_outcome (call, VERDICT_MAY_HAVE_RUN, VERDICT_REASON_TIMEOUT);
   router_hop_cancel (call);
   router_call_handle_outcome (call, &outcome);
 }
--- a/tests/test_path_answers.c
+++ b/tests/test_path_answers.c
@@ -99,6 +99,39 @@
                        g_strrstr (answer.body->str, "event: error"));
 }
 
+static bool
+has_unread_answer (void *context)
+{
+  const testbed_t *testbed = context;
+  const router_call_t *call = g_queue_peek_head (&testbed->router.router_task->calls);
+
+  return call != NULL && call->outbound != NULL && http_client_has_unread (call->outbound);
+}
+
+/* Guards against a refusal of a host that is taken for a lost request, since a timer of the router
+ * is due when the refusal is read. */
+static void
+a_refusal_comes_before_a_timer_that_is_due (void)
+{
+  static const struct timeval now = { 0, 0 };
+  g_autoptr (testbed_t) testbed = testbed_new ();
+  g_auto (testbed_answer_t) answer = { 0 };
+  uint64_t revokes = counter_value (testbed->router.router_task->revokes);
+  router_call_t *call;
+
+  testbed->log_down = true;
+  testbed_send (testbed,
+                &(testbed_request_t){ .path = "/book", .body = "x", .idempotency_key = "k" },
+                &answer);
+  CU_ASSERT_TRUE_FATAL (testbed_wait_until (testbed, has_unread_answer, testbed));
+  call = g_queue_peek_head (&testbed->router.router_task->calls);
+  event_add (call->timer, &now);
+  CU_ASSERT_TRUE (testbed_wait_until (testbed, testbed_is_done, &answer));
+  CU_ASSERT_EQUAL (answer.status, 503);
+  CU_ASSERT_STRING_EQUAL (answer.verdict, "not_run");
+  CU_ASSERT_EQUAL (counter_value (testbed->router.router_task->revokes), revokes);
+}
+
 int
 main (void)
 {
@@ -107,6 +140,7 @@
     { "waits for a slow caller", waits_for_a_slow_caller },
     { "an interrupted stream ends with an error event",
       an_interrupted_stream_ends_with_an_error_event },
+    { "a refusal comes before a timer that is due", a_refusal_comes_before_a_timer_that_is_due },
     CU_TEST_INFO_NULL,
   };
 
