Tables of shares that no gateway can have made are ignored

What callers would see: new streams begin at the software versions, and in the shares, that another writer's table states, and at none of the versions that come later.

Cause: a record "shares/..." was believed for its number and era. After a table with the highest number the next one can't be read; one of an era that the store has not reached makes all others older; a later one in the stream of lists alone kept every gateway from writing, as it waited for the writer to finish. The last needs no other writer: a gateway that ends between its two writes leaves the same.

Now a gateway ignores a history of a later era than that of the record's position, and one whose number leaps by more than 2^20 above the known ones; it writes the known one again, as it does for any that is missing in the store. One that knows none takes numbers up to half of the highest. A later history that is still alone in the stream of lists after a second is written again to both streams.

Evidence: test-gateway_odd before: test_shares_follow_the_engines_after_odd_tables failed 4 of 4 (wait_shares (rig, 2, 2)), ..._after_a_start_beside_odd_tables 3 of 4, ..._after_odd_tables_in_lists 2 of 2; 45 of 54 asserts passed, 54 of 54 since. test_numbers_that_no_writer_reaches tests the bounds. test-version_shares, -shares_lag, -store_restored, -version_search, -odd_fuzz and -version_fuzz pass.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -456,11 +456,11 @@
 }
 
 static void
-on_shares (const char *service, const char *text, size_t bytes, void *context)
+on_shares (const char *service, const char *text, size_t bytes, position_t position, void *context)
 {
   gateway_process_t *process = context;
 
-  gateway_shares_put (process->shares, service, text, bytes);
+  gateway_shares_put (process->shares, service, text, bytes, position);
   gateway_store_send_news (process->store);
 }
 
--- a/src/process/gateway_shares.c
+++ b/src/process/gateway_shares.c
@@ -44,6 +44,7 @@
  *   has forgotten some
  * @is_starting: the first table was read, and what follows from that is to be done
  * @due_since_us: since when the next history is to be written, 0 when it is not
+ * @later_since_us: since when @written is later than @known, 0 when it is not
  * @retry_us: earliest time of the next write
  */
 typedef struct
@@ -60,6 +61,7 @@
   bool is_whole;
   bool is_starting;
   uint64_t due_since_us;
+  uint64_t later_since_us;
   uint64_t retry_us;
 } service_shares_t;
 
@@ -362,7 +364,8 @@
 gateway_shares_put (gateway_shares_t *shares,
                     const char *service_name,
                     const char *text,
-                    size_t bytes)
+                    size_t bytes,
+                    position_t position)
 {
   service_shares_t *service = find_or_add_service (shares, service_name);
   version_history_t history;
@@ -374,6 +377,13 @@
       return;
     }
   note_era (shares);
+  /* an answer of a peer may be of a later era than what this gateway has read */
+  if (!version_history_may_follow (&service->known.history, &history,
+                                   MAX (shares->era, position.era)))
+    {
+      log_table (service, "odd_ignored");
+      return;
+    }
   if (is_outdated (service, &history))
     {
       log_table (service, "older_ignored");
@@ -624,21 +634,58 @@
   stream_follower_read_soon (shares->follower);
 }
 
-/* A writer that is behind would take tables back by which streams have begun. */
+/* Return: the history in the stream of lists; NULL when that has none, or one that no sound writer
+ * can have made */
+static const version_history_t *
+get_written (const service_shares_t *service)
+{
+  const version_history_t *written = &service->written;
+
+  return written->count > 0 &&
+                 version_history_may_follow (&service->known.history, written, service->shares->era)
+             ? written
+             : NULL;
+}
+
 static bool
-has_read_latest (const service_shares_t *service)
+is_written_later (const service_shares_t *service)
 {
   const version_history_t *known = &service->known.history;
-  const version_history_t *written = &service->written;
+  const version_history_t *written = get_written (service);
 
-  if (!are_lists_read (service->shares, service->due_since_us))
+  return written && is_of_this_era (service, written) && !is_outdated (service, written) &&
+         (known->count == 0 || written->in_force > known->in_force ||
+          written->tables[written->count - 1].epoch > known->tables[known->count - 1].epoch);
+}
+
+/* A writer that is behind would take tables back by which streams have begun. One that ended
+ * between its two writes left the later history in the stream of lists alone: it is written again.
+ */
+static bool
+prepare_latest (service_shares_t *service, version_history_t *next)
+{
+  uint64_t at_us = now_us (service->shares);
+  uint64_t since_us = service->due_since_us;
+
+  if (!is_written_later (service))
+    service->later_since_us = 0;
+  else if (service->later_since_us == 0)
+    service->later_since_us = at_us;
+  if (service->later_since_us != 0)
+    since_us = service->later_since_us + RETRY_US;
+  if (at_us < since_us)
+    return false;
+  if (!are_lists_read (service->shares, since_us))
     {
       read_lists (service->shares);
       return false;
     }
-  return written->count == 0 || !is_of_this_era (service, written) ||
-         (known->count > 0 && written->in_force <= known->in_force &&
-          written->tables[written->count - 1].epoch <= known->tables[known->count - 1].epoch);
+  if (!is_written_later (service))
+    return true;
+  *next = service->written;
+  if (version_history_get (next, service->known.history.in_force))
+    next->in_force = MAX (next->in_force, service->known.history.in_force);
+  return true;
 }
 
 /* The tables of an era before are stated again, or replaced where nobody knows them. Lists tell as
@@ -686,7 +733,7 @@
       is_due = true;
       next = service->known.history;
     }
-  if (is_turn (service, is_due) && has_read_latest (service))
+  if (is_turn (service, is_due) && prepare_latest (service, &next))
     write_history (service, &next);
 }
 
@@ -793,9 +840,9 @@
 get_latest_history (const service_shares_t *service)
 {
   version_history_t latest = service->known.history;
-  const version_history_t *written = &service->written;
+  const version_history_t *written = get_written (service);
 
-  if (written->count == 0 || written->era < latest.era)
+  if (!written || written->era < latest.era)
     return latest;
   if (latest.count == 0 || written->era > latest.era ||
       written->tables[written->count - 1].epoch > latest.tables[latest.count - 1].epoch)
--- a/src/process/gateway_shares.h
+++ b/src/process/gateway_shares.h
@@ -48,9 +48,12 @@
 gateway_shares_t *gateway_shares_new (const gateway_shares_options_t *options);
 /** gateway_shares_free() - only after the platform was freed */
 void gateway_shares_free (gateway_shares_t *shares);
-/** gateway_shares_put() - the history of @service was read */
-void
-gateway_shares_put (gateway_shares_t *shares, const char *service, const char *text, size_t bytes);
+/** gateway_shares_put() - the history of @service was read, at @position of the registry */
+void gateway_shares_put (gateway_shares_t *shares,
+                         const char *service,
+                         const char *text,
+                         size_t bytes,
+                         position_t position);
 /** gateway_shares_tick() - writes what is due; to be called about every 100 ms. @routing: the rules
  * in force, NULL for none. @is_trusted: no table that this gateway doesn't know is in force */
 void gateway_shares_tick (gateway_shares_t *shares, const routing_t *routing, bool is_trusted);
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -81,12 +81,11 @@
 {
   gateway_store_t *store = context;
 
-  (void)position;
   if (!g_str_has_prefix (key, PLATFORM_KEY_SHARES_PREFIX))
     gateway_peers_put (store->peers, key, value);
   else if (value)
     store->options.on_shares (key + strlen (PLATFORM_KEY_SHARES_PREFIX), value, value_bytes,
-                              store->options.context);
+                              position, store->options.context);
 }
 
 /* Until this gateway sees its own entry, entries of other gateways may be missing as well. Without
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -79,7 +79,7 @@
  *   NULL
  * @on_origins: a peer sent a message about streams
  * @on_parts: a peer sent a message about engines that hold parts of prompts
- * @on_shares: the tables of shares of a service's software versions were read
+ * @on_shares: the tables of shares of a service's software versions were read, at @position
  */
 typedef struct
 {
@@ -109,7 +109,8 @@
   void (*on_requests) (const fleet_requests_told_t *told, void *context);
   void (*on_origins) (const xch_origins_message *message, void *context);
   void (*on_parts) (const xch_parts_message *message, void *context);
-  void (*on_shares) (const char *service, const char *text, size_t bytes, void *context);
+  void (*on_shares) (
+      const char *service, const char *text, size_t bytes, position_t position, void *context);
   void *context;
 } gateway_store_options_t;
 
--- a/src/request/policy/streams/version_shares.c
+++ b/src/request/policy/streams/version_shares.c
@@ -11,6 +11,9 @@
 #define MILLI 1000
 #define HEX_BYTES (DIGITS_HEX_BYTES + 1)
 #define EPOCH_MAX (INT64_C (1) << 48)
+/* A gateway that knows no table takes no higher number, so that there are some for the next ones.
+ */
+#define FIRST_EPOCH_MAX (EPOCH_MAX / 2)
 #define UNIT_BITS 53 /* of the mantissa of a double */
 /* Tables of an era have higher numbers than those of the eras before, forgotten ones too. */
 #define ERA_SHIFT 24
@@ -240,6 +243,23 @@
   return valid;
 }
 
+static uint64_t
+get_last_epoch (const version_history_t *history)
+{
+  return history->count > 0 ? history->tables[history->count - 1].epoch : 0;
+}
+
+bool
+version_history_may_follow (const version_history_t *known,
+                            const version_history_t *history,
+                            uint64_t era)
+{
+  uint64_t before = MAX (get_last_epoch (known), history->era << ERA_SHIFT);
+  uint64_t max = known->count > 0 ? before + VERSION_EPOCH_LEAP : FIRST_EPOCH_MAX;
+
+  return history->era <= era && get_last_epoch (history) <= max;
+}
+
 static bool
 tables_equal (const version_table_t *a, const version_table_t *b)
 {
@@ -355,10 +375,9 @@
 static void
 append_table (version_history_t *history, const version_table_t *wanted)
 {
-  uint64_t last = history->count > 0 ? history->tables[history->count - 1].epoch : 0;
-
   history->tables[history->count] = *wanted;
-  history->tables[history->count].epoch = MAX (last + 1, history->era << ERA_SHIFT);
+  history->tables[history->count].epoch =
+      MAX (get_last_epoch (history) + 1, history->era << ERA_SHIFT);
   history->count++;
 }
 
--- a/src/request/policy/streams/version_shares.h
+++ b/src/request/policy/streams/version_shares.h
@@ -23,6 +23,8 @@
 #define VERSION_TABLES_MAX 32 /* tables in a history */
 #define VERSION_SERVED_MAX                                                                         \
   32 /* versions that a gateway remembers; further ones count as not seen */
+/* Far more tables than can have been made between two records that a gateway reads. */
+#define VERSION_EPOCH_LEAP (UINT64_C (1) << 20)
 /* Time for which a table is announced: longer than a registry that counts as current is behind. */
 #define VERSION_SHARES_ANNOUNCED_US (UINT64_C (3000) * 1000)
 /* Minimum time between two announcements, so that several engines that come together count
@@ -107,6 +109,13 @@
  * other text */
 bool version_history_parse (const char *text, size_t bytes, version_history_t *out);
 
+/** version_history_may_follow() - whether a gateway that knows @known, which may be empty, can have
+ * read @history of a sound writer in @era of the store. One that another writer made may use up the
+ * numbers of tables, or make those of sound writers look older */
+bool version_history_may_follow (const version_history_t *known,
+                                 const version_history_t *history,
+                                 uint64_t era);
+
 /**
  * struct version_shares - the history of a service as one gateway has seen it
  * @seen_us: for each table, when this gateway first saw it
--- a/tests/test_gateway_odd.c
+++ b/tests/test_gateway_odd.c
@@ -1,9 +1,11 @@
 /* Unit tests of gateways beside records that another writer left in the store. */
 #include "gateway_rig.h"
+#include "request/policy/streams/version_shares.h"
 #include "suite.h"
 
 #include <string.h>
 
+#define SHARES_KEY PLATFORM_KEY_SHARES_PREFIX "pool"
 #define LARGE_RECORDS 30
 #define LARGE_BYTES 200000
 #define OK_RESPONSE                                                                                \
@@ -114,13 +116,128 @@
     }
 }
 
+static void
+add_version (gateway_rig_t *rig, const char *version)
+{
+  uint32_t index = rig->engine_count++;
+  g_autofree char *address = NULL;
+  g_autofree char *text = NULL;
+  g_autofree char *id = g_strdup_printf ("e%u", index);
+
+  rig->engines[index] = raw_server_new (rig->base, SCRIPTS (OK_RESPONSE), 1);
+  address = address_to_text (&rig->engines[index]->address);
+  text = g_strdup_printf ("{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"hall-1\","
+                          "\"slots\":8,\"state\":\"ready\",\"version\":\"%s\"}",
+                          address, version);
+  fake_store_put (rig->store, PLATFORM_STREAM_ENGINES, id, text);
+}
+
+/** struct shares_wait - waits until the newest history of "pool" ends with a table of @versions,
+ * whose number is at most @epoch_max */
+typedef struct
+{
+  const gateway_rig_t *rig;
+  uint32_t versions;
+  uint64_t epoch_max;
+} shares_wait_t;
+
+static bool
+has_shares (void *context)
+{
+  const shares_wait_t *wait = context;
+  const char *text = fake_store_value (wait->rig->store, PLATFORM_STREAM_ROUTERS, SHARES_KEY);
+  version_history_t history;
+
+  return text && version_history_parse (text, strlen (text), &history) && history.era == 0 &&
+         history.tables[history.count - 1].count == wait->versions &&
+         history.tables[history.count - 1].epoch <= wait->epoch_max;
+}
+
+static bool
+wait_shares (gateway_rig_t *rig, uint32_t versions, uint64_t epoch_max)
+{
+  return raw_peer_run_until (rig->base, has_shares, &(shares_wait_t){ rig, versions, epoch_max });
+}
+
+static gateway_rig_t *
+start_with_shares (uint32_t gateways)
+{
+  gateway_rig_t *rig = gateway_rig_new (gateways);
+
+  add_version (rig, "v1");
+  CU_ASSERT_FATAL (wait_shares (rig, 1, 1));
+  return rig;
+}
+
+#define ODD_TABLE(era, epoch)                                                                      \
+  "{\"era\":" #era ",\"in_force\":" #epoch ",\"tables\":[{\"epoch\":" #epoch                       \
+  ",\"shares\":{\"00000000000000aa\":1}}]}"
+
+static const char *const odd_tables[] = {
+  ODD_TABLE (0, 281474976710656),
+  ODD_TABLE (0, 16777215),
+  ODD_TABLE (16777215, 1),
+  ODD_TABLE (16777215, 281474976710656),
+};
+
+/* Guards against shares that stay as another writer left them, as the number or era of his table
+ * makes those that follow unreadable or older. */
+static void
+test_shares_follow_the_engines_after_odd_tables (void)
+{
+  for (uint32_t i = 0; i < G_N_ELEMENTS (odd_tables); i++)
+    {
+      g_autoptr (gateway_rig_t) rig = start_with_shares (2);
+
+      fake_store_put (rig->store, PLATFORM_STREAM_ROUTERS, SHARES_KEY, odd_tables[i]);
+      add_version (rig, "v2");
+      CU_ASSERT (wait_shares (rig, 2, 2));
+    }
+}
+
+/* Likewise where all gateways start beside them, and only know what the store has. */
+static void
+test_shares_follow_the_engines_after_a_start_beside_odd_tables (void)
+{
+  for (uint32_t i = 0; i < G_N_ELEMENTS (odd_tables); i++)
+    {
+      g_autoptr (gateway_rig_t) rig = start_with_shares (1);
+
+      fake_store_put (rig->store, PLATFORM_STREAM_ROUTERS, SHARES_KEY, odd_tables[i]);
+      gateway_rig_restart (rig, 0);
+      add_version (rig, "v2");
+      CU_ASSERT (wait_shares (rig, 2, UINT64_MAX));
+    }
+}
+
+/* Likewise where only the stream of lists has them, one with a likely number too. */
+static void
+test_shares_follow_the_engines_after_odd_tables_in_lists (void)
+{
+  static const char *const texts[] = { ODD_TABLE (0, 281474976710656), ODD_TABLE (0, 9) };
+  static const uint64_t epochs_max[] = { 2, 10 };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      g_autoptr (gateway_rig_t) rig = start_with_shares (1);
+
+      fake_store_put (rig->store, PLATFORM_STREAM_LISTS, SHARES_KEY, texts[i]);
+      add_version (rig, "v2");
+      CU_ASSERT (wait_shares (rig, 2, epochs_max[i]));
+    }
+}
+
 int
 main (void)
 {
   static const CU_TestInfo tests[] = {
     SUITE_TEST (test_gateway_starts_from_a_peer_beside_large_records),
     SUITE_TEST (test_next_version_comes_in_force_after_a_large_number),
-    SUITE_TEST (test_next_version_comes_in_force_in_a_new_era), CU_TEST_INFO_NULL
+    SUITE_TEST (test_next_version_comes_in_force_in_a_new_era),
+    SUITE_TEST (test_shares_follow_the_engines_after_odd_tables),
+    SUITE_TEST (test_shares_follow_the_engines_after_a_start_beside_odd_tables),
+    SUITE_TEST (test_shares_follow_the_engines_after_odd_tables_in_lists),
+    CU_TEST_INFO_NULL
   };
 
   return suite_run ("gateway_odd", tests);
--- a/tests/test_version_shares.c
+++ b/tests/test_version_shares.c
@@ -490,6 +490,26 @@
   CU_ASSERT (next.count == 2 && next.tables[1].epoch > 1000000 && next.era == 1);
 }
 
+/* Guards against tables whose numbers leave none for those that follow, or make them look older. */
+static void
+test_numbers_that_no_writer_reaches (void)
+{
+  version_history_t none = { .count = 0 };
+  version_history_t known = make_gap (VERSION_GAP_NONE);
+  version_history_t next = known;
+
+  CU_ASSERT_TRUE (version_history_may_follow (&none, &known, 3));
+  CU_ASSERT_FALSE (version_history_may_follow (&none, &known, 2));
+  next.tables[1].epoch = (UINT64_C (3) << 24) + VERSION_EPOCH_LEAP;
+  CU_ASSERT_TRUE (version_history_may_follow (&known, &next, 3));
+  next.tables[1].epoch++;
+  CU_ASSERT_FALSE (version_history_may_follow (&known, &next, 3));
+  CU_ASSERT_TRUE (version_history_may_follow (&none, &next, 3));
+  next.tables[1].epoch = UINT64_C (1) << 48;
+  CU_ASSERT_FALSE (version_history_may_follow (&none, &next, 3));
+  CU_ASSERT_TRUE (version_history_may_follow (&next, &known, 3));
+}
+
 int
 main (void)
 {
@@ -510,6 +530,7 @@
     SUITE_TEST (test_gaps_leave_no_evidence),
     SUITE_TEST (test_new_era),
     SUITE_TEST (test_numbers_of_a_new_era),
+    SUITE_TEST (test_numbers_that_no_writer_reaches),
     SUITE_TEST (test_announced_table_with_the_number_of_one_in_force),
     CU_TEST_INFO_NULL,
   };
