A gateway that starts beside tables of many services reads those that it needs

What callers would see: streams of a service with two software versions end with 503 after their time limit at gateways that were started since another writer left 256 records "shares/..." of other names.

Cause: a gateway keeps the tables of 256 services, whichever it reads first, and ignored all later ones for good. Now the limit holds for services that nobody needs, and as a service gets a route, or a stream of it is looked for, its tables are taken from what was read of the registry and the stream of lists. Records that can't be parsed take no place, and names beyond the limit are no longer interned.

--- a/src/process/gateway_shares.c
+++ b/src/process/gateway_shares.c
@@ -20,9 +20,9 @@
  */
 #define LIST_INTERVAL_US (UINT64_C (500) * 1000)
 #define LIST_WRITES_PER_S 100
-#define LIST_BYTES_PER_S 3000 /* of one gateway's lists */
-#define SERVICES_MAX 256
-#define NEARLY_FULL_MILLI 900 /* requests at the engines of a version, of their slots */
+#define LIST_BYTES_PER_S 3000    /* of one gateway's lists */
+#define UNKNOWN_SERVICES_MAX 256 /* without a stream yet; another writer may name any */
+#define NEARLY_FULL_MILLI 900    /* requests at the engines of a version, of their slots */
 #define NEARLY_FULL_DIVISOR 4
 #define NEARLY_FULL_US (UINT64_C (8) * 1000 * 1000) /* for which it counts as such */
 #define WEIGHT_PER_SLOT NEARLY_FULL_DIVISOR
@@ -116,19 +116,24 @@
   g_free (service);
 }
 
+/* Return: NULL when there is none of that name. The names of other writers are not interned. */
 static service_shares_t *
-get_service (gateway_shares_t *shares, const char *name)
+find_service (const gateway_shares_t *shares, const char *name)
 {
-  const char *interned = g_intern_string (name);
-  service_shares_t *service = g_hash_table_lookup (shares->services, interned);
+  GQuark interned = g_quark_try_string (name);
+
+  return interned ? g_hash_table_lookup (shares->services, g_quark_to_string (interned)) : NULL;
+}
+
+static service_shares_t *
+add_service (gateway_shares_t *shares, const char *name)
+{
+  service_shares_t *service = g_new0 (service_shares_t, 1);
 
-  if (service)
-    return service;
-  service = g_new0 (service_shares_t, 1);
   service->shares = shares;
-  service->name = interned;
+  service->name = g_intern_string (name);
   service->full_until_us = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
-  g_hash_table_insert (shares->services, (gpointer)interned, service);
+  g_hash_table_insert (shares->services, (gpointer)service->name, service);
   return service;
 }
 
@@ -136,10 +141,11 @@
 static service_shares_t *
 find_or_add_service (gateway_shares_t *shares, const char *name)
 {
-  return g_hash_table_size (shares->services) < SERVICES_MAX ||
-                 g_hash_table_contains (shares->services, g_intern_string (name))
-             ? get_service (shares, name)
-             : NULL;
+  service_shares_t *service = find_service (shares, name);
+
+  return service || g_hash_table_size (shares->services) >= UNKNOWN_SERVICES_MAX
+             ? service
+             : add_service (shares, name);
 }
 
 /* After the store came back from a copy a history from before counts only where it was known until
@@ -178,10 +184,13 @@
 static void
 take_written_history (gateway_shares_t *shares, const char *name, const char *text, size_t bytes)
 {
-  service_shares_t *service = find_or_add_service (shares, name);
+  service_shares_t *service;
   version_history_t history;
 
-  if (service && text && version_history_parse (text, bytes, &history))
+  if (!text || !version_history_parse (text, bytes, &history))
+    return;
+  service = find_or_add_service (shares, name);
+  if (service)
     service->written = history;
 }
 
@@ -367,15 +376,18 @@
                     size_t bytes,
                     position_t position)
 {
-  service_shares_t *service = find_or_add_service (shares, service_name);
+  service_shares_t *service;
   version_history_t history;
   bool is_first;
 
-  if (!service || !version_history_parse (text, bytes, &history))
+  if (!version_history_parse (text, bytes, &history))
     {
       log_event (LOG_LEVEL_ERROR, "stream_shares_unreadable", "service", service_name, NULL);
       return;
     }
+  service = find_or_add_service (shares, service_name);
+  if (!service)
+    return;
   note_era (shares);
   /* an answer of a peer may be of a later era than what this gateway has read */
   if (!version_history_may_follow (&service->known.history, &history,
@@ -400,6 +412,29 @@
   log_table (service, "read");
 }
 
+/* Return: the service of a request or a route. Its records may have been read while there were too
+ * many services. */
+static service_shares_t *
+get_service (gateway_shares_t *shares, const char *name)
+{
+  g_autofree char *key = g_strconcat (PLATFORM_KEY_SHARES_PREFIX, name, NULL);
+  service_shares_t *service = find_service (shares, name);
+  const char *text;
+  position_t position;
+  size_t bytes;
+
+  if (service)
+    return service;
+  service = add_service (shares, name);
+  text = keyed_view_get (shares->view, key, &bytes, &position);
+  if (text)
+    take_written_history (shares, name, text, bytes);
+  text = gateway_store_get_shares (shares->options.store, name, &bytes, &position);
+  if (text)
+    gateway_shares_put (shares, name, text, bytes, position);
+  return service;
+}
+
 static void
 on_record_written (platform_outcome_t outcome, position_t position, void *context)
 {
@@ -851,13 +886,24 @@
   return latest;
 }
 
+static const service_shares_t *
+find_or_load_service (gateway_shares_t *shares, const char *name)
+{
+  position_t position;
+  size_t bytes;
+
+  return gateway_store_get_shares (shares->options.store, name, &bytes, &position)
+             ? get_service (shares, name)
+             : find_service (shares, name);
+}
+
 version_search_t
 gateway_shares_find (gateway_shares_t *shares,
                      const char *service_name,
                      uint64_t stream,
                      uint64_t since_us)
 {
-  const service_shares_t *service = g_hash_table_lookup (shares->services, service_name);
+  const service_shares_t *service = find_or_load_service (shares, service_name);
   bool is_read = are_lists_read (shares, since_us);
   version_history_t history = { 0 };
   g_autoptr (GPtrArray) gateways = NULL;
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -595,6 +595,17 @@
   return entries.count > 0;
 }
 
+const char *
+gateway_store_get_shares (const gateway_store_t *store,
+                          const char *service,
+                          size_t *bytes,
+                          position_t *position)
+{
+  g_autofree char *key = g_strconcat (PLATFORM_KEY_SHARES_PREFIX, service, NULL);
+
+  return keyed_view_get (store->views[STREAM_ROUTERS], key, bytes, position);
+}
+
 bool
 gateway_store_has_shares (const gateway_store_t *store, const char *service, const char *text)
 {
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -161,6 +161,12 @@
 /** gateway_store_lacks_gateways() - whether a gateway is known whose present entry the store has
  * forgotten, as it came back from a copy */
 bool gateway_store_lacks_gateways (const gateway_store_t *store);
+/** gateway_store_get_shares() - the tables of shares of @service in the registry, with their size
+ * and position; NULL when it has none */
+const char *gateway_store_get_shares (const gateway_store_t *store,
+                                      const char *service,
+                                      size_t *bytes,
+                                      position_t *position);
 /** gateway_store_has_shares() - whether the store, in its present era, has @text as the tables of
  * shares of @service */
 bool gateway_store_has_shares (const gateway_store_t *store, const char *service, const char *text);
--- a/tests/test_gateway_odd.c
+++ b/tests/test_gateway_odd.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #define SHARES_KEY PLATFORM_KEY_SHARES_PREFIX "pool"
+#define SHARES_WRITES "medlarplank_store_writes_total{stream=\"shares\"}"
+#define ODD_SERVICES 300
 #define LARGE_RECORDS 30
 #define LARGE_BYTES 200000
 #define OK_RESPONSE                                                                                \
@@ -116,6 +118,8 @@
     }
 }
 
+static const char *const ok_script[] = { OK_RESPONSE };
+
 static void
 add_version (gateway_rig_t *rig, const char *version)
 {
@@ -124,7 +128,7 @@
   g_autofree char *text = NULL;
   g_autofree char *id = g_strdup_printf ("e%u", index);
 
-  rig->engines[index] = raw_server_new (rig->base, SCRIPTS (OK_RESPONSE), 1);
+  rig->engines[index] = raw_server_new (rig->base, ok_script, 1);
   address = address_to_text (&rig->engines[index]->address);
   text = g_strdup_printf ("{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"hall-1\","
                           "\"slots\":8,\"state\":\"ready\",\"version\":\"%s\"}",
@@ -227,6 +231,41 @@
     }
 }
 
+static bool
+has_answer (void *context)
+{
+  const raw_peer_t *raw = context;
+
+  return raw->eof || strstr (raw->received->str, "\r\n\r\n");
+}
+
+/* Guards against a gateway that starts beside the tables of many services that nobody asks for, and
+ * knows none of those that it needs. */
+static void
+test_gateway_starts_beside_tables_of_many_services (void)
+{
+  g_autoptr (gateway_rig_t) rig = start_with_shares (1);
+  raw_peer_t *raw;
+
+  add_version (rig, "v2");
+  CU_ASSERT_FATAL (wait_shares (rig, 2, 2));
+  for (uint32_t i = 0; i < ODD_SERVICES; i++)
+    {
+      g_autofree char *first = g_strdup_printf (PLATFORM_KEY_SHARES_PREFIX "a-%u", i);
+      g_autofree char *last = g_strdup_printf (PLATFORM_KEY_SHARES_PREFIX "z-%u", i);
+
+      fake_store_put (rig->store, PLATFORM_STREAM_ROUTERS, first, ODD_TABLE (0, 1));
+      fake_store_put (rig->store, PLATFORM_STREAM_ROUTERS, last, ODD_TABLE (0, 1));
+    }
+  gateway_rig_restart (rig, 0);
+  CU_ASSERT_FATAL (gateway_rig_wait_counter (rig, "medlarplank_engines", 2));
+  raw = gateway_rig_send (rig, 0, "POST", "/talk/", "Content-Length: 0\r\n");
+  CU_ASSERT (raw_peer_run_until (rig->base, has_answer, raw));
+  CU_ASSERT_PTR_NOT_NULL (strstr (raw->received->str, " 200 "));
+  CU_ASSERT_EQUAL (gateway_rig_counter (rig, 0, SHARES_WRITES), 0);
+  raw_peer_free (raw);
+}
+
 int
 main (void)
 {
@@ -237,6 +276,7 @@
     SUITE_TEST (test_shares_follow_the_engines_after_odd_tables),
     SUITE_TEST (test_shares_follow_the_engines_after_a_start_beside_odd_tables),
     SUITE_TEST (test_shares_follow_the_engines_after_odd_tables_in_lists),
+    SUITE_TEST (test_gateway_starts_beside_tables_of_many_services),
     CU_TEST_INFO_NULL
   };
 
