A gateway writes its lists again when another writer has replaced them

What callers would see: a stream that nobody finds in the lists is refused, or goes on at another version, where another writer's record stands under a gateway's name while its own lists don't change.

Cause: a gateway compared its lists with what it had written last, not with what the stream of lists has. Now it looks at the newest record of its name that it has read, as it does for its entry of the registry: one at a later position than its own, with another content or none, makes it write again, no sooner than the interval of its lists. It reads that stream on request only, so it finds out as it looks for a stream or is about to write tables.

--- a/src/process/gateway_shares.c
+++ b/src/process/gateway_shares.c
@@ -76,6 +76,9 @@
  * @record_due: the record of this gateway's lists is to be written
  * @record: it is being written; NULL when none is
  * @written: the last record that was written, NULL for none
+ * @written_at: position from which on another record of its key replaces it
+ * @listed_at_write: end of the last listing at the last write; a response that states no era is of
+ *   that one
  * @record_retry_us: earliest time of the next write
  */
 struct gateway_shares
@@ -93,6 +96,8 @@
   bool record_due;
   char *record;
   char *written;
+  position_t written_at;
+  position_t listed_at_write;
   uint64_t record_retry_us;
   counter_t *history_writes;
   counter_t *list_writes;
@@ -440,9 +445,9 @@
 {
   gateway_shares_t *shares = context;
 
-  (void)position;
   if (outcome == PLATFORM_OK)
     {
+      shares->written_at = position_from (shares->listed_at_write, position.era, position.offset);
       stream_lists_put (shares->lists, shares->options.settings->name, shares->record,
                         strlen (shares->record));
       g_free (shares->written);
@@ -465,6 +470,27 @@
   return MAX (LIST_INTERVAL_US, MAX (calls_us, bytes_us));
 }
 
+/* Whether another writer has replaced or deleted the record of this gateway's lists. */
+static bool
+is_record_replaced (const gateway_shares_t *shares)
+{
+  return shares->written && !shares->record &&
+         shares->written_at.era == keyed_view_listed (shares->view).era &&
+         position_is_before (shares->written_at, stream_follower_next (shares->follower)) &&
+         !keyed_view_has_in_era (shares->view, shares->options.settings->name, shares->written,
+                                 strlen (shares->written));
+}
+
+static void
+write_again_if_replaced (gateway_shares_t *shares)
+{
+  if (!is_record_replaced (shares))
+    return;
+  log_event (LOG_LEVEL_WARNING, "stream_list_replaced", NULL);
+  g_clear_pointer (&shares->written, g_free);
+  shares->record_due = true;
+}
+
 static void
 write_record (gateway_shares_t *shares)
 {
@@ -485,6 +511,7 @@
       g_clear_pointer (&shares->record, g_free);
       return;
     }
+  shares->listed_at_write = keyed_view_listed (shares->view);
   counter_add (shares->list_writes, 1);
   platform->put (platform, PLATFORM_STREAM_LISTS, shares->options.settings->name, shares->record,
                  strlen (shares->record), on_record_written, shares);
@@ -828,6 +855,7 @@
   if (routing)
     update_lifetimes (shares, routing);
   update_services (shares);
+  write_again_if_replaced (shares);
   if (shares->record_due && !shares->record && now_us (shares) >= shares->record_retry_us)
     write_record (shares);
 }
--- a/tests/test_gateway_odd.c
+++ b/tests/test_gateway_odd.c
@@ -266,6 +266,58 @@
   raw_peer_free (raw);
 }
 
+/** struct list_wait - waits until the store has @text as the lists of the first gateway */
+typedef struct
+{
+  const gateway_rig_t *rig;
+  const char *text;
+} list_wait_t;
+
+static const char *
+get_lists (const gateway_rig_t *rig)
+{
+  return fake_store_value (rig->store, PLATFORM_STREAM_LISTS, rig->gateways[0].settings.name);
+}
+
+static bool
+has_lists (void *context)
+{
+  const list_wait_t *wait = context;
+
+  return g_strcmp0 (get_lists (wait->rig), wait->text) == 0;
+}
+
+static bool
+has_lists_of_second_table (void *context)
+{
+  const char *text = get_lists (context);
+
+  return text && strstr (text, "\"floor\":2");
+}
+
+/* Guards against streams that nobody finds, as another writer's lists stay in place of a gateway's
+ * own while these don't change. */
+static void
+test_gateway_writes_its_lists_again (void)
+{
+  static const char *const odd[] = { "{\"pool\":{\"epoch\":9,\"floor\":9,\"streams\":{}}}", NULL };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      g_autoptr (gateway_rig_t) rig = start_with_shares (1);
+      g_autofree char *own = NULL;
+
+      add_version (rig, "v2");
+      CU_ASSERT_FATAL (wait_shares (rig, 2, 2));
+      CU_ASSERT_FATAL (raw_peer_run_until (rig->base, has_lists_of_second_table, rig));
+      own = g_strdup (get_lists (rig));
+      fake_store_put (rig->store, PLATFORM_STREAM_LISTS, rig->gateways[0].settings.name, odd[i]);
+      /* the lists are read before this is replaced */
+      fake_store_put (rig->store, PLATFORM_STREAM_ROUTERS, SHARES_KEY, odd_tables[0]);
+      CU_ASSERT (raw_peer_run_until (rig->base, has_lists, &(list_wait_t){ rig, own }));
+    }
+}
+
 int
 main (void)
 {
@@ -277,6 +329,7 @@
     SUITE_TEST (test_shares_follow_the_engines_after_a_start_beside_odd_tables),
     SUITE_TEST (test_shares_follow_the_engines_after_odd_tables_in_lists),
     SUITE_TEST (test_gateway_starts_beside_tables_of_many_services),
+    SUITE_TEST (test_gateway_writes_its_lists_again),
     CU_TEST_INFO_NULL
   };
 
