--- a/src/process/gateway_shares.c
+++ b/src/process/gateway_shares.c
@@ -20,9 +20,9 @@
  */
 #define LIST_INTERVAL_US (UINT64_C (500) * 1000)
 #define LIST_WRITES_PER_S 100
-#define LIST_BYTES_PER_S 3000 /* of one gateway's lists */
-#define SERVICES_MAX 256
-#define NEARLY_FULL_MILLI 900 /* requests at the engines of a version, of their slots */
+#define LIST_BYTES_PER_S 3000    /* of one gateway's lists */
+#define UNKNOWN_SERVICES_MAX 256 /* without a stream yet; another writer may name any */
+#define NEARLY_FULL_MILLI 900    /* requests at the engines of a version, of their slots */
 #define NEARLY_FULL_DIVISOR 4
 #define NEARLY_FULL_US (UINT64_C (8) * 1000 * 1000) /* for which it counts as such */
 #define WEIGHT_PER_SLOT NEARLY_FULL_DIVISOR
@@ -44,6 +44,7 @@
  *   has forgotten some
  * @is_starting: the first table was read, and what follows from that is to be done
  * @due_since_us: since when the next history is to be written, 0 when it is not
+ * @later_since_us: since when @written is later than @known, 0 when it is not
  * @retry_us: earliest time of the next write
  */
 typedef struct
@@ -60,6 +61,7 @@
   bool is_whole;
   bool is_starting;
   uint64_t due_since_us;
+  uint64_t later_since_us;
   uint64_t retry_us;
 } service_shares_t;
 
@@ -74,6 +76,9 @@
  * @record_due: the record of this gateway's lists is to be written
  * @record: it is being written; NULL when none is
  * @written: the last record that was written, NULL for none
+ * @written_at: position from which on another record of its key replaces it
+ * @listed_at_write: end of the last listing at the last write; a response that states no era is of
+ *   that one
  * @record_retry_us: earliest time of the next write
  */
 struct gateway_shares
@@ -91,6 +96,8 @@
   bool record_due;
   char *record;
   char *written;
+  position_t written_at;
+  position_t listed_at_write;
   uint64_t record_retry_us;
   counter_t *history_writes;
   counter_t *list_writes;
@@ -114,19 +121,24 @@
   g_free (service);
 }
 
+/* Return: NULL when there is none of that name. The names of other writers are not interned. */
 static service_shares_t *
-get_service (gateway_shares_t *shares, const char *name)
+find_service (const gateway_shares_t *shares, const char *name)
 {
-  const char *interned = g_intern_string (name);
-  service_shares_t *service = g_hash_table_lookup (shares->services, interned);
+  GQuark interned = g_quark_try_string (name);
+
+  return interned ? g_hash_table_lookup (shares->services, g_quark_to_string (interned)) : NULL;
+}
+
+static service_shares_t *
+add_service (gateway_shares_t *shares, const char *name)
+{
+  service_shares_t *service = g_new0 (service_shares_t, 1);
 
-  if (service)
-    return service;
-  service = g_new0 (service_shares_t, 1);
   service->shares = shares;
-  service->name = interned;
+  service->name = g_intern_string (name);
   service->full_until_us = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
-  g_hash_table_insert (shares->services, (gpointer)interned, service);
+  g_hash_table_insert (shares->services, (gpointer)service->name, service);
   return service;
 }
 
@@ -134,10 +146,11 @@
 static service_shares_t *
 find_or_add_service (gateway_shares_t *shares, const char *name)
 {
-  return g_hash_table_size (shares->services) < SERVICES_MAX ||
-                 g_hash_table_contains (shares->services, g_intern_string (name))
-             ? get_service (shares, name)
-             : NULL;
+  service_shares_t *service = find_service (shares, name);
+
+  return service || g_hash_table_size (shares->services) >= UNKNOWN_SERVICES_MAX
+             ? service
+             : add_service (shares, name);
 }
 
 /* After the store came back from a copy a history from before counts only where it was known until
@@ -176,10 +189,13 @@
 static void
 take_written_history (gateway_shares_t *shares, const char *name, const char *text, size_t bytes)
 {
-  service_shares_t *service = find_or_add_service (shares, name);
+  service_shares_t *service;
   version_history_t history;
 
-  if (service && text && version_history_parse (text, bytes, &history))
+  if (!text || !version_history_parse (text, bytes, &history))
+    return;
+  service = find_or_add_service (shares, name);
+  if (service)
     service->written = history;
 }
 
@@ -362,18 +378,29 @@
 gateway_shares_put (gateway_shares_t *shares,
                     const char *service_name,
                     const char *text,
-                    size_t bytes)
+                    size_t bytes,
+                    position_t position)
 {
-  service_shares_t *service = find_or_add_service (shares, service_name);
+  service_shares_t *service;
   version_history_t history;
   bool is_first;
 
-  if (!service || !version_history_parse (text, bytes, &history))
+  if (!version_history_parse (text, bytes, &history))
     {
       log_event (LOG_LEVEL_ERROR, "stream_shares_unreadable", "service", service_name, NULL);
       return;
     }
+  service = find_or_add_service (shares, service_name);
+  if (!service)
+    return;
   note_era (shares);
+  /* an answer of a peer may be of a later era than what this gateway has read */
+  if (!version_history_may_follow (&service->known.history, &history,
+                                   MAX (shares->era, position.era)))
+    {
+      log_table (service, "odd_ignored");
+      return;
+    }
   if (is_outdated (service, &history))
     {
       log_table (service, "older_ignored");
@@ -390,14 +417,37 @@
   log_table (service, "read");
 }
 
+/* Return: the service of a request or a route. Its records may have been read while there were too
+ * many services. */
+static service_shares_t *
+get_service (gateway_shares_t *shares, const char *name)
+{
+  g_autofree char *key = g_strconcat (PLATFORM_KEY_SHARES_PREFIX, name, NULL);
+  service_shares_t *service = find_service (shares, name);
+  const char *text;
+  position_t position;
+  size_t bytes;
+
+  if (service)
+    return service;
+  service = add_service (shares, name);
+  text = keyed_view_get (shares->view, key, &bytes, &position);
+  if (text)
+    take_written_history (shares, name, text, bytes);
+  text = gateway_store_get_shares (shares->options.store, name, &bytes, &position);
+  if (text)
+    gateway_shares_put (shares, name, text, bytes, position);
+  return service;
+}
+
 static void
 on_record_written (platform_outcome_t outcome, position_t position, void *context)
 {
   gateway_shares_t *shares = context;
 
-  (void)position;
   if (outcome == PLATFORM_OK)
     {
+      shares->written_at = position_from (shares->listed_at_write, position.era, position.offset);
       stream_lists_put (shares->lists, shares->options.settings->name, shares->record,
                         strlen (shares->record));
       g_free (shares->written);
@@ -420,6 +470,27 @@
   return MAX (LIST_INTERVAL_US, MAX (calls_us, bytes_us));
 }
 
+/* Whether another writer has replaced or deleted the record of this gateway's lists. */
+static bool
+is_record_replaced (const gateway_shares_t *shares)
+{
+  return shares->written && !shares->record &&
+         shares->written_at.era == keyed_view_listed (shares->view).era &&
+         position_is_before (shares->written_at, stream_follower_next (shares->follower)) &&
+         !keyed_view_has_in_era (shares->view, shares->options.settings->name, shares->written,
+                                 strlen (shares->written));
+}
+
+static void
+write_again_if_replaced (gateway_shares_t *shares)
+{
+  if (!is_record_replaced (shares))
+    return;
+  log_event (LOG_LEVEL_WARNING, "stream_list_replaced", NULL);
+  g_clear_pointer (&shares->written, g_free);
+  shares->record_due = true;
+}
+
 static void
 write_record (gateway_shares_t *shares)
 {
@@ -440,6 +511,7 @@
       g_clear_pointer (&shares->record, g_free);
       return;
     }
+  shares->listed_at_write = keyed_view_listed (shares->view);
   counter_add (shares->list_writes, 1);
   platform->put (platform, PLATFORM_STREAM_LISTS, shares->options.settings->name, shares->record,
                  strlen (shares->record), on_record_written, shares);
@@ -624,21 +696,58 @@
   stream_follower_read_soon (shares->follower);
 }
 
-/* A writer that is behind would take tables back by which streams have begun. */
+/* Return: the history in the stream of lists; NULL when that has none, or one that no sound writer
+ * can have made */
+static const version_history_t *
+get_written (const service_shares_t *service)
+{
+  const version_history_t *written = &service->written;
+
+  return written->count > 0 &&
+                 version_history_may_follow (&service->known.history, written, service->shares->era)
+             ? written
+             : NULL;
+}
+
 static bool
-has_read_latest (const service_shares_t *service)
+is_written_later (const service_shares_t *service)
 {
   const version_history_t *known = &service->known.history;
-  const version_history_t *written = &service->written;
+  const version_history_t *written = get_written (service);
+
+  return written && is_of_this_era (service, written) && !is_outdated (service, written) &&
+         (known->count == 0 || written->in_force > known->in_force ||
+          written->tables[written->count - 1].epoch > known->tables[known->count - 1].epoch);
+}
 
-  if (!are_lists_read (service->shares, service->due_since_us))
+/* A writer that is behind would take tables back by which streams have begun. One that ended
+ * between its two writes left the later history in the stream of lists alone: it is written again.
+ */
+static bool
+prepare_latest (service_shares_t *service, version_history_t *next)
+{
+  uint64_t at_us = now_us (service->shares);
+  uint64_t since_us = service->due_since_us;
+
+  if (!is_written_later (service))
+    service->later_since_us = 0;
+  else if (service->later_since_us == 0)
+    service->later_since_us = at_us;
+  if (service->later_since_us != 0)
+    since_us = service->later_since_us + RETRY_US;
+  if (at_us < since_us)
+    return false;
+  if (!are_lists_read (service->shares, since_us))
     {
       read_lists (service->shares);
       return false;
     }
-  return written->count == 0 || !is_of_this_era (service, written) ||
-         (known->count > 0 && written->in_force <= known->in_force &&
-          written->tables[written->count - 1].epoch <= known->tables[known->count - 1].epoch);
+  if (!is_written_later (service))
+    return true;
+  *next = service->written;
+  if (version_history_get (next, service->known.history.in_force))
+    next->in_force = MAX (next->in_force, service->known.history.in_force);
+  return true;
 }
 
 /* The tables of an era before are stated again, or replaced where nobody knows them. Lists tell as
@@ -686,7 +795,7 @@
       is_due = true;
       next = service->known.history;
     }
-  if (is_turn (service, is_due) && has_read_latest (service))
+  if (is_turn (service, is_due) && prepare_latest (service, &next))
     write_history (service, &next);
 }
 
@@ -746,6 +855,7 @@
   if (routing)
     update_lifetimes (shares, routing);
   update_services (shares);
+  write_again_if_replaced (shares);
   if (shares->record_due && !shares->record && now_us (shares) >= shares->record_retry_us)
     write_record (shares);
 }
@@ -793,9 +903,9 @@
 get_latest_history (const service_shares_t *service)
 {
   version_history_t latest = service->known.history;
-  const version_history_t *written = &service->written;
+  const version_history_t *written = get_written (service);
 
-  if (written->count == 0 || written->era < latest.era)
+  if (!written || written->era < latest.era)
     return latest;
   if (latest.count == 0 || written->era > latest.era ||
       written->tables[written->count - 1].epoch > latest.tables[latest.count - 1].epoch)
@@ -804,13 +914,24 @@
   return latest;
 }
 
+static const service_shares_t *
+find_or_load_service (gateway_shares_t *shares, const char *name)
+{
+  position_t position;
+  size_t bytes;
+
+  return gateway_store_get_shares (shares->options.store, name, &bytes, &position)
+             ? get_service (shares, name)
+             : find_service (shares, name);
+}
+
 version_search_t
 gateway_shares_find (gateway_shares_t *shares,
                      const char *service_name,
                      uint64_t stream,
                      uint64_t since_us)
 {
-  const service_shares_t *service = g_hash_table_lookup (shares->services, service_name);
+  const service_shares_t *service = find_or_load_service (shares, service_name);
   bool is_read = are_lists_read (shares, since_us);
   version_history_t history = { 0 };
   g_autoptr (GPtrArray) gateways = NULL;
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -80,7 +80,7 @@
  *   NULL
  * @on_origins: a peer sent a message about streams
  * @on_parts: a peer sent a message about engines that hold parts of prompts
- * @on_shares: the tables of shares of a service's software versions were read
+ * @on_shares: the tables of shares of a service's software versions were read, at @position
  */
 typedef struct
 {
@@ -110,7 +110,8 @@
   void (*on_requests) (const fleet_requests_told_t *told, void *context);
   void (*on_origins) (const xch_origins_message *message, void *context);
   void (*on_parts) (const xch_parts_message *message, void *context);
-  void (*on_shares) (const char *service, const char *text, size_t bytes, void *context);
+  void (*on_shares) (
+      const char *service, const char *text, size_t bytes, position_t position, void *context);
   void *context;
 } gateway_store_options_t;
 
@@ -161,6 +162,12 @@
 /** gateway_store_lacks_gateways() - whether a gateway is known whose present entry the store has
  * forgotten, as it came back from a copy */
 bool gateway_store_lacks_gateways (const gateway_store_t *store);
+/** gateway_store_get_shares() - the tables of shares of @service in the registry, with their size
+ * and position; NULL when it has none */
+const char *gateway_store_get_shares (const gateway_store_t *store,
+                                      const char *service,
+                                      size_t *bytes,
+                                      position_t *position);
 /** gateway_store_has_shares() - whether the store, in its present era, has @text as the tables of
  * shares of @service */
 bool gateway_store_has_shares (const gateway_store_t *store, const char *service, const char *text);
