Router: a host counts as heard of only since the silent one was asked

Cause: a host that was heard of within a second took the request without being asked, and the silent host is left a second after the request was sent. So a host that answered last just before all fell silent still counted as heard of: the trace has the last answer at 19.441 s, the request at 19.442 and the move at 20.441.

Why the fix works: only what was heard since the silent host was asked, in the last half second, counts without asking; any other host is asked first, and its answer moves the request one round trip later.

--- a/src/request/router/router_private.h
+++ b/src/request/router/router_private.h
@@ -41,9 +41,9 @@
  * keeps its sockets open, and would delay each request up to its deadline. */
 #define ROUTER_HOST_PROBE_DELAY_US (500 * 1000)
 #define ROUTER_HOST_PROBE_TIMEOUT_US (500 * 1000)
-/* A host that was heard of within this time takes the request of a silent one without being asked.
- */
-#define ROUTER_HOST_HEARD_US (ROUTER_HOST_PROBE_DELAY_US + ROUTER_HOST_PROBE_TIMEOUT_US)
+/* A host that was heard of within this time takes the request of a silent one without being asked:
+ * since that one was asked. */
+#define ROUTER_HOST_HEARD_US ROUTER_HOST_PROBE_TIMEOUT_US
 /* The outcome of a hop to a host that can't be asked */
 #define ROUTER_UNKNOWN_HOST                                                                        \
   ((const forwarding_outcome_t){ .verdict = VERDICT_NOT_RUN, .reason = VERDICT_REASON_CONNECT })
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -512,12 +512,15 @@
 #define SILENT_PROBES 4
 
 /** struct silent_request - a request at a host whose kernel accepts connections */
+#define HEARD_LATE_US (ROUTER_HOST_PROBE_DELAY_US / 2)
+
 typedef struct
 {
   testbed_t *testbed;
   testbed_answer_t answer;
   evutil_socket_t listener;
   evutil_socket_t fd; /* the request came on it */
+  gint64 heard_us;    /* when the other hosts answer last */
   char text[8192];
 } silent_request_t;
 
@@ -577,21 +580,48 @@
   testbed_answer_clear (&silent->answer);
 }
 
-/* Guards against a request that is revoked at a silent host, though all others are silent too. */
+static bool
+has_waited (void *context)
+{
+  const silent_request_t *silent = context;
+
+  return g_get_monotonic_time () >= silent->heard_us;
+}
+
 static void
-stays_while_all_hosts_are_silent (void)
+check_stays_while_all_are_silent (bool heard_late)
 {
   g_autoptr (testbed_t) testbed = testbed_new ();
   silent_request_t silent = { .testbed = testbed, .fd = -1 };
   address_t black_hole;
+  uint32_t home = testbed_ask_engine (testbed, &CHAT);
 
   silent.listener = testbed_open_black_hole (&black_hole);
   for (uint32_t i = 0; i < TESTBED_SIDECARS; i++)
     testbed->hosts[i].http = black_hole;
   testbed_send (testbed, &CHAT, &silent.answer);
+  silent.heard_us = g_get_monotonic_time () + HEARD_LATE_US;
+  CU_ASSERT_TRUE (testbed_wait_until (testbed, has_waited, &silent));
+  for (uint32_t i = 0; heard_late && i < TESTBED_SIDECARS; i++)
+    if (i != home)
+      router_host_probe_record_answer (testbed->router.router_task, testbed->hosts[i].hash);
   check_stays (&silent);
 }
 
+/* Guards against a request that is revoked at a silent host, though all others are silent too. */
+static void
+stays_while_all_hosts_are_silent (void)
+{
+  check_stays_while_all_are_silent (false);
+}
+
+/* Likewise where the others were heard of after the request was sent. */
+static void
+stays_while_hosts_are_silent_that_answered_last (void)
+{
+  check_stays_while_all_are_silent (true);
+}
+
 /* Guards against a request that is revoked at a silent host, and only then found to have no retry.
  */
 static void
@@ -794,6 +824,8 @@
     { "spreads a repeated request over all engines", spreads_a_repeated_request_over_all_engines },
     { "avoids a frozen host", avoids_a_frozen_host },
     { "stays while all hosts are silent", stays_while_all_hosts_are_silent },
+    { "stays while hosts are silent that answered last",
+      stays_while_hosts_are_silent_that_answered_last },
     { "stays at a silent host without a retry", stays_at_a_silent_host_without_a_retry },
     { "leaves a dead host when another goes on", leaves_a_dead_host_when_another_goes_on },
     { "refuses requests after a pause", refuses_requests_after_a_pause },
