--- a/src/connection/http_server_check.c
+++ b/src/connection/http_server_check.c
@@ -257,7 +257,7 @@
 void
 http_server_reject_left (http_server_conn_t *conn, bool is_unread)
 {
-  if (conn->call && !conn->response_left)
+  if (conn->call && !conn->response_sent)
     send_rejection (conn, is_unread ? &left_unread : &left_pending);
 }
 
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -365,7 +365,7 @@
   if (info->n_deleted > 0)
     {
       conn->active_us = g_get_monotonic_time ();
-      conn->response_left |= conn->call && conn->call->begun;
+      conn->response_sent |= conn->call && conn->call->begun;
     }
   if (conn->closing && info->n_deleted > 0 && evbuffer_get_length (buffer) == 0)
     http_server_conn_defer (conn);
@@ -561,7 +561,7 @@
   set_incomplete_bytes (conn, 0);
   conn->evicted = false; /* its rest arrived before it was rejected */
   conn->busy = true;
-  conn->response_left = false;
+  conn->response_sent = false;
   http_server->busy_count++;
   counter_add (http_server->requests, 1);
   conn->request = request;
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -107,7 +107,7 @@
  * @notify_writable: the queue has shrunk; the call's callback is to be run
  * @caller_left: the client closed before its request was read, and @deferred closes it too, or
  *   while its request was pending
- * @response_left: bytes of the response to the pending request have been sent
+ * @response_sent: bytes of the response to the pending request have been sent
  * @drain_input: read and discard what the client still sends before the socket is closed
  * @evicted: its incomplete request is rejected by 503, to get below the limit on their sum, or by
  *   400 where @input is over a limit
@@ -143,7 +143,7 @@
   bool check_error_page;
   bool notify_writable;
   bool caller_left;
-  bool response_left;
+  bool response_sent;
   bool drain_input;
   bool evicted;
   http_input_t input;
