--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,7 +4,7 @@
 # case couldn't run.
 cd "$(dirname "$0")" || exit 2
 . ../tool/lib.sh
-contact_ms=4000
+contact_ms=4000 config_ms=3000 drain_ms=3000 retry_slack=84 # of tuul-claims-grown
 # New connections a second, for so many seconds: most of those of the region, then the usual share of a daemon.
 phases=400:8,29:14
 [ "$trouble" = 0 ] && phases=29:22
@@ -40,7 +40,8 @@
   $1 == "try" && $4 == "refused" { refused++; tries++; if (!($3 in seen)) { seen[$3] = 1; clients++ } judge($2) }
   END {
     printf "%d tries taken (%d served), %d refused\n", taken, served, refused
-    printf "longest time ready without taking a connection, of those with seven clients or more: %d ms, from %.1f s on: %d tries of %d clients\n", longest, (from - start) / 1000, tries_then, clients_then
+    if (!longest) print "at no time did seven clients try in vain while it was ready"
+    if (longest) printf "longest time ready without taking a connection, of those with seven clients or more: %d ms, from %.1f s on: %d tries of %d clients\n", longest, (from - start) / 1000, tries_then, clients_then
     exit longest >= contact_ms ? 1 : 0
   }' record.txt >"$dir/verdict"
 rc=$?
--- a/review/tool/lib.sh
+++ b/review/tool/lib.sh
@@ -39,8 +39,8 @@
     MEDLARPLANK_REGIONS=hall-bayangol=ulaanbaatar,hall-sukhbaatar=ulaanbaatar,hall-khan-uul=ulaanbaatar \
     start "gateway-$n" "$@" "$root/target/medlarplankd" --role=gateway --name="edge-$zone-$n" --data-center="$zone" --region=ulaanbaatar \
     --listen="$ip:8227" --ready-listen="$ip:8220" --control-listen="$ip:8229" --exchange="$ip:7340" --platform="$store" \
-    --seeds="$net.11:8229,$net.12:8229,$net.13:8229" --first-start=true --retry-ratio=0.2 --retry-slack=54 \
-    --retry-window=10 --grace=8 --version-ms=2000 --renewal-ms=1200 --drain-ms=2000 --connection-limit=1800 \
+    --seeds="$net.11:8229,$net.12:8229,$net.13:8229" --first-start=true --retry-ratio=0.2 --retry-slack="${retry_slack:-54}" \
+    --retry-window=10 --grace=8 --version-ms="${config_ms:-2000}" --renewal-ms=1200 --drain-ms="${drain_ms:-2000}" --connection-limit=1800 \
     --exchange-interval-ms=500 --control-budget-bytes=4000
 }
 
