Streams without end leave the time of the event loop to others

What callers saw: while one engine sent events without end on many streams and their callers read them, a gateway had no time for others; new connections were reset for as long as it lasted.

Cause: each connection to an upstream was limited to 16 MiB/s, but not all of them together, and the limit counted the lines of chunk sizes but not those of events, which the gateway handles one by one. 24 streams of small events, many in one chunk or none, took a core.

Change: connections that have used up a burst and a reserve of their own share 32 MiB/s evenly (read_pace, pure). A line of an event counts like 256 bytes. A stream of tokens stays within its reserve and never waits; one large response alone still gets 16 MiB/s.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -91,5 +91,10 @@
 #define LIMIT_HTTP_READ_BYTES_PER_S (16 * 1024 * 1024)
 #define LIMIT_HTTP_READ_BURST_BYTES (2 * 1024 * 1024)
 #define LIMIT_HTTP_LINE_COST_BYTES 1024
+/* Likewise a line of an event. A stream of many events in one chunk took a core too. */
+#define LIMIT_HTTP_EVENT_LINE_COST_BYTES 256
+/* Of each connection, and of all together that read more: many at the rate of one took a core. */
+#define LIMIT_HTTP_READ_RESERVE_BYTES_PER_S (256 * 1024)
+#define LIMIT_HTTP_READ_SHARED_BYTES_PER_S (32 * 1024 * 1024)
 
 #endif
--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -436,6 +436,38 @@
     http_client_conn_update_reading (call->conn);
 }
 
+static uint64_t
+count_lines (const char *bytes, size_t count)
+{
+  const char *end = bytes + count;
+  uint64_t lines = 0;
+
+  while (bytes < end && (bytes = memchr (bytes, '\n', (size_t)(end - bytes))))
+    {
+      lines++;
+      bytes++;
+    }
+  return lines;
+}
+
+void
+http_client_spend_lines (http_client_call_t *call, struct evbuffer *data)
+{
+  struct evbuffer_ptr at;
+  struct evbuffer_iovec part;
+  uint64_t lines = 0;
+
+  if (!call->conn || evbuffer_ptr_set (data, &at, 0, EVBUFFER_PTR_SET) < 0)
+    return;
+  while (evbuffer_peek (data, -1, &at, &part, 1) > 0)
+    {
+      lines += count_lines (part.iov_base, part.iov_len);
+      if (evbuffer_ptr_set (data, &at, part.iov_len, EVBUFFER_PTR_ADD) < 0)
+        break;
+    }
+  http_client_conn_spend (call->conn, lines * LIMIT_HTTP_EVENT_LINE_COST_BYTES);
+}
+
 /* Moved parts keep their own blocks of memory: 64 KB in chunks of a byte took 18 MB */
 void
 http_client_keep_data (struct evbuffer *kept, struct evbuffer *data)
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -116,6 +116,9 @@
 /** http_client_cut_call() - end a call whose response is over a limit, and close its connection. It
  * ends by @on_end with VERDICT_MAY_HAVE_RUN, whatever was sent, and VERDICT_REASON_CUT */
 void http_client_cut_call (http_client_call_t *call);
+/** http_client_spend_lines() - count the lines of @data towards what the call's connection may
+ * read, for a reader that takes time for each */
+void http_client_spend_lines (http_client_call_t *call, struct evbuffer *data);
 /** http_client_keep_data() - move the @data of on_data to the end of @kept */
 void http_client_keep_data (struct evbuffer *kept, struct evbuffer *data);
 /** http_client_close_idle() - close the idle connections to @address, after the process there has
--- a/src/connection/http_client_internal.h
+++ b/src/connection/http_client_internal.h
@@ -12,6 +12,7 @@
 
 #include "connection/http_client.h"
 #include "connection/http_input.h"
+#include "connection/read_pace.h"
 
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -39,6 +40,7 @@
  *   first
  * @conns: set of all connections
  * @calls: set of all calls
+ * @read_share: how much all connections read
  */
 struct http_client
 {
@@ -49,6 +51,7 @@
   GHashTable *idle;
   GHashTable *conns;
   GHashTable *calls;
+  read_share_t read_share;
 };
 
 /**
@@ -60,8 +63,7 @@
  * @hold: stops reading after a head of status 1xx
  * @input_cb: observes what is read
  * @input: what the current response has brought
- * @read_tokens: bytes that may be read at once; below 0 while reading is paused
- * @filled_us: time of the last change of @read_tokens, on the monotonic clock
+ * @pace: limits what is read, on the monotonic clock
  * @call: the current call; NULL when idle
  * @idle_since_us: time at which it was returned to the pool, on the monotonic clock
  * @connecting: not connected yet
@@ -83,8 +85,7 @@
   struct evbuffer_cb_entry *input_cb;
   http_client_call_t *call;
   http_input_t input;
-  int64_t read_tokens;
-  int64_t filled_us;
+  read_pace_t pace;
   int64_t idle_since_us;
   bool connecting;
   bool closed;
@@ -151,6 +152,9 @@
 /** http_client_conn_update_reading() - read, or don't while the call or the rate limit pauses it */
 void http_client_conn_update_reading (http_client_conn_t *conn);
 
+/** http_client_conn_spend() - count the cost of what was read, and pause reading beyond the pace */
+void http_client_conn_spend (http_client_conn_t *conn, uint64_t cost_bytes);
+
 /** http_client_conn_hold() - read no more until evhttp is ready for the next head */
 void http_client_conn_hold (http_client_conn_t *conn);
 
--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -42,6 +42,7 @@
 {
   remove_from_pool (conn);
   discard_unsent (conn);
+  read_pace_leave (&conn->pace, &conn->http_client->read_share);
   conn->closed = true;
   g_hash_table_remove (conn->http_client->conns, conn);
   evhttp_connection_set_closecb (conn->evcon, NULL, NULL);
@@ -86,6 +87,7 @@
 {
   remove_from_pool (conn);
   conn->closed = true;
+  read_pace_leave (&conn->pace, &conn->http_client->read_share);
   /* From here on the caller may free the request body, so nothing more of it may be sent;
    * on_output() covers the case that libevent enables the bufferevent again */
   bufferevent_disable (conn->bev, EV_READ | EV_WRITE);
@@ -131,10 +133,10 @@
     conn->call->sent = true;
 }
 
-static bool
-is_paced (const http_client_conn_t *conn)
+static uint64_t
+monotonic_us (void)
 {
-  return conn->read_tokens < 0;
+  return (uint64_t)g_get_monotonic_time ();
 }
 
 void
@@ -144,33 +146,36 @@
 
   if (conn->closed)
     return;
-  if (is_paused || is_paced (conn))
+  if (is_paused)
+    read_pace_leave (&conn->pace, &conn->http_client->read_share);
+  if (is_paused || conn->pace.tokens_bytes < 0)
     bufferevent_disable (conn->bev, EV_READ);
   else
     bufferevent_enable (conn->bev, EV_READ);
 }
 
 static void
-refill_tokens (http_client_conn_t *conn)
+resume_after (http_client_conn_t *conn, uint64_t wait_us)
 {
-  int64_t now_us = g_get_monotonic_time ();
-  int64_t passed_us = MIN (now_us - conn->filled_us, CLOCK_US_PER_S);
+  struct timeval wait = { (time_t)(wait_us / CLOCK_US_PER_S),
+                          (suseconds_t)(wait_us % CLOCK_US_PER_S) };
 
-  conn->read_tokens += passed_us * LIMIT_HTTP_READ_BYTES_PER_S / CLOCK_US_PER_S;
-  conn->read_tokens = MIN (conn->read_tokens, LIMIT_HTTP_READ_BURST_BYTES);
-  conn->filled_us = now_us;
+  event_add (conn->resume, &wait);
 }
 
 static void
 on_resume (evutil_socket_t fd, short what, void *context)
 {
   http_client_conn_t *conn = context;
+  uint64_t wait_us =
+      read_pace_wait_us (&conn->pace, &conn->http_client->read_share, monotonic_us ());
 
   (void)fd;
   (void)what;
-  refill_tokens (conn);
-  conn->read_tokens = MAX (conn->read_tokens, 0);
-  http_client_conn_update_reading (conn);
+  if (wait_us > 0)
+    resume_after (conn, wait_us);
+  else
+    http_client_conn_update_reading (conn);
 }
 
 static void
@@ -192,21 +197,15 @@
   event_active (conn->hold, EV_TIMEOUT, 0);
 }
 
-/* A peer that sends without end must not take the time of all other connections */
-static void
-spend_tokens (http_client_conn_t *conn, int64_t cost_bytes)
+void
+http_client_conn_spend (http_client_conn_t *conn, uint64_t cost_bytes)
 {
-  int64_t wait_us;
-  struct timeval wait = { 0, 0 };
+  uint64_t wait_us =
+      read_pace_spend (&conn->pace, &conn->http_client->read_share, monotonic_us (), cost_bytes);
 
-  refill_tokens (conn);
-  conn->read_tokens -= cost_bytes;
-  if (!is_paced (conn))
+  if (wait_us == 0)
     return;
-  wait_us = -conn->read_tokens * CLOCK_US_PER_S / LIMIT_HTTP_READ_BYTES_PER_S;
-  wait.tv_sec = (time_t)(wait_us / CLOCK_US_PER_S);
-  wait.tv_usec = (suseconds_t)(wait_us % CLOCK_US_PER_S);
-  event_add (conn->resume, &wait);
+  resume_after (conn, wait_us);
   http_client_conn_update_reading (conn);
 }
 
@@ -243,8 +242,8 @@
       return;
     }
   watch_head (conn, was_started);
-  spend_tokens (conn, (int64_t)(info->n_added +
-                                (conn->input.lines - lines_before) * LIMIT_HTTP_LINE_COST_BYTES));
+  http_client_conn_spend (conn, info->n_added + (conn->input.lines - lines_before) *
+                                                    LIMIT_HTTP_LINE_COST_BYTES);
 }
 
 /* A response that comes before its request is sent stays unread by evhttp, so the buffer is
@@ -277,8 +276,7 @@
   conn->resume = evtimer_new (http_client->base, on_resume, conn);
   conn->hold = evtimer_new (http_client->base, on_hold, conn);
   conn->input_cb = evbuffer_add_cb (bufferevent_get_input (conn->bev), on_input, conn);
-  conn->read_tokens = LIMIT_HTTP_READ_BURST_BYTES;
-  conn->filled_us = g_get_monotonic_time ();
+  read_pace_init (&conn->pace, monotonic_us ());
   event_add (conn->event, &http_client->connect_limit);
   evhttp_connection_set_retries (conn->evcon, 0);
   evhttp_connection_set_timeout_tv (conn->evcon, &never_timeout);
@@ -355,6 +353,7 @@
       g_hash_table_insert (http_client->idle, g_strdup (conn->key), queue);
     }
   conn->idle_since_us = g_get_monotonic_time ();
+  read_pace_leave (&conn->pace, &conn->http_client->read_share);
   http_client_conn_update_reading (conn);
   g_queue_push_head (queue, conn);
   event_add (conn->event, &http_client->idle_timeout);
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -235,6 +235,7 @@
 {
   struct evbuffer *whole = evbuffer_new ();
 
+  http_client_spend_lines (call->upstream, data);
   event_splitter_feed (&call->splitter, data, whole);
   gateway_resume_note_event (call);
   if (evbuffer_get_length (whole) > 0)
--- a/tests/test_endless_input.c
+++ b/tests/test_endless_input.c
@@ -314,6 +314,7 @@
   gint64 start_us = g_get_monotonic_time ();
   int64_t beside_us;
   uint64_t took_us;
+  uint64_t all_bytes = 0;
 
   for (int i = 0; i < FLOODING; i++)
     {
@@ -338,8 +339,14 @@
       CU_ASSERT_EQUAL (outcomes[i].ends, 0);
       CU_ASSERT_TRUE (outcomes[i].data_bytes > 0);
       CU_ASSERT_TRUE (outcomes[i].data_bytes <= read_bound (took_us));
+      all_bytes += outcomes[i].data_bytes;
       flood_peer_free (peers[i]);
     }
+  CU_ASSERT_TRUE (all_bytes <=
+                  FLOODING * (LIMIT_HTTP_READ_BURST_BYTES + (uint64_t)LIMIT_HTTP_CHUNK_BYTES) +
+                      (LIMIT_HTTP_READ_SHARED_BYTES_PER_S +
+                       FLOODING * (uint64_t)LIMIT_HTTP_READ_RESERVE_BYTES_PER_S) *
+                          took_us / SECOND_US);
   http_client_free (http_client);
   event_base_free (base);
 }
