Rejected requests without end leave the time of the event loop to others

What callers saw: 24 callers that each send a body without end, on one connection after another, took a core of a gateway.

Cause: after a request is rejected, up to 4 MiB more of it are read and dropped, at whatever pace they come: two to three gigabytes in the test. Pausing alone made it worse. libevent closes a connection's socket before it unregisters it, and as the reader of the rest has a duplicate of it, the kernel goes on reporting the closed number as readable: 48 events were reported for 24 sockets, and each round of the loop found nothing to read, also under the number of a later connection.

Change: these reads are paced like those of responses (read_pace), and share a rate of their own; a connection is unregistered before libevent closes it.

Evidence: test-stream_flood, 100 new callers beside the 24.

--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -135,6 +135,9 @@
   event_free (conn->read_timer);
   if (conn->disconnect_watch)
     event_free (conn->disconnect_watch);
+  /* libevent closes the socket before it unregisters it, and while the duplicate is open the kernel
+   * would go on reporting it as readable, under a number that another socket may have by then */
+  bufferevent_disable (conn->bev, EV_READ | EV_WRITE);
   if (conn->dup_fd >= 0 && conn->drain_input)
     http_server_drain_start (http_server, conn->dup_fd);
   else if (conn->dup_fd >= 0)
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "connection/http_input.h"
 #include "connection/http_server.h"
+#include "connection/read_pace.h"
 #include "request/policy/queueing/accept_gate.h"
 
 #include <event2/bufferevent.h>
@@ -43,6 +44,7 @@
  * @new_conns: connections by bufferevent, before evhttp has attached an evhttp connection to it
  * @conns: connections by evhttp connection
  * @drains: sockets of rejected clients whose remaining input is read and discarded
+ * @drain_share: how much all of @drains read
  * @unlisten: closes the listening socket one iteration of the event loop after http_server_stop()
  * @close_idle: closes the idle connections %LIMIT_HTTP_STOP_LINGER_MS after http_server_stop()
  * @incomplete_bytes: received bytes of all requests that are not complete
@@ -68,6 +70,7 @@
   GHashTable *new_conns;
   GHashTable *conns;
   GHashTable *drains;
+  read_share_t drain_share;
   struct event *unlisten;
   struct event *close_idle;
   uint64_t incomplete_bytes;
--- a/tests/test_stream_flood.c
+++ b/tests/test_stream_flood.c
@@ -125,6 +125,44 @@
   call_beside_streams (false);
 }
 
+static bool
+has_uploads (void *context)
+{
+  return event_flood_uploads (context) >= STREAMS;
+}
+
+static void
+call_beside_uploads (const char *name, const char *head)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  address_t address;
+  event_flood_t *flood = event_flood_new (true, &address);
+  measured_t measured = measure_begin ();
+
+  register_flood (rig, &address);
+  for (int i = 0; i < STREAMS; i++)
+    event_flood_upload (flood, &rig->gateways[0].address, head);
+  CU_ASSERT_TRUE (raw_peer_run_until (rig->base, has_uploads, flood));
+  serve_new_callers (rig);
+  measure_end (&measured, name);
+  if (g_getenv ("ENDLESS_PRINT"))
+    printf (", %u uploads", event_flood_uploads (flood));
+  event_flood_free (flood);
+}
+
+/* Callers that send bodies without end, each on one connection after another */
+static void
+test_new_callers_beside_endless_requests (void)
+{
+  static const char begin[] = "POST /talk/ HTTP/1.1\r\nHost: h.example\r\nX-Key: key-1\r\n";
+  g_autofree char *length = g_strconcat (begin, "Content-Length: 999999999\r\n\r\n", NULL);
+  g_autofree char *chunk =
+      g_strconcat (begin, "Transfer-Encoding: chunked\r\n\r\n7fffffff\r\n", NULL);
+
+  call_beside_uploads ("bodies with a length", length);
+  call_beside_uploads ("bodies in a chunk", chunk);
+}
+
 /* Whatever the number of connections and how much each asks for, all of them together read no more
  * than the shared rate beside what each has of its own */
 static void
@@ -218,6 +256,7 @@
     { "light beside heavy", test_light_beside_heavy },
     { "large alone", test_large_alone },
     { "new callers beside endless streams", test_new_callers_beside_endless_streams },
+    { "new callers beside endless requests", test_new_callers_beside_endless_requests },
     CU_TEST_INFO_NULL,
   };
 
