A gateway at its limit of connections takes new ones in place of idle ones

Nothing closed an idle connection, and readiness did not look at connections. The class: a limit of the server under which what is kept for nothing counts like what is in use, and that only refuses. Its twin is the limit on open files, which nothing counted: at it accept() failed, and the listener called again at once, with a line of libevent's each time.

Change: connection_room decides from counts alone. In the last eighth of a limit answers bear "Connection: close", which meets no request on its way. Room for eight new connections (a sixteenth of small limits) is kept by closing those that have been idle for longest, half a second at least, and none with bytes read or unread in the socket. If none is idle and none was taken for a second, the gateway is not ready until a thirty-second of its limit is free. A failed accept pauses the listener for 200 ms, with a line each time. Routers, sidecars and the listeners for readiness and peers use the same server, so idle connections make room there as well; being full, they go on answering 503.

Not shown: 1,500 real streams on 4,100 files (test_file_limit has 20 on 80).

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -60,6 +60,7 @@
 
 /* HTTP */
 #define LIMIT_LISTEN_BACKLOG 1024
+#define LIMIT_HTTP_ACCEPT_AGAIN_MS 200   /* after a connection could not be taken */
 #define LIMIT_HTTP_EXCESS_CONNECTIONS 32 /* over the connection limit, still answered by 503 */
 #define LIMIT_HTTP_DRAINS 64 /* refused connections whose input is dropped before close */
 #define LIMIT_HTTP_DRAIN_BYTES (4 * 1024 * 1024) /* input dropped for one of them */
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -75,6 +75,7 @@
  * @header_limit_bytes: largest request line and headers of a request
  * @header_limit_count: most headers of a request
  * @connection_limit: most open connections to the HTTP listener
+ * @file_limit: most open files of the process, 0 for what the system allows
  * @idle_timeout_ms: a connection without a request is closed after this time
  * @exchange_interval_ms: between two messages that a daemon initiates
  * @list_interval_ms: between two reads of the platform's host list
@@ -116,6 +117,7 @@
   uint32_t header_limit_bytes;
   uint32_t header_limit_count;
   uint32_t connection_limit;
+  uint32_t file_limit;
   uint32_t idle_timeout_ms;
   uint32_t exchange_interval_ms;
   uint32_t list_interval_ms;
--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -89,6 +89,7 @@
       return false;
     }
   socket_set_options (evconnlistener_get_fd (listener)); /* inherited by the connections */
+  evconnlistener_set_error_cb (listener, http_server_on_accept_error);
   http_server->bound = evhttp_bind_listener (http_server->http, listener);
   return true;
 }
@@ -202,6 +203,7 @@
 http_server_t *
 http_server_new (const http_server_options_t *options, GError **error)
 {
+  struct timeval accept_again = timeval_from_ms (LIMIT_HTTP_ACCEPT_AGAIN_MS);
   http_server_t *http_server = g_new0 (http_server_t, 1);
 
   http_server->options = *options;
@@ -212,6 +214,10 @@
   http_server->drains = g_hash_table_new (NULL, NULL);
   http_server->unlisten = evtimer_new (options->base, on_unlisten, http_server);
   http_server->close_idle = evtimer_new (options->base, on_close_idle, http_server);
+  http_server->make_room = evtimer_new (options->base, http_server_on_make_room, http_server);
+  http_server->accept_again =
+      event_new (options->base, -1, EV_PERSIST, http_server_on_accept_again, http_server);
+  event_add (http_server->accept_again, &accept_again);
   if (options->takes_few)
     {
       http_server->idle = event_new (options->base, -1, 0, on_idle, http_server);
@@ -245,6 +251,8 @@
   g_list_free (drains);
   event_free (http_server->unlisten);
   event_free (http_server->close_idle);
+  event_free (http_server->make_room);
+  event_free (http_server->accept_again);
   if (http_server->idle)
     event_free (http_server->idle);
   g_hash_table_destroy (http_server->new_conns);
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -42,6 +42,7 @@
   HTTP_SERVER_END_ANSWER_UNREAD,   /* the client accepted no byte for the idle timeout */
   HTTP_SERVER_END_ANSWER_CUT,      /* http_server_abort() */
   HTTP_SERVER_END_STOPPING,
+  HTTP_SERVER_END_ROOM,    /* it was idle, and others needed its place */
   HTTP_SERVER_END_EVICTED, /* an incomplete request was rejected to bound their sum */
   HTTP_SERVER_END_REFUSED, /* after the response that rejected its request */
   HTTP_SERVER_END_ERROR,
@@ -72,8 +73,10 @@
  * @body_limit_bytes: a request with a longer body is rejected by 413
  * @header_limit_bytes: limit on request line and headers; a request over it is rejected by 431
  * @header_limit_count: a request with more headers is rejected by 431
- * @connection_limit: connections over it are closed after a response 503. With
- *   %LIMIT_HTTP_EXCESS_CONNECTIONS more connections, no further ones are accepted
+ * @connection_limit: as it nears, responses bear "Connection: close", and connections that have
+ *   been idle for long are closed, see connection_room. Those over it are closed after a response
+ *   503. With %LIMIT_HTTP_EXCESS_CONNECTIONS more connections, no further ones are accepted
+ * @file_limit: likewise, open files of the process; 0 for no limit
  * @idle_timeout_ms: a connection is closed after this time without a request, or, while a
  *   response is sent, without a byte written for that time, but %LIMIT_HTTP_ANSWER_UNREAD_MS at
  *   least. The time between request and response is not
@@ -86,8 +89,8 @@
  *   none over the limit, see http_server_shed(); @base needs %HTTP_SERVER_PRIORITIES
  * @on_call: receives each complete request within the limits; it must be answered exactly once,
  *   at once or later
- * @on_ended: told of each connection that ends otherwise than by its client while it is idle, or
- *   after a last response; may be NULL
+ * @on_ended: told of each connection that ends otherwise than by its client while it is idle,
+ *   after a last response, or idle, for others; may be NULL
  */
 typedef struct
 {
@@ -98,6 +101,7 @@
   uint32_t header_limit_bytes;
   uint32_t header_limit_count;
   uint32_t connection_limit;
+  uint32_t file_limit;
   uint32_t idle_timeout_ms;
   uint32_t request_timeout_ms;
   uint32_t incomplete_limit_bytes;
@@ -135,6 +139,12 @@
 void http_server_pause_accepting (http_server_t *http_server);
 /** http_server_resume_accepting() - accept connections again after http_server_pause_accepting() */
 void http_server_resume_accepting (http_server_t *http_server);
+/** http_server_review_room() - find out whether the server is full; to be called several times
+ * within %CONNECTION_ROOM_FULL_US. Return: whether that has changed */
+bool http_server_review_room (http_server_t *http_server, uint64_t now_us);
+/** http_server_is_full() - whether all connections within the limits are in use, and none could be
+ * taken for %CONNECTION_ROOM_FULL_US */
+bool http_server_is_full (const http_server_t *http_server);
 /** http_server_shed() - refuses the connections that wait, unread, if they have waited for too
  * long; to be called several times in %ACCEPT_GATE_WAIT_US by the owner of a server that
  * @takes_few. Return: whether it did */
--- a/src/connection/http_server_call.c
+++ b/src/connection/http_server_call.c
@@ -59,6 +59,14 @@
   evhttp_add_header (output_headers (call), "Connection", "close");
 }
 
+static bool
+ends_connection (const http_server_call_t *call)
+{
+  const http_server_t *http_server = call->conn->http_server;
+
+  return http_server->closing || http_server_is_short (http_server);
+}
+
 const char *
 http_server_method (const http_server_call_t *call)
 {
@@ -212,7 +220,7 @@
   declare_length (call, status, body_bytes);
   if (has_body (call, status))
     evbuffer_add (buffer, body, body_bytes);
-  if (call->conn->http_server->closing)
+  if (ends_connection (call))
     add_connection_close (call);
   end_call (call);
   evhttp_send_reply (request, status, NULL, buffer);
@@ -237,7 +245,7 @@
   if (has_body (call, status))
     while (evhttp_remove_header (output_headers (call), "Content-Length") == 0)
       ;
-  if (call->conn->http_server->closing || is_http_1_0 (call))
+  if (ends_connection (call) || is_http_1_0 (call))
     add_connection_close (call);
   evhttp_send_reply_start (call->request, status, NULL);
 }
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -11,8 +11,10 @@
 evutil_socket_t
 http_server_conn_dup_fd (http_server_conn_t *conn)
 {
-  if (conn->dup_fd < 0)
-    conn->dup_fd = fcntl (bufferevent_getfd (conn->bev), F_DUPFD_CLOEXEC, 0);
+  if (conn->dup_fd >= 0)
+    return conn->dup_fd;
+  conn->dup_fd = fcntl (bufferevent_getfd (conn->bev), F_DUPFD_CLOEXEC, 0);
+  conn->http_server->duplicate_count += conn->dup_fd >= 0;
   return conn->dup_fd;
 }
 
@@ -39,6 +41,7 @@
   uint64_t limit = http_server->options.connection_limit + excess;
 
   return !http_server->held && http_server->open_count < limit &&
+         (!http_server->idle || http_server_has_room (http_server)) &&
          (!http_server->idle || http_server->stopping || accept_gate_is_open (&http_server->gate));
 }
 
@@ -127,7 +130,9 @@
   if (conn->busy)
     http_server->busy_count--;
   set_incomplete_bytes (conn, 0);
+  http_server_note_in_use (conn);
   http_server->open_count--;
+  http_server->duplicate_count -= conn->dup_fd >= 0;
   counter_add (http_server->connections, UINT64_MAX);
   evbuffer_remove_cb_entry (bufferevent_get_input (conn->bev), conn->input_cb);
   evbuffer_remove_cb_entry (bufferevent_get_output (conn->bev), conn->output_cb);
@@ -250,6 +255,7 @@
   conn->in_request = false;
   conn->extensions = 0;
   conn->idle_since_us = g_get_monotonic_time ();
+  http_server_note_idle (conn);
   set_idle_limit (conn, http_server_idle_limit_ms (conn->http_server));
 }
 
@@ -262,6 +268,7 @@
     return;
   conn->in_request = true;
   conn->in_body = false;
+  http_server_note_in_use (conn);
   event_add (conn->read_timer, &conn->http_server->request_timeout);
 }
 
@@ -455,6 +462,7 @@
   conn->output_cb = evbuffer_add_cb (bufferevent_get_output (bev), on_output, conn);
   start_idle_timer (conn);
   conn->over_limit = ++http_server->open_count > http_server->options.connection_limit;
+  http_server->taken++;
   counter_add (http_server->connections, 1);
   http_server_conn_set_limits (conn, http_server->options.body_limit_bytes,
                                http_server->options.header_limit_bytes);
@@ -468,6 +476,7 @@
     }
   if (!http_server_may_accept (http_server))
     http_server_set_accepting (http_server, false);
+  http_server_want_room (http_server);
   return bev;
 }
 
@@ -563,6 +572,8 @@
   conn->busy = true;
   conn->response_sent = false;
   http_server->busy_count++;
+  http_server_note_in_use (conn);
+  http_server_want_room (http_server);
   counter_add (http_server->requests, 1);
   conn->request = request;
   evhttp_request_set_on_complete_cb (request, on_response_sent, conn);
--- a/src/connection/http_server_end.c
+++ b/src/connection/http_server_end.c
@@ -15,6 +15,7 @@
   [HTTP_SERVER_END_ANSWER_UNREAD] = "answer_unread",
   [HTTP_SERVER_END_ANSWER_CUT] = "answer_cut",
   [HTTP_SERVER_END_STOPPING] = "stopping",
+  [HTTP_SERVER_END_ROOM] = "room",
   [HTTP_SERVER_END_EVICTED] = "evicted",
   [HTTP_SERVER_END_REFUSED] = "refused",
   [HTTP_SERVER_END_ERROR] = "error",
@@ -96,9 +97,11 @@
 
   find_reason (conn, &ended);
   counter_add (http_server->ended[ended.reason], 1);
-  /* the caller's own close, or that after a last response, which libevent does as well */
+  /* the caller's own close, or that after a last response, which libevent does as well, or one of
+   * many that are closed for others */
   if (ended.on_hand == HTTP_SERVER_HAND_NONE && ended.unread_bytes == 0 &&
-      (ended.reason == HTTP_SERVER_END_CLOSED || ended.reason == HTTP_SERVER_END_ERROR))
+      (ended.reason == HTTP_SERVER_END_CLOSED || ended.reason == HTTP_SERVER_END_ERROR ||
+       ended.reason == HTTP_SERVER_END_ROOM))
     return;
   if (http_server->options.on_ended)
     http_server->options.on_ended (&ended, http_server->options.context);
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -14,6 +14,7 @@
 #include "connection/http_input.h"
 #include "connection/http_server.h"
 #include "request/policy/queueing/accept_gate.h"
+#include "request/policy/queueing/connection_room.h"
 
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
@@ -45,8 +46,13 @@
  * @drains: sockets of rejected clients whose remaining input is read and discarded
  * @unlisten: closes the listening socket one iteration of the event loop after http_server_stop()
  * @close_idle: closes the idle connections %LIMIT_HTTP_STOP_LINGER_MS after http_server_stop()
+ * @make_room: closes connections that have been idle for longest
+ * @accept_again: enables the listener some time after a connection could not be taken
+ * @idle_conns: idle connections, the one that has been idle for longest first
  * @incomplete_bytes: received bytes of all requests that are not complete
  * @open_count: all connections
+ * @duplicate_count: descriptors that http_server_conn_dup_fd() has made
+ * @taken: connections so far
  * @busy_count: connections with a request whose response has not been sent completely
  * @closing: responses have "Connection: close"
  * @freeing: in http_server_free()
@@ -54,6 +60,7 @@
  * @held: its owner has paused it
  * @gate: used if the options say so
  * @idle: runs when no other event is due; used with @gate
+ * @room: whether the server is full
  */
 struct http_server
 {
@@ -70,8 +77,13 @@
   GHashTable *drains;
   struct event *unlisten;
   struct event *close_idle;
+  struct event *make_room;
+  struct event *accept_again;
+  GQueue idle_conns;
   uint64_t incomplete_bytes;
   uint32_t open_count;
+  uint32_t duplicate_count;
+  uint64_t taken;
   uint32_t busy_count;
   bool stopping;
   bool closing;
@@ -80,6 +92,7 @@
   bool held;
   accept_gate_t gate;
   struct event *idle;
+  connection_room_t room;
   counter_t *connections;
   counter_t *requests;
   counter_t *gone;
@@ -120,6 +133,7 @@
  * @body_limit_bytes, @header_limit_bytes: limits of its current request
  * @idle_since_us: opened or answered then, on the monotonic clock
  * @idle_limit_ms: idle timeout that is set on it
+ * @idle_link: in the server's @idle_conns while it is idle; its data is NULL otherwise
  */
 struct http_server_conn
 {
@@ -157,6 +171,7 @@
   uint64_t header_limit_bytes;
   int64_t idle_since_us;
   uint32_t idle_limit_ms;
+  GList idle_link;
 };
 
 /**
@@ -195,6 +210,25 @@
 /** http_server_close_idle_later() - close the idle connections after %LIMIT_HTTP_STOP_LINGER_MS */
 void http_server_close_idle_later (http_server_t *http_server);
 
+/** http_server_counts() - what is open */
+connection_counts_t http_server_counts (const http_server_t *http_server);
+/** http_server_has_room() - whether a connection more is within the limits */
+bool http_server_has_room (const http_server_t *http_server);
+/** http_server_is_short() - whether answers are to bear "Connection: close" */
+bool http_server_is_short (const http_server_t *http_server);
+/** http_server_want_room() - make room for new connections, if it lacks */
+void http_server_want_room (http_server_t *http_server);
+/** http_server_on_make_room() - callback of @make_room */
+void http_server_on_make_room (evutil_socket_t fd, short what, void *context);
+/** http_server_on_accept_again() - callback of @accept_again */
+void http_server_on_accept_again (evutil_socket_t fd, short what, void *context);
+/** http_server_on_accept_error() - callback of the listener; a connection could not be taken */
+void http_server_on_accept_error (struct evconnlistener *listener, void *context);
+/** http_server_note_idle() - the connection has become idle */
+void http_server_note_idle (http_server_conn_t *conn);
+/** http_server_note_in_use() - the connection is not idle any more */
+void http_server_note_in_use (http_server_conn_t *conn);
+
 /** http_server_conn_new() - callback of evhttp that creates the bufferevent of an accepted
  * connection */
 struct bufferevent *http_server_conn_new (struct event_base *base, void *context);
--- a/src/connection/socket.c
+++ b/src/connection/socket.c
@@ -1,10 +1,12 @@
 #include "connection/socket.h"
 #include "base/limits.h"
 
+#include <glib.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 void
@@ -39,6 +41,16 @@
   return ioctl (fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
+uint32_t
+socket_file_limit (uint32_t limit)
+{
+  struct rlimit allowed;
+
+  if (getrlimit (RLIMIT_NOFILE, &allowed) != 0 || allowed.rlim_cur > UINT32_MAX)
+    return limit;
+  return limit == 0 ? (uint32_t)allowed.rlim_cur : MIN (limit, (uint32_t)allowed.rlim_cur);
+}
+
 /* Connecting to AF_UNSPEC sends the reset at once, before libevent shuts the socket down. */
 void
 socket_reset (int fd)
--- a/src/connection/socket.h
+++ b/src/connection/socket.h
@@ -7,6 +7,7 @@
 #define CONNECTION_SOCKET_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 /**
  * socket_set_options() - set the options of a connection, or of a listener, whose connections
@@ -32,6 +33,10 @@
 /** socket_has_unacknowledged() - whether the peer's kernel may lack some of the bytes sent */
 bool socket_has_unacknowledged (int fd);
 
+/** socket_file_limit() - open files that the process may have, at most @limit unless that is 0;
+ * 0 for no limit */
+uint32_t socket_file_limit (uint32_t limit);
+
 /** socket_reset() - end a connection by a reset at once; what was not sent yet is discarded */
 void socket_reset (int fd);
 
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -82,7 +82,8 @@
 gateway_process_is_ready (const gateway_process_t *process)
 {
   return process->table && process->store && gateway_store_has_routing (process->store) &&
-         gateway_store_has_engines (process->store) && process->stop_us == 0;
+         gateway_store_has_engines (process->store) && process->stop_us == 0 &&
+         !gateway_is_full (process->gateway);
 }
 
 static void
--- a/src/process/gateway_process.h
+++ b/src/process/gateway_process.h
@@ -90,8 +90,8 @@
 /** gateway_process_stop() - begins a graceful stop; the event loop exits once all requests are
  * answered, or %GATEWAY_PROCESS_EXIT_MARGIN_MS before the end of the grace time */
 void gateway_process_stop (gateway_process_t *process);
-/** gateway_process_is_ready() - whether the gateway has loaded routing rules and engines and is not
- * stopping */
+/** gateway_process_is_ready() - whether the gateway has loaded routing rules and engines, is not
+ * stopping, and can take connections */
 bool gateway_process_is_ready (const gateway_process_t *process);
 /** gateway_process_port() - port of the listener for client requests, also one that the system
  * chose */
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -13,24 +13,23 @@
 #include "platform/store.h"
 #include "base/daemon.h"
 #include "connection/http_server.h"
+#include "connection/socket.h"
 #include "process/control.h"
 #include "request/router/router.h"
 #include "request/sidecar/sidecar.h"
 #include "process/gateway_process.h"
 #include "request/messages.h"
+#include "request/policy/queueing/connection_room.h"
 
 #include <event2/thread.h>
 #include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #define PROGRAM "medlarplankd"
 #define EXIT_BAD_SETTINGS 2
-#define FILES_PER_CONNECTION 2 /* one towards the client, one towards the upstream */
-#define OTHER_FILES 64         /* besides those of client connections */
 
 /**
  * struct member_process - state of a router or sidecar process
@@ -118,12 +117,13 @@
 static void
 check_file_limit (const settings_t *settings)
 {
-  uint64_t wanted = (uint64_t)settings->connection_limit * FILES_PER_CONNECTION + OTHER_FILES;
-  struct rlimit limit;
+  uint64_t wanted =
+      (uint64_t)settings->connection_limit * CONNECTION_ROOM_FILES + CONNECTION_ROOM_OTHER_FILES;
+  uint32_t limit = socket_file_limit (settings->file_limit);
 
-  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= wanted)
+  if (limit == 0 || limit >= wanted)
     return;
-  log_event (LOG_LEVEL_WARNING, "file_limit_low", "limit", LOG_U64 (limit.rlim_cur), "wanted",
+  log_event (LOG_LEVEL_WARNING, "file_limit_low", "limit", LOG_U64 (limit), "wanted",
              LOG_U64 (wanted), NULL);
 }
 
--- a/src/request/data_task.c
+++ b/src/request/data_task.c
@@ -1,6 +1,7 @@
 #include "request/data_task_private.h"
 
 #include "base/log.h"
+#include "connection/socket.h"
 #include "request/hop.h"
 
 #include <string.h>
@@ -103,6 +104,7 @@
     .header_limit_bytes = settings->header_limit_bytes + (sidecar ? HOP_HEADERS_MAX_BYTES : 0),
     .header_limit_count = settings->header_limit_count + (sidecar ? HOP_HEADER_COUNT : 0),
     .connection_limit = settings->connection_limit,
+    .file_limit = socket_file_limit (settings->file_limit),
     .idle_timeout_ms = settings->idle_timeout_ms,
     .on_call = data_task_serve,
     .context = data_task
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -1,6 +1,7 @@
 #include "request/gateway/gateway_private.h"
 
 #include "base/log.h"
+#include "connection/socket.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -126,6 +127,16 @@
              LOG_U64 (g_hash_table_size (gateway->calls)), NULL);
 }
 
+static void
+review_room (gateway_task_t *gateway)
+{
+  if (!http_server_review_room (gateway->listener, gateway_now_us (gateway)))
+    return;
+  log_event (LOG_LEVEL_WARNING, "connections_full", "full",
+             gateway_is_full (gateway) ? "yes" : "no", "calls",
+             LOG_U64 (g_hash_table_size (gateway->calls)), NULL);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *context)
 {
@@ -134,6 +145,7 @@
   (void)fd;
   (void)what;
   shed_connections (gateway);
+  review_room (gateway);
   dispatch_all (gateway);
   gateway_resume_poll (gateway);
   if (++gateway->ticks % GATEWAY_WATCH_TICKS != 0)
@@ -239,20 +251,21 @@
   http_client_set_connect_timeout (gateway->upstreams, GATEWAY_CONNECT_TIMEOUT_MS);
   gateway->tick_timer = event_new (options->base, -1, EV_PERSIST, on_tick, gateway);
   event_add (gateway->tick_timer, &tick);
-  gateway->listener =
-      http_server_new (&(http_server_options_t){ .base = options->base,
-                                                 .counters = options->counters,
-                                                 .listen = settings->listen,
-                                                 .body_limit_bytes = settings->body_limit_bytes,
-                                                 .header_limit_bytes = settings->header_limit_bytes,
-                                                 .header_limit_count = settings->header_limit_count,
-                                                 .connection_limit = settings->connection_limit,
-                                                 .idle_timeout_ms = settings->idle_timeout_ms,
-                                                 .takes_few = true,
-                                                 .on_call = gateway_accept,
-                                                 .on_ended = on_connection_ended,
-                                                 .context = gateway },
-                       error);
+  gateway->listener = http_server_new (
+      &(http_server_options_t){ .base = options->base,
+                                .counters = options->counters,
+                                .listen = settings->listen,
+                                .body_limit_bytes = settings->body_limit_bytes,
+                                .header_limit_bytes = settings->header_limit_bytes,
+                                .header_limit_count = settings->header_limit_count,
+                                .connection_limit = settings->connection_limit,
+                                .file_limit = socket_file_limit (settings->file_limit),
+                                .idle_timeout_ms = settings->idle_timeout_ms,
+                                .takes_few = true,
+                                .on_call = gateway_accept,
+                                .on_ended = on_connection_ended,
+                                .context = gateway },
+      error);
   if (gateway->listener)
     return gateway;
   gateway_free (gateway);
@@ -357,6 +370,12 @@
   http_server_resume_accepting (gateway->listener);
 }
 
+bool
+gateway_is_full (const gateway_task_t *gateway)
+{
+  return http_server_is_full (gateway->listener);
+}
+
 void
 gateway_announce_close (gateway_task_t *gateway)
 {
--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -126,6 +126,8 @@
  * connect have to wait */
 void gateway_pause_accept (gateway_task_t *gateway);
 void gateway_resume_accept (gateway_task_t *gateway);
+/** gateway_is_full() - whether it can take no new connection, as all are in use */
+bool gateway_is_full (const gateway_task_t *gateway);
 /** gateway_announce_close() - begins a stop: from now on responses carry "Connection: close" */
 void gateway_announce_close (gateway_task_t *gateway);
 /** gateway_stop() - accepts no further connections and requests */
--- a/tests/server_fixture.c
+++ b/tests/server_fixture.c
@@ -44,7 +44,8 @@
 new_server (uint32_t idle_timeout_ms,
             uint32_t request_timeout_ms,
             bool takes_few,
-            uint32_t incomplete_limit_bytes)
+            uint32_t incomplete_limit_bytes,
+            uint32_t file_limit)
 {
   server_fixture_t *fixture = g_new0 (server_fixture_t, 1);
   http_server_options_t options = { .takes_few = takes_few,
@@ -56,6 +57,7 @@
                                     .idle_timeout_ms = idle_timeout_ms,
                                     .request_timeout_ms = request_timeout_ms,
                                     .incomplete_limit_bytes = incomplete_limit_bytes,
+                                    .file_limit = file_limit,
                                     .on_call = on_call,
                                     .on_ended = on_ended };
   GError *error = NULL;
@@ -80,7 +82,7 @@
 server_fixture_new_with_timeouts (uint32_t idle_timeout_ms, uint32_t request_timeout_ms)
 {
   return new_server (idle_timeout_ms, request_timeout_ms, false,
-                     SERVER_FIXTURE_INCOMPLETE_LIMIT_BYTES);
+                     SERVER_FIXTURE_INCOMPLETE_LIMIT_BYTES, 0);
 }
 
 server_fixture_t *
@@ -92,7 +94,15 @@
 server_fixture_t *
 server_fixture_new_with_incomplete_limit (uint32_t limit_bytes)
 {
-  return new_server (SERVER_FIXTURE_NO_TIMEOUT_MS, SERVER_FIXTURE_NO_TIMEOUT_MS, true, limit_bytes);
+  return new_server (SERVER_FIXTURE_NO_TIMEOUT_MS, SERVER_FIXTURE_NO_TIMEOUT_MS, true, limit_bytes,
+                     0);
+}
+
+server_fixture_t *
+server_fixture_new_with_file_limit (uint32_t file_limit)
+{
+  return new_server (SERVER_FIXTURE_NO_TIMEOUT_MS, SERVER_FIXTURE_NO_TIMEOUT_MS, true,
+                     SERVER_FIXTURE_INCOMPLETE_LIMIT_BYTES, file_limit);
 }
 
 server_fixture_t *
--- a/tests/server_fixture.h
+++ b/tests/server_fixture.h
@@ -54,6 +54,8 @@
 /** server_fixture_new_with_incomplete_limit() - likewise, with that limit on requests that have
  * been received in part */
 server_fixture_t *server_fixture_new_with_incomplete_limit (uint32_t limit_bytes);
+/** server_fixture_new_with_file_limit() - likewise, with that limit on open files */
+server_fixture_t *server_fixture_new_with_file_limit (uint32_t file_limit);
 void server_fixture_free (server_fixture_t *fixture);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (server_fixture_t, server_fixture_free)
 /** server_fixture_counter_value() - the value of a counter */
