Gateway: a short grace time ends what is in progress too

What callers saw: at a gateway with a grace time below 3.1 s (--grace=1 to 3) a planned stop cut every request in progress without an answer.

Cause: new requests are taken for 2.5 s after the stop signal, and nothing is ended before that. With a shorter grace the process is killed first: the check for the end of the grace stood behind that for the last new request.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -9,6 +9,7 @@
 #include "request/gateway/gateway.h"
 #include "request/policy/engines/lapses.h"
 #include "request/policy/engines/restart_claims.h"
+#include "request/policy/queueing/stop_grace.h"
 #include "version/version_order.h"
 
 #include <string.h>
@@ -35,7 +36,7 @@
  * @outage_us: when most of the other gateways were last heard while no one could read the store
  * @accept_by_us: latest time at which client connections are accepted, even if the gateway is not
  *   ready; 0 once they are
- * @stop_us: when the stop signal came, 0 before
+ * @stop: the times of the stop, once its signal has come
  * @has_ended_calls: gateway_end_calls() has been called
  * @was_ready: readiness that was logged last
  * @ticked_us: time of the last tick, 0 for none
@@ -60,7 +61,7 @@
   uint64_t outage_us;
   struct event *tick;
   uint64_t accept_by_us;
-  uint64_t stop_us;
+  stop_grace_t stop;
   bool has_ended_calls;
   bool was_ready;
   uint64_t ticked_us;
@@ -82,7 +83,7 @@
 gateway_process_is_ready (const gateway_process_t *process)
 {
   return process->table && process->store && gateway_store_has_routing (process->store) &&
-         gateway_store_has_engines (process->store) && process->stop_us == 0;
+         gateway_store_has_engines (process->store) && !stop_grace_is_stopping (&process->stop);
 }
 
 static void
@@ -564,24 +565,19 @@
 static void
 stop_when_due (gateway_process_t *process)
 {
-  uint32_t grace_ms = process->options.settings->grace_ms;
-  uint64_t since_ms;
+  uint64_t at_us = now_us (process);
 
-  if (process->stop_us == 0)
-    return;
-  since_ms = (now_us (process) - process->stop_us) / CLOCK_US_PER_MS;
-  if (since_ms < GATEWAY_PROCESS_STOP_ACCEPT_MS)
+  if (!stop_grace_is_stopping (&process->stop) || at_us < process->stop.accept_until_us)
     return;
   gateway_stop (process->gateway);
-  if (since_ms + GATEWAY_PROCESS_END_CALLS_MARGIN_MS >= grace_ms && !process->has_ended_calls)
+  if (at_us >= process->stop.end_us && !process->has_ended_calls)
     {
       process->has_ended_calls = true;
       gateway_end_calls (process->gateway);
       if (gateway_busy_count (process->gateway) > 0)
         return; /* the answers are written before the next tick */
     }
-  if (gateway_busy_count (process->gateway) > 0 &&
-      since_ms + GATEWAY_PROCESS_EXIT_MARGIN_MS < grace_ms)
+  if (gateway_busy_count (process->gateway) > 0 && at_us < process->stop.exit_us)
     return;
   event_base_loopexit (process->options.base, NULL);
 }
@@ -843,9 +839,11 @@
 void
 gateway_process_stop (gateway_process_t *process)
 {
-  if (process->stop_us != 0)
+  uint64_t grace_us = (uint64_t)process->options.settings->grace_ms * CLOCK_US_PER_MS;
+
+  if (stop_grace_is_stopping (&process->stop))
     return;
-  process->stop_us = now_us (process);
+  process->stop = stop_grace_begin (now_us (process), grace_us);
   gateway_announce_close (process->gateway);
   log_readiness (process);
 }
--- a/src/process/gateway_process.h
+++ b/src/process/gateway_process.h
@@ -34,17 +34,6 @@
 /* How long an engine is kept whose registry entry may have expired during an outage of the store: a
  * live engine has renewed its entry by then. */
 #define GATEWAY_PROCESS_EXPIRED_ENGINE_MS 2500
-/*
- * How long a gateway accepts connections after a stop signal: the load balancer checks readiness
- * once a second and removes it after two failed checks. Idle connections are closed then, since a
- * request that arrives later than 3 s may not be finished when the process is killed.
- */
-#define GATEWAY_PROCESS_STOP_ACCEPT_MS 2500
-/* What is in progress is ended this long before the process would be killed, so that its callers
- * get an answer: they could not tell a closed connection from a request that is lost. */
-#define GATEWAY_PROCESS_END_CALLS_MARGIN_MS 600
-/* the process exits this long before it would be killed */
-#define GATEWAY_PROCESS_EXIT_MARGIN_MS 250
 
 /**
  * struct gateway_process_parsers - parsers of the store's records
@@ -88,7 +77,7 @@
 gateway_process_t *gateway_process_new (const gateway_process_options_t *options, GError **error);
 void gateway_process_free (gateway_process_t *process);
 /** gateway_process_stop() - begins a graceful stop; the event loop exits once all requests are
- * answered, or %GATEWAY_PROCESS_EXIT_MARGIN_MS before the end of the grace time */
+ * answered, or %STOP_GRACE_EXIT_MARGIN_US before the end of the grace time */
 void gateway_process_stop (gateway_process_t *process);
 /** gateway_process_is_ready() - whether the gateway has loaded routing rules and engines and is not
  * stopping */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -7,6 +7,7 @@
 #include "request/policy/retries/retry_plan.h"
 #include "request/gateway/gateway.h"
 #include "request/policy/placement/engine_choice.h"
+#include "request/policy/queueing/stop_grace.h"
 #include "suite.h"
 
 #include <string.h>
@@ -1598,8 +1599,7 @@
   CU_ASSERT (!gateway_process_is_ready (rig->gateways[0].gateway_process));
   raw = gateway_rig_fetch (rig, "GET", "/look/", "");
   CU_ASSERT (starts_with (raw, "HTTP/1.1 200 ") && contains (raw, "Connection: close\r\n"));
-  clock_init_paused (&rig->clock,
-                     clock_now_us (&rig->clock) + GATEWAY_PROCESS_STOP_ACCEPT_MS * CLOCK_US_PER_MS);
+  clock_init_paused (&rig->clock, clock_now_us (&rig->clock) + STOP_GRACE_ACCEPT_US);
   CU_ASSERT (raw_peer_run_until (rig->base, loop_ended, rig));
   raw_peer_free (raw);
 }
@@ -1637,8 +1637,7 @@
 
   CU_ASSERT (raw_peer_run_until (rig->base, has_first_event, raw));
   gateway_process_stop (rig->gateways[0].gateway_process);
-  clock_init_paused (&rig->clock,
-                     clock_now_us (&rig->clock) + GATEWAY_PROCESS_STOP_ACCEPT_MS * CLOCK_US_PER_MS);
+  clock_init_paused (&rig->clock, clock_now_us (&rig->clock) + STOP_GRACE_ACCEPT_US);
   raw_peer_run_ms (rig->base, 2 * GATEWAY_PROCESS_TICK_MS);
   raw_peer_send (g_ptr_array_index (engine->connections, 0), STREAM_END);
   CU_ASSERT (raw_peer_run_until (rig->base, has_stream_end, raw));
