First decision after a standstill isn't made by what was certain before

What callers saw: a gateway that had stood still for seconds, and could not read the store since, took up a stream at once at the only version that it knew, though another one may have begun it (ORDER), and denied routes of a newer configuration with 404.

Cause: whether routing rules, engines and tables are current was computed by a timer. On a connection that was open before, a request is read in the same round of the event loop, before the timer runs.

Change: it is computed when a request is accepted and when a resumption is decided.

Evidence: test_first_request_after_a_standstill moves the clock by ten seconds under an open connection. Before: "tests/test_gateway_resume.c:152 - is_status (raw, status)" twice, 404 and 200 (basis=sole) in place of 503; after: passed. test-shares_lag, -gateway and -gateway_crash pass.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -505,6 +505,15 @@
   return gateway_shares_choose (process->shares, service, stream);
 }
 
+static void
+on_update_current (void *context)
+{
+  gateway_process_t *process = context;
+
+  if (process->gateway)
+    update_current (process);
+}
+
 static version_search_t
 find_version (const char *service, uint64_t stream, uint64_t since_us, void *context)
 {
@@ -696,6 +705,7 @@
           .last_epoch = last_epoch,
           .is_certain = is_certain,
           .choose_version = choose_version,
+          .update_current = on_update_current,
           .find_version = find_version,
           .context = process,
           .retries = { .ratio_milli = settings->retry_ratio_milli,
--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -47,6 +47,8 @@
  * @last_epoch: number of the last table, 0 for none
  * @is_certain: whether the tables alone tell that a stream began at a version
  * @choose_version: the version at which a stream begins, 0 for any
+ * @update_current: calls gateway_set_config_current() and gateway_set_shares_known(): a process
+ * that stood still handles requests before the timer that does so regularly
  * @find_version: looks for the version at which a stream of any gateway began, see
  *   gateway_shares_find()
  * @context: passed to the callbacks
@@ -71,6 +73,7 @@
   uint64_t (*last_epoch) (const char *service, void *context);
   bool (*is_certain) (const char *service, uint64_t stream, uint64_t version, void *context);
   uint64_t (*choose_version) (const char *service, uint64_t stream, void *context);
+  void (*update_current) (void *context);
   version_search_t (*find_version) (const char *service,
                                     uint64_t stream,
                                     uint64_t since_us,
--- a/src/request/gateway/gateway_accept.c
+++ b/src/request/gateway/gateway_accept.c
@@ -93,6 +93,7 @@
       reject_while_stopping (gateway, client, &request);
       return;
     }
+  gateway->options.update_current (gateway->options.context);
   route = gateway->table
               ? routing_find_route (gateway->table, http_server_request_header (client, "Host"),
                                     http_server_target (client))
--- a/src/request/gateway/gateway_resume.c
+++ b/src/request/gateway/gateway_resume.c
@@ -139,9 +139,13 @@
 static void
 step_resumption (gateway_call_t *call)
 {
-  resumption_view_t view = make_view (call);
-  resumption_t decision = resumption_decide (&view, gateway_now_us (call->gateway));
+  const gateway_options_t *options = &call->gateway->options;
+  resumption_view_t view;
+  resumption_t decision;
 
+  options->update_current (options->context);
+  view = make_view (call);
+  decision = resumption_decide (&view, gateway_now_us (call->gateway));
   switch (decision.step)
     {
     case RESUMPTION_GO:
--- a/tests/test_gateway_resume.c
+++ b/tests/test_gateway_resume.c
@@ -121,6 +121,50 @@
   check_resumption (rig, "/talk/", RESUMES ("r1"), "HTTP/1.1 200");
 }
 
+static bool
+is_whole (void *context)
+{
+  const raw_peer_t *raw = context;
+
+  return raw->eof || strstr (raw->received->str, "\r\n0\r\n\r\n") ||
+         strstr (raw->received->str, "}");
+}
+
+/* A gateway that stood still for ten seconds, cut off since, finds @request on a connection that
+ * was open before: it is read before any timer runs. */
+static void
+check_first_after_standstill (const char *request, const char *status)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new_seeded (1, true);
+  raw_peer_t *raw;
+
+  add_engine (rig, "pool", "v1");
+  raw = gateway_rig_send (rig, 0, "POST", "/talk/", "Content-Length: 0\r\n");
+  CU_ASSERT (raw_peer_run_until (rig->base, is_whole, raw));
+  CU_ASSERT (is_status (raw, "HTTP/1.1 200"));
+  CU_ASSERT_FALSE_FATAL (raw->eof);
+  g_string_truncate (raw->received, 0);
+  clock_init_paused (&rig->clock, clock_now_us (&rig->clock));
+  rig->gateways[0].front->down = true;
+  clock_advance (&rig->clock, 10 * CLOCK_US_PER_S);
+  raw_peer_send (raw, request);
+  CU_ASSERT (raw_peer_run_until (rig->base, is_whole, raw));
+  CU_ASSERT (is_status (raw, status));
+  raw_peer_free (raw);
+}
+
+/* Guards against a first decision after a standstill by what was certain before it. */
+static void
+test_first_request_after_a_standstill (void)
+{
+  static const char end[] = " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r2\r\nX-Key: key-1\r\n";
+  g_autofree char *unknown = g_strconcat ("GET /no-such-route/", end, "\r\n", NULL);
+  g_autofree char *resumed = g_strconcat ("POST /talk/", end, RESUMES ("lost"), "\r\n", NULL);
+
+  check_first_after_standstill (unknown, "HTTP/1.1 503");
+  check_first_after_standstill (resumed, "HTTP/1.1 503");
+}
+
 /* Guards against streams that wait, or change versions, when the last engine of theirs has gone. */
 static void
 test_version_that_has_gone (void)
@@ -352,6 +396,7 @@
     SUITE_TEST (test_unknown_stream_is_refused),
     SUITE_TEST (test_stream_goes_on_at_the_only_version),
     SUITE_TEST (test_gateway_that_is_cut_off),
+    SUITE_TEST (test_first_request_after_a_standstill),
     SUITE_TEST (test_version_that_has_gone),
     SUITE_TEST (test_unnamed_stream_after_a_restart),
     SUITE_TEST (test_stream_stays_at_its_service),
