A refusal without the request's id proves nothing on a connection that was used

What callers would see: a request that may run once runs twice, or is answered 503 though it runs. A faulty engine sent a refusal without X-Request-Id after a complete response (503, X-Not-Run), at the point where the next response was expected; the gateway took it for that of the request which it had just sent, and sent that to another engine.

Cause: read_answer() believed any head with X-Not-Run, or of status 421, whatever connection it came on: bytes were trusted for where they stood.

Why the fix works: a response counts for a request only if it bears its id, or if it is the first one on its connection, so that it can be nobody else's (a refusal, or the response to a request without an id, which now gets a connection of its own). A refusal of status 2xx or 3xx is a contradiction and counts as nothing; likewise one with a signature on a connection that was used, which is the rest of a refusal and the head of the next response read as one. What is not proven may have run: the connection is closed, a request that may run once ends with 502, an idempotent one may be sent again.

--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -379,7 +379,9 @@
 {
   uint64_t idle_limit_us = options->idle_limit_us ? options->idle_limit_us : UINT64_MAX;
   http_client_conn_t *conn =
-      http_client_conn_acquire (call->http_client, options->address, idle_limit_us);
+      options->new_connection
+          ? http_client_conn_open (call->http_client, options->address)
+          : http_client_conn_acquire (call->http_client, options->address, idle_limit_us);
   struct evhttp_request *request = make_request (conn, options);
   ev_ssize_t limit = options->answer_limit_bytes ? (ev_ssize_t)options->answer_limit_bytes : -1;
 
@@ -464,6 +466,12 @@
   return !call->conn || has_unread_bytes (call->conn);
 }
 
+bool
+http_client_is_first_on_connection (const http_client_call_t *call)
+{
+  return !call->conn->was_kept;
+}
+
 bool
 http_client_may_have_sent (const http_client_call_t *call)
 {
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -62,6 +62,7 @@
  * @until_close: accept a response without a declared length: it is complete when the peer
  *   closes the connection normally, and truncated when the peer resets it
  * @idle_limit_us: don't reuse a connection that has been idle for longer; 0 for no limit
+ * @new_connection: don't reuse a connection
  * @check_name: response header that must have the value @check_value; otherwise the call ends
  *   with VERDICT_REASON_CROSSED and no part of the response is passed on. NULL for no check
  * @on_head: receives status and headers of a response with valid framing that has passed the
@@ -84,6 +85,7 @@
   uint32_t answer_limit_bytes;
   bool until_close;
   uint64_t idle_limit_us;
+  bool new_connection;
   const char *check_name;
   const char *check_value;
   bool (*on_head) (int status, struct evkeyvalq *headers, void *context);
@@ -126,6 +128,9 @@
 /** http_client_has_unread() - whether the call has ended, or bytes of its response wait to be read
  */
 bool http_client_has_unread (const http_client_call_t *call);
+/** http_client_is_first_on_connection() - whether the connection of a call that has not ended
+ * carried no call before */
+bool http_client_is_first_on_connection (const http_client_call_t *call);
 /** http_client_may_have_sent() - whether any byte of the request may have been sent */
 bool http_client_may_have_sent (const http_client_call_t *call);
 
--- a/src/connection/http_client_internal.h
+++ b/src/connection/http_client_internal.h
@@ -131,6 +131,8 @@
   bool given_up;
 };
 
+/** http_client_conn_open() - open a connection */
+http_client_conn_t *http_client_conn_open (http_client_t *http_client, const address_t *address);
 /** http_client_conn_acquire() - get an idle connection that the peer has not closed and that has
  * been idle for at most @idle_limit_us, or else a new one */
 http_client_conn_t *http_client_conn_acquire (http_client_t *http_client,
--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -262,8 +262,8 @@
   bufferevent_setwatermark (conn->bev, EV_READ, 0, chunk_bytes + LIMIT_HTTP_RESPONSE_HEADER_BYTES);
 }
 
-static http_client_conn_t *
-conn_new (http_client_t *http_client, const address_t *address)
+http_client_conn_t *
+http_client_conn_open (http_client_t *http_client, const address_t *address)
 {
   http_client_conn_t *conn = g_new0 (http_client_conn_t, 1);
 
@@ -334,7 +334,7 @@
         http_client_conn_close (conn);
     }
   g_free (key);
-  return found ? found : conn_new (http_client, address);
+  return found ? found : http_client_conn_open (http_client, address);
 }
 
 void
--- a/src/request/gateway/format.h
+++ b/src/request/gateway/format.h
@@ -88,7 +88,8 @@
 
 /**
  * struct format_response - what the headers of an engine's response say
- * @is_for_other_request: the response belongs to another request
+ * @is_for_other_request: the response belongs to another request, or nothing shows that it belongs
+ *   to this one
  * @not_run: the engine states that it did not run the request
  * @is_other_engine: the response is from another engine than the one that the request named
  * @has_signature: the response carries the engine's signature
@@ -111,6 +112,17 @@
   uint32_t backoff_ms;
 } format_response_t;
 
+/**
+ * struct format_asked - the request for which a response came
+ * @id: its id, or NULL
+ * @is_first: the first request on its connection, so the response can belong to no other one
+ */
+typedef struct
+{
+  const char *id;
+  bool is_first;
+} format_asked_t;
+
 /** struct format_buffers - buffers for the header values that format_t.write() formats */
 typedef struct
 {
@@ -129,7 +141,7 @@
  * @write_request: appends the request headers for an engine to @out, an array of
  *   http_client_header_t: those of the gateway, and the client's headers that are forwarded. @out
  *   borrows from @text and @headers
- * @read_response: parses an engine's response headers; @id is the id of the request, or NULL
+ * @read_response: parses an engine's response headers
  * @is_returned: whether a response header is forwarded to the client
  */
 typedef struct
@@ -142,7 +154,7 @@
   void (*read_response) (format_response_t *out,
                          int status,
                          const struct evkeyvalq *headers,
-                         const char *id);
+                         const format_asked_t *asked);
   bool (*is_returned) (const char *name);
 } format_t;
 
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -204,8 +204,10 @@
 
   if (hop->is_fallback)
     return false;
-  call->gateway->options.format->read_response (&call->response, status, headers,
-                                                call->id[0] != '\0' ? call->id : NULL);
+  call->gateway->options.format->read_response (
+      &call->response, status, headers,
+      &(format_asked_t){ .id = call->id[0] != '\0' ? call->id : NULL,
+                         .is_first = http_client_is_first_on_connection (call->upstream) });
   if (call->response.is_for_other_request)
     return false;
   call->has_head = true;
@@ -823,6 +825,7 @@
                                 .body_bytes = call->body_bytes,
                                 .until_close = true,
                                 .idle_limit_us = reuse_idle_limit_us (call),
+                                .new_connection = call->id[0] == '\0',
                                 .on_head = on_head,
                                 .on_data = on_data,
                                 .on_end = on_end,
--- a/standin/standin_upstream.c
+++ b/standin/standin_upstream.c
@@ -229,16 +229,19 @@
 refuse_request (upstream_t *upstream, http_call_t *call, const char *id)
 {
   const char *expected = http_call_header (call, "X-Expect-Instance");
+  bool is_other = expected && strcmp (expected, upstream->instance) != 0;
 
-  if (expected && strcmp (expected, upstream->instance) != 0)
+  if (!is_other && id && upstream->running < upstream->options.slots &&
+      run_copies_take (upstream->copies, now_us (), http_call_header (call, "Kv-From")))
+    return false;
+  if (id)
+    http_call_add_header (call, "X-Request-Id", id);
+  if (is_other)
     {
       http_call_add_header (call, "X-Instance-Id", upstream->instance);
       http_call_reply_json (call, 421, NULL);
       return true;
     }
-  if (id && upstream->running < upstream->options.slots &&
-      run_copies_take (upstream->copies, now_us (), http_call_header (call, "Kv-From")))
-    return false;
   http_call_add_header (call, "X-Not-Run", "1");
   http_call_reply_json (call, id ? 503 : 400, NULL);
   return true;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -20,9 +20,12 @@
   "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
 #define SHORT_BACKOFF_RESPONSE                                                                     \
   "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 0.4\r\nContent-Length: 0\r\n\r\n"
-#define FULL_RESPONSE "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+#define FULL_HEAD "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n"
+#define FULL_RESPONSE FULL_HEAD "X-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
+#define FULL_RESPONSE_WITHOUT_ID FULL_HEAD "Content-Length: 0\r\n\r\n"
 #define OTHER_ENGINE_RESPONSE                                                                      \
   "HTTP/1.1 421 Other\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n"
+#define PLAIN_RESPONSE "HTTP/1.1 200 OK\r\nX-Response-Stamp: s1\r\nContent-Length: 0\r\n\r\n"
 #define STREAM_HEAD OK_HEAD "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 #define EVENT(id) "e\r\nid: " id "\ndata:a\n\n\r\n" /* fourteen bytes */
 #define STREAM_END "0\r\n\r\n"
@@ -157,6 +160,82 @@
   CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 2);
 }
 
+static bool
+has_status (void *context)
+{
+  return starts_with (context, "HTTP/1.1 ");
+}
+
+/* Guards against a second run of a request because of the late refusal of another one. */
+static void
+test_refusal_without_id_on_a_kept_connection_proves_nothing (void)
+{
+  static const char *const refusals[] = {
+    FULL_RESPONSE_WITHOUT_ID,
+    OTHER_ENGINE_RESPONSE,
+    "HTTP/1.1 429 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 103 Hints\r\nX-Request-Id: r1\r\n\r\n" FULL_RESPONSE_WITHOUT_ID,
+    FULL_HEAD "X-Trace: " OK_RESPONSE,
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (refusals); i++)
+    {
+      g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+      raw_server_t *engine =
+          gateway_rig_add_engine (rig, SCRIPTS (OK_RESPONSE, refusals[i], OK_RESPONSE), 3);
+
+      gateway_rig_skip_retry_window (rig);
+      expect (rig, "GET", "/look/", "", "200");
+      expect (rig, "POST", "/book/", EMPTY_BODY, "502");
+      CU_ASSERT_EQUAL (engine->request_count, 2);
+      expect (rig, "POST", "/book/", EMPTY_BODY, "200");
+      CU_ASSERT_EQUAL (engine->accepted, 2);
+    }
+}
+
+/* Guards against 502 for a request that its engine has refused and another one can run. */
+static void
+test_refusal_of_the_request_moves_it_on (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+
+  gateway_rig_skip_retry_window (rig);
+  gateway_rig_add_engine (
+      rig, SCRIPTS (FULL_RESPONSE_WITHOUT_ID, OK_RESPONSE, FULL_RESPONSE, OK_RESPONSE), 4);
+  expect (rig, "POST", "/book/", EMPTY_BODY, "200");
+  expect (rig, "POST", "/book/", EMPTY_BODY, "200");
+  CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 4);
+}
+
+/* Guards against "not run" from a response that shows that the request ran. */
+static void
+test_success_that_claims_not_run_proves_nothing (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+
+  gateway_rig_add_engine (
+      rig, SCRIPTS (OK_HEAD "X-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfine", OK_RESPONSE), 2);
+  expect (rig, "POST", "/book/", EMPTY_BODY, "502");
+  CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 1);
+}
+
+/* Guards against a response for a request without an id that may be that of another request. */
+static void
+test_request_without_id_gets_a_connection_of_its_own (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  raw_server_t *engine = gateway_rig_add_engine (rig, SCRIPTS (OK_RESPONSE, PLAIN_RESPONSE), 2);
+  raw_peer_t *raw;
+
+  expect (rig, "GET", "/look/", "", "200");
+  raw = raw_peer_connect (rig->base, &rig->gateways[0].address);
+  raw_peer_send (raw, "GET /look/ HTTP/1.1\r\nHost: h.example\r\nX-Key: key-1\r\n\r\n");
+  CU_ASSERT (raw_peer_run_until (rig->base, has_status, raw));
+  CU_ASSERT (starts_with (raw, "HTTP/1.1 200 "));
+  CU_ASSERT_EQUAL (engine->accepted, 2);
+  raw_peer_free (raw);
+}
+
 /* Guards against 503 before the deadline when the only engine stays full for longer than three
  * attempts take. */
 static void
@@ -188,12 +267,6 @@
   raw_peer_free (raw);
 }
 
-static bool
-has_status (void *context)
-{
-  return starts_with (context, "HTTP/1.1 ");
-}
-
 #define LONG_ROUTE(name, kind, more)                                                               \
   ",{\"host\":\"h.example\",\"path_prefix\":\"/" name "/\",\"kind\":\"" kind                       \
   "\",\"service\":\"pool\",\"timeout_ms\":60000" more "}"
@@ -1659,6 +1732,10 @@
     SUITE_TEST (test_gateway_without_current_config_answers_503),
     SUITE_TEST (test_lost_non_idempotent_request_is_not_repeated),
     SUITE_TEST (test_full_engine_is_waited_for),
+    SUITE_TEST (test_refusal_without_id_on_a_kept_connection_proves_nothing),
+    SUITE_TEST (test_refusal_of_the_request_moves_it_on),
+    SUITE_TEST (test_success_that_claims_not_run_proves_nothing),
+    SUITE_TEST (test_request_without_id_gets_a_connection_of_its_own),
     SUITE_TEST (test_full_engine_is_asked_more_than_three_times),
     SUITE_TEST (test_refusals_are_bounded),
     SUITE_TEST (test_wait_ends_before_the_deadline),
--- a/tests/test_gateway_silence.c
+++ b/tests/test_gateway_silence.c
@@ -37,7 +37,7 @@
 #define STREAM_HEAD OK_HEAD "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 #define EVENT(id) "e\r\nid: " id "\ndata:a\n\n\r\n"
 #define STREAM_END "0\r\n\r\n"
-#define FULL "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+#define FULL "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
 #define OTHER_ENGINE "HTTP/1.1 421 Other\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n"
 #define RESTS "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
 #define REQUEST "Content-Length: 0\r\n"
--- a/tests/test_load_header.c
+++ b/tests/test_load_header.c
@@ -20,7 +20,7 @@
   TAILQ_INIT (&headers);
   if (load)
     evhttp_add_header (&headers, LOAD_HEADER, load);
-  request_format_get ()->read_response (&out, 200, &headers, "r1");
+  request_format_get ()->read_response (&out, 200, &headers, &(format_asked_t){ .id = "r1" });
   evhttp_clear_headers (&headers);
   return out;
 }
--- a/tests/test_self_reports.c
+++ b/tests/test_self_reports.c
@@ -21,7 +21,7 @@
   TAILQ_INIT (&headers);
   evhttp_add_header (&headers, "X-Request-Id", "r1");
   evhttp_add_header (&headers, name, value);
-  request_format_get ()->read_response (&out, status, &headers, "r1");
+  request_format_get ()->read_response (&out, status, &headers, &(format_asked_t){ .id = "r1" });
   evhttp_clear_headers (&headers);
   return out;
 }
