An engine's entry with any field missing or of another type names no engine

What callers saw: requests ran at an engine of a service to which no configuration sends them, where another writer had left an entry under that engine's id: as its own, but for `service`, and `seq` a text. Until the engine wrote again, some 1.2 s later, the entry was used.

Cause: read_entry() took `seq` of any type for 0, `version` of any type or none for a name, and a missing `cold_left_ms` for 0. It trusted an entry for its place and the fields that it looked at.

An entry that fails names no engine, as one with an invalid address did before; the engine is back with its next own entry.

Changed tests: the entries of rigs and stand-ins lacked version, cold_left_ms and seq, and have them now. test_engine_entries asserted that versions which are numbers differ from each other, and that the cold time may be missing; both are refused now, which is stricter. soak_odd writes three such entries.

--- a/soak/soak_odd.c
+++ b/soak/soak_odd.c
@@ -14,7 +14,9 @@
 #define RECORD_BYTES_MAX 262144
 #define KEYS 40 /* of the writer itself */
 #define ENGINES_TOPIC "keyed.servers"
-#define ENTRY(more) "{\"service\":\"ledger\",\"zone\":\"hall-1\",\"state\":\"ready\"," more "}"
+#define FIELDS "\"service\":\"ledger\",\"zone\":\"hall-1\",\"state\":\"ready\",\"cold_left_ms\":0"
+#define ENTRY(more) "{" FIELDS ",\"version\":\"v1\",\"seq\":1," more "}"
+#define ADDRESS ",\"addr\":\"127.0.0.1:1\",\"slots\":8"
 
 static const char *const odd_values[] = {
   " ",
@@ -27,6 +29,9 @@
   ENTRY ("\"addr\":\"127.0.0.1:1\",\"slots\":1e999"),
   ENTRY ("\"addr\":\"127.0.0.1:1\",\"slots\":-1"),
   ENTRY ("\"addr\":[[[[]]]],\"slots\":{}"),
+  "{" FIELDS ADDRESS ",\"version\":\"v1\",\"seq\":\"17\"}",
+  "{" FIELDS ADDRESS ",\"version\":\"v1\"}",
+  "{" FIELDS ADDRESS ",\"seq\":1}",
 };
 
 static uint32_t
--- a/standin/standin_upstream.c
+++ b/standin/standin_upstream.c
@@ -65,6 +65,7 @@
  * @copies: copies of the caches of runs, here and at others
  * @instance: name of the instance, unique to each start; the key of its entry
  * @running: requests that run
+ * @renewals: how often its entry was written
  * @leaving_since_us: when it began to leave, on the monotonic clock; 0 before
  * @is_entry_removed: whether the removal of the entry has been sent
  */
@@ -78,6 +79,7 @@
   run_copies_t *copies;
   char instance[48];
   uint32_t running;
+  uint64_t renewals;
   uint64_t leaving_since_us;
   bool is_entry_removed;
   struct event *heartbeat;
@@ -370,12 +372,12 @@
 renew_entry (upstream_t *upstream)
 {
   const options_t *options = &upstream->options;
-  const char *version = options->software_version;
   g_autofree char *value = g_strdup_printf (
-      "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"slots\":%u,\"state\":\"%s\"%s%s%s}",
-      options->service, options->advertise, options->data_center, options->slots,
-      upstream->leaving_since_us ? "draining" : "ready", version ? ",\"version\":\"" : "",
-      version ? version : "", version ? "\"" : "");
+      "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\",\"slots\":%u,"
+      "\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":%" G_GUINT64_FORMAT "}",
+      options->service, options->advertise, options->data_center,
+      options->software_version ? options->software_version : "", options->slots,
+      upstream->leaving_since_us ? "draining" : "ready", ++upstream->renewals);
 
   store_entry (upstream, value);
 }
