Requests take a stated part of the memory, whatever the length of their bodies

What callers saw: requests with bodies within max_body_bytes, 40 at once at a gateway, took it beyond the 260 MB of its machine. It was killed, and with it all requests under way.

Cause: a body was copied when it was whole, so it took its memory twice for a moment (24 of 4 MiB: 99 MB while they came, 148 MB as they became whole; libevent's buffers take 1.02 to 1.05 times the payload, not twice). The bound on incomplete requests was 256 MiB, more than the machine has, and whole requests that wait or run did not count. The class: a bound on memory that covers a part of a request's life, stated without the memory there is.

Half of it is for requests, counted from the first byte to the answer. From three quarters of that on, body_room decides which bodies are read on: the oldest, as far as all that they lack fits, so that some always become whole; those that began later wait unread. The first is read on without room only while whole bodies hold less than its length. Requests up to 16 KiB never wait. One that has waited for 5 s in all is refused by 503, not run, with Retry-After, so clients that stop sending don't hold up others for good; the time limit on a body does not run while it waits. Eviction of the largest stays as the last resort.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -73,7 +73,8 @@
 #define LIMIT_HTTP_UNREAD_MS 500 /* longer for a connection whose bytes are not read yet */
 #define LIMIT_HTTP_UNREAD_EXTENSIONS 4
 #define LIMIT_HTTP_LATE_TIMER_MS 50 /* from which on a process did not run when a timer was due */
-#define LIMIT_HTTP_INCOMPLETE_BYTES (256 * 1024 * 1024) /* all incomplete requests together */
+#define LIMIT_HTTP_HELD_BYTES (64 * 1024 * 1024) /* all requests of a listener together */
+#define LIMIT_HTTP_BODY_WAIT_MS (5 * 1000)       /* until a body that is not read on is refused */
 #define LIMIT_HTTP_DEAD_PEER_S 5 /* until a peer that acknowledges nothing is given up */
 #define LIMIT_HTTP_RESPONSE_HEADER_BYTES (64 * 1024) /* headers of a response from an upstream */
 #define LIMIT_HTTP_CONNECT_MS 1000                   /* until a connection attempt is given up */
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -365,3 +365,9 @@
     g_free (loader.given[i].origin);
   return outcome;
 }
+
+uint64_t
+settings_held_bytes (const settings_t *settings)
+{
+  return (uint64_t)settings->memory_mb * (1024 * 1024 / 2);
+}
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -75,6 +75,7 @@
  * @header_limit_bytes: largest request line and headers of a request
  * @header_limit_count: most headers of a request
  * @connection_limit: most open connections to the HTTP listener
+ * @memory_mb: memory that the process may take, in MiB
  * @file_limit: most open files of the process, 0 for what the system allows
  * @idle_timeout_ms: a connection without a request is closed after this time
  * @exchange_interval_ms: between two messages that a daemon initiates
@@ -118,6 +119,7 @@
   uint32_t header_limit_count;
   uint32_t connection_limit;
   uint32_t file_limit;
+  uint32_t memory_mb;
   uint32_t idle_timeout_ms;
   uint32_t exchange_interval_ms;
   uint32_t list_interval_ms;
@@ -154,4 +156,7 @@
  * to be freed with g_free() */
 char *address_to_text (const address_t *address);
 
+/** settings_held_bytes() - the part of the memory that is for requests */
+uint64_t settings_held_bytes (const settings_t *settings);
+
 #endif
--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -345,7 +345,9 @@
   evhttp_request_set_error_cb (request, on_error);
   evhttp_request_set_chunked_cb (request, on_chunk);
   add_headers (evhttp_request_get_output_headers (request), options);
-  if (options->body_bytes > 0)
+  if (options->body_bytes > 0 && options->body_parts)
+    evbuffer_add_buffer_reference (evhttp_request_get_output_buffer (request), options->body_parts);
+  else if (options->body_bytes > 0)
     evbuffer_add_reference (evhttp_request_get_output_buffer (request), options->body,
                             options->body_bytes, NULL, NULL);
   return request;
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -56,6 +56,7 @@
  *   Content-Length, Transfer-Encoding, Connection and Expect are set by the client and ignored
  *   here. Host is added if missing
  * @body: must stay valid until @on_end is called or http_client_cancel_call() returns
+ * @body_parts: likewise, in place of @body, of @body_bytes; is not copied
  * @timeout_us: limit on the duration of the call, 0 for none. Connecting also has its own
  *   limit, %LIMIT_HTTP_CONNECT_MS or that of http_client_set_connect_timeout()
  * @answer_limit_bytes: a response with a longer body counts as truncated; 0 for no limit
@@ -79,6 +80,7 @@
   const http_client_header_t *headers;
   uint32_t header_count;
   const void *body;
+  struct evbuffer *body_parts;
   size_t body_bytes;
   uint64_t timeout_us;
   uint32_t answer_limit_bytes;
--- a/src/connection/http_input.c
+++ b/src/connection/http_input.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #define ENCODING_NAME "Transfer-Encoding"
+#define LENGTH_NAME "Content-Length"
 
 void
 http_input_init (http_input_t *input, const http_input_limits_t *limits)
@@ -40,11 +41,11 @@
 
 /* "Transfer-Encoding: ..." */
 static bool
-is_encoding (const char *line)
+has_name (const char *line, const char *name)
 {
-  size_t bytes = strlen (ENCODING_NAME);
+  size_t bytes = strlen (name);
 
-  return g_ascii_strncasecmp (line, ENCODING_NAME, bytes) == 0 && line[bytes] == ':';
+  return g_ascii_strncasecmp (line, name, bytes) == 0 && line[bytes] == ':';
 }
 
 /* "HTTP/1.1 200 OK"; evhttp reads "2000" and "200OK" as a status too */
@@ -134,6 +135,7 @@
     case HTTP_INPUT_FIRST_LINE:
       input->interim = is_interim (input->line);
       input->chunked = false;
+      input->declared_bytes = 0;
       input->state = input->limits.is_response && !is_status_line (input->line)
                          ? HTTP_INPUT_INVALID
                          : HTTP_INPUT_HEADERS;
@@ -141,8 +143,10 @@
     case HTTP_INPUT_HEADERS:
       if (is_empty_line (input))
         end_head (input);
-      else if (is_encoding (input->line))
+      else if (has_name (input->line, ENCODING_NAME))
         input->chunked = true;
+      else if (has_name (input->line, LENGTH_NAME))
+        input->declared_bytes = g_ascii_strtoull (input->line + strlen (LENGTH_NAME) + 1, NULL, 10);
       break;
     case HTTP_INPUT_CHUNK_LINE:
       end_chunk_line (input);
--- a/src/connection/http_input.h
+++ b/src/connection/http_input.h
@@ -58,6 +58,7 @@
  * @head_started: the first byte of a head has arrived, the last one has not
  * @interim: the current head is of status 1xx, after which another one follows
  * @chunked: the current head has a Transfer-Encoding
+ * @declared_bytes: length of the body by the head
  * @line: start of the current line, without its end
  * @line_bytes: length of the current line so far
  * @left_bytes: rest of the current chunk
@@ -71,6 +72,7 @@
   bool head_started;
   bool interim;
   bool chunked;
+  uint64_t declared_bytes;
   char line[LIMIT_HTTP_CHUNK_LINE_BYTES + 1];
   uint64_t line_bytes;
   uint64_t left_bytes;
--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -110,8 +110,8 @@
       timeval_from_ms (MAX (http_server->options.idle_timeout_ms, LIMIT_HTTP_ANSWER_UNREAD_MS));
   if (http_server->options.request_timeout_ms == 0)
     http_server->options.request_timeout_ms = LIMIT_HTTP_REQUEST_MS;
-  if (http_server->options.incomplete_limit_bytes == 0)
-    http_server->options.incomplete_limit_bytes = LIMIT_HTTP_INCOMPLETE_BYTES;
+  if (http_server->options.held_limit_bytes == 0)
+    http_server->options.held_limit_bytes = LIMIT_HTTP_HELD_BYTES;
   http_server->request_timeout = timeval_from_ms (http_server->options.request_timeout_ms);
   evhttp_set_allowed_methods (http_server->http, methods);
   evhttp_set_max_headers_size (http_server->http, http_server->options.header_limit_bytes);
@@ -215,6 +215,8 @@
   http_server->unlisten = evtimer_new (options->base, on_unlisten, http_server);
   http_server->close_idle = evtimer_new (options->base, on_close_idle, http_server);
   http_server->make_room = evtimer_new (options->base, http_server_on_make_room, http_server);
+  http_server->review_bodies =
+      event_new (options->base, -1, 0, http_server_on_review_bodies, http_server);
   http_server->accept_again =
       event_new (options->base, -1, EV_PERSIST, http_server_on_accept_again, http_server);
   event_add (http_server->accept_again, &accept_again);
@@ -252,6 +254,7 @@
   event_free (http_server->unlisten);
   event_free (http_server->close_idle);
   event_free (http_server->make_room);
+  event_free (http_server->review_bodies);
   event_free (http_server->accept_again);
   if (http_server->idle)
     event_free (http_server->idle);
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -83,8 +83,10 @@
  *   limited. Bytes that have come in time are read first
  * @request_timeout_ms: a request whose head takes longer from its first byte to its last is
  * rejected by 408; 0 for %LIMIT_HTTP_REQUEST_MS, which is also the least time that a body may take
- * @incomplete_limit_bytes: limit on the sum of all requests that have been received in part;
- *   when it is exceeded, the largest of them is rejected by 503; 0 for %LIMIT_HTTP_INCOMPLETE_BYTES
+ * @held_limit_bytes: limit on the sum of all requests that have been received in part, and of the
+ *   bodies of those that are not answered. As it nears, bodies that began last are not read on; one
+ *   that waits for %LIMIT_HTTP_BODY_WAIT_MS, and, over the limit, the largest, is rejected by 503;
+ *   0 for %LIMIT_HTTP_HELD_BYTES
  * @takes_few: new connections are taken a few at a time, when @base has nothing else to do, and
  *   none over the limit, see http_server_shed(); @base needs %HTTP_SERVER_PRIORITIES
  * @on_call: receives each complete request within the limits; it must be answered exactly once,
@@ -104,7 +106,7 @@
   uint32_t file_limit;
   uint32_t idle_timeout_ms;
   uint32_t request_timeout_ms;
-  uint32_t incomplete_limit_bytes;
+  uint64_t held_limit_bytes;
   bool takes_few;
   void (*on_call) (http_server_call_t *call, void *context);
   void (*on_ended) (const http_server_ended_t *ended, void *context);
@@ -180,6 +182,9 @@
  * by g_free(); NULL when it is empty */
 char *http_server_take_body (http_server_call_t *call, size_t *body_bytes);
 
+/** http_server_move_body() - likewise, without a copy of it, to the end of @to */
+void http_server_move_body (http_server_call_t *call, struct evbuffer *to);
+
 /** http_server_on_disconnect() - set a callback for the case that, before http_server_reply() or
  * http_server_end_reply(), the client closes its connection or its half of it, or accepts no bytes
  * for the idle timeout. The call is freed after @gone returns and must not be answered. Not called
--- a/src/connection/http_server_call.c
+++ b/src/connection/http_server_call.c
@@ -4,6 +4,9 @@
 #include <event2/http_struct.h>
 #include <string.h>
 
+/* A body is copied in parts, each of which is freed before the next one takes memory */
+#define TAKEN_PART_BYTES (64 * 1024)
+
 http_server_call_t *
 http_server_call_new (http_server_conn_t *conn, struct evhttp_request *request)
 {
@@ -29,6 +32,7 @@
 end_call (http_server_call_t *call)
 {
   call->conn->call = NULL;
+  http_server_set_whole (call->conn, 0);
   http_server_call_free (call);
 }
 
@@ -152,15 +156,23 @@
 {
   struct evbuffer *body = evhttp_request_get_input_buffer (call->request);
   char *taken;
+  size_t at = 0;
 
   *body_bytes = evbuffer_get_length (body);
   if (*body_bytes == 0)
     return NULL;
   taken = g_malloc (*body_bytes);
-  evbuffer_remove (body, taken, *body_bytes);
+  while (evbuffer_get_length (body) > 0)
+    at += (size_t)evbuffer_remove (body, taken + at, MIN (*body_bytes - at, TAKEN_PART_BYTES));
   return taken;
 }
 
+void
+http_server_move_body (http_server_call_t *call, struct evbuffer *to)
+{
+  evbuffer_add_buffer (to, evhttp_request_get_input_buffer (call->request));
+}
+
 void
 http_server_on_disconnect (http_server_call_t *call, void (*gone) (void *context), void *context)
 {
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -70,56 +70,6 @@
   http_server_set_accepting (http_server, true);
 }
 
-/* Updates the server's sum of incomplete requests too */
-static void
-set_incomplete_bytes (http_server_conn_t *conn, uint64_t incomplete_bytes)
-{
-  conn->http_server->incomplete_bytes += incomplete_bytes - conn->incomplete_bytes;
-  conn->incomplete_bytes = incomplete_bytes;
-}
-
-static http_server_conn_t *
-find_largest_incomplete (http_server_t *http_server)
-{
-  http_server_conn_t *largest = NULL;
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, http_server->conns);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      http_server_conn_t *conn = value;
-
-      if (!conn->evicted && (!largest || conn->incomplete_bytes > largest->incomplete_bytes))
-        largest = conn;
-    }
-  return largest;
-}
-
-static void
-evict (http_server_conn_t *conn)
-{
-  conn->evicted = true;
-  set_incomplete_bytes (conn, 0);
-  bufferevent_disable (conn->bev, EV_READ);
-  http_server_conn_defer (conn);
-}
-
-/*
- * Guards against clients that send most of a long body on each of many connections, before their
- * API key is checked, to exhaust the host's memory. The largest incomplete requests are evicted
- * first, so that short requests of others are not affected.
- */
-static void
-evict_incomplete (http_server_t *http_server)
-{
-  http_server_conn_t *largest;
-
-  while (http_server->incomplete_bytes > http_server->options.incomplete_limit_bytes &&
-         (largest = find_largest_incomplete (http_server)))
-    evict (largest);
-}
-
 /* libevent may keep the bufferevent, so all callbacks with a pointer to @conn are removed from it
  */
 static void
@@ -129,7 +79,8 @@
 
   if (conn->busy)
     http_server->busy_count--;
-  set_incomplete_bytes (conn, 0);
+  http_server_set_whole (conn, 0);
+  http_server_body_ends (conn);
   http_server_note_in_use (conn);
   http_server->open_count--;
   http_server->duplicate_count -= conn->dup_fd >= 0;
@@ -282,6 +233,8 @@
   if (!conn->in_request || conn->in_body || conn->input.head_started)
     return;
   conn->in_body = true;
+  conn->body_due_us = g_get_monotonic_time () + (int64_t)body_ms * CLOCK_US_PER_MS;
+  http_server_body_begins (conn);
   event_add (conn->read_timer, &limit);
 }
 
@@ -316,6 +269,12 @@
   (void)what;
   if (!conn->evcon && !http_server_conn_attach (conn))
     return;
+  if (conn->body_waits)
+    {
+      http_server_reject_incomplete (conn, false);
+      http_server_conn_end (conn, HTTP_SERVER_END_EVICTED);
+      return;
+    }
   if (has_unread_bytes (conn) && conn->extensions < LIMIT_HTTP_UNREAD_EXTENSIONS)
     {
       conn->extensions++;
@@ -353,13 +312,12 @@
     return;
   if (!http_input_read_last (&conn->input, buffer, info->n_added))
     {
-      evict (conn);
+      http_server_evict (conn);
       return;
     }
   start_body_timer (conn);
-  set_incomplete_bytes (conn, conn->incomplete_bytes + info->n_added);
-  if (conn->http_server->incomplete_bytes > conn->http_server->options.incomplete_limit_bytes)
-    evict_incomplete (conn->http_server);
+  http_server_set_incomplete (conn, conn->incomplete_bytes + info->n_added);
+  http_server_evict_incomplete (conn->http_server);
 }
 
 /* Runs while libevent writes, so it only sets flags; on_deferred() does the work */
@@ -534,12 +492,12 @@
   conn->busy = false;
   conn->http_server->busy_count--;
   conn->read_bytes = 0;
-  set_incomplete_bytes (conn, evbuffer_get_length (input));
+  http_server_set_incomplete (conn, evbuffer_get_length (input));
   http_server_conn_set_limits (conn, conn->http_server->options.body_limit_bytes,
                                conn->http_server->options.header_limit_bytes);
   expect_request (conn);
   if (!http_input_read_last (&conn->input, input, evbuffer_get_length (input)))
-    evict (conn);
+    http_server_evict (conn);
   if (conn->disconnect_watch)
     event_del (conn->disconnect_watch);
   start_idle_timer (conn);
@@ -567,7 +525,8 @@
       return;
     }
   stop_read_timer (conn);
-  set_incomplete_bytes (conn, 0);
+  http_server_body_ends (conn);
+  http_server_set_whole (conn, evbuffer_get_length (evhttp_request_get_input_buffer (request)));
   conn->evicted = false; /* its rest arrived before it was rejected */
   conn->busy = true;
   conn->response_sent = false;
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -14,6 +14,7 @@
 #include "connection/http_input.h"
 #include "connection/http_server.h"
 #include "request/policy/queueing/accept_gate.h"
+#include "request/policy/queueing/body_room.h"
 #include "request/policy/queueing/connection_room.h"
 
 #include <event2/bufferevent.h>
@@ -49,7 +50,11 @@
  * @make_room: closes connections that have been idle for longest
  * @accept_again: enables the listener some time after a connection could not be taken
  * @idle_conns: idle connections, the one that has been idle for longest first
- * @incomplete_bytes: received bytes of all requests that are not complete
+ * @bodies: connections that receive the body of a request, in the order in which these began
+ * @review_bodies: finds out which of them are read on
+ * @held_bytes: of all requests that are not complete, and of the bodies of those not answered
+ * @whole_bytes: those of the latter alone
+ * @waiting_bodies: those in @bodies that are not read on for now
  * @open_count: all connections
  * @duplicate_count: descriptors that http_server_conn_dup_fd() has made
  * @taken: connections so far
@@ -80,7 +85,11 @@
   struct event *make_room;
   struct event *accept_again;
   GQueue idle_conns;
-  uint64_t incomplete_bytes;
+  GQueue bodies;
+  struct event *review_bodies;
+  uint64_t held_bytes;
+  uint64_t whole_bytes;
+  uint32_t waiting_bodies;
   uint32_t open_count;
   uint32_t duplicate_count;
   uint64_t taken;
@@ -111,6 +120,11 @@
  * @request: the request in progress, as long as libevent may leave it to us to free
  * @read_bytes: bytes consumed from the input since the last response
  * @incomplete_bytes: received bytes of a request that is not complete
+ * @whole_bytes: of the body of a request that is not answered
+ * @body_link: in the server's @bodies while a body comes; its data is NULL otherwise
+ * @body_waits: the body is not read on for now, since @waits_since_us
+ * @wait_left_us: how long it may wait until it is refused
+ * @body_due_us: when the time limit on the body ends; @body_left_us of it while it waits
  * @busy: from a complete request to the last byte of its response
  * @over_limit: opened over the connection limit; its request is rejected
  * @closing: to be closed by @deferred
@@ -122,7 +136,7 @@
  *   while its request was pending
  * @response_sent: bytes of the response to the pending request have been sent
  * @drain_input: read and discard what the client still sends before the socket is closed
- * @evicted: its incomplete request is rejected by 503, to get below the limit on their sum, or by
+ * @evicted: its incomplete request is rejected by 503, to get below the limit on memory, or by
  *   400 where @input is over a limit
  * @input: what the current request has brought
  * @in_request: a byte of a request has been read, and not the last one
@@ -150,6 +164,13 @@
   http_server_call_t *call;
   uint64_t read_bytes;
   uint64_t incomplete_bytes;
+  uint64_t whole_bytes;
+  GList body_link;
+  bool body_waits;
+  int64_t waits_since_us;
+  int64_t wait_left_us;
+  int64_t body_due_us;
+  int64_t body_left_us;
   bool busy;
   bool over_limit;
   bool closing;
@@ -210,6 +231,22 @@
 /** http_server_close_idle_later() - close the idle connections after %LIMIT_HTTP_STOP_LINGER_MS */
 void http_server_close_idle_later (http_server_t *http_server);
 
+/** http_server_set_incomplete() - so many bytes of a request have come */
+void http_server_set_incomplete (http_server_conn_t *conn, uint64_t bytes);
+/** http_server_set_whole() - the request is complete, with a body of so many bytes, or answered */
+void http_server_set_whole (http_server_conn_t *conn, uint64_t bytes);
+/** http_server_evict() - refuse the request that is being received */
+void http_server_evict (http_server_conn_t *conn);
+/** http_server_evict_incomplete() - likewise, the longest ones, to get within the limit on memory
+ */
+void http_server_evict_incomplete (http_server_t *http_server);
+/** http_server_body_begins() - the head of a request has been read */
+void http_server_body_begins (http_server_conn_t *conn);
+/** http_server_body_ends() - the request is complete, or its connection ends */
+void http_server_body_ends (http_server_conn_t *conn);
+/** http_server_on_review_bodies() - callback of @review_bodies */
+void http_server_on_review_bodies (evutil_socket_t fd, short what, void *context);
+
 /** http_server_counts() - what is open */
 connection_counts_t http_server_counts (const http_server_t *http_server);
 /** http_server_has_room() - whether a connection more is within the limits */
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -261,6 +261,7 @@
                                 .connection_limit = settings->connection_limit,
                                 .file_limit = socket_file_limit (settings->file_limit),
                                 .idle_timeout_ms = settings->idle_timeout_ms,
+                                .held_limit_bytes = settings_held_bytes (settings),
                                 .takes_few = true,
                                 .on_call = gateway_accept,
                                 .on_ended = on_connection_ended,
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -228,7 +228,9 @@
   call->shared_parts = hash_shared_parts (request);
   target_hash = XXH64 (call->id, strlen (call->id), gateway->next_call_number++);
   call->service = gateway_service (gateway, routing_route_choose_service (route, target_hash));
-  call->body = http_server_take_body (client, &call->body_bytes);
+  call->body = evbuffer_new ();
+  http_server_move_body (client, call->body);
+  call->body_bytes = evbuffer_get_length (call->body);
   gateway_suspect_init (call);
   retry_plan_init (&call->course,
                    &(retry_plan_rules_t){ .idempotent = route->kind == ROUTING_IDEMPOTENT,
@@ -260,7 +262,7 @@
   event_free (call->timer);
   event_splitter_clear (&call->splitter);
   relay_clear (&call->relay);
-  g_free (call->body);
+  evbuffer_free (call->body);
   routing_unref (call->table);
   g_free (call);
 }
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -819,7 +819,7 @@
                                 .target = http_server_target (call->client),
                                 .headers = (const http_client_header_t *)headers->data,
                                 .header_count = headers->len,
-                                .body = call->body,
+                                .body_parts = call->body,
                                 .body_bytes = call->body_bytes,
                                 .until_close = true,
                                 .idle_limit_us = reuse_idle_limit_us (call),
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -409,7 +409,7 @@
   retry_plan_t course;
   event_splitter_t splitter;
   relay_t relay;
-  char *body;
+  struct evbuffer *body;
   size_t body_bytes;
   engine_t *engine;
   gateway_belief_t belief;
--- a/src/request/gateway/gateway_suspect.c
+++ b/src/request/gateway/gateway_suspect.c
@@ -15,6 +15,23 @@
   return XXH64 (text, strlen (text) + 1, hash);
 }
 
+static uint64_t
+hash_body (struct evbuffer *body, uint64_t seed)
+{
+  int count = evbuffer_peek (body, -1, NULL, NULL, 0);
+  g_autofree struct evbuffer_iovec *parts = g_new0 (struct evbuffer_iovec, (gsize)count);
+  XXH64_state_t *state = XXH64_createState ();
+  uint64_t hash;
+
+  XXH64_reset (state, seed);
+  evbuffer_peek (body, -1, NULL, parts, count);
+  for (int i = 0; i < count; i++)
+    XXH64_update (state, parts[i].iov_base, parts[i].iov_len);
+  hash = XXH64_digest (state);
+  XXH64_freeState (state);
+  return hash;
+}
+
 /* Computed for each request, so the hash has to be cheap. Its seed is the fleet key, a secret that
  * all gateways share, so that no client can craft a request with the hash of another one. */
 static uint64_t
@@ -24,7 +41,7 @@
 
   hash = hash_text (hash, http_server_method (call->client));
   hash = hash_text (hash, http_server_target (call->client));
-  return XXH64 (call->body, call->body_bytes, hash);
+  return hash_body (call->body, hash);
 }
 
 /* A part ends the engines of a service whoever sends it. */
--- a/tests/server_fixture.c
+++ b/tests/server_fixture.c
@@ -44,7 +44,7 @@
 new_server (uint32_t idle_timeout_ms,
             uint32_t request_timeout_ms,
             bool takes_few,
-            uint32_t incomplete_limit_bytes,
+            uint32_t held_limit_bytes,
             uint32_t file_limit)
 {
   server_fixture_t *fixture = g_new0 (server_fixture_t, 1);
@@ -56,7 +56,7 @@
                                                                   : SERVER_FIXTURE_CONNECTION_LIMIT,
                                     .idle_timeout_ms = idle_timeout_ms,
                                     .request_timeout_ms = request_timeout_ms,
-                                    .incomplete_limit_bytes = incomplete_limit_bytes,
+                                    .held_limit_bytes = held_limit_bytes,
                                     .file_limit = file_limit,
                                     .on_call = on_call,
                                     .on_ended = on_ended };
