HTTP server: a request that is still arriving at the end of a stop is refused

What callers saw: a caller whose body was still coming as a stopped gateway exited found its connection closed without a word, so it could not know that the request had not run.

Cause: gateway_end_calls() ends what the gateway has taken; a request of which only a part has come is not among that, and the exit closes its connection.

Evidence: test-gateway_stop on the code before: test_body_that_is_not_whole_at_the_end ...FAILED raw_peer_run_until (play.rig->base, has_answer, raw)

From the end of the grace time on, such a request gets 503 "stopping", not run, with Retry-After (http_server_refuse_incomplete()). Connections whose bytes are not read yet are left to the next tick: the request may be whole then, and is refused as such. The exit waits, within its limit, for refused connections whose client may still be sending, as a reset would take the refusal from it.

--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -13,6 +13,7 @@
   [HTTP_SERVER_REFUSED_MALFORMED] = "medlarplank_http_refused_total{reason=\"bad_request\"}",
   [HTTP_SERVER_REFUSED_SLOW] = "medlarplank_http_refused_total{reason=\"slow\"}",
   [HTTP_SERVER_REFUSED_LEFT] = "medlarplank_http_refused_total{reason=\"left\"}",
+  [HTTP_SERVER_REFUSED_STOPPING] = "medlarplank_http_refused_total{reason=\"stopping\"}",
 };
 
 static void
@@ -349,6 +350,22 @@
   http_server_close_idle_later (http_server);
 }
 
+void
+http_server_refuse_incomplete (http_server_t *http_server)
+{
+  g_autoptr (GList) conns = g_hash_table_get_values (http_server->conns);
+
+  for (GList *link = conns; link; link = link->next)
+    {
+      http_server_conn_t *conn = link->data;
+
+      if (!http_server_conn_has_part (conn))
+        continue;
+      http_server_reject_incomplete (conn, HTTP_SERVER_END_STOPPING);
+      http_server_conn_end (conn, HTTP_SERVER_END_STOPPING);
+    }
+}
+
 uint32_t
 http_server_busy_count (const http_server_t *http_server)
 {
@@ -356,3 +373,9 @@
     return http_server->busy_count;
   return http_server->open_count + (http_server->bound ? 1 : 0);
 }
+
+uint32_t
+http_server_lingering_count (const http_server_t *http_server)
+{
+  return g_hash_table_size (http_server->drains);
+}
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -146,10 +146,16 @@
  * Connections in the kernel's queue are still accepted. Idle ones are closed after
  * %LIMIT_HTTP_STOP_LINGER_MS, since a request may be on its way */
 void http_server_stop (http_server_t *http_server);
+/** http_server_refuse_incomplete() - refuse by 503 all requests of which only a part has arrived,
+ * at the end of a stop; connections with bytes that are not read yet are left to a later call */
+void http_server_refuse_incomplete (http_server_t *http_server);
 /** http_server_busy_count() - number of calls that have not been answered or whose response has not
  * been sent completely. After http_server_stop(), the number of connections on which a request may
  * still arrive is included, and 0 is final */
 uint32_t http_server_busy_count (const http_server_t *http_server);
+/** http_server_lingering_count() - number of refused connections whose client may still be sending;
+ * it would lose the refusal if the process ended now */
+uint32_t http_server_lingering_count (const http_server_t *http_server);
 
 /** http_server_method() - the request method in upper case */
 const char *http_server_method (const http_server_call_t *call);
--- a/src/connection/http_server_check.c
+++ b/src/connection/http_server_check.c
@@ -33,6 +33,8 @@
   STATUS_NO_ROOM, HTTP_SERVER_REFUSED_BODY, "overloaded", "too_many_bytes",
   "too many long requests come at once; try again later"
 };
+static const rejection_t stopping = { STATUS_NO_ROOM, HTTP_SERVER_REFUSED_STOPPING, "overloaded",
+                                      "stopping", "this server stops" };
 /* To a client that can still receive: one that only ended its own side can't be told from one that
  * has gone. */
 static const rejection_t left_unread = { STATUS_NO_ROOM, HTTP_SERVER_REFUSED_LEFT, "overloaded",
@@ -241,12 +243,14 @@
 }
 
 void
-http_server_reject_incomplete (http_server_conn_t *conn, bool is_late)
+http_server_reject_incomplete (http_server_conn_t *conn, http_server_end_reason_t reason)
 {
   const rejection_t *rejection = &too_many_incomplete;
 
-  if (is_late)
+  if (reason == HTTP_SERVER_END_REQUEST_TIMEOUT)
     rejection = &too_slow;
+  else if (reason == HTTP_SERVER_END_STOPPING)
+    rejection = &stopping;
   else if (conn->input.state == HTTP_INPUT_OVER)
     rejection = &bad_chunks;
   else if (conn->input.state == HTTP_INPUT_INVALID)
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -198,7 +198,7 @@
     }
   if (conn->evicted && !conn->busy)
     {
-      http_server_reject_incomplete (conn, false);
+      http_server_reject_incomplete (conn, HTTP_SERVER_END_EVICTED);
       http_server_conn_end (conn, HTTP_SERVER_END_EVICTED);
       return;
     }
@@ -320,7 +320,7 @@
       http_server_conn_end (conn, HTTP_SERVER_END_IDLE_TIMEOUT);
       return;
     }
-  http_server_reject_incomplete (conn, true);
+  http_server_reject_incomplete (conn, HTTP_SERVER_END_REQUEST_TIMEOUT);
   http_server_conn_end (conn, HTTP_SERVER_END_REQUEST_TIMEOUT);
 }
 
@@ -595,3 +595,13 @@
     return false;
   return !has_unread_bytes (conn);
 }
+
+bool
+http_server_conn_has_part (const http_server_conn_t *conn)
+{
+  bool has_input =
+      conn->read_bytes > 0 || evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0;
+
+  return has_input && !conn->busy && !has_unread_bytes (conn) &&
+         evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0;
+}
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -31,6 +31,7 @@
   HTTP_SERVER_REFUSED_MALFORMED,   /* malformed or unsupported */
   HTTP_SERVER_REFUSED_SLOW,        /* not received within the time limit */
   HTTP_SERVER_REFUSED_LEFT,        /* the client closed before its answer began */
+  HTTP_SERVER_REFUSED_STOPPING,    /* not received completely at the end of a stop */
   HTTP_SERVER_REFUSED_COUNT
 } http_server_refusal_t;
 
@@ -214,6 +215,8 @@
 /** http_server_conn_is_idle() - whether no byte of a request or response is in a buffer or in the
  * socket */
 bool http_server_conn_is_idle (http_server_conn_t *conn);
+/** http_server_conn_has_part() - whether all that has arrived is read and is a part of a request */
+bool http_server_conn_has_part (const http_server_conn_t *conn);
 /** http_server_conn_attach() - find the evhttp connection of a new connection. Return: false when
  * evhttp has dropped it; it is freed then */
 bool http_server_conn_attach (http_server_conn_t *conn);
@@ -231,9 +234,9 @@
  * error body */
 void http_server_replace_error_page (http_server_conn_t *conn);
 
-/** http_server_reject_incomplete() - reject an incomplete request by 503 or 400, or by 408 when it
- * @is_late; the caller then closes the connection */
-void http_server_reject_incomplete (http_server_conn_t *conn, bool is_late);
+/** http_server_reject_incomplete() - reject an incomplete request by the response for @reason; the
+ * caller then closes the connection */
+void http_server_reject_incomplete (http_server_conn_t *conn, http_server_end_reason_t reason);
 /** http_server_reject_left() - tell a client that closed, perhaps its own side only, that it gets
  * no other answer to its request, if no byte of one was sent; the caller then closes the
  * connection.
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -570,11 +570,13 @@
   if (!stop_grace_is_stopping (&process->stop) || at_us < process->stop.accept_until_us)
     return;
   gateway_stop (process->gateway);
-  if (at_us >= process->stop.end_us && !process->has_ended_calls)
+  if (at_us >= process->stop.end_us)
     {
+      bool is_first = !process->has_ended_calls;
+
       process->has_ended_calls = true;
       gateway_end_calls (process->gateway);
-      if (gateway_busy_count (process->gateway) > 0)
+      if (is_first && gateway_busy_count (process->gateway) > 0)
         return; /* the answers are written before the next tick */
     }
   if (gateway_busy_count (process->gateway) > 0 && at_us < process->stop.exit_us)
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -399,12 +399,14 @@
   for (GList *link = calls; link; link = link->next)
     if (g_hash_table_contains (gateway->calls, link->data))
       gateway_call_end_by_stop (link->data);
+  http_server_refuse_incomplete (gateway->listener);
 }
 
 uint32_t
 gateway_busy_count (const gateway_task_t *gateway)
 {
-  return http_server_busy_count (gateway->listener) + g_hash_table_size (gateway->calls);
+  return http_server_busy_count (gateway->listener) +
+         http_server_lingering_count (gateway->listener) + g_hash_table_size (gateway->calls);
 }
 
 uint16_t
--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -133,7 +133,7 @@
 /** gateway_stop() - accepts no further connections and requests */
 void gateway_stop (gateway_task_t *gateway);
 /** gateway_end_calls() - ends all requests in progress with a refusal or a failure, shortly before
- * the process exits */
+ * the process exits, also those that are still arriving; to be called until the exit */
 void gateway_end_calls (gateway_task_t *gateway);
 /** gateway_busy_count() - number of connections and requests that are not finished; 0 when a stop
  * is complete
--- a/tests/test_gateway_stop.c
+++ b/tests/test_gateway_stop.c
@@ -285,6 +285,24 @@
   gateway_rig_free (play.rig);
 }
 
+/* Guards against a request that ends without a word as its body is still coming at the end. */
+static void
+test_body_that_is_not_whole_at_the_end (void)
+{
+  play_t play = { 0 };
+  raw_peer_t *raw;
+
+  start (&play);
+  raw = connect_peer (&play, HALF_REQUEST);
+  let_tick (&play);
+  stop (&play, GRACE_MS);
+  advance_to (&play, play.stop.end_us);
+  CU_ASSERT (raw_peer_run_until (play.rig->base, has_answer, raw));
+  CU_ASSERT (is_refused (raw));
+  raw_peer_free (raw);
+  gateway_rig_free (play.rig);
+}
+
 /* Guards against a request on an idle connection that meets its close. */
 static void
 test_kept_connection_after_the_last_new_request (void)
@@ -337,6 +355,7 @@
                                        SUITE_TEST (test_new_request_that_would_outlast_the_stop),
                                        SUITE_TEST (test_second_attempt_does_not_begin_late),
                                        SUITE_TEST (test_slow_body_over_the_last_new_request),
+                                       SUITE_TEST (test_body_that_is_not_whole_at_the_end),
                                        SUITE_TEST (test_kept_connection_after_the_last_new_request),
                                        SUITE_TEST (test_request_behind_another_one),
                                        CU_TEST_INFO_NULL };
