Router: a request that is whole after the last new one is refused

What callers saw: a router in a planned stop took requests on open connections for as long as these stayed open: one whose body came slowly, or that followed an answer which had begun before the stop. It was passed on, however late, and cut without an answer if the process was killed while it ran.

Cause: only the listener stops a second after the signal; requests on open connections were taken as before.

Evidence: test-path_stop on the code before: test_request_that_is_whole_after_the_last_new_one ...FAILED strstr (raw->received->str, "HTTP/1.1 503 ") testbed_count_received (testbed),0

Once its listener is closed, a router refuses such a request: 503 "leaving", not run, with Retry-After. A sidecar refuses all new work from the signal on already.

test-path_stop, test-path, test-path_closed, session-stop: passed.

--- a/src/request/data_task.c
+++ b/src/request/data_task.c
@@ -220,6 +220,12 @@
   return data_task->draining;
 }
 
+bool
+data_task_takes_requests (const data_task_t *data_task)
+{
+  return data_task->listening;
+}
+
 void
 data_task_count_control_bytes (data_task_t *data_task, uint32_t bytes)
 {
--- a/src/request/data_task.h
+++ b/src/request/data_task.h
@@ -77,6 +77,9 @@
 bool data_task_is_stale (data_task_t *data_task);
 /** data_task_is_draining() - whether a graceful stop began */
 bool data_task_is_draining (const data_task_t *data_task);
+/** data_task_takes_requests() - whether requests of callers are still taken; in a stop they are
+ * until %DATA_TASK_LINGER_MS after its begin */
+bool data_task_takes_requests (const data_task_t *data_task);
 /** data_task_count_control_bytes() - adds an estimate of control traffic that the data task sent
  * (hints, revokes, probes, loads) to the counter of the control task. Its budget doesn't limit this
  * traffic
--- a/src/request/router/router_accept.c
+++ b/src/request/router/router_accept.c
@@ -15,6 +15,7 @@
 #define DEADLINE_HEADER "X-Deadline-Ms"
 #define BYTES_PER_TOKEN 4
 #define STALE_RETRY_AFTER_MS 1000
+#define LEAVING_RETRY_AFTER_MS 100 /* at another router */
 
 /** struct rejection - the error answer to a request that is not valid */
 typedef struct
@@ -247,6 +248,14 @@
   rejection_t rejection;
   router_call_t *call;
 
+  /* It came on an open connection; the process may be killed before it has run. */
+  if (!data_task_takes_requests (router->data_task))
+    {
+      error_reply_send (inbound, &(error_reply_t){ .verdict = VERDICT_NOT_RUN,
+                                                   .reason = VERDICT_REASON_LEAVING,
+                                                   .retry_after_ms = LEAVING_RETRY_AFTER_MS });
+      return;
+    }
   if (data_task_is_stale (router->data_task) || data_task_manifest (router->data_task) == NULL ||
       data_task_members (router->data_task) == NULL)
     {
