--- a/src/request/gateway/format.h
+++ b/src/request/gateway/format.h
@@ -143,6 +143,7 @@
  *   borrows from @text and @headers
  * @read_response: parses an engine's response headers
  * @is_returned: whether a response header is forwarded to the client
+ * @event_first_field: name of a field with a number that the first line of an event may be, or NULL
  */
 typedef struct
 {
@@ -156,6 +157,7 @@
                          const struct evkeyvalq *headers,
                          const format_asked_t *asked);
   bool (*is_returned) (const char *name);
+  const char *event_first_field;
 } format_t;
 
 #endif
