Answers that clients don't read share a quarter of the memory

Each client that reads slowly could have 256 KiB queued, and an answer without a declared length 512 KiB held, so 1,800 of them more than a machine has; nothing bounded them together.

Evidence: test_http_server_bodies, "unread answers share their memory", with the division left out: "sum_queued (fixture) <= HELD_LIMIT_BYTES + BODIES * (PART_BYTES + 100)" fails. Up to 256 requests at 256 MB nothing changes. The tests of the server, paths, gateways and endless input pass.

--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -82,7 +82,7 @@
   ROW ("file-limit", NUMBER, NONE, 0, 1000000, file_limit, "0",
        "Most open files of the process, if fewer than the system allows; 0 for no other limit"),
   ROW ("memory-mb", NUMBER, NONE, 32, 1000000, memory_mb, "256",
-       "Memory that the process may take, in MiB; half of it is for requests"),
+       "Memory that the process may take, in MiB; half of it is for requests, a quarter for answers"),
   ROW ("idle-timeout-ms", NUMBER, NONE, 100, 3600 * 1000, idle_timeout_ms, "60000",
        "A connection without a request is closed after this"),
   ROW ("exchange-interval-ms", NUMBER, NONE, 100, 10000, exchange_interval_ms, "500",
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -87,6 +87,8 @@
  *   bodies of those that are not answered. As it nears, bodies that began last are not read on; one
  *   that waits for %LIMIT_HTTP_BODY_WAIT_MS, and, over the limit, the largest, is rejected by 503;
  *   0 for %LIMIT_HTTP_HELD_BYTES
+ * @answer_limit_bytes: limit on the bytes that all clients together have not read, see answer_room;
+ *   0 for one for each client only
  * @takes_few: new connections are taken a few at a time, when @base has nothing else to do, and
  *   none over the limit, see http_server_shed(); @base needs %HTTP_SERVER_PRIORITIES
  * @on_call: receives each complete request within the limits; it must be answered exactly once,
@@ -107,6 +109,7 @@
   uint32_t idle_timeout_ms;
   uint32_t request_timeout_ms;
   uint64_t held_limit_bytes;
+  uint64_t answer_limit_bytes;
   bool takes_few;
   void (*on_call) (http_server_call_t *call, void *context);
   void (*on_ended) (const http_server_ended_t *ended, void *context);
@@ -193,7 +196,7 @@
 http_server_on_disconnect (http_server_call_t *call, void (*gone) (void *context), void *context);
 /** http_server_on_writable() - set a callback for streamed responses, called after
  * http_server_send_part() has returned false once the queue has shrunk to less than half of
- * %HTTP_SERVER_QUEUED_LIMIT_BYTES */
+ * http_server_queue_limit() */
 void
 http_server_on_writable (http_server_call_t *call, void (*room) (void *context), void *context);
 
@@ -214,7 +217,7 @@
  * client ended by closing the connection */
 void http_server_begin_reply (http_server_call_t *call, int status);
 /** http_server_send_part() - send a part of a streamed response; empties @data. Return: false when
- * more than %HTTP_SERVER_QUEUED_LIMIT_BYTES are queued: wait for the callback of
+ * more than http_server_queue_limit() are queued: wait for the callback of
  * http_server_on_writable() */
 bool http_server_send_part (http_server_call_t *call, struct evbuffer *data);
 /** http_server_end_reply() - complete a streamed response and end the call */
@@ -223,7 +226,8 @@
  * take the part of the response that it has for the complete one */
 void http_server_abort (http_server_call_t *call);
 
-/* bytes queued for a client before http_server_send_part() says stop */
-#define HTTP_SERVER_QUEUED_LIMIT_BYTES (256 * 1024)
+/** http_server_queue_limit() - bytes queued for a client before http_server_send_part() says stop
+ */
+uint64_t http_server_queue_limit (const http_server_call_t *call);
 
 #endif
--- a/src/connection/http_server_call.c
+++ b/src/connection/http_server_call.c
@@ -262,6 +262,14 @@
   evhttp_send_reply_start (call->request, status, NULL);
 }
 
+uint64_t
+http_server_queue_limit (const http_server_call_t *call)
+{
+  const http_server_t *http_server = call->conn->http_server;
+
+  return answer_room_bytes (http_server->options.answer_limit_bytes, http_server->busy_count);
+}
+
 bool
 http_server_send_part (http_server_call_t *call, struct evbuffer *data)
 {
@@ -270,7 +278,7 @@
   g_assert (call->begun);
   evhttp_send_reply_chunk (call->request, data);
   evbuffer_drain (data, evbuffer_get_length (data)); /* not sent when no body is allowed */
-  call->full |= evbuffer_get_length (output) > HTTP_SERVER_QUEUED_LIMIT_BYTES;
+  call->full |= evbuffer_get_length (output) > http_server_queue_limit (call);
   return !call->full;
 }
 
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -325,7 +325,6 @@
 on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *context)
 {
   http_server_conn_t *conn = context;
-  bool half_empty = evbuffer_get_length (buffer) < HTTP_SERVER_QUEUED_LIMIT_BYTES / 2;
 
   if (info->n_deleted > 0)
     {
@@ -340,7 +339,8 @@
       conn->check_error_page = true;
       http_server_conn_defer (conn);
     }
-  if (info->n_deleted > 0 && half_empty && conn->call && conn->call->full)
+  if (info->n_deleted > 0 && conn->call && conn->call->full &&
+      evbuffer_get_length (buffer) < http_server_queue_limit (conn->call) / 2)
     {
       conn->call->full = false;
       conn->notify_writable = true;
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -14,6 +14,7 @@
 #include "connection/http_input.h"
 #include "connection/http_server.h"
 #include "request/policy/queueing/accept_gate.h"
+#include "request/policy/queueing/answer_room.h"
 #include "request/policy/queueing/body_room.h"
 #include "request/policy/queueing/connection_room.h"
 
--- a/src/request/data_task.c
+++ b/src/request/data_task.c
@@ -107,6 +107,7 @@
     .file_limit = socket_file_limit (settings->file_limit),
     .idle_timeout_ms = settings->idle_timeout_ms,
     .held_limit_bytes = settings_held_bytes (settings),
+    .answer_limit_bytes = settings_held_bytes (settings) / 2,
     .on_call = data_task_serve,
     .context = data_task
   };
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -262,6 +262,7 @@
                                 .file_limit = socket_file_limit (settings->file_limit),
                                 .idle_timeout_ms = settings->idle_timeout_ms,
                                 .held_limit_bytes = settings_held_bytes (settings),
+                                .answer_limit_bytes = settings_held_bytes (settings) / 2,
                                 .takes_few = true,
                                 .on_call = gateway_accept,
                                 .on_ended = on_connection_ended,
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -256,7 +256,7 @@
   if (call->streaming)
     return call->splitter.overflowed;
   return call->client && call->status >= STATUS_SERVER_ERROR && call->relay.is_buffering &&
-         evbuffer_get_length (call->relay.held_data) + bytes > RELAY_HELD_LIMIT_BYTES;
+         evbuffer_get_length (call->relay.held_data) + bytes > relay_held_limit (&call->relay);
 }
 
 static void
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -8,6 +8,7 @@
 #include <sys/queue.h>
 
 #define EVENT_STREAM "text/event-stream"
+#define RELAY_HELD_QUEUES 2 /* as much as so many queues of a client */
 
 /* These responses have no body, whatever their headers say. */
 static bool
@@ -114,6 +115,14 @@
   evhttp_clear_headers (&relay->headers);
 }
 
+uint64_t
+relay_held_limit (const relay_t *relay)
+{
+  if (relay->to == NULL)
+    return RELAY_HELD_LIMIT_BYTES;
+  return MIN (RELAY_HELD_LIMIT_BYTES, RELAY_HELD_QUEUES * http_server_queue_limit (relay->to));
+}
+
 void
 relay_start (relay_t *relay, http_client_call_t *from, int status, struct evkeyvalq *headers)
 {
@@ -154,7 +163,7 @@
       return;
     }
   http_client_keep_data (relay->held_data, data);
-  if (evbuffer_get_length (relay->held_data) <= RELAY_HELD_LIMIT_BYTES)
+  if (evbuffer_get_length (relay->held_data) <= relay_held_limit (relay))
     return;
   relay->is_buffering = false;
   stream_part (relay, relay->held_data);
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -55,6 +55,9 @@
 
 void relay_init (relay_t *relay, http_server_call_t *to);
 void relay_clear (relay_t *relay);
+/** relay_held_limit() - bytes of a response of no declared length that are buffered: fewer than
+ * %RELAY_HELD_LIMIT_BYTES beside many others */
+uint64_t relay_held_limit (const relay_t *relay);
 /** relay_start() - starts a response, whose head came from @from; drops what an earlier attempt
  * left in the buffer */
 void relay_start (relay_t *relay, http_client_call_t *from, int status, struct evkeyvalq *headers);
--- a/tests/test_http_server_bodies.c
+++ b/tests/test_http_server_bodies.c
@@ -159,6 +159,71 @@
   close_rig (&rig);
 }
 
+static uint64_t
+sum_queued (const server_fixture_t *fixture)
+{
+  uint64_t sum_bytes = 0;
+
+  for (guint i = 0; i < fixture->waiting->len; i++)
+    {
+      const http_server_call_t *call = g_ptr_array_index (fixture->waiting, i);
+
+      sum_bytes += evbuffer_get_length (bufferevent_get_output (call->conn->bev));
+    }
+  return sum_bytes;
+}
+
+/* Sends until the clients' queues are full, and those of the kernel */
+static void
+fill_queues (server_fixture_t *fixture, const char *part)
+{
+  uint32_t before;
+
+  do
+    {
+      before = fixture->writable_count;
+      for (guint i = 0; i < fixture->waiting->len; i++)
+        if (!server_fixture_call_at (fixture, i)->full)
+          while (server_fixture_send_part (server_fixture_call_at (fixture, i), part))
+            ;
+      raw_peer_run_ms (fixture->base, 20);
+    }
+  while (fixture->writable_count > before);
+}
+
+static bool
+all_wait (void *context)
+{
+  return ((server_fixture_t *)context)->waiting->len == BODIES;
+}
+
+/* Guards against answers that nobody reads, which together exceed the memory. */
+static void
+test_unread_answers_share_their_memory (void)
+{
+  g_autoptr (server_fixture_t) fixture = server_fixture_new_taking_few ();
+  g_autofree char *part = g_strnfill (PART_BYTES, 'a');
+
+  fixture->http_server->options.answer_limit_bytes = HELD_LIMIT_BYTES;
+  for (int i = 0; i < BODIES; i++)
+    event_del (server_fixture_connect (fixture, "GET /1 HTTP/1.1\r\n\r\n")->readable);
+  CU_ASSERT_TRUE_FATAL (raw_peer_run_until (fixture->base, all_wait, fixture));
+  for (guint i = 0; i < fixture->waiting->len; i++)
+    http_server_begin_reply (server_fixture_call_at (fixture, i), 200);
+  fill_queues (fixture, part);
+  CU_ASSERT (sum_queued (fixture) <= HELD_LIMIT_BYTES + BODIES * (PART_BYTES + 100));
+  for (int i = 0; i < BODIES; i++)
+    event_add (((raw_peer_t *)g_ptr_array_index (fixture->clients, (guint)i))->readable, NULL);
+  for (int i = 0; i < BODIES; i++)
+    {
+      server_fixture_send_part (server_fixture_call_at (fixture, (guint)i), "last");
+      http_server_end_reply (server_fixture_call_at (fixture, (guint)i));
+    }
+  for (int i = 0; i < BODIES; i++)
+    server_fixture_run_until_received (fixture, g_ptr_array_index (fixture->clients, (guint)i),
+                                       "last\r\n0\r\n\r\n");
+}
+
 int
 main (void)
 {
@@ -167,6 +232,7 @@
     { "short requests beside long bodies", test_short_requests_beside_long_bodies },
     { "waiting bodies are refused", test_waiting_bodies_are_refused },
     { "body is moved", test_body_is_moved },
+    { "unread answers share their memory", test_unread_answers_share_their_memory },
     CU_TEST_INFO_NULL,
   };
 
