--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -15,6 +15,7 @@
 #include "connection/http_server.h"
 #include "connection/read_pace.h"
 #include "request/policy/queueing/accept_gate.h"
+#include "request/policy/queueing/answer_room.h"
 #include "request/policy/queueing/body_room.h"
 #include "request/policy/queueing/connection_room.h"
 
