--- a/bench/spread/fake_exchange.c
+++ b/bench/spread/fake_exchange.c
@@ -122,6 +122,19 @@
   send_request (exchange, peer);
 }
 
+void
+exchange_poll (exchange_t *exchange)
+{
+  (void)exchange;
+}
+
+uint64_t
+exchange_waited_us (const exchange_t *exchange)
+{
+  (void)exchange;
+  return 0;
+}
+
 void
 exchange_discard_pending (exchange_t *exchange)
 {
