Sidecar: only events of the answer are forwarded

Callers of routers got whatever an engine put into a stream of events: text that is no event, chunks of another answer, events behind the end.

Cause, of the same class as at gateways: the sidecar, where the bytes come from the engine, took them for the answer's because they stood in its body.

Now it splits the stream by the same splitter (which moves up to src/request/ and takes the check of an event from its owner). An event has to be well formed and to hold data; where the first one holds a JSON object (a chat), all must, those with an id the same one, and nothing may follow "[DONE]". Other bytes, or an end within an event, break the answer off behind the last sound event as a cut does: the router adds its error event and closes, a stream that was still held back gets 502. bad_event in the sidecar's log names request, engine and reason, once an answer.

What can't be told: the first event, which tells what the stream holds; in streams that are no chat, any well-formed event; a chat that ends without "[DONE]" by a sound last chunk passes as before, as not every engine sends it. Routers forward what sidecars send, unchecked: that is our own process.

--- a/src/request/gateway/event_splitter.c
+++ b/src/request/event_splitter.c
@@ -1,4 +1,4 @@
-#include "request/gateway/event_splitter.h"
+#include "request/event_splitter.h"
 
 #include "connection/http_client.h"
 
@@ -14,6 +14,14 @@
                                   .last_id = start_id };
 }
 
+void
+event_splitter_init_unnumbered (event_splitter_t *splitter,
+                                event_fault_t (*check) (const event_text_t *event, void *context),
+                                void *context)
+{
+  *splitter = (event_splitter_t){ .check = check, .context = context, .partial = evbuffer_new () };
+}
+
 void
 event_splitter_clear (event_splitter_t *splitter)
 {
@@ -59,19 +67,24 @@
 }
 
 static event_fault_t
-check_event (const event_splitter_t *splitter, const char *text, size_t bytes, uint64_t *id)
+check_number (const event_splitter_t *splitter, const event_text_t *event)
 {
-  event_text_t event;
-  event_fault_t fault = event_text_read (text, bytes, splitter->first_field, &event);
+  if (!event->has_id)
+    return EVENT_FAULT_NO_ID;
+  return is_next (splitter, event->id) ? EVENT_FAULT_NONE : EVENT_FAULT_OUT_OF_ORDER;
+}
+
+static event_fault_t
+check_event (const event_splitter_t *splitter, const char *text, size_t bytes, event_text_t *event)
+{
+  event_fault_t fault = event_text_read (text, bytes, splitter->first_field, event);
 
   if (fault != EVENT_FAULT_NONE)
     return fault;
-  if (!event.has_id)
-    return EVENT_FAULT_NO_ID;
-  if (event.data_lines == 0)
-    return EVENT_FAULT_NO_DATA;
-  *id = event.id;
-  return is_next (splitter, event.id) ? EVENT_FAULT_NONE : EVENT_FAULT_OUT_OF_ORDER;
+  if (event->data_lines == 0)
+    return event->has_id || splitter->check ? EVENT_FAULT_NO_DATA : EVENT_FAULT_NO_ID;
+  return splitter->check ? splitter->check (event, splitter->context)
+                         : check_number (splitter, event);
 }
 
 static void
@@ -86,7 +99,7 @@
 static void
 take_event (event_splitter_t *splitter, const char *text, size_t bytes, struct evbuffer *out)
 {
-  uint64_t id;
+  event_text_t event;
   event_fault_t fault;
 
   if (event_text_is_comment (text, bytes))
@@ -94,7 +107,7 @@
       skip (splitter, bytes);
       return;
     }
-  fault = check_event (splitter, text, bytes, &id);
+  fault = check_event (splitter, text, bytes, &event);
   if (fault != EVENT_FAULT_NONE)
     {
       fail (splitter, fault);
@@ -102,13 +115,16 @@
     }
   splitter->searched_bytes = 0;
   splitter->skipped_bytes = 0;
-  splitter->response_id = id;
-  if (id <= splitter->last_id)
+  if (!splitter->check)
     {
-      evbuffer_drain (splitter->partial, bytes);
-      return;
+      splitter->response_id = event.id;
+      if (event.id <= splitter->last_id)
+        {
+          evbuffer_drain (splitter->partial, bytes);
+          return;
+        }
+      splitter->last_id = event.id;
     }
-  splitter->last_id = id;
   splitter->event_count++;
   evbuffer_remove_buffer (splitter->partial, out, bytes);
 }
--- a/src/request/gateway/event_splitter.h
+++ b/src/request/event_splitter.h
@@ -3,11 +3,12 @@
  *
  * Splits a stream of server-sent events into whole events and remembers the id of the last one.
  * Only whole events that follow each other are forwarded: their ids are decimal numbers, from 1 and
- * each one higher than the last. So a stream that breaks off, or in which other bytes come, can be
- * resumed at another engine. Empty lines and comments between events are dropped.
+ * each one higher than the last, or the owner decides which may follow. So a stream that breaks
+ * off, or in which other bytes come, can be resumed at another engine. Empty lines and comments
+ * between events are dropped.
  */
-#ifndef REQUEST_GATEWAY_EVENT_SPLITTER_H
-#define REQUEST_GATEWAY_EVENT_SPLITTER_H
+#ifndef REQUEST_EVENT_SPLITTER_H
+#define REQUEST_EVENT_SPLITTER_H
 
 #include "request/event_text.h"
 
@@ -22,6 +23,8 @@
 
 /**
  * struct splitter - state of one stream of events
+ * @check: whether an event without a number may follow; NULL for a stream of numbered events
+ * @context: argument of @check
  * @first_field: name of a field with a number that the first line of an event may be, or NULL
  * @partial: what has come of an event that has not ended yet
  * @searched_bytes: of @partial, in which no event ends
@@ -35,6 +38,8 @@
  */
 typedef struct
 {
+  event_fault_t (*check) (const event_text_t *event, void *context);
+  void *context;
   const char *first_field;
   struct evbuffer *partial;
   size_t searched_bytes;
@@ -49,6 +54,11 @@
 
 /** event_splitter_init() - starts a stream that goes on after the event @start_id, or 0 */
 void event_splitter_init (event_splitter_t *splitter, const char *first_field, uint64_t start_id);
+/** event_splitter_init_unnumbered() - starts a stream whose events @check accepts in turn */
+void event_splitter_init_unnumbered (event_splitter_t *splitter,
+                                     event_fault_t (*check) (const event_text_t *event,
+                                                             void *context),
+                                     void *context);
 void event_splitter_clear (event_splitter_t *splitter);
 /** event_splitter_feed() - appends @in, which it drains, to the stream, and moves the events that
  * are whole by now to @out */
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -19,7 +19,7 @@
 #include "request/policy/copies/loss_rate.h"
 #include "request/policy/suspects/answered_parts.h"
 #include "request/policy/retries/retry_plan.h"
-#include "request/gateway/event_splitter.h"
+#include "request/event_splitter.h"
 #include "request/error_reply.h"
 #include "request/gateway/gateway.h"
 #include "request/policy/retries/first_attempt.h"
--- a/src/request/sidecar/sidecar_accept.c
+++ b/src/request/sidecar/sidecar_accept.c
@@ -93,6 +93,7 @@
   call->timer = evtimer_new (sidecar->base, sidecar_engine_on_timer, call);
   hop_format_attempt (hop->attempt, call->attempt_text);
   relay_init (&call->relay, inbound);
+  event_splitter_init_unnumbered (&call->splitter, chat_events_check, &call->events);
   fill_request (call);
   copy_request (call);
   g_hash_table_insert (sidecar->calls, call->hop.attempt, call);
--- a/src/request/sidecar/sidecar_call.c
+++ b/src/request/sidecar/sidecar_call.c
@@ -75,6 +75,8 @@
     }
   g_free (call->headers);
   relay_clear (&call->relay);
+  event_splitter_clear (&call->splitter);
+  chat_events_clear (&call->events);
   g_hash_table_remove (call->sidecar->calls, call->hop.attempt);
   manifest_unref (call->manifest);
   g_free (call->method);
--- a/src/request/sidecar/sidecar_engine.c
+++ b/src/request/sidecar/sidecar_engine.c
@@ -1,5 +1,7 @@
 #include "request/sidecar/sidecar_private.h"
 
+#include "base/log.h"
+
 #include <event2/http.h>
 #include <inttypes.h>
 #include <stdio.h>
@@ -39,6 +41,7 @@
     }
   call->head_received = true;
   relay_start (&call->relay, call->outbound, status, headers);
+  call->is_event_stream = call->relay.is_event_stream;
   /* If the stream breaks off, the router sends the error event; the caller must not get two. */
   call->relay.is_event_stream = false;
   relay_add_header (&call->relay, HOP_ATTEMPT_HEADER, call->attempt_text);
@@ -51,12 +54,29 @@
   return true;
 }
 
+/* Where bytes come that are no event of the answer, the engine has broken off. */
+static void
+forward_events (sidecar_call_t *call, struct evbuffer *data)
+{
+  struct evbuffer *whole = evbuffer_new ();
+
+  event_splitter_feed (&call->splitter, data, whole);
+  if (evbuffer_get_length (whole) > 0)
+    relay_forward (&call->relay, whole);
+  evbuffer_free (whole);
+  if (call->splitter.fault != EVENT_FAULT_NONE)
+    http_client_cut_call (call->outbound);
+}
+
 static void
 on_data (struct evbuffer *data, void *context)
 {
   sidecar_call_t *call = context;
 
-  relay_forward (&call->relay, data);
+  if (call->is_event_stream)
+    forward_events (call, data);
+  else
+    relay_forward (&call->relay, data);
   set_timer (call, SIDECAR_STALL_TIMEOUT_US);
 }
 
@@ -108,6 +128,23 @@
   sidecar_probe_start (sidecar);
 }
 
+/* Return: whether the answer is complete, and no event of it is not */
+static bool
+is_whole (sidecar_call_t *call, const http_client_result_t *end)
+{
+  if (!call->is_event_stream)
+    return end->complete;
+  if (end->complete)
+    event_splitter_finish (&call->splitter);
+  if (call->splitter.fault == EVENT_FAULT_NONE)
+    return end->complete;
+  log_event (LOG_LEVEL_NOTICE, "bad_event", "id", call->attempt_text, "engine",
+             call->sidecar->daemon->settings.name, "reason",
+             event_fault_to_string (call->splitter.fault), "events",
+             LOG_U64 (call->splitter.event_count), NULL);
+  return false;
+}
+
 static void
 on_end (const http_client_result_t *end, void *context)
 {
@@ -117,7 +154,7 @@
   call->outbound = NULL;
   call->relay.from = NULL;
   event_del (call->timer);
-  if (end->complete)
+  if (is_whole (call, end))
     on_answer_complete (call, end->status);
   else if (end->verdict == VERDICT_NOT_RUN)
     on_engine_unreachable (call);
--- a/src/request/sidecar/sidecar_private.h
+++ b/src/request/sidecar/sidecar_private.h
@@ -16,6 +16,8 @@
 
 #include "connection/http_client.h"
 #include "base/daemon.h"
+#include "request/event_splitter.h"
+#include "request/sidecar/chat_events.h"
 #include "request/sidecar/sidecar.h"
 #include "request/policy/queueing/admission.h"
 #include "request/sidecar/history.h"
@@ -138,6 +140,8 @@
  * @timeout_reported: the router was told of the timeout while the engine goes on
  * @interrupted_us: when the engine's answer broke off
  * @head_received: the status line and headers of the engine's answer have arrived
+ * @is_event_stream: the engine's answer is a stream of events
+ * @splitter: its events, checked by @events
  * @timer: the deadline, and later a stalled answer
  */
 typedef struct
@@ -165,6 +169,9 @@
   bool timeout_reported;
   uint64_t interrupted_us;
   bool head_received;
+  bool is_event_stream;
+  event_splitter_t splitter;
+  chat_events_t events;
   struct event *timer;
 } sidecar_call_t;
 
--- a/tests/test_event_splitter.c
+++ b/tests/test_event_splitter.c
@@ -1,5 +1,5 @@
 /* Bytes that no run made, put into streams of events: what callers get of them. */
-#include "request/gateway/event_splitter.h"
+#include "request/event_splitter.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -1,7 +1,7 @@
 /* Tests of a complete gateway, byte by byte: what it sends to engines, and which responses clients
  * get. */
 #include "gateway_rig.h"
-#include "request/gateway/event_splitter.h"
+#include "request/event_splitter.h"
 #include "request/relay.h"
 #include "process/gateway_store.h"
 #include "request/policy/retries/retry_plan.h"
--- a/tests/test_retry_plan.c
+++ b/tests/test_retry_plan.c
@@ -1,7 +1,7 @@
 /* Unit tests of how a gateway retries requests, limits retries, splits event streams, times
  * attempts out and attributes crashes. */
 #include "request/policy/retries/retry_plan.h"
-#include "request/gateway/event_splitter.h"
+#include "request/event_splitter.h"
 #include "request/policy/retries/hop_timeout.h"
 #include "request/policy/retries/retry_budget.h"
 #include "suite.h"
