--- a/tests/session_gateway_stop.c
+++ b/tests/session_gateway_stop.c
@@ -6,16 +6,25 @@
  * must end with an answer or a refusal; what is refused must never run.
  */
 #include "driver.h"
+#include "raw_peer.h"
 
 #include <CUnit/Basic.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define WORK_MS 12000        /* longer than the grace time */
 #define QUEUED 6             /* of each kind */
 #define HOLD_UP_FROM_MS 7200 /* of a grace time of 8 s */
 #define HOLD_UP_TO_MS 7900
 #define EXCHANGE_MS 100
+#define SHORT_WORK_MS 900
+#define ARRIVALS 26 /* requests that become whole throughout the grace time */
+#define ARRIVAL_INTERVAL_MS 275
+#define HALF_REQUEST                                                                               \
+  "POST /book/late HTTP/1.1\r\nHost: fleet\r\nX-Request-Id: late\r\nX-Key: key-1\r\n"              \
+  "X-Deadline-Ms: 14000\r\nContent-Length: 8\r\n\r\nhalf"
+#define REST "rest"
 #define CONTROL_BYTES 7000
 
 static const char config[] =
@@ -165,12 +174,95 @@
   run_stop ("gateway_stop_held_up", true);
 }
 
+static bool
+has_answer (const raw_peer_t *raw, const char *status)
+{
+  return g_str_has_prefix (raw->received->str, status) && strstr (raw->received->str, "\r\n\r\n");
+}
+
+static bool
+have_ended (void *context)
+{
+  GPtrArray *peers = context;
+
+  for (guint i = 0; i < peers->len; i++)
+    if (!((const raw_peer_t *)peers->pdata[i])->eof)
+      return false;
+  return true;
+}
+
+/* Return: the connections, of raw_peer_t, on each of which half of a request was sent */
+static GPtrArray *
+send_halves (fleet_t *fleet)
+{
+  GPtrArray *peers = g_ptr_array_new_with_free_func ((GDestroyNotify)raw_peer_free);
+  address_t address = { .port = DRIVER_PORT };
+
+  g_strlcpy (address.ip, fleet->gateway->ip, sizeof address.ip);
+  for (uint32_t i = 0; i < ARRIVALS; i++)
+    {
+      g_ptr_array_add (peers, raw_peer_connect (fleet->driver->base, &address));
+      raw_peer_send (peers->pdata[i], HALF_REQUEST);
+    }
+  return peers;
+}
+
+static uint32_t
+count_answers (const GPtrArray *peers, const char *status)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < peers->len; i++)
+    count += has_answer (peers->pdata[i], status) ? 1 : 0;
+  return count;
+}
+
+/* Guards against requests that are taken late in the grace time and cut at its end. */
+static void
+test_requests_throughout_the_grace (void)
+{
+  fleet_t fleet = { .driver = driver_new ("gateway_stop_throughout") };
+  GPtrArray *peers;
+  uint32_t good;
+
+  driver_start_platform (fleet.driver);
+  driver_write_record (fleet.driver, "config", config);
+  fleet.ledger = driver_start_upstream (
+      fleet.driver, &(driver_upstream_t){ .name = "ledger", .work_ms = SHORT_WORK_MS, .slots = 1 });
+  fleet.pool = driver_start_upstream (
+      fleet.driver, &(driver_upstream_t){ .name = "pool", .streams = true, .work_ms = 30 });
+  fleet.gateway = driver_start_gateway (fleet.driver, "gateway", EXCHANGE_MS, CONTROL_BYTES);
+  driver_wait_until (fleet.driver, DRIVER_WAIT_LIMIT_MS, "the gateway", is_ready, &fleet);
+  peers = send_halves (&fleet);
+  driver_process_signal (fleet.gateway, SIGTERM);
+  for (guint i = 0; i < peers->len; i++)
+    {
+      const raw_peer_t *raw = peers->pdata[i];
+
+      if (!raw->eof)
+        (void)!send (raw->fd, REST, strlen (REST), MSG_NOSIGNAL);
+      driver_run_loop (fleet.driver, ARRIVAL_INTERVAL_MS);
+    }
+  driver_wait_until (fleet.driver, DRIVER_WAIT_LIMIT_MS, "the end of the gateway", has_exited,
+                     &fleet);
+  driver_wait_until (fleet.driver, DRIVER_WAIT_LIMIT_MS, "all answers", have_ended, peers);
+  good = count_answers (peers, "HTTP/1.1 200 ");
+  CU_ASSERT_TRUE (good > 0);
+  CU_ASSERT_EQUAL (count_runs (fleet.ledger), good);
+  driver_transcript_add (fleet.driver, "%u of %u requests were answered or refused",
+                         good + count_answers (peers, "HTTP/1.1 503 "), ARRIVALS);
+  g_ptr_array_free (peers, TRUE);
+  driver_finish (fleet.driver);
+}
+
 int
 main (void)
 {
   static const driver_test_t tests[] = {
     { "requests are closed without an answer at the end of the grace time", test_end_of_grace },
     { "likewise at a gateway that is held up then", test_held_up_at_the_end },
+    { "requests that come late in the grace time are cut at its end",
+      test_requests_throughout_the_grace },
   };
 
   return driver_main ("gateway_stop", tests, G_N_ELEMENTS (tests));
