Each part of a prompt is a subject of suspicion, not the first fifteen alone

What callers saw: a part of prompts that ends engines, behind the fifteenth, was never found. Each request with it ended an engine, for as long as such requests came, and all streams that ran there broke off.

Cause: the parser kept the first 15 parts and the last one. Beside it, answers to prompts of more than 8 shared parts were not remembered, so where all prompts are long no part would have been confirmed, and refused.

Why the fix works: all parts that the head has room for are kept, in an array that the request owns, and are its subjects. The parts of the last answers are sets of 4,096 bits: a part may seem to be in an answer that lacks it, never the opposite. Where the record of 1,024 subjects is full, the parts of the request that had run longest go first: one that ends engines does so as its request begins. What makes room is looked for among 64 entries, as a loss may now bring thousands. A line of the log holds 16 parts, as before.

--- a/src/request/gateway/format.h
+++ b/src/request/gateway/format.h
@@ -14,8 +14,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* of a longer prompt the first parts and the last one are kept */
-#define FORMAT_PROMPT_PARTS_MAX 16
 #define FORMAT_ID_BYTES 128
 #define FORMAT_BACKOFF_MAX_MS (24 * 3600 * 1000) /* a longer backoff is taken for a mistake */
 
@@ -27,13 +25,15 @@
 } format_prompt_part_t;
 
 /**
- * struct format_request - the headers of a client's request; texts are borrowed from the headers
+ * struct format_request - the headers of a client's request; texts are borrowed from the headers,
+ * @parts is to be freed with g_free()
  * @id: id of this attempt of the client, or NULL
  * @key: API key of the client account, or NULL
  * @deadline_ms: how long the client waits; 0 when it doesn't say
  * @prompt_tokens: length of the prompt of a model request
  * @output_tokens: maximum length of the output of a model request
- * @parts: parts of the prompt in order; the last one belongs to this request or its chat alone
+ * @parts: parts of the prompt in order, @part_count of them, NULL for none; the last one belongs to
+ *   this request or its chat alone
  * @resumes: the client resumes a stream after the event with the id @last_event
  * @resumed_id: id of the attempt of the client whose response began that stream, or NULL
  */
@@ -44,7 +44,7 @@
   uint32_t deadline_ms;
   uint32_t prompt_tokens;
   uint32_t output_tokens;
-  format_prompt_part_t parts[FORMAT_PROMPT_PARTS_MAX];
+  format_prompt_part_t *parts;
   uint32_t part_count;
   bool resumes;
   const char *resumed_id;
--- a/src/request/gateway/gateway_accept.c
+++ b/src/request/gateway/gateway_accept.c
@@ -80,6 +80,7 @@
   format_request_t request;
   const char *problem =
       gateway->options.format->read_request (&request, http_server_request_headers (client));
+  g_autofree format_prompt_part_t *parts = request.parts;
   gateway_call_t *call;
 
   if (problem)
@@ -114,5 +115,6 @@
   if (request.resumes)
     note_resumption (gateway, &request);
   call = gateway_call_new (gateway, client, route, account, &request);
+  parts = NULL; /* the call has them */
   gateway_resume_start (call);
 }
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -261,6 +261,8 @@
   event_splitter_clear (&call->splitter);
   relay_clear (&call->relay);
   g_free (call->body);
+  g_free (call->subjects);
+  g_free (call->request.parts);
   routing_unref (call->table);
   g_free (call);
 }
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -400,7 +400,7 @@
   const routing_route_t *route;
   const routing_account_t *account;
   gateway_service_t *service;
-  crash_subject_t subjects[FORMAT_PROMPT_PARTS_MAX];
+  crash_subject_t *subjects;
   uint32_t subject_count;
   uint64_t held_us;
   format_request_t request;
--- a/src/request/gateway/gateway_suspect.c
+++ b/src/request/gateway/gateway_suspect.c
@@ -8,6 +8,7 @@
 
 #define STATUS_SUCCESS_MIN 200
 #define STATUS_SUCCESS_MAX 299
+#define LOGGED_PARTS 16
 
 static uint64_t
 hash_text (uint64_t hash, const char *text)
@@ -39,6 +40,7 @@
 {
   uint64_t seed = hash_text (0, call->gateway->options.settings->fleet_key);
 
+  call->subjects = g_new (crash_subject_t, MAX (call->request.part_count, 1U));
   call->subjects[0] = (crash_subject_t){ hash_request (call, seed), CRASH_SUBJECT_REQUEST };
   call->subject_count = 1;
   for (uint32_t i = 0; i + 1 < call->request.part_count; i++)
@@ -70,6 +72,8 @@
   GHashTableIter iter;
   gpointer key;
 
+  if (crash_record_is_empty (call->gateway->options.crashes))
+    return count;
   g_hash_table_iter_init (&iter, call->gateway->calls);
   while (count < GATEWAY_EXCLUDED_MAX && g_hash_table_iter_next (&iter, &key, NULL))
     {
@@ -334,14 +338,15 @@
   return names[outcome];
 }
 
-/* The parts of the prompt but the last one, which belongs to the request or its chat alone. Return:
- * the text, owned by the caller; NULL when there are none */
+/* The parts of the prompt but the last one, which belongs to the request or its chat alone, as far
+ * as a line of the log holds them. Return: the text, owned by the caller; NULL when there are none
+ */
 static char *
 write_shared_parts (const format_request_t *request)
 {
   GString *text = g_string_new (NULL);
 
-  for (uint32_t i = 0; i + 1 < request->part_count; i++)
+  for (uint32_t i = 0; i + 1 < request->part_count && i < LOGGED_PARTS; i++)
     g_string_append_printf (text, "%s%016" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
                             request->parts[i].hash);
   return g_string_free (text, text->len == 0);
--- a/src/request/policy/suspects/answered_parts.h
+++ b/src/request/policy/suspects/answered_parts.h
@@ -10,13 +10,13 @@
 
 #include "request/policy/suspects/crash_record.h"
 
-#define ANSWERED_PARTS_ANSWERS 8    /* answers that are remembered */
-#define ANSWERED_PARTS_PER_ANSWER 8 /* parts of each */
-/** struct answered_parts_answer - the parts of one prompt */
+#define ANSWERED_PARTS_ANSWERS 8 /* answers that are remembered */
+#define ANSWERED_PARTS_BITS 4096 /* of the set of parts of each */
+
+/** struct answered_parts_answer - the parts of one prompt, each as a bit that others may share */
 typedef struct
 {
-  uint64_t parts[ANSWERED_PARTS_PER_ANSWER];
-  uint32_t count;
+  uint64_t bits[ANSWERED_PARTS_BITS / 64];
 } answered_parts_answer_t;
 
 /** struct answered_parts - the last answers of a service; zeroed at first; @count: of all answers
@@ -28,11 +28,11 @@
   uint32_t count;
 } answered_parts_t;
 
-/** answered_parts_add() - a request with these subjects was answered; one with more parts than are
- * remembered is left out */
+/** answered_parts_add() - a request with these subjects was answered */
 void
 answered_parts_add (answered_parts_t *answered, const crash_subject_t *subjects, uint32_t count);
-/** answered_parts_lack() - whether one of the answers was to a request without the part */
+/** answered_parts_lack() - whether one of the answers was certainly to a request without the part
+ */
 bool answered_parts_lack (const answered_parts_t *answered, uint64_t fingerprint);
 
 #endif
--- a/src/request/policy/suspects/crash_record.c
+++ b/src/request/policy/suspects/crash_record.c
@@ -7,6 +7,7 @@
 
 #define MARK_TIME_ERROR_US CLOCK_US_PER_S
 #define SERVED_MAX 8192 /* subjects that are remembered as served */
+#define LEAST_OF 64     /* entries of which one makes room for another */
 
 /** struct rules - what differs by kind; @served_us: time in which what was served isn't blamed;
  * @needs_confirmation: see crash_record_confirm() */
@@ -51,18 +52,32 @@
   g_ptr_array_remove_fast (record->list, entry);
 }
 
-/* One with few crashes goes first, and of these the oldest. */
+/* Of the parts of long prompts that one engine took with it those go first on which it had worked
+ * longest: a part that ends engines does so as its request begins. */
+static bool
+goes_before (const entry_t *one, const entry_t *other)
+{
+  bool is_same_loss = one->changed_us < other->changed_us + CRASH_RECORD_HOLD_US &&
+                      other->changed_us < one->changed_us + CRASH_RECORD_HOLD_US;
+
+  if (one->count != other->count)
+    return one->count < other->count;
+  return is_same_loss && one->ran_us != other->ran_us ? one->ran_us > other->ran_us
+                                                      : one->changed_us < other->changed_us;
+}
+
+/* One with few crashes goes first, and of these the oldest, among some: a prompt may have thousands
+ * of parts. */
 static void
 remove_least (crash_record_t *record)
 {
-  entry_t *least = g_ptr_array_index (record->list, 0);
+  entry_t *least = NULL;
 
-  for (guint i = 1; i < record->list->len; i++)
+  for (guint i = 0; i < MIN (record->list->len, LEAST_OF); i++)
     {
-      entry_t *entry = g_ptr_array_index (record->list, i);
+      entry_t *entry = g_ptr_array_index (record->list, record->looked_at++ % record->list->len);
 
-      if (entry->count < least->count ||
-          (entry->count == least->count && entry->changed_us < least->changed_us))
+      if (!least || goes_before (entry, least))
         least = entry;
     }
   remove_entry (record, least);
--- a/src/request/policy/suspects/crash_record_private.h
+++ b/src/request/policy/suspects/crash_record_private.h
@@ -90,6 +90,7 @@
  * struct crash_record - the subjects
  * @unproven_us: when it was last unknown which entries of the registry have gone
  * @next: entry that is sent next in turn
+ * @looked_at: entry that is looked at next to make room
  * @news_us: from when on there is a change to be told to all; 0 for none
  */
 struct crash_record
@@ -101,6 +102,7 @@
   loss_bursts_t bursts;
   uint64_t unproven_us;
   guint next;
+  guint looked_at;
   uint64_t news_us;
 };
 
--- a/tests/test_crash_record.c
+++ b/tests/test_crash_record.c
@@ -686,6 +686,44 @@
   CU_ASSERT (answered_parts_lack (&answered, CULPRIT));
 }
 
+/* Guards against a part that stays on trial for ever, as all prompts of its service are long. */
+static void
+test_answers_to_long_prompts_count (void)
+{
+  answered_parts_t answered = { 0 };
+  crash_subject_t subjects[400] = { { OTHER, CRASH_SUBJECT_REQUEST } };
+
+  for (uint32_t i = 1; i < G_N_ELEMENTS (subjects); i++)
+    subjects[i] = (crash_subject_t){ 100 + i, CRASH_SUBJECT_PART };
+  answered_parts_add (&answered, subjects, G_N_ELEMENTS (subjects));
+  CU_ASSERT (answered_parts_lack (&answered, 99));
+  CU_ASSERT (!answered_parts_lack (&answered, 101) && !answered_parts_lack (&answered, 499));
+}
+
+/* Guards against a part that is forgotten among those of the long prompts that its engine took with
+ * it. */
+static void
+test_part_that_has_just_begun_is_kept (void)
+{
+  rig_t rig = { 0 };
+  g_autoptr (crash_record_t) record = new_record (&rig);
+  crash_record_loss_t loss = { .fingerprint = CULPRIT,
+                               .kind = CRASH_SUBJECT_PART,
+                               .engine_hash = 1,
+                               .sent_us = START_US - 1,
+                               .request = 7 };
+
+  crash_record_add_loss (record, START_US, &loss);
+  loss.request = 8;
+  loss.ran_us = S_US;
+  for (uint32_t i = 0; i < 10 * LIMIT; i++)
+    {
+      loss.fingerprint = CULPRIT + 1 + i;
+      crash_record_add_loss (record, START_US + 1, &loss);
+    }
+  CU_ASSERT_EQUAL (crash_record_count_crashes (record, CULPRIT), 1);
+}
+
 /* Guards against a request that is sent again because parts are. */
 static void
 test_refused_request_is_not_tried_again (void)
@@ -920,6 +958,8 @@
     SUITE_TEST (test_retrial_at_a_living_engine_is_repeated),
     SUITE_TEST (test_peers_adopt_a_confirmation),
     SUITE_TEST (test_part_of_all_answers_is_not_to_blame),
+    SUITE_TEST (test_answers_to_long_prompts_count),
+    SUITE_TEST (test_part_that_has_just_begun_is_kept),
     SUITE_TEST (test_engine_that_is_down_ends_no_more),
     SUITE_TEST (test_peers_learn_of_a_failed_retrial),
     SUITE_TEST (test_one_of_two_claims_counts),
--- a/tests/test_gateway_crash.c
+++ b/tests/test_gateway_crash.c
@@ -272,6 +272,55 @@
   answer_another (rig);
 }
 
+/* Sends a prompt of which no part is in another one, but for @shared in its middle. */
+static void
+send_long (
+    gateway_rig_t *rig, uint32_t number, uint32_t parts, const char *shared, const char *status)
+{
+  g_autofree char *path = g_strdup_printf ("/book/%u", number);
+  g_autofree char *head = g_strconcat ("HTTP/1.1 ", status, " ", NULL);
+  GString *more = g_string_new (EMPTY_BODY "X-Prompt-Prefix: ");
+  raw_peer_t *raw;
+
+  for (uint32_t i = 0; i < parts; i++)
+    if (i == parts / 2)
+      g_string_append_printf (more, "%s:9,", shared);
+    else
+      g_string_append_printf (more, "%x:9%s", (number << 16) + i, i + 1 < parts ? "," : "\r\n");
+  raw = gateway_rig_fetch (rig, "POST", path, more->str);
+  CU_ASSERT (starts_with (raw, head));
+  g_string_free (more, TRUE);
+  raw_peer_free (raw);
+}
+
+/* Guards against a part that ends engines for ever, as it stands behind many others. */
+static void
+test_part_far_back_in_a_prompt_is_refused (void)
+{
+  static const uint32_t lengths[] = { 4, 40, 400 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (lengths); i++)
+    {
+      g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+      raw_server_t *last;
+
+      use_next_engine (rig, breaks_off);
+      send_long (rig, 1, lengths[i], "aa", "502");
+      use_next_engine (rig, breaks_off);
+      send_long (rig, 2, lengths[i], "aa", "502");
+      last = use_next_engine (rig, answers);
+      send_long (rig, 3, lengths[i], "cc", "200");
+      last->scripts = breaks_off;
+      last->close_after = true;
+      send_long (rig, 4, lengths[i], "aa", "502");
+      send_long (rig, 5, lengths[i], "aa", "503");
+      CU_ASSERT_EQUAL (gateway_rig_counter (rig, 0, PART_REFUSED), 1);
+      last->scripts = answers;
+      last->close_after = false;
+      send_long (rig, 6, lengths[i], "cc", "200");
+    }
+}
+
 /* Guards against a part that is excused by the end of the engine itself, taken for that of an
  * answer without a length. */
 static void
@@ -431,6 +480,7 @@
                                        SUITE_TEST (test_restart_of_an_engine_is_its_end),
                                        SUITE_TEST (test_answer_may_end_with_its_connection),
                                        SUITE_TEST (test_part_is_refused_after_three_engines),
+                                       SUITE_TEST (test_part_far_back_in_a_prompt_is_refused),
                                        SUITE_TEST (test_answer_without_a_length_excuses_no_part),
                                        SUITE_TEST (test_long_answer_excuses_its_parts),
                                        SUITE_TEST (test_requests_wait_for_the_one_on_trial),
