Routers and sidecars refuse connections for which no files are left

Cause: a server that takes all connections at a time looked at the number of connections alone when it marked those over the limit, so requests were passed on for which no file towards an upstream was left. A twin of the limit on connections.

Evidence: test_http_server_room, "refused without files", before: "raw_peer_run_until (fixture->base, server_fixture_connection_closed, raw)" fails, three calls in place of two. After: 503, not run. The tests of the server pass.

--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -419,7 +419,8 @@
   conn->input_cb = evbuffer_add_cb (bufferevent_get_input (bev), on_input, conn);
   conn->output_cb = evbuffer_add_cb (bufferevent_get_output (bev), on_output, conn);
   start_idle_timer (conn);
-  conn->over_limit = ++http_server->open_count > http_server->options.connection_limit;
+  conn->over_limit = !http_server_has_room (http_server);
+  http_server->open_count++;
   http_server->taken++;
   counter_add (http_server->connections, 1);
   http_server_conn_set_limits (conn, http_server->options.body_limit_bytes,
--- a/tests/test_http_server_room.c
+++ b/tests/test_http_server_room.c
@@ -1,4 +1,4 @@
-#include "request/policy/queueing/connection_room.h"
+#include "connection/http_server_internal.h"
 #include "server_fixture.h"
 #include "suite.h"
 
@@ -154,6 +154,24 @@
   CU_ASSERT_TRUE (http_server_review_room (fixture->http_server, 1 + CONNECTION_ROOM_FULL_US));
 }
 
+/* Guards against a server that takes all at a time and passes on more than it has files for. */
+static void
+test_refused_without_files (void)
+{
+  g_autoptr (server_fixture_t) fixture = server_fixture_new ();
+  raw_peer_t *raw;
+
+  fixture->http_server->options.file_limit = 8; /* room for two */
+  for (int i = 0; i < 2; i++)
+    server_fixture_connect (fixture, "GET /pending HTTP/1.1\r\n\r\n");
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, server_fixture_two_waiting, fixture));
+  raw = server_fixture_connect (fixture, "GET /out HTTP/1.1\r\n\r\n");
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, server_fixture_connection_closed, raw));
+  CU_ASSERT_PTR_NOT_NULL (strstr (raw->received->str, "HTTP/1.1 503 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (raw->received->str, "not_run"));
+  CU_ASSERT_EQUAL (fixture->calls, 2);
+}
+
 static uint32_t libevent_lines;
 
 static void
@@ -207,6 +225,7 @@
     { "answers say close", test_answers_say_close },
     { "full while all are in use", test_full_while_all_are_in_use },
     { "file limit", test_file_limit },
+    { "refused without files", test_refused_without_files },
     { "no file is free", test_no_file_is_free },
     CU_TEST_INFO_NULL,
   };
