What peers told before a standstill doesn't count as told after it

What callers saw: a gateway that had stood still for seconds, and was cut off as it went on, took itself for current. A stream that may have begun at a version that joined meanwhile went on at the one that it knew (ORDER), and routes of a newer configuration were denied with 404.

Cause: messages of peers tell how long ago the store answered them. What came in the first moments of the standstill waited in the socket and was read as if it had just come, so the ages in it were short by the length of the standstill, and its sender counted as heard just now.

Change: the exchange knows when its socket was last empty; ages in a message count from then. A tick of 100 ms reads the socket too, so in normal operation ages grow by no more than that.

Evidence: test_message_that_waited_over_a_standstill: a peer's message is in the socket while the clock moves by ten seconds and the store can't be reached.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -50,7 +50,8 @@
   pending_call_t calls[PENDING_CALLS];
   uint32_t next_call;
   byte_budget_t budget;
-  uint64_t held_back; /* datagrams not sent for lack of budget since @held_back_logged_us */
+  uint64_t emptied_us; /* when the socket is known to have had nothing to read */
+  uint64_t held_back;  /* datagrams not sent for lack of budget since @held_back_logged_us */
   uint64_t held_back_logged_us;
   counters_t counts;
 };
@@ -257,13 +258,29 @@
     {
       char datagram[LIMIT_DATAGRAM_BYTES + 1];
       endpoint_t peer;
+      uint64_t at_us = clock_now_us (exchange->options.clock);
       ssize_t bytes = receive (exchange, datagram, &peer);
       if (bytes < 0)
-        return;
+        {
+          exchange->emptied_us = at_us;
+          return;
+        }
       handle_datagram (exchange, datagram, (size_t)bytes, &peer);
     }
 }
 
+void
+exchange_poll (exchange_t *exchange)
+{
+  on_readable (exchange->socket, EV_READ, exchange);
+}
+
+uint64_t
+exchange_waited_us (const exchange_t *exchange)
+{
+  return clock_now_us (exchange->options.clock) - exchange->emptied_us;
+}
+
 /* Waits 3/4 to 5/4 of the interval, so that daemons that started together don't stay in phase. */
 static void
 arm_timer (exchange_t *exchange)
@@ -342,6 +359,7 @@
   exchange->options = *options;
   exchange->fleet_key = g_strdup (options->fleet_key);
   exchange->socket = -1;
+  exchange->emptied_us = clock_now_us (options->clock);
   exchange->rand = g_rand_new_with_seed ((guint32)(options->seed ^ (options->seed >> 32)));
   exchange->next_xid = g_rand_int (exchange->rand);
   byte_budget_init (&exchange->budget, options->budget_bytes, clock_now_us (options->clock));
--- a/src/connection/exchange.h
+++ b/src/connection/exchange.h
@@ -75,6 +75,11 @@
  * outstanding calls. Used after the process was suspended: what arrived meanwhile is outdated, and
  * so are the ages in it */
 void exchange_discard_pending (exchange_t *exchange);
+/** exchange_poll() - handle what has come. Called regularly, it bounds exchange_waited_us() */
+void exchange_poll (exchange_t *exchange);
+/** exchange_waited_us() - the longest time that a datagram that is being handled may have waited in
+ * the socket: much after the process stood still, so ages in it are that much higher */
+uint64_t exchange_waited_us (const exchange_t *exchange);
 /** exchange_charge_budget() - charge @bytes of other control traffic to the budget, which it shares
  */
 void exchange_charge_budget (exchange_t *exchange, uint32_t bytes);
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -207,6 +207,13 @@
     peers->options.on_requests (&told, peers->options.context);
 }
 
+/* Return: the time at which the message that is being handled may have come */
+static uint64_t
+came_us (const gateway_peers_t *peers)
+{
+  return now_us (peers) - exchange_waited_us (peers->exchange);
+}
+
 static void
 read_loads (gateway_peers_t *peers, const xch_message *message)
 {
@@ -214,7 +221,7 @@
     {
       const xch_sample *received = &message->samples.samples_val[i];
       uint64_t age_us = (uint64_t)received->age_ms * CLOCK_US_PER_MS;
-      uint64_t at_us = now_us (peers) - MIN (age_us, now_us (peers));
+      uint64_t at_us = came_us (peers) - MIN (age_us, came_us (peers));
       load_report_t item = { .engine_hash = received->engine_hash,
                              .load = received->load,
                              .reported_us = at_us };
@@ -307,8 +314,8 @@
   if (peer->heard_us == 0 || !is_alive (peers, peer))
     log_event (LOG_LEVEL_NOTICE, "peer_heard", "peer", peer->name, "incarnation",
                LOG_U64 (peer->incarnation), NULL);
-  peer->heard_us = now_us (peers);
-  peers->heard_us = peer->heard_us;
+  peer->heard_us = MAX (peer->heard_us, came_us (peers));
+  peers->heard_us = MAX (peers->heard_us, peer->heard_us);
   peer->unanswered_us = 0;
   return true;
 }
@@ -321,6 +328,8 @@
   gateway_peers_progress_t theirs = read_progress (message);
 
   (void)is_reply;
+  theirs.store_age_ms = (uint32_t)MIN (
+      theirs.store_age_ms + exchange_waited_us (peers->exchange) / CLOCK_US_PER_MS, UINT32_MAX);
   /* A gateway that has just started may not be known here yet. It gets a reply all the same;
    * without one it would take this gateway for dead and follow the store itself. */
   if (!peer)
@@ -571,6 +580,12 @@
   return NULL;
 }
 
+void
+gateway_peers_poll (gateway_peers_t *peers)
+{
+  exchange_poll (peers->exchange);
+}
+
 void
 gateway_peers_free (gateway_peers_t *peers)
 {
--- a/src/process/gateway_peers.h
+++ b/src/process/gateway_peers.h
@@ -105,6 +105,8 @@
  * used */
 gateway_peers_t *gateway_peers_new (const gateway_peers_options_t *options, GError **error);
 void gateway_peers_free (gateway_peers_t *peers);
+/** gateway_peers_poll() - see exchange_poll() */
+void gateway_peers_poll (gateway_peers_t *peers);
 /** gateway_peers_format_own_entry() - this gateway's entry for the gateway registry, to be freed by
  * g_free() */
 char *gateway_peers_format_own_entry (const gateway_peers_t *peers);
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -321,6 +321,7 @@
 void
 gateway_store_tick (gateway_store_t *store)
 {
+  gateway_peers_poll (store->peers);
   record_store_contact (store);
   gateway_store_advance_restorations (store);
   gateway_start_advance (store->start);
--- a/tests/test_gateway_resume.c
+++ b/tests/test_gateway_resume.c
@@ -165,6 +165,65 @@
   check_first_after_standstill (resumed, "HTTP/1.1 503");
 }
 
+/** struct counter_wait - waits until a counter of a gateway is above @count */
+typedef struct
+{
+  const gateway_rig_t *rig;
+  uint32_t gateway;
+  const char *name;
+  uint64_t count;
+} counter_wait_t;
+
+#define SENT "medlarplank_control_datagrams_sent_total"
+#define RESUMED "medlarplank_gateway_resumptions_total"
+#define RECEIVED "medlarplank_control_datagrams_received_total"
+
+static bool
+has_more (void *context)
+{
+  const counter_wait_t *wait = context;
+
+  return gateway_rig_counter (wait->rig, wait->gateway, wait->name) > wait->count;
+}
+
+static void
+wait_counter (const gateway_rig_t *rig, uint32_t gateway, const char *name)
+{
+  counter_wait_t wait = { rig, gateway, name, gateway_rig_counter (rig, gateway, name) };
+
+  CU_ASSERT_FATAL (raw_peer_run_until (rig->base, has_more, &wait));
+}
+
+/* Guards against a stream that goes on at another version at a gateway that stood still, cut off
+ * since: a message that had waited in its socket told that it was current. */
+static void
+test_message_that_waited_over_a_standstill (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (2);
+  raw_peer_t *raw;
+
+  add_engine (rig, "pool", "v1");
+  wait_counter (rig, 1, RECEIVED);
+  wait_counter (rig, 1, RECEIVED);
+  clock_init_paused (&rig->clock, clock_now_us (&rig->clock));
+  wait_counter (rig, 0, SENT);
+  rig->gateways[0].front->down = true;
+  rig->gateways[1].front->down = true;
+  clock_advance (&rig->clock, 10 * CLOCK_US_PER_S);
+  wait_counter (rig, 1, RECEIVED);
+  raw = gateway_rig_send (rig, 1, "GET", "/no-such-route/", "");
+  CU_ASSERT (raw_peer_run_until (rig->base, is_whole, raw));
+  CU_ASSERT (is_status (raw, "HTTP/1.1 503"));
+  raw_peer_free (raw);
+  raw = gateway_rig_send (rig, 1, "POST", "/talk/", RESUMES ("lost"));
+  wait_counter (rig, 1, RESUMED);
+  clock_advance (&rig->clock, CLOCK_US_PER_S / 2);
+  CU_ASSERT (raw_peer_run_until (rig->base, is_whole, raw));
+  CU_ASSERT (is_status (raw, "HTTP/1.1 503"));
+  CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 0);
+  raw_peer_free (raw);
+}
+
 /* Guards against streams that wait, or change versions, when the last engine of theirs has gone. */
 static void
 test_version_that_has_gone (void)
@@ -397,6 +456,7 @@
     SUITE_TEST (test_stream_goes_on_at_the_only_version),
     SUITE_TEST (test_gateway_that_is_cut_off),
     SUITE_TEST (test_first_request_after_a_standstill),
+    SUITE_TEST (test_message_that_waited_over_a_standstill),
     SUITE_TEST (test_version_that_has_gone),
     SUITE_TEST (test_unnamed_stream_after_a_restart),
     SUITE_TEST (test_stream_stays_at_its_service),
--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -74,6 +74,19 @@
   (void)exchange;
 }
 
+void
+exchange_poll (exchange_t *exchange)
+{
+  (void)exchange;
+}
+
+uint64_t
+exchange_waited_us (const exchange_t *exchange)
+{
+  (void)exchange;
+  return 0;
+}
+
 void
 exchange_charge_budget (exchange_t *exchange, uint32_t bytes)
 {
