A gateway that is behind its peers doesn't take the store for out

What callers saw: a gateway that had lost the store, and could fetch nothing from a peer, took a stream up at the version of the last table that it knew, though a table with another version was in force (ORDER).

Cause: while the store is out for all, known tables count, as nobody can put another one in force. That was taken to be so at any gateway that heard most of the others, also where these told of later answers of the store than its own.

Change: shares_trust (pure) decides. Known tables count in an outage only while no peer was current to a later time than this gateway, but for the time by which a table is announced before it is in force.

Evidence: test_gateway_that_is_behind_its_peers.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -9,6 +9,7 @@
 #include "request/gateway/gateway.h"
 #include "request/policy/engines/lapses.h"
 #include "request/policy/engines/restart_claims.h"
+#include "request/policy/streams/shares_trust.h"
 #include "version/version_order.h"
 
 #include <string.h>
@@ -32,7 +33,7 @@
  * @gateway_origins: tells other gateways of them
  * @directory: tells other gateways which engines hold parts of prompts
  * @shares: tells that of streams of all gateways
- * @outage_us: when most of the other gateways were last heard while no one could read the store
+ * @shares_trust: whether the known tables of shares count
  * @accept_by_us: latest time at which client connections are accepted, even if the gateway is not
  *   ready; 0 once they are
  * @stop_us: when the stop signal came, 0 before
@@ -57,7 +58,7 @@
   gateway_origins_t *gateway_origins;
   gateway_directory_t *directory;
   gateway_shares_t *shares;
-  uint64_t outage_us;
+  shares_trust_t shares_trust;
   struct event *tick;
   uint64_t accept_by_us;
   uint64_t stop_us;
@@ -305,21 +306,19 @@
   update_engine_counts (process);
 }
 
-/* While the store is out nobody can put a table in force. One gateway alone can't tell an outage
- * from its own lost connection, most of them can. */
 static bool
 may_trust_shares (gateway_process_t *process)
 {
-  uint64_t at_us = now_us (process);
+  const gateway_store_t *store = process->store;
 
-  if (gateway_store_is_current (process->store))
-    {
-      process->outage_us = 0;
-      return true;
-    }
-  if (gateway_store_hears_most (process->store))
-    process->outage_us = at_us;
-  return process->outage_us != 0 && at_us < process->outage_us + VERSION_SHARES_ANNOUNCED_US;
+  return shares_trust_decide (
+      &process->shares_trust,
+      &(shares_trust_view_t){ .is_current = gateway_store_is_current (store),
+                              .hears_most = gateway_store_hears_most (store),
+                              .current_as_of_us = gateway_store_current_as_of_us (store),
+                              .peers_current_us = gateway_store_peers_current_us (store),
+                              .current_us = GATEWAY_STORE_CURRENT_MS * CLOCK_US_PER_MS },
+      now_us (process));
 }
 
 static void
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -213,17 +213,22 @@
   return read_policy_current_as_of_us (&store->policies[stream], &view);
 }
 
-/* Time up to which routing rules and engines are current; 0 for never. */
-static uint64_t
-current_as_of_us (const gateway_store_t *store)
+uint64_t
+gateway_store_current_as_of_us (const gateway_store_t *store)
 {
   return MIN (stream_current_us (store, STREAM_ROUTING), stream_current_us (store, STREAM_ENGINES));
 }
 
+uint64_t
+gateway_store_peers_current_us (const gateway_store_t *store)
+{
+  return store->peers_current_us;
+}
+
 uint32_t
 gateway_store_contact_age_ms (const gateway_store_t *store)
 {
-  uint64_t at_us = current_as_of_us (store);
+  uint64_t at_us = gateway_store_current_as_of_us (store);
   uint64_t age_ms = at_us ? (gateway_store_now_us (store) - at_us) / CLOCK_US_PER_MS : UINT32_MAX;
 
   return (uint32_t)MIN (age_ms, UINT32_MAX);
@@ -304,6 +309,7 @@
   uint64_t age_us = (uint64_t)theirs->store_age_ms * CLOCK_US_PER_MS;
   uint64_t store_us = age_us < at_us ? at_us - age_us : 0;
 
+  store->peers_current_us = MAX (store->peers_current_us, store_us);
   store_outage_record_contact (&store->outage, store_us, min_outage_us (store));
   read_policy_apply_peer (&store->policies[STREAM_ROUTING], at_us, theirs->routing_next,
                           ours.routing_next, store_us);
@@ -483,7 +489,7 @@
 bool
 gateway_store_is_current (const gateway_store_t *store)
 {
-  uint64_t at_us = current_as_of_us (store);
+  uint64_t at_us = gateway_store_current_as_of_us (store);
 
   return at_us != 0 && gateway_store_now_us (store) - at_us <
                            (uint64_t)GATEWAY_STORE_CURRENT_MS * CLOCK_US_PER_MS;
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -134,6 +134,10 @@
 /** gateway_store_is_current() - whether routing rules and engines are current to within
  * %GATEWAY_STORE_CURRENT_MS */
 bool gateway_store_is_current (const gateway_store_t *store);
+/** gateway_store_current_as_of_us() - time up to which they are current; 0 for never */
+uint64_t gateway_store_current_as_of_us (const gateway_store_t *store);
+/** gateway_store_peers_current_us() - the latest time up to which a peer's are, as far as told */
+uint64_t gateway_store_peers_current_us (const gateway_store_t *store);
 /** gateway_store_count_running() - number of gateways that may be running, including this one */
 uint32_t gateway_store_count_running (const gateway_store_t *store);
 /** gateway_store_count_registered() - number of gateways in the gateway registry, running or not,
--- a/src/process/gateway_store_private.h
+++ b/src/process/gateway_store_private.h
@@ -39,6 +39,7 @@
  * @ahead_control: control address of the peer that last reported newer records than ours
  * @next_fetch_us: earliest time of the next fetch
  * @outage: last outage of the store, as observed here and by peers
+ * @peers_current_us: latest time up to which a peer's registries are current, as far as told
  * @store_lost: the last read of the engine registry failed, or a read of the routing rules failed
  *   before the registry was read for the first time
  * @applying_copy: the records being applied come from a peer's copy
@@ -63,6 +64,7 @@
   address_t ahead_control;
   uint64_t next_fetch_us;
   store_outage_t outage;
+  uint64_t peers_current_us;
   bool store_lost;
   bool applying_copy;
   bool copy_unsettled;
--- a/tests/test_shares_lag.c
+++ b/tests/test_shares_lag.c
@@ -243,6 +243,14 @@
          strstr (raw->received->str, " 503 ");
 }
 
+static bool
+is_answered_shortly (void *context)
+{
+  const raw_peer_t *raw = context;
+
+  return raw->eof || strstr (raw->received->str, "\r\n\r\n");
+}
+
 static void
 fetch (gateway_rig_t *rig, uint32_t gateway, const char *more)
 {
@@ -308,6 +316,56 @@
   check_stream_stays_at (rig, 0);
 }
 
+#define CONTROL_CONNECTIONS 200 /* above the limit of a listener */
+
+static void
+fill_control (gateway_rig_t *rig, uint32_t gateway, raw_peer_t **raws)
+{
+  for (uint32_t i = 0; i < CONTROL_CONNECTIONS; i++)
+    raws[i] = raw_peer_connect (rig->base, &rig->gateways[gateway].settings.control_listen);
+}
+
+static bool
+is_second_uncertain (void *context)
+{
+  gateway_rig_t *rig = context;
+  raw_peer_t *raw = gateway_rig_send (rig, 1, "GET", "/no-such-route/", "");
+  bool result;
+
+  CU_ASSERT (raw_peer_run_until (rig->base, is_answered_shortly, raw));
+  result = strstr (raw->received->str, " 503 ") != NULL;
+  raw_peer_free (raw);
+  return result;
+}
+
+/* Guards against a stream that goes on at another version at a gateway that is behind and can read
+ * neither the store nor a peer: that it hears its peers is no sign that the store is out. */
+static void
+test_gateway_that_is_behind_its_peers (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (2);
+  versions_t versions = start (rig);
+  version_history_t history = { .count = 1,
+                                .in_force = 1,
+                                .tables = { make_table (1, versions.first, 0),
+                                            make_table (2, versions.second, versions.first) } };
+  raw_peer_t *raws[CONTROL_CONNECTIONS];
+
+  put_history (rig, &history);
+  wait_read (rig, 1);
+  fill_control (rig, 0, raws); /* no fetch from it succeeds */
+  rig->gateways[1].front->down = true;
+  history.count = 2;
+  history.in_force = 2;
+  put_history (rig, &history);
+  fake_store_put (rig->store, PLATFORM_STREAM_ENGINES, "former", NULL);
+  CU_ASSERT_FATAL (raw_peer_run_until (rig->base, is_second_uncertain, rig));
+  fetch (rig, 1, "Content-Length: 0\r\nLast-Event-Id: 1\r\nResumes: lost\r\n");
+  CU_ASSERT_EQUAL (rig->engines[0]->request_count, 0);
+  for (uint32_t i = 0; i < CONTROL_CONNECTIONS; i++)
+    raw_peer_free (raws[i]);
+}
+
 static bool
 has_event (void *context)
 {
@@ -571,6 +629,7 @@
   CU_TestInfo tests[] = {
     SUITE_TEST (test_read_of_the_tables_that_hangs),
     SUITE_TEST (test_table_in_force_that_was_not_announced),
+    SUITE_TEST (test_gateway_that_is_behind_its_peers),
     SUITE_TEST (test_client_that_comes_again_after_its_first_deadline),
     SUITE_TEST (test_table_stays_as_long_as_streams_may_be_resumed),
     SUITE_TEST (test_stream_whose_end_did_not_reach_its_client),
