Tests: entries of engines have all fields in two more tests

Before: "test_gateway_garbage.c:81 - CU_ASSERT_TRUE_FATAL(gateway_rig_wait_counter (rig, \"medlarplank_engines\", ENGINES))". The entries now have all fields; no check is changed.

--- a/tests/test_gateway_garbage.c
+++ b/tests/test_gateway_garbage.c
@@ -59,9 +59,10 @@
 register_engine (fleet_t *fleet, uint32_t index)
 {
   g_autofree char *address = address_to_text (cut_peer_address (fleet->peer));
-  g_autofree char *text = g_strdup_printf ("{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":"
-                                           "\"hall-1\",\"slots\":8,\"state\":\"ready\"}",
-                                           address);
+  g_autofree char *text = g_strdup_printf (
+      "{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":"
+      "\"hall-1\",\"version\":\"\",\"cold_left_ms\":0,\"seq\":1,\"slots\":8,\"state\":\"ready\"}",
+      address);
   g_autofree char *id = g_strdup_printf ("i%u", index);
 
   fake_store_put (fleet->rig->store, PLATFORM_STREAM_ENGINES, id, text);
--- a/tests/test_stream_flood.c
+++ b/tests/test_stream_flood.c
@@ -35,9 +35,10 @@
 register_flood (gateway_rig_t *rig, const address_t *flood_address)
 {
   g_autofree char *address = address_to_text (flood_address);
-  g_autofree char *text = g_strdup_printf ("{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":"
-                                           "\"hall-1\",\"slots\":64,\"state\":\"ready\"}",
-                                           address);
+  g_autofree char *text = g_strdup_printf (
+      "{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":"
+      "\"hall-1\",\"version\":\"\",\"cold_left_ms\":0,\"seq\":1,\"slots\":64,\"state\":\"ready\"}",
+      address);
 
   fake_store_put (rig->store, PLATFORM_STREAM_ENGINES, "flood", text);
   CU_ASSERT_TRUE_FATAL (gateway_rig_wait_counter (rig, "medlarplank_engines", 1));
