HTTP client: a request that is sent again gets another connection

Callers saw: a request that isn't idempotent could run twice. A server that was full refused it with its id, and the request was sent to that server again on the same kept connection. A late copy of the first refusal (extra responses come at the point where the next response is expected) has the same id, so it was taken for the answer to the second send, and the request went on elsewhere while it ran. Cause: the id proves which request a response belongs to, but not which send of it. Fix: a hop after the first one doesn't reuse a connection whose latest request had the same id. Responses that follow a later request on such a connection have another id, which ends it.

--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -383,12 +383,14 @@
   http_client_conn_t *conn =
       options->new_connection
           ? http_client_conn_open (call->http_client, options->address)
-          : http_client_conn_acquire (call->http_client, options->address, idle_limit_us);
+          : http_client_conn_acquire (call->http_client, options->address, idle_limit_us,
+                                      options->sent_before ? call->id : "");
   struct evhttp_request *request = make_request (conn, options);
   ev_ssize_t limit = options->answer_limit_bytes ? (ev_ssize_t)options->answer_limit_bytes : -1;
 
   call->conn = conn;
   conn->call = call;
+  g_strlcpy (conn->last_id, call->id, sizeof conn->last_id);
   conn->error = HTTP_CLIENT_ERROR_NONE;
   evhttp_connection_set_max_body_size (conn->evcon, limit);
   http_client_conn_expect (conn, options->answer_limit_bytes);
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -64,6 +64,7 @@
  *   closes the connection normally, and truncated when the peer resets it
  * @idle_limit_us: don't reuse a connection that has been idle for longer; 0 for no limit
  * @new_connection: don't reuse a connection
+ * @sent_before: don't reuse a connection whose latest request had the same X-Request-Id
  * @check_name: response header that must have the value @check_value; otherwise the call ends
  *   with VERDICT_REASON_CROSSED and no part of the response is passed on. NULL for no check
  * @on_head: receives status and headers of a response with valid framing that has passed the
@@ -88,6 +89,7 @@
   bool until_close;
   uint64_t idle_limit_us;
   bool new_connection;
+  bool sent_before;
   const char *check_name;
   const char *check_value;
   bool (*on_head) (int status, struct evkeyvalq *headers, void *context);
--- a/src/connection/http_client_internal.h
+++ b/src/connection/http_client_internal.h
@@ -70,6 +70,7 @@
  * @closed: must not be used again; @event is about to free it
  * @abandoned: its call was given up
  * @was_kept: the current call did not open it
+ * @last_id: request id of the latest call, "" for none
  * @idle_us: how long it had been idle before the current call
  * @error: what libevent reported last for the current call
  */
@@ -91,6 +92,7 @@
   bool closed;
   bool abandoned;
   bool was_kept;
+  char last_id[HTTP_CLIENT_LOGGED_ID_BYTES];
   int64_t idle_us;
   http_client_error_t error;
 };
@@ -135,10 +137,12 @@
 /** http_client_conn_open() - open a connection */
 http_client_conn_t *http_client_conn_open (http_client_t *http_client, const address_t *address);
 /** http_client_conn_acquire() - get an idle connection that the peer has not closed and that has
- * been idle for at most @idle_limit_us, or else a new one */
+ * been idle for at most @idle_limit_us, or else a new one. The latest call on it had another
+ * request id than @id, unless that is "" */
 http_client_conn_t *http_client_conn_acquire (http_client_t *http_client,
                                               const address_t *address,
-                                              uint64_t idle_limit_us);
+                                              uint64_t idle_limit_us,
+                                              const char *id);
 /** http_client_conn_release() - return a connection to the pool, or close it if it can't be used
  * again */
 void http_client_conn_release (http_client_conn_t *conn);
--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -2,6 +2,7 @@
 #include "connection/socket.h"
 
 #include <errno.h>
+#include <string.h>
 #include <sys/socket.h>
 
 /* Disables libevent's own timeouts, which would cut slow responses; those of the call and the pool
@@ -305,23 +306,38 @@
   return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
 }
 
+/* A late copy of the response to a request can't be told from the response to the same request when
+ * that is sent again. Return: NULL if there is none */
+static http_client_conn_t *
+find_idle (GQueue *queue, int64_t since_us, const char *id)
+{
+  for (GList *link = queue ? queue->head : NULL; link; link = link->next)
+    {
+      http_client_conn_t *conn = link->data;
+
+      /* the queue is ordered by last use, so all others have been idle for longer */
+      if (conn->idle_since_us < since_us)
+        return NULL;
+      if (*id == '\0' || strcmp (conn->last_id, id) != 0)
+        return conn;
+    }
+  return NULL;
+}
+
 http_client_conn_t *
 http_client_conn_acquire (http_client_t *http_client,
                           const address_t *address,
-                          uint64_t idle_limit_us)
+                          uint64_t idle_limit_us,
+                          const char *id)
 {
   int64_t now_us = g_get_monotonic_time ();
+  int64_t since_us = now_us - (int64_t)MIN (idle_limit_us, (uint64_t)now_us);
   char *key = address_key (address);
-  GQueue *queue;
+  http_client_conn_t *conn;
   http_client_conn_t *found = NULL;
 
-  while (!found && (queue = g_hash_table_lookup (http_client->idle, key)))
+  while (!found && (conn = find_idle (g_hash_table_lookup (http_client->idle, key), since_us, id)))
     {
-      http_client_conn_t *conn = g_queue_peek_head (queue);
-
-      /* the queue is ordered by last use, so all others have been idle for longer */
-      if ((uint64_t)(now_us - conn->idle_since_us) > idle_limit_us)
-        break;
       remove_from_pool (conn);
       event_del (conn->event);
       conn->idle_us = now_us - conn->idle_since_us;
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -872,6 +872,7 @@
                                 .until_close = true,
                                 .idle_limit_us = reuse_idle_limit_us (call),
                                 .new_connection = call->id[0] == '\0',
+                                .sent_before = call->hops > 1,
                                 .on_head = on_head,
                                 .on_data = on_data,
                                 .on_end = on_end,
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -194,6 +194,27 @@
     }
 }
 
+/* Guards against a second run of a request because of a late copy of its own refusal. */
+static void
+test_request_is_sent_again_on_another_connection (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  raw_server_t *engine =
+      gateway_rig_add_engine (rig, SCRIPTS (FULL_RESPONSE, FULL_RESPONSE, OK_RESPONSE), 3);
+
+  engine->keep_head = true;
+  gateway_rig_skip_retry_window (rig);
+  expect (rig, "POST", "/book/", EMPTY_BODY, "200");
+  CU_ASSERT_EQUAL (engine->request_count, 3);
+  for (guint i = 0; i < engine->connections->len; i++)
+    {
+      const raw_peer_t *raw = g_ptr_array_index (engine->connections, i);
+      const char *first = strstr (raw->received->str, "POST /book/");
+
+      CU_ASSERT (!first || !strstr (first + 1, "POST /book/"));
+    }
+}
+
 /* Guards against 502 for a request that its engine has refused and another one can run. */
 static void
 test_refusal_of_the_request_moves_it_on (void)
@@ -1735,6 +1756,7 @@
     SUITE_TEST (test_lost_non_idempotent_request_is_not_repeated),
     SUITE_TEST (test_full_engine_is_waited_for),
     SUITE_TEST (test_refusal_without_id_on_a_kept_connection_proves_nothing),
+    SUITE_TEST (test_request_is_sent_again_on_another_connection),
     SUITE_TEST (test_refusal_of_the_request_moves_it_on),
     SUITE_TEST (test_success_that_claims_not_run_proves_nothing),
     SUITE_TEST (test_request_without_id_gets_a_connection_of_its_own),
