HTTP server: a body that waited too long is rejected by its reason

http_server_reject_incomplete() takes a reason since late requests of a stop are refused; this call still passed false, which is HTTP_SERVER_END_CLOSED. The response was right only because that has none of its own.

--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -274,7 +274,7 @@
     return;
   if (conn->body_waits)
     {
-      http_server_reject_incomplete (conn, false);
+      http_server_reject_incomplete (conn, HTTP_SERVER_END_EVICTED);
       http_server_conn_end (conn, HTTP_SERVER_END_EVICTED);
       return;
     }
