--- a/tests/test_gateway_copies.c
+++ b/tests/test_gateway_copies.c
@@ -233,6 +233,34 @@
   end (rig, &run);
 }
 
+/* An event of another run came from the engine that was to go on from the copy. */
+static void
+test_garbage_from_a_copy_is_not_forwarded (void)
+{
+  static const char *const bad[] = {
+    HEAD EVENT ("4") EVENT ("5") "0\r\n\r\n",
+    HEAD "c\r\ndata: junk\n\n\r\n" EVENT ("3") EVENT ("4") "0\r\n\r\n",
+    HEAD EVENT ("3") EVENT ("3") "0\r\n\r\n",
+    HEAD EVENT ("3") "4\r\njunk\r\n0\r\n\r\n",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      gateway_rig_t *rig = start (TRAITS ",\"backups\":true", true);
+      run_t run = begin (rig, "/tell/a");
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (run.backup);
+      send_events (rig, &run);
+      lose (rig, &run, &bad[i]);
+      CU_ASSERT_FALSE (is_whole (run.client));
+      CU_ASSERT_EQUAL (count_events (run.client), i < 2 ? 2 : 3);
+      CU_ASSERT_PTR_NULL (strstr (run.client->received->str, "junk"));
+      CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 2);
+      CU_ASSERT_EQUAL (counter (rig, "medlarplank_gateway_bad_events_total"), 1);
+      end (rig, &run);
+    }
+}
+
 /* Guards against a second run at the engine with the copy: before the first event there is hardly a
  * copy, and an engine that ends while it looks for one had begun to run the request. */
 static void
@@ -401,6 +429,7 @@
 main (void)
 {
   static const CU_TestInfo tests[] = { SUITE_TEST (test_stream_goes_on_from_its_copy),
+                                       SUITE_TEST (test_garbage_from_a_copy_is_not_forwarded),
                                        SUITE_TEST (test_run_without_events_is_not_sent_again),
                                        SUITE_TEST (test_error_of_the_engine_is_passed_on),
                                        SUITE_TEST (test_missing_copy_ends_as_without_one),
--- a/tests/test_gateway_garbage.c
+++ b/tests/test_gateway_garbage.c
@@ -188,6 +188,47 @@
   play_all ("/talk/", true);
 }
 
+/* A caller took its stream up, and got an event other than the next one. */
+static void
+test_garbage_in_a_stream_that_its_caller_resumes (void)
+{
+  static const struct
+  {
+    const char *body;
+    const char *forwarded;
+  } cases[] = {
+    { EVENT ("1") EVENT ("2") EVENT ("3"), EVENT ("3") },
+    { EVENT ("2") EVENT ("3"), EVENT ("3") },
+    { EVENT ("4"), NULL },
+    { EVENT ("1") EVENT ("3"), NULL },
+    { "data: junk\n\n" EVENT ("3"), NULL },
+  };
+  g_autoptr (fleet_t) fleet = fleet_new ();
+
+  for (framing_t framing = CHUNKED; framing < FRAMINGS; framing++)
+    for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+      {
+        g_autoptr (GString) sent = g_string_new (cases[i].body);
+        g_autoptr (GString) response = make_response (framing, sent);
+        g_autoptr (GString) body = g_string_new (NULL);
+        raw_peer_t *raw;
+        bool is_whole;
+        bool is_right;
+
+        cut_peer_set_play (fleet->peer, &(cut_peer_play_t){ .bytes = response->str,
+                                                            .count = response->len,
+                                                            .end = CUT_PEER_FIN });
+        raw = gateway_rig_fetch (fleet->rig, "POST", "/tell/", EMPTY_BODY "Last-Event-Id: 2\r\n");
+        is_whole = raw_answer_read (raw->received->str, body);
+        is_right = cases[i].forwarded ? is_whole && strcmp (body->str, cases[i].forwarded) == 0
+                                      : g_str_has_prefix (raw->received->str, "HTTP/1.1 502 ");
+        if (!is_right)
+          printf ("\n    framing %d, case %zu: \"%s\"", (int)framing, i, raw->received->str);
+        CU_ASSERT_TRUE (is_right);
+        raw_peer_free (raw);
+      }
+}
+
 int
 main (void)
 {
@@ -195,6 +236,7 @@
     SUITE_TEST (test_garbage_in_a_stream_breaks_it_off),
     SUITE_TEST (test_garbage_in_all_attempts_breaks_the_stream_off),
     SUITE_TEST (test_stream_with_garbage_goes_on_elsewhere),
+    SUITE_TEST (test_garbage_in_a_stream_that_its_caller_resumes),
     CU_TEST_INFO_NULL,
   };
 
