Gateway: events of routes that aren't streams are forwarded unchanged

Callers saw 502 for a sound response of the type text/event-stream whose events have no ids, where the route is not a stream; the server counted as failed. Cause: the check that only next events are forwarded was applied by the type of the response, while only the route of a stream promises events with rising ids. Evidence: the new test failed before: "tests/test_gateway.c:260 - starts_with (raw, "HTTP/1.1 200 ")". Fix: only a response of a stream route counts as a stream of events; any other one is forwarded byte by byte, or kept until its end where that alone shows that it is whole. After: the new test passes; gateway_garbage, gateway_resume, gateway_crash and gateway_stop without failure. The run of all tests of gateway was cut after 40 s on a busy machine, without a failure up to there.

--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -220,7 +220,8 @@
   if (call->response.not_run)
     return true;
   call->status = status;
-  call->streaming = is_event_stream (headers) && status == 200;
+  call->streaming =
+      call->route->kind == ROUTING_STREAM && is_event_stream (headers) && status == 200;
   call->failure_buffered = false;
   relay_start (&call->relay, call->upstream, status, headers);
   call->relay.is_event_stream = false; /* no error event may be added to an engine's events */
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -361,7 +361,7 @@
  * @response: parsed headers of the last hop's response; valid when @has_head is set
  * @status: HTTP status of the response that is forwarded
  * @is_framed: it has a length or comes in chunks, so that its end shows that it is whole
- * @streaming: the response is a stream of events
+ * @streaming: the response is a stream of events, of a route that declares it
  * @resuming: the current hop resumes a stream
  * @stream: hash by which all gateways know the stream of this response, 0 when it can't be resumed
  * @resumption: valid for a request that resumes a stream
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -241,6 +241,28 @@
   CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 1);
 }
 
+/* Guards against 502 for events without ids from a route that isn't a stream. */
+static void
+test_events_of_other_routes_are_forwarded_unchanged (void)
+{
+  static const char *const bodies[] = { "data: a\n\n", ": note\n\ndata: a\n\n", "id: x\n\ndata" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+      g_autofree char *response = g_strdup_printf (
+          OK_HEAD "Content-Type: text/event-stream\r\nContent-Length: %zu\r\n\r\n%s",
+          strlen (bodies[i]), bodies[i]);
+      raw_peer_t *raw;
+
+      gateway_rig_add_engine (rig, SCRIPTS (response), 1);
+      raw = gateway_rig_fetch (rig, "POST", "/book/", EMPTY_BODY);
+      CU_ASSERT (starts_with (raw, "HTTP/1.1 200 "));
+      CU_ASSERT (contains (raw, bodies[i]));
+      raw_peer_free (raw);
+    }
+}
+
 /* Guards against a response for a request without an id that may be that of another request. */
 static void
 test_request_without_id_gets_a_connection_of_its_own (void)
@@ -1759,6 +1781,7 @@
     SUITE_TEST (test_request_is_sent_again_on_another_connection),
     SUITE_TEST (test_refusal_of_the_request_moves_it_on),
     SUITE_TEST (test_success_that_claims_not_run_proves_nothing),
+    SUITE_TEST (test_events_of_other_routes_are_forwarded_unchanged),
     SUITE_TEST (test_request_without_id_gets_a_connection_of_its_own),
     SUITE_TEST (test_full_engine_is_asked_more_than_three_times),
     SUITE_TEST (test_refusals_are_bounded),
