Streams: DEL in the data of an event breaks nothing off

A run that made one would have failed at every engine. JSON and the format of events allow it as it is.

--- a/src/request/event_text.c
+++ b/src/request/event_text.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #define END_BYTES_MAX 3 /* of what ends an event: LF, CR, LF */
-#define DELETE 0x7f
 
 /** struct field - a line of an event; one without a colon has an empty name */
 typedef struct
@@ -97,8 +96,7 @@
     {
       unsigned char c = (unsigned char)text[i];
 
-      if (c == '\r' ? i + 1 == bytes || text[i + 1] != '\n'
-                    : (c < ' ' && c != '\n' && c != '\t') || c == DELETE)
+      if (c == '\r' ? i + 1 == bytes || text[i + 1] != '\n' : (c < ' ' && c != '\n' && c != '\t'))
         return false;
     }
   return g_utf8_validate_len (text, bytes, NULL);
--- a/tests/test_event_splitter.c
+++ b/tests/test_event_splitter.c
@@ -236,6 +236,19 @@
     }
 }
 
+/* Guards against streams that break off at DEL, which JSON need not escape. */
+static void
+test_delete_in_data_is_forwarded (void)
+{
+  static const char text[] = "id: 1\ndata: \"a\x7f\"\n\n";
+  split_t split;
+
+  split_init (&split, 0);
+  feed (&split, text, strlen (text));
+  CU_ASSERT_STRING_EQUAL (split.out->str, text);
+  split_clear (&split);
+}
+
 static void
 test_sound_streams_are_forwarded (void)
 {
@@ -320,6 +333,7 @@
 {
   static const CU_TestInfo tests[] = { SUITE_TEST (test_only_events_of_the_run_are_forwarded),
                                        SUITE_TEST (test_sound_streams_are_forwarded),
+                                       SUITE_TEST (test_delete_in_data_is_forwarded),
                                        SUITE_TEST (test_resumed_stream_has_no_gap),
                                        SUITE_TEST (test_dropped_response_leaves_no_gap),
                                        SUITE_TEST (test_comments_without_end_break_the_stream),
