--- a/tests/test_load_header.c
+++ b/tests/test_load_header.c
@@ -38,6 +38,15 @@
   CU_ASSERT_EQUAL (parse_load ("3,1,8,100,7").load.slowdown_percent, 100);
 }
 
+/* Guards against counts whose sum wraps around, by which a load without measure seems small. */
+static void
+test_load_without_measure_is_ignored (void)
+{
+  CU_ASSERT_FALSE (parse_load ("4294967295,1,8").has_load);
+  CU_ASSERT_FALSE (parse_load ("1,4294967295,8").has_load);
+  CU_ASSERT (parse_load ("2147483647,2147483647,8").has_load);
+}
+
 /* Guards against a load report that is ignored because its effort is missing or invalid, and
  * against an invalid effort that affects the choice of engines. */
 static void
@@ -84,6 +93,7 @@
   static const CU_TestInfo tests[] = {
     SUITE_TEST (test_effort_is_parsed),
     SUITE_TEST (test_invalid_effort_is_ignored),
+    SUITE_TEST (test_load_without_measure_is_ignored),
     SUITE_TEST (test_random_headers),
     CU_TEST_INFO_NULL,
   };
