--- a/tests/session_grown_site.c
+++ b/tests/session_grown_site.c
@@ -384,9 +384,9 @@
 {
   static const char *const values[] = {
     "{\"service\":\"pool\",\"addr\":\"127.0.0.1:99999\",\"zone\":\"hall-bayangol\",\"slots\":1,"
-    "\"state\":\"ready\"}",
+    "\"version\":\"\",\"cold_left_ms\":0,\"seq\":1,\"state\":\"ready\"}",
     "{\"service\":\"pool\",\"addr\":\"127.0.0.1:9\",\"zone\":\"hall-bayangol\","
-    "\"slots\":1e400,\"state\":\"ready\"}",
+    "\"version\":\"\",\"cold_left_ms\":0,\"seq\":1,\"slots\":1e400,\"state\":\"ready\"}",
     "{\"service\":\"pool\",\"slots\":18446744073709551617}",
     "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[["
   };
