--- a/src/request/policy/streams/shares_trust.h
+++ b/src/request/policy/streams/shares_trust.h
@@ -39,6 +39,8 @@
   uint64_t current_us;
 } shares_trust_view_t;
 
+/** shares_trust_decide() - whether the known tables may be used now; called regularly, as it
+ * remembers an outage for a while */
 bool shares_trust_decide (shares_trust_t *trust, const shares_trust_view_t *view, uint64_t now_us);
 
 #endif
