test_shares_lag: connections that fill a listener are in use

Since idle connections make room at a listener's limit, those that the test opened to keep a gateway from its peer were closed after half a second, and the gateway learned what it was not to know. They have a part of a request now. No check is changed.

--- a/tests/test_shares_lag.c
+++ b/tests/test_shares_lag.c
@@ -322,7 +322,10 @@
 fill_control (gateway_rig_t *rig, uint32_t gateway, raw_peer_t **raws)
 {
   for (uint32_t i = 0; i < CONTROL_CONNECTIONS; i++)
-    raws[i] = raw_peer_connect (rig->base, &rig->gateways[gateway].settings.control_listen);
+    {
+      raws[i] = raw_peer_connect (rig->base, &rig->gateways[gateway].settings.control_listen);
+      raw_peer_send (raws[i], "GET / HTTP/1.1\r\nX-Part:"); /* an idle one would make room */
+    }
 }
 
 static bool
