--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -60,6 +60,7 @@
 
 /* HTTP */
 #define LIMIT_LISTEN_BACKLOG 1024
+#define LIMIT_HTTP_ACCEPT_AGAIN_MS 200   /* after a connection could not be taken */
 #define LIMIT_HTTP_EXCESS_CONNECTIONS 32 /* over the connection limit, still answered by 503 */
 #define LIMIT_HTTP_DRAINS 64 /* refused connections whose input is dropped before close */
 #define LIMIT_HTTP_DRAIN_BYTES (4 * 1024 * 1024) /* input dropped for one of them */
@@ -72,7 +73,8 @@
 #define LIMIT_HTTP_UNREAD_MS 500 /* longer for a connection whose bytes are not read yet */
 #define LIMIT_HTTP_UNREAD_EXTENSIONS 4
 #define LIMIT_HTTP_LATE_TIMER_MS 50 /* from which on a process did not run when a timer was due */
-#define LIMIT_HTTP_INCOMPLETE_BYTES (256 * 1024 * 1024) /* all incomplete requests together */
+#define LIMIT_HTTP_HELD_BYTES (64 * 1024 * 1024) /* all requests of a listener together */
+#define LIMIT_HTTP_BODY_WAIT_MS (5 * 1000)       /* until a body that is not read on is refused */
 #define LIMIT_HTTP_DEAD_PEER_S 5 /* until a peer that acknowledges nothing is given up */
 #define LIMIT_HTTP_RESPONSE_HEADER_BYTES (64 * 1024) /* headers of a response from an upstream */
 #define LIMIT_HTTP_CONNECT_MS 1000                   /* until a connection attempt is given up */
@@ -91,5 +93,10 @@
 #define LIMIT_HTTP_READ_BYTES_PER_S (16 * 1024 * 1024)
 #define LIMIT_HTTP_READ_BURST_BYTES (2 * 1024 * 1024)
 #define LIMIT_HTTP_LINE_COST_BYTES 1024
+/* Likewise a line of an event. A stream of many events in one chunk took a core too. */
+#define LIMIT_HTTP_EVENT_LINE_COST_BYTES 256
+/* Of each connection, and of all together that read more: many at the rate of one took a core. */
+#define LIMIT_HTTP_READ_RESERVE_BYTES_PER_S (256 * 1024)
+#define LIMIT_HTTP_READ_SHARED_BYTES_PER_S (32 * 1024 * 1024)
 
 #endif
--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -345,7 +345,9 @@
   evhttp_request_set_error_cb (request, on_error);
   evhttp_request_set_chunked_cb (request, on_chunk);
   add_headers (evhttp_request_get_output_headers (request), options);
-  if (options->body_bytes > 0)
+  if (options->body_bytes > 0 && options->body_parts)
+    evbuffer_add_buffer_reference (evhttp_request_get_output_buffer (request), options->body_parts);
+  else if (options->body_bytes > 0)
     evbuffer_add_reference (evhttp_request_get_output_buffer (request), options->body,
                             options->body_bytes, NULL, NULL);
   return request;
@@ -379,12 +381,16 @@
 {
   uint64_t idle_limit_us = options->idle_limit_us ? options->idle_limit_us : UINT64_MAX;
   http_client_conn_t *conn =
-      http_client_conn_acquire (call->http_client, options->address, idle_limit_us);
+      options->new_connection
+          ? http_client_conn_open (call->http_client, options->address)
+          : http_client_conn_acquire (call->http_client, options->address, idle_limit_us,
+                                      options->sent_before ? call->id : "");
   struct evhttp_request *request = make_request (conn, options);
   ev_ssize_t limit = options->answer_limit_bytes ? (ev_ssize_t)options->answer_limit_bytes : -1;
 
   call->conn = conn;
   conn->call = call;
+  g_strlcpy (conn->last_id, call->id, sizeof conn->last_id);
   conn->error = HTTP_CLIENT_ERROR_NONE;
   evhttp_connection_set_max_body_size (conn->evcon, limit);
   http_client_conn_expect (conn, options->answer_limit_bytes);
@@ -436,6 +442,38 @@
     http_client_conn_update_reading (call->conn);
 }
 
+static uint64_t
+count_lines (const char *bytes, size_t count)
+{
+  const char *end = bytes + count;
+  uint64_t lines = 0;
+
+  while (bytes < end && (bytes = memchr (bytes, '\n', (size_t)(end - bytes))))
+    {
+      lines++;
+      bytes++;
+    }
+  return lines;
+}
+
+void
+http_client_spend_lines (http_client_call_t *call, struct evbuffer *data)
+{
+  struct evbuffer_ptr at;
+  struct evbuffer_iovec part;
+  uint64_t lines = 0;
+
+  if (!call->conn || evbuffer_ptr_set (data, &at, 0, EVBUFFER_PTR_SET) < 0)
+    return;
+  while (evbuffer_peek (data, -1, &at, &part, 1) > 0)
+    {
+      lines += count_lines (part.iov_base, part.iov_len);
+      if (evbuffer_ptr_set (data, &at, part.iov_len, EVBUFFER_PTR_ADD) < 0)
+        break;
+    }
+  http_client_conn_spend (call->conn, lines * LIMIT_HTTP_EVENT_LINE_COST_BYTES);
+}
+
 /* Moved parts keep their own blocks of memory: 64 KB in chunks of a byte took 18 MB */
 void
 http_client_keep_data (struct evbuffer *kept, struct evbuffer *data)
@@ -464,6 +502,12 @@
   return !call->conn || has_unread_bytes (call->conn);
 }
 
+bool
+http_client_is_first_on_connection (const http_client_call_t *call)
+{
+  return !call->conn->was_kept;
+}
+
 bool
 http_client_may_have_sent (const http_client_call_t *call)
 {
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -56,12 +56,15 @@
  *   Content-Length, Transfer-Encoding, Connection and Expect are set by the client and ignored
  *   here. Host is added if missing
  * @body: must stay valid until @on_end is called or http_client_cancel_call() returns
+ * @body_parts: likewise, in place of @body, of @body_bytes; is not copied
  * @timeout_us: limit on the duration of the call, 0 for none. Connecting also has its own
  *   limit, %LIMIT_HTTP_CONNECT_MS or that of http_client_set_connect_timeout()
  * @answer_limit_bytes: a response with a longer body counts as truncated; 0 for no limit
  * @until_close: accept a response without a declared length: it is complete when the peer
  *   closes the connection normally, and truncated when the peer resets it
  * @idle_limit_us: don't reuse a connection that has been idle for longer; 0 for no limit
+ * @new_connection: don't reuse a connection
+ * @sent_before: don't reuse a connection whose latest request had the same X-Request-Id
  * @check_name: response header that must have the value @check_value; otherwise the call ends
  *   with VERDICT_REASON_CROSSED and no part of the response is passed on. NULL for no check
  * @on_head: receives status and headers of a response with valid framing that has passed the
@@ -79,11 +82,14 @@
   const http_client_header_t *headers;
   uint32_t header_count;
   const void *body;
+  struct evbuffer *body_parts;
   size_t body_bytes;
   uint64_t timeout_us;
   uint32_t answer_limit_bytes;
   bool until_close;
   uint64_t idle_limit_us;
+  bool new_connection;
+  bool sent_before;
   const char *check_name;
   const char *check_value;
   bool (*on_head) (int status, struct evkeyvalq *headers, void *context);
@@ -116,6 +122,9 @@
 /** http_client_cut_call() - end a call whose response is over a limit, and close its connection. It
  * ends by @on_end with VERDICT_MAY_HAVE_RUN, whatever was sent, and VERDICT_REASON_CUT */
 void http_client_cut_call (http_client_call_t *call);
+/** http_client_spend_lines() - count the lines of @data towards what the call's connection may
+ * read, for a reader that takes time for each */
+void http_client_spend_lines (http_client_call_t *call, struct evbuffer *data);
 /** http_client_keep_data() - move the @data of on_data to the end of @kept */
 void http_client_keep_data (struct evbuffer *kept, struct evbuffer *data);
 /** http_client_close_idle() - close the idle connections to @address, after the process there has
@@ -126,6 +135,9 @@
 /** http_client_has_unread() - whether the call has ended, or bytes of its response wait to be read
  */
 bool http_client_has_unread (const http_client_call_t *call);
+/** http_client_is_first_on_connection() - whether the connection of a call that has not ended
+ * carried no call before */
+bool http_client_is_first_on_connection (const http_client_call_t *call);
 /** http_client_may_have_sent() - whether any byte of the request may have been sent */
 bool http_client_may_have_sent (const http_client_call_t *call);
 
--- a/src/connection/http_client_internal.h
+++ b/src/connection/http_client_internal.h
@@ -12,6 +12,7 @@
 
 #include "connection/http_client.h"
 #include "connection/http_input.h"
+#include "connection/read_pace.h"
 
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -39,6 +40,7 @@
  *   first
  * @conns: set of all connections
  * @calls: set of all calls
+ * @read_share: how much all connections read
  */
 struct http_client
 {
@@ -49,6 +51,7 @@
   GHashTable *idle;
   GHashTable *conns;
   GHashTable *calls;
+  read_share_t read_share;
 };
 
 /**
@@ -60,14 +63,14 @@
  * @hold: stops reading after a head of status 1xx
  * @input_cb: observes what is read
  * @input: what the current response has brought
- * @read_tokens: bytes that may be read at once; below 0 while reading is paused
- * @filled_us: time of the last change of @read_tokens, on the monotonic clock
+ * @pace: limits what is read, on the monotonic clock
  * @call: the current call; NULL when idle
  * @idle_since_us: time at which it was returned to the pool, on the monotonic clock
  * @connecting: not connected yet
  * @closed: must not be used again; @event is about to free it
  * @abandoned: its call was given up
  * @was_kept: the current call did not open it
+ * @last_id: request id of the latest call, "" for none
  * @idle_us: how long it had been idle before the current call
  * @error: what libevent reported last for the current call
  */
@@ -83,13 +86,13 @@
   struct evbuffer_cb_entry *input_cb;
   http_client_call_t *call;
   http_input_t input;
-  int64_t read_tokens;
-  int64_t filled_us;
+  read_pace_t pace;
   int64_t idle_since_us;
   bool connecting;
   bool closed;
   bool abandoned;
   bool was_kept;
+  char last_id[HTTP_CLIENT_LOGGED_ID_BYTES];
   int64_t idle_us;
   http_client_error_t error;
 };
@@ -131,11 +134,15 @@
   bool given_up;
 };
 
+/** http_client_conn_open() - open a connection */
+http_client_conn_t *http_client_conn_open (http_client_t *http_client, const address_t *address);
 /** http_client_conn_acquire() - get an idle connection that the peer has not closed and that has
- * been idle for at most @idle_limit_us, or else a new one */
+ * been idle for at most @idle_limit_us, or else a new one. The latest call on it had another
+ * request id than @id, unless that is "" */
 http_client_conn_t *http_client_conn_acquire (http_client_t *http_client,
                                               const address_t *address,
-                                              uint64_t idle_limit_us);
+                                              uint64_t idle_limit_us,
+                                              const char *id);
 /** http_client_conn_release() - return a connection to the pool, or close it if it can't be used
  * again */
 void http_client_conn_release (http_client_conn_t *conn);
@@ -151,6 +158,9 @@
 /** http_client_conn_update_reading() - read, or don't while the call or the rate limit pauses it */
 void http_client_conn_update_reading (http_client_conn_t *conn);
 
+/** http_client_conn_spend() - count the cost of what was read, and pause reading beyond the pace */
+void http_client_conn_spend (http_client_conn_t *conn, uint64_t cost_bytes);
+
 /** http_client_conn_hold() - read no more until evhttp is ready for the next head */
 void http_client_conn_hold (http_client_conn_t *conn);
 
--- a/src/connection/http_server.c
+++ b/src/connection/http_server.c
@@ -13,6 +13,7 @@
   [HTTP_SERVER_REFUSED_MALFORMED] = "medlarplank_http_refused_total{reason=\"bad_request\"}",
   [HTTP_SERVER_REFUSED_SLOW] = "medlarplank_http_refused_total{reason=\"slow\"}",
   [HTTP_SERVER_REFUSED_LEFT] = "medlarplank_http_refused_total{reason=\"left\"}",
+  [HTTP_SERVER_REFUSED_STOPPING] = "medlarplank_http_refused_total{reason=\"stopping\"}",
 };
 
 static void
@@ -89,6 +90,7 @@
       return false;
     }
   socket_set_options (evconnlistener_get_fd (listener)); /* inherited by the connections */
+  evconnlistener_set_error_cb (listener, http_server_on_accept_error);
   http_server->bound = evhttp_bind_listener (http_server->http, listener);
   return true;
 }
@@ -109,8 +111,8 @@
       timeval_from_ms (MAX (http_server->options.idle_timeout_ms, LIMIT_HTTP_ANSWER_UNREAD_MS));
   if (http_server->options.request_timeout_ms == 0)
     http_server->options.request_timeout_ms = LIMIT_HTTP_REQUEST_MS;
-  if (http_server->options.incomplete_limit_bytes == 0)
-    http_server->options.incomplete_limit_bytes = LIMIT_HTTP_INCOMPLETE_BYTES;
+  if (http_server->options.held_limit_bytes == 0)
+    http_server->options.held_limit_bytes = LIMIT_HTTP_HELD_BYTES;
   http_server->request_timeout = timeval_from_ms (http_server->options.request_timeout_ms);
   evhttp_set_allowed_methods (http_server->http, methods);
   evhttp_set_max_headers_size (http_server->http, http_server->options.header_limit_bytes);
@@ -202,6 +204,7 @@
 http_server_t *
 http_server_new (const http_server_options_t *options, GError **error)
 {
+  struct timeval accept_again = timeval_from_ms (LIMIT_HTTP_ACCEPT_AGAIN_MS);
   http_server_t *http_server = g_new0 (http_server_t, 1);
 
   http_server->options = *options;
@@ -212,6 +215,12 @@
   http_server->drains = g_hash_table_new (NULL, NULL);
   http_server->unlisten = evtimer_new (options->base, on_unlisten, http_server);
   http_server->close_idle = evtimer_new (options->base, on_close_idle, http_server);
+  http_server->make_room = evtimer_new (options->base, http_server_on_make_room, http_server);
+  http_server->review_bodies =
+      event_new (options->base, -1, 0, http_server_on_review_bodies, http_server);
+  http_server->accept_again =
+      event_new (options->base, -1, EV_PERSIST, http_server_on_accept_again, http_server);
+  event_add (http_server->accept_again, &accept_again);
   if (options->takes_few)
     {
       http_server->idle = event_new (options->base, -1, 0, on_idle, http_server);
@@ -245,6 +254,9 @@
   g_list_free (drains);
   event_free (http_server->unlisten);
   event_free (http_server->close_idle);
+  event_free (http_server->make_room);
+  event_free (http_server->review_bodies);
+  event_free (http_server->accept_again);
   if (http_server->idle)
     event_free (http_server->idle);
   g_hash_table_destroy (http_server->new_conns);
@@ -349,6 +361,22 @@
   http_server_close_idle_later (http_server);
 }
 
+void
+http_server_refuse_incomplete (http_server_t *http_server)
+{
+  g_autoptr (GList) conns = g_hash_table_get_values (http_server->conns);
+
+  for (GList *link = conns; link; link = link->next)
+    {
+      http_server_conn_t *conn = link->data;
+
+      if (!http_server_conn_has_part (conn))
+        continue;
+      http_server_reject_incomplete (conn, HTTP_SERVER_END_STOPPING);
+      http_server_conn_end (conn, HTTP_SERVER_END_STOPPING);
+    }
+}
+
 uint32_t
 http_server_busy_count (const http_server_t *http_server)
 {
@@ -356,3 +384,9 @@
     return http_server->busy_count;
   return http_server->open_count + (http_server->bound ? 1 : 0);
 }
+
+uint32_t
+http_server_lingering_count (const http_server_t *http_server)
+{
+  return g_hash_table_size (http_server->drains);
+}
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -42,6 +42,7 @@
   HTTP_SERVER_END_ANSWER_UNREAD,   /* the client accepted no byte for the idle timeout */
   HTTP_SERVER_END_ANSWER_CUT,      /* http_server_abort() */
   HTTP_SERVER_END_STOPPING,
+  HTTP_SERVER_END_ROOM,    /* it was idle, and others needed its place */
   HTTP_SERVER_END_EVICTED, /* an incomplete request was rejected to bound their sum */
   HTTP_SERVER_END_REFUSED, /* after the response that rejected its request */
   HTTP_SERVER_END_ERROR,
@@ -72,22 +73,28 @@
  * @body_limit_bytes: a request with a longer body is rejected by 413
  * @header_limit_bytes: limit on request line and headers; a request over it is rejected by 431
  * @header_limit_count: a request with more headers is rejected by 431
- * @connection_limit: connections over it are closed after a response 503. With
- *   %LIMIT_HTTP_EXCESS_CONNECTIONS more connections, no further ones are accepted
+ * @connection_limit: as it nears, responses bear "Connection: close", and connections that have
+ *   been idle for long are closed, see connection_room. Those over it are closed after a response
+ *   503. With %LIMIT_HTTP_EXCESS_CONNECTIONS more connections, no further ones are accepted
+ * @file_limit: likewise, open files of the process; 0 for no limit
  * @idle_timeout_ms: a connection is closed after this time without a request, or, while a
  *   response is sent, without a byte written for that time, but %LIMIT_HTTP_ANSWER_UNREAD_MS at
  *   least. The time between request and response is not
  *   limited. Bytes that have come in time are read first
  * @request_timeout_ms: a request whose head takes longer from its first byte to its last is
  * rejected by 408; 0 for %LIMIT_HTTP_REQUEST_MS, which is also the least time that a body may take
- * @incomplete_limit_bytes: limit on the sum of all requests that have been received in part;
- *   when it is exceeded, the largest of them is rejected by 503; 0 for %LIMIT_HTTP_INCOMPLETE_BYTES
+ * @held_limit_bytes: limit on the sum of all requests that have been received in part, and of the
+ *   bodies of those that are not answered. As it nears, bodies that began last are not read on; one
+ *   that waits for %LIMIT_HTTP_BODY_WAIT_MS, and, over the limit, the largest, is rejected by 503;
+ *   0 for %LIMIT_HTTP_HELD_BYTES
+ * @answer_limit_bytes: limit on the bytes that all clients together have not read, see answer_room;
+ *   0 for one for each client only
  * @takes_few: new connections are taken a few at a time, when @base has nothing else to do, and
  *   none over the limit, see http_server_shed(); @base needs %HTTP_SERVER_PRIORITIES
  * @on_call: receives each complete request within the limits; it must be answered exactly once,
  *   at once or later
- * @on_ended: told of each connection that ends otherwise than by its client while it is idle, or
- *   after a last response; may be NULL
+ * @on_ended: told of each connection that ends otherwise than by its client while it is idle,
+ *   after a last response, or idle, for others; may be NULL
  */
 typedef struct
 {
@@ -98,9 +105,11 @@
   uint32_t header_limit_bytes;
   uint32_t header_limit_count;
   uint32_t connection_limit;
+  uint32_t file_limit;
   uint32_t idle_timeout_ms;
   uint32_t request_timeout_ms;
-  uint32_t incomplete_limit_bytes;
+  uint64_t held_limit_bytes;
+  uint64_t answer_limit_bytes;
   bool takes_few;
   void (*on_call) (http_server_call_t *call, void *context);
   void (*on_ended) (const http_server_ended_t *ended, void *context);
@@ -135,6 +144,12 @@
 void http_server_pause_accepting (http_server_t *http_server);
 /** http_server_resume_accepting() - accept connections again after http_server_pause_accepting() */
 void http_server_resume_accepting (http_server_t *http_server);
+/** http_server_review_room() - find out whether the server is full; to be called several times
+ * within %CONNECTION_ROOM_FULL_US. Return: whether that has changed */
+bool http_server_review_room (http_server_t *http_server, uint64_t now_us);
+/** http_server_is_full() - whether all connections within the limits are in use, and none could be
+ * taken for %CONNECTION_ROOM_FULL_US */
+bool http_server_is_full (const http_server_t *http_server);
 /** http_server_shed() - refuses the connections that wait, unread, if they have waited for too
  * long; to be called several times in %ACCEPT_GATE_WAIT_US by the owner of a server that
  * @takes_few. Return: whether it did */
@@ -146,10 +161,16 @@
  * Connections in the kernel's queue are still accepted. Idle ones are closed after
  * %LIMIT_HTTP_STOP_LINGER_MS, since a request may be on its way */
 void http_server_stop (http_server_t *http_server);
+/** http_server_refuse_incomplete() - refuse by 503 all requests of which only a part has arrived,
+ * at the end of a stop; connections with bytes that are not read yet are left to a later call */
+void http_server_refuse_incomplete (http_server_t *http_server);
 /** http_server_busy_count() - number of calls that have not been answered or whose response has not
  * been sent completely. After http_server_stop(), the number of connections on which a request may
  * still arrive is included, and 0 is final */
 uint32_t http_server_busy_count (const http_server_t *http_server);
+/** http_server_lingering_count() - number of refused connections whose client may still be sending;
+ * it would lose the refusal if the process ended now */
+uint32_t http_server_lingering_count (const http_server_t *http_server);
 
 /** http_server_method() - the request method in upper case */
 const char *http_server_method (const http_server_call_t *call);
@@ -170,6 +191,9 @@
  * by g_free(); NULL when it is empty */
 char *http_server_take_body (http_server_call_t *call, size_t *body_bytes);
 
+/** http_server_move_body() - likewise, without a copy of it, to the end of @to */
+void http_server_move_body (http_server_call_t *call, struct evbuffer *to);
+
 /** http_server_on_disconnect() - set a callback for the case that, before http_server_reply() or
  * http_server_end_reply(), the client closes its connection or its half of it, or accepts no bytes
  * for the idle timeout. The call is freed after @gone returns and must not be answered. Not called
@@ -178,7 +202,7 @@
 http_server_on_disconnect (http_server_call_t *call, void (*gone) (void *context), void *context);
 /** http_server_on_writable() - set a callback for streamed responses, called after
  * http_server_send_part() has returned false once the queue has shrunk to less than half of
- * %HTTP_SERVER_QUEUED_LIMIT_BYTES */
+ * http_server_queue_limit() */
 void
 http_server_on_writable (http_server_call_t *call, void (*room) (void *context), void *context);
 
@@ -199,7 +223,7 @@
  * client ended by closing the connection */
 void http_server_begin_reply (http_server_call_t *call, int status);
 /** http_server_send_part() - send a part of a streamed response; empties @data. Return: false when
- * more than %HTTP_SERVER_QUEUED_LIMIT_BYTES are queued: wait for the callback of
+ * more than http_server_queue_limit() are queued: wait for the callback of
  * http_server_on_writable() */
 bool http_server_send_part (http_server_call_t *call, struct evbuffer *data);
 /** http_server_end_reply() - complete a streamed response and end the call */
@@ -208,7 +232,8 @@
  * take the part of the response that it has for the complete one */
 void http_server_abort (http_server_call_t *call);
 
-/* bytes queued for a client before http_server_send_part() says stop */
-#define HTTP_SERVER_QUEUED_LIMIT_BYTES (256 * 1024)
+/** http_server_queue_limit() - bytes queued for a client before http_server_send_part() says stop
+ */
+uint64_t http_server_queue_limit (const http_server_call_t *call);
 
 #endif
--- a/src/connection/http_server_call.c
+++ b/src/connection/http_server_call.c
@@ -4,6 +4,9 @@
 #include <event2/http_struct.h>
 #include <string.h>
 
+/* A body is copied in parts, each of which is freed before the next one takes memory */
+#define TAKEN_PART_BYTES (64 * 1024)
+
 http_server_call_t *
 http_server_call_new (http_server_conn_t *conn, struct evhttp_request *request)
 {
@@ -29,6 +32,7 @@
 end_call (http_server_call_t *call)
 {
   call->conn->call = NULL;
+  http_server_set_whole (call->conn, 0);
   http_server_call_free (call);
 }
 
@@ -59,6 +63,14 @@
   evhttp_add_header (output_headers (call), "Connection", "close");
 }
 
+static bool
+ends_connection (const http_server_call_t *call)
+{
+  const http_server_t *http_server = call->conn->http_server;
+
+  return http_server->closing || http_server_is_short (http_server);
+}
+
 const char *
 http_server_method (const http_server_call_t *call)
 {
@@ -144,15 +156,23 @@
 {
   struct evbuffer *body = evhttp_request_get_input_buffer (call->request);
   char *taken;
+  size_t at = 0;
 
   *body_bytes = evbuffer_get_length (body);
   if (*body_bytes == 0)
     return NULL;
   taken = g_malloc (*body_bytes);
-  evbuffer_remove (body, taken, *body_bytes);
+  while (evbuffer_get_length (body) > 0)
+    at += (size_t)evbuffer_remove (body, taken + at, MIN (*body_bytes - at, TAKEN_PART_BYTES));
   return taken;
 }
 
+void
+http_server_move_body (http_server_call_t *call, struct evbuffer *to)
+{
+  evbuffer_add_buffer (to, evhttp_request_get_input_buffer (call->request));
+}
+
 void
 http_server_on_disconnect (http_server_call_t *call, void (*gone) (void *context), void *context)
 {
@@ -212,7 +232,7 @@
   declare_length (call, status, body_bytes);
   if (has_body (call, status))
     evbuffer_add (buffer, body, body_bytes);
-  if (call->conn->http_server->closing)
+  if (ends_connection (call))
     add_connection_close (call);
   end_call (call);
   evhttp_send_reply (request, status, NULL, buffer);
@@ -237,11 +257,19 @@
   if (has_body (call, status))
     while (evhttp_remove_header (output_headers (call), "Content-Length") == 0)
       ;
-  if (call->conn->http_server->closing || is_http_1_0 (call))
+  if (ends_connection (call) || is_http_1_0 (call))
     add_connection_close (call);
   evhttp_send_reply_start (call->request, status, NULL);
 }
 
+uint64_t
+http_server_queue_limit (const http_server_call_t *call)
+{
+  const http_server_t *http_server = call->conn->http_server;
+
+  return answer_room_bytes (http_server->options.answer_limit_bytes, http_server->busy_count);
+}
+
 bool
 http_server_send_part (http_server_call_t *call, struct evbuffer *data)
 {
@@ -250,7 +278,7 @@
   g_assert (call->begun);
   evhttp_send_reply_chunk (call->request, data);
   evbuffer_drain (data, evbuffer_get_length (data)); /* not sent when no body is allowed */
-  call->full |= evbuffer_get_length (output) > HTTP_SERVER_QUEUED_LIMIT_BYTES;
+  call->full |= evbuffer_get_length (output) > http_server_queue_limit (call);
   return !call->full;
 }
 
--- a/src/connection/http_server_conn.c
+++ b/src/connection/http_server_conn.c
@@ -11,8 +11,10 @@
 evutil_socket_t
 http_server_conn_dup_fd (http_server_conn_t *conn)
 {
-  if (conn->dup_fd < 0)
-    conn->dup_fd = fcntl (bufferevent_getfd (conn->bev), F_DUPFD_CLOEXEC, 0);
+  if (conn->dup_fd >= 0)
+    return conn->dup_fd;
+  conn->dup_fd = fcntl (bufferevent_getfd (conn->bev), F_DUPFD_CLOEXEC, 0);
+  conn->http_server->duplicate_count += conn->dup_fd >= 0;
   return conn->dup_fd;
 }
 
@@ -39,6 +41,7 @@
   uint64_t limit = http_server->options.connection_limit + excess;
 
   return !http_server->held && http_server->open_count < limit &&
+         (!http_server->idle || http_server_has_room (http_server)) &&
          (!http_server->idle || http_server->stopping || accept_gate_is_open (&http_server->gate));
 }
 
@@ -67,56 +70,6 @@
   http_server_set_accepting (http_server, true);
 }
 
-/* Updates the server's sum of incomplete requests too */
-static void
-set_incomplete_bytes (http_server_conn_t *conn, uint64_t incomplete_bytes)
-{
-  conn->http_server->incomplete_bytes += incomplete_bytes - conn->incomplete_bytes;
-  conn->incomplete_bytes = incomplete_bytes;
-}
-
-static http_server_conn_t *
-find_largest_incomplete (http_server_t *http_server)
-{
-  http_server_conn_t *largest = NULL;
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, http_server->conns);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      http_server_conn_t *conn = value;
-
-      if (!conn->evicted && (!largest || conn->incomplete_bytes > largest->incomplete_bytes))
-        largest = conn;
-    }
-  return largest;
-}
-
-static void
-evict (http_server_conn_t *conn)
-{
-  conn->evicted = true;
-  set_incomplete_bytes (conn, 0);
-  bufferevent_disable (conn->bev, EV_READ);
-  http_server_conn_defer (conn);
-}
-
-/*
- * Guards against clients that send most of a long body on each of many connections, before their
- * API key is checked, to exhaust the host's memory. The largest incomplete requests are evicted
- * first, so that short requests of others are not affected.
- */
-static void
-evict_incomplete (http_server_t *http_server)
-{
-  http_server_conn_t *largest;
-
-  while (http_server->incomplete_bytes > http_server->options.incomplete_limit_bytes &&
-         (largest = find_largest_incomplete (http_server)))
-    evict (largest);
-}
-
 /* libevent may keep the bufferevent, so all callbacks with a pointer to @conn are removed from it
  */
 static void
@@ -126,8 +79,11 @@
 
   if (conn->busy)
     http_server->busy_count--;
-  set_incomplete_bytes (conn, 0);
+  http_server_set_whole (conn, 0);
+  http_server_body_ends (conn);
+  http_server_note_in_use (conn);
   http_server->open_count--;
+  http_server->duplicate_count -= conn->dup_fd >= 0;
   counter_add (http_server->connections, UINT64_MAX);
   evbuffer_remove_cb_entry (bufferevent_get_input (conn->bev), conn->input_cb);
   evbuffer_remove_cb_entry (bufferevent_get_output (conn->bev), conn->output_cb);
@@ -135,6 +91,9 @@
   event_free (conn->read_timer);
   if (conn->disconnect_watch)
     event_free (conn->disconnect_watch);
+  /* libevent closes the socket before it unregisters it, and while the duplicate is open the kernel
+   * would go on reporting it as readable, under a number that another socket may have by then */
+  bufferevent_disable (conn->bev, EV_READ | EV_WRITE);
   if (conn->dup_fd >= 0 && conn->drain_input)
     http_server_drain_start (http_server, conn->dup_fd);
   else if (conn->dup_fd >= 0)
@@ -198,7 +157,7 @@
     }
   if (conn->evicted && !conn->busy)
     {
-      http_server_reject_incomplete (conn, false);
+      http_server_reject_incomplete (conn, HTTP_SERVER_END_EVICTED);
       http_server_conn_end (conn, HTTP_SERVER_END_EVICTED);
       return;
     }
@@ -250,6 +209,7 @@
   conn->in_request = false;
   conn->extensions = 0;
   conn->idle_since_us = g_get_monotonic_time ();
+  http_server_note_idle (conn);
   set_idle_limit (conn, http_server_idle_limit_ms (conn->http_server));
 }
 
@@ -262,6 +222,7 @@
     return;
   conn->in_request = true;
   conn->in_body = false;
+  http_server_note_in_use (conn);
   event_add (conn->read_timer, &conn->http_server->request_timeout);
 }
 
@@ -275,6 +236,8 @@
   if (!conn->in_request || conn->in_body || conn->input.head_started)
     return;
   conn->in_body = true;
+  conn->body_due_us = g_get_monotonic_time () + (int64_t)body_ms * CLOCK_US_PER_MS;
+  http_server_body_begins (conn);
   event_add (conn->read_timer, &limit);
 }
 
@@ -309,6 +272,12 @@
   (void)what;
   if (!conn->evcon && !http_server_conn_attach (conn))
     return;
+  if (conn->body_waits)
+    {
+      http_server_reject_incomplete (conn, HTTP_SERVER_END_EVICTED);
+      http_server_conn_end (conn, HTTP_SERVER_END_EVICTED);
+      return;
+    }
   if (has_unread_bytes (conn) && conn->extensions < LIMIT_HTTP_UNREAD_EXTENSIONS)
     {
       conn->extensions++;
@@ -320,7 +289,7 @@
       http_server_conn_end (conn, HTTP_SERVER_END_IDLE_TIMEOUT);
       return;
     }
-  http_server_reject_incomplete (conn, true);
+  http_server_reject_incomplete (conn, HTTP_SERVER_END_REQUEST_TIMEOUT);
   http_server_conn_end (conn, HTTP_SERVER_END_REQUEST_TIMEOUT);
 }
 
@@ -346,13 +315,12 @@
     return;
   if (!http_input_read_last (&conn->input, buffer, info->n_added))
     {
-      evict (conn);
+      http_server_evict (conn);
       return;
     }
   start_body_timer (conn);
-  set_incomplete_bytes (conn, conn->incomplete_bytes + info->n_added);
-  if (conn->http_server->incomplete_bytes > conn->http_server->options.incomplete_limit_bytes)
-    evict_incomplete (conn->http_server);
+  http_server_set_incomplete (conn, conn->incomplete_bytes + info->n_added);
+  http_server_evict_incomplete (conn->http_server);
 }
 
 /* Runs while libevent writes, so it only sets flags; on_deferred() does the work */
@@ -360,7 +328,6 @@
 on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *context)
 {
   http_server_conn_t *conn = context;
-  bool half_empty = evbuffer_get_length (buffer) < HTTP_SERVER_QUEUED_LIMIT_BYTES / 2;
 
   if (info->n_deleted > 0)
     {
@@ -375,7 +342,8 @@
       conn->check_error_page = true;
       http_server_conn_defer (conn);
     }
-  if (info->n_deleted > 0 && half_empty && conn->call && conn->call->full)
+  if (info->n_deleted > 0 && conn->call && conn->call->full &&
+      evbuffer_get_length (buffer) < http_server_queue_limit (conn->call) / 2)
     {
       conn->call->full = false;
       conn->notify_writable = true;
@@ -454,7 +422,9 @@
   conn->input_cb = evbuffer_add_cb (bufferevent_get_input (bev), on_input, conn);
   conn->output_cb = evbuffer_add_cb (bufferevent_get_output (bev), on_output, conn);
   start_idle_timer (conn);
-  conn->over_limit = ++http_server->open_count > http_server->options.connection_limit;
+  conn->over_limit = !http_server_has_room (http_server);
+  http_server->open_count++;
+  http_server->taken++;
   counter_add (http_server->connections, 1);
   http_server_conn_set_limits (conn, http_server->options.body_limit_bytes,
                                http_server->options.header_limit_bytes);
@@ -468,6 +438,7 @@
     }
   if (!http_server_may_accept (http_server))
     http_server_set_accepting (http_server, false);
+  http_server_want_room (http_server);
   return bev;
 }
 
@@ -525,12 +496,12 @@
   conn->busy = false;
   conn->http_server->busy_count--;
   conn->read_bytes = 0;
-  set_incomplete_bytes (conn, evbuffer_get_length (input));
+  http_server_set_incomplete (conn, evbuffer_get_length (input));
   http_server_conn_set_limits (conn, conn->http_server->options.body_limit_bytes,
                                conn->http_server->options.header_limit_bytes);
   expect_request (conn);
   if (!http_input_read_last (&conn->input, input, evbuffer_get_length (input)))
-    evict (conn);
+    http_server_evict (conn);
   if (conn->disconnect_watch)
     event_del (conn->disconnect_watch);
   start_idle_timer (conn);
@@ -558,11 +529,14 @@
       return;
     }
   stop_read_timer (conn);
-  set_incomplete_bytes (conn, 0);
+  http_server_body_ends (conn);
+  http_server_set_whole (conn, evbuffer_get_length (evhttp_request_get_input_buffer (request)));
   conn->evicted = false; /* its rest arrived before it was rejected */
   conn->busy = true;
   conn->response_sent = false;
   http_server->busy_count++;
+  http_server_note_in_use (conn);
+  http_server_want_room (http_server);
   counter_add (http_server->requests, 1);
   conn->request = request;
   evhttp_request_set_on_complete_cb (request, on_response_sent, conn);
@@ -595,3 +569,13 @@
     return false;
   return !has_unread_bytes (conn);
 }
+
+bool
+http_server_conn_has_part (const http_server_conn_t *conn)
+{
+  bool has_input =
+      conn->read_bytes > 0 || evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0;
+
+  return has_input && !conn->busy && !has_unread_bytes (conn) &&
+         evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0;
+}
--- a/src/connection/http_server_internal.h
+++ b/src/connection/http_server_internal.h
@@ -13,7 +13,11 @@
 #include "base/clock.h"
 #include "connection/http_input.h"
 #include "connection/http_server.h"
+#include "connection/read_pace.h"
 #include "request/policy/queueing/accept_gate.h"
+#include "request/policy/queueing/answer_room.h"
+#include "request/policy/queueing/body_room.h"
+#include "request/policy/queueing/connection_room.h"
 
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
@@ -31,6 +35,7 @@
   HTTP_SERVER_REFUSED_MALFORMED,   /* malformed or unsupported */
   HTTP_SERVER_REFUSED_SLOW,        /* not received within the time limit */
   HTTP_SERVER_REFUSED_LEFT,        /* the client closed before its answer began */
+  HTTP_SERVER_REFUSED_STOPPING,    /* not received completely at the end of a stop */
   HTTP_SERVER_REFUSED_COUNT
 } http_server_refusal_t;
 
@@ -43,10 +48,20 @@
  * @new_conns: connections by bufferevent, before evhttp has attached an evhttp connection to it
  * @conns: connections by evhttp connection
  * @drains: sockets of rejected clients whose remaining input is read and discarded
+ * @drain_share: how much all of @drains read
  * @unlisten: closes the listening socket one iteration of the event loop after http_server_stop()
  * @close_idle: closes the idle connections %LIMIT_HTTP_STOP_LINGER_MS after http_server_stop()
- * @incomplete_bytes: received bytes of all requests that are not complete
+ * @make_room: closes connections that have been idle for longest
+ * @accept_again: enables the listener some time after a connection could not be taken
+ * @idle_conns: idle connections, the one that has been idle for longest first
+ * @bodies: connections that receive the body of a request, in the order in which these began
+ * @review_bodies: finds out which of them are read on
+ * @held_bytes: of all requests that are not complete, and of the bodies of those not answered
+ * @whole_bytes: those of the latter alone
+ * @waiting_bodies: those in @bodies that are not read on for now
  * @open_count: all connections
+ * @duplicate_count: descriptors that http_server_conn_dup_fd() has made
+ * @taken: connections so far
  * @busy_count: connections with a request whose response has not been sent completely
  * @closing: responses have "Connection: close"
  * @freeing: in http_server_free()
@@ -54,6 +69,7 @@
  * @held: its owner has paused it
  * @gate: used if the options say so
  * @idle: runs when no other event is due; used with @gate
+ * @room: whether the server is full
  */
 struct http_server
 {
@@ -68,10 +84,20 @@
   GHashTable *new_conns;
   GHashTable *conns;
   GHashTable *drains;
+  read_share_t drain_share;
   struct event *unlisten;
   struct event *close_idle;
-  uint64_t incomplete_bytes;
+  struct event *make_room;
+  struct event *accept_again;
+  GQueue idle_conns;
+  GQueue bodies;
+  struct event *review_bodies;
+  uint64_t held_bytes;
+  uint64_t whole_bytes;
+  uint32_t waiting_bodies;
   uint32_t open_count;
+  uint32_t duplicate_count;
+  uint64_t taken;
   uint32_t busy_count;
   bool stopping;
   bool closing;
@@ -80,6 +106,7 @@
   bool held;
   accept_gate_t gate;
   struct event *idle;
+  connection_room_t room;
   counter_t *connections;
   counter_t *requests;
   counter_t *gone;
@@ -98,6 +125,11 @@
  * @request: the request in progress, as long as libevent may leave it to us to free
  * @read_bytes: bytes consumed from the input since the last response
  * @incomplete_bytes: received bytes of a request that is not complete
+ * @whole_bytes: of the body of a request that is not answered
+ * @body_link: in the server's @bodies while a body comes; its data is NULL otherwise
+ * @body_waits: the body is not read on for now, since @waits_since_us
+ * @wait_left_us: how long it may wait until it is refused
+ * @body_due_us: when the time limit on the body ends; @body_left_us of it while it waits
  * @busy: from a complete request to the last byte of its response
  * @over_limit: opened over the connection limit; its request is rejected
  * @closing: to be closed by @deferred
@@ -109,7 +141,7 @@
  *   while its request was pending
  * @response_sent: bytes of the response to the pending request have been sent
  * @drain_input: read and discard what the client still sends before the socket is closed
- * @evicted: its incomplete request is rejected by 503, to get below the limit on their sum, or by
+ * @evicted: its incomplete request is rejected by 503, to get below the limit on memory, or by
  *   400 where @input is over a limit
  * @input: what the current request has brought
  * @in_request: a byte of a request has been read, and not the last one
@@ -120,6 +152,7 @@
  * @body_limit_bytes, @header_limit_bytes: limits of its current request
  * @idle_since_us: opened or answered then, on the monotonic clock
  * @idle_limit_ms: idle timeout that is set on it
+ * @idle_link: in the server's @idle_conns while it is idle; its data is NULL otherwise
  */
 struct http_server_conn
 {
@@ -136,6 +169,13 @@
   http_server_call_t *call;
   uint64_t read_bytes;
   uint64_t incomplete_bytes;
+  uint64_t whole_bytes;
+  GList body_link;
+  bool body_waits;
+  int64_t waits_since_us;
+  int64_t wait_left_us;
+  int64_t body_due_us;
+  int64_t body_left_us;
   bool busy;
   bool over_limit;
   bool closing;
@@ -157,6 +197,7 @@
   uint64_t header_limit_bytes;
   int64_t idle_since_us;
   uint32_t idle_limit_ms;
+  GList idle_link;
 };
 
 /**
@@ -195,6 +236,41 @@
 /** http_server_close_idle_later() - close the idle connections after %LIMIT_HTTP_STOP_LINGER_MS */
 void http_server_close_idle_later (http_server_t *http_server);
 
+/** http_server_set_incomplete() - so many bytes of a request have come */
+void http_server_set_incomplete (http_server_conn_t *conn, uint64_t bytes);
+/** http_server_set_whole() - the request is complete, with a body of so many bytes, or answered */
+void http_server_set_whole (http_server_conn_t *conn, uint64_t bytes);
+/** http_server_evict() - refuse the request that is being received */
+void http_server_evict (http_server_conn_t *conn);
+/** http_server_evict_incomplete() - likewise, the longest ones, to get within the limit on memory
+ */
+void http_server_evict_incomplete (http_server_t *http_server);
+/** http_server_body_begins() - the head of a request has been read */
+void http_server_body_begins (http_server_conn_t *conn);
+/** http_server_body_ends() - the request is complete, or its connection ends */
+void http_server_body_ends (http_server_conn_t *conn);
+/** http_server_on_review_bodies() - callback of @review_bodies */
+void http_server_on_review_bodies (evutil_socket_t fd, short what, void *context);
+
+/** http_server_counts() - what is open */
+connection_counts_t http_server_counts (const http_server_t *http_server);
+/** http_server_has_room() - whether a connection more is within the limits */
+bool http_server_has_room (const http_server_t *http_server);
+/** http_server_is_short() - whether answers are to bear "Connection: close" */
+bool http_server_is_short (const http_server_t *http_server);
+/** http_server_want_room() - make room for new connections, if it lacks */
+void http_server_want_room (http_server_t *http_server);
+/** http_server_on_make_room() - callback of @make_room */
+void http_server_on_make_room (evutil_socket_t fd, short what, void *context);
+/** http_server_on_accept_again() - callback of @accept_again */
+void http_server_on_accept_again (evutil_socket_t fd, short what, void *context);
+/** http_server_on_accept_error() - callback of the listener; a connection could not be taken */
+void http_server_on_accept_error (struct evconnlistener *listener, void *context);
+/** http_server_note_idle() - the connection has become idle */
+void http_server_note_idle (http_server_conn_t *conn);
+/** http_server_note_in_use() - the connection is not idle any more */
+void http_server_note_in_use (http_server_conn_t *conn);
+
 /** http_server_conn_new() - callback of evhttp that creates the bufferevent of an accepted
  * connection */
 struct bufferevent *http_server_conn_new (struct event_base *base, void *context);
@@ -214,6 +290,8 @@
 /** http_server_conn_is_idle() - whether no byte of a request or response is in a buffer or in the
  * socket */
 bool http_server_conn_is_idle (http_server_conn_t *conn);
+/** http_server_conn_has_part() - whether all that has arrived is read and is a part of a request */
+bool http_server_conn_has_part (const http_server_conn_t *conn);
 /** http_server_conn_attach() - find the evhttp connection of a new connection. Return: false when
  * evhttp has dropped it; it is freed then */
 bool http_server_conn_attach (http_server_conn_t *conn);
@@ -231,9 +309,9 @@
  * error body */
 void http_server_replace_error_page (http_server_conn_t *conn);
 
-/** http_server_reject_incomplete() - reject an incomplete request by 503 or 400, or by 408 when it
- * @is_late; the caller then closes the connection */
-void http_server_reject_incomplete (http_server_conn_t *conn, bool is_late);
+/** http_server_reject_incomplete() - reject an incomplete request by the response for @reason; the
+ * caller then closes the connection */
+void http_server_reject_incomplete (http_server_conn_t *conn, http_server_end_reason_t reason);
 /** http_server_reject_left() - tell a client that closed, perhaps its own side only, that it gets
  * no other answer to its request, if no byte of one was sent; the caller then closes the
  * connection.
--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -9,6 +9,8 @@
 #include "request/gateway/gateway.h"
 #include "request/policy/engines/lapses.h"
 #include "request/policy/engines/restart_claims.h"
+#include "request/policy/queueing/stop_grace.h"
+#include "request/policy/streams/shares_trust.h"
 #include "version/version_order.h"
 
 #include <string.h>
@@ -32,10 +34,10 @@
  * @gateway_origins: tells other gateways of them
  * @directory: tells other gateways which engines hold parts of prompts
  * @shares: tells that of streams of all gateways
- * @outage_us: when most of the other gateways were last heard while no one could read the store
+ * @shares_trust: whether the known tables of shares count
  * @accept_by_us: latest time at which client connections are accepted, even if the gateway is not
  *   ready; 0 once they are
- * @stop_us: when the stop signal came, 0 before
+ * @stop: the times of the stop, once its signal has come
  * @has_ended_calls: gateway_end_calls() has been called
  * @was_ready: readiness that was logged last
  * @ticked_us: time of the last tick, 0 for none
@@ -57,10 +59,10 @@
   gateway_origins_t *gateway_origins;
   gateway_directory_t *directory;
   gateway_shares_t *shares;
-  uint64_t outage_us;
+  shares_trust_t shares_trust;
   struct event *tick;
   uint64_t accept_by_us;
-  uint64_t stop_us;
+  stop_grace_t stop;
   bool has_ended_calls;
   bool was_ready;
   uint64_t ticked_us;
@@ -82,7 +84,8 @@
 gateway_process_is_ready (const gateway_process_t *process)
 {
   return process->table && process->store && gateway_store_has_routing (process->store) &&
-         gateway_store_has_engines (process->store) && process->stop_us == 0;
+         gateway_store_has_engines (process->store) && !stop_grace_is_stopping (&process->stop) &&
+         !gateway_is_full (process->gateway);
 }
 
 static void
@@ -305,21 +308,19 @@
   update_engine_counts (process);
 }
 
-/* While the store is out nobody can put a table in force. One gateway alone can't tell an outage
- * from its own lost connection, most of them can. */
 static bool
 may_trust_shares (gateway_process_t *process)
 {
-  uint64_t at_us = now_us (process);
+  const gateway_store_t *store = process->store;
 
-  if (gateway_store_is_current (process->store))
-    {
-      process->outage_us = 0;
-      return true;
-    }
-  if (gateway_store_hears_most (process->store))
-    process->outage_us = at_us;
-  return process->outage_us != 0 && at_us < process->outage_us + VERSION_SHARES_ANNOUNCED_US;
+  return shares_trust_decide (
+      &process->shares_trust,
+      &(shares_trust_view_t){ .is_current = gateway_store_is_current (store),
+                              .hears_most = gateway_store_hears_most (store),
+                              .current_as_of_us = gateway_store_current_as_of_us (store),
+                              .peers_current_us = gateway_store_peers_current_us (store),
+                              .current_us = GATEWAY_STORE_CURRENT_MS * CLOCK_US_PER_MS },
+      now_us (process));
 }
 
 static void
@@ -505,6 +506,15 @@
   return gateway_shares_choose (process->shares, service, stream);
 }
 
+static void
+on_update_current (void *context)
+{
+  gateway_process_t *process = context;
+
+  if (process->gateway)
+    update_current (process);
+}
+
 static version_search_t
 find_version (const char *service, uint64_t stream, uint64_t since_us, void *context)
 {
@@ -564,24 +574,21 @@
 static void
 stop_when_due (gateway_process_t *process)
 {
-  uint32_t grace_ms = process->options.settings->grace_ms;
-  uint64_t since_ms;
+  uint64_t at_us = now_us (process);
 
-  if (process->stop_us == 0)
-    return;
-  since_ms = (now_us (process) - process->stop_us) / CLOCK_US_PER_MS;
-  if (since_ms < GATEWAY_PROCESS_STOP_ACCEPT_MS)
+  if (!stop_grace_is_stopping (&process->stop) || at_us < process->stop.accept_until_us)
     return;
   gateway_stop (process->gateway);
-  if (since_ms + GATEWAY_PROCESS_END_CALLS_MARGIN_MS >= grace_ms && !process->has_ended_calls)
+  if (at_us >= process->stop.end_us)
     {
+      bool is_first = !process->has_ended_calls;
+
       process->has_ended_calls = true;
       gateway_end_calls (process->gateway);
-      if (gateway_busy_count (process->gateway) > 0)
+      if (is_first && gateway_busy_count (process->gateway) > 0)
         return; /* the answers are written before the next tick */
     }
-  if (gateway_busy_count (process->gateway) > 0 &&
-      since_ms + GATEWAY_PROCESS_EXIT_MARGIN_MS < grace_ms)
+  if (gateway_busy_count (process->gateway) > 0 && at_us < process->stop.exit_us)
     return;
   event_base_loopexit (process->options.base, NULL);
 }
@@ -696,6 +703,7 @@
           .last_epoch = last_epoch,
           .is_certain = is_certain,
           .choose_version = choose_version,
+          .update_current = on_update_current,
           .find_version = find_version,
           .context = process,
           .retries = { .ratio_milli = settings->retry_ratio_milli,
@@ -843,10 +851,12 @@
 void
 gateway_process_stop (gateway_process_t *process)
 {
-  if (process->stop_us != 0)
+  uint64_t grace_us = (uint64_t)process->options.settings->grace_ms * CLOCK_US_PER_MS;
+
+  if (stop_grace_is_stopping (&process->stop))
     return;
-  process->stop_us = now_us (process);
-  gateway_announce_close (process->gateway);
+  process->stop = stop_grace_begin (now_us (process), grace_us);
+  gateway_announce_stop (process->gateway, &process->stop);
   log_readiness (process);
 }
 
--- a/src/request/data_task.c
+++ b/src/request/data_task.c
@@ -1,6 +1,7 @@
 #include "request/data_task_private.h"
 
 #include "base/log.h"
+#include "connection/socket.h"
 #include "request/hop.h"
 
 #include <string.h>
@@ -103,7 +104,10 @@
     .header_limit_bytes = settings->header_limit_bytes + (sidecar ? HOP_HEADERS_MAX_BYTES : 0),
     .header_limit_count = settings->header_limit_count + (sidecar ? HOP_HEADER_COUNT : 0),
     .connection_limit = settings->connection_limit,
+    .file_limit = socket_file_limit (settings->file_limit),
     .idle_timeout_ms = settings->idle_timeout_ms,
+    .held_limit_bytes = settings_held_bytes (settings),
+    .answer_limit_bytes = settings_held_bytes (settings) / 2,
     .on_call = data_task_serve,
     .context = data_task
   };
@@ -220,6 +224,12 @@
   return data_task->draining;
 }
 
+bool
+data_task_takes_requests (const data_task_t *data_task)
+{
+  return data_task->listening;
+}
+
 void
 data_task_count_control_bytes (data_task_t *data_task, uint32_t bytes)
 {
--- a/src/request/gateway/format.h
+++ b/src/request/gateway/format.h
@@ -14,8 +14,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* of a longer prompt the first parts and the last one are kept */
-#define FORMAT_PROMPT_PARTS_MAX 16
 #define FORMAT_ID_BYTES 128
 #define FORMAT_BACKOFF_MAX_MS (24 * 3600 * 1000) /* a longer backoff is taken for a mistake */
 
@@ -27,13 +25,15 @@
 } format_prompt_part_t;
 
 /**
- * struct format_request - the headers of a client's request; texts are borrowed from the headers
+ * struct format_request - the headers of a client's request; texts are borrowed from the headers,
+ * @parts is to be freed with g_free()
  * @id: id of this attempt of the client, or NULL
  * @key: API key of the client account, or NULL
  * @deadline_ms: how long the client waits; 0 when it doesn't say
  * @prompt_tokens: length of the prompt of a model request
  * @output_tokens: maximum length of the output of a model request
- * @parts: parts of the prompt in order; the last one belongs to this request or its chat alone
+ * @parts: parts of the prompt in order, @part_count of them, NULL for none; the last one belongs to
+ *   this request or its chat alone
  * @resumes: the client resumes a stream after the event with the id @last_event
  * @resumed_id: id of the attempt of the client whose response began that stream, or NULL
  */
@@ -44,7 +44,7 @@
   uint32_t deadline_ms;
   uint32_t prompt_tokens;
   uint32_t output_tokens;
-  format_prompt_part_t parts[FORMAT_PROMPT_PARTS_MAX];
+  format_prompt_part_t *parts;
   uint32_t part_count;
   bool resumes;
   const char *resumed_id;
@@ -88,7 +88,8 @@
 
 /**
  * struct format_response - what the headers of an engine's response say
- * @is_for_other_request: the response belongs to another request
+ * @is_for_other_request: the response belongs to another request, or nothing shows that it belongs
+ *   to this one
  * @not_run: the engine states that it did not run the request
  * @is_other_engine: the response is from another engine than the one that the request named
  * @has_signature: the response carries the engine's signature
@@ -111,6 +112,17 @@
   uint32_t backoff_ms;
 } format_response_t;
 
+/**
+ * struct format_asked - the request for which a response came
+ * @id: its id, or NULL
+ * @is_first: the first request on its connection, so the response can belong to no other one
+ */
+typedef struct
+{
+  const char *id;
+  bool is_first;
+} format_asked_t;
+
 /** struct format_buffers - buffers for the header values that format_t.write() formats */
 typedef struct
 {
@@ -129,8 +141,9 @@
  * @write_request: appends the request headers for an engine to @out, an array of
  *   http_client_header_t: those of the gateway, and the client's headers that are forwarded. @out
  *   borrows from @text and @headers
- * @read_response: parses an engine's response headers; @id is the id of the request, or NULL
+ * @read_response: parses an engine's response headers
  * @is_returned: whether a response header is forwarded to the client
+ * @event_first_field: name of a field with a number that the first line of an event may be, or NULL
  */
 typedef struct
 {
@@ -142,8 +155,9 @@
   void (*read_response) (format_response_t *out,
                          int status,
                          const struct evkeyvalq *headers,
-                         const char *id);
+                         const format_asked_t *asked);
   bool (*is_returned) (const char *name);
+  const char *event_first_field;
 } format_t;
 
 #endif
--- a/src/request/gateway/gateway.c
+++ b/src/request/gateway/gateway.c
@@ -1,6 +1,7 @@
 #include "request/gateway/gateway_private.h"
 
 #include "base/log.h"
+#include "connection/socket.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -99,6 +100,25 @@
       gateway_hop_check_silence (link->data);
 }
 
+/* A request that waits until the end of the stop could be served elsewhere in that time. */
+static void
+refuse_late_calls (gateway_task_t *gateway)
+{
+  g_autoptr (GList) calls = NULL;
+
+  if (!stop_grace_is_stopping (&gateway->stop_grace))
+    return;
+  calls = g_hash_table_get_keys (gateway->calls);
+  for (GList *link = calls; link; link = link->next)
+    {
+      gateway_call_t *call = link->data;
+
+      if (g_hash_table_contains (gateway->calls, call) && call->queue_item.waiting &&
+          !gateway_call_may_begin (call))
+        gateway_call_refuse_late (call);
+    }
+}
+
 static void
 review_crashes (gateway_task_t *gateway)
 {
@@ -126,6 +146,16 @@
              LOG_U64 (g_hash_table_size (gateway->calls)), NULL);
 }
 
+static void
+review_room (gateway_task_t *gateway)
+{
+  if (!http_server_review_room (gateway->listener, gateway_now_us (gateway)))
+    return;
+  log_event (LOG_LEVEL_WARNING, "connections_full", "full",
+             gateway_is_full (gateway) ? "yes" : "no", "calls",
+             LOG_U64 (g_hash_table_size (gateway->calls)), NULL);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *context)
 {
@@ -134,6 +164,8 @@
   (void)fd;
   (void)what;
   shed_connections (gateway);
+  review_room (gateway);
+  refuse_late_calls (gateway);
   dispatch_all (gateway);
   gateway_resume_poll (gateway);
   if (++gateway->ticks % GATEWAY_WATCH_TICKS != 0)
@@ -176,6 +208,8 @@
                                  "Times that requests waited for room");
   gateway->losses =
       counter_get (registry, "medlarplank_gateway_losses_total", "Requests whose engine broke off");
+  gateway->bad_events = counter_get (registry, "medlarplank_gateway_bad_events_total",
+                                     "Streams in which an engine sent what is no next event");
   gateway->suspect_refused = counter_get (registry, "medlarplank_gateway_suspect_refused_total",
                                           "Requests refused because engines had ended under them");
   gateway->part_refused = counter_get (registry, "medlarplank_gateway_part_refused_total",
@@ -239,20 +273,23 @@
   http_client_set_connect_timeout (gateway->upstreams, GATEWAY_CONNECT_TIMEOUT_MS);
   gateway->tick_timer = event_new (options->base, -1, EV_PERSIST, on_tick, gateway);
   event_add (gateway->tick_timer, &tick);
-  gateway->listener =
-      http_server_new (&(http_server_options_t){ .base = options->base,
-                                                 .counters = options->counters,
-                                                 .listen = settings->listen,
-                                                 .body_limit_bytes = settings->body_limit_bytes,
-                                                 .header_limit_bytes = settings->header_limit_bytes,
-                                                 .header_limit_count = settings->header_limit_count,
-                                                 .connection_limit = settings->connection_limit,
-                                                 .idle_timeout_ms = settings->idle_timeout_ms,
-                                                 .takes_few = true,
-                                                 .on_call = gateway_accept,
-                                                 .on_ended = on_connection_ended,
-                                                 .context = gateway },
-                       error);
+  gateway->listener = http_server_new (
+      &(http_server_options_t){ .base = options->base,
+                                .counters = options->counters,
+                                .listen = settings->listen,
+                                .body_limit_bytes = settings->body_limit_bytes,
+                                .header_limit_bytes = settings->header_limit_bytes,
+                                .header_limit_count = settings->header_limit_count,
+                                .connection_limit = settings->connection_limit,
+                                .file_limit = socket_file_limit (settings->file_limit),
+                                .idle_timeout_ms = settings->idle_timeout_ms,
+                                .held_limit_bytes = settings_held_bytes (settings),
+                                .answer_limit_bytes = settings_held_bytes (settings) / 2,
+                                .takes_few = true,
+                                .on_call = gateway_accept,
+                                .on_ended = on_connection_ended,
+                                .context = gateway },
+      error);
   if (gateway->listener)
     return gateway;
   gateway_free (gateway);
@@ -357,9 +394,16 @@
   http_server_resume_accepting (gateway->listener);
 }
 
+bool
+gateway_is_full (const gateway_task_t *gateway)
+{
+  return http_server_is_full (gateway->listener);
+}
+
 void
-gateway_announce_close (gateway_task_t *gateway)
+gateway_announce_stop (gateway_task_t *gateway, const stop_grace_t *stop_grace)
 {
+  gateway->stop_grace = *stop_grace;
   http_server_announce_close (gateway->listener);
 }
 
@@ -378,12 +422,14 @@
   for (GList *link = calls; link; link = link->next)
     if (g_hash_table_contains (gateway->calls, link->data))
       gateway_call_end_by_stop (link->data);
+  http_server_refuse_incomplete (gateway->listener);
 }
 
 uint32_t
 gateway_busy_count (const gateway_task_t *gateway)
 {
-  return http_server_busy_count (gateway->listener) + g_hash_table_size (gateway->calls);
+  return http_server_busy_count (gateway->listener) +
+         http_server_lingering_count (gateway->listener) + g_hash_table_size (gateway->calls);
 }
 
 uint16_t
--- a/src/request/gateway/gateway.h
+++ b/src/request/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "base/counters.h"
 #include "base/settings.h"
 #include "request/policy/engines/engines.h"
+#include "request/policy/queueing/stop_grace.h"
 #include "request/gateway/format.h"
 #include "request/policy/retries/retry_budget.h"
 #include "request/policy/load/load_reports.h"
@@ -47,6 +48,8 @@
  * @last_epoch: number of the last table, 0 for none
  * @is_certain: whether the tables alone tell that a stream began at a version
  * @choose_version: the version at which a stream begins, 0 for any
+ * @update_current: calls gateway_set_config_current() and gateway_set_shares_known(): a process
+ * that stood still handles requests before the timer that does so regularly
  * @find_version: looks for the version at which a stream of any gateway began, see
  *   gateway_shares_find()
  * @context: passed to the callbacks
@@ -71,6 +74,7 @@
   uint64_t (*last_epoch) (const char *service, void *context);
   bool (*is_certain) (const char *service, uint64_t stream, uint64_t version, void *context);
   uint64_t (*choose_version) (const char *service, uint64_t stream, void *context);
+  void (*update_current) (void *context);
   version_search_t (*find_version) (const char *service,
                                     uint64_t stream,
                                     uint64_t since_us,
@@ -126,12 +130,15 @@
  * connect have to wait */
 void gateway_pause_accept (gateway_task_t *gateway);
 void gateway_resume_accept (gateway_task_t *gateway);
-/** gateway_announce_close() - begins a stop: from now on responses carry "Connection: close" */
-void gateway_announce_close (gateway_task_t *gateway);
+/** gateway_is_full() - whether it can take no new connection, as all are in use */
+bool gateway_is_full (const gateway_task_t *gateway);
+/** gateway_announce_stop() - begins a stop: from now on responses carry "Connection: close", and
+ * requests that have not run and can't be answered before the end of it are refused */
+void gateway_announce_stop (gateway_task_t *gateway, const stop_grace_t *stop_grace);
 /** gateway_stop() - accepts no further connections and requests */
 void gateway_stop (gateway_task_t *gateway);
 /** gateway_end_calls() - ends all requests in progress with a refusal or a failure, shortly before
- * the process exits */
+ * the process exits, also those that are still arriving; to be called until the exit */
 void gateway_end_calls (gateway_task_t *gateway);
 /** gateway_busy_count() - number of connections and requests that are not finished; 0 when a stop
  * is complete
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -228,21 +228,19 @@
   call->shared_parts = hash_shared_parts (request);
   target_hash = XXH64 (call->id, strlen (call->id), gateway->next_call_number++);
   call->service = gateway_service (gateway, routing_route_choose_service (route, target_hash));
-  call->body = http_server_take_body (client, &call->body_bytes);
+  call->body = evbuffer_new ();
+  http_server_move_body (client, call->body);
+  call->body_bytes = evbuffer_get_length (call->body);
   gateway_suspect_init (call);
   retry_plan_init (&call->course,
                    &(retry_plan_rules_t){ .idempotent = route->kind == ROUTING_IDEMPOTENT,
                                           .resumable = is_stream && route->resumable,
                                           .max_runs = route->attempts });
   gateway_resume_init (call);
-  event_splitter_init (&call->splitter);
+  event_splitter_init (&call->splitter, gateway->options.format->event_first_field,
+                       request->resumes ? request->last_event : 0);
   relay_init (&call->relay, client);
   call->relay.is_returned = gateway->options.format->is_returned;
-  if (request->resumes)
-    {
-      call->splitter.has_id = true;
-      call->splitter.last_id = request->last_event;
-    }
   g_hash_table_add (gateway->calls, call);
   retry_budget_count_request (&call->service->retries, &gateway->options.retries, call->arrived_us);
   http_server_on_disconnect (client, on_client_gone, call);
@@ -260,7 +258,9 @@
   event_free (call->timer);
   event_splitter_clear (&call->splitter);
   relay_clear (&call->relay);
-  g_free (call->body);
+  evbuffer_free (call->body);
+  g_free (call->subjects);
+  g_free (call->request.parts);
   routing_unref (call->table);
   g_free (call);
 }
@@ -531,10 +531,37 @@
     gateway_call_end_unplaced (call, &choice);
 }
 
+uint64_t
+gateway_call_usual_run_us (const gateway_call_t *call)
+{
+  uint64_t run_us = gateway_route_stats (call->gateway, call->route)->run_us;
+
+  return run_us > 0 ? run_us : wait_queue_run_us (call->service->queue);
+}
+
+bool
+gateway_call_may_begin (const gateway_call_t *call)
+{
+  const gateway_task_t *gateway = call->gateway;
+
+  return call->relay.has_started ||
+         stop_grace_may_begin (&gateway->stop_grace, gateway_now_us (gateway),
+                               gateway_call_usual_run_us (call), call->deadline_us);
+}
+
+void
+gateway_call_refuse_late (gateway_call_t *call)
+{
+  gateway_queue_remove (call);
+  gateway_call_fail (call, VERDICT_REASON_LEAVING, GATEWAY_RETRY_MIN_MS);
+}
+
 void
 gateway_call_start (gateway_call_t *call)
 {
-  if (!gateway_suspect_stop (call))
+  if (!gateway_call_may_begin (call))
+    gateway_call_refuse_late (call);
+  else if (!gateway_suspect_stop (call))
     gateway_call_place (call);
 }
 
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -204,8 +204,10 @@
 
   if (hop->is_fallback)
     return false;
-  call->gateway->options.format->read_response (&call->response, status, headers,
-                                                call->id[0] != '\0' ? call->id : NULL);
+  call->gateway->options.format->read_response (
+      &call->response, status, headers,
+      &(format_asked_t){ .id = call->id[0] != '\0' ? call->id : NULL,
+                         .is_first = http_client_is_first_on_connection (call->upstream) });
   if (call->response.is_for_other_request)
     return false;
   call->has_head = true;
@@ -218,7 +220,8 @@
   if (call->response.not_run)
     return true;
   call->status = status;
-  call->streaming = is_event_stream (headers) && status == 200;
+  call->streaming =
+      call->route->kind == ROUTING_STREAM && is_event_stream (headers) && status == 200;
   call->failure_buffered = false;
   relay_start (&call->relay, call->upstream, status, headers);
   call->relay.is_event_stream = false; /* no error event may be added to an engine's events */
@@ -230,19 +233,36 @@
   return true;
 }
 
+static void
+log_bad_event (const gateway_call_t *call)
+{
+  const event_splitter_t *splitter = &call->splitter;
+
+  counter_add (call->gateway->bad_events, 1);
+  log_event (LOG_LEVEL_NOTICE, "bad_event", "id", call->id, "route", call->route->name, "engine",
+             call->engine->entry.id, "reason", event_fault_to_string (splitter->fault), "last_id",
+             LOG_U64 (splitter->last_id), "got", splitter->sample, "events",
+             LOG_U64 (splitter->event_count), "hops", LOG_U64 (call->hops), "ms",
+             LOG_U64 ((gateway_now_us (call->gateway) - call->arrived_us) / CLOCK_US_PER_MS), NULL);
+}
+
+/* Where bytes come that are no next event, the engine has broken off. */
 static void
 forward_events (gateway_call_t *call, struct evbuffer *data)
 {
   struct evbuffer *whole = evbuffer_new ();
 
+  http_client_spend_lines (call->upstream, data);
   event_splitter_feed (&call->splitter, data, whole);
   gateway_resume_note_event (call);
   if (evbuffer_get_length (whole) > 0)
     relay_forward (&call->relay, whole);
   evbuffer_free (whole);
+  if (call->splitter.fault != EVENT_FAULT_NONE)
+    http_client_cut_call (call->upstream);
 }
 
-/* Bodies without end, of refusals and errors, and events without end */
+/* Bodies without end, of refusals and errors */
 static bool
 is_over_limit (gateway_call_t *call, struct evbuffer *data)
 {
@@ -253,10 +273,8 @@
       call->dropped_bytes += bytes;
       return call->dropped_bytes > RELAY_HELD_LIMIT_BYTES;
     }
-  if (call->streaming)
-    return call->splitter.overflowed;
   return call->client && call->status >= STATUS_SERVER_ERROR && call->relay.is_buffering &&
-         evbuffer_get_length (call->relay.held_data) + bytes > RELAY_HELD_LIMIT_BYTES;
+         evbuffer_get_length (call->relay.held_data) + bytes > relay_held_limit (&call->relay);
 }
 
 static void
@@ -376,22 +394,39 @@
 static bool
 is_cut_stream (const gateway_call_t *call)
 {
-  if (!call->streaming || call->is_framed || call->response.not_run)
+  if (!call->streaming || call->response.not_run)
+    return false;
+  if (call->splitter.fault != EVENT_FAULT_NONE)
+    return true;
+  if (call->is_framed)
     return false;
   return !event_splitter_is_between (&call->splitter) ||
          (call->splitter.event_count == 0 && !call->request.resumes);
 }
 
+static verdict_reason_t
+lost_reason (const gateway_call_t *call, const http_client_result_t *end)
+{
+  if (call->splitter.fault != EVENT_FAULT_NONE)
+    return VERDICT_REASON_BAD_EVENT;
+  return end->complete ? VERDICT_REASON_CUT : end->reason;
+}
+
 static void
-finish_complete (gateway_call_t *call)
+finish_lost (gateway_call_t *call, const http_client_result_t *end)
+{
+  gateway_call_hop_ended (
+      call, call->relay.has_started ? RETRY_PLAN_OUTCOME_BROKE_OFF : RETRY_PLAN_OUTCOME_UNKNOWN,
+      lost_reason (call, end));
+}
+
+static void
+finish_complete (gateway_call_t *call, const http_client_result_t *end)
 {
   if (call->response.not_run)
     finish_refused (call);
-  else if (is_cut_stream (call) ||
-           (call->streaming && !event_splitter_is_between (&call->splitter)))
-    gateway_call_hop_ended (
-        call, call->relay.has_started ? RETRY_PLAN_OUTCOME_BROKE_OFF : RETRY_PLAN_OUTCOME_UNKNOWN,
-        VERDICT_REASON_CUT);
+  else if (is_cut_stream (call))
+    finish_lost (call, end);
   else if (call->status >= STATUS_SERVER_ERROR && call->client)
     gateway_call_hop_ended (call, RETRY_PLAN_OUTCOME_FAILED, VERDICT_REASON_NONE);
   else
@@ -409,10 +444,8 @@
     gateway_call_hop_ended (
         call, is_unsent (end) ? RETRY_PLAN_OUTCOME_UNSENT : RETRY_PLAN_OUTCOME_NOT_RUN,
         end->reason);
-  else if (call->relay.has_started)
-    gateway_call_hop_ended (call, RETRY_PLAN_OUTCOME_BROKE_OFF, end->reason);
   else
-    gateway_call_hop_ended (call, RETRY_PLAN_OUTCOME_UNKNOWN, end->reason);
+    finish_lost (call, end);
 }
 
 static void
@@ -434,7 +467,7 @@
 finish (gateway_call_t *call, const http_client_result_t *end)
 {
   if (end->complete)
-    finish_complete (call);
+    finish_complete (call, end);
   else
     finish_broken (call, end);
 }
@@ -452,13 +485,24 @@
   finish (call, end);
 }
 
+/* A response that declares where it ends must not do so within an event. */
+static void
+check_events (gateway_call_t *call, const http_client_result_t *end)
+{
+  if (end->complete && call->is_framed && call->client && call->streaming &&
+      !call->response.not_run)
+    event_splitter_finish (&call->splitter);
+  if (call->splitter.fault != EVENT_FAULT_NONE)
+    log_bad_event (call);
+}
+
 static void
 on_end (const http_client_result_t *end, void *context)
 {
   gateway_hop_t *hop = context;
   gateway_call_t *call = hop->call;
   gateway_service_t *service = call->service;
-  bool is_whole = end->complete && !is_cut_stream (call);
+  bool is_whole;
 
   if (hop->is_fallback)
     {
@@ -466,6 +510,8 @@
       return;
     }
   call->relay.from = NULL;
+  check_events (call, end);
+  is_whole = end->complete && !is_cut_stream (call);
   if (is_whole)
     record_times (call);
   else if (!call->has_head || !call->response.not_run)
@@ -473,10 +519,11 @@
   if (call->has_head && call->response.not_run)
     record_refusal (call, call->engine);
   if ((end->complete || end->reason == VERDICT_REASON_CUT) && !is_whole &&
-      !call->response.not_run && !call->response.is_for_other_request)
+      !call->response.not_run && !call->response.is_for_other_request &&
+      call->splitter.fault == EVENT_FAULT_NONE)
     gateway_suspect_record_loss (call);
   if (!is_whole)
-    gateway_call_log (call, "hop_lost", verdict_to_string (end->verdict), end->reason);
+    gateway_call_log (call, "hop_lost", verdict_to_string (end->verdict), lost_reason (call, end));
   release_engine (call);
   if (call->fallback.engine)
     finish_with_fallback (call, end);
@@ -541,10 +588,12 @@
 static hop_move_t
 decide_move (gateway_call_t *call, uint64_t now_us)
 {
+  uint64_t end_us = gateway_call_may_begin (call) ? call->deadline_us : now_us;
+
   return hop_move_decide (
       &(hop_move_state_t){ .may_move = retry_plan_may_move (&call->course, call->relay.has_started),
                            .on_trial = gateway_suspect_is_on_trial (call),
-                           .left_us = call->deadline_us - MIN (now_us, call->deadline_us),
+                           .left_us = end_us - MIN (now_us, end_us),
                            .usual_us = wait_queue_head_us (call->service->queue),
                            .budget_wait_us = gateway_call_retry_wait_us (call),
                            .has_successor = has_successor,
@@ -819,10 +868,12 @@
                                 .target = http_server_target (call->client),
                                 .headers = (const http_client_header_t *)headers->data,
                                 .header_count = headers->len,
-                                .body = call->body,
+                                .body_parts = call->body,
                                 .body_bytes = call->body_bytes,
                                 .until_close = true,
                                 .idle_limit_us = reuse_idle_limit_us (call),
+                                .new_connection = call->id[0] == '\0',
+                                .sent_before = call->hops > 1,
                                 .on_head = on_head,
                                 .on_data = on_data,
                                 .on_end = on_end,
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -19,7 +19,7 @@
 #include "request/policy/copies/loss_rate.h"
 #include "request/policy/suspects/answered_parts.h"
 #include "request/policy/retries/retry_plan.h"
-#include "request/gateway/event_splitter.h"
+#include "request/event_splitter.h"
 #include "request/error_reply.h"
 #include "request/gateway/gateway.h"
 #include "request/policy/retries/first_attempt.h"
@@ -197,6 +197,7 @@
   routing_t *table;
   bool config_current; /* @table is known to be the newest version */
   bool stopping;       /* no connections and requests are accepted any more */
+  stop_grace_t stop_grace;
   uint64_t started_us;
   uint32_t routers;             /* see gateway_set_routers() */
   uint32_t known_routers;       /* likewise, also those not heard from lately */
@@ -223,6 +224,7 @@
   counter_t *waited;
   counter_t *room_waited;
   counter_t *losses;
+  counter_t *bad_events;
   counter_t *suspect_refused;
   counter_t *part_refused;
   counter_t *part_retrials;
@@ -359,7 +361,7 @@
  * @response: parsed headers of the last hop's response; valid when @has_head is set
  * @status: HTTP status of the response that is forwarded
  * @is_framed: it has a length or comes in chunks, so that its end shows that it is whole
- * @streaming: the response is a stream of events
+ * @streaming: the response is a stream of events, of a route that declares it
  * @resuming: the current hop resumes a stream
  * @stream: hash by which all gateways know the stream of this response, 0 when it can't be resumed
  * @resumption: valid for a request that resumes a stream
@@ -400,7 +402,7 @@
   const routing_route_t *route;
   const routing_account_t *account;
   gateway_service_t *service;
-  crash_subject_t subjects[FORMAT_PROMPT_PARTS_MAX];
+  crash_subject_t *subjects;
   uint32_t subject_count;
   uint64_t held_us;
   format_request_t request;
@@ -409,7 +411,7 @@
   retry_plan_t course;
   event_splitter_t splitter;
   relay_t relay;
-  char *body;
+  struct evbuffer *body;
   size_t body_bytes;
   engine_t *engine;
   gateway_belief_t belief;
@@ -469,6 +471,14 @@
                                   const routing_account_t *account,
                                   const format_request_t *request);
 void gateway_call_free (gateway_call_t *call);
+/** gateway_call_usual_run_us() - usual time for which requests of this kind occupy an engine */
+uint64_t gateway_call_usual_run_us (const gateway_call_t *call);
+/** gateway_call_may_begin() - whether the request may be sent to an engine now: unless the gateway
+ * is being stopped and the answer would usually come later than the end of that. A response that
+ * has begun goes on as far as it can */
+bool gateway_call_may_begin (const gateway_call_t *call);
+/** gateway_call_refuse_late() - ends a request that may not begin */
+void gateway_call_refuse_late (gateway_call_t *call);
 /** gateway_call_start() - places the request, or ends or queues it because engines ended under it
  * or a part of its prompt. The software version of a stream that goes on must be known before */
 void gateway_call_start (gateway_call_t *call);
--- a/src/request/gateway/gateway_suspect.c
+++ b/src/request/gateway/gateway_suspect.c
@@ -8,6 +8,7 @@
 
 #define STATUS_SUCCESS_MIN 200
 #define STATUS_SUCCESS_MAX 299
+#define LOGGED_PARTS 16
 
 static uint64_t
 hash_text (uint64_t hash, const char *text)
@@ -15,6 +16,23 @@
   return XXH64 (text, strlen (text) + 1, hash);
 }
 
+static uint64_t
+hash_body (struct evbuffer *body, uint64_t seed)
+{
+  int count = evbuffer_peek (body, -1, NULL, NULL, 0);
+  g_autofree struct evbuffer_iovec *parts = g_new0 (struct evbuffer_iovec, (gsize)count);
+  XXH64_state_t *state = XXH64_createState ();
+  uint64_t hash;
+
+  XXH64_reset (state, seed);
+  evbuffer_peek (body, -1, NULL, parts, count);
+  for (int i = 0; i < count; i++)
+    XXH64_update (state, parts[i].iov_base, parts[i].iov_len);
+  hash = XXH64_digest (state);
+  XXH64_freeState (state);
+  return hash;
+}
+
 /* Computed for each request, so the hash has to be cheap. Its seed is the fleet key, a secret that
  * all gateways share, so that no client can craft a request with the hash of another one. */
 static uint64_t
@@ -24,7 +42,7 @@
 
   hash = hash_text (hash, http_server_method (call->client));
   hash = hash_text (hash, http_server_target (call->client));
-  return XXH64 (call->body, call->body_bytes, hash);
+  return hash_body (call->body, hash);
 }
 
 /* A part ends the engines of a service whoever sends it. */
@@ -39,6 +57,7 @@
 {
   uint64_t seed = hash_text (0, call->gateway->options.settings->fleet_key);
 
+  call->subjects = g_new (crash_subject_t, MAX (call->request.part_count, 1U));
   call->subjects[0] = (crash_subject_t){ hash_request (call, seed), CRASH_SUBJECT_REQUEST };
   call->subject_count = 1;
   for (uint32_t i = 0; i + 1 < call->request.part_count; i++)
@@ -70,6 +89,8 @@
   GHashTableIter iter;
   gpointer key;
 
+  if (crash_record_is_empty (call->gateway->options.crashes))
+    return count;
   g_hash_table_iter_init (&iter, call->gateway->calls);
   while (count < GATEWAY_EXCLUDED_MAX && g_hash_table_iter_next (&iter, &key, NULL))
     {
@@ -334,14 +355,15 @@
   return names[outcome];
 }
 
-/* The parts of the prompt but the last one, which belongs to the request or its chat alone. Return:
- * the text, owned by the caller; NULL when there are none */
+/* The parts of the prompt but the last one, which belongs to the request or its chat alone, as far
+ * as a line of the log holds them. Return: the text, owned by the caller; NULL when there are none
+ */
 static char *
 write_shared_parts (const format_request_t *request)
 {
   GString *text = g_string_new (NULL);
 
-  for (uint32_t i = 0; i + 1 < request->part_count; i++)
+  for (uint32_t i = 0; i + 1 < request->part_count && i < LOGGED_PARTS; i++)
     g_string_append_printf (text, "%s%016" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
                             request->parts[i].hash);
   return g_string_free (text, text->len == 0);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -1,12 +1,13 @@
 /* Tests of a complete gateway, byte by byte: what it sends to engines, and which responses clients
  * get. */
 #include "gateway_rig.h"
-#include "request/gateway/event_splitter.h"
+#include "request/event_splitter.h"
 #include "request/relay.h"
 #include "process/gateway_store.h"
 #include "request/policy/retries/retry_plan.h"
 #include "request/gateway/gateway.h"
 #include "request/policy/placement/engine_choice.h"
+#include "request/policy/queueing/stop_grace.h"
 #include "suite.h"
 
 #include <string.h>
@@ -20,9 +21,12 @@
   "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
 #define SHORT_BACKOFF_RESPONSE                                                                     \
   "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 0.4\r\nContent-Length: 0\r\n\r\n"
-#define FULL_RESPONSE "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+#define FULL_HEAD "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n"
+#define FULL_RESPONSE FULL_HEAD "X-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
+#define FULL_RESPONSE_WITHOUT_ID FULL_HEAD "Content-Length: 0\r\n\r\n"
 #define OTHER_ENGINE_RESPONSE                                                                      \
   "HTTP/1.1 421 Other\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n"
+#define PLAIN_RESPONSE "HTTP/1.1 200 OK\r\nX-Response-Stamp: s1\r\nContent-Length: 0\r\n\r\n"
 #define STREAM_HEAD OK_HEAD "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 #define EVENT(id) "e\r\nid: " id "\ndata:a\n\n\r\n" /* fourteen bytes */
 #define STREAM_END "0\r\n\r\n"
@@ -157,6 +161,125 @@
   CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 2);
 }
 
+static bool
+has_status (void *context)
+{
+  return starts_with (context, "HTTP/1.1 ");
+}
+
+/* Guards against a second run of a request because of the late refusal of another one. */
+static void
+test_refusal_without_id_on_a_kept_connection_proves_nothing (void)
+{
+  static const char *const refusals[] = {
+    FULL_RESPONSE_WITHOUT_ID,
+    OTHER_ENGINE_RESPONSE,
+    "HTTP/1.1 429 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 103 Hints\r\nX-Request-Id: r1\r\n\r\n" FULL_RESPONSE_WITHOUT_ID,
+    FULL_HEAD "X-Trace: " OK_RESPONSE,
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (refusals); i++)
+    {
+      g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+      raw_server_t *engine =
+          gateway_rig_add_engine (rig, SCRIPTS (OK_RESPONSE, refusals[i], OK_RESPONSE), 3);
+
+      gateway_rig_skip_retry_window (rig);
+      expect (rig, "GET", "/look/", "", "200");
+      expect (rig, "POST", "/book/", EMPTY_BODY, "502");
+      CU_ASSERT_EQUAL (engine->request_count, 2);
+      expect (rig, "POST", "/book/", EMPTY_BODY, "200");
+      CU_ASSERT_EQUAL (engine->accepted, 2);
+    }
+}
+
+/* Guards against a second run of a request because of a late copy of its own refusal. */
+static void
+test_request_is_sent_again_on_another_connection (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  raw_server_t *engine =
+      gateway_rig_add_engine (rig, SCRIPTS (FULL_RESPONSE, FULL_RESPONSE, OK_RESPONSE), 3);
+
+  engine->keep_head = true;
+  gateway_rig_skip_retry_window (rig);
+  expect (rig, "POST", "/book/", EMPTY_BODY, "200");
+  CU_ASSERT_EQUAL (engine->request_count, 3);
+  for (guint i = 0; i < engine->connections->len; i++)
+    {
+      const raw_peer_t *raw = g_ptr_array_index (engine->connections, i);
+      const char *first = strstr (raw->received->str, "POST /book/");
+
+      CU_ASSERT (!first || !strstr (first + 1, "POST /book/"));
+    }
+}
+
+/* Guards against 502 for a request that its engine has refused and another one can run. */
+static void
+test_refusal_of_the_request_moves_it_on (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+
+  gateway_rig_skip_retry_window (rig);
+  gateway_rig_add_engine (
+      rig, SCRIPTS (FULL_RESPONSE_WITHOUT_ID, OK_RESPONSE, FULL_RESPONSE, OK_RESPONSE), 4);
+  expect (rig, "POST", "/book/", EMPTY_BODY, "200");
+  expect (rig, "POST", "/book/", EMPTY_BODY, "200");
+  CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 4);
+}
+
+/* Guards against "not run" from a response that shows that the request ran. */
+static void
+test_success_that_claims_not_run_proves_nothing (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+
+  gateway_rig_add_engine (
+      rig, SCRIPTS (OK_HEAD "X-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfine", OK_RESPONSE), 2);
+  expect (rig, "POST", "/book/", EMPTY_BODY, "502");
+  CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 1);
+}
+
+/* Guards against 502 for events without ids from a route that isn't a stream. */
+static void
+test_events_of_other_routes_are_forwarded_unchanged (void)
+{
+  static const char *const bodies[] = { "data: a\n\n", ": note\n\ndata: a\n\n", "id: x\n\ndata" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+      g_autofree char *response = g_strdup_printf (
+          OK_HEAD "Content-Type: text/event-stream\r\nContent-Length: %zu\r\n\r\n%s",
+          strlen (bodies[i]), bodies[i]);
+      raw_peer_t *raw;
+
+      gateway_rig_add_engine (rig, SCRIPTS (response), 1);
+      raw = gateway_rig_fetch (rig, "POST", "/book/", EMPTY_BODY);
+      CU_ASSERT (starts_with (raw, "HTTP/1.1 200 "));
+      CU_ASSERT (contains (raw, bodies[i]));
+      raw_peer_free (raw);
+    }
+}
+
+/* Guards against a response for a request without an id that may be that of another request. */
+static void
+test_request_without_id_gets_a_connection_of_its_own (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  raw_server_t *engine = gateway_rig_add_engine (rig, SCRIPTS (OK_RESPONSE, PLAIN_RESPONSE), 2);
+  raw_peer_t *raw;
+
+  expect (rig, "GET", "/look/", "", "200");
+  raw = raw_peer_connect (rig->base, &rig->gateways[0].address);
+  raw_peer_send (raw, "GET /look/ HTTP/1.1\r\nHost: h.example\r\nX-Key: key-1\r\n\r\n");
+  CU_ASSERT (raw_peer_run_until (rig->base, has_status, raw));
+  CU_ASSERT (starts_with (raw, "HTTP/1.1 200 "));
+  CU_ASSERT_EQUAL (engine->accepted, 2);
+  raw_peer_free (raw);
+}
+
 /* Guards against 503 before the deadline when the only engine stays full for longer than three
  * attempts take. */
 static void
@@ -188,12 +311,6 @@
   raw_peer_free (raw);
 }
 
-static bool
-has_status (void *context)
-{
-  return starts_with (context, "HTTP/1.1 ");
-}
-
 #define LONG_ROUTE(name, kind, more)                                                               \
   ",{\"host\":\"h.example\",\"path_prefix\":\"/" name "/\",\"kind\":\"" kind                       \
   "\",\"service\":\"pool\",\"timeout_ms\":60000" more "}"
@@ -571,21 +688,23 @@
 {
   g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
   static const char broken[] = STREAM_HEAD EVENT ("1") EVENT ("2") "e\r\nid: 3\nda";
-  static const char rest[] = STREAM_HEAD EVENT ("3") EVENT ("4") STREAM_END;
+  static const char whole[] =
+      STREAM_HEAD EVENT ("1") EVENT ("2") EVENT ("3") EVENT ("4") STREAM_END;
   raw_server_t *first = gateway_rig_add_engine (rig, SCRIPTS (broken), 1);
+  raw_server_t *second;
   raw_peer_t *raw = gateway_rig_send (rig, 0, "POST", "/talk/", EMPTY_BODY);
 
   first->close_after = true;
   CU_ASSERT (gateway_rig_wait_counter (rig, "medlarplank_gateway_failed_total", 1));
   raw_peer_free (raw);
-  gateway_rig_add_engine (rig, SCRIPTS (rest), 1);
+  second = gateway_rig_add_engine (rig, SCRIPTS (whole), 1);
   for (uint32_t tries = 0; tries < 8; tries++)
     {
       g_autofree char *more =
           g_strdup_printf (EMPTY_BODY "X-Prompt-Prefix: a%u:900,bb:10\r\n", tries);
 
       raw = gateway_rig_fetch (rig, "POST", "/talk/", more);
-      if (contains (raw, "id: 1\n"))
+      if (contains (raw, "id: 1\n") && strstr (last_request_head (second), "Last-Event-Id: 2\r\n"))
         {
           CU_ASSERT (g_str_has_suffix (raw->received->str, STREAM_END));
           for (char id = '1'; id <= '4'; id++)
@@ -594,6 +713,7 @@
 
               text[4] = id;
               CU_ASSERT (contains (raw, text));
+              CU_ASSERT (strstr (raw->received->str, text) == g_strrstr (raw->received->str, text));
             }
           raw_peer_free (raw);
           return;
@@ -758,10 +878,10 @@
 register_restart (gateway_rig_t *rig, const char *born, const char *state)
 {
   g_autofree char *address = address_to_text (&rig->engines[0]->address);
-  g_autofree char *text =
-      g_strdup_printf ("{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"hall-1\",\"slots\":8,"
-                       "\"state\":\"%s\",\"born\":%s}",
-                       address, state, born);
+  g_autofree char *text = g_strdup_printf (
+      "{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"hall-1\",\"slots\":8,"
+      "\"version\":\"\",\"cold_left_ms\":0,\"seq\":1,\"state\":\"%s\",\"born\":%s}",
+      address, state, born);
 
   fake_store_put (rig->store, PLATFORM_STREAM_ENGINES, "e0", text);
 }
@@ -1598,8 +1718,7 @@
   CU_ASSERT (!gateway_process_is_ready (rig->gateways[0].gateway_process));
   raw = gateway_rig_fetch (rig, "GET", "/look/", "");
   CU_ASSERT (starts_with (raw, "HTTP/1.1 200 ") && contains (raw, "Connection: close\r\n"));
-  clock_init_paused (&rig->clock,
-                     clock_now_us (&rig->clock) + GATEWAY_PROCESS_STOP_ACCEPT_MS * CLOCK_US_PER_MS);
+  clock_init_paused (&rig->clock, clock_now_us (&rig->clock) + STOP_GRACE_ACCEPT_US);
   CU_ASSERT (raw_peer_run_until (rig->base, loop_ended, rig));
   raw_peer_free (raw);
 }
@@ -1637,8 +1756,7 @@
 
   CU_ASSERT (raw_peer_run_until (rig->base, has_first_event, raw));
   gateway_process_stop (rig->gateways[0].gateway_process);
-  clock_init_paused (&rig->clock,
-                     clock_now_us (&rig->clock) + GATEWAY_PROCESS_STOP_ACCEPT_MS * CLOCK_US_PER_MS);
+  clock_init_paused (&rig->clock, clock_now_us (&rig->clock) + STOP_GRACE_ACCEPT_US);
   raw_peer_run_ms (rig->base, 2 * GATEWAY_PROCESS_TICK_MS);
   raw_peer_send (g_ptr_array_index (engine->connections, 0), STREAM_END);
   CU_ASSERT (raw_peer_run_until (rig->base, has_stream_end, raw));
@@ -1659,6 +1777,12 @@
     SUITE_TEST (test_gateway_without_current_config_answers_503),
     SUITE_TEST (test_lost_non_idempotent_request_is_not_repeated),
     SUITE_TEST (test_full_engine_is_waited_for),
+    SUITE_TEST (test_refusal_without_id_on_a_kept_connection_proves_nothing),
+    SUITE_TEST (test_request_is_sent_again_on_another_connection),
+    SUITE_TEST (test_refusal_of_the_request_moves_it_on),
+    SUITE_TEST (test_success_that_claims_not_run_proves_nothing),
+    SUITE_TEST (test_events_of_other_routes_are_forwarded_unchanged),
+    SUITE_TEST (test_request_without_id_gets_a_connection_of_its_own),
     SUITE_TEST (test_full_engine_is_asked_more_than_three_times),
     SUITE_TEST (test_refusals_are_bounded),
     SUITE_TEST (test_wait_ends_before_the_deadline),
--- a/tests/test_gateway_silence.c
+++ b/tests/test_gateway_silence.c
@@ -37,7 +37,7 @@
 #define STREAM_HEAD OK_HEAD "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 #define EVENT(id) "e\r\nid: " id "\ndata:a\n\n\r\n"
 #define STREAM_END "0\r\n\r\n"
-#define FULL "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+#define FULL "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
 #define OTHER_ENGINE "HTTP/1.1 421 Other\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n"
 #define RESTS "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
 #define REQUEST "Content-Length: 0\r\n"
@@ -175,10 +175,11 @@
 put_entry (gateway_rig_t *rig, const entry_t *entry)
 {
   g_autofree char *address = address_to_text (&rig->engines[entry->engine]->address);
-  g_autofree char *text =
-      g_strdup_printf ("{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"hall-1\",\"slots\":%u,"
-                       "\"state\":\"%s\",\"version\":\"%s\",\"born\":%" G_GUINT64_FORMAT "}",
-                       address, entry->slots, entry->state, entry->version, entry->born);
+  g_autofree char *text = g_strdup_printf (
+      "{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"hall-1\",\"slots\":%u,"
+      "\"cold_left_ms\":0,\"seq\":1,\"state\":\"%s\",\"version\":\"%s\",\"born\":%" G_GUINT64_FORMAT
+      "}",
+      address, entry->slots, entry->state, entry->version, entry->born);
   char id[8];
 
   g_snprintf (id, sizeof id, "e%u", entry->engine);
