Test and soak runs name what failed in their last lines

The tests' and the soak's runners print what failed once more, just before their closing line. Shown with a made-up failing test, and a soak whose fleet can't start.

--- a/soak/run.sh
+++ b/soak/run.sh
@@ -19,6 +19,8 @@
 failed=$(find "$dir" -name '*.log' | wc -l)
 find "$dir" -name '*.passed' -exec grep -hE '^seed| losses: | silences: ' {} +
 find "$dir" -name '*.log' -exec cat {} +
+# Again at the end, where the output of many lines may be cut.
+find "$dir" -name '*.log' -exec grep -H ' BROKEN ' {} + | sed "s|^$dir/|failed: seed |"
 echo "soak: $passed passed, $failed failed"
 known=0
 for log in "$dir"/*.log; do
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -9,6 +9,7 @@
 export MEDLARPLANK_BUILD="$top/$out" MEDLARPLANK_SOURCE="$top"
 passed=0
 failed=0
+failures=""
 for program in "$@"; do
   name=$(basename "$program")
   log="$out/$name.log"
@@ -19,6 +20,7 @@
     echo "$name: ended with status $rc and no result"
     tail -n 60 "$log"
     failed=$((failed + 1))
+    failures+="failed: $name: status $rc"$'\n'
     continue
   fi
   passed=$((passed + ok))
@@ -30,6 +32,8 @@
     while read -r test; do
       if [ -f "$top/KNOWN-RED.txt" ] && grep -F "$name: $test: " "$top/KNOWN-RED.txt"; then
         unknown=$((unknown - 1))
+      else
+        failures+="failed: $name: $test"$'\n'
       fi
     done <"$log.red"
     if [ "$unknown" -gt 0 ]; then
@@ -39,5 +43,6 @@
   fi
   echo "$name: $ok of $ran passed"
 done
+printf '%s' "$failures"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
