Stand-in upstream: a stream resumed behind its end has no more events

Cause: the upstream sent an event before it compared its number with the last one. A stream that had broken off behind its last event, before the end of its response, was resumed with Last-Event-Id 6, and the stand-in made an event 7. The gateway was right: its log shows last_id=6, resume, and a sound event 7 of the second upstream.

Change: no event is sent behind the last; the response is a stream without events.

--- a/standin/standin_upstream.c
+++ b/standin/standin_upstream.c
@@ -203,7 +203,8 @@
       answer_plain (run);
       return;
     }
-  send_event (run);
+  if (run->next_event <= run->events)
+    send_event (run);
   if (run->next_event++ < run->events)
     {
       run_copies_send (run->upstream->copies, run->backup, run->id, false);
--- a/tests/session_versions.c
+++ b/tests/session_versions.c
@@ -488,6 +488,25 @@
   finish (&fleet);
 }
 
+/* Guards against streams that go on behind their last event, which the caller has already. */
+static void
+test_resumed_at_its_end (void)
+{
+  fleet_t fleet = { .driver = driver_new ("versions") };
+
+  start_fleet (&fleet, false);
+  begin_streams (&fleet, GATEWAYS);
+  end_streams (&fleet);
+  CU_ASSERT_EQUAL (count_complete (&fleet, NULL), STREAMS);
+  for (uint32_t i = 0; i < STREAMS; i++)
+    resume_stream (&fleet, &fleet.streams[i], fleet.streams[i].gateway);
+  end_streams (&fleet);
+  for (uint32_t i = 0; i < STREAMS; i++)
+    CU_ASSERT_EQUAL (fleet.streams[i].call->body->len, 0);
+  CU_ASSERT_EQUAL (count_complete (&fleet, NULL), STREAMS);
+  finish (&fleet);
+}
+
 /* Guards against streams that a gateway resumes by what it knew before it stood still. */
 static void
 test_paused_gateway (void)
@@ -526,6 +545,7 @@
     { "a gateway is killed and callers resume at the others", test_gateway_killed },
     { "gateways are restarted in turn", test_restarted_in_turn },
     { "all gateways are restarted at once", test_restarted_at_once },
+    { "callers resume at the end of their streams", test_resumed_at_its_end },
     { "a second version appears beside streams", test_version_appears },
     { "callers resume at a gateway that stood still", test_paused_gateway }
   };
