Soak: upstreams that put other bytes into their streams (GARBLE=1)

Beside the other faults, but not with SILENCES=1, whose upstreams are sound.

The proxy now moves the bytes to the output of the other side. And check_stream() compared C strings, so that a NUL hid all bytes behind it; a NUL now breaks the check.

--- a/soak/soak.h
+++ b/soak/soak.h
@@ -13,6 +13,7 @@
 #include "connection/http_client.h"
 #include "base/settings.h"
 
+#include <event2/buffer.h>
 #include <event2/event.h>
 #include <glib.h>
 #include <stdbool.h>
@@ -81,7 +82,8 @@
   SOAK_PROXY_ONE_WAY, /* forwards nothing towards the client */
   SOAK_PROXY_BLOCK,   /* forwards nothing and keeps connections open */
   SOAK_PROXY_MODES,   /* number of modes that are drawn with the other faults */
-  SOAK_PROXY_FLOOD    /* bytes without end in place of those towards the client */
+  SOAK_PROXY_FLOOD,   /* bytes without end in place of those towards the client */
+  SOAK_PROXY_GARBLE   /* changes what it forwards towards the client */
 } soak_proxy_mode_t;
 
 typedef struct soak_proxy soak_proxy_t;
@@ -209,6 +211,21 @@
   uint64_t next_us;
 } soak_floods_t;
 
+/**
+ * struct soak_garble - upstreams that put other bytes into their streams
+ * @rand: random generator of these; the other ones draw the same without them
+ * @next_us: when the next one begins; 0 for never
+ * @in_streams: how often bytes were put into the stream of a response
+ * @between_chunks: how often where no chunk holds them
+ */
+typedef struct
+{
+  GRand *rand;
+  uint64_t next_us;
+  uint32_t in_streams;
+  uint32_t between_chunks;
+} soak_garble_t;
+
 /**
  * struct soak_odd - another writer that leaves odd records in the store
  * @enabled: there is one
@@ -375,6 +392,7 @@
  * @part_crashers: likewise for these requests, @part_crasher_count, @next_part_crasher_us
  * @herd: requests of which most go to one gateway
  * @floods: upstreams and stores that send bytes without end
+ * @garble: upstreams that put other bytes into their streams
  * @odd: another writer that leaves odd records in the store
  * @losses: all gateways are lost, in rounds
  * @silences: upstreams that are silent for some time
@@ -425,6 +443,7 @@
   uint64_t next_part_crasher_us;
   soak_herd_t herd;
   soak_floods_t floods;
+  soak_garble_t garble;
   soak_odd_t odd;
   soak_losses_t losses;
   soak_silences_t silences;
@@ -547,6 +566,12 @@
 void soak_proxy_free (soak_proxy_t *proxy);
 /** soak_proxy_set_mode() - change what the proxy does with its connections */
 void soak_proxy_set_mode (soak_proxy_t *proxy, soak_proxy_mode_t mode);
+/** soak_proxy_set_garble() - chooses who moves, with %SOAK_PROXY_GARBLE, what comes from the target
+ * to what is sent to the client */
+void
+soak_proxy_set_garble (soak_proxy_t *proxy,
+                       void (*garble) (struct evbuffer *data, struct evbuffer *out, void *context),
+                       void *context);
 
 /* soak_faults.c */
 /** soak_inject_fault() - inject a random fault, which ends by itself, or publish a new version */
@@ -602,6 +627,14 @@
  * faults have ended */
 void soak_check_crashers (soak_t *soak);
 
+/* soak_garble.c */
+/** soak_begin_garble() - begin to put bytes into streams */
+void soak_begin_garble (soak_t *soak);
+/** soak_end_garble() - begin no more of it, and print how often it was done */
+void soak_end_garble (soak_t *soak);
+/** soak_poll_garble() - begin it at an upstream when its time has come */
+void soak_poll_garble (soak_t *soak);
+
 /* soak_odd.c */
 /** soak_begin_odd() - begin to write odd records into the store, if there are any */
 void soak_begin_odd (soak_t *soak);
--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -130,7 +130,9 @@
   for (uint32_t event = call->first_event; event <= SOAK_EVENTS; event++)
     g_string_append_printf (expected, "id: %u\ndata: %s %u%s%s\n\n", event, call->id, event,
                             version ? " " : "", version ? version : "");
-  if (!g_str_has_prefix (expected->str, call->body->str))
+  if (strlen (call->body->str) != call->body->len)
+    soak_fail (call->soak, "%s got a NUL behind \"%s\"", call->id, call->body->str);
+  else if (!g_str_has_prefix (expected->str, call->body->str))
     soak_fail (call->soak, "%s got events out of order, or not of version %s: \"%s\"", call->id,
                version ? version : "-", call->body->str);
   else if (call->complete && strcmp (expected->str, call->body->str) != 0)
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -1,5 +1,6 @@
 /* soak --seed N [--seconds S] [--gateways N] [--restorations] [--crashes]
- * [--versions] [--herds] [--losses] [--floods] [--silences] [--odd] [--build DIR] [--keep] */
+ * [--versions] [--herds] [--losses] [--floods] [--silences] [--odd] [--garble] [--build DIR]
+ * [--keep] */
 #include "soak.h"
 
 #include <event2/util.h>
@@ -75,6 +76,7 @@
       soak_poll_crashers (soak);
       soak_poll_herd (soak);
       soak_poll_floods (soak);
+      soak_poll_garble (soak);
       soak_poll_odd (soak);
       soak_poll_losses (soak);
       soak_poll_silences (soak);
@@ -130,6 +132,7 @@
   soak->part_rand = g_rand_new_with_seed ((guint32)soak->seed + 1);
   soak->herd.rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->floods.rand = g_rand_new_with_seed ((guint32)soak->seed);
+  soak->garble.rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->losses.rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->resume_rand = g_rand_new_with_seed ((guint32)soak->seed);
   soak->open_streams = g_ptr_array_new ();
@@ -169,15 +172,21 @@
     }
 }
 
-static const struct option option_table[] = {
-  { "seed", required_argument, NULL, 's' },  { "seconds", required_argument, NULL, 't' },
-  { "build", required_argument, NULL, 'b' }, { "gateways", required_argument, NULL, 'g' },
-  { "keep", no_argument, NULL, 'k' },        { "restorations", no_argument, NULL, 'r' },
-  { "crashes", no_argument, NULL, 'c' },     { "versions", no_argument, NULL, 'v' },
-  { "herds", no_argument, NULL, 'h' },       { "losses", no_argument, NULL, 'l' },
-  { "floods", no_argument, NULL, 'f' },      { "silences", no_argument, NULL, 'q' },
-  { "odd", no_argument, NULL, 'o' },         { NULL, 0, NULL, 0 }
-};
+static const struct option option_table[] = { { "seed", required_argument, NULL, 's' },
+                                              { "seconds", required_argument, NULL, 't' },
+                                              { "build", required_argument, NULL, 'b' },
+                                              { "gateways", required_argument, NULL, 'g' },
+                                              { "keep", no_argument, NULL, 'k' },
+                                              { "restorations", no_argument, NULL, 'r' },
+                                              { "crashes", no_argument, NULL, 'c' },
+                                              { "versions", no_argument, NULL, 'v' },
+                                              { "herds", no_argument, NULL, 'h' },
+                                              { "losses", no_argument, NULL, 'l' },
+                                              { "floods", no_argument, NULL, 'f' },
+                                              { "silences", no_argument, NULL, 'q' },
+                                              { "odd", no_argument, NULL, 'o' },
+                                              { "garble", no_argument, NULL, 'a' },
+                                              { NULL, 0, NULL, 0 } };
 
 static bool
 parse_number (char option, guint64 *seed, guint64 *seconds, guint64 *gateways)
@@ -200,6 +209,7 @@
   bool restorations = false;
   bool herds = false;
   bool floods = false;
+  bool garble = false;
   int option;
 
   while ((option = getopt_long (argc, argv, "", option_table, NULL)) != -1)
@@ -224,17 +234,19 @@
         soak.silences.enabled = true;
       else if (option == 'o')
         soak.odd.enabled = true;
+      else if (option == 'a')
+        garble = true;
       else if (!parse_number ((char)option, &soak.seed, &seconds, &gateways))
         {
           fprintf (stderr, "soak --seed N [--seconds S] [--gateways N] [--restorations] "
                            "[--crashes] [--versions] [--herds] [--losses] [--floods] [--silences] "
-                           "[--odd] [--build DIR] "
+                           "[--odd] [--garble] [--build DIR] "
                            "[--keep]\n"
                            "--silences goes with --gateways, --herds, --losses and --odd only\n");
           return 2;
         }
     }
-  if (soak.silences.enabled && (restorations || floods || soak.crashes || soak.versions))
+  if (soak.silences.enabled && (restorations || floods || garble || soak.crashes || soak.versions))
     {
       fprintf (stderr, "--silences is for sound upstreams and stores, and for one version\n");
       return 2;
@@ -248,6 +260,8 @@
       soak.next_crasher_us = soak_now_us ();
       soak.herd.next_us = herds ? soak_now_us () : 0;
       soak.floods.next_us = floods ? soak_now_us () : 0;
+      if (garble)
+        soak_begin_garble (&soak);
       soak.clients_leave = !soak.losses.enabled;
       if (soak.losses.enabled)
         soak_begin_losses (&soak);
@@ -262,6 +276,7 @@
       soak.clients_leave = false;
       soak.herd.next_us = 0;
       soak.floods.next_us = 0;
+      soak_end_garble (&soak);
       soak_end_faults (&soak);
       soak_run_loop (&soak, RECOVERY_MS + (soak.silences.enabled ? SOAK_LONG_GRACE_MS : 0));
       soak_check (&soak);
--- a/soak/soak_proxy.c
+++ b/soak/soak_proxy.c
@@ -1,4 +1,5 @@
-/* A TCP proxy on loopback that can delay, reset, half-block or block its connections. */
+/* A TCP proxy on loopback that can delay, reset, half-block or block its connections, and change
+ * what it forwards. */
 #include "soak.h"
 
 #include <arpa/inet.h>
@@ -19,6 +20,8 @@
   soak_proxy_mode_t mode;
   const char *flood_begin;
   const char *flood_unit;
+  void (*garble) (struct evbuffer *data, struct evbuffer *out, void *context);
+  void *garble_context;
   GHashTable *conns; /* set of proxied_conn_t */
 };
 
@@ -130,6 +133,11 @@
       if (from == 1)
         return;
       break;
+    case SOAK_PROXY_GARBLE:
+      if (from == 1)
+        conn->proxy->garble (bufferevent_get_input (end), bufferevent_get_output (conn->ends[0]),
+                             conn->proxy->garble_context);
+      break;
     default:
       break;
     }
@@ -229,6 +237,15 @@
   proxy->flood_unit = unit;
 }
 
+void
+soak_proxy_set_garble (soak_proxy_t *proxy,
+                       void (*garble) (struct evbuffer *data, struct evbuffer *out, void *context),
+                       void *context)
+{
+  proxy->garble = garble;
+  proxy->garble_context = context;
+}
+
 /* Connections that were blocked stay blocked when the fault ends, as on the users' platform;
  * connections made after it work. */
 void
