Streams: reconnection times and a byte order mark break nothing off

Callers saw a sound stream broken off, or 502, where its engine sent a block of "retry:" alone between events, or a byte order mark before the first one.

Cause: the check of events knew comments as the only blocks that are no events. A block of "retry:" was an event without data, and a mark was part of the name of the first field.

Both are dropped now, like comments: blocks of comments and "retry:" with a number, and one mark at the start of each response. What is dropped reaches no caller, and the ids of the events around it are checked as before, so no byte is trusted that was not. Bytes without end in such blocks still end the stream at the limit. Left as they are: a comment within an event, and "event:" without data.

--- a/src/request/event_splitter.c
+++ b/src/request/event_splitter.c
@@ -5,6 +5,8 @@
 #include <glib.h>
 #include <string.h>
 
+#define BYTE_ORDER_MARK "\xef\xbb\xbf"
+
 void
 event_splitter_init (event_splitter_t *splitter, const char *first_field, uint64_t start_id)
 {
@@ -102,7 +104,7 @@
   event_text_t event;
   event_fault_t fault;
 
-  if (event_text_is_comment (text, bytes))
+  if (event_text_is_no_event (text, bytes))
     {
       skip (splitter, bytes);
       return;
@@ -129,6 +131,25 @@
   evbuffer_remove_buffer (splitter->partial, out, bytes);
 }
 
+static void
+skip_byte_order_mark (event_splitter_t *splitter)
+{
+  char start[sizeof BYTE_ORDER_MARK - 1];
+  size_t have = MIN (evbuffer_get_length (splitter->partial), sizeof start);
+
+  if (splitter->has_begun)
+    return;
+  evbuffer_copyout (splitter->partial, start, have);
+  if (memcmp (start, BYTE_ORDER_MARK, have) != 0)
+    splitter->has_begun = true;
+  else if (have == sizeof start)
+    {
+      splitter->has_begun = true;
+      evbuffer_drain (splitter->partial, have);
+      splitter->searched_bytes = 0;
+    }
+}
+
 static void
 skip_between (event_splitter_t *splitter)
 {
@@ -154,6 +175,7 @@
       size_t have;
       size_t bytes;
 
+      skip_byte_order_mark (splitter);
       skip_between (splitter);
       have = evbuffer_get_length (splitter->partial);
       text = have > 0 ? (const char *)evbuffer_pullup (splitter->partial, -1) : "";
@@ -187,6 +209,7 @@
 event_splitter_resume (event_splitter_t *splitter)
 {
   drain (splitter->partial);
+  splitter->has_begun = false;
   splitter->searched_bytes = 0;
   splitter->skipped_bytes = 0;
   splitter->response_id = 0;
--- a/src/request/event_splitter.h
+++ b/src/request/event_splitter.h
@@ -4,8 +4,8 @@
  * Splits a stream of server-sent events into whole events and remembers the id of the last one.
  * Only whole events that follow each other are forwarded: their ids are decimal numbers, from 1 and
  * each one higher than the last, or the owner decides which may follow. So a stream that breaks
- * off, or in which other bytes come, can be resumed at another engine. Empty lines and comments
- * between events are dropped.
+ * off, or in which other bytes come, can be resumed at another engine. Empty lines, comments and
+ * times to reconnect between events are dropped, and so is a byte order mark before the first.
  */
 #ifndef REQUEST_EVENT_SPLITTER_H
 #define REQUEST_EVENT_SPLITTER_H
@@ -27,6 +27,7 @@
  * @context: argument of @check
  * @first_field: name of a field with a number that the first line of an event may be, or NULL
  * @partial: what has come of an event that has not ended yet
+ * @has_begun: something other than a byte order mark has come of the current response
  * @searched_bytes: of @partial, in which no event ends
  * @skipped_bytes: dropped since the last event
  * @start_id: id of the last event that the client already has when the request comes, or 0
@@ -42,6 +43,7 @@
   void *context;
   const char *first_field;
   struct evbuffer *partial;
+  bool has_begun;
   size_t searched_bytes;
   size_t skipped_bytes;
   uint64_t start_id;
--- a/src/request/event_text.c
+++ b/src/request/event_text.c
@@ -70,23 +70,6 @@
   return at;
 }
 
-bool
-event_text_is_comment (const char *text, size_t bytes)
-{
-  const char *end = text + bytes;
-  const char *line = text;
-
-  while (line < end)
-    {
-      const char *line_end = memchr (line, '\n', (size_t)(end - line));
-
-      if (*line != ':' && line_bytes (line, line_end ? line_end : end) > 0)
-        return false;
-      line = line_end ? line_end + 1 : end;
-    }
-  return true;
-}
-
 /* The format is UTF-8. A CR elsewhere would end a line for readers that take it for a line's end.
  */
 static bool
@@ -144,6 +127,34 @@
   return field->value_bytes > 0;
 }
 
+/* Whether the line is a comment, or the time after which a client may connect again. */
+static bool
+is_no_event_line (const char *line, size_t bytes)
+{
+  field_t field = split_line (line, bytes);
+  uint64_t wait_ms;
+
+  return bytes == 0 || *line == ':' ||
+         (is_named (&field, "retry") && read_number (&field, &wait_ms));
+}
+
+bool
+event_text_is_no_event (const char *text, size_t bytes)
+{
+  const char *end = text + bytes;
+  const char *line = text;
+
+  while (line < end)
+    {
+      const char *line_end = memchr (line, '\n', (size_t)(end - line));
+
+      if (!is_no_event_line (line, line_bytes (line, line_end ? line_end : end)))
+        return false;
+      line = line_end ? line_end + 1 : end;
+    }
+  return true;
+}
+
 static event_fault_t
 read_field (const field_t *field, event_text_t *event)
 {
--- a/src/request/event_text.h
+++ b/src/request/event_text.h
@@ -61,8 +61,9 @@
 size_t event_text_find_end (const char *text, size_t bytes, size_t searched);
 /** event_text_find_start() - Return: number of bytes before the next event, of whole empty lines */
 size_t event_text_find_start (const char *text, size_t bytes);
-/** event_text_is_comment() - whether all lines of an event are comments */
-bool event_text_is_comment (const char *text, size_t bytes);
+/** event_text_is_no_event() - whether all lines are comments, or times after which a client may
+ * connect again */
+bool event_text_is_no_event (const char *text, size_t bytes);
 /**
  * event_text_read() - reads a whole event
  *
--- a/tests/test_event_splitter.c
+++ b/tests/test_event_splitter.c
@@ -9,6 +9,7 @@
 
 #define FIRST_FIELD "weights"
 #define EVENTS_MAX 4
+#define BYTE_ORDER_MARK "\xef\xbb\xbf"
 #define BYTES(text) text, sizeof (text) - 1
 
 /** struct garbage - bytes to be put in; @next_id: of the event that they are, or 0 */
@@ -59,6 +60,9 @@
   { BYTES ("\xff\xfe\n\n"), 0 },
   { BYTES ("\xc3"), 0 },
   { BYTES ("\xef\xbb\xbf"), 0 },
+  { BYTES ("\xef\xbb"), 0 },
+  { BYTES ("retry: 10\n\n"), 0 },
+  { BYTES ("retry: junk\n\n"), 0 },
 };
 
 /** struct split - a stream under test; @out: what the caller gets */
@@ -273,6 +277,47 @@
     }
 }
 
+/* Guards against sound streams that break off at what holds no event. */
+static void
+test_marks_and_reconnection_times_are_dropped (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (sound_events); i++)
+    {
+      g_autoptr (GString) sound = join_events (sound_events[i]);
+      g_autoptr (GString) text = g_string_new (BYTE_ORDER_MARK "retry: 3000\n\n");
+
+      for (size_t event = 0; event < EVENTS_MAX; event++)
+        g_string_append_printf (text, "%s: c\r\nretry:5\r\n\r\nretry: 0\n\n",
+                                sound_events[i][event]);
+      for (size_t step = 1; step <= text->len; step++)
+        {
+          split_t split;
+
+          split_init (&split, 0);
+          for (size_t at = 0; at < text->len; at += step)
+            feed (&split, text->str + at, MIN (step, text->len - at));
+          event_splitter_finish (&split.splitter);
+          CU_ASSERT_STRING_EQUAL (split.out->str, sound->str);
+          CU_ASSERT_EQUAL (split.splitter.fault, EVENT_FAULT_NONE);
+          split_clear (&split);
+        }
+    }
+}
+
+static void
+test_each_response_may_begin_with_a_mark (void)
+{
+  split_t split;
+
+  split_init (&split, 0);
+  feed (&split, BYTES (BYTE_ORDER_MARK "id: 1\ndata: a\n\nid: 2\nda"));
+  event_splitter_resume (&split.splitter);
+  feed (&split, BYTES (BYTE_ORDER_MARK "id: 2\ndata: b\n\n" BYTE_ORDER_MARK "id: 3\ndata: c\n\n"));
+  CU_ASSERT_STRING_EQUAL (split.out->str, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  CU_ASSERT_EQUAL (split.splitter.fault, EVENT_FAULT_MALFORMED);
+  split_clear (&split);
+}
+
 static void
 expect_after (uint64_t start_id, const char *text, const char *out, event_fault_t fault)
 {
@@ -297,6 +342,10 @@
   expect_after (2, "id: 1\ndata: a\n\nid: 3\ndata: c\n\n", "", EVENT_FAULT_OUT_OF_ORDER);
   expect_after (2, "id: 3\ndata: c\n\nid: 3\ndata: c\n\n", "id: 3\ndata: c\n\n",
                 EVENT_FAULT_OUT_OF_ORDER);
+  expect_after (12, BYTE_ORDER_MARK, "", EVENT_FAULT_NONE);
+  expect_after (12, "\xef\xbb", "", EVENT_FAULT_UNFINISHED);
+  expect_after (12, BYTE_ORDER_MARK BYTE_ORDER_MARK "id: 13\ndata: a\n\n", "",
+                EVENT_FAULT_MALFORMED);
   expect_after (UINT64_MAX, "id: 0\ndata: a\n\n", "", EVENT_FAULT_OUT_OF_ORDER);
 }
 
@@ -334,6 +383,8 @@
   static const CU_TestInfo tests[] = { SUITE_TEST (test_only_events_of_the_run_are_forwarded),
                                        SUITE_TEST (test_sound_streams_are_forwarded),
                                        SUITE_TEST (test_delete_in_data_is_forwarded),
+                                       SUITE_TEST (test_marks_and_reconnection_times_are_dropped),
+                                       SUITE_TEST (test_each_response_may_begin_with_a_mark),
                                        SUITE_TEST (test_resumed_stream_has_no_gap),
                                        SUITE_TEST (test_dropped_response_leaves_no_gap),
                                        SUITE_TEST (test_comments_without_end_break_the_stream),
--- a/tests/test_gateway_garbage.c
+++ b/tests/test_gateway_garbage.c
@@ -189,6 +189,36 @@
   play_all ("/talk/", true);
 }
 
+/* Guards against sound streams that break off at what holds no event. */
+static void
+test_marks_and_reconnection_times_break_nothing_off (void)
+{
+  static const char *const paths[] = { "/tell/", "/talk/" };
+  g_autoptr (GString) sent =
+      g_string_new ("\xef\xbb\xbfretry: 3000\n\n" EVENT ("1") "retry: 1\r\n\r\n" EVENT (
+          "2") ": c\nretry: 0\n\n" EVENT ("3") EVENT ("4") "retry: 10\n\n");
+  g_autoptr (fleet_t) fleet = fleet_new ();
+
+  for (framing_t framing = CHUNKED; framing < FRAMINGS; framing++)
+    for (size_t i = 0; i < G_N_ELEMENTS (paths); i++)
+      {
+        g_autoptr (GString) response = make_response (framing, sent);
+        g_autoptr (GString) body = g_string_new (NULL);
+        uint32_t requests = cut_peer_request_count (fleet->peer);
+        raw_peer_t *raw;
+
+        cut_peer_set_play (fleet->peer, &(cut_peer_play_t){ .bytes = response->str,
+                                                            .count = response->len,
+                                                            .step = 1,
+                                                            .end = CUT_PEER_FIN });
+        raw = gateway_rig_fetch (fleet->rig, "POST", paths[i], EMPTY_BODY);
+        CU_ASSERT_TRUE (raw_answer_read (raw->received->str, body));
+        CU_ASSERT_STRING_EQUAL (body->str, STREAM);
+        CU_ASSERT_EQUAL (cut_peer_request_count (fleet->peer), requests + 1);
+        raw_peer_free (raw);
+      }
+}
+
 /* A caller took its stream up, and got an event other than the next one. */
 static void
 test_garbage_in_a_stream_that_its_caller_resumes (void)
@@ -238,6 +268,7 @@
     SUITE_TEST (test_garbage_in_all_attempts_breaks_the_stream_off),
     SUITE_TEST (test_stream_with_garbage_goes_on_elsewhere),
     SUITE_TEST (test_garbage_in_a_stream_that_its_caller_resumes),
+    SUITE_TEST (test_marks_and_reconnection_times_break_nothing_off),
     CU_TEST_INFO_NULL,
   };
 
