A gateway sends an engine no more than its slots where slots are shared

Callers got 503 beside an idle upstream: 12 requests in a gateway's first tick all went to an upstream of one slot, which refused 11; they waited as retries, for which a new gateway has no budget, and were refused as not run.

Cause: where many gateways share few slots, room_choice limits the requests at an engine relative to the mean of the service. With one engine the mean is its own load, so any number passed, before and after its first report.

Ruled out: the retry budget. By the rule on retries an arrival that an engine rejects counts too, so it is the right bound, and may not be raised.

Change: an engine is no candidate while this gateway's own requests take all its slots. They are then certainly taken, so no slot stays free by it; the others go to another engine or wait in the queue, from which they start in order and without a retry.

Tests: session-gateway, "a new gateway sends more than an upstream's slots": 1 of 12 answered before, 12 of 12 and no retry since; test-room, test_a_gateway_sends_no_more_than_the_slots: a 13th request is sent to two engines of six slots before, waits since.

--- a/src/request/policy/placement/service_view.c
+++ b/src/request/policy/placement/service_view.c
@@ -329,9 +329,10 @@
   if (!may_send_cold (view, engine) ||
       !engine_has_window (engine, view->now_us, window_pause_us (view, slots)))
     return false;
-  /* room_choice.c limits the requests at an engine and in its queue by the load it expects. */
+  /* room_choice.c limits the requests at an engine and in its queue by the load it expects. That is
+   * relative to the others, so a single engine would get all that a gateway has. */
   if (view->shared_room)
-    return !engine_is_full (engine, view->now_us);
+    return !engine_is_full (engine, view->now_us) && (slots == 0 || engine->own_requests < slots);
   if (slots == 0 || (may_fill && service_view_load_at (view, engine) < usable))
     return true;
   return may_queue (view, engine, usable);
--- a/tests/session_gateway.c
+++ b/tests/session_gateway.c
@@ -15,6 +15,7 @@
 #define UPSTREAMS 5
 #define STREAM_UPSTREAMS 3          /* the first upstreams, which answer with event streams */
 #define BATCH_REQUESTS 20           /* requests per batch */
+#define FIRST_REQUESTS 12           /* to a new gateway at once */
 #define DATA_CENTER "hall-bayangol" /* of all upstreams */
 
 /** struct fleet - The processes of the session. */
@@ -338,10 +339,48 @@
   driver_finish (fleet.driver);
 }
 
+static bool
+has_one_slot (void *context)
+{
+  const fleet_t *fleet = context;
+
+  return driver_process_count_log_lines (fleet->gateways[0], ": engine ", "state=ready") == 1 &&
+         driver_process_count_log_lines (fleet->gateways[0], ": ready ", NULL) > 0;
+}
+
+/* Guards against requests that a new gateway sends to an upstream beyond its slots. */
+static void
+test_first_requests (void)
+{
+  fleet_t fleet = { .driver = driver_new ("gateway_first_requests") };
+  driver_call_t *calls[FIRST_REQUESTS];
+  uint32_t answered = 0;
+
+  driver_start_platform (fleet.driver);
+  driver_write_record (fleet.driver, "config", CONFIG ("1", ""));
+  driver_start_upstream (fleet.driver,
+                         &(driver_upstream_t){ .name = "upstream", .work_ms = 30, .slots = 1 });
+  start_gateway (&fleet, 0);
+  driver_wait_until (fleet.driver, DRIVER_WAIT_LIMIT_MS, "the upstream at the gateway",
+                     has_one_slot, &fleet);
+  for (uint32_t i = 0; i < FIRST_REQUESTS; i++)
+    calls[i] = send_request (&fleet, 0, "POST", i % 2 ? "/look/" : "/book/");
+  for (uint32_t i = 0; i < FIRST_REQUESTS; i++)
+    {
+      driver_call_wait (calls[i]);
+      answered += is_complete_ok (calls[i]) ? 1 : 0;
+    }
+  CU_ASSERT_EQUAL (driver_process_count_log_lines (fleet.gateways[0], ": retry ", NULL), 0);
+  driver_transcript_add (fleet.driver, "%u of %u first requests were answered", answered,
+                         FIRST_REQUESTS);
+  driver_finish (fleet.driver);
+}
+
 int
 main (void)
 {
   static const driver_test_t tests[] = {
+    { "a new gateway sends more than an upstream's slots", test_first_requests },
     { "two gateways under normal operation and faults", test_gateway },
     { "a killed gateway has logged its refusals", test_killed_gateway_has_logged }
   };
--- a/tests/test_room.c
+++ b/tests/test_room.c
@@ -80,6 +80,16 @@
                     &(engine_load_t){ .running = running, .waiting = waiting, .slots = SLOTS });
 }
 
+static void
+unload (const engines_t *engines)
+{
+  const GPtrArray *list = engines_of_service (engines, service ());
+
+  for (guint i = 0; i < list->len; i++)
+    while (engine_at (engines, i)->own_requests > 0)
+      engine_end_request (engine_at (engines, i));
+}
+
 /* Guards against an engine that gets all requests of all gateways because nothing is known of it.
  */
 static void
@@ -113,6 +123,35 @@
                    ENGINE_CHOICE_SEND);
 }
 
+/* Guards against refusals by an engine to which one gateway sends more than its slots. */
+static void
+test_a_gateway_sends_no_more_than_the_slots (void)
+{
+  g_autoptr (engines_t) engines = make_engines (2);
+  const GPtrArray *list = engines_of_service (engines, service ());
+  engine_choice_request_t request = make_request ();
+  engine_t *last;
+
+  request.gateways = 4;
+  for (uint32_t i = 0; i < 2 * SLOTS; i++)
+    {
+      engine_choice_t choice = engine_choice_make (list, START_US + i, &request);
+
+      CU_ASSERT_EQUAL_FATAL (choice.action, ENGINE_CHOICE_SEND);
+      engine_begin_request (choice.engine, START_US + i);
+      report (choice.engine, START_US + i, choice.engine->own_requests, 0);
+    }
+  for (guint i = 0; i < 2; i++)
+    CU_ASSERT_EQUAL (engine_at (engines, i)->own_requests, SLOTS);
+  CU_ASSERT_EQUAL (engine_choice_make (list, START_US + CLOCK_US_PER_MS, &request).action,
+                   ENGINE_CHOICE_WAIT);
+  last = engine_at (engines, 1);
+  engine_end_request (last);
+  CU_ASSERT_PTR_EQUAL (engine_choice_make (list, START_US + CLOCK_US_PER_MS, &request).engine,
+                       last);
+  unload (engines);
+}
+
 /* Guards against a slow engine that gets as many requests as the others. */
 static void
 test_a_slow_engine_gets_less (void)
@@ -210,6 +249,7 @@
 {
   static const CU_TestInfo tests[] = { SUITE_TEST (test_an_unknown_engine_is_not_empty),
                                        SUITE_TEST (test_an_old_queue_does_not_hold_requests),
+                                       SUITE_TEST (test_a_gateway_sends_no_more_than_the_slots),
                                        SUITE_TEST (test_a_slow_engine_gets_less),
                                        SUITE_TEST (
                                            test_the_last_slot_of_a_crowded_engine_is_avoided),
