Gateway: no request goes to an engine on connections from before a silence

Trace: the link of an engine lets nothing through in one direction for 2.4 s, and as on the users' platform connections of that time stay blocked. One request at each of two gateways (s22-426, s22-461) is silent until its deadline. 3.1 s after the link has healed three streams go to that engine, the only one of its version, on connections that had been idle since before these requests were sent (idle_ms 7369, 9025, 6841), and wait there until their deadline (hop_silent outcome=no_engine), while a request on another connection is answered (engine_quiet_ms=368).

Cause: the pool hands out an idle connection as long as nothing has come on it. That one request to the same address stays without a byte says nothing about the others in it.

Change: once a hop is found silent, idle connections to its peer that were last used before the peer was heard in that hop are closed. Their order is counted, not timed. A sound engine that was silent for a moment costs its gateways new connections.

Remains: a request that is the first one on a blocked connection after a fault in which none was sent waits there as before, when its engine is the only one of its version.

--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -369,6 +369,7 @@
   call->method = method_from_name (options->method);
   call->until_close = options->until_close;
   call->started_us = g_get_monotonic_time ();
+  call->heard_turn = ++http_client->turns;
   for (uint32_t i = 0; i < options->header_count; i++)
     if (g_ascii_strcasecmp (options->headers[i].name, "X-Request-Id") == 0)
       g_strlcpy (call->id, options->headers[i].value, sizeof call->id);
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -130,6 +130,10 @@
 /** http_client_close_idle() - close the idle connections to @address, after the process there has
  * ended */
 void http_client_close_idle (http_client_t *http_client, const address_t *address);
+/** http_client_close_older_idle() - close the idle connections to the peer of a silent call that
+ * were last used before the peer was heard last in the call, or before the call began: what
+ * silenced the call may have cut them off too */
+void http_client_close_older_idle (http_client_call_t *call);
 /** http_client_has_ended() - whether the call has ended, so that @on_end is called in a moment */
 bool http_client_has_ended (const http_client_call_t *call);
 /** http_client_has_unread() - whether the call has ended, or bytes of its response wait to be read
--- a/src/connection/http_client_internal.h
+++ b/src/connection/http_client_internal.h
@@ -40,6 +40,7 @@
  *   first
  * @conns: set of all connections
  * @calls: set of all calls
+ * @turns: counts the begins and ends of calls, and what they read, to compare their order
  * @read_share: how much all connections read
  */
 struct http_client
@@ -51,6 +52,7 @@
   GHashTable *idle;
   GHashTable *conns;
   GHashTable *calls;
+  uint64_t turns;
   read_share_t read_share;
 };
 
@@ -66,6 +68,7 @@
  * @pace: limits what is read, on the monotonic clock
  * @call: the current call; NULL when idle
  * @idle_since_us: time at which it was returned to the pool, on the monotonic clock
+ * @idle_since_turn: likewise, in turns of the client
  * @connecting: not connected yet
  * @closed: must not be used again; @event is about to free it
  * @abandoned: its call was given up
@@ -88,6 +91,7 @@
   http_input_t input;
   read_pace_t pace;
   int64_t idle_since_us;
+  uint64_t idle_since_turn;
   bool connecting;
   bool closed;
   bool abandoned;
@@ -107,6 +111,7 @@
  * @id: value of X-Request-Id, "" for none; the end of a call without one is not logged
  * @started_us: on the monotonic clock
  * @due_us: likewise, of the timeout; 0 for none
+ * @heard_turn: turn of the client in which bytes of the response came last, or the call began
  * @received_bytes: of the response, with its head
  * @given_up: http_client_cut_call() ended it
  */
@@ -130,6 +135,7 @@
   char id[HTTP_CLIENT_LOGGED_ID_BYTES];
   int64_t started_us;
   int64_t due_us;
+  uint64_t heard_turn;
   uint64_t received_bytes;
   bool given_up;
 };
--- a/src/connection/http_client_pool.c
+++ b/src/connection/http_client_pool.c
@@ -234,6 +234,7 @@
   if (info->n_added == 0 || conn->closed || !conn->call)
     return;
   conn->call->received_bytes += info->n_added;
+  conn->call->heard_turn = ++conn->http_client->turns;
   if (!http_input_read_last (&conn->input, buffer, info->n_added))
     {
       if (conn->input.state == HTTP_INPUT_INVALID)
@@ -369,6 +370,7 @@
       g_hash_table_insert (http_client->idle, g_strdup (conn->key), queue);
     }
   conn->idle_since_us = g_get_monotonic_time ();
+  conn->idle_since_turn = ++http_client->turns;
   read_pace_leave (&conn->pace, &conn->http_client->read_share);
   http_client_conn_update_reading (conn);
   g_queue_push_head (queue, conn);
@@ -387,3 +389,19 @@
   while ((queue = g_hash_table_lookup (http_client->idle, key)))
     http_client_conn_close (g_queue_peek_head (queue));
 }
+
+/* The queue is ordered by last use. Closing the last connection removes it from the table. */
+void
+http_client_close_older_idle (http_client_call_t *call)
+{
+  GQueue *queue;
+
+  while (call->conn && (queue = g_hash_table_lookup (call->http_client->idle, call->conn->key)))
+    {
+      http_client_conn_t *oldest = g_queue_peek_tail (queue);
+
+      if (oldest->idle_since_turn > call->heard_turn)
+        return;
+      http_client_conn_close (oldest);
+    }
+}
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -684,6 +684,7 @@
   if (!hop_timeout_has_expired (&hop_timeout, now_us) ||
       now_us < call->move_checked_us + GATEWAY_MOVE_RETRY_US)
     return;
+  http_client_close_older_idle (call->upstream);
   move = decide_move (call, now_us);
   if (move == HOP_MOVE_NOW || move != call->move)
     log_silence (call, move, now_us);
--- a/tests/test_gateway_silence.c
+++ b/tests/test_gateway_silence.c
@@ -47,6 +47,7 @@
 #define STEP_MS 200
 #define STEPS_MAX 40
 #define LONG_SILENCE_MS 2000
+#define LOOKUPS 4
 #define REFUSALS (RETRY_PLAN_FULL_MAX + 1)
 #define FAILURES 5 /* after which an engine is kept out for ENGINE_EJECTION_MAX_US */
 
@@ -1488,10 +1489,56 @@
   end (&hand);
 }
 
+static bool
+has_two_requests (void *context)
+{
+  return ((const raw_server_t *)context)->request_count == 2;
+}
+
+static bool
+has_three_requests (void *context)
+{
+  return ((const raw_server_t *)context)->request_count == 3;
+}
+
+static bool
+has_all_requests (void *context)
+{
+  return ((const raw_server_t *)context)->request_count == LOOKUPS;
+}
+
+/* Guards against requests that go to an engine on connections that were cut off while idle. */
+static void
+test_no_request_on_connections_from_before_a_silence (void)
+{
+  gateway_rig_t *rig = start (true);
+  hand_t hand = begin (rig, &lookup);
+  raw_server_t *engine = hand.engine;
+  raw_peer_t *clients[LOOKUPS] = { hand.client };
+
+  clients[1] = gateway_rig_send (rig, 0, "POST", lookup.path, REQUEST);
+  CU_ASSERT (raw_peer_run_until (rig->base, has_two_requests, engine));
+  for (uint32_t i = 0; i < 2; i++)
+    raw_peer_send (g_ptr_array_index (engine->connections, i), OK_RESPONSE);
+  for (uint32_t i = 0; i < 2; i++)
+    CU_ASSERT (raw_peer_run_until (rig->base, has_ended, clients[i]));
+  clients[2] = gateway_rig_send (rig, 0, "POST", lookup.path, REQUEST);
+  CU_ASSERT (raw_peer_run_until (rig->base, has_three_requests, engine));
+  pass (rig, 600);
+  pass (rig, 600);
+  clients[3] = gateway_rig_send (rig, 0, "POST", lookup.path, REQUEST);
+  CU_ASSERT (raw_peer_run_until (rig->base, has_all_requests, engine));
+  CU_ASSERT_EQUAL (engine->accepted, 3);
+  for (uint32_t i = 1; i < LOOKUPS; i++)
+    raw_peer_free (clients[i]);
+  end (&hand);
+}
+
 int
 main (void)
 {
   static const CU_TestInfo tests[] = {
+    SUITE_TEST (test_no_request_on_connections_from_before_a_silence),
     SUITE_TEST (test_lookup_is_kept_without_another_engine),
     SUITE_TEST (test_stream_is_kept_without_another_engine),
     SUITE_TEST (test_lookup_is_kept_without_retry_budget),
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -703,6 +703,38 @@
   CU_ASSERT_EQUAL (fixture->server->accepted, 3);
 }
 
+static bool
+two_ended (void *context)
+{
+  return ((call_state_t *)context)->ends == 2;
+}
+
+/* Guards against requests on a connection that was cut off together with that of a silent one. */
+static void
+test_close_older_idle (void)
+{
+  g_autoptr (fixture_t) fixture = fixture_new (OK_ONLY, 1);
+  http_client_call_t *silent;
+
+  for (int i = 0; i < 2; i++)
+    http_client_start_call (fixture->http_client, &fixture->options);
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, two_ended, &fixture->state));
+  fixture->server->scripts = SILENT;
+  silent = http_client_start_call (fixture->http_client, &fixture->options);
+  raw_peer_run_ms (fixture->base, 5);
+  CU_ASSERT_EQUAL (closed_count (fixture->server), 0);
+  http_client_close_older_idle (silent);
+  CU_ASSERT_TRUE (raw_peer_run_until (fixture->base, one_closed, fixture->server));
+  fixture->server->scripts = OK_ONLY;
+  run_call (fixture);
+  CU_ASSERT_EQUAL (fixture->server->accepted, 3);
+  http_client_close_older_idle (silent);
+  run_call (fixture);
+  CU_ASSERT_EQUAL (fixture->server->accepted, 3);
+  CU_ASSERT_EQUAL (closed_count (fixture->server), 1);
+  http_client_cancel_call (silent);
+}
+
 int
 main (void)
 {
@@ -726,6 +758,7 @@
     { "pause", test_pause },
     { "response limit", test_response_limit },
     { "pool", test_pool },
+    { "older idle connections", test_close_older_idle },
     CU_TEST_INFO_NULL,
   };
 
