test-gateway_garbage: bytes from the engine that a stream goes on at

The first engine breaks off within an event, and the second puts bytes before, between and behind the events that are left: nine kinds, in chunks and until the close, 54 plays. The caller gets the sound events before the bytes and no more, and the stream is no whole one.

--- a/tests/test_gateway_garbage.c
+++ b/tests/test_gateway_garbage.c
@@ -189,6 +189,77 @@
   play_all ("/talk/", true);
 }
 
+/* Return: a response that breaks off within the event behind @events, each one a chunk */
+static GString *
+make_cut_response (framing_t framing, size_t events)
+{
+  GString *text = g_string_new (HEAD);
+
+  if (framing == CHUNKED)
+    g_string_append (text, "Transfer-Encoding: chunked\r\n");
+  for (size_t i = 0; i <= events; i++)
+    {
+      g_string_append (text, framing == CHUNKED || i == 0 ? "\r\n" : "");
+      if (framing == CHUNKED)
+        g_string_append_printf (text, "%x\r\n", (unsigned)EVENT_BYTES);
+      g_string_append_len (text, STREAM + i * EVENT_BYTES,
+                           i < events ? EVENT_BYTES : EVENT_BYTES / 2);
+    }
+  return text;
+}
+
+/* @before: events of the second engine before the garbage */
+static void
+play_in_second (fleet_t *fleet, framing_t framing, const garbage_t *bytes, size_t before)
+{
+  static const char rest[] = EVENT ("3") EVENT ("4");
+  const size_t first_events = 2;
+  g_autoptr (GString) cut = make_cut_response (framing, first_events);
+  g_autoptr (GString) bad = g_string_new (rest);
+  g_autoptr (GString) bad_response = NULL;
+  g_autoptr (GString) body = g_string_new (NULL);
+  uint32_t requests = cut_peer_request_count (fleet->peer);
+  g_autofree char *target = g_strdup_printf ("/talk/%u", fleet->plays++);
+  cut_peer_play_t then;
+  raw_peer_t *raw;
+  bool is_whole;
+  bool is_right;
+
+  g_string_insert_len (bad, (gssize)(before * EVENT_BYTES), bytes->bytes, (gssize)bytes->count);
+  bad_response = make_response (framing, bad);
+  then = (cut_peer_play_t){ .bytes = bad_response->str,
+                            .count = bad_response->len,
+                            .end = CUT_PEER_FIN };
+  cut_peer_set_play (
+      fleet->peer, &(cut_peer_play_t){
+                       .bytes = cut->str, .count = cut->len, .end = CUT_PEER_FIN, .then = &then });
+  raw = gateway_rig_fetch (fleet->rig, "POST", target, EMPTY_BODY);
+  is_whole = raw_answer_read (raw->received->str, body);
+  CU_ASSERT_EQUAL (cut_peer_request_count (fleet->peer), requests + 2);
+  is_right = !is_whole && body->len == (first_events + before) * EVENT_BYTES &&
+             g_str_has_prefix (STREAM, body->str);
+  if (!is_right)
+    printf ("\n    %s: framing %d, bytes %td behind event %zu: \"%s\"", target, (int)framing,
+            bytes - garbage, first_events + before, raw->received->str);
+  CU_ASSERT_TRUE (is_right);
+  raw_peer_free (raw);
+}
+
+/* Guards against bytes of a second engine that are trusted as the first one was sound. A response
+ * with a length is held until it is whole, and doesn't go on. */
+static void
+test_garbage_in_what_goes_on_elsewhere (void)
+{
+  g_autoptr (fleet_t) fleet = fleet_new ();
+
+  for (size_t i = 0; i < G_N_ELEMENTS (garbage); i++)
+    for (size_t before = 0; before <= 2; before++)
+      {
+        play_in_second (fleet, CHUNKED, &garbage[i], before);
+        play_in_second (fleet, UNTIL_CLOSE, &garbage[i], before);
+      }
+}
+
 /* Return: a response to a request for a stream that is none, though its body may be */
 static GString *
 make_plain_response (framing_t framing, const char *type, const char *body)
@@ -335,6 +406,7 @@
     SUITE_TEST (test_garbage_in_all_attempts_breaks_the_stream_off),
     SUITE_TEST (test_stream_with_garbage_goes_on_elsewhere),
     SUITE_TEST (test_garbage_in_a_stream_that_its_caller_resumes),
+    SUITE_TEST (test_garbage_in_what_goes_on_elsewhere),
     SUITE_TEST (test_no_stream_on_a_route_of_streams_is_no_answer),
     SUITE_TEST (test_marks_and_reconnection_times_break_nothing_off),
     CU_TEST_INFO_NULL,
