Late requests ask an engine again that has told nothing for long

Callers were refused while engines were idle: a gateway that had found all slots taken held its late requests, and with them all that came after, until they were refused as not run.

Cause: a late request gets a slot only if one is probably free. Where a gateway has sent nothing for a while, an engine's load counts as its slots, so none ever is; as it sends nothing, no response tells that slots are free.

Change: an engine at which this gateway has nothing, and of which it has had no report for four times in which a slot of its share comes free, gets a late request. All gateways together so ask for a quarter of its slots at most.

Tests: test-room, test_late_requests_ask_an_engine_again, fails before.

--- a/src/request/policy/room/room_choice.c
+++ b/src/request/policy/room/room_choice.c
@@ -203,6 +203,22 @@
          (request->target_us != 0 && view->now_us + expected_us > request->target_us);
 }
 
+/* Whether too long has passed without a report to go on expecting that all slots are taken: a
+ * gateway that sends nothing would expect it for ever. All gateways together ask an engine in this
+ * way for a part of its slots only. */
+static bool
+may_ask_again (const service_view_t *view, const engine_t *engine)
+{
+  uint64_t gateways = MAX (view->request->gateways, 1U);
+  uint64_t slots = MAX (engine_slots (engine, view->request->default_slots), 1U);
+  uint64_t share_us = view->request->slot_time_us * gateways / slots;
+
+  return engine->own_requests == 0 &&
+         view->now_us >=
+             MAX (MAX (engine->reported_us, engine->peer_report_us), engine->last_sent_us) +
+                 share_us * ROOM_CHOICE_ASK_AGAIN_SHARES;
+}
+
 /* A late response is worth little, so it only gets a slot that is probably free, unless it is late
  * because of another account. */
 static bool
@@ -212,8 +228,8 @@
 
   if (is_late (view, engine) &&
       !room_share_is_crowded_out (engine->room_share, view->request->room_account))
-    return room_share_milli (engine->room_share) >= MILLI &&
-           load_milli (view, engine) + MILLI < slots * MILLI;
+    return may_ask_again (view, engine) || (room_share_milli (engine->room_share) >= MILLI &&
+                                            load_milli (view, engine) + MILLI < slots * MILLI);
   return room_share_allows (engine->room_share, view->request->room_account,
                             view->request->room_draw);
 }
--- a/src/request/policy/room/room_choice.h
+++ b/src/request/policy/room/room_choice.h
@@ -22,6 +22,9 @@
 #define ROOM_CHOICE_REPORT_DURATIONS 6
 /* Half-life of the queue that an engine usually has, once it reports no more. */
 #define ROOM_CHOICE_QUEUE_HALF_LIFE_US (UINT64_C (150) * 1000)
+/* Times in which a slot of this gateway's share comes free, after which an engine without a report
+ * gets a late request though it may be full. */
+#define ROOM_CHOICE_ASK_AGAIN_SHARES 4
 /* Expected time at an engine of another data centre that is added, in thousandths of the usual
  * duration, as bytes between data centres are expensive. */
 #define ROOM_CHOICE_REMOTE_MILLI 100
--- a/tests/test_room.c
+++ b/tests/test_room.c
@@ -152,6 +152,29 @@
   unload (engines);
 }
 
+/* Guards against late requests that wait for ever beside idle engines, which were full when this
+ * gateway last sent there. */
+static void
+test_late_requests_ask_an_engine_again (void)
+{
+  g_autoptr (engines_t) engines = make_engines (4);
+  const GPtrArray *list = engines_of_service (engines, service ());
+  engine_choice_request_t request = make_request ();
+  engine_choice_t choice;
+
+  request.past_deadline = true;
+  for (guint i = 0; i < 4; i++)
+    report (engine_at (engines, i), START_US, SLOTS, 0);
+  CU_ASSERT_EQUAL (engine_choice_make (list, START_US, &request).action, ENGINE_CHOICE_WAIT);
+  choice = engine_choice_make (list, START_US + 4 * CLOCK_US_PER_S, &request);
+  CU_ASSERT_EQUAL_FATAL (choice.action, ENGINE_CHOICE_SEND);
+  for (guint i = 0; i < 4; i++)
+    engine_begin_request (engine_at (engines, i), START_US + 4 * CLOCK_US_PER_S);
+  CU_ASSERT_EQUAL (engine_choice_make (list, START_US + 8 * CLOCK_US_PER_S, &request).action,
+                   ENGINE_CHOICE_WAIT);
+  unload (engines);
+}
+
 /* Guards against a slow engine that gets as many requests as the others. */
 static void
 test_a_slow_engine_gets_less (void)
@@ -250,6 +273,7 @@
   static const CU_TestInfo tests[] = { SUITE_TEST (test_an_unknown_engine_is_not_empty),
                                        SUITE_TEST (test_an_old_queue_does_not_hold_requests),
                                        SUITE_TEST (test_a_gateway_sends_no_more_than_the_slots),
+                                       SUITE_TEST (test_late_requests_ask_an_engine_again),
                                        SUITE_TEST (test_a_slow_engine_gets_less),
                                        SUITE_TEST (
                                            test_the_last_slot_of_a_crowded_engine_is_avoided),
