--- a/tests/session_gateway_stop.c
+++ b/tests/session_gateway_stop.c
@@ -21,6 +21,7 @@
 #define SHORT_WORK_MS 900
 #define ARRIVALS 26 /* requests that become whole throughout the grace time */
 #define ARRIVAL_INTERVAL_MS 275
+#define ANSWERED_MIN 5 /* of the eight that fit into the grace time */
 #define HALF_REQUEST                                                                               \
   "POST /book/late HTTP/1.1\r\nHost: fleet\r\nX-Request-Id: late\r\nX-Key: key-1\r\n"              \
   "X-Deadline-Ms: 14000\r\nContent-Length: 8\r\n\r\nhalf"
@@ -218,7 +219,8 @@
   return count;
 }
 
-/* Guards against requests that are taken late in the grace time and cut at its end. */
+/* Guards against requests that are taken late in the grace time and cut at its end, and that wait
+ * beside an idle upstream. */
 static void
 test_requests_throughout_the_grace (void)
 {
@@ -248,7 +250,7 @@
                      &fleet);
   driver_wait_until (fleet.driver, DRIVER_WAIT_LIMIT_MS, "all answers", have_ended, peers);
   good = count_answers (peers, "HTTP/1.1 200 ");
-  CU_ASSERT_TRUE (good > 0);
+  CU_ASSERT_TRUE (good >= ANSWERED_MIN);
   CU_ASSERT_EQUAL (count_runs (fleet.ledger), good);
   driver_transcript_add (fleet.driver, "%u of %u requests were answered or refused",
                          good + count_answers (peers, "HTTP/1.1 503 "), ARRIVALS);
