A burst is divided between engines by what each may get

Callers got 503 though engines were idle a moment later: three gateways of 40 sent nine requests each within two milliseconds, most to one of two engines of 16 slots, which refused what was beyond them; one of 40 gateways has one or two retries for that.

Cause: each request was drawn alone, with loads that other gateways had told two to four seconds before.

Ruled out: a larger retry budget (the rule counts what engines reject).

Change: an engine at which the gateway has more of its requests than it would have on average, by its slots and speed, is left out of the draw. There is always another one, so nothing is held back by it.

Not covered: one engine of two put aside, so that 27 requests go to 16 slots.

--- a/src/request/policy/room/room_choice.c
+++ b/src/request/policy/room/room_choice.c
@@ -120,13 +120,15 @@
          (is_local (view, engine) ? 0 : ROOM_CHOICE_REMOTE_MILLI);
 }
 
-/** struct search - what an engine must meet; @limit_milli: most load it may have with the request
- */
+/** struct search - what an engine must meet; @limit_milli: most load it may have with the request;
+ * @own: requests of this gateway at the engines that meet it; @parts: sum of their parts */
 typedef struct
 {
   const service_view_t *view;
   uint64_t limit_milli;
   bool uses_failing;
+  uint64_t own;
+  uint64_t parts;
 } search_t;
 
 static bool
@@ -147,6 +149,47 @@
   return meets (search, engine) ? room_engine_attraction (&engine->room, usual_milli, slots) : 0;
 }
 
+/* Return: relative number of requests at the engine when engines are drawn by their attraction */
+static uint64_t
+part_of (const search_t *search, const engine_t *engine)
+{
+  uint32_t slots = engine_slots (engine, search->view->request->default_slots);
+  uint64_t usual_milli = usual_others_milli (search->view, engine);
+
+  return attraction_of (search, engine) *
+         room_engine_expect_milli (&engine->room, usual_milli, slots);
+}
+
+static void
+count_own (search_t *search)
+{
+  search->own = 0;
+  search->parts = 0;
+  for (guint i = 0; i < search->view->engines->len; i++)
+    {
+      const engine_t *engine = service_view_engine (search->view, i);
+
+      if (!meets (search, engine))
+        continue;
+      search->own += engine->own_requests;
+      search->parts += part_of (search, engine);
+    }
+}
+
+/* Reports are older than a burst: if each request were drawn alone, one engine could get most of
+ * it, and refuse requests while the others have free slots. */
+static bool
+has_more_than_its_part (const search_t *search, const engine_t *engine)
+{
+  return engine->own_requests * search->parts > search->own * part_of (search, engine);
+}
+
+static uint64_t
+chance_of (const search_t *search, const engine_t *engine)
+{
+  return has_more_than_its_part (search, engine) ? 0 : attraction_of (search, engine);
+}
+
 static engine_t *
 draw_engine (const search_t *search)
 {
@@ -156,27 +199,31 @@
   uint64_t left;
 
   for (guint i = 0; i < view->engines->len; i++)
-    sum += attraction_of (search, service_view_engine (view, i));
+    sum += chance_of (search, service_view_engine (view, i));
   if (sum == 0)
     return NULL;
   left = XXH64 (seed, sizeof seed, 0) % sum;
   for (guint i = 0; i < view->engines->len; i++)
     {
       engine_t *engine = service_view_engine (view, i);
-      uint64_t attraction = attraction_of (search, engine);
+      uint64_t chance = chance_of (search, engine);
 
-      if (left < attraction)
+      if (left < chance)
         return engine;
-      left -= attraction;
+      left -= chance;
     }
   g_assert_not_reached ();
 }
 
 static engine_t *
-find_engine (const search_t *search)
+find_engine (search_t *search)
 {
-  engine_t *best = draw_engine (search);
-  uint64_t best_milli = best ? expected_milli (search->view, best) : 0;
+  engine_t *best;
+  uint64_t best_milli;
+
+  count_own (search);
+  best = draw_engine (search);
+  best_milli = best ? expected_milli (search->view, best) : 0;
 
   for (guint i = 0; best && i < search->view->engines->len; i++)
     {
--- a/tests/test_room.c
+++ b/tests/test_room.c
@@ -175,6 +175,27 @@
   unload (engines);
 }
 
+/* Guards against a burst that one engine refuses in part, as most of it was drawn for that one. */
+static void
+test_a_burst_is_divided_by_slots (void)
+{
+  for (uint32_t burst = 0; burst < 100; burst++)
+    {
+      g_autoptr (engines_t) engines = make_engines (3);
+      const GPtrArray *list = engines_of_service (engines, service ());
+      engine_choice_request_t request = make_request ();
+
+      for (uint32_t i = 0; i < 9; i++)
+        {
+          request.room_draw = burst * 9 + i;
+          engine_begin_request (engine_choice_make (list, START_US, &request).engine, START_US);
+        }
+      for (guint i = 0; i < 3; i++)
+        CU_ASSERT_EQUAL (engine_at (engines, i)->own_requests, 3);
+      unload (engines);
+    }
+}
+
 /* Guards against a slow engine that gets as many requests as the others. */
 static void
 test_a_slow_engine_gets_less (void)
@@ -274,6 +295,7 @@
                                        SUITE_TEST (test_an_old_queue_does_not_hold_requests),
                                        SUITE_TEST (test_a_gateway_sends_no_more_than_the_slots),
                                        SUITE_TEST (test_late_requests_ask_an_engine_again),
+                                       SUITE_TEST (test_a_burst_is_divided_by_slots),
                                        SUITE_TEST (test_a_slow_engine_gets_less),
                                        SUITE_TEST (
                                            test_the_last_slot_of_a_crowded_engine_is_avoided),
