A gateway that hears nothing of the tables of shares goes by them no longer

Callers saw a stream that had begun at one software version go on at another one, at a gateway whose routing rules and engines were current while nothing came of the streams of tables and lists.

Cause: whether known tables count was decided by rules and engines alone. Where the store did not answer a read of the lists within 100 ms, the resumption went by the tables that the gateway knew, however old.

Change: while that read has no answer, known tables count only for as long as a table is announced (3 s) after they were last known to be all, by the store or by a peer that has read equally far. Each table in force at that time was announced while they were. In an outage the time that is compared with that of the peers is that of the tables too.

Tried and dropped: a history written by hand in the test. Its gateways announced tables of their own beside it, and the stream was refused for these on the old code too.

--- a/src/process/gateway_process.c
+++ b/src/process/gateway_process.c
@@ -317,7 +317,8 @@
       &process->shares_trust,
       &(shares_trust_view_t){ .is_current = gateway_store_is_current (store),
                               .hears_most = gateway_store_hears_most (store),
-                              .current_as_of_us = gateway_store_current_as_of_us (store),
+                              .current_as_of_us = MIN (gateway_store_current_as_of_us (store),
+                                                       gateway_store_routers_as_of_us (store)),
                               .peers_current_us = gateway_store_peers_current_us (store),
                               .current_us = GATEWAY_STORE_CURRENT_MS * CLOCK_US_PER_MS },
       now_us (process));
--- a/src/process/gateway_shares.c
+++ b/src/process/gateway_shares.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "connection/stream_follower.h"
 #include "request/policy/engines/software_versions.h"
+#include "request/policy/streams/shares_trust.h"
 #include "request/policy/streams/stream_lists.h"
 #include "request/policy/streams/version_shares.h"
 #include "version/keyed_view.h"
@@ -914,6 +915,16 @@
   return latest;
 }
 
+static bool
+knows_tables (const gateway_shares_t *shares)
+{
+  uint64_t as_of_us = MAX (gateway_store_routers_as_of_us (shares->options.store),
+                           stream_follower_current_as_of_us (shares->follower));
+
+  return !gateway_store_is_current (shares->options.store) ||
+         shares_trust_knows_tables (as_of_us, now_us (shares));
+}
+
 static const service_shares_t *
 find_or_load_service (gateway_shares_t *shares, const char *name)
 {
@@ -945,6 +956,8 @@
                                .needs_lists = true,
                                .is_reading = now_us (shares) < since_us + STORE_WAIT_US,
                                .basis = "reading" };
+  if (!is_read && service && !knows_tables (shares))
+    return (version_search_t){ .has_table = true, .needs_lists = true, .basis = "tables_not_read" };
   if (service)
     history = get_latest_history (service);
   if (history.era < shares->era)
--- a/src/process/gateway_store.c
+++ b/src/process/gateway_store.c
@@ -219,6 +219,12 @@
   return MIN (stream_current_us (store, STREAM_ROUTING), stream_current_us (store, STREAM_ENGINES));
 }
 
+uint64_t
+gateway_store_routers_as_of_us (const gateway_store_t *store)
+{
+  return stream_current_us (store, STREAM_ROUTERS);
+}
+
 uint64_t
 gateway_store_peers_current_us (const gateway_store_t *store)
 {
--- a/src/process/gateway_store.h
+++ b/src/process/gateway_store.h
@@ -136,6 +136,9 @@
 bool gateway_store_is_current (const gateway_store_t *store);
 /** gateway_store_current_as_of_us() - time up to which they are current; 0 for never */
 uint64_t gateway_store_current_as_of_us (const gateway_store_t *store);
+/** gateway_store_routers_as_of_us() - likewise the gateway registry, which has the tables of shares
+ */
+uint64_t gateway_store_routers_as_of_us (const gateway_store_t *store);
 /** gateway_store_peers_current_us() - the latest time up to which a peer's are, as far as told */
 uint64_t gateway_store_peers_current_us (const gateway_store_t *store);
 /** gateway_store_count_running() - number of gateways that may be running, including this one */
--- a/src/request/policy/streams/shares_trust.c
+++ b/src/request/policy/streams/shares_trust.c
@@ -11,6 +11,12 @@
                                             view->current_as_of_us + VERSION_SHARES_ANNOUNCED_US;
 }
 
+bool
+shares_trust_knows_tables (uint64_t tables_as_of_us, uint64_t now_us)
+{
+  return tables_as_of_us != 0 && now_us < tables_as_of_us + VERSION_SHARES_ANNOUNCED_US;
+}
+
 bool
 shares_trust_decide (shares_trust_t *trust, const shares_trust_view_t *view, uint64_t now_us)
 {
--- a/src/request/policy/streams/shares_trust.h
+++ b/src/request/policy/streams/shares_trust.h
@@ -26,7 +26,7 @@
  * struct shares_trust_view - what the gateway knows
  * @is_current: its registries are current
  * @hears_most: most of the other gateways are heard
- * @current_as_of_us: time up to which its registries are current, 0 for never
+ * @current_as_of_us: time up to which its registries and tables are current, 0 for never
  * @peers_current_us: latest time up to which a peer's are, as far as told
  * @current_us: for how long a gateway counts as current
  */
@@ -42,5 +42,9 @@
 /** shares_trust_decide() - whether the known tables may be used now; called regularly, as it
  * remembers an outage for a while */
 bool shares_trust_decide (shares_trust_t *trust, const shares_trust_view_t *view, uint64_t now_us);
+/** shares_trust_knows_tables() - whether a gateway that is current knows all tables in force: its
+ * registries may be current while nothing is heard of the tables. @tables_as_of_us: time up to
+ * which it knows them, 0 for never */
+bool shares_trust_knows_tables (uint64_t tables_as_of_us, uint64_t now_us);
 
 #endif
--- a/tests/test_shares_lag.c
+++ b/tests/test_shares_lag.c
@@ -42,6 +42,11 @@
                 uint32_t wait_ms,
                 platform_read_done_t done,
                 void *context);
+  void (*newest) (platform_t *platform,
+                  const char *stream,
+                  const char *after,
+                  platform_newest_done_t done,
+                  void *context);
 } store_link_t;
 
 /** struct linked_read - a read that waits; there may be several, as an abandoned one waits on */
@@ -53,6 +58,7 @@
 } linked_read_t;
 
 static store_link_t links[2];
+static bool links_have_lists; /* they apply to the stream of lists too */
 static platform_t *linked[2];
 static GPtrArray *reads; /* of linked_read_t */
 
@@ -82,6 +88,8 @@
   store_link_t *link = platform == linked[0] ? &links[0] : &links[1];
   linked_read_t *linked_read;
 
+  if (strcmp (stream, PLATFORM_STREAM_LISTS) == 0 && links_have_lists && link->state == LINK_HANGS)
+    return;
   if (strcmp (stream, PLATFORM_STREAM_ROUTERS) != 0)
     {
       link->read (platform, stream, from_offset, max_records, wait_ms, done, context);
@@ -95,16 +103,34 @@
               on_read, linked_read);
 }
 
+static void
+list_by_link (platform_t *platform,
+              const char *stream,
+              const char *after,
+              platform_newest_done_t done,
+              void *context)
+{
+  store_link_t *link = platform == linked[0] ? &links[0] : &links[1];
+  bool hangs =
+      strcmp (stream, PLATFORM_STREAM_LISTS) == 0 && links_have_lists && link->state == LINK_HANGS;
+
+  if (!hangs)
+    link->newest (platform, stream, after, done, context);
+}
+
 static void
 add_links (gateway_rig_t *rig)
 {
   g_clear_pointer (&reads, g_ptr_array_unref);
   reads = g_ptr_array_new_with_free_func (g_free);
+  links_have_lists = false;
   for (uint32_t i = 0; i < G_N_ELEMENTS (links); i++)
     {
       linked[i] = &rig->gateways[i].front->platform;
-      links[i] = (store_link_t){ .state = LINK_UP, .read = linked[i]->read };
+      links[i] =
+          (store_link_t){ .state = LINK_UP, .read = linked[i]->read, .newest = linked[i]->newest };
       linked[i]->read = read_by_link;
+      linked[i]->newest = list_by_link;
     }
 }
 
@@ -391,6 +417,54 @@
     }
 }
 
+static bool
+is_second_in_force (void *context)
+{
+  const gateway_rig_t *rig = context;
+  const char *text = fake_store_value (rig->store, PLATFORM_STREAM_ROUTERS, SHARES_KEY);
+  version_history_t history;
+
+  return version_history_parse (text, strlen (text), &history) && history.in_force >= 2;
+}
+
+/* Guards against a stream that goes on at another version at a gateway that hears nothing of tables
+ * and lists, while its routing rules and engines are current. */
+static void
+test_tables_and_lists_that_are_silent (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (2);
+  history_wait_t wait = { .rig = rig, .count = 1 };
+  raw_peer_t *raws[2][CONTROL_CONNECTIONS];
+
+  add_links (rig);
+  add_engine (rig, "v1");
+  CU_ASSERT_FATAL (raw_peer_run_until (rig->base, has_history, &wait));
+  wait_read (rig, 0);
+  wait_read (rig, 1);
+  fetch (rig, 1, "Content-Length: 0\r\nLast-Event-Id: 1\r\nResumes: other\r\n");
+  CU_ASSERT_EQUAL_FATAL (rig->engines[0]->request_count, 1);
+  fill_control (rig, 0, raws[0]); /* no copy of the tables comes from it */
+  links[1].state = LINK_HANGS;
+  links_have_lists = true;
+  add_engine_with (rig, "v2", MANY_SLOTS, stream_script);
+  CU_ASSERT_FATAL (raw_peer_run_until (rig->base, second_knows_engines, rig));
+  wait.count = 2;
+  CU_ASSERT_FATAL (raw_peer_run_until (rig->base, has_history, &wait));
+  CU_ASSERT_FATAL (raw_peer_run_until (rig->base, is_second_in_force, rig));
+  wait_read (rig, 0);
+  fetch (rig, 0, "Content-Length: 0\r\n");
+  CU_ASSERT_EQUAL_FATAL (rig->engines[1]->request_count, 1);
+  gateway_rig_restart (rig, 0);
+  fill_control (rig, 0, raws[1]);
+  fetch (rig, 1, "Content-Length: 0\r\nLast-Event-Id: 1\r\nResumes: r1\r\n");
+  CU_ASSERT_EQUAL (rig->engines[0]->request_count, 1);
+  for (uint32_t i = 0; i < CONTROL_CONNECTIONS; i++)
+    {
+      raw_peer_free (raws[0][i]);
+      raw_peer_free (raws[1][i]);
+    }
+}
+
 /* Guards against a stream that goes on at another version as its client comes again after a longer
  * time than it had stated for its first attempt, since it was told to wait. */
 static void
@@ -637,6 +711,7 @@
     SUITE_TEST (test_read_of_the_tables_that_hangs),
     SUITE_TEST (test_table_in_force_that_was_not_announced),
     SUITE_TEST (test_gateway_that_is_behind_its_peers),
+    SUITE_TEST (test_tables_and_lists_that_are_silent),
     SUITE_TEST (test_client_that_comes_again_after_its_first_deadline),
     SUITE_TEST (test_table_stays_as_long_as_streams_may_be_resumed),
     SUITE_TEST (test_stream_whose_end_did_not_reach_its_client),
--- a/tests/test_shares_trust.c
+++ b/tests/test_shares_trust.c
@@ -85,13 +85,26 @@
   CU_ASSERT_FALSE (shares_trust_decide (&trust, &view, LOST_US));
 }
 
+/* Guards against trust in tables of which nothing is heard while the registries are current. */
+static void
+test_tables_that_are_silent (void)
+{
+  CU_ASSERT_FALSE (shares_trust_knows_tables (0, SECOND_US));
+  CU_ASSERT_TRUE (shares_trust_knows_tables (LOST_US, LOST_US + VERSION_SHARES_ANNOUNCED_US - 1));
+  CU_ASSERT_FALSE (shares_trust_knows_tables (LOST_US, LOST_US + VERSION_SHARES_ANNOUNCED_US));
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
-    SUITE_TEST (test_store_is_out_for_all), SUITE_TEST (test_peer_has_later_answers),
-    SUITE_TEST (test_few_peers_are_heard),  SUITE_TEST (test_trust_ends_when_a_peer_tells),
-    SUITE_TEST (test_never_current),        CU_TEST_INFO_NULL,
+    SUITE_TEST (test_store_is_out_for_all),
+    SUITE_TEST (test_peer_has_later_answers),
+    SUITE_TEST (test_few_peers_are_heard),
+    SUITE_TEST (test_trust_ends_when_a_peer_tells),
+    SUITE_TEST (test_never_current),
+    SUITE_TEST (test_tables_that_are_silent),
+    CU_TEST_INFO_NULL,
   };
 
   return suite_run ("shares_trust", tests);
