session-versions: a gateway stands still, cut off, while two versions join

Open in the incident of gateways out of step: real processes that are stopped and cut off at once, several changes of tables in that time, and a gateway that alone reaches the store. A gateway is stopped and its store silent while v2 and then v3 join and begin streams at the others; as it goes on, with callers that resume streams of all versions there, the others are stopped, and the store stays silent or answers it alone. Each resumption is to be answered, no stream to change versions, and half of them to go on once all are back.

No fault was found: these two tests pass on the code before too, as no change comes with them.

The gateways of the other tests are started as before; only the last one of the two new tests reaches the store through a proxy.

--- a/tests/session_versions.c
+++ b/tests/session_versions.c
@@ -10,11 +10,13 @@
 
 #include <CUnit/Basic.h>
 #include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define GATEWAYS 3
 #define VERSIONS 2
+#define VERSIONS_MAX 3 /* the last one joins in one test */
 #define UPSTREAMS_PER_VERSION 2
 #define UPSTREAMS (VERSIONS * UPSTREAMS_PER_VERSION)
 #define STREAMS 12
@@ -50,17 +52,21 @@
 /**
  * struct fleet - The processes of the session.
  * @upstreams: By version.
+ * @proxy: Between the last gateway and the store, or NULL.
+ * @uses_proxy: There is to be one.
  */
 typedef struct
 {
   driver_t *driver;
   driver_process_t *gateways[GATEWAYS];
-  driver_process_t *upstreams[VERSIONS][UPSTREAMS_PER_VERSION];
+  driver_process_t *upstreams[VERSIONS_MAX][UPSTREAMS_PER_VERSION];
   stream_t streams[STREAMS];
   uint32_t next_id;
+  driver_proxy_t *proxy;
+  bool uses_proxy;
 } fleet_t;
 
-static const char *const versions[VERSIONS] = { "v1", "v2" };
+static const char *const versions[VERSIONS_MAX] = { "v1", "v2", "v3" };
 
 static const char config[] =
     "{\"version\":1,\"routes\":[{\"name\":\"talk\",\"host\":\"fleet\",\"path_prefix\":\"/talk/\","
@@ -115,6 +121,19 @@
     }
 }
 
+static driver_process_t *
+start_gateway (fleet_t *fleet, uint32_t index)
+{
+  const char *platform = fleet->driver->platform->ip;
+  bool uses_proxy = fleet->uses_proxy && index == GATEWAYS - 1;
+  g_autofree char *name = g_strdup_printf ("gateway%u", index);
+
+  if (uses_proxy)
+    fleet->proxy = driver_proxy_new (fleet->driver, platform);
+  return driver_start_gateway_through (
+      fleet->driver, name, uses_proxy ? driver_proxy_ip (fleet->proxy) : platform, 250, 7000);
+}
+
 /* Starts the gateways; those of the second version start if @both. */
 static void
 start_fleet (fleet_t *fleet, bool both)
@@ -125,11 +144,7 @@
   if (both)
     start_version (fleet, 1);
   for (uint32_t i = 0; i < GATEWAYS; i++)
-    {
-      g_autofree char *name = g_strdup_printf ("gateway%u", i);
-
-      fleet->gateways[i] = driver_start_gateway (fleet->driver, name, 250, 7000);
-    }
+    fleet->gateways[i] = start_gateway (fleet, i);
   wait_engines (fleet, both ? UPSTREAMS : UPSTREAMS_PER_VERSION);
 }
 
@@ -516,6 +531,112 @@
   finish (&fleet);
 }
 
+static void
+signal_others (const fleet_t *fleet, int number)
+{
+  for (uint32_t i = 0; i < GATEWAYS - 1; i++)
+    driver_process_signal (fleet->gateways[i], number);
+}
+
+/** struct join - Waits until streams of the other gateways begin at a version. */
+typedef struct
+{
+  fleet_t *fleet;
+  const char *version;
+} join_t;
+
+static bool
+has_joined (void *context)
+{
+  const join_t *join = context;
+
+  begin_streams (join->fleet, GATEWAYS - 1);
+  end_streams (join->fleet);
+  return count_of_version (join->fleet, join->version) > 0;
+}
+
+static bool
+go_on_at_last (void *context)
+{
+  fleet_t *fleet = context;
+
+  for (uint32_t i = 0; i < STREAMS; i++)
+    if (!is_complete (&fleet->streams[i]))
+      resume_stream (fleet, &fleet->streams[i], GATEWAYS - 1);
+  end_streams (fleet);
+  return count_mixed (fleet) > 0 || count_complete (fleet, NULL) >= RESUMED_MIN;
+}
+
+/* Each resumption is answered: refused, or it goes on. */
+static void
+check_answers (const fleet_t *fleet)
+{
+  uint32_t refused = 0;
+  uint32_t gone_on = 0;
+
+  for (uint32_t i = 0; i < STREAMS; i++)
+    {
+      refused += fleet->streams[i].call->status == 503 ? 1 : 0;
+      gone_on += fleet->streams[i].call->status == 200 ? 1 : 0;
+    }
+  printf ("\n  of v1 %u, v2 %u, v3 %u; refused %u, gone on %u\n", count_of_version (fleet, "v1"),
+          count_of_version (fleet, "v2"), count_of_version (fleet, "v3"), refused, gone_on);
+  CU_ASSERT_EQUAL (refused + gone_on, STREAMS);
+  CU_ASSERT_EQUAL (count_mixed (fleet), 0);
+}
+
+/* The last gateway stands still, cut off from the store, while two versions join one after the
+ * other. As it goes on, callers resume streams there that began at the others, which are silent. */
+static void
+check_cut_off (driver_proxy_mode_t store)
+{
+  fleet_t fleet = { .driver = driver_new ("versions"), .uses_proxy = true };
+  driver_process_t *last;
+
+  start_fleet (&fleet, false);
+  last = fleet.gateways[GATEWAYS - 1];
+  driver_process_signal (last, SIGSTOP);
+  driver_proxy_set_mode (fleet.proxy, DRIVER_PROXY_HOLD_RESPONSE, NULL, 0);
+  for (uint32_t i = 1; i < VERSIONS_MAX; i++)
+    {
+      join_t join = { &fleet, versions[i] };
+
+      start_version (&fleet, i);
+      driver_wait_until (fleet.driver, DRIVER_WAIT_LIMIT_MS, "streams at a version that joins",
+                         has_joined, &join);
+    }
+  begin_streams (&fleet, GATEWAYS - 1);
+  CU_ASSERT (count_of_version (&fleet, "v1") < STREAMS);
+  signal_others (&fleet, SIGSTOP);
+  driver_proxy_set_mode (fleet.proxy, store, NULL, 0);
+  for (uint32_t i = 0; i < STREAMS; i++)
+    resume_stream (&fleet, &fleet.streams[i], GATEWAYS - 1);
+  driver_process_signal (last, SIGCONT);
+  end_streams (&fleet);
+  check_answers (&fleet);
+  signal_others (&fleet, SIGCONT);
+  driver_proxy_set_mode (fleet.proxy, DRIVER_PROXY_PASS, NULL, 0);
+  driver_wait_until (fleet.driver, DRIVER_WAIT_LIMIT_MS, "streams that go on", go_on_at_last,
+                     &fleet);
+  CU_ASSERT_EQUAL (count_broken (&fleet), 0);
+  finish (&fleet);
+}
+
+/* Guards against streams that go on at the only version that a gateway knew before it was cut off.
+ */
+static void
+test_gateway_cut_off (void)
+{
+  check_cut_off (DRIVER_PROXY_HOLD_RESPONSE);
+}
+
+/* Guards against streams that change versions at a gateway that alone reaches the store. */
+static void
+test_gateway_alone (void)
+{
+  check_cut_off (DRIVER_PROXY_PASS);
+}
+
 int
 main (void)
 {
@@ -527,7 +648,11 @@
     { "gateways are restarted in turn", test_restarted_in_turn },
     { "all gateways are restarted at once", test_restarted_at_once },
     { "a second version appears beside streams", test_version_appears },
-    { "callers resume at a gateway that stood still", test_paused_gateway }
+    { "callers resume at a gateway that stood still", test_paused_gateway },
+    { "callers resume at a gateway that stood still and is cut off as versions join",
+      test_gateway_cut_off },
+    { "callers resume at a gateway that stood still and alone reaches the store as versions join",
+      test_gateway_alone }
   };
 
   return driver_main ("versions", tests, G_N_ELEMENTS (tests));
