test-endless_input: garbage without end behind a sound request

Not tested so far: a caller that sends a sound request and then bytes without end that are no request, on the same connection. Six forms (request line, empty lines, control characters, header, headers, chunks), each beside another caller, whose request has to be answered; the bounds on memory, processor time and rounds are those of the other tests of this file.

No fault was found, so no change comes with it and it passes on the code before. Gateways, routers and sidecars use this listener. Not run under sanitizers, nor with routers and sidecars as processes. Tried: a first form that counted memory only after the other caller had its answer, which missed the peak.

--- a/tests/test_endless_input.c
+++ b/tests/test_endless_input.c
@@ -20,6 +20,7 @@
 #define ROUND_BYTES 1024
 #define ROUNDS_PER_S 1000
 #define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define SOUND_REQUEST "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 #define CHUNKED_REQUEST "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 /* What a thread has used while it ran an event loop */
@@ -454,6 +455,44 @@
   flood_server (&slow, 300);
 }
 
+static bool
+is_served (void *context)
+{
+  return strstr (((const raw_peer_t *)context)->received->str, "200 OK") != NULL;
+}
+
+/* A caller floods behind a sound request, which is answered, as is another caller meanwhile */
+static void
+test_garbage_behind_a_request (void)
+{
+  static const flood_t requests[] = {
+    { "behind a request: request line", SOUND_REQUEST, "x", 0 },
+    { "behind a request: empty lines", SOUND_REQUEST, "\r\n", 0 },
+    { "behind a request: control characters", SOUND_REQUEST, "\1\1", 0 },
+    { "behind a request: header", SOUND_REQUEST "GET / HTTP/1.1\r\nX: ", "x", 0 },
+    { "behind a request: headers", SOUND_REQUEST "GET / HTTP/1.1\r\n", "X: y\r\n", 0 },
+    { "behind a request: chunks", SOUND_REQUEST CHUNKED_REQUEST, "1\r\nx\r\n", 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (requests); i++)
+    {
+      g_autoptr (server_fixture_t) fixture = server_fixture_new_with_timeouts (10000, 4000);
+      struct event *tick = tick_new (fixture->base);
+      flood_peer_t *peer = flood_peer_connect (&requests[i], &fixture->address);
+      usage_t usage = usage_begin ();
+      raw_peer_t *other;
+
+      fixture->reply_at_once = true;
+      other = server_fixture_connect (fixture, SOUND_REQUEST);
+      run_until (fixture->base, is_served, other, &usage);
+      run_until (fixture->base, is_over, peer, &usage);
+      check_usage (requests[i].name, &usage);
+      CU_ASSERT_EQUAL (fixture->calls, 2);
+      flood_peer_free (peer);
+      event_free (tick);
+    }
+}
+
 /* How the bytes are divided into reads changes nothing, and sound messages pass */
 static void
 test_input_by_bytes (void)
@@ -501,6 +540,7 @@
     { "slow answer", test_slow_answer },
     { "endless store", test_endless_store },
     { "endless requests", test_endless_requests },
+    { "garbage behind a request", test_garbage_behind_a_request },
     CU_TEST_INFO_NULL,
   };
 
