An engine that had ended before a request came is no second crash of a part

Cause: a gateway hears of the breaks one engine after the other and sends what it has lost to the next one, which has ended as well. That connection breaks within milliseconds, and as it was sent after the first break, the rule of common causes took it for a crash of its own. Trace: first loss of the shared part ran_ms=3298, the second 1 ms later with sent_ms_ago=1 ran_ms=0.

Change: a loss within 20 ms of its send, with nothing answered, is told as of a request that was there 50 ms before the break.

--- a/src/request/gateway/gateway_suspect.c
+++ b/src/request/gateway/gateway_suspect.c
@@ -340,7 +340,7 @@
 static uint64_t
 compute_run_us (const gateway_call_t *call, uint64_t now_us)
 {
-  return call->has_head ? now_us - call->head_us : 0;
+  return call->has_head ? MAX (now_us - call->head_us, 1) : 0;
 }
 
 static const char *
--- a/src/request/policy/suspects/crash_record.c
+++ b/src/request/policy/suspects/crash_record.c
@@ -263,13 +263,24 @@
   last->together++;
 }
 
+/* An engine that broke off at once and answered nothing may have ended before the request came,
+ * together with others. Return: the time from which the request may have been there */
+static uint64_t
+compute_sent_us (uint64_t now_us, const crash_record_loss_t *loss)
+{
+  bool is_reached = loss->ran_us > 0 || now_us >= loss->sent_us + CRASH_RECORD_REACH_US;
+
+  return is_reached ? loss->sent_us
+                    : MIN (loss->sent_us, now_us - MIN (CRASH_RECORD_MOMENT_US, now_us));
+}
+
 crash_record_outcome_t
 crash_record_add_loss (crash_record_t *record, uint64_t now_us, const crash_record_loss_t *loss)
 {
   crash_record_engine_t engine =
       record->options.get_engine (loss->engine_hash, record->options.context);
   crash_t crash = { .engine_hash = loss->engine_hash,
-                    .sent_us = loss->sent_us,
+                    .sent_us = compute_sent_us (now_us, loss),
                     .request = loss->kind == CRASH_SUBJECT_PART ? (uint32_t)loss->request : 0,
                     .lost_us = now_us,
                     .service_hash = loss->service_hash };
--- a/src/request/policy/suspects/crash_record.h
+++ b/src/request/policy/suspects/crash_record.h
@@ -27,6 +27,10 @@
 /* Engines that break off within this time of each other may have a common cause, unless the request
  * was sent to the second one after the first had broken off. */
 #define CRASH_RECORD_COMMON_CAUSE_US (UINT64_C (500) * 1000)
+/* An engine that breaks off within this time of a request, and has not answered it, may have ended
+ * before the request came, up to CRASH_RECORD_MOMENT_US before it broke off. */
+#define CRASH_RECORD_REACH_US (UINT64_C (20) * 1000)
+#define CRASH_RECORD_MOMENT_US (UINT64_C (50) * 1000)
 /* The registry drops an engine that ended within this time, while the store can be read. */
 #define CRASH_RECORD_PROOF_US (UINT64_C (10) * 1000 * 1000)
 /* A request that was served within this time is not blamed: many callers may send it alike, so it
--- a/src/request/policy/suspects/crash_record_private.h
+++ b/src/request/policy/suspects/crash_record_private.h
@@ -16,7 +16,8 @@
 
 /**
  * struct crash - an engine that ended under a request
- * @sent_us: when the request was sent to it; 0 when unknown
+ * @sent_us: when the request was sent to it; 0 when unknown. Earlier if the engine may have ended
+ *   before it came
  * @request: of a part, low half of the fingerprint of that request; 0 when unknown
  * @certain: the registry shows it
  * @service_hash: service of the engine, 0 when unknown
