Load gauge: one wrong report no longer keeps a service full for hundreds

Callers would wait or hear 503 beside idle engines after one response whose X-Engine-Load holds counts without measure.

Change: a report counts as at most four times the slots of its engine.

Tests: test-overload, test_one_report_does_not_outweigh_all_others, fails without the change (1 of 34 asserts), passes with it.

--- a/src/request/policy/load/load_gauge.c
+++ b/src/request/policy/load/load_gauge.c
@@ -24,7 +24,7 @@
 
   if (slots == 0)
     return;
-  sample_milli = (uint64_t)requests * MILLI / slots;
+  sample_milli = MIN ((uint64_t)requests * MILLI / slots, LOAD_GAUGE_REPORT_MAX_MILLI);
   if (!has_report (gauge, now_us))
     *gauge = (load_gauge_t){ .utilization_milli = sample_milli, .own_milli = own * MILLI };
   gauge->utilization_milli = smooth (gauge->utilization_milli, sample_milli);
--- a/src/request/policy/load/load_gauge.h
+++ b/src/request/policy/load/load_gauge.h
@@ -20,6 +20,8 @@
 #include <stdint.h>
 
 #define LOAD_GAUGE_SMOOTHING 12 /* reports over which the utilization is smoothed */
+/* More in a report counts as this, as one that is wrong would outweigh hundreds of others. */
+#define LOAD_GAUGE_REPORT_MAX_MILLI 4000
 /* Age at which the utilization is unknown: streams of one to two seconds have ended since. */
 #define LOAD_GAUGE_AGE_MAX_US (UINT64_C (1000) * 1000)
 
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -71,6 +71,19 @@
   CU_ASSERT (!load_gauge_is_surge (&few, NOW_US, 1));
 }
 
+/* Guards against a service that counts as full for hundreds of reports after one that is wrong. */
+static void
+test_one_report_does_not_outweigh_all_others (void)
+{
+  load_gauge_t gauge = { 0 };
+
+  add_reports (&gauge, 50, SLOTS / 4, 10);
+  add_reports (&gauge, 1, UINT32_MAX - 1, 10);
+  CU_ASSERT (load_gauge_utilization_milli (&gauge, NOW_US) < 1000);
+  add_reports (&gauge, 50, 3 * SLOTS, 10);
+  CU_ASSERT (load_gauge_utilization_milli (&gauge, NOW_US) > 2900);
+}
+
 static void
 test_old_reports_are_ignored (void)
 {
@@ -163,6 +176,7 @@
                                        SUITE_TEST (test_shorter_time_replaces_the_longest),
                                        SUITE_TEST (test_own_growth_shows_a_surge_before_reports_do),
                                        SUITE_TEST (test_full_engines_and_few_requests_are_no_surge),
+                                       SUITE_TEST (test_one_report_does_not_outweigh_all_others),
                                        SUITE_TEST (test_old_reports_are_ignored),
                                        SUITE_TEST (test_lower_priority_yields_while_it_is_ahead),
                                        SUITE_TEST (test_lower_priority_is_not_left_far_behind),
