Streams: events of a dropped response no longer make an empty one whole

A caller got an empty stream that ended as complete: an engine sent an event and then garbage in a short response with a length, of which nothing had been passed on; the next engine closed a response without a length before its first event.

Cause: such a response counts as broken off only while the stream has had no event, and event_splitter_restart() kept the number of those that were dropped. It is set back now.

Test: test-gateway_garbage, test_dropped_events_make_no_stream_whole: 200 and an empty body in chunks before (1 of 873 asserts), 502 since.

--- a/src/request/event_splitter.c
+++ b/src/request/event_splitter.c
@@ -221,4 +221,5 @@
 {
   event_splitter_resume (splitter);
   splitter->last_id = splitter->start_id;
+  splitter->event_count = 0;
 }
--- a/tests/test_gateway_garbage.c
+++ b/tests/test_gateway_garbage.c
@@ -260,6 +260,30 @@
       }
 }
 
+/* Guards against an empty stream that counts as whole, as events of a dropped one were counted. */
+static void
+test_dropped_events_make_no_stream_whole (void)
+{
+  g_autoptr (GString) bad = g_string_new (EVENT ("1") "junk\n\n");
+  g_autoptr (GString) empty = g_string_new (NULL);
+  g_autoptr (GString) bad_response = make_response (LENGTH, bad);
+  g_autoptr (GString) empty_response = make_response (UNTIL_CLOSE, empty);
+  g_autoptr (fleet_t) fleet = fleet_new ();
+  cut_peer_play_t then = { .bytes = empty_response->str,
+                           .count = empty_response->len,
+                           .end = CUT_PEER_FIN };
+  raw_peer_t *raw;
+
+  cut_peer_set_play (fleet->peer, &(cut_peer_play_t){ .bytes = bad_response->str,
+                                                      .count = bad_response->len,
+                                                      .end = CUT_PEER_FIN,
+                                                      .then = &then });
+  raw = gateway_rig_fetch (fleet->rig, "POST", "/talk/", EMPTY_BODY);
+  CU_ASSERT_EQUAL (cut_peer_request_count (fleet->peer), 2);
+  CU_ASSERT (g_str_has_prefix (raw->received->str, "HTTP/1.1 502 "));
+  raw_peer_free (raw);
+}
+
 int
 main (void)
 {
@@ -269,6 +293,7 @@
     SUITE_TEST (test_stream_with_garbage_goes_on_elsewhere),
     SUITE_TEST (test_garbage_in_a_stream_that_its_caller_resumes),
     SUITE_TEST (test_marks_and_reconnection_times_break_nothing_off),
+    SUITE_TEST (test_dropped_events_make_no_stream_whole),
     CU_TEST_INFO_NULL,
   };
 
