Room: a reported load without measure no longer wraps around

Gateways that share few slots could take an engine that reports 4,294,968 requests of others for one with 0.7 of one, as thousandths of the count were computed in 32 bits. The count is bounded before now.

--- a/src/request/policy/room/room_engine.c
+++ b/src/request/policy/room/room_engine.c
@@ -18,8 +18,10 @@
 void
 room_engine_note_report (room_engine_t *room, const room_engine_report_t *report)
 {
-  room->others_milli = smooth (room->others_milli, report->others * MILLI, room->reports,
-                               ROOM_ENGINE_LOAD_SMOOTHING);
+  uint32_t others_milli = MIN (report->others, UINT32_MAX / MILLI) * MILLI;
+
+  room->others_milli =
+      smooth (room->others_milli, others_milli, room->reports, ROOM_ENGINE_LOAD_SMOOTHING);
   room->reports = MIN (room->reports + 1, ROOM_ENGINE_LOAD_SMOOTHING);
   room->running = report->running;
   room->waiting = report->waiting;
--- a/tests/test_room.c
+++ b/tests/test_room.c
@@ -152,6 +152,22 @@
   unload (engines);
 }
 
+/* Guards against a load without measure that wraps around and seems small. */
+static void
+test_a_load_without_measure_is_not_small (void)
+{
+  static const uint32_t loads[] = { UINT32_MAX / MILLI, UINT32_MAX / MILLI + 1, UINT32_MAX - 1 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (loads); i++)
+    {
+      room_engine_t room = { 0 };
+
+      room_engine_note_report (
+          &room, &(room_engine_report_t){ .running = 1, .slots = SLOTS, .others = loads[i] });
+      CU_ASSERT (room.others_milli > UINT32_MAX - 2 * MILLI);
+    }
+}
+
 /* Guards against a slow engine that gets as many requests as the others. */
 static void
 test_a_slow_engine_gets_less (void)
@@ -250,6 +266,7 @@
   static const CU_TestInfo tests[] = { SUITE_TEST (test_an_unknown_engine_is_not_empty),
                                        SUITE_TEST (test_an_old_queue_does_not_hold_requests),
                                        SUITE_TEST (test_a_gateway_sends_no_more_than_the_slots),
+                                       SUITE_TEST (test_a_load_without_measure_is_not_small),
                                        SUITE_TEST (test_a_slow_engine_gets_less),
                                        SUITE_TEST (
                                            test_the_last_slot_of_a_crowded_engine_is_avoided),
