soak-seeds: a listed seed may only fail by requests that were refused

A listed seed could fail for any reason, a request that ran twice too. Now all lines of its broken promises have to be those of its entry, requests answered 503 after all had healed. Tried with made-up logs: one such line is passed over and printed, another one fails.

--- a/soak/run.sh
+++ b/soak/run.sh
@@ -4,10 +4,11 @@
 # default. In a line "SEED SECONDS restored [cause]", and in all with RESTORATIONS=1, the store comes
 # back from copies; with CRASHES=1 requests come that end upstreams; with VERSIONS=1 upstreams have two
 # software versions and clients resume streams; with HERDS=1 most new connections go to one gateway at times; with
-# LOSSES=1 all gateways are lost in rounds; with FLOODS=1 upstreams and stores send bytes without end; with GARBLE=1 upstreams put other bytes into their streams; with SILENCES=1
-# sound upstreams are silent for up to two seconds, beside changes of the configuration and planned stops of gateways
-# in place of the other faults; with ODD=1 another writer leaves odd records in the store. With KNOWN_SEEDS=1 a line
-# "soak-seeds: seed N: cause" in KNOWN-RED.txt lets the run of just that seed fail; it is printed. Usage: soak/run.sh BUILD-DIR
+# LOSSES=1 all gateways are lost in rounds; with FLOODS=1 upstreams and stores send bytes without end; with GARBLE=1
+# upstreams put other bytes into their streams; with SILENCES=1 sound upstreams are silent for up to two seconds, beside
+# changes of the configuration and planned stops of gateways in place of the other faults; with ODD=1 another writer leaves
+# odd records in the store. With KNOWN_SEEDS=1 a line "soak-seeds: seed N: cause" in KNOWN-RED.txt lets the run of just that
+# seed fail, by requests refused with 503 after all had healed alone; it is printed. Usage: soak/run.sh BUILD-DIR
 set -u
 out=$1
 dir=$(mktemp -d)
@@ -25,7 +26,8 @@
 known=0
 for log in "$dir"/*.log; do
   seed=$(basename "$log" .log)
-  if [ -n "${KNOWN_SEEDS:-}" ] && [ -f "$log" ] && grep -F "soak-seeds: seed ${seed%%[!0-9]*}: " KNOWN-RED.txt; then
+  if [ -n "${KNOWN_SEEDS:-}" ] && [ -f "$log" ] && grep -q ' BROKEN ' "$log" &&
+    ! grep ' BROKEN ' "$log" | grep -qvE 'after all had healed, .* by 503$' && grep -F "soak-seeds: seed ${seed%%[!0-9]*}: " KNOWN-RED.txt; then
     known=$((known + 1))
   fi
 done
