--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 
 # The seeds that ever failed, each with its time.
 soak-seeds: all $(SOAK)
-	KNOWN_RED=1 soak/run.sh $(OUT) <soak/seeds.txt
+	KNOWN_SEEDS=1 soak/run.sh $(OUT) <soak/seeds.txt
 
 unit: $(UNIT)
 	tests/run.sh $(OUT) $(UNIT)
--- a/soak/run.sh
+++ b/soak/run.sh
@@ -7,7 +7,8 @@
 # LOSSES=1 all gateways are lost in rounds; with FLOODS=1 upstreams and stores send bytes without end; with GARBLE=1
 # upstreams put other bytes into their streams; with SILENCES=1 sound upstreams are silent for up to two seconds, beside
 # changes of the configuration and planned stops of gateways in place of the other faults; with ODD=1 another writer leaves
-# odd records in the store. With KNOWN_RED=1 a run may fail as the line "soak: ..." in KNOWN-RED.txt tells, which is printed.
+# odd records in the store. With KNOWN_SEEDS=1 a line "soak-seeds: seed N: cause" in KNOWN-RED.txt lets the run of just that
+# seed fail, by the trace below alone; it is printed.
 # Usage: soak/run.sh BUILD-DIR
 set -u
 out=$1
@@ -25,7 +26,6 @@
 echo "soak: $passed passed, $failed failed"
 
 RETRY_WINDOW_MS=10000
-listed="soak: a gateway in its first retry window refuses for want of retries: "
 
 # Whether each broken promise of the run with this log is a request that a full upstream had refused, and that a gateway in
 # its first retry window might not send again.
@@ -43,7 +43,9 @@
 
 known=0
 for log in "$dir"/*.log; do
-  if [ -n "${KNOWN_RED:-}" ] && [ -f "$log" ] && is_listed "$log" && grep -F "$listed" KNOWN-RED.txt; then
+  seed=$(basename "$log" .log)
+  if [ -n "${KNOWN_SEEDS:-}" ] && [ -f "$log" ] && is_listed "$log" &&
+    grep -F "soak-seeds: seed ${seed%%[!0-9]*}: " KNOWN-RED.txt; then
     known=$((known + 1))
   fi
 done
