review: the cases numbered by gravity

The gravest comes first, as it was asked for: CONFIG is now 7 (was 9), ORDER 8 (was 7), DRAIN 9 (was 8).

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,57 +1,45 @@
 #!/usr/bin/env bash
-# The operator's version B is not answered by the store, and done 5.9 s later. Meanwhile the operator has
-# sent version C, which takes an API key away, and got its acknowledgement. Exits with 1 if requests with
-# that key run long after it. Versions are Unix microseconds, as of changes that are an hour apart.
+# A heartbeat of an engine is not answered by the store, and done 5.9 s later. Meanwhile the engine has
+# left: its entry is removed, and it goes on for some seconds. Exits with 1 if a request reaches it later
+# than drain_ms (2 s) after the removal was acknowledged.
 set -u
 cd "$(dirname "$0")/../.."
 case=review/9
 . review/tool-2/lib.sh
 
-config () { # VERSION KEYS...
-  local version=$1 keys
-  shift
-  keys=$(printf '"%s",' "$@")
-  printf '{"version":%s,"routes":[%s],"services":[],"limits":{"max_header_bytes":65536,"max_body_bytes":4194304,"header_timeout_ms":10000,"idle_timeout_ms":30000},"tenants":[{"name":"appeals","api_keys":[%s]}]}' \
-    "$version" "$(route look idempotent portal 2 2500)" "${keys%,}"
-}
-step=${STEP:-3600000000} # between two changes of the operator
-a=1796600000000000
-b=$((a + step))
-c=$((b + ${STEP_AGAIN:-2000000}))
-
 start_store
-target/review-2/put "$store" keyed.op config "$(config "$a" key-of-appeals key-to-go)" || cannot_run "version A was not written"
-start late target/review-2/late "$net.2:7000" "$store" 5900 "$record"
-for n in 1 2 3; do start_engine "$n" "i-portal-$n" --service portal --zone hall-a --slots 6 --work-ms 30; done
+publish 1 "$(route look idempotent portal 2 2500)"
+late=()
+if [ "$trouble" != 0 ]; then
+  start late target/review-2/late "$net.2:7000" "$store" 5900 "$record"
+  late=(--late-store "$net.2:7000" --late-at-ms 7000)
+fi
+start_engine 1 i-portal-1 --service portal --zone hall-a --slots 6 --work-ms 30
+start_engine 2 i-portal-2 --service portal --zone hall-b --slots 6 --work-ms 30 --linger-ms 9000 "${late[@]}"
+start_engine 3 i-portal-3 --service portal --zone hall-c --slots 6 --work-ms 30
 for n in 1 2 3 4; do start_gateway "$n"; done
 wait_ready 1 2 3 4
-sleep 3
+sleep 1
 note "clients begin, trouble=$trouble"
 target/review-2/client --gateway "${gateways[0]}" --gateway "${gateways[1]}" --gateway "${gateways[2]}" \
-  --gateway "${gateways[3]}" --path /look/88 --key key-to-go --threads 4 --pause-ms 100 --seconds 20 --tries 1 \
+  --gateway "${gateways[3]}" --path /look/88 --key key-of-appeals --threads 4 --pause-ms 1800 --seconds 20 \
   --deadline-ms 2500 --record "$record" &
 client=$!
 pids+=("$client")
-sleep 1
 if [ "$trouble" != 0 ]; then
-  note "version B is sent"
-  target/review-2/put "$net.2:7000" keyed.op config "$(config "$b" key-of-appeals key-to-go key-that-comes)" &&
-    cannot_run "version B was answered"
-  sleep 1
+  wait_for "the heartbeat whose answer is lost" grep -q " lost: " "$record"
+else
+  sleep 6
 fi
-target/review-2/put "$store" keyed.op config "$(config "$c" key-of-appeals key-that-comes)" || cannot_run "version C was not written"
-note "acknowledged C"
+sleep 3.3 # longer than contact_ms
+kill -TERM "${engine_pids[2]}"
 wait "$client"
 
-# Requests with the key that were sent later than config_ms (2 s) and outer_ms (5 s) after the
-# acknowledgement, and contact_ms (3 s) after the last thing that the store did late, and that ran.
-read -r before refused late < <(awk '$2 == "acknowledged" { ack = $1 } $2 == "done" { done = $1 }
-  $2 == "send" { sent[$3] = $1 } $2 == "begin" { ran[$3] = 1 }
-  $2 == "answer" && $4 == "status=401" { refused++ }
-  END { from = ack + 7050; if (done && done + 3050 > from) from = done + 3050
-        for (id in ran) if (sent[id] < ack) before++; else if (sent[id] > from) late++
-        print before + 0, refused + 0, late + 0 }' "$record")
-note "ran before: $before; refused with 401: $refused; ran long after the key was taken away: $late"
+gone=$(awk '$2 == "gone" { print $1; exit }' "$record")
+[ -n "$gone" ] || cannot_run "the engine did not leave"
+late_count=$(awk -v gone="$gone" '$2 == "begin" && $4 == "i-portal-2" && $1 > gone + 2050 { n++ } END { print n + 0 }' "$record")
+served=$(grep -c ' answer .* status=200 ' "$record")
+note "answered 200: $served; requests at the engine later than 2 s after it was gone: $late_count"
 tail -n 1 "$record"
-[ "$before" -ge 10 ] && [ "$refused" -ge 10 ] || cannot_run "the key was not used before, or not refused after"
-[ "$late" = 0 ]
+[ "$served" -ge 30 ] || cannot_run "only $served requests were served"
+[ "$late_count" = 0 ]
