review: the scripts end only what still runs of theirs

A process that had ended before, as a gateway that was stopped, could have left its id to another one by the end of a script.

--- a/review/tool-2/lib.sh
+++ b/review/tool-2/lib.sh
@@ -14,9 +14,12 @@
 export MEDLARPLANK_CENTER_DRAIN_MS=
 : >"$record"
 
-end_all () {
-  local pid
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+end_all () { # the ids of those that have ended may be others' by now
+  local pid left
+  left=" $(jobs -p | tr '\n' ' ')"
+  for pid in "${pids[@]}"; do
+    [[ $left == *" $pid "* ]] && kill -KILL "$pid" 2>/dev/null
+  done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
   if [ -n "${KEEP:-}" ]; then echo "logs in $dir"; else rm -rf "$dir"; fi
 }
