review/10: the engine that reports that it is draining

LEAVE=draining plays it: the engine reports that it is draining, keeps its heartbeats, and the one heartbeat that the store does late falls 2.6 s after that report was acknowledged.

--- a/review/tool-2/engine.c
+++ b/review/tool-2/engine.c
@@ -38,6 +38,7 @@
   const char *late_store;
   int late_at_ms;
   int linger_ms;
+  int drain_ms;
 } options = { .zone = "hall-a", .version = "v1", .slots = 64, .work_ms = 20, .heartbeat_ms = 1200 };
 
 static uint64_t born_ms;
@@ -46,6 +47,7 @@
 static int running;
 static unsigned runs;
 static volatile sig_atomic_t leaving;
+static const char *state = "ready";
 
 static bool
 take_slot (void)
@@ -91,9 +93,9 @@
 
   snprintf (entry, sizeof entry,
             "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\",\"slots\":%d,"
-            "\"state\":\"ready\",\"cold_left_ms\":0,\"phase\":\"both\",\"models\":[{\"name\":\"m\","
+            "\"state\":\"%s\",\"cold_left_ms\":0,\"phase\":\"both\",\"models\":[{\"name\":\"m\","
             "\"version\":1,\"adapters\":[]}],\"seq\":%llu,\"born\":%llu}",
-            options.service, options.listen, options.zone, options.version, options.slots,
+            options.service, options.listen, options.zone, options.version, options.slots, state,
             (unsigned long long)++seq, (unsigned long long)born_ms);
   status = net_store_put (is_late ? options.late_store : options.store, "keyed.servers", options.id,
                           entry, STORE_TIMEOUT_MS);
@@ -103,10 +105,39 @@
   return status == 200;
 }
 
-/* The engine leaves without having reported it: its entry is removed, and it goes on for a time. */
+static void
+write_acknowledged_entry (void)
+{
+  while (!write_entry ())
+    net_sleep_ms (RETRY_MS);
+}
+
+/* The engine goes on for --drain-ms after it has reported that it is draining, with heartbeats. */
+static void
+drain (void)
+{
+  uint64_t end_ms;
+
+  state = "draining";
+  write_acknowledged_entry ();
+  net_record ("draining %s", options.id);
+  end_ms = net_now_ms () + (uint64_t)options.drain_ms;
+  while (net_now_ms () < end_ms)
+    {
+      net_sleep_ms ((uint64_t)options.heartbeat_ms);
+      write_acknowledged_entry ();
+    }
+}
+
+/*
+ * The engine's entry is removed, and the engine goes on for --linger-ms. Without --drain-ms it leaves
+ * without having reported it.
+ */
 static void
 leave (void)
 {
+  if (options.drain_ms > 0)
+    drain ();
   while (net_store_put (options.store, "keyed.servers", options.id, "", STORE_TIMEOUT_MS) != 200)
     net_sleep_ms (RETRY_MS);
   net_record ("gone %s", options.id);
@@ -294,7 +325,8 @@
     { "event-ms", 1, 0, 'E' },    { "heartbeat-ms", 1, 0, 'h' },   { "record", 1, 0, 'r' },
     { "fail-status", 1, 0, 'f' }, { "fail-percent", 1, 0, 'p' },   { "fail-after-ms", 1, 0, 'a' },
     { "fail-for-ms", 1, 0, 'F' }, { "late-store", 1, 0, 'L' },     { "late-at-ms", 1, 0, 'A' },
-    { "linger-ms", 1, 0, 'G' },   { 0, 0, 0, 0 }
+    { "linger-ms", 1, 0, 'G' },   { "drain-ms", 1, 0, 'D' },
+    { 0, 0, 0, 0 }
   };
   int option;
 
@@ -320,6 +352,7 @@
       case 'L': options.late_store = optarg; break;
       case 'A': options.late_at_ms = atoi (optarg); break;
       case 'G': options.linger_ms = atoi (optarg); break;
+      case 'D': options.drain_ms = atoi (optarg); break;
       default: exit (2);
       }
   if (!options.listen || !options.store || !options.service || !options.id)
@@ -340,8 +373,7 @@
   started_ms = net_now_ms ();
   srand ((unsigned)started_ms);
   /* the entry is in the store before the first caller can be served */
-  while (!write_entry ())
-    net_sleep_ms (RETRY_MS);
+  write_acknowledged_entry ();
   listener = net_listen (options.listen);
   net_record ("listens %s version=%s", options.id, options.version);
   pthread_attr_init (&attributes);
