An engine's own 408, 429 or 503 is no promise that the request has not run

Cause: on_head() counts a response as a refusal only where the engine states it, but passed the status of any other failure on unchanged; 408, 429 and 503 are a promise to callers, whoever wrote them.

Change: such a response counts as a run of unknown outcome. Its body is dropped; the request goes to another engine where it may, else the caller hears 502 without the engine's signature, or the failure of another engine that it tried. This holds for all kinds of routes, as docs/promises.md states, and for streams that are resumed or go on from a copy. The response of a hop that is left open beside a copy keeps the mark.

--- a/src/request/error_reply.c
+++ b/src/request/error_reply.c
@@ -44,6 +44,8 @@
       return "the answer was cut off";
     case VERDICT_REASON_BAD_EVENT:
       return "the answer was not a sound stream of events";
+    case VERDICT_REASON_FAILED:
+      return "the engine failed the request, which may have run";
     case VERDICT_REASON_CROSSED:
       return "the answer did not belong to this request";
     case VERDICT_REASON_TIMEOUT:
--- a/src/request/gateway/gateway_call.c
+++ b/src/request/gateway/gateway_call.c
@@ -68,15 +68,28 @@
   latency_add (call->service->failure_histogram, gateway_now_us (call->gateway) - call->arrived_us);
 }
 
+/* Return: the reason that the client is told, which sets the status */
+static verdict_reason_t
+failure_reason (verdict_reason_t reason)
+{
+  switch (reason)
+    {
+    case VERDICT_REASON_TIMEOUT:
+    case VERDICT_REASON_DEADLINE:
+      return VERDICT_REASON_TIMEOUT;
+    case VERDICT_REASON_FAILED:
+      return VERDICT_REASON_FAILED;
+    default:
+      return VERDICT_REASON_CUT;
+    }
+}
+
 static void
 end_failed (gateway_call_t *call, verdict_reason_t reason)
 {
-  bool in_time = reason != VERDICT_REASON_TIMEOUT && reason != VERDICT_REASON_DEADLINE;
-
   count_failure (call);
   gateway_call_log_failure (call, "end", "failed", reason);
-  error_reply_send (call->client, &(error_reply_t){ .reason = in_time ? VERDICT_REASON_CUT
-                                                                      : VERDICT_REASON_TIMEOUT,
+  error_reply_send (call->client, &(error_reply_t){ .reason = failure_reason (reason),
                                                     .verdict = VERDICT_MAY_HAVE_RUN });
   gateway_call_free (call);
 }
--- a/src/request/gateway/gateway_fallback.c
+++ b/src/request/gateway/gateway_fallback.c
@@ -25,6 +25,7 @@
   fallback->is_framed = call->is_framed;
   fallback->resuming = call->resuming;
   fallback->is_written_long = call->is_written_long;
+  fallback->is_refusal_unproven = call->is_refusal_unproven;
   fallback->has_continued = call->has_continued;
   fallback->sent_us = call->sent_us;
   fallback->head_us = call->head_us;
@@ -51,6 +52,7 @@
   call->is_framed = fallback->is_framed;
   call->resuming = fallback->resuming;
   call->is_written_long = fallback->is_written_long;
+  call->is_refusal_unproven = fallback->is_refusal_unproven;
   call->has_continued = fallback->has_continued;
   call->sent_us = fallback->sent_us;
   call->head_us = fallback->head_us;
--- a/src/request/gateway/gateway_hop.c
+++ b/src/request/gateway/gateway_hop.c
@@ -194,6 +194,22 @@
                       status >= STATUS_SERVER_ERROR && !call->response.not_run);
 }
 
+/* Clients take such a status as the promise that the request has not run. Where an application
+ * answered it on its own, the request would be sent again and run twice. */
+static bool
+is_unproven_refusal (const gateway_call_t *call, int status)
+{
+  return verdict_is_promised_by_status (status) && !call->response.not_run;
+}
+
+static void
+log_unproven_refusal (const gateway_call_t *call, int status)
+{
+  log_event (LOG_LEVEL_NOTICE, "unproven_refusal", "id", call->id, "route", call->route->name,
+             "engine", call->engine->entry.id, "status", LOG_U64 ((uint64_t)status), "hops",
+             LOG_U64 (call->hops), NULL);
+}
+
 static bool
 begin_resumed (gateway_call_t *call, int status, const struct evkeyvalq *headers)
 {
@@ -229,6 +245,12 @@
       return false;
     }
   call->relay.from = call->upstream;
+  call->is_refusal_unproven = is_unproven_refusal (call, status);
+  if (call->is_refusal_unproven)
+    {
+      log_unproven_refusal (call, status);
+      return true;
+    }
   if (call->resuming)
     return begin_resumed (call, status, headers);
   if (call->response.not_run)
@@ -275,13 +297,19 @@
     http_client_cut_call (call->upstream);
 }
 
+static bool
+is_body_dropped (const gateway_call_t *call)
+{
+  return call->response.not_run || call->is_refusal_unproven;
+}
+
 /* Bodies without end, of refusals and errors */
 static bool
 is_over_limit (gateway_call_t *call, struct evbuffer *data)
 {
   size_t bytes = evbuffer_get_length (data);
 
-  if (call->response.not_run)
+  if (is_body_dropped (call))
     {
       call->dropped_bytes += bytes;
       return call->dropped_bytes > RELAY_HELD_LIMIT_BYTES;
@@ -308,7 +336,7 @@
   gateway_suspect_note_data (call);
   if (is_over_limit (call, data))
     http_client_cut_call (call->upstream);
-  else if (!call->client || call->response.not_run)
+  else if (!call->client || is_body_dropped (call))
     evbuffer_drain (data, evbuffer_get_length (data));
   else if (call->streaming)
     forward_events (call, data);
@@ -360,7 +388,7 @@
   if (call->response.not_run)
     return;
   record_run_time (call, now_us - call->sent_us);
-  if (call->status < STATUS_SERVER_ERROR)
+  if (call->status < STATUS_SERVER_ERROR && !call->is_refusal_unproven)
     record_pace (call, now_us);
 }
 
@@ -407,7 +435,7 @@
 static bool
 is_cut_stream (const gateway_call_t *call)
 {
-  if (!call->streaming || call->response.not_run)
+  if (!call->streaming || is_body_dropped (call))
     return false;
   if (call->splitter.fault != EVENT_FAULT_NONE)
     return true;
@@ -422,6 +450,8 @@
 {
   if (call->splitter.fault != EVENT_FAULT_NONE)
     return VERDICT_REASON_BAD_EVENT;
+  if (call->is_refusal_unproven)
+    return VERDICT_REASON_FAILED;
   return end->complete ? VERDICT_REASON_CUT : end->reason;
 }
 
@@ -438,7 +468,7 @@
 {
   if (call->response.not_run)
     finish_refused (call);
-  else if (is_cut_stream (call))
+  else if (call->is_refusal_unproven || is_cut_stream (call))
     finish_lost (call, end);
   else if (call->status >= STATUS_SERVER_ERROR && call->client)
     gateway_call_hop_ended (call, RETRY_PLAN_OUTCOME_FAILED, VERDICT_REASON_NONE);
@@ -503,7 +533,7 @@
 check_events (gateway_call_t *call, const http_client_result_t *end)
 {
   if (end->complete && call->is_framed && call->client && call->streaming &&
-      !call->response.not_run)
+      !is_body_dropped (call))
     event_splitter_finish (&call->splitter);
   if (call->splitter.fault != EVENT_FAULT_NONE)
     log_bad_event (call);
@@ -786,6 +816,7 @@
   call->has_head = false;
   call->first_data_us = 0;
   call->is_written_long = false;
+  call->is_refusal_unproven = false;
   call->client_was_slow = false;
   call->last_byte_us = 0;
   call->move = HOP_MOVE_NOW;
--- a/src/request/gateway/gateway_private.h
+++ b/src/request/gateway/gateway_private.h
@@ -305,6 +305,7 @@
   bool is_framed;
   bool resuming;
   bool is_written_long;
+  bool is_refusal_unproven;
   bool has_continued;
   uint64_t sent_us;
   uint64_t head_us;
@@ -380,6 +381,8 @@
  * @is_moving: it is sent from a silent engine to one that must be sound
  * @left: engines that the request left as they were silent, the first @left_count of them
  * @events_before_head: whole events of the stream that had come before this head
+ * @is_refusal_unproven: the status of the last hop's response promises that the request has not
+ *   run, and nothing else states it
  * @is_deadline_extended: the response of the last hop is read after the deadline
  * @client_was_slow: the client read the response of the last hop slowly
  * @failure_buffered: the error response of an engine is buffered, to be forwarded if no other
@@ -446,6 +449,7 @@
   uint64_t dropped_bytes;
   uint64_t copy_engine;
   bool is_written_long;
+  bool is_refusal_unproven;
   bool is_moving;
   bool is_deadline_extended;
   bool client_was_slow;
--- a/src/request/policy/retries/verdict.c
+++ b/src/request/policy/retries/verdict.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+#define STATUS_REQUEST_TIMEOUT 408
+#define STATUS_MISDIRECTED_REQUEST 421
+#define STATUS_TOO_MANY_REQUESTS 429
+#define STATUS_SERVICE_UNAVAILABLE 503
+
 static const char *const verdict_names[] = {
   [VERDICT_NOT_RUN] = "not_run",
   [VERDICT_MAY_HAVE_RUN] = "may_have_run",
@@ -36,6 +41,7 @@
   [VERDICT_REASON_VERSION_UNKNOWN] = "version_unknown",
   [VERDICT_REASON_VERSION_GONE] = "version_gone",
   [VERDICT_REASON_BAD_EVENT] = "bad_event",
+  [VERDICT_REASON_FAILED] = "failed",
 };
 
 const char *
@@ -57,6 +63,21 @@
   return VERDICT_MAY_HAVE_RUN;
 }
 
+bool
+verdict_is_promised_by_status (int status)
+{
+  switch (status)
+    {
+    case STATUS_REQUEST_TIMEOUT:
+    case STATUS_MISDIRECTED_REQUEST:
+    case STATUS_TOO_MANY_REQUESTS:
+    case STATUS_SERVICE_UNAVAILABLE:
+      return true;
+    default:
+      return false;
+    }
+}
+
 const char *
 verdict_reason_to_string (verdict_reason_t reason)
 {
--- a/src/request/policy/retries/verdict.h
+++ b/src/request/policy/retries/verdict.h
@@ -54,6 +54,7 @@
   VERDICT_REASON_VERSION_UNKNOWN, /* nobody knows at which software version the stream began */
   VERDICT_REASON_VERSION_GONE,    /* no engine of the version that began the stream is left */
   VERDICT_REASON_BAD_EVENT,       /* the engine sent bytes that are no next event of its stream */
+  VERDICT_REASON_FAILED,          /* the engine failed the request and may have executed it */
   VERDICT_REASON_COUNT
 } verdict_reason_t;
 
@@ -65,6 +66,9 @@
  * Return: VERDICT_MAY_HAVE_RUN for an unknown name or NULL, so that nothing is executed twice
  */
 verdict_t verdict_from_string (const char *name);
+/** verdict_is_promised_by_status() - whether clients take @status, a HTTP status, as the promise of
+ * VERDICT_NOT_RUN */
+bool verdict_is_promised_by_status (int status);
 /** verdict_reason_to_string() - Return: name of the reason in responses and logs */
 const char *verdict_reason_to_string (verdict_reason_t reason);
 /** verdict_reason_from_string() - Return: the reason with this name, VERDICT_REASON_NONE if unknown
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -241,6 +241,96 @@
   CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 1);
 }
 
+#define CLAIM_HEAD(status)                                                                         \
+  "HTTP/1.1 " status " Failed\r\nX-Request-Id: r1\r\nX-Response-Stamp: s3\r\n"
+#define CLAIM(status) CLAIM_HEAD (status) "Retry-After: 0.1\r\nContent-Length: 3\r\n\r\nbad"
+
+static const char *const unproven_claims[] = {
+  CLAIM ("408"),
+  CLAIM ("429"),
+  CLAIM ("503"),
+  "HTTP/1.1 503 Failed\r\nContent-Length: 0\r\n\r\n",
+  CLAIM_HEAD ("503") "Transfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
+};
+
+/* Guards against a second run of a request whose engine failed it with a status that promises none.
+ */
+static void
+test_status_of_an_engine_alone_states_no_refusal (void)
+{
+  static const char *const paths[] = { "/book/", "/tell/" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (unproven_claims); i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (paths); j++)
+      {
+        g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+        raw_peer_t *raw;
+
+        gateway_rig_skip_retry_window (rig);
+        gateway_rig_add_engine (rig, SCRIPTS (unproven_claims[i], OK_RESPONSE), 2);
+        raw = gateway_rig_fetch (rig, "POST", paths[j], EMPTY_BODY);
+        CU_ASSERT (starts_with (raw, "HTTP/1.1 502 "));
+        CU_ASSERT_FALSE (contains (raw, "X-Response-Stamp"));
+        CU_ASSERT_FALSE (contains (raw, "Retry-After"));
+        CU_ASSERT (contains (raw, "may_have_run"));
+        CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 1);
+        raw_peer_free (raw);
+      }
+}
+
+/* Guards against the same promise after all attempts of a request that may run again. */
+static void
+test_status_of_the_last_engine_states_no_refusal (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (unproven_claims); i++)
+    {
+      g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+      const char *const *scripts = SCRIPTS (unproven_claims[i]);
+
+      gateway_rig_skip_retry_window (rig);
+      gateway_rig_add_engine (rig, scripts, 1);
+      gateway_rig_add_engine (rig, scripts, 1);
+      expect (rig, "GET", "/look/", "", "502");
+      CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 2);
+      expect (rig, "POST", "/talk/", EMPTY_BODY, "502");
+    }
+}
+
+/* Guards against failures of requests that another engine can serve. */
+static void
+test_request_is_sent_again_after_an_unproven_refusal (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (unproven_claims); i++)
+    {
+      g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+      raw_server_t *failing;
+
+      gateway_rig_skip_retry_window (rig);
+      failing = gateway_rig_add_engine (rig, SCRIPTS (unproven_claims[i]), 1);
+      gateway_rig_add_engine (rig, SCRIPTS (OK_RESPONSE), 1);
+      for (uint32_t sends = 0; sends < LOOKUPS && failing->request_count == 0; sends++)
+        expect (rig, "GET", "/look/", "", "200");
+      CU_ASSERT_EQUAL (failing->request_count, 1);
+    }
+}
+
+/* Guards against a lost answer: the caller gets the failure that the other engine answered. */
+static void
+test_unproven_refusal_does_not_hide_another_failure (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+  raw_peer_t *raw;
+
+  gateway_rig_skip_retry_window (rig);
+  gateway_rig_add_engine (rig, SCRIPTS (ERROR_RESPONSE), 1);
+  gateway_rig_add_engine (rig, SCRIPTS (CLAIM ("503")), 1);
+  raw = gateway_rig_fetch (rig, "GET", "/look/", "");
+  CU_ASSERT (starts_with (raw, "HTTP/1.1 500 "));
+  CU_ASSERT (contains (raw, "X-Response-Stamp: s2"));
+  CU_ASSERT_EQUAL (gateway_rig_request_count (rig), 2);
+  raw_peer_free (raw);
+}
+
 /* Guards against 502 for events without ids from a route that isn't a stream. */
 static void
 test_events_of_other_routes_are_forwarded_unchanged (void)
@@ -1783,6 +1873,10 @@
     SUITE_TEST (test_request_is_sent_again_on_another_connection),
     SUITE_TEST (test_refusal_of_the_request_moves_it_on),
     SUITE_TEST (test_success_that_claims_not_run_proves_nothing),
+    SUITE_TEST (test_status_of_an_engine_alone_states_no_refusal),
+    SUITE_TEST (test_status_of_the_last_engine_states_no_refusal),
+    SUITE_TEST (test_request_is_sent_again_after_an_unproven_refusal),
+    SUITE_TEST (test_unproven_refusal_does_not_hide_another_failure),
     SUITE_TEST (test_events_of_other_routes_are_forwarded_unchanged),
     SUITE_TEST (test_request_without_id_gets_a_connection_of_its_own),
     SUITE_TEST (test_full_engine_is_asked_more_than_three_times),
