An order that the copy of the store can't have counts at once

The store came back from a copy, the operator's new order was the first write after that, and all gateways followed it 10.3 to 10.7 s after its acknowledgement; 42 requests reached the zone's engine later than the 5 s allowed.

Cause: a deleted key keeps its tombstone in the new era, as the copy may be from before the deletion, and an order states no number by which it could be told from the one that was taken back. Evidence: the log has restoration step=listed with a record kept, and the drain in the moment of held_applied, 10 s later; without an earlier order there is nothing to hold, and the case passes (BEFORE=0).

Change: a copy is the beginning of the stream, with each record at its offset, so a record whose offset is not below that of the known one was written later. Where values tell no order, it takes effect at once. At a lower offset an order to drain is held for half of the time that operators allow for it, not for 10 s.

Why it works: the known record and the ones before it lie at lower offsets in every copy, and what the store writes after its return comes behind the copy's end. Only offsets that are given out again stay in doubt.

--- a/src/process/gateway_store_restore.c
+++ b/src/process/gateway_store_restore.c
@@ -6,7 +6,11 @@
 static restoration_limits_t
 restoration_limits (const gateway_store_t *store, uint32_t stream)
 {
-  return stream == STREAM_ENGINES ? restoration_engine_limits (store->options.settings->renewal_ms)
+  const settings_t *settings = store->options.settings;
+
+  if (stream == STREAM_ENGINES)
+    return restoration_engine_limits (settings->renewal_ms);
+  return stream == STREAM_ROUTING ? restoration_routing_limits (settings->center_drain_ms)
                                   : restoration_other_limits ();
 }
 
@@ -63,9 +67,14 @@
     return;
   if (restoration_take_drop_due (restoration, gateway_store_now_us (store)))
     drop_missing (store, stream);
+  if (restoration_take_drains_due (restoration, gateway_store_now_us (store)))
+    {
+      keyed_view_apply_held (store->views[stream], PLATFORM_KEY_DRAIN_PREFIX);
+      log_restoration (store, stream, "drains_applied");
+    }
   if (restoration_take_apply_due (restoration, gateway_store_now_us (store)))
     {
-      keyed_view_apply_held (store->views[stream]);
+      keyed_view_apply_held (store->views[stream], "");
       log_restoration (store, stream, "held_applied");
     }
   store->kept_counts[stream] = keyed_view_held_count (store->views[stream]);
--- a/src/request/policy/store/restoration.c
+++ b/src/request/policy/store/restoration.c
@@ -1,5 +1,7 @@
 #include "request/policy/store/restoration.h"
 
+#include <glib.h>
+
 #define US_PER_MS 1000
 
 restoration_limits_t
@@ -17,6 +19,16 @@
                                  .held_us = RESTORATION_OTHER_US };
 }
 
+restoration_limits_t
+restoration_routing_limits (uint32_t center_drain_ms)
+{
+  restoration_limits_t limits = restoration_other_limits ();
+  uint64_t drain_us = (uint64_t)center_drain_ms * US_PER_MS * RESTORATION_HELD_DRAIN_PERCENT / 100;
+
+  limits.held_drain_us = MIN (limits.held_us, drain_us);
+  return limits;
+}
+
 bool
 restoration_note_listing (restoration_t *restoration,
                           uint64_t now_us,
@@ -31,13 +43,15 @@
   restoration->era = era;
   restoration->drop_missing_us = now_us + limits->missing_us;
   restoration->apply_held_us = now_us + limits->held_us;
+  restoration->apply_drains_us = limits->held_drain_us > 0 ? now_us + limits->held_drain_us : 0;
   return listed_before;
 }
 
 bool
 restoration_is_pending (const restoration_t *restoration)
 {
-  return restoration->drop_missing_us != 0 || restoration->apply_held_us != 0;
+  return restoration->drop_missing_us != 0 || restoration->apply_held_us != 0 ||
+         restoration->apply_drains_us != 0;
 }
 
 static bool
@@ -61,6 +75,12 @@
   return take_due (&restoration->apply_held_us, now_us);
 }
 
+bool
+restoration_take_drains_due (restoration_t *restoration, uint64_t now_us)
+{
+  return take_due (&restoration->apply_drains_us, now_us);
+}
+
 static int
 compare_numbers (uint64_t known, uint64_t number)
 {
--- a/src/version/keyed_view.c
+++ b/src/version/keyed_view.c
@@ -146,9 +146,19 @@
 } decision_t;
 
 /*
- * A record of a new era may be from the copy, and so older than the known one. One that was written
- * after the first listing of its era is not. A record that deletes its key never comes from a
- * listing, and reads begin at the end of one.
+ * A copy has the first records of the stream, each at the offset that it had. So one that is not
+ * before the known record was written after it, and so was one after the first listing of the era.
+ */
+static bool
+was_written_later (const keyed_view_t *view, position_t known, position_t position)
+{
+  return position.offset >= known.offset ||
+         (position.era == view->listed.era && !position_is_before (position, view->listed));
+}
+
+/*
+ * A record of a new era may be from the copy, and so older than the known one. A record that
+ * deletes its key never comes from a listing, and reads begin at the end of one.
  */
 static decision_t
 decide (const keyed_view_t *view,
@@ -168,8 +178,7 @@
     return TAKE;
   if (order == KEYED_VIEW_OLDER && !known->deleted)
     return HOLD;
-  if (order == KEYED_VIEW_UNORDERED && position.era == view->listed.era &&
-      !position_is_before (position, view->listed))
+  if (order == KEYED_VIEW_UNORDERED && was_written_later (view, known->position, position))
     return TAKE;
   return HOLD_UNTIL_APPLIED;
 }
@@ -341,7 +350,7 @@
 }
 
 void
-keyed_view_apply_held (keyed_view_t *view)
+keyed_view_apply_held (keyed_view_t *view, const char *prefix)
 {
   GHashTableIter iter;
   gpointer key;
@@ -352,7 +361,7 @@
     {
       entry_t *entry = value;
 
-      if (!entry->held || !entry->held_until_applied)
+      if (!entry->held || !entry->held_until_applied || !g_str_has_prefix (key, prefix))
         continue;
       take (view, key, entry, entry->held);
       g_clear_pointer (&entry->held, record_free);
--- a/src/version/keyed_view.h
+++ b/src/version/keyed_view.h
@@ -12,8 +12,9 @@
  *
  * - A record of a new era that is older by its value is held back, and the known one stays.
  * - A key that the first listing of a new era lacks is kept until keyed_view_drop_missing().
- * - Where values tell no order, the known state stays until keyed_view_apply_held(), or until a
- *   record that was written after the first listing of the era.
+ * - Where values tell no order, a record takes effect if its offset is not below that of the known
+ *   one, or if it was written after the first listing of the era. For any other the known state
+ *   stays until keyed_view_apply_held().
  */
 #ifndef VERSION_KEYED_VIEW_H
 #define VERSION_KEYED_VIEW_H
@@ -81,8 +82,9 @@
  * listing and which the stream does not have in this era */
 void keyed_view_drop_missing (keyed_view_t *view);
 /** keyed_view_apply_held() - apply the records that were held back because values tell no order, or
- * perhaps another one, or because the key was deleted in the era before */
-void keyed_view_apply_held (keyed_view_t *view);
+ * perhaps another one, or because the key was deleted in the era before; of keys that begin with
+ * @prefix, "" for all */
+void keyed_view_apply_held (keyed_view_t *view, const char *prefix);
 /** keyed_view_get() - the value of @key, with its size and position; NULL when there is none */
 const char *keyed_view_get (const keyed_view_t *view,
                             const char *key,
--- a/tests/test_restoration.c
+++ b/tests/test_restoration.c
@@ -38,6 +38,27 @@
   CU_ASSERT (restoration_take_drop_due (&restoration, START_US + 1000 + limits.missing_us));
 }
 
+/* Guards against an order to drain a data centre that is held for longer than it may take. */
+static void
+test_orders_to_drain_are_held_for_less_than_their_bound (void)
+{
+  static const uint32_t bounds_ms[] = { 500, 5000, 600 * 1000 };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (bounds_ms); i++)
+    {
+      restoration_limits_t limits = restoration_routing_limits (bounds_ms[i]);
+      restoration_t restoration = { 0 };
+      uint64_t half_us = (uint64_t)bounds_ms[i] * 1000 / 2;
+
+      restoration_note_listing (&restoration, START_US, 0, &limits);
+      restoration_note_listing (&restoration, START_US, 1, &limits);
+      CU_ASSERT (!restoration_take_drains_due (&restoration, START_US + limits.held_drain_us - 1));
+      CU_ASSERT (restoration_take_drains_due (&restoration, START_US + half_us));
+      CU_ASSERT (!restoration_take_drains_due (&restoration, UINT64_MAX));
+      CU_ASSERT (restoration_is_pending (&restoration));
+    }
+}
+
 /* An entry that no engine renews must be gone from the store before what was known is given up for
  * it. */
 static void
@@ -78,9 +99,12 @@
 main (void)
 {
   static const CU_TestInfo tests[] = {
-    SUITE_TEST (test_each_limit_is_due_once), SUITE_TEST (test_second_restoration_begins_anew),
+    SUITE_TEST (test_each_limit_is_due_once),
+    SUITE_TEST (test_second_restoration_begins_anew),
+    SUITE_TEST (test_orders_to_drain_are_held_for_less_than_their_bound),
     SUITE_TEST (test_deleted_engines_stay_so_until_the_platform_removes_the_entry),
-    SUITE_TEST (test_entries_of_an_engine_are_ordered), CU_TEST_INFO_NULL
+    SUITE_TEST (test_entries_of_an_engine_are_ordered),
+    CU_TEST_INFO_NULL
   };
 
   return suite_run ("restoration", tests);
--- a/tests/test_store_restored.c
+++ b/tests/test_store_restored.c
@@ -140,6 +140,16 @@
   return refused;
 }
 
+static bool
+is_served (void *context)
+{
+  raw_peer_t *raw = gateway_rig_fetch (context, "GET", "/look/x", "");
+  bool served = strstr (raw->received->str, "HTTP/1.1 200") != NULL;
+
+  raw_peer_free (raw);
+  return served;
+}
+
 static raw_server_t *
 add_engine (gateway_rig_t *rig)
 {
@@ -209,6 +219,69 @@
   CU_ASSERT_EQUAL (engine->request_count, requests);
 }
 
+/** drain_plan_t - what happens to an order to drain the only data centre before the store returns
+ */
+typedef enum
+{
+  LOST_WITH_ITS_END, /* the copy has neither the order nor that it was taken back */
+  TAKEN_BACK_BEFORE, /* the copy has both */
+  LOST_END           /* the copy has the order */
+} drain_plan_t;
+
+static void
+play_drain (gateway_rig_t *rig, drain_plan_t plan)
+{
+  rig->gateways[0].settings.center_drain_ms = 2000;
+  gateway_rig_restart (rig, 0);
+  add_engine (rig);
+  if (plan == LOST_WITH_ITS_END)
+    fake_store_copy (rig->store);
+  fake_store_put (rig->store, PLATFORM_STREAM_ROUTING, "drain/hall-1", "x");
+  CU_ASSERT_TRUE_FATAL (raw_peer_run_until (rig->base, is_refused, rig));
+  if (plan == LOST_END)
+    fake_store_copy (rig->store);
+  fake_store_put (rig->store, PLATFORM_STREAM_ROUTING, "drain/hall-1", NULL);
+  CU_ASSERT_TRUE_FATAL (raw_peer_run_until (rig->base, is_served, rig));
+  if (plan == TAKEN_BACK_BEFORE)
+    fake_store_copy (rig->store);
+  fake_store_restore (rig->store);
+}
+
+/* Guards against requests to a data centre that operators order to be drained as the store is back,
+ * where they had drained it before: the order was held for longer than it may take. */
+static void
+test_order_to_drain_again_counts_in_time (void)
+{
+  for (drain_plan_t plan = LOST_WITH_ITS_END; plan <= TAKEN_BACK_BEFORE; plan++)
+    {
+      g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+      uint64_t began_us;
+
+      play_drain (rig, plan);
+      began_us = clock_now_us (&rig->clock);
+      fake_store_put (rig->store, PLATFORM_STREAM_ROUTING, "drain/hall-1", "x");
+      CU_ASSERT_TRUE (raw_peer_run_until (rig->base, is_refused, rig));
+      CU_ASSERT (clock_now_us (&rig->clock) < began_us + 2 * CLOCK_US_PER_S);
+    }
+}
+
+/* Guards against a data centre that is drained because the copy brought the order back. */
+static void
+test_order_of_the_copy_stays_taken_back (void)
+{
+  g_autoptr (gateway_rig_t) rig = gateway_rig_new (1);
+
+  play_drain (rig, LOST_END);
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      raw_peer_run_ms (rig->base, 100);
+      expect_status (rig, "/look/x", "HTTP/1.1 200");
+    }
+  fake_store_put (rig->store, PLATFORM_STREAM_ROUTING, "drain/hall-1", NULL);
+  raw_peer_run_ms (rig->base, 1000);
+  expect_status (rig, "/look/x", "HTTP/1.1 200");
+}
+
 /* A gateway that can't reach the store gets the new era from its peers. */
 static void
 test_gateway_without_the_store_learns_the_era (void)
@@ -256,6 +329,8 @@
     SUITE_TEST (test_engine_from_after_the_copy_is_kept),
     SUITE_TEST (test_engine_that_left_after_the_copy_gets_nothing),
     SUITE_TEST (test_drain_from_after_the_copy_stays),
+    SUITE_TEST (test_order_to_drain_again_counts_in_time),
+    SUITE_TEST (test_order_of_the_copy_stays_taken_back),
     SUITE_TEST (test_gateway_without_the_store_learns_the_era),
     SUITE_TEST (test_version_stays_over_two_restorations_and_a_start),
     CU_TEST_INFO_NULL
--- a/tests/test_view_eras.c
+++ b/tests/test_view_eras.c
@@ -95,7 +95,7 @@
   list_one (view, 2, "config", "7");
   CU_ASSERT_STRING_EQUAL (get_value (view, "config"), "20");
   keyed_view_drop_missing (view);
-  keyed_view_apply_held (view);
+  keyed_view_apply_held (view, "");
   CU_ASSERT_STRING_EQUAL (get_value (view, "config"), "20");
   apply (view, 2, 1, "config", "14");
   CU_ASSERT_STRING_EQUAL (get_value (view, "config"), "20");
@@ -136,7 +136,7 @@
       keyed_view_list_end (view, (position_t){ 2, 1 });
       CU_ASSERT_PTR_NOT_NULL (strstr (get_value (view, "i-1"), odd[i]));
       apply_engine (view, 2, 1, ",\"seq\":6,\"born\":7");
-      keyed_view_apply_held (view);
+      keyed_view_apply_held (view, "");
       CU_ASSERT_PTR_NOT_NULL (strstr (get_value (view, "i-1"), "\"seq\":6"));
       apply_engine (view, 2, 2, ",\"seq\":7,\"born\":7");
       CU_ASSERT_PTR_NOT_NULL (strstr (get_value (view, "i-1"), "\"seq\":7"));
@@ -174,7 +174,7 @@
   list_one (view, 2, "e1", "3");
   CU_ASSERT_STRING_EQUAL (get_value (view, "e1"), "none");
   apply (view, 2, 1, "e1", NULL);
-  keyed_view_apply_held (view);
+  keyed_view_apply_held (view, "");
   CU_ASSERT_STRING_EQUAL (get_value (view, "e1"), "none");
 }
 
@@ -188,7 +188,7 @@
   apply (view, 1, 1, "e1", "3");
   apply (view, 1, 5, "e1", NULL);
   list_one (view, 2, "e1", "3");
-  keyed_view_apply_held (view);
+  keyed_view_apply_held (view, "");
   CU_ASSERT_STRING_EQUAL (get_value (view, "e1"), "3");
   apply (view, 2, 4, "e2", NULL);
   list_one (view, 3, "e1", "4");
@@ -208,10 +208,89 @@
   apply (view, 2, 1, "plain", "c");
   CU_ASSERT_STRING_EQUAL (get_value (view, "plain"), "c");
   list_one (view, 3, "plain", "a");
-  keyed_view_apply_held (view);
+  keyed_view_apply_held (view, "");
   CU_ASSERT_STRING_EQUAL (get_value (view, "plain"), "a");
 }
 
+static position_t
+transfer (const keyed_view_t *from, position_t next, keyed_view_t *to, position_t have)
+{
+  view_share_stream_t sender = { .name = STREAM, .view = (keyed_view_t *)from, .next = next };
+  view_share_stream_t receiver = { .name = STREAM, .view = to, .next = have };
+  g_autofree char *body = view_share_format (&sender, &have, 1, true);
+  view_share_answer_t answer;
+  position_t reached;
+
+  CU_ASSERT_FATAL (view_share_parse (&answer, body, strlen (body)));
+  reached = view_share_apply (&answer, &receiver);
+  view_share_clear (&answer);
+  return reached;
+}
+
+static void
+list_at (keyed_view_t *view, uint64_t offset, const char *key, const char *value)
+{
+  keyed_view_list_begin (view);
+  apply (view, 2, offset, key, value);
+  keyed_view_list_end (view, (position_t){ 2, offset + 1 });
+}
+
+/* Guards against a new record that is held as if the copy had brought it back: the copy has an
+ * older one at the offset that this one had. */
+static void
+test_record_that_the_copy_cannot_have_counts_at_once (void)
+{
+  static const struct
+  {
+    const char *known;
+    uint64_t offset;
+    const char *result;
+  } cases[] = {
+    { "b", 4, "b" },     { "b", 5, "c" },  { "b", 6, "c" },
+    { NULL, 4, "none" }, { NULL, 5, "c" }, { NULL, 6, "c" },
+  };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (keyed_view_t) view = new_view ();
+      g_autoptr (keyed_view_t) started = new_view ();
+      const position_t end = { 2, cases[i].offset + 1 };
+
+      apply (view, 1, 3, "plain", "a");
+      apply (view, 1, 5, "plain", cases[i].known);
+      list_at (view, cases[i].offset, "plain", "c");
+      CU_ASSERT_STRING_EQUAL (get_value (view, "plain"), cases[i].result);
+      transfer (view, end, started, (position_t){ 0 });
+      CU_ASSERT_STRING_EQUAL (get_value (started, "plain"), cases[i].result);
+      keyed_view_apply_held (view, "other");
+      CU_ASSERT_STRING_EQUAL (get_value (view, "plain"), cases[i].result);
+      keyed_view_apply_held (view, "plain");
+      CU_ASSERT_STRING_EQUAL (get_value (view, "plain"), "c");
+    }
+}
+
+/* Guards against a configuration that is held although the copy can't have it, since its version and
+ * the known one are too far apart to be compared. */
+static void
+test_configuration_after_the_copy_counts_at_once (void)
+{
+  static const char config[] = "{\"version\":%s,\"routes\":[],\"services\":[]}";
+  record_order_t order = { .parse_version = records_read_version,
+                           .parse_engine = records_read_engine };
+  g_autofree char *known = g_strdup_printf (config, "1765000000000000");
+  g_autofree char *next = g_strdup_printf (config, "8");
+
+  for (uint64_t offset = 4; offset <= 6; offset++)
+    {
+      g_autoptr (keyed_view_t) view =
+          keyed_view_new (ignore_change, NULL, record_order_compare_routing, &order);
+
+      apply (view, 1, 5, "config", known);
+      list_at (view, offset, "config", next);
+      CU_ASSERT_STRING_EQUAL (get_value (view, "config"), offset < 5 ? known : next);
+    }
+}
+
 /* Guards against records of an era before that come late, by a response on its way or by a peer. */
 static void
 test_record_of_an_era_before_changes_nothing (void)
@@ -229,21 +308,6 @@
   CU_ASSERT (position_equal (keyed_view_listed (view), (position_t){ 2, 1 }));
 }
 
-static position_t
-transfer (const keyed_view_t *from, position_t next, keyed_view_t *to, position_t have)
-{
-  view_share_stream_t sender = { .name = STREAM, .view = (keyed_view_t *)from, .next = next };
-  view_share_stream_t receiver = { .name = STREAM, .view = to, .next = have };
-  g_autofree char *body = view_share_format (&sender, &have, 1, true);
-  view_share_answer_t answer;
-  position_t reached;
-
-  CU_ASSERT_FATAL (view_share_parse (&answer, body, strlen (body)));
-  reached = view_share_apply (&answer, &receiver);
-  view_share_clear (&answer);
-  return reached;
-}
-
 /* Guards against a gateway that starts meanwhile, or was behind, and gets an older state than the
  * peer that it asks. */
 static void
@@ -462,7 +526,7 @@
       read_stream (&stream, views[i], &next[i]);
       read_stream (&stream, views[i], &next[i]);
       keyed_view_drop_missing (views[i]);
-      keyed_view_apply_held (views[i]);
+      keyed_view_apply_held (views[i], "");
       for (uint32_t key = 0; key < KEYS; key++)
         if (number_of (views[i], key) != stream.newest[key])
           fault = fault ? fault : "does not have what was written again";
@@ -500,6 +564,8 @@
     SUITE_TEST (test_deleted_key_of_the_copy_stays_deleted),
     SUITE_TEST (test_deleted_key_that_stays_in_the_stream_returns),
     SUITE_TEST (test_record_written_after_the_listing_counts_at_once),
+    SUITE_TEST (test_record_that_the_copy_cannot_have_counts_at_once),
+    SUITE_TEST (test_configuration_after_the_copy_counts_at_once),
     SUITE_TEST (test_record_of_an_era_before_changes_nothing),
     SUITE_TEST (test_copy_of_a_peer_has_what_is_kept),
     SUITE_TEST (test_new_records_of_another_era_are_not_applied),
