An entry that the store writes late brings no engine back that has left

Cause: the record with the later offset won within an era of the store, whatever it said of its age. Evidence: each gateway logs gone, then ready in the moment of the late write, and two of them place a request there, which hears Server-Leaving; gone again 3.7 s later.

Change: the view keeps the last value of a removed key, also of one that a listing or a restored store lacked, and holds an entry back that is older by its start and number; for four renewals, after which the store has removed it if its engine doesn't live. Peers get the removal alone. A ready entry from before a report of leaving changes nothing in the engines' table for 10 s. A live engine whose numbers another writer has overtaken returns after that.

Why it works: engines number their entries and don't return from leaving within a start, so a lower number is from before, however late it comes; a lapsed engine and a new start come with higher ones.

--- a/src/process/gateway_store_private.h
+++ b/src/process/gateway_store_private.h
@@ -47,6 +47,7 @@
  * @copied_engines: what the last copy had of the engine registry
  * @restorations: for each stream, what holds after the store came back from a copy
  * @kept_counts: for each stream, records kept from before the store came back from a copy
+ * @next_age_us: when the entries of engines that are held back are looked at next
  * @dropping_missing: entries are being dropped that nobody wrote again in time
  * @own_entry: this gateway's entry in the gateway registry
  */
@@ -71,6 +72,7 @@
   view_share_copy_t copied_engines;
   restoration_t restorations[STREAM_COUNT];
   uint32_t kept_counts[STREAM_COUNT];
+  uint64_t next_age_us;
   bool dropping_missing;
   own_entry_t *own_entry;
   counter_t *fetch_count;
--- a/src/process/gateway_store_restore.c
+++ b/src/process/gateway_store_restore.c
@@ -69,17 +69,32 @@
     drop_missing (store, stream);
   if (restoration_take_drains_due (restoration, gateway_store_now_us (store)))
     {
-      keyed_view_apply_held (store->views[stream], PLATFORM_KEY_DRAIN_PREFIX);
+      keyed_view_apply_held (store->views[stream], PLATFORM_KEY_DRAIN_PREFIX, 0);
       log_restoration (store, stream, "drains_applied");
     }
   if (restoration_take_apply_due (restoration, gateway_store_now_us (store)))
     {
-      keyed_view_apply_held (store->views[stream], "");
+      keyed_view_apply_held (store->views[stream], "",
+                             stream == STREAM_ENGINES ? RESTORATION_HELD_ENGINE_RENEWALS - 1 : 0);
       log_restoration (store, stream, "held_applied");
     }
   store->kept_counts[stream] = keyed_view_held_count (store->views[stream]);
 }
 
+/* An engine that lives renews its entry, so one that is still held then is no delayed write. */
+static void
+apply_entries_of_live_engines (gateway_store_t *store)
+{
+  uint64_t now_us = gateway_store_now_us (store);
+
+  if (now_us < store->next_age_us)
+    return;
+  store->next_age_us = now_us + (uint64_t)store->options.settings->renewal_ms * CLOCK_US_PER_MS;
+  keyed_view_age (store->views[STREAM_ENGINES]);
+  keyed_view_apply_held (store->views[STREAM_ENGINES], "", RESTORATION_HELD_ENGINE_RENEWALS);
+  store->kept_counts[STREAM_ENGINES] = keyed_view_held_count (store->views[STREAM_ENGINES]);
+}
+
 /* The era is that of the whole store: what one stream has found holds for the others, whose reads
  * may wait for long. */
 void
@@ -88,6 +103,7 @@
   uint64_t era = gateway_store_era (store);
   uint32_t kept = 0;
 
+  apply_entries_of_live_engines (store);
   for (uint32_t i = 0; i < STREAM_COUNT; i++)
     {
       stream_follower_note_era (store->followers[i], era);
--- a/src/request/policy/engines/engines.c
+++ b/src/request/policy/engines/engines.c
@@ -226,12 +226,31 @@
   return !repeated && (engine->start_renewed || entry->state != ENGINE_READY);
 }
 
+/* Engines that leave don't return, so an entry from before that is a write that was delayed, or the
+ * later one was stated by another writer, whose number the engine may never reach. */
+static bool
+takes_leaving_back (engine_t *engine, uint64_t now_us, const engine_entry_t *entry)
+{
+  const engine_entry_t *known = &engine->entry;
+
+  if (known->state != ENGINE_LEAVING || entry->state != ENGINE_READY ||
+      entry->born_ms != known->born_ms || known->renewal == 0 || entry->renewal == 0 ||
+      entry->renewal >= known->renewal)
+    {
+      engine->returns_since_us = 0;
+      return false;
+    }
+  if (engine->returns_since_us == 0)
+    engine->returns_since_us = now_us;
+  return now_us < engine->returns_since_us + ENGINE_DELAYED_WRITE_US;
+}
+
 engine_t *
 engines_put (engines_t *engines, uint64_t now_us, const engine_entry_t *entry)
 {
   engine_t *engine = g_hash_table_lookup (engines->by_id, entry->id);
 
-  if (engine && is_delayed_write (engine, entry))
+  if (engine && (is_delayed_write (engine, entry) || takes_leaving_back (engine, now_us, entry)))
     return engine;
   if (engine &&
       (engine->entry.service != entry->service || engine->entry.born_ms != entry->born_ms))
--- a/src/request/policy/engines/engines.h
+++ b/src/request/policy/engines/engines.h
@@ -132,6 +132,7 @@
  * @was_silent: all of @failures are requests given up as it was silent
  * @start_renewed: more than one entry stated its start
  * @earlier_start_wrote: the last entry was of an earlier start, and was taken for a delayed one
+ * @returns_since_us: since when entries from before it left state that it is ready; 0 for none
  * @entry_expired: its entry expired while the store was unreachable, so it may be running or have
  *   left
  * @displaced: another engine answers at its address
@@ -185,6 +186,7 @@
   bool was_silent;
   bool start_renewed;
   bool earlier_start_wrote;
+  uint64_t returns_since_us;
   bool entry_expired;
   bool displaced;
   bool reported_leaving;
@@ -241,6 +243,9 @@
  * so one that can't serves as the probe this much later, if no other came. */
 #define ENGINE_UNREPEATABLE_PROBE_DELAY_US (UINT64_C (4000) * 1000)
 
+/* Time after which the platform has done each write whose caller got no answer */
+#define ENGINE_DELAYED_WRITE_US (UINT64_C (10) * 1000 * 1000)
+
 engines_t *engines_new (void);
 void engines_free (engines_t *engines);
 /**
@@ -248,7 +253,8 @@
  *
  * A later start time under the same id means a new engine, to which nothing known of the old one
  * applies; the old one stays until its last request has ended. An entry with an earlier start time
- * is outdated and changes nothing.
+ * is outdated and changes nothing. Nor does one that the engine wrote before it left, unless it
+ * goes on for %ENGINE_DELAYED_WRITE_US.
  *
  * Return: the engine
  */
--- a/src/version/keyed_view.c
+++ b/src/version/keyed_view.c
@@ -19,8 +19,9 @@
  * struct entry - what is known of a key
  * @known: the record that holds; a tombstone when the key was deleted, so that an older record that
  *   arrives late does not restore the key
- * @held: the newest record of a later era, when it is held back; NULL for none
+ * @held: the newest record that is held back; NULL for none
  * @held_until_applied: keyed_view_apply_held() applies @held
+ * @held_age: age of the view when a record was first held back
  * @list_number: number of the listing during which the key was last seen
  * @unconfirmed: the listing in progress has the key, but the last one did not; holds if the one in
  *   progress is newer
@@ -30,6 +31,7 @@
   record_t known;
   record_t *held;
   bool held_until_applied;
+  uint64_t held_age;
   uint64_t list_number;
   bool unconfirmed;
 } entry_t;
@@ -45,6 +47,7 @@
   uint64_t list_number;
   position_t listed;
   uint64_t revision;
+  uint64_t age;
 };
 
 static void
@@ -137,7 +140,7 @@
                         view->compare_context);
 }
 
-/** enum decision - what happens to a record of a later era than the known one */
+/** enum decision - what happens to a record that is later than the known one */
 typedef enum
 {
   TAKE,
@@ -183,6 +186,22 @@
   return HOLD_UNTIL_APPLIED;
 }
 
+/* A write that the stream does late brings a deleted key back for as long as the stream keeps the
+ * record. */
+static decision_t
+decide_in_era (const keyed_view_t *view,
+               const char *key,
+               const entry_t *entry,
+               const char *value,
+               size_t value_bytes)
+{
+  if (!value || !entry->known.deleted)
+    return TAKE;
+  return compare_values (view, key, &entry->known, value, value_bytes) == KEYED_VIEW_PERHAPS_OLDER
+             ? HOLD_UNTIL_APPLIED
+             : TAKE;
+}
+
 static void
 hold (keyed_view_t *view,
       entry_t *entry,
@@ -192,7 +211,10 @@
       size_t value_bytes)
 {
   if (!entry->held)
-    entry->held = g_new0 (record_t, 1);
+    {
+      entry->held = g_new0 (record_t, 1);
+      entry->held_age = view->age;
+    }
   record_set (entry->held, position, value, value_bytes);
   entry->held_until_applied = decision == HOLD_UNTIL_APPLIED;
   view->revision++;
@@ -235,8 +257,10 @@
     return false;
   if (entry->held && !position_is_before (entry->held->position, position))
     return false;
-  if (exists && !entry->unconfirmed && entry->known.position.era < position.era)
-    decision = decide (view, key, entry, position, value, value_bytes);
+  if (exists && !entry->unconfirmed)
+    decision = entry->known.position.era < position.era
+                   ? decide (view, key, entry, position, value, value_bytes)
+                   : decide_in_era (view, key, entry, value, value_bytes);
   if (decision != TAKE)
     {
       hold (view, entry, decision, position, value, value_bytes);
@@ -277,6 +301,14 @@
     visit_record (key, &entry->known, view->changed, view->context);
 }
 
+/* The key was deleted before @end. Its last value shows which record of it is older. */
+static void
+set_deleted_before (keyed_view_t *view, const char *key, entry_t *entry, position_t end)
+{
+  record_set (&entry->known, (position_t){ end.era, end.offset - 1 }, NULL, 0);
+  view->changed (key, NULL, 0, end, view->context);
+}
+
 /* Return: whether to forget the key, of which the listing up to @end had no record */
 static bool
 is_unlisted (keyed_view_t *view, const char *key, entry_t *entry, position_t end)
@@ -287,13 +319,12 @@
     return false;
   if (entry->known.deleted)
     return true;
-  if (entry->known.position.era < end.era)
-    return false;
-  view->changed (key, NULL, 0, end, view->context);
-  return true;
+  if (entry->known.position.era == end.era)
+    set_deleted_before (view, key, entry, end);
+  return false;
 }
 
-/* Also discards the tombstones from before the listing: keyed_view_apply() rejects the older
+/* Also discards the tombstones from before the last listing: keyed_view_apply() rejects the older
  * records of keys that it does not know. */
 void
 keyed_view_list_end (keyed_view_t *view, position_t end)
@@ -338,19 +369,30 @@
   g_hash_table_iter_init (&iter, view->entries);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
-      const entry_t *entry = value;
+      entry_t *entry = value;
 
       if (!is_missing (view, entry))
         continue;
+      view->revision++;
+      if (!entry->known.deleted && view->listed.offset > 0)
+        {
+          set_deleted_before (view, key, entry, view->listed);
+          continue;
+        }
       if (!entry->known.deleted)
         view->changed (key, NULL, 0, view->listed, view->context);
       g_hash_table_iter_remove (&iter);
-      view->revision++;
     }
 }
 
 void
-keyed_view_apply_held (keyed_view_t *view, const char *prefix)
+keyed_view_age (keyed_view_t *view)
+{
+  view->age++;
+}
+
+void
+keyed_view_apply_held (keyed_view_t *view, const char *prefix, uint32_t min_age)
 {
   GHashTableIter iter;
   gpointer key;
@@ -361,7 +403,8 @@
     {
       entry_t *entry = value;
 
-      if (!entry->held || !entry->held_until_applied || !g_str_has_prefix (key, prefix))
+      if (!entry->held || !entry->held_until_applied || !g_str_has_prefix (key, prefix) ||
+          view->age - entry->held_age < min_age)
         continue;
       take (view, key, entry, entry->held);
       g_clear_pointer (&entry->held, record_free);
@@ -425,6 +468,13 @@
   return count;
 }
 
+/* A reader of the deletion has no value to compare with. */
+static bool
+is_held_for_readers (const entry_t *entry)
+{
+  return entry->held && entry->held->position.era != entry->known.position.era;
+}
+
 void
 keyed_view_visit_since (const keyed_view_t *view,
                         position_t from,
@@ -442,7 +492,7 @@
 
       if (!position_is_before (entry->known.position, from))
         visit_record (key, &entry->known, visit, context);
-      if (entry->held && !position_is_before (entry->held->position, from))
+      if (is_held_for_readers (entry) && !position_is_before (entry->held->position, from))
         visit_record (key, entry->held, visit, context);
     }
 }
--- a/src/version/keyed_view.h
+++ b/src/version/keyed_view.h
@@ -15,6 +15,9 @@
  * - Where values tell no order, a record takes effect if its offset is not below that of the known
  *   one, or if it was written after the first listing of the era. For any other the known state
  *   stays until keyed_view_apply_held().
+ *
+ * A writer whose call was not answered may find it done seconds later. A record of a deleted key
+ * that is older by its value than the last one before is held back likewise, also within an era.
  */
 #ifndef VERSION_KEYED_VIEW_H
 #define VERSION_KEYED_VIEW_H
@@ -43,7 +46,7 @@
 } keyed_view_order_t;
 
 /** keyed_view_compare_t - how @value is related to the @known value. Called for records of
- * different eras only */
+ * different eras, and for those of deleted keys */
 typedef keyed_view_order_t (*keyed_view_compare_t) (const char *key,
                                                     const char *known,
                                                     size_t known_bytes,
@@ -81,10 +84,12 @@
 /** keyed_view_drop_missing() - delete the keys whose record is of an era before that of the last
  * listing and which the stream does not have in this era */
 void keyed_view_drop_missing (keyed_view_t *view);
+/** keyed_view_age() - raise the age of the records that are held back by one */
+void keyed_view_age (keyed_view_t *view);
 /** keyed_view_apply_held() - apply the records that were held back because values tell no order, or
- * perhaps another one, or because the key was deleted in the era before; of keys that begin with
- * @prefix, "" for all */
-void keyed_view_apply_held (keyed_view_t *view, const char *prefix);
+ * perhaps another one, or because the key was deleted; of keys that begin with @prefix, "" for all,
+ * whose records have been held back for @min_age calls of keyed_view_age() at least */
+void keyed_view_apply_held (keyed_view_t *view, const char *prefix, uint32_t min_age);
 /** keyed_view_get() - the value of @key, with its size and position; NULL when there is none */
 const char *keyed_view_get (const keyed_view_t *view,
                             const char *key,
@@ -108,7 +113,8 @@
 /** keyed_view_bytes_since() - total size of the values that keyed_view_visit_since() visits */
 size_t keyed_view_bytes_since (const keyed_view_t *view, position_t from);
 /** keyed_view_visit_since() - call @visit for each key whose record is at @from or later, also for
- * deleted keys. Of a key with a record that is held back, the known one is visited first */
+ * deleted keys. Of a key with a record of a later era that is held back, the known one is visited
+ * first */
 void keyed_view_visit_since (const keyed_view_t *view,
                              position_t from,
                              keyed_view_visit_t visit,
--- a/tests/test_odd_values.c
+++ b/tests/test_odd_values.c
@@ -210,7 +210,7 @@
       write_good (&fleet, odd->len, 2);
       CU_ASSERT (odd_reader_run (fleet.reader));
       keyed_view_drop_missing (fleet.reader->view);
-      keyed_view_apply_held (fleet.reader->view, "");
+      keyed_view_apply_held (fleet.reader->view, "", 0);
       write_good (&fleet, odd->len, 3);
       CU_ASSERT (odd_reader_run (fleet.reader));
       check_good (fleet.engines, odd, copy_has_odd ? "copy with the odd entry" : "copy without it");
--- a/tests/test_view_eras.c
+++ b/tests/test_view_eras.c
@@ -95,7 +95,7 @@
   list_one (view, 2, "config", "7");
   CU_ASSERT_STRING_EQUAL (get_value (view, "config"), "20");
   keyed_view_drop_missing (view);
-  keyed_view_apply_held (view, "");
+  keyed_view_apply_held (view, "", 0);
   CU_ASSERT_STRING_EQUAL (get_value (view, "config"), "20");
   apply (view, 2, 1, "config", "14");
   CU_ASSERT_STRING_EQUAL (get_value (view, "config"), "20");
@@ -136,7 +136,7 @@
       keyed_view_list_end (view, (position_t){ 2, 1 });
       CU_ASSERT_PTR_NOT_NULL (strstr (get_value (view, "i-1"), odd[i]));
       apply_engine (view, 2, 1, ",\"seq\":6,\"born\":7");
-      keyed_view_apply_held (view, "");
+      keyed_view_apply_held (view, "", 0);
       CU_ASSERT_PTR_NOT_NULL (strstr (get_value (view, "i-1"), "\"seq\":6"));
       apply_engine (view, 2, 2, ",\"seq\":7,\"born\":7");
       CU_ASSERT_PTR_NOT_NULL (strstr (get_value (view, "i-1"), "\"seq\":7"));
@@ -174,7 +174,7 @@
   list_one (view, 2, "e1", "3");
   CU_ASSERT_STRING_EQUAL (get_value (view, "e1"), "none");
   apply (view, 2, 1, "e1", NULL);
-  keyed_view_apply_held (view, "");
+  keyed_view_apply_held (view, "", 0);
   CU_ASSERT_STRING_EQUAL (get_value (view, "e1"), "none");
 }
 
@@ -188,7 +188,7 @@
   apply (view, 1, 1, "e1", "3");
   apply (view, 1, 5, "e1", NULL);
   list_one (view, 2, "e1", "3");
-  keyed_view_apply_held (view, "");
+  keyed_view_apply_held (view, "", 0);
   CU_ASSERT_STRING_EQUAL (get_value (view, "e1"), "3");
   apply (view, 2, 4, "e2", NULL);
   list_one (view, 3, "e1", "4");
@@ -208,7 +208,7 @@
   apply (view, 2, 1, "plain", "c");
   CU_ASSERT_STRING_EQUAL (get_value (view, "plain"), "c");
   list_one (view, 3, "plain", "a");
-  keyed_view_apply_held (view, "");
+  keyed_view_apply_held (view, "", 0);
   CU_ASSERT_STRING_EQUAL (get_value (view, "plain"), "a");
 }
 
@@ -262,9 +262,9 @@
       CU_ASSERT_STRING_EQUAL (get_value (view, "plain"), cases[i].result);
       transfer (view, end, started, (position_t){ 0 });
       CU_ASSERT_STRING_EQUAL (get_value (started, "plain"), cases[i].result);
-      keyed_view_apply_held (view, "other");
+      keyed_view_apply_held (view, "other", 0);
       CU_ASSERT_STRING_EQUAL (get_value (view, "plain"), cases[i].result);
-      keyed_view_apply_held (view, "plain");
+      keyed_view_apply_held (view, "plain", 0);
       CU_ASSERT_STRING_EQUAL (get_value (view, "plain"), "c");
     }
 }
@@ -526,7 +526,7 @@
       read_stream (&stream, views[i], &next[i]);
       read_stream (&stream, views[i], &next[i]);
       keyed_view_drop_missing (views[i]);
-      keyed_view_apply_held (views[i], "");
+      keyed_view_apply_held (views[i], "", 0);
       for (uint32_t key = 0; key < KEYS; key++)
         if (number_of (views[i], key) != stream.newest[key])
           fault = fault ? fault : "does not have what was written again";
