A status above 599 is no answer; early answers that are reset show no fault

Seen on other systems: a part of an answer without a length, sent while the upload was still written and then reset, passed for a whole one; an answer whose status is 000 was passed on.

Checked with real sockets (test-early-answers): six answers, reset at once, 0.3 and 3 ms later, while bodies of 0, 60 KB and 8 MB are written; at the HTTP client that the gateway, the router, the sidecar and the clients of the store and of peers use, in both of its modes, and through a gateway and a router with sidecars. No part passed for a whole answer: the client reads no answer before its request is written, and a reset fails it then and later. Status 000 and eleven others that are none: 000, 099 and those of fewer or more than three digits were refused; 600 and 999 were passed on by all of them.

Change: the client takes statuses from 200 to 599 for final answers. Two of the six tests failed before.

--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -7,6 +7,8 @@
 #include <sys/ioctl.h>
 
 #define STATUS_CONTINUE 100
+#define STATUS_FINAL_MIN 200 /* of a response that is not interim */
+#define STATUS_MAX 599
 #define COPIED_PART_BYTES 4096 /* smaller parts are copied when they are kept */
 
 /* Return: 0 for an unsupported method */
@@ -193,7 +195,7 @@
   http_framing_t framing = http_framing_detect (headers);
   const char *value;
 
-  if (status < 200 || framing == HTTP_FRAMING_INVALID)
+  if (status < STATUS_FINAL_MIN || status > STATUS_MAX || framing == HTTP_FRAMING_INVALID)
     return VERDICT_REASON_CUT;
   /* libevent treats the end of the connection as the end of such a response, so a truncated one
    * would look complete */
