--- a/tests/test_part_fleet.c
+++ b/tests/test_part_fleet.c
@@ -34,9 +34,13 @@
 #define FIRST_PARTS 3
 #define SUBJECT_SECONDS 5 /* time after which a subject is asked for again, on average */
 #define RECORD_LIMIT 1024
-#define SUBJECTS_MAX 3            /* of a request: itself and two parts */
+#define SHORT_SUBJECTS 3 /* of a request: itself and two parts */
+#define TURNS_MAX 16     /* parts of a chat that has returned so often */
+#define SUBJECTS_MAX (SHORT_SUBJECTS + TURNS_MAX + 1)
+#define TURN (UINT64_C (7) << 48) /* the first part of a turn; the others follow */
 #define CULPRIT UINT64_C (0xdead) /* the first part that ends engines; the others follow */
 #define DEADLY_PARTS_MAX 2
+#define LONG_SEEDS 10           /* of each size below a hundred gateways */
 #define SUBJECT UINT64_C (0x50) /* the first sound part that is refused; the others follow */
 #define SUBJECTS_REFUSED 8
 #define SUBJECT_PLAY_US (15 * S_US)
@@ -61,6 +65,7 @@
   play_t *play;
   uint32_t gateway;
   crash_subject_t subjects[SUBJECTS_MAX];
+  uint32_t subject_count;
   bool is_deadly;
   uint32_t deadly_part;
   uint32_t attempts;
@@ -84,6 +89,7 @@
  * @deadly_per_s: requests with a part that ends engines
  * @is_first: it is their first part
  * @deadly_parts: number of these parts, one in each request; 0 is one
+ * @turns: further parts of each prompt; the one that ends engines is then the last of them
  */
 typedef struct
 {
@@ -94,6 +100,7 @@
   uint32_t deadly_per_s;
   bool is_first;
   uint32_t deadly_parts;
+  uint32_t turns;
 } fleet_t;
 
 /**
@@ -162,7 +169,7 @@
 static bool
 has_subject (const run_t *run, uint64_t fingerprint)
 {
-  for (uint32_t i = 0; i < SUBJECTS_MAX; i++)
+  for (uint32_t i = 0; i < run->subject_count; i++)
     if (run->subjects[i].fingerprint == fingerprint)
       return true;
   return false;
@@ -187,7 +194,7 @@
   uint64_t now_us = crash_sim_now_us (run->play->sim);
   uint32_t count = 0;
 
-  for (uint32_t i = 0; i < SUBJECTS_MAX; i++)
+  for (uint32_t i = 0; i < run->subject_count; i++)
     if (crash_record_check (record, now_us, run->subjects[i].fingerprint) >= CRASH_RECORD_PENDING)
       count++;
   return count;
@@ -240,7 +247,7 @@
 static step_kind_t
 decide (const run_t *run)
 {
-  for (uint32_t i = 0; i < SUBJECTS_MAX; i++)
+  for (uint32_t i = 0; i < run->subject_count; i++)
     {
       step_kind_t step = decide_subject (run, run->subjects[i].fingerprint);
 
@@ -255,7 +262,7 @@
 {
   const crash_record_t *record = crash_sim_record (run->play->sim, run->gateway);
 
-  for (uint32_t i = 0; i < SUBJECTS_MAX; i++)
+  for (uint32_t i = 0; i < run->subject_count; i++)
     if (crash_record_count_crashes (record, run->subjects[i].fingerprint) >=
         CRASH_RECORD_TRIAL_CRASHES)
       return true;
@@ -430,7 +437,7 @@
   uint64_t now_us = crash_sim_now_us (play->sim);
   uint32_t in_use = count_engines_in_use (play, run->gateway);
 
-  for (uint32_t i = 0; i < SUBJECTS_MAX; i++)
+  for (uint32_t i = 0; i < run->subject_count; i++)
     crash_record_add_loss (
         record, now_us,
         &(crash_record_loss_t){ .fingerprint = run->subjects[i].fingerprint,
@@ -511,8 +518,8 @@
 {
   play_t *play = run->play;
 
-  answered_parts_add (&play->answered[run->gateway], run->subjects, SUBJECTS_MAX);
-  for (uint32_t i = first_subject; i < SUBJECTS_MAX; i++)
+  answered_parts_add (&play->answered[run->gateway], run->subjects, run->subject_count);
+  for (uint32_t i = first_subject; i < run->subject_count; i++)
     crash_record_note_served (crash_sim_record (play->sim, run->gateway),
                               crash_sim_now_us (play->sim), run->subjects[i].fingerprint);
   crash_sim_tell (play->sim, run->gateway);
@@ -592,9 +599,17 @@
   run->subjects[1] =
       (crash_subject_t){ is_deadly && fleet->is_first ? CULPRIT + run->deadly_part : first,
                          CRASH_SUBJECT_PART };
-  run->subjects[2] =
-      (crash_subject_t){ is_deadly && !fleet->is_first ? CULPRIT + run->deadly_part : subject,
-                         CRASH_SUBJECT_PART };
+  run->subjects[2] = (crash_subject_t){ is_deadly && !fleet->is_first && fleet->turns == 0
+                                            ? CULPRIT + run->deadly_part
+                                            : subject,
+                                        CRASH_SUBJECT_PART };
+  run->subject_count = SHORT_SUBJECTS;
+  for (uint32_t turn = 0; turn < fleet->turns; turn++)
+    run->subjects[run->subject_count++] =
+        (crash_subject_t){ TURN + subject * TURNS_MAX + turn, CRASH_SUBJECT_PART };
+  if (is_deadly && !fleet->is_first && fleet->turns > 0)
+    run->subjects[run->subject_count++] =
+        (crash_subject_t){ CULPRIT + run->deadly_part, CRASH_SUBJECT_PART };
   g_hash_table_insert (play->runs, &run->subjects[0].fingerprint, run);
   play->sound += is_counted (run) ? 1 : 0;
   if (!send_run (run))
@@ -767,6 +782,24 @@
   check_fleet ((fleet_t){ .gateways = 15, .engines = 20, .slots = 64, .requests_per_s = 600 });
 }
 
+/* Guards against the part that ends engines being told behind all others of long prompts. */
+static void
+test_long_prompts (void)
+{
+  static const uint32_t gateways[] = { 1, 4, 15, 385, 880 };
+  static const uint32_t rates[] = { 1, 4, 12 };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (gateways); i++)
+    for (uint32_t rate = 0; rate < G_N_ELEMENTS (rates); rate++)
+      for (uint32_t seed = 0; seed < (gateways[i] < 100 ? LONG_SEEDS : 1); seed++)
+        check_deadly (&(fleet_t){ .gateways = gateways[i],
+                                  .engines = 8 + 4 * gateways[i],
+                                  .requests_per_s = 8 + 8 * gateways[i],
+                                  .deadly_per_s = rates[rate],
+                                  .turns = TURNS_MAX },
+                      61 + seed);
+}
+
 /* Guards against two parts of which each excuses the other. */
 static void
 test_two_parts (void)
@@ -1005,6 +1038,7 @@
                                        SUITE_TEST (test_880_gateways),
                                        SUITE_TEST (test_engines_of_8_slots),
                                        SUITE_TEST (test_engines_of_64_slots),
+                                       SUITE_TEST (test_long_prompts),
                                        SUITE_TEST (test_two_parts),
                                        SUITE_TEST (test_part_comes_alone),
                                        SUITE_TEST (test_part_comes_again),
--- a/tests/test_view_eras.c
+++ b/tests/test_view_eras.c
@@ -269,8 +269,8 @@
     }
 }
 
-/* Guards against a configuration that is held although the copy can't have it, since its version and
- * the known one are too far apart to be compared. */
+/* Guards against a configuration that is held although the copy can't have it, since its version
+ * and the known one are too far apart to be compared. */
 static void
 test_configuration_after_the_copy_counts_at_once (void)
 {
