early_peer: waits until the loop has read what was sent, not for a time

Two of the three delays stood for 'the part has been read before the reset comes', which depended on the machine. The peer now ends the connection at once, or after the reading loop has polled since the last byte: both cases, by condition.

--- a/tests/early_peer.h
+++ b/tests/early_peer.h
@@ -9,28 +9,30 @@
 
 #include "base/settings.h"
 
+#include <event2/event.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 /**
  * struct early_peer_play - the answer to each request
  * @text: sent after the head of a request
- * @more: sent @delay_us later; NULL for nothing
- * @delay_us: also the time from the last byte to the end
+ * @more: sent after that; NULL for nothing
+ * @waits: before @more, and before the end, wait until the loop has read what was sent
  * @resets: reset the connection, otherwise close its sending side and read on
  */
 typedef struct
 {
   const char *text;
   const char *more;
-  uint32_t delay_us;
+  bool waits;
   bool resets;
 } early_peer_play_t;
 
 typedef struct early_peer early_peer_t;
 
-/** early_peer_new() - listen on a port of raw_peer_loopback_address() */
-early_peer_t *early_peer_new (void);
+/** early_peer_new() - listen on a port of raw_peer_loopback_address(); @base: the loop that reads
+ * the answers */
+early_peer_t *early_peer_new (struct event_base *base);
 void early_peer_free (early_peer_t *peer);
 const address_t *early_peer_address (const early_peer_t *peer);
 /** early_peer_set_play() - how requests are answered from now on; the texts are not copied */
--- a/tests/test_early_answers.c
+++ b/tests/test_early_answers.c
@@ -21,8 +21,8 @@
 #define RETRY_SLACK_MILLI (100 * 1000 * 1000)
 #define IDLE_TIMEOUT_MS 10000
 
-/* Of each, the client reads the part before the reset, after it, or not at all. */
-static const uint32_t delays_us[] = { 0, 300, 3000 };
+/* Whether the client has read the part before the reset comes */
+static const bool waits[] = { false, true };
 
 /** struct answer - an answer without a length, of which the end is missing */
 typedef struct
@@ -134,16 +134,16 @@
 {
   static const size_t sizes[] = { 0, SHORT_BODY_BYTES, LONG_BODY_BYTES };
   g_autoptr (client_t) client = client_new ();
-  g_autoptr (early_peer_t) peer = early_peer_new ();
+  g_autoptr (early_peer_t) peer = early_peer_new (client->base);
 
   for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
-    for (size_t delay = 0; delay < G_N_ELEMENTS (delays_us); delay++)
+    for (size_t wait = 0; wait < G_N_ELEMENTS (waits); wait++)
       for (size_t size = 0; size < G_N_ELEMENTS (sizes); size++)
         for (uint32_t repeat = 0; repeat < 2 * REPEATS; repeat++)
           {
             early_peer_set_play (peer, &(early_peer_play_t){ .text = answers[i].text,
                                                              .more = answers[i].more,
-                                                             .delay_us = delays_us[delay],
+                                                             .waits = waits[wait],
                                                              .resets = true });
             CU_ASSERT_FALSE (is_complete (client, peer, sizes[size], repeat % 2 == 0));
             CU_ASSERT_NOT_EQUAL (client->end.verdict, VERDICT_RAN);
@@ -156,7 +156,7 @@
 test_closed_answer_is_complete (void)
 {
   g_autoptr (client_t) client = client_new ();
-  g_autoptr (early_peer_t) peer = early_peer_new ();
+  g_autoptr (early_peer_t) peer = early_peer_new (client->base);
 
   for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
     {
@@ -172,7 +172,7 @@
 test_bad_status_is_no_answer (void)
 {
   g_autoptr (client_t) client = client_new ();
-  g_autoptr (early_peer_t) peer = early_peer_new ();
+  g_autoptr (early_peer_t) peer = early_peer_new (client->base);
 
   for (size_t i = 0; i < G_N_ELEMENTS (bad_statuses); i++)
     for (uint32_t until_close = 0; until_close < 2; until_close++)
@@ -205,7 +205,7 @@
   fleet->rig = gateway_rig_new (1);
   fleet->rig->gateways[0].settings.retry_slack_milli = RETRY_SLACK_MILLI;
   gateway_rig_skip_retry_window (fleet->rig);
-  fleet->peer = early_peer_new ();
+  fleet->peer = early_peer_new (fleet->rig->base);
   address = address_to_text (early_peer_address (fleet->peer));
   for (uint32_t i = 0; i < ENGINES; i++)
     {
@@ -272,14 +272,14 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
     for (size_t path = 0; path < G_N_ELEMENTS (paths); path++)
-      for (size_t delay = 0; delay < G_N_ELEMENTS (delays_us); delay++)
+      for (size_t wait = 0; wait < G_N_ELEMENTS (waits); wait++)
         for (uint32_t repeat = 0; repeat < REPEATS; repeat++)
           {
             raw_peer_t *raw;
 
             early_peer_set_play (fleet->peer, &(early_peer_play_t){ .text = answers[i].text,
                                                                     .more = answers[i].more,
-                                                                    .delay_us = delays_us[delay],
+                                                                    .waits = waits[wait],
                                                                     .resets = true });
             raw = upload (fleet, paths[path]);
             if (is_whole_success (raw))
@@ -339,7 +339,7 @@
 {
   static const char *const paths[] = { "/look", "/book" };
   g_autoptr (testbed_t) testbed = testbed_new ();
-  g_autoptr (early_peer_t) peer = early_peer_new ();
+  g_autoptr (early_peer_t) peer = early_peer_new (testbed->base);
   uint32_t plays = 0;
 
   for (uint32_t i = 0; i < TESTBED_SIDECARS; i++)
@@ -347,13 +347,13 @@
   for (size_t path = 0; path < G_N_ELEMENTS (paths); path++)
     {
       for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
-        for (size_t delay = 0; delay < G_N_ELEMENTS (delays_us); delay++, plays++)
+        for (size_t wait = 0; wait < G_N_ELEMENTS (waits); wait++, plays++)
           {
             raw_peer_t *raw;
 
             early_peer_set_play (peer, &(early_peer_play_t){ .text = answers[i].text,
                                                              .more = answers[i].more,
-                                                             .delay_us = delays_us[delay],
+                                                             .waits = waits[wait],
                                                              .resets = true });
             raw = upload_by_router (testbed, paths[path]);
             CU_ASSERT_FALSE (is_whole_success (raw));
